--- /dev/null
+++ b/experiment/doc.go
@@ -0,0 +1,3 @@
+// Package experiment describes scenarios, drives load, and reports
+// measurements.
+package experiment
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,3 @@
+// Package membership decides, as a pure core, which nodes are alive:
+// heartbeats, suspicion, refutation and leaving.
+package membership
--- /dev/null
+++ b/placement/types.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// Demand is the known demand for one model in the zone, summed over routers.
+type Demand struct {
+	Waiting, Running int
+	// Arrivals since the last plan.
+	Arrivals int
+	// OldestWait and EarliestDeadline of waiting requests; the latter counts
+	// from now.
+	OldestWait, EarliestDeadline time.Duration
+}
+
+// Slot is one model on one machine as the ledger counts it: it holds memory
+// whatever its state, and Unknown ones may or may not exist.
+type Slot struct {
+	Model   cluster.ModelID
+	Version string
+	State   cluster.ReplicaState
+	Unknown bool
+	Bytes   int64
+	Since   time.Time
+}
+
+// Machine is one machine of the zone in a State.
+type Machine struct {
+	ID   cluster.MachineID
+	Rack string
+	Pool string
+	// Sealed is false for machines that did not yet answer this controller;
+	// they take no orders and count as full.
+	Sealed       bool
+	Leaving      bool
+	MemoryBytes  int64
+	Accelerators int
+	Slots        int
+	// Replicas includes reserved ones, sorted by model.
+	Replicas []Slot
+	Cached   map[cluster.ModelID]cluster.Tier
+	// Load is the engine's last report, possibly stale.
+	Load cluster.LoadReport
+}
+
+// StoreState is what the zone may use of the weight store.
+type StoreState struct {
+	// StartsPerSecond and Concurrency are this cell's part.
+	StartsPerSecond float64
+	Concurrency     int
+	// Speed of the store as a share of full speed.
+	Speed float64
+}
+
+// State is the snapshot a plan is made from.
+type State struct {
+	Now       time.Time
+	Zone      cluster.ZoneID
+	Token     cluster.FencingToken
+	Settings  *settings.Snapshot
+	Allotment *cluster.Allotment
+	// Machines sorted by ID.
+	Machines []Machine
+	Demand   map[cluster.ModelID]Demand
+	Store    StoreState
+}
+
+// Action is one step of a plan.
+type Action struct {
+	Kind    cluster.OrderKind
+	Machine cluster.MachineID
+	Model   cluster.ModelID
+	Base    cluster.ModelID
+	Version string
+	Bytes   int64
+	Pool    string
+	Tier    cluster.Tier
+	// ExpectedTime until a load is done.
+	ExpectedTime time.Duration
+	DrainTime    time.Duration
+	Reason       Reason
+}
+
+// Plan is the outcome of one planning round.
+type Plan struct {
+	// Actions in the order they should be given.
+	Actions []Action
+	// Decisions explains every model whose wanted or held count is not zero or
+	// that changed since the last plan, sorted by model.
+	Decisions []Decision
+	// Wanted replicas by model, for the zone report; zero ones left out.
+	Wanted map[cluster.ModelID]int
+}
+
+// Decision explains the replica count of one model.
+type Decision struct {
+	Model cluster.ModelID
+	// Wanted replicas by policy and demand, Allowed by the allotment, Held now
+	// in any state, Loaded ready now.
+	Wanted, Allowed, Held, Loaded int
+	Reason                        Reason
+	// NextWake is when the idle-time histogram expects the next arrival.
+	NextWake time.Time
+}
+
+// Cause is the rule that decided.
+type Cause string
+
+// The causes of decisions and actions.
+const (
+	CauseDemand        Cause = "waiting requests"
+	CauseLoad          Cause = "load above target"
+	CauseMinimum       Cause = "minimum replicas"
+	CausePrewarm       Cause = "expected wake-up"
+	CauseKeepAlive     Cause = "within keep-alive"
+	CauseIdle          Cause = "idle past keep-alive"
+	CauseEvicted       Cause = "evicted for a model with more waiting work"
+	CauseNotAllotted   Cause = "no allotment in this zone"
+	CauseAllotmentFull Cause = "allotment reached"
+	CauseNoMemory      Cause = "no machine with free memory"
+	CauseNoMachine     Cause = "no machine in the pool"
+	CauseStoreLimit    Cause = "weight store limit"
+	CauseMachineLeaves Cause = "machine leaving"
+	CauseVersion       Cause = "version changed"
+	CauseRemoved       Cause = "model removed from the tree"
+	CauseBaseMissing   Cause = "base model not loaded"
+)
+
+// Reason is the recorded explanation of an action or decision.
+type Reason struct {
+	Cause Cause
+	// Setting and Source name the policy key that decided and the tree level
+	// its value came from, when one did.
+	Setting, Source string
+	// Idle time of the model and the KeepAlive it was held against.
+	Idle, KeepAlive time.Duration
+	Waiting         int
+	// Candidates are the best scored machines, at most a handful.
+	Candidates []Candidate
+	// Filtered counts machines by why they were left out.
+	Filtered []FilterCount
+	// SettingsRevision, AllotmentRevision and Token of the decision.
+	SettingsRevision  int64
+	AllotmentRevision int64
+	Token             cluster.FencingToken
+}
+
+// Candidate is one machine with its score; smaller is better.
+type Candidate struct {
+	Machine      cluster.MachineID
+	Tier         cluster.Tier
+	ExpectedTime time.Duration
+	FreeBytes    int64
+	Score        float64
+}
+
+// FilterCount says how many machines were left out for one cause.
+type FilterCount struct {
+	Cause Cause
+	Count int
+}
+
+// Planner turns states into plans. It keeps what it learns of each model's idle
+// times between rounds; it has no clock and no goroutine.
+type Planner interface {
+	Plan(state State) Plan
+}
--- /dev/null
+++ b/replication/doc.go
@@ -0,0 +1,3 @@
+// Package replication spreads accepted configuration between nodes, as a
+// pure core that never steps back.
+package replication
--- /dev/null
+++ b/routing/events.go
@@ -0,0 +1,188 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/verdict"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Request is what the core knows of a caller's request.
+type Request struct {
+	ID    cluster.RequestID
+	Model cluster.ModelID
+	// TokenPath is the subtree of the caller's token; limits of every level
+	// from there to the root, and from the model to the root, apply.
+	TokenPath string
+	// Team for fairness between teams in one queue.
+	Team     string
+	Priority int
+	// Deadline at which the request must have ended.
+	Deadline   time.Time
+	Repeatable bool
+	// BodyBytes of the request, for the queue's byte bound.
+	BodyBytes int64
+	// PromptTokens and MaxTokens estimate the tokens it will use.
+	PromptTokens, MaxTokens int
+	// Prefixes are the xxhash64 chain of prompt prefix blocks, shortest first.
+	Prefixes []uint64
+}
+
+// Event is an input of the core.
+type Event interface{ routingEvent() }
+
+// RequestArrived asks to admit a request.
+type RequestArrived struct{ Request Request }
+
+// CallerGone says that the caller left; the request ends without an answer.
+type CallerGone struct{ Request cluster.RequestID }
+
+// FirstByteSent says that the first byte of the answer went to the caller;
+// from then on the request is not started anew.
+type FirstByteSent struct{ Request cluster.RequestID }
+
+// AttemptEnded reports how a dispatched attempt ended. Events of attempts that
+// are not the request's current one are ignored.
+type AttemptEnded struct {
+	Request cluster.RequestID
+	Attempt cluster.Attempt
+	// Failure is nil when the whole answer was relayed.
+	Failure *verdict.Error
+	// EngineFull is true when the engine refused for lack of a slot and
+	// ModelMissing when it does not hold the model.
+	EngineFull, ModelMissing bool
+	// Tokens generated, as counted by the relay.
+	Tokens int
+}
+
+// CellStatusChanged brings a zone's replicas, loads and limit shares.
+type CellStatusChanged struct{ Status wire.CellStatus }
+
+// CellLost says that nothing is known of the zone any more.
+type CellLost struct{ Zone cluster.ZoneID }
+
+// MachineLeaving says that a machine takes no new work from now on, whatever
+// the controller's status says.
+type MachineLeaving struct{ Machine cluster.MachineID }
+
+// CacheEventsArrived brings engines' prefix cache events, late and with gaps.
+type CacheEventsArrived struct{ Events []cluster.CacheEvent }
+
+// SettingsChanged puts a snapshot in force.
+type SettingsChanged struct{ Snapshot *settings.Snapshot }
+
+// DrainStarted closes admission; waiting requests are refused as not run.
+type DrainStarted struct{}
+
+// Tick lets time-outs pass. The shell sends one at least at NextDeadline.
+type Tick struct{}
+
+func (RequestArrived) routingEvent()     {}
+func (CallerGone) routingEvent()         {}
+func (FirstByteSent) routingEvent()      {}
+func (AttemptEnded) routingEvent()       {}
+func (CellStatusChanged) routingEvent()  {}
+func (CellLost) routingEvent()           {}
+func (MachineLeaving) routingEvent()     {}
+func (CacheEventsArrived) routingEvent() {}
+func (SettingsChanged) routingEvent()    {}
+func (DrainStarted) routingEvent()       {}
+func (Tick) routingEvent()               {}
+
+// Effect is an output of the core.
+type Effect interface{ routingEffect() }
+
+// Dispatch tells the shell to run an attempt on a machine.
+type Dispatch struct {
+	Request cluster.RequestID
+	Attempt cluster.Attempt
+	Machine cluster.MachineID
+	Address string
+	Model   cluster.ModelID
+	// Version of the replica.
+	Version string
+	// Deadline at which the shell must give the attempt up.
+	Deadline time.Time
+	Reason   Choice
+}
+
+// Finish is the one terminal outcome of a request. Failure is nil when the
+// answer was relayed whole. The shell answers the caller from it at once.
+type Finish struct {
+	Request cluster.RequestID
+	Failure *verdict.Error
+	Reason  Explanation
+}
+
+// CancelAttempt tells the shell to cancel an attempt at the engine.
+type CancelAttempt struct {
+	Request cluster.RequestID
+	Attempt cluster.Attempt
+	Machine cluster.MachineID
+	Address string
+}
+
+func (Dispatch) routingEffect()      {}
+func (Finish) routingEffect()        {}
+func (CancelAttempt) routingEffect() {}
+
+// Choice explains why a replica was chosen.
+type Choice struct {
+	// Candidates considered, at most a handful, the chosen one first.
+	Candidates []Candidate
+	// Filtered counts replicas by why they were left out.
+	Filtered []FilterCount
+	// SettingsRevision in force.
+	SettingsRevision int64
+	// Token of the controller whose status named the replica.
+	Token cluster.FencingToken
+	// Waited in the queue before this dispatch.
+	Waited time.Duration
+}
+
+// Candidate is one replica with its scores.
+type Candidate struct {
+	Machine      cluster.MachineID
+	Zone         cluster.ZoneID
+	ExpectedWait time.Duration
+	// PrefixBlocks expected in the engine's cache, after decay.
+	PrefixBlocks float64
+	InFlight     int
+}
+
+// FilterCount says how many replicas were left out for one cause.
+type FilterCount struct {
+	Cause FilterCause
+	Count int
+}
+
+// FilterCause is why a replica was not considered.
+type FilterCause string
+
+// The filter causes.
+const (
+	FilterLeaving  FilterCause = "machine leaving"
+	FilterLoading  FilterCause = "still loading"
+	FilterFull     FilterCause = "no free slot"
+	FilterRecent   FilterCause = "refused recently"
+	FilterTried    FilterCause = "already tried for this request"
+	FilterVersion  FilterCause = "other version"
+	FilterUnlisted FilterCause = "not in the cell's status"
+)
+
+// Explanation is the recorded reason of a refusal or an end.
+type Explanation struct {
+	Code verdict.Code
+	// Setting and Source name the policy key that decided and the tree level
+	// its value came from, when one did.
+	Setting, Source string
+	// Limit and Value are the bound and what met it.
+	Limit, Value float64
+	Waited       time.Duration
+	Attempts     int
+	Machine      cluster.MachineID
+	// SettingsRevision in force.
+	SettingsRevision int64
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,141 @@
+// Package verdict defines the error type that crosses every package boundary on
+// the request path. Each error says whether the request it concerns may have
+// been executed by an engine, because that alone decides whether it may be
+// retried.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have been executed by an engine.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value: an error whose verdict nobody set must be
+	// treated as if the request might have been executed.
+	MayHaveRun Verdict = iota
+	// NotRun states that no engine executed any part of the request: it was
+	// refused before a byte was written to an engine, or the engine confirmed
+	// that it had not started it.
+	NotRun
+	// Ran states that an engine executed the request, fully or in part.
+	Ran
+)
+
+// String returns the form used in headers, logs and error bodies.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse reads the form written by String. Unknown text is MayHaveRun.
+func Parse(text string) Verdict {
+	switch text {
+	case "not-run":
+		return NotRun
+	case "ran":
+		return Ran
+	default:
+		return MayHaveRun
+	}
+}
+
+// Code classifies an error for callers, logs and metrics.
+type Code string
+
+// The codes a caller can see. Each maps to one HTTP status in package api.
+const (
+	CodeInvalidRequest     Code = "invalid_request"
+	CodeUnauthorized       Code = "unauthorized"
+	CodeForbidden          Code = "forbidden"
+	CodeModelNotFound      Code = "model_not_found"
+	CodeRequestTooLarge    Code = "request_too_large"
+	CodeConcurrencyLimit   Code = "concurrency_limit"
+	CodeRequestRateLimit   Code = "request_rate_limit"
+	CodeTokenRateLimit     Code = "token_rate_limit"
+	CodeQueueFull          Code = "queue_full"
+	CodeQueueTimeout       Code = "queue_timeout"
+	CodeDeadlineUnmeetable Code = "deadline_unmeetable"
+	CodeDeadlineExceeded   Code = "deadline_exceeded"
+	CodeNoCapacity         Code = "no_capacity"
+	CodeNodeDraining       Code = "node_draining"
+	CodeEngineRefused      Code = "engine_refused"
+	CodeEngineFailed       Code = "engine_failed"
+	CodeStreamCut          Code = "stream_cut"
+	CodeDuplicateKey       Code = "idempotency_key_in_use"
+	CodeOutcomeUnknown     Code = "outcome_unknown"
+	CodeCallerGone         Code = "caller_gone"
+	CodeConflict           Code = "conflict"
+	CodeUnavailable        Code = "unavailable"
+	CodeInternal           Code = "internal"
+)
+
+// Error is a classified error that carries a verdict.
+type Error struct {
+	// Verdict says whether the request may have been executed.
+	Verdict Verdict
+	// Code classifies the error.
+	Code Code
+	// Message is one sentence for people; it never holds secrets or prompts.
+	Message string
+	// RetryAfter tells the caller when to come back; zero means unstated.
+	RetryAfter time.Duration
+	// Cause is the underlying error, or nil.
+	Cause error
+}
+
+// New returns an Error without a cause.
+func New(verdict Verdict, code Code, format string, arguments ...any) *Error {
+	return &Error{Verdict: verdict, Code: code, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// Wrap returns an Error around cause.
+func Wrap(cause error, verdict Verdict, code Code, message string) *Error {
+	return &Error{Verdict: verdict, Code: code, Message: message, Cause: cause}
+}
+
+// After returns a copy of the error that tells the caller when to come back.
+func (e *Error) After(wait time.Duration) *Error {
+	copied := *e
+	copied.RetryAfter = wait
+	return &copied
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("%s (%s, %s): %v", e.Message, e.Code, e.Verdict, e.Cause)
+	}
+	return fmt.Sprintf("%s (%s, %s)", e.Message, e.Code, e.Verdict)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Of returns the verdict of err. An error without one is MayHaveRun, which is
+// the only safe assumption.
+func Of(err error) Verdict {
+	var classified *Error
+	if errors.As(err, &classified) {
+		return classified.Verdict
+	}
+	return MayHaveRun
+}
+
+// CodeOf returns the code of err, or CodeInternal when it carries none.
+func CodeOf(err error) Code {
+	var classified *Error
+	if errors.As(err, &classified) {
+		return classified.Code
+	}
+	return CodeInternal
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,186 @@
+// Package wire defines the messages between valveslip nodes, their Avro codec
+// and the watermill transport that carries them.
+package wire
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// Message is implemented by every message between nodes.
+type Message interface{ message() }
+
+// MemberRecord is what a heartbeat says of one member.
+type MemberRecord struct {
+	Node cluster.Node
+	// Incarnation is raised by the member itself to refute a suspicion.
+	Incarnation uint64
+	// State is "alive", "suspect", "dead" or "leaving".
+	State string
+}
+
+// ControllerClaim says who holds a zone's lease, as far as the sender knows.
+type ControllerClaim struct {
+	Zone  cluster.ZoneID
+	Node  cluster.NodeID
+	Token cluster.FencingToken
+}
+
+// Heartbeat carries liveness, gossip on members, the sender's configuration
+// stamp and the controller claims it knows to be newest.
+type Heartbeat struct {
+	From        cluster.Node
+	Incarnation uint64
+	Sequence    uint64
+	// Ack is true for the answer to another heartbeat, whose Sequence it echoes.
+	Ack     bool
+	Leaving bool
+	Stamp   settings.Stamp
+	Claims  []ControllerClaim
+	Gossip  []MemberRecord
+}
+
+// ConfigurationRequest asks a neighbour for what follows Stamp.
+type ConfigurationRequest struct {
+	Stamp settings.Stamp
+}
+
+// ConfigurationEntry is one accepted edit.
+type ConfigurationEntry struct {
+	Revision int64
+	// Digest of the whole tree after the entry.
+	Digest uint64
+	// Data is the encoded edit, as package settings writes it.
+	Data []byte
+}
+
+// ConfigurationEntries answers with the edits after the asked revision.
+type ConfigurationEntries struct {
+	History string
+	After   int64
+	Entries []ConfigurationEntry
+}
+
+// ConfigurationSnapshot answers with the whole tree.
+type ConfigurationSnapshot struct {
+	Stamp settings.Stamp
+	// Data is the encoded tree, as package settings writes it.
+	Data []byte
+}
+
+// ModelDemand is a router's demand for one model since its last report.
+type ModelDemand struct {
+	Model cluster.ModelID
+	// Waiting requests now, and running ones now.
+	Waiting, Running int
+	// Arrivals since the last report.
+	Arrivals int
+	// OldestWait of a waiting request.
+	OldestWait time.Duration
+	// EarliestDeadline of a waiting request, as a duration from the sending.
+	EarliestDeadline time.Duration
+}
+
+// ScopeDemand is a router's use of one limited scope.
+type ScopeDemand struct {
+	Path string
+	// Requests and Tokens a second wanted over the last interval, and
+	// requests now in flight.
+	Requests, Tokens float64
+	Concurrency      int
+}
+
+// Demand flows from routers to the controllers of the zones that hold the
+// models' allotments.
+type Demand struct {
+	From     cluster.NodeID
+	Zone     cluster.ZoneID
+	Sequence uint64
+	// Full is true when models missing here have no demand; otherwise only
+	// changed ones are listed.
+	Full   bool
+	Models []ModelDemand
+	Scopes []ScopeDemand
+}
+
+// ReplicaRecord is one replica that routers may use.
+type ReplicaRecord struct {
+	Machine cluster.MachineID
+	Address string
+	Model   cluster.ModelID
+	Version string
+	State   cluster.ReplicaState
+	// Slots is the engine's concurrency.
+	Slots int
+	// Leaving machines take no new work.
+	Leaving bool
+	// ReadyIn is the expected time until a loading replica is loaded.
+	ReadyIn time.Duration
+}
+
+// MachineLoad is the load of one machine as last reported.
+type MachineLoad struct {
+	Machine         cluster.MachineID
+	Running, Queued int
+	Age             time.Duration
+}
+
+// ScopeShare grants a router a part of a limit until it expires.
+type ScopeShare struct {
+	Path             string
+	Requests, Tokens float64
+	Concurrency      int
+	ExpiresIn        time.Duration
+}
+
+// CellStatus flows from a zone's controller to routers. Sequence orders the
+// messages of one token; a receiver that misses one asks for a full status.
+type CellStatus struct {
+	Zone     cluster.ZoneID
+	From     cluster.NodeID
+	Token    cluster.FencingToken
+	Sequence uint64
+	// Full replaces all that is known of the zone; otherwise Replicas holds
+	// changed records only, absent ones with ReplicaAbsent.
+	Full     bool
+	Replicas []ReplicaRecord
+	Loads    []MachineLoad
+	Shares   []ScopeShare
+	// Allotted lists the models the zone may hold; sent when Full.
+	Allotted []cluster.ModelID
+}
+
+// CellStatusRequest asks a controller for a full CellStatus.
+type CellStatusRequest struct {
+	Zone cluster.ZoneID
+}
+
+// ZoneReport flows from zone controllers to the apportioner: what the zone
+// wants and what it confirms to hold of each model.
+type ZoneReport struct {
+	Zone  cluster.ZoneID
+	Token cluster.FencingToken
+	// AllotmentRevision the controller acts on.
+	AllotmentRevision int64
+	Models            []ZoneModelReport
+	Machines          int
+	FreeBytes         int64
+}
+
+// ZoneModelReport is one model in a ZoneReport.
+type ZoneModelReport struct {
+	Model cluster.ModelID
+	// Wanted replicas by demand; Held ones in any state, unknown ones counted.
+	Wanted, Held int
+}
+
+func (Heartbeat) message()             {}
+func (ConfigurationRequest) message()  {}
+func (ConfigurationEntries) message()  {}
+func (ConfigurationSnapshot) message() {}
+func (Demand) message()                {}
+func (CellStatus) message()            {}
+func (CellStatusRequest) message()     {}
+func (ZoneReport) message()            {}
