Name the controller's address in cell statuses

Cause: routers of other zones need to answer a status and ask for a full one without knowing every node. Change: CellStatus carries the region and peer address of its sender, CellStatusRequest that of the asking node. Result: builds; no behaviour yet.

--- a/wire/messages.go
+++ b/wire/messages.go
@@ -138,10 +138,13 @@
 // CellStatus flows from a zone's controller to routers. Sequence orders the
 // messages of one token; a receiver that misses one asks for a full status.
 type CellStatus struct {
-	Zone     cluster.ZoneID
-	From     cluster.NodeID
-	Token    cluster.FencingToken
-	Sequence uint64
+	Zone   cluster.ZoneID
+	Region cluster.RegionID
+	From   cluster.NodeID
+	// FromAddress is the peer address of the controller.
+	FromAddress string
+	Token       cluster.FencingToken
+	Sequence    uint64
 	// Full replaces all that is known of the zone; otherwise Replicas holds
 	// changed records only, absent ones with ReplicaAbsent.
 	Full     bool
@@ -154,7 +157,9 @@
 
 // CellStatusRequest asks a controller for a full CellStatus.
 type CellStatusRequest struct {
-	Zone cluster.ZoneID
+	Zone        cluster.ZoneID
+	From        cluster.NodeID
+	FromAddress string
 }
 
 // ZoneReport flows from zone controllers to the apportioner: what the zone
