--- /dev/null
+++ b/standin/keyvalue/apply.go
@@ -0,0 +1,138 @@
+package keyvalue
+
+import (
+	"cmp"
+	"errors"
+	"time"
+
+	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/platform/kv/gateway"
+)
+
+// errInvalid says that a gateway request names an unknown target, result or
+// operation.
+var errInvalid = errors.New("invalid transaction")
+
+// Apply applies a transaction in the gateway's form, which allows more than
+// package kv needs: compares of any target and result, and writes and reads on
+// both branches. All writes of a branch take one revision; its reads see them
+// when they come after.
+func (s *State) Apply(now time.Time, request gateway.TxnRequest) (gateway.TxnResponse, error) {
+	s.Expire(now)
+	succeeded := true
+	for _, compare := range request.Compare {
+		holds, err := s.holds(compare)
+		if err != nil {
+			return gateway.TxnResponse{}, err
+		}
+		succeeded = succeeded && holds
+	}
+	branch := request.Success
+	if !succeeded {
+		branch = request.Failure
+	}
+	response := gateway.TxnResponse{Succeeded: succeeded}
+	writes, deleted, err := s.writesOf(branch)
+	if err != nil {
+		return response, err
+	}
+	if err := s.write(writes); err != nil {
+		return response, err
+	}
+	response.Header = s.header()
+	for i, operation := range branch {
+		response.Responses = append(response.Responses, s.answer(operation, deleted[i]))
+	}
+	return response, nil
+}
+
+// holds evaluates one compare.
+func (s *State) holds(compare gateway.Compare) (bool, error) {
+	pair := s.pairs[string(compare.Key)]
+	var order int
+	switch compare.Target {
+	case gateway.TargetMod:
+		order = cmp.Compare(pair.ModRevision, int64(compare.ModRevision))
+	case gateway.TargetCreate:
+		order = cmp.Compare(pair.CreateRevision, int64(compare.CreateRevision))
+	case gateway.TargetVersion, "":
+		order = cmp.Compare(pair.Version, int64(compare.Version))
+	default:
+		return false, errInvalid
+	}
+	switch compare.Result {
+	case gateway.ResultEqual, "":
+		return order == 0, nil
+	case gateway.ResultNotEqual:
+		return order != 0, nil
+	case gateway.ResultGreater:
+		return order > 0, nil
+	case gateway.ResultLess:
+		return order < 0, nil
+	default:
+		return false, errInvalid
+	}
+}
+
+// writesOf lists the writes of a branch, ranges of deletes resolved to keys,
+// and the number of keys each operation deletes.
+func (s *State) writesOf(branch []gateway.RequestOperation) ([]kv.Operation, []int, error) {
+	var writes []kv.Operation
+	deleted := make([]int, len(branch))
+	for i, operation := range branch {
+		switch {
+		case operation.Put != nil:
+			writes = append(writes, kv.Operation{
+				Key: string(operation.Put.Key), Value: operation.Put.Value, Lease: int64(operation.Put.Lease),
+			})
+		case operation.DeleteRange != nil:
+			pairs := s.between(string(operation.DeleteRange.Key), string(operation.DeleteRange.RangeEnd))
+			deleted[i] = len(pairs)
+			for _, pair := range pairs {
+				writes = append(writes, kv.Operation{Key: pair.Key, Delete: true})
+			}
+		case operation.Range == nil:
+			return nil, nil, errInvalid
+		}
+	}
+	return writes, deleted, nil
+}
+
+// answer builds the answer to one operation of an applied branch.
+func (s *State) answer(operation gateway.RequestOperation, deleted int) gateway.ResponseOperation {
+	switch {
+	case operation.Put != nil:
+		return gateway.ResponseOperation{Put: &gateway.PutResponse{Header: s.header()}}
+	case operation.DeleteRange != nil:
+		return gateway.ResponseOperation{DeleteRange: &gateway.DeleteRangeResponse{Header: s.header(), Deleted: gateway.Int64(deleted)}}
+	default:
+		response := s.rangeResponse(*operation.Range)
+		return gateway.ResponseOperation{Range: &response}
+	}
+}
+
+// rangeResponse answers a range in the gateway's form.
+func (s *State) rangeResponse(request gateway.RangeRequest) gateway.RangeResponse {
+	pairs := s.between(string(request.Key), string(request.RangeEnd))
+	response := gateway.RangeResponse{Header: s.header(), Count: gateway.Int64(len(pairs))}
+	if limit := int(request.Limit); limit > 0 && len(pairs) > limit {
+		pairs, response.More = pairs[:limit], true
+	}
+	for _, pair := range pairs {
+		response.KVs = append(response.KVs, toGateway(pair))
+	}
+	return response
+}
+
+func (s *State) header() gateway.Header {
+	return gateway.Header{Revision: gateway.Int64(s.revision)}
+}
+
+// toGateway writes one pair in the gateway's form.
+func toGateway(pair kv.KeyValue) gateway.KeyValue {
+	return gateway.KeyValue{
+		Key: []byte(pair.Key), Value: pair.Value,
+		CreateRevision: gateway.Int64(pair.CreateRevision), ModRevision: gateway.Int64(pair.ModRevision),
+		Version: gateway.Int64(pair.Version), Lease: gateway.Int64(pair.Lease),
+	}
+}
--- /dev/null
+++ b/standin/keyvalue/server_test.go
@@ -0,0 +1,92 @@
+package keyvalue_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/standin/fault"
+	"github.com/valveslip/valveslip/standin/keyvalue"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// start serves an empty store on a kernel-chosen port.
+func start(t *testing.T, config keyvalue.Config) (*keyvalue.Server, *kv.Client) {
+	t.Helper()
+	server := keyvalue.NewServer(config, 1)
+	listener := httptest.NewServer(server)
+	client := kv.NewClient(listener.URL)
+	t.Cleanup(func() {
+		client.Close()
+		listener.CloseClientConnections()
+		listener.Close()
+		server.Close()
+	})
+	return server, client
+}
+
+func put(t *testing.T, client *kv.Client, key, value string, expect int64) kv.TransactionResult {
+	t.Helper()
+	result, err := client.Txn(context.Background(), kv.Transaction{
+		Compares:   []kv.Compare{{Key: key, ModRevision: expect}},
+		Operations: []kv.Operation{{Key: key, Value: []byte(value)}},
+		Reads:      []string{key},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func TestCompareAndSwapOverGateway(t *testing.T) {
+	_, client := start(t, keyvalue.Config{})
+	first := put(t, client, "/a", "one", 0)
+	if !first.Succeeded {
+		t.Fatal("create of an absent key failed")
+	}
+	second := put(t, client, "/a", "two", 0)
+	if second.Succeeded || len(second.Found) != 1 || string(second.Found[0].Value) != "one" {
+		t.Fatalf("stale compare: %+v", second)
+	}
+	third := put(t, client, "/a", "two", first.Revision)
+	if !third.Succeeded || third.Revision != first.Revision+1 {
+		t.Fatalf("swap: %+v", third)
+	}
+	pairs, revision, err := client.Range(context.Background(), "/")
+	if err != nil || len(pairs) != 1 || pairs[0].Version != 2 || revision != third.Revision {
+		t.Fatalf("range: %+v at %d, %v", pairs, revision, err)
+	}
+}
+
+func TestLostAnswerTookEffect(t *testing.T) {
+	server, client := start(t, keyvalue.Config{})
+	server.Inject(fault.Order{Kind: fault.KindLoseAnswer, Count: 1})
+	_, err := client.Txn(context.Background(), kv.Transaction{Operations: []kv.Operation{{Key: "/a", Value: []byte("v")}}})
+	if err == nil || verdict.Of(err) != verdict.MayHaveRun {
+		t.Fatalf("lost answer: %v", err)
+	}
+	pairs, _, err := client.Range(context.Background(), "/a")
+	if err != nil || len(pairs) != 1 {
+		t.Fatalf("effect of the lost answer: %+v, %v", pairs, err)
+	}
+}
+
+func TestRefusalsAreNotRun(t *testing.T) {
+	server, client := start(t, keyvalue.Config{RequestsPerSecond: 1e-9, Burst: 1})
+	if _, err := client.Grant(context.Background(), time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Grant(context.Background(), time.Second); verdict.Of(err) != verdict.NotRun || verdict.CodeOf(err) != verdict.CodeRequestRateLimit {
+		t.Fatalf("rate limit: %v", err)
+	}
+	server.Inject(fault.Order{Kind: fault.KindRefuse, Count: 1})
+	if _, _, err := client.Range(context.Background(), "/"); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("refusal: %v", err)
+	}
+	unreachable := kv.NewClient("http://127.0.0.1:1")
+	if _, _, err := unreachable.Range(context.Background(), "/"); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("dial refused: %v", err)
+	}
+}
