Fence orders by engine run and name the machines of an allotment

Cause: an engine that restarts forgets its token, so an order delayed by a paused controller could reach the successor process; and a controller whose machine list lags could overlook a machine that its predecessor had used. Change: cluster.Order.Epoch, cluster.Allotment.Machines and WrittenAt, ModelAllotment.Ceiling; AllotmentRead.ReadRevision, InventoryRead.Order, OrderRefused and Resign in the controller's events. All additive.

--- a/authority/types.go
+++ b/authority/types.go
@@ -36,14 +36,33 @@
 // MachinesListed brings the zone's part of the machine list.
 type MachinesListed struct{ Machines []cluster.Machine }
 
-// AllotmentRead brings the zone's allotment record.
-type AllotmentRead struct{ Allotment cluster.Allotment }
+// AllotmentRead brings the zone's allotment record. ReadRevision is the global
+// revision at which it was read or watched; a read from before the lease was
+// acquired is ignored, because a later record may have lowered a count.
+type AllotmentRead struct {
+	Allotment    cluster.Allotment
+	ReadRevision int64
+}
 
 // Sealed brings the answer to a seal.
 type Sealed struct{ Inventory cluster.Inventory }
 
-// InventoryRead brings a later inventory, asked for or as an order's answer.
-type InventoryRead struct{ Inventory cluster.Inventory }
+// InventoryRead brings a later inventory. Order is the ID of the order that it
+// answers, empty for a plain read; the answer to an order settles it.
+type InventoryRead struct {
+	Inventory cluster.Inventory
+	Order     string
+}
+
+// OrderRefused says that the engine refused the order for good, for another
+// reason than a stale token: it will never take effect.
+type OrderRefused struct {
+	Machine cluster.MachineID
+	Order   string
+}
+
+// Resign gives the cell up for a planned stop.
+type Resign struct{}
 
 // EngineUnreachable says that a seal, order or inventory call had no answer;
 // whether an order took effect is unknown until an inventory is read.
@@ -71,6 +90,8 @@
 func (InventoryRead) authorityEvent()     {}
 func (EngineUnreachable) authorityEvent() {}
 func (StaleToken) authorityEvent()        {}
+func (OrderRefused) authorityEvent()      {}
+func (Resign) authorityEvent()            {}
 func (PlanMade) authorityEvent()          {}
 func (Tick) authorityEvent()              {}
 
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -101,7 +101,8 @@
 	// be told from a newer one. It restarts when the engine restarts; Epoch
 	// then differs.
 	Sequence uint64
-	// Epoch identifies one run of the engine process.
+	// Epoch identifies one run of the engine process. A later run has a larger
+	// one; the process's start time in nanoseconds will do.
 	Epoch uint64
 	// MemoryBytes is the machine's total memory for replicas.
 	MemoryBytes int64
@@ -168,8 +169,14 @@
 type Order struct {
 	// ID is unique; an engine that sees it twice applies it once.
 	ID string
-	// Token is the issuer's fencing token.
-	Token   FencingToken
+	// Token is the issuer's fencing token. An engine accepts an order only
+	// when it has been sealed with exactly this token in its present run; a
+	// fresh engine, which was never sealed, refuses every order.
+	Token FencingToken
+	// Epoch is the run of the engine process that the order is meant for. An
+	// engine refuses an order for another run, so an order that is delivered
+	// late can't reach the successor of a process that has ended.
+	Epoch   uint64
 	Machine MachineID
 	Kind    OrderKind
 	Model   ModelID
@@ -214,8 +221,12 @@
 	// MaxReplicas that the zone's controller may have at once, in any state.
 	MaxReplicas int
 	// Candidates are the only machines that may hold them; empty means any
-	// machine of the zone whose pool fits.
+	// machine of the record whose pool fits.
 	Candidates []MachineID
+	// Ceiling is the largest count that an earlier record granted and that the
+	// zone has not yet confirmed to have left, zero when there is none. What
+	// the zone may hold at the moment is the larger of both.
+	Ceiling int
 }
 
 // Allotment is the compact record that lets one zone's controller load and
@@ -227,6 +238,13 @@
 	Revision int64
 	// SettingsRevision is the settings revision it was computed from.
 	SettingsRevision int64
+	// WrittenAt is when the record was computed, to the second.
+	WrittenAt time.Time
+	// Machines are all machines of the zone that may hold anything, sorted. A
+	// machine is added before it is used and taken off only once it has gone
+	// from the machine list, so a new controller knows where an earlier one
+	// may have loaded.
+	Machines []MachineID
 	// Models is sorted by model.
 	Models []ModelAllotment
 }
