--- /dev/null
+++ b/placement/config.go
@@ -0,0 +1,74 @@
+package placement
+
+import "time"
+
+// Config tunes a planner. Zero values mean the documented defaults; policies
+// of the settings tree always take precedence over them.
+type Config struct {
+	// TargetLoad is the share of a machine's slots that one replica should
+	// fill before another replica is wanted; the default is 0.8.
+	TargetLoad float64
+	// ScaleDownDelay is how long the demand must stay lower before a model
+	// loses a replica it needed under load; the default is 30 s.
+	ScaleDownDelay time.Duration
+	// UnknownGrace is how long a replica whose order had no answer still counts
+	// as one that will serve; the default is 10 s.
+	UnknownGrace time.Duration
+	// MinSamples is how many idle periods a histogram needs before it replaces
+	// the policy's fixed keep-alive; the default is 6.
+	MinSamples float64
+	// ColdStartExchange is how many seconds of an idle replica one second of
+	// cold start is worth at a ColdStartWeight of one half; the default is 60.
+	ColdStartExchange float64
+	// DefaultSlots is assumed for machines that state none; the default is 8.
+	DefaultSlots int
+	// MaxLoadsPerMachine bounds the loads that run at once on one machine; the
+	// default is 2.
+	MaxLoadsPerMachine int
+	// Candidates is how many scored machines a reason lists; the default is 3.
+	Candidates int
+	// BytesPerSecond expected of a load by tier before any was observed; the
+	// defaults are 0.5 GB/s remote, 2 GB/s disk and 10 GB/s memory.
+	BytesPerSecond [TierCount]float64
+}
+
+// TierCount is the number of cache tiers.
+const TierCount = 3
+
+const (
+	defaultTargetLoad         = 0.8
+	defaultScaleDownDelay     = 30 * time.Second
+	defaultUnknownGrace       = 10 * time.Second
+	defaultMinSamples         = 6
+	defaultColdStartExchange  = 60
+	defaultSlots              = 8
+	defaultMaxLoadsPerMachine = 2
+	defaultCandidates         = 3
+)
+
+// defaultBytesPerSecond is indexed by cluster.Tier.
+var defaultBytesPerSecond = [TierCount]float64{0.5e9, 2e9, 10e9}
+
+// withDefaults returns the configuration with zero values filled in.
+func (c Config) withDefaults() Config {
+	setDefault(&c.TargetLoad, defaultTargetLoad)
+	setDefault(&c.ScaleDownDelay, defaultScaleDownDelay)
+	setDefault(&c.UnknownGrace, defaultUnknownGrace)
+	setDefault(&c.MinSamples, defaultMinSamples)
+	setDefault(&c.ColdStartExchange, defaultColdStartExchange)
+	setDefault(&c.DefaultSlots, defaultSlots)
+	setDefault(&c.MaxLoadsPerMachine, defaultMaxLoadsPerMachine)
+	setDefault(&c.Candidates, defaultCandidates)
+	for tier := range c.BytesPerSecond {
+		setDefault(&c.BytesPerSecond[tier], defaultBytesPerSecond[tier])
+	}
+	return c
+}
+
+// setDefault replaces a zero value.
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/placement/finish.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// finish completes the plan with the decisions and the wanted counts.
+func (r *round) finish() Plan {
+	active := 0
+	for i := range r.models {
+		if r.reports(int32(i)) {
+			active++
+		}
+	}
+	r.plan.Decisions = make([]Decision, 0, active)
+	r.plan.Wanted = make(map[cluster.ModelID]int, active)
+	for i := range r.models {
+		if r.reports(int32(i)) {
+			r.plan.Decisions = append(r.plan.Decisions, r.decision(int32(i)))
+		}
+		if r.models[i].reported > 0 {
+			r.plan.Wanted[r.catalogue.entries[i].model.ID] = r.models[i].reported
+		}
+		track := r.catalogue.entries[i].track
+		track.decided = r.models[i].reported > 0 || r.models[i].held > 0
+	}
+	plan := r.plan
+	r.plan, r.state = Plan{}, nil
+	return plan
+}
+
+// reports reports whether the model belongs in the plan's decisions: its
+// wanted or held count is not zero or was not in the last round.
+func (r *round) reports(i int32) bool {
+	model := &r.models[i]
+	return model.reported > 0 || model.held > 0 || r.catalogue.entries[i].track.decided
+}
+
+// decision explains one model's replica count.
+func (r *round) decision(i int32) Decision {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	reason := model.reason
+	if reason.Cause == "" {
+		reason = r.reason(i, CauseIdle, keyKeepAlive)
+		reason.Idle = entry.track.idle(r.state.Now)
+	}
+	decision := Decision{
+		Model: entry.model.ID, Wanted: model.reported, Allowed: model.limit,
+		Held: model.held - model.planned, Loaded: model.loaded, Reason: reason,
+	}
+	if next, ok := entry.track.schedule.next(entry.track.idle(r.state.Now)); ok && !entry.track.busy {
+		decision.NextWake = entry.track.idleSince.Add(next)
+	}
+	return decision
+}
--- /dev/null
+++ b/placement/place.go
@@ -0,0 +1,231 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// class orders loads by why they are wanted.
+type class uint8
+
+const (
+	classWaiting class = iota
+	classMinimum
+	classLoad
+	classPrewarm
+	classStanding
+)
+
+// request is one replica that should be loaded.
+type request struct {
+	model    int32
+	class    class
+	priority int
+	// score is waiting work and deadline urgency per second of load time.
+	score float64
+}
+
+// placed is one load planned in this round.
+type placed struct{ machine, model int32 }
+
+// maxRequests bounds the loads that one round considers; the rest wait for the
+// next round, as they would for the weight store.
+const maxRequests = 256
+
+// place plans the loads in the order of their worth.
+func (r *round) place() {
+	for i := range r.models {
+		r.enterRequests(int32(i))
+	}
+	slices.SortFunc(r.requests, compareRequests)
+	if len(r.requests) > maxRequests {
+		r.requests = r.requests[:maxRequests]
+	}
+	for k := range r.requests {
+		r.placeOne(&r.requests[k])
+	}
+}
+
+// waitForSeals explains why no loads are planned yet.
+func (r *round) waitForSeals() {
+	for i := range r.models {
+		if r.models[i].want > r.models[i].useful {
+			r.models[i].reason = r.reason(int32(i), CauseUnsealed, "")
+		}
+	}
+}
+
+// compareRequests orders loads: class, then priority, then score.
+func compareRequests(a, b request) int {
+	return cmp.Or(
+		cmp.Compare(a.class, b.class),
+		cmp.Compare(b.priority, a.priority),
+		cmp.Compare(b.score, a.score),
+		cmp.Compare(a.model, b.model),
+	)
+}
+
+// enterRequests enters a request for each missing replica of the model.
+func (r *round) enterRequests(i int32) {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	missing := model.want - model.useful
+	for k := range missing {
+		r.requests = append(r.requests, request{
+			model: i, class: r.classOf(i, k), priority: entry.model.Policy.Priority,
+			score: r.worth(i) / float64(k+1),
+		})
+	}
+}
+
+// classOf returns the class of a model's k-th missing replica.
+func (r *round) classOf(i int32, k int) class {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	switch {
+	case model.demand.Waiting > 0:
+		return classWaiting
+	case model.useful+k < entry.model.Policy.MinReplicas:
+		return classMinimum
+	case model.prewarm:
+		return classPrewarm
+	case model.demand.Running > 0:
+		return classLoad
+	}
+	return classStanding
+}
+
+// slackHorizon is the deadline slack at which urgency has halved.
+const slackHorizon = 10 * time.Second
+
+// worth is the waiting work of a model per second of its expected load, raised
+// as the slack until the earliest deadline shrinks and lowered when even an
+// immediate load would come too late for it.
+func (r *round) worth(i int32) float64 {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	load := r.coldStart(i)
+	urgency := 1.0
+	if model.demand.Waiting > 0 && model.demand.EarliestDeadline > 0 {
+		slack := model.demand.EarliestDeadline - load
+		if slack >= 0 {
+			urgency += float64(slackHorizon) / float64(slackHorizon+slack)
+		} else {
+			urgency /= 2
+		}
+	}
+	work := float64(model.demand.Waiting) + 0.1*float64(model.demand.Running) + 0.1
+	return work * urgency * (0.5 + entry.model.Policy.ColdStartWeight) / load.Seconds()
+}
+
+// storeAllows reports whether one more remote load may start.
+func (r *round) storeAllows() bool {
+	return r.store.allowance >= 1 && r.remoteLoads < r.store.concurrency()
+}
+
+// placeOne plans one load or records why it has to wait.
+func (r *round) placeOne(request *request) {
+	i := request.model
+	model := &r.models[i]
+	if model.held >= model.limit {
+		cause := CauseAllotmentFull
+		if !model.allotted || model.limit == 0 {
+			cause = CauseNotAllotted
+		}
+		model.reason = r.reason(i, cause, keyMaxReplicas)
+		return
+	}
+	c := r.choose(i)
+	if len(c.top) > 0 {
+		r.load(request, c)
+		return
+	}
+	r.block(request, c)
+}
+
+// load plans the load on the best machine, its base model before it. When the
+// store allows only the base now, the adapter follows in a later round.
+func (r *round) load(request *request, c *choice) {
+	i, best := request.model, c.top[0]
+	reason := r.loadReason(request)
+	r.explain(&reason, c)
+	if best.need.withBase {
+		base := r.catalogue.entries[i].base
+		r.loadOn(base, best.machine, best.need.baseTier, reason)
+	}
+	if best.need.tier == cluster.TierRemote && !r.storeAllows() {
+		r.claim(best.machine, r.catalogue.entries[i].model.Policy.Memory)
+		r.models[i].reason = r.reason(i, CauseStoreLimit, "")
+		return
+	}
+	r.loadOn(i, best.machine, best.need.tier, reason)
+}
+
+// loadReason explains a load.
+func (r *round) loadReason(request *request) Reason {
+	reason := r.models[request.model].reason
+	switch request.class {
+	case classWaiting:
+		reason = r.reason(request.model, CauseDemand, keyPriority)
+	case classMinimum, classStanding:
+		reason = r.reason(request.model, CauseMinimum, keyMinReplicas)
+	}
+	return reason
+}
+
+// loadOn enters the action, reserves its memory and counts it.
+func (r *round) loadOn(i, m int32, tier cluster.Tier, reason Reason) {
+	policy := &r.catalogue.entries[i].model.Policy
+	id, machine := r.catalogue.entries[i].model.ID, r.state.Machines[m].ID
+	expected := r.store.expected(tier, policy.Memory)
+	r.plan.Actions = append(r.plan.Actions, Action{
+		Kind: cluster.OrderLoad, Machine: machine, Model: id, Base: r.catalogue.entries[i].model.Base,
+		Version: policy.Version, Bytes: policy.Memory, Pool: policy.EnginePool, Tier: tier,
+		ExpectedTime: expected, Reason: reason,
+	})
+	r.loads = append(r.loads, placed{machine: m, model: i})
+	r.claim(m, policy.Memory)
+	r.machines[m].loading++
+	r.models[i].held++
+	r.models[i].planned++
+	r.models[i].useful++
+	if tier == cluster.TierRemote {
+		r.remoteLoads++
+		r.store.allowance--
+	}
+	r.store.ordered(loadKey{machine: machine, model: id}, pendingLoad{
+		tier: tier, bytes: policy.Memory, ordered: r.state.Now, expected: expected, seen: r.rounds,
+	})
+}
+
+// claim keeps memory of a machine from the loads that come later in the round.
+func (r *round) claim(m int32, bytes int64) {
+	r.machines[m].free -= bytes
+	r.machines[m].soon -= bytes
+}
+
+// block records why a load has to wait, and makes room for it when it may.
+func (r *round) block(request *request, c *choice) {
+	i := request.model
+	model := &r.models[i]
+	reason := r.reason(i, CauseNoMachine, keyEnginePool)
+	switch {
+	case c.storeBlocked != none:
+		reason = r.reason(i, CauseStoreLimit, "")
+		needs, _ := r.needOn(i, c.storeBlocked)
+		r.claim(c.storeBlocked, needs.bytes)
+	case c.later != none:
+		reason = r.reason(i, CauseNoMemory, keyMemory)
+		needs, _ := r.needOn(i, c.later)
+		r.claim(c.later, needs.bytes)
+	case c.filtered[filterMemory] > 0:
+		reason = r.reason(i, CauseNoMemory, keyMemory)
+		if request.class <= classMinimum {
+			r.evictFor(request)
+		}
+	case c.filtered[filterBase] > 0:
+		reason = r.reason(i, CauseBaseMissing, keyMaxReplicas)
+	}
+	r.explain(&reason, c)
+	model.reason = reason
+}
--- /dev/null
+++ b/placement/retention.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/settings"
+)
+
+// adaptiveRetention keeps models by their learned idle times.
+type adaptiveRetention struct{ config Config }
+
+// coldStartStep is the change of the expected load time, as a share, from which
+// a schedule is computed again.
+const coldStartStep = 0.25
+
+// schedule implements retention: the learned windows when there are enough
+// samples, else the policy's keep-alive.
+func (a adaptiveRetention) schedule(track *track, policy *settings.Policy, coldStart time.Duration) *schedule {
+	goal := objective{
+		weight: policy.ColdStartWeight, exchange: a.config.ColdStartExchange,
+		coldStart: coldStart, limit: policy.KeepAlive,
+	}
+	if !track.scheduleStale && !goal.differs(track.scheduleGoal) {
+		return &track.schedule
+	}
+	track.scheduleStale, track.scheduleGoal = false, goal
+	if float64(track.gaps.total) < a.config.MinSamples {
+		track.schedule = fixedSchedule(policy.KeepAlive)
+	} else {
+		track.schedule = track.gaps.plan(goal)
+	}
+	return &track.schedule
+}
+
+// differs reports whether another goal would give a different schedule.
+func (g objective) differs(other objective) bool {
+	change := float64(g.coldStart-other.coldStart) / float64(max(other.coldStart, 1))
+	return g.weight != other.weight || g.limit != other.limit || change > coldStartStep || change < -coldStartStep
+}
+
+// standing implements retention.
+func (a adaptiveRetention) standing(*settings.Policy) int { return 0 }
+
+// value implements retention: the chance that the model is needed within the
+// horizon, times what its reload would cost.
+func (a adaptiveRetention) value(track *track, policy *settings.Policy, idle, reload time.Duration) float64 {
+	return (0.05 + policy.ColdStartWeight) * track.nextUse(idle) * reload.Seconds()
+}
+
+// useHorizon is how far ahead an eviction looks.
+const useHorizon = 10 * time.Minute
+
+// nextUse is the probability that a model idle for the given time is needed
+// within useHorizon, with a prior that falls with the idle time while there
+// are few samples.
+func (t *track) nextUse(idle time.Duration) float64 {
+	bucket, end := gapBucket(idle), gapBucket(idle+useHorizon)
+	var beyond, within float32
+	for i := bucket; i < gapBuckets; i++ {
+		beyond += t.gaps.counts[i]
+		if i <= end {
+			within += t.gaps.counts[i]
+		}
+	}
+	prior := useHorizon.Seconds() / (useHorizon + idle).Seconds()
+	return (float64(within) + prior) / (float64(beyond) + 1)
+}
--- /dev/null
+++ b/placement/round.go
@@ -0,0 +1,275 @@
+package placement
+
+import (
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// round holds the working set of one planning round. Its buffers are reused.
+type round struct {
+	*planner
+	state    *State
+	models   []modelRound
+	machines []machineRound
+	// slots of all machines, those of one machine next to each other.
+	slots    []slotRound
+	requests []request
+	loads    []placed
+	choice   choice
+	victims  []victim
+	// poolSlots is the mean number of request slots of a machine, by pool.
+	poolSlots []slotMean
+	// remoteLoads under way or planned, over the zone.
+	remoteLoads int
+	unsealed    int
+	plan        Plan
+}
+
+// slotMean accumulates a mean.
+type slotMean struct{ sum, count int }
+
+// modelRound is one model's state in a round, aligned with the catalogue.
+type modelRound struct {
+	demand Demand
+	// adapterWorking and adapterWorked tell of the demand of a base model's
+	// adapters, now and since the last round.
+	adapterWorking, adapterWorked bool
+	allotted                      bool
+	limit                         int
+	candidates                    []cluster.MachineID
+	// first is the head of the model's list in round.slots.
+	first int32
+	// held counts all slots, and loads planned in this round; useful are those
+	// that serve or will serve at the wanted version on a machine that stays.
+	// confirmed ones may be ordered to unload.
+	held, planned, loaded, useful, unloading, confirmed int
+	// want is the count that loads are planned for; keep is the count that
+	// idle replicas are kept up to; reported also counts the need of adapters.
+	want, keep, reported int
+	// prewarm is set when want is only due to an expected wake-up.
+	prewarm bool
+	reason  Reason
+}
+
+// machineRound is one machine's state in a round, aligned with State.Machines.
+type machineRound struct {
+	pool int32
+	// free memory now and once all unloads are done, less claims of this round.
+	free, soon int64
+	// from and to bound the machine's entries in round.slots.
+	from, to int32
+	loading  int
+	usable   bool
+}
+
+// slotRound is one slot of the ledger.
+type slotRound struct {
+	slot    *Slot
+	model   int32
+	machine int32
+	// next links the slots of one model.
+	next      int32
+	useful    bool
+	unloading bool
+}
+
+// begin indexes the state.
+func (r *round) begin(p *planner, state *State) {
+	r.planner, r.state = p, state
+	r.plan = Plan{}
+	r.requests, r.loads = r.requests[:0], r.loads[:0]
+	r.slots = r.slots[:0]
+	r.remoteLoads, r.unsealed = 0, 0
+	r.indexModels()
+	r.indexMachines()
+}
+
+// indexModels resets the models and merges in the allotment and the demand.
+func (r *round) indexModels() {
+	count := len(r.catalogue.entries)
+	if cap(r.models) < count {
+		r.models = make([]modelRound, count)
+	}
+	r.models = r.models[:count]
+	var allotments []cluster.ModelAllotment
+	if r.state.Allotment != nil {
+		allotments = r.state.Allotment.Models
+	}
+	next := 0
+	for i := range r.models {
+		id := r.catalogue.entries[i].model.ID
+		r.models[i] = modelRound{first: none, demand: r.state.Demand[id]}
+		for next < len(allotments) && allotments[next].Model < id {
+			next++
+		}
+		if next < len(allotments) && allotments[next].Model == id {
+			r.models[i].allotted = true
+			r.models[i].limit = allotments[next].MaxReplicas
+			r.models[i].candidates = allotments[next].Candidates
+		}
+	}
+	for i := range r.models {
+		r.noteAdapterDemand(i)
+	}
+}
+
+// noteAdapterDemand passes an adapter's demand on to its base model.
+func (r *round) noteAdapterDemand(i int) {
+	base := r.catalogue.entries[i].base
+	if base == none {
+		return
+	}
+	demand := &r.models[i].demand
+	if demand.Waiting+demand.Running > 0 {
+		r.models[base].adapterWorking = true
+	}
+	if demand.Arrivals > 0 {
+		r.models[base].adapterWorked = true
+	}
+}
+
+// indexMachines enters every machine and its slots.
+func (r *round) indexMachines() {
+	r.machines = r.machines[:0]
+	r.poolSlots = r.poolSlots[:0]
+	for m := range r.state.Machines {
+		machine := &r.state.Machines[m]
+		pool := r.catalogue.pool(machine.Pool)
+		entry := machineRound{
+			pool: pool, free: machine.MemoryBytes, from: int32(len(r.slots)),
+			usable: machine.Sealed && !machine.Leaving,
+		}
+		for s := range machine.Replicas {
+			r.indexSlot(int32(m), &entry, &machine.Replicas[s])
+		}
+		entry.soon += entry.free
+		entry.to = int32(len(r.slots))
+		if !machine.Sealed {
+			r.unsealed++
+		}
+		r.machines = append(r.machines, entry)
+		r.countSlots(pool, machine)
+	}
+}
+
+// indexSlot enters one slot; a slot holds its memory whatever its state.
+func (r *round) indexSlot(m int32, machine *machineRound, slot *Slot) {
+	machine.free -= slot.Bytes
+	ref := slotRound{slot: slot, model: r.catalogue.find(slot.Model), machine: m, next: none}
+	ref.unloading = slot.State == cluster.ReplicaUnloading
+	if ref.unloading {
+		machine.soon += slot.Bytes
+	}
+	if slot.State == cluster.ReplicaLoading {
+		machine.loading++
+		if r.store.remote(loadKey{machine: r.state.Machines[m].ID, model: slot.Model}) {
+			r.remoteLoads++
+		}
+	}
+	if ref.model != none {
+		r.countReplica(&ref)
+	}
+	r.slots = append(r.slots, ref)
+}
+
+// countReplica adds a slot to its model's counts and list.
+func (r *round) countReplica(ref *slotRound) {
+	model := &r.models[ref.model]
+	machine := &r.state.Machines[ref.machine]
+	slot := ref.slot
+	model.held++
+	if ref.unloading {
+		model.unloading++
+	}
+	if slot.State == cluster.ReplicaLoaded && !slot.Unknown {
+		model.loaded++
+	}
+	if r.mayUnload(ref) {
+		model.confirmed++
+	}
+	fresh := !slot.Unknown || r.state.Now.Sub(slot.Since) < r.config.UnknownGrace
+	if !ref.unloading && fresh && machine.Sealed && !machine.Leaving && r.current(ref) {
+		ref.useful = true
+		model.useful++
+	}
+	ref.next = model.first
+	model.first = int32(len(r.slots))
+}
+
+// current reports whether the slot holds the version that the policy names.
+func (r *round) current(ref *slotRound) bool {
+	version := r.catalogue.entries[ref.model].model.Policy.Version
+	return version == "" || ref.slot.Version == version
+}
+
+// countSlots enters a machine's request slots into its pool's mean.
+func (r *round) countSlots(pool int32, machine *Machine) {
+	for len(r.poolSlots) < len(r.catalogue.pools) {
+		r.poolSlots = append(r.poolSlots, slotMean{})
+	}
+	slots := machine.Slots
+	if slots <= 0 {
+		slots = r.config.DefaultSlots
+	}
+	r.poolSlots[pool].sum += slots
+	r.poolSlots[pool].count++
+}
+
+// slotsPerReplica is how many requests one replica in the pool serves at once.
+func (r *round) slotsPerReplica(pool int32) float64 {
+	if int(pool) < len(r.poolSlots) && r.poolSlots[pool].count > 0 {
+		return float64(r.poolSlots[pool].sum) / float64(r.poolSlots[pool].count)
+	}
+	return float64(r.config.DefaultSlots)
+}
+
+// settling reports whether the controller has only just taken over and still
+// waits for machines to say what they hold.
+func (r *round) settling() bool {
+	return r.unsealed > 0 && r.state.Now.Sub(r.tokenSince) < sealGrace
+}
+
+// slotsOf returns the machine's slots.
+func (r *round) slotsOf(m int32) []slotRound {
+	return r.slots[r.machines[m].from:r.machines[m].to]
+}
+
+// holds reports whether the machine has a slot of the model in any state.
+func (r *round) holds(m, model int32) bool {
+	for i := range r.slotsOf(m) {
+		if r.slotsOf(m)[i].model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// baseInUse reports whether a slot on the machine is, or may be, an adapter of
+// the base model. Slots of models that left the tree may be.
+func (r *round) baseInUse(m, base int32) bool {
+	for _, ref := range r.slotsOf(m) {
+		if ref.model == none || r.catalogue.entries[ref.model].base == base {
+			return true
+		}
+	}
+	return false
+}
+
+// learn takes in what the ledger and the demand show since the last round.
+func (r *round) learn() {
+	for i := range r.slots {
+		ref := &r.slots[i]
+		key := loadKey{machine: r.state.Machines[ref.machine].ID, model: ref.slot.Model}
+		if ref.slot.State == cluster.ReplicaLoaded && !ref.slot.Unknown {
+			r.store.finished(key, ref.slot.Since)
+		} else {
+			r.store.keep(key, r.rounds)
+		}
+	}
+	r.store.expire(r.rounds)
+	for i := range r.models {
+		model := &r.models[i]
+		working := model.demand.Waiting+model.demand.Running > 0 || model.adapterWorking
+		worked := model.demand.Arrivals > 0 || model.adapterWorked
+		r.catalogue.entries[i].track.observe(r.state.Now, working, worked)
+	}
+}
--- a/placement/types.go
+++ b/placement/types.go
@@ -128,6 +128,11 @@
 	CauseVersion       Cause = "version changed"
 	CauseRemoved       Cause = "model removed from the tree"
 	CauseBaseMissing   Cause = "base model not loaded"
+	CauseRunning       Cause = "running requests"
+	CauseAdapter       Cause = "needed by an adapter"
+	CauseUnsealed      Cause = "machine not sealed"
+	CauseHolds         Cause = "machine already holds the model"
+	CauseNotCandidate  Cause = "machine not a candidate of the allotment"
 )
 
 // Reason is the recorded explanation of an action or decision.
--- /dev/null
+++ b/placement/want.go
@@ -0,0 +1,195 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Keys of the settings tree that reasons name.
+const (
+	keyMinReplicas     = "min_replicas"
+	keyMaxReplicas     = "max_replicas"
+	keyKeepAlive       = "keep_alive"
+	keyColdStartWeight = "cold_start_weight"
+	keyEnginePool      = "engine_pool"
+	keyVersion         = "version"
+	keyMemory          = "memory"
+	keyPriority        = "priority"
+)
+
+// prewarmLead is how many expected load times before a wake-up the load begins.
+const prewarmLead = 1.25
+
+// want decides every model's replica count from demand, policy and idle time.
+func (r *round) want() {
+	for i := range r.models {
+		r.wantModel(int32(i))
+	}
+	for i := range r.models {
+		if base := r.catalogue.entries[i].base; base != none {
+			r.wantBase(base, min(r.models[i].reported, r.policyMax(base)))
+		}
+	}
+}
+
+// wantBase reports a base model as wanted as often as one of its adapters.
+func (r *round) wantBase(base int32, count int) {
+	model := &r.models[base]
+	if count <= model.reported {
+		return
+	}
+	model.reported = count
+	model.reason = r.reason(base, CauseAdapter, "")
+}
+
+// policyMax is the decided replica bound of a model.
+func (r *round) policyMax(i int32) int {
+	return r.catalogue.entries[i].model.Policy.MaxReplicas
+}
+
+// wantModel decides one model's counts.
+func (r *round) wantModel(i int32) {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	policy := &entry.model.Policy
+	minimum := min(max(policy.MinReplicas, r.retention.standing(policy)), model.limit)
+	model.want = minimum
+	if minimum > 0 {
+		model.reason = r.reason(i, CauseMinimum, keyMinReplicas)
+	}
+	if needed := r.neededByLoad(i); needed > model.want {
+		model.want = needed
+		model.reason = r.reason(i, r.causeOfLoad(i), "")
+	}
+	if model.want > policy.MaxReplicas {
+		model.want = policy.MaxReplicas
+		model.reason = r.reason(i, model.reason.Cause, keyMaxReplicas)
+	}
+	model.keep = model.want
+	if model.want == 0 && (model.held > 0 || entry.track.gaps.total > 0) {
+		r.wantIdle(i)
+	}
+	model.reported = model.want
+	if model.held > model.unloading {
+		model.reported = max(model.reported, min(model.keep, policy.MaxReplicas))
+	}
+}
+
+// causeOfLoad tells why a model with work is wanted.
+func (r *round) causeOfLoad(i int32) Cause {
+	switch model := &r.models[i]; {
+	case model.demand.Waiting > 0:
+		return CauseDemand
+	case model.demand.Running > 0:
+		return CauseRunning
+	}
+	return CauseLoad
+}
+
+// neededByLoad returns the replicas that running and waiting requests need,
+// lowered only after a delay.
+func (r *round) neededByLoad(i int32) int {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	work := model.demand.Waiting + model.demand.Running
+	needed := 0
+	if work > 0 {
+		perReplica := max(r.slotsPerReplica(entry.pool)*r.config.TargetLoad, 1)
+		needed = int(math.Ceil(float64(work) / perReplica))
+	}
+	target := entry.track.scale(r.state.Now, needed, r.config.ScaleDownDelay)
+	if work == 0 {
+		// The last replica is the keep-alive's matter.
+		return max(target-1, 0)
+	}
+	return target
+}
+
+// wantIdle decides whether an idle model stays loaded or is prewarmed.
+func (r *round) wantIdle(i int32) {
+	model, track := &r.models[i], r.catalogue.entries[i].track
+	if model.adapterWorking {
+		model.keep = 1
+		model.reason = r.reason(i, CauseAdapter, "")
+		return
+	}
+	idle := track.idle(r.state.Now)
+	coldStart := r.coldStart(i)
+	plan := r.retention.schedule(track, &r.catalogue.entries[i].model.Policy, coldStart)
+	if model.useful > 0 {
+		r.keepIdle(i, plan, idle, coldStart)
+		return
+	}
+	lead := time.Duration(prewarmLead * float64(coldStart))
+	found, ok := plan.find(idle, lead)
+	if ok && found.from > 0 && found.to-idle > coldStart {
+		model.want, model.keep, model.prewarm = 1, 1, true
+		model.reason = r.idleReason(i, CausePrewarm, plan, idle)
+	}
+}
+
+// keepIdle decides whether a loaded idle model stays.
+func (r *round) keepIdle(i int32, plan *schedule, idle, coldStart time.Duration) {
+	model := &r.models[i]
+	found, ok := plan.find(idle, time.Duration(prewarmLead*float64(coldStart)))
+	if !ok {
+		model.reason = r.idleReason(i, CauseIdle, plan, idle)
+		return
+	}
+	model.keep = 1
+	cause := CauseKeepAlive
+	if found.from > 0 {
+		cause = CausePrewarm
+	}
+	model.reason = r.idleReason(i, cause, plan, idle)
+}
+
+// idleReason explains a decision on an idle model by its idle time.
+func (r *round) idleReason(i int32, cause Cause, plan *schedule, idle time.Duration) Reason {
+	key := keyKeepAlive
+	if plan.learned {
+		key = keyColdStartWeight
+	}
+	reason := r.reason(i, cause, key)
+	reason.Idle, reason.KeepAlive = idle, plan.keepAlive()
+	return reason
+}
+
+// coldStart returns how long a load of the model takes from the fastest cache
+// tier known among its candidate machines' usual ones, remote at worst.
+func (r *round) coldStart(i int32) time.Duration {
+	entry := &r.catalogue.entries[i]
+	return r.store.expected(r.usualTier(i), entry.model.Policy.Memory)
+}
+
+// usualTier is the fastest tier in which a usable candidate machine, or one
+// that holds the model now, has the checkpoint.
+func (r *round) usualTier(i int32) cluster.Tier {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	best := cluster.TierRemote
+	for _, id := range model.candidates {
+		if m, ok := r.findMachine(id); ok {
+			best = max(best, r.state.Machines[m].Cached[entry.model.ID])
+		}
+	}
+	for s := model.first; s != none; s = r.slots[s].next {
+		best = max(best, r.state.Machines[r.slots[s].machine].Cached[entry.model.ID])
+	}
+	return best
+}
+
+// reason begins a reason with the setting that decided and its source.
+func (r *round) reason(i int32, cause Cause, key string) Reason {
+	reason := Reason{Cause: cause, Token: r.state.Token, SettingsRevision: r.state.Settings.Stamp.Revision}
+	if r.state.Allotment != nil {
+		reason.AllotmentRevision = r.state.Allotment.Revision
+	}
+	if i == none {
+		return reason
+	}
+	reason.Waiting = r.models[i].demand.Waiting
+	if key != "" {
+		reason.Setting, reason.Source = key, r.catalogue.entries[i].model.Sources[key]
+	}
+	return reason
+}
