--- a/api/callers_sink.go
+++ b/api/callers_sink.go
@@ -64,4 +64,3 @@
 	event := append([]byte("\n\ndata: "), encodeError(StatusOf(failure.Code), failure, "")...)
 	_ = s.Write(append(event, "\n\n"...))
 }
-
