--- a/api/callers_infer.go
+++ b/api/callers_infer.go
@@ -73,7 +73,7 @@
 		ID: id, Model: model.ID, TokenPath: token.Path, Team: token.Path,
 		Priority: stated.priority, Deadline: stated.deadline, Repeatable: stated.repeatable,
 		BodyBytes: int64(len(body)), PromptTokens: len(parsed.Prompt) / bytesPerToken, MaxTokens: parsed.MaxTokens,
-		Prefixes: engine.PrefixHashes(parsed.Prompt),
+		Prefixes: promptPrefixes(parsed.Prompt, r.URL.Path),
 	}
 	return call, token, nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -32,8 +32,7 @@
 	offset int64
 	// answer holds an answer that is not streamed.
 	answer  buffered
-	meter   meter
-	refusal routing.AttemptEnded
+	meter  meter
 	// answered is true when the engine has nothing left to cancel.
 	answered bool
 }
@@ -64,10 +63,6 @@
 		if resumeErr != nil {
 			continue
 		}
-		if answer.Status != http.StatusOK && answer.Status != http.StatusPartialContent {
-			answer.Body.Close()
-			break
-		}
 		err = a.consume(answer)
 		if a.offset > before {
 			tries = 0
@@ -90,9 +85,6 @@
 	if !a.own(answer.Header) {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "the engine's answer belongs to another request or attempt")
 	}
-	if refusal := a.refused(answer); refusal != nil {
-		return refusal
-	}
 	if a.run.call.Stream && answer.Status == http.StatusOK || a.result.Started {
 		return a.relay(answer)
 	}
@@ -105,28 +97,6 @@
 		header.Get(engine.HeaderAttempt) == strconv.FormatUint(uint64(a.call.Attempt), 10)
 }
 
-// refused classifies an answer by which the engine declined to answer. Other
-// client errors are answers: they are the engine's judgement of the request.
-func (a *attempt) refused(answer *engine.Answer) *verdict.Error {
-	status := answer.Status
-	switch {
-	case status == http.StatusNotFound:
-		a.refusal.ModelMissing = true
-	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		a.refusal.EngineFull = true
-	case status >= http.StatusInternalServerError:
-	default:
-		return nil
-	}
-	judged := verdict.Parse(answer.Header.Get(engine.HeaderVerdict))
-	code := verdict.CodeEngineFailed
-	if judged == verdict.NotRun {
-		code = verdict.CodeEngineRefused
-	}
-	a.answered = true
-	return verdict.New(judged, code, "the engine answered with status %d", status)
-}
-
 // relay sends the body on as it comes.
 func (a *attempt) relay(answer *engine.Answer) error {
 	buffer := buffers.Get().(*[]byte)
@@ -192,15 +162,13 @@
 
 // ended builds the report of the attempt.
 func (a *attempt) ended(ctx context.Context, err error) routing.AttemptEnded {
-	report := a.refusal
-	report.Request = a.call.Request
-	report.Attempt = a.call.Attempt
-	report.Tokens = a.meter.tokens
-	report.Failure = a.failure(ctx, err)
-	if report.Failure == nil {
-		report.EngineFull, report.ModelMissing = false, false
-	}
-	return report
+	return routing.AttemptEnded{
+		Request: a.call.Request, Attempt: a.call.Attempt,
+		Failure:      a.failure(ctx, err),
+		EngineFull:   errors.Is(err, engine.ErrEngineFull),
+		ModelMissing: errors.Is(err, engine.ErrModelMissing),
+		Tokens:       a.meter.tokens,
+	}
 }
 
 // failure classifies the attempt's error; nil when the answer is whole.
