--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,7 +31,7 @@
 	// offset counts the answer's body bytes read so far, over all resumptions.
 	offset int64
 	// answer holds an answer that is not streamed.
-	answer  buffered
+	answer buffered
 	meter  meter
 	// answered is true when the engine has nothing left to cancel.
 	answered bool
