routing: admit, queue, dispatch, retry and end requests

The request path had event and effect types but nothing that decides. Add the core: admission with early refusal, a queue by priority, deadline and team fairness, replica choice from two random candidates a distance by expected wait, retries by verdict inside RetryAttempts and a budget, time-outs, cell statuses ordered by token and sequence, draining and demand deltas.

events.go, additive: RoutersChanged (how many routers share slots and limits, and zones' regions) and StatusNeeded (ask the controller for a full status). Request.Priority now counts on top of the model's own priority.

--- /dev/null
+++ b/routing/admission.go
@@ -0,0 +1,273 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/queue"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// The policy keys that explanations name.
+const (
+	settingQueueLength   = "queue_length"
+	settingQueueBytes    = "queue_bytes"
+	settingQueueTime     = "queue_time"
+	settingDeadline      = "deadline"
+	settingRetryAttempts = "retry_attempts"
+)
+
+// arrive admits, dispatches, queues or refuses a request.
+func (r *Router) arrive(arrived *Request) {
+	if _, known := r.requests[arrived.ID]; known {
+		return
+	}
+	if failure := r.closed(arrived); failure != nil {
+		r.refuse(arrived.ID, failure, Explanation{})
+		return
+	}
+	model := r.modelState(arrived.Model)
+	deadline := r.deadline(model, arrived)
+	if deadline <= r.nanos {
+		failure := verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "the deadline had passed on arrival")
+		r.refuse(arrived.ID, failure, Explanation{})
+		return
+	}
+	model.arrivals++
+	r.touch(model)
+	model.retries.earn(r.nanos, &r.config)
+	r.place(r.admit(model, arrived, deadline))
+}
+
+// closed returns why nothing for the request's model is admitted at all, or nil.
+func (r *Router) closed(arrived *Request) *verdict.Error {
+	switch {
+	case r.draining:
+		return r.drainingFailure()
+	case r.snapshot == nil:
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"no settings are in force yet").After(r.config.DrainRetryAfter)
+	case r.snapshot.Model(arrived.Model) == nil:
+		return verdict.New(verdict.NotRun, verdict.CodeModelNotFound, "model %q does not exist", arrived.Model)
+	}
+	return nil
+}
+
+// deadline of a request: the caller's, else the policy's, else the default.
+func (r *Router) deadline(m *model, arrived *Request) int64 {
+	if !arrived.Deadline.IsZero() {
+		return arrived.Deadline.UnixNano()
+	}
+	allowed := m.configured.Policy.Deadline
+	if allowed <= 0 {
+		allowed = r.config.DefaultDeadline
+	}
+	return r.nanos + int64(allowed)
+}
+
+// admit makes the state of an admitted request.
+func (r *Router) admit(m *model, arrived *Request, deadline int64) *request {
+	admitted := r.newRequest()
+	admitted.Request = *arrived
+	admitted.model = m
+	admitted.arrived = r.nanos
+	admitted.deadline = deadline
+	admitted.queueBudget = int64(m.configured.Policy.QueueTime)
+	if admitted.queueBudget <= 0 {
+		admitted.queueBudget = deadline - r.nanos
+	}
+	admitted.timer.request = admitted
+	admitted.item = queue.Item[*request]{
+		Value:    admitted,
+		Priority: m.configured.Policy.Priority + arrived.Priority,
+		Team:     arrived.Team,
+		Deadline: deadline,
+		Bytes:    arrived.BodyBytes,
+		Cost:     queueCost(arrived),
+	}
+	r.requests[arrived.ID] = admitted
+	return admitted
+}
+
+// tokensPerCost is how many tokens weigh as much as one request in the fairness
+// between teams.
+const tokensPerCost = 1024
+
+func queueCost(arrived *Request) float64 {
+	return 1 + float64(arrived.PromptTokens+arrived.MaxTokens)/tokensPerCost
+}
+
+// place dispatches a just admitted request, lets it wait or ends it.
+func (r *Router) place(admitted *request) {
+	model := admitted.model
+	ahead := model.queue.Ahead(admitted.item.Priority)
+	if ahead == 0 && r.tryDispatch(admitted) {
+		return
+	}
+	if failure, reason := r.queueRefusal(admitted); failure != nil {
+		r.finish(admitted, failure, reason)
+		return
+	}
+	if failure, reason := r.unmeetable(admitted, ahead); failure != nil {
+		r.finish(admitted, failure, reason)
+		return
+	}
+	r.wait(admitted, false)
+	if ahead > 0 {
+		r.serve(model)
+	}
+}
+
+// queueRefusal says why the queue has no room for the request, or nil.
+func (r *Router) queueRefusal(admitted *request) (*verdict.Error, Explanation) {
+	model := admitted.model
+	policy := &model.configured.Policy
+	length, bytes := policy.QueueLength, policy.QueueBytes
+	if length <= 0 {
+		length = r.config.DefaultQueueLength
+	}
+	if bytes <= 0 {
+		bytes = r.config.DefaultQueueBytes
+	}
+	if model.queue.Len() >= length {
+		reason := model.explain(settingQueueLength, float64(length), float64(model.queue.Len()))
+		return verdict.New(verdict.NotRun, verdict.CodeQueueFull,
+			"%d requests wait for the model already", model.queue.Len()).After(r.comeBack(model)), reason
+	}
+	if wanted := model.queue.Bytes() + admitted.BodyBytes; wanted > bytes {
+		reason := model.explain(settingQueueBytes, float64(bytes), float64(wanted))
+		return verdict.New(verdict.NotRun, verdict.CodeQueueFull,
+			"the requests that wait for the model hold too many bytes").After(r.comeBack(model)), reason
+	}
+	return nil, Explanation{}
+}
+
+// unmeetable says why the request cannot start before its deadline, or nil.
+// Without evidence it may.
+func (r *Router) unmeetable(waiting *request, ahead int) (*verdict.Error, Explanation) {
+	wait, known := r.expectedStart(waiting.model, ahead)
+	left := waiting.deadline - r.nanos
+	if !known || wait <= left {
+		return nil, Explanation{}
+	}
+	reason := waiting.model.explain(settingDeadline, time.Duration(left).Seconds(), time.Duration(wait).Seconds())
+	failure := verdict.New(verdict.NotRun, verdict.CodeDeadlineUnmeetable,
+		"the model is expected to be ready in %s, after the deadline", time.Duration(wait).Round(time.Millisecond))
+	return failure.After(r.bounded(time.Duration(wait))), reason
+}
+
+// expectedStart estimates in how many nanoseconds a request with so many ahead
+// could start, or false without evidence.
+func (r *Router) expectedStart(m *model, ahead int) (int64, bool) {
+	if m.loaded > 0 {
+		if m.service == 0 || m.capacity == 0 {
+			return 0, false
+		}
+		return int64(float64(ahead) * m.service / float64(m.capacity)), true
+	}
+	if ready, known := r.earliestReady(m); known {
+		return ready - r.nanos, true
+	}
+	return int64(m.loadTime), m.loadTime > 0
+}
+
+// earliestReady returns when the first loading replica should be loaded.
+func (r *Router) earliestReady(m *model) (int64, bool) {
+	var earliest int64
+	for _, replica := range m.loading {
+		if replica.readyAt <= r.nanos || r.zoneLost(replica.machine.zone) {
+			continue
+		}
+		if earliest == 0 || replica.readyAt < earliest {
+			earliest = replica.readyAt
+		}
+	}
+	return earliest, earliest != 0
+}
+
+// comeBack estimates when a refused caller should try again.
+func (r *Router) comeBack(m *model) time.Duration {
+	if m.loaded == 0 {
+		if ready, known := r.earliestReady(m); known {
+			return r.bounded(time.Duration(ready - r.nanos))
+		}
+		if m.loadTime > 0 {
+			return r.bounded(time.Duration(m.loadTime))
+		}
+		return r.bounded(r.config.MaxBackOff)
+	}
+	service := m.serviceTime(&r.config)
+	work := service * float64(m.queue.Len()+1) / float64(max(m.capacity, 1))
+	return r.bounded(time.Duration(work))
+}
+
+func (r *Router) bounded(wait time.Duration) time.Duration {
+	return min(max(wait, r.config.MinRetryAfter), r.config.MaxRetryAfter)
+}
+
+// wait puts a request into its model's queue. A returned one was dispatched
+// before.
+func (r *Router) wait(waiting *request, returned bool) {
+	waiting.queuedSince = r.nanos
+	if returned {
+		waiting.model.queue.Return(&waiting.item)
+	} else {
+		waiting.model.queue.Push(&waiting.item)
+	}
+	r.waiting++
+	r.touch(waiting.model)
+	r.arm(&waiting.timer, min(waiting.deadline, r.nanos+waiting.queueBudget))
+}
+
+// stopWaiting accounts the wait of a request that left the queue.
+func (r *Router) stopWaiting(waiting *request) {
+	spent := r.nanos - waiting.queuedSince
+	waiting.queueBudget -= spent
+	waiting.waited += time.Duration(spent)
+	r.waiting--
+	r.touch(waiting.model)
+}
+
+// refuse ends a request that was never admitted.
+func (r *Router) refuse(id cluster.RequestID, failure *verdict.Error, reason Explanation) {
+	reason.Code = failure.Code
+	reason.SettingsRevision = r.settingsRevision()
+	r.emit(Finish{Request: id, Failure: failure, Reason: reason})
+}
+
+// explain names the policy key that decided about the model.
+func (m *model) explain(setting string, limit, value float64) Explanation {
+	reason := Explanation{Setting: setting, Limit: limit, Value: value}
+	if m.configured != nil {
+		reason.Source = m.configured.Sources[setting]
+	}
+	return reason
+}
+
+// serviceTime is the learned or assumed time of one request in nanoseconds.
+func (m *model) serviceTime(config *Config) float64 {
+	if m.service > 0 {
+		return m.service
+	}
+	return float64(config.DefaultService)
+}
+
+// newRequest takes a recycled request or makes one.
+func (r *Router) newRequest() *request {
+	if last := len(r.spare) - 1; last >= 0 {
+		recycled := r.spare[last]
+		r.spare = r.spare[:last]
+		return recycled
+	}
+	return &request{}
+}
+
+// maxSpare bounds the recycled requests.
+const maxSpare = 1024
+
+func (r *Router) recycle(ended *request) {
+	if len(r.spare) < maxSpare {
+		*ended = request{tried: ended.tried[:0]}
+		r.spare = append(r.spare, ended)
+	}
+}
--- /dev/null
+++ b/routing/attempts.go
@@ -0,0 +1,322 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// serve dispatches waiting requests of a model as long as replicas take them.
+func (r *Router) serve(m *model) {
+	for {
+		head := m.queue.Head()
+		if head == nil || !r.tryDispatch(head.Value) {
+			return
+		}
+	}
+}
+
+// serveMachine dispatches waiting requests to a machine that may have room
+// again: of all its models' heads, the one of highest priority, then earliest
+// deadline, first.
+func (r *Router) serveMachine(m *machine) {
+	if r.waiting == 0 {
+		return
+	}
+	var stuck *model
+	for r.room(m) == "" {
+		next := m.nextWaiting(stuck)
+		if next == nil {
+			return
+		}
+		if !r.tryDispatch(next.queue.Head().Value) {
+			if stuck != nil {
+				return
+			}
+			stuck = next
+		}
+	}
+}
+
+// nextWaiting returns the model on the machine whose head goes first, or nil.
+func (m *machine) nextWaiting(except *model) *model {
+	var best *model
+	for _, replica := range m.replicas {
+		candidate := replica.model
+		if replica.state != cluster.ReplicaLoaded || candidate.queue.Len() == 0 || candidate == except {
+			continue
+		}
+		if best == nil || headBefore(candidate, best) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+func headBefore(a, b *model) bool {
+	first, second := a.queue.Head(), b.queue.Head()
+	if first.Priority != second.Priority {
+		return first.Priority > second.Priority
+	}
+	return first.Deadline < second.Deadline
+}
+
+// tryDispatch dispatches a request if a replica takes it.
+func (r *Router) tryDispatch(ready *request) bool {
+	chosen, reason := r.choose(ready)
+	if chosen == nil {
+		return false
+	}
+	if ready.item.Queued() {
+		ready.model.queue.Remove(&ready.item)
+		r.stopWaiting(ready)
+	}
+	r.dispatch(ready, chosen, reason)
+	return true
+}
+
+func (r *Router) dispatch(ready *request, chosen *replica, reason Choice) {
+	machine := chosen.machine
+	ready.running = true
+	ready.attempt++
+	ready.tries++
+	ready.machine = machine
+	ready.dispatched = r.nanos
+	machine.dispatched(r.nanos)
+	ready.model.running++
+	r.touch(ready.model)
+	r.arm(&ready.timer, ready.deadline)
+	reason.Waited = ready.waited
+	reason.SettingsRevision = r.settingsRevision()
+	r.emit(Dispatch{
+		Request: ready.ID, Attempt: ready.attempt,
+		Machine: machine.id, Address: machine.address,
+		Model: ready.Model, Version: chosen.version,
+		Deadline: time.Unix(0, ready.deadline), Reason: reason,
+	})
+}
+
+// stopRunning takes a request's current attempt off its machine and returns
+// the machine.
+func (r *Router) stopRunning(running *request) *machine {
+	machine := running.machine
+	running.running = false
+	running.machine = nil
+	machine.inFlight--
+	running.model.running--
+	r.touch(running.model)
+	return machine
+}
+
+// attemptEnded takes the outcome of a current attempt; any other is ignored.
+func (r *Router) attemptEnded(event *AttemptEnded) {
+	ended := r.requests[event.Request]
+	if ended == nil || !ended.running || ended.attempt != event.Attempt {
+		return
+	}
+	dispatched := ended.dispatched
+	model := ended.model
+	machine := r.stopRunning(ended)
+	if event.Failure == nil {
+		machine.setbacks = 0
+		learn(&model.service, float64(r.nanos-dispatched))
+		r.finish(ended, nil, Explanation{Machine: machine.id})
+	} else {
+		r.attemptFailed(ended, machine, event)
+	}
+	r.serveMachine(machine)
+}
+
+// learningWeight is the weight of a new observation in a learned mean.
+const learningWeight = 0.1
+
+func learn(mean *float64, observed float64) {
+	if *mean == 0 {
+		*mean = max(observed, 1)
+		return
+	}
+	*mean += learningWeight * (observed - *mean)
+}
+
+// attemptFailed retries the request or ends it.
+func (r *Router) attemptFailed(failed *request, machine *machine, event *AttemptEnded) {
+	if event.Failure.Verdict != verdict.NotRun {
+		failed.mayHaveRun = true
+	}
+	r.setback(failed, machine, event)
+	again, reason := r.mayRetry(failed, event)
+	reason.Machine = machine.id
+	if !again {
+		failure := event.Failure
+		if failure.RetryAfter == 0 && !permanent(failure.Code) {
+			failure = failure.After(r.comeBack(failed.model))
+		}
+		r.finish(failed, failure, reason)
+		return
+	}
+	r.startAgain(failed, reason)
+}
+
+// mayRetry decides by verdict, attempts and budget, in this order.
+func (r *Router) mayRetry(failed *request, event *AttemptEnded) (bool, Explanation) {
+	notRun := event.Failure.Verdict == verdict.NotRun
+	switch {
+	case failed.firstByte, permanent(event.Failure.Code):
+		return false, Explanation{}
+	case !notRun && !failed.Repeatable:
+		return false, Explanation{}
+	case failed.model.configured == nil:
+		return false, Explanation{}
+	case notRun && (event.EngineFull || event.ModelMissing):
+		failed.tries--
+		return true, Explanation{}
+	}
+	allowed := max(failed.model.configured.Policy.RetryAttempts, 1)
+	if failed.tries >= allowed {
+		return false, failed.model.explain(settingRetryAttempts, float64(allowed), float64(failed.tries))
+	}
+	if !failed.model.retries.spend(r.nanos, &r.config) {
+		return false, Explanation{Setting: "retry budget", Limit: r.config.RetryRatio}
+	}
+	return true, Explanation{}
+}
+
+// permanent reports whether another attempt would meet the same failure or
+// could not be answered.
+func permanent(code verdict.Code) bool {
+	switch code {
+	case verdict.CodeInvalidRequest, verdict.CodeUnauthorized, verdict.CodeForbidden,
+		verdict.CodeRequestTooLarge, verdict.CodeDeadlineExceeded, verdict.CodeCallerGone,
+		verdict.CodeDuplicateKey, verdict.CodeOutcomeUnknown, verdict.CodeConflict:
+		return true
+	}
+	return false
+}
+
+// startAgain dispatches a failed request anew, lets it wait or gives it up.
+func (r *Router) startAgain(failed *request, reason Explanation) {
+	model := failed.model
+	if r.tryDispatch(failed) {
+		return
+	}
+	if r.draining {
+		r.finish(failed, r.drainingFailure(), reason)
+		return
+	}
+	if failed.queueBudget <= 0 {
+		r.giveUpWaiting(failed)
+		return
+	}
+	if failure, why := r.unmeetable(failed, 0); failure != nil {
+		r.finish(failed, failure, why)
+		return
+	}
+	r.wait(failed, true)
+	r.serve(model)
+}
+
+// firstByteSent closes the way back for a request. One that waits for another
+// attempt by then must not start it.
+func (r *Router) firstByteSent(id cluster.RequestID) {
+	sent := r.requests[id]
+	if sent == nil {
+		return
+	}
+	sent.firstByte = true
+	if sent.running {
+		sent.machine.setbacks = 0
+		return
+	}
+	r.finish(sent, verdict.New(verdict.Ran, verdict.CodeStreamCut,
+		"the answer broke off after its first byte"), Explanation{})
+}
+
+// callerGone ends a request whose caller left.
+func (r *Router) callerGone(id cluster.RequestID) {
+	gone := r.requests[id]
+	if gone == nil {
+		return
+	}
+	r.abandon(gone, verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller left"), Explanation{})
+}
+
+// abandon cancels the current attempt, if any, and ends the request.
+func (r *Router) abandon(abandoned *request, failure *verdict.Error, reason Explanation) {
+	machine := abandoned.machine
+	if machine != nil {
+		abandoned.mayHaveRun = true
+		reason.Machine = machine.id
+		r.emit(CancelAttempt{
+			Request: abandoned.ID, Attempt: abandoned.attempt,
+			Machine: machine.id, Address: machine.address,
+		})
+	}
+	r.finish(abandoned, failure, reason)
+	if machine != nil {
+		r.serveMachine(machine)
+	}
+}
+
+// requestDue ends a request whose deadline or queue time passed.
+func (r *Router) requestDue(due *request) {
+	if r.nanos < due.deadline {
+		r.giveUpWaiting(due)
+		return
+	}
+	waited := time.Duration(r.nanos - due.arrived)
+	reason := due.model.explain(settingDeadline, time.Duration(due.deadline-due.arrived).Seconds(), waited.Seconds())
+	failure := verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "the deadline passed")
+	r.abandon(due, failure.After(r.comeBack(due.model)), reason)
+}
+
+// giveUpWaiting ends a request whose queue time passed.
+func (r *Router) giveUpWaiting(due *request) {
+	waited := due.waited
+	if due.item.Queued() {
+		waited += time.Duration(r.nanos - due.queuedSince)
+	}
+	reason := due.model.explain(settingQueueTime, time.Duration(due.queueBudget).Seconds(), waited.Seconds())
+	if due.model.configured != nil {
+		reason.Limit = due.model.configured.Policy.QueueTime.Seconds()
+	}
+	failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no replica was free within the queue time")
+	r.finish(due, failure.After(r.comeBack(due.model)), reason)
+}
+
+// finish ends a request: the only place where an admitted one leaves.
+func (r *Router) finish(ended *request, failure *verdict.Error, reason Explanation) {
+	model := ended.model
+	if ended.item.Queued() {
+		model.queue.Remove(&ended.item)
+		r.stopWaiting(ended)
+	}
+	if ended.running {
+		r.stopRunning(ended)
+	}
+	r.disarm(&ended.timer)
+	delete(r.requests, ended.ID)
+	if failure != nil {
+		failure = ended.truthful(failure)
+		reason.Code = failure.Code
+	}
+	reason.Waited = ended.waited
+	reason.Attempts = int(ended.attempt)
+	reason.SettingsRevision = r.settingsRevision()
+	r.emit(Finish{Request: ended.ID, Failure: failure, Reason: reason})
+	r.recycle(ended)
+	r.forgetIfUnused(model)
+}
+
+// truthful makes the failure's verdict cover all attempts.
+func (ended *request) truthful(failure *verdict.Error) *verdict.Error {
+	if failure.Verdict != verdict.NotRun || (!ended.firstByte && !ended.mayHaveRun) {
+		return failure
+	}
+	covered := *failure
+	covered.Verdict = verdict.MayHaveRun
+	if ended.firstByte {
+		covered.Verdict = verdict.Ran
+	}
+	return &covered
+}
--- /dev/null
+++ b/routing/cells.go
@@ -0,0 +1,316 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// accept decides whether a status is newer than what is known of the zone and
+// reports whether one before it was missed. A status of a smaller token comes
+// from a controller that lost its lease, one of a smaller or equal sequence is
+// late or a duplicate; both are ignored. The answer to a request for a full
+// status may repeat the last sequence.
+func (c *cell) accept(status *wire.CellStatus) (accepted, missed bool) {
+	if status.Token < c.token {
+		return false, false
+	}
+	if status.Token == c.token && c.heard {
+		repeats := status.Full && c.gap && status.Sequence == c.sequence
+		if status.Sequence <= c.sequence && !repeats {
+			return false, false
+		}
+	}
+	next := status.Token == c.token && status.Sequence == c.sequence+1
+	c.token, c.sequence, c.lost, c.heard = status.Token, status.Sequence, false, true
+	if status.Full {
+		c.gap = false
+		return true, false
+	}
+	if !next {
+		c.gap = true
+	}
+	return true, c.gap
+}
+
+// cellStatus takes a zone's replicas and loads. Each record is absolute, so
+// the records of a delta apply even when an earlier one was missed; a full
+// status is asked for then.
+func (r *Router) cellStatus(status *wire.CellStatus) {
+	zone := r.cells[status.Zone]
+	if zone == nil {
+		zone = &cell{}
+		r.cells[status.Zone] = zone
+	}
+	accepted, missed := zone.accept(status)
+	if !accepted {
+		return
+	}
+	if missed {
+		r.emit(StatusNeeded{Zone: status.Zone})
+	}
+	changed := r.applyReplicas(status)
+	loaded := r.applyLoads(status)
+	r.settleModels(changed)
+	for _, machine := range loaded {
+		r.serveMachine(machine)
+	}
+}
+
+// applyReplicas takes the records and returns the models they concern.
+func (r *Router) applyReplicas(status *wire.CellStatus) []*model {
+	r.statuses++
+	var changed []*model
+	for i := range status.Replicas {
+		record := &status.Replicas[i]
+		if touched := r.applyReplica(status.Zone, record); touched != nil {
+			changed = append(changed, touched)
+		}
+	}
+	if status.Full {
+		changed = append(changed, r.dropUnlisted(status.Zone)...)
+	}
+	return changed
+}
+
+// applyReplica takes one record.
+func (r *Router) applyReplica(zone cluster.ZoneID, record *wire.ReplicaRecord) *model {
+	if record.State == cluster.ReplicaAbsent || record.State == cluster.ReplicaUnloading {
+		return r.dropReplica(record.Machine, record.Model)
+	}
+	machine := r.machineState(record.Machine)
+	machine.zone, machine.address = zone, record.Address
+	machine.slots = record.Slots
+	if machine.slots <= 0 {
+		machine.slots = r.config.DefaultSlots
+	}
+	machine.setListed(record.Leaving, r)
+	model := r.modelState(record.Model)
+	known := machine.replica(model)
+	if known == nil {
+		known = &replica{model: model, machine: machine, since: r.nanos}
+		machine.replicas = append(machine.replicas, known)
+	} else {
+		model.detach(known)
+	}
+	r.updateReplica(known, record)
+	model.attach(known, r.distance(zone))
+	return model
+}
+
+// updateReplica takes a record's state and learns load times.
+func (r *Router) updateReplica(known *replica, record *wire.ReplicaRecord) {
+	if known.state == cluster.ReplicaLoading && record.State == cluster.ReplicaLoaded {
+		learn(&known.model.loadTime, float64(r.nanos-known.since))
+	}
+	if known.state != record.State {
+		known.since = r.nanos
+	}
+	known.state, known.version, known.seen = record.State, record.Version, r.statuses
+	known.missingUntil, known.readyAt = 0, 0
+	if record.State == cluster.ReplicaLoading && record.ReadyIn > 0 {
+		known.readyAt = r.nanos + int64(record.ReadyIn)
+	}
+}
+
+// dropUnlisted removes the zone's replicas that the full status did not name.
+func (r *Router) dropUnlisted(zone cluster.ZoneID) []*model {
+	var changed []*model
+	for _, machine := range r.machines {
+		if machine.zone != zone {
+			continue
+		}
+		for _, replica := range slices.Clone(machine.replicas) {
+			if replica.seen != r.statuses {
+				changed = append(changed, r.dropReplica(machine.id, replica.model.id))
+			}
+		}
+		r.forgetMachine(machine)
+	}
+	return changed
+}
+
+// dropReplica removes a replica and returns its model, or nil if unknown.
+func (r *Router) dropReplica(id cluster.MachineID, modelID cluster.ModelID) *model {
+	machine, model := r.machines[id], r.models[modelID]
+	if machine == nil || model == nil {
+		return nil
+	}
+	known := machine.replica(model)
+	if known == nil {
+		return nil
+	}
+	model.detach(known)
+	at := slices.Index(machine.replicas, known)
+	machine.replicas = slices.Delete(machine.replicas, at, at+1)
+	return model
+}
+
+// announcedMemory is how long the leaving of a machine without replicas is
+// remembered, longer than any status is late.
+const announcedMemory = int64(10 * time.Minute)
+
+// forgetMachine drops the state of a machine that nothing refers to.
+func (r *Router) forgetMachine(m *machine) {
+	if len(m.replicas) > 0 || m.inFlight > 0 {
+		return
+	}
+	if m.announced && r.nanos-m.announcedAt < announcedMemory {
+		return
+	}
+	r.disarm(&m.timer)
+	delete(r.machines, m.id)
+}
+
+// applyLoads takes load reports and returns the machines they concern.
+func (r *Router) applyLoads(status *wire.CellStatus) []*machine {
+	var reported []*machine
+	for _, load := range status.Loads {
+		if machine := r.machines[load.Machine]; machine != nil {
+			machine.report(load.Running+load.Queued, r.nanos-int64(load.Age))
+			reported = append(reported, machine)
+		}
+	}
+	return reported
+}
+
+// settleModels serves the models whose replicas changed, and ends waiting
+// requests that can no longer start in time.
+func (r *Router) settleModels(changed []*model) {
+	slices.SortFunc(changed, func(a, b *model) int { return strings.Compare(string(a.id), string(b.id)) })
+	for _, model := range slices.Compact(changed) {
+		model.countMatching()
+		r.serve(model)
+		r.refuseUnmeetable(model)
+		r.forgetIfUnused(model)
+	}
+}
+
+// refuseUnmeetable ends the waiting requests whose deadline passes before the
+// model is expected to be loaded.
+func (r *Router) refuseUnmeetable(m *model) {
+	if m.queue.Len() == 0 || m.loaded > 0 {
+		return
+	}
+	if _, known := r.earliestReady(m); !known {
+		return
+	}
+	for _, waiting := range m.waitingRequests() {
+		if failure, reason := r.unmeetable(waiting, 0); failure != nil {
+			r.finish(waiting, failure, reason)
+		}
+	}
+}
+
+// cellLost keeps the zone's replicas in use: the loss of a controller is not
+// the loss of its engines, and one that no longer holds a model says so at the
+// cost of one refusal. Expected load times of the zone are no longer trusted.
+func (r *Router) cellLost(zone cluster.ZoneID) {
+	if known := r.cells[zone]; known != nil {
+		known.lost = true
+	}
+}
+
+// zoneLost reports whether nothing is known of the zone any more.
+func (r *Router) zoneLost(zone cluster.ZoneID) bool {
+	known := r.cells[zone]
+	return known == nil || known.lost
+}
+
+// machineLeaving stops dispatches to a machine at once and for good.
+func (r *Router) machineLeaving(id cluster.MachineID) {
+	machine := r.machineState(id)
+	if machine.announced {
+		return
+	}
+	machine.announced, machine.announcedAt = true, r.nanos
+	for _, replica := range machine.replicas {
+		replica.model.countMatching()
+	}
+}
+
+// setListed takes the leaving state of the cell's status.
+func (m *machine) setListed(listed bool, r *Router) {
+	if m.listed == listed {
+		return
+	}
+	m.listed = listed
+	for _, replica := range m.replicas {
+		replica.model.countMatching()
+	}
+}
+
+// machineState returns the state of a machine and creates it if necessary.
+func (r *Router) machineState(id cluster.MachineID) *machine {
+	state := r.machines[id]
+	if state == nil {
+		state = &machine{id: id, slots: r.config.DefaultSlots}
+		state.timer.machine = state
+		r.machines[id] = state
+	}
+	return state
+}
+
+// replica returns the machine's replica of the model, or nil.
+func (m *machine) replica(of *model) *replica {
+	for _, known := range m.replicas {
+		if known.model == of {
+			return known
+		}
+	}
+	return nil
+}
+
+// distance of a zone from the node.
+func (r *Router) distance(zone cluster.ZoneID) distance {
+	switch {
+	case zone == r.config.Zone:
+		return sameZone
+	case r.config.Region != "" && r.regions[zone] == r.config.Region:
+		return sameRegion
+	default:
+		return elsewhere
+	}
+}
+
+// attach lists a replica with its model, sorted by machine.
+func (m *model) attach(added *replica, at distance) {
+	added.distance = at
+	list := m.list(added)
+	place, _ := slices.BinarySearchFunc(*list, added, compareMachines)
+	*list = slices.Insert(*list, place, added)
+}
+
+// detach takes a replica off its model's list.
+func (m *model) detach(known *replica) {
+	list := m.list(known)
+	if place := slices.Index(*list, known); place >= 0 {
+		*list = slices.Delete(*list, place, place+1)
+	}
+}
+
+func (m *model) list(of *replica) *[]*replica {
+	if of.state == cluster.ReplicaLoaded {
+		return &m.tiers[of.distance]
+	}
+	return &m.loading
+}
+
+func compareMachines(a, b *replica) int {
+	return strings.Compare(string(a.machine.id), string(b.machine.id))
+}
+
+// rebuildTiers sorts a model's replicas anew after zones' regions changed.
+func (r *Router) rebuildTiers(m *model) {
+	var all []*replica
+	for i := range m.tiers {
+		all = append(all, m.tiers[i]...)
+		m.tiers[i] = nil
+	}
+	for _, replica := range all {
+		m.attach(replica, r.distance(replica.machine.zone))
+	}
+}
--- /dev/null
+++ b/routing/config.go
@@ -0,0 +1,91 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Config holds the node's place and the core's tuning. A zero field takes the
+// documented default.
+type Config struct {
+	// Zone and Region of the node; replicas there are preferred.
+	Zone   cluster.ZoneID
+	Region cluster.RegionID
+	// ExpectedRouters divides limits and slots until RoutersChanged says how
+	// many routers there are. Default 16.
+	ExpectedRouters int
+	// RetryRatio is how many retries each admitted request of a model earns.
+	// Default 0.2.
+	RetryRatio float64
+	// RetryReserve is the most retries a model can have saved up, and what it
+	// starts with. Default 10.
+	RetryReserve float64
+	// RetryFloor is how many retries a second a model earns without any
+	// requests. Default 0.2.
+	RetryFloor float64
+	// RefusalBackOff is how long a machine that refused for lack of a slot
+	// gets no more requests than it holds; it doubles with each refusal in a
+	// row up to MaxBackOff. Default 25 ms.
+	RefusalBackOff time.Duration
+	// FailureBackOff is how long a machine that failed gets no request; it
+	// doubles with each failure in a row up to MaxBackOff. Default 100 ms.
+	FailureBackOff time.Duration
+	// MaxBackOff bounds both. Default 5 s.
+	MaxBackOff time.Duration
+	// LoadHalfLife is the time in which a load report loses half its weight.
+	// Default 3 s.
+	LoadHalfLife time.Duration
+	// DefaultService is the assumed time of one request until some were
+	// observed. Default 1 s.
+	DefaultService time.Duration
+	// DefaultSlots is assumed for engines that state no slots. Default 8.
+	DefaultSlots int
+	// DefaultDeadline bounds requests for which neither the caller nor the
+	// policy states a deadline. Default 10 min.
+	DefaultDeadline time.Duration
+	// DefaultQueueLength and DefaultQueueBytes bound a queue whose policy
+	// states no bound. Defaults 1,000 and 64 MiB.
+	DefaultQueueLength int
+	DefaultQueueBytes  int64
+	// RegionPenalty and FarPenalty are added to the expected wait of replicas
+	// in another zone of the region and in another region. Defaults 5 ms and
+	// 80 ms.
+	RegionPenalty, FarPenalty time.Duration
+	// DrainRetryAfter is what a draining node tells callers; another node
+	// takes them at once. Default 1 s.
+	DrainRetryAfter time.Duration
+	// MinRetryAfter and MaxRetryAfter bound estimated times to come back.
+	// Defaults 100 ms and 2 min.
+	MinRetryAfter, MaxRetryAfter time.Duration
+}
+
+// withDefaults fills zero fields.
+func (c Config) withDefaults() Config {
+	fill(&c.ExpectedRouters, 16)
+	fill(&c.RetryRatio, 0.2)
+	fill(&c.RetryReserve, 10)
+	fill(&c.RetryFloor, 0.2)
+	fill(&c.RefusalBackOff, 25*time.Millisecond)
+	fill(&c.FailureBackOff, 100*time.Millisecond)
+	fill(&c.MaxBackOff, 5*time.Second)
+	fill(&c.LoadHalfLife, 3*time.Second)
+	fill(&c.DefaultService, time.Second)
+	fill(&c.DefaultSlots, 8)
+	fill(&c.DefaultDeadline, 10*time.Minute)
+	fill(&c.DefaultQueueLength, 1000)
+	fill(&c.DefaultQueueBytes, 64<<20)
+	fill(&c.RegionPenalty, 5*time.Millisecond)
+	fill(&c.FarPenalty, 80*time.Millisecond)
+	fill(&c.DrainRetryAfter, time.Second)
+	fill(&c.MinRetryAfter, 100*time.Millisecond)
+	fill(&c.MaxRetryAfter, 2*time.Minute)
+	return c
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/routing/demand.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valveslip/valveslip/routing/queue"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Demand reports the demand since the last call: the models that changed or
+// have waiting requests, or with full all that have any, sorted by name. The
+// caller fills From, Zone and Sequence.
+func (r *Router) Demand(now time.Time, full bool) wire.Demand {
+	nanos := max(now.UnixNano(), r.nanos)
+	report := wire.Demand{Full: full}
+	reported := r.touched
+	r.touched = nil
+	if full {
+		reported = r.sortedModels()
+	} else {
+		slices.SortFunc(reported, func(a, b *model) int { return strings.Compare(string(a.id), string(b.id)) })
+	}
+	for _, model := range reported {
+		model.touched = false
+		if demand, changed := model.demand(nanos); changed || (full && demand.Waiting+demand.Running > 0) {
+			report.Models = append(report.Models, demand)
+		}
+		if model.queue.Len() > 0 {
+			r.touch(model)
+		}
+		r.forgetIfUnused(model)
+	}
+	return report
+}
+
+// demand returns the model's demand and whether it differs from the last
+// report, and starts the next interval.
+func (m *model) demand(nanos int64) (wire.ModelDemand, bool) {
+	demand := wire.ModelDemand{
+		Model: m.id, Waiting: m.queue.Len(), Running: m.running, Arrivals: m.arrivals,
+	}
+	if deadline, waiting := m.queue.EarliestDeadline(); waiting {
+		demand.EarliestDeadline = max(time.Duration(deadline-nanos), 0)
+		demand.OldestWait = m.oldestWait(nanos)
+	}
+	changed := demand.Waiting > 0 || demand.Arrivals > 0 ||
+		demand.Waiting != m.reportedWaiting || demand.Running != m.reportedRunning
+	m.reportedWaiting, m.reportedRunning, m.arrivals = demand.Waiting, demand.Running, 0
+	return demand, changed
+}
+
+func (m *model) oldestWait(nanos int64) time.Duration {
+	oldest := nanos
+	m.queue.Each(func(item *queue.Item[*request]) bool {
+		oldest = min(oldest, item.Value.arrived)
+		return true
+	})
+	return time.Duration(nanos - oldest)
+}
--- a/routing/events.go
+++ b/routing/events.go
@@ -11,13 +11,15 @@
 
 // Request is what the core knows of a caller's request.
 type Request struct {
+	// ID is never used twice; an arrival of one in flight is ignored.
 	ID    cluster.RequestID
 	Model cluster.ModelID
 	// TokenPath is the subtree of the caller's token; limits of every level
 	// from there to the root, and from the model to the root, apply.
 	TokenPath string
 	// Team for fairness between teams in one queue.
-	Team     string
+	Team string
+	// Priority above the model's own, usually zero; larger goes first.
 	Priority int
 	// Deadline at which the request must have ended.
 	Deadline   time.Time
@@ -76,6 +78,20 @@
 // DrainStarted closes admission; waiting requests are refused as not run.
 type DrainStarted struct{}
 
+// ZoneRegion says in which region a zone lies.
+type ZoneRegion struct {
+	Zone   cluster.ZoneID
+	Region cluster.RegionID
+}
+
+// RoutersChanged says how many routers share the replicas and limits, this one
+// included, which place it has among them, from zero in the order of node
+// identifiers, and in which regions zones lie. Routers zero leaves the count.
+type RoutersChanged struct {
+	Routers, Rank int
+	Zones         []ZoneRegion
+}
+
 // Tick lets time-outs pass. The shell sends one at least at NextDeadline.
 type Tick struct{}
 
@@ -89,6 +105,7 @@
 func (CacheEventsArrived) routingEvent() {}
 func (SettingsChanged) routingEvent()    {}
 func (DrainStarted) routingEvent()       {}
+func (RoutersChanged) routingEvent()     {}
 func (Tick) routingEvent()               {}
 
 // Effect is an output of the core.
@@ -116,6 +133,10 @@
 	Reason  Explanation
 }
 
+// StatusNeeded asks the shell to request a full status of the zone from its
+// controller, because one was missed.
+type StatusNeeded struct{ Zone cluster.ZoneID }
+
 // CancelAttempt tells the shell to cancel an attempt at the engine.
 type CancelAttempt struct {
 	Request cluster.RequestID
@@ -127,6 +148,7 @@
 func (Dispatch) routingEffect()      {}
 func (Finish) routingEffect()        {}
 func (CancelAttempt) routingEffect() {}
+func (StatusNeeded) routingEffect()  {}
 
 // Choice explains why a replica was chosen.
 type Choice struct {
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,195 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// Router is the core. It is not safe for concurrent use; a shell serializes
+// Step. Its invariants, which hold between any two steps:
+//
+//   - An admitted request is either waiting, and then in its model's queue, or
+//     running, and then its one current attempt counts on one machine. It
+//     leaves with exactly one Finish.
+//   - Every request in either state has a timer no later than its deadline; a
+//     waiting one no later than the end of its queue time.
+//   - A machine whose leaving was announced gets no Dispatch.
+//   - A request that is not repeatable gets another Dispatch only if every
+//     earlier attempt failed with verdict NotRun; none gets one after its
+//     first byte went to the caller.
+//   - A failure says NotRun only if no attempt may have run.
+type Router struct {
+	config Config
+	random *rand.Rand
+
+	// now and nanos are the virtual time of the current step; it never goes
+	// back.
+	now   time.Time
+	nanos int64
+
+	snapshot *settings.Snapshot
+	models   map[cluster.ModelID]*model
+	machines map[cluster.MachineID]*machine
+	cells    map[cluster.ZoneID]*cell
+	regions  map[cluster.ZoneID]cluster.RegionID
+	requests map[cluster.RequestID]*request
+	timers   timerHeap
+	armings  uint64
+	// waiting counts waiting requests of all models.
+	waiting int
+	// touched lists the models whose demand changed since the last report.
+	touched []*model
+	// routers is how many share the replicas, rank this one's place among
+	// them in a fixed order.
+	routers, rank int
+	draining      bool
+	// statuses counts the accepted cell statuses.
+	statuses uint64
+
+	effects []Effect
+	spare   []*request
+}
+
+// New returns a core that knows no settings and no replicas yet. Equal seeds
+// and events give equal effects.
+func New(config Config, seed uint64) *Router {
+	config = config.withDefaults()
+	return &Router{
+		config:   config,
+		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		models:   make(map[cluster.ModelID]*model),
+		machines: make(map[cluster.MachineID]*machine),
+		cells:    make(map[cluster.ZoneID]*cell),
+		regions:  make(map[cluster.ZoneID]cluster.RegionID),
+		requests: make(map[cluster.RequestID]*request),
+		routers:  config.ExpectedRouters,
+	}
+}
+
+// Step takes one event at the time now and returns what must be done. Time-outs
+// that now has passed take effect before the event.
+func (r *Router) Step(now time.Time, event Event) []Effect {
+	if nanos := now.UnixNano(); nanos >= r.nanos {
+		r.now, r.nanos = now, nanos
+	}
+	r.effects = nil
+	r.expire()
+	r.handle(event)
+	return r.effects
+}
+
+func (r *Router) handle(event Event) {
+	switch event := event.(type) {
+	case RequestArrived:
+		r.arrive(&event.Request)
+	case AttemptEnded:
+		r.attemptEnded(&event)
+	case FirstByteSent:
+		r.firstByteSent(event.Request)
+	case CallerGone:
+		r.callerGone(event.Request)
+	case CellStatusChanged:
+		r.cellStatus(&event.Status)
+	case CellLost:
+		r.cellLost(event.Zone)
+	case MachineLeaving:
+		r.machineLeaving(event.Machine)
+	case RoutersChanged:
+		r.routersChanged(event)
+	case SettingsChanged:
+		r.settingsChanged(event.Snapshot)
+	case DrainStarted:
+		r.drain()
+	case CacheEventsArrived, Tick:
+	}
+}
+
+// NextDeadline returns when the next time-out is due, or false without any. The
+// shell sends a Tick then.
+func (r *Router) NextDeadline() (time.Time, bool) {
+	if len(r.timers) == 0 {
+		return time.Time{}, false
+	}
+	return time.Unix(0, r.timers[0].at), true
+}
+
+// InFlight counts the requests that have not finished, waiting ones included.
+func (r *Router) InFlight() int { return len(r.requests) }
+
+// Waiting counts the requests that wait for dispatch.
+func (r *Router) Waiting() int { return r.waiting }
+
+// Draining reports whether admission is closed.
+func (r *Router) Draining() bool { return r.draining }
+
+// emit adds an effect of the current step.
+func (r *Router) emit(effect Effect) { r.effects = append(r.effects, effect) }
+
+// settingsRevision in force, zero before the first.
+func (r *Router) settingsRevision() int64 {
+	if r.snapshot == nil {
+		return 0
+	}
+	return r.snapshot.Stamp.Revision
+}
+
+// settingsChanged puts a snapshot in force. Waiting requests of removed models
+// end at once.
+func (r *Router) settingsChanged(snapshot *settings.Snapshot) {
+	if snapshot == nil {
+		return
+	}
+	r.snapshot = snapshot
+	for _, model := range r.sortedModels() {
+		r.applySettings(model, snapshot.Model(model.id))
+	}
+}
+
+func (r *Router) applySettings(model *model, configured *settings.Model) {
+	model.configured = configured
+	model.countMatching()
+	if configured != nil {
+		r.serve(model)
+		return
+	}
+	for _, waiting := range model.waitingRequests() {
+		failure := verdict.New(verdict.NotRun, verdict.CodeModelNotFound, "model %q was removed", model.id)
+		r.finish(waiting, failure, Explanation{})
+	}
+	r.forgetIfUnused(model)
+}
+
+// drain closes admission and refuses what waits.
+func (r *Router) drain() {
+	if r.draining {
+		return
+	}
+	r.draining = true
+	for _, model := range r.sortedModels() {
+		for _, waiting := range model.waitingRequests() {
+			r.finish(waiting, r.drainingFailure(), Explanation{})
+		}
+	}
+}
+
+func (r *Router) drainingFailure() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeNodeDraining,
+		"this node is stopping; another one takes the request").After(r.config.DrainRetryAfter)
+}
+
+// routersChanged learns how many routers share limits and slots.
+func (r *Router) routersChanged(event RoutersChanged) {
+	if event.Routers > 0 {
+		r.routers, r.rank = event.Routers, event.Rank
+	}
+	for _, zone := range event.Zones {
+		r.regions[zone.Zone] = zone.Region
+	}
+	for _, model := range r.sortedModels() {
+		r.rebuildTiers(model)
+	}
+}
--- /dev/null
+++ b/routing/state.go
@@ -0,0 +1,205 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/queue"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// request is an admitted request that has not finished.
+type request struct {
+	Request
+	model *model
+	item  queue.Item[*request]
+	timer timer
+
+	running bool
+	arrived int64
+	// deadline of the request; queueBudget is what is left of its queue time
+	// and queuedSince when it last began to wait.
+	deadline, queueBudget, queuedSince int64
+	waited                             time.Duration
+
+	// attempt is the last dispatch; machine is where it runs, nil while
+	// waiting.
+	attempt    cluster.Attempt
+	machine    *machine
+	dispatched int64
+	// tries counts the attempts that RetryAttempts bounds: all but those an
+	// engine refused without running.
+	tries int
+	// tried machines failed an attempt of this request.
+	tried []*machine
+	// firstByte went to the caller; mayHaveRun is set by an attempt that did
+	// not end with verdict NotRun.
+	firstByte, mayHaveRun bool
+}
+
+// model is what the core knows of one model name.
+type model struct {
+	id         cluster.ModelID
+	configured *settings.Model
+	queue      queue.Queue[*request]
+	running    int
+
+	// tiers hold the loaded replicas by distance, loading those to come; all
+	// sorted by machine.
+	tiers   [distances][]*replica
+	loading []*replica
+	// loaded counts the replicas in tiers whose machines stay, matching those
+	// of the policy's version among them; capacity sums their slots.
+	loaded, matching, capacity int
+
+	// service and loadTime are learned means in nanoseconds, zero before the
+	// first observation.
+	service, loadTime float64
+	retries           retryBudget
+	arrivals          int
+	touched           bool
+	// reportedWaiting and reportedRunning are what the last report said.
+	reportedWaiting, reportedRunning int
+}
+
+// distance ranks how far a replica is.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	elsewhere
+	distances
+)
+
+// replica is one model on one machine as the cell's status names it.
+type replica struct {
+	model    *model
+	machine  *machine
+	version  string
+	state    cluster.ReplicaState
+	distance distance
+	// Until missingUntil the replica is left out, because the engine said that
+	// it does not hold the model.
+	missingUntil int64
+	// seen is the full status that named the replica last.
+	seen uint64
+	// since is when the replica was first seen loading; readyAt when it should
+	// be loaded, zero when unknown.
+	since, readyAt int64
+}
+
+// machine is a back end as its cell's status and its own answers describe it.
+type machine struct {
+	id      cluster.MachineID
+	zone    cluster.ZoneID
+	address string
+	slots   int
+	// announced is set by MachineLeaving, at announcedAt, and stays; listed
+	// comes from the cell's status.
+	announced, listed bool
+	announcedAt       int64
+	replicas          []*replica
+	inFlight          int
+
+	// others is the work of other routers as reported at reportedAt; recent
+	// holds the times of own dispatches since.
+	others     float64
+	reportedAt int64
+	recent     []int64
+
+	// Until ceilingUntil no more than ceiling requests are kept in flight.
+	ceiling      int
+	ceilingUntil int64
+	// setbacks in a row lengthen the next back-off.
+	setbacks int
+	timer    timer
+}
+
+// cell is what is known of one zone's controller.
+type cell struct {
+	token    cluster.FencingToken
+	sequence uint64
+	// gap is set when a status was missed; lost when nothing is known of the
+	// zone any more.
+	gap, lost bool
+	// heard is set by the first status.
+	heard bool
+}
+
+// model returns the state of a model name and creates it if necessary.
+func (r *Router) modelState(id cluster.ModelID) *model {
+	state := r.models[id]
+	if state == nil {
+		state = &model{id: id, configured: r.snapshot.Model(id)}
+		state.retries.saved = r.config.RetryReserve
+		r.models[id] = state
+	}
+	return state
+}
+
+// forgetIfUnused drops a removed model's state once nothing refers to it.
+func (r *Router) forgetIfUnused(m *model) {
+	if m.configured == nil && m.running == 0 && m.queue.Len() == 0 && m.loaded == 0 && len(m.loading) == 0 && !m.touched {
+		delete(r.models, m.id)
+	}
+}
+
+// sortedModels lists all models by name, for the rare events that touch all.
+func (r *Router) sortedModels() []*model {
+	all := make([]*model, 0, len(r.models))
+	for _, model := range r.models {
+		all = append(all, model)
+	}
+	slices.SortFunc(all, func(a, b *model) int { return strings.Compare(string(a.id), string(b.id)) })
+	return all
+}
+
+// waitingRequests lists the queue, for events that end all of it.
+func (m *model) waitingRequests() []*request {
+	waiting := make([]*request, 0, m.queue.Len())
+	m.queue.Each(func(item *queue.Item[*request]) bool {
+		waiting = append(waiting, item.Value)
+		return true
+	})
+	return waiting
+}
+
+// countMatching counts the loaded replicas of the version the policy names.
+func (m *model) countMatching() {
+	m.loaded, m.matching, m.capacity = 0, 0, 0
+	for _, tier := range m.tiers {
+		for _, replica := range tier {
+			if replica.machine.leaving() {
+				continue
+			}
+			m.loaded++
+			m.capacity += replica.machine.slots
+			if m.hasVersion(replica) {
+				m.matching++
+			}
+		}
+	}
+}
+
+// hasVersion reports whether the replica has the policy's version; an unstated
+// one fits all.
+func (m *model) hasVersion(replica *replica) bool {
+	if m.configured == nil || m.configured.Policy.Version == "" || replica.version == "" {
+		return true
+	}
+	return m.configured.Policy.Version == replica.version
+}
+
+// leaving reports whether the machine takes no new work.
+func (m *machine) leaving() bool { return m.announced || m.listed }
+
+// touch marks the model for the next demand report.
+func (r *Router) touch(m *model) {
+	if !m.touched {
+		m.touched = true
+		r.touched = append(r.touched, m)
+	}
+}
