Add the controller and apportioner cores

Cause: nothing yet decided who may give orders to engines. Change: Controller (lease, seals, memory ledger, fenced orders that are sent again under their ID until answered), Presence (machine list with its lag), Apportion (division over zones with escrow kept in the records and one guard key that serialises all apportionings) and the records' Avro form. A machine without evidence counts as holding what the record lets it hold. A seal counts only while the lease is certain, so a superseded holder can't take over a restarted engine; so during an outage of the key-value service a restarted or new engine takes no loads.

--- /dev/null
+++ b/authority/orders.go
@@ -0,0 +1,134 @@
+package authority
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/placement"
+)
+
+// planMade turns the actions of a plan into orders. Every action is checked
+// again, so neither a plan from an older state nor a planner's mistake can
+// exceed an allotment or a machine's memory; what does not fit is left out and
+// the next plan sees why.
+func (c *Controller) planMade(now time.Time, plan placement.Plan) []Effect {
+	if !c.Holding() || c.allotment == nil {
+		return nil
+	}
+	var effects []Effect
+	for i := range plan.Actions {
+		action := &plan.Actions[i]
+		entry := c.machines[action.Machine]
+		if entry == nil || !entry.sealed || !c.permits(entry, action) {
+			continue
+		}
+		effects = append(effects, c.give(now, entry, action))
+	}
+	return effects
+}
+
+// permits reports whether the ledger and the allotment allow the action.
+func (c *Controller) permits(entry *machineLedger, action *placement.Action) bool {
+	switch action.Kind {
+	case cluster.OrderLoad:
+		return c.permitsLoad(entry, action)
+	case cluster.OrderUnload:
+		_, found := entry.inventory.Find(action.Model)
+		return found && entry.pendingFor(action.Model) == nil
+	case cluster.OrderSetPool:
+		return entry.pendingPool() == nil && entry.inventory.Pool != action.Pool
+	default:
+		return false
+	}
+}
+
+func (c *Controller) permitsLoad(entry *machineLedger, action *placement.Action) bool {
+	allotted := c.limits[action.Model]
+	id := entry.machine.ID
+	switch {
+	case allotted == nil || action.Bytes < 0:
+		return false
+	case !c.permitted[id] || !mayHold(allotted, id):
+		return false
+	case entry.machine.Leaving || entry.inventory.Leaving || !c.presence.inLatest(id):
+		return false
+	case entry.holds(action.Model):
+		return false
+	case entry.usedBytes()+action.Bytes > entry.inventory.MemoryBytes:
+		return false
+	}
+	return c.held(action.Model) < allotted.MaxReplicas
+}
+
+// give reserves memory, records the order and returns it as an effect.
+func (c *Controller) give(now time.Time, entry *machineLedger, action *placement.Action) Effect {
+	order := cluster.Order{
+		ID: c.orderID(), Token: c.token, Epoch: entry.inventory.Epoch, Machine: entry.machine.ID,
+		Kind: action.Kind, Model: action.Model, Base: action.Base, Version: action.Version,
+		Bytes: action.Bytes, Pool: action.Pool, DrainTime: action.DrainTime,
+	}
+	if action.Kind == cluster.OrderLoad {
+		entry.reserved[action.Model] = action.Bytes
+	}
+	entry.pending = append(entry.pending, &pendingOrder{order: order, sentAt: now})
+	if !entry.calling {
+		entry.nextCall = now.Add(c.config.BusyInventoryInterval)
+	}
+	return SendOrder{Machine: entry.machine, Order: order}
+}
+
+// mayHold reports whether the allotment names the machine for the model.
+func mayHold(allotted *cluster.ModelAllotment, id cluster.MachineID) bool {
+	if len(allotted.Candidates) == 0 {
+		return true
+	}
+	for _, candidate := range allotted.Candidates {
+		if candidate == id {
+			return true
+		}
+	}
+	return false
+}
+
+// held is the largest number of replicas of the model that the zone can have:
+// those in the ledger in any state, and one for each machine without evidence
+// that may hold the model.
+func (c *Controller) held(model cluster.ModelID) int {
+	return c.confirmed(model) + c.unseen(model)
+}
+
+// confirmed counts the ledger's replicas and pending loads of the model.
+func (c *Controller) confirmed(model cluster.ModelID) int {
+	count := 0
+	for _, entry := range c.sorted {
+		if entry.known && entry.holds(model) {
+			count++
+		}
+	}
+	return count
+}
+
+// unseen counts the record's machines without evidence that may hold the model
+// and have not gone from the machine list.
+func (c *Controller) unseen(model cluster.ModelID) int {
+	allotted := c.limits[model]
+	if allotted == nil {
+		return 0
+	}
+	count := 0
+	for _, id := range c.allotment.Machines {
+		if c.withoutEvidence(id) && mayHold(allotted, id) {
+			count++
+		}
+	}
+	return count
+}
+
+// withoutEvidence reports whether the machine may exist without having been
+// sealed under the present token.
+func (c *Controller) withoutEvidence(id cluster.MachineID) bool {
+	if entry := c.machines[id]; entry != nil {
+		return !entry.known
+	}
+	return !c.presence.Gone(id)
+}
--- /dev/null
+++ b/authority/record.go
@@ -0,0 +1,162 @@
+package authority
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/platform/kv"
+)
+
+// Keys of the allotments in the key-value service. A range over
+// AllotmentRangePrefix returns all records and the guard at one revision.
+const (
+	// AllotmentGuardKey is rewritten by every apportioning, which compares its
+	// revision: so all apportionings follow one another, whoever makes them.
+	AllotmentGuardKey = "/valveslip/allotments"
+	// AllotmentRangePrefix covers the guard and the records.
+	AllotmentRangePrefix = AllotmentGuardKey
+	allotmentKeyPrefix   = AllotmentGuardKey + "/"
+)
+
+// AllotmentKey returns the key of a zone's record.
+func AllotmentKey(zone cluster.ZoneID) string { return allotmentKeyPrefix + string(zone) }
+
+// recordSchema is the stored form of an allotment. Machines are named once;
+// candidates are indexes into them. The last field is always true: the codec
+// reads the missing end of a truncated record as zero values.
+var recordSchema = avro.MustParse(`{
+  "type": "record", "name": "Allotment", "namespace": "valveslip.authority", "fields": [
+    {"name": "settings_revision", "type": "long"},
+    {"name": "written_at", "type": "long"},
+    {"name": "machines", "type": {"type": "array", "items": "string"}},
+    {"name": "models", "type": {"type": "array", "items": {
+      "type": "record", "name": "Model", "fields": [
+        {"name": "model", "type": "string"},
+        {"name": "maximum", "type": "int"},
+        {"name": "ceiling", "type": "int"},
+        {"name": "candidates", "type": {"type": "array", "items": "int"}}
+      ]}}},
+    {"name": "complete", "type": "boolean"}
+  ]}`)
+
+type storedAllotment struct {
+	SettingsRevision int64         `avro:"settings_revision"`
+	WrittenAt        int64         `avro:"written_at"`
+	Machines         []string      `avro:"machines"`
+	Models           []storedModel `avro:"models"`
+	Complete         bool          `avro:"complete"`
+}
+
+type storedModel struct {
+	Model      string `avro:"model"`
+	Maximum    int    `avro:"maximum"`
+	Ceiling    int    `avro:"ceiling"`
+	Candidates []int  `avro:"candidates"`
+}
+
+// EncodeAllotment returns the stored form of a zone's record. Zone and Revision
+// are not part of it: the key and the key-value service give them. Every
+// candidate must be one of the record's machines; others are left out.
+func EncodeAllotment(allotment cluster.Allotment) []byte {
+	stored := storedAllotment{
+		SettingsRevision: allotment.SettingsRevision,
+		WrittenAt:        allotment.WrittenAt.Unix(),
+		Machines:         make([]string, len(allotment.Machines)),
+		Models:           make([]storedModel, len(allotment.Models)),
+		Complete:         true,
+	}
+	index := make(map[cluster.MachineID]int, len(allotment.Machines))
+	for i, id := range allotment.Machines {
+		stored.Machines[i] = string(id)
+		index[id] = i
+	}
+	for i := range allotment.Models {
+		model := &allotment.Models[i]
+		stored.Models[i] = storedModel{Model: string(model.Model), Maximum: model.MaxReplicas, Ceiling: model.Ceiling}
+		stored.Models[i].Candidates = make([]int, 0, len(model.Candidates))
+		for _, id := range model.Candidates {
+			if position, ok := index[id]; ok {
+				stored.Models[i].Candidates = append(stored.Models[i].Candidates, position)
+			}
+		}
+	}
+	data, err := avro.Marshal(recordSchema, stored)
+	if err != nil {
+		// The schema and the type are both fixed here, so this is a defect.
+		panic(eris.Wrap(err, "encode allotment"))
+	}
+	return data
+}
+
+// DecodeAllotment reads the stored form. The error says why it is not one.
+func DecodeAllotment(data []byte) (cluster.Allotment, error) {
+	var stored storedAllotment
+	if err := avro.Unmarshal(recordSchema, data, &stored); err != nil {
+		return cluster.Allotment{}, eris.Wrap(err, "decode allotment")
+	}
+	if !stored.Complete {
+		return cluster.Allotment{}, eris.New("decode allotment: the record is truncated")
+	}
+	allotment := cluster.Allotment{
+		SettingsRevision: stored.SettingsRevision,
+		WrittenAt:        time.Unix(stored.WrittenAt, 0).UTC(),
+	}
+	for _, id := range stored.Machines {
+		allotment.Machines = append(allotment.Machines, cluster.MachineID(id))
+	}
+	for _, model := range stored.Models {
+		entry := cluster.ModelAllotment{
+			Model: cluster.ModelID(model.Model), MaxReplicas: model.Maximum, Ceiling: model.Ceiling,
+		}
+		for _, position := range model.Candidates {
+			if position < 0 || position >= len(allotment.Machines) {
+				return cluster.Allotment{}, eris.Errorf("decode allotment: model %s names machine %d of %d",
+					model.Model, position, len(allotment.Machines))
+			}
+			entry.Candidates = append(entry.Candidates, allotment.Machines[position])
+		}
+		allotment.Models = append(allotment.Models, entry)
+	}
+	return allotment, nil
+}
+
+// AllotmentFromPair reads one stored record. It returns false for the guard and
+// for keys that are not allotments.
+func AllotmentFromPair(pair kv.KeyValue) (cluster.Allotment, bool, error) {
+	zone, found := strings.CutPrefix(pair.Key, allotmentKeyPrefix)
+	if !found || zone == "" {
+		return cluster.Allotment{}, false, nil
+	}
+	allotment, err := DecodeAllotment(pair.Value)
+	if err != nil {
+		return cluster.Allotment{}, false, eris.Wrapf(err, "record of zone %s", zone)
+	}
+	allotment.Zone = cluster.ZoneID(zone)
+	allotment.Revision = pair.ModRevision
+	return allotment, true, nil
+}
+
+// AllotmentsFromPairs reads the answer to a range over AllotmentRangePrefix:
+// the records sorted by zone and the guard's revision, zero when it is absent.
+func AllotmentsFromPairs(pairs []kv.KeyValue) (records []cluster.Allotment, guard int64, err error) {
+	for _, pair := range pairs {
+		if pair.Key == AllotmentGuardKey {
+			guard = pair.ModRevision
+			continue
+		}
+		record, ok, err := AllotmentFromPair(pair)
+		if err != nil {
+			return nil, 0, err
+		}
+		if ok {
+			records = append(records, record)
+		}
+	}
+	slices.SortFunc(records, func(a, b cluster.Allotment) int { return compareStrings(a.Zone, b.Zone) })
+	return records, guard, nil
+}
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -167,7 +167,8 @@
 
 // Order is a fenced order to one machine's engine.
 type Order struct {
-	// ID is unique; an engine that sees it twice applies it once.
+	// ID is unique; an engine that sees it twice applies it once and gives the
+	// first answer again, a refusal included.
 	ID string
 	// Token is the issuer's fencing token. An engine accepts an order only
 	// when it has been sealed with exactly this token in its present run; a
