--- /dev/null
+++ b/cmd/valveslip/check.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/valveslip/valveslip/node"
+)
+
+// checkCommand validates a node's configuration and does nothing else.
+func checkCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("valveslip check", flag.ContinueOnError)
+	read := configFlags(flags)
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "valveslip check --config FILE [flags]",
+		ShortHelp:  "check a node's configuration",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(node.EnvironmentPrefix)},
+		Exec: func(context.Context, []string) error {
+			config, err := read()
+			if err != nil {
+				return &exitError{code: exitInvalid, err: err}
+			}
+			fmt.Printf("zone=%s caller_address=%s admin_address=%s peer_address=%s seeds=%d: valid\n",
+				config.Zone, config.CallerAddress, config.AdminAddress, config.PeerAddress, len(config.Seeds))
+			return nil
+		},
+	}
+}
+
+// configFlags adds --config and a flag for every node setting. The function it
+// returns loads the configuration once the flags are parsed.
+func configFlags(flags *flag.FlagSet) func() (node.Config, error) {
+	file := flags.String("config", "", "YAML file of the node's settings")
+	values := make(map[string]*string)
+	keys := node.ConfigKeys()
+	for _, key := range keys {
+		values[key.FlagName()] = flags.String(key.FlagName(), "", key.Usage)
+	}
+	return func() (node.Config, error) {
+		set := make(map[string]bool)
+		flags.Visit(func(f *flag.Flag) { set[f.Name] = true })
+		var overrides []node.Override
+		for _, key := range keys {
+			if set[key.FlagName()] {
+				overrides = append(overrides, node.Override{Key: key.Name, Value: *values[key.FlagName()], Source: "flag or environment"})
+			}
+		}
+		return node.LoadConfig(*file, overrides)
+	}
+}
--- /dev/null
+++ b/node/config_keys.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"strings"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultDrainTime    = 60 * time.Second
+	DefaultMaxBodyBytes = 4 << 20
+	DefaultLogLevel     = "info"
+)
+
+// ConfigKey describes one setting of a node. Flags, environment variables and
+// the documentation are made from the list of them.
+type ConfigKey struct {
+	// Name in the file; nested keys are joined by a dot.
+	Name string
+	// Default as text, empty when there is none.
+	Default string
+	// Required keys have no default and may not be empty.
+	Required bool
+	// Usage is one sentence.
+	Usage string
+
+	target func(*Config) any
+}
+
+// FlagName is the key's name as a command line flag.
+func (k ConfigKey) FlagName() string {
+	return strings.NewReplacer("_", "-", ".", "-").Replace(k.Name)
+}
+
+// EnvironmentName is the key's name as an environment variable.
+func (k ConfigKey) EnvironmentName() string {
+	return EnvironmentPrefix + "_" + strings.ToUpper(strings.NewReplacer("-", "_", ".", "_").Replace(k.Name))
+}
+
+// EnvironmentPrefix begins the names of environment variables.
+const EnvironmentPrefix = "VALVESLIP"
+
+// configKeys lists every setting, in the order of the documentation.
+var configKeys = []ConfigKey{
+	{Name: "zone", Required: true, Usage: "Zone the node runs in; requests prefer engines of its zone.", target: func(c *Config) any { return &c.Zone }},
+	{Name: "region", Usage: "Region the zone belongs to.", target: func(c *Config) any { return &c.Region }},
+	{Name: "caller_address", Required: true, Usage: "Listen address IP:port of the callers' API.", target: func(c *Config) any { return &c.CallerAddress }},
+	{Name: "admin_address", Required: true, Usage: "Listen address IP:port of the administration API, metrics and health.", target: func(c *Config) any { return &c.AdminAddress }},
+	{Name: "peer_address", Required: true, Usage: "Listen address IP:port for messages between nodes; peers reach the node there.", target: func(c *Config) any { return &c.PeerAddress }},
+	{Name: "seeds", Usage: "Peer addresses IP:port of other nodes, any of which may be down; on a flag separated by commas.", target: func(c *Config) any { return &c.Seeds }},
+	{Name: "key_value_url", Required: true, Usage: "URL of the key-value service.", target: func(c *Config) any { return &c.KeyValueURL }},
+	{Name: "machine_list_url", Required: true, Usage: "URL of the machine list.", target: func(c *Config) any { return &c.MachineListURL }},
+	{Name: "weight_store_url", Required: true, Usage: "URL of the weight store.", target: func(c *Config) any { return &c.WeightStoreURL }},
+	{Name: "drain_time", Default: DefaultDrainTime.String(), Usage: "Longest time a planned stop waits for requests in flight, 1s to 1h.", target: func(c *Config) any { return &c.DrainTime }},
+	{Name: "max_body_bytes", Default: "4194304", Usage: "Largest request body in bytes, 1024 to 67108864; larger ones are answered 413.", target: func(c *Config) any { return &c.MaxBodyBytes }},
+	{Name: "log_level", Default: DefaultLogLevel, Usage: "Least severe log lines written: debug, info, warn or error.", target: func(c *Config) any { return &c.LogLevel }},
+	{Name: "tls.certificate_file", Usage: "PEM certificate chain of the listeners; with tls.key_file it turns on TLS.", target: func(c *Config) any { return &c.TLS.CertificateFile }},
+	{Name: "tls.key_file", Usage: "PEM private key of the certificate.", target: func(c *Config) any { return &c.TLS.KeyFile }},
+	{Name: "tls.peer_authority_file", Usage: "PEM certificates of the authorities that sign nodes' certificates; turns on mutual TLS between nodes.", target: func(c *Config) any { return &c.TLS.PeerAuthorityFile }},
+}
+
+// ConfigKeys returns the settings of a node in the order of the documentation.
+func ConfigKeys() []ConfigKey { return append([]ConfigKey(nil), configKeys...) }
+
+// findKey returns the key with the given name.
+func findKey(name string) (ConfigKey, bool) {
+	for _, key := range configKeys {
+		if key.Name == name {
+			return key, true
+		}
+	}
+	return ConfigKey{}, false
+}
