--- /dev/null
+++ b/standin/engine/control.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/platform/engine"
+)
+
+// PathCounters takes GET and answers Counters as JSON.
+const PathCounters = "/standin/v1/counters"
+
+// maxControlBytes bounds a body of the control API.
+const maxControlBytes = 16 << 20
+
+// decode reads a JSON body or answers 400.
+func decode(writer http.ResponseWriter, request *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxControlBytes))
+	if err := decoder.Decode(into); err != nil {
+		writeJSON(writer, http.StatusBadRequest, errorBody{Error: errorObject{Message: err.Error(), Type: "invalid_request_error"}})
+		return false
+	}
+	return true
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+// answerOrder writes an inventory or a refusal.
+func answerOrder(writer http.ResponseWriter, status int, inventory cluster.Inventory, refused *engine.OrderRefusal) {
+	if refused != nil {
+		writeJSON(writer, http.StatusConflict, refused)
+		return
+	}
+	writeJSON(writer, status, inventory)
+}
+
+func (s *Server) seal(writer http.ResponseWriter, request *http.Request) {
+	var body engine.SealRequest
+	if !decode(writer, request, &body) {
+		return
+	}
+	var inventory cluster.Inventory
+	var refused *engine.OrderRefusal
+	s.Do(func(now time.Time, state *State) { inventory, refused = state.Seal(now, body.Token) })
+	answerOrder(writer, http.StatusOK, inventory, refused)
+}
+
+func (s *Server) order(writer http.ResponseWriter, request *http.Request) {
+	var order cluster.Order
+	if !decode(writer, request, &order) {
+		return
+	}
+	var inventory cluster.Inventory
+	var refused *engine.OrderRefusal
+	s.Do(func(now time.Time, state *State) {
+		inventory, refused = state.Order(now, order)
+		if refused == nil && order.Kind == cluster.OrderLoad && s.dieNext {
+			s.dieNext = false
+			s.dieSoon()
+		}
+	})
+	answerOrder(writer, http.StatusAccepted, inventory, refused)
+}
+
+func (s *Server) inventory(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, s.Inventory())
+}
+
+func (s *Server) report(writer http.ResponseWriter, _ *http.Request) {
+	var report cluster.LoadReport
+	s.Do(func(now time.Time, state *State) { report = state.Report(now) })
+	writeJSON(writer, http.StatusOK, report)
+}
+
+func (s *Server) cacheEvents(writer http.ResponseWriter, request *http.Request) {
+	after, _ := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
+	events := []cluster.CacheEvent{}
+	s.Do(func(now time.Time, state *State) { events = append(events, state.CacheEvents(now, after)...) })
+	writeJSON(writer, http.StatusOK, events)
+}
+
+func (s *Server) countersPage(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, s.Counters())
+}
+
+// kvCache is the body of an export and an import.
+type kvCache struct {
+	Model    cluster.ModelID
+	Prefixes []uint64
+}
+
+func (s *Server) exportKV(writer http.ResponseWriter, request *http.Request) {
+	cache := kvCache{Model: cluster.ModelID(request.PathValue("model"))}
+	s.Do(func(now time.Time, state *State) { cache.Prefixes = state.ExportKV(now, cache.Model) })
+	writeJSON(writer, http.StatusOK, cache)
+}
+
+func (s *Server) importKV(writer http.ResponseWriter, request *http.Request) {
+	var cache kvCache
+	if !decode(writer, request, &cache) {
+		return
+	}
+	model := cluster.ModelID(request.PathValue("model"))
+	s.Do(func(now time.Time, state *State) { state.ImportKV(now, model, cache.Prefixes) })
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) cancel(writer http.ResponseWriter, request *http.Request) {
+	key, ok := pathKey(request)
+	known := false
+	if ok {
+		s.Do(func(now time.Time, state *State) { known = state.Cancel(now, key) })
+	}
+	if !known {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+// pathKey reads the attempt named by a path.
+func pathKey(request *http.Request) (Key, bool) {
+	attempt, err := strconv.ParseUint(request.PathValue("attempt"), 10, 32)
+	return Key{Request: cluster.RequestID(request.PathValue("request")), Attempt: cluster.Attempt(attempt)}, err == nil
+}
--- /dev/null
+++ b/standin/engine/ledger.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"sync"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Ledger counts how many times each prompt really ran, over all the engines
+// that share it. It is safe for concurrent use.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[uint64]int
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger { return &Ledger{runs: map[uint64]int{}} }
+
+// Ran implements Recorder.
+func (l *Ledger) Ran(_ cluster.RequestID, _ cluster.Attempt, seed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[seed]++
+}
+
+// Runs returns how many times the prompt with the seed ran.
+func (l *Ledger) Runs(seed uint64) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[seed]
+}
+
+// Total returns how many runs there were.
+func (l *Ledger) Total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := 0
+	for _, runs := range l.runs {
+		total += runs
+	}
+	return total
+}
--- /dev/null
+++ b/standin/engine/server_test.go
@@ -0,0 +1,192 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/platform/engine"
+	standin "github.com/valveslip/valveslip/standin/engine"
+	"github.com/valveslip/valveslip/standin/fault"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+const machine = cluster.MachineID("m1")
+
+// start serves an engine on a kernel-chosen port.
+func start(t testing.TB, config standin.ServerConfig) (*standin.Server, string) {
+	t.Helper()
+	config.Engine.Machine = machine
+	config.Engine.MemoryBytes = 100
+	config.Engine.Accelerators = 1
+	server := standin.NewServer(config)
+	address, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	return server, address
+}
+
+func client(t testing.TB) *engine.Client {
+	client := engine.NewClient()
+	t.Cleanup(client.Close)
+	return client
+}
+
+// load orders a model that takes no time to load.
+func load(t testing.TB, control *engine.Client, address string, model cluster.ModelID, bytes int64) cluster.Inventory {
+	t.Helper()
+	inventory, err := control.Order(context.Background(), address, cluster.Order{
+		ID: "load-" + string(model), Token: 5, Machine: machine, Kind: cluster.OrderLoad, Model: model, Version: "1", Bytes: bytes,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return inventory
+}
+
+func call(address, id string, tokens int, stream bool) engine.Call {
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"%s"}],"max_tokens":%d,"stream":%v}`, id, tokens, stream)
+	return engine.Call{Request: cluster.RequestID(id), Attempt: 1, Address: address, Path: "/v1/chat/completions", Body: []byte(body)}
+}
+
+// wanted is the text of the answer to call.
+func wanted(id string, tokens int) string {
+	return standin.AnswerText("m", engine.ChatPrompt([]engine.Message{{Role: "user", Content: id}}), tokens)
+}
+
+// streamed joins the tokens of a stream and reports whether it ended whole.
+func streamed(t testing.TB, body string) (string, bool) {
+	t.Helper()
+	var text strings.Builder
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), true
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatalf("chunk %q: %v", data, err)
+		}
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	return text.String(), false
+}
+
+func TestAnswersAreWholeAndOwn(t *testing.T) {
+	_, address := start(t, standin.ServerConfig{})
+	control := client(t)
+	load(t, control, address, "m", 10)
+	for _, stream := range []bool{false, true} {
+		id := fmt.Sprintf("r-%v", stream)
+		answer, err := control.Run(context.Background(), call(address, id, 40, stream))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if stream {
+			if text, whole := streamed(t, string(body)); !whole || text != wanted(id, 40) {
+				t.Fatalf("stream: whole %v, text %q", whole, text)
+			}
+		} else if !strings.Contains(string(body), wanted(id, 40)) {
+			t.Fatalf("answer %s", body)
+		}
+	}
+}
+
+func TestResumeAfterCut(t *testing.T) {
+	server, address := start(t, standin.ServerConfig{})
+	control := client(t)
+	load(t, control, address, "m", 10)
+	server.Inject(fault.Order{Kind: fault.KindCutStream, Count: 1, Tokens: 7})
+	cut := call(address, "r", 30, true)
+	answer, err := control.Run(context.Background(), cut)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := io.ReadAll(answer.Body)
+	if err == nil {
+		t.Fatal("the cut stream ended cleanly")
+	}
+	for _, drop := range []int{0, 1, 50, len(first)} {
+		rest, err := control.Resume(context.Background(), cut, int64(len(first)-drop))
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := io.ReadAll(rest.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, whole := streamed(t, string(first[:len(first)-drop])+string(second))
+		if !whole || text != wanted("r", 30) {
+			t.Fatalf("resumed with %d bytes less: whole %v, text %q", drop, whole, text)
+		}
+	}
+	if runs := server.Counters().Runs; runs != 1 {
+		t.Fatalf("%d runs", runs)
+	}
+}
+
+func TestRefusalsAreNotRun(t *testing.T) {
+	_, address := start(t, standin.ServerConfig{})
+	control := client(t)
+	_, err := control.Run(context.Background(), call(address, "r", 3, false))
+	if verdict.Of(err) != verdict.NotRun || !errors.Is(err, engine.ErrModelMissing) {
+		t.Fatalf("model missing: %v", err)
+	}
+	_, err = control.Run(context.Background(), call("127.0.0.1:1", "r", 3, false))
+	if verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("dial refused: %v", err)
+	}
+}
+
+func TestFencingOverHTTP(t *testing.T) {
+	_, address := start(t, standin.ServerConfig{})
+	control := client(t)
+	load(t, control, address, "m", 10)
+	if _, err := control.Seal(context.Background(), address, 9); err != nil {
+		t.Fatal(err)
+	}
+	_, err := control.Order(context.Background(), address, cluster.Order{ID: "late", Token: 5, Machine: machine, Kind: cluster.OrderUnload, Model: "m"})
+	var stale *engine.StaleTokenError
+	if !errors.As(err, &stale) || stale.Held != 9 {
+		t.Fatalf("stale order: %v", err)
+	}
+	inventory, err := control.Inventory(context.Background(), address)
+	if err != nil || inventory.Token != 9 || len(inventory.Replicas) != 1 || inventory.Replicas[0].State != cluster.ReplicaLoaded {
+		t.Fatalf("inventory after a stale order: %+v, %v", inventory, err)
+	}
+}
+
+func TestOvercommitIsCountedNotRefused(t *testing.T) {
+	server, address := start(t, standin.ServerConfig{})
+	control := client(t)
+	load(t, control, address, "a", 60)
+	if count := server.Counters().Overcommitted; count != 0 {
+		t.Fatalf("%d before", count)
+	}
+	load(t, control, address, "b", 60)
+	inventory := load(t, control, address, "b", 60) // the same order again
+	if count := server.Counters().Overcommitted; count != 1 || inventory.UsedBytes() != 120 {
+		t.Fatalf("%d after, %d bytes", count, inventory.UsedBytes())
+	}
+}
