Add the settings tree with its store in the key-value service

Cause: every decision reads policies, and operators race one another's edits on a small service that can lose answers.

Change: a raw tree of levels with a key registry (types, defaults, bounds), strict YAML with path, key, line and reason of all errors at once, inheritance with sources, edits with conflict detection by path and key, and a store that writes only the changed chunk, one history entry and the head record in one compare-and-swap. An edit's id settles lost answers. Keys of newer versions are kept. The digest is a sum of level hashes, so an edit costs its own levels.

--- /dev/null
+++ b/settings/compile.go
@@ -0,0 +1,251 @@
+package settings
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// SourceDefault is the source of a value that no level sets.
+const SourceDefault = "default"
+
+// Effective is what holds at one level after inheritance.
+type Effective struct {
+	Path   string
+	Kind   Kind
+	Policy Policy
+	// Sources gives, by key, the path of the level the value came from, or
+	// SourceDefault. It is shared between levels and must not be changed.
+	Sources map[string]string
+	// Team is the path of the closest team at or above, or the root.
+	Team string
+	// model is the closest model at or above.
+	model cluster.ModelID
+}
+
+// defaultEffective returns what holds above the root.
+func defaultEffective() Effective {
+	sources := make(map[string]string, len(keys))
+	for i := range keys {
+		sources[keys[i].Name] = SourceDefault
+	}
+	return Effective{Policy: Defaults(), Sources: sources, Team: RootPath}
+}
+
+// descend returns what holds at a level, from what holds above it. Keys this
+// version does not know have no effect.
+func (e Effective) descend(level *Level, problems *ValidationErrors) Effective {
+	e.Path, e.Kind = level.Path, level.Kind
+	shared := true
+	for name, value := range level.Values {
+		key, known := keyIndex[name]
+		if !known {
+			continue
+		}
+		if err := key.assign(&e.Policy, value); err != nil {
+			problems.add(level.Path, name, "%s", err)
+			continue
+		}
+		if shared {
+			e.Sources, shared = maps.Clone(e.Sources), false
+		}
+		e.Sources[name] = level.Path
+	}
+	switch level.Kind {
+	case KindTeam:
+		e.Team = level.Path
+	case KindModel:
+		e.model = cluster.ModelID(level.Name())
+	}
+	return e
+}
+
+// Effective returns what holds at the level at path, or false when there is
+// none.
+func (t *Tree) Effective(path string) (Effective, bool) {
+	if t.levels[path] == nil {
+		return Effective{}, false
+	}
+	var ignored ValidationErrors
+	effective := defaultEffective()
+	for _, candidate := range ancestry(path) {
+		effective = effective.descend(t.levels[candidate], &ignored)
+	}
+	return effective, true
+}
+
+// ancestry returns the paths from the root to path.
+func ancestry(path string) []string {
+	paths := []string{path}
+	for path != RootPath {
+		path = parent(path)
+		paths = append(paths, path)
+	}
+	slices.Reverse(paths)
+	return paths
+}
+
+// compiler carries one compilation.
+type compiler struct {
+	tree     *Tree
+	resolved map[string]Effective
+	models   []Model
+	tokens   []Token
+	scopes   map[string]Scope
+	problems ValidationErrors
+}
+
+// Compile resolves inheritance and checks the tree as a whole. The error is a
+// ValidationErrors with everything that is wrong.
+func (t *Tree) Compile(stamp Stamp) (*Snapshot, error) {
+	c := &compiler{tree: t, resolved: make(map[string]Effective, len(t.paths)), scopes: map[string]Scope{}}
+	for _, path := range t.paths {
+		c.addLevel(t.levels[path])
+	}
+	slices.SortFunc(c.models, func(a, b Model) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Path, b.Path))
+	})
+	slices.SortFunc(c.tokens, func(a, b Token) int {
+		return cmp.Or(cmp.Compare(a.SHA256, b.SHA256), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Name, b.Name))
+	})
+	c.checkUnique()
+	snapshot := NewSnapshot(stamp, c.models, c.tokens, c.scopes)
+	c.checkBases(snapshot)
+	if err := c.problems.orNil(); err != nil {
+		return nil, err
+	}
+	return snapshot, nil
+}
+
+// addLevel resolves one level; the levels above it are resolved already.
+func (c *compiler) addLevel(level *Level) {
+	above := defaultEffective
+	if level.Path != RootPath {
+		above = func() Effective { return c.resolved[parent(level.Path)] }
+	}
+	effective := above().descend(level, &c.problems)
+	c.resolved[level.Path] = effective
+	c.checkKind(level, effective)
+	if scope, limited := scopeOf(level, &effective.Policy); limited {
+		c.scopes[level.Path] = scope
+	}
+	for _, token := range level.Tokens {
+		c.tokens = append(c.tokens, Token{
+			Name: token.Name, SHA256: token.SHA256, Role: token.Role,
+			Path: level.Path, NotAfter: token.NotAfter,
+		})
+	}
+	if level.Kind == KindModel || level.Kind == KindAdapter {
+		c.addModel(level, effective)
+	}
+}
+
+// scopeOf returns the limits that the level itself sets.
+func scopeOf(level *Level, policy *Policy) (Scope, bool) {
+	scope := Scope{Path: level.Path}
+	if _, set := level.Values["max_concurrency"]; set {
+		scope.MaxConcurrency = policy.MaxConcurrency
+	}
+	if _, set := level.Values["requests_per_second"]; set {
+		scope.RequestsPerSecond = policy.RequestsPerSecond
+	}
+	if _, set := level.Values["tokens_per_second"]; set {
+		scope.TokensPerSecond = policy.TokensPerSecond
+	}
+	return scope, scope != Scope{Path: level.Path}
+}
+
+// addModel records a model or adapter and checks its policy as a whole.
+func (c *compiler) addModel(level *Level, effective Effective) {
+	model := Model{
+		ID: cluster.ModelID(level.Name()), Kind: level.Kind, Path: level.Path,
+		Team: effective.Team, Policy: effective.Policy, Sources: effective.Sources,
+	}
+	if level.Kind == KindAdapter {
+		model.Base = effective.model
+		if value, set := level.Values[KeyBase]; set {
+			if err := baseKey.assign(nil, value); err != nil {
+				c.problems.add(level.Path, KeyBase, "%s", err)
+			}
+			model.Base = cluster.ModelID(value.String())
+		}
+	}
+	c.models = append(c.models, model)
+	policy := &effective.Policy
+	if policy.MinReplicas > policy.MaxReplicas {
+		c.problems.add(level.Path, "min_replicas", "%d from %s is more than max_replicas %d from %s",
+			policy.MinReplicas, effective.Sources["min_replicas"],
+			policy.MaxReplicas, effective.Sources["max_replicas"])
+	}
+	if policy.QueueTime > policy.Deadline {
+		c.problems.add(level.Path, "queue_time", "%s from %s is longer than deadline %s from %s",
+			FormatDuration(policy.QueueTime), effective.Sources["queue_time"],
+			FormatDuration(policy.Deadline), effective.Sources["deadline"])
+	}
+}
+
+// checkKind checks where the level stands. Kinds of newer versions count as
+// plain levels.
+func (c *compiler) checkKind(level *Level, effective Effective) {
+	if _, set := level.Values[KeyBase]; set && level.Kind != KindAdapter {
+		c.problems.add(level.Path, KeyBase, "only an adapter has a base model, this is %s", article(level.Kind))
+	}
+	if level.Path == RootPath {
+		if level.Kind != KindOrganization {
+			c.problems.add(level.Path, "kind", "the root is an organization")
+		}
+		return
+	}
+	switch above := c.resolved[parent(level.Path)].Kind; {
+	case above == KindAdapter:
+		c.problems.add(level.Path, "kind", "nothing can stand below an adapter")
+	case above == KindModel && level.Kind != KindAdapter:
+		c.problems.add(level.Path, "kind", "only an adapter can stand below a model, this is %s", article(level.Kind))
+	}
+}
+
+// article returns the kind with its indefinite article.
+func article(kind Kind) string {
+	switch kind {
+	case KindOrganization, KindAdapter:
+		return "an " + string(kind)
+	default:
+		return "a " + string(kind)
+	}
+}
+
+// checkUnique checks that model names and token hashes are unique.
+func (c *compiler) checkUnique() {
+	for i := 1; i < len(c.models); i++ {
+		if c.models[i].ID == c.models[i-1].ID {
+			c.problems.add(c.models[i].Path, "", "the model name %s is already used at %s", c.models[i].ID, c.models[i-1].Path)
+		}
+	}
+	for i := 1; i < len(c.tokens); i++ {
+		if c.tokens[i].SHA256 == c.tokens[i-1].SHA256 {
+			c.problems.add(c.tokens[i].Path, "tokens", "token %s has the same secret as token %s at %s",
+				c.tokens[i].Name, c.tokens[i-1].Name, c.tokens[i-1].Path)
+		}
+	}
+}
+
+// checkBases checks that the base of each adapter exists and is visible to it.
+func (c *compiler) checkBases(snapshot *Snapshot) {
+	for i := range c.models {
+		adapter := &c.models[i]
+		if adapter.Kind != KindAdapter {
+			continue
+		}
+		base := snapshot.Model(adapter.Base)
+		switch {
+		case adapter.Base == "":
+			c.problems.add(adapter.Path, KeyBase, "an adapter wants a base model")
+		case base == nil || base.Kind != KindModel:
+			c.problems.add(adapter.Path, KeyBase, "there is no base model %s", adapter.Base)
+		case !snapshot.Visible(parent(adapter.Path), base):
+			c.problems.add(adapter.Path, KeyBase, "base model %s at %s belongs to another part of the tree", adapter.Base, base.Path)
+		}
+	}
+}
--- /dev/null
+++ b/settings/kv_test.go
@@ -0,0 +1,107 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// memoryKV is a key-value service in memory. It serves Range and Txn only.
+type memoryKV struct {
+	mutex    sync.Mutex
+	revision int64
+	pairs    map[string]kv.KeyValue
+	// fault is asked for the n-th transaction and says what happens to it.
+	fault        func(n int) kvFault
+	transactions int
+	// writtenBytes and writtenKeys of the last successful transaction.
+	writtenBytes, writtenKeys int
+	largestValue              int
+	// events of successful transactions, one batch each.
+	batches [][]kv.Event
+}
+
+type kvFault uint8
+
+const (
+	noFault kvFault = iota
+	refused
+	lostBefore // the transaction is lost before it takes effect
+	lostAfter  // the answer is lost after the transaction took effect
+)
+
+func newMemoryKV() *memoryKV { return &memoryKV{pairs: map[string]kv.KeyValue{}} }
+
+func (m *memoryKV) Range(_ context.Context, prefix string) ([]kv.KeyValue, int64, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var found []kv.KeyValue
+	for key, pair := range m.pairs {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, pair)
+		}
+	}
+	slices.SortFunc(found, func(a, b kv.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return found, m.revision, nil
+}
+
+func (m *memoryKV) Txn(_ context.Context, transaction kv.Transaction) (kv.TransactionResult, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	fault := noFault
+	if m.transactions++; m.fault != nil {
+		fault = m.fault(m.transactions)
+	}
+	lost := verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
+	switch fault {
+	case refused:
+		return kv.TransactionResult{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "too many requests")
+	case lostBefore:
+		return kv.TransactionResult{}, lost
+	}
+	for _, compare := range transaction.Compares {
+		if m.pairs[compare.Key].ModRevision != compare.ModRevision {
+			return kv.TransactionResult{Revision: m.revision}, nil
+		}
+	}
+	m.write(transaction.Operations)
+	if fault == lostAfter {
+		return kv.TransactionResult{}, lost
+	}
+	return kv.TransactionResult{Succeeded: true, Revision: m.revision}, nil
+}
+
+func (m *memoryKV) write(operations []kv.Operation) {
+	m.revision++
+	m.writtenBytes, m.writtenKeys = 0, len(operations)
+	var batch []kv.Event
+	for _, operation := range operations {
+		m.writtenBytes += len(operation.Value)
+		m.largestValue = max(m.largestValue, len(operation.Value))
+		pair := kv.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: m.revision}
+		batch = append(batch, kv.Event{KeyValue: pair, Deleted: operation.Delete})
+		if operation.Delete {
+			delete(m.pairs, operation.Key)
+			continue
+		}
+		m.pairs[operation.Key] = pair
+	}
+	m.batches = append(m.batches, batch)
+}
+
+var errUnused = errors.New("not used by the settings store")
+
+func (m *memoryKV) Grant(context.Context, time.Duration) (int64, error) { return 0, errUnused }
+func (m *memoryKV) KeepAlive(context.Context, int64) (time.Duration, error) {
+	return 0, errUnused
+}
+func (m *memoryKV) Revoke(context.Context, int64) error { return errUnused }
+func (m *memoryKV) Watch(context.Context, string, int64, func(kv.WatchBatch)) error {
+	return errUnused
+}
--- /dev/null
+++ b/settings/refresh.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/platform/kv"
+)
+
+// maxCatchUp is how many entries are read one by one before the whole tree is
+// read instead.
+const maxCatchUp = 16
+
+// refresh returns the newest state. It reads the head record, then only the
+// entries that are new; the whole tree when the cached state cannot be
+// continued.
+func (s *Store) refresh(ctx context.Context) (*state, error) {
+	s.mutex.Lock()
+	cached := s.cached
+	s.mutex.Unlock()
+	if cached == nil || cached.modRevision == 0 {
+		return s.load(ctx)
+	}
+	pairs, _, err := s.kv.Range(ctx, headKey)
+	if err != nil {
+		return nil, err
+	}
+	record, modRevision, err := findHead(pairs)
+	if err != nil {
+		return nil, err
+	}
+	if modRevision == cached.modRevision {
+		return cached, nil
+	}
+	behind := record.Revision - cached.head.Revision
+	if record.History == cached.head.History && behind > 0 && behind <= maxCatchUp {
+		if next := s.catchUp(ctx, cached, record, modRevision); next != nil {
+			s.remember(next)
+			return next, nil
+		}
+	}
+	return s.load(ctx)
+}
+
+// findHead returns the head record among the pairs and its revision in the
+// key-value service, zeros when there is none.
+func findHead(pairs []kv.KeyValue) (head, int64, error) {
+	for _, pair := range pairs {
+		if pair.Key == headKey {
+			record, err := decodeHead(pair.Value)
+			return record, pair.ModRevision, err
+		}
+	}
+	return head{}, 0, nil
+}
+
+// catchUp applies the entries up to the head record to the cached state, or
+// returns nil when they cannot be read or do not lead there.
+func (s *Store) catchUp(ctx context.Context, cached *state, record head, modRevision int64) *state {
+	next := &state{head: record, modRevision: modRevision, tree: cached.tree}
+	next.entries = cached.entries[:len(cached.entries):len(cached.entries)]
+	for revision := cached.head.Revision + 1; revision <= record.Revision; revision++ {
+		pairs, _, err := s.kv.Range(ctx, historyKey(revision))
+		if err != nil {
+			return nil
+		}
+		entries, err := EntriesFromPairs(pairs)
+		if err != nil || len(entries) != 1 {
+			return nil
+		}
+		if next.tree, err = next.tree.Apply(entries[0].Edit); err != nil {
+			return nil
+		}
+		next.entries = append(next.entries, entries[0])
+	}
+	if next.tree.Digest() != record.Digest {
+		return nil
+	}
+	next.entries = next.entriesAfter(record.Oldest - 1)
+	return next
+}
+
+// load reads everything.
+func (s *Store) load(ctx context.Context) (*state, error) {
+	pairs, _, err := s.kv.Range(ctx, KeyPrefix)
+	if err != nil {
+		return nil, err
+	}
+	tree, _, err := FromPairs(pairs)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	entries, err := EntriesFromPairs(pairs)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	next := &state{tree: tree, entries: entries}
+	if next.head, next.modRevision, err = findHead(pairs); err != nil {
+		return nil, err
+	}
+	s.remember(next)
+	return next, nil
+}
+
+// remember caches a state unless a newer one is cached already. A state of
+// another history replaces the cache when it was read, which is later.
+func (s *Store) remember(next *state) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.cached == nil || s.cached.head.History != next.head.History || s.cached.head.Revision < next.head.Revision {
+		s.cached = next
+	}
+}
--- /dev/null
+++ b/settings/tree_test.go
@@ -0,0 +1,230 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+func readTree(t *testing.T, name string) *Tree {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree, err := ParseYAML(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tree
+}
+
+func TestPoliciesAreInheritedWithTheirSources(t *testing.T) {
+	snapshot, err := readTree(t, "dental.yaml").Compile(Stamp{Revision: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	recall := snapshot.Model("recall-letters")
+	if recall.Base != "shared-7b" || recall.Team != "/dental/after-hours" {
+		t.Fatalf("recall-letters: base %s, team %s", recall.Base, recall.Team)
+	}
+	for key, want := range map[string][2]string{
+		"keep_alive":        {`"10m"`, "/dental/after-hours"},
+		"cold_start_weight": {"0.8", "/"},
+		"max_replicas":      {"2", "/dental"},
+		"memory":            {`"512MiB"`, "/dental/after-hours/recall-letters"},
+		"priority":          {"0", SourceDefault},
+	} {
+		if value, _ := recall.Policy.Get(key); string(value) != want[0] || recall.Sources[key] != want[1] {
+			t.Errorf("%s: %s from %s, want %s from %s", key, value, recall.Sources[key], want[0], want[1])
+		}
+	}
+	if base := snapshot.Model("checkups").Base; base != "parents-13b" {
+		t.Errorf("base of checkups is %q, want the model above", base)
+	}
+	if zones := snapshot.Model("parents-13b").Policy.Zones; !reflect.DeepEqual(zones, []cluster.ZoneID{"east", "west"}) {
+		t.Errorf("zones %v", zones)
+	}
+	want := map[string]Scope{"/dental/after-hours": {Path: "/dental/after-hours", MaxConcurrency: 20, RequestsPerSecond: 1.5}}
+	if !reflect.DeepEqual(snapshot.Scopes, want) {
+		t.Errorf("scopes %v, want %v", snapshot.Scopes, want)
+	}
+	token := snapshot.Token("60303ae22b998861bce3b28f33eec1be758a213c86c93c076dbe9f558c11c752")
+	if token == nil || token.Path != "/dental/after-hours" || !token.NotAfter.Equal(time.Date(2027, 6, 30, 0, 0, 0, 0, time.UTC)) {
+		t.Errorf("token %+v", token)
+	}
+}
+
+func TestValidationNamesEverythingWrongAtOnce(t *testing.T) {
+	data, err := os.ReadFile("testdata/wrong.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = ParseYAML(data)
+	if err == nil {
+		t.Fatal("a wrong tree was accepted")
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "wrong", []byte(err.Error()+"\n"))
+}
+
+func TestCompileNamesWhatDoesNotFitTogether(t *testing.T) {
+	data, err := os.ReadFile("testdata/unfitting.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = ParseYAML(data)
+	if err == nil {
+		t.Fatal("an unfitting tree was accepted")
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "unfitting", []byte(err.Error()+"\n"))
+}
+
+func TestKeysOfNewerVersionsAreKeptButNotTakenFromOperators(t *testing.T) {
+	data := []byte(`{"levels":[{"path":"/","kind":"organization","values":{"future_key":{"b":1,"a":[2]}}},{"path":"/x","kind":"galaxy"}]}`)
+	tree, err := DecodeTree(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tree.Compile(Stamp{}); err != nil {
+		t.Fatalf("unknown keys must not stop a node: %v", err)
+	}
+	want := `{"levels":[{"path":"/","kind":"organization","values":{"future_key":{"a":[2],"b":1}}},{"path":"/x","kind":"galaxy"}]}`
+	if got := string(tree.Encode()); got != want {
+		t.Fatalf("encoded %s", got)
+	}
+	edit := Edit{ID: "e", Changes: []Change{{Path: "/", Set: map[string]Value{"future_key": "1"}}}}
+	if _, _, err := tree.Validate(edit); err == nil {
+		t.Fatal("an operator's edit with an unknown key was accepted")
+	}
+	after, err := tree.Apply(edit)
+	if err != nil || after.Level("/").Values["future_key"] != "1" {
+		t.Fatalf("a newer version's edit was not replayed: %v", err)
+	}
+}
+
+// drawTree draws a tree by random accepted edits.
+func drawTree(t *rapid.T) *Tree {
+	tree := Empty()
+	for range rapid.IntRange(0, 12).Draw(t, "edits") {
+		if next, err := tree.Apply(Edit{Changes: []Change{drawChange(t, tree)}}); err == nil {
+			if _, err := next.Compile(Stamp{}); err == nil {
+				tree = next
+			}
+		}
+	}
+	return tree
+}
+
+func drawChange(t *rapid.T, tree *Tree) Change {
+	path := rapid.SampledFrom(tree.Paths()).Draw(t, "path")
+	change := Change{Path: path}
+	switch rapid.IntRange(0, 5).Draw(t, "action") {
+	case 0:
+		change.Delete = true
+	case 1, 2, 3:
+		change.Path = join(path, rapid.StringMatching(`[a-d]{1,2}`).Draw(t, "name"))
+		change.Create = rapid.SampledFrom([]Kind{KindTeam, KindService, KindModel, KindModel, KindAdapter}).Draw(t, "kind")
+	case 4:
+		change.Unset = []string{rapid.SampledFrom(keys).Draw(t, "key").Name}
+	default:
+		change.PutTokens = []AccessToken{{Name: rapid.StringMatching(`[a-c]`).Draw(t, "token"), SHA256: rapid.StringMatching(`[0-9a-f]{64}`).Draw(t, "hash"), Role: RoleCall}}
+	}
+	if !change.Delete && rapid.Bool().Draw(t, "sets") {
+		change.Set = map[string]Value{"priority": encodeValue(rapid.IntRange(-9, 9).Draw(t, "priority"))}
+		if rapid.Bool().Draw(t, "pool") {
+			change.Set["engine_pool"] = encodeValue(rapid.StringMatching(`[a-z]{1,5}`).Draw(t, "pool name"))
+		}
+	}
+	return change
+}
+
+func TestEncodeAndDecodeAreInverse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := drawTree(t)
+		decoded, err := DecodeTree(tree.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if decoded.Digest() != tree.Digest() || string(decoded.Encode()) != string(tree.Encode()) {
+			t.Fatalf("decoded tree differs: %s and %s", decoded.Encode(), tree.Encode())
+		}
+	})
+}
+
+func TestDiffLeadsFromOneTreeToTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := drawTree(t), drawTree(t)
+		changed, err := before.Apply(Edit{Changes: after.Diff(before)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if changed.Digest() != after.Digest() || len(after.Diff(changed)) != 0 {
+			t.Fatalf("diff leads to %s, want %s", changed.Encode(), after.Encode())
+		}
+	})
+}
+
+func TestEveryValueComesFromTheClosestLevelThatSetsIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := drawTree(t)
+		snapshot, err := tree.Compile(Stamp{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range snapshot.Models {
+			model := &snapshot.Models[i]
+			for _, key := range keys {
+				source, want := SourceDefault, key.Default
+				for _, path := range ancestry(model.Path) {
+					if value, set := tree.Level(path).Values[key.Name]; set {
+						source, want = path, value
+					}
+				}
+				if got, _ := model.Policy.Get(key.Name); got != want || model.Sources[key.Name] != source {
+					t.Fatalf("%s of %s: %s from %s, want %s from %s", key.Name, model.Path, got, model.Sources[key.Name], want, source)
+				}
+			}
+		}
+	})
+}
+
+func FuzzParseYAML(f *testing.F) {
+	for _, name := range []string{"dental.yaml", "wrong.yaml", "unfitting.yaml"} {
+		data, err := os.ReadFile("testdata/" + name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, err := ParseYAML(data)
+		if err != nil {
+			return
+		}
+		decoded, err := DecodeTree(tree.Encode())
+		if err != nil || decoded.Digest() != tree.Digest() {
+			t.Fatalf("accepted tree does not survive its encoding: %v", err)
+		}
+	})
+}
+
+func FuzzDecodeTree(f *testing.F) {
+	f.Add(Empty().Encode())
+	f.Add([]byte(`{"levels":[{"path":"/","kind":"x","values":{"a":null,"b":1e999},"tokens":[{"name":"a"},{"name":"a"}]}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, err := DecodeTree(data)
+		if err != nil {
+			return
+		}
+		again, err := DecodeTree(tree.Encode())
+		if err != nil || again.Digest() != tree.Digest() {
+			t.Fatalf("decoded tree does not survive its encoding: %v", err)
+		}
+	})
+}
