Run a node's core as a process

The shell gives the core the clock, carries out its effects on bounded pools of goroutines, hands routing effects to the requests they belong to without ever waiting, serves the callers' and administration listeners and drains.

--- /dev/null
+++ b/node/shell/calls.go
@@ -0,0 +1,136 @@
+package shell
+
+import (
+	"context"
+	"time"
+
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// Bounds of the calls to the platform and the engines.
+const (
+	keyValueWorkers  = 8
+	keyValueQueue    = 256
+	keyValueTimeout  = 5 * time.Second
+	engineWorkers    = 32
+	engineQueue      = 4096
+	engineTimeout    = 5 * time.Second
+	platformWorkers  = 2
+	platformQueue    = 8
+	platformTimeout  = 5 * time.Second
+	overloadedReason = "too many calls wait already"
+)
+
+// overloaded is the answer to a call that was never made.
+func overloaded() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, overloadedReason)
+}
+
+// callKeyValue makes a call to the key-value service in the background.
+func (n *Node) callKeyValue(call node.KeyValueCall) {
+	if call.Operation == node.KeyValueWatch {
+		n.background(func() { n.watch(call) })
+		return
+	}
+	queued := n.keyValuePool.submit(func() {
+		ctx, cancel := context.WithTimeout(n.context, keyValueTimeout)
+		defer cancel()
+		n.step(n.answerKeyValue(ctx, call))
+	})
+	if !queued {
+		n.background(func() { n.step(node.KeyValueAnswered{ID: call.ID, Err: overloaded()}) })
+	}
+}
+
+// answerKeyValue makes one call and returns its answer.
+func (n *Node) answerKeyValue(ctx context.Context, call node.KeyValueCall) node.KeyValueAnswered {
+	answer := node.KeyValueAnswered{ID: call.ID}
+	store := n.options.Store
+	switch call.Operation {
+	case node.KeyValueRange:
+		answer.Pairs, answer.Revision, answer.Err = store.Range(ctx, call.Prefix)
+	case node.KeyValueTxn:
+		answer.Txn, answer.Err = store.Txn(ctx, call.Txn)
+		answer.Revision = answer.Txn.Revision
+	case node.KeyValueGrant:
+		answer.Lease, answer.Err = store.Grant(ctx, call.TTL)
+		answer.TTL = call.TTL
+	case node.KeyValueKeepAlive:
+		answer.TTL, answer.Err = store.KeepAlive(ctx, call.Lease)
+		answer.Lease = call.Lease
+	case node.KeyValueRevoke:
+		answer.Err = store.Revoke(ctx, call.Lease)
+	default:
+		answer.Err = verdict.New(verdict.NotRun, verdict.CodeInternal, "unknown key-value operation %d", call.Operation)
+	}
+	return answer
+}
+
+// watch runs one watch to its end.
+func (n *Node) watch(call node.KeyValueCall) {
+	err := n.options.Store.Watch(n.context, call.Prefix, call.StartRevision, func(batch kv.WatchBatch) {
+		n.step(node.WatchDelivered{ID: call.ID, Batch: batch})
+	})
+	n.step(node.WatchEnded{ID: call.ID, Err: err})
+}
+
+// callEngine makes a control call to an engine in the background.
+func (n *Node) callEngine(call node.EngineCall) {
+	queued := n.enginePool.submit(func() {
+		ctx, cancel := context.WithTimeout(n.context, engineTimeout)
+		defer cancel()
+		n.step(n.answerEngine(ctx, call))
+	})
+	if !queued {
+		n.background(func() { n.step(node.EngineAnswered{Call: call, Err: overloaded()}) })
+	}
+}
+
+// answerEngine makes one control call and returns its answer.
+func (n *Node) answerEngine(ctx context.Context, call node.EngineCall) node.EngineAnswered {
+	answer := node.EngineAnswered{Call: call}
+	control, address := n.options.Engines, call.Machine.Address
+	switch call.Operation {
+	case node.EngineSeal:
+		answer.Inventory, answer.Err = control.Seal(ctx, address, call.Token)
+	case node.EngineOrder:
+		answer.Inventory, answer.Err = control.Order(ctx, address, call.Order)
+	case node.EngineInventory:
+		answer.Inventory, answer.Err = control.Inventory(ctx, address)
+	case node.EngineReport:
+		answer.Report, answer.Err = control.Report(ctx, address)
+	case node.EngineCacheEvents:
+		answer.Events, answer.Err = control.CacheEvents(ctx, address, call.After)
+	default:
+		answer.Err = verdict.New(verdict.NotRun, verdict.CodeInternal, "unknown engine operation %d", call.Operation)
+	}
+	return answer
+}
+
+// listMachines reads the machine list in the background.
+func (n *Node) listMachines() {
+	queued := n.platformPool.submit(func() {
+		ctx, cancel := context.WithTimeout(n.context, platformTimeout)
+		defer cancel()
+		list, version, err := n.options.Machines.List(ctx)
+		n.step(node.MachinesListed{Machines: list, Version: version, Err: err})
+	})
+	if !queued {
+		n.background(func() { n.step(node.MachinesListed{Err: overloaded()}) })
+	}
+}
+
+// readStoreStatus reads the weight store's status in the background.
+func (n *Node) readStoreStatus() {
+	queued := n.platformPool.submit(func() {
+		ctx, cancel := context.WithTimeout(n.context, platformTimeout)
+		defer cancel()
+		status, err := n.options.Weights.Status(ctx)
+		n.step(node.StoreStatusRead{Status: status, Err: err})
+	})
+	if !queued {
+		n.background(func() { n.step(node.StoreStatusRead{Err: overloaded()}) })
+	}
+}
--- /dev/null
+++ b/node/shell/metrics.go
@@ -0,0 +1,79 @@
+package shell
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/valveslip/valveslip/api"
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// outcomeServed labels requests whose whole answer was relayed.
+const outcomeServed = "served"
+
+// metrics are the node's Prometheus metrics.
+type metrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	firstByte *prometheus.HistogramVec
+	waited    prometheus.Histogram
+	attempts  prometheus.Counter
+	tokens    prometheus.Counter
+	revision  prometheus.Gauge
+}
+
+// latencyBuckets in seconds cover a warm relay to a cold start from remote.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 1.5, 2.5, 5, 10, 20, 40, 80, 160}
+
+// newMetrics registers the metrics of one node.
+func newMetrics(self cluster.Node, inFlight func() float64) *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	constant := prometheus.Labels{"zone": string(self.Zone)}
+	counter := func(name, help string) prometheus.CounterOpts {
+		return prometheus.CounterOpts{Name: name, Help: help, ConstLabels: constant}
+	}
+	histogram := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{Name: name, Help: help, ConstLabels: constant, Buckets: latencyBuckets}
+	}
+	m.requests = prometheus.NewCounterVec(counter("valveslip_requests_total", "Ended requests by outcome, a verdict code or served, and HTTP status."), []string{"outcome", "status"})
+	m.duration = prometheus.NewHistogramVec(histogram("valveslip_request_duration_seconds", "Time from a request's header to its end."), []string{"outcome"})
+	m.firstByte = prometheus.NewHistogramVec(histogram("valveslip_first_byte_seconds", "Time from submission to the first byte of the answer, by whether the request had to wait for a replica."), []string{"start"})
+	m.waited = prometheus.NewHistogram(histogram("valveslip_queue_wait_seconds", "Time from submission to the first dispatch."))
+	m.attempts = prometheus.NewCounter(counter("valveslip_attempts_total", "Dispatches to engines."))
+	m.tokens = prometheus.NewCounter(counter("valveslip_tokens_total", "Generated tokens relayed."))
+	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "valveslip_settings_revision", Help: "Settings revision in force.", ConstLabels: constant})
+	running := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "valveslip_requests_in_flight", Help: "Requests submitted and not ended.", ConstLabels: constant}, inFlight)
+	m.registry.MustRegister(m.requests, m.duration, m.firstByte, m.waited, m.attempts, m.tokens, m.revision, running,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// waitedThreshold in seconds tells a request that waited for a replica from one
+// that found one.
+const waitedThreshold = 0.05
+
+// observe counts one ended request.
+func (m *metrics) observe(outcome api.Outcome) {
+	name := outcomeServed
+	result := &outcome.Result
+	if result.Failure != nil {
+		name = string(result.Failure.Code)
+	}
+	m.requests.WithLabelValues(name, strconv.Itoa(outcome.Status)).Inc()
+	m.duration.WithLabelValues(name).Observe(outcome.Total.Seconds())
+	m.attempts.Add(float64(result.Attempts))
+	m.tokens.Add(float64(result.Tokens))
+	if result.Attempts > 0 {
+		m.waited.Observe(result.Waited.Seconds())
+	}
+	if result.Started {
+		start := "warm"
+		if result.Waited.Seconds() > waitedThreshold {
+			start = "cold"
+		}
+		m.firstByte.WithLabelValues(start).Observe(result.FirstByte.Seconds())
+	}
+}
--- /dev/null
+++ b/node/shell/node.go
@@ -0,0 +1,189 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/api"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Bounds of the listeners' connections.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 120 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// shutdownGrace bounds the closing of listeners and transport after a drain.
+const shutdownGrace = 5 * time.Second
+
+// tickInterval is how often time passes for the core.
+const tickInterval = 50 * time.Millisecond
+
+// Node is a running node.
+type Node struct {
+	config  node.Config
+	options Options
+	self    cluster.Node
+	logger  *slog.Logger
+	metrics *metrics
+
+	mutex   sync.Mutex
+	core    Stepper
+	tickets map[cluster.RequestID]*relay.Ticket
+
+	settings  atomic.Pointer[settings.Snapshot]
+	transport Transport
+	callers   *http.Server
+	admin     *http.Server
+
+	keyValuePool, enginePool, platformPool *pool
+
+	context     context.Context
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
+	draining    atomic.Bool
+	drained     chan struct{}
+	drainedOnce sync.Once
+	stopOnce    sync.Once
+	stopped     chan struct{}
+	failure     error
+}
+
+// Start runs a node. It drains and stops when ctx ends or Stop is called.
+func Start(ctx context.Context, config node.Config, options Options) (*Node, error) {
+	n := &Node{
+		config: config, options: options.withDefaults(config),
+		tickets:      make(map[cluster.RequestID]*relay.Ticket),
+		keyValuePool: newPool(keyValueWorkers, keyValueQueue),
+		enginePool:   newPool(engineWorkers, engineQueue),
+		platformPool: newPool(platformWorkers, platformQueue),
+		drained:      make(chan struct{}), stopped: make(chan struct{}),
+	}
+	n.context, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	callers, admin, err := n.open()
+	if err != nil {
+		n.cancel()
+		return nil, err
+	}
+	n.logger = n.options.Logger.With("node", string(n.self.ID))
+	n.metrics = newMetrics(n.self, n.inFlight)
+	n.serve(callers, admin)
+	n.mutex.Lock()
+	n.core = n.options.NewCore(n.self)
+	n.mutex.Unlock()
+	n.background(n.tick)
+	n.logger.Info("node started", "zone", n.self.Zone, "callers", n.self.CallerAddress, "admin", n.self.AdminAddress, "peers", n.self.PeerAddress)
+	go n.stopWith(ctx)
+	return n, nil
+}
+
+// open opens the listeners and the transport, and so learns the node's
+// addresses.
+func (n *Node) open() (callers, admin net.Listener, err error) {
+	if callers, err = listen(n.options.CallerListener, n.config.CallerAddress); err != nil {
+		return nil, nil, eris.Wrap(err, "callers' listener")
+	}
+	if admin, err = listen(n.options.AdminListener, n.config.AdminAddress); err != nil {
+		return nil, nil, errors.Join(eris.Wrap(err, "administration listener"), callers.Close())
+	}
+	n.transport, err = n.options.NewTransport(n.config.PeerAddress, func(message wire.Message) {
+		n.step(node.MessageReceived{Message: message})
+	})
+	if err != nil {
+		return nil, nil, errors.Join(eris.Wrap(err, "peers' listener"), callers.Close(), admin.Close())
+	}
+	n.self = cluster.Node{
+		ID: n.options.ID, Zone: n.config.Zone, Region: n.config.Region,
+		PeerAddress: n.transport.Address(), AdminAddress: admin.Addr().String(), CallerAddress: callers.Addr().String(),
+	}
+	return callers, admin, nil
+}
+
+// listen returns the listener given, or a new one.
+func listen(given net.Listener, address string) (net.Listener, error) {
+	if given != nil {
+		return given, nil
+	}
+	return net.Listen("tcp", address)
+}
+
+// serve starts both HTTP servers.
+func (n *Node) serve(callers, admin net.Listener) {
+	handler := api.NewCallers(api.CallersConfig{
+		Node:         n.self.ID,
+		Runner:       relay.NewRunner(n, n.options.Engines, relay.Options{Logger: n.logger}),
+		Settings:     n.settings.Load,
+		MaxBodyBytes: n.config.MaxBodyBytes,
+		Logger:       n.logger,
+		Observe:      n.metrics.observe,
+	})
+	n.callers = n.server(handler)
+	n.admin = n.server(n.adminHandler())
+	go n.run(n.callers, callers)
+	go n.run(n.admin, admin)
+}
+
+// server returns an HTTP server with the bounds of a listener.
+func (n *Node) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
+	}
+}
+
+// run serves until the server is shut down.
+func (n *Node) run(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		n.logger.Error("listener failed", "address", listener.Addr(), "error", err)
+	}
+}
+
+// background runs a task that ends with the node's context.
+func (n *Node) background(task func()) {
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		task()
+	}()
+}
+
+// tick lets time pass for the core.
+func (n *Node) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			n.step(node.Tick{})
+		case <-n.context.Done():
+			return
+		}
+	}
+}
+
+// inFlight counts requests that have not ended.
+func (n *Node) inFlight() float64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return float64(len(n.tickets))
+}
+
+// Self returns the node's identity with its real addresses.
+func (n *Node) Self() cluster.Node { return n.self }
+
+// Settings returns the snapshot in force, or nil.
+func (n *Node) Settings() *settings.Snapshot { return n.settings.Load() }
--- /dev/null
+++ b/node/shell/options.go
@@ -0,0 +1,89 @@
+package shell
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/platform/machines"
+	"github.com/valveslip/valveslip/platform/weights"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Stepper is the deciding core; *node.Core implements it.
+type Stepper interface {
+	Step(now time.Time, event node.Event) []node.Effect
+}
+
+// Transport carries messages between nodes; *wire.Transport implements it.
+type Transport interface {
+	// Send queues a message; it never waits and the message may be lost.
+	Send(address string, message wire.Message)
+	// Address is the address the transport listens on.
+	Address() string
+	Close(ctx context.Context) error
+}
+
+// EngineClient runs requests on engines and controls them.
+type EngineClient interface {
+	engine.Inference
+	engine.Control
+}
+
+// Options replaces parts of a node; zero fields mean the real ones.
+type Options struct {
+	// ID of the node; it must differ at every start.
+	ID cluster.NodeID
+	// CallerListener and AdminListener are used instead of new listeners at
+	// the configured addresses.
+	CallerListener, AdminListener net.Listener
+	// NewCore makes the core of a node, and NewTransport its transport.
+	NewCore      func(self cluster.Node) Stepper
+	NewTransport func(listen string, handle func(wire.Message)) (Transport, error)
+	// Store, Machines, Weights and Engines are the platform.
+	Store    kv.Store
+	Machines machines.Lister
+	Weights  weights.Store
+	Engines  EngineClient
+	// Admin serves the administration API below /admin/; nil means none.
+	Admin  func(*Node) http.Handler
+	Logger *slog.Logger
+}
+
+// newID returns an id that no other start of a node in the zone has.
+func newID(zone cluster.ZoneID) cluster.NodeID {
+	var random [6]byte
+	_, _ = rand.Read(random[:])
+	return cluster.NodeID(string(zone) + "-" + hex.EncodeToString(random[:]))
+}
+
+// withDefaults fills zero fields from the node's configuration.
+func (o Options) withDefaults(config node.Config) Options {
+	if o.ID == "" {
+		o.ID = newID(config.Zone)
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Store == nil {
+		o.Store = kv.NewClient(config.KeyValueURL)
+	}
+	if o.Machines == nil {
+		o.Machines = machines.NewClient(config.MachineListURL)
+	}
+	if o.Weights == nil {
+		o.Weights = weights.NewClient(config.WeightStoreURL)
+	}
+	if o.Engines == nil {
+		o.Engines = engine.NewClient()
+	}
+	return o
+}
--- /dev/null
+++ b/node/shell/step.go
@@ -0,0 +1,100 @@
+package shell
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/routing"
+)
+
+// step feeds one event to the core and begins its effects. Nothing in it waits
+// for the network, so the mutex is held for the time of a decision only.
+func (n *Node) step(event node.Event) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.core == nil {
+		return
+	}
+	for _, effect := range n.core.Step(time.Now(), event) {
+		n.begin(effect)
+	}
+}
+
+// Step feeds an event from another part of the process, such as the
+// administration API, to the core.
+func (n *Node) Step(event node.Event) { n.step(event) }
+
+// begin starts one effect. The caller holds the mutex.
+func (n *Node) begin(effect node.Effect) {
+	switch effect := effect.(type) {
+	case node.RoutingOutput:
+		n.deliver(effect.Effect)
+	case node.SendMessage:
+		n.transport.Send(effect.Address, effect.Message)
+	case node.KeyValueCall:
+		n.callKeyValue(effect)
+	case node.EngineCall:
+		n.callEngine(effect)
+	case node.ListMachines:
+		n.listMachines()
+	case node.ReadStoreStatus:
+		n.readStoreStatus()
+	case node.SettingsInForce:
+		n.putInForce(effect)
+	case node.Planned:
+		n.logPlan(effect)
+	case node.Drained:
+		n.drainedOnce.Do(func() { close(n.drained) })
+	}
+}
+
+// putInForce makes a snapshot the one all requests are checked against.
+func (n *Node) putInForce(effect node.SettingsInForce) {
+	n.settings.Store(effect.Snapshot)
+	stamp := effect.Snapshot.Stamp
+	n.metrics.revision.Set(float64(stamp.Revision))
+	n.logger.Info("settings in force", "history", stamp.History, "revision", stamp.Revision, "models", len(effect.Snapshot.Models))
+}
+
+// logPlan logs the orders of a planning round.
+func (n *Node) logPlan(effect node.Planned) {
+	for _, action := range effect.Plan.Actions {
+		n.logger.Info("order planned", "zone", effect.Zone, "kind", action.Kind, "model", action.Model,
+			"machine", action.Machine, "cause", action.Reason.Cause, "tier", action.Tier)
+	}
+}
+
+// deliver hands a routing effect to the request it belongs to.
+func (n *Node) deliver(effect routing.Effect) {
+	switch effect := effect.(type) {
+	case routing.Dispatch:
+		if ticket, ok := n.tickets[effect.Request]; ok {
+			ticket.Deliver(effect)
+		}
+	case routing.CancelAttempt:
+		if ticket, ok := n.tickets[effect.Request]; ok {
+			ticket.Deliver(effect)
+		}
+	case routing.Finish:
+		if ticket, ok := n.tickets[effect.Request]; ok {
+			delete(n.tickets, effect.Request)
+			ticket.Deliver(effect)
+		}
+	}
+}
+
+// Submit implements relay.Decider.
+func (n *Node) Submit(request routing.Request) *relay.Ticket {
+	ticket := relay.NewTicket()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.tickets[request.ID] = ticket
+	for _, effect := range n.core.Step(time.Now(), node.RoutingInput{Event: routing.RequestArrived{Request: request}}) {
+		n.begin(effect)
+	}
+	return ticket
+}
+
+// Report implements relay.Decider.
+func (n *Node) Report(event routing.Event) { n.step(node.RoutingInput{Event: event}) }
