--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -104,3 +104,19 @@
 	}
 	return c
 }
+
+// DefaultConfig is an engine of ordinary speed: 80 GiB of memory on one
+// accelerator, loads at 16 GiB/s from memory, 4 GiB/s from disk and 1 GiB/s
+// remotely, and 50 tokens a second a request.
+func DefaultConfig(machine cluster.MachineID) Config {
+	const gibibyte = 1 << 30
+	return Config{
+		Machine: machine, MemoryBytes: 80 * gibibyte, Accelerators: 1, Slots: 16,
+		HostCacheBytes: 160 * gibibyte, DiskBytes: 1024 * gibibyte,
+		MemoryBytesPerSecond: 16 * gibibyte, DiskBytesPerSecond: 4 * gibibyte, RemoteBytesPerSecond: gibibyte,
+		LoadOverhead: 200 * time.Millisecond, UnloadTime: 100 * time.Millisecond,
+		PrefillTokensPerSecond: 4000, StepTime: 20 * time.Millisecond, StepTimePerRequest: 200 * time.Microsecond,
+		PrefixBlocks: 4096, CacheEventDelay: 500 * time.Millisecond, CacheEventGap: 50,
+		ReportInterval: 250 * time.Millisecond, ReportLag: 500 * time.Millisecond,
+	}
+}
