Add the Avro codec and the watermill-http transport between nodes

Messages between nodes had types but no encoding. They are now written with Avro schemas embedded in the program, in an envelope that names the schema version and kind. A node reads the current and the previous version and writes to each peer in the version that peer announces, so neighbouring versions share a deployment; messages of both versions are golden files. Configuration messages say where an answer goes (version 2).

hamba/avro takes data that ends early for complete, and its uint64 codec shares a buffer between goroutines; the codec here refuses cut data and carries unsigned numbers as signed ones.

--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,235 @@
+package wire
+
+import (
+	"embed"
+	"fmt"
+
+	"github.com/hamba/avro/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Versions of the schemas. A node reads the current and the previous version
+// and can write both, so that two neighbouring versions share a deployment. A
+// message is written in the version that its receiver is known to read.
+//
+// To change a message: copy schemas/vN.avsc to the next number, raise
+// VersionCurrent, give every new field a default, and commit the golden
+// messages of the version left behind.
+const (
+	VersionCurrent  = 2
+	VersionPrevious = VersionCurrent - 1
+)
+
+// Size bounds of the codec, in bytes.
+const (
+	// MaxMessageBytes bounds one encoded message.
+	MaxMessageBytes = 8 << 20
+	// maxSliceBytes bounds the memory one array of a message may take.
+	maxSliceBytes = 16 << 20
+)
+
+// Errors of the codec; those returned wrap one of them.
+var (
+	ErrTooLarge    = eris.New("message is larger than the bound")
+	ErrVersion     = eris.New("schema version is not one this node reads")
+	ErrUnknownKind = eris.New("unknown kind of message")
+	ErrMalformed   = eris.New("malformed message")
+)
+
+// Kind is the number of a message's type on the wire. Numbers are never used
+// again for another type.
+type Kind int32
+
+// The kinds of messages.
+const (
+	KindHeartbeat Kind = iota + 1
+	KindConfigurationRequest
+	KindConfigurationEntries
+	KindConfigurationSnapshot
+	KindDemand
+	KindCellStatus
+	KindCellStatusRequest
+	KindZoneReport
+)
+
+// layout ties a kind to its schema name and its record.
+type layout struct {
+	name  string
+	empty func() record
+}
+
+var layouts = map[Kind]layout{
+	KindHeartbeat:             {"Heartbeat", func() record { return new(heartbeatRecord) }},
+	KindConfigurationRequest:  {"ConfigurationRequest", func() record { return new(configurationRequestRecord) }},
+	KindConfigurationEntries:  {"ConfigurationEntries", func() record { return new(configurationEntriesRecord) }},
+	KindConfigurationSnapshot: {"ConfigurationSnapshot", func() record { return new(configurationSnapshotRecord) }},
+	KindDemand:                {"Demand", func() record { return new(demandRecord) }},
+	KindCellStatus:            {"CellStatus", func() record { return new(cellStatusRecord) }},
+	KindCellStatusRequest:     {"CellStatusRequest", func() record { return new(cellStatusRequestRecord) }},
+	KindZoneReport:            {"ZoneReport", func() record { return new(zoneReportRecord) }},
+}
+
+// toRecord returns the kind of message and its record.
+func toRecord(message Message) (Kind, record, error) {
+	switch m := message.(type) {
+	case Heartbeat:
+		return KindHeartbeat, heartbeatToRecord(m), nil
+	case ConfigurationRequest:
+		return KindConfigurationRequest, configurationRequestToRecord(m), nil
+	case ConfigurationEntries:
+		return KindConfigurationEntries, configurationEntriesToRecord(m), nil
+	case ConfigurationSnapshot:
+		return KindConfigurationSnapshot, configurationSnapshotToRecord(m), nil
+	case Demand:
+		return KindDemand, demandToRecord(m), nil
+	case CellStatus:
+		return KindCellStatus, cellStatusToRecord(m), nil
+	case CellStatusRequest:
+		return KindCellStatusRequest, cellStatusRequestToRecord(m), nil
+	case ZoneReport:
+		return KindZoneReport, zoneReportToRecord(m), nil
+	default:
+		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
+	}
+}
+
+// envelope and batch mirror schemas/envelope.avsc.
+type envelope struct {
+	Version int32
+	Kind    int32
+	Payload []byte
+}
+
+type batch struct{ Envelopes [][]byte }
+
+//go:embed schemas/*.avsc
+var schemaFiles embed.FS
+
+var (
+	codec = avro.Config{
+		MaxByteSliceSize:       MaxMessageBytes,
+		MaxSliceAllocSize:      maxSliceBytes,
+		DisableBlockSizeHeader: true,
+	}.Freeze()
+	envelopeSchema, batchSchema = parseEnvelope()
+	schemas                     = parseSchemas()
+)
+
+// versionKind selects a schema.
+type versionKind struct {
+	version int32
+	kind    Kind
+}
+
+// schemaPair holds the schema a version writes, and the one that reads such a
+// message into the current record.
+type schemaPair struct{ write, read avro.Schema }
+
+// mustReadTypes parses a file that lists named types. The files are part of
+// the program, so a fault in one is a programming error.
+func mustReadTypes(file string) map[string]avro.Schema {
+	data, err := schemaFiles.ReadFile("schemas/" + file)
+	if err != nil {
+		panic(err)
+	}
+	parsed, err := avro.ParseBytesWithCache(data, "", &avro.SchemaCache{})
+	if err != nil {
+		panic(err)
+	}
+	union, ok := parsed.(*avro.UnionSchema)
+	if !ok {
+		panic("wire: " + file + " does not list types")
+	}
+	types := make(map[string]avro.Schema)
+	for _, schema := range union.Types() {
+		types[schema.(avro.NamedSchema).Name()] = schema
+	}
+	return types
+}
+
+func parseEnvelope() (avro.Schema, avro.Schema) {
+	types := mustReadTypes("envelope.avsc")
+	return types["Envelope"], types["Batch"]
+}
+
+func parseSchemas() map[versionKind]schemaPair {
+	current := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionCurrent))
+	previous := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionPrevious))
+	compatibility := avro.NewSchemaCompatibility()
+	pairs := make(map[versionKind]schemaPair)
+	for kind, layout := range layouts {
+		writer, exists := previous[layout.name]
+		if exists {
+			reader, err := compatibility.Resolve(current[layout.name], writer)
+			if err != nil {
+				panic("wire: " + layout.name + " cannot read its previous version: " + err.Error())
+			}
+			pairs[versionKind{VersionPrevious, kind}] = schemaPair{write: writer, read: reader}
+		}
+		pairs[versionKind{VersionCurrent, kind}] = schemaPair{write: current[layout.name], read: current[layout.name]}
+	}
+	return pairs
+}
+
+// Encode writes message in the current version. It fails with ErrUnknownKind
+// for a type that is no message between nodes and with ErrTooLarge.
+func Encode(message Message) ([]byte, error) { return EncodeVersion(message, VersionCurrent) }
+
+// EncodeVersion writes message in the given version of the schemas, which must
+// be VersionCurrent or VersionPrevious. Fields that the version lacks are left
+// out.
+func EncodeVersion(message Message, version int32) ([]byte, error) {
+	kind, rec, err := toRecord(message)
+	if err != nil {
+		return nil, err
+	}
+	pair, ok := schemas[versionKind{version, kind}]
+	if !ok {
+		return nil, eris.Wrapf(ErrVersion, "cannot write kind %d in version %d", kind, version)
+	}
+	payload, err := codec.Marshal(pair.write, rec)
+	if err != nil {
+		return nil, eris.Wrapf(err, "encode %T", message)
+	}
+	if len(payload) > MaxMessageBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "%T takes %d bytes", message, len(payload))
+	}
+	return codec.Marshal(envelopeSchema, envelope{Version: version, Kind: int32(kind), Payload: payload})
+}
+
+// Decode reads one message written by Encode or EncodeVersion. It fails with
+// ErrVersion, ErrUnknownKind, ErrTooLarge or ErrMalformed.
+func Decode(data []byte) (Message, error) {
+	if len(data) > MaxMessageBytes+maxEnvelopeBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "%d bytes", len(data))
+	}
+	var header envelope
+	if err := unmarshal(envelopeSchema, data, &header); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "envelope: %v", err)
+	}
+	if header.Version != VersionCurrent && header.Version != VersionPrevious {
+		return nil, eris.Wrapf(ErrVersion, "version %d", header.Version)
+	}
+	kind := Kind(header.Kind)
+	pair, ok := schemas[versionKind{header.Version, kind}]
+	if !ok {
+		return nil, eris.Wrapf(ErrUnknownKind, "kind %d", kind)
+	}
+	rec := layouts[kind].empty()
+	if err := unmarshal(pair.read, header.Payload, rec); err != nil {
+		return nil, eris.Wrapf(ErrMalformed, "%s: %v", layouts[kind].name, err)
+	}
+	return rec.decoded(), nil
+}
+
+// unmarshal reads value from the whole of data. Unlike the library's function
+// of that name it takes data that ends too early for an error.
+func unmarshal(schema avro.Schema, data []byte, value any) error {
+	reader := avro.NewReader(nil, 0, avro.WithReaderConfig(codec))
+	reader.Reset(data)
+	reader.ReadVal(schema, value)
+	return reader.Error
+}
+
+// maxEnvelopeBytes is what an envelope adds to its payload at most.
+const maxEnvelopeBytes = 32
--- /dev/null
+++ b/wire/codec_test.go
@@ -0,0 +1,276 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hamba/avro/v2"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+)
+
+var (
+	sampleNode = cluster.Node{
+		ID: "node-a", Zone: "east-1", Region: "east", PeerAddress: "10.0.0.1:7000",
+		AdminAddress: "10.0.0.1:7001", CallerAddress: "10.0.0.1:7002",
+	}
+	sampleStamp = settings.Stamp{History: "history-a", Revision: 42, Digest: 1<<63 + 5}
+)
+
+// samples holds one message a kind, with no field at its zero value.
+func samples() map[Kind]Message {
+	return map[Kind]Message{
+		KindHeartbeat: Heartbeat{
+			From: sampleNode, Incarnation: 7, Sequence: 9, Ack: true, Leaving: true, Stamp: sampleStamp,
+			Claims: []ControllerClaim{{Zone: "east-1", Node: "node-b", Token: 12}},
+			Gossip: []MemberRecord{{Node: sampleNode, Incarnation: 3, State: "suspect"}},
+		},
+		KindConfigurationRequest: ConfigurationRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Stamp: sampleStamp},
+		KindConfigurationEntries: ConfigurationEntries{
+			From: "node-a", FromAddress: "10.0.0.1:7000", History: "history-a", After: 41,
+			Entries: []ConfigurationEntry{{Revision: 42, Digest: 1<<63 + 5, Data: []byte("edit")}},
+		},
+		KindConfigurationSnapshot: ConfigurationSnapshot{
+			From: "node-a", FromAddress: "10.0.0.1:7000", Stamp: sampleStamp, Data: []byte("tree"),
+		},
+		KindDemand: Demand{
+			From: "node-a", Zone: "east-1", Sequence: 4, Full: true,
+			Models: []ModelDemand{{
+				Model: "recall", Waiting: 1, Running: 2, Arrivals: 3,
+				OldestWait: time.Second, EarliestDeadline: 1500 * time.Millisecond,
+			}},
+			Scopes: []ScopeDemand{{Path: "/dental", Requests: 1.5, Tokens: 200, Concurrency: 2}},
+		},
+		KindCellStatus: CellStatus{
+			Zone: "east-1", From: "node-a", Token: 5, Sequence: 6, Full: true,
+			Replicas: []ReplicaRecord{{
+				Machine: "machine-a", Address: "10.0.1.1:8000", Model: "recall", Version: "3",
+				State: cluster.ReplicaLoaded, Slots: 8, Leaving: true, ReadyIn: time.Minute,
+			}},
+			Loads:    []MachineLoad{{Machine: "machine-a", Running: 1, Queued: 2, Age: time.Second}},
+			Shares:   []ScopeShare{{Path: "/dental", Requests: 2, Tokens: 3, Concurrency: 4, ExpiresIn: time.Second}},
+			Allotted: []cluster.ModelID{"recall"},
+		},
+		KindCellStatusRequest: CellStatusRequest{Zone: "east-1"},
+		KindZoneReport: ZoneReport{
+			Zone: "east-1", Token: 5, AllotmentRevision: 8,
+			Models: []ZoneModelReport{{Model: "recall", Wanted: 2, Held: 1}}, Machines: 3, FreeBytes: 1 << 40,
+		},
+	}
+}
+
+// withoutSender is the message as version 1 carries it.
+func withoutSender(message Message) Message {
+	switch m := message.(type) {
+	case ConfigurationRequest:
+		m.From, m.FromAddress = "", ""
+		return m
+	case ConfigurationEntries:
+		m.From, m.FromAddress = "", ""
+		return m
+	case ConfigurationSnapshot:
+		m.From, m.FromAddress = "", ""
+		return m
+	default:
+		return message
+	}
+}
+
+func TestEveryFieldSurvives(t *testing.T) {
+	for kind, message := range samples() {
+		requireNoZeroField(t, layouts[kind].name, reflect.ValueOf(message))
+		data, err := Encode(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(decoded, message) {
+			t.Errorf("%s: got %+v, want %+v", layouts[kind].name, decoded, message)
+		}
+	}
+	if len(samples()) != len(layouts) {
+		t.Errorf("%d samples for %d kinds", len(samples()), len(layouts))
+	}
+}
+
+// requireNoZeroField makes the round trip above cover every field: a field that
+// was added to a message but not to its sample fails here.
+func requireNoZeroField(t *testing.T, path string, value reflect.Value) {
+	t.Helper()
+	switch value.Kind() {
+	case reflect.Struct:
+		for i := range value.NumField() {
+			requireNoZeroField(t, path+"."+value.Type().Field(i).Name, value.Field(i))
+		}
+	case reflect.Slice:
+		if value.Len() == 0 {
+			t.Errorf("%s is empty in its sample", path)
+		} else if value.Type().Elem().Kind() == reflect.Struct {
+			requireNoZeroField(t, path, value.Index(0))
+		}
+	default:
+		if value.IsZero() {
+			t.Errorf("%s is zero in its sample", path)
+		}
+	}
+}
+
+// TestGoldenMessages holds the bytes of both versions: the current one must not
+// change unnoticed, the previous one must still be read.
+func TestGoldenMessages(t *testing.T) {
+	golden := goldie.New(t, goldie.WithFixtureDir("testdata"))
+	for kind, message := range samples() {
+		for _, version := range []int32{VersionPrevious, VersionCurrent} {
+			name := fmt.Sprintf("v%d-%s", version, layouts[kind].name)
+			data, err := EncodeVersion(message, version)
+			if err != nil {
+				t.Fatal(err)
+			}
+			golden.Assert(t, name, data)
+			stored, err := os.ReadFile(filepath.Join("testdata", name+".golden"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			decoded, err := Decode(stored)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := message
+			if version == 1 {
+				want = withoutSender(message)
+			}
+			if !reflect.DeepEqual(decoded, want) {
+				t.Errorf("%s: got %+v, want %+v", name, decoded, want)
+			}
+		}
+	}
+}
+
+// TestNewFieldsHaveDefaults holds the rule that lets a version read its
+// previous one and be read by it.
+func TestNewFieldsHaveDefaults(t *testing.T) {
+	current := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionCurrent))
+	previous := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionPrevious))
+	compatibility := avro.NewSchemaCompatibility()
+	for name, schema := range previous {
+		if current[name] == nil {
+			t.Errorf("%s is missing from version %d", name, VersionCurrent)
+			continue
+		}
+		if err := compatibility.Compatible(current[name], schema); err != nil {
+			t.Errorf("%s: current cannot read previous: %v", name, err)
+		}
+		if err := compatibility.Compatible(schema, current[name]); err != nil {
+			t.Errorf("%s: previous cannot read current: %v", name, err)
+		}
+	}
+}
+
+// TestCutMessages holds that no prefix of a message is taken for a message.
+func TestCutMessages(t *testing.T) {
+	for kind, message := range samples() {
+		data, err := Encode(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for length := range data {
+			if _, err := Decode(data[:length]); err == nil {
+				t.Fatalf("%s: %d of %d bytes were accepted", layouts[kind].name, length, len(data))
+			}
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	mustEnvelope := func(e envelope) []byte {
+		data, err := codec.Marshal(envelopeSchema, e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	cases := []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"empty", nil, ErrMalformed},
+		{"newer version", mustEnvelope(envelope{Version: VersionCurrent + 1, Kind: int32(KindHeartbeat)}), ErrVersion},
+		{"older version", mustEnvelope(envelope{Version: VersionPrevious - 1, Kind: int32(KindHeartbeat)}), ErrVersion},
+		{"unknown kind", mustEnvelope(envelope{Version: VersionCurrent, Kind: 99}), ErrUnknownKind},
+		{"cut payload", mustEnvelope(envelope{Version: VersionCurrent, Kind: int32(KindHeartbeat), Payload: []byte{2}}), ErrMalformed},
+		{"too large", make([]byte, MaxMessageBytes+maxEnvelopeBytes+1), ErrTooLarge},
+	}
+	for _, c := range cases {
+		if _, err := Decode(c.data); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+	}
+	if _, err := Encode(ConfigurationSnapshot{Data: make([]byte, MaxMessageBytes+1)}); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("oversized snapshot: got %v", err)
+	}
+}
+
+// TestConcurrentUse makes the race detector see shared state in the codec.
+func TestConcurrentUse(t *testing.T) {
+	var group sync.WaitGroup
+	for kind, message := range samples() {
+		group.Go(func() {
+			for range 50 {
+				data, err := Encode(message)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if decoded, err := Decode(data); err != nil || !reflect.DeepEqual(decoded, message) {
+					t.Errorf("kind %d: got %+v, %v", kind, decoded, err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// FuzzDecode holds that no input makes Decode panic, and that what it accepts
+// can be written and read again unchanged.
+func FuzzDecode(f *testing.F) {
+	for _, message := range samples() {
+		for _, version := range []int32{VersionPrevious, VersionCurrent} {
+			data, err := EncodeVersion(message, version)
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(first)
+		if err != nil {
+			t.Fatalf("accepted message cannot be written: %v", err)
+		}
+		second, err := Decode(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		third, err := Encode(second)
+		if err != nil || string(third) != string(again) {
+			t.Fatalf("not stable: %x, then %x, %v", again, third, err)
+		}
+	})
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -44,7 +44,10 @@
 
 // ConfigurationRequest asks a neighbour for what follows Stamp.
 type ConfigurationRequest struct {
-	Stamp settings.Stamp
+	// From and FromAddress say where the answer goes.
+	From        cluster.NodeID
+	FromAddress string
+	Stamp       settings.Stamp
 }
 
 // ConfigurationEntry is one accepted edit.
@@ -58,14 +61,18 @@
 
 // ConfigurationEntries answers with the edits after the asked revision.
 type ConfigurationEntries struct {
-	History string
-	After   int64
-	Entries []ConfigurationEntry
+	From        cluster.NodeID
+	FromAddress string
+	History     string
+	After       int64
+	Entries     []ConfigurationEntry
 }
 
 // ConfigurationSnapshot answers with the whole tree.
 type ConfigurationSnapshot struct {
-	Stamp settings.Stamp
+	From        cluster.NodeID
+	FromAddress string
+	Stamp       settings.Stamp
 	// Data is the encoded tree, as package settings writes it.
 	Data []byte
 }
--- /dev/null
+++ b/wire/options.go
@@ -0,0 +1,64 @@
+package wire
+
+import (
+	"crypto/tls"
+	"time"
+)
+
+// Bounds of the transport.
+const (
+	// DefaultQueueLength bounds the messages waiting for one peer.
+	DefaultQueueLength = 256
+	// DefaultSendTimeout bounds one request to a peer.
+	DefaultSendTimeout = 3 * time.Second
+	// maxBatchMessages and maxBatchBytes bound one request body. A message
+	// larger than maxBatchBytes travels alone.
+	maxBatchMessages = 64
+	maxBatchBytes    = 1 << 20
+	// maxBodyBytes bounds a received request body.
+	maxBodyBytes = MaxMessageBytes + maxBatchBytes
+	// idleSender is how long a sender without messages keeps its state.
+	idleSender = time.Minute
+	// dialTimeout bounds opening a connection to a peer.
+	dialTimeout = 2 * time.Second
+	// readHeaderTimeout and idleConnection bound slow and silent peers.
+	readHeaderTimeout = 5 * time.Second
+	idleConnection    = 90 * time.Second
+	// maxHeaderBytes bounds the headers of a received request.
+	maxHeaderBytes = 8 << 10
+)
+
+// Option changes a setting of a Transport.
+type Option func(*options)
+
+type options struct {
+	serverTLS, clientTLS *tls.Config
+	queueLength          int
+	sendTimeout          time.Duration
+}
+
+// WithTLS encrypts the messages. For mutual authentication server requires and
+// verifies client certificates and client presents one. Either may reload its
+// certificates through the callbacks of tls.Config.
+func WithTLS(server, client *tls.Config) Option {
+	return func(o *options) { o.serverTLS, o.clientTLS = server, client }
+}
+
+// WithQueueLength bounds the messages that wait for one peer; the default is
+// DefaultQueueLength.
+func WithQueueLength(length int) Option {
+	return func(o *options) { o.queueLength = length }
+}
+
+// WithSendTimeout bounds one request to a peer; the default is
+// DefaultSendTimeout.
+func WithSendTimeout(timeout time.Duration) Option {
+	return func(o *options) { o.sendTimeout = timeout }
+}
+
+func (o *options) scheme() string {
+	if o.clientTLS != nil {
+		return "https"
+	}
+	return "http"
+}
--- /dev/null
+++ b/wire/records.go
@@ -0,0 +1,233 @@
+package wire
+
+import (
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// The records below mirror messages whose unsigned fields Avro cannot hold: an
+// Avro long is signed, so they are carried by their bit pattern. Field names
+// are those of the schemas. Nested types without unsigned fields are shared
+// with the messages.
+
+// record is the form of a message that the Avro codec reads and writes.
+type record interface{ decoded() Message }
+
+type stampRecord struct {
+	History  string
+	Revision int64
+	Digest   int64
+}
+
+func stampToRecord(s settings.Stamp) stampRecord {
+	return stampRecord{History: s.History, Revision: s.Revision, Digest: int64(s.Digest)}
+}
+
+func (r stampRecord) stamp() settings.Stamp {
+	return settings.Stamp{History: r.History, Revision: r.Revision, Digest: uint64(r.Digest)}
+}
+
+type memberRecord struct {
+	Node        cluster.Node
+	Incarnation int64
+	State       string
+}
+
+type claimRecord struct {
+	Zone  cluster.ZoneID
+	Node  cluster.NodeID
+	Token int64
+}
+
+type heartbeatRecord struct {
+	From        cluster.Node
+	Incarnation int64
+	Sequence    int64
+	Ack         bool
+	Leaving     bool
+	Stamp       stampRecord
+	Claims      []claimRecord
+	Gossip      []memberRecord
+}
+
+func heartbeatToRecord(m Heartbeat) *heartbeatRecord {
+	return &heartbeatRecord{
+		From: m.From, Incarnation: int64(m.Incarnation), Sequence: int64(m.Sequence),
+		Ack: m.Ack, Leaving: m.Leaving, Stamp: stampToRecord(m.Stamp),
+		Claims: convert(m.Claims, func(c ControllerClaim) claimRecord {
+			return claimRecord{Zone: c.Zone, Node: c.Node, Token: int64(c.Token)}
+		}),
+		Gossip: convert(m.Gossip, func(g MemberRecord) memberRecord {
+			return memberRecord{Node: g.Node, Incarnation: int64(g.Incarnation), State: g.State}
+		}),
+	}
+}
+
+func (r *heartbeatRecord) decoded() Message {
+	return Heartbeat{
+		From: r.From, Incarnation: uint64(r.Incarnation), Sequence: uint64(r.Sequence),
+		Ack: r.Ack, Leaving: r.Leaving, Stamp: r.Stamp.stamp(),
+		Claims: convert(r.Claims, func(c claimRecord) ControllerClaim {
+			return ControllerClaim{Zone: c.Zone, Node: c.Node, Token: cluster.FencingToken(c.Token)}
+		}),
+		Gossip: convert(r.Gossip, func(g memberRecord) MemberRecord {
+			return MemberRecord{Node: g.Node, Incarnation: uint64(g.Incarnation), State: g.State}
+		}),
+	}
+}
+
+type configurationRequestRecord struct {
+	From        cluster.NodeID
+	FromAddress string
+	Stamp       stampRecord
+}
+
+func configurationRequestToRecord(m ConfigurationRequest) *configurationRequestRecord {
+	return &configurationRequestRecord{From: m.From, FromAddress: m.FromAddress, Stamp: stampToRecord(m.Stamp)}
+}
+
+func (r *configurationRequestRecord) decoded() Message {
+	return ConfigurationRequest{From: r.From, FromAddress: r.FromAddress, Stamp: r.Stamp.stamp()}
+}
+
+type entryRecord struct {
+	Revision int64
+	Digest   int64
+	Data     []byte
+}
+
+type configurationEntriesRecord struct {
+	From        cluster.NodeID
+	FromAddress string
+	History     string
+	After       int64
+	Entries     []entryRecord
+}
+
+func configurationEntriesToRecord(m ConfigurationEntries) *configurationEntriesRecord {
+	return &configurationEntriesRecord{
+		From: m.From, FromAddress: m.FromAddress, History: m.History, After: m.After,
+		Entries: convert(m.Entries, func(e ConfigurationEntry) entryRecord {
+			return entryRecord{Revision: e.Revision, Digest: int64(e.Digest), Data: e.Data}
+		}),
+	}
+}
+
+func (r *configurationEntriesRecord) decoded() Message {
+	return ConfigurationEntries{
+		From: r.From, FromAddress: r.FromAddress, History: r.History, After: r.After,
+		Entries: convert(r.Entries, func(e entryRecord) ConfigurationEntry {
+			return ConfigurationEntry{Revision: e.Revision, Digest: uint64(e.Digest), Data: e.Data}
+		}),
+	}
+}
+
+type configurationSnapshotRecord struct {
+	From        cluster.NodeID
+	FromAddress string
+	Stamp       stampRecord
+	Data        []byte
+}
+
+func configurationSnapshotToRecord(m ConfigurationSnapshot) *configurationSnapshotRecord {
+	return &configurationSnapshotRecord{
+		From: m.From, FromAddress: m.FromAddress, Stamp: stampToRecord(m.Stamp), Data: m.Data,
+	}
+}
+
+func (r *configurationSnapshotRecord) decoded() Message {
+	return ConfigurationSnapshot{From: r.From, FromAddress: r.FromAddress, Stamp: r.Stamp.stamp(), Data: r.Data}
+}
+
+type demandRecord struct {
+	From     cluster.NodeID
+	Zone     cluster.ZoneID
+	Sequence int64
+	Full     bool
+	Models   []ModelDemand
+	Scopes   []ScopeDemand
+}
+
+func demandToRecord(m Demand) *demandRecord {
+	return &demandRecord{
+		From: m.From, Zone: m.Zone, Sequence: int64(m.Sequence),
+		Full: m.Full, Models: m.Models, Scopes: m.Scopes,
+	}
+}
+
+func (r *demandRecord) decoded() Message {
+	return Demand{
+		From: r.From, Zone: r.Zone, Sequence: uint64(r.Sequence),
+		Full: r.Full, Models: r.Models, Scopes: r.Scopes,
+	}
+}
+
+type cellStatusRecord struct {
+	Zone     cluster.ZoneID
+	From     cluster.NodeID
+	Token    int64
+	Sequence int64
+	Full     bool
+	Replicas []ReplicaRecord
+	Loads    []MachineLoad
+	Shares   []ScopeShare
+	Allotted []cluster.ModelID
+}
+
+func cellStatusToRecord(m CellStatus) *cellStatusRecord {
+	return &cellStatusRecord{
+		Zone: m.Zone, From: m.From, Token: int64(m.Token), Sequence: int64(m.Sequence), Full: m.Full,
+		Replicas: m.Replicas, Loads: m.Loads, Shares: m.Shares, Allotted: m.Allotted,
+	}
+}
+
+func (r *cellStatusRecord) decoded() Message {
+	return CellStatus{
+		Zone: r.Zone, From: r.From, Token: cluster.FencingToken(r.Token), Sequence: uint64(r.Sequence), Full: r.Full,
+		Replicas: r.Replicas, Loads: r.Loads, Shares: r.Shares, Allotted: r.Allotted,
+	}
+}
+
+type cellStatusRequestRecord struct{ Zone cluster.ZoneID }
+
+func cellStatusRequestToRecord(m CellStatusRequest) *cellStatusRequestRecord {
+	return &cellStatusRequestRecord{Zone: m.Zone}
+}
+
+func (r *cellStatusRequestRecord) decoded() Message { return CellStatusRequest{Zone: r.Zone} }
+
+type zoneReportRecord struct {
+	Zone              cluster.ZoneID
+	Token             int64
+	AllotmentRevision int64
+	Models            []ZoneModelReport
+	Machines          int
+	FreeBytes         int64
+}
+
+func zoneReportToRecord(m ZoneReport) *zoneReportRecord {
+	return &zoneReportRecord{
+		Zone: m.Zone, Token: int64(m.Token), AllotmentRevision: m.AllotmentRevision,
+		Models: m.Models, Machines: m.Machines, FreeBytes: m.FreeBytes,
+	}
+}
+
+func (r *zoneReportRecord) decoded() Message {
+	return ZoneReport{
+		Zone: r.Zone, Token: cluster.FencingToken(r.Token), AllotmentRevision: r.AllotmentRevision,
+		Models: r.Models, Machines: r.Machines, FreeBytes: r.FreeBytes,
+	}
+}
+
+// convert maps a slice; an empty one becomes nil, so that a decoded message
+// equals the sent one whether a slice was nil or empty.
+func convert[From, To any](items []From, each func(From) To) []To {
+	if len(items) == 0 {
+		return nil
+	}
+	converted := make([]To, 0, len(items))
+	for _, item := range items {
+		converted = append(converted, each(item))
+	}
+	return converted
+}
--- /dev/null
+++ b/wire/sender.go
@@ -0,0 +1,196 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	watermillhttp "github.com/ThreeDotsLabs/watermill-http/v2/pkg/http"
+	"github.com/ThreeDotsLabs/watermill/message"
+)
+
+// sender owns the queue to one peer. Its goroutine ends when the queue is
+// closed, or removes itself after idleSender without a message.
+type sender struct {
+	transport *Transport
+	address   string
+	queue     chan Message
+	// version is the newest schema version the peer is known to read. It
+	// starts with the oldest this node writes.
+	version int32
+}
+
+// Send queues message for the peer listening at address, host:port. It never
+// blocks: a message is dropped and counted when the queue is full or the
+// transport closed.
+func (t *Transport) Send(address string, message Message) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.closed {
+		t.counters.dropped.Add(1)
+		return
+	}
+	peer := t.senders[address]
+	if peer == nil {
+		peer = &sender{
+			transport: t,
+			address:   address,
+			queue:     make(chan Message, t.options.queueLength),
+			version:   VersionPrevious,
+		}
+		t.senders[address] = peer
+		t.running.Go(peer.run)
+	}
+	select {
+	case peer.queue <- message:
+	default:
+		t.counters.dropped.Add(1)
+	}
+}
+
+// run sends batches until the queue is closed or stays empty.
+func (s *sender) run() {
+	idle := time.NewTimer(idleSender)
+	defer idle.Stop()
+	for {
+		select {
+		case first, open := <-s.queue:
+			if !open {
+				return
+			}
+			s.sendAll(s.collect(first))
+			idle.Reset(idleSender)
+		case <-idle.C:
+			if s.retire() {
+				return
+			}
+			idle.Reset(idleSender)
+		}
+	}
+}
+
+// retire removes the sender if nothing waits. Send holds the same mutex, so no
+// message can slip into a removed queue.
+func (s *sender) retire() bool {
+	s.transport.mutex.Lock()
+	defer s.transport.mutex.Unlock()
+	if s.transport.closed || len(s.queue) > 0 {
+		return false
+	}
+	delete(s.transport.senders, s.address)
+	return true
+}
+
+// collect takes what waits already, up to one batch.
+func (s *sender) collect(first Message) []Message {
+	messages := []Message{first}
+	for len(messages) < maxBatchMessages {
+		select {
+		case next, open := <-s.queue:
+			if !open {
+				return messages
+			}
+			messages = append(messages, next)
+		default:
+			return messages
+		}
+	}
+	return messages
+}
+
+// sendAll posts messages in as few requests as the size bound allows.
+func (s *sender) sendAll(messages []Message) {
+	var envelopes [][]byte
+	size := 0
+	for _, message := range messages {
+		data, err := EncodeVersion(message, s.version)
+		if err != nil {
+			s.transport.counters.failed.Add(1)
+			s.transport.logger.Error("peer message not encoded", "peer", s.address, "error", err)
+			continue
+		}
+		if size > 0 && size+len(data) > maxBatchBytes {
+			s.post(envelopes)
+			envelopes, size = nil, 0
+		}
+		envelopes = append(envelopes, data)
+		size += len(data)
+	}
+	if len(envelopes) > 0 {
+		s.post(envelopes)
+	}
+}
+
+// post publishes one batch and learns the peer's version.
+func (s *sender) post(envelopes [][]byte) {
+	counters := &s.transport.counters
+	body, err := codec.Marshal(batchSchema, batch{Envelopes: envelopes})
+	if err != nil {
+		counters.failed.Add(uint64(len(envelopes)))
+		return
+	}
+	var version int32
+	msg := message.NewMessage("", body)
+	msg.SetContext(context.WithValue(s.transport.lifetime, versionKey{}, &version))
+	err = s.transport.publisher.Publish(s.transport.options.scheme()+"://"+s.address+messagesPath, msg)
+	if version != 0 {
+		s.version = min(version, VersionCurrent)
+	}
+	if err != nil {
+		counters.failed.Add(uint64(len(envelopes)))
+		s.logFailure(err)
+		return
+	}
+	counters.sent.Add(uint64(len(envelopes)))
+	counters.bytesSent.Add(uint64(len(body)))
+}
+
+func (s *sender) logFailure(err error) {
+	if errors.Is(err, watermillhttp.ErrErrorResponse) {
+		s.transport.logger.Warn("peer refused messages", "peer", s.address, "error", err)
+		return
+	}
+	s.transport.logger.Debug("peer not reached", "peer", s.address, "error", err)
+}
+
+// versionKey is the context key of the place for the peer's version.
+type versionKey struct{}
+
+// versionReader notes the version that a response names.
+type versionReader struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (r versionReader) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := r.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if place, ok := request.Context().Value(versionKey{}).(*int32); ok {
+		if version, err := strconv.ParseInt(response.Header.Get(versionHeader), 10, 32); err == nil {
+			*place = int32(version)
+		}
+	}
+	return response, nil
+}
+
+// decodeBatch returns the messages of a request body that can be read, and the
+// errors of the others.
+func decodeBatch(body []byte) ([]Message, error) {
+	var received batch
+	if err := unmarshal(batchSchema, body, &received); err != nil {
+		return nil, err
+	}
+	messages := make([]Message, 0, len(received.Envelopes))
+	var faults []error
+	for _, data := range received.Envelopes {
+		decoded, err := Decode(data)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		messages = append(messages, decoded)
+	}
+	return messages, errors.Join(faults...)
+}
