Carry the controllers' addresses in version 2 of the schemas

CellStatus and CellStatusRequest gained fields. A message to an unknown peer is now written in the current version and, when the peer announces an older one, once more in that: starting with the older one would have lost the new fields of the first messages.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -199,7 +199,10 @@
 
 // Decode reads one message written by Encode or EncodeVersion. It fails with
 // ErrVersion, ErrUnknownKind, ErrTooLarge or ErrMalformed.
-func Decode(data []byte) (Message, error) {
+func Decode(data []byte) (Message, error) { return decode(data, VersionCurrent) }
+
+// decode is Decode for a reader that knows no version after newest.
+func decode(data []byte, newest int32) (Message, error) {
 	if len(data) > MaxMessageBytes+maxEnvelopeBytes {
 		return nil, eris.Wrapf(ErrTooLarge, "%d bytes", len(data))
 	}
@@ -207,7 +210,7 @@
 	if err := unmarshal(envelopeSchema, data, &header); err != nil {
 		return nil, eris.Wrapf(ErrMalformed, "envelope: %v", err)
 	}
-	if header.Version != VersionCurrent && header.Version != VersionPrevious {
+	if header.Version > newest || header.Version < VersionPrevious {
 		return nil, eris.Wrapf(ErrVersion, "version %d", header.Version)
 	}
 	kind := Kind(header.Kind)
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -50,7 +50,8 @@
 			Scopes: []ScopeDemand{{Path: "/dental", Requests: 1.5, Tokens: 200, Concurrency: 2}},
 		},
 		KindCellStatus: CellStatus{
-			Zone: "east-1", From: "node-a", Token: 5, Sequence: 6, Full: true,
+			Zone: "east-1", Region: "east", From: "node-a", FromAddress: "10.0.0.1:7000",
+			Token: 5, Sequence: 6, Full: true,
 			Replicas: []ReplicaRecord{{
 				Machine: "machine-a", Address: "10.0.1.1:8000", Model: "recall", Version: "3",
 				State: cluster.ReplicaLoaded, Slots: 8, Leaving: true, ReadyIn: time.Minute,
@@ -59,7 +60,7 @@
 			Shares:   []ScopeShare{{Path: "/dental", Requests: 2, Tokens: 3, Concurrency: 4, ExpiresIn: time.Second}},
 			Allotted: []cluster.ModelID{"recall"},
 		},
-		KindCellStatusRequest: CellStatusRequest{Zone: "east-1"},
+		KindCellStatusRequest: CellStatusRequest{Zone: "east-1", From: "node-a", FromAddress: "10.0.0.1:7000"},
 		KindZoneReport: ZoneReport{
 			Zone: "east-1", Token: 5, AllotmentRevision: 8,
 			Models: []ZoneModelReport{{Model: "recall", Wanted: 2, Held: 1}}, Machines: 3, FreeBytes: 1 << 40,
@@ -67,8 +68,8 @@
 	}
 }
 
-// withoutSender is the message as version 1 carries it.
-func withoutSender(message Message) Message {
+// asVersion1 is the message as version 1 carries it.
+func asVersion1(message Message) Message {
 	switch m := message.(type) {
 	case ConfigurationRequest:
 		m.From, m.FromAddress = "", ""
@@ -79,6 +80,12 @@
 	case ConfigurationSnapshot:
 		m.From, m.FromAddress = "", ""
 		return m
+	case CellStatus:
+		m.Region, m.FromAddress = "", ""
+		return m
+	case CellStatusRequest:
+		m.From, m.FromAddress = "", ""
+		return m
 	default:
 		return message
 	}
@@ -148,7 +155,7 @@
 			}
 			want := message
 			if version == 1 {
-				want = withoutSender(message)
+				want = asVersion1(message)
 			}
 			if !reflect.DeepEqual(decoded, want) {
 				t.Errorf("%s: got %+v, want %+v", name, decoded, want)
--- a/wire/options.go
+++ b/wire/options.go
@@ -35,6 +35,9 @@
 	serverTLS, clientTLS *tls.Config
 	queueLength          int
 	sendTimeout          time.Duration
+	// announce is the newest version this node reads, and says
+	// so.
+	announce int32
 }
 
 // WithTLS encrypts the messages. For mutual authentication server requires and
--- a/wire/records.go
+++ b/wire/records.go
@@ -163,38 +163,48 @@
 }
 
 type cellStatusRecord struct {
-	Zone     cluster.ZoneID
-	From     cluster.NodeID
-	Token    int64
-	Sequence int64
-	Full     bool
-	Replicas []ReplicaRecord
-	Loads    []MachineLoad
-	Shares   []ScopeShare
-	Allotted []cluster.ModelID
+	Zone        cluster.ZoneID
+	Region      cluster.RegionID
+	From        cluster.NodeID
+	FromAddress string
+	Token       int64
+	Sequence    int64
+	Full        bool
+	Replicas    []ReplicaRecord
+	Loads       []MachineLoad
+	Shares      []ScopeShare
+	Allotted    []cluster.ModelID
 }
 
 func cellStatusToRecord(m CellStatus) *cellStatusRecord {
 	return &cellStatusRecord{
-		Zone: m.Zone, From: m.From, Token: int64(m.Token), Sequence: int64(m.Sequence), Full: m.Full,
+		Zone: m.Zone, Region: m.Region, From: m.From, FromAddress: m.FromAddress,
+		Token: int64(m.Token), Sequence: int64(m.Sequence), Full: m.Full,
 		Replicas: m.Replicas, Loads: m.Loads, Shares: m.Shares, Allotted: m.Allotted,
 	}
 }
 
 func (r *cellStatusRecord) decoded() Message {
 	return CellStatus{
-		Zone: r.Zone, From: r.From, Token: cluster.FencingToken(r.Token), Sequence: uint64(r.Sequence), Full: r.Full,
+		Zone: r.Zone, Region: r.Region, From: r.From, FromAddress: r.FromAddress,
+		Token: cluster.FencingToken(r.Token), Sequence: uint64(r.Sequence), Full: r.Full,
 		Replicas: r.Replicas, Loads: r.Loads, Shares: r.Shares, Allotted: r.Allotted,
 	}
 }
 
-type cellStatusRequestRecord struct{ Zone cluster.ZoneID }
+type cellStatusRequestRecord struct {
+	Zone        cluster.ZoneID
+	From        cluster.NodeID
+	FromAddress string
+}
 
 func cellStatusRequestToRecord(m CellStatusRequest) *cellStatusRequestRecord {
-	return &cellStatusRequestRecord{Zone: m.Zone}
+	return &cellStatusRequestRecord{Zone: m.Zone, From: m.From, FromAddress: m.FromAddress}
 }
 
-func (r *cellStatusRequestRecord) decoded() Message { return CellStatusRequest{Zone: r.Zone} }
+func (r *cellStatusRequestRecord) decoded() Message {
+	return CellStatusRequest{Zone: r.Zone, From: r.From, FromAddress: r.FromAddress}
+}
 
 type zoneReportRecord struct {
 	Zone              cluster.ZoneID
--- a/wire/sender.go
+++ b/wire/sender.go
@@ -17,8 +17,8 @@
 	transport *Transport
 	address   string
 	queue     chan Message
-	// version is the newest schema version the peer is known to read. It
-	// starts with the oldest this node writes.
+	// version is the schema version messages are written in: the current one
+	// until the peer announces an older.
 	version int32
 }
 
@@ -38,7 +38,7 @@
 			transport: t,
 			address:   address,
 			queue:     make(chan Message, t.options.queueLength),
-			version:   VersionPrevious,
+			version:   VersionCurrent,
 		}
 		t.senders[address] = peer
 		t.running.Go(peer.run)
@@ -100,19 +100,32 @@
 	return messages
 }
 
-// sendAll posts messages in as few requests as the size bound allows.
+// sendAll posts messages. A peer that announces an older version has refused
+// them unread, so they are written once more in that version.
 func (s *sender) sendAll(messages []Message) {
+	version := s.version
+	if s.write(messages); s.version < version {
+		s.write(messages)
+	}
+}
+
+// write posts messages in as few requests as the size bound allows. It stops
+// when the peer announces an older version than they are written in.
+func (s *sender) write(messages []Message) {
+	version := s.version
 	var envelopes [][]byte
 	size := 0
 	for _, message := range messages {
-		data, err := EncodeVersion(message, s.version)
+		data, err := EncodeVersion(message, version)
 		if err != nil {
 			s.transport.counters.failed.Add(1)
 			s.transport.logger.Error("peer message not encoded", "peer", s.address, "error", err)
 			continue
 		}
 		if size > 0 && size+len(data) > maxBatchBytes {
-			s.post(envelopes)
+			if s.post(envelopes); s.version < version {
+				return
+			}
 			envelopes, size = nil, 0
 		}
 		envelopes = append(envelopes, data)
@@ -131,20 +144,21 @@
 		counters.failed.Add(uint64(len(envelopes)))
 		return
 	}
-	var version int32
+	announced := int32(VersionCurrent)
 	msg := message.NewMessage("", body)
-	msg.SetContext(context.WithValue(s.transport.lifetime, versionKey{}, &version))
+	msg.SetContext(context.WithValue(s.transport.lifetime, versionKey{}, &announced))
 	err = s.transport.publisher.Publish(s.transport.options.scheme()+"://"+s.address+messagesPath, msg)
-	if version != 0 {
-		s.version = min(version, VersionCurrent)
-	}
+	counters.bytesSent.Add(uint64(len(body)))
 	if err != nil {
 		counters.failed.Add(uint64(len(envelopes)))
 		s.logFailure(err)
 		return
 	}
-	counters.sent.Add(uint64(len(envelopes)))
-	counters.bytesSent.Add(uint64(len(body)))
+	refused := announced < s.version
+	s.version = min(announced, VersionCurrent)
+	if !refused {
+		counters.sent.Add(uint64(len(envelopes)))
+	}
 }
 
 func (s *sender) logFailure(err error) {
@@ -176,8 +190,8 @@
 }
 
 // decodeBatch returns the messages of a request body that can be read, and the
-// errors of the others.
-func decodeBatch(body []byte) ([]Message, error) {
+// errors of the others, which include those written after version newest.
+func decodeBatch(body []byte, newest int32) ([]Message, error) {
 	var received batch
 	if err := unmarshal(batchSchema, body, &received); err != nil {
 		return nil, err
@@ -185,7 +199,7 @@
 	messages := make([]Message, 0, len(received.Envelopes))
 	var faults []error
 	for _, data := range received.Envelopes {
-		decoded, err := Decode(data)
+		decoded, err := decode(data, newest)
 		if err != nil {
 			faults = append(faults, err)
 			continue
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -86,7 +86,7 @@
 // handed on one after the other, those of several peers at the same time.
 func NewTransport(listen string, logger *slog.Logger, handle func(Message), settings ...Option) (*Transport, error) {
 	transport := &Transport{
-		options: options{queueLength: DefaultQueueLength, sendTimeout: DefaultSendTimeout},
+		options: options{queueLength: DefaultQueueLength, sendTimeout: DefaultSendTimeout, announce: VersionCurrent},
 		logger:  logger,
 		handle:  handle,
 		senders: make(map[string]*sender),
@@ -166,7 +166,7 @@
 		}
 	})
 	<-router.Running()
-	return announceVersion(mux), nil
+	return announceVersion(mux, t.options.announce), nil
 }
 
 // unmarshalRequest reads a bounded body.
@@ -182,10 +182,10 @@
 }
 
 // announceVersion tells every sender the newest version this node reads.
-func announceVersion(next http.Handler) http.Handler {
+func announceVersion(next http.Handler, version int32) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		header := writer.Header()
-		header.Set(versionHeader, strconv.Itoa(VersionCurrent))
+		header.Set(versionHeader, strconv.Itoa(int(version)))
 		header["Date"] = nil
 		next.ServeHTTP(writer, request)
 	})
@@ -195,7 +195,7 @@
 // message that cannot be read now cannot be read later.
 func (t *Transport) receive(msg *message.Message) error {
 	t.counters.bytesReceived.Add(uint64(len(msg.Payload)))
-	messages, err := decodeBatch(msg.Payload)
+	messages, err := decodeBatch(msg.Payload, t.options.announce)
 	for _, received := range messages {
 		t.counters.received.Add(1)
 		t.handle(received)
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -21,18 +21,11 @@
 	return transport
 }
 
-func TestTransportKeepsOrderAndLearnsVersion(t *testing.T) {
+func TestTransportKeepsOrder(t *testing.T) {
 	const count = 200
 	received := make(chan Message, count)
 	to := openTransport(t, func(message Message) { received <- message })
 	from := openTransport(t, func(Message) {})
-
-	// Until the peer has answered once, messages travel in the previous
-	// version, which has no sender in a request.
-	from.Send(to.Address(), samples()[KindConfigurationRequest])
-	if first := <-received; !reflect.DeepEqual(first, withoutSender(samples()[KindConfigurationRequest])) {
-		t.Fatalf("first message: got %+v", first)
-	}
 	for sequence := range uint64(count) {
 		from.Send(to.Address(), Demand{From: "node-a", Sequence: sequence})
 	}
@@ -41,9 +34,22 @@
 			t.Fatalf("got sequence %d, want %d", got, sequence)
 		}
 	}
-	from.Send(to.Address(), samples()[KindConfigurationRequest])
-	if last := <-received; !reflect.DeepEqual(last, samples()[KindConfigurationRequest]) {
-		t.Fatalf("last message: got %+v", last)
+}
+
+// TestTransportFallsBackToPreviousVersion sends to a peer of the previous
+// version, which refuses the first message unread.
+func TestTransportFallsBackToPreviousVersion(t *testing.T) {
+	received := make(chan Message, 4)
+	old := func(o *options) { o.announce = VersionPrevious }
+	to := openTransport(t, func(message Message) { received <- message }, old)
+	from := openTransport(t, func(Message) {})
+	request := samples()[KindConfigurationRequest]
+	from.Send(to.Address(), request)
+	from.Send(to.Address(), request)
+	for i := range 2 {
+		if got := <-received; !reflect.DeepEqual(got, asVersion1(request)) {
+			t.Fatalf("message %d: got %+v", i, got)
+		}
 	}
 }
 
