--- a/settings/compile.go
+++ b/settings/compile.go
@@ -26,40 +26,41 @@
 }
 
 // defaultEffective returns what holds above the root.
-func defaultEffective() Effective {
+func defaultEffective() *Effective {
 	sources := make(map[string]string, len(keys))
 	for i := range keys {
 		sources[keys[i].Name] = SourceDefault
 	}
-	return Effective{Policy: Defaults(), Sources: sources, Team: RootPath}
+	return &Effective{Policy: Defaults(), Sources: sources, Team: RootPath}
 }
 
 // descend returns what holds at a level, from what holds above it. Keys this
 // version does not know have no effect.
-func (e Effective) descend(level *Level, problems *ValidationErrors) Effective {
-	e.Path, e.Kind = level.Path, level.Kind
+func (e *Effective) descend(level *Level, problems *ValidationErrors) *Effective {
+	below := *e
+	below.Path, below.Kind = level.Path, level.Kind
 	shared := true
 	for name, value := range level.Values {
 		key, known := keyIndex[name]
 		if !known {
 			continue
 		}
-		if err := key.assign(&e.Policy, value); err != nil {
+		if err := key.assign(&below.Policy, value); err != nil {
 			problems.add(level.Path, name, "%s", err)
 			continue
 		}
 		if shared {
-			e.Sources, shared = maps.Clone(e.Sources), false
+			below.Sources, shared = maps.Clone(e.Sources), false
 		}
-		e.Sources[name] = level.Path
+		below.Sources[name] = level.Path
 	}
 	switch level.Kind {
 	case KindTeam:
-		e.Team = level.Path
+		below.Team = level.Path
 	case KindModel:
-		e.model = cluster.ModelID(level.Name())
+		below.model = cluster.ModelID(level.Name())
 	}
-	return e
+	return &below
 }
 
 // Effective returns what holds at the level at path, or false when there is
@@ -73,7 +74,7 @@
 	for _, candidate := range ancestry(path) {
 		effective = effective.descend(t.levels[candidate], &ignored)
 	}
-	return effective, true
+	return *effective, true
 }
 
 // ancestry returns the paths from the root to path.
@@ -90,7 +91,7 @@
 // compiler carries one compilation.
 type compiler struct {
 	tree     *Tree
-	resolved map[string]Effective
+	resolved map[string]*Effective
 	models   []Model
 	tokens   []Token
 	scopes   map[string]Scope
@@ -100,7 +101,7 @@
 // Compile resolves inheritance and checks the tree as a whole. The error is a
 // ValidationErrors with everything that is wrong.
 func (t *Tree) Compile(stamp Stamp) (*Snapshot, error) {
-	c := &compiler{tree: t, resolved: make(map[string]Effective, len(t.paths)), scopes: map[string]Scope{}}
+	c := &compiler{tree: t, resolved: make(map[string]*Effective, len(t.paths)), scopes: map[string]Scope{}}
 	for _, path := range t.paths {
 		c.addLevel(t.levels[path])
 	}
@@ -121,13 +122,13 @@
 
 // addLevel resolves one level; the levels above it are resolved already.
 func (c *compiler) addLevel(level *Level) {
-	above := defaultEffective
-	if level.Path != RootPath {
-		above = func() Effective { return c.resolved[parent(level.Path)] }
+	above := c.resolved[parent(level.Path)]
+	if level.Path == RootPath {
+		above = defaultEffective()
 	}
-	effective := above().descend(level, &c.problems)
+	effective := above.descend(level, &c.problems)
 	c.resolved[level.Path] = effective
-	c.checkKind(level, effective)
+	c.checkKind(level)
 	if scope, limited := scopeOf(level, &effective.Policy); limited {
 		c.scopes[level.Path] = scope
 	}
@@ -158,7 +159,7 @@
 }
 
 // addModel records a model or adapter and checks its policy as a whole.
-func (c *compiler) addModel(level *Level, effective Effective) {
+func (c *compiler) addModel(level *Level, effective *Effective) {
 	model := Model{
 		ID: cluster.ModelID(level.Name()), Kind: level.Kind, Path: level.Path,
 		Team: effective.Team, Policy: effective.Policy, Sources: effective.Sources,
@@ -188,7 +189,7 @@
 
 // checkKind checks where the level stands. Kinds of newer versions count as
 // plain levels.
-func (c *compiler) checkKind(level *Level, effective Effective) {
+func (c *compiler) checkKind(level *Level) {
 	if _, set := level.Values[KeyBase]; set && level.Kind != KindAdapter {
 		c.problems.add(level.Path, KeyBase, "only an adapter has a base model, this is %s", article(level.Kind))
 	}
--- a/settings/value.go
+++ b/settings/value.go
@@ -32,8 +32,7 @@
 
 // String returns the value for people: strings without their quotes.
 func (v Value) String() string {
-	var text string
-	if json.Unmarshal([]byte(v), &text) == nil && strings.HasPrefix(string(v), `"`) {
+	if text, err := parseText(v); err == nil {
 		return text
 	}
 	return string(v)
@@ -186,10 +185,9 @@
 }
 
 func parseBytes(v Value) (int64, error) {
-	failure := wants("a size in B, KiB, MiB, GiB or TiB", `"16GiB"`, v)
 	text, err := parseText(v)
 	if err != nil {
-		return 0, failure
+		return 0, wantsBytes(v)
 	}
 	for _, unit := range byteUnits {
 		number, found := strings.CutSuffix(text, unit.suffix)
@@ -199,11 +197,15 @@
 		f, err := strconv.ParseFloat(number, 64)
 		size := f * float64(unit.bytes)
 		if err != nil || !(size >= 0 && size < 1<<62) {
-			return 0, failure
+			return 0, wantsBytes(v)
 		}
 		return int64(size), nil
 	}
-	return 0, failure
+	return 0, wantsBytes(v)
+}
+
+func wantsBytes(v Value) error {
+	return wants("a size in B, KiB, MiB, GiB or TiB", `"16GiB"`, v)
 }
 
 // rateUnits gives the seconds of each unit of a rate.
@@ -221,22 +223,25 @@
 
 // parseRate reads a number a second, or a text such as "90/m".
 func parseRate(v Value) (float64, error) {
-	failure := wants("a rate: a number a second, or a text", `"90/m"`, v)
 	number, unit := string(v), "s"
 	if text, err := parseText(v); err == nil {
 		var found bool
 		if number, unit, found = strings.Cut(text, "/"); !found {
-			return 0, failure
+			return 0, wantsRate(v)
 		}
 	}
 	seconds, known := rateUnits[unit]
 	rate, err := strconv.ParseFloat(number, 64)
 	if err != nil || !known {
-		return 0, failure
+		return 0, wantsRate(v)
 	}
 	return rate / seconds, nil
 }
 
+func wantsRate(v Value) error {
+	return wants("a rate: a number a second, or a text", `"90/m"`, v)
+}
+
 func formatNumber(f float64) Value { return Value(strconv.FormatFloat(f, 'f', -1, 64)) }
 
 // namesType writes a set of names as a sorted list.
@@ -244,15 +249,11 @@
 	return valueType[[]T]{
 		name: "list of names", example: `["a","b"]`,
 		parse: func(v Value) ([]T, error) {
-			failure := wants("a list of names", `["a","b"]`, v)
 			var names []T
-			if err := json.Unmarshal([]byte(v), &names); err != nil || names == nil {
-				return nil, failure
-			}
-			for _, name := range names {
-				if !namePattern.MatchString(string(name)) {
-					return nil, failure
-				}
+			err := json.Unmarshal([]byte(v), &names)
+			misnamed := func(name T) bool { return !namePattern.MatchString(string(name)) }
+			if err != nil || names == nil || slices.ContainsFunc(names, misnamed) {
+				return nil, wants("a list of names", `["a","b"]`, v)
 			}
 			slices.Sort(names)
 			return slices.Compact(names), nil
