Keep how to undo an edit, and read trees from several files

Cause: diffs between revisions and reverts need the values an edit replaced; operators keep their parts of the tree in files of their own; error texts that name another team's level cannot be shown to a team.

Change: a history entry also holds the changes that undo it, Store.TreeAt goes back by them. ParseYAMLFiles merges documents and names file and line. The other level of a validation error stands in a field of its own.

--- a/settings/commit.go
+++ b/settings/commit.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	entry := Entry{Revision: record.Revision, Digest: record.Digest, Edit: edit}
+	entry := Entry{Revision: record.Revision, Digest: record.Digest, Edit: edit, Undo: current.tree.Diff(tree)}
 	written, err := entryOperations(entry)
 	if err != nil {
 		return nil, nil, err
--- a/settings/compile.go
+++ b/settings/compile.go
@@ -221,13 +221,13 @@
 func (c *compiler) checkUnique() {
 	for i := 1; i < len(c.models); i++ {
 		if c.models[i].ID == c.models[i-1].ID {
-			c.problems.add(c.models[i].Path, "", "the model name %s is already used at %s", c.models[i].ID, c.models[i-1].Path)
+			c.problems.addOther(c.models[i].Path, "", c.models[i-1].Path, "the model name %s is already used", c.models[i].ID)
 		}
 	}
 	for i := 1; i < len(c.tokens); i++ {
 		if c.tokens[i].SHA256 == c.tokens[i-1].SHA256 {
-			c.problems.add(c.tokens[i].Path, "tokens", "token %s has the same secret as token %s at %s",
-				c.tokens[i].Name, c.tokens[i-1].Name, c.tokens[i-1].Path)
+			c.problems.addOther(c.tokens[i].Path, fieldTokens, c.tokens[i-1].Path,
+				"token %s has the same secret as another token", c.tokens[i].Name)
 		}
 	}
 }
@@ -246,7 +246,7 @@
 		case base == nil || base.Kind != KindModel:
 			c.problems.add(adapter.Path, KeyBase, "there is no base model %s", adapter.Base)
 		case !snapshot.Visible(parent(adapter.Path), base):
-			c.problems.add(adapter.Path, KeyBase, "base model %s at %s belongs to another part of the tree", adapter.Base, base.Path)
+			c.problems.addOther(adapter.Path, KeyBase, base.Path, "base model %s belongs to another part of the tree", adapter.Base)
 		}
 	}
 }
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -49,6 +49,8 @@
 	// Digest of the whole tree after it.
 	Digest uint64 `json:"digest,string"`
 	Edit   Edit   `json:"edit"`
+	// Undo leads back to the tree before it.
+	Undo []Change `json:"undo,omitempty"`
 
 	// parts is the number of values the entry takes in the store.
 	parts int
--- a/settings/errors.go
+++ b/settings/errors.go
@@ -15,21 +15,31 @@
 	Key string `json:"key,omitempty"`
 	// Reason is one sentence for people.
 	Reason string `json:"reason"`
-	// Line of the YAML document, zero when not read from one.
-	Line int `json:"line,omitempty"`
+	// Other is the path of another level that stands in the way.
+	Other string `json:"other,omitempty"`
+	// File and Line of the YAML document, empty when not read from one.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
 }
 
 // Error implements error.
 func (e *ValidationError) Error() string {
 	var text strings.Builder
-	if e.Line > 0 {
+	switch {
+	case e.File != "":
+		fmt.Fprintf(&text, "%s:%d: ", e.File, e.Line)
+	case e.Line > 0:
 		fmt.Fprintf(&text, "line %d: ", e.Line)
 	}
 	text.WriteString(e.Path)
 	if e.Key != "" {
 		text.WriteString(": " + e.Key)
 	}
-	return text.String() + ": " + e.Reason
+	text.WriteString(": " + e.Reason)
+	if e.Other != "" {
+		text.WriteString(", see " + e.Other)
+	}
+	return text.String()
 }
 
 // ValidationErrors holds everything that is wrong with a tree or an edit,
@@ -50,13 +60,19 @@
 	*e = append(*e, &ValidationError{Path: path, Key: key, Reason: fmt.Sprintf(format, arguments...)})
 }
 
+// addOther appends an error that names another level.
+func (e *ValidationErrors) addOther(path, key, other, format string, arguments ...any) {
+	e.add(path, key, format, arguments...)
+	(*e)[len(*e)-1].Other = other
+}
+
 // orNil sorts the errors and returns nil when there are none.
 func (e ValidationErrors) orNil() error {
 	if len(e) == 0 {
 		return nil
 	}
 	slices.SortStableFunc(e, func(a, b *ValidationError) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Key, b.Key))
 	})
 	return e
 }
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -193,6 +193,12 @@
 	return contains(path, model.Path) || contains(parent(model.Path), path)
 }
 
+// Contains reports whether the level at inner lies in the subtree at outer.
+func Contains(outer, inner string) bool { return contains(outer, inner) }
+
+// Parent returns the path of the level above, "/" at the top.
+func Parent(path string) string { return parent(path) }
+
 // contains reports whether the tree node at inner lies in the subtree at outer.
 func contains(outer, inner string) bool {
 	if outer == "/" || outer == inner {
--- a/settings/store.go
+++ b/settings/store.go
@@ -123,6 +123,34 @@
 	return nil
 }
 
+// ErrRevisionGone is returned for a revision that the kept history does not
+// reach, or that does not exist yet.
+var ErrRevisionGone = errors.New("the revision is not in the kept history")
+
+// TreeAt returns the tree as it was at a revision of the kept history.
+func (s *Store) TreeAt(ctx context.Context, revision int64) (*Tree, error) {
+	current, err := s.refresh(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return current.at(revision)
+}
+
+// at undoes the entries after the revision.
+func (s *state) at(revision int64) (*Tree, error) {
+	if revision > s.head.Revision || revision < s.head.Oldest-1 || revision < 0 {
+		return nil, ErrRevisionGone
+	}
+	tree := s.tree
+	for i := len(s.entries) - 1; i >= 0 && s.entries[i].Revision > revision; i-- {
+		var err error
+		if tree, err = tree.Apply(Edit{Changes: s.entries[i].Undo}); err != nil {
+			return nil, err
+		}
+	}
+	return tree, nil
+}
+
 // Initialize stores the first tree of a new history as revision 1. It returns
 // ErrExists, and the stamp found, when there is a tree already.
 func (s *Store) Initialize(ctx context.Context, tree *Tree, author string) (Stamp, error) {
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -55,6 +55,14 @@
 	if err != nil || len(events) != 1 || events[0].Edit.ID != "e1" {
 		t.Fatalf("watched %+v: %v", events, err)
 	}
+	for revision, want := range map[int64]uint64{0: Empty().Digest(), 1: tree.Digest(), 2: entry.Digest} {
+		if old, err := store.TreeAt(ctx, revision); err != nil || old.Digest() != want {
+			t.Errorf("tree at %d: %v", revision, err)
+		}
+	}
+	if _, err := store.TreeAt(ctx, 3); !errors.Is(err, ErrRevisionGone) {
+		t.Errorf("tree at a revision to come: %v", err)
+	}
 	replayed, err := tree.Apply(events[0].Edit)
 	if err != nil || replayed.Digest() != entry.Digest {
 		t.Fatalf("replay gives another tree: %v", err)
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -85,6 +85,23 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "unfitting", []byte(err.Error()+"\n"))
 }
 
+func TestTreesAreReadFromSeveralFiles(t *testing.T) {
+	files := []File{
+		{Name: "base.yaml", Data: []byte("children: {dental: {kind: team, children: {base: {kind: model}}}}")},
+		{Name: "letters.yaml", Data: []byte("children: {dental: {priority: 2, children: {letters: {kind: adapter, base: base}}}}")},
+	}
+	tree, err := ParseYAMLFiles(files)
+	if err != nil || tree.Len() != 4 || tree.Level("/dental").Values["priority"] != "2" {
+		t.Fatalf("read %v: %v", tree, err)
+	}
+	files = append(files, File{Name: "more.yaml", Data: []byte("children:\n  dental:\n    kind: service\n    priority: 3\n  claims: {}\n")})
+	_, err = ParseYAMLFiles(files)
+	if err == nil {
+		t.Fatal("files that contradict each other were accepted")
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "files", []byte(err.Error()+"\n"))
+}
+
 func TestKeysOfNewerVersionsAreKeptButNotTakenFromOperators(t *testing.T) {
 	data := []byte(`{"levels":[{"path":"/","kind":"organization","values":{"future_key":{"b":1,"a":[2]}}},{"path":"/x","kind":"galaxy"}]}`)
 	tree, err := DecodeTree(data)
--- a/settings/yaml.go
+++ b/settings/yaml.go
@@ -1,8 +1,11 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -19,29 +22,36 @@
 // maxDepth bounds how deep a YAML tree may nest.
 const maxDepth = 32
 
+// File is one YAML document of a tree that is written in several.
+type File struct {
+	// Name for error messages.
+	Name string
+	Data []byte
+}
+
 // ParseYAML reads a whole tree from one YAML document and checks it strictly.
 // A level is a mapping of policy keys, `kind`, `tokens` and `children`, the
 // levels below by name; the document is the root. The error is a
 // ValidationErrors with path, key, line and reason of everything that is wrong.
-func ParseYAML(data []byte) (*Tree, error) {
-	decoder := yaml.NewDecoder(strings.NewReader(string(data)))
-	var top yaml.Node
-	if err := decoder.Decode(&top); errors.Is(err, io.EOF) {
-		return Empty(), nil
-	} else if err != nil {
-		return nil, ValidationErrors{{Path: RootPath, Reason: yamlReason(err)}}
-	}
-	reader := &yamlReader{}
-	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
-		reader.fail(nil, RootPath, "", "the tree is one YAML document; a second one begins")
+func ParseYAML(data []byte) (*Tree, error) { return ParseYAMLFiles([]File{{Data: data}}) }
+
+// ParseYAMLFiles reads a tree whose levels are spread over several documents,
+// each beginning at the root. A level may appear in many; its kind, and each
+// key, is given in one or alike, and it has tokens in one at most.
+func ParseYAMLFiles(files []File) (*Tree, error) {
+	reader := &yamlReader{levels: map[string]*Level{}, places: map[place]location{}}
+	reader.add(RootPath, nil).Kind = KindOrganization
+	for _, file := range files {
+		reader.file = file.Name
+		reader.document(file.Data)
 	}
-	reader.level(RootPath, top.Content[0], 0)
+	reader.checkKinds()
 	if err := reader.problems.orNil(); err != nil {
 		return nil, err
 	}
-	tree := fromLevels(reader.levels)
+	tree := fromLevels(slices.Collect(maps.Values(reader.levels)))
 	if _, err := tree.Compile(Stamp{}); err != nil {
-		return nil, reader.withLines(err)
+		return nil, reader.withLocations(err)
 	}
 	return tree, nil
 }
@@ -49,41 +59,105 @@
 // yamlReason shortens the library's message.
 func yamlReason(err error) string { return strings.TrimPrefix(err.Error(), "yaml: ") }
 
-// yamlReader walks one document.
+// place is a key of a level, or the level itself with an empty key.
+type place struct{ path, key string }
+
+// location is where a place was read.
+type location struct {
+	file string
+	line int
+}
+
+// yamlReader walks the documents of one tree.
 type yamlReader struct {
-	levels   []*Level
+	// file being read.
+	file     string
+	levels   map[string]*Level
+	places   map[place]location
 	problems ValidationErrors
-	// lines gives the line of each key read, by path and key.
-	lines map[[2]string]int
 }
 
-func (r *yamlReader) fail(at *yaml.Node, path, key, format string, arguments ...any) {
-	r.problems.add(path, key, format, arguments...)
-	if at != nil {
-		r.problems[len(r.problems)-1].Line = at.Line
+// document reads one document.
+func (r *yamlReader) document(data []byte) {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	var top yaml.Node
+	if err := decoder.Decode(&top); errors.Is(err, io.EOF) {
+		return
+	} else if err != nil {
+		r.fail(nil, RootPath, "", "%s", yamlReason(err))
+		return
+	}
+	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		r.fail(nil, RootPath, "", "a file holds one YAML document; a second one begins")
 	}
+	r.level(RootPath, top.Content[0], 0)
 }
 
-// withLines adds the lines at which the named keys stand.
-func (r *yamlReader) withLines(err error) error {
+// add returns the level at path, a new one when it was not read before.
+func (r *yamlReader) add(path string, node *yaml.Node) *Level {
+	level := r.levels[path]
+	if level == nil {
+		level = &Level{Path: path, Values: map[string]Value{}}
+		r.levels[path] = level
+		r.remember(path, "", node)
+	}
+	return level
+}
+
+// checkKinds checks that every level was given a kind.
+func (r *yamlReader) checkKinds() {
+	for path, level := range r.levels {
+		level.normaliseForm()
+		if level.Kind == "" {
+			r.problems = append(r.problems, r.locate(&ValidationError{Path: path, Key: fieldKind,
+				Reason: "a level wants a kind: organization, team, service, model or adapter"}))
+		}
+	}
+}
+
+// locate adds where the named key, or else its level, was read.
+func (r *yamlReader) locate(problem *ValidationError) *ValidationError {
+	at, known := r.places[place{problem.Path, problem.Key}]
+	if !known {
+		at = r.places[place{problem.Path, ""}]
+	}
+	problem.File, problem.Line = at.file, at.line
+	return problem
+}
+
+// withLocations adds the files and lines at which the named keys stand.
+func (r *yamlReader) withLocations(err error) error {
 	var problems ValidationErrors
 	if !errors.As(err, &problems) {
 		return err
 	}
 	for _, problem := range problems {
-		problem.Line = r.lines[[2]string{problem.Path, problem.Key}]
-		if problem.Line == 0 {
-			problem.Line = r.lines[[2]string{problem.Path, ""}]
-		}
+		r.locate(problem)
 	}
 	return problems.orNil()
 }
 
-func (r *yamlReader) remember(path, key string, at *yaml.Node) {
-	if r.lines == nil {
-		r.lines = map[[2]string]int{}
+func (r *yamlReader) fail(at *yaml.Node, path, key, format string, arguments ...any) {
+	r.problems.add(path, key, format, arguments...)
+	problem := r.problems[len(r.problems)-1]
+	problem.File = r.file
+	if at != nil {
+		problem.Line = at.Line
+	}
+}
+
+// remember notes where a key of a level was read first. It reports whether the
+// key was read before in another file, which it names.
+func (r *yamlReader) remember(path, key string, at *yaml.Node) (file string, again bool) {
+	if earlier, known := r.places[place{path, key}]; known {
+		return earlier.file, earlier.file != r.file
+	}
+	read := location{file: r.file}
+	if at != nil {
+		read.line = at.Line
 	}
-	r.lines[[2]string{path, key}] = at.Line
+	r.places[place{path, key}] = read
+	return "", false
 }
 
 // mapping calls visit for each key of a mapping, after checking its form.
@@ -112,40 +186,37 @@
 
 // level reads one level and all below it.
 func (r *yamlReader) level(path string, node *yaml.Node, depth int) {
-	level := &Level{Path: path, Values: map[string]Value{}}
-	if path == RootPath {
-		level.Kind = KindOrganization
-	}
 	if depth > maxDepth {
 		r.fail(node, path, "", "the tree is nested deeper than %d levels", maxDepth)
 		return
 	}
-	r.levels = append(r.levels, level)
-	r.remember(path, "", node)
+	level := r.add(path, node)
 	r.mapping(path, node, func(key, value *yaml.Node) {
-		r.remember(path, key.Value, key)
-		switch key.Value {
-		case fieldKind:
+		file, again := r.remember(path, key.Value, key)
+		switch {
+		case key.Value == fieldChildren:
+			r.children(path, value, depth)
+		case key.Value == fieldKind:
 			r.kind(level, value)
-		case fieldTokens:
+		case again:
+			r.fail(key, path, key.Value, "the key is also given in %s", file)
+		case key.Value == fieldTokens:
 			r.tokens(level, value)
-		case fieldChildren:
-			r.children(path, value, depth)
 		default:
 			r.value(level, key, value)
 		}
 	})
-	if level.Kind == "" {
-		r.fail(node, path, fieldKind, "a level wants a kind: organization, team, service, model or adapter")
-	}
-	level.normaliseForm()
 }
 
 func (r *yamlReader) kind(level *Level, value *yaml.Node) {
-	level.Kind = Kind(value.Value)
-	if value.Kind != yaml.ScalarNode || !knownKind(level.Kind) {
+	kind := Kind(value.Value)
+	switch {
+	case value.Kind != yaml.ScalarNode || !knownKind(kind):
 		r.fail(value, level.Path, fieldKind, "wants organization, team, service, model or adapter, got %q", value.Value)
+	case level.Kind != "" && level.Kind != kind:
+		r.fail(value, level.Path, fieldKind, "the level is already %s", article(level.Kind))
 	}
+	level.Kind = kind
 }
 
 func (r *yamlReader) children(path string, node *yaml.Node, depth int) {
