Add the simulation kernel, network, weight store, engines and a cell for planners

Cause: experiments and fault tests need whole deployments on a virtual clock. Change: an event loop on container/heap with seeded streams by purpose and an event log hash; models of the network, the weight store and engines; a cell that drives one planner without faults.

--- /dev/null
+++ b/simulation/cache.go
@@ -0,0 +1,174 @@
+package simulation
+
+import "github.com/valveslip/valveslip/cluster"
+
+// checkpointCache models the disk and host memory of one machine, each with
+// eviction of the least recently used checkpoint.
+type checkpointCache struct {
+	disk, host *lru
+	// fastest is the last answer of tiers; nil after a change.
+	fastest map[cluster.ModelID]cluster.Tier
+}
+
+// newCheckpointCache returns empty caches of the given sizes in bytes.
+func newCheckpointCache(diskBytes, hostBytes int64) *checkpointCache {
+	return &checkpointCache{disk: newLRU(diskBytes), host: newLRU(hostBytes)}
+}
+
+// add puts a checkpoint into tier and, from memory, into disk too.
+func (c *checkpointCache) add(model cluster.ModelID, bytes int64, tier cluster.Tier) {
+	c.fastest = nil
+	if tier == cluster.TierMemory {
+		c.host.add(model, bytes)
+	}
+	if tier != cluster.TierRemote {
+		c.disk.add(model, bytes)
+	}
+}
+
+// tier returns the fastest tier that holds the checkpoint.
+func (c *checkpointCache) tier(model cluster.ModelID) cluster.Tier {
+	switch {
+	case c.host.has(model):
+		return cluster.TierMemory
+	case c.disk.has(model):
+		return cluster.TierDisk
+	default:
+		return cluster.TierRemote
+	}
+}
+
+// tiers returns the fastest tier of every cached checkpoint. The map is shared
+// until the next change and must not be written.
+func (c *checkpointCache) tiers() map[cluster.ModelID]cluster.Tier {
+	if c.fastest != nil {
+		return c.fastest
+	}
+	tiers := make(map[cluster.ModelID]cluster.Tier, len(c.disk.order))
+	for _, entry := range c.disk.order {
+		tiers[entry.model] = cluster.TierDisk
+	}
+	for _, entry := range c.host.order {
+		tiers[entry.model] = cluster.TierMemory
+	}
+	c.fastest = tiers
+	return tiers
+}
+
+// dropMemory forgets what host memory held.
+func (c *checkpointCache) dropMemory() {
+	c.host = newLRU(c.host.limit)
+	c.fastest = nil
+}
+
+// lru holds models up to a size in bytes, least recently used first.
+type lru struct {
+	limit, used int64
+	order       []lruEntry
+}
+
+// lruEntry is one model with its size.
+type lruEntry struct {
+	model cluster.ModelID
+	bytes int64
+}
+
+// newLRU returns an empty cache.
+func newLRU(limit int64) *lru { return &lru{limit: limit} }
+
+// has reports whether the model is held.
+func (c *lru) has(model cluster.ModelID) bool {
+	for i := range c.order {
+		if c.order[i].model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// add makes the model the most recent and evicts the oldest ones above limit.
+func (c *lru) add(model cluster.ModelID, bytes int64) {
+	if bytes > c.limit {
+		return
+	}
+	for i := range c.order {
+		if c.order[i].model == model {
+			entry := c.order[i]
+			c.order = append(append(c.order[:i], c.order[i+1:]...), entry)
+			return
+		}
+	}
+	c.order = append(c.order, lruEntry{model: model, bytes: bytes})
+	c.used += bytes
+	for c.used > c.limit {
+		c.used -= c.order[0].bytes
+		c.order = c.order[1:]
+	}
+}
+
+// prefixCacheBlocks bounds the prompt prefix blocks an engine keeps.
+const prefixCacheBlocks = 4096
+
+// prefixCache holds hashes of prompt prefix blocks, oldest evicted first.
+type prefixCache struct {
+	limit int
+	held  map[uint64]bool
+	order []uint64
+	// sequence numbers the published events.
+	sequence uint64
+	events   []cluster.CacheEvent
+}
+
+// newPrefixCache returns an empty cache of limit blocks.
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, held: map[uint64]bool{}}
+}
+
+// match returns how many leading blocks are held.
+func (c *prefixCache) match(prefixes []uint64) int {
+	for i, hash := range prefixes {
+		if !c.held[hash] {
+			return i
+		}
+	}
+	return len(prefixes)
+}
+
+// add holds the blocks and publishes events; the caller drops some of them.
+func (c *prefixCache) add(machine cluster.MachineID, model cluster.ModelID, prefixes []uint64) {
+	for _, hash := range prefixes {
+		if c.held[hash] {
+			continue
+		}
+		c.held[hash] = true
+		c.order = append(c.order, hash)
+		c.publish(cluster.CacheEvent{Machine: machine, Model: model, PrefixHash: hash})
+	}
+	for len(c.order) > c.limit {
+		delete(c.held, c.order[0])
+		c.publish(cluster.CacheEvent{Machine: machine, Model: model, PrefixHash: c.order[0], Evicted: true})
+		c.order = c.order[1:]
+	}
+}
+
+// publish numbers an event and keeps the newest ones.
+func (c *prefixCache) publish(event cluster.CacheEvent) {
+	const kept = 512
+	c.sequence++
+	event.Sequence = c.sequence
+	c.events = append(c.events, event)
+	if len(c.events) > kept {
+		c.events = append([]cluster.CacheEvent(nil), c.events[len(c.events)-kept:]...)
+	}
+}
+
+// after returns the events with a larger sequence.
+func (c *prefixCache) after(sequence uint64) []cluster.CacheEvent {
+	var newer []cluster.CacheEvent
+	for _, event := range c.events {
+		if event.Sequence > sequence {
+			newer = append(newer, event)
+		}
+	}
+	return newer
+}
--- /dev/null
+++ b/simulation/engine.go
@@ -0,0 +1,317 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// EngineConfig describes one class of machines and its engine.
+type EngineConfig struct {
+	Pool         string
+	MemoryBytes  int64
+	Accelerators int
+	// Slots is how many requests run at once.
+	Slots int
+	// DiskBytes and HostBytes bound the checkpoint caches.
+	DiskBytes, HostBytes int64
+	// RemoteRate, DiskRate and HostRate are bytes a second of one load by tier.
+	RemoteRate, DiskRate, HostRate float64
+	// LoadOverhead is added to every load.
+	LoadOverhead time.Duration
+	// PrefillRate is prompt tokens a second.
+	PrefillRate float64
+	// TokenTime is the time between tokens with one request; TokenTimeSlope is
+	// added for each further request in the batch.
+	TokenTime, TokenTimeSlope time.Duration
+	// RestartTime is how long a crashed engine needs to answer again.
+	RestartTime time.Duration
+}
+
+// replica is the engine's true state of one model.
+type replica struct {
+	cluster.Replica
+	base    cluster.ModelID
+	running int
+	fetch   *Fetch
+	timer   Timer
+	// drainEnd bounds an unload; zero unless unloading.
+	drainEnd Timer
+	waitBase bool
+}
+
+// Engine is the model of one machine with its engine: fenced orders, memory,
+// checkpoint caches and continuous batching.
+type Engine struct {
+	kernel  *Kernel
+	store   *WeightStore
+	random  *rand.Rand
+	Config  EngineConfig
+	Machine cluster.Machine
+
+	Alive    bool
+	Leaving  bool
+	epoch    uint64
+	token    cluster.FencingToken
+	sequence uint64
+	replicas map[cluster.ModelID]*replica
+	cache    *checkpointCache
+	prefixes *prefixCache
+	orders   map[string]bool
+	attempts map[attemptKey]*attempt
+	observer EngineObserver
+}
+
+// EngineObserver sees the true changes of an engine.
+type EngineObserver interface {
+	// ReplicaChanged is called before the state of a replica changes.
+	ReplicaChanged(machine *Engine, model cluster.ModelID, next cluster.ReplicaState)
+	// RunningChanged is called before the number of running requests changes.
+	RunningChanged(machine *Engine, model cluster.ModelID, running int)
+	// Executed is called when an engine begins to execute a request.
+	Executed(machine *Engine, run Run)
+}
+
+// NewEngine returns a live engine without replicas.
+func NewEngine(kernel *Kernel, store *WeightStore, machine cluster.Machine, config EngineConfig, observer EngineObserver) *Engine {
+	return &Engine{
+		kernel: kernel, store: store, Config: config, Machine: machine, Alive: true, epoch: 1,
+		random:   kernel.Stream("engine/" + string(machine.ID)),
+		replicas: map[cluster.ModelID]*replica{},
+		cache:    newCheckpointCache(config.DiskBytes, config.HostBytes),
+		prefixes: newPrefixCache(prefixCacheBlocks),
+		orders:   map[string]bool{}, attempts: map[attemptKey]*attempt{}, observer: observer,
+	}
+}
+
+// Seal raises the engine's token and answers its inventory.
+func (e *Engine) Seal(token cluster.FencingToken) (cluster.Inventory, error) {
+	if token < e.token {
+		return cluster.Inventory{}, &engine.StaleTokenError{Held: e.token}
+	}
+	if token > e.token {
+		e.token = token
+		e.sequence++
+	}
+	return e.Inventory(), nil
+}
+
+// Inventory returns the engine's account of itself.
+func (e *Engine) Inventory() cluster.Inventory {
+	inventory := cluster.Inventory{
+		Machine: e.Machine.ID, Token: e.token, Sequence: e.sequence, Epoch: e.epoch,
+		MemoryBytes: e.Config.MemoryBytes, Accelerators: e.Config.Accelerators, Slots: e.Config.Slots,
+		Pool: e.Config.Pool, Leaving: e.Leaving, Cached: e.cache.tiers(),
+	}
+	for _, model := range e.models() {
+		inventory.Replicas = append(inventory.Replicas, e.replicas[model].Replica)
+	}
+	return inventory
+}
+
+// Models returns the models that are not absent, sorted.
+func (e *Engine) models() []cluster.ModelID {
+	models := make([]cluster.ModelID, 0, len(e.replicas))
+	for model := range e.replicas {
+		models = append(models, model)
+	}
+	sort.Slice(models, func(i, j int) bool { return models[i] < models[j] })
+	return models
+}
+
+// UsedBytes is the true memory in use.
+func (e *Engine) UsedBytes() int64 {
+	var used int64
+	for _, held := range e.replicas {
+		used += held.Bytes
+	}
+	return used
+}
+
+// State returns the state of a model's replica.
+func (e *Engine) State(model cluster.ModelID) cluster.ReplicaState {
+	if held, ok := e.replicas[model]; ok {
+		return held.State
+	}
+	return cluster.ReplicaAbsent
+}
+
+// Tier returns the fastest tier of the model's checkpoint here.
+func (e *Engine) Tier(model cluster.ModelID) cluster.Tier { return e.cache.tier(model) }
+
+// Preload puts a checkpoint into the cache tiers before a run begins.
+func (e *Engine) Preload(model cluster.ModelID, bytes int64, tier cluster.Tier) {
+	e.cache.add(model, bytes, tier)
+}
+
+// Report returns the present load; the caller models its lag.
+func (e *Engine) Report() cluster.LoadReport {
+	report := cluster.LoadReport{Machine: e.Machine.ID, At: e.kernel.Now(), PerModel: map[cluster.ModelID]int{}}
+	for model, held := range e.replicas {
+		if held.running > 0 {
+			report.PerModel[model] = held.running
+			report.Running += held.running
+		}
+	}
+	report.TokensPerSecond = float64(report.Running) / e.interval(report.Running).Seconds()
+	return report
+}
+
+// Order applies a fenced order once.
+func (e *Engine) Order(order cluster.Order) (cluster.Inventory, error) {
+	if order.Token < e.token {
+		return cluster.Inventory{}, &engine.StaleTokenError{Held: e.token}
+	}
+	e.token = order.Token
+	if e.orders[order.ID] {
+		return e.Inventory(), nil
+	}
+	e.orders[order.ID] = true
+	switch order.Kind {
+	case cluster.OrderLoad:
+		if err := e.load(order); err != nil {
+			return cluster.Inventory{}, err
+		}
+	case cluster.OrderUnload:
+		e.unload(order)
+	case cluster.OrderSetPool:
+		e.Config.Pool = order.Pool
+		e.sequence++
+	}
+	return e.Inventory(), nil
+}
+
+// load begins to load a model. The engine trusts the order's bytes, so a
+// controller that overcommits memory is seen by the checkers.
+func (e *Engine) load(order cluster.Order) error {
+	if held, ok := e.replicas[order.Model]; ok && held.State != cluster.ReplicaAbsent {
+		return nil
+	}
+	if order.Base != "" {
+		if _, ok := e.replicas[order.Base]; !ok {
+			return verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "base model is not on this machine")
+		}
+	}
+	loading := &replica{base: order.Base}
+	loading.Replica = cluster.Replica{Model: order.Model, Version: order.Version, Bytes: order.Bytes}
+	e.replicas[order.Model] = loading
+	e.setState(loading, cluster.ReplicaLoading)
+	tier := e.cache.tier(order.Model)
+	if tier == cluster.TierRemote {
+		work := transferTime(order.Bytes, e.Config.RemoteRate)
+		loading.fetch = e.store.Start(work, func() {
+			e.cache.add(order.Model, order.Bytes, cluster.TierDisk)
+			loading.timer = e.kernel.After(e.Config.LoadOverhead, LabelLoadDone, func() { e.loaded(loading) })
+		})
+		return nil
+	}
+	rate := e.Config.DiskRate
+	if tier == cluster.TierMemory {
+		rate = e.Config.HostRate
+	}
+	wait := e.Config.LoadOverhead + transferTime(order.Bytes, rate)
+	loading.timer = e.kernel.After(wait, LabelLoadDone, func() { e.loaded(loading) })
+	return nil
+}
+
+// loaded ends a load, or lets an adapter wait for its base model.
+func (e *Engine) loaded(loading *replica) {
+	if e.replicas[loading.Model] != loading || loading.State != cluster.ReplicaLoading {
+		return
+	}
+	if loading.base != "" && e.State(loading.base) == cluster.ReplicaLoading {
+		loading.waitBase = true
+		return
+	}
+	e.cache.add(loading.Model, loading.Bytes, cluster.TierMemory)
+	e.setState(loading, cluster.ReplicaLoaded)
+	for _, model := range e.models() {
+		waiting := e.replicas[model]
+		if waiting.waitBase && waiting.base == loading.Model {
+			waiting.waitBase = false
+			e.loaded(waiting)
+		}
+	}
+}
+
+// unload lets a replica finish its requests for the drain time at most.
+func (e *Engine) unload(order cluster.Order) {
+	held, ok := e.replicas[order.Model]
+	if !ok || held.State == cluster.ReplicaUnloading {
+		return
+	}
+	held.timer.Cancel()
+	if held.fetch != nil {
+		e.store.Cancel(held.fetch)
+	}
+	e.setState(held, cluster.ReplicaUnloading)
+	held.drainEnd = e.kernel.After(order.DrainTime, LabelUnloadDone, func() { e.absent(held) })
+	if held.running == 0 {
+		held.drainEnd.Cancel()
+		e.kernel.After(unloadTime, LabelUnloadDone, func() { e.absent(held) })
+	}
+}
+
+// absent frees the memory of a replica and cuts what still runs on it.
+func (e *Engine) absent(held *replica) {
+	if e.replicas[held.Model] != held {
+		return
+	}
+	e.cutModel(held.Model)
+	e.setState(held, cluster.ReplicaAbsent)
+	delete(e.replicas, held.Model)
+}
+
+// setState changes a replica's state and tells the observer first.
+func (e *Engine) setState(held *replica, state cluster.ReplicaState) {
+	e.observer.ReplicaChanged(e, held.Model, state)
+	held.State = state
+	held.Since = e.kernel.Now()
+	e.sequence++
+}
+
+// Crash ends the engine process: replicas and requests are gone, the disk
+// cache stays.
+func (e *Engine) Crash() {
+	if !e.Alive {
+		return
+	}
+	e.Alive = false
+	for _, key := range e.attemptKeys() {
+		e.cut(e.attempts[key])
+	}
+	for _, model := range e.models() {
+		held := e.replicas[model]
+		held.timer.Cancel()
+		held.drainEnd.Cancel()
+		e.store.Cancel(held.fetch)
+		e.setState(held, cluster.ReplicaAbsent)
+		delete(e.replicas, model)
+	}
+	e.cache.dropMemory()
+	e.prefixes = newPrefixCache(prefixCacheBlocks)
+}
+
+// Restart begins a new run of the engine process; it keeps no token.
+func (e *Engine) Restart() {
+	if e.Alive {
+		return
+	}
+	e.Alive = true
+	e.epoch++
+	e.sequence = 0
+	e.token = 0
+	e.orders = map[string]bool{}
+}
+
+// transferTime is the time to move bytes at a rate in bytes a second.
+func transferTime(bytes int64, rate float64) time.Duration {
+	return time.Duration(float64(bytes) / rate * float64(time.Second))
+}
+
+// unloadTime frees a replica's memory.
+const unloadTime = 200 * time.Millisecond
