--- a/simulation/cell.go
+++ b/simulation/cell.go
@@ -112,6 +112,9 @@
 	engines := map[cluster.MachineID]*Engine{}
 	for _, machine := range config.Deployment.Machines {
 		added := NewEngine(kernel, cell.Store, machine.Machine, machine.Engine, cell)
+		if _, err := added.Seal(1); err != nil {
+			panic(err) // a fresh engine holds no token
+		}
 		cell.engines = append(cell.engines, added)
 		engines[machine.Machine.ID] = added
 	}
--- a/simulation/cellplan.go
+++ b/simulation/cellplan.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/placement"
@@ -42,7 +41,7 @@
 		}
 		// A refused order shows in the next state, as it does to a controller.
 		_, _ = machine.Order(cluster.Order{
-			ID: strconv.Itoa(c.orders), Token: 1, Machine: action.Machine, Kind: action.Kind,
+			ID: strconv.Itoa(c.orders), Token: 1, Epoch: machine.epoch, Machine: action.Machine, Kind: action.Kind,
 			Model: action.Model, Base: action.Base, Version: action.Version, Bytes: action.Bytes,
 			Pool: action.Pool, DrainTime: action.DrainTime,
 		})
@@ -109,6 +108,3 @@
 
 // RunningOn returns how many requests run on the machine.
 func (e *Engine) RunningOn() int { return len(e.attempts) }
-
-// defaultWakeInterval matches the real node's tick.
-const defaultWakeInterval = 100 * time.Millisecond
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -64,6 +64,8 @@
 	orders   map[string]bool
 	attempts map[attemptKey]*attempt
 	observer EngineObserver
+	// report is what the engine last published.
+	report cluster.LoadReport
 }
 
 // EngineObserver sees the true changes of an engine.
@@ -148,8 +150,19 @@
 	e.cache.add(model, bytes, tier)
 }
 
-// Report returns the present load; the caller models its lag.
+// reportInterval is how often an engine renews its published load.
+const reportInterval = time.Second
+
+// Report returns the published load, which lags the true one.
 func (e *Engine) Report() cluster.LoadReport {
+	if e.report.At.IsZero() || e.kernel.Now().Sub(e.report.At) >= reportInterval {
+		e.report = e.measure()
+	}
+	return e.report
+}
+
+// measure returns the present load.
+func (e *Engine) measure() cluster.LoadReport {
 	report := cluster.LoadReport{Machine: e.Machine.ID, At: e.kernel.Now(), PerModel: map[cluster.ModelID]int{}}
 	for model, held := range e.replicas {
 		if held.running > 0 {
@@ -161,12 +174,12 @@
 	return report
 }
 
-// Order applies a fenced order once.
+// Order applies a fenced order once. It takes only orders for this run of the
+// engine under the token it was last sealed with.
 func (e *Engine) Order(order cluster.Order) (cluster.Inventory, error) {
-	if order.Token < e.token {
+	if order.Token != e.token || order.Epoch != e.epoch {
 		return cluster.Inventory{}, &engine.StaleTokenError{Held: e.token}
 	}
-	e.token = order.Token
 	if e.orders[order.ID] {
 		return e.Inventory(), nil
 	}
@@ -294,6 +307,7 @@
 	}
 	e.cache.dropMemory()
 	e.prefixes = newPrefixCache(prefixCacheBlocks)
+	e.report = cluster.LoadReport{}
 }
 
 // Restart begins a new run of the engine process; it keeps no token.
--- /dev/null
+++ b/simulation/keyvalue.go
@@ -0,0 +1,236 @@
+package simulation
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/standin/keyvalue"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// callTimeout is how long a process waits for the platform or an engine.
+const callTimeout = 2 * time.Second
+
+// errWatchBroken ends watches.
+var errWatchBroken = errors.New("watch broken")
+
+// KeyValueCounts counts the use of the key-value service.
+type KeyValueCounts struct {
+	Reads, Writes, Grants, KeepAlives, Watches, WatchBatches, Refused, Lost uint64
+	// BytesIn and BytesOut count keys and values.
+	BytesIn, BytesOut uint64
+}
+
+// KeyValue is the model of the key-value service.
+type KeyValue struct {
+	kernel  *Kernel
+	network *Network
+	random  *rand.Rand
+	place   Place
+	state   *keyvalue.State
+	delay   time.Duration
+	watches []*watch
+	// Down refuses every call; SlowFactor multiplies the delay; LostAnswers is
+	// the probability that an answer is lost after the effect.
+	Down        bool
+	SlowFactor  float64
+	LostAnswers float64
+	Counts      KeyValueCounts
+}
+
+// watch is one node's stream of changes.
+type watch struct {
+	owner   *Node
+	run     int
+	id      uint64
+	prefix  string
+	next    int64
+	arrives time.Time
+	ended   bool
+}
+
+// newKeyValue returns a healthy, empty service.
+func newKeyValue(kernel *Kernel, network *Network, place Place, deployment Deployment) *KeyValue {
+	limit := keyvalue.Config{RequestsPerSecond: deployment.KeyValueRate, Burst: int(deployment.KeyValueRate)}
+	service := &KeyValue{
+		kernel: kernel, network: network, random: kernel.Stream("key-value"), place: place,
+		state: keyvalue.NewState(limit), delay: deployment.KeyValueDelay, SlowFactor: 1,
+	}
+	const expiryInterval = 250 * time.Millisecond
+	kernel.Every(expiryInterval, expiryInterval, LabelLeaseEnd, func() bool {
+		service.expire()
+		return true
+	})
+	return service
+}
+
+// State is the service's content.
+func (s *KeyValue) State() *keyvalue.State { return s.state }
+
+// SetDown begins or ends an outage; its beginning breaks every watch.
+func (s *KeyValue) SetDown(down bool) {
+	s.Down = down
+	if !down {
+		return
+	}
+	for _, open := range s.watches {
+		s.breakWatch(open, 0)
+	}
+	s.watches = nil
+}
+
+// Call carries out a node's call.
+func (s *KeyValue) Call(from *Node, call node.KeyValueCall) {
+	run := from.run
+	answer := func(after time.Duration, event node.Event) {
+		s.kernel.After(after, LabelKeyValueAnswer, func() { from.deliverTo(run, event) })
+	}
+	fail := func(after time.Duration, v verdict.Verdict) {
+		err := verdict.New(v, verdict.CodeUnavailable, "key-value service unavailable")
+		answer(after, node.KeyValueAnswered{ID: call.ID, Err: err})
+	}
+	if !s.network.Reachable(from.Place, s.place) {
+		fail(callTimeout, verdict.MayHaveRun)
+		return
+	}
+	there := s.network.Delay(from.Place, s.place)
+	s.kernel.After(there, LabelKeyValueCall, func() {
+		if s.Down || !s.state.Allow(s.kernel.Now()) {
+			s.Counts.Refused++
+			fail(there, verdict.NotRun)
+			return
+		}
+		if call.Operation == node.KeyValueWatch {
+			s.open(from, run, call)
+			return
+		}
+		event := s.apply(call)
+		lost := s.random.Float64() < s.LostAnswers || !s.network.Reachable(s.place, from.Place)
+		back := time.Duration(float64(s.delay)*s.SlowFactor) + there
+		if lost || back > callTimeout {
+			s.Counts.Lost++
+			fail(callTimeout, verdict.MayHaveRun)
+			return
+		}
+		answer(back, event)
+	})
+}
+
+// apply executes a call other than a watch.
+func (s *KeyValue) apply(call node.KeyValueCall) node.KeyValueAnswered {
+	now := s.kernel.Now()
+	answered := node.KeyValueAnswered{ID: call.ID}
+	var err error
+	switch call.Operation {
+	case node.KeyValueRange:
+		s.Counts.Reads++
+		answered.Pairs, answered.Revision = s.state.Range(now, call.Prefix)
+		for _, pair := range answered.Pairs {
+			s.Counts.BytesOut += uint64(len(pair.Key) + len(pair.Value))
+		}
+	case node.KeyValueTxn:
+		s.Counts.Writes++
+		for _, operation := range call.Txn.Operations {
+			s.Counts.BytesIn += uint64(len(operation.Key) + len(operation.Value))
+		}
+		answered.Txn, err = s.state.Txn(now, call.Txn)
+		answered.Revision = answered.Txn.Revision
+	case node.KeyValueGrant:
+		s.Counts.Grants++
+		answered.Lease, answered.TTL = s.state.Grant(now, call.TTL), call.TTL
+	case node.KeyValueKeepAlive:
+		s.Counts.KeepAlives++
+		answered.Lease = call.Lease
+		answered.TTL, err = s.state.KeepAlive(now, call.Lease)
+	case node.KeyValueRevoke:
+		s.Counts.Writes++
+		err = s.state.Revoke(now, call.Lease)
+	}
+	if err != nil {
+		answered.Err = verdict.Wrap(err, verdict.NotRun, verdict.CodeConflict, "refused")
+	}
+	s.publish()
+	return answered
+}
+
+// expire ends leases whose time is over.
+func (s *KeyValue) expire() {
+	before := s.state.Revision()
+	s.state.Expire(s.kernel.Now())
+	if s.state.Revision() != before {
+		s.publish()
+	}
+}
+
+// open begins a watch and replaces an earlier one of the same node.
+func (s *KeyValue) open(from *Node, run int, call node.KeyValueCall) {
+	s.Counts.Watches++
+	for _, older := range s.watches {
+		if older.owner == from {
+			older.ended = true
+		}
+	}
+	s.watches = append(s.watches, &watch{owner: from, run: run, id: call.ID, prefix: call.Prefix, next: call.StartRevision})
+	s.publish()
+}
+
+// publish sends every watch what it has not seen.
+func (s *KeyValue) publish() {
+	open := s.watches[:0]
+	for _, current := range s.watches {
+		if current.ended || current.run != current.owner.run || !current.owner.alive {
+			continue
+		}
+		s.send(current)
+		if !current.ended {
+			open = append(open, current)
+		}
+	}
+	s.watches = open
+}
+
+// send delivers the unseen changes of one watch, in order.
+func (s *KeyValue) send(open *watch) {
+	if open.next > s.state.Revision() {
+		return
+	}
+	if !s.network.Reachable(s.place, open.owner.Place) {
+		s.breakWatch(open, callTimeout)
+		return
+	}
+	batch := s.state.EventsSince(s.kernel.Now(), open.prefix, open.next)
+	open.next = batch.Revision + 1
+	if len(batch.Events) == 0 && !batch.Compacted {
+		return
+	}
+	s.Counts.WatchBatches++
+	for _, event := range batch.Events {
+		s.Counts.BytesOut += uint64(len(event.KeyValue.Key) + len(event.KeyValue.Value))
+	}
+	arrives := s.kernel.Now().Add(s.network.Delay(s.place, open.owner.Place))
+	if arrives.Before(open.arrives) {
+		arrives = open.arrives
+	}
+	open.arrives = arrives
+	s.kernel.At(arrives, LabelWatch, func() {
+		open.owner.deliverTo(open.run, node.WatchDelivered{ID: open.id, Batch: batch})
+	})
+	open.ended = batch.Compacted
+}
+
+// breakWatch ends a watch and tells its node later.
+func (s *KeyValue) breakWatch(open *watch, after time.Duration) {
+	open.ended = true
+	s.kernel.After(after, LabelWatch, func() {
+		open.owner.deliverTo(open.run, node.WatchEnded{ID: open.id, Err: errWatchBroken})
+	})
+}
+
+// snapshot returns the stored pairs below a prefix.
+func (s *KeyValue) snapshot(prefix string) []kv.KeyValue {
+	pairs, _ := s.state.Range(s.kernel.Now(), prefix)
+	return pairs
+}
