--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -19,8 +19,9 @@
 	Slots int
 	// DiskBytes and HostBytes bound the checkpoint caches.
 	DiskBytes, HostBytes int64
-	// RemoteRate, DiskRate and HostRate are bytes a second of one load by tier.
-	RemoteRate, DiskRate, HostRate float64
+	// DiskRate and HostRate are bytes a second of one load by tier; remote
+	// loads take the weight store's.
+	DiskRate, HostRate float64
 	// LoadOverhead is added to every load.
 	LoadOverhead time.Duration
 	// PrefillRate is prompt tokens a second.
@@ -215,8 +216,7 @@
 	e.setState(loading, cluster.ReplicaLoading)
 	tier := e.cache.tier(order.Model)
 	if tier == cluster.TierRemote {
-		work := transferTime(order.Bytes, e.Config.RemoteRate)
-		loading.fetch = e.store.Start(work, func() {
+		loading.fetch = e.store.Start(order.Bytes, func() {
 			e.cache.add(order.Model, order.Bytes, cluster.TierDisk)
 			loading.timer = e.kernel.After(e.Config.LoadOverhead, LabelLoadDone, func() { e.loaded(loading) })
 		})
