--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -42,8 +42,6 @@
 	// received is what came of the current attempt's answer.
 	received answer
 	ended    bool
-	// late is set once the promise checkers counted the request as late.
-	late bool
 }
 
 // answer is what a relay received for an attempt.
--- a/simulation/keyvalue.go
+++ b/simulation/keyvalue.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/valveslip/valveslip/node"
-	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/standin/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -228,9 +227,3 @@
 		open.owner.deliverTo(open.run, node.WatchEnded{ID: open.id, Err: errWatchBroken})
 	})
 }
-
-// snapshot returns the stored pairs below a prefix.
-func (s *KeyValue) snapshot(prefix string) []kv.KeyValue {
-	pairs, _ := s.state.Range(s.kernel.Now(), prefix)
-	return pairs
-}
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -12,6 +12,9 @@
 	"github.com/valveslip/valveslip/standin/machines"
 )
 
+// defaultTickInterval between Ticks of a node.
+const defaultTickInterval = 100 * time.Millisecond
+
 // platformZone is where the platform's services are; it is never isolated, so
 // only cuts of the callers' side part them.
 const platformZone cluster.ZoneID = "_platform"
@@ -79,7 +82,7 @@
 	kernel := NewKernel(config.Seed)
 	network := NewNetwork(kernel, config.Deployment.Network)
 	if config.TickInterval == 0 {
-		config.TickInterval = node.TickInterval
+		config.TickInterval = defaultTickInterval
 	}
 	w := &World{
 		Kernel: kernel, Network: network, Store: NewWeightStore(kernel, config.Deployment.Store),
@@ -179,10 +182,8 @@
 
 // machineList is the machine list as the nodes read it.
 type machineList struct {
-	state   *machines.State
-	place   Place
-	version uint64
-	cached  []cluster.Machine
+	state *machines.State
+	place Place
 }
 
 // newMachineList returns an empty list.
@@ -191,7 +192,4 @@
 }
 
 // read returns the list as it is shown now.
-func (l *machineList) read(now time.Time) ([]cluster.Machine, uint64) {
-	list, version := l.state.List(now)
-	return list, version
-}
+func (l *machineList) read(now time.Time) ([]cluster.Machine, uint64) { return l.state.List(now) }
