routing: enforce limits by expiring shares; check all promises on random events

Requests were admitted whatever the tree's limits said. Package routing/limit now takes a request's part of every scope from its token's and its model's path up to the root, or of none: concurrency, requests/s and tokens/s as token buckets on the virtual time, with an exact time to come back. Each router uses the share its controllers grant, and without one an even part whose remainders go by rank, so that all parts together never exceed a limit.

A property test drives random events (late, crossed and repeated outcomes, statuses out of order, drains, time jumps) and a checker that knows only the log. It found four faults, mended here: time jumps dispatched requests at their deadline; a free machine was not used when a report aged, nor when the preferred version's machine left; and a removed model's replicas on leaving machines were kept twice.

wire: ScopeDemand.Concurrency counts requests refused for concurrency too.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/limit"
 	"github.com/valveslip/valveslip/routing/queue"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -33,10 +34,44 @@
 		r.refuse(arrived.ID, failure, Explanation{})
 		return
 	}
+	claim, refusal, admitted := r.limits.Admit(r.nanos, arrived.TokenPath, model.configured.Path, model.estimate(arrived))
+	if !admitted {
+		r.refuseByLimit(arrived.ID, refusal)
+		return
+	}
 	model.arrivals++
 	r.touch(model)
 	model.retries.earn(r.nanos, &r.config)
-	r.place(r.admit(model, arrived, deadline))
+	r.place(r.admit(model, arrived, deadline, claim))
+}
+
+// estimate of the tokens a request will use: its prompt, and as many as the
+// model's requests generate in the mean but no more than it allows.
+func (m *model) estimate(arrived *Request) float64 {
+	generated := m.generated
+	if arrived.MaxTokens > 0 {
+		generated = min(generated, float64(arrived.MaxTokens))
+	}
+	return float64(arrived.PromptTokens) + generated
+}
+
+// refuseByLimit ends a request that a limit does not admit.
+func (r *Router) refuseByLimit(id cluster.RequestID, refusal limit.Refusal) {
+	code := verdict.CodeTokenRateLimit
+	switch refusal.Kind {
+	case limit.Concurrency:
+		code = verdict.CodeConcurrencyLimit
+	case limit.Requests:
+		code = verdict.CodeRequestRateLimit
+	}
+	wait := refusal.RetryAfter
+	if refusal.Kind == limit.Concurrency {
+		wait = r.bounded(wait)
+	}
+	failure := verdict.New(verdict.NotRun, code, "%s of %s is used up on this node", refusal.Kind.Setting(), refusal.Path)
+	r.refuse(id, failure.After(wait), Explanation{
+		Setting: refusal.Kind.Setting(), Source: refusal.Path, Limit: refusal.Limit, Value: refusal.Value,
+	})
 }
 
 // closed returns why nothing for the request's model is admitted at all, or nil.
@@ -66,11 +101,12 @@
 }
 
 // admit makes the state of an admitted request.
-func (r *Router) admit(m *model, arrived *Request, deadline int64) *request {
+func (r *Router) admit(m *model, arrived *Request, deadline int64, claim limit.Claim) *request {
 	admitted := r.newRequest()
 	admitted.Request = *arrived
 	admitted.model = m
 	admitted.arrived = r.nanos
+	admitted.claim = claim
 	admitted.deadline = deadline
 	admitted.queueBudget = int64(m.configured.Policy.QueueTime)
 	if admitted.queueBudget <= 0 {
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// serveFreed serves the machines that got room in this step. That comes last,
+// so that no request is dispatched whose own time-out is also due.
+func (r *Router) serveFreed() {
+	for _, machine := range r.freed {
+		r.serveMachine(machine)
+	}
+	r.freed = r.freed[:0]
+}
+
 // nextWaiting returns the model on the machine whose head goes first, or nil.
 func (m *machine) nextWaiting(except *model) *model {
 	var best *model
@@ -117,15 +126,17 @@
 	}
 	dispatched := ended.dispatched
 	model := ended.model
+	ended.generated += event.Tokens
 	machine := r.stopRunning(ended)
 	if event.Failure == nil {
 		machine.setbacks = 0
 		learn(&model.service, float64(r.nanos-dispatched))
+		learn(&model.generated, float64(event.Tokens))
 		r.finish(ended, nil, Explanation{Machine: machine.id})
 	} else {
 		r.attemptFailed(ended, machine, event)
 	}
-	r.serveMachine(machine)
+	r.freed = append(r.freed, machine)
 }
 
 // learningWeight is the weight of a new observation in a learned mean.
@@ -254,7 +265,7 @@
 	}
 	r.finish(abandoned, failure, reason)
 	if machine != nil {
-		r.serveMachine(machine)
+		r.freed = append(r.freed, machine)
 	}
 }
 
@@ -300,6 +311,7 @@
 		failure = ended.truthful(failure)
 		reason.Code = failure.Code
 	}
+	r.release(ended)
 	reason.Waited = ended.waited
 	reason.Attempts = int(ended.attempt)
 	reason.SettingsRevision = r.settingsRevision()
@@ -308,6 +320,17 @@
 	r.forgetIfUnused(model)
 }
 
+// release gives the request's part of the limits back. One that was neither
+// queued nor dispatched does not count against rates.
+func (r *Router) release(ended *request) {
+	used := float64(ended.generated)
+	if ended.attempt > 0 {
+		used += float64(ended.PromptTokens)
+	}
+	refund := ended.attempt == 0 && ended.queuedSince == 0
+	r.limits.Release(r.nanos, ended.claim, used, refund)
+}
+
 // truthful makes the failure's verdict cover all attempts.
 func (ended *request) truthful(failure *verdict.Error) *verdict.Error {
 	if failure.Verdict != verdict.NotRun || (!ended.firstByte && !ended.mayHaveRun) {
--- a/routing/cells.go
+++ b/routing/cells.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/limit"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -52,34 +53,35 @@
 	if missed {
 		r.emit(StatusNeeded{Zone: status.Zone})
 	}
-	changed := r.applyReplicas(status)
+	r.applyReplicas(status)
 	loaded := r.applyLoads(status)
-	r.settleModels(changed)
+	r.applyShares(status)
+	r.settleModels()
 	for _, machine := range loaded {
 		r.serveMachine(machine)
 	}
 }
 
-// applyReplicas takes the records and returns the models they concern.
-func (r *Router) applyReplicas(status *wire.CellStatus) []*model {
+// applyReplicas takes the records.
+func (r *Router) applyReplicas(status *wire.CellStatus) {
 	r.statuses++
-	var changed []*model
 	for i := range status.Replicas {
-		record := &status.Replicas[i]
-		if touched := r.applyReplica(status.Zone, record); touched != nil {
-			changed = append(changed, touched)
-		}
+		r.applyReplica(status.Zone, &status.Replicas[i])
 	}
 	if status.Full {
-		changed = append(changed, r.dropUnlisted(status.Zone)...)
+		r.dropUnlisted(status.Zone)
 	}
-	return changed
 }
 
-// applyReplica takes one record.
-func (r *Router) applyReplica(zone cluster.ZoneID, record *wire.ReplicaRecord) *model {
+// applyReplica takes one record. Whether the machine leaves is what the newest
+// record of a usable replica says; any other record can only say that it does.
+func (r *Router) applyReplica(zone cluster.ZoneID, record *wire.ReplicaRecord) {
 	if record.State == cluster.ReplicaAbsent || record.State == cluster.ReplicaUnloading {
-		return r.dropReplica(record.Machine, record.Model)
+		if known := r.machines[record.Machine]; known != nil && record.Leaving {
+			r.setListed(known, true)
+		}
+		r.dropReplica(record.Machine, record.Model)
+		return
 	}
 	machine := r.machineState(record.Machine)
 	machine.zone, machine.address = zone, record.Address
@@ -87,7 +89,7 @@
 	if machine.slots <= 0 {
 		machine.slots = r.config.DefaultSlots
 	}
-	machine.setListed(record.Leaving, r)
+	r.setListed(machine, record.Leaving)
 	model := r.modelState(record.Model)
 	known := machine.replica(model)
 	if known == nil {
@@ -98,7 +100,7 @@
 	}
 	r.updateReplica(known, record)
 	model.attach(known, r.distance(zone))
-	return model
+	r.changed = append(r.changed, model)
 }
 
 // updateReplica takes a record's state and learns load times.
@@ -117,36 +119,34 @@
 }
 
 // dropUnlisted removes the zone's replicas that the full status did not name.
-func (r *Router) dropUnlisted(zone cluster.ZoneID) []*model {
-	var changed []*model
+func (r *Router) dropUnlisted(zone cluster.ZoneID) {
 	for _, machine := range r.machines {
 		if machine.zone != zone {
 			continue
 		}
 		for _, replica := range slices.Clone(machine.replicas) {
 			if replica.seen != r.statuses {
-				changed = append(changed, r.dropReplica(machine.id, replica.model.id))
+				r.dropReplica(machine.id, replica.model.id)
 			}
 		}
 		r.forgetMachine(machine)
 	}
-	return changed
 }
 
-// dropReplica removes a replica and returns its model, or nil if unknown.
-func (r *Router) dropReplica(id cluster.MachineID, modelID cluster.ModelID) *model {
+// dropReplica removes a replica if it is known.
+func (r *Router) dropReplica(id cluster.MachineID, modelID cluster.ModelID) {
 	machine, model := r.machines[id], r.models[modelID]
 	if machine == nil || model == nil {
-		return nil
+		return
 	}
 	known := machine.replica(model)
 	if known == nil {
-		return nil
+		return
 	}
 	model.detach(known)
 	at := slices.Index(machine.replicas, known)
 	machine.replicas = slices.Delete(machine.replicas, at, at+1)
-	return model
+	r.changed = append(r.changed, model)
 }
 
 // announcedMemory is how long the leaving of a machine without replicas is
@@ -171,15 +171,30 @@
 	for _, load := range status.Loads {
 		if machine := r.machines[load.Machine]; machine != nil {
 			machine.report(load.Running+load.Queued, r.nanos-int64(load.Age))
+			if end := r.reportEnd(machine); machine.others > 0 && end > r.nanos {
+				r.wake(machine, end)
+			}
 			reported = append(reported, machine)
 		}
 	}
 	return reported
 }
 
+// applyShares puts granted parts of limits in force.
+func (r *Router) applyShares(status *wire.CellStatus) {
+	for _, share := range status.Shares {
+		r.limits.Grant(share.Path, limit.Share{
+			Concurrency: share.Concurrency, Requests: share.Requests, Tokens: share.Tokens,
+			Expires: r.nanos + int64(share.ExpiresIn),
+		})
+	}
+}
+
 // settleModels serves the models whose replicas changed, and ends waiting
 // requests that can no longer start in time.
-func (r *Router) settleModels(changed []*model) {
+func (r *Router) settleModels() {
+	changed := r.changed
+	r.changed = nil
 	slices.SortFunc(changed, func(a, b *model) int { return strings.Compare(string(a.id), string(b.id)) })
 	for _, model := range slices.Compact(changed) {
 		model.countMatching()
@@ -227,19 +242,22 @@
 		return
 	}
 	machine.announced, machine.announcedAt = true, r.nanos
-	for _, replica := range machine.replicas {
-		replica.model.countMatching()
-	}
+	r.modelsChanged(machine)
+	r.settleModels()
 }
 
 // setListed takes the leaving state of the cell's status.
-func (m *machine) setListed(listed bool, r *Router) {
-	if m.listed == listed {
-		return
+func (r *Router) setListed(m *machine, listed bool) {
+	if m.listed != listed {
+		m.listed = listed
+		r.modelsChanged(m)
 	}
-	m.listed = listed
+}
+
+// modelsChanged notes that the usable replicas of a machine's models changed.
+func (r *Router) modelsChanged(m *machine) {
 	for _, replica := range m.replicas {
-		replica.model.countMatching()
+		r.changed = append(r.changed, replica.model)
 	}
 }
 
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -124,12 +124,25 @@
 	if m.inFlight < r.slotShare(m) {
 		return ""
 	}
-	if float64(m.inFlight)+m.othersNow(r.nanos, r.config.LoadHalfLife) < float64(m.slots) {
+	work := float64(m.inFlight)
+	if r.nanos < r.reportEnd(m) {
+		work += m.others
+	}
+	if work < float64(m.slots) {
 		return ""
 	}
 	return FilterFull
 }
 
+// reportHalfLives is for how many half-lives a load report keeps this router
+// to its share of a machine that others use.
+const reportHalfLives = 2
+
+// reportEnd is when the machine's last load report no longer bounds dispatches.
+func (r *Router) reportEnd(m *machine) int64 {
+	return m.reportedAt + reportHalfLives*int64(r.config.LoadHalfLife)
+}
+
 // slotShare is this router's even share of the machine's slots, at least one.
 func (r *Router) slotShare(m *machine) int {
 	return max(1, m.slots/max(r.routers, 1))
@@ -272,12 +285,15 @@
 	}
 }
 
-// machineDue tries waiting requests after a back-off.
+// machineDue sees to it that waiting requests are tried after a back-off.
 func (r *Router) machineDue(m *machine) {
 	next := int64(0)
 	if m.ceilingUntil > r.nanos {
 		next = m.ceilingUntil
 	}
+	if end := r.reportEnd(m); m.others > 0 && end > r.nanos && (next == 0 || end < next) {
+		next = end
+	}
 	for _, replica := range m.replicas {
 		if replica.missingUntil > r.nanos && (next == 0 || replica.missingUntil < next) {
 			next = replica.missingUntil
@@ -286,5 +302,5 @@
 	if next != 0 {
 		r.wake(m, next)
 	}
-	r.serveMachine(m)
+	r.freed = append(r.freed, m)
 }
--- a/routing/demand.go
+++ b/routing/demand.go
@@ -32,9 +32,21 @@
 		}
 		r.forgetIfUnused(model)
 	}
+	report.Scopes = r.scopeDemand(nanos)
 	return report
 }
 
+// scopeDemand reports the use of limited scopes since the last call.
+func (r *Router) scopeDemand(nanos int64) []wire.ScopeDemand {
+	var demands []wire.ScopeDemand
+	for _, use := range r.limits.Report(nanos) {
+		demands = append(demands, wire.ScopeDemand{
+			Path: use.Path, Requests: use.Requests, Tokens: use.Tokens, Concurrency: use.Concurrency,
+		})
+	}
+	return demands
+}
+
 // demand returns the model's demand and whether it differs from the last
 // report, and starts the next interval.
 func (m *model) demand(nanos int64) (wire.ModelDemand, bool) {
--- /dev/null
+++ b/routing/machine_test.go
@@ -0,0 +1,303 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/verdict"
+	"github.com/valveslip/valveslip/wire"
+)
+
+var (
+	machineModels   = []cluster.ModelID{"chat", "recall", "claims"}
+	machineZones    = []cluster.ZoneID{"z1", "z2"}
+	machineMachines = []cluster.MachineID{"z1-a", "z1-b", "z2-a", "z2-b"}
+	machineScope    = settings.Scope{Path: "/dental", MaxConcurrency: 16, RequestsPerSecond: 400, TokensPerSecond: 1e6}
+)
+
+// coreMachine drives a core with random events and checks each step.
+type coreMachine struct {
+	t       *rapid.T
+	router  *Router
+	checker *checker
+	now     time.Time
+	arrived int
+	// dispatches of all times, to send late and crossed outcomes.
+	dispatches []Dispatch
+	sequences  map[cluster.ZoneID]uint64
+	tokens     map[cluster.ZoneID]cluster.FencingToken
+}
+
+func newCoreMachine(t *rapid.T) *coreMachine {
+	config := Config{Zone: "z1", ExpectedRouters: 2, RetryReserve: 3}
+	m := &coreMachine{
+		t: t, router: New(config, rapid.Uint64().Draw(t, "seed")), checker: newChecker(config, start), now: start,
+		sequences: make(map[cluster.ZoneID]uint64), tokens: make(map[cluster.ZoneID]cluster.FencingToken),
+	}
+	m.step(SettingsChanged{Snapshot: machineSnapshot(machineModels)})
+	return m
+}
+
+func machineSnapshot(ids []cluster.ModelID) *settings.Snapshot {
+	var models []settings.Model
+	for _, id := range ids {
+		models = append(models, settings.Model{ID: id, Path: "/dental/" + string(id), Team: "/dental", Policy: testPolicy()})
+	}
+	slices.SortFunc(models, func(a, b settings.Model) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	scopes := map[string]settings.Scope{machineScope.Path: machineScope}
+	return settings.NewSnapshot(settings.Stamp{Revision: 1}, models, nil, scopes)
+}
+
+func (m *coreMachine) step(event Event) {
+	effects := m.router.Step(m.now, event)
+	for _, effect := range effects {
+		if dispatch, ok := effect.(Dispatch); ok {
+			m.dispatches = append(m.dispatches, dispatch)
+		}
+	}
+	if err := m.checker.observe(m.now, event, effects); err != nil {
+		m.t.Fatalf("after %T: %v", event, err)
+	}
+}
+
+func (m *coreMachine) arrive(t *rapid.T) {
+	m.arrived++
+	request := Request{
+		ID: cluster.RequestID(fmt.Sprint("r", m.arrived)), Model: rapid.SampledFrom(machineModels).Draw(t, "model"),
+		TokenPath: "/dental", Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"),
+		Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+		BodyBytes: rapid.Int64Range(0, 300).Draw(t, "bytes"), MaxTokens: 100,
+	}
+	if rapid.Bool().Draw(t, "stated") {
+		request.Deadline = m.now.Add(time.Duration(rapid.IntRange(1, 20000).Draw(t, "deadline")) * time.Millisecond)
+	}
+	m.step(RequestArrived{Request: request})
+	if m.checker.open[request.ID] != nil && rapid.IntRange(0, 9).Draw(t, "duplicate") == 0 {
+		m.step(RequestArrived{Request: request})
+	}
+}
+
+// outcome ends a random dispatch, current or long past, perhaps twice.
+func (m *coreMachine) outcome(t *rapid.T) {
+	if len(m.dispatches) == 0 {
+		t.Skip()
+	}
+	recent := max(0, len(m.dispatches)-12)
+	dispatch := m.dispatches[rapid.IntRange(recent, len(m.dispatches)-1).Draw(t, "dispatch")]
+	ended := AttemptEnded{Request: dispatch.Request, Attempt: dispatch.Attempt, Tokens: 10}
+	if rapid.Bool().Draw(t, "failed") {
+		said := rapid.SampledFrom([]verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran}).Draw(t, "verdict")
+		code := rapid.SampledFrom([]verdict.Code{verdict.CodeEngineFailed, verdict.CodeEngineRefused, verdict.CodeInvalidRequest}).Draw(t, "code")
+		ended.Failure = verdict.New(said, code, "failed")
+		ended.EngineFull = rapid.Bool().Draw(t, "full")
+		ended.ModelMissing = !ended.EngineFull && rapid.Bool().Draw(t, "missing")
+	}
+	m.step(ended)
+	if rapid.Bool().Draw(t, "twice") {
+		m.step(ended)
+	}
+}
+
+func (m *coreMachine) aboutRequest(t *rapid.T) {
+	id := cluster.RequestID(fmt.Sprint("r", rapid.IntRange(max(1, m.arrived-10), m.arrived+1).Draw(t, "request")))
+	if rapid.Bool().Draw(t, "gone") {
+		m.step(CallerGone{Request: id})
+		return
+	}
+	m.step(FirstByteSent{Request: id})
+}
+
+// status sends a status that may be new, late, repeated or after a gap.
+func (m *coreMachine) status(t *rapid.T) {
+	zone := rapid.SampledFrom(machineZones).Draw(t, "zone")
+	shift := rapid.SampledFrom([]int{1, 1, 1, 1, 2, 0, -1}).Draw(t, "shift")
+	m.sequences[zone] = uint64(max(1, int(m.sequences[zone])+shift))
+	if rapid.IntRange(0, 9).Draw(t, "takeover") == 0 {
+		m.tokens[zone]++
+		m.sequences[zone] = 1
+	}
+	token := m.tokens[zone] + 1
+	if token > 1 && rapid.IntRange(0, 9).Draw(t, "lapsed") == 0 {
+		token--
+	}
+	status := wire.CellStatus{Zone: zone, Token: token, Sequence: m.sequences[zone], Full: rapid.Bool().Draw(t, "all")}
+	for _, machine := range machineMachines {
+		if machine[:2] != cluster.MachineID(zone) {
+			continue
+		}
+		leaving := rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+		for _, model := range machineModels {
+			if rapid.Bool().Draw(t, "named") {
+				status.Replicas = append(status.Replicas, m.record(t, machine, model, leaving))
+			}
+		}
+		status.Loads = append(status.Loads, wire.MachineLoad{Machine: machine, Running: rapid.IntRange(0, 4).Draw(t, "running"),
+			Age: time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond})
+	}
+	m.step(CellStatusChanged{Status: status})
+}
+
+func (m *coreMachine) record(t *rapid.T, machine cluster.MachineID, model cluster.ModelID, leaving bool) wire.ReplicaRecord {
+	states := []cluster.ReplicaState{cluster.ReplicaAbsent, cluster.ReplicaLoading, cluster.ReplicaLoaded, cluster.ReplicaLoaded, cluster.ReplicaUnloading}
+	return wire.ReplicaRecord{
+		Machine: machine, Address: string(machine), Model: model, Leaving: leaving, Slots: 4,
+		Version: rapid.SampledFrom([]string{"v1", "v1", "v0"}).Draw(t, "version"),
+		State:   rapid.SampledFrom(states).Draw(t, "state"),
+		ReadyIn: time.Duration(rapid.IntRange(0, 15000).Draw(t, "ready")) * time.Millisecond,
+	}
+}
+
+func (m *coreMachine) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "milliseconds")) * time.Millisecond)
+	m.step(Tick{})
+}
+
+// passToDeadline goes exactly to the next time-out.
+func (m *coreMachine) passToDeadline(*rapid.T) {
+	if next, due := m.router.NextDeadline(); due && next.After(m.now) {
+		m.now = next
+	}
+	m.step(Tick{})
+}
+
+func (m *coreMachine) rare(t *rapid.T) {
+	switch rapid.IntRange(0, 11).Draw(t, "rare") {
+	case 0:
+		m.step(DrainStarted{})
+	case 1, 2:
+		m.step(MachineLeaving{Machine: rapid.SampledFrom(machineMachines).Draw(t, "machine")})
+	case 3, 4:
+		m.step(CellLost{Zone: rapid.SampledFrom(machineZones).Draw(t, "zone")})
+	case 5:
+		m.step(SettingsChanged{Snapshot: machineSnapshot(machineModels[:2])})
+	case 6:
+		m.step(SettingsChanged{Snapshot: machineSnapshot(machineModels)})
+	case 7:
+		m.step(RoutersChanged{Routers: 3, Rank: 1, Zones: []ZoneRegion{{Zone: "z2", Region: "r"}}})
+	default:
+		m.router.Demand(m.now, rapid.Bool().Draw(t, "full"))
+	}
+}
+
+// check compares the core's inside with what the log says.
+func (m *coreMachine) check(t *rapid.T) {
+	if m.router.InFlight() != len(m.checker.open) {
+		t.Fatalf("%d in flight, the log says %d", m.router.InFlight(), len(m.checker.open))
+	}
+	running := make(map[cluster.MachineID]int)
+	waiting := 0
+	for _, request := range m.checker.open {
+		if request.running {
+			running[request.machine]++
+		} else {
+			waiting++
+		}
+	}
+	if waiting != m.router.Waiting() {
+		t.Fatalf("%d wait, the log says %d", m.router.Waiting(), waiting)
+	}
+	for id, count := range running {
+		if m.router.machines[id].inFlight != count {
+			t.Fatalf("%d on %s, the log says %d", m.router.machines[id].inFlight, id, count)
+		}
+	}
+	if len(m.checker.open) > machineScope.MaxConcurrency/2 {
+		t.Fatalf("%d admitted, this router's part is %d", len(m.checker.open), machineScope.MaxConcurrency/2)
+	}
+	m.checkQueues(t)
+}
+
+// checkQueues checks the bounds and that nothing waits for a free replica.
+func (m *coreMachine) checkQueues(t *rapid.T) {
+	for _, model := range m.router.models {
+		head := model.queue.Head()
+		if head == nil {
+			continue
+		}
+		for _, tier := range model.tiers {
+			for _, replica := range tier {
+				if m.router.usable(head.Value, replica, true) == "" {
+					t.Fatalf("%s waits while %s is free", head.Value.ID, replica.machine.id)
+				}
+			}
+		}
+	}
+	if next, due := m.router.NextDeadline(); len(m.checker.open) > 0 && !due {
+		t.Fatalf("requests are open without a time-out")
+	} else if due && !next.After(m.now) {
+		t.Fatalf("a time-out at %v is overdue", next)
+	}
+}
+
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "20260301"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestRandomEventsKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newCoreMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": m.arrive, "arrive too": m.arrive, "outcome": m.outcome, "outcome too": m.outcome,
+			"request": m.aboutRequest, "status": m.status, "pass": m.pass, "deadline": m.passToDeadline,
+			"rare": m.rare, "": m.check,
+		})
+		m.now = m.now.Add(time.Hour)
+		m.step(Tick{})
+		if m.router.InFlight() != 0 || len(m.checker.open) != 0 {
+			t.Fatalf("%d requests never end", len(m.checker.open))
+		}
+	})
+}
+
+// TestSameSeedSameEffects guards against order of map iteration and the like.
+func TestSameSeedSameEffects(t *testing.T) {
+	run := func() string {
+		return rapid.Custom(func(t *rapid.T) string {
+			m := newCoreMachine(t)
+			log := ""
+			for range 150 {
+				switch rapid.IntRange(0, 5).Draw(t, "action") {
+				case 0:
+					m.status(t)
+				case 1, 2, 3:
+					m.arrive(t)
+				case 4:
+					m.pass(t)
+				case 5:
+					m.rare(t)
+				}
+				log += describe(m.router.effects)
+			}
+			return log
+		}).Example(7)
+	}
+	first := run()
+	if first == "" {
+		t.Fatal("nothing happened")
+	}
+	for range 3 {
+		if again := run(); again != first {
+			t.Fatalf("effects differ:\n%s\n%s", first, again)
+		}
+	}
+}
--- /dev/null
+++ b/routing/queue/queue_test.go
@@ -0,0 +1,153 @@
+package queue
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func newItem(name string, priority int, team string, deadline int64) *Item[string] {
+	return &Item[string]{Value: name, Priority: priority, Team: team, Deadline: deadline, Bytes: 1, Cost: 1}
+}
+
+func drain(q *Queue[string]) string {
+	order := ""
+	for head := q.Head(); head != nil; head = q.Head() {
+		if popped := q.Pop(); popped != head {
+			panic("Pop differs from Head")
+		}
+		order += head.Value
+	}
+	return order
+}
+
+func TestOrder(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		items []*Item[string]
+		want  string
+	}{
+		{"arrival", []*Item[string]{newItem("a", 0, "x", 5), newItem("b", 0, "x", 5)}, "ab"},
+		{"deadline", []*Item[string]{newItem("a", 0, "x", 9), newItem("b", 0, "x", 5)}, "ba"},
+		{"priority first", []*Item[string]{newItem("a", 0, "x", 1), newItem("b", 2, "x", 9), newItem("c", 1, "x", 9)}, "bca"},
+		{"teams alternate", []*Item[string]{newItem("a", 0, "x", 1), newItem("b", 0, "x", 2), newItem("c", 0, "x", 3),
+			newItem("d", 0, "y", 8), newItem("e", 0, "y", 9)}, "adbec"},
+	} {
+		var q Queue[string]
+		for _, item := range test.items {
+			q.Push(item)
+		}
+		if got := drain(&q); got != test.want || q.Len() != 0 || q.Bytes() != 0 {
+			t.Errorf("%s: got %s, want %s; %d left", test.name, got, test.want, q.Len())
+		}
+	}
+}
+
+func TestReturnKeepsThePlace(t *testing.T) {
+	var q Queue[string]
+	for _, name := range []string{"a", "b", "c"} {
+		q.Push(newItem(name, 0, "x", 5))
+	}
+	q.Return(q.Pop())
+	if got := drain(&q); got != "abc" {
+		t.Fatalf("got %s", got)
+	}
+}
+
+func TestCostWeighs(t *testing.T) {
+	var q Queue[string]
+	for range 8 {
+		heavy := newItem("h", 0, "x", 5)
+		heavy.Cost = 3
+		q.Push(heavy)
+		q.Push(newItem("l", 0, "y", 5))
+	}
+	heavy := 0
+	for range 8 {
+		if q.Pop().Value == "h" {
+			heavy++
+		}
+	}
+	if heavy != 2 {
+		t.Fatalf("%d of 8 served were three times as heavy, want 2", heavy)
+	}
+}
+
+// TestRandomOperations compares the order and the counts with a plain list.
+func TestRandomOperations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[string]
+		var waiting []*Item[string]
+		take := func(item *Item[string]) {
+			for i := range waiting {
+				if waiting[i] == item {
+					waiting = append(waiting[:i], waiting[i+1:]...)
+					return
+				}
+			}
+			t.Fatalf("%q was not waiting", item.Value)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				item := newItem("i", rapid.IntRange(0, 12).Draw(t, "priority"), rapid.StringMatching("[a-d]").Draw(t, "team"),
+					rapid.Int64Range(0, 9).Draw(t, "deadline"))
+				q.Push(item)
+				waiting = append(waiting, item)
+			},
+			"pop": func(t *rapid.T) {
+				item := q.Pop()
+				if item == nil {
+					t.Skip()
+				}
+				for _, other := range waiting {
+					if other.Priority > item.Priority || (other.Priority == item.Priority && other.Team == item.Team && other.Deadline < item.Deadline) {
+						t.Fatalf("popped %+v before %+v", item, other)
+					}
+				}
+				take(item)
+			},
+			"remove": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					t.Skip()
+				}
+				item := rapid.SampledFrom(waiting).Draw(t, "item")
+				q.Remove(item)
+				q.Remove(item)
+				take(item)
+			},
+			"": func(t *rapid.T) {
+				visited := 0
+				q.Each(func(*Item[string]) bool { visited++; return true })
+				if q.Len() != len(waiting) || visited != q.Len() || q.Bytes() != int64(len(waiting)) {
+					t.Fatalf("%d items, %d visited, %d bytes, want %d", q.Len(), visited, q.Bytes(), len(waiting))
+				}
+				ahead := 0
+				for _, item := range waiting {
+					if item.Priority >= 5 {
+						ahead++
+					}
+				}
+				if q.Ahead(5) != ahead {
+					t.Fatalf("%d ahead, want %d", q.Ahead(5), ahead)
+				}
+			},
+		})
+	})
+}
+
+func TestFloodDoesNotStarve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[string]
+		for range rapid.IntRange(10, 200).Draw(t, "flood") {
+			q.Push(newItem("flood", 0, "x", 1))
+		}
+		for range rapid.IntRange(0, 9).Draw(t, "served") {
+			q.Pop()
+		}
+		q.Push(newItem("small", 0, "y", 9))
+		first, second := q.Pop(), q.Pop()
+		if first.Value != "small" && second.Value != "small" {
+			t.Fatal("a team's first request waited behind a flood of another")
+		}
+	})
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/limit"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -43,14 +44,18 @@
 	waiting int
 	// touched lists the models whose demand changed since the last report.
 	touched []*model
-	// routers is how many share the replicas, rank this one's place among
-	// them in a fixed order.
-	routers, rank int
-	draining      bool
+	limits  *limit.Set
+	// routers is how many share the replicas.
+	routers  int
+	draining bool
 	// statuses counts the accepted cell statuses.
 	statuses uint64
 
 	effects []Effect
+	// freed lists the machines that got room in this step.
+	freed []*machine
+	// changed lists the models whose usable replicas changed in this step.
+	changed []*model
 	spare   []*request
 }
 
@@ -58,7 +63,7 @@
 // and events give equal effects.
 func New(config Config, seed uint64) *Router {
 	config = config.withDefaults()
-	return &Router{
+	router := &Router{
 		config:   config,
 		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		models:   make(map[cluster.ModelID]*model),
@@ -67,7 +72,10 @@
 		regions:  make(map[cluster.ZoneID]cluster.RegionID),
 		requests: make(map[cluster.RequestID]*request),
 		routers:  config.ExpectedRouters,
+		limits:   limit.NewSet(),
 	}
+	router.limits.Divide(limit.Division{Routers: config.ExpectedRouters})
+	return router
 }
 
 // Step takes one event at the time now and returns what must be done. Time-outs
@@ -78,7 +86,9 @@
 	}
 	r.effects = nil
 	r.expire()
+	r.serveFreed()
 	r.handle(event)
+	r.serveFreed()
 	return r.effects
 }
 
@@ -144,6 +154,7 @@
 		return
 	}
 	r.snapshot = snapshot
+	r.limits.Configure(snapshot.Scopes)
 	for _, model := range r.sortedModels() {
 		r.applySettings(model, snapshot.Model(model.id))
 	}
@@ -184,7 +195,8 @@
 // routersChanged learns how many routers share limits and slots.
 func (r *Router) routersChanged(event RoutersChanged) {
 	if event.Routers > 0 {
-		r.routers, r.rank = event.Routers, event.Rank
+		r.routers = event.Routers
+		r.limits.Divide(limit.Division{Routers: event.Routers, Rank: event.Rank})
 	}
 	for _, zone := range event.Zones {
 		r.regions[zone.Zone] = zone.Region
--- a/routing/state.go
+++ b/routing/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/limit"
 	"github.com/valveslip/valveslip/routing/queue"
 	"github.com/valveslip/valveslip/settings"
 )
@@ -34,6 +35,9 @@
 	tries int
 	// tried machines failed an attempt of this request.
 	tried []*machine
+	// claim on the limits, and tokens generated so far by all attempts.
+	claim     limit.Claim
+	generated int
 	// firstByte went to the caller; mayHaveRun is set by an attempt that did
 	// not end with verdict NotRun.
 	firstByte, mayHaveRun bool
@@ -45,6 +49,8 @@
 	configured *settings.Model
 	queue      queue.Queue[*request]
 	running    int
+	// generated is the learned mean of tokens that a request generates.
+	generated float64
 
 	// tiers hold the loaded replicas by distance, loading those to come; all
 	// sorted by machine.
@@ -142,9 +148,19 @@
 
 // forgetIfUnused drops a removed model's state once nothing refers to it.
 func (r *Router) forgetIfUnused(m *model) {
-	if m.configured == nil && m.running == 0 && m.queue.Len() == 0 && m.loaded == 0 && len(m.loading) == 0 && !m.touched {
-		delete(r.models, m.id)
+	if m.configured != nil || m.touched || m.running > 0 || m.queue.Len() > 0 || m.listed() > 0 {
+		return
 	}
+	delete(r.models, m.id)
+}
+
+// listed counts the replicas in any state.
+func (m *model) listed() int {
+	count := len(m.loading)
+	for _, tier := range m.tiers {
+		count += len(tier)
+	}
+	return count
 }
 
 // sortedModels lists all models by name, for the rare events that touch all.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -93,8 +93,8 @@
 // ScopeDemand is a router's use of one limited scope.
 type ScopeDemand struct {
 	Path string
-	// Requests and Tokens a second wanted over the last interval, and
-	// requests now in flight.
+	// Requests and Tokens a second wanted over the last interval, refused ones
+	// included, and requests now in flight or refused for concurrency since.
 	Requests, Tokens float64
 	Concurrency      int
 }
