--- a/settings/store.go
+++ b/settings/store.go
@@ -59,20 +59,26 @@
 	return func(s *Store) { s.now = now }
 }
 
-// WithHistoryNames sets how new histories are named.
+// WithHistoryNames sets how new histories are named. Names of later histories
+// must sort after those of earlier ones.
 func WithHistoryNames(name func() string) StoreOption {
 	return func(s *Store) { s.newHistory = name }
 }
 
 // NewStore returns a store over the key-value service.
 func NewStore(store kv.Store, options ...StoreOption) *Store {
-	s := &Store{kv: store, historyLength: DefaultHistoryLength, now: time.Now, newHistory: rand.Text}
+	s := &Store{kv: store, historyLength: DefaultHistoryLength, now: time.Now}
+	s.newHistory = func() string { return s.now().UTC().Format(historyTime) + "-" + rand.Text() }
 	for _, option := range options {
 		option(s)
 	}
 	return s
 }
 
+// historyTime is how the name of a history begins, so that names sort by the
+// time of their making: nodes take the later of two histories.
+const historyTime = "20060102T150405.000Z"
+
 // Load reads the current tree. Before any edit it is empty with a zero stamp.
 // Errors of the service are *verdict.Error.
 func (s *Store) Load(ctx context.Context) (*Tree, Stamp, error) {
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -31,7 +31,7 @@
 		KindHeartbeat: Heartbeat{
 			From: sampleNode, Incarnation: 7, Sequence: 9, Ack: true, Leaving: true, Stamp: sampleStamp,
 			Claims: []ControllerClaim{{Zone: "east-1", Node: "node-b", Token: 12}},
-			Gossip: []MemberRecord{{Node: sampleNode, Incarnation: 3, State: "suspect"}},
+			Gossip: []MemberRecord{{Node: sampleNode, Incarnation: 3, State: "suspect"}}, MembersDigest: 1<<63 + 9,
 		},
 		KindConfigurationRequest: ConfigurationRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Stamp: sampleStamp},
 		KindConfigurationEntries: ConfigurationEntries{
@@ -71,6 +71,9 @@
 // asVersion1 is the message as version 1 carries it.
 func asVersion1(message Message) Message {
 	switch m := message.(type) {
+	case Heartbeat:
+		m.MembersDigest = 0
+		return m
 	case ConfigurationRequest:
 		m.From, m.FromAddress = "", ""
 		return m
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -40,6 +40,9 @@
 	Stamp   settings.Stamp
 	Claims  []ControllerClaim
 	Gossip  []MemberRecord
+	// MembersDigest is over the members the sender holds to be running, for
+	// the receiver to compare with its own; zero when unknown.
+	MembersDigest uint64
 }
 
 // ConfigurationRequest asks a neighbour for what follows Stamp.
--- a/wire/records.go
+++ b/wire/records.go
@@ -48,12 +48,14 @@
 	Stamp       stampRecord
 	Claims      []claimRecord
 	Gossip      []memberRecord
+
+	MembersDigest int64
 }
 
 func heartbeatToRecord(m Heartbeat) *heartbeatRecord {
 	return &heartbeatRecord{
 		From: m.From, Incarnation: int64(m.Incarnation), Sequence: int64(m.Sequence),
-		Ack: m.Ack, Leaving: m.Leaving, Stamp: stampToRecord(m.Stamp),
+		Ack: m.Ack, Leaving: m.Leaving, Stamp: stampToRecord(m.Stamp), MembersDigest: int64(m.MembersDigest),
 		Claims: convert(m.Claims, func(c ControllerClaim) claimRecord {
 			return claimRecord{Zone: c.Zone, Node: c.Node, Token: int64(c.Token)}
 		}),
@@ -66,7 +68,7 @@
 func (r *heartbeatRecord) decoded() Message {
 	return Heartbeat{
 		From: r.From, Incarnation: uint64(r.Incarnation), Sequence: uint64(r.Sequence),
-		Ack: r.Ack, Leaving: r.Leaving, Stamp: r.Stamp.stamp(),
+		Ack: r.Ack, Leaving: r.Leaving, Stamp: r.Stamp.stamp(), MembersDigest: uint64(r.MembersDigest),
 		Claims: convert(r.Claims, func(c claimRecord) ControllerClaim {
 			return ControllerClaim{Zone: c.Zone, Node: c.Node, Token: cluster.FencingToken(c.Token)}
 		}),
