--- a/standin/keyvalue/server.go
+++ b/standin/keyvalue/server.go
@@ -17,6 +17,9 @@
 // progressInterval is how often an idle watch reports its progress.
 const progressInterval = time.Second
 
+// maxTTLSeconds of a lease, as in etcd.
+const maxTTLSeconds = 9_000_000_000
+
 // Server serves a State through the gateway. It is safe for concurrent use.
 type Server struct {
 	*fault.Injector
@@ -140,7 +143,7 @@
 	switch {
 	case errors.Is(err, ErrLeaseNotFound):
 		writeStatus(writer, http.StatusNotFound, gateway.CodeNotFound, "etcdserver: "+err.Error())
-	case errors.Is(err, ErrFuture):
+	case errors.Is(err, ErrFuture), errors.Is(err, ErrLeaseTTL):
 		writeStatus(writer, http.StatusBadRequest, gateway.CodeOutOfRange, "etcdserver: mvcc: "+err.Error())
 	default:
 		writeStatus(writer, http.StatusBadRequest, gateway.CodeInvalidArgument, "etcdserver: "+err.Error())
@@ -173,6 +176,9 @@
 }
 
 func (s *Server) grant(now time.Time, request gateway.LeaseGrantRequest) (gateway.LeaseGrantResponse, error) {
+	if request.TTL > maxTTLSeconds {
+		return gateway.LeaseGrantResponse{}, ErrLeaseTTL
+	}
 	ttl := time.Duration(max(request.TTL, 1)) * time.Second
 	id, err := s.state.GrantID(now, ttl, int64(request.ID))
 	return gateway.LeaseGrantResponse{Header: s.state.header(), ID: gateway.Int64(id), TTL: gateway.Int64(ttl / time.Second)}, err
--- a/standin/keyvalue/server_test.go
+++ b/standin/keyvalue/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -90,3 +91,72 @@
 		t.Fatalf("dial refused: %v", err)
 	}
 }
+
+// TestWatchResumesAfterBreak: a watch broken by an outage resumes after its
+// last batch and sees each change once, in order.
+func TestWatchResumesAfterBreak(t *testing.T) {
+	server, client := start(t, keyvalue.Config{})
+	first := put(t, client, "/a", "1", 0)
+	seen := make(chan kv.WatchBatch, 16)
+	ended := make(chan error, 1)
+	watch := func(ctx context.Context, from int64) {
+		ended <- client.Watch(ctx, "/", from, func(batch kv.WatchBatch) {
+			if len(batch.Events) > 0 {
+				seen <- batch
+			}
+		})
+	}
+	go watch(context.Background(), 1)
+	batch := <-seen
+	if batch.Revision != first.Revision || string(batch.Events[0].KeyValue.Value) != "1" {
+		t.Fatalf("first batch %+v", batch)
+	}
+	server.Inject(fault.Order{Kind: fault.KindDown})
+	server.Do(func(now time.Time, state *keyvalue.State) {
+		_, _ = state.Txn(now, kv.Transaction{Operations: []kv.Operation{{Key: "/a", Value: []byte("2")}}})
+	})
+	if err := <-ended; verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("end of the broken watch: %v", err)
+	}
+	server.Inject(fault.Order{Kind: fault.KindClear})
+	ctx, cancel := context.WithCancel(context.Background())
+	go watch(ctx, batch.Revision+1)
+	if batch := <-seen; len(batch.Events) != 1 || string(batch.Events[0].KeyValue.Value) != "2" {
+		t.Fatalf("batch after resuming: %+v", batch)
+	}
+	cancel()
+	if err := <-ended; err != context.Canceled {
+		t.Fatalf("end of the cancelled watch: %v", err)
+	}
+}
+
+func TestWatchFromCompactedRevision(t *testing.T) {
+	server, client := start(t, keyvalue.Config{})
+	last := put(t, client, "/a", "1", 0)
+	server.Do(func(_ time.Time, state *keyvalue.State) { state.Compact(last.Revision) })
+	var got kv.WatchBatch
+	err := client.Watch(context.Background(), "/", 1, func(batch kv.WatchBatch) { got = batch })
+	if err != nil || !got.Compacted || got.Revision != last.Revision {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+func TestExpiredLeaseOverGateway(t *testing.T) {
+	_, client := start(t, keyvalue.Config{})
+	lease, err := client.Grant(context.Background(), 1500*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ttl, err := client.KeepAlive(context.Background(), lease); err != nil || ttl != 2*time.Second {
+		t.Fatalf("keep-alive: %v, %v", ttl, err)
+	}
+	if err := client.Revoke(context.Background(), lease); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.KeepAlive(context.Background(), lease); !errors.Is(err, kv.ErrLeaseNotFound) || verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("keep-alive after revoking: %v", err)
+	}
+	if err := client.Revoke(context.Background(), lease); !errors.Is(err, kv.ErrLeaseNotFound) {
+		t.Fatalf("second revoke: %v", err)
+	}
+}
--- a/standin/keyvalue/state.go
+++ b/standin/keyvalue/state.go
@@ -22,6 +22,7 @@
 	ErrEmptyKey      = errors.New("key is not provided")
 	ErrFuture        = errors.New("required revision is a future revision")
 	ErrLeaseExists   = errors.New("lease already exists")
+	ErrLeaseTTL      = errors.New("too large lease TTL")
 )
 
 // Config of a State. The zero value has no rate limit.
--- a/standin/weights/state.go
+++ b/standin/weights/state.go
@@ -152,14 +152,16 @@
 	}
 }
 
-// progress takes bytes off every load and finishes those with less than one
-// byte left.
+// leftover bytes are a rounding error.
+const leftover = 1e-3
+
+// progress takes bytes off every load and finishes those with nothing left.
 func (s *State) progress(bytes float64) {
 	var done []string
 	for id, left := range s.remaining {
 		left -= bytes
 		s.remaining[id] = left
-		if left < 1 {
+		if left < leftover {
 			done = append(done, id)
 		}
 	}
