Explore the takeover exhaustively at small size

Cause: the takeover protocol's safety was argued, not checked. Change: package authority/explore, a breadth-first search over the controller core with lost, delayed and repeated calls, lapses, restarts, outages and a lagging machine list. Broken worlds (no sealing, assumed seals, trusted lost answers, no reservation, fresh engines that accept orders, endless lease, machines overlooked) must be caught. A record now comes into use only while the lease is certain; until then it waits for a renewal.

--- a/authority/controller.go
+++ b/authority/controller.go
@@ -14,9 +14,10 @@
 // Safety does not rest on the lease. A controller gives orders only to machines
 // that it sealed, and each counts every machine that it has not sealed as
 // holding whatever an earlier holder may have loaded there. The lease's time
-// matters in one place only: the answer to a seal counts only while the lease
-// is certain to be held. So a former holder can't take over an engine that has
-// restarted and has forgotten its token.
+// matters in two places only: the answer to a seal counts, and a record comes
+// into use, only while the lease is certain to be held. So a former holder can't
+// take over an engine that has restarted and has forgotten its token, nor a
+// machine of which its successor does not know.
 type Controller struct {
 	config ControllerConfig
 
@@ -33,7 +34,9 @@
 	machines  map[cluster.MachineID]*machineLedger
 	sorted    []*machineLedger
 	allotment *cluster.Allotment
-	// limits and candidates index the allotment by model.
+	// offered is a newer record that was read while the lease was not certain.
+	offered *cluster.Allotment
+	// limits and permitted index the allotment by model and machine.
 	limits    map[cluster.ModelID]*cluster.ModelAllotment
 	permitted map[cluster.MachineID]bool
 }
@@ -73,7 +76,7 @@
 	case LeaseAcquired:
 		return c.acquired(now, event)
 	case LeaseRenewed:
-		c.renewed(event)
+		c.renewed(now, event)
 	case LeaseLost:
 		return c.leaseLost(now)
 	case LeaseUnreachable:
@@ -81,7 +84,7 @@
 	case MachinesListed:
 		return c.listed(now, event.Machines)
 	case AllotmentRead:
-		c.allotmentRead(event)
+		c.allotmentRead(now, event)
 	case Sealed:
 		return c.machineSealed(now, event.Inventory)
 	case InventoryRead:
@@ -127,6 +130,7 @@
 	c.expiry = time.Time{}
 	c.extend(event.SentAt, event.TTL)
 	c.orders = 0
+	c.offered = nil
 	c.setAllotment(nil)
 	for _, machine := range c.sorted {
 		machine.forget(now)
@@ -134,9 +138,10 @@
 	return c.callEngines(now)
 }
 
-func (c *Controller) renewed(event LeaseRenewed) {
+func (c *Controller) renewed(now time.Time, event LeaseRenewed) {
 	if c.Holding() {
 		c.extend(event.SentAt, event.TTL)
+		c.installOffered(now)
 	}
 }
 
@@ -177,6 +182,7 @@
 // stepDown forgets everything that was learned under the token.
 func (c *Controller) stepDown(cause string) []Effect {
 	c.token = 0
+	c.offered = nil
 	c.setAllotment(nil)
 	for _, machine := range c.sorted {
 		machine.forget(time.Time{})
@@ -201,18 +207,33 @@
 	return append(effects, c.resendOrders(now)...)
 }
 
-// allotmentRead installs a record that is not older than the known one.
-func (c *Controller) allotmentRead(event AllotmentRead) {
+// allotmentRead keeps a record that is not older than the known one and installs
+// it while the lease is certain: whoever acquires the lease later then reads
+// this record or a newer one. A superseded holder that still reads records
+// would otherwise use machines of which its successor does not know.
+func (c *Controller) allotmentRead(now time.Time, event AllotmentRead) {
 	switch {
 	case !c.Holding() || event.Allotment.Zone != c.config.Zone:
 		return
 	case event.ReadRevision < 0 || cluster.FencingToken(event.ReadRevision) < c.token:
 		return
-	case c.allotment != nil && event.Allotment.Revision < c.allotment.Revision:
+	case event.Allotment.Revision < c.AllotmentRevision():
+		return
+	case c.offered != nil && event.Allotment.Revision < c.offered.Revision:
 		return
 	}
 	allotment := event.Allotment
-	c.setAllotment(&allotment)
+	c.offered = &allotment
+	c.installOffered(now)
+}
+
+// installOffered puts the newest record in use once the lease is certain.
+func (c *Controller) installOffered(now time.Time) {
+	if c.offered == nil || !c.leaseCertain(now) {
+		return
+	}
+	c.setAllotment(c.offered)
+	c.offered = nil
 }
 
 func (c *Controller) setAllotment(allotment *cluster.Allotment) {
--- a/authority/controller_test.go
+++ b/authority/controller_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+func TestRecordReadBeyondTheLeaseWaitsForARenewal(t *testing.T) {
+	cell := newCellTest(t, "m1")
+	cell.acquire(5)
+	cell.after(testTTL, Tick{})
+	cell.allot(1, "m1")
+	if cell.controller.AllotmentRevision() != 0 {
+		t.Fatal("a record came into use while another node may hold the lease")
+	}
+	cell.step(LeaseRenewed{SentAt: cell.now, TTL: testTTL})
+	if cell.controller.AllotmentRevision() != 3 {
+		t.Fatal("the record was lost")
+	}
+}
+
 func TestMemoryIsReservedUntilInventoryShowsItFree(t *testing.T) {
 	cell := newCellTest(t, "m1")
 	cell.acquire(5)
--- /dev/null
+++ b/authority/explore/scenario.go
@@ -0,0 +1,46 @@
+package explore
+
+// unbounded stands for more steps than any run of these scenarios has.
+const unbounded = 1000
+
+// Scenarios returns the takeovers that are explored in continuous integration.
+// States bounds each: a scenario that has more is explored to the depth that
+// the bound allows.
+func Scenarios(states int) []Scenario {
+	scenarios := []Scenario{
+		{Name: "takeover", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, Faults: 1},
+		{Name: "two takeovers, two faults", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 2, Faults: 2},
+		{Name: "three controllers", Controllers: 3, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 2},
+		{Name: "three machines, two replicas", Controllers: 2, Machines: 3, Limits: []int{2}, Memory: 1, Lapses: 1},
+		{Name: "engine restarts", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, EngineRestarts: 1},
+		{Name: "controller restarts", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, Faults: 1, NodeRestarts: 2},
+		{Name: "key-value outage", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, EngineRestarts: 1, Outages: 1},
+		{Name: "memory", Controllers: 2, Machines: 1, Limits: []int{1, 1}, Memory: 1, Lapses: 1, Faults: 1, Unloads: 1},
+		{Name: "machine joins", Controllers: 2, Machines: 1, Joining: 1, Limits: []int{1}, Memory: 1, Lapses: 2},
+		{Name: "machine leaves", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 2, Leaves: 1},
+	}
+	for i := range scenarios {
+		scenarios[i].Depth, scenarios[i].States = unbounded, states
+	}
+	return scenarios
+}
+
+// Defect is a broken world and the scenario in which it must be caught.
+type Defect struct {
+	Variant  Variant
+	Scenario string
+}
+
+// Defects returns the broken worlds of the takeover.
+func Defects() []Defect {
+	return []Defect{
+		{VariantNoSealing, "takeover"},
+		{VariantAssumeSealed, "takeover"},
+		{VariantTrustLostAnswers, "takeover"},
+		{VariantNoReservation, "memory"},
+		{VariantFreshEngines, "engine restarts"},
+		{VariantEndlessLease, "engine restarts"},
+		{VariantEndlessLease, "machine joins"},
+		{VariantListedOnly, "machine joins"},
+	}
+}
--- /dev/null
+++ b/authority/explore/world.go
@@ -0,0 +1,220 @@
+package explore
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/authority"
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Times of the explored world. Every timer of a controller comes due between
+// two of its ticks; a lease and the machine list's lag end in a lapse only.
+const (
+	tickTime   = 10 * time.Millisecond
+	timerTime  = time.Millisecond
+	leaseTime  = time.Hour
+	lapseTime  = 2 * leaseTime
+	machineLag = leaseTime
+	zoneName   = cluster.ZoneID("z")
+	replicaUse = int64(1)
+)
+
+var worldStart = time.Date(2030, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// engineState is the truth of one machine.
+type engineState struct {
+	id       cluster.MachineID
+	gone     bool
+	epoch    uint64
+	token    cluster.FencingToken
+	sequence uint64
+	replicas []cluster.Replica // sorted by model
+	applied  []string          // orders seen in this run
+}
+
+// callKind is the kind of a call to an engine.
+type callKind uint8
+
+const (
+	callSeal callKind = iota + 1
+	callInventory
+	callOrder
+)
+
+// call is a call of a controller to an engine that was sent and not delivered.
+type call struct {
+	kind       callKind
+	controller int
+	machine    int
+	token      cluster.FencingToken
+	order      cluster.Order
+	// late calls were given up by the caller and may still be delivered.
+	late bool
+}
+
+// answer is a delayed answer of an engine on its way to a controller.
+type answer struct {
+	controller int
+	machine    int
+	event      authority.Event
+	label      string
+}
+
+// keyValue is the truth of the key-value service.
+type keyValue struct {
+	down     bool
+	revision int64
+	// holder is a controller's index, noNode or formerNode.
+	holder int
+	token  cluster.FencingToken
+	sentAt time.Time
+	// allotment is the present record.
+	allotment cluster.Allotment
+}
+
+// Holders of the lease that are no controller.
+const (
+	noNode     = -1
+	formerNode = -2
+)
+
+// node is one controller with what it has not read yet.
+type node struct {
+	core *authority.Controller
+	// listed and read count how far it has read the machine list and record.
+	listed int
+	read   int64
+}
+
+// budget bounds what may happen in a run besides ordinary steps.
+type budget struct {
+	lapses, faults, engineRestarts, nodeRestarts, outages, joins, leaves, unloads int
+}
+
+// world is one state.
+type world struct {
+	now     time.Time
+	engines []engineState
+	nodes   []node
+	kv      keyValue
+	calls   []call
+	answers []answer
+	// list is the version of the machine list, members its machines.
+	list    int
+	members []bool
+	left    budget
+}
+
+func (w *world) clone() *world {
+	copied := *w
+	copied.engines = slices.Clone(w.engines)
+	for i := range copied.engines {
+		copied.engines[i].replicas = slices.Clone(w.engines[i].replicas)
+		copied.engines[i].applied = slices.Clone(w.engines[i].applied)
+	}
+	copied.nodes = slices.Clone(w.nodes)
+	for i := range copied.nodes {
+		copied.nodes[i].core = w.nodes[i].core.Clone()
+	}
+	copied.calls = slices.Clone(w.calls)
+	copied.answers = slices.Clone(w.answers)
+	copied.members = slices.Clone(w.members)
+	return &copied
+}
+
+// key returns the canonical form of the state.
+func (w *world) key(buffer []byte) []byte {
+	number := func(values ...uint64) {
+		for _, value := range values {
+			buffer = binary.AppendUvarint(buffer, value)
+		}
+	}
+	text := func(value string) {
+		number(uint64(len(value)))
+		buffer = append(buffer, value...)
+	}
+	for i := range w.engines {
+		engine := &w.engines[i]
+		number(flag(engine.gone), engine.epoch, uint64(engine.token), engine.sequence, uint64(len(engine.replicas)))
+		for _, replica := range engine.replicas {
+			text(string(replica.Model))
+			number(uint64(replica.State))
+		}
+		number(uint64(len(engine.applied)))
+		for _, id := range engine.applied {
+			text(id)
+		}
+		number(flag(w.members[i]))
+	}
+	number(flag(w.kv.down), uint64(w.kv.revision), uint64(w.kv.holder-formerNode), uint64(w.kv.token), uint64(w.kv.allotment.Revision))
+	number(flag(w.kv.holder != noNode && w.now.Sub(w.kv.sentAt) < leaseTime))
+	for i := range w.nodes {
+		number(uint64(w.nodes[i].listed), uint64(w.nodes[i].read))
+		buffer = w.nodes[i].core.AppendState(buffer, w.now.Add(tickTime))
+	}
+	number(uint64(len(w.calls)))
+	for i := range w.calls {
+		text(w.calls[i].String())
+	}
+	number(uint64(len(w.answers)))
+	for i := range w.answers {
+		text(w.answers[i].label)
+	}
+	number(uint64(w.list))
+	return fmt.Appendf(buffer, "%v", w.left)
+}
+
+func flag(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// String describes the call; equal calls have equal descriptions.
+func (c call) String() string {
+	late := ""
+	if c.late {
+		late = "late "
+	}
+	switch c.kind {
+	case callSeal:
+		return fmt.Sprintf("%sseal of m%d by n%d with token %d", late, c.machine, c.controller, c.token)
+	case callInventory:
+		return fmt.Sprintf("%sinventory of m%d for n%d", late, c.machine, c.controller)
+	default:
+		return fmt.Sprintf("%s%s of %s on m%d by n%d, order %s", late, c.order.Kind, c.order.Model, c.machine, c.controller, c.order.ID)
+	}
+}
+
+// addCall keeps calls sorted and unique, so that equal states compare equal.
+func (w *world) addCall(added call) {
+	position, found := slices.BinarySearchFunc(w.calls, added.String(), func(c call, text string) int {
+		return compareText(c.String(), text)
+	})
+	if !found {
+		w.calls = slices.Insert(w.calls, position, added)
+	}
+}
+
+func (w *world) addAnswer(added answer) {
+	position, found := slices.BinarySearchFunc(w.answers, added.label, func(a answer, text string) int {
+		return compareText(a.label, text)
+	})
+	if !found {
+		w.answers = slices.Insert(w.answers, position, added)
+	}
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- a/authority/record.go
+++ b/authority/record.go
@@ -12,19 +12,17 @@
 	"github.com/valveslip/valveslip/platform/kv"
 )
 
-// Keys of the allotments in the key-value service. A range over
-// AllotmentRangePrefix returns all records and the guard at one revision.
+// Keys of the allotments in the key-value service.
 const (
 	// AllotmentGuardKey is rewritten by every apportioning, which compares its
 	// revision: so all apportionings follow one another, whoever makes them.
-	AllotmentGuardKey = "/valveslip/allotments"
-	// AllotmentRangePrefix covers the guard and the records.
-	AllotmentRangePrefix = AllotmentGuardKey
-	allotmentKeyPrefix   = AllotmentGuardKey + "/"
+	AllotmentGuardKey = "/valveslip/division"
+	// AllotmentKeyPrefix is followed by the zone.
+	AllotmentKeyPrefix = "/valveslip/allotments/"
 )
 
 // AllotmentKey returns the key of a zone's record.
-func AllotmentKey(zone cluster.ZoneID) string { return allotmentKeyPrefix + string(zone) }
+func AllotmentKey(zone cluster.ZoneID) string { return AllotmentKeyPrefix + string(zone) }
 
 // recordSchema is the stored form of an allotment. Machines are named once;
 // candidates are indexes into them. The last field is always true: the codec
@@ -128,7 +126,7 @@
 // AllotmentFromPair reads one stored record. It returns false for the guard and
 // for keys that are not allotments.
 func AllotmentFromPair(pair kv.KeyValue) (cluster.Allotment, bool, error) {
-	zone, found := strings.CutPrefix(pair.Key, allotmentKeyPrefix)
+	zone, found := strings.CutPrefix(pair.Key, AllotmentKeyPrefix)
 	if !found || zone == "" {
 		return cluster.Allotment{}, false, nil
 	}
@@ -141,8 +139,9 @@
 	return allotment, true, nil
 }
 
-// AllotmentsFromPairs reads the answer to a range over AllotmentRangePrefix:
-// the records sorted by zone and the guard's revision, zero when it is absent.
+// AllotmentsFromPairs picks the allotments out of pairs that were read at one
+// revision: the records sorted by zone and the guard's revision, zero when it is
+// absent.
 func AllotmentsFromPairs(pairs []kv.KeyValue) (records []cluster.Allotment, guard int64, err error) {
 	for _, pair := range pairs {
 		if pair.Key == AllotmentGuardKey {
