Check plans by property tests and measure a planning round

Cause: plans must never overcommit memory or exceed an allotment, and a zone's round has to fit its share of a core. Change: rapid worlds with a checker that is itself tested with planted defects; a base model is evicted together with its idle adapters, an adapter joins only a base that is confirmed, and the lowered target no longer loads replicas that present demand doesn't need; all three were found by the worlds.

--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// size is the size of a zone for benchmarks.
+type size struct {
+	name                      string
+	machines, bases, adapters int
+}
+
+// sizes are the dental service's of today, its multiples, one zone of the
+// two-year size, and all zones of that size planned as one.
+var sizes = []size{
+	{"today", 12, 50, 60},
+	{"today4x", 48, 200, 240},
+	{"today16x", 192, 800, 960},
+	{"zone", 89, 62, 1600},
+	{"whole", 1600, 62, 1600},
+}
+
+// benchmarkWorld returns a zone in which about an eighth of the models are busy
+// and many more loaded, and a planner that has seen it for ten minutes.
+func benchmarkWorld(s size) (*State, *AdaptivePlanner, *rand.Rand) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var models []settings.Model
+	for i := range s.bases {
+		models = append(models, testModel(fmt.Sprintf("base-%04d", i), func(m *settings.Model) {
+			m.Policy.MaxReplicas = 1 + s.machines/s.bases
+		}))
+	}
+	for i := range s.adapters {
+		models = append(models, testModel(fmt.Sprintf("adapter-%04d", i), func(m *settings.Model) {
+			m.Kind, m.Base, m.Policy.Memory = settings.KindAdapter, cluster.ModelID(fmt.Sprintf("base-%04d", i%s.bases)), gigabyte/5
+		}))
+	}
+	state := testState(testSnapshot(1, models...), s.machines)
+	planner := NewPlanner(Config{})
+	engine := engines{slowness: 1, ready: map[loadKey]time.Time{}}
+	for range 600 {
+		benchmarkDemand(&state, random, len(state.Settings.Models)/100)
+		engine.order(&state, planner.Plan(state))
+		engine.advance(&state, time.Second)
+	}
+	return &state, planner, random
+}
+
+// benchmarkDemand lets some models wake up and most waking ones rest again.
+func benchmarkDemand(state *State, random *rand.Rand, changes int) {
+	for range max(changes, 1) {
+		id := state.Settings.Models[random.IntN(len(state.Settings.Models))].ID
+		if random.IntN(8) == 0 {
+			state.Demand[id] = Demand{Waiting: random.IntN(4), Running: 1 + random.IntN(6), Arrivals: 3, EarliestDeadline: 20 * time.Second}
+		} else {
+			delete(state.Demand, id)
+		}
+	}
+}
+
+// BenchmarkPlan measures one planning round while one in a hundred models
+// changes its demand each second.
+func BenchmarkPlan(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.name, func(b *testing.B) {
+			state, planner, random := benchmarkWorld(s)
+			engine := engines{slowness: 1, ready: map[loadKey]time.Time{}}
+			b.ReportAllocs()
+			actions := 0
+			for b.Loop() {
+				plan := planner.Plan(*state)
+				actions += len(plan.Actions)
+				b.StopTimer()
+				benchmarkDemand(state, random, len(state.Settings.Models)/100)
+				engine.order(state, plan)
+				engine.advance(state, time.Second)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(actions)/float64(b.N), "actions/op")
+		})
+	}
+}
+
+// BenchmarkPlanBurst measures a round in which a tenth of all models has just
+// woken up at once.
+func BenchmarkPlanBurst(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(s.name, func(b *testing.B) {
+			state, planner, _ := benchmarkWorld(s)
+			for i := range state.Settings.Models {
+				if i%10 == 0 {
+					state.Demand[state.Settings.Models[i].ID] = Demand{Waiting: 3, Arrivals: 3, EarliestDeadline: 20 * time.Second}
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				planner.Plan(*state)
+				b.StopTimer()
+				state.Now = state.Now.Add(time.Second)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/placement/check_test.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// checker verifies that plans keep their promises, from the state alone.
+type checker struct {
+	state *State
+	plan  Plan
+	// remoteStarts counts the remote loads of all plans so far.
+	remoteStarts int
+	violations   []string
+}
+
+// fail notes a violation.
+func (c *checker) fail(format string, arguments ...any) {
+	c.violations = append(c.violations, fmt.Sprintf(format, arguments...))
+}
+
+// check verifies one plan made from the state.
+func (c *checker) check(state *State, plan Plan) []string {
+	c.state, c.plan, c.violations = state, plan, nil
+	free := map[cluster.MachineID]int64{}
+	held := map[cluster.ModelID]int{}
+	remote := 0
+	for _, machine := range state.Machines {
+		free[machine.ID] = machine.MemoryBytes
+		for _, slot := range machine.Replicas {
+			free[machine.ID] -= slot.Bytes
+			held[slot.Model]++
+			if slot.State == cluster.ReplicaLoading {
+				remote++
+			}
+		}
+	}
+	planned := map[loadKey]bool{}
+	starts := 0
+	for _, action := range plan.Actions {
+		if action.Reason.Cause == "" {
+			c.fail("%v of %s has no cause", action.Kind, action.Model)
+		}
+		machine := c.machine(action.Machine)
+		if machine == nil || !machine.Sealed {
+			c.fail("order for unsealed machine %s", action.Machine)
+			continue
+		}
+		switch action.Kind {
+		case cluster.OrderLoad:
+			c.checkLoad(machine, action, planned)
+			planned[loadKey{action.Machine, action.Model}] = true
+			free[action.Machine] -= action.Bytes
+			held[action.Model]++
+			if free[action.Machine] < 0 {
+				c.fail("memory of %s overcommitted by %s", action.Machine, action.Model)
+			}
+			if held[action.Model] > c.limit(action.Model) {
+				c.fail("allotment of %s exceeded", action.Model)
+			}
+			if action.Tier == cluster.TierRemote {
+				starts++
+			}
+		case cluster.OrderUnload:
+			c.checkUnload(machine, action)
+		case cluster.OrderSetPool:
+			if len(machine.Replicas) > 0 || machine.Leaving {
+				c.fail("pool of %s changed while it holds replicas or leaves", machine.ID)
+			}
+		}
+	}
+	c.checkStore(remote, starts)
+	return c.violations
+}
+
+// checkStore verifies the store's limits; loads in the ledger count whatever
+// their tier, so the concurrency bound only applies to plans that add some.
+func (c *checker) checkStore(loading, starts int) {
+	c.remoteStarts += starts
+	elapsed := c.state.Now.Sub(start).Seconds()
+	if bound := max(1, c.state.Store.StartsPerSecond) + c.state.Store.StartsPerSecond*elapsed; float64(c.remoteStarts) > bound+1e-6 {
+		c.fail("%d store starts in %.0f s", c.remoteStarts, elapsed)
+	}
+	if starts > 0 && starts > c.state.Store.Concurrency {
+		c.fail("%d store loads at once", loading+starts)
+	}
+}
+
+// checkLoad verifies one load against the rules of its machine and model.
+func (c *checker) checkLoad(machine *Machine, action Action, planned map[loadKey]bool) {
+	model := c.state.Settings.Model(action.Model)
+	switch {
+	case model == nil:
+		c.fail("load of unknown model %s", action.Model)
+		return
+	case machine.Leaving:
+		c.fail("load on leaving machine %s", machine.ID)
+	case machine.Pool != model.Policy.EnginePool:
+		c.fail("load of %s in pool %s", action.Model, machine.Pool)
+	case planned[loadKey{machine.ID, action.Model}] || c.slot(machine, action.Model) != nil:
+		c.fail("second %s on %s", action.Model, machine.ID)
+	}
+	if candidates := c.candidates(action.Model); len(candidates) > 0 && !slices.Contains(candidates, machine.ID) {
+		c.fail("%s on %s, not a candidate", action.Model, machine.ID)
+	}
+	if model.Base != "" && !planned[loadKey{machine.ID, model.Base}] {
+		base := c.slot(machine, model.Base)
+		if base == nil || base.State == cluster.ReplicaUnloading || base.Unknown {
+			c.fail("adapter %s without its base on %s", action.Model, machine.ID)
+		}
+	}
+	if !c.needed(action.Model) {
+		c.fail("load of %s that nothing needs: %s", action.Model, action.Reason.Cause)
+	}
+}
+
+// needed reports whether the model or one of its adapters has work, a minimum
+// or an expected wake-up.
+func (c *checker) needed(id cluster.ModelID) bool {
+	for i := range c.state.Settings.Models {
+		model := &c.state.Settings.Models[i]
+		demand := c.state.Demand[model.ID]
+		if model.ID != id && model.Base != id {
+			continue
+		}
+		if demand.Waiting+demand.Running > 0 || model.Policy.MinReplicas > 0 {
+			return true
+		}
+		for _, decision := range c.plan.Decisions {
+			if decision.Model == model.ID && (decision.Reason.Cause == CausePrewarm || decision.Reason.Cause == CauseLoad) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkUnload verifies one unload.
+func (c *checker) checkUnload(machine *Machine, action Action) {
+	slot := c.slot(machine, action.Model)
+	if slot == nil || slot.Unknown || slot.State == cluster.ReplicaUnloading {
+		c.fail("unload of %s that %s does not hold for certain", action.Model, machine.ID)
+	}
+	for _, other := range machine.Replicas {
+		if model := c.state.Settings.Model(other.Model); model != nil && model.Base == action.Model {
+			c.fail("base %s unloaded under %s", action.Model, other.Model)
+		}
+	}
+	model := c.state.Settings.Model(action.Model)
+	demand := c.state.Demand[action.Model]
+	busy := demand.Waiting+demand.Running > 0
+	if action.Reason.Cause == CauseIdle && busy && len(c.holders(action.Model)) <= 1 {
+		c.fail("last replica of busy %s unloaded as idle", action.Model)
+	}
+	if action.Reason.Cause == CauseEvicted && busy && !c.outranked(model.Policy.Priority) {
+		c.fail("busy %s evicted for an equal", action.Model)
+	}
+	if action.Reason.Cause == CauseEvicted && len(c.holders(action.Model)) <= min(model.Policy.MinReplicas, c.limit(action.Model)) {
+		c.fail("%s evicted below its minimum", action.Model)
+	}
+}
+
+// outranked reports whether a model with waiting requests or a minimum has a
+// larger priority.
+func (c *checker) outranked(priority int) bool {
+	return slices.ContainsFunc(c.plan.Decisions, func(d Decision) bool {
+		model := c.state.Settings.Model(d.Model)
+		return d.Wanted > 0 && model.Policy.Priority > priority
+	})
+}
+
+// holders lists the machines that hold the model in any state.
+func (c *checker) holders(id cluster.ModelID) (holders []cluster.MachineID) {
+	for i := range c.state.Machines {
+		if c.slot(&c.state.Machines[i], id) != nil {
+			holders = append(holders, c.state.Machines[i].ID)
+		}
+	}
+	return holders
+}
+
+func (c *checker) machine(id cluster.MachineID) *Machine {
+	at := slices.IndexFunc(c.state.Machines, func(m Machine) bool { return m.ID == id })
+	if at < 0 {
+		return nil
+	}
+	return &c.state.Machines[at]
+}
+
+func (c *checker) slot(machine *Machine, id cluster.ModelID) *Slot {
+	at := slices.IndexFunc(machine.Replicas, func(s Slot) bool { return s.Model == id })
+	if at < 0 {
+		return nil
+	}
+	return &machine.Replicas[at]
+}
+
+func (c *checker) limit(id cluster.ModelID) int { return c.state.Allotment.Limit(id) }
+
+func (c *checker) candidates(id cluster.ModelID) []cluster.MachineID {
+	for _, model := range c.state.Allotment.Models {
+		if model.Model == id {
+			return model.Candidates
+		}
+	}
+	return nil
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -191,7 +191,7 @@
 		if ref.model != base {
 			continue
 		}
-		if ref.useful {
+		if ref.useful && !ref.slot.Unknown {
 			return baseReady
 		}
 		return baseBlocked
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -7,7 +7,8 @@
 	"github.com/valveslip/valveslip/cluster"
 )
 
-// victim is one replica that may be evicted, with the loss of doing so.
+// victim is one replica that may be evicted, together with the adapters on its
+// machine when it is a base model, and the loss of doing so.
 type victim struct {
 	slot  int32
 	bytes int64
@@ -37,8 +38,10 @@
 	}
 	needs, _ := r.needOn(i, bestMachine)
 	r.selectVictims(request, bestMachine, needs.bytes)
-	for _, chosen := range r.victims {
-		r.evict(chosen, request)
+	for s := r.machines[bestMachine].from; s < r.machines[bestMachine].to; s++ {
+		if r.slots[s].taken && !r.slots[s].unloading {
+			r.evict(&r.slots[s], request)
+		}
 	}
 	r.claim(bestMachine, needs.bytes)
 }
@@ -52,10 +55,12 @@
 	return r.filter(i, m) < 0
 }
 
-// evict unloads one victim; a base model's idle adapters are victims of their
-// own and come before it.
-func (r *round) evict(chosen victim, request *request) {
-	ref := &r.slots[chosen.slot]
+// evict unloads one replica. A base model follows its adapters in a later
+// round, once they are gone.
+func (r *round) evict(ref *slotRound, request *request) {
+	if r.baseInUse(ref.machine, ref.model) {
+		return
+	}
 	reason := r.reason(ref.model, CauseEvicted, keyColdStartWeight)
 	reason.Waiting = r.models[request.model].demand.Waiting
 	reason.Idle = r.catalogue.entries[ref.model].track.idle(r.state.Now)
@@ -63,12 +68,12 @@
 	r.unloadSlot(ref, reason)
 }
 
-// selectVictims fills r.victims with the replicas on the machine whose unload
-// frees the bytes at the least loss; false when that can't be reached.
+// selectVictims marks the replicas on the machine whose unload frees the bytes
+// at the least loss; false when that can't be reached.
 func (r *round) selectVictims(request *request, m int32, bytes int64) (loss float64, enough bool) {
 	r.victims = r.victims[:0]
-	short := bytes - r.machines[m].soon
 	for s := r.machines[m].from; s < r.machines[m].to; s++ {
+		r.slots[s].taken = false
 		if r.evictable(request, s) {
 			r.victims = append(r.victims, r.victimOf(s))
 		}
@@ -76,39 +81,88 @@
 	slices.SortFunc(r.victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.loss/float64(a.bytes), b.loss/float64(b.bytes)), cmp.Compare(a.slot, b.slot))
 	})
-	count := 0
-	for ; count < len(r.victims) && short > 0; count++ {
-		short -= r.victims[count].bytes
-		loss += r.victims[count].loss
+	short := bytes - r.machines[m].soon
+	for k := 0; k < len(r.victims) && short > 0; k++ {
+		short -= r.take(r.victims[k].slot)
+		loss += r.victims[k].loss
 	}
-	r.victims = r.victims[:count]
 	return loss, short <= 0
 }
 
-// victimOf values one replica.
+// take marks a replica, and the adapters that go with it, and returns the bytes
+// that this frees beyond what was marked or unloading before.
+func (r *round) take(s int32) (freed int64) {
+	ref := &r.slots[s]
+	users := r.slotsOf(ref.machine)
+	for i := range users {
+		user := &users[i]
+		goes := user == ref || user.model != none && r.catalogue.entries[user.model].base == ref.model
+		if !goes || user.taken {
+			continue
+		}
+		user.taken = true
+		if !user.unloading {
+			freed += user.slot.Bytes
+		}
+	}
+	return freed
+}
+
+// victimOf values one replica and the adapters that go with it.
 func (r *round) victimOf(s int32) victim {
 	ref := &r.slots[s]
+	result := victim{slot: s}
+	users := r.slotsOf(ref.machine)
+	for i := range users {
+		user := &users[i]
+		goes := user == ref || user.model != none && r.catalogue.entries[user.model].base == ref.model
+		if goes && !user.unloading {
+			result.bytes += user.slot.Bytes
+			result.loss += r.lossOf(user)
+		}
+	}
+	result.bytes = max(result.bytes, 1)
+	return result
+}
+
+// lossOf values one replica by the planner's retention.
+func (r *round) lossOf(ref *slotRound) float64 {
 	entry := &r.catalogue.entries[ref.model]
-	tier := max(r.state.Machines[ref.machine].Cached[entry.model.ID], cluster.TierRemote)
-	reload := r.store.expected(tier, ref.slot.Bytes)
-	idle := entry.track.idle(r.state.Now)
-	loss := r.retention.value(entry.track, &entry.model.Policy, idle, reload)
-	return victim{slot: s, bytes: max(ref.slot.Bytes, 1), loss: loss}
+	reload := r.store.expected(r.state.Machines[ref.machine].Cached[entry.model.ID], ref.slot.Bytes)
+	return r.retention.value(entry.track, &entry.model.Policy, entry.track.idle(r.state.Now), reload)
 }
 
 // evictable reports whether the slot may make room for the request: it is
-// loaded, nothing depends on it, no minimum protects it, and its model has no
-// work of equal or higher priority.
+// loaded, no minimum protects it, its model has no work of equal or higher
+// priority, and the same holds for the adapters that depend on it there.
 func (r *round) evictable(request *request, s int32) bool {
 	ref := &r.slots[s]
+	if !r.evictableAlone(request, ref) || r.catalogue.entries[request.model].base == ref.model {
+		return false
+	}
+	users := r.slotsOf(ref.machine)
+	for i := range users {
+		user := &users[i]
+		switch {
+		case user.model == none:
+			if r.baseInUse(ref.machine, ref.model) {
+				return false
+			}
+		case r.catalogue.entries[user.model].base != ref.model || user.unloading:
+		case !r.evictableAlone(request, user):
+			return false
+		}
+	}
+	return true
+}
+
+// evictableAlone is evictable without regard to adapters.
+func (r *round) evictableAlone(request *request, ref *slotRound) bool {
 	if ref.model == none || !ref.useful || ref.slot.State != cluster.ReplicaLoaded || !r.mayUnload(ref) {
 		return false
 	}
 	model, entry := &r.models[ref.model], &r.catalogue.entries[ref.model]
 	policy := &entry.model.Policy
-	if r.baseInUse(ref.machine, ref.model) || r.catalogue.entries[request.model].base == ref.model {
-		return false
-	}
 	if model.useful <= min(policy.MinReplicas, model.limit) {
 		return false
 	}
--- a/placement/round.go
+++ b/placement/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
 )
 
 // round holds the working set of one planning round. Its buffers are reused.
@@ -70,6 +71,8 @@
 	next      int32
 	useful    bool
 	unloading bool
+	// taken marks the victims of the eviction being weighed.
+	taken bool
 }
 
 // begin indexes the state.
@@ -246,6 +249,9 @@
 // baseInUse reports whether a slot on the machine is, or may be, an adapter of
 // the base model. Slots of models that left the tree may be.
 func (r *round) baseInUse(m, base int32) bool {
+	if r.catalogue.entries[base].model.Kind == settings.KindAdapter {
+		return false
+	}
 	for _, ref := range r.slotsOf(m) {
 		if ref.model == none || r.catalogue.entries[ref.model].base == base {
 			return true
--- a/placement/want.go
+++ b/placement/want.go
@@ -58,7 +58,8 @@
 	if minimum > 0 {
 		model.reason = r.reason(i, CauseMinimum, keyMinReplicas)
 	}
-	if needed := r.neededByLoad(i); needed > model.want {
+	needed, target := r.neededByLoad(i)
+	if needed > model.want {
 		model.want = needed
 		model.reason = r.reason(i, r.causeOfLoad(i), "")
 	}
@@ -66,8 +67,8 @@
 		model.want = policy.MaxReplicas
 		model.reason = r.reason(i, model.reason.Cause, keyMaxReplicas)
 	}
-	model.keep = model.want
-	if model.want == 0 && (model.held > 0 || entry.track.gaps.total > 0) {
+	model.keep = max(model.want, min(target, policy.MaxReplicas))
+	if model.keep == 0 && (model.held > 0 || entry.track.gaps.total > 0) {
 		r.wantIdle(i)
 	}
 	model.reported = model.want
@@ -78,31 +79,27 @@
 
 // causeOfLoad tells why a model with work is wanted.
 func (r *round) causeOfLoad(i int32) Cause {
-	switch model := &r.models[i]; {
-	case model.demand.Waiting > 0:
+	if r.models[i].demand.Waiting > 0 {
 		return CauseDemand
-	case model.demand.Running > 0:
-		return CauseRunning
 	}
-	return CauseLoad
+	return CauseRunning
 }
 
-// neededByLoad returns the replicas that running and waiting requests need,
-// lowered only after a delay.
-func (r *round) neededByLoad(i int32) int {
+// neededByLoad returns the replicas that running and waiting requests need now
+// and the count, lowered only after a delay, that is kept for them.
+func (r *round) neededByLoad(i int32) (needed, target int) {
 	model, entry := &r.models[i], &r.catalogue.entries[i]
 	work := model.demand.Waiting + model.demand.Running
-	needed := 0
 	if work > 0 {
 		perReplica := max(r.slotsPerReplica(entry.pool)*r.config.TargetLoad, 1)
 		needed = int(math.Ceil(float64(work) / perReplica))
 	}
-	target := entry.track.scale(r.state.Now, needed, r.config.ScaleDownDelay)
+	target = entry.track.scale(r.state.Now, needed, r.config.ScaleDownDelay)
 	if work == 0 {
 		// The last replica is the keep-alive's matter.
-		return max(target-1, 0)
+		target = max(target-1, 0)
 	}
-	return target
+	return needed, target
 }
 
 // wantIdle decides whether an idle model stays loaded or is prewarmed.
