Add the administration API

Cause: operators edit the settings tree and read the reasons for decisions from any node, and a team must not see or change another team's part.

Change: package api/admin serves /admin/v1 on chi over a Backend interface that a node implements: tree raw and effective with sources, edits with If-Match and id, history, diff, dry run with what it would load, unload, move, reload and refuse, state lists with pages that stay stable, reasons of models and requests with texts for people, events as server-sent events. Tokens are bound to a subtree and a role; a token cannot change the limits of its own level. The OpenAPI 3.1 description is committed; every answer in the tests is checked against it, and its paths against the routes.

--- /dev/null
+++ b/api/admin/admin_test.go
@@ -0,0 +1,363 @@
+package admin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/go-chi/chi/v5"
+	"pgregory.net/rapid"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// twoTeams is a tree with a shared model and two teams.
+const twoTeams = `
+keep_alive: 15m
+tokens:
+  - {name: root, sha256: "%root%", role: administer}
+children:
+  shared: {kind: model, memory: 16GiB}
+  dental:
+    kind: team
+    max_concurrency: 20
+    tokens:
+      - {name: reader, sha256: "%reader%", role: read}
+      - {name: editor, sha256: "%editor%", role: edit}
+      - {name: chief, sha256: "%chief%", role: administer}
+      - {name: caller, sha256: "%caller%", role: call}
+      - {name: ended, sha256: "%ended%", role: read, not_after: 2026-03-01}
+    children:
+      letters: {kind: adapter, base: shared, keep_alive: 10m}
+      parents: {kind: model, max_replicas: 4}
+  zebra:
+    kind: team
+    tokens:
+      - {name: zebra-editor, sha256: "%zebra-editor%", role: edit}
+    children:
+      zebra-reader: {kind: model}
+      zebra-ledger: {kind: adapter, base: zebra-reader}
+`
+
+func TestDescriptionAndRoutesAgree(t *testing.T) {
+	document, err := openapi3.NewLoader().LoadFromData(description)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := document.Validate(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var described, served []string
+	for path, item := range document.Paths.Map() {
+		for method := range item.Operations() {
+			described = append(described, method+" "+path)
+		}
+	}
+	err = chi.Walk(newRouter(Config{}), func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
+		served = append(served, method+" "+route)
+		return nil
+	})
+	slices.Sort(described)
+	slices.Sort(served)
+	if err != nil || !slices.Equal(described, served) {
+		t.Fatalf("described %v\nserved    %v: %v", described, served, err)
+	}
+}
+
+func TestTheFirstEditComesFromTheBootstrapToken(t *testing.T) {
+	h := newTreeHarness(t, nil)
+	if code := h.get("root", "/tree").wantFailure(http.StatusServiceUnavailable).Code; code != verdict.CodeUnavailable {
+		t.Fatalf("without configuration: %s", code)
+	}
+	h.get("bootstrap", "/tree").want(http.StatusOK, nil)
+	token := settings.AccessToken{Name: "root", SHA256: hashOf("root"), Role: settings.RoleAdminister}
+	h.edit("bootstrap", "first", 0, settings.Change{Path: "/", PutTokens: []settings.AccessToken{token}}).want(http.StatusCreated, nil)
+	h.putInForce()
+	h.get("root", "/tree").want(http.StatusOK, nil)
+}
+
+func TestEditsAreCommittedOnceAndKeptInTheHistory(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	var entry settings.Entry
+	created := h.edit("root", "e/1", 1, set("/dental", "keep_alive", `"30m"`)).want(http.StatusCreated, &entry)
+	if entry.Revision != 2 || entry.Edit.Author != "root@/" || !entry.Edit.At.Equal(testTime) {
+		t.Fatalf("entry %+v", entry)
+	}
+	h.get("root", strings.TrimPrefix(created.header.Get("Location"), Prefix)).want(http.StatusOK, &entry)
+	h.edit("root", "e/1", 1, set("/dental", "keep_alive", `"30m"`)).want(http.StatusCreated, &entry)
+	if entry.Revision != 2 {
+		t.Fatalf("given again it became revision %d", entry.Revision)
+	}
+	h.edit("root", "e2", 2, set("/zebra", "priority", "3")).want(http.StatusCreated, nil)
+	var history historyView
+	h.get("root", "/tree/history?limit=2").want(http.StatusOK, &history)
+	if len(history.Entries) != 2 || history.Entries[0].Revision != 3 || history.Next != 2 {
+		t.Fatalf("history %+v", history)
+	}
+	history = historyView{}
+	h.get("root", "/tree/history?before=2").want(http.StatusOK, &history)
+	if len(history.Entries) != 1 || history.Entries[0].Revision != 1 {
+		t.Fatalf("older history %+v", history)
+	}
+	var diff diffView
+	h.get("root", "/tree/diff?from=1&to=3").want(http.StatusOK, &diff)
+	if len(diff.Changes) != 2 || diff.Changes[0].Set["keep_alive"] != `"30m"` {
+		t.Fatalf("diff %+v", diff)
+	}
+	h.get("root", "/tree/diff?from=9").wantFailure(http.StatusNotFound)
+}
+
+func TestRefusedEditsSayWhatIsInTheWay(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	h.edit("root", "e1", 1, set("/dental", "keep_alive", `"30m"`)).want(http.StatusCreated, nil)
+	conflict := h.edit("root", "e2", 1, set("/dental", "keep_alive", `"40m"`)).wantFailure(http.StatusConflict)
+	if len(conflict.Conflicts) != 1 || conflict.Conflicts[0].Key != "keep_alive" || conflict.CurrentRevision != 2 {
+		t.Errorf("conflict %+v", conflict)
+	}
+	invalid := h.edit("root", "e3", 2, set("/dental", "keep_alive", `"soon"`), set("/zebra", "memroy", `"1GiB"`)).wantFailure(http.StatusUnprocessableEntity)
+	if len(invalid.Problems) != 2 || invalid.Problems[0].Path != "/dental" || invalid.Problems[1].Key != "memroy" {
+		t.Errorf("problems %+v", invalid.Problems)
+	}
+	h.call("root", http.MethodPost, "/tree/edits", editRequest{ID: "e4"}, "If-Match", "2.h").wantFailure(http.StatusUnprocessableEntity)
+	other := editRequest{ID: "e5", Changes: []settings.Change{set("/", "priority", "1")}}
+	h.call("root", http.MethodPost, "/tree/edits", other, "If-Match", `"2.other"`).wantFailure(http.StatusConflict)
+	h.call("root", http.MethodPost, "/tree/edits", other).wantFailure(http.StatusBadRequest)
+	h.call("root", http.MethodPost, "/tree/edits", `{"id":"x","surprise":1}`, "If-Match", "2").wantFailure(http.StatusBadRequest)
+	huge := editRequest{ID: "e6", Message: strings.Repeat("x", maxEditBytes)}
+	h.call("root", http.MethodPost, "/tree/edits", huge, "If-Match", "2").wantFailure(http.StatusRequestEntityTooLarge)
+}
+
+func TestAnEditWithALostAnswerCanBeSettled(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	h.service.loseAnswer = true
+	unknown := h.edit("root", "e1", 1, set("/dental", "keep_alive", `"30m"`)).wantFailure(http.StatusServiceUnavailable)
+	if unknown.Verdict != verdict.MayHaveRun.String() || unknown.Settle != Prefix+"/tree/edits/e1" {
+		t.Fatalf("lost answer: %+v", unknown)
+	}
+	h.service.away = false
+	h.get("root", "/tree/edits/e1").want(http.StatusOK, nil)
+	h.get("root", "/tree/edits/e9").wantFailure(http.StatusNotFound)
+}
+
+func TestTheTreeIsReadWithSourcesWhileTheServiceIsAway(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	h.service.away = true
+	var effective effectiveView
+	h.get("reader", "/tree?effective=/dental/letters").want(http.StatusOK, &effective)
+	sources := map[string]effectiveItem{}
+	for _, item := range effective.Values {
+		sources[item.Key] = item
+	}
+	for key, want := range map[string]effectiveItem{
+		"keep_alive":      {Key: "keep_alive", Value: `"10m"`, Source: "/dental/letters"},
+		"max_concurrency": {Key: "max_concurrency", Value: "20", Source: "/dental"},
+		"memory":          {Key: "memory", Value: `"8GiB"`, Source: settings.SourceDefault},
+	} {
+		if sources[key] != want {
+			t.Errorf("%s: %+v, want %+v", key, sources[key], want)
+		}
+	}
+	var first, second treeView
+	h.get("root", "/tree?limit=4").want(http.StatusOK, &first)
+	h.get("root", "/tree?limit=4&after="+first.Next).want(http.StatusOK, &second)
+	if len(first.Levels) != 4 || second.Next != "" || len(second.Levels) != 4 {
+		t.Errorf("pages of %d and %d levels", len(first.Levels), len(second.Levels))
+	}
+	h.get("root", "/tree?stored=true").wantFailure(http.StatusServiceUnavailable)
+	h.get("root", "/tree?limit=0").wantFailure(http.StatusBadRequest)
+}
+
+func TestEveryRefusalOfATokenHasItsStatus(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	newToken := settings.AccessToken{Name: "new", SHA256: hashOf("new"), Role: settings.RoleRead}
+	for name, test := range map[string]struct {
+		got    answer
+		status int
+	}{
+		"unknown token":                 {h.get("nobody", "/tree"), http.StatusUnauthorized},
+		"ended token":                   {h.get("ended", "/tree"), http.StatusUnauthorized},
+		"caller":                        {h.get("caller", "/tree"), http.StatusForbidden},
+		"other subtree":                 {h.get("chief", "/tree?path=/zebra"), http.StatusForbidden},
+		"level above":                   {h.get("chief", "/tree?effective=/"), http.StatusForbidden},
+		"reader edits":                  {h.edit("reader", "e", 1, set("/dental/letters", "priority", "1")), http.StatusForbidden},
+		"editor edits another subtree":  {h.edit("editor", "e", 1, set("/zebra", "priority", "1")), http.StatusForbidden},
+		"editor edits above":            {h.edit("editor", "e", 1, set("/", "priority", "1")), http.StatusForbidden},
+		"editor lifts its own limit":    {h.edit("editor", "e", 1, set("/dental", "max_concurrency", "900")), http.StatusForbidden},
+		"chief unsets its own limit":    {h.edit("chief", "e", 1, settings.Change{Path: "/dental", Unset: []string{"max_concurrency"}}), http.StatusForbidden},
+		"editor makes a token":          {h.edit("editor", "e", 1, settings.Change{Path: "/dental", PutTokens: []settings.AccessToken{newToken}}), http.StatusForbidden},
+		"editor deletes its level":      {h.edit("editor", "e", 1, settings.Change{Path: "/dental", Delete: true}), http.StatusForbidden},
+		"editor takes another's base":   {h.edit("editor", "e", 1, set("/dental/letters", "base", `"zebra-reader"`)), http.StatusUnprocessableEntity},
+		"why of another's model":        {h.get("chief", "/why/models/zebra-reader"), http.StatusNotFound},
+		"why of no model":               {h.get("chief", "/why/models/none"), http.StatusNotFound},
+		"editor edits its own subtree":  {h.edit("editor", "ok", 1, set("/dental/letters", "priority", "1")), http.StatusCreated},
+		"chief makes a token":           {h.edit("chief", "ok2", 1, settings.Change{Path: "/dental/letters", PutTokens: []settings.AccessToken{newToken}}), http.StatusCreated},
+		"editor deletes another's keys": {h.edit("editor", "e", 2, settings.Change{Path: "/dental/letters", Delete: true}), http.StatusForbidden},
+	} {
+		if test.got.status != test.status {
+			t.Errorf("%s: status %d, want %d: %s", name, test.got.status, test.status, test.got.body)
+		}
+		if strings.Contains(string(test.got.body), "secret-of") {
+			t.Errorf("%s: the answer shows a secret", name)
+		}
+	}
+}
+
+func TestHashesAreShownToAdministratorsOnly(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	for token, shown := range map[string]bool{"reader": false, "editor": false, "chief": true, "root": true} {
+		for _, path := range []string{"/tree", "/tree/history", "/tree/diff?from=0&to=1"} {
+			body := string(h.get(token, path).want(http.StatusOK, nil).body)
+			if strings.Contains(body, hashOf("reader")) != shown {
+				t.Errorf("%s as %s: hash shown is %v, want %v", path, token, !shown, shown)
+			}
+		}
+	}
+}
+
+func TestDryRunSaysWhatTheEditWouldDo(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	h.backend.replicas = []Replica{
+		{Model: "parents", Machine: "m1", Zone: "east", State: "loaded"},
+		{Model: "parents", Machine: "m2", Zone: "west", State: "loaded"},
+		{Model: "zebra-reader", Machine: "m3", Zone: "west", State: "loaded"},
+	}
+	body := editRequest{ID: "plan", Changes: []settings.Change{
+		{Path: "/dental/parents", Set: map[string]settings.Value{"max_replicas": "1", "zones": `["east"]`, "version": `"2"`}},
+		{Path: "/dental/letters", Delete: true},
+		{Path: "/dental/new", Create: settings.KindModel, Set: map[string]settings.Value{"min_replicas": "1"}},
+	}}
+	var plan dryRunView
+	h.call("chief", http.MethodPost, "/tree/edits?dry_run=true", body, "If-Match", "1").want(http.StatusOK, &plan)
+	var steps []string
+	for _, effect := range plan.Models {
+		for _, step := range effect.Steps {
+			steps = append(steps, fmt.Sprintf("%s %s %s %d", effect.Model, effect.Change, step.Step, step.Count))
+		}
+	}
+	want := []string{"letters removed refuse 0", "new added load 1", "parents changed unload 1", "parents changed move 1", "parents changed reload 2"}
+	if !slices.Equal(steps, want) || plan.Before.MaxReplicas != 5 || plan.After.MinReplicas != 1 {
+		t.Errorf("steps %v, want %v; before %+v, after %+v", steps, want, plan.Before, plan.After)
+	}
+	if _, stamp, _ := h.store.Load(context.Background()); stamp.Revision != 1 {
+		t.Errorf("the dry run was committed")
+	}
+}
+
+func TestPagesStayStableWhileItemsComeAndGo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stay := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,3}`), 1, 20, rapid.ID[string]).Draw(t, "stay")
+		change := rapid.SliceOf(rapid.StringMatching(`[a-z]{1,3}`)).Draw(t, "change")
+		seen, after := map[string]int{}, ""
+		for round := 0; ; round++ {
+			items := slices.Clone(stay)
+			if round%2 == 1 {
+				items = append(items, change...)
+			}
+			slices.Sort(items)
+			request := httptest.NewRequest(http.MethodGet, "/?limit=3&after="+after, nil)
+			shown, next, failed := page(request, slices.Compact(items), func(s string) string { return s })
+			if failed != nil {
+				t.Fatal(failed)
+			}
+			for _, item := range shown {
+				seen[item]++
+			}
+			if after = next; next == "" {
+				break
+			}
+		}
+		for _, item := range stay {
+			if seen[item] != 1 {
+				t.Fatalf("%s was shown %d times", item, seen[item])
+			}
+		}
+	})
+}
+
+// TestATeamSeesNothingOfAnother reads everything as one team and looks for the
+// name that all of the other's levels bear.
+func TestATeamSeesNothingOfAnother(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	h.edit("zebra-editor", "zebra-edit", 1, set("/zebra/zebra-ledger", "priority", "7")).want(http.StatusCreated, nil)
+	h.putInForce()
+	for _, model := range []cluster.ModelID{"zebra-reader", "zebra-ledger", "letters", "shared"} {
+		h.backend.replicas = append(h.backend.replicas, Replica{Model: model, Machine: "m1", State: "loaded"})
+		h.backend.queues = append(h.backend.queues, Queue{Model: model, Node: "n1"})
+	}
+	h.backend.traces = map[cluster.RequestID]RequestTrace{"n1.1": {ID: "n1.1", Model: "zebra-reader", TokenPath: "/zebra"}}
+	for _, path := range []string{
+		"/tree", "/tree?path=/zebra", "/tree?effective=/zebra", "/tree/history", "/tree/diff?from=0", "/tree/edits/zebra-edit",
+		"/members", "/controllers", "/machines", "/replicas", "/queues", "/replicas?model=zebra-reader",
+		"/why/models/zebra-reader", "/why/requests/n1.1", "/tree/keys",
+	} {
+		body := string(h.get("chief", path).body)
+		body = strings.ReplaceAll(body, "cannot see /zebra", "")
+		if strings.Contains(body, "zebra") {
+			t.Errorf("%s shows another team: %s", path, body)
+		}
+	}
+	var replicas listView[Replica]
+	h.get("chief", "/replicas").want(http.StatusOK, &replicas)
+	if len(replicas.Items) != 2 {
+		t.Errorf("a team sees %d replicas, want its own and the shared model's", len(replicas.Items))
+	}
+	taken := h.edit("chief", "taken", 2, settings.Change{Path: "/dental/zebra-reader", Create: settings.KindModel}).wantFailure(http.StatusUnprocessableEntity)
+	for _, problem := range taken.Problems {
+		if strings.HasPrefix(problem.Path, "/zebra") || problem.Other != "" {
+			t.Errorf("a problem names another team's level: %+v", problem)
+		}
+	}
+}
+
+func TestEventsAreStreamedOfTheOwnSubtree(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	for _, event := range []Event{
+		{Kind: EventDecision, Path: "/dental/letters", Text: "one"}, {Kind: EventDecision, Path: "/zebra/zebra-reader", Text: "hidden"},
+		{Kind: EventMember, Text: "two"},
+	} {
+		h.backend.Append(event)
+	}
+	server := httptest.NewServer(h.handler)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+Prefix+"/events", nil)
+	request.Header.Set("Authorization", "Bearer "+secretOf("reader"))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var ids []string
+	for scanner := bufio.NewScanner(response.Body); len(ids) < 3 && scanner.Scan(); {
+		if id, found := strings.CutPrefix(scanner.Text(), "id: "); found {
+			if ids = append(ids, id); len(ids) == 2 {
+				h.backend.Append(Event{Kind: EventSettings, Path: "/dental", Text: "three"})
+			}
+		}
+	}
+	if !slices.Equal(ids, []string{"1", "3", "4"}) {
+		t.Errorf("streamed %v", ids)
+	}
+}
+
+func TestTheEventLogIsBounded(t *testing.T) {
+	log := NewEventLog(4)
+	for range 10 {
+		log.Append(Event{})
+	}
+	for after, first := range map[uint64]uint64{0: 7, 6: 7, 8: 9, 99: 7} {
+		events, _ := log.EventsAfter(after)
+		if events[0].Number != first || events[len(events)-1].Number != 10 {
+			t.Errorf("after %d: from %d to %d", after, events[0].Number, events[len(events)-1].Number)
+		}
+	}
+}
--- /dev/null
+++ b/api/admin/why.go
@@ -0,0 +1,260 @@
+package admin
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/placement"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// modelReasonsView is why a model is loaded as it is.
+type modelReasonsView struct {
+	Model cluster.ModelID `json:"model"`
+	Path  string          `json:"path"`
+	// Text for people, one line a zone.
+	Text     string         `json:"text"`
+	Replicas []Replica      `json:"replicas"`
+	Zones    []decisionView `json:"zones"`
+}
+
+// decisionView is a zone's last decision on a model.
+type decisionView struct {
+	Zone     cluster.ZoneID `json:"zone"`
+	Node     cluster.NodeID `json:"node"`
+	At       time.Time      `json:"at"`
+	Text     string         `json:"text"`
+	Wanted   int            `json:"wanted"`
+	Allowed  int            `json:"allowed"`
+	Held     int            `json:"held"`
+	Loaded   int            `json:"loaded"`
+	NextWake time.Time      `json:"next_wake,omitzero"`
+	Reason   reasonView     `json:"reason"`
+	Actions  []actionView   `json:"actions,omitempty"`
+}
+
+// reasonView is a recorded reason of placement.
+type reasonView struct {
+	Cause            string               `json:"cause"`
+	Setting          string               `json:"setting,omitempty"`
+	Source           string               `json:"source,omitempty"`
+	IdleSeconds      float64              `json:"idle_seconds,omitempty"`
+	KeepAliveSeconds float64              `json:"keep_alive_seconds,omitempty"`
+	Waiting          int                  `json:"waiting,omitempty"`
+	Candidates       []candidateView      `json:"candidates,omitempty"`
+	Filtered         []filterView         `json:"filtered,omitempty"`
+	SettingsRevision int64                `json:"settings_revision"`
+	Allotment        int64                `json:"allotment_revision"`
+	Token            cluster.FencingToken `json:"token"`
+}
+
+// candidateView is a machine or replica that was weighed.
+type candidateView struct {
+	Machine cluster.MachineID `json:"machine"`
+	Zone    cluster.ZoneID    `json:"zone,omitempty"`
+	Tier    string            `json:"tier,omitempty"`
+	// ExpectedSeconds until loaded, or until a request starts.
+	ExpectedSeconds float64 `json:"expected_seconds"`
+	FreeBytes       int64   `json:"free_bytes,omitempty"`
+	Score           float64 `json:"score,omitempty"`
+	PrefixBlocks    float64 `json:"prefix_blocks,omitempty"`
+	InFlight        int     `json:"in_flight,omitempty"`
+}
+
+// filterView counts what was left out for one cause.
+type filterView struct {
+	Cause string `json:"cause"`
+	Count int    `json:"count"`
+}
+
+// actionView is an order that a plan gave.
+type actionView struct {
+	Kind            string            `json:"kind"`
+	Machine         cluster.MachineID `json:"machine"`
+	Version         string            `json:"version,omitempty"`
+	Tier            string            `json:"tier,omitempty"`
+	ExpectedSeconds float64           `json:"expected_seconds,omitempty"`
+	Reason          reasonView        `json:"reason"`
+}
+
+// getWhyModel answers why a model is or is not loaded. A model that the token
+// may not see is not found.
+func (s *server) getWhyModel(w http.ResponseWriter, r *http.Request) {
+	id := cluster.ModelID(chi.URLParam(r, "model"))
+	_, snapshot := s.Backend.Settings()
+	model := snapshot.Model(id)
+	if model == nil || !snapshot.Visible(tokenOf(r).Path, model) {
+		writeError(w, ErrNotFound)
+		return
+	}
+	decisions, err := s.Backend.ModelDecisions(r.Context(), id)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	replicas, err := s.Backend.Replicas(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	replicas = slices.DeleteFunc(slices.Clone(replicas), func(replica Replica) bool { return replica.Model != id })
+	writeJSON(w, http.StatusOK, viewModelReasons(model, decisions, replicas))
+}
+
+func viewModelReasons(model *settings.Model, decisions []ModelDecision, replicas []Replica) modelReasonsView {
+	view := modelReasonsView{Model: model.ID, Path: model.Path, Replicas: replicas, Zones: []decisionView{}}
+	decisions = slices.Clone(decisions)
+	slices.SortFunc(decisions, func(a, b ModelDecision) int { return compareText(a.Zone, b.Zone) })
+	var lines []string
+	for i := range decisions {
+		decision := viewDecision(&decisions[i])
+		view.Zones = append(view.Zones, decision)
+		lines = append(lines, string(decision.Zone)+": "+decision.Text)
+	}
+	if len(lines) == 0 {
+		lines = []string{"not loaded: no controller has decided on it yet"}
+	}
+	view.Text = strings.Join(lines, "\n")
+	return view
+}
+
+func viewDecision(recorded *ModelDecision) decisionView {
+	decision := &recorded.Decision
+	view := decisionView{
+		Zone: recorded.Zone, Node: recorded.Node, At: recorded.At, Text: DecisionText(decision),
+		Wanted: decision.Wanted, Allowed: decision.Allowed, Held: decision.Held, Loaded: decision.Loaded,
+		NextWake: decision.NextWake, Reason: viewReason(&decision.Reason),
+	}
+	for i := range recorded.Actions {
+		action := &recorded.Actions[i]
+		shown := actionView{Kind: action.Kind.String(), Machine: action.Machine, Version: action.Version,
+			ExpectedSeconds: action.ExpectedTime.Seconds(), Reason: viewReason(&action.Reason)}
+		if action.Kind == cluster.OrderLoad {
+			shown.Tier = action.Tier.String()
+		}
+		view.Actions = append(view.Actions, shown)
+	}
+	return view
+}
+
+func viewReason(reason *placement.Reason) reasonView {
+	view := reasonView{
+		Cause: string(reason.Cause), Setting: reason.Setting, Source: reason.Source,
+		IdleSeconds: reason.Idle.Seconds(), KeepAliveSeconds: reason.KeepAlive.Seconds(), Waiting: reason.Waiting,
+		SettingsRevision: reason.SettingsRevision, Allotment: reason.AllotmentRevision, Token: reason.Token,
+	}
+	for _, candidate := range reason.Candidates {
+		view.Candidates = append(view.Candidates, candidateView{Machine: candidate.Machine, Tier: candidate.Tier.String(),
+			ExpectedSeconds: candidate.ExpectedTime.Seconds(), FreeBytes: candidate.FreeBytes, Score: candidate.Score})
+	}
+	for _, filtered := range reason.Filtered {
+		view.Filtered = append(view.Filtered, filterView{Cause: string(filtered.Cause), Count: filtered.Count})
+	}
+	return view
+}
+
+// requestReasonsView is where a request went and why.
+type requestReasonsView struct {
+	ID       cluster.RequestID `json:"id"`
+	Model    cluster.ModelID   `json:"model"`
+	Node     cluster.NodeID    `json:"node"`
+	Arrived  time.Time         `json:"arrived"`
+	Ended    time.Time         `json:"ended,omitzero"`
+	Text     string            `json:"text"`
+	Attempts []attemptView     `json:"attempts"`
+	Outcome  *outcomeView      `json:"outcome,omitempty"`
+}
+
+// attemptView is one dispatch.
+type attemptView struct {
+	Attempt          cluster.Attempt      `json:"attempt"`
+	At               time.Time            `json:"at"`
+	Machine          cluster.MachineID    `json:"machine"`
+	Version          string               `json:"version"`
+	WaitedSeconds    float64              `json:"waited_seconds"`
+	Candidates       []candidateView      `json:"candidates"`
+	Filtered         []filterView         `json:"filtered,omitempty"`
+	SettingsRevision int64                `json:"settings_revision"`
+	Token            cluster.FencingToken `json:"token"`
+}
+
+// outcomeView is how a request ended.
+type outcomeView struct {
+	// Code is empty when the answer was relayed whole.
+	Code             string            `json:"code,omitempty"`
+	Message          string            `json:"message,omitempty"`
+	Verdict          string            `json:"verdict"`
+	Setting          string            `json:"setting,omitempty"`
+	Source           string            `json:"source,omitempty"`
+	Limit            float64           `json:"limit,omitempty"`
+	Value            float64           `json:"value,omitempty"`
+	WaitedSeconds    float64           `json:"waited_seconds"`
+	Attempts         int               `json:"attempts"`
+	Machine          cluster.MachineID `json:"machine,omitempty"`
+	SettingsRevision int64             `json:"settings_revision"`
+}
+
+// getWhyRequest answers where a request went and why. A request of another
+// subtree is not found.
+func (s *server) getWhyRequest(w http.ResponseWriter, r *http.Request) {
+	trace, err := s.Backend.RequestTrace(r.Context(), cluster.RequestID(chi.URLParam(r, "request")))
+	if err == nil && !settings.Contains(tokenOf(r).Path, trace.TokenPath) {
+		err = ErrNotFound
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, viewRequest(&trace))
+}
+
+func viewRequest(trace *RequestTrace) requestReasonsView {
+	view := requestReasonsView{
+		ID: trace.ID, Model: trace.Model, Node: trace.Node, Arrived: trace.Arrived, Ended: trace.Ended,
+		Text: RequestText(trace), Attempts: []attemptView{},
+	}
+	for i := range trace.Attempts {
+		view.Attempts = append(view.Attempts, viewAttempt(&trace.Attempts[i]))
+	}
+	if trace.Finish != nil {
+		view.Outcome = viewOutcome(trace.Finish)
+	}
+	return view
+}
+
+func viewAttempt(attempt *AttemptTrace) attemptView {
+	dispatch := &attempt.Dispatch
+	view := attemptView{
+		Attempt: dispatch.Attempt, At: attempt.At, Machine: dispatch.Machine, Version: dispatch.Version,
+		WaitedSeconds: dispatch.Reason.Waited.Seconds(), Candidates: []candidateView{},
+		SettingsRevision: dispatch.Reason.SettingsRevision, Token: dispatch.Reason.Token,
+	}
+	for _, candidate := range dispatch.Reason.Candidates {
+		view.Candidates = append(view.Candidates, candidateView{Machine: candidate.Machine, Zone: candidate.Zone,
+			ExpectedSeconds: candidate.ExpectedWait.Seconds(), PrefixBlocks: candidate.PrefixBlocks, InFlight: candidate.InFlight})
+	}
+	for _, filtered := range dispatch.Reason.Filtered {
+		view.Filtered = append(view.Filtered, filterView{Cause: string(filtered.Cause), Count: filtered.Count})
+	}
+	return view
+}
+
+func viewOutcome(finish *routing.Finish) *outcomeView {
+	reason := &finish.Reason
+	view := &outcomeView{
+		Verdict: "ran", Setting: reason.Setting, Source: reason.Source, Limit: reason.Limit, Value: reason.Value,
+		WaitedSeconds: reason.Waited.Seconds(), Attempts: reason.Attempts, Machine: reason.Machine,
+		SettingsRevision: reason.SettingsRevision,
+	}
+	if finish.Failure != nil {
+		view.Code, view.Message = string(finish.Failure.Code), finish.Failure.Message
+		view.Verdict = finish.Failure.Verdict.String()
+	}
+	return view
+}
--- a/settings/commit.go
+++ b/settings/commit.go
@@ -125,6 +125,9 @@
 // changed since.
 func (s *state) checkBase(edit *Edit) error {
 	base := edit.BaseRevision
+	if edit.BaseHistory != "" && edit.BaseHistory != s.head.History {
+		return &ConflictError{Base: base, Current: s.head.Revision}
+	}
 	if base == s.head.Revision {
 		return nil
 	}
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -19,7 +19,9 @@
 	Author  string    `json:"author"`
 	Message string    `json:"message,omitempty"`
 	At      time.Time `json:"at,omitzero"`
-	// BaseRevision is the revision the writer read.
+	// BaseHistory and BaseRevision are what the writer read. An empty history
+	// fits any.
+	BaseHistory  string   `json:"base_history,omitempty"`
 	BaseRevision int64    `json:"base_revision"`
 	Changes      []Change `json:"changes"`
 }
