Compose the cores into a node and run a whole deployment in one process

Cause: the cores of membership, configuration spread, routing, authority and placement existed side by side; no request could pass from end to end. Change: node.Core composes them as one pure state machine: leases for cells and the apportioner, demand from routers to the zone that should load, planning rounds, cell statuses with gaps detected, limit shares, division of replica counts in one guarded transaction, drain. Package demo runs three zones with the platform's stand-ins over loopback; the demo subcommand announces how to call them.

--- /dev/null
+++ b/cmd/valveslip/demo.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/demo"
+)
+
+// demoCommand runs a whole deployment in this process.
+func demoCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
+	addressesFile := flags.String("addresses-file", "", "write the addresses as JSON to this file when ready")
+	verbose := flags.Bool("verbose", false, "log every event to standard error")
+	return &ffcli.Command{
+		Name: "demo", ShortUsage: "valveslip demo [flags]",
+		ShortHelp: "run a whole deployment over loopback: platform stand-ins, engines and nodes in three zones",
+		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix("VALVESLIP_DEMO")},
+		Exec: func(ctx context.Context, _ []string) error {
+			return runDemo(ctx, *addressesFile, *verbose)
+		},
+	}
+}
+
+func runDemo(ctx context.Context, addressesFile string, verbose bool) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	logger := slog.New(slog.DiscardHandler)
+	if verbose {
+		logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	running, err := demo.Start(ctx, logger)
+	if err != nil {
+		return err
+	}
+	if err := announce(running, addressesFile); err != nil {
+		_ = running.Stop()
+		return err
+	}
+	<-ctx.Done()
+	return running.Stop()
+}
+
+// announce writes the addresses file, if asked for, and says how to call.
+func announce(running *demo.Demo, addressesFile string) error {
+	addresses := running.Addresses()
+	if addressesFile != "" {
+		if err := writeAddresses(addressesFile, addresses); err != nil {
+			return err
+		}
+	}
+	printCalls(os.Stdout, addresses)
+	return nil
+}
+
+// writeAddresses writes the file whole or not at all: a reader that waits for
+// it never sees a part.
+func writeAddresses(file string, addresses demo.Addresses) error {
+	data, err := json.MarshalIndent(addresses, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode addresses")
+	}
+	temporary, err := os.CreateTemp(filepath.Dir(file), ".addresses-*")
+	if err != nil {
+		return eris.Wrap(err, "write addresses")
+	}
+	_, err = temporary.Write(append(data, '\n'))
+	if closeErr := temporary.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(temporary.Name(), file)
+	}
+	return eris.Wrap(err, "write addresses")
+}
+
+// printCalls says how to call the demo with curl.
+func printCalls(out io.Writer, addresses demo.Addresses) {
+	fmt.Fprintf(out, "A deployment of %d nodes serves %d models. Call it:\n\n", len(addresses.Callers), len(addresses.Models))
+	fmt.Fprintf(out, "  curl -s %s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n", addresses.Callers[0], addresses.CallerToken)
+	fmt.Fprintf(out, "    -d '{\"model\":%q,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}],\"max_tokens\":16}'\n\n", addresses.Models[0])
+	fmt.Fprintf(out, "Administration: %s/admin/v1/ with 'Authorization: Bearer %s'\n", addresses.Admin[0], addresses.AdminToken)
+	fmt.Fprintf(out, "Stop it with an interrupt; requests in flight end whole.\n")
+}
--- /dev/null
+++ b/node/controller.go
@@ -0,0 +1,337 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"github.com/valveslip/valveslip/authority"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/membership"
+	"github.com/valveslip/valveslip/placement"
+	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/platform/weights"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// candidacyStep delays each node's attempt to become controller by its rank
+// among the zone's live nodes, so that they do not all write at once.
+const candidacyStep = 300 * time.Millisecond
+
+// cellRole is this node's part in controlling its zone: the controller core,
+// its lease, the demand it sums, its plans and the status it publishes.
+type cellRole struct {
+	core       *Core
+	controller *authority.Controller
+	lease      *leaseSession
+	planner    placement.Planner
+	demand     *demandLedger
+	publisher  *statusPublisher
+	store      weights.Status
+	loads      map[cluster.MachineID]cluster.LoadReport
+	// vacantSince is when the zone was first seen without a live controller.
+	vacantSince time.Time
+	planDue     time.Time
+	machinesDue time.Time
+	storeDue    time.Time
+	reportsDue  time.Time
+	replan      bool
+	// expected is when loads under way should be done.
+	expected map[replicaKey]time.Time
+}
+
+type replicaKey struct {
+	machine cluster.MachineID
+	model   cluster.ModelID
+}
+
+func newCellRole(core *Core) *cellRole {
+	config := core.config.Controller
+	config.Zone, config.Node = core.self.Zone, core.self.ID
+	role := &cellRole{core: core, controller: authority.NewController(config)}
+	role.lease = &leaseSession{
+		core: core, key: keyCells + string(core.self.Zone), owner: string(core.self.ID), ttl: leaseTTL,
+	}
+	role.begin()
+	return role
+}
+
+// begin forgets what belongs to one term as controller.
+func (r *cellRole) begin() {
+	if r.core.config.NewPlanner != nil {
+		r.planner = r.core.config.NewPlanner()
+	} else {
+		r.planner = placement.NewPlanner(r.core.config.Placement)
+	}
+	r.demand = newDemandLedger()
+	r.publisher = newStatusPublisher(r)
+	r.loads = map[cluster.MachineID]cluster.LoadReport{}
+	r.expected = map[replicaKey]time.Time{}
+	r.planDue, r.machinesDue, r.storeDue, r.reportsDue = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+}
+
+// control feeds the controller core and carries out its effects.
+func (r *cellRole) control(event authority.Event) {
+	for _, effect := range r.controller.Step(r.core.now, event) {
+		switch e := effect.(type) {
+		case authority.AcquireLease:
+			if r.mayStand() {
+				r.lease.acquire()
+			}
+		case authority.RenewLease:
+			r.lease.renew()
+		case authority.ReleaseLease:
+			r.lease.release()
+		case authority.SealMachine:
+			r.core.emit(EngineCall{Operation: EngineSeal, Machine: e.Machine, Token: e.Token})
+		case authority.ReadInventory:
+			r.core.emit(EngineCall{Operation: EngineInventory, Machine: e.Machine, Token: r.controller.Token()})
+		case authority.SendOrder:
+			r.core.emit(EngineCall{Operation: EngineOrder, Machine: e.Machine, Token: e.Order.Token, Order: e.Order})
+		case authority.SteppedDown:
+			r.lease.reset()
+			r.begin()
+		}
+	}
+}
+
+// mayStand reports whether this node should try to become controller now: the
+// zone has no live controller, and the nodes ranked before this one have had
+// their turn.
+func (r *cellRole) mayStand() bool {
+	if r.core.draining {
+		return false
+	}
+	claim, claimed := r.core.cells.claimed[r.core.self.Zone]
+	if claimed && claim.Node != r.core.self.ID && r.alive(claim.Node) {
+		r.vacantSince = time.Time{}
+		return false
+	}
+	if r.vacantSince.IsZero() {
+		r.vacantSince = r.core.now
+	}
+	return r.core.now.Sub(r.vacantSince) >= time.Duration(r.rank())*candidacyStep
+}
+
+// alive reports whether a node runs and is not leaving, as far as is known.
+func (r *cellRole) alive(id cluster.NodeID) bool {
+	if id == r.core.self.ID {
+		return !r.core.draining
+	}
+	member, known := r.core.members.Member(id)
+	return known && member.State != membership.StateDead && member.State != membership.StateLeaving
+}
+
+// rank is the number of live nodes of the zone with a smaller ID.
+func (r *cellRole) rank() int {
+	rank := 0
+	for _, member := range r.core.members.Members() {
+		if member.Node.Zone == r.core.self.Zone && member.Node.ID < r.core.self.ID && r.alive(member.Node.ID) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (r *cellRole) leaseAnswered(answer KeyValueAnswered) {
+	switch r.lease.answered(answer) {
+	case leaseWon:
+		r.begin()
+		// Records read in an earlier term may be out of date.
+		r.core.readAgain()
+		r.core.cells.note(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.core.self.ID, Token: r.lease.token})
+		r.control(authority.LeaseAcquired{Token: r.lease.token, SentAt: r.lease.sentAt, TTL: r.lease.promised})
+	case leaseTaken:
+		r.core.noteClaim(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.lease.holder, Token: r.lease.holderToken})
+	case leaseExtended:
+		r.control(authority.LeaseRenewed{SentAt: r.lease.sentAt, TTL: r.lease.promised})
+	case leaseGone:
+		r.control(authority.LeaseLost{})
+	case leaseNoAnswer:
+		r.control(authority.LeaseUnreachable{})
+	}
+}
+
+// superseded ends this node's term when another node holds a newer token.
+func (r *cellRole) superseded(claim wire.ControllerClaim) {
+	if r.controller.Holding() && claim.Token > r.controller.Token() {
+		r.control(authority.LeaseLost{})
+	}
+}
+
+// resign gives up the cell at once, so that another node can take it over.
+func (r *cellRole) resign() {
+	if !r.controller.Holding() {
+		return
+	}
+	r.control(authority.Resign{})
+}
+
+func (r *cellRole) tick() {
+	r.control(authority.Tick{})
+	if !r.controller.Holding() {
+		return
+	}
+	r.poll()
+	r.demand.expire(r.core.now)
+	r.plan()
+	r.publisher.tick()
+}
+
+// poll reads the platform at fixed intervals.
+func (r *cellRole) poll() {
+	now := r.core.now
+	if !now.Before(r.machinesDue) {
+		r.machinesDue = now.Add(machineListInterval)
+		r.core.emit(ListMachines{})
+	}
+	if !now.Before(r.storeDue) {
+		r.storeDue = now.Add(storeStatusInterval)
+		r.core.emit(ReadStoreStatus{})
+	}
+	if !now.Before(r.reportsDue) {
+		r.reportsDue = now.Add(loadReportInterval)
+		r.readReports()
+	}
+}
+
+// readReports asks the engines that hold replicas how much work they have.
+func (r *cellRole) readReports() {
+	for _, inventory := range r.controller.Inventories() {
+		if len(inventory.Replicas) == 0 {
+			continue
+		}
+		if machine, ok := r.controller.Machine(inventory.Machine); ok {
+			r.core.emit(EngineCall{Operation: EngineReport, Machine: machine})
+		}
+	}
+}
+
+func (r *cellRole) engineAnswered(answer EngineAnswered) {
+	switch answer.Call.Operation {
+	case EngineReport:
+		if answer.Err == nil {
+			r.loads[answer.Report.Machine] = answer.Report
+		}
+		return
+	case EngineCacheEvents:
+		return
+	}
+	if answer.Call.Token != r.controller.Token() || !r.controller.Holding() {
+		return
+	}
+	var stale *engine.StaleTokenError
+	var refused *engine.RefusedError
+	switch {
+	case errors.As(answer.Err, &stale):
+		r.control(authority.StaleToken{Machine: answer.Call.Machine.ID, Held: stale.Held})
+	case errors.As(answer.Err, &refused) && answer.Call.Operation == EngineOrder:
+		r.control(authority.OrderRefused{Machine: answer.Call.Machine.ID, Order: answer.Call.Order.ID})
+	case answer.Err != nil:
+		r.control(authority.EngineUnreachable{Machine: answer.Call.Machine.ID})
+	case answer.Call.Operation == EngineSeal:
+		r.control(authority.Sealed{Inventory: answer.Inventory})
+	default:
+		r.control(authority.InventoryRead{Inventory: answer.Inventory, Order: answer.Call.Order.ID})
+	}
+	r.replan = true
+}
+
+// machinesListed hands the zone's part of the list to the controller and the
+// whole list to the apportioner.
+func (r *cellRole) machinesListed(listed MachinesListed) {
+	if listed.Err != nil {
+		return
+	}
+	own := make([]cluster.Machine, 0, len(listed.Machines))
+	for _, machine := range listed.Machines {
+		if machine.Zone == r.core.self.Zone {
+			own = append(own, machine)
+		}
+	}
+	r.core.apportion.machinesListed(listed.Machines)
+	r.control(authority.MachinesListed{Machines: own})
+}
+
+func (r *cellRole) storeStatusRead(read StoreStatusRead) {
+	if read.Err == nil {
+		r.store = read.Status
+	}
+}
+
+func (r *cellRole) settingsChanged()  { r.replan = true }
+func (r *cellRole) allotmentChanged() { r.replan, r.publisher.fullDue = true, true }
+
+func (r *cellRole) demandReceived(demand wire.Demand) {
+	if r.controller.Holding() {
+		r.demand.note(r.core.now, demand)
+	}
+}
+
+func (r *cellRole) forgetRouter(id cluster.NodeID) { r.demand.forget(id) }
+
+// plan makes a plan when something has changed or planInterval has passed, and
+// hands it to the controller core, which checks it against its ledger again.
+func (r *cellRole) plan() {
+	due := !r.core.now.Before(r.planDue)
+	if !due && !r.replan && !r.demand.changed {
+		return
+	}
+	if !r.controller.Ready() || r.core.Snapshot() == nil {
+		return
+	}
+	r.planDue, r.replan = r.core.now.Add(planInterval), false
+	state := r.controller.State(r.core.now)
+	state.Settings = r.core.Snapshot()
+	state.Demand = r.demand.sum(r.core.now)
+	state.Store = r.storeShare()
+	for i := range state.Machines {
+		state.Machines[i].Load = r.loads[state.Machines[i].ID]
+	}
+	plan := r.planner.Plan(state)
+	r.expect(plan)
+	r.core.apportion.wanted(plan.Wanted)
+	r.control(authority.PlanMade{Plan: plan})
+	r.core.emit(Planned{Zone: r.core.self.Zone, Plan: plan})
+}
+
+// expect remembers when loads should be done, for the routers.
+func (r *cellRole) expect(plan placement.Plan) {
+	for _, action := range plan.Actions {
+		if action.Kind == cluster.OrderLoad {
+			r.expected[replicaKey{action.Machine, action.Model}] = r.core.now.Add(action.ExpectedTime)
+		}
+	}
+}
+
+// storeShare is this cell's part of the weight store: an equal part of its
+// limits, and half of what is free at the moment beyond that.
+func (r *cellRole) storeShare() placement.StoreState {
+	cells := max(1, len(r.core.cells.claimed))
+	if _, ok := r.core.cells.claimed[ApportionerZone]; ok && cells > 1 {
+		cells--
+	}
+	equal := (r.store.Concurrency + cells - 1) / cells
+	own := r.loading()
+	free := max(0, r.store.Concurrency-r.store.Active)
+	speed := r.store.Speed
+	if speed <= 0 {
+		speed = 1
+	}
+	return placement.StoreState{
+		StartsPerSecond: r.store.StartsPerSecond / float64(cells),
+		Concurrency:     max(1, equal, own+free/2),
+		Speed:           speed,
+	}
+}
+
+func (r *cellRole) loading() int {
+	count := 0
+	for _, inventory := range r.controller.Inventories() {
+		for _, replica := range inventory.Replicas {
+			if replica.State == cluster.ReplicaLoading {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/node/events.go
+++ b/node/events.go
@@ -73,6 +73,13 @@
 	Err    error
 }
 
+// EditCommitted brings an edit that the administration API of this node has
+// just committed, so that it need not wait for a controller's watch.
+type EditCommitted struct {
+	History string
+	Entry   settings.Entry
+}
+
 // DrainStarted begins a planned stop.
 type DrainStarted struct{}
 
@@ -85,6 +92,7 @@
 func (EngineAnswered) nodeEvent()   {}
 func (MachinesListed) nodeEvent()   {}
 func (StoreStatusRead) nodeEvent()  {}
+func (EditCommitted) nodeEvent()    {}
 func (DrainStarted) nodeEvent()     {}
 
 // Effect is an output of the composed core that a shell carries out.
--- a/routing/demand.go
+++ b/routing/demand.go
@@ -47,6 +47,17 @@
 	return demands
 }
 
+// NewlyWaiting reports whether a model has waiting requests that the last report
+// did not show, so that a cold start need not wait for the next interval.
+func (r *Router) NewlyWaiting() bool {
+	for _, model := range r.touched {
+		if model.reportedWaiting == 0 && model.queue.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // demand returns the model's demand and whether it differs from the last
 // report, and starts the next interval.
 func (m *model) demand(nanos int64) (wire.ModelDemand, bool) {
