--- /dev/null
+++ b/api/callers_fuzz_test.go
@@ -0,0 +1,41 @@
+package api
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// FuzzParseBody checks that a body the node accepts is one whose model and
+// stream flag any other JSON reader sees alike, and that none makes it panic.
+func FuzzParseBody(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"a","messages":[{"role":"user","content":"hi"}],"stream":true}`,
+		`{"model":"a","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}],"max_tokens":7}`,
+		`{"model":"a","Model":"b","messages":[]}`, `{"model":"a","model":"b","messages":[]}`,
+		`{"model":null,"messages":[]}`, `{"model":"a","messages":null}`, `{"model":"\ud800","messages":[]}`,
+		`{"max_tokens":1e999,"model":"a","messages":[]}`, `[`, `{}`, `{"model":"a","messages":[]}x`, "\x00",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		parsed, fault := parseBody(body, "messages")
+		if fault != nil {
+			if fault.failure.Verdict != verdict.NotRun {
+				t.Fatalf("refusal with verdict %v", fault.failure.Verdict)
+			}
+			return
+		}
+		var fields map[string]json.RawMessage
+		if err := json.Unmarshal(body, &fields); err != nil {
+			t.Fatalf("accepted a body that is not JSON: %v", err)
+		}
+		var model string
+		if err := json.Unmarshal(fields["model"], &model); err != nil || model != parsed.Model || model == "" {
+			t.Fatalf("model %q read as %q", fields["model"], parsed.Model)
+		}
+		promptPrefixes(parsed.Prompt, pathChatCompletions)
+		promptPrefixes(parsed.Prompt, pathCompletions)
+	})
+}
--- a/node/shell/fixture_test.go
+++ b/node/shell/fixture_test.go
@@ -125,7 +125,9 @@
 		{Name: "former", SHA256: hash(expiredSecret), Role: settings.RoleCall, Path: "/dental", NotAfter: time.Unix(1, 0)},
 	}
 	slices.SortFunc(tokens, func(a, b settings.Token) int { return strings.Compare(a.SHA256, b.SHA256) })
-	return settings.NewSnapshot(settings.Stamp{History: "h", Revision: 1}, models, tokens, nil)
+	return settings.NewSnapshot(settings.Stamp{History: "h", Revision: 1}, models, tokens, map[string]settings.Scope{
+		"/dental": {Path: "/dental", MaxConcurrency: policy.MaxConcurrency, RequestsPerSecond: policy.RequestsPerSecond, TokensPerSecond: policy.TokensPerSecond},
+	})
 }
 
 // loaded is the cell status in which the engine holds the model.
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -73,6 +73,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.NewTransport == nil {
+		o.NewTransport = o.wireTransport
+	}
 	if o.Store == nil {
 		o.Store = kv.NewClient(config.KeyValueURL)
 	}
@@ -87,3 +90,8 @@
 	}
 	return o
 }
+
+// wireTransport opens the transport between nodes.
+func (o Options) wireTransport(listen string, handle func(wire.Message)) (Transport, error) {
+	return wire.NewTransport(listen, o.Logger, handle)
+}
