--- a/node/shell/lifecycle_test.go
+++ b/node/shell/lifecycle_test.go
@@ -144,7 +144,9 @@
 			codes[i] = code + " " + verdict + " " + retry
 		})
 	}
-	waitFor(t, "the queue", func() bool { return strings.Contains(f.admin("/metrics"), "valveslip_requests_in_flight{zone=\"z1\"} 4") })
+	waitFor(t, "the queue", func() bool {
+		return strings.Contains(f.admin("/metrics"), "valveslip_requests_in_flight{zone=\"z1\"} 4")
+	})
 	if err := f.node.Stop(); err != nil {
 		t.Fatal(err)
 	}
