Make stand-in engines refuse orders of other tokens and runs

Cause: they raised their token on an order, and took orders meant for a process that had ended; the controller relies on neither being possible. Change: an order needs exactly the sealed token and the present run; a stand-in process takes its start time as epoch. The fencing test now seals and orders at random and checks both refusals, where it checked the stale one only.

--- a/authority/controller.go
+++ b/authority/controller.go
@@ -165,6 +165,7 @@
 
 func (c *Controller) staleToken(now time.Time, event StaleToken) []Effect {
 	if !c.Holding() || event.Held <= c.token {
+		c.readSoon(now, event.Machine)
 		return nil
 	}
 	c.acquireAt = now.Add(c.config.acquireDelay())
--- a/authority/engines.go
+++ b/authority/engines.go
@@ -158,7 +158,13 @@
 		return
 	}
 	entry.settle(event.Order)
-	if !entry.calling {
+	c.readSoon(now, event.Machine)
+}
+
+// readSoon has the machine's inventory read at the next Tick: its engine
+// refused what a sealed one accepts, so it may have restarted.
+func (c *Controller) readSoon(now time.Time, id cluster.MachineID) {
+	if entry := c.machines[id]; entry != nil && !entry.calling {
 		entry.nextCall = now
 	}
 }
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -17,6 +17,10 @@
 // Config of a State. Zero speeds and times mean that the step takes no time.
 type Config struct {
 	Machine cluster.MachineID
+	// Epoch precedes that of the first run. A Server takes the time of its start
+	// when it is zero, so that a process that takes another's place has a later
+	// one.
+	Epoch uint64
 	// MemoryBytes for replicas. Orders beyond it are carried out and counted.
 	MemoryBytes  int64
 	Accelerators int
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -45,7 +45,7 @@
 // effect.
 func (s *State) Order(now time.Time, order cluster.Order) (cluster.Inventory, *engine.OrderRefusal) {
 	s.Advance(now)
-	if refused := s.fence(order.Token); refused != nil {
+	if refused := s.admitOrder(&order); refused != nil {
 		return cluster.Inventory{}, refused
 	}
 	if s.orders.has(order.ID) {
@@ -59,6 +59,20 @@
 	return s.Inventory(now), nil
 }
 
+// admitOrder refuses orders of any token but the one the engine was last sealed
+// with, and orders for another run of its process.
+func (s *State) admitOrder(order *cluster.Order) *engine.OrderRefusal {
+	switch {
+	case order.Token < s.token:
+		return s.fence(order.Token)
+	case order.Token > s.token || s.token == 0:
+		return &engine.OrderRefusal{Reason: engine.ReasonNotSealed, Token: s.token}
+	case order.Epoch != s.epoch:
+		return &engine.OrderRefusal{Reason: engine.ReasonOtherRun, Token: s.token}
+	}
+	return nil
+}
+
 // apply returns the reason of a refusal, empty when the order took effect.
 func (s *State) apply(order cluster.Order) string {
 	if order.Machine != s.config.Machine || order.ID == "" {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -57,6 +57,9 @@
 		config.RestartAfter = defaultRestartAfter
 	}
 	config.Engine.StoreFetch = config.Fetch != nil
+	if config.Engine.Epoch == 0 {
+		config.Engine.Epoch = uint64(time.Now().UnixNano())
+	}
 	server := &Server{
 		config: config, state: NewState(config.Engine),
 		waiting: map[Key]chan struct{}{}, formats: newFormats(), fetches: map[string]context.CancelFunc{},
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -43,8 +43,12 @@
 // load orders a model that takes no time to load.
 func load(t testing.TB, control *engine.Client, address string, model cluster.ModelID, bytes int64) cluster.Inventory {
 	t.Helper()
+	sealed, err := control.Seal(context.Background(), address, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
 	inventory, err := control.Order(context.Background(), address, cluster.Order{
-		ID: "load-" + string(model), Token: 5, Machine: machine, Kind: cluster.OrderLoad, Model: model, Version: "1", Bytes: bytes,
+		ID: "load-" + string(model), Token: 5, Epoch: sealed.Epoch, Machine: machine, Kind: cluster.OrderLoad, Model: model, Version: "1", Bytes: bytes,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -86,7 +86,7 @@
 // NewState returns an engine that holds nothing.
 func NewState(config Config) *State {
 	config = config.withDefaults()
-	state := &State{config: config, pool: config.Pool}
+	state := &State{config: config, pool: config.Pool, epoch: config.Epoch}
 	state.cached = newCheckpoints(config)
 	state.reset()
 	return state
--- a/standin/engine/state_test.go
+++ b/standin/engine/state_test.go
@@ -28,12 +28,15 @@
 }
 
 func order(id string, token cluster.FencingToken, kind cluster.OrderKind, model cluster.ModelID) cluster.Order {
-	return cluster.Order{ID: id, Token: token, Machine: machine, Kind: kind, Model: model, Version: "1", Bytes: 20, DrainTime: time.Second}
+	return cluster.Order{ID: id, Token: token, Epoch: 1, Machine: machine, Kind: kind, Model: model, Version: "1", Bytes: 20, DrainTime: time.Second}
 }
 
-// mustOrder gives an order that must be accepted.
+// mustOrder seals the engine and gives an order that must be accepted.
 func mustOrder(t testing.TB, state *standin.State, now time.Time, order cluster.Order) cluster.Inventory {
 	t.Helper()
+	if _, refused := state.Seal(now, order.Token); refused != nil {
+		t.Fatalf("seal with %d refused: %s", order.Token, refused.Reason)
+	}
 	inventory, refused := state.Order(now, order)
 	if refused != nil {
 		t.Fatalf("%s refused: %s", order.ID, refused.Reason)
@@ -188,6 +191,9 @@
 	if after.Epoch == before.Epoch || after.Token != 7 || len(after.Replicas) != 0 || len(after.Cached) != 0 {
 		t.Fatalf("after: %+v", after)
 	}
+	if _, refused := state.Order(at(20), order("2", 7, cluster.OrderLoad, "m")); refused == nil || refused.Reason != engine.ReasonOtherRun {
+		t.Fatalf("an order for the run before: %+v", refused)
+	}
 	if _, refused := state.Seal(at(20), 6); refused == nil || refused.Token != 7 {
 		t.Fatalf("a stale seal after the crash: %+v", refused)
 	}
@@ -260,12 +266,19 @@
 					rapid.SampledFrom([]cluster.ModelID{"a", "b", "c"}).Draw(t, "model"))
 			}
 			before := state.Inventory(at(now))
+			if rapid.Bool().Draw(t, "seal") {
+				token := cluster.FencingToken(rapid.IntRange(1, 5).Draw(t, "sealed"))
+				if _, refused := state.Seal(at(now), token); (refused != nil) != (token < highest) {
+					t.Fatalf("seal with %d, %d held: %+v", token, highest, refused)
+				}
+				highest = max(highest, token)
+				before = state.Inventory(at(now))
+			}
 			inventory, refused := state.Order(at(now), next)
-			stale := next.Token < highest
-			highest = max(highest, next.Token)
 			after := state.Inventory(at(now))
 			switch {
-			case stale != (refused != nil && refused.Reason == engine.ReasonStaleToken):
+			case (next.Token < highest) != (refused != nil && refused.Reason == engine.ReasonStaleToken),
+				(next.Token > highest) != (refused != nil && refused.Reason == engine.ReasonNotSealed):
 				t.Fatalf("%+v with %d held: %+v", next, highest, refused)
 			case (known || refused != nil) && fmt.Sprint(after.Replicas) != fmt.Sprint(before.Replicas):
 				t.Fatalf("%+v changed %+v to %+v", next, before.Replicas, after.Replicas)
