Add the load tool: an open loop whose every answer is checked

Requests start at times drawn beforehand and latencies count from those, so a stall shows in every request it delays.

--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -36,7 +36,7 @@
 		Name:        "valveslip",
 		ShortUsage:  "valveslip <subcommand> [flags]",
 		ShortHelp:   "serve language models that see little use",
-		Subcommands: []*ffcli.Command{checkCommand(), demoCommand(), standinCommand()},
+		Subcommands: []*ffcli.Command{checkCommand(), demoCommand(), loadCommand(), standinCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- /dev/null
+++ b/experiment/load/load_test.go
@@ -0,0 +1,142 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/experiment/load"
+	standin "github.com/valveslip/valveslip/standin/engine"
+	"github.com/valveslip/valveslip/standin/fault"
+)
+
+// engine serves a stand-in that holds model m.
+func engine(t *testing.T, config standin.Config) (*standin.Server, string) {
+	t.Helper()
+	config.Machine = "m1"
+	server := standin.NewServer(standin.ServerConfig{Engine: config})
+	server.Do(func(now time.Time, state *standin.State) {
+		inventory, _ := state.Seal(now, 1)
+		_, refused := state.Order(now, cluster.Order{Epoch: inventory.Epoch, ID: "1", Token: 1, Machine: "m1", Kind: cluster.OrderLoad, Model: "m"})
+		if refused != nil {
+			t.Fatal(refused.Reason)
+		}
+	})
+	listener := httptest.NewServer(server)
+	t.Cleanup(listener.Close)
+	return server, listener.URL
+}
+
+func config(target string) load.Config {
+	return load.Config{
+		Targets: []string{target}, Rate: 500, Duration: 200 * time.Millisecond,
+		Models: []string{"m"}, StreamShare: 0.5, NotRepeatableShare: 0.3, Seed: 3,
+	}
+}
+
+func run(t *testing.T, config load.Config) load.Report {
+	t.Helper()
+	report, err := load.Run(context.Background(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func TestEveryAnswerIsChecked(t *testing.T) {
+	ledger := standin.NewLedger()
+	_, target := engine(t, standin.Config{Recorder: ledger, Slots: 1000})
+	settings := config(target)
+	settings.Runs = ledger.Runs
+	report := run(t, settings)
+	if report.Requests == 0 || report.Served != report.Requests || report.Served != ledger.Total() {
+		t.Fatalf("%+v; %d runs", report, ledger.Total())
+	}
+	if broken := report.BrokenPromises(); len(broken) != 0 {
+		t.Fatal(broken)
+	}
+	if report.FirstToken.Count+report.ColdStart.Count != int64(report.Served) || report.ColdStart.Count == 0 {
+		t.Fatalf("first token %+v, cold %+v", report.FirstToken, report.ColdStart)
+	}
+	var table bytes.Buffer
+	if err := report.WriteTable(&table); err != nil || !strings.Contains(table.String(), "cold start") {
+		t.Fatalf("%v: %s", err, table.String())
+	}
+}
+
+// TestFaultsShow: each way an answer can go wrong is told from the others.
+func TestFaultsShow(t *testing.T) {
+	server, target := engine(t, standin.Config{Slots: 1000})
+	server.Inject(fault.Order{Kind: fault.KindCutStream, Count: 2, Tokens: 3})
+	if report := run(t, config(target)); report.Broken != 2 || len(report.BrokenPromises()) != 1 {
+		t.Errorf("cut streams: %+v", report)
+	}
+	server.Inject(fault.Order{Kind: fault.KindDown, Count: 3})
+	if report := run(t, config(target)); report.Broken != 3 {
+		t.Errorf("closed connections: %+v", report)
+	}
+	settings := config(target)
+	settings.Models = []string{"absent"}
+	if report := run(t, settings); report.Refused["404 Not Found"] != report.Requests {
+		t.Errorf("refusals: %+v", report)
+	}
+	settings = config("http://127.0.0.1:1")
+	if report := run(t, settings); report.Unreachable != report.Requests {
+		t.Errorf("dial refused: %+v", report)
+	}
+}
+
+// TestCrossedAndCutAnswersAreWrong: answers that look whole but are another
+// request's, or miss tokens, are found.
+func TestCrossedAndCutAnswersAreWrong(t *testing.T) {
+	text := standin.AnswerText("m", "another prompt", 16)
+	bodies := map[string]string{
+		"crossed":        fmt.Sprintf(`{"choices":[{"message":{"content":%q}}]}`, text),
+		"empty":          `{"choices":[]}`,
+		"not JSON":       `{"choices":[`,
+		"crossed stream": fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\ndata: [DONE]\n\n", text),
+		"short stream":   "data: {\"choices\":[]}\n\ndata: [DONE]\n\n",
+	}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			listener := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				_, _ = writer.Write([]byte(body))
+			}))
+			defer listener.Close()
+			settings := config(listener.URL)
+			settings.StreamShare = 0
+			if strings.Contains(name, "stream") {
+				settings.StreamShare = 1
+			}
+			if report := run(t, settings); report.Wrong != report.Requests || report.Requests == 0 {
+				t.Errorf("%+v", report)
+			}
+		})
+	}
+}
+
+func TestDoubledRunsShow(t *testing.T) {
+	_, target := engine(t, standin.Config{Slots: 1000})
+	settings := config(target)
+	settings.NotRepeatableShare = 1
+	settings.Runs = func(uint64) int { return 2 }
+	if report := run(t, settings); report.Doubled != report.Requests {
+		t.Errorf("%+v", report)
+	}
+}
+
+func TestCallersLeave(t *testing.T) {
+	server, target := engine(t, standin.Config{Slots: 1000, StepTime: time.Hour})
+	settings := config(target)
+	settings.CancelShare, settings.StreamShare, settings.Rate = 1, 1, 100
+	report := run(t, settings)
+	if report.Cancelled != report.Requests || server.Counters().Runs == 0 {
+		t.Errorf("%+v", report)
+	}
+}
