React to new demand and to loaded replicas at once

Cause: a cold start waited for the router's tick, the controller's tick, an inventory poll of 500 ms and the next tick before the request was dispatched.

--- a/node/controller.go
+++ b/node/controller.go
@@ -31,6 +31,7 @@
 	// vacantSince is when the zone was first seen without a live controller.
 	vacantSince time.Time
 	planDue     time.Time
+	planned     time.Time
 	machinesDue time.Time
 	storeDue    time.Time
 	reportsDue  time.Time
@@ -47,6 +48,9 @@
 func newCellRole(core *Core) *cellRole {
 	config := core.config.Controller
 	config.Zone, config.Node = core.self.Zone, core.self.ID
+	if config.BusyInventoryInterval == 0 {
+		config.BusyInventoryInterval = busyInventoryInterval
+	}
 	role := &cellRole{core: core, controller: authority.NewController(config)}
 	role.lease = &leaseSession{
 		core: core, key: keyCells + string(core.self.Zone), owner: string(core.self.ID), ttl: leaseTTL,
@@ -234,6 +238,10 @@
 		r.control(authority.InventoryRead{Inventory: answer.Inventory, Order: answer.Call.Order.ID})
 	}
 	r.replan = true
+	if r.controller.Holding() {
+		r.plan()
+		r.publisher.tick()
+	}
 }
 
 // machinesListed hands the zone's part of the list to the controller and the
@@ -264,6 +272,7 @@
 func (r *cellRole) demandReceived(demand wire.Demand) {
 	if r.controller.Holding() {
 		r.demand.note(r.core.now, demand)
+		r.plan()
 	}
 }
 
@@ -273,12 +282,11 @@
 // hands it to the controller core, which checks it against its ledger again.
 func (r *cellRole) plan() {
 	due := !r.core.now.Before(r.planDue)
-	if !due && !r.replan && !r.demand.changed {
-		return
-	}
-	if !r.controller.Ready() || r.core.Snapshot() == nil {
+	news := (r.replan || r.demand.changed) && r.core.now.Sub(r.planned) >= planSpacing
+	if !due && !news || !r.controller.Ready() || r.core.Snapshot() == nil {
 		return
 	}
+	r.planned = r.core.now
 	r.planDue, r.replan = r.core.now.Add(planInterval), false
 	state := r.controller.State(r.core.now)
 	state.Settings = r.core.Snapshot()
--- a/node/core.go
+++ b/node/core.go
@@ -21,8 +21,9 @@
 	// TickInterval is how often shells send a Tick.
 	TickInterval = 100 * time.Millisecond
 	// demandInterval is how often a router reports its demand when nothing new
-	// waits; a model that begins to wait is reported at the next Tick.
+	// waits; a model that begins to wait is reported at once, newsSpacing apart.
 	demandInterval = time.Second
+	newsSpacing    = 25 * time.Millisecond
 	// idleDemandInterval is how often an empty report is repeated.
 	idleDemandInterval = 10 * time.Second
 	// statusInterval is how often a controller publishes its cell's status in
@@ -31,8 +32,12 @@
 	// remoteStatusInterval is the same towards other zones.
 	remoteStatusInterval = 10 * time.Second
 	// planInterval is how often a controller plans when nothing has changed;
-	// with new demand or inventories it plans at the next Tick.
+	// with new demand or inventories it plans at once, planSpacing apart.
 	planInterval = time.Second
+	planSpacing  = 25 * time.Millisecond
+	// busyInventoryInterval is how often the inventory of a machine with work
+	// in progress is read when the configuration does not say.
+	busyInventoryInterval = 150 * time.Millisecond
 	// machineListInterval is how often a controller reads the machine list.
 	machineListInterval = time.Second
 	// storeStatusInterval is how often a controller reads the weight store.
@@ -122,6 +127,7 @@
 		c.messageReceived(e.Message)
 	case RoutingInput:
 		c.routing(e.Event)
+		c.reportNews()
 	case KeyValueAnswered:
 		c.keyValueAnswered(e)
 	case WatchDelivered:
--- a/node/demand.go
+++ b/node/demand.go
@@ -17,8 +17,7 @@
 type demandReporter struct {
 	sequence uint64
 	next     time.Time
-	// waiting models at the last report, to send news at once.
-	waiting map[cluster.ModelID]bool
+	last     time.Time
 	// told is when each zone last got a report and whether it was empty.
 	told map[cluster.ZoneID]toldZone
 }
@@ -29,17 +28,29 @@
 }
 
 func newDemandReporter() *demandReporter {
-	return &demandReporter{waiting: map[cluster.ModelID]bool{}, told: map[cluster.ZoneID]toldZone{}}
+	return &demandReporter{told: map[cluster.ZoneID]toldZone{}}
 }
 
-// reportDemand sends this router's demand to the zones that should load the
-// models: every demandInterval, and at once when a model begins to wait.
+// reportNews reports a model that has just begun to wait.
+func (c *Core) reportNews() {
+	if c.now.Sub(c.demand.last) >= newsSpacing && c.router.NewlyWaiting() {
+		c.sendDemand()
+	}
+}
+
+// reportDemand reports at least every demandInterval.
 func (c *Core) reportDemand() {
-	due := !c.now.Before(c.demand.next)
-	if !due && !c.router.NewlyWaiting() {
+	if !c.now.Before(c.demand.next) {
+		c.sendDemand()
 		return
 	}
-	c.demand.next = c.now.Add(demandInterval)
+	c.reportNews()
+}
+
+// sendDemand sends this router's demand to the zones that should load the
+// models.
+func (c *Core) sendDemand() {
+	c.demand.last, c.demand.next = c.now, c.now.Add(demandInterval)
 	demand := c.router.Demand(c.now, true)
 	perZone := c.divideDemand(demand.Models)
 	for _, zone := range append([]cluster.ZoneID(nil), c.cells.order...) {
