--- a/routing/choice.go
+++ b/routing/choice.go
@@ -294,29 +294,36 @@
 			}
 		}
 	case event.EngineFull:
-		m.setbacks = min(m.setbacks, maxRefusalDoublings)
-		r.backOff(m, r.config.RefusalBackOff, m.inFlight)
+		r.backOff(m, r.config.RefusalBackOff, r.longestRefusal(failed.model, m), m.inFlight)
 	case engineFault(event.Failure.Code):
 		failed.tried = append(failed.tried, m)
-		r.backOff(m, r.config.FailureBackOff, 0)
+		r.backOff(m, r.config.FailureBackOff, r.config.MaxBackOff, 0)
 	}
 }
 
 // engineFault reports whether a failure speaks against the machine.
 func engineFault(code verdict.Code) bool { return !permanent(code) }
 
-// maxDoublings and maxRefusalDoublings bound how often a back-off doubles. A
-// full engine frees slots soon, so refusals never keep it out for long.
-const (
-	maxDoublings        = 16
-	maxRefusalDoublings = 4
-)
+// probesPerSlot is how often all routers together try a full machine for each
+// slot that it frees.
+const probesPerSlot = 4
+
+// longestRefusal bounds the back-off after refusals: so long that the probes of
+// all routers stay in proportion to the slots that the machine frees.
+func (r *Router) longestRefusal(m *model, on *machine) time.Duration {
+	freed := m.serviceTime(&r.config) / float64(max(on.slots, 1))
+	longest := time.Duration(freed * float64(r.routers) / probesPerSlot)
+	return min(max(longest, r.config.RefusalBackOff), r.config.MaxBackOff)
+}
+
+// maxDoublings bounds how often a back-off doubles.
+const maxDoublings = 16
 
 // backOff bounds the machine to ceiling requests in flight for a time that
 // doubles with each setback in a row and is spread by half at random.
-func (r *Router) backOff(m *machine, base time.Duration, ceiling int) {
+func (r *Router) backOff(m *machine, base, longest time.Duration, ceiling int) {
 	wait := float64(base) * math.Exp2(float64(min(m.setbacks, maxDoublings)))
-	wait = min(wait, float64(r.config.MaxBackOff)) * (0.75 + r.random.Float64()/2)
+	wait = min(wait, float64(longest)) * (0.75 + r.random.Float64()/2)
 	m.setbacks++
 	m.ceiling = ceiling
 	m.ceilingUntil = r.nanos + int64(wait)
