--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -33,10 +33,16 @@
 // rootCommand assembles the subcommands; each stands in a file of its own.
 func rootCommand() *ffcli.Command {
 	return &ffcli.Command{
-		Name:        "valveslip",
-		ShortUsage:  "valveslip <subcommand> [flags]",
-		ShortHelp:   "serve language models that see little use",
-		Subcommands: []*ffcli.Command{checkCommand(), demoCommand(), loadCommand(), standinCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Name:       "valveslip",
+		ShortUsage: "valveslip <subcommand> [flags]",
+		ShortHelp:  "serve language models that see little use",
+		Subcommands: []*ffcli.Command{
+			checkCommand(),
+			demoCommand(),
+			loadCommand(),
+			nodeCommand(),
+			standinCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- /dev/null
+++ b/cmd/valveslip/node.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/node/shell"
+)
+
+// nodeCommand runs one node until it is told to stop.
+func nodeCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("valveslip node", flag.ContinueOnError)
+	read := configFlags(flags)
+	return &ffcli.Command{
+		Name:       "node",
+		ShortUsage: "valveslip node --config FILE [flags]",
+		ShortHelp:  "run a node; SIGTERM drains it",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(node.EnvironmentPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			config, err := read()
+			if err != nil {
+				return &exitError{code: exitInvalid, err: err}
+			}
+			return runNode(ctx, config)
+		},
+	}
+}
+
+// runNode runs a node until SIGTERM or SIGINT and drains it.
+func runNode(ctx context.Context, config node.Config) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(config.LogLevel)); err != nil {
+		return &exitError{code: exitInvalid, err: err}
+	}
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	running, err := shell.Start(ctx, config, shell.Options{Logger: logger})
+	if err != nil {
+		return err
+	}
+	<-running.Done()
+	return running.Stop()
+}
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,147 @@
+package journal
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/placement"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+var start = time.Unix(1000, 0)
+
+// request records one whole request.
+func request(j *Journal, id, model string) {
+	j.Arrived(start, &routing.Request{ID: cluster.RequestID(id), Model: cluster.ModelID(model), Team: "/dental"})
+	j.Dispatched(start.Add(time.Second), &routing.Dispatch{Request: cluster.RequestID(id), Attempt: 1, Machine: "m1", Reason: choice()})
+	j.Finished(start.Add(2*time.Second), &routing.Finish{
+		Request: cluster.RequestID(id), Failure: verdict.New(verdict.Ran, verdict.CodeStreamCut, "cut"), Reason: routing.Explanation{Code: verdict.CodeStreamCut},
+	})
+}
+
+// choice returns a choice with as many reasons as are ever kept, and more.
+func choice() routing.Choice {
+	return routing.Choice{Candidates: make([]routing.Candidate, 3*maxCandidates), Filtered: make([]routing.FilterCount, 3*maxFiltered)}
+}
+
+func TestRequestIsFoundWithItsReasons(t *testing.T) {
+	j := New(Config{})
+	request(j, "a", "recall")
+	found, ok := j.Request("a")
+	if !ok || found.Model != "recall" || len(found.Dispatches) != 1 || found.Dispatches[0].Machine != "m1" {
+		t.Fatalf("found %v: %+v", ok, found)
+	}
+	if found.Reason.Code != verdict.CodeStreamCut || found.Ended.Sub(found.Arrived) != 2*time.Second {
+		t.Fatalf("end %+v", found)
+	}
+	if len(found.Dispatches[0].Reason.Candidates) != maxCandidates {
+		t.Fatalf("%d candidates kept", len(found.Dispatches[0].Reason.Candidates))
+	}
+}
+
+func TestDecisionsAreKeptWhenTheyChange(t *testing.T) {
+	j := New(Config{})
+	plan := placement.Plan{Decisions: []placement.Decision{{Model: "recall", Wanted: 1, Reason: placement.Reason{Cause: placement.CauseDemand}}}}
+	for range 5 {
+		j.Planned(start, "z1", &plan)
+	}
+	plan.Decisions[0].Loaded = 1
+	plan.Actions = []placement.Action{{Model: "recall", Machine: "m1"}, {Model: "other", Machine: "m1"}}
+	j.Planned(start.Add(time.Second), "z1", &plan)
+	decisions := j.DecisionsOf("recall", 10)
+	if len(decisions) != 2 || decisions[0].Decision.Loaded != 1 || len(decisions[0].Actions) != 1 {
+		t.Fatalf("decisions %+v", decisions)
+	}
+	if others := j.DecisionsOf("other", 10); len(others) != 1 {
+		t.Fatalf("actions without a decision: %+v", others)
+	}
+}
+
+// TestLookupsAgreeWithTheLatestEntries compares the journal with a plain list.
+func TestLookupsAgreeWithTheLatestEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 8).Draw(t, "capacity")
+		j := New(Config{Requests: capacity})
+		models := rapid.SliceOfN(rapid.IntRange(0, 3), 0, 40).Draw(t, "models")
+		for i, model := range models {
+			request(j, fmt.Sprint(i), fmt.Sprint(model))
+		}
+		oldest := max(0, len(models)-capacity)
+		wanted := make(map[int][]string)
+		for i := len(models) - 1; i >= oldest; i-- {
+			wanted[models[i]] = append(wanted[models[i]], fmt.Sprint(i))
+		}
+		for model := range 4 {
+			var found []string
+			for _, entry := range j.RequestsOf(cluster.ModelID(fmt.Sprint(model)), 100) {
+				found = append(found, string(entry.ID))
+			}
+			if fmt.Sprint(found) != fmt.Sprint(wanted[model]) {
+				t.Fatalf("model %d: %v, want %v", model, found, wanted[model])
+			}
+		}
+		for i := range models {
+			if _, ok := j.Request(cluster.RequestID(fmt.Sprint(i))); ok != (i >= oldest) {
+				t.Fatalf("request %d found %v", i, ok)
+			}
+		}
+		if len(j.byRequest) > capacity || len(j.requestsOf) > capacity {
+			t.Fatalf("%d and %d index keys for %d entries", len(j.byRequest), len(j.requestsOf), capacity)
+		}
+	})
+}
+
+// maxBytes is the most memory a journal of the default size may take.
+const maxBytes = 10 << 20
+
+func TestMemoryStaysBounded(t *testing.T) {
+	j := New(Config{})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	fill(j, 3*DefaultRequests)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > maxBytes {
+		t.Fatalf("the full journal takes %d bytes", grown)
+	}
+	if _, ok := j.Request(cluster.RequestID(fmt.Sprint(3*DefaultRequests - 1))); !ok {
+		t.Fatal("the newest request is not held")
+	}
+}
+
+// fill records requests and decisions of many models.
+func fill(j *Journal, count int) {
+	for i := range count {
+		model := fmt.Sprint("model-", i%1600)
+		request(j, fmt.Sprint(i), model)
+		j.Planned(start, "z1", &placement.Plan{Decisions: []placement.Decision{{Model: cluster.ModelID(model), Wanted: i, Reason: placement.Reason{
+			Candidates: make([]placement.Candidate, 8), Filtered: make([]placement.FilterCount, 8),
+		}}}})
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	j := New(Config{})
+	fill(j, DefaultRequests)
+	var memory runtime.MemStats
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		id := cluster.RequestID(fmt.Sprint(i))
+		j.Arrived(start, &routing.Request{ID: id, Model: "recall"})
+		j.Dispatched(start, &routing.Dispatch{Request: id, Attempt: 1})
+		j.Finished(start, &routing.Finish{Request: id})
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapAlloc), "heap-bytes")
+	runtime.KeepAlive(j)
+}
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/valveslip/valveslip/api"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/journal"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/settings"
@@ -30,9 +31,6 @@
 // shutdownGrace bounds the closing of listeners and transport after a drain.
 const shutdownGrace = 5 * time.Second
 
-// tickInterval is how often time passes for the core.
-const tickInterval = 50 * time.Millisecond
-
 // Node is a running node.
 type Node struct {
 	config  node.Config
@@ -44,6 +42,7 @@
 	mutex   sync.Mutex
 	core    Stepper
 	tickets map[cluster.RequestID]*relay.Ticket
+	journal *journal.Journal
 
 	settings  atomic.Pointer[settings.Snapshot]
 	transport Transport
@@ -68,6 +67,7 @@
 	n := &Node{
 		config: config, options: options.withDefaults(config),
 		tickets:      make(map[cluster.RequestID]*relay.Ticket),
+		journal:      journal.New(journal.Config{}),
 		keyValuePool: newPool(keyValueWorkers, keyValueQueue),
 		enginePool:   newPool(engineWorkers, engineQueue),
 		platformPool: newPool(platformWorkers, platformQueue),
@@ -163,7 +163,7 @@
 
 // tick lets time pass for the core.
 func (n *Node) tick() {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(node.TickInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -187,3 +187,6 @@
 
 // Settings returns the snapshot in force, or nil.
 func (n *Node) Settings() *settings.Snapshot { return n.settings.Load() }
+
+// Journal returns the node's latest decisions.
+func (n *Node) Journal() *journal.Journal { return n.journal }
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"log/slog"
 	"net"
@@ -65,6 +66,13 @@
 	return cluster.NodeID(string(zone) + "-" + hex.EncodeToString(random[:]))
 }
 
+// randomSeed seeds a node's pseudo-random choices.
+func randomSeed() uint64 {
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	return binary.LittleEndian.Uint64(random[:])
+}
+
 // withDefaults fills zero fields from the node's configuration.
 func (o Options) withDefaults(config node.Config) Options {
 	if o.ID == "" {
@@ -73,6 +81,11 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.NewCore == nil {
+		o.NewCore = func(self cluster.Node) Stepper {
+			return node.NewCore(node.CoreConfig{Self: self, Seeds: config.Seeds, Seed: randomSeed()})
+		}
+	}
 	if o.NewTransport == nil {
 		o.NewTransport = o.wireTransport
 	}
--- a/node/shell/step.go
+++ b/node/shell/step.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/routing"
@@ -13,11 +14,15 @@
 func (n *Node) step(event node.Event) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if n.core == nil {
-		return
+	if n.core != nil {
+		n.stepLocked(time.Now(), event)
 	}
-	for _, effect := range n.core.Step(time.Now(), event) {
-		n.begin(effect)
+}
+
+// stepLocked is step for a caller that holds the mutex.
+func (n *Node) stepLocked(now time.Time, event node.Event) {
+	for _, effect := range n.core.Step(now, event) {
+		n.begin(now, effect)
 	}
 }
 
@@ -26,10 +31,10 @@
 func (n *Node) Step(event node.Event) { n.step(event) }
 
 // begin starts one effect. The caller holds the mutex.
-func (n *Node) begin(effect node.Effect) {
+func (n *Node) begin(now time.Time, effect node.Effect) {
 	switch effect := effect.(type) {
 	case node.RoutingOutput:
-		n.deliver(effect.Effect)
+		n.deliver(now, effect.Effect)
 	case node.SendMessage:
 		n.transport.Send(effect.Address, effect.Message)
 	case node.KeyValueCall:
@@ -43,6 +48,7 @@
 	case node.SettingsInForce:
 		n.putInForce(effect)
 	case node.Planned:
+		n.journal.Planned(now, effect.Zone, &effect.Plan)
 		n.logPlan(effect)
 	case node.Drained:
 		n.drainedOnce.Do(func() { close(n.drained) })
@@ -66,21 +72,23 @@
 }
 
 // deliver hands a routing effect to the request it belongs to.
-func (n *Node) deliver(effect routing.Effect) {
+func (n *Node) deliver(now time.Time, effect routing.Effect) {
+	var id cluster.RequestID
 	switch effect := effect.(type) {
 	case routing.Dispatch:
-		if ticket, ok := n.tickets[effect.Request]; ok {
-			ticket.Deliver(effect)
-		}
+		id = effect.Request
+		n.journal.Dispatched(now, &effect)
 	case routing.CancelAttempt:
-		if ticket, ok := n.tickets[effect.Request]; ok {
-			ticket.Deliver(effect)
-		}
+		id = effect.Request
 	case routing.Finish:
-		if ticket, ok := n.tickets[effect.Request]; ok {
-			delete(n.tickets, effect.Request)
-			ticket.Deliver(effect)
-		}
+		id = effect.Request
+		n.journal.Finished(now, &effect)
+		defer delete(n.tickets, id)
+	default:
+		return
+	}
+	if ticket, known := n.tickets[id]; known {
+		ticket.Deliver(effect)
 	}
 }
 
@@ -89,10 +97,10 @@
 	ticket := relay.NewTicket()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	now := time.Now()
 	n.tickets[request.ID] = ticket
-	for _, effect := range n.core.Step(time.Now(), node.RoutingInput{Event: routing.RequestArrived{Request: request}}) {
-		n.begin(effect)
-	}
+	n.journal.Arrived(now, &request)
+	n.stepLocked(now, node.RoutingInput{Event: routing.RequestArrived{Request: request}})
 	return ticket
 }
 
