Seal the engine in the node tests' fixture and test a limit's 429

Engines refuse orders of controllers that did not seal them; the fixture's order had no seal, so its set-up failed. No check changes. A request-rate limit now answers 429 with Retry-After and verdict not-run.

--- a/node/shell/fixture_test.go
+++ b/node/shell/fixture_test.go
@@ -155,7 +155,11 @@
 	t.Cleanup(f.engine.Kill)
 	control := engine.NewClient()
 	defer control.Close()
-	order := cluster.Order{ID: "load", Token: 1, Machine: machine, Kind: cluster.OrderLoad, Model: model, Version: "1", Bytes: 1}
+	inventory, err := control.Seal(t.Context(), f.address, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := cluster.Order{ID: "load", Token: 1, Epoch: inventory.Epoch, Machine: machine, Kind: cluster.OrderLoad, Model: model, Version: "1", Bytes: 1}
 	if _, err := control.Order(t.Context(), f.address, order); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/node/shell/limits_test.go
@@ -0,0 +1,20 @@
+package shell_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/valveslip/valveslip/settings"
+)
+
+func TestLimitsAnswer429WithRetryAfter(t *testing.T) {
+	f := start(t, fixtureConfig{policy: func(p *settings.Policy) { p.RequestsPerSecond = 0.01 }})
+	last := f.post(hello)
+	for range 5 {
+		last = f.post(hello)
+	}
+	code, verdict, retry := refusalOf(t, last)
+	if last.StatusCode != http.StatusTooManyRequests || code != "request_rate_limit" || verdict != "not-run" || retry == "" {
+		t.Fatalf("status %d, %s, %s, Retry-After %q", last.StatusCode, code, verdict, retry)
+	}
+}
