--- a/cmd/valveslip/demo.go
+++ b/cmd/valveslip/demo.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -22,6 +23,7 @@
 // demoCommand runs a whole deployment in this process.
 func demoCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
+	once := flags.Bool("once", false, "send a bounded mixed load, print a table and exit; non-zero when a promise broke")
 	addressesFile := flags.String("addresses-file", "", "write the addresses as JSON to this file when ready")
 	verbose := flags.Bool("verbose", false, "log every event to standard error")
 	return &ffcli.Command{
@@ -29,12 +31,12 @@
 		ShortHelp: "run a whole deployment over loopback: platform stand-ins, engines and nodes in three zones",
 		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix("VALVESLIP_DEMO")},
 		Exec: func(ctx context.Context, _ []string) error {
-			return runDemo(ctx, *addressesFile, *verbose)
+			return runDemo(ctx, *once, *addressesFile, *verbose)
 		},
 	}
 }
 
-func runDemo(ctx context.Context, addressesFile string, verbose bool) error {
+func runDemo(ctx context.Context, once bool, addressesFile string, verbose bool) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger := slog.New(slog.DiscardHandler)
@@ -49,10 +51,48 @@
 		_ = running.Stop()
 		return err
 	}
+	if once {
+		return runDemoOnce(ctx, running)
+	}
 	<-ctx.Done()
 	return running.Stop()
 }
 
+// runDemoOnce sends the bounded load, stops the demo and prints what both
+// showed.
+func runDemoOnce(ctx context.Context, running *demo.Demo) error {
+	var progress io.Writer
+	if isTerminal(os.Stderr) {
+		progress = os.Stderr
+	}
+	outcome, err := running.RunOnce(ctx, progress)
+	if stopErr := running.Stop(); stopErr != nil {
+		outcome.Broken = append(outcome.Broken, "a planned stop cut requests off: "+stopErr.Error())
+	}
+	if err != nil {
+		return err
+	}
+	if err := printOutcome(os.Stdout, outcome); err != nil {
+		return err
+	}
+	if len(outcome.Broken) > 0 {
+		return &exitError{code: exitBroken, err: fmt.Errorf("broken: %s", strings.Join(outcome.Broken, "; "))}
+	}
+	return nil
+}
+
+// printOutcome prints the load's table and what the engines counted.
+func printOutcome(out io.Writer, outcome demo.Outcome) error {
+	if err := outcome.Load.WriteTable(out); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "loads %d, most replicas of one model %d, overcommitted loads %d\n",
+		outcome.Loads, outcome.MostReplicas, outcome.Overcommitted)
+	fmt.Fprintf(out, "accelerator-seconds idle %.1f, busy %.1f\n", outcome.IdleSeconds, outcome.BusySeconds)
+	fmt.Fprintf(out, "promises broken: %d\n", len(outcome.Broken))
+	return nil
+}
+
 // announce writes the addresses file, if asked for, and says how to call.
 func announce(running *demo.Demo, addressesFile string) error {
 	addresses := running.Addresses()
