Read and write parts of a tree as YAML, and add the API's client

Cause: teams keep their subtree in files, and the command line needs a client that settles edits whose answer was lost. Change: ParseFragment compares files with a subtree, EncodeYAML writes one, admin.Client gives an edit with an unknown outcome again under the same id. Measured: property tests write and read random trees with equal digests.

--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -51,11 +51,11 @@
 	s := &server{Config: config}
 	router := chi.NewRouter()
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
-		writeFailure(w, http.StatusNotFound, failureObject{Code: codeNotFound,
+		writeFailure(w, http.StatusNotFound, Failure{Code: codeNotFound,
 			Message: "there is no " + r.URL.Path, Verdict: verdict.NotRun.String()}, 0)
 	})
 	router.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
-		writeFailure(w, http.StatusMethodNotAllowed, failureObject{Code: verdict.CodeInvalidRequest,
+		writeFailure(w, http.StatusMethodNotAllowed, Failure{Code: verdict.CodeInvalidRequest,
 			Message: r.Method + " is not allowed here", Verdict: verdict.NotRun.String()}, 0)
 	})
 	router.Route(Prefix, s.routes)
--- a/api/admin/admin_test.go
+++ b/api/admin/admin_test.go
@@ -97,17 +97,17 @@
 		t.Fatalf("given again it became revision %d", entry.Revision)
 	}
 	h.edit("root", "e2", 2, set("/zebra", "priority", "3")).want(http.StatusCreated, nil)
-	var history historyView
+	var history HistoryPage
 	h.get("root", "/tree/history?limit=2").want(http.StatusOK, &history)
 	if len(history.Entries) != 2 || history.Entries[0].Revision != 3 || history.Next != 2 {
 		t.Fatalf("history %+v", history)
 	}
-	history = historyView{}
+	history = HistoryPage{}
 	h.get("root", "/tree/history?before=2").want(http.StatusOK, &history)
 	if len(history.Entries) != 1 || history.Entries[0].Revision != 1 {
 		t.Fatalf("older history %+v", history)
 	}
-	var diff diffView
+	var diff Difference
 	h.get("root", "/tree/diff?from=1&to=3").want(http.StatusOK, &diff)
 	if len(diff.Changes) != 2 || diff.Changes[0].Set["keep_alive"] != `"30m"` {
 		t.Fatalf("diff %+v", diff)
@@ -126,12 +126,12 @@
 	if len(invalid.Problems) != 2 || invalid.Problems[0].Path != "/dental" || invalid.Problems[1].Key != "memroy" {
 		t.Errorf("problems %+v", invalid.Problems)
 	}
-	h.call("root", http.MethodPost, "/tree/edits", editRequest{ID: "e4"}, "If-Match", "2.h").wantFailure(http.StatusUnprocessableEntity)
-	other := editRequest{ID: "e5", Changes: []settings.Change{set("/", "priority", "1")}}
+	h.call("root", http.MethodPost, "/tree/edits", EditRequest{ID: "e4"}, "If-Match", "2.h").wantFailure(http.StatusUnprocessableEntity)
+	other := EditRequest{ID: "e5", Changes: []settings.Change{set("/", "priority", "1")}}
 	h.call("root", http.MethodPost, "/tree/edits", other, "If-Match", `"2.other"`).wantFailure(http.StatusConflict)
 	h.call("root", http.MethodPost, "/tree/edits", other).wantFailure(http.StatusBadRequest)
 	h.call("root", http.MethodPost, "/tree/edits", `{"id":"x","surprise":1}`, "If-Match", "2").wantFailure(http.StatusBadRequest)
-	huge := editRequest{ID: "e6", Message: strings.Repeat("x", maxEditBytes)}
+	huge := EditRequest{ID: "e6", Message: strings.Repeat("x", maxEditBytes)}
 	h.call("root", http.MethodPost, "/tree/edits", huge, "If-Match", "2").wantFailure(http.StatusRequestEntityTooLarge)
 }
 
@@ -150,13 +150,13 @@
 func TestTheTreeIsReadWithSourcesWhileTheServiceIsAway(t *testing.T) {
 	h := newHarness(t, twoTeams)
 	h.service.away = true
-	var effective effectiveView
+	var effective EffectiveLevel
 	h.get("reader", "/tree?effective=/dental/letters").want(http.StatusOK, &effective)
-	sources := map[string]effectiveItem{}
+	sources := map[string]EffectiveValue{}
 	for _, item := range effective.Values {
 		sources[item.Key] = item
 	}
-	for key, want := range map[string]effectiveItem{
+	for key, want := range map[string]EffectiveValue{
 		"keep_alive":      {Key: "keep_alive", Value: `"10m"`, Source: "/dental/letters"},
 		"max_concurrency": {Key: "max_concurrency", Value: "20", Source: "/dental"},
 		"memory":          {Key: "memory", Value: `"8GiB"`, Source: settings.SourceDefault},
@@ -165,7 +165,7 @@
 			t.Errorf("%s: %+v, want %+v", key, sources[key], want)
 		}
 	}
-	var first, second treeView
+	var first, second TreePage
 	h.get("root", "/tree?limit=4").want(http.StatusOK, &first)
 	h.get("root", "/tree?limit=4&after="+first.Next).want(http.StatusOK, &second)
 	if len(first.Levels) != 4 || second.Next != "" || len(second.Levels) != 4 {
@@ -229,12 +229,12 @@
 		{Model: "parents", Machine: "m2", Zone: "west", State: "loaded"},
 		{Model: "zebra-reader", Machine: "m3", Zone: "west", State: "loaded"},
 	}
-	body := editRequest{ID: "plan", Changes: []settings.Change{
+	body := EditRequest{ID: "plan", Changes: []settings.Change{
 		{Path: "/dental/parents", Set: map[string]settings.Value{"max_replicas": "1", "zones": `["east"]`, "version": `"2"`}},
 		{Path: "/dental/letters", Delete: true},
 		{Path: "/dental/new", Create: settings.KindModel, Set: map[string]settings.Value{"min_replicas": "1"}},
 	}}
-	var plan dryRunView
+	var plan DryRun
 	h.call("chief", http.MethodPost, "/tree/edits?dry_run=true", body, "If-Match", "1").want(http.StatusOK, &plan)
 	var steps []string
 	for _, effect := range plan.Models {
@@ -304,7 +304,7 @@
 			t.Errorf("%s shows another team: %s", path, body)
 		}
 	}
-	var replicas listView[Replica]
+	var replicas Page[Replica]
 	h.get("chief", "/replicas").want(http.StatusOK, &replicas)
 	if len(replicas.Items) != 2 {
 		t.Errorf("a team sees %d replicas, want its own and the shared model's", len(replicas.Items))
--- a/api/admin/bench_test.go
+++ b/api/admin/bench_test.go
@@ -70,7 +70,7 @@
 	revision := 1
 	b.ReportAllocs()
 	for b.Loop() {
-		edit := editRequest{ID: fmt.Sprint(revision), Changes: []settings.Change{set("/team-07/adapter-0007", "priority", settings.Value(fmt.Sprint(revision%9)))}}
+		edit := EditRequest{ID: fmt.Sprint(revision), Changes: []settings.Change{set("/team-07/adapter-0007", "priority", settings.Value(fmt.Sprint(revision%9)))}}
 		h.bare(h.request("root", http.MethodPost, "/tree/edits", edit, "If-Match", fmt.Sprint(revision)), http.StatusCreated)
 		revision++
 	}
@@ -78,7 +78,7 @@
 
 func BenchmarkDryRun(b *testing.B) {
 	h := newTreeHarness(b, benchTree(b))
-	edit := editRequest{ID: "plan", Changes: []settings.Change{set("/team-07", "keep_alive", `"5m"`)}}
+	edit := EditRequest{ID: "plan", Changes: []settings.Change{set("/team-07", "keep_alive", `"5m"`)}}
 	b.ReportAllocs()
 	for b.Loop() {
 		h.bare(h.request("root", http.MethodPost, "/tree/edits?dry_run=true", edit, "If-Match", "1"), http.StatusOK)
--- a/api/admin/dryrun.go
+++ b/api/admin/dryrun.go
@@ -9,18 +9,18 @@
 	"github.com/valveslip/valveslip/settings"
 )
 
-// dryRunView is what an edit would do.
-type dryRunView struct {
+// DryRun is what an edit would do.
+type DryRun struct {
 	// Changes with normalised values.
 	Changes []settings.Change `json:"changes"`
-	Models  []modelEffect     `json:"models"`
+	Models  []ModelEffect     `json:"models"`
 	// Before and After sum over the models of the reader's subtree.
-	Before totals `json:"before"`
-	After  totals `json:"after"`
+	Before Totals `json:"before"`
+	After  Totals `json:"after"`
 }
 
-// totals bound what a tree keeps loaded.
-type totals struct {
+// Totals bound what a tree keeps loaded.
+type Totals struct {
 	Models      int   `json:"models"`
 	MinReplicas int   `json:"min_replicas"`
 	MaxReplicas int   `json:"max_replicas"`
@@ -28,19 +28,19 @@
 	MaxBytes    int64 `json:"max_bytes"`
 }
 
-// modelEffect is what an edit would do to one model.
-type modelEffect struct {
+// ModelEffect is what an edit would do to one model.
+type ModelEffect struct {
 	Model cluster.ModelID `json:"model"`
 	Path  string          `json:"path"`
 	// Change is "added", "removed" or "changed".
 	Change string          `json:"change"`
-	Values []valueEffect   `json:"values,omitempty"`
+	Values []ValueEffect   `json:"values,omitempty"`
 	Held   int             `json:"held"`
-	Steps  []replicaEffect `json:"steps,omitempty"`
+	Steps  []ReplicaEffect `json:"steps,omitempty"`
 }
 
-// valueEffect is one effective value that would change.
-type valueEffect struct {
+// ValueEffect is one effective value that would change.
+type ValueEffect struct {
 	Key          string         `json:"key"`
 	Before       settings.Value `json:"before,omitempty"`
 	BeforeSource string         `json:"before_source,omitempty"`
@@ -48,8 +48,8 @@
 	AfterSource  string         `json:"after_source,omitempty"`
 }
 
-// replicaEffect is a consequence for replicas or calls.
-type replicaEffect struct {
+// ReplicaEffect is a consequence for replicas or calls.
+type ReplicaEffect struct {
 	// Step is "load", "unload", "move", "reload" or "refuse".
 	Step  string `json:"step"`
 	Count int    `json:"count,omitempty"`
@@ -76,7 +76,7 @@
 		}
 	}
 	token := tokenOf(r)
-	writeJSON(w, http.StatusOK, dryRunView{
+	writeJSON(w, http.StatusOK, DryRun{
 		Changes: visibleChanges(token, normalised.Changes),
 		Models:  modelEffects(snapshots[0], snapshots[1], edit.Changes, replicas),
 		Before:  sum(snapshots[0], token.Path), After: sum(snapshots[1], token.Path),
@@ -84,8 +84,8 @@
 }
 
 // sum adds up the models of a subtree.
-func sum(snapshot *settings.Snapshot, path string) totals {
-	var total totals
+func sum(snapshot *settings.Snapshot, path string) Totals {
+	var total Totals
 	for i := range snapshot.Models {
 		model := &snapshot.Models[i]
 		if !settings.Contains(path, model.Path) {
@@ -102,7 +102,7 @@
 
 // modelEffects compares two snapshots model by model. Only models at or below
 // a changed level can differ.
-func modelEffects(before, after *settings.Snapshot, changes []settings.Change, replicas []Replica) []modelEffect {
+func modelEffects(before, after *settings.Snapshot, changes []settings.Change, replicas []Replica) []ModelEffect {
 	touched := func(model *settings.Model) bool {
 		return slices.ContainsFunc(changes, func(change settings.Change) bool { return settings.Contains(change.Path, model.Path) })
 	}
@@ -110,7 +110,7 @@
 	for _, replica := range replicas {
 		held[replica.Model] = append(held[replica.Model], replica)
 	}
-	effects := []modelEffect{}
+	effects := []ModelEffect{}
 	for i := range before.Models {
 		old := &before.Models[i]
 		if !touched(old) {
@@ -123,14 +123,14 @@
 	for i := range after.Models {
 		added := &after.Models[i]
 		if before.Model(added.ID) == nil {
-			effect := modelEffect{Model: added.ID, Path: added.Path, Change: "added"}
+			effect := ModelEffect{Model: added.ID, Path: added.Path, Change: "added"}
 			if added.Policy.MinReplicas > 0 {
 				effect.add("load", added.Policy.MinReplicas, "min_replicas is %d", added.Policy.MinReplicas)
 			}
 			effects = append(effects, effect)
 		}
 	}
-	slices.SortStableFunc(effects, func(a, b modelEffect) int { return compareText(a.Model, b.Model) })
+	slices.SortStableFunc(effects, func(a, b ModelEffect) int { return compareText(a.Model, b.Model) })
 	return effects
 }
 
@@ -145,13 +145,13 @@
 	}
 }
 
-func (e *modelEffect) add(step string, count int, format string, arguments ...any) {
-	e.Steps = append(e.Steps, replicaEffect{Step: step, Count: count, Text: fmt.Sprintf(format, arguments...)})
+func (e *ModelEffect) add(step string, count int, format string, arguments ...any) {
+	e.Steps = append(e.Steps, ReplicaEffect{Step: step, Count: count, Text: fmt.Sprintf(format, arguments...)})
 }
 
 // compareModels returns what happens to a model, or false when nothing does.
-func compareModels(before, after *settings.Model, held []Replica) (modelEffect, bool) {
-	effect := modelEffect{Model: before.ID, Path: before.Path, Held: len(held)}
+func compareModels(before, after *settings.Model, held []Replica) (ModelEffect, bool) {
+	effect := ModelEffect{Model: before.ID, Path: before.Path, Held: len(held)}
 	if after == nil {
 		effect.Change = "removed"
 		if len(held) > 0 {
@@ -165,7 +165,7 @@
 		old, _ := before.Policy.Get(key.Name)
 		new, _ := after.Policy.Get(key.Name)
 		if old != new {
-			effect.Values = append(effect.Values, valueEffect{Key: key.Name, Before: old, BeforeSource: before.Sources[key.Name],
+			effect.Values = append(effect.Values, ValueEffect{Key: key.Name, Before: old, BeforeSource: before.Sources[key.Name],
 				After: new, AfterSource: after.Sources[key.Name]})
 		}
 	}
@@ -177,7 +177,7 @@
 }
 
 // addSteps adds what changed policies do to the replicas held now and to calls.
-func (e *modelEffect) addSteps(before, after *settings.Policy, held []Replica) {
+func (e *ModelEffect) addSteps(before, after *settings.Policy, held []Replica) {
 	count := len(held)
 	switch {
 	case after.MaxReplicas < before.MaxReplicas && count > after.MaxReplicas:
--- a/api/admin/edits.go
+++ b/api/admin/edits.go
@@ -16,8 +16,8 @@
 	"github.com/valveslip/valveslip/verdict"
 )
 
-// editRequest is the body of an edit.
-type editRequest struct {
+// EditRequest is the body of an edit.
+type EditRequest struct {
 	// ID is chosen by the writer; giving the same edit again has no further
 	// effect.
 	ID      string            `json:"id"`
@@ -74,7 +74,7 @@
 	if failed != nil {
 		return settings.Edit{}, failed
 	}
-	var body editRequest
+	var body EditRequest
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEditBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&body); err != nil {
@@ -120,7 +120,7 @@
 		conflict   *settings.ConflictError
 		classified *verdict.Error
 	)
-	object := failureObject{Code: verdict.CodeInvalidRequest, Message: "the edit is not valid", Verdict: verdict.NotRun.String()}
+	object := Failure{Code: verdict.CodeInvalidRequest, Message: "the edit is not valid", Verdict: verdict.NotRun.String()}
 	switch {
 	case errors.As(err, &problems):
 		object.Problems = visibleProblems(tokenOf(r), problems)
@@ -157,15 +157,15 @@
 	}
 	entry, visible := visibleEntry(tokenOf(r), entry)
 	if !found || !visible {
-		writeFailure(w, http.StatusNotFound, failureObject{Code: codeNotFound, Verdict: verdict.NotRun.String(),
+		writeFailure(w, http.StatusNotFound, Failure{Code: codeNotFound, Verdict: verdict.NotRun.String(),
 			Message: "no edit with this id is in the kept history"}, 0)
 		return
 	}
 	writeJSON(w, http.StatusOK, entry)
 }
 
-// historyView is a page of the history, newest first.
-type historyView struct {
+// HistoryPage is a page of the history, newest first.
+type HistoryPage struct {
 	Entries []settings.Entry `json:"entries"`
 	// Next is the value of "before" for the next page, zero on the last.
 	Next int64 `json:"next,omitempty"`
@@ -187,7 +187,7 @@
 		writeError(w, err)
 		return
 	}
-	view := historyView{Entries: []settings.Entry{}}
+	view := HistoryPage{Entries: []settings.Entry{}}
 	for i := len(entries) - 1; i >= 0; i-- {
 		entry, visible := visibleEntry(tokenOf(r), entries[i])
 		if !visible || before > 0 && entry.Revision >= before {
@@ -215,8 +215,8 @@
 	return revision, nil
 }
 
-// diffView is what changed between two revisions.
-type diffView struct {
+// Difference is what changed between two revisions.
+type Difference struct {
 	From    int64             `json:"from"`
 	To      int64             `json:"to"`
 	Changes []settings.Change `json:"changes"`
@@ -249,5 +249,5 @@
 		return
 	}
 	changes := visibleChanges(tokenOf(r), after.Diff(before))
-	writeJSON(w, http.StatusOK, diffView{From: from, To: to, Changes: changes})
+	writeJSON(w, http.StatusOK, Difference{From: from, To: to, Changes: changes})
 }
--- a/api/admin/errors.go
+++ b/api/admin/errors.go
@@ -14,13 +14,13 @@
 	"github.com/valveslip/valveslip/verdict"
 )
 
-// failure is the body of every error answer.
-type failure struct {
-	Error failureObject `json:"error"`
+// failureBody is the body of every error answer.
+type failureBody struct {
+	Error Failure `json:"error"`
 }
 
-// failureObject says what is wrong and whether an edit may have taken effect.
-type failureObject struct {
+// Failure says what is wrong and whether an edit may have taken effect.
+type Failure struct {
 	Code    verdict.Code `json:"code"`
 	Message string       `json:"message"`
 	// Verdict is "not-run" when nothing was changed.
@@ -39,7 +39,7 @@
 const retryUnavailable = 2 * time.Second
 
 // writeFailure answers with an error object.
-func writeFailure(w http.ResponseWriter, status int, object failureObject, retryAfter time.Duration) {
+func writeFailure(w http.ResponseWriter, status int, object Failure, retryAfter time.Duration) {
 	w.Header().Set(engine.HeaderVerdict, object.Verdict)
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
@@ -47,12 +47,12 @@
 	if status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
-	writeJSON(w, status, failure{Error: object})
+	writeJSON(w, status, failureBody{Error: object})
 }
 
 // writeVerdict answers with a classified error.
 func writeVerdict(w http.ResponseWriter, err *verdict.Error) {
-	writeFailure(w, statusOf(err.Code), failureObject{
+	writeFailure(w, statusOf(err.Code), Failure{
 		Code: err.Code, Message: err.Message, Verdict: err.Verdict.String(),
 	}, err.RetryAfter)
 }
@@ -71,14 +71,14 @@
 	var classified *verdict.Error
 	switch {
 	case errors.Is(err, ErrNotFound), errors.Is(err, settings.ErrRevisionGone):
-		writeFailure(w, http.StatusNotFound, failureObject{
+		writeFailure(w, http.StatusNotFound, Failure{
 			Code: codeNotFound, Message: err.Error(), Verdict: verdict.NotRun.String()}, 0)
 	case errors.As(err, &classified):
-		writeFailure(w, statusOf(classified.Code), failureObject{
+		writeFailure(w, statusOf(classified.Code), Failure{
 			Code: classified.Code, Message: classified.Message, Verdict: verdict.NotRun.String(),
 		}, max(classified.RetryAfter, retryUnavailable))
 	default:
-		writeFailure(w, http.StatusInternalServerError, failureObject{
+		writeFailure(w, http.StatusInternalServerError, Failure{
 			Code: verdict.CodeInternal, Message: "the answer could not be made; the node's log says why", Verdict: verdict.NotRun.String()}, 0)
 	}
 }
--- a/api/admin/harness_test.go
+++ b/api/admin/harness_test.go
@@ -223,7 +223,7 @@
 // edit posts changes from a revision.
 func (h *harness) edit(token, id string, base int64, changes ...settings.Change) answer {
 	h.t.Helper()
-	return h.call(token, http.MethodPost, "/tree/edits", editRequest{ID: id, Changes: changes}, "If-Match", fmt.Sprint(base))
+	return h.call(token, http.MethodPost, "/tree/edits", EditRequest{ID: id, Changes: changes}, "If-Match", fmt.Sprint(base))
 }
 
 func (h *harness) get(token, path string) answer {
@@ -246,9 +246,9 @@
 }
 
 // wantFailure checks the status and returns the error object.
-func (a answer) wantFailure(status int) failureObject {
+func (a answer) wantFailure(status int) Failure {
 	a.t.Helper()
-	var body failure
+	var body failureBody
 	a.want(status, &body)
 	return body.Error
 }
--- a/api/admin/lists.go
+++ b/api/admin/lists.go
@@ -9,8 +9,8 @@
 	"github.com/valveslip/valveslip/settings"
 )
 
-// listView is a page of a list.
-type listView[T any] struct {
+// Page is a page of a list.
+type Page[T any] struct {
 	Items []T    `json:"items"`
 	Next  string `json:"next,omitempty"`
 }
@@ -33,7 +33,7 @@
 		writeVerdict(w, failed)
 		return
 	}
-	writeJSON(w, http.StatusOK, listView[T]{Items: slices.Clip(kept), Next: next})
+	writeJSON(w, http.StatusOK, Page[T]{Items: slices.Clip(kept), Next: next})
 }
 
 func all[T any](T) bool { return true }
--- a/api/admin/tree.go
+++ b/api/admin/tree.go
@@ -8,37 +8,37 @@
 	"github.com/valveslip/valveslip/verdict"
 )
 
-// stampView names the configuration that an answer was made from.
-type stampView struct {
+// Stamp names the configuration that an answer was made from.
+type Stamp struct {
 	History  string `json:"history"`
 	Revision int64  `json:"revision"`
 	// Digest in hexadecimal.
 	Digest string `json:"digest"`
 }
 
-func viewStamp(stamp settings.Stamp) stampView {
-	return stampView{History: stamp.History, Revision: stamp.Revision, Digest: strconv.FormatUint(stamp.Digest, 16)}
+func viewStamp(stamp settings.Stamp) Stamp {
+	return Stamp{History: stamp.History, Revision: stamp.Revision, Digest: strconv.FormatUint(stamp.Digest, 16)}
 }
 
-// treeView is a page of raw levels.
-type treeView struct {
-	Stamp  stampView         `json:"stamp"`
+// TreePage is a page of raw levels.
+type TreePage struct {
+	Stamp  Stamp             `json:"stamp"`
 	Levels []*settings.Level `json:"levels"`
 	// Next is the value of "after" for the next page, empty on the last.
 	Next string `json:"next,omitempty"`
 }
 
-// effectiveView is what holds at one level.
-type effectiveView struct {
-	Stamp  stampView       `json:"stamp"`
-	Path   string          `json:"path"`
-	Kind   settings.Kind   `json:"kind"`
-	Team   string          `json:"team"`
-	Values []effectiveItem `json:"values"`
+// EffectiveLevel is what holds at one level.
+type EffectiveLevel struct {
+	Stamp  Stamp            `json:"stamp"`
+	Path   string           `json:"path"`
+	Kind   settings.Kind    `json:"kind"`
+	Team   string           `json:"team"`
+	Values []EffectiveValue `json:"values"`
 }
 
-// effectiveItem is one key with the level its value came from.
-type effectiveItem struct {
+// EffectiveValue is one key with the level its value came from.
+type EffectiveValue struct {
 	Key    string         `json:"key"`
 	Value  settings.Value `json:"value"`
 	Source string         `json:"source"`
@@ -99,7 +99,7 @@
 		writeVerdict(w, failed)
 		return
 	}
-	view := treeView{Stamp: viewStamp(stamp), Levels: make([]*settings.Level, 0, len(levels)), Next: next}
+	view := TreePage{Stamp: viewStamp(stamp), Levels: make([]*settings.Level, 0, len(levels)), Next: next}
 	for _, level := range levels {
 		shown := *level
 		shown.Tokens = redactTokens(tokenOf(r), level.Tokens)
@@ -119,16 +119,16 @@
 		writeError(w, ErrNotFound)
 		return
 	}
-	view := effectiveView{Stamp: viewStamp(stamp), Path: path, Kind: effective.Kind, Team: effective.Team}
+	view := EffectiveLevel{Stamp: viewStamp(stamp), Path: path, Kind: effective.Kind, Team: effective.Team}
 	for _, key := range settings.Keys() {
 		value, _ := effective.Policy.Get(key.Name)
-		view.Values = append(view.Values, effectiveItem{Key: key.Name, Value: value, Source: effective.Sources[key.Name]})
+		view.Values = append(view.Values, EffectiveValue{Key: key.Name, Value: value, Source: effective.Sources[key.Name]})
 	}
 	writeJSON(w, http.StatusOK, view)
 }
 
-// keyView documents one policy key.
-type keyView struct {
+// KeyDoc documents one policy key.
+type KeyDoc struct {
 	Name    string         `json:"name"`
 	Type    string         `json:"type"`
 	Default settings.Value `json:"default"`
@@ -139,10 +139,10 @@
 // getKeys answers with the registry of policy keys.
 func (s *server) getKeys(w http.ResponseWriter, _ *http.Request) {
 	var body struct {
-		Keys []keyView `json:"keys"`
+		Keys []KeyDoc `json:"keys"`
 	}
 	for _, key := range settings.Keys() {
-		body.Keys = append(body.Keys, keyView{Name: key.Name, Type: key.Type, Default: key.Default, Bounds: key.Bounds, Doc: key.Doc})
+		body.Keys = append(body.Keys, KeyDoc{Name: key.Name, Type: key.Type, Default: key.Default, Bounds: key.Bounds, Doc: key.Doc})
 	}
 	writeJSON(w, http.StatusOK, body)
 }
--- a/api/admin/why.go
+++ b/api/admin/why.go
@@ -14,18 +14,18 @@
 	"github.com/valveslip/valveslip/settings"
 )
 
-// modelReasonsView is why a model is loaded as it is.
-type modelReasonsView struct {
+// ModelReasons is why a model is loaded as it is.
+type ModelReasons struct {
 	Model cluster.ModelID `json:"model"`
 	Path  string          `json:"path"`
 	// Text for people, one line a zone.
-	Text     string         `json:"text"`
-	Replicas []Replica      `json:"replicas"`
-	Zones    []decisionView `json:"zones"`
+	Text     string            `json:"text"`
+	Replicas []Replica         `json:"replicas"`
+	Zones    []DecisionReasons `json:"zones"`
 }
 
-// decisionView is a zone's last decision on a model.
-type decisionView struct {
+// DecisionReasons is a zone's last decision on a model.
+type DecisionReasons struct {
 	Zone     cluster.ZoneID `json:"zone"`
 	Node     cluster.NodeID `json:"node"`
 	At       time.Time      `json:"at"`
@@ -35,27 +35,27 @@
 	Held     int            `json:"held"`
 	Loaded   int            `json:"loaded"`
 	NextWake time.Time      `json:"next_wake,omitzero"`
-	Reason   reasonView     `json:"reason"`
-	Actions  []actionView   `json:"actions,omitempty"`
+	Reason   Reason         `json:"reason"`
+	Actions  []Action       `json:"actions,omitempty"`
 }
 
-// reasonView is a recorded reason of placement.
-type reasonView struct {
+// Reason is a recorded reason of placement.
+type Reason struct {
 	Cause            string               `json:"cause"`
 	Setting          string               `json:"setting,omitempty"`
 	Source           string               `json:"source,omitempty"`
 	IdleSeconds      float64              `json:"idle_seconds,omitempty"`
 	KeepAliveSeconds float64              `json:"keep_alive_seconds,omitempty"`
 	Waiting          int                  `json:"waiting,omitempty"`
-	Candidates       []candidateView      `json:"candidates,omitempty"`
-	Filtered         []filterView         `json:"filtered,omitempty"`
+	Candidates       []Candidate          `json:"candidates,omitempty"`
+	Filtered         []Filter             `json:"filtered,omitempty"`
 	SettingsRevision int64                `json:"settings_revision"`
 	Allotment        int64                `json:"allotment_revision"`
 	Token            cluster.FencingToken `json:"token"`
 }
 
-// candidateView is a machine or replica that was weighed.
-type candidateView struct {
+// Candidate is a machine or replica that was weighed.
+type Candidate struct {
 	Machine cluster.MachineID `json:"machine"`
 	Zone    cluster.ZoneID    `json:"zone,omitempty"`
 	Tier    string            `json:"tier,omitempty"`
@@ -67,20 +67,20 @@
 	InFlight        int     `json:"in_flight,omitempty"`
 }
 
-// filterView counts what was left out for one cause.
-type filterView struct {
+// Filter counts what was left out for one cause.
+type Filter struct {
 	Cause string `json:"cause"`
 	Count int    `json:"count"`
 }
 
-// actionView is an order that a plan gave.
-type actionView struct {
+// Action is an order that a plan gave.
+type Action struct {
 	Kind            string            `json:"kind"`
 	Machine         cluster.MachineID `json:"machine"`
 	Version         string            `json:"version,omitempty"`
 	Tier            string            `json:"tier,omitempty"`
 	ExpectedSeconds float64           `json:"expected_seconds,omitempty"`
-	Reason          reasonView        `json:"reason"`
+	Reason          Reason            `json:"reason"`
 }
 
 // getWhyModel answers why a model is or is not loaded. A model that the token
@@ -107,8 +107,8 @@
 	writeJSON(w, http.StatusOK, viewModelReasons(model, decisions, replicas))
 }
 
-func viewModelReasons(model *settings.Model, decisions []ModelDecision, replicas []Replica) modelReasonsView {
-	view := modelReasonsView{Model: model.ID, Path: model.Path, Replicas: replicas, Zones: []decisionView{}}
+func viewModelReasons(model *settings.Model, decisions []ModelDecision, replicas []Replica) ModelReasons {
+	view := ModelReasons{Model: model.ID, Path: model.Path, Replicas: replicas, Zones: []DecisionReasons{}}
 	decisions = slices.Clone(decisions)
 	slices.SortFunc(decisions, func(a, b ModelDecision) int { return compareText(a.Zone, b.Zone) })
 	var lines []string
@@ -124,16 +124,16 @@
 	return view
 }
 
-func viewDecision(recorded *ModelDecision) decisionView {
+func viewDecision(recorded *ModelDecision) DecisionReasons {
 	decision := &recorded.Decision
-	view := decisionView{
+	view := DecisionReasons{
 		Zone: recorded.Zone, Node: recorded.Node, At: recorded.At, Text: DecisionText(decision),
 		Wanted: decision.Wanted, Allowed: decision.Allowed, Held: decision.Held, Loaded: decision.Loaded,
 		NextWake: decision.NextWake, Reason: viewReason(&decision.Reason),
 	}
 	for i := range recorded.Actions {
 		action := &recorded.Actions[i]
-		shown := actionView{Kind: action.Kind.String(), Machine: action.Machine, Version: action.Version,
+		shown := Action{Kind: action.Kind.String(), Machine: action.Machine, Version: action.Version,
 			ExpectedSeconds: action.ExpectedTime.Seconds(), Reason: viewReason(&action.Reason)}
 		if action.Kind == cluster.OrderLoad {
 			shown.Tier = action.Tier.String()
@@ -143,49 +143,49 @@
 	return view
 }
 
-func viewReason(reason *placement.Reason) reasonView {
-	view := reasonView{
+func viewReason(reason *placement.Reason) Reason {
+	view := Reason{
 		Cause: string(reason.Cause), Setting: reason.Setting, Source: reason.Source,
 		IdleSeconds: reason.Idle.Seconds(), KeepAliveSeconds: reason.KeepAlive.Seconds(), Waiting: reason.Waiting,
 		SettingsRevision: reason.SettingsRevision, Allotment: reason.AllotmentRevision, Token: reason.Token,
 	}
 	for _, candidate := range reason.Candidates {
-		view.Candidates = append(view.Candidates, candidateView{Machine: candidate.Machine, Tier: candidate.Tier.String(),
+		view.Candidates = append(view.Candidates, Candidate{Machine: candidate.Machine, Tier: candidate.Tier.String(),
 			ExpectedSeconds: candidate.ExpectedTime.Seconds(), FreeBytes: candidate.FreeBytes, Score: candidate.Score})
 	}
 	for _, filtered := range reason.Filtered {
-		view.Filtered = append(view.Filtered, filterView{Cause: string(filtered.Cause), Count: filtered.Count})
+		view.Filtered = append(view.Filtered, Filter{Cause: string(filtered.Cause), Count: filtered.Count})
 	}
 	return view
 }
 
-// requestReasonsView is where a request went and why.
-type requestReasonsView struct {
+// RequestReasons is where a request went and why.
+type RequestReasons struct {
 	ID       cluster.RequestID `json:"id"`
 	Model    cluster.ModelID   `json:"model"`
 	Node     cluster.NodeID    `json:"node"`
 	Arrived  time.Time         `json:"arrived"`
 	Ended    time.Time         `json:"ended,omitzero"`
 	Text     string            `json:"text"`
-	Attempts []attemptView     `json:"attempts"`
-	Outcome  *outcomeView      `json:"outcome,omitempty"`
+	Attempts []AttemptReasons  `json:"attempts"`
+	Outcome  *Outcome          `json:"outcome,omitempty"`
 }
 
-// attemptView is one dispatch.
-type attemptView struct {
+// AttemptReasons is one dispatch.
+type AttemptReasons struct {
 	Attempt          cluster.Attempt      `json:"attempt"`
 	At               time.Time            `json:"at"`
 	Machine          cluster.MachineID    `json:"machine"`
 	Version          string               `json:"version"`
 	WaitedSeconds    float64              `json:"waited_seconds"`
-	Candidates       []candidateView      `json:"candidates"`
-	Filtered         []filterView         `json:"filtered,omitempty"`
+	Candidates       []Candidate          `json:"candidates"`
+	Filtered         []Filter             `json:"filtered,omitempty"`
 	SettingsRevision int64                `json:"settings_revision"`
 	Token            cluster.FencingToken `json:"token"`
 }
 
-// outcomeView is how a request ended.
-type outcomeView struct {
+// Outcome is how a request ended.
+type Outcome struct {
 	// Code is empty when the answer was relayed whole.
 	Code             string            `json:"code,omitempty"`
 	Message          string            `json:"message,omitempty"`
@@ -214,10 +214,10 @@
 	writeJSON(w, http.StatusOK, viewRequest(&trace))
 }
 
-func viewRequest(trace *RequestTrace) requestReasonsView {
-	view := requestReasonsView{
+func viewRequest(trace *RequestTrace) RequestReasons {
+	view := RequestReasons{
 		ID: trace.ID, Model: trace.Model, Node: trace.Node, Arrived: trace.Arrived, Ended: trace.Ended,
-		Text: RequestText(trace), Attempts: []attemptView{},
+		Text: RequestText(trace), Attempts: []AttemptReasons{},
 	}
 	for i := range trace.Attempts {
 		view.Attempts = append(view.Attempts, viewAttempt(&trace.Attempts[i]))
@@ -228,26 +228,26 @@
 	return view
 }
 
-func viewAttempt(attempt *AttemptTrace) attemptView {
+func viewAttempt(attempt *AttemptTrace) AttemptReasons {
 	dispatch := &attempt.Dispatch
-	view := attemptView{
+	view := AttemptReasons{
 		Attempt: dispatch.Attempt, At: attempt.At, Machine: dispatch.Machine, Version: dispatch.Version,
-		WaitedSeconds: dispatch.Reason.Waited.Seconds(), Candidates: []candidateView{},
+		WaitedSeconds: dispatch.Reason.Waited.Seconds(), Candidates: []Candidate{},
 		SettingsRevision: dispatch.Reason.SettingsRevision, Token: dispatch.Reason.Token,
 	}
 	for _, candidate := range dispatch.Reason.Candidates {
-		view.Candidates = append(view.Candidates, candidateView{Machine: candidate.Machine, Zone: candidate.Zone,
+		view.Candidates = append(view.Candidates, Candidate{Machine: candidate.Machine, Zone: candidate.Zone,
 			ExpectedSeconds: candidate.ExpectedWait.Seconds(), PrefixBlocks: candidate.PrefixBlocks, InFlight: candidate.InFlight})
 	}
 	for _, filtered := range dispatch.Reason.Filtered {
-		view.Filtered = append(view.Filtered, filterView{Cause: string(filtered.Cause), Count: filtered.Count})
+		view.Filtered = append(view.Filtered, Filter{Cause: string(filtered.Cause), Count: filtered.Count})
 	}
 	return view
 }
 
-func viewOutcome(finish *routing.Finish) *outcomeView {
+func viewOutcome(finish *routing.Finish) *Outcome {
 	reason := &finish.Reason
-	view := &outcomeView{
+	view := &Outcome{
 		Verdict: "ran", Setting: reason.Setting, Source: reason.Source, Limit: reason.Limit, Value: reason.Value,
 		WaitedSeconds: reason.Waited.Seconds(), Attempts: reason.Attempts, Machine: reason.Machine,
 		SettingsRevision: reason.SettingsRevision,
--- a/api/admin/why_test.go
+++ b/api/admin/why_test.go
@@ -70,7 +70,7 @@
 		h.get("reader", "/why/requests/"+string(trace.ID)).want(http.StatusOK, nil)
 	}
 	h.get("zebra-editor", "/why/requests/n1.1").wantFailure(http.StatusNotFound)
-	var refused requestReasonsView
+	var refused RequestReasons
 	h.get("reader", "/why/requests/n1.2").want(http.StatusOK, &refused)
 	if refused.Outcome.Source != "/dental" || refused.Outcome.Verdict != "not-run" {
 		t.Errorf("outcome %+v", refused.Outcome)
@@ -81,7 +81,7 @@
 		{Zone: "east", Node: "n1", At: testTime, Decision: placement.Decision{Wanted: 1, Held: 1, Reason: placement.Reason{Cause: placement.CauseDemand, Waiting: 2}},
 			Actions: []placement.Action{{Kind: cluster.OrderLoad, Machine: "m1", Tier: cluster.TierDisk, ExpectedTime: 9 * time.Second}}},
 	}}
-	var view modelReasonsView
+	var view ModelReasons
 	h.get("reader", "/why/models/letters").want(http.StatusOK, &view)
 	if len(view.Replicas) != 1 || len(view.Zones) != 2 || view.Zones[0].Zone != "east" || view.Zones[0].Actions[0].Tier != "disk" {
 		t.Errorf("reasons %+v", view)
--- a/settings/key.go
+++ b/settings/key.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -199,6 +200,28 @@
 	return key.read(&policy), nil
 }
 
+// ParseValue reads a value as people type it on a command line: names,
+// durations and sizes without quotes, lists separated by commas. The error says
+// what the key wants.
+func ParseValue(name, text string) (Value, error) {
+	key, known := keyIndex[name]
+	if name == KeyBase {
+		key, known = &baseKey, true
+	}
+	if !known {
+		return normalise(name, "")
+	}
+	value := Value(text)
+	switch {
+	case key.Type == nameType.name, key.Type == durationType.name, key.Type == bytesType.name,
+		key.Type == rateType.name && strings.Contains(text, "/"):
+		value = encodeValue(text)
+	case strings.HasPrefix(key.Type, "list"):
+		value = encodeValue(strings.FieldsFunc(text, func(r rune) bool { return r == ',' }))
+	}
+	return normalise(name, value)
+}
+
 // suggestion names the registered key that is spelt most like name.
 func suggestion(name string) string {
 	best, distance := "", math.MaxInt
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -119,6 +119,10 @@
 	return at
 }
 
+// FromLevels builds a part of a tree from levels that were read from one, for
+// comparing. It is not checked.
+func FromLevels(levels []*Level) *Tree { return fromLevels(levels) }
+
 // fromLevels builds a tree of levels with distinct paths; a root is added when
 // missing.
 func fromLevels(levels []*Level) *Tree {
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -102,6 +102,44 @@
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "files", []byte(err.Error()+"\n"))
 }
 
+func TestFragmentsChangeOnlyWhatTheyName(t *testing.T) {
+	tree := readTree(t, "dental.yaml")
+	fragment, err := ParseFragment("/dental", []File{{Name: "f.yaml", Data: []byte("children: {after-hours: {priority: 2}, night: {kind: team}}")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for prune, want := range map[bool]int{false: 2, true: 7} {
+		changes, err := fragment.Changes(tree, prune)
+		if err != nil || len(changes) != want {
+			t.Errorf("prune %v: %+v, %v", prune, changes, err)
+		}
+		after, err := tree.Apply(Edit{Changes: changes})
+		if err != nil || after.Level("/dental/night") == nil || (after.Level("/dental/clinics") == nil) != prune {
+			t.Fatalf("prune %v: applied to %v: %v", prune, after.Paths(), err)
+		}
+		if again, _ := fragment.Changes(after, prune); len(again) != 0 {
+			t.Errorf("prune %v: applying again would change %+v", prune, again)
+		}
+	}
+	if _, err := fragment.Changes(Empty(), false); err == nil {
+		t.Error("a new level without a kind was accepted")
+	}
+}
+
+func TestValuesAreReadAsPeopleTypeThem(t *testing.T) {
+	for typed, want := range map[[2]string]Value{
+		{"keep_alive", "90m"}: `"1h30m"`, {"memory", "16GiB"}: `"16GiB"`, {"zones", "b,a"}: `["a","b"]`, {"zones", ""}: `[]`,
+		{"requests_per_second", "90/m"}: "1.5", {"requests_per_second", "2"}: "2", {"version", "2"}: `"2"`,
+		{"repeatable", "true"}: "true", {"max_replicas", "3"}: "3", {KeyBase, "m"}: `"m"`,
+		{"max_replicas", "three"}: "", {"keep_alive", "3"}: "", {"max_replica", "3"}: "",
+	} {
+		got, err := ParseValue(typed[0], typed[1])
+		if got != want && want != "" || (err == nil) != (want != "") {
+			t.Errorf("%s=%s: %s, %v; want %s", typed[0], typed[1], got, err, want)
+		}
+	}
+}
+
 func TestKeysOfNewerVersionsAreKeptButNotTakenFromOperators(t *testing.T) {
 	data := []byte(`{"levels":[{"path":"/","kind":"organization","values":{"future_key":{"b":1,"a":[2]}}},{"path":"/x","kind":"galaxy"}]}`)
 	tree, err := DecodeTree(data)
@@ -174,6 +212,21 @@
 	})
 }
 
+func TestYAMLAndTreeAreInverse(t *testing.T) {
+	check := func(t rapid.TB, tree *Tree) {
+		data, err := tree.EncodeYAML(RootPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parsed, err := ParseYAML(data)
+		if err != nil || parsed.Digest() != tree.Digest() {
+			t.Fatalf("written and read: %v\n%s", err, data)
+		}
+	}
+	check(t, readTree(t, "dental.yaml"))
+	rapid.Check(t, func(t *rapid.T) { check(t, drawTree(t)) })
+}
+
 func TestDiffLeadsFromOneTreeToTheOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		before, after := drawTree(t), drawTree(t)
--- a/settings/yaml.go
+++ b/settings/yaml.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 
-	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
 )
 
@@ -39,12 +38,8 @@
 // each beginning at the root. A level may appear in many; its kind, and each
 // key, is given in one or alike, and it has tokens in one at most.
 func ParseYAMLFiles(files []File) (*Tree, error) {
-	reader := &yamlReader{levels: map[string]*Level{}, places: map[place]location{}}
-	reader.add(RootPath, nil).Kind = KindOrganization
-	for _, file := range files {
-		reader.file = file.Name
-		reader.document(file.Data)
-	}
+	reader := newYAMLReader(RootPath, files)
+	reader.levels[RootPath].Kind = KindOrganization
 	reader.checkKinds()
 	if err := reader.problems.orNil(); err != nil {
 		return nil, err
@@ -56,6 +51,20 @@
 	return tree, nil
 }
 
+// newYAMLReader reads files whose documents begin at the level at path.
+func newYAMLReader(path string, files []File) *yamlReader {
+	reader := &yamlReader{levels: map[string]*Level{}, places: map[place]location{}}
+	reader.add(path, nil)
+	for _, file := range files {
+		reader.file = file.Name
+		reader.document(path, file.Data)
+	}
+	for _, level := range reader.levels {
+		level.normaliseForm()
+	}
+	return reader
+}
+
 // yamlReason shortens the library's message.
 func yamlReason(err error) string { return strings.TrimPrefix(err.Error(), "yaml: ") }
 
@@ -78,19 +87,19 @@
 }
 
 // document reads one document.
-func (r *yamlReader) document(data []byte) {
+func (r *yamlReader) document(path string, data []byte) {
 	decoder := yaml.NewDecoder(bytes.NewReader(data))
 	var top yaml.Node
 	if err := decoder.Decode(&top); errors.Is(err, io.EOF) {
 		return
 	} else if err != nil {
-		r.fail(nil, RootPath, "", "%s", yamlReason(err))
+		r.fail(nil, path, "", "%s", yamlReason(err))
 		return
 	}
 	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
-		r.fail(nil, RootPath, "", "a file holds one YAML document; a second one begins")
+		r.fail(nil, path, "", "a file holds one YAML document; a second one begins")
 	}
-	r.level(RootPath, top.Content[0], 0)
+	r.level(path, top.Content[0], 0)
 }
 
 // add returns the level at path, a new one when it was not read before.
@@ -107,7 +116,6 @@
 // checkKinds checks that every level was given a kind.
 func (r *yamlReader) checkKinds() {
 	for path, level := range r.levels {
-		level.normaliseForm()
 		if level.Kind == "" {
 			r.problems = append(r.problems, r.locate(&ValidationError{Path: path, Key: fieldKind,
 				Reason: "a level wants a kind: organization, team, service, model or adapter"}))
@@ -229,58 +237,3 @@
 		r.level(below, value, depth+1)
 	})
 }
-
-// value reads one policy key.
-func (r *yamlReader) value(level *Level, key, node *yaml.Node) {
-	raw, err := yamlValue(node)
-	if err != nil {
-		r.fail(key, level.Path, key.Value, "%s", err)
-		return
-	}
-	value, err := normalise(key.Value, raw)
-	if err != nil {
-		r.fail(key, level.Path, key.Value, "%s", err)
-		return
-	}
-	level.Values[key.Value] = value
-}
-
-// yamlValue turns a scalar or a list of scalars into JSON.
-func yamlValue(node *yaml.Node) (Value, error) {
-	if hasAlias(node) {
-		return "", eris.New("aliases are not supported; let levels inherit instead")
-	}
-	var plain any
-	if err := node.Decode(&plain); err != nil {
-		return "", eris.New(yamlReason(err))
-	}
-	switch plain.(type) {
-	case nil:
-		return "", eris.New("wants a value; leave the key out to inherit")
-	case string, bool, int, int64, uint64, float64, []any:
-		return canonicalYAML(plain)
-	default:
-		return "", eris.New("wants a plain value or a list")
-	}
-}
-
-// canonicalYAML encodes a decoded YAML value; infinities have no JSON form.
-func canonicalYAML(plain any) (Value, error) {
-	value := encodeValue(plain)
-	if value == "null" {
-		return "", eris.New("wants a plain value or a list of plain values")
-	}
-	return value, nil
-}
-
-func hasAlias(node *yaml.Node) bool {
-	if node.Kind == yaml.AliasNode {
-		return true
-	}
-	for _, below := range node.Content {
-		if hasAlias(below) {
-			return true
-		}
-	}
-	return false
-}
