--- a/api/admin/client.go
+++ b/api/admin/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -60,9 +61,18 @@
 	return text
 }
 
-// unreachable is the error for a node that did not answer.
-func unreachable(err error, verdict verdict.Verdict) *RequestError {
-	return &RequestError{Failure: Failure{Code: "unreachable", Message: "the node did not answer: " + err.Error(), Verdict: verdict.String()}}
+// codeUnreachable is the code for a node that did not answer.
+const codeUnreachable verdict.Code = "unreachable"
+
+// unreachable is the error for a node that did not answer. Without a connection
+// nothing was sent.
+func unreachable(err error) *RequestError {
+	outcome := verdict.MayHaveRun
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		outcome = verdict.NotRun
+	}
+	return &RequestError{Failure: Failure{Code: codeUnreachable, Message: "the node did not answer: " + err.Error(), Verdict: outcome.String()}}
 }
 
 // do makes a request and decodes the answer into a value, nil for none.
@@ -74,7 +84,7 @@
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return unreachable(err, verdict.MayHaveRun)
+		return unreachable(err)
 	}
 	if err := json.Unmarshal(data, into); err != nil {
 		return eris.Wrapf(err, "the answer of %s is not readable", path)
@@ -102,7 +112,7 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, unreachable(err, verdict.MayHaveRun)
+		return nil, unreachable(err)
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		defer response.Body.Close()
--- a/cmd/valveslip/exit.go
+++ b/cmd/valveslip/exit.go
@@ -7,14 +7,16 @@
 
 // Exit codes by cause.
 const (
-	exitOK       = 0
-	exitFailure  = 1
-	exitUsage    = 2
-	exitInvalid  = 3
-	exitConflict = 4
-	exitUnknown  = 5
-	exitDenied   = 6
-	exitBroken   = 7
+	exitOK          = 0
+	exitFailure     = 1 // no code of its own
+	exitUsage       = 2 // wrong command line
+	exitInvalid     = 3 // input that is not valid
+	exitConflict    = 4 // edit of what has changed meanwhile
+	exitUnknown     = 5 // edit that may have taken effect
+	exitDenied      = 6 // token that may not do this
+	exitBroken      = 7 // promise found broken
+	exitNotFound    = 8 // does not exist or may not be seen
+	exitUnavailable = 9 // no answer; nothing was changed
 )
 
 // exitError is an error with its exit code.
--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -39,9 +39,13 @@
 		Subcommands: []*ffcli.Command{
 			checkCommand(),
 			demoCommand(),
+			eventsCommand(os.Stdout),
 			loadCommand(),
 			nodeCommand(),
 			standinCommand(),
+			statusCommand(os.Stdout),
+			treeCommand(os.Stdout),
+			whyCommand(os.Stdout),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- /dev/null
+++ b/cmd/valveslip/table.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/renderer"
+	"github.com/olekukonko/tablewriter/tw"
+)
+
+// writeTable prints rows below a header, without lines, for people and for
+// tools that split at spaces.
+func writeTable(out io.Writer, header []string, rows [][]string) error {
+	table := tablewriter.NewTable(out,
+		tablewriter.WithRenderer(renderer.NewBlueprint(tw.Rendition{
+			Borders:  tw.BorderNone,
+			Settings: tw.Settings{Lines: tw.LinesNone, Separators: tw.SeparatorsNone},
+		})),
+		tablewriter.WithHeaderAlignment(tw.AlignLeft),
+		tablewriter.WithRowAlignment(tw.AlignLeft),
+		tablewriter.WithHeaderAutoWrap(tw.WrapNone),
+		tablewriter.WithRowAutoWrap(tw.WrapNone),
+		tablewriter.WithPadding(tw.Padding{Right: "  ", Overwrite: true}),
+	)
+	table.Header(header)
+	if err := table.Bulk(rows); err != nil {
+		return err
+	}
+	return table.Render()
+}
+
+// writeSection prints a titled table, or that there is nothing.
+func writeSection(out io.Writer, title string, header []string, rows [][]string) error {
+	if len(rows) == 0 {
+		_, err := fmt.Fprintf(out, "%s: none\n\n", title)
+		return err
+	}
+	if _, err := fmt.Fprintf(out, "%s:\n", title); err != nil {
+		return err
+	}
+	if err := writeTable(out, header, rows); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(out)
+	return err
+}
+
+// timeText shows a time in UTC, "-" for none.
+func timeText(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return at.UTC().Format(time.DateTime)
+}
+
+// yesNo shows a truth value.
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
