Explore the escrow of replica counts

Cause: the division's safety under superseded controllers, late writes and restarts was argued, not checked. Change: explore.Escrow runs the apportioner over zones with present and former controllers. Broken worlds (no escrow, no guard record, records used beyond the lease) must be caught. The lease's holder needn't be known to the apportioner: since records come into use only under a certain lease, a report under the record or a newer one is evidence whoever sent it.

--- a/authority/apportion.go
+++ b/authority/apportion.go
@@ -61,8 +61,8 @@
 	Settings *settings.Snapshot
 	// Presence follows the whole machine list.
 	Presence *Presence
-	// Zones must include every stored record. All of them, the guard and the
-	// lease records must have been read at one revision or the leases later.
+	// Zones must include every stored record, all read at one revision together
+	// with the guard, or followed by a watch.
 	Zones []ZoneView
 	// GuardRevision is the revision of the guard key, zero when absent.
 	GuardRevision int64
@@ -73,10 +73,8 @@
 	Zone cluster.ZoneID
 	// Allotment is the present record; Revision is zero when there is none.
 	Allotment cluster.Allotment
-	// HolderToken is the create revision of the cell's lease record, zero when
-	// nobody holds it.
-	HolderToken cluster.FencingToken
-	// Report is the last one received, nil for none.
+	// Report is the last one received, nil for none. Its AllotmentRevision must
+	// be that of the reporting Controller at the moment of the report.
 	Report    *wire.ZoneReport
 	ReportAge time.Duration
 	// Pools gives the engine pool of machines where it is known.
--- a/authority/canonical.go
+++ b/authority/canonical.go
@@ -12,7 +12,7 @@
 // Clone returns an independent copy, for exploring what may follow a state.
 func (c *Controller) Clone() *Controller {
 	copied := *c
-	copied.presence = c.presence.clone()
+	copied.presence = c.presence.Clone()
 	copied.machines = make(map[cluster.MachineID]*machineLedger, len(c.machines))
 	copied.sorted = make([]*machineLedger, len(c.sorted))
 	for i, entry := range c.sorted {
@@ -22,13 +22,24 @@
 	return &copied
 }
 
-func (p *Presence) clone() *Presence {
+// Clone returns an independent copy.
+func (p *Presence) Clone() *Presence {
 	copied := *p
 	copied.lastSeen = maps.Clone(p.lastSeen)
 	copied.machines = maps.Clone(p.machines)
 	return &copied
 }
 
+// AppendState appends a canonical form for comparing states at now.
+func (p *Presence) AppendState(buffer []byte, now time.Time) []byte {
+	buffer = appendFlags(buffer, p.Started(), now.Sub(p.first) > p.lag, now.After(p.latest))
+	for _, id := range sortedKeys(p.lastSeen) {
+		buffer = appendText(buffer, string(id))
+		buffer = appendFlags(buffer, p.inLatest(id), p.overdue(id, now))
+	}
+	return append(buffer, '\n')
+}
+
 // overdue reports whether the machine would have gone if a list without it were
 // read now.
 func (p *Presence) overdue(id cluster.MachineID, now time.Time) bool {
--- a/authority/division.go
+++ b/authority/division.go
@@ -110,16 +110,14 @@
 	return zone
 }
 
-// confirms reports whether the zone's report is evidence under its record. The
-// reporter must know the record, and must be the present holder or a later one
-// than the record: every controller that acquired the lease after the record
-// was written reads it first, and a superseded one's account is not evidence.
+// confirms reports whether the zone's report is evidence under its record. A
+// controller uses a record only when it read it while it certainly held the
+// lease, and every later holder reads that record or a newer one first: so no
+// other controller of the zone goes by an older record unseen by the reporter,
+// which counts the machines that it has not sealed as holding the model.
 func confirms(view *ZoneView) bool {
 	report := view.Report
-	if report.Token == 0 || view.Allotment.Revision == 0 || report.AllotmentRevision < view.Allotment.Revision {
-		return false
-	}
-	return report.Token == view.HolderToken || report.Token > cluster.FencingToken(view.Allotment.Revision)
+	return report.Token != 0 && view.Allotment.Revision != 0 && report.AllotmentRevision >= view.Allotment.Revision
 }
 
 // nextMachines adds listed machines to the record's and takes off gone ones.
--- a/authority/explore/explore_test.go
+++ b/authority/explore/explore_test.go
@@ -65,3 +65,42 @@
 		t.Errorf("two runs differ:\n%s\n%s", first.String(), second.String())
 	}
 }
+
+func TestEscrowIsSafe(t *testing.T) {
+	total := 0
+	for _, scenario := range EscrowScenarios(testStates) {
+		result, err := Escrow(context.Background(), scenario, VariantNone)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(result.String())
+		total += result.States
+		if result.Violation != "" {
+			t.Errorf("%s:\n%s", result.Violation, strings.Join(result.Trace, "\n"))
+		}
+	}
+	t.Logf("%d states", total)
+}
+
+func TestBrokenEscrowsAreCaught(t *testing.T) {
+	for _, defect := range EscrowDefects() {
+		found := false
+		for _, scenario := range EscrowScenarios(40 * testStates) {
+			if scenario.Name != defect.Scenario {
+				continue
+			}
+			found = true
+			result, err := Escrow(context.Background(), scenario, defect.Variant)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(result.String())
+			if result.Violation == "" {
+				t.Errorf("%s is not caught", defect.Variant)
+			}
+		}
+		if !found {
+			t.Errorf("no scenario is called %q", defect.Scenario)
+		}
+	}
+}
--- a/authority/explore/scenario.go
+++ b/authority/explore/scenario.go
@@ -1,5 +1,7 @@
 package explore
 
+import "slices"
+
 // unbounded stands for more steps than any run of these scenarios has.
 const unbounded = 1000
 
@@ -44,3 +46,31 @@
 		{VariantListedOnly, "machine joins"},
 	}
 }
+
+// EscrowScenarios returns the explorations of apportioning, each bounded to the
+// given number of states.
+func EscrowScenarios(states int) []EscrowScenario {
+	one := slices.Clip([]EscrowEdit{{1, []int{0}}, {1, []int{1}}})
+	two := []EscrowEdit{{2, []int{0, 1}}, {2, []int{1, 2}}, {1, []int{0, 2}}}
+	scenarios := []EscrowScenario{
+		{Name: "one apportioner", Apportioners: 1, Zones: 2, Settled: true, Edits: one, Takeovers: 1},
+		{Name: "two apportioners", Apportioners: 2, Zones: 2, Edits: one, Takeovers: 1},
+		{Name: "edited back", Apportioners: 2, Zones: 2, Settled: true, Edits: append(one, one[0])},
+		{Name: "three zones", Apportioners: 2, Zones: 3, Settled: true, Edits: two},
+		{Name: "there and back", Apportioners: 2, Zones: 2, Settled: true, Edits: append(one, one[0], one[1]), Takeovers: 1, Restarts: 1},
+		{Name: "a zone goes", Apportioners: 1, Zones: 2, Settled: true, Edits: []EscrowEdit{{1, []int{0, 1}}}, Leaves: 1, Lapses: 2, Restarts: 1},
+	}
+	for i := range scenarios {
+		scenarios[i].Depth, scenarios[i].States = unbounded, states
+	}
+	return scenarios
+}
+
+// EscrowDefects returns the broken worlds of apportioning.
+func EscrowDefects() []Defect {
+	return []Defect{
+		{VariantNoEscrow, "one apportioner"},
+		{VariantEndlessLease, "one apportioner"},
+		{VariantNoGuard, "edited back"},
+	}
+}
--- a/authority/explore/variant.go
+++ b/authority/explore/variant.go
@@ -29,14 +29,13 @@
 	// VariantListedOnly: records name only the machines that their reader has
 	// listed, so others are overlooked.
 	VariantListedOnly Variant = "listed machines only"
-	// VariantEndlessLease: a seal's answer counts however late it comes.
+	// VariantEndlessLease: a controller never doubts its lease, so answers to
+	// seals count and records come into use however late.
 	VariantEndlessLease Variant = "endless lease"
 	// VariantNoEscrow: the apportioner takes lowered counts as confirmed.
 	VariantNoEscrow Variant = "no escrow"
 	// VariantNoGuard: apportionings don't compare the guard record.
 	VariantNoGuard Variant = "no guard"
-	// VariantAnyReport: the apportioner does not ask who holds a cell's lease.
-	VariantAnyReport Variant = "any report confirms"
 )
 
 // ignoresTokens reports whether engines accept orders of any token.
