--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -200,7 +200,6 @@
 	for _, zone := range r.zones() {
 		view := authority.ZoneView{
 			Zone: zone, Allotment: r.core.keyValue.allotments[zone],
-			HolderToken: r.core.cells.claimed[zone].Token,
 		}
 		view.Allotment.Zone = zone
 		if known, ok := r.reports[zone]; ok {
