--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	_ "embed"
 	"log/slog"
 	"net/http"
@@ -38,8 +39,15 @@
 // server serves the administration API.
 type server struct{ Config }
 
-// New returns the handler of the administration API. Paths begin with Prefix.
-func New(config Config) http.Handler { return newRouter(config) }
+// New returns the handler of the administration API. It takes whole paths, which
+// begin with Prefix, also when it is mounted below another chi router.
+func New(config Config) http.Handler {
+	router := newRouter(config)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		unmounted := context.WithValue(r.Context(), chi.RouteCtxKey, (*chi.Context)(nil))
+		router.ServeHTTP(w, r.WithContext(unmounted))
+	})
+}
 
 func newRouter(config Config) chi.Router {
 	if config.Now == nil {
--- a/api/admin/admin_test.go
+++ b/api/admin/admin_test.go
@@ -72,6 +72,14 @@
 	}
 }
 
+func TestTheAPICanBeMounted(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	outer := chi.NewRouter()
+	outer.Mount("/admin", h.handler)
+	h.handler = outer
+	h.get("root", "/tree").want(http.StatusOK, nil)
+}
+
 func TestTheFirstEditComesFromTheBootstrapToken(t *testing.T) {
 	h := newTreeHarness(t, nil)
 	if code := h.get("root", "/tree").wantFailure(http.StatusServiceUnavailable).Code; code != verdict.CodeUnavailable {
