--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -116,7 +116,7 @@
 	if _, known := s.attempts[submission.Key]; known {
 		return RefusedDuplicate
 	}
-	holder := s.replicas[submission.Model]
+	holder := s.find(submission.Model)
 	if holder == nil || holder.State != cluster.ReplicaLoaded {
 		return RefusedModelMissing
 	}
@@ -294,23 +294,23 @@
 }
 
 // considerAttempts offers what is due of each attempt.
-func (s *State) considerAttempts(consider func(time.Time, func())) {
+func (s *State) considerAttempts(next *due) {
 	for _, entry := range s.slots {
 		if entry.status == StatusPrefilling {
-			consider(entry.ready, func() { s.decode(entry) })
+			next.earlier(due{when: entry.ready, kind: dueDecode, attempt: entry})
 		} else {
-			consider(s.finishAt(entry), func() { s.end(entry, StatusFinished, "") })
+			next.earlier(due{when: s.finishAt(entry), kind: dueFinish, attempt: entry})
 		}
 		if !entry.abandonAt.IsZero() {
-			consider(entry.abandonAt, func() { s.giveUp(entry, RefusedCancelled) })
+			next.earlier(due{when: entry.abandonAt, kind: dueAbandon, attempt: entry})
 		}
 	}
 	for _, entry := range s.queue {
 		if !entry.Deadline.IsZero() {
-			consider(entry.Deadline, func() { s.giveUp(entry, RefusedDeadline) })
+			next.earlier(due{when: entry.Deadline, kind: dueDeadline, attempt: entry})
 		}
 		if !entry.abandonAt.IsZero() {
-			consider(entry.abandonAt, func() { s.giveUp(entry, RefusedCancelled) })
+			next.earlier(due{when: entry.abandonAt, kind: dueAbandon, attempt: entry})
 		}
 	}
 }
--- a/standin/engine/inference.go
+++ b/standin/engine/inference.go
@@ -1,11 +1,12 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -113,11 +114,7 @@
 // infer runs one request.
 func (s *Server) infer(writer http.ResponseWriter, request *http.Request, chat bool) {
 	var body inferenceRequest
-	data, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxControlBytes))
-	if err == nil {
-		err = json.Unmarshal(data, &body)
-	}
-	if err != nil {
+	if err := readBody(writer, request, &body); err != nil {
 		refuse(writer, http.StatusBadRequest, "invalid_request_error", err.Error())
 		return
 	}
@@ -137,6 +134,21 @@
 	reader.serve(writer, request, 0)
 }
 
+// bodies are buffers for request bodies.
+var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// readBody decodes a request body. What it decodes into shares no memory with
+// the buffer.
+func readBody(writer http.ResponseWriter, request *http.Request, into *inferenceRequest) error {
+	buffer := bodies.Get().(*bytes.Buffer)
+	defer bodies.Put(buffer)
+	buffer.Reset()
+	if _, err := buffer.ReadFrom(http.MaxBytesReader(writer, request.Body, maxControlBytes)); err != nil {
+		return err
+	}
+	return json.Unmarshal(buffer.Bytes(), into)
+}
+
 // submit hands an attempt to the state and registers its reader.
 func (s *Server) submit(request *http.Request, reader *reader, prompt string) (refusal Refusal) {
 	submission := Submission{
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -94,7 +95,7 @@
 
 // load begins to load a replica.
 func (s *State) load(order cluster.Order) string {
-	if present := s.replicas[order.Model]; present != nil {
+	if present := s.find(order.Model); present != nil {
 		if present.State != cluster.ReplicaUnloading && present.Version == order.Version {
 			return ""
 		}
@@ -104,7 +105,7 @@
 		return engine.ReasonInvalid
 	}
 	if order.Base != "" {
-		base := s.replicas[order.Base]
+		base := s.find(order.Base)
 		if base == nil || base.State != cluster.ReplicaLoaded {
 			return engine.ReasonUnknownModelBase
 		}
@@ -112,8 +113,7 @@
 	entry := &replica{base: order.Base, order: order.ID, Replica: cluster.Replica{
 		Model: order.Model, Version: order.Version, State: cluster.ReplicaLoading, Bytes: order.Bytes, Since: s.now,
 	}}
-	s.replicas[order.Model] = entry
-	s.used += order.Bytes
+	s.insert(entry)
 	if s.used > s.config.MemoryBytes {
 		s.counters.Overcommitted++
 	}
@@ -160,7 +160,7 @@
 
 // unload begins to unload a replica; absent ones are unloaded already.
 func (s *State) unload(order cluster.Order) string {
-	entry := s.replicas[order.Model]
+	entry := s.find(order.Model)
 	if entry == nil || entry.State == cluster.ReplicaUnloading {
 		return ""
 	}
@@ -202,24 +202,34 @@
 	s.sequence++
 }
 
+// insert adds a replica in the order of models.
+func (s *State) insert(entry *replica) {
+	at := 0
+	for at < len(s.replicas) && s.replicas[at].Model < entry.Model {
+		at++
+	}
+	s.replicas = slices.Insert(s.replicas, at, entry)
+	s.used += entry.Bytes
+}
+
 // dropReplica frees a replica's memory.
 func (s *State) dropReplica(entry *replica) {
-	delete(s.replicas, entry.Model)
+	s.replicas = slices.DeleteFunc(s.replicas, func(other *replica) bool { return other == entry })
 	s.used -= entry.Bytes
 	s.prefixes.dropModel(s.now, entry.Model)
 	s.sequence++
 }
 
 // considerReplicas offers what is due of each replica.
-func (s *State) considerReplicas(consider func(time.Time, func())) {
-	for _, entry := range s.sortedReplicas() {
+func (s *State) considerReplicas(next *due) {
+	for _, entry := range s.replicas {
 		switch {
 		case !entry.readyAt.IsZero():
-			consider(entry.readyAt, func() { s.loaded(entry) })
+			next.earlier(due{when: entry.readyAt, kind: dueLoaded, replica: entry})
 		case !entry.goneAt.IsZero():
-			consider(entry.goneAt, func() { s.dropReplica(entry) })
+			next.earlier(due{when: entry.goneAt, kind: dueGone, replica: entry})
 		case entry.State == cluster.ReplicaUnloading:
-			consider(entry.drainUntil, func() { s.cutRunning(entry) })
+			next.earlier(due{when: entry.drainUntil, kind: dueDrained, replica: entry})
 		}
 	}
 }
--- a/standin/engine/reader.go
+++ b/standin/engine/reader.go
@@ -55,15 +55,27 @@
 
 // leave says that this connection reads no more.
 func (r *reader) leave() {
-	r.server.Do(func(now time.Time, state *State) {
-		if r.server.waiting[r.key] != r.wake {
-			return
-		}
+	if r.running() || r.view.Status == StatusQueued {
+		r.server.Do(func(now time.Time, state *State) {
+			if r.forget() {
+				state.Detach(now, r.key)
+			}
+		})
+		return
+	}
+	r.server.mu.Lock()
+	defer r.server.mu.Unlock()
+	r.forget()
+}
+
+// forget takes the reader off the list of those to wake. It answers false when
+// another connection reads the attempt.
+func (r *reader) forget() bool {
+	current := r.server.waiting[r.key] == r.wake
+	if current {
 		delete(r.server.waiting, r.key)
-		if r.running() || r.view.Status == StatusQueued {
-			state.Detach(now, r.key)
-		}
-	})
+	}
+	return current
 }
 
 // wait sleeps until the attempt has changed or its next token is due. It
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -63,7 +63,7 @@
 // ImportKV caches the prefixes that another engine exported.
 func (s *State) ImportKV(now time.Time, model cluster.ModelID, hashes []uint64) {
 	s.Advance(now)
-	if holder := s.replicas[model]; holder != nil && holder.State == cluster.ReplicaLoaded {
+	if holder := s.find(model); holder != nil && holder.State == cluster.ReplicaLoaded {
 		s.prefixes.insert(now, model, hashes)
 	}
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -160,7 +160,7 @@
 func (s *Server) schedule(now time.Time) {
 	next, ok := s.state.Next()
 	if !ok || s.closed {
-		if s.timer != nil {
+		if !s.timerAt.IsZero() {
 			s.timer.Stop()
 			s.timerAt = time.Time{}
 		}
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -45,7 +45,8 @@
 	pool     string
 	leaving  time.Time
 
-	replicas map[cluster.ModelID]*replica
+	// replicas is sorted by model.
+	replicas []*replica
 	used     int64
 	cached   *checkpoints
 	orders   *recent[string]
@@ -96,7 +97,7 @@
 func (s *State) reset() {
 	s.epoch++
 	s.sequence = 1
-	s.replicas = map[cluster.ModelID]*replica{}
+	s.replicas = nil
 	s.used = 0
 	s.orders = newRecent[string](maxKeptOrders)
 	s.attempts = map[Key]*attempt{}
@@ -112,7 +113,7 @@
 // engine keeps on its disk, stay.
 func (s *State) Crash(now time.Time) {
 	s.Advance(now)
-	for _, entry := range s.sortedReplicas() {
+	for _, entry := range s.replicas {
 		if entry.fetching {
 			s.effects.Aborted = append(s.effects.Aborted, entry.order)
 		}
@@ -153,20 +154,20 @@
 		Slots: s.config.Slots, Pool: s.pool, Leaving: !s.leaving.IsZero(),
 		Cached: s.cached.tiers(),
 	}
-	for _, entry := range s.sortedReplicas() {
+	for _, entry := range s.replicas {
 		inventory.Replicas = append(inventory.Replicas, entry.Replica)
 	}
 	return inventory
 }
 
-// sortedReplicas returns the replicas by model.
-func (s *State) sortedReplicas() []*replica {
-	list := make([]*replica, 0, len(s.replicas))
+// find returns the replica of model, or nil.
+func (s *State) find(model cluster.ModelID) *replica {
 	for _, entry := range s.replicas {
-		list = append(list, entry)
+		if entry.Model == model {
+			return entry
+		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Model < list[j].Model })
-	return list
+	return nil
 }
 
 // Advance carries out everything due up to now, in the order of its time.
@@ -175,12 +176,12 @@
 		s.now = now
 	}
 	for {
-		due, act := s.nextDue()
-		if act == nil || due.After(now) {
+		next := s.nextDue()
+		if next.kind == dueNothing || next.when.After(now) {
 			break
 		}
-		s.pass(due)
-		act()
+		s.pass(next.when)
+		s.act(next)
 	}
 	s.pass(now)
 	s.forget()
@@ -189,8 +190,8 @@
 
 // Next returns when Advance has something to do next.
 func (s *State) Next() (time.Time, bool) {
-	due, act := s.nextDue()
-	return due, act != nil
+	next := s.nextDue()
+	return next.when, next.kind != dueNothing
 }
 
 // pass moves the clock and accounts for the accelerator time.
@@ -216,20 +217,62 @@
 	s.counters.BusyAcceleratorSeconds += float64(busy) * perByte
 }
 
-// nextDue returns the earliest thing to do and how; ties go to the first in the
-// order below, and among replicas and attempts to the smaller model or the
-// earlier arrival.
-func (s *State) nextDue() (time.Time, func()) {
-	var due time.Time
-	var act func()
-	consider := func(when time.Time, do func()) {
-		if act == nil || when.Before(due) {
-			due, act = when, do
-		}
+// dueKind is what an attempt or a replica is due for.
+type dueKind uint8
+
+const (
+	dueNothing dueKind = iota
+	dueLoaded
+	dueGone
+	dueDrained
+	dueDecode
+	dueFinish
+	dueDeadline
+	dueAbandon
+)
+
+// due is something that happens at a time by itself.
+type due struct {
+	when    time.Time
+	kind    dueKind
+	replica *replica
+	attempt *attempt
+}
+
+// earlier keeps the earlier of two; ties go to the one found first.
+func (d *due) earlier(other due) {
+	if d.kind == dueNothing || other.when.Before(d.when) {
+		*d = other
+	}
+}
+
+// nextDue returns the earliest thing to do. Ties go to replicas by model, then
+// to running attempts, then to queued ones.
+func (s *State) nextDue() due {
+	var next due
+	s.considerReplicas(&next)
+	s.considerAttempts(&next)
+	return next
+}
+
+// act does what is due.
+func (s *State) act(next due) {
+	switch next.kind {
+	case dueLoaded:
+		s.loaded(next.replica)
+	case dueGone:
+		s.dropReplica(next.replica)
+	case dueDrained:
+		s.cutRunning(next.replica)
+	case dueDecode:
+		s.decode(next.attempt)
+	case dueFinish:
+		s.end(next.attempt, StatusFinished, "")
+	case dueDeadline:
+		s.giveUp(next.attempt, RefusedDeadline)
+	case dueAbandon:
+		s.giveUp(next.attempt, RefusedCancelled)
 	}
-	s.considerReplicas(consider)
-	s.considerAttempts(consider)
-	return due, act
 }
 
 func sortKeys(keys []Key) {
