--- a/node/shell/metrics.go
+++ b/node/shell/metrics.go
@@ -29,7 +29,7 @@
 var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 1.5, 2.5, 5, 10, 20, 40, 80, 160}
 
 // newMetrics registers the metrics of one node.
-func newMetrics(self cluster.Node, inFlight func() float64) *metrics {
+func newMetrics(self cluster.Node, node prometheus.Collector) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
 	constant := prometheus.Labels{"zone": string(self.Zone)}
 	counter := func(name, help string) prometheus.CounterOpts {
@@ -45,9 +45,8 @@
 	m.attempts = prometheus.NewCounter(counter("valveslip_attempts_total", "Dispatches to engines."))
 	m.tokens = prometheus.NewCounter(counter("valveslip_tokens_total", "Generated tokens relayed."))
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "valveslip_settings_revision", Help: "Settings revision in force.", ConstLabels: constant})
-	running := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "valveslip_requests_in_flight", Help: "Requests submitted and not ended.", ConstLabels: constant}, inFlight)
-	m.registry.MustRegister(m.requests, m.duration, m.firstByte, m.waited, m.attempts, m.tokens, m.revision, running,
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m.requests, m.duration, m.firstByte, m.waited, m.attempts, m.tokens, m.revision,
+		node, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	n.logger = n.options.Logger.With("node", string(n.self.ID))
-	n.metrics = newMetrics(n.self, n.inFlight)
+	n.metrics = newMetrics(n.self, newCollector(n, n.self))
 	n.serve(callers, admin)
 	n.mutex.Lock()
 	n.core = n.options.NewCore(n.self)
@@ -184,10 +184,10 @@
 }
 
 // inFlight counts requests that have not ended.
-func (n *Node) inFlight() float64 {
+func (n *Node) inFlight() int {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return float64(len(n.tickets))
+	return len(n.tickets)
 }
 
 // Self returns the node's identity with its real addresses.
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -49,7 +49,7 @@
 	began := time.Now()
 	n.draining.Store(true)
 	n.callers.SetKeepAlivesEnabled(false)
-	n.logger.Info("drain started", "in_flight", int(n.inFlight()), "drain_time", n.config.DrainTime)
+	n.logger.Info("drain started", "in_flight", n.inFlight(), "drain_time", n.config.DrainTime)
 	bounded, cancel := context.WithTimeout(context.Background(), n.config.DrainTime)
 	defer cancel()
 	n.step(node.DrainStarted{})
@@ -57,7 +57,7 @@
 	select {
 	case <-n.drained:
 	case <-bounded.Done():
-		failure = eris.Errorf("%d requests were cut off after the drain time of %s", int(n.inFlight()), n.config.DrainTime)
+		failure = eris.Errorf("%d requests were cut off after the drain time of %s", n.inFlight(), n.config.DrainTime)
 	}
 	closing, stop := context.WithTimeout(context.Background(), shutdownGrace)
 	defer stop()
