Cap what a team can give its own models

Cause: a team's editor could raise the priority or replica counts of its models past what the level above granted, and so starve another team. Change: what priority, min_replicas and max_replicas are at the level a token is bound to is the most that the token can give to any level below; the token cannot change them there. Measured: refusal table passes with four new rows.

--- a/api/admin/admin_test.go
+++ b/api/admin/admin_test.go
@@ -29,6 +29,8 @@
   dental:
     kind: team
     max_concurrency: 20
+    max_replicas: 4
+    priority: 5
     tokens:
       - {name: reader, sha256: "%reader%", role: read}
       - {name: editor, sha256: "%editor%", role: edit}
@@ -37,7 +39,7 @@
       - {name: ended, sha256: "%ended%", role: read, not_after: 2026-03-01}
     children:
       letters: {kind: adapter, base: shared, keep_alive: 10m}
-      parents: {kind: model, max_replicas: 4}
+      parents: {kind: model}
   zebra:
     kind: team
     tokens:
@@ -200,6 +202,10 @@
 		"editor edits above":            {h.edit("editor", "e", 1, set("/", "priority", "1")), http.StatusForbidden},
 		"editor lifts its own limit":    {h.edit("editor", "e", 1, set("/dental", "max_concurrency", "900")), http.StatusForbidden},
 		"chief unsets its own limit":    {h.edit("chief", "e", 1, settings.Change{Path: "/dental", Unset: []string{"max_concurrency"}}), http.StatusForbidden},
+		"editor raises its priority":    {h.edit("editor", "e", 1, set("/dental/letters", "priority", "6")), http.StatusForbidden},
+		"editor wants more replicas":    {h.edit("editor", "e", 1, set("/dental/parents", "max_replicas", "5")), http.StatusForbidden},
+		"editor keeps replicas loaded":  {h.edit("editor", "e", 1, set("/dental/parents", "min_replicas", "1")), http.StatusForbidden},
+		"chief lifts its own cap":       {h.edit("chief", "e", 1, set("/dental", "priority", "9")), http.StatusForbidden},
 		"editor makes a token":          {h.edit("editor", "e", 1, settings.Change{Path: "/dental", PutTokens: []settings.AccessToken{newToken}}), http.StatusForbidden},
 		"editor deletes its level":      {h.edit("editor", "e", 1, settings.Change{Path: "/dental", Delete: true}), http.StatusForbidden},
 		"editor takes another's base":   {h.edit("editor", "e", 1, set("/dental/letters", "base", `"zebra-reader"`)), http.StatusUnprocessableEntity},
@@ -243,7 +249,7 @@
 		{Path: "/dental/new", Create: settings.KindModel, Set: map[string]settings.Value{"min_replicas": "1"}},
 	}}
 	var plan DryRun
-	h.call("chief", http.MethodPost, "/tree/edits?dry_run=true", body, "If-Match", "1").want(http.StatusOK, &plan)
+	h.call("root", http.MethodPost, "/tree/edits?dry_run=true", body, "If-Match", "1").want(http.StatusOK, &plan)
 	var steps []string
 	for _, effect := range plan.Models {
 		for _, step := range effect.Steps {
@@ -251,7 +257,7 @@
 		}
 	}
 	want := []string{"letters removed refuse 0", "new added load 1", "parents changed unload 1", "parents changed move 1", "parents changed reload 2"}
-	if !slices.Equal(steps, want) || plan.Before.MaxReplicas != 5 || plan.After.MinReplicas != 1 {
+	if !slices.Equal(steps, want) || plan.Before.MaxReplicas != 11 || plan.After.MinReplicas != 1 {
 		t.Errorf("steps %v, want %v; before %+v, after %+v", steps, want, plan.Before, plan.After)
 	}
 	if _, stamp, _ := h.store.Load(context.Background()); stamp.Revision != 1 {
@@ -294,7 +300,7 @@
 // name that all of the other's levels bear.
 func TestATeamSeesNothingOfAnother(t *testing.T) {
 	h := newHarness(t, twoTeams)
-	h.edit("zebra-editor", "zebra-edit", 1, set("/zebra/zebra-ledger", "priority", "7")).want(http.StatusCreated, nil)
+	h.edit("zebra-editor", "zebra-edit", 1, set("/zebra/zebra-ledger", "keep_alive", `"7m"`)).want(http.StatusCreated, nil)
 	h.putInForce()
 	for _, model := range []cluster.ModelID{"zebra-reader", "zebra-ledger", "letters", "shared"} {
 		h.backend.replicas = append(h.backend.replicas, Replica{Model: model, Machine: "m1", State: "loaded"})
--- a/api/admin/auth.go
+++ b/api/admin/auth.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/valveslip/valveslip/api"
@@ -79,9 +80,13 @@
 	return verdict.New(verdict.NotRun, verdict.CodeForbidden, format, arguments...)
 }
 
-// boundKeys limit what all below a level may use together. A token cannot
-// change them at the level it is bound to, so a team cannot lift its own share.
-var boundKeys = []string{"max_concurrency", "requests_per_second", "tokens_per_second"}
+// boundKeys decide what a subtree may take from others. A token cannot change
+// them at the level it is bound to, so a team cannot lift its own share.
+var boundKeys = append([]string{"max_concurrency", "requests_per_second", "tokens_per_second"}, cappedKeys...)
+
+// cappedKeys are those whose value at the level a token is bound to is also the
+// most that the token may give to any level below.
+var cappedKeys = []string{"priority", "min_replicas", "max_replicas"}
 
 // authorizeEdit checks that the token may make every change of an edit of the
 // tree.
@@ -96,6 +101,9 @@
 				return failed
 			}
 		}
+		if failed := authorizeCapped(token, tree, change); failed != nil {
+			return failed
+		}
 		if changesTokens(change, tree) && !allows(token, settings.RoleAdminister) {
 			return forbidden("changing the tokens of %s wants the role %s", change.Path, settings.RoleAdminister)
 		}
@@ -117,6 +125,25 @@
 	return nil
 }
 
+// authorizeCapped checks that a change gives no level more than the token's own
+// has.
+func authorizeCapped(token *settings.Token, tree *settings.Tree, change *settings.Change) *verdict.Error {
+	effective, found := tree.Effective(token.Path)
+	if token.Path == settings.RootPath || !found {
+		return nil
+	}
+	for _, key := range cappedKeys {
+		value, set := change.Set[key]
+		most, _ := effective.Policy.Get(key)
+		// A value that is no number is refused by the tree's validation.
+		wanted, _ := strconv.Atoi(string(value))
+		if allowed, err := strconv.Atoi(string(most)); set && err == nil && wanted > allowed {
+			return forbidden("%s below %s is at most %s, from %s", key, token.Path, most, effective.Sources[key])
+		}
+	}
+	return nil
+}
+
 // changesTokens reports whether the change touches access tokens, also by
 // deleting levels that have some.
 func changesTokens(change *settings.Change, tree *settings.Tree) bool {
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -61,8 +61,9 @@
 
 Limits (` + "`max_concurrency`, `requests_per_second`, `tokens_per_second`" + `) hold for all
 requests below the level that sets them together, and a request must fit within
-the limits of every level above it. They cannot be changed by a token that is
-bound to the very level that sets them.
+the limits of every level above it. They, ` + "`priority`, `min_replicas` and\n`max_replicas`" + ` cannot be changed by a token that is bound to the very level that
+sets them, and what these three are there is the most that such a token can give
+to any level below.
 `
 
 // Schema returns a JSON Schema of the YAML documents that ParseYAML reads, for
