Choose candidates only where replicas are allotted

Cause: a round of apportioning ranked the machines of every zone for every model: 1.39 s and 184 MB at 18 zones of 100 machines and 1,662 models.

--- a/authority/division.go
+++ b/authority/division.go
@@ -30,9 +30,13 @@
 	listed []cluster.Machine
 	// machines of the next record, sorted.
 	machines []cluster.MachineID
-	// usable counts listed machines that are not leaving.
+	// usable counts listed machines that are not leaving, fitting those that can
+	// take a model of the engine pool.
 	usable  int
+	fitting map[string]int
 	leaving map[cluster.MachineID]bool
+	// alive counts the record's machines that have not gone.
+	alive   int
 	current map[cluster.ModelID]*cluster.ModelAllotment
 	// confirmed reports are evidence of what the zone holds under its record.
 	confirmed bool
@@ -49,10 +53,7 @@
 
 // cell is one model in one zone during its division.
 type cell struct {
-	entry      *cluster.ModelAllotment
-	candidates []cluster.MachineID
-	// extended: the candidates differ from the record's.
-	extended bool
+	entry *cluster.ModelAllotment
 	// limit is the record's count, bound the most that the zone may hold
 	// before this round, capacity the machines that can hold the model.
 	limit, bound, capacity int
@@ -90,6 +91,7 @@
 func newZoneDivision(state *ApportionState, view *ZoneView) *zoneDivision {
 	zone := &zoneDivision{
 		view:    view,
+		fitting: make(map[string]int),
 		leaving: make(map[cluster.MachineID]bool),
 		current: make(map[cluster.ModelID]*cluster.ModelAllotment, len(view.Allotment.Models)),
 		movable: state.Now.Sub(view.Allotment.WrittenAt) >= state.Config.RebalanceInterval,
@@ -127,6 +129,7 @@
 			z.machines = append(z.machines, id)
 		}
 	}
+	z.alive = len(z.machines)
 	for _, machine := range z.listed {
 		z.machines = append(z.machines, machine.ID)
 	}
@@ -175,7 +178,7 @@
 	}
 	d.escrow(decided)
 	for i, zone := range d.zones {
-		zone.record(model.ID, &d.cells[i])
+		d.record(zone, model, &d.cells[i])
 	}
 }
 
@@ -188,10 +191,9 @@
 	}
 	policy := &model.Policy
 	if policy.MaxReplicas <= 0 || (len(policy.Zones) > 0 && !slices.Contains(policy.Zones, zone.view.Zone)) {
-		c.candidates = zone.remaining(c.entry, d.state.Presence)
 		return c
 	}
-	c.candidates, c.capacity, c.extended = d.candidates(zone, model, c.entry, c.bound)
+	c.capacity = min(d.candidateCount(zone, model), zone.fittingCount(policy.EnginePool))
 	if model.Base != "" {
 		c.capacity = min(c.capacity, d.baseTarget(zone, model.Base))
 	}
@@ -214,12 +216,14 @@
 	if z.confirmed {
 		bound = min(bound, max(entry.MaxReplicas, z.reports[entry.Model].Held))
 	}
-	holders := entry.Candidates
-	if len(holders) == 0 {
-		holders = z.view.Allotment.Machines
+	if len(entry.Candidates) == 0 {
+		return min(bound, z.alive)
+	}
+	if z.allAlive() {
+		return min(bound, len(entry.Candidates))
 	}
 	alive := 0
-	for _, id := range holders {
+	for _, id := range entry.Candidates {
 		if !presence.Gone(id) {
 			alive++
 		}
@@ -227,6 +231,9 @@
 	return min(bound, alive)
 }
 
+// allAlive reports whether no machine of the record has gone.
+func (z *zoneDivision) allAlive() bool { return z.alive == len(z.view.Allotment.Machines) }
+
 // rank orders the zones by weighted rendezvous hashing of the model, or of the
 // base for an adapter: adding or losing a zone moves few models.
 func (d *division) rank(model *settings.Model) {
@@ -281,21 +288,25 @@
 }
 
 // record adds the model's entry to the zone's next record.
-func (z *zoneDivision) record(model cluster.ModelID, c *cell) {
+func (d *division) record(zone *zoneDivision, model *settings.Model, c *cell) {
 	if c.count != c.limit {
-		z.changes = append(z.changes, CountChange{
-			Zone: z.view.Zone, Model: model, From: c.limit, To: c.count, Wanted: c.target,
+		zone.changes = append(zone.changes, CountChange{
+			Zone: zone.view.Zone, Model: model.ID, From: c.limit, To: c.count, Wanted: c.target,
 		})
 	}
 	if c.count == 0 && c.bound == 0 {
 		return
 	}
-	entry := cluster.ModelAllotment{Model: model, MaxReplicas: c.count, Candidates: c.candidates}
+	entry := cluster.ModelAllotment{Model: model.ID, MaxReplicas: c.count}
+	if c.count > 0 {
+		entry.Candidates = d.candidates(zone, model, c)
+		zone.candidatesChanged = zone.candidatesChanged ||
+			c.entry != nil && !slices.Equal(entry.Candidates, c.entry.Candidates)
+	} else {
+		entry.Candidates = zone.remaining(c.entry, d.state.Presence)
+	}
 	if c.bound > c.count {
 		entry.Ceiling = c.bound
 	}
-	if c.extended && c.count > 0 {
-		z.candidatesChanged = true
-	}
-	z.next = append(z.next, entry)
+	zone.next = append(zone.next, entry)
 }
