--- /dev/null
+++ b/experiment/deployment.go
@@ -0,0 +1,104 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/simulation"
+)
+
+// defaultRestartTime of engines.
+const defaultRestartTime = 30 * time.Second
+
+// machinesPerRack is how many machines of a zone share a rack.
+const machinesPerRack = 8
+
+// buildDeployment lays the scenario's machines out over its zones.
+func buildDeployment(scenario *Scenario, models *Models) simulation.Deployment {
+	deployment := simulation.Deployment{
+		Network: simulation.NetworkConfig{
+			WithinZone: scenario.Network.WithinZone, BetweenZones: scenario.Network.BetweenZones,
+			BetweenRegions: scenario.Network.BetweenRegions, Jitter: scenario.Network.Jitter,
+			Loss: scenario.Network.Loss, Duplication: scenario.Network.Duplication,
+			Reordering: scenario.Network.Reordering, ReorderDelay: 20 * time.Millisecond,
+		},
+		ClientDelay: scenario.ClientDelay,
+		Store: simulation.WeightStoreConfig{
+			StartsPerSecond: scenario.Store.StartsPerSecond, Concurrency: scenario.Store.Concurrency,
+			BytesPerSecond: float64(scenario.Store.Rate),
+		},
+		MachineListLag: scenario.MachineListLag,
+		KeyValueDelay:  scenario.KeyValue.Delay,
+		KeyValueRate:   scenario.KeyValue.RequestsPerSecond,
+	}
+	for _, zone := range scenario.Zones {
+		deployment.Zones = append(deployment.Zones, simulation.ZoneConfig{
+			ID: cluster.ZoneID(zone.Name), Region: cluster.RegionID(zone.Region), Nodes: zone.Nodes,
+		})
+	}
+	perZone := make([]int, len(scenario.Zones))
+	next := 0
+	for i := range scenario.Workers {
+		worker := &scenario.Workers[i]
+		for range worker.Count {
+			zone := next % len(scenario.Zones)
+			deployment.Machines = append(deployment.Machines, machineConfig(scenario, worker, zone, perZone[zone]))
+			perZone[zone]++
+			next++
+		}
+	}
+	preload(scenario, models, &deployment)
+	return deployment
+}
+
+// machineConfig describes one machine.
+func machineConfig(scenario *Scenario, worker *Worker, zone, number int) simulation.MachineConfig {
+	place := scenario.Zones[zone]
+	restart := worker.RestartTime
+	if restart == 0 {
+		restart = defaultRestartTime
+	}
+	return simulation.MachineConfig{
+		Machine: cluster.Machine{
+			ID:   cluster.MachineID(fmt.Sprintf("%s-%s-%03d", place.Name, worker.Pool, number)),
+			Zone: cluster.ZoneID(place.Name), Region: cluster.RegionID(place.Region),
+			Rack:    fmt.Sprintf("%s-rack-%d", place.Name, number/machinesPerRack),
+			Address: fmt.Sprintf("10.200.%d.%d:8000", zone, number),
+		},
+		Engine: simulation.EngineConfig{
+			Pool: worker.Pool, MemoryBytes: int64(worker.Memory), Accelerators: worker.Accelerators, Slots: worker.Slots,
+			DiskBytes: int64(worker.Disk), HostBytes: int64(worker.Host),
+			DiskRate: float64(worker.DiskRate), HostRate: float64(worker.HostRate), LoadOverhead: worker.LoadOverhead,
+			PrefillRate: worker.PrefillRate, TokenTime: worker.TokenTime, TokenTimeSlope: worker.TokenTimeSlope,
+			RestartTime: restart,
+		},
+	}
+}
+
+// preload draws which checkpoints the machines' caches hold at the start. The
+// draw belongs to the scenario, not to the run's seed.
+func preload(scenario *Scenario, models *Models, deployment *simulation.Deployment) {
+	random := rand.New(rand.NewPCG(modelSeed, xxhash.Sum64String(scenario.Name+"/cache")))
+	for _, machine := range deployment.Machines {
+		for _, member := range models.Members {
+			onDisk, inHost := random.Float64(), random.Float64()
+			if member.Group.Pool != machine.Engine.Pool {
+				continue
+			}
+			held := simulation.Preload{Machine: machine.Machine.ID, Model: member.ID, Bytes: member.Bytes}
+			switch {
+			case inHost < member.Group.InHost:
+				held.Tier = cluster.TierMemory
+			case onDisk < member.Group.OnDisk:
+				held.Tier = cluster.TierDisk
+			default:
+				continue
+			}
+			deployment.Preloaded = append(deployment.Preloaded, held)
+		}
+	}
+}
