--- a/experiment/models.go
+++ b/experiment/models.go
@@ -103,7 +103,7 @@
 		bases = append(bases, base)
 		adapters[i] = map[string]any{}
 		below[string(base.ID)] = map[string]any{
-			"kind": "model", "memory": fmt.Sprintf("%d", base.Bytes), "engine_pool": group.Pool, "children": adapters[i],
+			"kind": "model", "memory": sizeText(base.Bytes), "engine_pool": group.Pool, "children": adapters[i],
 		}
 	}
 	m.Members = append(m.Members, bases...)
@@ -114,15 +114,20 @@
 			Base: base.ID, Group: group, Team: "/" + group.Name, Bytes: draw(random, group.AdapterMemory),
 		}
 		m.Members = append(m.Members, adapter)
-		adapters[i%len(bases)][string(adapter.ID)] = map[string]any{"kind": "adapter", "memory": fmt.Sprintf("%d", adapter.Bytes)}
+		adapters[i%len(bases)][string(adapter.ID)] = map[string]any{"kind": "adapter", "memory": sizeText(adapter.Bytes)}
 	}
 	return map[string]any{"kind": "team", "children": below}
 }
 
+// mebibyte is the unit of drawn sizes.
+const mebibyte = 1 << 20
+
+// sizeText writes a size in the settings tree's form.
+func sizeText(bytes int64) string { return fmt.Sprintf("%dMiB", bytes/mebibyte) }
+
 // draw returns a size of the range, uniform on a log scale, in whole mebibytes.
 func draw(random *rand.Rand, within ByteRange) int64 {
 	least, most := math.Log(float64(within.Least)), math.Log(float64(within.Most))
-	const mebibyte = 1 << 20
 	return int64(math.Exp(least+random.Float64()*(most-least))) / mebibyte * mebibyte
 }
 
