--- a/experiment/oracle.go
+++ b/experiment/oracle.go
@@ -19,7 +19,6 @@
 	position map[cluster.ModelID]int
 	// adapters by base model.
 	adapters map[cluster.ModelID][]cluster.ModelID
-	revision int64
 }
 
 // newOracle returns an oracle for the given arrivals, sorted by time.
