routing, node: divide limits without loss, overlap or growth under partition

Three faults of the divided limits. Concurrency shares were rounded down for each router, so that a limit of 2 over three zones granted nobody anything, and routers without demand kept an even part beside the others' shares, up to 1.7 times the limit in all. And a router that lost sight of the others took the whole limit; fewer routers now count only 10 minutes after there were more.

The queue's bounds are taken as the tree states them: 0 means that none may wait (it was read as the default). Request.Priority is again the resolved one, as the callers' API fills it.

--- a/node/shares.go
+++ b/node/shares.go
@@ -25,32 +25,43 @@
 	if snapshot == nil || len(snapshot.Scopes) == 0 {
 		return nil
 	}
-	part, routers := zonePart(core)
+	part := zonePart(core)
 	shares := make(map[cluster.NodeID][]wire.ScopeShare)
 	for _, path := range demandedScopes(ledger) {
 		scope, limited := snapshot.Scopes[path]
 		if limited {
-			divideScope(shares, ledger, scope, part, routers)
+			divideScope(shares, scopeWants(core, ledger, scope.Path), scope, part)
 		}
 	}
 	return shares
 }
 
-// zonePart is this zone's part of every limit, by its number of nodes, and that
-// number. Suspected nodes count: a partition must not enlarge the part.
-func zonePart(core *Core) (part float64, routers int) {
-	all := 1
-	routers = 1
+// limitPart is a zone's part of every limit: its size, and where it begins when
+// the zones' parts are laid out in order.
+type limitPart struct {
+	begin, size float64
+	routers     int
+}
+
+// zonePart is this zone's part of every limit, by its number of nodes. Suspected
+// and dead nodes count in the whole: a partition must not enlarge the part.
+func zonePart(core *Core) limitPart {
+	all, before, routers := 1, 0, 1
 	for _, member := range core.members.Members() {
 		if member.State == membership.StateLeaving {
 			continue
 		}
 		all++
-		if member.Node.Zone == core.self.Zone && member.State != membership.StateDead {
+		switch {
+		case member.Node.Zone < core.self.Zone:
+			before++
+		case member.Node.Zone == core.self.Zone && member.State != membership.StateDead:
 			routers++
 		}
 	}
-	return float64(routers) / float64(all), routers
+	return limitPart{
+		begin: float64(before) / float64(all), size: float64(routers) / float64(all), routers: routers,
+	}
 }
 
 func demandedScopes(ledger *demandLedger) []string {
@@ -68,42 +79,58 @@
 	return paths
 }
 
-func divideScope(shares map[cluster.NodeID][]wire.ScopeShare, ledger *demandLedger, scope settings.Scope, part float64, routers int) {
-	wants, total := scopeWants(ledger, scope.Path)
-	concurrency := float64(scope.MaxConcurrency) * part
+// divideScope grants every router of the zone its share, those without demand
+// too: a router without a grant would keep an even part beside the others'.
+func divideScope(shares map[cluster.NodeID][]wire.ScopeShare, wants []scopeWant, scope settings.Scope, part limitPart) {
+	total := 0.0
 	for _, want := range wants {
-		weight := equalPart / float64(routers)
-		if total > 0 {
-			weight += (1 - equalPart) * want.weight / total
-		}
+		total += want.weight
+	}
+	routers := max(part.routers, len(wants))
+	position := part.begin
+	for _, want := range wants {
+		size := part.size * (equalPart/float64(routers) + (1-equalPart)*want.weight/total)
 		shares[want.router] = append(shares[want.router], wire.ScopeShare{
 			Path: scope.Path, ExpiresIn: shareLifetime,
-			Requests: scope.RequestsPerSecond * part * weight,
-			Tokens:   scope.TokensPerSecond * part * weight,
-			// Rounding down keeps the sum below the limit; below one request a
-			// router keeps the conservative share it has without a grant.
-			Concurrency: int(concurrency * weight),
+			Requests:    scope.RequestsPerSecond * size,
+			Tokens:      scope.TokensPerSecond * size,
+			Concurrency: wholePart(scope.MaxConcurrency, position+size) - wholePart(scope.MaxConcurrency, position),
 		})
+		position += size
 	}
 }
 
+// wholePart is how many whole requests of a limit lie before a position. The
+// differences between positions sum to the limit over all routers, so none of
+// a small limit is lost to rounding and none is granted twice.
+func wholePart(limit int, position float64) int {
+	const rounding = 1e-9
+	return int(float64(limit)*position + rounding)
+}
+
 type scopeWant struct {
 	router cluster.NodeID
 	weight float64
 }
 
-// scopeWants lists the routers with demand on the scope, weighted by requests
-// in flight and arriving.
-func scopeWants(ledger *demandLedger, path string) (wants []scopeWant, total float64) {
+// idleWeight is the weight of a router without demand, in requests.
+const idleWeight = 0.01
+
+// scopeWants weighs the zone's routers by requests in flight and arriving.
+func scopeWants(core *Core, ledger *demandLedger, path string) []scopeWant {
+	var wants []scopeWant
 	for _, id := range ledger.order {
-		for _, scope := range ledger.routers[id].scopes {
-			if scope.Path != path {
-				continue
+		router := ledger.routers[id]
+		if router.zone != core.self.Zone {
+			continue
+		}
+		want := scopeWant{id, idleWeight}
+		for _, scope := range router.scopes {
+			if scope.Path == path {
+				want.weight += scope.Requests + float64(scope.Concurrency)
 			}
-			weight := scope.Requests + float64(scope.Concurrency) + 0.01
-			wants = append(wants, scopeWant{id, weight})
-			total += weight
 		}
+		wants = append(wants, want)
 	}
-	return wants, total
+	return wants
 }
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -123,13 +123,10 @@
 	admitted.claim = claim
 	admitted.deadline = deadline
 	admitted.queueBudget = int64(m.configured.Policy.QueueTime)
-	if admitted.queueBudget <= 0 {
-		admitted.queueBudget = deadline - r.nanos
-	}
 	admitted.timer.request = admitted
 	admitted.item = queue.Item[*request]{
 		Value:    admitted,
-		Priority: m.configured.Policy.Priority + arrived.Priority,
+		Priority: arrived.Priority,
 		Team:     arrived.Team,
 		Deadline: deadline,
 		Bytes:    arrived.BodyBytes,
@@ -168,24 +165,22 @@
 	}
 }
 
-// queueRefusal says why the queue has no room for the request, or nil.
+// queueRefusal says why the request may not wait, or nil. Zero bounds mean that
+// none may.
 func (r *Router) queueRefusal(admitted *request) (*verdict.Error, Explanation) {
 	model := admitted.model
 	policy := &model.configured.Policy
-	length, bytes := policy.QueueLength, policy.QueueBytes
-	if length <= 0 {
-		length = r.config.DefaultQueueLength
-	}
-	if bytes <= 0 {
-		bytes = r.config.DefaultQueueBytes
+	if policy.QueueTime <= 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeQueueTimeout,
+			"no replica is free and the model's requests may not wait").After(r.comeBack(model)), model.explain(settingQueueTime, 0, 0)
 	}
-	if model.queue.Len() >= length {
-		reason := model.explain(settingQueueLength, float64(length), float64(model.queue.Len()))
+	if model.queue.Len() >= policy.QueueLength {
+		reason := model.explain(settingQueueLength, float64(policy.QueueLength), float64(model.queue.Len()))
 		return verdict.New(verdict.NotRun, verdict.CodeQueueFull,
 			"%d requests wait for the model already", model.queue.Len()).After(r.comeBack(model)), reason
 	}
-	if wanted := model.queue.Bytes() + admitted.BodyBytes; wanted > bytes {
-		reason := model.explain(settingQueueBytes, float64(bytes), float64(wanted))
+	if wanted := model.queue.Bytes() + admitted.BodyBytes; wanted > policy.QueueBytes {
+		reason := model.explain(settingQueueBytes, float64(policy.QueueBytes), float64(wanted))
 		return verdict.New(verdict.NotRun, verdict.CodeQueueFull,
 			"the requests that wait for the model hold too many bytes").After(r.comeBack(model)), reason
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -45,10 +45,10 @@
 	// DefaultDeadline bounds requests for which neither the caller nor the
 	// policy states a deadline. Default 10 min.
 	DefaultDeadline time.Duration
-	// DefaultQueueLength and DefaultQueueBytes bound a queue whose policy
-	// states no bound. Defaults 1,000 and 64 MiB.
-	DefaultQueueLength int
-	DefaultQueueBytes  int64
+	// RoutersMemory is for how long limits stay divided among as many routers
+	// as there were, after some disappeared: they may be cut off and go on
+	// admitting. Default 10 min.
+	RoutersMemory time.Duration
 	// RegionPenalty and FarPenalty are added to the expected wait of replicas
 	// in another zone of the region and in another region. Defaults 5 ms and
 	// 80 ms.
@@ -79,8 +79,7 @@
 	fill(&c.DefaultService, time.Second)
 	fill(&c.DefaultSlots, 8)
 	fill(&c.DefaultDeadline, 10*time.Minute)
-	fill(&c.DefaultQueueLength, 1000)
-	fill(&c.DefaultQueueBytes, 64<<20)
+	fill(&c.RoutersMemory, 10*time.Minute)
 	fill(&c.RegionPenalty, 5*time.Millisecond)
 	fill(&c.FarPenalty, 80*time.Millisecond)
 	fill(&c.PrefixBlockTime, 10*time.Millisecond)
--- a/routing/demand.go
+++ b/routing/demand.go
@@ -14,6 +14,9 @@
 // caller fills From, Zone and Sequence.
 func (r *Router) Demand(now time.Time, full bool) wire.Demand {
 	nanos := max(now.UnixNano(), r.nanos)
+	if r.dividedUntil != 0 && nanos >= r.dividedUntil {
+		r.divideLimits()
+	}
 	report := wire.Demand{Full: full}
 	reported := r.touched
 	r.touched = nil
--- a/routing/events.go
+++ b/routing/events.go
@@ -19,7 +19,8 @@
 	TokenPath string
 	// Team for fairness between teams in one queue.
 	Team string
-	// Priority above the model's own, usually zero; larger goes first.
+	// Priority of the request, resolved from policy and caller; larger goes
+	// first.
 	Priority int
 	// Deadline at which the request must have ended.
 	Deadline   time.Time
--- a/routing/router.go
+++ b/routing/router.go
@@ -49,9 +49,12 @@
 	// prefixes estimates engines' caches; matches is the buffer of a choice.
 	prefixes *affinity.Index
 	matches  []affinity.Match
-	// routers is how many share the replicas.
-	routers  int
-	draining bool
+	// routers is how many share the replicas. divided is among how many limits
+	// are divided, more until dividedUntil if some disappeared; rank is this
+	// router's place.
+	routers, divided, rank int
+	dividedUntil           int64
+	draining               bool
 	// statuses counts the accepted cell statuses.
 	statuses uint64
 
@@ -206,11 +209,24 @@
 		"this node is stopping; another one takes the request").After(r.config.DrainRetryAfter)
 }
 
+// divideLimits divides limits anew. Fewer routers count only RoutersMemory after
+// there were more, because those may be cut off and go on admitting.
+func (r *Router) divideLimits() {
+	fewer := r.routers < r.divided
+	if fewer && r.dividedUntil == 0 {
+		r.dividedUntil = r.nanos + int64(r.config.RoutersMemory)
+	}
+	if !fewer || r.nanos >= r.dividedUntil {
+		r.divided, r.dividedUntil = r.routers, 0
+	}
+	r.limits.Divide(limit.Division{Routers: r.divided, Rank: r.rank})
+}
+
 // routersChanged learns how many routers share limits and slots.
 func (r *Router) routersChanged(event RoutersChanged) {
 	if event.Routers > 0 {
-		r.routers = event.Routers
-		r.limits.Divide(limit.Division{Routers: event.Routers, Rank: event.Rank})
+		r.routers, r.rank = event.Routers, event.Rank
+		r.divideLimits()
 	}
 	for _, zone := range event.Zones {
 		r.regions[zone.Zone] = zone.Region
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -339,3 +339,38 @@
 		t.Fatalf("full: got %+v", demand.Models)
 	}
 }
+
+func TestZeroQueueTimeRefusesAtOnce(t *testing.T) {
+	policy := testPolicy()
+	policy.QueueTime = 0
+	f := newFixture(t, policy)
+	finish := f.arrive("a")[0].(Finish)
+	if finish.Failure.Code != verdict.CodeQueueTimeout || finish.Failure.RetryAfter == 0 || finish.Reason.Setting != "queue_time" {
+		t.Fatalf("got %+v, %+v", finish.Failure, finish.Reason)
+	}
+}
+
+func TestLimitNamesItsSource(t *testing.T) {
+	f := newFixture(t, testPolicy(), settings.Scope{Path: "/dental", RequestsPerSecond: 1})
+	f.arrive("a")
+	finish := f.arrive("b")[0].(Finish)
+	want := Explanation{Code: verdict.CodeRequestRateLimit, Setting: "requests_per_second", Source: "/dental",
+		Limit: 0.5, SettingsRevision: 7}
+	if finish.Reason != want || finish.Failure.RetryAfter != 2*time.Second || finish.Failure.Verdict != verdict.NotRun {
+		t.Fatalf("got %+v, %+v", finish.Failure, finish.Reason)
+	}
+	f.expect(f.pass(2*time.Second), "")
+	f.expect(f.arrive("c"), "")
+}
+
+func TestLostRoutersKeepTheirPartOfLimits(t *testing.T) {
+	f := newFixture(t, testPolicy(), settings.Scope{Path: "/dental", MaxConcurrency: 4})
+	f.step(RoutersChanged{Routers: 4})
+	f.step(RoutersChanged{Routers: 1})
+	f.expect(f.arrive("a"), "")
+	f.expect(f.arrive("b"), "finish b concurrency_limit not-run; ")
+	f.pass(11 * time.Minute)
+	f.router.Demand(f.now, true)
+	f.expect(f.arrive("c"), "")
+	f.expect(f.arrive("d"), "")
+}
