Complete the faults of engines and reuse the buffers of streams

Cause: engines could not be killed or their reports frozen through the fault endpoint, an injected refusal did not say not-run, and each stream allocated a buffer of up to 32 kB. The load report mixed whole answers into the time to the first token.

--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -51,9 +51,9 @@
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	TokensPerSecond   float64 `json:"tokens_per_second"`
 
-	// Latency of whole served answers; FirstToken of served ones whose model
-	// was warm, ColdStart of those whose model was cold; BetweenTokens of
-	// streams.
+	// Latency of whole served answers. BetweenTokens of streams and
+	// FirstToken of those whose model was warm at their start. ColdStart is the time to the first
+	// byte of the others, which had to wait for their model.
 	Latency       Latencies `json:"latency"`
 	FirstToken    Latencies `json:"first_token"`
 	ColdStart     Latencies `json:"cold_start"`
@@ -170,9 +170,10 @@
 func (t *tally) served(request *request, ended *result) {
 	t.counts.Served++
 	record(t.latency, ended.total)
-	if request.cold {
+	switch {
+	case request.cold:
 		record(t.cold, ended.firstToken)
-	} else {
+	case request.stream:
 		record(t.first, ended.firstToken)
 	}
 	for _, gap := range ended.gaps {
@@ -247,7 +248,7 @@
 		[]string{"served a second", fmt.Sprintf("%.1f", r.RequestsPerSecond)},
 		[]string{"tokens a second", fmt.Sprintf("%.0f", r.TokensPerSecond)},
 		r.Latency.row("whole answer"), r.FirstToken.row("first token, warm"),
-		r.ColdStart.row("first token, cold start"), r.BetweenTokens.row("between tokens"),
+		r.ColdStart.row("first byte, cold start"), r.BetweenTokens.row("between tokens"),
 	)
 	return rows
 }
--- a/standin/engine/reader.go
+++ b/standin/engine/reader.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valveslip/valveslip/platform/engine"
@@ -115,7 +116,12 @@
 	written := int(skip / int64(r.format.chunkBytes()))
 	written = min(written, r.format.tokens)
 	out.skip -= int64(written * r.format.chunkBytes())
-	buffer := make([]byte, 0, r.bufferBytes())
+	pooled := buffers.Get().(*[]byte)
+	buffer := (*pooled)[:0]
+	defer func() {
+		*pooled = buffer
+		buffers.Put(pooled)
+	}()
 	for {
 		for written < r.visible() {
 			end := min(r.visible(), written+max(1, flushBytes/r.format.chunkBytes()))
@@ -140,9 +146,11 @@
 	}
 }
 
-func (r *reader) bufferBytes() int {
-	return min(flushBytes, r.format.chunkBytes()*min(r.format.tokens, 64)) + 1024
-}
+// buffers hold the part of a stream that is written at once.
+var buffers = sync.Pool{New: func() any {
+	buffer := make([]byte, 0, flushBytes+flushBytes/8)
+	return &buffer
+}}
 
 // visible is how many tokens may be written.
 func (r *reader) visible() int {
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -43,11 +43,23 @@
 // oldest one.
 func (s *State) Report(now time.Time) cluster.LoadReport {
 	s.Advance(now)
+	if s.frozen != nil {
+		return *s.frozen
+	}
 	shown := now.Add(-s.config.ReportLag)
 	after := sort.Search(len(s.samples), func(i int) bool { return s.samples[i].At.After(shown) })
 	return s.samples[max(after-1, 0)]
 }
 
+// FreezeReport shows the present report until ThawReport.
+func (s *State) FreezeReport(now time.Time) {
+	report := s.Report(now)
+	s.frozen = &report
+}
+
+// ThawReport ends FreezeReport.
+func (s *State) ThawReport() { s.frozen = nil }
+
 // CacheEvents returns the published cache events after a sequence number.
 func (s *State) CacheEvents(now time.Time, after uint64) []cluster.CacheEvent {
 	s.Advance(now)
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -231,15 +231,18 @@
 }
 
 // die kills the engine and restarts it after a while.
-func (s *Server) die() {
+func (s *Server) die(away time.Duration) {
 	s.Kill()
-	time.AfterFunc(s.config.RestartAfter, func() { _ = s.Restart() })
+	if away <= 0 {
+		away = s.config.RestartAfter
+	}
+	time.AfterFunc(away, func() { _ = s.Restart() })
 }
 
 // dieMidLoadAfter is how far into a load KindDieMidLoad strikes.
 const dieMidLoadAfter = 50 * time.Millisecond
 
-func (s *Server) dieSoon() { time.AfterFunc(dieMidLoadAfter, s.die) }
+func (s *Server) dieSoon() { time.AfterFunc(dieMidLoadAfter, func() { s.die(0) }) }
 
 // inject carries out the faults that concern engines alone.
 func (s *Server) inject(order fault.Order) bool {
@@ -248,6 +251,12 @@
 		s.mu.Lock()
 		s.dieNext = true
 		s.mu.Unlock()
+	case fault.KindDie:
+		go s.die(time.Duration(order.For))
+	case fault.KindStale:
+		s.freeze(time.Duration(order.For))
+	case fault.KindClear:
+		s.Do(func(now time.Time, state *State) { state.ThawReport() })
 	case fault.KindReclaim:
 		s.Do(func(now time.Time, state *State) { state.SetLeaving(now) })
 		time.AfterFunc(time.Duration(order.Notice), s.Kill)
@@ -257,6 +266,16 @@
 	return true
 }
 
+// freeze holds the load report for a while, or until the faults are cleared.
+func (s *Server) freeze(lasting time.Duration) {
+	s.Do(func(now time.Time, state *State) { state.FreezeReport(now) })
+	if lasting > 0 {
+		time.AfterFunc(lasting, func() {
+			s.Do(func(_ time.Time, state *State) { state.ThawReport() })
+		})
+	}
+}
+
 // ownKey names an attempt whose caller did not.
 func (s *Server) ownKey(request *http.Request) Key {
 	id := request.Header.Get(engine.HeaderRequestID)
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/platform/engine"
@@ -194,3 +195,83 @@
 		t.Fatalf("%d after, %d bytes", count, inventory.UsedBytes())
 	}
 }
+
+// TestDeathMidLoad: the engine dies while it loads and comes back empty, with
+// its token and a later epoch.
+func TestDeathMidLoad(t *testing.T) {
+	fetching := make(chan struct{})
+	server, address := start(t, standin.ServerConfig{
+		RestartAfter: time.Millisecond,
+		Fetch: func(ctx context.Context, _ standin.Fetch) error {
+			close(fetching)
+			<-ctx.Done()
+			return ctx.Err()
+		},
+	})
+	control := client(t)
+	server.Inject(fault.Order{Kind: fault.KindDieMidLoad})
+	before := load(t, control, address, "m", 10)
+	<-fetching
+	for {
+		after, err := control.Inventory(context.Background(), address)
+		if err != nil || after.Epoch == before.Epoch {
+			continue // it is still dying, or away
+		}
+		if len(after.Replicas) != 0 || after.Token != before.Token || after.Epoch < before.Epoch {
+			t.Fatalf("after %+v, before %+v", after, before)
+		}
+		return
+	}
+}
+
+// TestKVMoves: prefixes cached on one engine help on another after a move.
+func TestKVMoves(t *testing.T) {
+	config := standin.ServerConfig{Engine: standin.Config{PrefixBlocks: 100}}
+	_, from := start(t, config)
+	to, target := start(t, config)
+	control, ctx := client(t), context.Background()
+	load(t, control, from, "m", 10)
+	load(t, control, target, "m", 10)
+	long := call(from, strings.Repeat("x", 3*engine.PrefixBlockBytes), 1, false)
+	if answer, err := control.Run(ctx, long); err != nil || answer.Body.Close() != nil {
+		t.Fatal(err)
+	}
+	cache, err := control.ExportKV(ctx, from, "m")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := control.ImportKV(ctx, target, "m", cache); err != nil {
+		t.Fatal(err)
+	}
+	moved := 0
+	to.Do(func(now time.Time, state *standin.State) { moved = len(state.ExportKV(now, "m")) })
+	if moved != 3 {
+		t.Fatalf("%d prefixes moved", moved)
+	}
+}
+
+func TestCancelStopsARun(t *testing.T) {
+	server, address := start(t, standin.ServerConfig{Engine: standin.Config{StepTime: time.Hour}})
+	control, ctx := client(t), context.Background()
+	load(t, control, address, "m", 10)
+	running := call(address, "r", 5, true)
+	answer, err := control.Run(ctx, running)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := control.Cancel(ctx, running); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(answer.Body); err == nil {
+		t.Fatal("the cancelled stream ended as if whole")
+	}
+	server.Do(func(now time.Time, state *standin.State) {
+		if view := state.View(now, standin.Key{Request: "r", Attempt: 1}); view.Status != standin.StatusFailed {
+			t.Errorf("%+v", view)
+		}
+	})
+	unknown := call(address, "unknown", 5, true)
+	if err := control.Cancel(ctx, unknown); err != nil {
+		t.Fatalf("cancel of an unknown attempt: %v", err)
+	}
+}
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -61,6 +61,7 @@
 
 	prefixes *prefixCache
 	samples  []cluster.LoadReport
+	frozen   *cluster.LoadReport
 	effects  Effects
 	counters Counters
 }
--- a/standin/engine/state_test.go
+++ b/standin/engine/state_test.go
@@ -243,6 +243,11 @@
 	if report := state.Report(at(50)); report.Running != 0 {
 		t.Fatalf("within the lag: %+v", report)
 	}
+	state.FreezeReport(at(60))
+	if report := state.Report(at(150)); report.Running != 0 {
+		t.Fatalf("frozen: %+v", report)
+	}
+	state.ThawReport()
 	if report := state.Report(at(150)); report.Running != 1 || report.PerModel["m"] != 1 {
 		t.Fatalf("after the lag: %+v", report)
 	}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -23,15 +23,17 @@
 	KindSlow Kind = "slow"
 	// KindLoseAnswer closes the connection after the effect.
 	KindLoseAnswer Kind = "lose-answer"
-	// KindRefuse answers 429 or 503 without an effect.
+	// KindRefuse answers 429 without an effect.
 	KindRefuse Kind = "refuse"
 	// KindDieMidLoad ends the engine's run in the middle of its next load.
 	KindDieMidLoad Kind = "die-mid-load"
+	// KindDie ends the engine's run at once; it is back after For.
+	KindDie Kind = "die"
 	// KindCutStream drops the connection of a streamed answer after Tokens.
 	KindCutStream Kind = "cut-stream"
 	// KindReclaim takes a machine back after Notice.
 	KindReclaim Kind = "reclaim"
-	// KindStale freezes what a list or report shows.
+	// KindStale freezes what the machine list or an engine's report shows.
 	KindStale Kind = "stale"
 )
 
--- a/standin/fault/injector.go
+++ b/standin/fault/injector.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/verdict"
 )
 
 // Path of the fault endpoint of every stand-in.
@@ -116,6 +119,7 @@
 	}
 	if _, refuse := i.Strike(KindRefuse); refuse {
 		writer.Header().Set("Retry-After", "1")
+		writer.Header().Set(engine.HeaderVerdict, verdict.NotRun.String())
 		http.Error(writer, `{"error":"refused","code":8,"message":"refused"}`, http.StatusTooManyRequests)
 		return
 	}
