Revert "Answer for all nodes from any node of the administration API"

Change: the Backend answers for the whole system again; the API asks no node. Measured: tests of api/admin, node/shell and cmd/valveslip pass.

--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -32,10 +31,6 @@
 	// Bootstrap is a token that holds for the whole tree besides those in it,
 	// for the first edit; nil for none. Its Path is the root.
 	Bootstrap *settings.Token
-	// Self is this node. Peers calls other nodes for what only they know; nil
-	// answers from this node alone.
-	Self  cluster.NodeID
-	Peers *Peers
 	// Now is the clock; time.Now when nil.
 	Now    func() time.Time
 	Logger *slog.Logger
--- a/api/admin/backend.go
+++ b/api/admin/backend.go
@@ -18,25 +18,20 @@
 // is recorded.
 var ErrNotFound = errors.New("nothing is recorded")
 
-// Backend is what the API needs of the node it runs on: what that node knows
-// itself; the API asks other nodes for the rest. Lists come in any order.
-// Methods are safe for concurrent use.
+// Backend is what the API needs of the node it runs on. Lists come in any
+// order. Methods are safe for concurrent use.
 type Backend interface {
 	// Settings returns what is in force on this node; nil before the first.
 	Settings() (*settings.Tree, *settings.Snapshot)
 	Members(ctx context.Context) ([]Member, error)
-	// Controllers returns the newest known controller of every zone; what only
-	// a controller knows is left zero by others.
 	Controllers(ctx context.Context) ([]Controller, error)
-	// Machines and Replicas return those of the zone this node controls.
 	Machines(ctx context.Context) ([]Machine, error)
 	Replicas(ctx context.Context) ([]Replica, error)
-	// Queues returns this node's queues.
 	Queues(ctx context.Context) ([]Queue, error)
-	// ModelDecisions returns the last decisions of this node on a model.
+	// ModelDecisions returns the last decisions on a model, by zone.
 	ModelDecisions(ctx context.Context, model cluster.ModelID) ([]ModelDecision, error)
-	// RequestTrace returns what is recorded of a request that this node
-	// accepted, or ErrNotFound.
+	// RequestTrace returns what is recorded of a request on whatever node
+	// accepted it, or ErrNotFound.
 	RequestTrace(ctx context.Context, id cluster.RequestID) (RequestTrace, error)
 	// EventsAfter returns the kept events with a larger number, oldest first,
 	// and a channel that is closed when there are more.
--- a/api/admin/client.go
+++ b/api/admin/client.go
@@ -33,9 +33,6 @@
 	// RetryWait is the wait before an edit with an unknown outcome is given
 	// again; DefaultRetryWait when zero.
 	RetryWait time.Duration
-
-	// local asks the node for what it knows itself.
-	local bool
 }
 
 const (
@@ -158,15 +155,6 @@
 	}
 }
 
-// query returns the parameters that all questions on the system's state have.
-func (c *Client) query() url.Values {
-	query := url.Values{}
-	if c.local {
-		query.Set("local", "true")
-	}
-	return query
-}
-
 // Tree reads the subtree at path, empty for the token's own, as one revision.
 // With stored it reads the key-value service, so that an edit can be based on
 // the newest revision.
@@ -271,37 +259,37 @@
 
 // Members reads the nodes.
 func (c *Client) Members(ctx context.Context) ([]Member, error) {
-	return list[Member](ctx, c, "/members", c.query())
+	return list[Member](ctx, c, "/members", url.Values{})
 }
 
 // Controllers reads the zones' controllers.
 func (c *Client) Controllers(ctx context.Context) ([]Controller, error) {
-	return list[Controller](ctx, c, "/controllers", c.query())
+	return list[Controller](ctx, c, "/controllers", url.Values{})
 }
 
 // Machines reads the back-end machines.
 func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
-	return list[Machine](ctx, c, "/machines", c.query())
+	return list[Machine](ctx, c, "/machines", url.Values{})
 }
 
 // Replicas reads the replicas.
 func (c *Client) Replicas(ctx context.Context) ([]Replica, error) {
-	return list[Replica](ctx, c, "/replicas", c.query())
+	return list[Replica](ctx, c, "/replicas", url.Values{})
 }
 
 // Queues reads the queues.
 func (c *Client) Queues(ctx context.Context) ([]Queue, error) {
-	return list[Queue](ctx, c, "/queues", c.query())
+	return list[Queue](ctx, c, "/queues", url.Values{})
 }
 
 // WhyModel reads why a model is loaded as it is.
 func (c *Client) WhyModel(ctx context.Context, model cluster.ModelID) (ModelReasons, error) {
-	return get[ModelReasons](ctx, c, "/why/models/"+url.PathEscape(string(model)), c.query())
+	return get[ModelReasons](ctx, c, "/why/models/"+url.PathEscape(string(model)), nil)
 }
 
 // WhyRequest reads where a request went and why.
 func (c *Client) WhyRequest(ctx context.Context, id cluster.RequestID) (RequestReasons, error) {
-	return get[RequestReasons](ctx, c, "/why/requests/"+url.PathEscape(string(id)), c.query())
+	return get[RequestReasons](ctx, c, "/why/requests/"+url.PathEscape(string(id)), nil)
 }
 
 // Events calls handle for each event after a number, until the stream breaks or
--- a/api/admin/dryrun.go
+++ b/api/admin/dryrun.go
@@ -17,8 +17,6 @@
 	// Before and After sum over the models of the reader's subtree.
 	Before Totals `json:"before"`
 	After  Totals `json:"after"`
-	// Missing controllers did not answer; their replicas are not counted.
-	Missing []cluster.NodeID `json:"missing,omitempty"`
 }
 
 // Totals bound what a tree keeps loaded.
@@ -70,8 +68,6 @@
 		writeError(w, err)
 		return
 	}
-	others, missing := gather(s, r, s.controllerPeers, (*Client).Replicas)
-	replicas = slices.Concat(append(others, replicas)...)
 	snapshots := [2]*settings.Snapshot{}
 	for i, compiled := range []*settings.Tree{tree, after} {
 		if snapshots[i], err = compiled.Compile(settings.Stamp{}); err != nil {
@@ -83,7 +79,6 @@
 	writeJSON(w, http.StatusOK, DryRun{
 		Changes: visibleChanges(token, normalised.Changes),
 		Models:  modelEffects(snapshots[0], snapshots[1], edit.Changes, replicas),
-		Missing: missing,
 		Before:  sum(snapshots[0], token.Path), After: sum(snapshots[1], token.Path),
 	})
 }
--- a/api/admin/why.go
+++ b/api/admin/why.go
@@ -1,8 +1,6 @@
 package admin
 
 import (
-	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -14,7 +12,6 @@
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/settings"
-	"github.com/valveslip/valveslip/verdict"
 )
 
 // ModelReasons is why a model is loaded as it is.
@@ -25,8 +22,6 @@
 	Text     string            `json:"text"`
 	Replicas []Replica         `json:"replicas"`
 	Zones    []DecisionReasons `json:"zones"`
-	// Missing controllers did not answer.
-	Missing []cluster.NodeID `json:"missing,omitempty"`
 }
 
 // DecisionReasons is a zone's last decision on a model.
@@ -108,42 +103,25 @@
 		writeError(w, err)
 		return
 	}
-	reasons := ModelReasons{Model: model.ID, Path: model.Path, Zones: []DecisionReasons{}, Replicas: []Replica{}}
-	for _, replica := range replicas {
-		if replica.Model == id {
-			reasons.Replicas = append(reasons.Replicas, replica)
-		}
-	}
-	for i := range decisions {
-		reasons.Zones = append(reasons.Zones, viewDecision(&decisions[i]))
-	}
-	others, missing := gather(s, r, s.controllerPeers, func(client *Client, ctx context.Context) (ModelReasons, error) {
-		return client.WhyModel(ctx, id)
-	})
-	reasons.Missing = missing
-	reasons.add(others)
-	writeJSON(w, http.StatusOK, reasons)
+	replicas = slices.DeleteFunc(slices.Clone(replicas), func(replica Replica) bool { return replica.Model != id })
+	writeJSON(w, http.StatusOK, viewModelReasons(model, decisions, replicas))
 }
 
-// add joins what other nodes know, sorts it and writes the text.
-func (m *ModelReasons) add(others []ModelReasons) {
-	for _, other := range others {
-		m.Zones = append(m.Zones, other.Zones...)
-		m.Replicas = append(m.Replicas, other.Replicas...)
-	}
-	slices.SortFunc(m.Zones, func(a, b DecisionReasons) int { return compareText(a.Zone, b.Zone) })
-	slices.SortFunc(m.Replicas, func(a, b Replica) int { return compareText(a.Machine, b.Machine) })
+func viewModelReasons(model *settings.Model, decisions []ModelDecision, replicas []Replica) ModelReasons {
+	view := ModelReasons{Model: model.ID, Path: model.Path, Replicas: replicas, Zones: []DecisionReasons{}}
+	decisions = slices.Clone(decisions)
+	slices.SortFunc(decisions, func(a, b ModelDecision) int { return compareText(a.Zone, b.Zone) })
 	var lines []string
-	for _, zone := range m.Zones {
-		lines = append(lines, string(zone.Zone)+": "+zone.Text)
+	for i := range decisions {
+		decision := viewDecision(&decisions[i])
+		view.Zones = append(view.Zones, decision)
+		lines = append(lines, string(decision.Zone)+": "+decision.Text)
 	}
 	if len(lines) == 0 {
 		lines = []string{"not loaded: no controller has decided on it yet"}
 	}
-	for _, node := range m.Missing {
-		lines = append(lines, "controller "+string(node)+" did not answer")
-	}
-	m.Text = strings.Join(lines, "\n")
+	view.Text = strings.Join(lines, "\n")
+	return view
 }
 
 func viewDecision(recorded *ModelDecision) DecisionReasons {
@@ -225,12 +203,7 @@
 // getWhyRequest answers where a request went and why. A request of another
 // subtree is not found.
 func (s *server) getWhyRequest(w http.ResponseWriter, r *http.Request) {
-	id := cluster.RequestID(chi.URLParam(r, "request"))
-	if peer, other := s.acceptingPeer(r, id); other {
-		s.askWhyRequest(w, r, &peer, id)
-		return
-	}
-	trace, err := s.Backend.RequestTrace(r.Context(), id)
+	trace, err := s.Backend.RequestTrace(r.Context(), cluster.RequestID(chi.URLParam(r, "request")))
 	if err == nil && !settings.Contains(tokenOf(r).Path, trace.TokenPath) {
 		err = ErrNotFound
 	}
@@ -241,22 +214,6 @@
 	writeJSON(w, http.StatusOK, viewRequest(&trace))
 }
 
-// askWhyRequest answers with what the node that accepted the request knows.
-func (s *server) askWhyRequest(w http.ResponseWriter, r *http.Request, peer *Member, id cluster.RequestID) {
-	ctx, cancel := context.WithTimeout(r.Context(), s.Peers.timeout())
-	defer cancel()
-	reasons, err := s.Peers.client(r, peer).WhyRequest(ctx, id)
-	var failed *RequestError
-	switch {
-	case err == nil:
-		writeJSON(w, http.StatusOK, reasons)
-	case errors.As(err, &failed) && failed.Status == http.StatusNotFound:
-		writeError(w, ErrNotFound)
-	default:
-		writeVerdict(w, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "node %s, which accepted the request, did not answer", peer.ID).After(retryUnavailable))
-	}
-}
-
 func viewRequest(trace *RequestTrace) RequestReasons {
 	view := RequestReasons{
 		ID: trace.ID, Model: trace.Model, Node: trace.Node, Arrived: trace.Arrived, Ended: trace.Ended,
