routing: let refused callers cause the load they are told to come back for

A request that cannot wait as long as the model's load takes is refused at once. It then counted nowhere as waiting, and the placement loads only for waiting requests: a model all of whose callers are in a hurry would refuse them for ever and never be loaded. The same held for callers given up after their queue time. They now count as waiting in the demand report until they should have come back, 10 s at most longer.

A loading replica without an expected time counts from when its loading was first seen, not from now; while one is overdue nothing is refused early. The deadline that a caller states is bounded to 7 days, and a machine serves its other models when the heads of two cannot use it.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -102,16 +102,18 @@
 	return r.modelState(id)
 }
 
+// maxDeadline bounds what a caller may state.
+const maxDeadline = 7 * 24 * time.Hour
+
 // deadline of a request: the caller's, else the policy's, else the default.
 func (r *Router) deadline(m *model, arrived *Request) int64 {
-	if !arrived.Deadline.IsZero() {
-		return arrived.Deadline.UnixNano()
-	}
 	allowed := m.configured.Policy.Deadline
-	if allowed <= 0 {
+	if !arrived.Deadline.IsZero() {
+		allowed = arrived.Deadline.Sub(r.now)
+	} else if allowed <= 0 {
 		allowed = r.config.DefaultDeadline
 	}
-	return r.nanos + int64(allowed)
+	return r.nanos + int64(min(allowed, maxDeadline))
 }
 
 // admit makes the state of an admitted request.
@@ -151,11 +153,11 @@
 	if ahead == 0 && r.tryDispatch(admitted) {
 		return
 	}
-	if failure, reason := r.queueRefusal(admitted); failure != nil {
-		r.finish(admitted, failure, reason)
-		return
+	failure, reason := r.queueRefusal(admitted)
+	if failure == nil {
+		failure, reason = r.unmeetable(admitted, ahead)
 	}
-	if failure, reason := r.unmeetable(admitted, ahead); failure != nil {
+	if failure != nil {
 		r.finish(admitted, failure, reason)
 		return
 	}
@@ -213,18 +215,24 @@
 	if ready, known := r.earliestReady(m); known {
 		return ready - r.nanos, true
 	}
-	return int64(m.loadTime), m.loadTime > 0
+	return int64(m.loadTime), m.loadTime > 0 && len(m.loading) == 0
 }
 
-// earliestReady returns when the first loading replica should be loaded.
+// earliestReady returns when the first loading replica should be loaded, by its
+// controller's or the learned load time. One that is overdue or whose
+// controller is lost may be ready any moment, and nothing is known.
 func (r *Router) earliestReady(m *model) (int64, bool) {
 	var earliest int64
 	for _, replica := range m.loading {
-		if replica.readyAt <= r.nanos || r.zoneLost(replica.machine.zone) {
-			continue
+		ready := replica.readyAt
+		if ready == 0 && m.loadTime > 0 {
+			ready = replica.since + int64(m.loadTime)
+		}
+		if ready <= r.nanos || r.zoneLost(replica.machine.zone) {
+			return 0, false
 		}
-		if earliest == 0 || replica.readyAt < earliest {
-			earliest = replica.readyAt
+		if earliest == 0 || ready < earliest {
+			earliest = ready
 		}
 	}
 	return earliest, earliest != 0
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -24,17 +25,14 @@
 	if r.waiting == 0 {
 		return
 	}
-	var stuck *model
+	var stuck []*model
 	for r.room(m) == "" {
 		next := m.nextWaiting(stuck)
 		if next == nil {
 			return
 		}
 		if !r.tryDispatch(next.queue.Head().Value) {
-			if stuck != nil {
-				return
-			}
-			stuck = next
+			stuck = append(stuck, next)
 		}
 	}
 }
@@ -49,11 +47,11 @@
 }
 
 // nextWaiting returns the model on the machine whose head goes first, or nil.
-func (m *machine) nextWaiting(except *model) *model {
+func (m *machine) nextWaiting(except []*model) *model {
 	var best *model
 	for _, replica := range m.replicas {
 		candidate := replica.model
-		if replica.state != cluster.ReplicaLoaded || candidate.queue.Len() == 0 || candidate == except {
+		if replica.state != cluster.ReplicaLoaded || candidate.queue.Len() == 0 || slices.Contains(except, candidate) {
 			continue
 		}
 		if best == nil || headBefore(candidate, best) {
@@ -313,6 +311,7 @@
 	if failure != nil {
 		failure = ended.truthful(failure)
 		reason.Code = failure.Code
+		r.expectBack(model, failure.RetryAfter)
 	}
 	r.release(ended)
 	reason.Waited = ended.waited
--- a/routing/demand.go
+++ b/routing/demand.go
@@ -30,7 +30,7 @@
 		if demand, changed := model.demand(nanos); changed || (full && demand.Waiting+demand.Running > 0) {
 			report.Models = append(report.Models, demand)
 		}
-		if model.queue.Len() > 0 {
+		if model.reportedWaiting > 0 {
 			r.touch(model)
 		}
 		r.forgetIfUnused(model)
@@ -54,7 +54,7 @@
 // did not show, so that a cold start need not wait for the next interval.
 func (r *Router) NewlyWaiting() bool {
 	for _, model := range r.touched {
-		if model.reportedWaiting == 0 && model.queue.Len() > 0 {
+		if model.reportedWaiting == 0 && model.queue.Len()+model.expecting(r.nanos) > 0 {
 			return true
 		}
 	}
@@ -71,6 +71,13 @@
 		demand.EarliestDeadline = max(time.Duration(deadline-nanos), 0)
 		demand.OldestWait = m.oldestWait(nanos)
 	}
+	if callers := m.expecting(nanos); callers > 0 {
+		back := max(time.Duration(m.expected.from-nanos), 0)
+		if demand.Waiting == 0 || back < demand.EarliestDeadline {
+			demand.EarliestDeadline = back
+		}
+		demand.Waiting += callers
+	}
 	changed := demand.Waiting > 0 || demand.Arrivals > 0 ||
 		demand.Waiting != m.reportedWaiting || demand.Running != m.reportedRunning
 	m.reportedWaiting, m.reportedRunning, m.arrivals = demand.Waiting, demand.Running, 0
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -254,6 +254,34 @@
 	f.expect(f.arrive("b", within(6*time.Second)), "")
 }
 
+// TestRefusedCallersCauseTheLoad guards against a model that refuses all its
+// callers because they cannot wait for its load, and so is never loaded.
+func TestRefusedCallersCauseTheLoad(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.status(true, loading("m1", 30*time.Second))
+	f.pass(30 * time.Second)
+	f.status(false, loaded("m1", 4))
+	f.status(true)
+	f.pass(time.Hour)
+	finish := f.arrive("a", func(r *Request) { r.Deadline = f.now.Add(5 * time.Second) })[0].(Finish)
+	if finish.Failure.Code != verdict.CodeDeadlineUnmeetable || finish.Failure.RetryAfter != 30*time.Second {
+		t.Fatalf("got %+v", finish.Failure)
+	}
+	if !f.router.NewlyWaiting() {
+		t.Fatal("the refused caller is no news")
+	}
+	for second := range 41 {
+		demand := f.router.Demand(f.now, second%2 == 0)
+		if expected := second < 40; expected != (len(demand.Models) == 1 && demand.Models[0].Waiting == 1) {
+			t.Fatalf("after %d s: %+v", second, demand.Models)
+		}
+		f.pass(time.Second)
+	}
+	f.status(true, loading("m1", 0))
+	f.pass(29 * time.Second)
+	f.expect(f.arrive("b", func(r *Request) { r.Deadline = f.now.Add(5 * time.Second) }), "")
+}
+
 func TestDrain(t *testing.T) {
 	f := newFixture(t, testPolicy())
 	f.status(true, loaded("m1", 1))
--- a/routing/state.go
+++ b/routing/state.go
@@ -65,6 +65,7 @@
 	service, loadTime float64
 	retries           retryBudget
 	arrivals          int
+	expected          expected
 	touched           bool
 	// reportedWaiting and reportedRunning are what the last report said.
 	reportedWaiting, reportedRunning int
