--- a/cmd/valveslip/load.go
+++ b/cmd/valveslip/load.go
@@ -31,6 +31,7 @@
 	flags.Float64Var(&config.StreamShare, "stream-share", 0.5, "share of streamed requests")
 	flags.Float64Var(&config.CancelShare, "cancel-share", 0, "share of requests whose caller leaves early")
 	flags.Float64Var(&config.NotRepeatableShare, "not-repeatable-share", 0, "share of requests that may run only once")
+	flags.Float64Var(&config.RepeatShare, "repeat-share", 0, "share of requests sent twice with one Idempotency-Key")
 	flags.IntVar(&config.MaxTokens, "max-tokens", 16, "tokens of each answer")
 	flags.IntVar(&config.PromptBytes, "prompt-bytes", 128, "bytes of each prompt")
 	flags.DurationVar(&config.Deadline, "deadline", 0, "deadline stated in each request, 0 for none")
--- a/experiment/load/load_test.go
+++ b/experiment/load/load_test.go
@@ -145,3 +145,16 @@
 		t.Errorf("%+v", report)
 	}
 }
+
+// TestRepeatsWithAKey: an engine called directly knows no keys, so every pair
+// runs twice, and each is counted once.
+func TestRepeatsWithAKey(t *testing.T) {
+	ledger := standin.NewLedger()
+	_, target := engine(t, standin.Config{Recorder: ledger, Slots: 1000})
+	settings := config(target)
+	settings.RepeatShare, settings.Runs = 1, ledger.Runs
+	report := run(t, settings)
+	if report.Served != report.Requests || report.Doubled*2 != report.Requests || report.Requests == 0 {
+		t.Errorf("%+v", report)
+	}
+}
--- a/experiment/load/request.go
+++ b/experiment/load/request.go
@@ -22,7 +22,9 @@
 	// cancel is true when the caller will leave early.
 	cancel     bool
 	repeatable bool
-	cold       bool
+	// key is the Idempotency-Key, empty for none.
+	key  string
+	cold bool
 	// due is when it was to start.
 	due time.Time
 }
@@ -82,11 +84,23 @@
 	s.count++
 	model := s.config.Models[s.random.IntN(len(s.config.Models))]
 	prompt := s.filler[:s.config.PromptBytes] + fmt.Sprintf(" %d-%d", s.config.Seed, s.count)
-	return &request{
+	drawn := &request{
 		target: s.config.Targets[s.count%len(s.config.Targets)],
 		model:  model, prompt: prompt, tokens: s.config.MaxTokens, due: due,
 		stream:     s.random.Float64() < s.config.StreamShare,
 		cancel:     s.random.Float64() < s.config.CancelShare,
 		repeatable: s.random.Float64() >= s.config.NotRepeatableShare,
 	}
+	if s.random.Float64() < s.config.RepeatShare {
+		drawn.key = fmt.Sprintf("load-%d-%d", s.config.Seed, s.count)
+		drawn.repeatable = false
+	}
+	return drawn
+}
+
+// again is the request as its caller sends it the second time.
+func (s *source) again(first *request) *request {
+	second := *first
+	second.target = s.config.Targets[(s.count+1)%len(s.config.Targets)]
+	return &second
 }
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -19,8 +19,9 @@
 	dialTimeout = 5 * time.Second
 	idleTimeout = 30 * time.Second
 	// headerRepeatable says whether a request may run twice.
-	headerRepeatable = "X-Valveslip-Repeatable"
-	bufferBytes      = 16 << 10
+	headerRepeatable     = "X-Valveslip-Repeatable"
+	headerIdempotencyKey = "Idempotency-Key"
+	bufferBytes          = 16 << 10
 )
 
 // Run sends the load and returns what was measured once every request has
@@ -91,7 +92,11 @@
 		if !sleepUntil(ctx, due) {
 			return
 		}
-		r.launch(ctx, source.next(due))
+		request := source.next(due)
+		r.launch(ctx, request)
+		if request.key != "" {
+			r.launch(ctx, source.again(request))
+		}
 		r.lastDue = due
 	}
 	sleepUntil(ctx, end)
@@ -220,6 +225,9 @@
 	if r.config.Deadline > 0 {
 		call.Header.Set(engine.HeaderDeadline, r.config.Deadline.String())
 	}
+	if request.key != "" {
+		call.Header.Set(headerIdempotencyKey, request.key)
+	}
 	if request.repeatable {
 		call.Header.Set(headerRepeatable, "true")
 	} else {
