Add valveslip check takeover

Cause: explorations beyond those of continuous integration had no command, and each explored state took several kilobytes. Change: check takeover runs the usual scenarios with any bound of states, or one of its own size. Presence replaces its maps instead of changing them, and the controller finds machines by binary search, so copies of a state are smaller.

--- a/authority/canonical.go
+++ b/authority/canonical.go
@@ -13,11 +13,9 @@
 func (c *Controller) Clone() *Controller {
 	copied := *c
 	copied.presence = c.presence.Clone()
-	copied.machines = make(map[cluster.MachineID]*machineLedger, len(c.machines))
-	copied.sorted = make([]*machineLedger, len(c.sorted))
-	for i, entry := range c.sorted {
-		copied.sorted[i] = entry.clone()
-		copied.machines[entry.machine.ID] = copied.sorted[i]
+	copied.machines = make([]*machineLedger, len(c.machines))
+	for i, entry := range c.machines {
+		copied.machines[i] = entry.clone()
 	}
 	return &copied
 }
@@ -25,8 +23,6 @@
 // Clone returns an independent copy.
 func (p *Presence) Clone() *Presence {
 	copied := *p
-	copied.lastSeen = maps.Clone(p.lastSeen)
-	copied.machines = maps.Clone(p.machines)
 	return &copied
 }
 
@@ -70,7 +66,7 @@
 		buffer = appendNumbers(buffer, uint64(c.offered.Revision))
 	}
 	buffer = appendFlags(buffer, c.offered != nil, c.leaseCertain(now), !now.Before(c.acquireAt), !now.Before(c.renewDue), c.presence.Started())
-	for _, entry := range c.sorted {
+	for _, entry := range c.machines {
 		buffer = appendText(buffer, string(entry.machine.ID))
 		id := entry.machine.ID
 		buffer = appendFlags(buffer, entry.machine.Leaving, c.presence.inLatest(id), c.presence.overdue(id, now))
--- a/authority/controller.go
+++ b/authority/controller.go
@@ -30,9 +30,9 @@
 	acquireAt time.Time
 	orders    uint64
 
-	presence  *Presence
-	machines  map[cluster.MachineID]*machineLedger
-	sorted    []*machineLedger
+	presence *Presence
+	// machines are the listed ones that have not gone, sorted by ID.
+	machines  []*machineLedger
 	allotment *cluster.Allotment
 	// offered is a newer record that was read while the lease was not certain.
 	offered *cluster.Allotment
@@ -48,7 +48,6 @@
 	return &Controller{
 		config:   config,
 		presence: NewPresence(config.MachineLag),
-		machines: make(map[cluster.MachineID]*machineLedger),
 	}
 }
 
@@ -61,7 +60,7 @@
 
 // Ready reports whether plans can be made: at least one machine is sealed.
 func (c *Controller) Ready() bool {
-	for _, machine := range c.sorted {
+	for _, machine := range c.machines {
 		if machine.sealed {
 			return true
 		}
@@ -132,7 +131,7 @@
 	c.orders = 0
 	c.offered = nil
 	c.setAllotment(nil)
-	for _, machine := range c.sorted {
+	for _, machine := range c.machines {
 		machine.forget(now)
 	}
 	return c.callEngines(now)
@@ -185,7 +184,7 @@
 	c.token = 0
 	c.offered = nil
 	c.setAllotment(nil)
-	for _, machine := range c.sorted {
+	for _, machine := range c.machines {
 		machine.forget(time.Time{})
 	}
 	return []Effect{SteppedDown{Cause: cause}}
--- a/authority/engines.go
+++ b/authority/engines.go
@@ -21,25 +21,32 @@
 	}
 	c.presence.Listed(now, zone)
 	for _, machine := range zone {
-		if entry, ok := c.machines[machine.ID]; ok {
+		if entry := c.machine(machine.ID); entry != nil {
 			entry.machine = machine
 			continue
 		}
-		entry := newMachineLedger(machine)
-		c.machines[machine.ID] = entry
-		c.sorted = append(c.sorted, entry)
+		position, _ := c.find(machine.ID)
+		c.machines = slices.Insert(c.machines, position, newMachineLedger(machine))
 	}
-	c.sorted = slices.DeleteFunc(c.sorted, func(entry *machineLedger) bool {
+	c.machines = slices.DeleteFunc(c.machines, func(entry *machineLedger) bool {
 		return c.presence.Gone(entry.machine.ID)
 	})
-	slices.SortFunc(c.sorted, func(a, b *machineLedger) int {
-		return compareStrings(a.machine.ID, b.machine.ID)
+	return c.callEngines(now)
+}
+
+// find returns where the machine is, or belongs, among the sorted ones.
+func (c *Controller) find(id cluster.MachineID) (int, bool) {
+	return slices.BinarySearchFunc(c.machines, id, func(entry *machineLedger, id cluster.MachineID) int {
+		return compareStrings(entry.machine.ID, id)
 	})
-	clear(c.machines)
-	for _, entry := range c.sorted {
-		c.machines[entry.machine.ID] = entry
+}
+
+// machine returns the ledger of a machine, nil when it is not listed.
+func (c *Controller) machine(id cluster.MachineID) *machineLedger {
+	if position, found := c.find(id); found {
+		return c.machines[position]
 	}
-	return c.callEngines(now)
+	return nil
 }
 
 // callEngines seals the machines that are not sealed and refreshes inventories.
@@ -48,7 +55,7 @@
 		return nil
 	}
 	var effects []Effect
-	for _, entry := range c.sorted {
+	for _, entry := range c.machines {
 		if entry.calling && now.Sub(entry.calledAt) >= c.config.CallTimeout {
 			c.callFailed(now, entry)
 		}
@@ -81,7 +88,7 @@
 // certain at its receipt: the engine then followed this controller before any
 // other could acquire the lease.
 func (c *Controller) machineSealed(now time.Time, inventory cluster.Inventory) []Effect {
-	entry := c.machines[inventory.Machine]
+	entry := c.machine(inventory.Machine)
 	if entry == nil || !c.Holding() {
 		return nil
 	}
@@ -100,7 +107,7 @@
 }
 
 func (c *Controller) inventoryRead(now time.Time, event InventoryRead) []Effect {
-	entry := c.machines[event.Inventory.Machine]
+	entry := c.machine(event.Inventory.Machine)
 	if entry == nil || !c.Holding() {
 		return nil
 	}
@@ -141,7 +148,7 @@
 // engineUnreachable makes every order that the machine has not answered
 // unknown.
 func (c *Controller) engineUnreachable(now time.Time, id cluster.MachineID) {
-	entry := c.machines[id]
+	entry := c.machine(id)
 	if entry == nil {
 		return
 	}
@@ -153,7 +160,7 @@
 }
 
 func (c *Controller) orderRefused(now time.Time, event OrderRefused) {
-	entry := c.machines[event.Machine]
+	entry := c.machine(event.Machine)
 	if entry == nil {
 		return
 	}
@@ -164,7 +171,7 @@
 // readSoon has the machine's inventory read at the next Tick: its engine
 // refused what a sealed one accepts, so it may have restarted.
 func (c *Controller) readSoon(now time.Time, id cluster.MachineID) {
-	if entry := c.machines[id]; entry != nil && !entry.calling {
+	if entry := c.machine(id); entry != nil && !entry.calling {
 		entry.nextCall = now
 	}
 }
@@ -172,7 +179,7 @@
 // resendOrders gives unanswered orders again under their ID.
 func (c *Controller) resendOrders(now time.Time) []Effect {
 	var effects []Effect
-	for _, entry := range c.sorted {
+	for _, entry := range c.machines {
 		for _, pending := range entry.pending {
 			if !pending.unknown && now.Sub(pending.sentAt) >= c.config.CallTimeout {
 				pending.unknown, pending.resendAt = true, now
--- a/authority/explore/search.go
+++ b/authority/explore/search.go
@@ -229,7 +229,9 @@
 			from, to := part*len(level)/parts, (part+1)*len(level)/parts
 			local := make(map[uint64]struct{})
 			var buffer []byte
-			for _, state := range level[from:to] {
+			for position := range level[from:to] {
+				state := level[from+position]
+				level[from+position].state = *new(S) // not needed again
 				m.successors(state.state, func(label string, next S) {
 					counts[part]++
 					buffer = m.key(next, buffer[:0])
--- a/authority/ledger.go
+++ b/authority/ledger.go
@@ -43,12 +43,12 @@
 
 // newMachineLedger returns the entry of a machine of which nothing is known.
 func newMachineLedger(machine cluster.Machine) *machineLedger {
-	return &machineLedger{machine: machine, reserved: make(map[cluster.ModelID]int64)}
+	return &machineLedger{machine: machine}
 }
 
 // forget drops all evidence, for a new token.
 func (m *machineLedger) forget(now time.Time) {
-	*m = machineLedger{machine: m.machine, reserved: make(map[cluster.ModelID]int64), nextCall: now}
+	*m = machineLedger{machine: m.machine, nextCall: now}
 }
 
 // sealedBy takes the answer to a seal and reports whether it was evidence of
@@ -93,8 +93,7 @@
 // never take effect any more.
 func (m *machineLedger) restart() {
 	m.sealed = false
-	m.pending = nil
-	clear(m.reserved)
+	m.pending, m.reserved = nil, nil
 }
 
 // replace installs a newer inventory and settles what it shows.
@@ -106,6 +105,14 @@
 	m.releaseReserved()
 }
 
+// reserve occupies memory for a load.
+func (m *machineLedger) reserve(model cluster.ModelID, bytes int64) {
+	if m.reserved == nil {
+		m.reserved = make(map[cluster.ModelID]int64, 1)
+	}
+	m.reserved[model] = bytes
+}
+
 // settle removes a pending order that was answered or refused.
 func (m *machineLedger) settle(id string) {
 	m.pending = slices.DeleteFunc(m.pending, func(pending *pendingOrder) bool {
@@ -123,6 +130,9 @@
 			delete(m.reserved, model)
 		}
 	}
+	if len(m.reserved) == 0 {
+		m.reserved = nil
+	}
 }
 
 // showsEffect reports whether the inventory proves that the order was applied.
--- a/authority/orders.go
+++ b/authority/orders.go
@@ -18,7 +18,7 @@
 	var effects []Effect
 	for i := range plan.Actions {
 		action := &plan.Actions[i]
-		entry := c.machines[action.Machine]
+		entry := c.machine(action.Machine)
 		if entry == nil || !entry.sealed || !c.permits(entry, action) {
 			continue
 		}
@@ -68,7 +68,7 @@
 		Bytes: action.Bytes, Pool: action.Pool, DrainTime: action.DrainTime,
 	}
 	if action.Kind == cluster.OrderLoad {
-		entry.reserved[action.Model] = action.Bytes
+		entry.reserve(action.Model, action.Bytes)
 	}
 	entry.pending = append(entry.pending, &pendingOrder{order: order, sentAt: now})
 	if !entry.calling {
@@ -100,7 +100,7 @@
 // confirmed counts the ledger's replicas and pending loads of the model.
 func (c *Controller) confirmed(model cluster.ModelID) int {
 	count := 0
-	for _, entry := range c.sorted {
+	for _, entry := range c.machines {
 		if entry.known && entry.holds(model) {
 			count++
 		}
@@ -127,7 +127,7 @@
 // withoutEvidence reports whether the machine may exist without having been
 // sealed under the present token.
 func (c *Controller) withoutEvidence(id cluster.MachineID) bool {
-	if entry := c.machines[id]; entry != nil {
+	if entry := c.machine(id); entry != nil {
 		return !entry.known
 	}
 	return !c.presence.Gone(id)
--- a/authority/presence.go
+++ b/authority/presence.go
@@ -13,17 +13,14 @@
 type Presence struct {
 	lag           time.Duration
 	first, latest time.Time
-	lastSeen      map[cluster.MachineID]time.Time
-	machines      map[cluster.MachineID]cluster.Machine
+	// The maps are never changed, only replaced, so copies share them.
+	lastSeen map[cluster.MachineID]time.Time
+	machines map[cluster.MachineID]cluster.Machine
 }
 
 // NewPresence returns a Presence for a list with the given lag.
 func NewPresence(lag time.Duration) *Presence {
-	return &Presence{
-		lag:      lag,
-		lastSeen: make(map[cluster.MachineID]time.Time),
-		machines: make(map[cluster.MachineID]cluster.Machine),
-	}
+	return &Presence{lag: lag}
 }
 
 // Listed takes a list that was read at now.
@@ -32,16 +29,19 @@
 		p.first = now
 	}
 	p.latest = now
-	for _, machine := range list {
-		p.lastSeen[machine.ID] = now
-		p.machines[machine.ID] = machine
-	}
-	for id := range p.lastSeen {
-		if p.Gone(id) {
-			delete(p.lastSeen, id)
-			delete(p.machines, id)
+	lastSeen := make(map[cluster.MachineID]time.Time, len(list))
+	machines := make(map[cluster.MachineID]cluster.Machine, len(list))
+	for id, seen := range p.lastSeen {
+		if now.Sub(seen) <= p.lag {
+			lastSeen[id] = seen
+			machines[id] = p.machines[id]
 		}
 	}
+	for _, machine := range list {
+		lastSeen[machine.ID] = now
+		machines[machine.ID] = machine
+	}
+	p.lastSeen, p.machines = lastSeen, machines
 }
 
 // Started reports whether any list was read.
--- a/authority/view.go
+++ b/authority/view.go
@@ -22,8 +22,8 @@
 	if c.allotment == nil {
 		state.Allotment = &cluster.Allotment{Zone: c.config.Zone}
 	}
-	state.Machines = make([]placement.Machine, 0, len(c.sorted))
-	for _, entry := range c.sorted {
+	state.Machines = make([]placement.Machine, 0, len(c.machines))
+	for _, entry := range c.machines {
 		state.Machines = append(state.Machines, c.machineState(entry))
 	}
 	c.addUnknown(&state)
@@ -99,7 +99,7 @@
 // confirmedCounts returns confirmed for every model of the ledger.
 func (c *Controller) confirmedCounts() map[cluster.ModelID]int {
 	counts := make(map[cluster.ModelID]int)
-	for _, entry := range c.sorted {
+	for _, entry := range c.machines {
 		if !entry.known {
 			continue
 		}
@@ -149,8 +149,8 @@
 
 // Inventories returns the newest evidence of each machine, sorted by machine.
 func (c *Controller) Inventories() []cluster.Inventory {
-	list := make([]cluster.Inventory, 0, len(c.sorted))
-	for _, entry := range c.sorted {
+	list := make([]cluster.Inventory, 0, len(c.machines))
+	for _, entry := range c.machines {
 		if entry.known {
 			list = append(list, entry.inventory)
 		}
@@ -160,8 +160,8 @@
 
 // Machine returns the list entry of a machine of the cell.
 func (c *Controller) Machine(id cluster.MachineID) (cluster.Machine, bool) {
-	entry, ok := c.machines[id]
-	if !ok {
+	entry := c.machine(id)
+	if entry == nil {
 		return cluster.Machine{}, false
 	}
 	return entry.machine, true
@@ -170,7 +170,7 @@
 // FreeBytes returns the memory of sealed machines that nothing occupies.
 func (c *Controller) FreeBytes() int64 {
 	free := int64(0)
-	for _, entry := range c.sorted {
+	for _, entry := range c.machines {
 		if entry.sealed {
 			free += max(0, entry.inventory.MemoryBytes-entry.usedBytes())
 		}
@@ -180,8 +180,8 @@
 
 // Pools returns the engine pool of each machine with evidence.
 func (c *Controller) Pools() map[cluster.MachineID]string {
-	pools := make(map[cluster.MachineID]string, len(c.sorted))
-	for _, entry := range c.sorted {
+	pools := make(map[cluster.MachineID]string, len(c.machines))
+	for _, entry := range c.machines {
 		if entry.known {
 			pools[entry.machine.ID] = entry.inventory.Pool
 		}
--- a/cmd/valveslip/check.go
+++ b/cmd/valveslip/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -17,10 +18,13 @@
 	read := configFlags(flags)
 	return &ffcli.Command{
 		Name:       "check",
-		ShortUsage: "valveslip check --config FILE [flags]",
-		ShortHelp:  "check a node's configuration",
+		ShortUsage: "valveslip check --config FILE [flags] | valveslip check takeover [flags]",
+		ShortHelp:  "check a node's configuration, or explore the control protocols",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(node.EnvironmentPrefix)},
+		Subcommands: []*ffcli.Command{
+			checkTakeoverCommand(os.Stdout),
+		},
 		Exec: func(context.Context, []string) error {
 			config, err := read()
 			if err != nil {
--- /dev/null
+++ b/cmd/valveslip/check_takeover.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/valveslip/valveslip/authority/explore"
+)
+
+// defaultTakeoverStates bounds each exploration of the command.
+const defaultTakeoverStates = 300_000
+
+// checkTakeoverCommand explores the takeover of cells and the division of
+// replica counts exhaustively at small size.
+func checkTakeoverCommand(out io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("valveslip check takeover", flag.ContinueOnError)
+	states := flags.Int("states", defaultTakeoverStates, "bound of the states of each scenario; 0 for none")
+	own := explore.Scenario{Name: "own", Memory: 1}
+	flags.IntVar(&own.Controllers, "controllers", 0, "explore one scenario with so many controllers instead of the usual ones")
+	flags.IntVar(&own.Machines, "machines", 2, "machines of the own scenario, at most 10")
+	flags.IntVar(&own.Joining, "joining", 0, "machines that may join")
+	flags.IntVar(&own.Depth, "depth", 1000, "bound of the steps")
+	flags.IntVar(&own.Lapses, "lapses", 1, "lapses of all leases in one run")
+	flags.IntVar(&own.Faults, "faults", 1, "lost or delayed calls and answers in one run")
+	flags.IntVar(&own.EngineRestarts, "engine-restarts", 0, "restarts of engines in one run")
+	flags.IntVar(&own.NodeRestarts, "node-restarts", 0, "restarts of controllers in one run")
+	flags.IntVar(&own.Outages, "outages", 0, "outages of the key-value service in one run")
+	flags.IntVar(&own.Leaves, "leaves", 0, "machines that go in one run")
+	flags.IntVar(&own.Unloads, "unloads", 0, "unloads in one run")
+	replicas := flags.Int("replicas", 1, "decided replicas of the one model")
+	return &ffcli.Command{
+		Name:       "takeover",
+		ShortUsage: "valveslip check takeover [flags]",
+		ShortHelp:  "explore takeovers of cells and divisions of replica counts",
+		LongHelp: "Explores every order of messages, losses, lapses and restarts at small size, with the\n" +
+			"code that a node runs, and checks replica counts and memory in every state.",
+		FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			if own.Controllers == 0 {
+				return checkTakeovers(ctx, out, explore.Scenarios(*states), explore.EscrowScenarios(*states))
+			}
+			if own.Controllers < 0 || own.Machines < 1 || own.Machines+own.Joining > 10 {
+				return &exitError{code: exitUsage, err: errors.New("between 1 and 10 machines are needed")}
+			}
+			own.Limits, own.States = []int{*replicas}, *states
+			return checkTakeovers(ctx, out, []explore.Scenario{own}, nil)
+		},
+	}
+}
+
+// checkTakeovers explores the scenarios and prints a line for each. It fails
+// when any has a violation, whose steps it prints.
+func checkTakeovers(ctx context.Context, out io.Writer, takeovers []explore.Scenario, escrows []explore.EscrowScenario) error {
+	var rows [][]string
+	var broken []explore.Result
+	add := func(result explore.Result, err error) error {
+		if err != nil {
+			return err
+		}
+		if result.Violation != "" {
+			broken = append(broken, result)
+		}
+		rows = append(rows, []string{
+			result.Name, strconv.Itoa(result.States), strconv.Itoa(result.Transitions), strconv.Itoa(result.Depth),
+			yesNo(result.Complete), yesNo(result.Violation == ""), result.Elapsed.Round(time.Millisecond).String(),
+		})
+		return nil
+	}
+	for _, scenario := range takeovers {
+		if err := add(explore.Takeover(ctx, scenario, explore.VariantNone)); err != nil {
+			return err
+		}
+	}
+	for _, scenario := range escrows {
+		if err := add(explore.Escrow(ctx, scenario, explore.VariantNone)); err != nil {
+			return err
+		}
+	}
+	if err := writeTable(out, []string{"scenario", "states", "transitions", "depth", "complete", "safe", "time"}, rows); err != nil {
+		return err
+	}
+	for _, result := range broken {
+		fmt.Fprintf(out, "\n%s: %s\n", result.Name, result.Violation)
+		for i, step := range result.Trace {
+			fmt.Fprintf(out, "%3d  %s\n", i+1, step)
+		}
+	}
+	if len(broken) > 0 {
+		return &exitError{code: exitBroken, err: errors.New("a promise can be broken")}
+	}
+	return nil
+}
