Run the whole product under random faults: valveslip experiment faults

Cause: every promise must hold under every fault, together or twice. Change: worlds run the product's own node cores; a fault scenario; a campaign over seeds that counts faults, checks and violations; engines refuse orders as the stand-in does (other run, not sealed, base with adapters).

--- /dev/null
+++ b/cmd/valveslip/experiment.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/schollz/progressbar/v3"
+)
+
+// experimentCommand groups the simulator's subcommands.
+func experimentCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "experiment",
+		ShortUsage: "valveslip experiment <run|faults|capacity|list> [flags]",
+		ShortHelp:  "run the product's cores on a virtual clock and measure them",
+		Subcommands: []*ffcli.Command{
+			experimentFaultsCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+// progress returns a function that advances a bar on standard error, and does
+// nothing when that is no terminal.
+func progress(total int, description string) func() {
+	if info, err := os.Stderr.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return func() {}
+	}
+	bar := progressbar.NewOptions(total, progressbar.OptionSetWriter(os.Stderr),
+		progressbar.OptionSetDescription(description), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+	return func() { _ = bar.Add(1) }
+}
--- /dev/null
+++ b/cmd/valveslip/experiment_faults.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/experiment"
+	"github.com/valveslip/valveslip/simulation"
+)
+
+// experimentFaultsCommand runs the fault campaign.
+func experimentFaultsCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("valveslip experiment faults", flag.ContinueOnError)
+	name := flags.String("scenario", "faults", "scenario file, or the name of a committed one")
+	seeds := flags.Int("seeds", 100, "number of seeds")
+	first := flags.Uint64("first-seed", 1, "first seed")
+	workers := flags.Int("workers", 4, "seeds that run at once")
+	asJSON := flags.Bool("json", false, "print JSON")
+	return &ffcli.Command{
+		Name: "faults", ShortUsage: "valveslip experiment faults [flags]", FlagSet: flags,
+		ShortHelp: "run the whole product under random faults and check every promise",
+		Exec: func(ctx context.Context, _ []string) error {
+			scenario, err := experiment.Load(*name)
+			if err != nil {
+				return &exitError{code: exitInvalid, err: err}
+			}
+			campaign := experiment.Campaign{
+				Scenario: scenario, FirstSeed: *first, Seeds: *seeds, Workers: *workers,
+				Progress: progress(*seeds, "seeds"),
+			}
+			began := time.Now()
+			report, err := campaign.Run(ctx)
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				err = json.NewEncoder(os.Stdout).Encode(report)
+			} else {
+				err = printCampaign(os.Stdout, report)
+			}
+			fmt.Fprintf(os.Stderr, "took %s\n", time.Since(began).Round(time.Second))
+			if err == nil && report.Violations() > 0 {
+				err = &exitError{code: exitBroken, err: eris.Errorf("%d violations in %d seeds", report.Violations(), len(report.Failing))}
+			}
+			return err
+		},
+	}
+}
+
+// printCampaign writes the report for people.
+func printCampaign(to io.Writer, report *experiment.CampaignReport) error {
+	fmt.Fprintf(to, "scenario %s: %d seeds, %d events\n", report.Scenario, report.Seeds, report.Events)
+	fmt.Fprintf(to, "requests: %d arrived, %d served, %d refused, %d failed, %d connections lost with their node\n",
+		report.Arrived, report.Served, report.Refused, report.Failed, report.Lost)
+	var faults, promises [][]string
+	for _, kind := range simulation.FaultKinds() {
+		faults = append(faults, []string{string(kind), strconv.Itoa(report.Faults[kind])})
+	}
+	if err := writeSection(to, "faults", []string{"KIND", "INJECTED"}, faults); err != nil {
+		return err
+	}
+	for _, promise := range simulation.Promises() {
+		promises = append(promises, []string{
+			string(promise), strconv.FormatUint(report.Checked[promise], 10), strconv.Itoa(report.Violated[promise]),
+		})
+	}
+	if err := writeSection(to, "promises", []string{"PROMISE", "CHECKS", "VIOLATIONS"}, promises); err != nil {
+		return err
+	}
+	for _, failing := range report.Failing {
+		fmt.Fprintf(to, "failing seed %d:\n", failing.Seed)
+		for _, violation := range failing.Violations[:min(len(failing.Violations), 3)] {
+			fmt.Fprintln(to, "  "+violation.String())
+		}
+	}
+	return nil
+}
--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -40,6 +40,7 @@
 			checkCommand(),
 			demoCommand(),
 			eventsCommand(os.Stdout),
+			experimentCommand(),
 			loadCommand(),
 			nodeCommand(),
 			standinCommand(),
--- a/simulation/checkers.go
+++ b/simulation/checkers.go
@@ -277,3 +277,11 @@
 			"%s has revision %d, %s after %d was accepted", member.ID, member.revision, configurationLimit, accepted.stamp.Revision)
 	}
 }
+
+// Promises lists every promise.
+func Promises() []Promise {
+	return []Promise{
+		PromiseReplicas, PromiseMemory, PromiseOutcome, PromiseAnswer, PromiseNotRun, PromiseAtMostOnce,
+		PromiseLeaving, PromisePlannedStop, PromiseConfiguration,
+	}
+}
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -7,7 +7,6 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/platform/engine"
-	"github.com/valveslip/valveslip/verdict"
 )
 
 // EngineConfig describes one class of machines and its engine.
@@ -42,7 +41,6 @@
 	timer   Timer
 	// drainEnd bounds an unload; zero unless unloading.
 	drainEnd Timer
-	waitBase bool
 }
 
 // Engine is the model of one machine with its engine: fenced orders, memory,
@@ -178,8 +176,13 @@
 // Order applies a fenced order once. It takes only orders for this run of the
 // engine under the token it was last sealed with.
 func (e *Engine) Order(order cluster.Order) (cluster.Inventory, error) {
-	if order.Token != e.token || order.Epoch != e.epoch {
+	switch {
+	case order.Token < e.token:
 		return cluster.Inventory{}, &engine.StaleTokenError{Held: e.token}
+	case order.Token > e.token || e.token == 0:
+		return cluster.Inventory{}, &engine.RefusedError{Reason: engine.ReasonNotSealed}
+	case order.Epoch != e.epoch:
+		return cluster.Inventory{}, &engine.RefusedError{Reason: engine.ReasonOtherRun}
 	}
 	if e.orders[order.ID] {
 		return e.Inventory(), nil
@@ -191,6 +194,9 @@
 			return cluster.Inventory{}, err
 		}
 	case cluster.OrderUnload:
+		if e.isBase(order.Model) {
+			return cluster.Inventory{}, &engine.RefusedError{Reason: engine.ReasonInvalid}
+		}
 		e.unload(order)
 	case cluster.OrderSetPool:
 		e.Config.Pool = order.Pool
@@ -202,13 +208,14 @@
 // load begins to load a model. The engine trusts the order's bytes, so a
 // controller that overcommits memory is seen by the checkers.
 func (e *Engine) load(order cluster.Order) error {
-	if held, ok := e.replicas[order.Model]; ok && held.State != cluster.ReplicaAbsent {
-		return nil
-	}
-	if order.Base != "" {
-		if _, ok := e.replicas[order.Base]; !ok {
-			return verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "base model is not on this machine")
+	if held, ok := e.replicas[order.Model]; ok {
+		if held.State != cluster.ReplicaUnloading && held.Version == order.Version {
+			return nil
 		}
+		return &engine.RefusedError{Reason: engine.ReasonInvalid}
+	}
+	if order.Base != "" && e.State(order.Base) != cluster.ReplicaLoaded {
+		return &engine.RefusedError{Reason: engine.ReasonUnknownModelBase}
 	}
 	loading := &replica{base: order.Base}
 	loading.Replica = cluster.Replica{Model: order.Model, Version: order.Version, Bytes: order.Bytes}
@@ -231,24 +238,23 @@
 	return nil
 }
 
-// loaded ends a load, or lets an adapter wait for its base model.
+// loaded ends a load.
 func (e *Engine) loaded(loading *replica) {
 	if e.replicas[loading.Model] != loading || loading.State != cluster.ReplicaLoading {
 		return
 	}
-	if loading.base != "" && e.State(loading.base) == cluster.ReplicaLoading {
-		loading.waitBase = true
-		return
-	}
 	e.cache.add(loading.Model, loading.Bytes, cluster.TierMemory)
 	e.setState(loading, cluster.ReplicaLoaded)
-	for _, model := range e.models() {
-		waiting := e.replicas[model]
-		if waiting.waitBase && waiting.base == loading.Model {
-			waiting.waitBase = false
-			e.loaded(waiting)
+}
+
+// isBase reports whether an adapter here needs the model.
+func (e *Engine) isBase(model cluster.ModelID) bool {
+	for _, held := range e.replicas {
+		if held.base == model {
+			return true
 		}
 	}
+	return false
 }
 
 // unload lets a replica finish its requests for the drain time at most.
--- a/simulation/operators.go
+++ b/simulation/operators.go
@@ -77,8 +77,7 @@
 	w.Checkers.settingsAccepted(snapshot)
 	w.KeyValue.publish()
 	if through != nil {
-		through.answer(w.Network.Delay(through.Place, w.KeyValue.place), node.Tick{})
-		_ = entry
+		through.answer(w.Network.Delay(through.Place, w.KeyValue.place), node.EditCommitted{History: stamp.History, Entry: entry})
 	}
 	return nil
 }
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -12,9 +12,6 @@
 	"github.com/valveslip/valveslip/standin/machines"
 )
 
-// defaultTickInterval between Ticks of a node.
-const defaultTickInterval = 100 * time.Millisecond
-
 // platformZone is where the platform's services are; it is never isolated, so
 // only cuts of the callers' side part them.
 const platformZone cluster.ZoneID = "_platform"
@@ -28,6 +25,15 @@
 // starts.
 type CoreFactory func(self cluster.Node, seeds []string, seed uint64) Core
 
+// NodeCores makes the product's own cores from a common configuration.
+func NodeCores(config node.CoreConfig) CoreFactory {
+	return func(self cluster.Node, seeds []string, seed uint64) Core {
+		own := config
+		own.Self, own.Seeds, own.Seed = self, seeds, seed
+		return node.NewCore(own)
+	}
+}
+
 // WorldConfig configures a World.
 type WorldConfig struct {
 	Seed       uint64
@@ -82,7 +88,7 @@
 	kernel := NewKernel(config.Seed)
 	network := NewNetwork(kernel, config.Deployment.Network)
 	if config.TickInterval == 0 {
-		config.TickInterval = defaultTickInterval
+		config.TickInterval = node.TickInterval
 	}
 	w := &World{
 		Kernel: kernel, Network: network, Store: NewWeightStore(kernel, config.Deployment.Store),
