--- a/routing/limit/set.go
+++ b/routing/limit/set.go
@@ -22,7 +22,7 @@
 type chainKey struct{ token, model string }
 
 // maxChains bounds the cache; a full one starts anew.
-const maxChains = 1 << 16
+const maxChains = 1 << 14
 
 // NewSet returns a set without scopes.
 func NewSet() *Set {
