--- a/node/config_validate.go
+++ b/node/config_validate.go
@@ -60,7 +60,11 @@
 // validateAddresses checks that addresses are IP:port and that no two
 // listeners share one.
 func (l *loader) validateAddresses() {
-	used := make(map[netip.AddrPort]string)
+	type taken struct {
+		key     string
+		address netip.AddrPort
+	}
+	var used []taken
 	listeners := []struct{ key, value string }{
 		{"caller_address", l.config.CallerAddress},
 		{"admin_address", l.config.AdminAddress},
@@ -68,14 +72,32 @@
 	}
 	for _, listener := range listeners {
 		address, ok := l.address(listener.key, listener.value)
-		if !ok || address.Port() == 0 {
+		if !ok {
+			continue
+		}
+		if listener.key == "peer_address" && address.Addr().IsUnspecified() {
+			l.fault(listener.key, "%s is no address that peers can reach", address)
+		}
+		if address.Port() == 0 {
 			continue
 		}
-		if other, taken := used[address]; taken {
-			l.fault(listener.key, "%s is the address of %s already", address, other)
+		for _, other := range used {
+			if overlap(address, other.address) {
+				l.fault(listener.key, "%s is the address of %s already", address, other.key)
+			}
 		}
-		used[address] = listener.key
+		used = append(used, taken{listener.key, address})
 	}
+	l.validateSeeds()
+}
+
+// overlap reports whether two listeners would take the same port of one IP.
+func overlap(a, b netip.AddrPort) bool {
+	return a.Port() == b.Port() && (a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified())
+}
+
+// validateSeeds checks the peer addresses of other nodes.
+func (l *loader) validateSeeds() {
 	var seen []netip.AddrPort
 	for _, seed := range l.config.Seeds {
 		address, ok := l.address("seeds", seed)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -35,6 +35,8 @@
 	meter  meter
 	// answered is true when the engine has nothing left to cancel.
 	answered bool
+	// unwanted is true when the rest of the answer is of no use.
+	unwanted bool
 }
 
 // newAttempt prepares the call of one dispatch.
@@ -73,7 +75,7 @@
 
 // resumable reports whether the engine may hold more of the answer.
 func (a *attempt) resumable(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || a.answered || errors.Is(err, errSink) {
+	if ctx.Err() != nil || a.answered || a.unwanted || errors.Is(err, errSink) {
 		return false
 	}
 	return verdict.Of(err) != verdict.NotRun
@@ -145,6 +147,7 @@
 	a.answer.body = body
 	a.offset = int64(len(body))
 	if len(body) > a.options.MaxAnswerBytes {
+		a.unwanted = true
 		return verdict.New(verdict.Ran, verdict.CodeEngineFailed, "the engine's answer is larger than %d bytes", a.options.MaxAnswerBytes)
 	}
 	if err != nil {
--- a/relay/body.go
+++ b/relay/body.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"sync"
+
+	"github.com/tidwall/gjson"
 )
 
 // bufferBytes is the size of a relay buffer; a read never waits to fill it.
@@ -61,21 +63,13 @@
 	return true
 }
 
-// usage is the part of a whole answer that counts its tokens.
-type usage struct {
-	Usage struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
-}
-
 // usedTokens returns the generated tokens an answer states, and whether it is
 // JSON at all.
 func usedTokens(body []byte) (int, bool) {
-	var answer usage
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return 0, json.Valid(body)
+	if !json.Valid(body) {
+		return 0, false
 	}
-	return answer.Usage.CompletionTokens, true
+	return int(gjson.GetBytes(body, "usage.completion_tokens").Int()), true
 }
 
 // appendAll appends everything read to buffer.
