Stop adaptive keep-alive from unloading and loading in turns

Cause: a model's expected load time fell once it was loaded, because its checkpoint then lay in host memory, so the next round unloaded it and the one after prewarmed it again; and a window cut at the policy's keep-alive was followed at once by the next window. Change: the expected load time comes from the fastest cache in the pool, host memory counting as disk; a loaded model is kept up to four load times before the next window; a learned keep-alive may last 16 of the policy's. Idle time is weighed by the replica's part of the machine's accelerators, so adapters are kept far longer than base models.

--- a/placement/baselines.go
+++ b/placement/baselines.go
@@ -47,7 +47,7 @@
 var foreverSchedule = fixedSchedule(forever)
 
 // schedule implements retention.
-func (alwaysLoaded) schedule(*track, *settings.Policy, time.Duration) *schedule {
+func (alwaysLoaded) schedule(*track, *settings.Policy, cost) *schedule {
 	return &foreverSchedule
 }
 
@@ -61,7 +61,7 @@
 }
 
 // schedule implements retention.
-func (f *fixedKeepAlive) schedule(*track, *settings.Policy, time.Duration) *schedule {
+func (f *fixedKeepAlive) schedule(*track, *settings.Policy, cost) *schedule {
 	return &f.keep
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -21,8 +21,8 @@
 // first when memory is needed. The planners differ only in it.
 type retention interface {
 	// schedule returns the windows of idle time in which the model is worth
-	// being loaded. coldStart is its expected load time.
-	schedule(track *track, policy *settings.Policy, coldStart time.Duration) *schedule
+	// being loaded.
+	schedule(track *track, policy *settings.Policy, cost cost) *schedule
 	// standing returns how many replicas are wanted whatever the demand.
 	standing(policy *settings.Policy) int
 	// value of keeping an idle replica loaded, a second of its reload time at
@@ -30,6 +30,14 @@
 	value(track *track, policy *settings.Policy, idle, reload time.Duration) float64
 }
 
+// cost is what a cold start and a second of idleness take for one model.
+type cost struct {
+	// coldStart is the expected load time.
+	coldStart time.Duration
+	// share is the part of a machine's accelerators that an idle replica takes.
+	share float64
+}
+
 // planner is the machinery that all planners share.
 type planner struct {
 	config    Config
--- a/placement/retention.go
+++ b/placement/retention.go
@@ -13,12 +13,15 @@
 // a schedule is computed again.
 const coldStartStep = 0.25
 
+// learnedBound is how many of the policy's keep-alives a learned one may last.
+const learnedBound = 16
+
 // schedule implements retention: the learned windows when there are enough
 // samples, else the policy's keep-alive.
-func (a adaptiveRetention) schedule(track *track, policy *settings.Policy, coldStart time.Duration) *schedule {
+func (a adaptiveRetention) schedule(track *track, policy *settings.Policy, cost cost) *schedule {
 	goal := objective{
 		weight: policy.ColdStartWeight, exchange: a.config.ColdStartExchange,
-		coldStart: coldStart, limit: policy.KeepAlive,
+		cost: cost, limit: learnedBound * policy.KeepAlive,
 	}
 	if !track.scheduleStale && !goal.differs(track.scheduleGoal) {
 		return &track.schedule
@@ -35,7 +38,8 @@
 // differs reports whether another goal would give a different schedule.
 func (g objective) differs(other objective) bool {
 	change := float64(g.coldStart-other.coldStart) / float64(max(other.coldStart, 1))
-	return g.weight != other.weight || g.limit != other.limit || change > coldStartStep || change < -coldStartStep
+	return g.weight != other.weight || g.limit != other.limit || g.share != other.share ||
+		change > coldStartStep || change < -coldStartStep
 }
 
 // standing implements retention.
--- a/placement/round.go
+++ b/placement/round.go
@@ -17,16 +17,18 @@
 	loads    []placed
 	choice   choice
 	victims  []victim
-	// poolSlots is the mean number of request slots of a machine, by pool.
-	poolSlots []slotMean
+	pools    []poolSum
 	// remoteLoads under way or planned, over the zone.
 	remoteLoads int
 	unsealed    int
 	plan        Plan
 }
 
-// slotMean accumulates a mean.
-type slotMean struct{ sum, count int }
+// poolSum adds up the machines of one engine pool.
+type poolSum struct {
+	machines, slots, accelerators int
+	bytes                         int64
+}
 
 // modelRound is one model's state in a round, aligned with the catalogue.
 type modelRound struct {
@@ -37,6 +39,8 @@
 	allotted                      bool
 	limit                         int
 	candidates                    []cluster.MachineID
+	// tier is the fastest one in which a machine of the pool has the checkpoint.
+	tier cluster.Tier
 	// first is the head of the model's list in round.slots.
 	first int32
 	// held counts all slots, and loads planned in this round; useful are those
@@ -60,6 +64,8 @@
 	from, to int32
 	loading  int
 	usable   bool
+	// draining is set while an unload waits for running requests.
+	draining bool
 }
 
 // slotRound is one slot of the ledger.
@@ -133,7 +139,7 @@
 // indexMachines enters every machine and its slots.
 func (r *round) indexMachines() {
 	r.machines = r.machines[:0]
-	r.poolSlots = r.poolSlots[:0]
+	r.pools = r.pools[:0]
 	for m := range r.state.Machines {
 		machine := &r.state.Machines[m]
 		pool := r.catalogue.pool(machine.Pool)
@@ -149,8 +155,20 @@
 		if !machine.Sealed {
 			r.unsealed++
 		}
+		if entry.usable {
+			r.noteCached(pool, machine.Cached)
+		}
 		r.machines = append(r.machines, entry)
-		r.countSlots(pool, machine)
+		r.countPool(pool, machine)
+	}
+}
+
+// noteCached enters the checkpoints that a machine has cached.
+func (r *round) noteCached(pool int32, cached map[cluster.ModelID]cluster.Tier) {
+	for id, tier := range cached {
+		if i := r.catalogue.find(id); i != none && r.catalogue.entries[i].pool == pool {
+			r.models[i].tier = max(r.models[i].tier, tier)
+		}
 	}
 }
 
@@ -161,6 +179,7 @@
 	ref.unloading = slot.State == cluster.ReplicaUnloading
 	if ref.unloading {
 		machine.soon += slot.Bytes
+		machine.draining = machine.draining || r.state.Machines[m].Load.PerModel[slot.Model] > 0
 	}
 	if slot.State == cluster.ReplicaLoading {
 		machine.loading++
@@ -204,27 +223,39 @@
 	return version == "" || ref.slot.Version == version
 }
 
-// countSlots enters a machine's request slots into its pool's mean.
-func (r *round) countSlots(pool int32, machine *Machine) {
-	for len(r.poolSlots) < len(r.catalogue.pools) {
-		r.poolSlots = append(r.poolSlots, slotMean{})
+// countPool enters a machine into its pool's sums.
+func (r *round) countPool(pool int32, machine *Machine) {
+	for len(r.pools) < len(r.catalogue.pools) {
+		r.pools = append(r.pools, poolSum{})
 	}
 	slots := machine.Slots
 	if slots <= 0 {
 		slots = r.config.DefaultSlots
 	}
-	r.poolSlots[pool].sum += slots
-	r.poolSlots[pool].count++
+	sum := &r.pools[pool]
+	sum.machines++
+	sum.slots += slots
+	sum.accelerators += max(machine.Accelerators, 1)
+	sum.bytes += machine.MemoryBytes
 }
 
 // slotsPerReplica is how many requests one replica in the pool serves at once.
 func (r *round) slotsPerReplica(pool int32) float64 {
-	if int(pool) < len(r.poolSlots) && r.poolSlots[pool].count > 0 {
-		return float64(r.poolSlots[pool].sum) / float64(r.poolSlots[pool].count)
+	if int(pool) < len(r.pools) && r.pools[pool].machines > 0 {
+		return float64(r.pools[pool].slots) / float64(r.pools[pool].machines)
 	}
 	return float64(r.config.DefaultSlots)
 }
 
+// idleShare is how many accelerators a replica of the given size takes: its
+// part of a machine's memory.
+func (r *round) idleShare(pool int32, bytes int64) float64 {
+	if int(pool) >= len(r.pools) || r.pools[pool].bytes == 0 {
+		return 1
+	}
+	return float64(bytes) / float64(r.pools[pool].bytes) * float64(r.pools[pool].accelerators)
+}
+
 // settling reports whether the controller has only just taken over and still
 // waits for machines to say what they hold.
 func (r *round) settling() bool {
--- a/placement/want.go
+++ b/placement/want.go
@@ -22,6 +22,10 @@
 // prewarmLead is how many expected load times before a wake-up the load begins.
 const prewarmLead = 1.25
 
+// keepLead is how many expected load times before a wake-up a loaded model is
+// not unloaded any more.
+const keepLead = 4
+
 // want decides every model's replica count from demand, policy and idle time.
 func (r *round) want() {
 	for i := range r.models {
@@ -112,7 +116,9 @@
 	}
 	idle := track.idle(r.state.Now)
 	coldStart := r.coldStart(i)
-	plan := r.retention.schedule(track, &r.catalogue.entries[i].model.Policy, coldStart)
+	policy := &r.catalogue.entries[i].model.Policy
+	share := r.idleShare(r.catalogue.entries[i].pool, policy.Memory)
+	plan := r.retention.schedule(track, policy, cost{coldStart: coldStart, share: share})
 	if model.useful > 0 {
 		r.keepIdle(i, plan, idle, coldStart)
 		return
@@ -128,7 +134,7 @@
 // keepIdle decides whether a loaded idle model stays.
 func (r *round) keepIdle(i int32, plan *schedule, idle, coldStart time.Duration) {
 	model := &r.models[i]
-	found, ok := plan.find(idle, time.Duration(prewarmLead*float64(coldStart)))
+	found, ok := plan.find(idle, time.Duration(keepLead*float64(coldStart)))
 	if !ok {
 		model.reason = r.idleReason(i, CauseIdle, plan, idle)
 		return
@@ -152,27 +158,11 @@
 	return reason
 }
 
-// coldStart returns how long a load of the model takes from the fastest cache
-// tier known among its candidate machines' usual ones, remote at worst.
+// coldStart returns how long a load of the model is expected to take when it is
+// needed again. Host memory counts as disk, since it soon holds other models.
 func (r *round) coldStart(i int32) time.Duration {
-	entry := &r.catalogue.entries[i]
-	return r.store.expected(r.usualTier(i), entry.model.Policy.Memory)
-}
-
-// usualTier is the fastest tier in which a usable candidate machine, or one
-// that holds the model now, has the checkpoint.
-func (r *round) usualTier(i int32) cluster.Tier {
-	model, entry := &r.models[i], &r.catalogue.entries[i]
-	best := cluster.TierRemote
-	for _, id := range model.candidates {
-		if m, ok := r.findMachine(id); ok {
-			best = max(best, r.state.Machines[m].Cached[entry.model.ID])
-		}
-	}
-	for s := model.first; s != none; s = r.slots[s].next {
-		best = max(best, r.state.Machines[r.slots[s].machine].Cached[entry.model.ID])
-	}
-	return best
+	tier := min(r.models[i].tier, cluster.TierDisk)
+	return r.store.expected(tier, r.catalogue.entries[i].model.Policy.Memory)
 }
 
 // reason begins a reason with the setting that decided and its source.
--- a/placement/window.go
+++ b/placement/window.go
@@ -70,15 +70,14 @@
 	// exchange is the idle seconds that one second of cold start is worth at a
 	// weight of one half.
 	exchange float64
-	// coldStart is the expected time of a load.
-	coldStart time.Duration
+	cost
 	// limit bounds each window.
 	limit time.Duration
 }
 
 // plan returns the windows that minimise
 //
-//	weight * exchange * cold-start seconds + (1-weight) * idle seconds
+//	weight * exchange * cold-start seconds + (1-weight) * share * idle seconds
 //
 // over the recorded idle periods. Being loaded during one bucket of idle time
 // costs the time that surviving periods spend in it and saves a cold start for
@@ -94,7 +93,7 @@
 		ended := float64(h.counts[i])
 		// Periods that end in the bucket spend half of it idle on average.
 		idle := (float64(survivors[i+1]) + ended/2) * (to - from) / float64(time.Second)
-		run.extend(&result, time.Duration(from), time.Duration(to), ended*saved-(1-goal.weight)*idle)
+		run.extend(&result, time.Duration(from), time.Duration(to), ended*saved-(1-goal.weight)*goal.share*idle)
 	}
 	run.close(&result)
 	return result
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -17,9 +17,9 @@
 	Zones []cluster.ZoneID
 	// Memory one replica occupies, in bytes.
 	Memory int64
-	// KeepAlive is how long an idle replica stays loaded at least when the
-	// learned idle-time histogram has too few samples, and the upper bound of
-	// the learned value.
+	// KeepAlive is how long an idle replica stays loaded while the learned
+	// idle-time histogram has too few samples; a learned time is at most 16 of
+	// it.
 	KeepAlive time.Duration
 	// ColdStartWeight between 0 and 1 weighs tail cold-start time against
 	// idle accelerator hours: 1 prefers short cold starts.
