Bound the cost of membership at 340 nodes

A trial with 340 hollow nodes showed three faults. Answers to every unknown sender held all members, and all who probed a paused node sent it all members when it resumed: only a sender that knows nobody, or a timely answer with another digest, gets a full exchange now. A refuting node tells a few members at once. Nodes that just started ask seeds more often: one waited 5 s for its configuration because the first seed it met had started too.

--- a/membership/core.go
+++ b/membership/core.go
@@ -12,9 +12,10 @@
 
 // Core is the membership state of one node.
 //
-// Invariants: members never holds self; order holds exactly the keys of
-// members, sorted; byAddress maps each address to the one member there that is
-// not dead.
+// Invariants: members never holds self; order holds exactly the values of
+// members, sorted by identifier; byAddress maps each address to the one member
+// there that is not dead; fresh holds exactly the members with gossip left;
+// timed holds at least the members that are suspect or dead.
 type Core struct {
 	self        cluster.Node
 	incarnation uint64
@@ -23,7 +24,9 @@
 	random      *rand.Rand
 
 	members   map[cluster.NodeID]*entry
-	order     []cluster.NodeID
+	order     []*entry
+	fresh     []*entry
+	timed     []*entry
 	byAddress map[string]cluster.NodeID
 	digest    uint64
 
@@ -34,6 +37,7 @@
 	rejoin      rejoin
 
 	started                       bool
+	startedAt                     time.Time
 	lastTick                      time.Time
 	nextZone, nextRemote, nextAsk time.Time
 	lastChange, nextSync          time.Time
@@ -48,6 +52,8 @@
 	gossipLeft int
 	// suspicionEnds is when a suspect is given up.
 	suspicionEnds time.Time
+	// isTimed is true while the entry stands in Core.timed.
+	isTimed bool
 }
 
 // New returns the core of the node self. Seeds are peer addresses that are
@@ -90,7 +96,7 @@
 // the same address has a larger one, and spreads the probes of nodes that
 // start together.
 func (c *Core) start(now time.Time) {
-	c.started = true
+	c.started, c.startedAt = true, now
 	c.incarnation = uint64(now.UnixMilli())
 	c.lastTick = now
 	c.nextZone = now.Add(c.within(c.config.ZoneInterval))
@@ -120,8 +126,8 @@
 		return
 	}
 	c.probes = nil
-	for _, id := range c.order {
-		if member := c.members[id]; member.State == StateSuspect {
+	for _, member := range c.timed {
+		if member.State == StateSuspect {
 			member.suspicionEnds = member.suspicionEnds.Add(gap)
 		}
 	}
@@ -129,19 +135,24 @@
 
 // expireMembers gives up suspects whose time is over and forgets the dead.
 func (c *Core) expireMembers(now time.Time) {
-	for _, id := range slices.Clone(c.order) {
-		member := c.members[id]
+	c.timed = slices.DeleteFunc(c.timed, func(member *entry) bool {
 		switch member.State {
 		case StateSuspect:
 			if !now.Before(member.suspicionEnds) {
-				c.change(now, member, StateDead)
+				c.change(now, member, StateDead, c.transmissions())
 			}
+			return false
 		case StateDead:
-			if now.Sub(member.Since) >= c.config.ForgetTime {
-				c.forget(id)
+			over := now.Sub(member.Since) >= c.config.ForgetTime
+			if over {
+				c.forget(member)
 			}
+			return over
+		default:
+			member.isTimed = false
+			return true
 		}
-	}
+	})
 }
 
 // leave announces the planned stop to the whole zone and to one member of each
@@ -153,8 +164,7 @@
 	c.leaving = true
 	c.incarnation++
 	told := make(map[cluster.ZoneID]bool)
-	for _, id := range c.order {
-		member := c.members[id]
+	for _, member := range c.order {
 		near := member.Node.Zone == c.self.Zone
 		if !member.Running() || (told[member.Node.Zone] && !near) {
 			continue
@@ -168,8 +178,8 @@
 // included, sorted by identifier.
 func (c *Core) Members() []Member {
 	members := make([]Member, 0, len(c.order))
-	for _, id := range c.order {
-		members = append(members, c.members[id].Member)
+	for _, member := range c.order {
+		members = append(members, member.Member)
 	}
 	return members
 }
@@ -189,5 +199,5 @@
 
 // position returns where id stands in order, or should stand.
 func (c *Core) position(id cluster.NodeID) (int, bool) {
-	return slices.BinarySearchFunc(c.order, id, cmp.Compare[cluster.NodeID])
+	return slices.BinarySearchFunc(c.order, id, func(e *entry, id cluster.NodeID) int { return cmp.Compare(e.Node.ID, id) })
 }
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -13,6 +13,14 @@
 // gossip, not for gossip on its way.
 const quietTime = 5 * time.Second
 
+// youngTime after its start a node does not wait for quiet: when many start
+// together, all learn of all others at once, by too much gossip to wait for.
+const youngTime = 30 * time.Second
+
+// bulkTransmissions is how many heartbeats carry a record that came with a full
+// exchange. It is old news to most.
+const bulkTransmissions = 2
+
 // heartbeat makes the next heartbeat to a member. Whoever is not held to be
 // alive is told so, to let it refute.
 func (c *Core) heartbeat(to cluster.NodeID) wire.Heartbeat {
@@ -38,17 +46,14 @@
 	if receiver != nil && receiver.State != StateAlive {
 		records = append(records, receiver.record())
 	}
-	var fresh []*entry
-	for _, id := range c.order {
-		if member := c.members[id]; member.gossipLeft > 0 && id != to {
-			fresh = append(fresh, member)
+	slices.SortStableFunc(c.fresh, func(a, b *entry) int { return cmp.Compare(b.gossipLeft, a.gossipLeft) })
+	for _, member := range c.fresh[:min(len(c.fresh), c.config.GossipRecords)] {
+		if member != receiver {
+			member.gossipLeft--
+			records = append(records, member.record())
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *entry) int { return cmp.Compare(b.gossipLeft, a.gossipLeft) })
-	for _, member := range fresh[:min(len(fresh), c.config.GossipRecords)] {
-		member.gossipLeft--
-		records = append(records, member.record())
-	}
+	c.fresh = slices.DeleteFunc(c.fresh, func(e *entry) bool { return e.gossipLeft == 0 })
 	return records
 }
 
@@ -59,8 +64,8 @@
 // everyone lists all members, the dead included.
 func (c *Core) everyone() []wire.MemberRecord {
 	records := make([]wire.MemberRecord, 0, len(c.order))
-	for _, id := range c.order {
-		records = append(records, c.members[id].record())
+	for _, member := range c.order {
+		records = append(records, member.record())
 	}
 	return records
 }
@@ -71,22 +76,33 @@
 	if from.ID == c.self.ID || from.ID == "" {
 		return
 	}
-	known := c.members[from.ID]
-	isNew := known == nil
-	c.merge(now, senderRecord(heartbeat))
+	isNew := c.members[from.ID] == nil
+	c.merge(now, senderRecord(heartbeat), c.transmissions())
+	transmissions := c.transmissions()
+	if len(heartbeat.Gossip) > c.config.GossipRecords+1 {
+		transmissions = bulkTransmissions
+		c.nextSync = now.Add(c.syncInterval(now))
+	}
 	for _, record := range heartbeat.Gossip {
-		c.merge(now, record)
+		c.merge(now, record, transmissions)
 	}
-	c.heard(from.ID)
+	timely := c.heard(from.ID, heartbeat.Sequence)
 	differs := c.differs(now, heartbeat)
 	switch {
 	case !heartbeat.Ack:
-		c.answer(now, heartbeat, isNew || differs)
-	case differs:
+		c.answer(now, heartbeat, differs || isAlone(heartbeat) || (isNew && heartbeat.MembersDigest == 0))
+	case differs && timely:
+		// Late answers come from a node that was paused. It asks for what it
+		// missed itself, so that not all who probed it send it the same.
 		c.sync(now, from)
 	}
 }
 
+// isAlone reports whether the sender knows no other member, as after its start.
+func isAlone(heartbeat wire.Heartbeat) bool {
+	return heartbeat.MembersDigest == max(1, nodeHash(heartbeat.From.ID, heartbeat.Incarnation))
+}
+
 // senderRecord is what a heartbeat says of its sender.
 func senderRecord(heartbeat wire.Heartbeat) wire.MemberRecord {
 	state := StateAlive
@@ -103,24 +119,36 @@
 	ack.Sequence = heartbeat.Sequence
 	if full {
 		ack.Gossip = c.everyone()
-		c.nextSync = now.Add(c.config.SyncInterval)
+		c.nextSync = now.Add(c.syncInterval(now))
 	} else {
 		ack.Gossip = c.news(heartbeat.From.ID)
 	}
 	c.send(heartbeat.From.PeerAddress, ack)
 }
 
-// differs reports whether the sender's members differ from those here although
-// nothing changed for a while, and a full exchange is due.
+// differs reports whether the sender's members differ from those here, and a
+// full exchange is due: after the start soon, later only when nothing changed
+// for a while.
 func (c *Core) differs(now time.Time, heartbeat wire.Heartbeat) bool {
-	return heartbeat.MembersDigest != 0 && heartbeat.MembersDigest != c.membersDigest() &&
-		now.Sub(c.lastChange) >= quietTime && !now.Before(c.nextSync)
+	settled := c.isYoung(now) || now.Sub(c.lastChange) >= quietTime
+	return settled && !now.Before(c.nextSync) &&
+		heartbeat.MembersDigest != 0 && heartbeat.MembersDigest != c.membersDigest()
+}
+
+func (c *Core) isYoung(now time.Time) bool { return now.Sub(c.startedAt) < youngTime }
+
+// syncInterval is shorter after the start.
+func (c *Core) syncInterval(now time.Time) time.Duration {
+	if c.isYoung(now) {
+		return c.config.SyncInterval / 2
+	}
+	return c.config.SyncInterval
 }
 
 // sync sends all members to a peer, which answers with what it knows to be
 // newer by gossip.
 func (c *Core) sync(now time.Time, to cluster.Node) {
-	c.nextSync = now.Add(c.config.SyncInterval)
+	c.nextSync = now.Add(c.syncInterval(now))
 	c.sequence++
 	heartbeat := c.bare()
 	heartbeat.Sequence = c.sequence
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -11,8 +11,9 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-// merge takes in one record of a member.
-func (c *Core) merge(now time.Time, record wire.MemberRecord) {
+// merge takes in one record of a member and, if it is news, lets the given
+// number of heartbeats carry it on.
+func (c *Core) merge(now time.Time, record wire.MemberRecord, transmissions int) {
 	state := State(record.State)
 	if state.rank() == 0 || record.Node.ID == "" {
 		return
@@ -23,7 +24,7 @@
 	}
 	known := c.members[record.Node.ID]
 	if known == nil {
-		c.admit(now, record, state)
+		c.admit(now, record, state, transmissions)
 		return
 	}
 	if !supersedes(record.Incarnation, state, known) {
@@ -37,10 +38,10 @@
 	known.Node, known.Incarnation = record.Node, record.Incarnation
 	c.digest ^= known.hash()
 	if known.State != state {
-		c.change(now, known, state)
+		c.change(now, known, state, transmissions)
 		return
 	}
-	known.gossipLeft = c.transmissions()
+	c.spread(known, transmissions)
 	c.lastChange = now
 	if nodeChanged {
 		c.effects = append(c.effects, Changed{Member: known.Member})
@@ -63,19 +64,32 @@
 		return
 	}
 	c.incarnation = incarnation + 1
+	c.announce()
+}
+
+// announce tells a few random members of a new incarnation, which pass it on.
+func (c *Core) announce() {
+	near := c.running(func(zone cluster.ZoneID) bool { return zone == c.self.Zone })
+	far := c.running(func(zone cluster.ZoneID) bool { return zone != c.self.Zone })
+	for _, members := range [][]*entry{near, far} {
+		for range min(announcements, len(members)) {
+			member := members[c.random.IntN(len(members))]
+			c.send(member.Node.PeerAddress, c.heartbeat(member.Node.ID))
+		}
+	}
 }
 
 // admit adds a member that was not known. News of a dead one is not worth an
 // entry: it cannot contradict anything known here.
-func (c *Core) admit(now time.Time, record wire.MemberRecord, state State) {
+func (c *Core) admit(now time.Time, record wire.MemberRecord, state State, transmissions int) {
 	if state == StateDead || !c.claimAddress(now, record) {
 		return
 	}
 	at, _ := c.position(record.Node.ID)
-	c.order = slices.Insert(c.order, at, record.Node.ID)
 	member := &entry{Member: Member{Node: record.Node, Incarnation: record.Incarnation, State: StateDead}}
+	c.order = slices.Insert(c.order, at, member)
 	c.members[record.Node.ID] = member
-	c.change(now, member, state)
+	c.change(now, member, state, transmissions)
 }
 
 // claimAddress settles two processes at one address: the one with the larger
@@ -93,18 +107,22 @@
 	if other.Incarnation > record.Incarnation {
 		return false
 	}
-	c.change(now, other, StateDead)
+	c.change(now, other, StateDead, c.transmissions())
 	return true
 }
 
 // change puts a member into a state, spreads and reports it.
-func (c *Core) change(now time.Time, member *entry, state State) {
+func (c *Core) change(now time.Time, member *entry, state State, transmissions int) {
 	c.digest ^= member.hash()
 	member.State = state
 	c.digest ^= member.hash()
 	member.Since = now
-	member.gossipLeft = c.transmissions()
+	c.spread(member, transmissions)
 	c.lastChange = now
+	if !member.isTimed && (state == StateSuspect || state == StateDead) {
+		member.isTimed = true
+		c.timed = append(c.timed, member)
+	}
 	address := member.Node.PeerAddress
 	switch state {
 	case StateSuspect:
@@ -124,12 +142,22 @@
 	c.effects = append(c.effects, Changed{Member: member.Member})
 }
 
+// spread lets the next heartbeats carry the member's record.
+func (c *Core) spread(member *entry, transmissions int) {
+	if member.gossipLeft == 0 {
+		c.fresh = append(c.fresh, member)
+	}
+	member.gossipLeft = transmissions
+}
+
 // forget drops a dead member.
-func (c *Core) forget(id cluster.NodeID) {
-	delete(c.members, id)
-	if at, found := c.position(id); found {
+func (c *Core) forget(member *entry) {
+	delete(c.members, member.Node.ID)
+	if at, found := c.position(member.Node.ID); found {
 		c.order = slices.Delete(c.order, at, at+1)
 	}
+	member.gossipLeft = 0
+	c.fresh = slices.DeleteFunc(c.fresh, func(e *entry) bool { return e == member })
 }
 
 // suspicionTime is longer while this node's own probes all fail.
@@ -144,9 +172,12 @@
 	// isolationProbes that failed in a row make this node doubt itself.
 	isolationProbes = 4
 	isolationFactor = 3
+	// announcements of a new incarnation in the own zone, and as many
+	// elsewhere.
+	announcements = 3
 	// transmissionFactor times the logarithm of the number of members is how
 	// often each node passes on a record.
-	transmissionFactor = 3
+	transmissionFactor = 2
 )
 
 // transmissions is how many heartbeats carry a new record.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -43,7 +43,9 @@
 				return id, true
 			}
 		}
-		c.zoneTurn = c.running(func(zone cluster.ZoneID) bool { return zone == c.self.Zone })
+		for _, member := range c.running(func(zone cluster.ZoneID) bool { return zone == c.self.Zone }) {
+			c.zoneTurn = append(c.zoneTurn, member.Node.ID)
+		}
 		c.random.Shuffle(len(c.zoneTurn), func(i, j int) {
 			c.zoneTurn[i], c.zoneTurn[j] = c.zoneTurn[j], c.zoneTurn[i]
 		})
@@ -57,18 +59,18 @@
 	if len(remote) == 0 {
 		return "", false
 	}
-	return remote[c.random.IntN(len(remote))], true
+	return remote[c.random.IntN(len(remote))].Node.ID, true
 }
 
 // running lists the running members of the zones that match.
-func (c *Core) running(match func(cluster.ZoneID) bool) []cluster.NodeID {
-	var ids []cluster.NodeID
-	for _, id := range c.order {
-		if member := c.members[id]; member.Running() && match(member.Node.Zone) {
-			ids = append(ids, id)
+func (c *Core) running(match func(cluster.ZoneID) bool) []*entry {
+	var members []*entry
+	for _, member := range c.order {
+		if member.Running() && match(member.Node.Zone) {
+			members = append(members, member)
 		}
 	}
-	return ids
+	return members
 }
 
 // probe sends a heartbeat and awaits its answer.
@@ -102,10 +104,10 @@
 		case !p.repeated:
 			c.probe(now, p.target, true)
 		case member.State == StateLeaving:
-			c.change(now, member, StateDead)
+			c.change(now, member, StateDead, c.transmissions())
 		default:
 			if member.State == StateAlive {
-				c.change(now, member, StateSuspect)
+				c.change(now, member, StateSuspect, c.transmissions())
 			}
 			c.probe(now, p.target, true)
 			c.consult(member)
@@ -118,15 +120,21 @@
 // path from here is broken.
 func (c *Core) consult(suspect *entry) {
 	peers := c.running(func(zone cluster.ZoneID) bool { return zone == suspect.Node.Zone })
-	peers = slices.DeleteFunc(peers, func(id cluster.NodeID) bool { return id == suspect.Node.ID })
+	peers = slices.DeleteFunc(peers, func(peer *entry) bool { return peer == suspect })
 	if len(peers) > 0 {
-		id := peers[c.random.IntN(len(peers))]
-		c.send(c.members[id].Node.PeerAddress, c.heartbeat(id))
+		peer := peers[c.random.IntN(len(peers))].Node
+		c.send(peer.PeerAddress, c.heartbeat(peer.ID))
 	}
 }
 
-// heard ends the probes of a member that gave a sign of life.
-func (c *Core) heard(id cluster.NodeID) {
+// heard ends the probes of a member that gave a sign of life. It reports whether
+// the probe with the sequence was among them.
+func (c *Core) heard(id cluster.NodeID, sequence uint64) bool {
 	c.failedInRow = 0
-	c.probes = slices.DeleteFunc(c.probes, func(p probe) bool { return p.target == id })
+	answered := false
+	c.probes = slices.DeleteFunc(c.probes, func(p probe) bool {
+		answered = answered || (p.target == id && p.sequence == sequence)
+		return p.target == id
+	})
+	return answered
 }
--- a/membership/rejoin.go
+++ b/membership/rejoin.go
@@ -52,25 +52,26 @@
 }
 
 // askDue sends a heartbeat to one address in turn where a member may be found,
-// or to every seed while no member is known.
+// beginning with a random one. It does so more often after the start, as the
+// first one found may have just started too and know nobody.
 func (c *Core) askDue(now time.Time) {
 	if now.Before(c.nextAsk) {
 		return
 	}
 	c.nextAsk = now.Add(c.config.RejoinInterval)
+	if len(c.byAddress) == 0 || c.isYoung(now) {
+		c.nextAsk = now.Add(c.config.ZoneInterval / 2)
+	}
 	c.rejoin.lost = slices.DeleteFunc(c.rejoin.lost, func(l lostAddress) bool {
 		return now.Sub(l.since) >= c.config.RejoinTime
 	})
-	if len(c.byAddress) == 0 {
-		c.nextAsk = now.Add(c.config.ZoneInterval)
-		for _, seed := range c.rejoin.seeds {
-			c.send(seed, c.heartbeat(""))
-		}
-	}
 	addresses := c.rejoin.candidates(func(address string) bool { return c.byAddress[address] != "" })
 	if len(addresses) == 0 {
 		return
 	}
+	if c.rejoin.turn == 0 {
+		c.rejoin.turn = c.random.IntN(len(addresses))
+	}
 	c.rejoin.turn++
 	c.send(addresses[c.rejoin.turn%len(addresses)], c.heartbeat(""))
 }
--- a/replication/apply.go
+++ b/replication/apply.go
@@ -49,12 +49,12 @@
 
 // enforce compiles a tree and puts it in force.
 func (c *Core) enforce(tree *settings.Tree, stamp settings.Stamp) bool {
-	snapshot, err := tree.Compile(stamp)
+	snapshot, err := c.config.Compile(tree, stamp)
 	if err != nil {
 		c.emit(Rejected{Stamp: stamp, Err: err})
 		return false
 	}
-	c.tree, c.stamp, c.snapshot = tree, stamp, snapshot
+	c.tree, c.stamp, c.snapshot, c.encoded = tree, stamp, snapshot, nil
 	c.emit(InForce{Snapshot: snapshot, Tree: tree})
 	return true
 }
--- a/replication/core.go
+++ b/replication/core.go
@@ -26,7 +26,9 @@
 	stamp    settings.Stamp
 	tree     *settings.Tree
 	snapshot *settings.Snapshot
-	backlog  backlog
+	// encoded is the encoding of tree once a peer has asked for it.
+	encoded []byte
+	backlog backlog
 
 	peers []Peer
 	asked request
--- a/replication/spread.go
+++ b/replication/spread.go
@@ -149,8 +149,11 @@
 			return
 		}
 	}
+	if c.encoded == nil {
+		c.encoded = c.tree.Encode()
+	}
 	c.send(address, wire.ConfigurationSnapshot{
-		From: c.self, FromAddress: c.config.Address, Stamp: c.stamp, Data: c.tree.Encode(),
+		From: c.self, FromAddress: c.config.Address, Stamp: c.stamp, Data: c.encoded,
 	})
 }
 
@@ -181,7 +184,7 @@
 	if Compare(message.Stamp, c.stamp) <= 0 {
 		return
 	}
-	tree, err := settings.DecodeTree(message.Data)
+	tree, err := c.config.DecodeTree(message.Data)
 	if err != nil {
 		c.emit(Rejected{Stamp: message.Stamp, Err: err})
 		return
--- a/replication/types.go
+++ b/replication/types.go
@@ -31,6 +31,11 @@
 	// FreshTime is how recent a heartbeat must be for a peer to be pushed to
 	// or asked; the default is 10 min.
 	FreshTime time.Duration
+	// Compile and DecodeTree replace (*settings.Tree).Compile and
+	// settings.DecodeTree, for harnesses that run many nodes in one process
+	// and share their results. The defaults are those functions.
+	Compile    func(*settings.Tree, settings.Stamp) (*settings.Snapshot, error)
+	DecodeTree func([]byte) (*settings.Tree, error)
 }
 
 func (c Config) withDefaults() Config {
@@ -40,6 +45,12 @@
 	setDefault(&c.RequestTimeout, time.Second)
 	setDefault(&c.PeerTime, 15*time.Minute)
 	setDefault(&c.FreshTime, 10*time.Minute)
+	if c.Compile == nil {
+		c.Compile = (*settings.Tree).Compile
+	}
+	if c.DecodeTree == nil {
+		c.DecodeTree = settings.DecodeTree
+	}
 	return c
 }
 
