Measure membership and configuration spread with hollow nodes

valveslip experiment membership and experiment spread run up to hundreds of nodes' cores in one process on virtual time, with encoded messages, latencies over regions, loss, crashes, pauses, partitions and an outage of the key-value service.

--- a/cmd/valveslip/experiment.go
+++ b/cmd/valveslip/experiment.go
@@ -13,10 +13,12 @@
 func experimentCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "experiment",
-		ShortUsage: "valveslip experiment <run|faults|capacity|list> [flags]",
+		ShortUsage: "valveslip experiment <subcommand> [flags]",
 		ShortHelp:  "run the product's cores on a virtual clock and measure them",
 		Subcommands: []*ffcli.Command{
 			experimentFaultsCommand(),
+			experimentMembershipCommand(os.Stdout),
+			experimentSpreadCommand(os.Stdout),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- /dev/null
+++ b/experiment/hollow/node.go
@@ -0,0 +1,159 @@
+package hollow
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/membership"
+	"github.com/valveslip/valveslip/replication"
+	"github.com/valveslip/valveslip/wire"
+)
+
+const (
+	// tickInterval of the cores.
+	tickInterval = 250 * time.Millisecond
+	// maxHeld bounds the messages a paused node finds when it resumes.
+	maxHeld = 1000
+)
+
+// node is one address at which hollow processes run, one after another.
+type node struct {
+	deployment  *Deployment
+	index       int
+	region      int
+	identity    cluster.Node
+	generation  int
+	membership  *membership.Core
+	replication *replication.Core
+
+	running bool
+	started time.Time
+	// pausedUntil is in the future while the process is paused; it was paused
+	// last from pausedAt.
+	pausedAt, pausedUntil time.Time
+	held                  [][]byte
+	traffic               Traffic
+}
+
+// start runs a new process at the node's address.
+func (n *node) start() {
+	n.generation++
+	d := n.deployment
+	n.identity.ID = cluster.NodeID(fmt.Sprintf("node-%03d-%06d", n.index, n.generation))
+	n.running, n.started, n.held = true, d.clock.now, nil
+	n.pausedAt, n.pausedUntil = time.Time{}, time.Time{}
+	n.membership = membership.New(n.identity, d.seeds, d.options.Membership, d.random.Uint64())
+	configuration := d.options.Replication
+	configuration.Address = n.identity.PeerAddress
+	configuration.Compile, configuration.DecodeTree = d.shared.compile, d.shared.decode
+	n.replication = replication.New(n.identity.ID, configuration)
+	d.byID[n.identity.ID] = n
+	generation := n.generation
+	d.clock.after(time.Duration(d.random.Int64N(int64(tickInterval))), func() { n.tick(generation) })
+}
+
+// crash ends the process without notice.
+func (n *node) crash() { n.running = false }
+
+// pause stops the process for a while; what arrives waits.
+func (n *node) pause(duration time.Duration) {
+	n.pausedAt = n.deployment.clock.now
+	n.pausedUntil = n.pausedAt.Add(duration)
+	generation := n.generation
+	n.deployment.clock.after(duration, func() {
+		if !n.running || n.generation != generation || n.paused() {
+			return
+		}
+		held := n.held
+		n.held = nil
+		for _, data := range held {
+			n.deliver(data)
+		}
+	})
+}
+
+func (n *node) paused() bool { return n.deployment.clock.now.Before(n.pausedUntil) }
+
+// tick steps the cores and schedules the next tick of this process.
+func (n *node) tick(generation int) {
+	if !n.running || n.generation != generation {
+		return
+	}
+	if !n.paused() {
+		now := n.deployment.clock.now
+		n.apply(n.membership.Step(now, membership.Tick{}))
+		n.applyReplication(n.replication.Step(now, replication.Tick{}))
+	}
+	n.deployment.clock.after(tickInterval, func() { n.tick(generation) })
+}
+
+// deliver hands an encoded message to the cores.
+func (n *node) deliver(data []byte) {
+	if !n.running {
+		return
+	}
+	if n.paused() {
+		if len(n.held) < maxHeld {
+			n.held = append(n.held, data)
+		}
+		return
+	}
+	message, err := wire.Decode(data)
+	if err != nil {
+		panic("hollow: " + err.Error())
+	}
+	now := n.deployment.clock.now
+	heartbeat, isHeartbeat := message.(wire.Heartbeat)
+	if !isHeartbeat {
+		n.applyReplication(n.replication.Step(now, replication.MessageReceived{Message: message}))
+		return
+	}
+	n.apply(n.membership.Step(now, membership.HeartbeatReceived{Heartbeat: heartbeat}))
+	if n.deployment.options.WatchAll {
+		return
+	}
+	n.applyReplication(n.replication.Step(now, replication.StampSeen{
+		From: heartbeat.From.ID, Address: heartbeat.From.PeerAddress, Stamp: heartbeat.Stamp,
+		SameZone: heartbeat.From.Zone == n.identity.Zone,
+	}))
+}
+
+// apply carries out the effects of the membership core.
+func (n *node) apply(effects []membership.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case membership.SendHeartbeat:
+			e.Heartbeat.Stamp = n.replication.Stamp()
+			e.Heartbeat.Claims = n.deployment.claims
+			n.deployment.network.send(n, e.Address, e.Heartbeat)
+		case membership.Changed:
+			if n.deployment.onChange != nil {
+				n.deployment.onChange(n, e.Member)
+			}
+			if e.Member.State == membership.StateDead {
+				n.replication.Step(n.deployment.clock.now, replication.PeerGone{ID: e.Member.Node.ID})
+			}
+		}
+	}
+}
+
+// applyReplication carries out the effects of the replication core.
+func (n *node) applyReplication(effects []replication.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case replication.Send:
+			n.deployment.network.send(n, e.Address, e.Message)
+		case replication.InForce:
+			if n.deployment.onInForce != nil {
+				n.deployment.onInForce(n, e.Snapshot.Stamp)
+			}
+		case replication.LoadNeeded:
+			if n.deployment.onLoadNeeded != nil {
+				n.deployment.onLoadNeeded(n)
+			}
+		case replication.Rejected:
+			panic(fmt.Sprintf("hollow: configuration %+v rejected: %v", e.Stamp, e.Err))
+		}
+	}
+}
