--- a/authority/explore/escrow.go
+++ b/authority/explore/escrow.go
@@ -188,7 +188,7 @@
 		}
 	}
 	record := func(r *cluster.Allotment) {
-		number(uint64(r.Revision), flag(w.now.Sub(r.WrittenAt) >= authority.DefaultRebalanceInterval), uint64(len(r.Machines)))
+		number(uint64(r.Revision), oneIf(w.now.Sub(r.WrittenAt) >= authority.DefaultRebalanceInterval), uint64(len(r.Machines)))
 		for i := range r.Models {
 			number(uint64(r.Models[i].MaxReplicas), uint64(r.Models[i].Ceiling))
 		}
@@ -205,14 +205,14 @@
 	for i := range w.zones {
 		zone := &w.zones[i]
 		record(&w.records[i])
-		number(flag(zone.gone), flag(zone.listed), uint64(zone.token), flag(zone.loaded), uint64(len(zone.actors)))
+		number(oneIf(zone.gone), oneIf(zone.listed), uint64(zone.token), oneIf(zone.loaded), uint64(len(zone.actors)))
 		for _, actor := range zone.actors {
-			number(uint64(actor.token), uint64(actor.revision), uint64(actor.limit), flag(actor.sealed), flag(actor.held))
+			number(uint64(actor.token), uint64(actor.revision), uint64(actor.limit), oneIf(actor.sealed), oneIf(actor.held))
 		}
 	}
 	for i := range w.apportioners {
 		a := &w.apportioners[i]
-		number(uint64(a.edit), flag(a.read), uint64(a.guard), flag(a.written != nil))
+		number(uint64(a.edit), oneIf(a.read), uint64(a.guard), oneIf(a.written != nil))
 		buffer = a.presence.AppendState(buffer, w.now)
 		for z := range w.zones {
 			report(a.reports[z])
--- a/authority/explore/escrow_actions.go
+++ b/authority/explore/escrow_actions.go
@@ -174,7 +174,7 @@
 	}
 	report := &wire.ZoneReport{
 		Zone: escrowZoneName(z), Token: actor.token, AllotmentRevision: actor.revision,
-		Models: []wire.ZoneModelReport{{Model: escrowModel, Held: int(flag(actor.held || !actor.sealed))}},
+		Models: []wire.ZoneModelReport{{Model: escrowModel, Held: int(oneIf(actor.held || !actor.sealed))}},
 	}
 	next := w.clone()
 	for j := range next.apportioners {
--- /dev/null
+++ b/authority/explore/walk_test.go
@@ -0,0 +1,35 @@
+package explore
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestRandomWalksAreSafe walks through worlds that are too large to explore.
+func TestRandomWalksAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		scenario := Scenario{
+			Controllers: rapid.IntRange(2, 3).Draw(t, "controllers"), Machines: rapid.IntRange(1, 4).Draw(t, "machines"),
+			Joining: rapid.IntRange(0, 1).Draw(t, "joining"), Limits: []int{1, 2}, Memory: 2,
+			Lapses: 3, Faults: 4, EngineRestarts: 2, NodeRestarts: 2, Outages: 1, Leaves: 1, Unloads: 3,
+		}
+		s := &search{scenario: scenario, variant: VariantNone}
+		state := s.initial()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			var states []*world
+			var labels []string
+			s.successors(state, func(label string, next *world) {
+				states, labels = append(states, next), append(labels, label)
+			})
+			if len(states) == 0 {
+				return
+			}
+			chosen := rapid.IntRange(0, len(states)-1).Draw(t, "step")
+			state = states[chosen]
+			if violation := s.check(state); violation != "" {
+				t.Fatalf("%s after %s", violation, labels[chosen])
+			}
+		}
+	})
+}
--- a/authority/explore/world.go
+++ b/authority/explore/world.go
@@ -138,7 +138,7 @@
 	}
 	for i := range w.engines {
 		engine := &w.engines[i]
-		number(flag(engine.gone), engine.epoch, uint64(engine.token), engine.sequence, uint64(len(engine.replicas)))
+		number(oneIf(engine.gone), engine.epoch, uint64(engine.token), engine.sequence, uint64(len(engine.replicas)))
 		for _, replica := range engine.replicas {
 			text(string(replica.Model))
 			number(uint64(replica.State))
@@ -147,10 +147,10 @@
 		for _, id := range engine.applied {
 			text(id)
 		}
-		number(flag(w.members[i]))
+		number(oneIf(w.members[i]))
 	}
-	number(flag(w.kv.down), uint64(w.kv.revision), uint64(w.kv.holder-formerNode), uint64(w.kv.token), uint64(w.kv.allotment.Revision))
-	number(flag(w.kv.holder != noNode && w.now.Sub(w.kv.sentAt) < leaseTime))
+	number(oneIf(w.kv.down), uint64(w.kv.revision), uint64(w.kv.holder-formerNode), uint64(w.kv.token), uint64(w.kv.allotment.Revision))
+	number(oneIf(w.kv.holder != noNode && w.now.Sub(w.kv.sentAt) < leaseTime))
 	for i := range w.nodes {
 		number(uint64(w.nodes[i].listed), uint64(w.nodes[i].read))
 		buffer = w.nodes[i].core.AppendState(buffer, w.now.Add(tickTime))
@@ -167,7 +167,7 @@
 	return fmt.Appendf(buffer, "%v", w.left)
 }
 
-func flag(value bool) uint64 {
+func oneIf(value bool) uint64 {
 	if value {
 		return 1
 	}
--- a/cmd/valveslip/check_takeover.go
+++ b/cmd/valveslip/check_takeover.go
@@ -60,6 +60,7 @@
 func checkTakeovers(ctx context.Context, out io.Writer, takeovers []explore.Scenario, escrows []explore.EscrowScenario) error {
 	var rows [][]string
 	var broken []explore.Result
+	total := explore.Result{Complete: true}
 	add := func(result explore.Result, err error) error {
 		if err != nil {
 			return err
@@ -67,10 +68,12 @@
 		if result.Violation != "" {
 			broken = append(broken, result)
 		}
-		rows = append(rows, []string{
-			result.Name, strconv.Itoa(result.States), strconv.Itoa(result.Transitions), strconv.Itoa(result.Depth),
-			yesNo(result.Complete), yesNo(result.Violation == ""), result.Elapsed.Round(time.Millisecond).String(),
-		})
+		rows = append(rows, takeoverRow(result))
+		total.States += result.States
+		total.Transitions += result.Transitions
+		total.Depth = max(total.Depth, result.Depth)
+		total.Elapsed += result.Elapsed
+		total.Complete = total.Complete && result.Complete
 		return nil
 	}
 	for _, scenario := range takeovers {
@@ -83,6 +86,11 @@
 			return err
 		}
 	}
+	total.Name = "total"
+	if len(broken) > 0 {
+		total.Violation = broken[0].Violation
+	}
+	rows = append(rows, takeoverRow(total))
 	if err := writeTable(out, []string{"scenario", "states", "transitions", "depth", "complete", "safe", "time"}, rows); err != nil {
 		return err
 	}
@@ -97,3 +105,11 @@
 	}
 	return nil
 }
+
+// takeoverRow is the line of one exploration.
+func takeoverRow(result explore.Result) []string {
+	return []string{
+		result.Name, strconv.Itoa(result.States), strconv.Itoa(result.Transitions), strconv.Itoa(result.Depth),
+		yesNo(result.Complete), yesNo(result.Violation == ""), result.Elapsed.Round(time.Millisecond).String(),
+	}
+}
