Run a request with an Idempotency-Key at most once in its cell

The node that accepts such a request claims the key from its owner by typed messages (kinds 11 to 17 of schema version 2), runs it to its end even when the caller leaves, keeps the answer (256 KiB each, 8 MiB in all) and tells the owner twice how it ended, since messages may be lost. Repetitions on any node get the kept answer, 409 while it runs, or are told that it may have run. Tests on virtual time: 20 repetitions at once over 5 nodes run once and all later ones get the answer; an owner that cannot be asked means not run.

--- a/api/callers_headers.go
+++ b/api/callers_headers.go
@@ -26,11 +26,19 @@
 	deadline   time.Time
 	priority   int
 	repeatable bool
+	// key is the Idempotency-Key, empty for none.
+	key string
 }
 
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
 // readTerms reads the header fields; policy gives what they leave out.
 func (c *callers) readTerms(header http.Header, policy *settings.Policy, now time.Time) (terms, *bodyError) {
 	read := terms{priority: policy.Priority, repeatable: policy.Repeatable}
+	if read.key = header.Get(HeaderIdempotencyKey); len(read.key) > maxKeyBytes {
+		return read, invalid(HeaderIdempotencyKey, "the key is longer than %d bytes", maxKeyBytes)
+	}
 	var fault *bodyError
 	if read.deadline, fault = c.readDeadline(header.Get(engine.HeaderDeadline), policy, now); fault != nil {
 		return read, fault
--- a/api/callers_infer.go
+++ b/api/callers_infer.go
@@ -70,7 +70,7 @@
 	if fault != nil {
 		return relay.Call{}, token, fault
 	}
-	call := relay.Call{Path: r.URL.Path, Body: body, Header: engineHeader(r.Header), Stream: parsed.Stream}
+	call := relay.Call{Path: r.URL.Path, Body: body, Header: engineHeader(r.Header), Stream: parsed.Stream, Key: stated.key}
 	call.Request = routing.Request{
 		ID: id, Model: model.ID, TokenPath: token.Path, Team: token.Path,
 		Priority: stated.priority, Deadline: stated.deadline, Repeatable: stated.repeatable,
--- a/node/shell/inspection/ask.go
+++ b/node/shell/inspection/ask.go
@@ -27,8 +27,8 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, b.askTime)
 	defer cancel()
-	number, answers := b.open(len(nodes))
-	defer b.forget(number)
+	number, answers := b.exchange.Open(len(nodes))
+	defer b.exchange.Forget(number)
 	for _, other := range nodes {
 		b.source.Send(other.PeerAddress, wire.InspectionRequest{
 			From: b.source.Self().ID, FromAddress: b.source.Self().PeerAddress, Number: number, Subject: subject, Key: key,
@@ -36,9 +36,9 @@
 	}
 	for range nodes {
 		select {
-		case answer := <-answers:
+		case received := <-answers:
 			var list []T
-			if answer.Found && json.Unmarshal(answer.Data, &list) == nil {
+			if answer, ok := received.(wire.InspectionAnswer); ok && answer.Found && json.Unmarshal(answer.Data, &list) == nil {
 				local = append(local, list...)
 			}
 		case <-bounded.Done():
@@ -48,23 +48,6 @@
 	return local
 }
 
-// open returns the number of a new question and where its answers arrive.
-func (b *Backend) open(nodes int) (uint64, <-chan wire.InspectionAnswer) {
-	answers := make(chan wire.InspectionAnswer, nodes)
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.number++
-	b.pending[b.number] = answers
-	return b.number, answers
-}
-
-// forget drops a question; later answers to it are ignored.
-func (b *Backend) forget(number uint64) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	delete(b.pending, number)
-}
-
 // Handle takes the messages that concern inspection. It returns false for all
 // others.
 func (b *Backend) Handle(message wire.Message) bool {
@@ -72,26 +55,13 @@
 	case wire.InspectionRequest:
 		b.answer(message)
 	case wire.InspectionAnswer:
-		b.deliver(message)
+		b.exchange.Deliver(message.Number, message)
 	default:
 		return false
 	}
 	return true
 }
 
-// deliver hands an answer to the question it belongs to. A second answer of a
-// node finds no room and is dropped.
-func (b *Backend) deliver(answer wire.InspectionAnswer) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if answers, open := b.pending[answer.Number]; open {
-		select {
-		case answers <- answer:
-		default:
-		}
-	}
-}
-
 // answer sends what this node holds on a subject.
 func (b *Backend) answer(request wire.InspectionRequest) {
 	answer := wire.InspectionAnswer{From: b.source.Self().ID, Number: request.Number}
--- a/node/shell/inspection/backend.go
+++ b/node/shell/inspection/backend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/valveslip/valveslip/api/admin"
@@ -13,6 +12,7 @@
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/wire"
+	"github.com/valveslip/valveslip/wire/exchange"
 )
 
 // Source is the node that is inspected.
@@ -38,9 +38,7 @@
 	source  Source
 	askTime time.Duration
 
-	mutex   sync.Mutex
-	number  uint64
-	pending map[uint64]chan<- wire.InspectionAnswer
+	exchange exchange.Table
 }
 
 var _ admin.Backend = (*Backend)(nil)
@@ -51,10 +49,7 @@
 	if askTime == 0 {
 		askTime = DefaultAskTime
 	}
-	return &Backend{
-		EventLog: admin.NewEventLog(eventLogLength), source: source, askTime: askTime,
-		pending: make(map[uint64]chan<- wire.InspectionAnswer),
-	}
+	return &Backend{EventLog: admin.NewEventLog(eventLogLength), source: source, askTime: askTime}
 }
 
 // Settings implements admin.Backend.
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -18,6 +18,8 @@
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/node/shell/inspection"
 	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/relay/keyed"
+	"github.com/valveslip/valveslip/routing/idempotency"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -45,6 +47,7 @@
 	tickets map[cluster.RequestID]*relay.Ticket
 	journal *journal.Journal
 	backend *inspection.Backend
+	keys    *keyed.Runner
 
 	settings  atomic.Pointer[settings.Snapshot]
 	transport Transport
@@ -53,9 +56,11 @@
 
 	keyValuePool, enginePool, platformPool *pool
 
+	began       time.Time
 	context     context.Context
 	cancel      context.CancelFunc
 	tasks       sync.WaitGroup
+	ready       atomic.Bool
 	draining    atomic.Bool
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -67,7 +72,7 @@
 // Start runs a node. It drains and stops when ctx ends or Stop is called.
 func Start(ctx context.Context, config node.Config, options Options) (*Node, error) {
 	n := &Node{
-		config: config, options: options.withDefaults(config),
+		config: config, options: options.withDefaults(config), began: time.Now(),
 		tickets:      make(map[cluster.RequestID]*relay.Ticket),
 		journal:      journal.New(journal.Config{}),
 		keyValuePool: newPool(keyValueWorkers, keyValueQueue),
@@ -83,12 +88,16 @@
 		return nil, err
 	}
 	n.logger = n.options.Logger.With("node", string(n.self.ID))
+	runner := relay.NewRunner(n, n.options.Engines, relay.Options{Logger: n.logger})
+	n.keys = keyed.NewRunner(runner, n, idempotency.Config{}, 0)
 	n.metrics = newMetrics(n.self, newCollector(n, n.self))
 	n.serve(callers, admin)
 	n.mutex.Lock()
 	n.core = n.options.NewCore(n.self)
 	n.mutex.Unlock()
+	n.ready.Store(true)
 	n.background(n.tick)
+	n.background(n.followMembers)
 	n.logger.Info("node started", "zone", n.self.Zone, "callers", n.self.CallerAddress, "admin", n.self.AdminAddress, "peers", n.self.PeerAddress)
 	go n.stopWith(ctx)
 	return n, nil
@@ -114,9 +123,13 @@
 	return callers, admin, nil
 }
 
-// receive takes a message of a peer.
+// receive takes a message of a peer. Those that come before the node is put
+// together are lost, as any message may be.
 func (n *Node) receive(message wire.Message) {
-	if !n.backend.Handle(message) {
+	if !n.ready.Load() {
+		return
+	}
+	if !n.backend.Handle(message) && !n.keys.Handle(message) {
 		n.step(node.MessageReceived{Message: message})
 	}
 }
@@ -133,7 +146,7 @@
 func (n *Node) serve(callers, admin net.Listener) {
 	handler := api.NewCallers(api.CallersConfig{
 		Node:         n.self.ID,
-		Runner:       relay.NewRunner(n, n.options.Engines, relay.Options{Logger: n.logger}),
+		Runner:       n.keys,
 		Settings:     n.settings.Load,
 		MaxBodyBytes: n.config.MaxBodyBytes,
 		Logger:       n.logger,
@@ -183,6 +196,23 @@
 	}
 }
 
+// membersInterval is how often the idempotency keys follow the membership.
+const membersInterval = 500 * time.Millisecond
+
+// followMembers keeps the owners of idempotency keys up to date.
+func (n *Node) followMembers() {
+	ticker := time.NewTicker(membersInterval)
+	defer ticker.Stop()
+	for {
+		n.keys.SetMembers(time.Now())
+		select {
+		case <-ticker.C:
+		case <-n.context.Done():
+			return
+		}
+	}
+}
+
 // inFlight counts requests that have not ended.
 func (n *Node) inFlight() int {
 	n.mutex.Lock()
@@ -213,3 +243,25 @@
 	}
 	return composed
 }
+
+// joinTime is how long a node with seeds waits to learn of other nodes before it
+// takes itself for the only one of its cell.
+const joinTime = 10 * time.Second
+
+// Neighbours implements keyed.Peers: the other nodes of the zone that are not
+// held to be dead.
+func (n *Node) Neighbours() (neighbours []cluster.Node, known bool) {
+	composed := n.Inspect(func(core *node.Core) {
+		for _, member := range core.Members() {
+			if !member.Running() || member.Node.ID == n.self.ID {
+				continue
+			}
+			known = true
+			if member.Node.Zone == n.self.Zone {
+				neighbours = append(neighbours, member.Node)
+			}
+		}
+	})
+	alone := !composed || len(n.config.Seeds) == 0 || time.Since(n.began) > joinTime
+	return neighbours, known || alone
+}
--- /dev/null
+++ b/relay/keyed/keyed_test.go
@@ -0,0 +1,238 @@
+package keyed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/routing/idempotency"
+	"github.com/valveslip/valveslip/verdict"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// cell is a set of nodes joined by a network without loss, apart from nodes
+// that are cut off.
+type cell struct {
+	mutex   sync.Mutex
+	runners map[string]*Runner
+	nodes   []cluster.Node
+	cut     map[string]bool
+	engine  *engine
+}
+
+// engine counts runs. Each takes a second and answers with its number, or fails.
+type engine struct {
+	mutex sync.Mutex
+	runs  int
+	fail  *verdict.Error
+}
+
+// Run implements Inner.
+func (e *engine) Run(ctx context.Context, _ relay.Call, sink relay.Sink) relay.Result {
+	e.mutex.Lock()
+	e.runs++
+	number, failure := e.runs, e.fail
+	e.mutex.Unlock()
+	select {
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+		return relay.Result{Failure: verdict.New(verdict.MayHaveRun, verdict.CodeCallerGone, "left")}
+	}
+	if failure != nil {
+		return relay.Result{Failure: failure}
+	}
+	_ = sink.Start(http.StatusOK, http.Header{"Content-Type": {"text/plain"}})
+	_ = sink.Write([]byte(fmt.Sprint("answer ", number)))
+	return relay.Result{Started: true, Status: http.StatusOK}
+}
+
+// member is one node's view of the cell.
+type member struct {
+	*cell
+	self cluster.Node
+}
+
+func (m member) Self() cluster.Node { return m.self }
+
+func (m member) Neighbours() (others []cluster.Node, known bool) {
+	for _, other := range m.nodes {
+		if other.ID != m.self.ID {
+			others = append(others, other)
+		}
+	}
+	return others, true
+}
+
+func (m member) Send(address string, message wire.Message) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if receiver := m.runners[address]; receiver != nil && !m.cut[address] && !m.cut[m.self.PeerAddress] {
+		go receiver.Handle(message)
+	}
+}
+
+// newCell returns a cell of joined nodes.
+func newCell(count int) *cell {
+	c := &cell{runners: map[string]*Runner{}, cut: map[string]bool{}, engine: &engine{}}
+	for i := range count {
+		name := fmt.Sprint("node-", i)
+		c.nodes = append(c.nodes, cluster.Node{ID: cluster.NodeID(name), PeerAddress: name})
+	}
+	for _, node := range c.nodes {
+		c.runners[node.PeerAddress] = NewRunner(c.engine, member{c, node}, idempotency.Config{}, 0)
+	}
+	for _, runner := range c.runners {
+		// A cell that starts has no former members to ask.
+		runner.table.SetMembers(time.Now().Add(-time.Hour), []cluster.NodeID{runner.peers.Self().ID})
+		runner.SetMembers(time.Now().Add(-31 * time.Minute))
+	}
+	return c
+}
+
+// caller collects an answer.
+type caller struct {
+	body strings.Builder
+	gone bool
+}
+
+func (c *caller) Start(int, http.Header) error { return nil }
+
+func (c *caller) Write(data []byte) error {
+	if c.gone {
+		return errors.New("connection reset")
+	}
+	c.body.Write(data)
+	return nil
+}
+
+// requests numbers the requests of a test.
+var requests struct {
+	sync.Mutex
+	count int
+}
+
+// ask sends a request with a key through a node.
+func (c *cell) ask(t *testing.T, node int, key, body string) (string, *verdict.Error) {
+	return c.askAs(t.Context(), node, key, body, &caller{})
+}
+
+func (c *cell) askAs(ctx context.Context, node int, key, body string, sink *caller) (string, *verdict.Error) {
+	requests.Lock()
+	requests.count++
+	id := cluster.RequestID(fmt.Sprint("r", requests.count))
+	requests.Unlock()
+	call := relay.Call{Request: routing.Request{ID: id, TokenPath: "/dental"}, Body: []byte(body), Key: key}
+	result := c.runners[c.nodes[node].PeerAddress].Run(ctx, call, sink)
+	return sink.body.String(), result.Failure
+}
+
+func TestRepetitionsOnAnyNodeRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(5)
+		var together sync.WaitGroup
+		answered := make(chan string, 20)
+		for i := range 20 {
+			together.Go(func() {
+				body, failure := c.ask(t, i%5, "k", "confirm")
+				if failure == nil {
+					answered <- body
+				} else if failure.Code != verdict.CodeDuplicateKey || failure.RetryAfter == 0 {
+					t.Errorf("refused with %v", failure)
+				}
+			})
+		}
+		together.Wait()
+		close(answered)
+		if len(answered) != 1 || c.engine.runs != 1 {
+			t.Fatalf("%d answers, %d runs", len(answered), c.engine.runs)
+		}
+		for node := range 5 {
+			if body, failure := c.ask(t, node, "k", "confirm"); failure != nil || body != "answer 1" {
+				t.Errorf("repetition on node %d: %q, %v", node, body, failure)
+			}
+		}
+	})
+}
+
+func TestKeyWithAnotherRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		_, _ = c.ask(t, 0, "k", "confirm")
+		_, failure := c.ask(t, 1, "k", "cancel")
+		if failure == nil || failure.Code != verdict.CodeConflict || failure.Verdict != verdict.NotRun || c.engine.runs != 1 {
+			t.Fatalf("%v after %d runs", failure, c.engine.runs)
+		}
+	})
+}
+
+func TestRequestThatDidNotRunFreesItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		c.engine.fail = verdict.New(verdict.NotRun, verdict.CodeQueueFull, "full")
+		_, _ = c.ask(t, 0, "k", "confirm")
+		time.Sleep(time.Second)
+		c.engine.fail = nil
+		if body, failure := c.ask(t, 1, "k", "confirm"); failure != nil || body != "answer 2" {
+			t.Fatalf("%q, %v", body, failure)
+		}
+	})
+}
+
+func TestRequestThatMayHaveRunKeepsItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		c.engine.fail = verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "lost")
+		_, _ = c.ask(t, 0, "k", "confirm")
+		time.Sleep(time.Second)
+		c.engine.fail = nil
+		_, failure := c.ask(t, 1, "k", "confirm")
+		if failure == nil || failure.Code != verdict.CodeOutcomeUnknown || c.engine.runs != 1 {
+			t.Fatalf("%v after %d runs", failure, c.engine.runs)
+		}
+	})
+}
+
+func TestAnswerIsKeptForACallerWhoLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		_, failure := c.askAs(ctx, 0, "k", "confirm", &caller{gone: true})
+		if failure == nil || failure.Code != verdict.CodeCallerGone {
+			t.Fatalf("first: %v", failure)
+		}
+		if body, failure := c.ask(t, 2, "k", "confirm"); failure != nil || body != "answer 1" {
+			t.Fatalf("repetition: %q, %v", body, failure)
+		}
+	})
+}
+
+func TestOwnerThatCannotBeAskedMeansNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(2)
+		c.cut["node-1"] = true
+		refused := 0
+		for i := range 20 {
+			_, failure := c.ask(t, 0, fmt.Sprint("key-", i), "confirm")
+			if failure == nil {
+				continue
+			}
+			refused++
+			if failure.Verdict != verdict.NotRun || failure.RetryAfter == 0 {
+				t.Errorf("refused with %v", failure)
+			}
+		}
+		if refused == 0 || refused+c.engine.runs != 20 {
+			t.Fatalf("%d refused, %d runs", refused, c.engine.runs)
+		}
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,6 +73,9 @@
 	// Stream is true when the answer is relayed as it comes; otherwise it is
 	// held until it is whole.
 	Stream bool
+	// Key is the caller's Idempotency-Key, empty for none. Package keyed heeds
+	// it; a Runner does not.
+	Key string
 }
 
 // Sink is where the answer goes. Errors mean that the caller is gone.
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -52,6 +52,13 @@
 	KindZoneReport
 	KindInspectionRequest
 	KindInspectionAnswer
+	KindKeyClaim
+	KindKeyDecision
+	KindKeyOutcome
+	KindKeyQuestion
+	KindKeyAnswer
+	KindKeptAnswerRequest
+	KindKeptAnswer
 )
 
 // layout ties a kind to its schema name and its record.
@@ -71,6 +78,13 @@
 	KindZoneReport:            {"ZoneReport", func() record { return new(zoneReportRecord) }},
 	KindInspectionRequest:     {"InspectionRequest", func() record { return new(inspectionRequestRecord) }},
 	KindInspectionAnswer:      {"InspectionAnswer", func() record { return new(inspectionAnswerRecord) }},
+	KindKeyClaim:              {"KeyClaim", func() record { return new(keyClaimRecord) }},
+	KindKeyDecision:           {"KeyDecision", func() record { return new(keyDecisionRecord) }},
+	KindKeyOutcome:            {"KeyOutcome", func() record { return new(keyOutcomeRecord) }},
+	KindKeyQuestion:           {"KeyQuestion", func() record { return new(keyQuestionRecord) }},
+	KindKeyAnswer:             {"KeyAnswer", func() record { return new(keyAnswerRecord) }},
+	KindKeptAnswerRequest:     {"KeptAnswerRequest", func() record { return new(keptAnswerRequestRecord) }},
+	KindKeptAnswer:            {"KeptAnswer", func() record { return new(keptAnswerRecord) }},
 }
 
 // toRecord returns the kind of message and its record.
@@ -96,6 +110,21 @@
 		return KindInspectionRequest, inspectionRequestToRecord(m), nil
 	case InspectionAnswer:
 		return KindInspectionAnswer, inspectionAnswerToRecord(m), nil
+	case KeyClaim:
+		return KindKeyClaim, keyClaimToRecord(m), nil
+	case KeyDecision:
+		return KindKeyDecision, keyDecisionToRecord(m), nil
+	case KeyOutcome:
+		rec := keyOutcomeRecord(m)
+		return KindKeyOutcome, &rec, nil
+	case KeyQuestion:
+		return KindKeyQuestion, keyQuestionToRecord(m), nil
+	case KeyAnswer:
+		return KindKeyAnswer, keyAnswerToRecord(m), nil
+	case KeptAnswerRequest:
+		return KindKeptAnswerRequest, keptAnswerRequestToRecord(m), nil
+	case KeptAnswer:
+		return KindKeptAnswer, keptAnswerToRecord(m), nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -67,12 +67,29 @@
 		},
 		KindInspectionRequest: InspectionRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 1<<63 + 7, Subject: "decisions", Key: "recall"},
 		KindInspectionAnswer:  InspectionAnswer{From: "node-a", Number: 1<<63 + 7, Found: true, Data: []byte("[]")},
+		KindKeyClaim: KeyClaim{
+			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, TokenPath: "/dental", Key: "k", Fingerprint: 1<<63 + 1, Request: "node-a.1",
+		},
+		KindKeyDecision: KeyDecision{From: "node-a", Number: 7, Kind: 4, Owner: "node-b", Outcome: sampleOutcome, RetryAfter: time.Second},
+		KindKeyOutcome:  KeyOutcome{From: "node-a", TokenPath: "/dental", Key: "k", Outcome: sampleOutcome},
+		KindKeyQuestion: KeyQuestion{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, TokenPath: "/dental", Key: "k"},
+		KindKeyAnswer: KeyAnswer{
+			From: "node-a", Number: 7, Kind: 3, Outcome: sampleOutcome, Fingerprint: 1<<63 + 1,
+			Past: []PastMembership{{Until: 1, Nodes: []cluster.NodeID{"node-b"}}},
+		},
+		KindKeptAnswerRequest: KeptAnswerRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Request: "node-a.1"},
+		KindKeptAnswer:        KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
 }
 
+var sampleOutcome = KeyOutcomeRecord{Kind: 2, Request: "node-a.1", Holder: "node-c"}
+
 // since is the version in which a kind of message first appeared, where that
 // is not the first.
-var since = map[Kind]int32{KindInspectionRequest: 2, KindInspectionAnswer: 2}
+var since = map[Kind]int32{
+	KindInspectionRequest: 2, KindInspectionAnswer: 2, KindKeyClaim: 2, KindKeyDecision: 2, KindKeyOutcome: 2,
+	KindKeyQuestion: 2, KindKeyAnswer: 2, KindKeptAnswerRequest: 2, KindKeptAnswer: 2,
+}
 
 // asVersion1 is the message as version 1 carries it.
 func asVersion1(message Message) Message {
