Add the status page

Cause: operators want to see what is loaded where, what waits and which nodes are behind without a terminal. Change: /admin/ serves one page without build step and without anything from elsewhere; it asks for a token and reads the administration API with it, shows text as text only, and a content security policy forbids all else.

--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -67,6 +67,7 @@
 			Message: r.Method + " is not allowed here", Verdict: verdict.NotRun.String()}, 0)
 	})
 	router.Route(Prefix, s.routes)
+	servePage(router)
 	return router
 }
 
--- a/api/admin/admin_test.go
+++ b/api/admin/admin_test.go
@@ -64,7 +64,9 @@
 		}
 	}
 	err = chi.Walk(newRouter(Config{}), func(method, route string, _ http.Handler, _ ...func(http.Handler) http.Handler) error {
-		served = append(served, method+" "+route)
+		if strings.HasPrefix(route, Prefix) {
+			served = append(served, method+" "+route)
+		}
 		return nil
 	})
 	slices.Sort(described)
@@ -82,6 +84,26 @@
 	h.get("root", "/tree").want(http.StatusOK, nil)
 }
 
+func TestTheStatusPageLoadsNothingFromElsewhere(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	for path, kind := range map[string]string{"/admin/": "text/html", "/admin/style.css": "text/css", "/admin/script.js": "text/javascript"} {
+		recorder := httptest.NewRecorder()
+		h.handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		body := recorder.Body.String()
+		if recorder.Code != http.StatusOK || !strings.HasPrefix(recorder.Header().Get("Content-Type"), kind) {
+			t.Errorf("%s: status %d, type %s", path, recorder.Code, recorder.Header().Get("Content-Type"))
+		}
+		if policy := recorder.Header().Get("Content-Security-Policy"); !strings.Contains(policy, "default-src 'none'") {
+			t.Errorf("%s: policy %q", path, policy)
+		}
+		for _, foreign := range []string{"http://", "https://", "innerHTML", "<script>", "style="} {
+			if strings.Contains(body, foreign) {
+				t.Errorf("%s holds %s", path, foreign)
+			}
+		}
+	}
+}
+
 func TestTheFirstEditComesFromTheBootstrapToken(t *testing.T) {
 	h := newTreeHarness(t, nil)
 	if code := h.get("root", "/tree").wantFailure(http.StatusServiceUnavailable).Code; code != verdict.CodeUnavailable {
--- a/api/admin/text.go
+++ b/api/admin/text.go
@@ -29,22 +29,22 @@
 	case decision.Held == 0 && decision.Wanted == 0:
 		return "not loaded"
 	case decision.Held == 0:
-		return fmt.Sprintf("not loaded, %s wanted, %d allowed", replicas(decision.Wanted), decision.Allowed)
+		return fmt.Sprintf("not loaded, %s wanted, %d allowed", counted(decision.Wanted, "replica"), decision.Allowed)
 	case decision.Wanted == 0:
-		return fmt.Sprintf("unloading %s", replicas(decision.Held))
+		return fmt.Sprintf("unloading %s", counted(decision.Held, "replica"))
 	case decision.Loaded == decision.Wanted && decision.Held == decision.Loaded:
-		return replicas(decision.Loaded) + " loaded"
+		return counted(decision.Loaded, "replica") + " loaded"
 	default:
-		return fmt.Sprintf("%d of %s loaded, %d held, %d allowed", decision.Loaded, replicas(decision.Wanted), decision.Held, decision.Allowed)
+		return fmt.Sprintf("%d of %s loaded, %d held, %d allowed", decision.Loaded, counted(decision.Wanted, "replica"), decision.Held, decision.Allowed)
 	}
 }
 
-// replicas counts replicas in words.
-func replicas(count int) string {
+// counted counts things in words.
+func counted(count int, thing string) string {
 	if count == 1 {
-		return "1 replica"
+		return "1 " + thing
 	}
-	return fmt.Sprintf("%d replicas", count)
+	return fmt.Sprintf("%d %ss", count, thing)
 }
 
 // ReasonText says what decided, with the setting and the level it came from.
@@ -55,7 +55,7 @@
 		fmt.Fprintf(&text, "idle %s, keep-alive %s%s", span(reason.Idle), span(reason.KeepAlive), from(reason.Source))
 		return text.String()
 	case placement.CauseDemand:
-		fmt.Fprintf(&text, "%d requests waiting", reason.Waiting)
+		fmt.Fprintf(&text, "%s waiting", counted(reason.Waiting, "request"))
 	default:
 		text.WriteString(string(reason.Cause))
 	}
