Acquire a lease again after it lapsed in an outage

Cause: the key-value client and the simulated service answer a keep-alive of an expired lease with an error, which the node's lease session took for no answer; so after an outage longer than the lease no node ever acquired a cell again, and engines that had to be sealed stayed out of use for good. Change: an error whose cause is kv.ErrLeaseNotFound means that the lease is gone; the stand-in's error is one. An injected cut counts the tokens of its own connection, so that a resumed stream makes progress.

--- a/node/lease.go
+++ b/node/lease.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -160,14 +161,14 @@
 }
 
 func (s *leaseSession) renewed(answer KeyValueAnswered) leaseOutcome {
+	if answer.Err == nil && answer.TTL <= 0 || errors.Is(answer.Err, kv.ErrLeaseNotFound) {
+		s.reset()
+		return leaseGone
+	}
 	if answer.Err != nil {
 		s.state = leaseHeld
 		return leaseNoAnswer
 	}
-	if answer.TTL <= 0 {
-		s.reset()
-		return leaseGone
-	}
 	s.state, s.promised = leaseHeld, answer.TTL
 	return leaseExtended
 }
--- a/standin/engine/reader.go
+++ b/standin/engine/reader.go
@@ -21,7 +21,7 @@
 	wake   chan struct{}
 	format *format
 	view   View
-	// cut ends the connection after so many tokens; zero means never.
+	// cut ends the connection at that token of the answer; zero means never.
 	cut int
 }
 
@@ -106,9 +106,6 @@
 // serveStream writes tokens as they come. skip bytes of the answer were
 // delivered before.
 func (r *reader) serveStream(writer http.ResponseWriter, request *http.Request, skip int64) {
-	if order, strikes := r.server.Strike(fault.KindCutStream); strikes {
-		r.cut = max(order.Tokens, 1)
-	}
 	writer.Header()["Content-Type"] = []string{"text/event-stream"}
 	writer.Header()["Cache-Control"] = []string{"no-cache"}
 	out := &skippingWriter{to: writer, skip: skip}
@@ -116,6 +113,9 @@
 	written := int(skip / int64(r.format.chunkBytes()))
 	written = min(written, r.format.tokens)
 	out.skip -= int64(written * r.format.chunkBytes())
+	if order, strikes := r.server.Strike(fault.KindCutStream); strikes {
+		r.cut = written + max(order.Tokens, 1)
+	}
 	pooled := buffers.Get().(*[]byte)
 	buffer := (*pooled)[:0]
 	defer func() {
--- a/standin/keyvalue/state.go
+++ b/standin/keyvalue/state.go
@@ -9,6 +9,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sort"
 	"time"
 
@@ -17,7 +18,8 @@
 
 // Errors of State.
 var (
-	ErrLeaseNotFound = errors.New("requested lease not found")
+	// ErrLeaseNotFound is a kv.ErrLeaseNotFound.
+	ErrLeaseNotFound = fmt.Errorf("requested %w", kv.ErrLeaseNotFound)
 	ErrDuplicateKey  = errors.New("duplicate key given in txn request")
 	ErrEmptyKey      = errors.New("key is not provided")
 	ErrFuture        = errors.New("required revision is a future revision")
