Serve TLS with reloaded certificates and mutual TLS between nodes

Each handshake looks at the times of the files; changed ones are read again and a damaged one leaves the former identity in use. Between nodes both sides must show a certificate of the configured authority; names are not checked, because nodes are replaced at any time under any address.

--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -49,6 +49,7 @@
 	backend *inspection.Backend
 	keys    *keyed.Runner
 
+	identity  *identityFiles
 	settings  atomic.Pointer[settings.Snapshot]
 	transport Transport
 	callers   *http.Server
@@ -82,7 +83,7 @@
 	}
 	n.backend = inspection.New(n, 0)
 	n.context, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	callers, admin, err := n.open()
+	callers, admin, err := n.openSecured()
 	if err != nil {
 		n.cancel()
 		return nil, err
@@ -103,6 +104,14 @@
 	return n, nil
 }
 
+// openSecured reads the TLS files and opens the listeners.
+func (n *Node) openSecured() (callers, admin net.Listener, err error) {
+	if n.identity, err = newIdentityFiles(n.config.TLS, n.options.Logger); err != nil {
+		return nil, nil, err
+	}
+	return n.open()
+}
+
 // open opens the listeners and the transport, and so learns the node's
 // addresses.
 func (n *Node) open() (callers, admin net.Listener, err error) {
@@ -112,7 +121,7 @@
 	if admin, err = listen(n.options.AdminListener, n.config.AdminAddress); err != nil {
 		return nil, nil, errors.Join(eris.Wrap(err, "administration listener"), callers.Close())
 	}
-	n.transport, err = n.options.NewTransport(n.config.PeerAddress, n.receive)
+	n.transport, err = n.openTransport()
 	if err != nil {
 		return nil, nil, errors.Join(eris.Wrap(err, "peers' listener"), callers.Close(), admin.Close())
 	}
@@ -123,6 +132,18 @@
 	return callers, admin, nil
 }
 
+// openTransport opens the transport between nodes.
+func (n *Node) openTransport() (Transport, error) {
+	if n.options.NewTransport != nil {
+		return n.options.NewTransport(n.config.PeerAddress, n.receive)
+	}
+	var options []wire.Option
+	if n.config.TLS.PeerAuthorityFile != "" {
+		options = append(options, wire.WithTLS(n.identity.peerServerConfig(), n.identity.peerClientConfig()))
+	}
+	return wire.NewTransport(n.config.PeerAddress, n.options.Logger, n.receive, options...)
+}
+
 // receive takes a message of a peer. Those that come before the node is put
 // together are lost, as any message may be.
 func (n *Node) receive(message wire.Message) {
@@ -160,15 +181,25 @@
 
 // server returns an HTTP server with the bounds of a listener.
 func (n *Node) server(handler http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
 	}
+	if n.identity != nil {
+		server.TLSConfig = n.identity.serverConfig()
+	}
+	return server
 }
 
 // run serves until the server is shut down.
 func (n *Node) run(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	var err error
+	if n.identity != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		n.logger.Error("listener failed", "address", listener.Addr(), "error", err)
 	}
 }
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -83,9 +83,6 @@
 			return node.NewCore(node.CoreConfig{Self: self, Seeds: config.Seeds, Seed: randomSeed()})
 		}
 	}
-	if o.NewTransport == nil {
-		o.NewTransport = o.wireTransport
-	}
 	if o.Store == nil {
 		o.Store = kv.NewClient(config.KeyValueURL)
 	}
@@ -100,8 +97,3 @@
 	}
 	return o
 }
-
-// wireTransport opens the transport between nodes.
-func (o Options) wireTransport(listen string, handle func(wire.Message)) (Transport, error) {
-	return wire.NewTransport(listen, o.Logger, handle)
-}
