Report the machines' engine pools to the apportioner

Cause: the apportioner knew the pools of its own zone only, so in a zone with more machines than candidates a model could get none of its pool. The very first division waits up to ReportMaxAge for the reports of large zones.

--- a/authority/apportion.go
+++ b/authority/apportion.go
@@ -77,8 +77,6 @@
 	// be that of the reporting Controller at the moment of the report.
 	Report    *wire.ZoneReport
 	ReportAge time.Duration
-	// Pools gives the engine pool of machines where it is known.
-	Pools map[cluster.MachineID]string
 }
 
 // ApportionPlan is the outcome of a round.
@@ -108,6 +106,9 @@
 	RefusedNoSettings  RefusedCause = "no settings"
 	RefusedNoMachines  RefusedCause = "machine list not read yet"
 	RefusedOldSettings RefusedCause = "a record was computed from later settings"
+	// RefusedNoReports holds back the very first division for ReportMaxAge, so
+	// that the candidates of large zones are chosen by their engine pools.
+	RefusedNoReports RefusedCause = "waiting for the first zone reports"
 )
 
 // CountChange is a changed count of one model in one zone.
@@ -167,9 +168,35 @@
 			return RefusedOldSettings
 		}
 	}
+	if state.awaitsReports() {
+		return RefusedNoReports
+	}
 	return ""
 }
 
+// awaitsReports reports whether nothing is divided yet and a zone large enough
+// to need candidates has not reported, shortly after the start.
+func (s *ApportionState) awaitsReports() bool {
+	if s.Now.Sub(s.Presence.first) >= s.Config.ReportMaxAge {
+		return false
+	}
+	reported := make(map[cluster.ZoneID]bool)
+	for i := range s.Zones {
+		if s.Zones[i].Allotment.Revision != 0 {
+			return false
+		}
+		reported[s.Zones[i].Zone] = s.Zones[i].Report != nil
+	}
+	sizes := make(map[cluster.ZoneID]int)
+	for _, machine := range s.Presence.machines {
+		sizes[machine.Zone]++
+		if sizes[machine.Zone] > s.Config.CandidateCount && !reported[machine.Zone] {
+			return true
+		}
+	}
+	return false
+}
+
 // collect turns the divided zones into writes within the byte budget.
 func (d *division) collect(plan *ApportionPlan) {
 	bytes := 0
--- a/authority/candidates.go
+++ b/authority/candidates.go
@@ -69,7 +69,7 @@
 	if z.leaving[id] {
 		return false
 	}
-	present, known := z.view.Pools[id]
+	present, known := z.pools[id]
 	return !known || pool == "" || present == pool
 }
 
--- a/authority/division.go
+++ b/authority/division.go
@@ -43,6 +43,8 @@
 	// fresh reports may be used for balance and demand.
 	fresh   bool
 	reports map[cluster.ModelID]wire.ZoneModelReport
+	// pools gives the engine pool of machines where it is known.
+	pools map[cluster.MachineID]string
 	// movable: the record is old enough to move counts for balance.
 	movable bool
 
@@ -109,6 +111,12 @@
 	for _, report := range view.Report.Models {
 		zone.reports[report.Model] = report
 	}
+	zone.pools = make(map[cluster.MachineID]string, len(view.Report.Pools))
+	for _, pool := range view.Report.Pools {
+		for _, id := range pool.Machines {
+			zone.pools[id] = pool.Pool
+		}
+	}
 	return zone
 }
 
--- a/authority/view.go
+++ b/authority/view.go
@@ -178,13 +178,17 @@
 	return free
 }
 
-// Pools returns the engine pool of each machine with evidence.
-func (c *Controller) Pools() map[cluster.MachineID]string {
-	pools := make(map[cluster.MachineID]string, len(c.machines))
+// PoolReports lists the machines with evidence by engine pool, all sorted.
+func (c *Controller) PoolReports() []wire.PoolReport {
+	machines := make(map[string][]cluster.MachineID)
 	for _, entry := range c.machines {
 		if entry.known {
-			pools[entry.machine.ID] = entry.inventory.Pool
+			machines[entry.inventory.Pool] = append(machines[entry.inventory.Pool], entry.machine.ID)
 		}
 	}
-	return pools
+	reports := make([]wire.PoolReport, 0, len(machines))
+	for _, pool := range sortedKeys(machines) {
+		reports = append(reports, wire.PoolReport{Pool: pool, Machines: machines[pool]})
+	}
+	return reports
 }
--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -149,7 +149,7 @@
 	report := wire.ZoneReport{
 		Zone: r.core.self.Zone, Token: controller.Token(),
 		AllotmentRevision: controller.AllotmentRevision(), FreeBytes: controller.FreeBytes(),
-		Machines: len(controller.Inventories()),
+		Machines: len(controller.Inventories()), Pools: controller.PoolReports(),
 	}
 	held := map[cluster.ModelID]int{}
 	for _, model := range controller.Report() {
@@ -206,9 +206,6 @@
 			report := known.report
 			view.Report, view.ReportAge = &report, r.core.now.Sub(known.at)
 		}
-		if zone == r.core.self.Zone {
-			view.Pools = r.core.cellRole.controller.Pools()
-		}
 		state.Zones = append(state.Zones, view)
 	}
 	return state
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -64,6 +64,7 @@
 		KindZoneReport: ZoneReport{
 			Zone: "east-1", Token: 5, AllotmentRevision: 8,
 			Models: []ZoneModelReport{{Model: "recall", Wanted: 2, Held: 1}}, Machines: 3, FreeBytes: 1 << 40,
+			Pools: []PoolReport{{Pool: "assistant", Machines: []cluster.MachineID{"machine-a"}}},
 		},
 		KindInspectionRequest: InspectionRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 1<<63 + 7, Subject: "decisions", Key: "recall"},
 		KindInspectionAnswer:  InspectionAnswer{From: "node-a", Number: 1<<63 + 7, Found: true, Data: []byte("[]")},
@@ -112,6 +113,9 @@
 	case CellStatusRequest:
 		m.From, m.FromAddress = "", ""
 		return m
+	case ZoneReport:
+		m.Pools = nil
+		return m
 	default:
 		return message
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -182,6 +182,14 @@
 	Models            []ZoneModelReport
 	Machines          int
 	FreeBytes         int64
+	// Pools lists the machines by engine pool, sorted by pool.
+	Pools []PoolReport
+}
+
+// PoolReport lists the machines of one engine pool, sorted.
+type PoolReport struct {
+	Pool     string
+	Machines []cluster.MachineID
 }
 
 // ZoneModelReport is one model in a ZoneReport.
--- a/wire/records.go
+++ b/wire/records.go
@@ -215,19 +215,20 @@
 	Models            []ZoneModelReport
 	Machines          int
 	FreeBytes         int64
+	Pools             []PoolReport
 }
 
 func zoneReportToRecord(m ZoneReport) *zoneReportRecord {
 	return &zoneReportRecord{
 		Zone: m.Zone, Token: int64(m.Token), AllotmentRevision: m.AllotmentRevision,
-		Models: m.Models, Machines: m.Machines, FreeBytes: m.FreeBytes,
+		Models: m.Models, Machines: m.Machines, FreeBytes: m.FreeBytes, Pools: m.Pools,
 	}
 }
 
 func (r *zoneReportRecord) decoded() Message {
 	return ZoneReport{
 		Zone: r.Zone, Token: cluster.FencingToken(r.Token), AllotmentRevision: r.AllotmentRevision,
-		Models: r.Models, Machines: r.Machines, FreeBytes: r.FreeBytes,
+		Models: r.Models, Machines: r.Machines, FreeBytes: r.FreeBytes, Pools: convert(r.Pools, func(p PoolReport) PoolReport { return p }),
 	}
 }
 
