Make room where the checkpoint is cached rather than load it remotely

Cause: a waiting model was loaded remotely on any machine with free memory though another held its checkpoint on disk behind idle replicas, so the tail of cold starts was that of the store. Change: a load weighs three ways in seconds of waiting: a machine that is free now, one whose memory is being freed, and one where an eviction is worth its loss.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -17,6 +17,12 @@
 	// fitScore prefers machines that the load fills better, which keeps large
 	// free memory for large models.
 	fitScore = 0.5
+	// unloadScore and drainScore are added while memory is still being freed by
+	// idle replicas or by ones with running requests.
+	unloadScore = 1.0
+	drainScore  = 10.0
+	// storeScore is added when the load has to wait for the store.
+	storeScore = 5.0
 )
 
 // choice is the outcome of scoring the machines for one load.
@@ -24,13 +30,13 @@
 	// top holds the best machines that can take the load now, best first.
 	top []scored
 	// later is the best machine that can take it once unloads under way are
-	// done, or none.
+	// done, or none; its score counts the wait.
 	later      int32
 	laterScore float64
 	// storeBlocked is the best machine that only the store's limit forbids.
-	storeBlocked int32
-	storeScore   float64
-	filtered     [filterCauses]int
+	storeBlocked      int32
+	storeBlockedScore float64
+	filtered          [filterCauses]int
 }
 
 // scored is one machine that can take a load.
@@ -109,6 +115,7 @@
 	machine := &r.machines[m]
 	if needs.bytes > machine.free {
 		c.filtered[filterMemory]++
+		score += machine.unloadWait()
 		if needs.bytes <= machine.soon && (c.later == none || score < c.laterScore) {
 			c.later, c.laterScore = m, score
 		}
@@ -116,14 +123,23 @@
 	}
 	if needs.remote > 0 && !r.storeAllows() {
 		c.filtered[filterStore]++
-		if c.storeBlocked == none || score < c.storeScore {
-			c.storeBlocked, c.storeScore = m, score
+		if c.storeBlocked == none || score < c.storeBlockedScore {
+			c.storeBlocked, c.storeBlockedScore = m, score
 		}
 		return
 	}
 	c.insert(scored{machine: m, need: needs, score: score}, r.config.Candidates)
 }
 
+// unloadWait is the score of waiting for unloads, shorter for idle replicas
+// than for those that finish requests first.
+func (m *machineRound) unloadWait() float64 {
+	if m.draining {
+		return drainScore
+	}
+	return unloadScore
+}
+
 // filter returns the first filter that leaves the machine out whatever its free
 // memory, or -1.
 func (r *round) filter(i, m int32) int {
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -16,34 +16,55 @@
 }
 
 // evictFor unloads the replicas of least value on the machine where that
-// makes room for the request at the smallest loss.
-func (r *round) evictFor(request *request) {
+// serves the request best, when it is worth more than the best score without
+// an eviction: a machine that has the checkpoint cached may be worth it though
+// another has free memory. It reports whether it planned one.
+func (r *round) evictFor(request *request, c *choice, now float64) bool {
 	i := request.model
-	bestMachine, bestLoss := none, 0.0
+	m, needs := r.bestEviction(request, now)
+	if m == none {
+		return false
+	}
+	r.selectVictims(request, m, needs.bytes)
+	for s := r.machines[m].from; s < r.machines[m].to; s++ {
+		if r.slots[s].taken && !r.slots[s].unloading {
+			r.evict(&r.slots[s], request)
+		}
+	}
+	r.claim(m, needs.bytes)
+	reason := r.reason(i, CauseNoMemory, keyMemory)
+	r.explain(&reason, c)
+	r.models[i].reason = reason
+	return true
+}
+
+// bestEviction returns the machine where the wait of the request's work plus
+// the loss of the victims is least, or none when that is not better than now.
+func (r *round) bestEviction(request *request, now float64) (int32, need) {
+	i := request.model
+	weight := (minimumWeight + r.catalogue.entries[i].model.Policy.ColdStartWeight) *
+		float64(max(r.models[i].demand.Waiting, 1))
+	best, bestNeed, bestCost := none, need{}, weight*now
 	for m := range r.machines {
-		if !r.mayHold(i, int32(m)) {
+		if r.machines[m].pool != r.catalogue.entries[i].pool || !r.mayHold(i, int32(m)) {
 			continue
 		}
 		needs, ok := r.needOn(i, int32(m))
-		if !ok {
+		if !ok || needs.bytes <= r.machines[m].soon {
 			continue
 		}
-		loss, enough := r.selectVictims(request, int32(m), needs.bytes)
-		if enough && (bestMachine == none || loss+needs.expected.Seconds() < bestLoss) {
-			bestMachine, bestLoss = int32(m), loss+needs.expected.Seconds()
+		wait := r.score(i, int32(m), &needs) + unloadScore
+		if needs.remote > 0 && !r.storeAllows() {
+			wait += storeScore
 		}
-	}
-	if bestMachine == none {
-		return
-	}
-	needs, _ := r.needOn(i, bestMachine)
-	r.selectVictims(request, bestMachine, needs.bytes)
-	for s := r.machines[bestMachine].from; s < r.machines[bestMachine].to; s++ {
-		if r.slots[s].taken && !r.slots[s].unloading {
-			r.evict(&r.slots[s], request)
+		if weight*wait >= bestCost {
+			continue
+		}
+		if loss, enough := r.selectVictims(request, int32(m), needs.bytes); enough && weight*wait+loss < bestCost {
+			best, bestNeed, bestCost = int32(m), needs, weight*wait+loss
 		}
 	}
-	r.claim(bestMachine, needs.bytes)
+	return best, bestNeed
 }
 
 // mayHold reports whether the machine passes every filter but memory.
--- a/placement/place.go
+++ b/placement/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -136,11 +137,36 @@
 		return
 	}
 	c := r.choose(i)
-	if len(c.top) > 0 {
+	now := c.bestNow()
+	switch {
+	case c.later != none && c.laterScore < now:
+		r.await(i, c)
+	case request.class <= classMinimum && r.evictFor(request, c, now):
+	case len(c.top) > 0:
 		r.load(request, c)
-		return
+	default:
+		r.block(i, c)
+	}
+}
+
+// bestNow is the best score without an eviction, infinite when there is none.
+func (c *choice) bestNow() float64 {
+	switch {
+	case len(c.top) > 0:
+		return c.top[0].score
+	case c.storeBlocked != none:
+		return c.storeBlockedScore + storeScore
 	}
-	r.block(request, c)
+	return math.Inf(1)
+}
+
+// await keeps memory that is being freed for the model.
+func (r *round) await(i int32, c *choice) {
+	needs, _ := r.needOn(i, c.later)
+	r.claim(c.later, needs.bytes)
+	reason := r.reason(i, CauseNoMemory, keyMemory)
+	r.explain(&reason, c)
+	r.models[i].reason = reason
 }
 
 // load plans the load on the best machine, its base model before it. When the
@@ -204,28 +230,19 @@
 	r.machines[m].soon -= bytes
 }
 
-// block records why a load has to wait, and makes room for it when it may.
-func (r *round) block(request *request, c *choice) {
-	i := request.model
-	model := &r.models[i]
+// block records why a load has to wait.
+func (r *round) block(i int32, c *choice) {
 	reason := r.reason(i, CauseNoMachine, keyEnginePool)
 	switch {
 	case c.storeBlocked != none:
 		reason = r.reason(i, CauseStoreLimit, "")
 		needs, _ := r.needOn(i, c.storeBlocked)
 		r.claim(c.storeBlocked, needs.bytes)
-	case c.later != none:
-		reason = r.reason(i, CauseNoMemory, keyMemory)
-		needs, _ := r.needOn(i, c.later)
-		r.claim(c.later, needs.bytes)
 	case c.filtered[filterMemory] > 0:
 		reason = r.reason(i, CauseNoMemory, keyMemory)
-		if request.class <= classMinimum {
-			r.evictFor(request)
-		}
 	case c.filtered[filterBase] > 0:
 		reason = r.reason(i, CauseBaseMissing, keyMaxReplicas)
 	}
 	r.explain(&reason, c)
-	model.reason = reason
+	r.models[i].reason = reason
 }
--- a/placement/retention.go
+++ b/placement/retention.go
@@ -45,10 +45,14 @@
 // standing implements retention.
 func (a adaptiveRetention) standing(*settings.Policy) int { return 0 }
 
+// minimumWeight is added to objective weights where work or loss is rated, so
+// that a weight of zero still orders it.
+const minimumWeight = 0.05
+
 // value implements retention: the chance that the model is needed within the
 // horizon, times what its reload would cost.
 func (a adaptiveRetention) value(track *track, policy *settings.Policy, idle, reload time.Duration) float64 {
-	return (0.05 + policy.ColdStartWeight) * track.nextUse(idle) * reload.Seconds()
+	return (minimumWeight + policy.ColdStartWeight) * track.nextUse(idle) * reload.Seconds()
 }
 
 // useHorizon is how far ahead an eviction looks.
