--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -21,6 +22,9 @@
 	cut     func(from, to string) bool
 	paused  map[string]bool
 	pending []SendHeartbeat
+	// spoil may break a core before each tick, where the heartbeat is nil, and
+	// each heartbeat it sends.
+	spoil func(*Core, *wire.Heartbeat)
 	// deaths counts, by member, how many cores gave it up.
 	deaths map[cluster.NodeID]int
 }
@@ -55,6 +59,9 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case SendHeartbeat:
+			if sender := n.cores[e.Heartbeat.From.PeerAddress]; n.spoil != nil && sender != nil {
+				n.spoil(sender, &e.Heartbeat)
+			}
 			n.pending = append(n.pending, e)
 		case Changed:
 			if e.Member.State == StateDead {
@@ -80,6 +87,9 @@
 	}
 	for _, address := range n.order {
 		if core := n.cores[address]; core != nil && !n.paused[address] {
+			if n.spoil != nil {
+				n.spoil(core, nil)
+			}
 			n.collect(core.Step(n.now, Tick{}))
 		}
 	}
--- /dev/null
+++ b/replication/bench_test.go
@@ -0,0 +1,90 @@
+package replication
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// largeTree has the size expected in two years: 62 models, 1,600 adapters.
+func largeTree(b *testing.B) *settings.Tree {
+	edit := settings.Edit{ID: "tree"}
+	add := func(path string, kind settings.Kind, values map[string]settings.Value) {
+		edit.Changes = append(edit.Changes, settings.Change{Path: path, Create: kind, Set: values})
+	}
+	for team := range 40 {
+		add(fmt.Sprintf("/team-%02d", team), settings.KindTeam, map[string]settings.Value{"keep_alive": `"10m"`})
+	}
+	for model := range 62 {
+		add(fmt.Sprintf("/model-%02d", model), settings.KindModel, map[string]settings.Value{"memory": `"16GiB"`})
+	}
+	for adapter := range 1600 {
+		add(fmt.Sprintf("/team-%02d/adapter-%04d", adapter%40, adapter), settings.KindAdapter, map[string]settings.Value{
+			settings.KeyBase: settings.Value(fmt.Sprintf(`"model-%02d"`, adapter%62)), "memory": `"512MiB"`,
+		})
+	}
+	_, tree, err := settings.Empty().Validate(edit)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return tree
+}
+
+// BenchmarkEntries puts batches of accepted edits in force, with 340 peers
+// known, of which four are pushed to.
+func BenchmarkEntries(b *testing.B) {
+	tree := largeTree(b)
+	for _, batch := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("edits=%d", batch), func(b *testing.B) {
+			entries := benchEntries(b, tree, batch)
+			stamp := settings.Stamp{History: "h1", Revision: 1, Digest: tree.Digest()}
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				core := newCore("a")
+				core.Step(epoch, Loaded{Tree: tree, Stamp: stamp})
+				for peer := range 340 {
+					id := fmt.Sprintf("peer-%03d", peer)
+					core.Step(epoch, StampSeen{From: cluster.NodeID(id), Address: id + ":7000", Stamp: stamp, SameZone: peer < 19})
+				}
+				b.StartTimer()
+				effects := core.Step(epoch, MessageReceived{Message: wire.ConfigurationEntries{From: "peer-000", History: "h1", After: 1, Entries: entries}})
+				if len(only[InForce](effects)) != 1 {
+					b.Fatal("not in force")
+				}
+			}
+		})
+	}
+}
+
+// benchEntries makes edits of one key each after revision 1.
+func benchEntries(b *testing.B, tree *settings.Tree, count int) []wire.ConfigurationEntry {
+	var entries []wire.ConfigurationEntry
+	for i := range count {
+		edit := settings.Edit{ID: fmt.Sprintf("edit-%d", i), Changes: []settings.Change{{
+			Path: fmt.Sprintf("/team-%02d/adapter-%04d", i%40, i), Set: map[string]settings.Value{"priority": "3"},
+		}}}
+		next, err := tree.Apply(edit)
+		if err != nil {
+			b.Fatal(err)
+		}
+		tree = next
+		entries = append(entries, wire.ConfigurationEntry{Revision: int64(i) + 2, Digest: tree.Digest(), Data: edit.Encode()})
+	}
+	return entries
+}
+
+// BenchmarkHeartbeatStamp takes in the stamp of a peer that has nothing newer.
+func BenchmarkHeartbeatStamp(b *testing.B) {
+	core := newCore("a")
+	h := newHistory(b, "h1", 1)
+	core.Step(epoch, h.loaded(1))
+	seen := StampSeen{From: "peer", Address: "peer:7000", Stamp: h.stamp(1)}
+	b.ReportAllocs()
+	for b.Loop() {
+		core.Step(epoch, seen)
+	}
+}
--- a/replication/core_test.go
+++ b/replication/core_test.go
@@ -20,13 +20,15 @@
 	entries []settings.Entry
 }
 
-// newHistory makes count edits, each of one key.
+// newHistory makes count edits, each of which adds a level, so that a tree shows
+// which edits are in it.
 func newHistory(t testing.TB, name string, count int) *history {
 	t.Helper()
 	h := &history{name: name, trees: []*settings.Tree{settings.Empty()}}
 	for revision := 1; revision <= count; revision++ {
 		edit := settings.Edit{ID: fmt.Sprintf("%s-%d", name, revision), Author: "test", Changes: []settings.Change{{
-			Path: settings.RootPath, Set: map[string]settings.Value{"queue_length": settings.Value(fmt.Sprint(10 + revision))},
+			Path: fmt.Sprintf("/team-%02d", revision), Create: settings.KindTeam,
+			Set: map[string]settings.Value{"queue_length": settings.Value(fmt.Sprint(10 + revision))},
 		}}}
 		edit, tree, err := h.trees[revision-1].Validate(edit)
 		if err != nil {
