--- a/node/shell/calls.go
+++ b/node/shell/calls.go
@@ -35,7 +35,7 @@
 		return
 	}
 	queued := n.keyValuePool.submit(func() {
-		ctx, cancel := context.WithTimeout(n.context, keyValueTimeout)
+		ctx, cancel := context.WithTimeout(n.calls, keyValueTimeout)
 		defer cancel()
 		n.step(n.answerKeyValue(ctx, call))
 	})
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -57,9 +57,13 @@
 
 	keyValuePool, enginePool, platformPool *pool
 
-	began       time.Time
-	context     context.Context
-	cancel      context.CancelFunc
+	began   time.Time
+	context context.Context
+	cancel  context.CancelFunc
+	// calls outlives context: a planned stop lets calls to the key-value
+	// service end, so that leases are given back.
+	calls       context.Context
+	cancelCalls context.CancelFunc
 	tasks       sync.WaitGroup
 	ready       atomic.Bool
 	draining    atomic.Bool
@@ -82,10 +86,11 @@
 		drained:      make(chan struct{}), stopped: make(chan struct{}),
 	}
 	n.backend = inspection.New(n, 0)
-	n.context, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	n.calls, n.cancelCalls = context.WithCancel(context.WithoutCancel(ctx))
+	n.context, n.cancel = context.WithCancel(n.calls)
 	callers, admin, err := n.openSecured()
 	if err != nil {
-		n.cancel()
+		n.cancelCalls()
 		return nil, err
 	}
 	n.logger = n.options.Logger.With("node", string(n.self.ID))
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -35,6 +35,7 @@
 // Kill stops the node at once, like the death of its process.
 func (n *Node) Kill() {
 	n.stopOnce.Do(func() {
+		n.cancelCalls()
 		n.close()
 		close(n.stopped)
 	})
@@ -80,6 +81,7 @@
 	}
 	n.tasks.Wait()
 	n.keyValuePool.wait.Wait()
+	n.cancelCalls()
 	n.enginePool.wait.Wait()
 	n.platformPool.wait.Wait()
 }
