Go on with engines that keep their token through a restart

Cause: while the key-value service is down no engine can be sealed, so every engine that restarts then takes no loads until it is back. That is needed for an engine that forgets its token, but not for one that keeps it. Change: Inventory.TokenEpoch names the run in which the token was accepted. An engine that followed the holder's token since before its restart counts as sealed. The stand-in reports it; engines that don't say are treated as before. A restarted engine is no longer read at every tick while it can't be sealed.

--- a/authority/controller_test.go
+++ b/authority/controller_test.go
@@ -230,6 +230,21 @@
 	}
 }
 
+func TestRestartedEngineThatKeptItsTokenGoesOn(t *testing.T) {
+	cell := newCellTest(t, "m1")
+	cell.acquire(5)
+	cell.allot(1, "m1")
+	cell.seal(5, "m1")
+	cell.now = cell.now.Add(time.Hour)
+	restarted := testInventory(5, "m1", 1)
+	restarted.Epoch, restarted.TokenEpoch = 2, 2
+	cell.step(InventoryRead{Inventory: restarted})
+	cell.expectOrders(cell.load("m1", 4), 0, "sealed in this run, but perhaps too late")
+	restarted.Epoch = 3
+	cell.step(InventoryRead{Inventory: restarted})
+	cell.expectOrders(cell.load("m1", 4), 1, "the token was kept")
+}
+
 func TestLaterTokenEndsTheHolder(t *testing.T) {
 	cell := newCellTest(t, "m1")
 	cell.acquire(5)
--- a/authority/engines.go
+++ b/authority/engines.go
@@ -128,9 +128,9 @@
 	entry.calling = false
 	entry.failures = 0
 	switch {
-	case !entry.sealed:
+	case !entry.sealed && c.leaseCertain(now):
 		entry.nextCall = now
-	case entry.busy():
+	case !entry.sealed || entry.busy():
 		entry.nextCall = now.Add(c.config.BusyInventoryInterval)
 	default:
 		spread := uint64(c.config.InventoryInterval / 4)
--- a/authority/explore/actions.go
+++ b/authority/explore/actions.go
@@ -285,7 +285,7 @@
 	if w.left.engineRestarts > 0 {
 		next := w.clone()
 		next.left.engineRestarts--
-		next.engines[i].restart()
+		next.engines[i].restart(s.scenario.KeepTokens)
 		yield(fmt.Sprintf("%s restarts", engine.id), next)
 	}
 	if w.left.leaves > 0 {
--- a/authority/explore/engine.go
+++ b/authority/explore/engine.go
@@ -10,7 +10,7 @@
 // inventory is the engine's account of itself.
 func (e *engineState) inventory(memory int64) cluster.Inventory {
 	return cluster.Inventory{
-		Machine: e.id, Token: e.token, Sequence: e.sequence, Epoch: e.epoch, MemoryBytes: memory,
+		Machine: e.id, Token: e.token, Sequence: e.sequence, Epoch: e.epoch, TokenEpoch: e.tokenEpoch, MemoryBytes: memory,
 		Replicas: slices.Clone(e.replicas),
 	}
 }
@@ -41,7 +41,7 @@
 			return authority.StaleToken{Machine: engine.id, Held: engine.token}
 		}
 		if c.token > engine.token {
-			engine.token = c.token
+			engine.token, engine.tokenEpoch = c.token, engine.epoch
 			engine.sequence++
 		}
 		return authority.Sealed{Inventory: engine.inventory(s.scenario.Memory)}
@@ -88,8 +88,11 @@
 }
 
 // restart ends the engine process and begins its next run.
-func (e *engineState) restart() {
+func (e *engineState) restart(keepToken bool) {
 	e.epoch++
-	e.token, e.sequence = 0, 0
+	e.sequence = 0
+	if !keepToken {
+		e.token, e.tokenEpoch = 0, 0
+	}
 	e.replicas, e.applied = nil, nil
 }
--- a/authority/explore/scenario.go
+++ b/authority/explore/scenario.go
@@ -15,6 +15,7 @@
 		{Name: "three controllers", Controllers: 3, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 2},
 		{Name: "three machines, two replicas", Controllers: 2, Machines: 3, Limits: []int{2}, Memory: 1, Lapses: 1},
 		{Name: "engine restarts", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, EngineRestarts: 1},
+		{Name: "engine restarts, token kept", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, EngineRestarts: 1, KeepTokens: true},
 		{Name: "controller restarts", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, Faults: 1, NodeRestarts: 2},
 		{Name: "key-value outage", Controllers: 2, Machines: 2, Limits: []int{1}, Memory: 1, Lapses: 1, EngineRestarts: 1, Outages: 1},
 		{Name: "memory", Controllers: 2, Machines: 1, Limits: []int{1, 1}, Memory: 1, Lapses: 1, Faults: 1, Unloads: 1},
--- a/authority/explore/search.go
+++ b/authority/explore/search.go
@@ -25,6 +25,8 @@
 	Limits []int
 	// Memory of a machine in replicas.
 	Memory int64
+	// KeepTokens: engines keep their token through restarts.
+	KeepTokens bool
 	// Depth bounds the steps of a run; States the states explored, zero for no
 	// bound.
 	Depth, States int
--- a/authority/explore/walk_test.go
+++ b/authority/explore/walk_test.go
@@ -12,7 +12,8 @@
 		scenario := Scenario{
 			Controllers: rapid.IntRange(2, 3).Draw(t, "controllers"), Machines: rapid.IntRange(1, 4).Draw(t, "machines"),
 			Joining: rapid.IntRange(0, 1).Draw(t, "joining"), Limits: []int{1, 2}, Memory: 2,
-			Lapses: 3, Faults: 4, EngineRestarts: 2, NodeRestarts: 2, Outages: 1, Leaves: 1, Unloads: 3,
+			KeepTokens: rapid.Bool().Draw(t, "keep tokens"),
+			Lapses:     3, Faults: 4, EngineRestarts: 2, NodeRestarts: 2, Outages: 1, Leaves: 1, Unloads: 3,
 		}
 		s := &search{scenario: scenario, variant: VariantNone}
 		state := s.initial()
--- a/authority/explore/world.go
+++ b/authority/explore/world.go
@@ -26,13 +26,15 @@
 
 // engineState is the truth of one machine.
 type engineState struct {
-	id       cluster.MachineID
-	gone     bool
-	epoch    uint64
-	token    cluster.FencingToken
-	sequence uint64
-	replicas []cluster.Replica // sorted by model
-	applied  []string          // orders seen in this run
+	id    cluster.MachineID
+	gone  bool
+	epoch uint64
+	token cluster.FencingToken
+	// tokenEpoch is the run in which the token was accepted.
+	tokenEpoch uint64
+	sequence   uint64
+	replicas   []cluster.Replica // sorted by model
+	applied    []string          // orders seen in this run
 }
 
 // callKind is the kind of a call to an engine.
@@ -138,7 +140,7 @@
 	}
 	for i := range w.engines {
 		engine := &w.engines[i]
-		number(oneIf(engine.gone), engine.epoch, uint64(engine.token), engine.sequence, uint64(len(engine.replicas)))
+		number(oneIf(engine.gone), engine.epoch, engine.tokenEpoch, uint64(engine.token), engine.sequence, uint64(len(engine.replicas)))
 		for _, replica := range engine.replicas {
 			text(string(replica.Model))
 			number(uint64(replica.State))
--- a/authority/ledger.go
+++ b/authority/ledger.go
@@ -79,6 +79,7 @@
 	case inventory.Epoch > m.inventory.Epoch:
 		m.restart()
 		m.replace(inventory)
+		m.sealed = keptToken(&inventory, token)
 		return true
 	case inventory.Sequence < m.inventory.Sequence:
 		return false
@@ -89,6 +90,12 @@
 	return true
 }
 
+// keptToken reports whether the engine has followed the token since before its
+// restart, so it was never free to follow another in between.
+func keptToken(inventory *cluster.Inventory, token cluster.FencingToken) bool {
+	return inventory.Token == token && inventory.TokenEpoch != 0 && inventory.TokenEpoch < inventory.Epoch
+}
+
 // restart follows an engine into its next run: orders for the former one can
 // never take effect any more.
 func (m *machineLedger) restart() {
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -104,6 +104,10 @@
 	// Epoch identifies one run of the engine process. A later run has a larger
 	// one; the process's start time in nanoseconds will do.
 	Epoch uint64
+	// TokenEpoch is the run in which Token was accepted. It is smaller than Epoch
+	// when the engine has kept its token through a restart; zero means that the
+	// engine does not say.
+	TokenEpoch uint64
 	// MemoryBytes is the machine's total memory for replicas.
 	MemoryBytes int64
 	// Accelerators is the number of accelerators of the machine.
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -36,7 +36,7 @@
 		return &engine.OrderRefusal{Reason: engine.ReasonStaleToken, Token: s.token}
 	}
 	if token > s.token {
-		s.token = token
+		s.token, s.tokenEpoch = token, s.epoch
 		s.sequence++
 	}
 	return nil
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -39,11 +39,13 @@
 	config Config
 	now    time.Time
 
-	epoch    uint64
-	token    cluster.FencingToken
-	sequence uint64
-	pool     string
-	leaving  time.Time
+	epoch uint64
+	// tokenEpoch is the epoch in which the token was accepted.
+	tokenEpoch uint64
+	token      cluster.FencingToken
+	sequence   uint64
+	pool       string
+	leaving    time.Time
 
 	// replicas is sorted by model.
 	replicas []*replica
@@ -150,7 +152,7 @@
 func (s *State) Inventory(now time.Time) cluster.Inventory {
 	s.Advance(now)
 	inventory := cluster.Inventory{
-		Machine: s.config.Machine, Token: s.token, Sequence: s.sequence, Epoch: s.epoch,
+		Machine: s.config.Machine, Token: s.token, Sequence: s.sequence, Epoch: s.epoch, TokenEpoch: s.tokenEpoch,
 		MemoryBytes: s.config.MemoryBytes, Accelerators: s.config.Accelerators,
 		Slots: s.config.Slots, Pool: s.pool, Leaving: !s.leaving.IsZero(),
 		Cached: s.cached.tiers(),
--- a/standin/engine/state_test.go
+++ b/standin/engine/state_test.go
@@ -188,7 +188,7 @@
 	}
 	state.FetchDone(at(20), "1", true)
 	after := state.Inventory(at(20))
-	if after.Epoch == before.Epoch || after.Token != 7 || len(after.Replicas) != 0 || len(after.Cached) != 0 {
+	if after.Epoch == before.Epoch || after.Token != 7 || after.TokenEpoch != before.Epoch || len(after.Replicas) != 0 || len(after.Cached) != 0 {
 		t.Fatalf("after: %+v", after)
 	}
 	if _, refused := state.Order(at(20), order("2", 7, cluster.OrderLoad, "m")); refused == nil || refused.Reason != engine.ReasonOtherRun {
