--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -32,12 +32,16 @@
 
 // rootCommand assembles the subcommands; each stands in a file of its own.
 func rootCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("valveslip", flag.ContinueOnError)
+	version := flags.Bool("version", false, "print the version")
 	return &ffcli.Command{
 		Name:       "valveslip",
 		ShortUsage: "valveslip <subcommand> [flags]",
 		ShortHelp:  "serve language models that see little use",
+		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			checkCommand(),
+			completionCommand(os.Stdout, rootCommand),
 			demoCommand(),
 			eventsCommand(os.Stdout),
 			experimentCommand(),
@@ -48,6 +52,15 @@
 			treeCommand(os.Stdout),
 			whyCommand(os.Stdout),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(_ context.Context, arguments []string) error {
+			if *version {
+				fmt.Println(versionText())
+				return nil
+			}
+			if len(arguments) > 0 {
+				return usageError("there is no subcommand %q; valveslip --help lists them", arguments[0])
+			}
+			return flag.ErrHelp
+		},
 	}
 }
--- /dev/null
+++ b/cmd/valveslip/version.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+// versionText names the build: its version, the commit it was made from and the
+// Go version.
+func versionText() string {
+	version, commit := "(devel)", "unknown"
+	if build, known := debug.ReadBuildInfo(); known {
+		if build.Main.Version != "" {
+			version = build.Main.Version
+		}
+		for _, setting := range build.Settings {
+			if setting.Key == "vcs.revision" {
+				commit = setting.Value
+			}
+		}
+	}
+	return fmt.Sprintf("valveslip %s, commit %s, %s", version, commit, runtime.Version())
+}
