Notice a key-value service that was set back, and report it

A service restored at an older revision accepts edits under revisions that are in force already. Nodes skipped those as known, so operators' edits took no effect in silence. An accepted edit whose digest differs from the one known for its revision now makes the controller read the service again, and the contradicting tree is reported as rejected and logged; the configuration in force stays. The node also acts on the replication core's request to load, which it ignored.

--- a/node/core.go
+++ b/node/core.go
@@ -252,6 +252,10 @@
 			c.routing(routing.SettingsChanged{Snapshot: e.Snapshot})
 			c.cellRole.settingsChanged()
 			c.emit(SettingsInForce{Snapshot: e.Snapshot})
+		case replication.LoadNeeded:
+			c.readAgain()
+		case replication.Rejected:
+			c.emit(SettingsRejected{Stamp: e.Stamp, Err: e.Err})
 		}
 	}
 }
--- a/node/events.go
+++ b/node/events.go
@@ -164,6 +164,13 @@
 // SettingsInForce says that the snapshot decides from now on.
 type SettingsInForce struct{ Snapshot *settings.Snapshot }
 
+// SettingsRejected says that a configuration could not be put in force. The
+// former one stays; an operator must act.
+type SettingsRejected struct {
+	Stamp settings.Stamp
+	Err   error
+}
+
 // Planned reports one planning round of this node as controller.
 type Planned struct {
 	Zone cluster.ZoneID
@@ -173,12 +180,13 @@
 // Drained says that nothing of a planned stop is left to do.
 type Drained struct{}
 
-func (SendMessage) nodeEffect()     {}
-func (KeyValueCall) nodeEffect()    {}
-func (EngineCall) nodeEffect()      {}
-func (ListMachines) nodeEffect()    {}
-func (ReadStoreStatus) nodeEffect() {}
-func (RoutingOutput) nodeEffect()   {}
-func (SettingsInForce) nodeEffect() {}
-func (Planned) nodeEffect()         {}
-func (Drained) nodeEffect()         {}
+func (SendMessage) nodeEffect()      {}
+func (KeyValueCall) nodeEffect()     {}
+func (EngineCall) nodeEffect()       {}
+func (ListMachines) nodeEffect()     {}
+func (ReadStoreStatus) nodeEffect()  {}
+func (RoutingOutput) nodeEffect()    {}
+func (SettingsInForce) nodeEffect()  {}
+func (SettingsRejected) nodeEffect() {}
+func (Planned) nodeEffect()          {}
+func (Drained) nodeEffect()          {}
--- a/node/shell/step.go
+++ b/node/shell/step.go
@@ -49,6 +49,8 @@
 		n.readStoreStatus()
 	case node.SettingsInForce:
 		n.putInForce(effect)
+	case node.SettingsRejected:
+		n.logger.Error("settings rejected", "history", effect.Stamp.History, "revision", effect.Stamp.Revision, "error", effect.Err)
 	case node.Planned:
 		n.journal.Planned(now, effect.Zone, &effect.Plan)
 		n.logPlan(effect)
--- a/replication/apply.go
+++ b/replication/apply.go
@@ -17,6 +17,10 @@
 	// older than the one in force. It was set back; an operator must begin a
 	// new history there.
 	ErrOlderHistory = eris.New("the key-value service holds an older history than the one in force")
+	// ErrSetBack says that the key-value service holds other edits at revisions
+	// that are in force already. It was set back within its history; an
+	// operator must begin a new history there.
+	ErrSetBack = eris.New("the key-value service holds other edits at revisions that are in force")
 )
 
 // load takes the configuration of the key-value service. One with the stamp
@@ -24,8 +28,11 @@
 // accepted.
 func (c *Core) load(now time.Time, event Loaded) {
 	order := Compare(event.Stamp, c.stamp)
-	if event.Stamp.History < c.stamp.History {
+	switch {
+	case event.Stamp.History < c.stamp.History:
 		c.emit(Rejected{Stamp: event.Stamp, Err: ErrOlderHistory})
+	case order < 0 && c.contradicts(event.Stamp.Revision, event.Stamp.Digest):
+		c.emit(Rejected{Stamp: event.Stamp, Err: ErrSetBack})
 	}
 	if order < 0 || (order == 0 && event.Stamp.Digest == c.stamp.Digest) {
 		return
@@ -96,6 +103,9 @@
 		return detached
 	}
 	for len(entries) > 0 && entries[0].Revision <= c.stamp.Revision {
+		if c.contradicts(entries[0].Revision, entries[0].Digest) {
+			return detached
+		}
 		entries = entries[1:]
 	}
 	if len(entries) == 0 {
@@ -118,6 +128,16 @@
 	return followed
 }
 
+// contradicts reports whether another digest than the given one is known for a
+// revision of the history held here.
+func (c *Core) contradicts(revision int64, digest uint64) bool {
+	if revision == c.stamp.Revision {
+		return digest != c.stamp.Digest
+	}
+	known, ok := c.backlog.after(revision - 1)
+	return ok && len(known) > 0 && known[0].Digest != digest
+}
+
 // replay applies consecutive entries to the tree held here and checks the
 // digest of each.
 func (c *Core) replay(entries []wire.ConfigurationEntry) (*settings.Tree, outcome, error) {
@@ -170,7 +190,7 @@
 // after returns the entries after revision, or false when they do not reach
 // back that far.
 func (b *backlog) after(revision int64) ([]wire.ConfigurationEntry, bool) {
-	if len(b.entries) == 0 || b.entries[0].Revision > revision+1 {
+	if len(b.entries) == 0 || b.entries[0].Revision > revision+1 || b.entries[len(b.entries)-1].Revision < revision {
 		return nil, false
 	}
 	return b.entries[revision+1-b.entries[0].Revision:], true
--- a/replication/core_test.go
+++ b/replication/core_test.go
@@ -169,6 +169,32 @@
 	}
 }
 
+func TestServiceSetBackIsReported(t *testing.T) {
+	h := newHistory(t, "h1", 6)
+	core := newCore("a")
+	core.Step(epoch, h.loaded(2))
+	core.Step(epoch, h.accepted(2, 6))
+	// The service was restored at revision 3 and took another edit.
+	other, err := h.trees[3].Apply(settings.Edit{Changes: []settings.Change{{Path: "/other", Create: settings.KindTeam}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := settings.Entry{Revision: 4, Digest: other.Digest()}
+	if got := only[LoadNeeded](core.Step(epoch, Accepted{History: "h1", Entries: []settings.Entry{entry}})); len(got) != 1 {
+		t.Error("a contradicting edit did not ask for a load")
+	}
+	restored := Loaded{Tree: other, Stamp: settings.Stamp{History: "h1", Revision: 4, Digest: other.Digest()}}
+	if got := only[Rejected](core.Step(epoch, restored)); len(got) != 1 || !errors.Is(got[0].Err, ErrSetBack) {
+		t.Errorf("the restored tree gave %+v", got)
+	}
+	if stale := core.Step(epoch, h.loaded(4)); len(stale) != 0 {
+		t.Errorf("a stale read gave %+v", stale)
+	}
+	if core.Stamp() != h.stamp(6) {
+		t.Errorf("stepped back to %+v", core.Stamp())
+	}
+}
+
 func TestUnansweredRequestGoesToAnotherPeer(t *testing.T) {
 	h := newHistory(t, "h1", 2)
 	core := newCore("a")
