--- a/node/shell/bench_test.go
+++ b/node/shell/bench_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	standin "github.com/valveslip/valveslip/standin/engine"
 )
 
 // path is one way to the engine: direct, or routed through the node.
@@ -110,6 +112,19 @@
 	}
 }
 
+// BenchmarkPacedStreams reads streams from 512 connections at once of an engine
+// that makes a token of each every millisecond, so that tokens come one by one.
+func BenchmarkPacedStreams(b *testing.B) {
+	f := start(b, fixtureConfig{engine: standin.Config{Slots: 512, StepTime: time.Millisecond}})
+	for _, way := range f.paths() {
+		b.Run(way.name, func(b *testing.B) {
+			client := benchmarkClient(b)
+			inParallel(b, 512, func() { ask(b, client, way.url, streamBody) })
+			b.ReportMetric(float64(b.N)*streamTokens/b.Elapsed().Seconds(), "tokens/s")
+		})
+	}
+}
+
 // inParallel runs b.N tasks on a number of goroutines.
 func inParallel(b *testing.B, workers int, task func()) {
 	var left atomic.Int64
--- a/node/shell/fixture_test.go
+++ b/node/shell/fixture_test.go
@@ -134,7 +134,7 @@
 func loaded(address string) wire.CellStatus {
 	return wire.CellStatus{
 		Zone: zone, From: "c1", Token: 1, Sequence: 1, Full: true, Allotted: []cluster.ModelID{model},
-		Replicas: []wire.ReplicaRecord{{Machine: machine, Address: address, Model: model, Version: "1", State: cluster.ReplicaLoaded, Slots: 256}},
+		Replicas: []wire.ReplicaRecord{{Machine: machine, Address: address, Model: model, Version: "1", State: cluster.ReplicaLoaded, Slots: 512}},
 	}
 }
 
