Resume for longer, but not where the attempt is unknown; slow callers tested

Cause: three resumptions within 60 ms gave up on an engine that was cut off for a moment, and asked three times one that had said it does not know the attempt. Fairness takes turns by the team of the caller's token instead of its exact path. Tests: a body that stalls is refused as not run, a caller that does not read is given up, a deadline is bounded and a priority only lowered.

--- a/api/callers_infer.go
+++ b/api/callers_infer.go
@@ -72,7 +72,7 @@
 	}
 	call := relay.Call{Path: r.URL.Path, Body: body, Header: engineHeader(r.Header), Stream: parsed.Stream, Key: stated.key}
 	call.Request = routing.Request{
-		ID: id, Model: model.ID, TokenPath: token.Path, Team: token.Path,
+		ID: id, Model: model.ID, TokenPath: token.Path, Team: snapshot.TeamOf(token.Path),
 		Priority: stated.priority, Deadline: stated.deadline, Repeatable: stated.repeatable,
 		BodyBytes: int64(len(body)), PromptTokens: len(parsed.Prompt) / bytesPerToken, MaxTokens: parsed.MaxTokens,
 		Prefixes: promptPrefixes(parsed.Prompt, r.URL.Path),
--- /dev/null
+++ b/api/callers_slow_test.go
@@ -0,0 +1,115 @@
+package api
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// endless writes to the caller until that fails.
+type endless struct{ failed chan error }
+
+// Run implements Runner.
+func (e endless) Run(_ context.Context, _ relay.Call, sink relay.Sink) relay.Result {
+	_ = sink.Start(http.StatusOK, http.Header{})
+	block := make([]byte, 64<<10)
+	for {
+		if err := sink.Write(block); err != nil {
+			e.failed <- err
+			return relay.Result{Started: true}
+		}
+	}
+}
+
+// serve returns the address of a callers' API with one model and one token.
+func serve(t *testing.T, config CallersConfig) string {
+	t.Helper()
+	models := []settings.Model{{ID: "recall", Path: "/dental/recall", Team: "/dental", Policy: settings.Defaults()}}
+	const hash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b" // of "secret"
+	tokens := []settings.Token{{Name: "t", SHA256: hash, Role: settings.RoleCall, Path: "/dental"}}
+	snapshot := settings.NewSnapshot(settings.Stamp{}, models, tokens, nil)
+	config.Settings = func() *settings.Snapshot { return snapshot }
+	server := httptest.NewServer(NewCallers(config))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// dial sends the head of a request that promises a body of the given length.
+func dial(t *testing.T, address string, length int) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	_, err = fmt.Fprintf(connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n", length)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return connection
+}
+
+func TestCallerThatStallsItsBodyIsRefused(t *testing.T) {
+	connection := dial(t, serve(t, CallersConfig{BodyTime: time.Millisecond}), 1000)
+	answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusBadRequest || answer.Header.Get("X-Valveslip-Verdict") != "not-run" {
+		t.Fatalf("status %d, %v", answer.StatusCode, answer.Header)
+	}
+}
+
+func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	runner := endless{failed: make(chan error, 1)}
+	const body = `{"model":"recall","messages":[],"stream":true}`
+	connection := dial(t, serve(t, CallersConfig{Runner: runner, StallTime: 20 * time.Millisecond}), len(body))
+	if _, err := connection.Write([]byte(body)); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-runner.failed; !strings.Contains(err.Error(), "timeout") {
+		t.Fatalf("ended by %v", err)
+	}
+}
+
+func TestDeadlineOfACallerIsBounded(t *testing.T) {
+	api := &callers{CallersConfig: CallersConfig{}.withDefaults()}
+	now := time.Unix(1000, 0).UTC()
+	policy := &settings.Policy{Deadline: time.Minute}
+	tests := map[string]time.Duration{
+		"": time.Minute, "90s": 90 * time.Second, "24h": DefaultMaxDeadline,
+		now.Add(5 * time.Second).Format(time.RFC3339): 5 * time.Second,
+	}
+	for text, wanted := range tests {
+		deadline, fault := api.readDeadline(text, policy, now)
+		if fault != nil || deadline.Sub(now) != wanted {
+			t.Errorf("%q: %v, %v", text, deadline.Sub(now), fault)
+		}
+	}
+}
+
+func TestPriorityCanOnlyBeLowered(t *testing.T) {
+	api := &callers{CallersConfig: CallersConfig{}.withDefaults()}
+	var got []int
+	for _, text := range []string{"", "9", "3", "-1"} {
+		read, fault := api.readTerms(http.Header{"X-Valveslip-Priority": {text}}, &settings.Policy{Priority: 5}, time.Now())
+		if fault != nil {
+			t.Fatal(fault.failure)
+		}
+		got = append(got, read.priority)
+	}
+	if !slices.Equal(got, []int{5, 5, 3, -1}) {
+		t.Fatalf("priorities %v", got)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,23 +54,34 @@
 	if err == nil {
 		err = a.consume(answer)
 	}
-	tries := 0
-	for err != nil && a.resumable(ctx, err) && tries < a.options.ResumeTries {
+	if err != nil {
+		err = a.resume(ctx, err)
+	}
+	return a.ended(ctx, err)
+}
+
+// resume fetches the rest of an answer that was cut. It gives up when the
+// engine does not know the attempt, or after ResumeTries in a row without a
+// byte; it returns nil when the answer is whole.
+func (a *attempt) resume(ctx context.Context, err error) error {
+	for tries := 0; tries < a.options.ResumeTries && a.resumable(ctx, err); tries++ {
 		if tries > 0 && !sleep(ctx, a.options.ResumeWait<<(tries-1)) {
 			break
 		}
-		tries++
 		before := a.offset
 		answer, resumeErr := a.engines.Resume(ctx, a.call, a.offset)
+		if errors.Is(resumeErr, engine.ErrAttemptUnknown) {
+			break
+		}
 		if resumeErr != nil {
 			continue
 		}
 		err = a.consume(answer)
 		if a.offset > before {
-			tries = 0
+			tries = -1
 		}
 	}
-	return a.ended(ctx, err)
+	return err
 }
 
 // resumable reports whether the engine may hold more of the answer.
--- a/relay/keyed/keyed_test.go
+++ b/relay/keyed/keyed_test.go
@@ -151,6 +151,7 @@
 			})
 		}
 		together.Wait()
+		synctest.Wait() // The outcome is on its way to the owner.
 		close(answered)
 		if len(answered) != 1 || c.engine.runs != 1 {
 			t.Fatalf("%d answers, %d runs", len(answered), c.engine.runs)
@@ -210,6 +211,7 @@
 		if failure == nil || failure.Code != verdict.CodeCallerGone {
 			t.Fatalf("first: %v", failure)
 		}
+		synctest.Wait()
 		if body, failure := c.ask(t, 2, "k", "confirm"); failure != nil || body != "answer 1" {
 			t.Fatalf("repetition: %q, %v", body, failure)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,9 +15,10 @@
 // Defaults of Options.
 const (
 	DefaultMaxAnswerBytes = 32 << 20
-	DefaultResumeTries    = 3
-	DefaultResumeWait     = 20 * time.Millisecond
-	DefaultCancelTime     = 2 * time.Second
+	// DefaultResumeTries with DefaultResumeWait try for 1.3 s.
+	DefaultResumeTries = 7
+	DefaultResumeWait  = 20 * time.Millisecond
+	DefaultCancelTime  = 2 * time.Second
 	// DefaultFinishGrace bounds the wait for the core's Finish beyond the
 	// request's deadline.
 	DefaultFinishGrace = 5 * time.Second
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -167,6 +167,7 @@
 	notRun := verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "full")
 	notRun.Cause = engine.ErrEngineFull
 	lost := verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "lost")
+	forgotten := verdict.Wrap(engine.ErrAttemptUnknown, verdict.MayHaveRun, verdict.CodeStreamCut, "404")
 	const object = `{"usage":{"completion_tokens":7}}`
 	tests := []struct {
 		name    string
@@ -186,6 +187,7 @@
 		{name: "crossed answer is dropped and the own one fetched", steps: []step{{body: `{"secret":1}`, other: true}, {body: object}}, body: object, offsets: []int64{0}, started: true},
 		{name: "crossed answer and no own one", steps: []step{{body: `{"secret":1}`, other: true}}, code: verdict.CodeEngineFailed, verdict: verdict.MayHaveRun, offsets: []int64{0, 0, 0}},
 		{name: "crossed resumption adds nothing", stream: true, steps: []step{{body: whole[:9], cut: true}, {body: "data: other\n\n", other: true}, {body: whole[9:]}}, body: whole, offsets: []int64{9, 9}, started: true},
+		{name: "engine that forgot the attempt is asked once", stream: true, steps: []step{{body: whole[:9], cut: true}, {err: forgotten}}, body: whole[:9], code: verdict.CodeStreamCut, verdict: verdict.Ran, offsets: []int64{9}, started: true},
 		{name: "refused is not run and not resumed", steps: []step{{err: notRun}}, code: verdict.CodeEngineRefused, verdict: verdict.NotRun},
 		{name: "cut object is never sent in part", steps: []step{{body: object[:9], cut: true}}, code: verdict.CodeEngineFailed, verdict: verdict.Ran, offsets: []int64{9, 9, 9}},
 		{name: "object that is not JSON", steps: []step{{body: object[:9]}}, code: verdict.CodeEngineFailed, verdict: verdict.Ran},
@@ -197,7 +199,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				played := &engines{steps: test.steps, cancels: make(chan struct{})}
 				caller, core := &recorder{}, &decider{limit: 1}
-				runner := NewRunner(core, played, Options{MaxAnswerBytes: 64})
+				runner := NewRunner(core, played, Options{MaxAnswerBytes: 64, ResumeTries: 3})
 				result := runner.Run(t.Context(), call(test.stream), caller)
 				synctest.Wait()
 				if caller.body.String() != test.body || result.Started != test.started {
--- a/settings/policy.go
+++ b/settings/policy.go
@@ -146,6 +146,8 @@
 
 	models map[cluster.ModelID]int
 	tokens map[string]int
+	// teams of the models.
+	teams map[string]struct{}
 }
 
 // NewSnapshot indexes models and tokens; both must be sorted as documented.
@@ -154,9 +156,11 @@
 		Stamp: stamp, Models: models, Tokens: tokens, Scopes: scopes,
 		models: make(map[cluster.ModelID]int, len(models)),
 		tokens: make(map[string]int, len(tokens)),
+		teams:  make(map[string]struct{}),
 	}
 	for i := range models {
 		snapshot.models[models[i].ID] = i
+		snapshot.teams[models[i].Team] = struct{}{}
 	}
 	for i := range tokens {
 		snapshot.tokens[tokens[i].SHA256] = i
@@ -186,6 +190,17 @@
 	return nil
 }
 
+// TeamOf returns the path of the closest team with models at or above path, or
+// path itself without one.
+func (s *Snapshot) TeamOf(path string) string {
+	for level := path; level != "/"; level = parent(level) {
+		if _, found := s.teams[level]; found {
+			return level
+		}
+	}
+	return path
+}
+
 // Visible reports whether a token bound to the subtree at path may call the
 // model: the model lies in the subtree, or is shared by being placed directly
 // under a level at or above the subtree that is not inside another team.
