End a refused watch and name a lapsed lease as the client does

Cause: the simulated key-value service answered a refused watch as a call, so a node never opened it again, and hid that a lease had expired. Change: a refused watch ends; a keep-alive of an expired lease wraps the client's error.

--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -103,6 +103,7 @@
 func (w *World) Inject(fault Fault) {
 	w.Faults[fault.Kind]++
 	w.Kernel.Record(LabelFault, uint64(fault.Duration))
+	w.trace("fault %s for %s", fault.Kind, fault.Duration)
 	switch fault.Kind {
 	case FaultNodeCrash, FaultNodePause, FaultNodeStop:
 		w.injectNode(fault)
@@ -132,6 +133,7 @@
 		return
 	}
 	run := victim.run
+	w.trace("%s of %s", fault.Kind, victim.ID)
 	switch fault.Kind {
 	case FaultNodeCrash:
 		victim.crash()
@@ -188,6 +190,7 @@
 		return
 	}
 	victim := live[w.faults.IntN(len(live))]
+	w.trace("%s of %s", fault.Kind, victim.Machine.ID)
 	if fault.Kind == FaultEngineCrash {
 		victim.Crash()
 		w.Kernel.After(victim.Config.RestartTime, LabelFault, victim.Restart)
@@ -232,6 +235,7 @@
 		fault.Region = zone.Region
 	}
 	w.disturb(fault.Duration)
+	w.trace("%s of zone %s, region %s", fault.Kind, fault.Zone, fault.Region)
 	switch fault.Kind {
 	case FaultZoneCut:
 		w.Network.IsolateZone(fault.Zone, true)
@@ -338,6 +342,7 @@
 		ID: fmt.Sprintf("edit-%d", w.Faults[FaultEdit]), Author: "operator", BaseRevision: stamp.Revision,
 		Changes: []settings.Change{{Path: path, Set: w.randomValue(tree, path)}},
 	}
+	w.trace("edit %v through %s", edit.Changes, through.ID)
 	if err := w.commit(edit, through); err != nil {
 		w.Checkers.require(false, PromiseConfiguration, "edit not accepted: %v", err)
 	}
--- a/simulation/keyvalue.go
+++ b/simulation/keyvalue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/standin/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -89,6 +90,10 @@
 	}
 	fail := func(after time.Duration, v verdict.Verdict) {
 		err := verdict.New(v, verdict.CodeUnavailable, "key-value service unavailable")
+		if call.Operation == node.KeyValueWatch {
+			answer(after, node.WatchEnded{ID: call.ID, Err: err})
+			return
+		}
 		answer(after, node.KeyValueAnswered{ID: call.ID, Err: err})
 	}
 	if !s.network.Reachable(from.Place, s.place) {
@@ -148,6 +153,9 @@
 		s.Counts.Writes++
 		err = s.state.Revoke(now, call.Lease)
 	}
+	if errors.Is(err, keyvalue.ErrLeaseNotFound) {
+		err = kv.ErrLeaseNotFound
+	}
 	if err != nil {
 		answered.Err = verdict.Wrap(err, verdict.NotRun, verdict.CodeConflict, "refused")
 	}
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -68,6 +68,8 @@
 	Callers  *Callers
 	Messages MessageCounts
 
+	// Trace, when set, is told of faults and edits.
+	Trace   func(format string, arguments ...any)
 	config  WorldConfig
 	engines map[cluster.MachineID]*Engine
 	order   []cluster.MachineID
@@ -199,3 +201,10 @@
 
 // read returns the list as it is shown now.
 func (l *machineList) read(now time.Time) ([]cluster.Machine, uint64) { return l.state.List(now) }
+
+// trace tells Trace, if set.
+func (w *World) trace(format string, arguments ...any) {
+	if w.Trace != nil {
+		w.Trace(format, arguments...)
+	}
+}
