--- /dev/null
+++ b/simulation/checkers_test.go
@@ -0,0 +1,201 @@
+package simulation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// tamperOrders changes the orders to load that reach engines.
+func tamperOrders(change func(w *World, order *cluster.Order)) func(*World, *Node, node.Effect) node.Effect {
+	return func(w *World, _ *Node, effect node.Effect) node.Effect {
+		if call, ok := effect.(node.EngineCall); ok && call.Operation == node.EngineOrder && call.Order.Kind == cluster.OrderLoad {
+			change(w, &call.Order)
+			return call
+		}
+		return effect
+	}
+}
+
+// tamperRouting changes effects of the request path; nil drops them.
+func tamperRouting(change func(w *World, from *Node, effect routing.Effect) routing.Effect) func(*World, *Node, node.Effect) node.Effect {
+	return func(w *World, from *Node, effect node.Effect) node.Effect {
+		output, ok := effect.(node.RoutingOutput)
+		if !ok {
+			return effect
+		}
+		if output.Effect = change(w, from, output.Effect); output.Effect == nil {
+			return nil
+		}
+		return output
+	}
+}
+
+// defects are planted one at a time; each must be noticed by the checker of the
+// promise it breaks.
+var defects = []struct {
+	name    string
+	promise Promise
+	effect  func(w *World, from *Node, effect node.Effect) node.Effect
+	answer  func(request *cluster.RequestID, tokens *int)
+}{
+	{name: "a load is also given to every other machine", promise: PromiseReplicas,
+		effect: tamperOrders(func(w *World, order *cluster.Order) {
+			for _, machine := range w.Engines() {
+				if order.Base == "" && machine.Machine.ID != order.Machine {
+					_ = machine.load(*order)
+				}
+			}
+		})},
+	{name: "a load takes more memory than was reserved", promise: PromiseMemory,
+		effect: tamperOrders(func(_ *World, order *cluster.Order) { order.Bytes += 30 << 30 })},
+	{name: "the outcome of a request is dropped", promise: PromiseOutcome,
+		effect: tamperRouting(func(_ *World, _ *Node, effect routing.Effect) routing.Effect {
+			if finish, ok := effect.(routing.Finish); ok && finish.Failure == nil {
+				return nil
+			}
+			return effect
+		})},
+	{name: "the outcome of a request is given twice", promise: PromiseOutcome,
+		effect: tamperRouting(func(w *World, _ *Node, effect routing.Effect) routing.Effect {
+			if finish, ok := effect.(routing.Finish); ok {
+				w.Callers.finish(finish)
+			}
+			return effect
+		})},
+	{name: "an answer is crossed with another", promise: PromiseAnswer,
+		answer: func(request *cluster.RequestID, _ *int) { *request += "-other" }},
+	{name: "an answer is cut short", promise: PromiseAnswer,
+		answer: func(_ *cluster.RequestID, tokens *int) { *tokens-- }},
+	{name: "a request that ran is refused as not run", promise: PromiseNotRun,
+		effect: tamperRouting(func(_ *World, _ *Node, effect routing.Effect) routing.Effect {
+			if finish, ok := effect.(routing.Finish); ok && finish.Failure == nil {
+				finish.Failure = verdict.New(verdict.NotRun, verdict.CodeNoCapacity, "planted")
+				return finish
+			}
+			return effect
+		})},
+	{name: "a request is dispatched twice", promise: PromiseAtMostOnce,
+		effect: tamperRouting(func(w *World, from *Node, effect routing.Effect) routing.Effect {
+			if dispatch, ok := effect.(routing.Dispatch); ok {
+				w.Callers.dispatch(from, dispatch)
+				dispatch.Attempt++
+				return dispatch
+			}
+			return effect
+		})},
+	{name: "a leaving machine is kept and chosen", promise: PromiseLeaving, effect: chooseLeaving},
+	{name: "a planned stop does not wait", promise: PromisePlannedStop,
+		effect: func(_ *World, from *Node, effect node.Effect) node.Effect {
+			if from.draining {
+				return node.Drained{}
+			}
+			return effect
+		}},
+	{name: "a node goes back to an older configuration", promise: PromiseConfiguration,
+		effect: func(w *World, from *Node, effect node.Effect) node.Effect {
+			if inForce, ok := effect.(node.SettingsInForce); ok && from.revision > 1 {
+				old := *inForce.Snapshot
+				old.Stamp.Revision = 1
+				return node.SettingsInForce{Snapshot: &old}
+			}
+			return effect
+		}},
+	{name: "an edit never reaches a node", promise: PromiseConfiguration,
+		effect: func(_ *World, from *Node, effect node.Effect) node.Effect {
+			if inForce, ok := effect.(node.SettingsInForce); ok && inForce.Snapshot.Stamp.Revision > 1 && from.number == 3 {
+				return nil
+			}
+			return effect
+		}},
+}
+
+// chooseLeaving drops unloads of leaving machines and sends work there.
+func chooseLeaving(w *World, _ *Node, effect node.Effect) node.Effect {
+	switch e := effect.(type) {
+	case node.EngineCall:
+		if e.Operation == node.EngineOrder && w.engines[e.Machine.ID].Leaving {
+			return nil
+		}
+	case node.RoutingOutput:
+		dispatch, ok := e.Effect.(routing.Dispatch)
+		for _, machine := range w.Engines() {
+			if ok && machine.Leaving && machine.State(dispatch.Model) == cluster.ReplicaLoaded {
+				dispatch.Machine = machine.Machine.ID
+				return node.RoutingOutput{Effect: dispatch}
+			}
+		}
+	}
+	return effect
+}
+
+// runWithEvents runs a small world through a reclaimed machine, a planned stop
+// and edits.
+func runWithEvents(t *testing.T, tamper Tamper, world **World) *Checkers {
+	t.Helper()
+	*world = newSmallWorld(t, 11, tamper)
+	w := *world
+	w.Schedule([]Fault{
+		{Kind: FaultEdit, After: 30 * time.Second},
+		{Kind: FaultEdit, After: 40 * time.Second},
+		{Kind: FaultMachineReclaim, After: 70 * time.Second, Duration: 40 * time.Second},
+		{Kind: FaultMachineReclaim, After: 75 * time.Second, Duration: 40 * time.Second},
+		{Kind: FaultNodeStop, After: 150*time.Second + 500*time.Millisecond},
+		{Kind: FaultNodeStop, After: 170 * time.Second},
+	})
+	w.Run(Epoch.Add(5 * time.Minute))
+	return w.Checkers
+}
+
+func TestCheckersNoticePlantedDefects(t *testing.T) {
+	var world *World
+	clean := runWithEvents(t, Tamper{}, &world)
+	if clean.Total() != 0 {
+		t.Fatalf("violations without a defect: %v", clean.Violations)
+	}
+	for _, promise := range Promises() {
+		if promise != PromiseLeaving && clean.Checked[promise] == 0 {
+			t.Errorf("%q is never checked", promise)
+		}
+	}
+	for _, defect := range defects {
+		t.Run(defect.name, func(t *testing.T) {
+			tamper := Tamper{Answer: defect.answer}
+			if defect.effect != nil {
+				tamper.Effect = func(from *Node, effect node.Effect) node.Effect { return defect.effect(world, from, effect) }
+			}
+			checkers := runWithEvents(t, tamper, &world)
+			if checkers.Count[defect.promise] == 0 {
+				t.Errorf("the checker of %q noticed nothing; violations: %v", defect.promise, checkers.Violations)
+			}
+		})
+	}
+}
+
+func TestControlGoesOnAfterKeyValueOutage(t *testing.T) {
+	world := newSmallWorld(t, 5, Tamper{})
+	world.Schedule([]Fault{{Kind: FaultKeyValueDown, After: 30 * time.Second, Duration: 40 * time.Second}})
+	world.Run(Epoch.Add(80 * time.Second))
+	served := world.Callers.Outcomes[OutcomeServed]
+	edit := settings.Edit{ID: "off", Author: "operator", BaseRevision: 1, Changes: []settings.Change{
+		{Path: "/team/small", Set: map[string]settings.Value{"max_replicas": "0"}},
+	}}
+	if err := world.commit(edit, world.nodes[2]); err != nil {
+		t.Fatal(err)
+	}
+	world.Run(Epoch.Add(3 * time.Minute))
+	if held := world.Checkers.held["small"]; held != 0 {
+		t.Errorf("%d replicas are held of a model that was turned off after the outage", held)
+	}
+	if served == 0 || world.Callers.Outcomes[OutcomeServed] == served {
+		t.Errorf("requests served: %d until the outage ended, %d at the end", served, world.Callers.Outcomes[OutcomeServed])
+	}
+	if world.Checkers.Total() != 0 {
+		t.Errorf("violations: %v", world.Checkers.Violations)
+	}
+}
