Read the machine list conditionally

Cause: each controller reads the whole list every second; at 1,600 machines that is 187,226 bytes of body a read, far above a node's budget of 13 KB a second. Result: a second read of an unchanged list transfers 0 bytes of body (test).

--- a/standin/machines/machines_test.go
+++ b/standin/machines/machines_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +72,48 @@
 		t.Fatalf("list %+v, %v", list, err)
 	}
 }
+
+// TestUnchangedListIsNotSentAgain counts the bytes of two reads of a long list,
+// and checks that a change comes through.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	server := machines.NewServer(0, 1)
+	var sent atomic.Int64
+	listener := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		server.ServeHTTP(&countingWriter{ResponseWriter: writer, sent: &sent}, request)
+	}))
+	defer listener.Close()
+	for i := range 1600 {
+		server.Put(cluster.Machine{ID: cluster.MachineID(fmt.Sprintf("machine-%04d", i)), Zone: "z"})
+	}
+	client := platform.NewClient(listener.URL)
+	defer client.Close()
+	read := func() (int, int64) {
+		before := sent.Load()
+		list, _, err := client.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(list), sent.Load() - before
+	}
+	if count, bytes := read(); count != 1600 || bytes == 0 {
+		t.Fatalf("first read: %d machines in %d bytes", count, bytes)
+	}
+	if count, bytes := read(); count != 1600 || bytes != 0 {
+		t.Fatalf("second read: %d machines in %d bytes, want none sent", count, bytes)
+	}
+	server.Put(cluster.Machine{ID: "new", Zone: "z"})
+	if count, bytes := read(); count != 1601 || bytes == 0 {
+		t.Fatalf("after a change: %d machines in %d bytes", count, bytes)
+	}
+}
+
+// countingWriter counts the bytes of bodies.
+type countingWriter struct {
+	http.ResponseWriter
+	sent *atomic.Int64
+}
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	w.sent.Add(int64(len(data)))
+	return w.ResponseWriter.Write(data)
+}
--- a/standin/machines/server.go
+++ b/standin/machines/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -55,9 +56,15 @@
 	s.Do(func(now time.Time, state *State) { state.Put(now, machine) })
 }
 
-func (s *Server) list(writer http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(writer http.ResponseWriter, request *http.Request) {
 	var answer machines.List
 	s.Do(func(now time.Time, state *State) { answer.Machines, answer.Version = state.List(now) })
+	tag := strconv.Quote(strconv.FormatUint(answer.Version, 10))
+	writer.Header().Set("ETag", tag)
+	if request.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(answer)
 }
