Keep idempotency keys by region, so that repetitions in another zone don't run

Cause: keys had one owner in each zone, and callers who are given the addresses of several nodes repeat in another zone, where the request ran again. Change: the nodes of a region share the keys.

--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -281,11 +281,11 @@
 }
 
 // joinTime is how long a node with seeds waits to learn of other nodes before it
-// takes itself for the only one of its cell.
+// takes itself for the only one of its region.
 const joinTime = 10 * time.Second
 
-// Neighbours implements keyed.Peers: the other nodes of the zone that are not
-// held to be dead.
+// Neighbours implements keyed.Peers: the other nodes of the region that are not
+// held to be dead. Callers spread their repetitions over its zones.
 func (n *Node) Neighbours() (neighbours []cluster.Node, known bool) {
 	composed := n.Inspect(func(core *node.Core) {
 		for _, member := range core.Members() {
@@ -293,7 +293,7 @@
 				continue
 			}
 			known = true
-			if member.Node.Zone == n.self.Zone {
+			if member.Node.Region == n.self.Region {
 				neighbours = append(neighbours, member.Node)
 			}
 		}
--- a/relay/keyed/claims.go
+++ b/relay/keyed/claims.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// address returns where a node of the cell takes messages.
+// address returns where a node of the region takes messages.
 func (r *Runner) address(id cluster.NodeID) (string, bool) {
 	neighbours, _ := r.peers.Neighbours()
 	for _, neighbour := range neighbours {
--- a/relay/keyed/runner.go
+++ b/relay/keyed/runner.go
@@ -23,7 +23,7 @@
 // Peers reaches the other nodes.
 type Peers interface {
 	Self() cluster.Node
-	// Neighbours returns the other running nodes of the cell. It returns false
+	// Neighbours returns the other running nodes of the region. It returns false
 	// while the node has not yet learned who they are.
 	Neighbours() ([]cluster.Node, bool)
 	Send(address string, message wire.Message)
