Measure recovery; ask for a free lease sooner and for dead engines more often

Cause: nothing measured the time from a fault of control to control again. A node asked for its cell's lease every 2 to 4 s, also while it was only holding back, and an engine that did not answer was asked every 5 s in the end. Change: experiment recovery injects six faults of control in the simulator and measures the time to plan or load again. AcquireInterval (250 ms) spaces attempts that did not fail, AcquireRetry those that did; RetryMax is 1 s. The simulator's faults may name their victim.

--- a/authority/config.go
+++ b/authority/config.go
@@ -11,11 +11,12 @@
 // Defaults of ControllerConfig.
 const (
 	DefaultAcquireRetry          = 2 * time.Second
+	DefaultAcquireInterval       = 250 * time.Millisecond
 	DefaultInventoryInterval     = 5 * time.Second
 	DefaultBusyInventoryInterval = 500 * time.Millisecond
 	DefaultCallTimeout           = 5 * time.Second
 	DefaultRetryMin              = 250 * time.Millisecond
-	DefaultRetryMax              = 5 * time.Second
+	DefaultRetryMax              = time.Second
 	DefaultMachineLag            = 30 * time.Second
 )
 
@@ -31,9 +32,13 @@
 type ControllerConfig struct {
 	Zone cluster.ZoneID
 	Node cluster.NodeID
-	// AcquireRetry is the time between attempts to acquire the lease while
-	// another node holds it. Each node adds a fixed part of its own, up to as
-	// much again, so that nodes don't ask at the same moment. Default 2 s.
+	// AcquireInterval is how often the shell is asked to acquire the lease while
+	// no attempt of it has failed; it may hold back as long as it knows a live
+	// holder. Default 250 ms.
+	AcquireInterval time.Duration
+	// AcquireRetry is the time to wait after a failed attempt. Each node adds a
+	// fixed part of its own, up to as much again, so that nodes don't ask at the
+	// same moment. Default 2 s.
 	AcquireRetry time.Duration
 	// InventoryInterval is the time between inventories of a machine without
 	// work in progress. Default 5 s.
@@ -45,7 +50,7 @@
 	// as unanswered. Default 5 s.
 	CallTimeout time.Duration
 	// RetryMin and RetryMax bound the doubling time between attempts to reach
-	// an engine that does not answer. Defaults 250 ms and 5 s.
+	// an engine that does not answer. Defaults 250 ms and 1 s.
 	RetryMin, RetryMax time.Duration
 	// MachineLag is for how long a machine must be missing from the machine
 	// list before its replicas count as gone. It must exceed the list's lag.
@@ -60,6 +65,7 @@
 			*value = standard
 		}
 	}
+	set(&c.AcquireInterval, DefaultAcquireInterval)
 	set(&c.AcquireRetry, DefaultAcquireRetry)
 	set(&c.InventoryInterval, DefaultInventoryInterval)
 	set(&c.BusyInventoryInterval, DefaultBusyInventoryInterval)
--- a/authority/controller.go
+++ b/authority/controller.go
@@ -195,7 +195,7 @@
 		if now.Before(c.acquireAt) {
 			return nil
 		}
-		c.acquireAt = now.Add(c.config.acquireDelay())
+		c.acquireAt = now.Add(c.config.AcquireInterval)
 		return []Effect{AcquireLease{Zone: c.config.Zone}}
 	}
 	var effects []Effect
--- a/authority/explore/search.go
+++ b/authority/explore/search.go
@@ -95,7 +95,7 @@
 func (s *search) newNode(i int) node {
 	return node{core: authority.NewController(authority.ControllerConfig{
 		Zone: zoneName, Node: cluster.NodeID(fmt.Sprintf("n%d", i)),
-		AcquireRetry: timerTime, InventoryInterval: 1000 * lapseTime, BusyInventoryInterval: timerTime,
+		AcquireInterval: timerTime, AcquireRetry: timerTime, InventoryInterval: 1000 * lapseTime, BusyInventoryInterval: timerTime,
 		CallTimeout: 1000 * lapseTime, RetryMin: timerTime, RetryMax: timerTime, MachineLag: machineLag,
 	})}
 }
--- a/cmd/valveslip/experiment.go
+++ b/cmd/valveslip/experiment.go
@@ -18,6 +18,7 @@
 		Subcommands: []*ffcli.Command{
 			experimentFaultsCommand(),
 			experimentMembershipCommand(os.Stdout),
+			experimentRecoveryCommand(os.Stdout),
 			experimentSpreadCommand(os.Stdout),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/simulation/faults.go
+++ b/simulation/faults.go
@@ -53,6 +53,9 @@
 	// Zone or Region of cuts and of the node or machine, empty for any.
 	Zone   cluster.ZoneID
 	Region cluster.RegionID
+	// Node or Machine that is hit, empty for any.
+	Node    cluster.NodeID
+	Machine cluster.MachineID
 }
 
 // FaultRate injects a kind at random times.
@@ -128,7 +131,7 @@
 
 // injectNode hits one process.
 func (w *World) injectNode(fault Fault) {
-	victim := w.anyNode(fault.Zone)
+	victim := w.anyNode(fault.Zone, fault.Node)
 	if victim == nil {
 		return
 	}
@@ -164,11 +167,11 @@
 	}
 }
 
-// anyNode picks a live process.
-func (w *World) anyNode(zone cluster.ZoneID) *Node {
+// anyNode picks a live process of a zone and with an ID, if these are given.
+func (w *World) anyNode(zone cluster.ZoneID, id cluster.NodeID) *Node {
 	var live []*Node
 	for _, candidate := range w.nodes {
-		if candidate.alive && !candidate.paused && !candidate.draining && (zone == "" || candidate.Place.Zone == zone) {
+		if candidate.alive && !candidate.paused && !candidate.draining && (zone == "" || candidate.Place.Zone == zone) && (id == "" || candidate.ID == id) {
 			live = append(live, candidate)
 		}
 	}
@@ -182,7 +185,8 @@
 func (w *World) injectMachine(fault Fault) {
 	var live []*Engine
 	for _, candidate := range w.Engines() {
-		if candidate.Alive && !candidate.Leaving && (fault.Zone == "" || candidate.Machine.Zone == fault.Zone) {
+		if candidate.Alive && !candidate.Leaving && (fault.Zone == "" || candidate.Machine.Zone == fault.Zone) &&
+			(fault.Machine == "" || candidate.Machine.ID == fault.Machine) {
 			live = append(live, candidate)
 		}
 	}
@@ -323,7 +327,7 @@
 // injectEdit changes one key of one model, through the administration API of
 // some node.
 func (w *World) injectEdit() {
-	through := w.anyNode("")
+	through := w.anyNode("", "")
 	if through == nil || w.KeyValue.Down || !w.Network.Reachable(through.Place, w.KeyValue.place) {
 		return
 	}
