--- a/node/shell/calls.go
+++ b/node/shell/calls.go
@@ -37,7 +37,10 @@
 	queued := n.keyValuePool.submit(func() {
 		ctx, cancel := context.WithTimeout(n.calls, keyValueTimeout)
 		defer cancel()
-		n.step(n.answerKeyValue(ctx, call))
+		began := time.Now()
+		answer := n.answerKeyValue(ctx, call)
+		n.metrics.called(targetKeyValue, began, answer.Err)
+		n.step(answer)
 	})
 	if !queued {
 		n.background(func() { n.step(node.KeyValueAnswered{ID: call.ID, Err: overloaded()}) })
@@ -81,7 +84,10 @@
 	queued := n.enginePool.submit(func() {
 		ctx, cancel := context.WithTimeout(n.context, engineTimeout)
 		defer cancel()
-		n.step(n.answerEngine(ctx, call))
+		began := time.Now()
+		answer := n.answerEngine(ctx, call)
+		n.metrics.called(targetEngine, began, answer.Err)
+		n.step(answer)
 	})
 	if !queued {
 		n.background(func() { n.step(node.EngineAnswered{Call: call, Err: overloaded()}) })
@@ -114,7 +120,9 @@
 	queued := n.platformPool.submit(func() {
 		ctx, cancel := context.WithTimeout(n.context, platformTimeout)
 		defer cancel()
+		began := time.Now()
 		list, version, err := n.options.Machines.List(ctx)
+		n.metrics.called(targetMachines, began, err)
 		n.step(node.MachinesListed{Machines: list, Version: version, Err: err})
 	})
 	if !queued {
@@ -127,7 +135,9 @@
 	queued := n.platformPool.submit(func() {
 		ctx, cancel := context.WithTimeout(n.context, platformTimeout)
 		defer cancel()
+		began := time.Now()
 		status, err := n.options.Weights.Status(ctx)
+		n.metrics.called(targetWeights, began, err)
 		n.step(node.StoreStatusRead{Status: status, Err: err})
 	})
 	if !queued {
--- a/node/shell/metrics.go
+++ b/node/shell/metrics.go
@@ -2,12 +2,14 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/valveslip/valveslip/api"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/verdict"
 )
 
 // outcomeServed labels requests whose whole answer was relayed.
@@ -23,6 +25,7 @@
 	attempts  prometheus.Counter
 	tokens    prometheus.Counter
 	revision  prometheus.Gauge
+	calls     *prometheus.HistogramVec
 }
 
 // latencyBuckets in seconds cover a warm relay to a cold start from remote.
@@ -45,11 +48,32 @@
 	m.attempts = prometheus.NewCounter(counter("valveslip_attempts_total", "Dispatches to engines."))
 	m.tokens = prometheus.NewCounter(counter("valveslip_tokens_total", "Generated tokens relayed."))
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "valveslip_settings_revision", Help: "Settings revision in force.", ConstLabels: constant})
-	m.registry.MustRegister(m.requests, m.duration, m.firstByte, m.waited, m.attempts, m.tokens, m.revision,
+	m.calls = prometheus.NewHistogramVec(histogram("valveslip_call_duration_seconds", "Calls to the platform and to engines' control API by target and result, an error code or ok."), []string{"target", "result"})
+	m.registry.MustRegister(m.calls, m.requests, m.duration, m.firstByte, m.waited, m.attempts, m.tokens, m.revision,
 		node, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
+// Targets of calls.
+const (
+	targetKeyValue = "key-value"
+	targetEngine   = "engine"
+	targetMachines = "machine-list"
+	targetWeights  = "weight-store"
+)
+
+// resultOK labels calls without an error.
+const resultOK = "ok"
+
+// called counts one call that began at the given time.
+func (m *metrics) called(target string, began time.Time, err error) {
+	result := resultOK
+	if err != nil {
+		result = string(verdict.CodeOf(err))
+	}
+	m.calls.WithLabelValues(target, result).Observe(time.Since(began).Seconds())
+}
+
 // waitedThreshold in seconds tells a request that waited for a replica from one
 // that found one.
 const waitedThreshold = 0.05
--- a/node/shell/metrics_test.go
+++ b/node/shell/metrics_test.go
@@ -13,7 +13,7 @@
 	f := start(t, fixtureConfig{})
 	f.post(hello).Body.Close()
 	served := names(`(?m)^# TYPE (valveslip_\w+)`, f.admin("/metrics"))
-	served = append(served, "valveslip_cell_machines", "valveslip_cell_machines_sealed", "valveslip_cell_replicas",
+	served = append(served, "valveslip_call_duration_seconds", "valveslip_cell_machines", "valveslip_cell_machines_sealed", "valveslip_cell_replicas",
 		"valveslip_controller", "valveslip_members", "valveslip_peer_bytes_total", "valveslip_peer_messages_total")
 	page, err := os.ReadFile("../../docs/operations/metrics-and-alerts.md")
 	if err != nil {
