Pass over engines that no longer answer

Cause: a replica on an engine that had died, on a machine that the list still showed, was published to routers for good and used up its zone's allotment, so its model was refused everywhere. Change: after three calls in a row without an answer a machine takes no orders, its replicas are not published, and a model whose whole allotment lies on such machines is not named as allotted, so that its demand goes to other zones. The replicas still count against memory and the allotment, because they may exist.

--- a/authority/controller_test.go
+++ b/authority/controller_test.go
@@ -257,3 +257,30 @@
 		t.Fatalf("effect %T, want SteppedDown", effects[0])
 	}
 }
+
+// TestUnresponsiveEngineIsPassedOverButCounts: its replica takes no requests
+// and no orders, yet none may be loaded in its place beyond the allotment.
+func TestUnresponsiveEngineIsPassedOverButCounts(t *testing.T) {
+	cell := newCellTest(t, "m1", "m2")
+	cell.acquire(5)
+	cell.allot(1, "m1", "m2")
+	cell.seal(5, "m1", cluster.Replica{Model: "x", State: cluster.ReplicaLoaded, Bytes: 4})
+	cell.seal(5, "m2")
+	for range unresponsiveAfter - 1 {
+		cell.step(EngineUnreachable{Machine: "m1"})
+	}
+	if !cell.controller.Responsive("m1") || !cell.controller.State(cell.now).Machines[0].Sealed {
+		t.Fatal("passed over too early")
+	}
+	cell.step(EngineUnreachable{Machine: "m1"})
+	state := cell.controller.State(cell.now)
+	if cell.controller.Responsive("m1") || state.Machines[0].Sealed || len(state.Machines[0].Replicas) != 1 {
+		t.Fatalf("shown to the planner as %+v", state.Machines[0])
+	}
+	cell.expectOrders(cell.load("m2", 4), 0, "the replica on m1 may still be there")
+	cell.step(InventoryRead{Inventory: testInventory(5, "m1", 2)})
+	if !cell.controller.Responsive("m1") {
+		t.Fatal("not taken back after an answer")
+	}
+	cell.expectOrders(cell.load("m2", 4), 1, "m1 shows that the replica is gone")
+}
--- a/authority/ledger.go
+++ b/authority/ledger.go
@@ -41,6 +41,15 @@
 	failures int
 }
 
+// unresponsiveAfter is how many calls in a row an engine leaves unanswered until
+// it counts as unresponsive.
+const unresponsiveAfter = 3
+
+// responsive reports whether the engine has lately answered. What an
+// unresponsive one holds still counts against memory and the allotment, but
+// takes no requests and no orders.
+func (m *machineLedger) responsive() bool { return m.failures < unresponsiveAfter }
+
 // newMachineLedger returns the entry of a machine of which nothing is known.
 func newMachineLedger(machine cluster.Machine) *machineLedger {
 	return &machineLedger{machine: machine}
--- a/authority/view.go
+++ b/authority/view.go
@@ -34,7 +34,7 @@
 	inventory := &entry.inventory
 	return placement.Machine{
 		ID: entry.machine.ID, Rack: entry.machine.Rack, Pool: inventory.Pool,
-		Sealed:      entry.sealed && c.permitted[entry.machine.ID],
+		Sealed:      entry.sealed && entry.responsive() && c.permitted[entry.machine.ID],
 		Leaving:     entry.machine.Leaving || inventory.Leaving || !c.presence.inLatest(entry.machine.ID),
 		MemoryBytes: inventory.MemoryBytes, Accelerators: inventory.Accelerators, Slots: inventory.Slots,
 		Replicas: entry.slots(), Cached: inventory.Cached,
@@ -167,6 +167,13 @@
 	return entry.machine, true
 }
 
+// Responsive reports whether the machine's engine answers. What it holds when it
+// does not is no use to callers, though it still counts.
+func (c *Controller) Responsive(id cluster.MachineID) bool {
+	entry := c.machine(id)
+	return entry != nil && entry.responsive()
+}
+
 // FreeBytes returns the memory of sealed machines that nothing occupies.
 func (c *Controller) FreeBytes() int64 {
 	free := int64(0)
--- a/node/status.go
+++ b/node/status.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	local, remote statusStream
 	// fullDue makes the next status of both streams a full one.
 	fullDue bool
+	// lost counts, by model, the replicas on machines whose engines don't
+	// answer: they use up the allotment and serve nobody.
+	lost map[cluster.ModelID]int
 }
 
 // statusStream is what one group of receivers has been told. Its sequence
@@ -42,6 +46,9 @@
 	if !p.role.controller.Ready() {
 		return
 	}
+	if lost := p.countLost(); !maps.Equal(lost, p.lost) {
+		p.lost, p.fullDue = lost, true
+	}
 	current := p.records()
 	if status, due := p.next(&p.local, current); due {
 		status.Loads = p.loads()
@@ -78,13 +85,15 @@
 	}
 }
 
-// full returns everything under the stream's present sequence number.
+// full returns everything under the stream's present sequence number. A model
+// whose whole allotment is lost is left out, so that its demand goes to other
+// zones.
 func (p *statusPublisher) full(stream *statusStream) wire.CellStatus {
 	status := p.status(stream, stream.published)
 	status.Full = true
 	allotment := p.role.core.keyValue.allotments[p.role.core.self.Zone]
 	for i := range allotment.Models {
-		if allotment.Models[i].MaxReplicas > 0 {
+		if allotment.Models[i].MaxReplicas > p.lost[allotment.Models[i].Model] {
 			status.Allotted = append(status.Allotted, allotment.Models[i].Model)
 		}
 	}
@@ -159,13 +168,13 @@
 	r.core.send(request.FromAddress, r.publisher.full(stream))
 }
 
-// records lists all replicas of confirmed inventories, sorted by machine and
-// model.
+// records lists all replicas of confirmed inventories whose engines answer,
+// sorted by machine and model.
 func (p *statusPublisher) records() []wire.ReplicaRecord {
 	var records []wire.ReplicaRecord
 	for _, inventory := range p.role.controller.Inventories() {
 		machine, ok := p.role.controller.Machine(inventory.Machine)
-		if !ok {
+		if !ok || !p.role.controller.Responsive(machine.ID) {
 			continue
 		}
 		for _, replica := range inventory.Replicas {
@@ -179,6 +188,20 @@
 	return records
 }
 
+// countLost counts the replicas on machines whose engines don't answer.
+func (p *statusPublisher) countLost() map[cluster.ModelID]int {
+	lost := map[cluster.ModelID]int{}
+	for _, inventory := range p.role.controller.Inventories() {
+		if p.role.controller.Responsive(inventory.Machine) {
+			continue
+		}
+		for _, replica := range inventory.Replicas {
+			lost[replica.Model]++
+		}
+	}
+	return lost
+}
+
 // readyIn is the expected rest of a load, zero for replicas not loading.
 func (p *statusPublisher) readyIn(machine cluster.MachineID, replica cluster.Replica) time.Duration {
 	key := replicaKey{machine, replica.Model}
