Store the tree in force again when the key-value service lost edits

Cause: after a restore from a backup the stored revision was lower than the one in force; nodes never step back, so later edits were accepted and yet not in force, and an edit based on what is in force was refused. Change: Store.Restore stores the tree in force as the next revision of its history; the API does so before an edit when the stamps tell it. Stale history entries are removed with later edits. The reference of keep_alive says what placement does. Measured: tests take the service back to a backup and to nothing; the restored tree has the digest in force, the next edit follows it.

--- a/api/admin/admin_test.go
+++ b/api/admin/admin_test.go
@@ -179,6 +179,21 @@
 	h.get("root", "/tree/edits/e9").wantFailure(http.StatusNotFound)
 }
 
+func TestEditsFollowWhatIsInForceWhenTheServiceFellBack(t *testing.T) {
+	h := newHarness(t, twoTeams)
+	stamp := settings.Stamp{History: "h", Revision: 10, Digest: h.backend.tree.Digest()}
+	inForce, err := h.backend.tree.Compile(stamp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.backend.snapshot = inForce
+	var entry settings.Entry
+	h.edit("root", "e", 10, set("/dental", "keep_alive", `"30m"`)).want(http.StatusCreated, &entry)
+	if entry.Revision != 12 {
+		t.Errorf("the edit became revision %d, want 12, after the restored 11", entry.Revision)
+	}
+}
+
 func TestTheTreeIsReadWithSourcesWhileTheServiceIsAway(t *testing.T) {
 	h := newHarness(t, twoTeams)
 	h.service.away = true
--- a/api/admin/backend.go
+++ b/api/admin/backend.go
@@ -45,6 +45,8 @@
 	Find(ctx context.Context, id string) (settings.Entry, bool, error)
 	EntriesAfter(ctx context.Context, revision int64) ([]settings.Entry, error)
 	TreeAt(ctx context.Context, revision int64) (*settings.Tree, error)
+	// Restore stores a tree in force again when what is stored is behind it.
+	Restore(ctx context.Context, tree *settings.Tree, stamp settings.Stamp) error
 }
 
 // Member is a valveslip node as this one knows it.
--- a/api/admin/edits.go
+++ b/api/admin/edits.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,7 +33,7 @@
 		writeVerdict(w, failed)
 		return
 	}
-	tree, _, err := s.Store.Load(r.Context())
+	tree, err := s.loadWhole(r.Context())
 	if err != nil {
 		writeError(w, err)
 		return
@@ -59,6 +60,25 @@
 	writeJSON(w, http.StatusCreated, entry)
 }
 
+// loadWhole reads the stored tree to edit it. When the key-value service lost
+// accepted edits that are in force here, they are stored again first.
+func (s *server) loadWhole(ctx context.Context) (*settings.Tree, error) {
+	stored, stamp, err := s.Store.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	tree, snapshot := s.Backend.Settings()
+	if snapshot == nil || !stamp.Behind(snapshot.Stamp) {
+		return stored, nil
+	}
+	s.Logger.Error("stored settings fell back", "event", "settings_fell_back", "stored", stamp.Revision, "in_force", snapshot.Stamp.Revision)
+	if err := s.Store.Restore(ctx, tree, snapshot.Stamp); err != nil {
+		return nil, err
+	}
+	stored, _, err = s.Store.Load(ctx)
+	return stored, err
+}
+
 // changedPaths names the changed levels for the log.
 func changedPaths(changes []settings.Change) string {
 	paths := make([]string, len(changes))
--- a/settings/commit.go
+++ b/settings/commit.go
@@ -94,7 +94,7 @@
 	}
 	entry.parts = len(written)
 	operations = append(operations, written...)
-	next := &state{tree: tree, entries: append(current.entries[:len(current.entries):len(current.entries)], entry)}
+	next := &state{tree: tree, stale: current.stale, entries: append(current.entries[:len(current.entries):len(current.entries)], entry)}
 	operations = append(operations, next.prune(&record, s.historyLength)...)
 	next.head = record
 	operations = append(operations, kv.Operation{Key: headKey, Value: encodeJSON(record)})
@@ -104,19 +104,24 @@
 // maxPruned bounds the entries that one edit removes from the history.
 const maxPruned = 4
 
-// prune drops the oldest entries beyond the length and returns the deletions.
+// prune drops stale entries, then the oldest beyond the length, and returns the
+// deletions.
 func (s *state) prune(record *head, length int64) []kv.Operation {
 	var operations []kv.Operation
 	for range maxPruned {
-		if int64(len(s.entries)) <= length {
-			break
+		var dropped Entry
+		switch {
+		case len(s.stale) > 0:
+			dropped, s.stale = s.stale[0], s.stale[1:]
+		case int64(len(s.entries)) > length:
+			dropped, s.entries = s.entries[0], s.entries[1:]
+			record.Oldest = dropped.Revision + 1
+		default:
+			return operations
 		}
-		oldest := s.entries[0]
-		for part := range oldest.parts {
-			operations = append(operations, kv.Operation{Key: fmt.Sprint(historyKey(oldest.Revision), part), Delete: true})
+		for part := range dropped.parts {
+			operations = append(operations, kv.Operation{Key: fmt.Sprint(historyKey(dropped.Revision), part), Delete: true})
 		}
-		s.entries = s.entries[1:]
-		record.Oldest = oldest.Revision + 1
 	}
 	return operations
 }
--- a/settings/key.go
+++ b/settings/key.go
@@ -98,7 +98,7 @@
 		"Machine memory that one replica occupies."),
 	newKey("keep_alive", durationType, 10*time.Minute, between(0, 7*day, durationType.format),
 		func(p *Policy) *time.Duration { return &p.KeepAlive },
-		"How long an idle replica stays loaded while its idle times are not yet known, and the most it stays once they are."),
+		"How long an idle replica stays loaded while its idle times are not yet known; a learned time is at most 16 times as long."),
 	newKey("cold_start_weight", fractionType, 0.5, between(0, 1, formatNumber),
 		func(p *Policy) *float64 { return &p.ColdStartWeight },
 		"Weighs tail cold-start time against idle accelerator hours: 1 prefers short cold starts, 0 few idle hours."),
--- a/settings/refresh.go
+++ b/settings/refresh.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if modRevision == cached.modRevision {
+	if modRevision == cached.modRevision && record == cached.head {
 		return cached, nil
 	}
 	behind := record.Revision - cached.head.Revision
@@ -58,7 +58,7 @@
 // catchUp applies the entries up to the head record to the cached state, or
 // returns nil when they cannot be read or do not lead there.
 func (s *Store) catchUp(ctx context.Context, cached *state, record head, modRevision int64) *state {
-	next := &state{head: record, modRevision: modRevision, tree: cached.tree}
+	next := &state{head: record, modRevision: modRevision, tree: cached.tree, stale: cached.stale}
 	next.entries = cached.entries[:len(cached.entries):len(cached.entries)]
 	for revision := cached.head.Revision + 1; revision <= record.Revision; revision++ {
 		pairs, _, err := s.kv.Range(ctx, historyKey(revision))
@@ -99,6 +99,8 @@
 	if next.head, next.modRevision, err = findHead(pairs); err != nil {
 		return nil, err
 	}
+	next.entries = next.entriesAfter(next.head.Oldest - 1)
+	next.stale = entries[:len(entries)-len(next.entries)]
 	s.remember(next)
 	return next, nil
 }
--- a/settings/store.go
+++ b/settings/store.go
@@ -44,6 +44,8 @@
 	tree        *Tree
 	// entries kept, in revision order.
 	entries []Entry
+	// stale entries are stored but belong to the history no more.
+	stale []Entry
 }
 
 // StoreOption changes a Store.
@@ -169,8 +171,7 @@
 	}
 	edit := Edit{ID: rand.Text(), Author: author, Message: "initial tree", At: s.now().UTC(), Changes: tree.Diff(Empty())}
 	if len(edit.Changes) == 0 {
-		// An edit wants a change; this one leaves the root as it is.
-		edit.Changes = []Change{{Path: RootPath, Unset: []string{KeyBase}}}
+		edit.Changes = noChange()
 	}
 	entry, err := s.Commit(ctx, edit)
 	var conflict *ConflictError
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -257,3 +258,37 @@
 		t.Errorf("%d accepted, %d in the history, revision %d", accepted, len(entries), stamp.Revision)
 	}
 }
+
+// TestEditsLostByTheServiceAreStoredAgain takes the service back to an earlier
+// state, as a restore from a backup does, or to nothing.
+func TestEditsLostByTheServiceAreStoredAgain(t *testing.T) {
+	ctx := context.Background()
+	for name, backup := range map[string]int64{"from a backup": 3, "from nothing": 0} {
+		service := newMemoryKV()
+		store := newStore(service)
+		saved := map[string]kv.KeyValue{}
+		var inForce Entry
+		for i := range int64(6) {
+			if i == backup {
+				saved = maps.Clone(service.pairs)
+			}
+			inForce = mustCommit(t, store, fmt.Sprint("e", i), i, set("/", "priority", encodeValue(i+1)))
+		}
+		tree, stamp, _ := store.Load(ctx)
+		service.pairs = saved
+		for _, restoring := range []*Store{store, newStore(service)} {
+			if err := restoring.Restore(ctx, tree, stamp); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		restored, after, err := newStore(service).Load(ctx)
+		if err != nil || after != (Stamp{History: stamp.History, Revision: 7, Digest: inForce.Digest}) || restored.Digest() != tree.Digest() {
+			t.Fatalf("%s: restored %+v: %v", name, after, err)
+		}
+		entry := mustCommit(t, newStore(service), "next", 6, set("/", "queue_length", "9"))
+		entries, err := newStore(service).EntriesAfter(ctx, 0)
+		if err != nil || entry.Revision != 8 || len(entries) != 2 || len(service.pairs) != 2+1+1 {
+			t.Errorf("%s: revision %d, %d entries, %d keys: %v", name, entry.Revision, len(entries), len(service.pairs), err)
+		}
+	}
+}
