Take a new history that begins while a controller watches

A controller handed watched edits to the replication core under the history it held. When the service was emptied and a new history begun, its first edits have small revisions, so they were skipped as known and took no effect until a restart. The stamp now comes from the watched head record; another history makes the controller read everything.

--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -161,14 +161,15 @@
 		return
 	}
 	entries, err := settings.EntriesFromEvents(events)
-	if err != nil || len(entries) == 0 && c.replication.Stamp().Revision == 0 {
+	stamp, ok := settings.StampFromEvents(events)
+	if err != nil || len(entries) > 0 && !ok || len(entries) == 0 && c.replication.Stamp().Revision == 0 {
 		c.readAgain()
 		return
 	}
 	if len(entries) == 0 {
 		return
 	}
-	c.replicate(replication.Accepted{History: c.replication.Stamp().History, Entries: entries})
+	c.replicate(replication.Accepted{History: stamp.History, Entries: entries})
 	if last := entries[len(entries)-1].Revision; c.replication.Stamp().Revision < last {
 		c.readAgain()
 	}
--- a/settings/layout.go
+++ b/settings/layout.go
@@ -234,6 +234,18 @@
 	return entries, nil
 }
 
+// StampFromEvents returns the stamp that a watch batch led to, false when the
+// batch has none that can be read.
+func StampFromEvents(events []kv.Event) (Stamp, bool) {
+	for _, event := range slices.Backward(events) {
+		if event.KeyValue.Key == headKey && !event.Deleted {
+			record, err := decodeHead(event.KeyValue.Value)
+			return record.stamp(), err == nil
+		}
+	}
+	return Stamp{}, false
+}
+
 // EntriesFromEvents reads the edits accepted in a watch batch, in revision
 // order. Deletions of old entries and changes of other keys are passed over.
 func EntriesFromEvents(events []kv.Event) ([]Entry, error) {
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -56,6 +56,12 @@
 	if err != nil || len(events) != 1 || events[0].Edit.ID != "e1" {
 		t.Fatalf("watched %+v: %v", events, err)
 	}
+	if stamp, ok := StampFromEvents(service.batches[1]); !ok || stamp.Revision != 2 || stamp.Digest != entry.Digest {
+		t.Fatalf("watched stamp %+v", stamp)
+	}
+	if _, ok := StampFromEvents(nil); ok {
+		t.Error("a stamp from no events")
+	}
 	for revision, want := range map[int64]uint64{0: Empty().Digest(), 1: tree.Digest(), 2: entry.Digest} {
 		if old, err := store.TreeAt(ctx, revision); err != nil || old.Digest() != want {
 			t.Errorf("tree at %d: %v", revision, err)
