--- a/replication/bench_test.go
+++ b/replication/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -88,3 +89,39 @@
 		core.Step(epoch, seen)
 	}
 }
+
+// BenchmarkMemory reports the heap that a configuration in force takes: the
+// tree and the compiled snapshot.
+func BenchmarkMemory(b *testing.B) {
+	data := largeTree(b).Encode()
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		tree, err := settings.DecodeTree(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		core := newCore("a")
+		core.Step(epoch, Loaded{Tree: tree, Stamp: settings.Stamp{History: "h1", Revision: 1, Digest: tree.Digest()}})
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(core)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1662, "B/model")
+}
+
+// BenchmarkSnapshot puts a whole tree in force that came as a message.
+func BenchmarkSnapshot(b *testing.B) {
+	tree := largeTree(b)
+	message := wire.ConfigurationSnapshot{
+		From: "peer-000", Stamp: settings.Stamp{History: "h1", Revision: 1, Digest: tree.Digest()}, Data: tree.Encode(),
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(only[InForce](newCore("a").Step(epoch, MessageReceived{Message: message}))) != 1 {
+			b.Fatal("not in force")
+		}
+	}
+	b.ReportMetric(float64(len(message.Data)), "B/snapshot")
+}
