Carry controllers' claims on heartbeats in turn

All 18 claims on each heartbeat made most of its bytes. A heartbeat now carries the own zone's claim, new ones 16 times, and three of the others in turn; all come round in six heartbeats, two seconds.

--- a/node/cells.go
+++ b/node/cells.go
@@ -19,7 +19,11 @@
 // and, from its statuses, where it listens and what it may hold.
 type cellDirectory struct {
 	claimed map[cluster.ZoneID]wire.ControllerClaim
-	cells   map[cluster.ZoneID]*cell
+	// fresh counts the heartbeats that should still carry a claim, and turn the
+	// claims that were carried besides.
+	fresh map[cluster.ZoneID]int
+	turn  int
+	cells map[cluster.ZoneID]*cell
 	// order lists the zones of cells, sorted, so that no decision depends on
 	// map order.
 	order []cluster.ZoneID
@@ -45,6 +49,7 @@
 func newCellDirectory() *cellDirectory {
 	return &cellDirectory{
 		claimed: make(map[cluster.ZoneID]wire.ControllerClaim),
+		fresh:   make(map[cluster.ZoneID]int),
 		cells:   make(map[cluster.ZoneID]*cell),
 	}
 }
@@ -65,9 +70,41 @@
 		return false
 	}
 	d.claimed[claim.Zone] = claim
+	d.fresh[claim.Zone] = claimTransmissions
 	return true
 }
 
+const (
+	// claimTransmissions is how many heartbeats carry a new claim at once.
+	claimTransmissions = 16
+	// claimsPerHeartbeat is how many claims one carries besides new ones and
+	// that of the own zone.
+	claimsPerHeartbeat = 3
+)
+
+// heartbeatClaims picks the claims for one heartbeat: that of the own zone, new
+// ones, and a few others in turn. All on each would be most of its bytes where
+// there are many zones.
+func (d *cellDirectory) heartbeatClaims(own cluster.ZoneID) []wire.ControllerClaim {
+	var picked, others []wire.ControllerClaim
+	for _, claim := range d.claims() {
+		switch {
+		case d.fresh[claim.Zone] > 0:
+			d.fresh[claim.Zone]--
+			picked = append(picked, claim)
+		case claim.Zone == own:
+			picked = append(picked, claim)
+		default:
+			others = append(others, claim)
+		}
+	}
+	for range min(claimsPerHeartbeat, len(others)) {
+		d.turn++
+		picked = append(picked, others[d.turn%len(others)])
+	}
+	return picked
+}
+
 func (d *cellDirectory) cell(zone cluster.ZoneID) *cell {
 	if known, ok := d.cells[zone]; ok {
 		return known
--- a/node/core.go
+++ b/node/core.go
@@ -226,7 +226,7 @@
 		switch e := effect.(type) {
 		case membership.SendHeartbeat:
 			e.Heartbeat.Stamp = c.replication.Stamp()
-			e.Heartbeat.Claims = c.cells.claims()
+			e.Heartbeat.Claims = c.cells.heartbeatClaims(c.self.Zone)
 			c.send(e.Address, e.Heartbeat)
 		case membership.Changed:
 			c.memberChanged(e.Member)
