Count runs over engine processes in the load tool

Cause: with engines in processes of their own the load tool could not see whether a request ran twice or ran although it was refused. Measured: pairs with one key sent to two engines without a node are each reported as doubled once.

--- a/cmd/valveslip/load.go
+++ b/cmd/valveslip/load.go
@@ -36,13 +36,20 @@
 	flags.IntVar(&config.PromptBytes, "prompt-bytes", 128, "bytes of each prompt")
 	flags.DurationVar(&config.Deadline, "deadline", 0, "deadline stated in each request, 0 for none")
 	flags.Uint64Var(&config.Seed, "seed", 1, "seed of arrivals and draws")
+	var engines []string
+	flags.Func("engine", "base URL of an engine stand-in to ask how often requests ran; may be repeated", appendValues(&engines))
 	asJSON := flags.Bool("json", false, "print the report as JSON")
 	return &ffcli.Command{
 		Name: "load", ShortUsage: "valveslip load --target URL --models a,b [flags]",
 		ShortHelp: "send load to the callers' API and check every answer",
 		LongHelp:  "Answers are checked against the text that the engine stand-in gives.",
 		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix("VALVESLIP_LOAD")},
-		Exec: func(ctx context.Context, _ []string) error { return runLoad(ctx, config, *asJSON) },
+		Exec: func(ctx context.Context, _ []string) error {
+			if len(engines) > 0 {
+				config.Runs = load.RunsOfEngines(engines)
+			}
+			return runLoad(ctx, config, *asJSON)
+		},
 	}
 }
 
--- a/cmd/valveslip/standin.go
+++ b/cmd/valveslip/standin.go
@@ -148,6 +148,7 @@
 		config.Pool, config.MemoryBytes, config.Accelerators = *pool, int64(*memory*gibibyte), *accelerators
 		config.Slots, config.PrefillTokensPerSecond = *slots, *prefill
 		config.StepTime, config.StepTimePerRequest = *step, *stepEach
+		config.Recorder = standinengine.NewLedger()
 		server := standinengine.NewServer(standinengine.ServerConfig{Engine: config, Fetch: storeFetcher(*store), FaultSeed: *seed})
 		return serveEngine(ctx, *listen, server)
 	})
--- a/demo/once.go
+++ b/demo/once.go
@@ -78,10 +78,15 @@
 		Targets: addresses.Callers, Token: addresses.CallerToken, Models: models,
 		Rate: onceRate, Duration: onceDuration, MaxTokens: onceMaxTokens, Deadline: onceDeadline,
 		StreamShare: onceStreams, CancelShare: onceCancels, NotRepeatableShare: onceNotRepeatable,
-		Seed: 1, Runs: d.platform.ledger.Runs, Progress: progress,
+		Seed: 1, Runs: d.platform.runs, Progress: progress,
 	}
 }
 
+// runs tells how many times each prompt ran on any engine.
+func (p *platform) runs(_ context.Context, seeds []uint64) ([]int, error) {
+	return p.ledger.Count(seeds), nil
+}
+
 // watchReplicas counts the replicas of every model over all engines until the
 // function it returns is called, which returns the most seen of one model.
 func (d *Demo) watchReplicas() (stop func() int) {
--- a/experiment/load/config.go
+++ b/experiment/load/config.go
@@ -8,6 +8,7 @@
 package load
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -49,8 +50,8 @@
 	MaxInFlight int
 	// Seed of the arrivals and draws.
 	Seed uint64
-	// Runs tells how many times the prompt with the seed ran, when known.
-	Runs func(seed uint64) int
+	// Runs tells how many times the prompt of each seed ran; nil when unknown.
+	Runs func(ctx context.Context, seeds []uint64) ([]int, error)
 	// Progress shows a progress bar when not nil.
 	Progress io.Writer
 }
--- a/experiment/load/load_test.go
+++ b/experiment/load/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +41,10 @@
 	}
 }
 
+func runsOf(ledger *standin.Ledger) func(context.Context, []uint64) ([]int, error) {
+	return func(_ context.Context, seeds []uint64) ([]int, error) { return ledger.Count(seeds), nil }
+}
+
 func run(t *testing.T, config load.Config) load.Report {
 	t.Helper()
 	report, err := load.Run(context.Background(), config)
@@ -53,7 +58,7 @@
 	ledger := standin.NewLedger()
 	_, target := engine(t, standin.Config{Recorder: ledger, Slots: 1000})
 	settings := config(target)
-	settings.Runs = ledger.Runs
+	settings.Runs = runsOf(ledger)
 	report := run(t, settings)
 	if report.Requests == 0 || report.Served != report.Requests || report.Served != ledger.Total() {
 		t.Fatalf("%+v; %d runs", report, ledger.Total())
@@ -130,7 +135,9 @@
 	_, target := engine(t, standin.Config{Slots: 1000})
 	settings := config(target)
 	settings.NotRepeatableShare = 1
-	settings.Runs = func(uint64) int { return 2 }
+	settings.Runs = func(_ context.Context, seeds []uint64) ([]int, error) {
+		return slices.Repeat([]int{2}, len(seeds)), nil
+	}
 	if report := run(t, settings); report.Doubled != report.Requests {
 		t.Errorf("%+v", report)
 	}
@@ -152,9 +159,26 @@
 	ledger := standin.NewLedger()
 	_, target := engine(t, standin.Config{Recorder: ledger, Slots: 1000})
 	settings := config(target)
-	settings.RepeatShare, settings.Runs = 1, ledger.Runs
+	settings.RepeatShare, settings.Runs = 1, runsOf(ledger)
 	report := run(t, settings)
 	if report.Served != report.Requests || report.Doubled*2 != report.Requests || report.Requests == 0 {
 		t.Errorf("%+v", report)
 	}
 }
+
+// TestRunsOfEngines sums the counts of two engines.
+func TestRunsOfEngines(t *testing.T) {
+	_, first := engine(t, standin.Config{Recorder: standin.NewLedger(), Slots: 1000})
+	_, second := engine(t, standin.Config{Recorder: standin.NewLedger(), Slots: 1000})
+	settings := config(first)
+	settings.Targets, settings.RepeatShare = []string{first, second}, 1
+	settings.Runs = load.RunsOfEngines(settings.Targets)
+	if report := run(t, settings); report.Doubled*2 != report.Requests || report.Requests == 0 {
+		t.Errorf("%+v", report)
+	}
+	_, silent := engine(t, standin.Config{})
+	settings.Runs = load.RunsOfEngines([]string{silent})
+	if _, err := load.Run(context.Background(), settings); err == nil {
+		t.Error("an engine that counts nothing was taken for one without runs")
+	}
+}
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -1,8 +1,11 @@
 package load
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -194,7 +197,7 @@
 }
 
 // report closes the tally.
-func (t *tally) report(config Config, lasted time.Duration) Report {
+func (t *tally) report(lasted time.Duration) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	report := t.counts
@@ -205,23 +208,36 @@
 	}
 	report.Latency, report.FirstToken = summarize(t.latency), summarize(t.first)
 	report.ColdStart, report.BetweenTokens = summarize(t.cold), summarize(t.betweenTokens)
-	if config.Runs != nil {
-		for seed := range t.onceOnly {
-			report.Doubled += atLeast(config.Runs(seed), 2)
-		}
-		for seed := range t.refusedSeeds {
-			report.RanThoughRefused += atLeast(config.Runs(seed), 1)
-		}
-	}
 	return report
 }
 
-// atLeast is 1 when count reaches bound, else 0.
-func atLeast(count, bound int) int {
-	if count >= bound {
-		return 1
+// askRuns counts the requests that ran more often than they may have.
+func (t *tally) askRuns(ctx context.Context, config Config, report *Report) error {
+	if config.Runs == nil {
+		return nil
+	}
+	doubled, err := countRuns(ctx, config, t.onceOnly, 2)
+	if err != nil {
+		return err
+	}
+	refused, err := countRuns(ctx, config, t.refusedSeeds, 1)
+	report.Doubled, report.RanThoughRefused = doubled, refused
+	return err
+}
+
+// countRuns counts the seeds that ran at least bound times.
+func countRuns(ctx context.Context, config Config, set map[uint64]struct{}, bound int) (int, error) {
+	runs, err := config.Runs(ctx, slices.Sorted(maps.Keys(set)))
+	if err != nil {
+		return 0, eris.Wrap(err, "read how often the requests ran")
+	}
+	count := 0
+	for _, times := range runs {
+		if times >= bound {
+			count++
+		}
 	}
-	return 0
+	return count, nil
 }
 
 // WriteTable writes the report as a table.
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -36,7 +36,8 @@
 	runner.dispatch(ctx)
 	runner.pending.Wait()
 	runner.bar(func(bar *progressbar.ProgressBar) { _ = bar.Finish() })
-	return runner.tally.report(config, runner.lastDue.Sub(runner.start)), nil
+	report := runner.tally.report(runner.lastDue.Sub(runner.start))
+	return report, runner.tally.askRuns(context.WithoutCancel(ctx), config, &report)
 }
 
 // runner is a run in progress.
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -13,6 +13,10 @@
 // PathCounters takes GET and answers Counters as JSON.
 const PathCounters = "/standin/v1/counters"
 
+// PathRuns takes POST of a JSON list of prompt seeds and answers how many times
+// each ran; 404 when the engine's Recorder is no Ledger.
+const PathRuns = "/standin/v1/runs"
+
 // maxControlBytes bounds a body of the control API.
 const maxControlBytes = 16 << 20
 
@@ -90,6 +94,18 @@
 	writeJSON(writer, http.StatusOK, s.Counters())
 }
 
+func (s *Server) runsPage(writer http.ResponseWriter, request *http.Request) {
+	ledger, ok := s.config.Engine.Recorder.(*Ledger)
+	if !ok {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	var seeds []uint64
+	if decode(writer, request, &seeds) {
+		writeJSON(writer, http.StatusOK, ledger.Count(seeds))
+	}
+}
+
 // kvCache is the body of an export and an import.
 type kvCache struct {
 	Model    cluster.ModelID
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -30,6 +30,17 @@
 	return l.runs[seed]
 }
 
+// Count returns how many times each prompt ran, in the order of the seeds.
+func (l *Ledger) Count(seeds []uint64) []int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := make([]int, len(seeds))
+	for i, seed := range seeds {
+		counts[i] = l.runs[seed]
+	}
+	return counts
+}
+
 // Total returns how many runs there were.
 func (l *Ledger) Total() int {
 	l.mu.Lock()
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -85,6 +85,7 @@
 	mux.HandleFunc("GET "+engine.PathKV+"/{model}", s.exportKV)
 	mux.HandleFunc("PUT "+engine.PathKV+"/{model}", s.importKV)
 	mux.HandleFunc("GET "+PathCounters, s.countersPage)
+	mux.HandleFunc("POST "+PathRuns, s.runsPage)
 	return mux
 }
 
