--- a/experiment/models.go
+++ b/experiment/models.go
@@ -98,7 +98,7 @@
 	for i := range group.Count {
 		base := &Member{
 			ID: cluster.ModelID(fmt.Sprintf("%s-%02d", group.Name, i)), Group: group, Team: "/" + group.Name,
-			Bytes: draw(random, group.Memory),
+			Bytes: drawSize(random, group.Memory),
 		}
 		bases = append(bases, base)
 		adapters[i] = map[string]any{}
@@ -111,7 +111,7 @@
 		base := bases[i%len(bases)]
 		adapter := &Member{
 			ID:   cluster.ModelID(fmt.Sprintf("%s-adapter-%03d", base.ID, i)),
-			Base: base.ID, Group: group, Team: "/" + group.Name, Bytes: draw(random, group.AdapterMemory),
+			Base: base.ID, Group: group, Team: "/" + group.Name, Bytes: drawSize(random, group.AdapterMemory),
 		}
 		m.Members = append(m.Members, adapter)
 		adapters[i%len(bases)][string(adapter.ID)] = map[string]any{"kind": "adapter", "memory": sizeText(adapter.Bytes)}
@@ -125,8 +125,8 @@
 // sizeText writes a size in the settings tree's form.
 func sizeText(bytes int64) string { return fmt.Sprintf("%dMiB", bytes/mebibyte) }
 
-// draw returns a size of the range, uniform on a log scale, in whole mebibytes.
-func draw(random *rand.Rand, within ByteRange) int64 {
+// drawSize returns a size of the range, uniform on a log scale, in whole mebibytes.
+func drawSize(random *rand.Rand, within ByteRange) int64 {
 	least, most := math.Log(float64(within.Least)), math.Log(float64(within.Most))
 	return int64(math.Exp(least+random.Float64()*(most-least))) / mebibyte * mebibyte
 }
