Plan and publish on news only

Cause: every inventory, most of which say nothing new, and every report of a router with waiting requests caused a planning round and a comparison of the cell's records; a zone of the two-year size reads some 18 inventories a second and plans in 0.7 to 4.5 ms. Change: an inventory counts as news when its sequence number differs; a report when the router begins to wait for a model; the rest is left to the round each second. The planted defect of the promise on leaving machines depended on a dispatch that happened to come; it now hides from the cores that a machine leaves, which breaks the promise whatever the timing.

--- a/node/controller.go
+++ b/node/controller.go
@@ -36,10 +36,16 @@
 	storeDue    time.Time
 	reportsDue  time.Time
 	replan      bool
+	listVersion uint64
+	// seen is the last inventory of each machine.
+	seen map[cluster.MachineID]inventoryVersion
 	// expected is when loads under way should be done.
 	expected map[replicaKey]time.Time
 }
 
+// inventoryVersion identifies one state of an engine.
+type inventoryVersion struct{ epoch, sequence uint64 }
+
 type replicaKey struct {
 	machine cluster.MachineID
 	model   cluster.ModelID
@@ -70,6 +76,7 @@
 	r.publisher = newStatusPublisher(r)
 	r.loads = map[cluster.MachineID]cluster.LoadReport{}
 	r.expected = map[replicaKey]time.Time{}
+	r.seen = map[cluster.MachineID]inventoryVersion{}
 	r.planDue, r.machinesDue, r.storeDue, r.reportsDue = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 }
 
@@ -237,13 +244,30 @@
 	default:
 		r.control(authority.InventoryRead{Inventory: answer.Inventory, Order: answer.Call.Order.ID})
 	}
-	r.replan = true
-	if r.controller.Holding() {
+	if r.news(&answer) && r.controller.Holding() {
+		r.replan, r.publisher.changed = true, true
 		r.plan()
 		r.publisher.tick()
 	}
 }
 
+// news reports whether an engine's answer tells something new: a failure, or an
+// inventory that differs from the last one of the machine. Most inventories are
+// read to find that nothing has changed.
+func (r *cellRole) news(answer *EngineAnswered) bool {
+	machine := answer.Call.Machine.ID
+	if answer.Err != nil {
+		delete(r.seen, machine)
+		return true
+	}
+	version := inventoryVersion{answer.Inventory.Epoch, answer.Inventory.Sequence}
+	if r.seen[machine] == version && answer.Call.Operation == EngineInventory {
+		return false
+	}
+	r.seen[machine] = version
+	return true
+}
+
 // machinesListed hands the zone's part of the list to the controller and the
 // whole list to the apportioner.
 func (r *cellRole) machinesListed(listed MachinesListed) {
@@ -256,6 +280,9 @@
 			own = append(own, machine)
 		}
 	}
+	if listed.Version != r.listVersion {
+		r.listVersion, r.publisher.changed = listed.Version, true
+	}
 	r.core.apportion.machinesListed(listed.Machines)
 	r.control(authority.MachinesListed{Machines: own})
 }
--- a/node/demand.go
+++ b/node/demand.go
@@ -103,7 +103,9 @@
 	order []cluster.NodeID
 	// arrivals since the last plan, by model.
 	arrivals map[cluster.ModelID]int
-	changed  bool
+	// changed is true when a router began to wait for a model since the last
+	// plan; growing queues are left to the periodic plan.
+	changed bool
 }
 
 type routerDemand struct {
@@ -132,12 +134,24 @@
 		l.routers[demand.From] = known
 		l.order = insertNode(l.order, demand.From)
 	}
+	for i := range demand.Models {
+		model := &demand.Models[i]
+		l.arrivals[model.Model] += model.Arrivals
+		l.changed = l.changed || model.Waiting > 0 && !known.waits(model.Model)
+	}
 	known.zone, known.sequence, known.at = demand.Zone, demand.Sequence, now
 	known.models, known.scopes = demand.Models, demand.Scopes
-	for _, model := range demand.Models {
-		l.arrivals[model.Model] += model.Arrivals
-		l.changed = l.changed || model.Waiting > 0
+}
+
+// waits reports whether the router's last report showed waiting requests of the
+// model.
+func (d *routerDemand) waits(model cluster.ModelID) bool {
+	for i := range d.models {
+		if d.models[i].Model == model {
+			return d.models[i].Waiting > 0
+		}
 	}
+	return false
 }
 
 func (l *demandLedger) forget(router cluster.NodeID) {
--- a/node/status.go
+++ b/node/status.go
@@ -21,6 +21,9 @@
 	// lost counts, by model, the replicas on machines whose engines don't
 	// answer: they use up the allotment and serve nobody.
 	lost map[cluster.ModelID]int
+	// changed is true when an inventory or the machine list changed since the
+	// records were last compared.
+	changed bool
 }
 
 // statusStream is what one group of receivers has been told. Its sequence
@@ -43,12 +46,15 @@
 
 // tick publishes to each group when something changed or is due.
 func (p *statusPublisher) tick() {
-	if !p.role.controller.Ready() {
+	now := p.role.core.now
+	idle := !p.changed && !p.fullDue && now.Before(p.local.next) && now.Before(p.remote.next)
+	if idle || !p.role.controller.Ready() {
 		return
 	}
 	if lost := p.countLost(); !maps.Equal(lost, p.lost) {
 		p.lost, p.fullDue = lost, true
 	}
+	p.changed = false
 	current := p.records()
 	if status, due := p.next(&p.local, current); due {
 		status.Loads = p.loads()
--- a/simulation/checkers_test.go
+++ b/simulation/checkers_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,6 +43,7 @@
 	name    string
 	promise Promise
 	effect  func(w *World, from *Node, effect node.Effect) node.Effect
+	event   func(event node.Event) node.Event
 	answer  func(request *cluster.RequestID, tokens *int)
 }{
 	{name: "a load is also given to every other machine", promise: PromiseReplicas,
@@ -89,7 +91,7 @@
 			}
 			return effect
 		})},
-	{name: "a leaving machine is kept and chosen", promise: PromiseLeaving, effect: chooseLeaving},
+	{name: "the end of a machine is overlooked", promise: PromiseLeaving, event: overlookLeaving},
 	{name: "a planned stop does not wait", promise: PromisePlannedStop,
 		effect: func(_ *World, from *Node, effect node.Effect) node.Effect {
 			if from.draining {
@@ -115,23 +117,20 @@
 		}},
 }
 
-// chooseLeaving drops unloads of leaving machines and sends work there.
-func chooseLeaving(w *World, _ *Node, effect node.Effect) node.Effect {
-	switch e := effect.(type) {
-	case node.EngineCall:
-		if e.Operation == node.EngineOrder && w.engines[e.Machine.ID].Leaving {
-			return nil
-		}
-	case node.RoutingOutput:
-		dispatch, ok := e.Effect.(routing.Dispatch)
-		for _, machine := range w.Engines() {
-			if ok && machine.Leaving && machine.State(dispatch.Model) == cluster.ReplicaLoaded {
-				dispatch.Machine = machine.Machine.ID
-				return node.RoutingOutput{Effect: dispatch}
-			}
+// overlookLeaving hides from the cores that a machine leaves.
+func overlookLeaving(event node.Event) node.Event {
+	switch e := event.(type) {
+	case node.MachinesListed:
+		e.Machines = slices.Clone(e.Machines)
+		for i := range e.Machines {
+			e.Machines[i].Leaving = false
 		}
+		return e
+	case node.EngineAnswered:
+		e.Inventory.Leaving = false
+		return e
 	}
-	return effect
+	return event
 }
 
 // runWithEvents runs a small world through a reclaimed machine, a planned stop
@@ -165,7 +164,7 @@
 	}
 	for _, defect := range defects {
 		t.Run(defect.name, func(t *testing.T) {
-			tamper := Tamper{Answer: defect.answer}
+			tamper := Tamper{Answer: defect.answer, Event: defect.event}
 			if defect.effect != nil {
 				tamper.Effect = func(from *Node, effect node.Effect) node.Effect { return defect.effect(world, from, effect) }
 			}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -121,6 +121,9 @@
 		n.backlog = append(n.backlog, event)
 		return
 	}
+	if n.world.config.Tamper.Event != nil {
+		event = n.world.config.Tamper.Event(event)
+	}
 	n.Steps++
 	effects := n.core.Step(n.world.Kernel.Now(), event)
 	for _, effect := range effects {
