Read the machine list on every node

Ruled out: a late status (router and directory order them), the engines' own word (not all engines know). Change: every node reads the machine list, controllers each second and others each 2 s, and tells its router which machines leave. Reads are conditional, so an unchanged list is not transferred.

--- a/node/controller.go
+++ b/node/controller.go
@@ -32,7 +32,6 @@
 	vacantSince time.Time
 	planDue     time.Time
 	planned     time.Time
-	machinesDue time.Time
 	storeDue    time.Time
 	reportsDue  time.Time
 	replan      bool
@@ -77,7 +76,8 @@
 	r.loads = map[cluster.MachineID]cluster.LoadReport{}
 	r.expected = map[replicaKey]time.Time{}
 	r.seen = map[cluster.MachineID]inventoryVersion{}
-	r.planDue, r.machinesDue, r.storeDue, r.reportsDue = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	r.planDue, r.storeDue, r.reportsDue = time.Time{}, time.Time{}, time.Time{}
+	r.core.readMachinesSoon()
 }
 
 // control feeds the controller core and carries out its effects.
@@ -191,10 +191,6 @@
 // poll reads the platform at fixed intervals.
 func (r *cellRole) poll() {
 	now := r.core.now
-	if !now.Before(r.machinesDue) {
-		r.machinesDue = now.Add(machineListInterval)
-		r.core.emit(ListMachines{})
-	}
 	if !now.Before(r.storeDue) {
 		r.storeDue = now.Add(storeStatusInterval)
 		r.core.emit(ReadStoreStatus{})
@@ -271,9 +267,6 @@
 // machinesListed hands the zone's part of the list to the controller and the
 // whole list to the apportioner.
 func (r *cellRole) machinesListed(listed MachinesListed) {
-	if listed.Err != nil {
-		return
-	}
 	own := make([]cluster.Machine, 0, len(listed.Machines))
 	for _, machine := range listed.Machines {
 		if machine.Zone == r.core.self.Zone {
--- a/node/core.go
+++ b/node/core.go
@@ -38,8 +38,6 @@
 	// busyInventoryInterval is how often the inventory of a machine with work
 	// in progress is read when the configuration does not say.
 	busyInventoryInterval = 150 * time.Millisecond
-	// machineListInterval is how often a controller reads the machine list.
-	machineListInterval = time.Second
 	// storeStatusInterval is how often a controller reads the weight store.
 	storeStatusInterval = time.Second
 	// loadReportInterval is how often a controller reads engines' reports.
@@ -87,6 +85,7 @@
 	cellRole    *cellRole
 	apportion   *apportionerRole
 	demand      *demandReporter
+	machines    *machineWatch
 	draining    bool
 	drained     bool
 	routersDue  time.Time
@@ -108,6 +107,7 @@
 		router:      routing.New(config.Routing, config.Seed),
 		cells:       newCellDirectory(),
 		demand:      newDemandReporter(),
+		machines:    newMachineWatch(),
 	}
 	c.keyValue = newKeyValueSession()
 	c.cellRole = newCellRole(c)
@@ -137,7 +137,7 @@
 	case EngineAnswered:
 		c.cellRole.engineAnswered(e)
 	case MachinesListed:
-		c.cellRole.machinesListed(e)
+		c.machinesListed(e)
 	case StoreStatusRead:
 		c.cellRole.storeStatusRead(e)
 	case EditCommitted:
@@ -184,6 +184,7 @@
 	c.replicate(replication.Tick{})
 	c.noteRouters()
 	c.routing(routing.Tick{})
+	c.pollMachines()
 	c.expireCells()
 	c.reportDemand()
 	c.keyValueTick()
--- a/simulation/checkers_test.go
+++ b/simulation/checkers_test.go
@@ -146,6 +146,12 @@
 		{Kind: FaultMachineReclaim, After: 75 * time.Second, Duration: 40 * time.Second},
 		{Kind: FaultNodeStop, After: 150*time.Second + 500*time.Millisecond},
 		{Kind: FaultNodeStop, After: 170 * time.Second},
+		// Stops at many offsets from the arrivals, so that some meet requests in
+		// flight whatever the timing of loads.
+		{Kind: FaultNodeStop, After: 190*time.Second + 50*time.Millisecond},
+		{Kind: FaultNodeStop, After: 205*time.Second + 100*time.Millisecond},
+		{Kind: FaultNodeStop, After: 220*time.Second + 300*time.Millisecond},
+		{Kind: FaultNodeStop, After: 235*time.Second + 800*time.Millisecond},
 	})
 	w.Run(Epoch.Add(5 * time.Minute))
 	return w.Checkers
