Keep OpenAI's clients from repeating what may have run

Cause: they repeat any 409 and 5xx answer twice by themselves, so a booking whose outcome was unknown ran again. Change: X-Should-Retry: false where a request may have run and is not repeatable. The test lets the official client retry: a non-repeatable request is sent once, a repeatable one twice. A keyed stream whose caller leaves in the middle now ends, because clients don't repeat those.

--- a/api/callers_errors.go
+++ b/api/callers_errors.go
@@ -95,6 +95,19 @@
 	return body
 }
 
+// headerShouldRetry keeps OpenAI's clients from repeating a request by
+// themselves.
+const headerShouldRetry = "X-Should-Retry"
+
+// forbidRetry tells clients not to repeat a request that may have run and is not
+// repeatable. A request with a key that is in progress is safe to ask for again.
+func forbidRetry(header http.Header, failure *verdict.Error, repeatable bool) {
+	inProgress := failure.Code == verdict.CodeDuplicateKey && failure.Verdict == verdict.MayHaveRun
+	if failure.Verdict != verdict.NotRun && !repeatable && !inProgress {
+		header.Set(headerShouldRetry, "false")
+	}
+}
+
 // writeError answers with an error object. Param names the body field or
 // header at fault, empty for none.
 func writeError(w http.ResponseWriter, status int, failure *verdict.Error, param string) {
--- a/api/callers_infer.go
+++ b/api/callers_infer.go
@@ -41,6 +41,9 @@
 		outcome.Status = StatusOf(failure.Code)
 	}
 	c.account(&outcome, began)
+	if failure := outcome.Result.Failure; failure != nil && !outcome.Result.Started {
+		forbidRetry(w.Header(), failure, call.Request.Repeatable)
+	}
 	c.conclude(w, sink, &outcome)
 }
 
--- a/node/shell/fixture_test.go
+++ b/node/shell/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/node/shell"
 	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/settings"
 	standin "github.com/valveslip/valveslip/standin/engine"
@@ -173,6 +174,7 @@
 	f.node, err = shell.Start(context.Background(), node.Config{
 		Zone: zone, CallerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0", DrainTime: config.drainTime, MaxBodyBytes: config.maxBody,
 	}, shell.Options{
+		Relay:        relay.Options{ResumeWait: time.Millisecond},
 		NewCore:      func(cluster.Node) shell.Stepper { return core },
 		NewTransport: func(string, func(wire.Message)) (shell.Transport, error) { return noTransport{}, nil },
 	})
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	n.logger = n.options.Logger.With("node", string(n.self.ID))
-	runner := relay.NewRunner(n, n.options.Engines, relay.Options{Logger: n.logger})
+	runner := relay.NewRunner(n, n.options.Engines, n.options.Relay)
 	n.keys = keyed.NewRunner(runner, n, idempotency.Config{}, 0)
 	n.metrics = newMetrics(n.self, newCollector(n, n.self))
 	n.serve(callers, admin)
--- a/node/shell/openai_test.go
+++ b/node/shell/openai_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
 
 	"github.com/valveslip/valveslip/standin/fault"
 )
@@ -94,3 +95,21 @@
 		t.Fatalf("%d runs", runs)
 	}
 }
+
+// TestOfficialClientDoesNotRepeatWhatMayHaveRun uses the client's own retries.
+func TestOfficialClientDoesNotRepeatWhatMayHaveRun(t *testing.T) {
+	for _, repeatable := range []string{"false", "true"} {
+		f := start(t, fixtureConfig{})
+		f.engine.Inject(fault.Order{Kind: fault.KindDown})
+		client := f.client(callerSecret)
+		_, err := client.Chat.Completions.New(t.Context(), chat(string(model), "confirm", 3),
+			option.WithMaxRetries(1), option.WithHeader("X-Valveslip-Repeatable", repeatable))
+		if err == nil {
+			t.Fatal("the engine answered")
+		}
+		sent := strings.Count(f.admin("/metrics"), `valveslip_requests_total{outcome="engine_failed",status="502",zone="z1"} 2`)
+		if wanted := map[string]int{"false": 0, "true": 1}[repeatable]; sent != wanted {
+			t.Errorf("repeatable %s: the client repeated %d times, want %d", repeatable, sent, wanted)
+		}
+	}
+}
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -15,6 +15,7 @@
 	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/platform/machines"
 	"github.com/valveslip/valveslip/platform/weights"
+	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -53,7 +54,9 @@
 	Machines machines.Lister
 	Weights  weights.Store
 	Engines  EngineClient
-	Logger   *slog.Logger
+	// Relay tunes the relaying of answers.
+	Relay  relay.Options
+	Logger *slog.Logger
 }
 
 // newID returns an id that no other start of a node in the zone has.
@@ -83,6 +86,9 @@
 			return node.NewCore(node.CoreConfig{Self: self, Seeds: config.Seeds, Seed: randomSeed()})
 		}
 	}
+	if o.Relay.Logger == nil {
+		o.Relay.Logger = o.Logger
+	}
 	if o.Store == nil {
 		o.Store = kv.NewClient(config.KeyValueURL)
 	}
--- a/relay/keyed/answers.go
+++ b/relay/keyed/answers.go
@@ -67,9 +67,11 @@
 }
 
 // recorder passes an answer on to the caller and copies it. A caller that left
-// does not end the request, because its answer is wanted by the repetition.
+// does not end the request, because its answer is wanted by the repetition; but
+// it ends a stream that has begun, because clients don't repeat those.
 type recorder struct {
 	sink   relay.Sink
+	stream bool
 	copied answer
 	// gone is set when the caller left, large when the answer is not kept.
 	gone  error
@@ -92,5 +94,8 @@
 	if r.gone == nil {
 		r.gone = r.sink.Write(data)
 	}
+	if r.stream {
+		return r.gone
+	}
 	return nil
 }
--- a/relay/keyed/keyed_test.go
+++ b/relay/keyed/keyed_test.go
@@ -51,7 +51,9 @@
 		return relay.Result{Failure: failure}
 	}
 	_ = sink.Start(http.StatusOK, http.Header{"Content-Type": {"text/plain"}})
-	_ = sink.Write([]byte(fmt.Sprint("answer ", number)))
+	if err := sink.Write([]byte(fmt.Sprint("answer ", number))); err != nil {
+		return relay.Result{Started: true, Failure: verdict.Wrap(err, verdict.Ran, verdict.CodeCallerGone, "left")}
+	}
 	return relay.Result{Started: true, Status: http.StatusOK}
 }
 
@@ -218,6 +220,22 @@
 	})
 }
 
+func TestCallerWhoLeavesAStreamEndsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		call := relay.Call{Request: routing.Request{ID: "stream", TokenPath: "/dental"}, Key: "k", Stream: true}
+		result := c.runners["node-0"].Run(t.Context(), call, &caller{gone: true})
+		if result.Failure == nil || result.Failure.Code != verdict.CodeCallerGone {
+			t.Fatalf("stream: %v", result.Failure)
+		}
+		synctest.Wait()
+		_, failure := c.ask(t, 1, "k", "")
+		if failure == nil || failure.Code != verdict.CodeDuplicateKey || failure.Verdict != verdict.Ran || c.engine.runs != 1 {
+			t.Fatalf("repetition: %v after %d runs", failure, c.engine.runs)
+		}
+	})
+}
+
 func TestOwnerThatCannotBeAskedMeansNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(2)
--- a/relay/keyed/runner.go
+++ b/relay/keyed/runner.go
@@ -101,7 +101,7 @@
 
 // run runs a request that got leave and tells the giver how it ended.
 func (r *Runner) run(ctx context.Context, call relay.Call, sink relay.Sink, claim idempotency.Claim, giver cluster.NodeID) relay.Result {
-	record := &recorder{sink: sink, copied: answer{request: claim.Request}}
+	record := &recorder{sink: sink, stream: call.Stream, copied: answer{request: claim.Request}}
 	result := r.inner.Run(context.WithoutCancel(ctx), call, record)
 	outcome := idempotency.Outcome{Kind: outcomeOf(result, record.large), Request: claim.Request}
 	if outcome.Kind == idempotency.OutcomeAnswered {
