Measure how long requests wait after a fault of control

Cause: the recovery experiment measured times to plans and orders, not when a caller is served again, and had no planned stop, lost apportioner, reclaim without notice or cut zone. Change: a second table, service, of twelve faults in a scenario of its own. Each happens while a load is under way for a waiting request; two more requests come for cold models just after it. The longest time without a plan of the zone's newest controller, the time to an apportioner and the times to the first tokens are printed as p50, p99 and maximum.

--- a/cmd/valveslip/experiment_recovery.go
+++ b/cmd/valveslip/experiment_recovery.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"io"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -22,40 +25,130 @@
 	options := recovery.Options{}
 	flags.IntVar(&options.Seeds, "seeds", 20, "number of seeds of each case")
 	flags.IntVar(&options.Workers, "workers", 4, "trials that run at once")
+	names := flags.String("faults", "", "faults of the service table, separated by commas; all when empty")
+	table := flags.String("table", "all", "what is measured: control, service or all")
 	asJSON := flags.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name: "recovery", ShortUsage: "valveslip experiment recovery [flags]", FlagSet: flags,
-		ShortHelp: "measure the time from faults of control to planning again",
+		ShortHelp: "measure the time from each kind of fault to plans and to service again",
 		Exec: func(ctx context.Context, _ []string) error {
-			scenario, err := experiment.Load(*name)
+			faults, err := recoveryFaults(*names)
 			if err != nil {
 				return &exitError{code: exitInvalid, err: err}
 			}
-			options.Scenario = scenario
-			reports, err := recovery.Measure(ctx, options)
-			if err != nil {
-				return err
+			var measured recoveryReports
+			if *table != "service" {
+				if options.Scenario, err = experiment.Load(*name); err != nil {
+					return &exitError{code: exitInvalid, err: err}
+				}
+				if measured.Control, err = recovery.Measure(ctx, options); err != nil {
+					return err
+				}
+			}
+			if *table != "control" {
+				if measured.Service, err = measureService(ctx, options, faults); err != nil {
+					return err
+				}
 			}
 			if *asJSON {
-				err = json.NewEncoder(out).Encode(reports)
+				err = json.NewEncoder(out).Encode(measured)
 			} else {
-				err = printRecovery(out, reports)
+				err = printRecovery(out, measured)
 			}
-			if err != nil {
-				return err
-			}
-			for _, report := range reports {
-				if report.Violations > 0 {
-					return &exitError{code: exitBroken, err: eris.Errorf("%s: %d violations", report.Name, report.Violations)}
-				}
+			if violations := measured.violations(); err == nil && violations > 0 {
+				err = &exitError{code: exitBroken, err: eris.Errorf("%d violations", violations)}
 			}
-			return nil
+			return err
 		},
 	}
 }
 
-// printRecovery prints a line for each measure.
-func printRecovery(out io.Writer, reports []recovery.Report) error {
+// recoveryReports is what one run of the command measured.
+type recoveryReports struct {
+	Control []recovery.Report        `json:"control,omitempty"`
+	Service []recovery.ServiceReport `json:"service,omitempty"`
+}
+
+func (r *recoveryReports) violations() int {
+	total := 0
+	for i := range r.Control {
+		total += r.Control[i].Violations
+	}
+	for i := range r.Service {
+		total += r.Service[i].Violations
+	}
+	return total
+}
+
+// measureService measures how long requests wait on the scenario made for it.
+func measureService(ctx context.Context, options recovery.Options, faults []recovery.Fault) ([]recovery.ServiceReport, error) {
+	scenario, err := experiment.Load("recovery")
+	if err != nil {
+		return nil, err
+	}
+	return recovery.MeasureService(ctx, recovery.ServiceOptions{
+		Scenario: scenario, Faults: faults, Seeds: options.Seeds, Workers: options.Workers,
+		Progress: progress(options.Seeds*len(faults), "runs"),
+	})
+}
+
+// recoveryFaults parses the names of faults.
+func recoveryFaults(names string) ([]recovery.Fault, error) {
+	if names == "" {
+		return recovery.Faults(), nil
+	}
+	var chosen []recovery.Fault
+	for name := range strings.SplitSeq(names, ",") {
+		fault := recovery.Fault(strings.TrimSpace(name))
+		if !slices.Contains(recovery.Faults(), fault) {
+			return nil, eris.Errorf("unknown fault %q; known are %v", name, recovery.Faults())
+		}
+		chosen = append(chosen, fault)
+	}
+	return chosen, nil
+}
+
+// printRecovery prints the tables that were measured.
+func printRecovery(out io.Writer, measured recoveryReports) error {
+	if measured.Control != nil {
+		if err := printControl(out, measured.Control); err != nil {
+			return err
+		}
+	}
+	if measured.Service != nil {
+		return printService(out, measured.Service)
+	}
+	return nil
+}
+
+// printService prints a line for each fault.
+func printService(out io.Writer, reports []recovery.ServiceReport) error {
+	fmt.Fprintln(out, "seconds after the fault, p50/p99/max; -n: did not happen in n seeds")
+	var rows [][]string
+	for i := range reports {
+		report := &reports[i]
+		rows = append(rows, []string{
+			string(report.Fault), quantileText(report.Planning), quantileText(report.Apportioner),
+			quantileText(report.UnderWay), quantileText(report.Here), quantileText(report.Anywhere),
+			strconv.Itoa(len(report.Seeds)), strconv.Itoa(report.Violations),
+		})
+	}
+	return writeTable(out, []string{
+		"fault", "no plan", "apportioner", "load under way", "cold here", "cold anywhere", "seeds", "violations",
+	}, rows)
+}
+
+// quantileText shows quantiles in seconds.
+func quantileText(quantiles recovery.Quantiles) string {
+	text := fmt.Sprintf("%.1f/%.1f/%.1f", quantiles.P50.Seconds(), quantiles.P99.Seconds(), quantiles.Max.Seconds())
+	if quantiles.Missing > 0 {
+		text += fmt.Sprintf(" -%d", quantiles.Missing)
+	}
+	return text
+}
+
+// printControl prints a line for each measure.
+func printControl(out io.Writer, reports []recovery.Report) error {
 	text := func(value time.Duration) string { return value.Round(10 * time.Millisecond).String() }
 	var rows [][]string
 	for i := range reports {
--- a/simulation/callers.go
+++ b/simulation/callers.go
@@ -65,12 +65,18 @@
 // arrive sends a request to a node of the caller's zone, or of another one when
 // none there accepts connections.
 func (c *Callers) arrive(arrival Arrival) {
-	c.Arrived++
 	to := c.pick(arrival.Zone)
 	if to == nil {
+		c.Arrived++
 		c.Unreached++
 		return
 	}
+	c.ask(to, arrival)
+}
+
+// ask sends a request to a node.
+func (c *Callers) ask(to *Node, arrival Arrival) {
+	c.Arrived++
 	c.sequence++
 	added := &request{
 		id:     cluster.RequestID(fmt.Sprintf("%s-%d", to.ID, c.sequence)),
--- /dev/null
+++ b/simulation/target.go
@@ -0,0 +1,67 @@
+package simulation
+
+import (
+	"github.com/valveslip/valveslip/authority"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// inspected is what a core shows of the roles that it has.
+type inspected interface {
+	Controller() *authority.Controller
+	Claims() []wire.ControllerClaim
+}
+
+// Controller returns the live process that controls the zone under the newest
+// token, nil when there is none.
+func (w *World) Controller(zone cluster.ZoneID) *Node {
+	var holder *Node
+	var newest cluster.FencingToken
+	for _, candidate := range w.nodes {
+		core, ok := candidate.core.(inspected)
+		if !ok || !candidate.alive || candidate.Place.Zone != zone {
+			continue
+		}
+		if token := core.Controller().Token(); token > newest {
+			holder, newest = candidate, token
+		}
+	}
+	return holder
+}
+
+// Apportioner returns the live process that the nodes' newest claim names as
+// apportioner, nil when there is none.
+func (w *World) Apportioner() *Node {
+	var newest wire.ControllerClaim
+	for _, candidate := range w.nodes {
+		core, ok := candidate.core.(inspected)
+		if !ok || !candidate.alive {
+			continue
+		}
+		for _, claim := range core.Claims() {
+			if claim.Zone == node.ApportionerZone && claim.Token > newest.Token {
+				newest = claim
+			}
+		}
+	}
+	for _, candidate := range w.nodes {
+		if candidate.alive && candidate.ID == newest.Node {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// Ask sends a request to a live process of the zone, if possible not to the one
+// to avoid.
+func (w *World) Ask(arrival Arrival, avoid *Node) {
+	for _, candidate := range w.nodes {
+		if candidate != avoid && candidate.Place.Zone == arrival.Zone && candidate.alive &&
+			!candidate.draining && !candidate.paused {
+			w.Callers.ask(candidate, arrival)
+			return
+		}
+	}
+	w.Callers.arrive(arrival)
+}
