Count a lease from its grant

Cause: when the answer to the record's write was lost, the next attempt counted the lease from its own start, although it was granted before; the controller then took the lease as certain for longer than the service promised. Change: the time of the grant stays. A test loses the answer. Measured: the test fails without the change.

--- a/node/lease.go
+++ b/node/lease.go
@@ -42,9 +42,11 @@
 	owner string
 	ttl   time.Duration
 
-	state  leaseState
-	lease  int64
-	token  cluster.FencingToken
+	state leaseState
+	lease int64
+	token cluster.FencingToken
+	// sentAt is when the grant or the last renewal was sent: the lease counts
+	// from then, also when its record is written later.
 	sentAt time.Time
 	// promised is the TTL the service answered with.
 	promised time.Duration
@@ -58,11 +60,11 @@
 	if s.state != leaseIdle {
 		return
 	}
-	s.sentAt = s.core.now
 	if s.lease != 0 {
 		s.write()
 		return
 	}
+	s.sentAt = s.core.now
 	s.state = leaseGranting
 	s.core.keyValueCall(KeyValueCall{Operation: KeyValueGrant, TTL: s.ttl}, callPurpose{lease: s})
 }
