--- a/node/shell/fixture_test.go
+++ b/node/shell/fixture_test.go
@@ -174,7 +174,7 @@
 	f.node, err = shell.Start(context.Background(), node.Config{
 		Zone: zone, CallerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0", DrainTime: config.drainTime, MaxBodyBytes: config.maxBody,
 	}, shell.Options{
-		Relay:        relay.Options{ResumeWait: time.Millisecond},
+		Relay:        relay.Options{ResumeWait: time.Millisecond, EngineMargin: time.Second},
 		NewCore:      func(cluster.Node) shell.Stepper { return core },
 		NewTransport: func(string, func(wire.Message)) (shell.Transport, error) { return noTransport{}, nil },
 	})
--- a/node/shell/lifecycle_test.go
+++ b/node/shell/lifecycle_test.go
@@ -172,3 +172,16 @@
 	}
 	return string(body)
 }
+
+func TestDeadlineInTheEnginesQueueIsNotRun(t *testing.T) {
+	f := start(t, fixtureConfig{engine: standin.Config{Slots: 1, StepTime: 20 * time.Millisecond}})
+	first := f.post(strings.Replace(longStream, "200", "100000", 1))
+	if _, err := bufio.NewReader(first.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	answer := f.post(hello, "X-Valveslip-Deadline", "2500ms", "X-Valveslip-Repeatable", "false")
+	code, verdict, _ := refusalOf(t, answer)
+	if answer.StatusCode < 500 || verdict != "not-run" {
+		t.Fatalf("status %d, %s, %s", answer.StatusCode, code, verdict)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,9 +44,19 @@
 	return &attempt{run: r, decision: decision, call: engine.Call{
 		Request: decision.Request, Attempt: decision.Attempt, Address: decision.Address,
 		Path: r.call.Path, Body: r.call.Body, Priority: r.call.Request.Priority, Header: r.call.Header,
+		Deadline: engineDeadline(time.Now(), decision.Deadline, r.options.EngineMargin),
 	}}
 }
 
+// engineDeadline returns the deadline an engine is told: EngineMargin before the
+// attempt's, if that leaves the engine as much time.
+func engineDeadline(now, deadline time.Time, margin time.Duration) time.Time {
+	if early := deadline.Add(-margin); early.After(now.Add(margin)) {
+		return early
+	}
+	return deadline
+}
+
 // execute runs the attempt to its end. A cut answer is resumed at the same
 // engine by byte offset, which starts nothing anew.
 func (a *attempt) execute(ctx context.Context) routing.AttemptEnded {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,9 +16,10 @@
 const (
 	DefaultMaxAnswerBytes = 32 << 20
 	// DefaultResumeTries with DefaultResumeWait try for 1.3 s.
-	DefaultResumeTries = 7
-	DefaultResumeWait  = 20 * time.Millisecond
-	DefaultCancelTime  = 2 * time.Second
+	DefaultResumeTries  = 7
+	DefaultResumeWait   = 20 * time.Millisecond
+	DefaultCancelTime   = 2 * time.Second
+	DefaultEngineMargin = 50 * time.Millisecond
 	// DefaultFinishGrace bounds the wait for the core's Finish beyond the
 	// request's deadline.
 	DefaultFinishGrace = 5 * time.Second
@@ -34,6 +35,10 @@
 	ResumeWait  time.Duration
 	// CancelTime bounds one cancellation at an engine.
 	CancelTime time.Duration
+	// EngineMargin is how much earlier than the attempt an engine gives up a
+	// request that it has not started, so that its word that nothing ran comes
+	// in time.
+	EngineMargin time.Duration
 	// FinishGrace bounds the wait for a decision after the deadline.
 	FinishGrace time.Duration
 	Logger      *slog.Logger
@@ -53,6 +58,9 @@
 	if o.CancelTime == 0 {
 		o.CancelTime = DefaultCancelTime
 	}
+	if o.EngineMargin == 0 {
+		o.EngineMargin = DefaultEngineMargin
+	}
 	if o.FinishGrace == 0 {
 		o.FinishGrace = DefaultFinishGrace
 	}
