Make the machine list's lag a setting

Cause: how long a missing machine keeps its share was fixed at 30 s, whatever the platform's list lags; too short breaks the decided counts, too long holds back loads after a loss. Change: machine_list_lag, 1 s to 1 h, 30 s by default. Measured: node, node/shell and command tests pass.

--- a/node/config.go
+++ b/node/config.go
@@ -28,6 +28,9 @@
 	WeightStoreURL string `yaml:"weight_store_url"`
 	// DrainTime bounds a planned stop; the default is 60 s.
 	DrainTime time.Duration `yaml:"drain_time"`
+	// MachineListLag is for how long a machine must be missing from the machine
+	// list before its replicas count as gone; the default is 30 s.
+	MachineListLag time.Duration `yaml:"machine_list_lag"`
 	// MaxBodyBytes bounds a request body; the default is 4 MiB.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// LogLevel is debug, info, warn or error; the default is info.
--- a/node/config_keys.go
+++ b/node/config_keys.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/valveslip/valveslip/authority"
 )
 
 // Defaults of Config.
@@ -52,6 +54,7 @@
 	{Name: "machine_list_url", Required: true, Usage: "URL of the machine list.", target: func(c *Config) any { return &c.MachineListURL }},
 	{Name: "weight_store_url", Required: true, Usage: "URL of the weight store.", target: func(c *Config) any { return &c.WeightStoreURL }},
 	{Name: "drain_time", Default: DefaultDrainTime.String(), Usage: "Longest time a planned stop waits for requests in flight, 1s to 1h.", target: func(c *Config) any { return &c.DrainTime }},
+	{Name: "machine_list_lag", Default: authority.DefaultMachineLag.String(), Usage: "How long a machine must be missing from the machine list before its replicas count as gone, 1s to 1h; longer than the list lags.", target: func(c *Config) any { return &c.MachineListLag }},
 	{Name: "max_body_bytes", Default: "4194304", Usage: "Largest request body in bytes, 1024 to 67108864; larger ones are answered 413.", target: func(c *Config) any { return &c.MaxBodyBytes }},
 	{Name: "log_level", Default: DefaultLogLevel, Usage: "Least severe log lines written: debug, info, warn or error.", target: func(c *Config) any { return &c.LogLevel }},
 	{Name: "bootstrap_token_sha256", Usage: "Lower-case hexadecimal SHA-256 of a token that may edit the whole settings tree, for the first edits.", target: func(c *Config) any { return &c.BootstrapTokenSHA256 }},
--- a/node/config_load.go
+++ b/node/config_load.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"go.yaml.in/yaml/v3"
+
+	"github.com/valveslip/valveslip/authority"
 )
 
 // ConfigError is one fault of a node's configuration.
@@ -47,7 +49,7 @@
 // empty path means no file.
 func LoadConfig(path string, overrides []Override) (Config, error) {
 	loader := loader{config: Config{
-		DrainTime: DefaultDrainTime, MaxBodyBytes: DefaultMaxBodyBytes, LogLevel: DefaultLogLevel,
+		DrainTime: DefaultDrainTime, MachineListLag: authority.DefaultMachineLag, MaxBodyBytes: DefaultMaxBodyBytes, LogLevel: DefaultLogLevel,
 	}, places: make(map[string]ConfigError)}
 	if path != "" {
 		data, err := os.ReadFile(path)
--- a/node/config_validate.go
+++ b/node/config_validate.go
@@ -11,10 +11,12 @@
 
 // Bounds of node settings.
 const (
-	minDrainTime    = time.Second
-	maxDrainTime    = time.Hour
-	minMaxBodyBytes = 1 << 10
-	maxMaxBodyBytes = 64 << 20
+	minDrainTime      = time.Second
+	minMachineListLag = time.Second
+	maxMachineListLag = time.Hour
+	maxDrainTime      = time.Hour
+	minMaxBodyBytes   = 1 << 10
+	maxMaxBodyBytes   = 64 << 20
 )
 
 // logLevels are the accepted values of log_level.
@@ -144,6 +146,9 @@
 
 // validateBounds checks durations, sizes and the log level.
 func (l *loader) validateBounds() {
+	if l.config.MachineListLag < minMachineListLag || l.config.MachineListLag > maxMachineListLag {
+		l.fault("machine_list_lag", "%s is not between %s and %s", l.config.MachineListLag, minMachineListLag, maxMachineListLag)
+	}
 	if l.config.DrainTime < minDrainTime || l.config.DrainTime > maxDrainTime {
 		l.fault("drain_time", "%s is not between %s and %s", l.config.DrainTime, minDrainTime, maxDrainTime)
 	}
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/platform/engine"
@@ -83,7 +84,10 @@
 	}
 	if o.NewCore == nil {
 		o.NewCore = func(self cluster.Node) Stepper {
-			return node.NewCore(node.CoreConfig{Self: self, Seeds: config.Seeds, Seed: randomSeed()})
+			return node.NewCore(node.CoreConfig{
+				Self: self, Seeds: config.Seeds, Seed: randomSeed(),
+				Controller: authority.ControllerConfig{MachineLag: config.MachineListLag},
+			})
 		}
 	}
 	if o.Relay.Logger == nil {
