Release the lease on a planned stop before forgetting it

Cause: on a planned stop the controller stepped down first, which forgot the lease, so the record was never deleted and the zone waited for its lapse. Change: the release comes before the step down.

--- a/authority/controller.go
+++ b/authority/controller.go
@@ -176,7 +176,8 @@
 	if !c.Holding() {
 		return nil
 	}
-	return append(c.stepDown("planned stop"), ReleaseLease{})
+	// The lease is released first: stepping down forgets it.
+	return append([]Effect{ReleaseLease{}}, c.stepDown("planned stop")...)
 }
 
 // stepDown forgets everything that was learned under the token.
