Let a new controller's first plan wait for the weight store's status

Cause: the first plan of a term was made before the store's status was read. It took the store to bear one load at a time, and the planner's window for concurrent loads opened from there one load after the other: a second cold model waited until the first was loaded. Change: a new controller reads the platform at once, and its plans wait up to 1 s for the store's status.

--- a/node/controller.go
+++ b/node/controller.go
@@ -17,6 +17,11 @@
 // among the zone's live nodes, so that they do not all write at once.
 const candidacyStep = 300 * time.Millisecond
 
+// firstStatusWait is how long a new controller's first plan waits for the weight
+// store's status. A plan that does not know the store takes it to bear one load
+// at a time, and its planner would open up only slowly from there.
+const firstStatusWait = time.Second
+
 // cellRole is this node's part in controlling its zone: the controller core,
 // its lease, the demand it sums, its plans and the status it publishes.
 type cellRole struct {
@@ -34,7 +39,9 @@
 	planned     time.Time
 	storeDue    time.Time
 	reportsDue  time.Time
-	replan      bool
+	// storeWait is until when plans wait for the weight store's first status.
+	storeWait time.Time
+	replan    bool
 	listVersion uint64
 	// seen is the last inventory of each machine.
 	seen map[cluster.MachineID]inventoryVersion
@@ -151,6 +158,8 @@
 		r.core.readAgain()
 		r.core.cells.note(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.core.self.ID, Token: r.lease.token})
 		r.control(authority.LeaseAcquired{Token: r.lease.token, SentAt: r.lease.sentAt, TTL: r.lease.promised})
+		r.storeWait = r.core.now.Add(firstStatusWait)
+		r.poll()
 	case leaseTaken:
 		r.core.noteClaim(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.lease.holder, Token: r.lease.holderToken})
 	case leaseExtended:
@@ -283,6 +292,7 @@
 func (r *cellRole) storeStatusRead(read StoreStatusRead) {
 	if read.Err == nil {
 		r.store = read.Status
+		r.storeWait = time.Time{}
 	}
 }
 
@@ -303,7 +313,7 @@
 func (r *cellRole) plan() {
 	due := !r.core.now.Before(r.planDue)
 	news := (r.replan || r.demand.changed) && r.core.now.Sub(r.planned) >= planSpacing
-	if !due && !news || !r.controller.Ready() || r.core.Snapshot() == nil {
+	if !due && !news || !r.controller.Ready() || r.core.Snapshot() == nil || r.core.now.Before(r.storeWait) {
 		return
 	}
 	r.planned = r.core.now
