Repeat calls without an answer to the key-value service at once

Cause: a lease call whose answer was lost, after a time-out of 2 s, was repeated 2 to 4 s later, as if the service had refused it. It may have taken effect, and the own record then keeps all others from the cell.

--- a/authority/controller.go
+++ b/authority/controller.go
@@ -79,7 +79,7 @@
 	case LeaseLost:
 		return c.leaseLost(now)
 	case LeaseUnreachable:
-		c.leaseUnreachable(now)
+		c.leaseUnreachable(now, event)
 	case MachinesListed:
 		return c.listed(now, event.Machines)
 	case AllotmentRead:
@@ -153,13 +153,19 @@
 }
 
 // leaseUnreachable keeps the holder going beyond the lease's end; only the time
-// of the next attempt changes.
-func (c *Controller) leaseUnreachable(now time.Time) {
-	if c.Holding() {
+// of the next attempt changes. A call without an answer has already waited for
+// its time-out.
+func (c *Controller) leaseUnreachable(now time.Time, event LeaseUnreachable) {
+	switch {
+	case c.Holding() && event.Unknown:
+		c.renewDue = now.Add(c.config.AcquireInterval)
+	case c.Holding():
 		c.renewDue = now.Add(c.ttl / renewDivisor)
-		return
+	case event.Unknown:
+		c.acquireAt = now.Add(c.config.AcquireInterval)
+	default:
+		c.acquireAt = now.Add(c.config.acquireDelay())
 	}
-	c.acquireAt = now.Add(c.config.acquireDelay())
 }
 
 func (c *Controller) staleToken(now time.Time, event StaleToken) []Effect {
--- a/authority/types.go
+++ b/authority/types.go
@@ -31,7 +31,11 @@
 // LeaseUnreachable says that the service did not answer. While it is
 // unreachable the holder goes on beyond the lease's end: the engines' tokens,
 // not the clock, keep two controllers apart.
-type LeaseUnreachable struct{}
+type LeaseUnreachable struct {
+	// Unknown is true when the call may have taken effect. It is repeated
+	// sooner then: the record may already keep others from the cell.
+	Unknown bool
+}
 
 // MachinesListed brings the zone's part of the machine list.
 type MachinesListed struct{ Machines []cluster.Machine }
--- a/node/controller.go
+++ b/node/controller.go
@@ -10,6 +10,7 @@
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/platform/engine"
 	"github.com/valveslip/valveslip/platform/weights"
+	"github.com/valveslip/valveslip/verdict"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -40,8 +41,8 @@
 	storeDue    time.Time
 	reportsDue  time.Time
 	// storeWait is until when plans wait for the weight store's first status.
-	storeWait time.Time
-	replan    bool
+	storeWait   time.Time
+	replan      bool
 	listVersion uint64
 	// seen is the last inventory of each machine.
 	seen map[cluster.MachineID]inventoryVersion
@@ -167,7 +168,7 @@
 	case leaseGone:
 		r.control(authority.LeaseLost{})
 	case leaseNoAnswer:
-		r.control(authority.LeaseUnreachable{})
+		r.control(authority.LeaseUnreachable{Unknown: verdict.Of(answer.Err) == verdict.MayHaveRun})
 	}
 }
 
--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -9,6 +9,7 @@
 	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/replication"
 	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/verdict"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -19,7 +20,8 @@
 	keyApportioner = keyRoot + "apportioner"
 )
 
-// readRetryInterval spaces attempts to read after a failure.
+// readRetryInterval spaces attempts to read after a refusal. A read whose answer
+// did not come has waited for its time-out and is repeated at once.
 const readRetryInterval = 2 * time.Second
 
 // callPurpose says what the answer of a call is for.
@@ -112,7 +114,10 @@
 	s := c.keyValue
 	s.reading = 0
 	if answer.Err != nil {
-		s.retryAt = c.now.Add(readRetryInterval)
+		s.retryAt = c.now
+		if verdict.Of(answer.Err) == verdict.NotRun {
+			s.retryAt = c.now.Add(readRetryInterval)
+		}
 		return
 	}
 	s.revision = answer.Revision
