--- a/api/admin/main_test.go
+++ b/api/admin/main_test.go
@@ -1,18 +1,9 @@
 package admin
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/valveslip/valveslip/internal/propertytest"
 )
 
-// TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20260301"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Main(m) }
--- a/routing/idempotency/table_test.go
+++ b/routing/idempotency/table_test.go
@@ -1,9 +1,7 @@
 package idempotency
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,17 +14,6 @@
 
 var start = time.Date(2026, 3, 1, 18, 0, 0, 0, time.UTC)
 
-// TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20260301"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
-
 func claim(key string, request cluster.RequestID, from cluster.NodeID) Claim {
 	return Claim{Key: Key{"/dental", key}, Fingerprint: 1, Request: request, From: from}
 }
--- a/routing/machine_test.go
+++ b/routing/machine_test.go
@@ -1,9 +1,7 @@
 package routing
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -242,17 +240,6 @@
 	}
 }
 
-// TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "20260301"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
-
 func TestRandomEventsKeepThePromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newCoreMachine(t)
--- /dev/null
+++ b/routing/main_test.go
@@ -0,0 +1,9 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/valveslip/valveslip/internal/propertytest"
+)
+
+func TestMain(m *testing.M) { propertytest.Main(m) }
--- /dev/null
+++ b/standin/keyvalue/main_test.go
@@ -0,0 +1,9 @@
+package keyvalue_test
+
+import (
+	"testing"
+
+	"github.com/valveslip/valveslip/internal/propertytest"
+)
+
+func TestMain(m *testing.M) { propertytest.Main(m) }
