--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -72,6 +72,8 @@
 	stopOnce    sync.Once
 	stopped     chan struct{}
 	failure     error
+	// broken is the error of a listener that failed.
+	broken atomic.Pointer[error]
 }
 
 // Start runs a node. It drains and stops when ctx ends or Stop is called.
@@ -103,7 +105,7 @@
 	n.mutex.Unlock()
 	n.ready.Store(true)
 	n.background(n.tick)
-	n.background(n.followMembers)
+	n.background(n.follow)
 	n.logger.Info("node started", "zone", n.self.Zone, "callers", n.self.CallerAddress, "admin", n.self.AdminAddress, "peers", n.self.PeerAddress)
 	go n.stopWith(ctx)
 	return n, nil
@@ -205,7 +207,9 @@
 		err = server.Serve(listener)
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
-		n.logger.Error("listener failed", "address", listener.Addr(), "error", err)
+		n.logger.Error("listener failed, node stops", "address", listener.Addr(), "error", err)
+		n.broken.Store(&err)
+		_ = n.Stop()
 	}
 }
 
@@ -232,23 +236,6 @@
 	}
 }
 
-// membersInterval is how often the idempotency keys follow the membership.
-const membersInterval = 500 * time.Millisecond
-
-// followMembers keeps the owners of idempotency keys up to date.
-func (n *Node) followMembers() {
-	ticker := time.NewTicker(membersInterval)
-	defer ticker.Stop()
-	for {
-		n.keys.SetMembers(time.Now())
-		select {
-		case <-ticker.C:
-		case <-n.context.Done():
-			return
-		}
-	}
-}
-
 // inFlight counts requests that have not ended.
 func (n *Node) inFlight() int {
 	n.mutex.Lock()
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -25,6 +25,9 @@
 func (n *Node) Stop() error {
 	n.stopOnce.Do(func() {
 		n.failure = n.drain()
+		if broken := n.broken.Load(); broken != nil {
+			n.failure = errors.Join(eris.Wrap(*broken, "a listener failed"), n.failure)
+		}
 		n.close()
 		close(n.stopped)
 	})
