Push only the edits that are new

A push carried all edits after the revision last heard of the peer. Peers elsewhere are heard every few minutes, so a push repeated dozens of edits that they had long. A push now carries the edits just put in force; a peer that lacks more asks.

--- a/replication/apply.go
+++ b/replication/apply.go
@@ -26,7 +26,7 @@
 // load takes the configuration of the key-value service. One with the stamp
 // held here but another digest replaces it: the service decides which edit was
 // accepted.
-func (c *Core) load(now time.Time, event Loaded) {
+func (c *Core) load(event Loaded) {
 	order := Compare(event.Stamp, c.stamp)
 	switch {
 	case event.Stamp.History < c.stamp.History:
@@ -37,11 +37,11 @@
 	if order < 0 || (order == 0 && event.Stamp.Digest == c.stamp.Digest) {
 		return
 	}
-	c.replace(now, event.Tree, event.Stamp)
+	c.replace(event.Tree, event.Stamp)
 }
 
 // replace puts a whole tree in force.
-func (c *Core) replace(now time.Time, tree *settings.Tree, stamp settings.Stamp) bool {
+func (c *Core) replace(tree *settings.Tree, stamp settings.Stamp) bool {
 	if tree.Digest() != stamp.Digest {
 		c.emit(Rejected{Stamp: stamp, Err: ErrDigest})
 		return false
@@ -50,7 +50,6 @@
 		return false
 	}
 	c.backlog.clear()
-	c.push(now)
 	return true
 }
 
@@ -120,11 +119,12 @@
 	if result != followed {
 		return result
 	}
+	before := c.stamp.Revision
 	if !c.enforce(tree, stamp) {
 		return broken
 	}
 	c.backlog.add(entries)
-	c.push(now)
+	c.push(now, before)
 	return followed
 }
 
--- a/replication/core.go
+++ b/replication/core.go
@@ -67,7 +67,7 @@
 	c.effects = nil
 	switch e := event.(type) {
 	case Loaded:
-		c.load(now, e)
+		c.load(e)
 	case Accepted:
 		c.accept(now, e)
 	case StampSeen:
--- a/replication/spread.go
+++ b/replication/spread.go
@@ -70,9 +70,9 @@
 	c.peers = slices.DeleteFunc(c.peers, func(p Peer) bool { return now.Sub(p.Seen) >= c.config.PeerTime })
 }
 
-// push sends what is new to Fanout random peers that are not known to have it,
-// half of them in the own zone as far as there are enough.
-func (c *Core) push(now time.Time) {
+// push sends the edits after a revision to Fanout random peers that are not
+// known to have them, half of them in the own zone as far as there are enough.
+func (c *Core) push(now time.Time, after int64) {
 	if c.config.Fanout <= 0 {
 		return
 	}
@@ -92,7 +92,7 @@
 	half := min(len(near), max(c.config.Fanout/2, c.config.Fanout-len(far)))
 	chosen := slices.Concat(near[:half], far[:min(len(far), c.config.Fanout-half)])
 	for _, i := range chosen {
-		c.offer(c.peers[i].Address, c.peers[i].Stamp)
+		c.offer(c.peers[i], after)
 	}
 }
 
@@ -100,14 +100,16 @@
 	c.random.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
 }
 
-// offer pushes the edits after a peer's stamp. A peer that needs a snapshot asks
-// for it, as several may offer it at once.
-func (c *Core) offer(address string, after settings.Stamp) {
-	if after.History != c.stamp.History {
+// offer pushes the edits after a revision to a peer, as far as it is not known to
+// have them. One that lacks more, or needs a snapshot, asks for it: what was
+// last heard of its revision may be old, and several may offer at once.
+func (c *Core) offer(peer Peer, after int64) {
+	if peer.Stamp.History != c.stamp.History {
 		return
 	}
-	if entries, ok := c.backlog.after(after.Revision); ok {
-		c.sendEntries(address, after.Revision, entries)
+	after = max(after, peer.Stamp.Revision)
+	if entries, ok := c.backlog.after(after); ok {
+		c.sendEntries(peer.Address, after, entries)
 	}
 }
 
@@ -127,7 +129,7 @@
 		sender := Peer{ID: orElse(m.From, event.From), Address: orElse(m.FromAddress, event.Address)}
 		c.receiveEntries(now, sender, m)
 	case wire.ConfigurationSnapshot:
-		c.receiveSnapshot(now, orElse(m.From, event.From), m)
+		c.receiveSnapshot(orElse(m.From, event.From), m)
 	}
 }
 
@@ -176,7 +178,7 @@
 	}
 }
 
-func (c *Core) receiveSnapshot(now time.Time, from cluster.NodeID, message wire.ConfigurationSnapshot) {
+func (c *Core) receiveSnapshot(from cluster.NodeID, message wire.ConfigurationSnapshot) {
 	c.holds(from, message.Stamp)
 	if from == c.asked.to {
 		c.asked = request{}
@@ -189,7 +191,7 @@
 		c.emit(Rejected{Stamp: message.Stamp, Err: err})
 		return
 	}
-	c.replace(now, tree, message.Stamp)
+	c.replace(tree, message.Stamp)
 }
 
 // holds notes that a peer has a stamp at least.
