Test that any node explains a request of another

Two nodes without a platform: each explains a request that the first one accepted, with the verdict, and lists both members; an unknown id is 404.

--- /dev/null
+++ b/node/shell/inspection_test.go
@@ -0,0 +1,103 @@
+package shell_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/node/shell"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// operatorSecret is the bootstrap token of the nodes below.
+const operatorSecret = "operator-secret"
+
+// plainNode starts a node of the composed core whose platform can't be reached.
+func plainNode(t *testing.T, seeds ...string) *shell.Node {
+	t.Helper()
+	const loopback, nowhere = "127.0.0.1:0", "http://127.0.0.1:1"
+	started, err := shell.Start(context.Background(), node.Config{
+		Zone: zone, CallerAddress: loopback, AdminAddress: loopback, PeerAddress: loopback, Seeds: seeds, DrainTime: time.Second,
+		KeyValueURL: nowhere, MachineListURL: nowhere, WeightStoreURL: nowhere, BootstrapTokenSHA256: hash(operatorSecret),
+	}, shell.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(started.Kill)
+	return started
+}
+
+// operate reads a page of a node's administration API.
+func operate(t *testing.T, n *shell.Node, path string, into any) int {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+n.Self().AdminAddress+"/admin/v1"+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorSecret)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if err := json.NewDecoder(answer.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+	return answer.StatusCode
+}
+
+func TestAnyNodeExplainsARequestOfAnother(t *testing.T) {
+	first := plainNode(t)
+	second := plainNode(t, first.Self().PeerAddress)
+	waitFor(t, "membership", func() bool { return len(members(first)) == 1 && len(members(second)) == 1 })
+
+	id := cluster.RequestID(first.Self().ID + ".1")
+	at := time.Unix(1_000_000, 0)
+	first.Journal().Arrived(at, &routing.Request{ID: id, Model: model, TokenPath: "/dental"})
+	first.Journal().Dispatched(at.Add(time.Second), &routing.Dispatch{Request: id, Attempt: 1, Machine: machine})
+	failure := verdict.Wrap(errors.New("reset"), verdict.MayHaveRun, verdict.CodeEngineFailed, "the engine did not answer")
+	first.Journal().Finished(at.Add(2*time.Second), &routing.Finish{Request: id, Failure: failure})
+
+	var told struct {
+		Node     cluster.NodeID
+		Attempts []struct{ Machine cluster.MachineID }
+		Outcome  struct{ Code, Verdict string }
+	}
+	for _, asked := range []*shell.Node{first, second} {
+		if status := operate(t, asked, "/why/requests/"+string(id), &told); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		if told.Node != first.Self().ID || len(told.Attempts) != 1 || told.Attempts[0].Machine != machine {
+			t.Errorf("told %+v", told)
+		}
+		if told.Outcome.Code != string(verdict.CodeEngineFailed) || told.Outcome.Verdict != "may-have-run" {
+			t.Errorf("outcome %+v", told.Outcome)
+		}
+	}
+	if status := operate(t, second, "/why/requests/"+string(id)+"2", &told); status != http.StatusNotFound {
+		t.Errorf("unknown request: status %d", status)
+	}
+}
+
+func TestMembersAreListedOnEveryNode(t *testing.T) {
+	first := plainNode(t)
+	second := plainNode(t, first.Self().PeerAddress)
+	waitFor(t, "membership", func() bool { return len(members(first)) == 1 && len(members(second)) == 1 })
+	for _, asked := range []*shell.Node{first, second} {
+		var list struct {
+			Items []struct {
+				ID    cluster.NodeID
+				State string
+			}
+		}
+		if status := operate(t, asked, "/members", &list); status != http.StatusOK || len(list.Items) != 2 {
+			t.Errorf("status %d, %+v", status, list)
+		}
+	}
+}
