--- a/experiment/hollow/deployment.go
+++ b/experiment/hollow/deployment.go
@@ -29,6 +29,9 @@
 	Loss        float64
 	Membership  membership.Config
 	Replication replication.Config
+	// OldVersion is the share of nodes that speak the previous version of the
+	// message schemas.
+	OldVersion float64
 	// WatchAll makes every node watch the key-value service, and none hand on
 	// configuration.
 	WatchAll bool
@@ -93,6 +96,10 @@
 		Zone: zoneName(zone), Region: cluster.RegionID(fmt.Sprintf("region-%d", region)),
 		PeerAddress: host + ":7000", AdminAddress: host + ":7001", CallerAddress: host + ":7002",
 	}}
+	n.version = wire.VersionCurrent
+	if float64(index%10) < 10*d.options.OldVersion {
+		n.version = wire.VersionPrevious
+	}
 	d.nodes = append(d.nodes, n)
 	d.byAddress[n.identity.PeerAddress] = n
 }
--- a/experiment/hollow/hollow_test.go
+++ b/experiment/hollow/hollow_test.go
@@ -71,6 +71,26 @@
 	}
 }
 
+// TestNeighbouringVersionsWorkTogether mixes nodes of two versions, as during an
+// upgrade.
+func TestNeighbouringVersionsWorkTogether(t *testing.T) {
+	members := smallMembership()
+	members.OldVersion = 0.5
+	if report := MeasureMembership(members); report.Crashes == 0 || report.Missed != 0 || report.FalseDeaths != 0 || report.StillWrong != 0 {
+		t.Errorf("%d crashes, missed %d, falsely given up %d, still wrong %d",
+			report.Crashes, report.Missed, report.FalseDeaths, report.StillWrong)
+	}
+	spread := smallSpread(SchemeDelta)
+	spread.OldVersion = 0.5
+	report, err := MeasureSpread(spread)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Edits == 0 || report.Behind != 0 || report.StepsBack != 0 {
+		t.Errorf("%d edits, %d nodes behind, %d steps back", report.Edits, report.Behind, report.StepsBack)
+	}
+}
+
 // TestWatchingLeavesNewProcessesWithout shows what the comparison is about: with
 // every node at the key-value service, one that starts in its outage waits.
 func TestWatchingLeavesNewProcessesWithout(t *testing.T) {
--- a/experiment/hollow/membership.go
+++ b/experiment/hollow/membership.go
@@ -12,8 +12,10 @@
 	Nodes, Regions, Zones int
 	Seed                  uint64
 	// Loss is the share of messages lost.
-	Loss     float64
-	Duration time.Duration
+	Loss float64
+	// OldVersion is the share of nodes of the previous version.
+	OldVersion float64
+	Duration   time.Duration
 	// CrashInterval between crashes; a crashed node is down for DownTime and
 	// then starts anew at its address.
 	CrashInterval, DownTime time.Duration
@@ -82,7 +84,7 @@
 	run := &membershipRun{
 		Deployment: NewDeployment(Options{
 			Nodes: options.Nodes, Regions: options.Regions, Zones: options.Zones,
-			Seed: options.Seed, Loss: options.Loss,
+			Seed: options.Seed, Loss: options.Loss, OldVersion: options.OldVersion,
 		}),
 		options: options,
 		report:  MembershipReport{Nodes: options.Nodes},
--- a/experiment/hollow/network.go
+++ b/experiment/hollow/network.go
@@ -68,7 +68,7 @@
 	if to == nil || to == from {
 		return
 	}
-	data, err := wire.Encode(message)
+	data, err := wire.EncodeVersion(message, min(from.version, to.version))
 	if err != nil {
 		panic("hollow: " + err.Error())
 	}
--- a/experiment/hollow/node.go
+++ b/experiment/hollow/node.go
@@ -22,6 +22,7 @@
 	deployment  *Deployment
 	index       int
 	region      int
+	version     int32
 	identity    cluster.Node
 	generation  int
 	membership  *membership.Core
--- a/experiment/hollow/spread.go
+++ b/experiment/hollow/spread.go
@@ -35,7 +35,9 @@
 	Nodes, Regions, Zones int
 	Seed                  uint64
 	Loss                  float64
-	Duration              time.Duration
+	// OldVersion is the share of nodes of the previous version.
+	OldVersion float64
+	Duration   time.Duration
 	// EditInterval between single edits; every BurstInterval, BurstEdits come
 	// within BurstTime.
 	EditInterval, BurstInterval, BurstTime time.Duration
@@ -107,7 +109,7 @@
 	}
 	run.Deployment = NewDeployment(Options{
 		Nodes: options.Nodes, Regions: options.Regions, Zones: options.Zones,
-		Seed: options.Seed, Loss: options.Loss,
+		Seed: options.Seed, Loss: options.Loss, OldVersion: options.OldVersion,
 		Replication: options.Scheme.replication(), WatchAll: options.Scheme == SchemeWatch,
 	})
 	if err := run.service.open(run, options.Models, options.Adapters); err != nil {
