--- a/node/shell/admin.go
+++ b/node/shell/admin.go
@@ -19,9 +19,11 @@
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { answerText(w, http.StatusOK, "ok") })
 	router.Get("/readyz", n.serveReady)
 	router.Handle("/metrics", promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}))
-	router.Handle("/admin/*", admin.New(admin.Config{
+	administration := admin.New(admin.Config{
 		Backend: n.backend, Store: editStore{Store: settings.NewStore(n.options.Store), node: n}, Bootstrap: n.bootstrapToken(), Logger: n.logger,
-	}))
+	})
+	router.Handle("/admin", administration)
+	router.Handle("/admin/*", administration)
 	return router
 }
 
