--- a/node/shell/step.go
+++ b/node/shell/step.go
@@ -36,7 +36,7 @@
 func (n *Node) begin(now time.Time, effect node.Effect) {
 	switch effect := effect.(type) {
 	case node.RoutingOutput:
-		n.deliver(now, effect.Effect)
+		n.deliver(effect.Effect)
 	case node.SendMessage:
 		n.transport.Send(effect.Address, effect.Message)
 	case node.KeyValueCall:
@@ -91,17 +91,15 @@
 }
 
 // deliver hands a routing effect to the request it belongs to.
-func (n *Node) deliver(now time.Time, effect routing.Effect) {
+func (n *Node) deliver(effect routing.Effect) {
 	var id cluster.RequestID
 	switch effect := effect.(type) {
 	case routing.Dispatch:
 		id = effect.Request
-		n.journal.Dispatched(now, &effect)
 	case routing.CancelAttempt:
 		id = effect.Request
 	case routing.Finish:
 		id = effect.Request
-		n.journal.Finished(now, &effect)
 		defer delete(n.tickets, id)
 	default:
 		return
@@ -111,14 +109,25 @@
 	}
 }
 
+// record keeps what was decided on a request. The request's own goroutine calls
+// it, so that the core need not wait for the journal.
+func (n *Node) record(effect routing.Effect) {
+	switch effect := effect.(type) {
+	case routing.Dispatch:
+		n.journal.Dispatched(time.Now(), &effect)
+	case routing.Finish:
+		n.journal.Finished(time.Now(), &effect)
+	}
+}
+
 // Submit implements relay.Decider.
 func (n *Node) Submit(request routing.Request) *relay.Ticket {
-	ticket := relay.NewTicket()
+	ticket := relay.NewTicket(n.record)
+	now := time.Now()
+	n.journal.Arrived(now, &request)
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
 	n.tickets[request.ID] = ticket
-	n.journal.Arrived(now, &request)
 	n.stepLocked(now, node.RoutingInput{Event: routing.RequestArrived{Request: request}})
 	return ticket
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -33,7 +33,7 @@
 }
 
 func (d *decider) Submit(request routing.Request) *Ticket {
-	d.ticket, d.request = NewTicket(), request
+	d.ticket, d.request = NewTicket(nil), request
 	d.dispatch()
 	return d.ticket
 }
--- a/relay/ticket.go
+++ b/relay/ticket.go
@@ -24,11 +24,13 @@
 	pending   []routing.Effect
 	interrupt context.CancelFunc
 	ready     chan struct{}
+	observe   func(routing.Effect)
 }
 
-// NewTicket returns an empty mailbox.
-func NewTicket() *Ticket {
-	return &Ticket{ready: make(chan struct{}, 1)}
+// NewTicket returns an empty mailbox. Each effect is shown to observe when it is
+// taken out, by the request's goroutine; nil observes nothing.
+func NewTicket(observe func(routing.Effect)) *Ticket {
+	return &Ticket{ready: make(chan struct{}, 1), observe: observe}
 }
 
 // Deliver appends an effect. A CancelAttempt or Finish also interrupts the
@@ -70,6 +72,15 @@
 
 // take removes the oldest effect.
 func (t *Ticket) take() (routing.Effect, bool) {
+	effect, found := t.pop()
+	if found && t.observe != nil {
+		t.observe(effect)
+	}
+	return effect, found
+}
+
+// pop removes the oldest effect unseen.
+func (t *Ticket) pop() (routing.Effect, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if len(t.pending) == 0 {
