Use cmp.Or for defaults; number the demo's machines by pool

Change: routing, membership and replication use cmp.Or of the standard library; machines are numbered within their pool.

--- a/demo/platform.go
+++ b/demo/platform.go
@@ -74,12 +74,13 @@
 
 func (p *platform) startEngines() error {
 	for zone := range zoneCount {
-		for i := range assistantsPerZone + bookingsPerZone {
-			pool := assistantPool
-			if i >= assistantsPerZone {
-				pool = bookingPool
+		for i := range assistantsPerZone {
+			if err := p.startEngine(zone, i, assistantPool); err != nil {
+				return err
 			}
-			if err := p.startEngine(zone, i, pool); err != nil {
+		}
+		for i := range bookingsPerZone {
+			if err := p.startEngine(zone, i, bookingPool); err != nil {
 				return err
 			}
 		}
--- a/membership/types.go
+++ b/membership/types.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -84,25 +85,18 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ZoneInterval, time.Second)
-	setDefault(&c.RemoteInterval, 2*time.Second)
-	setDefault(&c.ProbeTimeout, time.Second)
-	setDefault(&c.SuspicionTime, 4*time.Second)
-	setDefault(&c.ForgetTime, 2*time.Minute)
-	setDefault(&c.RejoinInterval, 5*time.Second)
-	setDefault(&c.RejoinTime, 3*time.Hour)
-	setDefault(&c.SyncInterval, 10*time.Second)
-	setDefault(&c.GossipRecords, 8)
+	c.ZoneInterval = cmp.Or(c.ZoneInterval, time.Second)
+	c.RemoteInterval = cmp.Or(c.RemoteInterval, 2*time.Second)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, time.Second)
+	c.SuspicionTime = cmp.Or(c.SuspicionTime, 4*time.Second)
+	c.ForgetTime = cmp.Or(c.ForgetTime, 2*time.Minute)
+	c.RejoinInterval = cmp.Or(c.RejoinInterval, 5*time.Second)
+	c.RejoinTime = cmp.Or(c.RejoinTime, 3*time.Hour)
+	c.SyncInterval = cmp.Or(c.SyncInterval, 10*time.Second)
+	c.GossipRecords = cmp.Or(c.GossipRecords, 8)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Event is an input of the core.
 type Event interface{ membershipEvent() }
 
--- a/replication/types.go
+++ b/replication/types.go
@@ -39,12 +39,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Fanout, 4)
-	setDefault(&c.BacklogEntries, 1024)
-	setDefault(&c.BacklogBytes, 512<<10)
-	setDefault(&c.RequestTimeout, time.Second)
-	setDefault(&c.PeerTime, 15*time.Minute)
-	setDefault(&c.FreshTime, 10*time.Minute)
+	c.Fanout = cmp.Or(c.Fanout, 4)
+	c.BacklogEntries = cmp.Or(c.BacklogEntries, 1024)
+	c.BacklogBytes = cmp.Or(c.BacklogBytes, 512<<10)
+	c.RequestTimeout = cmp.Or(c.RequestTimeout, time.Second)
+	c.PeerTime = cmp.Or(c.PeerTime, 15*time.Minute)
+	c.FreshTime = cmp.Or(c.FreshTime, 10*time.Minute)
 	if c.Compile == nil {
 		c.Compile = (*settings.Tree).Compile
 	}
@@ -54,13 +54,6 @@
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Event is an input of the core.
 type Event interface{ replicationEvent() }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -68,30 +69,23 @@
 
 // withDefaults fills zero fields.
 func (c Config) withDefaults() Config {
-	fill(&c.ExpectedRouters, 16)
-	fill(&c.RetryRatio, 0.2)
-	fill(&c.RetryReserve, 10)
-	fill(&c.RetryFloor, 0.2)
-	fill(&c.RefusalBackOff, 25*time.Millisecond)
-	fill(&c.FailureBackOff, 100*time.Millisecond)
-	fill(&c.MaxBackOff, 5*time.Second)
-	fill(&c.LoadHalfLife, 3*time.Second)
-	fill(&c.DefaultService, time.Second)
-	fill(&c.DefaultSlots, 8)
-	fill(&c.DefaultDeadline, 10*time.Minute)
-	fill(&c.RoutersMemory, 10*time.Minute)
-	fill(&c.RegionPenalty, 5*time.Millisecond)
-	fill(&c.FarPenalty, 80*time.Millisecond)
-	fill(&c.PrefixBlockTime, 10*time.Millisecond)
-	fill(&c.DrainRetryAfter, time.Second)
-	fill(&c.MinRetryAfter, 100*time.Millisecond)
-	fill(&c.MaxRetryAfter, 2*time.Minute)
+	c.ExpectedRouters = cmp.Or(c.ExpectedRouters, 16)
+	c.RetryRatio = cmp.Or(c.RetryRatio, 0.2)
+	c.RetryReserve = cmp.Or(c.RetryReserve, 10)
+	c.RetryFloor = cmp.Or(c.RetryFloor, 0.2)
+	c.RefusalBackOff = cmp.Or(c.RefusalBackOff, 25*time.Millisecond)
+	c.FailureBackOff = cmp.Or(c.FailureBackOff, 100*time.Millisecond)
+	c.MaxBackOff = cmp.Or(c.MaxBackOff, 5*time.Second)
+	c.LoadHalfLife = cmp.Or(c.LoadHalfLife, 3*time.Second)
+	c.DefaultService = cmp.Or(c.DefaultService, time.Second)
+	c.DefaultSlots = cmp.Or(c.DefaultSlots, 8)
+	c.DefaultDeadline = cmp.Or(c.DefaultDeadline, 10*time.Minute)
+	c.RoutersMemory = cmp.Or(c.RoutersMemory, 10*time.Minute)
+	c.RegionPenalty = cmp.Or(c.RegionPenalty, 5*time.Millisecond)
+	c.FarPenalty = cmp.Or(c.FarPenalty, 80*time.Millisecond)
+	c.PrefixBlockTime = cmp.Or(c.PrefixBlockTime, 10*time.Millisecond)
+	c.DrainRetryAfter = cmp.Or(c.DrainRetryAfter, time.Second)
+	c.MinRetryAfter = cmp.Or(c.MinRetryAfter, 100*time.Millisecond)
+	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, 2*time.Minute)
 	return c
 }
-
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
