Let a cancelled prefill free the engine stand-in

Cause: prefills run one after another, and a cancelled one still held up all that had been accepted after it; under overload with callers that gave up, the engine ended up doing nothing but dead work and stalled for up to 15 s. Change: the prefills are a queue that attempts leave when they are cancelled.

--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -68,9 +69,10 @@
 	arrival  uint64
 	replica  *replica
 	cached   int
-	ready    time.Time // end of prefill
-	start    int64     // step at which decoding began
-	produced int       // tokens when it ended
+	work     time.Duration // of the prefill
+	ready    time.Time     // end of the prefill, once it has begun
+	start    int64         // step at which decoding began
+	produced int           // tokens when it ended
 	endedAt  time.Time
 	// abandonAt is set while nobody reads the answer.
 	abandonAt time.Time
@@ -167,19 +169,28 @@
 	if len(entry.Prefixes) > 0 {
 		entry.cached = matched * blockTokens
 	}
-	begin := s.now
-	if s.prefillUntil.After(begin) {
-		begin = s.prefillUntil
+	entry.work = timeFor(float64(max(entry.PromptTokens-entry.cached, 0)), s.config.PrefillTokensPerSecond)
+	s.prefills = append(s.prefills, entry)
+	if len(s.prefills) == 1 {
+		entry.ready = s.now.Add(entry.work)
 	}
-	work := timeFor(float64(max(entry.PromptTokens-entry.cached, 0)), s.config.PrefillTokensPerSecond)
-	entry.ready = begin.Add(work)
-	s.prefillUntil = entry.ready
 	s.prefixes.insert(s.now, entry.Model, entry.Prefixes)
 	s.changed(entry)
 }
 
+// leavePrefill takes an attempt out of the prefills; the next one begins when
+// it was the one under way.
+func (s *State) leavePrefill(entry *attempt) {
+	first := s.prefills[0] == entry
+	s.prefills = slices.DeleteFunc(s.prefills, func(other *attempt) bool { return other == entry })
+	if first && len(s.prefills) > 0 {
+		s.prefills[0].ready = s.now.Add(s.prefills[0].work)
+	}
+}
+
 // decode ends the prefill of an attempt.
 func (s *State) decode(entry *attempt) {
+	s.leavePrefill(entry)
 	entry.status = StatusDecoding
 	s.pace()
 	entry.start = s.steps.at(s.now)
@@ -220,6 +231,9 @@
 		entry.produced = entry.MaxTokens
 	}
 	inSlot := entry.status == StatusPrefilling || entry.status == StatusDecoding
+	if entry.status == StatusPrefilling {
+		s.leavePrefill(entry)
+	}
 	entry.status, entry.refusal, entry.endedAt = status, refusal, s.now
 	s.kept = append(s.kept, entry)
 	s.changed(entry)
@@ -296,10 +310,11 @@
 // considerAttempts offers what is due of each attempt.
 func (s *State) considerAttempts(next *due) {
 	for _, entry := range s.slots {
-		if entry.status == StatusPrefilling {
-			next.earlier(due{when: entry.ready, kind: dueDecode, attempt: entry})
-		} else {
+		switch {
+		case entry.status == StatusDecoding:
 			next.earlier(due{when: s.finishAt(entry), kind: dueFinish, attempt: entry})
+		case entry == s.prefills[0]:
+			next.earlier(due{when: entry.ready, kind: dueDecode, attempt: entry})
 		}
 		if !entry.abandonAt.IsZero() {
 			next.earlier(due{when: entry.abandonAt, kind: dueAbandon, attempt: entry})
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -53,13 +53,14 @@
 	cached   *checkpoints
 	orders   *recent[string]
 
-	attempts     map[Key]*attempt
-	kept         []*attempt
-	queue        []*attempt
-	slots        []*attempt
-	arrivals     uint64
-	steps        stepClock
-	prefillUntil time.Time
+	attempts map[Key]*attempt
+	kept     []*attempt
+	queue    []*attempt
+	slots    []*attempt
+	arrivals uint64
+	steps    stepClock
+	// prefills are the attempts in prefill, the one under way first.
+	prefills []*attempt
 
 	prefixes *prefixCache
 	samples  []cluster.LoadReport
@@ -106,7 +107,7 @@
 	s.attempts = map[Key]*attempt{}
 	s.kept, s.queue, s.slots = nil, nil, nil
 	s.steps = stepClock{}
-	s.prefillUntil = time.Time{}
+	s.prefills = nil
 	s.prefixes = newPrefixCache(s.config)
 	s.samples = nil
 }
--- a/standin/engine/state_test.go
+++ b/standin/engine/state_test.go
@@ -135,6 +135,25 @@
 	}
 }
 
+// TestCancelledPrefillFreesTheEngine: what was cancelled holds nobody up.
+func TestCancelledPrefillFreesTheEngine(t *testing.T) {
+	state := loaded(t)
+	long, next := submission("long", 0, 1), submission("next", 0, 1)
+	long.PromptTokens = 10_000 // ten seconds
+	state.Submit(at(0), long)
+	state.Submit(at(0), next)
+	if view := state.View(at(500), next.Key); view.Status != standin.StatusPrefilling {
+		t.Fatalf("beside the long prompt: %+v", view)
+	}
+	state.Cancel(at(500), long.Key)
+	if view := state.View(at(509), next.Key); view.Status != standin.StatusPrefilling {
+		t.Fatalf("9 ms after the cancel: %+v", view)
+	}
+	if view := state.View(at(510), next.Key); view.Status != standin.StatusDecoding {
+		t.Fatalf("10 ms after the cancel: %+v", view)
+	}
+}
+
 func TestDeadlineInQueueIsNotRun(t *testing.T) {
 	state := loaded(t)
 	for _, id := range []string{"a", "b"} {
