Tell a new controller the demand at once

Cause: a router that learned of a new controller told it of waiting requests only with its next regular report, up to 1 s later. Change: a status under a new token makes the next Tick report.

--- a/node/cells.go
+++ b/node/cells.go
@@ -183,6 +183,10 @@
 	if !known.accepts(&status) {
 		return
 	}
+	if status.Token != known.token {
+		// A new controller knows of no demand: tell it at the next Tick.
+		c.demand.next = c.now
+	}
 	missed := status.Token != known.token || status.Sequence != known.sequence+1
 	known.region, known.address, known.seen = status.Region, status.FromAddress, c.now
 	known.token, known.sequence = status.Token, status.Sequence
