Let leases live for 6 s rather than 10 s

Cause: a zone whose controller died waits for the lease to lapse, up to 10 s. Change: leases of cells and the apportioner live for 6 s and are renewed every 2 s; calls to the key-value service other than reads time out after 2 s rather than 5 s, so that a lost renewal is repeated in time. A controller makes 0.5 rather than 0.3 renewals a second: 9 a second for 18 zones, and a holder that lapses goes on as before until another has the record.

--- a/node/core.go
+++ b/node/core.go
@@ -50,7 +50,7 @@
 	// router.
 	cellStatusTimeout = 30 * time.Second
 	// leaseTTL of the cells' and the apportioner's leases.
-	leaseTTL = 10 * time.Second
+	leaseTTL = 6 * time.Second
 	// routerDemandTimeout is when a silent router's demand is forgotten.
 	routerDemandTimeout = 25 * time.Second
 )
--- a/node/shell/calls.go
+++ b/node/shell/calls.go
@@ -11,9 +11,11 @@
 
 // Bounds of the calls to the platform and the engines.
 const (
-	keyValueWorkers  = 8
-	keyValueQueue    = 256
-	keyValueTimeout  = 5 * time.Second
+	keyValueWorkers = 8
+	keyValueQueue   = 256
+	keyValueTimeout = 5 * time.Second
+	// leaseTimeout bounds calls that are repeated while a lease runs.
+	leaseTimeout     = 2 * time.Second
 	engineWorkers    = 32
 	engineQueue      = 4096
 	engineTimeout    = 5 * time.Second
@@ -35,7 +37,11 @@
 		return
 	}
 	queued := n.keyValuePool.submit(func() {
-		ctx, cancel := context.WithTimeout(n.calls, keyValueTimeout)
+		timeout := leaseTimeout
+		if call.Operation == node.KeyValueRange {
+			timeout = keyValueTimeout
+		}
+		ctx, cancel := context.WithTimeout(n.calls, timeout)
 		defer cancel()
 		began := time.Now()
 		answer := n.answerKeyValue(ctx, call)
