Stand for the lease of a controller under suspicion

Cause: with leases of 6 s the zone waited for the holder to be given up, 4 s after it was first suspected, although the record alone decides who may hold the cell. Change: nodes stand as soon as the holder is suspected, each at most once in 500 ms, and only the first two of the zone until it is given up.

--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -74,7 +74,7 @@
 	}
 	r.standDue = r.core.now.Add(leaseTTL / 4)
 	claim, claimed := r.core.cells.claimed[ApportionerZone]
-	if claimed && claim.Node != r.core.self.ID && r.core.cellRole.alive(claim.Node) {
+	if claimed && claim.Node != r.core.self.ID && r.core.cellRole.unsuspected(claim.Node) {
 		return
 	}
 	r.lease.acquire()
--- a/node/controller.go
+++ b/node/controller.go
@@ -18,6 +18,15 @@
 // among the zone's live nodes, so that they do not all write at once.
 const candidacyStep = 300 * time.Millisecond
 
+// The lease record of a holder that is suspected, or was given up, is tried for
+// until it lapses: each node at most once in challengeInterval, and while the
+// holder is only suspected just the first few nodes of the zone, to spare the
+// key-value service.
+const (
+	challengeInterval = 500 * time.Millisecond
+	challengers       = 2
+)
+
 // firstStatusWait is how long a new controller's first plan waits for the weight
 // store's status. A plan that does not know the store takes it to bear one load
 // at a time, and its planner would open up only slowly from there.
@@ -36,10 +45,13 @@
 	loads      map[cluster.MachineID]cluster.LoadReport
 	// vacantSince is when the zone was first seen without a live controller.
 	vacantSince time.Time
-	planDue     time.Time
-	planned     time.Time
-	storeDue    time.Time
-	reportsDue  time.Time
+	// heldUntil is until when the lease record of another is not challenged
+	// again.
+	heldUntil  time.Time
+	planDue    time.Time
+	planned    time.Time
+	storeDue   time.Time
+	reportsDue time.Time
 	// storeWait is until when plans wait for the weight store's first status.
 	storeWait   time.Time
 	replan      bool
@@ -121,16 +133,27 @@
 		return false
 	}
 	claim, claimed := r.core.cells.claimed[r.core.self.Zone]
-	if claimed && claim.Node != r.core.self.ID && r.alive(claim.Node) {
+	another := claimed && claim.Node != r.core.self.ID
+	if another && r.unsuspected(claim.Node) {
 		r.vacantSince = time.Time{}
 		return false
 	}
+	if r.core.now.Before(r.heldUntil) || another && r.alive(claim.Node) && r.rank() >= challengers {
+		return false
+	}
 	if r.vacantSince.IsZero() {
 		r.vacantSince = r.core.now
 	}
 	return r.core.now.Sub(r.vacantSince) >= time.Duration(r.rank())*candidacyStep
 }
 
+// unsuspected reports whether a node seems to run. A holder under suspicion may
+// be challenged: the lease record alone decides, and a holder that lives has it.
+func (r *cellRole) unsuspected(id cluster.NodeID) bool {
+	member, known := r.core.members.Member(id)
+	return known && member.State == membership.StateAlive
+}
+
 // alive reports whether a node runs and is not leaving, as far as is known.
 func (r *cellRole) alive(id cluster.NodeID) bool {
 	if id == r.core.self.ID {
@@ -162,6 +185,7 @@
 		r.storeWait = r.core.now.Add(firstStatusWait)
 		r.poll()
 	case leaseTaken:
+		r.heldUntil = r.core.now.Add(challengeInterval)
 		r.core.noteClaim(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.lease.holder, Token: r.lease.holderToken})
 	case leaseExtended:
 		r.control(authority.LeaseRenewed{SentAt: r.lease.sentAt, TTL: r.lease.promised})
