Bound recovery in the test at what is measured

Cause: the bounds of the recovery test were those of the first measurement. Change: after a crash or a pause 7 s without a plan rather than 16 s, after a planned stop 2 s.

--- a/experiment/recovery/service_test.go
+++ b/experiment/recovery/service_test.go
@@ -19,10 +19,10 @@
 		planning, underWay, here time.Duration
 	}{
 		{FaultNone, 2 * time.Second, 8 * time.Second, 8 * time.Second},
-		{FaultControllerCrash, 16 * time.Second, 20 * time.Second, 25 * time.Second},
-		{FaultControllerPause, 16 * time.Second, 20 * time.Second, 25 * time.Second},
-		{FaultControllerStop, 2 * time.Second, 8 * time.Second, 16 * time.Second},
-		{FaultApportionerCrash, 16 * time.Second, 20 * time.Second, 25 * time.Second},
+		{FaultControllerCrash, 7 * time.Second, 8 * time.Second, 13 * time.Second},
+		{FaultControllerPause, 7 * time.Second, 8 * time.Second, 13 * time.Second},
+		{FaultControllerStop, 2 * time.Second, 8 * time.Second, 8 * time.Second},
+		{FaultApportionerCrash, 7 * time.Second, 8 * time.Second, 13 * time.Second},
 		{FaultEngineCrash, 2 * time.Second, 45 * time.Second, 8 * time.Second},
 		{FaultReclaimNotice, 2 * time.Second, 20 * time.Second, 8 * time.Second},
 	} {
