--- a/cmd/valveslip/experiment.go
+++ b/cmd/valveslip/experiment.go
@@ -16,7 +16,7 @@
 		ShortUsage: "valveslip experiment <subcommand> [flags]",
 		ShortHelp:  "run the product's cores on a virtual clock and measure them",
 		Subcommands: []*ffcli.Command{
-			experimentFaultsCommand(), experimentListCommand(), experimentRunCommand(),
+			experimentCapacityCommand(), experimentFaultsCommand(), experimentListCommand(), experimentRunCommand(),
 			experimentMembershipCommand(os.Stdout),
 			experimentRecoveryCommand(os.Stdout),
 			experimentSpreadCommand(os.Stdout),
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -19,6 +19,8 @@
 	Faults bool
 	// EncodeMessages passes messages between nodes through the codec.
 	EncodeMessages bool
+	// Meter measures what the processes spend; nil measures nothing.
+	Meter simulation.Meter
 	// Tamper plants defects, for tests of the checkers.
 	Tamper simulation.Tamper
 	// Finished is called for every ended request; nil means none.
@@ -67,7 +69,7 @@
 	world, err := simulation.NewWorld(simulation.WorldConfig{
 		Seed: seed, Deployment: buildDeployment(scenario, models), Tree: models.Tree,
 		NewCore: simulation.NodeCores(config), Source: newSource(scenario, models, seed, end),
-		EncodeMessages: options.EncodeMessages, Tamper: options.Tamper, Finished: options.Finished,
+		EncodeMessages: options.EncodeMessages, Meter: options.Meter, Tamper: options.Tamper, Finished: options.Finished,
 	})
 	if err != nil {
 		return nil, err
--- a/simulation/checkers.go
+++ b/simulation/checkers.go
@@ -261,6 +261,15 @@
 	c.require(on.history != stamp.History || stamp.Revision >= on.revision, PromiseConfiguration,
 		"%s went back from revision %d to %d", on.ID, on.revision, stamp.Revision)
 	on.history, on.revision = stamp.History, stamp.Revision
+	if c.world.OnInForce == nil {
+		return
+	}
+	for i := len(c.accepted) - 1; i >= 0; i-- {
+		if c.accepted[i].stamp.Revision == stamp.Revision {
+			c.world.OnInForce(on, c.world.Kernel.Now().Sub(c.accepted[i].at))
+			return
+		}
+	}
 }
 
 // configurationSpread checks that an edit is in force on every node that was
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -10,11 +10,19 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-// MessageCounts counts messages between nodes.
-type MessageCounts struct {
+// Traffic counts messages and their encoded bytes.
+type Traffic struct {
 	Messages, Bytes uint64
-	// ByKind counts bytes by message type when messages are encoded.
-	ByKind map[string]uint64
+}
+
+// Meter measures what the processes spend.
+type Meter interface {
+	// Now reads the clock that the times below are measured with.
+	Now() time.Duration
+	// Stepped is called after a core handled an event.
+	Stepped(on *Node, event node.Event, took time.Duration)
+	// Coded is called after a message was encoded or decoded on a node.
+	Coded(on *Node, took time.Duration)
 }
 
 // Node is one process: a core between virtual clock and network. After a
@@ -33,8 +41,10 @@
 	draining bool
 	paused   bool
 	backlog  []node.Event
-	// Steps counts events, SentMessages and SentBytes what went to peers.
-	Steps, SentMessages, SentBytes uint64
+	// Steps counts events; Sent and Received what went to and came from peers
+	// by message type, when messages are encoded.
+	Steps          uint64
+	Sent, Received map[string]Traffic
 	// revision of the settings last put in force in this run.
 	revision int64
 	history  string
@@ -49,6 +59,9 @@
 // Core returns the running core, nil when the process is dead.
 func (n *Node) Core() Core { return n.core }
 
+// Forget drops the process without an end, to see what it kept in memory.
+func (n *Node) Forget() { n.alive, n.core, n.backlog = false, nil, nil }
+
 // start begins a new process.
 func (n *Node) start() {
 	n.run++
@@ -125,12 +138,24 @@
 		event = n.world.config.Tamper.Event(event)
 	}
 	n.Steps++
-	effects := n.core.Step(n.world.Kernel.Now(), event)
+	effects := n.step(event)
 	for _, effect := range effects {
 		n.carryOut(effect)
 	}
 }
 
+// step runs the core, metered if asked.
+func (n *Node) step(event node.Event) []node.Effect {
+	meter := n.world.config.Meter
+	if meter == nil {
+		return n.core.Step(n.world.Kernel.Now(), event)
+	}
+	began := meter.Now()
+	effects := n.core.Step(n.world.Kernel.Now(), event)
+	meter.Stepped(n, event, meter.Now()-began)
+	return effects
+}
+
 // carryOut does what one effect asks for.
 func (n *Node) carryOut(effect node.Effect) {
 	w := n.world
@@ -173,36 +198,72 @@
 // sendMessage gives a message to the network.
 func (n *Node) sendMessage(send node.SendMessage) {
 	w := n.world
-	message := send.Message
-	n.SentMessages++
 	w.Messages.Messages++
-	if w.config.EncodeMessages {
-		message = n.encoded(message)
-	}
 	to, ok := w.byPeer[send.Address]
 	if !ok {
 		return
 	}
-	w.Network.Send(n.Place, to.Place, func() { to.deliver(node.MessageReceived{Message: message}) })
+	if !w.config.EncodeMessages {
+		w.Network.Send(n.Place, to.Place, func() { to.deliver(node.MessageReceived{Message: send.Message}) })
+		return
+	}
+	data := n.encode(send.Message)
+	w.Network.Send(n.Place, to.Place, func() { to.receive(data) })
 }
 
-// encoded passes a message through the codec and counts its bytes.
-func (n *Node) encoded(message wire.Message) wire.Message {
+// encode passes a message through the codec and counts it.
+func (n *Node) encode(message wire.Message) []byte {
+	began := n.meterNow()
 	data, err := wire.Encode(message)
 	if err != nil {
 		panic(fmt.Sprintf("simulation: encode %T: %v", message, err))
 	}
-	n.SentBytes += uint64(len(data))
+	n.coded(began)
 	n.world.Messages.Bytes += uint64(len(data))
-	if n.world.Messages.ByKind == nil {
-		n.world.Messages.ByKind = map[string]uint64{}
+	count(&n.Sent, message, len(data))
+	return data
+}
+
+// receive decodes a message and passes it to the core.
+func (n *Node) receive(data []byte) {
+	if !n.alive {
+		return
 	}
-	n.world.Messages.ByKind[fmt.Sprintf("%T", message)] += uint64(len(data))
-	decoded, err := wire.Decode(data)
+	began := n.meterNow()
+	message, err := wire.Decode(data)
 	if err != nil {
-		panic(fmt.Sprintf("simulation: decode %T: %v", message, err))
+		panic(fmt.Sprintf("simulation: decode %d bytes: %v", len(data), err))
+	}
+	n.coded(began)
+	count(&n.Received, message, len(data))
+	n.deliver(node.MessageReceived{Message: message})
+}
+
+// meterNow reads the meter's clock, if there is a meter.
+func (n *Node) meterNow() time.Duration {
+	if n.world.config.Meter == nil {
+		return 0
+	}
+	return n.world.config.Meter.Now()
+}
+
+// coded meters the codec.
+func (n *Node) coded(began time.Duration) {
+	if meter := n.world.config.Meter; meter != nil {
+		meter.Coded(n, meter.Now()-began)
+	}
+}
+
+// count adds a message to the traffic by type.
+func count(by *map[string]Traffic, message wire.Message, bytes int) {
+	if *by == nil {
+		*by = map[string]Traffic{}
 	}
-	return decoded
+	kind := fmt.Sprintf("%T", message)
+	counted := (*by)[kind]
+	counted.Messages++
+	counted.Bytes += uint64(bytes)
+	(*by)[kind] = counted
 }
 
 // answer passes an event to the process after a delay.
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -51,6 +51,8 @@
 	EncodeMessages bool
 	// Finished is called for every request that ended; nil means none.
 	Finished func(Result)
+	// Meter measures what the processes spend; nil measures nothing.
+	Meter Meter
 	// Tamper lets tests plant defects; the zero value changes nothing.
 	Tamper Tamper
 }
@@ -66,16 +68,20 @@
 	Usage    *Usage
 	Checkers *Checkers
 	Callers  *Callers
-	Messages MessageCounts
+	// Messages between nodes; bytes when messages are encoded.
+	Messages Traffic
 
 	// Trace, when set, is told of faults and edits.
-	Trace   func(format string, arguments ...any)
-	config  WorldConfig
-	engines map[cluster.MachineID]*Engine
-	order   []cluster.MachineID
-	nodes   []*Node
-	byPeer  map[string]*Node
-	faults  *rand.Rand
+	Trace func(format string, arguments ...any)
+	// OnInForce, when set, is told how long after its acceptance a revision
+	// was in force on a node.
+	OnInForce func(on *Node, took time.Duration)
+	config    WorldConfig
+	engines   map[cluster.MachineID]*Engine
+	order     []cluster.MachineID
+	nodes     []*Node
+	byPeer    map[string]*Node
+	faults    *rand.Rand
 	// Faults counts injected faults by kind.
 	Faults map[FaultKind]int
 	// EngineCalls counts control calls by operation.
