--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"embed"
 	"fmt"
-	"io/fs"
 	"os"
 	"path"
 	"sort"
@@ -160,11 +159,11 @@
 	return eris.Errorf("line %d: size %q needs a unit, such as 16GiB", value.Line, value.Value)
 }
 
-// Load reads the scenario from a file, or the committed one of that name.
+// Load reads the committed scenario of that name, or else the file.
 func Load(name string) (*Scenario, error) {
-	data, err := os.ReadFile(name)
-	if eris.Is(err, fs.ErrNotExist) {
-		data, err = builtin.ReadFile("scenarios/" + strings.TrimSuffix(name, ".yaml") + ".yaml")
+	data, err := builtin.ReadFile("scenarios/" + name + ".yaml")
+	if err != nil {
+		data, err = os.ReadFile(name)
 	}
 	if err != nil {
 		return nil, eris.Wrapf(err, "read scenario %q; committed ones are %s", name, strings.Join(Names(), ", "))
