Bound the writing of the list of models

A caller that did not read a long list held its goroutine for ever. A test holds that the bound of one answer does not reach into the next one on the same connection.

--- a/api/callers_models.go
+++ b/api/callers_models.go
@@ -45,6 +45,7 @@
 			list.Data = append(list.Data, describe(&snapshot.Models[i]))
 		}
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(c.StallTime))
 	writeJSON(w, list)
 }
 
--- a/api/callers_slow_test.go
+++ b/api/callers_slow_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -113,3 +114,42 @@
 		t.Fatalf("priorities %v", got)
 	}
 }
+
+// brief answers at once.
+type brief struct{}
+
+// Run implements Runner.
+func (brief) Run(_ context.Context, _ relay.Call, sink relay.Sink) relay.Result {
+	_ = sink.Start(http.StatusOK, http.Header{})
+	_ = sink.Write([]byte("{}"))
+	return relay.Result{Started: true, Status: http.StatusOK}
+}
+
+// TestConnectionIsUsedAgainAfterAPause holds that the bound on one answer's
+// writes does not reach into the next answer on the connection.
+func TestConnectionIsUsedAgainAfterAPause(t *testing.T) {
+	const stall = 200 * time.Millisecond
+	const body = `{"model":"recall","messages":[]}`
+	connection := dial(t, serve(t, CallersConfig{Runner: brief{}, StallTime: stall}), len(body))
+	reader := bufio.NewReader(connection)
+	for i, request := range []string{
+		body,
+		"GET /v1/models HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\n\r\n",
+		"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
+	} {
+		if i > 0 {
+			time.Sleep(2 * stall)
+		}
+		if _, err := connection.Write([]byte(request)); err != nil {
+			t.Fatal(err)
+		}
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		_, err = io.Copy(io.Discard, answer.Body)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+	}
+}
