--- a/cmd/valveslip/experiment_capacity.go
+++ b/cmd/valveslip/experiment_capacity.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +27,7 @@
 	edits := flags.Int("edits", 5, "edits whose spread is timed")
 	seed := flags.Uint64("seed", 1, "seed")
 	asJSON := flags.Bool("json", false, "print JSON")
+	markdown := flags.Bool("markdown", false, "print the table of docs/CAPACITY.md")
 	return &ffcli.Command{
 		Name: "capacity", ShortUsage: "valveslip experiment capacity [flags]", FlagSet: flags,
 		ShortHelp: "measure what control costs at growing sizes and work out the whole size",
@@ -55,37 +58,62 @@
 			if *asJSON {
 				return json.NewEncoder(os.Stdout).Encode(report)
 			}
-			return printCapacity(report)
+			return printCapacity(os.Stdout, report, *markdown)
 		},
 	}
 }
 
-// printCapacity writes the page's tables.
-func printCapacity(report *experiment.CapacityReport) error {
+// printCapacity writes the page's table.
+func printCapacity(to io.Writer, report *experiment.CapacityReport, markdown bool) error {
 	header := []string{"WHO", "WHAT", "UNIT"}
 	for _, sample := range report.Samples {
 		header = append(header, fmt.Sprintf("%d NODES", sample.Nodes))
 	}
-	header = append(header, "A ZONE MORE", fmt.Sprintf("AT %d ZONES", report.Whole.Zones), "BUDGET", "")
-	var rows [][]string
+	header = append(header, "A ZONE MORE", fmt.Sprintf("AT %d NODES", report.Whole.Nodes), "BUDGET", "MARK")
+	rows := make([][]string, 0, len(report.Rows))
 	for _, row := range report.Rows {
-		cells := []string{row.Who, row.What, row.Unit}
-		for _, value := range row.Values {
-			cells = append(cells, number(value))
-		}
-		budget, over := "-", ""
-		if row.Budget > 0 {
-			budget = number(row.Budget)
-		}
-		if row.Over() {
-			over = "OVER"
-		}
-		rows = append(rows, append(cells, number(row.Slope), number(row.Whole), budget, over))
+		rows = append(rows, capacityCells(row))
+	}
+	if markdown {
+		return printMarkdown(to, header, rows)
 	}
-	return writeSection(os.Stdout, fmt.Sprintf("%s: %d nodes, %d zones, %d regions, %d workers, %d models, %d adapters",
+	return writeSection(to, fmt.Sprintf("%s: %d nodes, %d zones, %d regions, %d workers, %d models, %d adapters",
 		report.Scenario, report.Whole.Nodes, report.Whole.Zones, report.Whole.Regions, report.Whole.Workers,
 		report.Whole.Models, report.Whole.Adapters), header, rows)
 }
 
-// number writes a value with three digits.
-func number(value float64) string { return strconv.FormatFloat(value, 'g', 3, 64) }
+// capacityCells writes one row.
+func capacityCells(row *experiment.CapacityRow) []string {
+	cells := []string{row.Who, row.What, row.Unit}
+	for _, value := range row.Values {
+		cells = append(cells, number(value))
+	}
+	budget, mark := "-", "-"
+	if row.Budget > 0 {
+		budget, mark = number(row.Budget), "within"
+	}
+	if row.Over() {
+		mark = "OVER"
+	}
+	return append(cells, number(row.Slope), number(row.Whole), budget, mark)
+}
+
+// printMarkdown writes a table in Markdown.
+func printMarkdown(to io.Writer, header []string, rows [][]string) error {
+	lines := append([][]string{header, slices.Repeat([]string{"---"}, len(header))}, rows...)
+	for _, cells := range lines {
+		if _, err := fmt.Fprintf(to, "| %s |\n", strings.Join(cells, " | ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// number writes a value with three digits, without an exponent.
+func number(value float64) string {
+	rounded, err := strconv.ParseFloat(strconv.FormatFloat(value, 'e', 2, 64), 64)
+	if err != nil {
+		rounded = value
+	}
+	return strconv.FormatFloat(rounded, 'f', -1, 64)
+}
--- a/simulation/world.go
+++ b/simulation/world.go
@@ -194,10 +194,16 @@
 // Executed implements EngineObserver.
 func (w *World) Executed(machine *Engine, run Run) { w.Checkers.executed(machine, run) }
 
+// listRefresh is how long a reading of the machine list serves all readers.
+const listRefresh = 100 * time.Millisecond
+
 // machineList is the machine list as the nodes read it.
 type machineList struct {
-	state *machines.State
-	place Place
+	state   *machines.State
+	place   Place
+	readAt  time.Time
+	shown   []cluster.Machine
+	version uint64
 }
 
 // newMachineList returns an empty list.
@@ -206,7 +212,13 @@
 }
 
 // read returns the list as it is shown now.
-func (l *machineList) read(now time.Time) ([]cluster.Machine, uint64) { return l.state.List(now) }
+func (l *machineList) read(now time.Time) ([]cluster.Machine, uint64) {
+	if l.shown == nil || now.Sub(l.readAt) >= listRefresh {
+		l.shown, l.version = l.state.List(now)
+		l.readAt = now
+	}
+	return l.shown, l.version
+}
 
 // trace tells Trace, if set.
 func (w *World) trace(format string, arguments ...any) {
