Weigh long cold starts more than in proportion

Cause: the 99th percentile of cold starts is that of the largest models, but keep-alive weighed all seconds of cold start alike. Change: a cold start of s seconds costs s*(1+s/10 s).

--- a/placement/retention.go
+++ b/placement/retention.go
@@ -52,7 +52,7 @@
 // value implements retention: the chance that the model is needed within the
 // horizon, times what its reload would cost.
 func (a adaptiveRetention) value(track *track, policy *settings.Policy, idle, reload time.Duration) float64 {
-	return (minimumWeight + policy.ColdStartWeight) * track.nextUse(idle) * reload.Seconds()
+	return (minimumWeight + policy.ColdStartWeight) * track.nextUse(idle) * tailCost(reload)
 }
 
 // useHorizon is how far ahead an eviction looks.
--- a/placement/window.go
+++ b/placement/window.go
@@ -75,9 +75,18 @@
 	limit time.Duration
 }
 
+// tailReference is the cold start that costs twice its seconds. Longer ones cost
+// more than in proportion, because the tail is what is to be short.
+const tailReference = 10 * time.Second
+
+// tailCost is the cost of one cold start in seconds.
+func tailCost(coldStart time.Duration) float64 {
+	return coldStart.Seconds() * (1 + coldStart.Seconds()/tailReference.Seconds())
+}
+
 // plan returns the windows that minimise
 //
-//	weight * exchange * cold-start seconds + (1-weight) * share * idle seconds
+//	weight * exchange * cold-start cost + (1-weight) * share * idle seconds
 //
 // over the recorded idle periods. Being loaded during one bucket of idle time
 // costs the time that surviving periods spend in it and saves a cold start for
@@ -85,7 +94,7 @@
 func (h *gapHistogram) plan(goal objective) schedule {
 	var survivors [gapBuckets + 1]float32
 	h.survivors(&survivors)
-	saved := goal.weight * goal.exchange * goal.coldStart.Seconds()
+	saved := goal.weight * goal.exchange * tailCost(goal.coldStart)
 	result := schedule{learned: true}
 	run := newWindowRun(goal)
 	for i := 0; i < gapBuckets && survivors[i] > 0; i++ {
