Foretell wake-ups by the clock and weigh a cold start by its requests

Cause: periodic batches and daily habits are blurred in an idle-time histogram by the sessions between them, a cold start that delays twenty requests weighed as much as one that delays one, and with full memory prewarming competed with models that had waiting requests. Change: a recurrence histogram of the lags between a model's wake-ups; cold starts are weighed by the requests that usually come at a wake-up, evictions by what is foretold too; one request's cold-start second is worth one idle accelerator second at equal weights; prewarming leaves half of the store and a tenth of a machine's memory free; an eviction is compared with the cost of the wait in the same unit.

--- a/placement/baselines.go
+++ b/placement/baselines.go
@@ -40,6 +40,9 @@
 	return 1 / (1 + idle.Seconds())
 }
 
+// expects implements retention: the baselines foretell nothing.
+func (longestIdleFirst) expects(*track, *settings.Policy, cost, time.Time) bool { return false }
+
 // alwaysLoaded keeps everything.
 type alwaysLoaded struct{ longestIdleFirst }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -27,6 +27,8 @@
 
 // choice is the outcome of scoring the machines for one load.
 type choice struct {
+	// class of the load that is being placed.
+	class class
 	// top holds the best machines that can take the load now, best first.
 	top []scored
 	// later is the best machine that can take it once unloads under way are
@@ -78,8 +80,9 @@
 )
 
 // choose scores the machines that may hold one more replica of the model.
-func (r *round) choose(i int32) *choice {
+func (r *round) choose(i int32, why class) *choice {
 	c := &r.choice
+	c.class = why
 	c.top = c.top[:0]
 	c.later, c.storeBlocked = none, none
 	c.filtered = [filterCauses]int{}
@@ -113,15 +116,15 @@
 	}
 	score := r.score(i, m, &needs)
 	machine := &r.machines[m]
-	if needs.bytes > machine.free {
+	if needs.bytes > machine.free-r.reserve(m, c.class) {
 		c.filtered[filterMemory]++
 		score += machine.unloadWait()
-		if needs.bytes <= machine.soon && (c.later == none || score < c.laterScore) {
+		if needs.bytes <= machine.soon-r.reserve(m, c.class) && (c.later == none || score < c.laterScore) {
 			c.later, c.laterScore = m, score
 		}
 		return
 	}
-	if needs.remote > 0 && !r.storeAllows() {
+	if needs.remote > 0 && !r.storeAllows(c.class) {
 		c.filtered[filterStore]++
 		if c.storeBlocked == none || score < c.storeBlockedScore {
 			c.storeBlocked, c.storeBlockedScore = m, score
@@ -131,6 +134,18 @@
 	c.insert(scored{machine: m, need: needs, score: score}, r.config.Candidates)
 }
 
+// prewarmReserve is the part of a machine's memory that prewarming leaves free
+// for models with waiting requests.
+const prewarmReserve = 0.1
+
+// reserve is the memory that loads of the class leave free.
+func (r *round) reserve(m int32, why class) int64 {
+	if why != classPrewarm {
+		return 0
+	}
+	return int64(prewarmReserve * float64(r.state.Machines[m].MemoryBytes))
+}
+
 // unloadWait is the score of waiting for unloads, shorter for idle replicas
 // than for those that finish requests first.
 func (m *machineRound) unloadWait() float64 {
--- a/placement/config.go
+++ b/placement/config.go
@@ -17,8 +17,9 @@
 	// MinSamples is how many idle periods a histogram needs before it replaces
 	// the policy's fixed keep-alive; the default is 6.
 	MinSamples float64
-	// ColdStartExchange is how many seconds of an idle replica one second of
-	// cold start is worth at a ColdStartWeight of one half; the default is 60.
+	// ColdStartExchange is how many idle accelerator seconds one second of cold
+	// start of one request is worth at a ColdStartWeight of one half; the
+	// default is 1.
 	ColdStartExchange float64
 	// DefaultSlots is assumed for machines that state none; the default is 8.
 	DefaultSlots int
@@ -40,7 +41,7 @@
 	defaultScaleDownDelay     = 30 * time.Second
 	defaultUnknownGrace       = 10 * time.Second
 	defaultMinSamples         = 6
-	defaultColdStartExchange  = 60
+	defaultColdStartExchange  = 1
 	defaultSlots              = 8
 	defaultMaxLoadsPerMachine = 2
 	defaultCandidates         = 3
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -42,9 +42,7 @@
 // the loss of the victims is least, or none when that is not better than now.
 func (r *round) bestEviction(request *request, now float64) (int32, need) {
 	i := request.model
-	weight := (minimumWeight + r.catalogue.entries[i].model.Policy.ColdStartWeight) *
-		float64(max(r.models[i].demand.Waiting, 1))
-	best, bestNeed, bestCost := none, need{}, weight*now
+	best, bestNeed, bestCost := none, need{}, r.waitCost(i, now)
 	for m := range r.machines {
 		if r.machines[m].pool != r.catalogue.entries[i].pool || !r.mayHold(i, int32(m)) {
 			continue
@@ -54,19 +52,28 @@
 			continue
 		}
 		wait := r.score(i, int32(m), &needs) + unloadScore
-		if needs.remote > 0 && !r.storeAllows() {
+		if needs.remote > 0 && !r.storeAllows(request.class) {
 			wait += storeScore
 		}
-		if weight*wait >= bestCost {
+		waiting := r.waitCost(i, wait)
+		if waiting >= bestCost {
 			continue
 		}
-		if loss, enough := r.selectVictims(request, int32(m), needs.bytes); enough && weight*wait+loss < bestCost {
-			best, bestNeed, bestCost = int32(m), needs, weight*wait+loss
+		if loss, enough := r.selectVictims(request, int32(m), needs.bytes); enough && waiting+loss < bestCost {
+			best, bestNeed, bestCost = int32(m), needs, waiting+loss
 		}
 	}
 	return best, bestNeed
 }
 
+// waitCost is what it costs the model's requests to wait so many seconds, in
+// the unit of the retention's values.
+func (r *round) waitCost(i int32, seconds float64) float64 {
+	entry := &r.catalogue.entries[i]
+	requests := max(float64(r.models[i].demand.Waiting), entry.track.requestsAtWake())
+	return (minimumWeight + entry.model.Policy.ColdStartWeight) * requests * tailSeconds(seconds)
+}
+
 // mayHold reports whether the machine passes every filter but memory.
 func (r *round) mayHold(i, m int32) bool {
 	candidates := r.models[i].candidates
--- a/placement/place.go
+++ b/placement/place.go
@@ -119,9 +119,14 @@
 	return work * urgency * (0.5 + entry.model.Policy.ColdStartWeight) / load.Seconds()
 }
 
-// storeAllows reports whether one more remote load may start.
-func (r *round) storeAllows() bool {
-	return r.store.allowance >= 1 && r.remoteLoads < r.store.concurrency()
+// storeAllows reports whether one more remote load of the class may start.
+// Loads that no request waits for leave half of the store to those that do.
+func (r *round) storeAllows(why class) bool {
+	concurrency, starts := r.store.concurrency(), 1.0
+	if why == classPrewarm || why == classStanding {
+		concurrency, starts = max(concurrency/2, 1), 2
+	}
+	return r.store.allowance >= min(starts, r.store.burst()) && r.remoteLoads < concurrency
 }
 
 // placeOne plans one load or records why it has to wait.
@@ -136,7 +141,7 @@
 		model.reason = r.reason(i, cause, keyMaxReplicas)
 		return
 	}
-	c := r.choose(i)
+	c := r.choose(i, request.class)
 	now := c.bestNow()
 	switch {
 	case c.later != none && c.laterScore < now:
@@ -179,7 +184,7 @@
 		base := r.catalogue.entries[i].base
 		r.loadOn(base, best.machine, best.need.baseTier, reason)
 	}
-	if best.need.tier == cluster.TierRemote && !r.storeAllows() {
+	if best.need.tier == cluster.TierRemote && !r.storeAllows(request.class) {
 		r.claim(best.machine, r.catalogue.entries[i].model.Policy.Memory)
 		r.models[i].reason = r.reason(i, CauseStoreLimit, "")
 		return
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -23,6 +23,9 @@
 	// schedule returns the windows of idle time in which the model is worth
 	// being loaded.
 	schedule(track *track, policy *settings.Policy, cost cost) *schedule
+	// expects reports whether a wake-up is likely enough at a time for the model
+	// to be worth being loaded then.
+	expects(track *track, policy *settings.Policy, cost cost, at time.Time) bool
 	// standing returns how many replicas are wanted whatever the demand.
 	standing(policy *settings.Policy) int
 	// value of keeping an idle replica loaded, a second of its reload time at
--- a/placement/retention.go
+++ b/placement/retention.go
@@ -20,7 +20,7 @@
 // samples, else the policy's keep-alive.
 func (a adaptiveRetention) schedule(track *track, policy *settings.Policy, cost cost) *schedule {
 	goal := objective{
-		weight: policy.ColdStartWeight, exchange: a.config.ColdStartExchange,
+		weight: policy.ColdStartWeight, exchange: a.config.ColdStartExchange, requests: track.requestsAtWake(),
 		cost: cost, limit: learnedBound * policy.KeepAlive,
 	}
 	if !track.scheduleStale && !goal.differs(track.scheduleGoal) {
@@ -35,6 +35,18 @@
 	return &track.schedule
 }
 
+// expects implements retention.
+func (a adaptiveRetention) expects(track *track, policy *settings.Policy, cost cost, at time.Time) bool {
+	chance := track.recurrence.chance(at)
+	if chance == 0 || policy.KeepAlive == 0 {
+		return false
+	}
+	goal := objective{
+		weight: policy.ColdStartWeight, exchange: a.config.ColdStartExchange, requests: track.requestsAtWake(), cost: cost,
+	}
+	return chance*goal.saved() > goal.idle(recurrenceSlot.Seconds())
+}
+
 // differs reports whether another goal would give a different schedule.
 func (g objective) differs(other objective) bool {
 	change := float64(g.coldStart-other.coldStart) / float64(max(other.coldStart, 1))
@@ -50,9 +62,11 @@
 const minimumWeight = 0.05
 
 // value implements retention: the chance that the model is needed within the
-// horizon, times what its reload would cost.
+// horizon, times what its reload would cost the requests that then come.
 func (a adaptiveRetention) value(track *track, policy *settings.Policy, idle, reload time.Duration) float64 {
-	return (minimumWeight + policy.ColdStartWeight) * track.nextUse(idle) * tailCost(reload)
+	now := track.idleSince.Add(idle)
+	chance := max(track.nextUse(idle), track.recurrence.chance(now), track.recurrence.chance(now.Add(recurrenceSlot)))
+	return (minimumWeight + policy.ColdStartWeight) * chance * track.requestsAtWake() * tailCost(reload)
 }
 
 // useHorizon is how far ahead an eviction looks.
--- a/placement/round.go
+++ b/placement/round.go
@@ -33,12 +33,13 @@
 // modelRound is one model's state in a round, aligned with the catalogue.
 type modelRound struct {
 	demand Demand
-	// adapterWorking and adapterWorked tell of the demand of a base model's
+	// adapterWorking and adapterArrivals tell of the demand of a base model's
 	// adapters, now and since the last round.
-	adapterWorking, adapterWorked bool
-	allotted                      bool
-	limit                         int
-	candidates                    []cluster.MachineID
+	adapterWorking  bool
+	adapterArrivals int
+	allotted        bool
+	limit           int
+	candidates      []cluster.MachineID
 	// tier is the fastest one in which a machine of the pool has the checkpoint.
 	tier cluster.Tier
 	// first is the head of the model's list in round.slots.
@@ -131,9 +132,7 @@
 	if demand.Waiting+demand.Running > 0 {
 		r.models[base].adapterWorking = true
 	}
-	if demand.Arrivals > 0 {
-		r.models[base].adapterWorked = true
-	}
+	r.models[base].adapterArrivals += demand.Arrivals
 }
 
 // indexMachines enters every machine and its slots.
@@ -306,7 +305,6 @@
 	for i := range r.models {
 		model := &r.models[i]
 		working := model.demand.Waiting+model.demand.Running > 0 || model.adapterWorking
-		worked := model.demand.Arrivals > 0 || model.adapterWorked
-		r.catalogue.entries[i].track.observe(r.state.Now, working, worked)
+		r.catalogue.entries[i].track.observe(r.state.Now, working, model.demand.Arrivals+model.adapterArrivals)
 	}
 }
--- a/placement/store.go
+++ b/placement/store.go
@@ -67,17 +67,19 @@
 	s.speed = max(s.speed, minStoreSpeed)
 	s.limit = state.Concurrency
 	s.startsPerSec = state.StartsPerSecond
-	burst := max(1, s.startsPerSec)
 	if s.refilled.IsZero() {
-		s.allowance = burst
+		s.allowance = s.burst()
 		s.window = float64(s.limit)
 	} else {
-		s.allowance = min(burst, s.allowance+s.startsPerSec*now.Sub(s.refilled).Seconds())
+		s.allowance = min(s.burst(), s.allowance+s.startsPerSec*now.Sub(s.refilled).Seconds())
 	}
 	s.refilled = now
 	s.window = min(max(s.window, 1), max(float64(s.limit), 1))
 }
 
+// burst is how many starts the allowance holds at most.
+func (s *storeModel) burst() float64 { return max(1, s.startsPerSec) }
+
 // concurrency returns how many remote loads may run at once now: the learned
 // window, never more than the limit scaled by the store's speed.
 func (s *storeModel) concurrency() int {
--- a/placement/track.go
+++ b/placement/track.go
@@ -12,6 +12,12 @@
 	// gaps are the model's idle periods. Those of a base model end with the
 	// arrivals of its adapters too, since they need it.
 	gaps gapHistogram
+	// recurrence foretells wake-ups by the clock; burst is the mean number of
+	// requests that come at one, counted until burstUntil.
+	recurrence recurrence
+	burst      float64
+	burstCount int
+	burstUntil time.Time
 	// busy is whether the model or, for a base, one of its adapters had
 	// requests in the last round; idleSince is when that ended.
 	busy      bool
@@ -30,24 +36,61 @@
 	decided bool
 }
 
-// observe records whether the model has work now and whether it had any since
-// the last round.
-func (t *track) observe(now time.Time, working, worked bool) {
+const (
+	// wakeGap is the idle time after which work counts as a wake-up.
+	wakeGap = 3 * time.Minute
+	// burstTime is how long after a wake-up the requests count that a cold start
+	// would have kept waiting.
+	burstTime = 20 * time.Second
+	// burstSmoothing is the weight of a new observation.
+	burstSmoothing = 0.2
+)
+
+// observe records whether the model has work now and how many requests arrived
+// since the last round.
+func (t *track) observe(now time.Time, working bool, arrivals int) {
 	if t.idleSince.IsZero() {
 		t.idleSince = now
 		t.busy = working
 		return
 	}
-	if (working || worked) && !t.busy {
-		t.gaps.add(now.Sub(t.idleSince))
-		t.scheduleStale = true
+	worked := working || arrivals > 0
+	if worked && !t.busy {
+		t.wake(now, now.Sub(t.idleSince))
 	}
-	if t.busy || working || worked {
+	t.countBurst(now, arrivals)
+	if t.busy || worked {
 		t.idleSince = now
 	}
 	t.busy = working
 }
 
+// wake records the end of an idle period.
+func (t *track) wake(now time.Time, gap time.Duration) {
+	t.gaps.add(gap)
+	t.scheduleStale = true
+	if gap >= wakeGap {
+		t.recurrence.add(now)
+		t.burstUntil, t.burstCount = now.Add(burstTime), 0
+	}
+}
+
+// countBurst learns how many requests come at a wake-up.
+func (t *track) countBurst(now time.Time, arrivals int) {
+	if t.burstUntil.IsZero() {
+		return
+	}
+	t.burstCount += arrivals
+	if now.Before(t.burstUntil) {
+		return
+	}
+	t.burst += burstSmoothing * (float64(t.burstCount) - t.burst)
+	t.burstUntil = time.Time{}
+}
+
+// requestsAtWake is how many requests a cold start is expected to delay.
+func (t *track) requestsAtWake() float64 { return max(t.burst, 1) }
+
 // idle returns how long the model has been without work.
 func (t *track) idle(now time.Time) time.Duration {
 	if t.busy {
--- a/placement/want.go
+++ b/placement/want.go
@@ -118,30 +118,41 @@
 	coldStart := r.coldStart(i)
 	policy := &r.catalogue.entries[i].model.Policy
 	share := r.idleShare(r.catalogue.entries[i].pool, policy.Memory)
-	plan := r.retention.schedule(track, policy, cost{coldStart: coldStart, share: share})
+	cost := cost{coldStart: coldStart, share: share}
+	plan := r.retention.schedule(track, policy, cost)
 	if model.useful > 0 {
-		r.keepIdle(i, plan, idle, coldStart)
+		r.keepIdle(i, plan, idle, cost)
 		return
 	}
 	lead := time.Duration(prewarmLead * float64(coldStart))
 	found, ok := plan.find(idle, lead)
-	if ok && found.from > 0 && found.to-idle > coldStart {
+	ok = ok && found.from > 0 && found.to-idle > coldStart
+	if ok || r.expected(i, cost, lead) {
 		model.want, model.keep, model.prewarm = 1, 1, true
 		model.reason = r.idleReason(i, CausePrewarm, plan, idle)
 	}
 }
 
+// expected reports whether a wake-up is expected now or within the lead.
+func (r *round) expected(i int32, cost cost, lead time.Duration) bool {
+	entry := &r.catalogue.entries[i]
+	policy, now := &entry.model.Policy, r.state.Now
+	return r.retention.expects(entry.track, policy, cost, now) ||
+		r.retention.expects(entry.track, policy, cost, now.Add(lead))
+}
+
 // keepIdle decides whether a loaded idle model stays.
-func (r *round) keepIdle(i int32, plan *schedule, idle, coldStart time.Duration) {
+func (r *round) keepIdle(i int32, plan *schedule, idle time.Duration, cost cost) {
 	model := &r.models[i]
-	found, ok := plan.find(idle, time.Duration(keepLead*float64(coldStart)))
-	if !ok {
+	lead := time.Duration(keepLead * float64(cost.coldStart))
+	found, ok := plan.find(idle, lead)
+	if !ok && !r.expected(i, cost, lead) {
 		model.reason = r.idleReason(i, CauseIdle, plan, idle)
 		return
 	}
 	model.keep = 1
 	cause := CauseKeepAlive
-	if found.from > 0 {
+	if !ok || found.from > 0 {
 		cause = CausePrewarm
 	}
 	model.reason = r.idleReason(i, cause, plan, idle)
--- a/placement/window.go
+++ b/placement/window.go
@@ -51,9 +51,13 @@
 	return 0, false
 }
 
-// add appends a window, joining it with the one before when they touch.
-func (s *schedule) add(next window) {
-	if s.count > 0 && s.windows[s.count-1].to >= next.from {
+// add appends a window. It is joined with the one before, or begins at zero,
+// when the pause between them is too short for an unload to pay.
+func (s *schedule) add(next window, pause time.Duration) {
+	if s.count == 0 && next.from <= pause {
+		next.from = 0
+	}
+	if s.count > 0 && next.from-s.windows[s.count-1].to <= pause {
 		s.windows[s.count-1].to = max(s.windows[s.count-1].to, next.to)
 		return
 	}
@@ -71,6 +75,8 @@
 	// weight of one half.
 	exchange float64
 	cost
+	// requests that one cold start delays.
+	requests float64
 	// limit bounds each window.
 	limit time.Duration
 }
@@ -80,13 +86,31 @@
 const tailReference = 10 * time.Second
 
 // tailCost is the cost of one cold start in seconds.
-func tailCost(coldStart time.Duration) float64 {
-	return coldStart.Seconds() * (1 + coldStart.Seconds()/tailReference.Seconds())
+func tailCost(coldStart time.Duration) float64 { return tailSeconds(coldStart.Seconds()) }
+
+// tailSeconds is tailCost of a number of seconds.
+func tailSeconds(seconds float64) float64 {
+	return seconds * (1 + seconds/tailReference.Seconds())
+}
+
+// saved is what not having a cold start is worth, in weighed idle seconds.
+func (g *objective) saved() float64 {
+	return g.weight * g.exchange * g.requests * tailCost(g.coldStart)
+}
+
+// idle is what being loaded without work for so many seconds costs.
+func (g *objective) idle(seconds float64) float64 {
+	return (1 - g.weight) * g.share * seconds
+}
+
+// pause is the shortest time between two windows for which an unload pays.
+func (g *objective) pause() time.Duration {
+	return time.Duration(keepLead * float64(g.coldStart))
 }
 
 // plan returns the windows that minimise
 //
-//	weight * exchange * cold-start cost + (1-weight) * share * idle seconds
+//	weight * exchange * requests * cold-start cost + (1-weight) * share * idle seconds
 //
 // over the recorded idle periods. Being loaded during one bucket of idle time
 // costs the time that surviving periods spend in it and saves a cold start for
@@ -94,7 +118,7 @@
 func (h *gapHistogram) plan(goal objective) schedule {
 	var survivors [gapBuckets + 1]float32
 	h.survivors(&survivors)
-	saved := goal.weight * goal.exchange * tailCost(goal.coldStart)
+	saved := goal.saved()
 	result := schedule{learned: true}
 	run := newWindowRun(goal)
 	for i := 0; i < gapBuckets && survivors[i] > 0; i++ {
@@ -102,15 +126,15 @@
 		ended := float64(h.counts[i])
 		// Periods that end in the bucket spend half of it idle on average.
 		idle := (float64(survivors[i+1]) + ended/2) * (to - from) / float64(time.Second)
-		run.extend(&result, time.Duration(from), time.Duration(to), ended*saved-(1-goal.weight)*goal.share*idle)
+		run.extend(&result, time.Duration(from), time.Duration(to), ended*saved-goal.idle(idle))
 	}
 	run.close(&result)
 	return result
 }
 
 // windowRun finds the runs of buckets with the largest gain: a run goes on
-// over buckets of small loss as long as its gain stays positive, and it ends
-// where its gain was largest.
+// over buckets of loss as long as its gain stays positive, and it ends where
+// its gain was largest.
 type windowRun struct {
 	goal       objective
 	from       time.Duration
@@ -142,7 +166,7 @@
 	if r.from >= 0 && r.best > 0 {
 		end := min(r.bestTo, r.from+max(r.goal.limit, 0))
 		if end > r.from {
-			result.add(window{from: r.from, to: end})
+			result.add(window{from: r.from, to: end}, r.goal.pause())
 		}
 	}
 	*r = newWindowRun(r.goal)
@@ -153,7 +177,7 @@
 func fixedSchedule(keepAlive time.Duration) schedule {
 	var result schedule
 	if keepAlive > 0 {
-		result.add(window{to: keepAlive})
+		result.add(window{to: keepAlive}, 0)
 	}
 	return result
 }
