Read the thread's processor clock and sum traffic in a fixed order

Cause: getrusage gave many short steps no time at all, and sums in the order of a map differed in the last digit, which failed the repeat test once. Change: the thread's processor clock; sorted message types and operations.

--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/simulation"
@@ -144,7 +145,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	meter := newCapacityMeter()
-	began, processor := time.Now(), processorTime(syscall.RUSAGE_SELF)
+	began, processor := time.Now(), processorTime(unix.CLOCK_PROCESS_CPUTIME_ID)
 	policies, err := ParsePolicies("adaptive")
 	if err != nil {
 		return nil, err
@@ -164,7 +165,7 @@
 	sample.Violations, sample.Hash = world.Checkers.Total(), world.Kernel.Hash()
 	sample.measureMemory(world, meter)
 	sample.RealSeconds = time.Since(began).Seconds()
-	sample.CPUSeconds = (processorTime(syscall.RUSAGE_SELF) - processor).Seconds()
+	sample.CPUSeconds = (processorTime(unix.CLOCK_PROCESS_CPUTIME_ID) - processor).Seconds()
 	return sample, nil
 }
 
@@ -249,20 +250,32 @@
 			cost.CoreBy[kind] += took.Seconds() * each
 		}
 		then := before.traffic[member]
-		for kind, now := range member.Sent {
-			bytes := float64(now.Bytes-then[0][kind].Bytes) * each
+		sent, received := since(member.Sent, then[0]), since(member.Received, then[1])
+		for _, kind := range slices.Sorted(maps.Keys(sent)) {
+			bytes := float64(sent[kind].Bytes) * each
 			cost.Sent += bytes
 			cost.BytesBy[kind] += bytes
-			cost.MessagesSent += float64(now.Messages-then[0][kind].Messages) * each
+			cost.MessagesSent += float64(sent[kind].Messages) * each
 		}
-		for kind, now := range member.Received {
-			bytes := float64(now.Bytes-then[1][kind].Bytes) * each
+		for _, kind := range slices.Sorted(maps.Keys(received)) {
+			bytes := float64(received[kind].Bytes) * each
 			cost.Received += bytes
 			cost.BytesBy[kind] += bytes
 		}
 	}
 }
 
+// since returns what was counted after an earlier reading.
+func since(now, then map[string]simulation.Traffic) map[string]simulation.Traffic {
+	counted := make(map[string]simulation.Traffic, len(now))
+	for kind, traffic := range now {
+		counted[kind] = simulation.Traffic{
+			Messages: traffic.Messages - then[kind].Messages, Bytes: traffic.Bytes - then[kind].Bytes,
+		}
+	}
+	return counted
+}
+
 // engineOperations names the control calls.
 var engineOperations = map[node.EngineOperation]string{
 	node.EngineSeal: "seal", node.EngineOrder: "order", node.EngineInventory: "inventory",
@@ -285,8 +298,8 @@
 		StoreReads:         rate(world.StoreReads, before.reads),
 		EngineCalls:        map[string]float64{},
 	}
-	for operation, count := range world.EngineCalls {
-		calls := rate(count, before.engineCalls[operation])
+	for _, operation := range slices.Sorted(maps.Keys(world.EngineCalls)) {
+		calls := rate(world.EngineCalls[operation], before.engineCalls[operation])
 		s.Shared.EngineCalls[engineOperations[operation]] = calls
 		s.Shared.EngineCallsEach += calls / float64(s.Workers)
 	}
@@ -343,17 +356,14 @@
 	return memory.HeapAlloc
 }
 
-// rusageThread is RUSAGE_THREAD of getrusage(2).
-const rusageThread = 1
-
-// processorTime is what this process, or the calling thread alone, has used so
-// far.
-func processorTime(who int) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(who, &usage); err != nil {
+// processorTime is what a clock of the process or of the calling thread says
+// has been used so far.
+func processorTime(clock int32) time.Duration {
+	var read unix.Timespec
+	if err := unix.ClockGettime(clock, &read); err != nil {
 		return 0
 	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return time.Duration(read.Nano())
 }
 
 // capacityMeter sums what the processes spend by what for.
@@ -401,7 +411,7 @@
 	if !m.measuring {
 		return 0
 	}
-	return processorTime(rusageThread)
+	return processorTime(unix.CLOCK_THREAD_CPUTIME_ID)
 }
 
 // Stepped implements simulation.Meter.
