Time the node's own part of each served request

valveslip_relay_seconds is what is left of a request without its waits for dispatch and for engines. valveslip_queue_wait_seconds now counts the waits of all attempts; it left out those after the first.

--- a/node/shell/metrics.go
+++ b/node/shell/metrics.go
@@ -22,6 +22,7 @@
 	duration  *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 	waited    prometheus.Histogram
+	relayed   prometheus.Histogram
 	attempts  prometheus.Counter
 	tokens    prometheus.Counter
 	revision  prometheus.Gauge
@@ -31,6 +32,9 @@
 // latencyBuckets in seconds cover a warm relay to a cold start from remote.
 var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 1.5, 2.5, 5, 10, 20, 40, 80, 160}
 
+// relayBuckets in seconds cover the node's own work and callers that read slowly.
+var relayBuckets = []float64{.00005, .0001, .0002, .0003, .0005, .001, .002, .005, .01, .05, .25, 1, 5, 30}
+
 // newMetrics registers the metrics of one node.
 func newMetrics(self cluster.Node, node prometheus.Collector) *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
@@ -44,12 +48,15 @@
 	m.requests = prometheus.NewCounterVec(counter("valveslip_requests_total", "Ended requests by outcome, a verdict code or served, and HTTP status."), []string{"outcome", "status"})
 	m.duration = prometheus.NewHistogramVec(histogram("valveslip_request_duration_seconds", "Time from a request's header to its end."), []string{"outcome"})
 	m.firstByte = prometheus.NewHistogramVec(histogram("valveslip_first_byte_seconds", "Time from submission to the first byte of the answer, by whether the request had to wait for a replica."), []string{"start"})
-	m.waited = prometheus.NewHistogram(histogram("valveslip_queue_wait_seconds", "Time from submission to the first dispatch."))
+	m.waited = prometheus.NewHistogram(histogram("valveslip_queue_wait_seconds", "Time a dispatched request waited for dispatch, all attempts together."))
+	relayed := histogram("valveslip_relay_seconds", "Time of a served request that was neither waiting for dispatch nor for an engine.")
+	relayed.Buckets = relayBuckets
+	m.relayed = prometheus.NewHistogram(relayed)
 	m.attempts = prometheus.NewCounter(counter("valveslip_attempts_total", "Dispatches to engines."))
 	m.tokens = prometheus.NewCounter(counter("valveslip_tokens_total", "Generated tokens relayed."))
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "valveslip_settings_revision", Help: "Settings revision in force.", ConstLabels: constant})
 	m.calls = prometheus.NewHistogramVec(histogram("valveslip_call_duration_seconds", "Calls to the platform and to engines' control API by target and result, an error code or ok."), []string{"target", "result"})
-	m.registry.MustRegister(m.calls, m.requests, m.duration, m.firstByte, m.waited, m.attempts, m.tokens, m.revision,
+	m.registry.MustRegister(m.calls, m.requests, m.duration, m.firstByte, m.waited, m.relayed, m.attempts, m.tokens, m.revision,
 		node, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -92,6 +99,9 @@
 	if result.Attempts > 0 {
 		m.waited.Observe(result.Waited.Seconds())
 	}
+	if result.Failure == nil {
+		m.relayed.Observe((outcome.Total - result.Waited - result.Engine).Seconds())
+	}
 	if result.Started {
 		start := "warm"
 		if result.Waited.Seconds() > waitedThreshold {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -33,6 +33,8 @@
 	// answer holds an answer that is not streamed.
 	answer buffered
 	meter  meter
+	// sending is the time spent on writing to the caller.
+	sending time.Duration
 	// answered is true when the engine has nothing left to cancel.
 	answered bool
 	// unwanted is true when the rest of the answer is of no use.
@@ -129,7 +131,10 @@
 		if n > 0 {
 			a.offset += int64(n)
 			a.meter.count((*buffer)[:n])
-			if sent := a.send(answer, (*buffer)[:n]); sent != nil {
+			began := time.Now()
+			sent := a.send(answer, (*buffer)[:n])
+			a.sending += time.Since(began)
+			if sent != nil {
 				return errors.Join(errSink, sent)
 			}
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -110,9 +110,10 @@
 	Machine  cluster.MachineID
 	// Tokens relayed.
 	Tokens int
-	// Waited is the time from submission to the first dispatch, and FirstByte
-	// to the first byte of the answer.
-	Waited, FirstByte time.Duration
+	// Waited is the time without an attempt, waiting for a decision; Engine the
+	// time attempts waited for their engines. FirstByte is the time from
+	// submission to the first byte of the answer.
+	Waited, Engine, FirstByte time.Duration
 }
 
 // Runner runs requests. It is safe for concurrent use.
@@ -172,7 +173,10 @@
 	}
 	bounded, cancel := context.WithDeadline(ctx, r.call.Request.Deadline.Add(r.options.FinishGrace))
 	defer cancel()
-	return r.ticket.Next(bounded)
+	began := time.Now()
+	effect, err := r.ticket.Next(bounded)
+	r.result.Waited += time.Since(began)
+	return effect, err
 }
 
 // abandon ends a request whose caller left or that the core did not end in
@@ -211,15 +215,14 @@
 
 // dispatch runs one attempt to its end and reports it.
 func (r *run) dispatch(ctx context.Context, decision routing.Dispatch) {
-	if r.result.Attempts == 0 {
-		r.result.Waited = time.Since(r.started)
-	}
 	r.result.Attempts++
 	r.result.Machine = decision.Machine
 	limited, cancel := context.WithDeadline(ctx, decision.Deadline)
 	r.ticket.onInterrupt(cancel)
 	current := newAttempt(r, decision)
+	began := time.Now()
 	ended := current.execute(limited)
+	r.result.Engine += time.Since(began) - current.sending
 	r.ticket.onInterrupt(nil)
 	cancel()
 	r.result.Tokens += ended.Tokens
