Send an adapter's load when its base model is loaded

Cause: a plan loads a base model and its adapter together. Engines refuse the adapter until the base is loaded, and the refused order was planned again every 100 ms; meanwhile the planner saw no adapter and unloaded the base as idle. Change: the controller reserves memory and count for the adapter at once, sends its order when the inventory shows the base loaded, and withdraws it when the base is not coming or the planner gives it up. It doesn't order a base unloaded while an adapter there needs it.

--- a/authority/canonical.go
+++ b/authority/canonical.go
@@ -91,7 +91,7 @@
 	}
 	for _, pending := range m.pending {
 		buffer = appendText(buffer, pending.order.ID)
-		buffer = appendFlags(buffer, pending.unknown, !now.Before(pending.resendAt))
+		buffer = appendFlags(buffer, pending.waiting, pending.unknown, !now.Before(pending.resendAt))
 	}
 	for _, model := range slices.Sorted(maps.Keys(m.reserved)) {
 		buffer = appendText(buffer, string(model))
--- a/authority/controller.go
+++ b/authority/controller.go
@@ -31,6 +31,8 @@
 	orders    uint64
 
 	presence *Presence
+	// bases gives the base model of adapters that plans have named.
+	bases map[cluster.ModelID]cluster.ModelID
 	// machines are the listed ones that have not gone, sorted by ID.
 	machines  []*machineLedger
 	allotment *cluster.Allotment
@@ -48,6 +50,7 @@
 	return &Controller{
 		config:   config,
 		presence: NewPresence(config.MachineLag),
+		bases:    make(map[cluster.ModelID]cluster.ModelID),
 	}
 }
 
--- a/authority/controller_test.go
+++ b/authority/controller_test.go
@@ -245,6 +245,41 @@
 	cell.expectOrders(cell.load("m1", 4), 1, "the token was kept")
 }
 
+func TestAdapterWaitsForItsBase(t *testing.T) {
+	cell := newCellTest(t, "m1")
+	cell.acquire(5)
+	cell.step(AllotmentRead{ReadRevision: 1000, Allotment: cluster.Allotment{
+		Zone: "z1", Revision: 3, Machines: []cluster.MachineID{"m1"},
+		Models: []cluster.ModelAllotment{{Model: "adapter", MaxReplicas: 1}, {Model: "x", MaxReplicas: 1}},
+	}})
+	base := cluster.Replica{Model: "x", State: cluster.ReplicaLoading}
+	cell.seal(5, "m1", base)
+	plan := func(kind cluster.OrderKind, model, base cluster.ModelID) []cluster.Order {
+		return ordersOf(cell.step(PlanMade{Plan: placement.Plan{Actions: []placement.Action{
+			{Kind: kind, Machine: "m1", Model: model, Base: base, Bytes: 3},
+		}}}))
+	}
+	cell.expectOrders(plan(cluster.OrderLoad, "adapter", "x"), 0, "the base is loading")
+	if free := cell.controller.FreeBytes(); free != 7 {
+		t.Fatalf("%d bytes free while the adapter waits, want 7", free)
+	}
+	cell.expectOrders(plan(cluster.OrderUnload, "adapter", "x"), 0, "it was not sent")
+	if free := cell.controller.FreeBytes(); free != 10 {
+		t.Fatalf("%d bytes free after it was withdrawn, want 10", free)
+	}
+	cell.expectOrders(plan(cluster.OrderLoad, "adapter", "x"), 0, "the base is still loading")
+	cell.expectOrders(ordersOf(cell.after(DefaultCallTimeout, Tick{})), 0, "nothing to send again")
+	base.State = cluster.ReplicaLoaded
+	orders := ordersOf(cell.step(InventoryRead{Inventory: testInventory(5, "m1", 2, base)}))
+	cell.expectOrders(orders, 1, "the base is loaded")
+	adapter := cluster.Replica{Model: "adapter", State: cluster.ReplicaLoading}
+	cell.step(InventoryRead{Inventory: testInventory(5, "m1", 3, adapter, base), Order: orders[0].ID})
+	cell.expectOrders(plan(cluster.OrderUnload, "x", ""), 0, "the adapter needs the base")
+	cell.expectOrders(plan(cluster.OrderUnload, "adapter", "x"), 1, "nothing needs the adapter")
+	cell.step(InventoryRead{Inventory: testInventory(5, "m1", 4, base)})
+	cell.expectOrders(plan(cluster.OrderUnload, "x", ""), 1, "the adapter is gone")
+}
+
 func TestLaterTokenEndsTheHolder(t *testing.T) {
 	cell := newCellTest(t, "m1")
 	cell.acquire(5)
--- a/authority/engines.go
+++ b/authority/engines.go
@@ -119,7 +119,7 @@
 		entry.settle(event.Order)
 	}
 	c.callAnswered(now, entry)
-	return nil
+	return c.sendWaiting(now, entry)
 }
 
 // callAnswered schedules the next inventory. The machine's own part spreads the
@@ -154,6 +154,9 @@
 	}
 	c.callFailed(now, entry)
 	for _, pending := range entry.pending {
+		if pending.waiting {
+			continue
+		}
 		pending.unknown = true
 		pending.resendAt = now.Add(c.config.retryDelay(entry.failures))
 	}
@@ -165,6 +168,7 @@
 		return
 	}
 	entry.settle(event.Order)
+	entry.dropStranded()
 	c.readSoon(now, event.Machine)
 }
 
@@ -181,6 +185,9 @@
 	var effects []Effect
 	for _, entry := range c.machines {
 		for _, pending := range entry.pending {
+			if pending.waiting {
+				continue
+			}
 			if !pending.unknown && now.Sub(pending.sentAt) >= c.config.CallTimeout {
 				pending.unknown, pending.resendAt = true, now
 			}
--- a/authority/ledger.go
+++ b/authority/ledger.go
@@ -13,6 +13,9 @@
 // alone cannot rule out that a delayed order arrives after it.
 type pendingOrder struct {
 	order cluster.Order
+	// waiting orders load an adapter whose base model is still being loaded.
+	// They are not sent yet, but their memory and count are reserved.
+	waiting bool
 	// unknown is set once a send has had no answer.
 	unknown  bool
 	sentAt   time.Time
@@ -195,6 +198,30 @@
 	return m.pendingFor(model) != nil
 }
 
+// ready reports whether the model is loaded and stays so; engines refuse an
+// adapter before its base model is.
+func (m *machineLedger) ready(model cluster.ModelID) bool {
+	replica, found := m.inventory.Find(model)
+	return found && replica.State == cluster.ReplicaLoaded && m.pendingFor(model) == nil
+}
+
+// coming reports whether the model is ready or will be without a further order.
+func (m *machineLedger) coming(model cluster.ModelID) bool {
+	if pending := m.pendingFor(model); pending != nil {
+		return pending.order.Kind == cluster.OrderLoad
+	}
+	replica, found := m.inventory.Find(model)
+	return found && replica.State != cluster.ReplicaUnloading
+}
+
+// dropStranded withdraws waiting orders whose base model is not coming.
+func (m *machineLedger) dropStranded() {
+	m.pending = slices.DeleteFunc(m.pending, func(pending *pendingOrder) bool {
+		return pending.waiting && !m.coming(pending.order.Base)
+	})
+	m.releaseReserved()
+}
+
 // usedBytes is the memory of every replica and reservation.
 func (m *machineLedger) usedBytes() int64 {
 	used := int64(0)
--- a/authority/orders.go
+++ b/authority/orders.go
@@ -15,6 +15,7 @@
 	if !c.Holding() || c.allotment == nil {
 		return nil
 	}
+	c.learnBases(plan.Actions)
 	var effects []Effect
 	for i := range plan.Actions {
 		action := &plan.Actions[i]
@@ -22,19 +23,27 @@
 		if entry == nil || !entry.sealed || !c.permits(entry, action) {
 			continue
 		}
-		effects = append(effects, c.give(now, entry, action))
+		effects = append(effects, c.give(now, entry, action)...)
 	}
 	return effects
 }
 
+// learnBases remembers which base model each adapter needs.
+func (c *Controller) learnBases(actions []placement.Action) {
+	for i := range actions {
+		if actions[i].Base != "" {
+			c.bases[actions[i].Model] = actions[i].Base
+		}
+	}
+}
+
 // permits reports whether the ledger and the allotment allow the action.
 func (c *Controller) permits(entry *machineLedger, action *placement.Action) bool {
 	switch action.Kind {
 	case cluster.OrderLoad:
 		return c.permitsLoad(entry, action)
 	case cluster.OrderUnload:
-		_, found := entry.inventory.Find(action.Model)
-		return found && entry.pendingFor(action.Model) == nil
+		return c.permitsUnload(entry, action.Model)
 	case cluster.OrderSetPool:
 		return entry.pendingPool() == nil && entry.inventory.Pool != action.Pool
 	default:
@@ -54,14 +63,45 @@
 		return false
 	case entry.holds(action.Model):
 		return false
+	case action.Base != "" && !entry.coming(action.Base):
+		return false
 	case entry.usedBytes()+action.Bytes > entry.inventory.MemoryBytes:
 		return false
 	}
 	return c.held(action.Model) < allotted.MaxReplicas
 }
 
-// give reserves memory, records the order and returns it as an effect.
-func (c *Controller) give(now time.Time, entry *machineLedger, action *placement.Action) Effect {
+// permitsUnload also withdraws a load that was not sent yet.
+func (c *Controller) permitsUnload(entry *machineLedger, model cluster.ModelID) bool {
+	if pending := entry.pendingFor(model); pending != nil {
+		if pending.waiting {
+			entry.settle(pending.order.ID)
+		}
+		return false
+	}
+	_, found := entry.inventory.Find(model)
+	return found && !c.carriesAdapter(entry, model)
+}
+
+// carriesAdapter reports whether the machine has an adapter of the base model,
+// or will have; engines refuse to unload the base before.
+func (c *Controller) carriesAdapter(entry *machineLedger, base cluster.ModelID) bool {
+	for _, pending := range entry.pending {
+		if pending.order.Base == base && pending.order.Kind == cluster.OrderLoad {
+			return true
+		}
+	}
+	for i := range entry.inventory.Replicas {
+		if c.bases[entry.inventory.Replicas[i].Model] == base {
+			return true
+		}
+	}
+	return false
+}
+
+// give reserves memory, records the order and returns it as an effect, unless it
+// has to wait for its base model.
+func (c *Controller) give(now time.Time, entry *machineLedger, action *placement.Action) []Effect {
 	order := cluster.Order{
 		ID: c.orderID(), Token: c.token, Epoch: entry.inventory.Epoch, Machine: entry.machine.ID,
 		Kind: action.Kind, Model: action.Model, Base: action.Base, Version: action.Version,
@@ -70,11 +110,29 @@
 	if action.Kind == cluster.OrderLoad {
 		entry.reserve(action.Model, action.Bytes)
 	}
-	entry.pending = append(entry.pending, &pendingOrder{order: order, sentAt: now})
+	waiting := action.Kind == cluster.OrderLoad && action.Base != "" && !entry.ready(action.Base)
+	entry.pending = append(entry.pending, &pendingOrder{order: order, waiting: waiting, sentAt: now})
 	if !entry.calling {
 		entry.nextCall = now.Add(c.config.BusyInventoryInterval)
 	}
-	return SendOrder{Machine: entry.machine, Order: order}
+	if waiting {
+		return nil
+	}
+	return []Effect{SendOrder{Machine: entry.machine, Order: order}}
+}
+
+// sendWaiting sends the orders whose base model has become ready and withdraws
+// those whose base model is not coming any more.
+func (c *Controller) sendWaiting(now time.Time, entry *machineLedger) []Effect {
+	entry.dropStranded()
+	var effects []Effect
+	for _, pending := range entry.pending {
+		if pending.waiting && entry.ready(pending.order.Base) {
+			pending.waiting, pending.sentAt = false, now
+			effects = append(effects, SendOrder{Machine: entry.machine, Order: pending.order})
+		}
+	}
+	return effects
 }
 
 // mayHold reports whether the allotment names the machine for the model.
