--- a/node/demand.go
+++ b/node/demand.go
@@ -9,14 +9,9 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-const (
-	// overflowWait is how long a request waits for one zone at the most before
-	// its demand is also shown to the next zone that may load the model.
-	overflowWait = 20 * time.Second
-	// overflowParts divides the time that a request has in all; after one part
-	// its demand is shown to the next zone, if that comes before overflowWait.
-	overflowParts = 4
-)
+// overflowWait is how long a request waits for one zone before its demand is
+// also shown to the next zone that may load the model.
+const overflowWait = 20 * time.Second
 
 // demandReporter remembers what this router last told each zone.
 type demandReporter struct {
@@ -69,7 +64,7 @@
 	perZone := make(map[cluster.ZoneID][]wire.ModelDemand)
 	for _, model := range models {
 		zones := c.preferredZones(model.Model)
-		reach := zonesReached(model)
+		reach := 1 + int(model.OldestWait/overflowWait)
 		for i := 0; i < len(zones) && i < reach; i++ {
 			perZone[zones[i].zone] = append(perZone[zones[i].zone], model)
 		}
@@ -77,15 +72,6 @@
 	return perZone
 }
 
-// zonesReached is to how many zones the demand for a model is shown.
-func zonesReached(model wire.ModelDemand) int {
-	patience := overflowWait
-	if model.EarliestDeadline > 0 {
-		patience = min(patience, (model.OldestWait+model.EarliestDeadline)/overflowParts)
-	}
-	return 1 + int(model.OldestWait/max(patience, time.Second))
-}
-
 // tellZone sends one zone its part; an empty one is repeated rarely, because
 // its only use is to say that the router lives.
 func (c *Core) tellZone(zone cluster.ZoneID, models []wire.ModelDemand, scopes []wire.ScopeDemand) {
