Tell the zone's routers which prompts went where

Nobody read engines' cache events, so a router knew only what it had sent itself: with 16 routers the next turn of a conversation mostly reached one that knew nothing of it.

Routers now tell their zone's controller each second the longest noted prefix of each prompt that an engine has begun to answer, and the controller passes the sum on to the zone's routers (wire.SentPrefixes, at most 256 entries a second, newest first). A node that doesn't know the kind of message passes over it. A machine whose last replica went loses its entries.

--- a/node/controller.go
+++ b/node/controller.go
@@ -41,6 +41,7 @@
 	planner    placement.Planner
 	demand     *demandLedger
 	publisher  *statusPublisher
+	prefixes   prefixRelay
 	store      weights.Status
 	loads      map[cluster.MachineID]cluster.LoadReport
 	// vacantSince is when the zone was first seen without a live controller.
@@ -93,6 +94,7 @@
 	}
 	r.demand = newDemandLedger()
 	r.publisher = newStatusPublisher(r)
+	r.prefixes = newPrefixRelay()
 	r.loads = map[cluster.MachineID]cluster.LoadReport{}
 	r.expected = map[replicaKey]time.Time{}
 	r.seen = map[cluster.MachineID]inventoryVersion{}
@@ -220,6 +222,7 @@
 	r.demand.expire(r.core.now)
 	r.plan()
 	r.publisher.tick()
+	r.relayPrefixes()
 }
 
 // poll reads the platform at fixed intervals.
--- a/node/core.go
+++ b/node/core.go
@@ -86,6 +86,7 @@
 	apportion   *apportionerRole
 	demand      *demandReporter
 	machines    *machineWatch
+	prefixes    prefixReporter
 	draining    bool
 	drained     bool
 	routersDue  time.Time
@@ -187,6 +188,7 @@
 	c.pollMachines()
 	c.expireCells()
 	c.reportDemand()
+	c.reportPrefixes()
 	c.keyValueTick()
 	c.cellRole.tick()
 	c.apportion.tick()
@@ -204,6 +206,8 @@
 		c.cellStatusReceived(m)
 	case wire.CellStatusRequest:
 		c.cellRole.statusRequested(m)
+	case wire.SentPrefixes:
+		c.prefixesReceived(m)
 	case wire.ZoneReport:
 		c.apportion.reportReceived(m)
 	}
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -238,6 +238,7 @@
 	sent.firstByte = true
 	if sent.running {
 		sent.machine.setbacks = 0
+		r.notePrefix(sent)
 		return
 	}
 	r.finish(sent, verdict.New(verdict.Ran, verdict.CodeStreamCut,
--- a/routing/cells.go
+++ b/routing/cells.go
@@ -146,6 +146,10 @@
 	model.detach(known)
 	at := slices.Index(machine.replicas, known)
 	machine.replicas = slices.Delete(machine.replicas, at, at+1)
+	if len(machine.replicas) == 0 {
+		// The engine has left or begun anew: its cache is gone.
+		r.prefixes.Forget(id)
+	}
 	r.changed = append(r.changed, model)
 }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -54,8 +54,9 @@
 	// in another zone of the region and in another region. Defaults 5 ms and
 	// 80 ms.
 	RegionPenalty, FarPenalty time.Duration
-	// PrefixBlockTime is the prefill time that one cached block of a prompt
-	// saves. Default 10 ms.
+	// PrefixBlockTime is what one cached block of a prompt is worth when replicas
+	// are compared: several times the prefill time that it saves, because the
+	// requests behind it save that too. Default 40 ms.
 	PrefixBlockTime time.Duration
 	// Affinity tunes the estimate of engines' prefix caches.
 	Affinity affinity.Config
@@ -83,7 +84,7 @@
 	c.RoutersMemory = cmp.Or(c.RoutersMemory, 10*time.Minute)
 	c.RegionPenalty = cmp.Or(c.RegionPenalty, 5*time.Millisecond)
 	c.FarPenalty = cmp.Or(c.FarPenalty, 80*time.Millisecond)
-	c.PrefixBlockTime = cmp.Or(c.PrefixBlockTime, 10*time.Millisecond)
+	c.PrefixBlockTime = cmp.Or(c.PrefixBlockTime, 40*time.Millisecond)
 	c.DrainRetryAfter = cmp.Or(c.DrainRetryAfter, time.Second)
 	c.MinRetryAfter = cmp.Or(c.MinRetryAfter, 100*time.Millisecond)
 	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, 2*time.Minute)
--- /dev/null
+++ b/routing/prefixes_test.go
@@ -0,0 +1,93 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/verdict"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// longPrompt has four blocks, and so a longest noted prefix of four.
+var longPrompt = []uint64{1, 2, 3, 4}
+
+func told(machine cluster.MachineID, prefixes ...uint64) PrefixesTold {
+	return PrefixesTold{Groups: []wire.PrefixGroup{{Machine: machine, Model: "chat", Hashes: prefixes}}}
+}
+
+// TestOnlyReadPromptsAreTold: an engine's refusal puts nothing into its cache,
+// so it must not be told; where the prompt runs then is.
+func TestOnlyReadPromptsAreTold(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.status(true, loaded("m1", 4), loaded("m2", 4))
+	refusing := f.arrive("a", func(r *Request) { r.Prefixes = longPrompt })[0].(Dispatch).Machine
+	again := f.step(AttemptEnded{Request: "a", Attempt: 1, EngineFull: true, Failure: verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "full")})
+	reading := again[0].(Dispatch).Machine
+	if groups := f.router.SentPrefixes(); len(groups) != 0 {
+		t.Fatalf("told before an engine answered: %v", groups)
+	}
+	f.step(FirstByteSent{Request: "a"})
+	groups := f.router.SentPrefixes()
+	if len(groups) != 1 || groups[0].Machine != reading || reading == refusing || !slices.Equal(groups[0].Hashes, []uint64{4}) {
+		t.Fatalf("%s refused, %s read, told %v", refusing, reading, groups)
+	}
+	if groups := f.router.SentPrefixes(); len(groups) != 0 {
+		t.Fatalf("told twice: %v", groups)
+	}
+}
+
+// TestToldPrefixes checks what a router does with what others told it, late,
+// wrong or out of date as it may be.
+func TestToldPrefixes(t *testing.T) {
+	const others = 11
+	for _, test := range []struct {
+		name  string
+		given func(f *fixture)
+		// follows is whether requests go to the machine that was told.
+		follows bool
+	}{
+		{"told", func(f *fixture) { f.step(told("m05", 4)) }, true},
+		{"told of an earlier turn", func(f *fixture) { f.step(told("m05", 2)) }, true},
+		{"nothing told", func(*fixture) {}, false},
+		{"message lost, the next one comes", func(f *fixture) { f.pass(time.Minute); f.step(told("m05", 4)) }, true},
+		{"another prompt", func(f *fixture) { f.step(told("m05", 99)) }, false},
+		{"half an hour old", func(f *fixture) { f.step(told("m05", 4)); f.pass(30 * time.Minute) }, false},
+		{"machine unknown", func(f *fixture) { f.step(told("elsewhere", 4)) }, false},
+		{"model unknown", func(f *fixture) {
+			f.step(PrefixesTold{Groups: []wire.PrefixGroup{{Machine: "m05", Model: "other", Hashes: []uint64{4}}}})
+		}, false},
+		{"machine leaving", func(f *fixture) { f.step(told("m05", 4)); f.step(MachineLeaving{Machine: "m05"}) }, false},
+		{"engine restarted", func(f *fixture) {
+			f.step(told("m05", 4))
+			gone := loaded("m05", 64)
+			gone.State = cluster.ReplicaAbsent
+			f.status(false, gone)
+			f.status(false, loaded("m05", 64))
+		}, false},
+		{"told of a machine that is gone", func(f *fixture) {
+			gone := loaded("m05", 64)
+			gone.State = cluster.ReplicaAbsent
+			f.status(false, gone)
+			f.step(told("m05", 4))
+			f.status(false, loaded("m05", 64))
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, testPolicy())
+			var records []wire.ReplicaRecord
+			for i := range others + 1 {
+				records = append(records, loaded(cluster.MachineID(fmt.Sprintf("m%02d", i)), 64))
+			}
+			f.status(true, records...)
+			test.given(f)
+			choice := f.arrive("a", func(r *Request) { r.Prefixes = longPrompt })[0].(Dispatch)
+			expected := choice.Reason.Candidates[0].PrefixBlocks
+			if follows := choice.Machine == "m05" && expected > 0; follows != test.follows {
+				t.Errorf("dispatched to %s for %v blocks, follows %v", choice.Machine, expected, test.follows)
+			}
+		})
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -49,6 +49,8 @@
 	// prefixes estimates engines' caches; matches is the buffer of a choice.
 	prefixes *affinity.Index
 	matches  []affinity.Match
+	// untold are the prompts that other routers have yet to be told of.
+	untold *affinity.Ledger
 	// routers is how many share the replicas. divided is among how many limits
 	// are divided, more until dividedUntil if some disappeared; rank is this
 	// router's place.
@@ -81,6 +83,7 @@
 		routers:  config.ExpectedRouters,
 		limits:   limit.NewSet(),
 		prefixes: affinity.New(config.Affinity),
+		untold:   affinity.NewLedger(maxUntold),
 	}
 	router.limits.Divide(limit.Division{Routers: config.ExpectedRouters})
 	return router
@@ -124,6 +127,8 @@
 		r.drain()
 	case CacheEventsArrived:
 		r.cacheEvents(event.Events)
+	case PrefixesTold:
+		r.prefixesTold(event.Groups)
 	case Tick:
 	}
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -59,6 +59,7 @@
 	KindKeyAnswer
 	KindKeptAnswerRequest
 	KindKeptAnswer
+	KindSentPrefixes
 )
 
 // layout ties a kind to its schema name and its record.
@@ -85,6 +86,7 @@
 	KindKeyAnswer:             {"KeyAnswer", func() record { return new(keyAnswerRecord) }},
 	KindKeptAnswerRequest:     {"KeptAnswerRequest", func() record { return new(keptAnswerRequestRecord) }},
 	KindKeptAnswer:            {"KeptAnswer", func() record { return new(keptAnswerRecord) }},
+	KindSentPrefixes:          {"SentPrefixes", func() record { return new(sentPrefixesRecord) }},
 }
 
 // toRecord returns the kind of message and its record.
@@ -125,6 +127,8 @@
 		return KindKeptAnswerRequest, keptAnswerRequestToRecord(m), nil
 	case KeptAnswer:
 		return KindKeptAnswer, keptAnswerToRecord(m), nil
+	case SentPrefixes:
+		return KindSentPrefixes, sentPrefixesToRecord(m), nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -79,7 +79,11 @@
 			Past: []PastMembership{{Until: 1, Nodes: []cluster.NodeID{"node-b"}}},
 		},
 		KindKeptAnswerRequest: KeptAnswerRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Request: "node-a.1"},
-		KindKeptAnswer:        KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
+		KindSentPrefixes: SentPrefixes{
+			From: "node-a", Zone: "east-1", Relayed: true,
+			Groups: []PrefixGroup{{Machine: "machine-a", Model: "recall", Hashes: []uint64{1<<63 + 3, 4}}},
+		},
+		KindKeptAnswer: KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
 }
 
@@ -90,6 +94,7 @@
 var since = map[Kind]int32{
 	KindInspectionRequest: 2, KindInspectionAnswer: 2, KindKeyClaim: 2, KindKeyDecision: 2, KindKeyOutcome: 2,
 	KindKeyQuestion: 2, KindKeyAnswer: 2, KindKeptAnswerRequest: 2, KindKeptAnswer: 2,
+	KindSentPrefixes: 2,
 }
 
 // asVersion1 is the message as version 1 carries it.
@@ -250,6 +255,33 @@
 	}
 }
 
+// TestUnknownKindsArePassedOver holds that a newer node may send a kind of
+// message that this one does not know: the rest of the batch is read, and no
+// fault is counted. A message that is cut still is one.
+func TestUnknownKindsArePassedOver(t *testing.T) {
+	known, err := Encode(CellStatusRequest{Zone: "east-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	unknown, err := codec.Marshal(envelopeSchema, envelope{Version: VersionCurrent, Kind: 99, Payload: []byte("news")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func(envelopes ...[]byte) ([]Message, error) {
+		body, err := codec.Marshal(batchSchema, batch{Envelopes: envelopes})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return decodeBatch(body, VersionCurrent)
+	}
+	if messages, err := read(unknown, known); err != nil || len(messages) != 1 {
+		t.Errorf("read %v, %v", messages, err)
+	}
+	if messages, err := read(known[:len(known)-1], known); err == nil || len(messages) != 1 {
+		t.Errorf("with a cut message: read %v, %v", messages, err)
+	}
+}
+
 // TestConcurrentUse makes the race detector see shared state in the codec.
 func TestConcurrentUse(t *testing.T) {
 	var group sync.WaitGroup
--- a/wire/sender.go
+++ b/wire/sender.go
@@ -190,7 +190,8 @@
 }
 
 // decodeBatch returns the messages of a request body that can be read, and the
-// errors of the others, which include those written after version newest.
+// errors of the others, which include those written after version newest. A kind
+// that this node does not know is no error: a newer node sends it as a hint.
 func decodeBatch(body []byte, newest int32) ([]Message, error) {
 	var received batch
 	if err := unmarshal(batchSchema, body, &received); err != nil {
@@ -200,7 +201,10 @@
 	var faults []error
 	for _, data := range received.Envelopes {
 		decoded, err := decode(data, newest)
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrUnknownKind):
+			continue
+		case err != nil:
 			faults = append(faults, err)
 			continue
 		}
