Don't name machines for a prefix that more hold than are remembered

At most four machines are remembered for a block. A system prompt common to all conversations was sent to these four, however many others had it too.

When a holder that surely had the block gives its place to another machine, the block counts as held everywhere for a minute, and the choice goes by expected wait alone.

--- a/experiment/prefixes/callers.go
+++ b/experiment/prefixes/callers.go
@@ -16,7 +16,6 @@
 	arrived int64
 	blocks  []uint64
 	tokens  int
-	first   bool
 }
 
 // callers yields sessions: conversations that begin with a common system prompt
--- a/routing/affinity/index.go
+++ b/routing/affinity/index.go
@@ -62,8 +62,18 @@
 type block struct {
 	key     uint64
 	holders [holdersPerBlock]holder
+	// crowded is when a holder that surely had the block last gave its place to
+	// another machine: more hold the block than there are places.
+	crowded int64
 }
 
+const (
+	// crowdedTime is for how long a block counts as held everywhere.
+	crowdedTime = int64(time.Minute)
+	// sureStrength is what a holder must have to count as displaced.
+	sureStrength = 0.5
+)
+
 // holder is one machine that may hold the block.
 type holder struct {
 	machine *machine
@@ -160,7 +170,9 @@
 }
 
 // Lookup returns the machines that hold the longest known prefix of a prompt,
-// given its prefix blocks, shortest first. It fills and returns the buffer.
+// given its prefix blocks, shortest first. It fills and returns the buffer. It
+// returns none when that prefix is held by more machines than are remembered:
+// naming some would send every prompt that begins alike to these few.
 func (x *Index) Lookup(nanos int64, model cluster.ModelID, prefixes []uint64, buffer []Match) []Match {
 	buffer = buffer[:0]
 	of := modelKey(model)
@@ -173,6 +185,9 @@
 		if found == nil {
 			continue
 		}
+		if found.crowded != 0 && nanos-found.crowded < crowdedTime {
+			return buffer
+		}
 		for h := range found.holders {
 			if strength := x.strength(nanos, &found.holders[h]); strength >= weakest {
 				buffer = append(buffer, Match{
@@ -266,6 +281,9 @@
 			lowest, place = current, i
 		}
 	}
+	if lowest >= sureStrength && held.holders[place].machine != by {
+		held.crowded = nanos
+	}
 	held.holders[place].clear()
 	by.blocks++
 	held.holders[place] = holder{
@@ -282,7 +300,7 @@
 		place = x.next
 		x.next = (x.next + 1) % len(x.blocks)
 		x.drop(&x.blocks[place])
-		x.blocks[place].key = key
+		x.blocks[place].key, x.blocks[place].crowded = key, 0
 	}
 	x.places[key] = int32(place)
 	return &x.blocks[place]
