--- a/cmd/valveslip/experiment_faults.go
+++ b/cmd/valveslip/experiment_faults.go
@@ -24,6 +24,7 @@
 	seeds := flags.Int("seeds", 100, "number of seeds")
 	first := flags.Uint64("first-seed", 1, "first seed")
 	workers := flags.Int("workers", 4, "seeds that run at once")
+	zones := flags.Int("zones", 0, "run this many of the scenario's zones with the same share of everything else; 0 for all")
 	asJSON := flags.Bool("json", false, "print JSON")
 	return &ffcli.Command{
 		Name: "faults", ShortUsage: "valveslip experiment faults [flags]", FlagSet: flags,
@@ -33,6 +34,12 @@
 			if err != nil {
 				return &exitError{code: exitInvalid, err: err}
 			}
+			if *zones < 0 || *zones > len(scenario.Zones) {
+				return &exitError{code: exitUsage, err: eris.Errorf("the scenario has %d zones", len(scenario.Zones))}
+			}
+			if *zones > 0 {
+				scenario = experiment.Scaled(scenario, *zones)
+			}
 			campaign := experiment.Campaign{
 				Scenario: scenario, FirstSeed: *first, Seeds: *seeds, Workers: *workers,
 				Progress: progress(*seeds, "seeds"),
--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -107,9 +107,9 @@
 	Seed         uint64
 }
 
-// scaled returns the scenario with the given number of its zones and the same
+// Scaled returns the scenario with the given number of its zones and the same
 // share of everything else.
-func scaled(scenario *Scenario, zones int) *Scenario {
+func Scaled(scenario *Scenario, zones int) *Scenario {
 	share := float64(zones) / float64(len(scenario.Zones))
 	part := func(whole int) int { return max(1, int(float64(whole)*share+0.5)) }
 	smaller := *scenario
@@ -139,7 +139,7 @@
 	if zones < 1 || zones > len(scenario.Zones) {
 		return nil, eris.Errorf("%d zones asked, the scenario has %d", zones, len(scenario.Zones))
 	}
-	smaller := scaled(scenario, zones)
+	smaller := Scaled(scenario, zones)
 	smaller.Warmup, smaller.Duration = options.Settle, options.Measure+time.Duration(options.Edits+10)*options.EditInterval
 	// Times are the thread's own, so other work on the machine does not count.
 	runtime.LockOSThread()
