Ask engines whether they leave while the machine list is silent

Ruled out: dispatching nowhere while the list is silent, which would stop a zone that is cut off from serving at all. Change: when the list has not answered for 3 s, a node asks the engines that its router may use, 32 at the most each 2 s in turn; an engine that says that it leaves gets no new work. Result: tests for the router without controller, and without controller and list.

--- a/node/core.go
+++ b/node/core.go
@@ -136,6 +136,7 @@
 	case WatchEnded:
 		c.watchEnded(e)
 	case EngineAnswered:
+		c.noteLeaving(&e)
 		c.cellRole.engineAnswered(e)
 	case MachinesListed:
 		c.machinesListed(e)
--- a/node/machines.go
+++ b/node/machines.go
@@ -12,6 +12,12 @@
 	machineListInterval = time.Second
 	// routerListInterval is how often any other node reads it.
 	routerListInterval = 2 * time.Second
+	// listSilence is after what time without an answer of the list the engines
+	// themselves are asked whether they leave, each probeInterval.
+	listSilence   = 3 * time.Second
+	probeInterval = 2 * time.Second
+	// maxProbes bounds the engines asked at once; more are asked in turn.
+	maxProbes = 32
 )
 
 // machineWatch reads the platform's machine list on every node, because the
@@ -20,14 +26,20 @@
 // changes costs next to nothing.
 type machineWatch struct {
 	due time.Time
+	// listed is when the list last answered.
+	listed time.Time
+	// probeDue is when engines are asked next, and probed where the turn is.
+	probeDue time.Time
+	probed   int
 	// leaving holds the machines whose end the router has been told.
 	leaving map[cluster.MachineID]bool
 }
 
 func newMachineWatch() *machineWatch { return &machineWatch{leaving: map[cluster.MachineID]bool{}} }
 
-// pollMachines reads the list when due.
+// pollMachines reads the list when due, and asks the engines when it is silent.
 func (c *Core) pollMachines() {
+	c.probeEngines()
 	if c.now.Before(c.machines.due) {
 		return
 	}
@@ -45,6 +57,7 @@
 	if listed.Err != nil {
 		return
 	}
+	c.machines.listed = c.now
 	present := make(map[cluster.MachineID]bool, len(c.machines.leaving))
 	for i := range listed.Machines {
 		machine := &listed.Machines[i]
@@ -60,6 +73,30 @@
 	c.cellRole.machinesListed(listed)
 }
 
+// probeEngines asks the engines that may get requests whether they leave, while
+// the machine list does not answer: a zone that is cut off may have lost its
+// controller as well, and then nobody else can tell.
+func (c *Core) probeEngines() {
+	silent := c.now.Sub(c.machines.listed) > listSilence
+	if !silent || c.now.Before(c.machines.probeDue) {
+		return
+	}
+	c.machines.probeDue = c.now.Add(probeInterval)
+	engines := c.router.Machines()
+	for i := range min(len(engines), maxProbes) {
+		machine := engines[(c.machines.probed+i)%len(engines)]
+		c.emit(EngineCall{Operation: EngineInventory, Machine: machine})
+	}
+	c.machines.probed += maxProbes
+}
+
+// noteLeaving tells the router of an engine that says that it leaves.
+func (c *Core) noteLeaving(answer *EngineAnswered) {
+	if answer.Err == nil && answer.Inventory.Leaving {
+		c.routing(routing.MachineLeaving{Machine: answer.Call.Machine.ID})
+	}
+}
+
 // readMachinesSoon makes the next Tick read the list.
 func (c *Core) readMachinesSoon() {
 	if c.machines != nil {
--- a/node/machines_test.go
+++ b/node/machines_test.go
@@ -10,33 +10,73 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
+// newRoutingCore returns a core without controller role whose router knows one
+// replica, of model m on machine a.
+func newRoutingCore(now time.Time) *Core {
+	core := NewCore(CoreConfig{Self: cluster.Node{ID: "n", Zone: "z", Region: "r", PeerAddress: "127.0.0.1:1"}, Seed: 1})
+	policy := settings.Policy{MaxReplicas: 1, QueueLength: 8, QueueBytes: 1 << 20, QueueTime: time.Minute, Deadline: time.Minute, RetryAttempts: 2}
+	core.routing(routing.SettingsChanged{Snapshot: settings.NewSnapshot(settings.Stamp{Revision: 1},
+		[]settings.Model{{ID: "m", Kind: settings.KindModel, Path: "/m", Team: "/", Policy: policy}}, nil, nil)})
+	core.Step(now, MessageReceived{Message: wire.CellStatus{
+		Zone: "z", From: "controller", Token: 7, Sequence: 1, Full: true, Allotted: []cluster.ModelID{"m"},
+		Replicas: []wire.ReplicaRecord{{Machine: "a", Address: "127.0.0.1:2", Model: "m", State: cluster.ReplicaLoaded, Slots: 4}},
+	}})
+	return core
+}
+
+// dispatches reports whether a request for model m is dispatched at once.
+func dispatches(core *Core, now time.Time) bool {
+	for _, effect := range core.Step(now, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+		ID: "r", Model: "m", TokenPath: "/", Team: "/", Deadline: now.Add(time.Minute),
+	}}}) {
+		if output, ok := effect.(RoutingOutput); ok {
+			if _, is := output.Effect.(routing.Dispatch); is {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // TestLeavingMachineWithoutController: the zone's controller is cut off and its
 // last status still names the machine as usable; the node's own reading of the
 // machine list keeps new work away.
 func TestLeavingMachineWithoutController(t *testing.T) {
 	for _, leaving := range []bool{false, true} {
 		now := time.Unix(1_000_000, 0)
-		core := NewCore(CoreConfig{Self: cluster.Node{ID: "n", Zone: "z", Region: "r", PeerAddress: "127.0.0.1:1"}, Seed: 1})
-		policy := settings.Policy{MaxReplicas: 1, QueueLength: 8, QueueBytes: 1 << 20, QueueTime: time.Minute, Deadline: time.Minute, RetryAttempts: 2}
-		core.routing(routing.SettingsChanged{Snapshot: settings.NewSnapshot(settings.Stamp{Revision: 1},
-			[]settings.Model{{ID: "m", Kind: settings.KindModel, Path: "/m", Team: "/", Policy: policy}}, nil, nil)})
-		core.Step(now, MessageReceived{Message: wire.CellStatus{
-			Zone: "z", From: "controller", Token: 7, Sequence: 1, Full: true, Allotted: []cluster.ModelID{"m"},
-			Replicas: []wire.ReplicaRecord{{Machine: "a", Address: "127.0.0.1:2", Model: "m", State: cluster.ReplicaLoaded, Slots: 4}},
-		}})
+		core := newRoutingCore(now)
 		core.Step(now, MachinesListed{Version: 1, Machines: []cluster.Machine{{ID: "a", Zone: "z", Leaving: leaving}}})
-		effects := core.Step(now, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
-			ID: "r", Model: "m", TokenPath: "/", Team: "/", Deadline: now.Add(time.Minute),
-		}}})
-		dispatched := false
-		for _, effect := range effects {
-			if output, ok := effect.(RoutingOutput); ok {
-				_, is := output.Effect.(routing.Dispatch)
-				dispatched = dispatched || is
+		if dispatched := dispatches(core, now); dispatched == leaving {
+			t.Errorf("leaving %v: dispatched %v", leaving, dispatched)
+		}
+	}
+}
+
+// TestLeavingMachineWithoutControllerAndList: neither the controller nor the
+// machine list answers; the engine itself is asked.
+func TestLeavingMachineWithoutControllerAndList(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		start := time.Unix(1_000_000, 0)
+		core := newRoutingCore(start)
+		core.Step(start, MachinesListed{Version: 1, Machines: []cluster.Machine{{ID: "a", Zone: "z"}}})
+		now := start
+		asked := 0
+		for ; now.Before(start.Add(listSilence + 2*probeInterval)); now = now.Add(TickInterval) {
+			for _, effect := range core.Step(now, Tick{}) {
+				if call, ok := effect.(EngineCall); ok && call.Operation == EngineInventory && call.Machine.ID == "a" {
+					asked++
+				}
 			}
 		}
-		if dispatched == leaving {
-			t.Errorf("leaving %v: dispatched %v, effects %+v", leaving, dispatched, effects)
+		if asked < 1 || asked > 2 {
+			t.Fatalf("the engine was asked %d times", asked)
+		}
+		core.Step(now, EngineAnswered{
+			Call:      EngineCall{Operation: EngineInventory, Machine: cluster.Machine{ID: "a"}},
+			Inventory: cluster.Inventory{Machine: "a", Leaving: leaving},
+		})
+		if dispatched := dispatches(core, now); dispatched == leaving {
+			t.Errorf("leaving %v: dispatched %v", leaving, dispatched)
 		}
 	}
 }
