Survive a clock that is set back while planning

Cause: the lag between two wake-ups was used as an index though it is negative after the clock was set back, which would have ended the process. Change: negative lags are left out, as is negative time in the store's start allowance; wake-ups are kept as numbers. Result: a test plans across a clock set back.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/settings"
@@ -83,6 +84,7 @@
 				b.StartTimer()
 			}
 			b.ReportMetric(float64(actions)/float64(b.N), "actions/op")
+			b.ReportMetric(float64(len(state.Settings.Models))*float64(unsafe.Sizeof(track{})), "learned-bytes")
 		})
 	}
 }
--- a/placement/learn_test.go
+++ b/placement/learn_test.go
@@ -23,6 +23,23 @@
 	}
 }
 
+// TestClockStepsBack plans across a clock that is set back.
+func TestClockStepsBack(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("booking", nil)), 1)
+	planner := NewPlanner(Config{})
+	for _, minutes := range []int{0, 10, 20, 5, 15} {
+		state.Now = start.Add(time.Duration(minutes) * time.Minute)
+		state.Demand["booking"] = Demand{Waiting: 1, Arrivals: 1}
+		planner.Plan(state)
+		delete(state.Demand, "booking")
+		state.Now = state.Now.Add(time.Minute)
+		planner.Plan(state)
+	}
+	if held := planner.store.allowance; held < 0 || held > 2 {
+		t.Errorf("allowance of store starts = %v", held)
+	}
+}
+
 // TestWindowsFollowObjective learns idle times of one minute, every so often of
 // an hour.
 func TestWindowsFollowObjective(t *testing.T) {
--- a/placement/recurrence.go
+++ b/placement/recurrence.go
@@ -21,17 +21,18 @@
 // as the same hour of the next day or every two hours. For each lag it counts
 // how often a wake-up followed another by it. Its size is fixed.
 type recurrence struct {
-	hits   [recurrenceSlots]float32
-	wakes  [keptWakes]time.Time
+	hits [recurrenceSlots]float32
+	// wakes are in nanoseconds of Unix time, zero when there is none.
+	wakes  [keptWakes]int64
 	trials float32
 	next   int
 }
 
 // add records a wake-up.
 func (r *recurrence) add(now time.Time) {
+	at := now.UnixNano()
 	for _, earlier := range r.wakes {
-		lag := now.Sub(earlier) / recurrenceSlot
-		if !earlier.IsZero() && lag < recurrenceSlots {
+		if lag := (at - earlier) / int64(recurrenceSlot); earlier != 0 && lag >= 0 && lag < recurrenceSlots {
 			r.hits[lag]++
 		}
 	}
@@ -42,7 +43,7 @@
 		r.trials *= recurrenceDecay
 	}
 	r.trials++
-	r.wakes[r.next] = now
+	r.wakes[r.next] = at
 	r.next = (r.next + 1) % keptWakes
 }
 
@@ -50,9 +51,10 @@
 // one, by the lag that foretells it best.
 func (r *recurrence) chance(at time.Time) float64 {
 	best := float32(0)
+	then := at.UnixNano()
 	for _, earlier := range r.wakes {
-		lag := at.Sub(earlier) / recurrenceSlot
-		if !earlier.IsZero() && lag > 0 && lag < recurrenceSlots {
+		lag := (then - earlier) / int64(recurrenceSlot)
+		if earlier != 0 && lag > 0 && lag < recurrenceSlots {
 			best = max(best, r.hits[lag])
 		}
 	}
--- a/placement/store.go
+++ b/placement/store.go
@@ -71,7 +71,7 @@
 		s.allowance = s.burst()
 		s.window = float64(s.limit)
 	} else {
-		s.allowance = min(s.burst(), s.allowance+s.startsPerSec*now.Sub(s.refilled).Seconds())
+		s.allowance = min(s.burst(), s.allowance+s.startsPerSec*max(now.Sub(s.refilled).Seconds(), 0))
 	}
 	s.refilled = now
 	s.window = min(max(s.window, 1), max(float64(s.limit), 1))
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -88,8 +88,8 @@
 	return &replicas[at]
 }
 
-// apply carries out a plan as engines would: loads take their expected time
-// times the factor, unloads one second.
+// engines carry out plans: loads take their expected time times the slowness,
+// unloads one second.
 type engines struct {
 	slowness float64
 	ready    map[loadKey]time.Time
