Serve the nodes of a zone without a controller from other zones

Cause: other zones' statuses reach a node through its own zone's controller, and demand goes to the zone that the model's hash prefers. When a controller died while the key-value service was down, no other could take over: the zone's nodes learned of no replica elsewhere, and their demand went to a dead node. Change: controllers send their status to all nodes of a zone whose controller is gone, and demand goes to zones without a controller last. The experiment restarts a third of the nodes either with one zone's controller or with all controllers among them, and counts the requests served after a fault.

Tried and left out: keeping the last status of a zone without a controller beyond 30 s.

--- a/cmd/valveslip/experiment_recovery.go
+++ b/cmd/valveslip/experiment_recovery.go
@@ -130,11 +130,12 @@
 		rows = append(rows, []string{
 			string(report.Fault), quantileText(report.Planning), quantileText(report.Apportioner),
 			quantileText(report.UnderWay), quantileText(report.Here), quantileText(report.Anywhere),
+			fmt.Sprintf("%d of %d", report.Served, report.Arrived),
 			strconv.Itoa(len(report.Seeds)), strconv.Itoa(report.Violations),
 		})
 	}
 	return writeTable(out, []string{
-		"fault", "no plan", "apportioner", "load under way", "cold here", "cold anywhere", "seeds", "violations",
+		"fault", "no plan", "apportioner", "load under way", "cold here", "cold anywhere", "served", "seeds", "violations",
 	}, rows)
 }
 
--- a/experiment/recovery/service.go
+++ b/experiment/recovery/service.go
@@ -30,6 +30,8 @@
 	FaultZoneCut          Fault = "zone-cut"
 	FaultKeyValueDown     Fault = "key-value-down"
 	FaultKeyValueRestarts Fault = "key-value-down-restarts"
+	// FaultKeyValueControllers restarts the controllers of all zones.
+	FaultKeyValueControllers Fault = "key-value-down-controllers"
 )
 
 // Faults lists all, in the order in which they are reported.
@@ -38,7 +40,7 @@
 		FaultNone, FaultControllerCrash, FaultControllerPause, FaultControllerStop,
 		FaultCrashLostAnswers, FaultApportionerCrash, FaultEngineCrash,
 		FaultReclaimNotice, FaultReclaimSudden, FaultZoneCut,
-		FaultKeyValueDown, FaultKeyValueRestarts,
+		FaultKeyValueDown, FaultKeyValueRestarts, FaultKeyValueControllers,
 	}
 }
 
@@ -56,8 +58,11 @@
 	UnderWay time.Duration `json:"under_way"`
 	// Here and Anywhere are the times until requests are served that came just
 	// after the fault for cold models, one of which only the zone may hold.
-	Here       time.Duration          `json:"here"`
-	Anywhere   time.Duration          `json:"anywhere"`
+	Here     time.Duration `json:"here"`
+	Anywhere time.Duration `json:"anywhere"`
+	// Arrived and Served count the requests that came after the fault.
+	Arrived    int                    `json:"arrived"`
+	Served     int                    `json:"served"`
 	Violations []simulation.Violation `json:"violations,omitempty"`
 	violated   int
 }
@@ -73,14 +78,17 @@
 
 // ServiceReport sums one fault's seeds up.
 type ServiceReport struct {
-	Fault       Fault          `json:"fault"`
-	Planning    Quantiles      `json:"planning"`
-	Apportioner Quantiles      `json:"apportioner"`
-	UnderWay    Quantiles      `json:"under_way"`
-	Here        Quantiles      `json:"here"`
-	Anywhere    Quantiles      `json:"anywhere"`
-	Violations  int            `json:"violations"`
-	Seeds       []ServiceTimes `json:"seeds"`
+	Fault       Fault     `json:"fault"`
+	Planning    Quantiles `json:"planning"`
+	Apportioner Quantiles `json:"apportioner"`
+	UnderWay    Quantiles `json:"under_way"`
+	Here        Quantiles `json:"here"`
+	Anywhere    Quantiles `json:"anywhere"`
+	// Arrived and Served count the requests that came after the fault.
+	Arrived    int            `json:"arrived"`
+	Served     int            `json:"served"`
+	Violations int            `json:"violations"`
+	Seeds      []ServiceTimes `json:"seeds"`
 }
 
 // ServiceOptions of MeasureService.
@@ -146,6 +154,8 @@
 		Seeds:       seeds,
 	}
 	for i := range seeds {
+		summary.Arrived += seeds[i].Arrived
+		summary.Served += seeds[i].Served
 		summary.Violations += seeds[i].violated
 	}
 	return summary
--- a/experiment/recovery/service_run.go
+++ b/experiment/recovery/service_run.go
@@ -96,7 +96,7 @@
 	switch r.fault {
 	case FaultZoneCut:
 		return zoneCutTime + observed
-	case FaultKeyValueDown, FaultKeyValueRestarts:
+	case FaultKeyValueDown, FaultKeyValueRestarts, FaultKeyValueControllers:
 		return outageTime + observed
 	default:
 		return pauseTime + observed
@@ -106,7 +106,7 @@
 // begin asks for the model whose load the fault interrupts.
 func (r *serviceRun) begin() {
 	r.victim = r.world.Controller(serviceZone)
-	if r.fault == FaultKeyValueRestarts {
+	if r.fault == FaultKeyValueRestarts || r.fault == FaultKeyValueControllers {
 		r.world.Inject(simulation.Fault{Kind: simulation.FaultKeyValueDown, Duration: outageTime})
 		r.world.Kernel.After(restartsAfter, simulation.LabelFault, func() { r.ask(serviceUnderWay) })
 		return
@@ -212,28 +212,39 @@
 		w.Inject(simulation.Fault{Kind: simulation.FaultZoneCut, Zone: serviceZone, Duration: zoneCutTime})
 	case FaultKeyValueDown:
 		w.Inject(simulation.Fault{Kind: simulation.FaultKeyValueDown, Duration: outageTime})
-	case FaultKeyValueRestarts:
-		r.restartThird()
+	case FaultKeyValueRestarts, FaultKeyValueControllers:
+		r.restartThird(r.fault == FaultKeyValueControllers)
 	}
 }
 
-// restartThird restarts every third node, the zone's controller among them.
-func (r *serviceRun) restartThird() {
+// restartThird restarts a third of the nodes: the zone's controller and, of the
+// other zones, either the controllers too or none of them.
+func (r *serviceRun) restartThird(controllers bool) {
 	const third = 3
 	nodes := r.world.Nodes()
-	first := 0
-	for i, candidate := range nodes {
-		if candidate == r.victim {
-			first = i % third
+	left := len(nodes)/third - 1
+	r.restart(r.victim)
+	for _, candidate := range nodes {
+		holds := r.world.Controller(candidate.Place.Zone) == candidate
+		if candidate.Place.Zone != serviceZone && holds == controllers && left > 0 {
+			left--
+			r.restart(candidate)
 		}
 	}
-	for i := first; i < len(nodes); i += third {
-		r.world.Inject(simulation.Fault{Node: nodes[i].ID, Kind: simulation.FaultNodeCrash, Duration: replacement})
-	}
+}
+
+func (r *serviceRun) restart(victim *simulation.Node) {
+	r.world.Inject(simulation.Fault{Kind: simulation.FaultNodeCrash, Node: victim.ID, Duration: replacement})
 }
 
 // finished takes the outcome of the requests that measure.
 func (r *serviceRun) finished(result simulation.Result) {
+	if !r.began.IsZero() && result.Arrival.At.After(r.began) {
+		r.times.Arrived++
+		if result.Outcome == simulation.OutcomeServed {
+			r.times.Served++
+		}
+	}
 	if result.Outcome != simulation.OutcomeServed || r.began.IsZero() {
 		return
 	}
--- a/node/cells.go
+++ b/node/cells.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -244,7 +245,8 @@
 }
 
 // preferredZones orders the zones that may load the model by where its demand
-// should go: zones that already hold it, then zones of this region, then a hash
+// should go: zones whose controller is not known to be gone, as nobody loads in
+// the others, then zones that already hold it, then zones of this region, then a hash
 // of model and zone that is the same on all routers, so that many routers do
 // not wake the same model in several zones at once.
 func (c *Core) preferredZones(model cluster.ModelID) []*cell {
@@ -254,8 +256,15 @@
 			allotted = append(allotted, known)
 		}
 	}
+	controlled := make(map[cluster.ZoneID]bool, len(allotted))
+	for _, known := range allotted {
+		controlled[known.zone] = c.controlled(known.zone)
+	}
 	sort.SliceStable(allotted, func(i, j int) bool {
 		a, b := allotted[i], allotted[j]
+		if x, y := controlled[a.zone], controlled[b.zone]; x != y {
+			return x
+		}
 		if x, y := len(a.held[model]) > 0, len(b.held[model]) > 0; x != y {
 			return x
 		}
@@ -267,6 +276,16 @@
 	return allotted
 }
 
+// controlled reports whether the zone's last known controller may still run.
+func (c *Core) controlled(zone cluster.ZoneID) bool {
+	claim, claimed := c.cells.claimed[zone]
+	if !claimed || claim.Node == c.self.ID {
+		return claimed
+	}
+	member, known := c.members.Member(claim.Node)
+	return !known || member.State != membership.StateDead && member.State != membership.StateLeaving
+}
+
 func zoneHash(model cluster.ModelID, zone cluster.ZoneID) uint64 {
 	return xxhash.Sum64String(string(model) + "\x00" + string(zone))
 }
--- a/node/status.go
+++ b/node/status.go
@@ -126,23 +126,44 @@
 // publishRemote tells the other zones' controllers, without loads: between
 // zones the router's own count of its requests must do.
 func (p *statusPublisher) publishRemote(status wire.CellStatus) {
-	for _, address := range p.role.core.controllerAddresses() {
+	for _, address := range p.role.core.remoteAddresses() {
 		p.role.core.send(address, status)
 	}
 }
 
-// controllerAddresses lists the other zones' controllers.
-func (c *Core) controllerAddresses() []string {
+// remoteAddresses lists who passes this zone's status on: each other zone's
+// controller, or, when that is gone, all of the zone's nodes for themselves.
+func (c *Core) remoteAddresses() []string {
 	var addresses []string
 	for _, claim := range c.cells.claims() {
-		if claim.Zone == c.self.Zone || claim.Zone == ApportionerZone {
-			continue
-		}
-		if known, ok := c.cells.cells[claim.Zone]; ok && known.address != "" && known.token == claim.Token {
-			addresses = append(addresses, known.address)
-			continue
+		switch {
+		case claim.Zone == c.self.Zone || claim.Zone == ApportionerZone:
+		case !c.controlled(claim.Zone):
+			addresses = append(addresses, c.zoneAddresses(claim.Zone)...)
+		default:
+			if address := c.controllerAddress(claim); address != "" {
+				addresses = append(addresses, address)
+			}
 		}
-		if member, ok := c.members.Member(claim.Node); ok {
+	}
+	return addresses
+}
+
+// controllerAddress returns where a zone's controller listens, empty when that
+// is not known.
+func (c *Core) controllerAddress(claim wire.ControllerClaim) string {
+	if known, ok := c.cells.cells[claim.Zone]; ok && known.address != "" && known.token == claim.Token {
+		return known.address
+	}
+	member, _ := c.members.Member(claim.Node)
+	return member.Node.PeerAddress
+}
+
+// zoneAddresses lists the running nodes of a zone.
+func (c *Core) zoneAddresses(zone cluster.ZoneID) []string {
+	var addresses []string
+	for _, member := range c.members.Members() {
+		if member.Node.Zone == zone && member.Running() {
 			addresses = append(addresses, member.Node.PeerAddress)
 		}
 	}
