--- a/simulation/checkers.go
+++ b/simulation/checkers.go
@@ -64,9 +64,11 @@
 	// Checked counts the checks made, by promise.
 	Checked map[Promise]uint64
 
-	held     map[cluster.ModelID]int
-	decided  map[cluster.ModelID]decision
-	runs     map[cluster.RequestID]int
+	held    map[cluster.ModelID]int
+	decided map[cluster.ModelID]decision
+	runs    map[cluster.RequestID]int
+	// once holds the requests that may run at most once, also after their end.
+	once     map[cluster.RequestID]bool
 	outcomes map[cluster.RequestID]verdict.Verdict
 	leaving  map[cluster.MachineID]time.Time
 	accepted []acceptedRevision
@@ -93,7 +95,7 @@
 	return &Checkers{
 		world: w, Count: map[Promise]int{}, Checked: map[Promise]uint64{},
 		held: map[cluster.ModelID]int{}, decided: map[cluster.ModelID]decision{},
-		runs: map[cluster.RequestID]int{}, outcomes: map[cluster.RequestID]verdict.Verdict{},
+		runs: map[cluster.RequestID]int{}, once: map[cluster.RequestID]bool{}, outcomes: map[cluster.RequestID]verdict.Verdict{},
 		leaving: map[cluster.MachineID]time.Time{},
 	}
 }
@@ -186,12 +188,11 @@
 // executed checks a request that an engine begins to run.
 func (c *Checkers) executed(machine *Engine, run Run) {
 	c.runs[run.Request]++
-	pending, known := c.world.Callers.requests[run.Request]
-	if known {
+	if pending, known := c.world.Callers.requests[run.Request]; known {
 		pending.result.Runs++
-		c.require(pending.result.Arrival.Repeatable || c.runs[run.Request] <= 1, PromiseAtMostOnce,
-			"%s runs for the %d. time on %s", run.Request, c.runs[run.Request], machine.Machine.ID)
 	}
+	c.require(!c.once[run.Request] || c.runs[run.Request] <= 1, PromiseAtMostOnce,
+		"%s runs for the %d. time on %s", run.Request, c.runs[run.Request], machine.Machine.ID)
 	ended, was := c.outcomes[run.Request]
 	c.require(!was || ended != verdict.NotRun, PromiseNotRun, "%s runs after it was refused as not run", run.Request)
 	if since, leaves := c.leaving[machine.Machine.ID]; leaves {
@@ -203,6 +204,9 @@
 
 // arrived makes sure that the request ends in time.
 func (c *Checkers) arrived(added *request) {
+	if !added.result.Arrival.Repeatable {
+		c.once[added.id] = true
+	}
 	limit := added.result.Arrival.At.Add(added.result.Arrival.Deadline + outcomeGrace)
 	c.world.Kernel.At(limit, LabelCheck, func() { c.checkInTime(added) })
 }
