Keep table titles as they are written

Cause: the table library split titles such as p99 into 'P 99'. Change: titles are put into upper case without the library's formatting.

--- a/cmd/valveslip/table.go
+++ b/cmd/valveslip/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/olekukonko/tablewriter"
@@ -19,12 +20,17 @@
 			Settings: tw.Settings{Lines: tw.LinesNone, Separators: tw.SeparatorsNone},
 		})),
 		tablewriter.WithHeaderAlignment(tw.AlignLeft),
+		tablewriter.WithHeaderAutoFormat(tw.Off),
 		tablewriter.WithRowAlignment(tw.AlignLeft),
 		tablewriter.WithHeaderAutoWrap(tw.WrapNone),
 		tablewriter.WithRowAutoWrap(tw.WrapNone),
 		tablewriter.WithPadding(tw.Padding{Right: "  ", Overwrite: true}),
 	)
-	table.Header(header)
+	titles := make([]string, len(header))
+	for i, title := range header {
+		titles[i] = strings.ToUpper(title)
+	}
+	table.Header(titles)
 	if err := table.Bulk(rows); err != nil {
 		return err
 	}
