--- a/relay/keyed/claims.go
+++ b/relay/keyed/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -9,8 +10,8 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-// claim asks for leave, of this node's table or of the key's owner. It returns
-// the decision and the node that made it.
+// claim asks for leave, of this node's table or of the key's first owner. It
+// returns the decision and the node that made it.
 func (r *Runner) claim(ctx context.Context, claim idempotency.Claim) (idempotency.Decision, cluster.NodeID) {
 	self := r.peers.Self().ID
 	decision := r.decide(ctx, claim)
@@ -22,16 +23,30 @@
 		giver = decision.Owner
 		decision = r.claimAt(ctx, giver, claim)
 	}
+	if decision.Kind == 0 || decision.Kind == idempotency.DecisionUnavailable {
+		r.abandon(claim, giver)
+	}
 	return decision, giver
 }
 
-// decide decides on a claim here; former owners are asked where necessary.
+// abandon frees the key where a claim may have been recorded, or given leave
+// that did not arrive: the request does not run.
+func (r *Runner) abandon(claim idempotency.Claim, giver cluster.NodeID) {
+	r.mutex.Lock()
+	owners := r.table.Owners(claim.Key)
+	r.mutex.Unlock()
+	asked := append(owners[:min(2, len(owners))], giver)
+	slices.Sort(asked)
+	r.finish(claim.Key, slices.Compact(asked), idempotency.Outcome{Kind: idempotency.OutcomeNotRun, Request: claim.Request})
+}
+
+// decide decides on a claim here; other owners are asked where necessary.
 func (r *Runner) decide(ctx context.Context, claim idempotency.Claim) idempotency.Decision {
 	r.mutex.Lock()
 	decision := r.table.Begin(time.Now(), claim)
 	r.mutex.Unlock()
 	for decision.Kind == idempotency.DecisionAsk {
-		answer := r.ask(ctx, decision.Ask[0], claim.Key)
+		answer := r.ask(ctx, decision.Ask, decision.Question)
 		r.mutex.Lock()
 		decision = r.table.Answered(time.Now(), claim.Key, claim.Request, answer)
 		r.mutex.Unlock()
@@ -39,10 +54,10 @@
 	return decision
 }
 
-// claimAt asks another node for leave. Without an answer the leave may have been
-// given; it is handed back, since the request does not run.
+// claimAt asks another node for leave. The decision is zero without an answer;
+// the leave may then have been given.
 func (r *Runner) claimAt(ctx context.Context, owner cluster.NodeID, claim idempotency.Claim) idempotency.Decision {
-	received, answered := r.call(ctx, owner, func(number uint64) wire.Message {
+	received, answered := r.call(ctx, owner, claimTimes*r.askTime, func(number uint64) wire.Message {
 		return wire.KeyClaim{
 			From: claim.From, FromAddress: r.peers.Self().PeerAddress, Number: number,
 			TokenPath: claim.Key.TokenPath, Key: claim.Key.Key, Fingerprint: claim.Fingerprint, Request: claim.Request,
@@ -50,7 +65,6 @@
 	})
 	decided, ok := received.(wire.KeyDecision)
 	if !answered || !ok {
-		r.finish(claim.Key, owner, idempotency.Outcome{Kind: idempotency.OutcomeNotRun, Request: claim.Request})
 		return idempotency.Decision{}
 	}
 	return idempotency.Decision{
@@ -58,23 +72,16 @@
 	}
 }
 
-// ask asks a former owner what it knows of a key.
-func (r *Runner) ask(ctx context.Context, owner cluster.NodeID, key idempotency.Key) idempotency.Answer {
-	self := r.peers.Self()
-	received, answered := r.call(ctx, owner, func(number uint64) wire.Message {
-		return wire.KeyQuestion{From: self.ID, FromAddress: self.PeerAddress, Number: number, TokenPath: key.TokenPath, Key: key.Key}
+// ask puts a question to another owner.
+func (r *Runner) ask(ctx context.Context, owner cluster.NodeID, question idempotency.Question) idempotency.Answer {
+	received, answered := r.call(ctx, owner, r.askTime, func(number uint64) wire.Message {
+		return questionMessage(question, r.peers.Self().PeerAddress, number)
 	})
 	told, ok := received.(wire.KeyAnswer)
 	if !answered || !ok {
 		return idempotency.Answer{Kind: idempotency.AnswerNone, From: owner}
 	}
-	answer := idempotency.Answer{
-		Kind: idempotency.AnswerKind(told.Kind), From: told.From, Outcome: outcomeFrom(told.Outcome), Fingerprint: told.Fingerprint,
-	}
-	for _, past := range told.Past {
-		answer.Past = append(answer.Past, idempotency.Past{Until: time.Unix(0, past.Until), Nodes: past.Nodes})
-	}
-	return answer
+	return answerFrom(told)
 }
 
 // fetch returns the kept answer of a request, or nil.
@@ -82,7 +89,7 @@
 	if outcome.Holder == r.peers.Self().ID {
 		return r.kept.find(outcome.Request)
 	}
-	received, _ := r.call(ctx, outcome.Holder, func(number uint64) wire.Message {
+	received, _ := r.call(ctx, outcome.Holder, r.askTime, func(number uint64) wire.Message {
 		self := r.peers.Self()
 		return wire.KeptAnswerRequest{From: self.ID, FromAddress: self.PeerAddress, Number: number, Request: outcome.Request}
 	})
@@ -93,13 +100,13 @@
 	return &answer{request: outcome.Request, status: kept.Status, contentType: kept.ContentType, body: kept.Body}
 }
 
-// call sends a question to a node and waits for its answer.
-func (r *Runner) call(ctx context.Context, id cluster.NodeID, question func(number uint64) wire.Message) (wire.Message, bool) {
+// call sends a question to a node and waits for its answer for a time.
+func (r *Runner) call(ctx context.Context, id cluster.NodeID, wait time.Duration, question func(number uint64) wire.Message) (wire.Message, bool) {
 	address, known := r.address(id)
 	if !known {
 		return nil, false
 	}
-	bounded, cancel := context.WithTimeout(ctx, r.askTime)
+	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	number, answers := r.exchange.Open(1)
 	defer r.exchange.Forget(number)
@@ -123,29 +130,21 @@
 	return "", false
 }
 
-// finish tells the node that gave leave how a request ended, twice if it is
-// another one, because a message may be lost. The table ignores the second.
-func (r *Runner) finish(key idempotency.Key, giver cluster.NodeID, outcome idempotency.Outcome) {
-	if giver == r.peers.Self().ID {
-		r.mutex.Lock()
-		r.table.Finish(time.Now(), key, outcome)
-		r.mutex.Unlock()
-		return
-	}
-	address, known := r.address(giver)
-	if !known {
-		return
+// finish tells the nodes that know of a request how it ended, the others twice,
+// because a message may be lost. The table ignores the second.
+func (r *Runner) finish(key idempotency.Key, owners []cluster.NodeID, outcome idempotency.Outcome) {
+	self := r.peers.Self().ID
+	message := wire.KeyOutcome{From: self, TokenPath: key.TokenPath, Key: key.Key, Outcome: outcomeRecord(outcome)}
+	for _, owner := range owners {
+		if owner == self {
+			r.mutex.Lock()
+			r.table.Finish(time.Now(), key, outcome)
+			r.mutex.Unlock()
+			continue
+		}
+		if address, known := r.address(owner); known {
+			r.peers.Send(address, message)
+			time.AfterFunc(outcomeRepeat, func() { r.peers.Send(address, message) })
+		}
 	}
-	message := wire.KeyOutcome{From: r.peers.Self().ID, TokenPath: key.TokenPath, Key: key.Key, Outcome: outcomeRecord(outcome)}
-	r.peers.Send(address, message)
-	time.AfterFunc(outcomeRepeat, func() { r.peers.Send(address, message) })
-}
-
-// outcomeFrom and outcomeRecord convert between message and table.
-func outcomeFrom(record wire.KeyOutcomeRecord) idempotency.Outcome {
-	return idempotency.Outcome{Kind: idempotency.OutcomeKind(record.Kind), Request: record.Request, Holder: record.Holder}
-}
-
-func outcomeRecord(outcome idempotency.Outcome) wire.KeyOutcomeRecord {
-	return wire.KeyOutcomeRecord{Kind: int(outcome.Kind), Request: outcome.Request, Holder: outcome.Holder}
 }
--- a/relay/keyed/keyed_test.go
+++ b/relay/keyed/keyed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -26,7 +27,9 @@
 	runners map[string]*Runner
 	nodes   []cluster.Node
 	cut     map[string]bool
-	engine  *engine
+	// mute is a node whose decisions are lost.
+	mute   string
+	engine *engine
 }
 
 // engine counts runs. Each takes a second and answers with its number, or fails.
@@ -77,6 +80,9 @@
 func (m member) Send(address string, message wire.Message) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if _, decision := message.(wire.KeyDecision); decision && m.mute == m.self.PeerAddress {
+		return
+	}
 	if receiver := m.runners[address]; receiver != nil && !m.cut[address] && !m.cut[m.self.PeerAddress] {
 		go receiver.Handle(message)
 	}
@@ -94,8 +100,8 @@
 	}
 	for _, runner := range c.runners {
 		// A cell that starts has no former members to ask.
-		runner.table.SetMembers(time.Now().Add(-time.Hour), []cluster.NodeID{runner.peers.Self().ID})
-		runner.SetMembers(time.Now().Add(-31 * time.Minute))
+		runner.table.SetMembers(time.Now().Add(-time.Hour), []idempotency.Member{memberOf(runner.peers.Self())})
+		runner.SetMembers(time.Now().Add(-41 * time.Minute))
 	}
 	return c
 }
@@ -236,6 +242,90 @@
 	})
 }
 
+// kill ends a node at once, of which the others learn.
+func (c *cell) kill(name string) {
+	c.mutex.Lock()
+	delete(c.runners, name)
+	c.nodes = slices.DeleteFunc(c.nodes, func(n cluster.Node) bool { return n.PeerAddress == name })
+	c.mutex.Unlock()
+	for _, runner := range c.runners {
+		runner.SetMembers(time.Now())
+	}
+}
+
+// askAll sends new keys through all nodes in turn. It returns how many ran and
+// how many were refused as unknown.
+func (c *cell) askAll(t *testing.T, prefix string) (ran, unknown int) {
+	for i := range 40 {
+		_, failure := c.ask(t, i%len(c.nodes), fmt.Sprint(prefix, i), "confirm")
+		switch {
+		case failure == nil:
+			ran++
+		case failure.Code == verdict.CodeOutcomeUnknown && failure.Verdict == verdict.MayHaveRun && failure.RetryAfter > 0:
+			unknown++
+		default:
+			t.Errorf("refused with %v", failure)
+		}
+	}
+	return ran, unknown
+}
+
+// TestLossOfNodes kills two of three nodes one after the other. After the first
+// all new keys run and the old ones don't again; after the second, new keys are
+// unknown until the first loss is forgotten, and then run.
+func TestLossOfNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		if ran, _ := c.askAll(t, "old-"); ran != 40 {
+			t.Fatalf("%d of 40 ran", ran)
+		}
+		time.Sleep(2 * time.Second) // The outcomes have arrived.
+		c.kill("node-1")
+		if ran, unknown := c.askAll(t, "new-"); ran != 40 || unknown != 0 {
+			t.Fatalf("%d of 40 ran after one loss, %d unknown", ran, unknown)
+		}
+		for i := range 40 {
+			if _, failure := c.ask(t, i%2, fmt.Sprint("old-", i), "confirm"); failure != nil && failure.Verdict != verdict.Ran {
+				t.Errorf("old key %d: %v", i, failure)
+			}
+		}
+		if c.engine.runs != 80 {
+			t.Fatalf("%d runs of 80 keys", c.engine.runs)
+		}
+		c.kill("node-2")
+		if ran, unknown := c.askAll(t, "lone-"); ran != 0 || unknown != 40 {
+			t.Fatalf("%d of 40 ran after two losses, %d unknown", ran, unknown)
+		}
+		time.Sleep(41 * time.Minute)
+		if ran, _ := c.askAll(t, "later-"); ran != 40 {
+			t.Fatalf("%d of 40 ran when the losses were forgotten", ran)
+		}
+	})
+}
+
+// TestFirstOwnerDiesWithTheClaim kills the first owner after it recorded the
+// claim and before its leave arrives: the repetition runs, since nothing did.
+func TestFirstOwnerDiesWithTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(3)
+		key, owners := "", idempotency.Owners(nil)
+		for i := 0; len(owners) == 0 || owners[0] == "node-0"; i++ {
+			key = fmt.Sprint("k", i)
+			owners = c.runners["node-0"].table.Owners(idempotency.Key{TokenPath: "/dental", Key: key})
+		}
+		c.mute = string(owners[0])
+		_, failure := c.ask(t, 0, key, "confirm")
+		if failure == nil || failure.Verdict != verdict.NotRun || c.engine.runs != 0 {
+			t.Fatalf("%v after %d runs", failure, c.engine.runs)
+		}
+		time.Sleep(2 * time.Second)
+		c.kill(string(owners[0]))
+		if _, failure := c.ask(t, 0, key, "confirm"); failure != nil || c.engine.runs != 1 {
+			t.Fatalf("%v after %d runs", failure, c.engine.runs)
+		}
+	})
+}
+
 func TestOwnerThatCannotBeAskedMeansNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(2)
--- a/relay/keyed/messages.go
+++ b/relay/keyed/messages.go
@@ -33,10 +33,10 @@
 	return true
 }
 
-// claimed decides on another node's claim. Former owners may have to be asked,
+// claimed decides on another node's claim. Other owners have to be asked,
 // so it does not hold up the messages behind it.
 func (r *Runner) claimed(message wire.KeyClaim) {
-	ctx, cancel := context.WithTimeout(context.Background(), r.askTime)
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimes*r.askTime)
 	defer cancel()
 	decision := r.decide(ctx, idempotency.Claim{
 		Key:         idempotency.Key{TokenPath: message.TokenPath, Key: message.Key},
@@ -48,21 +48,12 @@
 	})
 }
 
-// asked answers a newer owner.
+// asked answers another node's question.
 func (r *Runner) asked(message wire.KeyQuestion) {
 	r.mutex.Lock()
-	answer := r.table.Asked(time.Now(), idempotency.Question{
-		Key: idempotency.Key{TokenPath: message.TokenPath, Key: message.Key}, From: message.From,
-	})
+	answer := r.table.Asked(time.Now(), questionFrom(message))
 	r.mutex.Unlock()
-	told := wire.KeyAnswer{
-		From: r.peers.Self().ID, Number: message.Number, Kind: int(answer.Kind),
-		Outcome: outcomeRecord(answer.Outcome), Fingerprint: answer.Fingerprint,
-	}
-	for _, past := range answer.Past {
-		told.Past = append(told.Past, wire.PastMembership{Until: past.Until.UnixNano(), Nodes: past.Nodes})
-	}
-	r.peers.Send(message.FromAddress, told)
+	r.peers.Send(message.FromAddress, answerMessage(answer, message.Number))
 }
 
 // answerWanted sends a kept answer to the node that replays it.
--- a/relay/keyed/runner.go
+++ b/relay/keyed/runner.go
@@ -36,6 +36,9 @@
 	// outcomeRepeat is when an outcome is sent a second time, because the first
 	// message may be lost.
 	outcomeRepeat = time.Second
+	// claimTimes is how many times of asking one claim may take, because its
+	// first owner has to ask others.
+	claimTimes = 2
 	// maxForwards bounds how often a claim follows a change of owner.
 	maxForwards = 3
 )
@@ -73,7 +76,7 @@
 	decision, giver := r.claim(ctx, claim)
 	switch decision.Kind {
 	case idempotency.DecisionRun:
-		return r.run(ctx, call, sink, claim, giver)
+		return r.run(ctx, call, sink, claim, []cluster.NodeID{giver, decision.Owner})
 	case idempotency.DecisionReplay:
 		return r.replay(ctx, decision, sink)
 	default:
@@ -82,7 +85,7 @@
 }
 
 // refusal returns the failure of a decision. One that is no decision yet means
-// that the owner could not be asked, and nothing ran.
+// that the first owner could not be asked, and nothing ran.
 func refusal(decision idempotency.Decision) *verdict.Error {
 	if failure := decision.Failure(); failure != nil {
 		return failure
@@ -99,8 +102,8 @@
 	return digest.Sum64()
 }
 
-// run runs a request that got leave and tells the giver how it ended.
-func (r *Runner) run(ctx context.Context, call relay.Call, sink relay.Sink, claim idempotency.Claim, giver cluster.NodeID) relay.Result {
+// run runs a request that got leave and tells its owners how it ended.
+func (r *Runner) run(ctx context.Context, call relay.Call, sink relay.Sink, claim idempotency.Claim, owners []cluster.NodeID) relay.Result {
 	record := &recorder{sink: sink, stream: call.Stream, copied: answer{request: claim.Request}}
 	result := r.inner.Run(context.WithoutCancel(ctx), call, record)
 	outcome := idempotency.Outcome{Kind: outcomeOf(result, record.large), Request: claim.Request}
@@ -108,7 +111,7 @@
 		outcome.Holder = claim.From
 		r.kept.keep(&record.copied)
 	}
-	r.finish(claim.Key, giver, outcome)
+	r.finish(claim.Key, owners, outcome)
 	if result.Failure == nil && record.gone != nil {
 		result.Failure = verdict.Wrap(record.gone, verdict.Ran, verdict.CodeCallerGone, "the caller left while the answer was sent")
 	}
@@ -151,9 +154,9 @@
 	if !known {
 		return
 	}
-	members := []cluster.NodeID{r.peers.Self().ID}
+	members := []idempotency.Member{memberOf(r.peers.Self())}
 	for _, neighbour := range neighbours {
-		members = append(members, neighbour.ID)
+		members = append(members, memberOf(neighbour))
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/routing/idempotency/expiry.go
+++ b/routing/idempotency/expiry.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -35,14 +36,32 @@
 func (t *Table) expire(nanos int64) {
 	for len(t.expiry) > 0 && t.expiry[0].expires <= nanos {
 		due := t.expiry[0]
-		if due.state == inProgress {
+		switch {
+		case due.state == inProgress:
 			t.end(nanos, due, Outcome{Kind: OutcomeUnknown, Request: due.claim.Request})
-			continue
+		default:
+			t.release(nanos, due)
 		}
-		t.remove(due)
 	}
 }
 
+// release forgets the claim of an entry, but not what was promised.
+func (t *Table) release(nanos int64, held *entry) {
+	held.promised = slices.DeleteFunc(held.promised, func(former formerOwners) bool {
+		return former.until+t.retention() <= nanos
+	})
+	var last int64
+	for _, former := range held.promised {
+		last = max(last, former.until)
+	}
+	if last == 0 {
+		t.remove(held)
+		return
+	}
+	*held = entry{key: held.key, hash: held.hash, promised: held.promised, highest: held.highest, expires: held.expires, index: held.index}
+	t.keep(held, promised, last+t.retention())
+}
+
 // keep puts an entry into a state until a time.
 func (t *Table) keep(held *entry, in state, expires int64) {
 	held.state, held.expires = in, expires
--- a/routing/idempotency/members.go
+++ b/routing/idempotency/members.go
@@ -3,82 +3,32 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/valveslip/valveslip/cluster"
 )
 
-// members is one set of nodes that share the keys.
-type members struct {
-	nodes []cluster.NodeID
-	seeds []uint64
-}
-
-func newMembers(nodes []cluster.NodeID) members {
-	sorted := slices.Clone(nodes)
-	slices.Sort(sorted)
-	sorted = slices.Compact(sorted)
-	seeds := make([]uint64, len(sorted))
-	for i, node := range sorted {
-		seeds[i] = xxhash.Sum64String(string(node))
-	}
-	return members{nodes: sorted, seeds: seeds}
-}
-
-// owner returns the node with the highest random weight for the key, or empty.
-func (m members) owner(hash uint64) cluster.NodeID {
-	var owner cluster.NodeID
-	var highest uint64
-	for i, seed := range m.seeds {
-		if weight := mix(hash ^ seed); owner == "" || weight > highest {
-			owner, highest = m.nodes[i], weight
-		}
-	}
-	return owner
+// past is a former set of members.
+type past struct {
+	until int64
+	members
 }
 
-func (m members) contains(node cluster.NodeID) bool {
-	_, found := slices.BinarySearch(m.nodes, node)
-	return found
+// formerOwners are the owners of one key in a membership that ended.
+type formerOwners struct {
+	until  int64
+	owners Owners
 }
 
-// without returns the members less one node.
-func (m members) without(node cluster.NodeID) members {
-	var others []cluster.NodeID
-	for _, other := range m.nodes {
-		if other != node {
-			others = append(others, other)
+// addOwners adds owners to a list; of those it has, the later end counts.
+func addOwners(list []formerOwners, added formerOwners) []formerOwners {
+	for i, known := range list {
+		if slices.Equal(known.owners, added.owners) {
+			list[i].until = max(known.until, added.until)
+			return list
 		}
 	}
-	return newMembers(others)
+	return append(list, added)
 }
 
-// mix is the finalizer of splitmix64: every input bit changes half the output.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// hash of a key, which with a node's seed gives the node's weight.
-func (k Key) hash() uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(k.TokenPath)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(k.Key)
-	return digest.Sum64()
-}
-
-// past is a former set of members.
-type past struct {
-	until int64
-	members
-}
-
-// history holds the former members within the window, oldest first.
+// history holds the former members within the retention, oldest first.
 type history struct {
 	past []past
 	// lostUntil is set when more memberships passed than are kept: until then
@@ -90,7 +40,7 @@
 const maxPast = 128
 
 // add notes a membership that ended; of a known one the later end counts.
-func (h *history) add(ended past, window int64) {
+func (h *history) add(ended past, retention int64) {
 	if len(ended.nodes) == 0 {
 		return
 	}
@@ -107,12 +57,12 @@
 	at, _ := slices.BinarySearchFunc(h.past, ended.until, func(p past, until int64) int { return compare(p.until, until) })
 	h.past = slices.Insert(h.past, at, ended)
 	if len(h.past) > maxPast {
-		h.lostUntil = max(h.lostUntil, h.past[0].until+window)
+		h.lostUntil = max(h.lostUntil, h.past[0].until+retention)
 		h.past = slices.Delete(h.past, 0, 1)
 	}
 }
 
-// forget drops what left the window.
+// forget drops what left the retention.
 func (h *history) forget(before int64) {
 	kept := 0
 	for kept < len(h.past) && h.past[kept].until < before {
@@ -121,31 +71,27 @@
 	h.past = slices.Delete(h.past, 0, kept)
 }
 
-// owners lists the former owners of a key, and when the last membership with
-// each ended.
-func (h *history) owners(hash uint64) map[cluster.NodeID]int64 {
-	owners := make(map[cluster.NodeID]int64)
+// owners lists the different former owners of a key.
+func (h *history) owners(hash uint64) []formerOwners {
+	var owners []formerOwners
 	for _, former := range h.past {
-		owners[former.owner(hash)] = former.until
+		owners = addOwners(owners, formerOwners{former.until, former.members.owners(hash)})
 	}
 	return owners
 }
 
-// export returns the history as it goes into an Answer.
-func (h *history) export() []Past {
-	exported := make([]Past, 0, len(h.past))
-	for _, former := range h.past {
-		exported = append(exported, Past{Until: time.Unix(0, former.until), Nodes: former.nodes})
+// export returns owners as they go into an Answer, without those that the
+// asker knows.
+func export(list []formerOwners, known []Owners) []Past {
+	var exported []Past
+	for _, former := range list {
+		if !knows(known, former.owners) {
+			exported = append(exported, Past{Until: time.Unix(0, former.until), Owners: former.owners})
+		}
 	}
 	return exported
 }
 
-func compare(a, b int64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+func knows(known []Owners, owners Owners) bool {
+	return slices.ContainsFunc(known, func(o Owners) bool { return slices.Equal(o, owners) })
 }
--- /dev/null
+++ b/routing/idempotency/region_test.go
@@ -0,0 +1,73 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// region is a set of tables whose messages all arrive at once.
+type region struct {
+	now    time.Time
+	nodes  []Member
+	tables map[cluster.NodeID]*Table
+	// asked counts the questions.
+	asked int
+}
+
+// newRegion returns nodes that joined long ago.
+func newRegion(nodes ...cluster.NodeID) *region {
+	r := &region{now: start, nodes: named(nodes...), tables: make(map[cluster.NodeID]*Table)}
+	for _, node := range nodes {
+		r.tables[node] = New(node, Config{})
+		r.tables[node].SetMembers(start.Add(-time.Hour), r.nodes)
+	}
+	return r
+}
+
+// kill ends a node, of which the others learn.
+func (r *region) kill(dead cluster.NodeID) {
+	r.nodes = slices.DeleteFunc(slices.Clone(r.nodes), func(m Member) bool { return m.ID == dead })
+	delete(r.tables, dead)
+	r.learn()
+}
+
+// join starts a node, of which the others learn.
+func (r *region) join(node Member) {
+	r.nodes = append(slices.Clone(r.nodes), node)
+	r.tables[node.ID] = New(node.ID, Config{})
+	r.learn()
+}
+
+func (r *region) learn() {
+	for _, table := range r.tables {
+		table.SetMembers(r.now, r.nodes)
+	}
+}
+
+// alive returns the first node that is not the given one.
+func (r *region) alive(not cluster.NodeID) cluster.NodeID {
+	if r.nodes[0].ID != not {
+		return r.nodes[0].ID
+	}
+	return r.nodes[1].ID
+}
+
+// claim asks the first owner for leave.
+func (r *region) claim(claim Claim) Decision {
+	decision := Decision{Kind: DecisionForward, Owner: r.nodes[0].ID}
+	for decision.Kind == DecisionForward {
+		at := decision.Owner
+		decision = r.tables[at].Begin(r.now, claim)
+		for decision.Kind == DecisionAsk {
+			r.asked++
+			answer := Answer{Kind: AnswerNone, From: decision.Ask}
+			if asked := r.tables[decision.Ask]; asked != nil {
+				answer = asked.Asked(r.now, decision.Question)
+			}
+			decision = r.tables[at].Answered(r.now, claim.Key, claim.Request, answer)
+		}
+	}
+	return decision
+}
--- a/routing/idempotency/table.go
+++ b/routing/idempotency/table.go
@@ -17,48 +17,104 @@
 	MaxKeys int
 	// RetryAfter for keys in progress. Default 1 s.
 	RetryAfter time.Duration
-	// AskTime bounds how long former owners may be asked. Default 5 s.
+	// AskTime bounds how long other owners may be asked. Default 5 s.
 	AskTime time.Duration
+	// Lag bounds for how long two nodes' views of membership may differ, the
+	// time that one request runs included. Default 10 min.
+	Lag time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Window <= 0 {
+		c.Window = 30 * time.Minute
+	}
+	if c.MaxKeys <= 0 {
+		c.MaxKeys = 100_000
+	}
+	if c.RetryAfter <= 0 {
+		c.RetryAfter = time.Second
+	}
+	if c.AskTime <= 0 {
+		c.AskTime = 5 * time.Second
+	}
+	if c.Lag <= 0 {
+		c.Lag = 10 * time.Minute
+	}
+	return c
 }
 
 // state of an entry.
 type state uint8
 
 const (
-	// asking: a claim waits for the answers of former owners.
-	asking state = iota + 1
+	// promised: the key is not known, but askers were promised to be named.
+	promised state = iota
+	// asking: a claim waits for the answers of other owners.
+	asking
 	inProgress
 	ended
-	// givenUp: a newer owner was told that the key is unknown here.
-	givenUp
 )
 
+// ballot orders the claims of a key at different first owners.
+type ballot struct {
+	round uint64
+	node  cluster.NodeID
+}
+
+func (b ballot) less(other ballot) bool {
+	return b.round < other.round || b.round == other.round && b.node < other.node
+}
+
 // entry is one remembered key.
 type entry struct {
-	key     Key
-	hash    uint64
-	state   state
-	claim   Claim
+	key   Key
+	hash  uint64
+	state state
+	claim Claim
+	// ballot of the claim; of another first owner if the claim is only recorded
+	// here.
+	ballot  ballot
 	outcome Outcome
 	expires int64
 	index   int
-	// vouched lists the former owners that do not know the key.
-	vouched []cluster.NodeID
-	// given lists the newer owners that were told that the key is unknown here,
-	// the last one last.
-	given []cluster.NodeID
+
+	// promised lists the owners of those that were told that the key is not
+	// known here, and highest is the highest of their ballots.
+	promised []formerOwners
+	highest  ballot
+
+	// The rest is for a claim that is asking: the owners in this node's view,
+	// former owners learned from others, who vouched, who did not answer.
+	owners   Owners
+	learned  []formerOwners
+	vouched  []cluster.NodeID
+	failed   []cluster.NodeID
+	recorded bool
+	outbid   int
 }
 
+// maxOutbid bounds how often one claim starts again with a higher ballot.
+const maxOutbid = 3
+
 // Table is one node's part of the keys. Invariant: within a window, at most one
 // claim of a key gets DecisionRun from any table until its outcome is
 // OutcomeNotRun, as long as the nodes' views of membership differ for less than
-// a window. Only the loss of all nodes of a cell at once loses its keys.
+// Config.Lag. It holds because
+//
+//   - leave is given under some owners only after the first two recorded it;
+//   - every set that vouches for some owners shares a node with every other
+//     such set and with the first two (Owners.vouch);
+//   - a node that vouches names all owners that it vouched to before, and
+//     records or vouches to no lower ballot after.
+//
+// Only the loss of two of a key's three owners loses it.
 type Table struct {
 	self    cluster.NodeID
 	config  Config
 	joined  bool
 	members members
 	history history
+	round   uint64
 	entries map[Key]*entry
 	// expiry holds the same entries by when they expire.
 	expiry expiryHeap
@@ -67,21 +123,12 @@
 // New returns the table of a node that has not joined yet: it refuses all
 // claims until SetMembers.
 func New(self cluster.NodeID, config Config) *Table {
-	if config.Window <= 0 {
-		config.Window = 30 * time.Minute
-	}
-	if config.MaxKeys <= 0 {
-		config.MaxKeys = 100_000
-	}
-	if config.RetryAfter <= 0 {
-		config.RetryAfter = time.Second
-	}
-	if config.AskTime <= 0 {
-		config.AskTime = 5 * time.Second
-	}
-	return &Table{self: self, config: config, entries: make(map[Key]*entry)}
+	return &Table{self: self, config: config.withDefaults(), entries: make(map[Key]*entry)}
 }
 
+// retention is for how long a former membership matters.
+func (t *Table) retention() int64 { return int64(t.config.Window + t.config.Lag) }
+
 // Len counts the remembered keys.
 func (t *Table) Len() int { return len(t.entries) }
 
@@ -89,17 +136,17 @@
 // The first call means that the node has joined: those others owned all keys
 // until now. A node must not call it with itself alone while it has reason to
 // believe that others are alive.
-func (t *Table) SetMembers(now time.Time, nodes []cluster.NodeID) {
+func (t *Table) SetMembers(now time.Time, nodes []Member) {
 	current := newMembers(nodes)
 	if t.joined && slices.Equal(current.nodes, t.members.nodes) {
 		return
 	}
 	nanos := now.UnixNano()
 	if t.joined {
-		t.history.add(past{nanos, t.members}, int64(t.config.Window))
+		t.history.add(past{nanos, t.members}, t.retention())
 	}
 	if !t.joined || len(t.members.nodes) <= 1 {
-		t.history.add(past{nanos, current.without(t.self)}, int64(t.config.Window))
+		t.history.add(past{nanos, current.without(t.self)}, t.retention())
 	}
 	t.members, t.joined = current, true
 	t.lose(nanos)
@@ -114,8 +161,8 @@
 	}
 }
 
-// Owner returns the node that owns the key now.
-func (t *Table) Owner(key Key) cluster.NodeID { return t.members.owner(key.hash()) }
+// Owners returns the owners of a key now.
+func (t *Table) Owners(key Key) Owners { return t.members.owners(key.hash()) }
 
 // Begin decides on a claim.
 func (t *Table) Begin(now time.Time, claim Claim) Decision {
@@ -125,32 +172,25 @@
 		return Decision{Kind: DecisionUnknown, RetryAfter: t.config.RetryAfter}
 	}
 	held := t.entries[claim.Key]
-	if held != nil && held.state != givenUp {
+	if held != nil && held.state != promised {
 		return t.known(held, claim)
 	}
 	hash := claim.Key.hash()
-	if owner := t.members.owner(hash); owner != t.self {
+	if owner := t.members.owners(hash)[0]; owner != t.self {
 		return Decision{Kind: DecisionForward, Owner: owner}
 	}
-	if held != nil {
-		return t.given(nanos, held)
-	}
-	if len(t.entries) >= t.config.MaxKeys {
-		return Decision{Kind: DecisionFull, RetryAfter: t.nextExpiry(nanos)}
+	if held == nil {
+		if len(t.entries) >= t.config.MaxKeys {
+			return Decision{Kind: DecisionFull, RetryAfter: t.nextExpiry(nanos)}
+		}
+		held = &entry{key: claim.Key, hash: hash}
 	}
-	held = &entry{key: claim.Key, hash: hash, state: asking, claim: claim}
+	t.round++
+	held.claim, held.ballot = claim, ballot{t.round, t.self}
+	t.keep(held, asking, nanos+int64(t.config.AskTime))
 	return t.settle(nanos, held)
 }
 
-// given decides on a claim of a key that was given up to a newer owner.
-func (t *Table) given(nanos int64, held *entry) Decision {
-	newest := held.given[len(held.given)-1]
-	if t.members.contains(newest) {
-		return Decision{Kind: DecisionForward, Owner: newest}
-	}
-	return Decision{Kind: DecisionUnknown, RetryAfter: time.Duration(held.expires - nanos)}
-}
-
 // known decides on a claim of a key that has an entry.
 func (t *Table) known(held *entry, claim Claim) Decision {
 	if held.claim.Fingerprint != claim.Fingerprint {
@@ -174,104 +214,8 @@
 	}
 }
 
-// settle gives leave if every former owner vouched, or says whom to ask.
-func (t *Table) settle(nanos int64, held *entry) Decision {
-	t.history.forget(nanos - int64(t.config.Window))
-	if wait := t.history.lostUntil - nanos; wait > 0 {
-		t.remove(held)
-		return Decision{Kind: DecisionUnknown, RetryAfter: time.Duration(wait)}
-	}
-	var ask []cluster.NodeID
-	var gone int64
-	for owner, until := range t.history.owners(held.hash) {
-		switch {
-		case owner == t.self || slices.Contains(held.vouched, owner):
-		case t.members.contains(owner):
-			ask = append(ask, owner)
-		default:
-			gone = max(gone, until)
-		}
-	}
-	if gone > 0 {
-		t.remove(held)
-		return Decision{Kind: DecisionUnknown, RetryAfter: time.Duration(gone + int64(t.config.Window) - nanos)}
-	}
-	if len(ask) > 0 {
-		slices.Sort(ask)
-		t.keep(held, asking, nanos+int64(t.config.AskTime))
-		return Decision{Kind: DecisionAsk, Ask: ask}
-	}
-	t.keep(held, inProgress, nanos+int64(t.config.Window))
-	return Decision{Kind: DecisionRun}
-}
-
-// Answered takes a former owner's answer for the claim that waits for it. The
-// decision is DecisionAsk as long as others must answer.
-func (t *Table) Answered(now time.Time, key Key, request cluster.RequestID, answer Answer) Decision {
-	nanos := now.UnixNano()
-	t.expire(nanos)
-	held := t.entries[key]
-	if held == nil || held.state != asking || held.claim.Request != request {
-		return Decision{Kind: DecisionInProgress, RetryAfter: t.config.RetryAfter}
-	}
-	for _, former := range answer.Past {
-		t.history.add(past{former.Until.UnixNano(), newMembers(former.Nodes)}, int64(t.config.Window))
-	}
-	switch answer.Kind {
-	case AnswerAbsent:
-		held.vouched = append(held.vouched, answer.From)
-		return t.settle(nanos, held)
-	case AnswerInProgress, AnswerEnded:
-		t.remove(held)
-		return t.elsewhere(held, answer)
-	default:
-		t.remove(held)
-		return Decision{Kind: DecisionUnknown, RetryAfter: t.config.RetryAfter}
-	}
-}
-
-// elsewhere decides on a claim of a key that a former owner knows.
-func (t *Table) elsewhere(held *entry, answer Answer) Decision {
-	if answer.Fingerprint != held.claim.Fingerprint {
-		return Decision{Kind: DecisionMismatch, RetryAfter: t.config.Window}
-	}
-	if answer.Kind == AnswerEnded {
-		return t.told(answer.Outcome)
-	}
-	return Decision{Kind: DecisionInProgress, RetryAfter: t.config.RetryAfter}
-}
-
-// Asked answers a newer owner's question. Saying that a key is absent gives it
-// up: this table will not give leave for it within the window.
-func (t *Table) Asked(now time.Time, question Question) Answer {
-	nanos := now.UnixNano()
-	t.expire(nanos)
-	t.history.forget(nanos - int64(t.config.Window))
-	answer := Answer{Kind: AnswerAbsent, From: t.self, Past: t.history.export()}
-	answer.Past = append(answer.Past, Past{Until: now, Nodes: t.members.nodes})
-	held := t.entries[question.Key]
-	switch {
-	case held == nil:
-		held = &entry{key: question.Key, hash: question.Key.hash()}
-	case held.state == ended:
-		answer.Kind, answer.Outcome, answer.Fingerprint = AnswerEnded, held.outcome, held.claim.Fingerprint
-		return answer
-	case held.state == inProgress || held.state == asking:
-		answer.Kind, answer.Fingerprint = AnswerInProgress, held.claim.Fingerprint
-		return answer
-	}
-	for _, other := range held.given {
-		if other != question.From {
-			answer.Past = append(answer.Past, Past{Until: now, Nodes: []cluster.NodeID{other}})
-		}
-	}
-	held.given = append(slices.DeleteFunc(held.given, func(n cluster.NodeID) bool { return n == question.From }), question.From)
-	t.keep(held, givenUp, nanos+int64(t.config.Window))
-	return answer
-}
-
-// Finish takes the outcome of a request that got leave here. Outcomes of other
-// requests are ignored.
+// Finish takes the outcome of a request that got leave here or was recorded
+// here. Outcomes of other requests are ignored.
 func (t *Table) Finish(now time.Time, key Key, outcome Outcome) {
 	nanos := now.UnixNano()
 	t.expire(nanos)
@@ -285,7 +229,7 @@
 		return
 	}
 	if outcome.Kind == OutcomeNotRun {
-		t.remove(held)
+		t.release(nanos, held)
 		return
 	}
 	t.end(nanos, held, outcome)
--- a/routing/idempotency/table_test.go
+++ b/routing/idempotency/table_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -34,7 +32,7 @@
 	key := Key{"/dental", "k"}
 	table := New("a", Config{MaxKeys: 2})
 	expectKind(t, table.Begin(start, claim("k", "r1", "a")), DecisionUnknown)
-	table.SetMembers(start, []cluster.NodeID{"a"})
+	table.SetMembers(start, named("a"))
 	expectKind(t, table.Begin(start, claim("k", "r1", "a")), DecisionRun)
 	expectKind(t, table.Begin(start, claim("k", "r2", "a")), DecisionInProgress)
 	other := claim("k", "r2", "a")
@@ -57,231 +55,131 @@
 	expectKind(t, table.Begin(later, claim("l", "r8", "a")), DecisionRan)
 }
 
-// keyOwnedBy returns a key that the node owns among the members.
-func keyOwnedBy(node cluster.NodeID, members ...cluster.NodeID) string {
+// named returns members of one zone.
+func named(nodes ...cluster.NodeID) (all []Member) {
+	for _, node := range nodes {
+		all = append(all, Member{ID: node})
+	}
+	return all
+}
+
+// keyOwnedBy returns a key that has the owners among the members.
+func keyOwnedBy(owners Owners, nodes ...cluster.NodeID) string {
 	for i := 0; ; i++ {
 		key := fmt.Sprint("key-", i)
-		if newMembers(members).owner(Key{"/dental", key}.hash()) == node {
+		if slices.Equal(newMembers(named(nodes...)).owners(Key{"/dental", key}.hash())[:len(owners)], owners) {
 			return key
 		}
 	}
 }
 
-func TestOwnerDied(t *testing.T) {
-	key := keyOwnedBy("b", "a", "b")
+func TestFirstOfTwoNodesDied(t *testing.T) {
+	key := keyOwnedBy(Owners{"b"}, "a", "b")
 	table := New("a", Config{})
-	table.SetMembers(start.Add(-time.Hour), []cluster.NodeID{"a", "b"})
+	table.SetMembers(start.Add(-time.Hour), named("a", "b"))
 	if forwarded := table.Begin(start, claim(key, "r1", "a")); forwarded.Kind != DecisionForward || forwarded.Owner != "b" {
 		t.Fatalf("got %+v", forwarded)
 	}
-	table.SetMembers(start, []cluster.NodeID{"a"})
+	table.SetMembers(start, named("a"))
 	unknown := table.Begin(start.Add(10*time.Minute), claim(key, "r1", "a"))
 	expectKind(t, unknown, DecisionUnknown)
-	if unknown.RetryAfter != 20*time.Minute || unknown.Failure().Code != verdict.CodeOutcomeUnknown {
+	if unknown.RetryAfter != 30*time.Minute || unknown.Failure().Code != verdict.CodeOutcomeUnknown {
 		t.Fatalf("got %+v", unknown)
 	}
-	expectKind(t, table.Begin(start.Add(31*time.Minute), claim(key, "r1", "a")), DecisionRun)
+	expectKind(t, table.Begin(start.Add(41*time.Minute), claim(key, "r1", "a")), DecisionRun)
+}
+
+// TestOneOfThreeDied holds that the others give leave for new keys, and that
+// they know the old ones, whichever died.
+func TestOneOfThreeDied(t *testing.T) {
+	nodes := []cluster.NodeID{"a", "b", "c"}
+	for _, dead := range nodes {
+		for i := range 50 {
+			region := newRegion(nodes...)
+			old, fresh := claim(fmt.Sprint("old-", i), "r1", "a"), claim(fmt.Sprint("fresh-", i), "r2", "a")
+			old.From = region.alive(dead)
+			expectKind(t, region.claim(old), DecisionRun)
+			region.kill(dead)
+			fresh.From = region.alive(dead)
+			expectKind(t, region.claim(fresh), DecisionRun)
+			old.Request = "r3"
+			expectKind(t, region.claim(old), DecisionInProgress)
+		}
+	}
 }
 
-func TestNewNodeThatDoesNotKnowTheOwner(t *testing.T) {
-	key := ""
-	for i := 0; newMembers([]cluster.NodeID{"a", "y"}).owner(Key{"/dental", key}.hash()) != "y" || key == ""; i++ {
-		key = fmt.Sprint(i, keyOwnedBy("b", "a", "b", "y"))
-		if newMembers([]cluster.NodeID{"a", "b", "y"}).owner(Key{"/dental", key}.hash()) != "b" {
-			key = ""
-		}
+func TestTwoOfThreeDied(t *testing.T) {
+	region := newRegion("a", "b", "c")
+	region.kill("b")
+	region.kill("c")
+	expectKind(t, region.claim(claim("k", "r1", "a")), DecisionUnknown)
+}
+
+func TestClaimThatGotNoLeaveIsSuperseded(t *testing.T) {
+	region := newRegion("a", "b", "c")
+	key := keyOwnedBy(Owners{"a", "b"}, "a", "b", "c")
+	first := region.tables["a"].Begin(start, claim(key, "r1", "c"))
+	expectKind(t, first, DecisionAsk)
+	if answer := region.tables["b"].Asked(start, first.Question); answer.Kind != AnswerRecorded {
+		t.Fatalf("got %+v", answer)
 	}
+	none := Answer{Kind: AnswerNone, From: "b"}
+	expectKind(t, region.tables["a"].Answered(start, first.Question.Claim.Key, "r1", none), DecisionUnavailable)
+	expectKind(t, region.claim(claim(key, "r2", "c")), DecisionRun)
+	if late := region.tables["b"].Asked(start, first.Question); late.Kind != AnswerInProgress {
+		t.Fatalf("got %+v", late)
+	}
+}
+
+func TestNewNodeThatDoesNotKnowTheOwners(t *testing.T) {
 	former, joiner := New("a", Config{}), New("y", Config{})
-	former.SetMembers(start.Add(-time.Hour), []cluster.NodeID{"a", "b"})
-	joiner.SetMembers(start, []cluster.NodeID{"a", "y"})
-	asked := claim(key, "r1", "y")
-	expectKind(t, joiner.Begin(start, asked), DecisionAsk)
-	answer := former.Asked(start, Question{Key: asked.Key, From: "y"})
+	former.SetMembers(start.Add(-time.Hour), named("a", "b", "c"))
+	joiner.SetMembers(start, named("a", "y"))
+	asked := claim(keyOwnedBy(Owners{"y"}, "a", "y"), "r1", "y")
+	asking := joiner.Begin(start, asked)
+	expectKind(t, asking, DecisionAsk)
+	answer := former.Asked(start, asking.Question)
 	expectKind(t, joiner.Answered(start, asked.Key, "r1", answer), DecisionUnknown)
 }
 
 func TestRunnerDied(t *testing.T) {
-	table := New("a", Config{})
-	table.SetMembers(start.Add(-time.Hour), []cluster.NodeID{"a", "b"})
-	key := keyOwnedBy("a", "a", "b")
-	expectKind(t, table.Begin(start, claim(key, "r1", "b")), DecisionRun)
-	table.SetMembers(start, []cluster.NodeID{"a"})
-	expectKind(t, table.Begin(start, claim(key, "r2", "a")), DecisionUnknown)
+	region := newRegion("a", "b", "c")
+	expectKind(t, region.claim(claim("k", "r1", "b")), DecisionRun)
+	region.kill("b")
+	expectKind(t, region.claim(claim("k", "r2", "a")), DecisionUnknown)
+}
+
+func TestOwnersAreInDifferentZones(t *testing.T) {
+	var nodes []Member
+	for i := range 9 {
+		nodes = append(nodes, Member{cluster.NodeID(fmt.Sprint(i)), cluster.ZoneID(fmt.Sprint("zone-", i%3))})
+	}
+	zoneOf := func(node cluster.NodeID) string { return fmt.Sprint(node[0] % 3) }
+	for i := range 100 {
+		owners := newMembers(nodes).owners(Key{"/dental", fmt.Sprint(i)}.hash())
+		zones := []string{zoneOf(owners[0]), zoneOf(owners[1]), zoneOf(owners[2])}
+		slices.Sort(zones)
+		if len(slices.Compact(zones)) != 3 {
+			t.Fatalf("key %d is owned by %v", i, owners)
+		}
+	}
 }
 
 func TestRendezvousMovesFewKeys(t *testing.T) {
-	nodes := []cluster.NodeID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	nodes := named("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
 	all, fewer := newMembers(nodes), newMembers(nodes[1:])
 	counts := make(map[cluster.NodeID]int)
 	for i := range 10000 {
 		hash := Key{"/dental", fmt.Sprint(i)}.hash()
-		before, after := all.owner(hash), fewer.owner(hash)
-		counts[before]++
-		if before != "a" && before != after {
+		before, after := all.owners(hash), fewer.owners(hash)
+		counts[before[0]]++
+		if !slices.Contains(before, "a") && !slices.Equal(before, after) {
 			t.Fatalf("key %d moved from %s to %s, though a left", i, before, after)
 		}
 	}
 	for _, node := range nodes {
-		if counts[node] < 850 || counts[node] > 1150 {
-			t.Fatalf("%s owns %d of 10,000 keys", node, counts[node])
+		if counts[node.ID] < 850 || counts[node.ID] > 1150 {
+			t.Fatalf("%s owns %d of 10,000 keys", node.ID, counts[node.ID])
 		}
 	}
 }
-
-// cell runs several tables whose views of membership differ.
-type cell struct {
-	t      *rapid.T
-	now    time.Time
-	tables map[cluster.NodeID]*Table
-	// reachable nodes answer; the others live on with their old views.
-	reachable []cluster.NodeID
-	// outdated is when a node's view must have been brought up to date, or an
-	// unreachable node ends: the promise holds for less than a window.
-	outdated map[cluster.NodeID]time.Time
-	started  int
-	requests int
-	// running gives, by key, the requests that got leave and who gave it.
-	running map[string][]leave
-	// ran gives, by key, when its request was last known to run or to have run.
-	ran map[string]time.Time
-}
-
-type leave struct {
-	request cluster.RequestID
-	owner   cluster.NodeID
-}
-
-func (c *cell) anyNode(t *rapid.T) cluster.NodeID {
-	all := make([]cluster.NodeID, 0, len(c.tables))
-	for node := range c.tables {
-		all = append(all, node)
-	}
-	slices.Sort(all)
-	return rapid.SampledFrom(all).Draw(t, "node")
-}
-
-// join starts a node that hears of one other node first.
-func (c *cell) join(t *rapid.T) {
-	if len(c.reachable) >= 5 {
-		return
-	}
-	c.started++
-	node := cluster.NodeID(fmt.Sprint("n", c.started))
-	c.tables[node] = New(node, Config{})
-	view := []cluster.NodeID{node}
-	if len(c.reachable) > 0 {
-		view = append(view, rapid.SampledFrom(c.reachable).Draw(t, "hears of"))
-	}
-	c.reachable = append(c.reachable, node)
-	c.tables[node].SetMembers(c.now, view)
-	c.outdated[node] = c.now.Add(10 * time.Minute)
-}
-
-func (c *cell) learnAs(node cluster.NodeID) {
-	c.tables[node].SetMembers(c.now, c.reachable)
-	c.outdated[node] = c.now.Add(10 * time.Minute)
-}
-
-// cut makes a node unreachable: dead, or alive with callers of its own.
-func (c *cell) cut(t *rapid.T) {
-	if len(c.reachable) < 2 {
-		t.Skip()
-	}
-	node := rapid.SampledFrom(c.reachable).Draw(t, "cut")
-	c.reachable = slices.DeleteFunc(slices.Clone(c.reachable), func(n cluster.NodeID) bool { return n == node })
-	c.outdated[node] = c.now.Add(10 * time.Minute)
-	if rapid.Bool().Draw(t, "dead") {
-		delete(c.tables, node)
-	}
-}
-
-// learn updates one reachable node's view; the others' stay behind.
-func (c *cell) learn(t *rapid.T) {
-	c.learnAs(rapid.SampledFrom(c.reachable).Draw(t, "learns"))
-}
-
-func (c *cell) request(t *rapid.T) {
-	c.requests++
-	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
-	accepting := c.anyNode(t)
-	asked := claim(key, cluster.RequestID(fmt.Sprint("r", c.requests)), accepting)
-	at := accepting
-	for range 3 {
-		decision := c.tables[at].Begin(c.now, asked)
-		for decision.Kind == DecisionAsk {
-			decision = c.tables[at].Answered(c.now, asked.Key, asked.Request, c.ask(at, decision.Ask[0], asked.Key))
-		}
-		if decision.Kind == DecisionRun {
-			c.run(key, leave{asked.Request, at})
-		}
-		if decision.Kind != DecisionForward || !c.linked(at, decision.Owner) {
-			return
-		}
-		at = decision.Owner
-	}
-}
-
-func (c *cell) linked(from, to cluster.NodeID) bool {
-	return slices.Contains(c.reachable, from) && slices.Contains(c.reachable, to)
-}
-
-func (c *cell) ask(from, to cluster.NodeID, key Key) Answer {
-	if !c.linked(from, to) {
-		return Answer{Kind: AnswerNone, From: to}
-	}
-	return c.tables[to].Asked(c.now, Question{Key: key, From: from})
-}
-
-func (c *cell) run(key string, granted leave) {
-	if last, again := c.ran[key]; again && c.now.Sub(last) < 30*time.Minute {
-		c.t.Fatalf("%s runs as %s, but already ran at most %v ago", key, granted.request, c.now.Sub(last))
-	}
-	c.running[key] = append(c.running[key], granted)
-	c.ran[key] = c.now
-}
-
-// finish ends a request; its outcome may not reach the owner.
-func (c *cell) finish(t *rapid.T) {
-	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
-	if len(c.running[key]) == 0 {
-		t.Skip()
-	}
-	done := c.running[key][0]
-	c.running[key] = c.running[key][1:]
-	kind := rapid.SampledFrom([]OutcomeKind{OutcomeNotRun, OutcomeAnswered, OutcomeUnknown}).Draw(t, "outcome")
-	if table := c.tables[done.owner]; table != nil && rapid.Bool().Draw(t, "arrives") {
-		table.Finish(c.now, Key{"/dental", key}, Outcome{Kind: kind, Request: done.request})
-	}
-	if kind == OutcomeNotRun && len(c.running[key]) == 0 {
-		delete(c.ran, key)
-	}
-}
-
-func (c *cell) pass(t *rapid.T) {
-	c.now = c.now.Add(time.Duration(rapid.IntRange(0, 240).Draw(t, "seconds")) * time.Second)
-	for node, due := range c.outdated {
-		switch {
-		case c.now.Before(due) || c.tables[node] == nil:
-		case slices.Contains(c.reachable, node):
-			c.learnAs(node)
-		default:
-			delete(c.tables, node)
-		}
-	}
-}
-
-// TestNeverRunsTwice drives tables with lagging views, deaths and partitions.
-func TestNeverRunsTwice(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		c := &cell{
-			t: t, now: start, tables: make(map[cluster.NodeID]*Table),
-			running: make(map[string][]leave), ran: make(map[string]time.Time),
-			outdated: make(map[cluster.NodeID]time.Time),
-		}
-		c.join(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"join": c.join, "cut": c.cut, "learn": c.learn, "learn too": c.learn, "request": c.request,
-			"request too": c.request, "request three": c.request, "finish": c.finish, "pass": c.pass,
-		})
-	})
-}
--- a/routing/idempotency/types.go
+++ b/routing/idempotency/types.go
@@ -2,15 +2,19 @@
 // Idempotency-Key may run, is being run, was run, or may have been run by a
 // node that can no longer be asked.
 //
-// Each key has one owner among the nodes of the cell, by rendezvous hashing.
-// The node that accepted the request asks the owner for leave (a Claim), runs
-// the request itself and reports the outcome to the owner that gave leave. A
-// key is remembered for a window after its last change.
+// Each key has two owners among the nodes of the region, and a witness, by
+// rendezvous hashing. The node that accepted the request asks the first owner
+// for leave (a Claim). The first owner records the claim at the second before it
+// gives leave. The accepting node runs the request itself and reports the
+// outcome to both. A key is remembered for a window after its last change.
 //
-// When membership changes, some keys get another owner. A new owner gives leave
-// for a key only after every owner that the key had within the window said that
-// it does not know it; by saying so, a former owner gives the key up for good.
-// If one of them is gone, the outcome is unknown, and the request does not run.
+// When membership changes, some keys get other owners. A first owner gives leave
+// only after enough owners of every former membership said that they do not know
+// the key: two of the three, or the first one in a region of two nodes. By saying
+// so, a node promises to name the asker's owners to everyone who asks after, so
+// that of two first owners whose views differ one learns of the other. If too
+// many owners of a former membership are gone, the outcome is unknown, and the
+// request does not run.
 //
 // Table is a pure data structure: it has no clock, no network and no lock.
 package idempotency
@@ -61,43 +65,57 @@
 	Holder cluster.NodeID
 }
 
-// Question asks a former owner what it knows of a key.
+// Question asks an owner, present or former, what it knows of a key.
 type Question struct {
-	Key  Key
-	From cluster.NodeID
+	Claim Claim
+	From  cluster.NodeID
+	// Round orders the questions of one node: a later claim of the same first
+	// owner supersedes what an earlier one left behind.
+	Round uint64
+	// Owners of the key in the asker's view.
+	Owners Owners
+	// Known lists the owners that the asker has asked or will ask.
+	Known []Owners
+	// Record asks to record the claim. Everyone Known must have vouched.
+	Record bool
 }
 
-// AnswerKind is what a former owner knows of a key.
+// AnswerKind is what an owner knows of a key.
 type AnswerKind uint8
 
 // The answers.
 const (
-	// AnswerAbsent means that the former owner does not know the key and will
-	// give no leave for it from now on.
+	// AnswerAbsent means that the owner does not know the key and will name the
+	// asker's owners to those who ask after.
 	AnswerAbsent AnswerKind = iota + 1
 	// AnswerInProgress and AnswerEnded tell the state of a known key.
 	AnswerInProgress
 	AnswerEnded
-	// AnswerNone means that the former owner could not be asked.
+	// AnswerNone means that the owner could not be asked or cannot tell.
 	AnswerNone
+	// AnswerRecorded means that the claim is recorded.
+	AnswerRecorded
+	// AnswerOutbid means that the owner vouched to a claim with a later round.
+	AnswerOutbid
 )
 
-// Answer is a former owner's answer to a Question.
+// Answer answers a Question.
 type Answer struct {
 	Kind    AnswerKind
 	From    cluster.NodeID
 	Outcome Outcome
 	// Fingerprint of the known request.
 	Fingerprint uint64
-	// Past memberships within the answering node's window, which a node that
-	// joined later does not know of.
+	// Round that the question must pass, for AnswerOutbid.
+	Round uint64
+	// Past owners of the key that the asker did not name.
 	Past []Past
 }
 
-// Past is a set of nodes that shared the keys until a time.
+// Past are the owners of a key until a time.
 type Past struct {
-	Until time.Time
-	Nodes []cluster.NodeID
+	Until  time.Time
+	Owners Owners
 }
 
 // DecisionKind is what to do with a claim.
@@ -109,7 +127,7 @@
 	DecisionRun DecisionKind = iota + 1
 	// DecisionForward says that another node owns the key.
 	DecisionForward
-	// DecisionAsk says that former owners must be asked first.
+	// DecisionAsk says that another owner must be asked first.
 	DecisionAsk
 	// DecisionReplay says that the answer is kept by Outcome.Holder.
 	DecisionReplay
@@ -120,16 +138,20 @@
 	DecisionUnknown
 	DecisionMismatch
 	DecisionFull
+	// DecisionUnavailable refuses a claim because an owner did not answer.
+	DecisionUnavailable
 )
 
 // Decision is the answer to a Claim.
 type Decision struct {
 	Kind DecisionKind
-	// Owner for DecisionForward.
+	// Owner to ask instead, for DecisionForward; the one that recorded the
+	// claim besides the first, for DecisionRun.
 	Owner cluster.NodeID
-	// Ask lists the former owners to ask, for DecisionAsk; each one's Answer
-	// is handed to Table.Answered.
-	Ask []cluster.NodeID
+	// Ask is whom to put Question to, for DecisionAsk; the Answer is handed to
+	// Table.Answered.
+	Ask      cluster.NodeID
+	Question Question
 	// Outcome for DecisionReplay and DecisionRan.
 	Outcome Outcome
 	// RetryAfter is when asking again may give another decision.
@@ -151,6 +173,8 @@
 		failure = verdict.New(verdict.NotRun, verdict.CodeConflict, "the key was used with another request")
 	case DecisionFull:
 		failure = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this node keeps no more keys")
+	case DecisionUnavailable:
+		failure = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "a node that keeps this key does not answer")
 	default:
 		return nil
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -73,10 +73,14 @@
 		},
 		KindKeyDecision: KeyDecision{From: "node-a", Number: 7, Kind: 4, Owner: "node-b", Outcome: sampleOutcome, RetryAfter: time.Second},
 		KindKeyOutcome:  KeyOutcome{From: "node-a", TokenPath: "/dental", Key: "k", Outcome: sampleOutcome},
-		KindKeyQuestion: KeyQuestion{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, TokenPath: "/dental", Key: "k"},
+		KindKeyQuestion: KeyQuestion{
+			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, TokenPath: "/dental", Key: "k",
+			Fingerprint: 1<<63 + 1, Request: "node-a.1", Claimant: "node-d", Round: 9, Record: true,
+			Owners: []cluster.NodeID{"node-a", "node-b"}, Known: [][]cluster.NodeID{{"node-a", "node-b"}, {"node-c"}},
+		},
 		KindKeyAnswer: KeyAnswer{
 			From: "node-a", Number: 7, Kind: 3, Outcome: sampleOutcome, Fingerprint: 1<<63 + 1,
-			Past: []PastMembership{{Until: 1, Nodes: []cluster.NodeID{"node-b"}}},
+			Past: []PastMembership{{Until: 1, Nodes: []cluster.NodeID{"node-b"}}}, Round: 9,
 		},
 		KindKeptAnswerRequest: KeptAnswerRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Request: "node-a.1"},
 		KindSentPrefixes: SentPrefixes{
@@ -90,21 +94,19 @@
 var sampleOutcome = KeyOutcomeRecord{Kind: 2, Request: "node-a.1", Holder: "node-c"}
 
 // since is the version in which a kind of message first appeared, where that
-// is not the first.
-var since = map[Kind]int32{
-	KindInspectionRequest: 2, KindInspectionAnswer: 2, KindKeyClaim: 2, KindKeyDecision: 2, KindKeyOutcome: 2,
-	KindKeyQuestion: 2, KindKeyAnswer: 2, KindKeptAnswerRequest: 2, KindKeptAnswer: 2,
-	KindSentPrefixes: 2,
-}
+// is later than the previous one.
+var since = map[Kind]int32{}
 
-// asVersion1 is the message as version 1 carries it.
-func asVersion1(message Message) Message {
+// asVersion2 is the message as version 2 carries it.
+func asVersion2(message Message) Message {
 	switch m := message.(type) {
-	case Heartbeat:
-		m.MembersDigest = 0
-		return m
-	case ZoneReport:
-		m.Pools = nil
+	case KeyQuestion:
+		return KeyQuestion{
+			From: m.From, FromAddress: m.FromAddress, Number: m.Number, TokenPath: m.TokenPath, Key: m.Key,
+			Owners: []cluster.NodeID{}, Known: [][]cluster.NodeID{},
+		}
+	case KeyAnswer:
+		m.Round = 0
 		return m
 	default:
 		return message
@@ -180,8 +182,8 @@
 				t.Fatal(err)
 			}
 			want := message
-			if version == 1 {
-				want = asVersion1(message)
+			if version == 2 {
+				want = asVersion2(message)
 			}
 			if !reflect.DeepEqual(decoded, want) {
 				t.Errorf("%s: got %+v, want %+v", name, decoded, want)
--- a/wire/keys.go
+++ b/wire/keys.go
@@ -40,19 +40,30 @@
 	Holder cluster.NodeID
 }
 
-// KeyOutcome tells the owner that gave leave how the request ended.
+// KeyOutcome tells an owner that gave leave or recorded it how the request ended.
 type KeyOutcome struct {
 	From           cluster.NodeID
 	TokenPath, Key string
 	Outcome        KeyOutcomeRecord
 }
 
-// KeyQuestion asks a former owner what it knows of a key.
+// KeyQuestion asks another owner what it knows of a key, or to record a claim.
 type KeyQuestion struct {
 	From           cluster.NodeID
 	FromAddress    string
 	Number         uint64
 	TokenPath, Key string
+	// Fingerprint, Request and Claimant are those of the claim.
+	Fingerprint uint64
+	Request     cluster.RequestID
+	Claimant    cluster.NodeID
+	// Round orders the questions of one node about a key.
+	Round uint64
+	// Record asks to record the claim.
+	Record bool
+	// Owners of the key in the asker's view, and all that it knows of.
+	Owners []cluster.NodeID
+	Known  [][]cluster.NodeID
 }
 
 // KeyAnswer answers a KeyQuestion.
@@ -64,9 +75,11 @@
 	Outcome     KeyOutcomeRecord
 	Fingerprint uint64
 	Past        []PastMembership
+	// Round that the question must pass.
+	Round uint64
 }
 
-// PastMembership is a set of nodes that shared the keys until a time.
+// PastMembership names the owners of a key until a time, in rank order.
 type PastMembership struct {
 	// Until is in Unix nanoseconds.
 	Until int64
--- a/wire/keys_records.go
+++ b/wire/keys_records.go
@@ -61,14 +61,29 @@
 	Number      int64
 	TokenPath   string
 	Key         string
+	Fingerprint int64
+	Request     cluster.RequestID
+	Claimant    cluster.NodeID
+	Round       int64
+	Record      bool
+	Owners      []cluster.NodeID
+	Known       [][]cluster.NodeID
 }
 
 func keyQuestionToRecord(m KeyQuestion) *keyQuestionRecord {
-	return &keyQuestionRecord{From: m.From, FromAddress: m.FromAddress, Number: int64(m.Number), TokenPath: m.TokenPath, Key: m.Key}
+	return &keyQuestionRecord{
+		From: m.From, FromAddress: m.FromAddress, Number: int64(m.Number), TokenPath: m.TokenPath, Key: m.Key,
+		Fingerprint: int64(m.Fingerprint), Request: m.Request, Claimant: m.Claimant,
+		Round: int64(m.Round), Record: m.Record, Owners: m.Owners, Known: m.Known,
+	}
 }
 
 func (r *keyQuestionRecord) decoded() Message {
-	return KeyQuestion{From: r.From, FromAddress: r.FromAddress, Number: uint64(r.Number), TokenPath: r.TokenPath, Key: r.Key}
+	return KeyQuestion{
+		From: r.From, FromAddress: r.FromAddress, Number: uint64(r.Number), TokenPath: r.TokenPath, Key: r.Key,
+		Fingerprint: uint64(r.Fingerprint), Request: r.Request, Claimant: r.Claimant,
+		Round: uint64(r.Round), Record: r.Record, Owners: r.Owners, Known: r.Known,
+	}
 }
 
 type keyAnswerRecord struct {
@@ -78,17 +93,20 @@
 	Outcome     KeyOutcomeRecord
 	Fingerprint int64
 	Past        []PastMembership
+	Round       int64
 }
 
 func keyAnswerToRecord(m KeyAnswer) *keyAnswerRecord {
 	return &keyAnswerRecord{
 		From: m.From, Number: int64(m.Number), Kind: m.Kind, Outcome: m.Outcome, Fingerprint: int64(m.Fingerprint), Past: m.Past,
+		Round: int64(m.Round),
 	}
 }
 
 func (r *keyAnswerRecord) decoded() Message {
 	return KeyAnswer{
 		From: r.From, Number: uint64(r.Number), Kind: r.Kind, Outcome: r.Outcome, Fingerprint: uint64(r.Fingerprint), Past: r.Past,
+		Round: uint64(r.Round),
 	}
 }
 
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -43,11 +43,11 @@
 	old := func(o *options) { o.announce = VersionPrevious }
 	to := openTransport(t, func(message Message) { received <- message }, old)
 	from := openTransport(t, func(Message) {})
-	request := samples()[KindHeartbeat]
+	request := samples()[KindKeyQuestion]
 	from.Send(to.Address(), request)
 	from.Send(to.Address(), request)
 	for i := range 2 {
-		if got := <-received; !reflect.DeepEqual(got, asVersion1(request)) {
+		if got := <-received; !reflect.DeepEqual(got, asVersion2(request)) {
 			t.Fatalf("message %d: got %+v", i, got)
 		}
 	}
