Shorten the longest functions of the exploration

Change: canonical forms are made by one function a type, the table of check takeover apart from its runs. No behaviour changes.

--- a/authority/explore/escrow.go
+++ b/authority/explore/escrow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
 	"slices"
 	"time"
@@ -182,56 +181,66 @@
 
 // key returns the canonical form of the state.
 func (w *escrowWorld) key(buffer []byte) []byte {
-	number := func(values ...uint64) {
-		for _, value := range values {
-			buffer = binary.AppendUvarint(buffer, value)
-		}
+	buffer = appendNumbers(buffer, uint64(w.revision), uint64(w.guard), uint64(w.edit),
+		uint64(w.takeovers), uint64(w.leaves), uint64(w.lapses), uint64(w.restarts))
+	for i := range w.zones {
+		buffer = w.appendRecord(buffer, &w.records[i])
+		buffer = w.zones[i].key(buffer)
 	}
-	record := func(r *cluster.Allotment) {
-		number(uint64(r.Revision), oneIf(w.now.Sub(r.WrittenAt) >= authority.DefaultRebalanceInterval), uint64(len(r.Machines)))
-		for i := range r.Models {
-			number(uint64(r.Models[i].MaxReplicas), uint64(r.Models[i].Ceiling))
-		}
-		number(uint64(len(r.Models)))
+	for i := range w.apportioners {
+		buffer = w.appendApportioner(buffer, &w.apportioners[i])
 	}
-	report := func(r *wire.ZoneReport) {
-		if r == nil {
-			number(0)
-			return
-		}
-		number(1, uint64(r.Token), uint64(r.AllotmentRevision), uint64(r.Models[0].Held))
+	return buffer
+}
+
+// key appends the zone's canonical form.
+func (z *escrowZone) key(buffer []byte) []byte {
+	buffer = appendNumbers(buffer, oneIf(z.gone), oneIf(z.listed), uint64(z.token), oneIf(z.loaded), uint64(len(z.actors)))
+	for _, actor := range z.actors {
+		buffer = appendNumbers(buffer, uint64(actor.token), uint64(actor.revision), uint64(actor.limit),
+			oneIf(actor.sealed), oneIf(actor.held))
 	}
-	number(uint64(w.revision), uint64(w.guard), uint64(w.edit), uint64(w.takeovers), uint64(w.leaves), uint64(w.lapses), uint64(w.restarts))
-	for i := range w.zones {
-		zone := &w.zones[i]
-		record(&w.records[i])
-		number(oneIf(zone.gone), oneIf(zone.listed), uint64(zone.token), oneIf(zone.loaded), uint64(len(zone.actors)))
-		for _, actor := range zone.actors {
-			number(uint64(actor.token), uint64(actor.revision), uint64(actor.limit), oneIf(actor.sealed), oneIf(actor.held))
+	return buffer
+}
+
+func (w *escrowWorld) appendApportioner(buffer []byte, a *escrowApportioner) []byte {
+	buffer = appendNumbers(buffer, uint64(a.edit), oneIf(a.read), uint64(a.guard), oneIf(a.written != nil))
+	buffer = a.presence.AppendState(buffer, w.now)
+	for z := range w.zones {
+		buffer = appendReport(buffer, a.reports[z])
+		if a.read {
+			buffer = w.appendRecord(buffer, &a.records[z])
 		}
 	}
-	for i := range w.apportioners {
-		a := &w.apportioners[i]
-		number(uint64(a.edit), oneIf(a.read), uint64(a.guard), oneIf(a.written != nil))
-		buffer = a.presence.AppendState(buffer, w.now)
-		for z := range w.zones {
-			report(a.reports[z])
-			if a.read {
-				record(&a.records[z])
-			}
-		}
-		if a.written != nil {
-			number(uint64(a.written.GuardRevision), uint64(len(a.written.Writes)))
-			for j := range a.written.Writes {
-				buffer = append(buffer, a.written.Writes[j].Allotment.Zone...)
-				number(uint64(a.written.Writes[j].ExpectRevision))
-				record(&a.written.Writes[j].Allotment)
-			}
-		}
+	if a.written == nil {
+		return buffer
+	}
+	buffer = appendNumbers(buffer, uint64(a.written.GuardRevision), uint64(len(a.written.Writes)))
+	for i := range a.written.Writes {
+		write := &a.written.Writes[i]
+		buffer = appendText(buffer, string(write.Allotment.Zone))
+		buffer = appendNumbers(buffer, uint64(write.ExpectRevision))
+		buffer = w.appendRecord(buffer, &write.Allotment)
 	}
 	return buffer
 }
 
+func (w *escrowWorld) appendRecord(buffer []byte, record *cluster.Allotment) []byte {
+	movable := w.now.Sub(record.WrittenAt) >= authority.DefaultRebalanceInterval
+	buffer = appendNumbers(buffer, uint64(record.Revision), oneIf(movable), uint64(len(record.Machines)), uint64(len(record.Models)))
+	for i := range record.Models {
+		buffer = appendNumbers(buffer, uint64(record.Models[i].MaxReplicas), uint64(record.Models[i].Ceiling))
+	}
+	return buffer
+}
+
+func appendReport(buffer []byte, report *wire.ZoneReport) []byte {
+	if report == nil {
+		return appendNumbers(buffer, 0)
+	}
+	return appendNumbers(buffer, 1, uint64(report.Token), uint64(report.AllotmentRevision), uint64(report.Models[0].Held))
+}
+
 // check compares the truth with the largest count decided so far.
 func (s *escrowSearch) check(w *escrowWorld) string {
 	decided, loaded := 0, 0
--- a/authority/explore/world.go
+++ b/authority/explore/world.go
@@ -156,51 +156,63 @@
 
 // key returns the canonical form of the state.
 func (w *world) key(buffer []byte) []byte {
-	number := func(values ...uint64) {
-		for _, value := range values {
-			buffer = binary.AppendUvarint(buffer, value)
-		}
-	}
-	text := func(value string) {
-		number(uint64(len(value)))
-		buffer = append(buffer, value...)
-	}
 	for i := range w.engines {
-		engine := &w.engines[i]
-		number(oneIf(engine.gone), engine.epoch, engine.tokenEpoch, uint64(engine.token), engine.sequence, uint64(len(engine.replicas)))
-		for _, replica := range engine.replicas {
-			text(string(replica.Model))
-			number(uint64(replica.State))
-		}
-		number(uint64(len(engine.applied)))
-		for _, id := range engine.applied {
-			text(id)
-		}
-		number(oneIf(w.members[i]))
+		buffer = w.engines[i].key(buffer)
+		buffer = appendNumbers(buffer, oneIf(w.members[i]))
 	}
-	number(oneIf(w.kv.down), uint64(w.kv.revision), uint64(w.kv.holder-formerNode), uint64(w.kv.token), uint64(w.kv.allotment.Revision))
-	number(oneIf(w.kv.holder != noNode && w.now.Sub(w.kv.sentAt) < leaseTime))
+	leased := w.kv.holder != noNode && w.now.Sub(w.kv.sentAt) < leaseTime
+	buffer = appendNumbers(buffer, oneIf(w.kv.down), uint64(w.kv.revision), uint64(w.kv.holder-formerNode),
+		uint64(w.kv.token), uint64(w.kv.allotment.Revision), oneIf(leased))
 	for i := range w.nodes {
-		number(uint64(w.nodes[i].listed), uint64(w.nodes[i].read))
+		buffer = appendNumbers(buffer, uint64(w.nodes[i].listed), uint64(w.nodes[i].read))
 		if w.nodes[i].encoded == nil {
 			w.nodes[i].encoded = w.nodes[i].core.AppendState(nil, w.now.Add(tickTime))
 		}
 		buffer = append(buffer, w.nodes[i].encoded...)
 	}
-	number(uint64(len(w.calls)))
+	buffer = appendNumbers(buffer, uint64(len(w.calls)))
 	for i := range w.calls {
-		text(w.calls[i].text)
+		buffer = appendText(buffer, w.calls[i].text)
 	}
-	number(uint64(len(w.answers)))
+	buffer = appendNumbers(buffer, uint64(len(w.answers)))
 	for i := range w.answers {
-		text(w.answers[i].label)
+		buffer = appendText(buffer, w.answers[i].label)
+	}
+	buffer = appendNumbers(buffer, uint64(w.list))
+	return w.left.key(buffer)
+}
+
+// key appends what may still happen.
+func (b *budget) key(buffer []byte) []byte {
+	return appendNumbers(buffer, uint64(b.lapses), uint64(b.faults), uint64(b.engineRestarts), uint64(b.nodeRestarts),
+		uint64(b.outages), uint64(b.joins), uint64(b.leaves), uint64(b.unloads))
+}
+
+// key appends the engine's canonical form.
+func (e *engineState) key(buffer []byte) []byte {
+	buffer = appendNumbers(buffer, oneIf(e.gone), e.epoch, e.tokenEpoch, uint64(e.token), e.sequence, uint64(len(e.replicas)))
+	for _, replica := range e.replicas {
+		buffer = appendText(buffer, string(replica.Model))
+		buffer = appendNumbers(buffer, uint64(replica.State))
+	}
+	buffer = appendNumbers(buffer, uint64(len(e.applied)))
+	for _, id := range e.applied {
+		buffer = appendText(buffer, id)
+	}
+	return buffer
+}
+
+func appendNumbers(buffer []byte, numbers ...uint64) []byte {
+	for _, number := range numbers {
+		buffer = binary.AppendUvarint(buffer, number)
 	}
-	number(uint64(w.list))
-	number(uint64(w.left.lapses), uint64(w.left.faults), uint64(w.left.engineRestarts), uint64(w.left.nodeRestarts))
-	number(uint64(w.left.outages), uint64(w.left.joins), uint64(w.left.leaves), uint64(w.left.unloads))
 	return buffer
 }
 
+func appendText(buffer []byte, text string) []byte {
+	return append(appendNumbers(buffer, uint64(len(text))), text...)
+}
+
 func oneIf(value bool) uint64 {
 	if value {
 		return 1
--- a/cmd/valveslip/check_takeover.go
+++ b/cmd/valveslip/check_takeover.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -58,49 +59,51 @@
 // checkTakeovers explores the scenarios and prints a line for each. It fails
 // when any has a violation, whose steps it prints.
 func checkTakeovers(ctx context.Context, out io.Writer, takeovers []explore.Scenario, escrows []explore.EscrowScenario) error {
-	var rows [][]string
-	var broken []explore.Result
-	total := explore.Result{Complete: true}
-	add := func(result explore.Result, err error) error {
+	var results []explore.Result
+	for _, scenario := range takeovers {
+		result, err := explore.Takeover(ctx, scenario, explore.VariantNone)
 		if err != nil {
 			return err
 		}
-		if result.Violation != "" {
-			broken = append(broken, result)
+		results = append(results, result)
+	}
+	for _, scenario := range escrows {
+		result, err := explore.Escrow(ctx, scenario, explore.VariantNone)
+		if err != nil {
+			return err
 		}
+		results = append(results, result)
+	}
+	return printTakeovers(out, results)
+}
+
+// printTakeovers prints the results, their total and the steps to violations.
+func printTakeovers(out io.Writer, results []explore.Result) error {
+	var rows [][]string
+	total := explore.Result{Name: "total", Complete: true}
+	for _, result := range results {
 		rows = append(rows, takeoverRow(result))
 		total.States += result.States
 		total.Transitions += result.Transitions
 		total.Depth = max(total.Depth, result.Depth)
 		total.Elapsed += result.Elapsed
 		total.Complete = total.Complete && result.Complete
-		return nil
-	}
-	for _, scenario := range takeovers {
-		if err := add(explore.Takeover(ctx, scenario, explore.VariantNone)); err != nil {
-			return err
-		}
-	}
-	for _, scenario := range escrows {
-		if err := add(explore.Escrow(ctx, scenario, explore.VariantNone)); err != nil {
-			return err
-		}
-	}
-	total.Name = "total"
-	if len(broken) > 0 {
-		total.Violation = broken[0].Violation
+		total.Violation = cmp.Or(total.Violation, result.Violation)
 	}
 	rows = append(rows, takeoverRow(total))
 	if err := writeTable(out, []string{"scenario", "states", "transitions", "depth", "complete", "safe", "time"}, rows); err != nil {
 		return err
 	}
-	for _, result := range broken {
+	for _, result := range results {
+		if result.Violation == "" {
+			continue
+		}
 		fmt.Fprintf(out, "\n%s: %s\n", result.Name, result.Violation)
 		for i, step := range result.Trace {
 			fmt.Fprintf(out, "%3d  %s\n", i+1, step)
 		}
 	}
-	if len(broken) > 0 {
+	if total.Violation != "" {
 		return &exitError{code: exitBroken, err: errors.New("a promise can be broken")}
 	}
 	return nil
