Restart every node under load in the demo

Cause: nothing showed that an upgrade, one node after the other, loses nothing. The load tool can move on to another target when a node refuses with not-run because it drains or has just started, and avoids that target for a second.

--- a/cmd/valveslip/demo.go
+++ b/cmd/valveslip/demo.go
@@ -24,6 +24,7 @@
 func demoCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
 	once := flags.Bool("once", false, "send a bounded mixed load, print a table and exit; non-zero when a promise broke")
+	rolling := flags.Bool("rolling-restart", false, "restart every node under load, print a table and exit; non-zero when a promise broke")
 	addressesFile := flags.String("addresses-file", "", "write the addresses as JSON to this file when ready")
 	verbose := flags.Bool("verbose", false, "log every event to standard error")
 	return &ffcli.Command{
@@ -31,12 +32,12 @@
 		ShortHelp: "run a whole deployment over loopback: platform stand-ins, engines and nodes in three zones",
 		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix("VALVESLIP_DEMO")},
 		Exec: func(ctx context.Context, _ []string) error {
-			return runDemo(ctx, *once, *addressesFile, *verbose)
+			return runDemo(ctx, *once, *rolling, *addressesFile, *verbose)
 		},
 	}
 }
 
-func runDemo(ctx context.Context, once bool, addressesFile string, verbose bool) error {
+func runDemo(ctx context.Context, once, rolling bool, addressesFile string, verbose bool) error {
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	logger := slog.New(slog.DiscardHandler)
@@ -54,6 +55,9 @@
 	if once {
 		return runDemoOnce(ctx, running)
 	}
+	if rolling {
+		return runRollingRestart(ctx, running, logger)
+	}
 	<-ctx.Done()
 	return running.Stop()
 }
@@ -81,6 +85,31 @@
 	return nil
 }
 
+// runRollingRestart restarts every node under load and prints what it showed.
+func runRollingRestart(ctx context.Context, running *demo.Demo, logger *slog.Logger) error {
+	var progress io.Writer
+	if isTerminal(os.Stderr) {
+		progress = os.Stderr
+	}
+	outcome, err := running.RollingRestart(ctx, logger, progress)
+	if stopErr := running.Stop(); stopErr != nil {
+		outcome.Broken = append(outcome.Broken, "a planned stop cut requests off: "+stopErr.Error())
+	}
+	if err != nil {
+		return err
+	}
+	if err := outcome.Load.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	fmt.Printf("drains %v, starts %v\n", outcome.Drains, outcome.Starts)
+	fmt.Printf("revisions stored meanwhile %d, configurations stepped back %d\n", outcome.Revisions, outcome.SteppedBack)
+	fmt.Printf("promises broken: %d\n", len(outcome.Broken))
+	if len(outcome.Broken) > 0 {
+		return &exitError{code: exitBroken, err: fmt.Errorf("broken: %s", strings.Join(outcome.Broken, "; "))}
+	}
+	return nil
+}
+
 // printOutcome prints the load's table and what the engines counted.
 func printOutcome(out io.Writer, outcome demo.Outcome) error {
 	if err := outcome.Load.WriteTable(out); err != nil {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -94,9 +94,16 @@
 
 // startNode starts one node; its only seeds are the nodes before it.
 func (d *Demo) startNode(logger *slog.Logger, index int, seeds []string) (*shell.Node, error) {
+	return d.startNodeAt(logger, index, seeds, cluster.Node{
+		CallerAddress: loopback, AdminAddress: loopback, PeerAddress: loopback,
+	})
+}
+
+// startNodeAt starts one node that listens at the given addresses.
+func (d *Demo) startNodeAt(logger *slog.Logger, index int, seeds []string, at cluster.Node) (*shell.Node, error) {
 	config := node.Config{
 		Zone: zoneName(index % zoneCount), Region: regionName,
-		CallerAddress: loopback, AdminAddress: loopback, PeerAddress: loopback, Seeds: seeds,
+		CallerAddress: at.CallerAddress, AdminAddress: at.AdminAddress, PeerAddress: at.PeerAddress, Seeds: seeds,
 		KeyValueURL: d.platform.keyValueListener.URL(), MachineListURL: d.platform.listListener.URL(),
 		WeightStoreURL: d.platform.storeListener.URL(),
 		DrainTime:      drainTime, MaxBodyBytes: 4 << 20,
--- a/experiment/load/answer.go
+++ b/experiment/load/answer.go
@@ -53,8 +53,20 @@
 	gaps   []time.Duration
 	tokens int
 	detail string
+	// moved is true when another target had not taken the request.
+	moved bool
 }
 
+// movable reports whether the request certainly did not run and should go to
+// another node: this one could not be reached, drains or has just started.
+func (r *result) movable() bool {
+	elsewhere := r.code == string(verdict.CodeNodeDraining) || r.code == string(verdict.CodeUnavailable)
+	return r.end == endUnreachable || r.end == endRefused && elsewhere
+}
+
+// reset forgets the refusal of a request that moves on.
+func (r *result) reset() { *r = result{moved: true} }
+
 // errorObject is OpenAI's error object with the verdict.
 type errorObject struct {
 	Code    string `json:"code"`
--- a/experiment/load/config.go
+++ b/experiment/load/config.go
@@ -38,6 +38,9 @@
 	// at once, to two targets when there are two. They are counted as not
 	// repeatable: the two may run once together.
 	RepeatShare float64
+	// MoveOn sends a request that a draining node refused, or that reached no
+	// node, to the next target, until its time is over.
+	MoveOn bool
 	// MaxTokens of each answer, 16 by default, and PromptBytes of each prompt,
 	// 128 by default.
 	MaxTokens, PromptBytes int
--- a/experiment/load/report.go
+++ b/experiment/load/report.go
@@ -35,6 +35,9 @@
 	// they ran or may have. Both by code.
 	Refused map[string]int `json:"refused"`
 	Failed  map[string]int `json:"failed"`
+	// Moved requests went on to another target: the first was draining or could
+	// not be reached.
+	Moved int `json:"moved"`
 	// Cancelled requests were left by their caller on purpose.
 	Cancelled int `json:"cancelled"`
 	// Broken connections, and targets that could not be reached.
@@ -146,6 +149,9 @@
 	defer t.mu.Unlock()
 	t.counts.Requests++
 	t.tokens += ended.tokens
+	if ended.moved {
+		t.counts.Moved++
+	}
 	if !request.repeatable {
 		t.onceOnly[request.seed()] = struct{}{}
 	}
@@ -256,7 +262,7 @@
 func (r *Report) rows() [][]string {
 	count := func(name string, value int) []string { return []string{name, fmt.Sprint(value)} }
 	rows := [][]string{
-		count("requests", r.Requests), count("served", r.Served),
+		count("requests", r.Requests), count("served", r.Served), count("moved to another target", r.Moved),
 	}
 	rows = append(rows, byCode("refused as not run", r.Refused)...)
 	rows = append(rows, byCode("failed", r.Failed)...)
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,9 @@
 const (
 	dialTimeout = 5 * time.Second
 	idleTimeout = 30 * time.Second
+	// avoidTime is how long a target that sent a request on gets no other, and
+	// the pause when all have.
+	avoidTime = time.Second
 	// headerRepeatable says whether a request may run twice.
 	headerRepeatable     = "X-Valveslip-Repeatable"
 	headerIdempotencyKey = "Idempotency-Key"
@@ -53,6 +57,7 @@
 
 	mu      sync.Mutex
 	started map[string]bool // models whose first answer has begun
+	avoided map[string]time.Time
 }
 
 func newRunner(config Config) *runner {
@@ -63,7 +68,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      bufferBytes,
 	}
-	runner := &runner{config: config, http: &http.Client{Transport: transport}, tally: newTally(), started: map[string]bool{}}
+	runner := &runner{config: config, http: &http.Client{Transport: transport}, tally: newTally(), started: map[string]bool{},
+		avoided: map[string]time.Time{}}
 	for _, model := range config.Warm {
 		runner.started[model] = true
 	}
@@ -164,7 +170,17 @@
 		timer := time.AfterFunc(r.config.CancelAfter, leave)
 		defer timer.Stop()
 	}
+	request.target = r.usable(request.target)
 	r.exchange(leaving, request, result, leave)
+	for moves := 1; r.config.MoveOn && result.movable() && leaving.Err() == nil; moves++ {
+		r.avoid(request.target)
+		if moves%len(r.config.Targets) == 0 && !sleepUntil(leaving, time.Now().Add(avoidTime)) {
+			break
+		}
+		result.reset()
+		request.target = r.usable(r.nextTarget(request.target))
+		r.exchange(leaving, request, result, leave)
+	}
 	result.total = time.Since(request.due)
 	switch {
 	case result.end != endBroken && result.end != endUnreachable:
@@ -176,6 +192,33 @@
 	return result
 }
 
+// avoid keeps requests away from a target for a while.
+func (r *runner) avoid(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoided[target] = time.Now().Add(avoidTime)
+}
+
+// usable is the target, or the next one that is not avoided, if there is one.
+func (r *runner) usable(target string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, chosen := time.Now(), target
+	for range r.config.Targets {
+		if !now.Before(r.avoided[chosen]) {
+			return chosen
+		}
+		chosen = r.nextTarget(chosen)
+	}
+	return target
+}
+
+// nextTarget is the one that follows the given one.
+func (r *runner) nextTarget(target string) string {
+	at := slices.Index(r.config.Targets, target)
+	return r.config.Targets[(at+1)%len(r.config.Targets)]
+}
+
 // exchange sends one request, reads its answer and records how it ended.
 func (r *runner) exchange(ctx context.Context, request *request, result *result, leave func()) {
 	var connected atomic.Bool
