Tell routers only what is news of a cell

Change: a load report is told once, when the work changed by an eighth of the slots or 6 s have passed; a full status is sent when the set of allotted models changes; statuses keep 20 ms apart.

--- a/node/controller.go
+++ b/node/controller.go
@@ -325,7 +325,7 @@
 }
 
 func (r *cellRole) settingsChanged()  { r.replan = true }
-func (r *cellRole) allotmentChanged() { r.replan, r.publisher.fullDue = true, true }
+func (r *cellRole) allotmentChanged() { r.replan, r.publisher.changed = true, true }
 
 func (r *cellRole) demandReceived(demand wire.Demand) {
 	if r.controller.Holding() {
--- a/node/status.go
+++ b/node/status.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +8,11 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
+// publishSpacing keeps statuses apart, so that changes that come together travel
+// together and one message does not overtake another within a zone, which would
+// look like a loss and cost a full status.
+const publishSpacing = 20 * time.Millisecond
+
 // statusPublisher tells routers what this cell holds: changes at the next Tick,
 // everything when asked. Nodes of the own zone get it directly, with loads and
 // limit shares each statusInterval; other zones' controllers get it once and
@@ -18,9 +22,11 @@
 	local, remote statusStream
 	// fullDue makes the next status of both streams a full one.
 	fullDue bool
-	// lost counts, by model, the replicas on machines whose engines don't
-	// answer: they use up the allotment and serve nobody.
-	lost map[cluster.ModelID]int
+	// published is when something was last compared and sent.
+	published time.Time
+	// allotted lists the models that the zone may hold, as last told, sorted.
+	allotted []cluster.ModelID
+	news     loadNews
 	// changed is true when an inventory or the machine list changed since the
 	// records were last compared.
 	changed bool
@@ -38,7 +44,7 @@
 
 func newStatusPublisher(role *cellRole) *statusPublisher {
 	return &statusPublisher{
-		role: role, fullDue: true,
+		role: role, fullDue: true, news: newLoadNews(),
 		local:  statusStream{interval: statusInterval},
 		remote: statusStream{interval: remoteStatusInterval},
 	}
@@ -48,11 +54,12 @@
 func (p *statusPublisher) tick() {
 	now := p.role.core.now
 	idle := !p.changed && !p.fullDue && now.Before(p.local.next) && now.Before(p.remote.next)
-	if idle || !p.role.controller.Ready() {
+	if idle || now.Sub(p.published) < publishSpacing || !p.role.controller.Ready() {
 		return
 	}
-	if lost := p.countLost(); !maps.Equal(lost, p.lost) {
-		p.lost, p.fullDue = lost, true
+	p.published = now
+	if allotted := p.allottedModels(); !slices.Equal(allotted, p.allotted) {
+		p.allotted, p.fullDue = allotted, true
 	}
 	p.changed = false
 	current := p.records()
@@ -91,19 +98,25 @@
 	}
 }
 
-// full returns everything under the stream's present sequence number. A model
-// whose whole allotment is lost is left out, so that its demand goes to other
-// zones.
+// full returns everything under the stream's present sequence number.
 func (p *statusPublisher) full(stream *statusStream) wire.CellStatus {
 	status := p.status(stream, stream.published)
-	status.Full = true
+	status.Full, status.Allotted = true, p.allotted
+	return status
+}
+
+// allottedModels lists the models that the zone may hold, sorted. A model whose
+// whole allotment is lost is left out, so that its demand goes to other zones.
+func (p *statusPublisher) allottedModels() []cluster.ModelID {
+	lost := p.countLost()
 	allotment := p.role.core.keyValue.allotments[p.role.core.self.Zone]
+	models := make([]cluster.ModelID, 0, len(allotment.Models))
 	for i := range allotment.Models {
-		if allotment.Models[i].MaxReplicas > p.lost[allotment.Models[i].Model] {
-			status.Allotted = append(status.Allotted, allotment.Models[i].Model)
+		if model := &allotment.Models[i]; model.MaxReplicas > lost[model.Model] {
+			models = append(models, model.Model)
 		}
 	}
-	return status
+	return models
 }
 
 // publishLocal tells the live nodes of the own zone, each with its limit shares,
@@ -215,7 +228,8 @@
 	return records
 }
 
-// countLost counts the replicas on machines whose engines don't answer.
+// countLost counts, by model, the replicas on machines whose engines don't
+// answer: they use up the allotment and serve nobody.
 func (p *statusPublisher) countLost() map[cluster.ModelID]int {
 	lost := map[cluster.ModelID]int{}
 	for _, inventory := range p.role.controller.Inventories() {
@@ -243,21 +257,6 @@
 	return max(at.Sub(p.role.core.now), 0)
 }
 
-func (p *statusPublisher) loads() []wire.MachineLoad {
-	var loads []wire.MachineLoad
-	for _, inventory := range p.role.controller.Inventories() {
-		report, ok := p.role.loads[inventory.Machine]
-		if !ok || report.Running == 0 && report.Queued == 0 {
-			continue
-		}
-		loads = append(loads, wire.MachineLoad{
-			Machine: inventory.Machine, Running: report.Running, Queued: report.Queued,
-			Age: p.role.core.now.Sub(report.At),
-		})
-	}
-	return loads
-}
-
 // difference lists the records of after that differ from before, and those that
 // are gone as absent. Both are sorted alike; a changed ReadyIn alone is no
 // difference.
