Report demand each 3 s while nothing waits

Cause: every router sent its whole demand each second, which was 25 of the 62 KB/s of a zone controller at the two-year size; running requests alone change no decision within seconds. Change: reports follow each other after 1 s while requests wait, else after 3 s; a model that begins to wait is still reported at once.

--- a/node/core.go
+++ b/node/core.go
@@ -20,10 +20,12 @@
 const (
 	// TickInterval is how often shells send a Tick.
 	TickInterval = 100 * time.Millisecond
-	// demandInterval is how often a router reports its demand when nothing new
-	// waits; a model that begins to wait is reported at once, newsSpacing apart.
-	demandInterval = time.Second
-	newsSpacing    = 25 * time.Millisecond
+	// demandInterval is how often a router reports its demand while requests
+	// wait, quietDemandInterval how often it does while none does; a model that
+	// begins to wait is reported at once, newsSpacing apart.
+	demandInterval      = time.Second
+	quietDemandInterval = 3 * time.Second
+	newsSpacing         = 25 * time.Millisecond
 	// idleDemandInterval is how often an empty report is repeated.
 	idleDemandInterval = 10 * time.Second
 	// statusInterval is how often a controller publishes its cell's status in
--- a/node/demand.go
+++ b/node/demand.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -50,8 +51,11 @@
 // sendDemand sends this router's demand to the zones that should load the
 // models.
 func (c *Core) sendDemand() {
-	c.demand.last, c.demand.next = c.now, c.now.Add(demandInterval)
+	c.demand.last, c.demand.next = c.now, c.now.Add(quietDemandInterval)
 	demand := c.router.Demand(c.now, true)
+	if slices.ContainsFunc(demand.Models, func(m wire.ModelDemand) bool { return m.Waiting > 0 }) {
+		c.demand.next = c.now.Add(demandInterval)
+	}
 	perZone := c.divideDemand(demand.Models)
 	for _, zone := range append([]cluster.ZoneID(nil), c.cells.order...) {
 		c.tellZone(zone, perZone[zone], demand.Scopes)
