Publish cell statuses each 2 s and zone reports each 5 s

Cause: engines' load reports are read each 2 s, so a status each second told nothing new; the reports of 17 zones each 2 s were a third of the apportioner's bytes. Change: statuses without changes each 2 s, changes at once as before; zone reports each 5 s, and at once when the zone acts on another allotment.

--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -19,13 +19,15 @@
 	core  *Core
 	lease *leaseSession
 
-	renewDue   time.Time
-	standDue   time.Time
-	reportDue  time.Time
-	dueAt      time.Time
-	presence   *authority.Presence
-	reports    map[cluster.ZoneID]zoneReport
-	planWanted map[cluster.ModelID]int
+	renewDue  time.Time
+	standDue  time.Time
+	reportDue time.Time
+	// reportedRevision is the allotment's revision in the last report.
+	reportedRevision int64
+	dueAt            time.Time
+	presence         *authority.Presence
+	reports          map[cluster.ZoneID]zoneReport
+	planWanted       map[cluster.ModelID]int
 	// writing is true while a division's transaction has no answer.
 	writing bool
 }
@@ -129,9 +131,11 @@
 // report tells the apportioner what this cell holds and wants. Models with
 // neither are left out.
 func (r *apportionerRole) report() {
-	if r.core.now.Before(r.reportDue) {
+	revision := r.core.cellRole.controller.AllotmentRevision()
+	if r.core.now.Before(r.reportDue) && revision == r.reportedRevision {
 		return
 	}
+	r.reportedRevision = revision
 	r.reportDue = r.core.now.Add(zoneReportInterval)
 	report := r.ownReport()
 	if r.holding() {
--- a/node/core.go
+++ b/node/core.go
@@ -30,7 +30,7 @@
 	idleDemandInterval = 10 * time.Second
 	// statusInterval is how often a controller publishes its cell's status in
 	// its own zone; changes are published at the next Tick.
-	statusInterval = time.Second
+	statusInterval = 2 * time.Second
 	// remoteStatusInterval is the same towards other zones.
 	remoteStatusInterval = 10 * time.Second
 	// planInterval is how often a controller plans when nothing has changed;
@@ -44,8 +44,9 @@
 	storeStatusInterval = time.Second
 	// loadReportInterval is how often a controller reads engines' reports.
 	loadReportInterval = 2 * time.Second
-	// zoneReportInterval is how often a controller reports to the apportioner.
-	zoneReportInterval = 2 * time.Second
+	// zoneReportInterval is how often a controller reports to the apportioner;
+	// when it begins to act on another allotment it reports at once.
+	zoneReportInterval = 5 * time.Second
 	// apportionInterval is how often the apportioner divides replica counts.
 	apportionInterval = 2 * time.Second
 	// cellStatusTimeout is when a cell whose status has not come is lost to a
