Copy KV caches off machines that leave with notice

A machine that left took the prefix caches of its replicas along. Models here have often one replica, so all conversations of one began anew.

When a machine's leaving was announced and another has loaded the same version of a model since, the controller has the cache copied (EngineMoveCache; the shell streams the export of one engine into the import of the other, engine.MoveKV) and tells the zone's routers (wire.CacheMoved), who take over what they know. Engines' export and import now carry the controller's token and the model's version; the stand-in refuses any but the sealed token and the loaded version, since a cache of another version would give wrong answers. TestKVMoves goes through MoveKV and also holds those refusals. The operation EngineCacheEvents, whose answer nobody used, is gone.

--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -278,7 +278,7 @@
 // engineOperations names the control calls.
 var engineOperations = map[node.EngineOperation]string{
 	node.EngineSeal: "seal", node.EngineOrder: "order", node.EngineInventory: "inventory",
-	node.EngineReport: "report", node.EngineCacheEvents: "cache events",
+	node.EngineReport: "report", node.EngineMoveCache: "move cache",
 }
 
 // fillShared computes what the shared things carried.
--- a/experiment/prefixes/engine.go
+++ b/experiment/prefixes/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
 )
 
 // Times of a modelled engine.
@@ -52,6 +53,14 @@
 	return &engine{world: w, id: id, cached: map[uint64]*list.Element{}, order: list.New()}
 }
 
+// record is what the cell's status says of the replica.
+func (e *engine) record(leaving bool) wire.ReplicaRecord {
+	return wire.ReplicaRecord{
+		Machine: e.id, Address: string(e.id), Model: model, Version: "v1", State: cluster.ReplicaLoaded,
+		Slots: e.world.options.Slots, Leaving: leaving,
+	}
+}
+
 // accept takes a run or refuses it for lack of a slot.
 func (e *engine) accept(r run) bool {
 	if e.gone || e.running >= e.world.options.Slots {
--- a/experiment/prefixes/options.go
+++ b/experiment/prefixes/options.go
@@ -71,8 +71,12 @@
 	// EventBudget of WayEventsBounded, in bytes a second and router. Default
 	// 2,048.
 	EventBudget int
-	// Leaves is the number of machines replaced by empty ones in the middle.
+	// Leaves is the number of machines replaced by empty ones in the middle, with
+	// notice.
 	Leaves int
+	// MoveCaches gives the replacements the caches of the machines before them, a
+	// second after the leaving is announced and whole, and tells the routers.
+	MoveCaches bool
 	// PrefixBlockTime as routing's setting; 0 means its default.
 	PrefixBlockTime time.Duration
 }
--- a/experiment/prefixes/prefixes_test.go
+++ b/experiment/prefixes/prefixes_test.go
@@ -78,3 +78,24 @@
 		}
 	}
 }
+
+// BenchmarkMove compares the minute after machines left, three of twelve and the
+// only one, with caches lost and with caches moved whole and at once.
+func BenchmarkMove(b *testing.B) {
+	for _, situation := range []Options{{Leaves: 3}, {Machines: 1, Sessions: 0.5, Leaves: 1}} {
+		for _, moved := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d_leave/moved=%t", situation.Leaves, moved), func(b *testing.B) {
+				var p50, p95 time.Duration
+				for i := range b.N {
+					options := situation
+					options.Seed, options.MoveCaches, options.Length = uint64(i%5)+1, moved, 2*time.Minute
+					result := Run(options)
+					p50, p95 = p50+result.AfterP50, p95+result.AfterP95
+				}
+				b.ReportMetric(float64(p50.Milliseconds())/float64(b.N), "ms-p50")
+				b.ReportMetric(float64(p95.Milliseconds())/float64(b.N), "ms-p95")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- a/experiment/prefixes/world.go
+++ b/experiment/prefixes/world.go
@@ -29,17 +29,21 @@
 
 // world is one run.
 type world struct {
-	options  Options
-	now      int64
-	queue    schedule
-	routers  []*routing.Router
-	engines  []*engine
-	byID     map[cluster.MachineID]*engine
-	turns    map[cluster.RequestID]*turn
-	callers  *callers
-	news     *news
-	status   uint64
-	measured measured
+	options Options
+	now     int64
+	queue   schedule
+	routers []*routing.Router
+	engines []*engine
+	// leaving are the machines whose end was announced.
+	leaving []*engine
+	byID    map[cluster.MachineID]*engine
+	turns   map[cluster.RequestID]*turn
+	callers *callers
+	news    *news
+	status  uint64
+	// replacedAt is when machines were replaced, zero before.
+	replacedAt int64
+	measured   measured
 }
 
 // Run plays one way and returns what it measured.
@@ -98,13 +102,36 @@
 	w.byID[added.id] = added
 }
 
-// replace takes a machine away and puts an empty one in its place.
+// notice is how long a machine stays after its leaving is announced. Its
+// replacement is loaded from the beginning of it.
+const notice = 10 * time.Second
+
+// replace announces the end of a machine and puts an empty one in its place.
 func (w *world) replace(place int) {
 	old := w.engines[place]
-	old.gone = true
 	added := newEngine(w, old.id+"-next")
+	w.leaving = append(w.leaving, old)
 	w.engines[place] = added
 	w.byID[added.id] = added
+	w.replacedAt = w.now
+	if w.options.MoveCaches {
+		w.after(statusInterval+hop, func() { w.move(old, added) })
+	}
+	w.after(notice, func() {
+		old.gone = true
+		w.leaving = slices.DeleteFunc(w.leaving, func(e *engine) bool { return e == old })
+	})
+}
+
+// move gives a replacement the cache of the machine before it, and tells the
+// routers.
+func (w *world) move(from, to *engine) {
+	for element := from.order.Front(); element != nil; element = element.Next() {
+		to.insert([]uint64{element.Value.(uint64)})
+	}
+	for i := range w.routers {
+		w.step(i, routing.CacheMoved{Model: model, From: from.id, To: to.id})
+	}
 }
 
 // publishStatus tells all routers what is loaded, and loads a second old.
@@ -112,12 +139,13 @@
 	w.status++
 	status := wire.CellStatus{Zone: zone, Token: 1, Sequence: w.status, Full: true}
 	for _, e := range w.engines {
-		status.Replicas = append(status.Replicas, wire.ReplicaRecord{
-			Machine: e.id, Address: string(e.id), Model: model, Version: "v1", State: cluster.ReplicaLoaded, Slots: w.options.Slots,
-		})
+		status.Replicas = append(status.Replicas, e.record(false))
 		status.Loads = append(status.Loads, wire.MachineLoad{Machine: e.id, Running: e.reported, Age: statusInterval})
 		e.reported = e.running
 	}
+	for _, e := range w.leaving {
+		status.Replicas = append(status.Replicas, e.record(true))
+	}
 	for i := range w.routers {
 		w.step(i, routing.CellStatusChanged{Status: status})
 	}
@@ -186,7 +214,11 @@
 func (w *world) firstToken(r run) {
 	w.step(r.router, routing.FirstByteSent{Request: cluster.RequestID(r.turn.id)})
 	if w.warm() {
-		w.measured.first = append(w.measured.first, time.Duration(w.now-r.turn.arrived)+hop)
+		first := time.Duration(w.now-r.turn.arrived) + hop
+		w.measured.first = append(w.measured.first, first)
+		if w.replacedAt != 0 && r.turn.arrived-w.replacedAt < int64(aftermath) && r.turn.arrived >= w.replacedAt {
+			w.measured.after = append(w.measured.after, first)
+		}
 	}
 }
 
--- a/node/controller.go
+++ b/node/controller.go
@@ -42,6 +42,7 @@
 	demand     *demandLedger
 	publisher  *statusPublisher
 	prefixes   prefixRelay
+	moves      cacheMoves
 	store      weights.Status
 	loads      map[cluster.MachineID]cluster.LoadReport
 	// vacantSince is when the zone was first seen without a live controller.
@@ -95,6 +96,7 @@
 	r.demand = newDemandLedger()
 	r.publisher = newStatusPublisher(r)
 	r.prefixes = newPrefixRelay()
+	r.moves = newCacheMoves()
 	r.loads = map[cluster.MachineID]cluster.LoadReport{}
 	r.expected = map[replicaKey]time.Time{}
 	r.seen = map[cluster.MachineID]inventoryVersion{}
@@ -223,6 +225,7 @@
 	r.plan()
 	r.publisher.tick()
 	r.relayPrefixes()
+	r.moveCaches()
 }
 
 // poll reads the platform at fixed intervals.
@@ -257,7 +260,8 @@
 			r.loads[answer.Report.Machine] = answer.Report
 		}
 		return
-	case EngineCacheEvents:
+	case EngineMoveCache:
+		r.cacheMoved(&answer)
 		return
 	}
 	if answer.Call.Token != r.controller.Token() || !r.controller.Holding() {
--- a/node/core.go
+++ b/node/core.go
@@ -212,6 +212,10 @@
 		c.cellRole.statusRequested(m)
 	case wire.SentPrefixes:
 		c.prefixesReceived(m)
+	case wire.CacheMoved:
+		if m.Zone == c.self.Zone {
+			c.routing(routing.CacheMoved{Model: m.Model, From: m.Machine, To: m.Target})
+		}
 	case wire.ZoneReport:
 		c.apportion.reportReceived(m)
 	}
--- a/node/events.go
+++ b/node/events.go
@@ -56,7 +56,6 @@
 	Call      EngineCall
 	Inventory cluster.Inventory
 	Report    cluster.LoadReport
-	Events    []cluster.CacheEvent
 	Err       error
 }
 
@@ -139,7 +138,7 @@
 	EngineOrder
 	EngineInventory
 	EngineReport
-	EngineCacheEvents
+	EngineMoveCache
 )
 
 // EngineCall asks the shell to call an engine's control API.
@@ -148,8 +147,11 @@
 	Machine   cluster.Machine
 	Token     cluster.FencingToken
 	Order     cluster.Order
-	// After is the last seen cache event sequence.
-	After uint64
+	// Target, Model and Version of EngineMoveCache, which copies the KV cache of
+	// the model on Machine to Target.
+	Target  cluster.Machine
+	Model   cluster.ModelID
+	Version string
 }
 
 // ListMachines asks the shell to read the machine list.
--- a/node/prefixes.go
+++ b/node/prefixes.go
@@ -75,10 +75,14 @@
 		return
 	}
 	core.routing(routing.PrefixesTold{Groups: groups})
-	message := wire.SentPrefixes{From: core.self.ID, Zone: core.self.Zone, Relayed: true, Groups: groups}
-	for _, member := range core.members.Members() {
-		if member.Node.Zone == core.self.Zone && r.alive(member.Node.ID) {
-			core.send(member.Node.PeerAddress, message)
+	r.tellZone(wire.SentPrefixes{From: core.self.ID, Zone: core.self.Zone, Relayed: true, Groups: groups})
+}
+
+// tellZone sends a message to the other live nodes of the zone.
+func (r *cellRole) tellZone(message wire.Message) {
+	for _, member := range r.core.members.Members() {
+		if member.Node.Zone == r.core.self.Zone && r.alive(member.Node.ID) {
+			r.core.send(member.Node.PeerAddress, message)
 		}
 	}
 }
--- a/node/shell/calls.go
+++ b/node/shell/calls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform/engine"
 	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -15,10 +16,12 @@
 	keyValueQueue   = 256
 	keyValueTimeout = 5 * time.Second
 	// leaseTimeout bounds calls that are repeated while a lease runs.
-	leaseTimeout     = 2 * time.Second
-	engineWorkers    = 32
-	engineQueue      = 4096
-	engineTimeout    = 5 * time.Second
+	leaseTimeout  = 2 * time.Second
+	engineWorkers = 32
+	engineQueue   = 4096
+	engineTimeout = 5 * time.Second
+	// moveTimeout bounds the move of a KV cache.
+	moveTimeout      = 20 * time.Second
 	platformWorkers  = 2
 	platformQueue    = 8
 	platformTimeout  = 5 * time.Second
@@ -88,7 +91,11 @@
 // callEngine makes a control call to an engine in the background.
 func (n *Node) callEngine(call node.EngineCall) {
 	queued := n.enginePool.submit(func() {
-		ctx, cancel := context.WithTimeout(n.context, engineTimeout)
+		timeout := engineTimeout
+		if call.Operation == node.EngineMoveCache {
+			timeout = moveTimeout
+		}
+		ctx, cancel := context.WithTimeout(n.context, timeout)
 		defer cancel()
 		began := time.Now()
 		answer := n.answerEngine(ctx, call)
@@ -113,8 +120,10 @@
 		answer.Inventory, answer.Err = control.Inventory(ctx, address)
 	case node.EngineReport:
 		answer.Report, answer.Err = control.Report(ctx, address)
-	case node.EngineCacheEvents:
-		answer.Events, answer.Err = control.CacheEvents(ctx, address, call.After)
+	case node.EngineMoveCache:
+		answer.Err = control.MoveKV(ctx, address, call.Target.Address, engine.KVCache{
+			Model: call.Model, Version: call.Version, Token: call.Token,
+		})
 	default:
 		answer.Err = verdict.New(verdict.NotRun, verdict.CodeInternal, "unknown engine operation %d", call.Operation)
 	}
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -38,6 +38,7 @@
 type EngineClient interface {
 	engine.Inference
 	engine.Control
+	engine.Mover
 }
 
 // Options replaces parts of a node; zero fields mean the real ones.
--- a/routing/affinity/index.go
+++ b/routing/affinity/index.go
@@ -61,6 +61,7 @@
 
 type block struct {
 	key     uint64
+	model   uint64
 	holders [holdersPerBlock]holder
 	// crowded is when a holder that surely had the block last gave its place to
 	// another machine: more hold the block than there are places.
@@ -138,13 +139,13 @@
 func (x *Index) Apply(nanos int64, event cluster.CacheEvent) {
 	known := x.machine(event.Machine)
 	late := known.advance(event.Sequence)
-	key := blockKey(modelKey(event.Model), event.PrefixHash)
+	model := modelKey(event.Model)
 	if event.Evicted {
-		x.remove(key, known)
+		x.remove(blockKey(model, event.PrefixHash), known)
 		return
 	}
 	if !late {
-		x.hold(nanos, key, known, 1)
+		x.hold(nanos, model, event.PrefixHash, known, 1)
 	}
 }
 
@@ -157,7 +158,7 @@
 		if length > len(prefixes) {
 			return
 		}
-		x.hold(nanos, blockKey(of, prefixes[length-1]), known, x.config.SentStrength)
+		x.hold(nanos, of, prefixes[length-1], known, x.config.SentStrength)
 	}
 }
 
@@ -264,10 +265,11 @@
 }
 
 // hold notes that a machine holds a block.
-func (x *Index) hold(nanos int64, key uint64, by *machine, strength float64) {
+func (x *Index) hold(nanos int64, model, prefix uint64, by *machine, strength float64) {
+	key := blockKey(model, prefix)
 	held := x.find(key)
 	if held == nil {
-		held = x.insert(key)
+		held = x.insert(key, model)
 	}
 	place := 0
 	lowest := math.Inf(1)
@@ -292,15 +294,15 @@
 }
 
 // insert adds a block, in place of the oldest when the index is full.
-func (x *Index) insert(key uint64) *block {
+func (x *Index) insert(key, model uint64) *block {
 	place := len(x.blocks)
 	if place < x.config.MaxBlocks {
-		x.blocks = append(x.blocks, block{key: key})
+		x.blocks = append(x.blocks, block{key: key, model: model})
 	} else {
 		place = x.next
 		x.next = (x.next + 1) % len(x.blocks)
 		x.drop(&x.blocks[place])
-		x.blocks[place].key, x.blocks[place].crowded = key, 0
+		x.blocks[place].key, x.blocks[place].model, x.blocks[place].crowded = key, model, 0
 	}
 	x.places[key] = int32(place)
 	return &x.blocks[place]
--- a/routing/prefixes.go
+++ b/routing/prefixes.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/routing/affinity"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -12,7 +13,15 @@
 // late and with gaps.
 type PrefixesTold struct{ Groups []wire.PrefixGroup }
 
+// CacheMoved says that the prefix cache of a model on one machine was copied to
+// another.
+type CacheMoved struct {
+	Model    cluster.ModelID
+	From, To cluster.MachineID
+}
+
 func (PrefixesTold) routingEvent() {}
+func (CacheMoved) routingEvent()   {}
 
 // SentPrefixes returns which prompts this router's engines have begun to answer
 // since the last call, at most maxUntold, for the other routers of the zone.
@@ -40,3 +49,11 @@
 		}
 	}
 }
+
+// cacheMoved takes the move of a cache to a machine that serves the model.
+func (r *Router) cacheMoved(moved CacheMoved) {
+	machine, model := r.machines[moved.To], r.models[moved.Model]
+	if machine != nil && model != nil && machine.replica(model) != nil {
+		r.prefixes.Moved(r.nanos, moved.Model, moved.From, moved.To)
+	}
+}
--- a/routing/prefixes_test.go
+++ b/routing/prefixes_test.go
@@ -59,6 +59,25 @@
 		{"model unknown", func(f *fixture) {
 			f.step(PrefixesTold{Groups: []wire.PrefixGroup{{Machine: "m05", Model: "other", Hashes: []uint64{4}}}})
 		}, false},
+		{"cache moved", func(f *fixture) {
+			f.step(told("m01", 4))
+			f.step(CacheMoved{Model: "chat", From: "m01", To: "m05"})
+			f.step(MachineLeaving{Machine: "m01"})
+		}, true},
+		{"cache of another model moved", func(f *fixture) {
+			f.step(told("m01", 4))
+			f.step(CacheMoved{Model: "other", From: "m01", To: "m05"})
+			f.step(MachineLeaving{Machine: "m01"})
+		}, false},
+		{"cache moved to a machine that is gone", func(f *fixture) {
+			f.step(told("m01", 4))
+			gone := loaded("m05", 64)
+			gone.State = cluster.ReplicaAbsent
+			f.status(false, gone)
+			f.step(CacheMoved{Model: "chat", From: "m01", To: "m05"})
+			f.status(false, loaded("m05", 64))
+			f.step(MachineLeaving{Machine: "m01"})
+		}, false},
 		{"machine leaving", func(f *fixture) { f.step(told("m05", 4)); f.step(MachineLeaving{Machine: "m05"}) }, false},
 		{"engine restarted", func(f *fixture) {
 			f.step(told("m05", 4))
--- a/routing/router.go
+++ b/routing/router.go
@@ -129,6 +129,8 @@
 		r.cacheEvents(event.Events)
 	case PrefixesTold:
 		r.prefixesTold(event.Groups)
+	case CacheMoved:
+		r.cacheMoved(event)
 	case Tick:
 	}
 }
--- a/simulation/cache.go
+++ b/simulation/cache.go
@@ -1,6 +1,11 @@
 package simulation
 
-import "github.com/valveslip/valveslip/cluster"
+import (
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/verdict"
+)
 
 // checkpointCache models the disk and host memory of one machine, each with
 // eviction of the least recently used checkpoint.
@@ -172,3 +177,19 @@
 	}
 	return newer
 }
+
+// moveCache copies the cached prefixes of a model to another engine; both must
+// follow the token and have the version loaded.
+func (e *Engine) moveCache(call node.EngineCall, target *Engine) error {
+	for _, each := range []*Engine{e, target} {
+		if each == nil || !each.Alive {
+			return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "engine unreachable")
+		}
+		held, ok := each.replicas[call.Model]
+		if each.token != call.Token || !ok || held.State != cluster.ReplicaLoaded || held.Version != call.Version {
+			return &engine.RefusedError{Reason: engine.ReasonInvalid}
+		}
+	}
+	target.prefixes.add(target.Machine.ID, call.Model, e.prefixes.order)
+	return nil
+}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -323,8 +323,8 @@
 		answered.Inventory = machine.Inventory()
 	case node.EngineReport:
 		answered.Report = machine.Report()
-	case node.EngineCacheEvents:
-		answered.Events = machine.CacheEvents(call.After)
+	case node.EngineMoveCache:
+		answered.Err = machine.moveCache(call, w.engines[call.Target.ID])
 	}
 	return answered
 }
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -112,9 +112,24 @@
 	Prefixes []uint64
 }
 
+// kvCall reads what a call of engine.PathKV names.
+func kvCall(request *http.Request) engine.KVCache {
+	query := request.URL.Query()
+	token, _ := strconv.ParseUint(query.Get("token"), 10, 64)
+	return engine.KVCache{
+		Model: cluster.ModelID(request.PathValue("model")), Version: query.Get("version"), Token: cluster.FencingToken(token),
+	}
+}
+
 func (s *Server) exportKV(writer http.ResponseWriter, request *http.Request) {
-	cache := kvCache{Model: cluster.ModelID(request.PathValue("model"))}
-	s.Do(func(now time.Time, state *State) { cache.Prefixes = state.ExportKV(now, cache.Model) })
+	named := kvCall(request)
+	cache := kvCache{Model: named.Model}
+	var refused *engine.OrderRefusal
+	s.Do(func(now time.Time, state *State) { cache.Prefixes, refused = state.ExportKV(now, named) })
+	if refused != nil {
+		writeJSON(writer, http.StatusConflict, refused)
+		return
+	}
 	writeJSON(writer, http.StatusOK, cache)
 }
 
@@ -123,8 +138,12 @@
 	if !decode(writer, request, &cache) {
 		return
 	}
-	model := cluster.ModelID(request.PathValue("model"))
-	s.Do(func(now time.Time, state *State) { state.ImportKV(now, model, cache.Prefixes) })
+	var refused *engine.OrderRefusal
+	s.Do(func(now time.Time, state *State) { refused = state.ImportKV(now, kvCall(request), cache.Prefixes) })
+	if refused != nil {
+		writeJSON(writer, http.StatusConflict, refused)
+		return
+	}
 	writer.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -66,18 +66,38 @@
 	return s.prefixes.after(now, after)
 }
 
-// ExportKV returns the cached prefixes of a model.
-func (s *State) ExportKV(now time.Time, model cluster.ModelID) []uint64 {
+// ExportKV returns the cached prefixes of a model, or why it refuses to.
+func (s *State) ExportKV(now time.Time, cache engine.KVCache) ([]uint64, *engine.OrderRefusal) {
 	s.Advance(now)
-	return s.prefixes.hashes(model)
+	if refused := s.admitKV(cache); refused != nil {
+		return nil, refused
+	}
+	return s.prefixes.hashes(cache.Model), nil
 }
 
-// ImportKV caches the prefixes that another engine exported.
-func (s *State) ImportKV(now time.Time, model cluster.ModelID, hashes []uint64) {
+// ImportKV caches the prefixes that another engine exported, or says why not.
+func (s *State) ImportKV(now time.Time, cache engine.KVCache, hashes []uint64) *engine.OrderRefusal {
 	s.Advance(now)
-	if holder := s.find(model); holder != nil && holder.State == cluster.ReplicaLoaded {
-		s.prefixes.insert(now, model, hashes)
+	if refused := s.admitKV(cache); refused != nil {
+		return refused
+	}
+	s.prefixes.insert(now, cache.Model, hashes)
+	return nil
+}
+
+// admitKV refuses other tokens than the one the engine was last sealed with, and
+// caches of a model or a version that is not loaded: they would give wrong
+// answers.
+func (s *State) admitKV(cache engine.KVCache) *engine.OrderRefusal {
+	switch holder := s.find(cache.Model); {
+	case cache.Token < s.token:
+		return &engine.OrderRefusal{Reason: engine.ReasonStaleToken, Token: s.token}
+	case cache.Token > s.token || s.token == 0:
+		return &engine.OrderRefusal{Reason: engine.ReasonNotSealed, Token: s.token}
+	case holder == nil || holder.State != cluster.ReplicaLoaded || holder.Version != cache.Version:
+		return &engine.OrderRefusal{Reason: engine.ReasonInvalid, Token: s.token}
 	}
+	return nil
 }
 
 func sortCheckpoints(list []checkpoint) {
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -236,17 +236,30 @@
 	if answer, err := control.Run(ctx, long); err != nil || answer.Body.Close() != nil {
 		t.Fatal(err)
 	}
-	cache, err := control.ExportKV(ctx, from, "m")
-	if err != nil {
+	cache := engine.KVCache{Model: "m", Version: "1", Token: 5}
+	held := func() (prefixes []uint64) {
+		to.Do(func(now time.Time, state *standin.State) { prefixes, _ = state.ExportKV(now, cache) })
+		return prefixes
+	}
+	stale, other, absent := cache, cache, cache
+	stale.Token, other.Version, absent.Model = 4, "2", "n"
+	for _, wrong := range []engine.KVCache{stale, other, absent} {
+		if err := control.MoveKV(ctx, from, target, wrong); err == nil || len(held()) != 0 {
+			t.Fatalf("%+v was moved: %v", wrong, err)
+		}
+	}
+	if _, err := control.Seal(ctx, target, 6); err != nil {
 		t.Fatal(err)
 	}
-	if err := control.ImportKV(ctx, target, "m", cache); err != nil {
+	if err := control.MoveKV(ctx, from, target, cache); err == nil {
+		t.Fatal("a lapsed controller moved a cache to a machine that follows a later one")
+	}
+	if _, err := control.Seal(ctx, from, 6); err != nil {
 		t.Fatal(err)
 	}
-	moved := 0
-	to.Do(func(now time.Time, state *standin.State) { moved = len(state.ExportKV(now, "m")) })
-	if moved != 3 {
-		t.Fatalf("%d prefixes moved", moved)
+	cache.Token = 6
+	if err := control.MoveKV(ctx, from, target, cache); err != nil || len(held()) != 3 {
+		t.Fatalf("%d prefixes moved: %v", len(held()), err)
 	}
 }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -60,6 +60,7 @@
 	KindKeptAnswerRequest
 	KindKeptAnswer
 	KindSentPrefixes
+	KindCacheMoved
 )
 
 // layout ties a kind to its schema name and its record.
@@ -87,6 +88,7 @@
 	KindKeptAnswerRequest:     {"KeptAnswerRequest", func() record { return new(keptAnswerRequestRecord) }},
 	KindKeptAnswer:            {"KeptAnswer", func() record { return new(keptAnswerRecord) }},
 	KindSentPrefixes:          {"SentPrefixes", func() record { return new(sentPrefixesRecord) }},
+	KindCacheMoved:            {"CacheMoved", func() record { return new(cacheMovedRecord) }},
 }
 
 // toRecord returns the kind of message and its record.
@@ -129,6 +131,9 @@
 		return KindKeptAnswer, keptAnswerToRecord(m), nil
 	case SentPrefixes:
 		return KindSentPrefixes, sentPrefixesToRecord(m), nil
+	case CacheMoved:
+		rec := cacheMovedRecord(m)
+		return KindCacheMoved, &rec, nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -87,6 +87,7 @@
 			From: "node-a", Zone: "east-1", Relayed: true,
 			Groups: []PrefixGroup{{Machine: "machine-a", Model: "recall", Hashes: []uint64{1<<63 + 3, 4}}},
 		},
+		KindCacheMoved: CacheMoved{Zone: "east-1", Model: "recall", Machine: "machine-a", Target: "machine-b"},
 		KindKeptAnswer: KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
 }
@@ -95,7 +96,7 @@
 
 // since is the version in which a kind of message first appeared, where that
 // is later than the previous one.
-var since = map[Kind]int32{}
+var since = map[Kind]int32{KindCacheMoved: 3}
 
 // asVersion2 is the message as version 2 carries it.
 func asVersion2(message Message) Message {
--- a/wire/prefixes.go
+++ b/wire/prefixes.go
@@ -29,6 +29,20 @@
 
 func (SentPrefixes) message() {}
 
+// CacheMoved tells a zone's routers that the cache of a model on a machine that
+// leaves is on another machine too. It is a hint like SentPrefixes.
+type CacheMoved struct {
+	Zone            cluster.ZoneID
+	Model           cluster.ModelID
+	Machine, Target cluster.MachineID
+}
+
+func (CacheMoved) message() {}
+
+type cacheMovedRecord CacheMoved
+
+func (r *cacheMovedRecord) decoded() Message { return CacheMoved(*r) }
+
 // prefixHash is a hash on the wire, in big-endian order.
 type prefixHash [8]byte
 
