Load an adapter only once its base model is loaded

Change: the adapter's memory is kept for it while the base model loads, and the base model stays while an adapter is wanted.

--- a/placement/check_test.go
+++ b/placement/check_test.go
@@ -105,9 +105,9 @@
 	if candidates := c.candidates(action.Model); len(candidates) > 0 && !slices.Contains(candidates, machine.ID) {
 		c.fail("%s on %s, not a candidate", action.Model, machine.ID)
 	}
-	if model.Base != "" && !planned[loadKey{machine.ID, model.Base}] {
+	if model.Base != "" {
 		base := c.slot(machine, model.Base)
-		if base == nil || base.State == cluster.ReplicaUnloading || base.Unknown {
+		if base == nil || base.State != cluster.ReplicaLoaded || base.Unknown {
 			c.fail("adapter %s without its base on %s", action.Model, machine.ID)
 		}
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -51,8 +51,10 @@
 // need is what a load takes on one machine.
 type need struct {
 	bytes int64
-	// withBase is set when the base model has to be loaded too.
+	// withBase is set when the base model has to be loaded first, baseLoading
+	// when that is under way.
 	withBase       bool
+	baseLoading    bool
 	tier, baseTier cluster.Tier
 	expected       time.Duration
 	remote         int
@@ -187,6 +189,9 @@
 	switch r.baseState(m, entry.base) {
 	case baseReady:
 		return result, true
+	case baseLoading:
+		result.baseLoading = true
+		return result, true
 	case baseBlocked:
 		return result, false
 	}
@@ -207,6 +212,7 @@
 const (
 	// baseAbsent means that it may be loaded there.
 	baseAbsent baseState = iota
+	baseLoading
 	baseReady
 	baseBlocked
 )
@@ -215,17 +221,20 @@
 // there, or neither.
 func (r *round) baseState(m, base int32) baseState {
 	if r.planned(m, base) {
-		return baseReady
+		return baseLoading
 	}
 	for i := range r.slotsOf(m) {
 		ref := &r.slotsOf(m)[i]
 		if ref.model != base {
 			continue
 		}
-		if ref.useful && !ref.slot.Unknown {
-			return baseReady
+		switch {
+		case !ref.useful:
+			return baseBlocked
+		case ref.slot.State != cluster.ReplicaLoaded || ref.slot.Unknown:
+			return baseLoading
 		}
-		return baseBlocked
+		return baseReady
 	}
 	model, entry := &r.models[base], &r.catalogue.entries[base]
 	if model.held >= model.limit || entry.pool != r.machines[m].pool {
--- a/placement/place.go
+++ b/placement/place.go
@@ -174,19 +174,19 @@
 	r.models[i].reason = reason
 }
 
-// load plans the load on the best machine, its base model before it. When the
-// store allows only the base now, the adapter follows in a later round.
+// load plans the load on the best machine. Engines take an adapter only once
+// its base model is loaded: until then the adapter's memory is kept for it and,
+// when need be, the base model is loaded.
 func (r *round) load(request *request, c *choice) {
 	i, best := request.model, c.top[0]
 	reason := r.loadReason(request)
 	r.explain(&reason, c)
 	if best.need.withBase {
-		base := r.catalogue.entries[i].base
-		r.loadOn(base, best.machine, best.need.baseTier, reason)
+		r.loadOn(r.catalogue.entries[i].base, best.machine, best.need.baseTier, reason)
 	}
-	if best.need.tier == cluster.TierRemote && !r.storeAllows(request.class) {
+	if best.need.withBase || best.need.baseLoading {
 		r.claim(best.machine, r.catalogue.entries[i].model.Policy.Memory)
-		r.models[i].reason = r.reason(i, CauseStoreLimit, "")
+		r.models[i].reason = r.reason(i, CauseBaseMissing, "")
 		return
 	}
 	r.loadOn(i, best.machine, best.need.tier, reason)
--- a/placement/want.go
+++ b/placement/want.go
@@ -34,6 +34,9 @@
 	for i := range r.models {
 		if base := r.catalogue.entries[i].base; base != none {
 			r.wantBase(base, min(r.models[i].reported, r.policyMax(base)))
+			if r.models[i].want > 0 {
+				r.models[base].keep = max(r.models[base].keep, 1)
+			}
 		}
 	}
 }
