Use one generic heap in place of five

Cause: five types implemented container/heap in the same twenty lines. Change: internal/binaryheap adds a type parameter; queue, timers, the simulation's kernel and the hollow nodes' agenda state only their order.

--- a/routing/queue/queue.go
+++ b/routing/queue/queue.go
@@ -8,7 +8,7 @@
 // long pause of another buys an advantage.
 package queue
 
-import "container/heap"
+import "github.com/valveslip/valveslip/internal/binaryheap"
 
 // Item is one waiting request. The owner embeds it, fills the exported fields
 // before Push and leaves them alone while the item is queued.
@@ -73,8 +73,8 @@
 // Head returns the item that Pop would return, or nil.
 func (q *Queue[T]) Head() *Item[T] {
 	for _, level := range q.levels {
-		if len(level.active) > 0 {
-			return level.active[0].items[0]
+		if level.active.Len() > 0 {
+			return level.active.First().items.First()
 		}
 	}
 	return nil
@@ -83,7 +83,7 @@
 // Pop removes and returns the next item, or nil.
 func (q *Queue[T]) Pop() *Item[T] {
 	for _, level := range q.levels {
-		if len(level.active) > 0 {
+		if level.active.Len() > 0 {
 			item := level.pop()
 			q.forget(item)
 			return item
@@ -124,8 +124,8 @@
 // it returns false. The queue must not be changed meanwhile.
 func (q *Queue[T]) Each(visit func(*Item[T]) bool) {
 	for _, level := range q.levels {
-		for _, team := range level.active {
-			for _, item := range team.items {
+		for _, team := range level.active.All() {
+			for _, item := range team.items.All() {
 				if !visit(item) {
 					return
 				}
@@ -139,8 +139,8 @@
 	var earliest int64
 	found := false
 	for _, level := range q.levels {
-		for _, team := range level.active {
-			if deadline := team.items[0].Deadline; !found || deadline < earliest {
+		for _, team := range level.active.All() {
+			if deadline := team.items.First().Deadline; !found || deadline < earliest {
 				earliest, found = deadline, true
 			}
 		}
@@ -191,7 +191,7 @@
 	priority int
 	teams    map[string]*team[T]
 	// active teams, those with items, ordered by start tag.
-	active      teamHeap[T]
+	active      binaryheap.Heap[*team[T]]
 	virtualTime float64
 	length      int
 	activations uint64
@@ -201,7 +201,7 @@
 type team[T any] struct {
 	level *level[T]
 	name  string
-	items itemHeap[T]
+	items binaryheap.Heap[*Item[T]]
 	// start tag of the next item, and finish tag of the last one served.
 	start, finish float64
 	activation    uint64
@@ -217,18 +217,18 @@
 		l.teams[item.Team] = owner
 	}
 	item.team = owner
-	heap.Push(&owner.items, item)
-	if len(owner.items) == 1 {
+	owner.items.Push(item)
+	if owner.items.Len() == 1 {
 		l.activations++
 		owner.activation = l.activations
 		owner.start = max(l.virtualTime, owner.finish)
-		heap.Push(&l.active, owner)
+		l.active.Push(owner)
 	}
 }
 
 func (l *level[T]) pop() *Item[T] {
-	owner := l.active[0]
-	item := heap.Pop(&owner.items).(*Item[T])
+	owner := l.active.First()
+	item := owner.items.Pop()
 	l.virtualTime = owner.start
 	owner.finish = owner.start + item.Cost
 	owner.start = owner.finish
@@ -238,18 +238,18 @@
 
 func (l *level[T]) remove(item *Item[T]) {
 	owner := item.team
-	heap.Remove(&owner.items, item.index)
+	owner.items.Remove(item.index)
 	l.settle(owner)
 }
 
 // settle restores the order of the active teams after owner lost an item.
 func (l *level[T]) settle(owner *team[T]) {
 	l.length--
-	if len(owner.items) > 0 {
-		heap.Fix(&l.active, owner.index)
+	if owner.items.Len() > 0 {
+		l.active.Fix(owner.index)
 		return
 	}
-	heap.Remove(&l.active, owner.index)
+	l.active.Remove(owner.index)
 	if l.length == 0 {
 		l.restart()
 	}
@@ -273,74 +273,34 @@
 // sweep forgets idle teams whose finish tag the virtual time has passed, once
 // they outnumber the active ones.
 func (l *level[T]) sweep() {
-	if len(l.teams) < maxIdleTeams || len(l.teams) < 2*len(l.active) {
+	if len(l.teams) < maxIdleTeams || len(l.teams) < 2*l.active.Len() {
 		return
 	}
 	for name, team := range l.teams {
-		if len(team.items) == 0 && team.finish <= l.virtualTime {
+		if team.items.Len() == 0 && team.finish <= l.virtualTime {
 			delete(l.teams, name)
 		}
 	}
 }
 
-// itemHeap orders by deadline, then arrival.
-type itemHeap[T any] []*Item[T]
-
-func (h itemHeap[T]) Len() int { return len(h) }
-
-func (h itemHeap[T]) Less(i, j int) bool {
-	if h[i].Deadline != h[j].Deadline {
-		return h[i].Deadline < h[j].Deadline
+// Before implements binaryheap.Element: by deadline, then arrival.
+func (i *Item[T]) Before(other *Item[T]) bool {
+	if i.Deadline != other.Deadline {
+		return i.Deadline < other.Deadline
 	}
-	return h[i].sequence < h[j].sequence
-}
-
-func (h itemHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	return i.sequence < other.sequence
 }
 
-func (h *itemHeap[T]) Push(value any) {
-	item := value.(*Item[T])
-	item.index = len(*h)
-	*h = append(*h, item)
-}
-
-func (h *itemHeap[T]) Pop() any {
-	last := len(*h) - 1
-	item := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return item
-}
+// Moved implements binaryheap.Element.
+func (i *Item[T]) Moved(index int) { i.index = index }
 
-// teamHeap orders by start tag, then activation.
-type teamHeap[T any] []*team[T]
-
-func (h teamHeap[T]) Len() int { return len(h) }
-
-func (h teamHeap[T]) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
+// Before implements binaryheap.Element: by start tag, then activation.
+func (t *team[T]) Before(other *team[T]) bool {
+	if t.start != other.start {
+		return t.start < other.start
 	}
-	return h[i].activation < h[j].activation
-}
-
-func (h teamHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	return t.activation < other.activation
 }
 
-func (h *teamHeap[T]) Push(value any) {
-	owner := value.(*team[T])
-	owner.index = len(*h)
-	*h = append(*h, owner)
-}
-
-func (h *teamHeap[T]) Pop() any {
-	last := len(*h) - 1
-	owner := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return owner
-}
+// Moved implements binaryheap.Element.
+func (t *team[T]) Moved(index int) { t.index = index }
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/binaryheap"
 	"github.com/valveslip/valveslip/routing/affinity"
 	"github.com/valveslip/valveslip/routing/limit"
 	"github.com/valveslip/valveslip/settings"
@@ -39,7 +40,7 @@
 	cells    map[cluster.ZoneID]*cell
 	regions  map[cluster.ZoneID]cluster.RegionID
 	requests map[cluster.RequestID]*request
-	timers   timerHeap
+	timers   binaryheap.Heap[*timer]
 	armings  uint64
 	// waiting counts waiting requests of all models.
 	waiting int
@@ -145,10 +146,10 @@
 // NextDeadline returns when the next time-out is due, or false without any. The
 // shell sends a Tick then.
 func (r *Router) NextDeadline() (time.Time, bool) {
-	if len(r.timers) == 0 {
+	if r.timers.Len() == 0 {
 		return time.Time{}, false
 	}
-	return time.Unix(0, r.timers[0].at), true
+	return time.Unix(0, r.timers.First().at), true
 }
 
 // InFlight counts the requests that have not finished, waiting ones included.
--- a/simulation/kernel.go
+++ b/simulation/kernel.go
@@ -1,12 +1,13 @@
 package simulation
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/valveslip/valveslip/internal/binaryheap"
 )
 
 // Epoch is the virtual time at which every simulation starts.
@@ -19,7 +20,7 @@
 type Kernel struct {
 	now      time.Time
 	seed     uint64
-	queue    eventQueue
+	queue    binaryheap.Heap[*event]
 	sequence uint64
 	executed uint64
 	digest   *xxhash.Digest
@@ -34,7 +35,6 @@
 	label    Label
 	run      func()
 	canceled bool
-	index    int
 }
 
 // Label names the kind of an event in the event log hash.
@@ -82,7 +82,7 @@
 	}
 	k.sequence++
 	scheduled := &event{at: at, sequence: k.sequence, label: label, run: run}
-	heap.Push(&k.queue, scheduled)
+	k.queue.Push(scheduled)
 	return Timer{event: scheduled}
 }
 
@@ -105,8 +105,8 @@
 // Run executes events until the queue is empty or the next one lies after
 // until; then the clock stands at until.
 func (k *Kernel) Run(until time.Time) {
-	for len(k.queue) > 0 && !k.queue[0].at.After(until) {
-		next := heap.Pop(&k.queue).(*event)
+	for k.queue.Len() > 0 && !k.queue.First().at.After(until) {
+		next := k.queue.Pop()
 		if next.canceled {
 			continue
 		}
@@ -137,38 +137,13 @@
 	_, _ = k.digest.Write(k.buffer[:])
 }
 
-// eventQueue is a heap ordered by time, then by order of scheduling.
-type eventQueue []*event
-
-// Len implements heap.Interface.
-func (q eventQueue) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
+// Before implements binaryheap.Element: by time, then by order of scheduling.
+func (e *event) Before(other *event) bool {
+	if !e.at.Equal(other.at) {
+		return e.at.Before(other.at)
 	}
-	return q[i].sequence < q[j].sequence
-}
-
-// Swap implements heap.Interface.
-func (q eventQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(item any) {
-	pushed := item.(*event)
-	pushed.index = len(*q)
-	*q = append(*q, pushed)
+	return e.sequence < other.sequence
 }
 
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	return last
-}
+// Moved implements binaryheap.Element; events are never moved or removed.
+func (e *event) Moved(int) {}
