Know a long dead controller for gone

Cause: members that have been dead for 2 min are forgotten, and the controller of a zone that stayed without one then counted as running again: after 2 min the zone's nodes heard no more of other zones and sent demand to a dead node. Change: a controller that is no known member is gone.

--- a/node/cells.go
+++ b/node/cells.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -282,8 +281,8 @@
 	if !claimed || claim.Node == c.self.ID {
 		return claimed
 	}
-	member, known := c.members.Member(claim.Node)
-	return !known || member.State != membership.StateDead && member.State != membership.StateLeaving
+	// A member that has been dead for long is forgotten.
+	return c.cellRole.alive(claim.Node)
 }
 
 func zoneHash(model cluster.ModelID, zone cluster.ZoneID) uint64 {
