Read the machine list before dispatching after a pause

Ruled out: the engine's refusal (engines that leave need not refuse), a check on Tick (requests come before it). Change: when more than 3 s lie between two events of a node, its router holds all dispatches until the machine list is read, at most 1 s; list and engines are asked at once.

--- a/node/core.go
+++ b/node/core.go
@@ -122,8 +122,10 @@
 // Step takes one event at the given time and returns the effects in the order
 // they must begin. The slice is valid until the next Step.
 func (c *Core) Step(now time.Time, event Event) []Effect {
+	last := c.now
 	c.now = now
 	c.effects = c.effects[:0]
+	c.notePause(last)
 	switch e := event.(type) {
 	case Tick:
 		c.tick()
--- a/node/machines.go
+++ b/node/machines.go
@@ -16,6 +16,10 @@
 	// themselves are asked whether they leave, each probeInterval.
 	listSilence   = 3 * time.Second
 	probeInterval = 2 * time.Second
+	// pauseGap between two events, which Ticks keep well below, means that this
+	// process stood still; verifyTime bounds the wait for the machine list then.
+	pauseGap   = 3 * time.Second
+	verifyTime = time.Second
 	// maxProbes bounds the engines asked at once; more are asked in turn.
 	maxProbes = 32
 )
@@ -58,6 +62,7 @@
 		return
 	}
 	c.machines.listed = c.now
+	defer c.routing(routing.DispatchesReleased{})
 	present := make(map[cluster.MachineID]bool, len(c.machines.leaving))
 	for i := range listed.Machines {
 		machine := &listed.Machines[i]
@@ -90,6 +95,18 @@
 	c.machines.probed += maxProbes
 }
 
+// notePause holds dispatches back after this process stood still: machines may
+// have left meanwhile, and requests that came during the pause are handled before
+// anything else is heard. The list and the engines are asked at once.
+func (c *Core) notePause(last time.Time) {
+	if last.IsZero() || c.now.Sub(last) < pauseGap {
+		return
+	}
+	c.routing(routing.DispatchesHeld{Until: c.now.Add(verifyTime)})
+	c.machines.due, c.machines.probeDue = time.Time{}, time.Time{}
+	c.pollMachines()
+}
+
 // noteLeaving tells the router of an engine that says that it leaves.
 func (c *Core) noteLeaving(answer *EngineAnswered) {
 	if answer.Err == nil && answer.Inventory.Leaving {
--- a/node/machines_test.go
+++ b/node/machines_test.go
@@ -26,9 +26,14 @@
 
 // dispatches reports whether a request for model m is dispatched at once.
 func dispatches(core *Core, now time.Time) bool {
-	for _, effect := range core.Step(now, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+	return holdsDispatch(core.Step(now, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
 		ID: "r", Model: "m", TokenPath: "/", Team: "/", Deadline: now.Add(time.Minute),
-	}}}) {
+	}}}))
+}
+
+// holdsDispatch reports whether one of the effects is a dispatch.
+func holdsDispatch(effects []Effect) bool {
+	for _, effect := range effects {
 		if output, ok := effect.(RoutingOutput); ok {
 			if _, is := output.Effect.(routing.Dispatch); is {
 				return true
@@ -80,3 +85,36 @@
 		}
 	}
 }
+
+// TestRequestsOfAPauseWaitForTheMachineList: the process stood still while a
+// machine began to leave; a request that came meanwhile is handled first.
+func TestRequestsOfAPauseWaitForTheMachineList(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		start := time.Unix(1_000_000, 0)
+		core := newRoutingCore(start)
+		resumed := start.Add(time.Minute)
+		if dispatches(core, resumed) {
+			t.Fatal("dispatched before the machine list was read again")
+		}
+		effects := core.Step(resumed.Add(10*time.Millisecond), MachinesListed{
+			Version: 1, Machines: []cluster.Machine{{ID: "a", Zone: "z", Leaving: leaving}},
+		})
+		if dispatched := holdsDispatch(effects); dispatched == leaving {
+			t.Errorf("leaving %v: dispatched %v", leaving, dispatched)
+		}
+	}
+}
+
+// TestHoldAfterAPauseEnds: with no list to be had, requests go on after
+// verifyTime.
+func TestHoldAfterAPauseEnds(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	core := newRoutingCore(start)
+	resumed := start.Add(time.Minute)
+	if dispatches(core, resumed) {
+		t.Fatal("dispatched before the machine list was read again")
+	}
+	if !holdsDispatch(core.Step(resumed.Add(verifyTime), Tick{})) {
+		t.Error("the request still waits")
+	}
+}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -150,6 +150,9 @@
 	if m.leaving() {
 		return FilterLeaving
 	}
+	if r.held() {
+		return FilterHeld
+	}
 	if r.nanos < m.ceilingUntil && m.inFlight >= m.ceiling {
 		return FilterRecent
 	}
--- a/routing/events.go
+++ b/routing/events.go
@@ -93,6 +93,13 @@
 	Zones         []ZoneRegion
 }
 
+// DispatchesHeld keeps all requests waiting until Until or DispatchesReleased,
+// because this process stood still and what it knows of machines is old.
+type DispatchesHeld struct{ Until time.Time }
+
+// DispatchesReleased ends DispatchesHeld.
+type DispatchesReleased struct{}
+
 // Tick lets time-outs pass. The shell sends one at least at NextDeadline.
 type Tick struct{}
 
@@ -107,6 +114,8 @@
 func (SettingsChanged) routingEvent()    {}
 func (DrainStarted) routingEvent()       {}
 func (RoutersChanged) routingEvent()     {}
+func (DispatchesHeld) routingEvent()     {}
+func (DispatchesReleased) routingEvent() {}
 func (Tick) routingEvent()               {}
 
 // Effect is an output of the core.
@@ -193,6 +202,7 @@
 	FilterTried    FilterCause = "already tried for this request"
 	FilterVersion  FilterCause = "other version"
 	FilterUnlisted FilterCause = "not in the cell's status"
+	FilterHeld     FilterCause = "this node stood still and reads the machine list first"
 )
 
 // Explanation is the recorded reason of a refusal or an end.
--- a/routing/router.go
+++ b/routing/router.go
@@ -58,6 +58,8 @@
 	routers, divided, rank int
 	dividedUntil           int64
 	draining               bool
+	// heldUntil is until when all dispatches wait, zero for not.
+	heldUntil int64
 	// statuses counts the accepted cell statuses.
 	statuses uint64
 
@@ -124,6 +126,12 @@
 		r.routersChanged(event)
 	case SettingsChanged:
 		r.settingsChanged(event.Snapshot)
+	case DispatchesHeld:
+		r.hold(event)
+	case DispatchesReleased:
+		r.endHold()
+	case Tick:
+		r.releaseDue()
 	case DrainStarted:
 		r.drain()
 	case CacheEventsArrived:
@@ -132,7 +140,6 @@
 		r.prefixesTold(event.Groups)
 	case CacheMoved:
 		r.cacheMoved(event)
-	case Tick:
 	}
 }
 
