Measure capacity at four sizes by default

Cause: with 1, 2 and 4 zones a zone controller that is not the apportioner exists at two sizes only. Change: 1, 2, 3 and 4 zones.

--- a/cmd/valveslip/experiment_capacity.go
+++ b/cmd/valveslip/experiment_capacity.go
@@ -21,7 +21,7 @@
 func experimentCapacityCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("valveslip experiment capacity", flag.ContinueOnError)
 	name := flags.String("scenario", "two-year", "scenario whose whole size is asked about")
-	zones := flags.String("zones", "1,2,4", "sizes to measure, in zones of the scenario")
+	zones := flags.String("zones", "1,2,3,4", "sizes to measure, in zones of the scenario")
 	settle := flags.Duration("settle", 3*time.Minute, "virtual time before measuring")
 	measure := flags.Duration("measure", 20*time.Second, "virtual time measured")
 	edits := flags.Int("edits", 5, "edits whose spread is timed")
