Name the users of leases and of the key-value service for what they do

Cause: leaseSession and keyValueSession said little: one acquires and renews a lease record, the other reads everything once and watches. Change: leaseClient and keyValueReader. Result: names only; tests pass.

--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -17,7 +17,7 @@
 // and every write compares the lease record, so a lapsed holder writes nothing.
 type apportionerRole struct {
 	core  *Core
-	lease *leaseSession
+	lease *leaseClient
 
 	renewDue  time.Time
 	standDue  time.Time
@@ -40,7 +40,7 @@
 func newApportionerRole(core *Core) *apportionerRole {
 	return &apportionerRole{
 		core:     core,
-		lease:    &leaseSession{core: core, key: keyApportioner, owner: string(core.self.ID), ttl: leaseTTL},
+		lease:    &leaseClient{core: core, key: keyApportioner, owner: string(core.self.ID), ttl: leaseTTL},
 		presence: authority.NewPresence(machineLag(core.config.Controller)),
 		reports:  map[cluster.ZoneID]zoneReport{},
 	}
--- a/node/controller.go
+++ b/node/controller.go
@@ -37,7 +37,7 @@
 type cellRole struct {
 	core       *Core
 	controller *authority.Controller
-	lease      *leaseSession
+	lease      *leaseClient
 	planner    placement.Planner
 	demand     *demandLedger
 	publisher  *statusPublisher
@@ -79,7 +79,7 @@
 		config.BusyInventoryInterval = busyInventoryInterval
 	}
 	role := &cellRole{core: core, controller: authority.NewController(config)}
-	role.lease = &leaseSession{
+	role.lease = &leaseClient{
 		core: core, key: keyCells + string(core.self.Zone), owner: string(core.self.ID), ttl: leaseTTL,
 	}
 	role.begin()
--- a/node/core.go
+++ b/node/core.go
@@ -84,7 +84,7 @@
 	replication *replication.Core
 	router      *routing.Router
 	cells       *cellDirectory
-	keyValue    *keyValueSession
+	keyValue    *keyValueReader
 	cellRole    *cellRole
 	apportion   *apportionerRole
 	demand      *demandReporter
@@ -113,7 +113,7 @@
 		demand:      newDemandReporter(),
 		machines:    newMachineWatch(),
 	}
-	c.keyValue = newKeyValueSession()
+	c.keyValue = newKeyValueReader()
 	c.cellRole = newCellRole(c)
 	c.apportion = newApportionerRole(c)
 	return c
--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -26,18 +26,18 @@
 
 // callPurpose says what the answer of a call is for.
 type callPurpose struct {
-	lease *leaseSession
-	// read is true for the range that a session begins with.
+	lease *leaseClient
+	// read is true for the range that reading begins with.
 	read bool
-	// watch is true for the session's watch.
+	// watch is true for the watch that follows it.
 	watch bool
 	// division is true for the apportioner's transaction.
 	division bool
 }
 
-// keyValueSession is this node's use of the key-value service besides leases:
+// keyValueReader is this node's use of the key-value service besides leases:
 // only controllers read everything once and watch from there.
-type keyValueSession struct {
+type keyValueReader struct {
 	nextID  uint64
 	pending map[uint64]callPurpose
 	// wanted is true while this node is a controller.
@@ -53,8 +53,8 @@
 	allotments map[cluster.ZoneID]cluster.Allotment
 }
 
-func newKeyValueSession() *keyValueSession {
-	return &keyValueSession{
+func newKeyValueReader() *keyValueReader {
+	return &keyValueReader{
 		pending:    map[uint64]callPurpose{},
 		allotments: map[cluster.ZoneID]cluster.Allotment{},
 	}
--- a/node/lease.go
+++ b/node/lease.go
@@ -9,7 +9,7 @@
 	"github.com/valveslip/valveslip/verdict"
 )
 
-// leaseState is the state of a leaseSession.
+// leaseState is the state of a leaseClient.
 type leaseState uint8
 
 const (
@@ -20,7 +20,7 @@
 	leaseRenewing
 )
 
-// leaseOutcome is what a leaseSession learned from an answer.
+// leaseOutcome is what a leaseClient learned from an answer.
 type leaseOutcome uint8
 
 const (
@@ -32,11 +32,11 @@
 	leaseNoAnswer
 )
 
-// leaseSession acquires, renews and releases one lease record in the key-value
+// leaseClient acquires, renews and releases one lease record in the key-value
 // service. The record's key exists only while its lease lives; the revision at
 // which it was created is the fencing token. A lost answer to the write is
 // settled by the next write, whose failed compare shows the record.
-type leaseSession struct {
+type leaseClient struct {
 	core  *Core
 	key   string
 	owner string
@@ -56,7 +56,7 @@
 }
 
 // acquire begins to take the lease when nothing is under way.
-func (s *leaseSession) acquire() {
+func (s *leaseClient) acquire() {
 	if s.state != leaseIdle {
 		return
 	}
@@ -69,7 +69,7 @@
 	s.core.keyValueCall(KeyValueCall{Operation: KeyValueGrant, TTL: s.ttl}, callPurpose{lease: s})
 }
 
-func (s *leaseSession) write() {
+func (s *leaseClient) write() {
 	s.state = leaseWriting
 	s.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: kv.Transaction{
 		Compares:   []kv.Compare{{Key: s.key}},
@@ -79,7 +79,7 @@
 }
 
 // renew keeps the held lease alive.
-func (s *leaseSession) renew() {
+func (s *leaseClient) renew() {
 	if s.state != leaseHeld {
 		return
 	}
@@ -89,7 +89,7 @@
 }
 
 // release deletes the record, if it is still the own one, and revokes the lease.
-func (s *leaseSession) release() {
+func (s *leaseClient) release() {
 	if s.lease != 0 && s.token != 0 {
 		s.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: kv.Transaction{
 			Compares:   []kv.Compare{{Key: s.key, ModRevision: int64(s.token)}},
@@ -101,12 +101,12 @@
 }
 
 // reset forgets the lease; answers still under way are ignored.
-func (s *leaseSession) reset() {
+func (s *leaseClient) reset() {
 	s.state, s.lease, s.token = leaseIdle, 0, 0
 }
 
 // answered takes the answer of the call under way.
-func (s *leaseSession) answered(answer KeyValueAnswered) leaseOutcome {
+func (s *leaseClient) answered(answer KeyValueAnswered) leaseOutcome {
 	switch s.state {
 	case leaseGranting:
 		return s.granted(answer)
@@ -119,7 +119,7 @@
 	}
 }
 
-func (s *leaseSession) granted(answer KeyValueAnswered) leaseOutcome {
+func (s *leaseClient) granted(answer KeyValueAnswered) leaseOutcome {
 	if answer.Err != nil {
 		s.reset()
 		return leaseNoAnswer
@@ -132,7 +132,7 @@
 	return leaseNothing
 }
 
-func (s *leaseSession) written(answer KeyValueAnswered) leaseOutcome {
+func (s *leaseClient) written(answer KeyValueAnswered) leaseOutcome {
 	switch {
 	case answer.Err != nil && verdict.Of(answer.Err) == verdict.NotRun:
 		s.reset()
@@ -157,12 +157,12 @@
 	return leaseTaken
 }
 
-func (s *leaseSession) won(token cluster.FencingToken) leaseOutcome {
+func (s *leaseClient) won(token cluster.FencingToken) leaseOutcome {
 	s.state, s.token = leaseHeld, token
 	return leaseWon
 }
 
-func (s *leaseSession) renewed(answer KeyValueAnswered) leaseOutcome {
+func (s *leaseClient) renewed(answer KeyValueAnswered) leaseOutcome {
 	if answer.Err == nil && answer.TTL <= 0 || errors.Is(answer.Err, kv.ErrLeaseNotFound) {
 		s.reset()
 		return leaseGone
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -15,19 +15,19 @@
 	granted := time.Date(2030, time.March, 4, 0, 0, 0, 0, time.UTC)
 	core := NewCore(CoreConfig{Self: cluster.Node{ID: "n", Zone: "z", PeerAddress: "127.0.0.1:1"}})
 	core.now = granted
-	session := &leaseSession{core: core, key: "/valveslip/cells/z", owner: "n", ttl: leaseTTL}
-	session.acquire()
-	session.answered(KeyValueAnswered{Lease: 7, TTL: leaseTTL})
+	client := &leaseClient{core: core, key: "/valveslip/cells/z", owner: "n", ttl: leaseTTL}
+	client.acquire()
+	client.answered(KeyValueAnswered{Lease: 7, TTL: leaseTTL})
 	lost := verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer lost")
-	if outcome := session.answered(KeyValueAnswered{Err: lost}); outcome != leaseNoAnswer {
+	if outcome := client.answered(KeyValueAnswered{Err: lost}); outcome != leaseNoAnswer {
 		t.Fatalf("outcome %d after a lost answer, want %d", outcome, leaseNoAnswer)
 	}
 	core.now = granted.Add(leaseTTL / 2)
-	session.acquire()
-	if outcome := session.answered(KeyValueAnswered{Txn: kv.TransactionResult{Succeeded: true, Revision: 9}}); outcome != leaseWon {
+	client.acquire()
+	if outcome := client.answered(KeyValueAnswered{Txn: kv.TransactionResult{Succeeded: true, Revision: 9}}); outcome != leaseWon {
 		t.Fatalf("outcome %d, want %d", outcome, leaseWon)
 	}
-	if !session.sentAt.Equal(granted) {
-		t.Fatalf("the lease counts from %s, want %s", session.sentAt, granted)
+	if !client.sentAt.Equal(granted) {
+		t.Fatalf("the lease counts from %s, want %s", client.sentAt, granted)
 	}
 }
--- a/node/renewal_test.go
+++ b/node/renewal_test.go
@@ -27,7 +27,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			session := leaseSession{state: leaseRenewing, lease: 7, token: 3}
+			session := leaseClient{state: leaseRenewing, lease: 7, token: 3}
 			outcome := session.answered(test.answer)
 			if outcome != test.outcome || session.state != test.state {
 				t.Fatalf("outcome %d, state %d; want %d, %d", outcome, session.state, test.outcome, test.state)
