Don't hand idempotency keys to a node that has left

Cause: a node that has handed over stays a member until it is held for dead, so the next one that stopped could choose it as its heir and wait 6 s for it in vain before the handover failed after 5 s.

Change: Heirs leaves out the nodes that are known to have an heir.

--- a/routing/idempotency/handover.go
+++ b/routing/idempotency/handover.go
@@ -80,9 +80,13 @@
 	}
 }
 
-// Heirs lists the nodes that may take over from this one, best first.
+// Heirs lists the nodes that may take over from this one, best first. Those that
+// have handed over themselves may still be members.
 func (t *Table) Heirs() Owners {
-	return t.members.without(t.self).owners(Key{Key: string(t.self)}.hash())
+	stay := slices.DeleteFunc(slices.Clone(t.members.nodes), func(m Member) bool {
+		return m.ID == t.self || t.resolve(m.ID) != m.ID
+	})
+	return newMembers(stay).owners(Key{Key: string(t.self)}.hash())
 }
 
 // Inherit takes over what a node that stops knows, as a whole or in parts. It
--- a/routing/idempotency/handover_test.go
+++ b/routing/idempotency/handover_test.go
@@ -24,6 +24,13 @@
 	if !region.tables["b"].Inherit(start, handover) || region.tables["c"].Inherit(start, handover) {
 		t.Fatal("not inherited by a node that stays, or by one that left")
 	}
+	region.tables["b"].Succeed(start, "c", "b")
+	for _, node := range []cluster.NodeID{"a", "d", "e", "f"} {
+		region.tables["b"].Succeed(start, node, "b")
+	}
+	if heirs := region.tables["b"].Heirs(); len(heirs) != 0 {
+		t.Fatalf("%v may take over, but all left", heirs)
+	}
 	if answer := ask("b", "d", 8); answer.Kind != AnswerOutbid {
 		t.Fatalf("lower ballot: %+v", answer)
 	}
