Hold min_replicas once over all zones

Cause: each zone kept the whole minimum up to its own allotment, so a model with min_replicas 1 that three zones may hold kept three replicas loaded. Change: controllers see all zones' allotments and divide the minimum alike, in the order of a hash of model and zone; the planner takes the zone's part.

--- a/node/controller.go
+++ b/node/controller.go
@@ -58,6 +58,9 @@
 	storeWait   time.Time
 	replan      bool
 	listVersion uint64
+	// minimum is the zone's part of minimum replica counts, nil when it must be
+	// divided again.
+	minimum map[cluster.ModelID]int
 	// seen is the last inventory of each machine.
 	seen map[cluster.MachineID]inventoryVersion
 	// expected is when loads under way should be done.
@@ -328,7 +331,16 @@
 	}
 }
 
-func (r *cellRole) settingsChanged()  { r.replan = true }
+// minimumShares divides the minimum replica counts again when settings or
+// records have changed.
+func (r *cellRole) minimumShares() map[cluster.ModelID]int {
+	if r.minimum == nil {
+		r.minimum = r.core.minimumShares()
+	}
+	return r.minimum
+}
+
+func (r *cellRole) settingsChanged()  { r.replan, r.minimum = true, nil }
 func (r *cellRole) allotmentChanged() { r.replan, r.publisher.changed = true, true }
 
 func (r *cellRole) demandReceived(demand wire.Demand) {
@@ -353,6 +365,7 @@
 	state := r.controller.State(r.core.now)
 	state.Settings = r.core.Snapshot()
 	state.Demand = r.demand.sum(r.core.now)
+	state.Minimum = r.minimumShares()
 	state.Store = r.storeShare()
 	for i := range state.Machines {
 		state.Machines[i].Load = r.loads[state.Machines[i].ID]
--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -226,6 +226,7 @@
 		return
 	}
 	c.keyValue.allotments[allotment.Zone] = allotment
+	c.cellRole.minimum = nil
 	if allotment.Zone == c.self.Zone {
 		c.cellRole.control(authority.AllotmentRead{Allotment: allotment, ReadRevision: readRevision})
 		c.cellRole.allotmentChanged()
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -191,7 +191,7 @@
 	}
 	model, entry := &r.models[ref.model], &r.catalogue.entries[ref.model]
 	policy := &entry.model.Policy
-	if model.useful <= min(policy.MinReplicas, model.limit) {
+	if model.useful <= min(r.minimum(ref.model), model.limit) {
 		return false
 	}
 	running := r.state.Machines[ref.machine].Load.PerModel[entry.model.ID]
--- a/placement/place.go
+++ b/placement/place.go
@@ -83,11 +83,11 @@
 
 // classOf returns the class of a model's k-th missing replica.
 func (r *round) classOf(i int32, k int) class {
-	model, entry := &r.models[i], &r.catalogue.entries[i]
+	model := &r.models[i]
 	switch {
 	case model.demand.Waiting > 0:
 		return classWaiting
-	case model.useful+k < entry.model.Policy.MinReplicas:
+	case model.useful+k < r.minimum(i):
 		return classMinimum
 	case model.prewarm:
 		return classPrewarm
--- a/placement/types.go
+++ b/placement/types.go
@@ -66,7 +66,10 @@
 	// Machines sorted by ID.
 	Machines []Machine
 	Demand   map[cluster.ModelID]Demand
-	Store    StoreState
+	// Minimum is the zone's part of each model's MinReplicas; nil means that
+	// the zone holds the whole minimum.
+	Minimum map[cluster.ModelID]int
+	Store   StoreState
 }
 
 // Action is one step of a plan.
--- a/placement/want.go
+++ b/placement/want.go
@@ -56,11 +56,20 @@
 	return r.catalogue.entries[i].model.Policy.MaxReplicas
 }
 
+// minimum is the zone's part of the replicas that a model keeps when idle.
+func (r *round) minimum(i int32) int {
+	model := r.catalogue.entries[i].model
+	if r.state.Minimum == nil {
+		return model.Policy.MinReplicas
+	}
+	return r.state.Minimum[model.ID]
+}
+
 // wantModel decides one model's counts.
 func (r *round) wantModel(i int32) {
 	model, entry := &r.models[i], &r.catalogue.entries[i]
 	policy := &entry.model.Policy
-	minimum := min(max(policy.MinReplicas, r.retention.standing(policy)), model.limit)
+	minimum := min(max(r.minimum(i), r.retention.standing(policy)), model.limit)
 	model.want = minimum
 	if minimum > 0 {
 		model.reason = r.reason(i, CauseMinimum, keyMinReplicas)
