Ask the engines of a zone whose controller is silent whether they leave

Ruled out: a time-out on the list, which answers; the check, whose limit counts from the announcement and stays as it is. Change: engines that may get requests are also asked when their zone's status is overdue by 3 s.

--- a/node/machines.go
+++ b/node/machines.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -78,16 +79,18 @@
 	c.cellRole.machinesListed(listed)
 }
 
-// probeEngines asks the engines that may get requests whether they leave, while
-// the machine list does not answer: a zone that is cut off may have lost its
-// controller as well, and then nobody else can tell.
+// probeEngines asks engines that may get requests whether they leave, when nobody
+// else would tell: all while the machine list does not answer, and those of a
+// zone whose controller is silent, because a list that answers may stand still.
 func (c *Core) probeEngines() {
-	silent := c.now.Sub(c.machines.listed) > listSilence
-	if !silent || c.now.Before(c.machines.probeDue) {
+	if c.now.Before(c.machines.probeDue) {
 		return
 	}
 	c.machines.probeDue = c.now.Add(probeInterval)
 	engines := c.router.Machines()
+	if c.now.Sub(c.machines.listed) <= listSilence {
+		engines = slices.DeleteFunc(engines, func(machine cluster.Machine) bool { return !c.cellSilent(machine.Zone) })
+	}
 	for i := range min(len(engines), maxProbes) {
 		machine := engines[(c.machines.probed+i)%len(engines)]
 		c.emit(EngineCall{Operation: EngineInventory, Machine: machine})
@@ -95,6 +98,16 @@
 	c.machines.probed += maxProbes
 }
 
+// cellSilent reports whether a zone's status is overdue.
+func (c *Core) cellSilent(zone cluster.ZoneID) bool {
+	interval := remoteStatusInterval
+	if zone == c.self.Zone {
+		interval = statusInterval
+	}
+	known, ok := c.cells.cells[zone]
+	return !ok || c.now.Sub(known.seen) > interval+listSilence
+}
+
 // notePause holds dispatches back after this process stood still: machines may
 // have left meanwhile, and requests that came during the pause are handled before
 // anything else is heard. The list and the engines are asked at once.
--- a/node/machines_test.go
+++ b/node/machines_test.go
@@ -118,3 +118,22 @@
 		t.Error("the request still waits")
 	}
 }
+
+// TestEnginesOfASilentZoneAreAsked: the list answers but may stand still, and the
+// zone's controller is gone.
+func TestEnginesOfASilentZoneAreAsked(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	core := newRoutingCore(start)
+	asked := time.Duration(0)
+	for passed := time.Duration(0); passed < 20*time.Second && asked == 0; passed += TickInterval {
+		core.Step(start.Add(passed), MachinesListed{Version: 1, Machines: []cluster.Machine{{ID: "a", Zone: "z"}}})
+		for _, effect := range core.Step(start.Add(passed), Tick{}) {
+			if call, ok := effect.(EngineCall); ok && call.Operation == EngineInventory && call.Machine.ID == "a" {
+				asked = passed
+			}
+		}
+	}
+	if asked <= statusInterval+listSilence || asked > statusInterval+listSilence+probeInterval+TickInterval {
+		t.Errorf("the engine was asked after %s of silence", asked)
+	}
+}
