--- a/experiment/prefixes/world.go
+++ b/experiment/prefixes/world.go
@@ -1,12 +1,12 @@
 package prefixes
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/binaryheap"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/affinity"
 	"github.com/valveslip/valveslip/settings"
@@ -31,7 +31,8 @@
 type world struct {
 	options Options
 	now     int64
-	queue   schedule
+	queue   binaryheap.Heap[scheduled]
+	pushed  uint64
 	routers []*routing.Router
 	engines []*engine
 	// leaving are the machines whose end was announced.
@@ -68,8 +69,8 @@
 		w.after(options.Warm+options.Length/2, func() { w.replace(i) })
 	}
 	end := w.now + int64(options.Warm+options.Length)
-	for len(w.queue.items) > 0 && w.queue.items[0].at <= end {
-		next := heap.Pop(&w.queue).(scheduled)
+	for w.queue.Len() > 0 && w.queue.First().at <= end {
+		next := w.queue.Pop()
 		w.now = next.at
 		next.run()
 	}
@@ -233,8 +234,8 @@
 
 // after schedules work.
 func (w *world) after(wait time.Duration, do func()) {
-	w.queue.pushed++
-	heap.Push(&w.queue, scheduled{at: w.now + int64(wait), order: w.queue.pushed, run: do})
+	w.pushed++
+	w.queue.Push(scheduled{at: w.now + int64(wait), order: w.pushed, run: do})
 }
 
 // scheduled is work to do at a time.
@@ -244,22 +245,10 @@
 	run   func()
 }
 
-// schedule is a heap by time, then by order of scheduling.
-type schedule struct {
-	items  []scheduled
-	pushed uint64
+// Before implements binaryheap.Element: by time, then by order of scheduling.
+func (s scheduled) Before(other scheduled) bool {
+	return s.at < other.at || s.at == other.at && s.order < other.order
 }
 
-func (s *schedule) Len() int { return len(s.items) }
-func (s *schedule) Less(i, j int) bool {
-	a, b := s.items[i], s.items[j]
-	return a.at < b.at || a.at == b.at && a.order < b.order
-}
-func (s *schedule) Swap(i, j int) { s.items[i], s.items[j] = s.items[j], s.items[i] }
-func (s *schedule) Push(item any) { s.items = append(s.items, item.(scheduled)) }
-func (s *schedule) Pop() any {
-	last := len(s.items) - 1
-	item := s.items[last]
-	s.items = s.items[:last]
-	return item
-}
+// Moved implements binaryheap.Element; what is scheduled is never moved.
+func (s scheduled) Moved(int) {}
--- a/routing/idempotency/expiry.go
+++ b/routing/idempotency/expiry.go
@@ -1,41 +1,21 @@
 package idempotency
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 )
 
-// expiryHeap orders entries by when they expire.
-type expiryHeap []*entry
+// Before implements binaryheap.Element: by when entries expire.
+func (e *entry) Before(other *entry) bool { return e.expires < other.expires }
 
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
-
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-func (h *expiryHeap) Push(value any) {
-	added := value.(*entry)
-	added.index = len(*h)
-	*h = append(*h, added)
-}
-
-func (h *expiryHeap) Pop() any {
-	last := len(*h) - 1
-	removed := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return removed
-}
+// Moved implements binaryheap.Element.
+func (e *entry) Moved(index int) { e.index = index }
 
 // expire forgets what is due. A request that is still in progress by then was
 // lost: its outcome stays unknown for another window.
 func (t *Table) expire(nanos int64) {
-	for len(t.expiry) > 0 && t.expiry[0].expires <= nanos {
-		due := t.expiry[0]
+	for t.expiry.Len() > 0 && t.expiry.First().expires <= nanos {
+		due := t.expiry.First()
 		switch {
 		case due.state == inProgress:
 			t.end(nanos, due, Outcome{Kind: OutcomeUnknown, Request: due.claim.Request})
@@ -66,25 +46,25 @@
 func (t *Table) keep(held *entry, in state, expires int64) {
 	held.state, held.expires = in, expires
 	if t.entries[held.key] == held {
-		heap.Fix(&t.expiry, held.index)
+		t.expiry.Fix(held.index)
 		return
 	}
 	t.entries[held.key] = held
-	heap.Push(&t.expiry, held)
+	t.expiry.Push(held)
 }
 
 // remove forgets an entry if it is kept.
 func (t *Table) remove(held *entry) {
 	if t.entries[held.key] == held {
 		delete(t.entries, held.key)
-		heap.Remove(&t.expiry, held.index)
+		t.expiry.Remove(held.index)
 	}
 }
 
 // nextExpiry returns when the first entry goes.
 func (t *Table) nextExpiry(nanos int64) time.Duration {
-	if len(t.expiry) == 0 {
+	if t.expiry.Len() == 0 {
 		return t.config.RetryAfter
 	}
-	return max(time.Duration(t.expiry[0].expires-nanos), t.config.RetryAfter)
+	return max(time.Duration(t.expiry.First().expires-nanos), t.config.RetryAfter)
 }
--- a/routing/idempotency/table.go
+++ b/routing/idempotency/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/binaryheap"
 )
 
 // Config tunes a Table. A zero field takes the documented default.
@@ -120,7 +121,7 @@
 	heirs   map[cluster.NodeID]successor
 	entries map[Key]*entry
 	// expiry holds the same entries by when they expire.
-	expiry expiryHeap
+	expiry binaryheap.Heap[*entry]
 }
 
 // New returns the table of a node that has not joined yet: it refuses all
