--- a/placement/config.go
+++ b/placement/config.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config tunes a planner. Zero values mean the documented defaults; policies
 // of the settings tree always take precedence over them.
@@ -52,24 +55,16 @@
 
 // withDefaults returns the configuration with zero values filled in.
 func (c Config) withDefaults() Config {
-	setDefault(&c.TargetLoad, defaultTargetLoad)
-	setDefault(&c.ScaleDownDelay, defaultScaleDownDelay)
-	setDefault(&c.UnknownGrace, defaultUnknownGrace)
-	setDefault(&c.MinSamples, defaultMinSamples)
-	setDefault(&c.ColdStartExchange, defaultColdStartExchange)
-	setDefault(&c.DefaultSlots, defaultSlots)
-	setDefault(&c.MaxLoadsPerMachine, defaultMaxLoadsPerMachine)
-	setDefault(&c.Candidates, defaultCandidates)
+	c.TargetLoad = cmp.Or(c.TargetLoad, defaultTargetLoad)
+	c.ScaleDownDelay = cmp.Or(c.ScaleDownDelay, defaultScaleDownDelay)
+	c.UnknownGrace = cmp.Or(c.UnknownGrace, defaultUnknownGrace)
+	c.MinSamples = cmp.Or(c.MinSamples, defaultMinSamples)
+	c.ColdStartExchange = cmp.Or(c.ColdStartExchange, defaultColdStartExchange)
+	c.DefaultSlots = cmp.Or(c.DefaultSlots, defaultSlots)
+	c.MaxLoadsPerMachine = cmp.Or(c.MaxLoadsPerMachine, defaultMaxLoadsPerMachine)
+	c.Candidates = cmp.Or(c.Candidates, defaultCandidates)
 	for tier := range c.BytesPerSecond {
-		setDefault(&c.BytesPerSecond[tier], defaultBytesPerSecond[tier])
+		c.BytesPerSecond[tier] = cmp.Or(c.BytesPerSecond[tier], defaultBytesPerSecond[tier])
 	}
 	return c
 }
-
-// setDefault replaces a zero value.
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
