--- a/experiment/load/request.go
+++ b/experiment/load/request.go
@@ -98,6 +98,16 @@
 	return drawn
 }
 
+// drawn returns the next request, and its repetition when it has a key. Both are
+// made before either is launched, because a launched request changes.
+func (s *source) drawn(due time.Time) []*request {
+	first := s.next(due)
+	if first.key == "" {
+		return []*request{first}
+	}
+	return []*request{first, s.again(first)}
+}
+
 // again is the request as its caller sends it the second time.
 func (s *source) again(first *request) *request {
 	second := *first
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -99,10 +99,8 @@
 		if !sleepUntil(ctx, due) {
 			return
 		}
-		request := source.next(due)
-		r.launch(ctx, request)
-		if request.key != "" {
-			r.launch(ctx, source.again(request))
+		for _, request := range source.drawn(due) {
+			r.launch(ctx, request)
 		}
 		r.lastDue = due
 	}
