--- a/api/admin/errors.go
+++ b/api/admin/errors.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/api"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
 )
--- a/api/admin/harness_test.go
+++ b/api/admin/harness_test.go
@@ -19,9 +19,9 @@
 	"github.com/getkin/kin-openapi/routers/gorillamux"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/settings"
-	"github.com/valveslip/valveslip/standin/keyvalue"
+	standin "github.com/valveslip/valveslip/standin/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -69,20 +69,20 @@
 
 // lossyKV can lose the answer of a transaction and be away afterwards.
 type lossyKV struct {
-	kv.Store
+	keyvalue.Store
 	loseAnswer, away bool
 }
 
-func (l *lossyKV) Txn(ctx context.Context, transaction kv.Transaction) (kv.TransactionResult, error) {
+func (l *lossyKV) Txn(ctx context.Context, transaction keyvalue.Transaction) (keyvalue.TransactionResult, error) {
 	result, err := l.Store.Txn(ctx, transaction)
 	if l.loseAnswer {
 		l.loseAnswer, l.away = false, true
-		return kv.TransactionResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
+		return keyvalue.TransactionResult{}, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
 	}
 	return result, err
 }
 
-func (l *lossyKV) Range(ctx context.Context, prefix string) ([]kv.KeyValue, int64, error) {
+func (l *lossyKV) Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
 	if l.away {
 		return nil, 0, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the key-value service is away")
 	}
@@ -128,9 +128,9 @@
 
 func newTreeHarness(t testing.TB, tree *settings.Tree) *harness {
 	t.Helper()
-	service := keyvalue.NewServer(keyvalue.Config{}, 1)
+	service := standin.NewServer(standin.Config{}, 1)
 	listener := httptest.NewServer(service)
-	client := kv.NewClient(listener.URL)
+	client := keyvalue.NewClient(listener.URL)
 	t.Cleanup(func() {
 		client.Close()
 		listener.CloseClientConnections()
--- a/api/callers_errors.go
+++ b/api/callers_errors.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/verdict"
 )
 
--- a/api/callers_prompt.go
+++ b/api/callers_prompt.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"strings"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 )
 
 // maxPrefixBlocks bounds the prefix blocks a request is matched by.
--- a/authority/apportion.go
+++ b/authority/apportion.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -123,17 +123,17 @@
 
 // Transaction returns the one transaction that carries out the plan. It fails
 // when any apportioning happened since the state was read.
-func (p *ApportionPlan) Transaction() kv.Transaction {
-	transaction := kv.Transaction{Compares: []kv.Compare{{Key: AllotmentGuardKey, ModRevision: p.GuardRevision}}}
+func (p *ApportionPlan) Transaction() keyvalue.Transaction {
+	transaction := keyvalue.Transaction{Compares: []keyvalue.Compare{{Key: AllotmentGuardKey, ModRevision: p.GuardRevision}}}
 	for i := range p.Writes {
 		write := &p.Writes[i]
 		key := AllotmentKey(write.Allotment.Zone)
-		transaction.Compares = append(transaction.Compares, kv.Compare{Key: key, ModRevision: write.ExpectRevision})
+		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: key, ModRevision: write.ExpectRevision})
 		transaction.Operations = append(transaction.Operations,
-			kv.Operation{Key: key, Value: EncodeAllotment(write.Allotment)})
+			keyvalue.Operation{Key: key, Value: EncodeAllotment(write.Allotment)})
 	}
 	guard := []byte(strconv.Itoa(len(p.Writes)))
-	transaction.Operations = append(transaction.Operations, kv.Operation{Key: AllotmentGuardKey, Value: guard})
+	transaction.Operations = append(transaction.Operations, keyvalue.Operation{Key: AllotmentGuardKey, Value: guard})
 	return transaction
 }
 
--- a/authority/record.go
+++ b/authority/record.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // Keys of the allotments in the key-value service.
@@ -125,7 +125,7 @@
 
 // AllotmentFromPair reads one stored record. It returns false for the guard and
 // for keys that are not allotments.
-func AllotmentFromPair(pair kv.KeyValue) (cluster.Allotment, bool, error) {
+func AllotmentFromPair(pair keyvalue.KeyValue) (cluster.Allotment, bool, error) {
 	zone, found := strings.CutPrefix(pair.Key, AllotmentKeyPrefix)
 	if !found || zone == "" {
 		return cluster.Allotment{}, false, nil
@@ -142,7 +142,7 @@
 // AllotmentsFromPairs picks the allotments out of pairs that were read at one
 // revision: the records sorted by zone and the guard's revision, zero when it is
 // absent.
-func AllotmentsFromPairs(pairs []kv.KeyValue) (records []cluster.Allotment, guard int64, err error) {
+func AllotmentsFromPairs(pairs []keyvalue.KeyValue) (records []cluster.Allotment, guard int64, err error) {
 	for _, pair := range pairs {
 		if pair.Key == AllotmentGuardKey {
 			guard = pair.ModRevision
--- a/cmd/valveslip/tree_test.go
+++ b/cmd/valveslip/tree_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/valveslip/valveslip/api/admin"
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/settings"
-	"github.com/valveslip/valveslip/standin/keyvalue"
+	standin "github.com/valveslip/valveslip/standin/keyvalue"
 )
 
 // storeBackend is a node on which every stored tree is in force at once.
@@ -64,9 +64,9 @@
 }
 
 func newTerminal(t *testing.T) *terminal {
-	service := keyvalue.NewServer(keyvalue.Config{}, 1)
+	service := standin.NewServer(standin.Config{}, 1)
 	listener := httptest.NewServer(service)
-	client := kv.NewClient(listener.URL)
+	client := keyvalue.NewClient(listener.URL)
 	store := settings.NewStore(client, settings.WithHistoryNames(func() string { return "h" }))
 	token := newToken("bootstrap", "secret", settings.RoleAdminister, 0)
 	node := httptest.NewServer(admin.New(admin.Config{
--- a/journal/journal_test.go
+++ b/decisions/journal_test.go
@@ -1,4 +1,4 @@
-package journal
+package decisions
 
 import (
 	"fmt"
--- a/journal/ring.go
+++ b/decisions/ring.go
@@ -1,4 +1,4 @@
-package journal
+package decisions
 
 // ring holds the latest entries by sequence number. Entries of one model are
 // chained from the newest to the oldest that is still held.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -10,9 +10,9 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/node/shell"
-	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -74,7 +74,7 @@
 	if err != nil {
 		return eris.Wrap(err, "the demo's settings")
 	}
-	store := settings.NewStore(kv.NewClient(d.platform.keyValueListener.URL()))
+	store := settings.NewStore(keyvalue.NewClient(d.platform.keyValueListener.URL()))
 	_, err = store.Initialize(ctx, parsed, "demo")
 	return eris.Wrap(err, "store the demo's settings")
 }
--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/experiment/load"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/standin/fault"
 )
 
@@ -130,7 +130,7 @@
 // allotted asks the key-value service for the zones' allotments.
 func (d *Demo) allotted(t *testing.T) bool {
 	t.Helper()
-	store := kv.NewClient(d.platform.keyValueListener.URL())
+	store := keyvalue.NewClient(d.platform.keyValueListener.URL())
 	pairs, _, err := store.Range(t.Context(), authority.AllotmentKeyPrefix)
 	if err != nil {
 		t.Fatal(err)
--- a/demo/rolling.go
+++ b/demo/rolling.go
@@ -12,8 +12,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/experiment/load"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/node/shell"
-	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/settings"
 )
 
@@ -125,7 +125,7 @@
 
 // edit stores a new keep-alive, as an operator would.
 func (d *Demo) edit(ctx context.Context, number int) error {
-	store := settings.NewStore(kv.NewClient(d.platform.keyValueListener.URL()))
+	store := settings.NewStore(keyvalue.NewClient(d.platform.keyValueListener.URL()))
 	_, stamp, err := store.Load(ctx)
 	if err != nil {
 		return eris.Wrap(err, "read the tree")
--- a/experiment/load/answer.go
+++ b/experiment/load/answer.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	standin "github.com/valveslip/valveslip/standin/engine"
 	"github.com/valveslip/valveslip/verdict"
 )
--- a/experiment/load/request.go
+++ b/experiment/load/request.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	standin "github.com/valveslip/valveslip/standin/engine"
 )
 
--- a/experiment/load/run.go
+++ b/experiment/load/run.go
@@ -13,7 +13,7 @@
 
 	"github.com/schollz/progressbar/v3"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 )
 
 const (
--- a/platform/kv/client.go
+++ b/keyvalue/client.go
@@ -1,4 +1,4 @@
-package kv
+package keyvalue
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv/gateway"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
 	"github.com/valveslip/valveslip/verdict"
 )
 
--- a/platform/kv/convert.go
+++ b/keyvalue/convert.go
@@ -1,6 +1,6 @@
-package kv
+package keyvalue
 
-import "github.com/valveslip/valveslip/platform/kv/gateway"
+import "github.com/valveslip/valveslip/keyvalue/gateway"
 
 // toTxn writes a transaction in the gateway's form.
 func toTxn(transaction Transaction) gateway.TxnRequest {
--- a/platform/kv/kv.go
+++ b/keyvalue/kv.go
@@ -1,6 +1,6 @@
-// Package kv defines what valveslip needs of the platform's key-value service
+// Package keyvalue defines what valveslip needs of the platform's key-value service
 // and a client for its published protocol, the etcd v3 HTTP/JSON gateway.
-package kv
+package keyvalue
 
 import (
 	"context"
--- a/platform/kv/watch.go
+++ b/keyvalue/watch.go
@@ -1,4 +1,4 @@
-package kv
+package keyvalue
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"io"
 	"net/http"
 
-	"github.com/valveslip/valveslip/platform/kv/gateway"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
 	"github.com/valveslip/valveslip/verdict"
 )
 
--- a/platform/machines/client.go
+++ b/machines/client.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/document"
+	"github.com/valveslip/valveslip/document"
 )
 
 // PathMachines of the machine list takes GET and answers List as JSON. It gives
--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -8,7 +8,7 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -187,7 +187,7 @@
 		return
 	}
 	txn := plan.Transaction()
-	txn.Compares = append(txn.Compares, kv.Compare{Key: keyApportioner, ModRevision: int64(r.lease.token)})
+	txn.Compares = append(txn.Compares, keyvalue.Compare{Key: keyApportioner, ModRevision: int64(r.lease.token)})
 	r.writing = true
 	r.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: txn}, callPurpose{division: true})
 }
--- a/node/caches_test.go
+++ b/node/caches_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/wire"
 )
 
--- a/node/controller.go
+++ b/node/controller.go
@@ -6,11 +6,11 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/placement"
-	"github.com/valveslip/valveslip/platform/engine"
-	"github.com/valveslip/valveslip/platform/weights"
 	"github.com/valveslip/valveslip/verdict"
+	"github.com/valveslip/valveslip/weights"
 	"github.com/valveslip/valveslip/wire"
 )
 
--- a/node/core.go
+++ b/node/core.go
@@ -8,10 +8,10 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/placement"
-	"github.com/valveslip/valveslip/platform/weights"
 	"github.com/valveslip/valveslip/replication"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/weights"
 	"github.com/valveslip/valveslip/wire"
 )
 
--- a/node/events.go
+++ b/node/events.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/placement"
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/platform/weights"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/settings"
+	"github.com/valveslip/valveslip/weights"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -29,9 +29,9 @@
 // is nil or a *verdict.Error: MayHaveRun when the answer was lost.
 type KeyValueAnswered struct {
 	ID       uint64
-	Pairs    []kv.KeyValue
+	Pairs    []keyvalue.KeyValue
 	Revision int64
-	Txn      kv.TransactionResult
+	Txn      keyvalue.TransactionResult
 	Lease    int64
 	TTL      time.Duration
 	Err      error
@@ -40,7 +40,7 @@
 // WatchDelivered brings changes of the watch started by the call with this ID.
 type WatchDelivered struct {
 	ID    uint64
-	Batch kv.WatchBatch
+	Batch keyvalue.WatchBatch
 }
 
 // WatchEnded says that the watch broke.
@@ -124,7 +124,7 @@
 	Prefix string
 	// StartRevision for KeyValueWatch.
 	StartRevision int64
-	Txn           kv.Transaction
+	Txn           keyvalue.Transaction
 	Lease         int64
 	TTL           time.Duration
 }
--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -6,7 +6,7 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/replication"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
@@ -121,7 +121,7 @@
 		return
 	}
 	s.revision = answer.Revision
-	var tree []kv.KeyValue
+	var tree []keyvalue.KeyValue
 	for _, pair := range answer.Pairs {
 		if strings.HasPrefix(pair.Key, settings.KeyPrefix) {
 			tree = append(tree, pair)
@@ -146,7 +146,7 @@
 		return
 	}
 	s.revision = max(s.revision, delivered.Batch.Revision)
-	var tree []kv.Event
+	var tree []keyvalue.Event
 	for _, event := range delivered.Batch.Events {
 		if strings.HasPrefix(event.KeyValue.Key, settings.KeyPrefix) {
 			tree = append(tree, event)
@@ -161,7 +161,7 @@
 
 // treeChanged hands accepted edits to the replication core. Edits that do not
 // connect with what is known, or cannot be read, cause a fresh read.
-func (c *Core) treeChanged(events []kv.Event) {
+func (c *Core) treeChanged(events []keyvalue.Event) {
 	if len(events) == 0 {
 		return
 	}
@@ -199,7 +199,7 @@
 
 // pairSeen takes over a lease record or an allotment that was read or watched at
 // the given global revision.
-func (c *Core) pairSeen(pair kv.KeyValue, readRevision int64) {
+func (c *Core) pairSeen(pair keyvalue.KeyValue, readRevision int64) {
 	switch {
 	case strings.HasPrefix(pair.Key, keyCells):
 		zone := cluster.ZoneID(strings.TrimPrefix(pair.Key, keyCells))
--- a/node/lease.go
+++ b/node/lease.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -71,9 +71,9 @@
 
 func (s *leaseClient) write() {
 	s.state = leaseWriting
-	s.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: kv.Transaction{
-		Compares:   []kv.Compare{{Key: s.key}},
-		Operations: []kv.Operation{{Key: s.key, Value: []byte(s.owner), Lease: s.lease}},
+	s.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: keyvalue.Transaction{
+		Compares:   []keyvalue.Compare{{Key: s.key}},
+		Operations: []keyvalue.Operation{{Key: s.key, Value: []byte(s.owner), Lease: s.lease}},
 		Reads:      []string{s.key},
 	}}, callPurpose{lease: s})
 }
@@ -91,9 +91,9 @@
 // release deletes the record, if it is still the own one, and revokes the lease.
 func (s *leaseClient) release() {
 	if s.lease != 0 && s.token != 0 {
-		s.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: kv.Transaction{
-			Compares:   []kv.Compare{{Key: s.key, ModRevision: int64(s.token)}},
-			Operations: []kv.Operation{{Key: s.key, Delete: true}},
+		s.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: keyvalue.Transaction{
+			Compares:   []keyvalue.Compare{{Key: s.key, ModRevision: int64(s.token)}},
+			Operations: []keyvalue.Operation{{Key: s.key, Delete: true}},
 		}}, callPurpose{})
 		s.core.keyValueCall(KeyValueCall{Operation: KeyValueRevoke, Lease: s.lease}, callPurpose{})
 	}
@@ -163,7 +163,7 @@
 }
 
 func (s *leaseClient) renewed(answer KeyValueAnswered) leaseOutcome {
-	if answer.Err == nil && answer.TTL <= 0 || errors.Is(answer.Err, kv.ErrLeaseNotFound) {
+	if answer.Err == nil && answer.TTL <= 0 || errors.Is(answer.Err, keyvalue.ErrLeaseNotFound) {
 		s.reset()
 		return leaseGone
 	}
--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -24,7 +24,7 @@
 	}
 	core.now = granted.Add(leaseTTL / 2)
 	client.acquire()
-	if outcome := client.answered(KeyValueAnswered{Txn: kv.TransactionResult{Succeeded: true, Revision: 9}}); outcome != leaseWon {
+	if outcome := client.answered(KeyValueAnswered{Txn: keyvalue.TransactionResult{Succeeded: true, Revision: 9}}); outcome != leaseWon {
 		t.Fatalf("outcome %d, want %d", outcome, leaseWon)
 	}
 	if !client.sentAt.Equal(granted) {
--- a/node/prefixes_test.go
+++ b/node/prefixes_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/wire"
@@ -81,7 +81,7 @@
 				continue
 			}
 			answer := KeyValueAnswered{ID: call.ID, Revision: 9, Lease: 5, TTL: call.TTL}
-			answer.Txn = kv.TransactionResult{Succeeded: true, Revision: 9}
+			answer.Txn = keyvalue.TransactionResult{Succeeded: true, Revision: 9}
 			waiting = append(waiting, n.step(answer)...)
 		}
 		if n.now.After(time.Unix(1_000_100, 0)) {
--- a/node/renewal_test.go
+++ b/node/renewal_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -22,7 +22,7 @@
 	}{
 		"extended":    {KeyValueAnswered{TTL: time.Second}, leaseExtended, leaseHeld},
 		"expired":     {KeyValueAnswered{}, leaseGone, leaseIdle},
-		"not found":   {KeyValueAnswered{Err: refused(kv.ErrLeaseNotFound)}, leaseGone, leaseIdle},
+		"not found":   {KeyValueAnswered{Err: refused(keyvalue.ErrLeaseNotFound)}, leaseGone, leaseIdle},
 		"unreachable": {KeyValueAnswered{Err: refused(errors.New("dial refused"))}, leaseNoAnswer, leaseHeld},
 	}
 	for name, test := range cases {
--- a/node/shell/calls.go
+++ b/node/shell/calls.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/valveslip/valveslip/engine"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/node"
-	"github.com/valveslip/valveslip/platform/engine"
-	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -82,7 +82,7 @@
 
 // watch runs one watch to its end.
 func (n *Node) watch(call node.KeyValueCall) {
-	err := n.options.Store.Watch(n.context, call.Prefix, call.StartRevision, func(batch kv.WatchBatch) {
+	err := n.options.Store.Watch(n.context, call.Prefix, call.StartRevision, func(batch keyvalue.WatchBatch) {
 		n.step(node.WatchDelivered{ID: call.ID, Batch: batch})
 	})
 	n.step(node.WatchEnded{ID: call.ID, Err: err})
--- a/node/shell/fixture_test.go
+++ b/node/shell/fixture_test.go
@@ -14,9 +14,9 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/node/shell"
-	"github.com/valveslip/valveslip/platform/engine"
 	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/settings"
--- a/node/shell/inspection/backend.go
+++ b/node/shell/inspection/backend.go
@@ -7,7 +7,7 @@
 
 	"github.com/valveslip/valveslip/api/admin"
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/journal"
+	"github.com/valveslip/valveslip/decisions"
 	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/settings"
@@ -21,7 +21,7 @@
 	// false without a call when the node has no such core.
 	Inspect(read func(core *node.Core)) bool
 	Self() cluster.Node
-	Journal() *journal.Journal
+	Journal() *decisions.Journal
 	Send(address string, message wire.Message)
 }
 
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -14,7 +14,7 @@
 
 	"github.com/valveslip/valveslip/api"
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/journal"
+	"github.com/valveslip/valveslip/decisions"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/node/shell/inspection"
 	"github.com/valveslip/valveslip/relay"
@@ -48,7 +48,7 @@
 	mutex   sync.Mutex
 	core    Stepper
 	tickets map[cluster.RequestID]*relay.Ticket
-	journal *journal.Journal
+	journal *decisions.Journal
 	backend *inspection.Backend
 	keys    *keyed.Runner
 
@@ -87,7 +87,7 @@
 	n := &Node{
 		config: config, options: options.withDefaults(config), began: time.Now(),
 		tickets:      make(map[cluster.RequestID]*relay.Ticket),
-		journal:      journal.New(journal.Config{}),
+		journal:      decisions.New(decisions.Config{}),
 		keyValuePool: newPool(keyValueWorkers, keyValueQueue),
 		enginePool:   newPool(engineWorkers, engineQueue),
 		platformPool: newPool(platformWorkers, platformQueue),
@@ -256,7 +256,7 @@
 func (n *Node) Settings() *settings.Snapshot { return n.settings.Load() }
 
 // Journal returns the node's latest decisions.
-func (n *Node) Journal() *journal.Journal { return n.journal }
+func (n *Node) Journal() *decisions.Journal { return n.journal }
 
 // Send sends a message to a peer; it may be lost.
 func (n *Node) Send(address string, message wire.Message) { n.transport.Send(address, message) }
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -11,12 +11,12 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/engine"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/machines"
 	"github.com/valveslip/valveslip/node"
-	"github.com/valveslip/valveslip/platform/engine"
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/platform/machines"
-	"github.com/valveslip/valveslip/platform/weights"
 	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/weights"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -52,7 +52,7 @@
 	NewCore      func(self cluster.Node) Stepper
 	NewTransport func(listen string, handle func(wire.Message)) (Transport, error)
 	// Store, Machines, Weights and Engines are the platform.
-	Store    kv.Store
+	Store    keyvalue.Store
 	Machines machines.Lister
 	Weights  weights.Store
 	Engines  EngineClient
@@ -95,7 +95,7 @@
 		o.Relay.Logger = o.Logger
 	}
 	if o.Store == nil {
-		o.Store = kv.NewClient(config.KeyValueURL)
+		o.Store = keyvalue.NewClient(config.KeyValueURL)
 	}
 	if o.Machines == nil {
 		o.Machines = machines.NewClient(config.MachineListURL)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/verdict"
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/verdict"
 )
--- a/settings/commit.go
+++ b/settings/commit.go
@@ -5,7 +5,7 @@
 	"context"
 	"fmt"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -37,8 +37,8 @@
 	if err != nil {
 		return Entry{}, notCommitted, err
 	}
-	result, err := s.kv.Txn(ctx, kv.Transaction{
-		Compares:   []kv.Compare{{Key: headKey, ModRevision: current.modRevision}},
+	result, err := s.kv.Txn(ctx, keyvalue.Transaction{
+		Compares:   []keyvalue.Compare{{Key: headKey, ModRevision: current.modRevision}},
 		Operations: operations,
 	})
 	switch {
@@ -68,7 +68,7 @@
 }
 
 // next returns the state after the edit and the operations that lead to it.
-func (s *Store) next(current *state, edit Edit) (*state, []kv.Operation, error) {
+func (s *Store) next(current *state, edit Edit) (*state, []keyvalue.Operation, error) {
 	if err := current.checkBase(&edit); err != nil {
 		return nil, nil, err
 	}
@@ -97,7 +97,7 @@
 	next := &state{tree: tree, stale: current.stale, entries: append(current.entries[:len(current.entries):len(current.entries)], entry)}
 	operations = append(operations, next.prune(&record, s.historyLength)...)
 	next.head = record
-	operations = append(operations, kv.Operation{Key: headKey, Value: encodeJSON(record)})
+	operations = append(operations, keyvalue.Operation{Key: headKey, Value: encodeJSON(record)})
 	return next, operations, nil
 }
 
@@ -106,8 +106,8 @@
 
 // prune drops stale entries, then the oldest beyond the length, and returns the
 // deletions.
-func (s *state) prune(record *head, length int64) []kv.Operation {
-	var operations []kv.Operation
+func (s *state) prune(record *head, length int64) []keyvalue.Operation {
+	var operations []keyvalue.Operation
 	for range maxPruned {
 		var dropped Entry
 		switch {
@@ -120,7 +120,7 @@
 			return operations
 		}
 		for part := range dropped.parts {
-			operations = append(operations, kv.Operation{Key: fmt.Sprint(historyKey(dropped.Revision), part), Delete: true})
+			operations = append(operations, keyvalue.Operation{Key: fmt.Sprint(historyKey(dropped.Revision), part), Delete: true})
 		}
 	}
 	return operations
--- a/settings/kv_test.go
+++ b/settings/kv_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -16,7 +16,7 @@
 type memoryKV struct {
 	mutex    sync.Mutex
 	revision int64
-	pairs    map[string]kv.KeyValue
+	pairs    map[string]keyvalue.KeyValue
 	// fault is asked for the n-th transaction and says what happens to it.
 	fault        func(n int) kvFault
 	transactions int
@@ -24,7 +24,7 @@
 	writtenBytes, writtenKeys int
 	largestValue              int
 	// events of successful transactions, one batch each.
-	batches [][]kv.Event
+	batches [][]keyvalue.Event
 }
 
 type kvFault uint8
@@ -36,22 +36,22 @@
 	lostAfter  // the answer is lost after the transaction took effect
 )
 
-func newMemoryKV() *memoryKV { return &memoryKV{pairs: map[string]kv.KeyValue{}} }
+func newMemoryKV() *memoryKV { return &memoryKV{pairs: map[string]keyvalue.KeyValue{}} }
 
-func (m *memoryKV) Range(_ context.Context, prefix string) ([]kv.KeyValue, int64, error) {
+func (m *memoryKV) Range(_ context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var found []kv.KeyValue
+	var found []keyvalue.KeyValue
 	for key, pair := range m.pairs {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, pair)
 		}
 	}
-	slices.SortFunc(found, func(a, b kv.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b keyvalue.KeyValue) int { return strings.Compare(a.Key, b.Key) })
 	return found, m.revision, nil
 }
 
-func (m *memoryKV) Txn(_ context.Context, transaction kv.Transaction) (kv.TransactionResult, error) {
+func (m *memoryKV) Txn(_ context.Context, transaction keyvalue.Transaction) (keyvalue.TransactionResult, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	fault := noFault
@@ -61,31 +61,31 @@
 	lost := verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the answer was lost")
 	switch fault {
 	case refused:
-		return kv.TransactionResult{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "too many requests")
+		return keyvalue.TransactionResult{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "too many requests")
 	case lostBefore:
-		return kv.TransactionResult{}, lost
+		return keyvalue.TransactionResult{}, lost
 	}
 	for _, compare := range transaction.Compares {
 		if m.pairs[compare.Key].ModRevision != compare.ModRevision {
-			return kv.TransactionResult{Revision: m.revision}, nil
+			return keyvalue.TransactionResult{Revision: m.revision}, nil
 		}
 	}
 	m.write(transaction.Operations)
 	if fault == lostAfter {
-		return kv.TransactionResult{}, lost
+		return keyvalue.TransactionResult{}, lost
 	}
-	return kv.TransactionResult{Succeeded: true, Revision: m.revision}, nil
+	return keyvalue.TransactionResult{Succeeded: true, Revision: m.revision}, nil
 }
 
-func (m *memoryKV) write(operations []kv.Operation) {
+func (m *memoryKV) write(operations []keyvalue.Operation) {
 	m.revision++
 	m.writtenBytes, m.writtenKeys = 0, len(operations)
-	var batch []kv.Event
+	var batch []keyvalue.Event
 	for _, operation := range operations {
 		m.writtenBytes += len(operation.Value)
 		m.largestValue = max(m.largestValue, len(operation.Value))
-		pair := kv.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: m.revision}
-		batch = append(batch, kv.Event{KeyValue: pair, Deleted: operation.Delete})
+		pair := keyvalue.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: m.revision}
+		batch = append(batch, keyvalue.Event{KeyValue: pair, Deleted: operation.Delete})
 		if operation.Delete {
 			delete(m.pairs, operation.Key)
 			continue
@@ -102,6 +102,6 @@
 	return 0, errUnused
 }
 func (m *memoryKV) Revoke(context.Context, int64) error { return errUnused }
-func (m *memoryKV) Watch(context.Context, string, int64, func(kv.WatchBatch)) error {
+func (m *memoryKV) Watch(context.Context, string, int64, func(keyvalue.WatchBatch)) error {
 	return errUnused
 }
--- a/settings/layout.go
+++ b/settings/layout.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // KeyPrefix is where the tree is kept in the key-value service.
@@ -106,14 +106,14 @@
 }
 
 // chunkOperations writes the given chunks of the tree.
-func chunkOperations(tree *Tree, changed map[int]bool) ([]kv.Operation, error) {
+func chunkOperations(tree *Tree, changed map[int]bool) ([]keyvalue.Operation, error) {
 	grouped := tree.chunks(changed)
-	var operations []kv.Operation
+	var operations []keyvalue.Operation
 	for number := range chunkCount {
 		if !changed[number] {
 			continue
 		}
-		operation := kv.Operation{Key: chunkKey(number), Delete: len(grouped[number]) == 0}
+		operation := keyvalue.Operation{Key: chunkKey(number), Delete: len(grouped[number]) == 0}
 		if !operation.Delete {
 			operation.Value = encodeJSON(document{Levels: grouped[number]})
 		}
@@ -134,17 +134,17 @@
 }
 
 // entryOperations writes a history entry.
-func entryOperations(entry Entry) ([]kv.Operation, error) {
+func entryOperations(entry Entry) ([]keyvalue.Operation, error) {
 	data := encodeJSON(entry)
 	parts := (len(data) + maxPartBytes - 1) / maxPartBytes
 	if parts > maxEditParts {
 		return nil, ValidationErrors{{Path: RootPath, Reason: fmt.Sprintf(
 			"the edit is too large: %d bytes, %d at most; split it", len(data), maxEditParts*maxPartBytes)}}
 	}
-	var operations []kv.Operation
+	var operations []keyvalue.Operation
 	for part := range parts {
 		piece := data[part*maxPartBytes : min((part+1)*maxPartBytes, len(data))]
-		operations = append(operations, kv.Operation{
+		operations = append(operations, keyvalue.Operation{
 			Key:   historyKey(entry.Revision) + strconv.Itoa(part),
 			Value: encodeJSON(entryPart{Parts: parts, Data: piece}),
 		})
@@ -154,7 +154,7 @@
 
 // FromPairs reads the tree from all pairs below KeyPrefix, read at one
 // revision. Without a head record it returns the empty tree and a zero stamp.
-func FromPairs(pairs []kv.KeyValue) (*Tree, Stamp, error) {
+func FromPairs(pairs []keyvalue.KeyValue) (*Tree, Stamp, error) {
 	var levels []*Level
 	var record head
 	for _, pair := range pairs {
@@ -186,7 +186,7 @@
 
 // EntriesFromPairs reads the history entries among pairs below KeyPrefix, in
 // revision order.
-func EntriesFromPairs(pairs []kv.KeyValue) ([]Entry, error) {
+func EntriesFromPairs(pairs []keyvalue.KeyValue) ([]Entry, error) {
 	parts := map[string][]entryPart{}
 	for _, pair := range pairs {
 		name, isEntry := strings.CutPrefix(pair.Key, historyPrefix)
@@ -236,7 +236,7 @@
 
 // StampFromEvents returns the stamp that a watch batch led to, false when the
 // batch has none that can be read.
-func StampFromEvents(events []kv.Event) (Stamp, bool) {
+func StampFromEvents(events []keyvalue.Event) (Stamp, bool) {
 	for _, event := range slices.Backward(events) {
 		if event.KeyValue.Key == headKey && !event.Deleted {
 			record, err := decodeHead(event.KeyValue.Value)
@@ -248,8 +248,8 @@
 
 // EntriesFromEvents reads the edits accepted in a watch batch, in revision
 // order. Deletions of old entries and changes of other keys are passed over.
-func EntriesFromEvents(events []kv.Event) ([]Entry, error) {
-	var pairs []kv.KeyValue
+func EntriesFromEvents(events []keyvalue.Event) ([]Entry, error) {
+	var pairs []keyvalue.KeyValue
 	for _, event := range events {
 		if !event.Deleted {
 			pairs = append(pairs, event.KeyValue)
--- a/settings/refresh.go
+++ b/settings/refresh.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // maxCatchUp is how many entries are read one by one before the whole tree is
@@ -45,7 +45,7 @@
 
 // findHead returns the head record among the pairs and its revision in the
 // key-value service, zeros when there is none.
-func findHead(pairs []kv.KeyValue) (head, int64, error) {
+func findHead(pairs []keyvalue.KeyValue) (head, int64, error) {
 	for _, pair := range pairs {
 		if pair.Key == headKey {
 			record, err := decodeHead(pair.Value)
--- a/settings/restore.go
+++ b/settings/restore.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -41,8 +41,8 @@
 	if err != nil {
 		return err
 	}
-	result, err := s.kv.Txn(ctx, kv.Transaction{
-		Compares:   []kv.Compare{{Key: headKey, ModRevision: current.modRevision}},
+	result, err := s.kv.Txn(ctx, keyvalue.Transaction{
+		Compares:   []keyvalue.Compare{{Key: headKey, ModRevision: current.modRevision}},
 		Operations: operations,
 	})
 	switch {
@@ -59,7 +59,7 @@
 
 // restored returns the state after a restore and the operations that lead to
 // it.
-func (s *Store) restored(current *state, tree *Tree, stamp Stamp) (*state, []kv.Operation, error) {
+func (s *Store) restored(current *state, tree *Tree, stamp Stamp) (*state, []keyvalue.Operation, error) {
 	record := head{
 		Layout: layoutVersion, History: stamp.History,
 		Revision: stamp.Revision + 1, Digest: stamp.Digest, Oldest: stamp.Revision + 1,
@@ -80,7 +80,7 @@
 	}
 	entry.parts = len(written)
 	operations = append(operations, written...)
-	operations = append(operations, kv.Operation{Key: headKey, Value: encodeJSON(record)})
+	operations = append(operations, keyvalue.Operation{Key: headKey, Value: encodeJSON(record)})
 	next := &state{head: record, tree: tree, entries: []Entry{entry}, stale: append(current.stale, current.entries...)}
 	return next, operations, nil
 }
--- a/settings/store.go
+++ b/settings/store.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -25,7 +25,7 @@
 // Store keeps the tree in the key-value service. Its methods are safe for
 // concurrent use.
 type Store struct {
-	kv            kv.Store
+	kv            keyvalue.Store
 	historyLength int64
 	now           func() time.Time
 	newHistory    func() string
@@ -68,7 +68,7 @@
 }
 
 // NewStore returns a store over the key-value service.
-func NewStore(store kv.Store, options ...StoreOption) *Store {
+func NewStore(store keyvalue.Store, options ...StoreOption) *Store {
 	s := &Store{kv: store, historyLength: DefaultHistoryLength, now: time.Now}
 	s.newHistory = func() string { return s.now().UTC().Format(historyTime) + "-" + rand.Text() }
 	for _, option := range options {
--- a/settings/store_test.go
+++ b/settings/store_test.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
 // newStore returns a store over service that names its history "h".
-func newStore(service kv.Store, options ...StoreOption) *Store {
+func newStore(service keyvalue.Store, options ...StoreOption) *Store {
 	options = append(options, WithHistoryNames(func() string { return "h" }), WithClock(func() time.Time { return time.Unix(0, 0) }))
 	return NewStore(service, options...)
 }
@@ -272,7 +272,7 @@
 	for name, backup := range map[string]int64{"from a backup": 3, "from nothing": 0} {
 		service := newMemoryKV()
 		store := newStore(service)
-		saved := map[string]kv.KeyValue{}
+		saved := map[string]keyvalue.KeyValue{}
 		var inForce Entry
 		for i := range int64(6) {
 			if i == backup {
--- a/simulation/cache.go
+++ b/simulation/cache.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/node"
-	"github.com/valveslip/valveslip/platform/engine"
 	"github.com/valveslip/valveslip/verdict"
 )
 
--- a/simulation/engine.go
+++ b/simulation/engine.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 )
 
 // EngineConfig describes one class of machines and its engine.
--- a/simulation/keyvalue.go
+++ b/simulation/keyvalue.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/node"
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/standin/keyvalue"
+	standin "github.com/valveslip/valveslip/standin/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -30,7 +30,7 @@
 	network *Network
 	random  *rand.Rand
 	place   Place
-	state   *keyvalue.State
+	state   *standin.State
 	delay   time.Duration
 	watches []*watch
 	// Down refuses every call; SlowFactor multiplies the delay; LostAnswers is
@@ -54,10 +54,10 @@
 
 // newKeyValue returns a healthy, empty service.
 func newKeyValue(kernel *Kernel, network *Network, place Place, deployment Deployment) *KeyValue {
-	limit := keyvalue.Config{RequestsPerSecond: deployment.KeyValueRate, Burst: int(deployment.KeyValueRate)}
+	limit := standin.Config{RequestsPerSecond: deployment.KeyValueRate, Burst: int(deployment.KeyValueRate)}
 	service := &KeyValue{
 		kernel: kernel, network: network, random: kernel.Stream("key-value"), place: place,
-		state: keyvalue.NewState(limit), delay: deployment.KeyValueDelay, SlowFactor: 1,
+		state: standin.NewState(limit), delay: deployment.KeyValueDelay, SlowFactor: 1,
 	}
 	const expiryInterval = 250 * time.Millisecond
 	kernel.Every(expiryInterval, expiryInterval, LabelLeaseEnd, func() bool {
@@ -68,7 +68,7 @@
 }
 
 // State is the service's content.
-func (s *KeyValue) State() *keyvalue.State { return s.state }
+func (s *KeyValue) State() *standin.State { return s.state }
 
 // SetDown begins or ends an outage; its beginning breaks every watch.
 func (s *KeyValue) SetDown(down bool) {
@@ -154,7 +154,7 @@
 		err = s.state.Revoke(now, call.Lease)
 	}
 	if errors.Is(err, keyvalue.ErrLeaseNotFound) {
-		err = kv.ErrLeaseNotFound
+		err = keyvalue.ErrLeaseNotFound
 	}
 	if err != nil {
 		answered.Err = verdict.Wrap(err, verdict.NotRun, verdict.CodeConflict, "refused")
--- a/simulation/operators.go
+++ b/simulation/operators.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/node"
-	"github.com/valveslip/valveslip/platform/kv"
 	"github.com/valveslip/valveslip/settings"
 )
 
@@ -14,34 +14,34 @@
 // effect at once and at the present virtual time.
 type directStore struct{ service *KeyValue }
 
-// Range implements kv.Store.
-func (d directStore) Range(_ context.Context, prefix string) ([]kv.KeyValue, int64, error) {
+// Range implements keyvalue.Store.
+func (d directStore) Range(_ context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
 	pairs, revision := d.service.state.Range(d.service.kernel.Now(), prefix)
 	return pairs, revision, nil
 }
 
-// Txn implements kv.Store.
-func (d directStore) Txn(_ context.Context, transaction kv.Transaction) (kv.TransactionResult, error) {
+// Txn implements keyvalue.Store.
+func (d directStore) Txn(_ context.Context, transaction keyvalue.Transaction) (keyvalue.TransactionResult, error) {
 	return d.service.state.Txn(d.service.kernel.Now(), transaction)
 }
 
-// Grant implements kv.Store.
+// Grant implements keyvalue.Store.
 func (d directStore) Grant(_ context.Context, ttl time.Duration) (int64, error) {
 	return d.service.state.Grant(d.service.kernel.Now(), ttl), nil
 }
 
-// KeepAlive implements kv.Store.
+// KeepAlive implements keyvalue.Store.
 func (d directStore) KeepAlive(_ context.Context, lease int64) (time.Duration, error) {
 	return d.service.state.KeepAlive(d.service.kernel.Now(), lease)
 }
 
-// Revoke implements kv.Store.
+// Revoke implements keyvalue.Store.
 func (d directStore) Revoke(_ context.Context, lease int64) error {
 	return d.service.state.Revoke(d.service.kernel.Now(), lease)
 }
 
-// Watch implements kv.Store; the settings store does not watch here.
-func (d directStore) Watch(context.Context, string, int64, func(kv.WatchBatch)) error {
+// Watch implements keyvalue.Store; the settings store does not watch here.
+func (d directStore) Watch(context.Context, string, int64, func(keyvalue.WatchBatch)) error {
 	return errWatchBroken
 }
 
--- a/simulation/weightstore.go
+++ b/simulation/weightstore.go
@@ -4,8 +4,8 @@
 	"strconv"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/weights"
 	standin "github.com/valveslip/valveslip/standin/weights"
+	"github.com/valveslip/valveslip/weights"
 )
 
 // WeightStoreConfig holds the store's limits.
--- a/standin/engine/bench_test.go
+++ b/standin/engine/bench_test.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	standin "github.com/valveslip/valveslip/standin/engine"
 )
 
--- a/standin/engine/openai_test.go
+++ b/standin/engine/openai_test.go
@@ -9,7 +9,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	standin "github.com/valveslip/valveslip/standin/engine"
 )
 
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 )
 
 // replica is a replica with what the engine knows of it.
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	standin "github.com/valveslip/valveslip/standin/engine"
 	"github.com/valveslip/valveslip/standin/fault"
 	"github.com/valveslip/valveslip/verdict"
--- a/standin/engine/verdict_test.go
+++ b/standin/engine/verdict_test.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/valveslip/valveslip/platform/engine"
+	"github.com/valveslip/valveslip/engine"
 	standin "github.com/valveslip/valveslip/standin/engine"
 	"github.com/valveslip/valveslip/standin/fault"
 	"github.com/valveslip/valveslip/verdict"
--- a/standin/keyvalue/apply.go
+++ b/standin/keyvalue/apply.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/platform/kv/gateway"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
 )
 
 // errInvalid says that a gateway request names an unknown target, result or
@@ -76,20 +76,20 @@
 
 // writesOf lists the writes of a branch, ranges of deletes resolved to keys,
 // and the number of keys each operation deletes.
-func (s *State) writesOf(branch []gateway.RequestOperation) ([]kv.Operation, []int, error) {
-	var writes []kv.Operation
+func (s *State) writesOf(branch []gateway.RequestOperation) ([]keyvalue.Operation, []int, error) {
+	var writes []keyvalue.Operation
 	deleted := make([]int, len(branch))
 	for i, operation := range branch {
 		switch {
 		case operation.Put != nil:
-			writes = append(writes, kv.Operation{
+			writes = append(writes, keyvalue.Operation{
 				Key: string(operation.Put.Key), Value: operation.Put.Value, Lease: int64(operation.Put.Lease),
 			})
 		case operation.DeleteRange != nil:
 			pairs := s.between(string(operation.DeleteRange.Key), string(operation.DeleteRange.RangeEnd))
 			deleted[i] = len(pairs)
 			for _, pair := range pairs {
-				writes = append(writes, kv.Operation{Key: pair.Key, Delete: true})
+				writes = append(writes, keyvalue.Operation{Key: pair.Key, Delete: true})
 			}
 		case operation.Range == nil:
 			return nil, nil, errInvalid
@@ -129,7 +129,7 @@
 }
 
 // toGateway writes one pair in the gateway's form.
-func toGateway(pair kv.KeyValue) gateway.KeyValue {
+func toGateway(pair keyvalue.KeyValue) gateway.KeyValue {
 	return gateway.KeyValue{
 		Key: []byte(pair.Key), Value: pair.Value,
 		CreateRevision: gateway.Int64(pair.CreateRevision), ModRevision: gateway.Int64(pair.ModRevision),
--- a/standin/keyvalue/fuzz_test.go
+++ b/standin/keyvalue/fuzz_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/valveslip/valveslip/platform/kv/gateway"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
 	"github.com/valveslip/valveslip/standin/keyvalue"
 )
 
--- a/standin/keyvalue/server_test.go
+++ b/standin/keyvalue/server_test.go
@@ -7,18 +7,18 @@
 	"testing"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/standin/fault"
-	"github.com/valveslip/valveslip/standin/keyvalue"
+	standin "github.com/valveslip/valveslip/standin/keyvalue"
 	"github.com/valveslip/valveslip/verdict"
 )
 
 // start serves an empty store on a kernel-chosen port.
-func start(t *testing.T, config keyvalue.Config) (*keyvalue.Server, *kv.Client) {
+func start(t *testing.T, config standin.Config) (*standin.Server, *keyvalue.Client) {
 	t.Helper()
-	server := keyvalue.NewServer(config, 1)
+	server := standin.NewServer(config, 1)
 	listener := httptest.NewServer(server)
-	client := kv.NewClient(listener.URL)
+	client := keyvalue.NewClient(listener.URL)
 	t.Cleanup(func() {
 		client.Close()
 		listener.CloseClientConnections()
@@ -28,11 +28,11 @@
 	return server, client
 }
 
-func put(t *testing.T, client *kv.Client, key, value string, expect int64) kv.TransactionResult {
+func put(t *testing.T, client *keyvalue.Client, key, value string, expect int64) keyvalue.TransactionResult {
 	t.Helper()
-	result, err := client.Txn(context.Background(), kv.Transaction{
-		Compares:   []kv.Compare{{Key: key, ModRevision: expect}},
-		Operations: []kv.Operation{{Key: key, Value: []byte(value)}},
+	result, err := client.Txn(context.Background(), keyvalue.Transaction{
+		Compares:   []keyvalue.Compare{{Key: key, ModRevision: expect}},
+		Operations: []keyvalue.Operation{{Key: key, Value: []byte(value)}},
 		Reads:      []string{key},
 	})
 	if err != nil {
@@ -42,7 +42,7 @@
 }
 
 func TestCompareAndSwapOverGateway(t *testing.T) {
-	_, client := start(t, keyvalue.Config{})
+	_, client := start(t, standin.Config{})
 	first := put(t, client, "/a", "one", 0)
 	if !first.Succeeded {
 		t.Fatal("create of an absent key failed")
@@ -62,9 +62,9 @@
 }
 
 func TestLostAnswerTookEffect(t *testing.T) {
-	server, client := start(t, keyvalue.Config{})
+	server, client := start(t, standin.Config{})
 	server.Inject(fault.Order{Kind: fault.KindLoseAnswer, Count: 1})
-	_, err := client.Txn(context.Background(), kv.Transaction{Operations: []kv.Operation{{Key: "/a", Value: []byte("v")}}})
+	_, err := client.Txn(context.Background(), keyvalue.Transaction{Operations: []keyvalue.Operation{{Key: "/a", Value: []byte("v")}}})
 	if err == nil || verdict.Of(err) != verdict.MayHaveRun {
 		t.Fatalf("lost answer: %v", err)
 	}
@@ -75,7 +75,7 @@
 }
 
 func TestRefusalsAreNotRun(t *testing.T) {
-	server, client := start(t, keyvalue.Config{RequestsPerSecond: 1e-9, Burst: 1})
+	server, client := start(t, standin.Config{RequestsPerSecond: 1e-9, Burst: 1})
 	if _, err := client.Grant(context.Background(), time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +86,7 @@
 	if _, _, err := client.Range(context.Background(), "/"); verdict.Of(err) != verdict.NotRun {
 		t.Fatalf("refusal: %v", err)
 	}
-	unreachable := kv.NewClient("http://127.0.0.1:1")
+	unreachable := keyvalue.NewClient("http://127.0.0.1:1")
 	if _, _, err := unreachable.Range(context.Background(), "/"); verdict.Of(err) != verdict.NotRun {
 		t.Fatalf("dial refused: %v", err)
 	}
@@ -95,12 +95,12 @@
 // TestWatchResumesAfterBreak: a watch broken by an outage resumes after its
 // last batch and sees each change once, in order.
 func TestWatchResumesAfterBreak(t *testing.T) {
-	server, client := start(t, keyvalue.Config{})
+	server, client := start(t, standin.Config{})
 	first := put(t, client, "/a", "1", 0)
-	seen := make(chan kv.WatchBatch, 16)
+	seen := make(chan keyvalue.WatchBatch, 16)
 	ended := make(chan error, 1)
 	watch := func(ctx context.Context, from int64) {
-		ended <- client.Watch(ctx, "/", from, func(batch kv.WatchBatch) {
+		ended <- client.Watch(ctx, "/", from, func(batch keyvalue.WatchBatch) {
 			if len(batch.Events) > 0 {
 				seen <- batch
 			}
@@ -112,8 +112,8 @@
 		t.Fatalf("first batch %+v", batch)
 	}
 	server.Inject(fault.Order{Kind: fault.KindDown})
-	server.Do(func(now time.Time, state *keyvalue.State) {
-		_, _ = state.Txn(now, kv.Transaction{Operations: []kv.Operation{{Key: "/a", Value: []byte("2")}}})
+	server.Do(func(now time.Time, state *standin.State) {
+		_, _ = state.Txn(now, keyvalue.Transaction{Operations: []keyvalue.Operation{{Key: "/a", Value: []byte("2")}}})
 	})
 	if err := <-ended; verdict.Of(err) != verdict.NotRun {
 		t.Fatalf("end of the broken watch: %v", err)
@@ -131,18 +131,18 @@
 }
 
 func TestWatchFromCompactedRevision(t *testing.T) {
-	server, client := start(t, keyvalue.Config{})
+	server, client := start(t, standin.Config{})
 	last := put(t, client, "/a", "1", 0)
-	server.Do(func(_ time.Time, state *keyvalue.State) { state.Compact(last.Revision) })
-	var got kv.WatchBatch
-	err := client.Watch(context.Background(), "/", 1, func(batch kv.WatchBatch) { got = batch })
+	server.Do(func(_ time.Time, state *standin.State) { state.Compact(last.Revision) })
+	var got keyvalue.WatchBatch
+	err := client.Watch(context.Background(), "/", 1, func(batch keyvalue.WatchBatch) { got = batch })
 	if err != nil || !got.Compacted || got.Revision != last.Revision {
 		t.Fatalf("%+v, %v", got, err)
 	}
 }
 
 func TestExpiredLeaseOverGateway(t *testing.T) {
-	_, client := start(t, keyvalue.Config{})
+	_, client := start(t, standin.Config{})
 	lease, err := client.Grant(context.Background(), 1500*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
@@ -153,10 +153,10 @@
 	if err := client.Revoke(context.Background(), lease); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := client.KeepAlive(context.Background(), lease); !errors.Is(err, kv.ErrLeaseNotFound) || verdict.Of(err) != verdict.NotRun {
+	if _, err := client.KeepAlive(context.Background(), lease); !errors.Is(err, keyvalue.ErrLeaseNotFound) || verdict.Of(err) != verdict.NotRun {
 		t.Fatalf("keep-alive after revoking: %v", err)
 	}
-	if err := client.Revoke(context.Background(), lease); !errors.Is(err, kv.ErrLeaseNotFound) {
+	if err := client.Revoke(context.Background(), lease); !errors.Is(err, keyvalue.ErrLeaseNotFound) {
 		t.Fatalf("second revoke: %v", err)
 	}
 }
--- a/standin/keyvalue/state.go
+++ b/standin/keyvalue/state.go
@@ -13,13 +13,13 @@
 	"sort"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // Errors of State.
 var (
-	// ErrLeaseNotFound is a kv.ErrLeaseNotFound.
-	ErrLeaseNotFound = fmt.Errorf("requested %w", kv.ErrLeaseNotFound)
+	// ErrLeaseNotFound is a keyvalue.ErrLeaseNotFound.
+	ErrLeaseNotFound = fmt.Errorf("requested %w", keyvalue.ErrLeaseNotFound)
 	ErrDuplicateKey  = errors.New("duplicate key given in txn request")
 	ErrEmptyKey      = errors.New("key is not provided")
 	ErrFuture        = errors.New("required revision is a future revision")
@@ -56,8 +56,8 @@
 	config    Config
 	revision  int64
 	compacted int64
-	pairs     map[string]kv.KeyValue
-	history   []kv.Event
+	pairs     map[string]keyvalue.KeyValue
+	history   []keyvalue.Event
 	leases    map[int64]*lease
 	nextLease int64
 	allowance float64
@@ -73,7 +73,7 @@
 		config.Burst = 1
 	}
 	return &State{
-		config: config, revision: 1, pairs: map[string]kv.KeyValue{},
+		config: config, revision: 1, pairs: map[string]keyvalue.KeyValue{},
 		leases: map[int64]*lease{}, nextLease: 1, allowance: float64(config.Burst),
 	}
 }
@@ -102,7 +102,7 @@
 }
 
 // Range returns the pairs below prefix, sorted by key, and the revision.
-func (s *State) Range(now time.Time, prefix string) ([]kv.KeyValue, int64) {
+func (s *State) Range(now time.Time, prefix string) ([]keyvalue.KeyValue, int64) {
 	s.Expire(now)
 	first, end := prefixBounds(prefix)
 	return s.between(first, end), s.revision
@@ -110,14 +110,14 @@
 
 // between returns the pairs with first <= key < end, sorted; an empty end
 // means first alone and "\x00" no bound.
-func (s *State) between(first, end string) []kv.KeyValue {
+func (s *State) between(first, end string) []keyvalue.KeyValue {
 	if end == "" {
 		if pair, ok := s.pairs[first]; ok {
-			return []kv.KeyValue{pair}
+			return []keyvalue.KeyValue{pair}
 		}
 		return nil
 	}
-	var found []kv.KeyValue
+	var found []keyvalue.KeyValue
 	for key, pair := range s.pairs {
 		if inside(key, first, end) {
 			found = append(found, pair)
--- a/standin/keyvalue/state_test.go
+++ b/standin/keyvalue/state_test.go
@@ -10,9 +10,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/platform/kv/gateway"
-	"github.com/valveslip/valveslip/standin/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
+	standin "github.com/valveslip/valveslip/standin/keyvalue"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -20,11 +20,11 @@
 // model is the simplest thing that behaves like the service without leases.
 type model struct {
 	revision int64
-	pairs    map[string]kv.KeyValue
+	pairs    map[string]keyvalue.KeyValue
 }
 
 // apply is the model's transaction.
-func (m *model) apply(transaction kv.Transaction) bool {
+func (m *model) apply(transaction keyvalue.Transaction) bool {
 	for _, compare := range transaction.Compares {
 		if m.pairs[compare.Key].ModRevision != compare.ModRevision {
 			return false
@@ -41,7 +41,7 @@
 		}
 		changed = true
 		if !exists {
-			pair = kv.KeyValue{Key: operation.Key, CreateRevision: m.revision + 1}
+			pair = keyvalue.KeyValue{Key: operation.Key, CreateRevision: m.revision + 1}
 		}
 		pair.Value, pair.ModRevision, pair.Version = operation.Value, m.revision+1, pair.Version+1
 		next[operation.Key] = pair
@@ -56,17 +56,17 @@
 var keys = []string{"/a", "/a/b", "/b", "/c"}
 
 // drawTransaction draws compares that often hold and writes of distinct keys.
-func drawTransaction(t *rapid.T, m *model) kv.Transaction {
-	var transaction kv.Transaction
+func drawTransaction(t *rapid.T, m *model) keyvalue.Transaction {
+	var transaction keyvalue.Transaction
 	for _, key := range rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 0, 2, rapid.ID).Draw(t, "compared") {
 		expected := m.pairs[key].ModRevision
 		if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
 			expected = rapid.Int64Range(0, m.revision+1).Draw(t, "expected")
 		}
-		transaction.Compares = append(transaction.Compares, kv.Compare{Key: key, ModRevision: expected})
+		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: key, ModRevision: expected})
 	}
 	for _, key := range rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 0, 3, rapid.ID).Draw(t, "written") {
-		operation := kv.Operation{Key: key, Delete: rapid.Bool().Draw(t, "delete")}
+		operation := keyvalue.Operation{Key: key, Delete: rapid.Bool().Draw(t, "delete")}
 		if !operation.Delete {
 			operation.Value = rapid.SliceOfN(rapid.Byte(), 1, 3).Draw(t, "value")
 		}
@@ -75,7 +75,7 @@
 	return transaction
 }
 
-func equalPair(a, b kv.KeyValue) bool {
+func equalPair(a, b keyvalue.KeyValue) bool {
 	return a.Key == b.Key && bytes.Equal(a.Value, b.Value) && a.CreateRevision == b.CreateRevision &&
 		a.ModRevision == b.ModRevision && a.Version == b.Version && a.Lease == b.Lease
 }
@@ -84,8 +84,8 @@
 // after every transaction, and that a replay of the history gives the contents.
 func TestTransactionsMatchModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		state := keyvalue.NewState(keyvalue.Config{})
-		m := &model{revision: 1, pairs: map[string]kv.KeyValue{}}
+		state := standin.NewState(standin.Config{})
+		m := &model{revision: 1, pairs: map[string]keyvalue.KeyValue{}}
 		for range rapid.IntRange(1, 30).Draw(t, "transactions") {
 			transaction := drawTransaction(t, m)
 			want := m.apply(transaction)
@@ -94,12 +94,12 @@
 				t.Fatalf("%+v: %+v, %v; want %v at %d", transaction, result, err, want, m.revision)
 			}
 			pairs, revision := state.Range(epoch, "/")
-			expected := slices.SortedFunc(maps.Values(m.pairs), func(a, b kv.KeyValue) int { return bytes.Compare([]byte(a.Key), []byte(b.Key)) })
+			expected := slices.SortedFunc(maps.Values(m.pairs), func(a, b keyvalue.KeyValue) int { return bytes.Compare([]byte(a.Key), []byte(b.Key)) })
 			if revision != m.revision || !slices.EqualFunc(pairs, expected, equalPair) {
 				t.Fatalf("contents %+v at %d; want %+v at %d", pairs, revision, expected, m.revision)
 			}
 		}
-		replayed := map[string]kv.KeyValue{}
+		replayed := map[string]keyvalue.KeyValue{}
 		for _, event := range state.EventsSince(epoch, "/", 1).Events {
 			if event.Deleted {
 				delete(replayed, event.KeyValue.Key)
@@ -113,9 +113,9 @@
 	})
 }
 
-func write(t *testing.T, state *keyvalue.State, now time.Time, key string, lease int64) int64 {
+func write(t *testing.T, state *standin.State, now time.Time, key string, lease int64) int64 {
 	t.Helper()
-	result, err := state.Txn(now, kv.Transaction{Operations: []kv.Operation{{Key: key, Value: []byte("v"), Lease: lease}}})
+	result, err := state.Txn(now, keyvalue.Transaction{Operations: []keyvalue.Operation{{Key: key, Value: []byte("v"), Lease: lease}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +123,7 @@
 }
 
 func TestLeaseLapse(t *testing.T) {
-	state := keyvalue.NewState(keyvalue.Config{})
+	state := standin.NewState(standin.Config{})
 	lease := state.Grant(epoch, 10*time.Second)
 	write(t, state, epoch, "/held", lease)
 	if _, err := state.KeepAlive(epoch.Add(9*time.Second), lease); err != nil {
@@ -147,7 +147,7 @@
 
 // TestLeaseFollowsLastWrite: a key written again without the lease outlives it.
 func TestLeaseFollowsLastWrite(t *testing.T) {
-	state := keyvalue.NewState(keyvalue.Config{})
+	state := standin.NewState(standin.Config{})
 	lease := state.Grant(epoch, time.Second)
 	write(t, state, epoch, "/a", lease)
 	write(t, state, epoch, "/a", 0)
@@ -157,7 +157,7 @@
 }
 
 func TestCompactionEndsOldWatches(t *testing.T) {
-	state := keyvalue.NewState(keyvalue.Config{HistoryLength: 4})
+	state := standin.NewState(standin.Config{HistoryLength: 4})
 	for range 20 {
 		write(t, state, epoch, "/a", 0)
 	}
@@ -179,13 +179,13 @@
 		request gateway.TxnRequest
 		want    error
 	}{
-		"two puts of one key": {gateway.TxnRequest{Success: []gateway.RequestOperation{put("/a", 0), put("/a", 0)}}, keyvalue.ErrDuplicateKey},
+		"two puts of one key": {gateway.TxnRequest{Success: []gateway.RequestOperation{put("/a", 0), put("/a", 0)}}, standin.ErrDuplicateKey},
 		"unknown lease":       {gateway.TxnRequest{Success: []gateway.RequestOperation{put("/a", 7)}}, keyvalue.ErrLeaseNotFound},
-		"empty key":           {gateway.TxnRequest{Success: []gateway.RequestOperation{put("", 0)}}, keyvalue.ErrEmptyKey},
+		"empty key":           {gateway.TxnRequest{Success: []gateway.RequestOperation{put("", 0)}}, standin.ErrEmptyKey},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			state := keyvalue.NewState(keyvalue.Config{})
+			state := standin.NewState(standin.Config{})
 			if _, err := state.Apply(epoch, test.request); !errors.Is(err, test.want) {
 				t.Fatalf("error %v; want %v", err, test.want)
 			}
@@ -197,7 +197,7 @@
 }
 
 func TestCompareTargets(t *testing.T) {
-	state := keyvalue.NewState(keyvalue.Config{})
+	state := standin.NewState(standin.Config{})
 	write(t, state, epoch, "/a", 0) // create revision 2
 	write(t, state, epoch, "/a", 0) // mod revision 3, version 2
 	cases := []struct {
--- a/standin/keyvalue/transaction.go
+++ b/standin/keyvalue/transaction.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/platform/kv/gateway"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
 )
 
-// Txn applies a transaction in the form of package kv.
-func (s *State) Txn(now time.Time, transaction kv.Transaction) (kv.TransactionResult, error) {
+// Txn applies a transaction in the form of package keyvalue.
+func (s *State) Txn(now time.Time, transaction keyvalue.Transaction) (keyvalue.TransactionResult, error) {
 	s.Expire(now)
-	result := kv.TransactionResult{Succeeded: true}
+	result := keyvalue.TransactionResult{Succeeded: true}
 	for _, compare := range transaction.Compares {
 		if s.pairs[compare.Key].ModRevision != compare.ModRevision {
 			result.Succeeded = false
@@ -18,7 +18,7 @@
 	}
 	if result.Succeeded {
 		if err := s.write(transaction.Operations); err != nil {
-			return kv.TransactionResult{}, err
+			return keyvalue.TransactionResult{}, err
 		}
 	} else {
 		for _, key := range transaction.Reads {
@@ -30,7 +30,7 @@
 }
 
 // write applies all operations in one revision, or none.
-func (s *State) write(operations []kv.Operation) error {
+func (s *State) write(operations []keyvalue.Operation) error {
 	if err := s.check(operations); err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 
 // check refuses what etcd refuses: two puts of one key, an empty key, an
 // unknown lease.
-func (s *State) check(operations []kv.Operation) error {
+func (s *State) check(operations []keyvalue.Operation) error {
 	seen := make(map[string]struct{}, len(operations))
 	for _, operation := range operations {
 		if operation.Key == "" {
@@ -74,7 +74,7 @@
 }
 
 // put writes one key at the current revision.
-func (s *State) put(operation kv.Operation) {
+func (s *State) put(operation keyvalue.Operation) {
 	pair := s.pairs[operation.Key]
 	s.detach(pair)
 	if pair.Version == 0 {
@@ -88,18 +88,18 @@
 		s.leases[pair.Lease].keys[pair.Key] = struct{}{}
 	}
 	s.pairs[pair.Key] = pair
-	s.record(kv.Event{KeyValue: pair})
+	s.record(keyvalue.Event{KeyValue: pair})
 }
 
 // remove deletes one existing key at the current revision.
 func (s *State) remove(key string) {
 	s.detach(s.pairs[key])
 	delete(s.pairs, key)
-	s.record(kv.Event{KeyValue: kv.KeyValue{Key: key, ModRevision: s.revision}, Deleted: true})
+	s.record(keyvalue.Event{KeyValue: keyvalue.KeyValue{Key: key, ModRevision: s.revision}, Deleted: true})
 }
 
 // detach takes a pair off its lease.
-func (s *State) detach(pair kv.KeyValue) {
+func (s *State) detach(pair keyvalue.KeyValue) {
 	if granted := s.leases[pair.Lease]; granted != nil {
 		delete(granted.keys, pair.Key)
 	}
@@ -107,7 +107,7 @@
 
 // record keeps a change for watches and compacts what is too old. Compaction
 // never splits a revision.
-func (s *State) record(event kv.Event) {
+func (s *State) record(event keyvalue.Event) {
 	s.history = append(s.history, event)
 	if len(s.history) >= 2*s.config.HistoryLength {
 		s.Compact(s.history[len(s.history)-s.config.HistoryLength].KeyValue.ModRevision)
@@ -124,23 +124,23 @@
 	for kept < len(s.history) && s.history[kept].KeyValue.ModRevision < revision {
 		kept++
 	}
-	s.history = append([]kv.Event(nil), s.history[kept:]...)
+	s.history = append([]keyvalue.Event(nil), s.history[kept:]...)
 }
 
 // EventsSince returns the changes below prefix from startRevision on. The batch
 // is Compacted when startRevision is gone; its Revision is always the global
 // one otherwise.
-func (s *State) EventsSince(now time.Time, prefix string, startRevision int64) kv.WatchBatch {
+func (s *State) EventsSince(now time.Time, prefix string, startRevision int64) keyvalue.WatchBatch {
 	s.Expire(now)
 	first, end := prefixBounds(prefix)
 	return s.eventsBetween(first, end, startRevision)
 }
 
-func (s *State) eventsBetween(first, end string, startRevision int64) kv.WatchBatch {
+func (s *State) eventsBetween(first, end string, startRevision int64) keyvalue.WatchBatch {
 	if startRevision < s.compacted {
-		return kv.WatchBatch{Revision: s.compacted, Compacted: true}
+		return keyvalue.WatchBatch{Revision: s.compacted, Compacted: true}
 	}
-	batch := kv.WatchBatch{Revision: s.revision}
+	batch := keyvalue.WatchBatch{Revision: s.revision}
 	for i := s.firstAt(startRevision); i < len(s.history); i++ {
 		if inside(s.history[i].KeyValue.Key, first, end) {
 			batch.Events = append(batch.Events, s.history[i])
--- a/standin/keyvalue/watch.go
+++ b/standin/keyvalue/watch.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/kv"
-	"github.com/valveslip/valveslip/platform/kv/gateway"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/gateway"
 	"github.com/valveslip/valveslip/standin/fault"
 )
 
@@ -75,8 +75,8 @@
 
 // collect returns what the watch has not seen and a channel that closes when
 // there may be more.
-func (w *watchStream) collect() (kv.WatchBatch, chan struct{}) {
-	var batch kv.WatchBatch
+func (w *watchStream) collect() (keyvalue.WatchBatch, chan struct{}) {
+	var batch keyvalue.WatchBatch
 	var changed chan struct{}
 	w.server.Do(func(_ time.Time, state *State) {
 		batch = state.eventsBetween(string(w.request.Key), string(w.request.RangeEnd), w.next)
@@ -89,7 +89,7 @@
 }
 
 // result writes a batch in the gateway's form.
-func result(batch kv.WatchBatch) gateway.WatchResult {
+func result(batch keyvalue.WatchBatch) gateway.WatchResult {
 	answer := gateway.WatchResult{Header: gateway.Header{Revision: gateway.Int64(batch.Revision)}}
 	for _, event := range batch.Events {
 		written := gateway.Event{KV: toGateway(event.KeyValue)}
--- a/standin/machines/machines_test.go
+++ b/standin/machines/machines_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	platform "github.com/valveslip/valveslip/platform/machines"
+	platform "github.com/valveslip/valveslip/machines"
 	"github.com/valveslip/valveslip/standin/fault"
 	"github.com/valveslip/valveslip/standin/machines"
 )
--- a/standin/machines/server.go
+++ b/standin/machines/server.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/platform/machines"
+	"github.com/valveslip/valveslip/machines"
 	"github.com/valveslip/valveslip/standin/fault"
 )
 
--- a/standin/weights/server.go
+++ b/standin/weights/server.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/weights"
 	"github.com/valveslip/valveslip/standin/fault"
+	"github.com/valveslip/valveslip/weights"
 )
 
 // PathLoads takes POST LoadRequest and answers 200 once the load has finished,
--- a/standin/weights/state.go
+++ b/standin/weights/state.go
@@ -9,7 +9,7 @@
 	"sort"
 	"time"
 
-	"github.com/valveslip/valveslip/platform/weights"
+	"github.com/valveslip/valveslip/weights"
 )
 
 // Config of a State.
--- a/standin/weights/weights_test.go
+++ b/standin/weights/weights_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	platform "github.com/valveslip/valveslip/platform/weights"
 	"github.com/valveslip/valveslip/standin/fault"
 	"github.com/valveslip/valveslip/standin/weights"
+	platform "github.com/valveslip/valveslip/weights"
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/platform/weights/client.go
+++ b/weights/client.go
@@ -5,7 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/valveslip/valveslip/platform/document"
+	"github.com/valveslip/valveslip/document"
 )
 
 // PathStatus of the weight store takes GET and answers Status as JSON.
