--- /dev/null
+++ b/authority/sequence/ledger.go
@@ -0,0 +1,263 @@
+package sequence
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/placement"
+)
+
+const (
+	// resendInterval spaces the sendings of an order without an answer.
+	resendInterval = 250 * time.Millisecond
+	// reportLag is how late reports may be.
+	reportLag = 120 * time.Millisecond
+	// pollInterval spaces reports while an order is carried out.
+	pollInterval = 150 * time.Millisecond
+	// idlePoll spaces reports of machines that carry out nothing.
+	idlePoll = 4 * time.Second
+	// earlyPoll is how long before the expected end of a load reports begin.
+	earlyPoll = 30 * time.Millisecond
+	// unloadTime is the expected time of the unload of an idle model.
+	unloadTime = 25 * time.Millisecond
+	// entryLag is how late a machine's entry may be.
+	entryLag = 3 * time.Second
+	// sealRetry spaces the first reports of a term that are not answered.
+	sealRetry = 400 * time.Millisecond
+)
+
+// Ledger is what the holder of a lease knows of the engines. It is not safe for
+// concurrent use.
+type Ledger struct {
+	now      time.Time
+	holder   cluster.NodeID
+	token    cluster.FencingToken
+	machines map[cluster.MachineID]*machine
+	number   uint64
+	effects  []Effect
+}
+
+// machine is one engine.
+type machine struct {
+	worker       catalog.Worker
+	memory       int64
+	adapterSlots int
+	// sealed is set once the engine has reported in this term.
+	sealed bool
+	count  int64
+	// pending is the order without a definite answer.
+	pending *pendingOrder
+	// conflicting is set until a report explains a refusal.
+	conflicting bool
+	// busyUntil is until when an order for a base model is expected to run; zero
+	// when none does.
+	busyUntil time.Time
+	// ordered is when the engine took an order last.
+	ordered   time.Time
+	replicas  map[cluster.ModelID]*replica
+	reportDue time.Time
+	asked     bool
+	cached    map[cluster.ModelID]cluster.Tier
+	running   int
+	waiting   int
+}
+
+// replica is one model on an engine.
+type replica struct {
+	state   cluster.ReplicaState
+	bytes   int64
+	adapter bool
+	// unknown is true while an order about it has no definite answer.
+	unknown bool
+	since   time.Time
+	readyAt time.Time
+}
+
+// pendingOrder is an order that was sent.
+type pendingOrder struct {
+	order    Ordered
+	expected int64
+	number   uint64
+	resendAt time.Time
+	// waiting is true until the last sending is answered or known to have failed.
+	waiting bool
+}
+
+// New returns an empty ledger.
+func New() *Ledger { return &Ledger{machines: make(map[cluster.MachineID]*machine)} }
+
+// Step takes one event and returns the effects.
+func (l *Ledger) Step(now time.Time, event Event) []Effect {
+	l.now, l.effects = now, nil
+	switch event := event.(type) {
+	case TermBegan:
+		l.begin(event)
+	case TermEnded:
+		l.token = 0
+	case MachineSeen:
+		l.seen(&event)
+	case MachineGone:
+		delete(l.machines, event.Machine)
+	case Ordered:
+		l.order(&event)
+	case Answered:
+		l.answered(&event)
+	case ReportRead:
+		l.reported(&event)
+	case Tick:
+		l.tick()
+	}
+	return l.effects
+}
+
+// Holding reports whether a term is under way.
+func (l *Ledger) Holding() bool { return l.token != 0 }
+
+// Token of the term under way.
+func (l *Ledger) Token() cluster.FencingToken { return l.token }
+
+func (l *Ledger) emit(effect Effect) { l.effects = append(l.effects, effect) }
+
+// begin starts a term: what engines hold is asked for anew.
+func (l *Ledger) begin(event TermBegan) {
+	l.holder, l.token = event.Holder, event.Token
+	for _, id := range l.sorted() {
+		m := l.machines[id]
+		m.sealed, m.pending, m.conflicting, m.busyUntil = false, nil, false, time.Time{}
+		m.replicas = map[cluster.ModelID]*replica{}
+		m.asked, m.reportDue = false, l.now
+		l.poll(id, m)
+	}
+}
+
+// sorted lists the machines by identifier.
+func (l *Ledger) sorted() []cluster.MachineID {
+	ids := make([]cluster.MachineID, 0, len(l.machines))
+	for id := range l.machines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// seen takes a machine's entry. During a term it only adds what the reports did
+// not show: an entry is later than they are.
+func (l *Ledger) seen(event *MachineSeen) {
+	id := event.Worker.ID
+	m := l.machines[id]
+	if m == nil {
+		m = &machine{replicas: map[cluster.ModelID]*replica{}, reportDue: l.now, count: event.Worker.OrderCount}
+		l.machines[id] = m
+	}
+	m.worker, m.memory, m.adapterSlots = event.Worker, event.MemoryBytes, event.AdapterSlots
+	if !l.Holding() {
+		return
+	}
+	if m.sealed && event.Worker.OrderCount > m.count && m.pending == nil {
+		m.conflicting, m.reportDue = true, l.now
+	}
+	l.dropVanished(id, m)
+	l.poll(id, m)
+}
+
+// dropVanished drops replicas that have been loaded for longer than entries are
+// late and that the entry does not name.
+func (l *Ledger) dropVanished(id cluster.MachineID, m *machine) {
+	if m.pending != nil || m.worker.OrderCount < m.count {
+		return
+	}
+	named := heldIDs(m.worker.Service, m.worker.Held)
+	for _, model := range m.models() {
+		known := m.replicas[model]
+		if known != nil && known.state == cluster.ReplicaLoaded && !named[model] && l.now.Sub(known.since) > entryLag {
+			l.change(id, m, model, cluster.ReplicaAbsent)
+		}
+	}
+}
+
+// heldIDs lists what a machine holds by identifier.
+func heldIDs(service string, held []catalog.HeldModel) map[cluster.ModelID]bool {
+	ids := make(map[cluster.ModelID]bool)
+	for _, model := range held {
+		ids[catalog.ModelID(service, model.Name)] = true
+		for _, adapter := range model.Adapters {
+			ids[catalog.AdapterID(service, model.Name, adapter)] = true
+		}
+	}
+	return ids
+}
+
+// change moves a replica to a state and tells so.
+func (l *Ledger) change(id cluster.MachineID, m *machine, model cluster.ModelID, state cluster.ReplicaState) {
+	known := m.replicas[model]
+	if known == nil {
+		known = &replica{since: l.now}
+		m.replicas[model] = known
+	}
+	changed := ReplicaChanged{Machine: id, Model: model, State: state, Took: l.now.Sub(known.since)}
+	if state == cluster.ReplicaLoading {
+		changed.ReadyIn = known.readyAt.Sub(l.now)
+	}
+	known.state, known.since, known.unknown = state, l.now, false
+	if state == cluster.ReplicaAbsent {
+		delete(m.replicas, model)
+		l.dropAdapters(id, m, model)
+	}
+	l.emit(changed)
+}
+
+// dropAdapters drops the adapters of a base model that is gone.
+func (l *Ledger) dropAdapters(id cluster.MachineID, m *machine, base cluster.ModelID) {
+	for _, model := range m.models() {
+		service, name, _ := catalog.Split(model)
+		if known := m.replicas[model]; known != nil && known.adapter && catalog.ModelID(service, name) == base {
+			delete(m.replicas, model)
+			l.emit(ReplicaChanged{Machine: id, Model: model, State: cluster.ReplicaAbsent})
+		}
+	}
+}
+
+// models lists the machine's replicas by identifier.
+func (m *machine) models() []cluster.ModelID {
+	ids := make([]cluster.ModelID, 0, len(m.replicas))
+	for id := range m.replicas {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Machines returns the machines as the planner sees them, sorted by identifier.
+// Size tells what a model takes, zero when it is not known.
+func (l *Ledger) Machines(size func(cluster.ModelID) int64) []placement.Machine {
+	machines := make([]placement.Machine, 0, len(l.machines))
+	for _, id := range l.sorted() {
+		m := l.machines[id]
+		machines = append(machines, placement.Machine{
+			ID: id, Rack: string(m.worker.Zone), Pool: m.worker.Service, Sealed: m.sealed, Leaving: m.worker.Draining,
+			MemoryBytes: m.memory, Slots: m.worker.Slots, AdapterSlots: m.adapterSlots, Busy: m.blocked(),
+			Replicas: m.slots(size), Cached: m.cached,
+			Load: cluster.LoadReport{Machine: id, Running: m.running, Queued: m.waiting},
+		})
+	}
+	return machines
+}
+
+// blocked reports whether the machine takes no order for a base model now.
+func (m *machine) blocked() bool {
+	return m.pending != nil || m.conflicting || !m.busyUntil.IsZero()
+}
+
+// slots lists the replicas for the planner, sorted by model.
+func (m *machine) slots(size func(cluster.ModelID) int64) []placement.Slot {
+	slots := make([]placement.Slot, 0, len(m.replicas))
+	for _, model := range m.models() {
+		known := m.replicas[model]
+		slots = append(slots, placement.Slot{
+			Model: model, State: known.state, Unknown: known.unknown, Bytes: max(known.bytes, size(model)), Since: known.since,
+		})
+	}
+	return slots
+}
--- /dev/null
+++ b/authority/sequence/orders.go
@@ -0,0 +1,298 @@
+package sequence
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// order gives an order unless the machine takes none at present. What a load
+// takes is reserved before it is sent.
+func (l *Ledger) order(wanted *Ordered) {
+	m := l.machines[wanted.Machine]
+	if !l.Holding() || m == nil || !m.sealed || m.pending != nil || m.conflicting {
+		return
+	}
+	if !wanted.Adapter && !m.busyUntil.IsZero() {
+		return
+	}
+	known := m.replicas[wanted.Model]
+	if wanted.Kind == cluster.OrderLoad {
+		if known != nil {
+			return
+		}
+		m.replicas[wanted.Model] = &replica{
+			state: cluster.ReplicaLoading, bytes: wanted.Bytes, adapter: wanted.Adapter, unknown: true, since: l.now,
+			readyAt: l.now.Add(wanted.ExpectedTime),
+		}
+	} else {
+		if known == nil || known.state != cluster.ReplicaLoaded {
+			return
+		}
+		l.change(wanted.Machine, m, wanted.Model, cluster.ReplicaUnloading)
+		known.unknown = true
+	}
+	m.pending = &pendingOrder{order: *wanted, expected: m.count}
+	l.send(wanted.Machine, m)
+}
+
+// send sends the pending order, for the first time or again.
+func (l *Ledger) send(id cluster.MachineID, m *machine) {
+	l.number++
+	pending := m.pending
+	pending.number, pending.waiting = l.number, true
+	pending.resendAt = l.now.Add(resendInterval)
+	l.emit(SendOrder{Address: m.worker.Address, Number: l.number, Order: Order{
+		Machine: id, Kind: pending.order.Kind, Model: pending.order.Model,
+		Expected: pending.expected, Holder: l.holder, Token: l.token,
+	}})
+}
+
+// answered takes the answer to an order. Only that to the last sending counts:
+// the engine takes each count once, so an earlier one shows in the later one.
+func (l *Ledger) answered(answer *Answered) {
+	m := l.machines[answer.Machine]
+	if m == nil || m.pending == nil || m.pending.number != answer.Number {
+		return
+	}
+	m.pending.waiting = false
+	if answer.Err != nil {
+		m.pending.resendAt = l.now.Add(resendInterval)
+		return
+	}
+	pending := m.pending
+	switch answer.Outcome {
+	case OutcomeTaken:
+		m.pending = nil
+		m.count = pending.expected + 1
+		l.taken(answer.Machine, m, &pending.order)
+	case OutcomeHolds:
+		m.pending = nil
+		l.holds(answer.Machine, m, &pending.order)
+	case OutcomeConflict:
+		m.conflicting = true
+		m.reportDue = l.now.Add(reportLag)
+	case OutcomeStale:
+		m.pending = nil
+		l.emit(Superseded{Machine: answer.Machine})
+	case OutcomeOtherMachine:
+		delete(l.machines, answer.Machine)
+	default:
+		m.pending = nil
+		l.undo(answer.Machine, m, &pending.order)
+	}
+}
+
+// taken notes an order that the engine carries out.
+func (l *Ledger) taken(id cluster.MachineID, m *machine, order *Ordered) {
+	known := m.replicas[order.Model]
+	if known == nil {
+		return
+	}
+	m.ordered = l.now
+	known.readyAt = l.now.Add(order.ExpectedTime)
+	if order.Kind == cluster.OrderUnload {
+		known.readyAt = l.now.Add(unloadTime)
+		known.unknown = false
+	} else {
+		l.change(id, m, order.Model, cluster.ReplicaLoading)
+	}
+	if order.Adapter {
+		return
+	}
+	m.busyUntil = known.readyAt
+	m.reportDue = known.readyAt.Add(-earlyPoll)
+}
+
+// holds notes that what was ordered is so already. The unload of an adapter
+// takes no time and counts.
+func (l *Ledger) holds(id cluster.MachineID, m *machine, order *Ordered) {
+	state := cluster.ReplicaLoaded
+	if order.Kind == cluster.OrderUnload {
+		state = cluster.ReplicaAbsent
+		if order.Adapter {
+			m.count++
+		}
+	}
+	l.change(id, m, order.Model, state)
+}
+
+// undo takes back an order that the engine will never carry out.
+func (l *Ledger) undo(id cluster.MachineID, m *machine, order *Ordered) {
+	state := cluster.ReplicaAbsent
+	if order.Kind == cluster.OrderUnload {
+		state = cluster.ReplicaLoaded
+	}
+	l.change(id, m, order.Model, state)
+}
+
+// reported takes an engine's report.
+func (l *Ledger) reported(read *ReportRead) {
+	m := l.machines[read.Machine]
+	if m == nil {
+		return
+	}
+	m.asked = false
+	if read.Err != nil {
+		m.reportDue = l.now.Add(sealRetry)
+		return
+	}
+	m.running, m.waiting = read.Report.Running, read.Report.Waiting
+	m.cached = tiers(m.worker.Service, &read.Report)
+	if !l.Holding() {
+		m.reportDue = l.now.Add(idlePoll)
+		return
+	}
+	if m.sealed && (read.Report.OrderCount < m.count || l.now.Sub(m.ordered) < reportLag) {
+		// The report is older than the last order.
+		m.reportDue = l.now.Add(reportLag)
+		return
+	}
+	l.settlePending(read.Machine, m, &read.Report)
+	m.count, m.sealed, m.conflicting = read.Report.OrderCount, true, false
+	l.sync(read.Machine, m, &read.Report)
+	m.reportDue = l.now.Add(idlePoll)
+	if read.Report.Busy {
+		m.reportDue = l.now.Add(pollInterval)
+	}
+}
+
+// settlePending settles an order that met a conflict. Once the count has passed
+// the order's, it was carried out or never will be.
+func (l *Ledger) settlePending(id cluster.MachineID, m *machine, report *catalog.Report) {
+	pending := m.pending
+	if pending == nil || !m.conflicting || pending.waiting {
+		return
+	}
+	if report.OrderCount > pending.expected {
+		m.pending = nil
+		if known := m.replicas[pending.order.Model]; known != nil {
+			known.unknown = false
+		}
+		return
+	}
+	if !report.Busy {
+		pending.resendAt = l.now
+	}
+}
+
+// tiers returns from where the engine would load its models.
+func tiers(service string, report *catalog.Report) map[cluster.ModelID]cluster.Tier {
+	cached := make(map[cluster.ModelID]cluster.Tier, len(report.OnDisk)+len(report.InMemory))
+	for _, name := range report.OnDisk {
+		cached[catalog.ModelID(service, name)] = cluster.TierDisk
+	}
+	for _, name := range report.InMemory {
+		cached[catalog.ModelID(service, name)] = cluster.TierMemory
+	}
+	return cached
+}
+
+// sync takes over what the report says of the replicas.
+func (l *Ledger) sync(id cluster.MachineID, m *machine, report *catalog.Report) {
+	held := heldIDs(m.worker.Service, report.Held)
+	for _, model := range slices.Sorted(maps.Keys(held)) {
+		known := m.replicas[model]
+		if known == nil {
+			_, _, adapter := catalog.Split(model)
+			m.replicas[model] = &replica{state: cluster.ReplicaLoaded, adapter: adapter != "", since: l.now}
+			continue
+		}
+		if known.state == cluster.ReplicaLoading && !known.unknown {
+			l.change(id, m, model, cluster.ReplicaLoaded)
+		} else if known.state == cluster.ReplicaUnloading && !known.unknown && !report.Busy {
+			l.change(id, m, model, cluster.ReplicaLoaded)
+		}
+	}
+	for _, model := range m.models() {
+		known := m.replicas[model]
+		if known == nil || held[model] || known.unknown {
+			continue
+		}
+		loading := known.state == cluster.ReplicaLoading && (report.Busy || known.adapter && l.now.Before(known.readyAt.Add(time.Second)))
+		recent := known.adapter && l.now.Sub(known.since) < reportLag
+		if !loading && !recent {
+			l.change(id, m, model, cluster.ReplicaAbsent)
+		}
+	}
+	if !report.Busy {
+		m.busyUntil = time.Time{}
+	} else if m.busyUntil.IsZero() {
+		m.busyUntil = l.now.Add(pollInterval)
+	}
+}
+
+// tick sends again what was not answered, lets adapters and unloads end by their
+// expected time and reads reports that are due.
+func (l *Ledger) tick() {
+	if !l.Holding() {
+		return
+	}
+	for _, id := range l.sorted() {
+		m := l.machines[id]
+		if m.pending != nil && !m.pending.waiting && !m.conflicting && !l.now.Before(m.pending.resendAt) {
+			l.send(id, m)
+		}
+		l.settle(id, m)
+		l.poll(id, m)
+	}
+}
+
+// settle ends adapters' loads and unloads of idle models by their expected time:
+// both take milliseconds, and a report would come later.
+func (l *Ledger) settle(id cluster.MachineID, m *machine) {
+	for _, model := range m.models() {
+		known := m.replicas[model]
+		if known == nil || known.unknown || l.now.Before(known.readyAt) {
+			continue
+		}
+		switch {
+		case known.state == cluster.ReplicaLoading && known.adapter:
+			l.change(id, m, model, cluster.ReplicaLoaded)
+		case known.state == cluster.ReplicaUnloading:
+			l.change(id, m, model, cluster.ReplicaAbsent)
+			m.busyUntil = time.Time{}
+			m.reportDue = l.now.Add(idlePoll)
+		}
+	}
+}
+
+// poll reads a report that is due.
+func (l *Ledger) poll(id cluster.MachineID, m *machine) {
+	if m.asked || l.now.Before(m.reportDue) {
+		return
+	}
+	m.asked = true
+	l.emit(ReadReport{Machine: id, Address: m.worker.Address})
+}
+
+// NextDue returns when the next Tick has something to do, false for never.
+func (l *Ledger) NextDue() (time.Time, bool) {
+	if !l.Holding() {
+		return time.Time{}, false
+	}
+	var next time.Time
+	consider := func(at time.Time) {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	for _, m := range l.machines {
+		if !m.asked {
+			consider(m.reportDue)
+		}
+		if m.pending != nil && !m.pending.waiting && !m.conflicting {
+			consider(m.pending.resendAt)
+		}
+		for _, known := range m.replicas {
+			ends := known.state == cluster.ReplicaLoading && known.adapter || known.state == cluster.ReplicaUnloading
+			if ends && !known.unknown {
+				consider(known.readyAt)
+			}
+		}
+	}
+	return next, !next.IsZero()
+}
--- /dev/null
+++ b/catalog/compile.go
@@ -0,0 +1,148 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/settings"
+)
+
+// Policies of services that are configured outside of the settings tree.
+const (
+	queueLength = 4096
+	queueBytes  = 96 << 20
+	// keepAlive outlasts any day: engines keep idle models until their memory is
+	// needed.
+	keepAlive = 7 * 24 * time.Hour
+	// coldStartWeight weighs cold starts and idle memory alike.
+	coldStartWeight = 0.5
+	// maxReplicas bounds a model's replicas only by the machines there are.
+	maxReplicas = 1 << 20
+)
+
+// Compiled is a configuration in the forms that decisions read. It is
+// immutable.
+type Compiled struct {
+	Configuration
+	Table    *Table
+	Snapshot *settings.Snapshot
+	services map[string]*Service
+}
+
+// Service returns the service of a name, or nil.
+func (c *Compiled) Service(name string) *Service {
+	if c == nil {
+		return nil
+	}
+	return c.services[name]
+}
+
+// Model returns a service's model of a name, or nil.
+func (s *Service) Model(name string) *ModelSpec {
+	if s == nil || s.Engine == nil {
+		return nil
+	}
+	at, found := slices.BinarySearchFunc(s.Engine.Models, name, func(m ModelSpec, name string) int {
+		return cmp.Compare(m.Name, name)
+	})
+	if !found {
+		return nil
+	}
+	return &s.Engine.Models[at]
+}
+
+// Compile checks the configuration and compiles it. The configuration must not
+// change afterwards.
+func (c Configuration) Compile() (*Compiled, error) {
+	compiled := &Compiled{Configuration: c, services: make(map[string]*Service, len(c.Services))}
+	for i := range c.Services {
+		service := &compiled.Services[i]
+		if service.Name == "" {
+			return nil, eris.Errorf("services[%d].name: must not be empty", i)
+		}
+		if service.Engine != nil {
+			slices.SortFunc(service.Engine.Models, func(a, b ModelSpec) int { return cmp.Compare(a.Name, b.Name) })
+		}
+		compiled.services[service.Name] = service
+	}
+	for i := range c.Routes {
+		if err := compiled.check(&c.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	compiled.Table = newTable(compiled.Routes)
+	compiled.Snapshot = compiled.snapshot()
+	return compiled, nil
+}
+
+// check reports what is wrong with a route.
+func (c *Compiled) check(route *Route) error {
+	if len(route.Targets) == 0 {
+		return eris.Errorf("route %s: has no service", route.Name)
+	}
+	for _, target := range route.Targets {
+		if c.services[target.Service] == nil {
+			return eris.Errorf("route %s: service %q does not exist", route.Name, target.Service)
+		}
+		if target.Weight < 0 {
+			return eris.Errorf("route %s: weight of %s is negative", route.Name, target.Service)
+		}
+	}
+	return nil
+}
+
+// snapshot returns the settings of every service, model and adapter.
+func (c *Compiled) snapshot() *settings.Snapshot {
+	var models []settings.Model
+	for i := range c.Services {
+		models = append(models, serviceModels(&c.Services[i])...)
+	}
+	slices.SortFunc(models, func(a, b settings.Model) int { return cmp.Compare(a.ID, b.ID) })
+	return settings.NewSnapshot(settings.Stamp{Revision: c.Version}, models, nil, nil)
+}
+
+// serviceModels returns the settings of one service and its models.
+func serviceModels(service *Service) []settings.Model {
+	path := "/" + service.Name
+	sources := map[string]string{"queue_time": path, "queue_length": path, "queue_bytes": path, "memory": path}
+	policy := settings.Defaults()
+	policy.QueueLength, policy.QueueBytes, policy.QueueTime = queueLength, queueBytes, keepAlive
+	policy.KeepAlive, policy.ColdStartWeight = keepAlive, coldStartWeight
+	policy.MinReplicas, policy.MaxReplicas = 0, maxReplicas
+	policy.EnginePool, policy.Version, policy.Priority = service.Name, "", 0
+	if service.Engine == nil {
+		return []settings.Model{{ID: ServiceID(service.Name), Kind: settings.KindModel, Path: path, Team: path, Policy: policy, Sources: sources}}
+	}
+	var models []settings.Model
+	for i := range service.Engine.Models {
+		spec := &service.Engine.Models[i]
+		base := policy
+		base.Memory = spec.Bytes
+		id := ModelID(service.Name, spec.Name)
+		modelPath := path + "/" + spec.Name
+		models = append(models, settings.Model{ID: id, Kind: settings.KindModel, Path: modelPath, Team: path, Policy: base, Sources: sources})
+		for number := 1; number <= spec.Adapters; number++ {
+			adapter := policy
+			adapter.Memory = spec.AdapterBytes
+			name := AdapterName(number)
+			models = append(models, settings.Model{
+				ID: AdapterID(service.Name, spec.Name, name), Kind: settings.KindAdapter, Base: id,
+				Path: modelPath + "/" + name, Team: path, Policy: adapter, Sources: sources,
+			})
+		}
+	}
+	return models
+}
+
+// AdapterName returns the name of a model's n-th adapter, counted from 1.
+func AdapterName(n int) string { return "a" + strconv.Itoa(n) }
+
+// String describes the configuration in one line.
+func (c *Compiled) String() string {
+	return fmt.Sprintf("version %d: %d routes, %d services, %d models and adapters", c.Version, len(c.Routes), len(c.Services), len(c.Snapshot.Models))
+}
--- a/cmd/valveslip/node.go
+++ b/cmd/valveslip/node.go
@@ -19,13 +19,17 @@
 func nodeCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("valveslip node", flag.ContinueOnError)
 	read := configFlags(flags)
+	onPlatform := flags.Bool("platform", false, "run on the users' platform, with the settings file that its environment names")
 	return &ffcli.Command{
 		Name:       "node",
-		ShortUsage: "valveslip node --config FILE [flags]",
+		ShortUsage: "valveslip node --config FILE [flags] | valveslip node --platform",
 		ShortHelp:  "run a node; SIGTERM drains it",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(node.EnvironmentPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
+			if *onPlatform {
+				return runPlatformNode(ctx)
+			}
 			config, err := read()
 			if err != nil {
 				return &exitError{code: exitInvalid, err: err}
--- /dev/null
+++ b/cmd/valveslip/platform_node.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/fleet/shell"
+	"github.com/valveslip/valveslip/platform"
+	"github.com/valveslip/valveslip/routing"
+)
+
+const (
+	// watchWait is how long a watch of the store without news is held: so long
+	// a cut connection may go unnoticed.
+	watchWait = 1500 * time.Millisecond
+	// memoryShare is the part of the machine's memory that the runtime may use.
+	memoryShare = 0.6
+	// collectAt is by how many percent the heap grows between collections.
+	collectAt = 200
+	// retryShare is the part of the shared retry budget that nodes divide; the
+	// rest is kept for a change of their number.
+	retryShare = 0.75
+	// metricsPort is where every node serves its figures.
+	metricsPort = 9464
+	// The router's tuning for this platform.
+	platformRegionPenalty   = 12 * time.Millisecond
+	platformFailurePenalty  = 800 * time.Millisecond
+	platformMaxBackOff      = 1500 * time.Millisecond
+	platformPrefixBlockTime = 8 * time.Millisecond
+	// platformTargetLoad is the share of an engine's slots that one replica
+	// should fill: few, because prompts are read one after the other.
+	platformTargetLoad = 0.07
+)
+
+// runPlatformNode runs a node on the users' platform until SIGTERM or SIGINT.
+func runPlatformNode(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return &exitError{code: exitInvalid, err: err}
+	}
+	limitResources(&settings.Resources)
+	log := eventlog.New(os.Stdout, eventlog.Options{Node: settings.NodeName})
+	log.Write(eventlog.SettingsRead{Path: path})
+	node, err := shell.Start(platformOptions(&settings, log))
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-hangups:
+			reload(path, log)
+		case <-ctx.Done():
+			node.Stop()
+			return nil
+		case err := <-node.Failed():
+			node.Kill()
+			return err
+		}
+	}
+}
+
+// reload reads the settings again. Addresses and limits hold for the life of a
+// process; a file that can't be read is reported and changes nothing.
+func reload(path string, log *eventlog.Log) {
+	line := eventlog.SettingsRead{Path: path}
+	if _, err := platform.ReadSettings(path); err != nil {
+		line.Error = err.Error()
+	}
+	log.Write(line)
+}
+
+// limitResources has the runtime keep within what the process is given.
+func limitResources(limits *platform.Limits) {
+	debug.SetMemoryLimit(int64(limits.MemoryMB * memoryShare * (1 << 20)))
+	debug.SetGCPercent(collectAt)
+	if limits.Cores > 0 {
+		runtime.GOMAXPROCS(limits.Cores)
+	}
+}
+
+// platformOptions converts the settings.
+func platformOptions(settings *platform.Settings, log *eventlog.Log) shell.Options {
+	regions := make(map[cluster.ZoneID]cluster.RegionID, len(settings.Zones))
+	for zone, region := range settings.Zones {
+		regions[cluster.ZoneID(zone)] = cluster.RegionID(region)
+	}
+	core := fleet.Config{
+		Self: fleet.NodeEntry{ID: cluster.NodeID(settings.NodeName + "-" + uniqueSuffix())},
+		Zone: cluster.ZoneID(settings.Zone), Regions: regions,
+		FirstStart: settings.FirstStart, FencingEnforced: settings.Bounds.FencingEnforced,
+		OrderPause: platform.Milliseconds(settings.Bounds.LeaseMillis),
+		Routing: routing.Config{
+			ExpectedRouters: 4, RetryRatio: settings.Bounds.RetryRatio * retryShare,
+			RetryWindow: platform.Seconds(settings.Bounds.RetryWindowSeconds),
+			RetryExtra:  settings.Bounds.RetryExtra * retryShare, FailurePenalty: platformFailurePenalty,
+			MaxBackOff: platformMaxBackOff, RegionPenalty: platformRegionPenalty, PrefixBlockTime: platformPrefixBlockTime,
+		},
+	}
+	core.Placement.TargetLoad = platformTargetLoad
+	return shell.Options{
+		Core: core, Seed: seed(), CallersAddress: settings.Listen.Callers, ReadyAddress: settings.Listen.Readiness,
+		PeerAddress:    net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPorts[0])),
+		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)), ReadyPath: platform.ReadyPath,
+		Grace: platform.Seconds(settings.Bounds.GraceSeconds),
+		Store: platform.NewStoreClient(settings.Store.Address, watchWait), Engines: platform.NewEngineClient(),
+		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Log: log,
+		Logger:  slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})),
+		Version: versionText(),
+	}
+}
+
+const suffixBytes = 4
+
+// uniqueSuffix tells the starts of one node apart.
+func uniqueSuffix() string {
+	data := make([]byte, suffixBytes)
+	_, _ = rand.Read(data)
+	return hex.EncodeToString(data)
+}
+
+// seed draws the seed of the core's choices.
+func seed() uint64 {
+	data := make([]byte, 8)
+	_, _ = rand.Read(data)
+	var value uint64
+	for _, part := range data {
+		value = value<<8 | uint64(part)
+	}
+	return value
+}
--- /dev/null
+++ b/demand/ledger.go
@@ -0,0 +1,182 @@
+// Package demand sums what routers report of their waiting and running requests
+// for the one that decides on placement.
+package demand
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/placement"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Ledger sums the routers' demand for one cell.
+type Ledger struct {
+	routers map[cluster.NodeID]*routerDemand
+	// order lists the routers, sorted by ID.
+	order []cluster.NodeID
+	// arrivals since the last plan, by model.
+	arrivals map[cluster.ModelID]int
+	// changed is true when a router began to wait for a model since the last
+	// plan; growing queues are left to the periodic plan.
+	changed bool
+}
+
+type routerDemand struct {
+	zone     cluster.ZoneID
+	sequence uint64
+	at       time.Time
+	models   []wire.ModelDemand
+	scopes   []wire.ScopeDemand
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{
+		routers:  map[cluster.NodeID]*routerDemand{},
+		arrivals: map[cluster.ModelID]int{},
+	}
+}
+
+// Note takes over a router's report unless a newer one came before it.
+func (l *Ledger) Note(now time.Time, demand wire.Demand) {
+	known, ok := l.routers[demand.From]
+	if ok && demand.Sequence <= known.sequence {
+		return
+	}
+	if !ok {
+		known = &routerDemand{}
+		l.routers[demand.From] = known
+		l.order = insertNode(l.order, demand.From)
+	}
+	for i := range demand.Models {
+		model := &demand.Models[i]
+		l.arrivals[model.Model] += model.Arrivals
+		l.changed = l.changed || model.Waiting > 0 && !known.waits(model.Model)
+	}
+	known.zone, known.sequence, known.at = demand.Zone, demand.Sequence, now
+	known.models, known.scopes = demand.Models, demand.Scopes
+}
+
+// waits reports whether the router's last report showed waiting requests of the
+// model.
+func (d *routerDemand) waits(model cluster.ModelID) bool {
+	for i := range d.models {
+		if d.models[i].Model == model {
+			return d.models[i].Waiting > 0
+		}
+	}
+	return false
+}
+
+// Forget drops what a router reported.
+func (l *Ledger) Forget(router cluster.NodeID) {
+	if _, ok := l.routers[router]; !ok {
+		return
+	}
+	delete(l.routers, router)
+	for i, id := range l.order {
+		if id == router {
+			l.order = append(l.order[:i], l.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// Expire forgets routers that have been silent for the timeout.
+func (l *Ledger) Expire(now time.Time, timeout time.Duration) {
+	for i := 0; i < len(l.order); i++ {
+		if now.Sub(l.routers[l.order[i]].at) > timeout {
+			l.Forget(l.order[i])
+			i--
+		}
+	}
+}
+
+// Sum returns the demand by model for one plan and begins a new count of
+// arrivals.
+func (l *Ledger) Sum(now time.Time) map[cluster.ModelID]placement.Demand {
+	total := make(map[cluster.ModelID]placement.Demand)
+	for _, id := range l.order {
+		router := l.routers[id]
+		age := now.Sub(router.at)
+		for i := range router.models {
+			addDemand(total, &router.models[i], age)
+		}
+	}
+	for model, arrivals := range l.arrivals {
+		demand := total[model]
+		demand.Arrivals = arrivals
+		total[model] = demand
+	}
+	clear(l.arrivals)
+	l.changed = false
+	return total
+}
+
+func addDemand(total map[cluster.ModelID]placement.Demand, model *wire.ModelDemand, age time.Duration) {
+	sum := total[model.Model]
+	sum.Waiting += model.Waiting
+	sum.Running += model.Running
+	if model.Waiting > 0 {
+		sum.OldestWait = max(sum.OldestWait, model.OldestWait+age)
+		deadline := max(model.EarliestDeadline-age, 0)
+		if sum.EarliestDeadline == 0 || deadline < sum.EarliestDeadline {
+			sum.EarliestDeadline = deadline
+		}
+	}
+	total[model.Model] = sum
+}
+
+func insertNode(list []cluster.NodeID, id cluster.NodeID) []cluster.NodeID {
+	at := sort.Search(len(list), func(i int) bool { return list[i] >= id })
+	list = append(list, "")
+	copy(list[at+1:], list[at:])
+	list[at] = id
+	return list
+}
+
+// Changed reports whether a router began to wait for a model since the last sum.
+func (l *Ledger) Changed() bool { return l.changed }
+
+// Routers lists the routers that have reported, sorted by ID.
+func (l *Ledger) Routers() []cluster.NodeID { return slices.Clone(l.order) }
+
+// Zone of a router, by its last report.
+func (l *Ledger) Zone(router cluster.NodeID) cluster.ZoneID {
+	if known := l.routers[router]; known != nil {
+		return known.zone
+	}
+	return ""
+}
+
+// Scopes that a router reported last.
+func (l *Ledger) Scopes(router cluster.NodeID) []wire.ScopeDemand {
+	if known := l.routers[router]; known != nil {
+		return known.scopes
+	}
+	return nil
+}
+
+// Wanting lists the routers whose last report names one of the models.
+func (l *Ledger) Wanting(names func(model cluster.ModelID) bool) []cluster.NodeID {
+	var wanting []cluster.NodeID
+	for _, id := range l.order {
+		if slices.ContainsFunc(l.routers[id].models, func(m wire.ModelDemand) bool { return names(m.Model) }) {
+			wanting = append(wanting, id)
+		}
+	}
+	return wanting
+}
+
+// Waiting reports whether any router's last report shows waiting requests.
+func (l *Ledger) Waiting() bool {
+	for _, id := range l.order {
+		if slices.ContainsFunc(l.routers[id].models, func(m wire.ModelDemand) bool { return m.Waiting > 0 }) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/eventlog/events.go
@@ -0,0 +1,200 @@
+package eventlog
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Documented is an event that says what it means.
+type Documented interface {
+	Event
+	// Meaning is one sentence for operators.
+	Meaning() string
+}
+
+// All returns an empty event of each kind, in the order of the reference page.
+func All() []Documented {
+	return []Documented{
+		NodeStarted{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
+		RequestAccepted{}, RequestSent{}, AttemptEnded{}, RequestEnded{},
+		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
+		DependencyLost{}, DependencyBack{}, LeaseChanged{},
+		OrderPlanned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+	}
+}
+
+// NodeStarted is written once at start.
+type NodeStarted struct {
+	Zone    cluster.ZoneID `log:"zone" doc:"zone of the node"`
+	Callers string         `log:"callers" doc:"address for callers"`
+	Peer    string         `log:"peer" doc:"address for messages between nodes"`
+	Version string         `log:"version" doc:"version of the program"`
+}
+
+// NodeStopping is written when a planned stop begins.
+type NodeStopping struct {
+	InFlight int `log:"in_flight" doc:"requests that have not ended"`
+}
+
+// NodeStopped is the last line of a planned stop.
+type NodeStopped struct {
+	InFlight int           `log:"in_flight" doc:"requests that are cut off"`
+	Took     time.Duration `log:"took_ms" doc:"time since the stop began"`
+}
+
+// SettingsRead is written at start and at each reload.
+type SettingsRead struct {
+	Path  string `log:"path" doc:"settings file"`
+	Error string `log:"error,omitempty" doc:"why the settings before it stay in force"`
+}
+
+// PauseNoticed is written when the process finds that it stood still.
+type PauseNoticed struct {
+	Pause time.Duration `log:"pause_ms" doc:"how long the process stood still"`
+}
+
+// RequestAccepted is written when a request has been read and its route is known.
+type RequestAccepted struct {
+	Request  cluster.RequestID `log:"request" doc:"request id"`
+	Route    string            `log:"route" doc:"route that was found"`
+	Version  int64             `log:"config" doc:"version of the configuration that decided"`
+	Work     cluster.ModelID   `log:"work" doc:"service, model and adapter"`
+	Left     time.Duration     `log:"left_ms" doc:"time until the request must have ended"`
+	Attempts int               `log:"attempts" doc:"machines that it may be sent to"`
+}
+
+// RequestSent is written for each dispatch.
+type RequestSent struct {
+	Request  cluster.RequestID `log:"request" doc:"request id"`
+	Attempt  cluster.Attempt   `log:"attempt" doc:"number of the dispatch, from 1"`
+	Machine  cluster.MachineID `log:"machine" doc:"machine it is sent to"`
+	Waited   time.Duration     `log:"waited_ms" doc:"time in the queue so far"`
+	Expected time.Duration     `log:"expected_ms" doc:"expected wait at the machine"`
+	InFlight int               `log:"in_flight" doc:"requests of this node at the machine"`
+	Compared int               `log:"compared" doc:"machines that were compared"`
+	After    string            `log:"after,omitempty" doc:"event after which a stream is continued"`
+}
+
+// AttemptEnded is written when a dispatch has ended otherwise than by a whole
+// answer.
+type AttemptEnded struct {
+	Request cluster.RequestID `log:"request" doc:"request id"`
+	Attempt cluster.Attempt   `log:"attempt" doc:"number of the dispatch"`
+	Machine cluster.MachineID `log:"machine" doc:"machine it was sent to"`
+	Code    string            `log:"code" doc:"class of the failure"`
+	Verdict string            `log:"verdict" doc:"whether the request may have run there"`
+	Status  int               `log:"status,omitempty" doc:"status that the machine answered"`
+	Took    time.Duration     `log:"took_ms" doc:"time since the dispatch"`
+	Cause   string            `log:"cause,omitempty" doc:"the error"`
+}
+
+// RequestEnded is the one end of a request.
+type RequestEnded struct {
+	Request  cluster.RequestID `log:"request" doc:"request id"`
+	Status   int               `log:"status" doc:"status that the caller got, 0 without one"`
+	Code     string            `log:"code" doc:"served, or the class of the failure"`
+	Verdict  string            `log:"verdict" doc:"whether the request may have run"`
+	Machine  cluster.MachineID `log:"machine,omitempty" doc:"last machine"`
+	Attempts int               `log:"attempts" doc:"dispatches"`
+	Took     time.Duration     `log:"took_ms" doc:"time since the request was read"`
+	Waited   time.Duration     `log:"waited_ms" doc:"time in the queue"`
+	First    time.Duration     `log:"first_ms" doc:"time to the first byte of the answer"`
+	Back     time.Duration     `log:"retry_after_ms,omitempty" doc:"when the caller was told to come back"`
+	Setting  string            `log:"setting,omitempty" doc:"bound that decided"`
+	Cause    string            `log:"cause,omitempty" doc:"the failure in words"`
+}
+
+// ConfigurationInForce is written when a configuration was put in force.
+type ConfigurationInForce struct {
+	Version  int64         `log:"config" doc:"version"`
+	Routes   int           `log:"routes" doc:"number of routes"`
+	Services int           `log:"services" doc:"number of services"`
+	Took     time.Duration `log:"took_ms" doc:"time to compile it"`
+}
+
+// ConfigurationRejected is written when a configuration can't be put in force;
+// the one before it stays.
+type ConfigurationRejected struct {
+	Revision int64  `log:"revision" doc:"revision of the store"`
+	Cause    string `log:"cause" doc:"key and reason"`
+}
+
+// WorkerChanged is written when a worker's entry is new or says something new.
+type WorkerChanged struct {
+	Machine  cluster.MachineID `log:"machine" doc:"worker"`
+	Service  string            `log:"service" doc:"its service"`
+	Address  string            `log:"address" doc:"its address"`
+	Draining bool              `log:"draining" doc:"whether it takes no new requests"`
+	Held     int               `log:"models" doc:"models it holds"`
+	Orders   int64             `log:"orders" doc:"orders it has taken"`
+	Revision int64             `log:"revision" doc:"revision of the store"`
+}
+
+// WorkerGone is written when a worker's entry is gone, or another worker answers
+// at its address.
+type WorkerGone struct {
+	Machine cluster.MachineID `log:"machine" doc:"worker"`
+	Cause   string            `log:"cause" doc:"how the node learned it"`
+}
+
+// NodesChanged is written when the number of live nodes changed.
+type NodesChanged struct {
+	Nodes int `log:"nodes" doc:"live nodes, this one included"`
+}
+
+// DependencyLost is written when the store or the controller can't be reached.
+type DependencyLost struct {
+	Name  string `log:"name" doc:"what was lost"`
+	Cause string `log:"cause" doc:"the error"`
+}
+
+// DependencyBack is written when it can be reached again.
+type DependencyBack struct {
+	Name  string        `log:"name" doc:"what is back"`
+	After time.Duration `log:"after_ms" doc:"how long it was lost"`
+}
+
+// LeaseChanged is written when the holder of the cell's lease changed, as far as
+// this node knows.
+type LeaseChanged struct {
+	Holder cluster.NodeID       `log:"holder" doc:"node that gives orders, empty for none"`
+	Token  cluster.FencingToken `log:"token" doc:"its fencing token"`
+	Own    bool                 `log:"own" doc:"whether it is this node"`
+	Cause  string               `log:"cause" doc:"what changed"`
+}
+
+// OrderPlanned is written when the placement decided on an order.
+type OrderPlanned struct {
+	Machine  cluster.MachineID `log:"machine" doc:"worker"`
+	Order    string            `log:"order" doc:"load or unload"`
+	Work     cluster.ModelID   `log:"work" doc:"service, model and adapter"`
+	Cause    string            `log:"cause" doc:"rule that decided"`
+	Waiting  int               `log:"waiting" doc:"requests that wait for it"`
+	Tier     string            `log:"tier" doc:"where the weights come from"`
+	Expected time.Duration     `log:"expected_ms" doc:"expected time of a load"`
+	Count    int64             `log:"orders" doc:"orders that the worker has taken, as the order expects"`
+}
+
+// OrderAnswered is written for each answer to an order, and when there is none.
+type OrderAnswered struct {
+	Machine cluster.MachineID `log:"machine" doc:"worker"`
+	Order   string            `log:"order" doc:"load or unload"`
+	Work    cluster.ModelID   `log:"work" doc:"service, model and adapter"`
+	Outcome string            `log:"outcome" doc:"what the worker said"`
+	Took    time.Duration     `log:"took_ms" doc:"time since it was sent"`
+}
+
+// ReplicaChanged is written when the holder learns that a load or unload is done.
+type ReplicaChanged struct {
+	Machine cluster.MachineID `log:"machine" doc:"worker"`
+	Work    cluster.ModelID   `log:"work" doc:"service, model and adapter"`
+	State   string            `log:"state" doc:"new state"`
+	Took    time.Duration     `log:"took_ms" doc:"time in the state before"`
+}
+
+// LinesDropped is written when lines were dropped.
+type LinesDropped struct {
+	Lines string `log:"lines" doc:"kind of the lines"`
+	Count uint64 `log:"count" doc:"how many"`
+}
--- /dev/null
+++ b/eventlog/kinds.go
@@ -0,0 +1,171 @@
+package eventlog
+
+// Kinds and meanings of the events.
+
+// Kind implements Event.
+func (NodeStarted) Kind() string { return "node_started" }
+
+// Meaning implements Documented.
+func (NodeStarted) Meaning() string {
+	return "Written once at start."
+}
+
+// Kind implements Event.
+func (NodeStopping) Kind() string { return "node_stopping" }
+
+// Meaning implements Documented.
+func (NodeStopping) Meaning() string {
+	return "Written when a planned stop begins."
+}
+
+// Kind implements Event.
+func (NodeStopped) Kind() string { return "node_stopped" }
+
+// Meaning implements Documented.
+func (NodeStopped) Meaning() string {
+	return "The last line of a planned stop."
+}
+
+// Kind implements Event.
+func (SettingsRead) Kind() string { return "settings_read" }
+
+// Meaning implements Documented.
+func (SettingsRead) Meaning() string {
+	return "Written at start and at each reload."
+}
+
+// Kind implements Event.
+func (PauseNoticed) Kind() string { return "pause_noticed" }
+
+// Meaning implements Documented.
+func (PauseNoticed) Meaning() string {
+	return "Written when the process finds that it stood still."
+}
+
+// Kind implements Event.
+func (RequestAccepted) Kind() string { return "request_accepted" }
+
+// Meaning implements Documented.
+func (RequestAccepted) Meaning() string {
+	return "Written when a request has been read and its route is known."
+}
+
+// Kind implements Event.
+func (RequestSent) Kind() string { return "request_sent" }
+
+// Meaning implements Documented.
+func (RequestSent) Meaning() string {
+	return "Written for each dispatch."
+}
+
+// Kind implements Event.
+func (AttemptEnded) Kind() string { return "attempt_ended" }
+
+// Meaning implements Documented.
+func (AttemptEnded) Meaning() string {
+	return "Written when a dispatch has ended otherwise than by a whole answer."
+}
+
+// Kind implements Event.
+func (RequestEnded) Kind() string { return "request_ended" }
+
+// Meaning implements Documented.
+func (RequestEnded) Meaning() string {
+	return "The one end of a request."
+}
+
+// Kind implements Event.
+func (ConfigurationInForce) Kind() string { return "configuration_in_force" }
+
+// Meaning implements Documented.
+func (ConfigurationInForce) Meaning() string {
+	return "Written when a configuration was put in force."
+}
+
+// Kind implements Event.
+func (ConfigurationRejected) Kind() string { return "configuration_rejected" }
+
+// Meaning implements Documented.
+func (ConfigurationRejected) Meaning() string {
+	return "Written when a configuration can't be put in force; the one before it stays."
+}
+
+// Kind implements Event.
+func (WorkerChanged) Kind() string { return "worker_changed" }
+
+// Meaning implements Documented.
+func (WorkerChanged) Meaning() string {
+	return "Written when a worker's entry is new or says something new."
+}
+
+// Kind implements Event.
+func (WorkerGone) Kind() string { return "worker_gone" }
+
+// Meaning implements Documented.
+func (WorkerGone) Meaning() string {
+	return "Written when a worker's entry is gone, or another worker answers at its address."
+}
+
+// Kind implements Event.
+func (NodesChanged) Kind() string { return "nodes_changed" }
+
+// Meaning implements Documented.
+func (NodesChanged) Meaning() string {
+	return "Written when the number of live nodes changed."
+}
+
+// Kind implements Event.
+func (DependencyLost) Kind() string { return "dependency_lost" }
+
+// Meaning implements Documented.
+func (DependencyLost) Meaning() string {
+	return "Written when the store or the controller can't be reached."
+}
+
+// Kind implements Event.
+func (DependencyBack) Kind() string { return "dependency_back" }
+
+// Meaning implements Documented.
+func (DependencyBack) Meaning() string {
+	return "Written when it can be reached again."
+}
+
+// Kind implements Event.
+func (LeaseChanged) Kind() string { return "lease_changed" }
+
+// Meaning implements Documented.
+func (LeaseChanged) Meaning() string {
+	return "Written when the holder of the cell's lease changed, as far as this node knows."
+}
+
+// Kind implements Event.
+func (OrderPlanned) Kind() string { return "order_planned" }
+
+// Meaning implements Documented.
+func (OrderPlanned) Meaning() string {
+	return "Written when the placement decided on an order."
+}
+
+// Kind implements Event.
+func (OrderAnswered) Kind() string { return "order_answered" }
+
+// Meaning implements Documented.
+func (OrderAnswered) Meaning() string {
+	return "Written for each answer to an order, and when there is none."
+}
+
+// Kind implements Event.
+func (ReplicaChanged) Kind() string { return "replica_changed" }
+
+// Meaning implements Documented.
+func (ReplicaChanged) Meaning() string {
+	return "Written when the holder learns that a load or unload is done."
+}
+
+// Kind implements Event.
+func (LinesDropped) Kind() string { return "lines_dropped" }
+
+// Meaning implements Documented.
+func (LinesDropped) Meaning() string {
+	return "Written when lines were dropped."
+}
--- /dev/null
+++ b/fleet/cell.go
@@ -0,0 +1,477 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/demand"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue/lease"
+	"github.com/valveslip/valveslip/placement"
+	"github.com/valveslip/valveslip/wire"
+)
+
+const (
+	// candidacyStep delays each node's attempt to take the lease by its rank.
+	candidacyStep = 120 * time.Millisecond
+	// lastRank bounds that delay.
+	lastRank = 6
+	// renewalsPerHold is how often the holder renews its lease within its time.
+	renewalsPerHold = 5
+	// orderShare is the part of the lease's time since the last renewal in which
+	// orders are given; the rest keeps a holder from ordering until the end.
+	orderShare = 0.5
+	// planSpacing is the least time between two plans, planInterval the longest.
+	planSpacing  = 15 * time.Millisecond
+	planInterval = time.Second
+	// waitingPlan spaces plans while requests wait.
+	waitingPlan = 200 * time.Millisecond
+	// demandTimeout is when a silent node's demand is forgotten.
+	demandTimeout = 5 * time.Second
+	// resignTime is how long a stopping holder keeps the lease without ordering.
+	resignTime = time.Second
+	// adapterTime is the expected time of an adapter's load.
+	adapterTime = 25 * time.Millisecond
+	// concurrentLoads is how many loads the store bears at full speed for each
+	// load a second that it allows.
+	concurrentLoads = 3.6
+)
+
+// cell is this node's part in deciding what is loaded where: the lease, the
+// demand, the plans and the orders.
+type cell struct {
+	core   *Core
+	lease  *lease.Client
+	ledger *sequence.Ledger
+	demand *demand.Ledger
+	// planner is made anew for each term.
+	planner placement.Planner
+	// allotment lets the planner hold any number of each model.
+	allotment *cluster.Allotment
+
+	// holder is the node that gives orders, as far as is known.
+	holder NodeEntry
+	// known is set once the holder's record, or its absence, was read.
+	known bool
+	// vacantSince is when the record was first seen absent.
+	vacantSince time.Time
+	retryAt     time.Time
+	renewAt     time.Time
+	// actAt is from when orders may be given in this term.
+	actAt    time.Time
+	began    bool
+	planned  time.Time
+	news     bool
+	resigned time.Time
+	sequence uint64
+}
+
+func newCell(core *Core) *cell {
+	caller := leaseCaller{core: core, record: RecordHolder}
+	return &cell{
+		core: core, ledger: sequence.New(), demand: demand.New(),
+		lease: lease.New(caller, KeyHolder, core.config.Self.Encode(), core.config.HolderTTL),
+	}
+}
+
+// holderRead takes the record of the lease.
+func (c *cell) holderRead(read HolderRead) {
+	c.known = true
+	if read.Node.ID == c.core.config.Self.ID {
+		c.holder, c.vacantSince = read.Node, time.Time{}
+		return
+	}
+	if c.holder.ID != read.Node.ID {
+		c.core.log(eventlog.LeaseChanged{Holder: read.Node.ID, Token: read.Token, Cause: "record read"})
+	}
+	c.holder = read.Node
+	switch {
+	case read.Node.ID == "":
+		if c.vacantSince.IsZero() {
+			c.vacantSince = c.core.now
+		}
+	default:
+		c.vacantSince = time.Time{}
+		if c.lease.Holding() && read.Token > c.lease.Token() {
+			c.stepDown("another node holds the lease")
+		}
+		c.core.reporter.next = c.core.now
+	}
+}
+
+// tick takes or renews the lease, begins the term, and plans.
+func (c *cell) tick() {
+	now := c.core.now
+	switch {
+	case !c.resigned.IsZero():
+		c.finishResigning()
+		return
+	case !c.lease.Holding():
+		c.stand()
+		return
+	case !now.Before(c.renewAt):
+		c.renewAt = now.Add(c.core.config.HolderTTL / renewalsPerHold)
+		c.lease.Renew()
+	}
+	if !c.began && !now.Before(c.actAt) {
+		c.beginTerm()
+	}
+	if !c.ledger.Holding() {
+		return
+	}
+	c.ledgerStep(sequence.Tick{})
+	c.demand.Expire(now, demandTimeout)
+	c.plan()
+}
+
+// stand tries to take the lease when there is no holder and the nodes ranked
+// before this one have had their turn.
+func (c *cell) stand() {
+	now := c.core.now
+	if !c.known || c.core.compiled == nil || c.vacantSince.IsZero() || now.Before(c.retryAt) {
+		return
+	}
+	rank := min(c.core.sharers.Rank, lastRank)
+	if now.Before(c.vacantSince.Add(time.Duration(rank) * candidacyStep)) {
+		return
+	}
+	c.retryAt = now.Add(c.core.config.HolderTTL / renewalsPerHold)
+	c.lease.Acquire()
+}
+
+// leaseAnswered takes the answer to a call for the lease.
+func (c *cell) leaseAnswered(answer lease.Answer) {
+	switch c.lease.Answered(answer) {
+	case lease.Won:
+		c.won()
+	case lease.Taken:
+		value, token := c.lease.Holder()
+		if entry, err := DecodeNodeEntry(value); err == nil {
+			c.holderRead(HolderRead{Node: entry, Token: token})
+		}
+	case lease.Gone:
+		c.stepDown("the lease ran out")
+		c.vacantSince = c.core.now
+	case lease.NoAnswer:
+		c.renewAt = c.core.now.Add(c.core.config.HolderTTL / renewalsPerHold / 2)
+	}
+}
+
+// won notes that the lease is this node's. A holder before it gave its last order
+// at most orderShare of the lease's time after its last renewal.
+func (c *cell) won() {
+	config := &c.core.config
+	now := c.core.now
+	c.holder, c.vacantSince = config.Self, time.Time{}
+	c.renewAt = now.Add(config.HolderTTL / renewalsPerHold)
+	c.began = false
+	c.actAt = now
+	if !config.FirstStart {
+		rest := time.Duration((1 - orderShare) * float64(config.HolderTTL))
+		c.actAt = now.Add(max(config.OrderPause-rest, 0) + orderMargin)
+	}
+	c.core.log(eventlog.LeaseChanged{Holder: config.Self.ID, Token: c.lease.Token(), Own: true, Cause: "won"})
+}
+
+// orderMargin is added to the pause between the orders of two holders.
+const orderMargin = 150 * time.Millisecond
+
+// beginTerm starts giving orders.
+func (c *cell) beginTerm() {
+	c.began = true
+	c.planner = placement.NewPlanner(c.plannerConfig())
+	c.ledgerStep(sequence.TermBegan{Holder: c.core.config.Self.ID, Token: c.lease.Token()})
+	c.news = true
+}
+
+// stepDown ends the term.
+func (c *cell) stepDown(cause string) {
+	if c.lease.Holding() || c.began {
+		c.core.log(eventlog.LeaseChanged{Token: c.lease.Token(), Cause: cause})
+	}
+	c.lease.Reset()
+	c.began = false
+	c.ledgerStep(sequence.TermEnded{})
+	if c.holder.ID == c.core.config.Self.ID {
+		c.holder = NodeEntry{}
+	}
+}
+
+// resign ends orders at once and gives the lease back a little later, so that the
+// next holder's wait counts from a time at which this one gave none.
+func (c *cell) resign() {
+	if !c.resigned.IsZero() {
+		return
+	}
+	c.resigned = c.core.now
+	c.ledgerStep(sequence.TermEnded{})
+}
+
+func (c *cell) finishResigning() {
+	if c.lease.Holding() && c.core.now.Sub(c.resigned) >= resignTime {
+		c.lease.Release()
+	}
+}
+
+// mayOrder reports whether orders may be given now. Where engines don't check
+// tokens, the time since the last renewal alone keeps this holder apart from the
+// next one. Where they do, a holder that can't reach the store goes on: no one
+// else is then in the place to order, or engines tell.
+func (c *cell) mayOrder() bool {
+	if !c.ledger.Holding() {
+		return false
+	}
+	allowed := time.Duration(orderShare * float64(c.core.config.HolderTTL))
+	return c.core.config.FencingEnforced || c.core.now.Sub(c.lease.SentAt()) < allowed
+}
+
+// due returns when the next tick has something to do.
+func (c *cell) due() time.Time {
+	now := c.core.now
+	if !c.resigned.IsZero() {
+		if c.lease.Holding() {
+			return c.resigned.Add(resignTime)
+		}
+		return time.Time{}
+	}
+	if !c.lease.Holding() {
+		if !c.known || c.vacantSince.IsZero() {
+			return time.Time{}
+		}
+		rank := min(c.core.sharers.Rank, lastRank)
+		at := c.vacantSince.Add(time.Duration(rank) * candidacyStep)
+		if at.Before(c.retryAt) {
+			at = c.retryAt
+		}
+		return at
+	}
+	next := c.renewAt
+	if !c.began {
+		next = earliest(next, c.actAt)
+	}
+	if at, due := c.ledger.NextDue(); due {
+		next = earliest(next, at)
+	}
+	if c.ledger.Holding() {
+		next = earliest(next, c.planDue())
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+// planDue returns when the next plan is.
+func (c *cell) planDue() time.Time {
+	switch {
+	case c.news || c.demand.Changed():
+		return c.planned.Add(planSpacing)
+	case c.demand.Waiting():
+		return c.planned.Add(waitingPlan)
+	}
+	return c.planned.Add(planInterval)
+}
+
+// demandReceived takes a node's demand.
+func (c *cell) demandReceived(received wire.Demand) {
+	if c.ledger.Holding() {
+		c.demand.Note(c.core.now, received)
+	}
+}
+
+// configurationChanged makes the allotment anew: models may be held anywhere.
+func (c *cell) configurationChanged() {
+	allotment := &cluster.Allotment{}
+	for _, model := range c.core.compiled.Snapshot.Models {
+		allotment.Models = append(allotment.Models, cluster.ModelAllotment{Model: model.ID, MaxReplicas: math.MaxInt32})
+	}
+	c.allotment = allotment
+	for _, known := range c.core.view.sorted() {
+		c.machineSeen(&known.worker)
+	}
+	c.news = true
+}
+
+// machineSeen hands a machine's entry to the ledger if it runs an engine.
+func (c *cell) machineSeen(worker *catalog.Worker) {
+	service := c.core.compiled.Service(worker.Service)
+	if service == nil || service.Engine == nil {
+		return
+	}
+	c.ledgerStep(sequence.MachineSeen{
+		Worker: *worker, MemoryBytes: service.Engine.MemoryBytes, AdapterSlots: service.Engine.AdapterSlots,
+	})
+	c.news = true
+}
+
+// plannerConfig tunes the planner by the engines there are.
+func (c *cell) plannerConfig() placement.Config {
+	config := c.core.config.Placement
+	config.RetainIdle, config.EvictForLoad, config.UnloadDropsAdapters = true, true, true
+	for tier := range config.BytesPerSecond {
+		if rate := c.loadRate(cluster.Tier(tier)); rate > 0 {
+			config.BytesPerSecond[tier] = rate
+		}
+	}
+	return config
+}
+
+// loadRate is the mean of bytes a second that models are loaded with from a tier.
+func (c *cell) loadRate(tier cluster.Tier) float64 {
+	var bytes, seconds float64
+	for i := range c.core.compiled.Services {
+		engine := c.core.compiled.Services[i].Engine
+		if engine == nil {
+			continue
+		}
+		for k := range engine.Models {
+			bytes += float64(engine.Models[k].Bytes)
+			seconds += loadTime(&engine.Models[k], tier).Seconds()
+		}
+	}
+	if seconds == 0 {
+		return 0
+	}
+	return bytes / seconds
+}
+
+// loadTime is the stated time of a load from a tier.
+func loadTime(spec *catalog.ModelSpec, tier cluster.Tier) time.Duration {
+	switch {
+	case tier == cluster.TierMemory && spec.MemoryTime > 0:
+		return spec.MemoryTime
+	case tier == cluster.TierDisk && spec.DiskTime > 0:
+		return spec.DiskTime
+	}
+	return spec.LoadTime
+}
+
+// size is what a model takes on an engine.
+func (c *cell) size(id cluster.ModelID) int64 {
+	if model := c.core.compiled.Snapshot.Model(id); model != nil {
+		return model.Policy.Memory
+	}
+	return 0
+}
+
+// storeState is what may be loaded from the weight store.
+func (c *cell) storeState() placement.StoreState {
+	state := placement.StoreState{Speed: 1}
+	for i := range c.core.compiled.Services {
+		if engine := c.core.compiled.Services[i].Engine; engine != nil && engine.LoadsPerSecond > state.StartsPerSecond {
+			state.StartsPerSecond = engine.LoadsPerSecond
+		}
+	}
+	state.Concurrency = max(int(math.Ceil(state.StartsPerSecond*concurrentLoads)), 1)
+	return state
+}
+
+// plan plans and gives the orders that can be given.
+func (c *cell) plan() {
+	now := c.core.now
+	if !c.mayOrder() || now.Before(c.planDue()) {
+		return
+	}
+	c.planned, c.news = now, false
+	plan := c.planner.Plan(placement.State{
+		Now: now, Token: c.ledger.Token(), Settings: c.core.compiled.Snapshot, Allotment: c.allotment,
+		Machines: c.ledger.Machines(c.size), Demand: c.demand.Sum(now), Store: c.storeState(),
+	})
+	for i := range plan.Actions {
+		c.give(&plan.Actions[i])
+	}
+}
+
+// give asks the ledger to give an order.
+func (c *cell) give(action *placement.Action) {
+	_, _, adapter := catalog.Split(action.Model)
+	c.ledgerStep(sequence.Ordered{
+		Machine: action.Machine, Kind: action.Kind, Model: action.Model, Bytes: action.Bytes,
+		Adapter: adapter != "", ExpectedTime: c.expectedTime(action),
+	}, func(order sequence.Order) {
+		c.core.log(eventlog.OrderPlanned{
+			Machine: action.Machine, Order: action.Kind.String(), Work: action.Model, Cause: string(action.Reason.Cause),
+			Waiting: action.Reason.Waiting, Tier: action.Tier.String(), Expected: c.expectedTime(action), Count: order.Expected,
+		})
+	})
+}
+
+// expectedTime is the stated time of a load.
+func (c *cell) expectedTime(action *placement.Action) time.Duration {
+	service, name, adapter := catalog.Split(action.Model)
+	if adapter != "" {
+		return adapterTime
+	}
+	spec := c.core.compiled.Service(service).Model(name)
+	if spec == nil {
+		return action.ExpectedTime
+	}
+	return loadTime(spec, action.Tier)
+}
+
+// orderAnswered takes the answer to an order.
+func (c *cell) orderAnswered(answered OrderAnswered) {
+	outcome := answered.Answer.Outcome.String()
+	if answered.Answer.Err != nil {
+		outcome = "unknown: " + answered.Answer.Err.Error()
+	}
+	c.core.log(eventlog.OrderAnswered{
+		Machine: answered.Order.Machine, Order: answered.Order.Kind.String(), Work: answered.Order.Model,
+		Outcome: outcome, Took: answered.Took,
+	})
+	c.ledgerStep(answered.Answer)
+	c.news = true
+}
+
+// ledgerStep feeds the ledger and carries out its effects. Each order that it
+// sends is shown to the observers.
+func (c *cell) ledgerStep(event sequence.Event, observe ...func(sequence.Order)) {
+	var changes []wire.ReplicaRecord
+	for _, effect := range c.ledger.Step(c.core.now, event) {
+		switch e := effect.(type) {
+		case sequence.SendOrder:
+			for _, see := range observe {
+				see(e.Order)
+			}
+			c.core.emit(SendOrder{Send: e})
+		case sequence.ReadReport:
+			c.core.emit(ReadReport{Read: e})
+		case sequence.ReplicaChanged:
+			c.news = true
+			changes = append(changes, wire.ReplicaRecord{Machine: e.Machine, Model: e.Model, State: e.State, ReadyIn: e.ReadyIn})
+			c.core.log(eventlog.ReplicaChanged{Machine: e.Machine, Work: e.Model, State: e.State.String(), Took: e.Took})
+		case sequence.Superseded:
+			c.stepDown("an engine follows a later holder")
+		}
+	}
+	c.publish(changes)
+}
+
+// publish tells this node and those whose callers want the models what became of
+// replicas. All others read it in the machines' entries.
+func (c *cell) publish(changes []wire.ReplicaRecord) {
+	if len(changes) == 0 {
+		return
+	}
+	c.sequence++
+	status := wire.CellStatus{
+		From: c.core.config.Self.ID, FromAddress: c.core.config.Self.Address, Token: c.lease.Token(),
+		Sequence: c.sequence, Replicas: changes,
+	}
+	c.core.view.statusReceived(&status)
+	concerned := func(wanted cluster.ModelID) bool {
+		return slices.ContainsFunc(changes, func(change wire.ReplicaRecord) bool {
+			service, name, _ := catalog.Split(wanted)
+			return change.Model == wanted || change.Model == catalog.ModelID(service, name)
+		})
+	}
+	for _, id := range c.demand.Wanting(concerned) {
+		if id != c.core.config.Self.ID {
+			c.core.send(c.core.nodes[id].Address, status)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/placement"
+	"github.com/valveslip/valveslip/routing"
+)
+
+// Config holds the node's place and the core's tuning. A zero field takes the
+// documented default.
+type Config struct {
+	// Self is the node; its ID is unique for each start.
+	Self NodeEntry
+	Zone cluster.ZoneID
+	// Regions gives the region of each zone.
+	Regions map[cluster.ZoneID]cluster.RegionID
+	Routing routing.Config
+	// Placement tunes the planner.
+	Placement placement.Config
+	// FirstStart is true when no node ran before this start of the system, so
+	// that there is no earlier holder whose orders must have ended.
+	FirstStart bool
+	// OrderPause is how long must pass between the orders of two holders.
+	OrderPause time.Duration
+	// FencingEnforced is true when engines refuse orders under a token smaller
+	// than one they have seen. Without it, time alone keeps holders apart.
+	FencingEnforced bool
+	// HolderTTL is for how long the holder's lease lasts without a renewal.
+	// Default 2 s.
+	HolderTTL time.Duration
+	// NodeTTL is the same for the node's own record. Default 6 s.
+	NodeTTL time.Duration
+	// PauseHold bounds how long dispatches wait after a pause for the store to
+	// be read again. Default 300 ms.
+	PauseHold time.Duration
+}
+
+// withDefaults fills zero fields.
+func (c Config) withDefaults() Config {
+	c.HolderTTL = cmp.Or(c.HolderTTL, 2*time.Second)
+	c.NodeTTL = cmp.Or(c.NodeTTL, 6*time.Second)
+	c.PauseHold = cmp.Or(c.PauseHold, 300*time.Millisecond)
+	return c
+}
--- /dev/null
+++ b/fleet/core.go
@@ -0,0 +1,217 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Core composes the deciding cores. It is not safe for concurrent use; a shell
+// serializes Step.
+type Core struct {
+	config   Config
+	now      time.Time
+	compiled *catalog.Compiled
+	router   *routing.Router
+	view     *machineView
+	nodes    map[cluster.NodeID]NodeEntry
+	record   *nodeRecord
+	cell     *cell
+	reporter demandReporter
+	synced   bool
+	// sharers is the last count of nodes that the router was told.
+	sharers routing.RoutersChanged
+	effects []Effect
+}
+
+// New returns a core that knows nothing yet.
+func New(config Config, seed uint64) *Core {
+	config = config.withDefaults()
+	config.Routing.Zone, config.Routing.Region = config.Zone, config.Regions[config.Zone]
+	core := &Core{config: config, router: routing.New(config.Routing, seed), nodes: map[cluster.NodeID]NodeEntry{}}
+	core.view = newMachineView(core)
+	core.record = newNodeRecord(core)
+	core.cell = newCell(core)
+	return core
+}
+
+// Step takes one event at the given time and returns the effects in the order
+// they must begin. The slice is valid until the next Step.
+func (c *Core) Step(now time.Time, event Event) []Effect {
+	c.now = now
+	c.effects = c.effects[:0]
+	switch e := event.(type) {
+	case Tick:
+		c.routing(routing.Tick{})
+	case RoutingInput:
+		c.routing(e.Event)
+	case ConfigurationRead:
+		c.configurationRead(e.Compiled)
+	case WorkersRead:
+		c.workersRead(e)
+	case NodesRead:
+		c.nodesRead(e)
+	case HolderRead:
+		c.cell.holderRead(e)
+	case StoreSynced:
+		c.synced = true
+		c.routing(routing.DispatchesReleased{})
+	case Paused:
+		c.routing(routing.DispatchesHeld{Until: now.Add(c.config.PauseHold)})
+	case MessageReceived:
+		c.messageReceived(e.Message)
+	case LeaseAnswered:
+		c.leaseAnswered(e)
+	case OrderAnswered:
+		c.cell.orderAnswered(e)
+	case ReportRead:
+		c.cell.ledgerStep(e.Read)
+		c.cell.news = true
+	case ResignStarted:
+		c.cell.resign()
+	case DrainStarted:
+		c.routing(routing.DrainStarted{})
+	}
+	c.view.tick()
+	c.record.tick()
+	c.cell.tick()
+	c.reporter.tick(c)
+	return c.effects
+}
+
+// NextDue returns when the next Tick has something to do.
+func (c *Core) NextDue() time.Time {
+	due := []time.Time{c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due()}
+	if at, waiting := c.router.NextDeadline(); waiting {
+		due = append(due, at)
+	}
+	next := c.now.Add(maxIdle)
+	for _, at := range due {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// maxIdle is the longest time without a Tick.
+const maxIdle = time.Second
+
+// Ready reports whether the node knows what it needs to serve.
+func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
+
+// InFlight counts the requests that have not ended.
+func (c *Core) InFlight() int { return c.router.InFlight() }
+
+// Holding reports whether this node gives the orders.
+func (c *Core) Holding() bool { return c.cell.ledger.Holding() }
+
+func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
+
+func (c *Core) log(line eventlog.Event) { c.emit(Log{Line: line}) }
+
+func (c *Core) send(address string, message wire.Message) {
+	if address != "" {
+		c.emit(SendMessage{Address: address, Message: message})
+	}
+}
+
+func (c *Core) routing(event routing.Event) {
+	for _, effect := range c.router.Step(c.now, event) {
+		if _, asks := effect.(routing.StatusNeeded); !asks {
+			c.emit(RoutingOutput{Effect: effect})
+		}
+	}
+}
+
+// configurationRead puts a configuration in force unless a newer one is.
+func (c *Core) configurationRead(compiled *catalog.Compiled) {
+	if c.compiled != nil && compiled.Version <= c.compiled.Version {
+		return
+	}
+	c.compiled = compiled
+	c.routing(routing.SettingsChanged{Snapshot: compiled.Snapshot})
+	c.view.configurationChanged()
+	c.cell.configurationChanged()
+}
+
+// workersRead takes machines' entries.
+func (c *Core) workersRead(read WorkersRead) {
+	gone := read.Gone
+	if read.Full {
+		gone = c.view.missing(read.Workers)
+	}
+	for _, id := range gone {
+		c.view.remove(id)
+		c.cell.ledgerStep(sequence.MachineGone{Machine: id})
+	}
+	for i := range read.Workers {
+		if c.view.put(&read.Workers[i], read.Revision) {
+			c.cell.machineSeen(&read.Workers[i])
+		}
+	}
+}
+
+// nodesRead takes the entries of nodes and tells the router how many there are.
+func (c *Core) nodesRead(read NodesRead) {
+	if read.Full {
+		clear(c.nodes)
+	}
+	for _, id := range read.Gone {
+		delete(c.nodes, id)
+		c.cell.demand.Forget(id)
+	}
+	for _, entry := range read.Nodes {
+		c.nodes[entry.ID] = entry
+	}
+	c.noteSharers()
+}
+
+// noteSharers tells the router how many nodes share machines and budgets.
+func (c *Core) noteSharers() {
+	ids := []cluster.NodeID{c.config.Self.ID}
+	for id := range c.nodes {
+		if id != c.config.Self.ID {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	change := routing.RoutersChanged{Routers: len(ids), Rank: slices.Index(ids, c.config.Self.ID)}
+	if change.Routers == c.sharers.Routers && change.Rank == c.sharers.Rank {
+		return
+	}
+	c.sharers = change
+	for zone, region := range c.config.Regions {
+		change.Zones = append(change.Zones, routing.ZoneRegion{Zone: zone, Region: region})
+	}
+	slices.SortFunc(change.Zones, func(a, b routing.ZoneRegion) int { return cmp.Compare(a.Zone, b.Zone) })
+	c.routing(change)
+	c.log(eventlog.NodesChanged{Nodes: change.Routers})
+}
+
+// messageReceived takes a message of another node.
+func (c *Core) messageReceived(message wire.Message) {
+	switch m := message.(type) {
+	case wire.Demand:
+		c.cell.demandReceived(m)
+	case wire.CellStatus:
+		c.view.statusReceived(&m)
+	}
+}
+
+// leaseAnswered takes the answer to a call for one of the records.
+func (c *Core) leaseAnswered(answered LeaseAnswered) {
+	switch answered.Record {
+	case RecordNode:
+		c.record.answered(answered.Answer)
+	case RecordHolder:
+		c.cell.leaseAnswered(answered.Answer)
+	}
+}
--- /dev/null
+++ b/fleet/events.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue/lease"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Event is an input of the core.
+type Event interface{ fleetEvent() }
+
+// Tick lets time pass. The shell sends one at least at Core.NextDue.
+type Tick struct{}
+
+// ConfigurationRead brings a configuration that was read from the store.
+type ConfigurationRead struct{ Compiled *catalog.Compiled }
+
+// WorkersRead brings machines' entries. With Full, machines that are not named
+// are gone.
+type WorkersRead struct {
+	Workers []catalog.Worker
+	Gone    []cluster.MachineID
+	Full    bool
+	// Revision of the store that the entries were read at.
+	Revision int64
+}
+
+// NodesRead brings the entries of nodes. With Full, nodes that are not named
+// are gone.
+type NodesRead struct {
+	Nodes []NodeEntry
+	Gone  []cluster.NodeID
+	Full  bool
+}
+
+// HolderRead brings the record of the lease under which orders are given; an
+// empty node means that there is none.
+type HolderRead struct {
+	Node  NodeEntry
+	Token cluster.FencingToken
+}
+
+// StoreSynced says that everything that was in the store has been read.
+type StoreSynced struct{}
+
+// Paused says that this process stood still, so that what it knows is old until
+// StoreSynced.
+type Paused struct{ For time.Duration }
+
+// RoutingInput brings an event of the request path.
+type RoutingInput struct{ Event routing.Event }
+
+// MessageReceived brings a message of another node.
+type MessageReceived struct{ Message wire.Message }
+
+// LeaseAnswered brings the answer to an awaited LeaseCall.
+type LeaseAnswered struct {
+	Record Record
+	Answer lease.Answer
+}
+
+// OrderAnswered brings the answer to a SendOrder.
+type OrderAnswered struct {
+	Answer sequence.Answered
+	Order  sequence.Order
+	Took   time.Duration
+}
+
+// ReportRead brings the answer to a ReadReport.
+type ReportRead struct{ Read sequence.ReportRead }
+
+// DrainStarted closes admission and gives the lease up.
+type DrainStarted struct{}
+
+// ResignStarted gives the lease up at the beginning of a planned stop.
+type ResignStarted struct{}
+
+func (Tick) fleetEvent()              {}
+func (ConfigurationRead) fleetEvent() {}
+func (WorkersRead) fleetEvent()       {}
+func (NodesRead) fleetEvent()         {}
+func (HolderRead) fleetEvent()        {}
+func (StoreSynced) fleetEvent()       {}
+func (Paused) fleetEvent()            {}
+func (RoutingInput) fleetEvent()      {}
+func (MessageReceived) fleetEvent()   {}
+func (LeaseAnswered) fleetEvent()     {}
+func (OrderAnswered) fleetEvent()     {}
+func (ReportRead) fleetEvent()        {}
+func (DrainStarted) fleetEvent()      {}
+func (ResignStarted) fleetEvent()     {}
+
+// Effect is an output of the core.
+type Effect interface{ fleetEffect() }
+
+// RoutingOutput hands an effect to the request path.
+type RoutingOutput struct{ Effect routing.Effect }
+
+// SendMessage sends a message to another node; it may be lost.
+type SendMessage struct {
+	Address string
+	Message wire.Message
+}
+
+// Record is one of the records that a node keeps under a lease.
+type Record uint8
+
+// The records.
+const (
+	// RecordNode says that the node lives.
+	RecordNode Record = iota + 1
+	// RecordHolder says that the node gives orders.
+	RecordHolder
+)
+
+// LeaseCall makes a call for one of the records.
+type LeaseCall struct {
+	Record  Record
+	Call    lease.Call
+	Awaited bool
+}
+
+// SendOrder sends an order to an engine.
+type SendOrder struct{ Send sequence.SendOrder }
+
+// ReadReport reads an engine's report.
+type ReadReport struct{ Read sequence.ReadReport }
+
+// Log writes a line.
+type Log struct{ Line eventlog.Event }
+
+func (RoutingOutput) fleetEffect() {}
+func (SendMessage) fleetEffect()   {}
+func (LeaseCall) fleetEffect()     {}
+func (SendOrder) fleetEffect()     {}
+func (ReadReport) fleetEffect()    {}
+func (Log) fleetEffect()           {}
--- /dev/null
+++ b/fleet/records.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Keys in the store.
+const (
+	KeyRoot   = "valveslip/"
+	KeyNodes  = KeyRoot + "nodes/"
+	KeyHolder = KeyRoot + "holder"
+)
+
+// NodeEntry is what a node's record says of it.
+type NodeEntry struct {
+	ID cluster.NodeID `json:"id"`
+	// Address, host:port, takes messages of other nodes.
+	Address string `json:"address"`
+}
+
+// Encode returns the record's form in the store.
+func (e NodeEntry) Encode() []byte {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// DecodeNodeEntry reads a record.
+func DecodeNodeEntry(data []byte) (NodeEntry, error) {
+	var entry NodeEntry
+	err := json.Unmarshal(data, &entry)
+	return entry, eris.Wrap(err, "node record")
+}
--- /dev/null
+++ b/fleet/shell/calls.go
@@ -0,0 +1,71 @@
+package shell
+
+import (
+	"context"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/keyvalue/lease"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// Bounds of the calls to the store and the engines.
+const (
+	leaseTimeout  = 900 * time.Millisecond
+	orderTimeout  = 600 * time.Millisecond
+	reportTimeout = 600 * time.Millisecond
+)
+
+// callLease makes a call for one of the node's records.
+func (n *Node) callLease(call fleet.LeaseCall) {
+	ctx, cancel := context.WithTimeout(n.context, leaseTimeout)
+	defer cancel()
+	answer := n.answerLease(ctx, &call.Call)
+	n.metrics.called("store", answer.Err)
+	if call.Awaited {
+		n.step(fleet.LeaseAnswered{Record: call.Record, Answer: answer})
+	}
+}
+
+// answerLease makes one call and returns its answer.
+func (n *Node) answerLease(ctx context.Context, call *lease.Call) lease.Answer {
+	var answer lease.Answer
+	switch call.Operation {
+	case lease.Grant:
+		answer.Lease, answer.Err = n.options.Store.Grant(ctx, call.TTL)
+		answer.TTL = call.TTL
+	case lease.Txn:
+		answer.Txn, answer.Err = n.options.Store.Txn(ctx, call.Txn)
+	case lease.KeepAlive:
+		answer.TTL, answer.Err = n.options.Store.KeepAlive(ctx, call.Lease)
+	case lease.Revoke:
+		answer.Err = n.options.Store.Revoke(ctx, call.Lease)
+	}
+	if answer.Err != nil && ctx.Err() != nil && verdict.Of(answer.Err) == verdict.NotRun && call.Operation == lease.Txn {
+		answer.Err = verdict.Wrap(answer.Err, verdict.NotRun, verdict.CodeUnavailable, "the store can't be reached")
+	}
+	return answer
+}
+
+// callOrder gives an order.
+func (n *Node) callOrder(effect fleet.SendOrder) {
+	ctx, cancel := context.WithTimeout(n.context, orderTimeout)
+	defer cancel()
+	began := time.Now()
+	outcome, err := n.options.Engines.Order(ctx, effect.Send.Address, effect.Send.Order)
+	n.metrics.called("engine order", err)
+	n.step(fleet.OrderAnswered{
+		Answer: sequence.Answered{Machine: effect.Send.Order.Machine, Number: effect.Send.Number, Outcome: outcome, Err: err},
+		Order:  effect.Send.Order, Took: time.Since(began),
+	})
+}
+
+// callReport reads an engine's report.
+func (n *Node) callReport(effect fleet.ReadReport) {
+	ctx, cancel := context.WithTimeout(n.context, reportTimeout)
+	defer cancel()
+	report, err := n.options.Engines.Report(ctx, effect.Read.Address, effect.Read.Machine)
+	n.metrics.called("engine report", err)
+	n.step(fleet.ReportRead{Read: sequence.ReportRead{Machine: effect.Read.Machine, Report: report, Err: err}})
+}
--- /dev/null
+++ b/fleet/shell/metrics.go
@@ -0,0 +1,50 @@
+package shell
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// metrics counts the node's calls and shows its state.
+type metrics struct{ calls *prometheus.CounterVec }
+
+func newMetrics(registry prometheus.Registerer, n *Node) *metrics {
+	m := &metrics{calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "valveslip_calls_total", Help: "Calls to the store and to engines by outcome.",
+	}, []string{"target", "outcome"})}
+	gauge := func(name, help string, value func() float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	registry.MustRegister(m.calls)
+	gauge("valveslip_requests_in_flight", "Requests that have not ended.", func() float64 { return float64(n.inFlight()) })
+	gauge("valveslip_configuration_version", "Version of the configuration in force.", func() float64 {
+		if compiled := n.compiled.Load(); compiled != nil {
+			return float64(compiled.Version)
+		}
+		return 0
+	})
+	gauge("valveslip_connections_opened", "Connections made to machines so far.", func() float64 { return float64(n.pool.Opened()) })
+	gauge("valveslip_log_lines_dropped", "Lines of the log that were dropped so far.", func() float64 { return float64(n.options.Log.Dropped()) })
+	gauge("valveslip_holds_orders_lease", "1 while this node gives the orders.", func() float64 {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		if n.core != nil && n.core.Holding() {
+			return 1
+		}
+		return 0
+	})
+	return m
+}
+
+// called counts a call by its outcome.
+func (m *metrics) called(target string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "not run"
+		if verdict.Of(err) != verdict.NotRun {
+			outcome = "no answer"
+		}
+	}
+	m.calls.WithLabelValues(target, outcome).Inc()
+}
--- /dev/null
+++ b/fleet/shell/node.go
@@ -0,0 +1,283 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/passthrough"
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/upstream"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Bounds of the listeners' connections.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 90 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// MetricsPath is where the figures are served.
+const MetricsPath = "/metrics"
+
+// Node is a running node.
+type Node struct {
+	options Options
+	// began and epoch make the core's clock: it follows the steady clock and
+	// never jumps.
+	began time.Time
+	epoch time.Time
+
+	mutex   sync.Mutex
+	core    *fleet.Core
+	tickets map[cluster.RequestID]*relay.Ticket
+	timer   *time.Timer
+	// wakeAt is when the timer is set to fire, in the core's time.
+	wakeAt time.Time
+
+	compiled atomic.Pointer[catalog.Compiled]
+	pool     *upstream.Pool
+	registry *prometheus.Registry
+	metrics  *metrics
+
+	transport *wire.Transport
+	callers   *http.Server
+	ready     *http.Server
+	figures   *http.Server
+	isReady   atomic.Bool
+	stopping  atomic.Bool
+	resync    chan struct{}
+
+	context context.Context
+	cancel  context.CancelFunc
+	// failed holds the error of a listener that broke.
+	failed   chan error
+	stopOnce sync.Once
+	stopped  chan struct{}
+}
+
+// Start runs a node until Stop.
+func Start(options Options) (*Node, error) {
+	options = options.withDefaults()
+	now := time.Now()
+	n := &Node{
+		options: options, began: now, epoch: now.Round(0),
+		tickets: make(map[cluster.RequestID]*relay.Ticket), pool: upstream.NewPool(options.Upstream),
+		registry: prometheus.NewRegistry(), resync: make(chan struct{}, 1),
+		failed: make(chan error, 3), stopped: make(chan struct{}),
+	}
+	n.context, n.cancel = context.WithCancel(context.Background())
+	n.metrics = newMetrics(n.registry, n)
+	if err := n.open(); err != nil {
+		n.cancel()
+		return nil, err
+	}
+	n.options.Log.Write(eventlog.NodeStarted{
+		Zone: options.Core.Zone, Callers: options.CallersAddress, Peer: n.options.Core.Self.Address, Version: options.Version,
+	})
+	n.mutex.Lock()
+	n.core = fleet.New(n.options.Core, options.Seed)
+	n.timer = time.AfterFunc(time.Hour, n.tick)
+	n.stepLocked(fleet.Tick{})
+	n.mutex.Unlock()
+	go n.follow()
+	return n, nil
+}
+
+// open opens the transport and the listeners.
+func (n *Node) open() error {
+	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive)
+	if err != nil {
+		return eris.Wrap(err, "peers' listener")
+	}
+	n.transport = transport
+	n.options.Core.Self.Address = transport.Address()
+	handler := passthrough.NewHandler(passthrough.Config{
+		Catalog: n.compiled.Load, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
+		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID,
+	})
+	if n.callers, err = n.serve(n.options.CallersAddress, handler); err != nil {
+		return errors.Join(eris.Wrap(err, "callers' listener"), transport.Close(n.context))
+	}
+	probes := chi.NewRouter()
+	probes.Get(n.options.ReadyPath, n.answerReady)
+	if n.ready, err = n.serve(n.options.ReadyAddress, probes); err != nil {
+		return errors.Join(eris.Wrap(err, "readiness listener"), transport.Close(n.context), n.callers.Close())
+	}
+	if n.options.MetricsAddress == "" {
+		return nil
+	}
+	figures := chi.NewRouter()
+	figures.Handle(MetricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{DisableCompression: true}))
+	if n.figures, err = n.serve(n.options.MetricsAddress, figures); err != nil {
+		n.options.Log.Write(eventlog.DependencyLost{Name: "metrics listener", Cause: err.Error()})
+	}
+	return nil
+}
+
+// serve starts an HTTP server.
+func (n *Node) serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := n.options.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.failed <- eris.Wrapf(err, "listener %s", address)
+		}
+	}()
+	return server, nil
+}
+
+// Failed delivers the error of a listener that broke.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// answerReady answers whether the node takes new connections.
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.isReady.Load() || n.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// newID makes an identifier for a request without one.
+func (n *Node) newID() cluster.RequestID {
+	return cluster.RequestID(string(n.options.Core.Self.ID) + "-" + strconv.FormatUint(rand.Uint64(), 36))
+}
+
+// Now implements passthrough.Decider: the core's clock.
+func (n *Node) Now() time.Time { return n.epoch.Add(time.Since(n.began)) }
+
+// receive takes a message of another node.
+func (n *Node) receive(message wire.Message) { n.step(fleet.MessageReceived{Message: message}) }
+
+// step feeds one event to the core and begins its effects. Nothing in it waits
+// for the network.
+func (n *Node) step(event fleet.Event) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.core != nil {
+		n.stepLocked(event)
+	}
+}
+
+// stepLocked is step for a caller that holds the mutex.
+func (n *Node) stepLocked(event fleet.Event) {
+	now := n.Now()
+	for _, effect := range n.core.Step(now, event) {
+		n.begin(effect)
+	}
+	if ready := n.core.Ready(); ready != n.isReady.Load() {
+		n.isReady.Store(ready)
+	}
+	n.schedule(now)
+}
+
+// schedule sets the timer for the core's next time.
+func (n *Node) schedule(now time.Time) {
+	due := n.core.NextDue()
+	if !n.wakeAt.IsZero() && due.Equal(n.wakeAt) {
+		return
+	}
+	n.wakeAt = due
+	n.timer.Reset(max(due.Sub(now), 0))
+}
+
+// pauseThreshold is how late the timer must fire for the process to have stood
+// still.
+const pauseThreshold = 700 * time.Millisecond
+
+// tick lets time pass for the core. A process that stood still reads the store
+// again before it dispatches.
+func (n *Node) tick() {
+	n.mutex.Lock()
+	late := n.Now().Sub(n.wakeAt)
+	n.wakeAt = time.Time{}
+	if late > pauseThreshold {
+		n.options.Log.Write(eventlog.PauseNoticed{Pause: late})
+		n.stepLocked(fleet.Paused{For: late})
+		select {
+		case n.resync <- struct{}{}:
+		default:
+		}
+	}
+	n.stepLocked(fleet.Tick{})
+	n.mutex.Unlock()
+}
+
+// begin starts one effect. The caller holds the mutex.
+func (n *Node) begin(effect fleet.Effect) {
+	switch effect := effect.(type) {
+	case fleet.RoutingOutput:
+		n.deliver(effect.Effect)
+	case fleet.SendMessage:
+		n.transport.Send(effect.Address, effect.Message)
+	case fleet.LeaseCall:
+		go n.callLease(effect)
+	case fleet.SendOrder:
+		go n.callOrder(effect)
+	case fleet.ReadReport:
+		go n.callReport(effect)
+	case fleet.Log:
+		n.options.Log.Write(effect.Line)
+	}
+}
+
+// deliver hands a routing effect to the request it belongs to.
+func (n *Node) deliver(effect routing.Effect) {
+	var id cluster.RequestID
+	switch effect := effect.(type) {
+	case routing.Dispatch:
+		id = effect.Request
+	case routing.CancelAttempt:
+		id = effect.Request
+	case routing.Finish:
+		id = effect.Request
+		defer delete(n.tickets, id)
+	default:
+		return
+	}
+	if ticket, known := n.tickets[id]; known {
+		ticket.Deliver(effect)
+	}
+}
+
+// Submit implements relay.Decider.
+func (n *Node) Submit(request routing.Request) *relay.Ticket {
+	ticket := relay.NewTicket(nil)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if _, known := n.tickets[request.ID]; known {
+		// Two requests under one identifier can't be told apart.
+		request.ID = n.newID()
+	}
+	n.tickets[request.ID] = ticket
+	n.stepLocked(fleet.RoutingInput{Event: routing.RequestArrived{Request: request}})
+	return ticket
+}
+
+// Report implements relay.Decider.
+func (n *Node) Report(event routing.Event) { n.step(fleet.RoutingInput{Event: event}) }
+
+// Address returns where the callers' listener was asked to be.
+func (n *Node) Address() string { return n.options.CallersAddress }
--- /dev/null
+++ b/fleet/shell/options.go
@@ -0,0 +1,83 @@
+package shell
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/passthrough"
+	"github.com/valveslip/valveslip/upstream"
+)
+
+// Engines gives orders to engines and reads their reports.
+type Engines interface {
+	// Order gives an order; an error means that its outcome is unknown.
+	Order(ctx context.Context, address string, order sequence.Order) (sequence.Outcome, error)
+	Report(ctx context.Context, address string, machine cluster.MachineID) (catalog.Report, error)
+}
+
+// Codec reads what others keep in the store.
+type Codec interface {
+	// ConfigurationKey holds the configuration, keys under WorkersPrefix the
+	// machines' entries.
+	ConfigurationKey() string
+	WorkersPrefix() string
+	DecodeConfiguration(value []byte) (catalog.Configuration, error)
+	DecodeWorker(key string, value []byte) (catalog.Worker, error)
+	WorkerID(key string) cluster.MachineID
+}
+
+// Options is what a Node runs on.
+type Options struct {
+	Core fleet.Config
+	Seed uint64
+	// CallersAddress, ReadyAddress, PeerAddress and MetricsAddress are host:port
+	// of the listeners; an empty MetricsAddress serves no metrics.
+	CallersAddress, ReadyAddress, PeerAddress, MetricsAddress string
+	// ReadyPath answers whether the node is ready.
+	ReadyPath string
+	// Grace is how long a planned stop may take.
+	Grace   time.Duration
+	Store   keyvalue.Store
+	Engines Engines
+	Codec   Codec
+	Dialect passthrough.Dialect
+	// Upstream tunes the connections to machines.
+	Upstream upstream.Options
+	// Coalesce is the pause after each answer of the watch, in which changes
+	// gather. Default 150 ms.
+	Coalesce time.Duration
+	Log      *eventlog.Log
+	Logger   *slog.Logger
+	// Listen opens a listener; net.Listen by default.
+	Listen func(network, address string) (net.Listener, error)
+	// Version of the program, for the log.
+	Version string
+}
+
+// Defaults of Options.
+const (
+	defaultCoalesce = 150 * time.Millisecond
+	defaultGrace    = 8 * time.Second
+)
+
+// withDefaults fills zero fields.
+func (o Options) withDefaults() Options {
+	o.Coalesce = cmp.Or(o.Coalesce, defaultCoalesce)
+	o.Grace = cmp.Or(o.Grace, defaultGrace)
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	return o
+}
--- /dev/null
+++ b/fleet/shell/stop.go
@@ -0,0 +1,88 @@
+package shell
+
+import (
+	"context"
+	"time"
+
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet"
+)
+
+// The steps of a planned stop, counted from its beginning.
+const (
+	// unnoticedTime is how long callers may not have noticed that the node is
+	// not ready: until then all goes on.
+	unnoticedTime = 2300 * time.Millisecond
+	// admissionTime is until when requests are admitted.
+	admissionTime = 3200 * time.Millisecond
+	// lingerTime is until when the listener stays open, so that callers who come
+	// late get a refusal and not a broken connection.
+	lingerTime = 4500 * time.Millisecond
+	// stopMargin is left of the grace time when the process ends.
+	stopMargin = 350 * time.Millisecond
+	// drainPoll spaces looks at what is in flight.
+	drainPoll = 20 * time.Millisecond
+	// logWait bounds the wait for the last lines of the log.
+	logWait = 150 * time.Millisecond
+)
+
+// Stop ends the node as planned: it says that it is not ready and goes on until
+// callers have noticed, then has them leave their connections, then refuses new
+// requests as not run, and ends once what is in flight has ended or the grace
+// time is nearly over.
+func (n *Node) Stop() {
+	n.stopOnce.Do(n.stop)
+	<-n.stopped
+}
+
+func (n *Node) stop() {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.options.Log.Write(eventlog.NodeStopping{InFlight: n.inFlight()})
+	n.step(fleet.ResignStarted{})
+	time.Sleep(unnoticedTime)
+	n.callers.SetKeepAlivesEnabled(false)
+	time.Sleep(time.Until(began.Add(admissionTime)))
+	n.step(fleet.DrainStarted{})
+	last := began.Add(n.options.Grace - stopMargin)
+	for time.Now().Before(last) {
+		if n.inFlight() == 0 && time.Since(began) >= lingerTime {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	n.options.Log.Write(eventlog.NodeStopped{InFlight: n.inFlight(), Took: time.Since(began)})
+	n.close()
+}
+
+// Kill ends the node at once, like the death of its process.
+func (n *Node) Kill() {
+	n.stopOnce.Do(n.close)
+	<-n.stopped
+}
+
+// close ends everything.
+func (n *Node) close() {
+	n.cancel()
+	n.mutex.Lock()
+	n.timer.Stop()
+	n.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), drainPoll)
+	_ = n.callers.Shutdown(ctx)
+	_ = n.transport.Close(ctx)
+	cancel()
+	_ = n.callers.Close()
+	_ = n.ready.Close()
+	if n.figures != nil {
+		_ = n.figures.Close()
+	}
+	n.options.Log.Close(logWait)
+	close(n.stopped)
+}
+
+// inFlight counts requests that have not ended.
+func (n *Node) inFlight() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.tickets)
+}
--- a/node/renewal_test.go
+++ b/keyvalue/lease/renewal_test.go
@@ -1,4 +1,4 @@
-package node
+package lease
 
 import (
 	"errors"
@@ -16,19 +16,19 @@
 		return verdict.Wrap(cause, verdict.NotRun, verdict.CodeConflict, "refused")
 	}
 	cases := map[string]struct {
-		answer  KeyValueAnswered
-		outcome leaseOutcome
-		state   leaseState
+		answer  Answer
+		outcome Outcome
+		state   State
 	}{
-		"extended":    {KeyValueAnswered{TTL: time.Second}, leaseExtended, leaseHeld},
-		"expired":     {KeyValueAnswered{}, leaseGone, leaseIdle},
-		"not found":   {KeyValueAnswered{Err: refused(keyvalue.ErrLeaseNotFound)}, leaseGone, leaseIdle},
-		"unreachable": {KeyValueAnswered{Err: refused(errors.New("dial refused"))}, leaseNoAnswer, leaseHeld},
+		"extended":    {Answer{TTL: time.Second}, Extended, Held},
+		"expired":     {Answer{}, Gone, Idle},
+		"not found":   {Answer{Err: refused(keyvalue.ErrLeaseNotFound)}, Gone, Idle},
+		"unreachable": {Answer{Err: refused(errors.New("dial refused"))}, NoAnswer, Held},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			session := leaseClient{state: leaseRenewing, lease: 7, token: 3}
-			outcome := session.answered(test.answer)
+			session := Client{state: Renewing, lease: 7, token: 3}
+			outcome := session.Answered(test.answer)
 			if outcome != test.outcome || session.state != test.state {
 				t.Fatalf("outcome %d, state %d; want %d, %d", outcome, session.state, test.outcome, test.state)
 			}
--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -9,6 +9,7 @@
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -17,7 +18,7 @@
 // and every write compares the lease record, so a lapsed holder writes nothing.
 type apportionerRole struct {
 	core  *Core
-	lease *leaseClient
+	lease *lease.Client
 
 	renewDue  time.Time
 	standDue  time.Time
@@ -40,14 +41,14 @@
 func newApportionerRole(core *Core) *apportionerRole {
 	return &apportionerRole{
 		core:     core,
-		lease:    &leaseClient{core: core, key: keyApportioner, owner: string(core.self.ID), ttl: leaseTTL},
+		lease:    newLease(core, keyApportioner),
 		presence: authority.NewPresence(machineLag(core.config.Controller)),
 		reports:  map[cluster.ZoneID]zoneReport{},
 	}
 }
 
 func (r *apportionerRole) holding() bool {
-	return r.lease.state == leaseHeld || r.lease.state == leaseRenewing
+	return r.lease.Holding()
 }
 
 func (r *apportionerRole) tick() {
@@ -61,7 +62,7 @@
 	}
 	if !r.core.now.Before(r.renewDue) {
 		r.renewDue = r.core.now.Add(leaseTTL / 3)
-		r.lease.renew()
+		r.lease.Renew()
 	}
 	if !r.core.now.Before(r.dueAt) {
 		r.dueAt = r.core.now.Add(apportionInterval)
@@ -79,30 +80,31 @@
 	if claimed && claim.Node != r.core.self.ID && r.core.cellRole.unsuspected(claim.Node) {
 		return
 	}
-	r.lease.acquire()
+	r.lease.Acquire()
 }
 
 func (r *apportionerRole) leaseAnswered(answer KeyValueAnswered) {
-	switch r.lease.answered(answer) {
-	case leaseWon:
-		r.core.cells.note(wire.ControllerClaim{Zone: ApportionerZone, Node: r.core.self.ID, Token: r.lease.token})
+	switch r.lease.Answered(leaseAnswerOf(answer)) {
+	case lease.Won:
+		r.core.cells.note(wire.ControllerClaim{Zone: ApportionerZone, Node: r.core.self.ID, Token: r.lease.Token()})
 		r.renewDue = r.core.now.Add(leaseTTL / 3)
 		// The first division waits for the zones' reports.
 		r.dueAt = r.core.now.Add(apportionInterval / 4)
-	case leaseTaken:
-		r.core.noteClaim(wire.ControllerClaim{Zone: ApportionerZone, Node: r.lease.holder, Token: r.lease.holderToken})
+	case lease.Taken:
+		holder, token := r.lease.Holder()
+		r.core.noteClaim(wire.ControllerClaim{Zone: ApportionerZone, Node: cluster.NodeID(holder), Token: token})
 	}
 }
 
 func (r *apportionerRole) superseded(claim wire.ControllerClaim) {
-	if r.holding() && claim.Token > r.lease.token {
-		r.lease.reset()
+	if r.holding() && claim.Token > r.lease.Token() {
+		r.lease.Reset()
 	}
 }
 
 func (r *apportionerRole) resign() {
 	if r.holding() {
-		r.lease.release()
+		r.lease.Release()
 	}
 }
 
@@ -187,7 +189,7 @@
 		return
 	}
 	txn := plan.Transaction()
-	txn.Compares = append(txn.Compares, keyvalue.Compare{Key: keyApportioner, ModRevision: int64(r.lease.token)})
+	txn.Compares = append(txn.Compares, keyvalue.Compare{Key: keyApportioner, ModRevision: int64(r.lease.Token())})
 	r.writing = true
 	r.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: txn}, callPurpose{division: true})
 }
--- a/node/controller.go
+++ b/node/controller.go
@@ -6,7 +6,9 @@
 
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/demand"
 	"github.com/valveslip/valveslip/engine"
+	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/verdict"
@@ -37,9 +39,9 @@
 type cellRole struct {
 	core       *Core
 	controller *authority.Controller
-	lease      *leaseClient
+	lease      *lease.Client
 	planner    placement.Planner
-	demand     *demandLedger
+	demand     *demand.Ledger
 	publisher  *statusPublisher
 	prefixes   prefixRelay
 	moves      cacheMoves
@@ -82,9 +84,7 @@
 		config.BusyInventoryInterval = busyInventoryInterval
 	}
 	role := &cellRole{core: core, controller: authority.NewController(config)}
-	role.lease = &leaseClient{
-		core: core, key: keyCells + string(core.self.Zone), owner: string(core.self.ID), ttl: leaseTTL,
-	}
+	role.lease = newLease(core, keyCells+string(core.self.Zone))
 	role.begin()
 	return role
 }
@@ -96,7 +96,7 @@
 	} else {
 		r.planner = placement.NewPlanner(r.core.config.Placement)
 	}
-	r.demand = newDemandLedger()
+	r.demand = demand.New()
 	r.publisher = newStatusPublisher(r)
 	r.prefixes = newPrefixRelay()
 	r.moves = newCacheMoves()
@@ -113,12 +113,12 @@
 		switch e := effect.(type) {
 		case authority.AcquireLease:
 			if r.mayStand() {
-				r.lease.acquire()
+				r.lease.Acquire()
 			}
 		case authority.RenewLease:
-			r.lease.renew()
+			r.lease.Renew()
 		case authority.ReleaseLease:
-			r.lease.release()
+			r.lease.Release()
 		case authority.SealMachine:
 			r.core.emit(EngineCall{Operation: EngineSeal, Machine: e.Machine, Token: e.Token})
 		case authority.ReadInventory:
@@ -126,7 +126,7 @@
 		case authority.SendOrder:
 			r.core.emit(EngineCall{Operation: EngineOrder, Machine: e.Machine, Token: e.Order.Token, Order: e.Order})
 		case authority.SteppedDown:
-			r.lease.reset()
+			r.lease.Reset()
 			r.begin()
 		}
 	}
@@ -182,23 +182,24 @@
 }
 
 func (r *cellRole) leaseAnswered(answer KeyValueAnswered) {
-	switch r.lease.answered(answer) {
-	case leaseWon:
+	switch r.lease.Answered(leaseAnswerOf(answer)) {
+	case lease.Won:
 		r.begin()
 		// Records read in an earlier term may be out of date.
 		r.core.readAgain()
-		r.core.cells.note(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.core.self.ID, Token: r.lease.token})
-		r.control(authority.LeaseAcquired{Token: r.lease.token, SentAt: r.lease.sentAt, TTL: r.lease.promised})
+		r.core.cells.note(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.core.self.ID, Token: r.lease.Token()})
+		r.control(authority.LeaseAcquired{Token: r.lease.Token(), SentAt: r.lease.SentAt(), TTL: r.lease.Promised()})
 		r.storeWait = r.core.now.Add(firstStatusWait)
 		r.poll()
-	case leaseTaken:
+	case lease.Taken:
+		holder, token := r.lease.Holder()
 		r.heldUntil = r.core.now.Add(challengeInterval)
-		r.core.noteClaim(wire.ControllerClaim{Zone: r.core.self.Zone, Node: r.lease.holder, Token: r.lease.holderToken})
-	case leaseExtended:
-		r.control(authority.LeaseRenewed{SentAt: r.lease.sentAt, TTL: r.lease.promised})
-	case leaseGone:
+		r.core.noteClaim(wire.ControllerClaim{Zone: r.core.self.Zone, Node: cluster.NodeID(holder), Token: token})
+	case lease.Extended:
+		r.control(authority.LeaseRenewed{SentAt: r.lease.SentAt(), TTL: r.lease.Promised()})
+	case lease.Gone:
 		r.control(authority.LeaseLost{})
-	case leaseNoAnswer:
+	case lease.NoAnswer:
 		r.control(authority.LeaseUnreachable{Unknown: verdict.Of(answer.Err) == verdict.MayHaveRun})
 	}
 }
@@ -224,7 +225,7 @@
 		return
 	}
 	r.poll()
-	r.demand.expire(r.core.now)
+	r.demand.Expire(r.core.now, routerDemandTimeout)
 	r.plan()
 	r.publisher.tick()
 	r.relayPrefixes()
@@ -343,20 +344,20 @@
 func (r *cellRole) settingsChanged()  { r.replan, r.minimum = true, nil }
 func (r *cellRole) allotmentChanged() { r.replan, r.publisher.changed = true, true }
 
-func (r *cellRole) demandReceived(demand wire.Demand) {
+func (r *cellRole) demandReceived(received wire.Demand) {
 	if r.controller.Holding() {
-		r.demand.note(r.core.now, demand)
+		r.demand.Note(r.core.now, received)
 		r.plan()
 	}
 }
 
-func (r *cellRole) forgetRouter(id cluster.NodeID) { r.demand.forget(id) }
+func (r *cellRole) forgetRouter(id cluster.NodeID) { r.demand.Forget(id) }
 
 // plan makes a plan when something has changed or planInterval has passed, and
 // hands it to the controller core, which checks it against its ledger again.
 func (r *cellRole) plan() {
 	due := !r.core.now.Before(r.planDue)
-	news := (r.replan || r.demand.changed) && r.core.now.Sub(r.planned) >= planSpacing
+	news := (r.replan || r.demand.Changed()) && r.core.now.Sub(r.planned) >= planSpacing
 	if !due && !news || !r.controller.Ready() || r.core.Snapshot() == nil || r.core.now.Before(r.storeWait) {
 		return
 	}
@@ -364,7 +365,7 @@
 	r.planDue, r.replan = r.core.now.Add(planInterval), false
 	state := r.controller.State(r.core.now)
 	state.Settings = r.core.Snapshot()
-	state.Demand = r.demand.sum(r.core.now)
+	state.Demand = r.demand.Sum(r.core.now)
 	state.Minimum = r.minimumShares()
 	state.Store = r.storeShare()
 	for i := range state.Machines {
--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -7,6 +7,7 @@
 	"github.com/valveslip/valveslip/authority"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/replication"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
@@ -26,7 +27,7 @@
 
 // callPurpose says what the answer of a call is for.
 type callPurpose struct {
-	lease *leaseClient
+	lease *lease.Client
 	// read is true for the range that reading begins with.
 	read bool
 	// watch is true for the watch that follows it.
--- a/node/shares.go
+++ b/node/shares.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/demand"
 	"github.com/valveslip/valveslip/membership"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/wire"
@@ -20,7 +21,7 @@
 
 // divideLimits divides this zone's part of every limited scope that has demand
 // over the zone's routers.
-func divideLimits(core *Core, ledger *demandLedger) map[cluster.NodeID][]wire.ScopeShare {
+func divideLimits(core *Core, ledger *demand.Ledger) map[cluster.NodeID][]wire.ScopeShare {
 	snapshot := core.Snapshot()
 	if snapshot == nil || len(snapshot.Scopes) == 0 {
 		return nil
@@ -64,11 +65,11 @@
 	}
 }
 
-func demandedScopes(ledger *demandLedger) []string {
+func demandedScopes(ledger *demand.Ledger) []string {
 	seen := map[string]bool{}
 	var paths []string
-	for _, id := range ledger.order {
-		for _, scope := range ledger.routers[id].scopes {
+	for _, id := range ledger.Routers() {
+		for _, scope := range ledger.Scopes(id) {
 			if !seen[scope.Path] {
 				seen[scope.Path] = true
 				paths = append(paths, scope.Path)
@@ -117,15 +118,14 @@
 const idleWeight = 0.01
 
 // scopeWants weighs the zone's routers by requests in flight and arriving.
-func scopeWants(core *Core, ledger *demandLedger, path string) []scopeWant {
+func scopeWants(core *Core, ledger *demand.Ledger, path string) []scopeWant {
 	var wants []scopeWant
-	for _, id := range ledger.order {
-		router := ledger.routers[id]
-		if router.zone != core.self.Zone {
+	for _, id := range ledger.Routers() {
+		if ledger.Zone(id) != core.self.Zone {
 			continue
 		}
 		want := scopeWant{id, idleWeight}
-		for _, scope := range router.scopes {
+		for _, scope := range ledger.Scopes(id) {
 			if scope.Path == path {
 				want.weight += scope.Requests + float64(scope.Concurrency)
 			}
--- /dev/null
+++ b/passthrough/exchange.go
@@ -0,0 +1,212 @@
+package passthrough
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// finishGrace bounds the wait for the core's decision after the deadline.
+const finishGrace = 400 * time.Millisecond
+
+// exchange is one request with its answer.
+type exchange struct {
+	*Handler
+	writer     http.ResponseWriter
+	request    *http.Request
+	route      *catalog.Route
+	attributes Attributes
+	body       []byte
+	id         cluster.RequestID
+	// header holds the caller's fields that are passed on.
+	header   http.Header
+	work     cluster.ModelID
+	arrived  time.Time
+	deadline time.Time
+	ticket   *relay.Ticket
+
+	attempts int
+	machine  cluster.MachineID
+	// lastEvent is the last whole event that went to the caller.
+	lastEvent string
+	// held is the last answer that a machine signed, not yet sent.
+	held *answer
+	// started is set once the answer's head went to the caller.
+	started bool
+	first   time.Duration
+	gone    bool
+}
+
+// answer is a machine's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run submits the request and carries out what is decided until it has ended.
+func (e *exchange) run() {
+	e.ticket = e.Decider.Submit(e.routingRequest(e.Decider.Now()))
+	for {
+		effect, err := e.next()
+		if err != nil {
+			e.lost()
+			return
+		}
+		switch effect := effect.(type) {
+		case routing.Dispatch:
+			e.dispatch(effect)
+		case routing.Finish:
+			e.finish(effect)
+			return
+		}
+	}
+}
+
+// next waits for the next decision. A caller who leaves is reported, and the
+// decision that follows from it is waited for.
+func (e *exchange) next() (routing.Effect, error) {
+	caller := e.request.Context()
+	bounded, cancel := context.WithDeadline(caller, e.deadline.Add(finishGrace))
+	effect, err := e.ticket.Next(bounded)
+	cancel()
+	if err == nil || caller.Err() == nil || e.gone {
+		return effect, err
+	}
+	e.callerGone()
+	bounded, cancel = context.WithTimeout(context.Background(), finishGrace)
+	defer cancel()
+	return e.ticket.Next(bounded)
+}
+
+// callerGone tells the core once that the caller left.
+func (e *exchange) callerGone() {
+	if !e.gone {
+		e.gone = true
+		e.Decider.Report(routing.CallerGone{Request: e.id})
+	}
+}
+
+// lost ends a request that the core did not decide in time.
+func (e *exchange) lost() {
+	e.end(verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "the request was not decided in time"), routing.Explanation{})
+}
+
+// dispatch runs one attempt to its end and reports it.
+func (e *exchange) dispatch(decision routing.Dispatch) {
+	e.attempts++
+	e.machine = decision.Machine
+	e.logSent(&decision)
+	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
+	e.ticket.OnInterrupt(cancel)
+	began := time.Now()
+	current := &attempt{exchange: e, decision: decision}
+	ended := current.execute(ctx)
+	e.ticket.OnInterrupt(nil)
+	cancel()
+	if ended.Failure != nil {
+		e.logAttempt(&ended, current.status, time.Since(began))
+		if e.request.Context().Err() != nil {
+			e.callerGone()
+		}
+	}
+	if current.successor != "" {
+		e.Decider.Report(routing.MachineLeaving{Machine: decision.Machine})
+		e.Log.Write(eventlog.WorkerGone{Machine: decision.Machine, Cause: "worker " + string(current.successor) + " answers at its address"})
+	}
+	e.Decider.Report(ended)
+}
+
+func (e *exchange) logSent(decision *routing.Dispatch) {
+	sent := eventlog.RequestSent{
+		Request: e.id, Attempt: decision.Attempt, Machine: decision.Machine, Waited: decision.Reason.Waited,
+		Compared: len(decision.Reason.Candidates), After: e.lastEvent,
+	}
+	if len(decision.Reason.Candidates) > 0 {
+		sent.Expected, sent.InFlight = decision.Reason.Candidates[0].ExpectedWait, decision.Reason.Candidates[0].InFlight
+	}
+	e.Log.Write(sent)
+}
+
+func (e *exchange) logAttempt(ended *routing.AttemptEnded, status int, took time.Duration) {
+	line := eventlog.AttemptEnded{
+		Request: e.id, Attempt: ended.Attempt, Machine: e.machine, Code: string(ended.Failure.Code),
+		Verdict: ended.Failure.Verdict.String(), Status: status, Took: took, Cause: ended.Failure.Message,
+	}
+	if ended.Failure.Cause != nil {
+		line.Cause += ": " + ended.Failure.Cause.Error()
+	}
+	e.Log.Write(line)
+	e.Metrics.attemptFailed(ended.Failure)
+}
+
+// finish carries out the only end of the request.
+func (e *exchange) finish(finish routing.Finish) { e.end(finish.Failure, finish.Reason) }
+
+// end answers the caller: with the held answer, with a refusal, or by breaking
+// off an answer that has begun.
+func (e *exchange) end(failure *verdict.Error, reason routing.Explanation) {
+	status := 0
+	begun := e.started
+	switch {
+	case failure == nil && e.started:
+		status = http.StatusOK
+	case failure == nil && e.held != nil:
+		status = e.sendHeld()
+	case e.started || e.gone:
+	case failure != nil && failure.Verdict != verdict.NotRun && e.held != nil:
+		status = e.sendHeld()
+	case failure != nil:
+		status = e.refuse(e.writer, failure)
+	}
+	e.logEnd(failure, &reason, status)
+	if failure != nil && begun {
+		// The caller must not take a part of an answer for the whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *exchange) logEnd(failure *verdict.Error, reason *routing.Explanation, status int) {
+	line := eventlog.RequestEnded{
+		Request: e.id, Status: status, Code: "served", Machine: e.machine, Attempts: e.attempts,
+		Took: time.Since(e.arrived), Waited: reason.Waited, First: e.first, Verdict: verdict.Ran.String(),
+	}
+	if failure != nil {
+		line.Code, line.Verdict, line.Back = string(failure.Code), failure.Verdict.String(), failure.RetryAfter
+		line.Setting, line.Cause = reason.Setting, failure.Message
+	}
+	e.Log.Write(line)
+	e.Metrics.ended(line.Code, line.Took, line.Waited, line.First)
+}
+
+// sendHeld sends a machine's whole answer.
+func (e *exchange) sendHeld() int {
+	e.writeHead(e.held.status, e.held.header, int64(len(e.held.body)))
+	_, _ = e.writer.Write(e.held.body)
+	return e.held.status
+}
+
+// writeHead sends a machine's head, with the body's length unless it is negative.
+func (e *exchange) writeHead(status int, header http.Header, length int64) {
+	out := e.writer.Header()
+	for name, values := range endToEnd(header) {
+		out[name] = values
+	}
+	out.Del("Content-Length")
+	if length >= 0 && e.request.Method != http.MethodHead {
+		out.Set("Content-Length", formatInt(length))
+	}
+	if _, stated := out["Content-Type"]; !stated {
+		out["Content-Type"] = nil
+	}
+	e.first = time.Since(e.arrived)
+	e.writer.WriteHeader(status)
+	e.started = true
+}
--- /dev/null
+++ b/passthrough/handler.go
@@ -0,0 +1,197 @@
+package passthrough
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/relay"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/upstream"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// Bounds of a Handler.
+const (
+	// defaultMaxBody holds until a configuration states a bound.
+	defaultMaxBody = 4 << 20
+	// defaultDeadline holds where neither the caller nor the route states one.
+	defaultDeadline = time.Minute
+	// unknownRetryAfter is when a caller should come back who came before the
+	// first configuration did.
+	unknownRetryAfter = 300 * time.Millisecond
+	// highestPriority turns ranks, of which 0 goes first, into priorities, of
+	// which the largest goes first.
+	highestPriority = 9
+)
+
+// Decider is the deciding core as this package uses it.
+type Decider interface {
+	relay.Decider
+	// Now is the core's clock.
+	Now() time.Time
+}
+
+// Config holds what a Handler needs.
+type Config struct {
+	// Catalog returns the configuration in force, nil before the first.
+	Catalog func() *catalog.Compiled
+	Decider Decider
+	Dialect Dialect
+	Pool    *upstream.Pool
+	Log     *eventlog.Log
+	Metrics *Metrics
+	// NewID makes an identifier for a request without one.
+	NewID func() cluster.RequestID
+}
+
+// Handler serves callers.
+type Handler struct {
+	Config
+	draws sync.Map
+}
+
+// NewHandler returns a Handler.
+func NewHandler(config Config) *Handler { return &Handler{Config: config} }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	compiled := h.Catalog()
+	if compiled == nil {
+		h.refuse(w, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration is known yet").After(unknownRetryAfter))
+		return
+	}
+	route := compiled.Table.Find(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		h.refuse(w, verdict.New(verdict.NotRun, verdict.CodeModelNotFound, "there is no such route"))
+		return
+	}
+	body, failure := readBody(w, r, compiled.Limits.MaxBodyBytes)
+	if failure != nil {
+		h.refuse(w, failure)
+		return
+	}
+	current := h.newExchange(w, r, compiled, route, body, arrived)
+	h.Log.Write(eventlog.RequestAccepted{
+		Request: current.id, Route: route.Name, Version: compiled.Version, Work: current.work,
+		Left: current.deadline.Sub(arrived), Attempts: route.Attempts,
+	})
+	current.run()
+}
+
+// readBody reads the whole body, whose size is bounded.
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *verdict.Error) {
+	if most <= 0 {
+		most = defaultMaxBody
+	}
+	if r.ContentLength > most {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeRequestTooLarge, "the body is larger than %d bytes", most)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, verdict.New(verdict.NotRun, verdict.CodeRequestTooLarge, "the body is larger than %d bytes", most)
+	case err != nil:
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "the body was cut")
+	}
+	return body, nil
+}
+
+// newExchange gathers what is known of a request.
+func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request, compiled *catalog.Compiled, route *catalog.Route, body []byte, arrived time.Time) *exchange {
+	attributes := h.Dialect.ReadCaller(r.Header)
+	id := attributes.RequestID
+	if id == "" {
+		id = h.NewID()
+	}
+	service := route.Pick(h.draw(route.Name))
+	return &exchange{
+		Handler: h, writer: w, request: r, route: route, attributes: attributes, body: body, id: id,
+		header: endToEnd(r.Header), work: workOf(compiled.Service(service), service, &attributes),
+		arrived: arrived, deadline: arrived.Add(allowedTime(route, &attributes)), lastEvent: attributes.LastEventID,
+	}
+}
+
+// draw returns numbers that are even over [0, 1) for each route, so that parts
+// of a split get their weights also over few requests.
+func (h *Handler) draw(route string) float64 {
+	counter, _ := h.draws.LoadOrStore(route, new(atomic.Uint64))
+	n := counter.(*atomic.Uint64).Add(1)
+	_, fraction := math.Modf(float64(n) * (math.Sqrt(5) - 1) / 2)
+	return fraction
+}
+
+// allowedTime is the time that the request has: the caller's, bounded by the
+// route's.
+func allowedTime(route *catalog.Route, attributes *Attributes) time.Duration {
+	allowed := attributes.Deadline
+	if route.Timeout > 0 && (allowed == 0 || route.Timeout < allowed) {
+		allowed = route.Timeout
+	}
+	if allowed == 0 {
+		return defaultDeadline
+	}
+	return allowed
+}
+
+// workOf names what must be loaded where the request runs.
+func workOf(service *catalog.Service, name string, attributes *Attributes) cluster.ModelID {
+	switch {
+	case service == nil || service.Engine == nil:
+		return catalog.ServiceID(name)
+	case attributes.Adapter == "":
+		return catalog.ModelID(name, attributes.Model)
+	}
+	return catalog.AdapterID(name, attributes.Model, attributes.Adapter)
+}
+
+// chain returns the hashes of the prompt's beginnings, shortest first. The last
+// part belongs to the request alone, unless it is a session's.
+func chain(parts []PromptPart) []uint64 {
+	hashes := make([]uint64, 0, len(parts))
+	digest := xxhash.New()
+	var word [8]byte
+	for _, part := range parts {
+		for i := range word {
+			word[i] = byte(part.ID >> (8 * i))
+		}
+		_, _ = digest.Write(word[:])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
+
+// splitList splits the value of a list field.
+func splitList(value string) []string {
+	parts := strings.Split(value, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
+
+// routingRequest is the request as the core knows it.
+func (e *exchange) routingRequest(now time.Time) routing.Request {
+	request := routing.Request{
+		ID: e.id, Model: e.work, TokenPath: "/", Priority: highestPriority - e.route.Priority,
+		Deadline: now.Add(time.Until(e.deadline)), Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
+		PromptTokens: e.attributes.PromptTokens, MaxTokens: e.attributes.MaxTokens,
+		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable,
+	}
+	if len(e.attributes.Parts) > 1 {
+		request.Prefixes = chain(e.attributes.Parts[:len(e.attributes.Parts)-1])
+	}
+	return request
+}
--- /dev/null
+++ b/passthrough/metrics.go
@@ -0,0 +1,57 @@
+package passthrough
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// Metrics counts what became of requests.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	total    prometheus.Histogram
+	queued   prometheus.Histogram
+	firstly  prometheus.Histogram
+}
+
+// stageBuckets reach from a short wait to the longest deadlines.
+var stageBuckets = []float64{.005, .02, .05, .1, .15, .3, .6, 1, 1.5, 3, 6, 12, 25}
+
+// NewMetrics returns metrics that are registered with a registry.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	histogram := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: stageBuckets})
+	}
+	metrics := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "valveslip_route_requests_total", Help: "Requests of routes by outcome."}, []string{"code"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "valveslip_route_failed_attempts_total", Help: "Failed attempts by class and verdict."}, []string{"code", "verdict"}),
+		total:    histogram("valveslip_route_request_seconds", "Time of requests of routes."),
+		queued:   histogram("valveslip_route_queue_seconds", "Time that requests of routes waited."),
+		firstly:  histogram("valveslip_route_first_byte_seconds", "Time to the first byte of an answer."),
+	}
+	registry.MustRegister(metrics.requests, metrics.attempts, metrics.total, metrics.queued, metrics.firstly)
+	return metrics
+}
+
+// ended counts a request. A nil receiver counts nothing.
+func (m *Metrics) ended(code string, took, waited, first time.Duration) {
+	if m == nil {
+		return
+	}
+	m.requests.WithLabelValues(code).Inc()
+	m.total.Observe(took.Seconds())
+	m.queued.Observe(waited.Seconds())
+	if first > 0 {
+		m.firstly.Observe(first.Seconds())
+	}
+}
+
+// attemptFailed counts a failed attempt.
+func (m *Metrics) attemptFailed(failure *verdict.Error) {
+	if m != nil {
+		m.attempts.WithLabelValues(string(failure.Code), failure.Verdict.String()).Inc()
+	}
+}
--- /dev/null
+++ b/passthrough/refusal.go
@@ -0,0 +1,60 @@
+package passthrough
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// minRetryAfter is the shortest wait that a refused caller is told.
+const minRetryAfter = 50 * time.Millisecond
+
+// refusalBody is the body of an answer that no machine gave.
+type refusalBody struct {
+	Code    verdict.Code `json:"code"`
+	Verdict string       `json:"verdict"`
+	Message string       `json:"message"`
+}
+
+// refuse answers a request at once with why it was given up. A request that did
+// not run is told when to come back.
+func (h *Handler) refuse(w http.ResponseWriter, failure *verdict.Error) int {
+	status := statusOf(failure)
+	body, err := json.Marshal(refusalBody{Code: failure.Code, Verdict: failure.Verdict.String(), Message: failure.Message})
+	if err != nil {
+		body = nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable {
+		wait := max(failure.RetryAfter, minRetryAfter)
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+	return status
+}
+
+// statusOf maps a failure to a status. 503 promises that nothing ran and nothing
+// will; after anything that may have run the answer is 502 or 504.
+func statusOf(failure *verdict.Error) int {
+	if failure.Verdict != verdict.NotRun {
+		if failure.Code == verdict.CodeDeadlineExceeded {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch failure.Code {
+	case verdict.CodeInvalidRequest:
+		return http.StatusBadRequest
+	case verdict.CodeRequestTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.CodeModelNotFound:
+		return http.StatusNotFound
+	}
+	return http.StatusServiceUnavailable
+}
+
+func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/passthrough/stream.go
@@ -0,0 +1,147 @@
+package passthrough
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+const (
+	readBytes = 8 << 10
+	// maxEvent bounds one event of a stream.
+	maxEvent = 1 << 20
+)
+
+var readBuffers = sync.Pool{New: func() any { buffer := make([]byte, readBytes); return &buffer }}
+
+// The parts of a stream that are looked for.
+var (
+	eventEnd        = []byte("\n\n")
+	eventEndReturns = []byte("\r\n\r\n")
+	idField         = []byte("id:")
+)
+
+// stream relays a series of events, each as soon as it is whole. What is left of
+// an event when the stream is cut is dropped; a resumable stream is continued
+// after the last whole event.
+func (a *attempt) stream(ctx context.Context, response *http.Response) *verdict.Error {
+	buffer := readBuffers.Get().(*[]byte)
+	defer readBuffers.Put(buffer)
+	var pending []byte
+	resumed := a.started
+	for {
+		if err := a.conn.ReadBy(a.nextBy()); err != nil {
+			return verdict.Wrap(err, verdict.Ran, verdict.CodeStreamCut, "the stream was cut")
+		}
+		n, err := response.Body.Read(*buffer)
+		pending = append(pending, (*buffer)[:n]...)
+		rest, failure := a.passEvents(response, pending, resumed)
+		if failure != nil {
+			return failure
+		}
+		pending = append(pending[:0], rest...)
+		switch {
+		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
+			a.begin(response)
+			return nil
+		case err != nil && ctx.Err() == nil && timedOut(err):
+			return verdict.Wrap(err, verdict.Ran, verdict.CodeStreamCut, "no event came for too long")
+		case err != nil:
+			return verdict.Wrap(err, verdict.Ran, verdict.CodeStreamCut, "the stream was cut")
+		case len(pending) > maxEvent:
+			return verdict.New(verdict.Ran, verdict.CodeEngineFailed, "an event is larger than %d bytes", maxEvent)
+		}
+	}
+}
+
+// nextBy is until when the next byte of the stream is waited for.
+func (a *attempt) nextBy() time.Time {
+	if a.decision.Final {
+		return a.deadline
+	}
+	if !a.started {
+		return a.firstBy()
+	}
+	patience := max(pausePatience*a.route.LongestPause, minPause)
+	return earlier(time.Now().Add(patience), a.deadline)
+}
+
+// begin sends the head of the first machine's answer, once.
+func (a *attempt) begin(response *http.Response) {
+	if a.started {
+		return
+	}
+	a.Decider.Report(routing.FirstByteSent{Request: a.id})
+	a.writeHead(response.StatusCode, response.Header, -1)
+}
+
+// passEvents sends the whole events at the beginning of data and returns what is
+// left. Of a continued stream, events that the caller has already are dropped.
+func (a *attempt) passEvents(response *http.Response, data []byte, resumed bool) ([]byte, *verdict.Error) {
+	passed := data[:0:0]
+	rest := data
+	for {
+		end := endOfEvent(rest)
+		if end == 0 {
+			break
+		}
+		event := rest[:end]
+		rest = rest[end:]
+		id, stated := eventID(event)
+		if resumed && stated && !follows(id, a.lastEvent) {
+			continue
+		}
+		if stated {
+			a.lastEvent = id
+		}
+		passed = append(passed, event...)
+	}
+	if len(passed) == 0 {
+		return rest, nil
+	}
+	a.begin(response)
+	if _, err := a.writer.Write(passed); err != nil {
+		return rest, a.callerFailed(err)
+	}
+	if err := http.NewResponseController(a.writer).Flush(); err != nil {
+		return rest, a.callerFailed(err)
+	}
+	return rest, nil
+}
+
+// endOfEvent returns the length of the first whole event, zero without one.
+func endOfEvent(data []byte) int {
+	end := 0
+	if at := bytes.Index(data, eventEnd); at >= 0 {
+		end = at + len(eventEnd)
+	}
+	if at := bytes.Index(data, eventEndReturns); at >= 0 && (end == 0 || at < end) {
+		end = at + len(eventEndReturns)
+	}
+	return end
+}
+
+// eventID returns the identifier of an event.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if value, found := bytes.CutPrefix(line, idField); found {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+// follows reports whether an event comes after another, by their numbers.
+// Identifiers that are no numbers are taken to follow.
+func follows(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || number > before
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -61,12 +61,12 @@
 }
 
 // filterCauses is the number of causes that leave out machines.
-const filterCauses = 8
+const filterCauses = 9
 
 // filters lists the causes in the order in which they are tested.
 var filters = [filterCauses]Cause{
 	CauseNotCandidate, CauseNoMachine, CauseUnsealed, CauseMachineLeaves,
-	CauseHolds, CauseBaseMissing, CauseNoMemory, CauseStoreLimit,
+	CauseHolds, CauseBaseMissing, CauseNoMemory, CauseStoreLimit, CauseBusy,
 }
 
 // Indexes into filters.
@@ -79,6 +79,7 @@
 	filterBase
 	filterMemory
 	filterStore
+	filterBusy
 )
 
 // choose scores the machines that may hold one more replica of the model.
@@ -118,6 +119,10 @@
 	}
 	score := r.score(i, m, &needs)
 	machine := &r.machines[m]
+	if r.lacksAdapterSlot(i, m) {
+		c.filtered[filterMemory]++
+		return
+	}
 	if needs.bytes > machine.free-r.reserve(m, c.class) {
 		c.filtered[filterMemory]++
 		score += machine.unloadWait()
@@ -136,6 +141,13 @@
 	c.insert(scored{machine: m, need: needs, score: score}, r.config.Candidates)
 }
 
+// lacksAdapterSlot reports whether the model is an adapter and the machine has
+// no place left for one.
+func (r *round) lacksAdapterSlot(i, m int32) bool {
+	slots := r.state.Machines[m].AdapterSlots
+	return slots > 0 && r.catalogue.entries[i].base != none && r.machines[m].adapters >= slots
+}
+
 // prewarmReserve is the part of a machine's memory that prewarming leaves free
 // for models with waiting requests.
 const prewarmReserve = 0.1
@@ -170,6 +182,8 @@
 		return filterLeaving
 	case r.holds(m, i) || r.planned(m, i):
 		return filterHolds
+	case r.state.Machines[m].Busy && r.catalogue.entries[i].base == none:
+		return filterBusy
 	}
 	return -1
 }
--- a/placement/config.go
+++ b/placement/config.go
@@ -31,6 +31,15 @@
 	MaxLoadsPerMachine int
 	// Candidates is how many scored machines a reason lists; the default is 3.
 	Candidates int
+	// RetainIdle keeps replicas that nothing needs until their memory is wanted
+	// for another model.
+	RetainIdle bool
+	// EvictForLoad lets replicas that running requests need take the memory of
+	// idle ones, as replicas that requests wait for always may.
+	EvictForLoad bool
+	// UnloadDropsAdapters is true where the unload of a base model takes its
+	// adapters along; elsewhere they are unloaded before it.
+	UnloadDropsAdapters bool
 	// BytesPerSecond expected of a load by tier before any was observed; the
 	// defaults are 0.5 GB/s remote, 2 GB/s disk and 10 GB/s memory.
 	BytesPerSecond [TierCount]float64
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -27,7 +27,7 @@
 	}
 	r.selectVictims(request, m, needs.bytes)
 	for s := r.machines[m].from; s < r.machines[m].to; s++ {
-		if r.slots[s].taken && !r.slots[s].unloading {
+		if r.slots[s].taken && !r.slots[s].unloading && !r.goesWithBase(&r.slots[s]) {
 			r.evict(&r.slots[s], request)
 		}
 	}
@@ -48,7 +48,7 @@
 			continue
 		}
 		needs, ok := r.needOn(i, int32(m))
-		if !ok || needs.bytes <= r.machines[m].soon {
+		if !ok || needs.bytes <= r.machines[m].soon && !r.lacksAdapterSlot(i, int32(m)) {
 			continue
 		}
 		wait := r.score(i, int32(m), &needs) + unloadScore
@@ -86,7 +86,7 @@
 // evict unloads one replica. A base model follows its adapters in a later
 // round, once they are gone.
 func (r *round) evict(ref *slotRound, request *request) {
-	if r.baseInUse(ref.machine, ref.model) {
+	if r.baseInUse(ref.machine, ref.model) && !r.config.UnloadDropsAdapters {
 		return
 	}
 	reason := r.reason(ref.model, CauseEvicted, keyColdStartWeight)
@@ -96,6 +96,24 @@
 	r.unloadSlot(ref, reason)
 }
 
+// goesWithBase reports whether an adapter needs no unload of its own, because its
+// base model is taken from the same machine and takes it along.
+func (r *round) goesWithBase(ref *slotRound) bool {
+	base := none
+	if ref.model != none {
+		base = r.catalogue.entries[ref.model].base
+	}
+	if base == none || !r.config.UnloadDropsAdapters {
+		return false
+	}
+	for _, user := range r.slotsOf(ref.machine) {
+		if user.model == base && user.taken {
+			return true
+		}
+	}
+	return false
+}
+
 // selectVictims marks the replicas on the machine whose unload frees the bytes
 // at the least loss; false when that can't be reached.
 func (r *round) selectVictims(request *request, m int32, bytes int64) (loss float64, enough bool) {
@@ -106,6 +124,9 @@
 			r.victims = append(r.victims, r.victimOf(s))
 		}
 	}
+	if r.lacksAdapterSlot(request.model, m) {
+		return r.selectAdapter()
+	}
 	slices.SortFunc(r.victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.loss/float64(a.bytes), b.loss/float64(b.bytes)), cmp.Compare(a.slot, b.slot))
 	})
@@ -117,6 +138,26 @@
 	return loss, short <= 0
 }
 
+// selectAdapter marks the adapter of least value among the victims, to make a
+// place for another one.
+func (r *round) selectAdapter() (loss float64, enough bool) {
+	best := -1
+	for k := range r.victims {
+		ref := &r.slots[r.victims[k].slot]
+		if r.catalogue.entries[ref.model].base == none {
+			continue
+		}
+		if best < 0 || r.victims[k].loss < r.victims[best].loss {
+			best = k
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	r.take(r.victims[best].slot)
+	return r.victims[best].loss, true
+}
+
 // take marks a replica, and the adapters that go with it, and returns the bytes
 // that this frees beyond what was marked or unloading before.
 func (r *round) take(s int32) (freed int64) {
--- a/placement/place.go
+++ b/placement/place.go
@@ -146,7 +146,7 @@
 	switch {
 	case c.later != none && c.laterScore < now:
 		r.await(i, c)
-	case request.class <= classMinimum && r.evictFor(request, c, now):
+	case r.mayEvict(request.class) && r.evictFor(request, c, now):
 	case len(c.top) > 0:
 		r.load(request, c)
 	default:
@@ -154,6 +154,11 @@
 	}
 }
 
+// mayEvict reports whether a load of the class may take idle replicas' memory.
+func (r *round) mayEvict(why class) bool {
+	return why <= classMinimum || r.config.EvictForLoad && why == classLoad
+}
+
 // bestNow is the best score without an eviction, infinite when there is none.
 func (c *choice) bestNow() float64 {
 	switch {
@@ -217,6 +222,9 @@
 	r.loads = append(r.loads, placed{machine: m, model: i})
 	r.claim(m, policy.Memory)
 	r.machines[m].loading++
+	if r.catalogue.entries[i].base != none {
+		r.machines[m].adapters++
+	}
 	r.models[i].held++
 	r.models[i].planned++
 	r.models[i].useful++
--- a/placement/release.go
+++ b/placement/release.go
@@ -40,7 +40,7 @@
 	}
 	r.releaseReplaced(i)
 	surplus := model.useful - model.keep
-	if surplus <= 0 {
+	if surplus <= 0 || r.config.RetainIdle {
 		return
 	}
 	reason := model.reason
--- a/placement/round.go
+++ b/placement/round.go
@@ -64,6 +64,8 @@
 	// from and to bound the machine's entries in round.slots.
 	from, to int32
 	loading  int
+	// adapters counts those on the machine and those planned in this round.
+	adapters int
 	usable   bool
 	// draining is set while an unload waits for running requests.
 	draining bool
@@ -188,6 +190,9 @@
 	}
 	if ref.model != none {
 		r.countReplica(&ref)
+		if r.catalogue.entries[ref.model].model.Kind == settings.KindAdapter {
+			machine.adapters++
+		}
 	}
 	r.slots = append(r.slots, ref)
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -40,6 +40,10 @@
 	MemoryBytes  int64
 	Accelerators int
 	Slots        int
+	// AdapterSlots bounds the adapters on the machine; zero means no bound.
+	AdapterSlots int
+	// Busy machines carry out an order and take no other for a base model.
+	Busy bool
 	// Replicas includes reserved ones, sorted by model.
 	Replicas []Slot
 	Cached   map[cluster.ModelID]cluster.Tier
@@ -136,6 +140,7 @@
 	CauseUnsealed      Cause = "machine not sealed"
 	CauseHolds         Cause = "machine already holds the model"
 	CauseNotCandidate  Cause = "machine not a candidate of the allotment"
+	CauseBusy          Cause = "machine carries out another order"
 )
 
 // Reason is the recorded explanation of an action or decision.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -218,12 +218,12 @@
 	r.result.Attempts++
 	r.result.Machine = decision.Machine
 	limited, cancel := context.WithDeadline(ctx, decision.Deadline)
-	r.ticket.onInterrupt(cancel)
+	r.ticket.OnInterrupt(cancel)
 	current := newAttempt(r, decision)
 	began := time.Now()
 	ended := current.execute(limited)
 	r.result.Engine += time.Since(began) - current.sending
-	r.ticket.onInterrupt(nil)
+	r.ticket.OnInterrupt(nil)
 	cancel()
 	r.result.Tokens += ended.Tokens
 	if ended.Failure != nil && ended.Failure.Verdict != verdict.NotRun && !current.answered {
--- a/relay/ticket.go
+++ b/relay/ticket.go
@@ -91,9 +91,9 @@
 	return effect, true
 }
 
-// onInterrupt sets what interrupts the attempt that runs; nil removes it. When
+// OnInterrupt sets what interrupts the attempt that runs; nil removes it. When
 // an interrupting effect already waits, cancel is called at once.
-func (t *Ticket) onInterrupt(cancel context.CancelFunc) {
+func (t *Ticket) OnInterrupt(cancel context.CancelFunc) {
 	t.mutex.Lock()
 	t.interrupt = cancel
 	interrupted := false
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -16,6 +16,7 @@
 	settingQueueTime     = "queue_time"
 	settingDeadline      = "deadline"
 	settingRetryAttempts = "retry_attempts"
+	settingRetryBudget   = "retry budget"
 )
 
 // arrive admits, dispatches, queues or refuses a request.
@@ -41,7 +42,7 @@
 	}
 	model.arrivals++
 	r.touch(model)
-	model.retries.earn(r.nanos, &r.config)
+	r.earnRetries(model)
 	r.place(r.admit(model, arrived, deadline, claim))
 }
 
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -103,7 +103,7 @@
 		Request: ready.ID, Attempt: ready.attempt,
 		Machine: machine.id, Address: machine.address,
 		Model: ready.Model, Version: chosen.version,
-		Deadline: time.Unix(0, ready.deadline), Reason: reason,
+		Deadline: time.Unix(0, ready.deadline), Final: !ready.mayFollow(), Reason: reason,
 	})
 }
 
@@ -129,6 +129,7 @@
 	model := ended.model
 	ended.generated += event.Tokens
 	machine := r.stopRunning(ended)
+	machine.noteOutcome(event)
 	if event.Failure == nil {
 		machine.setbacks = 0
 		learn(&model.service, float64(r.nanos-dispatched))
@@ -174,26 +175,65 @@
 func (r *Router) mayRetry(failed *request, event *AttemptEnded) (bool, Explanation) {
 	notRun := event.Failure.Verdict == verdict.NotRun
 	switch {
-	case failed.firstByte, permanent(event.Failure.Code):
+	case failed.firstByte && !failed.Resumable, permanent(event.Failure.Code):
 		return false, Explanation{}
 	case !notRun && !failed.Repeatable:
 		return false, Explanation{}
 	case failed.model.configured == nil:
 		return false, Explanation{}
-	case notRun && (event.EngineFull || event.ModelMissing):
+	case notRun && event.Unreached:
 		failed.tries--
 		return true, Explanation{}
+	case notRun && (event.EngineFull || event.ModelMissing):
+		failed.tries--
+		return r.payRefused(failed)
 	}
-	allowed := max(failed.model.configured.Policy.RetryAttempts, 1)
-	if failed.tries >= allowed {
+	if allowed := failed.allowedAttempts(); failed.tries >= allowed {
 		return false, failed.model.explain(settingRetryAttempts, float64(allowed), float64(failed.tries))
 	}
-	if !failed.model.retries.spend(r.nanos, &r.config) {
-		return false, Explanation{Setting: "retry budget", Limit: r.config.RetryRatio}
+	return r.payRetry(failed)
+}
+
+// payRetry takes one attempt past the first out of the budget that is in force.
+func (r *Router) payRetry(failed *request) (bool, Explanation) {
+	paid := false
+	if r.config.RetryWindow > 0 {
+		paid = r.pool(failed.model).spend(r.nanos, &r.config, r.routers)
+	} else {
+		paid = failed.model.retries.spend(r.nanos, &r.config)
+	}
+	if !paid {
+		return false, Explanation{Setting: settingRetryBudget, Limit: r.config.RetryRatio}
 	}
 	return true, Explanation{}
 }
 
+// payRefused pays for sending a request again that an engine refused, which only
+// the window budget counts.
+func (r *Router) payRefused(failed *request) (bool, Explanation) {
+	if r.config.RetryWindow == 0 {
+		return true, Explanation{}
+	}
+	return r.payRetry(failed)
+}
+
+// allowedAttempts is how many dispatches that may have run the request has.
+func (failed *request) allowedAttempts() int {
+	if failed.Attempts > 0 {
+		return failed.Attempts
+	}
+	if failed.model.configured == nil {
+		return 1
+	}
+	return max(failed.model.configured.Policy.RetryAttempts, 1)
+}
+
+// mayFollow reports whether another attempt may follow the present one though
+// this one may have run.
+func (failed *request) mayFollow() bool {
+	return failed.Repeatable && failed.tries < failed.allowedAttempts()
+}
+
 // permanent reports whether another attempt would meet the same failure or
 // could not be answered.
 func permanent(code verdict.Code) bool {
@@ -241,6 +281,9 @@
 		r.notePrefix(sent)
 		return
 	}
+	if sent.Resumable {
+		return
+	}
 	r.finish(sent, verdict.New(verdict.Ran, verdict.CodeStreamCut,
 		"the answer broke off after its first byte"), Explanation{})
 }
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -210,6 +210,7 @@
 	}
 	blocks := r.cachedBlocks(machine)
 	cost := wait + r.distancePenalty(candidate) - blocks*float64(r.config.PrefixBlockTime)
+	cost += machine.failing * float64(r.config.FailurePenalty)
 	return scored{replica: candidate, wait: wait, cost: cost, blocks: blocks}
 }
 
@@ -298,6 +299,8 @@
 		}
 	case event.EngineFull:
 		r.backOff(m, r.config.RefusalBackOff, r.longestRefusal(failed.model, m), m.inFlight)
+	case event.Answered && r.config.FailurePenalty > 0:
+		failed.tried = append(failed.tried, m)
 	case engineFault(event.Failure.Code):
 		failed.tried = append(failed.tried, m)
 		r.backOff(m, r.config.FailureBackOff, r.config.MaxBackOff, 0)
--- a/routing/config.go
+++ b/routing/config.go
@@ -26,6 +26,17 @@
 	// RetryFloor is how many retries a second a model earns without any
 	// requests. Default 0.2.
 	RetryFloor float64
+	// RetryWindow, when not zero, puts another bound on attempts past the first
+	// in place of the three above: those of one engine pool within the window
+	// are at most RetryRatio of its requests in it and this router's part of
+	// RetryExtra. Sends that an engine refused count too.
+	RetryWindow time.Duration
+	// RetryExtra is what all routers together may send in a window beyond
+	// RetryRatio.
+	RetryExtra float64
+	// FailurePenalty is added to the expected wait of a machine in proportion to
+	// the share of its latest attempts that failed; zero leaves failures out.
+	FailurePenalty time.Duration
 	// RefusalBackOff is how long a machine that refused for lack of a slot
 	// gets no more requests than it holds; it doubles with each refusal in a
 	// row up to MaxBackOff. Default 25 ms.
--- a/routing/events.go
+++ b/routing/events.go
@@ -31,6 +31,12 @@
 	PromptTokens, MaxTokens int
 	// Prefixes are the xxhash64 chain of prompt prefix blocks, shortest first.
 	Prefixes []uint64
+	// Attempts bounds the dispatches of this request, the first included; zero
+	// leaves it to the policy.
+	Attempts int
+	// Resumable answers may be continued by another attempt after their first
+	// byte.
+	Resumable bool
 }
 
 // Event is an input of the core.
@@ -53,6 +59,11 @@
 	Attempt cluster.Attempt
 	// Failure is nil when the whole answer was relayed.
 	Failure *verdict.Error
+	// Unreached is true when no byte of the request was sent, because no
+	// connection was had.
+	Unreached bool
+	// Answered is true when the engine itself answered with a failure.
+	Answered bool
 	// EngineFull is true when the engine refused for lack of a slot and
 	// ModelMissing when it does not hold the model.
 	EngineFull, ModelMissing bool
@@ -132,7 +143,10 @@
 	Version string
 	// Deadline at which the shell must give the attempt up.
 	Deadline time.Time
-	Reason   Choice
+	// Final is true when no other attempt may follow a failure that may have
+	// run, so that it is not worth giving this one up early.
+	Final  bool
+	Reason Choice
 }
 
 // Finish is the one terminal outcome of a request. Failure is nil when the
--- a/routing/router.go
+++ b/routing/router.go
@@ -47,6 +47,8 @@
 	// touched lists the models whose demand changed since the last report.
 	touched []*model
 	limits  *limit.Set
+	// pools holds the window budgets of attempts past the first by engine pool.
+	pools map[string]*windowBudget
 	// prefixes estimates engines' caches; matches is the buffer of a choice.
 	prefixes *affinity.Index
 	matches  []affinity.Match
@@ -85,6 +87,7 @@
 		requests: make(map[cluster.RequestID]*request),
 		routers:  config.ExpectedRouters,
 		limits:   limit.NewSet(),
+		pools:    make(map[string]*windowBudget),
 		prefixes: affinity.New(config.Affinity),
 		untold:   affinity.NewLedger(maxUntold),
 	}
--- a/routing/state.go
+++ b/routing/state.go
@@ -122,6 +122,8 @@
 	ceilingUntil int64
 	// setbacks in a row lengthen the next back-off.
 	setbacks int
+	// failing is the learned share of attempts that failed.
+	failing float64
 	timer    timer
 }
 
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,176 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Conn is one connection to a machine. It carries one exchange at a time; all
+// methods but Interrupt are called by one goroutine.
+type Conn struct {
+	pool       *Pool
+	address    string
+	connection net.Conn
+	reader     *bufio.Reader
+	reused     bool
+	idleSince  time.Time
+	// idleLimit is what the machine stated last, zero when it did not.
+	idleLimit time.Duration
+
+	// writing is closed once the request has been written, with writeError set
+	// before.
+	writing    chan struct{}
+	writeError error
+	sent       atomic.Bool
+	answer     *http.Response
+	// spoiled connections carry no further exchange.
+	spoiled bool
+}
+
+// inlineBody is the size up to which a body is written before the answer is
+// read; a longer one is written beside that, since a machine may answer early.
+const inlineBody = 16 << 10
+
+// ErrNotSent is the cause of an error when no byte of a request left.
+var ErrNotSent = eris.New("nothing was sent")
+
+// Reused reports whether the connection carried an exchange before.
+func (c *Conn) Reused() bool { return c.reused }
+
+// alive reports whether an idle connection may carry another request: it is not
+// too old, and nothing has arrived on it, neither bytes that belong to no request
+// nor its end.
+func (c *Conn) alive() bool {
+	limit := c.pool.options.IdleLimit
+	if c.idleLimit > 0 {
+		limit = c.idleLimit - c.pool.options.IdleMargin
+	}
+	if time.Since(c.idleSince) > limit || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.connection.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var probe [1]byte
+		_, readError := syscall.Read(int(descriptor), probe[:])
+		quiet = errors.Is(readError, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Send writes the request with its body. Long bodies go on being written while
+// the answer is read. An error with the cause ErrNotSent means that no byte left.
+func (c *Conn) Send(request *http.Request, body []byte) error {
+	c.sent.Store(false)
+	c.writing = make(chan struct{})
+	if len(body) <= inlineBody {
+		c.write(request)
+		return c.writeError
+	}
+	go c.write(request)
+	return nil
+}
+
+// write writes the whole request.
+func (c *Conn) write(request *http.Request) {
+	defer close(c.writing)
+	writer := bufio.NewWriterSize(&countingWriter{conn: c}, bufferBytes)
+	err := request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil && !c.sent.Load() {
+		err = errors.Join(ErrNotSent, err)
+	}
+	c.writeError = err
+}
+
+// countingWriter notes that bytes were handed to the kernel.
+type countingWriter struct{ conn *Conn }
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(data []byte) (int, error) {
+	n, err := w.conn.connection.Write(data)
+	if n > 0 {
+		w.conn.sent.Store(true)
+	}
+	return n, err
+}
+
+// ReadBy bounds all reads; the zero time removes the bound.
+func (c *Conn) ReadBy(deadline time.Time) error { return c.connection.SetReadDeadline(deadline) }
+
+// Head reads the head of the next answer. Interim answers are passed over.
+func (c *Conn) Head(request *http.Request) (*http.Response, error) {
+	for {
+		answer, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			c.spoiled = true
+			return nil, err
+		}
+		if answer.StatusCode >= http.StatusOK || answer.StatusCode == http.StatusSwitchingProtocols {
+			c.answer = answer
+			return answer, nil
+		}
+	}
+}
+
+// Spoil keeps the connection from carrying another exchange.
+func (c *Conn) Spoil() { c.spoiled = true }
+
+// Interrupt ends reads and writes under way. Any goroutine may call it.
+func (c *Conn) Interrupt() { _ = c.connection.SetDeadline(time.Unix(1, 0)) }
+
+// Release gives the connection back after an answer was read whole, or closes it
+// when it can carry no other request: the request was not written whole, the
+// machine said so, the answer had no length, or bytes follow the answer.
+func (c *Conn) Release() {
+	if c.reusable() && c.connection.SetDeadline(time.Time{}) == nil {
+		c.answer = nil
+		c.pool.put(c)
+		return
+	}
+	c.Close()
+}
+
+func (c *Conn) reusable() bool {
+	if c.spoiled || c.answer == nil || c.answer.Close || c.reader.Buffered() > 0 {
+		return false
+	}
+	select {
+	case <-c.writing:
+	default:
+		return false
+	}
+	if c.writeError != nil {
+		return false
+	}
+	unframed := c.answer.ContentLength < 0 && len(c.answer.TransferEncoding) == 0
+	if unframed && c.answer.Body != http.NoBody {
+		return false
+	}
+	c.idleLimit = statedIdle(c.answer.Header.Get("Keep-Alive"))
+	return true
+}
+
+// Close closes the connection.
+func (c *Conn) Close() { _ = c.connection.Close() }
+
+// Drained reads what is left of an answer that nobody wants, up to a bound, and
+// reports whether it was read whole.
+func Drained(answer *http.Response, bound int64) bool {
+	n, err := io.CopyN(io.Discard, answer.Body, bound)
+	return errors.Is(err, io.EOF) && n < bound
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,165 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = 400 * time.Millisecond
+	DefaultUserTimeout = 1500 * time.Millisecond
+	DefaultIdleLimit   = 30 * time.Second
+	DefaultIdleMargin  = 700 * time.Millisecond
+	// DefaultMaxIdle bounds the idle connections to one machine.
+	DefaultMaxIdle = 32
+)
+
+const bufferBytes = 4 << 10
+
+// Options tunes a Pool; zero fields take the defaults above.
+type Options struct {
+	DialTimeout time.Duration
+	// UserTimeout is after how long a connection breaks whose sent bytes nobody
+	// acknowledges.
+	UserTimeout time.Duration
+	// IdleLimit is how long a connection may rest whose machine stated no time,
+	// IdleMargin how much earlier than the stated time it is given up.
+	IdleLimit, IdleMargin time.Duration
+	MaxIdle               int
+}
+
+// withDefaults fills zero fields.
+func (o Options) withDefaults() Options {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.UserTimeout == 0 {
+		o.UserTimeout = DefaultUserTimeout
+	}
+	if o.IdleLimit == 0 {
+		o.IdleLimit = DefaultIdleLimit
+	}
+	if o.IdleMargin == 0 {
+		o.IdleMargin = DefaultIdleMargin
+	}
+	if o.MaxIdle == 0 {
+		o.MaxIdle = DefaultMaxIdle
+	}
+	return o
+}
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+	mutex   sync.Mutex
+	idle    map[string][]*Conn
+	opened  atomic.Uint64
+}
+
+// NewPool returns an empty pool.
+func NewPool(options Options) *Pool {
+	options = options.withDefaults()
+	pool := &Pool{options: options, idle: make(map[string][]*Conn)}
+	pool.dialer = net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		return limitSilence(raw, options.UserTimeout)
+	}}
+	return pool
+}
+
+// limitSilence has the kernel break a connection whose sent bytes nobody
+// acknowledges.
+func limitSilence(raw syscall.RawConn, after time.Duration) error {
+	var failure error
+	if err := raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+	}); err != nil {
+		return err
+	}
+	return failure
+}
+
+// Opened counts the connections made.
+func (p *Pool) Opened() uint64 { return p.opened.Load() }
+
+// Get returns an idle connection that is still open, or a new one. An error
+// means that nothing was sent.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		kept := p.take(address)
+		if kept == nil {
+			break
+		}
+		if kept.alive() {
+			return kept, nil
+		}
+		kept.Close()
+	}
+	connection, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect")
+	}
+	p.opened.Add(1)
+	return &Conn{pool: p, address: address, connection: connection, reader: bufio.NewReaderSize(connection, bufferBytes)}, nil
+}
+
+// take removes the idle connection that was used last.
+func (p *Pool) take(address string) *Conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return last
+}
+
+// put keeps a connection for another request.
+func (p *Pool) put(c *Conn) {
+	c.reused, c.idleSince = true, time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[c.address]) >= p.options.MaxIdle {
+		go c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mutex.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mutex.Unlock()
+	for _, kept := range list {
+		kept.Close()
+	}
+}
+
+// statedIdle reads the time after which a machine closes an idle connection from
+// the value of a Keep-Alive field, zero when it states none.
+func statedIdle(field string) time.Duration {
+	for part := range strings.SplitSeq(field, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if strings.EqualFold(name, "timeout") {
+			if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
+}
