--- a/routing/state.go
+++ b/routing/state.go
@@ -124,7 +124,7 @@
 	setbacks int
 	// failing is the learned share of attempts that failed.
 	failing float64
-	timer    timer
+	timer   timer
 }
 
 // cell is what is known of one zone's controller.
