--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -11,9 +11,12 @@
 
 const (
 	// resendInterval spaces the sendings of an order without an answer.
-	resendInterval = 250 * time.Millisecond
-	// reportLag is how late reports may be.
-	reportLag = 120 * time.Millisecond
+	resendInterval = 120 * time.Millisecond
+	// reportLag is how late reports may be: for so long after an order a report
+	// does not show that something is missing.
+	reportLag = 450 * time.Millisecond
+	// conflictPoll is when a refusal is looked into.
+	conflictPoll = 130 * time.Millisecond
 	// pollInterval spaces reports while an order is carried out.
 	pollInterval = 150 * time.Millisecond
 	// idlePoll spaces reports of machines that carry out nothing.
@@ -148,16 +151,13 @@
 	id := event.Worker.ID
 	m := l.machines[id]
 	if m == nil {
-		m = &machine{replicas: map[cluster.ModelID]*replica{}, reportDue: l.now, count: event.Worker.OrderCount}
+		m = &machine{replicas: map[cluster.ModelID]*replica{}, reportDue: l.now}
 		l.machines[id] = m
 	}
 	m.worker, m.memory, m.adapterSlots = event.Worker, event.MemoryBytes, event.AdapterSlots
 	if !l.Holding() {
 		return
 	}
-	if m.sealed && event.Worker.OrderCount > m.count && m.pending == nil {
-		m.conflicting, m.reportDue = true, l.now
-	}
 	l.dropVanished(id, m)
 	l.poll(id, m)
 }
@@ -165,7 +165,7 @@
 // dropVanished drops replicas that have been loaded for longer than entries are
 // late and that the entry does not name.
 func (l *Ledger) dropVanished(id cluster.MachineID, m *machine) {
-	if m.pending != nil || m.worker.OrderCount < m.count {
+	if m.pending != nil || l.now.Sub(m.ordered) < entryLag {
 		return
 	}
 	named := heldIDs(m.worker.Service, m.worker.Held)
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -16,7 +16,7 @@
 	if !l.Holding() || m == nil || !m.sealed || m.pending != nil || m.conflicting {
 		return
 	}
-	if !wanted.Adapter && !m.busyUntil.IsZero() {
+	if !m.busyUntil.IsZero() {
 		return
 	}
 	known := m.replicas[wanted.Model]
@@ -74,7 +74,7 @@
 		l.holds(answer.Machine, m, &pending.order)
 	case OutcomeConflict:
 		m.conflicting = true
-		m.reportDue = l.now.Add(reportLag)
+		m.reportDue = l.now.Add(conflictPoll)
 	case OutcomeStale:
 		m.pending = nil
 		l.emit(Superseded{Machine: answer.Machine})
@@ -146,36 +146,48 @@
 		m.reportDue = l.now.Add(idlePoll)
 		return
 	}
-	if m.sealed && (read.Report.OrderCount < m.count || l.now.Sub(m.ordered) < reportLag) {
+	if m.sealed && read.Report.OrderCount < m.count {
 		// The report is older than the last order.
-		m.reportDue = l.now.Add(reportLag)
+		m.reportDue = l.now.Add(conflictPoll)
 		return
 	}
-	l.settlePending(read.Machine, m, &read.Report)
+	fresh := !m.sealed || l.now.Sub(m.ordered) >= reportLag
+	l.settlePending(m, &read.Report)
+	if read.Report.OrderCount > m.count {
+		// Orders were carried out that no answer told of.
+		m.ordered, fresh = l.now, !m.sealed
+	}
 	m.count, m.sealed, m.conflicting = read.Report.OrderCount, true, false
-	l.sync(read.Machine, m, &read.Report)
+	l.syncHeld(read.Machine, m, &read.Report)
+	if fresh {
+		l.syncMissing(read.Machine, m, &read.Report)
+	}
+	l.syncBusy(m, read.Report.Busy)
 	m.reportDue = l.now.Add(idlePoll)
 	if read.Report.Busy {
 		m.reportDue = l.now.Add(pollInterval)
+	} else if !fresh {
+		m.reportDue = m.ordered.Add(reportLag)
 	}
 }
 
-// settlePending settles an order that met a conflict. Once the count has passed
-// the order's, it was carried out or never will be.
-func (l *Ledger) settlePending(id cluster.MachineID, m *machine, report *catalog.Report) {
+// settlePending settles an order that met a conflict or has no answer. Once the
+// count has passed the order's, it was carried out or never will be.
+func (l *Ledger) settlePending(m *machine, report *catalog.Report) {
 	pending := m.pending
-	if pending == nil || !m.conflicting || pending.waiting {
+	if pending == nil || pending.waiting {
 		return
 	}
 	if report.OrderCount > pending.expected {
 		m.pending = nil
 		if known := m.replicas[pending.order.Model]; known != nil {
-			known.unknown = false
+			known.unknown, known.since = false, l.now
 		}
 		return
 	}
-	if !report.Busy {
-		pending.resendAt = l.now
+	pending.resendAt = l.now
+	if report.Busy {
+		pending.resendAt = l.now.Add(pollInterval)
 	}
 }
 
@@ -191,8 +203,8 @@
 	return cached
 }
 
-// sync takes over what the report says of the replicas.
-func (l *Ledger) sync(id cluster.MachineID, m *machine, report *catalog.Report) {
+// syncHeld takes over what the report says the engine holds.
+func (l *Ledger) syncHeld(id cluster.MachineID, m *machine, report *catalog.Report) {
 	held := heldIDs(m.worker.Service, report.Held)
 	for _, model := range slices.Sorted(maps.Keys(held)) {
 		known := m.replicas[model]
@@ -203,28 +215,50 @@
 		}
 		if known.state == cluster.ReplicaLoading && !known.unknown {
 			l.change(id, m, model, cluster.ReplicaLoaded)
-		} else if known.state == cluster.ReplicaUnloading && !known.unknown && !report.Busy {
-			l.change(id, m, model, cluster.ReplicaLoaded)
 		}
 	}
+}
+
+// syncMissing takes over what the report says the engine does not hold or, of
+// what was to be unloaded, still holds.
+func (l *Ledger) syncMissing(id cluster.MachineID, m *machine, report *catalog.Report) {
+	held := heldIDs(m.worker.Service, report.Held)
 	for _, model := range m.models() {
 		known := m.replicas[model]
-		if known == nil || held[model] || known.unknown {
+		if known == nil || known.unknown || l.now.Sub(known.since) < reportLag {
 			continue
 		}
-		loading := known.state == cluster.ReplicaLoading && (report.Busy || known.adapter && l.now.Before(known.readyAt.Add(time.Second)))
-		recent := known.adapter && l.now.Sub(known.since) < reportLag
-		if !loading && !recent {
+		switch {
+		case held[model] && known.state == cluster.ReplicaUnloading && !report.Busy:
+			l.change(id, m, model, cluster.ReplicaLoaded)
+		case !held[model] && (known.state != cluster.ReplicaLoading || !report.Busy):
 			l.change(id, m, model, cluster.ReplicaAbsent)
 		}
 	}
-	if !report.Busy {
+}
+
+// syncBusy notes whether the engine carries out an order.
+func (l *Ledger) syncBusy(m *machine, busy bool) {
+	switch {
+	case !busy && l.now.Sub(m.ordered) >= reportLag:
+		m.busyUntil = time.Time{}
+	case !busy && m.loading() == nil:
 		m.busyUntil = time.Time{}
-	} else if m.busyUntil.IsZero() {
+	case busy && m.busyUntil.IsZero():
 		m.busyUntil = l.now.Add(pollInterval)
 	}
 }
 
+// loading returns the base model that is being loaded or unloaded, or nil.
+func (m *machine) loading() *replica {
+	for _, known := range m.replicas {
+		if !known.adapter && known.state != cluster.ReplicaLoaded {
+			return known
+		}
+	}
+	return nil
+}
+
 // tick sends again what was not answered, lets adapters and unloads end by their
 // expected time and reads reports that are due.
 func (l *Ledger) tick() {
@@ -233,7 +267,7 @@
 	}
 	for _, id := range l.sorted() {
 		m := l.machines[id]
-		if m.pending != nil && !m.pending.waiting && !m.conflicting && !l.now.Before(m.pending.resendAt) {
+		if m.mayResend() && !l.now.Before(m.pending.resendAt) {
 			l.send(id, m)
 		}
 		l.settle(id, m)
@@ -241,6 +275,11 @@
 	}
 }
 
+// mayResend reports whether an order without a definite answer may be sent again.
+func (m *machine) mayResend() bool {
+	return m.pending != nil && !m.pending.waiting && !m.conflicting
+}
+
 // settle ends adapters' loads and unloads of idle models by their expected time:
 // both take milliseconds, and a report would come later.
 func (l *Ledger) settle(id cluster.MachineID, m *machine) {
@@ -284,7 +323,7 @@
 		if !m.asked {
 			consider(m.reportDue)
 		}
-		if m.pending != nil && !m.pending.waiting && !m.conflicting {
+		if m.mayResend() {
 			consider(m.pending.resendAt)
 		}
 		for _, known := range m.replicas {
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -144,8 +144,6 @@
 	Draining bool
 	// Held models, as of the entry's writing.
 	Held []HeldModel
-	// OrderCount is how many orders the machine has taken.
-	OrderCount int64
 }
 
 // Report is what an engine says of itself, some hundred milliseconds late.
--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// watchWait is how long a watch of the store without news is held: so long
-	// a cut connection may go unnoticed.
-	watchWait = 1500 * time.Millisecond
+	// watchWait is how long a watch of the store without news is held. That a
+	// connection was cut meanwhile shows in the renewals of the node's record.
+	watchWait = 6 * time.Second
 	// memoryShare is the part of the machine's memory that the runtime may use.
 	memoryShare = 0.6
 	// collectAt is by how many percent the heap grows between collections.
@@ -41,8 +41,11 @@
 	platformMaxBackOff      = 1500 * time.Millisecond
 	platformPrefixBlockTime = 8 * time.Millisecond
 	// platformTargetLoad is the share of an engine's slots that one replica
-	// should fill: few, because prompts are read one after the other.
-	platformTargetLoad = 0.07
+	// should fill: few, because prompts are read one after the other. From
+	// platformSaturatedLoad on requests hold each other up.
+	platformTargetLoad    = 0.14
+	platformSaturatedLoad = 0.25
+	platformGrowthFactor  = 2
 )
 
 // runPlatformNode runs a node on the users' platform until SIGTERM or SIGINT.
@@ -114,7 +117,8 @@
 			MaxBackOff: platformMaxBackOff, RegionPenalty: platformRegionPenalty, PrefixBlockTime: platformPrefixBlockTime,
 		},
 	}
-	core.Placement.TargetLoad = platformTargetLoad
+	core.Placement.TargetLoad, core.Placement.SaturatedLoad = platformTargetLoad, platformSaturatedLoad
+	core.Placement.GrowthFactor = platformGrowthFactor
 	return shell.Options{
 		Core: core, Seed: seed(), CallersAddress: settings.Listen.Callers, ReadyAddress: settings.Listen.Readiness,
 		PeerAddress:    net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPorts[0])),
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		RequestAccepted{}, RequestSent{}, AttemptEnded{}, RequestEnded{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
 		DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		OrderPlanned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		OrderPlanned{}, LoadDelayed{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -127,7 +127,6 @@
 	Address  string            `log:"address" doc:"its address"`
 	Draining bool              `log:"draining" doc:"whether it takes no new requests"`
 	Held     int               `log:"models" doc:"models it holds"`
-	Orders   int64             `log:"orders" doc:"orders it has taken"`
 	Revision int64             `log:"revision" doc:"revision of the store"`
 }
 
@@ -176,6 +175,17 @@
 	Count    int64             `log:"orders" doc:"orders that the worker has taken, as the order expects"`
 }
 
+// LoadDelayed is written when requests wait for a model and the plan gives no
+// order for it, once for each cause.
+type LoadDelayed struct {
+	Work    cluster.ModelID `log:"work" doc:"service, model and adapter"`
+	Cause   string          `log:"cause" doc:"rule that decided"`
+	Waiting int             `log:"waiting" doc:"requests that wait for it"`
+	Wanted  int             `log:"wanted" doc:"replicas that the demand needs"`
+	Held    int             `log:"held" doc:"replicas in any state"`
+	Loaded  int             `log:"loaded" doc:"replicas that are loaded"`
+}
+
 // OrderAnswered is written for each answer to an order, and when there is none.
 type OrderAnswered struct {
 	Machine cluster.MachineID `log:"machine" doc:"worker"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -146,6 +146,14 @@
 	return "Written when the placement decided on an order."
 }
 
+// Kind implements Event.
+func (LoadDelayed) Kind() string { return "load_delayed" }
+
+// Meaning implements Documented.
+func (LoadDelayed) Meaning() string {
+	return "Written when requests wait for a model and the plan gives no order for it, once for each cause."
+}
+
 // Kind implements Event.
 func (OrderAnswered) Kind() string { return "order_answered" }
 
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -68,6 +68,8 @@
 	news     bool
 	resigned time.Time
 	sequence uint64
+	// delayed are the models that requests wait for without an order, and why.
+	delayed map[cluster.ModelID]placement.Cause
 }
 
 func newCell(core *Core) *cell {
@@ -311,7 +313,8 @@
 // plannerConfig tunes the planner by the engines there are.
 func (c *cell) plannerConfig() placement.Config {
 	config := c.core.config.Placement
-	config.RetainIdle, config.EvictForLoad, config.UnloadDropsAdapters = true, true, true
+	config.RetainIdle, config.EvictForLoad = true, true
+	config.UnloadDropsAdapters, config.AdaptersUnlimited = true, true
 	for tier := range config.BytesPerSecond {
 		if rate := c.loadRate(cluster.Tier(tier)); rate > 0 {
 			config.BytesPerSecond[tier] = rate
@@ -377,13 +380,38 @@
 		return
 	}
 	c.planned, c.news = now, false
+	wanted := c.demand.Sum(now)
 	plan := c.planner.Plan(placement.State{
 		Now: now, Token: c.ledger.Token(), Settings: c.core.compiled.Snapshot, Allotment: c.allotment,
-		Machines: c.ledger.Machines(c.size), Demand: c.demand.Sum(now), Store: c.storeState(),
+		Machines: c.ledger.Machines(c.size), Demand: wanted, Store: c.storeState(),
 	})
+	ordered := make(map[cluster.ModelID]bool, len(plan.Actions))
 	for i := range plan.Actions {
+		ordered[plan.Actions[i].Model] = true
 		c.give(&plan.Actions[i])
 	}
+	c.explainDelays(&plan, wanted, ordered)
+}
+
+// explainDelays logs why models that requests wait for get no order, once for
+// each cause.
+func (c *cell) explainDelays(plan *placement.Plan, wanted map[cluster.ModelID]placement.Demand, ordered map[cluster.ModelID]bool) {
+	delayed := make(map[cluster.ModelID]placement.Cause)
+	for i := range plan.Decisions {
+		decision := &plan.Decisions[i]
+		waiting := wanted[decision.Model].Waiting
+		if waiting == 0 || ordered[decision.Model] {
+			continue
+		}
+		delayed[decision.Model] = decision.Reason.Cause
+		if c.delayed[decision.Model] != decision.Reason.Cause {
+			c.core.log(eventlog.LoadDelayed{
+				Work: decision.Model, Cause: string(decision.Reason.Cause), Waiting: waiting,
+				Wanted: decision.Wanted, Held: decision.Held, Loaded: decision.Loaded,
+			})
+		}
+	}
+	c.delayed = delayed
 }
 
 // give asks the ledger to give an order.
--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -13,7 +13,7 @@
 // Bounds of the calls to the store and the engines.
 const (
 	leaseTimeout  = 900 * time.Millisecond
-	orderTimeout  = 600 * time.Millisecond
+	orderTimeout  = 250 * time.Millisecond
 	reportTimeout = 600 * time.Millisecond
 )
 
@@ -23,6 +23,10 @@
 	defer cancel()
 	answer := n.answerLease(ctx, &call.Call)
 	n.metrics.called("store", answer.Err)
+	if verdict.Of(answer.Err) == verdict.MayHaveRun && answer.Err != nil {
+		// The path to the store may be cut, and the watch hang on it.
+		signalOnce(n.rewatch)
+	}
 	if call.Awaited {
 		n.step(fleet.LeaseAnswered{Record: call.Record, Answer: answer})
 	}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valveslip/valveslip/catalog"
@@ -53,26 +54,29 @@
 	}
 	ctx, cancel := context.WithCancel(f.context)
 	defer cancel()
-	go f.cancelOnResync(ctx, cancel)
+	var stale atomic.Bool
+	go func() {
+		select {
+		case <-f.resync:
+			// This process stood still: what it knows is old.
+			stale.Store(true)
+			cancel()
+		case <-f.rewatch:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	err := f.options.Store.Watch(ctx, "", f.revision+1, f.changed)
 	f.metrics.called(storeName, err)
-	if ctx.Err() != nil && f.context.Err() == nil {
-		// This process stood still: what it knows is old.
+	if stale.Load() {
 		f.revision = 0
+	}
+	if ctx.Err() != nil {
 		return nil
 	}
 	return err
 }
 
-// cancelOnResync ends a watch when the store must be read again.
-func (f *follower) cancelOnResync(ctx context.Context, cancel context.CancelFunc) {
-	select {
-	case <-f.resync:
-		cancel()
-	case <-ctx.Done():
-	}
-}
-
 // failed notes that the store could not be reached and waits.
 func (f *follower) failed(err error) {
 	if f.lostAt.IsZero() {
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -62,7 +62,9 @@
 	figures   *http.Server
 	isReady   atomic.Bool
 	stopping  atomic.Bool
-	resync    chan struct{}
+	closing   atomic.Bool
+	// resync has the store read again, rewatch its watch begun again.
+	resync, rewatch chan struct{}
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -79,7 +81,7 @@
 	n := &Node{
 		options: options, began: now, epoch: now.Round(0),
 		tickets: make(map[cluster.RequestID]*relay.Ticket), pool: upstream.NewPool(options.Upstream),
-		registry: prometheus.NewRegistry(), resync: make(chan struct{}, 1),
+		registry: prometheus.NewRegistry(), resync: make(chan struct{}, 1), rewatch: make(chan struct{}, 1),
 		failed: make(chan error, 3), stopped: make(chan struct{}),
 	}
 	n.context, n.cancel = context.WithCancel(context.Background())
@@ -110,7 +112,7 @@
 	n.options.Core.Self.Address = transport.Address()
 	handler := passthrough.NewHandler(passthrough.Config{
 		Catalog: n.compiled.Load, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
-		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID,
+		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID, Closing: n.closing.Load,
 	})
 	if n.callers, err = n.serve(n.options.CallersAddress, handler); err != nil {
 		return errors.Join(eris.Wrap(err, "callers' listener"), transport.Close(n.context))
@@ -196,6 +198,9 @@
 // schedule sets the timer for the core's next time.
 func (n *Node) schedule(now time.Time) {
 	due := n.core.NextDue()
+	if due.Before(now) {
+		due = now
+	}
 	if !n.wakeAt.IsZero() && due.Equal(n.wakeAt) {
 		return
 	}
@@ -212,19 +217,25 @@
 func (n *Node) tick() {
 	n.mutex.Lock()
 	late := n.Now().Sub(n.wakeAt)
+	set := !n.wakeAt.IsZero()
 	n.wakeAt = time.Time{}
-	if late > pauseThreshold {
+	if set && late > pauseThreshold {
 		n.options.Log.Write(eventlog.PauseNoticed{Pause: late})
 		n.stepLocked(fleet.Paused{For: late})
-		select {
-		case n.resync <- struct{}{}:
-		default:
-		}
+		signalOnce(n.resync)
 	}
 	n.stepLocked(fleet.Tick{})
 	n.mutex.Unlock()
 }
 
+// signalOnce wakes a receiver unless a signal waits already.
+func signalOnce(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 // begin starts one effect. The caller holds the mutex.
 func (n *Node) begin(effect fleet.Effect) {
 	switch effect := effect.(type) {
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -53,7 +53,7 @@
 	// Upstream tunes the connections to machines.
 	Upstream upstream.Options
 	// Coalesce is the pause after each answer of the watch, in which changes
-	// gather. Default 150 ms.
+	// gather. Default 400 ms.
 	Coalesce time.Duration
 	Log      *eventlog.Log
 	Logger   *slog.Logger
@@ -65,7 +65,7 @@
 
 // Defaults of Options.
 const (
-	defaultCoalesce = 150 * time.Millisecond
+	defaultCoalesce = 400 * time.Millisecond
 	defaultGrace    = 8 * time.Second
 )
 
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -11,7 +11,9 @@
 // The steps of a planned stop, counted from its beginning.
 const (
 	// unnoticedTime is how long callers may not have noticed that the node is
-	// not ready: until then all goes on.
+	// not ready: until then all goes on. After it every answer has its caller
+	// leave the connection. Idle connections are not closed: the server could
+	// close one on which a request has just been read.
 	unnoticedTime = 2300 * time.Millisecond
 	// admissionTime is until when requests are admitted.
 	admissionTime = 3200 * time.Millisecond
@@ -41,7 +43,7 @@
 	n.options.Log.Write(eventlog.NodeStopping{InFlight: n.inFlight()})
 	n.step(fleet.ResignStarted{})
 	time.Sleep(unnoticedTime)
-	n.callers.SetKeepAlivesEnabled(false)
+	n.closing.Store(true)
 	time.Sleep(time.Until(began.Add(admissionTime)))
 	n.step(fleet.DrainStarted{})
 	last := began.Add(n.options.Grace - stopMargin)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -68,13 +68,13 @@
 	before := known.worker
 	known.worker = *worker
 	same := before.ID == worker.ID && before.Draining == worker.Draining && before.Address == worker.Address &&
-		before.OrderCount == worker.OrderCount && equalHeld(before.Held, worker.Held)
+		equalHeld(before.Held, worker.Held)
 	if same {
 		return false
 	}
 	v.core.log(eventlog.WorkerChanged{
 		Machine: worker.ID, Service: worker.Service, Address: worker.Address, Draining: worker.Draining,
-		Held: len(worker.Held), Orders: worker.OrderCount, Revision: revision,
+		Held: len(worker.Held), Revision: revision,
 	})
 	v.tell(known)
 	return true
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -51,6 +51,9 @@
 	Pool    *upstream.Pool
 	Log     *eventlog.Log
 	Metrics *Metrics
+	// Closing reports whether callers are to leave their connections; nil means
+	// that they never are.
+	Closing func() bool
 	// NewID makes an identifier for a request without one.
 	NewID func() cluster.RequestID
 }
@@ -67,6 +70,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if h.Closing != nil && h.Closing() {
+		w.Header().Set("Connection", "close")
+	}
 	compiled := h.Catalog()
 	if compiled == nil {
 		h.refuse(w, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration is known yet").After(unknownRetryAfter))
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -182,7 +182,7 @@
 		return filterLeaving
 	case r.holds(m, i) || r.planned(m, i):
 		return filterHolds
-	case r.state.Machines[m].Busy && r.catalogue.entries[i].base == none:
+	case r.state.Machines[m].Busy:
 		return filterBusy
 	}
 	return -1
@@ -194,7 +194,7 @@
 	entry, machine := &r.catalogue.entries[i], &r.state.Machines[m]
 	result := need{bytes: entry.model.Policy.Memory, tier: machine.Cached[entry.model.ID]}
 	result.expected = r.store.expected(result.tier, result.bytes)
-	if result.tier == cluster.TierRemote {
+	if result.tier == cluster.TierRemote && !(r.config.AdaptersUnlimited && entry.base != none) {
 		result.remote++
 	}
 	if entry.base == none {
--- a/placement/config.go
+++ b/placement/config.go
@@ -40,6 +40,16 @@
 	// UnloadDropsAdapters is true where the unload of a base model takes its
 	// adapters along; elsewhere they are unloaded before it.
 	UnloadDropsAdapters bool
+	// AdaptersUnlimited is true where the weight store's limits do not count
+	// adapters.
+	AdaptersUnlimited bool
+	// SaturatedLoad, when not zero, is the share of a machine's slots from which
+	// running requests count as waiting: they hold each other up.
+	SaturatedLoad float64
+	// GrowthFactor, when not zero, bounds the replicas that are wanted at once
+	// to one more than so many times those that are loaded, because the work
+	// that piles up before they are does not last.
+	GrowthFactor int
 	// BytesPerSecond expected of a load by tier before any was observed; the
 	// defaults are 0.5 GB/s remote, 2 GB/s disk and 10 GB/s memory.
 	BytesPerSecond [TierCount]float64
--- a/placement/place.go
+++ b/placement/place.go
@@ -228,7 +228,7 @@
 	r.models[i].held++
 	r.models[i].planned++
 	r.models[i].useful++
-	if tier == cluster.TierRemote {
+	if tier == cluster.TierRemote && !(r.config.AdaptersUnlimited && r.catalogue.entries[i].base != none) {
 		r.remoteLoads++
 		r.store.allowance--
 	}
--- a/placement/round.go
+++ b/placement/round.go
@@ -184,7 +184,7 @@
 	}
 	if slot.State == cluster.ReplicaLoading {
 		machine.loading++
-		if r.store.remote(loadKey{machine: r.state.Machines[m].ID, model: slot.Model}) {
+		if r.countsAsRemote(&ref) && r.store.remote(loadKey{machine: r.state.Machines[m].ID, model: slot.Model}) {
 			r.remoteLoads++
 		}
 	}
@@ -197,6 +197,12 @@
 	r.slots = append(r.slots, ref)
 }
 
+// countsAsRemote reports whether the load of a slot's model counts against the
+// weight store's limits.
+func (r *round) countsAsRemote(ref *slotRound) bool {
+	return !r.config.AdaptersUnlimited || ref.model == none || r.catalogue.entries[ref.model].base == none
+}
+
 // countReplica adds a slot to its model's counts and list.
 func (r *round) countReplica(ref *slotRound) {
 	model := &r.models[ref.model]
--- a/placement/types.go
+++ b/placement/types.go
@@ -42,7 +42,7 @@
 	Slots        int
 	// AdapterSlots bounds the adapters on the machine; zero means no bound.
 	AdapterSlots int
-	// Busy machines carry out an order and take no other for a base model.
+	// Busy machines carry out an order and take no other.
 	Busy bool
 	// Replicas includes reserved ones, sorted by model.
 	Replicas []Slot
--- a/placement/want.go
+++ b/placement/want.go
@@ -74,7 +74,9 @@
 	if minimum > 0 {
 		model.reason = r.reason(i, CauseMinimum, keyMinReplicas)
 	}
+	r.countSaturated(i)
 	needed, target := r.neededByLoad(i)
+	needed = r.boundGrowth(i, needed)
 	if needed > model.want {
 		model.want = needed
 		model.reason = r.reason(i, r.causeOfLoad(i), "")
@@ -93,6 +95,29 @@
 	}
 }
 
+// countSaturated counts running requests beyond what the loaded replicas serve
+// well as waiting.
+func (r *round) countSaturated(i int32) {
+	if r.config.SaturatedLoad == 0 {
+		return
+	}
+	model := &r.models[i]
+	serves := r.slotsPerReplica(r.catalogue.entries[i].pool) * r.config.SaturatedLoad * float64(model.useful)
+	excess := model.demand.Running - int(serves)
+	if excess > 0 && model.useful > 0 {
+		model.demand.Waiting += excess
+		model.demand.Running -= excess
+	}
+}
+
+// boundGrowth bounds the replicas that are wanted at once.
+func (r *round) boundGrowth(i int32, needed int) int {
+	if r.config.GrowthFactor == 0 {
+		return needed
+	}
+	return min(needed, r.config.GrowthFactor*r.models[i].loaded+1)
+}
+
 // causeOfLoad tells why a model with work is wanted.
 func (r *round) causeOfLoad(i int32) Cause {
 	if r.models[i].demand.Waiting > 0 {
