Plan no machine that carries out another holder's order

A new holder read a report that was 200 ms old, then one that said busy with an order that an earlier, cut-off holder had still given. A load under way shows in no report, so its memory was given away, and the order was taken once the engine was free.

Ruled out: a larger load than the machine bears by the plan itself (its sums are right for what it knew); a late order of this holder (expected_count keeps it out).

Change: a report that is busy with orders unknown to the ledger leaves the machine unsealed; a report drops nothing within 450 ms of an order; an order without answer is sent again at growing intervals. Tests fail on the version before: TestUnknownLoadFillsTheMachine, TestOrderOfAnotherHolderUnsealsTheMachine, TestLateReportDropsNothing.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -12,6 +12,8 @@
 const (
 	// resendInterval spaces the sendings of an order without an answer.
 	resendInterval = 120 * time.Millisecond
+	// maxDoublings bounds how often that doubles.
+	maxDoublings = 3
 	// reportLag is how late reports may be: for so long after an order a report
 	// does not show that something is missing.
 	reportLag = 450 * time.Millisecond
@@ -84,6 +86,8 @@
 	expected int64
 	number   uint64
 	resendAt time.Time
+	// failures counts the sendings without an answer.
+	failures int
 	// waiting is true until the last sending is answered or known to have failed.
 	waiting bool
 }
--- /dev/null
+++ b/authority/sequence/ledger_test.go
@@ -0,0 +1,186 @@
+package sequence
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+)
+
+const (
+	testMachine = cluster.MachineID("m1")
+	baseModel   = cluster.ModelID("svc/base")
+	otherModel  = cluster.ModelID("svc/other")
+	adapter     = cluster.ModelID("svc/base/a1")
+)
+
+// world drives a ledger of one machine.
+type world struct {
+	t      *testing.T
+	ledger *Ledger
+	now    time.Time
+}
+
+// newWorld returns a ledger in a term whose machine has reported.
+func newWorld(t *testing.T, report catalog.Report) *world {
+	t.Helper()
+	w := &world{t: t, ledger: New(), now: time.Unix(1000, 0)}
+	w.step(MachineSeen{Worker: catalog.Worker{ID: testMachine, Service: "svc", Address: "a:1"}, MemoryBytes: 100, AdapterSlots: 8})
+	w.step(TermBegan{Holder: "n1", Token: 7})
+	w.report(report)
+	return w
+}
+
+func (w *world) step(event Event) []Effect { return w.ledger.Step(w.now, event) }
+
+func (w *world) pass(d time.Duration) { w.now = w.now.Add(d) }
+
+func (w *world) report(report catalog.Report) []Effect {
+	return w.step(ReportRead{Machine: testMachine, Report: report})
+}
+
+// order asks for an order and returns what was sent, nil when nothing was.
+func (w *world) order(kind cluster.OrderKind, model cluster.ModelID, isAdapter bool) *SendOrder {
+	w.t.Helper()
+	return sent(w.step(Ordered{Machine: testMachine, Kind: kind, Model: model, Bytes: 40, Adapter: isAdapter, ExpectedTime: time.Second}))
+}
+
+func sent(effects []Effect) *SendOrder {
+	for _, effect := range effects {
+		if send, ok := effect.(SendOrder); ok {
+			return &send
+		}
+	}
+	return nil
+}
+
+// states returns the machine's replicas as the planner sees them.
+func (w *world) states() map[cluster.ModelID]cluster.ReplicaState {
+	states := map[cluster.ModelID]cluster.ReplicaState{}
+	for _, machine := range w.ledger.Machines(func(cluster.ModelID) int64 { return 0 }) {
+		for _, slot := range machine.Replicas {
+			states[slot.Model] = slot.State
+		}
+	}
+	return states
+}
+
+func (w *world) sealed() bool {
+	return w.ledger.Machines(func(cluster.ModelID) int64 { return 0 })[0].Sealed
+}
+
+// TestUnansweredOrderIsSentAgainUnderItsCount: an order without an answer may be
+// carried out late, so nothing else is ordered and the same count is used until
+// the outcome is known.
+func TestUnansweredOrderIsSentAgainUnderItsCount(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 3})
+	first := w.order(cluster.OrderLoad, baseModel, false)
+	if first == nil || first.Order.Expected != 3 || first.Order.Token != 7 {
+		t.Fatalf("sent %+v, want an order that expects count 3 under token 7", first)
+	}
+	w.step(Answered{Machine: testMachine, Number: first.Number, Err: errors.New("no answer")})
+	if other := w.order(cluster.OrderLoad, otherModel, false); other != nil {
+		t.Fatalf("another order was sent while one is open: %+v", other)
+	}
+	w.pass(time.Second)
+	again := sent(w.step(Tick{}))
+	if again == nil || again.Order != first.Order || again.Number == first.Number {
+		t.Fatalf("sent %+v, want the same order under a new number", again)
+	}
+	w.step(Answered{Machine: testMachine, Number: first.Number, Outcome: OutcomeTaken})
+	if other := w.order(cluster.OrderLoad, otherModel, false); other != nil {
+		t.Fatal("the answer to an earlier sending settled the order")
+	}
+	w.step(Answered{Machine: testMachine, Number: again.Number, Outcome: OutcomeTaken})
+	if got := w.states()[baseModel]; got != cluster.ReplicaLoading {
+		t.Fatalf("state %s, want loading", got)
+	}
+}
+
+// TestLateReportDropsNothing: a report is older than what happened just before it
+// came, so a replica that it does not name yet is kept. Otherwise its place would
+// be given away and the machine ordered to hold more than it can.
+func TestLateReportDropsNothing(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 3, Held: []catalog.HeldModel{{Name: "base"}}})
+	send := w.order(cluster.OrderLoad, adapter, true)
+	w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeTaken})
+	w.pass(1100 * time.Millisecond)
+	w.step(Tick{})
+	w.pass(150 * time.Millisecond)
+	w.report(catalog.Report{OrderCount: 4, Held: []catalog.HeldModel{{Name: "base"}}})
+	if got := w.states()[adapter]; got != cluster.ReplicaLoaded {
+		t.Fatalf("state %s after a late report, want loaded", got)
+	}
+	w.pass(2 * time.Second)
+	w.report(catalog.Report{OrderCount: 4, Held: []catalog.HeldModel{{Name: "base"}}})
+	if _, kept := w.states()[adapter]; kept {
+		t.Fatal("a replica that reports have not named for seconds is kept")
+	}
+}
+
+// TestUnknownLoadFillsTheMachine: an engine that is busy with an order of another
+// holder takes memory that no report shows, so it is not planned with until it is
+// done.
+func TestUnknownLoadFillsTheMachine(t *testing.T) {
+	busy := catalog.Report{OrderCount: 5, Busy: true, Held: []catalog.HeldModel{{Name: "other"}}}
+	w := newWorld(t, busy)
+	if w.sealed() {
+		t.Fatal("an engine that is busy with an unknown order counts as known")
+	}
+	if send := w.order(cluster.OrderLoad, baseModel, false); send != nil {
+		t.Fatalf("ordered %+v from an engine that is busy with an unknown order", send)
+	}
+	w.pass(5 * time.Second)
+	w.report(catalog.Report{OrderCount: 5, Held: []catalog.HeldModel{{Name: "other"}, {Name: "late"}}})
+	if !w.sealed() || w.states()["svc/late"] != cluster.ReplicaLoaded {
+		t.Fatalf("states %v after the engine is done, want the unknown load to show", w.states())
+	}
+}
+
+// TestOrderOfAnotherHolderUnsealsTheMachine is the same for an order that comes
+// during the term.
+func TestOrderOfAnotherHolderUnsealsTheMachine(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 4, Held: []catalog.HeldModel{{Name: "other"}}})
+	send := w.order(cluster.OrderUnload, otherModel, false)
+	w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeConflict})
+	w.pass(time.Second)
+	w.report(catalog.Report{OrderCount: 6, Busy: true, Held: []catalog.HeldModel{{Name: "other"}}})
+	if w.sealed() {
+		t.Fatal("an engine that took another holder's order counts as known")
+	}
+}
+
+// TestBusyEngineTakesNoAdapter: engines refuse any order while one is carried
+// out.
+func TestBusyEngineTakesNoAdapter(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 3, Held: []catalog.HeldModel{{Name: "base"}}})
+	send := w.order(cluster.OrderLoad, otherModel, false)
+	w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeTaken})
+	if second := w.order(cluster.OrderLoad, adapter, true); second != nil {
+		t.Fatalf("ordered %+v from a busy engine", second)
+	}
+}
+
+// TestStaleTokenEndsTheTerm: an engine that follows a later holder says so.
+func TestStaleTokenEndsTheTerm(t *testing.T) {
+	w := newWorld(t, catalog.Report{})
+	send := w.order(cluster.OrderLoad, baseModel, false)
+	effects := w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeStale})
+	if len(effects) != 1 || effects[0] != (Superseded{Machine: testMachine}) {
+		t.Fatalf("effects %v, want Superseded", effects)
+	}
+}
+
+// TestUnloadTakesAdaptersAlong: the unload of a base model discards its adapters.
+func TestUnloadTakesAdaptersAlong(t *testing.T) {
+	w := newWorld(t, catalog.Report{Held: []catalog.HeldModel{{Name: "base", Adapters: []string{"a1"}}}})
+	send := w.order(cluster.OrderUnload, baseModel, false)
+	w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeTaken})
+	w.pass(time.Second)
+	w.step(Tick{})
+	if len(w.states()) != 0 {
+		t.Fatalf("states %v, want none", w.states())
+	}
+}
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -60,7 +60,8 @@
 	}
 	m.pending.waiting = false
 	if answer.Err != nil {
-		m.pending.resendAt = l.now.Add(resendInterval)
+		m.pending.resendAt = l.now.Add(resendInterval << min(m.pending.failures, maxDoublings))
+		m.pending.failures++
 		return
 	}
 	pending := m.pending
@@ -151,6 +152,13 @@
 		m.reportDue = l.now.Add(conflictPoll)
 		return
 	}
+	if read.Report.Busy && !m.explains(&read.Report) {
+		// A load that this ledger knows nothing of takes memory that no report
+		// shows: the machine counts as full until it is done.
+		m.sealed, m.pending, m.conflicting = false, nil, false
+		m.reportDue = l.now.Add(pollInterval)
+		return
+	}
 	fresh := !m.sealed || l.now.Sub(m.ordered) >= reportLag
 	l.settlePending(m, &read.Report)
 	if read.Report.OrderCount > m.count {
@@ -171,6 +179,19 @@
 	}
 }
 
+// explains reports whether the orders up to the report's count are known, so that
+// what the engine is busy with is known too.
+func (m *machine) explains(report *catalog.Report) bool {
+	if !m.sealed {
+		return false
+	}
+	known := m.count
+	if m.pending != nil {
+		known = m.pending.expected + 1
+	}
+	return report.OrderCount <= known
+}
+
 // settlePending settles an order that met a conflict or has no answer. Once the
 // count has passed the order's, it was carried out or never will be.
 func (l *Ledger) settlePending(m *machine, report *catalog.Report) {
--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -25,7 +25,7 @@
 const (
 	// watchWait is how long a watch of the store without news is held. That a
 	// connection was cut meanwhile shows in the renewals of the node's record.
-	watchWait = 6 * time.Second
+	watchWait = 4 * time.Second
 	// memoryShare is the part of the machine's memory that the runtime may use.
 	memoryShare = 0.6
 	// collectAt is by how many percent the heap grows between collections.
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -34,6 +34,9 @@
 	demandTimeout = 5 * time.Second
 	// resignTime is how long a stopping holder keeps the lease without ordering.
 	resignTime = time.Second
+	// sealGrace is how long a new holder waits for engines to report before it
+	// plans without them.
+	sealGrace = 400 * time.Millisecond
 	// adapterTime is the expected time of an adapter's load.
 	adapterTime = 25 * time.Millisecond
 	// concurrentLoads is how many loads the store bears at full speed for each
@@ -315,6 +318,7 @@
 	config := c.core.config.Placement
 	config.RetainIdle, config.EvictForLoad = true, true
 	config.UnloadDropsAdapters, config.AdaptersUnlimited = true, true
+	config.SealGrace = sealGrace
 	for tier := range config.BytesPerSecond {
 		if rate := c.loadRate(cluster.Tier(tier)); rate > 0 {
 			config.BytesPerSecond[tier] = rate
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -65,6 +65,7 @@
 	closing   atomic.Bool
 	// resync has the store read again, rewatch its watch begun again.
 	resync, rewatch chan struct{}
+	pathBroken      atomic.Bool
 
 	context context.Context
 	cancel  context.CancelFunc
--- a/placement/config.go
+++ b/placement/config.go
@@ -50,6 +50,10 @@
 	// to one more than so many times those that are loaded, because the work
 	// that piles up before they are does not last.
 	GrowthFactor int
+	// SealGrace is how long after a takeover no loads are planned while machines
+	// are still unsealed, because what they hold is about to be known; the
+	// default is 3 s.
+	SealGrace time.Duration
 	// BytesPerSecond expected of a load by tier before any was observed; the
 	// defaults are 0.5 GB/s remote, 2 GB/s disk and 10 GB/s memory.
 	BytesPerSecond [TierCount]float64
@@ -67,6 +71,7 @@
 	defaultSlots              = 8
 	defaultMaxLoadsPerMachine = 2
 	defaultCandidates         = 3
+	defaultSealGrace          = 3 * time.Second
 )
 
 // defaultBytesPerSecond is indexed by cluster.Tier.
@@ -82,6 +87,7 @@
 	c.DefaultSlots = cmp.Or(c.DefaultSlots, defaultSlots)
 	c.MaxLoadsPerMachine = cmp.Or(c.MaxLoadsPerMachine, defaultMaxLoadsPerMachine)
 	c.Candidates = cmp.Or(c.Candidates, defaultCandidates)
+	c.SealGrace = cmp.Or(c.SealGrace, defaultSealGrace)
 	for tier := range c.BytesPerSecond {
 		c.BytesPerSecond[tier] = cmp.Or(c.BytesPerSecond[tier], defaultBytesPerSecond[tier])
 	}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -59,10 +59,6 @@
 	return planner{config: config, retention: keep, store: newStoreModel(config)}
 }
 
-// sealGrace is how long after a takeover no loads are planned while machines
-// are still unsealed: what they hold is about to be known.
-const sealGrace = 3 * time.Second
-
 // Plan implements Planner.
 func (p *planner) Plan(state State) Plan {
 	if state.Settings == nil {
--- a/placement/round.go
+++ b/placement/round.go
@@ -269,7 +269,7 @@
 // settling reports whether the controller has only just taken over and still
 // waits for machines to say what they hold.
 func (r *round) settling() bool {
-	return r.unsealed > 0 && r.state.Now.Sub(r.tokenSince) < sealGrace
+	return r.unsealed > 0 && r.state.Now.Sub(r.tokenSince) < r.config.SealGrace
 }
 
 // slotsOf returns the machine's slots.
