--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -115,12 +115,12 @@
 		Catalog: n.compiled.Load, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID, Closing: n.closing.Load,
 	})
-	if n.callers, err = n.serve(n.options.CallersAddress, handler); err != nil {
+	if n.callers, err = n.serve(&n.options.CallersAddress, handler); err != nil {
 		return errors.Join(eris.Wrap(err, "callers' listener"), transport.Close(n.context))
 	}
 	probes := chi.NewRouter()
 	probes.Get(n.options.ReadyPath, n.answerReady)
-	if n.ready, err = n.serve(n.options.ReadyAddress, probes); err != nil {
+	if n.ready, err = n.serve(&n.options.ReadyAddress, probes); err != nil {
 		return errors.Join(eris.Wrap(err, "readiness listener"), transport.Close(n.context), n.callers.Close())
 	}
 	if n.options.MetricsAddress == "" {
@@ -128,24 +128,25 @@
 	}
 	figures := chi.NewRouter()
 	figures.Handle(MetricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{DisableCompression: true}))
-	if n.figures, err = n.serve(n.options.MetricsAddress, figures); err != nil {
+	if n.figures, err = n.serve(&n.options.MetricsAddress, figures); err != nil {
 		n.options.Log.Write(eventlog.DependencyLost{Name: "metrics listener", Cause: err.Error()})
 	}
 	return nil
 }
 
-// serve starts an HTTP server.
-func (n *Node) serve(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := n.options.Listen("tcp", address)
+// serve starts an HTTP server and stores the address it got.
+func (n *Node) serve(address *string, handler http.Handler) (*http.Server, error) {
+	listener, err := n.options.Listen("tcp", *address)
 	if err != nil {
 		return nil, err
 	}
+	*address = listener.Addr().String()
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			n.failed <- eris.Wrapf(err, "listener %s", address)
+			n.failed <- eris.Wrapf(err, "listener %s", listener.Addr())
 		}
 	}()
 	return server, nil
@@ -291,5 +292,23 @@
 // Report implements relay.Decider.
 func (n *Node) Report(event routing.Event) { n.step(fleet.RoutingInput{Event: event}) }
 
-// Address returns where the callers' listener was asked to be.
+// Address is where callers are served.
 func (n *Node) Address() string { return n.options.CallersAddress }
+
+// ReadyURL tells whether the node takes new connections.
+func (n *Node) ReadyURL() string { return "http://" + n.options.ReadyAddress + n.options.ReadyPath }
+
+// MetricsURL is where the node's figures are, empty without a listener for them.
+func (n *Node) MetricsURL() string {
+	if n.figures == nil {
+		return ""
+	}
+	return "http://" + n.options.MetricsAddress + MetricsPath
+}
+
+// Holding reports whether this node gives the orders.
+func (n *Node) Holding() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.core.Holding()
+}
--- a/standin/keyvalue/server.go
+++ b/standin/keyvalue/server.go
@@ -68,6 +68,13 @@
 	s.schedule(now)
 }
 
+// Changed returns a channel that is closed at the next change.
+func (s *Server) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
 // wake tells the watches when the revision has moved since before.
 func (s *Server) wake(before int64) {
 	if s.state.Revision() != before {
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,295 @@
+// Package worker is a stand-in of the users' platform's workers: it runs
+// requests and streams, takes orders by count and fence, and misbehaves as it is
+// told to.
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/platform"
+)
+
+// Config describes a worker.
+type Config struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	// Models of the engine by name; nil for a service without models.
+	Models map[string]catalog.ModelSpec
+	// Held models at the start.
+	Held []string
+	// Events of each stream, and the pause between two of them.
+	Events int
+	Pause  time.Duration
+	// LoadTime of every load.
+	LoadTime time.Duration
+}
+
+// Behaviour is what a worker does with one request besides running it.
+type Behaviour uint8
+
+// The behaviours.
+const (
+	// Serve runs the request and answers.
+	Serve Behaviour = iota
+	// Reject answers that it did not run the request.
+	Reject
+	// FailWith500 runs the request and answers 500.
+	FailWith500
+	// CutAfterRun runs the request and closes the connection.
+	CutAfterRun
+	// CutStream breaks a stream off in the middle of an event, halfway.
+	CutStream
+	// Hang runs the request and never answers.
+	Hang
+)
+
+// Run is one request that the worker began.
+type Run struct {
+	RequestID, Model, LastEvent, Body string
+}
+
+// Worker serves requests. It is safe for concurrent use.
+type Worker struct {
+	config Config
+	// Behave chooses the behaviour for a request; nil serves all.
+	Behave func(r *http.Request) Behaviour
+	// Publish is called with the worker's entry when it has changed.
+	Publish func(key string, entry platform.WorkerDocument)
+
+	mutex    sync.Mutex
+	draining bool
+	runs     []Run
+	held     []platform.HeldModelDocument
+	sequence int64
+	fence    uint64
+	busy     bool
+	orders   []platform.OrderDocument
+	// abandoned counts the hanging requests whose connection closed.
+	abandoned int
+}
+
+// New returns a worker.
+func New(config Config) *Worker {
+	w := &Worker{config: config}
+	for _, name := range config.Held {
+		w.held = append(w.held, platform.HeldModelDocument{Name: name, Version: 1, Adapters: []string{}})
+	}
+	return w
+}
+
+// Key is the worker's key in the store.
+func (w *Worker) Key() string { return platform.PrefixWorkers + w.config.ID }
+
+// Entry is the worker's entry in the store.
+func (w *Worker) Entry() platform.WorkerDocument {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
+	return platform.WorkerDocument{
+		Service: w.config.Service, Address: w.config.Address, Zone: w.config.Zone, Version: "v1",
+		Slots: w.config.Slots, State: state, Models: slices.Clone(w.held),
+	}
+}
+
+// SetAddress sets where the worker is served.
+func (w *Worker) SetAddress(address string) { w.config.Address = address }
+
+// Drain has the worker say that it leaves.
+func (w *Worker) Drain() {
+	w.mutex.Lock()
+	w.draining = true
+	w.mutex.Unlock()
+	w.publish()
+}
+
+func (w *Worker) publish() {
+	if w.Publish != nil {
+		w.Publish(w.Key(), w.Entry())
+	}
+}
+
+// Runs lists the requests that were begun.
+func (w *Worker) Runs() []Run {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.runs)
+}
+
+// Abandoned counts the hanging requests whose connection closed.
+func (w *Worker) Abandoned() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.abandoned
+}
+
+// Orders lists the orders that were taken.
+func (w *Worker) Orders() []platform.OrderDocument {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.orders)
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != w.config.ID {
+		out.Header().Set(platform.HeaderInstance, w.config.ID)
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case platform.PathOrder:
+		w.takeOrder(out, r)
+	case platform.PathReport:
+		w.report(out)
+	default:
+		w.serve(out, r)
+	}
+}
+
+// serve runs a request.
+func (w *Worker) serve(out http.ResponseWriter, r *http.Request) {
+	behaviour := Serve
+	if w.Behave != nil {
+		behaviour = w.Behave(r)
+	}
+	id := r.Header.Get(platform.HeaderRequestID)
+	out.Header().Set(platform.HeaderRequestID, id)
+	model := r.Header.Get(platform.HeaderModel)
+	switch {
+	case behaviour == Reject:
+		out.Header().Set(platform.HeaderNotExecuted, "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case w.config.Models != nil && !w.holds(model):
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body := make([]byte, r.ContentLength+1)
+	n, _ := r.Body.Read(body)
+	w.mutex.Lock()
+	w.runs = append(w.runs, Run{RequestID: id, Model: model, LastEvent: r.Header.Get(platform.HeaderLastEvent), Body: string(body[:n])})
+	w.mutex.Unlock()
+	switch behaviour {
+	case CutAfterRun:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-r.Context().Done()
+		w.mutex.Lock()
+		w.abandoned++
+		w.mutex.Unlock()
+		return
+	}
+	out.Header().Set(platform.HeaderStamp, "stamp-"+w.config.ID)
+	if w.config.Events > 0 {
+		w.stream(out, r, behaviour)
+		return
+	}
+	if behaviour == FailWith500 {
+		out.WriteHeader(http.StatusInternalServerError)
+	}
+	_, _ = fmt.Fprintf(out, "answer to %s from %s", id, w.config.ID)
+}
+
+// stream sends events after the last one that the caller has.
+func (w *Worker) stream(out http.ResponseWriter, r *http.Request, behaviour Behaviour) {
+	out.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
+	flusher := http.NewResponseController(out)
+	for number := first + 1; number <= w.config.Events; number++ {
+		if behaviour == CutStream && number > w.config.Events/2 {
+			_, _ = fmt.Fprintf(out, "id: %d\nda", number)
+			_ = flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: piece %d\n\n", number, number)
+		if flusher.Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(w.config.Pause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// holds reports whether a model, with its adapter, is loaded.
+func (w *Worker) holds(model string) bool {
+	name, adapter := split(model)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, held := range w.held {
+		if held.Name == name {
+			return adapter == "" || slices.Contains(held.Adapters, adapter)
+		}
+	}
+	return false
+}
+
+func split(model string) (name, adapter string) {
+	_, name, adapter = catalog.Split(catalog.ModelID("s", model))
+	return name, adapter
+}
+
+// report answers the worker's report.
+func (w *Worker) report(out http.ResponseWriter) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_ = json.NewEncoder(out).Encode(platform.ReportDocument{Models: w.held, Busy: w.busy, Sequence: w.sequence})
+}
+
+// takeOrder takes an order under its conditions.
+func (w *Worker) takeOrder(out http.ResponseWriter, r *http.Request) {
+	var order platform.OrderDocument
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Holder == "" {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case order.Fence < w.fence:
+		out.WriteHeader(http.StatusPreconditionFailed)
+		return
+	case w.busy || order.Expected != w.sequence:
+		out.WriteHeader(http.StatusConflict)
+		return
+	}
+	w.fence = order.Fence
+	w.sequence++
+	w.orders = append(w.orders, order)
+	w.busy = order.Adapter == ""
+	out.WriteHeader(http.StatusAccepted)
+	go w.carryOut(order)
+}
+
+// carryOut loads or unloads after the load time.
+func (w *Worker) carryOut(order platform.OrderDocument) {
+	time.Sleep(w.config.LoadTime)
+	w.mutex.Lock()
+	at := slices.IndexFunc(w.held, func(h platform.HeldModelDocument) bool { return h.Name == order.Model })
+	switch {
+	case order.Operation == "unload" && order.Adapter == "" && at >= 0:
+		w.held = slices.Delete(slices.Clone(w.held), at, at+1)
+	case order.Operation == "load" && order.Adapter == "" && at < 0:
+		w.held = append(slices.Clone(w.held), platform.HeldModelDocument{Name: order.Model, Version: 1, Adapters: []string{}})
+	case order.Operation == "load" && at >= 0:
+		w.held = slices.Clone(w.held)
+		w.held[at].Adapters = append(slices.Clone(w.held[at].Adapters), order.Adapter)
+	}
+	if order.Adapter == "" {
+		w.busy = false
+	}
+	w.mutex.Unlock()
+	w.publish()
+}
