--- /dev/null
+++ b/placement/engines_test.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
+)
+
+// engineConfig is the planner's configuration for engines that keep idle models,
+// drop adapters with their base and count adapters' places.
+func engineConfig() Config {
+	return Config{
+		RetainIdle: true, EvictForLoad: true, UnloadDropsAdapters: true, AdaptersUnlimited: true,
+		TargetLoad: 0.5, SaturatedLoad: 0.75, GrowthFactor: 2,
+	}
+}
+
+func adapterOf(base string, name string) settings.Model {
+	return testModel(name, func(m *settings.Model) {
+		m.Kind, m.Base, m.Policy.Memory, m.Policy.MaxReplicas = settings.KindAdapter, cluster.ModelID(base), gigabyte, 8
+	})
+}
+
+func actionsOf(plan Plan) []string {
+	var actions []string
+	for _, action := range plan.Actions {
+		actions = append(actions, action.Kind.String()+" "+string(action.Model)+" on "+string(action.Machine))
+	}
+	return actions
+}
+
+func expectActions(t *testing.T, plan Plan, want ...string) {
+	t.Helper()
+	got := actionsOf(plan)
+	if len(got) != len(want) {
+		t.Fatalf("actions %q, want %q", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("actions %q, want %q", got, want)
+		}
+	}
+}
+
+// TestIdleModelsStay until their memory is wanted.
+func TestIdleModelsStay(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("a", nil), testModel("b", nil)), 1)
+	hold(&state, 0, "a")
+	planner := NewPlanner(engineConfig())
+	planner.Plan(state)
+	state.Now = state.Now.Add(24 * time.Hour)
+	expectActions(t, planner.Plan(state))
+	state.Machines[0].MemoryBytes = 15 * gigabyte
+	state.Demand["b"] = Demand{Waiting: 1}
+	expectActions(t, planner.Plan(state), "unload a on machine-0000")
+}
+
+// TestAdapterPlacesAreKept: an adapter goes to a machine with a place for it; with
+// none, the least valuable idle adapter makes way.
+func TestAdapterPlacesAreKept(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("base", nil), adapterOf("base", "x"), adapterOf("base", "y")), 1)
+	state.Machines[0].AdapterSlots = 1
+	hold(&state, 0, "base")
+	hold(&state, 0, "x")
+	state.Demand["y"] = Demand{Waiting: 1}
+	planner := NewPlanner(engineConfig())
+	expectActions(t, planner.Plan(state), "unload x on machine-0000")
+	state.Machines[0].Replicas = state.Machines[0].Replicas[:1]
+	state.Now = state.Now.Add(time.Second)
+	expectActions(t, planner.Plan(state), "load y on machine-0000")
+	state.Demand["x"], state.Demand["y"] = Demand{Running: 1}, Demand{Waiting: 1}
+	hold(&state, 0, "x")
+	expectActions(t, NewPlanner(engineConfig()).Plan(state))
+}
+
+// TestAdaptersNeedNoStore: adapters are loaded though the store allows no load.
+func TestAdaptersNeedNoStore(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("base", nil), adapterOf("base", "x")), 1)
+	state.Store = StoreState{StartsPerSecond: 0.0001, Concurrency: 1, Speed: 1}
+	hold(&state, 0, "base")
+	planner := NewPlanner(engineConfig())
+	planner.store.allowance = 0
+	state.Demand["x"] = Demand{Waiting: 1}
+	planner.Plan(state)
+	state.Now = state.Now.Add(time.Millisecond)
+	expectActions(t, planner.Plan(state), "load x on machine-0000")
+}
+
+// TestBusyMachineTakesNoOrder: the plan passes it by.
+func TestBusyMachineTakesNoOrder(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("a", nil)), 2)
+	state.Machines[0].Busy = true
+	state.Demand["a"] = Demand{Waiting: 1}
+	expectActions(t, NewPlanner(engineConfig()).Plan(state), "load a on machine-0001")
+}
+
+// TestSaturatedReplicaGetsHelp: running requests that hold each other up take the
+// memory of an idle model, though nothing waits, and growth is bounded.
+func TestSaturatedReplicaGetsHelp(t *testing.T) {
+	many := func(m *settings.Model) { m.Policy.MaxReplicas = 8 }
+	state := testState(testSnapshot(1, testModel("hot", many), testModel("idle", many)), 6)
+	for i := range state.Machines {
+		state.Machines[i].MemoryBytes = 10 * gigabyte
+		if i > 0 {
+			hold(&state, i, "idle")
+		}
+	}
+	hold(&state, 0, "hot")
+	state.Demand["hot"] = Demand{Running: 60}
+	plan := NewPlanner(engineConfig()).Plan(state)
+	unloads := 0
+	for _, action := range plan.Actions {
+		if action.Kind == cluster.OrderUnload && action.Model == "idle" && action.Reason.Cause == CauseEvicted {
+			unloads++
+		}
+	}
+	if unloads != 2 || len(plan.Actions) != 2 {
+		t.Fatalf("actions %q, want two evictions: one more replica than twice those that are loaded", actionsOf(plan))
+	}
+}
+
+// TestBaseTakesItsAdaptersAlong: the unload of a base model needs no unloads of its
+// adapters.
+func TestBaseTakesItsAdaptersAlong(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("base", nil), adapterOf("base", "x"), testModel("rare", nil)), 1)
+	state.Machines[0].MemoryBytes = 12 * gigabyte
+	hold(&state, 0, "base")
+	hold(&state, 0, "x")
+	state.Demand["rare"] = Demand{Waiting: 1}
+	expectActions(t, NewPlanner(engineConfig()).Plan(state), "unload base on machine-0000")
+}
