Read an engine's report before its first order only

Ruled out: fewer polls of all engines; they still grow with the deployment.

Change: entries tell what engines hold and keep copies of; a report is read before the first order of a term, after conflicts and while an order runs. Ticks visit only machines that wait for something; plans are spaced further by 0.15 ms for each machine. Routers prefer four machines of a distance, by a hash of themselves and the machine, so that many workers don't cost a connection a request.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -21,8 +21,6 @@
 	conflictPoll = 130 * time.Millisecond
 	// pollInterval spaces reports while an order is carried out.
 	pollInterval = 150 * time.Millisecond
-	// idlePoll spaces reports of machines that carry out nothing.
-	idlePoll = 4 * time.Second
 	// earlyPoll is how long before the expected end of a load reports begin.
 	earlyPoll = 30 * time.Millisecond
 	// unloadTime is the expected time of the unload of an idle model.
@@ -40,8 +38,12 @@
 	holder   cluster.NodeID
 	token    cluster.FencingToken
 	machines map[cluster.MachineID]*machine
-	number   uint64
-	effects  []Effect
+	// order lists the machines by identifier.
+	order []cluster.MachineID
+	// active lists the machines that wait for something to come or to end.
+	active  map[cluster.MachineID]bool
+	number  uint64
+	effects []Effect
 }
 
 // machine is one engine.
@@ -49,9 +51,12 @@
 	worker       catalog.Worker
 	memory       int64
 	adapterSlots int
-	// sealed is set once the engine has reported in this term.
-	sealed bool
-	count  int64
+	// counted is set once the engine has reported in this term: until then its
+	// entry tells what it holds, and a report is read before the first order.
+	counted bool
+	// full is set while the engine is busy with an order that is not known.
+	full  bool
+	count int64
 	// pending is the order without a definite answer.
 	pending *pendingOrder
 	// conflicting is set until a report explains a refusal.
@@ -60,8 +65,9 @@
 	// when none does.
 	busyUntil time.Time
 	// ordered is when the engine took an order last.
-	ordered   time.Time
-	replicas  map[cluster.ModelID]*replica
+	ordered  time.Time
+	replicas map[cluster.ModelID]*replica
+	// reportDue is when a report is read, zero for not; asked is set while one is.
 	reportDue time.Time
 	asked     bool
 	cached    map[cluster.ModelID]cluster.Tier
@@ -93,7 +99,9 @@
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{machines: make(map[cluster.MachineID]*machine)} }
+func New() *Ledger {
+	return &Ledger{machines: make(map[cluster.MachineID]*machine), active: make(map[cluster.MachineID]bool)}
+}
 
 // Step takes one event and returns the effects.
 func (l *Ledger) Step(now time.Time, event Event) []Effect {
@@ -106,9 +114,9 @@
 	case MachineSeen:
 		l.seen(&event)
 	case MachineGone:
-		delete(l.machines, event.Machine)
+		l.remove(event.Machine)
 	case Ordered:
-		l.order(&event)
+		l.give(&event)
 	case Answered:
 		l.answered(&event)
 	case ReportRead:
@@ -122,48 +130,72 @@
 // Holding reports whether a term is under way.
 func (l *Ledger) Holding() bool { return l.token != 0 }
 
+// Count returns how many machines there are.
+func (l *Ledger) Count() int { return len(l.order) }
+
 // Token of the term under way.
 func (l *Ledger) Token() cluster.FencingToken { return l.token }
 
 func (l *Ledger) emit(effect Effect) { l.effects = append(l.effects, effect) }
 
-// begin starts a term: what engines hold is asked for anew.
+// begin starts a term with what the entries say.
 func (l *Ledger) begin(event TermBegan) {
 	l.holder, l.token = event.Holder, event.Token
-	for _, id := range l.sorted() {
+	clear(l.active)
+	for _, id := range l.order {
 		m := l.machines[id]
-		m.sealed, m.pending, m.conflicting, m.busyUntil = false, nil, false, time.Time{}
+		m.counted, m.full, m.pending, m.conflicting, m.busyUntil = false, false, nil, false, time.Time{}
 		m.replicas = map[cluster.ModelID]*replica{}
-		m.asked, m.reportDue = false, l.now
-		l.poll(id, m)
+		m.asked, m.reportDue = false, time.Time{}
+		l.takeEntry(m)
 	}
 }
 
-// sorted lists the machines by identifier.
-func (l *Ledger) sorted() []cluster.MachineID {
-	ids := make([]cluster.MachineID, 0, len(l.machines))
-	for id := range l.machines {
-		ids = append(ids, id)
+// takeEntry takes over what a machine's entry says it holds.
+func (l *Ledger) takeEntry(m *machine) {
+	for id := range heldIDs(m.worker.Service, m.worker.Held) {
+		if m.replicas[id] == nil {
+			_, _, adapter := catalog.Split(id)
+			m.replicas[id] = &replica{state: cluster.ReplicaLoaded, adapter: adapter != "", since: l.now}
+		}
 	}
-	slices.Sort(ids)
-	return ids
+	m.cached = tiers(m.worker.Service, m.worker.InMemory, m.worker.OnDisk)
 }
 
-// seen takes a machine's entry. During a term it only adds what the reports did
-// not show: an entry is later than they are.
+// remove forgets a machine.
+func (l *Ledger) remove(id cluster.MachineID) {
+	if _, known := l.machines[id]; !known {
+		return
+	}
+	delete(l.machines, id)
+	delete(l.active, id)
+	if at, found := slices.BinarySearch(l.order, id); found {
+		l.order = slices.Delete(l.order, at, at+1)
+	}
+}
+
+// seen takes a machine's entry. Until an engine has reported, its entry tells what
+// it holds; afterwards the entry, being later than reports, only drops what it has
+// not named for long.
 func (l *Ledger) seen(event *MachineSeen) {
 	id := event.Worker.ID
 	m := l.machines[id]
 	if m == nil {
-		m = &machine{replicas: map[cluster.ModelID]*replica{}, reportDue: l.now}
+		m = &machine{replicas: map[cluster.ModelID]*replica{}}
 		l.machines[id] = m
+		at, _ := slices.BinarySearch(l.order, id)
+		l.order = slices.Insert(l.order, at, id)
 	}
 	m.worker, m.memory, m.adapterSlots = event.Worker, event.MemoryBytes, event.AdapterSlots
 	if !l.Holding() {
 		return
 	}
+	if !m.counted {
+		m.replicas = map[cluster.ModelID]*replica{}
+		l.takeEntry(m)
+		return
+	}
 	l.dropVanished(id, m)
-	l.poll(id, m)
 }
 
 // dropVanished drops replicas that have been loaded for longer than entries are
@@ -237,10 +269,10 @@
 // Size tells what a model takes, zero when it is not known.
 func (l *Ledger) Machines(size func(cluster.ModelID) int64) []placement.Machine {
 	machines := make([]placement.Machine, 0, len(l.machines))
-	for _, id := range l.sorted() {
+	for _, id := range l.order {
 		m := l.machines[id]
 		machines = append(machines, placement.Machine{
-			ID: id, Rack: string(m.worker.Zone), Pool: m.worker.Service, Sealed: m.sealed, Leaving: m.worker.Draining,
+			ID: id, Rack: string(m.worker.Zone), Pool: m.worker.Service, Sealed: !m.full, Leaving: m.worker.Draining,
 			MemoryBytes: m.memory, Slots: m.worker.Slots, AdapterSlots: m.adapterSlots, Busy: m.blocked(),
 			Replicas: m.slots(size), Cached: m.cached,
 			Load: cluster.LoadReport{Machine: id, Running: m.running, Queued: m.waiting},
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -9,14 +9,17 @@
 	"github.com/valveslip/valveslip/cluster"
 )
 
-// order gives an order unless the machine takes none at present. What a load
-// takes is reserved before it is sent.
-func (l *Ledger) order(wanted *Ordered) {
+// give gives an order unless the machine takes none at present. Before the first
+// one a report is read, and the next plan decides by it. What a load takes is
+// reserved before it is sent.
+func (l *Ledger) give(wanted *Ordered) {
 	m := l.machines[wanted.Machine]
-	if !l.Holding() || m == nil || !m.sealed || m.pending != nil || m.conflicting {
+	if !l.Holding() || m == nil || m.full || m.pending != nil || m.conflicting || !m.busyUntil.IsZero() {
 		return
 	}
-	if !m.busyUntil.IsZero() {
+	if !m.counted {
+		m.reportDue = l.now
+		l.poll(wanted.Machine, m)
 		return
 	}
 	known := m.replicas[wanted.Model]
@@ -42,6 +45,7 @@
 // send sends the pending order, for the first time or again.
 func (l *Ledger) send(id cluster.MachineID, m *machine) {
 	l.number++
+	l.active[id] = true
 	pending := m.pending
 	pending.number, pending.waiting = l.number, true
 	pending.resendAt = l.now.Add(resendInterval)
@@ -80,7 +84,7 @@
 		m.pending = nil
 		l.emit(Superseded{Machine: answer.Machine})
 	case OutcomeOtherMachine:
-		delete(l.machines, answer.Machine)
+		l.remove(answer.Machine)
 	default:
 		m.pending = nil
 		l.undo(answer.Machine, m, &pending.order)
@@ -142,12 +146,12 @@
 		return
 	}
 	m.running, m.waiting = read.Report.Running, read.Report.Waiting
-	m.cached = tiers(m.worker.Service, &read.Report)
+	m.cached = tiers(m.worker.Service, read.Report.InMemory, read.Report.OnDisk)
+	m.reportDue = time.Time{}
 	if !l.Holding() {
-		m.reportDue = l.now.Add(idlePoll)
 		return
 	}
-	if m.sealed && read.Report.OrderCount < m.count {
+	if m.counted && read.Report.OrderCount < m.count {
 		// The report is older than the last order.
 		m.reportDue = l.now.Add(conflictPoll)
 		return
@@ -155,23 +159,22 @@
 	if read.Report.Busy && !m.explains(&read.Report) {
 		// A load that this ledger knows nothing of takes memory that no report
 		// shows: the machine counts as full until it is done.
-		m.sealed, m.pending, m.conflicting = false, nil, false
+		m.counted, m.full, m.pending, m.conflicting = false, true, nil, false
 		m.reportDue = l.now.Add(pollInterval)
 		return
 	}
-	fresh := !m.sealed || l.now.Sub(m.ordered) >= reportLag
+	fresh := !m.counted || l.now.Sub(m.ordered) >= reportLag
 	l.settlePending(m, &read.Report)
 	if read.Report.OrderCount > m.count {
 		// Orders were carried out that no answer told of.
-		m.ordered, fresh = l.now, !m.sealed
+		m.ordered, fresh = l.now, !m.counted
 	}
-	m.count, m.sealed, m.conflicting = read.Report.OrderCount, true, false
+	m.count, m.counted, m.full, m.conflicting = read.Report.OrderCount, true, false, false
 	l.syncHeld(read.Machine, m, &read.Report)
 	if fresh {
 		l.syncMissing(read.Machine, m, &read.Report)
 	}
 	l.syncBusy(m, read.Report.Busy)
-	m.reportDue = l.now.Add(idlePoll)
 	if read.Report.Busy {
 		m.reportDue = l.now.Add(pollInterval)
 	} else if !fresh {
@@ -182,7 +185,7 @@
 // explains reports whether the orders up to the report's count are known, so that
 // what the engine is busy with is known too.
 func (m *machine) explains(report *catalog.Report) bool {
-	if !m.sealed {
+	if !m.counted {
 		return false
 	}
 	known := m.count
@@ -213,12 +216,12 @@
 }
 
 // tiers returns from where the engine would load its models.
-func tiers(service string, report *catalog.Report) map[cluster.ModelID]cluster.Tier {
-	cached := make(map[cluster.ModelID]cluster.Tier, len(report.OnDisk)+len(report.InMemory))
-	for _, name := range report.OnDisk {
+func tiers(service string, inMemory, onDisk []string) map[cluster.ModelID]cluster.Tier {
+	cached := make(map[cluster.ModelID]cluster.Tier, len(onDisk)+len(inMemory))
+	for _, name := range onDisk {
 		cached[catalog.ModelID(service, name)] = cluster.TierDisk
 	}
-	for _, name := range report.InMemory {
+	for _, name := range inMemory {
 		cached[catalog.ModelID(service, name)] = cluster.TierMemory
 	}
 	return cached
@@ -286,13 +289,16 @@
 	if !l.Holding() {
 		return
 	}
-	for _, id := range l.sorted() {
+	for _, id := range slices.Sorted(maps.Keys(l.active)) {
 		m := l.machines[id]
 		if m.mayResend() && !l.now.Before(m.pending.resendAt) {
 			l.send(id, m)
 		}
 		l.settle(id, m)
 		l.poll(id, m)
+		if m.quiet() {
+			delete(l.active, id)
+		}
 	}
 }
 
@@ -314,15 +320,30 @@
 			l.change(id, m, model, cluster.ReplicaLoaded)
 		case known.state == cluster.ReplicaUnloading:
 			l.change(id, m, model, cluster.ReplicaAbsent)
-			m.busyUntil = time.Time{}
-			m.reportDue = l.now.Add(idlePoll)
+			m.busyUntil, m.reportDue = time.Time{}, time.Time{}
+		}
+	}
+}
+
+// quiet reports whether nothing is waited for.
+func (m *machine) quiet() bool {
+	if m.pending != nil || m.asked || !m.reportDue.IsZero() || !m.busyUntil.IsZero() {
+		return false
+	}
+	for _, known := range m.replicas {
+		if known.state != cluster.ReplicaLoaded {
+			return false
 		}
 	}
+	return true
 }
 
 // poll reads a report that is due.
 func (l *Ledger) poll(id cluster.MachineID, m *machine) {
-	if m.asked || l.now.Before(m.reportDue) {
+	if !m.reportDue.IsZero() {
+		l.active[id] = true
+	}
+	if m.asked || m.reportDue.IsZero() || l.now.Before(m.reportDue) {
 		return
 	}
 	m.asked = true
@@ -340,8 +361,9 @@
 			next = at
 		}
 	}
-	for _, m := range l.machines {
-		if !m.asked {
+	for id := range l.active {
+		m := l.machines[id]
+		if !m.asked && !m.reportDue.IsZero() {
 			consider(m.reportDue)
 		}
 		if m.mayResend() {
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -144,6 +144,8 @@
 	Draining bool
 	// Held models, as of the entry's writing.
 	Held []HeldModel
+	// InMemory and OnDisk name the models of which copies are kept.
+	InMemory, OnDisk []string
 }
 
 // Report is what an engine says of itself, some hundred milliseconds late.
--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -40,6 +40,8 @@
 	platformFailurePenalty  = 800 * time.Millisecond
 	platformMaxBackOff      = 1500 * time.Millisecond
 	platformPrefixBlockTime = 8 * time.Millisecond
+	// platformSubset is how many machines of a distance a node prefers.
+	platformSubset = 4
 	// platformTargetLoad is the share of an engine's slots that one replica
 	// should fill: few, because prompts are read one after the other. From
 	// platformSaturatedLoad on requests hold each other up.
@@ -115,6 +117,7 @@
 			RetryWindow: platform.Seconds(settings.Bounds.RetryWindowSeconds),
 			RetryExtra:  settings.Bounds.RetryExtra * retryShare, FailurePenalty: platformFailurePenalty,
 			MaxBackOff: platformMaxBackOff, RegionPenalty: platformRegionPenalty, PrefixBlockTime: platformPrefixBlockTime,
+			Subset: platformSubset,
 		},
 	}
 	core.Placement.TargetLoad, core.Placement.SaturatedLoad = platformTargetLoad, platformSaturatedLoad
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -25,8 +25,10 @@
 	// orderShare is the part of the lease's time since the last renewal in which
 	// orders are given; the rest keeps a holder from ordering until the end.
 	orderShare = 0.5
-	// planSpacing is the least time between two plans, planInterval the longest.
-	planSpacing  = 15 * time.Millisecond
+	// planSpacing is the least time between two plans, longer by planPerMachine
+	// for each machine, and planInterval the longest.
+	planSpacing    = 15 * time.Millisecond
+	planPerMachine = 150 * time.Microsecond
 	planInterval = time.Second
 	// waitingPlan spaces plans while requests wait.
 	waitingPlan = 200 * time.Millisecond
@@ -274,7 +276,7 @@
 func (c *cell) planDue() time.Time {
 	switch {
 	case c.news || c.demand.Changed():
-		return c.planned.Add(planSpacing)
+		return c.planned.Add(planSpacing + time.Duration(c.ledger.Count())*planPerMachine)
 	case c.demand.Waiting():
 		return c.planned.Add(waitingPlan)
 	}
--- a/routing/cells.go
+++ b/routing/cells.go
@@ -1,10 +1,13 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/routing/limit"
 	"github.com/valveslip/valveslip/wire"
@@ -270,13 +273,21 @@
 func (r *Router) machineState(id cluster.MachineID) *machine {
 	state := r.machines[id]
 	if state == nil {
-		state = &machine{id: id, slots: r.config.DefaultSlots}
+		state = &machine{id: id, slots: r.config.DefaultSlots, preference: r.preference(id)}
 		state.timer.machine = state
 		r.machines[id] = state
 	}
 	return state
 }
 
+// preference of this router for a machine.
+func (r *Router) preference(id cluster.MachineID) uint64 {
+	if r.config.Subset == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(string(id)) * (r.seed | 1)
+}
+
 // replica returns the machine's replica of the model, or nil.
 func (m *machine) replica(of *model) *replica {
 	for _, known := range m.replicas {
@@ -323,7 +334,10 @@
 }
 
 func compareMachines(a, b *replica) int {
-	return strings.Compare(string(a.machine.id), string(b.machine.id))
+	return cmp.Or(
+		cmp.Compare(a.machine.preference, b.machine.preference),
+		strings.Compare(string(a.machine.id), string(b.machine.id)),
+	)
 }
 
 // rebuildTiers sorts a model's replicas anew after zones' regions changed.
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -93,10 +93,14 @@
 // they are not usable the next ones that are.
 func (r *Router) sample(ready *request, tier []*replica, buffer []scored, again bool) []scored {
 	found := 0
-	first := r.random.IntN(len(tier))
+	preferred := len(tier)
+	if r.config.Subset > 0 {
+		preferred = min(preferred, r.config.Subset)
+	}
+	first := r.random.IntN(preferred)
 	second := first
-	if len(tier) > 1 {
-		second = (first + 1 + r.random.IntN(len(tier)-1)) % len(tier)
+	if preferred > 1 {
+		second = (first + 1 + r.random.IntN(preferred-1)) % preferred
 		if r.usable(ready, tier[second], again) == "" {
 			buffer = append(buffer, r.score(ready, tier[second]))
 			found++
@@ -104,7 +108,7 @@
 	}
 	for step := 0; step < len(tier) && found < samples; step++ {
 		at := (first + step) % len(tier)
-		if (at == second && len(tier) > 1) || r.usable(ready, tier[at], again) != "" {
+		if (at == second && preferred > 1) || r.usable(ready, tier[at], again) != "" {
 			continue
 		}
 		buffer = append(buffer, r.score(ready, tier[at]))
--- a/routing/config.go
+++ b/routing/config.go
@@ -37,6 +37,10 @@
 	// FailurePenalty is added to the expected wait of a machine in proportion to
 	// the share of its latest attempts that failed; zero leaves failures out.
 	FailurePenalty time.Duration
+	// Subset, when not zero, is how many replicas of a distance this router
+	// prefers, by a hash of itself and the machine: with many machines it then
+	// keeps few connections, and all routers together spread over all of them.
+	Subset int
 	// RefusalBackOff is how long a machine that refused for lack of a slot
 	// gets no more requests than it holds; it doubles with each refusal in a
 	// row up to MaxBackOff. Default 25 ms.
--- a/routing/router.go
+++ b/routing/router.go
@@ -27,6 +27,8 @@
 //   - A failure says NotRun only if no attempt may have run.
 type Router struct {
 	config Config
+	// seed of the choices, and of the preference among machines.
+	seed   uint64
 	random *rand.Rand
 
 	// now and nanos are the virtual time of the current step; it never goes
@@ -79,6 +81,7 @@
 	config = config.withDefaults()
 	router := &Router{
 		config:   config,
+		seed:     seed,
 		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		models:   make(map[cluster.ModelID]*model),
 		machines: make(map[cluster.MachineID]*machine),
--- a/routing/state.go
+++ b/routing/state.go
@@ -124,7 +124,10 @@
 	setbacks int
 	// failing is the learned share of attempts that failed.
 	failing float64
-	timer   timer
+	// preference orders the machines of a distance, least first; zero for all
+	// unless Config.Subset is set.
+	preference uint64
+	timer      timer
 }
 
 // cell is what is known of one zone's controller.
