--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -100,6 +100,7 @@
 	Took     time.Duration     `log:"took_ms" doc:"time since the request was read"`
 	Waited   time.Duration     `log:"waited_ms" doc:"time in the queue"`
 	First    time.Duration     `log:"first_ms" doc:"time to the first byte of the answer"`
+	Pause    time.Duration     `log:"pause_ms,omitempty" doc:"longest time between two events of a stream"`
 	Back     time.Duration     `log:"retry_after_ms,omitempty" doc:"when the caller was told to come back"`
 	Setting  string            `log:"setting,omitempty" doc:"bound that decided"`
 	Cause    string            `log:"cause,omitempty" doc:"the failure in words"`
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -15,8 +15,9 @@
 	// leave the connection. Idle connections are not closed: the server could
 	// close one on which a request has just been read.
 	unnoticedTime = 2300 * time.Millisecond
-	// admissionTime is until when requests are admitted.
-	admissionTime = 3200 * time.Millisecond
+	// admissionTime is until when requests are admitted: what is sent within 3 s
+	// of the stop's beginning may be cut at the end of the grace time.
+	admissionTime = 2850 * time.Millisecond
 	// lingerTime is until when the listener stays open, so that callers who come
 	// late get a refusal and not a broken connection.
 	lingerTime = 4500 * time.Millisecond
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -41,7 +41,11 @@
 	// started is set once the answer's head went to the caller.
 	started bool
 	first   time.Duration
-	gone    bool
+	// passed is when events were last sent, pause the longest time between two
+	// such moments.
+	passed time.Time
+	pause  time.Duration
+	gone   bool
 }
 
 // answer is a machine's whole answer.
@@ -176,7 +180,7 @@
 func (e *exchange) logEnd(failure *verdict.Error, reason *routing.Explanation, status int) {
 	line := eventlog.RequestEnded{
 		Request: e.id, Status: status, Code: "served", Machine: e.machine, Attempts: e.attempts,
-		Took: time.Since(e.arrived), Waited: reason.Waited, First: e.first, Verdict: verdict.Ran.String(),
+		Took: time.Since(e.arrived), Waited: reason.Waited, First: e.first, Pause: e.pause, Verdict: verdict.Ran.String(),
 	}
 	if failure != nil {
 		line.Code, line.Verdict, line.Back = string(failure.Code), failure.Verdict.String(), failure.RetryAfter
--- a/passthrough/stream.go
+++ b/passthrough/stream.go
@@ -107,6 +107,7 @@
 		return rest, nil
 	}
 	a.begin(response)
+	a.notePause()
 	if _, err := a.writer.Write(passed); err != nil {
 		return rest, a.callerFailed(err)
 	}
@@ -116,6 +117,15 @@
 	return rest, nil
 }
 
+// notePause measures the time since events were last sent.
+func (a *attempt) notePause() {
+	now := time.Now()
+	if !a.passed.IsZero() {
+		a.pause = max(a.pause, now.Sub(a.passed))
+	}
+	a.passed = now
+}
+
 // endOfEvent returns the length of the first whole event, zero without one.
 func endOfEvent(data []byte) int {
 	end := 0
