Let the machine that gave orders last go on at once

Cause: after all processes were killed, and after every death of the holder, nobody orders for up to 2 s until the lease lapses and 2.15 s more until another holder may follow; a restart on the same machine is no other holder.

Change: each holder writes its machine beside its record, in the same transaction and under a condition; a node that starts again on that machine removes its own old record, takes the lease and orders at once. Test: TestSameMachineOrdersAgainAtOnce.

--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -108,7 +108,7 @@
 		regions[cluster.ZoneID(zone)] = cluster.RegionID(region)
 	}
 	core := fleet.Config{
-		Self: fleet.NodeEntry{ID: cluster.NodeID(settings.NodeName + "-" + uniqueSuffix())},
+		Self: fleet.NodeEntry{ID: cluster.NodeID(settings.NodeName + "-" + uniqueSuffix()), Machine: settings.NodeName + "/" + settings.IP},
 		Zone: cluster.ZoneID(settings.Zone), Regions: regions,
 		FirstStart: settings.FirstStart, FencingEnforced: settings.Bounds.FencingEnforced,
 		OrderPause: platform.Milliseconds(settings.Bounds.LeaseMillis),
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -10,6 +10,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/demand"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/wire"
@@ -29,7 +30,7 @@
 	// for each machine, and planInterval the longest.
 	planSpacing    = 15 * time.Millisecond
 	planPerMachine = 150 * time.Microsecond
-	planInterval = time.Second
+	planInterval   = time.Second
 	// waitingPlan spaces plans while requests wait.
 	waitingPlan = 200 * time.Millisecond
 	// demandTimeout is when a silent node's demand is forgotten.
@@ -60,6 +61,9 @@
 
 	// holder is the node that gives orders, as far as is known.
 	holder NodeEntry
+	// last is the machine that gave orders last, by a record of the revision.
+	last         NodeEntry
+	lastRevision int64
 	// known is set once the holder's record, or its absence, was read.
 	known bool
 	// vacantSince is when the record was first seen absent.
@@ -67,8 +71,11 @@
 	retryAt     time.Time
 	renewAt     time.Time
 	// actAt is from when orders may be given in this term.
-	actAt    time.Time
-	began    bool
+	actAt time.Time
+	began bool
+	// succeeds is set when this machine gave orders last, so that none of another
+	// machine can have come since.
+	succeeds bool
 	planned  time.Time
 	news     bool
 	resigned time.Time
@@ -96,6 +103,14 @@
 		c.core.log(eventlog.LeaseChanged{Holder: read.Node.ID, Token: read.Token, Cause: "record read"})
 	}
 	c.holder = read.Node
+	if c.own(read.Node) {
+		// An earlier start of this node, which has ended.
+		c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
+			Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: int64(read.Token)}},
+			Operations: []keyvalue.Operation{{Key: KeyHolder, Delete: true}},
+		}}})
+		return
+	}
 	switch {
 	case read.Node.ID == "":
 		if c.vacantSince.IsZero() {
@@ -110,6 +125,11 @@
 	}
 }
 
+// own reports whether an entry is of this node's machine.
+func (c *cell) own(entry NodeEntry) bool {
+	return entry.Machine != "" && entry.Machine == c.core.config.Self.Machine
+}
+
 // tick takes or renews the lease, begins the term, and plans.
 func (c *cell) tick() {
 	now := c.core.now
@@ -142,14 +162,25 @@
 	if !c.known || c.core.compiled == nil || c.vacantSince.IsZero() || now.Before(c.retryAt) {
 		return
 	}
-	rank := min(c.core.sharers.Rank, lastRank)
-	if now.Before(c.vacantSince.Add(time.Duration(rank) * candidacyStep)) {
+	if now.Before(c.turn()) {
 		return
 	}
 	c.retryAt = now.Add(c.core.config.HolderTTL / renewalsPerHold)
+	c.succeeds = c.own(c.last)
+	c.lease.WriteBeside(lease.Beside{Key: KeyLast, Value: c.core.config.Self.Encode(), Revision: c.lastRevision})
 	c.lease.Acquire()
 }
 
+// turn is when this node may try to take the vacant lease: at once on the machine
+// that gave orders last, since it need not wait for its own, else by rank.
+func (c *cell) turn() time.Time {
+	if c.own(c.last) {
+		return c.vacantSince
+	}
+	rank := min(c.core.sharers.Rank+1, lastRank)
+	return c.vacantSince.Add(time.Duration(rank) * candidacyStep)
+}
+
 // leaseAnswered takes the answer to a call for the lease.
 func (c *cell) leaseAnswered(answer lease.Answer) {
 	switch c.lease.Answered(answer) {
@@ -177,7 +208,7 @@
 	c.renewAt = now.Add(config.HolderTTL / renewalsPerHold)
 	c.began = false
 	c.actAt = now
-	if !config.FirstStart {
+	if !config.FirstStart && !c.succeeds {
 		rest := time.Duration((1 - orderShare) * float64(config.HolderTTL))
 		c.actAt = now.Add(max(config.OrderPause-rest, 0) + orderMargin)
 	}
@@ -249,8 +280,7 @@
 		if !c.known || c.vacantSince.IsZero() {
 			return time.Time{}
 		}
-		rank := min(c.core.sharers.Rank, lastRank)
-		at := c.vacantSince.Add(time.Duration(rank) * candidacyStep)
+		at := c.turn()
 		if at.Before(c.retryAt) {
 			at = c.retryAt
 		}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -60,6 +60,8 @@
 		c.nodesRead(e)
 	case HolderRead:
 		c.cell.holderRead(e)
+	case LastHolderRead:
+		c.cell.last, c.cell.lastRevision = e.Node, e.Revision
 	case StoreSynced:
 		c.synced = true
 		c.routing(routing.DispatchesReleased{})
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -46,6 +46,13 @@
 	Token cluster.FencingToken
 }
 
+// LastHolderRead brings the record of the machine that gave orders last.
+type LastHolderRead struct {
+	Node NodeEntry
+	// Revision of the record.
+	Revision int64
+}
+
 // StoreSynced says that everything that was in the store has been read.
 type StoreSynced struct{}
 
@@ -86,6 +93,7 @@
 func (WorkersRead) fleetEvent()       {}
 func (NodesRead) fleetEvent()         {}
 func (HolderRead) fleetEvent()        {}
+func (LastHolderRead) fleetEvent()    {}
 func (StoreSynced) fleetEvent()       {}
 func (Paused) fleetEvent()            {}
 func (RoutingInput) fleetEvent()      {}
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -13,11 +13,16 @@
 	KeyRoot   = "valveslip/"
 	KeyNodes  = KeyRoot + "nodes/"
 	KeyHolder = KeyRoot + "holder"
+	// KeyLast names the machine that gave orders last. It is written with each
+	// record of a holder and outlives it.
+	KeyLast = KeyRoot + "last-holder"
 )
 
 // NodeEntry is what a node's record says of it.
 type NodeEntry struct {
 	ID cluster.NodeID `json:"id"`
+	// Machine that the node runs on; it stays the same when the node starts anew.
+	Machine string `json:"machine"`
 	// Address, host:port, takes messages of other nodes.
 	Address string `json:"address"`
 }
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -124,6 +124,9 @@
 	f.configured(batch.configuration)
 	f.step(workers)
 	f.step(nodes)
+	if batch.last != nil {
+		f.step(*batch.last)
+	}
 	f.step(holder)
 	f.step(fleet.StoreSynced{})
 	f.revision = revision
@@ -139,6 +142,7 @@
 	nodes         []fleet.NodeEntry
 	nodesGone     []cluster.NodeID
 	holder        *fleet.HolderRead
+	last          *fleet.LastHolderRead
 }
 
 // sort enters one pair.
@@ -156,6 +160,10 @@
 		if entry, err := fleet.DecodeNodeEntry(pair.Value); err == nil && !deleted {
 			b.holder.Node, b.holder.Token = entry, cluster.FencingToken(pair.CreateRevision)
 		}
+	case pair.Key == fleet.KeyLast:
+		if entry, err := fleet.DecodeNodeEntry(pair.Value); err == nil && !deleted {
+			b.last = &fleet.LastHolderRead{Node: entry, Revision: pair.ModRevision}
+		}
 	case strings.HasPrefix(pair.Key, fleet.KeyNodes):
 		if deleted {
 			b.nodesGone = append(b.nodesGone, cluster.NodeID(strings.TrimPrefix(pair.Key, fleet.KeyNodes)))
@@ -210,6 +218,9 @@
 	if len(batch.nodes)+len(batch.nodesGone) > 0 {
 		f.step(fleet.NodesRead{Nodes: batch.nodes, Gone: batch.nodesGone})
 	}
+	if batch.last != nil {
+		f.step(*batch.last)
+	}
 	if batch.holder != nil {
 		f.step(*batch.holder)
 	}
--- a/fleet/shell/harness_test.go
+++ b/fleet/shell/harness_test.go
@@ -138,9 +138,9 @@
 }
 
 // startNode starts a node and waits until it is ready.
-func (d *deployment) startNode(id string) *shell.Node {
+func (d *deployment) startNode(id string, changes ...func(*shell.Options)) *shell.Node {
 	d.t.Helper()
-	node, err := shell.Start(shell.Options{
+	options := shell.Options{
 		Core: fleet.Config{
 			Self: fleet.NodeEntry{ID: cluster.NodeID(id)}, Zone: "z", Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"},
 			FirstStart: true, FencingEnforced: true, OrderPause: 200 * time.Millisecond, HolderTTL: 600 * time.Millisecond,
@@ -151,7 +151,11 @@
 		Store: platform.NewStoreClient(d.server.Address(), 2*time.Second), Engines: platform.NewEngineClient(),
 		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Coalesce: 5 * time.Millisecond,
 		Log: eventlog.New(io.Discard, eventlog.Options{}),
-	})
+	}
+	for _, change := range changes {
+		change(&options)
+	}
+	node, err := shell.Start(options)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/fleet/shell/path_test.go
+++ b/fleet/shell/path_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/fleet/shell"
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/standin/worker"
 )
@@ -273,3 +275,28 @@
 		t.Fatalf("orders %+v after %+v, want a larger token", after, before)
 	}
 }
+
+// TestSameMachineOrdersAgainAtOnce: a node that starts again on the machine that
+// gave orders last removes its own old record and waits for nobody, while a node
+// on another machine waits out the pause between holders.
+func TestSameMachineOrdersAgainAtOnce(t *testing.T) {
+	d := newDeployment(t)
+	onMachine := func(machine string, first bool) func(*shell.Options) {
+		return func(options *shell.Options) {
+			options.Core.Self.Machine, options.Core.FirstStart = machine, first
+			options.Core.OrderPause, options.Core.HolderTTL = time.Hour, time.Minute
+		}
+	}
+	first := d.startNode("n1", onMachine("m1", true))
+	d.eventually("the first node gives the orders", first.Holding)
+	first.Kill()
+	again := d.startNode("n2", onMachine("m1", false))
+	d.eventually("the node that started again gives the orders", again.Holding)
+	again.Kill()
+	d.store.Remove(fleet.KeyHolder)
+	other := d.startNode("n3", onMachine("m2", false))
+	d.eventually("another machine has the lease", func() bool { return len(d.store.Keys(fleet.KeyHolder)) == 1 })
+	if other.Holding() {
+		t.Fatal("a node on another machine gives orders before the pause is over")
+	}
+}
--- a/keyvalue/lease/lease.go
+++ b/keyvalue/lease/lease.go
@@ -82,6 +82,8 @@
 	// name is compared with the record's value, from which parse reads it.
 	value []byte
 	ttl   time.Duration
+	// beside is written with the record, under a condition of its own.
+	beside *Beside
 
 	state State
 	lease int64
@@ -101,6 +103,18 @@
 	return &Client{caller: caller, key: key, value: value, ttl: ttl}
 }
 
+// Beside is a pair that is written in the same transaction as the record, if it
+// has not changed since it was read. It outlives the lease.
+type Beside struct {
+	Key   string
+	Value []byte
+	// Revision of the pair when it was read, zero when it was absent.
+	Revision int64
+}
+
+// WriteBeside has the next write of the record write a pair as well.
+func (c *Client) WriteBeside(beside Beside) { c.beside = &beside }
+
 // Holding reports whether the record is the client's own, as far as it knows.
 func (c *Client) Holding() bool { return c.state == Held || c.state == Renewing }
 
@@ -138,11 +152,16 @@
 
 func (c *Client) write() {
 	c.state = Writing
-	c.caller.Call(Call{Operation: Txn, Txn: keyvalue.Transaction{
+	transaction := keyvalue.Transaction{
 		Compares:   []keyvalue.Compare{{Key: c.key}},
 		Operations: []keyvalue.Operation{{Key: c.key, Value: c.value, Lease: c.lease}},
 		Reads:      []string{c.key},
-	}})
+	}
+	if c.beside != nil {
+		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: c.beside.Key, ModRevision: c.beside.Revision})
+		transaction.Operations = append(transaction.Operations, keyvalue.Operation{Key: c.beside.Key, Value: c.beside.Value})
+	}
+	c.caller.Call(Call{Operation: Txn, Txn: transaction})
 }
 
 // Renew keeps the held lease alive.
@@ -209,6 +228,7 @@
 	case answer.Txn.Succeeded:
 		return c.won(cluster.FencingToken(answer.Txn.Revision))
 	}
+	c.holder, c.holderToken = nil, 0
 	for _, found := range answer.Txn.Found {
 		if found.Key != c.key {
 			continue
