Take a conflict without a lost answer for another holder's order

A holder that is cut from the store goes on ordering where fences are checked. When its order took the count that this holder's order expected, the count's step was taken for the own order, and the other's load, of unknown size, for explained.

Change: only a sending without an answer may explain a step of the count; else the order is undone and the engine counts as full while it is busy. TestConflictIsAnotherHoldersOrder failed first, and found that the undone replica stayed unknown for ever.

--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -184,3 +184,44 @@
 		t.Fatalf("states %v, want none", w.states())
 	}
 }
+
+// TestConflictIsAnotherHoldersOrder: when every sending was answered with a
+// conflict and the count has moved, the order that was taken is not the ledger's
+// own, so what the engine is busy with is not known.
+func TestConflictIsAnotherHoldersOrder(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 4, Held: []catalog.HeldModel{{Name: "other"}}})
+	send := w.order(cluster.OrderLoad, baseModel, false)
+	w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeConflict})
+	w.pass(time.Second)
+	w.report(catalog.Report{OrderCount: 5, Busy: true, Held: []catalog.HeldModel{{Name: "other"}}})
+	if w.sealed() {
+		t.Fatal("an engine that is busy with another holder's order counts as known")
+	}
+	w.pass(5 * time.Second)
+	w.report(catalog.Report{OrderCount: 5, Held: []catalog.HeldModel{{Name: "other"}, {Name: "theirs"}}})
+	states := w.states()
+	if _, kept := states[baseModel]; kept || states["svc/theirs"] != cluster.ReplicaLoaded {
+		t.Fatalf("states %v, want the other holder's model in place of the own", states)
+	}
+}
+
+// TestFirstOrderReadsAReport: a term begins with what the entries say, and the first
+// order to an engine waits for its report, by which the next plan decides.
+func TestFirstOrderReadsAReport(t *testing.T) {
+	w := &world{t: t, ledger: New(), now: time.Unix(1000, 0)}
+	w.step(MachineSeen{Worker: catalog.Worker{
+		ID: testMachine, Service: "svc", Address: "a:1", Held: []catalog.HeldModel{{Name: "base"}},
+	}, MemoryBytes: 100})
+	w.step(TermBegan{Holder: "n1", Token: 7})
+	if got := w.states()[baseModel]; got != cluster.ReplicaLoaded {
+		t.Fatalf("state %s, want what the entry says", got)
+	}
+	effects := w.step(Ordered{Machine: testMachine, Kind: cluster.OrderLoad, Model: otherModel, ExpectedTime: time.Second})
+	if len(effects) != 1 || effects[0] != (ReadReport{Machine: testMachine, Address: "a:1"}) {
+		t.Fatalf("effects %v, want a report to be read", effects)
+	}
+	w.report(catalog.Report{OrderCount: 9, Held: []catalog.HeldModel{{Name: "base"}}})
+	if send := w.order(cluster.OrderLoad, otherModel, false); send == nil || send.Order.Expected != 9 {
+		t.Fatalf("sent %+v, want an order that expects the reported count", send)
+	}
+}
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -159,12 +159,13 @@
 	if read.Report.Busy && !m.explains(&read.Report) {
 		// A load that this ledger knows nothing of takes memory that no report
 		// shows: the machine counts as full until it is done.
+		l.settlePending(read.Machine, m, &read.Report)
 		m.counted, m.full, m.pending, m.conflicting = false, true, nil, false
 		m.reportDue = l.now.Add(pollInterval)
 		return
 	}
 	fresh := !m.counted || l.now.Sub(m.ordered) >= reportLag
-	l.settlePending(m, &read.Report)
+	l.settlePending(read.Machine, m, &read.Report)
 	if read.Report.OrderCount > m.count {
 		// Orders were carried out that no answer told of.
 		m.ordered, fresh = l.now, !m.counted
@@ -189,22 +190,26 @@
 		return false
 	}
 	known := m.count
-	if m.pending != nil {
+	if m.pending != nil && m.pending.failures > 0 {
+		// A sending without an answer may have been taken.
 		known = m.pending.expected + 1
 	}
 	return report.OrderCount <= known
 }
 
 // settlePending settles an order that met a conflict or has no answer. Once the
-// count has passed the order's, it was carried out or never will be.
-func (l *Ledger) settlePending(m *machine, report *catalog.Report) {
+// count has passed the order's, it was carried out or never will be: never, if
+// every sending was answered, since then another holder's took its place.
+func (l *Ledger) settlePending(id cluster.MachineID, m *machine, report *catalog.Report) {
 	pending := m.pending
 	if pending == nil || pending.waiting {
 		return
 	}
 	if report.OrderCount > pending.expected {
 		m.pending = nil
-		if known := m.replicas[pending.order.Model]; known != nil {
+		if pending.failures == 0 {
+			l.undo(id, m, &pending.order)
+		} else if known := m.replicas[pending.order.Model]; known != nil {
 			known.unknown, known.since = false, l.now
 		}
 		return
