Let no entry of the store take a replica off the ledger

After an outage of the store a worker's entry of before it came; it did not name a model loaded 4.7 s earlier, and the ledger, taking entries to be at most 3 s late, gave its memory away.

Ruled out: another holder (the token changed at 10.86 s, this holder's orders went on), late orders (none unanswered before).

Change: an entry that lacks a replica has a report read, which decides. TestOldEntryDropsNothing failed first.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -25,7 +25,7 @@
 	earlyPoll = 30 * time.Millisecond
 	// unloadTime is the expected time of the unload of an idle model.
 	unloadTime = 25 * time.Millisecond
-	// entryLag is how late a machine's entry may be.
+	// entryLag is how late a machine's entry usually is at most.
 	entryLag = 3 * time.Second
 	// sealRetry spaces the first reports of a term that are not answered.
 	sealRetry = 400 * time.Millisecond
@@ -175,8 +175,7 @@
 }
 
 // seen takes a machine's entry. Until an engine has reported, its entry tells what
-// it holds; afterwards the entry, being later than reports, only drops what it has
-// not named for long.
+// it holds; afterwards an entry that lacks something has a report read.
 func (l *Ledger) seen(event *MachineSeen) {
 	id := event.Worker.ID
 	m := l.machines[id]
@@ -195,20 +194,22 @@
 		l.takeEntry(m)
 		return
 	}
-	l.dropVanished(id, m)
+	l.checkVanished(id, m)
 }
 
-// dropVanished drops replicas that have been loaded for longer than entries are
-// late and that the entry does not name.
-func (l *Ledger) dropVanished(id cluster.MachineID, m *machine) {
+// checkVanished reads a report when an entry does not name what has been loaded
+// for longer than entries are usually late. The entry alone proves nothing: while
+// the store is down it may be of any age.
+func (l *Ledger) checkVanished(id cluster.MachineID, m *machine) {
 	if m.pending != nil || l.now.Sub(m.ordered) < entryLag {
 		return
 	}
 	named := heldIDs(m.worker.Service, m.worker.Held)
-	for _, model := range m.models() {
-		known := m.replicas[model]
-		if known != nil && known.state == cluster.ReplicaLoaded && !named[model] && l.now.Sub(known.since) > entryLag {
-			l.change(id, m, model, cluster.ReplicaAbsent)
+	for model, known := range m.replicas {
+		if known.state == cluster.ReplicaLoaded && !named[model] && l.now.Sub(known.since) > entryLag {
+			m.reportDue = l.now
+			l.poll(id, m)
+			return
 		}
 	}
 }
--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -225,3 +225,24 @@
 		t.Fatalf("sent %+v, want an order that expects the reported count", send)
 	}
 }
+
+// TestOldEntryDropsNothing: an entry written before an outage of the store comes
+// long after a load; the report that it has read decides.
+func TestOldEntryDropsNothing(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 1, Held: []catalog.HeldModel{{Name: "base"}, {Name: "other"}}})
+	w.pass(time.Minute)
+	old := MachineSeen{Worker: catalog.Worker{
+		ID: testMachine, Service: "svc", Address: "a:1", Held: []catalog.HeldModel{{Name: "other"}},
+	}, MemoryBytes: 100}
+	effects := w.step(old)
+	if w.states()[baseModel] != cluster.ReplicaLoaded {
+		t.Fatalf("states %v, want what the last report said", w.states())
+	}
+	if len(effects) != 1 || effects[0] != (ReadReport{Machine: testMachine, Address: "a:1"}) {
+		t.Fatalf("effects %v, want a report to be read", effects)
+	}
+	w.report(catalog.Report{OrderCount: 1, Held: []catalog.HeldModel{{Name: "other"}}})
+	if _, kept := w.states()[baseModel]; kept {
+		t.Fatal("what the report lacks is kept")
+	}
+}
