Count a lease from the last renewal that was answered

The lease client moved the time it counts from with each renewal it tried, also in vain, and orders without an answer were sent again whatever the lease said.

Ruled out: the successor's wait (it came 0.45 s after its lease and 4.8 s after the answered renewal, as it should).

Change: the time moves when a renewal is answered; without the right to order the ledger isn't ticked. TestLostRenewalExtendsNothing failed first.

--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -147,7 +147,7 @@
 	if !c.began && !now.Before(c.actAt) {
 		c.beginTerm()
 	}
-	if !c.ledger.Holding() {
+	if !c.mayOrder() {
 		return
 	}
 	c.ledgerStep(sequence.Tick{})
@@ -290,10 +290,10 @@
 	if !c.began {
 		next = earliest(next, c.actAt)
 	}
-	if at, due := c.ledger.NextDue(); due {
-		next = earliest(next, at)
-	}
-	if c.ledger.Holding() {
+	if c.mayOrder() {
+		if at, due := c.ledger.NextDue(); due {
+			next = earliest(next, at)
+		}
 		next = earliest(next, c.planDue())
 	}
 	if next.Before(now) {
@@ -412,7 +412,7 @@
 // plan plans and gives the orders that can be given.
 func (c *cell) plan() {
 	now := c.core.now
-	if !c.mayOrder() || now.Before(c.planDue()) {
+	if now.Before(c.planDue()) {
 		return
 	}
 	c.planned, c.news = now, false
--- a/keyvalue/lease/lease.go
+++ b/keyvalue/lease/lease.go
@@ -88,9 +88,10 @@
 	state State
 	lease int64
 	token cluster.FencingToken
-	// sentAt is when the grant or the last renewal was sent: the lease counts
-	// from then, also when its record is written later.
-	sentAt time.Time
+	// sentAt is when the grant or the last renewal that was answered was sent:
+	// the lease counts from then, also when its record is written later.
+	// renewedAt is when the renewal under way was sent.
+	sentAt, renewedAt time.Time
 	// promised is the TTL the service answered with.
 	promised time.Duration
 	// holder is the value of the record when another has it.
@@ -170,7 +171,7 @@
 		return
 	}
 	c.state = Renewing
-	c.sentAt = c.caller.Now()
+	c.renewedAt = c.caller.Now()
 	c.caller.Call(Call{Operation: KeepAlive, Lease: c.lease})
 }
 
@@ -256,6 +257,6 @@
 		c.state = Held
 		return NoAnswer
 	}
-	c.state, c.promised = Held, answer.TTL
+	c.state, c.promised, c.sentAt = Held, answer.TTL, c.renewedAt
 	return Extended
 }
--- a/keyvalue/lease/renewal_test.go
+++ b/keyvalue/lease/renewal_test.go
@@ -35,3 +35,25 @@
 		})
 	}
 }
+
+// TestLostRenewalExtendsNothing: a lease counts from the last renewal that was
+// answered, however often others were tried since.
+func TestLostRenewalExtendsNothing(t *testing.T) {
+	began := time.Date(2030, time.March, 4, 0, 0, 0, 0, time.UTC)
+	caller := &recorder{now: began}
+	client := New(caller, "key", []byte("n"), leaseTTL)
+	client.Acquire()
+	client.Answered(Answer{Lease: 7, TTL: leaseTTL})
+	client.Answered(Answer{Txn: keyvalue.TransactionResult{Succeeded: true, Revision: 9}})
+	caller.now = began.Add(time.Second)
+	client.Renew()
+	client.Answered(Answer{TTL: leaseTTL})
+	for range 3 {
+		caller.now = caller.now.Add(time.Second)
+		client.Renew()
+		client.Answered(Answer{Err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "no answer")})
+	}
+	if want := began.Add(time.Second); !client.SentAt().Equal(want) {
+		t.Fatalf("the lease counts from %s, want %s", client.SentAt(), want)
+	}
+}
