Simulate orders under faults, and mend what that found

Change: a simulation of fleet.Core on a virtual clock, with nodes that are killed, cut off and started again, an outage of the store, engines that crash, answers that are lost, orders that are carried out late, late reports and old entries; checks that no engine is overfilled and none takes orders of two machines in turn, with and without checked fences, and that broken engines are noticed.

Found and mended, each failing there first: - a process of the very first start never waited out the pause between holders, also when it followed another (first_start held for its whole life): now only while no holder is on record; - a node that started again removed its own old record, and others took it to have lapsed: now it takes the record's place in one transaction; - reports of before a term were taken for what engines are now; - adapters on their way (the report's coming) were taken to be absent.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/valveslip/valveslip/catalog"
@@ -34,7 +35,10 @@
 // Ledger is what the holder of a lease knows of the engines. It is not safe for
 // concurrent use.
 type Ledger struct {
-	now      time.Time
+	now time.Time
+	// began is when the term began: reports that may be of before it are not
+	// taken for what engines are now.
+	began    time.Time
 	holder   cluster.NodeID
 	token    cluster.FencingToken
 	machines map[cluster.MachineID]*machine
@@ -140,7 +144,7 @@
 
 // begin starts a term with what the entries say.
 func (l *Ledger) begin(event TermBegan) {
-	l.holder, l.token = event.Holder, event.Token
+	l.holder, l.token, l.began = event.Holder, event.Token, l.now
 	clear(l.active)
 	for _, id := range l.order {
 		m := l.machines[id]
@@ -226,6 +230,18 @@
 	return ids
 }
 
+// reportedIDs lists what a report says is held or, of adapters, on its way.
+func reportedIDs(service string, report *catalog.Report) map[cluster.ModelID]bool {
+	ids := heldIDs(service, report.Held)
+	for _, coming := range report.Coming {
+		name, _, _ := strings.Cut(coming, "@")
+		if model, adapter, found := strings.Cut(name, "/"); found {
+			ids[catalog.AdapterID(service, model, adapter)] = true
+		}
+	}
+	return ids
+}
+
 // change moves a replica to a state and tells so.
 func (l *Ledger) change(id cluster.MachineID, m *machine, model cluster.ModelID, state cluster.ReplicaState) {
 	known := m.replicas[model]
--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -29,6 +29,7 @@
 	w := &world{t: t, ledger: New(), now: time.Unix(1000, 0)}
 	w.step(MachineSeen{Worker: catalog.Worker{ID: testMachine, Service: "svc", Address: "a:1"}, MemoryBytes: 100, AdapterSlots: 8})
 	w.step(TermBegan{Holder: "n1", Token: 7})
+	w.pass(time.Second)
 	w.report(report)
 	return w
 }
@@ -220,6 +221,11 @@
 	if len(effects) != 1 || effects[0] != (ReadReport{Machine: testMachine, Address: "a:1"}) {
 		t.Fatalf("effects %v, want a report to be read", effects)
 	}
+	w.report(catalog.Report{OrderCount: 8, Held: []catalog.HeldModel{{Name: "base"}}})
+	if send := w.order(cluster.OrderLoad, otherModel, false); send != nil {
+		t.Fatalf("sent %+v by a report that may be of before the term", send)
+	}
+	w.pass(time.Second)
 	w.report(catalog.Report{OrderCount: 9, Held: []catalog.HeldModel{{Name: "base"}}})
 	if send := w.order(cluster.OrderLoad, otherModel, false); send == nil || send.Order.Expected != 9 {
 		t.Fatalf("sent %+v, want an order that expects the reported count", send)
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -151,6 +151,10 @@
 	if !l.Holding() {
 		return
 	}
+	if fromBefore := l.began.Add(reportLag); !m.counted && l.now.Before(fromBefore) {
+		m.reportDue = fromBefore
+		return
+	}
 	if m.counted && read.Report.OrderCount < m.count {
 		// The report is older than the last order.
 		m.reportDue = l.now.Add(conflictPoll)
@@ -234,7 +238,7 @@
 
 // syncHeld takes over what the report says the engine holds.
 func (l *Ledger) syncHeld(id cluster.MachineID, m *machine, report *catalog.Report) {
-	held := heldIDs(m.worker.Service, report.Held)
+	held := reportedIDs(m.worker.Service, report)
 	for _, model := range slices.Sorted(maps.Keys(held)) {
 		known := m.replicas[model]
 		if known == nil {
@@ -251,7 +255,7 @@
 // syncMissing takes over what the report says the engine does not hold or, of
 // what was to be unloaded, still holds.
 func (l *Ledger) syncMissing(id cluster.MachineID, m *machine, report *catalog.Report) {
-	held := heldIDs(m.worker.Service, report.Held)
+	held := reportedIDs(m.worker.Service, report)
 	for _, model := range m.models() {
 		known := m.replicas[model]
 		if known == nil || known.unknown || l.now.Sub(known.since) < reportLag {
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -10,7 +10,6 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/demand"
 	"github.com/valveslip/valveslip/eventlog"
-	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/wire"
@@ -73,8 +72,8 @@
 	// actAt is from when orders may be given in this term.
 	actAt time.Time
 	began bool
-	// succeeds is set when this machine gave orders last, so that none of another
-	// machine can have come since.
+	// succeeds is set when no other machine can have given orders: this one gave
+	// the last, or the system has just been started for the first time.
 	succeeds bool
 	planned  time.Time
 	news     bool
@@ -104,13 +103,14 @@
 	}
 	c.holder = read.Node
 	if c.own(read.Node) {
-		// An earlier start of this node, which has ended.
-		c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
-			Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: int64(read.Token)}},
-			Operations: []keyvalue.Operation{{Key: KeyHolder, Delete: true}},
-		}}})
+		// An earlier start of this node, which has ended: its place is taken at
+		// once. It is not removed first, because whoever finds the record absent
+		// takes it to have lapsed.
+		c.lease.Replace(read.Token)
+		c.vacantSince = c.core.now
 		return
 	}
+	c.lease.Replace(0)
 	switch {
 	case read.Node.ID == "":
 		if c.vacantSince.IsZero() {
@@ -166,7 +166,7 @@
 		return
 	}
 	c.retryAt = now.Add(c.core.config.HolderTTL / renewalsPerHold)
-	c.succeeds = c.own(c.last)
+	c.succeeds = c.own(c.last) || c.core.config.FirstStart && c.lastRevision == 0
 	c.lease.WriteBeside(lease.Beside{Key: KeyLast, Value: c.core.config.Self.Encode(), Revision: c.lastRevision})
 	c.lease.Acquire()
 }
@@ -208,7 +208,7 @@
 	c.renewAt = now.Add(config.HolderTTL / renewalsPerHold)
 	c.began = false
 	c.actAt = now
-	if !config.FirstStart && !c.succeeds {
+	if !c.succeeds {
 		rest := time.Duration((1 - orderShare) * float64(config.HolderTTL))
 		c.actAt = now.Add(max(config.OrderPause-rest, 0) + orderMargin)
 	}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -158,7 +158,7 @@
 	case pair.Key == fleet.KeyHolder:
 		b.holder = &fleet.HolderRead{}
 		if entry, err := fleet.DecodeNodeEntry(pair.Value); err == nil && !deleted {
-			b.holder.Node, b.holder.Token = entry, cluster.FencingToken(pair.CreateRevision)
+			b.holder.Node, b.holder.Token = entry, cluster.FencingToken(pair.ModRevision)
 		}
 	case pair.Key == fleet.KeyLast:
 		if entry, err := fleet.DecodeNodeEntry(pair.Value); err == nil && !deleted {
--- /dev/null
+++ b/fleet/simulation_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestOrdersHoldUnderFaults runs nodes under kills, cuts, outages, crashed engines,
+// lost answers and late orders: no engine is ever ordered to hold more than it
+// can, and none takes orders of two machines in turn.
+func TestOrdersHoldUnderFaults(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		for seed := range uint64(60) {
+			t.Run(fmt.Sprintf("fenced=%t/seed=%d", fenced, seed), func(t *testing.T) {
+				w := newSimulation(seed, 4, 3)
+				w.fenced = fenced
+				for _, n := range w.nodes {
+					n.core.config.FencingEnforced = fenced
+				}
+				w.after(time.Second, func() { w.ask(120 * time.Millisecond) })
+				w.after(2*time.Second, w.trouble)
+				w.runFor(60 * time.Second)
+				for _, problem := range w.problems {
+					t.Error(problem)
+				}
+			})
+		}
+	}
+}
+
+// TestCalmDayIsServed: without faults but lost and late orders every request is
+// served within its deadline.
+func TestCalmDayIsServed(t *testing.T) {
+	w := newSimulation(7, 3, 3)
+	w.after(time.Second, func() { w.ask(400 * time.Millisecond) })
+	w.runFor(120 * time.Second)
+	if len(w.problems) > 0 {
+		t.Fatal(w.problems)
+	}
+	if w.requests < 200 || w.served < w.requests*95/100 {
+		t.Errorf("%d of %d requests served", w.served, w.requests)
+	}
+}
+
+// TestBrokenEnginesAreNoticed: engines that take orders whatever count they expect
+// let late orders fill them, which the check must see.
+func TestBrokenEnginesAreNoticed(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newSimulation(seed, 3, 3)
+		w.ignoreCount = true
+		w.after(time.Second, func() { w.ask(120 * time.Millisecond) })
+		w.runFor(60 * time.Second)
+		if len(w.problems) > 0 {
+			return
+		}
+	}
+	t.Error("engines that ignore the count were never overfilled")
+}
--- /dev/null
+++ b/fleet/world_test.go
@@ -0,0 +1,564 @@
+package fleet
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/keyvalue/lease"
+	"github.com/valveslip/valveslip/routing"
+	standin "github.com/valveslip/valveslip/standin/keyvalue"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// The sizes of the simulated engines and models.
+const (
+	engineMemory   = 100
+	adapterPlaces  = 2
+	simulatedPause = 3 * time.Second
+	touchTime      = 3 * time.Second
+	reportAge      = 200 * time.Millisecond
+)
+
+var simulatedModels = []catalog.ModelSpec{
+	{Name: "a", Bytes: 40, LoadTime: 2 * time.Second, Adapters: 4, AdapterBytes: 1},
+	{Name: "b", Bytes: 40, LoadTime: 2 * time.Second}, {Name: "c", Bytes: 60, LoadTime: 3 * time.Second},
+	{Name: "d", Bytes: 30, LoadTime: time.Second}, {Name: "e", Bytes: 60, LoadTime: 2 * time.Second},
+}
+
+// happening is one event of the simulation.
+type happening struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].order < a[j].order
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// world simulates nodes, engines and the store on a virtual clock.
+type world struct {
+	random  *rand.Rand
+	now     time.Time
+	agenda  agenda
+	counter int
+
+	store     *standin.State
+	storeDown bool
+	// shaken is when the store was last in trouble.
+	shaken   time.Time
+	compiled *catalog.Compiled
+	nodes    []*simulatedNode
+	engines  []*simulatedEngine
+	starts   int
+	requests int
+	served   int
+	// ignoreCount breaks the engines: they take orders whatever count they expect.
+	ignoreCount bool
+	fenced      bool
+	problems    []string
+}
+
+type simulatedNode struct {
+	machine string
+	id      cluster.NodeID
+	core    *Core
+	dead    bool
+	cut     bool
+	// touched is when the node was last cut or started.
+	touched time.Time
+	tickAt  time.Time
+}
+
+type simulatedEngine struct {
+	id      cluster.MachineID
+	held    map[string][]string
+	loading map[string]int64
+	busy    bool
+	count   int64
+	fence   cluster.FencingToken
+	past    []engineState
+	dead    bool
+	// seen is the largest token of the orders that arrived.
+	seen     cluster.FencingToken
+	lastFrom string
+	lastAt   time.Time
+	lastIn   bool
+}
+
+// engineState is what an engine's report says at a time.
+type engineState struct {
+	at     time.Time
+	report catalog.Report
+}
+
+func newSimulation(seed uint64, nodes, engines int) *world {
+	compiled, err := catalog.Configuration{
+		Version:  1,
+		Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryBytes: engineMemory, AdapterSlots: adapterPlaces, LoadsPerSecond: 4, Models: slices.Clone(simulatedModels)}}},
+	}.Compile()
+	if err != nil {
+		panic(err)
+	}
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), store: standin.NewState(standin.Config{}),
+		compiled: compiled, fenced: true,
+	}
+	for range engines {
+		w.startEngine()
+	}
+	for n := range nodes {
+		w.startNode(fmt.Sprintf("machine-%d", n), true)
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.counter++
+	heap.Push(&w.agenda, happening{at: w.now.Add(d), order: w.counter, run: run})
+}
+
+// runFor lets virtual time pass.
+func (w *world) runFor(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) && len(w.problems) == 0 {
+		next := heap.Pop(&w.agenda).(happening)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)))
+}
+
+func (w *world) startNode(machine string, first bool) {
+	w.starts++
+	n := &simulatedNode{machine: machine, id: cluster.NodeID(fmt.Sprintf("%s-%d", machine, w.starts)), touched: w.now}
+	n.core = New(Config{
+		Self: NodeEntry{ID: n.id, Machine: machine, Address: string(n.id)}, Zone: "z",
+		Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"}, FirstStart: first, FencingEnforced: w.fenced, OrderPause: simulatedPause,
+		Routing: routing.Config{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000, FailurePenalty: time.Second},
+	}, uint64(w.starts))
+	w.nodes = append(w.nodes, n)
+	w.step(n, ConfigurationRead{Compiled: w.compiled})
+	w.poll(n)
+}
+
+func (w *world) startEngine() {
+	w.starts++
+	e := &simulatedEngine{
+		id: cluster.MachineID(fmt.Sprintf("e%d", w.starts)), held: map[string][]string{"a": nil}, loading: map[string]int64{},
+	}
+	e.remember(w.now)
+	w.engines = append(w.engines, e)
+	w.beat(e)
+}
+
+// beat writes the engine's entry while the store is up.
+func (w *world) beat(e *simulatedEngine) {
+	if e.dead {
+		return
+	}
+	if !w.storeDown {
+		w.write(keyvalue.Operation{Key: "w/" + string(e.id), Value: []byte(e.id)})
+		e.entry()
+	}
+	w.after(w.between(time.Second, 1400*time.Millisecond), func() { w.beat(e) })
+}
+
+func (w *world) write(operation keyvalue.Operation) {
+	_, _ = w.store.Txn(w.now, keyvalue.Transaction{Operations: []keyvalue.Operation{operation}})
+}
+
+// entry freezes what the engine's entry says until its next beat.
+func (e *simulatedEngine) entry() { e.past[len(e.past)-1].report.Waiting = -1 }
+
+// written returns what the engine's entry says: its state at its last beat.
+func (e *simulatedEngine) written() catalog.Report {
+	for i := len(e.past) - 1; i >= 0; i-- {
+		if e.past[i].report.Waiting == -1 {
+			return e.past[i].report
+		}
+	}
+	return e.past[0].report
+}
+
+func (e *simulatedEngine) remember(now time.Time) {
+	report := catalog.Report{Busy: e.busy, OrderCount: e.count}
+	for _, spec := range simulatedModels {
+		if adapters, held := e.held[spec.Name]; held {
+			report.Held = append(report.Held, catalog.HeldModel{Name: spec.Name, Adapters: slices.Clone(adapters)})
+		}
+	}
+	for key := range e.loading {
+		if key[len(key)-1] != '/' {
+			report.Coming = append(report.Coming, key+"@1")
+		}
+	}
+	slices.Sort(report.Coming)
+	e.past = append(e.past, engineState{at: now, report: report})
+	if len(e.past) > 200 {
+		e.past = slices.Delete(e.past, 1, 100)
+	}
+}
+
+// late returns what the engine said of itself some time ago.
+func (e *simulatedEngine) late(now time.Time) catalog.Report {
+	said := e.past[0].report
+	for _, state := range e.past {
+		if now.Sub(state.at) >= reportAge {
+			said = state.report
+		}
+	}
+	said.Waiting = 0
+	return said
+}
+
+// poll hands the store's content to a node, late and while it can reach it.
+func (w *world) poll(n *simulatedNode) {
+	if n.dead {
+		return
+	}
+	if !n.cut && !w.storeDown {
+		w.read(n)
+	}
+	w.after(w.between(50*time.Millisecond, 400*time.Millisecond), func() { w.poll(n) })
+}
+
+func (w *world) read(n *simulatedNode) {
+	w.store.Expire(w.now)
+	workers, nodes, holder := WorkersRead{Full: true}, NodesRead{Full: true}, HolderRead{}
+	pairs, revision := w.store.Range(w.now, "")
+	workers.Revision = revision
+	for _, pair := range pairs {
+		switch {
+		case pair.Key == KeyHolder:
+			holder.Node, _ = DecodeNodeEntry(pair.Value)
+			holder.Token = cluster.FencingToken(pair.ModRevision)
+		case pair.Key == KeyLast:
+			last, _ := DecodeNodeEntry(pair.Value)
+			w.step(n, LastHolderRead{Node: last, Revision: pair.ModRevision})
+		case len(pair.Key) > len(KeyNodes) && pair.Key[:len(KeyNodes)] == KeyNodes:
+			entry, _ := DecodeNodeEntry(pair.Value)
+			nodes.Nodes = append(nodes.Nodes, entry)
+		}
+	}
+	for _, e := range w.engines {
+		if !e.dead {
+			workers.Workers = append(workers.Workers, catalog.Worker{
+				ID: e.id, Service: "s", Address: string(e.id), Zone: "z", Slots: 8, Held: e.written().Held,
+			})
+		}
+	}
+	w.step(n, workers)
+	w.step(n, nodes)
+	w.step(n, holder)
+	w.step(n, StoreSynced{})
+}
+
+// step feeds a node's core and carries out its effects.
+func (w *world) step(n *simulatedNode, event Event) {
+	if n.dead {
+		return
+	}
+	effects := slices.Clone(n.core.Step(w.now, event))
+	for _, effect := range effects {
+		w.begin(n, effect)
+	}
+	due := n.core.NextDue()
+	if !due.Equal(n.tickAt) {
+		n.tickAt = due
+		w.after(max(due.Sub(w.now), time.Millisecond), func() {
+			if n.tickAt.Equal(due) {
+				n.tickAt = time.Time{}
+				w.step(n, Tick{})
+			}
+		})
+	}
+}
+
+func (w *world) begin(n *simulatedNode, effect Effect) {
+	switch e := effect.(type) {
+	case RoutingOutput:
+		w.routed(n, e.Effect)
+	case SendMessage:
+		for _, peer := range w.nodes {
+			if string(peer.id) == e.Address {
+				w.after(2*time.Millisecond, func() { w.step(peer, MessageReceived{Message: e.Message}) })
+			}
+		}
+	case LeaseCall:
+		w.after(w.between(2*time.Millisecond, 9*time.Millisecond), func() { w.leaseCall(n, e) })
+	case SendOrder:
+		w.after(w.between(time.Millisecond, 6*time.Millisecond), func() { w.orderArrives(n, e) })
+	case ReadReport:
+		w.after(4*time.Millisecond, func() {
+			read := sequence.ReportRead{Machine: e.Read.Machine, Err: errors.New("no answer")}
+			if engine := w.engine(e.Read.Machine); engine != nil {
+				read.Report, read.Err = engine.late(w.now), nil
+			}
+			w.step(n, ReportRead{Read: read})
+		})
+	}
+}
+
+// routed ends attempts: served where the engine holds the model.
+func (w *world) routed(n *simulatedNode, effect routing.Effect) {
+	switch e := effect.(type) {
+	case routing.Dispatch:
+		w.after(w.between(20*time.Millisecond, 300*time.Millisecond), func() {
+			ended := routing.AttemptEnded{Request: e.Request, Attempt: e.Attempt}
+			engine := w.engine(e.Machine)
+			_, model, _ := catalog.Split(e.Model)
+			if engine == nil {
+				ended.Unreached = true
+				ended.Failure = verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "gone")
+			} else if _, held := engine.held[model]; !held {
+				ended.ModelMissing = true
+				ended.Failure = verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "missing")
+			}
+			w.step(n, RoutingInput{Event: ended})
+		})
+	case routing.Finish:
+		if e.Failure == nil {
+			w.served++
+		}
+	}
+}
+
+func (w *world) engine(id cluster.MachineID) *simulatedEngine {
+	for _, e := range w.engines {
+		if e.id == id && !e.dead {
+			return e
+		}
+	}
+	return nil
+}
+
+// leaseCall carries out a call to the store. Some answers are lost.
+func (w *world) leaseCall(n *simulatedNode, call LeaseCall) {
+	var answer lease.Answer
+	if n.cut || w.storeDown {
+		w.after(900*time.Millisecond, func() {
+			answer.Err = verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "no answer")
+			w.answerLease(n, call, answer)
+		})
+		return
+	}
+	w.store.Expire(w.now)
+	switch call.Call.Operation {
+	case lease.Grant:
+		answer.Lease, answer.TTL = w.store.Grant(w.now, call.Call.TTL), call.Call.TTL
+	case lease.Txn:
+		answer.Txn, answer.Err = w.store.Txn(w.now, call.Call.Txn)
+	case lease.KeepAlive:
+		answer.TTL, answer.Err = w.store.KeepAlive(w.now, call.Call.Lease)
+	case lease.Revoke:
+		answer.Err = w.store.Revoke(w.now, call.Call.Lease)
+	}
+	if answer.Err != nil {
+		answer.Err = verdict.Wrap(answer.Err, verdict.NotRun, verdict.CodeConflict, "refused")
+	}
+	if w.random.IntN(20) == 0 {
+		answer = lease.Answer{Err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer lost")}
+	}
+	w.after(3*time.Millisecond, func() { w.answerLease(n, call, answer) })
+}
+
+func (w *world) answerLease(n *simulatedNode, call LeaseCall, answer lease.Answer) {
+	if call.Awaited {
+		w.step(n, LeaseAnswered{Record: call.Record, Answer: answer})
+	}
+}
+
+// orderArrives carries out an order, or takes it without an answer and carries it
+// out seconds later.
+func (w *world) orderArrives(n *simulatedNode, send SendOrder) {
+	answer := sequence.Answered{Machine: send.Send.Order.Machine, Number: send.Send.Number}
+	reply := func(after time.Duration) {
+		w.after(after, func() { w.step(n, OrderAnswered{Answer: answer, Order: send.Send.Order}) })
+	}
+	if e := w.engine(send.Send.Order.Machine); e != nil {
+		w.checkHolder(n, e, send.Send.Order)
+	}
+	switch w.random.IntN(6) {
+	case 0:
+		w.after(w.between(2*time.Second, 9*time.Second), func() { w.execute(send.Send.Order) })
+		answer.Err = errors.New("no answer")
+		reply(250 * time.Millisecond)
+	case 1:
+		w.execute(send.Send.Order)
+		answer.Err = errors.New("answer lost")
+		reply(250 * time.Millisecond)
+	default:
+		answer.Outcome = w.execute(send.Send.Order)
+		reply(3 * time.Millisecond)
+	}
+}
+
+// execute lets an engine take or refuse an order, and checks what must hold.
+func (w *world) execute(order sequence.Order) sequence.Outcome {
+	e := w.engine(order.Machine)
+	switch {
+	case e == nil:
+		return sequence.OutcomeOtherMachine
+	case w.fenced && order.Token < e.fence:
+		return sequence.OutcomeStale
+	case e.busy, !w.ignoreCount && order.Expected != e.count:
+		return sequence.OutcomeConflict
+	}
+	_, model, adapter := catalog.Split(order.Model)
+	if adapters, held := e.held[model]; order.Kind == cluster.OrderLoad && held && (adapter == "" || slices.Contains(adapters, adapter)) {
+		return sequence.OutcomeHolds
+	}
+	e.fence = max(e.fence, order.Token)
+	e.count++
+	if order.Kind == cluster.OrderLoad {
+		e.loading[model+"/"+adapter] = w.compiled.Snapshot.Model(order.Model).Policy.Memory
+		w.checkRoom(e, order)
+	}
+	e.busy = adapter == ""
+	e.remember(w.now)
+	took := 20 * time.Millisecond
+	if order.Kind == cluster.OrderLoad && adapter == "" {
+		took = w.compiled.Service("s").Model(model).LoadTime
+	}
+	w.after(took, func() { e.finish(w.now, order.Kind, model, adapter) })
+	return sequence.OutcomeTaken
+}
+
+func (e *simulatedEngine) finish(now time.Time, kind cluster.OrderKind, model, adapter string) {
+	delete(e.loading, model+"/"+adapter)
+	switch {
+	case kind == cluster.OrderLoad && adapter == "":
+		e.held[model] = nil
+	case kind == cluster.OrderLoad:
+		if adapters, held := e.held[model]; held && !slices.Contains(adapters, adapter) {
+			e.held[model] = append(adapters, adapter)
+		}
+	case adapter == "":
+		delete(e.held, model)
+	default:
+		e.held[model] = slices.DeleteFunc(e.held[model], func(name string) bool { return name == adapter })
+	}
+	if adapter == "" {
+		e.busy = false
+	}
+	e.remember(now)
+}
+
+// checkRoom checks that an engine is never ordered to hold more than it can.
+func (w *world) checkRoom(e *simulatedEngine, order sequence.Order) {
+	var used int64
+	adapters := 0
+	for model, held := range e.held {
+		used += w.compiled.Service("s").Model(model).Bytes + int64(len(held))
+		adapters += len(held)
+	}
+	for key, bytes := range e.loading {
+		used += bytes
+		if key[len(key)-1] != '/' {
+			adapters++
+		}
+	}
+	if used > engineMemory || adapters > adapterPlaces {
+		w.problem("engine %s holds %d bytes and %d adapters after %s", e.id, used, adapters, order.Model)
+	}
+}
+
+// checkHolder checks that orders to an engine come from one machine at a time.
+func (w *world) checkHolder(from *simulatedNode, e *simulatedEngine, order sequence.Order) {
+	inTouch := !w.fenced || !from.dead && !from.cut && !w.storeDown &&
+		w.now.Sub(from.touched) >= touchTime && w.now.Sub(w.shaken) >= touchTime
+	if e.lastFrom != "" && e.lastFrom != from.machine && inTouch && e.lastIn && w.now.Sub(e.lastAt) < simulatedPause {
+		w.problem("engine %s took orders of %s and %s within %s", e.id, e.lastFrom, from.machine, w.now.Sub(e.lastAt))
+	}
+	if order.Token < e.seen && !w.fenced {
+		w.problem("engine %s was given token %d after %d", e.id, order.Token, e.seen)
+	}
+	e.seen = max(e.seen, order.Token)
+	e.lastFrom, e.lastAt, e.lastIn = from.machine, w.now, inTouch
+}
+
+func (w *world) problem(format string, arguments ...any) {
+	w.problems = append(w.problems, w.now.Format("05.000 ")+fmt.Sprintf(format, arguments...))
+}
+
+// ask sends a request for a random model to a random node, and goes on asking.
+func (w *world) ask(every time.Duration) {
+	alive := slices.DeleteFunc(slices.Clone(w.nodes), func(n *simulatedNode) bool { return n.dead })
+	if len(alive) > 0 {
+		n := alive[w.random.IntN(len(alive))]
+		spec := simulatedModels[w.random.IntN(len(simulatedModels))]
+		id := catalog.ModelID("s", spec.Name)
+		if spec.Adapters > 0 && w.random.IntN(2) == 0 {
+			id = catalog.AdapterID("s", spec.Name, catalog.AdapterName(1+w.random.IntN(spec.Adapters)))
+		}
+		w.requests++
+		w.step(n, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: cluster.RequestID(fmt.Sprintf("r%d", w.requests)), Model: id, TokenPath: "/", Deadline: w.now.Add(15 * time.Second), Attempts: 2,
+		}}})
+	}
+	w.after(w.between(every/2, every*3/2), func() { w.ask(every) })
+}
+
+// trouble causes one fault after the other.
+func (w *world) trouble() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	switch w.random.IntN(5) {
+	case 0:
+		w.kill(n)
+	case 1:
+		for _, holder := range w.nodes {
+			if holder.core.Holding() {
+				w.kill(holder)
+				break
+			}
+		}
+	case 2:
+		if !n.dead && !n.cut {
+			n.cut = true
+			w.after(w.between(time.Second, 6*time.Second), func() { n.cut, n.touched = false, w.now })
+		}
+	case 3:
+		if !w.storeDown {
+			w.storeDown = true
+			w.after(w.between(time.Second, 5*time.Second), func() { w.storeDown, w.shaken = false, w.now })
+		}
+	case 4:
+		e := w.engines[w.random.IntN(len(w.engines))]
+		if !e.dead {
+			e.dead = true
+			w.after(time.Second, w.startEngine)
+		}
+	}
+	w.after(w.between(500*time.Millisecond, 5*time.Second), w.trouble)
+}
+
+func (w *world) kill(n *simulatedNode) {
+	if n.dead {
+		return
+	}
+	n.dead = true
+	w.after(w.between(200*time.Millisecond, 4*time.Second), func() { w.startNode(n.machine, false) })
+}
--- a/keyvalue/lease/lease.go
+++ b/keyvalue/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease acquires, renews and releases one record in the key-value
 // service that exists only while its lease lives. The revision at which the
-// record was created is the holder's fencing token. The package is a pure state
+// holder wrote the record is its fencing token. The package is a pure state
 // machine: its owner makes the calls and hands the answers back.
 package lease
 
@@ -84,6 +84,9 @@
 	ttl   time.Duration
 	// beside is written with the record, under a condition of its own.
 	beside *Beside
+	// replaces is the token of a record that the own one takes the place of, zero
+	// when there must be none.
+	replaces cluster.FencingToken
 
 	state State
 	lease int64
@@ -116,6 +119,10 @@
 // WriteBeside has the next write of the record write a pair as well.
 func (c *Client) WriteBeside(beside Beside) { c.beside = &beside }
 
+// Replace has the next write take the place of the record with a token, of an
+// earlier start of the same holder. Nobody sees the record absent in between.
+func (c *Client) Replace(token cluster.FencingToken) { c.replaces = token }
+
 // Holding reports whether the record is the client's own, as far as it knows.
 func (c *Client) Holding() bool { return c.state == Held || c.state == Renewing }
 
@@ -154,7 +161,7 @@
 func (c *Client) write() {
 	c.state = Writing
 	transaction := keyvalue.Transaction{
-		Compares:   []keyvalue.Compare{{Key: c.key}},
+		Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: int64(c.replaces)}},
 		Operations: []keyvalue.Operation{{Key: c.key, Value: c.value, Lease: c.lease}},
 		Reads:      []string{c.key},
 	}
@@ -235,16 +242,17 @@
 			continue
 		}
 		if string(found.Value) == string(c.value) && found.Lease == c.lease {
-			return c.won(cluster.FencingToken(found.CreateRevision))
+			return c.won(cluster.FencingToken(found.ModRevision))
 		}
-		c.holder, c.holderToken = found.Value, cluster.FencingToken(found.CreateRevision)
+		c.holder, c.holderToken = found.Value, cluster.FencingToken(found.ModRevision)
 	}
+	c.replaces = 0
 	c.Reset()
 	return Taken
 }
 
 func (c *Client) won(token cluster.FencingToken) Outcome {
-	c.state, c.token = Held, token
+	c.state, c.token, c.replaces = Held, token, 0
 	return Won
 }
 
