Let what an engine holds tell whose order it took

Change: an order without an answer stays open while the engine is busy; then what it holds settles it. A first report is asked for once, not with every plan.

--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -252,3 +252,34 @@
 		t.Fatal("what the report lacks is kept")
 	}
 }
+
+// TestContentTellsWhoseOrderItWas: after a lost answer the count alone doesn't say
+// whether the own order was taken; what the engine holds does.
+func TestContentTellsWhoseOrderItWas(t *testing.T) {
+	for name, test := range map[string]struct {
+		held []catalog.HeldModel
+		want bool
+	}{
+		"own":     {[]catalog.HeldModel{{Name: "base"}}, true},
+		"another": {[]catalog.HeldModel{{Name: "other"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, catalog.Report{OrderCount: 8})
+			send := w.order(cluster.OrderLoad, baseModel, false)
+			w.step(Answered{Machine: testMachine, Number: send.Number, Err: errors.New("no answer")})
+			w.pass(time.Second)
+			again := sent(w.step(Tick{}))
+			w.step(Answered{Machine: testMachine, Number: again.Number, Outcome: OutcomeConflict})
+			w.pass(time.Second)
+			w.report(catalog.Report{OrderCount: 9, Busy: true})
+			if other := w.order(cluster.OrderLoad, otherModel, false); other != nil {
+				t.Fatalf("ordered %+v while it is open what the engine does", other)
+			}
+			w.pass(5 * time.Second)
+			w.report(catalog.Report{OrderCount: 9, Held: test.held})
+			if state, held := w.states()[baseModel]; held != test.want || held && state != cluster.ReplicaLoaded {
+				t.Fatalf("states %v, want the own model held: %t", w.states(), test.want)
+			}
+		})
+	}
+}
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -18,8 +18,10 @@
 		return
 	}
 	if !m.counted {
-		m.reportDue = l.now
-		l.poll(wanted.Machine, m)
+		if m.reportDue.IsZero() && !m.asked {
+			m.reportDue = l.now
+			l.poll(wanted.Machine, m)
+		}
 		return
 	}
 	known := m.replicas[wanted.Model]
@@ -163,13 +165,19 @@
 	if read.Report.Busy && !m.explains(&read.Report) {
 		// A load that this ledger knows nothing of takes memory that no report
 		// shows: the machine counts as full until it is done.
-		l.settlePending(read.Machine, m, &read.Report)
+		if m.pending != nil {
+			l.undo(read.Machine, m, &m.pending.order)
+		}
 		m.counted, m.full, m.pending, m.conflicting = false, true, nil, false
 		m.reportDue = l.now.Add(pollInterval)
 		return
 	}
 	fresh := !m.counted || l.now.Sub(m.ordered) >= reportLag
-	l.settlePending(read.Machine, m, &read.Report)
+	if !l.settlePending(read.Machine, m, &read.Report) {
+		m.conflicting = true
+		m.reportDue = l.now.Add(pollInterval)
+		return
+	}
 	if read.Report.OrderCount > m.count {
 		// Orders were carried out that no answer told of.
 		m.ordered, fresh = l.now, !m.counted
@@ -201,27 +209,33 @@
 	return report.OrderCount <= known
 }
 
-// settlePending settles an order that met a conflict or has no answer. Once the
-// count has passed the order's, it was carried out or never will be: never, if
-// every sending was answered, since then another holder's took its place.
-func (l *Ledger) settlePending(id cluster.MachineID, m *machine, report *catalog.Report) {
+// settlePending settles an order that met a conflict or has no answer, and reports
+// whether it is settled. Once the count has passed the order's, it was carried out
+// or another holder's was in its place: what the engine holds when it is done
+// tells which.
+func (l *Ledger) settlePending(id cluster.MachineID, m *machine, report *catalog.Report) bool {
 	pending := m.pending
 	if pending == nil || pending.waiting {
-		return
+		return true
 	}
-	if report.OrderCount > pending.expected {
-		m.pending = nil
-		if pending.failures == 0 {
-			l.undo(id, m, &pending.order)
-		} else if known := m.replicas[pending.order.Model]; known != nil {
-			known.unknown, known.since = false, l.now
+	if report.OrderCount <= pending.expected {
+		pending.resendAt = l.now
+		if report.Busy {
+			pending.resendAt = l.now.Add(pollInterval)
 		}
-		return
+		return true
 	}
-	pending.resendAt = l.now
 	if report.Busy {
-		pending.resendAt = l.now.Add(pollInterval)
+		return false
 	}
+	m.pending = nil
+	held := reportedIDs(m.worker.Service, report)[pending.order.Model]
+	state := cluster.ReplicaAbsent
+	if held {
+		state = cluster.ReplicaLoaded
+	}
+	l.change(id, m, pending.order.Model, state)
+	return true
 }
 
 // tiers returns from where the engine would load its models.
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -459,7 +459,9 @@
 	case adapter == "":
 		delete(e.held, model)
 	default:
-		e.held[model] = slices.DeleteFunc(e.held[model], func(name string) bool { return name == adapter })
+		if adapters, held := e.held[model]; held {
+			e.held[model] = slices.DeleteFunc(slices.Clone(adapters), func(name string) bool { return name == adapter })
+		}
 	}
 	if adapter == "" {
 		e.busy = false
