--- a/cmd/valveslip/check.go
+++ b/cmd/valveslip/check.go
@@ -4,28 +4,35 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/valveslip/valveslip/node"
+	"github.com/valveslip/valveslip/platform"
 )
 
 // checkCommand validates a node's configuration and does nothing else.
 func checkCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("valveslip check", flag.ContinueOnError)
 	read := configFlags(flags)
+	platformSettings := flags.String("platform-settings", "", "check the settings file of a node on the users' platform instead")
+	deploy := flags.String("deploy", "", "check a deploy file of the users' platform instead")
 	return &ffcli.Command{
 		Name:       "check",
-		ShortUsage: "valveslip check --config FILE [flags] | valveslip check takeover [flags]",
-		ShortHelp:  "check a node's configuration, or explore the control protocols",
+		ShortUsage: "valveslip check --config FILE [flags] | valveslip check [--platform-settings FILE] [--deploy FILE] | valveslip check takeover [flags]",
+		ShortHelp:  "check a node's configuration or a deploy file, or explore the control protocols",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(node.EnvironmentPrefix)},
 		Subcommands: []*ffcli.Command{
 			checkTakeoverCommand(os.Stdout),
 		},
 		Exec: func(context.Context, []string) error {
+			if *platformSettings != "" || *deploy != "" {
+				return checkPlatformFiles(os.Stdout, *platformSettings, *deploy)
+			}
 			config, err := read()
 			if err != nil {
 				return &exitError{code: exitInvalid, err: err}
@@ -58,3 +65,23 @@
 		return node.LoadConfig(*file, overrides)
 	}
 }
+
+// checkPlatformFiles checks files of the users' platform; an empty name leaves one
+// out.
+func checkPlatformFiles(output io.Writer, settingsFile, deployFile string) error {
+	if settingsFile != "" {
+		settings, err := platform.ReadSettings(settingsFile)
+		if err != nil {
+			return &exitError{code: exitInvalid, err: err}
+		}
+		fmt.Fprintf(output, "node=%s zone=%s callers=%s store=%s: valid\n", settings.NodeName, settings.Zone, settings.Listen.Callers, settings.Store.Address)
+	}
+	if deployFile != "" {
+		deploy, err := platform.ReadDeploy(deployFile)
+		if err != nil {
+			return &exitError{code: exitInvalid, err: err}
+		}
+		fmt.Fprintf(output, "%s: %d roles: valid\n", deployFile, len(deploy.Roles))
+	}
+	return nil
+}
--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -18,7 +18,7 @@
 // run parses arguments, executes one subcommand and returns the exit code.
 func run(arguments []string) int {
 	root := rootCommand()
-	err := root.ParseAndRun(context.Background(), arguments)
+	err := root.ParseAndRun(context.Background(), flagsFirst(root, arguments))
 	switch {
 	case err == nil:
 		return exitOK
