Serve what ends in time during a planned stop, and send the rest on at once

Change: from 2.85 s into a stop only requests that may last beyond the grace time are refused; callers are told to come back after 50 ms. TestStoppingNodeTakesWhatEndsInTime covers both.

--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -40,6 +40,9 @@
 	platformFailurePenalty  = 800 * time.Millisecond
 	platformMaxBackOff      = 1500 * time.Millisecond
 	platformPrefixBlockTime = 8 * time.Millisecond
+	// platformDrainRetry is when callers of a stopping node should come back:
+	// another node takes them at once.
+	platformDrainRetry = 50 * time.Millisecond
 	// platformSubset is how many machines of a distance a node prefers.
 	platformSubset = 4
 	// platformTargetLoad is the share of an engine's slots that one replica
@@ -117,7 +120,7 @@
 			RetryWindow: platform.Seconds(settings.Bounds.RetryWindowSeconds),
 			RetryExtra:  settings.Bounds.RetryExtra * retryShare, FailurePenalty: platformFailurePenalty,
 			MaxBackOff: platformMaxBackOff, RegionPenalty: platformRegionPenalty, PrefixBlockTime: platformPrefixBlockTime,
-			Subset: platformSubset,
+			Subset: platformSubset, DrainRetryAfter: platformDrainRetry,
 		},
 	}
 	core.Placement.TargetLoad, core.Placement.SaturatedLoad = platformTargetLoad, platformSaturatedLoad
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -63,6 +63,9 @@
 	isReady   atomic.Bool
 	stopping  atomic.Bool
 	closing   atomic.Bool
+	// admitsUntil is the last deadline that is taken during a planned stop, in
+	// nanoseconds since the start; zero for any.
+	admitsUntil atomic.Int64
 	// resync has the store read again, rewatch its watch begun again.
 	resync, rewatch chan struct{}
 	pathBroken      atomic.Bool
@@ -113,7 +116,7 @@
 	n.options.Core.Self.Address = transport.Address()
 	handler := passthrough.NewHandler(passthrough.Config{
 		Catalog: n.compiled.Load, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
-		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID, Closing: n.closing.Load,
+		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID, Closing: n.closing.Load, Admits: n.admits,
 	})
 	if n.callers, err = n.serve(&n.options.CallersAddress, handler); err != nil {
 		return errors.Join(eris.Wrap(err, "callers' listener"), transport.Close(n.context))
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -15,12 +15,15 @@
 	// leave the connection. Idle connections are not closed: the server could
 	// close one on which a request has just been read.
 	unnoticedTime = 2300 * time.Millisecond
-	// admissionTime is until when requests are admitted: what is sent within 3 s
-	// of the stop's beginning may be cut at the end of the grace time.
+	// admissionTime is until when all requests are admitted: what is sent within
+	// 3 s of the stop's beginning may be cut at the end of the grace time. After
+	// it only those are that must have ended by then.
 	admissionTime = 2850 * time.Millisecond
 	// lingerTime is until when the listener stays open, so that callers who come
 	// late get a refusal and not a broken connection.
 	lingerTime = 4500 * time.Millisecond
+	// flushTime before the end what still waits is refused.
+	flushTime = time.Second
 	// stopMargin is left of the grace time when the process ends.
 	stopMargin = 350 * time.Millisecond
 	// drainPoll spaces looks at what is in flight.
@@ -30,8 +33,8 @@
 )
 
 // Stop ends the node as planned: it says that it is not ready and goes on until
-// callers have noticed, then has them leave their connections, then refuses new
-// requests as not run, and ends once what is in flight has ended or the grace
+// callers have noticed, then has them leave their connections, then refuses those
+// new requests as not run that may last beyond the grace time, and ends once what is in flight has ended or the grace
 // time is nearly over.
 func (n *Node) Stop() {
 	n.stopOnce.Do(n.stop)
@@ -45,11 +48,17 @@
 	n.step(fleet.ResignStarted{})
 	time.Sleep(unnoticedTime)
 	n.closing.Store(true)
-	time.Sleep(time.Until(began.Add(admissionTime)))
-	n.step(fleet.DrainStarted{})
 	last := began.Add(n.options.Grace - stopMargin)
+	time.Sleep(time.Until(began.Add(admissionTime)))
+	n.admitsUntil.Store(int64(last.Sub(n.began)))
+	flushed := false
 	for time.Now().Before(last) {
-		if n.inFlight() == 0 && time.Since(began) >= lingerTime {
+		idle := n.inFlight() == 0 && time.Since(began) >= lingerTime
+		if !flushed && (idle || time.Until(last) < flushTime) {
+			flushed = true
+			n.step(fleet.DrainStarted{})
+		}
+		if flushed && n.inFlight() == 0 {
 			break
 		}
 		time.Sleep(drainPoll)
@@ -58,6 +67,12 @@
 	n.close()
 }
 
+// admits reports whether a request that must have ended by the deadline is taken.
+func (n *Node) admits(deadline time.Time) bool {
+	until := n.admitsUntil.Load()
+	return until == 0 || deadline.Sub(n.began) <= time.Duration(until)
+}
+
 // Kill ends the node at once, like the death of its process.
 func (n *Node) Kill() {
 	n.stopOnce.Do(n.close)
--- a/fleet/shell/traps_test.go
+++ b/fleet/shell/traps_test.go
@@ -231,3 +231,25 @@
 	}
 	<-stopped
 }
+
+// TestStoppingNodeTakesWhatEndsInTime: late in a planned stop a request that may
+// last beyond it is refused as not run, one that must end before is served.
+func TestStoppingNodeTakesWhatEndsInTime(t *testing.T) {
+	d := newDeployment(t)
+	d.addWorker("p1", plainService, nil)
+	node := d.startNode("n1")
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		node.Stop()
+	}()
+	d.eventually("a long request is refused and told to come back", func() bool {
+		got := d.call(node, http.MethodPost, "/write/", "b", func(h http.Header) { h.Set(platform.HeaderDeadline, "7900") })
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+	})
+	short := func(h http.Header) { h.Set(platform.HeaderDeadline, "700") }
+	if got := d.call(node, http.MethodPost, "/write/", "b", short); got.status != http.StatusOK {
+		t.Fatalf("answer %+v to a request that ends in time", got)
+	}
+	<-stopped
+}
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -54,6 +54,9 @@
 	// Closing reports whether callers are to leave their connections; nil means
 	// that they never are.
 	Closing func() bool
+	// Admits reports whether a request that must have ended by the deadline is
+	// still taken; nil takes all.
+	Admits func(deadline time.Time) bool
 	// NewID makes an identifier for a request without one.
 	NewID func() cluster.RequestID
 }
@@ -93,6 +96,11 @@
 		Request: current.id, Route: route.Name, Version: compiled.Version, Work: current.work,
 		Left: current.deadline.Sub(arrived), Attempts: route.Attempts,
 	})
+	if h.Admits != nil && !h.Admits(current.deadline) {
+		failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining, "this node is stopping; another one takes the request")
+		current.end(failure.After(minRetryAfter), routing.Explanation{})
+		return
+	}
 	current.run()
 }
 
