Send what waits once an entry names the loaded model

Ruled out: the load itself (4.3 s from the store) and the queue.

Change: an entry that newly names a replica ends the note that it is loading. TestEntryEndsALoadThatNobodyReported failed first.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -76,10 +76,35 @@
 		Machine: worker.ID, Service: worker.Service, Address: worker.Address, Draining: worker.Draining,
 		Held: len(worker.Held), Revision: revision,
 	})
+	v.dropAnswered(&before, worker)
 	v.tell(known)
 	return true
 }
 
+// dropAnswered drops notes on replicas that an entry newly names: the load that the
+// holder told of is done, though it, or its successor, has not said so.
+func (v *machineView) dropAnswered(before, now *catalog.Worker) {
+	earlier := heldBy(before)
+	for id := range heldBy(now) {
+		key := noteKey{machine: now.ID, model: id}
+		if said, noted := v.notes[key]; noted && !earlier[id] && said.state == cluster.ReplicaLoading {
+			delete(v.notes, key)
+		}
+	}
+}
+
+// heldBy lists what an entry names.
+func heldBy(worker *catalog.Worker) map[cluster.ModelID]bool {
+	held := make(map[cluster.ModelID]bool)
+	for _, model := range worker.Held {
+		held[catalog.ModelID(worker.Service, model.Name)] = true
+		for _, adapter := range model.Adapters {
+			held[catalog.AdapterID(worker.Service, model.Name, adapter)] = true
+		}
+	}
+	return held
+}
+
 func equalHeld(a, b []catalog.HeldModel) bool {
 	return slices.EqualFunc(a, b, func(x, y catalog.HeldModel) bool {
 		return x.Name == y.Name && slices.Equal(x.Adapters, y.Adapters)
--- /dev/null
+++ b/fleet/view_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// TestEntryEndsALoadThatNobodyReported: when the holder of the lease changes while a
+// model is loaded, the entry that names it has the waiting request sent, though the
+// holder's word was that it is loading.
+func TestEntryEndsALoadThatNobodyReported(t *testing.T) {
+	simulation := newSimulation(1, 1, 0)
+	core := simulation.nodes[0].core
+	now := simulation.now
+	entry := catalog.Worker{ID: "e", Service: "s", Address: "e:1", Zone: "z", Slots: 8}
+	core.Step(now, WorkersRead{Workers: []catalog.Worker{entry}, Full: true})
+	core.Step(now, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+		ID: "r", Model: "s/c", TokenPath: "/", Deadline: now.Add(time.Minute), Attempts: 1,
+	}}})
+	core.Step(now, MessageReceived{Message: wire.CellStatus{Replicas: []wire.ReplicaRecord{
+		{Machine: "e", Model: "s/c", State: cluster.ReplicaLoading, ReadyIn: 3 * time.Second},
+	}}})
+	entry.Held = []catalog.HeldModel{{Name: "c"}}
+	effects := core.Step(now.Add(3*time.Second), WorkersRead{Workers: []catalog.Worker{entry}})
+	for _, effect := range effects {
+		if output, ok := effect.(RoutingOutput); ok {
+			if dispatch, ok := output.Effect.(routing.Dispatch); ok && dispatch.Machine == "e" {
+				return
+			}
+		}
+	}
+	t.Fatalf("effects %v, want the request to be sent", effects)
+}
