Let a machine go on at once only if it had begun to give orders

Its record said that it held the lease last, not that the pause was over. A lost write could likewise make its own record pass for an earlier one.

Change: the record of the last holder says whether it gave orders; it is written again when the term begins. What was read before the first try at the lease decides about the pause.

--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -10,6 +10,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/demand"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/wire"
@@ -166,11 +167,22 @@
 		return
 	}
 	c.retryAt = now.Add(c.core.config.HolderTTL / renewalsPerHold)
-	c.succeeds = c.own(c.last) || c.core.config.FirstStart && c.lastRevision == 0
-	c.lease.WriteBeside(lease.Beside{Key: KeyLast, Value: c.core.config.Self.Encode(), Revision: c.lastRevision})
+	if c.lease.Lease() == 0 {
+		// A write whose answer was lost may have put this machine on record already:
+		// what was read before the first try decides.
+		c.succeeds = c.own(c.last) && c.last.Acting || c.core.config.FirstStart && c.lastRevision == 0
+	}
+	c.lease.WriteBeside(lease.Beside{Key: KeyLast, Value: c.lastEntry(c.succeeds), Revision: c.lastRevision})
 	c.lease.Acquire()
 }
 
+// lastEntry is the record of this machine as the last holder.
+func (c *cell) lastEntry(acting bool) []byte {
+	entry := c.core.config.Self
+	entry.Acting = acting
+	return entry.Encode()
+}
+
 // turn is when this node may try to take the vacant lease: at once on the machine
 // that gave orders last, since it need not wait for its own, else by rank.
 func (c *cell) turn() time.Time {
@@ -221,6 +233,12 @@
 // beginTerm starts giving orders.
 func (c *cell) beginTerm() {
 	c.began = true
+	if !c.succeeds {
+		c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
+			Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: int64(c.lease.Token())}},
+			Operations: []keyvalue.Operation{{Key: KeyLast, Value: c.lastEntry(true)}},
+		}}})
+	}
 	c.planner = placement.NewPlanner(c.plannerConfig())
 	c.ledgerStep(sequence.TermBegan{Holder: c.core.config.Self.ID, Token: c.lease.Token()})
 	c.news = true
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -23,6 +23,9 @@
 	ID cluster.NodeID `json:"id"`
 	// Machine that the node runs on; it stays the same when the node starts anew.
 	Machine string `json:"machine"`
+	// Acting is set in the record of the last holder once it gives orders, having
+	// waited out the pause after another machine.
+	Acting bool `json:"acting,omitempty"`
 	// Address, host:port, takes messages of other nodes.
 	Address string `json:"address"`
 }
