--- a/cmd/valveslip/demo.go
+++ b/cmd/valveslip/demo.go
@@ -26,12 +26,16 @@
 	once := flags.Bool("once", false, "send a bounded mixed load, print a table and exit; non-zero when a promise broke")
 	rolling := flags.Bool("rolling-restart", false, "restart every node under load, print a table and exit; non-zero when a promise broke")
 	addressesFile := flags.String("addresses-file", "", "write the addresses as JSON to this file when ready")
+	onPlatform := flags.Bool("platform", false, "run nodes on the users' platform's dialect, against stand-ins of it")
 	verbose := flags.Bool("verbose", false, "log every event to standard error")
 	return &ffcli.Command{
 		Name: "demo", ShortUsage: "valveslip demo [flags]",
 		ShortHelp: "run a whole deployment over loopback: platform stand-ins, engines and nodes in three zones",
 		FlagSet:   flags, Options: []ff.Option{ff.WithEnvVarPrefix("VALVESLIP_DEMO")},
 		Exec: func(ctx context.Context, _ []string) error {
+			if *onPlatform {
+				return runPlatformDemo(ctx, os.Stdout, *once, *verbose)
+			}
 			return runDemo(ctx, *once, *rolling, *addressesFile, *verbose)
 		},
 	}
