--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -320,17 +319,6 @@
 	return next
 }
 
-// planDue returns when the next plan is.
-func (c *cell) planDue() time.Time {
-	switch {
-	case c.news || c.demand.Changed():
-		return c.planned.Add(planSpacing + time.Duration(c.ledger.Count())*planPerMachine)
-	case c.demand.Waiting():
-		return c.planned.Add(waitingPlan)
-	}
-	return c.planned.Add(planInterval)
-}
-
 // demandReceived takes a node's demand.
 func (c *cell) demandReceived(received wire.Demand) {
 	if c.ledger.Holding() {
@@ -338,19 +326,6 @@
 	}
 }
 
-// configurationChanged makes the allotment anew: models may be held anywhere.
-func (c *cell) configurationChanged() {
-	allotment := &cluster.Allotment{}
-	for _, model := range c.core.compiled.Snapshot.Models {
-		allotment.Models = append(allotment.Models, cluster.ModelAllotment{Model: model.ID, MaxReplicas: math.MaxInt32})
-	}
-	c.allotment = allotment
-	for _, known := range c.core.view.sorted() {
-		c.machineSeen(&known.worker)
-	}
-	c.news = true
-}
-
 // machineSeen hands a machine's entry to the ledger if it runs an engine.
 func (c *cell) machineSeen(worker *catalog.Worker) {
 	service := c.core.compiled.Service(worker.Service)
@@ -363,138 +338,6 @@
 	c.news = true
 }
 
-// plannerConfig tunes the planner by the engines there are.
-func (c *cell) plannerConfig() placement.Config {
-	config := c.core.config.Placement
-	config.RetainIdle, config.EvictForLoad = true, true
-	config.UnloadDropsAdapters, config.AdaptersUnlimited = true, true
-	config.SealGrace = sealGrace
-	for tier := range config.BytesPerSecond {
-		if rate := c.loadRate(cluster.Tier(tier)); rate > 0 {
-			config.BytesPerSecond[tier] = rate
-		}
-	}
-	return config
-}
-
-// loadRate is the mean of bytes a second that models are loaded with from a tier.
-func (c *cell) loadRate(tier cluster.Tier) float64 {
-	var bytes, seconds float64
-	for i := range c.core.compiled.Services {
-		engine := c.core.compiled.Services[i].Engine
-		if engine == nil {
-			continue
-		}
-		for k := range engine.Models {
-			bytes += float64(engine.Models[k].Bytes)
-			seconds += loadTime(&engine.Models[k], tier).Seconds()
-		}
-	}
-	if seconds == 0 {
-		return 0
-	}
-	return bytes / seconds
-}
-
-// loadTime is the stated time of a load from a tier.
-func loadTime(spec *catalog.ModelSpec, tier cluster.Tier) time.Duration {
-	switch {
-	case tier == cluster.TierMemory && spec.MemoryTime > 0:
-		return spec.MemoryTime
-	case tier == cluster.TierDisk && spec.DiskTime > 0:
-		return spec.DiskTime
-	}
-	return spec.LoadTime
-}
-
-// size is what a model takes on an engine.
-func (c *cell) size(id cluster.ModelID) int64 {
-	if model := c.core.compiled.Snapshot.Model(id); model != nil {
-		return model.Policy.Memory
-	}
-	return 0
-}
-
-// storeState is what may be loaded from the weight store.
-func (c *cell) storeState() placement.StoreState {
-	state := placement.StoreState{Speed: 1}
-	for i := range c.core.compiled.Services {
-		if engine := c.core.compiled.Services[i].Engine; engine != nil && engine.LoadsPerSecond > state.StartsPerSecond {
-			state.StartsPerSecond = engine.LoadsPerSecond
-		}
-	}
-	state.Concurrency = max(int(math.Ceil(state.StartsPerSecond*concurrentLoads)), 1)
-	return state
-}
-
-// plan plans and gives the orders that can be given.
-func (c *cell) plan() {
-	now := c.core.now
-	if now.Before(c.planDue()) {
-		return
-	}
-	c.planned, c.news = now, false
-	wanted := c.demand.Sum(now)
-	plan := c.planner.Plan(placement.State{
-		Now: now, Token: c.ledger.Token(), Settings: c.core.compiled.Snapshot, Allotment: c.allotment,
-		Machines: c.ledger.Machines(c.size), Demand: wanted, Store: c.storeState(),
-	})
-	ordered := make(map[cluster.ModelID]bool, len(plan.Actions))
-	for i := range plan.Actions {
-		ordered[plan.Actions[i].Model] = true
-		c.give(&plan.Actions[i])
-	}
-	c.explainDelays(&plan, wanted, ordered)
-}
-
-// explainDelays logs why models that requests wait for get no order, once for
-// each cause.
-func (c *cell) explainDelays(plan *placement.Plan, wanted map[cluster.ModelID]placement.Demand, ordered map[cluster.ModelID]bool) {
-	delayed := make(map[cluster.ModelID]placement.Cause)
-	for i := range plan.Decisions {
-		decision := &plan.Decisions[i]
-		waiting := wanted[decision.Model].Waiting
-		if waiting == 0 || ordered[decision.Model] {
-			continue
-		}
-		delayed[decision.Model] = decision.Reason.Cause
-		if c.delayed[decision.Model] != decision.Reason.Cause {
-			c.core.log(eventlog.LoadDelayed{
-				Work: decision.Model, Cause: string(decision.Reason.Cause), Waiting: waiting,
-				Wanted: decision.Wanted, Held: decision.Held, Loaded: decision.Loaded,
-			})
-		}
-	}
-	c.delayed = delayed
-}
-
-// give asks the ledger to give an order.
-func (c *cell) give(action *placement.Action) {
-	_, _, adapter := catalog.Split(action.Model)
-	c.ledgerStep(sequence.Ordered{
-		Machine: action.Machine, Kind: action.Kind, Model: action.Model, Bytes: action.Bytes,
-		Adapter: adapter != "", ExpectedTime: c.expectedTime(action),
-	}, func(order sequence.Order) {
-		c.core.log(eventlog.OrderPlanned{
-			Machine: action.Machine, Order: action.Kind.String(), Work: action.Model, Cause: string(action.Reason.Cause),
-			Waiting: action.Reason.Waiting, Tier: action.Tier.String(), Expected: c.expectedTime(action), Count: order.Expected,
-		})
-	})
-}
-
-// expectedTime is the stated time of a load.
-func (c *cell) expectedTime(action *placement.Action) time.Duration {
-	service, name, adapter := catalog.Split(action.Model)
-	if adapter != "" {
-		return adapterTime
-	}
-	spec := c.core.compiled.Service(service).Model(name)
-	if spec == nil {
-		return action.ExpectedTime
-	}
-	return loadTime(spec, action.Tier)
-}
-
 // orderAnswered takes the answer to an order.
 func (c *cell) orderAnswered(answered OrderAnswered) {
 	outcome := answered.Answer.Outcome.String()
--- a/fleet/shell/harness_test.go
+++ b/fleet/shell/harness_test.go
@@ -40,7 +40,6 @@
 	server  *standin.Server
 	workers map[string]*standin.Server
 	numbers atomic.Int64
-	log     strings.Builder
 }
 
 // newDeployment starts a store that holds the configuration.
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -46,7 +46,7 @@
 
 	mutex   sync.Mutex
 	core    *fleet.Core
-	tickets map[cluster.RequestID]*relay.Ticket
+	tickets relay.Tickets
 	timer   *time.Timer
 	// wakeAt is when the timer is set to fire, in the core's time.
 	wakeAt time.Time
@@ -84,7 +84,7 @@
 	now := time.Now()
 	n := &Node{
 		options: options, began: now, epoch: now.Round(0),
-		tickets: make(map[cluster.RequestID]*relay.Ticket), pool: upstream.NewPool(options.Upstream),
+		tickets: make(relay.Tickets), pool: upstream.NewPool(options.Upstream),
 		registry: prometheus.NewRegistry(), resync: make(chan struct{}, 1), rewatch: make(chan struct{}, 1),
 		failed: make(chan error, 3), stopped: make(chan struct{}),
 	}
@@ -245,7 +245,7 @@
 func (n *Node) begin(effect fleet.Effect) {
 	switch effect := effect.(type) {
 	case fleet.RoutingOutput:
-		n.deliver(effect.Effect)
+		n.tickets.Deliver(effect.Effect)
 	case fleet.SendMessage:
 		n.transport.Send(effect.Address, effect.Message)
 	case fleet.LeaseCall:
@@ -259,25 +259,6 @@
 	}
 }
 
-// deliver hands a routing effect to the request it belongs to.
-func (n *Node) deliver(effect routing.Effect) {
-	var id cluster.RequestID
-	switch effect := effect.(type) {
-	case routing.Dispatch:
-		id = effect.Request
-	case routing.CancelAttempt:
-		id = effect.Request
-	case routing.Finish:
-		id = effect.Request
-		defer delete(n.tickets, id)
-	default:
-		return
-	}
-	if ticket, known := n.tickets[id]; known {
-		ticket.Deliver(effect)
-	}
-}
-
 // Submit implements relay.Decider.
 func (n *Node) Submit(request routing.Request) *relay.Ticket {
 	ticket := relay.NewTicket(nil)
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -47,7 +47,7 @@
 
 	mutex   sync.Mutex
 	core    Stepper
-	tickets map[cluster.RequestID]*relay.Ticket
+	tickets relay.Tickets
 	journal *decisions.Journal
 	backend *inspection.Backend
 	keys    *keyed.Runner
@@ -86,7 +86,7 @@
 func Start(ctx context.Context, config node.Config, options Options) (*Node, error) {
 	n := &Node{
 		config: config, options: options.withDefaults(config), began: time.Now(),
-		tickets:      make(map[cluster.RequestID]*relay.Ticket),
+		tickets:      make(relay.Tickets),
 		journal:      decisions.New(decisions.Config{}),
 		keyValuePool: newPool(keyValueWorkers, keyValueQueue),
 		enginePool:   newPool(engineWorkers, engineQueue),
--- a/node/shell/step.go
+++ b/node/shell/step.go
@@ -36,7 +36,7 @@
 func (n *Node) begin(now time.Time, effect node.Effect) {
 	switch effect := effect.(type) {
 	case node.RoutingOutput:
-		n.deliver(effect.Effect)
+		n.tickets.Deliver(effect.Effect)
 	case node.SendMessage:
 		n.transport.Send(effect.Address, effect.Message)
 	case node.KeyValueCall:
@@ -90,25 +90,6 @@
 	return ""
 }
 
-// deliver hands a routing effect to the request it belongs to.
-func (n *Node) deliver(effect routing.Effect) {
-	var id cluster.RequestID
-	switch effect := effect.(type) {
-	case routing.Dispatch:
-		id = effect.Request
-	case routing.CancelAttempt:
-		id = effect.Request
-	case routing.Finish:
-		id = effect.Request
-		defer delete(n.tickets, id)
-	default:
-		return
-	}
-	if ticket, known := n.tickets[id]; known {
-		ticket.Deliver(effect)
-	}
-}
-
 // record keeps what was decided on a request. The request's own goroutine calls
 // it, so that the core need not wait for the journal.
 func (n *Node) record(effect routing.Effect) {
