--- /dev/null
+++ b/fleet/shell/bench_test.go
@@ -0,0 +1,60 @@
+package shell_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/platform"
+)
+
+// BenchmarkRoutedPath compares a small request by way of a node with one straight to
+// the worker, both over loopback and kept connections: p50 and p99 of each, and the
+// time that the node adds.
+func BenchmarkRoutedPath(b *testing.B) {
+	d := newDeployment(b)
+	d.addWorker("p1", plainService, nil)
+	node := d.startNode("n1")
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}
+	send := func(address, id string) time.Duration {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/write/", strings.NewReader("body"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Host = testHost
+		request.Header.Set(platform.HeaderRequestID, id)
+		request.Header.Set(platform.HeaderDeadline, "5000")
+		began := time.Now()
+		response, err := client.Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			b.Fatalf("status %d", response.StatusCode)
+		}
+		return time.Since(began)
+	}
+	direct := d.workers["p1"].Address()
+	var routed, straight []time.Duration
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		straight = append(straight, send(direct, fmt.Sprintf("d%d", n)))
+		routed = append(routed, send(node.Address(), fmt.Sprintf("r%d", n)))
+	}
+	slices.Sort(routed)
+	slices.Sort(straight)
+	at := func(times []time.Duration, share float64) float64 {
+		return float64(times[int(share*float64(len(times)-1))].Microseconds())
+	}
+	b.ReportMetric(at(straight, 0.5), "direct-p50-us")
+	b.ReportMetric(at(straight, 0.99), "direct-p99-us")
+	b.ReportMetric(at(routed, 0.5), "routed-p50-us")
+	b.ReportMetric(at(routed, 0.99), "routed-p99-us")
+	b.ReportMetric(at(routed, 0.5)/at(straight, 0.5), "p50-ratio")
+}
--- a/fleet/shell/harness_test.go
+++ b/fleet/shell/harness_test.go
@@ -35,7 +35,7 @@
 
 // deployment is a store, workers and nodes over loopback.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	store   *metadata.Server
 	server  *standin.Server
 	workers map[string]*standin.Server
@@ -43,7 +43,7 @@
 }
 
 // newDeployment starts a store that holds the configuration.
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t testing.TB) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: metadata.New(1), workers: map[string]*standin.Server{}}
 	server, err := standin.Listen("127.0.0.1:0", d.store)
