--- a/fleet/shell/path_test.go
+++ b/fleet/shell/path_test.go
@@ -300,3 +300,23 @@
 		t.Fatal("a node on another machine gives orders before the pause is over")
 	}
 }
+
+// TestMutedWatch: a watch that hears nothing while changes are made, and is told a
+// revision that is past them, must not go on from there: once the history is
+// forgotten everything is read again.
+func TestMutedWatch(t *testing.T) {
+	d := newDeployment(t)
+	d.addWorker("p1", plainService, nil)
+	node := d.startNode("n1", func(options *shell.Options) {
+		options.Store = platform.NewStoreClient(d.server.Address(), 50*time.Millisecond)
+	})
+	d.store.SetMuted(true)
+	d.configure(2, route("added", "idempotent", plainService, 2, false))
+	calls := d.store.Calls()
+	d.eventually("some watches were answered with nothing", func() bool { return d.store.Calls() > calls+4 })
+	d.store.Forget()
+	d.store.SetMuted(false)
+	d.eventually("the change is in force", func() bool {
+		return d.call(node, http.MethodGet, "/added/", "", nil).status == http.StatusOK
+	})
+}
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -32,6 +32,8 @@
 	handler http.Handler
 	// silent stores take calls and never answer them.
 	silent atomic.Bool
+	// muted stores tell watches of no change, only of the revision.
+	muted atomic.Bool
 	calls  atomic.Int64
 }
 
@@ -62,6 +64,9 @@
 // SetSilent has the store take calls without ever answering them.
 func (s *Server) SetSilent(silent bool) { s.silent.Store(silent) }
 
+// SetMuted has watches hear nothing while changes are made.
+func (s *Server) SetMuted(muted bool) { s.muted.Store(muted) }
+
 // Calls counts the calls made.
 func (s *Server) Calls() int64 { return s.calls.Load() }
 
@@ -146,6 +151,9 @@
 	for {
 		changed := s.Changed()
 		batch := s.events(r.URL.Query().Get("path_prefix"), after)
+		if s.muted.Load() {
+			batch.Compacted, batch.Events, changed = false, nil, nil
+		}
 		if batch.Compacted {
 			answer(w, http.StatusGone, struct{}{})
 			return
