--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -34,7 +34,7 @@
 	silent atomic.Bool
 	// muted stores tell watches of no change, only of the revision.
 	muted atomic.Bool
-	calls  atomic.Int64
+	calls atomic.Int64
 }
 
 // New returns a store that is empty.
