Hold a watch for 1.1 s, since it may be cut without a word

It was given up after its wait of 4 s and a margin of 0.8 s; until then the node had the configuration of before (edge-artun-1 from 16.0 to 21.0 s: watch of after=68 unanswered, then 410, then a full read).

Ruled out: the path to the store (the node's record was renewed throughout), a slow compile (11 ms).

TestWatchIsGivenUpInTime holds both below two seconds. More calls to the store are the price.

--- a/cmd/valveslip/arguments_test.go
+++ b/cmd/valveslip/arguments_test.go
@@ -4,8 +4,20 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/platform"
 )
 
+// TestWatchIsGivenUpInTime: a watch that was cut without a word must be given up
+// before the two seconds are over in which changes have to be in force.
+func TestWatchIsGivenUpInTime(t *testing.T) {
+	const inForce = 2 * time.Second
+	if unnoticed := watchWait + platform.WatchMargin; unnoticed > inForce-250*time.Millisecond {
+		t.Errorf("a cut watch goes unnoticed for %s", unnoticed)
+	}
+}
+
 func TestFlagsMayFollowArguments(t *testing.T) {
 	for given, want := range map[string]string{
 		"experiment run dental --seeds 1":      "experiment run --seeds 1 dental",
--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// watchWait is how long a watch of the store without news is held. That a
-	// connection was cut meanwhile shows in the renewals of the node's record.
-	watchWait = 4 * time.Second
+	// watchWait is how long a watch of the store without news is held. A watch
+	// may be cut without a word, and changes must be in force within two seconds.
+	watchWait = 1100 * time.Millisecond
 	// memoryShare is the part of the machine's memory that the runtime may use.
 	memoryShare = 0.6
 	// collectAt is by how many percent the heap grows between collections.
