Keep the start of loads that were not ordered; count replicas by running requests

The planner charged a start for each planned load, also when the ledger gave no order because the engine had not reported in this term; engines that never report were chosen again and again.

Replicas are now wanted by running requests: 0.4 of the slots and at most 9, saturated at 0.6 and 16.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -28,6 +28,8 @@
 	unloadTime = 25 * time.Millisecond
 	// entryLag is how late a machine's entry usually is at most.
 	entryLag = 3 * time.Second
+	// promptReport is within what time a well engine answers with its report.
+	promptReport = 40 * time.Millisecond
 	// sealRetry spaces the first reports of a term that are not answered.
 	sealRetry = 400 * time.Millisecond
 )
@@ -74,6 +76,9 @@
 	// reportDue is when a report is read, zero for not; asked is set while one is.
 	reportDue time.Time
 	asked     bool
+	askedAt   time.Time
+	// silent is set while the last report that was asked for did not come.
+	silent bool
 	cached    map[cluster.ModelID]cluster.Tier
 	running   int
 	waiting   int
@@ -150,7 +155,7 @@
 		m := l.machines[id]
 		m.counted, m.full, m.pending, m.conflicting, m.busyUntil = false, false, nil, false, time.Time{}
 		m.replicas = map[cluster.ModelID]*replica{}
-		m.asked, m.reportDue = false, time.Time{}
+		m.asked, m.reportDue, m.silent = false, time.Time{}, false
 		l.takeEntry(m)
 	}
 }
@@ -290,7 +295,7 @@
 		m := l.machines[id]
 		machines = append(machines, placement.Machine{
 			ID: id, Rack: string(m.worker.Zone), Pool: m.worker.Service, Sealed: !m.full, Leaving: m.worker.Draining,
-			MemoryBytes: m.memory, Slots: m.worker.Slots, AdapterSlots: m.adapterSlots, Busy: m.blocked(),
+			MemoryBytes: m.memory, Slots: m.worker.Slots, AdapterSlots: m.adapterSlots, Busy: m.blocked(l.now),
 			Replicas: m.slots(size), Cached: m.cached,
 			Load: cluster.LoadReport{Machine: id, Running: m.running, Queued: m.waiting},
 		})
@@ -298,9 +303,11 @@
 	return machines
 }
 
-// blocked reports whether the machine takes no order for a base model now.
-func (m *machine) blocked() bool {
-	return m.pending != nil || m.conflicting || !m.busyUntil.IsZero()
+// blocked reports whether the machine takes no order for a base model now, or
+// leaves the report open that must come before its first order.
+func (m *machine) blocked(now time.Time) bool {
+	unheard := m.silent || !m.counted && m.asked && now.Sub(m.askedAt) > promptReport
+	return unheard || m.pending != nil || m.conflicting || !m.busyUntil.IsZero()
 }
 
 // slots lists the replicas for the planner, sorted by model.
--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -283,3 +283,31 @@
 		})
 	}
 }
+
+// TestSilentEngineIsNotChosen: an engine whose report does not come counts as busy
+// until one does, so that loads go elsewhere.
+func TestSilentEngineIsNotChosen(t *testing.T) {
+	w := &world{t: t, ledger: New(), now: time.Unix(1000, 0)}
+	w.step(MachineSeen{Worker: catalog.Worker{ID: testMachine, Service: "svc", Address: "a:1"}, MemoryBytes: 100})
+	w.step(TermBegan{Holder: "n1", Token: 7})
+	w.pass(time.Second)
+	busy := func() bool {
+		w.step(Tick{})
+		return w.ledger.Machines(func(cluster.ModelID) int64 { return 0 })[0].Busy
+	}
+	if w.order(cluster.OrderLoad, baseModel, false) != nil || busy() {
+		t.Fatal("the report is asked for before the first order, and may still come")
+	}
+	w.pass(100 * time.Millisecond)
+	if !busy() {
+		t.Fatal("an engine that leaves its report open is chosen")
+	}
+	w.step(ReportRead{Machine: testMachine, Err: errors.New("no answer")})
+	if !busy() {
+		t.Fatal("an engine that did not report is chosen")
+	}
+	w.report(catalog.Report{})
+	if busy() {
+		t.Fatal("an engine that has reported is not chosen")
+	}
+}
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -142,7 +142,7 @@
 	if m == nil {
 		return
 	}
-	m.asked = false
+	m.asked, m.silent = false, read.Err != nil
 	if read.Err != nil {
 		m.reportDue = l.now.Add(sealRetry)
 		return
@@ -369,7 +369,7 @@
 	if m.asked || m.reportDue.IsZero() || l.now.Before(m.reportDue) {
 		return
 	}
-	m.asked = true
+	m.asked, m.askedAt = true, l.now
 	l.emit(ReadReport{Machine: id, Address: m.worker.Address})
 }
 
--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -45,11 +45,14 @@
 	platformDrainRetry = 50 * time.Millisecond
 	// platformSubset is how many machines of a distance a node prefers.
 	platformSubset = 4
-	// platformTargetLoad is the share of an engine's slots that one replica
-	// should fill: few, because prompts are read one after the other. From
-	// platformSaturatedLoad on requests hold each other up.
-	platformTargetLoad    = 0.14
-	platformSaturatedLoad = 0.25
+	// platformTargetLoad is the share of an engine's slots that one replica should
+	// fill, and platformTargetRunning how many requests at most: few, because prompts
+	// are read one after the other. From platformSaturatedLoad, or
+	// platformSaturatedRunning, on requests hold each other up.
+	platformTargetLoad       = 0.4
+	platformTargetRunning    = 9
+	platformSaturatedLoad    = 0.6
+	platformSaturatedRunning = 16
 	platformGrowthFactor  = 2
 )
 
@@ -117,7 +120,9 @@
 		},
 		Zone: cluster.ZoneID(settings.Zone), Regions: regions,
 		FirstStart: settings.FirstStart, FencingEnforced: settings.Bounds.FencingEnforced,
-		OrderPause: platform.Milliseconds(settings.Bounds.LeaseMillis),
+		OrderPause:  platform.Milliseconds(settings.Bounds.LeaseMillis),
+		LoadWindow:  platform.Seconds(settings.Bounds.LoadWindowSeconds),
+		LoadOverrun: settings.Bounds.LoadOverrun,
 		Routing: routing.Config{
 			ExpectedRouters: 4, RetryRatio: settings.Bounds.RetryRatio * retryShare,
 			RetryWindow: platform.Seconds(settings.Bounds.RetryWindowSeconds),
@@ -127,6 +132,7 @@
 		},
 	}
 	core.Placement.TargetLoad, core.Placement.SaturatedLoad = platformTargetLoad, platformSaturatedLoad
+	core.Placement.TargetRunning, core.Placement.SaturatedRunning = platformTargetRunning, platformSaturatedRunning
 	core.Placement.GrowthFactor = platformGrowthFactor
 	return shell.Options{
 		Core: core, Seed: seed(), CallersAddress: settings.Listen.Callers, ReadyAddress: settings.Listen.Readiness,
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -191,6 +191,9 @@
 	Wanted  int             `log:"wanted" doc:"replicas that the demand needs"`
 	Held    int             `log:"held" doc:"replicas in any state"`
 	Loaded  int             `log:"loaded" doc:"replicas that are loaded"`
+	Loading int             `log:"store_loads" doc:"loads from the weight store under way or planned"`
+	Limit   int             `log:"store_limit" doc:"how many may be under way"`
+	Starts  float64         `log:"store_starts" doc:"how many may begin now"`
 }
 
 // OrderAnswered is written for each answer to an order, and when there is none.
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -44,6 +44,10 @@
 	// concurrentLoads is how many loads the store bears at full speed for each
 	// load a second that it allows.
 	concurrentLoads = 3.6
+	// burstShare of what a window allows beyond its steady loads may begin at once,
+	// and burstLoads more; the rest is for orders that arrive late.
+	burstShare = 0.6
+	burstLoads = 1.5
 )
 
 // cell is this node's part in deciding what is loaded where: the lease, the
@@ -54,7 +58,7 @@
 	ledger *sequence.Ledger
 	demand *demand.Ledger
 	// planner is made anew for each term.
-	planner placement.Planner
+	planner *placement.AdaptivePlanner
 	// allotment lets the planner hold any number of each model.
 	allotment *cluster.Allotment
 
@@ -238,7 +242,9 @@
 			Operations: []keyvalue.Operation{{Key: KeyLast, Value: c.lastEntry(true)}},
 		}}})
 	}
-	c.planner = placement.NewPlanner(c.plannerConfig())
+	config := c.plannerConfig()
+	config.AssumeStarts = !c.core.config.FirstStart || c.lastRevision != 0
+	c.planner = placement.NewPlanner(config)
 	c.ledgerStep(sequence.TermBegan{Holder: c.core.config.Self.ID, Token: c.lease.Token()})
 	c.news = true
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -28,6 +28,11 @@
 	// FencingEnforced is true when engines refuse orders under a token smaller
 	// than one they have seen. Without it, time alone keeps holders apart.
 	FencingEnforced bool
+	// LoadWindow is the time over which loads from the weight store are counted, and
+	// LoadOverrun how many times the steady loads of a window may begin in it.
+	// Defaults 5 s and 1.1.
+	LoadWindow  time.Duration
+	LoadOverrun float64
 	// HolderTTL is for how long the holder's lease lasts without a renewal.
 	// Default 2 s.
 	HolderTTL time.Duration
@@ -40,6 +45,8 @@
 
 // withDefaults fills zero fields.
 func (c Config) withDefaults() Config {
+	c.LoadWindow = cmp.Or(c.LoadWindow, 5*time.Second)
+	c.LoadOverrun = cmp.Or(c.LoadOverrun, 1.1)
 	c.HolderTTL = cmp.Or(c.HolderTTL, 2*time.Second)
 	c.NodeTTL = cmp.Or(c.NodeTTL, 6*time.Second)
 	c.PauseHold = cmp.Or(c.PauseHold, 300*time.Millisecond)
--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -95,6 +95,8 @@
 			state.StartsPerSecond = engine.LoadsPerSecond
 		}
 	}
+	beyond := state.StartsPerSecond * c.core.config.LoadWindow.Seconds() * (c.core.config.LoadOverrun - 1)
+	state.Burst = max(beyond, 0)*burstShare + burstLoads
 	state.Concurrency = max(int(math.Ceil(state.StartsPerSecond*concurrentLoads)), 1)
 	return state
 }
@@ -134,24 +136,31 @@
 			c.core.log(eventlog.LoadDelayed{
 				Work: decision.Model, Cause: string(decision.Reason.Cause), Waiting: waiting,
 				Wanted: decision.Wanted, Held: decision.Held, Loaded: decision.Loaded,
+				Loading: plan.Store.Loading, Limit: plan.Store.Limit, Starts: plan.Store.Starts,
 			})
 		}
 	}
 	c.delayed = delayed
 }
 
-// give asks the ledger to give an order.
+// give asks the ledger to give an order; it gives none to an engine that has not
+// reported yet.
 func (c *cell) give(action *placement.Action) {
 	_, _, adapter := catalog.Split(action.Model)
+	given := false
 	c.ledgerStep(sequence.Ordered{
 		Machine: action.Machine, Kind: action.Kind, Model: action.Model, Bytes: action.Bytes,
 		Adapter: adapter != "", ExpectedTime: c.expectedTime(action),
 	}, func(order sequence.Order) {
+		given = true
 		c.core.log(eventlog.OrderPlanned{
 			Machine: action.Machine, Order: action.Kind.String(), Work: action.Model, Cause: string(action.Reason.Cause),
 			Waiting: action.Reason.Waiting, Tier: action.Tier.String(), Expected: c.expectedTime(action), Count: order.Expected,
 		})
 	})
+	if !given {
+		c.planner.Withdraw(action)
+	}
 }
 
 // expectedTime is the stated time of a load.
--- a/placement/config.go
+++ b/placement/config.go
@@ -11,6 +11,10 @@
 	// TargetLoad is the share of a machine's slots that one replica should
 	// fill before another replica is wanted; the default is 0.8.
 	TargetLoad float64
+	// TargetRunning and SaturatedRunning, when not zero, bound what TargetLoad and
+	// SaturatedLoad come to in requests: engines read prompts one after the other
+	// however many they can run at once.
+	TargetRunning, SaturatedRunning float64
 	// ScaleDownDelay is how long the demand must stay lower before a model
 	// loses a replica it needed under load; the default is 30 s.
 	ScaleDownDelay time.Duration
@@ -50,6 +54,9 @@
 	// to one more than so many times those that are loaded, because the work
 	// that piles up before they are does not last.
 	GrowthFactor int
+	// AssumeStarts is true for a planner that follows another one, which may have
+	// begun as many loads as the weight store bears at once.
+	AssumeStarts bool
 	// SealGrace is how long after a takeover no loads are planned while machines
 	// are still unsealed, because what they hold is about to be known; the
 	// default is 3 s.
@@ -93,3 +100,20 @@
 	}
 	return c
 }
+
+// targetRunning is how many requests a replica with so many slots should serve.
+func (c *Config) targetRunning(slots float64) float64 {
+	return bounded(slots*c.TargetLoad, c.TargetRunning)
+}
+
+// saturatedRunning is from how many on they hold each other up; zero for never.
+func (c *Config) saturatedRunning(slots float64) float64 {
+	return bounded(slots*c.SaturatedLoad, c.SaturatedRunning)
+}
+
+func bounded(n, limit float64) float64 {
+	if limit > 0 {
+		return min(n, limit)
+	}
+	return n
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -83,6 +83,15 @@
 	return r.finish()
 }
 
+// Withdraw takes back a load of the last plan whose order was not given.
+func (p *planner) Withdraw(a *Action) {
+	if a.Kind != cluster.OrderLoad {
+		return
+	}
+	counted := a.Tier == cluster.TierRemote && !(p.config.AdaptersUnlimited && a.Base != "")
+	p.store.withdraw(loadKey{machine: a.Machine, model: a.Model}, counted)
+}
+
 // catalogue is the planner's index of the settings snapshot with the learned
 // state of each model, aligned with Snapshot.Models.
 type catalogue struct {
--- a/placement/store.go
+++ b/placement/store.go
@@ -52,10 +52,13 @@
 	speed        float64
 	limit        int
 	startsPerSec float64
+	burstLimit   float64
+	// assumeStarts begins without an allowance.
+	assumeStarts bool
 }
 
 func newStoreModel(config Config) storeModel {
-	return storeModel{rate: config.BytesPerSecond, pending: make(map[loadKey]pendingLoad), speed: 1}
+	return storeModel{rate: config.BytesPerSecond, pending: make(map[loadKey]pendingLoad), speed: 1, assumeStarts: config.AssumeStarts}
 }
 
 // begin takes the store's state for a round and refills the start allowance.
@@ -66,9 +69,11 @@
 	}
 	s.speed = max(s.speed, minStoreSpeed)
 	s.limit = state.Concurrency
-	s.startsPerSec = state.StartsPerSecond
+	s.startsPerSec, s.burstLimit = state.StartsPerSecond, state.Burst
 	if s.refilled.IsZero() {
-		s.allowance = s.burst()
+		if !s.assumeStarts {
+			s.allowance = s.burst()
+		}
 		s.window = float64(s.limit)
 	} else {
 		s.allowance = min(s.burst(), s.allowance+s.startsPerSec*max(now.Sub(s.refilled).Seconds(), 0))
@@ -78,7 +83,23 @@
 }
 
 // burst is how many starts the allowance holds at most.
-func (s *storeModel) burst() float64 { return max(1, s.startsPerSec) }
+func (s *storeModel) burst() float64 {
+	if s.burstLimit > 0 {
+		return max(1, s.burstLimit)
+	}
+	return max(1, s.startsPerSec)
+}
+
+// withdraw gives back what a load took that was not ordered.
+func (s *storeModel) withdraw(key loadKey, counted bool) {
+	if _, planned := s.pending[key]; !planned {
+		return
+	}
+	delete(s.pending, key)
+	if counted {
+		s.allowance = min(s.burst(), s.allowance+1)
+	}
+}
 
 // concurrency returns how many remote loads may run at once now: the learned
 // window, never more than the limit scaled by the store's speed.
--- a/placement/types.go
+++ b/placement/types.go
@@ -58,6 +58,9 @@
 	Concurrency     int
 	// Speed of the store as a share of full speed.
 	Speed float64
+	// Burst is how many loads may begin at once after a rest; zero for those of a
+	// second.
+	Burst float64
 }
 
 // State is the snapshot a plan is made from.
@@ -101,6 +104,16 @@
 	Decisions []Decision
 	// Wanted replicas by model, for the zone report; zero ones left out.
 	Wanted map[cluster.ModelID]int
+	// Store tells what the weight store had left.
+	Store StoreUse
+}
+
+// StoreUse is what loads take of the weight store.
+type StoreUse struct {
+	// Loading counts the loads under way or planned, Limit how many may be.
+	Loading, Limit int
+	// Starts is how many may begin now.
+	Starts float64
 }
 
 // Decision explains the replica count of one model.
--- a/placement/want.go
+++ b/placement/want.go
@@ -102,7 +102,8 @@
 		return
 	}
 	model := &r.models[i]
-	serves := r.slotsPerReplica(r.catalogue.entries[i].pool) * r.config.SaturatedLoad * float64(model.useful)
+	slots := r.slotsPerReplica(r.catalogue.entries[i].pool)
+	serves := r.config.saturatedRunning(slots) * float64(model.useful)
 	excess := model.demand.Running - int(serves)
 	if excess > 0 && model.useful > 0 {
 		model.demand.Waiting += excess
@@ -132,7 +133,7 @@
 	model, entry := &r.models[i], &r.catalogue.entries[i]
 	work := model.demand.Waiting + model.demand.Running
 	if work > 0 {
-		perReplica := max(r.slotsPerReplica(entry.pool)*r.config.TargetLoad, 1)
+		perReplica := max(r.config.targetRunning(r.slotsPerReplica(entry.pool)), 1)
 		needed = int(math.Ceil(float64(work) / perReplica))
 	}
 	target = entry.track.scale(r.state.Now, needed, r.config.ScaleDownDelay)
