--- a/placement/engines_test.go
+++ b/placement/engines_test.go
@@ -131,3 +131,25 @@
 	state.Demand["rare"] = Demand{Waiting: 1}
 	expectActions(t, NewPlanner(engineConfig()).Plan(state), "unload base on machine-0000")
 }
+
+// TestAdapterAwaitsItsBase: an adapter waits for the base model that a busy engine is
+// loading, and has it loaded elsewhere only when that engine has no place for it.
+func TestAdapterAwaitsItsBase(t *testing.T) {
+	state := testState(testSnapshot(1, testModel("base", func(m *settings.Model) { m.Policy.MaxReplicas = 8 }), adapterOf("base", "x"), adapterOf("base", "y")), 3)
+	for i := range state.Machines {
+		state.Machines[i].AdapterSlots = 1
+	}
+	state.Demand["x"] = Demand{Waiting: 1}
+	planner := NewPlanner(engineConfig())
+	plan := planner.Plan(state)
+	expectActions(t, plan, "load base on machine-0000")
+	hold(&state, 0, "base").State = cluster.ReplicaLoading
+	state.Machines[0].Busy = true
+	for range 5 {
+		state.Now = state.Now.Add(300 * time.Millisecond)
+		expectActions(t, planner.Plan(state))
+	}
+	state.Demand["y"] = Demand{Waiting: 1}
+	state.Now = state.Now.Add(300 * time.Millisecond)
+	expectActions(t, planner.Plan(state), "load base on machine-0001")
+}
