--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -53,7 +53,7 @@
 	platformTargetRunning    = 9
 	platformSaturatedLoad    = 0.6
 	platformSaturatedRunning = 16
-	platformGrowthFactor  = 2
+	platformGrowthFactor     = 2
 )
 
 // runPlatformNode runs a node on the users' platform until SIGTERM or SIGINT.
