--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -78,10 +78,10 @@
 	asked     bool
 	askedAt   time.Time
 	// silent is set while the last report that was asked for did not come.
-	silent bool
-	cached    map[cluster.ModelID]cluster.Tier
-	running   int
-	waiting   int
+	silent  bool
+	cached  map[cluster.ModelID]cluster.Tier
+	running int
+	waiting int
 }
 
 // replica is one model on an engine.
