Wait for a busy engine that has the checkpoint at hand

The planner left out engines that carried out an order and loaded such models from the weight store on another one, for 6 s and, with 8 to 14 of such loads at once, 9.5 s in the mean; each shut out the quick loads there, which sent more models to the store.

Ruled out: too few loads allowed. The engines, not the store, were short.

Change: the ledger says how much longer an engine's order is expected to take (BusyFor); a load may wait for a busy engine that has the checkpoint in memory or on disk, in seconds against all other ways, and each one that waits there lengthens the wait of the next.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -295,7 +295,7 @@
 		m := l.machines[id]
 		machines = append(machines, placement.Machine{
 			ID: id, Rack: string(m.worker.Zone), Pool: m.worker.Service, Sealed: !m.full, Leaving: m.worker.Draining,
-			MemoryBytes: m.memory, Slots: m.worker.Slots, AdapterSlots: m.adapterSlots, Busy: m.blocked(l.now),
+			MemoryBytes: m.memory, Slots: m.worker.Slots, AdapterSlots: m.adapterSlots, Busy: m.blocked(l.now), BusyFor: m.busyFor(l.now),
 			Replicas: m.slots(size), Cached: m.cached,
 			Load: cluster.LoadReport{Machine: id, Running: m.running, Queued: m.waiting},
 		})
@@ -310,6 +310,20 @@
 	return unheard || m.pending != nil || m.conflicting || !m.busyUntil.IsZero()
 }
 
+// busyFor is how much longer the machine is expected to carry out its order, zero
+// when it carries out none or nothing is known of it.
+func (m *machine) busyFor(now time.Time) time.Duration {
+	switch {
+	case m.silent || m.full || !m.counted:
+		return 0
+	case !m.busyUntil.IsZero():
+		return max(m.busyUntil.Sub(now), 0) + pollInterval
+	case m.pending != nil && m.pending.failures == 0:
+		return conflictPoll
+	}
+	return 0
+}
+
 // slots lists the replicas for the planner, sorted by model.
 func (m *machine) slots(size func(cluster.ModelID) int64) []placement.Slot {
 	slots := make([]placement.Slot, 0, len(m.replicas))
--- a/placement/place.go
+++ b/placement/place.go
@@ -149,18 +149,20 @@
 	}
 	c := r.choose(i, request.class)
 	now := c.bestNow()
-	awaited, awaitedIn := r.awaitedBase(i)
-	if awaited != none && awaitedIn < now {
-		now = awaitedIn
+	wait := r.bestWait(request)
+	if wait.kind != waitNone && wait.seconds < now {
+		now = wait.seconds
 	} else {
-		awaited = none
+		wait.kind = waitNone
 	}
 	switch {
 	case c.later != none && c.laterScore < now:
 		r.await(i, c)
 	case r.mayEvict(request.class) && r.evictFor(request, c, now):
-	case awaited != none:
-		r.awaitBase(i, awaited)
+	case wait.kind == waitBase:
+		r.awaitBase(i, wait.machine)
+	case wait.kind == waitBusy:
+		r.awaitBusy(i, &wait, c)
 	case len(c.top) > 0:
 		r.load(request, c)
 	default:
@@ -191,47 +193,6 @@
 	return math.Inf(1)
 }
 
-// awaitedBase returns the machine that is loading an adapter's base model, has room for
-// the adapter and is ready first, and in how many seconds it is; none without one. A
-// machine that carries out an order takes no other, so no choice has it.
-func (r *round) awaitedBase(i int32) (int32, float64) {
-	base := r.catalogue.entries[i].base
-	best, bestIn := none, math.Inf(1)
-	if base == none {
-		return best, bestIn
-	}
-	for s := r.models[base].first; s != none; s = r.slots[s].next {
-		ref := &r.slots[s]
-		m := ref.machine
-		if ref.slot.State != cluster.ReplicaLoading || !ref.useful || !r.state.Machines[m].Busy {
-			continue
-		}
-		if r.lacksAdapterSlot(i, m) || r.catalogue.entries[i].model.Policy.Memory > r.machines[m].free || r.holds(m, i) {
-			continue
-		}
-		if in := r.loadedIn(m, base, ref.slot); in < bestIn {
-			best, bestIn = m, in
-		}
-	}
-	return best, bestIn
-}
-
-// loadedIn is in how many seconds a load under way is expected to be done.
-func (r *round) loadedIn(m, model int32, slot *Slot) float64 {
-	expected, began := r.coldStart(model), slot.Since
-	if load, known := r.store.pending[loadKey{machine: r.state.Machines[m].ID, model: slot.Model}]; known {
-		expected, began = load.expected, load.ordered
-	}
-	return max(expected-r.state.Now.Sub(began), 0).Seconds()
-}
-
-// awaitBase keeps a place and memory for an adapter where its base model is loading.
-func (r *round) awaitBase(i, m int32) {
-	r.claim(m, r.catalogue.entries[i].model.Policy.Memory)
-	r.machines[m].adapters++
-	r.models[i].reason = r.reason(i, CauseBaseMissing, "")
-}
-
 // await keeps memory that is being freed for the model.
 func (r *round) await(i int32, c *choice) {
 	needs, _ := r.needOn(i, c.later)
--- a/placement/round.go
+++ b/placement/round.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/settings"
 )
@@ -66,6 +68,9 @@
 	// from and to bound the machine's entries in round.slots.
 	from, to int32
 	loading  int
+	// promised is how long the loads take that this round leaves to the machine once
+	// its present order is done.
+	promised time.Duration
 	// adapters counts those on the machine and those planned in this round.
 	adapters int
 	usable   bool
--- a/placement/types.go
+++ b/placement/types.go
@@ -42,8 +42,10 @@
 	Slots        int
 	// AdapterSlots bounds the adapters on the machine; zero means no bound.
 	AdapterSlots int
-	// Busy machines carry out an order and take no other.
-	Busy bool
+	// Busy machines carry out an order and take no other. BusyFor is how much longer
+	// that is expected to take, zero when nothing is known.
+	Busy    bool
+	BusyFor time.Duration
 	// Replicas includes reserved ones, sorted by model.
 	Replicas []Slot
 	Cached   map[cluster.ModelID]cluster.Tier
