Send a load again at once when the unload before it isn't done

Change: a conflict shortly after the ledger's own unload, with no sending left open, has the order sent again after 25 ms; only after 300 ms a report is read.

The test fails without the change.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -26,6 +26,10 @@
 	earlyPoll = 30 * time.Millisecond
 	// unloadTime is the expected time of the unload of an idle model.
 	unloadTime = 25 * time.Millisecond
+	// unloadRetry spaces the sendings of an order that an engine refuses because the
+	// unload before it isn't done; for unloadPatience that needs no report.
+	unloadRetry    = 25 * time.Millisecond
+	unloadPatience = 300 * time.Millisecond
 	// entryLag is how late a machine's entry usually is at most.
 	entryLag = 3 * time.Second
 	// promptReport is within what time a well engine answers with its report.
@@ -70,8 +74,10 @@
 	// busyUntil is until when an order for a base model is expected to run; zero
 	// when none does.
 	busyUntil time.Time
-	// ordered is when the engine took an order last.
+	// ordered is when the engine took an order last, unloaded when it took an unload
+	// last.
 	ordered  time.Time
+	unloaded time.Time
 	replicas map[cluster.ModelID]*replica
 	// reportDue is when a report is read, zero for not; asked is set while one is.
 	reportDue time.Time
--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -311,3 +311,29 @@
 		t.Fatal("an engine that has reported is not chosen")
 	}
 }
+
+// TestLoadBehindUnloadIsSentAgainSoon: an engine refuses a load while the unload
+// before it isn't done. That takes milliseconds, a report comes much later.
+func TestLoadBehindUnloadIsSentAgainSoon(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 3, Held: []catalog.HeldModel{{Name: "other"}}})
+	unload := w.order(cluster.OrderUnload, otherModel, false)
+	w.step(Answered{Machine: testMachine, Number: unload.Number, Outcome: OutcomeTaken})
+	w.pass(unloadTime)
+	w.step(Tick{})
+	load := w.order(cluster.OrderLoad, baseModel, false)
+	if load == nil {
+		t.Fatal("no load was sent behind the unload")
+	}
+	w.step(Answered{Machine: testMachine, Number: load.Number, Outcome: OutcomeConflict})
+	w.pass(unloadRetry)
+	again := sent(w.step(Tick{}))
+	if again == nil || again.Order != load.Order {
+		t.Fatalf("sent %+v, want the load again at once", again)
+	}
+	w.pass(unloadPatience)
+	w.step(Answered{Machine: testMachine, Number: again.Number, Outcome: OutcomeConflict})
+	w.pass(unloadRetry)
+	if other := sent(w.step(Tick{})); other != nil {
+		t.Fatalf("sent %+v, want a report to be read once the unload takes long", other)
+	}
+}
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -80,6 +80,11 @@
 		m.pending = nil
 		l.holds(answer.Machine, m, &pending.order)
 	case OutcomeConflict:
+		if pending.failures == 0 && l.now.Sub(m.unloaded) < unloadPatience {
+			// The own unload isn't done, and no earlier sending can have been taken.
+			pending.resendAt = l.now.Add(unloadRetry)
+			return
+		}
 		m.conflicting = true
 		m.reportDue = l.now.Add(conflictPoll)
 	case OutcomeStale:
@@ -102,6 +107,7 @@
 	m.ordered = l.now
 	known.readyAt = l.now.Add(order.ExpectedTime)
 	if order.Kind == cluster.OrderUnload {
+		m.unloaded = l.now
 		known.readyAt = l.now.Add(unloadTime)
 		known.unknown = false
 	} else {
