End a load by the entry that newly names the model

The holder waited for the report, so the engine's next order was late.

Change: an entry that newly names a loading base model ends its load; one that named it before says nothing.

The test fails without.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -200,6 +200,7 @@
 		at, _ := slices.BinarySearch(l.order, id)
 		l.order = slices.Insert(l.order, at, id)
 	}
+	before := m.worker
 	m.worker, m.memory, m.adapterSlots = event.Worker, event.MemoryBytes, event.AdapterSlots
 	if !l.Holding() {
 		return
@@ -209,9 +210,25 @@
 		l.takeEntry(m)
 		return
 	}
+	l.endLoads(id, m, &before)
 	l.checkVanished(id, m)
 }
 
+// endLoads ends the load of a base model that a machine's entry newly names: engines
+// write their entry when a load is done, and their reports show it later.
+func (l *Ledger) endLoads(id cluster.MachineID, m *machine, before *catalog.Worker) {
+	earlier := heldIDs(before.Service, before.Held)
+	for model := range heldIDs(m.worker.Service, m.worker.Held) {
+		known := m.replicas[model]
+		if earlier[model] || known == nil || known.adapter || known.unknown || known.state != cluster.ReplicaLoading {
+			continue
+		}
+		l.change(id, m, model, cluster.ReplicaLoaded)
+		m.cached = tiers(m.worker.Service, m.worker.InMemory, m.worker.OnDisk)
+		m.busyUntil, m.reportDue = time.Time{}, time.Time{}
+	}
+}
+
 // checkVanished reads a report when an entry does not name what has been loaded
 // for longer than entries are usually late. The entry alone proves nothing: while
 // the store is down it may be of any age.
--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -337,3 +337,38 @@
 		t.Fatalf("sent %+v, want a report to be read once the unload takes long", other)
 	}
 }
+
+// TestEntryEndsLoad: an engine's entry that newly names the model says that the load
+// is done, before a report does. One that named it before the load says nothing.
+func TestEntryEndsLoad(t *testing.T) {
+	entry := func(models ...string) MachineSeen {
+		worker := catalog.Worker{ID: testMachine, Service: "svc", Address: "a:1"}
+		for _, name := range models {
+			worker.Held = append(worker.Held, catalog.HeldModel{Name: name})
+		}
+		return MachineSeen{Worker: worker, MemoryBytes: 100, AdapterSlots: 8}
+	}
+	for name, test := range map[string]struct {
+		before []string
+		want   cluster.ReplicaState
+	}{
+		"newly named": {nil, cluster.ReplicaLoaded},
+		"named since": {[]string{"base"}, cluster.ReplicaLoading},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, catalog.Report{OrderCount: 3})
+			w.step(entry(test.before...))
+			send := w.order(cluster.OrderLoad, baseModel, false)
+			w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeTaken})
+			w.pass(900 * time.Millisecond)
+			w.step(entry("base"))
+			if got := w.states()[baseModel]; got != test.want {
+				t.Fatalf("state %s, want %s", got, test.want)
+			}
+			next := w.order(cluster.OrderLoad, otherModel, false)
+			if (next != nil) != (test.want == cluster.ReplicaLoaded) {
+				t.Fatalf("sent %+v behind a load in state %s", next, test.want)
+			}
+		})
+	}
+}
