Learn how many loads the weight store bears

Change: a learner of its own takes each load's time at full speed, the time it took and how many were under way in the mean; a lone slow load tells the rate instead, and a single slow one may be its engine's. The holder logs changes and writes the figure beside its record, so that the next holder begins with it.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		RequestAccepted{}, RequestSent{}, AttemptEnded{}, RequestEnded{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
 		FeedChanged{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		OrderPlanned{}, LoadDelayed{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -196,6 +196,13 @@
 	Starts  float64         `log:"store_starts" doc:"how many may begin now"`
 }
 
+// StoreCapacityLearned is written when the holder of the lease changes how many loads
+// from the weight store may be under way at once.
+type StoreCapacityLearned struct {
+	Loads  int `log:"loads" doc:"loads at once that the store is believed to bear at full speed"`
+	Before int `log:"before" doc:"the same before"`
+}
+
 // OrderAnswered is written for each answer to an order, and when there is none.
 type OrderAnswered struct {
 	Machine cluster.MachineID `log:"machine" doc:"worker"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -154,6 +154,14 @@
 	return "Written when the placement decided on an order."
 }
 
+// Kind implements Event.
+func (StoreCapacityLearned) Kind() string { return "store_capacity_learned" }
+
+// Meaning implements Documented.
+func (StoreCapacityLearned) Meaning() string {
+	return "Written when the holder of the lease changes how many loads from the weight store may be under way at once."
+}
+
 // Kind implements Event.
 func (LoadDelayed) Kind() string { return "load_delayed" }
 
--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -42,9 +42,9 @@
 	sealGrace = 400 * time.Millisecond
 	// adapterTime is the expected time of an adapter's load.
 	adapterTime = 25 * time.Millisecond
-	// concurrentLoads is how many loads the store bears at full speed for each
-	// load a second that it allows.
-	concurrentLoads = 3.6
+	// firstLoads is how many loads from the weight store may be under way at once before
+	// any was observed: nothing states how many it bears.
+	firstLoads = 4
 	// burstShare of what a window allows beyond its steady loads may begin at once,
 	// and burstLoads more; the rest is for orders that arrive late.
 	burstShare = 0.6
@@ -84,6 +84,9 @@
 	news     bool
 	resigned time.Time
 	sequence uint64
+	// bears is how many loads at once the weight store was last learned to bear, by this
+	// holder or the one before it; zero for not.
+	bears int
 	// delayed are the models that requests wait for without an order, and why.
 	delayed map[cluster.ModelID]placement.Cause
 }
@@ -130,6 +133,14 @@
 	}
 }
 
+// lastRead takes the record of the last holder and what it learned.
+func (c *cell) lastRead(read LastHolderRead) {
+	c.last, c.lastRevision = read.Node, read.Revision
+	if read.Node.Bears > 0 && !c.began {
+		c.bears = read.Node.Bears
+	}
+}
+
 // own reports whether an entry is of this node's machine.
 func (c *cell) own(entry NodeEntry) bool {
 	return entry.Machine != "" && entry.Machine == c.core.config.Self.Machine
@@ -183,7 +194,7 @@
 // lastEntry is the record of this machine as the last holder.
 func (c *cell) lastEntry(acting bool) []byte {
 	entry := c.core.config.Self
-	entry.Acting = acting
+	entry.Acting, entry.Bears = acting, c.bears
 	return entry.Encode()
 }
 
@@ -253,10 +264,7 @@
 func (c *cell) beginTerm() {
 	c.began = true
 	if !c.succeeds {
-		c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
-			Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: int64(c.lease.Token())}},
-			Operations: []keyvalue.Operation{{Key: KeyLast, Value: c.lastEntry(true)}},
-		}}})
+		c.writeLast()
 	}
 	config := c.plannerConfig()
 	config.AssumeStarts = !c.core.config.FirstStart || c.lastRevision != 0
@@ -265,6 +273,14 @@
 	c.news = true
 }
 
+// writeLast writes the record of the last holder.
+func (c *cell) writeLast() {
+	c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
+		Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: int64(c.lease.Token())}},
+		Operations: []keyvalue.Operation{{Key: KeyLast, Value: c.lastEntry(true)}},
+	}}})
+}
+
 // stepDown ends the term.
 func (c *cell) stepDown(cause string) {
 	if c.lease.Holding() || c.began {
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -61,7 +61,7 @@
 	case HolderRead:
 		c.cell.holderRead(e)
 	case LastHolderRead:
-		c.cell.last, c.cell.lastRevision = e.Node, e.Revision
+		c.cell.lastRead(e)
 	case StoreSynced:
 		c.synced = true
 		c.routing(routing.DispatchesReleased{})
--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -97,7 +98,8 @@
 	}
 	beyond := state.StartsPerSecond * c.core.config.LoadWindow.Seconds() * (c.core.config.LoadOverrun - 1)
 	state.Burst = max(beyond, 0)*burstShare + burstLoads
-	state.Concurrency = max(int(math.Ceil(state.StartsPerSecond*concurrentLoads)), 1)
+	state.Concurrency = max(int(math.Ceil(state.StartsPerSecond*c.core.config.LoadWindow.Seconds())), 1)
+	state.Bears = cmp.Or(c.bears, firstLoads)
 	return state
 }
 
@@ -118,9 +120,21 @@
 		ordered[plan.Actions[i].Model] = true
 		c.give(&plan.Actions[i])
 	}
+	c.noteCapacity(plan.Store.Limit)
 	c.explainDelays(&plan, wanted, ordered)
 }
 
+// noteCapacity keeps what was learned of the weight store for the next holder.
+func (c *cell) noteCapacity(limit int) {
+	before := cmp.Or(c.bears, firstLoads)
+	if limit == before {
+		return
+	}
+	c.bears = limit
+	c.core.log(eventlog.StoreCapacityLearned{Loads: limit, Before: before})
+	c.writeLast()
+}
+
 // explainDelays logs why models that requests wait for get no order, once for
 // each cause.
 func (c *cell) explainDelays(plan *placement.Plan, wanted map[cluster.ModelID]placement.Demand, ordered map[cluster.ModelID]bool) {
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -26,6 +26,9 @@
 	// Acting is set in the record of the last holder once it gives orders, having
 	// waited out the pause after another machine.
 	Acting bool `json:"acting,omitempty"`
+	// Bears, in the record of the last holder, is how many loads at once the weight
+	// store was learned to bear; zero for not.
+	Bears int `json:"bears,omitempty"`
 	// Address, host:port, takes messages of other nodes.
 	Address string `json:"address"`
 	// Zone of the machine, and Capacity in processor cores.
--- a/placement/finish.go
+++ b/placement/finish.go
@@ -24,6 +24,7 @@
 		track := r.catalogue.entries[i].track
 		track.decided = r.models[i].reported > 0 || r.models[i].held > 0
 	}
+	r.store.underWay = r.remoteLoads
 	r.plan.Store = StoreUse{Loading: r.remoteLoads, Limit: r.store.concurrency(), Starts: r.store.allowance}
 	plan := r.plan
 	r.plan, r.state = Plan{}, nil
--- a/placement/round.go
+++ b/placement/round.go
@@ -318,6 +318,9 @@
 		} else {
 			r.store.keep(key, r.rounds)
 		}
+		if ref.slot.State == cluster.ReplicaLoading && !ref.slot.Unknown {
+			r.store.accepted(key, ref.slot.Since)
+		}
 	}
 	r.store.expire(r.rounds)
 	for i := range r.models {
--- a/placement/store.go
+++ b/placement/store.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -12,11 +13,6 @@
 	loadOverhead = 500 * time.Millisecond
 	// rateSmoothing is the weight of a new observation in a learned rate.
 	rateSmoothing = 0.2
-	// slowLoad is how many times its expectation a load takes when the store is
-	// taken to be overloaded, and windowDecrease what the window then shrinks
-	// to.
-	slowLoad       = 1.5
-	windowDecrease = 0.7
 	// minStoreSpeed bounds the scaling of expectations by the store's speed.
 	minStoreSpeed = 0.02
 )
@@ -33,20 +29,23 @@
 	bytes    int64
 	ordered  time.Time
 	expected time.Duration
+	// area is the store's when the load began.
+	area float64
 	// seen is the last round whose ledger still held the load.
 	seen uint64
 }
 
-// storeModel learns how long loads take from each tier and adapts the number
-// of concurrent remote loads, additively up and multiplicatively down, to what
-// the weight store bears.
+// storeModel learns how long loads take from each tier and how many the weight
+// store bears at once.
 type storeModel struct {
 	// rate is bytes a second by tier, remote at the store's full speed.
-	rate    [TierCount]float64
-	pending map[loadKey]pendingLoad
-	// window is the adaptive number of concurrent remote loads.
-	window       float64
-	windowCut    time.Time
+	rate     [TierCount]float64
+	pending  map[loadKey]pendingLoad
+	capacity storeCapacity
+	// underWay counts the remote loads under way since refilled, and area adds them up
+	// over time in seconds.
+	underWay     int
+	area         float64
 	allowance    float64
 	refilled     time.Time
 	speed        float64
@@ -74,12 +73,14 @@
 		if !s.assumeStarts {
 			s.allowance = s.burst()
 		}
-		s.window = float64(s.limit)
+		s.capacity.loads = float64(cmp.Or(state.Bears, s.limit))
 	} else {
-		s.allowance = min(s.burst(), s.allowance+s.startsPerSec*max(now.Sub(s.refilled).Seconds(), 0))
+		passed := max(now.Sub(s.refilled).Seconds(), 0)
+		s.allowance = min(s.burst(), s.allowance+s.startsPerSec*passed)
+		s.area += float64(s.underWay) * passed
 	}
 	s.refilled = now
-	s.window = min(max(s.window, 1), max(float64(s.limit), 1))
+	s.capacity.loads = min(max(s.capacity.loads, 1), max(float64(s.limit), 1))
 }
 
 // burst is how many starts the allowance holds at most.
@@ -101,11 +102,11 @@
 	}
 }
 
-// concurrency returns how many remote loads may run at once now: the learned
-// window, never more than the limit scaled by the store's speed.
+// concurrency returns how many remote loads may run at once now: what the store was
+// learned to bear, never more than the limit scaled by the store's speed.
 func (s *storeModel) concurrency() int {
-	bySpeed := math.Ceil(float64(s.limit) * s.speed)
-	return min(s.limit, int(min(s.window, bySpeed)))
+	bySpeed := int(math.Ceil(float64(s.limit) * s.speed))
+	return min(s.limit, s.capacity.concurrent(), bySpeed)
 }
 
 // expected returns how long a load of the given size takes from the tier.
@@ -118,7 +119,20 @@
 }
 
 // ordered records a load that the plan contains.
-func (s *storeModel) ordered(key loadKey, load pendingLoad) { s.pending[key] = load }
+func (s *storeModel) ordered(key loadKey, load pendingLoad) {
+	load.area = s.area
+	s.pending[key] = load
+}
+
+// accepted notes since when a machine carries out a load.
+func (s *storeModel) accepted(key loadKey, since time.Time) {
+	load, ok := s.pending[key]
+	if !ok || !since.After(load.ordered) {
+		return
+	}
+	load.ordered, load.area = since, s.area
+	s.pending[key] = load
+}
 
 // finished learns from a load seen to be loaded since the given time.
 func (s *storeModel) finished(key loadKey, since time.Time) {
@@ -131,9 +145,16 @@
 	if took <= 0 || load.bytes <= 0 {
 		return
 	}
-	s.learnRate(load, took)
-	if load.tier == cluster.TierRemote {
-		s.adapt(load, took, since)
+	if load.tier != cluster.TierRemote {
+		s.learnRate(load, took)
+		return
+	}
+	full := max(load.expected-loadOverhead, time.Millisecond)
+	shared := max((s.area-load.area)/took.Seconds(), 1)
+	s.capacity.observe(observation{full: full, took: took, shared: shared})
+	if shared < sharedLoads || took < full {
+		// Beside others a load tells what the store bears, not how fast it is.
+		s.learnRate(load, took)
 	}
 }
 
@@ -147,19 +168,6 @@
 	s.rate[load.tier] += rateSmoothing * (observed - s.rate[load.tier])
 }
 
-// adapt changes the window after a remote load: one cut for all loads that
-// were under way together, one slot more for each window of good ones.
-func (s *storeModel) adapt(load pendingLoad, took time.Duration, now time.Time) {
-	if took.Seconds() <= slowLoad*load.expected.Seconds() {
-		s.window += 1 / max(s.window, 1)
-		return
-	}
-	if load.ordered.After(s.windowCut) {
-		s.window = max(1, s.window*windowDecrease)
-		s.windowCut = now
-	}
-}
-
 // remote reports whether a load in the ledger uses the store, as far as known.
 func (s *storeModel) remote(key loadKey) bool {
 	load, ok := s.pending[key]
--- a/placement/types.go
+++ b/placement/types.go
@@ -58,6 +58,9 @@
 	// StartsPerSecond and Concurrency are this cell's part.
 	StartsPerSecond float64
 	Concurrency     int
+	// Bears is how many loads at once the store is believed to bear at full speed
+	// before any was observed; zero for Concurrency.
+	Bears int
 	// Speed of the store as a share of full speed.
 	Speed float64
 	// Burst is how many loads may begin at once after a rest; zero for those of a
