Compare loads with their stated time, and raise the learned limit only near it

The time at full speed was derived from the mean rate of all models, 6.3 instead of 6.0 s for the larger ones, and 3.5 loads at full speed doubled a limit of 4.

The mean rates are gone.

--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -42,35 +42,11 @@
 	config.RetainIdle, config.EvictForLoad = true, true
 	config.UnloadDropsAdapters, config.AdaptersUnlimited = true, true
 	config.SealGrace = sealGrace
-	for tier := range config.BytesPerSecond {
-		if rate := c.loadRate(cluster.Tier(tier)); rate > 0 {
-			config.BytesPerSecond[tier] = rate
-		}
-	}
 	return config
 }
 
-// loadRate is the mean of bytes a second that models are loaded with from a tier.
-func (c *cell) loadRate(tier cluster.Tier) float64 {
-	var bytes, seconds float64
-	for i := range c.core.compiled.Services {
-		engine := c.core.compiled.Services[i].Engine
-		if engine == nil {
-			continue
-		}
-		for k := range engine.Models {
-			bytes += float64(engine.Models[k].Bytes)
-			seconds += loadTime(&engine.Models[k], tier).Seconds()
-		}
-	}
-	if seconds == 0 {
-		return 0
-	}
-	return bytes / seconds
-}
-
-// loadTime is the stated time of a load from a tier.
-func loadTime(spec *catalog.ModelSpec, tier cluster.Tier) time.Duration {
+// specTime is the stated time of a load from a tier.
+func specTime(spec *catalog.ModelSpec, tier cluster.Tier) time.Duration {
 	switch {
 	case tier == cluster.TierMemory && spec.MemoryTime > 0:
 		return spec.MemoryTime
@@ -113,7 +89,7 @@
 	wanted := c.demand.Sum(now)
 	plan := c.planner.Plan(placement.State{
 		Now: now, Token: c.ledger.Token(), Settings: c.core.compiled.Snapshot, Allotment: c.allotment,
-		Machines: c.ledger.Machines(c.size), Demand: wanted, Store: c.storeState(),
+		Machines: c.ledger.Machines(c.size), Demand: wanted, Store: c.storeState(), LoadTime: c.loadTime,
 	})
 	ordered := make(map[cluster.ModelID]bool, len(plan.Actions))
 	for i := range plan.Actions {
@@ -179,13 +155,18 @@
 
 // expectedTime is the stated time of a load.
 func (c *cell) expectedTime(action *placement.Action) time.Duration {
-	service, name, adapter := catalog.Split(action.Model)
+	return cmp.Or(c.loadTime(action.Model, action.Tier), action.ExpectedTime)
+}
+
+// loadTime is the stated time of a model's load from a tier, zero for none.
+func (c *cell) loadTime(id cluster.ModelID, tier cluster.Tier) time.Duration {
+	service, name, adapter := catalog.Split(id)
 	if adapter != "" {
 		return adapterTime
 	}
 	spec := c.core.compiled.Service(service).Model(name)
 	if spec == nil {
-		return action.ExpectedTime
+		return 0
 	}
-	return loadTime(spec, action.Tier)
+	return specTime(spec, tier)
 }
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -6,14 +6,19 @@
 	// slowShare and slowMargin say from when on a load counts as slowed down: it took
 	// so many times its time at full speed, and so much more, since the end of a load
 	// is seen late.
-	slowShare  = 1.2
-	slowMargin = 250 * time.Millisecond
+	slowShare  = 1.15
+	slowMargin = 200 * time.Millisecond
 	// slowInRow is how many loads in a row must be slow before the store is believed to
 	// bear fewer: a single one may be slow because its machine is.
 	slowInRow = 2
 	// capacityWeight is the weight of a new observation.
 	capacityWeight = 0.5
-	// capacityGrowth is what a load at full speed adds once a limit has been met.
+	// A load at full speed raises what the store is believed to bear if it ran within
+	// nearLimit of that and slowed down by less than fullShare: by capacityRise in proportion until a limit has been met, by
+	// capacityGrowth afterwards.
+	nearLimit      = 0.75
+	fullShare      = 0.9
+	capacityRise   = 1.5
 	capacityGrowth = 0.1
 	// sharedLoads is with how many loads under way, in the mean, one is taken to have
 	// shared the store.
@@ -21,8 +26,7 @@
 )
 
 // storeCapacity learns how many loads the weight store bears at once at full speed,
-// beyond which each slows down in proportion. Until loads are seen to slow down it
-// doubles what it has seen borne, as nothing states the figure.
+// beyond which each slows down in proportion. Nothing states the figure.
 type storeCapacity struct {
 	loads float64
 	// met is set once loads slowed down.
@@ -44,14 +48,13 @@
 // observe takes a finished load.
 func (c *storeCapacity) observe(seen observation) {
 	if seen.took <= time.Duration(slowShare*float64(seen.full))+slowMargin {
-		c.observeFull(seen.shared)
+		c.observeFull(seen)
 		return
 	}
 	if seen.shared < sharedLoads {
 		return
 	}
-	slowdown := max(float64(seen.took)/float64(seen.full), 1)
-	c.least = max(c.least, seen.shared/slowdown)
+	c.least = max(c.least, seen.borne())
 	c.slow++
 	if c.slow < slowInRow {
 		return
@@ -61,13 +64,21 @@
 	c.met, c.slow, c.least = true, 0, 0
 }
 
+// borne is how many loads at full speed the store carried meanwhile.
+func (o observation) borne() float64 {
+	return o.shared / max((o.took-slowMargin/2).Seconds()/o.full.Seconds(), 1)
+}
+
 // observeFull takes a load that went at full speed beside others.
-func (c *storeCapacity) observeFull(shared float64) {
+func (c *storeCapacity) observeFull(seen observation) {
 	c.slow, c.least = 0, 0
+	borne := seen.borne()
 	switch {
-	case shared+1 < c.loads:
+	case borne+nearLimit < c.loads:
+	case borne < fullShare*seen.shared:
+		c.loads = max(c.loads, borne)
 	case !c.met:
-		c.loads = max(c.loads, 2*shared)
+		c.loads = max(c.loads, capacityRise*borne)
 	default:
 		c.loads += capacityGrowth
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -193,7 +193,7 @@
 func (r *round) needOn(i, m int32) (need, bool) {
 	entry, machine := &r.catalogue.entries[i], &r.state.Machines[m]
 	result := need{bytes: entry.model.Policy.Memory, tier: machine.Cached[entry.model.ID]}
-	result.expected = r.store.expected(result.tier, result.bytes)
+	result.expected = r.loadTime(i, result.tier)
 	if result.tier == cluster.TierRemote && !(r.config.AdaptersUnlimited && entry.base != none) {
 		result.remote++
 	}
@@ -213,7 +213,7 @@
 	result.withBase = true
 	result.bytes += base.model.Policy.Memory
 	result.baseTier = machine.Cached[base.model.ID]
-	result.expected += r.store.expected(result.baseTier, base.model.Policy.Memory)
+	result.expected += r.loadTime(entry.base, result.baseTier)
 	if result.baseTier == cluster.TierRemote {
 		result.remote++
 	}
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -201,7 +201,7 @@
 	tier := r.state.Machines[ref.machine].Cached[entry.model.ID]
 	known := &r.models[ref.model].losses[tier]
 	if known.bytes != ref.slot.Bytes || known.bytes == 0 {
-		reload := r.store.expected(tier, ref.slot.Bytes)
+		reload := r.loadTime(ref.model, tier)
 		known.bytes = ref.slot.Bytes
 		known.loss = r.retention.value(entry.track, &entry.model.Policy, entry.track.idle(r.state.Now), reload)
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -236,7 +236,7 @@
 func (r *round) loadOn(i, m int32, tier cluster.Tier, reason Reason) {
 	policy := &r.catalogue.entries[i].model.Policy
 	id, machine := r.catalogue.entries[i].model.ID, r.state.Machines[m].ID
-	expected := r.store.expected(tier, policy.Memory)
+	expected := r.loadTime(i, tier)
 	r.plan.Actions = append(r.plan.Actions, Action{
 		Kind: cluster.OrderLoad, Machine: machine, Model: id, Base: r.catalogue.entries[i].model.Base,
 		Version: policy.Version, Bytes: policy.Memory, Pool: policy.EnginePool, Tier: tier,
@@ -256,7 +256,7 @@
 		r.store.allowance--
 	}
 	r.store.ordered(loadKey{machine: machine, model: id}, pendingLoad{
-		tier: tier, bytes: policy.Memory, ordered: r.state.Now, expected: expected, seen: r.rounds,
+		tier: tier, bytes: policy.Memory, ordered: r.state.Now, expected: expected, full: r.fullSpeedTime(i, tier), seen: r.rounds,
 	})
 }
 
--- a/placement/store.go
+++ b/placement/store.go
@@ -25,10 +25,11 @@
 
 // pendingLoad is an ordered load that was not seen to finish.
 type pendingLoad struct {
-	tier     cluster.Tier
-	bytes    int64
-	ordered  time.Time
-	expected time.Duration
+	tier    cluster.Tier
+	bytes   int64
+	ordered time.Time
+	// expected time of the load, and its time with the store to itself.
+	expected, full time.Duration
 	// area is the store's when the load began.
 	area float64
 	// seen is the last round whose ledger still held the load.
@@ -149,7 +150,7 @@
 		s.learnRate(load, took)
 		return
 	}
-	full := max(load.expected-loadOverhead, time.Millisecond)
+	full := load.full
 	shared := max((s.area-load.area)/took.Seconds(), 1)
 	s.capacity.observe(observation{full: full, took: took, shared: shared})
 	if shared < sharedLoads || took < full {
--- a/placement/types.go
+++ b/placement/types.go
@@ -82,6 +82,9 @@
 	// the zone holds the whole minimum.
 	Minimum map[cluster.ModelID]int
 	Store   StoreState
+	// LoadTime is how long a model's load from a tier is stated to take; nil, or zero
+	// for a model, leaves it to what was learned of the tier.
+	LoadTime func(cluster.ModelID, cluster.Tier) time.Duration
 }
 
 // Action is one step of a plan.
--- a/placement/want.go
+++ b/placement/want.go
@@ -211,9 +211,34 @@
 // needed again. Host memory counts as disk, since it soon holds other models.
 func (r *round) coldStart(i int32) time.Duration {
 	tier := min(r.models[i].tier, cluster.TierDisk)
+	return r.loadTime(i, tier)
+}
+
+// loadTime is how long a load of the model from a tier is expected to take.
+func (r *round) loadTime(i int32, tier cluster.Tier) time.Duration {
+	if stated := r.statedTime(i, tier); stated > 0 {
+		return stated
+	}
 	return r.store.expected(tier, r.catalogue.entries[i].model.Policy.Memory)
 }
 
+// statedTime is how long a load of the model from a tier is stated to take, zero when
+// nothing is stated.
+func (r *round) statedTime(i int32, tier cluster.Tier) time.Duration {
+	if r.state.LoadTime == nil {
+		return 0
+	}
+	return r.state.LoadTime(r.catalogue.entries[i].model.ID, tier)
+}
+
+// fullSpeedTime is how long a load takes with the store to itself.
+func (r *round) fullSpeedTime(i int32, tier cluster.Tier) time.Duration {
+	if stated := r.statedTime(i, tier); stated > 0 {
+		return stated
+	}
+	return max(r.loadTime(i, tier)-loadOverhead, time.Millisecond)
+}
+
 // reason begins a reason with the setting that decided and its source.
 func (r *round) reason(i int32, cause Cause, key string) Reason {
 	reason := Reason{Cause: cause, Token: r.state.Token, SettingsRevision: r.state.Settings.Stamp.Revision}
