Weigh a store load against what its machine serves meanwhile

An engine carries out one order at a time: a load of 6 s shuts out the 0.8 s loads of the 18 other models on its disk.

Change: arrivals of each model and the share of busy machines are learned; a load from the store has to serve more requests than come meanwhile for models at hand on the machine that no other could load. Otherwise the plan says "machines kept for quicker loads".

--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -39,7 +39,7 @@
 // plannerConfig tunes the planner by the engines there are.
 func (c *cell) plannerConfig() placement.Config {
 	config := c.core.config.Placement
-	config.RetainIdle, config.EvictForLoad = true, true
+	config.RetainIdle, config.EvictForLoad, config.OneOrder = true, true, true
 	config.UnloadDropsAdapters, config.AdaptersUnlimited = true, true
 	config.SealGrace = sealGrace
 	return config
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -61,12 +61,13 @@
 }
 
 // filterCauses is the number of causes that leave out machines.
-const filterCauses = 9
+const filterCauses = 10
 
 // filters lists the causes in the order in which they are tested.
 var filters = [filterCauses]Cause{
 	CauseNotCandidate, CauseNoMachine, CauseUnsealed, CauseMachineLeaves,
 	CauseHolds, CauseBaseMissing, CauseNoMemory, CauseStoreLimit, CauseBusy,
+	CauseMachineNeeded,
 }
 
 // Indexes into filters.
@@ -80,6 +81,7 @@
 	filterMemory
 	filterStore
 	filterBusy
+	filterNeeded
 )
 
 // choose scores the machines that may hold one more replica of the model.
@@ -138,6 +140,10 @@
 		}
 		return
 	}
+	if needs.remote > 0 && !r.storeLoadPays(i, m, r.remoteTime(i, &needs)) {
+		c.filtered[filterNeeded]++
+		return
+	}
 	c.insert(scored{machine: m, need: needs, score: score}, r.config.Candidates)
 }
 
--- a/placement/config.go
+++ b/placement/config.go
@@ -47,6 +47,9 @@
 	// AdaptersUnlimited is true where the weight store's limits do not count
 	// adapters.
 	AdaptersUnlimited bool
+	// OneOrder is true where a machine carries out one order at a time, so that a load
+	// from the weight store keeps it from loading what it has at hand.
+	OneOrder bool
 	// SaturatedLoad, when not zero, is the share of a machine's slots from which
 	// running requests count as waiting: they hold each other up.
 	SaturatedLoad float64
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -51,6 +51,10 @@
 		if !ok || needs.bytes <= r.machines[m].soon && !r.lacksAdapterSlot(i, int32(m)) {
 			continue
 		}
+		if needs.remote > 0 && !r.storeLoadPays(i, int32(m), r.remoteTime(i, &needs)) {
+			r.choice.filtered[filterNeeded]++
+			continue
+		}
 		wait := r.score(i, int32(m), &needs) + unloadScore
 		if needs.remote > 0 && !r.storeAllows(request.class) {
 			wait += storeScore
--- a/placement/place.go
+++ b/placement/place.go
@@ -254,6 +254,7 @@
 	if tier == cluster.TierRemote && !(r.config.AdaptersUnlimited && r.catalogue.entries[i].base != none) {
 		r.remoteLoads++
 		r.store.allowance--
+		r.keepBusy(m)
 	}
 	r.store.ordered(loadKey{machine: machine, model: id}, pendingLoad{
 		tier: tier, bytes: policy.Memory, ordered: r.state.Now, expected: expected, full: r.fullSpeedTime(i, tier), seen: r.rounds,
@@ -274,6 +275,8 @@
 		reason = r.reason(i, CauseStoreLimit, "")
 		needs, _ := r.needOn(i, c.storeBlocked)
 		r.claim(c.storeBlocked, needs.bytes)
+	case c.filtered[filterNeeded] > 0:
+		reason = r.reason(i, CauseMachineNeeded, "")
 	case c.filtered[filterMemory] > 0:
 		reason = r.reason(i, CauseNoMemory, keyMemory)
 	case c.filtered[filterBase] > 0:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -49,6 +49,7 @@
 	store     storeModel
 	round     round
 	rounds    uint64
+	busy   busyShare
 	// token and tokenSince tell for how long the present controller has held
 	// its cell.
 	token      cluster.FencingToken
@@ -68,7 +69,7 @@
 	if state.Token != p.token || p.tokenSince.IsZero() {
 		p.token, p.tokenSince = state.Token, state.Now
 	}
-	p.catalogue.follow(state.Settings, state.Now)
+	p.catalogue.follow(state.Settings, state.Now, state.LoadTime)
 	p.store.begin(state.Now, state.Store)
 	r := &p.round
 	r.begin(p, &state)
@@ -109,6 +110,8 @@
 	// pool is the index of the policy's engine pool.
 	pool  int32
 	track *track
+	// stated is how long loads are stated to take, by tier; zero for not.
+	stated [TierCount]time.Duration
 }
 
 // none marks an absent index.
@@ -116,7 +119,7 @@
 
 // follow rebuilds the index when the snapshot changed and keeps what was
 // learned of the models that remain.
-func (c *catalogue) follow(snapshot *settings.Snapshot, now time.Time) {
+func (c *catalogue) follow(snapshot *settings.Snapshot, now time.Time, loadTime LoadTime) {
 	if c.snapshot == snapshot {
 		return
 	}
@@ -126,6 +129,11 @@
 		model := &snapshot.Models[i]
 		index[model.ID] = int32(i)
 		entries[i] = entry{model: model, base: none, pool: c.pool(model.Policy.EnginePool), track: c.trackOf(model.ID, now)}
+		for tier := range entries[i].stated {
+			if loadTime != nil {
+				entries[i].stated[tier] = loadTime(model.ID, cluster.Tier(tier))
+			}
+		}
 	}
 	for i := range entries {
 		if base, ok := index[entries[i].model.Base]; ok && entries[i].model.Base != "" {
--- a/placement/round.go
+++ b/placement/round.go
@@ -42,8 +42,10 @@
 	allotted        bool
 	limit           int
 	candidates      []cluster.MachineID
-	// tier is the fastest one in which a machine of the pool has the checkpoint.
-	tier cluster.Tier
+	// tier is the fastest one in which a machine of the pool has the checkpoint, and
+	// atHand counts the machines that have it and could load it soon.
+	tier   cluster.Tier
+	atHand int
 	// first is the head of the model's list in round.slots.
 	first int32
 	// held counts all slots, and loads planned in this round; useful are those
@@ -71,6 +73,9 @@
 	// promised is how long the loads take that this round leaves to the machine once
 	// its present order is done.
 	promised time.Duration
+	// needed is what neededPerSecond returned in this round.
+	needed      float64
+	neededKnown bool
 	// adapters counts those on the machine and those planned in this round.
 	adapters int
 	usable   bool
@@ -164,7 +169,7 @@
 			r.unsealed++
 		}
 		if entry.usable {
-			r.noteCached(pool, machine.Cached)
+			r.noteCached(pool, machine)
 		}
 		r.machines = append(r.machines, entry)
 		r.countPool(pool, machine)
@@ -172,10 +177,15 @@
 }
 
 // noteCached enters the checkpoints that a machine has cached.
-func (r *round) noteCached(pool int32, cached map[cluster.ModelID]cluster.Tier) {
-	for id, tier := range cached {
-		if i := r.catalogue.find(id); i != none && r.catalogue.entries[i].pool == pool {
-			r.models[i].tier = max(r.models[i].tier, tier)
+func (r *round) noteCached(pool int32, machine *Machine) {
+	for id, tier := range machine.Cached {
+		i := r.catalogue.find(id)
+		if i == none || r.catalogue.entries[i].pool != pool {
+			continue
+		}
+		r.models[i].tier = max(r.models[i].tier, tier)
+		if machine.BusyFor <= r.loadTime(i, tier) {
+			r.models[i].atHand++
 		}
 	}
 }
@@ -323,9 +333,12 @@
 		}
 	}
 	r.store.expire(r.rounds)
+	passed := r.busy.observe(r.state)
 	for i := range r.models {
 		model := &r.models[i]
 		working := model.demand.Waiting+model.demand.Running > 0 || model.adapterWorking
-		r.catalogue.entries[i].track.observe(r.state.Now, working, model.demand.Arrivals+model.adapterArrivals)
+		arrivals := model.demand.Arrivals + model.adapterArrivals
+		r.catalogue.entries[i].track.observe(r.state.Now, working, arrivals)
+		r.catalogue.entries[i].track.rate.observe(arrivals, passed)
 	}
 }
--- a/placement/track.go
+++ b/placement/track.go
@@ -18,6 +18,8 @@
 	burst      float64
 	burstCount int
 	burstUntil time.Time
+	// rate of arrivals.
+	rate arrivalRate
 	// busy is whether the model or, for a base, one of its adapters had
 	// requests in the last round; idleSince is when that ended.
 	busy      bool
--- a/placement/types.go
+++ b/placement/types.go
@@ -82,11 +82,15 @@
 	// the zone holds the whole minimum.
 	Minimum map[cluster.ModelID]int
 	Store   StoreState
-	// LoadTime is how long a model's load from a tier is stated to take; nil, or zero
-	// for a model, leaves it to what was learned of the tier.
-	LoadTime func(cluster.ModelID, cluster.Tier) time.Duration
+	// LoadTime states how long loads take; nil leaves it to what was learned. It is
+	// asked once for each snapshot of the settings.
+	LoadTime LoadTime
 }
 
+// LoadTime is how long a model's load from a tier is stated to take, zero when nothing
+// is stated.
+type LoadTime func(cluster.ModelID, cluster.Tier) time.Duration
+
 // Action is one step of a plan.
 type Action struct {
 	Kind    cluster.OrderKind
@@ -161,6 +165,7 @@
 	CauseUnsealed      Cause = "machine not sealed"
 	CauseHolds         Cause = "machine already holds the model"
 	CauseNotCandidate  Cause = "machine not a candidate of the allotment"
+	CauseMachineNeeded Cause = "machines kept for quicker loads"
 	CauseBusy          Cause = "machine carries out another order"
 )
 
--- a/placement/want.go
+++ b/placement/want.go
@@ -216,24 +216,15 @@
 
 // loadTime is how long a load of the model from a tier is expected to take.
 func (r *round) loadTime(i int32, tier cluster.Tier) time.Duration {
-	if stated := r.statedTime(i, tier); stated > 0 {
+	if stated := r.catalogue.entries[i].stated[tier]; stated > 0 {
 		return stated
 	}
 	return r.store.expected(tier, r.catalogue.entries[i].model.Policy.Memory)
 }
 
-// statedTime is how long a load of the model from a tier is stated to take, zero when
-// nothing is stated.
-func (r *round) statedTime(i int32, tier cluster.Tier) time.Duration {
-	if r.state.LoadTime == nil {
-		return 0
-	}
-	return r.state.LoadTime(r.catalogue.entries[i].model.ID, tier)
-}
-
 // fullSpeedTime is how long a load takes with the store to itself.
 func (r *round) fullSpeedTime(i int32, tier cluster.Tier) time.Duration {
-	if stated := r.statedTime(i, tier); stated > 0 {
+	if stated := r.catalogue.entries[i].stated[tier]; stated > 0 {
 		return stated
 	}
 	return max(r.loadTime(i, tier)-loadOverhead, time.Millisecond)
