Count waiting requests by their objective in the gain of a store load

Cause: four loads at once of one hot model from the store, for a queue that the first would serve, and as much gain for a request whose answer comes late as for one in time.

Change: routers tell the objective of a model's requests; a request that the load can't serve in time counts a fifth, those that a replica under way will serve count nothing, and a lost request costs twice, since it was also held.

--- a/demand/ledger.go
+++ b/demand/ledger.go
@@ -120,6 +120,7 @@
 	sum := total[model.Model]
 	sum.Waiting += model.Waiting
 	sum.Running += model.Running
+	sum.Objective = max(sum.Objective, model.Objective)
 	if model.Waiting > 0 {
 		sum.OldestWait = max(sum.OldestWait, model.OldestWait+age)
 		deadline := max(model.EarliestDeadline-age, 0)
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -200,7 +200,7 @@
 func (e *exchange) routingRequest(now time.Time) routing.Request {
 	request := routing.Request{
 		ID: e.id, Model: e.work, TokenPath: "/", Priority: highestPriority - e.route.Priority,
-		Deadline: now.Add(time.Until(e.deadline)), Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
+		Deadline: now.Add(time.Until(e.deadline)), Objective: e.route.Objective, Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
 		PromptTokens: e.attributes.PromptTokens, MaxTokens: e.attributes.MaxTokens,
 		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable,
 	}
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -17,9 +17,12 @@
 	rateMemory = 20 * time.Second
 	// copyHorizon is for how long a copy that a load leaves behind is counted.
 	copyHorizon = time.Minute
-	// lateShare is what a request that waits for the load counts, as its answer comes
-	// late.
-	lateShare = 0.3
+	// lateShare is what a request that waits for the load counts if its answer comes
+	// after its objective.
+	lateShare = 0.2
+	// lostShare is what a request counts that is not served though its model was at
+	// hand: its answer, and the time for which it was kept.
+	lostShare = 2.0
 	// leastRate is the rate of arrivals of models that were not asked for lately.
 	leastRate = 0.0125
 	// minBusyShare bounds the learned share of busy machines: any may be busy.
@@ -77,14 +80,22 @@
 	if !r.config.OneOrder {
 		return true
 	}
-	return r.storeLoadGain(i) >= r.neededPerSecond(m)*takes.Seconds()
+	return r.storeLoadGain(i, takes) >= lostShare*r.neededPerSecond(m)*takes.Seconds()
 }
 
 // storeLoadGain is how many requests a load of the model from the store serves: those
-// that wait, late, and those to come that would find no copy at hand otherwise.
-func (r *round) storeLoadGain(i int32) float64 {
+// that wait and that no replica under way serves, and those to come that would find no
+// copy at hand otherwise.
+func (r *round) storeLoadGain(i int32, takes time.Duration) float64 {
 	model, busy := &r.models[i], r.busy.current()
-	waiting := lateShare * float64(model.demand.Waiting)
+	coming := float64(max(model.useful-model.loaded, 0)) * r.slotsPerReplica(r.catalogue.entries[i].pool)
+	waiting := max(float64(model.demand.Waiting)-coming, 0)
+	if model.demand.Objective > 0 && takes > model.demand.Objective {
+		waiting *= lateShare
+	}
+	if model.useful > 0 {
+		return waiting
+	}
 	missed := math.Pow(busy, float64(model.atHand)) * (1 - busy)
 	return waiting + r.rateOf(i)*copyHorizon.Seconds()*missed
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -49,7 +49,7 @@
 	store     storeModel
 	round     round
 	rounds    uint64
-	busy   busyShare
+	busy      busyShare
 	// token and tokenSince tell for how long the present controller has held
 	// its cell.
 	token      cluster.FencingToken
--- a/placement/types.go
+++ b/placement/types.go
@@ -15,6 +15,9 @@
 	// OldestWait and EarliestDeadline of waiting requests; the latter counts
 	// from now.
 	OldestWait, EarliestDeadline time.Duration
+	// Objective is within what time of its arrival a request's answer should begin,
+	// zero when none is stated.
+	Objective time.Duration
 }
 
 // Slot is one model on one machine as the ledger counts it: it holds memory
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -41,6 +41,7 @@
 		return
 	}
 	model.arrivals++
+	model.objective = arrived.Objective
 	r.touch(model)
 	r.earnRetries(model)
 	r.place(r.admit(model, arrived, deadline, claim))
--- a/routing/demand.go
+++ b/routing/demand.go
@@ -65,7 +65,7 @@
 // report, and starts the next interval.
 func (m *model) demand(nanos int64) (wire.ModelDemand, bool) {
 	demand := wire.ModelDemand{
-		Model: m.id, Waiting: m.queue.Len(), Running: m.running, Arrivals: m.arrivals,
+		Model: m.id, Waiting: m.queue.Len(), Running: m.running, Arrivals: m.arrivals, Objective: m.objective,
 	}
 	if deadline, waiting := m.queue.EarliestDeadline(); waiting {
 		demand.EarliestDeadline = max(time.Duration(deadline-nanos), 0)
--- a/routing/events.go
+++ b/routing/events.go
@@ -23,7 +23,10 @@
 	// first.
 	Priority int
 	// Deadline at which the request must have ended.
-	Deadline   time.Time
+	Deadline time.Time
+	// Objective is within what time of the arrival the answer should begin; zero when
+	// none is stated.
+	Objective  time.Duration
 	Repeatable bool
 	// BodyBytes of the request, for the queue's byte bound.
 	BodyBytes int64
--- a/routing/state.go
+++ b/routing/state.go
@@ -60,6 +60,8 @@
 	// of the policy's version among them; capacity sums their slots.
 	loaded, matching, capacity int
 
+	// objective of the request that arrived last.
+	objective time.Duration
 	// service and loadTime are learned means in nanoseconds, zero before the
 	// first observation.
 	service, loadTime float64
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -91,6 +91,9 @@
 	OldestWait time.Duration
 	// EarliestDeadline of a waiting request, as a duration from the sending.
 	EarliestDeadline time.Duration
+	// Objective is within what time of its arrival a request's answer should begin,
+	// zero when none is stated.
+	Objective time.Duration
 }
 
 // ScopeDemand is a router's use of one limited scope.
