Refuse at once what would be late, and before a caller's patience ends

Change: a request is refused within a quarter of its objective when the load under way ends after it and within the third of the time left that callers heed; one that came back before waits. One that still waits at 0.95 of the caller's patience is refused with the time to come back. Nothing is held so that a caller doesn't ask again.

TestRareModelIsLoaded called once and took more than the patience of its route; it now comes back as told, with the same demands on what is loaded.

The tests fail without.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -62,6 +62,9 @@
 	Objective time.Duration
 	// LongestPause between two events that are in time; zero when unstated.
 	LongestPause time.Duration
+	// Patience is how long callers wait for the first event of a stream; zero when they
+	// wait as long as they have.
+	Patience time.Duration
 	// Priority is the rank, 0 being the highest.
 	Priority int
 	// Sticky routes state the parts of their prompts.
--- a/fleet/shell/harness_test.go
+++ b/fleet/shell/harness_test.go
@@ -218,6 +218,19 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
 }
 
+// callAsTold calls as callers do who come back when they are told to.
+func (d *deployment) callAsTold(node *shell.Node, method, path, body string, change func(http.Header)) reply {
+	d.t.Helper()
+	for deadline := time.Now().Add(waitLimit); ; {
+		got := d.call(node, method, path, body, change)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		if got.status != http.StatusServiceUnavailable || err != nil || time.Now().After(deadline) {
+			return got
+		}
+		time.Sleep(time.Duration(after * float64(time.Second)))
+	}
+}
+
 func withModel(model string) func(http.Header) {
 	return func(header http.Header) {
 		header.Set(platform.HeaderModel, model)
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -15,6 +15,7 @@
 	settingQueueBytes    = "queue_bytes"
 	settingQueueTime     = "queue_time"
 	settingDeadline      = "deadline"
+	settingObjective     = "objective"
 	settingRetryAttempts = "retry_attempts"
 	settingRetryBudget   = "retry budget"
 )
@@ -127,6 +128,9 @@
 	admitted.claim = claim
 	admitted.deadline = deadline
 	admitted.queueBudget = int64(m.configured.Policy.QueueTime)
+	if arrived.Patience > 0 {
+		admitted.queueBudget = min(admitted.queueBudget, int64(patienceShare*float64(arrived.Patience)))
+	}
 	admitted.timer.request = admitted
 	admitted.item = queue.Item[*request]{
 		Value:    admitted,
@@ -191,9 +195,16 @@
 	return nil, Explanation{}
 }
 
+// patienceShare is the part of a caller's patience after which a request that still
+// waits is given up, so that the caller learns when to come back.
+const patienceShare = 0.95
+
 // unmeetable says why the request cannot start before its deadline, or nil.
 // Without evidence it may.
 func (r *Router) unmeetable(waiting *request, ahead int) (*verdict.Error, Explanation) {
+	if failure, reason := r.late(waiting); failure != nil {
+		return failure, reason
+	}
 	wait, known := r.expectedStart(waiting.model, ahead)
 	left := waiting.deadline - r.nanos
 	if !known || wait <= left {
--- a/routing/events.go
+++ b/routing/events.go
@@ -26,7 +26,11 @@
 	Deadline time.Time
 	// Objective is within what time of the arrival the answer should begin; zero when
 	// none is stated.
-	Objective  time.Duration
+	Objective time.Duration
+	// Patience is how long the caller waits for the answer to begin, zero for until the
+	// deadline; Returned is set when it was refused before and told when to come back.
+	Patience   time.Duration
+	Returned   bool
 	Repeatable bool
 	// BodyBytes of the request, for the queue's byte bound.
 	BodyBytes int64
