Keep adapters out of what is learned of the weight store

The adapters' loads, which come past the store's limits in 25 ms, counted as loads at full speed beside however many were under way.

Change: only loads that share the store tell what it bears. The test fails without it.

--- a/placement/learn_test.go
+++ b/placement/learn_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/settings"
 )
 
 // TestRecurrenceFindsPeriod wakes a model every two hours with a few minutes
@@ -126,7 +127,7 @@
 				left *= 2
 			}
 			store.ordered(key, pendingLoad{
-				tier: cluster.TierRemote, bytes: bytes, ordered: now, expected: store.expected(cluster.TierRemote, bytes), full: time.Duration(seconds * float64(time.Second)),
+				tier: cluster.TierRemote, shares: true, bytes: bytes, ordered: now, expected: store.expected(cluster.TierRemote, bytes), full: time.Duration(seconds * float64(time.Second)),
 			})
 			keys, world.left = append(keys, key), append(world.left, left)
 		}
@@ -169,7 +170,7 @@
 		key := loadKey{machine: "machine-0000", model: "booking"}
 		store.begin(now, StoreState{StartsPerSecond: 2, Concurrency: 8, Speed: 1})
 		expected := store.expected(cluster.TierRemote, gigabyte)
-		store.ordered(key, pendingLoad{tier: cluster.TierRemote, bytes: gigabyte, ordered: now, expected: expected, full: expected - loadOverhead})
+		store.ordered(key, pendingLoad{tier: cluster.TierRemote, shares: true, bytes: gigabyte, ordered: now, expected: expected, full: expected - loadOverhead})
 		store.underWay = 1
 		now = now.Add(4 * first)
 		store.begin(now, StoreState{StartsPerSecond: 2, Concurrency: 8, Speed: 1})
@@ -183,3 +184,26 @@
 		t.Errorf("%v expected after loads of %v", got, 4*first)
 	}
 }
+
+// TestAdaptersTellNothingOfTheStore: adapters come past the store's limits, in no time,
+// also while it is overloaded.
+func TestAdaptersTellNothingOfTheStore(t *testing.T) {
+	base := testModel("base", func(m *settings.Model) { m.Policy.MaxReplicas = 9 })
+	state := testState(testSnapshot(1, base, adapterOf("base", "adapter")), 2)
+	hold(&state, 0, "base")
+	state.Store = StoreState{StartsPerSecond: 9, Concurrency: 99, Bears: 4, Speed: 1}
+	state.Demand["adapter"] = Demand{Waiting: 1, Arrivals: 1}
+	planner := NewPlanner(engineConfig())
+	engine := engines{slowness: 1, ready: map[loadKey]time.Time{}}
+	plan := planner.Plan(state)
+	expectActions(t, plan, "load adapter on machine-0000")
+	engine.order(&state, plan)
+	for range 4 {
+		planner.store.underWay = 9
+		engine.advance(&state, time.Second)
+		plan = planner.Plan(state)
+	}
+	if plan.Store.Limit != 4 {
+		t.Fatalf("%d loads at once after an adapter's load, want 4", plan.Store.Limit)
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -251,13 +251,15 @@
 	r.models[i].held++
 	r.models[i].planned++
 	r.models[i].useful++
-	if tier == cluster.TierRemote && !(r.config.AdaptersUnlimited && r.catalogue.entries[i].base != none) {
+	shares := tier == cluster.TierRemote && !(r.config.AdaptersUnlimited && r.catalogue.entries[i].base != none)
+	if shares {
 		r.remoteLoads++
 		r.store.allowance--
 		r.keepBusy(m)
 	}
 	r.store.ordered(loadKey{machine: machine, model: id}, pendingLoad{
-		tier: tier, bytes: policy.Memory, ordered: r.state.Now, expected: expected, full: r.fullSpeedTime(i, tier), seen: r.rounds,
+		tier: tier, shares: shares, bytes: policy.Memory, ordered: r.state.Now, expected: expected,
+		full: r.fullSpeedTime(i, tier), seen: r.rounds,
 	})
 }
 
--- a/placement/store.go
+++ b/placement/store.go
@@ -25,6 +25,8 @@
 
 // pendingLoad is an ordered load that was not seen to finish.
 type pendingLoad struct {
+	// shares is set when the load shares the weight store with others.
+	shares  bool
 	tier    cluster.Tier
 	bytes   int64
 	ordered time.Time
@@ -146,7 +148,7 @@
 	if took <= 0 || load.bytes <= 0 {
 		return
 	}
-	if load.tier != cluster.TierRemote {
+	if !load.shares {
 		s.learnRate(load, took)
 		return
 	}
