Log another cause of a delayed load once it lasts

Change: a model's first cause is written at once, another once it has lasted 500 ms. The test fails without it.

--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -88,7 +88,7 @@
 	// holder or the one before it; zero for not.
 	bears int
 	// delayed are the models that requests wait for without an order, and why.
-	delayed map[cluster.ModelID]placement.Cause
+	delayed map[cluster.ModelID]delay
 }
 
 func newCell(core *Core) *cell {
--- /dev/null
+++ b/fleet/delays_test.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/placement"
+)
+
+// TestAlternatingCausesAreLoggedOnce: two causes that alternate from plan to plan would
+// fill the log; one that lasts is written.
+func TestAlternatingCausesAreLoggedOnce(t *testing.T) {
+	var current delay
+	var logged []placement.Cause
+	now := time.Unix(1000, 0)
+	step := func(cause placement.Cause) {
+		next, logs := current.with(cause, now)
+		if logs {
+			logged = append(logged, cause)
+		}
+		current, now = next, now.Add(20*time.Millisecond)
+	}
+	for range 50 {
+		step(placement.CauseNoMemory)
+		step(placement.CauseNoMachine)
+	}
+	for range 50 {
+		step(placement.CauseNoMachine)
+	}
+	if want := []placement.Cause{placement.CauseNoMemory, placement.CauseNoMachine}; !slices.Equal(logged, want) {
+		t.Fatalf("logged %v, want %v", logged, want)
+	}
+}
--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -111,28 +111,6 @@
 	c.writeLast()
 }
 
-// explainDelays logs why models that requests wait for get no order, once for
-// each cause.
-func (c *cell) explainDelays(plan *placement.Plan, wanted map[cluster.ModelID]placement.Demand, ordered map[cluster.ModelID]bool) {
-	delayed := make(map[cluster.ModelID]placement.Cause)
-	for i := range plan.Decisions {
-		decision := &plan.Decisions[i]
-		waiting := wanted[decision.Model].Waiting
-		if waiting == 0 || ordered[decision.Model] {
-			continue
-		}
-		delayed[decision.Model] = decision.Reason.Cause
-		if c.delayed[decision.Model] != decision.Reason.Cause {
-			c.core.log(eventlog.LoadDelayed{
-				Work: decision.Model, Cause: string(decision.Reason.Cause), Waiting: waiting,
-				Wanted: decision.Wanted, Held: decision.Held, Loaded: decision.Loaded,
-				Loading: plan.Store.Loading, Limit: plan.Store.Limit, Starts: plan.Store.Starts,
-			})
-		}
-	}
-	c.delayed = delayed
-}
-
 // give asks the ledger to give an order; it gives none to an engine that has not
 // reported yet.
 func (c *cell) give(action *placement.Action) {
