--- a/explain/cause.go
+++ b/explain/cause.go
@@ -60,9 +60,27 @@
 			return "its node stopped at the end of the grace time while the request was under way", true
 		}
 	}
+	if silent := silence(l, story.Node); silent >= goneForGood {
+		return fmt.Sprintf("its node ended without a word and did not start again: its log ends %.1f s before the others'", silent.Seconds()), true
+	}
 	return "the log ends before the request does", false
 }
 
+// goneForGood is for how long the others' logs go on at least when a node's has ended
+// with it: nodes are never so long without a line while there are requests.
+const goneForGood = 5 * time.Second
+
+// silence is how long before the end of all logs a node's log ends.
+func silence(l *Log, node string) time.Duration {
+	end := l.Lines[len(l.Lines)-1].At
+	for i := range slices.Backward(l.Lines) {
+		if l.Lines[i].Node == node {
+			return end.Sub(l.Lines[i].At)
+		}
+	}
+	return 0
+}
+
 // lastFailure describes the last failed attempt.
 func lastFailure(l *Log, own []int) string {
 	for _, i := range slices.Backward(own) {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -60,3 +60,22 @@
 		t.Errorf("groups %+v, want three of one request each", groups)
 	}
 }
+
+// TestNodeThatDoesNotComeBack: the log of a node that was removed for good ends with its
+// requests, while the others' go on.
+func TestNodeThatDoesNotComeBack(t *testing.T) {
+	log, err := Read(strings.NewReader(sample + `
+   0.1 n3 time=2026-01-01T00:00:07.500Z level=INFO msg=request_accepted node=n3 request=e route=r work=s config=3 left_ms=2000 attempts=1
+   0.1 n1 time=2026-01-01T00:00:20.000Z level=INFO msg=request_accepted node=n1 request=f route=r work=s config=3 left_ms=2000 attempts=1
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "its node ended without a word and did not start again: its log ends 12.5 s before the others'"
+	if story, _ := log.Tell("e"); !story.Known || story.Cause != want {
+		t.Errorf("%q, want %q", story.Cause, want)
+	}
+	if story, _ := log.Tell("f"); story.Known {
+		t.Errorf("%q, want no cause where the logs end", story.Cause)
+	}
+}
