--- a/cmd/valveslip/main.go
+++ b/cmd/valveslip/main.go
@@ -1,4 +1,3 @@
-// Command valveslip is the whole program: the node and the tools around it.
 package main
 
 import (
