Load models ahead that no machine has a copy of

Change: a model that was asked for lately and is on no machine in any form is loaded where there is room, within the half of the store that loads without waiting requests may take. It evicts nothing.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -112,6 +112,10 @@
 // InFlight counts the requests that have not ended.
 func (c *Core) InFlight() int { return c.router.InFlight() }
 
+// StoreCapacity is how many loads at once the weight store is believed to bear, by this
+// node as the holder or by the last holder's record.
+func (c *Core) StoreCapacity() int { return cmp.Or(c.cell.bears, firstLoads) }
+
 // Holding reports whether this node gives the orders.
 func (c *Core) Holding() bool { return c.cell.ledger.Holding() }
 
--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -26,6 +26,14 @@
 	})
 	gauge("valveslip_connections_opened", "Connections made to machines so far.", func() float64 { return float64(n.pool.Opened()) })
 	gauge("valveslip_log_lines_dropped", "Lines of the log that were dropped so far.", func() float64 { return float64(n.options.Log.Dropped()) })
+	gauge("valveslip_store_loads_borne", "Loads at once that the weight store is believed to bear at full speed.", func() float64 {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		if n.core == nil {
+			return 0
+		}
+		return float64(n.core.StoreCapacity())
+	})
 	gauge("valveslip_holds_orders_lease", "1 while this node gives the orders.", func() float64 {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -100,6 +100,17 @@
 	return waiting + r.rateOf(i)*copyHorizon.Seconds()*missed
 }
 
+// lacksCopy reports whether a model that was asked for lately is on no machine in any
+// form, as after machines were replaced by empty ones: it is loaded ahead of its next
+// request while the store has little to do and a machine has room.
+func (r *round) lacksCopy(i int32) bool {
+	model, entry := &r.models[i], &r.catalogue.entries[i]
+	if !r.config.OneOrder || entry.base != none || model.want > 0 || model.held > 0 || model.tier != cluster.TierRemote {
+		return false
+	}
+	return entry.track.rate.perSecond > leastRate
+}
+
 // neededPerSecond is how many requests a second come for the models at hand on the
 // machine of which no other machine serves any.
 func (r *round) neededPerSecond(m int32) float64 {
--- a/placement/types.go
+++ b/placement/types.go
@@ -168,6 +168,7 @@
 	CauseUnsealed      Cause = "machine not sealed"
 	CauseHolds         Cause = "machine already holds the model"
 	CauseNotCandidate  Cause = "machine not a candidate of the allotment"
+	CauseNoCopy        Cause = "no machine has a copy"
 	CauseMachineNeeded Cause = "machines kept for quicker loads"
 	CauseBusy          Cause = "machine carries out another order"
 )
--- a/placement/want.go
+++ b/placement/want.go
@@ -89,6 +89,10 @@
 	if model.keep == 0 && (model.held > 0 || entry.track.gaps.total > 0) {
 		r.wantIdle(i)
 	}
+	if r.lacksCopy(i) {
+		model.want, model.keep, model.prewarm = 1, max(model.keep, 1), true
+		model.reason = r.reason(i, CauseNoCopy, "")
+	}
 	model.reported = model.want
 	if model.held > model.unloading {
 		model.reported = max(model.reported, min(model.keep, policy.MaxReplicas))
