Measure a load against its whole expected time

Where no load times are stated the learner took the expected time less the overhead of any load for the time at full speed, so that small loads always seemed slow and the capacity fell to one.

Change: a load is compared with its expected time, overhead included; the second figure is gone. TestSmallLoadsAreNotSlow holds it.

--- a/placement/learn_test.go
+++ b/placement/learn_test.go
@@ -127,7 +127,7 @@
 				left *= 2
 			}
 			store.ordered(key, pendingLoad{
-				tier: cluster.TierRemote, shares: true, bytes: bytes, ordered: now, expected: store.expected(cluster.TierRemote, bytes), full: time.Duration(seconds * float64(time.Second)),
+				tier: cluster.TierRemote, shares: true, bytes: bytes, ordered: now, expected: time.Duration(seconds * float64(time.Second)),
 			})
 			keys, world.left = append(keys, key), append(world.left, left)
 		}
@@ -170,7 +170,7 @@
 		key := loadKey{machine: "machine-0000", model: "booking"}
 		store.begin(now, StoreState{StartsPerSecond: 2, Concurrency: 8, Speed: 1})
 		expected := store.expected(cluster.TierRemote, gigabyte)
-		store.ordered(key, pendingLoad{tier: cluster.TierRemote, shares: true, bytes: gigabyte, ordered: now, expected: expected, full: expected - loadOverhead})
+		store.ordered(key, pendingLoad{tier: cluster.TierRemote, shares: true, bytes: gigabyte, ordered: now, expected: expected})
 		store.underWay = 1
 		now = now.Add(4 * first)
 		store.begin(now, StoreState{StartsPerSecond: 2, Concurrency: 8, Speed: 1})
@@ -207,3 +207,30 @@
 		t.Fatalf("%d loads at once after an adapter's load, want 4", plan.Store.Limit)
 	}
 }
+
+// TestSmallLoadsAreNotSlow: of a load that takes little more than what any load takes,
+// whatever its size, a store that nothing is stated of must not seem overloaded.
+func TestSmallLoadsAreNotSlow(t *testing.T) {
+	store := newStoreModel(Config{}.withDefaults())
+	now := start
+	for range 10 {
+		var keys []loadKey
+		store.begin(now, StoreState{StartsPerSecond: 9, Concurrency: 8, Speed: 1})
+		for i := range 4 {
+			key := loadKey{machine: cluster.MachineID(strconv.Itoa(i)), model: "small"}
+			store.ordered(key, pendingLoad{
+				tier: cluster.TierRemote, shares: true, bytes: 1e6, ordered: now, expected: store.expected(cluster.TierRemote, 1e6),
+			})
+			keys = append(keys, key)
+		}
+		store.underWay = len(keys)
+		now = now.Add(loadOverhead)
+		store.begin(now, StoreState{StartsPerSecond: 9, Concurrency: 8, Speed: 1})
+		for _, key := range keys {
+			store.finished(key, now)
+		}
+	}
+	if got := store.concurrency(); got != 8 {
+		t.Errorf("%d loads at once, want 8", got)
+	}
+}
--- a/placement/place.go
+++ b/placement/place.go
@@ -258,8 +258,7 @@
 		r.keepBusy(m)
 	}
 	r.store.ordered(loadKey{machine: machine, model: id}, pendingLoad{
-		tier: tier, shares: shares, bytes: policy.Memory, ordered: r.state.Now, expected: expected,
-		full: r.fullSpeedTime(i, tier), seen: r.rounds,
+		tier: tier, shares: shares, bytes: policy.Memory, ordered: r.state.Now, expected: expected, seen: r.rounds,
 	})
 }
 
--- a/placement/store.go
+++ b/placement/store.go
@@ -30,8 +30,8 @@
 	tier    cluster.Tier
 	bytes   int64
 	ordered time.Time
-	// expected time of the load, and its time with the store to itself.
-	expected, full time.Duration
+	// expected time of the load with the store to itself.
+	expected time.Duration
 	// area is the store's when the load began.
 	area float64
 	// seen is the last round whose ledger still held the load.
@@ -152,10 +152,9 @@
 		s.learnRate(load, took)
 		return
 	}
-	full := load.full
 	shared := max((s.area-load.area)/took.Seconds(), 1)
-	s.capacity.observe(observation{full: full, took: took, shared: shared})
-	if shared < sharedLoads || took < full {
+	s.capacity.observe(observation{full: load.expected, took: took, shared: shared})
+	if shared < sharedLoads || took < load.expected {
 		// Beside others a load tells what the store bears, not how fast it is.
 		s.learnRate(load, took)
 	}
--- a/placement/want.go
+++ b/placement/want.go
@@ -226,14 +226,6 @@
 	return r.store.expected(tier, r.catalogue.entries[i].model.Policy.Memory)
 }
 
-// fullSpeedTime is how long a load takes with the store to itself.
-func (r *round) fullSpeedTime(i int32, tier cluster.Tier) time.Duration {
-	if stated := r.catalogue.entries[i].stated[tier]; stated > 0 {
-		return stated
-	}
-	return max(r.loadTime(i, tier)-loadOverhead, time.Millisecond)
-}
-
 // reason begins a reason with the setting that decided and its source.
 func (r *round) reason(i int32, cause Cause, key string) Reason {
 	reason := Reason{Cause: cause, Token: r.state.Token, SettingsRevision: r.state.Settings.Stamp.Revision}
