--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -372,3 +372,27 @@
 		})
 	}
 }
+
+// TestBusyForTellsHowLong: an engine that carries out an order says for how much longer,
+// a silent one nothing.
+func TestBusyForTellsHowLong(t *testing.T) {
+	w := newWorld(t, catalog.Report{OrderCount: 3})
+	busyFor := func() time.Duration {
+		return w.ledger.Machines(func(cluster.ModelID) int64 { return 0 })[0].BusyFor
+	}
+	if got := busyFor(); got != 0 {
+		t.Fatalf("%v for an idle engine", got)
+	}
+	send := w.order(cluster.OrderLoad, baseModel, false)
+	w.step(Answered{Machine: testMachine, Number: send.Number, Outcome: OutcomeTaken})
+	began := busyFor()
+	w.pass(600 * time.Millisecond)
+	w.step(Tick{})
+	if left := busyFor(); began < time.Second || began-left != 600*time.Millisecond {
+		t.Fatalf("%v at the beginning of a load of 1 s, %v after 600 ms", began, left)
+	}
+	w.step(ReportRead{Machine: testMachine, Err: errors.New("no answer")})
+	if got := busyFor(); got != 0 {
+		t.Fatalf("%v for an engine that does not report", got)
+	}
+}
