Count what crowds a model's replicas in the gain of a store load

A model with a replica had no gain but its waiting requests, so one whose replicas were crowded never got another one from the store, and its streams paused.

Change: arrivals that find replicas crowded count as late ones, while no replica is under way. The test fails without it.

--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -84,8 +84,8 @@
 }
 
 // storeLoadGain is how many requests a load of the model from the store serves: those
-// that wait and that no replica under way serves, and those to come that would find no
-// copy at hand otherwise.
+// that wait and that no replica under way serves, those to come that would find no copy at
+// hand otherwise, and those that crowd the replicas there are.
 func (r *round) storeLoadGain(i int32, takes time.Duration) float64 {
 	model, busy := &r.models[i], r.busy.current()
 	coming := float64(max(model.useful-model.loaded, 0)) * r.slotsPerReplica(r.catalogue.entries[i].pool)
@@ -93,9 +93,12 @@
 	if model.demand.Objective > 0 && takes > model.demand.Objective {
 		waiting *= lateShare
 	}
-	if model.useful > 0 {
+	if model.useful > model.loaded {
 		return waiting
 	}
+	if model.useful > 0 {
+		return waiting + r.crowded(i)*lateShare*r.rateOf(i)*rateMemory.Seconds()
+	}
 	missed := math.Pow(busy, float64(model.atHand)) * (1 - busy)
 	return waiting + r.rateOf(i)*copyHorizon.Seconds()*missed
 }
@@ -111,6 +114,15 @@
 	return entry.track.rate.perSecond > leastRate
 }
 
+// crowded is the share of a model's requests beyond what its replicas should serve at
+// once.
+func (r *round) crowded(i int32) float64 {
+	model := &r.models[i]
+	work := float64(model.demand.Waiting + model.demand.Running)
+	serves := r.config.targetRunning(r.slotsPerReplica(r.catalogue.entries[i].pool)) * float64(model.useful)
+	return max(work-serves, 0) / max(work, 1)
+}
+
 // neededPerSecond is how many requests a second come for the models at hand on the
 // machine of which no other machine serves any.
 func (r *round) neededPerSecond(m int32) float64 {
--- a/placement/occupancy_test.go
+++ b/placement/occupancy_test.go
@@ -99,3 +99,30 @@
 	state.Now = state.Now.Add(time.Second)
 	expectActions(t, planner.Plan(state), "load booking on machine-0000")
 }
+
+// TestCrowdedModelGetsAReplica: a model whose replica runs more than it should is worth
+// another one from the store, though its requests are being served; one that has room,
+// or that has a replica under way, is not.
+func TestCrowdedModelGetsAReplica(t *testing.T) {
+	gain := func(running int, under bool) float64 {
+		state, planner := occupancyState()
+		hold(&state, 0, "booking")
+		if under {
+			state.Machines = append(state.Machines, testMachines(2)[1])
+			hold(&state, 1, "booking").State = cluster.ReplicaLoading
+		}
+		for range 10 {
+			state.Now = state.Now.Add(time.Second)
+			state.Demand["booking"] = Demand{Running: running, Arrivals: 5, Objective: time.Second}
+			planner.Plan(state)
+		}
+		planner.round.state = &state
+		return planner.round.storeLoadGain(planner.catalogue.find("booking"), 3*time.Second)
+	}
+	if got := gain(5, false); got < 1 {
+		t.Errorf("gain %.2f of a crowded model", got)
+	}
+	if idle, coming := gain(1, false), gain(5, true); idle != 0 || coming != 0 {
+		t.Errorf("gain %.2f with room, %.2f with a replica under way, want none", idle, coming)
+	}
+}
