Count calls to the store by kind

Change: valveslip_calls_total names the kind of call; store_calls is one line each 5 s with the counts and from where the node learns of changes. No policy changed.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -19,7 +19,7 @@
 		NodeStarted{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestAccepted{}, RequestSent{}, AttemptEnded{}, RequestEnded{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
-		FeedChanged{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
+		FeedChanged{}, StoreCalls{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
@@ -149,6 +149,19 @@
 	Silent time.Duration `log:"silent_ms" doc:"how long no relay was heard of"`
 }
 
+// StoreCalls is written for a span in which the node called the store.
+type StoreCalls struct {
+	Span     time.Duration `log:"span_ms" doc:"time that the counts are of"`
+	Source   string        `log:"source" doc:"from where changes are learned at its end"`
+	Reads    int           `log:"reads" doc:"reads of everything"`
+	Polls    int           `log:"polls" doc:"calls for changes"`
+	Grants   int           `log:"grants" doc:"leases asked for"`
+	Writes   int           `log:"writes" doc:"transactions"`
+	Renewals int           `log:"renewals" doc:"renewals of leases"`
+	Ends     int           `log:"ends" doc:"leases given back"`
+	Failed   int           `log:"failed" doc:"those of the calls that failed"`
+}
+
 // DependencyLost is written when the store or the controller can't be reached.
 type DependencyLost struct {
 	Name  string `log:"name" doc:"what was lost"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -122,6 +122,14 @@
 	return "Written when the node learns of the store's changes from elsewhere."
 }
 
+// Kind implements Event.
+func (StoreCalls) Kind() string { return "store_calls" }
+
+// Meaning implements Documented.
+func (StoreCalls) Meaning() string {
+	return "Written for a span in which the node called the store."
+}
+
 // Kind implements Event.
 func (DependencyLost) Kind() string { return "dependency_lost" }
 
--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithTimeout(n.context, leaseTimeout)
 	defer cancel()
 	answer := n.answerLease(ctx, &call.Call)
-	n.metrics.called("store", answer.Err)
+	n.calledStore(operationOf(call.Call.Operation), answer.Err)
 	if call.Awaited {
 		n.step(fleet.LeaseAnswered{Record: call.Record, Answer: answer})
 	}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valveslip/valveslip/catalog"
@@ -33,6 +34,8 @@
 	// configuration is the revision of the configuration read last.
 	configuration int64
 	lostAt        time.Time
+	// source is the name of the feed.Source, for the log.
+	source atomic.Value
 	// inbox holds messages of peers.
 	inbox   chan feed.Event
 	results chan feed.Event
@@ -49,6 +52,7 @@
 	cfg := n.options.Feed
 	cfg.Self = feed.Peer{ID: self.ID, Address: self.Address, Capacity: self.Capacity}
 	f.feed = feed.New(cfg, f.news, n.options.Seed)
+	f.source.Store(feed.SourceStore.String())
 	return f
 }
 
@@ -114,14 +118,15 @@
 		case feed.Ask:
 			f.transport.Send(e.Address, e.Request)
 		case feed.SourceChanged:
+			f.source.Store(e.Source.String())
 			f.options.Log.Write(eventlog.FeedChanged{Source: e.Source.String(), Silent: e.Silent})
 		}
 	}
 }
 
 // called counts a call's outcome and notes whether the store can be reached.
-func (f *follower) called(err error) {
-	f.metrics.called(storeName, err)
+func (f *follower) called(o storeOperation, err error) {
+	f.calledStore(o, err)
 	switch {
 	case err != nil && f.lostAt.IsZero() && f.context.Err() == nil:
 		f.lostAt = time.Now()
@@ -144,7 +149,7 @@
 func (f *follower) poll(after int64) {
 	began := f.Now()
 	changes, err := f.options.Store.Changes(f.context, "", after)
-	f.called(err)
+	f.called(storePoll, err)
 	if changes.Compacted {
 		f.options.Log.Write(eventlog.DependencyLost{Name: "store history", Cause: "changes since the last answer are gone"})
 	}
@@ -164,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(f.context, rangeTimeout)
 	defer cancel()
 	pairs, revision, err := f.options.Store.Range(ctx, "")
-	f.called(err)
+	f.called(storeRead, err)
 	f.result(readResult{ReadDone: feed.ReadDone{Revision: revision, Err: err}, pairs: pairs})
 }
 
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -56,6 +56,8 @@
 	pool     *upstream.Pool
 	registry *prometheus.Registry
 	metrics  *metrics
+	// storeCounts are the calls to the store that the log has not told of.
+	storeCounts storeCounts
 
 	transport *wire.Transport
 	callers   *http.Server
@@ -102,6 +104,7 @@
 	n.mutex.Unlock()
 	n.follower = newFollower(n)
 	go n.follower.run()
+	go n.follower.reportStoreCalls()
 	return n, nil
 }
 
