Let one root ask the store for all relays

Every change of the configuration was read by each node, and a forgotten history by all nodes of a group.

Ruled out: held watches, since heartbeats end them at once and a held one may be cut without a word; rarer polls, since a change must be known in time.

Change: where changes may take 3 s (the smaller of the stated bounds on configuration and on leaving machines) and there are three relays or more, the first of them asks the store and passes changes on to the others. A silent source is replaced by the node of the least position below it, which serves the others too: nobody has to agree, and two that step in cost calls only. A node that misses changes asks its relay before the store. A read of everything is compared with what was known, so a root that finds history gone passes on what changed. Failed calls are spaced by the number of nodes with the same source. Values up to 1 MiB are passed on.

--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -17,6 +17,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/fleet/feed"
 	"github.com/valveslip/valveslip/fleet/shell"
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/routing"
@@ -140,6 +141,7 @@
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)), ReadyPath: platform.ReadyPath,
 		Grace: platform.Seconds(settings.Bounds.GraceSeconds),
 		Store: platform.NewStoreClient(settings.Store.Address, watchWait), Engines: platform.NewEngineClient(),
+		Feed:  feed.Config{Within: platform.Milliseconds(min(settings.Bounds.DrainMillis, settings.Bounds.ConfigMillis))},
 		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Log: log,
 		Logger:  slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError})),
 		Version: versionText(),
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -145,7 +145,7 @@
 
 // FeedChanged is written when the node learns of the store's changes from elsewhere.
 type FeedChanged struct {
-	Source string        `log:"source" doc:"store, store and relaying, or peer"`
+	Source string        `log:"source" doc:"store or peer, and whether the node relays"`
 	Silent time.Duration `log:"silent_ms" doc:"how long no relay was heard of"`
 }
 
--- a/fleet/feed/config.go
+++ b/fleet/feed/config.go
@@ -8,29 +8,53 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-// Defaults of Config.
+// rootedWithin is the least time in which changes must be known for relays to learn from
+// a root. Simulated with a root that dies, a store that hides changes for a second and
+// three of ten updates lost, a change is known after at most 3 s; after 2 s where relays
+// ask the store themselves.
+const rootedWithin = 3 * time.Second
+
+// Defaults of Config. The silences lie above two pauses between readings, and low enough
+// for the bounds above.
 const (
 	defaultInterval      = 400 * time.Millisecond
 	defaultRelayInterval = 300 * time.Millisecond
-	defaultSilence       = 700 * time.Millisecond
+	defaultSilence       = 600 * time.Millisecond
+	defaultLeafSilence   = 1000 * time.Millisecond
+	defaultRelayStep     = 20 * time.Millisecond
+	defaultLeafStep      = 8 * time.Millisecond
 	defaultMinGroup      = 4
 	defaultMaxGroup      = 32
-	defaultMaxValue      = 8 << 10
+	defaultMinRelays     = 3
+	defaultMaxValue      = 1 << 20
 )
 
 // Config tunes a Core; a zero field takes its default.
 type Config struct {
 	Self Peer
-	// Interval is the pause between two calls for changes of a node that does not
-	// relay, RelayInterval of one that does. Defaults 400 and 300 ms.
+	// Interval is the pause between two calls for changes of a node without a source,
+	// RelayInterval of one that relays. Defaults 400 and 300 ms.
 	Interval, RelayInterval time.Duration
-	// Silence of the relays after which a node asks the store itself. Default 700 ms.
+	// Silence of its source after which a node asks the store itself. Default 600 ms.
 	Silence time.Duration
+	// LeafSilence is the same for a leaf where relays have a root: a relay that steps in
+	// for the root is heard before. Default 1 s.
+	LeafSilence time.Duration
+	// RelayStep and LeafStep are by how much each further node that learns from the same
+	// source waits longer, so that one steps in for all. Defaults 20 and 8 ms.
+	RelayStep, LeafStep time.Duration
 	// MinGroup is the least number of nodes in a zone of which some relay, and
 	// MaxGroup how many one relay serves, itself included. Defaults 4 and 32.
 	MinGroup, MaxGroup int
+	// MinRelays is the least number of relays of which one asks the store for all.
+	// Default 3.
+	MinRelays int
+	// Within is the time in which a change of the store must be known. Zero stands for
+	// one that is too short for a root.
+	Within time.Duration
 	// MaxValue is the size in bytes from which values are not passed on but read at
-	// the store by each node. Default 8 KiB.
+	// the store by each node. Default 1 MiB, which holds the configuration of some
+	// thousand models.
 	MaxValue int
 }
 
@@ -39,17 +63,30 @@
 	c.Interval = cmp.Or(c.Interval, defaultInterval)
 	c.RelayInterval = cmp.Or(c.RelayInterval, defaultRelayInterval)
 	c.Silence = cmp.Or(c.Silence, defaultSilence)
+	c.LeafSilence = cmp.Or(c.LeafSilence, defaultLeafSilence)
+	c.RelayStep = cmp.Or(c.RelayStep, defaultRelayStep)
+	c.LeafStep = cmp.Or(c.LeafStep, defaultLeafStep)
 	c.MinGroup = cmp.Or(c.MinGroup, defaultMinGroup)
 	c.MaxGroup = cmp.Or(c.MaxGroup, defaultMaxGroup)
+	c.MinRelays = cmp.Or(c.MinRelays, defaultMinRelays)
 	c.MaxValue = cmp.Or(c.MaxValue, defaultMaxValue)
 	return c
 }
 
-// Peer is a live node of the zone.
+// relaysIn counts the relays of a zone of n nodes.
+func (c *Config) relaysIn(n int) int {
+	if n < c.MinGroup {
+		return 0
+	}
+	return (n + c.MaxGroup - 1) / c.MaxGroup
+}
+
+// Peer is a live node.
 type Peer struct {
 	ID cluster.NodeID
 	// Address, host:port, takes messages of other nodes.
 	Address string
+	Zone    cluster.ZoneID
 	// Capacity in processor cores; nodes with more relay first.
 	Capacity float64
 }
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -12,10 +12,18 @@
 
 const (
 	// retryWait is the first wait after a failed call; it doubles up to
-	// longestRetryWait.
+	// longestRetryWait. Nodes with the same source wait longer, so that together they
+	// make a call each retrySpacing at first and each longestSpacing in the end, but no
+	// longer than sharedRetryWait: the answer that one of them gets is passed on to all.
 	retryWait        = 100 * time.Millisecond
 	longestRetryWait = 800 * time.Millisecond
+	retrySpacing     = 30 * time.Millisecond
+	longestSpacing   = 100 * time.Millisecond
+	sharedRetryWait  = 2 * time.Second
 	maxDoublings     = 8
+	// answerWait is how long a peer that was asked for missing changes may take before
+	// the store is asked: two messages within a region and a queue at either end.
+	answerWait = 100 * time.Millisecond
 )
 
 // Core follows the store for one node; it is not safe for concurrent use.
@@ -24,13 +32,16 @@
 	filter Filter
 	rand   *rand.Rand
 	now    time.Time
-	// group holds the live nodes of the zone, those that relay first.
-	group []Peer
+	tree   tree
 	// revision up to which everything is known; zero before the first read.
 	revision int64
-	heardAt  time.Time
+	// heardAt is the time of the newest reading that the node's source passed on,
+	// knownAt of the newest one of all.
+	heardAt, knownAt time.Time
 	// calling is set while a call is under way, stale once its outcome must not count.
 	calling, stale bool
+	// steppingIn is set when the last call was made because the source was silent.
+	steppingIn bool
 	// urgent is set when a relay named changes that it did not pass on.
 	urgent   bool
 	failures int
@@ -38,14 +49,17 @@
 	source   Source
 	// relayID names the relay that was heard of last.
 	relayID cluster.NodeID
-	history history
-	effects []Effect
+	// passedOn is the time of the newest reading that was passed on.
+	passedOn time.Time
+	contents contents
+	history  history
+	effects  []Effect
 }
 
 // New returns a core that knows nothing yet.
 func New(cfg Config, f Filter, seed uint64) *Core {
 	cfg = cfg.withDefaults()
-	return &Core{cfg: cfg, filter: f, rand: rand.New(rand.NewPCG(seed, 1)), group: []Peer{cfg.Self}}
+	return &Core{cfg: cfg, filter: f, rand: rand.New(rand.NewPCG(seed, 1)), tree: newTree(&cfg, nil)}
 }
 
 // Step takes one event and returns the effects, valid until the next Step.
@@ -54,7 +68,7 @@
 	c.effects = c.effects[:0]
 	switch e := e.(type) {
 	case PeersChanged:
-		c.peersChanged(e.Peers)
+		c.tree = newTree(&c.cfg, e.Peers)
 	case ReadDone:
 		c.readDone(e)
 	case PollDone:
@@ -78,7 +92,7 @@
 		return time.Time{}
 	}
 	if c.fed() {
-		return later(c.callAt, c.heardAt.Add(c.cfg.Silence))
+		return later(c.callAt, c.heardAt.Add(c.silence()))
 	}
 	return later(c.callAt, c.now)
 }
@@ -95,38 +109,25 @@
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
-// peersChanged ranks the nodes of the zone: of equal capacity by their names, so
-// that all come to the same ranks.
-func (c *Core) peersChanged(peers []Peer) {
-	group := []Peer{c.cfg.Self}
-	for _, p := range peers {
-		if p.ID != c.cfg.Self.ID {
-			group = append(group, p)
-		}
-	}
-	slices.SortFunc(group, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
-	})
-	c.group = group
-}
-
-// relays counts the nodes of the zone that relay.
-func (c *Core) relays() int {
-	n := len(c.group)
-	if n < c.cfg.MinGroup {
-		return 0
+// silence is for how long this node waits for its source. Nodes with the same source
+// have different patience, so that one of them steps in and the others hear of it.
+func (c *Core) silence() time.Duration {
+	position := time.Duration(c.tree.position)
+	switch {
+	case c.tree.role == leaf && c.tree.rooted:
+		return c.cfg.LeafSilence + position*c.cfg.LeafStep
+	case c.tree.role == leaf:
+		return c.cfg.Silence + position*c.cfg.LeafStep
 	}
-	return (n + c.cfg.MaxGroup - 1) / c.cfg.MaxGroup
+	return c.cfg.Silence + position*c.cfg.RelayStep
 }
 
-func (c *Core) rank() int {
-	return slices.IndexFunc(c.group, func(p Peer) bool { return p.ID == c.cfg.Self.ID })
-}
+// heard reports whether what is known was read recently enough.
+func (c *Core) heard() bool { return c.now.Sub(c.heardAt) < c.silence() }
 
-// fed reports whether a relay keeps this node up to date.
+// fed reports whether another node keeps this one up to date.
 func (c *Core) fed() bool {
-	return c.revision != 0 && !c.urgent && c.rank() >= c.relays() && c.relays() > 0 &&
-		c.now.Sub(c.heardAt) < c.cfg.Silence
+	return c.revision != 0 && !c.urgent && c.tree.hasSource() && c.heard()
 }
 
 // call makes the call that is due, one at a time.
@@ -135,8 +136,9 @@
 		return
 	}
 	c.calling = true
+	c.steppingIn = c.revision != 0 && c.tree.hasSource() && !c.heard()
 	if c.revision == 0 {
-		c.emit(Read{})
+		c.emit(Read{First: c.contents.empty()})
 		return
 	}
 	c.emit(Poll{After: c.revision})
@@ -150,13 +152,16 @@
 		c.callAt = c.now.Add(c.interval())
 		return
 	}
-	wait := min(retryWait<<min(c.failures, maxDoublings), longestRetryWait)
+	siblings := time.Duration(c.tree.siblings)
+	first := max(retryWait, siblings*retrySpacing)
+	longest := min(max(longestRetryWait, siblings*longestSpacing), sharedRetryWait)
+	wait := min(first<<min(c.failures, maxDoublings), longest)
 	c.failures++
 	c.callAt = c.now.Add(wait/2 + time.Duration(c.rand.Int64N(int64(wait))))
 }
 
 func (c *Core) interval() time.Duration {
-	if c.rank() < c.relays() {
+	if c.tree.passesOn() {
 		return c.cfg.RelayInterval
 	}
 	return c.cfg.Interval
@@ -168,12 +173,22 @@
 		c.stale, c.callAt = false, c.now
 		return
 	}
-	if e.Err == nil {
-		c.revision, c.heardAt, c.urgent = e.Revision, c.now, false
+	if e.Err != nil {
+		return
+	}
+	after := c.contents.revision
+	first := c.contents.empty()
+	news := c.news(c.contents.replace(e.Pairs, e.Revision))
+	c.revision, c.urgent = e.Revision, false
+	c.heardAt, c.knownAt = later(c.heardAt, e.Began), later(c.knownAt, e.Began)
+	if first {
 		c.history.restart(e.Revision)
 		// Those that this node relays to learn at once that they miss what was read.
-		c.relay(e.Revision, nil, 0)
+		c.passOn(e.Revision, nil, c.steppingIn)
+		return
 	}
+	c.history.add(news)
+	c.passOn(after, news, c.steppingIn)
 }
 
 func (c *Core) pollDone(e PollDone) {
@@ -187,19 +202,28 @@
 		c.revision, c.callAt = 0, c.now
 	default:
 		c.urgent = false
+		c.knownAt = later(c.knownAt, e.Began)
 		after := c.revision
-		news := c.take(e.Changes)
-		c.revision = max(c.revision, e.Revision)
+		news := c.take(e.Changes, e.Revision)
 		c.apply(news, "")
-		c.relay(after, news, c.now.Sub(e.Began))
+		c.passOn(after, news, c.steppingIn)
 	}
 }
 
-// take returns the changes that are not known and say something new.
-func (c *Core) take(changes []wire.StoreChange) []wire.StoreChange {
+// take notes changes that bring what is known up to a revision, and returns those that
+// were not known and say something new.
+func (c *Core) take(changes []wire.StoreChange, revision int64) []wire.StoreChange {
+	unknown := slices.DeleteFunc(slices.Clone(changes), func(s wire.StoreChange) bool { return s.Revision <= c.revision })
+	c.revision = max(c.revision, revision)
+	c.contents.note(unknown, c.revision)
+	return c.news(unknown)
+}
+
+// news returns the changes that say something new.
+func (c *Core) news(changes []wire.StoreChange) []wire.StoreChange {
 	var news []wire.StoreChange
 	for i := range changes {
-		if changes[i].Revision > c.revision && c.filter.News(&changes[i]) {
+		if c.filter.News(&changes[i]) {
 			news = append(news, changes[i])
 		}
 	}
@@ -213,15 +237,17 @@
 	}
 }
 
-// ask asks the relay for what the store did not tell.
-func (c *Core) ask() {
-	i := slices.IndexFunc(c.group, func(p Peer) bool { return p.ID == c.relayID })
-	if !c.urgent || i < 0 {
-		return
+// ask asks the relay that was heard of last for changes that are missing, and reports
+// whether it could.
+func (c *Core) ask() bool {
+	peer, known := c.tree.peers[c.relayID]
+	if !c.urgent || !known {
+		return false
 	}
-	c.emit(Ask{Address: c.group[i].Address, Request: wire.StoreChangesRequest{
+	c.emit(Ask{Address: peer.Address, Request: wire.StoreChangesRequest{
 		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, After: c.revision,
 	}})
+	return true
 }
 
 // changesRequested sends a peer what it misses, if that is known.
@@ -231,46 +257,66 @@
 		return
 	}
 	c.emit(Send{Address: r.FromAddress, Update: wire.StoreChanges{
-		From: c.cfg.Self.ID, After: r.After, Revision: c.revision, Changes: slices.Clone(changes),
+		From: c.cfg.Self.ID, After: r.After, Revision: c.revision, Age: c.now.Sub(c.knownAt), Changes: slices.Clone(changes),
 	}})
 }
 
-// relay passes on to this relay's part of the zone what it read, and that it did.
-func (c *Core) relay(after int64, news []wire.StoreChange, age time.Duration) {
-	relays, rank := c.relays(), c.rank()
-	if rank >= relays {
+// passOn tells the nodes below of a reading, also of one that brought nothing.
+func (c *Core) passOn(after int64, news []wire.StoreChange, steppedIn bool) {
+	peers := c.tree.below(steppedIn)
+	if len(peers) == 0 {
 		return
 	}
-	update := wire.StoreChanges{From: c.cfg.Self.ID, After: after, Revision: c.revision, Age: age, Changes: news}
-	for i := range news {
-		if len(news[i].Value) > c.cfg.MaxValue {
-			update.Partial, update.Changes = true, nil
-			break
-		}
+	c.passedOn = c.knownAt
+	update := wire.StoreChanges{
+		From: c.cfg.Self.ID, After: after, Revision: c.revision, Age: c.now.Sub(c.knownAt), Changes: news,
 	}
-	for i := relays; i < len(c.group); i++ {
-		if i%relays == rank {
-			c.emit(Send{Address: c.group[i].Address, Update: update})
-		}
+	if slices.ContainsFunc(news, func(s wire.StoreChange) bool { return len(s.Value) > c.cfg.MaxValue }) {
+		update.Partial, update.Changes = true, nil
+	}
+	for _, p := range peers {
+		c.emit(Send{Address: p.Address, Update: update})
 	}
 }
 
-// updateReceived takes what a relay passed on, if nothing is missing before it.
+// updateReceived takes what a relay passed on, if nothing is missing before it, and
+// passes it on in turn.
 func (c *Core) updateReceived(u *wire.StoreChanges) {
 	if c.revision == 0 || c.stale || u.Revision < c.revision {
 		return
 	}
-	c.heardAt, c.relayID = later(c.heardAt, c.now.Add(-u.Age)), u.From
+	c.knownAt, c.relayID = later(c.knownAt, c.now.Add(-u.Age)), u.From
+	if c.tree.isSource(u.From) {
+		c.heardAt = later(c.heardAt, c.now.Add(-u.Age))
+	}
 	if u.After > c.revision || u.Partial && u.Revision > c.revision {
-		c.urgent = true
-		if c.failures == 0 {
-			c.callAt = c.now
-		}
+		c.missing(u.Partial)
 		return
 	}
-	news := c.take(u.Changes)
-	c.revision, c.urgent = u.Revision, false
+	after := c.revision
+	news := c.take(u.Changes, u.Revision)
+	c.urgent = false
 	c.apply(news, string(u.From))
+	if len(news) > 0 || c.knownAt.Sub(c.passedOn) >= c.cfg.RelayInterval/2 {
+		c.passOn(after, news, false)
+	}
+}
+
+// missing has changes fetched that an update named and did not hold: by the relay,
+// unless it has passed on all that it can, and then by the store.
+func (c *Core) missing(partial bool) {
+	if c.urgent {
+		return
+	}
+	c.urgent = true
+	asked := !partial && c.ask()
+	switch {
+	case c.failures > 0:
+	case asked:
+		c.callAt = c.now.Add(answerWait)
+	default:
+		c.callAt = c.now
+	}
 }
 
 // invalidate has everything read again; a call under way doesn't count.
@@ -284,10 +330,13 @@
 // noteSource tells when the source of changes is another one.
 func (c *Core) noteSource() {
 	source := SourceStore
+	fed := c.fed() || c.urgent
 	switch {
-	case c.fed() || c.urgent:
+	case fed && c.tree.passesOn():
+		source = SourcePeerRelay
+	case fed:
 		source = SourcePeer
-	case c.rank() < c.relays():
+	case c.tree.passesOn():
 		source = SourceRelay
 	}
 	if source != c.source {
@@ -295,3 +344,48 @@
 		c.emit(SourceChanged{Source: source, Silent: c.now.Sub(c.heardAt)})
 	}
 }
+
+// contents are the keys in the store and the revisions of their values, as far as is
+// known. With them a read of everything tells what changed since.
+type contents struct {
+	revision int64
+	keys     map[string]int64
+}
+
+func (c *contents) empty() bool { return c.revision == 0 }
+
+// note takes changes that bring the contents up to a revision.
+func (c *contents) note(changes []wire.StoreChange, revision int64) {
+	c.revision = revision
+	for i := range changes {
+		if changes[i].Deleted {
+			delete(c.keys, changes[i].Key)
+		} else {
+			c.keys[changes[i].Key] = changes[i].Revision
+		}
+	}
+}
+
+// replace takes everything that is in the store at a revision and returns what changed
+// since the contents were known, in order of revisions.
+func (c *contents) replace(pairs []wire.StoreChange, revision int64) []wire.StoreChange {
+	before := c.keys
+	c.keys = make(map[string]int64, len(pairs))
+	c.revision = revision
+	var changes []wire.StoreChange
+	for i := range pairs {
+		c.keys[pairs[i].Key] = pairs[i].Revision
+		if pairs[i].Revision != before[pairs[i].Key] {
+			changes = append(changes, pairs[i])
+		}
+	}
+	for key := range before {
+		if _, kept := c.keys[key]; !kept {
+			changes = append(changes, wire.StoreChange{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b wire.StoreChange) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
+	return changes
+}
--- a/fleet/feed/events.go
+++ b/fleet/feed/events.go
@@ -12,12 +12,14 @@
 // Tick lets time pass.
 type Tick struct{}
 
-// PeersChanged brings the live nodes of the zone.
+// PeersChanged brings the live nodes of all zones.
 type PeersChanged struct{ Peers []Peer }
 
-// ReadDone brings the outcome of a Read, whose content the owner has taken.
+// ReadDone brings the outcome of a Read: what was in the store at Revision or later.
 type ReadDone struct {
+	Began    time.Time
 	Revision int64
+	Pairs    []wire.StoreChange
 	Err      error
 }
 
@@ -51,8 +53,9 @@
 // Effect is an output of a Core.
 type Effect interface{ feedEffect() }
 
-// Read asks for the whole content of the store.
-type Read struct{}
+// Read asks for the whole content of the store. The First of a node may be old, since
+// it asks for what changed afterwards.
+type Read struct{ First bool }
 
 // Poll asks the store for the changes after a revision.
 type Poll struct{ After int64 }
@@ -102,9 +105,11 @@
 	SourceRelay
 	// SourcePeer is a relay.
 	SourcePeer
+	// SourcePeerRelay is a relay, for this node and those it relays to.
+	SourcePeerRelay
 )
 
 // String returns the name used in logs.
 func (s Source) String() string {
-	return [...]string{"store", "store, relaying", "peer"}[s]
+	return [...]string{"store", "store, relaying", "peer", "peer, relaying"}[s]
 }
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -12,7 +12,6 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
-	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -50,7 +49,7 @@
 	}
 	self := &n.options.Core.Self
 	cfg := n.options.Feed
-	cfg.Self = feed.Peer{ID: self.ID, Address: self.Address, Capacity: self.Capacity}
+	cfg.Self = feed.Peer{ID: self.ID, Address: self.Address, Zone: self.Zone, Capacity: self.Capacity}
 	f.feed = feed.New(cfg, f.news, n.options.Seed)
 	f.source.Store(feed.SourceStore.String())
 	return f
@@ -91,14 +90,9 @@
 
 // take takes one event; the content of the store counts unless it came too late.
 func (f *follower) take(event feed.Event) {
-	read, isRead := event.(readResult)
-	if !isRead {
-		f.feedStep(event)
-		return
-	}
-	f.feedStep(read.ReadDone)
-	if read.Err == nil && f.feed.Revision() == read.Revision {
-		f.replace(read.Revision, read.pairs)
+	f.feedStep(event)
+	if read, isRead := event.(feed.ReadDone); isRead && read.Err == nil && f.feed.Revision() == read.Revision {
+		f.replace(read.Revision, read.Pairs)
 	}
 }
 
@@ -108,7 +102,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case feed.Read:
-			go f.read()
+			go f.read(e.First)
 		case feed.Poll:
 			go f.poll(e.After)
 		case feed.Apply:
@@ -165,28 +159,24 @@
 
 // read reads everything that is in the store. While it does, run waits for it: no
 // other call is under way and updates don't count before its end.
-func (f *follower) read() {
+func (f *follower) read(first bool) {
 	ctx, cancel := context.WithTimeout(f.context, rangeTimeout)
 	defer cancel()
+	done := feed.ReadDone{Began: f.Now()}
 	pairs, revision, err := f.options.Store.Range(ctx, "")
 	f.called(storeRead, err)
-	f.result(readResult{ReadDone: feed.ReadDone{Revision: revision, Err: err}, pairs: pairs})
-}
-
-// readResult is the outcome of a read with what was read.
-type readResult struct {
-	feed.ReadDone
-	pairs []keyvalue.KeyValue
+	done.Revision, done.Err = revision, err
+	for i := range pairs {
+		done.Pairs = append(done.Pairs, wire.StoreChange{Key: pairs[i].Key, Value: pairs[i].Value, Revision: pairs[i].ModRevision})
+	}
+	f.result(done)
 }
 
 // replace takes the whole content of the store.
-func (f *follower) replace(revision int64, pairs []keyvalue.KeyValue) {
-	f.news.reset()
+func (f *follower) replace(revision int64, pairs []wire.StoreChange) {
 	batch := batch{revision: revision}
 	for i := range pairs {
-		change := wire.StoreChange{Key: pairs[i].Key, Value: pairs[i].Value, Revision: pairs[i].ModRevision}
-		f.news.News(&change)
-		f.sort(&batch, &change)
+		f.sort(&batch, &pairs[i])
 	}
 	holder := fleet.HolderRead{}
 	if batch.holder != nil {
@@ -290,7 +280,7 @@
 	}
 }
 
-// notePeers tells the feed of the live nodes of this zone.
+// notePeers tells the feed of the live nodes.
 func (f *follower) notePeers(b *batch) {
 	for _, id := range b.nodesGone {
 		delete(f.peers, id)
@@ -298,13 +288,11 @@
 	for _, entry := range b.nodes {
 		f.peers[entry.ID] = entry
 	}
-	var zone []feed.Peer
+	peers := make([]feed.Peer, 0, len(f.peers))
 	for _, entry := range f.peers {
-		if entry.Zone == f.options.Core.Self.Zone {
-			zone = append(zone, feed.Peer{ID: entry.ID, Address: entry.Address, Capacity: entry.Capacity})
-		}
+		peers = append(peers, feed.Peer{ID: entry.ID, Address: entry.Address, Zone: entry.Zone, Capacity: entry.Capacity})
 	}
-	f.feedStep(feed.PeersChanged{Peers: zone})
+	f.feedStep(feed.PeersChanged{Peers: peers})
 }
 
 // configured puts a configuration in force. One that can't be read or compiled
--- a/fleet/shell/news.go
+++ b/fleet/shell/news.go
@@ -19,9 +19,6 @@
 	return &newsFilter{codec: codec, workers: map[cluster.MachineID]catalog.Worker{}}
 }
 
-// reset forgets all entries.
-func (f *newsFilter) reset() { clear(f.workers) }
-
 // News implements feed.Filter.
 func (f *newsFilter) News(c *wire.StoreChange) bool {
 	if !strings.HasPrefix(c.Key, f.codec.WorkersPrefix()) {
