Double the candidates of each turn, and renew nodes' records each 4 s

Cause: from the seventh rank on all nodes stood for the lease at the same moment: 289 of 295 nodes asked for a lease and wrote, 580 calls, when the first six were cut off or late. Nodes renewed a record of 6 s each 2 s, and tried each 0.5 s while the store was away.

Records last 12 s; failed attempts are spaced up to 2 s. Others step in for a silent relay without waiting for its record to end.

--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -17,10 +18,14 @@
 )
 
 const (
-	// candidacyStep delays each node's attempt to take the lease by its rank.
+	// candidacyStep delays the attempts of nodes to take the lease: the first
+	// singleTurns of them stand alone, after that each turn has twice as many as the
+	// one before, so that a few calls suffice when the first ones live and the last
+	// of hundreds stands within two seconds when they don't. A step is enough for two
+	// calls and for the record to be read: 4 ms an answer and a poll each 300 ms,
+	// of which one that comes too late costs a refused write.
 	candidacyStep = 120 * time.Millisecond
-	// lastRank bounds that delay.
-	lastRank = 6
+	singleTurns   = 6
 	// renewalsPerHold is how often the holder renews its lease within its time.
 	renewalsPerHold = 5
 	// orderShare is the part of the lease's time since the last renewal in which
@@ -205,8 +210,15 @@
 	if c.own(c.last) {
 		return c.vacantSince
 	}
-	rank := min(c.rank()+1, lastRank)
-	return c.vacantSince.Add(time.Duration(rank) * candidacyStep)
+	return c.vacantSince.Add(time.Duration(turnOf(c.rank())) * candidacyStep)
+}
+
+// turnOf is the turn of the node that a number of others come before.
+func turnOf(rank int) int {
+	if rank < singleTurns {
+		return rank + 1
+	}
+	return singleTurns + bits.Len(uint(rank-singleTurns+1))
 }
 
 // rank counts the live nodes whose turn comes before this one's.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -36,7 +36,8 @@
 	// HolderTTL is for how long the holder's lease lasts without a renewal.
 	// Default 2 s.
 	HolderTTL time.Duration
-	// NodeTTL is the same for the node's own record. Default 6 s.
+	// NodeTTL is the same for the node's own record. Default 12 s: others step in for a
+	// silent node long before, and each renewal of hundreds of nodes is paid for.
 	NodeTTL time.Duration
 	// PauseHold bounds how long dispatches wait after a pause for the store to
 	// be read again. Default 300 ms.
@@ -48,7 +49,7 @@
 	c.LoadWindow = cmp.Or(c.LoadWindow, 5*time.Second)
 	c.LoadOverrun = cmp.Or(c.LoadOverrun, 1.1)
 	c.HolderTTL = cmp.Or(c.HolderTTL, 2*time.Second)
-	c.NodeTTL = cmp.Or(c.NodeTTL, 6*time.Second)
+	c.NodeTTL = cmp.Or(c.NodeTTL, 12*time.Second)
 	c.PauseHold = cmp.Or(c.PauseHold, 300*time.Millisecond)
 	return c
 }
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -138,7 +138,7 @@
 	c.calling = true
 	c.steppingIn = c.revision != 0 && c.tree.hasSource() && !c.heard()
 	if c.revision == 0 {
-		c.emit(Read{First: c.contents.empty()})
+		c.emit(Read{})
 		return
 	}
 	c.emit(Poll{After: c.revision})
--- a/fleet/feed/events.go
+++ b/fleet/feed/events.go
@@ -53,9 +53,8 @@
 // Effect is an output of a Core.
 type Effect interface{ feedEffect() }
 
-// Read asks for the whole content of the store. The First of a node may be old, since
-// it asks for what changed afterwards.
-type Read struct{ First bool }
+// Read asks for the whole content of the store.
+type Read struct{}
 
 // Poll asks the store for the changes after a revision.
 type Poll struct{ After int64 }
--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -23,7 +23,7 @@
 	undisturbed = 3 * time.Second
 	// checkInterval is the time between two checks, ten times as long in a large fleet.
 	checkInterval = 50 * time.Millisecond
-	callLimit   = 600 * time.Millisecond
+	callLimit     = 600 * time.Millisecond
 )
 
 // simulatedStore holds every change ever made and forgets the older ones.
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -30,10 +30,19 @@
 	core  *Core
 	lease *lease.Client
 	next  time.Time
+	// failures counts the calls without an answer since the last one with it.
+	failures int
 }
 
-// recordRetry spaces attempts to write the record.
-const recordRetry = 500 * time.Millisecond
+// recordRetry spaces attempts to write the record; it doubles with each failure up to
+// longestRecordRetry, which leaves two more before the record of a default lease ends.
+const (
+	recordRetry        = 500 * time.Millisecond
+	longestRecordRetry = 2 * time.Second
+)
+
+// recordDoublings bounds the doubling of recordRetry.
+const recordDoublings = 2
 
 // renewalsPerTTL is how often a lease is renewed within its time.
 const renewalsPerTTL = 3
@@ -54,19 +63,28 @@
 		r.lease.Renew()
 		return
 	}
-	r.next = r.core.now.Add(recordRetry)
+	r.next = r.core.now.Add(r.retryWait())
 	r.lease.Acquire()
 }
 
+// retryWait is the pause before the next attempt.
+func (r *nodeRecord) retryWait() time.Duration {
+	return min(recordRetry<<min(r.failures, recordDoublings), longestRecordRetry)
+}
+
 // answered takes the answer to a call; a lost record is written anew.
 func (r *nodeRecord) answered(answer lease.Answer) {
 	switch r.lease.Answered(answer) {
 	case lease.Won:
+		r.failures = 0
 		r.next = r.core.now.Add(r.core.config.NodeTTL / renewalsPerTTL)
+	case lease.Extended:
+		r.failures = 0
 	case lease.Gone:
 		r.next = r.core.now
 	case lease.NoAnswer:
-		r.next = r.core.now.Add(recordRetry)
+		r.next = r.core.now.Add(r.retryWait())
+		r.failures++
 	}
 }
 
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -102,7 +102,7 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case feed.Read:
-			go f.read(e.First)
+			go f.read()
 		case feed.Poll:
 			go f.poll(e.After)
 		case feed.Apply:
@@ -159,7 +159,7 @@
 
 // read reads everything that is in the store. While it does, run waits for it: no
 // other call is under way and updates don't count before its end.
-func (f *follower) read(first bool) {
+func (f *follower) read() {
 	ctx, cancel := context.WithTimeout(f.context, rangeTimeout)
 	defer cancel()
 	done := feed.ReadDone{Began: f.Now()}
