Compress large messages between nodes of a fleet

Cause: a configuration of hundreds of models is passed on by relays, each to up to 31 nodes, some over links of 20 Mbit/s.

Change: request bodies above 16 KiB are deflated at the fastest level; the receiver bounds what they expand to. An option of the transport, since older nodes of our own deployments can't read it; only the fleet sets it.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -34,6 +34,11 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// compressAbove is the size in bytes of messages to other nodes from which they are
+// compressed: configurations, which relays send to dozens of nodes over links of
+// 20 Mbit/s. What is smaller fits into a few packets as it is.
+const compressAbove = 16 << 10
+
 // MetricsPath is where the figures are served.
 const MetricsPath = "/metrics"
 
@@ -110,7 +115,7 @@
 
 // open opens the transport and the listeners.
 func (n *Node) open() error {
-	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive)
+	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive, wire.WithCompression(compressAbove))
 	if err != nil {
 		return eris.Wrap(err, "peers' listener")
 	}
--- a/wire/options.go
+++ b/wire/options.go
@@ -35,6 +35,9 @@
 	serverTLS, clientTLS *tls.Config
 	queueLength          int
 	sendTimeout          time.Duration
+	// compressAbove is the size in bytes from which request bodies are compressed; zero
+	// for never.
+	compressAbove int
 	// announce is the newest version this node reads, and says
 	// so.
 	announce int32
@@ -65,3 +68,9 @@
 	}
 	return "http"
 }
+
+// WithCompression compresses request bodies larger than a number of bytes. Nodes of
+// before this option can't read them, so it is for deployments without such.
+func WithCompression(above int) Option {
+	return func(o *options) { o.compressAbove = above }
+}
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -124,7 +124,7 @@
 		DisableCompression:  true,
 	}}
 	publisher, err := watermillhttp.NewPublisher(watermillhttp.PublisherConfig{
-		MarshalMessageFunc:                marshalRequest,
+		MarshalMessageFunc:                t.marshalRequest,
 		Client:                            &http.Client{Timeout: t.options.sendTimeout, Transport: versionReader{t.client.Transport}},
 		DoNotLogResponseBodyOnServerError: true,
 	}, adapter)
@@ -134,12 +134,21 @@
 
 // marshalRequest carries only the payload: identifiers and metadata of the
 // bus are not needed between nodes.
-func marshalRequest(url string, msg *message.Message) (*http.Request, error) {
+func (t *Transport) marshalRequest(url string, msg *message.Message) (*http.Request, error) {
+	header := http.Header{"User-Agent": {""}, "Content-Type": {"avro/binary"}}
+	if above := t.options.compressAbove; above > 0 && len(msg.Payload) > above {
+		compressed, err := compress(msg.Payload)
+		if err != nil {
+			return nil, eris.Wrap(err, "compress a request to a peer")
+		}
+		msg.Payload = compressed
+		header.Set(encodingHeader, encodingDeflate)
+	}
 	request, err := watermillhttp.DefaultMarshalMessageFunc(url, msg)
 	if err != nil {
 		return nil, err
 	}
-	request.Header = http.Header{"User-Agent": {""}, "Content-Type": {"avro/binary"}}
+	request.Header = header
 	return request.WithContext(msg.Context()), nil
 }
 
@@ -171,7 +180,7 @@
 
 // unmarshalRequest reads a bounded body.
 func unmarshalRequest(_ string, request *http.Request) (*message.Message, error) {
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(bodyOf(request), maxBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
