Keep one record of each machine, under a lease of 30 s

A longer lease alone would have left the records of processes that had ended among the live nodes for half a minute: relays, candidates and shares of budgets that don't exist.

Change: of the records of one machine the newest counts, by the store's revision. The follower asks the core for the nodes instead of keeping a list of its own.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -36,8 +36,9 @@
 	// HolderTTL is for how long the holder's lease lasts without a renewal.
 	// Default 2 s.
 	HolderTTL time.Duration
-	// NodeTTL is the same for the node's own record. Default 12 s: others step in for a
-	// silent node long before, and each renewal of hundreds of nodes is paid for.
+	// NodeTTL is the same for the node's own record. Default 30 s: others step in for a
+	// silent node and a new start replaces its record long before, while each renewal
+	// of hundreds of nodes is paid for, and so is each record that a cut let lapse.
 	NodeTTL time.Duration
 	// PauseHold bounds how long dispatches wait after a pause for the store to
 	// be read again. Default 300 ms.
@@ -49,7 +50,7 @@
 	c.LoadWindow = cmp.Or(c.LoadWindow, 5*time.Second)
 	c.LoadOverrun = cmp.Or(c.LoadOverrun, 1.1)
 	c.HolderTTL = cmp.Or(c.HolderTTL, 2*time.Second)
-	c.NodeTTL = cmp.Or(c.NodeTTL, 12*time.Second)
+	c.NodeTTL = cmp.Or(c.NodeTTL, 30*time.Second)
 	c.PauseHold = cmp.Or(c.PauseHold, 300*time.Millisecond)
 	return c
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 	compiled *catalog.Compiled
 	router   *routing.Router
 	view     *machineView
-	nodes    map[cluster.NodeID]NodeEntry
+	nodes    nodeSet
 	record   *nodeRecord
 	cell     *cell
 	reporter demandReporter
@@ -35,7 +36,7 @@
 func New(config Config, seed uint64) *Core {
 	config = config.withDefaults()
 	config.Routing.Zone, config.Routing.Region = config.Zone, config.Regions[config.Zone]
-	core := &Core{config: config, router: routing.New(config.Routing, seed), nodes: map[cluster.NodeID]NodeEntry{}}
+	core := &Core{config: config, router: routing.New(config.Routing, seed), nodes: nodeSet{}}
 	core.view = newMachineView(core)
 	core.record = newNodeRecord(core)
 	core.cell = newCell(core)
@@ -106,6 +107,9 @@
 // maxIdle is the longest time without a Tick.
 const maxIdle = time.Second
 
+// Nodes returns the live nodes, one of each machine, in no order.
+func (c *Core) Nodes() []NodeEntry { return slices.Collect(maps.Values(c.nodes)) }
+
 // Ready reports whether the node knows what it needs to serve.
 func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
 
@@ -175,7 +179,7 @@
 		c.cell.demand.Forget(id)
 	}
 	for _, entry := range read.Nodes {
-		c.nodes[entry.ID] = entry
+		c.nodes.put(entry)
 	}
 	c.noteSharers()
 }
--- /dev/null
+++ b/fleet/nodeset_test.go
@@ -0,0 +1,26 @@
+package fleet
+
+import "testing"
+
+// TestNewStartReplacesRecord: of two records of one machine the later one counts, in
+// whichever order they are read; nodes without a machine are told apart by their names.
+func TestNewStartReplacesRecord(t *testing.T) {
+	before := NodeEntry{ID: "a-1", Machine: "a", Revision: 5}
+	after := NodeEntry{ID: "a-2", Machine: "a", Revision: 9}
+	other := NodeEntry{ID: "b-1", Machine: "b", Revision: 7}
+	for _, order := range [][]NodeEntry{{before, other, after}, {after, before, other}} {
+		nodes := nodeSet{}
+		for _, entry := range order {
+			nodes.put(entry)
+		}
+		if _, kept := nodes["a-1"]; kept || len(nodes) != 2 {
+			t.Errorf("after %v: %v", order, nodes)
+		}
+	}
+	nameless := nodeSet{}
+	nameless.put(NodeEntry{ID: "x"})
+	nameless.put(NodeEntry{ID: "y"})
+	if len(nameless) != 2 {
+		t.Errorf("nodes without a machine replaced each other: %v", nameless)
+	}
+}
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -34,6 +34,8 @@
 	// Zone of the machine, and Capacity in processor cores.
 	Zone     cluster.ZoneID `json:"zone,omitempty"`
 	Capacity float64        `json:"capacity,omitempty"`
+	// Revision at which the store took the record.
+	Revision int64 `json:"-"`
 }
 
 // Encode returns the record's form in the store.
@@ -51,3 +53,21 @@
 	err := json.Unmarshal(data, &entry)
 	return entry, eris.Wrap(err, "node record")
 }
+
+// nodeSet holds the newest record of each machine: that of a process which was started
+// anew takes the place of the one before it, whose lease may last for a while.
+type nodeSet map[cluster.NodeID]NodeEntry
+
+// put takes a record unless its machine has a newer one.
+func (s nodeSet) put(entry NodeEntry) {
+	for id, known := range s {
+		if id == entry.ID || entry.Machine == "" || known.Machine != entry.Machine {
+			continue
+		}
+		if known.Revision > entry.Revision {
+			return
+		}
+		delete(s, id)
+	}
+	s[entry.ID] = entry
+}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -28,8 +28,6 @@
 	*Node
 	feed *feed.Core
 	news *newsFilter
-	// peers are the live nodes, by their records in the store.
-	peers map[cluster.NodeID]fleet.NodeEntry
 	// configuration is the revision of the configuration read last.
 	configuration int64
 	lostAt        time.Time
@@ -44,7 +42,7 @@
 
 func newFollower(n *Node) *follower {
 	f := &follower{
-		Node: n, news: newNewsFilter(n.options.Codec), peers: map[cluster.NodeID]fleet.NodeEntry{},
+		Node: n, news: newNewsFilter(n.options.Codec),
 		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), resync: make(chan struct{}, 1),
 	}
 	self := &n.options.Core.Self
@@ -190,8 +188,7 @@
 	}
 	f.step(holder)
 	f.step(fleet.StoreSynced{})
-	clear(f.peers)
-	f.notePeers(&batch)
+	f.notePeers()
 }
 
 // batch is what changed, by kind.
@@ -231,6 +228,7 @@
 			b.nodes = slices.DeleteFunc(b.nodes, func(e fleet.NodeEntry) bool { return e.ID == id })
 			b.nodesGone = append(b.nodesGone, id)
 		} else if entry, err := fleet.DecodeNodeEntry(pair.Value); err == nil {
+			entry.Revision = pair.Revision
 			b.nodes = append(b.nodes, entry)
 		}
 	}
@@ -270,7 +268,7 @@
 	}
 	if len(batch.nodes)+len(batch.nodesGone) > 0 {
 		f.step(fleet.NodesRead{Nodes: batch.nodes, Gone: batch.nodesGone})
-		f.notePeers(&batch)
+		f.notePeers()
 	}
 	if batch.last != nil {
 		f.step(*batch.last)
@@ -281,16 +279,13 @@
 }
 
 // notePeers tells the feed of the live nodes.
-func (f *follower) notePeers(b *batch) {
-	for _, id := range b.nodesGone {
-		delete(f.peers, id)
-	}
-	for _, entry := range b.nodes {
-		f.peers[entry.ID] = entry
-	}
-	peers := make([]feed.Peer, 0, len(f.peers))
-	for _, entry := range f.peers {
-		peers = append(peers, feed.Peer{ID: entry.ID, Address: entry.Address, Zone: entry.Zone, Capacity: entry.Capacity})
+func (f *follower) notePeers() {
+	f.mutex.Lock()
+	nodes := f.core.Nodes()
+	f.mutex.Unlock()
+	peers := make([]feed.Peer, 0, len(nodes))
+	for _, n := range nodes {
+		peers = append(peers, feed.Peer{ID: n.ID, Address: n.Address, Zone: n.Zone, Capacity: n.Capacity})
 	}
 	f.feedStep(feed.PeersChanged{Peers: peers})
 }
