Derive the patience of leaves from the stated bound

Change: a leaf waits a third of the time in which changes must be known, each further one a 375th longer: 1 s and 8 ms as before at 3 s, 1.33 s at 4 s. Simulated with both.

--- a/fleet/feed/config.go
+++ b/fleet/feed/config.go
@@ -14,13 +14,21 @@
 // ask the store themselves.
 const rootedWithin = 3 * time.Second
 
+// leafSilenceShare of the time in which changes must be known is what leaves of a fleet
+// with a root wait for their relay, and leafStepShare what each further leaf waits
+// longer: 1 s and 8 ms at 3 s, as simulated. The longer they wait, the fewer ask the
+// store when a call of the root hangs.
+const (
+	leafSilenceShare = 3
+	leafStepShare    = 375
+)
+
 // Defaults of Config. The silences lie above two pauses between readings, and low enough
 // for the bounds above.
 const (
 	defaultInterval      = 400 * time.Millisecond
 	defaultRelayInterval = 300 * time.Millisecond
 	defaultSilence       = 600 * time.Millisecond
-	defaultLeafSilence   = 1000 * time.Millisecond
 	defaultRelayStep     = 20 * time.Millisecond
 	defaultLeafStep      = 8 * time.Millisecond
 	defaultMinGroup      = 4
@@ -38,10 +46,11 @@
 	// Silence of its source after which a node asks the store itself. Default 600 ms.
 	Silence time.Duration
 	// LeafSilence is the same for a leaf where relays have a root: a relay that steps in
-	// for the root is heard before. Default 1 s.
+	// for the root is heard before. Default a third of Within.
 	LeafSilence time.Duration
 	// RelayStep and LeafStep are by how much each further node that learns from the same
-	// source waits longer, so that one steps in for all. Defaults 20 and 8 ms.
+	// source waits longer, so that one steps in for all. Defaults 20 and 8 ms, or
+	// a share of Within where relays have a root.
 	RelayStep, LeafStep time.Duration
 	// MinGroup is the least number of nodes in a zone of which some relay, and
 	// MaxGroup how many one relay serves, itself included. Defaults 4 and 32.
@@ -63,7 +72,10 @@
 	c.Interval = cmp.Or(c.Interval, defaultInterval)
 	c.RelayInterval = cmp.Or(c.RelayInterval, defaultRelayInterval)
 	c.Silence = cmp.Or(c.Silence, defaultSilence)
-	c.LeafSilence = cmp.Or(c.LeafSilence, defaultLeafSilence)
+	if c.Within >= rootedWithin {
+		c.LeafSilence = cmp.Or(c.LeafSilence, c.Within/leafSilenceShare)
+		c.LeafStep = cmp.Or(c.LeafStep, c.Within/leafStepShare)
+	}
 	c.RelayStep = cmp.Or(c.RelayStep, defaultRelayStep)
 	c.LeafStep = cmp.Or(c.LeafStep, defaultLeafStep)
 	c.MinGroup = cmp.Or(c.MinGroup, defaultMinGroup)
--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -19,6 +19,8 @@
 	// where relays ask the store themselves, knownAcrossZones where a root does.
 	knownInZone      = 2 * time.Second
 	knownAcrossZones = 3 * time.Second
+	// longestBound is the longest bound of the deployments known.
+	longestBound = 4 * time.Second
 	// undisturbed is how long a node must have been without trouble for the bound.
 	undisturbed = 3 * time.Second
 	// checkInterval is the time between two checks, ten times as long in a large fleet.
@@ -108,6 +110,16 @@
 
 func newSimulation(seed uint64, peers int) *simulation { return newZones(seed, peers, 1) }
 
+// mustKnowWithin has all nodes start anew under another bound.
+func (s *simulation) mustKnowWithin(bound time.Duration) {
+	s.knownWithin, s.config.Within = bound, bound
+	for i, p := range s.peers {
+		cfg := s.config
+		cfg.Self = p.Peer
+		p.core = New(cfg, p, uint64(i))
+	}
+}
+
 // newZones spreads the nodes over zones.
 func newZones(seed uint64, peers, zones int) *simulation {
 	s := &simulation{rand: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1_000_000, 0), zones: zones, knownWithin: knownInZone}
@@ -388,6 +400,9 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			s := newZones(seed, 12+int(seed)%20, 3)
 			s.loss = float64(seed%4) / 10
+			if seed%2 == 1 {
+				s.mustKnowWithin(longestBound)
+			}
 			s.after(2*time.Second, s.trouble)
 			s.runFor(90 * time.Second)
 			for _, problem := range s.problems {
