--- a/fleet/feed/tree.go
+++ b/fleet/feed/tree.go
@@ -44,7 +44,7 @@
 
 // newTree ranks the live nodes; self counts among them.
 func newTree(cfg *Config, peers []Peer) tree {
-	t := tree{siblings: 1, peers: make(map[cluster.NodeID]Peer, len(peers)+1)}
+	t := tree{role: alone, siblings: 1, peers: make(map[cluster.NodeID]Peer, len(peers)+1)}
 	for _, p := range peers {
 		t.peers[p.ID] = p
 	}
