Keep updates with a gap out of the age of what is known

Cause: a node that could not take an update, since changes before it were missing, still counted its reading as its own. What it passed on before the gap was closed claimed to be younger than it was, by one interval of the relays.

Ruled out: that the gap itself went unnoticed; it is asked for at once.

Change: the age counts once the update is taken. That the source was heard still counts at once.

Measured: TestGapIsNotTakenForKnowledge, 0 s said for 400 ms before, green after; fleet/feed green.

--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -285,15 +285,17 @@
 	if c.revision == 0 || c.stale || u.Revision < c.revision {
 		return
 	}
-	c.knownAt, c.relayID = later(c.knownAt, c.now.Add(-u.Age)), u.From
+	c.relayID = u.From
+	read := c.now.Add(-u.Age)
 	if c.tree.isSource(u.From) {
-		c.heardAt = later(c.heardAt, c.now.Add(-u.Age))
+		c.heardAt = later(c.heardAt, read)
 	}
 	if u.After > c.revision || u.Partial && u.Revision > c.revision {
 		c.missing(u.Partial)
 		return
 	}
 	after := c.revision
+	c.knownAt = later(c.knownAt, read)
 	news := c.take(u.Changes, u.Revision)
 	c.urgent = false
 	c.apply(news, string(u.From))
