Log what a request asks for beside its id

Cause: the log names each try by an id of its own, so it can't tell whether one request was at every worker that ended, or whether workers end by themselves. Bodies over 4 KiB are taken only when a run broke.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -72,6 +72,7 @@
 	Left     time.Duration     `log:"left_ms" doc:"time until the request must have ended"`
 	Attempts int               `log:"attempts" doc:"machines that it may be sent to"`
 	Unread   string            `log:"unread,omitempty" doc:"header fields that can't be read and count as not stated"`
+	Content  string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, the same for one that comes again; missing for long bodies"`
 }
 
 // RequestSent is written for each dispatch.
@@ -96,6 +97,7 @@
 	Verdict string            `log:"verdict" doc:"whether the request may have run there"`
 	Status  int               `log:"status,omitempty" doc:"status that the machine answered"`
 	Took    time.Duration     `log:"took_ms" doc:"time since the dispatch"`
+	Content string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, where the machine broke the connection"`
 	Cause   string            `log:"cause,omitempty" doc:"the error"`
 }
 
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -43,6 +43,8 @@
 	successor cluster.MachineID
 
 	unreached, answered, full, missing bool
+	// broken is set when the machine's side ended the connection before the answer was whole.
+	broken bool
 	// whole is set when the machine's answer was read to its end, so that the
 	// connection may carry another request though this one failed.
 	whole bool
@@ -94,6 +96,7 @@
 	a.watch()
 	response, marks, err := a.head(forwarded)
 	if err != nil {
+		a.noteBreak(err)
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeEngineFailed, "the machine did not answer")
 	}
 	a.status = response.StatusCode
@@ -180,6 +183,7 @@
 	a.watchdog.stop()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeld+1))
 	if err != nil {
+		a.noteBreak(err)
 		return verdict.Wrap(err, verdict.Ran, verdict.CodeEngineFailed, "the answer was cut")
 	}
 	if len(body) > maxHeld {
@@ -203,6 +207,7 @@
 		return a.callerFailed(err)
 	}
 	if _, err := io.Copy(a.writer, response.Body); err != nil {
+		a.noteBreak(err)
 		return verdict.Wrap(err, verdict.Ran, verdict.CodeStreamCut, "the answer was cut")
 	}
 	return nil
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -25,6 +26,8 @@
 	attributes Attributes
 	body       []byte
 	id         cluster.RequestID
+	// content is the fingerprint, zero until it is asked for.
+	content poison.Fingerprint
 	// header holds the caller's fields that are passed on.
 	header   http.Header
 	work     cluster.ModelID
@@ -118,7 +121,7 @@
 	e.ticket.OnInterrupt(nil)
 	cancel()
 	if ended.Failure != nil {
-		e.logAttempt(&ended, current.status, time.Since(began))
+		e.logAttempt(current, &ended, time.Since(began))
 		if e.request.Context().Err() != nil {
 			e.callerGone()
 		}
@@ -141,10 +144,13 @@
 	e.Log.Write(sent)
 }
 
-func (e *exchange) logAttempt(ended *routing.AttemptEnded, status int, took time.Duration) {
+func (e *exchange) logAttempt(a *attempt, ended *routing.AttemptEnded, took time.Duration) {
 	line := eventlog.AttemptEnded{
 		Request: e.id, Attempt: ended.Attempt, Machine: e.machine, Code: string(ended.Failure.Code),
-		Verdict: ended.Failure.Verdict.String(), Status: status, Took: took, Cause: ended.Failure.Reason(),
+		Verdict: ended.Failure.Verdict.String(), Status: a.status, Took: took, Cause: ended.Failure.Reason(),
+	}
+	if a.broken {
+		line.Content = e.fingerprint().String()
 	}
 	e.Log.Write(line)
 	e.Metrics.attemptFailed(ended.Failure)
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -96,9 +96,13 @@
 	}
 	current := h.newExchange(w, r, compiled, route, body, &attributes)
 	current.arrived, current.deadline = arrived, deadline
+	if len(body) <= shortBody {
+		current.fingerprint()
+	}
 	h.Log.Write(eventlog.RequestAccepted{
 		Request: current.id, Route: route.Name, Version: compiled.Version, Work: current.work,
 		Left: current.deadline.Sub(arrived), Attempts: route.Attempts, Unread: strings.Join(attributes.Unread, ","),
+		Content: current.content.String(),
 	})
 	if h.Admits != nil && !h.Admits(current.deadline) {
 		failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining, "this node is stopping; another one takes the request")
--- a/passthrough/stream.go
+++ b/passthrough/stream.go
@@ -50,6 +50,7 @@
 			a.begin(response)
 			return nil
 		case err != nil:
+			a.noteBreak(err)
 			return verdict.Wrap(err, verdict.Ran, verdict.CodeStreamCut, "the stream was cut")
 		case len(pending) > maxEvent:
 			return verdict.New(verdict.Ran, verdict.CodeEngineFailed, "an event is larger than %d bytes", maxEvent)
