Show that a request that ends its workers goes on being sent

Cause: a request that ends each worker which begins to run it comes again under a new identifier at any node; nothing remembers what it asks for.

--- a/api/callers_errors.go
+++ b/api/callers_errors.go
@@ -38,6 +38,7 @@
 	verdict.CodeConflict:           http.StatusConflict,
 	verdict.CodeUnavailable:        http.StatusServiceUnavailable,
 	verdict.CodeInternal:           http.StatusInternalServerError,
+	verdict.CodePoisonRequest:      http.StatusServiceUnavailable,
 }
 
 // statusCallerGone is recorded for requests whose caller left; nobody sees it.
--- /dev/null
+++ b/fleet/poison_test.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/routing/poison"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// What was seen: a request under which three workers had ended went on being sent, 11 to 14
+// times more in a minute, and 14 to 19 workers ended of it in all, with all that ran there.
+//
+// How it came about: the request ends each worker that begins to run it, and comes again
+// under a new identifier, at any node.
+//
+// What caused it: ends were counted by attempt. A node forgot an attempt once it had ended,
+// and told no other node; so each try was the first one, everywhere.
+//
+// What proved that: these plays on virtual time, in which the tries of one request ended
+// engines as long as they came, and the recorded day's logs.
+
+// How these plays go.
+const (
+	// knownWithin is how long after the third end no node in touch sends the request any
+	// more: half of the bound after which a node counts as in touch.
+	knownWithin = touchTime / 2
+	// furtherSends are allowed in all after that.
+	furtherSends = 3
+	// beforeCrash is for how long the harmful request runs.
+	beforeCrash = 92 * time.Millisecond
+)
+
+// harmfulContent is what the harmful request asks for.
+var harmfulContent = poison.Fingerprint{0xbad >> 4, 0xd}
+
+// poisonPlay is a fleet before engines that one request ends.
+type poisonPlay struct {
+	*world
+	harmful map[cluster.RequestID]bool
+	// runs are the requests at each engine, waiting ones included.
+	runs map[*simulatedEngine][]*simulatedRun
+	ends []time.Time
+	// late are the sends by nodes in touch after the third end and knownWithin.
+	late []string
+	// bystanders counts the other requests, and innocent those that were refused as harmful.
+	bystanders, served, innocent int
+}
+
+type simulatedRun struct {
+	node     *simulatedNode
+	dispatch routing.Dispatch
+	over     bool
+}
+
+func newPoisonPlay(seed uint64, nodes, engines int) *poisonPlay {
+	p := &poisonPlay{
+		world: newSimulation(seed, nodes, engines), harmful: map[cluster.RequestID]bool{}, runs: map[*simulatedEngine][]*simulatedRun{},
+	}
+	p.carryOut = p.carry
+	p.followBy(3)
+	p.runFor(5 * time.Second)
+	return p
+}
+
+// carry plays attempts at engines.
+func (p *poisonPlay) carry(n *simulatedNode, effect routing.Effect) bool {
+	switch e := effect.(type) {
+	case routing.Dispatch:
+		p.dispatched(n, e)
+	case routing.CancelAttempt:
+		p.cancelled(n, e)
+	case routing.Finish:
+		p.ended(e)
+	}
+	return true
+}
+
+func (p *poisonPlay) dispatched(n *simulatedNode, e routing.Dispatch) {
+	engine := p.engine(e.Machine)
+	if p.harmful[e.Request] {
+		p.noteSend(n)
+	}
+	if engine == nil {
+		p.after(3*time.Millisecond, func() {
+			p.report(n, &e, routing.AttemptEnded{
+				Unreached: true, MachineEnded: true, Failure: verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "refused"),
+			})
+		})
+		return
+	}
+	run := &simulatedRun{node: n, dispatch: e}
+	p.runs[engine] = append(p.runs[engine], run)
+	if p.harmful[e.Request] {
+		waits := p.between(0, 800*time.Millisecond)
+		p.after(waits+beforeCrash, func() {
+			if !run.over {
+				p.crash(engine)
+			}
+		})
+		return
+	}
+	p.after(p.between(100*time.Millisecond, 600*time.Millisecond), func() {
+		if !run.over {
+			run.over = true
+			p.report(n, &e, routing.AttemptEnded{})
+		}
+	})
+}
+
+// cancelled has an engine drop a request whose connection was closed.
+func (p *poisonPlay) cancelled(n *simulatedNode, e routing.CancelAttempt) {
+	for _, runs := range p.runs {
+		for _, run := range runs {
+			if run.node == n && run.dispatch.Request == e.Request && run.dispatch.Attempt == e.Attempt && !run.over {
+				run.over = true
+				p.after(time.Millisecond, func() {
+					p.report(n, &run.dispatch, routing.AttemptEnded{
+						Failure: verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "interrupted"),
+					})
+				})
+			}
+		}
+	}
+}
+
+// crash ends an engine with all that runs there. Another begins at its place.
+func (p *poisonPlay) crash(engine *simulatedEngine) {
+	if engine.dead {
+		return
+	}
+	engine.dead = true
+	p.ends = append(p.ends, p.now)
+	for _, run := range p.runs[engine] {
+		if run.over {
+			continue
+		}
+		run.over = true
+		p.after(p.between(time.Millisecond, 8*time.Millisecond), func() {
+			p.report(run.node, &run.dispatch, routing.AttemptEnded{
+				Broken: true, MachineEnded: true, Failure: verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "the connection broke"),
+			})
+		})
+	}
+	delete(p.runs, engine)
+	p.after(p.between(2500*time.Millisecond, 3500*time.Millisecond), func() {
+		p.write(keyvalue.Operation{Delete: true, Key: keyEngines + string(engine.id)})
+	})
+	p.after(p.between(800*time.Millisecond, 3*time.Second), p.startEngine)
+}
+
+// report tells a node how an attempt ended.
+func (p *poisonPlay) report(n *simulatedNode, dispatch *routing.Dispatch, ended routing.AttemptEnded) {
+	ended.Request, ended.Attempt = dispatch.Request, dispatch.Attempt
+	ended.Content = p.contentOf(dispatch.Request)
+	p.step(n, RoutingInput{Event: ended})
+}
+
+func (p *poisonPlay) contentOf(id cluster.RequestID) poison.Fingerprint {
+	if p.harmful[id] {
+		return harmfulContent
+	}
+	content := poison.Content{Target: string(id)}
+	return content.Fingerprint()
+}
+
+// noteSend judges a send of the harmful request.
+func (p *poisonPlay) noteSend(n *simulatedNode) {
+	inTouch := !n.dead && !n.cut && p.now.Sub(n.touched) >= touchTime
+	if len(p.ends) >= 3 && p.now.Sub(p.ends[2]) > knownWithin && inTouch {
+		p.late = append(p.late, fmt.Sprintf("%s sends %.3f s after the third of %d ends", n.id, p.now.Sub(p.ends[2]).Seconds(), len(p.ends)))
+	}
+}
+
+// ended counts answers to bystanders.
+func (p *poisonPlay) ended(e routing.Finish) {
+	switch {
+	case p.harmful[e.Request]:
+	case e.Failure == nil:
+		p.served++
+	case e.Failure.Code == verdict.CodePoisonRequest:
+		p.innocent++
+	}
+}
+
+// arrive sends requests to random nodes, and goes on.
+func (p *poisonPlay) arrive(harmful bool, every time.Duration) {
+	n := p.nodes[p.random.IntN(len(p.nodes))]
+	if !n.dead {
+		p.requests++
+		id := cluster.RequestID(fmt.Sprintf("r%d", p.requests))
+		p.harmful[id] = harmful
+		if !harmful {
+			p.bystanders++
+		}
+		p.step(n, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(8 * time.Second), Objective: time.Second,
+			Repeatable: true, Attempts: 2, Content: p.contentOf(id),
+		}}})
+	}
+	p.after(p.between(every/2, every*3/2), func() { p.arrive(harmful, every) })
+}
+
+// TestPoisonRequestIsHeldBack: half of the bound after a request has ended its third
+// engine, no node in touch sends it any more, but for three times in all.
+func TestPoisonRequestIsHeldBack(t *testing.T) {
+	for name, disturb := range map[string]func(p *poisonPlay){
+		"calm":    func(*poisonPlay) {},
+		"trouble": func(p *poisonPlay) { p.trouble() },
+		"lossy":   func(p *poisonPlay) { p.lossy = 0.1 },
+	} {
+		for seed := range uint64(40) {
+			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				p := newPoisonPlay(seed, 6, 8)
+				disturb(p)
+				p.arrive(false, 50*time.Millisecond)
+				p.arrive(true, 150*time.Millisecond)
+				p.runFor(20 * time.Second)
+				if len(p.ends) < 3 {
+					t.Fatalf("%d engines ended", len(p.ends))
+				}
+				if len(p.late) > furtherSends {
+					t.Errorf("%d late sends, the first: %s; %d engines ended", len(p.late), p.late[0], len(p.ends))
+				}
+				if p.innocent > 0 {
+					t.Errorf("%d of %d other requests were refused as harmful", p.innocent, p.bystanders)
+				}
+			})
+		}
+	}
+}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -79,6 +79,11 @@
 	zones int
 	// finished is told of each answer to a request.
 	finished func(e routing.Finish)
+	// carryOut carries out what a node's router decides, in place of the world; false
+	// leaves it to the world.
+	carryOut func(n *simulatedNode, effect routing.Effect) bool
+	// lossy is the share of messages between nodes that is lost.
+	lossy float64
 }
 
 type simulatedNode struct {
@@ -222,6 +227,9 @@
 	case RoutingOutput:
 		w.routed(n, e.Effect)
 	case SendMessage:
+		if w.lossy > 0 && w.random.Float64() < w.lossy {
+			return
+		}
 		for _, peer := range w.nodes {
 			if string(peer.id) == e.Address {
 				w.after(2*time.Millisecond, func() { w.step(peer, MessageReceived{Message: e.Message}) })
@@ -244,6 +252,9 @@
 
 // routed ends attempts: served where the engine holds the model.
 func (w *world) routed(n *simulatedNode, effect routing.Effect) {
+	if w.carryOut != nil && w.carryOut(n, effect) {
+		return
+	}
 	switch e := effect.(type) {
 	case routing.Dispatch:
 		w.after(w.between(20*time.Millisecond, 300*time.Millisecond), func() {
--- a/routing/events.go
+++ b/routing/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
 	"github.com/valveslip/valveslip/wire"
@@ -44,6 +45,8 @@
 	// Resumable answers may be continued by another attempt after their first
 	// byte.
 	Resumable bool
+	// Content is the fingerprint of what the request asks for, zero when it was not taken.
+	Content poison.Fingerprint
 }
 
 // Event is an input of the core.
@@ -74,6 +77,13 @@
 	// EngineFull is true when the engine refused for lack of a slot and
 	// ModelMissing when it does not hold the model.
 	EngineFull, ModelMissing bool
+	// Broken is true when the machine's side ended the connection before the answer was
+	// whole; Content is the request's fingerprint then.
+	Broken  bool
+	Content poison.Fingerprint
+	// MachineEnded is true when the machine's process is known to have ended: its address
+	// refuses connections, or another machine answers there.
+	MachineEnded bool
 	// Tokens generated, as counted by the relay.
 	Tokens int
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -73,6 +73,8 @@
 	CodeConflict           Code = "conflict"
 	CodeUnavailable        Code = "unavailable"
 	CodeInternal           Code = "internal"
+	// CodePoisonRequest refuses a request that ended the machines which ran it.
+	CodePoisonRequest Code = "poison_request"
 )
 
 // Error is a classified error that carries a verdict.
