Refuse requests that end the machines which run them, on all nodes

Cause: ends of machines were counted by attempt and by node. A request that ends each worker was sent again under each new identifier, by every node. Class: a limit is kept by each part for itself, though its source is one and lies across all of them. Change: routing/poison, a pure core. A request is known by its fingerprint; a run that broke counts against it once its machine's process is known to have ended (dials are refused, another machine answers there, or its entry goes unannounced); a machine that was leaving counts for nobody, one that answers later takes the blame back, a whole answer clears the request. Ends are sets of machines, joined by union over all nodes. Three convict: the request is refused at once, and what is on its way or waits at a machine is cancelled. A suspect runs once at a time on a node. Nodes tell each other (message version 5), three times each; above 16 nodes five of them count a request's ends. A conviction is kept in the store under valveslip/poison/, and deleting it pardons. Fingerprints of long bodies are taken only while something is known.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,10 +20,19 @@
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
 		FeedChanged{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		PoisonJudged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
+// PoisonJudged is written when this node learns something new of a request that was at
+// machines when they ended, from its own attempts or by adding up what nodes told.
+type PoisonJudged struct {
+	Content  string `log:"content" doc:"fingerprint of what the request asks for"`
+	Outcome  string `log:"outcome" doc:"suspected, convicted (it is refused from now on), or cleared"`
+	Ends     int    `log:"ends" doc:"machines for whose end it is to blame"`
+	Machines string `log:"machines" doc:"machines that ended while they had it"`
+}
+
 // NodeStarted is written once at start.
 type NodeStarted struct {
 	Zone    cluster.ZoneID `log:"zone" doc:"zone of the node"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -10,6 +10,14 @@
 	return "Written once at start."
 }
 
+// Kind implements Event.
+func (PoisonJudged) Kind() string { return "poison_judged" }
+
+// Meaning implements Documented.
+func (PoisonJudged) Meaning() string {
+	return "Written when this node learns something new of a request that was at machines when they ended, from its own attempts or by adding up what nodes told."
+}
+
 // Kind implements Event.
 func (NodeStopping) Kind() string { return "node_stopping" }
 
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -25,6 +25,7 @@
 	nodes    nodeSet
 	record   *nodeRecord
 	cell     *cell
+	poison   *poisonKeeper
 	reporter demandReporter
 	synced   bool
 	// sharers is the last count of nodes that the router was told.
@@ -40,6 +41,7 @@
 	core.view = newMachineView(core)
 	core.record = newNodeRecord(core)
 	core.cell = newCell(core)
+	core.poison = newPoisonKeeper(core)
 	return core
 }
 
@@ -79,6 +81,10 @@
 		c.cell.news = true
 	case ResignStarted:
 		c.cell.resign()
+	case PoisonRead:
+		c.poison.read(e)
+	case StoreWritten:
+		c.poison.written(e)
 	case DrainStarted:
 		c.routing(routing.DrainStarted{})
 	}
@@ -86,12 +92,13 @@
 	c.record.tick()
 	c.cell.tick()
 	c.reporter.tick(c)
+	c.poison.tick()
 	return c.effects
 }
 
 // NextDue returns when the next Tick has something to do.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due()}
+	due := []time.Time{c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due(), c.poison.due()}
 	if at, waiting := c.router.NextDeadline(); waiting {
 		due = append(due, at)
 	}
@@ -113,6 +120,13 @@
 // Ready reports whether the node knows what it needs to serve.
 func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
 
+// KnowsPoison reports whether the fingerprints of requests matter now; PoisonCounts returns
+// how many requests are suspected to end machines, and convicted.
+func (c *Core) KnowsPoison() bool { return c.router.KnowsPoison() }
+
+// PoisonCounts is told of at KnowsPoison.
+func (c *Core) PoisonCounts() (suspected, convicted int) { return c.router.PoisonCounts() }
+
 // InFlight counts the requests that have not ended.
 func (c *Core) InFlight() int { return c.router.InFlight() }
 
@@ -135,7 +149,11 @@
 
 func (c *Core) routing(event routing.Event) {
 	for _, effect := range c.router.Step(c.now, event) {
-		if _, asks := effect.(routing.StatusNeeded); !asks {
+		switch e := effect.(type) {
+		case routing.StatusNeeded:
+		case routing.PoisonFound:
+			c.poison.found(e.Records)
+		default:
 			c.emit(RoutingOutput{Effect: effect})
 		}
 	}
@@ -159,6 +177,9 @@
 		gone = c.view.missing(read.Workers)
 	}
 	for _, id := range gone {
+		if c.view.endedUnannounced(id) {
+			c.routing(routing.MachineEnded{Machine: id})
+		}
 		c.view.remove(id)
 		c.cell.ledgerStep(sequence.MachineGone{Machine: id})
 	}
@@ -213,6 +234,8 @@
 		c.cell.demandReceived(m)
 	case wire.CellStatus:
 		c.view.statusReceived(&m)
+	case wire.PoisonReport:
+		c.poison.told(&m)
 	}
 }
 
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -9,6 +9,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -53,6 +54,20 @@
 	Revision int64
 }
 
+// PoisonStored is a record of the store on a request that ends machines.
+type PoisonStored struct {
+	Record   poison.Record
+	Revision int64
+}
+
+// PoisonRead brings such records. With Full, requests that are not named have none; the
+// records of Gone were deleted.
+type PoisonRead struct {
+	Records []PoisonStored
+	Gone    []poison.Fingerprint
+	Full    bool
+}
+
 // StoreSynced says that everything that was in the store has been read.
 type StoreSynced struct{}
 
@@ -72,6 +87,13 @@
 	Answer lease.Answer
 }
 
+// StoreWritten brings the answer to a StoreWrite; no error when the key was written, or had
+// a value already.
+type StoreWritten struct {
+	Key string
+	Err error
+}
+
 // OrderAnswered brings the answer to a SendOrder.
 type OrderAnswered struct {
 	Answer sequence.Answered
@@ -94,6 +116,8 @@
 func (NodesRead) fleetEvent()         {}
 func (HolderRead) fleetEvent()        {}
 func (LastHolderRead) fleetEvent()    {}
+func (PoisonRead) fleetEvent()        {}
+func (StoreWritten) fleetEvent()      {}
 func (StoreSynced) fleetEvent()       {}
 func (Paused) fleetEvent()            {}
 func (RoutingInput) fleetEvent()      {}
@@ -134,6 +158,15 @@
 	Awaited bool
 }
 
+// StoreWrite writes a key that must be absent to the store, or with Delete deletes the one
+// of a revision.
+type StoreWrite struct {
+	Key      string
+	Value    []byte
+	Delete   bool
+	Revision int64
+}
+
 // SendOrder sends an order to an engine.
 type SendOrder struct{ Send sequence.SendOrder }
 
@@ -146,6 +179,7 @@
 func (RoutingOutput) fleetEffect() {}
 func (SendMessage) fleetEffect()   {}
 func (LeaseCall) fleetEffect()     {}
+func (StoreWrite) fleetEffect()    {}
 func (SendOrder) fleetEffect()     {}
 func (ReadReport) fleetEffect()    {}
 func (Log) fleetEffect()           {}
--- a/fleet/feeding_test.go
+++ b/fleet/feeding_test.go
@@ -12,6 +12,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet/feed"
 	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -168,6 +169,19 @@
 	w.feedStep(n, feed.PeersChanged{Peers: peers})
 }
 
+// takePoison hands a record on a request that ends machines to a node's core.
+func (w *world) takePoison(n *simulatedNode, change *wire.StoreChange) {
+	record, err := DecodePoison(change.Key, change.Value)
+	switch {
+	case change.Deleted:
+		w.step(n, PoisonRead{Gone: []poison.Fingerprint{record.Content}})
+	case err != nil:
+		w.problem("the record %s can't be read: %v", change.Key, err)
+	default:
+		w.step(n, PoisonRead{Records: []PoisonStored{{Record: record, Revision: change.Revision}}})
+	}
+}
+
 func (w *world) takeOne(n *simulatedNode, change *wire.StoreChange, revision int64) {
 	entry, _ := DecodeNodeEntry(change.Value)
 	switch {
@@ -180,6 +194,8 @@
 			read.Workers = []catalog.Worker{worker}
 		}
 		w.step(n, read)
+	case strings.HasPrefix(change.Key, KeyPoison):
+		w.takePoison(n, change)
 	case change.Key == KeyHolder && change.Deleted:
 		w.step(n, HolderRead{})
 	case change.Key == KeyHolder:
--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -8,6 +8,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -67,6 +68,20 @@
 	return answer
 }
 
+// callWrite writes or deletes a key. One that another node wrote or deleted before is as
+// wanted.
+func (n *Node) callWrite(effect fleet.StoreWrite) {
+	ctx, cancel := context.WithTimeout(n.context, leaseTimeout)
+	defer cancel()
+	_, err := n.options.Store.Txn(ctx, keyvalue.Transaction{
+		Compares:   []keyvalue.Compare{{Key: effect.Key, ModRevision: effect.Revision}},
+		Operations: []keyvalue.Operation{{Key: effect.Key, Value: effect.Value, Delete: effect.Delete}},
+	})
+	n.calledStore(storeWrite, err)
+	n.noteFailure(string(storeWrite), "", err)
+	n.step(fleet.StoreWritten{Key: effect.Key, Err: err})
+}
+
 // callOrder gives an order.
 func (n *Node) callOrder(effect fleet.SendOrder) {
 	ctx, cancel := context.WithTimeout(n.context, orderTimeout)
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -11,6 +11,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -200,6 +201,8 @@
 		f.step(*batch.last)
 	}
 	f.step(holder)
+	batch.poison.Full = true
+	f.step(batch.poison)
 	f.step(fleet.StoreSynced{})
 	f.notePeers()
 }
@@ -214,6 +217,7 @@
 	nodesGone     []cluster.NodeID
 	holder        *fleet.HolderRead
 	last          *fleet.LastHolderRead
+	poison        fleet.PoisonRead
 }
 
 // sort enters one change.
@@ -237,6 +241,8 @@
 			entry, _ := f.nodeEntry(pair)
 			b.last = &fleet.LastHolderRead{Node: entry, Revision: pair.Revision}
 		}
+	case strings.HasPrefix(pair.Key, fleet.KeyPoison):
+		f.sortPoison(b, pair)
 	case strings.HasPrefix(pair.Key, fleet.KeyNodes):
 		if deleted {
 			id := cluster.NodeID(strings.TrimPrefix(pair.Key, fleet.KeyNodes))
@@ -249,6 +255,23 @@
 	}
 }
 
+// sortPoison enters the record of a request that ends machines. Of several changes of one
+// record the last counts.
+func (f *follower) sortPoison(b *batch, pair *wire.StoreChange) {
+	record, err := fleet.DecodePoison(pair.Key, pair.Value)
+	if record.Content.IsZero() || err != nil && !pair.Deleted {
+		f.options.Log.Write(eventlog.RecordUnreadable{Key: pair.Key, Revision: pair.Revision, Cause: err.Error()})
+		return
+	}
+	b.poison.Records = slices.DeleteFunc(b.poison.Records, func(r fleet.PoisonStored) bool { return r.Record.Content == record.Content })
+	b.poison.Gone = slices.DeleteFunc(b.poison.Gone, func(gone poison.Fingerprint) bool { return gone == record.Content })
+	if pair.Deleted {
+		b.poison.Gone = append(b.poison.Gone, record.Content)
+		return
+	}
+	b.poison.Records = append(b.poison.Records, fleet.PoisonStored{Record: record, Revision: pair.Revision})
+}
+
 // nodeEntry reads a node's entry; false for one that is gone or can't be read.
 func (f *follower) nodeEntry(pair *wire.StoreChange) (fleet.NodeEntry, bool) {
 	if pair.Deleted {
@@ -298,6 +321,9 @@
 		f.step(fleet.NodesRead{Nodes: batch.nodes, Gone: batch.nodesGone})
 		f.notePeers()
 	}
+	if len(batch.poison.Records)+len(batch.poison.Gone) > 0 {
+		f.step(batch.poison)
+	}
 	if batch.last != nil {
 		f.step(*batch.last)
 	}
--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -34,6 +34,20 @@
 		}
 		return float64(n.core.StoreCapacity())
 	})
+	counts := func(of func(suspected, convicted int) int) func() float64 {
+		return func() float64 {
+			n.mutex.Lock()
+			defer n.mutex.Unlock()
+			if n.core == nil {
+				return 0
+			}
+			return float64(of(n.core.PoisonCounts()))
+		}
+	}
+	gauge("valveslip_poison_requests", "Requests that are refused because machines ended under them.",
+		counts(func(_, convicted int) int { return convicted }))
+	gauge("valveslip_poison_suspects", "Requests under which machines ended, too few to refuse them.",
+		counts(func(suspected, _ int) int { return suspected }))
 	gauge("valveslip_holds_orders_lease", "1 while this node gives the orders.", func() float64 {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -60,10 +60,12 @@
 	// wakeAt is when the timer is set to fire, in the core's time.
 	wakeAt time.Time
 
-	compiled atomic.Pointer[catalog.Compiled]
-	pool     *upstream.Pool
-	registry *prometheus.Registry
-	metrics  *metrics
+	// knowsPoison is set while the fingerprints of requests matter.
+	knowsPoison atomic.Bool
+	compiled    atomic.Pointer[catalog.Compiled]
+	pool        *upstream.Pool
+	registry    *prometheus.Registry
+	metrics     *metrics
 	// storeCounts are the calls to the store that the log has not told of.
 	storeCounts storeCounts
 	// failures are the calls of which the log was told that they fail.
@@ -129,6 +131,7 @@
 	handler := passthrough.NewHandler(passthrough.Config{
 		Catalog: n.compiled.Load, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID, Closing: n.closing.Load, Admits: n.admits,
+		Fingerprints: n.knowsPoison.Load,
 	})
 	if n.callers, err = n.serve(&n.options.CallersAddress, handler); err != nil {
 		return errors.Join(eris.Wrap(err, "callers' listener"), transport.Close(n.context))
@@ -218,6 +221,9 @@
 	if ready := n.core.Ready(); ready != n.isReady.Load() {
 		n.isReady.Store(ready)
 	}
+	if known := n.core.KnowsPoison(); known != n.knowsPoison.Load() {
+		n.knowsPoison.Store(known)
+	}
 	n.schedule(now)
 }
 
@@ -271,6 +277,8 @@
 		n.transport.Send(effect.Address, effect.Message)
 	case fleet.LeaseCall:
 		go n.callLease(effect)
+	case fleet.StoreWrite:
+		go n.callWrite(effect)
 	case fleet.SendOrder:
 		go n.callOrder(effect)
 	case fleet.ReadReport:
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -121,6 +121,13 @@
 	return missing
 }
 
+// endedUnannounced reports whether the machine, whose entry is gone, had not said that it
+// would leave.
+func (v *machineView) endedUnannounced(id cluster.MachineID) bool {
+	known := v.machines[id]
+	return known != nil && !known.worker.Draining
+}
+
 // remove takes a machine out whose entry is gone.
 func (v *machineView) remove(id cluster.MachineID) {
 	known := v.machines[id]
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -237,6 +237,8 @@
 		}
 	case LeaseCall:
 		w.after(w.between(2*time.Millisecond, 9*time.Millisecond), func() { w.leaseCall(n, e) })
+	case StoreWrite:
+		w.storeWrite(n, e)
 	case SendOrder:
 		w.after(w.between(time.Millisecond, 6*time.Millisecond), func() { w.orderArrives(n, e) })
 	case ReadReport:
@@ -280,6 +282,25 @@
 	}
 }
 
+// storeWrite carries out a write of a key. Some answers are lost.
+func (w *world) storeWrite(n *simulatedNode, e StoreWrite) {
+	lost := errors.New("no answer")
+	if n.cut || w.storeDown {
+		w.after(900*time.Millisecond, func() { w.step(n, StoreWritten{Key: e.Key, Err: lost}) })
+		return
+	}
+	w.after(3*time.Millisecond, func() {
+		_, err := w.store.Txn(w.now, keyvalue.Transaction{
+			Compares:   []keyvalue.Compare{{Key: e.Key, ModRevision: e.Revision}},
+			Operations: []keyvalue.Operation{{Key: e.Key, Value: e.Value, Delete: e.Delete}},
+		})
+		if w.random.IntN(20) == 0 {
+			err = lost
+		}
+		w.after(3*time.Millisecond, func() { w.step(n, StoreWritten{Key: e.Key, Err: err}) })
+	})
+}
+
 // leaseCall carries out a call to the store. Some answers are lost.
 func (w *world) leaseCall(n *simulatedNode, call LeaseCall) {
 	var answer lease.Answer
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,6 +46,8 @@
 	unreached, answered, full, missing bool
 	// broken is set when the machine's side ended the connection before the answer was whole.
 	broken bool
+	// ended is set when the machine's process is known to have ended.
+	ended bool
 	// whole is set when the machine's answer was read to its end, so that the
 	// connection may carry another request though this one failed.
 	whole bool
@@ -56,6 +59,10 @@
 	ended := routing.AttemptEnded{
 		Request: a.id, Attempt: a.decision.Attempt, Failure: failure,
 		Unreached: a.unreached, Answered: a.answered, EngineFull: a.full, ModelMissing: a.missing,
+		Broken: a.broken, MachineEnded: a.ended,
+	}
+	if a.broken {
+		ended.Content = a.fingerprint()
 	}
 	if failure != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && failure.Code != verdict.CodeDeadlineExceeded {
 		ended.Failure = verdict.Wrap(failure, failure.Verdict, verdict.CodeDeadlineExceeded, "the deadline passed while a machine ran the request")
@@ -68,6 +75,7 @@
 	connection, err := a.Pool.Get(ctx, a.decision.Address)
 	if err != nil {
 		a.unreached = true
+		a.ended = errors.Is(err, syscall.ECONNREFUSED)
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the machine can't be reached")
 	}
 	a.conn = connection
@@ -79,6 +87,9 @@
 	} else {
 		connection.Close()
 	}
+	if a.broken {
+		a.ended = a.Pool.Refuses(ctx, a.decision.Address)
+	}
 	return failure
 }
 
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -127,6 +127,7 @@
 		}
 	}
 	if current.successor != "" {
+		e.Decider.Report(routing.MachineEnded{Machine: decision.Machine})
 		e.Decider.Report(routing.MachineLeaving{Machine: decision.Machine})
 		e.Log.Write(eventlog.WorkerGone{Machine: decision.Machine, Cause: "worker " + string(current.successor) + " answers at its address"})
 	}
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -58,6 +58,9 @@
 	// Admits reports whether a request that must have ended by the deadline is
 	// still taken; nil takes all.
 	Admits func(deadline time.Time) bool
+	// Fingerprints reports whether each request's fingerprint is wanted; nil wants none but
+	// those of short bodies.
+	Fingerprints func() bool
 	// NewID makes an identifier for a request without one.
 	NewID func() cluster.RequestID
 }
@@ -96,7 +99,7 @@
 	}
 	current := h.newExchange(w, r, compiled, route, body, &attributes)
 	current.arrived, current.deadline = arrived, deadline
-	if len(body) <= shortBody {
+	if len(body) <= shortBody || h.Fingerprints != nil && h.Fingerprints() {
 		current.fingerprint()
 	}
 	h.Log.Write(eventlog.RequestAccepted{
@@ -228,7 +231,7 @@
 		Deadline: now.Add(time.Until(e.deadline)), Objective: e.route.Objective,
 		Patience: e.route.Patience, Returned: e.returned(), Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
 		PromptTokens: e.attributes.PromptTokens, MaxTokens: e.attributes.MaxTokens,
-		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable,
+		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable, Content: e.content,
 	}
 	if len(e.attributes.Parts) > 1 {
 		request.Prefixes = chain(e.attributes.Parts[:len(e.attributes.Parts)-1])
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -18,6 +18,7 @@
 	settingPatience      = "patience"
 	settingRetryAttempts = "retry_attempts"
 	settingRetryBudget   = "retry budget"
+	settingPoisonEnds    = "machines ended"
 )
 
 // arrive admits, dispatches, queues or refuses a request.
@@ -30,6 +31,10 @@
 		r.refuse(arrived.ID, failure, Explanation{})
 		return
 	}
+	if failure, reason := r.poisonRefusal(model, arrived); failure != nil {
+		r.refuse(arrived.ID, failure, reason)
+		return
+	}
 	deadline := r.deadline(model, arrived)
 	if deadline <= r.nanos {
 		failure := verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "the deadline had passed on arrival")
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -131,6 +131,7 @@
 	ended.generated += event.Tokens
 	machine := r.stopRunning(ended)
 	machine.noteOutcome(event)
+	r.noteEvidence(ended, machine, event)
 	if event.Failure == nil {
 		machine.setbacks = 0
 		model.learnService(float64(r.nanos - dispatched))
@@ -185,6 +186,8 @@
 		return false, Explanation{}
 	case failed.model.configured == nil:
 		return false, Explanation{}
+	case r.convicted(failed.Content):
+		return false, Explanation{Setting: settingPoisonEnds}
 	case notRun && event.Unreached:
 		failed.tries--
 		return true, Explanation{}
@@ -315,6 +318,7 @@
 	machine := abandoned.machine
 	if machine != nil {
 		abandoned.mayHaveRun = true
+		r.poison.Left(r.now, abandoned.Content, machine.id)
 		reason.Machine = machine.id
 		r.emit(CancelAttempt{
 			Request: abandoned.ID, Attempt: abandoned.attempt,
--- a/routing/config.go
+++ b/routing/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/routing/affinity"
+	"github.com/valveslip/valveslip/routing/poison"
 )
 
 // DefaultDrainRetryAfter is the default of Config.DrainRetryAfter.
@@ -78,6 +79,8 @@
 	PrefixBlockTime time.Duration
 	// Affinity tunes the estimate of engines' prefix caches.
 	Affinity affinity.Config
+	// Poison tunes when a request that ends machines is refused.
+	Poison poison.Config
 	// DrainRetryAfter is what a draining node tells callers; another node
 	// takes them at once. Default 1 s.
 	DrainRetryAfter time.Duration
--- a/routing/events.go
+++ b/routing/events.go
@@ -135,6 +135,15 @@
 // DispatchesReleased ends DispatchesHeld.
 type DispatchesReleased struct{}
 
+// MachineEnded says that a machine's process is known to have ended without a notice.
+type MachineEnded struct{ Machine cluster.MachineID }
+
+// PoisonLearned brings what other nodes or the store know of requests that end machines.
+type PoisonLearned struct{ Records []poison.Record }
+
+// PoisonPardoned says that a request is no longer to blame for the machines that ended.
+type PoisonPardoned struct{ Content poison.Fingerprint }
+
 // Tick lets time-outs pass. The shell sends one at least at NextDeadline.
 type Tick struct{}
 
@@ -152,6 +161,9 @@
 func (RoutersChanged) routingEvent()     {}
 func (DispatchesHeld) routingEvent()     {}
 func (DispatchesReleased) routingEvent() {}
+func (MachineEnded) routingEvent()       {}
+func (PoisonLearned) routingEvent()      {}
+func (PoisonPardoned) routingEvent()     {}
 func (Tick) routingEvent()               {}
 
 // Effect is an output of the core.
@@ -186,6 +198,10 @@
 // controller, because one was missed.
 type StatusNeeded struct{ Zone cluster.ZoneID }
 
+// PoisonFound brings what this node newly knows of requests that end machines; all nodes
+// must learn it.
+type PoisonFound struct{ Records []poison.Record }
+
 // CancelAttempt tells the shell to cancel an attempt at the engine: its request has
 // ended, or another machine is to take it once the shell reports that the attempt ended.
 type CancelAttempt struct {
@@ -199,6 +215,7 @@
 func (Finish) routingEffect()        {}
 func (CancelAttempt) routingEffect() {}
 func (StatusNeeded) routingEffect()  {}
+func (PoisonFound) routingEffect()   {}
 
 // Choice explains why a replica was chosen.
 type Choice struct {
--- a/routing/router.go
+++ b/routing/router.go
@@ -8,6 +8,7 @@
 	"github.com/valveslip/valveslip/internal/binaryheap"
 	"github.com/valveslip/valveslip/routing/affinity"
 	"github.com/valveslip/valveslip/routing/limit"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -54,6 +55,8 @@
 	// prefixes estimates engines' caches; matches is the buffer of a choice.
 	prefixes *affinity.Index
 	matches  []affinity.Match
+	// poison is what is known of requests that end machines.
+	poison *poison.Table
 	// untold are the prompts that other routers have yet to be told of.
 	untold *affinity.Ledger
 	// routers is how many share the replicas. divided is among how many limits
@@ -95,6 +98,7 @@
 		limits:   limit.NewSet(),
 		pools:    make(map[string]*windowBudget),
 		prefixes: affinity.New(config.Affinity),
+		poison:   poison.NewTable(config.Poison),
 		untold:   affinity.NewLedger(maxUntold),
 	}
 	router.limits.Divide(limit.Division{Routers: config.ExpectedRouters})
@@ -111,7 +115,11 @@
 	r.expire()
 	r.serveFreed()
 	r.handle(event)
+	r.enforceVerdicts()
 	r.serveFreed()
+	if found := r.poison.News(); len(found) > 0 {
+		r.emit(PoisonFound{Records: found})
+	}
 	return r.effects
 }
 
@@ -141,8 +149,15 @@
 		r.hold(event)
 	case DispatchesReleased:
 		r.endHold()
+	case MachineEnded:
+		r.machineEnded(event.Machine)
+	case PoisonLearned:
+		r.poison.Learn(r.now, event.Records)
+	case PoisonPardoned:
+		r.poison.Pardon(r.now, event.Content)
 	case Tick:
 		r.releaseDue()
+		r.poison.Sweep(r.now)
 	case DrainStarted:
 		r.drain()
 	case CacheEventsArrived:
--- a/routing/silence.go
+++ b/routing/silence.go
@@ -20,6 +20,7 @@
 	}
 	silent.successor = successor
 	successor.machine.reserved++
+	r.poison.Left(r.now, silent.Content, silent.machine.id)
 	r.emit(CancelAttempt{
 		Request: silent.ID, Attempt: silent.attempt, Machine: silent.machine.id, Address: silent.machine.address,
 	})
@@ -76,7 +77,7 @@
 		return false
 	}
 	successor := r.takeRoom(failed)
-	possible := !r.draining && !permanent(event.Failure.Code) && failed.answerable()
+	possible := !r.draining && !permanent(event.Failure.Code) && failed.answerable() && !r.convicted(failed.Content)
 	if !possible || !successor.here() || r.usable(failed, successor, false) != "" {
 		r.refund(failed.model)
 		return false
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -132,6 +133,11 @@
 		}
 		kept.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	connection, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
@@ -142,6 +148,24 @@
 	return c, nil
 }
 
+// confirmTimeout bounds the question whether a machine's process has ended, which the next
+// attempt of a request waits for: a connection is refused within a round trip, 100 ms
+// between regions that lie far apart.
+const confirmTimeout = 150 * time.Millisecond
+
+// Refuses reports whether an address refuses connections, since no process listens there. A
+// connection that it takes is kept for another request.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c)
+	return false
+}
+
 // take removes the idle connection that was used last.
 func (p *Pool) take(address string) *Conn {
 	p.mutex.Lock()
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -16,7 +16,7 @@
 // VersionCurrent, give every new field a default, and commit the golden
 // messages of the version left behind.
 const (
-	VersionCurrent  = 4
+	VersionCurrent  = 5
 	VersionPrevious = VersionCurrent - 1
 )
 
@@ -66,6 +66,7 @@
 	KindKeyHeir
 	KindStoreChanges
 	KindStoreChangesRequest
+	KindPoisonReport
 )
 
 // layout ties a kind to its schema name and its record.
@@ -99,6 +100,7 @@
 	KindKeyHeir:               {"KeyHeir", func() record { return new(keyHeirRecord) }},
 	KindStoreChanges:          {"StoreChanges", func() record { return new(storeChangesRecord) }},
 	KindStoreChangesRequest:   {"StoreChangesRequest", func() record { return new(storeChangesRequestRecord) }},
+	KindPoisonReport:          {"PoisonReport", func() record { return new(poisonReportRecord) }},
 }
 
 // toRecord returns the kind of message and its record.
@@ -157,6 +159,8 @@
 	case StoreChangesRequest:
 		rec := storeChangesRequestRecord(m)
 		return KindStoreChangesRequest, &rec, nil
+	case PoisonReport:
+		return KindPoisonReport, poisonReportToRecord(m), nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"reflect"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/settings"
 )
 
@@ -105,6 +105,10 @@
 			From: "node-a", After: 6, Revision: 8, Age: time.Millisecond, Partial: true,
 			Changes: []StoreChange{{Key: "k", Value: []byte("v"), Revision: 7, Deleted: true}},
 		},
+		KindPoisonReport: PoisonReport{
+			From: "node-a", FromAddress: "10.0.0.1:7000",
+			Records: []poison.Record{{Content: poison.Fingerprint{1, 2}, Ends: []cluster.MachineID{"machine-a"}, Cleared: []cluster.MachineID{"machine-b"}}},
+		},
 		KindKeptAnswer: KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
 }
@@ -113,19 +117,11 @@
 
 // since is the version in which a kind of message first appeared, where that
 // is later than the previous one.
-var since = map[Kind]int32{}
+var since = map[Kind]int32{KindPoisonReport: 5}
 
 // asPrevious is the message as the previous version carries it.
 func asPrevious(message Message) Message {
-	demand, changed := message.(Demand)
-	if !changed {
-		return message
-	}
-	demand.Models = slices.Clone(demand.Models)
-	for i := range demand.Models {
-		demand.Models[i].Objective = 0
-	}
-	return demand
+	return message
 }
 
 func TestEveryFieldSurvives(t *testing.T) {
