Show that a suspended machine wakes with what it knew before

Cause: a suspended machine's steady clock stands and its timers with it. A node notices a pause only by a timer that fires late, and the first step sets the timer anew; deadlines of requests are counted by the steady clock. Change: the shell takes its clock as an option; three tests let it jump.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -94,7 +94,7 @@
 // Start runs a node until Stop.
 func Start(options Options) (*Node, error) {
 	options = options.withDefaults()
-	now := time.Now()
+	now := options.Now()
 	n := &Node{
 		options: options, began: now, epoch: now.Round(0),
 		tickets: make(relay.Tickets), pool: upstream.NewPool(options.Upstream),
@@ -188,7 +188,7 @@
 }
 
 // Now implements passthrough.Decider: the core's clock.
-func (n *Node) Now() time.Time { return n.epoch.Add(time.Since(n.began)) }
+func (n *Node) Now() time.Time { return n.epoch.Add(n.options.Now().Sub(n.began)) }
 
 // receive takes a message of another node.
 func (n *Node) receive(message wire.Message) {
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -69,6 +69,9 @@
 	Feed   feed.Config
 	Log    *eventlog.Log
 	Logger *slog.Logger
+	// Now is the clock of all decisions: it never jumps back, and counts the time for which
+	// the machine is suspended. The steady clock by default.
+	Now func() time.Time
 	// Listen opens a listener; net.Listen by default.
 	Listen func(network, address string) (net.Listener, error)
 	// Version of the program, for the log.
@@ -86,6 +89,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	if o.Listen == nil {
 		o.Listen = net.Listen
 	}
--- /dev/null
+++ b/fleet/shell/suspension_test.go
@@ -0,0 +1,129 @@
+package shell_test
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet/shell"
+	"github.com/valveslip/valveslip/platform"
+	"github.com/valveslip/valveslip/standin/worker"
+)
+
+// A suspended machine's steady clock stands and its timers with it, while leases, deadlines
+// and the age of what is known go on. These tests let a node's clock jump as the one that
+// counts suspension does, and leave its timers where they are.
+
+// jumpingClock is a clock that was suspended for a time.
+type jumpingClock struct{ suspended atomic.Int64 }
+
+func (c *jumpingClock) Now() time.Time { return time.Now().Add(time.Duration(c.suspended.Load())) }
+
+// suspend lets a time pass that timers don't count.
+func (c *jumpingClock) suspend(d time.Duration) { c.suspended.Add(int64(d)) }
+
+// lineBuffer keeps the log.
+type lineBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lineBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *lineBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// suspensible starts a node with a clock that can be suspended, and its log.
+func (d *deployment) suspensible(id string) (*shell.Node, *jumpingClock, *lineBuffer) {
+	clock, lines := &jumpingClock{}, &lineBuffer{}
+	node := d.startNode(id, func(o *shell.Options) {
+		o.Now, o.Log = clock.Now, eventlog.New(lines, eventlog.Options{})
+	})
+	return node, clock, lines
+}
+
+// TestWakingNodeRefreshesBeforeDispatch: the first request after a suspension is not sent
+// by what the node knew before it.
+func TestWakingNodeRefreshesBeforeDispatch(t *testing.T) {
+	d := newDeployment(t, patient)
+	d.addWorker("p1", plainService, nil)
+	node, clock, lines := d.suspensible("n1")
+	d.eventually("a request is served", func() bool {
+		return d.call(node, http.MethodGet, "/read/", "", nil).status == http.StatusOK
+	})
+	clock.suspend(5 * time.Second)
+	const id = "after-the-suspension"
+	got := d.call(node, http.MethodGet, "/read/", "", func(h http.Header) { h.Set(platform.HeaderRequestID, id) })
+	if got.status != http.StatusOK {
+		t.Fatalf("answer %+v", got)
+	}
+	var noticed, sent int
+	d.eventually("both lines are written", func() bool {
+		text := lines.String()
+		noticed, sent = strings.Index(text, "msg=pause_noticed"), strings.Index(text, "msg=request_sent request="+id)
+		return sent >= 0 && (noticed >= 0 || strings.Contains(text, "msg=request_ended request="+id))
+	})
+	if noticed < 0 || noticed > sent {
+		t.Errorf("the request was sent before the suspension was noticed:\n%s", lines)
+	}
+}
+
+// TestWakingNodeEndsWhatIsPastItsDeadline: a request whose time ran out during a suspension
+// ends at once, though its timers have seconds left.
+func TestWakingNodeEndsWhatIsPastItsDeadline(t *testing.T) {
+	d := newDeployment(t, patient)
+	running := make(chan struct{})
+	d.addWorker("p1", plainService, nil).Behave = func(*http.Request) worker.Behaviour {
+		close(running)
+		return worker.Hang
+	}
+	node, clock, _ := d.suspensible("n1")
+	got := make(chan reply, 1)
+	go func() { got <- d.call(node, http.MethodPost, "/write/", "b", nil) }()
+	<-running
+	clock.suspend(time.Hour)
+	if r := <-got; r.status != http.StatusGatewayTimeout {
+		t.Errorf("answer %+v", r)
+	}
+}
+
+// TestWakingNodeTellsNoTimeThatIsOver: the time left that a worker is told of counts a
+// suspension between two attempts.
+func TestWakingNodeTellsNoTimeThatIsOver(t *testing.T) {
+	const suspended = 4 * time.Second
+	d := newDeployment(t, patient)
+	node, clock, _ := d.suspensible("n1")
+	told := make(chan int, 2)
+	d.addWorker("p1", plainService, nil).Behave = func(r *http.Request) worker.Behaviour {
+		left, err := strconv.Atoi(r.Header.Get(platform.HeaderDeadline))
+		if err != nil {
+			t.Error(err)
+		}
+		told <- left
+		if len(told) == 1 {
+			clock.suspend(suspended)
+			return worker.CutAfterRun
+		}
+		return worker.Serve
+	}
+	d.eventually("a request is run twice", func() bool {
+		d.call(node, http.MethodGet, "/read/", "", nil)
+		return len(told) == 2
+	})
+	if first, second := <-told, <-told; second > first-int(suspended.Milliseconds()) {
+		t.Errorf("the first worker was told of %d ms, the second one, %s later, of %d", first, suspended, second)
+	}
+}
