Count the time for which a machine is suspended

Cause: the steady clock and timers stand while the machine is suspended. The node's view, its lease and its requests' deadlines looked as young as before, and the first step moved the timer on that would have told of the pause. Change: package clock follows the kernel's clock that counts suspension; the platform's shell, the relay of its routes and the connections to machines go by it. Each step asks whether one was due long ago and treats that as a pause: dispatches wait for the store to be read. Orders that were decided before it are not given; the steps of a planned stop go by the same clock. The shell of the own deployments still goes by the time of day.

--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -82,16 +82,27 @@
 	n.step(fleet.StoreWritten{Key: effect.Key, Err: err})
 }
 
-// callOrder gives an order.
-func (n *Node) callOrder(effect fleet.SendOrder) {
+// errDecidedLongAgo is why an order was not given.
+var errDecidedLongAgo = verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the process stood still since the order was decided")
+
+// callOrder gives an order. One that was decided before the process or its machine stood
+// still is not given: another node may hold the lease by now.
+func (n *Node) callOrder(effect fleet.SendOrder, decided time.Time) {
+	if n.Now().Sub(decided) > orderTimeout {
+		n.step(fleet.OrderAnswered{
+			Answer: sequence.Answered{Machine: effect.Send.Order.Machine, Number: effect.Send.Number, Err: errDecidedLongAgo},
+			Order:  effect.Send.Order,
+		})
+		return
+	}
 	ctx, cancel := context.WithTimeout(n.context, orderTimeout)
 	defer cancel()
-	began := time.Now()
+	began := n.Now()
 	outcome, err := n.options.Engines.Order(ctx, effect.Send.Address, effect.Send.Order)
 	n.metrics.called("engine order", err)
 	n.step(fleet.OrderAnswered{
 		Answer: sequence.Answered{Machine: effect.Send.Order.Machine, Number: effect.Send.Number, Outcome: outcome, Err: err},
-		Order:  effect.Send.Order, Took: time.Since(began),
+		Order:  effect.Send.Order, Took: n.Now().Sub(began),
 	})
 }
 
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -130,12 +130,12 @@
 	switch cause := eventlog.CauseOf(err); {
 	case err != nil && cause != f.lostBy && f.context.Err() == nil:
 		if f.lostAt.IsZero() {
-			f.lostAt = time.Now()
+			f.lostAt = f.Now()
 		}
 		f.lostBy = cause
 		f.options.Log.Write(eventlog.DependencyLost{Name: storeName, Cause: err.Error()})
 	case err == nil && !f.lostAt.IsZero():
-		f.options.Log.Write(eventlog.DependencyBack{Name: storeName, After: time.Since(f.lostAt)})
+		f.options.Log.Write(eventlog.DependencyBack{Name: storeName, After: f.Now().Sub(f.lostAt)})
 		f.lostAt, f.lostBy = time.Time{}, ""
 	}
 }
@@ -350,7 +350,7 @@
 	if pair == nil || pair.Revision <= f.configuration {
 		return
 	}
-	began := time.Now()
+	began := f.Now()
 	configuration, err := f.options.Codec.DecodeConfiguration(pair.Value)
 	var compiled *catalog.Compiled
 	if err == nil {
@@ -368,6 +368,6 @@
 	f.step(fleet.ConfigurationRead{Compiled: compiled})
 	f.compiled.Store(compiled)
 	f.options.Log.Write(eventlog.ConfigurationInForce{
-		Version: compiled.Version, Routes: len(compiled.Routes), Services: len(compiled.Services), Took: time.Since(began),
+		Version: compiled.Version, Routes: len(compiled.Routes), Services: len(compiled.Services), Took: f.Now().Sub(began),
 	})
 }
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -214,6 +214,12 @@
 
 // stepLocked is step for a caller that holds the mutex.
 func (n *Node) stepLocked(event fleet.Event) {
+	n.noticePause()
+	n.advance(event)
+}
+
+// advance feeds one event to the core. The caller holds the mutex.
+func (n *Node) advance(event fleet.Event) {
 	now := n.Now()
 	for _, effect := range n.core.Step(now, event) {
 		n.begin(effect)
@@ -240,24 +246,32 @@
 	n.timer.Reset(max(due.Sub(now), 0))
 }
 
-// pauseThreshold is how late the timer must fire for the process to have stood
-// still.
+// pauseThreshold is by how much a step that is due must be late for the process to have
+// stood still.
 const pauseThreshold = 700 * time.Millisecond
 
-// tick lets time pass for the core. A process that stood still reads the store
-// again before it dispatches.
+// tick lets time pass for the core.
 func (n *Node) tick() {
 	n.mutex.Lock()
-	late := n.Now().Sub(n.wakeAt)
-	set := !n.wakeAt.IsZero()
+	defer n.mutex.Unlock()
+	n.noticePause()
 	n.wakeAt = time.Time{}
-	if set && late > pauseThreshold {
-		n.options.Log.Write(eventlog.PauseNoticed{Pause: late})
-		n.stepLocked(fleet.Paused{For: late})
-		n.follower.invalidate()
-	}
 	n.stepLocked(fleet.Tick{})
-	n.mutex.Unlock()
+}
+
+// noticePause finds that the process or its machine stood still, before anything is decided
+// by what was known: no step came when one was due. The store is read again then. After a
+// suspension the timer is late by as much, so each step asks, not the timer's alone. The
+// caller holds the mutex.
+func (n *Node) noticePause() {
+	late := n.Now().Sub(n.wakeAt)
+	if n.wakeAt.IsZero() || late <= pauseThreshold {
+		return
+	}
+	n.wakeAt = time.Time{}
+	n.options.Log.Write(eventlog.PauseNoticed{Pause: late})
+	n.advance(fleet.Paused{For: late})
+	n.follower.invalidate()
 }
 
 // signalOnce wakes a receiver unless a signal waits already.
@@ -280,7 +294,7 @@
 	case fleet.StoreWrite:
 		go n.callWrite(effect)
 	case fleet.SendOrder:
-		go n.callOrder(effect)
+		go n.callOrder(effect, n.Now())
 	case fleet.ReadReport:
 		go n.callReport(effect)
 	case fleet.Log:
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/valveslip/valveslip/authority/sequence"
 	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/clock"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
@@ -70,7 +71,7 @@
 	Log    *eventlog.Log
 	Logger *slog.Logger
 	// Now is the clock of all decisions: it never jumps back, and counts the time for which
-	// the machine is suspended. The steady clock by default.
+	// the machine is suspended. That of package clock by default.
 	Now func() time.Time
 	// Listen opens a listener; net.Listen by default.
 	Listen func(network, address string) (net.Listener, error)
@@ -90,7 +91,10 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	if o.Now == nil {
-		o.Now = time.Now
+		o.Now = clock.New().Now
+	}
+	if o.Upstream.Now == nil {
+		o.Upstream.Now = o.Now
 	}
 	if o.Listen == nil {
 		o.Listen = net.Listen
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -42,19 +42,19 @@
 }
 
 func (n *Node) stop() {
-	began := time.Now()
+	began := n.Now()
 	n.stopping.Store(true)
 	n.options.Log.Write(eventlog.NodeStopping{InFlight: n.inFlight()})
 	n.step(fleet.ResignStarted{})
-	time.Sleep(unnoticedTime)
+	n.sleepUntil(began.Add(unnoticedTime))
 	n.closing.Store(true)
 	last := began.Add(n.options.Grace - stopMargin)
-	time.Sleep(time.Until(began.Add(admissionTime)))
-	n.admitsUntil.Store(int64(last.Sub(n.began)))
+	n.sleepUntil(began.Add(admissionTime))
+	n.admitsUntil.Store(int64(last.Sub(n.epoch)))
 	flushed := false
-	for time.Now().Before(last) {
-		idle := n.inFlight() == 0 && time.Since(began) >= lingerTime
-		if !flushed && (idle || time.Until(last) < flushTime) {
+	for n.Now().Before(last) {
+		idle := n.inFlight() == 0 && n.Now().Sub(began) >= lingerTime
+		if !flushed && (idle || last.Sub(n.Now()) < flushTime) {
 			flushed = true
 			n.step(fleet.DrainStarted{})
 		}
@@ -63,14 +63,22 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	n.options.Log.Write(eventlog.NodeStopped{InFlight: n.inFlight(), Took: time.Since(began)})
+	n.options.Log.Write(eventlog.NodeStopped{InFlight: n.inFlight(), Took: n.Now().Sub(began)})
 	n.close()
 }
 
+// sleepUntil sleeps until a time of the node's clock, which a suspension may bring sooner
+// than a timer would.
+func (n *Node) sleepUntil(at time.Time) {
+	for left := at.Sub(n.Now()); left > 0; left = at.Sub(n.Now()) {
+		time.Sleep(min(left, drainPoll))
+	}
+}
+
 // admits reports whether a request that must have ended by the deadline is taken.
 func (n *Node) admits(deadline time.Time) bool {
 	until := n.admitsUntil.Load()
-	return until == 0 || deadline.Sub(n.began) <= time.Duration(until)
+	return until == 0 || deadline.Sub(n.epoch) <= time.Duration(until)
 }
 
 // Kill ends the node at once, like the death of its process.
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -9,7 +9,6 @@
 	"net/url"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -125,7 +124,7 @@
 		header["User-Agent"] = []string{""}
 	}
 	a.Dialect.PrepareForward(header, Forward{
-		Machine: a.decision.Machine, Remaining: time.Until(a.deadline), Rank: a.route.Priority, LastEventID: a.lastEvent,
+		Machine: a.decision.Machine, Remaining: a.left(), Rank: a.route.Priority, LastEventID: a.lastEvent,
 	})
 	target := &url.URL{Scheme: "http", Host: a.request.Host, Opaque: a.request.RequestURI}
 	if !strings.HasPrefix(a.request.RequestURI, "/") || strings.HasPrefix(a.request.RequestURI, "//") {
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -62,7 +62,7 @@
 
 // run submits the request and carries out what is decided until it has ended.
 func (e *exchange) run() {
-	e.ticket = e.Decider.Submit(e.routingRequest(e.Decider.Now()))
+	e.ticket = e.Decider.Submit(e.routingRequest())
 	for {
 		effect, err := e.next()
 		if err != nil {
@@ -79,11 +79,14 @@
 	}
 }
 
+// left is the time until the request must have ended.
+func (e *exchange) left() time.Duration { return e.deadline.Sub(e.now()) }
+
 // next waits for the next decision. A caller who leaves is reported, and the
 // decision that follows from it is waited for.
 func (e *exchange) next() (routing.Effect, error) {
 	caller := e.request.Context()
-	bounded, cancel := context.WithDeadline(caller, e.deadline.Add(finishGrace))
+	bounded, cancel := context.WithTimeout(caller, e.left()+finishGrace)
 	effect, err := e.ticket.Next(bounded)
 	cancel()
 	if err == nil || caller.Err() == nil || e.gone {
@@ -113,15 +116,15 @@
 	e.attempts++
 	e.machine = decision.Machine
 	e.logSent(&decision)
-	ctx, cancel := context.WithDeadline(e.request.Context(), e.deadline)
+	ctx, cancel := context.WithTimeout(e.request.Context(), e.left())
 	e.ticket.OnInterrupt(cancel)
-	began := time.Now()
+	began := e.now()
 	current := &attempt{exchange: e, decision: decision}
 	ended := current.execute(ctx)
 	e.ticket.OnInterrupt(nil)
 	cancel()
 	if ended.Failure != nil {
-		e.logAttempt(current, &ended, time.Since(began))
+		e.logAttempt(current, &ended, e.now().Sub(began))
 		if e.request.Context().Err() != nil {
 			e.callerGone()
 		}
@@ -186,7 +189,7 @@
 func (e *exchange) logEnd(failure *verdict.Error, reason *routing.Explanation, status int) {
 	line := eventlog.RequestEnded{
 		Request: e.id, Status: status, Code: "served", Machine: e.machine, Attempts: e.attempts,
-		Took: time.Since(e.arrived), Waited: reason.Waited, First: e.first, Pause: e.pause, Verdict: verdict.Ran.String(),
+		Took: e.now().Sub(e.arrived), Waited: reason.Waited, First: e.first, Pause: e.pause, Verdict: verdict.Ran.String(),
 	}
 	if failure != nil {
 		line.Code, line.Verdict, line.Back = string(failure.Code), failure.Verdict.String(), failure.RetryAfter
@@ -219,7 +222,7 @@
 	if _, stated := out["Content-Type"]; !stated {
 		out["Content-Type"] = nil
 	}
-	e.first = time.Since(e.arrived)
+	e.first = e.now().Sub(e.arrived)
 	e.writer.WriteHeader(status)
 	e.started = true
 }
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -69,14 +69,23 @@
 type Handler struct {
 	Config
 	draws sync.Map
+	// now is the core's clock, by which requests have their time. What is bounded by the
+	// kernel or a timer is bounded by what is left of it.
+	now func() time.Time
 }
 
 // NewHandler returns a Handler.
-func NewHandler(config Config) *Handler { return &Handler{Config: config} }
+func NewHandler(config Config) *Handler {
+	h := &Handler{Config: config, now: time.Now}
+	if config.Decider != nil {
+		h.now = config.Decider.Now
+	}
+	return h
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := h.now()
 	if h.Closing != nil && h.Closing() {
 		w.Header().Set("Connection", "close")
 	}
@@ -92,7 +101,7 @@
 	}
 	attributes := h.Dialect.ReadCaller(r.Header)
 	deadline := arrived.Add(allowedTime(route, &attributes))
-	body, failure := readBody(w, r, compiled.Limits.MaxBodyBytes, deadline)
+	body, failure := readBody(w, r, compiled.Limits.MaxBodyBytes, deadline.Sub(arrived))
 	if failure != nil {
 		h.turnAway(w, r, failure)
 		return
@@ -117,7 +126,7 @@
 
 // readBody reads the whole body, whose size is bounded, until the request's deadline: a
 // caller that stops in its middle would hold the handler for as long as it stays.
-func readBody(w http.ResponseWriter, r *http.Request, most int64, deadline time.Time) ([]byte, *verdict.Error) {
+func readBody(w http.ResponseWriter, r *http.Request, most int64, allowed time.Duration) ([]byte, *verdict.Error) {
 	if r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -128,7 +137,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.CodeRequestTooLarge, "the body is larger than %d bytes", most)
 	}
 	connection := http.NewResponseController(w)
-	bounded := connection.SetReadDeadline(deadline) == nil
+	bounded := connection.SetReadDeadline(time.Now().Add(allowed)) == nil
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err == nil && bounded {
 		// Kept on an error: the server would wait for the rest of the body otherwise.
@@ -225,10 +234,10 @@
 }
 
 // routingRequest is the request as the core knows it.
-func (e *exchange) routingRequest(now time.Time) routing.Request {
+func (e *exchange) routingRequest() routing.Request {
 	request := routing.Request{
 		ID: e.id, Model: e.work, TokenPath: "/", Priority: highestPriority - e.route.Priority,
-		Deadline: now.Add(time.Until(e.deadline)), Objective: e.route.Objective,
+		Deadline: e.deadline, Objective: e.route.Objective,
 		Patience: e.route.Patience, Returned: e.returned(), Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
 		PromptTokens: e.attributes.PromptTokens, MaxTokens: e.attributes.MaxTokens,
 		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable, Content: e.content,
--- a/passthrough/silence.go
+++ b/passthrough/silence.go
@@ -60,7 +60,8 @@
 	patience time.Duration
 	// told is set once the log was told of the present silence.
 	told bool
-	// armed is when the present silence began to be counted, or was last told of.
+	// armed is when the present silence began to be counted, or was last told of, by the
+	// steady clock: while this machine is suspended, no other one is silent.
 	armed time.Time
 	// paused is set while what came is passed on, quiet once nobody waits any more.
 	paused, quiet bool
--- a/passthrough/stream.go
+++ b/passthrough/stream.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/verdict"
@@ -104,7 +103,7 @@
 
 // notePause measures the time since events were last sent.
 func (a *attempt) notePause() {
-	now := time.Now()
+	now := a.now()
 	if !a.passed.IsZero() {
 		a.pause = max(a.pause, now.Sub(a.passed))
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -60,7 +60,7 @@
 // too old, and nothing has arrived on it, neither bytes that belong to no request
 // nor its end.
 func (c *Conn) alive() bool {
-	if c.expired(time.Now()) || c.reader.Buffered() > 0 {
+	if c.expired(c.pool.options.Now()) || c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, err := c.connection.(syscall.Conn).SyscallConn()
@@ -91,7 +91,7 @@
 // the answer is read. An error with the cause ErrNotSent means that no byte left.
 func (c *Conn) Send(request *http.Request, body []byte) error {
 	c.sent.Store(false)
-	c.sentAt = time.Now()
+	c.sentAt = c.pool.options.Now()
 	c.writing = make(chan struct{})
 	if len(body) <= inlineBody {
 		c.write(request)
@@ -221,7 +221,7 @@
 
 // silent reports whether the machine no longer acknowledges what is sent.
 func (c *Conn) silent(unacknowledged int) bool {
-	return c.broken.Load() || unacknowledged > 0 && c.written() && time.Since(c.sentAt) > acknowledgedWithin
+	return c.broken.Load() || unacknowledged > 0 && c.written() && c.pool.options.Now().Sub(c.sentAt) > acknowledgedWithin
 }
 
 // written reports whether the request was written without an error.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -48,6 +48,9 @@
 	// IdleMargin how much earlier than the stated time it is given up.
 	IdleLimit, IdleMargin time.Duration
 	MaxIdle               int
+	// Now is the clock by which idle connections age: machines close them by their own,
+	// also while this one is suspended. The steady clock by default.
+	Now func() time.Time
 }
 
 // withDefaults fills zero fields.
@@ -67,6 +70,9 @@
 	if o.MaxIdle == 0 {
 		o.MaxIdle = DefaultMaxIdle
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return o
 }
 
@@ -183,7 +189,7 @@
 func (p *Pool) put(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	c.reused, c.idleSince = true, time.Now()
+	c.reused, c.idleSince = true, p.options.Now()
 	if c.idleSince.Sub(p.sweptAt) > p.options.IdleLimit/sweepsPerLimit {
 		p.sweep(c.idleSince)
 	}
@@ -214,13 +220,13 @@
 }
 
 // Forget closes the idle connections to an address.
-func (p *Pool) Forget(address string) { p.forgetUnheard(address, time.Now()) }
+func (p *Pool) Forget(address string) { p.forgetUnheard(address, p.options.Now()) }
 
 // wentSilent takes notice of a silent connection. The idle ones to its machine of which
 // nothing was heard since are closed. Silences at two machines have their cause on the way
 // or at this end: connections to the others are not to be trusted either then.
 func (p *Pool) wentSilent(address string, heard time.Time) {
-	now := time.Now()
+	now := p.options.Now()
 	p.mutex.Lock()
 	before := p.silence
 	p.silence = silence{address: address, heard: heard, noticed: now}
