Hold back callers whose requests end machine after machine

Cause: one request that ends its worker is known after three ends; a caller that sends a different one each time is known by nothing. Change: three ends in a row, each under a request that was sent after the end before, hold a caller back on a node: for a second, doubled by each further end up to a minute, then one request at a time, until one is answered whole. A caller is told by its credential, else by the machine it calls from.

--- a/fleet/poison_test.go
+++ b/fleet/poison_test.go
@@ -50,6 +50,11 @@
 	late []string
 	// bystanders counts the other requests, and innocent those that were refused as harmful.
 	bystanders, served, innocent int
+	// restart is after how long an engine takes the place of one that ended, content what a
+	// request asks for, and answered is told of each answer.
+	restart  func() time.Duration
+	content  func(id cluster.RequestID) poison.Fingerprint
+	answered func(e routing.Finish)
 }
 
 type simulatedRun struct {
@@ -63,6 +68,8 @@
 		world: newSimulation(seed, nodes, engines), harmful: map[cluster.RequestID]bool{}, runs: map[*simulatedEngine][]*simulatedRun{},
 	}
 	p.carryOut = p.carry
+	p.restart = func() time.Duration { return p.between(800*time.Millisecond, 3*time.Second) }
+	p.content = p.contentOf
 	p.followBy(3)
 	p.runFor(5 * time.Second)
 	return p
@@ -77,6 +84,9 @@
 		p.cancelled(n, e)
 	case routing.Finish:
 		p.ended(e)
+		if p.answered != nil {
+			p.answered(e)
+		}
 	}
 	return true
 }
@@ -151,13 +161,13 @@
 	p.after(p.between(2500*time.Millisecond, 3500*time.Millisecond), func() {
 		p.write(keyvalue.Operation{Delete: true, Key: keyEngines + string(engine.id)})
 	})
-	p.after(p.between(800*time.Millisecond, 3*time.Second), p.startEngine)
+	p.after(p.restart(), p.startEngine)
 }
 
 // report tells a node how an attempt ended.
 func (p *poisonPlay) report(n *simulatedNode, dispatch *routing.Dispatch, ended routing.AttemptEnded) {
 	ended.Request, ended.Attempt = dispatch.Request, dispatch.Attempt
-	ended.Content = p.contentOf(dispatch.Request)
+	ended.Content = p.content(dispatch.Request)
 	p.step(n, RoutingInput{Event: ended})
 }
 
--- a/passthrough/content.go
+++ b/passthrough/content.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/valveslip/valveslip/routing/poison"
 )
 
@@ -24,6 +27,19 @@
 	return e.content
 }
 
+// caller tells the request's caller from others: by its credential, without one by the
+// machine that it calls from.
+func (e *exchange) caller() uint64 {
+	if credential := e.request.Header.Get("Authorization"); credential != "" {
+		return xxhash.Sum64String(credential)
+	}
+	host, _, err := net.SplitHostPort(e.request.RemoteAddr)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64String(host)
+}
+
 // noteBreak notes that the machine's side ended the connection. One that this node
 // interrupted tells a time-out; where the caller left, the error may be of its side.
 func (a *attempt) noteBreak(err error) {
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -240,7 +240,7 @@
 		Deadline: e.deadline, Objective: e.route.Objective,
 		Patience: e.route.Patience, Returned: e.returned(), Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
 		PromptTokens: e.attributes.PromptTokens, MaxTokens: e.attributes.MaxTokens,
-		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable, Content: e.content,
+		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable, Content: e.content, Caller: e.caller(),
 	}
 	if len(e.attributes.Parts) > 1 {
 		request.Prefixes = chain(e.attributes.Parts[:len(e.attributes.Parts)-1])
--- a/routing/events.go
+++ b/routing/events.go
@@ -47,6 +47,8 @@
 	Resumable bool
 	// Content is the fingerprint of what the request asks for, zero when it was not taken.
 	Content poison.Fingerprint
+	// Caller tells the request's caller from others; all that can't be told share zero.
+	Caller uint64
 }
 
 // Event is an input of the core.
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -22,6 +22,7 @@
 	}
 	if event.Failure == nil {
 		r.poison.Whole(r.now, ended.Content)
+		r.doubtful.Answered(ended.Caller)
 	}
 	if m.leaving() {
 		return
@@ -32,6 +33,9 @@
 	if event.Broken {
 		r.poison.Broke(r.now, ended.Content, m.id)
 	}
+	if event.Broken && event.MachineEnded {
+		r.doubtful.Ended(r.now, ended.Caller, time.Unix(0, ended.dispatched))
+	}
 }
 
 // machineEnded takes the news that a machine ended unless it had announced that.
@@ -51,7 +55,13 @@
 // or nil. A convicted one may come back when its conviction is over. A suspect runs once at
 // a time, so that each end of a machine tells something.
 func (r *Router) poisonRefusal(m *model, arrived *Request) (*verdict.Error, Explanation) {
-	if arrived.Content.IsZero() || r.poison.Empty() {
+	if r.poison.Empty() {
+		return nil, Explanation{}
+	}
+	if failure, reason := r.callerRefusal(m, arrived); failure != nil {
+		return failure, reason
+	}
+	if arrived.Content.IsZero() {
 		return nil, Explanation{}
 	}
 	if left, convicted := r.poison.Convicted(r.now, arrived.Content); convicted {
@@ -66,6 +76,30 @@
 	return nil, Explanation{}
 }
 
+// callerRefusal says why a request is not admitted because machines ended in a row under
+// other requests of its caller, or nil. One at a time may show that the caller is harmless.
+func (r *Router) callerRefusal(m *model, arrived *Request) (*verdict.Error, Explanation) {
+	wait, doubtful := r.doubtful.Doubtful(r.now, arrived.Caller)
+	if !doubtful {
+		return nil, Explanation{}
+	}
+	if wait == 0 && !r.callerInFlight(arrived.Caller) {
+		return nil, Explanation{}
+	}
+	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest, "machines ended one after the other under requests of this caller")
+	return failure.After(max(wait, r.comeBack(m))), Explanation{Setting: settingPoisonEnds}
+}
+
+// callerInFlight reports whether a request of the caller has not ended here.
+func (r *Router) callerInFlight(caller uint64) bool {
+	for _, other := range r.requests {
+		if other.Caller == caller {
+			return true
+		}
+	}
+	return false
+}
+
 // poisonFailure refuses a convicted request, with the machines that ended under it.
 func (r *Router) poisonFailure(content poison.Fingerprint, left time.Duration) (*verdict.Error, Explanation) {
 	record, _ := r.poison.Record(content)
--- a/routing/router.go
+++ b/routing/router.go
@@ -57,6 +57,8 @@
 	matches  []affinity.Match
 	// poison is what is known of requests that end machines.
 	poison *poison.Table
+	// doubtful are callers under whose requests machines end one after the other.
+	doubtful *poison.Callers
 	// untold are the prompts that other routers have yet to be told of.
 	untold *affinity.Ledger
 	// routers is how many share the replicas. divided is among how many limits
@@ -99,6 +101,7 @@
 		pools:    make(map[string]*windowBudget),
 		prefixes: affinity.New(config.Affinity),
 		poison:   poison.NewTable(config.Poison),
+		doubtful: poison.NewCallers(),
 		untold:   affinity.NewLedger(maxUntold),
 	}
 	router.limits.Divide(limit.Division{Routers: config.ExpectedRouters})
@@ -158,6 +161,7 @@
 	case Tick:
 		r.releaseDue()
 		r.poison.Sweep(r.now)
+		r.doubtful.Sweep(r.now)
 	case DrainStarted:
 		r.drain()
 	case CacheEventsArrived:
