Let convictions outlive their finder, and acquit what is harmless

A node that began while the store was away sent what had waited before it knew anything; a conviction was lost with the node that was to write it; a request that many ask for was at three machines that ended and stayed refused. Change: a node that begins, wakes or comes back asks five others for what the store lacks and sends nothing for 50 ms, and reads what must not be sent before it reads where to; five nodes write a record that is missing after 2 s. What was answered whole within a minute is blamed for nothing. A convicted request is sent once more, alone, twice at most in all, 1 s and 10 s later: the store lets one node have each test, and a whole answer lifts the conviction on all. The check counts sends that reach an engine, and a node that came after the third end only once the store has been well for as long as the users ask: a trace showed a node that could know of nothing before.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -67,9 +67,11 @@
 		c.cell.lastRead(e)
 	case StoreSynced:
 		c.synced = true
-		c.routing(routing.DispatchesReleased{})
+		c.released()
 	case Paused:
 		c.routing(routing.DispatchesHeld{Until: now.Add(c.config.PauseHold)})
+		c.poison.asked = false
+		c.poison.ask()
 	case MessageReceived:
 		c.messageReceived(e.Message)
 	case LeaseAnswered:
@@ -153,6 +155,8 @@
 		case routing.StatusNeeded:
 		case routing.PoisonFound:
 			c.poison.found(e.Records)
+		case routing.PoisonTestWanted:
+			c.poison.testWanted(e.Content)
 		default:
 			c.emit(RoutingOutput{Effect: effect})
 		}
@@ -200,8 +204,12 @@
 		c.cell.demand.Forget(id)
 	}
 	for _, entry := range read.Nodes {
+		if _, known := c.nodes[entry.ID]; !known {
+			c.poison.nodeCame(entry)
+		}
 		c.nodes.put(entry)
 	}
+	c.poison.ask()
 	c.noteSharers()
 }
 
@@ -239,6 +247,16 @@
 	}
 }
 
+// released lets requests go once the store has been read, and other nodes have had the time
+// to answer.
+func (c *Core) released() {
+	if until := c.poison.heldUntil; c.now.Before(until) {
+		c.routing(routing.DispatchesHeld{Until: until})
+		return
+	}
+	c.routing(routing.DispatchesReleased{})
+}
+
 // leaseAnswered takes the answer to a call for one of the records.
 func (c *Core) leaseAnswered(answered LeaseAnswered) {
 	switch answered.Record {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -56,7 +56,10 @@
 
 // PoisonStored is a record of the store on a request that ends machines.
 type PoisonStored struct {
-	Record   poison.Record
+	Record poison.Record
+	// Tests are how often a node was let send the request once more, Tester the last one.
+	Tests    int
+	Tester   cluster.NodeID
 	Revision int64
 }
 
--- a/fleet/feeding_test.go
+++ b/fleet/feeding_test.go
@@ -171,14 +171,15 @@
 
 // takePoison hands a record on a request that ends machines to a node's core.
 func (w *world) takePoison(n *simulatedNode, change *wire.StoreChange) {
-	record, err := DecodePoison(change.Key, change.Value)
+	stored, err := DecodePoison(change.Key, change.Value)
+	stored.Revision = change.Revision
 	switch {
 	case change.Deleted:
-		w.step(n, PoisonRead{Gone: []poison.Fingerprint{record.Content}})
+		w.step(n, PoisonRead{Gone: []poison.Fingerprint{stored.Record.Content}})
 	case err != nil:
 		w.problem("the record %s can't be read: %v", change.Key, err)
 	default:
-		w.step(n, PoisonRead{Records: []PoisonStored{{Record: record, Revision: change.Revision}}})
+		w.step(n, PoisonRead{Records: []PoisonStored{stored}})
 	}
 }
 
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -36,9 +36,21 @@
 	// poisonOwners nodes by the request's fingerprint, who count its ends for all.
 	tellAllNodes = 16
 	poisonOwners = 5
+	// mostTests is how often in all a convicted request is sent once more: three further
+	// sends are what the users allow. testSpacing leaves the node that has the first one the
+	// time to use it.
+	mostTests   = 2
+	testSpacing = 10 * time.Second
+	// poisonAskHold is for how long a node that began or stood still sends nothing after it
+	// has asked others what the store may not have: what waits by then would be sent in the
+	// same instant. A message and its answer take 2 to 40 ms within a region.
+	poisonAskHold = 50 * time.Millisecond
 	// poisonWriteRetry spaces attempts to write a record to the store; it doubles up to
 	// longestPoisonWriteRetry.
-	poisonWriteRetry        = time.Second
+	poisonWriteRetry = time.Second
+	// poisonBackup is after how long others write a record that the store still lacks: the
+	// node that found it may have ended.
+	poisonBackup            = 2 * time.Second
 	longestPoisonWriteRetry = 8 * time.Second
 )
 
@@ -50,31 +62,48 @@
 	wait time.Duration
 }
 
-// poisonWrite is a record that is to be written to the store.
+// poisonWrite is a record that the store lacks.
 type poisonWrite struct {
+	// idle is set where other nodes are to write it.
+	idle     bool
 	next     time.Time
 	wait     time.Duration
 	underWay bool
 }
 
+// storedPoison is what is known of a record in the store.
+type storedPoison struct {
+	PoisonStored
+	// since is when this node read it.
+	since time.Time
+	// claimed is when this node last asked the store for a test, zero for not.
+	claimed time.Time
+}
+
 // poisonKeeper tells other nodes and the store of requests that end machines, and learns
 // from them.
 type poisonKeeper struct {
 	core     *Core
 	tellings map[poison.Fingerprint]*telling
 	writes   map[poison.Fingerprint]*poisonWrite
-	// stored are the requests that have a record in the store, by its revision.
-	stored map[poison.Fingerprint]int64
+	// stored are the requests that have a record in the store.
+	stored map[poison.Fingerprint]*storedPoison
 	// received are the requests that the present event says are convicted.
 	received map[poison.Fingerprint]bool
+	// lifted are the requests of which all nodes must learn that they are convicted no more.
+	lifted   map[poison.Fingerprint]bool
 	learning bool
 	lastTold time.Time
+	// asked is set once other nodes were asked for what the store may not have; until
+	// heldUntil their answers are waited for.
+	asked     bool
+	heldUntil time.Time
 }
 
 func newPoisonKeeper(core *Core) *poisonKeeper {
 	return &poisonKeeper{
 		core: core, tellings: map[poison.Fingerprint]*telling{}, writes: map[poison.Fingerprint]*poisonWrite{},
-		stored: map[poison.Fingerprint]int64{}, received: map[poison.Fingerprint]bool{},
+		stored: map[poison.Fingerprint]*storedPoison{}, received: map[poison.Fingerprint]bool{}, lifted: map[poison.Fingerprint]bool{},
 	}
 }
 
@@ -89,17 +118,43 @@
 	for i := range records {
 		record := &records[i]
 		convicts := k.convicts(record)
+		if convicts && k.stored[record.Content] == nil {
+			k.mustStore(record.Content)
+		}
 		if k.learning && (!convicts || k.received[record.Content]) {
 			continue
 		}
 		k.log(record, convicts)
 		k.tellings[record.Content] = &telling{left: poisonTellings, next: k.core.now, wait: poisonRepeat}
-		if convicts && k.stored[record.Content] == 0 {
-			k.writes[record.Content] = &poisonWrite{next: k.core.now, wait: poisonWriteRetry}
+		if record.Standing() == 0 {
+			k.remove(record.Content)
 		}
 	}
 }
 
+// mustStore sees to it that a conviction comes into the store: the node that found it writes
+// it at once, a few others when it isn't there a while later.
+func (k *poisonKeeper) mustStore(content poison.Fingerprint) {
+	if k.writes[content] != nil {
+		return
+	}
+	due := &poisonWrite{next: k.core.now, wait: poisonWriteRetry}
+	if k.learning && k.received[content] {
+		due.next = k.core.now.Add(poisonBackup)
+		due.idle = !slices.Contains(k.owners(content), k.core.config.Self.ID)
+	}
+	k.writes[content] = due
+}
+
+// owners lists the few nodes that count a request's ends where there are many.
+func (k *poisonKeeper) owners(content poison.Fingerprint) []cluster.NodeID {
+	ids := slices.Collect(maps.Keys(k.core.nodes))
+	slices.SortFunc(ids, func(a, b cluster.NodeID) int {
+		return cmp.Or(cmp.Compare(ownerRank(b, content), ownerRank(a, content)), cmp.Compare(a, b))
+	})
+	return ids[:min(len(ids), poisonOwners)]
+}
+
 func (k *poisonKeeper) log(record *poison.Record, convicts bool) {
 	line := eventlog.PoisonJudged{Content: record.Content.String(), Machines: joinMachines(record.Ends), Ends: record.Standing(), Outcome: "suspected"}
 	switch {
@@ -134,6 +189,9 @@
 
 // told takes another node's message. One that doesn't know of a conviction is answered.
 func (k *poisonKeeper) told(message *wire.PoisonReport) {
+	if unstored := k.unstored(); len(message.Records) == 0 && len(unstored) > 0 {
+		k.send(message.FromAddress, unstored)
+	}
 	k.learn(message.Records)
 	var unknown []poison.Record
 	for i := range message.Records {
@@ -148,6 +206,39 @@
 	}
 }
 
+// nodeCame tells a node that is new here of the convictions that the store may not have yet.
+func (k *poisonKeeper) nodeCame(entry NodeEntry) {
+	if unstored := k.unstored(); len(unstored) > 0 && entry.ID != k.core.config.Self.ID {
+		k.send(entry.Address, unstored)
+	}
+}
+
+// unstored lists the convictions that the store lacks as far as this node knows.
+func (k *poisonKeeper) unstored() []poison.Record {
+	var unstored []poison.Record
+	for _, content := range sortedContents(k.writes) {
+		if record, found := k.core.router.PoisonRecord(content); found && k.convicts(&record) {
+			unstored = append(unstored, record)
+		}
+	}
+	return unstored
+}
+
+// ask asks some nodes, once after a start or pause, for what the store may not have: a
+// message without records.
+func (k *poisonKeeper) ask() {
+	self := poison.Content{Caller: string(k.core.config.Self.ID)}
+	ids := slices.DeleteFunc(k.owners(self.Fingerprint()), func(id cluster.NodeID) bool { return id == k.core.config.Self.ID })
+	if k.asked || len(ids) == 0 {
+		return
+	}
+	k.asked, k.heldUntil = true, k.core.now.Add(poisonAskHold)
+	k.core.routing(routing.DispatchesHeld{Until: k.heldUntil})
+	for _, id := range ids {
+		k.send(k.core.nodes[id].Address, nil)
+	}
+}
+
 // read takes the store's records.
 func (k *poisonKeeper) read(read PoisonRead) {
 	if read.Full {
@@ -157,16 +248,25 @@
 			}
 		}
 	}
+	var granted []poison.Fingerprint
 	records := make([]poison.Record, 0, len(read.Records))
 	for i := range read.Records {
 		record := &read.Records[i]
-		k.stored[record.Record.Content] = record.Revision
-		delete(k.writes, record.Record.Content)
+		content := record.Record.Content
+		before := k.stored[content]
+		k.stored[content] = &storedPoison{PoisonStored: *record, since: k.core.now}
+		if before != nil && !before.claimed.IsZero() && before.Tests < record.Tests && record.Tester == k.core.config.Self.ID {
+			granted = append(granted, content)
+		}
+		delete(k.writes, content)
 		records = append(records, record.Record)
 	}
 	k.learn(records)
+	for _, content := range granted {
+		k.core.routing(routing.PoisonTestGranted{Content: content})
+	}
 	for _, content := range read.Gone {
-		if k.stored[content] != 0 {
+		if k.stored[content] != nil {
 			delete(k.stored, content)
 			k.core.routing(routing.PoisonPardoned{Content: content})
 		}
@@ -193,15 +293,16 @@
 			continue
 		}
 		record, found := k.core.router.PoisonRecord(content)
-		if due.left--; !found || due.left == 0 {
-			delete(k.tellings, content)
-		}
 		due.next, due.wait = now.Add(due.wait), 3*due.wait
 		if found {
 			for _, id := range k.recipients(&record) {
 				byNode[id] = append(byNode[id], record)
 			}
 		}
+		if due.left--; !found || due.left == 0 {
+			delete(k.tellings, content)
+			delete(k.lifted, content)
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(byNode)) {
 		k.lastTold = now
@@ -217,19 +318,13 @@
 // recipients lists the nodes that are told of a record: all of a conviction, or where there
 // are few nodes; else those that count the request's ends.
 func (k *poisonKeeper) recipients(record *poison.Record) []cluster.NodeID {
-	ids := make([]cluster.NodeID, 0, len(k.core.nodes))
-	for id := range k.core.nodes {
-		if id != k.core.config.Self.ID {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) <= tellAllNodes || k.convicts(record) {
-		return ids
+	var ids []cluster.NodeID
+	if len(k.core.nodes) <= tellAllNodes || k.convicts(record) || k.lifted[record.Content] {
+		ids = slices.Collect(maps.Keys(k.core.nodes))
+	} else {
+		ids = k.owners(record.Content)
 	}
-	slices.SortFunc(ids, func(a, b cluster.NodeID) int {
-		return cmp.Or(cmp.Compare(ownerRank(b, record.Content), ownerRank(a, record.Content)), cmp.Compare(a, b))
-	})
-	return ids[:poisonOwners]
+	return slices.DeleteFunc(ids, func(id cluster.NodeID) bool { return id == k.core.config.Self.ID })
 }
 
 // ownerRank is a node's place among those that may count a request's ends: rendezvous
@@ -252,27 +347,43 @@
 func (k *poisonKeeper) write() {
 	for _, content := range sortedContents(k.writes) {
 		due := k.writes[content]
-		if due.underWay || due.next.After(k.core.now) {
-			continue
-		}
 		record, found := k.core.router.PoisonRecord(content)
 		if !found || !k.convicts(&record) {
 			delete(k.writes, content)
 			continue
 		}
+		if due.idle || due.underWay || due.next.After(k.core.now) {
+			continue
+		}
 		due.underWay = true
-		k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&record)})
+		k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&PoisonStored{Record: record})})
 	}
 }
 
+// testWanted claims one of the few tests of a convicted request: the store lets one node
+// have it. A node that ends before it uses it leaves the request to the next test.
+func (k *poisonKeeper) testWanted(content poison.Fingerprint) {
+	stored := k.stored[content]
+	if stored == nil || stored.Tests >= mostTests || stored.Tests > 0 && k.core.now.Sub(stored.since) < testSpacing ||
+		k.core.now.Sub(stored.claimed) < poisonWriteRetry {
+		return
+	}
+	stored.claimed = k.core.now
+	claim := PoisonStored{Record: stored.Record, Tests: stored.Tests + 1, Tester: k.core.config.Self.ID}
+	k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&claim), Revision: stored.Revision})
+}
+
 // written takes the outcome of a write. A record that another node wrote before counts.
 func (k *poisonKeeper) written(answered StoreWritten) {
 	content, err := poison.ParseFingerprint(strings.TrimPrefix(answered.Key, KeyPoison))
 	due := k.writes[content]
-	if err != nil || due == nil {
+	switch {
+	case err != nil:
 		return
-	}
-	if answered.Err == nil {
+	case due == nil:
+		// The claim of a test or a deletion: the record tells what became of it.
+		return
+	case answered.Err == nil:
 		delete(k.writes, content)
 		return
 	}
@@ -280,15 +391,23 @@
 	due.wait = min(2*due.wait, longestPoisonWriteRetry)
 }
 
+// remove deletes the record of a request that is not to blame any more.
+func (k *poisonKeeper) remove(content poison.Fingerprint) {
+	if stored := k.stored[content]; stored != nil {
+		delete(k.stored, content)
+		k.lifted[content] = true
+		k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Delete: true, Revision: stored.Revision})
+	}
+}
+
 // removeOver has the holder of the lease delete the records whose time is over.
 func (k *poisonKeeper) removeOver() {
 	if len(k.stored) == 0 || !k.core.cell.ledger.Holding() {
 		return
 	}
 	for _, content := range sortedContents(k.stored) {
-		if _, kept := k.core.router.PoisonRecord(content); !kept && k.stored[content] > 0 {
-			k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Delete: true, Revision: k.stored[content]})
-			delete(k.stored, content)
+		if _, kept := k.core.router.PoisonRecord(content); !kept {
+			k.remove(content)
 		}
 	}
 }
@@ -303,8 +422,11 @@
 		}
 		next = earliest(next, at)
 	}
+	if k.heldUntil.After(k.core.now) {
+		next = earliest(next, k.heldUntil)
+	}
 	for _, due := range k.writes {
-		if !due.underWay {
+		if !due.idle && !due.underWay {
 			next = earliest(next, due.next)
 		}
 	}
@@ -319,26 +441,31 @@
 type poisonDocument struct {
 	Ends    []cluster.MachineID `json:"ends"`
 	Cleared []cluster.MachineID `json:"cleared,omitempty"`
+	Tests   int                 `json:"tests,omitempty"`
+	Tester  cluster.NodeID      `json:"tester,omitempty"`
 }
 
-func encodePoison(record *poison.Record) []byte {
-	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared})
+func encodePoison(stored *PoisonStored) []byte {
+	record := &stored.Record
+	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Tests: stored.Tests, Tester: stored.Tester})
 	if err != nil {
 		return nil
 	}
 	return data
 }
 
-// DecodePoison reads a record of the store.
-func DecodePoison(key string, value []byte) (poison.Record, error) {
+// DecodePoison reads a record of the store; its revision is left to the caller.
+func DecodePoison(key string, value []byte) (PoisonStored, error) {
 	content, err := poison.ParseFingerprint(strings.TrimPrefix(key, KeyPoison))
 	if err != nil {
-		return poison.Record{}, err
+		return PoisonStored{}, err
 	}
+	stored := PoisonStored{Record: poison.Record{Content: content}}
 	var document poisonDocument
 	if err := json.Unmarshal(value, &document); err != nil {
-		return poison.Record{Content: content}, eris.Wrap(err, "record of a poison request")
+		return stored, eris.Wrap(err, "record of a poison request")
 	}
 	record := poison.Record{Content: content, Ends: document.Ends, Cleared: document.Cleared}
-	return record.Valid(), nil
+	stored.Record, stored.Tests, stored.Tester = record.Valid(), document.Tests, document.Tester
+	return stored, nil
 }
--- a/fleet/poison_test.go
+++ b/fleet/poison_test.go
@@ -43,6 +43,8 @@
 type poisonPlay struct {
 	*world
 	harmful map[cluster.RequestID]bool
+	// same are the requests that all ask for popularContent.
+	same map[cluster.RequestID]bool
 	// runs are the requests at each engine, waiting ones included.
 	runs map[*simulatedEngine][]*simulatedRun
 	ends []time.Time
@@ -65,7 +67,7 @@
 
 func newPoisonPlay(seed uint64, nodes, engines int) *poisonPlay {
 	p := &poisonPlay{
-		world: newSimulation(seed, nodes, engines), harmful: map[cluster.RequestID]bool{}, runs: map[*simulatedEngine][]*simulatedRun{},
+		world: newSimulation(seed, nodes, engines), harmful: map[cluster.RequestID]bool{}, same: map[cluster.RequestID]bool{}, runs: map[*simulatedEngine][]*simulatedRun{},
 	}
 	p.carryOut = p.carry
 	p.restart = func() time.Duration { return p.between(800*time.Millisecond, 3*time.Second) }
@@ -93,9 +95,6 @@
 
 func (p *poisonPlay) dispatched(n *simulatedNode, e routing.Dispatch) {
 	engine := p.engine(e.Machine)
-	if p.harmful[e.Request] {
-		p.noteSend(n)
-	}
 	if engine == nil {
 		p.after(3*time.Millisecond, func() {
 			p.report(n, &e, routing.AttemptEnded{
@@ -104,6 +103,9 @@
 		})
 		return
 	}
+	if p.harmful[e.Request] {
+		p.noteSend(n)
+	}
 	run := &simulatedRun{node: n, dispatch: e}
 	p.runs[engine] = append(p.runs[engine], run)
 	if p.harmful[e.Request] {
@@ -175,13 +177,21 @@
 	if p.harmful[id] {
 		return harmfulContent
 	}
+	if p.same[id] {
+		return popularContent
+	}
 	content := poison.Content{Target: string(id)}
 	return content.Fingerprint()
 }
 
-// noteSend judges a send of the harmful request.
+// noteSend judges a send of the harmful request that reaches an engine.
 func (p *poisonPlay) noteSend(n *simulatedNode) {
 	inTouch := !n.dead && !n.cut && p.now.Sub(n.touched) >= touchTime
+	if len(p.ends) >= 3 && n.touched.After(p.ends[2]) {
+		// What a node that came later may know is in the store: it is in touch as the users
+		// see it, only once that has been well for as long.
+		inTouch = inTouch && !p.storeDown && p.now.Sub(p.shaken) >= touchTime
+	}
 	if len(p.ends) >= 3 && p.now.Sub(p.ends[2]) > knownWithin && inTouch {
 		p.late = append(p.late, fmt.Sprintf("%s sends %.3f s after the third of %d ends", n.id, p.now.Sub(p.ends[2]).Seconds(), len(p.ends)))
 	}
@@ -190,7 +200,7 @@
 // ended counts answers to bystanders.
 func (p *poisonPlay) ended(e routing.Finish) {
 	switch {
-	case p.harmful[e.Request]:
+	case p.harmful[e.Request], p.same[e.Request]:
 	case e.Failure == nil:
 		p.served++
 	case e.Failure.Code == verdict.CodePoisonRequest:
@@ -198,6 +208,14 @@
 	}
 }
 
+// callerOf draws the caller of a request: one sends the harmful ones.
+func (p *poisonPlay) callerOf(harmful bool) uint64 {
+	if harmful {
+		return harmfulCaller
+	}
+	return uint64(2 + p.random.IntN(20))
+}
+
 // arrive sends requests to random nodes, and goes on.
 func (p *poisonPlay) arrive(harmful bool, every time.Duration) {
 	n := p.nodes[p.random.IntN(len(p.nodes))]
@@ -210,12 +228,100 @@
 		}
 		p.step(n, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
 			ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(8 * time.Second), Objective: time.Second,
-			Repeatable: true, Attempts: 2, Content: p.contentOf(id),
+			Repeatable: true, Attempts: 2, Content: p.contentOf(id), Caller: p.callerOf(harmful),
 		}}})
 	}
 	p.after(p.between(every/2, every*3/2), func() { p.arrive(harmful, every) })
 }
 
+// popularEvery spaces the requests that all ask for the same, and popularContent is what
+// they ask for: they are at machines that end more often than any other.
+const popularEvery = 120 * time.Millisecond
+
+var popularContent = poison.Fingerprint{0xb0}
+
+// popular sends requests that ask for the same to random nodes, and goes on.
+func (p *poisonPlay) popular() {
+	n := p.nodes[p.random.IntN(len(p.nodes))]
+	if !n.dead {
+		p.requests++
+		id := cluster.RequestID(fmt.Sprintf("r%d", p.requests))
+		p.same[id] = true
+		p.step(n, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(8 * time.Second), Objective: time.Second,
+			Repeatable: true, Attempts: 2, Content: popularContent, Caller: p.callerOf(false),
+		}}})
+	}
+	p.after(p.between(popularEvery/2, popularEvery*3/2), p.popular)
+}
+
+// powerLost ends all nodes at the same moment.
+func (p *poisonPlay) powerLost() {
+	for _, n := range p.nodes {
+		p.kill(n)
+	}
+}
+
+// joins adds nodes on new machines.
+func (p *poisonPlay) joins() {
+	p.startNode(fmt.Sprintf("joiner-%d", p.starts), false)
+	p.after(p.between(time.Second, 4*time.Second), p.joins)
+}
+
+// TestPoisonRequestIsHeldBackUnderFaults: the same under what the first plays leave out,
+// and beside requests that all ask for the same: at the end no node refuses those.
+func TestPoisonRequestIsHeldBackUnderFaults(t *testing.T) {
+	for name, disturb := range map[string]func(p *poisonPlay){
+		"power lost by all": func(p *poisonPlay) { p.after(10*time.Second, p.powerLost) },
+		"joiners":           func(p *poisonPlay) { p.after(time.Second, p.joins) },
+		"late and doubled":  func(p *poisonPlay) { p.doubled, p.lossy = 0.5, 0.1 },
+		"all": func(p *poisonPlay) {
+			p.doubled, p.lossy = 0.3, 0.1
+			p.trouble()
+			p.after(time.Second, p.joins)
+			p.after(p.between(8*time.Second, 14*time.Second), p.powerLost)
+		},
+	} {
+		for seed := range uint64(poisonSeeds) {
+			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				p := newPoisonPlay(1000+seed, 6, 8)
+				disturb(p)
+				p.arrive(false, 50*time.Millisecond)
+				p.popular()
+				p.arrive(true, 150*time.Millisecond)
+				p.runFor(45 * time.Second)
+				p.judge(t)
+			})
+		}
+	}
+}
+
+// poisonSeeds are played of each kind in continuous integration.
+const poisonSeeds = 25
+
+// judge checks what must hold at the end of a play.
+func (p *poisonPlay) judge(t *testing.T) {
+	t.Helper()
+	if len(p.ends) < 3 {
+		t.Fatalf("%d engines ended", len(p.ends))
+	}
+	if len(p.late) > furtherSends {
+		t.Errorf("%d late sends, the first: %s; %d engines ended", len(p.late), p.late[0], len(p.ends))
+	}
+	for _, n := range p.nodes {
+		if n.dead {
+			continue
+		}
+		if record, _ := n.core.router.PoisonRecord(popularContent); n.core.poison.convicts(&record) {
+			t.Errorf("%s refuses what is often asked for: %+v", n.id, record)
+		}
+	}
+	if 100*p.innocent > p.bystanders {
+		t.Errorf("%d of %d other requests were refused as harmful", p.innocent, p.bystanders)
+	}
+}
+
 // TestPoisonRequestIsHeldBack: half of the bound after a request has ended its third
 // engine, no node in touch sends it any more, but for three times in all.
 func TestPoisonRequestIsHeldBack(t *testing.T) {
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -195,14 +195,15 @@
 		holder = *batch.holder
 	}
 	f.configured(batch.configuration)
-	f.step(fleet.WorkersRead{Workers: batch.workers, Full: true, Revision: revision})
+	// What must not be sent comes before where to: requests may wait.
+	batch.poison.Full = true
+	f.step(batch.poison)
 	f.step(fleet.NodesRead{Nodes: batch.nodes, Full: true})
+	f.step(fleet.WorkersRead{Workers: batch.workers, Full: true, Revision: revision})
 	if batch.last != nil {
 		f.step(*batch.last)
 	}
 	f.step(holder)
-	batch.poison.Full = true
-	f.step(batch.poison)
 	f.step(fleet.StoreSynced{})
 	f.notePeers()
 }
@@ -258,18 +259,20 @@
 // sortPoison enters the record of a request that ends machines. Of several changes of one
 // record the last counts.
 func (f *follower) sortPoison(b *batch, pair *wire.StoreChange) {
-	record, err := fleet.DecodePoison(pair.Key, pair.Value)
-	if record.Content.IsZero() || err != nil && !pair.Deleted {
+	stored, err := fleet.DecodePoison(pair.Key, pair.Value)
+	content := stored.Record.Content
+	if content.IsZero() || err != nil && !pair.Deleted {
 		f.options.Log.Write(eventlog.RecordUnreadable{Key: pair.Key, Revision: pair.Revision, Cause: err.Error()})
 		return
 	}
-	b.poison.Records = slices.DeleteFunc(b.poison.Records, func(r fleet.PoisonStored) bool { return r.Record.Content == record.Content })
-	b.poison.Gone = slices.DeleteFunc(b.poison.Gone, func(gone poison.Fingerprint) bool { return gone == record.Content })
+	b.poison.Records = slices.DeleteFunc(b.poison.Records, func(r fleet.PoisonStored) bool { return r.Record.Content == content })
+	b.poison.Gone = slices.DeleteFunc(b.poison.Gone, func(gone poison.Fingerprint) bool { return gone == content })
 	if pair.Deleted {
-		b.poison.Gone = append(b.poison.Gone, record.Content)
+		b.poison.Gone = append(b.poison.Gone, content)
 		return
 	}
-	b.poison.Records = append(b.poison.Records, fleet.PoisonStored{Record: record, Revision: pair.Revision})
+	stored.Revision = pair.Revision
+	b.poison.Records = append(b.poison.Records, stored)
 }
 
 // nodeEntry reads a node's entry; false for one that is gone or can't be read.
@@ -314,6 +317,9 @@
 		f.sort(&batch, &e.Changes[i])
 	}
 	f.configured(batch.configuration)
+	if len(batch.poison.Records)+len(batch.poison.Gone) > 0 {
+		f.step(batch.poison)
+	}
 	if len(batch.workers)+len(batch.workersGone) > 0 {
 		f.step(fleet.WorkersRead{Workers: batch.workers, Gone: batch.workersGone, Revision: e.Revision})
 	}
@@ -321,9 +327,6 @@
 		f.step(fleet.NodesRead{Nodes: batch.nodes, Gone: batch.nodesGone})
 		f.notePeers()
 	}
-	if len(batch.poison.Records)+len(batch.poison.Gone) > 0 {
-		f.step(batch.poison)
-	}
 	if batch.last != nil {
 		f.step(*batch.last)
 	}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -84,6 +84,8 @@
 	carryOut func(n *simulatedNode, effect routing.Effect) bool
 	// lossy is the share of messages between nodes that is lost.
 	lossy float64
+	// doubled is the share that comes twice, the second time up to 3 s later.
+	doubled float64
 }
 
 type simulatedNode struct {
@@ -233,6 +235,9 @@
 		for _, peer := range w.nodes {
 			if string(peer.id) == e.Address {
 				w.after(2*time.Millisecond, func() { w.step(peer, MessageReceived{Message: e.Message}) })
+				if w.doubled > 0 && w.random.Float64() < w.doubled {
+					w.after(w.between(0, 3*time.Second), func() { w.step(peer, MessageReceived{Message: e.Message}) })
+				}
 			}
 		}
 	case LeaseCall:
--- a/routing/events.go
+++ b/routing/events.go
@@ -146,6 +146,10 @@
 // PoisonPardoned says that a request is no longer to blame for the machines that ended.
 type PoisonPardoned struct{ Content poison.Fingerprint }
 
+// PoisonTestGranted lets this node, as the only one, send a convicted request once more
+// when it comes next.
+type PoisonTestGranted struct{ Content poison.Fingerprint }
+
 // Tick lets time-outs pass. The shell sends one at least at NextDeadline.
 type Tick struct{}
 
@@ -166,6 +170,7 @@
 func (MachineEnded) routingEvent()       {}
 func (PoisonLearned) routingEvent()      {}
 func (PoisonPardoned) routingEvent()     {}
+func (PoisonTestGranted) routingEvent()  {}
 func (Tick) routingEvent()               {}
 
 // Effect is an output of the core.
@@ -204,6 +209,10 @@
 // must learn it.
 type PoisonFound struct{ Records []poison.Record }
 
+// PoisonTestWanted asks whether this node may send a convicted request once more, when it
+// comes next.
+type PoisonTestWanted struct{ Content poison.Fingerprint }
+
 // CancelAttempt tells the shell to cancel an attempt at the engine: its request has
 // ended, or another machine is to take it once the shell reports that the attempt ended.
 type CancelAttempt struct {
@@ -213,11 +222,12 @@
 	Address string
 }
 
-func (Dispatch) routingEffect()      {}
-func (Finish) routingEffect()        {}
-func (CancelAttempt) routingEffect() {}
-func (StatusNeeded) routingEffect()  {}
-func (PoisonFound) routingEffect()   {}
+func (Dispatch) routingEffect()         {}
+func (Finish) routingEffect()           {}
+func (CancelAttempt) routingEffect()    {}
+func (StatusNeeded) routingEffect()     {}
+func (PoisonFound) routingEffect()      {}
+func (PoisonTestWanted) routingEffect() {}
 
 // Choice explains why a replica was chosen.
 type Choice struct {
--- a/routing/poison/table.go
+++ b/routing/poison/table.go
@@ -31,6 +31,16 @@
 	// leftWindow is the same for a run that this node gave up itself: the machine may have
 	// ended by it before it dropped it.
 	leftWindow = time.Second
+	// wholeMemory is for how long a request that was answered whole is taken to be harmless,
+	// whatever ends meanwhile: what is asked for often is at most machines that end. A new
+	// version of the machines' software under which it is harmful is found out as much later.
+	wholeMemory = time.Minute
+	// maxWhole bounds such requests, at about 80 bytes each: those of more than a minute at
+	// 10 a second.
+	maxWhole = 1024
+	// testAfter is how long after its conviction a request is tried once more: the machines
+	// that ended with it have had time to come back, and what else ended them to show.
+	testAfter = time.Second
 	// maxBroken bounds the runs that wait for such news, at about 100 bytes each.
 	maxBroken = 1024
 )
@@ -67,6 +77,8 @@
 	// changed is when the record last said more than before, convicted since when it
 	// convicts, zero while it doesn't.
 	changed, convicted time.Time
+	// test is set while this node may send the convicted request once more.
+	test bool
 }
 
 // brokenRun is a run that ended without an answer at a machine of which it isn't known
@@ -85,6 +97,11 @@
 	broken  []brokenRun
 	// ended are the machines that are known to have ended, and when this was learned.
 	ended map[cluster.MachineID]time.Time
+	// whole are the requests that were answered whole, and when last.
+	whole map[Fingerprint]time.Time
+	// wholeOrder holds them in the order in which they came, once it is full from wholeNext on.
+	wholeOrder []Fingerprint
+	wholeNext  int
 	// news are the requests whose records say more than Table.News last told; verdicts
 	// those that were newly convicted.
 	news, verdicts []Fingerprint
@@ -94,7 +111,7 @@
 
 // NewTable returns an empty table.
 func NewTable(config Config) *Table {
-	return &Table{config: config.withDefaults(), entries: map[Fingerprint]*entry{}, ended: map[cluster.MachineID]time.Time{}}
+	return &Table{config: config.withDefaults(), entries: map[Fingerprint]*entry{}, ended: map[cluster.MachineID]time.Time{}, whole: map[Fingerprint]time.Time{}}
 }
 
 // Empty reports whether nothing is known, so that no request's fingerprint is needed.
@@ -172,22 +189,76 @@
 
 // Whole notes that the request was answered whole: it is not what ended the machines.
 func (t *Table) Whole(now time.Time, content Fingerprint) {
+	if content.IsZero() {
+		return
+	}
+	t.noteWhole(now, content)
 	if known := t.entries[content]; known != nil && known.Standing() > 0 {
 		t.join(now, &Record{Content: content, Cleared: known.Ends})
 	}
 }
 
+// noteWhole remembers the request; the one that came first is forgotten when there are too
+// many.
+func (t *Table) noteWhole(now time.Time, content Fingerprint) {
+	if _, known := t.whole[content]; !known {
+		if len(t.wholeOrder) < maxWhole {
+			t.wholeOrder = append(t.wholeOrder, content)
+		} else {
+			delete(t.whole, t.wholeOrder[t.wholeNext])
+			t.wholeOrder[t.wholeNext] = content
+			t.wholeNext = (t.wholeNext + 1) % maxWhole
+		}
+	}
+	t.whole[content] = now
+}
+
+// lately reports whether the request was answered whole a short while ago.
+func (t *Table) lately(now time.Time, content Fingerprint) bool {
+	at, known := t.whole[content]
+	return known && now.Sub(at) < wholeMemory
+}
+
 // Pardon takes all ends back and reports whether the request was known.
 func (t *Table) Pardon(now time.Time, content Fingerprint) bool {
-	if t.entries[content] == nil {
+	known := t.entries[content]
+	if known == nil {
+		return false
+	}
+	t.join(now, &Record{Content: content, Cleared: known.Ends})
+	return true
+}
+
+// TestDue reports whether a convicted request is worth sending once more: innocent requests
+// that are asked for often may be at several machines that end, and only an answer shows it.
+func (t *Table) TestDue(now time.Time, content Fingerprint) bool {
+	known := t.entries[content]
+	return known != nil && !known.convicted.IsZero() && !known.test && now.Sub(known.convicted) >= testAfter
+}
+
+// GrantTest lets this node send a convicted request once more. All nodes together must not
+// do so more than a few times.
+func (t *Table) GrantTest(content Fingerprint) {
+	if known := t.entries[content]; known != nil && !known.convicted.IsZero() {
+		known.test = true
+	}
+}
+
+// TakeTest uses the leave to send a convicted request once more, if there is one.
+func (t *Table) TakeTest(content Fingerprint) bool {
+	known := t.entries[content]
+	if known == nil || !known.test {
 		return false
 	}
-	t.Whole(now, content)
+	known.test = false
 	return true
 }
 
-// blame counts a machine's end against a request.
+// blame counts a machine's end against a request, unless that is known to be harmless.
 func (t *Table) blame(now time.Time, content Fingerprint, machine cluster.MachineID) {
+	if t.lately(now, content) {
+		return
+	}
 	t.join(now, &Record{Content: content, Ends: []cluster.MachineID{machine}})
 }
 
@@ -218,6 +289,9 @@
 		known = &entry{Record: Record{Content: said.Content}}
 		t.entries[said.Content] = known
 	}
+	if t.lately(now, said.Content) {
+		said = &Record{Content: said.Content, Ends: said.Ends, Cleared: union(said.Cleared, said.Ends)}
+	}
 	joined, more := known.Joined(said)
 	if !more {
 		return
@@ -237,7 +311,7 @@
 		known.convicted = now
 		t.verdicts = append(t.verdicts, known.Content)
 	case !guilty:
-		known.convicted = time.Time{}
+		known.convicted, known.test = time.Time{}, false
 	}
 }
 
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -65,6 +65,13 @@
 		return nil, Explanation{}
 	}
 	if left, convicted := r.poison.Convicted(r.now, arrived.Content); convicted {
+		if r.poison.TakeTest(arrived.Content) {
+			arrived.Attempts = 1
+			return nil, Explanation{}
+		}
+		if r.poison.TestDue(r.now, arrived.Content) {
+			r.emit(PoisonTestWanted{Content: arrived.Content})
+		}
 		return r.poisonFailure(arrived.Content, left)
 	}
 	if r.poison.Suspected(arrived.Content) && r.inFlight(arrived.Content) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -156,6 +156,8 @@
 		r.machineEnded(event.Machine)
 	case PoisonLearned:
 		r.poison.Learn(r.now, event.Records)
+	case PoisonTestGranted:
+		r.poison.GrantTest(event.Content)
 	case PoisonPardoned:
 		r.poison.Pardon(r.now, event.Content)
 	case Tick:
