--- a/fleet/poison_test.go
+++ b/fleet/poison_test.go
@@ -300,6 +300,39 @@
 // poisonSeeds are played of each kind in continuous integration.
 const poisonSeeds = 25
 
+// TestAcquittalOutlivesAnOutage: a request that is found harmless while the store is away is
+// not refused again by nodes that start after it, by the record that could not be deleted.
+func TestAcquittalOutlivesAnOutage(t *testing.T) {
+	for seed := range uint64(10) {
+		p := newPoisonPlay(seed, 4, 3)
+		tester := p.nodes[0]
+		p.step(tester, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+		p.runFor(5 * time.Second)
+		if pairs, _ := p.store.Range(p.now, KeyPoison); len(pairs) != 1 {
+			t.Fatalf("seed %d: %d records are in the store", seed, len(pairs))
+		}
+		p.storeDown = true
+		p.step(tester, RoutingInput{Event: routing.PoisonTestGranted{Content: popularContent}})
+		p.same["tried"] = true
+		p.step(tester, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: "tried", Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(8 * time.Second), Content: popularContent,
+		}}})
+		p.runFor(3 * time.Second)
+		p.storeDown, p.shaken = false, p.now
+		p.runFor(10 * time.Second)
+		p.powerLost()
+		p.runFor(8 * time.Second)
+		if pairs, _ := p.store.Range(p.now, KeyPoison); len(pairs) > 0 {
+			t.Errorf("seed %d: the record stayed in the store", seed)
+		}
+		for _, n := range p.nodes {
+			if record, _ := n.core.router.PoisonRecord(popularContent); !n.dead && n.core.poison.convicts(&record) {
+				t.Errorf("seed %d: %s refuses it again", seed, n.id)
+			}
+		}
+	}
+}
+
 // judge checks what must hold at the end of a play.
 func (p *poisonPlay) judge(t *testing.T) {
 	t.Helper()
