--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -84,6 +84,8 @@
 	carryOut func(n *simulatedNode, effect routing.Effect) bool
 	// lossy is the share of messages between nodes that is lost.
 	lossy float64
+	// steadyClocks has nodes go by clocks that stand while their machines are suspended.
+	steadyClocks bool
 	// doubled is the share that comes twice, the second time up to 3 s later.
 	doubled float64
 }
@@ -93,7 +95,13 @@
 	id      cluster.NodeID
 	core    *Core
 	dead    bool
-	cut     bool
+	// asleep is set while the node's machine is suspended; what comes meanwhile is missed and
+	// follows when it wakes. lag is by how much its clock is late, where that does not count
+	// suspension.
+	asleep bool
+	missed []Event
+	lag    time.Duration
+	cut    bool
 	// touched is when the node was last cut or started.
 	touched time.Time
 	tickAt  time.Time
@@ -208,14 +216,19 @@
 	if n.dead {
 		return
 	}
-	effects := slices.Clone(n.core.Step(w.now, event))
+	if n.asleep {
+		n.missed = append(n.missed, event)
+		return
+	}
+	now := w.now.Add(-n.lag)
+	effects := slices.Clone(n.core.Step(now, event))
 	for _, effect := range effects {
 		w.begin(n, effect)
 	}
 	due := n.core.NextDue()
 	if !due.Equal(n.tickAt) {
 		n.tickAt = due
-		w.after(max(due.Sub(w.now), time.Millisecond), func() {
+		w.after(max(due.Sub(now), time.Millisecond), func() {
 			if n.tickAt.Equal(due) {
 				n.tickAt = time.Time{}
 				w.step(n, Tick{})
