Replace unreadable records, and tell many nodes once

A record in the store that can't be read pardons nobody any more and is written anew by who knows what it said; where there are more than 16 nodes a conviction is told to each once, beside the store's record.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -67,8 +67,10 @@
 // records of Gone were deleted.
 type PoisonRead struct {
 	Records []PoisonStored
-	Gone    []poison.Fingerprint
-	Full    bool
+	// Unread are records that can't be read: only their fingerprints and revisions count.
+	Unread []PoisonStored
+	Gone   []poison.Fingerprint
+	Full   bool
 }
 
 // StoreSynced says that everything that was in the store has been read.
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -2,15 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/routing"
@@ -36,7 +32,8 @@
 	// poisonOwners nodes by the request's fingerprint, who count its ends for all.
 	tellAllNodes = 16
 	poisonOwners = 5
-	// removeInterval spaces looks at all stored records: one at 4,096 takes 2 ms, on each step it made a request nine times as dear.
+	// removeInterval spaces looks at all stored records: one at 4,096 takes 2 ms, and on each
+	// step it made a small request nine times as dear.
 	removeInterval = 10 * time.Second
 	// mostTests is how often in all a convicted request is sent once more: three further
 	// sends are what the users allow. testSpacing leaves the node that has the first one the
@@ -67,7 +64,9 @@
 // poisonWrite is a record that the store lacks.
 type poisonWrite struct {
 	// idle is set where other nodes are to write it.
-	idle     bool
+	idle bool
+	// revision of the record that it takes the place of, zero for none.
+	revision int64
 	next     time.Time
 	wait     time.Duration
 	underWay bool
@@ -131,13 +130,22 @@
 			continue
 		}
 		k.log(record, convicts)
-		k.tellings[record.Content] = &telling{left: poisonTellings, next: k.core.now, wait: poisonRepeat}
+		k.tellings[record.Content] = &telling{left: k.tellingsOf(convicts), next: k.core.now, wait: poisonRepeat}
 		if record.Standing() == 0 {
 			k.remove(record.Content)
 		}
 	}
 }
 
+// tellingsOf is how often a record is told: once where many nodes are told of a conviction,
+// which the store's record brings as well.
+func (k *poisonKeeper) tellingsOf(convicts bool) int {
+	if convicts && len(k.core.nodes) > tellAllNodes {
+		return 1
+	}
+	return poisonTellings
+}
+
 // mustStore sees to it that a conviction comes into the store: the node that found it writes
 // it at once, a few others when it isn't there a while later.
 func (k *poisonKeeper) mustStore(content poison.Fingerprint) {
@@ -233,9 +241,12 @@
 // ask asks some nodes, once after a start or pause, for what the store may not have: a
 // message without records.
 func (k *poisonKeeper) ask() {
+	if k.asked {
+		return
+	}
 	self := poison.Content{Caller: string(k.core.config.Self.ID)}
 	ids := slices.DeleteFunc(k.owners(self.Fingerprint()), func(id cluster.NodeID) bool { return id == k.core.config.Self.ID })
-	if k.asked || len(ids) == 0 {
+	if len(ids) == 0 {
 		return
 	}
 	k.asked, k.heldUntil = true, k.core.now.Add(poisonAskHold)
@@ -249,7 +260,7 @@
 func (k *poisonKeeper) read(read PoisonRead) {
 	if read.Full {
 		for _, content := range sortedContents(k.stored) {
-			if !slices.ContainsFunc(read.Records, func(r PoisonStored) bool { return r.Record.Content == content }) {
+			if !read.names(content) {
 				read.Gone = append(read.Gone, content)
 			}
 		}
@@ -267,6 +278,9 @@
 		delete(k.writes, content)
 		records = append(records, record.Record)
 	}
+	for i := range read.Unread {
+		k.replace(&read.Unread[i])
+	}
 	k.learn(records)
 	for i := range records {
 		if known, found := k.core.router.PoisonRecord(records[i].Content); found && k.convicts(&records[i]) && !k.convicts(&known) {
@@ -285,231 +299,45 @@
 	}
 }
 
-// tick tells and writes what is due.
-func (k *poisonKeeper) tick() {
-	k.tell()
-	k.write()
-	k.removeOver()
+// names reports whether there is a record of the request, readable or not.
+func (r *PoisonRead) names(content poison.Fingerprint) bool {
+	same := func(stored PoisonStored) bool { return stored.Record.Content == content }
+	return slices.ContainsFunc(r.Records, same) || slices.ContainsFunc(r.Unread, same)
 }
 
-// tell sends the records that are due, one message to each node.
-func (k *poisonKeeper) tell() {
-	now := k.core.now
-	if len(k.tellings) == 0 || now.Sub(k.lastTold) < poisonSpacing {
+// replace writes a record anew that can't be read, if this node knows what it said.
+func (k *poisonKeeper) replace(unread *PoisonStored) {
+	content := unread.Record.Content
+	known, found := k.core.router.PoisonRecord(content)
+	if !found || !k.convicts(&known) {
 		return
 	}
-	byNode := map[cluster.NodeID][]poison.Record{}
-	for _, content := range sortedContents(k.tellings) {
-		due := k.tellings[content]
-		if due.next.After(now) {
-			continue
-		}
-		record, found := k.core.router.PoisonRecord(content)
-		due.next, due.wait = now.Add(due.wait), 3*due.wait
-		if found {
-			for _, id := range k.recipients(&record) {
-				byNode[id] = append(byNode[id], record)
-			}
-		}
-		if due.left--; !found || due.left == 0 {
-			delete(k.tellings, content)
-			delete(k.lifted, content)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(byNode)) {
-		k.lastTold = now
-		k.send(k.core.nodes[id].Address, byNode[id])
-	}
-}
-
-func (k *poisonKeeper) send(address string, records []poison.Record) {
-	self := &k.core.config.Self
-	k.core.send(address, wire.PoisonReport{From: self.ID, FromAddress: self.Address, Records: records})
+	k.mustStore(content)
+	k.writes[content].revision = unread.Revision
+	k.writes[content].idle = false
 }
 
-// recipients lists the nodes that are told of a record: all of a conviction, or where there
-// are few nodes; else those that count the request's ends.
-func (k *poisonKeeper) recipients(record *poison.Record) []cluster.NodeID {
-	var ids []cluster.NodeID
-	if len(k.core.nodes) <= tellAllNodes || k.convicts(record) || k.lifted[record.Content] {
-		ids = slices.Collect(maps.Keys(k.core.nodes))
-	} else {
-		ids = k.owners(record.Content)
-	}
-	return slices.DeleteFunc(ids, func(id cluster.NodeID) bool { return id == k.core.config.Self.ID })
-}
-
-// ownerRank is a node's place among those that may count a request's ends: rendezvous
-// hashing, so that a node that comes or goes moves few requests.
-func ownerRank(id cluster.NodeID, content poison.Fingerprint) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write(content[:])
-	_, _ = hash.Write([]byte(id))
-	return mix(hash.Sum64())
-}
-
-// mix spreads the differences of a hash's last bytes over all bits (SplitMix64's finalizer).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// write puts convictions into the store, one call for each.
-func (k *poisonKeeper) write() {
-	if next := k.writeDue(); next.IsZero() || next.After(k.core.now) {
-		return
-	}
-	k.deleteDue()
-	for _, content := range sortedContents(k.writes) {
-		due := k.writes[content]
-		record, found := k.core.router.PoisonRecord(content)
-		if !found || !k.convicts(&record) {
-			delete(k.writes, content)
-			continue
-		}
-		if due.idle || due.underWay || due.next.After(k.core.now) {
-			continue
-		}
-		due.underWay = true
-		k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&PoisonStored{Record: record})})
-	}
-}
-
-// deleteDue deletes the records whose time for it has come.
-func (k *poisonKeeper) deleteDue() {
-	for _, content := range sortedContents(k.removals) {
-		due, stored := k.removals[content], k.stored[content]
-		switch {
-		case stored == nil:
-			delete(k.removals, content)
-		case !due.underWay && !due.next.After(k.core.now):
-			due.underWay = true
-			k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Delete: true, Revision: stored.Revision})
-		}
-	}
-}
-
-// testWanted claims one of the few tests of a convicted request: the store lets one node
-// have it. A node that ends before it uses it leaves the request to the next test.
-func (k *poisonKeeper) testWanted(content poison.Fingerprint) {
-	stored := k.stored[content]
-	if stored == nil || stored.Tests >= mostTests || stored.Tests > 0 && k.core.now.Sub(stored.since) < testSpacing ||
-		k.core.now.Sub(stored.claimed) < poisonWriteRetry {
-		return
-	}
-	stored.claimed = k.core.now
-	claim := PoisonStored{Record: stored.Record, Tests: stored.Tests + 1, Tester: k.core.config.Self.ID}
-	k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&claim), Revision: stored.Revision})
-}
-
-// written takes the outcome of a write. A record that another node wrote before counts.
-func (k *poisonKeeper) written(answered StoreWritten) {
-	content, err := poison.ParseFingerprint(strings.TrimPrefix(answered.Key, KeyPoison))
-	if err != nil {
-		return
-	}
-	// What is neither is the claim of a test: the record tells what became of it.
-	for _, pending := range []map[poison.Fingerprint]*poisonWrite{k.writes, k.removals} {
-		due := pending[content]
-		switch {
-		case due == nil:
-		case answered.Err == nil:
-			delete(pending, content)
-		default:
-			due.underWay, due.next = false, k.core.now.Add(due.wait)
-			due.wait = min(2*due.wait, longestPoisonWriteRetry)
-		}
-	}
-}
-
-// remove sees to it that the record of a request is deleted that is not to blame any more:
-// nodes that start would refuse it by the record.
-func (k *poisonKeeper) remove(content poison.Fingerprint) {
-	if k.stored[content] != nil && k.removals[content] == nil {
-		k.lifted[content] = true
-		k.removals[content] = &poisonWrite{next: k.core.now, wait: poisonWriteRetry}
-	}
-}
-
-// removeOver has the holder of the lease delete the records whose time is over.
-func (k *poisonKeeper) removeOver() {
-	if len(k.stored) == 0 || k.core.now.Before(k.removeAt) || !k.core.cell.ledger.Holding() {
-		return
-	}
-	k.removeAt = k.core.now.Add(removeInterval)
-	for _, content := range sortedContents(k.stored) {
-		if _, kept := k.core.router.PoisonRecord(content); !kept {
-			k.remove(content)
-		}
-	}
+// tick tells and writes what is due.
+func (k *poisonKeeper) tick() {
+	k.tell()
+	k.write()
+	k.removeOver()
 }
 
 // due returns when something is to be told or written, zero for never.
 func (k *poisonKeeper) due() time.Time {
 	var next time.Time
-	for _, due := range k.tellings {
-		at := due.next
-		if spaced := k.lastTold.Add(poisonSpacing); at.Before(spaced) {
-			at = spaced
+	for _, at := range []time.Time{k.tellDue(), k.writeDue()} {
+		if !at.IsZero() {
+			next = earliest(next, at)
 		}
-		next = earliest(next, at)
 	}
 	if k.heldUntil.After(k.core.now) {
 		next = earliest(next, k.heldUntil)
 	}
-	if at := k.writeDue(); !at.IsZero() {
-		next = earliest(next, at)
-	}
-	return next
-}
-
-// writeDue returns when a record is to be written next, zero for never.
-func (k *poisonKeeper) writeDue() time.Time {
-	var next time.Time
-	for _, pending := range []map[poison.Fingerprint]*poisonWrite{k.writes, k.removals} {
-		for _, due := range pending {
-			if !due.idle && !due.underWay {
-				next = earliest(next, due.next)
-			}
-		}
-	}
 	return next
 }
 
 func sortedContents[V any](of map[poison.Fingerprint]V) []poison.Fingerprint {
 	return slices.SortedFunc(maps.Keys(of), func(a, b poison.Fingerprint) int { return slices.Compare(a[:], b[:]) })
 }
-
-// poisonDocument is a record's form in the store.
-type poisonDocument struct {
-	Ends    []cluster.MachineID `json:"ends"`
-	Cleared []cluster.MachineID `json:"cleared,omitempty"`
-	Tests   int                 `json:"tests,omitempty"`
-	Tester  cluster.NodeID      `json:"tester,omitempty"`
-}
-
-func encodePoison(stored *PoisonStored) []byte {
-	record := &stored.Record
-	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Tests: stored.Tests, Tester: stored.Tester})
-	if err != nil {
-		return nil
-	}
-	return data
-}
-
-// DecodePoison reads a record of the store; its revision is left to the caller.
-func DecodePoison(key string, value []byte) (PoisonStored, error) {
-	content, err := poison.ParseFingerprint(strings.TrimPrefix(key, KeyPoison))
-	if err != nil {
-		return PoisonStored{}, err
-	}
-	stored := PoisonStored{Record: poison.Record{Content: content}}
-	var document poisonDocument
-	if err := json.Unmarshal(value, &document); err != nil {
-		return stored, eris.Wrap(err, "record of a poison request")
-	}
-	record := poison.Record{Content: content, Ends: document.Ends, Cleared: document.Cleared}
-	stored.Record, stored.Tests, stored.Tester = record.Valid(), document.Tests, document.Tester
-	return stored, nil
-}
--- a/fleet/poison_test.go
+++ b/fleet/poison_test.go
@@ -300,6 +300,22 @@
 // poisonSeeds are played of each kind in continuous integration.
 const poisonSeeds = 25
 
+// TestPoisonRequestIsHeldBackByManyNodes: the same where a few nodes count a request's ends
+// for all, with a tenth of the messages lost.
+func TestPoisonRequestIsHeldBackByManyNodes(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			p := newPoisonPlay(seed, 3*tellAllNodes, 16)
+			p.lossy = 0.1
+			p.arrive(false, 30*time.Millisecond)
+			p.arrive(true, 100*time.Millisecond)
+			p.runFor(15 * time.Second)
+			p.judge(t)
+		})
+	}
+}
+
 // TestAcquittalOutlivesAnOutage: a request that is found harmless while the store is away is
 // not refused again by nodes that start after it, by the record that could not be deleted.
 func TestAcquittalOutlivesAnOutage(t *testing.T) {
@@ -384,3 +400,26 @@
 		}
 	}
 }
+
+// TestUnreadableRecordIsReplaced: a record in the store that can't be read pardons nobody, and
+// a node that knows what it said writes it anew.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	p := newPoisonPlay(3, 4, 3)
+	p.step(p.nodes[0], RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: harmfulContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+	p.runFor(5 * time.Second)
+	key := KeyPoison + harmfulContent.String()
+	p.write(keyvalue.Operation{Key: key, Value: []byte("?")})
+	p.runFor(10 * time.Second)
+	pairs, _ := p.store.Range(p.now, key)
+	if len(pairs) != 1 {
+		t.Fatalf("%d records", len(pairs))
+	}
+	if stored, err := DecodePoison(key, pairs[0].Value); err != nil || stored.Record.Standing() != 3 {
+		t.Errorf("the record is %q: %v", pairs[0].Value, err)
+	}
+	for _, n := range p.nodes {
+		if record, _ := n.core.router.PoisonRecord(harmfulContent); !n.core.poison.convicts(&record) {
+			t.Errorf("%s takes the request", n.id)
+		}
+	}
+}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -263,15 +263,23 @@
 	content := stored.Record.Content
 	if content.IsZero() || err != nil && !pair.Deleted {
 		f.options.Log.Write(eventlog.RecordUnreadable{Key: pair.Key, Revision: pair.Revision, Cause: err.Error()})
+	}
+	if content.IsZero() {
 		return
 	}
-	b.poison.Records = slices.DeleteFunc(b.poison.Records, func(r fleet.PoisonStored) bool { return r.Record.Content == content })
+	same := func(r fleet.PoisonStored) bool { return r.Record.Content == content }
+	b.poison.Records = slices.DeleteFunc(b.poison.Records, same)
+	b.poison.Unread = slices.DeleteFunc(b.poison.Unread, same)
 	b.poison.Gone = slices.DeleteFunc(b.poison.Gone, func(gone poison.Fingerprint) bool { return gone == content })
 	if pair.Deleted {
 		b.poison.Gone = append(b.poison.Gone, content)
 		return
 	}
 	stored.Revision = pair.Revision
+	if err != nil {
+		b.poison.Unread = append(b.poison.Unread, stored)
+		return
+	}
 	b.poison.Records = append(b.poison.Records, stored)
 }
 
@@ -317,7 +325,7 @@
 		f.sort(&batch, &e.Changes[i])
 	}
 	f.configured(batch.configuration)
-	if len(batch.poison.Records)+len(batch.poison.Gone) > 0 {
+	if len(batch.poison.Records)+len(batch.poison.Unread)+len(batch.poison.Gone) > 0 {
 		f.step(batch.poison)
 	}
 	if len(batch.workers)+len(batch.workersGone) > 0 {
