--- a/fleet/poison_test.go
+++ b/fleet/poison_test.go
@@ -423,3 +423,35 @@
 		}
 	}
 }
+
+// TestTestThatDidNotRunIsKept: leave to try a convicted request once more is used by a run of
+// it, not by machines that can't be reached or reject it.
+func TestTestThatDidNotRunIsKept(t *testing.T) {
+	p := newPoisonPlay(5, 3, 2)
+	tester := p.nodes[0]
+	p.step(tester, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+	p.runFor(2 * time.Second)
+	p.step(tester, RoutingInput{Event: routing.PoisonTestGranted{Content: popularContent}})
+	ask := func() {
+		p.requests++
+		id := cluster.RequestID(fmt.Sprintf("r%d", p.requests))
+		p.same[id] = true
+		p.step(tester, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(500 * time.Millisecond), Content: popularContent,
+		}}})
+	}
+	for _, e := range p.engines {
+		e.dead = true
+	}
+	ask()
+	p.runFor(time.Second)
+	for _, e := range p.engines {
+		e.dead = false
+	}
+	p.runFor(6 * time.Second)
+	ask()
+	p.runFor(time.Second)
+	if record, _ := tester.core.router.PoisonRecord(popularContent); tester.core.poison.convicts(&record) {
+		t.Error("the request is refused, and was never tried")
+	}
+}
