Give the leave for a test back that did not run

Cause: the leave to try a convicted request once more was taken when the request was admitted; machines that could not be reached or were full used it up, and the request stayed refused for its hour. Change: a test that no machine ran may go to another machine, and leaves its leave for the next one.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -186,7 +186,7 @@
 		return false, Explanation{}
 	case failed.model.configured == nil:
 		return false, Explanation{}
-	case r.convicted(failed.Content):
+	case r.convicted(failed.Content) && !(failed.test && notRun):
 		return false, Explanation{Setting: settingPoisonEnds}
 	case notRun && event.Unreached:
 		failed.tries--
@@ -371,6 +371,7 @@
 	r.disarm(&ended.timer)
 	delete(r.requests, ended.ID)
 	if failure != nil {
+		r.testEnded(ended)
 		failure = ended.truthful(failure)
 		reason.Code = failure.Code
 		r.expectBack(model, ended.Priority, failure.RetryAfter)
--- a/routing/events.go
+++ b/routing/events.go
@@ -49,6 +49,8 @@
 	Content poison.Fingerprint
 	// Caller tells the request's caller from others; all that can't be told share zero.
 	Caller uint64
+	// test is set while a convicted request is tried once more.
+	test bool
 }
 
 // Event is an input of the core.
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// testEnded gives the leave for a test back that did not run.
+func (r *Router) testEnded(ended *request) {
+	if ended.test && !ended.mayHaveRun {
+		r.poison.GrantTest(ended.Content)
+	}
+}
+
 // convicted reports whether the request must not be sent.
 func (r *Router) convicted(content poison.Fingerprint) bool {
 	_, convicted := r.poison.Convicted(r.now, content)
@@ -66,7 +73,7 @@
 	}
 	if left, convicted := r.poison.Convicted(r.now, arrived.Content); convicted {
 		if r.poison.TakeTest(arrived.Content) {
-			arrived.Attempts = 1
+			arrived.Attempts, arrived.test = 1, true
 			return nil, Explanation{}
 		}
 		if r.poison.TestDue(r.now, arrived.Content) {
