Test a holder and a relay whose machine was suspended

The holder gives no order before it has the lease again, and a relay and the nodes that learn from it follow a configuration that came while it slept. One log buffer serves both files of tests.

--- a/fleet/shell/failures_test.go
+++ b/fleet/shell/failures_test.go
@@ -30,12 +30,17 @@
 	return l.text.Write(data)
 }
 
-// count counts the lines that hold all of the parts.
-func (l *logText) count(parts ...string) int {
+// String implements fmt.Stringer.
+func (l *logText) String() string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
+// count counts the lines that hold all of the parts.
+func (l *logText) count(parts ...string) int {
 	lines := 0
-	for line := range strings.Lines(l.text.String()) {
+	for line := range strings.Lines(l.String()) {
 		holds := true
 		for _, part := range parts {
 			holds = holds && strings.Contains(line, part)
--- a/fleet/shell/suspension_test.go
+++ b/fleet/shell/suspension_test.go
@@ -1,11 +1,9 @@
 package shell_test
 
 import (
-	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,27 +26,9 @@
 // suspend lets a time pass that timers don't count.
 func (c *jumpingClock) suspend(d time.Duration) { c.suspended.Add(int64(d)) }
 
-// lineBuffer keeps the log.
-type lineBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *lineBuffer) Write(data []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(data)
-}
-
-func (b *lineBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // suspensible starts a node with a clock that can be suspended, and its log.
-func (d *deployment) suspensible(id string) (*shell.Node, *jumpingClock, *lineBuffer) {
-	clock, lines := &jumpingClock{}, &lineBuffer{}
+func (d *deployment) suspensible(id string) (*shell.Node, *jumpingClock, *logText) {
+	clock, lines := &jumpingClock{}, &logText{}
 	node := d.startNode(id, func(o *shell.Options) {
 		o.Now, o.Log = clock.Now, eventlog.New(lines, eventlog.Options{})
 	})
@@ -127,3 +107,46 @@
 		t.Errorf("the first worker was told of %d ms, the second one, %s later, of %d", first, suspended, second)
 	}
 }
+
+// TestWakingHolderGivesNoOrders before it has the lease again: it was over while the machine
+// was suspended, and another node may have had it.
+func TestWakingHolderGivesNoOrders(t *testing.T) {
+	d := newDeployment(t, patient)
+	d.addWorker("e1", engineService, nil)
+	node, clock, lines := d.suspensible("n1")
+	d.eventually("the node gives the orders", node.Holding)
+	before := len(lines.String())
+	clock.suspend(5 * time.Second)
+	if got := d.callAsTold(node, http.MethodPost, "/stream/", "b", withModel("rare")); got.status != http.StatusOK {
+		t.Fatalf("answer %+v", got)
+	}
+	d.eventually("the order is logged", func() bool { return strings.Contains(lines.String()[before:], "msg=order_planned") })
+	text := lines.String()[before:]
+	ordered, taken := strings.Index(text, "msg=order_planned"), strings.Index(text, "own=true")
+	if taken < 0 || taken > ordered {
+		t.Errorf("an order was planned before the lease was taken again:\n%s", text)
+	}
+}
+
+// TestWakingRelayPassesOnNothingOld: what a node that relays the store's changes read before
+// its machine was suspended does not count as read now, for itself and for its peers: all
+// follow a configuration that came meanwhile.
+func TestWakingRelayPassesOnNothingOld(t *testing.T) {
+	d := newDeployment(t, patient)
+	d.addWorker("p1", plainService, nil)
+	relay, clock, lines := d.suspensible("n0")
+	nodes := []*shell.Node{relay}
+	for _, id := range []string{"n1", "n2", "n3"} {
+		nodes = append(nodes, d.startNode(id))
+	}
+	clock.suspend(5 * time.Second)
+	d.configure(2, route("added", "idempotent", plainService, 1, false))
+	for i, node := range nodes {
+		d.eventually("node "+strconv.Itoa(i)+" serves the new route", func() bool {
+			return d.call(node, http.MethodGet, "/added/", "", nil).status == http.StatusOK
+		})
+	}
+	if !strings.Contains(lines.String(), "msg=pause_noticed") {
+		t.Error("the relay did not notice that it stood still")
+	}
+}
