--- /dev/null
+++ b/fleet/poison_record_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/routing/poison"
+)
+
+// TestAcquittalOutlivesAnOutage: a request that is found harmless while the store is away is
+// not refused again by nodes that start after it, by the record that could not be deleted.
+func TestAcquittalOutlivesAnOutage(t *testing.T) {
+	for seed := range uint64(10) {
+		p := newPoisonPlay(seed, 4, 3)
+		tester := p.nodes[0]
+		p.step(tester, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+		p.runFor(5 * time.Second)
+		if pairs, _ := p.store.Range(p.now, KeyPoison); len(pairs) != 1 {
+			t.Fatalf("seed %d: %d records are in the store", seed, len(pairs))
+		}
+		p.storeDown = true
+		p.step(tester, RoutingInput{Event: routing.PoisonTestGranted{Content: popularContent}})
+		p.same["tried"] = true
+		p.step(tester, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: "tried", Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(8 * time.Second), Content: popularContent,
+		}}})
+		p.runFor(3 * time.Second)
+		p.storeDown, p.shaken = false, p.now
+		p.runFor(10 * time.Second)
+		p.powerLost()
+		p.runFor(8 * time.Second)
+		if pairs, _ := p.store.Range(p.now, KeyPoison); len(pairs) > 0 {
+			t.Errorf("seed %d: the record stayed in the store", seed)
+		}
+		for _, n := range p.nodes {
+			if record, _ := n.core.router.PoisonRecord(popularContent); !n.dead && n.core.poison.convicts(&record) {
+				t.Errorf("seed %d: %s refuses it again", seed, n.id)
+			}
+		}
+	}
+}
+
+// TestUnreadableRecordIsReplaced: a record in the store that can't be read pardons nobody, and
+// a node that knows what it said writes it anew.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	p := newPoisonPlay(3, 4, 3)
+	p.step(p.nodes[0], RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: harmfulContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+	p.runFor(5 * time.Second)
+	key := KeyPoison + harmfulContent.String()
+	p.write(keyvalue.Operation{Key: key, Value: []byte("?")})
+	p.runFor(10 * time.Second)
+	pairs, _ := p.store.Range(p.now, key)
+	if len(pairs) != 1 {
+		t.Fatalf("%d records", len(pairs))
+	}
+	if stored, err := DecodePoison(key, pairs[0].Value); err != nil || stored.Record.Standing() != 3 {
+		t.Errorf("the record is %q: %v", pairs[0].Value, err)
+	}
+	for _, n := range p.nodes {
+		if record, _ := n.core.router.PoisonRecord(harmfulContent); !n.core.poison.convicts(&record) {
+			t.Errorf("%s takes the request", n.id)
+		}
+	}
+}
+
+// TestTestThatDidNotRunIsKept: leave to try a convicted request once more is used by a run of
+// it, not by machines that can't be reached or reject it.
+func TestTestThatDidNotRunIsKept(t *testing.T) {
+	p := newPoisonPlay(5, 3, 2)
+	tester := p.nodes[0]
+	p.step(tester, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+	p.runFor(2 * time.Second)
+	p.step(tester, RoutingInput{Event: routing.PoisonTestGranted{Content: popularContent}})
+	ask := func() {
+		p.requests++
+		id := cluster.RequestID(fmt.Sprintf("r%d", p.requests))
+		p.same[id] = true
+		p.step(tester, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(500 * time.Millisecond), Content: popularContent,
+		}}})
+	}
+	for _, e := range p.engines {
+		e.dead = true
+	}
+	ask()
+	p.runFor(time.Second)
+	for _, e := range p.engines {
+		e.dead = false
+	}
+	for range 10 {
+		p.runFor(time.Second)
+		ask()
+	}
+	p.runFor(time.Second)
+	if record, _ := tester.core.router.PoisonRecord(popularContent); tester.core.poison.convicts(&record) {
+		t.Error("the request is refused, and was never tried")
+	}
+}
