--- a/passthrough/types.go
+++ b/passthrough/types.go
@@ -42,6 +42,10 @@
 	Rank int
 	// LastEventID is the event after which a stream is continued.
 	LastEventID string
+	// Tenant is the name of the caller's tenant, empty for none.
+	Tenant string
+	// Keyed is true where callers have keys, which no machine may see.
+	Keyed bool
 }
 
 // Marks is what an answer's head says besides its status.
