Ask callers for keys, and send under a key only while it is proven

Cause: routes that aren't public were served without a key, no tenant was named to workers, and a key that was taken away was used on. A watch that brings nothing proves nothing, and an age that a message states leaves out its way. Change: the configuration holds tenants, their keys as hashes. A caller gives one key in one form, or gets 401; an unknown one is refused only on knowledge that is new enough. A request with a key is judged by one function on arrival, at its dispatch and at its send; what waits under a key that is taken away is refused at once. Without a proof younger than nine tenths of the bound: 503, and the node isn't ready. Wire version 6; version 4 leaves with its golden messages.

--- a/catalog/compile.go
+++ b/catalog/compile.go
@@ -32,6 +32,7 @@
 	Table    *Table
 	Snapshot *settings.Snapshot
 	services map[string]*Service
+	tenants  map[string]*Tenant
 }
 
 // Service returns the service of a name, or nil.
@@ -75,8 +76,12 @@
 			return nil, err
 		}
 	}
+	tokens, err := compiled.indexTenants()
+	if err != nil {
+		return nil, err
+	}
 	compiled.Table = newTable(compiled.Routes)
-	compiled.Snapshot = compiled.snapshot()
+	compiled.Snapshot = compiled.snapshot(tokens)
 	return compiled, nil
 }
 
@@ -96,14 +101,14 @@
 	return nil
 }
 
-// snapshot returns the settings of every service, model and adapter.
-func (c *Compiled) snapshot() *settings.Snapshot {
+// snapshot returns the settings of every service, model and adapter, and the tokens.
+func (c *Compiled) snapshot(tokens []settings.Token) *settings.Snapshot {
 	var models []settings.Model
 	for i := range c.Services {
 		models = append(models, serviceModels(&c.Services[i])...)
 	}
 	slices.SortFunc(models, func(a, b settings.Model) int { return cmp.Compare(a.ID, b.ID) })
-	return settings.NewSnapshot(settings.Stamp{Revision: c.Version}, models, nil, nil)
+	return settings.NewSnapshot(settings.Stamp{Revision: c.Version}, models, tokens, nil)
 }
 
 // serviceModels returns the settings of one service and its models.
--- a/catalog/types.go
+++ b/catalog/types.go
@@ -69,6 +69,8 @@
 	Priority int
 	// Sticky routes state the parts of their prompts.
 	Sticky bool
+	// Public routes take callers without a key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -124,7 +126,9 @@
 	Version  int64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Tenants hold the keys of callers; without any, callers need none.
+	Tenants []Tenant
+	Limits  Limits
 }
 
 // HeldModel is a model that a machine holds.
--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -47,6 +47,10 @@
 	// platformDrainRetry is when callers of a stopping node should come back:
 	// another node takes them at once.
 	platformDrainRetry = 50 * time.Millisecond
+	// keyProofShare is the part of the time for which a key may be used after it was taken
+	// away that the proof of keys may be old at a send. The rest is for what lies between the
+	// last look and the worker, and for clocks that run apart.
+	keyProofShare = 0.9
 	// platformSubset is how many machines of a distance a node prefers.
 	platformSubset = 4
 	// platformTargetLoad is the share of an engine's slots that one replica should
@@ -152,6 +156,9 @@
 			Subset: platformSubset, DrainRetryAfter: platformDrainRetry,
 		},
 	}
+	if settings.Bounds.RevokeStrict {
+		core.KeyProof = time.Duration(float64(platform.Milliseconds(settings.Bounds.RevokeMillis)) * keyProofShare)
+	}
 	core.Placement.TargetLoad, core.Placement.SaturatedLoad = platformTargetLoad, platformSaturatedLoad
 	core.Placement.TargetRunning, core.Placement.SaturatedRunning = platformTargetRunning, platformSaturatedRunning
 	core.Placement.GrowthFactor = platformGrowthFactor
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
 		FeedChanged{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		PoisonJudged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -33,6 +33,20 @@
 	Machines string `log:"machines" doc:"machines that ended while they had it"`
 }
 
+// KeysJudged is written when this node begins or ends to hold that it knows callers' keys
+// well enough to serve those that need one.
+type KeysJudged struct {
+	Proven bool          `log:"proven" doc:"whether requests with a key are sent"`
+	Age    time.Duration `log:"age_ms" doc:"since when the configuration in force is not known to be the newest"`
+	Bound  time.Duration `log:"bound_ms" doc:"the age from which on no request with a key is sent"`
+}
+
+// KeyUndecided is written when a caller is sent back because its key is not known and this
+// node knows too little to say that there is none.
+type KeyUndecided struct {
+	Age time.Duration `log:"age_ms" doc:"since when the configuration in force is not known to be the newest"`
+}
+
 // NodeStarted is written once at start.
 type NodeStarted struct {
 	Zone    cluster.ZoneID `log:"zone" doc:"zone of the node"`
@@ -82,6 +96,7 @@
 	Attempts int               `log:"attempts" doc:"machines that it may be sent to"`
 	Unread   string            `log:"unread,omitempty" doc:"header fields that can't be read and count as not stated"`
 	Content  string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, the same for one that comes again; missing for long bodies"`
+	Tenant   string            `log:"tenant,omitempty" doc:"tenant that holds the caller's key"`
 }
 
 // RequestSent is written for each dispatch.
@@ -191,6 +206,7 @@
 	Writes   int           `log:"writes" doc:"transactions"`
 	Renewals int           `log:"renewals" doc:"renewals of leases"`
 	Ends     int           `log:"ends" doc:"leases given back"`
+	Verifies int           `log:"verifications" doc:"calls that confirm that the configuration is the newest"`
 	Failed   int           `log:"failed" doc:"those of the calls that failed"`
 }
 
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -170,6 +170,22 @@
 	return "Written when a call for one of the node's records in the store, or for a worker's report, failed: once for each cause until such a call succeeds."
 }
 
+// Kind implements Event.
+func (KeysJudged) Kind() string { return "keys_judged" }
+
+// Meaning implements Documented.
+func (KeysJudged) Meaning() string {
+	return "Written when this node begins or ends to hold that it knows callers' keys well enough to serve those that need one."
+}
+
+// Kind implements Event.
+func (KeyUndecided) Kind() string { return "key_undecided" }
+
+// Meaning implements Documented.
+func (KeyUndecided) Meaning() string {
+	return "Written when a caller is sent back because its key is not known and this node knows too little to say that there is none."
+}
+
 // Kind implements Event.
 func (RecordUnreadable) Kind() string { return "record_unreadable" }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -40,6 +40,9 @@
 	// silent node and a new start replaces its record long before, while each renewal
 	// of hundreds of nodes is paid for, and so is each record that a cut let lapse.
 	NodeTTL time.Duration
+	// KeyProof is how old the proof may be that the keys of callers are those in force, when
+	// a request that needs one is sent. Zero wants no proof.
+	KeyProof time.Duration
 	// PauseHold bounds how long dispatches wait after a pause for the store to
 	// be read again. Default 300 ms.
 	PauseHold time.Duration
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -12,6 +12,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
+	"github.com/valveslip/valveslip/verdict"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -27,11 +28,15 @@
 	record   *nodeRecord
 	cell     *cell
 	poison   *poisonKeeper
+	gate     *gate
 	reporter demandReporter
 	synced   bool
 	// sharers is the last count of nodes that the router was told.
 	sharers routing.RoutersChanged
 	effects []Effect
+	// withheld are attempts that the gate ended, of which the router is told once it has
+	// taken the event at hand.
+	withheld []routing.AttemptEnded
 }
 
 // New returns a core that knows nothing yet.
@@ -43,6 +48,7 @@
 	core.record = newNodeRecord(core)
 	core.cell = newCell(core)
 	core.poison = newPoisonKeeper(core)
+	core.gate = newGate(core)
 	return core
 }
 
@@ -55,7 +61,9 @@
 	case Tick:
 		c.routing(routing.Tick{})
 	case RoutingInput:
-		c.routing(e.Event)
+		c.routingInput(e.Event)
+	case KeysProven:
+		c.gate.proven(e.At)
 	case ConfigurationRead:
 		c.configurationRead(e.Compiled)
 	case WorkersRead:
@@ -96,6 +104,7 @@
 	c.cell.tick()
 	c.reporter.tick(c)
 	c.poison.tick()
+	c.gate.tick()
 	return c.effects
 }
 
@@ -129,6 +138,20 @@
 // PoisonCounts returns how many requests are suspected to end machines, and convicted.
 func (c *Core) PoisonCounts() (suspected, convicted int) { return c.router.PoisonCounts() }
 
+// MaySend says in the instant of a send why a request must not be sent any more, nil if it
+// may be.
+func (c *Core) MaySend(now time.Time, id cluster.RequestID) *verdict.Error {
+	return c.gate.maySend(now, id)
+}
+
+// KeysAge is how old the proof is that the keys of callers are those in force; false where
+// there is none.
+func (c *Core) KeysAge(now time.Time) (time.Duration, bool) { return c.gate.age(now) }
+
+// Unproven reports whether too little is known of callers' keys to serve those that need
+// one.
+func (c *Core) Unproven(now time.Time) bool { return c.gate.unproven(now) }
+
 // InFlight counts the requests that have not ended.
 func (c *Core) InFlight() int { return c.router.InFlight() }
 
@@ -149,7 +172,27 @@
 	}
 }
 
+// routingInput takes an event of the request path.
+func (c *Core) routingInput(event routing.Event) {
+	if arrived, isArrival := event.(routing.RequestArrived); isArrival {
+		c.gate.arrive(arrived.Request)
+		return
+	}
+	c.routing(event)
+}
+
+// routing feeds the router, and then what the gate ended meanwhile.
 func (c *Core) routing(event routing.Event) {
+	c.routerStep(event)
+	for len(c.withheld) > 0 {
+		next := c.withheld[0]
+		c.withheld = c.withheld[1:]
+		c.routerStep(next)
+	}
+}
+
+// routerStep feeds one event to the router and takes its effects.
+func (c *Core) routerStep(event routing.Event) {
 	for _, effect := range c.router.Step(c.now, event) {
 		switch e := effect.(type) {
 		case routing.StatusNeeded:
@@ -157,6 +200,11 @@
 			c.poison.found(e.Records)
 		case routing.PoisonTestWanted:
 			c.poison.testWanted(e.Content)
+		case routing.Dispatch:
+			c.gate.dispatch(e)
+		case routing.Finish:
+			c.gate.finished(e.Request)
+			c.emit(RoutingOutput{Effect: e})
 		default:
 			c.emit(RoutingOutput{Effect: effect})
 		}
@@ -172,6 +220,7 @@
 	c.routing(routing.SettingsChanged{Snapshot: compiled.Snapshot})
 	c.view.configurationChanged()
 	c.cell.configurationChanged()
+	c.gate.configurationChanged()
 }
 
 // workersRead takes machines' entries.
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -80,6 +80,9 @@
 // StoreSynced.
 type Paused struct{ For time.Duration }
 
+// KeysProven says that the configuration in force was the newest one at a time.
+type KeysProven struct{ At time.Time }
+
 // RoutingInput brings an event of the request path.
 type RoutingInput struct{ Event routing.Event }
 
@@ -125,6 +128,7 @@
 func (StoreWritten) fleetEvent()      {}
 func (StoreSynced) fleetEvent()       {}
 func (Paused) fleetEvent()            {}
+func (KeysProven) fleetEvent()        {}
 func (RoutingInput) fleetEvent()      {}
 func (MessageReceived) fleetEvent()   {}
 func (LeaseAnswered) fleetEvent()     {}
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -61,6 +61,7 @@
 	passedOn time.Time
 	contents contents
 	history  history
+	proof    proof
 	effects  []Effect
 }
 
@@ -87,15 +88,31 @@
 		c.changesRequested(&e.Request)
 	case Invalidated:
 		c.invalidate()
+	case KeyProven:
+		c.keyProven(e.Key)
+	case VerifyDone:
+		c.verifyDone(e)
+	case ClockHeard:
+		c.clockHeard(e.Told)
 	}
 	c.noteSource()
 	c.call()
+	c.verify()
 	return c.effects
 }
 
-// NextDue returns when the next Tick has something to do; zero while a call is
+// NextDue returns when the next Tick has something to do; zero while that is up to calls
 // under way.
 func (c *Core) NextDue() time.Time {
+	due, verify := c.callDue(), c.verifyDue()
+	if due.IsZero() || !verify.IsZero() && verify.Before(due) {
+		return verify
+	}
+	return due
+}
+
+// callDue is when the next call for changes may be due, zero while one is under way.
+func (c *Core) callDue() time.Time {
 	if c.calling {
 		return time.Time{}
 	}
@@ -217,6 +234,7 @@
 	first := c.contents.empty()
 	news := c.news(c.contents.replace(e.Pairs, e.Revision))
 	c.revision, c.urgent = e.Revision, false
+	c.prove(e.Began, c.provenRevision())
 	c.heardAt, c.knownAt = later(c.heardAt, e.Began), later(c.knownAt, e.Began)
 	if first {
 		c.history.restart(e.Revision)
@@ -304,9 +322,9 @@
 	if !whole || r.After >= c.revision {
 		return
 	}
-	c.emit(Send{Address: r.FromAddress, Update: wire.StoreChanges{
+	c.emit(Send{Address: r.FromAddress, Update: c.proofOf(r.From, wire.StoreChanges{
 		From: c.cfg.Self.ID, After: r.After, Revision: c.revision, Age: c.now.Sub(c.knownAt), Changes: slices.Clone(changes),
-	}})
+	})})
 }
 
 // passOn tells the nodes below of a reading, also of one that brought nothing.
@@ -323,7 +341,7 @@
 		update.Partial, update.Changes = true, nil
 	}
 	for _, p := range peers {
-		c.emit(Send{Address: p.Address, Update: update})
+		c.emit(Send{Address: p.Address, Update: c.proofOf(p.ID, update)})
 	}
 }
 
@@ -331,6 +349,7 @@
 // passes it on in turn.
 func (c *Core) updateReceived(u *wire.StoreChanges) {
 	c.hearsAt = c.now
+	defer c.proofReceived(u)
 	if c.revision == 0 || c.stale || u.Revision < c.revision {
 		return
 	}
--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -49,14 +49,18 @@
 	// cuts that keep it from the store.
 	cuts int
 	// mute peers neither send to nor hear of others.
-	mute    bool
-	calls   int
-	applied int64
+	mute  bool
+	calls int
+	// verifies counts the calls that confirm the proven key.
+	verifies int
+	applied  int64
 	// troubles counts those under way that keep the node from the store, calmSince
 	// is when the last of them ended.
 	troubles  int
 	calmSince time.Time
 	tickAt    time.Time
+	// skew is by how much the node's clock is ahead of true time.
+	skew time.Duration
 }
 
 // News implements Filter: keys that begin with "beat" say nothing new.
@@ -107,6 +111,10 @@
 	problems []string
 	// skipGap plants a defect: relays claim to have read from the beginning.
 	skipGap bool
+	// proves is the key that all nodes prove, empty for none.
+	proves string
+	// statedAges plants a defect: the age of a proof is the one that its sender stated.
+	statedAges bool
 }
 
 func newSimulation(seed uint64, peers int) *simulation { return newZones(seed, peers, 1) }
@@ -180,6 +188,10 @@
 	cfg.Self = p.Peer
 	p.core = New(cfg, p, uint64(len(s.peers)))
 	s.peers = append(s.peers, p)
+	if s.proves != "" {
+		p.skew = s.between(-time.Hour, time.Hour)
+		s.step(p, KeyProven{Key: s.proves})
+	}
 	s.step(p, Tick{})
 }
 
@@ -200,9 +212,14 @@
 	if p.dead {
 		return
 	}
-	effects := slices.Clone(p.core.Step(s.now, e))
+	effects := slices.Clone(p.core.Step(s.clock(p), e))
 	if read, ok := e.(ReadDone); ok && read.Err == nil && p.core.Revision() == read.Revision {
+		// The newest value of the proven key stays, as the one in force does.
+		proven := p.known[s.proves]
 		clear(p.known)
+		if s.proves != "" {
+			p.known[s.proves] = proven
+		}
 		s.apply(p, read.Pairs)
 	}
 	for _, effect := range effects {
@@ -213,7 +230,7 @@
 		return
 	}
 	p.tickAt = due
-	s.after(max(due.Sub(s.now), time.Millisecond), func() {
+	s.after(max(due.Sub(s.clock(p)), time.Millisecond), func() {
 		if p.tickAt.Equal(due) {
 			p.tickAt = time.Time{}
 			s.step(p, Tick{})
@@ -225,10 +242,10 @@
 	switch e := effect.(type) {
 	case Read:
 		p.calls++
-		s.call(p, s.read, func(err error) Event { return ReadDone{Err: err} })
+		s.call(p, func() Event { return s.read(p) }, func(err error) Event { return ReadDone{Err: err} })
 	case Poll:
 		p.calls++
-		began := s.now
+		began := s.clock(p)
 		s.call(p, func() Event { return s.poll(e, began) }, func(err error) Event { return PollDone{Began: began, Err: err} })
 	case Apply:
 		s.apply(p, e.Changes)
@@ -236,6 +253,12 @@
 		s.send(p, e)
 	case Ask:
 		s.deliver(p, e.Address, ChangesRequested{Request: e.Request})
+	case Verify:
+		p.verifies++
+		began := s.clock(p)
+		s.call(p, func() Event { return s.verify(e, began) }, func(err error) Event { return VerifyDone{Began: began, Err: err} })
+	case TellClock:
+		s.deliver(p, e.Address, ClockHeard{Told: e.Told})
 	}
 }
 
@@ -251,12 +274,15 @@
 	})
 }
 
-func (s *simulation) read() Event {
+// clock is a node's clock.
+func (s *simulation) clock(p *simulatedPeer) time.Time { return s.now.Add(p.skew) }
+
+func (s *simulation) read(p *simulatedPeer) Event {
 	newest := map[string]wire.StoreChange{}
 	for _, c := range s.store.changes {
 		newest[c.Key] = c
 	}
-	return ReadDone{Began: s.now, Revision: int64(len(s.store.changes)), Pairs: slices.Collect(maps.Values(newest))}
+	return ReadDone{Began: s.clock(p), Revision: int64(len(s.store.changes)), Pairs: slices.Collect(maps.Values(newest))}
 }
 
 func (s *simulation) poll(e Poll, began time.Time) Event {
@@ -284,7 +310,9 @@
 
 func (s *simulation) apply(p *simulatedPeer, changes []wire.StoreChange) {
 	for i := range changes {
-		p.known[changes[i].Key] = changes[i].Revision
+		if c := &changes[i]; c.Key != s.proves || c.Revision > p.known[c.Key] {
+			p.known[c.Key] = c.Revision
+		}
 	}
 }
 
@@ -306,7 +334,7 @@
 	s.after(delay, func() {
 		for _, to := range s.peers {
 			if to.Address == address && !lost && !p.mute && !to.mute {
-				s.step(to, event)
+				s.step(to, s.planted(to, event))
 			}
 		}
 	})
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -35,6 +35,8 @@
 	lostAt        time.Time
 	// lostBy is the cause of the failure of which the log was told last.
 	lostBy string
+	// proves is the key that the feed is to prove, empty for none.
+	proves string
 	// source is the name of the feed.Source, for the log.
 	source atomic.Value
 	// inbox holds messages of peers.
@@ -92,15 +94,20 @@
 
 // take takes one event; the content of the store counts unless it came too late.
 func (f *follower) take(event feed.Event) {
-	f.feedStep(event)
+	effects := slices.Clone(f.feed.Step(f.Now(), event))
 	if read, isRead := event.(feed.ReadDone); isRead && read.Err == nil && f.feed.Revision() == read.Revision {
 		f.replace(read.Revision, read.Pairs)
 	}
+	f.carryOut(effects)
 }
 
 // feedStep feeds the core and begins its effects.
 func (f *follower) feedStep(event feed.Event) {
-	effects := slices.Clone(f.feed.Step(f.Now(), event))
+	f.carryOut(slices.Clone(f.feed.Step(f.Now(), event)))
+}
+
+// carryOut begins effects. What a reading proves is proven of the content that it brought.
+func (f *follower) carryOut(effects []feed.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case feed.Read:
@@ -113,6 +120,12 @@
 			f.transport.Send(e.Address, e.Update)
 		case feed.Ask:
 			f.transport.Send(e.Address, e.Request)
+		case feed.Verify:
+			go f.verify(e)
+		case feed.Proven:
+			f.proven(e)
+		case feed.TellClock:
+			f.transport.Send(e.Address, e.Told)
 		case feed.SourceChanged:
 			f.source.Store(e.Source.String())
 			f.options.Log.Write(eventlog.FeedChanged{Source: e.Source.String(), Silent: e.Silent})
@@ -378,6 +391,7 @@
 	// The core knows a service before a request for it can come.
 	f.step(fleet.ConfigurationRead{Compiled: compiled})
 	f.compiled.Store(compiled)
+	f.wantProof(compiled)
 	f.options.Log.Write(eventlog.ConfigurationInForce{
 		Version: compiled.Version, Routes: len(compiled.Routes), Services: len(compiled.Services), Took: f.Now().Sub(began),
 	})
--- a/fleet/shell/harness_test.go
+++ b/fleet/shell/harness_test.go
@@ -39,6 +39,7 @@
 	t testing.TB
 	// changes are made to every route.
 	changes []func(*platform.RouteDocument)
+	tenants []platform.TenantDocument
 	store   *metadata.Server
 	server  *standin.Server
 	workers map[string]*standin.Server
@@ -94,7 +95,8 @@
 				},
 			}},
 		},
-		Limits: platform.LimitsDocument{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMS: 3000, IdleMS: 15000},
+		Limits:  platform.LimitsDocument{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMS: 3000, IdleMS: 15000},
+		Tenants: d.tenants,
 	}
 	for _, change := range d.changes {
 		for i := range document.Routes {
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -130,7 +130,7 @@
 	handler := passthrough.NewHandler(passthrough.Config{
 		Catalog: n.compiled.Load, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newID, Closing: n.closing.Load, Admits: n.admits,
-		KnowsPoison: n.knowsPoison,
+		KnowsPoison: n.knowsPoison, FindKey: n.findKey, MaySend: n.maySend,
 	})
 	if n.callers, err = n.serve(&n.options.CallersAddress, handler); err != nil {
 		return errors.Join(eris.Wrap(err, "callers' listener"), transport.Close(n.context))
@@ -181,7 +181,7 @@
 
 // answerReady answers whether the node takes new connections.
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.isReady.Load() || n.stopping.Load() {
+	if !n.isReady.Load() || n.stopping.Load() || n.unproven() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -201,6 +201,8 @@
 	switch m := message.(type) {
 	case wire.StoreChanges:
 		n.follower.receive(feed.UpdateReceived{Update: m})
+	case wire.ClockTold:
+		n.follower.receive(feed.ClockHeard{Told: m})
 	case wire.StoreChangesRequest:
 		n.follower.receive(feed.ChangesRequested{Request: m})
 	default:
--- a/fleet/shell/storecalls.go
+++ b/fleet/shell/storecalls.go
@@ -23,6 +23,7 @@
 	storeWrite  storeOperation = "store write"
 	storeRenew  storeOperation = "store renewal"
 	storeRevoke storeOperation = "store lease end"
+	storeVerify storeOperation = "store verification"
 )
 
 // operationOf names a call for a record.
@@ -67,7 +68,7 @@
 	}
 	line := eventlog.StoreCalls{
 		Span: storeCallsSpan, Reads: c.counts[storeRead], Polls: c.counts[storePoll], Grants: c.counts[storeGrant],
-		Writes: c.counts[storeWrite], Renewals: c.counts[storeRenew], Ends: c.counts[storeRevoke], Failed: c.failed,
+		Writes: c.counts[storeWrite], Renewals: c.counts[storeRenew], Ends: c.counts[storeRevoke], Verifies: c.counts[storeVerify], Failed: c.failed,
 	}
 	clear(c.counts)
 	c.failed = 0
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -43,6 +43,8 @@
 	successor cluster.MachineID
 
 	unreached, answered, full, missing bool
+	// withheld is set when the request must not be sent any more.
+	withheld bool
 	// broken is set when the machine's side ended the connection before the answer was whole.
 	broken bool
 	// ended is set when the machine's process is known to have ended.
@@ -57,7 +59,7 @@
 	failure := a.try(ctx)
 	ended := routing.AttemptEnded{
 		Request: a.id, Attempt: a.decision.Attempt, Failure: failure,
-		Unreached: a.unreached, Answered: a.answered, EngineFull: a.full, ModelMissing: a.missing,
+		Unreached: a.unreached, Withheld: a.withheld, Answered: a.answered, EngineFull: a.full, ModelMissing: a.missing,
 		Broken: a.broken, MachineEnded: a.ended,
 	}
 	if a.broken {
@@ -94,6 +96,12 @@
 
 // exchangeOn sends the request on the connection and reads its answer.
 func (a *attempt) exchangeOn() *verdict.Error {
+	if a.MaySend != nil {
+		if failure := a.MaySend(a.id); failure != nil {
+			a.unreached, a.withheld = true, true
+			return failure
+		}
+	}
 	forwarded := a.forwarded()
 	if err := a.conn.Send(forwarded, a.body); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -124,7 +132,8 @@
 		header["User-Agent"] = []string{""}
 	}
 	a.Dialect.PrepareForward(header, Forward{
-		Machine: a.decision.Machine, Remaining: a.left(), Rank: a.route.Priority, LastEventID: a.lastEvent,
+		Machine: a.decision.Machine, Remaining: a.left(), Rank: a.rank(), LastEventID: a.lastEvent,
+		Tenant: a.tenantName(), Keyed: a.keyed,
 	})
 	target := &url.URL{Scheme: "http", Host: a.request.Host, Opaque: a.request.RequestURI}
 	if !strings.HasPrefix(a.request.RequestURI, "/") || strings.HasPrefix(a.request.RequestURI, "//") {
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -24,8 +24,11 @@
 	request    *http.Request
 	route      *catalog.Route
 	attributes Attributes
-	body       []byte
-	id         cluster.RequestID
+	credential credential
+	// keyed is set where callers have keys.
+	keyed bool
+	body  []byte
+	id    cluster.RequestID
 	// content is the fingerprint, zero until it is asked for.
 	content poison.Fingerprint
 	// header holds the caller's fields that are passed on.
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -62,6 +63,13 @@
 	// KnowsPoison reports whether the fingerprint of a request with this head matters; nil
 	// wants none but those of short bodies.
 	KnowsPoison func(head poison.Head) bool
+	// FindKey returns the tenant that holds the key of a hash which the configuration in
+	// force doesn't name: one that was added a moment ago. It waits until what this node
+	// knows is new enough to say that there is none, and returns nil then; nil asks nobody.
+	FindKey func(ctx context.Context, hash string) (*catalog.Tenant, *verdict.Error)
+	// MaySend says in the instant of a send why a request must not be sent any more; nil
+	// allows all.
+	MaySend func(id cluster.RequestID) *verdict.Error
 	// NewID makes an identifier for a request without one.
 	NewID func() cluster.RequestID
 }
@@ -100,6 +108,11 @@
 		h.turnAway(w, r, verdict.New(verdict.NotRun, verdict.CodeModelNotFound, "there is no such route"))
 		return
 	}
+	caller, failure := h.authenticate(compiled, route, r)
+	if failure != nil {
+		h.turnAway(w, r, failure)
+		return
+	}
 	attributes := h.Dialect.ReadCaller(r.Header)
 	deadline := arrived.Add(allowedTime(route, &attributes))
 	body, failure := readBody(w, r, compiled.Limits.MaxBodyBytes, deadline.Sub(arrived))
@@ -109,11 +122,12 @@
 	}
 	current := h.newExchange(w, r, compiled, route, body, &attributes)
 	current.arrived, current.deadline = arrived, deadline
+	current.credential, current.keyed = caller, compiled.Keyed()
 	current.takeContent()
 	h.Log.Write(eventlog.RequestAccepted{
 		Request: current.id, Route: route.Name, Version: compiled.Version, Work: current.work,
 		Left: current.deadline.Sub(arrived), Attempts: route.Attempts, Unread: strings.Join(attributes.Unread, ","),
-		Content: current.content.String(),
+		Content: current.content.String(), Tenant: current.tenantName(),
 	})
 	if h.Admits != nil && !h.Admits(current.deadline) {
 		failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining, "this node is stopping; another one takes the request")
@@ -235,12 +249,16 @@
 // routingRequest is the request as the core knows it.
 func (e *exchange) routingRequest() routing.Request {
 	request := routing.Request{
-		ID: e.id, Model: e.work, TokenPath: "/", Priority: highestPriority - e.route.Priority,
+		ID: e.id, Model: e.work, TokenPath: "/", Priority: highestPriority - e.rank(),
 		Deadline: e.deadline, Objective: e.route.Objective,
 		Patience: e.route.Patience, Returned: e.returned(), Repeatable: e.route.Repeatable(), BodyBytes: int64(len(e.body)),
 		PromptTokens: e.attributes.PromptTokens, MaxTokens: e.attributes.MaxTokens,
 		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable, Content: e.content, Caller: e.caller(),
 	}
+	request.Credential, request.Public = e.credential.hash, e.route.Public
+	if tenant := e.credential.tenant; tenant != nil {
+		request.Tenant = tenant.Name
+	}
 	if len(e.attributes.Parts) > 1 {
 		request.Prefixes = chain(e.attributes.Parts[:len(e.attributes.Parts)-1])
 	}
--- a/passthrough/refusal.go
+++ b/passthrough/refusal.go
@@ -29,7 +29,7 @@
 		body = nil
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if status == http.StatusServiceUnavailable || foundNoPlace(failure.Code) {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || foundNoPlace(failure.Code) {
 		wait := max(failure.RetryAfter, minRetryAfter)
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
@@ -56,7 +56,7 @@
 	return false
 }
 
-// statusOf maps a failure to a status. 503 promises that nothing ran and nothing
+// statusOf maps a failure to a status. 503 and 429 promise that nothing ran and nothing
 // will; after anything that may have run the answer is 502 or 504.
 func statusOf(failure *verdict.Error) int {
 	if failure.Verdict != verdict.NotRun {
@@ -70,6 +70,10 @@
 		return http.StatusBadRequest
 	case verdict.CodeRequestTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeTokenRateLimit, verdict.CodeRequestRateLimit:
+		return http.StatusTooManyRequests
 	case verdict.CodeModelNotFound:
 		return http.StatusNotFound
 	}
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -130,6 +130,11 @@
 	model := ended.model
 	ended.generated += event.Tokens
 	machine := r.stopRunning(ended)
+	if event.Withheld {
+		r.finish(ended, event.Failure, Explanation{Machine: machine.id})
+		r.freed = append(r.freed, machine)
+		return
+	}
 	machine.noteOutcome(event)
 	r.noteEvidence(ended, machine, event)
 	if event.Failure == nil {
@@ -304,6 +309,13 @@
 		"the answer broke off after its first byte"), Explanation{})
 }
 
+// withdraw ends a request that waits.
+func (r *Router) withdraw(id cluster.RequestID, failure *verdict.Error) {
+	if waiting := r.requests[id]; waiting != nil && !waiting.running {
+		r.finish(waiting, failure, Explanation{})
+	}
+}
+
 // callerGone ends a request whose caller left.
 func (r *Router) callerGone(id cluster.RequestID) {
 	gone := r.requests[id]
--- a/routing/events.go
+++ b/routing/events.go
@@ -47,6 +47,10 @@
 	Resumable bool
 	// Content is the fingerprint of what the request asks for, zero when it was not taken.
 	Content poison.Fingerprint
+	// Credential is the hash of the caller's key, empty without one, and Tenant the name
+	// of who holds it. Public requests need none.
+	Credential, Tenant string
+	Public             bool
 	// Caller tells the request's caller from others; all that can't be told share zero.
 	Caller uint64
 	// test is set while a convicted request is tried once more.
@@ -66,6 +70,13 @@
 // from then on the request is not started anew.
 type FirstByteSent struct{ Request cluster.RequestID }
 
+// RequestWithdrawn ends a request that waits, since it must not be sent any more. One that
+// runs goes on.
+type RequestWithdrawn struct {
+	Request cluster.RequestID
+	Failure *verdict.Error
+}
+
 // AttemptEnded reports how a dispatched attempt ended. Events of attempts that
 // are not the request's current one are ignored.
 type AttemptEnded struct {
@@ -76,6 +87,9 @@
 	// Unreached is true when no byte of the request was sent, because no
 	// connection was had.
 	Unreached bool
+	// Withheld is true when the request must not be sent any more, whatever the machine; it
+	// ends with the failure.
+	Withheld bool
 	// Answered is true when the engine itself answered with a failure.
 	Answered bool
 	// EngineFull is true when the engine refused for lack of a slot and
@@ -158,6 +172,7 @@
 func (RequestArrived) routingEvent()     {}
 func (CallerGone) routingEvent()         {}
 func (FirstByteSent) routingEvent()      {}
+func (RequestWithdrawn) routingEvent()   {}
 func (AttemptEnded) routingEvent()       {}
 func (AttemptSilent) routingEvent()      {}
 func (CellStatusChanged) routingEvent()  {}
--- a/routing/router.go
+++ b/routing/router.go
@@ -132,6 +132,8 @@
 		r.arrive(&event.Request)
 	case AttemptEnded:
 		r.attemptEnded(&event)
+	case RequestWithdrawn:
+		r.withdraw(event.Request, event.Failure)
 	case AttemptSilent:
 		r.attemptSilent(&event)
 	case FirstByteSent:
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -16,7 +16,7 @@
 // VersionCurrent, give every new field a default, and commit the golden
 // messages of the version left behind.
 const (
-	VersionCurrent  = 5
+	VersionCurrent  = 6
 	VersionPrevious = VersionCurrent - 1
 )
 
@@ -67,6 +67,11 @@
 	KindStoreChanges
 	KindStoreChangesRequest
 	KindPoisonReport
+	KindClockTold
+	KindLenderClaim
+	KindLenderVote
+	KindTokensRequest
+	KindTokensAnswer
 )
 
 // layout ties a kind to its schema name and its record.
@@ -101,6 +106,11 @@
 	KindStoreChanges:          {"StoreChanges", func() record { return new(storeChangesRecord) }},
 	KindStoreChangesRequest:   {"StoreChangesRequest", func() record { return new(storeChangesRequestRecord) }},
 	KindPoisonReport:          {"PoisonReport", func() record { return new(poisonReportRecord) }},
+	KindClockTold:             {"ClockTold", func() record { return new(clockToldRecord) }},
+	KindLenderClaim:           {"LenderClaim", func() record { return new(lenderClaimRecord) }},
+	KindLenderVote:            {"LenderVote", func() record { return new(lenderVoteRecord) }},
+	KindTokensRequest:         {"TokensRequest", func() record { return new(tokensRequestRecord) }},
+	KindTokensAnswer:          {"TokensAnswer", func() record { return new(tokensAnswerRecord) }},
 }
 
 // toRecord returns the kind of message and its record.
@@ -161,6 +171,21 @@
 		return KindStoreChangesRequest, &rec, nil
 	case PoisonReport:
 		return KindPoisonReport, poisonReportToRecord(m), nil
+	case ClockTold:
+		rec := clockToldRecord(m)
+		return KindClockTold, &rec, nil
+	case LenderClaim:
+		rec := lenderClaimRecord(m)
+		return KindLenderClaim, &rec, nil
+	case LenderVote:
+		rec := lenderVoteRecord(m)
+		return KindLenderVote, &rec, nil
+	case TokensRequest:
+		rec := tokensRequestRecord(m)
+		return KindTokensRequest, &rec, nil
+	case TokensAnswer:
+		rec := tokensAnswerRecord(m)
+		return KindTokensAnswer, &rec, nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -104,6 +104,16 @@
 		KindStoreChanges: StoreChanges{
 			From: "node-a", After: 6, Revision: 8, Age: time.Millisecond, Partial: true,
 			Changes: []StoreChange{{Key: "k", Value: []byte("v"), Revision: 7, Deleted: true}},
+			Proven:  7, Echo: 11, Lead: -time.Second,
+		},
+		KindClockTold:   ClockTold{From: "node-a", Sent: 11},
+		KindLenderClaim: LenderClaim{From: "node-a", FromAddress: "10.0.0.1:7000", Shard: 2, Number: 7, Release: true},
+		KindLenderVote:  LenderVote{From: "node-a", Shard: 2, Number: 7, Granted: true, Settled: time.Second},
+		KindTokensRequest: TokensRequest{
+			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Tenant: "dental", Amount: 1540, Returned: 200,
+		},
+		KindTokensAnswer: TokensAnswer{
+			From: "node-a", Number: 7, Lends: true, Granted: true, Wait: time.Second, Lender: "node-b", LenderAddress: "10.0.0.2:7000",
 		},
 		KindPoisonReport: PoisonReport{
 			From: "node-a", FromAddress: "10.0.0.1:7000",
@@ -117,10 +127,16 @@
 
 // since is the version in which a kind of message first appeared, where that
 // is later than the previous one.
-var since = map[Kind]int32{KindPoisonReport: 5}
+var since = map[Kind]int32{
+	KindClockTold: 6, KindLenderClaim: 6, KindLenderVote: 6, KindTokensRequest: 6, KindTokensAnswer: 6,
+}
 
-// asPrevious is the message as the previous version carries it.
+// asPrevious is the message as the previous version carries it: without what proves a key.
 func asPrevious(message Message) Message {
+	if m, passedOn := message.(StoreChanges); passedOn {
+		m.Proven, m.Echo, m.Lead = 0, 0, 0
+		return m
+	}
 	return message
 }
 
--- /dev/null
+++ b/wire/lending.go
@@ -0,0 +1,67 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// LenderClaim asks a voter to let the sender alone lend from the limits of a shard for a
+// while, or with Release tells that it no longer does.
+type LenderClaim struct {
+	From        cluster.NodeID
+	FromAddress string
+	Shard       int
+	// Number pairs the vote with the claim.
+	Number  int64
+	Release bool
+}
+
+// LenderVote answers a LenderClaim.
+type LenderVote struct {
+	From    cluster.NodeID
+	Shard   int
+	Number  int64
+	Granted bool
+	// Settled is for how long the voter has promised the shard to nobody else.
+	Settled time.Duration
+}
+
+// TokensRequest asks a lender for a part of what a tenant may use, in the units of its limit.
+type TokensRequest struct {
+	From        cluster.NodeID
+	FromAddress string
+	// Number pairs the answer with the request; a request that only returns has none.
+	Number int64
+	Tenant string
+	Amount float64
+	// Returned is what was granted before and was not used.
+	Returned float64
+}
+
+// TokensAnswer answers a TokensRequest.
+type TokensAnswer struct {
+	From   cluster.NodeID
+	Number int64
+	// Lends is false when the sender does not lend for the tenant. Lender and its address are
+	// who does then, as far as the sender knows.
+	Lends         bool
+	Granted       bool
+	Wait          time.Duration
+	Lender        cluster.NodeID
+	LenderAddress string
+}
+
+type (
+	clockToldRecord     ClockTold
+	lenderClaimRecord   LenderClaim
+	lenderVoteRecord    LenderVote
+	tokensRequestRecord TokensRequest
+	tokensAnswerRecord  TokensAnswer
+)
+
+func (r *clockToldRecord) decoded() Message     { return ClockTold(*r) }
+func (r *lenderClaimRecord) decoded() Message   { return LenderClaim(*r) }
+func (r *lenderVoteRecord) decoded() Message    { return LenderVote(*r) }
+func (r *tokensRequestRecord) decoded() Message { return TokensRequest(*r) }
+func (r *tokensAnswerRecord) decoded() Message  { return TokensAnswer(*r) }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -230,6 +230,11 @@
 func (ZoneReport) message()            {}
 func (StoreChanges) message()          {}
 func (StoreChangesRequest) message()   {}
+func (ClockTold) message()             {}
+func (LenderClaim) message()           {}
+func (LenderVote) message()            {}
+func (TokensRequest) message()         {}
+func (TokensAnswer) message()          {}
 func (InspectionRequest) message()     {}
 func (InspectionAnswer) message()      {}
 
@@ -252,6 +257,20 @@
 	// Partial is true when changes are left out, which are to be read in the store.
 	Partial bool
 	Changes []StoreChange
+	// Proven is the revision of the proven key's value that the store confirmed last to be
+	// the newest, zero for none. Echo is the newest clock that the receiver told the sender,
+	// zero for none, and Lead by how much the store was asked before that came: the receiver's
+	// clock showed at least Echo less Lead when it was. Negative when it was asked later.
+	Proven int64
+	Echo   int64
+	Lead   time.Duration
+}
+
+// ClockTold tells a node that passes changes on the sender's clock when it was sent.
+type ClockTold struct {
+	From cluster.NodeID
+	// Sent in nanoseconds of the sender's clock.
+	Sent int64
 }
 
 // StoreChangesRequest asks a node for the changes after a revision that it keeps.
