Lend tenants' tokens: one lender for a shard, by leave of a majority

Cause: no limit was held over the nodes. An even part is a sixth of a request for the smallest tenant; a tenant that sends many times its usual went beyond. Change: fleet/lending, a pure core. Tenants belong to four shards; of each one node lends at a time, for as long as a majority of five voters of several zones has promised it to nobody else, earlier views counted while others may go by them. A successor begins with an empty bucket, but for a part of the allowance. A request's tokens are asked for on arrival, so that what is beyond the limit is answered 429 at once with the time at which they are there, behind those sent back before; they lapse after 0.4 s, are given back when unused, and are asked for again at a later dispatch. The send looks at them once more. A node that hears of no other refuses at once and is not ready.

--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -20,6 +20,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/fleet/shell"
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/routing"
@@ -156,6 +157,9 @@
 			Subset: platformSubset, DrainRetryAfter: platformDrainRetry,
 		},
 	}
+	core.Lending = lending.Config{
+		Window: platform.Seconds(settings.Bounds.QuotaWindowSeconds), Overrun: settings.Bounds.QuotaOverrun, Slack: settings.Bounds.QuotaSlack,
+	}
 	if settings.Bounds.RevokeStrict {
 		core.KeyProof = time.Duration(float64(platform.Milliseconds(settings.Bounds.RevokeMillis)) * keyProofShare)
 	}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerGone{}, NodesChanged{},
 		FeedChanged{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -47,6 +47,14 @@
 	Age time.Duration `log:"age_ms" doc:"since when the configuration in force is not known to be the newest"`
 }
 
+// LendingChanged is written when this node begins or ends to lend the tokens of a shard's
+// tenants.
+type LendingChanged struct {
+	Shard   int           `log:"shard" doc:"number of the shard"`
+	Held    bool          `log:"held" doc:"whether this node lends from now on"`
+	Settled time.Duration `log:"settled_ms" doc:"for how long the lender had not changed before"`
+}
+
 // NodeStarted is written once at start.
 type NodeStarted struct {
 	Zone    cluster.ZoneID `log:"zone" doc:"zone of the node"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -186,6 +186,14 @@
 	return "Written when a caller is sent back because its key is not known and this node knows too little to say that there is none."
 }
 
+// Kind implements Event.
+func (LendingChanged) Kind() string { return "lending_changed" }
+
+// Meaning implements Documented.
+func (LendingChanged) Meaning() string {
+	return "Written when this node begins or ends to lend the tokens of a shard's tenants."
+}
+
 // Kind implements Event.
 func (RecordUnreadable) Kind() string { return "record_unreadable" }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/routing"
 )
@@ -43,6 +44,8 @@
 	// KeyProof is how old the proof may be that the keys of callers are those in force, when
 	// a request that needs one is sent. Zero wants no proof.
 	KeyProof time.Duration
+	// Lending tunes how tenants' limits are divided; Self is filled in.
+	Lending lending.Config
 	// PauseHold bounds how long dispatches wait after a pause for the store to
 	// be read again. Default 300 ms.
 	PauseHold time.Duration
@@ -55,5 +58,7 @@
 	c.HolderTTL = cmp.Or(c.HolderTTL, 2*time.Second)
 	c.NodeTTL = cmp.Or(c.NodeTTL, 30*time.Second)
 	c.PauseHold = cmp.Or(c.PauseHold, 300*time.Millisecond)
+	c.Lending.Self = c.Self.peer()
+	c.Lending = c.Lending.WithDefaults()
 	return c
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -10,6 +10,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/verdict"
@@ -29,6 +30,7 @@
 	cell     *cell
 	poison   *poisonKeeper
 	gate     *gate
+	lending  *lending.Core
 	reporter demandReporter
 	synced   bool
 	// sharers is the last count of nodes that the router was told.
@@ -37,6 +39,8 @@
 	// withheld are attempts that the gate ended, of which the router is told once it has
 	// taken the event at hand.
 	withheld []routing.AttemptEnded
+	// depth counts the router's steps whose effects are being taken.
+	depth int
 }
 
 // New returns a core that knows nothing yet.
@@ -49,6 +53,7 @@
 	core.cell = newCell(core)
 	core.poison = newPoisonKeeper(core)
 	core.gate = newGate(core)
+	core.lending = lending.New(config.Lending)
 	return core
 }
 
@@ -92,6 +97,7 @@
 		c.cell.news = true
 	case ResignStarted:
 		c.cell.resign()
+		c.lend(lending.Stopping{})
 	case PoisonRead:
 		c.poison.read(e)
 	case StoreWritten:
@@ -105,12 +111,13 @@
 	c.reporter.tick(c)
 	c.poison.tick()
 	c.gate.tick()
+	c.lend(lending.Tick{})
 	return c.effects
 }
 
 // NextDue returns when the next Tick has something to do.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due(), c.poison.due()}
+	due := []time.Time{c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue()}
 	if at, waiting := c.router.NextDeadline(); waiting {
 		due = append(due, at)
 	}
@@ -148,12 +155,12 @@
 // there is none.
 func (c *Core) KeysAge(now time.Time) (time.Duration, bool) { return c.gate.age(now) }
 
-// Unproven reports whether too little is known of callers' keys to serve those that need
-// one.
-func (c *Core) Unproven(now time.Time) bool { return c.gate.unproven(now) }
+// Serves reports whether callers who need a key can be served: the keys are proven, and
+// whoever lends tokens can be reached.
+func (c *Core) Serves(now time.Time) bool { return !c.gate.unproven(now) && !c.lending.Deaf() }
 
 // InFlight counts the requests that have not ended.
-func (c *Core) InFlight() int { return c.router.InFlight() }
+func (c *Core) InFlight() int { return c.router.InFlight() + c.gate.arriving() }
 
 // StoreCapacity is how many loads at once the weight store is believed to bear, by this
 // node as the holder or by the last holder's record.
@@ -174,17 +181,44 @@
 
 // routingInput takes an event of the request path.
 func (c *Core) routingInput(event routing.Event) {
-	if arrived, isArrival := event.(routing.RequestArrived); isArrival {
-		c.gate.arrive(arrived.Request)
+	switch e := event.(type) {
+	case routing.RequestArrived:
+		c.gate.arrive(e.Request)
 		return
+	case routing.CallerGone:
+		if c.gate.callerGone(e.Request) {
+			return
+		}
+	case routing.AttemptEnded:
+		c.gate.attemptEnded(&e)
 	}
 	c.routing(event)
 }
 
+// lend feeds what lends and borrows tokens.
+func (c *Core) lend(event lending.Event) {
+	for _, effect := range slices.Clone(c.lending.Step(c.now, event)) {
+		switch e := effect.(type) {
+		case lending.Send:
+			c.send(e.Address, e.Message)
+		case lending.Answered:
+			c.gate.answered(e)
+		case lending.LeaseChanged:
+			c.log(eventlog.LendingChanged{Shard: e.Shard, Held: e.Held, Settled: e.Settled})
+		}
+	}
+	c.endWithheld()
+}
+
 // routing feeds the router, and then what the gate ended meanwhile.
 func (c *Core) routing(event routing.Event) {
 	c.routerStep(event)
-	for len(c.withheld) > 0 {
+	c.endWithheld()
+}
+
+// endWithheld tells the router of what the gate ended, once its effects are taken.
+func (c *Core) endWithheld() {
+	for c.depth == 0 && len(c.withheld) > 0 {
 		next := c.withheld[0]
 		c.withheld = c.withheld[1:]
 		c.routerStep(next)
@@ -193,6 +227,8 @@
 
 // routerStep feeds one event to the router and takes its effects.
 func (c *Core) routerStep(event routing.Event) {
+	c.depth++
+	defer func() { c.depth-- }()
 	for _, effect := range c.router.Step(c.now, event) {
 		switch e := effect.(type) {
 		case routing.StatusNeeded:
@@ -220,9 +256,21 @@
 	c.routing(routing.SettingsChanged{Snapshot: compiled.Snapshot})
 	c.view.configurationChanged()
 	c.cell.configurationChanged()
+	c.noteLimits()
 	c.gate.configurationChanged()
 }
 
+// noteLimits tells who lends tokens of tenants' limits.
+func (c *Core) noteLimits() {
+	limits := map[string]lending.Limit{}
+	for i := range c.compiled.Tenants {
+		if tenant := &c.compiled.Tenants[i]; !tenant.Limit.Unlimited() {
+			limits[tenant.Name] = lending.Limit{Rate: tenant.Limit.Rate, Burst: tenant.Limit.Burst}
+		}
+	}
+	c.lend(lending.LimitsChanged{Limits: limits})
+}
+
 // workersRead takes machines' entries.
 func (c *Core) workersRead(read WorkersRead) {
 	gone := read.Gone
@@ -260,6 +308,16 @@
 	}
 	c.poison.ask()
 	c.noteSharers()
+	c.notePeers()
+}
+
+// notePeers tells who lends tokens of the live nodes.
+func (c *Core) notePeers() {
+	peers := make([]lending.Peer, 0, len(c.nodes))
+	for _, entry := range c.nodes {
+		peers = append(peers, entry.peer())
+	}
+	c.lend(lending.PeersChanged{Peers: peers})
 }
 
 // noteSharers tells the router how many nodes share machines and budgets.
@@ -293,6 +351,8 @@
 		c.view.statusReceived(&m)
 	case wire.PoisonReport:
 		c.poison.told(&m)
+	case wire.LenderClaim, wire.LenderVote, wire.TokensRequest, wire.TokensAnswer:
+		c.lend(lending.Received{Message: message})
 	}
 }
 
--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -15,7 +16,11 @@
 	// unprovenBack is when a caller should come back to whom nothing can be said for want of
 	// a proof: another node, or this one after a call to the store, may have one.
 	unprovenBack = 300 * time.Millisecond
-	// movedBack is the same where a key has gone to another tenant meanwhile.
+	// unlentBack is the same where nobody lends a tenant's tokens: a successor of a lender
+	// that is gone does within that time.
+	unlentBack = 500 * time.Millisecond
+	// movedBack is the same where a key has gone to another tenant meanwhile, or where another
+	// node can serve the caller at once.
 	movedBack = 50 * time.Millisecond
 )
 
@@ -23,10 +28,20 @@
 const (
 	settingKey   = "key"
 	settingProof = "proof of keys"
+	settingLimit = "tenant limit"
 )
 
+// dispatchMargin is how much of their lifetime tokens must have left at a dispatch: the time
+// to connect, and to be scheduled on a slow machine.
+const dispatchMargin = 150 * time.Millisecond
+
+// returnEvery is how often tokens that were not used in time are looked for.
+const returnEvery = 100 * time.Millisecond
+
 // gate holds back requests and their dispatches that must not go on: by the key that the
-// caller gave. What is decided about a request while it waits is looked at again when it is
+// caller gave, and by its tenant's limit. Tokens are asked for on arrival, so that what is
+// beyond the limit is refused at once, and again at the dispatch of a request that waited
+// for longer than they last. What is decided about a request while it waits is looked at again when it is
 // to be sent.
 type gate struct {
 	core *Core
@@ -36,16 +51,36 @@
 	// doubted is what the log was told last: that the proof is too old, or missing.
 	doubted  bool
 	requests map[cluster.RequestID]*gated
+	// asked are the questions for tokens without an answer, by their numbers.
+	asked   map[int64]*gated
+	numbers int64
+	// returnAt is when unused tokens are looked for next.
+	returnAt time.Time
 }
 
 // gated is what the gate knows of a request that has not ended.
 type gated struct {
+	id                 cluster.RequestID
 	credential, tenant string
 	public             bool
+	// tokens that the request states.
+	tokens int
+	// arrival is held until its tokens are there, and dispatch likewise.
+	arrival  *routing.Request
+	dispatch *routing.Dispatch
+	// asking is the number of the question under way, zero for none.
+	asking int64
+	// granted tokens were asked for at askedAt by the question of the number loan; zero for
+	// none. sent is set once an attempt
+	// goes by them.
+	granted float64
+	loan    int64
+	askedAt time.Time
+	sent    bool
 }
 
 func newGate(core *Core) *gate {
-	return &gate{core: core, requests: map[cluster.RequestID]*gated{}}
+	return &gate{core: core, requests: map[cluster.RequestID]*gated{}, asked: map[int64]*gated{}}
 }
 
 // proven notes that the configuration in force was the newest at a time.
@@ -71,8 +106,9 @@
 	return bound > 0 && g.core.compiled.Keyed() && (!proven || age >= bound)
 }
 
-// tick tells the log when the proof becomes too old, or new enough again.
+// tick gives unused tokens back, and tells the log when the proof becomes too old, or new enough again.
 func (g *gate) tick() {
+	g.returnUnused()
 	doubted := g.unproven(g.core.now)
 	if doubted == g.doubted {
 		return
@@ -111,20 +147,160 @@
 		g.core.routing(routing.RequestArrived{Request: request})
 		return
 	}
-	held := &gated{credential: request.Credential, tenant: request.Tenant, public: request.Public}
+	held := &gated{
+		id: request.ID, credential: request.Credential, tenant: request.Tenant, public: request.Public,
+		tokens: request.PromptTokens + request.MaxTokens,
+	}
 	if failure := g.permit(g.core.now, held); failure != nil {
 		g.refuse(request.ID, failure)
 		return
 	}
 	g.requests[request.ID] = held
-	g.core.routing(routing.RequestArrived{Request: request})
+	if g.charge(held) == 0 {
+		g.core.routing(routing.RequestArrived{Request: request})
+		return
+	}
+	held.arrival = &request
+	g.ask(held)
+}
+
+// charge is what the request counts against its tenant's limit now, zero without one.
+func (g *gate) charge(held *gated) float64 {
+	tenant := g.core.compiled.Tenant(held.tenant)
+	if tenant == nil || tenant.Limit.Unlimited() {
+		return 0
+	}
+	return tenant.Limit.Charge(held.tokens)
+}
+
+// ask asks for the request's tokens; the answer may come at once.
+func (g *gate) ask(held *gated) {
+	g.numbers++
+	if g.numbers == 1 {
+		// Answers to an earlier process of the machine are no answers to this one.
+		g.numbers = g.core.now.UnixNano()
+	}
+	held.asking = g.numbers
+	g.asked[held.asking] = held
+	g.core.lend(lending.Asked{Number: held.asking, Tenant: held.tenant, Amount: g.charge(held)})
+}
+
+// answered takes the answer to a question for tokens.
+func (g *gate) answered(e lending.Answered) {
+	held := g.asked[e.Number]
+	delete(g.asked, e.Number)
+	if held == nil {
+		if e.Granted {
+			g.core.lend(lending.Returned{Number: e.Number, Tenant: e.Tenant})
+		}
+		return
+	}
+	held.asking = 0
+	if e.Granted {
+		held.granted, held.loan, held.askedAt, held.sent = e.Amount, e.Number, e.AskedAt, false
+	}
+	failure := g.limited(&e)
+	arrival, dispatch := held.arrival, held.dispatch
+	held.arrival, held.dispatch = nil, nil
+	switch {
+	case arrival != nil && failure != nil:
+		delete(g.requests, held.id)
+		g.refuse(held.id, failure)
+	case arrival != nil:
+		g.core.routing(routing.RequestArrived{Request: *arrival})
+	case dispatch != nil && failure != nil:
+		g.withhold(*dispatch, failure)
+	case dispatch != nil:
+		g.dispatch(*dispatch)
+	}
+}
+
+// limited says why a request is refused by the answer to the question for its tokens.
+func (g *gate) limited(e *lending.Answered) *verdict.Error {
+	switch {
+	case e.Granted:
+		return nil
+	case !e.Decided && g.core.lending.Deaf():
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"this node reaches no other to ask for the tokens of tenant %s", e.Tenant).After(movedBack)
+	case !e.Decided:
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"nobody lends the tokens of tenant %s at the moment", e.Tenant).After(unlentBack)
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeTokenRateLimit,
+		"tenant %s is beyond its limit, by %s", e.Tenant, e.Lender).After(e.Wait)
+}
+
+// fresh reports whether the tokens may be used now, with so much of their lifetime left.
+func (g *gate) fresh(now time.Time, held *gated, left time.Duration) bool {
+	return held.granted > 0 && now.Sub(held.askedAt) <= g.core.config.Lending.Lifetime-left
+}
+
+// giveBack gives tokens back that were not used.
+func (g *gate) giveBack(held *gated) {
+	if held.granted > 0 && !held.sent {
+		g.core.lend(lending.Returned{Number: held.loan, Tenant: held.tenant})
+	}
+	held.granted = 0
+}
+
+// returnUnused gives back the tokens of requests that wait for longer than they last.
+func (g *gate) returnUnused() {
+	if len(g.requests) == 0 || g.core.now.Before(g.returnAt) {
+		return
+	}
+	g.returnAt = g.core.now.Add(returnEvery)
+	for _, held := range g.requests {
+		if held.granted > 0 && !held.sent && !g.fresh(g.core.now, held, dispatchMargin) {
+			g.giveBack(held)
+		}
+	}
+}
+
+// callerGone ends a request that the router does not know yet; false leaves it to that.
+func (g *gate) callerGone(id cluster.RequestID) bool {
+	held := g.requests[id]
+	if held == nil || held.arrival == nil {
+		return false
+	}
+	g.finished(id)
+	g.refuse(id, verdict.New(verdict.NotRun, verdict.CodeCallerGone, "the caller left"))
+	return true
+}
+
+// attemptEnded notes whether an attempt used its tokens: one that its machine did not run
+// may be made again with them.
+func (g *gate) attemptEnded(e *routing.AttemptEnded) {
+	held := g.requests[e.Request]
+	if held == nil {
+		return
+	}
+	if e.Failure != nil && e.Failure.Verdict == verdict.NotRun {
+		held.sent = false
+		return
+	}
+	held.granted, held.sent = 0, false
+}
+
+// arriving counts the requests that the router does not know yet.
+func (g *gate) arriving() int {
+	count := 0
+	for _, held := range g.asked {
+		if held.arrival != nil {
+			count++
+		}
+	}
+	return count
 }
 
 // refuse ends a request that the router does not know.
 func (g *gate) refuse(id cluster.RequestID, failure *verdict.Error) {
 	reason := routing.Explanation{Code: failure.Code, Setting: settingProof}
-	if failure.Code == verdict.CodeUnauthorized {
+	switch failure.Code {
+	case verdict.CodeUnauthorized:
 		reason.Setting = settingKey
+	case verdict.CodeTokenRateLimit:
+		reason.Setting = settingLimit
 	}
 	g.core.emit(RoutingOutput{Effect: routing.Finish{Request: id, Failure: failure, Reason: reason}})
 }
@@ -140,6 +316,13 @@
 		g.withhold(d, failure)
 		return
 	}
+	if g.charge(held) > 0 && !g.fresh(g.core.now, held, dispatchMargin) {
+		g.giveBack(held)
+		held.dispatch = &d
+		g.ask(held)
+		return
+	}
+	held.sent = true
 	g.core.emit(RoutingOutput{Effect: d})
 }
 
@@ -162,7 +345,15 @@
 }
 
 // finished forgets a request that has ended.
-func (g *gate) finished(id cluster.RequestID) { delete(g.requests, id) }
+func (g *gate) finished(id cluster.RequestID) {
+	held := g.requests[id]
+	if held == nil {
+		return
+	}
+	g.giveBack(held)
+	delete(g.requests, id)
+	delete(g.asked, held.asking)
+}
 
 // maySend is permit in the instant of a send.
 func (g *gate) maySend(now time.Time, id cluster.RequestID) *verdict.Error {
@@ -170,5 +361,12 @@
 	if held == nil {
 		return nil
 	}
-	return g.permit(now, held)
+	if failure := g.permit(now, held); failure != nil {
+		return failure
+	}
+	if g.charge(held) > 0 && !g.fresh(now, held, 0) {
+		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"the tokens of tenant %s were granted %s ago and have lapsed", held.tenant, now.Sub(held.askedAt).Round(time.Millisecond)).After(movedBack)
+	}
+	return nil
 }
--- /dev/null
+++ b/fleet/lending/borrow.go
@@ -0,0 +1,169 @@
+package lending
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// ask is a question for tokens that has no answer yet.
+type ask struct {
+	Asked
+	began time.Time
+	// nextAt is when another node is asked, or the question given up.
+	nextAt time.Time
+	// to is the node that was asked last, empty while it is known that nobody lends.
+	to cluster.NodeID
+}
+
+// asked asks for tokens, at this node itself if it lends.
+func (c *Core) asked(e Asked) {
+	a := &ask{Asked: e, began: c.now}
+	c.asks[e.Number] = a
+	c.askLender(a)
+	if _, waits := c.asks[e.Number]; waits && c.Deaf() {
+		c.answer(a, Answered{})
+	}
+}
+
+// askLender asks who lends, or a voter who that is.
+func (c *Core) askLender(a *ask) {
+	s := c.shards[shardOf(a.Tenant)]
+	if s.lends() {
+		wait, granted, known := s.lend(loanID{node: c.cfg.Self.ID, number: a.Number}, a.Tenant, a.Amount)
+		if known {
+			c.answer(a, Answered{Decided: true, Granted: granted, Wait: wait, AskedAt: c.now, Lender: c.cfg.Self.ID})
+			return
+		}
+	}
+	to := s.lender
+	if to.id == c.cfg.Self.ID || to.address == "" {
+		to = s.nextVoter()
+	}
+	a.to = to.id
+	a.nextAt = earliest(c.now.Add(askPatience), a.began.Add(AskLimit))
+	c.send(to.address, wire.TokensRequest{
+		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Number: a.Number, Tenant: a.Tenant, Amount: a.Amount,
+	})
+}
+
+// nextVoter is the voter to ask who lends, each time another one.
+func (s *shard) nextVoter() lender {
+	machines := s.voters.machines
+	for range machines {
+		machine := machines[s.next%len(machines)]
+		s.next++
+		if p, known := s.core.peers[machine]; known && machine != s.core.cfg.Self.Machine {
+			return lender{id: p.ID, address: p.Address}
+		}
+	}
+	return lender{}
+}
+
+// answer ends a question.
+func (c *Core) answer(a *ask, e Answered) {
+	delete(c.asks, a.Number)
+	e.Number, e.Tenant, e.Amount = a.Number, a.Tenant, a.Amount
+	c.emit(e)
+}
+
+// tickAsks asks another node where one has not answered, and gives up after a while.
+func (c *Core) tickAsks() {
+	var due []int64
+	for number, a := range c.asks {
+		if !c.now.Before(a.nextAt) {
+			due = append(due, number)
+		}
+	}
+	slices.Sort(due)
+	for _, number := range due {
+		a := c.asks[number]
+		if a.to != "" {
+			c.unheard++
+		}
+		if c.now.Sub(a.began) >= AskLimit {
+			c.answer(a, Answered{Wait: c.cfg.Lease})
+			continue
+		}
+		// Whoever was asked and has not answered is not asked first again.
+		if s := c.shards[shardOf(a.Tenant)]; a.to != "" && s.lender.id == a.to {
+			s.lender = lender{}
+		}
+		c.askLender(a)
+	}
+}
+
+// tokensRequested answers another node, if this one lends; otherwise it says who does.
+func (c *Core) tokensRequested(m *wire.TokensRequest) {
+	s := c.shards[shardOf(m.Tenant)]
+	if m.Returned {
+		s.takeBack(loanID{node: m.From, number: m.Number})
+		return
+	}
+	answer := wire.TokensAnswer{From: c.cfg.Self.ID, Number: m.Number}
+	if s.lends() {
+		answer.Wait, answer.Granted, answer.Lends = s.lend(loanID{node: m.From, number: m.Number}, m.Tenant, m.Amount)
+	} else if s.promised.to != "" && s.promised.to != m.From && c.now.Before(s.promised.until) {
+		answer.Lender, answer.LenderAddress = s.promised.to, s.promised.address
+	}
+	c.send(m.FromAddress, answer)
+}
+
+// lend lends tokens, or says when they would be there. It is not known where there is no
+// such limit.
+func (s *shard) lend(id loanID, tenant string, amount float64) (wait time.Duration, granted, known bool) {
+	b, l := s.buckets[tenant], s.core.limits[tenant]
+	if b == nil {
+		return 0, false, false
+	}
+	wait, granted = b.take(s.core.now, l, amount)
+	if granted {
+		s.loans.add(id, loan{tenant: tenant, amount: amount, at: s.core.now})
+	}
+	return wait, granted, true
+}
+
+// takeBack takes back, once, what this node lent and what was not used.
+func (s *shard) takeBack(id loanID) {
+	lent, known := s.loans.remove(id)
+	b := s.buckets[lent.tenant]
+	if known && b != nil && s.lends() {
+		b.giveBack(s.core.now, s.core.limits[lent.tenant], lent.amount)
+	}
+}
+
+// giveBack gives tokens back to whoever lends.
+func (c *Core) giveBack(e Returned) {
+	s := c.shards[shardOf(e.Tenant)]
+	if s.lends() {
+		s.takeBack(loanID{node: c.cfg.Self.ID, number: e.Number})
+		return
+	}
+	c.send(s.lender.address, wire.TokensRequest{
+		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Number: e.Number, Tenant: e.Tenant, Returned: true,
+	})
+}
+
+// tokensAnswered takes an answer. One of a node that does not lend may name who does.
+func (c *Core) tokensAnswered(m *wire.TokensAnswer) {
+	a := c.asks[m.Number]
+	if a == nil || m.From != a.to {
+		return
+	}
+	s := c.shards[shardOf(a.Tenant)]
+	if m.Lends {
+		s.lender = lender{id: m.From, address: c.peers[c.machines[m.From]].Address}
+		c.answer(a, Answered{Decided: true, Granted: m.Granted, Wait: m.Wait, AskedAt: a.began, Lender: m.From})
+		return
+	}
+	s.lender = lender{id: m.Lender, address: m.LenderAddress}
+	if m.Lender != "" && m.Lender != c.cfg.Self.ID {
+		c.askLender(a)
+		return
+	}
+	s.lender = lender{}
+	a.to = ""
+	a.nextAt = earliest(c.now.Add(askAgain), a.began.Add(AskLimit))
+}
--- /dev/null
+++ b/fleet/lending/config.go
@@ -0,0 +1,99 @@
+package lending
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// Shards of tenants. It is the same on all nodes, or two would lend for one tenant: few
+// enough that their voters cost next to nothing (20 messages a second each), and enough that
+// a lender of 2,100 requests a second is asked 525 times.
+const Shards = 4
+
+// Voters of a shard, at most: two of them may be away.
+const maxVoters = 5
+
+// Defaults of Config.
+const (
+	// defaultLease is how long nobody lends after a lender's end, at most: three renewals may
+	// be late or lost.
+	defaultLease = 700 * time.Millisecond
+	// defaultLifetime leaves time for a queue, a new connection and a slow machine between
+	// the asking and the send; a limit of R a second may be exceeded by R times it.
+	defaultLifetime = 400 * time.Millisecond
+	defaultWindow   = 10 * time.Second
+)
+
+const (
+	// renewalsPerLease is how often a lender asks its voters within a lease.
+	renewalsPerLease = 3.5
+	// leaseMargin is by how much a lender counts its lease shorter than its voters, for
+	// clocks that run apart.
+	leaseMargin = 50 * time.Millisecond
+	// candidateStep is by how much each further voter waits longer before it claims a shard
+	// that nobody lends: two round trips within a region, so that one claims for all.
+	candidateStep = 80 * time.Millisecond
+	// viewOverlap is for how long others may go by an earlier view of the nodes: for longer
+	// than a node may send requests without proof of what it knows.
+	viewOverlap = 5 * time.Second
+	// askPatience is how long a lender may take to answer; then another node is asked who
+	// lends.
+	askPatience = 60 * time.Millisecond
+	// askAgain is the pause after the answer that nobody lends.
+	askAgain = 40 * time.Millisecond
+	// AskLimit is how long a request waits for its tokens at most. A lender's end takes
+	// longer: to wait for its successor would cost each request 0.7 s, and spares a twentieth
+	// of them a second try.
+	AskLimit = 350 * time.Millisecond
+	// deafAfter questions without any message of another node since, this one is taken to be
+	// cut off from them: it answers at once that nobody lends, and goes on asking.
+	deafAfter = 3
+	// longestOwed bounds, in seconds of the limit, what callers sent back are counted for.
+	longestOwed = 30
+	// creditParts is into how many parts the allowance is divided of which a successor gets
+	// one; no more than as many successors get one within a window.
+	creditParts = 4
+)
+
+// Peer is a live node.
+type Peer struct {
+	ID cluster.NodeID
+	// Machine that the node runs on; it stays the same when the node starts anew.
+	Machine string
+	// Address, host:port, takes messages of other nodes.
+	Address  string
+	Zone     cluster.ZoneID
+	Capacity float64
+}
+
+// Limit of a tenant: units a second, and what may be used at once beyond that.
+type Limit struct{ Rate, Burst float64 }
+
+// Config tunes a Core; a zero field takes its default.
+type Config struct {
+	Self Peer
+	// Window over which limits are judged. Within one, the share Overrun of a limit and
+	// Slack units may be used beyond it. Default 10 s, and nothing beyond.
+	Window         time.Duration
+	Overrun, Slack float64
+	// Lease is how long a promise of voters lasts. Default 700 ms.
+	Lease time.Duration
+	// Lifetime is within what time of the asking granted tokens are used. Default 400 ms.
+	Lifetime time.Duration
+}
+
+// WithDefaults fills zero fields.
+func (c Config) WithDefaults() Config {
+	c.Window = cmp.Or(c.Window, defaultWindow)
+	c.Lease = cmp.Or(c.Lease, defaultLease)
+	c.Lifetime = cmp.Or(c.Lifetime, defaultLifetime)
+	return c
+}
+
+// credit is what a successor may lend at once.
+func (c *Config) credit(l Limit) float64 {
+	beyond := c.Overrun*(l.Rate*c.Window.Seconds()+l.Burst) + c.Slack - l.Rate*c.Lifetime.Seconds()
+	return min(max(beyond/creditParts, 0), l.Burst)
+}
--- /dev/null
+++ b/fleet/lending/core.go
@@ -0,0 +1,145 @@
+package lending
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Core lends, votes and borrows for one node; it is not safe for concurrent use.
+type Core struct {
+	cfg       Config
+	now       time.Time
+	startedAt time.Time
+	limits    map[string]Limit
+	// peers by machine, and machines by node.
+	peers    map[string]Peer
+	machines map[cluster.NodeID]string
+	shards   [Shards]*shard
+	asks     map[int64]*ask
+	numbers  int64
+	// unheard counts the questions that got no answer since the last message of any node.
+	unheard  int
+	stopping bool
+	effects  []Effect
+}
+
+// New returns a core that knows no other node.
+func New(cfg Config) *Core {
+	c := &Core{cfg: cfg.WithDefaults(), asks: map[int64]*ask{}}
+	for i := range c.shards {
+		c.shards[i] = &shard{core: c, number: i}
+	}
+	return c
+}
+
+// Step takes one event and returns the effects, valid until the next Step.
+func (c *Core) Step(now time.Time, e Event) []Effect {
+	if c.startedAt.IsZero() {
+		// Votes for an earlier process of the machine are no votes for this one.
+		c.startedAt, c.numbers = now, now.UnixNano()
+	}
+	c.now = now
+	c.effects = c.effects[:0]
+	for _, s := range c.shards {
+		s.expire()
+	}
+	switch e := e.(type) {
+	case PeersChanged:
+		c.peersChanged(e.Peers)
+	case LimitsChanged:
+		c.limits = e.Limits
+		for _, s := range c.shards {
+			s.limitsChanged()
+		}
+	case Asked:
+		c.asked(e)
+	case Returned:
+		c.giveBack(e)
+	case Received:
+		c.received(e.Message)
+	case Stopping:
+		c.stopping = true
+		for _, s := range c.shards {
+			s.release()
+		}
+	}
+	for _, s := range c.shards {
+		s.tick()
+	}
+	c.tickAsks()
+	return c.effects
+}
+
+// NextDue returns when the next Tick has something to do, zero for never.
+func (c *Core) NextDue() time.Time {
+	var next time.Time
+	note := func(at time.Time) {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	for _, s := range c.shards {
+		note(s.due())
+	}
+	for _, a := range c.asks {
+		note(a.nextAt)
+	}
+	return next
+}
+
+// Lends reports whether this node lends for a tenant.
+func (c *Core) Lends(tenant string) bool { return c.shards[shardOf(tenant)].lends() }
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) send(address string, m wire.Message) {
+	if address != "" {
+		c.emit(Send{Address: address, Message: m})
+	}
+}
+
+// active reports whether there is anything to lend.
+func (c *Core) active() bool { return len(c.limits) > 0 && !c.stopping }
+
+// peersChanged takes the live nodes, this one among them.
+func (c *Core) peersChanged(peers []Peer) {
+	c.peers = make(map[string]Peer, len(peers)+1)
+	c.machines = make(map[cluster.NodeID]string, len(peers)+1)
+	for _, p := range append(slices.Clone(peers), c.cfg.Self) {
+		if before, known := c.peers[p.Machine]; known {
+			delete(c.machines, before.ID)
+		}
+		c.peers[p.Machine] = p
+		c.machines[p.ID] = p.Machine
+	}
+	all := slices.Collect(maps.Values(c.peers))
+	for _, s := range c.shards {
+		s.votersChanged(votersOf(s.number, all))
+	}
+}
+
+// Deaf reports whether this node is cut off from those that lend.
+func (c *Core) Deaf() bool { return c.active() && c.unheard >= deafAfter }
+
+// received takes a message of another node.
+func (c *Core) received(message wire.Message) {
+	c.unheard = 0
+	switch m := message.(type) {
+	case wire.LenderClaim:
+		if m.Shard >= 0 && m.Shard < Shards {
+			c.shards[m.Shard].claimed(&m)
+		}
+	case wire.LenderVote:
+		if m.Shard >= 0 && m.Shard < Shards {
+			c.shards[m.Shard].voted(m.From, &m)
+		}
+	case wire.TokensRequest:
+		c.tokensRequested(&m)
+	case wire.TokensAnswer:
+		c.tokensAnswered(&m)
+	}
+}
--- /dev/null
+++ b/fleet/lending/events.go
@@ -0,0 +1,82 @@
+package lending
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// Event is an input of a Core.
+type Event interface{ lendingEvent() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// PeersChanged brings the live nodes.
+type PeersChanged struct{ Peers []Peer }
+
+// LimitsChanged brings the limits of the tenants that have one.
+type LimitsChanged struct{ Limits map[string]Limit }
+
+// Asked asks for tokens; Answered answers with the same number.
+type Asked struct {
+	Number int64
+	Tenant string
+	Amount float64
+}
+
+// Returned gives tokens back that were granted by the answer of a number and not used.
+type Returned struct {
+	Number int64
+	Tenant string
+}
+
+// Received brings a message of another node.
+type Received struct{ Message wire.Message }
+
+// Stopping gives up what this node lends, for others to lend it at once.
+type Stopping struct{}
+
+func (Tick) lendingEvent()          {}
+func (PeersChanged) lendingEvent()  {}
+func (LimitsChanged) lendingEvent() {}
+func (Asked) lendingEvent()         {}
+func (Returned) lendingEvent()      {}
+func (Received) lendingEvent()      {}
+func (Stopping) lendingEvent()      {}
+
+// Effect is an output of a Core.
+type Effect interface{ lendingEffect() }
+
+// Send sends a message to a node; it may be lost.
+type Send struct {
+	Address string
+	Message wire.Message
+}
+
+// Answered answers an Asked. Decided is false when nobody could be found who lends.
+type Answered struct {
+	Number           int64
+	Tenant           string
+	Amount           float64
+	Decided, Granted bool
+	// Wait until the tokens are there for whom they were refused.
+	Wait time.Duration
+	// AskedAt is from when on what was granted is used or given back.
+	AskedAt time.Time
+	// Lender that decided.
+	Lender cluster.NodeID
+}
+
+// LeaseChanged says that this node begins or ends to lend for a shard.
+type LeaseChanged struct {
+	Shard int
+	Held  bool
+	// Settled is for how long nobody else had been promised the shard.
+	Settled time.Duration
+}
+
+func (Send) lendingEffect()         {}
+func (Answered) lendingEffect()     {}
+func (LeaseChanged) lendingEffect() {}
--- /dev/null
+++ b/fleet/lending/shard.go
@@ -0,0 +1,307 @@
+package lending
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// shard is what a node knows and does of one shard: as a voter, as its lender, and as one of
+// those that ask for tokens.
+type shard struct {
+	core   *Core
+	number int
+	// voters are the present ones, earlier those that still count.
+	voters  voterSet
+	earlier []voterSet
+
+	promised promise
+	// claimAt is when this node, as a voter, claims the shard unless somebody lends.
+	claimAt time.Time
+	claim   claim
+	// held is set while this node lends, until a time.
+	held    bool
+	until   time.Time
+	buckets map[string]*bucket
+	// loans are what was lent lately.
+	loans loans
+
+	// lender is who lent last, as far as is known, and next the voter to ask for it.
+	lender lender
+	next   int
+}
+
+// promise is a voter's: nobody else is let lend.
+type promise struct {
+	to      cluster.NodeID
+	address string
+	until   time.Time
+	// since is when the shard was first promised to that node, or to nobody.
+	since time.Time
+}
+
+// lender is a node and where it takes messages.
+type lender struct {
+	id      cluster.NodeID
+	address string
+}
+
+// claim is a round of questions to the voters.
+type claim struct {
+	number int64
+	sentAt time.Time
+	// votes by machine, each with for how long the shard had been settled.
+	votes map[string]time.Duration
+	// won is set once there are enough of them.
+	won bool
+}
+
+// lends reports whether this node lends now.
+func (s *shard) lends() bool { return s.held && s.core.now.Before(s.until) }
+
+// rank is this node's place among the voters, negative for none.
+func (s *shard) rank() int { return slices.Index(s.voters.machines, s.core.cfg.Self.Machine) }
+
+// votersChanged takes the voters by the present view.
+func (s *shard) votersChanged(machines []string) {
+	if slices.Equal(machines, s.voters.machines) {
+		return
+	}
+	if len(s.voters.machines) > 0 {
+		before := s.voters
+		before.until = s.core.now.Add(viewOverlap)
+		s.earlier = append(s.earlier, before)
+	}
+	s.voters = voterSet{machines: machines}
+	s.next = 0
+	s.planClaim()
+}
+
+// expire ends what is over.
+func (s *shard) expire() {
+	now := s.core.now
+	s.earlier = slices.DeleteFunc(s.earlier, func(v voterSet) bool { return !now.Before(v.until) })
+	if s.held && !now.Before(s.until) {
+		s.lost()
+	}
+}
+
+// lost ends to lend.
+func (s *shard) lost() {
+	s.held, s.buckets, s.loans = false, nil, loans{}
+	s.core.emit(LeaseChanged{Shard: s.number})
+	s.planClaim()
+}
+
+// planClaim plans to claim the shard once nobody can be lending any more.
+func (s *shard) planClaim() {
+	s.claimAt = time.Time{}
+	rank := s.rank()
+	if rank < 0 || s.held {
+		return
+	}
+	from := s.core.startedAt.Add(s.core.cfg.Lease)
+	for _, at := range []time.Time{s.promised.until, s.core.now} {
+		if at.After(from) {
+			from = at
+		}
+	}
+	s.claimAt = from.Add(time.Duration(rank) * candidateStep)
+}
+
+// due is when the shard has something to do, zero for never.
+func (s *shard) due() time.Time {
+	if !s.core.active() {
+		return time.Time{}
+	}
+	if s.held {
+		return earliest(s.renewAt(), s.until)
+	}
+	return s.claimAt
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// renewAt is when a lender asks its voters again.
+func (s *shard) renewAt() time.Time {
+	return s.claim.sentAt.Add(time.Duration(float64(s.core.cfg.Lease) / renewalsPerLease))
+}
+
+// tick renews the lease, or claims the shard.
+func (s *shard) tick() {
+	now := s.core.now
+	switch {
+	case !s.core.active():
+	case s.held && !now.Before(s.renewAt()):
+		s.ask()
+	case !s.held && !s.claimAt.IsZero() && !now.Before(s.claimAt):
+		// Unless enough voters answer, the next try comes when the promises that this one
+		// may have got are over.
+		s.claimAt = now.Add(s.core.cfg.Lease + time.Duration(s.rank()+1)*candidateStep)
+		s.ask()
+	}
+}
+
+// ask begins a round: all voters of all sets that count are asked.
+func (s *shard) ask() {
+	c := s.core
+	c.numbers++
+	s.claim = claim{number: c.numbers, sentAt: c.now, votes: map[string]time.Duration{}}
+	message := wire.LenderClaim{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Shard: s.number, Number: c.numbers}
+	for _, machine := range s.electorate() {
+		if machine == c.cfg.Self.Machine {
+			continue
+		}
+		c.send(c.peers[machine].Address, message)
+	}
+	if granted, settled := s.promise(c.cfg.Self.ID, c.cfg.Self.Address); granted {
+		s.count(c.cfg.Self.Machine, settled)
+	}
+}
+
+// electorate lists the machines of all sets that count.
+func (s *shard) electorate() []string {
+	machines := slices.Clone(s.voters.machines)
+	for i := range s.earlier {
+		machines = append(machines, s.earlier[i].machines...)
+	}
+	slices.Sort(machines)
+	return slices.Compact(machines)
+}
+
+// claimed answers another node's claim.
+func (s *shard) claimed(m *wire.LenderClaim) {
+	if m.Release {
+		if s.promised.to == m.From {
+			s.promised = promise{since: s.promised.since}
+			s.planClaim()
+		}
+		return
+	}
+	granted, settled := s.promise(m.From, m.FromAddress)
+	if granted {
+		s.lender = lender{id: m.From, address: m.FromAddress}
+		s.planClaim()
+	}
+	s.core.send(m.FromAddress, wire.LenderVote{
+		From: s.core.cfg.Self.ID, Shard: s.number, Number: m.Number, Granted: granted, Settled: settled,
+	})
+}
+
+// promise promises the shard to a node unless another one has it, and says for how long that
+// did not change before.
+func (s *shard) promise(to cluster.NodeID, address string) (granted bool, settled time.Duration) {
+	c := s.core
+	if c.now.Before(c.startedAt.Add(c.cfg.Lease)) {
+		return false, 0
+	}
+	if s.promised.to != to && c.now.Before(s.promised.until) {
+		return false, 0
+	}
+	since := s.promised.since
+	if since.Before(c.startedAt) {
+		since = c.startedAt
+	}
+	settled = c.now.Sub(since)
+	if s.promised.to != to {
+		s.promised = promise{to: to, since: c.now}
+	}
+	s.promised.address, s.promised.until = address, c.now.Add(c.cfg.Lease)
+	return true, settled
+}
+
+// voted takes a voter's answer.
+func (s *shard) voted(from cluster.NodeID, m *wire.LenderVote) {
+	machine, known := s.core.machines[from]
+	if !known || m.Number != s.claim.number || !m.Granted {
+		return
+	}
+	s.count(machine, m.Settled)
+}
+
+// count counts a vote. With a majority of each set the lease lasts from when the voters were
+// asked.
+func (s *shard) count(machine string, settled time.Duration) {
+	s.claim.votes[machine] = settled
+	if s.claim.won || !s.voters.isMajority(s.claim.votes) {
+		return
+	}
+	for i := range s.earlier {
+		if !s.earlier[i].isMajority(s.claim.votes) {
+			return
+		}
+	}
+	until := s.claim.sentAt.Add(s.core.cfg.Lease - leaseMargin)
+	if !s.core.now.Before(until) || s.core.stopping {
+		return
+	}
+	s.claim.won, s.until = true, until
+	if !s.held {
+		s.begin()
+	}
+}
+
+// begin begins to lend, with empty buckets but for a credit where lenders have not changed
+// for a while.
+func (s *shard) begin() {
+	c := s.core
+	s.held, s.claimAt = true, time.Time{}
+	s.lender = lender{id: c.cfg.Self.ID, address: c.cfg.Self.Address}
+	settled := c.cfg.Window
+	for _, voted := range s.claim.votes {
+		settled = min(settled, voted)
+	}
+	s.buckets = map[string]*bucket{}
+	for tenant, l := range c.limits {
+		if shardOf(tenant) != s.number {
+			continue
+		}
+		b := &bucket{filledAt: c.now}
+		if settled >= c.cfg.Window/creditParts {
+			b.level = c.cfg.credit(l)
+		}
+		s.buckets[tenant] = b
+	}
+	c.emit(LeaseChanged{Shard: s.number, Held: true, Settled: settled})
+}
+
+// limitsChanged adds buckets of new tenants, empty, and drops those of removed ones.
+func (s *shard) limitsChanged() {
+	if !s.held {
+		s.planClaim()
+		return
+	}
+	for tenant := range s.buckets {
+		if _, limited := s.core.limits[tenant]; !limited {
+			delete(s.buckets, tenant)
+		}
+	}
+	for tenant, l := range s.core.limits {
+		if s.buckets[tenant] == nil && shardOf(tenant) == s.number {
+			s.buckets[tenant] = &bucket{filledAt: s.core.now, level: s.core.cfg.credit(l)}
+		}
+	}
+}
+
+// release gives the shard up.
+func (s *shard) release() {
+	if !s.held {
+		return
+	}
+	c := s.core
+	message := wire.LenderClaim{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Shard: s.number, Release: true}
+	for _, machine := range s.electorate() {
+		if machine != c.cfg.Self.Machine {
+			c.send(c.peers[machine].Address, message)
+		}
+	}
+	s.promised = promise{since: s.promised.since}
+	s.lost()
+}
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/fleet/lending"
 )
 
 // Keys in the store.
@@ -38,6 +40,13 @@
 	Revision int64 `json:"-"`
 }
 
+// peer is the node as one that lends tokens.
+func (e NodeEntry) peer() lending.Peer {
+	return lending.Peer{
+		ID: e.ID, Machine: cmp.Or(e.Machine, string(e.ID)), Address: e.Address, Zone: e.Zone, Capacity: e.Capacity,
+	}
+}
+
 // Encode returns the record's form in the store.
 func (e NodeEntry) Encode() []byte {
 	data, err := json.Marshal(e)
--- a/fleet/shell/keys.go
+++ b/fleet/shell/keys.go
@@ -66,12 +66,11 @@
 	}
 }
 
-// unproven reports whether too little is known of callers' keys to serve those that need
-// one.
-func (n *Node) unproven() bool {
+// serves reports whether callers who need a key can be served.
+func (n *Node) serves() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.core != nil && n.core.Unproven(n.Now())
+	return n.core == nil || n.core.Serves(n.Now())
 }
 
 // keysAge is how old the proof of callers' keys is; false without one.
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -181,7 +181,7 @@
 
 // answerReady answers whether the node takes new connections.
 func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !n.isReady.Load() || n.stopping.Load() || n.unproven() {
+	if !n.isReady.Load() || n.stopping.Load() || !n.serves() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -110,7 +110,7 @@
 		KindLenderClaim: LenderClaim{From: "node-a", FromAddress: "10.0.0.1:7000", Shard: 2, Number: 7, Release: true},
 		KindLenderVote:  LenderVote{From: "node-a", Shard: 2, Number: 7, Granted: true, Settled: time.Second},
 		KindTokensRequest: TokensRequest{
-			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Tenant: "dental", Amount: 1540, Returned: 200,
+			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Tenant: "dental", Amount: 1540, Returned: true,
 		},
 		KindTokensAnswer: TokensAnswer{
 			From: "node-a", Number: 7, Lends: true, Granted: true, Wait: time.Second, Lender: "node-b", LenderAddress: "10.0.0.2:7000",
--- a/wire/lending.go
+++ b/wire/lending.go
@@ -27,16 +27,16 @@
 	Settled time.Duration
 }
 
-// TokensRequest asks a lender for a part of what a tenant may use, in the units of its limit.
+// TokensRequest asks a lender for a part of what a tenant may use, in the units of its limit,
+// or gives back what was granted to the request of the same number.
 type TokensRequest struct {
 	From        cluster.NodeID
 	FromAddress string
-	// Number pairs the answer with the request; a request that only returns has none.
-	Number int64
-	Tenant string
-	Amount float64
-	// Returned is what was granted before and was not used.
-	Returned float64
+	// Number pairs the answer with the request.
+	Number   int64
+	Tenant   string
+	Amount   float64
+	Returned bool
 }
 
 // TokensAnswer answers a TokensRequest.
