Lend what a window grants, and to the urgent first

Change: half a second's worth is held, the rest of a window's grant flows evenly; a bucket keeps what more urgent ranks asked for lately. Claims name the sets of voters that they count; a voter for whom another one counts says so, and lets a lender by an earlier view go on for 3 s at most; a lender needs a proof of what is in force. A refusal names the limit.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -58,7 +58,7 @@
 	c.HolderTTL = cmp.Or(c.HolderTTL, 2*time.Second)
 	c.NodeTTL = cmp.Or(c.NodeTTL, 30*time.Second)
 	c.PauseHold = cmp.Or(c.PauseHold, 300*time.Millisecond)
-	c.Lending.Self = c.Self.peer()
+	c.Lending.Self, c.Lending.ProofWithin = c.Self.peer(), c.KeyProof
 	c.Lending = c.Lending.WithDefaults()
 	return c
 }
--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet/lending"
@@ -63,8 +64,8 @@
 	id                 cluster.RequestID
 	credential, tenant string
 	public             bool
-	// tokens that the request states.
-	tokens int
+	// tokens that the request states, and its rank.
+	tokens, rank int
 	// arrival is held until its tokens are there, and dispatch likewise.
 	arrival  *routing.Request
 	dispatch *routing.Dispatch
@@ -87,6 +88,7 @@
 func (g *gate) proven(at time.Time) {
 	if at.After(g.provenAt) {
 		g.provenAt = at
+		g.core.lend(lending.Proven{At: at})
 	}
 }
 
@@ -149,7 +151,7 @@
 	}
 	held := &gated{
 		id: request.ID, credential: request.Credential, tenant: request.Tenant, public: request.Public,
-		tokens: request.PromptTokens + request.MaxTokens,
+		tokens: request.PromptTokens + request.MaxTokens, rank: request.Rank,
 	}
 	if failure := g.permit(g.core.now, held); failure != nil {
 		g.refuse(request.ID, failure)
@@ -182,7 +184,7 @@
 	}
 	held.asking = g.numbers
 	g.asked[held.asking] = held
-	g.core.lend(lending.Asked{Number: held.asking, Tenant: held.tenant, Amount: g.charge(held)})
+	g.core.lend(lending.Asked{Number: held.asking, Tenant: held.tenant, Amount: g.charge(held), Rank: held.rank})
 }
 
 // answered takes the answer to a question for tokens.
@@ -227,8 +229,13 @@
 		return verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 			"nobody lends the tokens of tenant %s at the moment", e.Tenant).After(unlentBack)
 	}
+	var limit catalog.Limit
+	if tenant := g.core.compiled.Tenant(e.Tenant); tenant != nil {
+		limit = tenant.Limit
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeTokenRateLimit,
-		"tenant %s is beyond its limit, by %s", e.Tenant, e.Lender).After(e.Wait)
+		"tenant %s is beyond its limit of %.0f a second and a burst of %.0f: %s has not %.0f left",
+		e.Tenant, limit.Rate, limit.Burst, e.Lender, e.Amount).After(e.Wait)
 }
 
 // fresh reports whether the tokens may be used now, with so much of their lifetime left.
--- a/fleet/lending/borrow.go
+++ b/fleet/lending/borrow.go
@@ -32,7 +32,7 @@
 func (c *Core) askLender(a *ask) {
 	s := c.shards[shardOf(a.Tenant)]
 	if s.lends() {
-		wait, granted, known := s.lend(loanID{node: c.cfg.Self.ID, number: a.Number}, a.Tenant, a.Amount)
+		wait, granted, known := s.lend(loanID{node: c.cfg.Self.ID, number: a.Number}, a.Tenant, a.Amount, a.Rank)
 		if known {
 			c.answer(a, Answered{Decided: true, Granted: granted, Wait: wait, AskedAt: c.now, Lender: c.cfg.Self.ID})
 			return
@@ -45,7 +45,7 @@
 	a.to = to.id
 	a.nextAt = earliest(c.now.Add(askPatience), a.began.Add(AskLimit))
 	c.send(to.address, wire.TokensRequest{
-		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Number: a.Number, Tenant: a.Tenant, Amount: a.Amount,
+		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Number: a.Number, Tenant: a.Tenant, Amount: a.Amount, Rank: a.Rank,
 	})
 }
 
@@ -104,7 +104,7 @@
 	}
 	answer := wire.TokensAnswer{From: c.cfg.Self.ID, Number: m.Number}
 	if s.lends() {
-		answer.Wait, answer.Granted, answer.Lends = s.lend(loanID{node: m.From, number: m.Number}, m.Tenant, m.Amount)
+		answer.Wait, answer.Granted, answer.Lends = s.lend(loanID{node: m.From, number: m.Number}, m.Tenant, m.Amount, m.Rank)
 	} else if s.promised.to != "" && s.promised.to != m.From && c.now.Before(s.promised.until) {
 		answer.Lender, answer.LenderAddress = s.promised.to, s.promised.address
 	}
@@ -113,12 +113,12 @@
 
 // lend lends tokens, or says when they would be there. It is not known where there is no
 // such limit.
-func (s *shard) lend(id loanID, tenant string, amount float64) (wait time.Duration, granted, known bool) {
-	b, l := s.buckets[tenant], s.core.limits[tenant]
+func (s *shard) lend(id loanID, tenant string, amount float64, rank int) (wait time.Duration, granted, known bool) {
+	b := s.buckets[tenant]
 	if b == nil {
 		return 0, false, false
 	}
-	wait, granted = b.take(s.core.now, l, amount)
+	wait, granted = b.take(s.core.now, s.core.cfg.flow(s.core.limits[tenant]), amount, rank)
 	if granted {
 		s.loans.add(id, loan{tenant: tenant, amount: amount, at: s.core.now})
 	}
@@ -130,7 +130,7 @@
 	lent, known := s.loans.remove(id)
 	b := s.buckets[lent.tenant]
 	if known && b != nil && s.lends() {
-		b.giveBack(s.core.now, s.core.limits[lent.tenant], lent.amount)
+		b.giveBack(s.core.now, s.core.cfg.flow(s.core.limits[lent.tenant]), lent.amount)
 	}
 }
 
--- /dev/null
+++ b/fleet/lending/bucket_test.go
@@ -0,0 +1,101 @@
+package lending
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var bucketTerms = Config{Window: 8 * time.Second, Overrun: 0.1, Slack: 11000}.WithDefaults()
+
+// TestBucketsKeepTheirWindow: whatever is asked for and given back, and when, no window holds
+// more than the limit grants and the part of the slack that buckets hold, but for one request
+// that is larger than a bucket.
+func TestBucketsKeepTheirWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Rate: rapid.Float64Range(100, 200_000).Draw(t, "rate"), Burst: rapid.Float64Range(0, 400_000).Draw(t, "burst")}
+		f := bucketTerms.flow(l)
+		now := time.Unix(1000, 0)
+		b := &bucket{filledAt: now, level: f.capacity}
+		type use struct {
+			at     time.Time
+			amount float64
+		}
+		var uses []use
+		largest := 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "uses") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			amount := rapid.Float64Range(1, 3000).Draw(t, "amount")
+			if _, granted := b.take(now, f, amount, rapid.IntRange(-1, 11).Draw(t, "rank")); granted {
+				if rapid.IntRange(0, 9).Draw(t, "given back") == 0 {
+					b.giveBack(now, f, amount)
+					continue
+				}
+				uses = append(uses, use{now, amount})
+				largest = max(largest, amount)
+			}
+		}
+		most := bucketTerms.granted(l) + bucketTerms.Slack*slackShare + max(largest-f.capacity, 0) + 1
+		for first := range uses {
+			sum := 0.0
+			for _, u := range uses[first:] {
+				if u.at.Sub(uses[first].at) > bucketTerms.Window {
+					break
+				}
+				sum += u.amount
+			}
+			if sum > most {
+				t.Fatalf("%.0f in a window, at most %.0f", sum, most)
+			}
+		}
+	})
+}
+
+// TestUrgentRanksComeFirst: a tenant that sends four times what it may, a tenth of it urgent,
+// has its urgent requests granted, and together it gets nine tenths of its window.
+func TestUrgentRanksComeFirst(t *testing.T) {
+	l := Limit{Rate: 25_000, Burst: 25_000}
+	f := bucketTerms.flow(l)
+	start := time.Unix(1000, 0)
+	b := &bucket{filledAt: start, level: f.capacity}
+	var used, urgent, granted float64
+	const amount = 1540
+	pause := time.Duration(amount / (4 * l.Rate) * float64(time.Second))
+	for n := 0; n < 4000; n++ {
+		rank := 2
+		if n%10 == 0 {
+			rank = 1
+			urgent++
+		}
+		if _, ok := b.take(start.Add(time.Duration(n)*pause), f, amount, rank); ok {
+			used += amount
+			if rank == 1 {
+				granted++
+			}
+		}
+	}
+	windows := (4000 * pause).Seconds() / bucketTerms.Window.Seconds()
+	if granted < 0.99*urgent || used < 0.9*windows*bucketTerms.granted(l) {
+		t.Errorf("%.0f of %.0f urgent ones are granted, and %.0f used of %.0f", granted, urgent, used, windows*bucketTerms.granted(l))
+	}
+}
+
+// TestReturningCallersComeInTurn: those sent back at one moment are told different times, one
+// request apart.
+func TestReturningCallersComeInTurn(t *testing.T) {
+	f := flow{rate: 1000, capacity: 1000}
+	now := time.Unix(1000, 0)
+	b := &bucket{filledAt: now}
+	var before time.Duration
+	for n := range 20 {
+		wait, granted := b.take(now, f, 100, 0)
+		if granted || wait <= before {
+			t.Fatalf("caller %d is told %v after %v", n, wait, before)
+		}
+		if n > 0 && wait-before != 100*time.Millisecond {
+			t.Errorf("caller %d is told to come %v after the one before", n, wait-before)
+		}
+		before = wait
+	}
+}
--- a/fleet/lending/config.go
+++ b/fleet/lending/config.go
@@ -38,6 +38,11 @@
 	// viewOverlap is for how long others may go by an earlier view of the nodes: for longer
 	// than a node may send requests without proof of what it knows.
 	viewOverlap = 5 * time.Second
+	// viewLag is for how long voters let a lender go on by an earlier view than theirs. It
+	// ends before others may lend by the later one alone.
+	viewLag = 3 * time.Second
+	// maxEarlier bounds the earlier sets of voters that count.
+	maxEarlier = 32
 	// askPatience is how long a lender may take to answer; then another node is asked who
 	// lends.
 	askPatience = 60 * time.Millisecond
@@ -52,6 +57,19 @@
 	deafAfter = 3
 	// longestOwed bounds, in seconds of the limit, what callers sent back are counted for.
 	longestOwed = 30
+	// burstTime is how much of a limit, in time, a bucket holds beyond its part of the slack.
+	// What a window may hold besides is given evenly: under a flood a tenant gets 0.94 of its
+	// window where its burst is a second's, 0.89 where the bucket held all of the burst.
+	burstTime = 500 * time.Millisecond
+	// slackShare of the slack lets buckets hold a few requests more; the rest is for
+	// successors. Requests of 1,540 tokens against a limit of 24,000 a second: 12 at once.
+	slackShare = 0.6
+	// reserveTime is for how much time a bucket keeps what more urgent ranks ask for, and
+	// reserveShare of it at most.
+	reserveTime  = time.Second
+	reserveShare = 0.7
+	// demandTime is over what time the demand of a rank is learned.
+	demandTime = 2 * time.Second
 	// creditParts is into how many parts the allowance is divided of which a successor gets
 	// one; no more than as many successors get one within a window.
 	creditParts = 4
@@ -68,9 +86,12 @@
 	Capacity float64
 }
 
-// Limit of a tenant: units a second, and what may be used at once beyond that.
+// Limit of a tenant: units a second, and what may be used beyond that within a window.
 type Limit struct{ Rate, Burst float64 }
 
+// flow is a limit as a bucket: what is given evenly, and what it holds.
+type flow struct{ rate, capacity float64 }
+
 // Config tunes a Core; a zero field takes its default.
 type Config struct {
 	Self Peer
@@ -80,6 +101,9 @@
 	Overrun, Slack float64
 	// Lease is how long a promise of voters lasts. Default 700 ms.
 	Lease time.Duration
+	// ProofWithin, when not zero, is how old the proof may be that this node knows what is
+	// in force, for it to lend.
+	ProofWithin time.Duration
 	// Lifetime is within what time of the asking granted tokens are used. Default 400 ms.
 	Lifetime time.Duration
 }
@@ -92,8 +116,20 @@
 	return c
 }
 
-// credit is what a successor may lend at once.
+// granted is what a tenant may use in a window.
+func (c *Config) granted(l Limit) float64 { return l.Rate*c.Window.Seconds() + l.Burst }
+
+// flow divides what a window may hold into what a bucket holds and what flows into it.
+func (c *Config) flow(l Limit) flow {
+	held := min(l.Burst, l.Rate*burstTime.Seconds())
+	return flow{rate: (c.granted(l) - held) / c.Window.Seconds(), capacity: held + c.Slack*slackShare}
+}
+
+// credit is what a successor may lend at once: a part of the allowance that is not spoken
+// for. Tokens are used up to their lifetime after they were lent, so a window may hold that
+// much of the flow more.
 func (c *Config) credit(l Limit) float64 {
-	beyond := c.Overrun*(l.Rate*c.Window.Seconds()+l.Burst) + c.Slack - l.Rate*c.Lifetime.Seconds()
-	return min(max(beyond/creditParts, 0), l.Burst)
+	f := c.flow(l)
+	beyond := c.Overrun*c.granted(l) + c.Slack*(1-slackShare) - f.rate*c.Lifetime.Seconds()
+	return min(max(beyond/creditParts, 0), f.capacity)
 }
--- a/fleet/lending/core.go
+++ b/fleet/lending/core.go
@@ -24,6 +24,8 @@
 	// unheard counts the questions that got no answer since the last message of any node.
 	unheard  int
 	stopping bool
+	// provenAt is when this node knew last what was in force.
+	provenAt time.Time
 	effects  []Effect
 }
 
@@ -61,6 +63,8 @@
 		c.giveBack(e)
 	case Received:
 		c.received(e.Message)
+	case Proven:
+		c.provenAt = e.At
 	case Stopping:
 		c.stopping = true
 		for _, s := range c.shards {
@@ -102,6 +106,11 @@
 	}
 }
 
+// proven reports whether this node knows well enough what is in force.
+func (c *Core) proven() bool {
+	return c.cfg.ProofWithin == 0 || c.now.Sub(c.provenAt) < c.cfg.ProofWithin
+}
+
 // active reports whether there is anything to lend.
 func (c *Core) active() bool { return len(c.limits) > 0 && !c.stopping }
 
--- a/fleet/lending/events.go
+++ b/fleet/lending/events.go
@@ -24,6 +24,8 @@
 	Number int64
 	Tenant string
 	Amount float64
+	// Rank of the request, 0 being the most urgent.
+	Rank int
 }
 
 // Returned gives tokens back that were granted by the answer of a number and not used.
@@ -32,6 +34,9 @@
 	Tenant string
 }
 
+// Proven says that this node knew at a time what was in force.
+type Proven struct{ At time.Time }
+
 // Received brings a message of another node.
 type Received struct{ Message wire.Message }
 
@@ -44,6 +49,7 @@
 func (Asked) lendingEvent()         {}
 func (Returned) lendingEvent()      {}
 func (Received) lendingEvent()      {}
+func (Proven) lendingEvent()        {}
 func (Stopping) lendingEvent()      {}
 
 // Effect is an output of a Core.
--- a/fleet/lending/shard.go
+++ b/fleet/lending/shard.go
@@ -59,7 +59,9 @@
 }
 
 // lends reports whether this node lends now.
-func (s *shard) lends() bool { return s.held && s.core.now.Before(s.until) }
+func (s *shard) lends() bool {
+	return s.held && s.core.now.Before(s.until) && s.core.proven()
+}
 
 // rank is this node's place among the voters, negative for none.
 func (s *shard) rank() int { return slices.Index(s.voters.machines, s.core.cfg.Self.Machine) }
@@ -70,15 +72,31 @@
 		return
 	}
 	if len(s.voters.machines) > 0 {
-		before := s.voters
-		before.until = s.core.now.Add(viewOverlap)
-		s.earlier = append(s.earlier, before)
+		s.keepEarlier(s.voters)
 	}
-	s.voters = voterSet{machines: machines}
+	s.voters = newVoterSet(machines, s.core.now)
 	s.next = 0
 	s.planClaim()
 }
 
+// keepEarlier has a set of voters count for a while that is not the present one.
+func (s *shard) keepEarlier(set voterSet) {
+	set.until = s.core.now.Add(viewOverlap)
+	s.earlier = append(s.earlier, set)
+	if len(s.earlier) > maxEarlier {
+		s.earlier = s.earlier[1:]
+	}
+}
+
+// sets lists the digests of all sets that count.
+func (s *shard) sets() []int64 {
+	digests := []int64{s.voters.digest}
+	for i := range s.earlier {
+		digests = append(digests, s.earlier[i].digest)
+	}
+	return digests
+}
+
 // expire ends what is over.
 func (s *shard) expire() {
 	now := s.core.now
@@ -154,7 +172,7 @@
 	c := s.core
 	c.numbers++
 	s.claim = claim{number: c.numbers, sentAt: c.now, votes: map[string]time.Duration{}}
-	message := wire.LenderClaim{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Shard: s.number, Number: c.numbers}
+	message := wire.LenderClaim{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Shard: s.number, Number: c.numbers, Sets: s.sets()}
 	for _, machine := range s.electorate() {
 		if machine == c.cfg.Self.Machine {
 			continue
@@ -185,14 +203,29 @@
 		}
 		return
 	}
-	granted, settled := s.promise(m.From, m.FromAddress)
-	if granted {
+	vote := wire.LenderVote{From: s.core.cfg.Self.ID, Shard: s.number, Number: m.Number, Missing: s.missing(m)}
+	if len(vote.Missing) == 0 {
+		vote.Granted, vote.Settled = s.promise(m.From, m.FromAddress)
+	}
+	if vote.Granted {
 		s.lender = lender{id: m.From, address: m.FromAddress}
 		s.planClaim()
 	}
-	s.core.send(m.FromAddress, wire.LenderVote{
-		From: s.core.cfg.Self.ID, Shard: s.number, Number: m.Number, Granted: granted, Settled: settled,
-	})
+	s.core.send(m.FromAddress, vote)
+}
+
+// missing returns a set of voters that counts here and that a claim leaves out, so that
+// whoever an earlier view let lend would not be noticed; a node that has just started knows
+// no earlier ones. The lender by an earlier view goes on for a while.
+func (s *shard) missing(m *wire.LenderClaim) []string {
+	renewal := s.promised.to == m.From && s.core.now.Before(s.promised.until)
+	for _, set := range append(slices.Clone(s.earlier), s.voters) {
+		if slices.Contains(m.Sets, set.digest) || renewal && s.core.now.Sub(set.since) < viewLag {
+			continue
+		}
+		return set.machines
+	}
+	return nil
 }
 
 // promise promises the shard to a node unless another one has it, and says for how long that
@@ -219,13 +252,32 @@
 
 // voted takes a voter's answer.
 func (s *shard) voted(from cluster.NodeID, m *wire.LenderVote) {
+	if m.Number != s.claim.number {
+		return
+	}
+	if len(m.Missing) > 0 {
+		s.learn(m.Missing)
+		return
+	}
 	machine, known := s.core.machines[from]
-	if !known || m.Number != s.claim.number || !m.Granted {
+	if !known || !m.Granted {
 		return
 	}
 	s.count(machine, m.Settled)
 }
 
+// learn has a set of voters count that another node goes by, and claims again with it soon.
+func (s *shard) learn(machines []string) {
+	set := newVoterSet(machines, s.core.now)
+	if slices.Contains(s.sets(), set.digest) {
+		return
+	}
+	s.keepEarlier(set)
+	if !s.held {
+		s.claimAt = s.core.now
+	}
+}
+
 // count counts a vote. With a majority of each set the lease lasts from when the voters were
 // asked.
 func (s *shard) count(machine string, settled time.Duration) {
--- a/fleet/lending/voters.go
+++ b/fleet/lending/voters.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,7 +16,15 @@
 // earlier set counts until a time, the present one has none.
 type voterSet struct {
 	machines []string
-	until    time.Time
+	// digest of the machines.
+	digest int64
+	since  time.Time
+	until  time.Time
+}
+
+// newVoterSet returns a set that is known since a time.
+func newVoterSet(machines []string, since time.Time) voterSet {
+	return voterSet{machines: machines, digest: int64(xxhash.Sum64String(strings.Join(machines, "\n"))), since: since}
 }
 
 // shardOf is the shard of a tenant.
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -257,7 +257,7 @@
 	}
 	request.Credential, request.Public = e.credential.hash, e.route.Public
 	if tenant := e.credential.tenant; tenant != nil {
-		request.Tenant = tenant.Name
+		request.Tenant, request.Rank = tenant.Name, e.route.Priority
 	}
 	if len(e.attributes.Parts) > 1 {
 		request.Prefixes = chain(e.attributes.Parts[:len(e.attributes.Parts)-1])
--- a/routing/events.go
+++ b/routing/events.go
@@ -51,6 +51,8 @@
 	// of who holds it. Public requests need none.
 	Credential, Tenant string
 	Public             bool
+	// Rank among the tenant's requests, 0 being the most urgent.
+	Rank int
 	// Caller tells the request's caller from others; all that can't be told share zero.
 	Caller uint64
 	// test is set while a convicted request is tried once more.
--- a/wire/lending.go
+++ b/wire/lending.go
@@ -15,6 +15,9 @@
 	// Number pairs the vote with the claim.
 	Number  int64
 	Release bool
+	// Sets are the digests of the sets of voters of each of which the sender wants a
+	// majority.
+	Sets []int64
 }
 
 // LenderVote answers a LenderClaim.
@@ -25,6 +28,9 @@
 	Granted bool
 	// Settled is for how long the voter has promised the shard to nobody else.
 	Settled time.Duration
+	// Missing are the machines of a set of voters that counts for the voter and not for the
+	// claim; empty for none.
+	Missing []string
 }
 
 // TokensRequest asks a lender for a part of what a tenant may use, in the units of its limit,
@@ -33,9 +39,11 @@
 	From        cluster.NodeID
 	FromAddress string
 	// Number pairs the answer with the request.
-	Number   int64
-	Tenant   string
-	Amount   float64
+	Number int64
+	Tenant string
+	Amount float64
+	// Rank of the request, 0 being the most urgent.
+	Rank     int
 	Returned bool
 }
 
@@ -60,8 +68,18 @@
 	tokensAnswerRecord  TokensAnswer
 )
 
-func (r *clockToldRecord) decoded() Message     { return ClockTold(*r) }
-func (r *lenderClaimRecord) decoded() Message   { return LenderClaim(*r) }
-func (r *lenderVoteRecord) decoded() Message    { return LenderVote(*r) }
+func (r *clockToldRecord) decoded() Message { return ClockTold(*r) }
+func (r *lenderClaimRecord) decoded() Message {
+	m := LenderClaim(*r)
+	m.Sets = convert(m.Sets, func(digest int64) int64 { return digest })
+	return m
+}
+
+func (r *lenderVoteRecord) decoded() Message {
+	m := LenderVote(*r)
+	m.Missing = convert(m.Missing, func(machine string) string { return machine })
+	return m
+}
+
 func (r *tokensRequestRecord) decoded() Message { return TokensRequest(*r) }
 func (r *tokensAnswerRecord) decoded() Message  { return TokensAnswer(*r) }
