Refuse at once what no load can serve, with the time of one

The router knew the quickest load it had seen, from a copy in memory, and hoped for that. Change: the fleet tells the router how long a load takes at least, by where the machines' entries name copies. A request that can't start within it is refused on arrival, one that waits at the moment from which on no load could end in time.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -47,8 +47,10 @@
 func New(config Config, seed uint64) *Core {
 	config = config.withDefaults()
 	config.Routing.Zone, config.Routing.Region = config.Zone, config.Regions[config.Zone]
-	core := &Core{config: config, router: routing.New(config.Routing, seed), nodes: nodeSet{}}
+	core := &Core{config: config, nodes: nodeSet{}}
 	core.view = newMachineView(core)
+	config.Routing.LeastLoad = core.view.leastLoad
+	core.router = routing.New(config.Routing, seed)
 	core.record = newNodeRecord(core)
 	core.cell = newCell(core)
 	core.poison = newPoisonKeeper(core)
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -215,7 +215,11 @@
 	r.waiting++
 	waiting.model.noteAbsence(r.nanos)
 	r.touch(waiting.model)
-	r.arm(&waiting.timer, min(waiting.deadline, r.nanos+waiting.queueBudget))
+	end := min(waiting.deadline, r.nanos+waiting.queueBudget)
+	if hopeless := r.hopelessAt(waiting); hopeless > r.nanos {
+		end = min(end, hopeless)
+	}
+	r.arm(&waiting.timer, end)
 }
 
 // stopWaiting accounts the wait of a request that left the queue.
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -345,6 +345,9 @@
 
 // requestDue ends a request whose deadline or queue time passed.
 func (r *Router) requestDue(due *request) {
+	if r.stillHopeful(due) {
+		return
+	}
 	if r.nanos < due.deadline {
 		r.giveUpWaiting(due)
 		return
--- a/routing/config.go
+++ b/routing/config.go
@@ -77,6 +77,9 @@
 	// are compared: several times the prefill time that it saves, because the
 	// requests behind it save that too. Default 40 ms.
 	PrefixBlockTime time.Duration
+	// LeastLoad returns how long a load of a model takes at least that nobody has begun, by
+	// where copies of it are; zero when that is not known. Nil knows of none.
+	LeastLoad func(model cluster.ModelID) time.Duration
 	// Affinity tunes the estimate of engines' prefix caches.
 	Affinity affinity.Config
 	// Poison tunes when a request that ends machines is refused.
--- a/routing/start.go
+++ b/routing/start.go
@@ -157,11 +157,12 @@
 // unmeetable says why the request can't start in time, with the time at which it could,
 // or nil. One that can start, however late its answer, keeps its place: a caller that
 // comes back is served no sooner and may be refused again. Without evidence it may start:
-// a load that nobody has begun may take no longer than the quickest one seen, since a copy
-// of the model may be at hand.
+// a load that nobody has begun may take no longer than from the copy that is nearest at hand,
+// or, where copies are not known, than the quickest one seen.
 func (r *Router) unmeetable(waiting *request, ahead int) (*verdict.Error, Explanation) {
 	model := waiting.model
-	wait, known := r.expectedStart(model, ahead, model.quickestLoad, model.turn(ahead+1, model.service))
+	load := cmp.Or(r.leastLoad(model), model.quickestLoad)
+	wait, known := r.expectedStart(model, ahead, load, model.turn(ahead+1, model.service))
 	last := r.startBy(waiting)
 	if ahead > 0 && r.crowded(model) {
 		last = min(last, waiting.endableFrom())
@@ -177,6 +178,42 @@
 	return failure.After(r.comeBackBehind(model, ahead, waiting.Priority)), reason
 }
 
+// leastLoad is how long a load of the model takes at least, zero when that is not known or
+// the model is loaded or being loaded.
+func (r *Router) leastLoad(m *model) float64 {
+	if r.config.LeastLoad == nil || m.loaded > 0 || len(m.loading) > 0 {
+		return 0
+	}
+	return float64(r.config.LeastLoad(m.id))
+}
+
+// hopelessAt is when a request that begins to wait can't be started in time any more unless
+// a load of its model has begun by then; zero where that is not known. Without it, requests
+// for models that the weight store has no room to load waited until their callers left, which
+// cost more than their worth: on a calm day 42 of 1,328 of the dearest kind.
+func (r *Router) hopelessAt(waiting *request) int64 {
+	load := r.leastLoad(waiting.model)
+	if load == 0 {
+		return 0
+	}
+	return r.startBy(waiting) - int64(load) + 1
+}
+
+// stillHopeful reports whether a waiting request whose timer is due needs no end by time: it
+// may go on waiting, its timer set anew, or was ended because it can't start in time.
+func (r *Router) stillHopeful(due *request) bool {
+	last := min(due.deadline, due.queuedSince+due.queueBudget)
+	if !due.item.Queued() || r.nanos >= last {
+		return false
+	}
+	if failure, reason := r.unmeetable(due, due.model.queue.Before(&due.item)); failure != nil {
+		r.finish(due, failure, reason)
+		return true
+	}
+	r.arm(&due.timer, last)
+	return true
+}
+
 // bindingSetting names what bounds the request's start.
 func (r *Router) bindingSetting(waiting *request) string {
 	switch {
@@ -289,7 +326,7 @@
 // routers are assumed to have as many; none is refused by that.
 func (r *Router) comeBackBehind(m *model, ahead, priority int) time.Duration {
 	ahead += m.expected.away(r.nanos, priority)
-	load := cmp.Or(m.loadTime, *r.kindLoadTime(m), float64(r.config.MaxBackOff))
+	load := cmp.Or(r.leastLoad(m), m.loadTime, *r.kindLoadTime(m), float64(r.config.MaxBackOff))
 	if m.absentSince > 0 {
 		load += float64(r.nanos - m.absentSince)
 	}
