Learn how long engines take to unload

Cause: a load behind an unload was sent 25 ms after it; engines take 36 to 70 ms. Change: refusals lengthen what is expected, orders that are taken shorten it.

--- a/authority/sequence/ledger.go
+++ b/authority/sequence/ledger.go
@@ -24,8 +24,16 @@
 	pollInterval = 150 * time.Millisecond
 	// earlyPoll is how long before the expected end of a load reports begin.
 	earlyPoll = 30 * time.Millisecond
-	// unloadTime is the expected time of the unload of an idle model.
-	unloadTime = 25 * time.Millisecond
+	// unloadTime is the expected time of the unload of an idle model until one was seen.
+	// Each order that an engine refuses because the unload before it isn't done lengthens
+	// what is expected by unloadLonger, each that it takes shortens it by unloadShorter, so
+	// that about one in thirty is refused; a quarter of all orders were while the time was
+	// fixed and engines took 36 to 70 ms.
+	unloadTime    = 25 * time.Millisecond
+	unloadLonger  = 15 * time.Millisecond
+	unloadShorter = 500 * time.Microsecond
+	leastUnload   = 5 * time.Millisecond
+	longestUnload = 150 * time.Millisecond
 	// unloadRetry spaces the sendings of an order that an engine refuses because the
 	// unload before it isn't done; for unloadPatience that needs no report.
 	unloadRetry    = 25 * time.Millisecond
@@ -51,8 +59,10 @@
 	// order lists the machines by identifier.
 	order []cluster.MachineID
 	// active lists the machines that wait for something to come or to end.
-	active  map[cluster.MachineID]bool
-	number  uint64
+	active map[cluster.MachineID]bool
+	number uint64
+	// unload is the learned time of an unload.
+	unload  time.Duration
 	effects []Effect
 }
 
@@ -78,6 +88,8 @@
 	// last.
 	ordered  time.Time
 	unloaded time.Time
+	// refused is set once an engine refused an order because of that unload.
+	refused  bool
 	replicas map[cluster.ModelID]*replica
 	// reportDue is when a report is read, zero for not; asked is set while one is.
 	reportDue time.Time
@@ -115,7 +127,9 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{machines: make(map[cluster.MachineID]*machine), active: make(map[cluster.MachineID]bool)}
+	return &Ledger{
+		machines: make(map[cluster.MachineID]*machine), active: make(map[cluster.MachineID]bool), unload: unloadTime,
+	}
 }
 
 // Step takes one event and returns the effects.
--- a/authority/sequence/ledger_test.go
+++ b/authority/sequence/ledger_test.go
@@ -338,6 +338,41 @@
 	}
 }
 
+// TestUnloadTimeIsLearned answers a load of swaps in which each model makes way for another:
+// engines that take 45 ms to unload refuse few of the loads behind once that is learned. With
+// a fixed time they refused each.
+func TestUnloadTimeIsLearned(t *testing.T) {
+	const unloading = 45 * time.Millisecond
+	w := newWorld(t, catalog.Report{OrderCount: 3, Held: []catalog.HeldModel{{Name: "other"}}})
+	refused, swaps := 0, 100
+	models := [2]cluster.ModelID{otherModel, baseModel}
+	for n := range swaps {
+		unload := w.order(cluster.OrderUnload, models[n%2], false)
+		w.step(Answered{Machine: testMachine, Number: unload.Number, Outcome: OutcomeTaken})
+		began := w.now
+		var load *SendOrder
+		for load == nil {
+			w.pass(time.Millisecond)
+			w.step(Tick{})
+			load = w.order(cluster.OrderLoad, models[(n+1)%2], false)
+		}
+		for w.now.Sub(began) < unloading {
+			refused++
+			w.step(Answered{Machine: testMachine, Number: load.Number, Outcome: OutcomeConflict})
+			w.pass(unloadRetry)
+			load = sent(w.step(Tick{}))
+		}
+		w.step(Answered{Machine: testMachine, Number: load.Number, Outcome: OutcomeTaken})
+		w.pass(time.Second)
+		name := [2]string{"other", "base"}[(n+1)%2]
+		w.step(MachineSeen{Worker: catalog.Worker{ID: testMachine, Service: "svc", Address: "a:1", Held: []catalog.HeldModel{{Name: name}}}, MemoryBytes: 100})
+		w.step(Tick{})
+	}
+	if refused*10 > swaps {
+		t.Errorf("%d loads of %d were refused", refused, swaps)
+	}
+}
+
 // TestEntryEndsLoad: an engine's entry that newly names the model says that the load
 // is done, before a report does. One that named it before the load says nothing.
 func TestEntryEndsLoad(t *testing.T) {
--- a/authority/sequence/orders.go
+++ b/authority/sequence/orders.go
@@ -83,6 +83,10 @@
 		if pending.failures == 0 && l.now.Sub(m.unloaded) < unloadPatience {
 			// The own unload isn't done, and no earlier sending can have been taken.
 			pending.resendAt = l.now.Add(unloadRetry)
+			if !m.refused {
+				m.refused = true
+				l.unload = min(l.unload+unloadLonger, longestUnload)
+			}
 			return
 		}
 		m.conflicting = true
@@ -104,11 +108,14 @@
 	if known == nil {
 		return
 	}
+	if !m.refused && l.now.Sub(m.unloaded) < unloadPatience {
+		l.unload = max(l.unload-unloadShorter, leastUnload)
+	}
 	m.ordered = l.now
 	known.readyAt = l.now.Add(order.ExpectedTime)
 	if order.Kind == cluster.OrderUnload {
-		m.unloaded = l.now
-		known.readyAt = l.now.Add(unloadTime)
+		m.unloaded, m.refused = l.now, false
+		known.readyAt = l.now.Add(l.unload)
 		known.unknown = false
 	} else {
 		l.change(id, m, order.Model, cluster.ReplicaLoading)
