Log the tokens that a request states

Cause: a refusal for a limit named the limit and not what was asked of it. Change: request_accepted names the tokens.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -105,6 +105,7 @@
 	Unread   string            `log:"unread,omitempty" doc:"header fields that can't be read and count as not stated"`
 	Content  string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, the same for one that comes again; missing for long bodies"`
 	Tenant   string            `log:"tenant,omitempty" doc:"tenant that holds the caller's key"`
+	Tokens   int               `log:"tokens,omitempty" doc:"tokens that it states, of its prompt and at most generated"`
 }
 
 // RequestSent is written for each dispatch.
