Give the promises of a lost claim back

Claims of several voters kept each other from a majority: each held its own promise for 0.7 s and claimed again in step with the others. Change: a claim that finds no majority within 150 ms gives back what it got, and the next one comes after a pause that differs by node and claim. A set learned from a voter ends the claim under way.

--- a/fleet/lending/config.go
+++ b/fleet/lending/config.go
@@ -35,6 +35,10 @@
 	// candidateStep is by how much each further voter waits longer before it claims a shard
 	// that nobody lends: two round trips within a region, so that one claims for all.
 	candidateStep = 80 * time.Millisecond
+	// claimPatience is how long the answers to a claim may take. A claim without enough of
+	// them gives the promises that it got back, or claims of several nodes would keep each
+	// other from a majority again and again.
+	claimPatience = 150 * time.Millisecond
 	// viewOverlap is for how long others may go by an earlier view of the nodes: for longer
 	// than a node may send requests without proof of what it knows.
 	viewOverlap = 5 * time.Second
--- a/fleet/lending/shard.go
+++ b/fleet/lending/shard.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -40,6 +43,8 @@
 	until   time.Time
 	// since is when the shard was first promised to that node, or to nobody.
 	since time.Time
+	// number of the newest claim.
+	number int64
 }
 
 // lender is a node and where it takes messages.
@@ -108,7 +113,7 @@
 
 // lost ends to lend.
 func (s *shard) lost() {
-	s.held, s.buckets, s.loans = false, nil, loans{}
+	s.held, s.buckets, s.loans, s.claim = false, nil, loans{}, claim{}
 	s.core.emit(LeaseChanged{Shard: s.number})
 	s.planClaim()
 }
@@ -137,9 +142,15 @@
 	if s.held {
 		return earliest(s.renewAt(), s.until)
 	}
+	if s.claiming() {
+		return s.claim.sentAt.Add(claimPatience)
+	}
 	return s.claimAt
 }
 
+// claiming reports whether a claim is under way that has not won.
+func (s *shard) claiming() bool { return !s.held && s.claim.number != 0 && !s.claim.won }
+
 func earliest(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -157,16 +168,34 @@
 	now := s.core.now
 	switch {
 	case !s.core.active():
+	case s.claiming() && !now.Before(s.claim.sentAt.Add(claimPatience)):
+		s.giveUpClaim()
 	case s.held && !now.Before(s.renewAt()):
 		s.ask()
-	case !s.held && !s.claimAt.IsZero() && !now.Before(s.claimAt):
-		// Unless enough voters answer, the next try comes when the promises that this one
-		// may have got are over.
-		s.claimAt = now.Add(s.core.cfg.Lease + time.Duration(s.rank()+1)*candidateStep)
+	case !s.held && !s.claiming() && !s.claimAt.IsZero() && !now.Before(s.claimAt):
+		s.claimAt = time.Time{}
 		s.ask()
 	}
 }
 
+// giveUpClaim ends a claim that found no majority, and gives what was promised back. The
+// next one comes after a pause that differs by node and claim.
+func (s *shard) giveUpClaim() {
+	number := s.claim.number
+	s.claim = claim{}
+	s.tellRelease(number)
+	s.planClaim()
+	if !s.claimAt.IsZero() {
+		s.claimAt = s.claimAt.Add(candidateStep + time.Duration(jitter(s.core.cfg.Self.ID, number)*float64(maxVoters*candidateStep)))
+	}
+}
+
+// jitter is a number from 0 to 1 that differs by node and claim.
+func jitter(id cluster.NodeID, number int64) float64 {
+	const steps = 1 << 16
+	return float64(xxhash.Sum64String(string(id)+strconv.FormatInt(number, 10))%steps) / steps
+}
+
 // ask begins a round: all voters of all sets that count are asked.
 func (s *shard) ask() {
 	c := s.core
@@ -179,7 +208,7 @@
 		}
 		c.send(c.peers[machine].Address, message)
 	}
-	if granted, settled := s.promise(c.cfg.Self.ID, c.cfg.Self.Address); granted {
+	if granted, settled := s.promise(c.cfg.Self.ID, c.cfg.Self.Address, c.numbers); granted {
 		s.count(c.cfg.Self.Machine, settled)
 	}
 }
@@ -197,7 +226,7 @@
 // claimed answers another node's claim.
 func (s *shard) claimed(m *wire.LenderClaim) {
 	if m.Release {
-		if s.promised.to == m.From {
+		if s.promised.to == m.From && s.promised.number <= m.Number {
 			s.promised = promise{since: s.promised.since}
 			s.planClaim()
 		}
@@ -206,7 +235,7 @@
 	vote := wire.LenderVote{From: s.core.cfg.Self.ID, Machine: s.core.cfg.Self.Machine, Shard: s.number, Number: m.Number}
 	vote.Missing, vote.MissingFor = s.missing(m)
 	if len(vote.Missing) == 0 {
-		vote.Granted, vote.Settled = s.promise(m.From, m.FromAddress)
+		vote.Granted, vote.Settled = s.promise(m.From, m.FromAddress, m.Number)
 	}
 	if vote.Granted {
 		s.lender = lender{id: m.From, address: m.FromAddress}
@@ -234,7 +263,7 @@
 
 // promise promises the shard to a node unless another one has it, and says for how long that
 // did not change before.
-func (s *shard) promise(to cluster.NodeID, address string) (granted bool, settled time.Duration) {
+func (s *shard) promise(to cluster.NodeID, address string, number int64) (granted bool, settled time.Duration) {
 	c := s.core
 	if c.now.Before(c.startedAt.Add(c.cfg.Lease)) {
 		return false, 0
@@ -250,7 +279,7 @@
 	if s.promised.to != to {
 		s.promised = promise{to: to, since: c.now}
 	}
-	s.promised.address, s.promised.until = address, c.now.Add(c.cfg.Lease)
+	s.promised.address, s.promised.until, s.promised.number = address, c.now.Add(c.cfg.Lease), number
 	return true, settled
 }
 
@@ -276,7 +305,7 @@
 	}
 	s.keepEarlier(set, min(lasts, viewOverlap))
 	if !s.held {
-		s.claimAt = s.core.now
+		s.claim, s.claimAt = claim{}, s.core.now
 	}
 }
 
@@ -349,13 +378,20 @@
 	if !s.held {
 		return
 	}
+	s.tellRelease(s.claim.number)
+	s.lost()
+}
+
+// tellRelease gives back what was promised to this node by the claims up to a number.
+func (s *shard) tellRelease(number int64) {
 	c := s.core
-	message := wire.LenderClaim{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Shard: s.number, Release: true}
+	message := wire.LenderClaim{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Shard: s.number, Number: number, Release: true}
 	for _, machine := range s.electorate() {
 		if machine != c.cfg.Self.Machine {
 			c.send(c.peers[machine].Address, message)
 		}
 	}
-	s.promised = promise{since: s.promised.since}
-	s.lost()
+	if s.promised.to == c.cfg.Self.ID {
+		s.promised = promise{since: s.promised.since}
+	}
 }
