--- a/fleet/core.go
+++ b/fleet/core.go
@@ -113,7 +113,9 @@
 	c.reporter.tick(c)
 	c.poison.tick()
 	c.gate.tick()
-	c.lend(lending.Tick{})
+	if due := c.lending.NextDue(); !due.IsZero() && !now.Before(due) {
+		c.lend(lending.Tick{})
+	}
 	return c.effects
 }
 
@@ -157,6 +159,9 @@
 // there is none.
 func (c *Core) KeysAge(now time.Time) (time.Duration, bool) { return c.gate.age(now) }
 
+// ShardsLent counts the shards of tenants of which this node lends the tokens.
+func (c *Core) ShardsLent() int { return c.lending.ShardsLent() }
+
 // Serves reports whether callers who need a key can be served: the keys are proven, and
 // whoever lends tokens can be reached.
 func (c *Core) Serves(now time.Time) bool { return !c.gate.unproven(now) && !c.lending.Deaf() }
--- a/fleet/lending/core.go
+++ b/fleet/lending/core.go
@@ -95,8 +95,16 @@
 	return next
 }
 
-// Lends reports whether this node lends for a tenant.
-func (c *Core) Lends(tenant string) bool { return c.shards[shardOf(tenant)].lends() }
+// ShardsLent counts the shards that this node lends for, as of the last step.
+func (c *Core) ShardsLent() int {
+	count := 0
+	for _, s := range c.shards {
+		if s.lends() {
+			count++
+		}
+	}
+	return count
+}
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
 
--- a/fleet/shell/bench_test.go
+++ b/fleet/shell/bench_test.go
@@ -15,6 +15,11 @@
 // post sends a request that may run once to a node or a worker, reads the answer and returns
 // its status.
 func post(b *testing.B, client *http.Client, address, id, body string) int {
+	return postAs(b, client, address, id, body, "")
+}
+
+// postAs is post with a key, empty for none.
+func postAs(b *testing.B, client *http.Client, address, id, body, key string) int {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/write/", strings.NewReader(body))
 	if err != nil {
 		b.Fatal(err)
@@ -22,6 +27,9 @@
 	request.Host = testHost
 	request.Header.Set(platform.HeaderRequestID, id)
 	request.Header.Set(platform.HeaderDeadline, "5000")
+	if key != "" {
+		request.Header.Set(platform.HeaderAuthorization, "Bearer "+key)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		b.Fatal(err)
--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -48,6 +48,20 @@
 		counts(func(_, convicted int) int { return convicted }))
 	gauge("valveslip_poison_suspects", "Requests under which machines ended, too few to refuse them.",
 		counts(func(suspected, _ int) int { return suspected }))
+	gauge("valveslip_keys_proof_age_seconds", "How old the proof is that callers' keys are those in force; -1 without one.", func() float64 {
+		if age, proven := n.keysAge(); proven {
+			return age.Seconds()
+		}
+		return -1
+	})
+	gauge("valveslip_shards_lent", "Shards of tenants of which this node lends the tokens.", func() float64 {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		if n.core == nil {
+			return 0
+		}
+		return float64(n.core.ShardsLent())
+	})
 	gauge("valveslip_holds_orders_lease", "1 while this node gives the orders.", func() float64 {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
