--- a/fleet/lending/bucket.go
+++ b/fleet/lending/bucket.go
@@ -55,7 +55,8 @@
 		return 0, true
 	}
 	rate := max(f.rate-urgent, f.rate*(1-reserveShare))
-	wait := time.Duration((missing + b.owed) / rate * float64(time.Second))
+	// Whoever comes exactly then must not miss it by a rounding.
+	wait := time.Duration((missing+b.owed)/rate*float64(time.Second)) + time.Millisecond
 	b.owed = min(b.owed+amount, longestOwed*f.rate)
 	return wait, false
 }
