Split the gate, the shards and their plays by what they do

Change: moves only: the gate's tokens, a shard's votes, a play's faults. The number of plays of proofs is a flag, as that of lending is.

--- a/fleet/feed/proof_test.go
+++ b/fleet/feed/proof_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,9 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
+// plays is how many seeds are played of the troubles of proofs.
+var plays = flag.Int("plays", 60, "seeds to play of the troubles of proofs")
+
 const (
 	provenKey = "news-0"
 	// usedWithin is how old a proof may be that is used: nine tenths of the least bound on
@@ -94,7 +98,7 @@
 // that die and start, and clocks that differ, no node holds to have known the newest value
 // at a time at which it did not.
 func TestProofsAreNeverTooYoung(t *testing.T) {
-	for seed := range uint64(60) {
+	for seed := range uint64(*plays) {
 		s := proving(seed, 4+int(seed%3)*10, 1+int(seed%4))
 		s.loss = 0.05
 		s.after(time.Second, s.trouble)
--- /dev/null
+++ b/fleet/lending/play_faults_test.go
@@ -0,0 +1,152 @@
+package lending
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// trouble strikes nodes for a while.
+func (p *play) trouble() {
+	live := p.live()
+	n := live[p.rand.IntN(len(live))]
+	if lenders := slices.DeleteFunc(slices.Clone(live), func(n *playNode) bool { return !slices.ContainsFunc(n.core.shards[:], (*shard).lends) }); len(lenders) > 0 && p.rand.IntN(2) == 0 {
+		n = lenders[p.rand.IntN(len(lenders))]
+	}
+	lasts := p.between(300*time.Millisecond, 6*time.Second)
+	switch p.rand.IntN(7) {
+	case 0:
+		p.kill(n, n.peer.Machine, lasts/3)
+	case 1:
+		p.starts++
+		p.kill(n, fmt.Sprintf("machine-%d", 100+p.starts), lasts/3)
+	case 2:
+		p.freeze(n, lasts)
+	case 3:
+		n.island, n.blindSince = 1000+p.starts, p.now
+		p.after(lasts, func() { n.island, n.blindSince = 0, time.Time{}; p.tellPeers() })
+	case 4:
+		p.split(live, lasts)
+	case 5:
+		p.step(n, Stopping{})
+		p.kill(n, n.peer.Machine, lasts/3)
+	case 6:
+		n.blindSince = p.now
+		p.after(lasts, func() { n.blindSince = time.Time{}; p.tellPeers() })
+	}
+	p.after(p.between(200*time.Millisecond, 3*time.Second), p.trouble)
+}
+
+// chase strikes whoever lends, again and again: it is stopped, or frozen for longer than a
+// lease.
+func (p *play) chase() {
+	for _, n := range p.live() {
+		if n.frozen || !slices.ContainsFunc(n.core.shards[:], (*shard).lends) {
+			continue
+		}
+		if !p.forgetful && p.rand.IntN(2) == 0 {
+			p.freeze(n, p.between(800*time.Millisecond, 1500*time.Millisecond))
+			continue
+		}
+		p.step(n, Stopping{})
+		p.kill(n, n.peer.Machine, 200*time.Millisecond)
+		if p.forgetful {
+			break
+		}
+	}
+	p.after(p.between(300*time.Millisecond, 1200*time.Millisecond), p.chase)
+}
+
+// checkLenders checks that no two nodes lend at a time.
+func (p *play) checkLenders() {
+	for number := range Shards {
+		var lenders []cluster.NodeID
+		for _, n := range p.nodes {
+			s := n.core.shards[number]
+			now := p.now.Add(n.skew)
+			if !n.dead && !n.frozen && s.held && now.Before(s.until) && now.Sub(n.core.provenAt) < playProof {
+				lenders = append(lenders, n.peer.ID)
+			}
+		}
+		if len(lenders) > 1 {
+			p.problems = append(p.problems, fmt.Sprintf("%v lend for shard %d at %s", lenders, number, p.now.Format("05.000")))
+		}
+	}
+	if len(p.problems) == 0 {
+		p.after(20*time.Millisecond, p.checkLenders)
+	}
+}
+
+// split cuts the nodes into two parts that don't hear of each other.
+func (p *play) split(live []*playNode, lasts time.Duration) {
+	p.starts++
+	island := 1000 + p.starts
+	for _, n := range live {
+		if n.island == 0 && p.rand.IntN(2) == 0 {
+			n.island = island
+			p.after(lasts, func() {
+				if n.island == island {
+					n.island = 0
+				}
+			})
+		}
+	}
+}
+
+func (p *play) freeze(n *playNode, lasts time.Duration) {
+	if n.frozen {
+		return
+	}
+	n.frozen = true
+	p.after(lasts, func() {
+		n.frozen = false
+		if p.stands {
+			n.skew -= lasts
+		}
+		p.after(0, func() {
+			if len(p.problems) == 0 {
+				p.checkLenders()
+			}
+		})
+		missed := n.missed
+		n.missed = nil
+		n.tickAt = time.Time{}
+		for _, e := range missed {
+			p.step(n, e)
+		}
+		p.step(n, Tick{})
+	})
+}
+
+func (p *play) kill(n *playNode, successor string, after time.Duration) {
+	n.dead, n.diedAt = true, p.now
+	p.after(playRecord+time.Millisecond, p.tellPeers)
+	p.after(after, func() {
+		p.start(successor)
+		p.tellPeers()
+	})
+}
+
+// check compares what was used in each window with the limits.
+func (p *play) check() {
+	for _, tenant := range p.tenants {
+		l, uses := p.limits[tenant], p.spent[tenant]
+		slices.SortFunc(uses, func(a, b spent) int { return a.at.Compare(b.at) })
+		most := (l.Rate*playWindow.Seconds()+l.Burst)*(1+playOverrun) + playSlack
+		var sum float64
+		from := 0
+		for i := range uses {
+			sum += uses[i].amount
+			for uses[i].at.Sub(uses[from].at) > playWindow {
+				sum -= uses[from].amount
+				from++
+			}
+			if sum > most {
+				p.problems = append(p.problems, fmt.Sprintf("%s used %.0f in a window at %s, at most %.0f", tenant, sum, uses[i].at.Format("05.000"), most))
+				break
+			}
+		}
+	}
+}
--- a/fleet/shell/keys.go
+++ b/fleet/shell/keys.go
@@ -107,7 +107,7 @@
 		if !n.Now().Before(deadline) {
 			n.options.Log.Write(eventlog.KeyUndecided{Age: age})
 			return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
-				"this node can't tell whether there is such a key: what it knows of keys is %s old", age.Round(time.Millisecond)).After(unprovenBack)
+				"this node can't tell whether there is such a key: what it knows of keys is %s old", age.Round(time.Millisecond)).After(fleet.UnprovenBack)
 		}
 		select {
 		case <-ctx.Done():
@@ -116,6 +116,3 @@
 		}
 	}
 }
-
-// unprovenBack is when a caller should come back whose key can't be told to be known.
-const unprovenBack = 300 * time.Millisecond
