Soak keys that are taken away, and a tenant that floods

Cause: the soak knew no tenants. Change: one tenant's key is replaced each 4 s, and two in five of its callers use one that was taken away; another tenant sends five times what it may. Judged from what workers ran: nothing under a key gone for longer than the bound, whatever was out of order, and no window of the flooding tenant beyond its limit. A node that keeps old keys and one that spends without asking are found in planted histories.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -174,6 +174,9 @@
 	built.Host = routeHost
 	built.Header.Set(platform.HeaderRequestID, request.ID)
 	built.Header.Set(platform.HeaderDeadline, strconv.FormatInt(request.Deadline.Milliseconds(), 10))
+	if request.Key != "" {
+		built.Header.Set(platform.HeaderAuthorization, "Bearer "+request.Key)
+	}
 	if strings.HasPrefix(request.ID, check.PoisonPrefix) {
 		built.Header.Set("Authorization", poisonCredential)
 	}
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -12,6 +12,8 @@
 	Node  int
 	Route Route
 	Model string
+	// Key that the caller gave, empty for none.
+	Key string
 	// After is the event after which a stream was asked for.
 	After int
 	// Deadline that the caller stated.
@@ -132,6 +134,10 @@
 	Recovery time.Duration
 	// StreamEvents is the length of a stream.
 	StreamEvents int
+	// Keys is for how long a key may be used after it was taken away, Limit that of the
+	// tenant that floods.
+	Keys  time.Duration
+	Limit Limit
 }
 
 // History is all that a run showed.
@@ -142,6 +148,7 @@
 	Orders       []Order
 	Leavings     []Leaving
 	Versions     []Version
+	Taken        []TakenKey
 	Probes       []Probe
 	Stops        []Stop
 	Closings     []Closing
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -44,6 +44,8 @@
 	PromiseRecovery      Promise = "nodes serve again in time after the faults"
 	PromisePoison        Promise = "a request that ends workers is held back by all nodes"
 	PromiseBystanders    Promise = "what many ask for is not refused for long as harmful"
+	PromiseKeys          Promise = "nothing runs under a key that was taken away for longer than the bound"
+	PromiseLimit         Promise = "a tenant that floods gets no more than its limit over all nodes"
 )
 
 // Breach is a promise found broken.
@@ -86,7 +88,7 @@
 		{PromiseHolder, oneHolder}, {PromiseMemory, memoryKept}, {PromiseLoads, loadsKept}, {PromiseLeaving, leftAlone},
 		{PromiseConfiguration, configuredInTime}, {PromiseForward, neverBack}, {PromiseStop, nothingCut},
 		{PromiseLeave, connectionsLeft}, {PromiseStopEnds, stopsEnd}, {PromiseAnswer, answeredInTime}, {PromiseLives, nobodyEnds}, {PromiseRecovery, recovered},
-		{PromisePoison, poisonHeldBack}, {PromiseBystanders, bystandersTaken},
+		{PromisePoison, poisonHeldBack}, {PromiseBystanders, bystandersTaken}, {PromiseKeys, keysTaken}, {PromiseLimit, limitKept},
 	}
 	findings := make([]Finding, 0, len(checks))
 	for _, entry := range checks {
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -35,11 +35,13 @@
 	h := &History{
 		Bounds: Bounds{
 			Drain: 3 * time.Second, Configuration: 3 * time.Second, Grace: 8 * time.Second, Recovery: 14 * time.Second,
-			LoadsPerWindow: 3, LoadWindow: 5 * time.Second, StreamEvents: testEvents,
+			LoadsPerWindow: 3, LoadWindow: 5 * time.Second, StreamEvents: testEvents, Keys: 5 * time.Second,
+			Limit: Limit{Rate: 1, Burst: 1, Slack: 1, Window: 8 * time.Second},
 		},
 		Engines:  1,
 		Leavings: []Leaving{{Worker: "w2", At: 10 * time.Second}},
 		Versions: []Version{{Number: 1}, {Number: 2, At: 5 * time.Second}},
+		Taken:    []TakenKey{{Key: "old", At: 5 * time.Second}},
 		Stops:    []Stop{{Node: 0, At: 20 * time.Second, Ended: 25 * time.Second}},
 		Closings: []Closing{{Node: 0, At: 25 * time.Second}, {Node: 1, At: 22 * time.Second}},
 		Disturbances: []Disturbance{
@@ -68,6 +70,21 @@
 		try.Ended = try.Sent
 		h.Requests = append(h.Requests, try)
 	}
+	for n, sent := range []time.Duration{9 * time.Second, 12 * time.Second} {
+		keyed := served(fmt.Sprintf("keyed-%d", n), RouteKeyed, sent)
+		keyed.Key = "old"
+		if n == 0 {
+			h.Runs = append(h.Runs, ran(keyed.ID, "w1", sent))
+		} else {
+			keyed.Status, keyed.Body, keyed.Stamp = http.StatusUnauthorized, "", ""
+		}
+		h.Requests = append(h.Requests, keyed)
+	}
+	for n := range 10 {
+		flood := served(fmt.Sprintf("%s%d", FloodPrefix, n), RouteKeyed, 10*time.Second+time.Duration(n)*100*time.Millisecond)
+		h.Requests = append(h.Requests, flood)
+		h.Runs = append(h.Runs, ran(flood.ID, "w1", flood.Sent))
+	}
 	popular := served(PopularPrefix+"0", RouteRead, 4*time.Second+acquittedWithin)
 	popular.Node = 1
 	h.Requests = append(h.Requests, popular)
@@ -140,6 +157,17 @@
 			Sent: 4*time.Second + acquittedWithin, Ended: 4*time.Second + acquittedWithin,
 		})
 	}},
+	{PromiseKeys, "a node that keeps old keys", func(h *History) {
+		kept := served("keyed-late", RouteKeyed, 11*time.Second)
+		kept.Key = "old"
+		h.Requests = append(h.Requests, kept)
+		h.Runs = append(h.Runs, ran(kept.ID, "w1", kept.Sent))
+	}},
+	{PromiseLimit, "a node that spends without asking", func(h *History) {
+		flood := served(FloodPrefix+"beyond", RouteKeyed, 12*time.Second)
+		h.Requests = append(h.Requests, flood)
+		h.Runs = append(h.Runs, ran(flood.ID, "w1", flood.Sent))
+	}},
 	{PromiseOnce, "a second run", func(h *History) { h.Runs = append(h.Runs, ran("n0-0", "w2", 13*time.Second)) }},
 	{PromiseNeverRun, "a later run of a refused request", func(h *History) {
 		h.Runs = append(h.Runs, ran("refused", "w1", 30*time.Second))
--- a/soak/check/route.go
+++ b/soak/check/route.go
@@ -12,6 +12,8 @@
 	// RouteStream is a stream that can be continued, RouteOnce one that can't.
 	RouteStream Route = "stream"
 	RouteOnce   Route = "once"
+	// RouteKeyed wants a key and may run again; it is not among Routes.
+	RouteKeyed Route = "keyed"
 )
 
 // Routes lists the routes.
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -34,6 +34,8 @@
 	version int64
 	extra   int
 	moved   bool
+	// keys numbers the key of the tenant whose keys are replaced.
+	keys int
 }
 
 // versionPath is the path that only one version routes.
@@ -83,8 +85,12 @@
 	for extra := range c.extra {
 		routes = append(routes, route(fmt.Sprintf("extra-%d", extra+1), kindIdempotent, plain, false))
 	}
+	for i := range routes {
+		routes[i].Public = true
+	}
+	routes = append(routes, route(string(check.RouteKeyed), kindIdempotent, plain, false))
 	return platform.ConfigurationDocument{
-		Version: c.version, Routes: routes,
+		Version: c.version, Routes: routes, Tenants: c.tenants(),
 		Services: []platform.ServiceDocument{{Name: serviceFirst}, {Name: serviceSecond}, {Name: serviceEngine, Engine: engineDocument()}},
 		Limits:   platform.LimitsDocument{HeaderBytes: headerBytes, BodyBytes: bodyBytes, HeaderMS: headerMS, IdleMS: idleMS},
 	}
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -33,6 +33,7 @@
 		h.Bounds = check.Bounds{
 			Drain: drainBound, Configuration: configurationBound, Grace: graceTime, Recovery: recoveryBound,
 			LoadsPerWindow: int(loadsSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: streamEvents,
+			Keys: keyBound, Limit: floodLimit,
 		}
 		h.Engines = r.engines()
 		for _, over := range lives {
--- a/soak/play.go
+++ b/soak/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,6 +27,11 @@
 	active.Go(func() { r.tick(calling) })
 	active.Go(func() { r.sendAlike(calling, check.PoisonPrefix, poisonEvery) })
 	active.Go(func() { r.sendAlike(calling, check.PopularPrefix, popularEvery) })
+	active.Go(func() { r.rotateKeys(calling) })
+	active.Go(func() { r.sendKeyed(calling, "keyed-", keyedEvery, r.configuration.key) })
+	active.Go(func() {
+		r.sendKeyed(calling, check.FloodPrefix, floodEvery, func(*rand.Rand) string { return floodKey })
+	})
 	r.injectAll()
 	r.undone.Wait()
 	quiet := time.Now().Add(quietTime)
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -64,6 +64,8 @@
 			RetryRatio: retryRatio, RetryWindowSeconds: retryWindow.Seconds(), RetryExtra: retryExtra,
 			FencingEnforced: fencing, LeaseMillis: millis(holderPause),
 			LoadWindowSeconds: loadWindow.Seconds(), LoadOverrun: loadOverrun,
+			RevokeStrict: true, RevokeMillis: millis(keyBound), QuotaWindowSeconds: floodLimit.Window.Seconds(),
+			QuotaOverrun: floodLimit.Overrun, QuotaSlack: float64(floodLimit.Slack),
 		},
 		Store: platform.Store{Address: store},
 	}
