Have a node that hears of nobody ask whether it still does

Cause: a node that is cut off from others says that it isn't ready; without callers it asked nothing, and found out about the cut's end only by chance. Change: it asks a voter for nothing twice a second until one answers. Measured: a test of a cut node without callers; it stays deaf without the change.

--- a/fleet/gate.go
+++ b/fleet/gate.go
@@ -71,8 +71,7 @@
 	// asking is the number of the question under way, zero for none.
 	asking int64
 	// granted tokens were asked for at askedAt by the question of the number loan; zero for
-	// none. sent is set once an attempt
-	// goes by them.
+	// none. sent is set once an attempt goes by them.
 	granted float64
 	loan    int64
 	askedAt time.Time
@@ -107,7 +106,8 @@
 	return bound > 0 && g.core.compiled.Keyed() && (!proven || age >= bound)
 }
 
-// tick gives unused tokens back, and tells the log when the proof becomes too old, or new enough again.
+// tick gives unused tokens back, and tells the log when the proof becomes too old, or new
+// enough again.
 func (g *gate) tick() {
 	g.returnUnused()
 	doubted := g.unproven(g.core.now)
--- a/fleet/lending/borrow.go
+++ b/fleet/lending/borrow.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// tokensRequested answers another node, if this one lends; otherwise it says who does.
+// tokensRequested answers another node, if this one lends; otherwise it says who does. One
+// that asks for nothing wants to know whether it is heard.
 func (c *Core) tokensRequested(m *wire.TokensRequest) {
 	s := c.shards[shardOf(m.Tenant)]
 	if m.Returned {
@@ -103,7 +104,9 @@
 		return
 	}
 	answer := wire.TokensAnswer{From: c.cfg.Self.ID, Number: m.Number}
-	if s.lends() {
+	if m.Amount <= 0 {
+		answer.Lends = s.lends()
+	} else if s.lends() {
 		answer.Wait, answer.Granted, answer.Lends = s.lend(loanID{node: m.From, number: m.Number}, m.Tenant, m.Amount, m.Rank)
 	} else if s.promised.to != "" && s.promised.to != m.From && c.now.Before(s.promised.until) {
 		answer.Lender, answer.LenderAddress = s.promised.to, s.promised.address
--- a/fleet/lending/config.go
+++ b/fleet/lending/config.go
@@ -59,6 +59,9 @@
 	// deafAfter questions without any message of another node since, this one is taken to be
 	// cut off from them: it answers at once that nobody lends, and goes on asking.
 	deafAfter = 3
+	// probeEvery is how often a node that is cut off from the others asks whether it still is:
+	// one that is not ready gets no callers whose questions would tell.
+	probeEvery = 500 * time.Millisecond
 	// longestOwed bounds, in seconds of the limit, what callers sent back are counted for.
 	longestOwed = 30
 	// burstTime is how much of a limit, in time, a bucket holds beyond its part of the slack.
--- a/fleet/lending/core.go
+++ b/fleet/lending/core.go
@@ -22,7 +22,9 @@
 	asks     map[int64]*ask
 	numbers  int64
 	// unheard counts the questions that got no answer since the last message of any node.
-	unheard  int
+	unheard int
+	// probeAt is when a deaf node asks next whether it still is.
+	probeAt  time.Time
 	stopping bool
 	// provenAt is when this node knew last what was in force.
 	provenAt time.Time
@@ -75,6 +77,7 @@
 		s.tick()
 	}
 	c.tickAsks()
+	c.probe()
 	return c.effects
 }
 
@@ -92,6 +95,9 @@
 	for _, a := range c.asks {
 		note(a.nextAt)
 	}
+	if c.Deaf() {
+		note(c.probeAt)
+	}
 	return next
 }
 
@@ -142,6 +148,17 @@
 // Deaf reports whether this node is cut off from those that lend.
 func (c *Core) Deaf() bool { return c.active() && c.unheard >= deafAfter }
 
+// probe has a deaf node ask voters for nothing, until one answers.
+func (c *Core) probe() {
+	if !c.Deaf() || c.now.Before(c.probeAt) {
+		return
+	}
+	c.probeAt = c.now.Add(probeEvery)
+	tenant := slices.Min(slices.Collect(maps.Keys(c.limits)))
+	to := c.shards[shardOf(tenant)].nextVoter()
+	c.send(to.address, wire.TokensRequest{From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Tenant: tenant})
+}
+
 // received takes a message of another node.
 func (c *Core) received(message wire.Message) {
 	c.unheard = 0
--- a/fleet/lending/lending_test.go
+++ b/fleet/lending/lending_test.go
@@ -235,3 +235,30 @@
 		}
 	}
 }
+
+// TestDeafNodeHearsAgainWithoutCallers: a node that was cut off, and that gets no callers since
+// it is not ready, finds out by itself that it hears others again.
+func TestDeafNodeHearsAgainWithoutCallers(t *testing.T) {
+	p := newPlay(5, 12, 2)
+	p.runFor(4 * time.Second)
+	var n *playNode
+	for _, candidate := range p.live() {
+		if candidate.core.ShardsLent() == 0 && candidate.core.shards[0].rank() < 0 {
+			n = candidate
+		}
+	}
+	n.island = 7
+	for number := range int64(deafAfter + 1) {
+		p.step(n, Asked{Number: -1 - number, Tenant: p.tenants[0], Amount: 1})
+		p.runFor(AskLimit)
+	}
+	if !n.core.Deaf() {
+		t.Fatal("a node that hears of nobody does not know it")
+	}
+	n.island = 0
+	n.quiet = true
+	p.runFor(3 * probeEvery)
+	if n.core.Deaf() {
+		t.Error("a node that hears others again does not know it")
+	}
+}
--- a/fleet/lending/play_test.go
+++ b/fleet/lending/play_test.go
@@ -64,6 +64,8 @@
 	frozen bool
 	missed []Event
 	island int
+	// quiet nodes get no requests.
+	quiet bool
 	// blind nodes have no news of others since a time.
 	blindSince time.Time
 	tickAt     time.Time
@@ -269,7 +271,7 @@
 	live := p.live()
 	if len(live) > 0 {
 		n := live[p.rand.IntN(len(live))]
-		if !n.frozen && (n.blindSince.IsZero() || p.now.Sub(n.blindSince) < playProof) {
+		if !n.frozen && !n.quiet && (n.blindSince.IsZero() || p.now.Sub(n.blindSince) < playProof) {
 			p.number++
 			p.pending[p.number] = tenant
 			p.step(n, Asked{Number: p.number, Tenant: tenant, Amount: playTokens})
