Follow a tester that has ended, without waiting for it

Cause: a convicted request is tried again by one node at a time, twice in all. Change: a tester whose record is gone, or whose machine runs another process, is not waited for, and one more test follows the last one: three in all, as many sends as are allowed after a conviction. Measured: a test of records with one, two and three tests of nodes that ended: the third stays refused, the others are acquitted; the plays of harmful requests pass.

--- a/fleet/poison_record_test.go
+++ b/fleet/poison_record_test.go
@@ -101,3 +101,29 @@
 		t.Error("the request is refused, and was never tried")
 	}
 }
+
+// TestTesterThatEndedIsFollowed: where the nodes that were to try a convicted request again have
+// ended, another one does without waiting for them, but never beyond what is allowed in all.
+func TestTesterThatEndedIsFollowed(t *testing.T) {
+	for tests, want := range map[int]bool{1: true, 2: true, 3: false} {
+		p := newPoisonPlay(7, 4, 3)
+		p.runFor(2 * time.Second)
+		stored := PoisonStored{
+			Record: poison.Record{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}, Tests: tests, Tester: "ended-1",
+		}
+		p.write(keyvalue.Operation{Key: KeyPoison + popularContent.String(), Value: encodePoison(&stored)})
+		p.runFor(2 * time.Second)
+		for n := range 6 {
+			id := cluster.RequestID(fmt.Sprintf("r%d", n))
+			p.same[id] = true
+			p.step(p.nodes[0], RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+				ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(2 * time.Second), Content: popularContent,
+			}}})
+			p.runFor(700 * time.Millisecond)
+		}
+		record, _ := p.nodes[0].core.router.PoisonRecord(popularContent)
+		if acquitted := !p.nodes[0].core.poison.convicts(&record); acquitted != want {
+			t.Errorf("after %d tests of nodes that ended: acquitted %v, want %v", tests, acquitted, want)
+		}
+	}
+}
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -50,8 +50,14 @@
 // have it. A node that ends before it uses it leaves the request to the next test.
 func (k *poisonKeeper) testWanted(content poison.Fingerprint) {
 	stored := k.stored[content]
-	if stored == nil || stored.Tests >= mostTests || stored.Tests > 0 && k.core.now.Sub(stored.since) < testSpacing ||
-		k.core.now.Sub(stored.claimed) < poisonWriteRetry {
+	if stored == nil || k.core.now.Sub(stored.claimed) < poisonWriteRetry {
+		return
+	}
+	most, spacing := mostTests, testSpacing
+	if k.testerEnded(stored) {
+		most, spacing = mostTests+1, 0
+	}
+	if stored.Tests >= most || stored.Tests > 0 && k.core.now.Sub(stored.since) < spacing {
 		return
 	}
 	stored.claimed = k.core.now
@@ -59,6 +65,13 @@
 	k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&claim), Revision: stored.Revision})
 }
 
+// testerEnded reports whether the node that has the last test is known to have ended: its
+// record is gone, or another process of its machine has one.
+func (k *poisonKeeper) testerEnded(stored *storedPoison) bool {
+	_, lives := k.core.nodes[stored.Tester]
+	return stored.Tests > 0 && !lives && stored.Tester != k.core.config.Self.ID
+}
+
 // written takes the outcome of a write. A record that another node wrote before counts.
 func (k *poisonKeeper) written(answered StoreWritten) {
 	content, err := poison.ParseFingerprint(strings.TrimPrefix(answered.Key, KeyPoison))
