--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -89,6 +89,12 @@
 	popular.Node = 1
 	h.Requests = append(h.Requests, popular)
 	h.Runs = append(h.Runs, ran(popular.ID, "w1", popular.Sent))
+	for n := range 6 {
+		held := served(fmt.Sprintf("%sheld-%d", FloodPrefix, n), RouteKeyed, 12*time.Second)
+		h.Requests = append(h.Requests, held)
+		h.Runs = append(h.Runs, ran(held.ID, "behind-a-link", held.Sent))
+	}
+	h.Disturbances = append(h.Disturbances, Disturbance{Scope: ScopeWorker, Worker: "behind-a-link", From: 9 * time.Second, To: 11 * time.Second})
 	leaving := served("leaving", RouteRead, 24200*time.Millisecond)
 	leaving.Leave = true
 	h.Requests = append(h.Requests, leaving)
