Count suspension in the node process's decisions

Cause: the fleet's process decides by the clock that counts suspension, the node process (settings tree, leases of controllers) still by time.Now, whose steady reading stands still meanwhile: a node that wakes held its lease, and a request its deadline, for as long as it had slept beyond the end. Engines are told deadlines in time of day, as before; callers' are taken in at arrival.

--- a/api/callers.go
+++ b/api/callers.go
@@ -51,6 +51,8 @@
 	// MaxDeadline bounds the deadline a caller may state.
 	MaxDeadline time.Duration
 	Logger      *slog.Logger
+	// Now is the clock of deadlines; time.Now by default.
+	Now func() time.Time
 	// Observe is called once for each ended request; it may be nil.
 	Observe func(Outcome)
 }
@@ -108,6 +110,9 @@
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	if c.Observe == nil {
 		c.Observe = func(Outcome) {}
 	}
--- a/api/callers_infer.go
+++ b/api/callers_infer.go
@@ -17,7 +17,7 @@
 // infer serves a completion request: it checks the request, runs it and relays
 // the answer.
 func (c *callers) infer(w http.ResponseWriter, r *http.Request) {
-	began := time.Now()
+	began, arrived := time.Now(), c.Now()
 	id := c.newRequestID()
 	w.Header().Set(engine.HeaderRequestID, string(id))
 	outcome := Outcome{Request: id}
@@ -32,6 +32,8 @@
 		writeError(w, outcome.Status, fault.failure, fault.param)
 		return
 	}
+	// Callers state deadlines in time of day, or from now; they are kept by the clock.
+	call.Request.Deadline = arrived.Add(call.Request.Deadline.Sub(began))
 	outcome.Model = call.Request.Model
 	outcome.Stream = call.Stream
 	sink := newSink(w, c.StallTime, call.Stream)
--- a/node/shell/inspection/backend.go
+++ b/node/shell/inspection/backend.go
@@ -22,6 +22,8 @@
 	// false without a call when the node has no such core.
 	Inspect(read func(core *node.Core)) bool
 	Self() cluster.Node
+	// Now is the time by which the core decides.
+	Now() time.Time
 	Journal() *decisions.Journal
 	Send(address string, message wire.Message)
 }
--- a/node/shell/inspection/local.go
+++ b/node/shell/inspection/local.go
@@ -1,8 +1,6 @@
 package inspection
 
 import (
-	"time"
-
 	"github.com/valveslip/valveslip/api/admin"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/node"
@@ -20,7 +18,7 @@
 func (b *Backend) localControllers() []admin.Controller {
 	var controllers []admin.Controller
 	b.source.Inspect(func(core *node.Core) {
-		state, holds := core.Cell(time.Now())
+		state, holds := core.Cell(b.source.Now())
 		if !holds {
 			return
 		}
@@ -42,7 +40,7 @@
 func (b *Backend) localMachines() []admin.Machine {
 	var machines []admin.Machine
 	b.source.Inspect(func(core *node.Core) {
-		state, holds := core.Cell(time.Now())
+		state, holds := core.Cell(b.source.Now())
 		if !holds {
 			return
 		}
@@ -72,7 +70,7 @@
 func (b *Backend) localReplicas() []admin.Replica {
 	var replicas []admin.Replica
 	b.source.Inspect(func(core *node.Core) {
-		state, holds := core.Cell(time.Now())
+		state, holds := core.Cell(b.source.Now())
 		if !holds {
 			return
 		}
@@ -100,7 +98,7 @@
 func (b *Backend) localQueues() []admin.Queue {
 	var queues []admin.Queue
 	b.source.Inspect(func(core *node.Core) {
-		for _, queue := range core.Queues(time.Now()) {
+		for _, queue := range core.Queues(b.source.Now()) {
 			queues = append(queues, admin.Queue{
 				Node: b.source.Self().ID, Model: queue.Model, Waiting: queue.Waiting, Running: queue.Running,
 				Bytes: queue.Bytes, OldestWaitSeconds: queue.OldestWait.Seconds(),
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -75,7 +75,7 @@
 	ready       atomic.Bool
 	draining    atomic.Bool
 	// lastRefused is when the draining node last answered a caller, in
-	// nanoseconds since 1970.
+	// nanoseconds since 1970 by the node's clock.
 	lastRefused atomic.Int64
 	drained     chan struct{}
 	drainedOnce sync.Once
@@ -90,8 +90,9 @@
 
 // Start runs a node. It drains and stops when ctx ends or Stop is called.
 func Start(ctx context.Context, config node.Config, options Options) (*Node, error) {
+	options = options.withDefaults(config)
 	n := &Node{
-		config: config, options: options.withDefaults(config), began: time.Now(),
+		config: config, options: options, began: options.Now(),
 		tickets:      make(relay.Tickets),
 		journal:      decisions.New(decisions.Config{}),
 		keyValuePool: newPool(keyValueWorkers, keyValueQueue),
@@ -191,6 +192,7 @@
 		Settings:     n.settings.Load,
 		MaxBodyBytes: n.config.MaxBodyBytes,
 		Logger:       n.logger,
+		Now:          n.Now,
 		Observe:      n.metrics.observe,
 	})
 	n.callers = n.server(n.lingering(handler))
@@ -270,6 +272,9 @@
 // Send sends a message to a peer; it may be lost.
 func (n *Node) Send(address string, message wire.Message) { n.transport.Send(address, message) }
 
+// Now is the time by which the core decides.
+func (n *Node) Now() time.Time { return n.options.Now() }
+
 // Inspect calls read with the composed core while nothing else uses it. It
 // returns false without a call when the node runs another kind of core.
 func (n *Node) Inspect(read func(core *node.Core)) bool {
@@ -300,6 +305,6 @@
 			}
 		}
 	})
-	alone := !composed || len(n.config.Seeds) == 0 || time.Since(n.began) > joinTime
+	alone := !composed || len(n.config.Seeds) == 0 || n.Now().Sub(n.began) > joinTime
 	return neighbours, known || alone
 }
--- a/node/shell/options.go
+++ b/node/shell/options.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/authority"
+	"github.com/valveslip/valveslip/clock"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/engine"
 	"github.com/valveslip/valveslip/keyvalue"
@@ -59,6 +60,11 @@
 	// Relay tunes the relaying of answers.
 	Relay  relay.Options
 	Logger *slog.Logger
+	// Now is the clock of all decisions, deadlines among them: it never jumps back, and counts
+	// the time for which the machine is suspended. By the monotonic clock, a node that wakes
+	// would hold its leases for as long as it slept beyond their end. That of package clock by
+	// default.
+	Now func() time.Time
 }
 
 // newID returns an id that no other start of a node in the zone has.
@@ -91,6 +97,12 @@
 			})
 		}
 	}
+	if o.Now == nil {
+		o.Now = clock.New().Now
+	}
+	if o.Relay.Now == nil {
+		o.Relay.Now = o.Now
+	}
 	if o.Relay.Logger == nil {
 		o.Relay.Logger = o.Logger
 	}
--- a/node/shell/step.go
+++ b/node/shell/step.go
@@ -17,7 +17,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.core != nil {
-		n.stepLocked(time.Now(), event)
+		n.stepLocked(n.Now(), event)
 	}
 }
 
@@ -97,16 +97,16 @@
 func (n *Node) record(effect routing.Effect) {
 	switch effect := effect.(type) {
 	case routing.Dispatch:
-		n.journal.Dispatched(time.Now(), &effect)
+		n.journal.Dispatched(n.Now(), &effect)
 	case routing.Finish:
-		n.journal.Finished(time.Now(), &effect)
+		n.journal.Finished(n.Now(), &effect)
 	}
 }
 
 // Submit implements relay.Decider.
 func (n *Node) Submit(request routing.Request) *relay.Ticket {
 	ticket := relay.NewTicket(n.record)
-	now := time.Now()
+	now := n.Now()
 	n.journal.Arrived(now, &request)
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -54,7 +54,7 @@
 
 // drain ends everything in flight within the drain time.
 func (n *Node) drain() error {
-	began := time.Now()
+	began := n.Now()
 	n.lastRefused.Store(began.UnixNano())
 	n.draining.Store(true)
 	n.logger.Info("drain started", "in_flight", n.inFlight(), "drain_time", n.config.DrainTime)
@@ -75,7 +75,7 @@
 		failure = eris.Wrap(err, "connections were cut off at the end of the drain")
 	}
 	n.handOverKeys()
-	n.logger.Info("drain ended", "duration", time.Since(began), "whole", failure == nil)
+	n.logger.Info("drain ended", "duration", n.Now().Sub(began), "whole", failure == nil)
 	return failure
 }
 
@@ -96,7 +96,7 @@
 	defer cancel()
 	ticker := time.NewTicker(lingerPoll)
 	defer ticker.Stop()
-	for n.connections.count() > 0 || time.Since(time.Unix(0, n.lastRefused.Load())) < lingerQuiet {
+	for n.connections.count() > 0 || n.Now().Sub(time.Unix(0, n.lastRefused.Load())) < lingerQuiet {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -121,7 +121,7 @@
 func (n *Node) lingering(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.draining.Load() {
-			n.lastRefused.Store(time.Now().UnixNano())
+			n.lastRefused.Store(n.Now().UnixNano())
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -46,17 +46,17 @@
 	return &attempt{run: r, decision: decision, call: engine.Call{
 		Request: decision.Request, Attempt: decision.Attempt, Address: decision.Address,
 		Path: r.call.Path, Body: r.call.Body, Priority: r.call.Request.Priority, Header: r.call.Header,
-		Deadline: engineDeadline(time.Now(), decision.Deadline, r.options.EngineMargin),
+		Deadline: engineDeadline(time.Now(), r.left(decision.Deadline), r.options.EngineMargin),
 	}}
 }
 
-// engineDeadline returns the deadline an engine is told: EngineMargin before the
-// attempt's, if that leaves the engine as much time.
-func engineDeadline(now, deadline time.Time, margin time.Duration) time.Time {
-	if early := deadline.Add(-margin); early.After(now.Add(margin)) {
-		return early
+// engineDeadline returns the deadline an engine is told, in time of day: EngineMargin
+// before the attempt's, which is left from now, if that leaves the engine as much time.
+func engineDeadline(now time.Time, left, margin time.Duration) time.Time {
+	if left > 2*margin {
+		left -= margin
 	}
-	return deadline
+	return now.Add(left)
 }
 
 // execute runs the attempt to its end. A cut answer is resumed at the same
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,7 +41,9 @@
 	EngineMargin time.Duration
 	// FinishGrace bounds the wait for a decision after the deadline.
 	FinishGrace time.Duration
-	Logger      *slog.Logger
+	// Now is the clock of the deadlines that are decided; time.Now by default.
+	Now    func() time.Time
+	Logger *slog.Logger
 }
 
 // withDefaults fills zero fields.
@@ -64,6 +66,9 @@
 	if o.FinishGrace == 0 {
 		o.FinishGrace = DefaultFinishGrace
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -171,7 +176,7 @@
 	if effect, ready := r.ticket.take(); ready {
 		return effect, nil
 	}
-	bounded, cancel := context.WithDeadline(ctx, r.call.Request.Deadline.Add(r.options.FinishGrace))
+	bounded, cancel := context.WithTimeout(ctx, r.left(r.call.Request.Deadline)+r.options.FinishGrace)
 	defer cancel()
 	began := time.Now()
 	effect, err := r.ticket.Next(bounded)
@@ -179,6 +184,9 @@
 	return effect, err
 }
 
+// left is how long it is until a deadline that was decided.
+func (r *Runner) left(deadline time.Time) time.Duration { return deadline.Sub(r.options.Now()) }
+
 // abandon ends a request whose caller left or that the core did not end in
 // time. It waits for the core's verdict, but not longer than FinishGrace.
 func (r *run) abandon(caller context.Context) Result {
@@ -217,7 +225,7 @@
 func (r *run) dispatch(ctx context.Context, decision routing.Dispatch) {
 	r.result.Attempts++
 	r.result.Machine = decision.Machine
-	limited, cancel := context.WithDeadline(ctx, decision.Deadline)
+	limited, cancel := context.WithTimeout(ctx, r.left(decision.Deadline))
 	r.ticket.OnInterrupt(cancel)
 	current := newAttempt(r, decision)
 	began := time.Now()
