Judge configurations by what versions change, at the size of a deployment

The soak judged no configuration: a version was judged only while it was the newest for seven seconds, and another one came every four. Each version now holds the routes of the last four, so that what all versions that may be in force agree on is judged: a route that must be served, one that must not, and the service at which plain requests ran. Leaving workers are judged by the runs that could have gone to them. The bounds have no slack any more: a version and a leaving are noted after the store took them, and a request reaches its node after it was sent. A node is excused by its own links only; checks of harmful requests, which depend on what nodes tell each other, keep their excuse.

A promise that a run tested and judged too seldom is reported as not judged and makes a drawn run end as failed. The report tells how long versions and leavings took, by node.

New: a share of a core as a quota of each tenth of a second, a rate of a node's links, a configuration of a deployment's size, deployments without keys, three zones from 24 nodes on, and bursts of callers at a node.

One planted defect of the check on stepping back was a probe that a longer kept route makes legal; in its place stands one that only an older version explains. A pause ends when the last of the overlapping ones does.

--- a/cmd/valveslip/soak.go
+++ b/cmd/valveslip/soak.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/soak"
+	"github.com/valveslip/valveslip/soak/check"
 	"github.com/valveslip/valveslip/soak/plan"
 	"github.com/valveslip/valveslip/soak/schedules"
 )
@@ -116,6 +117,10 @@
 	if err := printSoak(out, report); err != nil {
 		return err
 	}
+	drawn := f.schedule == "" && !f.regressions
+	if missing := report.NotJudged(); drawn && len(missing) > 0 && len(report.Breaches()) == 0 {
+		return &exitError{code: exitFailure, err: eris.Errorf("seed %d: %d promises were tested and not judged", schedule.Seed, len(missing))}
+	}
 	if breaches := report.Breaches(); len(breaches) > 0 {
 		return &exitError{code: exitFailure, err: eris.Errorf("seed %d: %d times a promise was broken", schedule.Seed, len(breaches))}
 	}
@@ -217,9 +222,20 @@
 	}
 	var rows [][]string
 	for _, finding := range report.Findings {
-		rows = append(rows, []string{string(finding.Promise), strconv.Itoa(finding.Judged), strconv.Itoa(len(finding.Breaches))})
+		note := ""
+		if finding.NotJudged() {
+			note = fmt.Sprintf("not judged: less than %d", finding.Least)
+		}
+		rows = append(rows, []string{string(finding.Promise), strconv.Itoa(finding.Judged), strconv.Itoa(len(finding.Breaches)), note})
+	}
+	if err := writeSection(out, "promises", []string{"PROMISE", "JUDGED", "BROKEN", ""}, rows); err != nil {
+		return err
+	}
+	took := [][]string{
+		spreadRow("a version was taken, to its first answer by a node", &report.ConfigurationTook),
+		spreadRow("a worker left, to the last request of a node", &report.LeavingTook),
 	}
-	if err := writeSection(out, "promises", []string{"PROMISE", "JUDGED", "BROKEN"}, rows); err != nil {
+	if err := writeSection(out, "times", []string{"FROM", "COUNT", "P50", "P99", "MAX", "SLOWEST"}, took); err != nil {
 		return err
 	}
 	for _, finding := range report.Findings {
@@ -233,6 +249,21 @@
 	return nil
 }
 
+// spreadRow lists how long something took, and the node with the longest time.
+func spreadRow(name string, took *check.Spreads) []string {
+	slowest := ""
+	for _, node := range slices.Sorted(maps.Keys(took.Nodes)) {
+		if longest := took.Nodes[node].Max; longest > 0 && longest == took.All.Max {
+			slowest = fmt.Sprintf("node %d", node)
+		}
+	}
+	row := []string{name, strconv.Itoa(took.All.Count)}
+	for _, value := range []time.Duration{took.All.P50, took.All.P99, took.All.Max} {
+		row = append(row, value.Round(time.Millisecond).String())
+	}
+	return append(row, slowest)
+}
+
 // countRows lists counts by name.
 func countRows[Name cmp.Ordered](counts map[Name]int) [][]string {
 	var rows [][]string
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -61,6 +61,9 @@
 		return r.nodes[target].pause(f.For)
 	case plan.ProcessHangUp:
 		return r.nodes[target].signal(syscall.SIGHUP)
+	case plan.CallerBurst:
+		r.nodes[target].burst(f.Rate, f.For)
+		return true
 	}
 	r.injectWorker(f, r.workers[target])
 	return true
@@ -125,7 +128,11 @@
 		disturbance.Scope = check.ScopeStore
 		return r.nodes[target].store, disturbance
 	case plan.LinkPeer:
-		disturbance.Scope, disturbance.Node = check.ScopePeer, check.AllNodes
+		disturbance.Scope = check.ScopePeer
+		if f.Kind == plan.LinkSilence {
+			// Connections that go silent count as a reset of the connections of all nodes.
+			disturbance.Node = check.AllNodes
+		}
 		return r.nodes[target].peers, disturbance
 	}
 	id, _, struck, _ := r.workers[target].present()
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -55,7 +55,11 @@
 // draws follow from the seed.
 type callers struct {
 	*process
-	random  *rand.Rand
+	random *rand.Rand
+	// prefix begins the identifiers of the requests.
+	prefix string
+	// pace is the time between two calls.
+	pace    time.Duration
 	number  int
 	pending sync.WaitGroup
 	gate    chan struct{}
@@ -63,7 +67,10 @@
 
 func newCallers(p *process) *callers {
 	seed := p.options.Schedule.Seed
-	return &callers{process: p, random: rand.New(rand.NewPCG(seed, uint64(p.index))), gate: make(chan struct{}, maxCalls(len(p.nodes)))}
+	return &callers{
+		process: p, random: rand.New(rand.NewPCG(seed, uint64(p.index))), pace: pace(len(p.nodes)),
+		gate: make(chan struct{}, maxCalls(len(p.nodes))),
+	}
 }
 
 // pace is the time between two calls to one of so many nodes.
@@ -77,7 +84,7 @@
 
 // run sends until the context ends and waits for what is under way.
 func (c *callers) run(ctx context.Context) {
-	ticker := time.NewTicker(pace(len(c.nodes)))
+	ticker := time.NewTicker(c.pace)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		request := c.draw()
@@ -102,7 +109,7 @@
 	c.number++
 	routes := check.Routes()
 	request := check.Request{
-		ID: fmt.Sprintf("n%d-%d", c.index, c.number), Node: c.index, Route: routes[c.random.IntN(len(routes))],
+		ID: fmt.Sprintf("%sn%d-%d", c.prefix, c.index, c.number), Node: c.index, Route: routes[c.random.IntN(len(routes))],
 		Deadline: minDeadline + time.Duration(c.random.Int64N(int64(maxDeadline-minDeadline))).Truncate(time.Millisecond),
 	}
 	if request.Route.Streams() {
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// BurstPrefix begins the identifiers of requests that come beyond the usual.
+const BurstPrefix = "burst-"
+
 // Request is one request as its caller saw it. Times count from the run's begin.
 type Request struct {
 	ID    string
@@ -53,20 +56,6 @@
 	At     time.Duration
 }
 
-// Version is a configuration and when the store took it.
-type Version struct {
-	Number int64
-	At     time.Duration
-}
-
-// Probe asked one process whether a version is in force.
-type Probe struct {
-	Node, Life  int
-	Version     int64
-	Sent, Ended time.Duration
-	InForce     bool
-}
-
 // Stop is a planned stop of a process. Ended is zero while the process lives.
 type Stop struct {
 	Node      int
@@ -157,6 +146,17 @@
 	Disturbances []Disturbance
 	// Engines counts the workers that take orders.
 	Engines int
+	// Services names the service of each worker.
+	Services map[string]string
+}
+
+// requestsByID finds requests by their identifiers.
+func (h *History) requestsByID() map[string]*Request {
+	requests := make(map[string]*Request, len(h.Requests))
+	for i := range h.Requests {
+		requests[h.Requests[i].ID] = &h.Requests[i]
+	}
+	return requests
 }
 
 // runsByRequest groups the runs.
@@ -178,6 +178,14 @@
 	})
 }
 
+// peersDisturbed reports whether the links between any nodes were out of order within a
+// time: what nodes must tell each other may be late at all of them then.
+func (h *History) peersDisturbed(from, to time.Duration) bool {
+	return slices.ContainsFunc(h.Disturbances, func(d Disturbance) bool {
+		return d.Scope == ScopePeer && d.From <= to && d.To+settling >= from
+	})
+}
+
 // workerDisturbed reports whether a worker or the link to it was out of order.
 func (h *History) workerDisturbed(worker string, from, to time.Duration) bool {
 	return slices.ContainsFunc(h.Disturbances, func(d Disturbance) bool {
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -12,8 +12,8 @@
 	settling = 4 * time.Second
 	// answerSlack is how long after its deadline a request may be answered.
 	answerSlack = 5 * time.Second
-	// boundSlack is added to the bounds of configuration and leaving workers.
-	boundSlack = 4 * time.Second
+	// poisonSlack is added to the time within which nodes know of a harmful request.
+	poisonSlack = 4 * time.Second
 	// stopSlack is how long after its grace time a stopping process may end, and
 	// how long before the end of the grace time requests must have ended to count.
 	stopSlack = 3 * time.Second
@@ -65,11 +65,16 @@
 // Finding is what one check found.
 type Finding struct {
 	Promise Promise `json:"promise"`
-	// Judged counts what could be judged, besides what a disturbance excused.
+	// Judged counts what could be judged, besides what a disturbance excused. Least is how
+	// often that must be, zero where nothing tested the promise.
 	Judged   int      `json:"judged"`
+	Least    int      `json:"least"`
 	Breaches []Breach `json:"breaches,omitempty"`
 }
 
+// NotJudged reports whether the promise was tested and yet judged too seldom.
+func (f *Finding) NotJudged() bool { return f.Judged < f.Least }
+
 // judge judges one more thing; a detail means that the promise is broken.
 func (f *Finding) judge(subject string, at time.Duration, detail string) {
 	f.Judged++
@@ -78,27 +83,75 @@
 	}
 }
 
+// checkOf is one promise's check.
+type checkOf struct {
+	promise Promise
+	check   func(*History, *Finding)
+	// least is how often the promise must be judged by a history that tests it.
+	least int
+	// tested reports whether what tests the promise came about; nil for always.
+	tested func(*History) bool
+}
+
+// What a run that lasts half a minute shows in any case: callers send 12 requests a second to
+// each node, versions come every 4 s, and a worker leaves while nothing is out of order. The
+// leasts are a tenth or less of what such a run brings with four nodes.
+const (
+	leastOfMany = 100
+	leastOfSome = 30
+	leastOfFew  = 1
+)
+
+// checks are all checks, in the order of reports.
+var checks = []checkOf{
+	{PromiseOnce, ranOnce, leastOfSome, nil},
+	{PromiseNeverRun, neverRan, leastOfFew, (*History).anyRefused},
+	{PromiseWhole, wholeAnswers, leastOfMany, nil},
+	{PromiseStream, wholeStreams, leastOfSome, nil},
+	{PromiseHolder, oneHolder, leastOfFew, nil},
+	{PromiseMemory, memoryKept, leastOfFew, nil},
+	{PromiseLoads, loadsKept, leastOfFew, nil},
+	{PromiseLeaving, leftAlone, leastOfSome, (*History).anyLeft},
+	{PromiseConfiguration, configuredInTime, leastOfSome, nil},
+	{PromiseForward, neverBack, leastOfMany, nil},
+	{PromiseStop, nothingCut, leastOfFew, (*History).stopsInPeace},
+	{PromiseLeave, connectionsLeft, leastOfFew, (*History).stopsInPeace},
+	{PromiseStopEnds, stopsEnd, leastOfFew, (*History).stopsInPeace},
+	{PromiseAnswer, answeredInTime, leastOfMany, nil},
+	{PromiseLives, nobodyEnds, 0, nil},
+	{PromiseRecovery, recovered, leastOfFew, nil},
+	{PromisePoison, poisonHeldBack, leastOfFew, (*History).poisonTold},
+	{PromiseBystanders, bystandersTaken, leastOfFew, (*History).acquittalDue},
+	{PromiseKeys, keysTaken, leastOfFew, (*History).keyed},
+	{PromiseLimit, limitKept, leastOfSome, (*History).keyed},
+}
+
 // Judge runs every check.
 func Judge(h *History) []Finding {
-	checks := []struct {
-		promise Promise
-		check   func(*History, *Finding)
-	}{
-		{PromiseOnce, ranOnce}, {PromiseNeverRun, neverRan}, {PromiseWhole, wholeAnswers}, {PromiseStream, wholeStreams},
-		{PromiseHolder, oneHolder}, {PromiseMemory, memoryKept}, {PromiseLoads, loadsKept}, {PromiseLeaving, leftAlone},
-		{PromiseConfiguration, configuredInTime}, {PromiseForward, neverBack}, {PromiseStop, nothingCut},
-		{PromiseLeave, connectionsLeft}, {PromiseStopEnds, stopsEnd}, {PromiseAnswer, answeredInTime}, {PromiseLives, nobodyEnds}, {PromiseRecovery, recovered},
-		{PromisePoison, poisonHeldBack}, {PromiseBystanders, bystandersTaken}, {PromiseKeys, keysTaken}, {PromiseLimit, limitKept},
-	}
 	findings := make([]Finding, 0, len(checks))
 	for _, entry := range checks {
 		finding := Finding{Promise: entry.promise}
 		entry.check(h, &finding)
+		if entry.tested == nil || entry.tested(h) {
+			finding.Least = entry.least
+		}
 		findings = append(findings, finding)
 	}
 	return findings
 }
 
+// NotJudged lists the promises that were tested and judged less often than a history of such
+// a run allows: it says nothing of them.
+func NotJudged(findings []Finding) []Promise {
+	var promises []Promise
+	for i := range findings {
+		if findings[i].NotJudged() {
+			promises = append(promises, findings[i].Promise)
+		}
+	}
+	return promises
+}
+
 // Breaches gathers the breaches of all findings.
 func Breaches(findings []Finding) []Breach {
 	var breaches []Breach
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -40,7 +40,8 @@
 		},
 		Engines:  1,
 		Leavings: []Leaving{{Worker: "w2", At: 10 * time.Second}},
-		Versions: []Version{{Number: 1}, {Number: 2, At: 5 * time.Second}},
+		Versions: []Version{{Number: 1, Plain: "plain"}, {Number: 2, From: 4900 * time.Millisecond, At: 5 * time.Second, Plain: "plain"}},
+		Services: map[string]string{"w1": "plain", "w2": "plain", "behind-a-link": "plain"},
 		Taken:    []TakenKey{{Key: "old", At: 5 * time.Second}},
 		Stops:    []Stop{{Node: 0, At: 20 * time.Second, Ended: 25 * time.Second}},
 		Closings: []Closing{{Node: 0, At: 25 * time.Second}, {Node: 1, At: 22 * time.Second}},
@@ -214,7 +215,7 @@
 	}},
 	{PromiseConfiguration, "a version that is not in force", func(h *History) { h.Probes[len(h.Probes)-1].InForce = false }},
 	{PromiseForward, "a version that comes back", func(h *History) {
-		h.Probes = append(h.Probes, Probe{Node: 1, Life: 1, Version: 1, Sent: 18 * time.Second, Ended: 19 * time.Second, InForce: true})
+		h.Probes = append(h.Probes, Probe{Node: 1, Life: 1, Version: 2, Sent: 18 * time.Second, Ended: 19 * time.Second})
 	}},
 	{PromiseForward, "a standing route that is not known", func(h *History) { h.Requests[0].Status = http.StatusNotFound }},
 	{PromiseStop, "a request that ran and was cut by a stop", func(h *History) {
--- a/soak/check/nodes.go
+++ b/soak/check/nodes.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -10,71 +9,6 @@
 
 func nodeName(node int) string { return "node " + strconv.Itoa(node) }
 
-// configuredInTime: a node that has been in touch for the bound has the newest
-// configuration in force.
-func configuredInTime(h *History, f *Finding) {
-	for _, probe := range h.Probes {
-		since, newest := h.newest(probe.Sent)
-		ended, _ := h.newest(probe.Ended)
-		due := since.At + h.Bounds.Configuration + boundSlack
-		if !newest || since.Number != probe.Version || ended.Number != probe.Version || probe.Sent < due {
-			continue
-		}
-		if h.disturbed(probe.Node, probe.Sent-h.Bounds.Configuration, probe.Ended, ScopeProcess, ScopeStore, ScopePeer) {
-			continue
-		}
-		detail := ""
-		if !probe.InForce {
-			detail = fmt.Sprintf("version %d of %s is not in force", probe.Version, since.At)
-		}
-		f.judge(nodeName(probe.Node), probe.Sent, detail)
-	}
-}
-
-// newest is the last version that the store had taken by a time.
-func (h *History) newest(by time.Duration) (newest Version, found bool) {
-	for _, version := range h.Versions {
-		if version.At <= by && version.Number > newest.Number {
-			newest, found = version, true
-		}
-	}
-	return newest, found
-}
-
-// process is one life of a node.
-type process struct{ node, life int }
-
-// neverBack: a process that was seen with a version is never seen with an older one.
-func neverBack(h *History, f *Finding) {
-	seen := map[process][]Probe{}
-	for _, probe := range h.Probes {
-		if probe.InForce {
-			key := process{probe.Node, probe.Life}
-			seen[key] = append(seen[key], probe)
-		}
-	}
-	for i := range h.Requests {
-		if request := &h.Requests[i]; request.Status == http.StatusNotFound {
-			f.judge(request.ID, request.Ended, "a route that every version has is not known")
-		}
-	}
-	for key, probes := range seen {
-		for _, probe := range probes {
-			f.judge(nodeName(key.node), probe.Sent, wentBack(probes, &probe))
-		}
-	}
-}
-
-// wentBack says that a probe shows an older version than one that ended before it.
-func wentBack(probes []Probe, probe *Probe) string {
-	for _, earlier := range probes {
-		if earlier.Ended < probe.Sent && earlier.Version > probe.Version {
-			return fmt.Sprintf("version %d in force, %d was at %s", probe.Version, earlier.Version, earlier.Ended)
-		}
-	}
-	return ""
-}
-
 // nothingCut: a request that a stopping process read, and that must end within the
 // grace time, gets its whole answer. What ran was read, and so was what came well
 // before the process's end.
--- a/soak/check/orders.go
+++ b/soak/check/orders.go
@@ -61,28 +61,34 @@
 	}
 }
 
-// leftAlone: a node that is in touch sends a leaving worker nothing after the bound.
+// leftAlone: a node in touch sends a leaving worker nothing after the bound. Judged is what
+// could have gone there: each run of its service from then on that a node in touch sent. The
+// bound needs no slack, since the leaving is noted after the store took it; a run is left out
+// while the worker's link holds requests back.
 func leftAlone(h *History, f *Finding) {
+	requests := h.requestsByID()
 	leaving := map[string]time.Duration{}
+	due := map[string]time.Duration{}
 	for _, left := range h.Leavings {
 		if at, known := leaving[left.Worker]; !known || left.At < at {
 			leaving[left.Worker] = left.At
 		}
+		service, at := h.Services[left.Worker], left.At+h.Bounds.Drain
+		if first, known := due[service]; !known || at < first {
+			due[service] = at
+		}
 	}
-	nodes := map[string]int{}
-	for i := range h.Requests {
-		nodes[h.Requests[i].ID] = h.Requests[i].Node
-	}
-	for _, run := range h.Runs {
-		left, leaves := leaving[run.Worker]
-		if !leaves || run.At <= left+h.Bounds.Drain+boundSlack {
+	for i := range h.Runs {
+		run := &h.Runs[i]
+		from, known := due[h.Services[run.Worker]]
+		request := requests[run.Request]
+		if !known || request == nil || run.At <= from || !h.inTouch(request.Node, run.At, run.At) || h.workerDisturbed(run.Worker, request.Sent, run.At) {
 			continue
 		}
-		node, known := nodes[run.Request]
-		if !known || h.disturbed(node, left, run.At, ScopeProcess, ScopeStore, ScopePeer) || h.workerDisturbed(run.Worker, left, run.At) {
-			continue
+		detail := ""
+		if left, leaves := leaving[run.Worker]; leaves && run.At > left+h.Bounds.Drain {
+			detail = fmt.Sprintf("node %d sent it to %s, which left at %s", request.Node, run.Worker, left)
 		}
-		f.judge(run.Request, run.At, fmt.Sprintf("node %d sent it to %s, which left at %s", node, run.Worker, left))
+		f.judge(run.Request, run.At, detail)
 	}
-	f.Judged += len(h.Leavings)
 }
--- a/soak/check/poison.go
+++ b/soak/check/poison.go
@@ -20,7 +20,7 @@
 	poisonSends = 3
 	// poisonBound is within what nodes know: half of the users' bound, and what a busy
 	// machine needs besides.
-	poisonBound = 1500*time.Millisecond + boundSlack
+	poisonBound = 1500*time.Millisecond + poisonSlack
 	// acquittedWithin is how long after that what many ask for may be refused, because it was
 	// at the workers that ended: it is tried again after a second, and once more after 10 s
 	// where the node that was to try it ended.
@@ -58,7 +58,7 @@
 // poisonJudged reports whether a node must have known of the harmful request at a time: it
 // ran and heard of others for a while.
 func (h *History) poisonJudged(r *Request, at, third time.Duration) bool {
-	return at > third+poisonBound && !h.disturbed(r.Node, at, at, ScopeProcess, ScopeStore, ScopePeer)
+	return at > third+poisonBound && !h.disturbed(r.Node, at, at, ScopeProcess, ScopeStore) && !h.peersDisturbed(at, at)
 }
 
 // poisonRuns lists the harmful request's runs, oldest first.
@@ -91,7 +91,7 @@
 	third, _ := h.thirdEnd()
 	for i := range h.Requests {
 		r := &h.Requests[i]
-		if !strings.HasPrefix(r.ID, PopularPrefix) || r.Sent < third+acquittedWithin || h.disturbed(r.Node, r.Sent, r.Sent, ScopeProcess, ScopeStore, ScopePeer) {
+		if !strings.HasPrefix(r.ID, PopularPrefix) || r.Sent < third+acquittedWithin || h.disturbed(r.Node, r.Sent, r.Sent, ScopeProcess, ScopeStore) || h.peersDisturbed(r.Sent, r.Sent) {
 			continue
 		}
 		detail := ""
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -23,6 +23,8 @@
 	attempts = 3
 	// maxExtra bounds the routes that changes add.
 	maxExtra = 20
+	// extraHosts are the hosts over which the routes are spread that nobody asks for.
+	extraHosts = 40
 )
 
 // configuration is the operator's configuration and its changes. A route's path
@@ -38,7 +40,7 @@
 	keys int
 }
 
-// versionPath is the path that only one version routes.
+// versionPath is the path of the route that a version adds, and that the next ones keep.
 func versionPath(version int64) string { return fmt.Sprintf("/at-%d/", version) }
 
 // change applies a change and writes the next version.
@@ -48,11 +50,12 @@
 	apply()
 	c.version++
 	document := c.document()
+	written := check.Version{Number: c.version, From: c.recorder.now(), Plain: c.plain()}
 	if err := c.metadata.Put(platform.KeyConfiguration, document); err != nil {
 		c.fail(err)
 		return
 	}
-	written := check.Version{Number: c.version, At: c.recorder.now()}
+	written.At = c.recorder.now()
 	c.recorder.record(func(h *check.History) { h.Versions = append(h.Versions, written) })
 }
 
@@ -69,33 +72,53 @@
 
 // document is the present configuration.
 func (c *configuration) document() platform.ConfigurationDocument {
-	plain := serviceFirst
-	if c.moved {
-		plain = serviceSecond
-	}
+	plain := c.plain()
 	routes := []platform.RouteDocument{
 		route(string(check.RouteWrite), kindNonIdempotent, plain, false),
 		route(string(check.RouteRead), kindIdempotent, plain, false),
 		route(string(check.RouteStream), kindStreaming, serviceEngine, true),
 		route(string(check.RouteOnce), kindStreaming, serviceEngine, false),
 	}
-	marker := route("version", kindIdempotent, plain, false)
-	marker.Prefix = versionPath(c.version)
-	routes = append(routes, marker)
+	for version := max(c.version-check.MarkersKept+1, 1); version <= c.version; version++ {
+		marker := route(fmt.Sprintf("version-%d", version), kindIdempotent, plain, false)
+		marker.Prefix = versionPath(version)
+		routes = append(routes, marker)
+	}
 	for extra := range c.extra {
 		routes = append(routes, route(fmt.Sprintf("extra-%d", extra+1), kindIdempotent, plain, false))
 	}
 	for i := range routes {
 		routes[i].Public = true
 	}
-	routes = append(routes, route(string(check.RouteKeyed), kindIdempotent, plain, false))
+	if !c.options.Schedule.Keyless {
+		routes = append(routes, route(string(check.RouteKeyed), kindIdempotent, plain, false))
+	}
+	for extra := range c.options.Schedule.ExtraRoutes {
+		routes = append(routes, extraRoute(extra, plain))
+	}
+	engine := engineDocument(c.options.Schedule.ExtraModels)
 	return platform.ConfigurationDocument{
 		Version: c.version, Routes: routes, Tenants: c.tenants(),
-		Services: []platform.ServiceDocument{{Name: serviceFirst}, {Name: serviceSecond}, {Name: serviceEngine, Engine: engineDocument()}},
+		Services: []platform.ServiceDocument{{Name: serviceFirst}, {Name: serviceSecond}, {Name: serviceEngine, Engine: engine}},
 		Limits:   platform.LimitsDocument{HeaderBytes: headerBytes, BodyBytes: bodyBytes, HeaderMS: headerMS, IdleMS: idleMS},
 	}
 }
 
+// plain is the service of the plain routes.
+func (c *configuration) plain() string {
+	if c.moved {
+		return serviceSecond
+	}
+	return serviceFirst
+}
+
+// extraRoute is a route that nobody asks for.
+func extraRoute(number int, service string) platform.RouteDocument {
+	extra := route(fmt.Sprintf("unused-%d", number+1), kindIdempotent, service, false)
+	extra.Host = fmt.Sprintf("host-%d.example", number%extraHosts+1)
+	return extra
+}
+
 // The words of the configuration.
 const (
 	kindIdempotent    = "idempotent"
@@ -110,9 +133,10 @@
 	}
 }
 
-func engineDocument() *platform.EngineDocument {
+// engineDocument describes the workers with models; extra ones are asked for by nobody.
+func engineDocument(extra int) *platform.EngineDocument {
 	engine := &platform.EngineDocument{Slots: engineSlots, WeightsMB: engineMB, AdapterSlots: adapters, LoadsPerSecond: loadsSecond}
-	for index := range modelCount {
+	for index := range modelCount + extra {
 		engine.Models = append(engine.Models, platform.ModelDocument{
 			Name: modelName(index), WeightsMB: modelMB, LoadS: loadTime.Seconds(), Adapters: adapters, AdapterMB: adapterMB,
 		})
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -10,16 +10,17 @@
 
 // life is one life of a worker.
 type life struct {
-	id     string
-	worker *worker.Worker
-	server *standin.Server
+	id      string
+	service string
+	worker  *worker.Worker
+	server  *standin.Server
 }
 
 // lived notes a life of a worker.
-func (r *run) lived(id string, started *worker.Worker, server *standin.Server) {
+func (r *run) lived(id, service string, started *worker.Worker, server *standin.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lives = append(r.lives, life{id: id, worker: started, server: server})
+	r.lives = append(r.lives, life{id: id, service: service, worker: started, server: server})
 }
 
 // gather completes the history by what the workers saw. It returns a copy, since nodes
@@ -35,7 +36,7 @@
 			LoadsPerWindow: int(loadsSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: streamEvents,
 			Keys: keyBound, Limit: floodLimit,
 		}
-		h.Engines = r.engines()
+		h.Engines, h.Services = r.engines(), map[string]string{}
 		for _, over := range lives {
 			r.gatherLife(h, &over)
 		}
@@ -59,6 +60,7 @@
 
 // gatherLife adds what one worker ran and took.
 func (r *run) gatherLife(h *check.History, over *life) {
+	h.Services[over.id] = over.service
 	for _, ran := range over.worker.Runs() {
 		h.Runs = append(h.Runs, check.Run{Request: ran.RequestID, Worker: over.id, Body: ran.Body, At: r.recorder.at(ran.At)})
 	}
--- a/soak/gather_test.go
+++ b/soak/gather_test.go
@@ -42,8 +42,8 @@
 	post(t, w, "/", "refused", "", check.Body("refused"))
 	engine := worker.New(worker.Config{ID: "e", MemoryBytes: 1, Models: map[string]catalog.ModelSpec{"m": {Bytes: 2}}})
 	post(t, engine, platform.PathOrder, "", "", `{"op":"load","model":"m","holder":"h","fence":1}`)
-	r.lived("w", w, nil)
-	r.lived("e", engine, nil)
+	r.lived("w", serviceFirst, w, nil)
+	r.lived("e", serviceEngine, engine, nil)
 	r.recorder.record(func(h *check.History) {
 		h.Requests = []check.Request{
 			{ID: "twice", Route: check.RouteWrite, Deadline: time.Second},
--- a/soak/network.go
+++ b/soak/network.go
@@ -20,12 +20,13 @@
 		ip := r.network + strconv.Itoa(index+1)
 		node := &process{run: r, index: index, ip: ip, done: make(chan struct{})}
 		node.client = node.newClient()
+		link := proxy.NewRate(r.options.Schedule.LinkMbps)
 		peer := net.JoinHostPort(ip, strconv.Itoa(peerPort))
 		targets := map[**proxy.Proxy]string{
 			&node.callers: net.JoinHostPort(ip, strconv.Itoa(callersPort)), &node.store: r.server.Address(), &node.peers: peer,
 		}
 		for to, target := range targets {
-			if *to, err = r.newProxy(target, to == &node.store); err != nil {
+			if *to, err = r.newProxy(target, to == &node.store, link); err != nil {
 				return err
 			}
 		}
@@ -52,10 +53,10 @@
 // there, so a port that was closed is free when it is opened again.
 const proxiesAt = "254"
 
-// newProxy opens a proxy that ends with the run.
-func (r *run) newProxy(target string, standIn bool) (*proxy.Proxy, error) {
+// newProxy opens a proxy that ends with the run, at a link of a rate that may be shared.
+func (r *run) newProxy(target string, standIn bool, link *proxy.Rate) (*proxy.Proxy, error) {
 	opened, err := proxy.Listen(proxy.Options{
-		Address: net.JoinHostPort(r.network+proxiesAt, "0"), Target: target, StandIn: standIn, Failed: r.fail,
+		Address: net.JoinHostPort(r.network+proxiesAt, "0"), Target: target, StandIn: standIn, Rate: link, Failed: r.fail,
 	})
 	if err == nil {
 		r.mu.Lock()
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -58,6 +58,7 @@
 	for at := firstAt; at < size.Span; at += d.gap(meanGap) {
 		schedule.Faults = append(schedule.Faults, d.series(at)...)
 	}
+	schedule.Faults = append(schedule.Faults, drawLater(seed, size)...)
 	schedule.Faults = slices.DeleteFunc(schedule.Faults, func(f Fault) bool { return f.At >= size.Span })
 	slices.SortStableFunc(schedule.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	spareStops(schedule.Faults)
@@ -65,6 +66,28 @@
 	return schedule
 }
 
+// How faults of the later kinds are drawn.
+const (
+	// laterGap is the mean time between two of them.
+	laterGap = 8 * time.Second
+	// leastRate and mostRate bound the calls a second of a burst: four to thirty times what
+	// callers send to a node else.
+	leastRate = 50
+	mostRate  = 360
+)
+
+// drawLater draws the faults of the later kinds.
+func drawLater(seed uint64, size Size) []Fault {
+	d := &drawer{random: rand.New(rand.NewPCG(seed, ^seed)), size: size}
+	var faults []Fault
+	for at := firstAt; at < size.Span; at += d.gap(laterGap) {
+		fault := d.fault(CallerBurst, at)
+		fault.Rate = leastRate + d.random.IntN(mostRate-leastRate)
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
 // stopTime is how long a planned stop may take, with what is given beyond its grace time.
 const stopTime = 11 * time.Second
 
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -1,5 +1,7 @@
 package plan
 
+import "slices"
+
 // Kind names a fault.
 type Kind string
 
@@ -28,6 +30,10 @@
 	ProcessHangUp Kind = "process-hang-up"
 )
 
+// CallerBurst has many more callers come to a node for a while. It puts nothing out of order:
+// what is promised holds meanwhile.
+const CallerBurst Kind = "caller-burst"
+
 // The kinds of faults of the store.
 const (
 	StoreSlow    Kind = "store-slow"
@@ -123,9 +129,18 @@
 	{WorkerLateOrders, kindOf{onWorkers, 3, true}},
 }
 
+// laterKinds are drawn beside the others, by draws of their own: the seeds' other faults stay
+// what they were.
+var laterKinds = []struct {
+	Kind
+	kindOf
+}{
+	{CallerBurst, kindOf{onNodes, 1, true}},
+}
+
 // describe returns what is known of a kind.
 func describe(kind Kind) (kindOf, bool) {
-	for _, known := range kinds {
+	for _, known := range slices.Concat(kinds, laterKinds) {
 		if known.Kind == kind {
 			return known.kindOf, true
 		}
@@ -135,8 +150,8 @@
 
 // Kinds lists all kinds of faults.
 func Kinds() []Kind {
-	names := make([]Kind, 0, len(kinds))
-	for _, known := range kinds {
+	names := make([]Kind, 0, len(kinds)+len(laterKinds))
+	for _, known := range slices.Concat(kinds, laterKinds) {
 		names = append(names, known.Kind)
 	}
 	return names
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -20,10 +20,15 @@
 	// For is how long the fault lasts; for a process that ends, how long until it
 	// is started again.
 	For time.Duration `yaml:"for,omitempty" json:"for,omitempty"`
+	// Rate of CallerBurst, in calls a second.
+	Rate int `yaml:"rate,omitempty" json:"rate,omitempty"`
 	// Delay of LinkDelay, StoreSlow and WorkerLateOrders.
 	Delay time.Duration `yaml:"delay,omitempty" json:"delay,omitempty"`
 }
 
+// maxRate bounds a burst: more than that the soak's own process can't send.
+const maxRate = 5000
+
 // flowFault is a Fault that is written on one line.
 type flowFault Fault
 
@@ -50,6 +55,19 @@
 	Workers int `yaml:"workers" json:"workers"`
 	// Fencing is set when workers refuse orders under an older fence.
 	Fencing bool `yaml:"fencing" json:"fencing"`
+	// Keyless deployments have no tenants: no caller needs a key, and no node asks the
+	// store to prove which configuration is the newest.
+	Keyless bool `yaml:"keyless,omitempty" json:"keyless,omitempty"`
+	// CoreShare is how much of a core each node may use, as a quota of each tenth of a
+	// second; zero for any.
+	CoreShare float64 `yaml:"core_share,omitempty" json:"core_share,omitempty"`
+	// LinkMbps bounds what a node receives, and what it answers, in millions of bits a
+	// second, over all of its links together; zero for any.
+	LinkMbps float64 `yaml:"link_mbps,omitempty" json:"link_mbps,omitempty"`
+	// ExtraRoutes and ExtraModels are in every version of the configuration and are asked
+	// for by nobody: they give it the size of a real one.
+	ExtraRoutes int `yaml:"extra_routes,omitempty" json:"extra_routes,omitempty"`
+	ExtraModels int `yaml:"extra_models,omitempty" json:"extra_models,omitempty"`
 	// Span is how long faults are injected.
 	Span   time.Duration `yaml:"span" json:"span"`
 	Faults []Fault       `yaml:"faults" json:"faults"`
@@ -82,12 +100,18 @@
 	if s.Nodes < 1 || s.Workers < 1 || s.Span <= 0 {
 		return eris.New("nodes, workers and span must be positive")
 	}
+	if s.CoreShare < 0 || s.LinkMbps < 0 || s.ExtraRoutes < 0 || s.ExtraModels < 0 {
+		return eris.New("core_share, link_mbps, extra_routes and extra_models must not be negative")
+	}
 	for i := range s.Faults {
 		fault := &s.Faults[i]
 		known, found := describe(fault.Kind)
 		if !found {
 			return eris.Errorf("fault %d: there is no kind %q", i+1, fault.Kind)
 		}
+		if fault.Kind == CallerBurst && (fault.Rate < 1 || fault.Rate > maxRate) {
+			return eris.Errorf("fault %d: the rate must be from 1 to %d a second", i+1, maxRate)
+		}
 		if known.class == onLink && !slices.Contains(links, fault.Link) {
 			return eris.Errorf("fault %d: there is no link %q", i+1, fault.Link)
 		}
--- a/soak/play.go
+++ b/soak/play.go
@@ -28,10 +28,12 @@
 	active.Go(func() { r.sendAlike(calling, check.PoisonPrefix, poisonEvery) })
 	active.Go(func() { r.sendAlike(calling, check.PopularPrefix, popularEvery) })
 	active.Go(func() { r.rotateKeys(calling) })
-	active.Go(func() { r.sendKeyed(calling, "keyed-", keyedEvery, r.configuration.key) })
-	active.Go(func() {
-		r.sendKeyed(calling, check.FloodPrefix, floodEvery, func(*rand.Rand) string { return floodKey })
-	})
+	if !r.options.Schedule.Keyless {
+		active.Go(func() { r.sendKeyed(calling, "keyed-", keyedEvery, r.configuration.key) })
+		active.Go(func() {
+			r.sendKeyed(calling, check.FloodPrefix, floodEvery, func(*rand.Rand) string { return floodKey })
+		})
+	}
 	r.injectAll()
 	r.undone.Wait()
 	quiet := time.Now().Add(quietTime)
--- a/soak/process.go
+++ b/soak/process.go
@@ -35,6 +35,7 @@
 	// callers, store and peers are the proxies of the node's links.
 	callers, store, peers *proxy.Proxy
 	client                *http.Client
+	meter                 meter
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -47,6 +48,8 @@
 	served       bool
 	sent         []syscall.Signal
 	restartAfter time.Duration
+	// pauses counts the faults under way that pause the present life.
+	pauses int
 	// ended are called with the end of the present life.
 	ended []func(end lifeEnd)
 	// back ends the disturbance that began with the end of the life before; nil at
@@ -99,7 +102,7 @@
 		return false
 	}
 	p.command, p.restartAfter, p.ended = command, startRetry, nil
-	p.told, p.stopping, p.served, p.sent = false, false, false, nil
+	p.told, p.stopping, p.served, p.sent, p.pauses = false, false, false, nil, 0
 	go p.awaitReady(p.life, restored)
 	return true
 }
@@ -241,17 +244,41 @@
 // pause stops the program's execution for a while.
 func (p *process) pause(length time.Duration) bool {
 	restored := p.disturb(p.recorder.now())
-	if !p.signal(syscall.SIGSTOP) {
+	life, paused := p.holdStill()
+	if !paused {
 		restored()
 		return false
 	}
 	p.later(length, func() {
-		p.signal(syscall.SIGCONT)
+		p.goOn(life)
 		restored()
 	})
 	return true
 }
 
+// holdStill stops the execution of the present life, and returns which one that is.
+func (p *process) holdStill() (life int, stopped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || !p.deliver(syscall.SIGSTOP) {
+		return 0, false
+	}
+	p.pauses++
+	return p.life, true
+}
+
+// goOn ends a pause of a life; it runs again once all of them have ended.
+func (p *process) goOn(life int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.life != life {
+		return
+	}
+	if p.pauses--; p.pauses <= 0 && p.command != nil {
+		p.deliver(syscall.SIGCONT)
+	}
+}
+
 // finish ends the program for good.
 func (p *process) finish() {
 	p.mu.Lock()
--- a/soak/proxy/link.go
+++ b/soak/proxy/link.go
@@ -78,7 +78,8 @@
 // release waits until a piece may go on; false when it never may.
 func (l *link) release(d direction, n int) bool {
 	mode := l.proxy.now()
-	if pause := mode.pause(n); pause > 0 && !l.wait(pause) {
+	pause := mode.pause(n) + l.proxy.options.Rate.reserve(d, n, time.Now())
+	if pause > 0 && !l.wait(pause) {
 		return false
 	}
 	for mode.holds(d) {
--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -20,6 +20,8 @@
 	// connections that went silent is not judged, so they end there once their client
 	// has given them up: else each would take three files until the run's end.
 	StandIn bool
+	// Rate bounds what passes this proxy and others together; nil sets no bound.
+	Rate *Rate
 	// Failed is told what the machine refuses the proxy itself, such as one more open
 	// file: that is no fault of a link.
 	Failed func(error)
--- /dev/null
+++ b/soak/proxy/rate_test.go
@@ -0,0 +1,25 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRateIsShared: what several connections send waits for each other, and directions
+// don't.
+func TestRateIsShared(t *testing.T) {
+	rate, now := NewRate(8), time.Unix(100, 0)
+	waits := []time.Duration{
+		rate.reserve(toServer, 100_000, now), rate.reserve(toServer, 100_000, now), rate.reserve(toClient, 100_000, now),
+		rate.reserve(toServer, 100_000, now.Add(time.Second)),
+	}
+	want := []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond}
+	for i := range want {
+		if waits[i] != want[i] {
+			t.Errorf("wait %d is %v, want %v", i, waits[i], want[i])
+		}
+	}
+	if wait := NewRate(0).reserve(toServer, 1<<20, now); wait != 0 {
+		t.Errorf("without a bound %v", wait)
+	}
+}
--- a/soak/report.go
+++ b/soak/report.go
@@ -30,12 +30,19 @@
 	Orders   int             `json:"orders"`
 	Usage    Usage           `json:"usage"`
 	Findings []check.Finding `json:"findings"`
-	LogDir   string          `json:"log_dir"`
+	// ConfigurationTook is how long after a version was taken nodes in touch first served by
+	// it, LeavingTook how long after a worker's leaving they sent it their last request.
+	ConfigurationTook check.Spreads `json:"configuration_took"`
+	LeavingTook       check.Spreads `json:"leaving_took"`
+	LogDir            string        `json:"log_dir"`
 }
 
 // Breaches are the promises found broken.
 func (r *Report) Breaches() []check.Breach { return check.Breaches(r.Findings) }
 
+// NotJudged are the promises that were tested and judged too seldom.
+func (r *Report) NotJudged() []check.Promise { return check.NotJudged(r.Findings) }
+
 // Write writes the report as JSON.
 func (r *Report) Write(path string) error {
 	data, err := json.MarshalIndent(r, "", "  ")
@@ -52,6 +59,7 @@
 		Schedule: r.options.Schedule, Took: r.recorder.now(), Began: r.recorder.began, Faults: r.faults,
 		Requests: map[string]int{}, Runs: len(history.Runs), Orders: len(history.Orders),
 		Usage: r.usage.peak(), Findings: check.Judge(history), LogDir: r.options.LogDir,
+		ConfigurationTook: check.ConfigurationTook(history), LeavingTook: check.LeavingTook(history),
 	}
 	for i := range history.Requests {
 		report.Requests[outcome(&history.Requests[i])]++
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,6 +70,7 @@
 		return nil, err
 	}
 	go r.usage.watch(r.ctx, r.pids)
+	go r.holdToShare(r.ctx)
 	r.play()
 	if err := r.failure(); err != nil {
 		return nil, err
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -33,8 +33,10 @@
 	retryRatio         = 0.2
 	retryExtra         = 20
 	nodeMemoryMB       = 64
-	// zonedFrom is from how many nodes on there are two zones.
-	zonedFrom = 8
+	// zonedFrom is from how many nodes on there are two zones, rootedFrom three: with a relay
+	// in each, one of them asks the store for all.
+	zonedFrom  = 8
+	rootedFrom = 24
 )
 
 const regionName = "region"
@@ -43,10 +45,13 @@
 
 // zones counts the zones of a deployment.
 func zones(nodes int) int {
-	if nodes < zonedFrom {
+	switch {
+	case nodes < zonedFrom:
 		return 1
+	case nodes < rootedFrom:
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // nodeSettings is the settings file of a node.
--- a/soak/tenants.go
+++ b/soak/tenants.go
@@ -36,19 +36,25 @@
 
 // tenants lists the tenants of the present configuration.
 func (c *configuration) tenants() []platform.TenantDocument {
+	if c.options.Schedule.Keyless {
+		return nil
+	}
 	return []platform.TenantDocument{
 		{Name: keyedTenant, Keys: []string{keyName(c.keys)}},
 		{Name: floodTenant, Keys: []string{floodKey}, RatePerS: float64(floodLimit.Rate), Burst: float64(floodLimit.Burst)},
 	}
 }
 
-// rotate replaces the key of one tenant.
+// rotate replaces the key of one tenant; without keys it only makes another version.
 func (c *configuration) rotate() {
 	before := ""
 	c.change(func() {
 		before = keyName(c.keys)
 		c.keys++
 	})
+	if c.options.Schedule.Keyless {
+		return
+	}
 	taken := check.TakenKey{Key: before, At: c.recorder.now()}
 	c.recorder.record(func(h *check.History) { h.Taken = append(h.Taken, taken) })
 }
--- a/soak/usage.go
+++ b/soak/usage.go
@@ -133,6 +133,14 @@
 	return running
 }
 
+// runningPID returns the number of the node's process unless a fault has paused it.
+func (p *process) runningPID() (int, bool) {
+	pid, running := p.pid()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pid, running && p.pauses == 0
+}
+
 // pid returns the number of the node's process, and whether one runs.
 func (p *process) pid() (int, bool) {
 	p.mu.Lock()
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -119,7 +119,7 @@
 		return err
 	}
 	if at == nil {
-		if at, err = s.newProxy(server.Address(), true); err != nil {
+		if at, err = s.newProxy(server.Address(), true, nil); err != nil {
 			return err
 		}
 	}
@@ -127,7 +127,7 @@
 	started.SetAddress(at.Address())
 	started.Publish = s.publish
 	s.worker, s.server, s.proxy, s.conduct = started, server, at, conduct
-	s.lived(s.id, started, server)
+	s.lived(s.id, s.service(), started, server)
 	return s.metadata.Put(started.Key(), started.Entry())
 }
 
