Rule out ages that leave out the time on the way

The first hypothesis was that a node takes what was told for newer than it is, since an update's age is stated at its sending.

--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -48,6 +48,10 @@
 	dead  bool
 	// cuts that keep it from the store.
 	cuts int
+	// readTakes is how long the answer to a read of everything takes beyond the usual, and
+	// unreadable is set while such reads fail though other calls don't.
+	readTakes  time.Duration
+	unreadable bool
 	// mute peers neither send to nor hear of others.
 	mute  bool
 	calls int
@@ -63,6 +67,8 @@
 	tickAt    time.Time
 	// skew is by how much the node's clock is ahead of true time.
 	skew time.Duration
+	// slow is how the peer sends, nil for as quick as usual.
+	slow *slowSender
 }
 
 // News implements Filter: keys that begin with "beat" say nothing new.
@@ -280,7 +286,14 @@
 			return
 		}
 		event := answer()
-		s.after(s.between(time.Millisecond, 30*time.Millisecond), func() { s.step(p, event) })
+		takes := s.between(time.Millisecond, 30*time.Millisecond)
+		if _, isRead := event.(ReadDone); isRead {
+			takes += p.readTakes
+			if p.unreadable {
+				event = failed(errors.New("the answer was cut"))
+			}
+		}
+		s.after(takes, func() { s.step(p, event) })
 	})
 }
 
@@ -330,6 +343,10 @@
 	if s.skipGap {
 		e.Update.After = 0
 	}
+	if p.slow != nil {
+		s.sendSlowly(p, e)
+		return
+	}
 	s.deliver(p, e.Address, UpdateReceived{Update: e.Update})
 }
 
