Tell how old what a node knows of the store is, and how late it works

No line and no figure said either, so that the log of a node could not tell a node that is not told anything from one that does not come to it. knowledge_old and knowledge_new with source, revision, lateness and the cause of failing calls; metrics of the age, the source and the lateness.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -19,7 +19,7 @@
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerGone{}, NodesChanged{},
-		FeedChanged{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
+		FeedChanged{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
@@ -247,6 +247,23 @@
 	Silent time.Duration `log:"silent_ms" doc:"how long no relay was heard of"`
 }
 
+// KnowledgeOld is written when what the node knows of the store becomes old: configuration,
+// workers and nodes.
+type KnowledgeOld struct {
+	Age      time.Duration `log:"age_ms" doc:"how long ago the store was read by whoever told of it"`
+	Source   string        `log:"source" doc:"from where changes are learned"`
+	Revision int64         `log:"revision" doc:"the store's revision up to which the node knows everything, 0 while it has everything read"`
+	Late     time.Duration `log:"late_ms" doc:"how late the node carries out what is ready to run"`
+	Lost     string        `log:"lost,omitempty" doc:"why the node's own calls to the store fail"`
+}
+
+// KnowledgeNew is written when it is new again.
+type KnowledgeNew struct {
+	After    time.Duration `log:"after_ms" doc:"since when no reading of the store was known"`
+	Source   string        `log:"source" doc:"from where it was learned"`
+	Revision int64         `log:"revision" doc:"the store's revision up to which the node knows everything"`
+}
+
 // StoreCalls is written for a span in which the node called the store.
 type StoreCalls struct {
 	Span     time.Duration `log:"span_ms" doc:"time that the counts are of"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -170,6 +170,22 @@
 	return "Written when the node learns of the store's changes from elsewhere."
 }
 
+// Kind implements Event.
+func (KnowledgeOld) Kind() string { return "knowledge_old" }
+
+// Meaning implements Documented.
+func (KnowledgeOld) Meaning() string {
+	return "Written when what the node knows of the store becomes old: configuration, workers and nodes."
+}
+
+// Kind implements Event.
+func (KnowledgeNew) Kind() string { return "knowledge_new" }
+
+// Meaning implements Documented.
+func (KnowledgeNew) Meaning() string {
+	return "Written when what the node knows of the store is new again."
+}
+
 // Kind implements Event.
 func (StoreCalls) Kind() string { return "store_calls" }
 
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -101,6 +101,10 @@
 // Revision returns up to where everything is known.
 func (c *Core) Revision() int64 { return c.revision }
 
+// KnownAt is when the store was read last by whoever told of it: what is known was everything
+// then. Zero before the first reading.
+func (c *Core) KnownAt() time.Time { return c.knownAt }
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -37,6 +37,10 @@
 	proves string
 	// source is the name of the feed.Source, for the log.
 	source atomic.Value
+	// knownAt is feed.Core.KnownAt in nanoseconds since the epoch, zero for never.
+	knownAt atomic.Int64
+	// oldSince is since when the log has it that what is known is old, zero for not.
+	oldSince time.Time
 	// inbox holds messages of peers.
 	inbox   chan feed.Event
 	results chan feed.Event
@@ -86,6 +90,7 @@
 		case <-timer.C:
 		}
 		f.take(event)
+		f.noteKnowledge()
 		if due := f.feed.NextDue(); !due.IsZero() {
 			timer.Reset(max(due.Sub(f.Now()), 0))
 		}
--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -30,7 +30,7 @@
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
-	registry.MustRegister(m.calls, m.stalled, m.unreadable, newTenantFigures(n))
+	registry.MustRegister(m.calls, m.stalled, m.unreadable, newTenantFigures(n), newKnowledgeFigures(n))
 	gauge("valveslip_retained_bytes", "Bytes that are kept of requests and answers.", func() float64 { return float64(n.retained.Used()) })
 	gauge("valveslip_retained_peak_bytes", "Most bytes that were kept of requests and answers at one time.", func() float64 { return float64(n.retained.Peak()) })
 	gauge("valveslip_retained_limit_bytes", "Most bytes that may be kept of requests and answers.", func() float64 { return float64(n.retained.Limit()) })
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/overload"
 	"github.com/valveslip/valveslip/passthrough"
 	"github.com/valveslip/valveslip/passthrough/retained"
 	"github.com/valveslip/valveslip/relay"
@@ -87,6 +89,7 @@
 	// nanoseconds since the start; zero for any.
 	admitsUntil atomic.Int64
 	follower    *follower
+	lateness    *overload.Meter
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -106,6 +109,7 @@
 		registry: prometheus.NewRegistry(), failed: make(chan error, 3), stopped: make(chan struct{}),
 		known: make(chan struct{}),
 	}
+	n.lateness = overload.New(options.Now, n.takeTurn)
 	n.context, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n.registry, n)
 	if err := n.open(); err != nil {
@@ -123,6 +127,7 @@
 	n.follower = newFollower(n)
 	go n.follower.run()
 	go n.follower.reportStoreCalls()
+	go n.lateness.Run(n.context)
 	return n, nil
 }
 
@@ -179,6 +184,15 @@
 // Failed delivers the error of a listener that broke.
 func (n *Node) Failed() <-chan error { return n.failed }
 
+// takeTurn waits behind all goroutines that are ready to run, as what comes from the network
+// does, and behind all that wait for the core.
+func (n *Node) takeTurn() {
+	runtime.Gosched()
+	n.mutex.Lock()
+	//nolint:staticcheck // nothing is done in the turn
+	n.mutex.Unlock()
+}
+
 // knowsPoison reports whether the fingerprint of a request with this head matters now.
 func (n *Node) knowsPoison(head poison.Head) bool {
 	n.mutex.Lock()
