Keep what is known while everything is read anew

Callers of a busy node were served by an old configuration, and at workers that had left, for up to 12 s, while its relay told it what changed. After a standstill of its own, and when the store's history was gone, a node forgot up to where it knew and took no update until it had read everything itself; a further standstill had that read begun anew.

A node now goes on from what it knows: updates count, a read that is asked for again is made without dropping anything, and after each second failure changes are asked for in place of everything. Why it holds: revisions say what is missing, so that nothing needs to be forgotten to be safe.

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -34,21 +34,25 @@
 	if c.calling || c.now.Before(c.callAt) || c.upToDate() {
 		return
 	}
-	c.calling = true
+	c.calling, c.reading = true, c.revision == 0 || (c.whole || c.anew) && !c.asksForChanges()
 	c.steppingIn = c.revision != 0 && c.tree.hasSource() && !c.heard()
 	if c.failures > 0 {
 		c.askHelper()
 	}
-	if c.revision == 0 || c.whole {
+	if c.reading {
 		c.emit(Read{Known: c.revision})
 		return
 	}
 	c.emit(Poll{After: c.revision, Most: c.contents.worthReading()})
 }
 
+// asksForChanges reports whether a node that is to read everything asks for changes instead:
+// after each second failure, so that it learns of them where only reads of everything fail.
+func (c *Core) asksForChanges() bool { return c.failures > 0 && c.failures%2 == 0 }
+
 // ended notes the end of a call and when the next may begin.
 func (c *Core) ended(err error) {
-	c.calling = false
+	c.calling, c.reading = false, false
 	if err == nil {
 		c.failures = 0
 		c.callAt = c.now.Add(c.interval())
@@ -96,7 +100,7 @@
 		c.tellAlive()
 		return
 	}
-	c.whole = false
+	c.whole, c.anew = false, false
 	if e.Revision < c.revision {
 		// Relays have told more meanwhile.
 		return
@@ -120,13 +124,12 @@
 func (c *Core) pollDone(e PollDone) {
 	c.ended(e.Err)
 	switch {
-	case c.stale:
-		c.stale, c.callAt = false, c.now
 	case e.Err != nil:
 		c.ask()
 		c.tellAlive()
 	case e.Compacted:
-		c.revision, c.callAt = 0, c.now
+		// Calls for changes may hear nothing for a while around that, those of others too.
+		c.anew, c.callAt = true, c.now
 	case e.TooLong:
 		// What is known stays: relays may close the gap before everything is read.
 		c.whole, c.callAt = true, c.now
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -23,10 +23,16 @@
 	heardAt, knownAt time.Time
 	// hearsAt is when any node was heard of last, whatever it knew.
 	hearsAt time.Time
-	// calling is set while a call is under way, stale once its outcome must not count.
+	// calling is set while a call is under way, stale once its outcome must not count: a read
+	// of everything that began before it was asked for again.
 	calling, stale bool
-	// whole is set when more changed than is worth reading, so that everything is read.
-	whole bool
+	// reading is set while that call reads everything.
+	reading bool
+	// whole is set while everything is to be read since more changed than is worth reading, until
+	// an update closes the gap; anew when the history is gone and after a standstill, until it
+	// was read. What is known stays, and updates and calls for changes count
+	// meanwhile: reading everything may take long, fail, or be asked for again before it ends.
+	whole, anew bool
 	// steppingIn is set when the last call was made because the source was silent.
 	steppingIn bool
 	// urgent is set when a relay named changes that it did not pass on.
@@ -136,7 +142,7 @@
 }
 
 // upToDate reports whether nothing needs to be asked of the store.
-func (c *Core) upToDate() bool { return c.fed() && !c.whole }
+func (c *Core) upToDate() bool { return c.fed() && !c.whole && !c.anew }
 
 // take notes changes that bring what is known up to a revision, and returns those that
 // were not known and say something new.
@@ -165,9 +171,13 @@
 	}
 }
 
-// invalidate has everything read again; a call under way doesn't count.
+// invalidate has everything read again; such a read under way doesn't count. Until then the
+// node goes on from what it knows. It used to forget up to where it knows, and took nothing of
+// what its relay told until the read had ended: one that stood still for a moment each time
+// before that served by what it had known at first, for as long as it was busy.
 func (c *Core) invalidate() {
-	c.revision, c.stale, c.readAt = 0, c.calling, time.Time{}
+	c.stale, c.readAt = c.reading, time.Time{}
+	c.anew = c.revision != 0
 	c.callAt = c.now
 }
 
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -66,7 +66,7 @@
 func (c *Core) updateReceived(u *wire.StoreChanges) {
 	c.hearsAt = c.now
 	defer c.proofReceived(u)
-	if c.revision == 0 || c.stale || u.Revision < c.revision {
+	if c.revision == 0 || u.Revision < c.revision {
 		return
 	}
 	c.relayID = u.From
