Let an answer stand that was delivered when its deadline passed

A caller whose stream's last byte was passed on got a broken connection, without a head where the stream had no events left: between the byte and the word of it the deadline passed in the core, whose failure then ended the exchange.

--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -45,8 +45,8 @@
 	lastEvent string
 	// held is the last answer that a machine signed, not yet sent.
 	held *answer
-	// started is set once the answer's head went to the caller.
-	started bool
+	// started is set once the answer's head went to the caller, delivered once all of it has.
+	started, delivered bool
 	first   time.Duration
 	// passed is when events were last sent, pause the longest time between two
 	// such moments, and pauseEnd when it ended, since the arrival.
@@ -134,6 +134,7 @@
 	ended := current.execute(ctx)
 	e.ticket.OnInterrupt(nil)
 	cancel()
+	e.delivered = ended.Failure == nil && e.started
 	if ended.Failure != nil {
 		e.logAttempt(current, &ended, e.now().Sub(began))
 		if e.request.Context().Err() != nil {
@@ -184,6 +185,11 @@
 		// To the core, the caller left.
 		failure = e.stalled
 	}
+	if e.delivered {
+		// The deadline may pass in the core between an answer's last byte and the word of that:
+		// to break the connection then would take from the caller what it has as a whole.
+		failure = nil
+	}
 	status := 0
 	begun := e.started
 	switch {
