Count what is lent and not yet used against the bucket it is given back to

Requests waited 1.2 s for a machine of their service. Tokens that lapsed meanwhile were given back into a bucket that flowed full besides, and lent to the next ones; when a machine came 13 went at once from a bucket of six. The log of the senders shows both kinds within 10 ms.

What is out and may still be used now fills the bucket for what is given back. Why it holds: what may go at once is a bucket and what flows in while tokens last, which is what the flow is computed for.

--- a/fleet/lending/borrow.go
+++ b/fleet/lending/borrow.go
@@ -172,7 +172,8 @@
 	lent, known := s.loans.remove(id)
 	b := s.buckets[lent.tenant]
 	if known && b != nil && s.lends() {
-		b.giveBack(s.core.now, s.core.cfg.flow(s.core.limits[lent.tenant]), lent.amount, s.core.now.Sub(lent.at))
+		out := s.loans.outSince(lent.tenant, s.core.now.Add(-s.core.cfg.Lifetime))
+		b.giveBack(s.core.now, s.core.cfg.flow(s.core.limits[lent.tenant]), lent.amount, s.core.now.Sub(lent.at), out)
 	}
 }
 
--- a/fleet/lending/bucket.go
+++ b/fleet/lending/bucket.go
@@ -111,10 +111,13 @@
 	return terms{wait: due.Sub(now)}
 }
 
-// giveBack takes back what was lent some time ago and not used.
-func (b *bucket) giveBack(now time.Time, f flow, amount float64, ago time.Duration) {
+// giveBack takes back what was lent some time ago and not used. What is out besides, lent so
+// lately that it may still be used, fills the bucket as what is in it does: of requests that
+// wait with their tokens for a machine twice as many went at once otherwise, from what they
+// held and from a bucket that was filled again by what others gave back.
+func (b *bucket) giveBack(now time.Time, f flow, amount float64, ago time.Duration, out float64) {
 	b.fill(now, f)
-	b.level = min(b.level+amount, f.capacity)
+	b.level = max(b.level, min(b.level+amount, f.capacity-out))
 	b.used.giveBack(amount, ago, f.span)
 }
 
--- a/fleet/lending/bucket_test.go
+++ b/fleet/lending/bucket_test.go
@@ -30,7 +30,7 @@
 			asked := want{amount: amount, rank: rapid.IntRange(-1, 11).Draw(t, "rank")}
 			if b.take(now, f, asked).granted {
 				if rapid.IntRange(0, 9).Draw(t, "given back") == 0 {
-					b.giveBack(now, f, amount, 0)
+					b.giveBack(now, f, amount, 0, 0)
 					continue
 				}
 				uses = append(uses, use{now, amount})
--- a/fleet/lending/loans.go
+++ b/fleet/lending/loans.go
@@ -57,6 +57,24 @@
 	return known
 }
 
+// outSince sums what a tenant was lent after a time and has not given back.
+func (l *loans) outSince(tenant string, since time.Time) float64 {
+	sum := 0.0
+	for i := len(l.order) - 1; i >= 0; i-- {
+		lent, known := l.known[l.order[i]]
+		if !known {
+			continue
+		}
+		if !lent.at.After(since) {
+			break
+		}
+		if lent.tenant == tenant {
+			sum += lent.amount
+		}
+	}
+	return sum
+}
+
 // remove takes a loan out.
 func (l *loans) remove(id loanID) (loan, bool) {
 	lent, known := l.known[id]
