Read and write the messages of every version that a landing ran

Builds whose versions lie two apart ran side by side without exchanging a message, since only one version back was read: during an upgrade over two landings each half was a fleet of its own. Schemas and golden messages of versions 4 and 5 are back, and every version from 4 on is read and written. A kind that the peer's version lacks is not sent, and counted apart from failures; it was logged as an error each time. Each pair with the current version exchanges every kind that both know, in a test; the goldens of 4 and 5 are written to the byte as they were.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -8,9 +8,10 @@
 	"github.com/rotisserie/eris"
 )
 
-// Versions of the schemas. A node reads the current and the previous version
-// and can write both, so that two neighbouring versions share a deployment. A
-// message is written in the version that its receiver is known to read.
+// Versions of the schemas. A node reads and writes every version from VersionOldest on, so
+// that builds of any two of them share a deployment while its machines are replaced, and after
+// a rollback. A message is written in the version that its receiver is known to read; a kind
+// that this version lacks is not sent.
 //
 // To change a message: copy schemas/vN.avsc to the next number, raise
 // VersionCurrent, give every new field a default, and commit the golden
@@ -18,6 +19,7 @@
 const (
 	VersionCurrent  = 7
 	VersionPrevious = VersionCurrent - 1
+	VersionOldest   = 4
 )
 
 // Size bounds of the codec, in bytes.
@@ -264,31 +266,44 @@
 }
 
 func parseSchemas() map[versionKind]schemaPair {
-	current := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionCurrent))
-	previous := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionPrevious))
-	compatibility := avro.NewSchemaCompatibility()
+	current := mustReadTypes(schemaFile(VersionCurrent))
 	pairs := make(map[versionKind]schemaPair)
 	for kind, layout := range layouts {
-		writer, exists := previous[layout.name]
-		if exists {
-			reader, err := compatibility.Resolve(current[layout.name], writer)
-			if err != nil {
-				panic("wire: " + layout.name + " cannot read its previous version: " + err.Error())
-			}
-			pairs[versionKind{VersionPrevious, kind}] = schemaPair{write: writer, read: reader}
-		}
 		pairs[versionKind{VersionCurrent, kind}] = schemaPair{write: current[layout.name], read: current[layout.name]}
 	}
+	for version := int32(VersionOldest); version < VersionCurrent; version++ {
+		addEarlier(pairs, version, current)
+	}
 	return pairs
 }
 
+// schemaFile is the file of a version's schemas.
+func schemaFile(version int32) string { return fmt.Sprintf("v%d.avsc", version) }
+
+// addEarlier adds the kinds that an earlier version has.
+func addEarlier(pairs map[versionKind]schemaPair, version int32, current map[string]avro.Schema) {
+	earlier := mustReadTypes(schemaFile(version))
+	compatibility := avro.NewSchemaCompatibility()
+	for kind, layout := range layouts {
+		writer, exists := earlier[layout.name]
+		if !exists {
+			continue
+		}
+		reader, err := compatibility.Resolve(current[layout.name], writer)
+		if err != nil {
+			panic(fmt.Sprintf("wire: %s cannot read its version %d: %v", layout.name, version, err))
+		}
+		pairs[versionKind{version, kind}] = schemaPair{write: writer, read: reader}
+	}
+}
+
 // Encode writes message in the current version. It fails with ErrUnknownKind
 // for a type that is no message between nodes and with ErrTooLarge.
 func Encode(message Message) ([]byte, error) { return EncodeVersion(message, VersionCurrent) }
 
-// EncodeVersion writes message in the given version of the schemas, which must
-// be VersionCurrent or VersionPrevious. Fields that the version lacks are left
-// out.
+// EncodeVersion writes message in the given version of the schemas, which must be
+// one from VersionOldest to VersionCurrent. Fields that the version lacks are left
+// out; it fails with ErrVersion for a kind that the version lacks.
 func EncodeVersion(message Message, version int32) ([]byte, error) {
 	kind, rec, err := toRecord(message)
 	if err != nil {
@@ -321,7 +336,7 @@
 	if err := unmarshal(envelopeSchema, data, &header); err != nil {
 		return nil, eris.Wrapf(ErrMalformed, "envelope: %v", err)
 	}
-	if header.Version > newest || header.Version < VersionPrevious {
+	if header.Version > newest || header.Version < VersionOldest {
 		return nil, eris.Wrapf(ErrVersion, "version %d", header.Version)
 	}
 	kind := Kind(header.Kind)
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -147,15 +147,29 @@
 
 var sampleOutcome = KeyOutcomeRecord{Kind: 2, Request: "node-a.1", Holder: "node-c"}
 
-// since is the version in which a kind of message first appeared, where that
-// is later than the previous one.
+// since is the version in which a kind of message first appeared, where that is later than
+// the oldest one.
 var since = map[Kind]int32{
+	KindPoisonReport: 5,
+	KindClockTold:    6, KindLenderClaim: 6, KindLenderVote: 6, KindTokensRequest: 6, KindTokensAnswer: 6,
 	KindEngineRequest: 7, KindEngineAnswer: 7, KindEngineNews: 7,
 }
 
-// asPrevious is the message as the previous version carries it: without the tokens of prompts,
-// and without what nodes that have all just started say of themselves.
-func asPrevious(message Message) Message {
+// asIn is a message as a version carries it.
+func asIn(message Message, version int32) Message {
+	if version < 7 {
+		message = before7(message)
+	}
+	if changes, ok := message.(StoreChanges); ok && version < 6 {
+		changes.Proven, changes.Echo, changes.Lead = 0, 0, 0
+		return changes
+	}
+	return message
+}
+
+// before7 is a message without the tokens of prompts, without what nodes that have all just
+// started say of themselves, and without reservations of tokens.
+func before7(message Message) Message {
 	switch m := message.(type) {
 	case Demand:
 		m.Models = slices.Clone(m.Models)
@@ -169,8 +183,6 @@
 	case LenderVote:
 		m.Young = false
 		return m
-	}
-	switch m := message.(type) {
 	case TokensRequest:
 		m.Mark, m.Heeds, m.Again = 0, 0, false
 		return m
@@ -181,6 +193,15 @@
 	return message
 }
 
+// versions lists all that are read and written.
+func versions() []int32 {
+	var all []int32
+	for version := int32(VersionOldest); version <= VersionCurrent; version++ {
+		all = append(all, version)
+	}
+	return all
+}
+
 func TestEveryFieldSurvives(t *testing.T) {
 	for kind, message := range samples() {
 		requireNoZeroField(t, layouts[kind].name, reflect.ValueOf(message))
@@ -223,12 +244,12 @@
 	}
 }
 
-// TestGoldenMessages holds the bytes of both versions: the current one must not
-// change unnoticed, the previous one must still be read.
+// TestGoldenMessages holds the bytes of all versions: the current one must not change
+// unnoticed, the others must still be written and read.
 func TestGoldenMessages(t *testing.T) {
 	golden := goldie.New(t, goldie.WithFixtureDir("testdata"))
 	for kind, message := range samples() {
-		for _, version := range []int32{VersionPrevious, VersionCurrent} {
+		for _, version := range versions() {
 			name := fmt.Sprintf("v%d-%s", version, layouts[kind].name)
 			data, err := EncodeVersion(message, version)
 			if version < since[kind] {
@@ -249,33 +270,30 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			want := message
-			if version == VersionPrevious {
-				want = asPrevious(message)
-			}
-			if !reflect.DeepEqual(decoded, want) {
+			if want := asIn(message, version); !reflect.DeepEqual(decoded, want) {
 				t.Errorf("%s: got %+v, want %+v", name, decoded, want)
 			}
 		}
 	}
 }
 
-// TestNewFieldsHaveDefaults holds the rule that lets a version read its
-// previous one and be read by it.
+// TestNewFieldsHaveDefaults holds the rule that lets a version read earlier ones and be read
+// by them.
 func TestNewFieldsHaveDefaults(t *testing.T) {
-	current := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionCurrent))
-	previous := mustReadTypes(fmt.Sprintf("v%d.avsc", VersionPrevious))
+	current := mustReadTypes(schemaFile(VersionCurrent))
 	compatibility := avro.NewSchemaCompatibility()
-	for name, schema := range previous {
-		if current[name] == nil {
-			t.Errorf("%s is missing from version %d", name, VersionCurrent)
-			continue
-		}
-		if err := compatibility.Compatible(current[name], schema); err != nil {
-			t.Errorf("%s: current cannot read previous: %v", name, err)
-		}
-		if err := compatibility.Compatible(schema, current[name]); err != nil {
-			t.Errorf("%s: previous cannot read current: %v", name, err)
+	for version := int32(VersionOldest); version < VersionCurrent; version++ {
+		for name, schema := range mustReadTypes(schemaFile(version)) {
+			if current[name] == nil {
+				t.Errorf("%s of version %d is missing from version %d", name, version, VersionCurrent)
+				continue
+			}
+			if err := compatibility.Compatible(current[name], schema); err != nil {
+				t.Errorf("%s: current cannot read version %d: %v", name, version, err)
+			}
+			if err := compatibility.Compatible(schema, current[name]); err != nil {
+				t.Errorf("%s: version %d cannot read current: %v", name, version, err)
+			}
 		}
 	}
 }
@@ -310,7 +328,7 @@
 	}{
 		{"empty", nil, ErrMalformed},
 		{"newer version", mustEnvelope(envelope{Version: VersionCurrent + 1, Kind: int32(KindHeartbeat)}), ErrVersion},
-		{"older version", mustEnvelope(envelope{Version: VersionPrevious - 1, Kind: int32(KindHeartbeat)}), ErrVersion},
+		{"older version", mustEnvelope(envelope{Version: VersionOldest - 1, Kind: int32(KindHeartbeat)}), ErrVersion},
 		{"unknown kind", mustEnvelope(envelope{Version: VersionCurrent, Kind: 99}), ErrUnknownKind},
 		{"cut payload", mustEnvelope(envelope{Version: VersionCurrent, Kind: int32(KindHeartbeat), Payload: []byte{2}}), ErrMalformed},
 		{"too large", make([]byte, MaxMessageBytes+maxEnvelopeBytes+1), ErrTooLarge},
@@ -377,7 +395,7 @@
 // can be written and read again unchanged.
 func FuzzDecode(f *testing.F) {
 	for kind, message := range samples() {
-		for _, version := range []int32{VersionPrevious, VersionCurrent} {
+		for _, version := range versions() {
 			if version < since[kind] {
 				continue
 			}
--- a/wire/sender.go
+++ b/wire/sender.go
@@ -137,6 +137,11 @@
 	size := 0
 	for _, waiting := range messages {
 		data, err := EncodeVersion(aged(waiting.message, s.transport.options.now().Sub(waiting.since)), version)
+		if errors.Is(err, ErrVersion) {
+			// The peer's build knows no such message, so that nothing is asked of it.
+			s.transport.counters.unknown.Add(1)
+			continue
+		}
 		if err != nil {
 			s.transport.counters.failed.Add(1)
 			s.transport.logger.Error("peer message not encoded", "peer", s.address, "error", err)
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -32,6 +32,8 @@
 	// Sent messages were acknowledged by the peer's transport; Dropped ones
 	// found their queue full; Failed ones were lost on the way.
 	Sent, Dropped, Failed uint64
+	// Unknown ones were not sent, since the peer's version lacks their kind.
+	Unknown uint64
 	// Received messages were handed on; Malformed ones could not be read.
 	Received, Malformed uint64
 	// BytesSent and BytesReceived count request bodies.
@@ -39,7 +41,7 @@
 }
 
 type counters struct {
-	sent, dropped, failed, received, malformed, bytesSent, bytesReceived atomic.Uint64
+	sent, dropped, failed, unknown, received, malformed, bytesSent, bytesReceived atomic.Uint64
 }
 
 // Transport carries messages between nodes over HTTP. Messages to one peer
@@ -249,7 +251,7 @@
 func (t *Transport) Statistics() Statistics {
 	c := &t.counters
 	return Statistics{
-		Sent: c.sent.Load(), Dropped: c.dropped.Load(), Failed: c.failed.Load(),
+		Sent: c.sent.Load(), Dropped: c.dropped.Load(), Failed: c.failed.Load(), Unknown: c.unknown.Load(),
 		Received: c.received.Load(), Malformed: c.malformed.Load(),
 		BytesSent: c.bytesSent.Load(), BytesReceived: c.bytesReceived.Load(),
 	}
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -51,7 +51,7 @@
 	for i := range 2 {
 		// A sender keeps only the latest demand, so each one is awaited.
 		from.Send(to.Address(), request)
-		if got := <-received; !reflect.DeepEqual(got, asPrevious(request)) {
+		if got := <-received; !reflect.DeepEqual(got, asIn(request, VersionPrevious)) {
 			t.Fatalf("message %d: got %+v", i, got)
 		}
 	}
@@ -92,3 +92,34 @@
 		t.Errorf("dropped %d messages after Close, want 1", dropped)
 	}
 }
+
+// TestEachPairOfVersionsExchanges what both know, in both directions: a build of one version
+// runs beside one of any other while machines are replaced. What the older one lacks is not
+// sent, and does not keep back what follows.
+func TestEachPairOfVersionsExchanges(t *testing.T) {
+	speaks := func(version int32) Option { return func(o *options) { o.announce = version } }
+	for _, older := range versions() {
+		received := make(chan Message, len(layouts))
+		to := openTransport(t, func(message Message) { received <- message }, speaks(older))
+		from := openTransport(t, func(Message) {}, stoppedClock)
+		last := CellStatusRequest{Zone: "east-1", From: "node-a", FromAddress: "10.0.0.1:7000"}
+		from.Send(to.Address(), last)
+		<-received
+		for kind, message := range samples() {
+			from.Send(to.Address(), message)
+			if older < since[kind] {
+				from.Send(to.Address(), last)
+				if got := <-received; !reflect.DeepEqual(got, Message(last)) {
+					t.Fatalf("version %d has no kind %d, and got %+v", older, kind, got)
+				}
+				continue
+			}
+			if got := <-received; !reflect.DeepEqual(got, asIn(message, older)) {
+				t.Errorf("version %d, kind %d: got %+v", older, kind, got)
+			}
+		}
+		if failed := from.Statistics().Failed; failed != 0 {
+			t.Errorf("version %d: %d messages failed", older, failed)
+		}
+	}
+}
