--- a/cmd/valveslip/soak.go
+++ b/cmd/valveslip/soak.go
@@ -39,7 +39,8 @@
 	seed                            uint64
 	duration, until                 time.Duration
 	nodes                           int
-	schedule, report, logs, binary  string
+	schedule, report, logs          string
+	binary, from                    string
 	printOnly, shrinks, regressions bool
 }
 
@@ -58,6 +59,7 @@
 	flags.StringVar(&f.report, "report", "", "file for the report as JSON")
 	flags.StringVar(&f.logs, "logs", "", "folder for the nodes' settings and logs; by default one that stays when a promise is broken")
 	flags.StringVar(&f.binary, "binary", "", "program whose nodes are run, by default this one")
+	flags.StringVar(&f.from, "from", "", "earlier build that nodes begin with; the schedule's stops and upgrades bring the other in its place")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "valveslip soak [flags]", ShortHelp: "run real nodes under faults and check every promise",
 		LongHelp: "Nodes run as processes of this machine over loopback, against stand-ins of the platform.\nIt ends with 1 when a promise is broken.",
@@ -95,6 +97,7 @@
 	} else {
 		var size plan.Size
 		size, err = soak.Size(f.nodes, f.duration)
+		size.Upgrades = f.from != ""
 		schedule = plan.Draw(f.seed, size)
 	}
 	if f.until > 0 {
@@ -147,7 +150,7 @@
 	}
 	duration := soak.DurationOf(&schedule)
 	report, err := soak.Run(ctx, soak.Options{
-		Schedule: schedule, Duration: duration, Binary: binary, LogDir: logs,
+		Schedule: schedule, Duration: duration, Binary: binary, From: f.from, LogDir: logs,
 		Tick: progress(int(duration.Seconds()), fmt.Sprintf("seed %d, seconds", schedule.Seed)),
 	})
 	if f.logs == "" && err == nil && len(report.Breaches()) == 0 {
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -57,6 +57,10 @@
 		return r.nodes[target].end(syscall.SIGTERM, f.For)
 	case plan.ProcessKill:
 		return r.nodes[target].end(syscall.SIGKILL, f.For)
+	case plan.ProcessUpgrade:
+		return r.nodes[target].replace(false, f.For)
+	case plan.ProcessRollBack:
+		return r.nodes[target].replace(true, f.For)
 	case plan.ProcessPause:
 		return r.nodes[target].pause(f.For)
 	case plan.ProcessHangUp:
--- a/soak/network.go
+++ b/soak/network.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -20,6 +21,8 @@
 		ip := r.network + strconv.Itoa(index+1)
 		node := &process{run: r, index: index, ip: ip, done: make(chan struct{})}
 		node.client = node.newClient()
+		node.earlier = r.options.From != ""
+		node.stays = node.earlier && slices.Contains(r.options.Schedule.Earlier, index)
 		link := proxy.NewRate(r.options.Schedule.LinkMbps)
 		peer := net.JoinHostPort(ip, strconv.Itoa(peerPort))
 		targets := map[**proxy.Proxy]string{
--- a/soak/options.go
+++ b/soak/options.go
@@ -45,8 +45,9 @@
 	Schedule plan.Schedule
 	// Duration bounds the whole run.
 	Duration time.Duration
-	// Binary is the program whose nodes are run.
-	Binary string
+	// Binary is the program whose nodes are run, From an earlier build that they begin with;
+	// empty for none.
+	Binary, From string
 	// LogDir keeps the settings and logs of the processes.
 	LogDir string
 	// Tick is called once a second.
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -36,6 +36,8 @@
 type Size struct {
 	Nodes, Workers int
 	Span           time.Duration
+	// Upgrades is set for a run that begins with an earlier build.
+	Upgrades bool
 }
 
 // drawer draws one schedule.
@@ -59,6 +61,9 @@
 		schedule.Faults = append(schedule.Faults, d.series(at)...)
 	}
 	schedule.Faults = append(schedule.Faults, drawLater(seed, size)...)
+	if size.Upgrades {
+		drawUpgrades(&schedule)
+	}
 	schedule.Faults = slices.DeleteFunc(schedule.Faults, func(f Fault) bool { return f.At >= size.Span })
 	slices.SortStableFunc(schedule.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	spareStops(schedule.Faults)
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -30,6 +30,14 @@
 	ProcessHangUp Kind = "process-hang-up"
 )
 
+// The kinds that replace programs where a run has an earlier build: ProcessUpgrade stops a node
+// as planned and starts the present build in its place, ProcessRollBack the earlier one. Stops
+// and kills bring the present build as well.
+const (
+	ProcessUpgrade  Kind = "process-upgrade"
+	ProcessRollBack Kind = "process-roll-back"
+)
+
 // CallerBurst has many more callers come to a node for a while. It puts nothing out of order:
 // what is promised holds meanwhile.
 const CallerBurst Kind = "caller-burst"
@@ -136,6 +144,8 @@
 	kindOf
 }{
 	{CallerBurst, kindOf{onNodes, 1, true}},
+	{ProcessUpgrade, kindOf{onNodes, 0, true}},
+	{ProcessRollBack, kindOf{onNodes, 0, true}},
 }
 
 // describe returns what is known of a kind.
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -38,7 +38,9 @@
 	drawn := map[Kind]bool{}
 	all := 0
 	for seed := range uint64(200) {
-		for _, fault := range Draw(seed, testSize).Faults {
+		size := testSize
+		size.Upgrades = seed%2 == 0
+		for _, fault := range Draw(seed, size).Faults {
 			drawn[fault.Kind] = true
 			if len(fault.Targets) >= testSize.Nodes {
 				all++
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -61,6 +61,8 @@
 	// CoreShare is how much of a core each node may use, as a quota of each tenth of a
 	// second; zero for any.
 	CoreShare float64 `yaml:"core_share,omitempty" json:"core_share,omitempty"`
+	// Earlier are the nodes that run the earlier build to the end, where a run has one.
+	Earlier []int `yaml:"earlier,omitempty,flow" json:"earlier,omitempty"`
 	// MemoryMB is the memory of a node by its settings; zero for the soak's own figure.
 	MemoryMB float64 `yaml:"memory_mb,omitempty" json:"memory_mb,omitempty"`
 	// LinkMbps bounds what a node receives, and what it answers, in millions of bits a
@@ -105,6 +107,9 @@
 	if s.CoreShare < 0 || s.MemoryMB < 0 || s.LinkMbps < 0 || s.ExtraRoutes < 0 || s.ExtraModels < 0 {
 		return eris.New("core_share, memory_mb, link_mbps, extra_routes and extra_models must not be negative")
 	}
+	if slices.ContainsFunc(s.Earlier, func(node int) bool { return node < 0 || node >= s.Nodes }) {
+		return eris.New("earlier names a node that there is not")
+	}
 	for i := range s.Faults {
 		fault := &s.Faults[i]
 		known, found := describe(fault.Kind)
--- a/soak/process.go
+++ b/soak/process.go
@@ -48,6 +48,8 @@
 	served       bool
 	sent         []syscall.Signal
 	restartAfter time.Duration
+	// earlier is set while the node's program is the earlier build, stays if it is to the end.
+	earlier, stays bool
 	// pauses counts the faults under way that pause the present life.
 	pauses int
 	// ended are called with the end of the present life.
@@ -118,12 +120,31 @@
 		return nil, eris.Wrap(err, "log of a node")
 	}
 	defer func() { _ = output.Close() }()
-	command := exec.Command(p.options.Binary, "node", "--platform")
+	command := exec.Command(p.binary(), "node", "--platform")
 	command.Env = []string{platform.SettingsVariable + "=" + p.path(".json")}
 	command.Stdout, command.Stderr = output, output
 	return command, eris.Wrap(p.spawner.start(command), "start a node")
 }
 
+// binary is the program of the next life. The caller holds the lock.
+func (p *process) binary() string {
+	if p.earlier {
+		return p.options.From
+	}
+	return p.options.Binary
+}
+
+// replace stops the program as planned and starts the earlier or the present build instead.
+func (p *process) replace(earlier bool, pause time.Duration) bool {
+	if !p.end(syscall.SIGTERM, pause) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.earlier = p.options.From != "" && (earlier || p.stays)
+	return true
+}
+
 // awaitReady ends a disturbance once a life is ready.
 func (p *process) awaitReady(life int, restored func()) {
 	for p.ctx.Err() == nil {
@@ -209,7 +230,7 @@
 	at := p.recorder.now()
 	restored := p.disturb(at)
 	p.ended = append(p.ended, func(lifeEnd) { restored() })
-	p.told, p.restartAfter = true, pause
+	p.told, p.restartAfter, p.earlier = true, pause, p.stays
 	if signal == syscall.SIGTERM {
 		p.stopping = true
 		p.ended = append(p.ended, p.noteStop(at))
--- a/soak/settings_test.go
+++ b/soak/settings_test.go
@@ -50,7 +50,7 @@
 		plan.LinkDelay: true, plan.LinkReset: true, plan.LinkCutRequests: true, plan.LinkCutAnswers: true, plan.LinkSilence: true,
 		plan.LinkThrottle: true, plan.LinkRefuse: true, plan.ProcessStop: true, plan.ProcessKill: true, plan.ProcessPause: true,
 		plan.ProcessHangUp: true, plan.StoreForget: true, plan.StoreSilence: true, plan.RouteAdd: true, plan.RouteRemove: true,
-		plan.RouteMove: true, plan.WorkerCrash: true, plan.WorkerDrain: true, plan.WorkerLateOrders: true, plan.CallerBurst: true,
+		plan.RouteMove: true, plan.WorkerCrash: true, plan.WorkerDrain: true, plan.WorkerLateOrders: true, plan.CallerBurst: true, plan.ProcessUpgrade: true, plan.ProcessRollBack: true,
 	}
 	for _, kind := range plan.Kinds() {
 		_, onStore := storeFaults[kind]
