Bound what nodes of the own deployments take as well

The same cause elsewhere: a node of the OpenAI API took whatever came, and what keeps it informed, its leases and its peers' messages waited behind all of it. It measures lateness as nodes of the platform do, and refuses what it would be late for as not run; the refusal is one in both.

--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/node"
 	"github.com/valveslip/valveslip/node/shell/inspection"
+	"github.com/valveslip/valveslip/overload"
 	"github.com/valveslip/valveslip/relay"
 	"github.com/valveslip/valveslip/relay/keyed"
 	"github.com/valveslip/valveslip/routing/idempotency"
@@ -77,6 +79,7 @@
 	// lastRefused is when the draining node last answered a caller, in
 	// nanoseconds since 1970 by the node's clock.
 	lastRefused atomic.Int64
+	lateness    *overload.Meter
 	drained     chan struct{}
 	drainedOnce sync.Once
 	stopOnce    sync.Once
@@ -113,12 +116,14 @@
 	runner := relay.NewRunner(n, n.options.Engines, n.options.Relay)
 	n.keys = keyed.NewRunner(runner, n, idempotency.Config{}, 0)
 	n.metrics = newMetrics(n.self, newCollector(n, n.self))
+	n.lateness = overload.New(n.Now, n.takeTurn)
 	n.serve(callers, admin)
 	n.mutex.Lock()
 	n.core = n.options.NewCore(n.self)
 	n.mutex.Unlock()
 	n.ready.Store(true)
 	n.background(n.tick)
+	n.background(func() { n.lateness.Run(n.context) })
 	n.background(n.follow)
 	n.logger.Info("node started", "zone", n.self.Zone, "callers", n.self.CallerAddress, "admin", n.self.AdminAddress, "peers", n.self.PeerAddress)
 	go n.stopWith(ctx)
@@ -195,7 +200,7 @@
 		Now:          n.Now,
 		Observe:      n.metrics.observe,
 	})
-	n.callers = n.server(n.lingering(handler))
+	n.callers = n.server(n.lingering(api.Bounded(handler, n.lateness.Take)))
 	n.callers.ConnState = n.connections.note
 	n.listener = n.connections.listen(callers)
 	n.admin = n.server(n.adminHandler())
@@ -239,6 +244,14 @@
 	}()
 }
 
+// takeTurn waits behind all goroutines that are ready to run, and behind all that wait for
+// the core.
+func (n *Node) takeTurn() {
+	runtime.Gosched()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+}
+
 // tick lets time pass for the core.
 func (n *Node) tick() {
 	ticker := time.NewTicker(node.TickInterval)
