--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -189,8 +189,7 @@
 func (n *Node) takeTurn() {
 	runtime.Gosched()
 	n.mutex.Lock()
-	//nolint:staticcheck // nothing is done in the turn
-	n.mutex.Unlock()
+	defer n.mutex.Unlock()
 }
 
 // knowsPoison reports whether the fingerprint of a request with this head matters now.
--- a/soak/burst.go
+++ b/soak/burst.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/valveslip/valveslip/soak/check"
@@ -14,7 +15,7 @@
 // burst has many more callers come to the node for a while, at a rate a second.
 func (p *process) burst(rate int, length time.Duration) {
 	more := newCallers(p)
-	more.prefix, more.pace, more.gate = check.BurstPrefix, time.Second/time.Duration(rate), make(chan struct{}, burstCalls)
+	more.prefix, more.pace, more.gate = fmt.Sprintf("%s%d-", check.BurstPrefix, p.bursts.Add(1)), time.Second/time.Duration(rate), make(chan struct{}, burstCalls)
 	p.undone.Go(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, length)
 		defer cancel()
--- a/soak/run.go
+++ b/soak/run.go
@@ -42,6 +42,8 @@
 	// it ended; poisonOver is set once it ends none any more.
 	restarts   sync.WaitGroup
 	poisonOver atomic.Bool
+	// bursts numbers the bursts of callers.
+	bursts atomic.Int64
 
 	mu      sync.Mutex
 	err     error
