--- /dev/null
+++ b/soak/planted/run.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Builds the program with each planted defect of this folder, in a temporary folder, and holds
+# the running soak to finding it by the promise that the defect breaks.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+declare -A promises=(
+  [takes-no-news]="a configuration is in force in time"
+  [sends-to-leaving]="leaving workers get no work after the bound"
+)
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+go build -o "$folder/soak" ./cmd/valveslip
+missed=0
+for defect in "${!promises[@]}"; do
+  mkdir "$folder/$defect"
+  git archive HEAD | tar -x -C "$folder/$defect"
+  (cd "$folder/$defect" && git apply "$OLDPWD/soak/planted/$defect.patch" && go build -o "$folder/$defect.bin" ./cmd/valveslip)
+  "$folder/soak" soak --binary "$folder/$defect.bin" --schedule soak/planted/calm.yaml --logs "$folder/$defect.logs" >"$folder/$defect.out" 2>&1 || true
+  if grep -E "^${promises[$defect]} +[0-9]+ +[1-9]" "$folder/$defect.out"; then
+    echo "planted: $defect was found"
+  else
+    echo "planted: $defect was NOT found"
+    missed=$((missed + 1))
+  fi
+done
+[ "$missed" -eq 0 ]
