--- a/soak/quota.go
+++ b/soak/quota.go
@@ -35,27 +35,34 @@
 	return time.Duration(used.Nano()), err
 }
 
-// look begins a period when one is over, and stops a process that has used its share.
-func (q *quota) look(now time.Time) {
-	used, err := processorTime(q.pid)
-	if err != nil {
-		return
-	}
+// signal says what a process is to be sent at a time when it has used so much of the
+// processors: zero for nothing. A period begins when the one before is over, and lets a process
+// go on that used up its share.
+func (q *quota) signal(now time.Time, used time.Duration) syscall.Signal {
 	if now.Sub(q.began) >= quotaPeriod {
 		q.began, q.used = now, used
-		q.resume()
-		return
+		return q.resume()
 	}
-	if !q.stopped && used-q.used >= q.share {
-		q.stopped = syscall.Kill(q.pid, syscall.SIGSTOP) == nil
+	if q.stopped || used-q.used < q.share {
+		return 0
 	}
+	q.stopped = true
+	return syscall.SIGSTOP
 }
 
 // resume has a process that was stopped go on.
-func (q *quota) resume() {
-	if q.stopped {
-		_ = syscall.Kill(q.pid, syscall.SIGCONT)
-		q.stopped = false
+func (q *quota) resume() syscall.Signal {
+	if !q.stopped {
+		return 0
+	}
+	q.stopped = false
+	return syscall.SIGCONT
+}
+
+// send sends a signal, unless it is none. A process that has just ended needs none.
+func (q *quota) send(signal syscall.Signal) {
+	if signal != 0 {
+		_ = syscall.Kill(q.pid, signal)
 	}
 }
 
@@ -100,12 +107,14 @@
 	}
 	if over {
 		if m.quota != nil {
-			m.quota.resume()
+			m.quota.send(m.quota.resume())
 		}
 		return
 	}
 	if m.quota == nil {
 		m.quota = &quota{share: share, pid: pid}
 	}
-	m.quota.look(time.Now())
+	if used, err := processorTime(pid); err == nil {
+		m.quota.send(m.quota.signal(time.Now(), used))
+	}
 }
