--- a/overload/meter.go
+++ b/overload/meter.go
@@ -15,11 +15,11 @@
 	// two and a half times the pauses of a process that is held to a share of a core by tenths
 	// of a second, and an eighth of the least time within which changes must be known, 2 s.
 	MostLate = 250 * time.Millisecond
-	// LateSoon is how late it may work once it has taken MostInTurn since the measurement began.
-	// That many cost a process with a fifth of a core 0.2 to 0.3 s, so that they alone make it
-	// late: without this bound 600 were taken until the first of them showed, and the process
-	// was 2.5 s late.
-	LateSoon   = 50 * time.Millisecond
+	// LateSoon is how late it may work once it has taken MostInTurn since the measurement began:
+	// as long as such a pause, which is no sign of too much work. That many cost a process with
+	// a fifth of a core 0.2 to 0.3 s, so that they alone make it late: without this bound 600
+	// were taken until the first of them showed, and the process was 2.5 s late.
+	LateSoon   = 100 * time.Millisecond
 	MostInTurn = 64
 )
 
