Drop messages that come before a node follows the store

A node that started could crash, or meet a follower that was being made: its transport takes messages of others, and its listener callers, before there is one. Seen by the race detector beside load (TestLenderTakesItsTicket); the test of a message before the follower ends with a nil pointer without this. The follower is published atomically now; what comes sooner is dropped, and the first reading of the store brings more.

--- a/fleet/shell/knowledge.go
+++ b/fleet/shell/knowledge.go
@@ -63,10 +63,11 @@
 
 // knownAge is how old what is known of the store is, negative before the first reading.
 func (n *Node) knownAge() time.Duration {
-	if n.follower == nil {
+	f := n.follower.Load()
+	if f == nil {
 		return -time.Second
 	}
-	knownAt := n.follower.knownAt.Load()
+	knownAt := f.knownAt.Load()
 	if knownAt == 0 {
 		return -time.Second
 	}
@@ -106,8 +107,8 @@
 // Collect implements prometheus.Collector.
 func (f *knowledgeFigures) Collect(figures chan<- prometheus.Metric) {
 	source := feed.SourceStore.String()
-	if f.node.follower != nil {
-		source = f.node.follower.source.Load().(string)
+	if follower := f.node.follower.Load(); follower != nil {
+		source = follower.source.Load().(string)
 	}
 	figures <- prometheus.MustNewConstMetric(f.age, prometheus.GaugeValue, f.node.knownAge().Seconds())
 	figures <- prometheus.MustNewConstMetric(f.source, prometheus.GaugeValue, 1, source)
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -88,8 +88,9 @@
 	// admitsUntil is the last deadline that is taken during a planned stop, in
 	// nanoseconds since the start; zero for any.
 	admitsUntil atomic.Int64
-	follower    *follower
-	lateness    *overload.Meter
+	// follower is nil until the node follows the store; messages and callers may come before.
+	follower atomic.Pointer[follower]
+	lateness *overload.Meter
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -124,9 +125,10 @@
 	n.timer = time.AfterFunc(time.Hour, n.tick)
 	n.stepLocked(fleet.Tick{})
 	n.mutex.Unlock()
-	n.follower = newFollower(n)
-	go n.follower.run()
-	go n.follower.reportStoreCalls()
+	f := newFollower(n)
+	n.follower.Store(f)
+	go f.run()
+	go f.reportStoreCalls()
 	go n.lateness.Run(n.context)
 	return n, nil
 }
@@ -220,16 +222,24 @@
 func (n *Node) receive(message wire.Message) {
 	switch m := message.(type) {
 	case wire.StoreChanges:
-		n.follower.receive(feed.UpdateReceived{Update: m})
+		n.follow(feed.UpdateReceived{Update: m})
 	case wire.ClockTold:
-		n.follower.receive(feed.ClockHeard{Told: m})
+		n.follow(feed.ClockHeard{Told: m})
 	case wire.StoreChangesRequest:
-		n.follower.receive(feed.ChangesRequested{Request: m})
+		n.follow(feed.ChangesRequested{Request: m})
 	default:
 		n.step(fleet.MessageReceived{Message: message})
 	}
 }
 
+// follow hands a peer's message to what follows the store. Before there is that, the message
+// is dropped: the first reading of the store brings more.
+func (n *Node) follow(event feed.Event) {
+	if f := n.follower.Load(); f != nil {
+		f.receive(event)
+	}
+}
+
 // step feeds one event to the core and begins its effects. Nothing in it waits
 // for the network.
 func (n *Node) step(event fleet.Event) {
@@ -319,7 +329,9 @@
 	n.wakeAt = time.Time{}
 	n.options.Log.Write(eventlog.PauseNoticed{Pause: late})
 	n.advance(now, fleet.Paused{For: late})
-	n.follower.invalidate()
+	if f := n.follower.Load(); f != nil {
+		f.invalidate()
+	}
 }
 
 // signalOnce wakes a receiver unless a signal waits already.
