Sort what the store holds in a time that grows with it, not with its square

Cause: each entry of a worker was looked for among all that had been read before it, so a node's first reading took a time that grew with the square of the workers: with 9,850 of them three quarters of its processor time, at a fifth of a core two seconds and more.

--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -14,18 +14,37 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-// batch is what changed, by kind.
+// batch is what changed, by kind. Of several changes of one record the last counts.
 type batch struct {
 	revision      int64
 	configuration *wire.StoreChange
-	workers       []catalog.Worker
-	workersUnread []fleet.UnreadWorker
+	workers       latest[cluster.MachineID, catalog.Worker]
+	workersUnread latest[cluster.MachineID, fleet.UnreadWorker]
 	workersGone   []cluster.MachineID
-	nodes         []fleet.NodeEntry
+	nodes         latest[cluster.NodeID, fleet.NodeEntry]
 	nodesGone     []cluster.NodeID
 	holder        *fleet.HolderRead
 	last          *fleet.LastHolderRead
-	poison        fleet.PoisonRead
+	poison        latest[poison.Fingerprint, fleet.PoisonStored]
+	poisonUnread  latest[poison.Fingerprint, fleet.PoisonStored]
+	poisonGone    []poison.Fingerprint
+}
+
+// workersRead is what the batch says of machines.
+func (b *batch) workersRead() fleet.WorkersRead {
+	return fleet.WorkersRead{
+		Workers: b.workers.values(), Unread: b.workersUnread.values(), Gone: b.workersGone, Revision: b.revision,
+	}
+}
+
+// nodesRead is what the batch says of nodes.
+func (b *batch) nodesRead() fleet.NodesRead {
+	return fleet.NodesRead{Nodes: b.nodes.values(), Gone: b.nodesGone}
+}
+
+// poisonRead is what the batch says of requests that end machines.
+func (b *batch) poisonRead() fleet.PoisonRead {
+	return fleet.PoisonRead{Records: b.poison.values(), Unread: b.poisonUnread.values(), Gone: b.poisonGone}
 }
 
 // sort enters one change.
@@ -54,17 +73,16 @@
 	case strings.HasPrefix(pair.Key, fleet.KeyNodes):
 		if deleted {
 			id := cluster.NodeID(strings.TrimPrefix(pair.Key, fleet.KeyNodes))
-			b.nodes = slices.DeleteFunc(b.nodes, func(e fleet.NodeEntry) bool { return e.ID == id })
+			b.nodes.drop(id)
 			b.nodesGone = append(b.nodesGone, id)
 		} else if entry, read := f.nodeEntry(pair); read {
 			entry.Revision = pair.Revision
-			b.nodes = append(b.nodes, entry)
+			b.nodes.put(entry.ID, entry)
 		}
 	}
 }
 
-// sortPoison enters the record of a request that ends machines. Of several changes of one
-// record the last counts.
+// sortPoison enters the record of a request that ends machines.
 func (f *follower) sortPoison(b *batch, pair *wire.StoreChange) {
 	stored, err := fleet.DecodePoison(pair.Key, pair.Value)
 	content := stored.Record.Content
@@ -74,20 +92,18 @@
 	if content.IsZero() {
 		return
 	}
-	same := func(r fleet.PoisonStored) bool { return r.Record.Content == content }
-	b.poison.Records = slices.DeleteFunc(b.poison.Records, same)
-	b.poison.Unread = slices.DeleteFunc(b.poison.Unread, same)
-	b.poison.Gone = slices.DeleteFunc(b.poison.Gone, func(gone poison.Fingerprint) bool { return gone == content })
-	if pair.Deleted {
-		b.poison.Gone = append(b.poison.Gone, content)
-		return
-	}
+	b.poison.drop(content)
+	b.poisonUnread.drop(content)
+	b.poisonGone = slices.DeleteFunc(b.poisonGone, func(gone poison.Fingerprint) bool { return gone == content })
 	stored.Revision = pair.Revision
-	if err != nil {
-		b.poison.Unread = append(b.poison.Unread, stored)
-		return
+	switch {
+	case pair.Deleted:
+		b.poisonGone = append(b.poisonGone, content)
+	case err != nil:
+		b.poisonUnread.put(content, stored)
+	default:
+		b.poison.put(content, stored)
 	}
-	b.poison.Records = append(b.poison.Records, stored)
 }
 
 // nodeEntry reads a node's entry; false for one that is gone or can't be read.
@@ -121,37 +137,23 @@
 	f.options.Log.Write(eventlog.RecordUnreadable{Key: pair.Key, Revision: pair.Revision, Cause: cause.Error()})
 }
 
-// sortWorker enters a machine's entry. Of several changes of one machine the last counts,
-// and before it the last that can be read; that the machine leaves holds until one can be.
+// sortWorker enters a machine's entry: the last that can be read, and that the machine leaves
+// until one can be.
 func (f *follower) sortWorker(b *batch, pair *wire.StoreChange) {
 	id := f.options.Codec.WorkerID(pair.Key)
-	left := b.dropUnread(id)
 	if pair.Deleted {
-		b.dropWorker(id)
+		b.workersUnread.drop(id)
+		b.workers.drop(id)
 		b.workersGone = append(b.workersGone, id)
 		return
 	}
 	worker, err := f.options.Codec.DecodeWorker(pair.Key, pair.Value)
 	if err != nil {
 		f.metrics.unreadable.WithLabelValues(unreadableWorker).Inc()
-		b.workersUnread = append(b.workersUnread, fleet.UnreadWorker{ID: id, Leaving: worker.Draining || left, Cause: err.Error()})
+		before, _ := b.workersUnread.get(id)
+		b.workersUnread.put(id, fleet.UnreadWorker{ID: id, Leaving: worker.Draining || before.Leaving, Cause: err.Error()})
 		return
 	}
-	b.dropWorker(id)
-	b.workers = append(b.workers, worker)
-}
-
-// dropUnread takes out an entry that could not be read, and reports whether it said that its
-// machine leaves.
-func (b *batch) dropUnread(id cluster.MachineID) (left bool) {
-	b.workersUnread = slices.DeleteFunc(b.workersUnread, func(w fleet.UnreadWorker) bool {
-		left = left || w.ID == id && w.Leaving
-		return w.ID == id
-	})
-	return left
-}
-
-// dropWorker takes out a machine's entry that a later change replaces.
-func (b *batch) dropWorker(id cluster.MachineID) {
-	b.workers = slices.DeleteFunc(b.workers, func(w catalog.Worker) bool { return w.ID == id })
+	b.workersUnread.drop(id)
+	b.workers.put(id, worker)
 }
--- a/fleet/shell/batch_test.go
+++ b/fleet/shell/batch_test.go
@@ -40,12 +40,13 @@
 		for i, value := range test.values {
 			f.sort(&b, &wire.StoreChange{Key: platform.PrefixWorkers + "w", Value: []byte(value), Revision: int64(i + 1), Deleted: value == gone})
 		}
-		if len(b.workers) != test.workers || len(b.workersUnread) != test.unread || len(b.workersGone) != test.ended {
-			t.Errorf("%q: %d read, %d unread, %d gone", test.values, len(b.workers), len(b.workersUnread), len(b.workersGone))
+		read := b.workersRead()
+		if len(read.Workers) != test.workers || len(read.Unread) != test.unread || len(read.Gone) != test.ended {
+			t.Errorf("%q: %d read, %d unread, %d gone", test.values, len(read.Workers), len(read.Unread), len(read.Gone))
 			continue
 		}
-		if test.workers > 0 && b.workers[0].Draining != test.draining || test.unread > 0 && b.workersUnread[0].Leaving != test.leaving {
-			t.Errorf("%q: %+v, %+v", test.values, b.workers, b.workersUnread)
+		if test.workers > 0 && read.Workers[0].Draining != test.draining || test.unread > 0 && read.Unread[0].Leaving != test.leaving {
+			t.Errorf("%q: %+v, %+v", test.values, read.Workers, read.Unread)
 		}
 	}
 }
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -217,10 +217,11 @@
 	}
 	f.configured(batch.configuration)
 	// What must not be sent comes before where to: requests may wait.
-	batch.poison.Full = true
-	f.step(batch.poison)
-	f.step(fleet.NodesRead{Nodes: batch.nodes, Full: true})
-	f.step(fleet.WorkersRead{Workers: batch.workers, Unread: batch.workersUnread, Full: true, Revision: revision})
+	poisoned, nodes, workers := batch.poisonRead(), batch.nodesRead(), batch.workersRead()
+	poisoned.Full, nodes.Full, workers.Full = true, true, true
+	f.step(poisoned)
+	f.step(nodes)
+	f.step(workers)
 	if batch.last != nil {
 		f.step(*batch.last)
 	}
@@ -236,14 +237,14 @@
 		f.sort(&batch, &e.Changes[i])
 	}
 	f.configured(batch.configuration)
-	if len(batch.poison.Records)+len(batch.poison.Unread)+len(batch.poison.Gone) > 0 {
-		f.step(batch.poison)
+	if read := batch.poisonRead(); len(read.Records)+len(read.Unread)+len(read.Gone) > 0 {
+		f.step(read)
 	}
-	if len(batch.workers)+len(batch.workersUnread)+len(batch.workersGone) > 0 {
-		f.step(fleet.WorkersRead{Workers: batch.workers, Unread: batch.workersUnread, Gone: batch.workersGone, Revision: e.Revision})
+	if read := batch.workersRead(); len(read.Workers)+len(read.Unread)+len(read.Gone) > 0 {
+		f.step(read)
 	}
-	if len(batch.nodes)+len(batch.nodesGone) > 0 {
-		f.step(fleet.NodesRead{Nodes: batch.nodes, Gone: batch.nodesGone})
+	if read := batch.nodesRead(); len(read.Nodes)+len(read.Gone) > 0 {
+		f.step(read)
 		f.notePeers()
 	}
 	if batch.last != nil {
