Keep what is known of a worker by its id and its birth

Cause: a worker may start again under the id that it had; it holds and remembers nothing, and its count of orders begins anew. Nodes knew its starts by the id alone: the holder asked for reports that it then took to be older than its last order, for ever; ends of several starts under one request counted as one.

Change: the platform's adapter names a machine by its id and its birth, so that all that is kept by machine, in every core and message, ends with the start that it was learned of. fleet/shell/starts.go compares births, once for the filter of heartbeats and once for what the core is told: a later start ends the one before, an earlier one never replaces it, and an entry without a birth of a worker that says it otherwise is another writer's. Reports of another start are not taken, kept connections to the one before are closed.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -140,7 +140,10 @@
 // Worker is a machine's entry in the store. Every start of a machine has an
 // identifier of its own.
 type Worker struct {
-	ID      cluster.MachineID
+	// ID names one start of the machine: what is known under it ends with that start.
+	ID cluster.MachineID
+	// Born is when it started, in Unix milliseconds; zero where it does not say.
+	Born    int64
 	Service string
 	// Address is host:port.
 	Address string
@@ -158,7 +161,7 @@
 
 // Equal reports whether two entries say the same.
 func (w *Worker) Equal(o *Worker) bool {
-	return w.ID == o.ID && w.Service == o.Service && w.Address == o.Address && w.Zone == o.Zone &&
+	return w.ID == o.ID && w.Born == o.Born && w.Service == o.Service && w.Address == o.Address && w.Zone == o.Zone &&
 		w.Release == o.Release && w.Slots == o.Slots && w.Draining == o.Draining &&
 		slices.EqualFunc(w.Held, o.Held, HeldModel.Equal) &&
 		slices.Equal(w.InMemory, o.InMemory) && slices.Equal(w.OnDisk, o.OnDisk)
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -18,7 +18,7 @@
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
-		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerGone{}, NodesChanged{},
+		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, NodesChanged{},
 		FeedChanged{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
@@ -225,10 +225,17 @@
 type WorkerUnreadable struct {
 	Machine  cluster.MachineID `log:"machine" doc:"worker"`
 	Revision int64             `log:"revision" doc:"revision of the store"`
-	Outcome  string            `log:"outcome" doc:"not known (it is not used), what was known holds, or takes no new requests"`
+	Outcome  string            `log:"outcome" doc:"not known (it is not used), what was known holds, takes no new requests, or passed over (it is of an earlier start of the machine)"`
 	Cause    string            `log:"cause" doc:"why it can't be read"`
 }
 
+// WorkerRestarted is written when a worker's entry is that of a later start under the same id.
+type WorkerRestarted struct {
+	Machine  cluster.MachineID `log:"machine" doc:"the later start"`
+	Before   cluster.MachineID `log:"before" doc:"the start that has ended, of which nothing known counts for the later one"`
+	Revision int64             `log:"revision" doc:"revision of the store"`
+}
+
 // WorkerGone is written when a worker's entry is gone, or another worker answers
 // at its address.
 type WorkerGone struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -146,6 +146,14 @@
 	return "Written when a worker's entry can't be read, once for each cause until it can be or everything is read anew."
 }
 
+// Kind implements Event.
+func (WorkerRestarted) Kind() string { return "worker_restarted" }
+
+// Meaning implements Documented.
+func (WorkerRestarted) Meaning() string {
+	return "Written when a worker's entry is that of a later start under the same id."
+}
+
 // Kind implements Event.
 func (WorkerGone) Kind() string { return "worker_gone" }
 
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"errors"
 	"slices"
 	"strings"
 
@@ -138,22 +139,44 @@
 }
 
 // sortWorker enters a machine's entry: the last that can be read, and that the machine leaves
-// until one can be.
+// until one can be. The entry of a later start of a machine ends the one before it.
 func (f *follower) sortWorker(b *batch, pair *wire.StoreChange) {
-	id := f.options.Codec.WorkerID(pair.Key)
+	name := f.options.Codec.WorkerID(pair.Key)
 	if pair.Deleted {
-		b.workersUnread.drop(id)
-		b.workers.drop(id)
-		b.workersGone = append(b.workersGone, id)
+		known := f.starts.current(name)
+		b.workerGone(known)
+		f.starts.forget(name)
 		return
 	}
 	worker, err := f.options.Codec.DecodeWorker(pair.Key, pair.Value)
-	if err != nil {
+	known := f.starts.current(name)
+	if err == nil {
+		err = f.starts.check(name, &worker)
+	}
+	switch {
+	case errors.Is(err, errEarlierStart):
+		f.options.Log.Write(eventlog.WorkerUnreadable{Machine: worker.ID, Revision: pair.Revision, Outcome: outcomePassedOver, Cause: err.Error()})
+		return
+	case err != nil:
 		f.metrics.unreadable.WithLabelValues(unreadableWorker).Inc()
-		before, _ := b.workersUnread.get(id)
-		b.workersUnread.put(id, fleet.UnreadWorker{ID: id, Leaving: worker.Draining || before.Leaving, Cause: err.Error()})
+		before, _ := b.workersUnread.get(known)
+		b.workersUnread.put(known, fleet.UnreadWorker{ID: known, Leaving: worker.Draining || before.Leaving, Cause: err.Error()})
 		return
 	}
+	if known != worker.ID && f.starts.knows(name) {
+		b.workerGone(known)
+		f.options.Log.Write(eventlog.WorkerRestarted{Machine: worker.ID, Before: known, Revision: pair.Revision})
+		// A request on one would be lost without a word that it did not run.
+		f.pool.Forget(f.starts[name].address)
+	}
+	f.starts.note(name, &worker)
+	b.workersUnread.drop(known)
+	b.workers.put(worker.ID, worker)
+}
+
+// workerGone enters the end of a machine.
+func (b *batch) workerGone(id cluster.MachineID) {
 	b.workersUnread.drop(id)
-	b.workers.put(id, worker)
+	b.workers.drop(id)
+	b.workersGone = append(b.workersGone, id)
 }
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
@@ -28,6 +30,8 @@
 	*Node
 	feed *feed.Core
 	news *newsFilter
+	// starts are those of machines, as of what the core was told.
+	starts starts
 	// configuration is the revision of the configuration read last.
 	configuration int64
 	lostAt        time.Time
@@ -52,7 +56,7 @@
 
 func newFollower(n *Node) *follower {
 	f := &follower{
-		Node: n, news: newNewsFilter(n.options.Codec),
+		Node: n, news: newNewsFilter(n.options.Codec), starts: starts{},
 		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), resync: make(chan struct{}, 1),
 	}
 	self := &n.options.Core.Self
@@ -208,9 +212,14 @@
 // replace takes the whole content of the store.
 func (f *follower) replace(revision int64, pairs []wire.StoreChange) {
 	batch := batch{revision: revision}
+	named := map[cluster.MachineID]bool{}
 	for i := range pairs {
 		f.sort(&batch, &pairs[i])
+		if strings.HasPrefix(pairs[i].Key, f.options.Codec.WorkersPrefix()) {
+			named[f.options.Codec.WorkerID(pairs[i].Key)] = true
+		}
 	}
+	f.starts.keep(named)
 	holder := fleet.HolderRead{}
 	if batch.holder != nil {
 		holder = *batch.holder
--- a/fleet/shell/news.go
+++ b/fleet/shell/news.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"errors"
 	"strings"
 
 	"github.com/valveslip/valveslip/catalog"
@@ -16,6 +17,7 @@
 type newsFilter struct {
 	codec   Codec
 	workers map[cluster.MachineID]catalog.Worker
+	starts  starts
 	unread  map[cluster.MachineID]unreadEntry
 }
 
@@ -26,7 +28,7 @@
 }
 
 func newNewsFilter(codec Codec) *newsFilter {
-	return &newsFilter{codec: codec, workers: map[cluster.MachineID]catalog.Worker{}, unread: map[cluster.MachineID]unreadEntry{}}
+	return &newsFilter{codec: codec, workers: map[cluster.MachineID]catalog.Worker{}, starts: starts{}, unread: map[cluster.MachineID]unreadEntry{}}
 }
 
 // News implements feed.Filter.
@@ -38,12 +40,20 @@
 	if c.Deleted {
 		delete(f.workers, id)
 		delete(f.unread, id)
+		f.starts.forget(id)
 		return true
 	}
 	w, err := f.codec.DecodeWorker(c.Key, c.Value)
+	if err == nil {
+		err = f.starts.check(id, &w)
+	}
+	if errors.Is(err, errEarlierStart) {
+		return false
+	}
 	if err != nil {
 		return f.unreadNews(id, unreadEntry{cause: err.Error(), leaving: w.Draining})
 	}
+	f.starts.note(id, &w)
 	delete(f.unread, id)
 	before, known := f.workers[id]
 	f.workers[id] = w
--- /dev/null
+++ b/fleet/shell/starts_test.go
@@ -0,0 +1,115 @@
+package shell
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/platform"
+	"github.com/valveslip/valveslip/upstream"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// sortingFollower returns a follower that only sorts.
+func sortingFollower() *follower {
+	n := &Node{}
+	n.options.Codec, n.options.Log = platform.Codec{}, eventlog.New(io.Discard, eventlog.Options{})
+	n.metrics = newMetrics(prometheus.NewRegistry(), n)
+	n.pool = upstream.NewPool(upstream.Options{Now: time.Now})
+	return &follower{Node: n, starts: starts{}}
+}
+
+// bornAt is a machine's entry of a start, zero for one that does not say when it was.
+func bornAt(born int64, revision int64) wire.StoreChange {
+	value := `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}`
+	if born != 0 {
+		value = fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":%d}`, born)
+	}
+	return wire.StoreChange{Key: platform.PrefixWorkers + "w", Value: []byte(value), Revision: revision}
+}
+
+// TestLaterStartEndsTheOneBefore: of the starts of one machine the latest counts, in whatever
+// order their entries come: those before it are gone, and all that is known of them ends.
+func TestLaterStartEndsTheOneBefore(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		births  []int64
+		machine cluster.MachineID
+		gone    []cluster.MachineID
+		unread  int
+	}{
+		{"one start", []int64{5, 5}, "w@5", nil, 0},
+		{"a later start", []int64{5, 7}, "w@7", []cluster.MachineID{"w@5"}, 0},
+		{"an earlier start comes late", []int64{7, 5}, "w@7", nil, 0},
+		{"back and forth", []int64{5, 7, 5, 7}, "w@7", []cluster.MachineID{"w@5"}, 0},
+		{"two later starts", []int64{5, 7, 9}, "w@9", []cluster.MachineID{"w@5", "w@7"}, 0},
+		{"another writer", []int64{5, 0}, "w@5", nil, 1},
+		{"it says it from now on", []int64{0, 5}, "w@5", []cluster.MachineID{"w"}, 0},
+		{"it never says it", []int64{0, 0}, "w", nil, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, together := range []bool{true, false} {
+				f := sortingFollower()
+				var b batch
+				var gone []cluster.MachineID
+				for i, born := range test.births {
+					if !together {
+						gone = append(gone, b.workersGone...)
+						b = batch{}
+					}
+					change := bornAt(born, int64(i+1))
+					f.sort(&b, &change)
+				}
+				read := b.workersRead()
+				gone = append(gone, read.Gone...)
+				if f.starts.current("w") != test.machine || !slices.Equal(gone, test.gone) || together && len(read.Unread) != test.unread {
+					t.Errorf("together %t: present %q, gone %q, %d unread", together, f.starts.current("w"), gone, len(read.Unread))
+				}
+				if together && (len(read.Workers) != 1 || read.Workers[0].ID != test.machine) {
+					t.Errorf("told of %+v", read.Workers)
+				}
+			}
+		})
+	}
+}
+
+// TestEndOfAStartIsToldByItsName: the store names a machine, and the core knows its start.
+func TestEndOfAStartIsToldByItsName(t *testing.T) {
+	f := sortingFollower()
+	var first batch
+	change := bornAt(5, 1)
+	f.sort(&first, &change)
+	var second batch
+	f.sort(&second, &wire.StoreChange{Key: change.Key, Revision: 2, Deleted: true})
+	if gone := second.workersGone; !slices.Equal(gone, []cluster.MachineID{"w@5"}) {
+		t.Fatalf("gone: %q", gone)
+	}
+	// What ended is forgotten: an entry that is written again after it lapsed counts.
+	var third batch
+	change = bornAt(4, 3)
+	f.sort(&third, &change)
+	if workers := third.workers.values(); len(workers) != 1 || workers[0].ID != "w@4" {
+		t.Fatalf("told of %+v", workers)
+	}
+}
+
+// TestEarlierStartIsNoNews: relays pass on what says something new; an entry of an earlier
+// start says nothing, and one without the birth only that it can't be read.
+func TestEarlierStartIsNoNews(t *testing.T) {
+	filter := newNewsFilter(platform.Codec{})
+	for i, step := range []struct {
+		born int64
+		news bool
+	}{{5, true}, {5, false}, {7, true}, {5, false}, {7, false}, {0, true}, {0, false}, {7, true}, {7, false}} {
+		change := bornAt(step.born, int64(i+1))
+		if got := filter.News(&change); got != step.news {
+			t.Errorf("step %d, born at %d: news %t", i, step.born, got)
+		}
+	}
+}
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -165,7 +165,7 @@
 		if err != nil {
 			return nil, Marks{}, err
 		}
-		marks := a.Dialect.ReadAnswer(response.StatusCode, response.Header)
+		marks := a.Dialect.ReadAnswer(a.decision.Machine, response.StatusCode, response.Header)
 		if marks.RequestID == a.id || marks.RequestID == "" && marks.NotRun {
 			return response, marks, nil
 		}
--- a/passthrough/types.go
+++ b/passthrough/types.go
@@ -63,7 +63,8 @@
 	// Misdirected is set when the machine is not the one that the request was
 	// meant for, or does not hold what it needs.
 	Misdirected bool
-	// Machine that answered, when it says so.
+	// Machine that answered, when it says so: the one that was asked unless it bears another
+	// name.
 	Machine cluster.MachineID
 }
 
@@ -73,8 +74,8 @@
 	ReadCaller(header http.Header) Attributes
 	// PrepareForward sets the fields for a machine.
 	PrepareForward(header http.Header, forward Forward)
-	// ReadAnswer reads the fields of a machine's answer.
-	ReadAnswer(status int, header http.Header) Marks
+	// ReadAnswer reads the fields of the answer to what a machine was asked.
+	ReadAnswer(asked cluster.MachineID, status int, header http.Header) Marks
 }
 
 // connectionFields concern one connection only and are not passed on.
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -83,6 +83,8 @@
 	switch f.Kind {
 	case plan.WorkerCrash:
 		slot.crash(f.For)
+	case plan.WorkerRestart:
+		slot.restart(f.For)
 	case plan.WorkerDrain:
 		slot.drain(f.For)
 	case plan.WorkerLateOrders:
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -61,6 +61,10 @@
 		schedule.Faults = append(schedule.Faults, d.series(at)...)
 	}
 	schedule.Faults = append(schedule.Faults, drawLater(seed, size)...)
+	if !size.Upgrades {
+		// Earlier builds don't tell the starts of one worker from each other.
+		schedule.Faults = append(schedule.Faults, drawRestarts(seed, size)...)
+	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
 	}
@@ -93,6 +97,26 @@
 	return faults
 }
 
+// restartGap is the mean time between two restarts of workers, shortestAway and longestAway
+// bound for how long they are away: from before their entry lapses until after it.
+const (
+	restartGap   = 6 * time.Second
+	shortestAway = 200 * time.Millisecond
+	longestAway  = 5 * time.Second
+)
+
+// drawRestarts draws workers that start again under their ids.
+func drawRestarts(seed uint64, size Size) []Fault {
+	d := &drawer{random: rand.New(rand.NewPCG(^seed, seed)), size: size}
+	var faults []Fault
+	for at := firstAt; at < size.Span; at += d.gap(restartGap) {
+		fault := d.fault(WorkerRestart, at)
+		fault.For = d.between(shortestAway, longestAway)
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
 // stopTime is how long a planned stop may take, with what is given beyond its grace time.
 const stopTime = 11 * time.Second
 
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -69,6 +69,8 @@
 	WorkerFail       Kind = "worker-fail"
 	WorkerDrain      Kind = "worker-drain"
 	WorkerLateOrders Kind = "worker-late-orders"
+	// WorkerRestart ends a worker, which comes back under its id and remembers nothing.
+	WorkerRestart Kind = "worker-restart"
 )
 
 // Link names the connections that a fault strikes.
@@ -146,6 +148,7 @@
 	{CallerBurst, kindOf{onNodes, 1, true}},
 	{ProcessUpgrade, kindOf{onNodes, 0, true}},
 	{ProcessRollBack, kindOf{onNodes, 0, true}},
+	{WorkerRestart, kindOf{onWorkers, 0, true}},
 }
 
 // describe returns what is known of a kind.
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -66,7 +66,7 @@
 	return b.every
 }
 
-// workerSlot is a place for a worker: one life after the other, with new names.
+// workerSlot is a place for a worker: one life after the other, mostly with new names.
 type workerSlot struct {
 	*run
 	index int
@@ -74,6 +74,7 @@
 	mu      sync.Mutex
 	life    int
 	id      string
+	born    int64
 	worker  *worker.Worker
 	server  *standin.Server
 	proxy   *proxy.Proxy
@@ -91,12 +92,20 @@
 	return serviceEngine
 }
 
-// begin starts a life, at a new address unless one is given.
+// begin starts a life under a new name, at a new address unless one is given.
 func (s *workerSlot) begin(at *proxy.Proxy) error {
 	s.life++
 	s.id = fmt.Sprintf("%s-%d-%d", s.service(), s.index, s.life)
+	return s.beginAs(at)
+}
+
+// beginAs starts a life under the present name. It is born later than the one before, also
+// within the same millisecond.
+func (s *workerSlot) beginAs(at *proxy.Proxy) error {
+	s.born = max(time.Now().UnixMilli(), s.born+1)
 	config := worker.Config{
-		ID: s.id, Service: s.service(), Zone: zoneName(s.index % zones(len(s.nodes))), Slots: plainSlots, RunTime: plainTime,
+		Born: s.born,
+		ID:   s.id, Service: s.service(), Zone: zoneName(s.index % zones(len(s.nodes))), Slots: plainSlots, RunTime: plainTime,
 		Unfenced: !s.options.Schedule.Fencing,
 	}
 	if s.service() == serviceEngine {
@@ -125,17 +134,17 @@
 	}
 	at.Retarget(server.Address())
 	started.SetAddress(at.Address())
-	started.Publish = s.publish
+	started.Publish = func(key string, entry platform.WorkerDocument) { s.publish(started, key, entry) }
 	s.worker, s.server, s.proxy, s.conduct = started, server, at, conduct
 	s.lived(s.id, s.service(), started, server)
 	return s.metadata.Put(started.Key(), started.Entry())
 }
 
 // publish enters a worker unless its life is over.
-func (s *workerSlot) publish(key string, entry platform.WorkerDocument) {
+func (s *workerSlot) publish(by *worker.Worker, key string, entry platform.WorkerDocument) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if key == s.worker.Key() {
+	if by == s.worker {
 		_ = s.metadata.Put(key, entry)
 	}
 }
@@ -194,6 +203,40 @@
 	})
 }
 
+// restart ends the worker without a word; it comes back at its address under its id. One that
+// leaves is not waited for: it ends like one that crashes.
+func (s *workerSlot) restart(length time.Duration) {
+	s.mu.Lock()
+	ended, server, at := s.worker, s.server, s.proxy
+	s.mu.Unlock()
+	if ended.Draining() {
+		s.crash(length)
+		return
+	}
+	restored := s.disturb()
+	at.Refuse()
+	server.Kill()
+	s.later(length, func() {
+		defer restored()
+		s.comeBack(ended, at)
+		if err := at.Open(); err != nil {
+			s.fail(err)
+		}
+	})
+}
+
+// comeBack starts a worker again under its name, unless another one has taken its place.
+func (s *workerSlot) comeBack(over *worker.Worker, at *proxy.Proxy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.worker != over {
+		return
+	}
+	if err := s.beginAs(at); err != nil {
+		s.fail(err)
+	}
+}
+
 // drain has the worker say that it leaves; it goes on serving what it has, and
 // another one comes at another address.
 func (s *workerSlot) drain(length time.Duration) {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -34,6 +34,8 @@
 	Unfenced bool
 	// MemoryBytes bounds the models held at once; zero sets no bound.
 	MemoryBytes int64
+	// Born is when the worker starts, in Unix milliseconds; it says nothing of that if zero.
+	Born int64
 }
 
 // Behaviour is what a worker does with one request besides running it.
@@ -140,10 +142,25 @@
 	}
 	return platform.WorkerDocument{
 		Service: w.config.Service, Address: w.config.Address, Zone: w.config.Zone, Version: "v1",
-		Slots: w.config.Slots, State: state, Models: slices.Clone(w.held),
+		Slots: w.config.Slots, State: state, Models: slices.Clone(w.held), Born: w.born(),
 	}
 }
 
+// born is what the worker says of its start.
+func (w *Worker) born() *int64 {
+	if w.config.Born == 0 {
+		return nil
+	}
+	return &w.config.Born
+}
+
+// Draining reports whether the worker says that it leaves.
+func (w *Worker) Draining() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.draining
+}
+
 // SetAddress sets where the worker is served.
 func (w *Worker) SetAddress(address string) { w.config.Address = address }
 
@@ -323,7 +340,7 @@
 func (w *Worker) report(out http.ResponseWriter) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	_ = json.NewEncoder(out).Encode(platform.ReportDocument{Models: w.held, Busy: w.busy, Sequence: w.sequence})
+	_ = json.NewEncoder(out).Encode(platform.ReportDocument{Models: w.held, Busy: w.busy, Sequence: w.sequence, Born: w.born()})
 }
 
 // takeOrder takes an order under its conditions.
