Gather what is made of all nodes, and look at each once

Cause: the record of each node that starts reached each other node by itself, and on each it ranked all nodes anew as relays, as voters of each shard (hashing within each comparison, also where there are no tenants), as dispatchers and as sharers of limits, and sorted the replicas of all models anew. For a start of n nodes that is n times n log n on each of them.

Voters and dispatchers are found by one look at each machine (internal/topk), with the weights of a machine hashed once. A node's place among candidates is counted when the nodes are told of, not at each step without a holder. The router sorts replicas anew only where a zone's region changed.

Voters are those of the sorted ranking of earlier builds (TestVotersAreTheFirstOfAllSorted).

--- a/fleet/cell.go
+++ b/fleet/cell.go
@@ -58,6 +58,9 @@
 	// last is the machine that gave orders last, by a record of the revision.
 	last         NodeEntry
 	lastRevision int64
+	// ranked is how many nodes come before this one, while rankKnown is set.
+	ranked    int
+	rankKnown bool
 	// known is set once the holder's record, or its absence, was read.
 	known bool
 	// vacantSince is when the record was first seen absent.
@@ -226,7 +229,7 @@
 	}
 	for _, id := range c.demand.Wanting(concerned) {
 		if id != c.core.config.Self.ID {
-			c.core.send(c.core.nodes[id].Address, status)
+			c.core.send(c.core.nodes.live[id].Address, status)
 		}
 	}
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -27,6 +27,7 @@
 	router   *routing.Router
 	view     *machineView
 	nodes    nodeSet
+	peers    *peerNews
 	record   *nodeRecord
 	cell     *cell
 	poison   *poisonKeeper
@@ -52,7 +53,8 @@
 func New(config Config, seed uint64) *Core {
 	config = config.withDefaults()
 	config.Routing.Zone, config.Routing.Region = config.Zone, config.Regions[config.Zone]
-	core := &Core{config: config, nodes: nodeSet{}}
+	core := &Core{config: config, nodes: newNodeSet()}
+	core.peers = &peerNews{core: core}
 	core.view = newMachineView(core)
 	config.Routing.LeastLoad = core.view.leastLoad
 	if config.Dispatching {
@@ -118,6 +120,7 @@
 	case DrainStarted:
 		c.routing(routing.DrainStarted{})
 	}
+	c.peers.tick()
 	c.view.tick()
 	c.record.tick()
 	c.cell.tick()
@@ -135,7 +138,7 @@
 
 // NextDue returns when the next Tick has something to do.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue()}
+	due := []time.Time{c.peers.due(), c.record.due(), c.cell.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue()}
 	if c.dispatching != nil {
 		due = append(due, c.dispatching.due())
 	}
@@ -155,7 +158,7 @@
 const maxIdle = time.Second
 
 // Nodes returns the live nodes, one of each machine, in no order.
-func (c *Core) Nodes() []NodeEntry { return slices.Collect(maps.Values(c.nodes)) }
+func (c *Core) Nodes() []NodeEntry { return slices.Collect(maps.Values(c.nodes.live)) }
 
 // Ready reports whether the node knows what it needs to serve.
 func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/topk"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -114,21 +114,27 @@
 	}
 }
 
-// peersChanged orders the live nodes. What nodes that are gone had under way is forgotten.
+// peersChanged finds the first of the live nodes. What nodes that are gone had under way is
+// forgotten.
 func (c *Core) peersChanged(peers []Peer) {
-	ranked := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
-		return p.ID == c.cfg.Self.ID || p.Machine == c.cfg.Self.Machine
-	})
-	ranked = append(ranked, c.cfg.Self)
-	slices.SortFunc(ranked, func(a, b Peer) int {
-		return cmp.Or(
-			cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.Machine), xxhash.Sum64String(b.Machine)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	known := make(map[cluster.NodeID]bool, len(ranked))
-	for i := range ranked {
-		known[ranked[i].ID] = true
+	first := []ranked{rank(c.cfg.Self)}
+	for i := range peers {
+		if p := peers[i]; p.ID != c.cfg.Self.ID && p.Machine != c.cfg.Self.Machine {
+			first = topk.Insert(first, rank(p), maxDispatchers, ranked.compare)
+		}
+	}
+	c.ranked = make([]Peer, len(first))
+	for i := range first {
+		c.ranked[i] = first[i].Peer
+	}
+	if len(c.book.booked)+len(c.silentUntil) == 0 {
+		return
+	}
+	known := map[cluster.NodeID]bool{c.cfg.Self.ID: true}
+	for i := range peers {
+		if peers[i].Machine != c.cfg.Self.Machine {
+			known[peers[i].ID] = true
+		}
 	}
 	c.book.keepNodes(known)
 	for id := range c.silentUntil {
@@ -136,7 +142,18 @@
 			delete(c.silentUntil, id)
 		}
 	}
-	c.ranked = ranked[:min(len(ranked), maxDispatchers)]
+}
+
+// ranked is a node with what decides, among those of one capacity, which is asked first.
+type ranked struct {
+	Peer
+	weight uint64
+}
+
+func rank(p Peer) ranked { return ranked{Peer: p, weight: xxhash.Sum64String(p.Machine)} }
+
+func (r ranked) compare(other ranked) int {
+	return cmp.Or(cmp.Compare(other.Capacity, r.Capacity), cmp.Compare(r.weight, other.weight), cmp.Compare(r.ID, other.ID))
 }
 
 // pick returns the node to ask now, and makes it know what is under way here if it is another
--- a/fleet/dispatching.go
+++ b/fleet/dispatching.go
@@ -280,15 +280,6 @@
 	}
 }
 
-// peersChanged tells who may dispatch of the live nodes.
-func (d *dispatching) peersChanged() {
-	peers := make([]dispatch.Peer, 0, len(d.core.nodes))
-	for _, entry := range d.core.nodes {
-		peers = append(peers, entry.dispatcher())
-	}
-	d.step(dispatch.PeersChanged{Peers: peers})
-}
-
 // unloaded tells who places attempts that an engine gave a model up.
 func (c *Core) unloaded(machine cluster.MachineID, model cluster.ModelID) {
 	if c.dispatching != nil {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -210,6 +210,10 @@
 // ReadReport reads an engine's report.
 type ReadReport struct{ Read sequence.ReadReport }
 
+// PeersSettled says that the live nodes, Core.Nodes, have changed: whoever makes something of
+// all of them does so now.
+type PeersSettled struct{}
+
 // Log writes a line.
 type Log struct{ Line eventlog.Event }
 
@@ -220,4 +224,5 @@
 func (StoreTicket) fleetEffect()   {}
 func (SendOrder) fleetEffect()     {}
 func (ReadReport) fleetEffect()    {}
+func (PeersSettled) fleetEffect()  {}
 func (Log) fleetEffect()           {}
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -123,10 +123,14 @@
 	return singleTurns + bits.Len(uint(rank-singleTurns+1))
 }
 
-// rank counts the live nodes whose turn comes before this one's.
+// rank counts the live nodes whose turn comes before this one's. It is asked for at each step
+// while there is no holder, and counted anew when the live nodes are told of.
 func (c *cell) rank() int {
+	if c.rankKnown {
+		return c.ranked
+	}
 	self, rank := &c.core.config.Self, 0
-	for id, entry := range c.core.nodes {
+	for id, entry := range c.core.nodes.live {
 		if id == self.ID {
 			continue
 		}
@@ -134,6 +138,7 @@
 			rank++
 		}
 	}
+	c.ranked, c.rankKnown = rank, true
 	return rank
 }
 
--- a/fleet/lending/core.go
+++ b/fleet/lending/core.go
@@ -16,7 +16,7 @@
 	startedAt time.Time
 	limits    map[string]Limit
 	// peers by machine, and machines by node.
-	peers    map[string]Peer
+	peers    map[string]candidate
 	machines map[cluster.NodeID]string
 	shards   [Shards]*shard
 	asks     map[int64]*ask
@@ -138,13 +138,19 @@
 
 // peersChanged takes the live nodes, this one among them.
 func (c *Core) peersChanged(e PeersChanged) {
-	c.peers = make(map[string]Peer, len(e.Peers)+1)
+	before := c.peers
+	c.peers = make(map[string]candidate, len(e.Peers)+1)
 	c.machines = make(map[cluster.NodeID]string, len(e.Peers)+1)
 	for _, p := range append(slices.Clone(e.Peers), c.cfg.Self) {
-		if before, known := c.peers[p.Machine]; known {
-			delete(c.machines, before.ID)
+		known, weighed := before[p.Machine]
+		if !weighed {
+			known = newCandidate(p)
 		}
-		c.peers[p.Machine] = p
+		known.Peer = p
+		if other, listed := c.peers[p.Machine]; listed {
+			delete(c.machines, other.ID)
+		}
+		c.peers[p.Machine] = known
 		c.machines[p.ID] = p.Machine
 	}
 	all := slices.Collect(maps.Values(c.peers))
--- a/fleet/lending/lending_test.go
+++ b/fleet/lending/lending_test.go
@@ -199,7 +199,7 @@
 		weakOnes[peer.Machine] = peer.Capacity < 0.4
 	}
 	for number := range Shards {
-		voters := votersOf(number, peers)
+		voters := votersOf(number, candidates(peers))
 		counts := map[string]int{}
 		for _, machine := range voters {
 			counts[zone[machine]]++
@@ -215,7 +215,7 @@
 				t.Errorf("shard %d: without zone %s no majority is left", number, name)
 			}
 		}
-		if fmt.Sprint(votersOf(number, append(peers[7:], peers[:7]...))) != fmt.Sprint(voters) {
+		if fmt.Sprint(votersOf(number, candidates(append(peers[7:], peers[:7]...)))) != fmt.Sprint(voters) {
 			t.Errorf("shard %d: another order of the view gives other voters", number)
 		}
 	}
--- a/fleet/lending/voters.go
+++ b/fleet/lending/voters.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/topk"
 )
 
 // voterSet are the machines that promise a shard, in the order in which they claim it. An
@@ -30,29 +32,44 @@
 // shardOf is the shard of a tenant.
 func shardOf(tenant string) int { return int(xxhash.Sum64String(tenant) % Shards) }
 
-// votersOf ranks the machines of a shard: by rendezvous hashing, of each zone in turn, so that
-// a lost zone leaves a majority. Machines of less than half of the greatest capacity are left
-// out as long as others are there.
-func votersOf(shard int, peers []Peer) []string {
+// candidate is a machine that may be among the voters of shards, with its weight for each.
+type candidate struct {
+	Peer
+	weights [Shards]uint64
+}
+
+// newCandidate weighs a machine, once for as long as it lives.
+func newCandidate(p Peer) candidate {
+	c := candidate{Peer: p}
+	for shard := range c.weights {
+		c.weights[shard] = weightOf(shard, p.Machine)
+	}
+	return c
+}
+
+// weightOf is the place of a machine or zone among those of a shard: rendezvous hashing.
+func weightOf(shard int, name string) uint64 {
+	return xxhash.Sum64String(strconv.Itoa(shard) + "/" + name)
+}
+
+// votersOf ranks the machines of a shard: by their weights, of each zone in turn, so that a
+// lost zone leaves a majority. Machines of less than half of the greatest capacity are left
+// out as long as others are there. Each machine is looked at once.
+func votersOf(shard int, peers []candidate) []string {
 	strongest := 0.0
 	for i := range peers {
 		strongest = max(strongest, peers[i].Capacity)
 	}
-	zones := map[cluster.ZoneID][]Peer{}
-	for _, p := range peers {
-		zones[p.Zone] = append(zones[p.Zone], p)
-	}
-	weight := func(name string) uint64 { return xxhash.Sum64String(strconv.Itoa(shard) + "/" + name) }
-	names := make([]cluster.ZoneID, 0, len(zones))
-	for zone, members := range zones {
-		names = append(names, zone)
-		slices.SortFunc(members, func(a, b Peer) int {
-			return cmp.Or(cmp.Compare(weak(a, strongest), weak(b, strongest)),
-				cmp.Compare(weight(a.Machine), weight(b.Machine)), cmp.Compare(a.Machine, b.Machine))
+	zones := map[cluster.ZoneID][]*candidate{}
+	for i := range peers {
+		first := zones[peers[i].Zone]
+		zones[peers[i].Zone] = topk.Insert(first, &peers[i], maxVoters, func(a, b *candidate) int {
+			return cmp.Or(cmp.Compare(weak(a.Peer, strongest), weak(b.Peer, strongest)),
+				cmp.Compare(a.weights[shard], b.weights[shard]), cmp.Compare(a.Machine, b.Machine))
 		})
 	}
-	slices.SortFunc(names, func(a, b cluster.ZoneID) int {
-		return cmp.Or(cmp.Compare(weight(string(a)), weight(string(b))), cmp.Compare(a, b))
+	names := slices.SortedFunc(maps.Keys(zones), func(a, b cluster.ZoneID) int {
+		return cmp.Or(cmp.Compare(weightOf(shard, string(a)), weightOf(shard, string(b))), cmp.Compare(a, b))
 	})
 	var voters []string
 	for round := 0; len(voters) < min(maxVoters, len(peers)); round++ {
--- /dev/null
+++ b/fleet/lending/voters_test.go
@@ -0,0 +1,74 @@
+package lending
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/valveslip/valveslip/cluster"
+)
+
+// candidates weighs machines.
+func candidates(peers []Peer) []candidate {
+	weighed := make([]candidate, len(peers))
+	for i := range peers {
+		weighed[i] = newCandidate(peers[i])
+	}
+	return weighed
+}
+
+// sortedVoters ranks all machines of all zones, as builds did that are beside this one while
+// machines are replaced: two that ranked otherwise would let two nodes lend.
+func sortedVoters(shard int, peers []Peer) []string {
+	strongest := 0.0
+	for i := range peers {
+		strongest = max(strongest, peers[i].Capacity)
+	}
+	zones := map[cluster.ZoneID][]Peer{}
+	for _, p := range peers {
+		zones[p.Zone] = append(zones[p.Zone], p)
+	}
+	var names []cluster.ZoneID
+	for zone, members := range zones {
+		names = append(names, zone)
+		slices.SortFunc(members, func(a, b Peer) int {
+			return cmp.Or(cmp.Compare(weak(a, strongest), weak(b, strongest)),
+				cmp.Compare(weightOf(shard, a.Machine), weightOf(shard, b.Machine)), cmp.Compare(a.Machine, b.Machine))
+		})
+	}
+	slices.SortFunc(names, func(a, b cluster.ZoneID) int {
+		return cmp.Or(cmp.Compare(weightOf(shard, string(a)), weightOf(shard, string(b))), cmp.Compare(a, b))
+	})
+	var voters []string
+	for round := 0; len(voters) < min(maxVoters, len(peers)); round++ {
+		for _, zone := range names {
+			if round < len(zones[zone]) && len(voters) < maxVoters {
+				voters = append(voters, zones[zone][round].Machine)
+			}
+		}
+	}
+	return voters
+}
+
+// TestVotersAreTheFirstOfAllSorted: whatever machines there are, their voters are the same as
+// where all are sorted.
+func TestVotersAreTheFirstOfAllSorted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var peers []Peer
+		for i := range rapid.IntRange(1, 60).Draw(t, "machines") {
+			peers = append(peers, Peer{
+				Machine:  fmt.Sprintf("machine-%d", i),
+				Zone:     cluster.ZoneID(fmt.Sprintf("zone-%d", rapid.IntRange(0, 6).Draw(t, "zone"))),
+				Capacity: rapid.SampledFrom([]float64{0.2, 0.4, 0.8}).Draw(t, "capacity"),
+			})
+		}
+		for shard := range Shards {
+			if got, want := votersOf(shard, candidates(peers)), sortedVoters(shard, peers); !slices.Equal(got, want) {
+				t.Fatalf("shard %d: %q, want %q", shard, got, want)
+			}
+		}
+	})
+}
--- a/fleet/nodeset_test.go
+++ b/fleet/nodeset_test.go
@@ -9,18 +9,18 @@
 	after := NodeEntry{ID: "a-2", Machine: "a", Revision: 9}
 	other := NodeEntry{ID: "b-1", Machine: "b", Revision: 7}
 	for _, order := range [][]NodeEntry{{before, other, after}, {after, before, other}} {
-		nodes := nodeSet{}
+		nodes := newNodeSet()
 		for _, entry := range order {
 			nodes.put(entry)
 		}
-		if _, kept := nodes["a-1"]; kept || len(nodes) != 2 {
+		if _, kept := nodes.live["a-1"]; kept || len(nodes.live) != 2 {
 			t.Errorf("after %v: %v", order, nodes)
 		}
 	}
-	nameless := nodeSet{}
+	nameless := newNodeSet()
 	nameless.put(NodeEntry{ID: "x"})
 	nameless.put(NodeEntry{ID: "y"})
-	if len(nameless) != 2 {
+	if len(nameless.live) != 2 {
 		t.Errorf("nodes without a machine replaced each other: %v", nameless)
 	}
 }
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -142,7 +142,7 @@
 // tellingsOf is how often a record is told: once where many nodes are told of a conviction,
 // which the store's record brings as well.
 func (k *poisonKeeper) tellingsOf(convicts bool) int {
-	if convicts && len(k.core.nodes) > tellAllNodes {
+	if convicts && len(k.core.nodes.live) > tellAllNodes {
 		return 1
 	}
 	return poisonTellings
@@ -164,7 +164,7 @@
 
 // owners lists the few nodes that count a request's ends where there are many.
 func (k *poisonKeeper) owners(content poison.Fingerprint) []cluster.NodeID {
-	ids := slices.Collect(maps.Keys(k.core.nodes))
+	ids := slices.Collect(maps.Keys(k.core.nodes.live))
 	slices.SortFunc(ids, func(a, b cluster.NodeID) int {
 		return cmp.Or(cmp.Compare(ownerRank(b, content), ownerRank(a, content)), cmp.Compare(a, b))
 	})
@@ -254,7 +254,7 @@
 	k.asked, k.heldUntil = true, k.core.now.Add(poisonAskHold)
 	k.core.routing(routing.DispatchesHeld{Until: k.heldUntil})
 	for _, id := range ids {
-		k.send(k.core.nodes[id].Address, nil)
+		k.send(k.core.nodes.live[id].Address, nil)
 	}
 }
 
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -68,7 +68,7 @@
 // testerEnded reports whether the node that has the last test is known to have ended: its
 // record is gone, or another process of its machine has one.
 func (k *poisonKeeper) testerEnded(stored *storedPoison) bool {
-	_, lives := k.core.nodes[stored.Tester]
+	_, lives := k.core.nodes.live[stored.Tester]
 	return stored.Tests > 0 && !lives && stored.Tester != k.core.config.Self.ID
 }
 
--- a/fleet/poison_tell.go
+++ b/fleet/poison_tell.go
@@ -37,7 +37,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(byNode)) {
 		k.lastTold = now
-		k.send(k.core.nodes[id].Address, byNode[id])
+		k.send(k.core.nodes.live[id].Address, byNode[id])
 	}
 }
 
@@ -50,8 +50,8 @@
 // are few nodes; else those that count the request's ends.
 func (k *poisonKeeper) recipients(record *poison.Record) []cluster.NodeID {
 	var ids []cluster.NodeID
-	if len(k.core.nodes) <= tellAllNodes || k.convicts(record) || k.lifted[record.Content] {
-		ids = slices.Collect(maps.Keys(k.core.nodes))
+	if len(k.core.nodes.live) <= tellAllNodes || k.convicts(record) || k.lifted[record.Content] {
+		ids = slices.Collect(maps.Keys(k.core.nodes.live))
 	} else {
 		ids = k.owners(record.Content)
 	}
--- a/fleet/readings.go
+++ b/fleet/readings.go
@@ -1,13 +1,8 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/valveslip/valveslip/authority/sequence"
 	"github.com/valveslip/valveslip/catalog"
-	"github.com/valveslip/valveslip/cluster"
-	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet/dispatch"
 	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/routing"
@@ -69,57 +64,22 @@
 	}
 }
 
-// nodesRead takes the entries of nodes and tells the router how many there are.
+// nodesRead takes the entries of nodes.
 func (c *Core) nodesRead(read NodesRead) {
 	if read.Full {
-		clear(c.nodes)
+		c.nodes.clear()
 	}
 	for _, id := range read.Gone {
-		delete(c.nodes, id)
+		c.nodes.remove(id)
 		c.cell.demand.Forget(id)
 	}
 	for _, entry := range read.Nodes {
-		if _, known := c.nodes[entry.ID]; !known {
+		if _, known := c.nodes.live[entry.ID]; !known {
 			c.poison.nodeCame(entry)
 		}
 		c.nodes.put(entry)
 		c.succeeds = c.succeeds || c.cell.own(entry) && entry.ID != c.config.Self.ID
 	}
 	c.poison.ask()
-	c.noteSharers()
-	c.notePeers()
-}
-
-// notePeers tells who lends tokens of the live nodes.
-func (c *Core) notePeers() {
-	peers := make([]lending.Peer, 0, len(c.nodes))
-	for _, entry := range c.nodes {
-		peers = append(peers, entry.peer())
-	}
-	c.lend(lending.PeersChanged{Peers: peers, Succeeds: c.succeeds})
-	if c.dispatching != nil {
-		c.dispatching.peersChanged()
-	}
-}
-
-// noteSharers tells the router how many nodes share machines and budgets.
-func (c *Core) noteSharers() {
-	ids := []cluster.NodeID{c.config.Self.ID}
-	for id := range c.nodes {
-		if id != c.config.Self.ID {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	change := routing.RoutersChanged{Routers: len(ids), Rank: slices.Index(ids, c.config.Self.ID)}
-	if change.Routers == c.sharers.Routers && change.Rank == c.sharers.Rank {
-		return
-	}
-	c.sharers = change
-	for zone, region := range c.config.Regions {
-		change.Zones = append(change.Zones, routing.ZoneRegion{Zone: zone, Region: region})
-	}
-	slices.SortFunc(change.Zones, func(a, b routing.ZoneRegion) int { return cmp.Compare(a.Zone, b.Zone) })
-	c.routing(change)
-	c.log(eventlog.NodesChanged{Nodes: change.Routers})
+	c.peers.changed()
 }
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -75,21 +75,3 @@
 	}
 	return entry, nil
 }
-
-// nodeSet holds the newest record of each machine: that of a process which was started
-// anew takes the place of the one before it, whose lease may last for a while.
-type nodeSet map[cluster.NodeID]NodeEntry
-
-// put takes a record unless its machine has a newer one.
-func (s nodeSet) put(entry NodeEntry) {
-	for id, known := range s {
-		if id == entry.ID || entry.Machine == "" || known.Machine != entry.Machine {
-			continue
-		}
-		if known.Revision > entry.Revision {
-			return
-		}
-		delete(s, id)
-	}
-	s[entry.ID] = entry
-}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -50,14 +50,14 @@
 	results chan feed.Event
 	// wasRead tells the log of the first reading of everything.
 	wasRead sync.Once
-	// resync has everything read again.
-	resync chan struct{}
+	// resync has everything read again, peers the feed told of the live nodes.
+	resync, peers chan struct{}
 }
 
 func newFollower(n *Node) *follower {
 	f := &follower{
 		Node: n, news: newNewsFilter(n.options.Codec), starts: starts{},
-		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), resync: make(chan struct{}, 1),
+		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), resync: make(chan struct{}, 1), peers: make(chan struct{}, 1),
 	}
 	self := &n.options.Core.Self
 	cfg := n.options.Feed
@@ -91,6 +91,8 @@
 			event = feed.Invalidated{}
 		case event = <-f.inbox:
 		case event = <-f.results:
+		case <-f.peers:
+			event = feed.PeersChanged{Peers: f.livePeers()}
 		case <-timer.C:
 		}
 		f.take(event)
@@ -236,7 +238,6 @@
 	}
 	f.step(holder)
 	f.step(fleet.StoreSynced{})
-	f.notePeers()
 }
 
 // apply takes changes.
@@ -254,7 +255,6 @@
 	}
 	if read := batch.nodesRead(); len(read.Nodes)+len(read.Gone) > 0 {
 		f.step(read)
-		f.notePeers()
 	}
 	if batch.last != nil {
 		f.step(*batch.last)
@@ -264,8 +264,11 @@
 	}
 }
 
-// notePeers tells the feed of the live nodes.
-func (f *follower) notePeers() {
+// peersSettled has the feed told of the live nodes.
+func (f *follower) peersSettled() { signalOnce(f.peers) }
+
+// livePeers lists the live nodes as the feed knows them.
+func (f *follower) livePeers() []feed.Peer {
 	f.mutex.Lock()
 	nodes := f.core.Nodes()
 	f.mutex.Unlock()
@@ -273,7 +276,7 @@
 	for _, n := range nodes {
 		peers = append(peers, feed.Peer{ID: n.ID, Address: n.Address, Zone: n.Zone, Capacity: n.Capacity})
 	}
-	f.feedStep(feed.PeersChanged{Peers: peers})
+	return peers
 }
 
 // configured puts a configuration in force. One that can't be read or compiled
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -359,6 +359,10 @@
 		go n.callOrder(effect, n.Now())
 	case fleet.ReadReport:
 		go n.callReport(effect)
+	case fleet.PeersSettled:
+		if f := n.follower.Load(); f != nil {
+			f.peersSettled()
+		}
 	case fleet.Log:
 		n.options.Log.Write(effect.Line)
 	}
--- /dev/null
+++ b/internal/topk/doc.go
@@ -0,0 +1,2 @@
+// Package topk keeps the first few of many values by an order.
+package topk
--- a/routing/router.go
+++ b/routing/router.go
@@ -286,8 +286,14 @@
 		r.routers, r.rank = event.Routers, event.Rank
 		r.divideLimits()
 	}
+	moved := false
 	for _, zone := range event.Zones {
-		r.regions[zone.Zone] = zone.Region
+		if before, known := r.regions[zone.Zone]; !known || before != zone.Region {
+			r.regions[zone.Zone], moved = zone.Region, true
+		}
+	}
+	if !moved {
+		return
 	}
 	for _, model := range r.sortedModels() {
 		r.rebuildTiers(model)
