Have nodes that start learn everything of each other

Cause: each node that starts read the entries of all workers and nodes at the store by itself. That is nodes times workers: with 985 nodes and 10,000 workers some 5 MB a node, 40 s of the store's link for a start of all, against 24 s before traffic and 18 s of recovery; and a page for each 500 pairs, the larger part of the calls of a start.

Change: where one page holds all, nothing changes. Messages are of version 8; older builds neither send nor get these, and read the store as before.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -19,7 +19,7 @@
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, NodesChanged{},
-		FeedChanged{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
+		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
@@ -254,6 +254,21 @@
 	Silent time.Duration `log:"silent_ms" doc:"how long no relay was heard of"`
 }
 
+// StarterChosen is written when a node that starts claims to read everything for its zone.
+type StarterChosen struct {
+	Starter  cluster.NodeID `log:"starter" doc:"node that reads everything for those that start after it"`
+	Own      bool           `log:"own" doc:"whether it is this node"`
+	Revision int64          `log:"revision" doc:"revision of the record that says so"`
+}
+
+// SnapshotTaken is written when a node that starts has learned everything from another one.
+type SnapshotTaken struct {
+	From     cluster.NodeID `log:"from" doc:"node that sent it"`
+	Revision int64          `log:"revision" doc:"revision of the store up to which the node knows everything"`
+	Pairs    int            `log:"pairs" doc:"how many pairs the store holds"`
+	Took     time.Duration  `log:"took_ms" doc:"how long ago the node began to look for it"`
+}
+
 // KnowledgeOld is written when what the node knows of the store becomes old: configuration,
 // workers and nodes.
 type KnowledgeOld struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -178,6 +178,22 @@
 	return "Written when the node learns of the store's changes from elsewhere."
 }
 
+// Kind implements Event.
+func (StarterChosen) Kind() string { return "starter_chosen" }
+
+// Meaning implements Documented.
+func (StarterChosen) Meaning() string {
+	return "Written when a node that starts claims to read everything for its zone."
+}
+
+// Kind implements Event.
+func (SnapshotTaken) Kind() string { return "snapshot_taken" }
+
+// Meaning implements Documented.
+func (SnapshotTaken) Meaning() string {
+	return "Written when a node that starts has learned everything from another one."
+}
+
 // Kind implements Event.
 func (KnowledgeOld) Kind() string { return "knowledge_old" }
 
--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -1,6 +1,10 @@
 package feed
 
-import "time"
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/wire"
+)
 
 const (
 	// retryWait is the first wait after a failed call; it doubles up to
@@ -31,7 +35,7 @@
 
 // call makes the call that is due, one at a time.
 func (c *Core) call() {
-	if c.calling || c.now.Before(c.callAt) || c.upToDate() {
+	if c.calling || c.now.Before(c.callAt) || c.upToDate() || c.beginStart() {
 		return
 	}
 	c.calling, c.reading = true, c.revision == 0 || (c.whole || c.anew) && !c.asksForChanges()
@@ -40,7 +44,7 @@
 		c.askHelper()
 	}
 	if c.reading {
-		c.emit(Read{Known: c.revision})
+		c.emit(Read{Known: c.revision, OnePage: c.revision == 0 && c.start.phase == startPage})
 		return
 	}
 	c.emit(Poll{After: c.revision, Most: c.contents.worthReading()})
@@ -100,21 +104,32 @@
 		c.tellAlive()
 		return
 	}
+	if e.Large {
+		c.pageWasNotAll()
+		return
+	}
 	c.whole, c.anew = false, false
 	if e.Revision < c.revision {
 		// Relays have told more meanwhile.
 		return
 	}
+	c.readAt = e.Began
+	c.replace(e.Revision, e.Began, e.Pairs)
+	c.prove(e.Began, c.provenRevision())
+}
+
+// replace takes everything that was in the store at a revision, as it was read at a time.
+func (c *Core) replace(revision int64, read time.Time, pairs []wire.StoreChange) {
 	after := c.contents.revision
 	first := c.contents.empty()
-	news := c.news(c.contents.replace(e.Pairs, e.Revision))
-	c.revision, c.urgent, c.readAt = e.Revision, false, e.Began
-	c.prove(e.Began, c.provenRevision())
-	c.heardAt, c.knownAt = later(c.heardAt, e.Began), later(c.knownAt, e.Began)
+	news := c.news(c.contents.replace(pairs, revision))
+	c.revision, c.urgent = revision, false
+	c.heardAt, c.knownAt = later(c.heardAt, read), later(c.knownAt, read)
 	if first {
-		c.history.restart(e.Revision)
+		c.history.restart(revision)
 		// Those that this node relays to learn at once that they miss what was read.
-		c.passOn(e.Revision, nil, c.steppingIn)
+		c.passOn(revision, nil, c.steppingIn)
+		c.serveWaiting()
 		return
 	}
 	c.history.add(news)
--- a/fleet/feed/contents.go
+++ b/fleet/feed/contents.go
@@ -7,8 +7,8 @@
 	"github.com/valveslip/valveslip/wire"
 )
 
-// contents are the keys in the store and the revisions of their values, as far as is
-// known. With them a read of everything tells what changed since.
+// contents are the pairs in the store, as far as is known. With them a read of everything
+// tells what changed since, and a node that starts learns everything from this one.
 type contents struct {
 	revision int64
 	keys     map[string]stored
@@ -17,7 +17,13 @@
 }
 
 // stored is what is known of one key.
-type stored struct{ revision, bytes int64 }
+type stored struct {
+	revision int64
+	value    []byte
+}
+
+// bytes that a key and its value take.
+func (s stored) bytes(key string) int64 { return int64(len(key) + len(s.value)) }
 
 // Bounds of the history that is read rather than everything anew.
 const (
@@ -36,15 +42,17 @@
 // set notes the value of a key.
 func (c *contents) set(s *wire.StoreChange) {
 	c.drop(s.Key)
-	entry := stored{revision: s.Revision, bytes: int64(len(s.Key) + len(s.Value))}
+	entry := stored{revision: s.Revision, value: s.Value}
 	c.keys[s.Key] = entry
-	c.bytes += entry.bytes
+	c.bytes += entry.bytes(s.Key)
 }
 
 // drop forgets a key.
 func (c *contents) drop(key string) {
-	c.bytes -= c.keys[key].bytes
-	delete(c.keys, key)
+	if entry, known := c.keys[key]; known {
+		c.bytes -= entry.bytes(key)
+		delete(c.keys, key)
+	}
 }
 
 func (c *contents) empty() bool { return c.revision == 0 }
--- a/fleet/feed/contents_test.go
+++ b/fleet/feed/contents_test.go
@@ -98,8 +98,8 @@
 				c.replace([]wire.StoreChange{change}, revision)
 			}
 			want := int64(0)
-			for _, entry := range c.keys {
-				want += entry.bytes
+			for key, entry := range c.keys {
+				want += int64(len(key) + len(entry.value))
 			}
 			if c.bytes != want {
 				t.Fatalf("%d bytes counted, %d held", c.bytes, want)
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -44,6 +44,10 @@
 	relayID cluster.NodeID
 	// helper answers for the store where nobody else does.
 	helper helper
+	// start is how a node that knows nothing learns everything, and snapshots what it sends
+	// to others that ask.
+	start     start
+	snapshots snapshots
 	// greeter asked this node last; it is asked in turn while no other node is known.
 	greeter Peer
 	// readAt is when the last reading of everything that counted began.
@@ -79,6 +83,14 @@
 		c.updateReceived(&e.Update)
 	case ChangesRequested:
 		c.changesRequested(&e.Request)
+	case StarterRead:
+		c.starterRead(e)
+	case StarterClaimed:
+		c.starterClaimed(e)
+	case SnapshotRequested:
+		c.snapshotRequested(&e.Request)
+	case SnapshotReceived:
+		c.snapshotReceived(&e.Part)
 	case Invalidated:
 		c.invalidate()
 	case KeyProven:
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -21,6 +21,9 @@
 	// KeyTickets holds a key for each shard of tenants whose lender has lately been given what
 	// is lent once in a window.
 	KeyTickets = KeyRoot + "tickets/"
+	// KeyStarters holds for each zone the node that was last to read everything for those that
+	// start after it.
+	KeyStarters = KeyRoot + "starters/"
 )
 
 // NodeEntry is what a node's record says of it.
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -12,6 +12,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -122,7 +123,18 @@
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case feed.Read:
-			go f.read(e.Known)
+			go f.read(e)
+		case feed.ReadStarter:
+			go f.readStarter()
+		case feed.ClaimStart:
+			go f.claimStart(e)
+		case feed.Replace:
+			f.options.Log.Write(eventlog.SnapshotTaken{From: e.From, Revision: e.Revision, Pairs: len(e.Pairs), Took: e.Took})
+			f.replace(e.Revision, e.Pairs)
+		case feed.AskSnapshot:
+			f.transport.Send(e.Address, e.Request)
+		case feed.SendSnapshot:
+			f.transport.Send(e.Address, e.Part)
 		case feed.Poll:
 			go f.poll(e)
 		case feed.Apply:
@@ -195,20 +207,31 @@
 	f.result(done)
 }
 
-// read reads everything that is in the store. While it does, run waits for it: no
-// other call is under way and updates don't count before its end.
-func (f *follower) read(known int64) {
+// read reads everything that is in the store, or one page of it. While it does, run waits for
+// it: no other call is under way.
+func (f *follower) read(call feed.Read) {
 	done := feed.ReadDone{Began: f.Now()}
-	pairs, revision, err := f.options.Store.Range(f.context, "")
-	f.called(storeRead, known, done.Began, err)
-	if err == nil {
+	var pairs []keyvalue.KeyValue
+	if call.OnePage {
+		pairs, done.Large, done.Revision, done.Err = f.options.Store.FirstPage(f.context, "")
+	} else {
+		pairs, done.Revision, done.Err = f.options.Store.Range(f.context, "")
+	}
+	f.called(storeRead, call.Known, done.Began, done.Err)
+	if done.Err == nil && !done.Large {
 		f.wasRead.Do(func() { f.stage(stageRead) })
+		done.Pairs = storePairs(pairs)
 	}
-	done.Revision, done.Err = revision, err
+	f.result(done)
+}
+
+// storePairs converts pairs of the store.
+func storePairs(pairs []keyvalue.KeyValue) []wire.StoreChange {
+	converted := make([]wire.StoreChange, len(pairs))
 	for i := range pairs {
-		done.Pairs = append(done.Pairs, wire.StoreChange{Key: pairs[i].Key, Value: pairs[i].Value, Revision: pairs[i].ModRevision})
+		converted[i] = wire.StoreChange{Key: pairs[i].Key, Value: pairs[i].Value, Revision: pairs[i].ModRevision}
 	}
-	f.result(done)
+	return converted
 }
 
 // replace takes the whole content of the store.
@@ -267,13 +290,18 @@
 // peersSettled has the feed told of the live nodes.
 func (f *follower) peersSettled() { signalOnce(f.peers) }
 
-// livePeers lists the live nodes as the feed knows them.
+// livePeers lists the live nodes.
 func (f *follower) livePeers() []feed.Peer {
 	f.mutex.Lock()
-	nodes := f.core.Nodes()
-	f.mutex.Unlock()
+	defer f.mutex.Unlock()
+	return feedPeers(f.core.Nodes())
+}
+
+// feedPeers lists nodes as the feed knows them.
+func feedPeers(nodes []fleet.NodeEntry) []feed.Peer {
 	peers := make([]feed.Peer, 0, len(nodes))
-	for _, n := range nodes {
+	for i := range nodes {
+		n := &nodes[i]
 		peers = append(peers, feed.Peer{ID: n.ID, Address: n.Address, Zone: n.Zone, Capacity: n.Capacity})
 	}
 	return peers
--- a/fleet/shell/news.go
+++ b/fleet/shell/news.go
@@ -34,7 +34,7 @@
 // News implements feed.Filter.
 func (f *newsFilter) News(c *wire.StoreChange) bool {
 	if !strings.HasPrefix(c.Key, f.codec.WorkersPrefix()) {
-		return !strings.HasPrefix(c.Key, fleet.KeyTickets)
+		return !strings.HasPrefix(c.Key, fleet.KeyTickets) && !strings.HasPrefix(c.Key, fleet.KeyStarters)
 	}
 	id := f.codec.WorkerID(c.Key)
 	if c.Deleted {
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -227,6 +227,10 @@
 		n.follow(feed.ClockHeard{Told: m})
 	case wire.StoreChangesRequest:
 		n.follow(feed.ChangesRequested{Request: m})
+	case wire.StoreSnapshotRequest:
+		n.follow(feed.SnapshotRequested{Request: m})
+	case wire.StoreSnapshot:
+		n.follow(feed.SnapshotReceived{Part: m})
 	default:
 		n.step(fleet.MessageReceived{Message: message})
 	}
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -32,6 +32,9 @@
 	lease.Store
 	// Range returns all pairs below prefix and the revision they were read at.
 	Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, int64, error)
+	// FirstPage returns the first pairs below prefix, whether there are more, and the revision
+	// they were read at.
+	FirstPage(ctx context.Context, prefix string) (pairs []keyvalue.KeyValue, more bool, revision int64, err error)
 	// Changes returns the changes below prefix after a revision; it may be held for
 	// a while until there is one. More than most bytes of them are too long to be had;
 	// zero allows any.
--- /dev/null
+++ b/fleet/shell/starter.go
@@ -0,0 +1,66 @@
+package shell
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/keyvalue"
+)
+
+// starterKey holds the starter of the node's zone.
+func (f *follower) starterKey() string {
+	// The end keeps a zone's key from being the beginning of another one's.
+	return fleet.KeyStarters + string(f.options.Core.Zone) + "/"
+}
+
+// decodeStarter reads a starter's record. One that can't be read counts as none: whoever
+// claims the start replaces it.
+func decodeStarter(pair *keyvalue.KeyValue) feed.Starter {
+	var starter feed.Starter
+	if json.Unmarshal(pair.Value, &starter) != nil {
+		return feed.Starter{}
+	}
+	return starter
+}
+
+// readStarter reads who has read everything for the zone.
+func (f *follower) readStarter() {
+	began := f.Now()
+	pairs, _, _, err := f.options.Store.FirstPage(f.context, f.starterKey())
+	f.called(storeRead, 0, began, err)
+	read := feed.StarterRead{Err: err}
+	for i := range pairs {
+		read.Starter, read.Revision = decodeStarter(&pairs[i]), pairs[i].ModRevision
+	}
+	f.result(read)
+}
+
+// claimStart makes this node the starter of its zone if nobody else has become it.
+func (f *follower) claimStart(claim feed.ClaimStart) {
+	began := f.Now()
+	self := feed.Starter{ID: f.options.Core.Self.ID, Address: f.options.Core.Self.Address}
+	claimed := feed.StarterClaimed{Starter: self}
+	value, err := json.Marshal(self)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(f.context, leaseTimeout)
+		defer cancel()
+		var result keyvalue.TransactionResult
+		result, err = f.options.Store.Txn(ctx, keyvalue.Transaction{
+			Compares:   []keyvalue.Compare{{Key: f.starterKey(), ModRevision: claim.Revision}},
+			Operations: []keyvalue.Operation{{Key: f.starterKey(), Value: value}},
+		})
+		claimed.Won, claimed.Revision = result.Succeeded, result.Revision
+		for i := range result.Found {
+			claimed.Starter, claimed.Revision = decodeStarter(&result.Found[i]), result.Found[i].ModRevision
+		}
+	}
+	claimed.Err = err
+	f.called(storeWrite, 0, began, err)
+	if err == nil {
+		f.options.Log.Write(eventlog.StarterChosen{Starter: claimed.Starter.ID, Own: claimed.Won, Revision: claimed.Revision})
+	}
+	f.result(claimed)
+}
--- a/wire/aging.go
+++ b/wire/aging.go
@@ -26,6 +26,12 @@
 	return m
 }
 
+// aged implements aging.
+func (m StoreSnapshot) aged(by time.Duration) Message {
+	m.Age += by
+	return m
+}
+
 // aged implements aging.
 func (m Demand) aged(by time.Duration) Message {
 	m.Models = slices.Clone(m.Models)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -17,7 +17,7 @@
 // VersionCurrent, give every new field a default, and commit the golden
 // messages of the version left behind.
 const (
-	VersionCurrent  = 7
+	VersionCurrent  = 8
 	VersionPrevious = VersionCurrent - 1
 	VersionOldest   = 4
 )
@@ -77,6 +77,8 @@
 	KindEngineRequest
 	KindEngineAnswer
 	KindEngineNews
+	KindStoreSnapshotRequest
+	KindStoreSnapshot
 )
 
 // layout ties a kind to its schema name and its record.
@@ -119,6 +121,8 @@
 	KindEngineRequest:         {"EngineRequest", func() record { return new(engineRequestRecord) }},
 	KindEngineAnswer:          {"EngineAnswer", func() record { return new(engineAnswerRecord) }},
 	KindEngineNews:            {"EngineNews", func() record { return new(engineNewsRecord) }},
+	KindStoreSnapshotRequest:  {"StoreSnapshotRequest", func() record { return new(storeSnapshotRequestRecord) }},
+	KindStoreSnapshot:         {"StoreSnapshot", func() record { return new(storeSnapshotRecord) }},
 }
 
 // toRecord returns the kind of message and its record.
@@ -201,6 +205,12 @@
 		return KindEngineAnswer, &rec, nil
 	case EngineNews:
 		return KindEngineNews, engineNewsToRecord(m), nil
+	case StoreSnapshotRequest:
+		rec := storeSnapshotRequestRecord(m)
+		return KindStoreSnapshotRequest, &rec, nil
+	case StoreSnapshot:
+		rec := storeSnapshotRecord(m)
+		return KindStoreSnapshot, &rec, nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -108,9 +108,11 @@
 			Changes: []StoreChange{{Key: "k", Value: []byte("v"), Revision: 7, Deleted: true}},
 			Proven:  7, Echo: 11, Lead: -time.Second,
 		},
-		KindClockTold:   ClockTold{From: "node-a", Sent: 11},
-		KindLenderClaim: LenderClaim{From: "node-a", FromAddress: "10.0.0.1:7000", Shard: 2, Number: 7, Release: true, Sets: []int64{-3}, First: true, Lends: true},
-		KindLenderVote:  LenderVote{From: "node-a", Machine: "machine-a", Shard: 2, Number: 7, Granted: true, Settled: time.Second, Missing: []string{"machine-a"}, MissingFor: time.Second, Young: true},
+		KindStoreSnapshotRequest: StoreSnapshotRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Capacity: 0.8, Referred: true},
+		KindStoreSnapshot:        StoreSnapshot{From: "node-a", Refer: "10.0.0.2:7000", Revision: 8, Age: time.Millisecond, Part: 1, Parts: 2, Content: []byte("packed")},
+		KindClockTold:            ClockTold{From: "node-a", Sent: 11},
+		KindLenderClaim:          LenderClaim{From: "node-a", FromAddress: "10.0.0.1:7000", Shard: 2, Number: 7, Release: true, Sets: []int64{-3}, First: true, Lends: true},
+		KindLenderVote:           LenderVote{From: "node-a", Machine: "machine-a", Shard: 2, Number: 7, Granted: true, Settled: time.Second, Missing: []string{"machine-a"}, MissingFor: time.Second, Young: true},
 		KindTokensRequest: TokensRequest{
 			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Tenant: "dental", Amount: 1540, Rank: 2, Returned: true,
 			Mark: -9, Heeds: time.Second, Again: true,
@@ -153,6 +155,7 @@
 	KindPoisonReport: 5,
 	KindClockTold:    6, KindLenderClaim: 6, KindLenderVote: 6, KindTokensRequest: 6, KindTokensAnswer: 6,
 	KindEngineRequest: 7, KindEngineAnswer: 7, KindEngineNews: 7,
+	KindStoreSnapshotRequest: 8, KindStoreSnapshot: 8,
 }
 
 // asIn is a message as a version carries it.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -231,6 +231,8 @@
 func (ZoneReport) message()            {}
 func (StoreChanges) message()          {}
 func (StoreChangesRequest) message()   {}
+func (StoreSnapshotRequest) message()  {}
+func (StoreSnapshot) message()         {}
 func (ClockTold) message()             {}
 func (LenderClaim) message()           {}
 func (LenderVote) message()            {}
@@ -277,6 +279,35 @@
 	Sent int64
 }
 
+// StoreSnapshotRequest asks a node for everything that it knows of the store.
+type StoreSnapshotRequest struct {
+	// From and FromAddress say where the answer goes.
+	From        cluster.NodeID
+	FromAddress string
+	// Capacity of the asker in processor cores: those with more are served first, since they
+	// serve others.
+	Capacity float64
+	// Referred is set where another node named the receiver, which then names none that it
+	// has not served itself.
+	Referred bool
+}
+
+// StoreSnapshot is one of the Parts of everything that a node knows of the store at a
+// revision. A revision of zero says that another node is to be asked, or that this one knows
+// nothing yet and answers when it does.
+type StoreSnapshot struct {
+	From cluster.NodeID
+	// Refer is the address of the node to ask, empty for none.
+	Refer    string
+	Revision int64
+	// Age of the reading when it was sent.
+	Age time.Duration
+	// Part counts from zero.
+	Part, Parts int
+	// Content is what PackChanges made of the part.
+	Content []byte
+}
+
 // StoreChangesRequest asks a node for the changes after a revision that it keeps.
 type StoreChangesRequest struct {
 	// From and FromAddress say where the answer goes.
--- a/wire/records.go
+++ b/wire/records.go
@@ -271,6 +271,14 @@
 	return m
 }
 
+type storeSnapshotRequestRecord StoreSnapshotRequest
+
+func (r *storeSnapshotRequestRecord) decoded() Message { return StoreSnapshotRequest(*r) }
+
+type storeSnapshotRecord StoreSnapshot
+
+func (r *storeSnapshotRecord) decoded() Message { return StoreSnapshot(*r) }
+
 type storeChangesRequestRecord StoreChangesRequest
 
 func (r *storeChangesRequestRecord) decoded() Message { return StoreChangesRequest(*r) }
