Keep newcomers and leaves of silent relays up to date without the store

Cause: an answer of the store to a call for changes holds the heartbeats of all workers since. With 10,000 of them, each 1.2 s, that is 3 MB for each second: more than a link of 20 Mbit/s carries and some tenth of a core. A node that had just learned everything asked the store until a relay was heard of, and each leaf of a relay that had died asked it in turn.

Change: a node passes changes on for 5 s to those that it served with everything, and those wait for it as for a relay. A leaf whose relay is silent asks another relay of its zone, which answers also where there is nothing new (StoreChangesRequest.Always, in version 8); the store is asked when that one is silent too.

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -35,7 +35,7 @@
 
 // call makes the call that is due, one at a time.
 func (c *Core) call() {
-	if c.calling || c.now.Before(c.callAt) || c.upToDate() || c.beginStart() {
+	if c.calling || c.now.Before(c.callAt) || c.upToDate() || c.beginStart() || c.askSubstitute() {
 		return
 	}
 	c.calling, c.reading = true, c.revision == 0 || (c.whole || c.anew) && !c.asksForChanges()
@@ -126,6 +126,7 @@
 	c.revision, c.urgent = revision, false
 	c.heardAt, c.knownAt = later(c.heardAt, read), later(c.knownAt, read)
 	if first {
+		c.start = start{}
 		c.history.restart(revision)
 		// Those that this node relays to learn at once that they miss what was read.
 		c.passOn(revision, nil, c.steppingIn)
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -48,6 +48,11 @@
 	// to others that ask.
 	start     start
 	snapshots snapshots
+	// adoptedUntil is until when the node that everything was learned of passes changes on to
+	// this one: the tree of the fleet is known by then.
+	adoptedUntil time.Time
+	// substitute is the relay that was asked last in place of the silent one.
+	substitute substitute
 	// greeter asked this node last; it is asked in turn while no other node is known.
 	greeter Peer
 	// readAt is when the last reading of everything that counted began.
@@ -137,6 +142,8 @@
 func (c *Core) silence() time.Duration {
 	position := time.Duration(c.tree.position)
 	switch {
+	case c.adopted() && !c.tree.hasSource():
+		return max(c.cfg.LeafSilence, c.cfg.Silence)
 	case c.tree.role == leaf && c.tree.rooted:
 		return c.cfg.LeafSilence + position*c.cfg.LeafStep
 	case c.tree.role == leaf:
@@ -150,9 +157,12 @@
 
 // fed reports whether another node keeps this one up to date.
 func (c *Core) fed() bool {
-	return c.revision != 0 && !c.urgent && c.tree.hasSource() && c.heard()
+	return c.revision != 0 && !c.urgent && (c.tree.hasSource() || c.adopted()) && c.heard()
 }
 
+// adopted reports whether the node that everything was learned of still passes changes on.
+func (c *Core) adopted() bool { return c.now.Before(c.adoptedUntil) }
+
 // upToDate reports whether nothing needs to be asked of the store.
 func (c *Core) upToDate() bool { return c.fed() && !c.whole && !c.anew }
 
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -35,7 +35,7 @@
 func (c *Core) changesRequested(r *wire.StoreChangesRequest) {
 	c.greeter = Peer{ID: r.From, Address: r.FromAddress}
 	changes, whole := c.history.since(r.After)
-	if !whole || r.After >= c.revision {
+	if !whole || r.After > c.revision || r.After == c.revision && !r.Always {
 		return
 	}
 	c.emit(Send{Address: r.FromAddress, Update: c.proofOf(r.From, wire.StoreChanges{
@@ -45,7 +45,7 @@
 
 // passOn tells the nodes below of a reading, also of one that brought nothing.
 func (c *Core) passOn(after int64, news []wire.StoreChange, steppedIn bool) {
-	peers := c.tree.below(steppedIn)
+	peers := c.withAdopted(c.tree.below(steppedIn))
 	if len(peers) == 0 {
 		return
 	}
@@ -61,6 +61,19 @@
 	}
 }
 
+// withAdopted adds the nodes that this one has served with everything lately.
+func (c *Core) withAdopted(peers []Peer) []Peer {
+	all := peers
+	for i := range c.snapshots.served {
+		n := &c.snapshots.served[i]
+		listed := func(p Peer) bool { return p.ID == n.id }
+		if c.now.Sub(n.at) < adoptedFor && !slices.ContainsFunc(peers, listed) {
+			all = append(all[:len(all):len(all)], Peer{ID: n.id, Address: n.address})
+		}
+	}
+	return all
+}
+
 // updateReceived takes what a relay passed on, if nothing is missing before it, and
 // passes it on in turn.
 func (c *Core) updateReceived(u *wire.StoreChanges) {
@@ -79,6 +92,7 @@
 		return
 	}
 	c.helper.answered = c.helper.answered || u.From == c.helper.id
+	c.substitute.answered = c.substitute.answered || u.From == c.substitute.id
 	after := c.revision
 	c.knownAt = later(c.knownAt, read)
 	news := c.take(u.Changes, u.Revision)
--- a/fleet/feed/snapshots.go
+++ b/fleet/feed/snapshots.go
@@ -24,6 +24,11 @@
 	// those that were served.
 	leastServed   = 2
 	servedPerCore = 10
+	// adoptedFor is for how long a node passes changes on to one that it served. Until the
+	// fleet's tree is known on both sides nobody else would, and the newcomer would ask the
+	// store, whose answers hold the heartbeats of all workers: with 10,000 of them more than
+	// a link of 20 Mbit/s carries.
+	adoptedFor = 5 * time.Second
 	// helpsFor is for how long a node that was served counts as one that can serve: the
 	// fleet's tree tells of others by then.
 	helpsFor = 20 * time.Second
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -198,6 +198,7 @@
 	c.start = start{}
 	c.failures = 0
 	c.relayID = part.From
+	c.adoptedUntil = c.now.Add(adoptedFor)
 	if !c.calling {
 		c.callAt = c.now.Add(c.interval())
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -102,7 +102,7 @@
 		},
 		KindKeyHandoverAnswer:   KeyHandoverAnswer{From: "node-a", Number: 7, Taken: true},
 		KindKeyHeir:             KeyHeir{From: "node-a", Heir: "node-b"},
-		KindStoreChangesRequest: StoreChangesRequest{From: "node-a", FromAddress: "10.0.0.1:7000", After: 6},
+		KindStoreChangesRequest: StoreChangesRequest{From: "node-a", FromAddress: "10.0.0.1:7000", After: 6, Always: true},
 		KindStoreChanges: StoreChanges{
 			From: "node-a", After: 6, Revision: 8, Age: time.Millisecond, Partial: true,
 			Changes: []StoreChange{{Key: "k", Value: []byte("v"), Revision: 7, Deleted: true}},
@@ -160,6 +160,10 @@
 
 // asIn is a message as a version carries it.
 func asIn(message Message, version int32) Message {
+	if request, ok := message.(StoreChangesRequest); ok && version < 8 {
+		request.Always = false
+		return request
+	}
 	if version < 7 {
 		message = before7(message)
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -314,4 +314,7 @@
 	From        cluster.NodeID
 	FromAddress string
 	After       int64
+	// Always asks for an answer also where there are no changes: it says that the node lives
+	// and how old what it knows is.
+	Always bool
 }
