Keep what the router was told of a machine in a list

Cause: a map of each machine for its one or two replicas was the largest part of what a node knows of the fleet: 12.8 of 28 MB with 9,850 workers, on every node. And each note of the holder that ended had all machines sorted to find the few that it concerns.

Change: a sorted list of a machine's replicas, and only the machines that changed are sorted.

Measured: heap after a first reading of 985 nodes and 9,850 workers 28 MB before (8 MB with 300 nodes, 56 MB with 1,970), by its profile 12.8 MB of it in these maps.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,8 +35,9 @@
 
 type viewedMachine struct {
 	worker catalog.Worker
-	// told are the replicas that the router knows, with their states.
-	told map[cluster.ModelID]wire.ReplicaRecord
+	// told are the replicas that the router knows, with their states, sorted by model. A map
+	// of each of 10,000 machines would take 12 MB.
+	told []wire.ReplicaRecord
 }
 
 type noteKey struct {
@@ -62,7 +64,7 @@
 func (v *machineView) put(worker *catalog.Worker, revision int64) bool {
 	known := v.machines[worker.ID]
 	if known == nil {
-		known = &viewedMachine{told: map[cluster.ModelID]wire.ReplicaRecord{}}
+		known = &viewedMachine{}
 		v.machines[worker.ID] = known
 	}
 	before := known.worker
@@ -229,8 +231,8 @@
 		}
 		v.next = earliest(v.next, said.until)
 	}
-	for _, known := range v.sorted() {
-		if changed[known.worker.ID] {
+	for _, id := range slices.Sorted(maps.Keys(changed)) {
+		if known := v.machines[id]; known != nil {
 			v.tell(known)
 		}
 	}
@@ -291,15 +293,15 @@
 // sendRecords tells the router what differs from what it was told.
 func (v *machineView) sendRecords(known *viewedMachine, records map[cluster.ModelID]wire.ReplicaRecord, gone bool) {
 	var changes []wire.ReplicaRecord
-	for id, before := range known.told {
-		if _, kept := records[id]; !kept {
+	for _, before := range known.told {
+		if _, kept := records[before.Model]; !kept {
 			before.State, before.Leaving = cluster.ReplicaAbsent, gone || known.worker.Draining
 			changes = append(changes, before)
-			v.core.unloaded(known.worker.ID, id)
+			v.core.unloaded(known.worker.ID, before.Model)
 		}
 	}
-	for id, record := range records {
-		before, told := known.told[id]
+	for _, record := range records {
+		before, told := known.toldOf(record.Model)
 		compared := record
 		compared.ReadyIn = before.ReadyIn
 		if !told || compared != before {
@@ -309,11 +311,8 @@
 	if len(changes) == 0 {
 		return
 	}
-	slices.SortFunc(changes, func(a, b wire.ReplicaRecord) int { return cmp.Compare(a.Model, b.Model) })
-	known.told = records
-	if known.told == nil {
-		known.told = map[cluster.ModelID]wire.ReplicaRecord{}
-	}
+	slices.SortFunc(changes, compareModels)
+	known.told = slices.SortedFunc(maps.Values(records), compareModels)
 	zone := known.worker.Zone
 	v.sequences[zone]++
 	v.core.routing(routing.CellStatusChanged{Status: wire.CellStatus{
@@ -321,3 +320,14 @@
 		Full: v.sequences[zone] == 1, Replicas: changes,
 	}})
 }
+
+func compareModels(a, b wire.ReplicaRecord) int { return cmp.Compare(a.Model, b.Model) }
+
+// toldOf returns what the router knows of a replica of the machine.
+func (m *viewedMachine) toldOf(model cluster.ModelID) (wire.ReplicaRecord, bool) {
+	at, told := slices.BinarySearchFunc(m.told, model, func(r wire.ReplicaRecord, id cluster.ModelID) int { return cmp.Compare(r.Model, id) })
+	if !told {
+		return wire.ReplicaRecord{}, false
+	}
+	return m.told[at], true
+}
