Judge each start of a worker by itself in the soak

The history now knows each start by id and birth, which is as strict for each of them: what one start took counts against it alone, and no start is judged by the leaving of another.

--- a/soak/workers.go
+++ b/soak/workers.go
@@ -71,10 +71,12 @@
 	*run
 	index int
 
-	mu      sync.Mutex
-	life    int
-	id      string
-	born    int64
+	mu   sync.Mutex
+	life int
+	id   string
+	born int64
+	// name of the present life, which the history knows it by: lives may share an id.
+	name    string
 	worker  *worker.Worker
 	server  *standin.Server
 	proxy   *proxy.Proxy
@@ -149,7 +151,8 @@
 	started.SetAddress(at.Address())
 	started.Publish = func(key string, entry platform.WorkerDocument) { s.publish(started, key, entry) }
 	s.worker, s.server, s.proxy, s.conduct = started, server, at, conduct
-	s.lived(s.id, s.service(), started, server)
+	s.name = fmt.Sprintf("%s@%d", s.id, s.born)
+	s.lived(s.name, s.service(), started, server)
 	return s.metadata.Put(started.Key(), started.Entry())
 }
 
@@ -166,7 +169,7 @@
 func (s *workerSlot) present() (string, *worker.Worker, *proxy.Proxy, *behaviours) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.id, s.worker, s.proxy, s.conduct
+	return s.name, s.worker, s.proxy, s.conduct
 }
 
 // disturb notes that the present worker is out of order.
