Hand on only what is new

Cause, found in review: a node that is cut off from the store and its relays answered nodes that start with what it had known, and those served by that until their first own call, by a configuration that may have been out of force for long.

Change: who knows only what is older than relays may be silent has askers wait until it has read what changed since; what comes too old is not taken. A starter whose reading took long asks for the changes since at once, before it answers.

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -130,7 +130,10 @@
 		c.history.restart(revision)
 		// Those that this node relays to learn at once that they miss what was read.
 		c.passOn(revision, nil, c.steppingIn)
-		c.serveWaiting()
+		if !c.isNew() {
+			// Reading took long: what has changed since comes first.
+			c.callAt = c.now
+		}
 		return
 	}
 	c.history.add(news)
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -105,6 +105,7 @@
 	case ClockHeard:
 		c.clockHeard(e.Told)
 	}
+	c.serveWaiting()
 	c.noteSource()
 	c.call()
 	c.verify()
--- a/fleet/feed/snapshots.go
+++ b/fleet/feed/snapshots.go
@@ -64,9 +64,20 @@
 // mayServe is how many nodes one of a capacity serves in a second.
 func mayServe(capacity float64) int { return max(leastServed, int(capacity*servedPerCore)) }
 
-// snapshotRequested sends a node everything, tells it whom to ask, or remembers that it asked.
+// oldKnowledge is the age from which on what a node knows is not handed to others: relays may
+// be silent for as long, and whoever starts by older knowledge could serve by a configuration
+// that is out of force.
+func (c *Config) oldKnowledge() time.Duration { return max(c.LeafSilence, 2*c.Silence) }
+
+// isNew reports whether what this node knows may be handed to others.
+func (c *Core) isNew() bool {
+	return c.revision != 0 && c.now.Sub(c.knownAt) <= c.cfg.oldKnowledge()
+}
+
+// snapshotRequested sends a node everything, tells it whom to ask, or remembers that it asked
+// until this one knows everything, and newly.
 func (c *Core) snapshotRequested(r *wire.StoreSnapshotRequest) {
-	if c.revision != 0 {
+	if c.isNew() {
 		c.serve(r)
 		return
 	}
@@ -84,8 +95,11 @@
 	c.emit(SendSnapshot{Address: r.FromAddress, Part: wire.StoreSnapshot{From: c.cfg.Self.ID}})
 }
 
-// serveWaiting serves those that asked before anything was known, the strongest first.
+// serveWaiting serves those that asked before everything was known, the strongest first.
 func (c *Core) serveWaiting() {
+	if len(c.snapshots.waiting) == 0 || !c.isNew() {
+		return
+	}
 	waiting := slices.Collect(maps.Values(c.snapshots.waiting))
 	c.snapshots.waiting = nil
 	slices.SortFunc(waiting, func(a, b wire.StoreSnapshotRequest) int {
--- a/fleet/feed/snapshots_test.go
+++ b/fleet/feed/snapshots_test.go
@@ -88,6 +88,37 @@
 	}
 }
 
+// TestOldKnowledgeIsNotHandedOn: a node that is cut off from the store and from its relays has
+// those that ask wait until it knows what is new; and what comes too old from elsewhere is not taken. Whoever starts reads the store
+// then, and does not serve by what may be out of force.
+func TestOldKnowledgeIsNotHandedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core, _ := knowing(now, 10, 10, Config{Self: Peer{ID: "knowing", Capacity: 1}})
+	parts := received(core.Step(now.Add(time.Second), asking(1, 0.2)), "asker-1")
+	if len(parts) == 0 {
+		t.Fatal("new knowledge was not sent")
+	}
+	later := now.Add(20 * time.Second)
+	if old := received(core.Step(later, asking(2, 0.2)), "asker-2"); len(old) != 1 || old[0].Revision != 0 {
+		t.Errorf("old knowledge was sent: %d parts", len(old))
+	}
+	if parts := received(core.Step(later, PollDone{Began: later, Revision: 10}), "asker-2"); len(parts) == 0 {
+		t.Error("the asker was forgotten once the store had been read")
+	}
+	starting := New(Config{Self: Peer{ID: "starting", Address: "asker-1"}}, passAll{}, 1)
+	starting.Step(now, Tick{})
+	starting.Step(now, ReadDone{Began: now, Large: true})
+	starting.Step(now, StarterRead{Starter: Starter{ID: "knowing", Address: "k"}, Revision: 5})
+	var effects []Effect
+	for _, part := range parts {
+		part.Age += 20 * time.Second
+		effects = append(effects, starting.Step(now, SnapshotReceived{Part: part})...)
+	}
+	if starting.Revision() != 0 || !slices.Contains(effects, Effect(ClaimStart{Revision: 5})) {
+		t.Errorf("at revision %d with %+v, want a claim", starting.Revision(), effects)
+	}
+}
+
 // TestNodeServesWhatItCan: a node serves as many a second as its processor allows; further ones
 // are told to ask those that were served, the stronger the more, and none is sent to itself.
 func TestNodeServesWhatItCan(t *testing.T) {
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -198,6 +198,10 @@
 
 // collect takes a part of everything.
 func (c *Core) collect(part *wire.StoreSnapshot) {
+	if part.Age > c.cfg.oldKnowledge()+packedFor {
+		c.start.phase, c.start.waits, c.callAt = startClaim, false, c.now
+		return
+	}
 	pairs, whole := c.start.collect(part)
 	if !whole {
 		c.callAt = later(c.callAt, c.now.Add(snapshotPatience))
