--- a/fleet/shell/restart_test.go
+++ b/fleet/shell/restart_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/platform"
+	"github.com/valveslip/valveslip/standin"
 	"github.com/valveslip/valveslip/standin/worker"
 )
 
@@ -102,35 +103,40 @@
 	}
 }
 
+// addEnding adds a start of a worker that ends when it begins to run the harmful body.
+func (d *deployment) addEnding(id string, born int64) {
+	d.t.Helper()
+	w := worker.New(worker.Config{ID: id, Service: plainService, Zone: "z", Slots: 8, Born: born})
+	server, err := standin.Listen("127.0.0.1:0", w)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(server.Kill)
+	w.SetAddress(server.Address())
+	w.Behave = func(r *http.Request) worker.Behaviour {
+		body, err := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if err != nil || string(body) != harmfulBody {
+			return worker.Serve
+		}
+		server.Kill()
+		return worker.CutAfterRun
+	}
+	d.enter(w)
+}
+
 // TestEndsOfOneIdCount: a request that ends one machine after each of its starts has ended as
 // many machines as there were starts.
 func TestEndsOfOneIdCount(t *testing.T) {
 	d := newDeployment(t, patient)
-	ends := 0
-	var start func(born int64)
-	harmful := func(w *worker.Worker) {
-		w.Behave = func(r *http.Request) worker.Behaviour {
-			body, err := io.ReadAll(r.Body)
-			r.Body = io.NopCloser(strings.NewReader(string(body)))
-			if err != nil || string(body) != harmfulBody {
-				return worker.Serve
-			}
-			d.workers["p1"].Kill()
-			return worker.CutAfterRun
-		}
-	}
-	start = func(born int64) {
-		harmful(d.addWorker("p1", plainService, bornAt(born)))
-	}
-	start(1000)
+	d.addEnding("p1", 1000)
 	node := d.startNode("n1")
-	for ends < 3 {
+	for ends := range int64(3) {
 		d.eventually(fmt.Sprintf("start %d serves", ends+1), func() bool {
 			return d.callAsTold(node, http.MethodPost, "/write/", "b", nil).status == http.StatusOK
 		})
 		d.call(node, http.MethodPost, "/write/x", harmfulBody, nil)
-		ends++
-		start(int64(1000 + ends))
+		d.addEnding("p1", 1001+ends)
 	}
 	d.eventually("the request is known to end machines", func() bool {
 		return figure(node, "valveslip_poison_requests") == 1
