--- a/fleet/shell/starts_test.go
+++ b/fleet/shell/starts_test.go
@@ -1,17 +1,19 @@
 package shell
 
 import (
-	"fmt"
+	"errors"
 	"io"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
-	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/upstream"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -19,19 +21,41 @@
 // sortingFollower returns a follower that only sorts.
 func sortingFollower() *follower {
 	n := &Node{}
-	n.options.Codec, n.options.Log = platform.Codec{}, eventlog.New(io.Discard, eventlog.Options{})
+	n.options.Codec, n.options.Log = bornCodec{}, eventlog.New(io.Discard, eventlog.Options{})
 	n.metrics = newMetrics(prometheus.NewRegistry(), n)
 	n.pool = upstream.NewPool(upstream.Options{Now: time.Now})
-	return &follower{Node: n, starts: starts{}, news: newNewsFilter(platform.Codec{})}
+	return &follower{Node: n, starts: starts{}, news: newNewsFilter(bornCodec{})}
 }
 
-// bornAt is a machine's entry of a start, zero for one that does not say when it was.
-func bornAt(born int64, revision int64) wire.StoreChange {
-	value := `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}`
+// bornCodec reads entries that say of a machine only when it was born, zero for not.
+type bornCodec struct{}
+
+// bornPrefix is before the keys of such entries.
+const bornPrefix = "machines/"
+
+func (bornCodec) ConfigurationKey() string { return "configuration" }
+func (bornCodec) WorkersPrefix() string    { return bornPrefix }
+
+func (bornCodec) DecodeConfiguration([]byte) (catalog.Configuration, error) {
+	return catalog.Configuration{}, errors.New("no configuration is read here")
+}
+
+func (c bornCodec) DecodeWorker(key string, value []byte) (catalog.Worker, error) {
+	born, err := strconv.ParseInt(string(value), 10, 64)
+	worker := catalog.Worker{ID: c.WorkerID(key), Born: born, Address: "a:1"}
 	if born != 0 {
-		value = fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","born":%d}`, born)
+		worker.ID += cluster.MachineID("@" + string(value))
 	}
-	return wire.StoreChange{Key: platform.PrefixWorkers + "w", Value: []byte(value), Revision: revision}
+	return worker, err
+}
+
+func (bornCodec) WorkerID(key string) cluster.MachineID {
+	return cluster.MachineID(strings.TrimPrefix(key, bornPrefix))
+}
+
+// bornAt is a machine's entry of a start, zero for one that does not say when it was.
+func bornAt(born int64, revision int64) wire.StoreChange {
+	return wire.StoreChange{Key: bornPrefix + "w", Value: strconv.AppendInt(nil, born, 10), Revision: revision}
 }
 
 // TestLaterStartEndsTheOneBefore: of the starts of one machine the latest counts, in whatever
@@ -102,7 +126,7 @@
 // TestEarlierStartIsNoNews: relays pass on what says something new; an entry of an earlier
 // start says nothing, and one without the birth only that it can't be read.
 func TestEarlierStartIsNoNews(t *testing.T) {
-	filter := newNewsFilter(platform.Codec{})
+	filter := newNewsFilter(bornCodec{})
 	for i, step := range []struct {
 		born int64
 		news bool
