--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -166,6 +166,7 @@
 			return nil, Marks{}, err
 		}
 		marks := a.Dialect.ReadAnswer(a.decision.Machine, response.StatusCode, response.Header)
+		a.limit = marks.Limit
 		if marks.RequestID == a.id || marks.RequestID == "" && marks.NotRun {
 			return response, marks, nil
 		}
--- a/passthrough/types.go
+++ b/passthrough/types.go
@@ -66,6 +66,10 @@
 	// Machine that answered, when it says so: the one that was asked unless it bears another
 	// name.
 	Machine cluster.MachineID
+	// Limited is set when the machine says that it takes no more than Limit requests a second
+	// from all nodes together.
+	Limited bool
+	Limit   float64
 }
 
 // Dialect names the header fields that callers and machines use.
