--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -114,6 +114,8 @@
 	fence    uint64
 	busy     bool
 	orders   []TakenOrder
+	// limit that the worker names in its answers, in requests a second; zero names none.
+	limit float64
 	// orderDelay is how late orders are looked at.
 	orderDelay time.Duration
 	// abandoned counts the hanging requests whose connection closed.
@@ -218,8 +220,26 @@
 	w.orderDelay = delay
 }
 
+// SetLimit has the worker name in all its answers how many requests a second it takes from all
+// nodes together; zero has it name none. It takes more all the same.
+func (w *Worker) SetLimit(perSecond float64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.limit = perSecond
+}
+
+// describe says in an answer's head what all answers of the worker say of it.
+func (w *Worker) describe(header http.Header) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.limit > 0 {
+		header.Set(platform.HeaderLimit, strconv.FormatFloat(w.limit, 'f', -1, 64))
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	w.describe(out.Header())
 	if expected := r.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != w.config.ID {
 		out.Header().Set(platform.HeaderInstance, w.config.ID)
 		out.WriteHeader(http.StatusMisdirectedRequest)
