Have workers of the soak name limits, and judge what they get

The soak knew no limits of workers, so no run could show one exceeded. A planted history of nodes that keep a limit each for itself is found.

Two faults on one worker first ended each other's limit, a fault of the soak: each now replaces the one before.

--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -56,6 +56,14 @@
 	At     time.Duration
 }
 
+// Need is a time in which a worker named a limit in all its answers.
+type Need struct {
+	Worker string
+	// PerSecond requests are what it takes of all nodes together.
+	PerSecond float64
+	From, To  time.Duration
+}
+
 // Stop is a planned stop of a process. Ended is zero while the process lives.
 type Stop struct {
 	Node      int
@@ -136,6 +144,7 @@
 	Runs         []Run
 	Orders       []Order
 	Leavings     []Leaving
+	Needs        []Need
 	Versions     []Version
 	Taken        []TakenKey
 	Probes       []Probe
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -46,6 +46,7 @@
 	PromiseBystanders    Promise = "what many ask for is not refused for long as harmful"
 	PromiseKeys          Promise = "nothing runs under a key that was taken away for longer than the bound"
 	PromiseLimit         Promise = "a tenant that floods gets no more than its limit over all nodes"
+	PromiseNeed          Promise = "a worker that names a limit gets no more of all nodes"
 )
 
 // Breach is a promise found broken.
@@ -124,6 +125,7 @@
 	{PromiseBystanders, bystandersTaken, leastOfFew, (*History).acquittalDue},
 	{PromiseKeys, keysTaken, leastOfFew, (*History).keyed},
 	{PromiseLimit, limitKept, leastOfSome, (*History).keyed},
+	{PromiseNeed, needsKept, leastOfFew, (*History).anyNeed},
 }
 
 // Judge runs every check.
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -86,6 +86,13 @@
 		h.Requests = append(h.Requests, flood)
 		h.Runs = append(h.Runs, ran(flood.ID, "w1", flood.Sent))
 	}
+	h.Needs = []Need{{Worker: "needy", PerSecond: 1, From: 5 * time.Second, To: 17 * time.Second}}
+	for n := range 10 {
+		needed := served(fmt.Sprintf("needed-%d", n), RouteRead, 13*time.Second+time.Duration(n)*200*time.Millisecond)
+		needed.Node, needed.Stamp, needed.Body = n%2, worker.Stamp("needy"), worker.AnswerText(needed.ID, "needy")
+		h.Requests = append(h.Requests, needed)
+		h.Runs = append(h.Runs, ran(needed.ID, "needy", needed.Sent))
+	}
 	popular := served(PopularPrefix+"0", RouteRead, 4*time.Second+acquittedWithin)
 	popular.Node = 1
 	h.Requests = append(h.Requests, popular)
@@ -175,6 +182,14 @@
 		h.Requests = append(h.Requests, flood)
 		h.Runs = append(h.Runs, ran(flood.ID, "w1", flood.Sent))
 	}},
+	{PromiseNeed, "nodes that keep a limit each for itself", func(h *History) {
+		for n := range 12 {
+			beyond := served(fmt.Sprintf("beyond-%d", n), RouteRead, 13*time.Second)
+			beyond.Node = n % 2
+			h.Requests = append(h.Requests, beyond)
+			h.Runs = append(h.Runs, ran(beyond.ID, "needy", beyond.Sent))
+		}
+	}},
 	{PromiseOnce, "a second run", func(h *History) { h.Runs = append(h.Runs, ran("n0-0", "w2", 13*time.Second)) }},
 	{PromiseNeverRun, "a later run of a refused request", func(h *History) {
 		h.Runs = append(h.Runs, ran("refused", "w1", 30*time.Second))
--- a/soak/check/tested.go
+++ b/soak/check/tested.go
@@ -13,6 +13,14 @@
 // anyLeft reports whether a worker said that it leaves.
 func (h *History) anyLeft() bool { return len(h.Leavings) > 0 }
 
+// anyNeed reports whether a worker named a limit for long enough, while something was in touch.
+func (h *History) anyNeed() bool {
+	return slices.ContainsFunc(h.Needs, func(n Need) bool {
+		from, to := n.From+needKnown, min(n.To, h.end())
+		return to-from > needWindow && !h.disturbedThroughout(from, to)
+	})
+}
+
 // stopTested is how long a node must have been undisturbed before a planned stop, so that
 // callers had requests there and kept connections.
 const stopTested = 5 * time.Second
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -62,8 +62,10 @@
 	}
 	schedule.Faults = append(schedule.Faults, drawLater(seed, size)...)
 	if !size.Upgrades {
-		// Earlier builds don't tell the starts of one worker from each other.
+		// Earlier builds don't tell the starts of one worker from each other, nor read what
+		// workers say of themselves.
 		schedule.Faults = append(schedule.Faults, drawRestarts(seed, size)...)
+		schedule.Faults = append(schedule.Faults, drawLimits(seed, size)...)
 	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
@@ -117,6 +119,28 @@
 	return faults
 }
 
+// How limits are drawn: limitGap is the mean time between two, shortestLimit and longestLimit
+// bound how long a worker names one, which is long enough to be judged, and mostLimit is the
+// greatest, in requests a second.
+const (
+	limitGap      = 9 * time.Second
+	shortestLimit = 8 * time.Second
+	longestLimit  = 16 * time.Second
+	mostLimit     = 3
+)
+
+// drawLimits draws workers that name a limit.
+func drawLimits(seed uint64, size Size) []Fault {
+	d := &drawer{random: rand.New(rand.NewPCG(^seed, ^seed)), size: size}
+	var faults []Fault
+	for at := firstAt; at < size.Span; at += d.gap(limitGap) {
+		fault := d.fault(WorkerLimit, at)
+		fault.For, fault.Rate = d.between(shortestLimit, longestLimit), 1+d.random.IntN(mostLimit)
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
 // stopTime is how long a planned stop may take, with what is given beyond its grace time.
 const stopTime = 11 * time.Second
 
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -71,6 +71,8 @@
 	WorkerLateOrders Kind = "worker-late-orders"
 	// WorkerRestart ends a worker, which comes back under its id and remembers nothing.
 	WorkerRestart Kind = "worker-restart"
+	// WorkerLimit has a worker name a limit of Rate requests a second in its answers.
+	WorkerLimit Kind = "worker-limit"
 )
 
 // Link names the connections that a fault strikes.
@@ -149,6 +151,7 @@
 	{ProcessUpgrade, kindOf{onNodes, 0, true}},
 	{ProcessRollBack, kindOf{onNodes, 0, true}},
 	{WorkerRestart, kindOf{onWorkers, 0, true}},
+	{WorkerLimit, kindOf{onWorkers, 0, true}},
 }
 
 // describe returns what is known of a kind.
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -20,7 +20,7 @@
 	// For is how long the fault lasts; for a process that ends, how long until it
 	// is started again.
 	For time.Duration `yaml:"for,omitempty" json:"for,omitempty"`
-	// Rate of CallerBurst, in calls a second.
+	// Rate of CallerBurst, in calls a second, and of WorkerLimit, in requests a second.
 	Rate int `yaml:"rate,omitempty" json:"rate,omitempty"`
 	// Delay of LinkDelay, StoreSlow and WorkerLateOrders.
 	Delay time.Duration `yaml:"delay,omitempty" json:"delay,omitempty"`
--- a/soak/play.go
+++ b/soak/play.go
@@ -14,6 +14,8 @@
 	quietTime = 9 * time.Second
 	// quietDrain is after how long another worker follows the one that leaves then.
 	quietDrain = time.Second
+	// quietLimit is what another worker says then that it takes, in requests a second.
+	quietLimit = 4
 )
 
 // play sends requests, injects the faults and waits for the recovery.
@@ -46,11 +48,14 @@
 	r.restarts.Wait()
 }
 
-// changeInQuiet changes the configuration and has one worker leave, with nothing
-// else in the way.
+// changeInQuiet changes the configuration, has one worker leave and another engine name a limit,
+// with nothing else in the way.
 func (r *run) changeInQuiet() {
 	r.configuration.add()
 	r.workers[0].drain(quietDrain)
+	if len(r.workers) > 2 && r.options.Schedule.Earlier == nil && r.options.From == "" {
+		r.workers[2].limit(quietLimit, quietTime)
+	}
 }
 
 // injectAll injects the faults at their times.
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -81,6 +81,8 @@
 	server  *standin.Server
 	proxy   *proxy.Proxy
 	conduct *behaviours
+	// endNeed ends the limit that the worker names, if it does.
+	endNeed func()
 }
 
 // enterExtraWorkers enters workers that nobody asks for.
@@ -253,6 +255,36 @@
 	}
 }
 
+// limit has the worker name a limit for a while, in place of one that it names. That puts nothing
+// out of order.
+func (s *workerSlot) limit(perSecond float64, length time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endNeed()
+	name, needy := s.name, s.worker
+	needy.SetLimit(perSecond)
+	index, from := 0, s.recorder.now()
+	s.recorder.record(func(h *check.History) {
+		index = len(h.Needs)
+		h.Needs = append(h.Needs, check.Need{Worker: name, PerSecond: perSecond, From: from, To: always})
+	})
+	ended := false
+	s.endNeed = func() {
+		if ended {
+			return
+		}
+		ended = true
+		s.recorder.record(func(h *check.History) { h.Needs[index].To = s.recorder.now() })
+		needy.SetLimit(0)
+	}
+	end := s.endNeed
+	s.later(length, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		end()
+	})
+}
+
 // drain has the worker say that it leaves; it goes on serving what it has, and
 // another one comes at another address.
 func (s *workerSlot) drain(length time.Duration) {
