Load the models of machines with a small limit elsewhere

What callers saw: requests whose only replica is at a machine in need would be refused for as long as the need lasts, while other engines have room: the planner counts a replica by its slots.

Change: a machine that takes fewer requests a second than four tenths of its slots counts like one that leaves: what is wanted is loaded elsewhere, its replicas stay and count again when the limit ends.

--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/routing"
 )
@@ -122,3 +124,58 @@
 	w.step(w.nodes[0], RoutingInput{Event: routing.TurnDecided{Machine: cluster.MachineID("nobody"), Granted: true}})
 	w.runFor(time.Second)
 }
+
+// TestModelsOfLimitedMachineAreLoadedElsewhere guards against callers who are refused for as long
+// as the only machine that holds their model names a limit, while others have room.
+func TestModelsOfLimitedMachineAreLoadedElsewhere(t *testing.T) {
+	w := newWorld(5, 3, 2, true)
+	needy, arrived := cluster.MachineID(""), map[cluster.MachineID]int{}
+	w.carryOut = func(n *simulatedNode, effect routing.Effect) bool {
+		d, dispatched := effect.(routing.Dispatch)
+		if !dispatched {
+			return false
+		}
+		arrived[d.Machine]++
+		w.after(needyAnswer, func() {
+			notice := routing.Notice{Limited: d.Machine == needy, PerSecond: 0.2}
+			if !notice.Limited {
+				notice = routing.Notice{}
+			}
+			w.step(n, RoutingInput{Event: routing.MachineHeard{Machine: d.Machine, Request: d.Request, Notice: notice, Whole: d.Limited}})
+			w.step(n, RoutingInput{Event: routing.AttemptEnded{Request: d.Request, Attempt: d.Attempt}})
+		})
+		return true
+	}
+	w.runFor(5 * time.Second)
+	asked := 0
+	var ask func()
+	ask = func() {
+		asked++
+		n := w.nodes[w.random.IntN(len(w.nodes))]
+		w.step(n, RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+			ID: cluster.RequestID(fmt.Sprintf("c%d", asked)), Model: catalog.ModelID("s", "c"), TokenPath: "/", Deadline: w.now.Add(3 * time.Second), Attempts: 2,
+		}}})
+		w.after(w.between(700*time.Millisecond, 900*time.Millisecond), ask)
+	}
+	ask()
+	w.runFor(15 * time.Second)
+	for id := range arrived {
+		needy = id
+	}
+	if len(arrived) != 1 {
+		t.Fatalf("requests went to %d machines before, want one", len(arrived))
+	}
+	w.runFor(10 * time.Second)
+	clear(arrived)
+	before := asked
+	w.runFor(10 * time.Second)
+	elsewhere := 0
+	for id, count := range arrived {
+		if id != needy {
+			elsewhere += count
+		}
+	}
+	if want := (asked - before) * 8 / 10; elsewhere < want {
+		t.Errorf("%d of %d requests were sent elsewhere, want %d", elsewhere, asked-before, want)
+	}
+}
--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -113,9 +113,11 @@
 	}
 	c.planned, c.news = now, false
 	wanted := c.demand.Sum(now)
+	machines := c.ledger.Machines(c.size)
+	c.passOverLimited(machines)
 	plan := c.planner.Plan(placement.State{
 		Now: now, Token: c.ledger.Token(), Settings: c.core.compiled.Snapshot, Allotment: c.allotment,
-		Machines: c.ledger.Machines(c.size), Demand: wanted, Store: c.storeState(), LoadTime: c.loadTime,
+		Machines: machines, Demand: wanted, Store: c.storeState(), LoadTime: c.loadTime,
 		LongestPause: c.longestPause,
 	})
 	ordered := make(map[cluster.ModelID]bool, len(plan.Actions))
@@ -127,6 +129,23 @@
 	c.explainDelays(&plan, wanted, ordered)
 }
 
+// limitedShare is the part of a machine's slots below which its limit, in requests a second, makes
+// the planner load its models elsewhere: with requests of a second, so many run at a replica that
+// serves well.
+const limitedShare = 0.4
+
+// passOverLimited has the planner count on no machine that takes little: what is wanted there is
+// loaded elsewhere, and its replicas stay.
+func (c *cell) passOverLimited(machines []placement.Machine) {
+	for i := range machines {
+		m := &machines[i]
+		perSecond, limited := c.core.router.Limit(m.ID)
+		if limited && perSecond < limitedShare*float64(m.Slots) {
+			m.Leaving = true
+		}
+	}
+}
+
 // noteCapacity keeps what was learned of the weight store for the next holder.
 func (c *cell) noteCapacity(limit int) {
 	before := cmp.Or(c.bears, firstLoads)
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -125,6 +125,15 @@
 	return max(t.deniedUntil, nanos)
 }
 
+// Limit returns how many requests a second a machine said that it takes of all routers together;
+// false where it names no limit.
+func (r *Router) Limit(id cluster.MachineID) (perSecond float64, limited bool) {
+	if m := r.machines[id]; m != nil && m.turns.limited {
+		return m.turns.perSecond, true
+	}
+	return 0, false
+}
+
 // machineHeard takes what an answer said of its machine.
 func (r *Router) machineHeard(event *MachineHeard) {
 	m := r.machines[event.Machine]
