Say in the log whether the last answer said that its machine leaves

A node that doesn't hear it, one that forgets it, and one whose earlier decisions go on look alike in the log. request_ended names it. Nothing acts on it yet.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -185,6 +185,7 @@
 	Cause    string            `log:"cause,omitempty" doc:"the failure in words"`
 	Untaken  string            `log:"untaken,omitempty" doc:"why a whole answer of a machine did not reach the caller"`
 	Limit    float64           `log:"limit,omitempty" doc:"requests a second that the last machine said it takes of all nodes together"`
+	Leaving  bool              `log:"leaving,omitempty" doc:"whether the last machine said that it leaves"`
 }
 
 // CallerStalled is written when a caller's connection is ended because nothing more of an
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -185,7 +185,7 @@
 	if marks.Machine != "" && marks.Machine != a.decision.Machine {
 		return
 	}
-	a.limit = marks.Notice.PerSecond
+	a.notice = marks.Notice
 	if marks.Notice != (routing.Notice{}) || own && a.decision.Limited {
 		a.Decider.Report(routing.MachineHeard{
 			Machine: a.decision.Machine, Request: a.id, Notice: marks.Notice, Whole: own && a.decision.Limited,
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -41,8 +41,8 @@
 
 	attempts int
 	machine  cluster.MachineID
-	// limit that the last machine named in its answer, in requests a second.
-	limit float64
+	// notice is what the last answer said of its machine.
+	notice routing.Notice
 	// lastEvent is the last whole event that went to the caller.
 	lastEvent string
 	// held is the last answer that a machine signed, not yet sent.
@@ -216,7 +216,7 @@
 	line := eventlog.RequestEnded{
 		Request: e.id, Status: status, Code: "served", Machine: e.machine, Attempts: e.attempts,
 		Took: e.now().Sub(e.arrived), Waited: reason.Waited, First: e.first, Pause: e.pause, PauseEnd: e.pauseEnd,
-		Verdict: verdict.Ran.String(), Limit: e.limit,
+		Verdict: verdict.Ran.String(), Limit: e.notice.PerSecond, Leaving: e.notice.Leaving,
 	}
 	if failure != nil {
 		line.Code, line.Verdict, line.Back = string(failure.Code), failure.Verdict.String(), failure.RetryAfter
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -29,6 +29,8 @@
 	// second from all routers together, for as long as it says so.
 	Limited   bool
 	PerSecond float64
+	// Leaving is set when the machine says that it leaves.
+	Leaving bool
 }
 
 // MachineHeard brings what an answer said of its machine.
