--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -106,14 +106,15 @@
 	// Publish is called with the worker's entry when it has changed.
 	Publish func(key string, entry platform.WorkerDocument)
 
-	mutex    sync.Mutex
-	draining bool
-	runs     []Run
-	held     []platform.HeldModelDocument
-	sequence int64
-	fence    uint64
-	busy     bool
-	orders   []TakenOrder
+	mutex sync.Mutex
+	// draining is what the worker's entry says, leaving what its answers do.
+	draining, leaving bool
+	runs              []Run
+	held              []platform.HeldModelDocument
+	sequence          int64
+	fence             uint64
+	busy              bool
+	orders            []TakenOrder
 	// limit that the worker names in its answers, in requests a second; zero names none.
 	limit float64
 	// orderDelay is how late orders are looked at.
@@ -166,10 +167,18 @@
 // SetAddress sets where the worker is served.
 func (w *Worker) SetAddress(address string) { w.config.Address = address }
 
-// Drain has the worker say that it leaves.
+// Leave has the worker say in all its answers that it leaves, and nothing in its entry, as while
+// the store is away.
+func (w *Worker) Leave() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.leaving = true
+}
+
+// Drain has the worker say that it leaves, in its entry and in its answers.
 func (w *Worker) Drain() {
 	w.mutex.Lock()
-	w.draining = true
+	w.draining, w.leaving = true, true
 	w.mutex.Unlock()
 	w.publish()
 }
@@ -232,6 +241,9 @@
 func (w *Worker) describe(header http.Header) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.leaving {
+		header.Set(platform.HeaderLeaving, "1")
+	}
 	if w.limit > 0 {
 		header.Set(platform.HeaderLimit, strconv.FormatFloat(w.limit, 'f', -1, 64))
 	}
