Send nothing more to a worker whose answers say that it leaves

Requests reached one up to 4.6 s after its answers had told their node that it leaves.

Cause: leaving was known from the worker's entry in the store alone, and the store took the worker's word 13 s late. No answer was read for it. Class: what a worker says of itself is heard by one way only, and that way can be down.

Change: each head of an answer is heard, of every kind. The machine gets nothing more from then on, whatever an older entry says; attempts that wait for their time there look for another at once; the holder loads nothing there any more.

TestLeavingThatAnAnswerToldStays: kept attempts and later statuses. The random events of the router's checker hold it too.

Why it works: what an answer said counts by itself, for good and for that start of the worker, so neither the store's delay nor its older word matters.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -18,7 +18,7 @@
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
-		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
+		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
@@ -255,6 +255,12 @@
 	Request cluster.RequestID `log:"request,omitempty" doc:"request whose answer said so, at this node"`
 }
 
+// WorkerLeaving is written when an answer is the first to say that its worker leaves.
+type WorkerLeaving struct {
+	Machine cluster.MachineID `log:"machine" doc:"worker, which gets no new requests from now on"`
+	Request cluster.RequestID `log:"request" doc:"request whose answer said so"`
+}
+
 // TurnDecided is written when this node was given, or not given, a turn to send a worker with a
 // limit a request.
 type TurnDecided struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -154,6 +154,14 @@
 	return "Written when a worker's entry is that of a later start under the same id."
 }
 
+// Kind implements Event.
+func (WorkerLeaving) Kind() string { return "worker_leaving" }
+
+// Meaning implements Documented.
+func (WorkerLeaving) Meaning() string {
+	return "Written when an answer is the first to say that its worker leaves."
+}
+
 // Kind implements Event.
 func (WorkerLimited) Kind() string { return "worker_limited" }
 
--- a/fleet/planning.go
+++ b/fleet/planning.go
@@ -114,7 +114,7 @@
 	c.planned, c.news = now, false
 	wanted := c.demand.Sum(now)
 	machines := c.ledger.Machines(c.size)
-	c.passOverLimited(machines)
+	c.passOver(machines)
 	plan := c.planner.Plan(placement.State{
 		Now: now, Token: c.ledger.Token(), Settings: c.core.compiled.Snapshot, Allotment: c.allotment,
 		Machines: machines, Demand: wanted, Store: c.storeState(), LoadTime: c.loadTime,
@@ -134,15 +134,14 @@
 // serves well.
 const limitedShare = 0.4
 
-// passOverLimited has the planner count on no machine that takes little: what is wanted there is
-// loaded elsewhere, and its replicas stay.
-func (c *cell) passOverLimited(machines []placement.Machine) {
+// passOver has the planner count on no machine that takes little, or whose answers say that it
+// leaves: what is wanted there is loaded elsewhere, and its replicas stay.
+func (c *cell) passOver(machines []placement.Machine) {
 	for i := range machines {
 		m := &machines[i]
 		perSecond, limited := c.core.router.Limit(m.ID)
-		if limited && perSecond < limitedShare*float64(m.Slots) {
-			m.Leaving = true
-		}
+		scarce := limited && perSecond < limitedShare*float64(m.Slots)
+		m.Leaving = m.Leaving || scarce || c.core.router.Leaving(m.ID)
 	}
 }
 
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet/pacing"
 	"github.com/valveslip/valveslip/routing"
 )
@@ -52,6 +53,8 @@
 			c.poison.found(e.Records)
 		case routing.TurnWanted:
 			c.pacer.step(pacing.Wanted{Machine: e.Machine, PerSecond: e.PerSecond})
+		case routing.MachineLeavingFound:
+			c.leavingFound(&e)
 		case routing.MachineLimitFound:
 			c.pacer.found(&e)
 		case routing.PoisonTestWanted:
@@ -72,6 +75,16 @@
 	}
 }
 
+// leavingFound takes an answer's word that its machine leaves. What waits for the machine looks for
+// another.
+func (c *Core) leavingFound(e *routing.MachineLeavingFound) {
+	c.log(eventlog.WorkerLeaving{Machine: e.Machine, Request: e.Request})
+	if c.dispatching != nil {
+		c.dispatching.machineLeft(e.Machine)
+	}
+	c.cell.news = true
+}
+
 // noteForDispatcher tells who places attempts of what the router is about to learn.
 func (c *Core) noteForDispatcher(event routing.Event) {
 	if c.dispatching == nil {
--- a/routing/checker_test.go
+++ b/routing/checker_test.go
@@ -63,7 +63,7 @@
 		config: config.withDefaults(), started: started,
 		open: make(map[cluster.RequestID]*observed), ended: make(map[cluster.RequestID]bool),
 		leaving: make(map[cluster.MachineID]bool), zones: make(map[cluster.ZoneID]*observedZone),
-		limits: make(map[cluster.MachineID]*observedLimit),
+		limits:   make(map[cluster.MachineID]*observedLimit),
 		admitted: make(map[cluster.ModelID]int), retried: make(map[cluster.ModelID]int),
 	}
 }
@@ -99,6 +99,9 @@
 	case MachineLeaving:
 		c.leaving[event.Machine] = true
 	case MachineHeard:
+		if event.Notice.Leaving {
+			c.leaving[event.Machine] = true
+		}
 		if event.Notice.Limited || event.Whole {
 			c.limit(event.Machine, event.Notice.Limited)
 		}
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -71,11 +71,18 @@
 	Notice  Notice
 }
 
-func (MachineHeard) routingEvent()       {}
-func (MachineLimitTold) routingEvent()   {}
-func (TurnDecided) routingEvent()        {}
-func (TurnWanted) routingEffect()        {}
-func (MachineLimitFound) routingEffect() {}
+// MachineLeavingFound tells that a machine's answer was the first to say that it leaves.
+type MachineLeavingFound struct {
+	Machine cluster.MachineID
+	Request cluster.RequestID
+}
+
+func (MachineHeard) routingEvent()         {}
+func (MachineLimitTold) routingEvent()     {}
+func (TurnDecided) routingEvent()          {}
+func (TurnWanted) routingEffect()          {}
+func (MachineLimitFound) routingEffect()   {}
+func (MachineLeavingFound) routingEffect() {}
 
 // turns is what a router knows of a machine's limit and of its turns there.
 type turns struct {
@@ -138,6 +145,9 @@
 
 // machineHeard takes what an answer said of its machine.
 func (r *Router) machineHeard(event *MachineHeard) {
+	if event.Notice.Leaving {
+		r.leavingHeard(event)
+	}
 	m := r.machines[event.Machine]
 	if m == nil || !event.Notice.Limited && !event.Whole {
 		return
@@ -151,6 +161,22 @@
 	}
 }
 
+// leavingHeard takes an answer's word that its machine leaves: for good, whatever the cell's status
+// says.
+func (r *Router) leavingHeard(event *MachineHeard) {
+	if known := r.machines[event.Machine]; known != nil && known.announced {
+		return
+	}
+	r.machineLeaving(event.Machine)
+	r.emit(MachineLeavingFound{Machine: event.Machine, Request: event.Request})
+}
+
+// Leaving reports whether a machine is known to take no new work.
+func (r *Router) Leaving(id cluster.MachineID) bool {
+	m := r.machines[id]
+	return m != nil && m.leaving()
+}
+
 // limitTold takes what another router heard.
 func (r *Router) limitTold(event *MachineLimitTold) {
 	if m := r.machines[event.Machine]; m != nil {
--- a/routing/turns_test.go
+++ b/routing/turns_test.go
@@ -104,6 +104,26 @@
 	t.Error("the other routers are not told of the end")
 }
 
+// TestLeavingThatAnAnswerToldStays guards against requests to a machine whose answer said that it
+// leaves, once its cell's status, which is older, says that it stays.
+func TestLeavingThatAnAnswerToldStays(t *testing.T) {
+	f := newPlacedFixture(t)
+	f.status(true, loaded("m1", 4))
+	f.arrive("a", repeatable)
+	effects := f.step(MachineHeard{Machine: "m1", Request: "z", Notice: Notice{Leaving: true}})
+	if len(effects) != 1 || effects[0] != (MachineLeavingFound{Machine: "m1", Request: "z"}) {
+		t.Errorf("found: %v", effects)
+	}
+	f.status(true, loaded("m1", 4))
+	f.expect(f.placed("m1", 1, 0), "")
+	f.expect(f.step(MachineHeard{Machine: "m1", Whole: true}), "")
+	f.status(true, loaded("m1", 8))
+	if f.router.Waiting() != 1 {
+		t.Error("the kept attempt does not wait for another machine")
+	}
+	f.expect(f.status(false, loaded("m2", 4)), "dispatch a/2 to m2; ")
+}
+
 // TestOtherRoutersAreToldOnce guards against a limit of which only one router knows, and against
 // one that each answer spreads anew.
 func TestOtherRoutersAreToldOnce(t *testing.T) {
