Say in the log for how long a machine that turned a request away wants rest

A node that doesn't hear it, one that forgets it, and one whose earlier decisions go on look alike in the log. attempt_ended names it. Nothing acts on it yet.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -154,6 +154,7 @@
 	Status  int               `log:"status,omitempty" doc:"status that the machine answered"`
 	Took    time.Duration     `log:"took_ms" doc:"time since the dispatch"`
 	Content string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, where the machine broke the connection"`
+	Rest    time.Duration     `log:"rest_ms,omitempty" doc:"for how long the machine said that it wants nothing more from this node"`
 	Cause   string            `log:"cause,omitempty" doc:"the error"`
 }
 
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -127,7 +127,7 @@
 // dispatch runs one attempt to its end and reports it.
 func (e *exchange) dispatch(decision routing.Dispatch) {
 	e.attempts++
-	e.machine = decision.Machine
+	e.machine, e.notice = decision.Machine, routing.Notice{}
 	e.logSent(&decision)
 	began := e.now()
 	ctx, cancel := context.WithTimeout(e.request.Context(), e.deadline.Sub(began))
@@ -169,6 +169,7 @@
 	line := eventlog.AttemptEnded{
 		Request: e.id, Attempt: ended.Attempt, Machine: e.machine, Code: string(ended.Failure.Code),
 		Verdict: ended.Failure.Verdict.String(), Status: a.status, Took: took, Cause: ended.Failure.Reason(),
+		Rest: e.notice.Rest,
 	}
 	if a.broken {
 		line.Content = e.fingerprint().String()
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -31,6 +31,9 @@
 	PerSecond float64
 	// Leaving is set when the machine says that it leaves.
 	Leaving bool
+	// Rest is for how long a machine that turned the request away wants nothing more from this
+	// router; zero where it doesn't say.
+	Rest time.Duration
 }
 
 // MachineHeard brings what an answer said of its machine.
