Test that a worker that wants rest gets none of its node's requests, which fails

A worker turns a node away with 503 and asks for a minute of rest. Six callers then have 47 requests sent there, within 3 s, on all four kinds of routes, and are told to come back after 0.1 s. The stand-in worker sheds and asks for rest.

--- /dev/null
+++ b/fleet/shell/worker_rest_test.go
@@ -0,0 +1,88 @@
+package shell_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/standin/worker"
+)
+
+// shedding starts a worker that turns all away for as long as it is to, and asks for rest.
+func shedding(d *deployment, service string, rest time.Duration) (*worker.Worker, *atomic.Bool) {
+	var sheds atomic.Bool
+	sheds.Store(true)
+	added := d.addWorker("w1", service, nil)
+	added.SetRest(rest)
+	added.Behave = func(*http.Request) worker.Behaviour {
+		if sheds.Load() {
+			return worker.Shed
+		}
+		return worker.Serve
+	}
+	return added, &sheds
+}
+
+var restedPaths = []struct{ name, service, path string }{
+	{"repeatable", plainService, "/read/"},
+	{"not repeatable", plainService, "/write/"},
+	{"stream", engineService, "/stream/"},
+	{"stream that is not resumed", engineService, "/once/"},
+}
+
+// TestWorkerThatWantsRestGetsNone guards against requests that are sent, by retries or anew, to a
+// worker that turned its node away and said for how long it wants nothing, and against callers who
+// are kept waiting for it, or told to come back too soon.
+func TestWorkerThatWantsRestGetsNone(t *testing.T) {
+	const rest = time.Minute
+	for _, c := range restedPaths {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, patient)
+			needy, _ := shedding(d, c.service, rest)
+			node := d.startNode("n1")
+			for range 6 {
+				got := d.call(node, http.MethodPost, c.path, "b", withModel("big"))
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				if got.status != http.StatusServiceUnavailable || err != nil || after < rest.Seconds()/2 {
+					t.Errorf("answer %+v, want a refusal until the rest is over", got)
+				}
+			}
+			if turned := len(needy.Turned()); turned != 1 {
+				t.Errorf("%d requests reached the worker within its rest, want the first alone", turned)
+			}
+			d.addWorker("w2", c.service, nil)
+			d.eventually("the other worker serves", func() bool {
+				return d.call(node, http.MethodPost, c.path, "b", withModel("big")).status == http.StatusOK
+			})
+			for range 6 {
+				if got := d.call(node, http.MethodPost, c.path, "b", withModel("big")); got.status != http.StatusOK {
+					t.Errorf("answer %+v with another worker", got)
+				}
+			}
+			if turned := len(needy.Turned()); turned != 1 {
+				t.Errorf("%d requests reached the worker beside another, want the first alone", turned)
+			}
+		})
+	}
+}
+
+// TestWorkerIsUsedAfterItsRest guards against a worker that is left alone for good, or for longer
+// than it asked for.
+func TestWorkerIsUsedAfterItsRest(t *testing.T) {
+	for _, c := range restedPaths {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, patient)
+			_, sheds := shedding(d, c.service, 300*time.Millisecond)
+			node := d.startNode("n1")
+			d.call(node, http.MethodPost, c.path, "b", withModel("big"))
+			sheds.Store(false)
+			if got := d.callAsTold(node, http.MethodPost, c.path, "b", withModel("big")); got.status != http.StatusOK {
+				t.Errorf("answer %+v after the rest", got)
+			}
+		})
+	}
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -57,6 +57,8 @@
 	Hang
 	// Cross runs the request and gives the answer to another one.
 	Cross
+	// Shed answers that it did not run the request, and for how long it wants nothing more.
+	Shed
 	// CutBody runs the request and breaks the answer off halfway.
 	CutBody
 )
@@ -70,6 +72,13 @@
 	At                                time.Time
 }
 
+// Turned is one request that the worker turned away, asking for rest.
+type Turned struct {
+	RequestID string
+	At        time.Time
+	Rest      time.Duration
+}
+
 // TakenOrder is an order that the worker took.
 type TakenOrder struct {
 	platform.OrderDocument
@@ -115,6 +124,10 @@
 	fence             uint64
 	busy              bool
 	orders            []TakenOrder
+	// rest is for how long the worker wants nothing from a node whose request it sheds, turned are
+	// those that it shed.
+	rest   time.Duration
+	turned []Turned
 	// limit that the worker names in its answers, in requests a second; zero names none.
 	limit float64
 	// orderDelay is how late orders are looked at.
@@ -237,6 +250,31 @@
 	w.limit = perSecond
 }
 
+// SetRest sets for how long the worker wants nothing from a node whose request it sheds.
+func (w *Worker) SetRest(rest time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.rest = rest
+}
+
+// Turned lists the requests that were shed.
+func (w *Worker) Turned() []Turned {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.turned)
+}
+
+// shed turns a request away.
+func (w *Worker) shed(out http.ResponseWriter, id string) {
+	w.mutex.Lock()
+	rest := w.rest
+	w.turned = append(w.turned, Turned{RequestID: id, At: time.Now(), Rest: rest})
+	w.mutex.Unlock()
+	out.Header().Set(platform.HeaderNotExecuted, "1")
+	out.Header().Set(platform.HeaderRest, strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	out.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // describe says in an answer's head what all answers of the worker say of it.
 func (w *Worker) describe(header http.Header) {
 	w.mutex.Lock()
@@ -281,6 +319,9 @@
 		out.Header().Set(platform.HeaderNotExecuted, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case behaviour == Shed:
+		w.shed(out, id)
+		return
 	case w.config.Models != nil && !w.holds(model):
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
