Give a machine that turned a request away the rest that it asks for

What callers saw: 503 after 503 while a worker turned everything away, with the advice to come back after 0.1 s; the worker had asked the node for 3 s of rest and got 6 requests from it.

Cause: nobody read for how long the worker wants nothing. A node went by a back-off of its own, which begins at 25 ms and is bounded by the slots that all nodes' probes may take. Class: a word of the other side about the future is replaced by a guess from the past.

Change: a 503 or 429 that names a time closes the machine for this node until then, the latest time counting: for new requests, retries, continued streams and attempts that wait for their time there. Requests go to another replica; one that no machine takes in time is refused at once, not run, with the time at which the first takes requests again.

Why it works: the time stands in the one place that every way to the machine asks, and outlasts the machine's replicas.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -18,7 +18,7 @@
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
-		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
+		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
@@ -262,6 +262,14 @@
 	Request cluster.RequestID `log:"request" doc:"request whose answer said so"`
 }
 
+// WorkerRests is written when a worker that turned a request away wants nothing from this node for
+// a time.
+type WorkerRests struct {
+	Machine cluster.MachineID `log:"machine" doc:"worker"`
+	Request cluster.RequestID `log:"request" doc:"request whose answer said so"`
+	Rest    time.Duration     `log:"rest_ms" doc:"for how long it gets nothing"`
+}
+
 // TurnDecided is written when this node was given, or not given, a turn to send a worker with a
 // limit a request.
 type TurnDecided struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -162,6 +162,14 @@
 	return "Written when an answer is the first to say that its worker leaves."
 }
 
+// Kind implements Event.
+func (WorkerRests) Kind() string { return "worker_rests" }
+
+// Meaning implements Documented.
+func (WorkerRests) Meaning() string {
+	return "Written when a worker that turned a request away wants nothing from this node for a time."
+}
+
 // Kind implements Event.
 func (WorkerLimited) Kind() string { return "worker_limited" }
 
--- a/fleet/dispatching.go
+++ b/fleet/dispatching.go
@@ -217,7 +217,8 @@
 	}
 }
 
-// machineLeft has what waits for a machine that leaves or is gone look for another at once.
+// machineLeft has what waits for a machine that leaves, is gone or wants nothing look for another
+// at once.
 func (d *dispatching) machineLeft(id cluster.MachineID) {
 	for _, p := range d.held {
 		if p.answer.Machine == id {
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -55,6 +55,8 @@
 			c.pacer.step(pacing.Wanted{Machine: e.Machine, PerSecond: e.PerSecond})
 		case routing.MachineLeavingFound:
 			c.leavingFound(&e)
+		case routing.MachineRestFound:
+			c.restFound(&e)
 		case routing.MachineLimitFound:
 			c.pacer.found(&e)
 		case routing.PoisonTestWanted:
@@ -85,6 +87,15 @@
 	c.cell.news = true
 }
 
+// restFound takes an answer's word that its machine wants nothing from this node for a time. What
+// waits for the machine looks for another.
+func (c *Core) restFound(e *routing.MachineRestFound) {
+	c.log(eventlog.WorkerRests{Machine: e.Machine, Request: e.Request, Rest: e.Rest})
+	if c.dispatching != nil {
+		c.dispatching.machineLeft(e.Machine)
+	}
+}
+
 // noteForDispatcher tells who places attempts of what the router is about to learn.
 func (c *Core) noteForDispatcher(event routing.Event) {
 	if c.dispatching == nil {
--- a/routing/cells.go
+++ b/routing/cells.go
@@ -184,7 +184,7 @@
 	if m.announced && r.nanos-m.announcedAt < announcedMemory {
 		return
 	}
-	if m.turns.limited && r.nanos-m.turns.heardAt < announcedMemory {
+	if m.turns.limited && r.nanos-m.turns.heardAt < announcedMemory || r.nanos < m.turns.restsUntil {
 		return
 	}
 	r.disarm(&m.timer)
--- a/routing/checker_test.go
+++ b/routing/checker_test.go
@@ -25,6 +25,8 @@
 	retried  map[cluster.ModelID]int
 	// limits are what is known of machines that named a limit, and of turns there.
 	limits map[cluster.MachineID]*observedLimit
+	// rests is until when machines want nothing.
+	rests map[cluster.MachineID]time.Time
 	// silent is the request whose machine the present event calls silent.
 	silent cluster.RequestID
 }
@@ -63,7 +65,7 @@
 		config: config.withDefaults(), started: started,
 		open: make(map[cluster.RequestID]*observed), ended: make(map[cluster.RequestID]bool),
 		leaving: make(map[cluster.MachineID]bool), zones: make(map[cluster.ZoneID]*observedZone),
-		limits:   make(map[cluster.MachineID]*observedLimit),
+		limits: make(map[cluster.MachineID]*observedLimit), rests: make(map[cluster.MachineID]time.Time),
 		admitted: make(map[cluster.ModelID]int), retried: make(map[cluster.ModelID]int),
 	}
 }
@@ -99,6 +101,9 @@
 	case MachineLeaving:
 		c.leaving[event.Machine] = true
 	case MachineHeard:
+		if until := now.Add(event.Notice.Rest); until.After(c.rests[event.Machine]) {
+			c.rests[event.Machine] = until
+		}
 		if event.Notice.Leaving {
 			c.leaving[event.Machine] = true
 		}
@@ -223,6 +228,8 @@
 		return fmt.Errorf("%s dispatched to %s, which leaves", effect.Request, effect.Machine)
 	case !c.listed(effect.Machine, effect.Model):
 		return fmt.Errorf("%s dispatched to %s, which no newest status lists", effect.Request, effect.Machine)
+	case now.Before(c.rests[effect.Machine]):
+		return fmt.Errorf("%s dispatched to %s, which wants rest", effect.Request, effect.Machine)
 	case !c.turn(now, effect.Machine):
 		return fmt.Errorf("%s dispatched to %s without a turn", effect.Request, effect.Machine)
 	}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -160,8 +160,8 @@
 	if r.held() {
 		return FilterHeld
 	}
-	if !m.turns.open(r.nanos) {
-		return FilterLimited
+	if cause := m.turns.closed(r.nanos); cause != "" {
+		return cause
 	}
 	taken := m.inFlight + m.reserved
 	if r.nanos < m.ceilingUntil && taken >= m.ceiling {
@@ -359,7 +359,7 @@
 // machineDue sees to it that waiting requests are tried after a back-off.
 func (r *Router) machineDue(m *machine) {
 	next := int64(0)
-	for _, at := range [...]int64{m.ceilingUntil, m.turns.from, m.turns.deniedUntil} {
+	for _, at := range [...]int64{m.ceilingUntil, m.turns.from, m.turns.deniedUntil, m.turns.restsUntil} {
 		if at > r.nanos && (next == 0 || at < next) {
 			next = at
 		}
--- a/routing/defects_test.go
+++ b/routing/defects_test.go
@@ -49,6 +49,7 @@
 		{"started after the first byte", []logged{status, runs, {event: FirstByteSent{Request: "a"}}, {event: ended(verdict.NotRun), effects: []Effect{dispatch(2)}}}, "after its first byte"},
 		{"leaving machine", []logged{status, {event: MachineLeaving{Machine: "m1"}}, runs}, "which leaves"},
 		{"machine with a limit", []logged{status, {event: MachineHeard{Machine: "m1", Notice: Notice{Limited: true, PerSecond: 1}}}, runs}, "without a turn"},
+		{"machine that wants rest", []logged{status, {event: MachineHeard{Machine: "m1", Notice: Notice{Rest: time.Second}}}, runs}, "wants rest"},
 		{"unlisted machine", []logged{runs}, "no newest status lists"},
 		{"held past its deadline", []logged{{event: arrives}, {after: 5 * time.Second, event: Tick{}}}, "held at its deadline"},
 		{"held past its queue time", []logged{{event: RequestArrived{Request: Request{ID: "a", Model: "chat"}}}, {after: 11 * time.Second, event: Tick{}}}, "waits for"},
--- a/routing/events.go
+++ b/routing/events.go
@@ -344,6 +344,7 @@
 	FilterVersion  FilterCause = "other version"
 	FilterUnlisted FilterCause = "not in the cell's status"
 	FilterLimited  FilterCause = "no turn at a machine with a limit"
+	FilterResting  FilterCause = "machine wants rest"
 	FilterHeld     FilterCause = "this node stood still and reads the machine list first"
 )
 
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -67,9 +67,11 @@
 	r.sendPlaced(placed, target, event)
 }
 
-// inTurn reports whether an attempt that was kept may be sent as far as its machine's limit goes.
+// inTurn reports whether an attempt that was kept may be sent as far as its machine's own word
+// goes.
 func (r *Router) inTurn(placed *request) bool {
-	return !placed.machine.turns.limited || r.nanos <= placed.sendBy
+	t := &placed.machine.turns
+	return r.nanos >= t.restsUntil && (!t.limited || r.nanos <= placed.sendBy)
 }
 
 // sendPlaced dispatches an attempt that was kept to its machine.
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -8,8 +8,11 @@
 	"github.com/valveslip/valveslip/verdict"
 )
 
-// settingMachineLimit names the limits of machines in explanations.
-const settingMachineLimit = "limit of machines"
+// settingMachineLimit and settingMachineRest name what machines said of themselves in explanations.
+const (
+	settingMachineLimit = "limit of machines"
+	settingMachineRest  = "rest of machines"
+)
 
 // limitChange is the part by which a limit must change for other routers to be told.
 const limitChange = 0.1
@@ -80,6 +83,14 @@
 	Request cluster.RequestID
 }
 
+// MachineRestFound tells that a machine wants nothing from this router for a time.
+type MachineRestFound struct {
+	Machine cluster.MachineID
+	Request cluster.RequestID
+	Rest    time.Duration
+}
+
+func (MachineRestFound) routingEffect()    {}
 func (MachineHeard) routingEvent()         {}
 func (MachineLimitTold) routingEvent()     {}
 func (TurnDecided) routingEvent()          {}
@@ -101,13 +112,24 @@
 	from, until int64
 	// deniedUntil is until when no other turn is asked for.
 	deniedUntil int64
+	// restsUntil is until when the machine wants nothing from this router, limit or not.
+	restsUntil int64
 }
 
-// open reports whether a request may be sent now as far as the limit goes.
-func (t *turns) open(nanos int64) bool {
-	return !t.limited || t.from <= nanos && nanos < t.until
+// closed returns why no request may be sent now by the machine's own word, or empty.
+func (t *turns) closed(nanos int64) FilterCause {
+	switch {
+	case nanos < t.restsUntil:
+		return FilterResting
+	case t.limited && (nanos < t.from || nanos >= t.until):
+		return FilterLimited
+	}
+	return ""
 }
 
+// open reports whether a request may be sent now as far as the machine's own word goes.
+func (t *turns) open(nanos int64) bool { return t.closed(nanos) == "" }
+
 // take uses the turn, and returns until when the request must be sent; zero for any time.
 func (t *turns) take() int64 {
 	if !t.limited {
@@ -129,6 +151,8 @@
 // opensAt is when the machine takes requests again as far as that is known.
 func (t *turns) opensAt(nanos int64) int64 {
 	switch {
+	case nanos < t.restsUntil:
+		return t.restsUntil
 	case t.open(nanos) || t.asked:
 		return nanos
 	case nanos < t.from:
@@ -152,7 +176,13 @@
 		r.leavingHeard(event)
 	}
 	m := r.machines[event.Machine]
-	if m == nil || !event.Notice.Limited && !event.Whole {
+	if m == nil {
+		return
+	}
+	if event.Notice.Rest > 0 {
+		r.rest(m, event)
+	}
+	if !event.Notice.Limited && !event.Whole {
 		return
 	}
 	t := &m.turns
@@ -191,17 +221,29 @@
 // setLimit puts a limit in force, or ends it.
 func (r *Router) setLimit(m *machine, notice Notice) {
 	if m.turns.limited && !notice.Limited {
-		m.turns = turns{}
+		m.turns = turns{restsUntil: m.turns.restsUntil}
 		r.freed = append(r.freed, m)
 		return
 	}
 	m.turns.limited, m.turns.perSecond, m.turns.heardAt = notice.Limited, notice.PerSecond, r.nanos
 }
 
+// rest leaves a machine alone that turned a request away, until the latest time that it asked for.
+func (r *Router) rest(m *machine, event *MachineHeard) {
+	until := r.nanos + int64(event.Notice.Rest)
+	if until <= m.turns.restsUntil {
+		return
+	}
+	m.turns.restsUntil = until
+	r.wake(m, until)
+	r.emit(MachineRestFound{Machine: m.id, Request: event.Request, Rest: event.Notice.Rest})
+	r.refuseClosed(m)
+}
+
 // wantTurn asks for a turn at a machine, unless one is there, on its way or not to be had yet.
 func (r *Router) wantTurn(m *machine) {
 	t := &m.turns
-	if t.asked || r.nanos < t.from || r.nanos < t.until || r.nanos < t.deniedUntil {
+	if t.asked || r.nanos < t.restsUntil || r.nanos < t.from || r.nanos < t.until || r.nanos < t.deniedUntil {
 		return
 	}
 	t.asked = true
@@ -244,6 +286,18 @@
 	}
 }
 
+// bindingNotice names what keeps the model's machines from taking requests.
+func (r *Router) bindingNotice(m *model) string {
+	for _, tier := range m.tiers {
+		for _, replica := range tier {
+			if replica.machine.turns.closed(r.nanos) == FilterResting {
+				return settingMachineRest
+			}
+		}
+	}
+	return settingMachineLimit
+}
+
 // closedUntil is until when all machines that hold the model are known to take no requests;
 // zero where one takes some or may any moment.
 func (r *Router) closedUntil(m *model) int64 {
@@ -283,5 +337,5 @@
 	failure := verdict.New(verdict.NotRun, verdict.CodeDeadlineUnmeetable,
 		"the machines that hold the model take no requests for %s, the request can wait %s",
 		wait.Round(time.Millisecond), left.Round(time.Millisecond))
-	return failure.After(max(r.bounded(wait), r.comeBack(model))), model.explain(settingMachineLimit, left.Seconds(), wait.Seconds())
+	return failure.After(max(r.bounded(wait), r.comeBack(model))), model.explain(r.bindingNotice(model), left.Seconds(), wait.Seconds())
 }
--- a/routing/turns_test.go
+++ b/routing/turns_test.go
@@ -124,6 +124,40 @@
 	f.expect(f.status(false, loaded("m2", 4)), "dispatch a/2 to m2; ")
 }
 
+// rests has machine m1 say that it wants nothing for a time.
+func (f *fixture) rests(length time.Duration) []Effect {
+	return f.step(MachineHeard{Machine: "m1", Request: "z", Notice: Notice{Rest: length}})
+}
+
+// TestMachineGetsTheRestThatItWants guards against requests, new ones, retries and those that are
+// kept for their time, that are sent to a machine which wants rest; the latest end counts.
+func TestMachineGetsTheRestThatItWants(t *testing.T) {
+	f := newPlacedFixture(t)
+	f.status(true, loaded("m1", 4))
+	f.arrive("a", repeatable)
+	f.rests(3 * time.Second)
+	f.rests(time.Second)
+	f.expect(f.placed("m1", 1, 0), "")
+	f.expect(f.arrive("b"), "")
+	f.expect(f.pass(2999*time.Millisecond), "")
+	f.expect(f.pass(time.Millisecond), "dispatch a/2 to m1; dispatch b/1 to m1; ")
+}
+
+// TestCallersAreToldOfTheRest guards against callers that are kept until they leave while all
+// machines want rest, or told to come back before it is over.
+func TestCallersAreToldOfTheRest(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.status(true, loaded("m1", 4))
+	f.step(MachineHeard{Machine: "m1", Notice: Notice{Limited: true, PerSecond: 1}})
+	f.arrive("a", within(2*time.Second))
+	failure := finished(t, f.rests(3*time.Second)).Failure
+	if failure.Verdict != verdict.NotRun || failure.RetryAfter < 3*time.Second {
+		t.Errorf("ended by %v, to come back after %s", failure, failure.RetryAfter)
+	}
+	f.status(false, loaded("m2", 4))
+	f.expect(f.arrive("b", within(time.Second)), "dispatch b/1 to m2; ")
+}
+
 // TestOtherRoutersAreToldOnce guards against a limit of which only one router knows, and against
 // one that each answer spreads anew.
 func TestOtherRoutersAreToldOnce(t *testing.T) {
