Have workers of the soak say in their answers alone that they leave, and judge what they get

In the soak a leaving worker said so in its entry alone. Workers now say it in their answers, some of them 5 to 9 s before their entries do; what runs there that a client sent later than the bound after its node had passed on such an answer is a breach. A planted history is found.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -87,6 +87,8 @@
 		slot.restart(f.For)
 	case plan.WorkerDrain:
 		slot.drain(f.For)
+	case plan.WorkerLeave:
+		slot.leave(f.For)
 	case plan.WorkerLimit:
 		slot.limit(float64(f.Rate), f.For)
 	case plan.WorkerLateOrders:
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -139,11 +139,13 @@
 
 // History is all that a run showed.
 type History struct {
-	Bounds       Bounds
-	Requests     []Request
-	Runs         []Run
-	Orders       []Order
-	Leavings     []Leaving
+	Bounds   Bounds
+	Requests []Request
+	Runs     []Run
+	Orders   []Order
+	Leavings []Leaving
+	// Words are the workers whose answers say from a time on that they leave.
+	Words        []Leaving
 	Needs        []Need
 	Versions     []Version
 	Taken        []TakenKey
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -34,6 +34,7 @@
 	PromiseMemory        Promise = "no worker's memory is overfilled"
 	PromiseLoads         Promise = "loads keep within the weight store's limit"
 	PromiseLeaving       Promise = "leaving workers get no work after the bound"
+	PromiseWord          Promise = "a worker whose answer said that it leaves gets nothing more from that node"
 	PromiseConfiguration Promise = "a configuration is in force in time"
 	PromiseForward       Promise = "a configuration never goes back"
 	PromiseStop          Promise = "planned stops cut nothing that was read"
@@ -113,6 +114,7 @@
 	{PromiseMemory, memoryKept, leastOfFew, nil},
 	{PromiseLoads, loadsKept, leastOfFew, nil},
 	{PromiseLeaving, leftAlone, leastOfSome, (*History).anyLeft},
+	{PromiseWord, wordsKept, leastOfFew, (*History).anyWordTold},
 	{PromiseConfiguration, configuredInTime, leastOfSome, nil},
 	{PromiseForward, neverBack, leastOfMany, nil},
 	{PromiseStop, nothingCut, leastOfFew, (*History).stopsInPeace},
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -40,6 +40,7 @@
 		},
 		Engines:  1,
 		Leavings: []Leaving{{Worker: "w2", At: 10 * time.Second}},
+		Words:    []Leaving{{Worker: "going", At: 5 * time.Second}},
 		Versions: []Version{{Number: 1, Plain: "plain"}, {Number: 2, From: 4900 * time.Millisecond, At: 5 * time.Second, Plain: "plain"}},
 		Services: map[string]string{"w1": "plain", "w2": "plain", "behind-a-link": "plain"},
 		Taken:    []TakenKey{{Key: "old", At: 5 * time.Second}},
@@ -93,6 +94,10 @@
 		h.Requests = append(h.Requests, needed)
 		h.Runs = append(h.Runs, ran(needed.ID, "needy", needed.Sent))
 	}
+	goodbye := served("goodbye", RouteRead, 6*time.Second)
+	goodbye.Node, goodbye.Stamp, goodbye.Body = 1, worker.Stamp("going"), worker.AnswerText("goodbye", "going")
+	h.Requests = append(h.Requests, goodbye)
+	h.Runs = append(h.Runs, ran(goodbye.ID, "going", goodbye.Sent))
 	popular := served(PopularPrefix+"0", RouteRead, 4*time.Second+acquittedWithin)
 	popular.Node = 1
 	h.Requests = append(h.Requests, popular)
@@ -228,6 +233,12 @@
 		h.Requests = append(h.Requests, request)
 		h.Runs = append(h.Runs, ran("late", "w2", 18*time.Second))
 	}},
+	{PromiseWord, "a node that doesn't hear what answers say", func(h *History) {
+		unheard := served("unheard", RouteRead, 12*time.Second)
+		unheard.Node = 1
+		h.Requests = append(h.Requests, unheard)
+		h.Runs = append(h.Runs, ran("unheard", "going", 12*time.Second))
+	}},
 	{PromiseConfiguration, "a version that is not in force", func(h *History) { h.Probes[len(h.Probes)-1].InForce = false }},
 	{PromiseForward, "a version that comes back", func(h *History) {
 		h.Probes = append(h.Probes, Probe{Node: 1, Life: 1, Version: 2, Sent: 18 * time.Second, Ended: 19 * time.Second})
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -41,8 +41,8 @@
 			r.gatherLife(h, &over)
 		}
 		seen = *h
-		// All else is only added to, disturbances also end.
-		seen.Disturbances = slices.Clone(h.Disturbances)
+		// All else is only added to, disturbances and limits also end.
+		seen.Disturbances, seen.Needs = slices.Clone(h.Disturbances), slices.Clone(h.Needs)
 	})
 	return &seen
 }
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -66,6 +66,7 @@
 		// workers say of themselves.
 		schedule.Faults = append(schedule.Faults, drawRestarts(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawLimits(seed, size)...)
+		schedule.Faults = append(schedule.Faults, drawLeaves(seed, size)...)
 	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
@@ -141,6 +142,26 @@
 	return faults
 }
 
+// How leaves are drawn that the entry tells late: leaveGap is the mean time between two,
+// shortestLeave and longestLeave bound by how much.
+const (
+	leaveGap      = 12 * time.Second
+	shortestLeave = 5 * time.Second
+	longestLeave  = 9 * time.Second
+)
+
+// drawLeaves draws workers whose answers say that they leave long before their entries do.
+func drawLeaves(seed uint64, size Size) []Fault {
+	d := &drawer{random: rand.New(rand.NewPCG(seed, 1)), size: size}
+	var faults []Fault
+	for at := firstAt; at < size.Span; at += d.gap(leaveGap) {
+		fault := d.fault(WorkerLeave, at)
+		fault.Targets, fault.For = fault.Targets[:1], d.between(shortestLeave, longestLeave)
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
 // stopTime is how long a planned stop may take, with what is given beyond its grace time.
 const stopTime = 11 * time.Second
 
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -71,6 +71,8 @@
 	WorkerLateOrders Kind = "worker-late-orders"
 	// WorkerRestart ends a worker, which comes back under its id and remembers nothing.
 	WorkerRestart Kind = "worker-restart"
+	// WorkerLeave has a worker say in its answers alone that it leaves, and in its entry later.
+	WorkerLeave Kind = "worker-leave"
 	// WorkerLimit has a worker name a limit of Rate requests a second in its answers.
 	WorkerLimit Kind = "worker-limit"
 )
@@ -152,6 +154,7 @@
 	{ProcessRollBack, kindOf{onNodes, 0, true}},
 	{WorkerRestart, kindOf{onWorkers, 0, true}},
 	{WorkerLimit, kindOf{onWorkers, 0, true}},
+	{WorkerLeave, kindOf{onWorkers, 0, true}},
 }
 
 // describe returns what is known of a kind.
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -285,13 +285,29 @@
 	})
 }
 
+// leave has the worker say in its answers that it leaves, and in its entry after a while.
+func (s *workerSlot) leave(length time.Duration) {
+	name, leaving, _, _ := s.present()
+	leaving.Leave()
+	at := s.recorder.now()
+	s.recorder.record(func(h *check.History) { h.Words = append(h.Words, check.Leaving{Worker: name, At: at}) })
+	s.later(length, func() {
+		if _, present, _, _ := s.present(); present == leaving {
+			s.drain(quietDrain)
+		}
+	})
+}
+
 // drain has the worker say that it leaves; it goes on serving what it has, and
 // another one comes at another address.
 func (s *workerSlot) drain(length time.Duration) {
 	id, leaving, _, _ := s.present()
 	leaving.Drain()
 	at := s.recorder.now()
-	s.recorder.record(func(h *check.History) { h.Leavings = append(h.Leavings, check.Leaving{Worker: id, At: at}) })
+	s.recorder.record(func(h *check.History) {
+		h.Leavings = append(h.Leavings, check.Leaving{Worker: id, At: at})
+		h.Words = append(h.Words, check.Leaving{Worker: id, At: at})
+	})
 	s.later(length, func() { s.replace(leaving, nil) })
 }
 
