Have workers of the soak ask for rest, and judge what they get

The soak's workers refused now and then and asked for nothing. Some now turn all requests away for a while and ask for 1.5 to 4 s of rest; more than two requests of a node within a rest, from half a second after it was asked for, are a breach. A planted history is found.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -89,6 +89,8 @@
 		slot.drain(f.For)
 	case plan.WorkerLeave:
 		slot.leave(f.For)
+	case plan.WorkerShed:
+		slot.shed(f.Delay, f.For)
 	case plan.WorkerLimit:
 		slot.limit(float64(f.Rate), f.For)
 	case plan.WorkerLateOrders:
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -40,6 +40,12 @@
 	At                    time.Duration
 }
 
+// Turned is one request that a worker turned away, asking its node for rest.
+type Turned struct {
+	Request, Worker string
+	Rest, At        time.Duration
+}
+
 // Order is one order that a worker took.
 type Order struct {
 	Worker, Holder string
@@ -142,6 +148,7 @@
 	Bounds   Bounds
 	Requests []Request
 	Runs     []Run
+	Turned   []Turned
 	Orders   []Order
 	Leavings []Leaving
 	// Words are the workers whose answers say from a time on that they leave.
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -35,6 +35,7 @@
 	PromiseLoads         Promise = "loads keep within the weight store's limit"
 	PromiseLeaving       Promise = "leaving workers get no work after the bound"
 	PromiseWord          Promise = "a worker whose answer said that it leaves gets nothing more from that node"
+	PromiseRest          Promise = "a worker that asked a node for rest gets it"
 	PromiseConfiguration Promise = "a configuration is in force in time"
 	PromiseForward       Promise = "a configuration never goes back"
 	PromiseStop          Promise = "planned stops cut nothing that was read"
@@ -115,6 +116,7 @@
 	{PromiseLoads, loadsKept, leastOfFew, nil},
 	{PromiseLeaving, leftAlone, leastOfSome, (*History).anyLeft},
 	{PromiseWord, wordsKept, leastOfFew, (*History).anyWordTold},
+	{PromiseRest, restsKept, leastOfFew, (*History).anyTurned},
 	{PromiseConfiguration, configuredInTime, leastOfSome, nil},
 	{PromiseForward, neverBack, leastOfMany, nil},
 	{PromiseStop, nothingCut, leastOfFew, (*History).stopsInPeace},
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -98,6 +98,14 @@
 	goodbye.Node, goodbye.Stamp, goodbye.Body = 1, worker.Stamp("going"), worker.AnswerText("goodbye", "going")
 	h.Requests = append(h.Requests, goodbye)
 	h.Runs = append(h.Runs, ran(goodbye.ID, "going", goodbye.Sent))
+	for n := range 3 {
+		// Half a second after the first the worker's rest begins.
+		turned := Request{ID: fmt.Sprintf("turned-%d", n), Node: 1, Route: RouteRead, Deadline: time.Second, Status: http.StatusServiceUnavailable}
+		turned.Sent = 6*time.Second + time.Duration(n)*200*time.Millisecond
+		turned.Ended = turned.Sent
+		h.Requests = append(h.Requests, turned)
+		h.Turned = append(h.Turned, Turned{Request: turned.ID, Worker: "shedding", Rest: 3 * time.Second, At: turned.Sent})
+	}
 	popular := served(PopularPrefix+"0", RouteRead, 4*time.Second+acquittedWithin)
 	popular.Node = 1
 	h.Requests = append(h.Requests, popular)
@@ -239,6 +247,13 @@
 		h.Requests = append(h.Requests, unheard)
 		h.Runs = append(h.Runs, ran("unheard", "going", 12*time.Second))
 	}},
+	{PromiseRest, "a node that goes by a back-off of its own", func(h *History) {
+		for n := range 3 {
+			again := Request{ID: fmt.Sprintf("again-%d", n), Node: 1, Route: RouteRead, Sent: 8 * time.Second, Ended: 8 * time.Second, Status: http.StatusServiceUnavailable}
+			h.Requests = append(h.Requests, again)
+			h.Turned = append(h.Turned, Turned{Request: again.ID, Worker: "shedding", Rest: 3 * time.Second, At: again.Sent})
+		}
+	}},
 	{PromiseConfiguration, "a version that is not in force", func(h *History) { h.Probes[len(h.Probes)-1].InForce = false }},
 	{PromiseForward, "a version that comes back", func(h *History) {
 		h.Probes = append(h.Probes, Probe{Node: 1, Life: 1, Version: 2, Sent: 18 * time.Second, Ended: 19 * time.Second})
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -64,6 +64,9 @@
 	for _, ran := range over.worker.Runs() {
 		h.Runs = append(h.Runs, check.Run{Request: ran.RequestID, Worker: over.id, Body: ran.Body, At: r.recorder.at(ran.At)})
 	}
+	for _, turned := range over.worker.Turned() {
+		h.Turned = append(h.Turned, check.Turned{Request: turned.RequestID, Worker: over.id, Rest: turned.Rest, At: r.recorder.at(turned.At)})
+	}
 	for _, taken := range over.worker.TakenOrders() {
 		h.Orders = append(h.Orders, check.Order{
 			Worker: over.id, Holder: taken.Holder, Fence: taken.Fence, At: r.recorder.at(taken.At),
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -67,6 +67,7 @@
 		schedule.Faults = append(schedule.Faults, drawRestarts(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawLimits(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawLeaves(seed, size)...)
+		schedule.Faults = append(schedule.Faults, drawSheds(seed, size)...)
 	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
@@ -162,6 +163,26 @@
 	return faults
 }
 
+// How workers are drawn that turn requests away: shedGap is the mean time between two, shortestRest
+// and longestRest bound the rest that they ask for.
+const (
+	shedGap      = 10 * time.Second
+	shortestRest = 1500 * time.Millisecond
+	longestRest  = 4 * time.Second
+)
+
+// drawSheds draws workers that turn all requests away and ask for rest.
+func drawSheds(seed uint64, size Size) []Fault {
+	d := &drawer{random: rand.New(rand.NewPCG(seed, 2)), size: size}
+	var faults []Fault
+	for at := firstAt; at < size.Span; at += d.gap(shedGap) {
+		fault := d.fault(WorkerShed, at)
+		fault.Delay = d.between(shortestRest, longestRest)
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
 // stopTime is how long a planned stop may take, with what is given beyond its grace time.
 const stopTime = 11 * time.Second
 
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -73,6 +73,8 @@
 	WorkerRestart Kind = "worker-restart"
 	// WorkerLeave has a worker say in its answers alone that it leaves, and in its entry later.
 	WorkerLeave Kind = "worker-leave"
+	// WorkerShed has a worker turn all requests away and ask for Delay of rest.
+	WorkerShed Kind = "worker-shed"
 	// WorkerLimit has a worker name a limit of Rate requests a second in its answers.
 	WorkerLimit Kind = "worker-limit"
 )
@@ -155,6 +157,7 @@
 	{WorkerRestart, kindOf{onWorkers, 0, true}},
 	{WorkerLimit, kindOf{onWorkers, 0, true}},
 	{WorkerLeave, kindOf{onWorkers, 0, true}},
+	{WorkerShed, kindOf{onWorkers, 0, true}},
 }
 
 // describe returns what is known of a kind.
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -22,7 +22,7 @@
 	For time.Duration `yaml:"for,omitempty" json:"for,omitempty"`
 	// Rate of CallerBurst, in calls a second, and of WorkerLimit, in requests a second.
 	Rate int `yaml:"rate,omitempty" json:"rate,omitempty"`
-	// Delay of LinkDelay, StoreSlow and WorkerLateOrders.
+	// Delay of LinkDelay, StoreSlow and WorkerLateOrders, and the rest that WorkerShed asks for.
 	Delay time.Duration `yaml:"delay,omitempty" json:"delay,omitempty"`
 }
 
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -43,6 +43,8 @@
 type behaviours struct {
 	mu    sync.Mutex
 	every worker.Behaviour
+	// sheds is until when all requests are turned away.
+	sheds time.Time
 	count atomic.Uint64
 }
 
@@ -56,10 +58,20 @@
 	b.every = behaviour
 }
 
+// shed has all requests turned away until a time.
+func (b *behaviours) shed(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sheds = until
+}
+
 // choose has every second request misbehave.
 func (b *behaviours) choose(*http.Request) worker.Behaviour {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if time.Now().Before(b.sheds) {
+		return worker.Shed
+	}
 	if b.every == worker.Serve || b.count.Add(1)%strikeEvery != 0 {
 		return worker.Serve
 	}
@@ -285,6 +297,14 @@
 	})
 }
 
+// shed has the worker turn all requests away for a while and ask for rest. Its nodes are told, so
+// that it puts nothing out of order.
+func (s *workerSlot) shed(rest, length time.Duration) {
+	_, needy, _, conduct := s.present()
+	needy.SetRest(rest)
+	conduct.shed(time.Now().Add(length))
+}
+
 // leave has the worker say in its answers that it leaves, and in its entry after a while.
 func (s *workerSlot) leave(length time.Duration) {
 	name, leaving, _, _ := s.present()
