Excuse what many ask for right after each end beside which it ran

The check counted the time to be cleared from the third end alone; it now counts it from every end, and is as strict after it.

--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -316,6 +316,24 @@
 	}
 }
 
+// TestBystanderOfALaterEndIsExcusedForItsTime guards against a judge that finds a breach in what is
+// refused right after a fourth worker ended beside it, and against one that excuses it for long.
+func TestBystanderOfALaterEndIsExcusedForItsTime(t *testing.T) {
+	for after, breaches := range map[time.Duration]int{time.Second: 0, acquittedWithin: 1} {
+		h := sound()
+		end := 30 * time.Second
+		h.Requests = append(h.Requests, Request{ID: PoisonPrefix + "later", Node: 1, Route: RouteWrite, Sent: end, Ended: end})
+		h.Runs = append(h.Runs, ran(PoisonPrefix+"later", "ended-later", end))
+		h.Requests = append(h.Requests, Request{
+			ID: PopularPrefix + "later", Node: 1, Route: RouteRead, Status: http.StatusServiceUnavailable, Body: `{"code":"poison_request"}`,
+			Sent: end + after, Ended: end + after,
+		})
+		if finding := find(Judge(h), PromiseBystanders); len(finding.Breaches) != breaches {
+			t.Errorf("%s after the end: %d breaches, want %d", after, len(finding.Breaches), breaches)
+		}
+	}
+}
+
 // TestDisturbedNodesAreNotJudgedByTime: what a disturbance explains is no breach.
 func TestDisturbedNodesAreNotJudgedByTime(t *testing.T) {
 	for _, scope := range []Scope{ScopeProcess, ScopeCaller} {
--- a/soak/check/poison.go
+++ b/soak/check/poison.go
@@ -85,15 +85,19 @@
 	return 0, false
 }
 
-// bystandersTaken: what many ask for is not refused for long as if it were harmful. Other
-// requests come once, so that it would not show.
+// bystandersTaken: what many ask for is not refused for long as if it were harmful, also after
+// a later end beside which it ran. Other requests come once, so that it would not show.
 func bystandersTaken(h *History, f *Finding) {
 	third, _ := h.thirdEnd()
+	ends := h.poisonRuns()
 	for i := range h.Requests {
 		r := &h.Requests[i]
 		if !strings.HasPrefix(r.ID, PopularPrefix) || r.Sent < third+acquittedWithin || h.disturbed(r.Node, r.Sent, r.Sent, ScopeProcess, ScopeStore) || h.peersDisturbed(r.Sent, r.Sent) {
 			continue
 		}
+		if slices.ContainsFunc(ends, func(end *Run) bool { return end.At <= r.Sent && r.Sent < end.At+acquittedWithin }) {
+			continue
+		}
 		detail := ""
 		if strings.Contains(r.Body, `"poison_request"`) {
 			detail = fmt.Sprintf("node %d refused it as harmful %s after the third worker had ended", r.Node, r.Sent-third)
