Excuse a bystander only of the end beside which it ran, and not for long

It now needs that a worker ran it beside the harmful request when it ended, and lasts 5.5 s where no process of a node ended meanwhile, since it is tried again after a second; 17.5 s as before where one did.

--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -317,19 +317,27 @@
 }
 
 // TestBystanderOfALaterEndIsExcusedForItsTime guards against a judge that finds a breach in what is
-// refused right after a fourth worker ended beside it, and against one that excuses it for long.
+// refused right after a fourth worker ended beside it, and against one that excuses it for long, or
+// by the end of a worker that did not run it.
 func TestBystanderOfALaterEndIsExcusedForItsTime(t *testing.T) {
-	for after, breaches := range map[time.Duration]int{time.Second: 0, acquittedWithin: 1} {
+	for _, c := range []struct {
+		after    time.Duration
+		beside   string
+		breaches int
+	}{{time.Second, "ended-later", 0}, {poisonBound, "ended-later", 1}, {time.Second, "w1", 1}} {
 		h := sound()
 		end := 30 * time.Second
 		h.Requests = append(h.Requests, Request{ID: PoisonPrefix + "later", Node: 1, Route: RouteWrite, Sent: end, Ended: end})
 		h.Runs = append(h.Runs, ran(PoisonPrefix+"later", "ended-later", end))
-		h.Requests = append(h.Requests, Request{
+		bystander := served(PopularPrefix+"beside", RouteRead, end-50*time.Millisecond)
+		bystander.Node = 1
+		h.Requests = append(h.Requests, bystander, Request{
 			ID: PopularPrefix + "later", Node: 1, Route: RouteRead, Status: http.StatusServiceUnavailable, Body: `{"code":"poison_request"}`,
-			Sent: end + after, Ended: end + after,
+			Sent: end + c.after, Ended: end + c.after,
 		})
-		if finding := find(Judge(h), PromiseBystanders); len(finding.Breaches) != breaches {
-			t.Errorf("%s after the end: %d breaches, want %d", after, len(finding.Breaches), breaches)
+		h.Runs = append(h.Runs, ran(bystander.ID, c.beside, bystander.Sent))
+		if finding := find(Judge(h), PromiseBystanders); len(finding.Breaches) != c.breaches {
+			t.Errorf("%s after the end of %s: %d breaches, want %d", c.after, c.beside, len(finding.Breaches), c.breaches)
 		}
 	}
 }
--- a/soak/check/poison.go
+++ b/soak/check/poison.go
@@ -85,17 +85,52 @@
 	return 0, false
 }
 
+// refusal is a time in which what many ask for may be refused as harmful.
+type refusal struct{ from, to time.Duration }
+
+// bystanderRefusals follow the ends of workers that ran what many ask for beside the harmful
+// request. It is tried again after a second, later where the node that was to try it may have ended.
+func (h *History) bystanderRefusals() []refusal {
+	var refusals []refusal
+	requests := h.requestsByID()
+	for _, end := range h.poisonRuns() {
+		beside := slices.ContainsFunc(h.Runs, func(run Run) bool {
+			if run.Worker != end.Worker || !strings.HasPrefix(run.Request, PopularPrefix) {
+				return false
+			}
+			request := requests[run.Request]
+			return request != nil && request.Sent <= end.At && request.Ended >= end.At
+		})
+		if !beside {
+			continue
+		}
+		length := poisonBound
+		if h.anyProcessDisturbed(end.At, end.At+poisonBound) {
+			length = acquittedWithin
+		}
+		refusals = append(refusals, refusal{end.At, end.At + length})
+	}
+	return refusals
+}
+
+// anyProcessDisturbed reports whether the process of some node ended, began or stood still.
+func (h *History) anyProcessDisturbed(from, to time.Duration) bool {
+	return slices.ContainsFunc(h.Disturbances, func(d Disturbance) bool {
+		return d.Scope == ScopeProcess && d.From <= to && d.To >= from
+	})
+}
+
 // bystandersTaken: what many ask for is not refused for long as if it were harmful, also after
 // a later end beside which it ran. Other requests come once, so that it would not show.
 func bystandersTaken(h *History, f *Finding) {
 	third, _ := h.thirdEnd()
-	ends := h.poisonRuns()
+	allowed := h.bystanderRefusals()
 	for i := range h.Requests {
 		r := &h.Requests[i]
 		if !strings.HasPrefix(r.ID, PopularPrefix) || r.Sent < third+acquittedWithin || h.disturbed(r.Node, r.Sent, r.Sent, ScopeProcess, ScopeStore) || h.peersDisturbed(r.Sent, r.Sent) {
 			continue
 		}
-		if slices.ContainsFunc(ends, func(end *Run) bool { return end.At <= r.Sent && r.Sent < end.At+acquittedWithin }) {
+		if slices.ContainsFunc(allowed, func(a refusal) bool { return a.from <= r.Sent && r.Sent < a.to }) {
 			continue
 		}
 		detail := ""
--- a/soak/check/tested.go
+++ b/soak/check/tested.go
@@ -44,10 +44,17 @@
 }
 
 // acquittalDue reports whether what many ask for had to be taken again before the end, while
-// something was in touch.
+// something was in touch and no later end excused its refusal.
 func (h *History) acquittalDue() bool {
 	third, _ := h.thirdEnd()
-	return h.end() > third+acquittedWithin+settling && !h.disturbedThroughout(third+acquittedWithin, h.end())
+	allowed := h.bystanderRefusals()
+	for at := third + acquittedWithin; at+settling < h.end(); at += time.Second {
+		excused := slices.ContainsFunc(allowed, func(a refusal) bool { return a.from <= at && at < a.to })
+		if !excused && !h.disturbedThroughout(at, at+time.Second) {
+			return true
+		}
+	}
+	return false
 }
 
 // disturbedThroughout reports whether at no second of a time all links between nodes and the
