Have leaves step in for a silent relay in time for a bound of 2 s

Cause: the worst case adds up to more than the bound. The store hides changes for 1 s; the relay's next reading comes 0.33 s later and its update is lost; the leaf waits 600 ms and up to 88 ms for its place, and asks the store itself: 2.02 s and the call.

Change: a silence of 540 ms, a reading and a half in place of nearly two.

--- a/fleet/feed/config.go
+++ b/fleet/feed/config.go
@@ -23,12 +23,13 @@
 	leafStepShare    = 375
 )
 
-// Defaults of Config. The silences lie above two pauses between readings, and low enough
-// for the bounds above.
+// Defaults of Config. The silence lies above one reading and a half, and low enough for the bounds
+// above: a store that hides changes for a second, a reading after that whose update is lost, the
+// silence of the last of a group's leaves and its own call fit into 2 s.
 const (
 	defaultInterval      = 400 * time.Millisecond
 	defaultRelayInterval = 300 * time.Millisecond
-	defaultSilence       = 600 * time.Millisecond
+	defaultSilence       = 540 * time.Millisecond
 	defaultRelayStep     = 20 * time.Millisecond
 	defaultLeafStep      = 8 * time.Millisecond
 	defaultMinGroup      = 4
@@ -45,7 +46,7 @@
 	// Interval is the pause between two calls for changes of a node without a source,
 	// RelayInterval of one that relays. Defaults 400 and 300 ms.
 	Interval, RelayInterval time.Duration
-	// Silence of its source after which a node asks the store itself. Default 600 ms.
+	// Silence of its source after which a node asks the store itself. Default 540 ms.
 	Silence time.Duration
 	// LeafSilence is the same for a leaf where relays have a root: a relay that steps in
 	// for the root is heard before. Default a third of Within.
