--- a/routing/router.go
+++ b/routing/router.go
@@ -21,7 +21,8 @@
 //     leaves with exactly one Finish.
 //   - Every request in either state has a timer no later than its deadline; a
 //     waiting one no later than the end of its queue time.
-//   - A machine whose leaving was announced gets no Dispatch.
+//   - A machine whose leaving was announced, or that wants rest, gets no
+//     Dispatch; one with a limit gets one for each turn.
 //   - A request that is not repeatable gets another Dispatch only if every
 //     earlier attempt failed with verdict NotRun; none gets one after its
 //     first byte went to the caller.
--- a/routing/start.go
+++ b/routing/start.go
@@ -163,10 +163,10 @@
 // a load that nobody has begun may take no longer than from the copy that is nearest at hand,
 // or, where copies are not known, than the quickest one seen.
 func (r *Router) unmeetable(waiting *request, ahead int) (*verdict.Error, Explanation) {
-	if failure, reason := r.closed(waiting); failure != nil {
+	model := waiting.model
+	if failure, reason := r.closedTooLong(waiting, r.closedUntil(model)); failure != nil {
 		return failure, reason
 	}
-	model := waiting.model
 	load := cmp.Or(r.leastLoad(model), model.quickestLoad)
 	wait, known := r.expectedStart(model, ahead, load, model.turn(ahead+1, model.service))
 	last := r.startBy(waiting)
