--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"maps"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/agenda"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -74,35 +74,11 @@
 // News implements Filter: keys that begin with "beat" say nothing new.
 func (p *simulatedPeer) News(c *wire.StoreChange) bool { return c.Key[:4] != "beat" }
 
-type appointment struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type appointments []appointment
-
-func (a appointments) Len() int { return len(a) }
-func (a appointments) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].order < a[j].order
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a appointments) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *appointments) Push(x any)   { *a = append(*a, x.(appointment)) }
-func (a *appointments) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // simulation runs nodes on virtual time.
 type simulation struct {
 	rand   *rand.Rand
 	now    time.Time
-	agenda appointments
-	order  int
+	agenda agenda.Agenda
 	store  simulatedStore
 	peers  []*simulatedPeer
 	config Config
@@ -154,8 +130,7 @@
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.agenda, appointment{at: s.now.Add(d), order: s.order, run: run})
+	s.agenda.Add(s.now.Add(d), run)
 }
 
 func (s *simulation) between(low, high time.Duration) time.Duration {
@@ -164,10 +139,13 @@
 
 func (s *simulation) runFor(d time.Duration) {
 	end := s.now.Add(d)
-	for len(s.agenda) > 0 && !s.agenda[0].at.After(end) && len(s.problems) == 0 {
-		next := heap.Pop(&s.agenda).(appointment)
-		s.now = next.at
-		next.run()
+	for len(s.problems) == 0 {
+		at, run, due := s.agenda.Next(end)
+		if !due {
+			break
+		}
+		s.now = at
+		run()
 	}
 	s.now = end
 }
--- a/fleet/feed/start_test.go
+++ b/fleet/feed/start_test.go
@@ -1,13 +1,13 @@
 package feed
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/agenda"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -70,12 +70,13 @@
 // startingFleet plays the start of all nodes.
 type startingFleet struct {
 	now    time.Time
-	agenda appointments
-	order  int
-	nodes  []*startingNode
-	byAddr map[string]*startingNode
-	store  link
-	pairs  []wire.StoreChange
+	agenda agenda.Agenda
+	// revision of the last record that was written.
+	revision int64
+	nodes    []*startingNode
+	byAddr   map[string]*startingNode
+	store    link
+	pairs    []wire.StoreChange
 	// weight is how many pairs each of pairs stands for.
 	weight float64
 	// calls at the store, wholes of them read everything.
@@ -116,17 +117,13 @@
 
 func (f *startingFleet) after(d time.Duration, run func()) { f.at(f.now.Add(d), run) }
 
-func (f *startingFleet) at(at time.Time, run func()) {
-	f.order++
-	heap.Push(&f.agenda, appointment{at: at, order: f.order, run: run})
-}
+func (f *startingFleet) at(at time.Time, run func()) { f.agenda.Add(at, run) }
 
 func (f *startingFleet) runFor(d time.Duration) {
 	end := f.now.Add(d)
-	for len(f.agenda) > 0 && !f.agenda[0].at.After(end) {
-		next := heap.Pop(&f.agenda).(appointment)
-		f.now = next.at
-		next.run()
+	for at, run, due := f.agenda.Next(end); due; at, run, due = f.agenda.Next(end) {
+		f.now = at
+		run()
 	}
 	f.now = end
 }
@@ -134,7 +131,7 @@
 // begin has a node write its record and ask for everything.
 func (f *startingFleet) begin(n *startingNode) {
 	n.alive, n.recorded = f.now, f.now.Add(2*startRoundTrip)
-	n.core = New(Config{Self: n.Peer, Within: 5 * time.Second}, passAll{}, uint64(len(f.agenda)))
+	n.core = New(Config{Self: n.Peer, Within: 5 * time.Second}, passAll{}, uint64(f.agenda.Len()))
 	f.step(n, Tick{})
 }
 
@@ -227,8 +224,8 @@
 	record := f.starters[n.Zone]
 	claimed := StarterClaimed{Won: record.Revision == e.Revision}
 	if claimed.Won {
-		f.order++
-		record = StarterRead{Starter: Starter{ID: n.ID, Address: n.Address}, Revision: int64(f.order)}
+		f.revision++
+		record = StarterRead{Starter: Starter{ID: n.ID, Address: n.Address}, Revision: f.revision}
 		f.starters[n.Zone] = record
 	}
 	claimed.Starter, claimed.Revision = record.Starter, record.Revision
--- a/fleet/lending/play_test.go
+++ b/fleet/lending/play_test.go
@@ -1,7 +1,6 @@
 package lending
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/agenda"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -33,29 +33,6 @@
 	playRecord = 30 * time.Second
 )
 
-type playEvent struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type playEvents []playEvent
-
-func (a playEvents) Len() int { return len(a) }
-func (a playEvents) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].order < a[j].order
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a playEvents) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *playEvents) Push(x any)   { *a = append(*a, x.(playEvent)) }
-func (a *playEvents) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // playNode is a node and its faults.
 type playNode struct {
 	peer Peer
@@ -86,8 +63,7 @@
 type play struct {
 	rand    *rand.Rand
 	now     time.Time
-	agenda  playEvents
-	order   int
+	agenda  agenda.Agenda
 	nodes   []*playNode
 	limits  map[string]Limit
 	tenants []string
@@ -167,8 +143,7 @@
 }
 
 func (p *play) after(d time.Duration, run func()) {
-	p.order++
-	heap.Push(&p.agenda, playEvent{at: p.now.Add(d), order: p.order, run: run})
+	p.agenda.Add(p.now.Add(d), run)
 }
 
 func (p *play) between(low, high time.Duration) time.Duration {
@@ -177,10 +152,9 @@
 
 func (p *play) runFor(d time.Duration) {
 	end := p.now.Add(d)
-	for len(p.agenda) > 0 && !p.agenda[0].at.After(end) {
-		next := heap.Pop(&p.agenda).(playEvent)
-		p.now = next.at
-		next.run()
+	for at, run, due := p.agenda.Next(end); due; at, run, due = p.agenda.Next(end) {
+		p.now = at
+		run()
 	}
 	p.now = end
 }
--- a/fleet/pacing/play_test.go
+++ b/fleet/pacing/play_test.go
@@ -1,20 +1,20 @@
 package pacing
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/agenda"
 )
 
 // play has nodes on a virtual clock that all want turns at one machine all the time.
 type play struct {
 	random    *rand.Rand
 	now       time.Time
-	agenda    agenda
+	agenda    agenda.Agenda
 	counter   int
 	nodes     []*playedNode
 	perSecond float64
@@ -33,26 +33,6 @@
 	tickAt time.Time
 }
 
-type happening struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type agenda []happening
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].order < a[j].order
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 const playedMachine = cluster.MachineID("w")
 
 // newPlay starts nodes that know each other and begin to want turns at the same moment.
@@ -94,16 +74,14 @@
 }
 
 func (p *play) after(d time.Duration, run func()) {
-	p.counter++
-	heap.Push(&p.agenda, happening{at: p.now.Add(d), order: p.counter, run: run})
+	p.agenda.Add(p.now.Add(d), run)
 }
 
 func (p *play) runFor(d time.Duration) {
 	end := p.now.Add(d)
-	for len(p.agenda) > 0 && !p.agenda[0].at.After(end) {
-		next := heap.Pop(&p.agenda).(happening)
-		p.now = next.at
-		next.run()
+	for at, run, due := p.agenda.Next(end); due; at, run, due = p.agenda.Next(end) {
+		p.now = at
+		run()
 	}
 	p.now = end
 }
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	"github.com/valveslip/valveslip/authority/sequence"
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/internal/agenda"
 	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/routing"
@@ -33,33 +33,11 @@
 	{Name: "d", Bytes: 30, LoadTime: time.Second}, {Name: "e", Bytes: 60, LoadTime: 2 * time.Second},
 }
 
-// happening is one event of the simulation.
-type happening struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type agenda []happening
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].order < a[j].order
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // world simulates nodes, engines and the store on a virtual clock.
 type world struct {
-	random  *rand.Rand
-	now     time.Time
-	agenda  agenda
-	counter int
+	random *rand.Rand
+	now    time.Time
+	agenda agenda.Agenda
 
 	store     *standin.State
 	storeDown bool
@@ -138,17 +116,19 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.counter++
-	heap.Push(&w.agenda, happening{at: w.now.Add(d), order: w.counter, run: run})
+	w.agenda.Add(w.now.Add(d), run)
 }
 
 // runFor lets virtual time pass.
 func (w *world) runFor(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) && len(w.problems) == 0 {
-		next := heap.Pop(&w.agenda).(happening)
-		w.now = next.at
-		next.run()
+	for len(w.problems) == 0 {
+		at, run, due := w.agenda.Next(end)
+		if !due {
+			break
+		}
+		w.now = at
+		run()
 	}
 	w.now = end
 }
