--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -89,18 +89,25 @@
 	mostRate  = 360
 )
 
-// drawLater draws the faults of the later kinds.
-func drawLater(seed uint64, size Size) []Fault {
-	d := &drawer{random: rand.New(rand.NewPCG(seed, ^seed)), size: size}
+// drawBeside draws faults of one kind, one after the other in a mean time of gap, and changes each.
+func drawBeside(source rand.Source, size Size, kind Kind, gap time.Duration, change func(d *drawer, f *Fault)) []Fault {
+	d := &drawer{random: rand.New(source), size: size}
 	var faults []Fault
-	for at := firstAt; at < size.Span; at += d.gap(laterGap) {
-		fault := d.fault(CallerBurst, at)
-		fault.Rate = leastRate + d.random.IntN(mostRate-leastRate)
+	for at := firstAt; at < size.Span; at += d.gap(gap) {
+		fault := d.fault(kind, at)
+		change(d, &fault)
 		faults = append(faults, fault)
 	}
 	return faults
 }
 
+// drawLater draws the faults of the later kinds.
+func drawLater(seed uint64, size Size) []Fault {
+	return drawBeside(rand.NewPCG(seed, ^seed), size, CallerBurst, laterGap, func(d *drawer, f *Fault) {
+		f.Rate = leastRate + d.random.IntN(mostRate-leastRate)
+	})
+}
+
 // restartGap is the mean time between two restarts of workers, shortestAway and longestAway
 // bound for how long they are away: from before their entry lapses until after it.
 const (
@@ -111,14 +118,9 @@
 
 // drawRestarts draws workers that start again under their ids.
 func drawRestarts(seed uint64, size Size) []Fault {
-	d := &drawer{random: rand.New(rand.NewPCG(^seed, seed)), size: size}
-	var faults []Fault
-	for at := firstAt; at < size.Span; at += d.gap(restartGap) {
-		fault := d.fault(WorkerRestart, at)
-		fault.For = d.between(shortestAway, longestAway)
-		faults = append(faults, fault)
-	}
-	return faults
+	return drawBeside(rand.NewPCG(^seed, seed), size, WorkerRestart, restartGap, func(d *drawer, f *Fault) {
+		f.For = d.between(shortestAway, longestAway)
+	})
 }
 
 // How limits are drawn: limitGap is the mean time between two, shortestLimit and longestLimit
@@ -133,14 +135,9 @@
 
 // drawLimits draws workers that name a limit.
 func drawLimits(seed uint64, size Size) []Fault {
-	d := &drawer{random: rand.New(rand.NewPCG(^seed, ^seed)), size: size}
-	var faults []Fault
-	for at := firstAt; at < size.Span; at += d.gap(limitGap) {
-		fault := d.fault(WorkerLimit, at)
-		fault.For, fault.Rate = d.between(shortestLimit, longestLimit), 1+d.random.IntN(mostLimit)
-		faults = append(faults, fault)
-	}
-	return faults
+	return drawBeside(rand.NewPCG(^seed, ^seed), size, WorkerLimit, limitGap, func(d *drawer, f *Fault) {
+		f.For, f.Rate = d.between(shortestLimit, longestLimit), 1+d.random.IntN(mostLimit)
+	})
 }
 
 // How leaves are drawn that the entry tells late: leaveGap is the mean time between two,
@@ -153,14 +150,9 @@
 
 // drawLeaves draws workers whose answers say that they leave long before their entries do.
 func drawLeaves(seed uint64, size Size) []Fault {
-	d := &drawer{random: rand.New(rand.NewPCG(seed, 1)), size: size}
-	var faults []Fault
-	for at := firstAt; at < size.Span; at += d.gap(leaveGap) {
-		fault := d.fault(WorkerLeave, at)
-		fault.Targets, fault.For = fault.Targets[:1], d.between(shortestLeave, longestLeave)
-		faults = append(faults, fault)
-	}
-	return faults
+	return drawBeside(rand.NewPCG(seed, 1), size, WorkerLeave, leaveGap, func(d *drawer, f *Fault) {
+		f.Targets, f.For = f.Targets[:1], d.between(shortestLeave, longestLeave)
+	})
 }
 
 // How workers are drawn that turn requests away: shedGap is the mean time between two, shortestRest
@@ -173,14 +165,9 @@
 
 // drawSheds draws workers that turn all requests away and ask for rest.
 func drawSheds(seed uint64, size Size) []Fault {
-	d := &drawer{random: rand.New(rand.NewPCG(seed, 2)), size: size}
-	var faults []Fault
-	for at := firstAt; at < size.Span; at += d.gap(shedGap) {
-		fault := d.fault(WorkerShed, at)
-		fault.Delay = d.between(shortestRest, longestRest)
-		faults = append(faults, fault)
-	}
-	return faults
+	return drawBeside(rand.NewPCG(seed, 2), size, WorkerShed, shedGap, func(d *drawer, f *Fault) {
+		f.Delay = d.between(shortestRest, longestRest)
+	})
 }
 
 // stopTime is how long a planned stop may take, with what is given beyond its grace time.
