--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -36,7 +36,7 @@
 			m.toldAt = m.now
 		}
 		notice := routing.Notice{Limited: m.limit > 0, PerSecond: m.limit}
-		m.step(n, RoutingInput{Event: routing.MachineHeard{Machine: d.Machine, Request: d.Request, Notice: notice, Whole: d.Limited}})
+		m.step(n, RoutingInput{Event: routing.MachineHeard{Machine: d.Machine, Request: d.Request, Notice: notice, SentUnderLimit: d.Limited}})
 		m.step(n, RoutingInput{Event: routing.AttemptEnded{Request: d.Request, Attempt: d.Attempt}})
 	})
 	return true
@@ -141,7 +141,7 @@
 			if !notice.Limited {
 				notice = routing.Notice{}
 			}
-			w.step(n, RoutingInput{Event: routing.MachineHeard{Machine: d.Machine, Request: d.Request, Notice: notice, Whole: d.Limited}})
+			w.step(n, RoutingInput{Event: routing.MachineHeard{Machine: d.Machine, Request: d.Request, Notice: notice, SentUnderLimit: d.Limited}})
 			w.step(n, RoutingInput{Event: routing.AttemptEnded{Request: d.Request, Attempt: d.Attempt}})
 		})
 		return true
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -188,7 +188,7 @@
 	a.notice = marks.Notice
 	if marks.Notice != (routing.Notice{}) || own && a.decision.Limited {
 		a.Decider.Report(routing.MachineHeard{
-			Machine: a.decision.Machine, Request: a.id, Notice: marks.Notice, Whole: own && a.decision.Limited,
+			Machine: a.decision.Machine, Request: a.id, Notice: marks.Notice, SentUnderLimit: own && a.decision.Limited,
 		})
 	}
 }
--- a/routing/checker_test.go
+++ b/routing/checker_test.go
@@ -107,7 +107,7 @@
 		if event.Notice.Leaving {
 			c.leaving[event.Machine] = true
 		}
-		if event.Notice.Limited || event.Whole {
+		if event.Notice.Limited || event.SentUnderLimit {
 			c.limit(event.Machine, event.Notice.Limited)
 		}
 	case MachineLimitTold:
--- a/routing/machine_test.go
+++ b/routing/machine_test.go
@@ -181,7 +181,7 @@
 	}
 	notice.Rest = time.Duration(rapid.IntRange(-3000, 3000).Draw(t, "rest")) * time.Millisecond
 	notice.Leaving = rapid.IntRange(0, 19).Draw(t, "leaving") == 0
-	m.step(MachineHeard{Machine: machine, Notice: notice, Whole: rapid.Bool().Draw(t, "whole")})
+	m.step(MachineHeard{Machine: machine, Notice: notice, SentUnderLimit: rapid.Bool().Draw(t, "under limit")})
 }
 
 // turn answers a question for a turn.
--- a/routing/notices.go
+++ b/routing/notices.go
@@ -28,9 +28,9 @@
 	Machine cluster.MachineID
 	Request cluster.RequestID
 	Notice  Notice
-	// Whole is set when what the notice does not say no longer holds: the request was sent
-	// under what is known.
-	Whole bool
+	// SentUnderLimit is set when the request was sent while the machine's limit was known: an
+	// answer that names none ends it.
+	SentUnderLimit bool
 }
 
 // MachineLimitTold brings what another router heard of a machine's limit.
@@ -87,7 +87,7 @@
 	if event.Notice.Rest > 0 {
 		r.rest(m, event)
 	}
-	if !event.Notice.Limited && !event.Whole {
+	if !event.Notice.Limited && !event.SentUnderLimit {
 		return
 	}
 	t := &m.turns
--- a/routing/turns_test.go
+++ b/routing/turns_test.go
@@ -94,7 +94,7 @@
 	f.limited(1)
 	f.step(MachineHeard{Machine: "m1"})
 	f.expect(f.arrive("a"), "")
-	effects := f.step(MachineHeard{Machine: "m1", Whole: true})
+	effects := f.step(MachineHeard{Machine: "m1", SentUnderLimit: true})
 	f.expect(effects, "dispatch a/1 to m1; ")
 	for _, effect := range effects {
 		if found, tells := effect.(MachineLimitFound); tells && !found.Notice.Limited {
@@ -116,7 +116,7 @@
 	}
 	f.status(true, loaded("m1", 4))
 	f.expect(f.placed("m1", 1, 0), "")
-	f.expect(f.step(MachineHeard{Machine: "m1", Whole: true}), "")
+	f.expect(f.step(MachineHeard{Machine: "m1", SentUnderLimit: true}), "")
 	f.status(true, loaded("m1", 8))
 	if f.router.Waiting() != 1 {
 		t.Error("the kept attempt does not wait for another machine")
