Try a convicted request once more after a trial that said nothing

Cause, from the logs: three workers ended beside it within 1.2 s. The first of two leaves to try it again went to a node that was being stopped and did not use it; the second was used, at a worker that hung: popular-73 ran into its deadline. The third send that the users allow was kept for a tester that ended. A trial that ended a machine and one that said nothing were not told apart.

Change: the claim of a trial says how many machines had ended by then. Where none has since, and the request was not acquitted either, one more trial follows after the usual 10 s; three in all, as before. TestTestThatSaysNothingIsFollowed fails without the condition; a trial by which a machine ended, and three trials, are followed by none.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -70,9 +70,11 @@
 type PoisonStored struct {
 	Record poison.Record
 	// Tests are how often a node was let send the request once more, Tester the last one.
-	Tests    int
-	Tester   cluster.NodeID
-	Revision int64
+	// EndsBefore is how many machines had ended under the request by then.
+	Tests      int
+	Tester     cluster.NodeID
+	EndsBefore int
+	Revision   int64
 }
 
 // PoisonRead brings such records. With Full, requests that are not named have none; the
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -39,7 +39,8 @@
 	// sends are what the users allow. testSpacing leaves the node that has the first one the
 	// time to use it. A node that has ended meanwhile is waited for no longer, and one more
 	// test follows its last one: what many ask for was refused for an hour once both nodes
-	// that were to try it had been stopped.
+	// that were to try it had been stopped. So does one that follows a test by which no machine
+	// ended and none answered.
 	mostTests   = 2
 	testSpacing = 10 * time.Second
 	// poisonAskHold is for how long a node that began or stood still sends nothing after it
--- a/fleet/poison_record_test.go
+++ b/fleet/poison_record_test.go
@@ -127,3 +127,39 @@
 		}
 	}
 }
+
+// TestTestThatSaysNothingIsFollowed guards against a request that is refused for the hour of its
+// conviction since the machine that was to run its last test answered nothing, and against one more
+// test of a request by whose last one a machine ended.
+func TestTestThatSaysNothingIsFollowed(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		tests, endsBefore int
+		want              bool
+	}{
+		{"no machine ended by the last test", mostTests, 3, true},
+		{"a machine ended by it", mostTests, 2, false},
+		{"all that is allowed", mostTests + 1, 3, false},
+	} {
+		p := newPoisonPlay(7, 4, 3)
+		p.runFor(2 * time.Second)
+		stored := PoisonStored{
+			Record: poison.Record{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}},
+			Tests:  c.tests, Tester: p.nodes[1].id, EndsBefore: c.endsBefore,
+		}
+		p.write(keyvalue.Operation{Key: KeyPoison + popularContent.String(), Value: encodePoison(&stored)})
+		p.runFor(testSpacing + 2*time.Second)
+		for n := range 6 {
+			id := cluster.RequestID(fmt.Sprintf("r%d", n))
+			p.same[id] = true
+			p.step(p.nodes[0], RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+				ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: p.now.Add(2 * time.Second), Content: popularContent,
+			}}})
+			p.runFor(700 * time.Millisecond)
+		}
+		record, _ := p.nodes[0].core.router.PoisonRecord(popularContent)
+		if acquitted := !p.nodes[0].core.poison.convicts(&record); acquitted != c.want {
+			t.Errorf("%s: acquitted %v, want %v", c.name, acquitted, c.want)
+		}
+	}
+}
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -54,14 +54,19 @@
 		return
 	}
 	most, spacing := mostTests, testSpacing
-	if k.testerEnded(stored) {
+	switch {
+	case k.testerEnded(stored):
 		most, spacing = mostTests+1, 0
+	case k.saidNothing(stored):
+		most = mostTests + 1
 	}
 	if stored.Tests >= most || stored.Tests > 0 && k.core.now.Sub(stored.since) < spacing {
 		return
 	}
 	stored.claimed = k.core.now
-	claim := PoisonStored{Record: stored.Record, Tests: stored.Tests + 1, Tester: k.core.config.Self.ID}
+	claim := PoisonStored{
+		Record: stored.Record, Tests: stored.Tests + 1, Tester: k.core.config.Self.ID, EndsBefore: k.ends(content),
+	}
 	k.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&claim), Revision: stored.Revision})
 }
 
@@ -72,6 +77,18 @@
 	return stored.Tests > 0 && !lives && stored.Tester != k.core.config.Self.ID
 }
 
+// saidNothing reports whether no machine has ended under the request since its last test, which
+// did not acquit it either: its machine may have answered nothing.
+func (k *poisonKeeper) saidNothing(stored *storedPoison) bool {
+	return stored.EndsBefore > 0 && k.ends(stored.Record.Content) <= stored.EndsBefore
+}
+
+// ends is how many machines ended under a request.
+func (k *poisonKeeper) ends(content poison.Fingerprint) int {
+	record, _ := k.core.router.PoisonRecord(content)
+	return len(record.StandingEnds())
+}
+
 // written takes the outcome of a write. A record that another node wrote before counts.
 func (k *poisonKeeper) written(answered StoreWritten) {
 	content, err := poison.ParseFingerprint(strings.TrimPrefix(answered.Key, KeyPoison))
@@ -133,11 +150,12 @@
 	Cleared []cluster.MachineID `json:"cleared,omitempty"`
 	Tests   int                 `json:"tests,omitempty"`
 	Tester  cluster.NodeID      `json:"tester,omitempty"`
+	Before  int                 `json:"ends_before,omitempty"`
 }
 
 func encodePoison(stored *PoisonStored) []byte {
 	record := &stored.Record
-	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Tests: stored.Tests, Tester: stored.Tester})
+	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Tests: stored.Tests, Tester: stored.Tester, Before: stored.EndsBefore})
 	if err != nil {
 		return nil
 	}
@@ -156,6 +174,6 @@
 		return stored, eris.Wrap(err, "record of a poison request")
 	}
 	record := poison.Record{Content: content, Ends: document.Ends, Cleared: document.Cleared}
-	stored.Record, stored.Tests, stored.Tester = record.Valid(), document.Tests, document.Tester
+	stored.Record, stored.Tests, stored.Tester, stored.EndsBefore = record.Valid(), document.Tests, document.Tester, document.Before
 	return stored, nil
 }
