Leave the first two turns of a machine out

A machine that names a limit got more until then, and what it got counts in the same 4 s as the first turns. They now begin after two intervals, or 4 s if that is less: 2.7 s at a limit of 1, 67 ms at 40.

--- a/fleet/pacing/config.go
+++ b/fleet/pacing/config.go
@@ -24,6 +24,10 @@
 	askPatience = 60 * time.Millisecond
 	// silentTime is for how long a node that did not answer isn't asked.
 	silentTime = time.Second
+	// firstTurns are left out when a machine begins to be paced, for firstPause at most: it got
+	// more than its limit until then, or a predecessor granted turns just now.
+	firstTurns = 2
+	firstPause = 4 * time.Second
 	// aloneAfter is after what time without an answer of any node a node grants itself its part.
 	aloneAfter = 5 * time.Second
 	// maxPacers bounds the nodes that are asked one after the other: with three at a time, as
--- a/fleet/pacing/core.go
+++ b/fleet/pacing/core.go
@@ -28,9 +28,8 @@
 	numbers int64
 	// answeredAt is when a node answered last, or the first question was asked.
 	answeredAt time.Time
-	// paces are of the machines that this node paces for all. Theirs begins after an interval: a
-	// predecessor may have granted a turn just now. parts are of those of which it grants itself
-	// an even part, since nobody answers.
+	// paces are of the machines that this node paces for all, parts of those of which it grants
+	// itself an even part, since nobody answers.
 	paces, parts map[cluster.MachineID]*pace
 	sweptAt      time.Time
 	effects      []Effect
@@ -160,7 +159,7 @@
 func (c *Core) paceOf(machine cluster.MachineID, interval time.Duration) *pace {
 	known := c.paces[machine]
 	if known == nil {
-		known = newPace(c.now.Add(interval))
+		known = newPace(c.now.Add(untilFirst(interval)))
 		c.paces[machine] = known
 	}
 	return known
--- a/fleet/pacing/pace.go
+++ b/fleet/pacing/pace.go
@@ -14,6 +14,11 @@
 // newPace returns a pace whose first turn comes at a time.
 func newPace(first time.Time) *pace { return &pace{next: first} }
 
+// untilFirst is how long after a machine begins to be paced its first turn comes.
+func untilFirst(interval time.Duration) time.Duration {
+	return max(interval, min(firstTurns*interval, firstPause))
+}
+
 // spacing is the time between two turns at a limit.
 func spacing(perSecond float64) time.Duration {
 	return time.Duration(float64(time.Second) / (share * max(perSecond, leastRate)))
--- a/fleet/pacing/pacing_test.go
+++ b/fleet/pacing/pacing_test.go
@@ -118,6 +118,19 @@
 	}
 }
 
+// TestFirstTurnsAreLeftOut guards against turns that come on top of what the machine got before its
+// limit was known, and against a long pause of a machine that takes much.
+func TestFirstTurnsAreLeftOut(t *testing.T) {
+	for perSecond, want := range map[float64]time.Duration{0.2: 6666 * time.Millisecond, 1: 2666 * time.Millisecond, 40: 66 * time.Millisecond} {
+		p := newPlay(1, 9, perSecond)
+		began := p.now
+		p.runFor(20 * time.Second)
+		if first := p.turns[0].Sub(began); first < want || first > want+100*time.Millisecond {
+			t.Errorf("limit %g: the first turn comes after %s, want %s", perSecond, first, want)
+		}
+	}
+}
+
 // TestLateAnswersAreNoTurns guards against turns that come long after they were asked for.
 func TestLateAnswersAreNoTurns(t *testing.T) {
 	p := newPlay(1, 9, 1)
