--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -62,8 +62,8 @@
 	At     time.Duration
 }
 
-// Need is a time in which a worker named a limit in all its answers.
-type Need struct {
+// WorkerLimit is a time in which a worker named a limit in all its answers.
+type WorkerLimit struct {
 	Worker string
 	// PerSecond requests are what it takes of all nodes together.
 	PerSecond float64
@@ -151,17 +151,17 @@
 	Turned   []Turned
 	Orders   []Order
 	Leavings []Leaving
-	// Words are the workers whose answers say from a time on that they leave.
-	Words        []Leaving
-	Needs        []Need
-	Versions     []Version
-	Taken        []TakenKey
-	Probes       []Probe
-	Stops        []Stop
-	Closings     []Closing
-	Exits        []Exit
-	Recoveries   []Recovery
-	Disturbances []Disturbance
+	// LeavingAnswers are the workers whose answers say from a time on that they leave.
+	LeavingAnswers []Leaving
+	WorkerLimits   []WorkerLimit
+	Versions       []Version
+	Taken          []TakenKey
+	Probes         []Probe
+	Stops          []Stop
+	Closings       []Closing
+	Exits          []Exit
+	Recoveries     []Recovery
+	Disturbances   []Disturbance
 	// Engines counts the workers that take orders.
 	Engines int
 	// Services names the service of each worker.
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -34,7 +34,7 @@
 	PromiseMemory        Promise = "no worker's memory is overfilled"
 	PromiseLoads         Promise = "loads keep within the weight store's limit"
 	PromiseLeaving       Promise = "leaving workers get no work after the bound"
-	PromiseWord          Promise = "a worker whose answer said that it leaves gets nothing more from that node"
+	PromiseLeavingAnswer Promise = "a worker whose answer said that it leaves gets nothing more from that node"
 	PromiseRest          Promise = "a worker that asked a node for rest gets it"
 	PromiseConfiguration Promise = "a configuration is in force in time"
 	PromiseForward       Promise = "a configuration never goes back"
@@ -48,7 +48,7 @@
 	PromiseBystanders    Promise = "what many ask for is not refused for long as harmful"
 	PromiseKeys          Promise = "nothing runs under a key that was taken away for longer than the bound"
 	PromiseLimit         Promise = "a tenant that floods gets no more than its limit over all nodes"
-	PromiseNeed          Promise = "a worker that names a limit gets no more of all nodes"
+	PromiseWorkerLimit   Promise = "a worker that names a limit gets no more of all nodes"
 )
 
 // Breach is a promise found broken.
@@ -115,7 +115,7 @@
 	{PromiseMemory, memoryKept, leastOfFew, nil},
 	{PromiseLoads, loadsKept, leastOfFew, nil},
 	{PromiseLeaving, leftAlone, leastOfSome, (*History).anyLeft},
-	{PromiseWord, wordsKept, leastOfFew, (*History).anyWordTold},
+	{PromiseLeavingAnswer, leavingAnswersKept, leastOfFew, (*History).anyLeavingTold},
 	{PromiseRest, restsKept, leastOfFew, (*History).anyTurned},
 	{PromiseConfiguration, configuredInTime, leastOfSome, nil},
 	{PromiseForward, neverBack, leastOfMany, nil},
@@ -129,7 +129,7 @@
 	{PromiseBystanders, bystandersTaken, leastOfFew, (*History).acquittalDue},
 	{PromiseKeys, keysTaken, leastOfFew, (*History).keyed},
 	{PromiseLimit, limitKept, leastOfSome, (*History).keyed},
-	{PromiseNeed, needsKept, leastOfFew, (*History).anyNeed},
+	{PromiseWorkerLimit, workerLimitsKept, leastOfFew, (*History).anyWorkerLimit},
 }
 
 // Judge runs every check.
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -38,14 +38,14 @@
 			LoadsPerWindow: 3, LoadWindow: 5 * time.Second, StreamEvents: testEvents, Keys: 5 * time.Second,
 			Limit: Limit{Rate: 1, Burst: 1, Slack: 1, Window: 8 * time.Second},
 		},
-		Engines:  1,
-		Leavings: []Leaving{{Worker: "w2", At: 10 * time.Second}},
-		Words:    []Leaving{{Worker: "going", At: 5 * time.Second}},
-		Versions: []Version{{Number: 1, Plain: "plain"}, {Number: 2, From: 4900 * time.Millisecond, At: 5 * time.Second, Plain: "plain"}},
-		Services: map[string]string{"w1": "plain", "w2": "plain", "behind-a-link": "plain"},
-		Taken:    []TakenKey{{Key: "old", At: 5 * time.Second}},
-		Stops:    []Stop{{Node: 0, At: 20 * time.Second, Ended: 25 * time.Second}},
-		Closings: []Closing{{Node: 0, At: 25 * time.Second}, {Node: 1, At: 22 * time.Second}},
+		Engines:        1,
+		Leavings:       []Leaving{{Worker: "w2", At: 10 * time.Second}},
+		LeavingAnswers: []Leaving{{Worker: "going", At: 5 * time.Second}},
+		Versions:       []Version{{Number: 1, Plain: "plain"}, {Number: 2, From: 4900 * time.Millisecond, At: 5 * time.Second, Plain: "plain"}},
+		Services:       map[string]string{"w1": "plain", "w2": "plain", "behind-a-link": "plain"},
+		Taken:          []TakenKey{{Key: "old", At: 5 * time.Second}},
+		Stops:          []Stop{{Node: 0, At: 20 * time.Second, Ended: 25 * time.Second}},
+		Closings:       []Closing{{Node: 0, At: 25 * time.Second}, {Node: 1, At: 22 * time.Second}},
 		Disturbances: []Disturbance{
 			{Node: 0, Scope: ScopeProcess, From: 20 * time.Second, To: 25 * time.Second},
 			{Node: 0, Scope: ScopeProcess, From: 25 * time.Second, To: 26 * time.Second},
@@ -87,7 +87,7 @@
 		h.Requests = append(h.Requests, flood)
 		h.Runs = append(h.Runs, ran(flood.ID, "w1", flood.Sent))
 	}
-	h.Needs = []Need{{Worker: "needy", PerSecond: 1, From: 5 * time.Second, To: 17 * time.Second}}
+	h.WorkerLimits = []WorkerLimit{{Worker: "needy", PerSecond: 1, From: 5 * time.Second, To: 17 * time.Second}}
 	for n := range 10 {
 		needed := served(fmt.Sprintf("needed-%d", n), RouteRead, 13*time.Second+time.Duration(n)*200*time.Millisecond)
 		needed.Node, needed.Stamp, needed.Body = n%2, worker.Stamp("needy"), worker.AnswerText(needed.ID, "needy")
@@ -195,7 +195,7 @@
 		h.Requests = append(h.Requests, flood)
 		h.Runs = append(h.Runs, ran(flood.ID, "w1", flood.Sent))
 	}},
-	{PromiseNeed, "nodes that keep a limit each for itself", func(h *History) {
+	{PromiseWorkerLimit, "nodes that keep a limit each for itself", func(h *History) {
 		for n := range 12 {
 			beyond := served(fmt.Sprintf("beyond-%d", n), RouteRead, 13*time.Second)
 			beyond.Node = n % 2
@@ -241,7 +241,7 @@
 		h.Requests = append(h.Requests, request)
 		h.Runs = append(h.Runs, ran("late", "w2", 18*time.Second))
 	}},
-	{PromiseWord, "a node that doesn't hear what answers say", func(h *History) {
+	{PromiseLeavingAnswer, "a node that doesn't hear what answers say", func(h *History) {
 		unheard := served("unheard", RouteRead, 12*time.Second)
 		unheard.Node = 1
 		h.Requests = append(h.Requests, unheard)
--- a/soak/check/words.go
+++ b/soak/check/leaving_answers.go
@@ -11,12 +11,12 @@
 	worker string
 }
 
-// wordsTold is when each node first passed on an answer by which a worker said that it leaves.
-func (h *History) wordsTold() map[toldOf]time.Duration {
+// leavingTold is when each node first passed on an answer by which a worker said that it leaves.
+func (h *History) leavingTold() map[toldOf]time.Duration {
 	says := map[string]time.Duration{}
-	for _, word := range h.Words {
-		if at, known := says[word.Worker]; !known || word.At < at {
-			says[word.Worker] = word.At
+	for _, said := range h.LeavingAnswers {
+		if at, known := says[said.Worker]; !known || said.At < at {
+			says[said.Worker] = said.At
 		}
 	}
 	requests := h.requestsByID()
@@ -36,11 +36,11 @@
 	return told
 }
 
-// wordsKept: what a client sends a node later than the bound after that node passed on an answer
+// leavingAnswersKept: what a client sends a node later than the bound after that node passed on an answer
 // by which a worker said that it leaves doesn't run there. Only an end or a standstill of the node
 // excuses it. Judged is each request to such a node that ran, wherever.
-func wordsKept(h *History, f *Finding) {
-	told := h.wordsTold()
+func leavingAnswersKept(h *History, f *Finding) {
+	told := h.leavingTold()
 	requests := h.requestsByID()
 	for i := range h.Runs {
 		run := &h.Runs[i]
@@ -73,9 +73,9 @@
 	return h.disturbed(node, from, to, ScopeProcess)
 }
 
-// anyWordTold reports whether a node had to know by an answer that a worker leaves.
-func (h *History) anyWordTold() bool {
-	for _, at := range h.wordsTold() {
+// anyLeavingTold reports whether a node had to know by an answer that a worker leaves.
+func (h *History) anyLeavingTold() bool {
+	for _, at := range h.leavingTold() {
 		if at+h.Bounds.Drain+settling < h.end() {
 			return true
 		}
--- a/soak/check/tested.go
+++ b/soak/check/tested.go
@@ -13,11 +13,11 @@
 // anyLeft reports whether a worker said that it leaves.
 func (h *History) anyLeft() bool { return len(h.Leavings) > 0 }
 
-// anyNeed reports whether a worker named a limit for long enough, while something was in touch.
-func (h *History) anyNeed() bool {
-	return slices.ContainsFunc(h.Needs, func(n Need) bool {
-		from, to := n.From+needKnown, min(n.To, h.end())
-		return to-from > needWindow && !h.disturbedThroughout(from, to)
+// anyWorkerLimit reports whether a worker named a limit for long enough, while something was in touch.
+func (h *History) anyWorkerLimit() bool {
+	return slices.ContainsFunc(h.WorkerLimits, func(n WorkerLimit) bool {
+		from, to := n.From+workerLimitKnown, min(n.To, h.end())
+		return to-from > workerLimitWindow && !h.disturbedThroughout(from, to)
 	})
 }
 
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -42,7 +42,7 @@
 		}
 		seen = *h
 		// All else is only added to, disturbances and limits also end.
-		seen.Disturbances, seen.Needs = slices.Clone(h.Disturbances), slices.Clone(h.Needs)
+		seen.Disturbances, seen.WorkerLimits = slices.Clone(h.Disturbances), slices.Clone(h.WorkerLimits)
 	})
 	return &seen
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	for index := range r.options.Schedule.Workers {
-		slot := &workerSlot{run: r, index: index, endNeed: func() {}}
+		slot := &workerSlot{run: r, index: index, endLimit: func() {}}
 		if err := slot.begin(nil); err != nil {
 			return err
 		}
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -93,8 +93,8 @@
 	server  *standin.Server
 	proxy   *proxy.Proxy
 	conduct *behaviours
-	// endNeed ends the limit that the worker names, if it does.
-	endNeed func()
+	// endLimit ends the limit that the worker names, if it does.
+	endLimit func()
 }
 
 // enterExtraWorkers enters workers that nobody asks for.
@@ -272,24 +272,24 @@
 func (s *workerSlot) limit(perSecond float64, length time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.endNeed()
+	s.endLimit()
 	name, needy := s.name, s.worker
 	needy.SetLimit(perSecond)
 	index, from := 0, s.recorder.now()
 	s.recorder.record(func(h *check.History) {
-		index = len(h.Needs)
-		h.Needs = append(h.Needs, check.Need{Worker: name, PerSecond: perSecond, From: from, To: always})
+		index = len(h.WorkerLimits)
+		h.WorkerLimits = append(h.WorkerLimits, check.WorkerLimit{Worker: name, PerSecond: perSecond, From: from, To: always})
 	})
 	ended := false
-	s.endNeed = func() {
+	s.endLimit = func() {
 		if ended {
 			return
 		}
 		ended = true
-		s.recorder.record(func(h *check.History) { h.Needs[index].To = s.recorder.now() })
+		s.recorder.record(func(h *check.History) { h.WorkerLimits[index].To = s.recorder.now() })
 		needy.SetLimit(0)
 	}
-	end := s.endNeed
+	end := s.endLimit
 	s.later(length, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -310,7 +310,9 @@
 	name, leaving, _, _ := s.present()
 	leaving.Leave()
 	at := s.recorder.now()
-	s.recorder.record(func(h *check.History) { h.Words = append(h.Words, check.Leaving{Worker: name, At: at}) })
+	s.recorder.record(func(h *check.History) {
+		h.LeavingAnswers = append(h.LeavingAnswers, check.Leaving{Worker: name, At: at})
+	})
 	s.later(length, func() {
 		if _, present, _, _ := s.present(); present == leaving {
 			s.drain(quietDrain)
@@ -326,7 +328,7 @@
 	at := s.recorder.now()
 	s.recorder.record(func(h *check.History) {
 		h.Leavings = append(h.Leavings, check.Leaving{Worker: id, At: at})
-		h.Words = append(h.Words, check.Leaving{Worker: id, At: at})
+		h.LeavingAnswers = append(h.LeavingAnswers, check.Leaving{Worker: id, At: at})
 	})
 	s.later(length, func() { s.replace(leaving, nil) })
 }
