--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -65,6 +65,7 @@
 		dispatching bool
 		trouble     bool
 	}{
+		{"one node", 1, true, false},
 		{"nine nodes", 9, false, false},
 		{"nine nodes, one places attempts", 9, true, false},
 		{"forty nodes", 40, true, false},
