--- a/routing/notices.go
+++ b/routing/notices.go
@@ -7,7 +7,8 @@
 	"github.com/valveslip/valveslip/cluster"
 )
 
-// limitChange is the part by which a limit must change for other routers to be told.
+// limitChange is the part by which a limit must change for other routers to be told: a machine that
+// names another number in each answer would have each told to all.
 const limitChange = 0.1
 
 // Notice is what the head of a machine's answer says of the machine.
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// turnLasts is for how long a turn may be used.
+	// turnLasts is for how long a turn may be used: turns that are kept longer come together.
 	turnLasts = time.Second
 	// sendWithin is how long after its turn came an attempt is sent that was kept. Turns are
 	// granted for three quarters of a limit: those of 6 s, used within 4 s, are 1.125 times what
