--- a/fleet/pacing/config.go
+++ b/fleet/pacing/config.go
@@ -36,7 +36,7 @@
 	// there would be where messages are lost, turns would be granted for 2.25 times the limit.
 	maxPacers = 2
 	// alonePause is for how long a node that doesn't know the others yet is told not to ask again:
-	// nodes hear of each other within so long of their start.
+	// shorter than most callers wait, so that its first requests are served once it does.
 	alonePause = 250 * time.Millisecond
 	// idlePace is after what time without a question a machine is forgotten: longer than any turn
 	// of the smallest limit is away.
