--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -72,22 +72,6 @@
 	At                                time.Time
 }
 
-// Turned is one request that the worker turned away, asking for rest.
-type Turned struct {
-	RequestID string
-	At        time.Time
-	Rest      time.Duration
-}
-
-// TakenOrder is an order that the worker took.
-type TakenOrder struct {
-	platform.OrderDocument
-	At time.Time
-	// Load is set when the order loads a whole model, Overfills when it needs more
-	// memory than there is.
-	Load, Overfills bool
-}
-
 // StreamText is the whole stream that answers a request after an event.
 func StreamText(id string, after, events int) string {
 	var text strings.Builder
@@ -216,77 +200,6 @@
 	return w.abandoned
 }
 
-// Orders lists the orders that were taken.
-func (w *Worker) Orders() []platform.OrderDocument {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	orders := make([]platform.OrderDocument, 0, len(w.orders))
-	for i := range w.orders {
-		orders = append(orders, w.orders[i].OrderDocument)
-	}
-	return orders
-}
-
-// TakenOrders lists the orders that were taken with their times.
-func (w *Worker) TakenOrders() []TakenOrder {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return slices.Clone(w.orders)
-}
-
-// DelayOrders has orders wait before they are looked at, whether or not their
-// sender still waits for the answer.
-func (w *Worker) DelayOrders(delay time.Duration) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.orderDelay = delay
-}
-
-// SetLimit has the worker name in all its answers how many requests a second it takes from all
-// nodes together; zero has it name none. It takes more all the same.
-func (w *Worker) SetLimit(perSecond float64) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.limit = perSecond
-}
-
-// SetRest sets for how long the worker wants nothing from a node whose request it sheds.
-func (w *Worker) SetRest(rest time.Duration) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.rest = rest
-}
-
-// Turned lists the requests that were shed.
-func (w *Worker) Turned() []Turned {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return slices.Clone(w.turned)
-}
-
-// shed turns a request away.
-func (w *Worker) shed(out http.ResponseWriter, id string) {
-	w.mutex.Lock()
-	rest := w.rest
-	w.turned = append(w.turned, Turned{RequestID: id, At: time.Now(), Rest: rest})
-	w.mutex.Unlock()
-	out.Header().Set(platform.HeaderNotExecuted, "1")
-	out.Header().Set(platform.HeaderRest, strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
-	out.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// describe says in an answer's head what all answers of the worker say of it.
-func (w *Worker) describe(header http.Header) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if w.leaving {
-		header.Set(platform.HeaderLeaving, "1")
-	}
-	if w.limit > 0 {
-		header.Set(platform.HeaderLimit, strconv.FormatFloat(w.limit, 'f', -1, 64))
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	w.describe(out.Header())
@@ -415,75 +328,3 @@
 	defer w.mutex.Unlock()
 	_ = json.NewEncoder(out).Encode(platform.ReportDocument{Models: w.held, Busy: w.busy, Sequence: w.sequence, Born: w.born()})
 }
-
-// takeOrder takes an order under its conditions.
-func (w *Worker) takeOrder(out http.ResponseWriter, r *http.Request) {
-	var order platform.OrderDocument
-	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Holder == "" {
-		out.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	w.mutex.Lock()
-	delay := w.orderDelay
-	w.mutex.Unlock()
-	time.Sleep(delay)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	switch {
-	case order.Fence < w.fence && !w.config.Unfenced:
-		out.WriteHeader(http.StatusPreconditionFailed)
-		return
-	case w.busy || order.Expected != w.sequence:
-		out.WriteHeader(http.StatusConflict)
-		return
-	}
-	w.fence = max(w.fence, order.Fence)
-	w.sequence++
-	w.orders = append(w.orders, TakenOrder{
-		OrderDocument: order, At: time.Now(), Load: loadsModel(&order), Overfills: w.overfills(&order),
-	})
-	w.busy = order.Adapter == ""
-	out.WriteHeader(http.StatusAccepted)
-	go w.carryOut(order)
-}
-
-// loadsModel reports whether an order loads a whole model.
-func loadsModel(order *platform.OrderDocument) bool {
-	return order.Operation == "load" && order.Adapter == ""
-}
-
-// overfills reports whether a load needs more memory than there is. One load runs
-// at a time.
-func (w *Worker) overfills(order *platform.OrderDocument) bool {
-	if !loadsModel(order) {
-		return false
-	}
-	sum := w.config.Models[order.Model].Bytes
-	for _, held := range w.held {
-		if held.Name != order.Model {
-			sum += w.config.Models[held.Name].Bytes
-		}
-	}
-	return w.config.MemoryBytes > 0 && sum > w.config.MemoryBytes
-}
-
-// carryOut loads or unloads after the load time.
-func (w *Worker) carryOut(order platform.OrderDocument) {
-	time.Sleep(w.config.LoadTime)
-	w.mutex.Lock()
-	at := slices.IndexFunc(w.held, func(h platform.HeldModelDocument) bool { return h.Name == order.Model })
-	switch {
-	case order.Operation == "unload" && order.Adapter == "" && at >= 0:
-		w.held = slices.Delete(slices.Clone(w.held), at, at+1)
-	case order.Operation == "load" && order.Adapter == "" && at < 0:
-		w.held = append(slices.Clone(w.held), platform.HeldModelDocument{Name: order.Model, Version: 1, Adapters: []string{}})
-	case order.Operation == "load" && at >= 0:
-		w.held = slices.Clone(w.held)
-		w.held[at].Adapters = append(slices.Clone(w.held[at].Adapters), order.Adapter)
-	}
-	if order.Adapter == "" {
-		w.busy = false
-	}
-	w.mutex.Unlock()
-	w.publish()
-}
