Count no suspension as lateness

Callers saw: the first request after a machine had been suspended was refused with 503 "this node has more to do than it carries and is 5.008s late", though the node had nothing to do.

Cause: the meter of lateness went by the clock that counts suspension. A measurement that was under way when the machine was suspended had then waited for the whole suspension until its turn came.

Change: the meter goes by the steady clock, which stands while the machine is suspended; shells no longer hand it a clock.

Evidence: TestSuspensionIsNoLateness holds a measurement, suspends the clock for an hour and failed before, 5 of 5 ("1h0m0.002s late"). With the change it and the tests of waking nodes pass 30 times, and 100 times beside 12 busy processes. A process that is stopped by a signal (no suspension) still counts its stop when a measurement was under way; nothing was seen of that.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -110,7 +110,7 @@
 		registry: prometheus.NewRegistry(), failed: make(chan error, 3), stopped: make(chan struct{}),
 		known: make(chan struct{}),
 	}
-	n.lateness = overload.New(options.Now, n.takeTurn)
+	n.lateness = overload.New(n.takeTurn)
 	n.context, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n.registry, n)
 	if err := n.open(); err != nil {
--- a/fleet/shell/suspension_test.go
+++ b/fleet/shell/suspension_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// TestSuspensionIsNoLateness: a measurement that a suspension interrupts does not make the
+// node refuse requests as one that has too much to do.
+func TestSuspensionIsNoLateness(t *testing.T) {
+	const suspended = time.Hour
+	d := newDeployment(t, patient)
+	node, clock, _ := d.suspensible("n1")
+	release := node.HoldSteps()
+	defer release()
+	d.eventually("a measurement waits", func() bool { return node.Late() > 0 })
+	clock.suspend(suspended)
+	if late := node.Late(); late >= suspended {
+		t.Errorf("%v late after %v of suspension", late, suspended)
+	}
+}
+
 // TestWakingNodeEndsWhatIsPastItsDeadline: a request whose time ran out during a suspension
 // ends at once, though its timers have seconds left.
 func TestWakingNodeEndsWhatIsPastItsDeadline(t *testing.T) {
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -116,7 +116,7 @@
 	runner := relay.NewRunner(n, n.options.Engines, n.options.Relay)
 	n.keys = keyed.NewRunner(runner, n, idempotency.Config{}, 0)
 	n.metrics = newMetrics(n.self, newCollector(n, n.self))
-	n.lateness = overload.New(n.Now, n.takeTurn)
+	n.lateness = overload.New(n.takeTurn)
 	n.serve(callers, admin)
 	n.mutex.Lock()
 	n.core = n.options.NewCore(n.self)
--- a/overload/meter.go
+++ b/overload/meter.go
@@ -26,7 +26,9 @@
 // Meter measures lateness and says what is not to be taken because of it. It is safe for
 // concurrent use.
 type Meter struct {
-	now func() time.Time
+	// epoch counts the meter's times by the steady clock. That one stands while the machine is
+	// suspended, so that a suspension within a measurement is no lateness.
+	epoch time.Time
 	// turn waits for what every piece of work waits for, and returns.
 	turn func()
 	// wanted has a measurement begin.
@@ -41,12 +43,15 @@
 	lateAt atomic.Int64
 }
 
-// New returns a meter that goes by a clock. The function turn queues behind all that is ready
-// to run, as work does that comes from the network.
-func New(now func() time.Time, turn func()) *Meter {
-	return &Meter{now: now, turn: turn, wanted: make(chan struct{}, 1)}
+// New returns a meter. The function turn queues behind all that is ready to run, as work does
+// that comes from the network.
+func New(turn func()) *Meter {
+	return &Meter{epoch: time.Now(), turn: turn, wanted: make(chan struct{}, 1)}
 }
 
+// now is the time since the epoch, never zero.
+func (m *Meter) now() time.Duration { return time.Since(m.epoch) + time.Nanosecond }
+
 // Run measures until the context ends.
 func (m *Meter) Run(ctx context.Context) {
 	ticker := time.NewTicker(Every)
@@ -66,12 +71,12 @@
 func (m *Meter) measure() {
 	began := m.now()
 	m.taken.Store(0)
-	m.began.Store(began.UnixNano())
+	m.began.Store(int64(began))
 	m.turn()
 	ended := m.now()
-	m.last.Store(int64(ended.Sub(began)))
-	if ended.Sub(began) > MostLate {
-		m.lateAt.Store(ended.UnixNano())
+	m.last.Store(int64(ended - began))
+	if ended-began > MostLate {
+		m.lateAt.Store(int64(ended))
 	}
 	m.began.Store(0)
 }
@@ -79,7 +84,7 @@
 // LateWithin reports whether the process was later than MostLate at some time of the last span.
 func (m *Meter) LateWithin(span time.Duration) bool {
 	at := m.lateAt.Load()
-	return at != 0 && m.now().Sub(time.Unix(0, at)) <= span || m.waiting() > MostLate
+	return at != 0 && m.now()-time.Duration(at) <= span || m.waiting() > MostLate
 }
 
 // Late is how late work is carried out: what the last measurement came to, or more where the
@@ -92,7 +97,7 @@
 	if began == 0 {
 		return 0
 	}
-	return m.now().Sub(time.Unix(0, began))
+	return m.now() - time.Duration(began)
 }
 
 // holdPoll spaces looks at whether the process is still late, LongestHold bounds a hold: callers
--- a/overload/meter_test.go
+++ b/overload/meter_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var takes atomic.Int64
 		takes.Store(int64(900 * time.Millisecond))
-		m := New(time.Now, func() { time.Sleep(time.Duration(takes.Load())) })
+		m := New(func() { time.Sleep(time.Duration(takes.Load())) })
 		ctx, cancel := context.WithCancel(t.Context())
 		go m.Run(ctx)
 		if late := m.Late(); late != 0 {
@@ -43,7 +43,7 @@
 func TestFewAreTakenInATurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		comes := make(chan struct{})
-		m := New(time.Now, func() { <-comes })
+		m := New(func() { <-comes })
 		ctx, cancel := context.WithCancel(t.Context())
 		go m.Run(ctx)
 		takes := func(count int) (taken int) {
