Keep the rest of a worker whose restart is not known yet

Cause: answers don't say which start of a worker gave them. The worker had started again under its id at the same address; its word counted for the start before, and ended with it 3.6 s later, when the entry of the later start was read.

Change: the reading of a later start tells the router which start it follows (routing.MachineRestarted). Leaving is not handed on: nothing would end it.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -28,6 +28,8 @@
 	Workers []catalog.Worker
 	Gone    []cluster.MachineID
 	Full    bool
+	// Restarted are later starts of machines that are gone.
+	Restarted []routing.MachineRestarted
 	// Unread are machines whose entries can't be read. Such an entry counts later than one
 	// of Workers of the same machine.
 	Unread []UnreadWorker
--- a/fleet/readings.go
+++ b/fleet/readings.go
@@ -38,6 +38,9 @@
 	if read.Full {
 		gone = c.view.missing(&read)
 	}
+	for _, restarted := range read.Restarted {
+		c.routing(restarted)
+	}
 	for _, id := range gone {
 		if c.view.endedUnannounced(id) {
 			c.routing(routing.MachineEnded{Machine: id})
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -11,6 +11,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -22,6 +23,7 @@
 	workers       latest[cluster.MachineID, catalog.Worker]
 	workersUnread latest[cluster.MachineID, fleet.UnreadWorker]
 	workersGone   []cluster.MachineID
+	restarted     []routing.MachineRestarted
 	nodes         latest[cluster.NodeID, fleet.NodeEntry]
 	nodesGone     []cluster.NodeID
 	holder        *fleet.HolderRead
@@ -34,7 +36,8 @@
 // workersRead is what the batch says of machines.
 func (b *batch) workersRead() fleet.WorkersRead {
 	return fleet.WorkersRead{
-		Workers: b.workers.values(), Unread: b.workersUnread.values(), Gone: b.workersGone, Revision: b.revision,
+		Workers: b.workers.values(), Unread: b.workersUnread.values(), Gone: b.workersGone,
+		Restarted: b.restarted, Revision: b.revision,
 	}
 }
 
@@ -165,6 +168,7 @@
 	}
 	if known != worker.ID && f.starts.knows(name) {
 		b.workerGone(known)
+		b.restarted = append(b.restarted, routing.MachineRestarted{Machine: worker.ID, Before: known})
 		f.options.Log.Write(eventlog.WorkerRestarted{Machine: worker.ID, Before: known, Revision: pair.Revision})
 		// A request on one would be lost without a word that it did not run.
 		f.pool.Forget(f.starts[name].address)
--- a/fleet/shell/worker_rest_test.go
+++ b/fleet/shell/worker_rest_test.go
@@ -3,10 +3,13 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet/shell"
 	"github.com/valveslip/valveslip/standin/worker"
 )
 
@@ -86,3 +89,39 @@
 		})
 	}
 }
+
+// TestRestOutlastsLearningOfRestart guards against requests to a worker that asked for rest before
+// the node knew that the worker had started again: answers don't say which start gave them.
+func TestRestOutlastsLearningOfRestart(t *testing.T) {
+	for _, c := range restedPaths {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, patient)
+			needy, _ := shedding(d, c.service, time.Minute)
+			d.enterBorn(needy, 1000)
+			lines := &logText{}
+			node := d.startNode("n1", func(o *shell.Options) { o.Log = eventlog.New(lines, eventlog.Options{}) })
+			d.call(node, http.MethodPost, c.path, "b", withModel("big"))
+			d.enterBorn(needy, 2000)
+			d.eventually("the later start is known", func() bool {
+				return strings.Contains(lines.String(), "msg=worker_restarted")
+			})
+			for range 6 {
+				d.call(node, http.MethodPost, c.path, "b", withModel("big"))
+			}
+			if turned := len(needy.Turned()); turned != 1 {
+				t.Errorf("%d requests reached the worker within its rest, want the first alone", turned)
+			}
+		})
+	}
+}
+
+// enterBorn enters a worker as the start that was born then.
+func (d *deployment) enterBorn(w *worker.Worker, born int64) {
+	d.t.Helper()
+	entry := w.Entry()
+	entry.Born = &born
+	if err := d.store.Put(w.Key(), entry); err != nil {
+		d.t.Fatal(err)
+	}
+}
--- a/routing/notices.go
+++ b/routing/notices.go
@@ -81,14 +81,16 @@
 	if event.Notice.Leaving {
 		r.leavingHeard(event)
 	}
-	m := r.machines[event.Machine]
+	present := r.presentStart(event.Machine)
+	m := r.machines[present]
 	if m == nil {
 		return
 	}
 	if event.Notice.Rest > 0 {
 		r.rest(m, event)
 	}
-	if !event.Notice.Limited && !event.SentUnderLimit {
+	endsLimit := event.SentUnderLimit && present == event.Machine
+	if !event.Notice.Limited && !endsLimit {
 		return
 	}
 	t := &m.turns
@@ -118,7 +120,7 @@
 
 // limitTold takes what another router heard.
 func (r *Router) limitTold(event *MachineLimitTold) {
-	if m := r.machines[event.Machine]; m != nil {
+	if m := r.machines[r.presentStart(event.Machine)]; m != nil {
 		m.turns.told = event.Notice.PerSecond
 		r.setLimit(m, event.Notice)
 	}
@@ -127,7 +129,7 @@
 // setLimit puts a limit in force, or ends it.
 func (r *Router) setLimit(m *machine, notice Notice) {
 	if m.turns.limited && !notice.Limited {
-		m.turns = turns{restsUntil: m.turns.restsUntil}
+		m.turns = turns{restsUntil: m.turns.restsUntil, restHeardAt: m.turns.restHeardAt}
 		r.freed = append(r.freed, m)
 		return
 	}
@@ -140,7 +142,7 @@
 	if until <= m.turns.restsUntil {
 		return
 	}
-	m.turns.restsUntil = until
+	m.turns.restsUntil, m.turns.restHeardAt = until, r.nanos
 	r.wake(m, until)
 	r.emit(MachineRestFound{Machine: m.id, Request: event.Request, Rest: event.Notice.Rest})
 	r.refuseClosed(m)
--- a/routing/router.go
+++ b/routing/router.go
@@ -135,6 +135,8 @@
 		r.attemptEnded(&event)
 	case MachineHeard:
 		r.machineHeard(&event)
+	case MachineRestarted:
+		r.machineRestarted(&event)
 	case MachineLimitTold:
 		r.limitTold(&event)
 	case TurnDecided:
--- a/routing/state.go
+++ b/routing/state.go
@@ -134,6 +134,9 @@
 	announcedAt       int64
 	replicas          []*replica
 	inFlight          int
+	// restarted is the machine's later start, known since restartedAt.
+	restarted   cluster.MachineID
+	restartedAt int64
 	// reserved is the room kept for requests that are on their way from another machine.
 	reserved int
 
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -46,8 +46,9 @@
 	from, until int64
 	// deniedUntil is until when no other turn is asked for.
 	deniedUntil int64
-	// restsUntil is until when the machine wants nothing from this router, limit or not.
-	restsUntil int64
+	// restsUntil is until when the machine wants nothing from this router, limit or not, as it
+	// said at restHeardAt.
+	restsUntil, restHeardAt int64
 }
 
 // closed returns why no request may be sent now by the machine's own word, or empty.
