Test convicted requests one by one at a node

Cause: a node that had leave for two tests ran them beside each other.

Change: while a test has not ended at a node, no other one is begun there, and no leave for one is asked for. A leave that is there stays.

Evidence: TestTestsRunOneByOne failed before (both sent).

--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -72,13 +72,9 @@
 		return nil, Explanation{}
 	}
 	if left, convicted := r.poison.Convicted(r.now, arrived.Content); convicted {
-		if r.poison.TakeTest(arrived.Content) {
-			arrived.Attempts, arrived.test = 1, true
+		if r.takeTest(arrived) {
 			return nil, Explanation{}
 		}
-		if r.poison.TestDue(r.now, arrived.Content) {
-			r.emit(PoisonTestWanted{Content: arrived.Content})
-		}
 		return r.poisonFailure(arrived.Content, left)
 	}
 	if r.poison.Suspected(arrived.Content) && r.inFlight(arrived.Content) {
@@ -90,6 +86,33 @@
 	return nil, Explanation{}
 }
 
+// takeTest makes the request a test of its content if this node has leave for one, and asks for
+// leave when that is due. The end of a machine would count against all that are tested there, so
+// that they run one by one.
+func (r *Router) takeTest(arrived *Request) bool {
+	if r.testing() {
+		return false
+	}
+	if r.poison.TakeTest(arrived.Content) {
+		arrived.Attempts, arrived.test = 1, true
+		return true
+	}
+	if r.poison.TestDue(r.now, arrived.Content) {
+		r.emit(PoisonTestWanted{Content: arrived.Content})
+	}
+	return false
+}
+
+// testing reports whether a test has not ended here.
+func (r *Router) testing() bool {
+	for _, other := range r.requests {
+		if other.test {
+			return true
+		}
+	}
+	return false
+}
+
 // callerRefusal says why a request is not admitted because machines ended in a row under
 // other requests of its caller, or nil. One at a time may show that the caller is harmless.
 func (r *Router) callerRefusal(m *model, arrived *Request) (*verdict.Error, Explanation) {
--- a/routing/poisoned_test.go
+++ b/routing/poisoned_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,3 +28,34 @@
 		}
 	}
 }
+
+// convict has so many machines end under a request as convict it.
+func (f *fixture) convict(content poison.Fingerprint) {
+	for n := 0; !f.router.convicted(content); n++ {
+		m := &machine{id: cluster.MachineID(fmt.Sprintf("ended-%v-%d", content[0], n))}
+		f.router.noteEvidence(&request{Request: Request{Content: content}}, m, &AttemptEnded{
+			Broken: true, MachineEnded: true, Failure: verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "broke"),
+		})
+	}
+}
+
+// TestTestsRunOneByOne guards against an innocent request that is convicted by the end of the
+// machine at which it is tested beside a harmful one.
+func TestTrialsRunOneByOne(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.status(true, loaded("m1", 4))
+	harmful, innocent := poison.Fingerprint{1}, poison.Fingerprint{2}
+	of := func(content poison.Fingerprint) func(*Request) {
+		return func(r *Request) { r.Content = content }
+	}
+	for _, content := range []poison.Fingerprint{harmful, innocent} {
+		f.convict(content)
+		f.step(PoisonTestGranted{Content: content})
+	}
+	f.expect(f.arrive("a", of(harmful)), "dispatch a/1 to m1; ")
+	if failure := finished(t, f.arrive("b", of(innocent))).Failure; failure == nil || failure.Code != verdict.CodePoisonRequest {
+		t.Fatalf("the second test beside the first ended by %v", failure)
+	}
+	f.step(AttemptEnded{Request: "a", Attempt: 1})
+	f.expect(f.arrive("c", of(innocent)), "dispatch c/1 to m1; ")
+}
