Refuse a request whose body has not come whole when its node stops

Callers saw: a connection cut without a word 6.5 s after the stop began, for a request of which the node had not read all.

Cause: the drain counts the requests that the core knows. One whose body is still on its way is known to the HTTP handler alone, which waited for the body up to 30 s; the end of the drain cut it.

Change: from the begin of the drain bodies are no longer waited for. The caller is told at once that nothing ran (node_draining, Retry-After), and the connection closes after that answer. A body that comes whole in the same moment is refused alike: its read deadline may be over.

Evidence: TestStopRefusesHalfSentRequest, in virtual time, failed before ("unexpected EOF"); api and node/shell pass.

--- a/api/callers.go
+++ b/api/callers.go
@@ -49,6 +49,9 @@
 	// BodyTime bounds the reading of a request body, and StallTime the wait
 	// for a caller that does not take its answer.
 	BodyTime, StallTime time.Duration
+	// Stopping ends when the node stops: bodies that have not come whole are refused then.
+	// It may be nil.
+	Stopping context.Context
 	// MaxDeadline bounds the deadline a caller may state.
 	MaxDeadline time.Duration
 	Logger      *slog.Logger
@@ -101,6 +104,9 @@
 	c.StallTime = cmp.Or(c.StallTime, DefaultStallTime)
 	c.MaxDeadline = cmp.Or(c.MaxDeadline, DefaultMaxDeadline)
 	c.Logger = cmp.Or(c.Logger, slog.New(slog.DiscardHandler))
+	if c.Stopping == nil {
+		c.Stopping = context.Background()
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
--- a/api/callers_body.go
+++ b/api/callers_body.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -49,11 +51,17 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(c.BodyTime))
+	forget := context.AfterFunc(c.Stopping, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := readAll(http.MaxBytesReader(w, r.Body, c.MaxBodyBytes), r.ContentLength)
+	stopped := !forget()
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, c.tooLarge()
+	case stopped:
+		w.Header().Set("Connection", "close")
+		return nil, &bodyError{failure: verdict.New(verdict.NotRun, verdict.CodeNodeDraining,
+			"this node stopped before the body came whole; another one takes the request").After(routing.DefaultDrainRetryAfter)}
 	case err != nil:
 		unread := invalid("", "the body could not be read whole")
 		unread.failure.Cause = err
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -73,9 +73,12 @@
 	// service end, so that leases are given back.
 	calls       context.Context
 	cancelCalls context.CancelFunc
-	tasks       sync.WaitGroup
-	ready       atomic.Bool
-	draining    atomic.Bool
+	// admits ends when the node takes no more requests.
+	admits       context.Context
+	endAdmission context.CancelFunc
+	tasks        sync.WaitGroup
+	ready        atomic.Bool
+	draining     atomic.Bool
 	// lastRefused is when the draining node last answered a caller, in
 	// nanoseconds since 1970 by the node's clock.
 	lastRefused atomic.Int64
@@ -107,6 +110,7 @@
 	n.backend = inspection.New(n, 0, n.options.Logger)
 	n.calls, n.cancelCalls = context.WithCancel(context.WithoutCancel(ctx))
 	n.context, n.cancel = context.WithCancel(n.calls)
+	n.admits, n.endAdmission = context.WithCancel(n.calls)
 	callers, admin, err := n.openSecured()
 	if err != nil {
 		n.cancelCalls()
@@ -199,6 +203,7 @@
 		Logger:       n.logger,
 		Now:          n.Now,
 		Observe:      n.metrics.observe,
+		Stopping:     n.admits,
 	})
 	n.callers = n.server(n.lingering(api.Bounded(handler, n.lateness.Take)))
 	n.callers.ConnState = n.connections.note
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -57,6 +57,7 @@
 	began := n.Now()
 	n.lastRefused.Store(began.UnixNano())
 	n.draining.Store(true)
+	n.endAdmission()
 	n.logger.Info("drain started", "in_flight", n.inFlight(), "drain_time", n.config.DrainTime)
 	bounded, cancel := context.WithTimeout(context.Background(), n.config.DrainTime)
 	defer cancel()
--- a/node/shell/stop_test.go
+++ b/node/shell/stop_test.go
@@ -68,21 +68,28 @@
 	return wait
 }
 
+// startOnPipe starts a node that is reached within the process alone.
+func startOnPipe(t *testing.T) (*shell.Node, *pipe.Listener) {
+	t.Helper()
+	listener := pipe.NewListener()
+	core := &routerCore{router: routing.New(routing.Config{Zone: zone, ExpectedRouters: 1}, 1), snapshot: snapshot(nil)}
+	started, err := shell.Start(context.Background(), node.Config{Zone: zone, DrainTime: 10 * time.Second}, shell.Options{
+		CallerListener: listener, AdminListener: pipe.NewListener(),
+		NewCore:      func(cluster.Node) shell.Stepper { return core },
+		NewTransport: func(string, func(wire.Message)) (shell.Transport, error) { return noTransport{}, nil },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	started.Step(node.Tick{})
+	return started, listener
+}
+
 // TestStopOutlastsItsRetryAfter holds that a caller that comes back when a stopping
 // node told the others to, on a connection that it kept, gets an answer.
 func TestStopOutlastsItsRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		listener := pipe.NewListener()
-		core := &routerCore{router: routing.New(routing.Config{Zone: zone, ExpectedRouters: 1}, 1), snapshot: snapshot(nil)}
-		started, err := shell.Start(context.Background(), node.Config{Zone: zone, DrainTime: 10 * time.Second}, shell.Options{
-			CallerListener: listener, AdminListener: pipe.NewListener(),
-			NewCore:      func(cluster.Node) shell.Stepper { return core },
-			NewTransport: func(string, func(wire.Message)) (shell.Transport, error) { return noTransport{}, nil },
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		started.Step(node.Tick{})
+		started, listener := startOnPipe(t)
 		kept, first := newCaller(t, dialPipe(t, listener)), newCaller(t, dialPipe(t, listener))
 		stopped := make(chan error, 1)
 		go func() { stopped <- started.Stop() }()
@@ -99,6 +106,24 @@
 	})
 }
 
+// TestStopRefusesHalfSentRequest guards against a caller whose connection is cut without a word
+// because its request had not come whole when the node stopped.
+func TestStopRefusesHalfSentRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started, listener := startOnPipe(t)
+		half := newCaller(t, dialPipe(t, listener))
+		_, _ = fmt.Fprintf(half.connection, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+			callerSecret, len(hello), hello[:1])
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- started.Stop() }()
+		half.refused(http.StatusServiceUnavailable)
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestRequestThatCrossesTheCloseIsNotRun sends a request once the node has begun
 // to close the connection that its caller kept.
 func TestRequestThatCrossesTheCloseIsNotRun(t *testing.T) {
