Say which connections a node cut off at the end of its drain

Change: the error counts the open connections: dismissed, with a request in progress, with one that has begun to come.

--- a/node/shell/connections.go
+++ b/node/shell/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -41,6 +42,26 @@
 	return len(c.open)
 }
 
+// describe says in which states the open connections are.
+func (c *connections) describe() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	dismissed, serving, heard := 0, 0, 0
+	for open := range c.open {
+		open.mutex.Lock()
+		switch {
+		case open.dismissed:
+			dismissed++
+		case !open.between:
+			serving++
+		case open.heard:
+			heard++
+		}
+		open.mutex.Unlock()
+	}
+	return fmt.Sprintf("%d open: %d dismissed, %d with a request in progress, %d with one that has begun to come", len(c.open), dismissed, serving, heard)
+}
+
 // note implements http.Server.ConnState.
 func (c *connections) note(conn net.Conn, state http.ConnState) {
 	under := conn
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -74,7 +74,7 @@
 	defer stop()
 	n.dismissCallers(closing)
 	if err := n.callers.Shutdown(closing); err != nil && failure == nil {
-		failure = eris.Wrap(err, "connections were cut off at the end of the drain")
+		failure = eris.Wrapf(err, "connections were cut off at the end of the drain, %s", n.connections.describe())
 	}
 	n.handOverKeys()
 	n.logger.Info("drain ended", "duration", n.Now().Sub(began), "whole", failure == nil)
