Ask the store again once it has answered others

Cause: after some failed calls a node waits up to 3 s. News of a relay that it can't take ends that wait, since whoever tells of it has been answered; but only if the node did not miss something already. Where the gap was known before the call failed, each further update was passed over.

Change: an update whose reading is newer than the last failed call has the node ask its relay, and the store 100 ms later. A call that fails again has to be followed by a newer reading for that.

Evidence: TestStoreThatAnswersOthersIsAskedSoon failed before (asked 1.14 s later, want 100 ms).

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -66,6 +66,7 @@
 	first := max(retryWait, time.Duration(callers)*retrySpacing)
 	wait := min(first<<min(c.failures, maxDoublings), longestWait(callers))
 	c.failures++
+	c.failedAt = c.now
 	c.callAt = c.now.Add(wait/2 + time.Duration(c.rand.Int64N(int64(wait))))
 	c.askHelper()
 }
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -40,6 +40,8 @@
 	urgent   bool
 	named    int64
 	failures int
+	// failedAt is when the last call failed.
+	failedAt time.Time
 	callAt   time.Time
 	source   Source
 	// relayID names the relay that was heard of last.
--- a/fleet/feed/cutoff_test.go
+++ b/fleet/feed/cutoff_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
 )
 
 // What was seen: a node that was cut off from the store alone saw no new replica for as
@@ -117,3 +118,33 @@
 		t.Errorf("%d messages beside %d calls", messages, calls)
 	}
 }
+
+// TestStoreThatAnswersOthersIsAskedSoon guards against a node that misses changes and waits out
+// the pause after its failed calls, though its relay tells what the store has answered since.
+func TestStoreThatAnswersOthersIsAskedSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	leaf, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "leaf", Address: "leaf", Zone: "z"}})
+	peers := []Peer{{ID: "leaf", Address: "leaf", Zone: "z"}}
+	for i := range 4 {
+		id := cluster.NodeID(fmt.Sprintf("relay-%d", i))
+		peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
+	}
+	leaf.Step(now, PeersChanged{Peers: peers})
+	gap := func(revision int64) []Effect {
+		return leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: revision - 1, Revision: revision}})
+	}
+	gap(40)
+	for range 6 {
+		if due := leaf.NextDue(); due.After(now) {
+			now = due
+		}
+		leaf.Step(now, Tick{})
+		now = now.Add(callPatience)
+		leaf.Step(now, PollDone{Began: now, Err: errors.New("no answer")})
+	}
+	now = now.Add(10 * time.Millisecond)
+	gap(41)
+	if due := leaf.NextDue(); due.Sub(now) > answerWait {
+		t.Errorf("the store is asked %s later, want %s at most", due.Sub(now), answerWait)
+	}
+}
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -126,7 +126,7 @@
 	}
 	if u.After > c.revision || u.Partial && u.Revision > c.revision {
 		c.named = max(c.named, u.Revision)
-		c.missing(u.Partial)
+		c.missing(u.Partial, read)
 		return
 	}
 	c.helper.answered = c.helper.answered || u.From == c.helper.id
@@ -146,9 +146,10 @@
 }
 
 // missing has changes fetched that an update named and did not hold: by the relay,
-// unless it has passed on all that it can, and then by the store.
-func (c *Core) missing(partial bool) {
-	if c.urgent {
+// unless it has passed on all that it can, and then by the store. Where the store has answered
+// others since this node's last call failed, the pause after that ends.
+func (c *Core) missing(partial bool, read time.Time) {
+	if c.urgent && (c.calling || c.failures == 0 || !read.After(c.failedAt)) {
 		return
 	}
 	c.urgent = true
