Pass on changes that were known before everything was read

Cause: a value that only a question on its key has brought is applied and passed on ahead of the changes before it. A relay that then read everything took it for known, and left it out of the update to the revision that it had read. A node that had read the store between, and had therefore dropped what came ahead, never learned of it.

Change: what is newer than the revision that was known counts as changed in a reading of everything.

Evidence: TestChangeKnownAheadIsPassedOn failed before.

--- a/fleet/feed/contents.go
+++ b/fleet/feed/contents.go
@@ -70,15 +70,16 @@
 }
 
 // replace takes everything that is in the store at a revision and returns what changed
-// since the contents were known, in order of revisions.
+// since the contents were known, in order of revisions. What was known ahead is among it: the
+// nodes that it is passed on to may not have heard of it.
 func (c *contents) replace(pairs []wire.StoreChange, revision int64) []wire.StoreChange {
-	before := c.keys
+	before, after := c.keys, c.revision
 	c.keys, c.bytes = make(map[string]stored, len(pairs)), 0
 	c.revision = revision
 	var changes []wire.StoreChange
 	for i := range pairs {
 		c.set(&pairs[i])
-		if pairs[i].Revision != before[pairs[i].Key].revision {
+		if pairs[i].Revision != before[pairs[i].Key].revision || pairs[i].Revision > after {
 			changes = append(changes, pairs[i])
 		}
 	}
--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -85,3 +87,43 @@
 		t.Errorf("%d updates up to revision %d", len(sent), leaf.Revision())
 	}
 }
+
+// ahead is a change that a relay passes on before the changes that come before it.
+const ahead = 50
+
+// relaying returns a relay that knows all up to revision 30, and the change that was passed on
+// ahead.
+func relaying(t *testing.T, now time.Time) *Core {
+	t.Helper()
+	relay, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "relay", Address: "relay", Zone: "z", Capacity: 2}})
+	peers := []Peer{{ID: "relay", Address: "relay", Zone: "z", Capacity: 2}, {ID: "leaf", Address: "leaf", Zone: "z", Capacity: 1}}
+	for i := range 3 {
+		id := cluster.NodeID(fmt.Sprintf("other-%d", i))
+		peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
+	}
+	relay.Step(now, PeersChanged{Peers: peers})
+	if !relay.tree.passesOn() {
+		t.Fatal("the node does not relay")
+	}
+	relay.Step(now, UpdateReceived{Update: wire.StoreChanges{
+		From: "other-0", After: 30, Revision: 30, Changes: []wire.StoreChange{{Key: "key-00003", Value: make([]byte, updateBytes), Revision: ahead}},
+	}})
+	return relay
+}
+
+// TestChangeKnownAheadIsPassedOn guards against nodes that never learn of a change, since their
+// relay knew it before it read everything and then left it out of what it passed on.
+func TestChangeKnownAheadIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay := relaying(t, now)
+	pairs := relay.contents.pairs()
+	relay.Step(now, Invalidated{})
+	effects := relay.Step(now, ReadDone{Began: now, Revision: 60, Pairs: pairs})
+	told := slices.ContainsFunc(effects, func(e Effect) bool {
+		sent, is := e.(Send)
+		return is && sent.Update.Revision == 60 && slices.ContainsFunc(sent.Update.Changes, func(c wire.StoreChange) bool { return c.Revision == ahead })
+	})
+	if !told {
+		t.Errorf("an update to revision 60 leaves the change of revision %d out: %+v", ahead, effects)
+	}
+}
