Divide long answers by revision

Cause: since an answer of more than 256 KB comes in several updates. The history holds a change that was known ahead before those of lesser revisions. Where an update ended with it, the next ones held what their receiver took for known: changes were lost.

Change: the changes of an answer are in order of revisions before it is divided.

Evidence: TestChangeKnownAheadHidesNone failed before (11 of 30 changes came, up to revision 60).

--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -127,3 +127,23 @@
 		t.Errorf("an update to revision 60 leaves the change of revision %d out: %+v", ahead, effects)
 	}
 }
+
+// TestChangeKnownAheadHidesNone guards against changes that are lost because one of a later
+// revision was known before them and ends an update of several.
+func TestChangeKnownAheadHidesNone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay := relaying(t, now)
+	leaf, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "leaf", Address: "leaf"}})
+	changes := entering(30, updateBytes/8, 30)
+	for i := range changes {
+		if changes[i].Revision == ahead {
+			changes[i] = wire.StoreChange{Key: "key-00003", Revision: ahead}
+		}
+	}
+	relay.Step(now, PollDone{Began: now, Revision: 60, Changes: changes})
+	asked := ChangesRequested{Request: wire.StoreChangesRequest{From: "leaf", FromAddress: "leaf", After: 30}}
+	applied := relayed(now, leaf, relay.Step(now, asked))
+	if leaf.Revision() != 60 || applied < len(changes) {
+		t.Errorf("%d of %d changes came, up to revision %d", applied, len(changes), leaf.Revision())
+	}
+}
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -54,6 +55,8 @@
 
 // updates are what tells a peer of changes after a revision, all that is known.
 func (c *Core) updates(after int64, changes []wire.StoreChange) []wire.StoreChanges {
+	// One that was known ahead stands before those of lesser revisions.
+	changes = slices.SortedStableFunc(slices.Values(changes), func(a, b wire.StoreChange) int { return cmp.Compare(a.Revision, b.Revision) })
 	var updates []wire.StoreChanges
 	for end := updateEnd(changes); end < len(changes); end = updateEnd(changes) {
 		next := changes[end-1].Revision
