Ask a relay before everything is read since the store's answer is too long

Cause: a node whose call for changes would bring more than is worth reading read everything at once, also where its relay knew what was new.

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -172,6 +172,9 @@
 	case e.TooLong:
 		// What is known stays: relays may close the gap before everything is read.
 		c.whole, c.callAt = true, c.now
+		if c.askRelay() {
+			c.callAt = c.now.Add(answerWait)
+		}
 	default:
 		c.urgent = false
 		c.knownAt = later(c.knownAt, e.Began)
--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -147,3 +147,45 @@
 		t.Errorf("%d of %d changes came, up to revision %d", applied, len(changes), leaf.Revision())
 	}
 }
+
+// TestLongHistoryIsAskedOfAPeer guards against nodes that read everything at the store since its
+// answer, with the heartbeats of all workers, would be too long, though their relay has what is new.
+func TestLongHistoryIsAskedOfAPeer(t *testing.T) {
+	for name, answers := range map[string]bool{"the relay answers": true, "it does not": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			leaf, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "leaf", Address: "leaf", Zone: "z"}})
+			peers := []Peer{{ID: "leaf", Address: "leaf", Zone: "z"}}
+			for i := range 4 {
+				id := cluster.NodeID(fmt.Sprintf("relay-%d", i))
+				peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
+			}
+			leaf.Step(now, PeersChanged{Peers: peers})
+			leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: 30, Revision: 30}})
+			now = now.Add(2 * time.Second)
+			effects := leaf.Step(now, PollDone{Began: now, TooLong: true})
+			if !asks(effects, "relay-0") || reads(effects) {
+				t.Fatalf("after an answer that is too long: %+v", effects)
+			}
+			if answers {
+				leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: 30, Revision: 40}})
+			}
+			if read := reads(leaf.Step(now.Add(answerWait), Tick{})); read == answers {
+				t.Errorf("everything is read: %t", read)
+			}
+		})
+	}
+}
+
+// asks reports whether a node is asked for changes.
+func asks(effects []Effect, address string) bool {
+	return slices.ContainsFunc(effects, func(e Effect) bool {
+		ask, is := e.(Ask)
+		return is && ask.Address == address
+	})
+}
+
+// reads reports whether the store is asked for everything.
+func reads(effects []Effect) bool {
+	return slices.ContainsFunc(effects, func(e Effect) bool { _, is := e.(Read); return is })
+}
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -23,9 +23,13 @@
 
 // ask asks the relay that was heard of last for changes that are missing, and reports
 // whether it could.
-func (c *Core) ask() bool {
+func (c *Core) ask() bool { return c.urgent && c.askRelay() }
+
+// askRelay asks the relay that was heard of last for what changed since, and reports whether one
+// is known.
+func (c *Core) askRelay() bool {
 	peer, known := c.tree.peers[c.relayID]
-	if !c.urgent || !known {
+	if !known {
 		return false
 	}
 	c.emit(Ask{Address: peer.Address, Request: wire.StoreChangesRequest{
