Judge a worker's limit at the end of each soak

Change: after the quiet phase all plain workers name a limit for 5 s, nobody else serving their requests; 2 s of that are judged. Runs get 5 s longer; those with earlier builds don't name limits, as before.

--- a/soak/play.go
+++ b/soak/play.go
@@ -16,6 +16,9 @@
 	quietDrain = time.Second
 	// quietLimit is what another worker says then that it takes, in requests a second.
 	quietLimit = 4
+	// lastLimit is for how long all plain workers say so at the end: what nodes send is judged after
+	// the first 3 s of that.
+	lastLimit = 5 * time.Second
 	// quietShedAt is when the plain workers turn all requests away then, for quietShed, and want as
 	// much rest.
 	quietShedAt = 5 * time.Second
@@ -46,6 +49,7 @@
 	r.changeInQuiet()
 	r.recover(r.ctx)
 	r.sleepUntil(quiet)
+	r.limitAtLast()
 	stop()
 	active.Wait()
 	r.poisonOver.Store(true)
@@ -68,6 +72,18 @@
 	})
 }
 
+// limitAtLast has the plain workers name a limit, once nothing else is judged that it would be in the
+// way of. Nodes may find others for what one limited worker serves, so that it gets nothing; not here.
+func (r *run) limitAtLast() {
+	if len(r.workers) < 4 || r.options.Schedule.Earlier != nil || r.options.From != "" {
+		return
+	}
+	for i := 1; i < len(r.workers); i += 2 {
+		r.workers[i].limit(quietLimit, lastLimit)
+	}
+	r.sleepUntil(time.Now().Add(lastLimit))
+}
+
 // injectAll injects the faults at their times.
 func (r *run) injectAll() {
 	began := time.Now()
