--- a/fleet/feed/cutoff_test.go
+++ b/fleet/feed/cutoff_test.go
@@ -119,30 +119,29 @@
 	}
 }
 
+// failing has so many calls of a node fail that its pauses are long, and returns the time just after.
+func failing(c *Core, now time.Time, failed func(began time.Time, err error) Event) time.Time {
+	for range 6 {
+		if due := c.NextDue(); due.After(now) {
+			now = due
+		}
+		c.Step(now, Tick{})
+		now = now.Add(callPatience)
+		c.Step(now, failed(now, errors.New("no answer")))
+	}
+	return now.Add(10 * time.Millisecond)
+}
+
 // TestStoreThatAnswersOthersIsAskedSoon guards against a node that misses changes and waits out
 // the pause after its failed calls, though its relay tells what the store has answered since.
 func TestStoreThatAnswersOthersIsAskedSoon(t *testing.T) {
 	now := time.Unix(1000, 0)
-	leaf, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "leaf", Address: "leaf", Zone: "z"}})
-	peers := []Peer{{ID: "leaf", Address: "leaf", Zone: "z"}}
-	for i := range 4 {
-		id := cluster.NodeID(fmt.Sprintf("relay-%d", i))
-		peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
-	}
-	leaf.Step(now, PeersChanged{Peers: peers})
+	leaf := beside(now, Peer{ID: "leaf"})
 	gap := func(revision int64) []Effect {
 		return leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: revision - 1, Revision: revision}})
 	}
 	gap(40)
-	for range 6 {
-		if due := leaf.NextDue(); due.After(now) {
-			now = due
-		}
-		leaf.Step(now, Tick{})
-		now = now.Add(callPatience)
-		leaf.Step(now, PollDone{Began: now, Err: errors.New("no answer")})
-	}
-	now = now.Add(10 * time.Millisecond)
+	now = failing(leaf, now, func(began time.Time, err error) Event { return PollDone{Began: began, Err: err} })
 	gap(41)
 	if due := leaf.NextDue(); due.Sub(now) > answerWait {
 		t.Errorf("the store is asked %s later, want %s at most", due.Sub(now), answerWait)
@@ -154,16 +153,9 @@
 func TestStartingNodeAsksOnceOthersAreAnswered(t *testing.T) {
 	now := time.Unix(1000, 0)
 	starting := New(Config{Self: Peer{ID: "starting", Address: "starting", Zone: "z"}}, passAll{}, 1)
-	for range 6 {
-		if due := starting.NextDue(); due.After(now) {
-			now = due
-		}
-		starting.Step(now, Tick{})
-		now = now.Add(callPatience)
-		starting.Step(now, ReadDone{Began: now, Err: errors.New("no answer")})
-	}
+	read := func(began time.Time, err error) Event { return ReadDone{Began: began, Err: err} }
+	now = failing(starting, now, read)
 	waits := starting.NextDue().Sub(now)
-	now = now.Add(10 * time.Millisecond)
 	told := UpdateReceived{Update: wire.StoreChanges{From: "relay", After: 40, Revision: 41}}
 	starting.Step(now, told)
 	if due := starting.NextDue().Sub(now); due > 2*retryWait {
@@ -171,11 +163,9 @@
 	}
 	old := told
 	old.Update.Age = time.Second
-	starting.Step(starting.NextDue(), Tick{})
-	now = now.Add(callPatience)
-	starting.Step(now, ReadDone{Began: now, Err: errors.New("no answer")})
+	now = failing(starting, now, read)
 	due := starting.NextDue()
-	starting.Step(now.Add(10*time.Millisecond), old)
+	starting.Step(now, old)
 	if !starting.NextDue().Equal(due) {
 		t.Error("the pause ends though what others tell is older than the failure")
 	}
--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// beside returns a node that knows all up to revision 30, beside four others of its zone.
+func beside(now time.Time, self Peer) *Core {
+	self.Address, self.Zone = string(self.ID), "z"
+	peers := []Peer{self}
+	for i := range 4 {
+		id := cluster.NodeID(fmt.Sprintf("relay-%d", i))
+		peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
+	}
+	core, _ := knowing(now, 30, 100, Config{Self: self})
+	core.Step(now, PeersChanged{Peers: peers})
+	return core
+}
+
 // ahead is a change that a relay passes on before the changes that come before it.
 const ahead = 50
 
@@ -95,18 +108,12 @@
 // ahead.
 func relaying(t *testing.T, now time.Time) *Core {
 	t.Helper()
-	relay, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "relay", Address: "relay", Zone: "z", Capacity: 2}})
-	peers := []Peer{{ID: "relay", Address: "relay", Zone: "z", Capacity: 2}, {ID: "leaf", Address: "leaf", Zone: "z", Capacity: 1}}
-	for i := range 3 {
-		id := cluster.NodeID(fmt.Sprintf("other-%d", i))
-		peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
-	}
-	relay.Step(now, PeersChanged{Peers: peers})
+	relay := beside(now, Peer{ID: "relay", Capacity: 2})
 	if !relay.tree.passesOn() {
 		t.Fatal("the node does not relay")
 	}
 	relay.Step(now, UpdateReceived{Update: wire.StoreChanges{
-		From: "other-0", After: 30, Revision: 30, Changes: []wire.StoreChange{{Key: "key-00003", Value: make([]byte, updateBytes), Revision: ahead}},
+		From: "relay-0", After: 30, Revision: 30, Changes: []wire.StoreChange{{Key: "key-00003", Value: make([]byte, updateBytes), Revision: ahead}},
 	}})
 	return relay
 }
@@ -154,13 +161,7 @@
 	for name, answers := range map[string]bool{"the relay answers": true, "it does not": false} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			leaf, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "leaf", Address: "leaf", Zone: "z"}})
-			peers := []Peer{{ID: "leaf", Address: "leaf", Zone: "z"}}
-			for i := range 4 {
-				id := cluster.NodeID(fmt.Sprintf("relay-%d", i))
-				peers = append(peers, Peer{ID: id, Address: string(id), Zone: "z", Capacity: 1})
-			}
-			leaf.Step(now, PeersChanged{Peers: peers})
+			leaf := beside(now, Peer{ID: "leaf"})
 			leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: 30, Revision: 30}})
 			now = now.Add(2 * time.Second)
 			effects := leaf.Step(now, PollDone{Began: now, TooLong: true})
