Ask for changes again once the store has answered another question

In the 2.7 s that it waited after failed calls for changes the store had answered its question on the proven key.

Cause: the two kinds of calls have pauses of their own, and none told the other that the store answers again.

Change: an answer to the question on the proven key that was asked after the last failure brings the next call for changes forward, as news of others does.

Evidence: TestAnsweredQuestionEndsThePause failed before (asked 1.14 s later, at most 200 ms wanted); the package's tests pass.

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -79,10 +79,11 @@
 	return mean/2 + time.Duration(c.rand.Int64N(int64(mean)))
 }
 
-// answersOthers notes that the store was read at a time by another node. Where this one's last call
-// failed before that, the next one is due after no more than the first wait.
-func (c *Core) answersOthers(read time.Time) {
-	if c.calling || c.failures == 0 || !read.After(c.failedAt) {
+// answered notes that the store has answered another node, or another question of this one, that
+// was asked at a time. Where this one's last call failed before that, the next one is due after no
+// more than the first wait.
+func (c *Core) answered(asked time.Time) {
+	if c.calling || c.failures == 0 || !asked.After(c.failedAt) {
 		return
 	}
 	if soon := c.now.Add(c.about(c.firstWait())); soon.Before(c.callAt) {
--- a/fleet/feed/cutoff_test.go
+++ b/fleet/feed/cutoff_test.go
@@ -170,3 +170,16 @@
 		t.Error("the pause ends though what others tell is older than the failure")
 	}
 }
+
+// TestAnsweredQuestionEndsThePause guards against a node that waits out the pause after failed calls
+// for changes though the store has answered its question on the proven key since.
+func TestAnsweredQuestionEndsThePause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core, _ := knowing(now, 30, 100, Config{Self: Peer{ID: "n", Address: "n", Zone: "z"}})
+	core.Step(now, KeyProven{Key: "key-00003"})
+	now = failing(core, now, func(began time.Time, err error) Event { return PollDone{Began: began, Err: err} })
+	core.Step(now, VerifyDone{Began: now, Revision: 4})
+	if due := core.callDue().Sub(now); due > 2*retryWait {
+		t.Errorf("the store is asked for changes %s later, want %s at most", due, 2*retryWait)
+	}
+}
--- a/fleet/feed/proof.go
+++ b/fleet/feed/proof.go
@@ -152,6 +152,7 @@
 		return
 	}
 	p.failures = 0
+	c.answered(e.Began)
 	if p.key == "" || c.stale {
 		return
 	}
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -125,7 +125,7 @@
 	defer c.proofReceived(u)
 	read := c.now.Add(-u.Age)
 	if c.revision == 0 {
-		c.answersOthers(read)
+		c.answered(read)
 		return
 	}
 	if u.Revision < c.revision {
