Send everything to a peer that misses more than a relay keeps

Cause: the relay answered by changes or not at all, though it has everything and sends it to nodes that start.

A node takes it while it misses something (urgent, or everything is to be read), if it is newer than what it knows and no older than a start would take. What is to be read anew since the history is gone is still read at the store.

Evidence: TestForgottenChangesComeWithEverything failed before.

--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -190,3 +190,44 @@
 func reads(effects []Effect) bool {
 	return slices.ContainsFunc(effects, func(e Effect) bool { _, is := e.(Read); return is })
 }
+
+// TestForgottenChangesComeWithEverything guards against nodes that read everything at the store
+// since they miss more than their relay keeps, though the relay has it.
+func TestForgottenChangesComeWithEverything(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay, leaf := beside(now, Peer{ID: "relay", Capacity: 2}), beside(now, Peer{ID: "leaf"})
+	revision := int64(30)
+	for range 4 {
+		changes := entering(leastHistoryChanges, 1, revision)
+		revision += leastHistoryChanges
+		relay.Step(now, PollDone{Began: now, Revision: revision, Changes: changes})
+	}
+	asked := ChangesRequested{Request: wire.StoreChangesRequest{From: "leaf", FromAddress: "leaf", After: 30}}
+	if parts := received(relay.Step(now, asked), "leaf"); len(parts) == 0 {
+		t.Fatal("the relay sends nothing")
+	} else if leaf.Step(now, SnapshotReceived{Part: parts[0]}); leaf.Revision() != 30 {
+		t.Error("a node that misses nothing takes everything")
+	}
+	leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: revision, Revision: revision}})
+	var replaced bool
+	for _, part := range received(relay.Step(now, asked), "leaf") {
+		for _, effect := range leaf.Step(now, SnapshotReceived{Part: part}) {
+			_, is := effect.(Replace)
+			replaced = replaced || is
+		}
+	}
+	if !replaced || leaf.Revision() != revision || polls(leaf.Step(now.Add(answerWait), Tick{})) {
+		t.Errorf("replaced %t, up to revision %d of %d", replaced, leaf.Revision(), revision)
+	}
+	for range 2 * leastServed * servedPerCore {
+		relay.Step(now, asked)
+	}
+	if sent := received(relay.Step(now, asked), "leaf"); len(sent) > 0 {
+		t.Error("the relay sends everything without bound")
+	}
+}
+
+// polls reports whether the store is asked for anything.
+func polls(effects []Effect) bool {
+	return reads(effects) || slices.ContainsFunc(effects, func(e Effect) bool { _, is := e.(Poll); return is })
+}
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -45,11 +45,16 @@
 	}
 }
 
-// changesRequested sends a peer what it misses, if that is known.
+// changesRequested sends a peer what it misses, if that is known: everything if that is more than
+// this node keeps.
 func (c *Core) changesRequested(r *wire.StoreChangesRequest) {
 	c.greeter = Peer{ID: r.From, Address: r.FromAddress}
+	if r.After > c.revision || r.After == c.revision && !r.Always {
+		return
+	}
 	changes, whole := c.history.since(r.After)
-	if !whole || r.After > c.revision || r.After == c.revision && !r.Always {
+	if !whole {
+		c.resync(r.FromAddress)
 		return
 	}
 	for _, update := range c.updates(r.After, changes) {
@@ -150,6 +155,9 @@
 		c.callAt = c.now.Add(answerWait)
 	}
 	c.whole = c.whole && c.revision == after
+	if !c.urgent && !c.whole {
+		c.start.coming = nil
+	}
 	c.apply(news, string(u.From))
 	if len(news) > 0 || c.knownAt.Sub(c.passedOn) >= c.cfg.RelayInterval/2 {
 		c.passOn(after, news, false)
--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -204,13 +204,7 @@
 	}
 	effects := slices.Clone(p.core.Step(s.clock(p), e))
 	if read, ok := e.(ReadDone); ok && read.Err == nil && p.core.Revision() == read.Revision {
-		// The newest value of the proven key stays, as the one in force does.
-		proven := p.known[s.proves]
-		clear(p.known)
-		if s.proves != "" {
-			p.known[s.proves] = proven
-		}
-		s.apply(p, read.Pairs)
+		s.replace(p, read.Pairs)
 		if p.learnsProven {
 			p.learnsProven = false
 			defer s.step(p, KeyProven{Key: s.proves})
@@ -245,6 +239,10 @@
 		s.apply(p, e.Changes)
 	case Send:
 		s.send(p, e)
+	case SendSnapshot:
+		s.deliver(p, e.Address, SnapshotReceived{Part: e.Part})
+	case Replace:
+		s.replace(p, e.Pairs)
 	case Ask:
 		s.deliver(p, e.Address, ChangesRequested{Request: e.Request})
 	case Verify:
@@ -309,6 +307,17 @@
 	return PollDone{Began: began, Revision: end, Changes: changes}
 }
 
+// replace has a peer know what was in the store, and no more.
+func (s *simulation) replace(p *simulatedPeer, pairs []wire.StoreChange) {
+	// The newest value of the proven key stays, as the one in force does.
+	proven := p.known[s.proves]
+	clear(p.known)
+	if s.proves != "" {
+		p.known[s.proves] = proven
+	}
+	s.apply(p, pairs)
+}
+
 func (s *simulation) apply(p *simulatedPeer, changes []wire.StoreChange) {
 	for i := range changes {
 		if c := &changes[i]; c.Key != s.proves || c.Revision > p.known[c.Key] {
--- a/fleet/feed/snapshots.go
+++ b/fleet/feed/snapshots.go
@@ -113,9 +113,8 @@
 // serve sends a node everything, or tells it whom to ask if this one has sent enough.
 func (c *Core) serve(r *wire.StoreSnapshotRequest) {
 	s := &c.snapshots
-	s.sentAt = slices.DeleteFunc(s.sentAt, func(at time.Time) bool { return c.now.Sub(at) >= time.Second })
 	s.served = slices.DeleteFunc(s.served, func(n servedNode) bool { return c.now.Sub(n.at) >= helpsFor || n.id == r.From })
-	if len(s.sentAt) >= mayServe(c.cfg.Self.Capacity) {
+	if c.servedEnough() {
 		if helper := c.helperFor(r); helper != "" {
 			c.emit(SendSnapshot{Address: r.FromAddress, Part: wire.StoreSnapshot{From: c.cfg.Self.ID, Refer: helper}})
 			return
@@ -126,6 +125,23 @@
 	s.served = append(s.served, servedNode{id: r.From, address: r.FromAddress, capacity: r.Capacity, at: c.now})
 }
 
+// servedEnough reports whether this node has sent everything as often within the last second as it
+// is to.
+func (c *Core) servedEnough() bool {
+	s := &c.snapshots
+	s.sentAt = slices.DeleteFunc(s.sentAt, func(at time.Time) bool { return c.now.Sub(at) >= time.Second })
+	return len(s.sentAt) >= mayServe(c.cfg.Self.Capacity)
+}
+
+// resync sends everything to a node that asked for changes which this one no longer has.
+func (c *Core) resync(address string) {
+	if !c.isNew() || c.servedEnough() {
+		return
+	}
+	c.snapshots.sentAt = append(c.snapshots.sentAt, c.now)
+	c.sendSnapshot(address)
+}
+
 // helperFor returns the address of a node to ask in this one's place: the one with the fewest
 // others for what it can serve, of those that this one has served and, unless the asker was
 // sent here by another node, of the relays of the zone. Those that were served come behind
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -182,7 +182,11 @@
 func (c *Core) snapshotReceived(part *wire.StoreSnapshot) {
 	c.hearsAt = c.now
 	s := &c.start
-	if c.revision != 0 || s.phase != startAsk && s.phase != startRead {
+	if c.revision != 0 {
+		c.resynced(part)
+		return
+	}
+	if s.phase != startAsk && s.phase != startRead {
 		return
 	}
 	switch {
@@ -219,6 +223,23 @@
 	c.emit(Replace{Revision: part.Revision, Pairs: pairs, From: part.From, Took: took})
 }
 
+// resynced takes a part of everything in place of the changes that this node misses.
+func (c *Core) resynced(part *wire.StoreSnapshot) {
+	if !c.urgent && !c.whole || part.Revision <= c.revision || part.Age > c.cfg.oldKnowledge()+packedFor {
+		return
+	}
+	pairs, whole := c.start.collect(part)
+	if !whole {
+		c.callAt = later(c.callAt, c.now.Add(snapshotPatience))
+		return
+	}
+	c.start = start{}
+	c.whole = false
+	c.replace(part.Revision, c.now.Add(-part.Age), pairs)
+	c.urgent = c.revision < c.named
+	c.emit(Replace{Revision: part.Revision, Pairs: pairs, From: part.From})
+}
+
 // collect adds a part, and returns everything once all parts of one sender and revision are
 // there. A part that can't be read counts as lost.
 func (s *start) collect(part *wire.StoreSnapshot) ([]wire.StoreChange, bool) {
