Take everything from a peer also while the relay is silent

Where that one had forgotten what it misses it sent everything, and the asker passed it over since no update had named changes.

Change: a node takes everything unless it is up to date.

--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -194,37 +194,49 @@
 // TestForgottenChangesComeWithEverything guards against nodes that read everything at the store
 // since they miss more than their relay keeps, though the relay has it.
 func TestForgottenChangesComeWithEverything(t *testing.T) {
-	now := time.Unix(1000, 0)
-	relay, leaf := beside(now, Peer{ID: "relay", Capacity: 2}), beside(now, Peer{ID: "leaf"})
-	revision := int64(30)
-	for range 4 {
-		changes := entering(leastHistoryChanges, 1, revision)
-		revision += leastHistoryChanges
-		relay.Step(now, PollDone{Began: now, Revision: revision, Changes: changes})
-	}
+	const revision = 30 + 4*leastHistoryChanges
 	asked := ChangesRequested{Request: wire.StoreChangesRequest{From: "leaf", FromAddress: "leaf", After: 30}}
-	if parts := received(relay.Step(now, asked), "leaf"); len(parts) == 0 {
-		t.Fatal("the relay sends nothing")
-	} else if leaf.Step(now, SnapshotReceived{Part: parts[0]}); leaf.Revision() != 30 {
-		t.Error("a node that misses nothing takes everything")
+	for name, misses := range map[string]func(now time.Time, leaf *Core) time.Time{
+		"changes were named": func(now time.Time, leaf *Core) time.Time {
+			leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: revision, Revision: revision}})
+			return now
+		},
+		"its relay is silent": func(now time.Time, _ *Core) time.Time { return now.Add(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			relay, leaf := beside(now, Peer{ID: "relay", Capacity: 2}), beside(now, Peer{ID: "leaf"})
+			for after := int64(30); after < revision; after += leastHistoryChanges {
+				relay.Step(now, PollDone{Began: now, Revision: after + leastHistoryChanges, Changes: entering(leastHistoryChanges, 1, after)})
+			}
+			if resynced(now, leaf, relay.Step(now, asked)); leaf.Revision() != 30 {
+				t.Error("a node that misses nothing takes everything")
+			}
+			now = misses(now, leaf)
+			relay.Step(now, PollDone{Began: now, Revision: revision})
+			if !resynced(now, leaf, relay.Step(now, asked)) || leaf.Revision() != revision || polls(leaf.Step(now.Add(answerWait), Tick{})) {
+				t.Errorf("the leaf stands at revision %d of %d", leaf.Revision(), revision)
+			}
+			for range 2 * leastServed * servedPerCore {
+				relay.Step(now, asked)
+			}
+			if sent := received(relay.Step(now, asked), "leaf"); len(sent) > 0 {
+				t.Error("the relay sends everything without bound")
+			}
+		})
 	}
-	leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: revision, Revision: revision}})
-	var replaced bool
-	for _, part := range received(relay.Step(now, asked), "leaf") {
-		for _, effect := range leaf.Step(now, SnapshotReceived{Part: part}) {
+}
+
+// resynced brings the snapshot that a relay sends to a node, and reports whether that took it.
+func resynced(now time.Time, to *Core, effects []Effect) bool {
+	taken := false
+	for _, part := range received(effects, "leaf") {
+		for _, effect := range to.Step(now, SnapshotReceived{Part: part}) {
 			_, is := effect.(Replace)
-			replaced = replaced || is
+			taken = taken || is
 		}
 	}
-	if !replaced || leaf.Revision() != revision || polls(leaf.Step(now.Add(answerWait), Tick{})) {
-		t.Errorf("replaced %t, up to revision %d of %d", replaced, leaf.Revision(), revision)
-	}
-	for range 2 * leastServed * servedPerCore {
-		relay.Step(now, asked)
-	}
-	if sent := received(relay.Step(now, asked), "leaf"); len(sent) > 0 {
-		t.Error("the relay sends everything without bound")
-	}
+	return taken
 }
 
 // polls reports whether the store is asked for anything.
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -155,7 +155,7 @@
 		c.callAt = c.now.Add(answerWait)
 	}
 	c.whole = c.whole && c.revision == after
-	if !c.urgent && !c.whole {
+	if c.upToDate() {
 		c.start.coming = nil
 	}
 	c.apply(news, string(u.From))
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -225,7 +225,7 @@
 
 // resynced takes a part of everything in place of the changes that this node misses.
 func (c *Core) resynced(part *wire.StoreSnapshot) {
-	if !c.urgent && !c.whole || part.Revision <= c.revision || part.Age > c.cfg.oldKnowledge()+packedFor {
+	if c.upToDate() || part.Revision <= c.revision || part.Age > c.cfg.oldKnowledge()+packedFor {
 		return
 	}
 	pairs, whole := c.start.collect(part)
