--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
