Log the probes of blocked requests

Change: poison_probe says when a node asks for a probe and when it gets it, request_sent whether it is one.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		PoisonJudged{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		PoisonJudged{}, PoisonProbe{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -34,6 +34,14 @@
 	Machines string `log:"machines" doc:"machines that ended while they had it"`
 }
 
+// PoisonProbe is written when this node asks the store for the permission to send a blocked
+// request once more as a probe, and when it gets it.
+type PoisonProbe struct {
+	Content string `log:"content" doc:"fingerprint of what the request asks for"`
+	Outcome string `log:"outcome" doc:"claimed, or granted: the next such request here is sent"`
+	Number  int    `log:"number" doc:"number of the probe among those of all nodes, from 1"`
+}
+
 // KeysJudged is written when this node's knowledge of the tenants' API keys becomes too
 // old, or recent enough again, to serve requests that need a key.
 type KeysJudged struct {
@@ -143,6 +151,7 @@
 	Fetch      cluster.MachineID `log:"fetch,omitempty" doc:"machine from which it first takes what it is to keep of the prompt"`
 	Background bool              `log:"background,omitempty" doc:"whether it gives way to all others at the machine, since it would be late anyway"`
 	After      string            `log:"after,omitempty" doc:"event after which a stream is continued"`
+	Probe      bool              `log:"probe,omitempty" doc:"whether it is a blocked request that is sent once more as a probe"`
 }
 
 // AttemptEnded is written when an attempt has ended without a complete answer.
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -26,6 +26,14 @@
 	return "Written when this node learns something new of a request that was at machines when they ended, from its own attempts or by adding up what nodes told."
 }
 
+// Kind implements Event.
+func (PoisonProbe) Kind() string { return "poison_probe" }
+
+// Meaning implements Documented.
+func (PoisonProbe) Meaning() string {
+	return "Written when this node asks the store whether it may send a request that all nodes refuse once more, and when it may."
+}
+
 // Kind implements Event.
 func (NodeStopping) Kind() string { return "node_stopping" }
 
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -285,6 +285,7 @@
 		s.stored[content] = &storedPoison{StoredPoisonRecord: *record, readAt: s.core.now}
 		if before != nil && !before.claimedAt.IsZero() && before.Probes < record.Probes && record.Prober == s.core.config.Self.ID {
 			granted = append(granted, content)
+			s.core.log(eventlog.PoisonProbe{Content: content.String(), Outcome: "granted", Number: record.Probes})
 		}
 		delete(s.writes, content)
 		records = append(records, record.Record)
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/routing/poison"
 )
 
@@ -64,6 +65,7 @@
 		return
 	}
 	stored.claimedAt = s.core.now
+	s.core.log(eventlog.PoisonProbe{Content: content.String(), Outcome: "claimed", Number: stored.Probes + 1})
 	claim := StoredPoisonRecord{
 		Record: stored.Record, Probes: stored.Probes + 1, Prober: s.core.config.Self.ID, EndsBefore: s.attributedEnds(content),
 	}
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -158,7 +158,7 @@
 		Compared: len(decision.Reason.Candidates), After: e.lastEventID, Held: decision.Reason.Held,
 		By: decision.Reason.Forecast.Dispatcher, Read: decision.Reason.Forecast.Read, Kept: decision.Reason.Forecast.Kept,
 		Speed: decision.Reason.Forecast.Speed, Foreseen: decision.Reason.Forecast.Expected, Background: decision.Reason.Forecast.Background,
-		Fetch: decision.Reason.Forecast.Fetch,
+		Fetch: decision.Reason.Forecast.Fetch, Probe: decision.Probe,
 	}
 	if len(decision.Reason.Candidates) > 0 {
 		sent.Expected, sent.InFlight = decision.Reason.Candidates[0].ExpectedWait, decision.Reason.Candidates[0].InFlight
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -114,7 +114,7 @@
 		Machine: machine.id, Address: machine.address,
 		Model: ready.Model, Version: chosen.version,
 		Deadline: time.Unix(0, ready.deadline), Final: !ready.retryAllowed(), Reason: reason,
-		Limited: machine.turns.limited,
+		Limited: machine.turns.limited, Probe: ready.probe,
 	}
 	if r.config.ListAlternatives != nil && r.config.ListAlternatives(ready.Model) {
 		decided.Alternatives = r.alternatives(ready, chosen)
--- a/routing/events.go
+++ b/routing/events.go
@@ -245,7 +245,9 @@
 	// Limited is set if the machine is known to have a rate limit. An answer that states none then
 	// ends it.
 	Limited bool
-	Reason  Choice
+	// Probe is set if the request is a blocked one that is sent once more as a probe.
+	Probe  bool
+	Reason Choice
 	// Alternatives are the machines that may take the attempt, the chosen one among them. They are
 	// listed only with Config.ListAlternatives and until AttemptPlaced has named one of them.
 	Alternatives []Alternative
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -82,7 +82,7 @@
 		Request: placed.ID, Attempt: placed.attempt,
 		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version,
 		Deadline: time.Unix(0, placed.deadline), Final: !placed.retryAllowed(),
-		Limited: placed.machine.turns.limited,
+		Limited: placed.machine.turns.limited, Probe: placed.probe,
 		Reason: Choice{
 			Waited: placed.waited, SettingsRevision: r.settingsRevision(),
 			Held: event.Held, Forecast: event.Forecast,
