Let copies of a suspected request wait instead of refusing them

Cause: of a suspected request one runs at a time on a node. Whether one does was asked as whether another copy had not ended (contentInFlight), so a copy that waited for a machine refused all others for as long as it waited. The same form stood in the rule for callers under whose requests machines end (callerInFlight; all callers that can't be identified are one caller there) and in the rule for probes (probeInFlight).

Change: copies are admitted. Which of them may run is decided at the dispatch: while one runs, the others are held in their model's queue, where they count, keep their deadline and do not stop what is behind them. One that waits holds none. The callers' rule and the probes go the same way; a probe that runs refuses another one as before. Copies that were queued before the suspicion run one at a time too, which they did not. A copy whose machine is silent holds none.

Looked for elsewhere, by reading: max_concurrency counts requests that wait as well, and a second request with an Idempotency-Key is refused as in progress while the first one waits. Both say so in their pages or answers, are bounded by what the operator set, and are left as they are.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -17,7 +17,7 @@
 func All() []Documented {
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
-		RequestRefused{}, RequestAccepted{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
+		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
@@ -133,6 +133,14 @@
 	Longest  time.Duration     `log:"longest_pause_ms,omitempty" doc:"longest time between two events of the stream that is in time"`
 }
 
+// RequestHeld is written when a request first waits because a similar one runs and requests under
+// which machines ended run one at a time.
+type RequestHeld struct {
+	Request cluster.RequestID `log:"request" doc:"request id"`
+	Behind  cluster.RequestID `log:"behind" doc:"id of the request that runs"`
+	Content string            `log:"content" doc:"fingerprint of what the request asks for"`
+}
+
 // RequestSent is written for each attempt, when the request is sent to a machine.
 type RequestSent struct {
 	Request    cluster.RequestID `log:"request" doc:"request id"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -26,6 +26,14 @@
 	return "Written when this node learns something new of a request that was at machines when they ended, from its own attempts or by adding up what nodes told."
 }
 
+// Kind implements Event.
+func (RequestHeld) Kind() string { return "request_held" }
+
+// Meaning implements Documented.
+func (RequestHeld) Meaning() string {
+	return "Written when a request first waits because another one runs that asks for the same or is of the same caller: requests under which machines ended run one at a time."
+}
+
 // Kind implements Event.
 func (PoisonProbe) Kind() string { return "poison_probe" }
 
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -114,6 +114,9 @@
 		}
 	}
 	if sent == nil {
+		if behind := heldBehind(l, requestLines); behind != "" {
+			return "it waited while " + behind + " ran, since requests under which machines ended run one at a time"
+		}
 		return causeOfWaiting(story, context)
 	}
 	text := fmt.Sprintf("machine %s had it for %.0f ms", sent.Get("machine"), story.Took-float64(sent.At.Sub(l.Lines[requestLines[0]].At).Milliseconds()))
@@ -126,6 +129,16 @@
 	return text
 }
 
+// heldBehind returns the request behind which a request was held back, empty for none.
+func heldBehind(l *Log, requestLines []int) string {
+	for _, i := range requestLines {
+		if line := &l.Lines[i]; line.Kind == kindRequestHeld {
+			return line.Get("behind")
+		}
+	}
+	return ""
+}
+
 // machineFailureAfter describes the loss of a machine after a request was sent there,
 // empty for none.
 func (l *Log) machineFailureAfter(sent *Line) string {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// TestStoryOfHeldRequestNamesTheRunningOne guards against a request that was held back until its
+// deadline and whose story blames the model's load.
+func TestStoryOfHeldRequestNamesTheRunningOne(t *testing.T) {
+	log, err := Read(strings.NewReader(`
+time=2026-01-01T00:00:09.000Z level=INFO msg=request_accepted node=n1 request=e route=r work=s config=3 left_ms=2000 attempts=2 content=ab
+time=2026-01-01T00:00:09.000Z level=INFO msg=request_held node=n1 request=e behind=d content=ab
+time=2026-01-01T00:00:11.000Z level=INFO msg=request_ended node=n1 request=e status=503 code=deadline_exceeded verdict=not-run attempts=0 took_ms=2000 waited_ms=2000 first_ms=0 setting=deadline cause="the deadline passed"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const want = "its time was over: it waited while d ran, since requests under which machines ended run one at a time"
+	if story, _ := log.Story("e"); story.Cause != want {
+		t.Errorf("cause %q, want %q", story.Cause, want)
+	}
+}
+
 // TestStoryRecognizesNodeThatNeverRestarted guards against a request without a cause when
 // its node was removed for good: the node's log ends while the others continue.
 func TestStoryRecognizesNodeThatNeverRestarted(t *testing.T) {
--- a/explain/story.go
+++ b/explain/story.go
@@ -12,6 +12,7 @@
 const (
 	kindRequestRefused  = "request_refused"
 	kindRequestAccepted = "request_accepted"
+	kindRequestHeld     = "request_held"
 	kindRequestSent     = "request_sent"
 	kindAttemptEnded    = "attempt_ended"
 	kindRequestEnded    = "request_ended"
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -60,6 +60,8 @@
 			c.machineResting(&e)
 		case routing.MachineLimitChanged:
 			c.pacer.broadcastLimit(&e)
+		case routing.RequestHeldBack:
+			c.log(eventlog.RequestHeld{Request: e.Request, Behind: e.Behind, Content: e.Content.String()})
 		case routing.PoisonProbeWanted:
 			c.poison.claimProbe(e.Content)
 		case routing.Dispatch:
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -163,7 +163,7 @@
 func (r *Router) dispatchOrQueue(admitted *request) {
 	model := admitted.model
 	ahead := model.queue.Ahead(admitted.item.Priority)
-	if ahead == 0 && r.tryDispatch(admitted) {
+	if ahead == 0 && r.heldBackBy(admitted) == nil && r.tryDispatch(admitted) {
 		return
 	}
 	failure, reason := r.queueRefusal(admitted)
@@ -185,6 +185,9 @@
 	model := admitted.model
 	policy := &model.configured.Policy
 	if policy.QueueTime <= 0 {
+		if r.heldBackBy(admitted) != nil {
+			return r.heldBackFailure(admitted)
+		}
 		return verdict.New(verdict.NotRun, verdict.CodeQueueTimeout,
 			"no replica is free and the model's requests may not wait").After(r.retryAfter(model)), model.explain(settingQueueTime, 0, 0)
 	}
@@ -205,7 +208,7 @@
 // before.
 func (r *Router) enqueue(waiting *request, returned bool) {
 	waiting.queuedSince = r.nanos
-	if waiting.model.queue.Len() == 0 {
+	if waiting.model.queue.Ready() == 0 {
 		waiting.model.beginWaiting(r.nanos)
 	}
 	if returned {
@@ -213,6 +216,9 @@
 	} else {
 		waiting.model.queue.Push(&waiting.item)
 	}
+	if behind := r.heldBackBy(waiting); behind != nil {
+		r.holdBack(waiting, behind)
+	}
 	r.waiting++
 	waiting.model.updateUnserved(r.nanos)
 	r.markDemandChanged(waiting.model)
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -59,7 +59,7 @@
 	var best *model
 	for _, replica := range m.replicas {
 		candidate := replica.model
-		if replica.state != cluster.ReplicaLoaded || candidate.queue.Len() == 0 || slices.Contains(except, candidate) {
+		if replica.state != cluster.ReplicaLoaded || candidate.queue.Head() == nil || slices.Contains(except, candidate) {
 			continue
 		}
 		if best == nil || headBefore(candidate, best) {
@@ -94,7 +94,7 @@
 
 func (r *Router) dispatch(ready *request, chosen *replica, reason Choice) {
 	machine := chosen.machine
-	ready.running = true
+	ready.running, ready.silent = true, false
 	ready.attempt++
 	ready.countedAttempts++
 	ready.machine = machine
@@ -127,6 +127,7 @@
 func (r *Router) stopRunning(running *request) *machine {
 	machine := running.machine
 	running.running, running.unsent = false, false
+	r.recheckHeldBack = true
 	running.machine = nil
 	machine.inFlight--
 	running.model.running--
@@ -284,7 +285,7 @@
 // redispatch dispatches a failed request again, queues it or ends it.
 func (r *Router) redispatch(failed *request, reason Explanation) {
 	model := failed.model
-	if r.tryDispatch(failed) {
+	if r.heldBackBy(failed) == nil && r.tryDispatch(failed) {
 		return
 	}
 	if r.draining {
--- a/routing/events.go
+++ b/routing/events.go
@@ -58,8 +58,9 @@
 	Rank int
 	// Caller identifies the caller. All callers that can't be identified share zero.
 	Caller uint64
-	// probe is set while a blocked request is sent once more as a probe.
-	probe bool
+	// probe is set while a blocked request is sent once more as a probe, throttled if it arrived
+	// while its caller was throttled.
+	probe, throttled bool
 }
 
 // Event is an input of the routing core.
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -87,12 +87,18 @@
 		reason.Limit = due.model.configured.Policy.QueueTime.Seconds()
 	}
 	failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no replica was free within the queue time")
+	if due.item.Held() {
+		failure = verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "machines ended under such requests, and another one ran during the queue time")
+	}
 	r.finish(due, failure.After(r.retryAfter(due.model)), reason)
 }
 
 // finish ends an admitted request. No other function removes one.
 func (r *Router) finish(ended *request, failure *verdict.Error, reason Explanation) {
 	model := ended.model
+	if ended.item.Held() {
+		r.stopHolding(ended)
+	}
 	if ended.item.Queued() {
 		model.queue.Remove(&ended.item)
 		r.accountWait(ended)
@@ -100,6 +106,7 @@
 	if ended.running {
 		r.stopRunning(ended)
 	}
+	r.recheckHeldBack = true
 	r.cancelMove(ended)
 	r.disarm(&ended.timer)
 	delete(r.requests, ended.ID)
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -59,15 +59,15 @@
 }
 
 // poisonRefusal returns why a request is refused because of machines that ended under it, or nil. A
-// blocked request may be retried when its block expires. Of a suspected content only one
-// request runs at a time, so that the end of a machine can be attributed to it.
+// blocked request may be retried when its block expires.
 func (r *Router) poisonRefusal(m *model, arrived *Request) (*verdict.Error, Explanation) {
 	if r.poison.Empty() || r.config.Poison.Off() {
 		return nil, Explanation{}
 	}
-	if failure, reason := r.callerRefusal(m, arrived); failure != nil {
+	if failure, reason := r.callerRefusal(m, arrived.Caller); failure != nil {
 		return failure, reason
 	}
+	_, arrived.throttled = r.suspectCallers.Throttled(r.now, arrived.Caller)
 	if arrived.Content.IsZero() {
 		return nil, Explanation{}
 	}
@@ -77,20 +77,22 @@
 		}
 		return r.poisonFailure(arrived.Content, left)
 	}
-	if r.poison.Suspected(arrived.Content) && r.contentInFlight(arrived.Content) {
-		record, _ := r.poison.Record(arrived.Content)
-		failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest,
-			"the same request is on its way, and %d machines have ended under it", record.AttributedEndCount())
-		return failure.After(r.retryAfter(m)), Explanation{Setting: settingPoisonEnds, Value: float64(record.AttributedEndCount())}
-	}
 	return nil, Explanation{}
 }
 
+// heldBackFailure returns the refusal of a request that may not wait until another one has ended.
+func (r *Router) heldBackFailure(refused *request) (*verdict.Error, Explanation) {
+	record, _ := r.poison.Record(refused.Content)
+	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest,
+		"requests under which machines ended run one at a time, and this one may not wait")
+	return failure.After(r.retryAfter(refused.model)), Explanation{Setting: settingPoisonEnds, Value: float64(record.AttributedEndCount())}
+}
+
 // takeProbe makes the request a probe of its content if this node has permission for one, and asks
 // for permission when a probe is due. Probes run one at a time on this node, since the end of a
 // machine would count against all contents probed there.
 func (r *Router) takeProbe(arrived *Request) bool {
-	if r.probeInFlight() {
+	if r.probeRuns() {
 		return false
 	}
 	if r.poison.TakeProbe(arrived.Content) {
@@ -103,10 +105,10 @@
 	return false
 }
 
-// probeInFlight reports whether a probe is running on this node.
-func (r *Router) probeInFlight() bool {
+// probeRuns reports whether a probe runs at a machine. One that waits for a machine does not count.
+func (r *Router) probeRuns() bool {
 	for _, other := range r.requests {
-		if other.probe {
+		if other.probe && other.running {
 			return true
 		}
 	}
@@ -114,30 +116,17 @@
 }
 
 // callerRefusal returns why a request is refused because machines ended in succession under other
-// requests of its caller, or nil. After a wait one request at a time is admitted, which can clear
-// the caller.
-func (r *Router) callerRefusal(m *model, arrived *Request) (*verdict.Error, Explanation) {
-	wait, doubtful := r.suspectCallers.Throttled(r.now, arrived.Caller)
-	if !doubtful {
-		return nil, Explanation{}
-	}
-	if wait == 0 && !r.callerInFlight(arrived.Caller) {
+// requests of its caller, or nil. After a wait the caller's requests run one at a time, which can
+// clear the caller.
+func (r *Router) callerRefusal(m *model, caller uint64) (*verdict.Error, Explanation) {
+	wait, _ := r.suspectCallers.Throttled(r.now, caller)
+	if wait == 0 {
 		return nil, Explanation{}
 	}
 	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest, "machines ended one after the other under requests of this caller")
 	return failure.After(max(wait, r.retryAfter(m))), Explanation{Setting: settingPoisonEnds}
 }
 
-// callerInFlight reports whether a request of the caller has not ended on this node.
-func (r *Router) callerInFlight(caller uint64) bool {
-	for _, other := range r.requests {
-		if other.Caller == caller {
-			return true
-		}
-	}
-	return false
-}
-
 // poisonFailure returns the refusal of a blocked request, which names the machines that ended
 // under it.
 func (r *Router) poisonFailure(content poison.Fingerprint, left time.Duration) (*verdict.Error, Explanation) {
@@ -151,16 +140,6 @@
 	return failure.After(left), Explanation{Setting: settingPoisonEnds, Value: float64(len(ends))}
 }
 
-// contentInFlight reports whether a request with the content has not ended on this node.
-func (r *Router) contentInFlight(content poison.Fingerprint) bool {
-	for _, other := range r.requests {
-		if other.Content == content {
-			return true
-		}
-	}
-	return false
-}
-
 // enforceBlocks ends the requests with newly blocked contents, since a request that waits at
 // a machine would end it when it runs.
 func (r *Router) enforceBlocks() {
--- a/routing/queue/queue.go
+++ b/routing/queue/queue.go
@@ -1,6 +1,10 @@
 package queue
 
-import "github.com/valveslip/valveslip/internal/binaryheap"
+import (
+	"slices"
+
+	"github.com/valveslip/valveslip/internal/binaryheap"
+)
 
 // Item is one waiting request. Its owner embeds it, fills the exported fields before Push and
 // doesn't change them while the item is queued.
@@ -21,15 +25,21 @@
 	sequence uint64
 	index    int
 	team     *team[T]
+	held     bool
 }
 
-// Queued reports whether the item is in a queue.
-func (i *Item[T]) Queued() bool { return i.team != nil }
+// Queued reports whether the item is in a queue, held or not.
+func (i *Item[T]) Queued() bool { return i.team != nil || i.held }
+
+// Held reports whether the item is in a queue but can't be its head.
+func (i *Item[T]) Held() bool { return i.held }
 
 // Queue holds the waiting items of one model. The zero value is an empty queue.
 type Queue[T any] struct {
 	// levels are sorted by descending priority. Empty ones are kept for reuse.
-	levels   []*level[T]
+	levels []*level[T]
+	// held are the items that Hold took out of their levels, in the order of the calls.
+	held     []*Item[T]
 	length   int
 	bytes    int64
 	sequence uint64
@@ -38,6 +48,9 @@
 // Len returns the number of items.
 func (q *Queue[T]) Len() int { return q.length }
 
+// Ready returns the number of items that are not held.
+func (q *Queue[T]) Ready() int { return q.length - len(q.held) }
+
 // Bytes returns the sum of the items' bytes.
 func (q *Queue[T]) Bytes() int64 { return q.bytes }
 
@@ -61,7 +74,33 @@
 	q.level(item.Priority).push(item)
 }
 
-// Head returns the item that Pop would return, or nil if the queue is empty.
+// Hold keeps a queued item in the queue but out of the order, so that the items behind it are
+// served. It does nothing if the item is not queued or held already.
+func (q *Queue[T]) Hold(item *Item[T]) {
+	if item.team == nil {
+		return
+	}
+	item.team.level.remove(item)
+	item.team, item.held = nil, true
+	q.held = append(q.held, item)
+}
+
+// Release puts a held item back at its place in the order. It does nothing if the item is not held.
+func (q *Queue[T]) Release(item *Item[T]) {
+	if !item.held {
+		return
+	}
+	q.unhold(item)
+	q.level(item.Priority).push(item)
+}
+
+func (q *Queue[T]) unhold(item *Item[T]) {
+	item.held = false
+	at := slices.Index(q.held, item)
+	q.held = slices.Delete(q.held, at, at+1)
+}
+
+// Head returns the item that Pop would return, or nil if all items are held or there is none.
 func (q *Queue[T]) Head() *Item[T] {
 	for _, level := range q.levels {
 		if level.active.Len() > 0 {
@@ -71,7 +110,7 @@
 	return nil
 }
 
-// Pop removes and returns the next item, or nil if the queue is empty.
+// Pop removes and returns the next item, or nil if all items are held or there is none.
 func (q *Queue[T]) Pop() *Item[T] {
 	for _, level := range q.levels {
 		if level.active.Len() > 0 {
@@ -85,10 +124,14 @@
 
 // Remove removes an item without charging its team. It does nothing if the item is not queued.
 func (q *Queue[T]) Remove(item *Item[T]) {
-	if item.team == nil {
+	switch {
+	case item.held:
+		q.unhold(item)
+	case item.team != nil:
+		item.team.level.remove(item)
+	default:
 		return
 	}
-	item.team.level.remove(item)
 	q.detach(item)
 }
 
@@ -99,7 +142,7 @@
 	q.bytes -= item.Bytes
 }
 
-// Ahead returns the number of items with at least the given priority.
+// Ahead returns the number of items with at least the given priority that are not held.
 func (q *Queue[T]) Ahead(priority int) int {
 	count := 0
 	for _, level := range q.levels {
@@ -113,7 +156,7 @@
 
 // EstimateAhead estimates the number of items that are served before a new one: all items of higher
 // priority, those of its own team with no later deadline, and of each other team as many as are
-// served in turn with these.
+// served in turn with these. Held items don't count.
 func (q *Queue[T]) EstimateAhead(item *Item[T]) int {
 	count := 0
 	for _, level := range q.levels {
@@ -150,6 +193,11 @@
 			}
 		}
 	}
+	for _, item := range q.held {
+		if !visit(item) {
+			return
+		}
+	}
 }
 
 // EarliestDeadline returns the earliest deadline of all items, or false if the queue is empty.
@@ -163,6 +211,11 @@
 			}
 		}
 	}
+	for _, item := range q.held {
+		if !found || item.Deadline < earliest {
+			earliest, found = item.Deadline, true
+		}
+	}
 	return earliest, found
 }
 
--- a/routing/queue/queue_test.go
+++ b/routing/queue/queue_test.go
@@ -80,8 +80,27 @@
 	}
 }
 
+// TestHeldItemKeepsPosition checks that the items behind a held one are served, and that it is served
+// at its place once it is released.
+func TestHeldItemKeepsPosition(t *testing.T) {
+	var q Queue[string]
+	items := map[string]*Item[string]{}
+	for _, name := range []string{"a", "b", "c"} {
+		items[name] = newItem(name, 0, "x", 5)
+		q.Push(items[name])
+	}
+	q.Hold(items["a"])
+	if head := q.Head(); head != items["b"] || q.Len() != 3 {
+		t.Fatalf("head %v of %d items", head, q.Len())
+	}
+	q.Release(items["a"])
+	if got := drain(&q); got != "abc" {
+		t.Fatalf("got %s", got)
+	}
+}
+
 // TestQueueMatchesPlainList compares the order, the counts and the sums of bytes with a plain list
-// under random pushes, pops and removals.
+// under random pushes, pops, removals and held items.
 func TestQueueMatchesPlainList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var q Queue[string]
@@ -108,6 +127,9 @@
 					t.Skip()
 				}
 				for _, other := range queued {
+					if other.Held() {
+						continue
+					}
 					if other.Priority > item.Priority || (other.Priority == item.Priority && other.Team == item.Team && other.Deadline < item.Deadline) {
 						t.Fatalf("popped %+v before %+v", item, other)
 					}
@@ -123,20 +145,41 @@
 				q.Remove(item)
 				unlist(item)
 			},
+			"hold or release": func(t *rapid.T) {
+				if len(queued) == 0 {
+					t.Skip()
+				}
+				item := rapid.SampledFrom(queued).Draw(t, "item")
+				change, held := q.Hold, true
+				if item.Held() {
+					change, held = q.Release, false
+				}
+				change(item)
+				change(item)
+				if item.Held() != held || !item.Queued() {
+					t.Fatalf("held %v, want %v; queued %v", item.Held(), held, item.Queued())
+				}
+			},
 			"": func(t *rapid.T) {
 				visited := 0
 				q.Each(func(*Item[string]) bool { visited++; return true })
 				if q.Len() != len(queued) || visited != q.Len() || q.Bytes() != int64(len(queued)) {
 					t.Fatalf("%d items, %d visited, %d bytes, want %d", q.Len(), visited, q.Bytes(), len(queued))
 				}
-				ahead := 0
+				ahead, ready := 0, 0
 				for _, item := range queued {
-					if item.Priority >= 5 {
+					if !item.Held() {
+						ready++
+					}
+					if item.Priority >= 5 && !item.Held() {
 						ahead++
 					}
 				}
-				if q.Ahead(5) != ahead {
-					t.Fatalf("%d ahead, want %d", q.Ahead(5), ahead)
+				if q.Ahead(5) != ahead || q.Ready() != ready {
+					t.Fatalf("%d ahead, want %d; %d ready, want %d", q.Ahead(5), ahead, q.Ready(), ready)
+				}
+				if (q.Head() == nil) != (ready == 0) {
+					t.Fatalf("head %v with %d ready items", q.Head(), ready)
 				}
 			},
 		})
--- a/routing/random_events_test.go
+++ b/routing/random_events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/settings"
 	"github.com/valveslip/valveslip/verdict"
 	"github.com/valveslip/valveslip/wire"
@@ -18,6 +20,7 @@
 	testModels   = []cluster.ModelID{"chat", "recall", "claims"}
 	testZones    = []cluster.ZoneID{"z1", "z2"}
 	testMachines = []cluster.MachineID{"z1-a", "z1-b", "z2-a", "z2-b"}
+	testContents = []poison.Fingerprint{{}, {1}, {1}, {2}, {3}, {4}, {5}, {6}}
 	testScope    = settings.Scope{Path: "/dental", MaxConcurrency: 16, RequestsPerSecond: 400, TokensPerSecond: 1e6}
 )
 
@@ -78,6 +81,7 @@
 		TokenPath: "/dental", Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"),
 		Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
 		BodyBytes: rapid.Int64Range(0, 300).Draw(t, "bytes"), MaxTokens: 100,
+		Content: rapid.SampledFrom(testContents).Draw(t, "content"), Caller: rapid.Uint64Range(0, 1).Draw(t, "caller"),
 	}
 	if rapid.Bool().Draw(t, "impatient") {
 		request.Patience = time.Duration(rapid.IntRange(100, 12000).Draw(t, "patience")) * time.Millisecond
@@ -105,6 +109,8 @@
 		ended.Failure = verdict.New(said, code, "failed")
 		ended.EngineFull = rapid.Bool().Draw(t, "full")
 		ended.ModelMissing = !ended.EngineFull && rapid.Bool().Draw(t, "missing")
+		ended.Broken = said != verdict.NotRun
+		ended.MachineEnded = ended.Broken && rapid.Bool().Draw(t, "ended")
 	}
 	if rapid.IntRange(0, 3).Draw(t, "silent") == 0 {
 		m.step(AttemptSilent{Request: dispatch.Request, Attempt: dispatch.Attempt})
@@ -210,7 +216,7 @@
 }
 
 func (m *routerStateMachine) rareEvent(t *rapid.T) {
-	switch rapid.IntRange(0, 11).Draw(t, "rare") {
+	switch rapid.IntRange(0, 14).Draw(t, "rare") {
 	case 0:
 		m.step(DrainStarted{})
 	case 1, 2:
@@ -223,6 +229,12 @@
 		m.step(SettingsChanged{Snapshot: snapshotOf(testModels)})
 	case 7:
 		m.step(RoutersChanged{Routers: 3, Rank: 1, Zones: []ZoneRegion{{Zone: "z2", Region: "r"}}})
+	case 8:
+		m.step(MachineEnded{Machine: rapid.SampledFrom(testMachines).Draw(t, "machine")})
+	case 9:
+		m.step(PoisonProbeGranted{Content: rapid.SampledFrom(testContents).Draw(t, "content")})
+	case 10:
+		m.step(PoisonPardoned{Content: rapid.SampledFrom(testContents).Draw(t, "content")})
 	default:
 		m.router.Demand(m.now, rapid.Bool().Draw(t, "full"))
 	}
@@ -255,6 +267,27 @@
 	}
 	m.checkQueues(t)
 	m.checkStartable(t)
+	m.checkHeldBack(t)
+}
+
+// checkHeldBack checks that a request is held back only while similar requests run or may run next.
+func (m *routerStateMachine) checkHeldBack(t *rapid.T) {
+	held := 0
+	for _, waiting := range m.router.requests {
+		if !waiting.item.Held() {
+			continue
+		}
+		held++
+		similar := func(other *request) bool {
+			return other != waiting && !other.item.Held() && excludes(other, waiting)
+		}
+		if !m.router.runsAlone(waiting) || !slices.ContainsFunc(slices.Collect(maps.Values(m.router.requests)), similar) {
+			t.Fatalf("%s is held back behind nothing", waiting.ID)
+		}
+	}
+	if held != len(m.router.heldBack) {
+		t.Fatalf("%d requests are held back, %d listed", held, len(m.router.heldBack))
+	}
 }
 
 // checkStartable checks that no request waits for a load that is known to end too late for it.
--- a/routing/router.go
+++ b/routing/router.go
@@ -74,6 +74,11 @@
 	// statusCount counts the accepted cell statuses.
 	statusCount uint64
 
+	// heldBack are the waiting requests that are held in their queues while a similar one runs;
+	// recheckHeldBack is set when some of them may be released.
+	heldBack        []*request
+	recheckHeldBack bool
+
 	effects []Effect
 	// freedMachines lists the machines that gained room in this step.
 	freedMachines []*machine
@@ -117,6 +122,7 @@
 	r.dispatchToFreed()
 	r.handle(event)
 	r.enforceBlocks()
+	r.releaseHeldBack()
 	r.dispatchToFreed()
 	if found := r.poison.TakeUpdated(); len(found) > 0 {
 		r.emit(PoisonFound{Records: found})
@@ -166,12 +172,15 @@
 		r.machineEnded(event.Machine)
 	case PoisonLearned:
 		r.poison.Learn(r.now, event.Records)
+		r.recheckHeldBack = true
 	case PoisonProbeGranted:
 		r.poison.GrantProbe(event.Content)
 	case PoisonPardoned:
 		r.poison.Pardon(r.now, event.Content)
+		r.recheckHeldBack = true
 	case Tick:
 		r.endExpiredHold()
+		r.recheckHeldBack = true
 		r.poison.Sweep(r.now)
 		r.suspectCallers.Sweep(r.now)
 	case DrainStarted:
--- a/routing/silent_attempts.go
+++ b/routing/silent_attempts.go
@@ -8,7 +8,11 @@
 // request whose caller still has time.
 func (r *Router) attemptSilent(event *AttemptSilent) {
 	silent := r.requests[event.Request]
-	if silent == nil || !silent.running || silent.attempt != event.Attempt || !r.mayMove(silent) {
+	if silent == nil || !silent.running || silent.attempt != event.Attempt {
+		return
+	}
+	silent.silent, r.recheckHeldBack = true, true
+	if !r.mayMove(silent) {
 		return
 	}
 	successor := r.findMoveTarget(silent)
--- a/routing/start_estimate.go
+++ b/routing/start_estimate.go
@@ -79,11 +79,11 @@
 // rest of an answer takes less time than a whole one.
 func (r *Router) shouldShed(waiting *request) bool {
 	model := waiting.model
-	if model.queue.Len() < 2 || waiting.firstByteSent || r.nanos <= waiting.latestTimelyStart() {
+	if model.queue.Ready() < 2 || waiting.firstByteSent || r.nanos <= waiting.latestTimelyStart() {
 		return false
 	}
 	slots := r.freeSlots(model)
-	return slots > 0 && slots < model.queue.Len()
+	return slots > 0 && slots < model.queue.Ready()
 }
 
 // freeSlots returns the number of requests that the model's replicas would take now.
@@ -133,14 +133,22 @@
 	return m.loaded > 0
 }
 
-// nextToStart returns the first waiting request of the model and refuses the requests before it
-// that should be shed.
+// nextToStart returns the first waiting request of the model that may run now. It refuses the
+// requests before it that should be shed and holds back those that must not run beside others.
 func (r *Router) nextToStart(m *model) *request {
 	for {
 		head := m.queue.Head()
 		if head == nil {
 			return nil
 		}
+		if failure, reason := r.throttledRefusal(head.Value); failure != nil {
+			r.finish(head.Value, failure, reason)
+			continue
+		}
+		if behind := r.heldBackBy(head.Value); behind != nil {
+			r.holdBack(head.Value, behind)
+			continue
+		}
 		if !r.shouldShed(head.Value) {
 			return head.Value
 		}
@@ -266,7 +274,7 @@
 // estimateQueueTime returns how long a request with the given number ahead waits at loaded
 // replicas, by the mean interval between starts, or false without evidence.
 func (m *model) estimateQueueTime(ahead int) (int64, bool) {
-	if m.queue.Len() == 0 {
+	if m.queue.Ready() == 0 {
 		return 0, true
 	}
 	interval := m.startInterval.mean
@@ -280,7 +288,7 @@
 // expected to take as long again. That is no evidence, so it only extends the retry times; requests
 // are not refused because of it, since those that wait when the stall ends are served.
 func (r *Router) stalledFor(m *model) int64 {
-	if m.loaded == 0 || m.queue.Len() == 0 {
+	if m.loaded == 0 || m.queue.Ready() == 0 {
 		return 0
 	}
 	return r.nanos - m.startInterval.from
@@ -327,7 +335,7 @@
 
 // retryAfter estimates when a refused caller should retry, behind all waiting requests.
 func (r *Router) retryAfter(m *model) time.Duration {
-	return r.retryAfterBehind(m, m.queue.Len(), math.MinInt)
+	return r.retryAfterBehind(m, m.queue.Ready(), math.MinInt)
 }
 
 // retryAfterBehind estimates when a caller with the given number of requests ahead should retry.
--- a/routing/state.go
+++ b/routing/state.go
@@ -45,6 +45,10 @@
 	// unsent is set until AttemptPlaced arrives for the current attempt: nothing of it has reached
 	// its machine.
 	unsent bool
+	// silent is set once the current attempt's machine was reported as silent.
+	silent bool
+	// holdReported is set once the request was reported as held back.
+	holdReported bool
 	// sendBy is the latest time at which the current attempt may be sent to a machine with a rate
 	// limit; zero for no bound.
 	sendBy int64
