Send the request that asked for a probe as the probe

Callers saw: a harmless request that many ask for stayed refused as harmful on all nodes for 4 to 12 s after it had run beside three ends, though a probe was allowed after 1 s.

Cause: a node that gets a blocked request asks the store for the permission to send it once more, and refused the request meanwhile. The permission then waited for the next such request at that one node, longer the more nodes there are (by calculation 50 s on 340 nodes at 7 requests a second), and the other nodes wait 10 s for it before they ask.

Change: the request for which a node asks waits in its queue, held, until the store has answered, at most 1 s, and is the probe. It is refused at once where no probe is due or another node has it; it runs as any other where the content is cleared meanwhile. One request a content waits so. The number of probes is as before.

--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -276,16 +276,20 @@
 			}
 		}
 	}
-	var granted []poison.Fingerprint
+	var granted, denied []poison.Fingerprint
 	records := make([]poison.Record, 0, len(read.Records))
 	for i := range read.Records {
 		record := &read.Records[i]
 		content := record.Record.Content
 		before := s.stored[content]
 		s.stored[content] = &storedPoison{StoredPoisonRecord: *record, readAt: s.core.now}
-		if before != nil && !before.claimedAt.IsZero() && before.Probes < record.Probes && record.Prober == s.core.config.Self.ID {
-			granted = append(granted, content)
-			s.core.log(eventlog.PoisonProbe{Content: content.String(), Outcome: "granted", Number: record.Probes})
+		if before != nil && !before.claimedAt.IsZero() && before.Probes < record.Probes {
+			if record.Prober == s.core.config.Self.ID {
+				granted = append(granted, content)
+				s.core.log(eventlog.PoisonProbe{Content: content.String(), Outcome: "granted", Number: record.Probes})
+			} else {
+				denied = append(denied, content)
+			}
 		}
 		delete(s.writes, content)
 		records = append(records, record.Record)
@@ -303,6 +307,9 @@
 	for _, content := range granted {
 		s.core.feedRouter(routing.PoisonProbeGranted{Content: content})
 	}
+	for _, content := range denied {
+		s.core.feedRouter(routing.PoisonProbeDenied{Content: content})
+	}
 	for _, content := range read.Gone {
 		if s.stored[content] != nil {
 			delete(s.stored, content)
--- a/fleet/poison_record_test.go
+++ b/fleet/poison_record_test.go
@@ -162,3 +162,22 @@
 		}
 	}
 }
+
+// Guards against a request that many ask for and that stays blocked until the one node with the
+// permission for its probe gets it again, which takes the longer the more nodes there are: the
+// request that asks for the probe is sent as the probe.
+func TestRareRequestIsProbedAtItsFirstNode(t *testing.T) {
+	s := newPoisonSimulation(11, 12, 3)
+	s.step(s.nodes[0], RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+	s.runFor(3 * time.Second)
+	s.popular["tried"] = true
+	s.step(s.nodes[5], RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+		ID: "tried", Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: s.now.Add(4 * time.Second), Content: popularContent,
+	}}})
+	s.runFor(2 * time.Second)
+	for _, n := range s.nodes {
+		if record, _ := n.core.router.PoisonRecord(popularContent); n.core.poison.blocks(&record) {
+			t.Errorf("%s still refuses the request", n.id)
+		}
+	}
+}
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -9,6 +9,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 )
 
@@ -47,12 +48,13 @@
 	}
 }
 
-// claimProbe claims one of the few probes of a blocked request; a write to the store grants it to
-// a single node. If that node ends before it uses the probe, the request waits for the next probe.
-func (s *poisonSync) claimProbe(content poison.Fingerprint) {
+// claimProbe claims one of the few probes of a blocked request, and reports whether it did; a write to
+// the store grants it to a single node. If that node ends before it uses the probe, the request waits
+// for the next probe.
+func (s *poisonSync) claimProbe(content poison.Fingerprint) bool {
 	stored := s.stored[content]
 	if stored == nil || s.core.now.Sub(stored.claimedAt) < minPoisonWriteRetry {
-		return
+		return false
 	}
 	allowed, spacing := maxPoisonProbes, poisonProbeSpacing
 	switch {
@@ -62,7 +64,7 @@
 		allowed = maxPoisonProbes + 1
 	}
 	if stored.Probes >= allowed || stored.Probes > 0 && s.core.now.Sub(stored.readAt) < spacing {
-		return
+		return false
 	}
 	stored.claimedAt = s.core.now
 	s.core.log(eventlog.PoisonProbe{Content: content.String(), Outcome: "claimed", Number: stored.Probes + 1})
@@ -70,6 +72,7 @@
 		Record: stored.Record, Probes: stored.Probes + 1, Prober: s.core.config.Self.ID, EndsBefore: s.attributedEnds(content),
 	}
 	s.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&claim), Revision: stored.Revision})
+	return true
 }
 
 // proberEnded reports whether the node of the last probe is known to have ended: its record is
@@ -98,7 +101,11 @@
 	if err != nil {
 		return
 	}
-	// A key in neither map belongs to the claim of a probe, whose outcome is read from the record.
+	if answered.Err != nil && s.writes[content] == nil && s.removals[content] == nil {
+		// The claim of a probe failed. If it was written all the same, the record grants the next request.
+		s.core.feedRouter(routing.PoisonProbeDenied{Content: content})
+		return
+	}
 	for _, pending := range []map[poison.Fingerprint]*pendingWrite{s.writes, s.removals} {
 		write := pending[content]
 		switch {
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -63,7 +63,9 @@
 		case routing.RequestHeldBack:
 			c.log(eventlog.RequestHeld{Request: e.Request, Behind: e.Behind, Content: e.Content.String()})
 		case routing.PoisonProbeWanted:
-			c.poison.claimProbe(e.Content)
+			if !c.poison.claimProbe(e.Content) {
+				c.feedRouter(routing.PoisonProbeDenied(e))
+			}
 		case routing.Dispatch:
 			if c.dispatchClient == nil || !c.dispatchClient.dispatch(&e) {
 				c.gate.dispatch(e)
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -163,7 +163,7 @@
 func (r *Router) dispatchOrQueue(admitted *request) {
 	model := admitted.model
 	ahead := model.queue.Ahead(admitted.item.Priority)
-	if ahead == 0 && r.heldBackBy(admitted) == nil && r.tryDispatch(admitted) {
+	if ahead == 0 && !r.mustWait(admitted) && r.tryDispatch(admitted) {
 		return
 	}
 	failure, reason := r.queueRefusal(admitted)
@@ -185,7 +185,7 @@
 	model := admitted.model
 	policy := &model.configured.Policy
 	if policy.QueueTime <= 0 {
-		if r.heldBackBy(admitted) != nil {
+		if r.mustWait(admitted) {
 			return r.heldBackFailure(admitted)
 		}
 		return verdict.New(verdict.NotRun, verdict.CodeQueueTimeout,
@@ -216,9 +216,7 @@
 	} else {
 		waiting.model.queue.Push(&waiting.item)
 	}
-	if behind := r.heldBackBy(waiting); behind != nil {
-		r.holdBack(waiting, behind)
-	}
+	r.holdBack(waiting)
 	r.waiting++
 	waiting.model.updateUnserved(r.nanos)
 	r.markDemandChanged(waiting.model)
@@ -226,6 +224,9 @@
 	if unstartable := r.unstartableAt(waiting); unstartable > r.nanos {
 		end = min(end, unstartable)
 	}
+	if waiting.probeWanted {
+		end = min(end, r.nanos+int64(probeGrantTimeout))
+	}
 	r.arm(&waiting.timer, end)
 }
 
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -285,7 +285,7 @@
 // redispatch dispatches a failed request again, queues it or ends it.
 func (r *Router) redispatch(failed *request, reason Explanation) {
 	model := failed.model
-	if r.heldBackBy(failed) == nil && r.tryDispatch(failed) {
+	if !r.mustWait(failed) && r.tryDispatch(failed) {
 		return
 	}
 	if r.draining {
--- a/routing/events.go
+++ b/routing/events.go
@@ -58,9 +58,9 @@
 	Rank int
 	// Caller identifies the caller. All callers that can't be identified share zero.
 	Caller uint64
-	// probe is set while a blocked request is sent once more as a probe, throttled if it arrived
-	// while its caller was throttled.
-	probe, throttled bool
+	// probe is set while a blocked request is sent once more as a probe, probeWanted while it
+	// waits for the permission. throttled is set if it arrived while its caller was throttled.
+	probe, probeWanted, throttled bool
 }
 
 // Event is an input of the routing core.
@@ -197,10 +197,13 @@
 // PoisonPardoned clears a request of the blame for the machines that ended under it.
 type PoisonPardoned struct{ Content poison.Fingerprint }
 
-// PoisonProbeGranted allows this node alone to send a blocked request once more when it arrives
-// next.
+// PoisonProbeGranted allows this node alone to send a blocked request once more: the one that waits
+// for the permission or, without one, the next that arrives.
 type PoisonProbeGranted struct{ Content poison.Fingerprint }
 
+// PoisonProbeDenied answers a PoisonProbeWanted: this node may not send the request once more now.
+type PoisonProbeDenied struct{ Content poison.Fingerprint }
+
 // Tick runs the timers that are due. The owner sends one at NextDeadline at the latest.
 type Tick struct{}
 
@@ -224,6 +227,7 @@
 func (PoisonLearned) routingEvent()      {}
 func (PoisonPardoned) routingEvent()     {}
 func (PoisonProbeGranted) routingEvent() {}
+func (PoisonProbeDenied) routingEvent()  {}
 func (Tick) routingEvent()               {}
 
 // Effect is an output of the routing core.
@@ -276,8 +280,8 @@
 // all nodes.
 type PoisonFound struct{ Records []poison.Record }
 
-// PoisonProbeWanted asks whether this node may send a blocked request once more when it arrives
-// next.
+// PoisonProbeWanted asks whether this node may send a blocked request once more. A request waits for
+// PoisonProbeGranted or PoisonProbeDenied.
 type PoisonProbeWanted struct{ Content poison.Fingerprint }
 
 // CancelAttempt cancels an attempt at the engine: its request has ended, or another machine takes
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -63,6 +63,10 @@
 
 // requestTimerDue ends a request whose deadline or queue time passed.
 func (r *Router) requestTimerDue(due *request) {
+	if r.awaitsProbe(due) {
+		r.refuseBlocked(due)
+		return
+	}
 	if r.recheckWaiting(due) {
 		return
 	}
--- a/routing/holdback.go
+++ b/routing/holdback.go
@@ -11,7 +11,8 @@
 // Requests that may end their machine run one at a time on a router, so that the end of a machine
 // can be attributed and costs few others: those with the same suspected content, those of a
 // throttled caller, and probes. The others wait, held in their queues. Only a request that runs
-// keeps others waiting: one that waits for a machine itself could do so for seconds.
+// keeps others waiting: one that waits for a machine itself could do so for seconds. A blocked
+// request that asked for the permission for a probe is held until the answer.
 
 // RequestHeldBack reports that a waiting request is held in its queue while another one runs.
 type RequestHeldBack struct {
@@ -33,6 +34,11 @@
 	return throttled
 }
 
+// mustWait reports whether a request can't be dispatched now, although a machine may have room for it.
+func (r *Router) mustWait(ready *request) bool {
+	return r.awaitsProbe(ready) || r.heldBackBy(ready) != nil
+}
+
 // heldBackBy returns the running request that keeps a request from being dispatched, or nil. A
 // request whose machine is silent keeps none: it may never end.
 func (r *Router) heldBackBy(ready *request) *request {
@@ -58,14 +64,19 @@
 	return sameContent || sameCaller || running.probe && ready.probe
 }
 
-// holdBack holds a waiting request in its queue while another one runs.
-func (r *Router) holdBack(waiting, behind *request) {
+// holdBack holds a waiting request in its queue if it must wait, and reports whether it did.
+func (r *Router) holdBack(waiting *request) bool {
+	behind := r.heldBackBy(waiting)
+	if behind == nil && !r.awaitsProbe(waiting) {
+		return false
+	}
 	waiting.model.queue.Hold(&waiting.item)
 	r.heldBack = append(r.heldBack, waiting)
-	if !waiting.holdReported {
+	if behind != nil && !waiting.holdReported {
 		waiting.holdReported = true
 		r.emit(RequestHeldBack{Request: waiting.ID, Behind: behind.ID, Content: waiting.Content})
 	}
+	return true
 }
 
 // stopHolding removes a request from the list of those that are held back.
@@ -93,7 +104,7 @@
 			checked = nil
 			continue
 		}
-		if r.heldBackBy(held) == nil {
+		if !r.mustWait(held) {
 			r.release(held)
 		}
 	}
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -45,13 +45,6 @@
 	}
 }
 
-// returnUnusedProbe returns the permission for a probe that did not run.
-func (r *Router) returnUnusedProbe(ended *request) {
-	if ended.probe && !ended.mayHaveRun {
-		r.poison.GrantProbe(ended.Content)
-	}
-}
-
 // blocked reports whether the content must not be sent.
 func (r *Router) blocked(content poison.Fingerprint) bool {
 	_, blocked := r.poison.Blocked(r.now, content)
@@ -82,39 +75,15 @@
 
 // heldBackFailure returns the refusal of a request that may not wait until another one has ended.
 func (r *Router) heldBackFailure(refused *request) (*verdict.Error, Explanation) {
+	if left, blocked := r.poison.Blocked(r.now, refused.Content); blocked {
+		return r.poisonFailure(refused.Content, left)
+	}
 	record, _ := r.poison.Record(refused.Content)
 	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest,
 		"requests under which machines ended run one at a time, and this one may not wait")
 	return failure.After(r.retryAfter(refused.model)), Explanation{Setting: settingPoisonEnds, Value: float64(record.AttributedEndCount())}
 }
 
-// takeProbe makes the request a probe of its content if this node has permission for one, and asks
-// for permission when a probe is due. Probes run one at a time on this node, since the end of a
-// machine would count against all contents probed there.
-func (r *Router) takeProbe(arrived *Request) bool {
-	if r.probeRuns() {
-		return false
-	}
-	if r.poison.TakeProbe(arrived.Content) {
-		arrived.Attempts, arrived.probe = 1, true
-		return true
-	}
-	if r.poison.ProbeDue(r.now, arrived.Content) {
-		r.emit(PoisonProbeWanted{Content: arrived.Content})
-	}
-	return false
-}
-
-// probeRuns reports whether a probe runs at a machine. One that waits for a machine does not count.
-func (r *Router) probeRuns() bool {
-	for _, other := range r.requests {
-		if other.probe && other.running {
-			return true
-		}
-	}
-	return false
-}
-
 // callerRefusal returns why a request is refused because machines ended in succession under other
 // requests of its caller, or nil. After a wait the caller's requests run one at a time, which can
 // clear the caller.
--- /dev/null
+++ b/routing/probes.go
@@ -0,0 +1,91 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/routing/poison"
+)
+
+// probeGrantTimeout is how long a blocked request waits for the permission to run as a probe. The
+// store answers within tens of milliseconds; while it is slow, the caller is refused instead.
+const probeGrantTimeout = time.Second
+
+// takeProbe makes the request a probe of its content if this node has permission for one. If a probe
+// is due, the request asks for the permission and waits for it, so that the probe need not wait for
+// the next such request, which may come to this node much later. Probes run one at a time on this
+// node, since the end of a machine would count against all contents probed there.
+func (r *Router) takeProbe(arrived *Request) bool {
+	if r.probeRuns() {
+		return false
+	}
+	if r.poison.TakeProbe(arrived.Content) {
+		arrived.Attempts, arrived.probe = 1, true
+		return true
+	}
+	if !r.poison.ProbeDue(r.now, arrived.Content) || r.waitingForProbe(arrived.Content) != nil {
+		return false
+	}
+	arrived.probeWanted = true
+	r.emit(PoisonProbeWanted{Content: arrived.Content})
+	return true
+}
+
+// probeRuns reports whether a probe runs at a machine. One that waits for a machine does not count.
+func (r *Router) probeRuns() bool {
+	for _, other := range r.requests {
+		if other.probe && other.running {
+			return true
+		}
+	}
+	return false
+}
+
+// waitingForProbe returns the request that waits for the permission to probe a content, or nil.
+func (r *Router) waitingForProbe(content poison.Fingerprint) *request {
+	for _, waiting := range r.requests {
+		if waiting.probeWanted && waiting.Content == content {
+			return waiting
+		}
+	}
+	return nil
+}
+
+// awaitsProbe reports whether a request waits for the permission to run as a probe. It no longer
+// does once its content is not blocked any more.
+func (r *Router) awaitsProbe(waiting *request) bool {
+	return waiting.probeWanted && r.blocked(waiting.Content)
+}
+
+// grantProbe makes the request that waits for the permission a probe. Without one, the next that
+// arrives is.
+func (r *Router) grantProbe(content poison.Fingerprint) {
+	waiting := r.waitingForProbe(content)
+	if waiting == nil || !r.blocked(content) {
+		r.poison.GrantProbe(content)
+		return
+	}
+	waiting.probeWanted, waiting.probe, waiting.Attempts = false, true, 1
+	r.arm(&waiting.timer, min(waiting.deadline, waiting.queuedSince+waiting.queueBudget))
+	r.recheckHeldBack = true
+}
+
+// denyProbe refuses the request that waits for the permission to probe a content.
+func (r *Router) denyProbe(content poison.Fingerprint) {
+	if waiting := r.waitingForProbe(content); waiting != nil && r.blocked(content) {
+		r.refuseBlocked(waiting)
+	}
+}
+
+// refuseBlocked ends a waiting request whose content is blocked.
+func (r *Router) refuseBlocked(waiting *request) {
+	left, _ := r.poison.Blocked(r.now, waiting.Content)
+	failure, reason := r.poisonFailure(waiting.Content, left)
+	r.finish(waiting, failure, reason)
+}
+
+// returnUnusedProbe returns the permission for a probe that did not run.
+func (r *Router) returnUnusedProbe(ended *request) {
+	if ended.probe && !ended.mayHaveRun {
+		r.poison.GrantProbe(ended.Content)
+	}
+}
--- a/routing/random_events_test.go
+++ b/routing/random_events_test.go
@@ -216,7 +216,7 @@
 }
 
 func (m *routerStateMachine) rareEvent(t *rapid.T) {
-	switch rapid.IntRange(0, 14).Draw(t, "rare") {
+	switch rapid.IntRange(0, 15).Draw(t, "rare") {
 	case 0:
 		m.step(DrainStarted{})
 	case 1, 2:
@@ -235,6 +235,8 @@
 		m.step(PoisonProbeGranted{Content: rapid.SampledFrom(testContents).Draw(t, "content")})
 	case 10:
 		m.step(PoisonPardoned{Content: rapid.SampledFrom(testContents).Draw(t, "content")})
+	case 11:
+		m.step(PoisonProbeDenied{Content: rapid.SampledFrom(testContents).Draw(t, "content")})
 	default:
 		m.router.Demand(m.now, rapid.Bool().Draw(t, "full"))
 	}
@@ -270,7 +272,8 @@
 	m.checkHeldBack(t)
 }
 
-// checkHeldBack checks that a request is held back only while similar requests run or may run next.
+// checkHeldBack checks that a request is held back only while it waits for the permission for a
+// probe, or while similar requests run or may run next.
 func (m *routerStateMachine) checkHeldBack(t *rapid.T) {
 	held := 0
 	for _, waiting := range m.router.requests {
@@ -278,6 +281,9 @@
 			continue
 		}
 		held++
+		if m.router.awaitsProbe(waiting) {
+			continue
+		}
 		similar := func(other *request) bool {
 			return other != waiting && !other.item.Held() && excludes(other, waiting)
 		}
--- a/routing/router.go
+++ b/routing/router.go
@@ -174,7 +174,9 @@
 		r.poison.Learn(r.now, event.Records)
 		r.recheckHeldBack = true
 	case PoisonProbeGranted:
-		r.poison.GrantProbe(event.Content)
+		r.grantProbe(event.Content)
+	case PoisonProbeDenied:
+		r.denyProbe(event.Content)
 	case PoisonPardoned:
 		r.poison.Pardon(r.now, event.Content)
 		r.recheckHeldBack = true
--- a/routing/start_estimate.go
+++ b/routing/start_estimate.go
@@ -145,8 +145,7 @@
 			r.finish(head.Value, failure, reason)
 			continue
 		}
-		if behind := r.heldBackBy(head.Value); behind != nil {
-			r.holdBack(head.Value, behind)
+		if r.holdBack(head.Value) {
 			continue
 		}
 		if !r.shouldShed(head.Value) {
