Wait until the HTTP server accepts no more before a stopping node shuts it down

Cause: the node closes its listener, ends the connections that it knows, and shuts the HTTP server down as soon as it knows none. The goroutine in Accept may not have run since the listener was closed, as where the process waits for a processor. Then Shutdown closes the listener a second time and returns "use of closed network connection", which Stop reports as cut connections, though there are none. And where Accept had got a connection just before, that connection is nobody's: Shutdown leaves one without a request alone for 5 s, which is all the time that it has, and it is cut without an answer.

Change: connections are awaited until the HTTP server has stopped to accept, not only until none is open.

Tests, in virtual time, both fail before: TestStopWithSlowAcceptReportsNoError ("use of closed network connection"), TestStopEndsConnectionAcceptedDuringClose ("unexpected EOF").

--- a/node/shell/connections.go
+++ b/node/shell/connections.go
@@ -26,6 +26,8 @@
 	mutex  sync.Mutex
 	open   map[*trackedConnection]struct{}
 	closed bool
+	// acceptEnded is set once the HTTP server accepts no more connections.
+	acceptEnded bool
 }
 
 func newConnectionTracker() *connectionTracker {
@@ -44,6 +46,24 @@
 	return len(c.open)
 }
 
+// endAccept records that the HTTP server accepts no more connections.
+func (c *connectionTracker) endAccept() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.acceptEnded = true
+}
+
+// remaining returns the open connections, and whether no more will be accepted.
+func (c *connectionTracker) remaining() (open []*trackedConnection, acceptEnded bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	open = make([]*trackedConnection, 0, len(c.open))
+	for connection := range c.open {
+		open = append(open, connection)
+	}
+	return open, c.acceptEnded
+}
+
 // describeOpen returns a summary of the open connections by state.
 func (c *connectionTracker) describeOpen() string {
 	c.mutex.Lock()
@@ -76,18 +96,15 @@
 }
 
 // closeIdle closes idle connections after sending the message, and the others when
-// their request has ended. It returns when no connection is open or ctx ends.
+// their request has ended. It returns when no connection is open and none will be
+// accepted, or ctx ends. The last accepted connection may be added only after the
+// listener was closed.
 func (c *connectionTracker) closeIdle(ctx context.Context, message []byte) {
 	ticker := time.NewTicker(closeRetryInterval)
 	defer ticker.Stop()
 	for {
-		c.mutex.Lock()
-		remaining := make([]*trackedConnection, 0, len(c.open))
-		for open := range c.open {
-			remaining = append(remaining, open)
-		}
-		c.mutex.Unlock()
-		if len(remaining) == 0 {
+		remaining, acceptEnded := c.remaining()
+		if len(remaining) == 0 && acceptEnded {
 			return
 		}
 		for _, open := range remaining {
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -209,8 +209,8 @@
 	n.callers.ConnState = n.connections.connStateChanged
 	n.listener = n.connections.wrapListener(callers)
 	n.admin = n.newServer(n.adminHandler())
-	go n.serveUntilShutdown(n.callers, n.listener)
-	go n.serveUntilShutdown(n.admin, admin)
+	go n.serveUntilShutdown(n.callers, n.listener, n.connections.endAccept)
+	go n.serveUntilShutdown(n.admin, admin, func() {})
 }
 
 // newServer returns an HTTP server with the limits of a listener.
@@ -226,14 +226,15 @@
 }
 
 // serveUntilShutdown serves until the server is shut down. If the listener fails, the
-// node stops.
-func (n *Node) serveUntilShutdown(server *http.Server, listener net.Listener) {
+// node stops. acceptEnded is called once no more connections are accepted.
+func (n *Node) serveUntilShutdown(server *http.Server, listener net.Listener, acceptEnded func()) {
 	var err error
 	if n.identity != nil {
 		err = server.ServeTLS(listener, "", "")
 	} else {
 		err = server.Serve(listener)
 	}
+	acceptEnded()
 	if !errors.Is(err, http.ErrServerClosed) {
 		n.logger.Error("listener failed, stopping the node", "address", listener.Addr(), "error", err)
 		n.listenerError.Store(&err)
--- a/node/shell/stop_test.go
+++ b/node/shell/stop_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +73,12 @@
 func startOnPipe(t *testing.T) (*shell.Node, *pipe.Listener) {
 	t.Helper()
 	listener := pipe.NewListener()
+	return startOn(t, listener), listener
+}
+
+// startOn starts a node on a callers' listener.
+func startOn(t *testing.T, listener net.Listener) *shell.Node {
+	t.Helper()
 	core := &routerCore{router: routing.New(routing.Config{Zone: zone, ExpectedRouters: 1}, 1), snapshot: snapshot(nil)}
 	started, err := shell.Start(context.Background(), node.Config{Zone: zone, DrainTime: 10 * time.Second}, shell.Options{
 		CallerListener: listener, AdminListener: pipe.NewListener(),
@@ -82,7 +89,7 @@
 		t.Fatal(err)
 	}
 	started.Step(node.Tick{})
-	return started, listener
+	return started
 }
 
 // TestStoppingNodeStillAnswersAfterItsRetryAfter guards against a broken connection
@@ -107,6 +114,82 @@
 	})
 }
 
+// lateListener returns one more connection after it was closed, as when Accept has got a
+// connection but has not run on before the listener is closed.
+type lateListener struct {
+	*pipe.Listener
+	late chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err == nil {
+		return accepted, nil
+	}
+	select {
+	case late := <-l.late:
+		time.Sleep(20 * time.Millisecond)
+		return late, nil
+	default:
+		return nil, err
+	}
+}
+
+// TestStopEndsConnectionAcceptedDuringClose guards against a stop that misses a connection which is
+// accepted while the listener is being closed: the stop then waited for it for 5 s, cut it without
+// an answer and reported an error.
+func TestStopEndsConnectionAcceptedDuringClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		listener := &lateListener{Listener: pipe.NewListener(), late: make(chan net.Conn, 1)}
+		listener.late <- server
+		started := startOn(t, listener)
+		caller := newKeepAliveCaller(t, client)
+		stopped := make(chan error, 1)
+		go func() { stopped <- started.Stop() }()
+		caller.expectDrainRejection(http.StatusRequestTimeout)
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// slowListener notices only after a while that it was closed, as when the goroutine in Accept waits
+// for a processor. Like a TCP listener it can't be closed twice.
+type slowListener struct {
+	*pipe.Listener
+	closed atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *slowListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return accepted, err
+}
+
+// Close implements net.Listener.
+func (l *slowListener) Close() error {
+	if l.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	return l.Listener.Close()
+}
+
+// TestStopWithSlowAcceptReportsNoError guards against a stop that reports connections as cut off
+// although there are none: the listener was closed a second time while the goroutine in Accept had
+// not noticed that it was closed.
+func TestStopWithSlowAcceptReportsNoError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if err := startOn(t, &slowListener{Listener: pipe.NewListener()}).Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestStopAnswersPartlySentRequest guards against a connection that is closed without
 // an answer because its request had arrived only in part when the node stopped.
 func TestStopAnswersPartlySentRequest(t *testing.T) {
