Accept the queued connections before a stopping node closes its listener

Callers saw: "connection reset by peer" for a request that they had sent on a new connection when a node reached the end of its drain; they can't know whether it ran.

Cause: the kernel completes connections before they are accepted, and callers send at once. Those that wait in the listener's queue when it is closed are reset. A node that accepts slowly, as beside much other work, has some there.

Change: internal/drainlistener. A listener that is drained accepts until its queue has been empty for 20 ms, for 0.5 s at most, and then closes. What comes meanwhile is refused as not run, as before by a draining node.

Tests: TestDrainReturnsQueuedConnections (without the drain the callers are reset) and two more; node/shell passes.

--- /dev/null
+++ b/internal/drainlistener/doc.go
@@ -0,0 +1,3 @@
+// Package drainlistener provides a listener that a stopping server can close without resetting the
+// connections that wait to be accepted.
+package drainlistener
--- /dev/null
+++ b/internal/drainlistener/listener.go
@@ -0,0 +1,102 @@
+package drainlistener
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// emptyWait is how long the queue of connections must stay empty until the listener is closed.
+	emptyWait = 20 * time.Millisecond
+	// maxStepTime is the longest time of one call of Accept that shows that the queue is empty. A
+	// goroutine that ran later may have reached its deadline without looking at the queue.
+	maxStepTime = 2 * emptyWait
+	// maxDrainTime limits the drain while callers keep connecting.
+	maxDrainTime = 500 * time.Millisecond
+)
+
+// Listener is a net.Listener with a drain. The kernel completes connections before they are
+// accepted, so a caller may have sent a request on one that still waits in the listener's queue.
+// Closing the listener resets it, and the caller can't know whether its request ran.
+type Listener struct {
+	net.Listener
+
+	mutex sync.Mutex
+	// drainEnd is the time at which the drain ends at the latest, zero before Drain.
+	drainEnd time.Time
+}
+
+// New returns a listener that accepts from the given one.
+func New(inner net.Listener) *Listener { return &Listener{Listener: inner} }
+
+// deadliner is a listener whose Accept can be made to return after a time.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// Drain makes Accept return the connections that wait to be accepted, then close the listener and
+// return net.ErrClosed. A listener without deadlines is closed at once.
+func (l *Listener) Drain() {
+	inner, ok := l.Listener.(deadliner)
+	if !ok {
+		_ = l.Listener.Close()
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.drainEnd.IsZero() {
+		now := time.Now()
+		l.drainEnd = now.Add(maxDrainTime)
+		_ = inner.SetDeadline(now)
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		draining := l.limitAccept()
+		if draining && l.drainOver() {
+			return l.endDrain()
+		}
+		began := time.Now()
+		accepted, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return accepted, nil
+		case draining && time.Since(began) < maxStepTime:
+			return l.endDrain()
+		case !l.draining():
+			return nil, err
+		}
+	}
+}
+
+// endDrain closes the listener.
+func (l *Listener) endDrain() (net.Conn, error) {
+	_ = l.Listener.Close()
+	return nil, net.ErrClosed
+}
+
+// limitAccept reports whether the listener is being drained, and if so limits the next call of
+// Accept.
+func (l *Listener) limitAccept() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.drainEnd.IsZero() {
+		return false
+	}
+	_ = l.Listener.(deadliner).SetDeadline(time.Now().Add(emptyWait))
+	return true
+}
+
+func (l *Listener) draining() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.drainEnd.IsZero()
+}
+
+// drainOver reports whether the time of the drain has passed.
+func (l *Listener) drainOver() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return time.Now().After(l.drainEnd)
+}
--- /dev/null
+++ b/internal/drainlistener/listener_test.go
@@ -0,0 +1,89 @@
+package drainlistener
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+)
+
+// listenTCP returns a listener on a free port of the loopback interface.
+func listenTCP(t *testing.T) *Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = inner.Close() })
+	return New(inner)
+}
+
+// TestDrainReturnsQueuedConnections guards against resetting connections whose callers have sent a
+// request before they were accepted.
+func TestDrainReturnsQueuedConnections(t *testing.T) {
+	listener := listenTCP(t)
+	const callers = 5
+	connections := make([]net.Conn, callers)
+	for i := range connections {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		_, _ = fmt.Fprint(connection, "request")
+		connections[i] = connection
+	}
+	listener.Drain()
+	for range callers {
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprint(accepted, "answer")
+		_, _ = io.ReadFull(accepted, make([]byte, len("request")))
+		_ = accepted.Close()
+	}
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept after the drain: %v", err)
+	}
+	for i, connection := range connections {
+		if answer, err := io.ReadAll(connection); string(answer) != "answer" {
+			t.Errorf("caller %d got %q, %v", i, answer, err)
+		}
+	}
+	if late, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+		_ = late.Close()
+		t.Error("the listener still takes connections after the drain")
+	}
+}
+
+// TestDrainEndsWaitingAccept guards against an Accept that waits forever for a connection although
+// the listener is drained.
+func TestDrainEndsWaitingAccept(t *testing.T) {
+	listener := listenTCP(t)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := listener.Accept()
+		ended <- err
+	}()
+	listener.Drain()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept: %v", err)
+	}
+}
+
+// TestCloseEndsDrainAtOnce guards against a listener that goes on accepting after it was closed.
+func TestCloseEndsDrainAtOnce(t *testing.T) {
+	listener := listenTCP(t)
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	listener.Drain()
+	_ = listener.Close()
+	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accept after the close: %v", err)
+	}
+}
--- a/node/shell/connections.go
+++ b/node/shell/connections.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/valveslip/valveslip/internal/drainlistener"
 )
 
 const (
@@ -35,8 +37,8 @@
 }
 
 // wrapListener returns a listener whose connections are tracked.
-func (c *connectionTracker) wrapListener(listener net.Listener) net.Listener {
-	return &trackingListener{Listener: listener, tracker: c}
+func (c *connectionTracker) wrapListener(listener net.Listener) *trackingListener {
+	return &trackingListener{Listener: drainlistener.New(listener), tracker: c}
 }
 
 // count returns the number of open connections.
@@ -120,7 +122,7 @@
 
 // trackingListener tracks the connections that it accepts.
 type trackingListener struct {
-	net.Listener
+	*drainlistener.Listener
 	tracker *connectionTracker
 }
 
@@ -144,10 +146,20 @@
 
 // Close implements net.Listener.
 func (l *trackingListener) Close() error {
+	l.markClosed()
+	return l.Listener.Close()
+}
+
+// Drain closes the listener after the connections that callers have opened are accepted.
+func (l *trackingListener) Drain() {
+	l.markClosed()
+	l.Listener.Drain()
+}
+
+func (l *trackingListener) markClosed() {
 	l.tracker.mutex.Lock()
+	defer l.tracker.mutex.Unlock()
 	l.tracker.closed = true
-	l.tracker.mutex.Unlock()
-	return l.Listener.Close()
 }
 
 // trackedConnection tracks whether a request is in progress. The state reported by the
--- a/node/shell/node.go
+++ b/node/shell/node.go
@@ -61,7 +61,7 @@
 	callers   *http.Server
 	admin     *http.Server
 	// listener is the callers' listener, connections its open connections.
-	listener    net.Listener
+	listener    *trackingListener
 	connections *connectionTracker
 
 	keyValuePool, enginePool, platformPool *workerPool
--- a/node/shell/stop.go
+++ b/node/shell/stop.go
@@ -110,12 +110,12 @@
 	}
 }
 
-// closeCallerConnections closes the callers' listener and ends their keep-alive
-// connections with a final answer. A caller whose request crosses that answer takes it
+// closeCallerConnections closes the callers' listener, once it has accepted what
+// callers have opened, and ends their keep-alive connections with a final answer. A caller whose request crosses that answer takes it
 // for the response, which says that the request was not run. Without it the caller
 // would see a broken connection and could not know whether the request had run.
 func (n *Node) closeCallerConnections(ctx context.Context) {
-	_ = n.listener.Close()
+	n.listener.Drain()
 	failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining,
 		"this node has stopped; another one takes the request").After(routing.DefaultDrainRetryAfter)
 	n.connections.closeIdle(ctx, api.UnsolicitedTimeoutResponse(failure))
