Stop a node during the TLS handshake of a caller

Operators saw: nothing so far; found by trying each state in which a connection may be at the end of a drain. Stop of a node with TLS never returned where a caller had connected and not yet sent anything, as a load balancer's check or a speculative connection of a browser.

Cause: the end of the drain looked at the state of TLS with the connection's mutex held. tls.Conn.ConnectionState waits for the handshake, whose reads need that mutex as soon as the kernel's deadline ends them. Both wait for good.

Change: the state is looked at without the mutex, in the background. A handshake that is not complete a second after the listener was closed is cut off; no request can have been sent on it. A connection that the server has not begun to serve is left alone until it has.

--- a/node/shell/connections.go
+++ b/node/shell/connections.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valveslip/valveslip/internal/drainlistener"
@@ -21,6 +22,8 @@
 	discardTimeout = 500 * time.Millisecond
 	// closeRetryInterval is the time between two attempts to close busy connections.
 	closeRetryInterval = 5 * time.Millisecond
+	// incompleteTimeout is how long a TLS handshake may still take once connections are closed.
+	incompleteTimeout = time.Second
 )
 
 // connectionTracker tracks the open connections of the callers' listener.
@@ -100,17 +103,18 @@
 // closeIdle closes idle connections after sending the message, and the others when
 // their request has ended. It returns when no connection is open and none will be
 // accepted, or ctx ends. The last accepted connection may be added only after the
-// listener was closed.
+// listener was closed. A connection whose TLS handshake does not end is cut off.
 func (c *connectionTracker) closeIdle(ctx context.Context, message []byte) {
 	ticker := time.NewTicker(closeRetryInterval)
 	defer ticker.Stop()
+	began := time.Now()
 	for {
 		remaining, acceptEnded := c.remaining()
 		if len(remaining) == 0 && acceptEnded {
 			return
 		}
 		for _, open := range remaining {
-			open.closeIfIdle(message)
+			open.closeIfIdle(message, time.Since(began) >= incompleteTimeout)
 		}
 		select {
 		case <-ticker.C:
@@ -139,7 +143,7 @@
 		}
 		return nil, err
 	}
-	tracked := &trackedConnection{Conn: accepted, tracker: owner, outer: accepted, idle: true}
+	tracked := &trackedConnection{Conn: accepted, tracker: owner, idle: true}
 	owner.open[tracked] = struct{}{}
 	return tracked, nil
 }
@@ -171,12 +175,17 @@
 	tracker *connectionTracker
 
 	mutex sync.Mutex
-	// outer is the connection as passed to the HTTP server, with TLS if configured.
+	// outer is the connection as passed to the HTTP server, with TLS if configured. It is nil until
+	// the server has begun to serve the connection.
 	outer net.Conn
 	// idle is true while the HTTP server serves no request on the connection,
 	// receivedSinceWrite if input has arrived since the last write.
 	idle, receivedSinceWrite bool
 	closing                  bool
+
+	// tlsState is the state of TLS at the end of the last look, stateWanted is set during one.
+	tlsState    atomic.Pointer[tls.ConnectionState]
+	stateWanted atomic.Bool
 }
 
 // stateChanged records a state reported by the HTTP server.
@@ -233,19 +242,29 @@
 }
 
 // closeIfIdle sends the message, closes the connection for writing and lets remaining
-// input be discarded, unless a request is in progress.
-func (c *trackedConnection) closeIfIdle(message []byte) {
-	c.mutex.Lock()
-	tlsConn, isTLS := c.outer.(*tls.Conn)
-	busy := c.closing || !c.idle || c.receivedSinceWrite
-	if busy || isTLS && !acceptsHTTP1Response(tlsConn) {
-		c.mutex.Unlock()
+// input be discarded, unless a request is in progress. If overdue is set, a connection in
+// its TLS handshake is closed: no request can have been sent on it.
+func (c *trackedConnection) closeIfIdle(message []byte, overdue bool) {
+	outer := c.idleConnection()
+	if outer == nil {
+		return
+	}
+	tlsConn, isTLS := outer.(*tls.Conn)
+	if isTLS {
+		state := c.connectionState(tlsConn)
+		switch {
+		case state == nil:
+			if overdue {
+				_ = c.Close()
+			}
+			return
+		case state.NegotiatedProtocol == protocolHTTP2:
+			return
+		}
+	}
+	if !c.startClosing() {
 		return
 	}
-	c.closing = true
-	outer := c.outer
-	_ = c.Conn.SetDeadline(time.Now().Add(discardTimeout))
-	c.mutex.Unlock()
 	_, _ = outer.Write(message)
 	if isTLS {
 		_ = tlsConn.CloseWrite()
@@ -255,9 +274,49 @@
 	}
 }
 
-// acceptsHTTP1Response reports whether a TLS connection uses HTTP/1.1. HTTP/2 has its
-// own shutdown, which names the requests that were not processed.
-func acceptsHTTP1Response(tlsConn *tls.Conn) bool {
-	state := tlsConn.ConnectionState()
-	return state.HandshakeComplete && state.NegotiatedProtocol != "h2"
+// idleConnection returns the connection as passed to the HTTP server, or nil if a request
+// is in progress or the connection is being closed.
+func (c *trackedConnection) idleConnection() net.Conn {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.busy() {
+		return nil
+	}
+	return c.outer
+}
+
+// busy reports whether the connection can't be closed now. The caller must hold the mutex.
+func (c *trackedConnection) busy() bool { return c.closing || !c.idle || c.receivedSinceWrite }
+
+// startClosing begins to discard the connection's input, and reports whether it did.
+func (c *trackedConnection) startClosing() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.busy() {
+		return false
+	}
+	c.closing = true
+	_ = c.Conn.SetDeadline(time.Now().Add(discardTimeout))
+	return true
+}
+
+// protocolHTTP2 is the negotiated protocol of HTTP/2 connections. HTTP/2 has its own
+// shutdown, which names the requests that were not processed.
+const protocolHTTP2 = "h2"
+
+// connectionState returns the state of TLS, or nil until the handshake is complete.
+// tls.Conn.ConnectionState waits for the end of the handshake, so it is called in the
+// background, without the mutex that the handshake's reads need.
+func (c *trackedConnection) connectionState(conn *tls.Conn) *tls.ConnectionState {
+	if state := c.tlsState.Load(); state != nil && state.HandshakeComplete {
+		return state
+	}
+	if c.stateWanted.CompareAndSwap(false, true) {
+		go func() {
+			state := conn.ConnectionState()
+			c.tlsState.Store(&state)
+			c.stateWanted.Store(false)
+		}()
+	}
+	return nil
 }
