Answer callers whose request has arrived in part when their node closes

Callers saw: a connection closed without an answer 6.5 s after a stop began, for a request of whose header a part had arrived; on a TLS connection that had not been used yet, the same.

Cause: input since the last write counts as a request in progress, which is waited for until the end of the time. A header that does not go on is waited for in vain, and net/http then closes the connection without a word. With TLS the end of the handshake is such input as well, so each unused connection was cut.

Change: a second after the listener was closed such connections get the final answer, as idle ones do at once: 408, not run. What arrives after it is discarded.

--- a/node/shell/connections.go
+++ b/node/shell/connections.go
@@ -22,7 +22,8 @@
 	discardTimeout = 500 * time.Millisecond
 	// closeRetryInterval is the time between two attempts to close busy connections.
 	closeRetryInterval = 5 * time.Millisecond
-	// incompleteTimeout is how long a TLS handshake may still take once connections are closed.
+	// incompleteTimeout is how long a TLS handshake or the head of a request may still take once
+	// connections are closed.
 	incompleteTimeout = time.Second
 )
 
@@ -103,7 +104,8 @@
 // closeIdle closes idle connections after sending the message, and the others when
 // their request has ended. It returns when no connection is open and none will be
 // accepted, or ctx ends. The last accepted connection may be added only after the
-// listener was closed. A connection whose TLS handshake does not end is cut off.
+// listener was closed. A connection whose TLS handshake does not end is cut off, and one
+// whose request does not arrive whole counts as idle.
 func (c *connectionTracker) closeIdle(ctx context.Context, message []byte) {
 	ticker := time.NewTicker(closeRetryInterval)
 	defer ticker.Stop()
@@ -242,10 +244,11 @@
 }
 
 // closeIfIdle sends the message, closes the connection for writing and lets remaining
-// input be discarded, unless a request is in progress. If overdue is set, a connection in
-// its TLS handshake is closed: no request can have been sent on it.
+// input be discarded, unless a request is in progress. If overdue is set, a partly
+// received request counts as none, and a connection in its TLS handshake is closed: no
+// request can have been sent on it.
 func (c *trackedConnection) closeIfIdle(message []byte, overdue bool) {
-	outer := c.idleConnection()
+	outer := c.servedConnection()
 	if outer == nil {
 		return
 	}
@@ -262,7 +265,7 @@
 			return
 		}
 	}
-	if !c.startClosing() {
+	if !c.startClosing(overdue) {
 		return
 	}
 	_, _ = outer.Write(message)
@@ -274,25 +277,26 @@
 	}
 }
 
-// idleConnection returns the connection as passed to the HTTP server, or nil if a request
-// is in progress or the connection is being closed.
-func (c *trackedConnection) idleConnection() net.Conn {
+// servedConnection returns the connection as passed to the HTTP server, or nil if the
+// server has not begun to serve it.
+func (c *trackedConnection) servedConnection() net.Conn {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.busy() {
-		return nil
-	}
 	return c.outer
 }
 
 // busy reports whether the connection can't be closed now. The caller must hold the mutex.
-func (c *trackedConnection) busy() bool { return c.closing || !c.idle || c.receivedSinceWrite }
+// Input since the last write is a partly received request or, with TLS, the end of the
+// handshake. With overdue it does not count.
+func (c *trackedConnection) busy(overdue bool) bool {
+	return c.closing || !c.idle || c.receivedSinceWrite && !overdue
+}
 
 // startClosing begins to discard the connection's input, and reports whether it did.
-func (c *trackedConnection) startClosing() bool {
+func (c *trackedConnection) startClosing(overdue bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.busy() {
+	if c.busy(overdue) {
 		return false
 	}
 	c.closing = true
