Let the HTTP server end callers' HTTP/2 connections at a stop

Operators saw: Stop of a node with TLS took 5 s longer and reported connections as cut off whenever a caller kept an HTTP/2 connection, also an idle one; the caller was not told which requests ran.

Cause: the end of the drain waits until all connections are closed and only then shuts the HTTP server down. HTTP/2 connections are ended by that shutdown alone, and none of the time was left.

Change: HTTP/2 connections are not waited for before the shutdown, which has the rest of the time.

Test: TestStopEndsHTTP2Connection, before: "closing caller connections after the drain timed out: 1 open ...: context deadline exceeded", 6 s; now 2.1 s. node/shell passes under the race detector. Open, by reading: net/http may close an idle HTTP/2 connection before its GOAWAY is sent.

--- a/node/shell/connections.go
+++ b/node/shell/connections.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,7 +104,8 @@
 
 // closeIdle closes idle connections after sending the message, and the others when
 // their request has ended. It returns when no connection is open and none will be
-// accepted, or ctx ends. The last accepted connection may be added only after the
+// accepted, or ctx ends. HTTP/2 connections are left to http.Server.Shutdown, which tells
+// their callers which requests ran. The last accepted connection may be added only after the
 // listener was closed. A connection whose TLS handshake does not end is cut off, and one
 // whose request does not arrive whole counts as idle.
 func (c *connectionTracker) closeIdle(ctx context.Context, message []byte) {
@@ -112,6 +114,7 @@
 	began := time.Now()
 	for {
 		remaining, acceptEnded := c.remaining()
+		remaining = slices.DeleteFunc(remaining, (*trackedConnection).usesHTTP2)
 		if len(remaining) == 0 && acceptEnded {
 			return
 		}
@@ -256,12 +259,10 @@
 	if isTLS {
 		state := c.connectionState(tlsConn)
 		switch {
-		case state == nil:
-			if overdue {
-				_ = c.Close()
-			}
+		case state == nil && overdue:
+			_ = c.Close()
 			return
-		case state.NegotiatedProtocol == protocolHTTP2:
+		case state == nil || state.NegotiatedProtocol == protocolHTTP2:
 			return
 		}
 	}
@@ -304,10 +305,19 @@
 	return true
 }
 
-// protocolHTTP2 is the negotiated protocol of HTTP/2 connections. HTTP/2 has its own
-// shutdown, which names the requests that were not processed.
+// protocolHTTP2 is the negotiated protocol of HTTP/2 connections.
 const protocolHTTP2 = "h2"
 
+// usesHTTP2 reports whether the connection is known to use HTTP/2.
+func (c *trackedConnection) usesHTTP2() bool {
+	tlsConn, isTLS := c.servedConnection().(*tls.Conn)
+	if !isTLS {
+		return false
+	}
+	state := c.connectionState(tlsConn)
+	return state != nil && state.NegotiatedProtocol == protocolHTTP2
+}
+
 // connectionState returns the state of TLS, or nil until the handshake is complete.
 // tls.Conn.ConnectionState waits for the end of the handshake, so it is called in the
 // background, without the mutex that the handshake's reads need.
--- a/node/shell/stop_states_test.go
+++ b/node/shell/stop_states_test.go
@@ -81,3 +81,24 @@
 		t.Error(err)
 	}
 }
+
+// TestStopEndsHTTP2Connection guards against a stop that cuts off a caller's HTTP/2 connection
+// without telling it which requests ran, and reports an error.
+func TestStopEndsHTTP2Connection(t *testing.T) {
+	ca := newTestCA(t)
+	started, _ := startTLSNode(t, ca)
+	transport := &http.Transport{TLSClientConfig: trusting(ca), ForceAttemptHTTP2: true}
+	defer transport.CloseIdleConnections()
+	answer, err := (&http.Client{Transport: transport}).Get("https://" + started.Self().CallerAddress + "/v1/models")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	if answer.ProtoMajor != 2 {
+		t.Fatalf("answered with %s", answer.Proto)
+	}
+	if err := started.Stop(); err != nil {
+		t.Error(err)
+	}
+}
