Answer what waits in the listener's queue at the end of a planned stop

Cause: a node that is late leaves new connections in the kernel, for up to 1 s at a time, and counts as in flight only what it has read. A planned stop ends when nothing is in flight, closes the listener and with it resets the connections that wait there, with the requests that their callers have sent.

Change: the same drain of the listener as on nodes of the OpenAI API. At the end of a planned stop connections are accepted whatever the node's lateness, for 0.5 s at most and until the queue is empty; what comes on them is answered as by any draining node, and the HTTP server's shutdown may take what is left of a second instead of 20 ms.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -22,6 +22,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/internal/drainlistener"
 	"github.com/valveslip/valveslip/overload"
 	"github.com/valveslip/valveslip/passthrough"
 	"github.com/valveslip/valveslip/passthrough/retained"
@@ -78,6 +79,7 @@
 
 	transport       *wire.Transport
 	callerServer    *http.Server
+	callerListener  *drainlistener.Listener
 	readinessServer *http.Server
 	metricsServer   *http.Server
 	isReady         atomic.Bool
@@ -94,6 +96,9 @@
 
 	context context.Context
 	cancel  context.CancelFunc
+	// acceptHoldContext ends when connections are accepted also while the process is overloaded.
+	acceptHoldContext context.Context
+	endAcceptHold     context.CancelFunc
 	// listenerErrors receives the error of each listener that fails.
 	listenerErrors chan error
 	stopOnce       sync.Once
@@ -112,6 +117,7 @@
 	}
 	n.schedulingDelay = overload.New(n.waitForTurn)
 	n.context, n.cancel = context.WithCancel(context.Background())
+	n.acceptHoldContext, n.endAcceptHold = context.WithCancel(n.context)
 	n.metrics = newMetrics(n.registry, n)
 	if err := n.openListeners(); err != nil {
 		n.cancel()
@@ -176,8 +182,11 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	wrapped := wrap(listener)
 	go func() {
-		if err := server.Serve(wrap(listener)); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(wrapped)
+		closed := errors.Is(err, http.ErrServerClosed) || n.stopping.Load() && errors.Is(err, net.ErrClosed)
+		if !closed {
 			n.listenerErrors <- eris.Wrapf(err, "serve connections on listener %s", listener.Addr())
 		}
 	}()
--- a/fleet/shell/slowcallers.go
+++ b/fleet/shell/slowcallers.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/internal/drainlistener"
 	"github.com/valveslip/valveslip/passthrough"
 )
 
@@ -65,7 +66,8 @@
 	if socket, ok := listener.(syscall.Conn); ok {
 		setSocketBuffers(socket, n.options.CallerLimits.SocketBytes)
 	}
-	return callerListener{silenceLimitListener{listener}, n}
+	n.callerListener = drainlistener.New(listener)
+	return callerListener{silenceLimitListener{n.callerListener}, n}
 }
 
 // setSocketBuffers limits the kernel buffers of a socket. A limit that can't be set is skipped.
@@ -88,9 +90,9 @@
 
 // Accept implements net.Listener. While the process is overloaded new connections wait in the
 // kernel: reading and rejecting their requests costs a fifth of a core at 1,400 connections a
-// second.
+// second. At the end of a planned stop they are accepted, since closing the listener resets them.
 func (l callerListener) Accept() (net.Conn, error) {
-	l.node.schedulingDelay.WaitWhileLate(l.node.context)
+	l.node.schedulingDelay.WaitWhileLate(l.node.acceptHoldContext)
 	connection, err := l.silenceLimitListener.Accept()
 	if err != nil {
 		return nil, err
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -31,6 +31,9 @@
 	// drainPollInterval is the time between two checks of the requests in flight. It is short
 	// because it delays the end of the drain.
 	drainPollInterval = 20 * time.Millisecond
+	// lastAnswersTimeout limits the time for accepting and answering the callers that have opened a
+	// connection and whose request has not been read.
+	lastAnswersTimeout = time.Second
 	// logFlushTimeout limits the wait for the last log lines, so that it fits into stopMargin.
 	logFlushTimeout = 150 * time.Millisecond
 )
@@ -66,10 +69,26 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	n.answerLastCallers(drainEnd)
 	n.options.Log.Write(eventlog.NodeStopped{InFlight: n.inFlight(), Took: n.Now().Sub(began)})
 	n.close()
 }
 
+// answerLastCallers accepts the connections that callers have opened, closes the listener and waits
+// until the requests on them are answered, at the longest until the given time. Closing a listener
+// resets the connections that it has not accepted, which may carry requests.
+func (n *Node) answerLastCallers(until time.Time) {
+	n.endAcceptHold()
+	n.callerListener.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), min(until.Sub(n.Now()), lastAnswersTimeout))
+	defer cancel()
+	select {
+	case <-n.callerListener.Drained():
+		_ = n.callerServer.Shutdown(ctx)
+	case <-ctx.Done():
+	}
+}
+
 // sleepUntil sleeps until a time of the node's clock. It sleeps in short steps because that clock
 // counts suspensions and a timer doesn't.
 func (n *Node) sleepUntil(at time.Time) {
--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -25,10 +25,18 @@
 	mutex sync.Mutex
 	// drainEnd is the time at which the drain ends at the latest, zero before Drain.
 	drainEnd time.Time
+	// drained is closed at the end of the drain.
+	drained     chan struct{}
+	drainedOnce sync.Once
 }
 
 // New returns a listener that accepts from the given one.
-func New(inner net.Listener) *Listener { return &Listener{Listener: inner} }
+func New(inner net.Listener) *Listener {
+	return &Listener{Listener: inner, drained: make(chan struct{})}
+}
+
+// Drained returns a channel that is closed once the listener was drained and closed.
+func (l *Listener) Drained() <-chan struct{} { return l.drained }
 
 // deadliner is a listener whose Accept can be made to return after a time.
 type deadliner interface{ SetDeadline(time.Time) error }
@@ -38,7 +46,7 @@
 func (l *Listener) Drain() {
 	inner, ok := l.Listener.(deadliner)
 	if !ok {
-		_ = l.Listener.Close()
+		_, _ = l.endDrain()
 		return
 	}
 	l.mutex.Lock()
@@ -70,9 +78,10 @@
 	}
 }
 
-// endDrain closes the listener.
+// endDrain closes the listener and returns what Accept returns then.
 func (l *Listener) endDrain() (net.Conn, error) {
 	_ = l.Listener.Close()
+	l.drainedOnce.Do(func() { close(l.drained) })
 	return nil, net.ErrClosed
 }
 
--- a/internal/drainlistener/listener_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -47,6 +47,7 @@
 	if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("accept after the drain: %v", err)
 	}
+	<-listener.Drained()
 	for i, connection := range connections {
 		if answer, err := io.ReadAll(connection); string(answer) != "answer" {
 			t.Errorf("caller %d got %q, %v", i, answer, err)
