Let a started stream wait for the retry budget

Callers saw: a stream closed in the middle.

Cause: a continuation that the retry budget does not allow ended the stream at once, as a request that can still be refused. The budget is divided by the nodes: with 295 of them the extra of 52 a window is 0.18 for each, so a node needs five requests in the window for its first retry and ten for the next, and a worker's rejection takes one too.

Evidence: TestStartedStreamWaitsForRetryBudget, "finish a" on the rejection before.

Change: a started stream that may be continued but for the budget is held in its queue, at most for its queue time and until its deadline, and goes on as soon as a part of the budget's window has expired. The budget itself is as before.

Tests: that and TestStreamWithoutRetryBudgetEndsInTime; routing passes.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -186,6 +186,9 @@
 	}
 	retry, reason := r.mayRetry(failed, event)
 	reason.Machine = machine.id
+	if !retry && r.awaitRetryBudget(failed, reason) {
+		return
+	}
 	if !retry {
 		failure := event.Failure
 		if failure.RetryAfter == 0 && !isPermanent(failure.Code) {
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -67,7 +67,7 @@
 		r.refuseBlocked(due)
 		return
 	}
-	if r.recheckWaiting(due) {
+	if r.recheckBudget(due) || r.recheckWaiting(due) {
 		return
 	}
 	if r.nanos < due.deadline {
--- a/routing/holdback.go
+++ b/routing/holdback.go
@@ -11,8 +11,9 @@
 // Requests that may end their machine run one at a time on a router, so that the end of a machine
 // can be attributed and costs few others: those with the same suspected content, those of a
 // throttled caller, and probes. The others wait, held in their queues. Only a request that runs
-// keeps others waiting: one that waits for a machine itself could do so for seconds. A blocked
-// request that asked for the permission for a probe is held until the answer.
+// keeps others waiting: one that waits for a machine itself could do so for seconds. Held are also a
+// blocked request that asked for the permission for a probe, until the answer, and a started stream
+// whose continuation the retry budget does not allow yet.
 
 // RequestHeldBack reports that a waiting request is held in its queue while another one runs.
 type RequestHeldBack struct {
@@ -36,7 +37,7 @@
 
 // mustWait reports whether a request can't be dispatched now, although a machine may have room for it.
 func (r *Router) mustWait(ready *request) bool {
-	return r.awaitsProbe(ready) || r.heldBackBy(ready) != nil
+	return ready.retryUnpaid || r.awaitsProbe(ready) || r.heldBackBy(ready) != nil
 }
 
 // heldBackBy returns the running request that keeps a request from being dispatched, or nil. A
@@ -67,7 +68,7 @@
 // holdBack holds a waiting request in its queue if it must wait, and reports whether it did.
 func (r *Router) holdBack(waiting *request) bool {
 	behind := r.heldBackBy(waiting)
-	if behind == nil && !r.awaitsProbe(waiting) {
+	if behind == nil && !r.mustWait(waiting) {
 		return false
 	}
 	waiting.model.queue.Hold(&waiting.item)
@@ -104,6 +105,9 @@
 			checked = nil
 			continue
 		}
+		if held.retryUnpaid {
+			r.payRetry(held)
+		}
 		if !r.mustWait(held) {
 			r.release(held)
 		}
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -161,3 +161,57 @@
 		f.step(event)
 	}
 }
+
+// TestStartedStreamWaitsForRetryBudget guards against a stream that is cut in the middle although
+// another machine would continue it: its machine had cut it, the next one rejected it, and the retry
+// budget was used up. Of a request that has not started the caller is told so at once.
+func TestStartedStreamWaitsForRetryBudget(t *testing.T) {
+	f := newWindowFixture(t, 1)
+	f.status(true, loaded("m1", 4), loaded("m2", 4))
+	resumable := func(r *Request) { r.Repeatable, r.Resumable, r.Attempts = true, true, 3 }
+	cut := func(id cluster.RequestID, attempt cluster.Attempt) []Effect {
+		return f.step(AttemptEnded{Request: id, Attempt: attempt, Failure: verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "cut")})
+	}
+	f.arrive("a", resumable)
+	f.step(FirstByteSent{Request: "a"})
+	if got := describe(cut("a", 1)); got == "" || got[:8] != "dispatch" {
+		t.Fatalf("effects of the first cut: %q, want another dispatch", got)
+	}
+	f.advance(time.Second)
+	f.expect(f.step(AttemptEnded{
+		Request: "a", Attempt: 2, EngineFull: true, Failure: verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "full"),
+	}), "")
+	f.arrive("b", resumable)
+	f.expect(cut("b", 1), "finish b engine_failed may-have-run; ")
+	f.expect(f.advance(8*time.Second), "")
+	for range 3 {
+		if got := describe(f.advance(500 * time.Millisecond)); got != "" {
+			if got[:12] != "dispatch a/3" {
+				t.Fatalf("effects once the window has passed: %q", got)
+			}
+			return
+		}
+	}
+	t.Error("the stream is not continued once the budget allows it")
+}
+
+// TestStreamWithoutRetryBudgetEndsInTime guards against a stream that waits for the retry budget
+// beyond its deadline or after its node began to stop.
+func TestStreamWithoutRetryBudgetEndsInTime(t *testing.T) {
+	for name, end := range map[string]func(f *fixture) []Effect{
+		"deadline": func(f *fixture) []Effect { return f.advance(3 * time.Second) },
+		"drain":    func(f *fixture) []Effect { return f.step(DrainStarted{}) },
+	} {
+		f := newWindowFixture(t, 0)
+		f.status(true, loaded("m1", 4), loaded("m2", 4))
+		f.arrive("a", func(r *Request) { r.Repeatable, r.Resumable, r.Attempts = true, true, 3 }, withDeadline(3*time.Second))
+		f.step(FirstByteSent{Request: "a"})
+		f.expect(f.failAttempt("a", 1, verdict.MayHaveRun), "")
+		if ended := finishOf(t, end(f)); ended.Failure == nil || ended.Failure.Verdict != verdict.Ran {
+			t.Errorf("%s: the stream ended with %v", name, ended.Failure)
+		}
+		if f.router.InFlight() != 0 {
+			t.Errorf("%s: %d requests are left", name, f.router.InFlight())
+		}
+	}
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -47,6 +47,8 @@
 	unsent bool
 	// silent is set once the current attempt's machine was reported as silent.
 	silent bool
+	// retryUnpaid is set while a started stream waits for the retry budget.
+	retryUnpaid bool
 	// holdReported is set once the request was reported as held back.
 	holdReported bool
 	// sendBy is the latest time at which the current attempt may be sent to a machine with a rate
