Don't hold copies of a suspected request behind one that waits for the retry budget

Cause: of similar requests that wait, the first one stands for the others when it is looked which may run. One that waits for the retry budget, or for the permission for a probe, stood for them too, so copies waited behind a stream that ran nowhere. Found by reading the change again.

Change: such requests stand for no others. A request that waited in vain for the budget is told so, not that another one ran; the permission for a probe goes only to a request that still waits.

Test: TestCopyIsNotHeldBehindUnpaidStream, which fails before.

--- a/node/shell/stop_test.go
+++ b/node/shell/stop_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
@@ -247,9 +246,7 @@
 func TestTLSConnectionGetsFinalAnswerBeforeClose(t *testing.T) {
 	ca := newTestCA(t)
 	started, _ := startTLSNode(t, ca)
-	roots := x509.NewCertPool()
-	roots.AppendCertsFromPEM(ca.pem)
-	connection, err := tls.Dial("tcp", started.Self().CallerAddress, &tls.Config{RootCAs: roots})
+	connection, err := tls.Dial("tcp", started.Self().CallerAddress, trusting(ca))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -90,13 +90,21 @@
 	if due.model.configured != nil {
 		reason.Limit = due.model.configured.Policy.QueueTime.Seconds()
 	}
-	failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no replica was free within the queue time")
-	if due.item.Held() {
-		failure = verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "machines ended under such requests, and another one ran during the queue time")
-	}
+	failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "%s", due.waitingCause())
 	r.finish(due, failure.After(r.retryAfter(due.model)), reason)
 }
 
+// waitingCause describes why the request was not dispatched within its queue time.
+func (waiting *request) waitingCause() string {
+	switch {
+	case waiting.retryUnpaid:
+		return "the retry budget allowed no other attempt within the queue time"
+	case waiting.item.Held():
+		return "machines ended under such requests, and another one ran during the queue time"
+	}
+	return "no replica was free within the queue time"
+}
+
 // finish ends an admitted request. No other function removes one.
 func (r *Router) finish(ended *request, failure *verdict.Error, reason Explanation) {
 	model := ended.model
--- a/routing/holdback.go
+++ b/routing/holdback.go
@@ -99,16 +99,16 @@
 		if checked != nil && r.runsAlone(held) && excludes(checked, held) {
 			continue
 		}
-		checked = held
 		if failure, reason := r.throttledRefusal(held); failure != nil {
 			r.finish(held, failure, reason)
-			checked = nil
 			continue
 		}
-		if held.retryUnpaid {
-			r.payRetry(held)
+		r.payRetry(held)
+		if held.retryUnpaid || r.awaitsProbe(held) {
+			continue
 		}
-		if !r.mustWait(held) {
+		checked = held
+		if r.heldBackBy(held) == nil {
 			r.release(held)
 		}
 	}
--- a/routing/probes.go
+++ b/routing/probes.go
@@ -43,7 +43,7 @@
 // waitingForProbe returns the request that waits for the permission to probe a content, or nil.
 func (r *Router) waitingForProbe(content poison.Fingerprint) *request {
 	for _, waiting := range r.requests {
-		if waiting.probeWanted && waiting.Content == content {
+		if waiting.probeWanted && waiting.item.Held() && waiting.Content == content {
 			return waiting
 		}
 	}
@@ -65,7 +65,7 @@
 		return
 	}
 	waiting.probeWanted, waiting.probe, waiting.Attempts = false, true, 1
-	r.arm(&waiting.timer, min(waiting.deadline, waiting.queuedSince+waiting.queueBudget))
+	r.arm(&waiting.timer, waiting.waitEnd())
 	r.recheckHeldBack = true
 }
 
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -215,3 +217,23 @@
 		}
 	}
 }
+
+// TestCopyIsNotHeldBehindUnpaidStream guards against a copy of a suspected request that waits for a
+// stream with the same content, which itself only waits for the retry budget.
+func TestCopyIsNotHeldBehindUnpaidStream(t *testing.T) {
+	f := newWindowFixture(t, 0)
+	f.status(true, loaded("m1", 4), loaded("m2", 4))
+	popular := poison.Fingerprint{2}
+	resumable := func(r *Request) { r.Repeatable, r.Resumable, r.Attempts, r.Content = true, true, 3, popular }
+	f.arrive("a", resumable)
+	f.step(FirstByteSent{Request: "a"})
+	f.expect(f.failAttempt("a", 1, verdict.MayHaveRun), "")
+	f.suspect(popular)
+	if got := describe(f.arrive("b", resumable)); got == "" {
+		t.Fatal("the first copy is not dispatched")
+	}
+	f.expect(f.arrive("c", resumable), "")
+	if got := describe(f.step(CallerGone{Request: "b"})); !strings.Contains(got, "dispatch c/1") {
+		t.Errorf("effects of the end of the first copy: %q, want the dispatch of the second", got)
+	}
+}
--- a/routing/unpaid_retries.go
+++ b/routing/unpaid_retries.go
@@ -28,11 +28,14 @@
 	return min(waiting.deadline, waiting.queuedSince+waiting.queueBudget)
 }
 
-// payRetry pays the retry of a stream that waits for the budget, if the budget allows it.
-func (r *Router) payRetry(unpaid *request) {
-	if paid, _ := r.spendRetry(unpaid); paid {
-		unpaid.retryUnpaid = false
-		r.arm(&unpaid.timer, unpaid.waitEnd())
+// payRetry pays the retry of a request that waits for the budget, if the budget allows it.
+func (r *Router) payRetry(waiting *request) {
+	if !waiting.retryUnpaid {
+		return
+	}
+	if paid, _ := r.spendRetry(waiting); paid {
+		waiting.retryUnpaid = false
+		r.arm(&waiting.timer, waiting.waitEnd())
 	}
 }
 
