--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -388,3 +388,29 @@
 		}
 	}
 }
+
+// TestOwnFailureOfNodeAnnouncesNothing guards against a node that is held to what a worker said in an
+// answer that never arrived: the worker ran the request, and the node answered 504 itself. An answer
+// of the worker holds it.
+func TestOwnFailureOfNodeAnnouncesNothing(t *testing.T) {
+	judge := func(change func(first *Request)) int {
+		h := validHistory()
+		h.LeavingAnswers = append(h.LeavingAnswers, Leaving{Worker: "slow@17", At: 5 * time.Second})
+		first := completedRequest("first", RouteWrite, 6*time.Second)
+		first.Node, first.Stamp = 1, worker.Stamp("slow")
+		change(&first)
+		later := completedRequest("later", RouteWrite, 12*time.Second)
+		later.Node = 1
+		h.Requests = append(h.Requests, first, later)
+		h.Runs = append(h.Runs, runOf("first", "slow@17", 6100*time.Millisecond), runOf("later", "slow@17", 12*time.Second))
+		finding := Finding{}
+		checkLeavingAnswers(h, &finding)
+		return len(finding.Breaches)
+	}
+	if broken := judge(func(*Request) {}); broken != 1 {
+		t.Errorf("after an answer of the worker: %d broken, want 1", broken)
+	}
+	if broken := judge(func(first *Request) { first.Status, first.Stamp = http.StatusGatewayTimeout, "" }); broken != 0 {
+		t.Errorf("after the node's own failure: %d broken, want 0", broken)
+	}
+}
