--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -32,7 +32,8 @@
 	// because it delays the end of the drain.
 	drainPollInterval = 20 * time.Millisecond
 	// lastAnswersTimeout limits the time for accepting and answering the callers that have opened a
-	// connection and whose request has not been read.
+	// connection and whose request has not been read. It is longer than the drain of the listener, so
+	// that what came last is answered too.
 	lastAnswersTimeout = time.Second
 	// logFlushTimeout limits the wait for the last log lines, so that it fits into stopMargin.
 	logFlushTimeout = 150 * time.Millisecond
