Log when a node believes that it has lost its path to all workers

Package reachability adds up the failures of a node's own connections: two workers failed and no data disproved it. Nothing acts on it yet. Data that arrives while there is no failure costs one atomic load; failures take the lock.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -18,7 +18,7 @@
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
-		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, TurnDecided{}, NodesChanged{},
+		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
@@ -156,6 +156,17 @@
 	Cause   string            `log:"cause" doc:"how the node learned it"`
 }
 
+// MachinePathChanged is written when this node starts or ceases to believe that it has lost its own
+// path to all workers.
+type MachinePathChanged struct {
+	State    string        `log:"state" doc:"connected, suspected (connections to several workers failed), or lost (probes on new connections failed too)"`
+	Failed   int           `log:"failed" doc:"workers at which connections failed and nothing was heard since"`
+	Machines string        `log:"machines,omitempty" doc:"addresses of some of them"`
+	Heard    bool          `log:"heard" doc:"whether data arrived from any worker since the first failure"`
+	Before   time.Duration `log:"before_ms" doc:"how long the state before lasted"`
+	Cause    string        `log:"cause" doc:"the last failure, or what disproved the failures"`
+}
+
 // WorkerLimited is written when a worker sets, changes or removes its limit on the
 // requests per second from all nodes together.
 type WorkerLimited struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -393,3 +393,11 @@
 func (LinesDropped) Meaning() string {
 	return "Written when lines were dropped."
 }
+
+// Kind implements Event.
+func (MachinePathChanged) Kind() string { return "worker_path_changed" }
+
+// Meaning implements Documented.
+func (MachinePathChanged) Meaning() string {
+	return "Written when this node starts or ceases to believe that it has lost its own path to the workers, which says nothing about the workers."
+}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -165,6 +165,9 @@
 // Nodes returns the live nodes, at most one per machine, in no particular order.
 func (c *Core) Nodes() []NodeEntry { return slices.Collect(maps.Values(c.nodes.live)) }
 
+// Machines returns the number of machines that have an entry.
+func (c *Core) Machines() int { return len(c.view.machines) }
+
 // Ready reports whether the node has a configuration and has read the whole store.
 func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
 
--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -43,6 +43,7 @@
 		return 0
 	})
 	gauge("valveslip_connections_opened", "Connections made to machines so far.", func() float64 { return float64(n.pool.Opened()) })
+	gauge("valveslip_worker_path_state", "What this node believes of its path to workers: 0 connected, 1 suspected, 2 lost.", func() float64 { return float64(n.path.state()) })
 	gauge("valveslip_log_lines_dropped", "Lines of the log that were dropped so far.", func() float64 { return float64(n.options.Log.Dropped()) })
 	gauge("valveslip_store_loads_borne", "Loads at once that the weight store is believed to bear at full speed.", func() float64 {
 		n.mutex.Lock()
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -68,6 +68,7 @@
 
 	compiled atomic.Pointer[catalog.Compiled]
 	pool     *upstream.Pool
+	path     *machinePath
 	// retained accounts for the bytes that are buffered of requests and answers.
 	retained *retained.Account
 	registry *prometheus.Registry
@@ -111,10 +112,14 @@
 	now := options.Now()
 	n := &Node{
 		options: options, startTime: now, epoch: now.Round(0),
-		tickets: make(relay.Tickets), pool: upstream.NewPool(options.Upstream), retained: retained.NewAccount(options.CallerLimits.RetainedBytes),
+		tickets: make(relay.Tickets), retained: retained.NewAccount(options.CallerLimits.RetainedBytes),
 		registry: prometheus.NewRegistry(), listenerErrors: make(chan error, 3), stopped: make(chan struct{}),
 		becameReady: make(chan struct{}),
 	}
+	n.path = newMachinePath(n)
+	machineConnections := options.Upstream
+	machineConnections.OnData = n.path.dataArrived
+	n.pool = upstream.NewPool(machineConnections)
 	n.schedulingDelay = overload.New(n.waitForTurn)
 	n.context, n.cancel = context.WithCancel(context.Background())
 	n.acceptHoldContext, n.endAcceptHold = context.WithCancel(n.context)
@@ -150,7 +155,7 @@
 	handler := passthrough.NewHandler(passthrough.Config{
 		Catalog: n.servingCatalog, CatalogReady: n.becameReady, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newRequestID, Closing: n.closesConnections.Load, Admits: n.admits,
-		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
+		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Path: n.path, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
 	})
 	if n.callerServer, err = n.startServer(&n.options.CallersAddress, handler, n.limitCallers); err != nil {
 		return errors.Join(eris.Wrap(err, "open the listener for callers"), transport.Close(n.context))
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/upstream"
 	"github.com/valveslip/valveslip/verdict"
@@ -80,6 +81,7 @@
 	connection, err := a.Pool.Get(ctx, a.decision.Address)
 	if err != nil {
 		a.unreached = true
+		a.recordPathFailure(reachability.NoConnection, err)
 		a.processEnded = errors.Is(err, syscall.ECONNREFUSED)
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the machine can't be reached")
 	}
@@ -119,6 +121,7 @@
 	a.startWatchdog()
 	response, marks, err := a.readHead(forwarded)
 	if err != nil {
+		a.recordUnanswered(err)
 		a.recordConnectionBreak(err)
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeEngineFailed, "the machine did not answer")
 	}
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -74,6 +74,8 @@
 	// MaySend returns, right before a send, why a request must no longer be sent. If nil, every
 	// send is allowed.
 	MaySend func(id cluster.RequestID) *verdict.Error
+	// Path observes the connections to machines. If nil, nothing does.
+	Path Path
 	// NewID returns an ID for a request without one.
 	NewID func() cluster.RequestID
 	// MayAccept reports whether another request may be accepted and, if not, how late the process
--- a/passthrough/watchdog.go
+++ b/passthrough/watchdog.go
@@ -6,6 +6,7 @@
 
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
 )
 
@@ -144,6 +145,7 @@
 		w.attempt.Log.Write(eventlog.AttemptSilent{
 			Request: decision.Request, Attempt: decision.Attempt, Machine: decision.Machine, Silent: silence,
 		})
+		w.attempt.recordPathFailure(reachability.Silence, errSilent)
 	}
 	w.attempt.Decider.Report(routing.AttemptSilent{Request: decision.Request, Attempt: decision.Attempt})
 	w.arm(reportInterval)
--- /dev/null
+++ b/reachability/monitor_test.go
@@ -0,0 +1,108 @@
+package reachability
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+// TestOneMachineThatFailsIsNotThePath guards against a detour for every request because one
+// machine has crashed.
+func TestOneMachineThatFailsIsNotThePath(t *testing.T) {
+	m := New()
+	for i := range 10 {
+		if m.RecordFailure(at(i), "a", NoConnection, "refused", 5) {
+			t.Fatal("suspected after failures at one machine")
+		}
+	}
+}
+
+// TestPathIsSuspectedAtSecondMachine guards against charging the loss of a path to one machine
+// after the other. Data that arrives on an established connection does not disprove that new ones
+// can't be opened.
+func TestPathIsSuspectedAtSecondMachine(t *testing.T) {
+	m := New()
+	m.RecordFailure(at(0), "a", NoConnection, "reset", 5)
+	m.RecordData(at(10), at(-1000))
+	if !m.RecordFailure(at(20), "b", NoConnection, "reset", 5) || m.State() != Suspected {
+		t.Fatalf("state %s", m.State())
+	}
+	m.RecordData(at(30), at(-1000))
+	if m.State() != Suspected || !m.AllowsEstablished(at(400)) || m.AllowsEstablished(at(600)) {
+		t.Fatalf("state %s, established allowed %t then %t", m.State(), m.AllowsEstablished(at(400)), m.AllowsEstablished(at(600)))
+	}
+	if !m.RecordData(at(700), at(650)) || m.State() != Connected {
+		t.Fatalf("state %s after data on a new connection", m.State())
+	}
+}
+
+// TestSilenceIsDisprovedByAnyData guards against a suspicion because sound machines fall silent for
+// a second while others answer.
+func TestSilenceIsDisprovedByAnyData(t *testing.T) {
+	m := New()
+	m.RecordFailure(at(0), "a", Silence, "silent", 5)
+	m.RecordData(at(1), at(-1000))
+	if m.RecordFailure(at(2), "b", Silence, "silent", 5) {
+		t.Fatal("suspected although data arrived between the silences")
+	}
+}
+
+// TestLostPathComesBackByProbe guards against a node that never uses its own path again because it
+// no longer sends anything on it.
+func TestLostPathComesBackByProbe(t *testing.T) {
+	m := New()
+	m.RecordFailure(at(0), "a", NoConnection, "timeout", 1)
+	if m.State() != Suspected {
+		t.Fatal("the only machine failed and the path is not suspected")
+	}
+	if !m.RecordProbe(false) || m.State() != Lost || m.RecordProbe(false) {
+		t.Fatalf("state %s after failed probes", m.State())
+	}
+	if !m.RecordProbe(true) || m.State() != Connected || m.Doubtful() {
+		t.Fatalf("state %s after an answered probe", m.State())
+	}
+}
+
+// TestStateFollowsEvidence checks on random sequences that a suspicion needs failures at two machines
+// since data last disproved them, that a loss needs a failed probe, and that an answered probe ends
+// both.
+func TestStateFollowsEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		failed := map[string]bool{}
+		now, probeFailed := 0, false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.IntRange(1, 300).Draw(t, "pause")
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				name := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "machine"))
+				failed[name] = true
+				m.RecordFailure(at(now), name, Kind(rapid.IntRange(0, 1).Draw(t, "kind")), "failed", 5)
+			case 2:
+				m.RecordData(at(now), at(now))
+				clear(failed)
+				probeFailed = false
+			case 3:
+				answered := rapid.Bool().Draw(t, "answered")
+				suspected := m.State() != Connected
+				m.RecordProbe(answered)
+				if answered && suspected {
+					clear(failed)
+				}
+				probeFailed = suspected && !answered || probeFailed && !answered
+			}
+			if m.State() != Connected && len(failed) < suspicionThreshold {
+				t.Fatalf("%s after failures at %d machines", m.State(), len(failed))
+			}
+			if m.State() == Lost && !probeFailed {
+				t.Fatal("lost without a failed probe")
+			}
+		}
+	})
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,6 +22,7 @@
 	address    string
 	connection net.Conn
 	reader     *bufio.Reader
+	opened     time.Time
 	reused     bool
 	idleSince  time.Time
 	// idleLimit is the keep-alive timeout that the machine stated last, zero without one.
@@ -153,6 +154,9 @@
 // Read implements io.Reader.
 func (r *errorRecorder) Read(data []byte) (int, error) {
 	n, err := r.conn.connection.Read(data)
+	if onData := r.conn.pool.options.OnData; n > 0 && onData != nil {
+		onData(r.conn.opened)
+	}
 	r.conn.recordError(err)
 	return n, err
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -52,6 +52,9 @@
 	// The kernel allocates twice as much memory for it. Zero leaves the bound to the kernel, which
 	// is several MB.
 	SocketBytes int
+	// OnData, if not nil, is called when data arrives on a connection, with the time at which the
+	// connection was opened. It must not block.
+	OnData func(opened time.Time)
 	// Now is the clock for the age of idle connections. Machines close them by their own clock,
 	// also while this machine is suspended. The default is time.Now, whose differences are
 	// monotonic.
@@ -156,7 +159,7 @@
 		return nil, eris.Wrap(err, "connect")
 	}
 	p.opened.Add(1)
-	c := &Conn{pool: p, address: address, connection: connection}
+	c := &Conn{pool: p, address: address, connection: connection, opened: p.options.Now()}
 	c.reader = bufio.NewReaderSize(&errorRecorder{conn: c}, ioBufferBytes)
 	return c, nil
 }
