Reproduce nodes that are cut off from all workers

What callers saw: nodes without a path to workers fail nearly all requests, while others serve.

The soak's proxy can cut off chosen clients, by the address that they connect from: all packets dropped (also those that open connections), open connections silent, everything reset, or only new connections reset. A node's connections to workers can be bound to an address for that.

--- /dev/null
+++ b/fleet/shell/partition_test.go
@@ -0,0 +1,165 @@
+package shell_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/fleet/shell"
+	"github.com/valveslip/valveslip/soak/proxy"
+	"github.com/valveslip/valveslip/standin/worker"
+)
+
+// partitionedDeployment is a deployment whose workers are reached through proxies that can cut off
+// single nodes.
+type partitionedDeployment struct {
+	*deployment
+	proxies []*proxy.Proxy
+	workers []*worker.Worker
+	nodes   []*shell.Node
+}
+
+// sourceOf returns the address from which a node connects to workers.
+func sourceOf(node int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(31 + node)}) }
+
+// newPartitionedDeployment starts nodes and two workers of each service.
+func newPartitionedDeployment(t *testing.T, nodes int) *partitionedDeployment {
+	d := &partitionedDeployment{deployment: newDeployment(t)}
+	for i := range 4 {
+		service := plainService
+		if i%2 == 1 {
+			service = engineService
+		}
+		id := fmt.Sprintf("%s%d", service, i)
+		w := d.addWorker(id, service, func(c *worker.Config) { c.RunTime, c.Slots = 20*time.Millisecond, 64 })
+		p, err := proxy.Listen(proxy.Options{Address: "127.0.0.1:0", Target: d.deployment.workers[id].Address(), OnError: func(err error) { t.Error(err) }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		w.SetAddress(p.Address())
+		d.register(w)
+		d.proxies, d.workers = append(d.proxies, p), append(d.workers, w)
+	}
+	for i := range nodes {
+		d.nodes = append(d.nodes, d.startNode(fmt.Sprintf("n%d", i), func(o *shell.Options) {
+			o.Upstream.LocalAddress = net.IP(sourceOf(i).AsSlice())
+		}))
+	}
+	return d
+}
+
+// cutOff cuts nodes off from all workers.
+func (d *partitionedDeployment) cutOff(kind proxy.Partition, nodes ...int) {
+	d.t.Helper()
+	for _, p := range d.proxies {
+		for _, node := range nodes {
+			if err := p.CutOff(kind, sourceOf(node)); err != nil {
+				d.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// heal ends the cut of nodes.
+func (d *partitionedDeployment) heal(nodes ...int) {
+	d.t.Helper()
+	for _, p := range d.proxies {
+		for _, node := range nodes {
+			if err := p.Heal(sourceOf(node)); err != nil {
+				d.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// The concurrent requests of each kind before and after the cut: more than there are open connections
+// from before.
+const (
+	callsBeforeCut = 1
+	callsAfterCut  = 6
+)
+
+// servesAllKinds sends requests of each kind to a node at the same time and reports whether all were
+// served at the first try.
+func (d *partitionedDeployment) servesAllKinds(node, callsOfEachKind int) bool {
+	var calls sync.WaitGroup
+	var mutex sync.Mutex
+	served := true
+	for range callsOfEachKind {
+		for _, path := range []string{"/read/", "/write/", "/stream/", "/once/"} {
+			calls.Go(func() {
+				got := d.call(d.nodes[node], http.MethodPost, path, path, withModel("big"))
+				mutex.Lock()
+				defer mutex.Unlock()
+				served = served && got.err == nil && got.status == http.StatusOK
+			})
+		}
+	}
+	calls.Wait()
+	return served
+}
+
+// TestNodesWithoutPathToWorkersServeTheirCallers guards against nodes that fail their callers for as
+// long as they are cut off from all workers, although other nodes reach these.
+func TestNodesWithoutPathToWorkersServeTheirCallers(t *testing.T) {
+	for name, kind := range map[string]proxy.Partition{
+		"hanging": proxy.PartitionHang, "silent": proxy.PartitionSilence, "reset": proxy.PartitionReset, "only new connections reset": proxy.PartitionRefuse,
+	} {
+		for _, cut := range [][]int{{1}, {0, 1}} {
+			t.Run(fmt.Sprintf("%s, %d of 3", name, len(cut)), func(t *testing.T) {
+				t.Parallel()
+				testPartition(t, kind, cut)
+			})
+		}
+	}
+}
+
+func testPartition(t *testing.T, kind proxy.Partition, cut []int) {
+	const inARow = 5
+	d := newPartitionedDeployment(t, 3)
+	for node := range d.nodes {
+		d.eventually("all nodes serve", func() bool { return d.servesAllKinds(node, callsBeforeCut) })
+	}
+	d.cutOff(kind, cut...)
+	for _, node := range cut {
+		streak := 0
+		d.eventually("a node that is cut off serves all kinds of requests several times in a row", func() bool {
+			streak++
+			if !d.servesAllKinds(node, callsAfterCut) {
+				streak = 0
+			}
+			return streak == inARow
+		})
+	}
+	if !d.servesAllKinds(2, callsAfterCut) {
+		t.Error("the node that is not cut off failed a request")
+	}
+	d.heal(cut...)
+	for _, node := range cut {
+		d.eventually("the nodes serve after the cut", func() bool { return d.servesAllKinds(node, callsAfterCut) })
+	}
+	d.checkRunsOnce()
+}
+
+// checkRunsOnce checks that no request that must not be repeated ran twice. The body of a request is
+// the path of its route.
+func (d *partitionedDeployment) checkRunsOnce() {
+	d.t.Helper()
+	ranAt := map[string]string{}
+	for _, w := range d.workers {
+		for _, run := range w.Runs() {
+			if run.Body != "/write/" && run.Body != "/once/" {
+				continue
+			}
+			if before, ran := ranAt[run.RequestID]; ran {
+				d.t.Errorf("%s ran request %s, which ran at %s before", w.Key(), run.RequestID, before)
+			}
+			ranAt[run.RequestID] = w.Key()
+		}
+	}
+}
--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"net"
 	"slices"
@@ -39,12 +40,14 @@
 	listener net.Listener
 	links    map[*link]struct{}
 	mode     Mode
-	closed   bool
+	// partitioned are the clients that are cut off from the target.
+	partitioned partitioned
+	closed      bool
 }
 
 // Listen starts a proxy.
 func Listen(options Options) (*Proxy, error) {
-	p := &Proxy{options: options, address: options.Address, target: options.Target, links: map[*link]struct{}{}}
+	p := &Proxy{options: options, address: options.Address, target: options.Target, links: map[*link]struct{}{}, partitioned: partitioned{}}
 	return p, p.Open()
 }
 
@@ -69,13 +72,20 @@
 	if p.listener != nil || p.closed {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := listen(p.address)
 	if err != nil {
 		return eris.Wrapf(err, "proxy: listen on %s", p.address)
 	}
 	p.address, p.listener = listener.Addr().String(), listener
 	go p.accept(listener)
-	return nil
+	return p.filterListener()
+}
+
+// listen opens a listener without multipath TCP, whose sockets take no packet filter.
+func listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", address)
 }
 
 // Refuse closes the listener and resets the open connections. New connections are refused
@@ -152,6 +162,11 @@
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
+	partition := p.partitionOf(client)
+	if partition == PartitionReset || partition == PartitionRefuse {
+		abort(client)
+		return
+	}
 	server, err := net.Dial("tcp", target)
 	if err != nil {
 		if Exhausted(err) {
@@ -168,6 +183,9 @@
 	if closed {
 		joined.reset()
 	}
+	if partition != 0 {
+		joined.silence()
+	}
 	joined.run()
 	p.mu.Lock()
 	delete(p.links, joined)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -52,6 +52,9 @@
 	// The kernel allocates twice as much memory for it. Zero leaves the bound to the kernel, which
 	// is several MB.
 	SocketBytes int
+	// LocalAddress is the IP address from which connections originate; the system chooses one if it
+	// is nil.
+	LocalAddress net.IP
 	// OnData, if not nil, is called when data arrives on a connection, with the time at which the
 	// connection was opened. It must not block.
 	OnData func(opened time.Time)
@@ -108,6 +111,9 @@
 		setSocketBuffers(raw, options.SocketBytes)
 		return setUserTimeout(raw, options.UserTimeout)
 	}}
+	if options.LocalAddress != nil {
+		pool.dialer.LocalAddr = &net.TCPAddr{IP: options.LocalAddress}
+	}
 	return pool
 }
 
