--- a/cmd/valveslip/platform_node.go
+++ b/cmd/valveslip/platform_node.go
@@ -25,6 +25,7 @@
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
+	"github.com/valveslip/valveslip/upstream"
 )
 
 const (
@@ -190,8 +191,9 @@
 		PeerAddress:    net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPorts[0])),
 		MetricsAddress: net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)), ReadyPath: platform.ReadyPath,
 		StopTimeout: platform.Seconds(settings.Bounds.GraceSeconds),
-		Store:       platform.NewStoreClient(settings.Store.Address, watchPollTime), Engines: platform.NewEngineClient(),
-		Feed: feed.Config{MaxChangeDelay: platform.Milliseconds(min(settings.Bounds.DrainMillis, settings.Bounds.ConfigMillis))},
+		Store:       platform.NewStoreClient(settings.Store.Address, watchPollTime), Engines: platform.NewEngineClient(net.ParseIP(settings.IP)),
+		Upstream: upstream.Options{LocalAddress: net.ParseIP(settings.IP)},
+		Feed:     feed.Config{MaxChangeDelay: platform.Milliseconds(min(settings.Bounds.DrainMillis, settings.Bounds.ConfigMillis))},
 		CallerLimits: shell.CallerLimits{
 			RetainedBytes: int64(settings.Resources.MemoryMB * retainedMemoryShare * (1 << 20)), MaxRequestsInFlight: int(settings.Resources.MemoryMB * requestsPerMB),
 		},
--- a/demo/platform/platform.go
+++ b/demo/platform/platform.go
@@ -102,7 +102,7 @@
 			Routing: routing.Config{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 20, FailurePenalty: time.Second},
 		},
 		CallersAddress: anyPort, ReadyAddress: anyPort, PeerAddress: anyPort, MetricsAddress: anyPort, ReadyPath: platform.ReadyPath,
-		Store: platform.NewStoreClient(store, 2*time.Second), Engines: platform.NewEngineClient(),
+		Store: platform.NewStoreClient(store, 2*time.Second), Engines: platform.NewEngineClient(nil),
 		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Log: eventlog.New(log, eventlog.Options{Node: name}),
 	}
 }
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -17,7 +17,7 @@
 func All() []Documented {
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
-		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
+		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -401,3 +401,19 @@
 func (MachinePathChanged) Meaning() string {
 	return "Written when this node starts or ceases to believe that it has lost its own path to the workers, which says nothing about the workers."
 }
+
+// Kind implements Event.
+func (AttemptThroughPeer) Kind() string { return "attempt_through_peer" }
+
+// Meaning implements Documented.
+func (AttemptThroughPeer) Meaning() string {
+	return "Written when an attempt was given to another node because this one suspects its own path to all workers."
+}
+
+// Kind implements Event.
+func (PeerRequestEnded) Kind() string { return "peer_request_ended" }
+
+// Meaning implements Documented.
+func (PeerRequestEnded) Meaning() string {
+	return "Written when this node has handled a request that another node, which has lost its path, sends to a worker through it."
+}
--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -86,6 +86,26 @@
 	Silent  time.Duration     `log:"silent_ms" doc:"for how long nothing came"`
 }
 
+// AttemptThroughPeer is written when an attempt was given to another node because this one suspects
+// its own path to all workers.
+type AttemptThroughPeer struct {
+	Request cluster.RequestID `log:"request" doc:"request id"`
+	Attempt cluster.Attempt   `log:"attempt" doc:"number of the dispatch"`
+	Machine cluster.MachineID `log:"machine" doc:"worker that it is for"`
+	Peer    cluster.NodeID    `log:"peer" doc:"node that was asked to send it"`
+	Outcome string            `log:"outcome" doc:"complete: the worker's answer was read (attempt_ended tells more if it was no success); broken, ended, failed: sent, without a complete answer; unreachable, refused, blocked: not sent, because of the worker; no-path, overloaded, draining, unknown-machine, no-answer, unsupported: not sent, and the next node is asked"`
+}
+
+// PeerRequestEnded is written when this node has handled a request that another node sends to a worker
+// through it.
+type PeerRequestEnded struct {
+	Request cluster.RequestID `log:"request" doc:"request id"`
+	From    cluster.NodeID    `log:"from" doc:"node that took the request from its caller"`
+	Machine cluster.MachineID `log:"machine" doc:"worker that it is for"`
+	Outcome string            `log:"outcome" doc:"as in attempt_through_peer"`
+	Took    time.Duration     `log:"took_ms" doc:"time since it arrived here"`
+}
+
 // RequestEnded is written exactly once for each accepted request, when it ends.
 type RequestEnded struct {
 	Request  cluster.RequestID `log:"request" doc:"request id"`
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -85,7 +85,11 @@
 	// planStale is set if the planner's input has changed since the last plan.
 	planStale bool
 	// resignedAt is when a planned stop began, zero before.
-	resignedAt     time.Time
+	resignedAt time.Time
+	// pathLost is set while this node has no path to engines. yieldedAt is when it stopped giving
+	// orders because of that, zero while it may give them.
+	pathLost       bool
+	yieldedAt      time.Time
 	statusSequence uint64
 	// learnedStoreLoads is the number of concurrent loads that the weight store was last learned
 	// to sustain, by this holder or the previous one; zero if unknown.
@@ -105,10 +109,16 @@
 // tick acquires or renews the lease, begins the term and plans.
 func (c *controller) tick() {
 	now := c.core.now
+	if !c.mustYield() && !c.yieldedAt.IsZero() {
+		c.resumeTerm()
+	}
 	switch {
 	case !c.resignedAt.IsZero():
 		c.finishResigning()
 		return
+	case c.mustYield():
+		c.yield()
+		return
 	case !c.lease.IsHolder():
 		c.tryAcquire()
 		return
@@ -136,6 +146,12 @@
 		}
 		return time.Time{}
 	}
+	if c.mustYield() {
+		if c.lease.IsHolder() {
+			return maxTime(c.yieldedAt.Add(resignDelay), now)
+		}
+		return time.Time{}
+	}
 	if !c.lease.IsHolder() {
 		if !c.holderKnown || c.vacantSince.IsZero() {
 			return time.Time{}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -13,6 +13,7 @@
 	"github.com/valveslip/valveslip/fleet/dispatch"
 	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/fleet/pacing"
+	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/verdict"
@@ -120,6 +121,8 @@
 		c.poison.recordsRead(e)
 	case StoreWritten:
 		c.poison.writeAnswered(e)
+	case MachinePathChanged:
+		c.machinePathChanged(e.State)
 	case DrainStarted:
 		c.feedRouter(routing.DrainStarted{})
 	}
@@ -168,6 +171,44 @@
 // Machines returns the number of machines that have an entry.
 func (c *Core) Machines() int { return len(c.view.machines) }
 
+// ProbeTarget is a machine that can be asked whether it can be reached.
+type ProbeTarget struct {
+	Address string
+	// HealthPath is where it is asked, empty for a machine with an engine.
+	HealthPath string
+}
+
+// ProbeTargets returns the machines that don't leave, in no particular order.
+func (c *Core) ProbeTargets() []ProbeTarget {
+	targets := make([]ProbeTarget, 0, len(c.view.machines))
+	for _, known := range c.view.machines {
+		if known.worker.Draining || c.compiled == nil {
+			continue
+		}
+		service := c.compiled.Service(known.worker.Service)
+		switch {
+		case service == nil:
+		case service.Engine != nil:
+			targets = append(targets, ProbeTarget{Address: known.worker.Address})
+		case service.HealthPath != "":
+			targets = append(targets, ProbeTarget{Address: known.worker.Address, HealthPath: service.HealthPath})
+		}
+	}
+	return targets
+}
+
+// MachineAddress returns the address of a machine, and false if it has no entry or leaves.
+func (c *Core) MachineAddress(id cluster.MachineID) (string, bool) {
+	address := c.view.addressOf(id)
+	return address, address != ""
+}
+
+// MachineBlocked reports whether a machine takes no requests from this node now, because it leaves or
+// has asked for a rest.
+func (c *Core) MachineBlocked(now time.Time, id cluster.MachineID) bool {
+	return c.router.Leaving(id) || c.router.Resting(now, id)
+}
+
 // Ready reports whether the node has a configuration and has read the whole store.
 func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
 
@@ -282,6 +323,14 @@
 	c.feedRouter(routing.DispatchesResumed{})
 }
 
+// machinePathChanged handles a change of this node's path to machines.
+func (c *Core) machinePathChanged(state reachability.State) {
+	c.controller.pathLost = state == reachability.Lost
+	if state != reachability.Connected {
+		c.feedRouter(routing.BackOffsCleared{})
+	}
+}
+
 // leaseAnswered handles the answer to a call for one of the node's leases.
 func (c *Core) leaseAnswered(answered LeaseAnswered) {
 	switch answered.Record {
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -8,6 +8,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/keyvalue/lease"
+	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/wire"
@@ -132,31 +133,35 @@
 // ReportRead delivers the answer to a ReadReport.
 type ReportRead struct{ Read sequence.ReportRead }
 
+// MachinePathChanged reports what this node believes of its own path to machines.
+type MachinePathChanged struct{ State reachability.State }
+
 // DrainStarted stops admission of requests.
 type DrainStarted struct{}
 
 // ResignStarted gives up the order lease when a planned stop begins.
 type ResignStarted struct{}
 
-func (Tick) fleetEvent()              {}
-func (ConfigurationRead) fleetEvent() {}
-func (WorkersRead) fleetEvent()       {}
-func (NodesRead) fleetEvent()         {}
-func (HolderRead) fleetEvent()        {}
-func (LastHolderRead) fleetEvent()    {}
-func (PoisonRead) fleetEvent()        {}
-func (StoreWritten) fleetEvent()      {}
-func (TicketWritten) fleetEvent()     {}
-func (StoreSynced) fleetEvent()       {}
-func (Paused) fleetEvent()            {}
-func (KeysProven) fleetEvent()        {}
-func (RoutingInput) fleetEvent()      {}
-func (MessageReceived) fleetEvent()   {}
-func (LeaseAnswered) fleetEvent()     {}
-func (OrderAnswered) fleetEvent()     {}
-func (ReportRead) fleetEvent()        {}
-func (DrainStarted) fleetEvent()      {}
-func (ResignStarted) fleetEvent()     {}
+func (Tick) fleetEvent()               {}
+func (ConfigurationRead) fleetEvent()  {}
+func (WorkersRead) fleetEvent()        {}
+func (NodesRead) fleetEvent()          {}
+func (HolderRead) fleetEvent()         {}
+func (LastHolderRead) fleetEvent()     {}
+func (PoisonRead) fleetEvent()         {}
+func (StoreWritten) fleetEvent()       {}
+func (TicketWritten) fleetEvent()      {}
+func (StoreSynced) fleetEvent()        {}
+func (Paused) fleetEvent()             {}
+func (KeysProven) fleetEvent()         {}
+func (RoutingInput) fleetEvent()       {}
+func (MessageReceived) fleetEvent()    {}
+func (LeaseAnswered) fleetEvent()      {}
+func (OrderAnswered) fleetEvent()      {}
+func (ReportRead) fleetEvent()         {}
+func (DrainStarted) fleetEvent()       {}
+func (MachinePathChanged) fleetEvent() {}
+func (ResignStarted) fleetEvent()      {}
 
 // Effect is an output of the core.
 type Effect interface{ fleetEffect() }
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -234,6 +234,40 @@
 	}
 }
 
+// mustYield reports whether another node should hold the lease because this one has no path to
+// engines.
+func (c *controller) mustYield() bool { return c.pathLost && len(c.core.nodes.live) > 1 }
+
+// resumeTerm lets this node give orders again if its path came back before it released the lease.
+func (c *controller) resumeTerm() {
+	c.yieldedAt = time.Time{}
+	if c.lease.IsHolder() {
+		c.termBegan, c.ordersFrom = false, maxTime(c.ordersFrom, c.core.now)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// yield stops orders at once and releases the lease after resignDelay, as a planned stop does. The
+// node may acquire the lease again once its path is back.
+func (c *controller) yield() {
+	if c.yieldedAt.IsZero() {
+		c.yieldedAt = c.core.now
+		c.feedLedger(sequence.TermEnded{})
+	}
+	if c.lease.IsHolder() && c.core.now.Sub(c.yieldedAt) >= resignDelay {
+		c.core.log(eventlog.LeaseChanged{Token: c.lease.Token(), Cause: "no path to the engines"})
+		c.lease.Release()
+		c.termBegan = false
+		c.holder = NodeEntry{}
+	}
+}
+
 // mayOrder reports whether orders may be given now. If engines don't check fencing tokens, only
 // the time since the last renewal separates this holder from the next one. If they do, a holder
 // that can't reach the store continues: until another holder exists nobody else gives orders, and
--- a/fleet/shell/harness_test.go
+++ b/fleet/shell/harness_test.go
@@ -162,7 +162,7 @@
 		},
 		Seed: 1, CallersAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		MetricsAddress: "127.0.0.1:0", ReadyPath: platform.ReadyPath, StopTimeout: 8 * time.Second,
-		Store: platform.NewStoreClient(d.server.Address(), 2*time.Second), Engines: platform.NewEngineClient(),
+		Store: platform.NewStoreClient(d.server.Address(), 2*time.Second), Engines: platform.NewEngineClient(nil),
 		Codec: platform.Codec{}, Dialect: platform.Dialect{}, Feed: feed.Config{PollInterval: 5 * time.Millisecond},
 		Log: eventlog.New(io.Discard, eventlog.Options{}),
 	}
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -68,7 +68,10 @@
 
 	compiled atomic.Pointer[catalog.Compiled]
 	pool     *upstream.Pool
-	path     *machinePath
+	// peerPool holds the connections to other nodes that carry requests for machines.
+	peerPool  *upstream.Pool
+	path      *machinePath
+	peerProxy *passthrough.PeerProxy
 	// retained accounts for the bytes that are buffered of requests and answers.
 	retained *retained.Account
 	registry *prometheus.Registry
@@ -120,6 +123,7 @@
 	machineConnections := options.Upstream
 	machineConnections.OnData = n.path.dataArrived
 	n.pool = upstream.NewPool(machineConnections)
+	n.peerPool = upstream.NewPool(upstream.Options{SocketBytes: options.Upstream.SocketBytes, Now: options.Upstream.Now})
 	n.schedulingDelay = overload.New(n.waitForTurn)
 	n.context, n.cancel = context.WithCancel(context.Background())
 	n.acceptHoldContext, n.endAcceptHold = context.WithCancel(n.context)
@@ -146,14 +150,19 @@
 
 // openListeners opens the transport to other nodes and the HTTP listeners.
 func (n *Node) openListeners() error {
-	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive, wire.WithCompression(compressionThresholdBytes))
+	n.peerProxy = passthrough.NewPeerProxy(passthrough.PeerProxyConfig{
+		Dialect: n.options.Dialect, Pool: n.pool, Path: n.path, Log: n.options.Log, FindMachine: n.findMachine, Refuses: n.refusesPeers,
+		Report: n.Report, Retained: n.retained, MaxBodyBytes: n.maxBodyBytes,
+	})
+	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive, wire.WithCompression(compressionThresholdBytes),
+		wire.WithHandler(passthrough.PeerPath, maxHeaderBytes, n.peerProxy))
 	if err != nil {
 		return eris.Wrap(err, "open the listener for other nodes")
 	}
 	n.transport = transport
 	n.options.Core.Self.Address = transport.Address()
 	handler := passthrough.NewHandler(passthrough.Config{
-		Catalog: n.servingCatalog, CatalogReady: n.becameReady, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Log: n.options.Log,
+		Catalog: n.servingCatalog, CatalogReady: n.becameReady, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Self: n.options.Core.Self.ID, Peers: n.peerPool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newRequestID, Closing: n.closesConnections.Load, Admits: n.admits,
 		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Path: n.path, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
 	})
@@ -381,6 +390,7 @@
 	case fleet.ReadReport:
 		go n.callReport(effect)
 	case fleet.PeersChanged:
+		n.path.peers.set(n.core.Nodes(), &n.options.Core.Self)
 		if f := n.follower.Load(); f != nil {
 			f.notifyPeersChanged()
 		}
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -25,6 +25,9 @@
 	// Order sends an order; an error means that its outcome is unknown.
 	Order(ctx context.Context, address string, order sequence.Order) (sequence.Outcome, error)
 	Report(ctx context.Context, address string, machine cluster.MachineID) (catalog.Report, error)
+	// Probe asks any machine for an answer on a new connection, at healthPath if it has no engine. An
+	// error means that nothing was heard from it.
+	Probe(ctx context.Context, address, healthPath string) error
 }
 
 // Store is the metadata store. Its errors are *verdict.Error.
--- a/fleet/shell/partition_test.go
+++ b/fleet/shell/partition_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/fleet/shell"
+	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/soak/proxy"
 	"github.com/valveslip/valveslip/standin/worker"
 )
@@ -48,6 +49,7 @@
 	for i := range nodes {
 		d.nodes = append(d.nodes, d.startNode(fmt.Sprintf("n%d", i), func(o *shell.Options) {
 			o.Upstream.LocalAddress = net.IP(sourceOf(i).AsSlice())
+			o.Engines = platform.NewEngineClient(o.Upstream.LocalAddress)
 		}))
 	}
 	return d
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -1,60 +1,105 @@
 package shell
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/passthrough"
 	"github.com/valveslip/valveslip/reachability"
 )
 
-// maxLoggedMachines bounds the machines that a line on the path names.
-const maxLoggedMachines = 8
+const (
+	// maxLoggedMachines bounds the machines that a line on the path names.
+	maxLoggedMachines = 8
+	// probesAtOnce is the number of machines that are probed at a time.
+	probesAtOnce = 3
+	// probeTimeout bounds one probe, probeInterval is the time between two rounds of probes. A node
+	// uses its own path again within both after it is back.
+	probeTimeout  = 600 * time.Millisecond
+	probeInterval = 500 * time.Millisecond
+)
 
-// machinePath observes this node's connections to machines and decides whether the node has lost its
-// path to them. It is safe for concurrent use.
+// machinePath observes this node's connections to machines, probes machines while the node suspects
+// that it has lost its path to them, and chooses the nodes through which requests are sent meanwhile.
+// It implements passthrough.Path and is safe for concurrent use. Its mutex may be taken while that
+// of the Node is held, not the other way round.
 type machinePath struct {
-	node *Node
+	node  *Node
+	peers *peerSet
 	// doubtful is set while the monitor holds failures. Data that arrives while it is not set
 	// changes nothing, so that the request path pays no lock for it.
 	doubtful atomic.Bool
+	// current is the monitor's state.
+	current atomic.Uint32
+	// began and dataAt tell when data last arrived: dataAt is in nanoseconds since began, on the
+	// monotonic clock.
+	began  time.Time
+	dataAt atomic.Int64
+	vouch  voucher
 
 	mutex   sync.Mutex
 	monitor *reachability.Monitor
 	// changedAt is when the state last changed.
 	changedAt time.Time
+	// settled is closed when the current suspicion has been confirmed or refuted; nil without one.
+	settled chan struct{}
+	// probing is set while probes are made.
+	probing bool
 }
 
 func newMachinePath(n *Node) *machinePath {
-	return &machinePath{node: n, monitor: reachability.New(), changedAt: n.options.Now()}
+	return &machinePath{node: n, peers: newPeerSet(n.options.Now), began: time.Now(), monitor: reachability.New(), changedAt: n.options.Now()}
 }
 
 // dataArrived implements upstream.Options.OnData.
 func (p *machinePath) dataArrived(opened time.Time) {
+	p.dataAt.Store(int64(time.Since(p.began)))
 	if !p.doubtful.Load() {
 		return
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.changed(p.monitor.RecordData(p.node.options.Now(), opened), "data on a connection")
+	p.update("data on a connection", func(m *reachability.Monitor) bool { return m.RecordData(p.node.options.Now(), opened) })
 }
 
 // Failed implements passthrough.Path.
 func (p *machinePath) Failed(address string, kind reachability.Kind, cause string) {
 	known := p.node.knownMachines()
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.changed(p.monitor.RecordFailure(p.node.options.Now(), address, kind, cause, known), cause)
+	p.update(cause, func(m *reachability.Monitor) bool {
+		return m.RecordFailure(p.node.options.Now(), address, kind, cause, known)
+	})
 }
 
-// changed logs a change of the state. The caller holds the mutex.
-func (p *machinePath) changed(changed bool, cause string) {
+// update changes the monitor and handles a change of the state.
+func (p *machinePath) update(cause string, change func(m *reachability.Monitor) bool) {
+	p.mutex.Lock()
+	changed := change(p.monitor)
+	state := p.monitor.State()
 	p.doubtful.Store(p.monitor.Doubtful())
-	if !changed {
-		return
+	if changed {
+		p.current.Store(uint32(state))
+		p.logChange(cause)
+		p.settle(state)
+	}
+	probe := state != reachability.Connected && !p.probing
+	p.probing = p.probing || probe
+	p.mutex.Unlock()
+	if changed {
+		go func() { p.node.step(fleet.MachinePathChanged{State: p.state()}) }()
+	}
+	if probe {
+		go p.probe()
 	}
+}
+
+// logChange logs a change of the state. The caller holds the mutex.
+func (p *machinePath) logChange(cause string) {
 	now := p.node.options.Now()
 	failed := p.monitor.Failed()
 	p.node.options.Log.Write(eventlog.MachinePathChanged{
@@ -64,11 +109,142 @@
 	p.changedAt = now
 }
 
+// settle wakes those who wait for the outcome of a suspicion. The caller holds the mutex.
+func (p *machinePath) settle(state reachability.State) {
+	if state == reachability.Suspected {
+		p.settled = make(chan struct{})
+		return
+	}
+	if p.settled != nil {
+		close(p.settled)
+		p.settled = nil
+	}
+}
+
 // state returns the state of the path.
-func (p *machinePath) state() reachability.State {
+func (p *machinePath) state() reachability.State { return reachability.State(p.current.Load()) }
+
+// Suspected implements passthrough.Path.
+func (p *machinePath) Suspected() bool { return p.state() != reachability.Connected }
+
+// Lost implements passthrough.Path.
+func (p *machinePath) Lost() bool { return p.state() == reachability.Lost }
+
+// AllowsEstablished implements passthrough.Path.
+func (p *machinePath) AllowsEstablished() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.monitor.State()
+	return p.monitor.AllowsEstablished(p.node.options.Now())
+}
+
+// AwaitVerdict implements passthrough.Path.
+func (p *machinePath) AwaitVerdict(ctx context.Context) bool {
+	p.mutex.Lock()
+	settled := p.settled
+	inDoubt := p.monitor.State() != reachability.Connected && p.monitor.NothingHeard()
+	p.mutex.Unlock()
+	if !inDoubt {
+		return false
+	}
+	if settled != nil {
+		select {
+		case <-settled:
+		case <-ctx.Done():
+		}
+	}
+	return p.Suspected()
+}
+
+// The times for vouching.
+const (
+	// freshData is the age up to which the last data from a machine shows that the path works.
+	freshData = time.Second
+	// vouchTimeout bounds the probes made for another node: a round trip takes 100 ms between distant
+	// regions.
+	vouchTimeout = 250 * time.Millisecond
+)
+
+// voucher remembers the last probes that were made to vouch for the path.
+type voucher struct {
+	mutex   sync.Mutex
+	probeAt time.Time
+	answer  bool
+}
+
+// Vouch implements passthrough.Path. Concurrent calls share one round of probes.
+func (p *machinePath) Vouch(ctx context.Context) bool {
+	if at := p.dataAt.Load(); at > 0 && time.Since(p.began)-time.Duration(at) < freshData {
+		return true
+	}
+	v := &p.vouch
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if time.Since(v.probeAt) >= probeInterval {
+		ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+		defer cancel()
+		v.answer = p.probeOnce(ctx)
+		v.probeAt = time.Now()
+	}
+	return v.answer
+}
+
+// PickPeer implements passthrough.Path.
+func (p *machinePath) PickPeer(excluded []cluster.NodeID) (passthrough.Peer, bool) {
+	return p.peers.pick(excluded)
+}
+
+// PeerEnded implements passthrough.Path.
+func (p *machinePath) PeerEnded(id cluster.NodeID, outcome passthrough.PeerOutcome) {
+	p.peers.ended(id, outcome)
+}
+
+// probe sends probes on new connections until the path is back.
+func (p *machinePath) probe() {
+	for p.node.context.Err() == nil {
+		answered := p.probeRound()
+		p.update("probes", func(m *reachability.Monitor) bool { return m.RecordProbe(p.node.options.Now(), answered) })
+		p.mutex.Lock()
+		done := p.monitor.State() == reachability.Connected
+		p.probing = !done
+		p.mutex.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-time.After(probeInterval):
+		case <-p.node.context.Done():
+		}
+	}
+}
+
+// probeRound makes one round of probes.
+func (p *machinePath) probeRound() bool {
+	ctx, cancel := context.WithTimeout(p.node.context, probeTimeout)
+	defer cancel()
+	return p.probeOnce(ctx)
+}
+
+// probeOnce probes some machines, if possible others than those that failed, and reports whether one
+// answered.
+func (p *machinePath) probeOnce(ctx context.Context) bool {
+	p.mutex.Lock()
+	failed := p.monitor.Failed()
+	p.mutex.Unlock()
+	targets := p.node.sampleMachines(probesAtOnce, func(address string) bool { return slices.Contains(failed, address) })
+	answers := make(chan bool, len(targets))
+	for _, target := range targets {
+		go func() {
+			err := p.node.options.Engines.Probe(ctx, target.Address, target.HealthPath)
+			p.node.metrics.countCall("probe", err)
+			answers <- err == nil
+		}()
+	}
+	for range targets {
+		if <-answers {
+			return true
+		}
+	}
+	return false
 }
 
 // knownMachines returns the number of machines that this node knows.
@@ -80,3 +256,69 @@
 	}
 	return n.core.Machines()
 }
+
+// sampleMachines returns random machines, and avoided ones only if there are no others.
+func (n *Node) sampleMachines(count int, avoid func(address string) bool) []fleet.ProbeTarget {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.core == nil {
+		return nil
+	}
+	targets := n.core.ProbeTargets()
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	slices.SortStableFunc(targets, func(a, b fleet.ProbeTarget) int { return boolToInt(avoid(a.Address)) - boolToInt(avoid(b.Address)) })
+	return targets[:min(count, len(targets))]
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// findMachine returns the address of a machine for the request of another node.
+func (n *Node) findMachine(id cluster.MachineID) (string, passthrough.PeerOutcome) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.core == nil {
+		return "", passthrough.OutcomeUnknown
+	}
+	address, known := n.core.MachineAddress(id)
+	switch {
+	case !known:
+		return "", passthrough.OutcomeUnknown
+	case n.core.MachineBlocked(n.Now(), id):
+		return "", passthrough.OutcomeBlocked
+	}
+	return address, ""
+}
+
+// peerRequestShare is the share of the bound on active requests that requests of other nodes may
+// take: callers of this node come first.
+const peerRequestShare = 0.5
+
+// refusesPeers returns why this node sends no requests of other nodes now.
+func (n *Node) refusesPeers(active int64) passthrough.PeerOutcome {
+	most := n.options.CallerLimits.MaxRequestsInFlight
+	switch {
+	case n.stopping.Load():
+		return passthrough.OutcomeDraining
+	case !n.isReady.Load():
+		return passthrough.OutcomeUnknown
+	case most > 0 && float64(active) > peerRequestShare*float64(most):
+		return passthrough.OutcomeOverloaded
+	}
+	if _, may := n.admitRequest(); !may {
+		return passthrough.OutcomeOverloaded
+	}
+	return ""
+}
+
+// maxBodyBytes returns the bound on the body of a request.
+func (n *Node) maxBodyBytes() int64 {
+	if compiled := n.compiled.Load(); compiled != nil && compiled.Limits.MaxBodyBytes > 0 {
+		return compiled.Limits.MaxBodyBytes
+	}
+	return passthrough.DefaultMaxBodyBytes
+}
--- /dev/null
+++ b/fleet/shell/peers.go
@@ -0,0 +1,102 @@
+package shell
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/passthrough"
+)
+
+// The times for which a node is not asked to send requests after it did not.
+const (
+	// noPathPause: it probes its path twice meanwhile.
+	noPathPause = time.Second
+	// overloadPause lets what it runs end.
+	overloadPause = 250 * time.Millisecond
+	// absentPause: it is stopping, does not answer or does not know PeerPath.
+	absentPause = 2 * time.Second
+)
+
+// peerSet chooses the nodes through which requests are sent to machines. Requests are spread by the
+// number that is open at each, so that no node gets all of them.
+type peerSet struct {
+	now func() time.Time
+
+	mutex sync.Mutex
+	list  []passthrough.Peer
+	// open counts the requests at each node that have not ended.
+	open map[cluster.NodeID]int
+	// pausedUntil is the time until which a node is not asked.
+	pausedUntil map[cluster.NodeID]time.Time
+}
+
+func newPeerSet(now func() time.Time) *peerSet {
+	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}}
+}
+
+// set replaces the nodes.
+func (s *peerSet) set(nodes []fleet.NodeEntry, self *fleet.NodeEntry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.list = s.list[:0]
+	pausedUntil := make(map[cluster.NodeID]time.Time)
+	for i := range nodes {
+		entry := &nodes[i]
+		if entry.ID == self.ID || entry.Machine == self.Machine && self.Machine != "" || entry.Address == "" {
+			continue
+		}
+		s.list = append(s.list, passthrough.Peer{ID: entry.ID, Address: entry.Address})
+		if until, paused := s.pausedUntil[entry.ID]; paused {
+			pausedUntil[entry.ID] = until
+		}
+	}
+	s.pausedUntil = pausedUntil
+}
+
+// pick returns the one of two random nodes that has fewer open requests of this one, without the
+// excluded and the paused ones. It returns false if there is none.
+func (s *peerSet) pick(excluded []cluster.NodeID) (passthrough.Peer, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.now()
+	var eligible []passthrough.Peer
+	for _, peer := range s.list {
+		if !slices.Contains(excluded, peer.ID) && !now.Before(s.pausedUntil[peer.ID]) {
+			eligible = append(eligible, peer)
+		}
+	}
+	if len(eligible) == 0 {
+		return passthrough.Peer{}, false
+	}
+	chosen := eligible[rand.IntN(len(eligible))]
+	if other := eligible[rand.IntN(len(eligible))]; s.open[other.ID] < s.open[chosen.ID] {
+		chosen = other
+	}
+	s.open[chosen.ID]++
+	return chosen, true
+}
+
+// ended records the outcome of a request to a node.
+func (s *peerSet) ended(id cluster.NodeID, outcome passthrough.PeerOutcome) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.open[id]--; s.open[id] <= 0 {
+		delete(s.open, id)
+	}
+	pause := time.Duration(0)
+	switch outcome {
+	case passthrough.OutcomeNoPath:
+		pause = noPathPause
+	case passthrough.OutcomeOverloaded:
+		pause = overloadPause
+	case passthrough.OutcomeDraining, passthrough.OutcomeNoAnswer, passthrough.OutcomeUnsupported:
+		pause = absentPause
+	default:
+		return
+	}
+	s.pausedUntil[id] = s.now().Add(pause)
+}
--- a/fleet/shell/restart_test.go
+++ b/fleet/shell/restart_test.go
@@ -151,7 +151,7 @@
 func TestReportOfAnotherStartIsRejected(t *testing.T) {
 	d := newDeployment(t)
 	d.addWorker("e1", engineService, withStartTime(2000))
-	client := platform.NewEngineClient()
+	client := platform.NewEngineClient(nil)
 	address := d.workers["e1"].Address()
 	if _, err := client.Report(t.Context(), address, "e1@1000"); err == nil {
 		t.Error("the report of a later start was accepted for an earlier one")
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -129,9 +129,9 @@
 	close(n.stopped)
 }
 
-// inFlight returns the number of requests in flight.
+// inFlight returns the number of requests in flight, those of other nodes included.
 func (n *Node) inFlight() int {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return len(n.tickets)
+	return len(n.tickets) + n.peerProxy.Active()
 }
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -1,13 +1,10 @@
 package passthrough
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
-	"strings"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -39,6 +36,12 @@
 	decision routing.Dispatch
 	conn     *upstream.Conn
 	watchdog *watchdog
+	// peer is the node through which the attempt runs, nil for a direct one. peerRequest is the
+	// request to it and peerOutcome its result, OutcomeComplete unless the peer or its connection
+	// ended the attempt.
+	peer        *Peer
+	peerRequest *http.Request
+	peerOutcome PeerOutcome
 	// countedEventBytes is how many bytes of an incomplete long event are reserved.
 	countedEventBytes int64
 	status            int
@@ -61,6 +64,7 @@
 // execute runs the attempt to its end and returns the outcome for the router.
 func (a *attempt) execute(ctx context.Context) routing.AttemptEnded {
 	failure := a.connectAndExchange(ctx)
+	a.withdrawEvidence(ctx)
 	ended := routing.AttemptEnded{
 		Request: a.id, Attempt: a.decision.Attempt, Failure: failure,
 		Unreached: a.unreached, Withheld: a.withheld, Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
@@ -78,13 +82,28 @@
 // connectAndExchange connects, sends the request and reads the answer. It returns nil if the
 // answer is complete.
 func (a *attempt) connectAndExchange(ctx context.Context) *verdict.Error {
+	if a.pathSuspected() {
+		if failure, tried := a.exchangeDoubted(ctx); tried {
+			return failure
+		}
+	}
 	connection, err := a.Pool.Get(ctx, a.decision.Address)
-	if err != nil {
-		a.unreached = true
-		a.recordPathFailure(reachability.NoConnection, err)
-		a.processEnded = errors.Is(err, syscall.ECONNREFUSED)
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the machine can't be reached")
+	if err == nil {
+		return a.exchangeOn(ctx, connection)
+	}
+	a.recordPathFailure(reachability.NoConnection, err)
+	if a.pathSuspected() {
+		if failure, tried := a.exchangeThroughPeers(ctx); tried {
+			return failure
+		}
 	}
+	a.unreached = true
+	a.processEnded = errors.Is(err, syscall.ECONNREFUSED)
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the machine can't be reached")
+}
+
+// exchangeOn sends the request on a connection, to the machine or to a peer, and reads the answer.
+func (a *attempt) exchangeOn(ctx context.Context, connection *upstream.Conn) *verdict.Error {
 	a.conn = connection
 	stop := context.AfterFunc(ctx, connection.Interrupt)
 	failure := a.sendAndReceive()
@@ -94,7 +113,7 @@
 	} else {
 		connection.Close()
 	}
-	if a.connectionBroken {
+	if a.connectionBroken && a.peer == nil {
 		a.processEnded = a.Pool.Refuses(ctx, a.decision.Address)
 	}
 	return failure
@@ -109,7 +128,7 @@
 		}
 	}
 	forwarded := a.forwardRequest()
-	if err := a.conn.Send(forwarded, a.body); err != nil {
+	if err := a.send(forwarded); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			a.unreached = true
 			return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the request could not be sent")
@@ -120,7 +139,10 @@
 	}
 	a.startWatchdog()
 	response, marks, err := a.readHead(forwarded)
-	if err != nil {
+	switch {
+	case err != nil && a.peer != nil && a.peerOutcome != OutcomeComplete:
+		return a.peerFailure(err)
+	case err != nil:
 		a.recordUnanswered(err)
 		a.recordConnectionBreak(err)
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeEngineFailed, "the machine did not answer")
@@ -136,23 +158,11 @@
 // state the time left, the rank and the like.
 func (a *attempt) forwardRequest() *http.Request {
 	header := a.header.Clone()
-	if _, stated := header["User-Agent"]; !stated {
-		header["User-Agent"] = []string{""}
-	}
 	a.Dialect.PrepareForward(header, Forward{
 		Machine: a.decision.Machine, Remaining: a.remaining(), Rank: a.machineRank(), LastEventID: a.lastEventID,
 		Tenant: a.tenantName(), Keyed: a.keyed, FetchAddress: a.decision.Reason.Forecast.FetchAddress,
 	})
-	target := &url.URL{Scheme: "http", Host: a.request.Host, Opaque: a.request.RequestURI}
-	if !strings.HasPrefix(a.request.RequestURI, "/") || strings.HasPrefix(a.request.RequestURI, "//") {
-		target = a.request.URL
-	}
-	request := &http.Request{Method: a.request.Method, URL: target, Host: a.request.Host, Header: header, ProtoMajor: 1, ProtoMinor: 1}
-	if len(a.body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(a.body))
-		request.ContentLength = int64(len(a.body))
-	}
-	return request
+	return machineRequest(a.request, header, a.body)
 }
 
 // machineRank returns the rank that the machine is told, lowestRank for a background request.
@@ -163,21 +173,30 @@
 	return a.rank()
 }
 
-// readHead reads the head of the answer to this request. It discards late answers to earlier
-// requests; the connection is not reused after one.
+// readHead reads the head of the answer to this request.
 func (a *attempt) readHead(forwarded *http.Request) (*http.Response, AnswerAttributes, error) {
+	next := func() (*http.Response, error) { return a.nextHead(forwarded) }
+	return readOwnHead(next, a.conn, func(response *http.Response) (AnswerAttributes, bool) {
+		marks := a.Dialect.ReadAnswer(a.decision.Machine, response.StatusCode, response.Header)
+		own := marks.RequestID == a.id || marks.RequestID == "" && marks.NotRun
+		a.reportNotice(&marks, own)
+		return marks, own
+	})
+}
+
+// readOwnHead reads the heads of answers until one belongs to the request. It discards late answers
+// to earlier requests; the connection is not reused after one.
+func readOwnHead(next func() (*http.Response, error), conn *upstream.Conn, judge func(*http.Response) (AnswerAttributes, bool)) (*http.Response, AnswerAttributes, error) {
 	for range maxStaleAnswers {
-		response, err := a.conn.Head(forwarded)
+		response, err := next()
 		if err != nil {
 			return nil, AnswerAttributes{}, err
 		}
-		marks := a.Dialect.ReadAnswer(a.decision.Machine, response.StatusCode, response.Header)
-		own := marks.RequestID == a.id || marks.RequestID == "" && marks.NotRun
-		a.reportNotice(&marks, own)
+		marks, own := judge(response)
 		if own {
 			return response, marks, nil
 		}
-		a.conn.MarkUnusable()
+		conn.MarkUnusable()
 		if marks.RequestID == "" || !upstream.Drained(response, maxStaleAnswerBytes) {
 			break
 		}
--- a/passthrough/content.go
+++ b/passthrough/content.go
@@ -58,9 +58,17 @@
 // connection. An interrupt by this node returns a timeout error instead. Once the caller has left,
 // the error may come from the caller's side and is ignored.
 func (a *attempt) recordConnectionBreak(err error) {
-	if a.request.Context().Err() != nil {
-		return
+	switch {
+	case a.request.Context().Err() != nil:
+	case a.peer != nil:
+		a.connectionBroken, a.processEnded = errors.Is(err, errMachineCut), outcomeOf(err) == OutcomeEnded
+	default:
+		a.connectionBroken = endedByMachine(err)
 	}
-	a.connectionBroken = errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+}
+
+// endedByMachine reports whether an error of a connection means that the machine's side ended it.
+func endedByMachine(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -26,8 +26,8 @@
 
 // Defaults and bounds of a Handler.
 const (
-	// defaultMaxBodyBytes applies until a configuration states a bound.
-	defaultMaxBodyBytes = 4 << 20
+	// DefaultMaxBodyBytes bounds a body until a configuration states a bound.
+	DefaultMaxBodyBytes = 4 << 20
 	// defaultDeadline applies if neither the caller nor the route states one.
 	defaultDeadline = time.Minute
 	// memoryFullRetryAfter is the Retry-After for a request whose body the node has no memory for:
@@ -57,8 +57,12 @@
 	Decider      Decider
 	Dialect      Dialect
 	Pool         *upstream.Pool
-	Log          *eventlog.Log
-	Metrics      *Metrics
+	// Self is this node. Peers holds the connections to other nodes, through which machines are
+	// reached while Path says that this node's own path is lost.
+	Self    cluster.NodeID
+	Peers   *upstream.Pool
+	Log     *eventlog.Log
+	Metrics *Metrics
 	// Closing reports whether callers should close their connections. If nil, they never should.
 	Closing func() bool
 	// Admits reports whether a request with the given deadline is still accepted. If nil, all are.
@@ -74,7 +78,7 @@
 	// MaySend returns, right before a send, why a request must no longer be sent. If nil, every
 	// send is allowed.
 	MaySend func(id cluster.RequestID) *verdict.Error
-	// Path observes the connections to machines. If nil, nothing does.
+	// Path observes the connections to machines. If nil, requests are only sent directly.
 	Path Path
 	// NewID returns an ID for a request without one.
 	NewID func() cluster.RequestID
@@ -175,7 +179,7 @@
 		return nil, nil
 	}
 	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
+		maxBytes = DefaultMaxBodyBytes
 	}
 	if r.ContentLength > maxBytes {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeRequestTooLarge, "the body is larger than %d bytes", maxBytes)
--- /dev/null
+++ b/passthrough/peer_attempt.go
@@ -0,0 +1,131 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/upstream"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+const (
+	// maxPeersPerAttempt bounds the nodes that are asked one after the other to send a request. Most
+	// nodes may have lost their path too; each refuses within a round trip.
+	maxPeersPerAttempt = 8
+	// noPathRetryAfter is the Retry-After of a refusal because neither this node nor another one that
+	// it knows reaches machines: about the time between two probes.
+	noPathRetryAfter = 500 * time.Millisecond
+)
+
+// errPeerRefused is the cause of the failure of an attempt that a peer did not send.
+var errPeerRefused = eris.New("the peer did not send the request")
+
+// exchangeDoubted runs the attempt while this node suspects its own path: on an established
+// connection if those still work, otherwise through other nodes. It returns false if neither could
+// be tried and the suspicion is not confirmed, so that the machine is to be tried directly.
+func (a *attempt) exchangeDoubted(ctx context.Context) (*verdict.Error, bool) {
+	if a.Path.AllowsEstablished() {
+		if established := a.Pool.GetIdle(a.decision.Address); established != nil {
+			return a.exchangeOn(ctx, established), true
+		}
+	}
+	return a.exchangeThroughPeers(ctx)
+}
+
+// exchangeThroughPeers asks other nodes, one after the other, to send the request until one does.
+func (a *attempt) exchangeThroughPeers(ctx context.Context) (*verdict.Error, bool) {
+	var tried []cluster.NodeID
+	for len(tried) < maxPeersPerAttempt && ctx.Err() == nil {
+		peer, found := a.Path.PickPeer(tried)
+		if !found {
+			break
+		}
+		tried = append(tried, peer.ID)
+		failure, outcome := a.exchangeThrough(ctx, &peer)
+		a.Path.PeerEnded(peer.ID, outcome)
+		a.logThroughPeer(peer.ID, outcome)
+		if !outcome.passesOn() {
+			return failure, true
+		}
+	}
+	a.peer = nil
+	if len(tried) == 0 || !a.Path.Lost() {
+		return nil, false
+	}
+	a.unreached, a.withheld = true, true
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this node has no path to machines, and no other node sent the request").After(noPathRetryAfter), true
+}
+
+func (a *attempt) logThroughPeer(peer cluster.NodeID, outcome PeerOutcome) {
+	a.Log.Write(eventlog.AttemptThroughPeer{
+		Request: a.id, Attempt: a.decision.Attempt, Machine: a.decision.Machine, Peer: peer, Outcome: string(outcome),
+	})
+}
+
+// exchangeThrough runs the attempt through one other node.
+func (a *attempt) exchangeThrough(ctx context.Context, peer *Peer) (*verdict.Error, PeerOutcome) {
+	a.peer, a.peerOutcome = peer, OutcomeComplete
+	a.unreached, a.processEnded, a.connectionBroken = false, false, false
+	connection, err := a.Peers.Get(ctx, peer.Address)
+	if err != nil {
+		a.unreached = true
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the peer can't be reached"), OutcomeNoAnswer
+	}
+	failure := a.exchangeOn(ctx, connection)
+	if failure != nil && a.unreached && !a.withheld && a.peerOutcome == OutcomeComplete {
+		// The connection to the peer failed before anything was sent.
+		return failure, OutcomeNoAnswer
+	}
+	return failure, a.peerOutcome
+}
+
+// send writes the request on the connection: to the machine, or to the peer that sends it there.
+func (a *attempt) send(forwarded *http.Request) error {
+	if a.peer == nil {
+		return a.conn.Send(forwarded, a.body)
+	}
+	outer, message, err := newPeerRequest(*a.peer, a.Self, a.decision.Machine, a.remaining(), forwarded)
+	if err != nil {
+		return errors.Join(upstream.ErrNotSent, err)
+	}
+	a.peerRequest = outer
+	return a.conn.Send(outer, message)
+}
+
+// nextHead reads the head of the next answer of the machine.
+func (a *attempt) nextHead(forwarded *http.Request) (*http.Response, error) {
+	if a.peer == nil {
+		return a.conn.Head(forwarded)
+	}
+	outer, err := a.conn.Head(a.peerRequest)
+	if err != nil {
+		a.peerOutcome = OutcomeFailed
+		return nil, err
+	}
+	if outer.StatusCode == http.StatusOK && outer.Header.Get("Content-Type") == messageMediaType {
+		return readPeerAnswer(outer, forwarded)
+	}
+	a.answerComplete = upstream.Drained(outer, maxStaleAnswerBytes)
+	a.peerOutcome = OutcomeUnsupported
+	if text := outer.Header.Get(headerPeerOutcome); isPeerOutcome(text) {
+		a.peerOutcome = PeerOutcome(text)
+	}
+	return nil, eris.Wrapf(errPeerRefused, "outcome %s at peer %s", a.peerOutcome, a.peer.ID)
+}
+
+// peerFailure returns the failure of an attempt that the peer ended with an outcome of its own.
+func (a *attempt) peerFailure(err error) *verdict.Error {
+	a.connectionBroken = a.peerOutcome == OutcomeBroken || a.peerOutcome == OutcomeEnded
+	a.processEnded = a.peerOutcome == OutcomeEnded || a.peerOutcome == OutcomeRefused
+	if !a.peerOutcome.notSent() {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeEngineFailed, "the machine did not answer")
+	}
+	a.unreached = true
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the machine can't be reached")
+}
--- /dev/null
+++ b/passthrough/peer_proxy.go
@@ -0,0 +1,231 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/passthrough/retained"
+	"github.com/valveslip/valveslip/reachability"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/upstream"
+)
+
+// PeerProxyConfig holds the dependencies of a PeerProxy.
+type PeerProxyConfig struct {
+	Dialect Dialect
+	Pool    *upstream.Pool
+	Path    Path
+	Log     *eventlog.Log
+	// FindMachine returns the address of a machine. The outcome is OutcomeUnknown for an unknown
+	// machine, OutcomeBlocked for one that takes no requests from this node now, else empty.
+	FindMachine func(id cluster.MachineID) (address string, outcome PeerOutcome)
+	// Refuses returns why this node sends no requests of other nodes now, else an empty outcome.
+	Refuses func(active int64) PeerOutcome
+	// Report hands what a machine states about itself to the router.
+	Report func(event routing.Event)
+	// Retained bounds the bytes that are held for requests.
+	Retained *retained.Account
+	// MaxBodyBytes returns the bound on the body of a request.
+	MaxBodyBytes func() int64
+}
+
+// PeerProxy sends the requests of other nodes, which have lost their path to machines, to machines.
+// It decides nothing about them: choice, retries and limits are those of the other node. It sends a
+// request only itself, never through a third node.
+type PeerProxy struct {
+	PeerProxyConfig
+	active atomic.Int64
+}
+
+// NewPeerProxy returns a PeerProxy.
+func NewPeerProxy(config PeerProxyConfig) *PeerProxy { return &PeerProxy{PeerProxyConfig: config} }
+
+// Active returns the number of requests that have not ended.
+func (p *PeerProxy) Active() int { return int(p.active.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (p *PeerProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header()["Date"] = nil
+	defer p.active.Add(-1)
+	began := time.Now()
+	if outcome := p.refusal(r.Context(), p.active.Add(1)); outcome != "" {
+		refusePeer(w, outcome)
+		return
+	}
+	task, err := readPeerTask(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), task.timeout)
+	defer cancel()
+	e := &peerExchange{PeerProxy: p, task: task, writer: w, id: p.Dialect.ReadCaller(task.inner.Header).RequestID}
+	outcome := e.run(ctx)
+	p.Log.Write(eventlog.PeerRequestEnded{Request: e.id, From: task.from, Machine: task.machine, Outcome: string(outcome), Took: time.Since(began)})
+	switch {
+	case !e.headSent:
+		refusePeer(w, outcome)
+	default:
+		w.Header().Set(headerPeerOutcome, string(outcome))
+	}
+}
+
+// refusal returns why no request of another node is sent now, else an empty outcome.
+func (p *PeerProxy) refusal(ctx context.Context, active int64) PeerOutcome {
+	if outcome := p.Refuses(active); outcome != "" {
+		return outcome
+	}
+	if p.Path.Suspected() || !p.Path.Vouch(ctx) {
+		return OutcomeNoPath
+	}
+	return ""
+}
+
+// refusePeer answers a peer without an answer of the machine.
+func refusePeer(w http.ResponseWriter, outcome PeerOutcome) {
+	status := http.StatusBadGateway
+	if outcome.notSent() {
+		status = http.StatusServiceUnavailable
+	}
+	w.Header().Set(headerPeerOutcome, string(outcome))
+	w.WriteHeader(status)
+}
+
+// peerExchange is one request of another node.
+type peerExchange struct {
+	*PeerProxy
+	task     *peerTask
+	writer   http.ResponseWriter
+	id       cluster.RequestID
+	address  string
+	conn     *upstream.Conn
+	headSent bool
+}
+
+// run sends the request and passes the answer on.
+func (e *peerExchange) run(ctx context.Context) PeerOutcome {
+	var outcome PeerOutcome
+	if e.address, outcome = e.FindMachine(e.task.machine); outcome != "" {
+		return outcome
+	}
+	hold := retained.NewHold(e.Retained)
+	defer hold.Release()
+	body, complete, err := hold.ReadAll(io.LimitReader(e.task.inner.Body, e.MaxBodyBytes()+1), e.task.inner.ContentLength)
+	if err != nil {
+		return OutcomeFailed
+	}
+	if !complete || int64(len(body)) > e.MaxBodyBytes() {
+		return OutcomeOverloaded
+	}
+	e.conn, err = e.Pool.Get(ctx, e.address)
+	if err != nil {
+		e.Path.Failed(e.address, reachability.NoConnection, err.Error())
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return OutcomeRefused
+		}
+		return OutcomeUnreachable
+	}
+	stop := context.AfterFunc(ctx, e.conn.Interrupt)
+	outcome = e.exchange(machineRequest(e.task.inner, e.task.inner.Header, body), body)
+	if stop() && outcome == OutcomeComplete {
+		e.conn.Release()
+	} else {
+		e.conn.Close()
+	}
+	if outcome == OutcomeBroken && e.Pool.Refuses(ctx, e.address) {
+		outcome = OutcomeEnded
+	}
+	return outcome
+}
+
+// exchange sends the request on the connection and passes the answer on.
+func (e *peerExchange) exchange(request *http.Request, body []byte) PeerOutcome {
+	if err := e.conn.Send(request, body); err != nil {
+		if errors.Is(err, upstream.ErrNotSent) {
+			return OutcomeUnreachable
+		}
+		e.conn.MarkUnusable()
+	}
+	began := time.Now()
+	answer, _, err := readOwnHead(func() (*http.Response, error) { return e.conn.Head(request) }, e.conn, e.ownAnswer)
+	if err != nil {
+		e.recordUnanswered(err, time.Since(began))
+		return outcomeOfBreak(err)
+	}
+	return e.relay(answer)
+}
+
+// minSilence is the time without an answer after which the machine counts as silent although the
+// other node gave the request up.
+const minSilence = 500 * time.Millisecond
+
+// recordUnanswered reports that the connection failed, or was silent for too long, before the head of
+// the answer arrived.
+func (e *peerExchange) recordUnanswered(err error, waited time.Duration) {
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case timedOut && waited < minSilence:
+	case timedOut || e.conn.Reused():
+		e.Path.Failed(e.address, reachability.Silence, err.Error())
+	default:
+		e.Path.Failed(e.address, reachability.NoConnection, err.Error())
+	}
+}
+
+// ownAnswer reports whether an answer is that to this request, and passes on what its machine states
+// about itself.
+func (e *peerExchange) ownAnswer(answer *http.Response) (marks AnswerAttributes, own bool) {
+	marks = e.Dialect.ReadAnswer(e.task.machine, answer.StatusCode, answer.Header)
+	if (marks.Machine == "" || marks.Machine == e.task.machine) && marks.Notice != (routing.Notice{}) {
+		e.Report(routing.MachineNoticeReceived{Machine: e.task.machine, Request: e.id, Notice: marks.Notice})
+	}
+	return marks, marks.RequestID == e.id || marks.RequestID == "" && marks.NotRun
+}
+
+// relay writes the answer to the other node as it arrives.
+func (e *peerExchange) relay(answer *http.Response) PeerOutcome {
+	header := e.writer.Header()
+	header.Set("Content-Type", messageMediaType)
+	header.Set("Trailer", headerPeerOutcome)
+	e.writer.WriteHeader(http.StatusOK)
+	e.headSent = true
+	if err := writeAnswerHead(e.writer, answer); err != nil {
+		return OutcomeFailed
+	}
+	flusher := http.NewResponseController(e.writer)
+	buffer := readBuffers.Get().(*[]byte)
+	defer readBuffers.Put(buffer)
+	for {
+		n, err := answer.Body.Read(*buffer)
+		if n > 0 {
+			if _, writeErr := e.writer.Write((*buffer)[:n]); writeErr != nil {
+				return OutcomeFailed
+			}
+		}
+		if err == io.EOF {
+			return OutcomeComplete
+		}
+		if err != nil {
+			return outcomeOfBreak(err)
+		}
+		if flusher.Flush() != nil {
+			return OutcomeFailed
+		}
+	}
+}
+
+// outcomeOfBreak returns the outcome for an error of the connection to the machine.
+func outcomeOfBreak(err error) PeerOutcome {
+	if endedByMachine(err) {
+		return OutcomeBroken
+	}
+	return OutcomeFailed
+}
--- a/reachability/monitor.go
+++ b/reachability/monitor.go
@@ -44,6 +44,9 @@
 	// establishedGrace is how long after data arrived established connections are still used while
 	// new ones fail.
 	establishedGrace = 500 * time.Millisecond
+	// refutationHold is how long after an answered probe no suspicion arises: the machines that fail
+	// are then at fault, and more of them may fail in a row.
+	refutationHold = 250 * time.Millisecond
 )
 
 // Failure is the latest failure at one machine.
@@ -62,6 +65,8 @@
 	// machine since, the last at heardAt.
 	firstAt, heardAt time.Time
 	heard            bool
+	// refutedAt is when a probe last refuted a suspicion.
+	refutedAt time.Time
 }
 
 // New returns a Monitor in the state Connected.
@@ -99,7 +104,7 @@
 		kind = NoConnection
 	}
 	m.failures[machine] = Failure{Kind: kind, At: now, Cause: cause}
-	if m.state != Connected || len(m.failures) < min(suspicionThreshold, max(known, 1)) {
+	if m.state != Connected || len(m.failures) < min(suspicionThreshold, max(known, 1)) || now.Sub(m.refutedAt) < refutationHold {
 		return false
 	}
 	m.state = Suspected
@@ -133,12 +138,12 @@
 
 // RecordProbe records that probes on new connections have ended. It reports whether the state
 // changed.
-func (m *Monitor) RecordProbe(answered bool) bool {
+func (m *Monitor) RecordProbe(now time.Time, answered bool) bool {
 	switch {
 	case m.state == Connected:
 		return false
 	case answered:
-		m.state = Connected
+		m.state, m.refutedAt = Connected, now
 		clear(m.failures)
 		return true
 	case m.state == Suspected:
--- a/reachability/monitor_test.go
+++ b/reachability/monitor_test.go
@@ -61,14 +61,30 @@
 	if m.State() != Suspected {
 		t.Fatal("the only machine failed and the path is not suspected")
 	}
-	if !m.RecordProbe(false) || m.State() != Lost || m.RecordProbe(false) {
+	if !m.RecordProbe(at(1), false) || m.State() != Lost || m.RecordProbe(at(1), false) {
 		t.Fatalf("state %s after failed probes", m.State())
 	}
-	if !m.RecordProbe(true) || m.State() != Connected || m.Doubtful() {
+	if !m.RecordProbe(at(2), true) || m.State() != Connected || m.Doubtful() {
 		t.Fatalf("state %s after an answered probe", m.State())
 	}
 }
 
+// TestAnsweredProbeHoldsOffSuspicion guards against a node that changes its mind with each failure while
+// several machines have crashed.
+func TestAnsweredProbeHoldsOffSuspicion(t *testing.T) {
+	m := New()
+	m.RecordFailure(at(0), "a", NoConnection, "refused", 5)
+	m.RecordFailure(at(0), "b", NoConnection, "refused", 5)
+	m.RecordProbe(at(1), true)
+	m.RecordFailure(at(2), "a", NoConnection, "refused", 5)
+	if m.RecordFailure(at(3), "b", NoConnection, "refused", 5) {
+		t.Fatal("suspected right after an answered probe")
+	}
+	if !m.RecordFailure(at(300), "c", NoConnection, "timeout", 5) {
+		t.Fatal("not suspected later")
+	}
+}
+
 // TestStateFollowsEvidence checks on random sequences that a suspicion needs failures at two machines
 // since data last disproved them, that a loss needs a failed probe, and that an answered probe ends
 // both.
@@ -91,7 +107,7 @@
 			case 3:
 				answered := rapid.Bool().Draw(t, "answered")
 				suspected := m.State() != Connected
-				m.RecordProbe(answered)
+				m.RecordProbe(at(now), answered)
 				if answered && suspected {
 					clear(failed)
 				}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -353,6 +355,18 @@
 	r.wakeAt(m, m.maxInFlightUntil)
 }
 
+// clearBackOffs ends the back-offs after failures, not those after refusals for lack of a slot.
+func (r *Router) clearBackOffs() {
+	for _, id := range slices.Sorted(maps.Keys(r.machines)) {
+		m := r.machines[id]
+		if m.engineFull || m.consecutiveBackOffs == 0 && m.failureRate == 0 {
+			continue
+		}
+		m.maxInFlightUntil, m.consecutiveBackOffs, m.failureRate = 0, 0, 0
+		r.arm(&m.timer, r.nanos)
+	}
+}
+
 // wakeAt sets the machine's timer to the given time unless it is due earlier. Waiting requests are
 // then dispatched again.
 func (r *Router) wakeAt(m *machine, at int64) {
--- a/routing/events.go
+++ b/routing/events.go
@@ -188,6 +188,10 @@
 // DispatchesResumed ends DispatchesPaused.
 type DispatchesResumed struct{}
 
+// BackOffsCleared ends the back-offs after failures of machines, because this node's own path to them
+// has failed.
+type BackOffsCleared struct{}
+
 // MachineEnded reports that a machine's process is known to have ended without notice.
 type MachineEnded struct{ Machine cluster.MachineID }
 
@@ -223,6 +227,7 @@
 func (RoutersChanged) routingEvent()     {}
 func (DispatchesPaused) routingEvent()   {}
 func (DispatchesResumed) routingEvent()  {}
+func (BackOffsCleared) routingEvent()    {}
 func (MachineEnded) routingEvent()       {}
 func (PoisonLearned) routingEvent()      {}
 func (PoisonPardoned) routingEvent()     {}
--- a/routing/notices.go
+++ b/routing/notices.go
@@ -117,6 +117,12 @@
 	return m != nil && m.leaving()
 }
 
+// Resting reports whether a machine wants no requests from this router now.
+func (r *Router) Resting(now time.Time, id cluster.MachineID) bool {
+	m := r.machines[id]
+	return m != nil && now.UnixNano() < m.turns.restUntil
+}
+
 // applyMachineLimit applies a limit that another router learned.
 func (r *Router) applyMachineLimit(event *MachineLimitReceived) {
 	if m := r.machines[r.currentStart(event.Machine)]; m != nil {
--- a/routing/router.go
+++ b/routing/router.go
@@ -168,6 +168,8 @@
 		r.hold(event)
 	case DispatchesResumed:
 		r.endHold()
+	case BackOffsCleared:
+		r.clearBackOffs()
 	case MachineEnded:
 		r.machineEnded(event.Machine)
 	case PoisonLearned:
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -145,17 +145,21 @@
 
 // Get returns an open idle connection or a new one. An error means that nothing was sent.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	if idle := p.GetIdle(address); idle != nil {
+		return idle, nil
+	}
+	return p.dial(ctx, address)
+}
+
+// GetIdle returns an open idle connection, nil without one.
+func (p *Pool) GetIdle(address string) *Conn {
 	for {
 		idle := p.take(address)
-		if idle == nil {
-			break
-		}
-		if idle.reusableIdle() {
-			return idle, nil
+		if idle == nil || idle.reusableIdle() {
+			return idle
 		}
 		idle.Close()
 	}
-	return p.dial(ctx, address)
 }
 
 // dial opens a connection.
--- a/wire/options.go
+++ b/wire/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"net/http"
 	"time"
 )
 
@@ -45,6 +46,10 @@
 	announcedVersion int32
 	// parallelDialDelay is the time without a connection after which another dial is started.
 	parallelDialDelay time.Duration
+	// handlers serve further paths. Their requests have no stall timeout.
+	handlers map[string]http.Handler
+	// maxHeaderBytes bounds the header of a received request.
+	maxHeaderBytes int
 	// now is the clock that measures how long messages are queued.
 	now func() time.Time
 }
@@ -68,6 +73,15 @@
 	return func(o *options) { o.sendTimeout = timeout }
 }
 
+// WithHandler serves a path on the listener for peers, for requests that may take long. Headers of
+// received requests may be as long as maxHeaderBytes.
+func WithHandler(path string, maxHeaderBytes int, handler http.Handler) Option {
+	return func(o *options) {
+		o.handlers[path] = handler
+		o.maxHeaderBytes = max(o.maxHeaderBytes, maxHeaderBytes)
+	}
+}
+
 func (o *options) scheme() string {
 	if o.clientTLS != nil {
 		return "https"
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -91,7 +91,7 @@
 // after the other, those of different peers concurrently.
 func NewTransport(listen string, logger *slog.Logger, handle func(Message), opts ...Option) (*Transport, error) {
 	transport := &Transport{
-		options: options{queueLength: DefaultQueueLength, sendTimeout: DefaultSendTimeout, announcedVersion: VersionCurrent, parallelDialDelay: parallelDialDelay, now: time.Now},
+		options: options{queueLength: DefaultQueueLength, sendTimeout: DefaultSendTimeout, announcedVersion: VersionCurrent, parallelDialDelay: parallelDialDelay, maxHeaderBytes: maxHeaderBytes, handlers: map[string]http.Handler{}, now: time.Now},
 		logger:  logger,
 		handle:  handle,
 		senders: make(map[string]*sender),
@@ -229,10 +229,10 @@
 	}
 	t.listener = listener
 	t.server = &http.Server{
-		Handler:           withStallTimeout(handler, t.options.sendTimeout),
+		Handler:           t.route(withStallTimeout(handler, t.options.sendTimeout)),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnectionTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    t.options.maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(t.logger.Handler(), slog.LevelDebug),
 	}
 	if t.options.serverTLS != nil {
@@ -246,6 +246,17 @@
 	return nil
 }
 
+// route passes requests for the paths of WithHandler to their handlers and all others on.
+func (t *Transport) route(messages http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if handler := t.options.handlers[request.URL.Path]; handler != nil {
+			handler.ServeHTTP(writer, request)
+			return
+		}
+		messages.ServeHTTP(writer, request)
+	})
+}
+
 // Address returns the address at which this transport receives messages, host:port.
 func (t *Transport) Address() string { return t.listener.Addr().String() }
 
