Let the soak cut nodes off from all workers

Faults path-hang, path-silence, path-reset and path-refuse, for some nodes, every second or third one, or all but one, drawn from a random source of their own, and one for every second node while nothing else is disturbed. Cuts of replaced workers' proxies follow. New promise: from 3 s after a cut on, first tries at cut off nodes are served at least two thirds as often as at the others, unless no more than 10 and one in 50 of all fail. A planted history and a planted defect of the program (a node that never suspects its own path) break it. Streams that a cut broke off are excused as those of a disturbed worker are.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -66,6 +66,9 @@
 		return r.nodes[target].pause(f.For)
 	case plan.ProcessHangUp:
 		return r.nodes[target].signal(syscall.SIGHUP)
+	case plan.PathHang, plan.PathSilence, plan.PathReset, plan.PathRefuse:
+		r.cutOff(target, partitionKinds[f.Kind], f.For)
+		return true
 	case plan.CallerBurst:
 		r.nodes[target].burst(f.Rate, f.For)
 		return true
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -114,6 +114,8 @@
 	ScopePeer
 	// ScopeWorker: a worker or the link to it.
 	ScopeWorker
+	// ScopePath: the links of a node to all workers.
+	ScopePath
 )
 
 // AllNodes is the Node of a disturbance that affects every node.
@@ -216,10 +218,10 @@
 	})
 }
 
-// workerDisturbedDuring reports whether a worker that ran a request was disturbed while the
-// request was open.
+// workerDisturbedDuring reports whether a worker that ran a request, or the node's path to workers, was
+// disturbed while the request was open.
 func (h *History) workerDisturbedDuring(request *Request, runs []*Run) bool {
-	return slices.ContainsFunc(runs, func(run *Run) bool {
+	return h.disturbed(request.Node, request.Sent, request.Ended, ScopePath) || slices.ContainsFunc(runs, func(run *Run) bool {
 		return h.workerDisturbed(run.Worker, request.Sent, request.Ended)
 	})
 }
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +117,15 @@
 		h.Runs = append(h.Runs, runOf(held.ID, "behind-a-link", held.Sent))
 	}
 	h.Disturbances = append(h.Disturbances, Disturbance{Scope: ScopeWorker, Worker: "behind-a-link", From: 9 * time.Second, To: 11 * time.Second})
+	h.Disturbances = append(h.Disturbances, Disturbance{Node: 1, Scope: ScopePath, From: 31 * time.Second, To: 40 * time.Second})
+	for n := range 12 {
+		for node := range 2 {
+			request := completedRequest(fmt.Sprintf("n%d-cut-%d", node, n), RouteRead, 36*time.Second)
+			request.Node = node
+			h.Requests = append(h.Requests, request)
+			h.Runs = append(h.Runs, runOf(request.ID, "w1", request.Sent))
+		}
+	}
 	leaving := completedRequest("leaving", RouteRead, 24200*time.Millisecond)
 	leaving.ClosesConnection = true
 	h.Requests = append(h.Requests, leaving)
@@ -285,6 +295,13 @@
 		at := slices.IndexFunc(h.Requests, func(r Request) bool { return r.Node == 1 && r.Route == RouteStream })
 		h.Requests[at].Failure = "reset"
 	}},
+	{PromisePath, "a node that fails its callers while it is cut off from workers", func(h *History) {
+		for i := range h.Requests {
+			if strings.HasPrefix(h.Requests[i].ID, "n1-cut-") {
+				h.Requests[i].Status = http.StatusBadGateway
+			}
+		}
+	}},
 	{PromiseLives, "a process that ends by itself", func(h *History) { h.Exits = []Exit{{Node: 1, At: time.Second, Status: "exit 2"}} }},
 	{PromiseRecovery, "a node that stays away", func(h *History) { h.Recoveries[0].Reached = false }},
 }
--- /dev/null
+++ b/soak/check/partitions.go
@@ -0,0 +1,127 @@
+package check
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Tolerances for nodes that are cut off from all workers. From partitionGrace after the cut on, they must
+// serve at least partitionServedShare of the share that the other nodes serve, unless no more requests fail
+// there than partitionExtra and partitionFailedShare of all.
+const (
+	partitionGrace       = 3 * time.Second
+	partitionServedShare = 2.0 / 3
+	partitionExtra       = 10
+	partitionFailedShare = 1.0 / 50
+)
+
+// partitionPeriod is a time in which the same nodes are cut off from all workers.
+type partitionPeriod struct {
+	from, to time.Duration
+	// since is when each of these nodes was cut off.
+	since map[int]time.Duration
+}
+
+// tally counts the first tries at a group of nodes.
+type tally struct{ served, sent int }
+
+func (t tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
+
+// checkPartitions checks that nodes which are cut off from all workers serve their callers through the
+// others. Only requests at nodes whose process, links and store are undisturbed are counted, if other nodes
+// that are not cut off are too. Every such request at a node that is cut off is one observation.
+func checkPartitions(h *History, f *Finding) {
+	for _, period := range h.partitionPeriods() {
+		var cut, others tally
+		for i := range h.Requests {
+			request := &h.Requests[i]
+			since, isCut := period.since[request.Node]
+			if !h.countsInPartition(request, &period) || isCut && request.Sent < since+partitionGrace {
+				continue
+			}
+			group := &others
+			if isCut {
+				group = &cut
+			}
+			group.sent++
+			if request.Status == http.StatusOK && request.Failure == "" {
+				group.served++
+			}
+		}
+		if cut.sent == 0 || others.sent == 0 {
+			continue
+		}
+		f.Judged += cut.sent - 1
+		f.record("nodes without a path to workers", period.from, describePartition(cut, others))
+	}
+}
+
+// describePartition describes how much worse the nodes that are cut off were served; empty if the promise
+// holds.
+func describePartition(cut, others tally) string {
+	failed := float64(cut.sent - cut.served)
+	if cut.share() >= partitionServedShare*others.share() || failed <= partitionExtra+partitionFailedShare*float64(cut.sent+others.sent) {
+		return ""
+	}
+	return fmt.Sprintf("served %d of %d requests, the other nodes %d of %d", cut.served, cut.sent, others.served, others.sent)
+}
+
+// countsInPartition reports whether a request is a first try of the usual load, open only during the
+// period, at a node whose other links work.
+func (h *History) countsInPartition(request *Request, period *partitionPeriod) bool {
+	usual := strings.HasPrefix(request.ID, "n") && !strings.HasSuffix(request.ID, "+")
+	within := request.Sent >= period.from && request.Ended <= period.to
+	return usual && within && !h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePeer)
+}
+
+// partitionPeriods returns the periods between any two changes of the nodes that are cut off.
+func (h *History) partitionPeriods() []partitionPeriod {
+	var changes []time.Duration
+	for i := range h.Disturbances {
+		if d := &h.Disturbances[i]; d.Scope == ScopePath {
+			changes = append(changes, d.From, d.To)
+		}
+	}
+	var periods []partitionPeriod
+	for _, from := range changes {
+		period := partitionPeriod{from: from, to: slices.Max(changes), since: map[int]time.Duration{}}
+		for _, at := range changes {
+			if at > from {
+				period.to = min(period.to, at)
+			}
+		}
+		for i := range h.Disturbances {
+			d := &h.Disturbances[i]
+			if since, known := period.since[d.Node]; d.Scope == ScopePath && d.From <= from && d.To > from && (!known || d.From < since) {
+				period.since[d.Node] = d.From
+			}
+		}
+		if len(period.since) > 0 && period.to > period.from {
+			periods = append(periods, period)
+		}
+	}
+	return uniquePeriods(periods)
+}
+
+// uniquePeriods removes periods that begin at the same time as an earlier one.
+func uniquePeriods(periods []partitionPeriod) []partitionPeriod {
+	begun := map[time.Duration]bool{}
+	unique := periods[:0]
+	for _, period := range periods {
+		if !begun[period.from] {
+			begun[period.from] = true
+			unique = append(unique, period)
+		}
+	}
+	return unique
+}
+
+// hasJudgeablePartition reports whether a request at a node that is cut off can be evaluated.
+func (h *History) hasJudgeablePartition() bool {
+	var f Finding
+	checkPartitions(h, &f)
+	return f.Judged > 0
+}
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -71,6 +71,7 @@
 		schedule.Faults = append(schedule.Faults, drawLimits(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawLeaves(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawSheds(seed, size)...)
+		schedule.Faults = append(schedule.Faults, drawPartitions(seed, size)...)
 	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
@@ -176,6 +177,45 @@
 	})
 }
 
+// Parameters of the cuts between nodes and all workers: meanPartitionGap is the mean time between two,
+// minPartitionLength and maxPartitionLength bound how long one lasts, which is long enough to check what
+// callers get after the time within which nodes must have found another way.
+const (
+	meanPartitionGap   = 11 * time.Second
+	minPartitionLength = 5 * time.Second
+	maxPartitionLength = 10 * time.Second
+)
+
+// drawPartitions draws cuts of some nodes, of every second or third one, as a zone is, and of all but one.
+func drawPartitions(seed uint64, size Size) []Fault {
+	if size.Nodes < 2 {
+		return nil
+	}
+	return drawIndependent(rand.NewPCG(seed, 3), size, PathHang, meanPartitionGap, func(d *generator, f *Fault) {
+		f.Kind = pathKinds[d.random.IntN(len(pathKinds))]
+		f.For = d.uniformDuration(minPartitionLength, maxPartitionLength)
+		f.Targets = d.partitionTargets()
+	})
+}
+
+// partitionTargets draws the nodes of a cut, in ascending order.
+func (d *generator) partitionTargets() []int {
+	nodes := d.size.Nodes
+	chosen := d.random.Perm(nodes)
+	switch d.random.IntN(3) {
+	case 0:
+		chosen = chosen[:1+d.random.IntN(nodes-1)]
+	case 1:
+		zones := 2 + d.random.IntN(2)
+		zone := d.random.IntN(zones)
+		chosen = slices.DeleteFunc(chosen, func(node int) bool { return node%zones != zone || len(chosen) == 1 })
+	default:
+		chosen = chosen[:nodes-1]
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
 // maxStopDuration is the longest that a planned stop may take: its grace period and the allowed
 // overrun.
 const maxStopDuration = 11 * time.Second
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -31,6 +31,21 @@
 	ProcessHangUp Kind = "process-hang-up"
 )
 
+// The kinds that cut nodes off from all workers, while callers, the store and other nodes reach them.
+const (
+	// PathHang drops all packets between the node and workers.
+	PathHang Kind = "path-hang"
+	// PathSilence drops all packets on open connections; new ones come up and fall silent.
+	PathSilence Kind = "path-silence"
+	// PathReset resets open and new connections.
+	PathReset Kind = "path-reset"
+	// PathRefuse resets new connections and leaves open ones alone.
+	PathRefuse Kind = "path-refuse"
+)
+
+// pathKinds are the kinds above.
+var pathKinds = []Kind{PathHang, PathSilence, PathReset, PathRefuse}
+
 // The kinds that replace the program of a node in a run with an earlier build. ProcessUpgrade
 // performs a planned stop and starts the current build in its place; ProcessRollBack starts the
 // earlier one. A node that is restarted after a stop or kill also gets the current build.
@@ -162,6 +177,10 @@
 	{WorkerLimit, kindProperties{onWorkers, 0, true}},
 	{WorkerLeave, kindProperties{onWorkers, 0, true}},
 	{WorkerShed, kindProperties{onWorkers, 0, true}},
+	{PathHang, kindProperties{onNodes, 0, true}},
+	{PathSilence, kindProperties{onNodes, 0, true}},
+	{PathReset, kindProperties{onNodes, 0, true}},
+	{PathRefuse, kindProperties{onNodes, 0, true}},
 }
 
 // lookUpKind returns the properties of a kind, and false for an unknown one.
--- a/soak/planted/run.sh
+++ b/soak/planted/run.sh
@@ -6,6 +6,7 @@
 declare -A promises=(
   [takes-no-news]="a configuration is in force in time"
   [sends-to-leaving]="leaving workers get no work after the bound"
+  [knows-only-its-own-path]="nodes without a path to workers serve their callers"
 )
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
--- a/soak/play.go
+++ b/soak/play.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/soak/check"
+	"github.com/valveslip/valveslip/soak/proxy"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// finalLimitTime is how long all plain workers announce the limit at the end. The check
 	// applies from 3 s after the first announcement on.
 	finalLimitTime = 5 * time.Second
+	// finalCutTime is how long every second node is cut off from all workers at the end.
+	finalCutTime = 8 * time.Second
 	// shedDelay is when, after the faults, plain workers reject all requests. They do so for
 	// shedTime and ask for a back-off of the same length.
 	shedDelay = 5 * time.Second
@@ -68,6 +71,7 @@
 	if len(r.workers) < 4 || r.options.Schedule.Earlier != nil || r.options.From != "" {
 		return
 	}
+	r.cutOffEverySecond()
 	r.workers[2].announceLimit(announcedLimit, undisturbedTime)
 	r.undoAfter(shedDelay, func() {
 		for _, plain := range []*workerSlot{r.workers[1], r.workers[3]} {
@@ -76,6 +80,15 @@
 	})
 }
 
+// cutOffEverySecond cuts every second node off from all workers, in the way that the seed selects.
+func (r *run) cutOffEverySecond() {
+	kinds := []proxy.Partition{proxy.PartitionHang, proxy.PartitionSilence, proxy.PartitionReset, proxy.PartitionRefuse}
+	kind := kinds[r.options.Schedule.Seed%uint64(len(kinds))]
+	for node := 1; node < len(r.nodes); node += 2 {
+		r.cutOff(node, kind, finalCutTime)
+	}
+}
+
 // announceFinalLimits makes all plain workers announce a limit, after everything that limits
 // would interfere with. If only one worker is limited, nodes may send its requests to others,
 // and the limit is not tested.
--- a/soak/run.go
+++ b/soak/run.go
@@ -54,6 +54,9 @@
 	workerLives []workerLife
 	// network is the prefix of the run's /24 network in the loopback range.
 	network string
+	// workerProxies are the proxies of all workers so far, partitions the present cuts of nodes.
+	workerProxies []*proxy.Proxy
+	partitions    map[int]*partition
 	// peerProxies maps the peer address of each node to the address of its proxy.
 	peerProxies map[string]string
 }
@@ -66,7 +69,7 @@
 	}
 	r := &run{
 		options: options, recorder: &recorder{began: time.Now()}, usage: &usageMeter{}, spawner: newSpawner(),
-		faults: map[plan.Kind]int{}, peerProxies: map[string]string{},
+		faults: map[plan.Kind]int{}, partitions: map[int]*partition{}, peerProxies: map[string]string{},
 	}
 	r.ctx, r.cancel = context.WithTimeout(ctx, options.Duration)
 	defer r.close()
--- a/soak/settings_test.go
+++ b/soak/settings_test.go
@@ -58,7 +58,8 @@
 	for _, kind := range plan.Kinds() {
 		_, onStore := storeFaults[kind]
 		_, onWorker := workerBehaviours[kind]
-		if !known[kind] && !onStore && !onWorker {
+		_, onPath := partitionKinds[kind]
+		if !known[kind] && !onStore && !onWorker && !onPath {
 			t.Errorf("fault kind %s has no effect", kind)
 		}
 	}
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -164,6 +164,7 @@
 		if at, err = s.newProxy(server.Address(), true, nil); err != nil {
 			return err
 		}
+		s.addWorkerProxy(at)
 	}
 	at.Retarget(server.Address())
 	started.SetAddress(at.Address())
