Send brittle workers no more at a time than they have slots

What callers saw: workers that say they fall by what they have to turn away (Server-Brittle) fell one after the other, and took what callers had there with them: what one carried came to the others.

Cause: each node judges a worker's room by its own requests and by refusals. With twelve nodes and four slots each node's even part is one request, twelve in all. Class: a bound that holds over all nodes is kept by none. No node read the field.

Change: a brittle worker gets requests by turns, as one with a limit does, but a turn lasts until its request has ended: the node that paces the worker has at most as many turns in use as it has slots, fewer after a rejection, more again with time. A request for a turn waits up to 15 ms for one that is returned, and asks again. A turn that no request uses within 50 ms goes back; one that is lost counts for 5 s; a pacer that begins gives out the first over a second, since what was sent before still runs. Requests that no worker takes in time are refused at once, as with limits. Messages of version 10: TurnReturned, Slots in TurnRequest, Brittle and Concurrency in MachineLimit. Nodes of earlier builds keep the rate that follows from it.

Why this works: a worker that never has more than its slots turns nobody away, whatever the requests' timing.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -304,7 +304,7 @@
 		c.feedLending(lending.MessageReceived{Message: message})
 	case wire.MachineLimit:
 		c.pacer.limitReceived(&m)
-	case wire.TurnRequest, wire.TurnAnswer:
+	case wire.TurnRequest, wire.TurnAnswer, wire.TurnReturned:
 		c.pacer.step(pacing.MessageReceived{Message: message})
 	case wire.EngineRequest, wire.EngineAnswer, wire.EngineNews:
 		if c.dispatchClient != nil {
--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -46,7 +46,7 @@
 			p.core.send(e.Address, e.Message)
 		case pacing.TurnDecided:
 			p.core.log(eventlog.TurnDecided{Machine: e.Machine, Granted: e.Granted, Wait: e.Wait, By: e.By})
-			p.pendingDecisions = append(p.pendingDecisions, routing.TurnDecided{Machine: e.Machine, Granted: e.Granted, Wait: e.Wait})
+			p.pendingDecisions = append(p.pendingDecisions, routing.TurnDecided{Machine: e.Machine, Granted: e.Granted, Wait: e.Wait, Turn: routing.SlotTurn{Number: e.Number, By: e.By}})
 		}
 	}
 }
@@ -54,11 +54,11 @@
 // broadcastLimit announces a limit, which a machine reported to this node, to all other nodes.
 func (p *pacer) broadcastLimit(e *routing.MachineLimitChanged) {
 	self := p.core.config.Self.ID
-	p.core.log(eventlog.WorkerLimited{Machine: e.Machine, Limited: e.Notice.Limited, Limit: e.Notice.PerSecond, By: self, Request: e.Request})
+	p.core.log(eventlog.WorkerLimited{Machine: e.Machine, Limited: e.Notice.Limited, Limit: e.Notice.PerSecond, Brittle: e.Notice.Brittle, Turns: e.Notice.Concurrency, By: self, Request: e.Request})
 	for _, id := range slices.Sorted(maps.Keys(p.core.nodes.live)) {
 		if id != self {
 			p.core.send(p.core.nodes.live[id].Address, wire.MachineLimit{
-				From: self, Machine: e.Machine, Limited: e.Notice.Limited, PerSecond: e.Notice.PerSecond,
+				From: self, Machine: e.Machine, Limited: e.Notice.Limited, PerSecond: e.Notice.PerSecond, Brittle: e.Notice.Brittle, Concurrency: e.Notice.Concurrency,
 			})
 		}
 	}
@@ -66,9 +66,9 @@
 
 // limitReceived handles a machine's limit announced by another node.
 func (p *pacer) limitReceived(m *wire.MachineLimit) {
-	p.core.log(eventlog.WorkerLimited{Machine: m.Machine, Limited: m.Limited, Limit: m.PerSecond, By: m.From})
+	p.core.log(eventlog.WorkerLimited{Machine: m.Machine, Limited: m.Limited, Limit: m.PerSecond, Brittle: m.Brittle, Turns: m.Concurrency, By: m.From})
 	p.core.feedRouter(routing.MachineLimitReceived{
-		Machine: m.Machine, Notice: routing.Notice{Limited: m.Limited, PerSecond: m.PerSecond},
+		Machine: m.Machine, Notice: routing.Notice{Limited: m.Limited, PerSecond: m.PerSecond, Brittle: m.Brittle, Concurrency: m.Concurrency},
 	})
 }
 
--- a/fleet/pacing/core.go
+++ b/fleet/pacing/core.go
@@ -31,8 +31,13 @@
 	// schedules are the machines for which this node is a pacer. evenShares are the machines of
 	// which this node grants itself an even share because no pacer answers.
 	schedules, evenShares map[cluster.MachineID]*turnSchedule
-	lastSweepAt           time.Time
-	effects               []Effect
+	// slotSchedules are the brittle machines for which this node is a pacer.
+	slotSchedules map[cluster.MachineID]*slotSchedule
+	// expiredSlots are the machines of requests for turns there that timed out, by number. It is
+	// emptied with each sweep.
+	expiredSlots map[int64]cluster.MachineID
+	lastSweepAt  time.Time
+	effects      []Effect
 }
 
 // pendingRequest is an unanswered turn request to another node.
@@ -47,6 +52,7 @@
 	return &Core{
 		self: self, pacersByMachine: map[cluster.MachineID][]Peer{}, unresponsiveUntil: map[cluster.NodeID]time.Time{},
 		pending: map[int64]*pendingRequest{}, schedules: map[cluster.MachineID]*turnSchedule{}, evenShares: map[cluster.MachineID]*turnSchedule{},
+		slotSchedules: map[cluster.MachineID]*slotSchedule{}, expiredSlots: map[int64]cluster.MachineID{},
 	}
 }
 
@@ -60,17 +66,20 @@
 		c.setPeers(e.Peers)
 	case TurnRequested:
 		c.requestTurn(e)
+	case TurnReturned:
+		c.returnTurn(&e)
 	case MessageReceived:
 		c.handleMessage(e.Message)
 	}
 	c.expirePending()
+	c.serveAllWaiting()
 	c.evictIdle()
 	return c.effects
 }
 
 // NextDue returns the time of the next required Tick, zero for none.
 func (c *Core) NextDue() time.Time {
-	var next time.Time
+	next := c.slotsDue()
 	for _, request := range c.pending {
 		if next.IsZero() || request.deadline.Before(next) {
 			next = request.deadline
@@ -134,6 +143,10 @@
 	}
 	interval := turnInterval(request.PerSecond)
 	for _, p := range c.pacers(request.Machine) {
+		if p.ID == c.self.ID && request.Slots > 0 {
+			c.requestSlot(request.Machine, request.Slots, slotKey{c.self.ID, c.nextNumber()}, "")
+			return
+		}
 		if p.ID == c.self.ID {
 			c.decideLocally(request, c.scheduleFor(request.Machine, interval), interval)
 			return
@@ -181,6 +194,16 @@
 
 // sendRequest sends a turn request to a pacer.
 func (c *Core) sendRequest(to Peer, request TurnRequested) {
+	number := c.nextNumber()
+	c.pending[number] = &pendingRequest{request: request, to: to.ID, deadline: c.now.Add(answerTimeout)}
+	c.emit(Send{Address: to.Address, Message: wire.TurnRequest{
+		From: c.self.ID, FromAddress: c.self.Address, Number: number, Machine: request.Machine, PerSecond: request.PerSecond,
+		Slots: request.Slots,
+	}})
+}
+
+// nextNumber returns the number of the next request for a turn.
+func (c *Core) nextNumber() int64 {
 	if c.lastNumber == 0 {
 		// Numbers start at the clock's time, so that answers to an earlier process of this host
 		// match no request of this one.
@@ -188,10 +211,7 @@
 		c.lastAnswerAt = c.now
 	}
 	c.lastNumber++
-	c.pending[c.lastNumber] = &pendingRequest{request: request, to: to.ID, deadline: c.now.Add(answerTimeout)}
-	c.emit(Send{Address: to.Address, Message: wire.TurnRequest{
-		From: c.self.ID, FromAddress: c.self.Address, Number: c.lastNumber, Machine: request.Machine, PerSecond: request.PerSecond,
-	}})
+	return c.lastNumber
 }
 
 // expirePending drops requests that have timed out and asks the next pacer for each.
@@ -206,6 +226,9 @@
 	for _, number := range due {
 		request := c.pending[number]
 		delete(c.pending, number)
+		if request.request.Slots > 0 {
+			c.expiredSlots[number] = request.request.Machine
+		}
 		c.unresponsiveUntil[request.to] = c.now.Add(unresponsiveBackoff)
 		c.requestTurn(request.request)
 	}
@@ -215,19 +238,30 @@
 func (c *Core) handleMessage(message wire.Message) {
 	switch m := message.(type) {
 	case wire.TurnRequest:
+		if m.Slots > 0 {
+			c.requestSlot(m.Machine, m.Slots, slotKey{m.From, m.Number}, m.FromAddress)
+			return
+		}
 		interval := turnInterval(m.PerSecond)
 		wait, granted := c.scheduleFor(m.Machine, interval).grantNext(c.now, interval)
 		c.emit(Send{Address: m.FromAddress, Message: wire.TurnAnswer{From: c.self.ID, Number: m.Number, Granted: granted, Wait: wait}})
+	case wire.TurnReturned:
+		c.slotReturned(m.Machine, slotKey{m.From, m.Number})
 	case wire.TurnAnswer:
 		// A late answer grants no turn, but shows that its sender is reachable.
 		c.lastAnswerAt = c.now
 		request := c.pending[m.Number]
 		if request == nil || request.to != m.From {
+			c.returnLate(&m)
 			return
 		}
 		delete(c.pending, m.Number)
 		delete(c.unresponsiveUntil, m.From)
-		c.emit(TurnDecided{Machine: request.request.Machine, Granted: m.Granted, Wait: m.Wait, By: m.From})
+		decided := TurnDecided{Machine: request.request.Machine, Granted: m.Granted, Wait: m.Wait, By: m.From}
+		if request.request.Slots > 0 && m.Granted {
+			decided.Number = m.Number
+		}
+		c.emit(decided)
 	}
 }
 
@@ -237,6 +271,12 @@
 		return
 	}
 	c.lastSweepAt = c.now
+	clear(c.expiredSlots)
+	for machine, schedule := range c.slotSchedules {
+		if c.now.Sub(schedule.lastRequestAt) >= idleTimeout {
+			delete(c.slotSchedules, machine)
+		}
+	}
 	for _, schedules := range []map[cluster.MachineID]*turnSchedule{c.schedules, c.evenShares} {
 		for machine, schedule := range schedules {
 			if c.now.Sub(schedule.lastRequestAt) >= idleTimeout {
--- a/fleet/pacing/events.go
+++ b/fleet/pacing/events.go
@@ -20,6 +20,15 @@
 type TurnRequested struct {
 	Machine   cluster.MachineID
 	PerSecond float64
+	// Slots is the number of turns that may be in use at a time; zero for a limit by rate alone.
+	Slots int
+}
+
+// TurnReturned returns a turn that was in use.
+type TurnReturned struct {
+	Machine cluster.MachineID
+	Number  int64
+	By      cluster.NodeID
 }
 
 // MessageReceived delivers a message of another node.
@@ -28,6 +37,7 @@
 func (Tick) pacingEvent()            {}
 func (PeersChanged) pacingEvent()    {}
 func (TurnRequested) pacingEvent()   {}
+func (TurnReturned) pacingEvent()    {}
 func (MessageReceived) pacingEvent() {}
 
 // Effect is an output of the core.
@@ -46,6 +56,8 @@
 	Granted bool
 	Wait    time.Duration
 	By      cluster.NodeID
+	// Number identifies a turn that must be returned; zero for others.
+	Number int64
 }
 
 func (Send) pacingEffect()        {}
--- /dev/null
+++ b/fleet/pacing/slots_test.go
@@ -0,0 +1,125 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/wire"
+)
+
+// TestSlotTurnsInUseStayWithinSlots checks on random sequences of requests, returns and lost returns that
+// a pacer never has more turns in use at a brittle machine than it has slots. A turn that is not returned
+// counts for slotTurnLife.
+func TestSlotTurnsInUseStayWithinSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		core := New(Peer{ID: "pacer", Address: "pacer:1", Machine: "host"})
+		now := time.Unix(1000, 0)
+		core.Step(now, PeersChanged{})
+		inUse := map[int64]time.Time{}
+		number := int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			var event Event = Tick{}
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				number++
+				event = MessageReceived{Message: wire.TurnRequest{From: "asker", FromAddress: "asker:1", Number: number, Machine: "m", Slots: slots}}
+			case 1:
+				for oldest := range inUse {
+					delete(inUse, oldest)
+					event = MessageReceived{Message: wire.TurnReturned{From: "asker", Number: oldest, Machine: "m"}}
+					break
+				}
+			}
+			for _, effect := range core.Step(now, event) {
+				if send, ok := effect.(Send); ok {
+					if answer := send.Message.(wire.TurnAnswer); answer.Granted {
+						inUse[answer.Number] = now
+					}
+				}
+			}
+			for granted, at := range inUse {
+				if now.Sub(at) >= slotTurnLife {
+					delete(inUse, granted)
+				}
+			}
+			if len(inUse) > slots {
+				t.Fatalf("%d turns in use at %d slots", len(inUse), slots)
+			}
+		}
+	})
+}
+
+// TestReturnedSlotTurnGoesToWhoWaits guards against slots that stay empty although requests wait for them.
+func TestReturnedSlotTurnGoesToWhoWaits(t *testing.T) {
+	core := New(Peer{ID: "pacer", Address: "pacer:1", Machine: "host"})
+	now := time.Unix(1000, 0)
+	core.Step(now, PeersChanged{})
+	ask := func(number int64) []Effect {
+		return core.Step(now, MessageReceived{Message: wire.TurnRequest{From: "asker", FromAddress: "asker:1", Number: number, Machine: "m", Slots: 1}})
+	}
+	ask(1)
+	now = now.Add(firstTurnsTime)
+	if got := granted(core.Step(now, Tick{})); len(got) != 0 {
+		t.Fatalf("granted %v to a request that timed out", got)
+	}
+	if got := granted(ask(2)); len(got) != 1 || got[0] != 2 {
+		t.Fatalf("granted %v, want 2", got)
+	}
+	if got := granted(ask(3)); len(got) != 0 {
+		t.Fatalf("granted %v beyond the slot", got)
+	}
+	returned := core.Step(now, MessageReceived{Message: wire.TurnReturned{From: "asker", Number: 2, Machine: "m"}})
+	if got := granted(returned); len(got) != 1 || got[0] != 3 {
+		t.Fatalf("granted %v after the return, want 3", got)
+	}
+}
+
+// TestLateSlotTurnIsReturned guards against a slot that stays empty for seconds because its turn was granted
+// to a request that had timed out.
+func TestLateSlotTurnIsReturned(t *testing.T) {
+	core := New(Peer{ID: "asker", Address: "asker:1", Machine: "host"})
+	now := time.Unix(1000, 0)
+	core.Step(now, PeersChanged{Peers: []Peer{{ID: "a", Address: "a:1", Machine: "ha"}, {ID: "b", Address: "b:1", Machine: "hb"}, {ID: "c", Address: "c:1", Machine: "hc"}}})
+	var machine cluster.MachineID
+	var first wire.TurnRequest
+	var asked Send
+	for _, machine = range []cluster.MachineID{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"} {
+		for _, effect := range core.Step(now, TurnRequested{Machine: machine, Slots: 2, PerSecond: 10}) {
+			if send, ok := effect.(Send); ok && first.Number == 0 {
+				first, asked = send.Message.(wire.TurnRequest), send
+			}
+		}
+	}
+	if first.Number == 0 {
+		t.Fatal("no other node was asked")
+	}
+	now = now.Add(answerTimeout)
+	core.Step(now, Tick{})
+	from := cluster.NodeID(asked.Address[:1])
+	for _, effect := range core.Step(now, MessageReceived{Message: wire.TurnAnswer{From: from, Number: first.Number, Granted: true}}) {
+		if send, ok := effect.(Send); ok {
+			if back, ok := send.Message.(wire.TurnReturned); ok && back.Number == first.Number && back.Machine == first.Machine {
+				return
+			}
+		}
+	}
+	t.Fatal("the turn was not returned")
+}
+
+// granted returns the numbers of the requests that got a turn.
+func granted(effects []Effect) []int64 {
+	var numbers []int64
+	for _, effect := range effects {
+		if send, ok := effect.(Send); ok {
+			if answer, ok := send.Message.(wire.TurnAnswer); ok && answer.Granted {
+				numbers = append(numbers, answer.Number)
+			}
+		}
+	}
+	return numbers
+}
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -100,7 +100,7 @@
 	ready.machine = machine
 	ready.dispatched = r.nanos
 	machine.addDispatch(r.nanos)
-	ready.sendBy = machine.turns.use()
+	r.useTurn(machine, ready)
 	if len(ready.Prefixes) > 0 {
 		r.prefixes.AddSent(r.nanos, machine.id, ready.Model, ready.Prefixes)
 	}
@@ -126,6 +126,8 @@
 // stopRunning removes the request's current attempt from its machine and returns the machine.
 func (r *Router) stopRunning(running *request) *machine {
 	machine := running.machine
+	r.releaseTurn(machine, running.slotTurn)
+	running.slotTurn = SlotTurn{}
 	running.running, running.unsent = false, false
 	r.recheckHeldBack = true
 	running.machine = nil
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -378,8 +378,9 @@
 // machineTimerDue dispatches waiting requests after a back-off and sets the timer for the machine's
 // next change.
 func (r *Router) machineTimerDue(m *machine) {
+	r.releaseUnusedTurn(m)
 	next := int64(0)
-	for _, at := range [...]int64{m.maxInFlightUntil, m.turns.validFrom, m.turns.deniedUntil, m.turns.restUntil} {
+	for _, at := range [...]int64{m.maxInFlightUntil, m.turns.validFrom, m.turns.validUntil, m.turns.deniedUntil, m.turns.restUntil} {
 		if at > r.nanos && (next == 0 || at < next) {
 			next = at
 		}
--- a/routing/notices.go
+++ b/routing/notices.go
@@ -20,6 +20,13 @@
 	PerSecond float64
 	// Leaving is set when the machine is leaving.
 	Leaving bool
+	// Brittle is how many requests the machine can turn away within a second for want of room
+	// before its process ends; zero when not stated. Rejected is set if it turned this one away.
+	Brittle  int
+	Rejected bool
+	// Concurrency is the number of requests that a brittle machine gets at a time. Machines don't
+	// state it; routers derive it.
+	Concurrency int
 	// Rest is the time for which a machine that refused a request wants no more requests from this
 	// router; zero when not stated.
 	Rest time.Duration
@@ -68,9 +75,9 @@
 func (MachineRestFound) routingEffect()     {}
 
 // Limit returns how many requests per second a machine takes from all routers together, or false if
-// it has no known limit.
+// it has stated no limit.
 func (r *Router) Limit(id cluster.MachineID) (perSecond float64, limited bool) {
-	if m := r.machines[id]; m != nil && m.turns.limited {
+	if m := r.machines[id]; m != nil && m.turns.limited && m.turns.brittle == 0 {
 		return m.turns.perSecond, true
 	}
 	return 0, false
@@ -90,15 +97,19 @@
 		r.startRest(m, event)
 	}
 	endsLimit := event.SentUnderLimit && present == event.Machine
-	if !event.Notice.Limited && !endsLimit {
+	notice := event.Notice
+	if notice.Brittle > 0 {
+		notice = r.limitBrittle(m, notice)
+	}
+	if !notice.Limited && !endsLimit {
 		return
 	}
 	t := &m.turns
-	changed := t.limited != event.Notice.Limited || math.Abs(event.Notice.PerSecond-t.publishedPerSecond) > limitChange*t.publishedPerSecond
-	r.setLimit(m, event.Notice)
+	changed := t.limited != notice.Limited || t.concurrency != notice.Concurrency || notice.Brittle == 0 && math.Abs(notice.PerSecond-t.publishedPerSecond) > limitChange*t.publishedPerSecond
+	r.setLimit(m, notice)
 	if changed {
-		t.publishedPerSecond = event.Notice.PerSecond
-		r.emit(MachineLimitChanged{Machine: m.id, Request: event.Request, Notice: event.Notice})
+		t.publishedPerSecond = notice.PerSecond
+		r.emit(MachineLimitChanged{Machine: m.id, Request: event.Request, Notice: notice})
 	}
 }
 
@@ -134,11 +145,17 @@
 // setLimit puts a limit in force or ends it.
 func (r *Router) setLimit(m *machine, notice Notice) {
 	if m.turns.limited && !notice.Limited {
+		r.releaseTurn(m, m.turns.slotTurn)
 		m.turns = turns{restUntil: m.turns.restUntil, restHeardAt: m.turns.restHeardAt}
 		r.freedMachines = append(r.freedMachines, m)
 		return
 	}
-	m.turns.limited, m.turns.perSecond, m.turns.limitHeardAt = notice.Limited, notice.PerSecond, r.nanos
+	t := &m.turns
+	if notice.Concurrency != t.concurrency {
+		t.limitChangedAt = r.nanos
+	}
+	t.limited, t.perSecond, t.limitHeardAt = notice.Limited, notice.PerSecond, r.nanos
+	t.brittle, t.concurrency = notice.Brittle, notice.Concurrency
 }
 
 // startRest sends no requests to a machine that refused one, until the latest time that it asked
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -124,10 +124,10 @@
 	from.inFlight--
 	from.forgetDispatch(placed.dispatched)
 	r.freedMachines = append(r.freedMachines, from)
-	from.turns.restore(placed.sendBy)
+	r.restoreTurn(from, placed)
 	placed.machine = to.machine
 	to.machine.addDispatch(r.nanos)
-	placed.sendBy = to.machine.turns.use()
+	r.useTurn(to.machine, placed)
 	if len(placed.Prefixes) > 0 {
 		r.prefixes.AddSent(r.nanos, to.machine.id, placed.Model, placed.Prefixes)
 	}
@@ -139,7 +139,7 @@
 	dispatched := placed.dispatched
 	from := r.stopRunning(placed)
 	from.forgetDispatch(dispatched)
-	from.turns.restore(placed.sendBy)
+	r.restoreTurn(from, placed)
 	r.freedMachines = append(r.freedMachines, from)
 	placed.countedAttempts--
 	r.redispatch(placed, Explanation{Machine: from.id})
--- a/routing/restarts.go
+++ b/routing/restarts.go
@@ -36,6 +36,7 @@
 	if before.turns.limited && r.nanos-before.turns.limitHeardAt < restartGracePeriod {
 		later.turns.limited, later.turns.perSecond = true, before.turns.perSecond
 		later.turns.publishedPerSecond, later.turns.limitHeardAt = before.turns.publishedPerSecond, before.turns.limitHeardAt
+		later.turns.brittle, later.turns.concurrency, later.turns.limitChangedAt = before.turns.brittle, before.turns.concurrency, before.turns.limitChangedAt
 	}
 }
 
--- a/routing/state.go
+++ b/routing/state.go
@@ -54,6 +54,8 @@
 	// sendBy is the latest time at which the current attempt may be sent to a machine with a rate
 	// limit; zero for no bound.
 	sendBy int64
+	// slotTurn is the turn of the current attempt that must be returned when it ends.
+	slotTurn SlotTurn
 	// prefillCounted is set once the demand counts the prompt by its expected prefill time instead
 	// of its tokens.
 	prefillCounted bool
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -22,12 +22,16 @@
 	Machine cluster.MachineID
 	Granted bool
 	Wait    time.Duration
+	// Turn is set if the turn must be returned.
+	Turn SlotTurn
 }
 
 // TurnWanted requests a turn at a machine with a rate limit: the permission to send one request.
 type TurnWanted struct {
 	Machine   cluster.MachineID
 	PerSecond float64
+	// Concurrency is the number of requests that a brittle machine gets at a time; zero for others.
+	Concurrency int
 }
 
 func (TurnDecided) routingEvent() {}
@@ -40,8 +44,13 @@
 	// publishedPerSecond is the limit last sent to the other routers.
 	limited                       bool
 	perSecond, publishedPerSecond float64
-	// limitHeardAt is when any router last learned of the limit.
-	limitHeardAt int64
+	// limitHeardAt is when any router last learned of the limit, limitChangedAt when perSecond last
+	// changed.
+	limitHeardAt, limitChangedAt int64
+	// brittle and concurrency are those of the notice of a brittle machine, zero for others. slotTurn
+	// is the turn that is valid and not used.
+	brittle, concurrency int
+	slotTurn             SlotTurn
 	// requested is set while the answer to a TurnWanted is pending. A granted turn that is not used
 	// is valid from validFrom until validUntil.
 	requested             bool
@@ -68,22 +77,30 @@
 // allowsRequest reports whether the machine's rest period and rate limit allow a request now.
 func (t *turns) allowsRequest(nanos int64) bool { return t.blockCause(nanos) == "" }
 
-// use uses up the turn and returns the time until which the request must be sent; zero for no
-// bound.
-func (t *turns) use() int64 {
+// useTurn uses up the machine's turn for a request, and states until when the request must be sent.
+func (r *Router) useTurn(m *machine, user *request) {
+	t := &m.turns
+	user.sendBy, user.slotTurn = 0, t.slotTurn
 	if !t.limited {
-		return 0
+		return
 	}
-	t.validUntil = 0
-	return t.validFrom + int64(turnSendWindow)
+	t.validUntil, t.slotTurn = 0, SlotTurn{}
+	user.sendBy = t.validFrom + int64(turnSendWindow)
 }
 
-// restore returns the turn of a request that was not sent.
-func (t *turns) restore(sendBy int64) {
-	if sendBy == 0 || t.validUntil > 0 {
+// restoreTurn gives the turn of a request that was not sent back to the machine. One that must be
+// returned is returned.
+func (r *Router) restoreTurn(m *machine, user *request) {
+	t := &m.turns
+	if user.slotTurn.Number != 0 {
+		r.releaseTurn(m, user.slotTurn)
+		user.slotTurn = SlotTurn{}
+		return
+	}
+	if user.sendBy == 0 || t.validUntil > 0 {
 		return
 	}
-	t.validFrom = sendBy - int64(turnSendWindow)
+	t.validFrom = user.sendBy - int64(turnSendWindow)
 	t.validUntil = t.validFrom + int64(turnValidity)
 }
 
@@ -100,27 +117,47 @@
 	return max(t.deniedUntil, nanos)
 }
 
+// validity returns how long a turn may be used.
+func (t *turns) validity() int64 {
+	if t.concurrency > 0 {
+		return slotTurnValidity
+	}
+	return int64(turnValidity)
+}
+
 // requestTurn requests a turn at a machine, unless one is valid, pending or denied for now.
 func (r *Router) requestTurn(m *machine) {
 	t := &m.turns
+	r.releaseUnusedTurn(m)
+	if t.concurrency > 0 && r.hasTurnForEach(m) {
+		return
+	}
 	if t.requested || r.nanos < t.restUntil || r.nanos < t.validFrom || r.nanos < t.validUntil || r.nanos < t.deniedUntil {
 		return
 	}
 	t.requested = true
-	r.emit(TurnWanted{Machine: m.id, PerSecond: t.perSecond})
+	r.emit(TurnWanted{Machine: m.id, PerSecond: t.perSecond, Concurrency: t.concurrency})
 }
 
 // turnDecided applies the answer to a TurnWanted.
 func (r *Router) turnDecided(event *TurnDecided) {
 	m := r.machines[event.Machine]
 	if m == nil || !m.turns.requested {
+		if event.Turn.Number != 0 && event.Granted {
+			r.emit(TurnReleased{Machine: event.Machine, Turn: event.Turn})
+		}
 		return
 	}
 	t := &m.turns
+	r.releaseTurn(m, t.slotTurn)
+	t.slotTurn = SlotTurn{}
 	t.requested = false
 	at := r.nanos + int64(event.Wait)
 	if event.Granted {
-		t.validFrom, t.validUntil = at, at+int64(turnValidity)
+		t.validFrom, t.validUntil, t.slotTurn = at, at+t.validity(), event.Turn
+		if event.Turn.Number != 0 {
+			r.wakeAt(m, t.validUntil)
+		}
 	} else {
 		t.deniedUntil = at
 	}
--- a/standin/worker/notices.go
+++ b/standin/worker/notices.go
@@ -59,6 +59,7 @@
 	if w.leaving {
 		header.Set(platform.HeaderLeaving, "1")
 	}
+	w.setBrittleHeader(header)
 	if w.advertisedLimit > 0 {
 		header.Set(platform.HeaderLimit, strconv.FormatFloat(w.advertisedLimit, 'f', -1, 64))
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -19,6 +19,8 @@
 type Config struct {
 	ID, Service, Address, Zone string
 	Slots                      int
+	// Queue is the number of requests that may wait for a slot; zero lets any number run at once.
+	Queue int
 	// Models has the models that the worker can load, by name; nil for a service
 	// without models.
 	Models map[string]catalog.ModelSpec
@@ -108,6 +110,9 @@
 	// Publish is called with the worker's key and entry when the entry has changed;
 	// nil publishes nothing.
 	Publish func(key string, entry platform.WorkerDocument)
+	// OnFall is called once when the worker, while brittle, turned too many requests away; nil does
+	// nothing.
+	OnFall func()
 
 	mutex sync.Mutex
 	// draining is shown in the worker's entry, leaving in its response headers.
@@ -123,6 +128,7 @@
 	shedRequests []ShedRequest
 	// advertisedLimit is sent in response headers, in requests per second; zero sends none.
 	advertisedLimit float64
+	queue           slotQueue
 	// orderDelay is the time that an order waits before it is processed.
 	orderDelay time.Duration
 	// abandonedRequests counts the requests under Hang whose caller disconnected.
@@ -131,7 +137,7 @@
 
 // New returns a worker that has loaded the models config.Held.
 func New(config Config) *Worker {
-	w := &Worker{config: config}
+	w := &Worker{config: config, queue: slotQueue{room: config.Queue, freed: make(chan struct{}, 1)}}
 	for _, name := range config.Held {
 		w.loadedModels = append(w.loadedModels, platform.HeldModelDocument{Name: name, Version: 1, Adapters: []string{}})
 	}
@@ -250,6 +256,10 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !w.acquireSlot(out, r) {
+		return
+	}
+	defer w.releaseSlot()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -17,7 +17,7 @@
 // To change a message, copy schemas/vN.avsc to the next number, increment VersionCurrent, give
 // every new field a default, and commit the golden messages of the previous version.
 const (
-	VersionCurrent  = 9
+	VersionCurrent  = 10
 	VersionPrevious = VersionCurrent - 1
 	VersionOldest   = 4
 )
@@ -85,6 +85,7 @@
 	KindMachineLimit
 	KindTurnRequest
 	KindTurnAnswer
+	KindTurnReturned
 )
 
 // kindLayout holds the schema name of a kind and the constructor of its record.
@@ -132,6 +133,7 @@
 	KindMachineLimit:          {"MachineLimit", func() record { return new(machineLimitRecord) }},
 	KindTurnRequest:           {"TurnRequest", func() record { return new(turnRequestRecord) }},
 	KindTurnAnswer:            {"TurnAnswer", func() record { return new(turnAnswerRecord) }},
+	KindTurnReturned:          {"TurnReturned", func() record { return new(turnReturnedRecord) }},
 }
 
 // toRecord returns the kind of a message and its record for the codec.
@@ -229,6 +231,9 @@
 	case TurnAnswer:
 		rec := turnAnswerRecord(m)
 		return KindTurnAnswer, &rec, nil
+	case TurnReturned:
+		rec := turnReturnedRecord(m)
+		return KindTurnReturned, &rec, nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -138,9 +138,10 @@
 			From: "node-a", FromAddress: "10.0.0.1:7000",
 			Records: []poison.Record{{Content: poison.Fingerprint{1, 2}, Ends: []cluster.MachineID{"machine-a"}, Cleared: []cluster.MachineID{"machine-b"}}},
 		},
-		KindMachineLimit: MachineLimit{From: "node-a", Machine: "machine-a", Limited: true, PerSecond: 1.5},
-		KindTurnRequest:  TurnRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Machine: "machine-a", PerSecond: 1.5},
+		KindMachineLimit: MachineLimit{From: "node-a", Machine: "machine-a", Limited: true, PerSecond: 1.5, Brittle: 3, Concurrency: 4},
+		KindTurnRequest:  TurnRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Machine: "machine-a", PerSecond: 1.5, Slots: 5},
 		KindTurnAnswer:   TurnAnswer{From: "node-a", Number: 7, Granted: true, Wait: time.Second},
+		KindTurnReturned: TurnReturned{From: "node-a", Number: 7, Machine: "machine-a"},
 		KindKeptAnswer:   KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
 }
@@ -160,6 +161,7 @@
 	KindEngineRequest: 7, KindEngineAnswer: 7, KindEngineNews: 7,
 	KindStoreSnapshotRequest: 8, KindStoreSnapshot: 8,
 	KindMachineLimit: 9, KindTurnRequest: 9, KindTurnAnswer: 9,
+	KindTurnReturned: 10,
 }
 
 // asWrittenIn returns a message without the fields that a version lacks.
@@ -168,6 +170,9 @@
 		request.Always = false
 		return request
 	}
+	if version < 10 {
+		message = asWrittenBefore10(message)
+	}
 	if version < 7 {
 		message = asWrittenBefore7(message)
 	}
@@ -178,6 +183,20 @@
 	return message
 }
 
+// asWrittenBefore10 returns a message without the fields introduced in version 10: those on brittle
+// machines.
+func asWrittenBefore10(message Message) Message {
+	switch m := message.(type) {
+	case MachineLimit:
+		m.Brittle, m.Concurrency = 0, 0
+		return m
+	case TurnRequest:
+		m.Slots = 0
+		return m
+	}
+	return message
+}
+
 // asWrittenBefore7 returns a message without the fields introduced in version 7: the prompt tokens of
 // demand, the claims and votes of nodes that have just started, and the reservations of tokens.
 func asWrittenBefore7(message Message) Message {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -247,6 +247,7 @@
 func (MachineLimit) message()          {}
 func (TurnRequest) message()           {}
 func (TurnAnswer) message()            {}
+func (TurnReturned) message()          {}
 func (InspectionRequest) message()     {}
 func (InspectionAnswer) message()      {}
 
--- a/wire/pacing.go
+++ b/wire/pacing.go
@@ -14,6 +14,11 @@
 	Machine   cluster.MachineID
 	Limited   bool
 	PerSecond float64
+	// Brittle is how many requests the machine can turn away within a second before its process
+	// ends; zero if it has not stated that. PerSecond is then what nodes derived from it.
+	Brittle int
+	// Concurrency is the number of requests that a brittle machine gets at a time, zero for others.
+	Concurrency int
 }
 
 // TurnRequest asks the node that paces the requests to a machine whether a request may be sent.
@@ -25,6 +30,16 @@
 	Machine cluster.MachineID
 	// PerSecond is the machine's limit as the sender knows it, in requests per second.
 	PerSecond float64
+	// Slots is the number of turns that may be in use at a time; zero for a limit by rate alone. Such
+	// a turn must be returned.
+	Slots int
+}
+
+// TurnReturned returns the turn that was granted for a TurnRequest.
+type TurnReturned struct {
+	From    cluster.NodeID
+	Number  int64
+	Machine cluster.MachineID
 }
 
 // TurnAnswer answers a TurnRequest.
@@ -41,8 +56,10 @@
 	machineLimitRecord MachineLimit
 	turnRequestRecord  TurnRequest
 	turnAnswerRecord   TurnAnswer
+	turnReturnedRecord TurnReturned
 )
 
 func (r *machineLimitRecord) toMessage() Message { return MachineLimit(*r) }
 func (r *turnRequestRecord) toMessage() Message  { return TurnRequest(*r) }
 func (r *turnAnswerRecord) toMessage() Message   { return TurnAnswer(*r) }
+func (r *turnReturnedRecord) toMessage() Message { return TurnReturned(*r) }
