Limit unacknowledged bytes on the accepted connections of peers and on two more links

What callers saw: nothing yet. An answer that a node sends to a peer, as it now does for nodes without a path to workers, would be written for a quarter of an hour after that peer had lost power, with the worker's connection held meanwhile. The clients of the etcd gateway and of engines had keep-alive probes without a TCP_USER_TIMEOUT, so that sent bytes could stay unacknowledged as long.

Cause: only dialed connections between nodes had the option. Class: an option that each dialer sets by itself.

--- a/engine/client.go
+++ b/engine/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/valveslip/valveslip/internal/sockopt"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -53,10 +54,14 @@
 // connections. A running request may be silent for longer than that.
 var keepAliveProbes = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 3 * time.Second, Count: 3}
 
+// userTimeout bounds how long sent bytes may stay unacknowledged. It does not end keep-alive probes before
+// keepAliveProbes does.
+const userTimeout = 14 * time.Second
+
 // NewClient returns a Client.
 func NewClient() *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveProbes}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout), KeepAliveConfig: keepAliveProbes}).DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      bufferBytes,
--- /dev/null
+++ b/internal/sockopt/doc.go
@@ -0,0 +1,2 @@
+// Package sockopt sets options of TCP sockets that package net does not offer.
+package sockopt
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valveslip/valveslip/internal/sockopt"
 	"github.com/valveslip/valveslip/keyvalue/gateway"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -33,6 +34,10 @@
 // closing the connection. A watch would otherwise wait for it much longer.
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
 
+// userTimeout bounds how long sent bytes may stay unacknowledged. It does not end keep-alive probes before
+// keepAliveConfig does.
+const userTimeout = 11 * time.Second
+
 // Client is a client of the etcd v3 HTTP/JSON gateway. It is safe for concurrent use. It
 // never retries, because only its user knows whether a request may be applied twice.
 type Client struct {
@@ -45,7 +50,7 @@
 // NewClient returns a client of the service at url, such as http://127.0.0.1:2379.
 func NewClient(url string) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(userTimeout), KeepAliveConfig: keepAliveConfig}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -17,6 +17,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/valveslip/valveslip/internal/sockopt"
 )
 
 // Defaults of Options.
@@ -109,7 +111,7 @@
 	pool := &Pool{options: options, idle: make(map[string][]*Conn)}
 	pool.dialer = net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: keepAliveProbes, Control: func(_, _ string, raw syscall.RawConn) error {
 		setSocketBuffers(raw, options.SocketBytes)
-		return setUserTimeout(raw, options.UserTimeout)
+		return sockopt.SetUserTimeout(raw, options.UserTimeout)
 	}}
 	if options.LocalAddress != nil {
 		pool.dialer.LocalAddr = &net.TCPAddr{IP: options.LocalAddress}
@@ -117,17 +119,6 @@
 	return pool
 }
 
-// setUserTimeout lets the kernel close a connection whose sent bytes are not acknowledged.
-func setUserTimeout(raw syscall.RawConn, after time.Duration) error {
-	var failure error
-	if err := raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
-	}); err != nil {
-		return err
-	}
-	return failure
-}
-
 // setSocketBuffers bounds the kernel's buffers of a connection. Errors are ignored: the connection
 // works without the bound.
 func setSocketBuffers(raw syscall.RawConn, maxBytes int) {
--- a/wire/stall_timeout.go
+++ b/wire/stall_timeout.go
@@ -48,6 +48,24 @@
 	return errors.Join(err, failure)
 }
 
+// userTimeoutListener sets tcpUserTimeout on accepted connections. Without it an answer to a peer that has
+// lost power would be written for a quarter of an hour.
+type userTimeoutListener struct{ net.Listener }
+
+// Accept implements net.Listener. A socket option that can't be set is skipped.
+func (l userTimeoutListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if system, ok := connection.(syscall.Conn); ok {
+		if raw, err := system.SyscallConn(); err == nil {
+			_ = setSocketOptions("", "", raw)
+		}
+	}
+	return connection, nil
+}
+
 // stallTimeout cancels requests that have a connection and make no progress for timeout.
 type stallTimeout struct {
 	next    http.RoundTripper
--- a/wire/stall_timeout_test.go
+++ b/wire/stall_timeout_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
 	"net/http"
 	"reflect"
 	"sync/atomic"
@@ -254,3 +256,38 @@
 		t.Fatalf("dropped %d messages, want 3", dropped)
 	}
 }
+
+// TestAnswerToSilentPeerEnds guards against an answer that is written to a peer for a quarter of an hour
+// after the peer has lost power, and whatever the answer holds meanwhile.
+func TestAnswerToSilentPeerEnds(t *testing.T) {
+	ended := make(chan error, 1)
+	began := make(chan struct{})
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		close(began)
+		chunk := make([]byte, 64<<10)
+		for {
+			if _, err := writer.Write(chunk); err != nil {
+				ended <- err
+				return
+			}
+		}
+	})
+	to := openTransport(t, func(Message) {}, WithHandler("/long", maxHeaderBytes, handler))
+	connection, err := net.Dial("tcp", to.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = connection.Close() })
+	if _, err := io.WriteString(connection, "GET /long HTTP/1.1\r\nHost: peer\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	if err := blackhole.DropIncoming(connection); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the answer is still being written")
+	}
+}
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -223,10 +223,12 @@
 
 // listen starts to serve handler on address.
 func (t *Transport) listen(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig}
+	listener, err := config.Listen(t.lifetime, "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen for peers on %s", address)
 	}
+	listener = userTimeoutListener{listener}
 	t.listener = listener
 	t.server = &http.Server{
 		Handler:           t.route(withStallTimeout(handler, t.options.sendTimeout)),
