Let brittle workers fall and sound ones fall silent in the soak

Faults worker-brittle (all workers of a plain service say that they fall by what they have to turn away, and do from 3 s on; one that fell is gone for 2 s) and worker-silence (a sound worker delivers and takes nothing for about a second), drawn from random sources of their own. A silence is no disturbance: nothing is excused by it. New promise: in one time in which a service's workers are brittle no more than 2 and a tenth of them fall, those aside that fall while nodes or the links between them are disturbed. A planted history breaks it.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -97,6 +97,10 @@
 		slot.shedRequests(f.Delay, f.For)
 	case plan.WorkerLimit:
 		slot.announceLimit(float64(f.Rate), f.For)
+	case plan.WorkerBrittle:
+		slot.becomeBrittle(f.Rate, f.For)
+	case plan.WorkerSilence:
+		slot.fallSilent(f.For)
 	case plan.WorkerLateOrders:
 		slot.delayOrders(f.Delay, f.For)
 	default:
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -70,6 +70,18 @@
 	From, To  time.Duration
 }
 
+// BrittleTime is a time in which a worker of a service announced that it is brittle.
+type BrittleTime struct {
+	Service  string
+	From, To time.Duration
+}
+
+// Fall is the end of a brittle worker that had to turn too many requests away.
+type Fall struct {
+	Worker, Service string
+	At              time.Duration
+}
+
 // Stop is a planned stop of a process. Ended is zero while the process lives.
 type Stop struct {
 	Node      int
@@ -160,6 +172,8 @@
 	// LeavingAnswers are the workers whose answers announce, from a time on, that they leave.
 	LeavingAnswers []Leaving
 	WorkerLimits   []WorkerLimit
+	BrittleTimes   []BrittleTime
+	Falls          []Fall
 	Versions       []Version
 	RevokedKeys    []RevokedKey
 	Probes         []Probe
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -50,6 +50,7 @@
 	PromiseKeys          Promise = "nothing runs under a key that was taken away for longer than the bound"
 	PromiseLimit         Promise = "a tenant that floods gets no more than its limit over all nodes"
 	PromiseWorkerLimit   Promise = "a worker that names a limit gets no more of all nodes"
+	PromiseBrittle       Promise = "brittle workers do not fall one after the other"
 	PromisePath          Promise = "nodes without a path to workers serve their callers"
 )
 
@@ -136,6 +137,7 @@
 	{PromiseKeys, checkRevokedKeys, minJudgedFew, (*History).hasKeys},
 	{PromiseLimit, checkTenantLimit, minJudgedSome, (*History).hasKeys},
 	{PromiseWorkerLimit, checkWorkerLimits, minJudgedFew, (*History).hasWorkerLimit},
+	{PromiseBrittle, checkFalls, minJudgedFew, (*History).hasBrittleTime},
 	{PromisePath, checkPartitions, minJudgedFew, (*History).hasJudgeablePartition},
 }
 
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -88,6 +88,8 @@
 		h.Requests = append(h.Requests, flood)
 		h.Runs = append(h.Runs, runOf(flood.ID, "w1", flood.Sent))
 	}
+	h.BrittleTimes = []BrittleTime{{Service: "plain", From: 5 * time.Second, To: 15 * time.Second}}
+	h.Falls = []Fall{{Worker: "w1", Service: "plain", At: 9 * time.Second}, {Worker: "w1", Service: "plain", At: 12 * time.Second}}
 	h.WorkerLimits = []WorkerLimit{{Worker: "needy", PerSecond: 1, From: 5 * time.Second, To: 17 * time.Second}}
 	for n := range 10 {
 		limited := completedRequest(fmt.Sprintf("needed-%d", n), RouteRead, 13*time.Second+time.Duration(n)*200*time.Millisecond)
@@ -295,6 +297,9 @@
 		at := slices.IndexFunc(h.Requests, func(r Request) bool { return r.Node == 1 && r.Route == RouteStream })
 		h.Requests[at].Failure = "reset"
 	}},
+	{PromiseBrittle, "a worker that falls once more", func(h *History) {
+		h.Falls = append(h.Falls, Fall{Worker: "w1", Service: "plain", At: 14 * time.Second})
+	}},
 	{PromisePath, "a node that fails its callers while it is cut off from workers", func(h *History) {
 		for i := range h.Requests {
 			if strings.HasPrefix(h.Requests[i].ID, "n1-cut-") {
--- a/soak/check/partitions.go
+++ b/soak/check/partitions.go
@@ -32,7 +32,7 @@
 
 // checkPartitions checks that nodes which are cut off from all workers serve their callers through the
 // others. Only requests at nodes whose process, links and store are undisturbed are counted, if other nodes
-// that are not cut off are too. Every such request at a node that is cut off is one observation.
+// that are not cut off are too at the same time. Every such request at a node that is cut off is one observation.
 func checkPartitions(h *History, f *Finding) {
 	for _, period := range h.partitionPeriods() {
 		var cut, others tally
@@ -42,6 +42,9 @@
 			if !h.countsInPartition(request, &period) || isCut && request.Sent < since+partitionGrace {
 				continue
 			}
+			if isCut && !h.othersWork(request, &period) {
+				continue
+			}
 			group := &others
 			if isCut {
 				group = &cut
@@ -77,6 +80,27 @@
 	return usual && within && !h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePeer)
 }
 
+// othersWork reports whether a node that is not cut off could serve callers, and so pass requests on, for as
+// long as a request was open: neither its process nor a link of it was disturbed.
+func (h *History) othersWork(request *Request, period *partitionPeriod) bool {
+	for node := range h.nodeCount() {
+		_, isCut := period.since[node]
+		if !isCut && !h.disturbed(node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePeer) {
+			return true
+		}
+	}
+	return false
+}
+
+// nodeCount returns the number of nodes that requests were sent to.
+func (h *History) nodeCount() int {
+	count := 0
+	for i := range h.Requests {
+		count = max(count, h.Requests[i].Node+1)
+	}
+	return count
+}
+
 // partitionPeriods returns the periods between any two changes of the nodes that are cut off.
 func (h *History) partitionPeriods() []partitionPeriod {
 	var changes []time.Duration
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -72,6 +72,8 @@
 		schedule.Faults = append(schedule.Faults, drawLeaves(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawSheds(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawPartitions(seed, size)...)
+		schedule.Faults = append(schedule.Faults, drawBrittle(seed, size)...)
+		schedule.Faults = append(schedule.Faults, drawSilences(seed, size)...)
 	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
@@ -216,6 +218,49 @@
 	return chosen
 }
 
+// Parameters of the brittle workers: meanBrittleGap is the mean time between two faults, minBrittleLength
+// and maxBrittleLength bound how long one lasts, minBearable and maxBearable what a worker may turn away
+// within a second.
+const (
+	meanBrittleGap   = 16 * time.Second
+	minBrittleLength = 6 * time.Second
+	maxBrittleLength = 12 * time.Second
+	minBearable      = 2
+	maxBearable      = 5
+)
+
+// drawBrittle draws services all of whose workers are brittle. Every fourth worker, from the first or the
+// third on, belongs to one of the plain services.
+func drawBrittle(seed uint64, size Size) []Fault {
+	return drawIndependent(rand.NewPCG(seed, 4), size, WorkerBrittle, meanBrittleGap, func(d *generator, f *Fault) {
+		f.For = d.uniformDuration(minBrittleLength, maxBrittleLength)
+		f.Rate = minBearable + d.random.IntN(maxBearable-minBearable+1)
+		f.Targets = nil
+		for worker := 1 + 2*d.random.IntN(2); worker < size.Workers; worker += 4 {
+			f.Targets = append(f.Targets, worker)
+		}
+		if f.Targets == nil {
+			f.Targets = []int{}
+		}
+	})
+}
+
+// Parameters of the short silences of sound workers: meanSilenceGap is the mean time between two,
+// minSilenceLength and maxSilenceLength bound how long one lasts.
+const (
+	meanSilenceGap   = 7 * time.Second
+	minSilenceLength = 700 * time.Millisecond
+	maxSilenceLength = 1300 * time.Millisecond
+)
+
+// drawSilences draws short silences of sound workers.
+func drawSilences(seed uint64, size Size) []Fault {
+	return drawIndependent(rand.NewPCG(seed, 5), size, WorkerSilence, meanSilenceGap, func(d *generator, f *Fault) {
+		f.For = d.uniformDuration(minSilenceLength, maxSilenceLength)
+		f.Targets = f.Targets[:1]
+	})
+}
+
 // maxStopDuration is the longest that a planned stop may take: its grace period and the allowed
 // overrun.
 const maxStopDuration = 11 * time.Second
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -95,6 +95,12 @@
 	// WorkerLimit makes a worker announce a limit of Fault.Rate requests per second in its
 	// answers.
 	WorkerLimit Kind = "worker-limit"
+	// WorkerBrittle makes the workers of a service announce that they fall if they have to turn more
+	// than Fault.Rate requests away within a second, and do so from brittleDelay on.
+	WorkerBrittle Kind = "worker-brittle"
+	// WorkerSilence makes a worker deliver and take nothing for about a second, and then go on. It is
+	// sound, so nothing that happens meanwhile is excused.
+	WorkerSilence Kind = "worker-silence"
 )
 
 // Link names the group of connections that a fault affects.
@@ -177,6 +183,8 @@
 	{WorkerLimit, kindProperties{onWorkers, 0, true}},
 	{WorkerLeave, kindProperties{onWorkers, 0, true}},
 	{WorkerShed, kindProperties{onWorkers, 0, true}},
+	{WorkerBrittle, kindProperties{onWorkers, 0, true}},
+	{WorkerSilence, kindProperties{onWorkers, 0, true}},
 	{PathHang, kindProperties{onNodes, 0, true}},
 	{PathSilence, kindProperties{onNodes, 0, true}},
 	{PathReset, kindProperties{onNodes, 0, true}},
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -20,7 +20,8 @@
 	// For is how long the fault lasts. For a process that ends, it is the time until
 	// the process is started again.
 	For time.Duration `yaml:"for,omitempty" json:"for,omitempty"`
-	// Rate is in calls per second for CallerBurst and in requests per second for WorkerLimit.
+	// Rate is in calls per second for CallerBurst, in requests per second for WorkerLimit, and the
+	// number of rejections per second that a worker bears for WorkerBrittle.
 	Rate int `yaml:"rate,omitempty" json:"rate,omitempty"`
 	// Delay is what LinkDelay, StoreSlow and WorkerLateOrders add, and the back-off that
 	// WorkerShed asks for.
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -96,6 +96,10 @@
 	server    *standin.Server
 	proxy     *proxy.Proxy
 	behaviour *faultBehaviour
+	// bearable is what the workers say that they may turn away within a second, from brittleFrom until
+	// brittleUntil.
+	bearable                  int
+	brittleFrom, brittleUntil time.Time
 	// endLimit ends the limit that the worker announces, if there is one.
 	endLimit func()
 }
@@ -171,6 +175,7 @@
 	started.Publish = func(key string, entry platform.WorkerDocument) { s.publish(started, key, entry) }
 	s.worker, s.server, s.proxy, s.behaviour = started, server, at, conduct
 	s.name = fmt.Sprintf("%s@%d", s.id, s.startedMillis)
+	s.announceBrittle()
 	s.recordLife(s.name, s.service(), started, server)
 	return s.metadata.Put(started.Key(), started.Entry())
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -19,7 +19,8 @@
 type Config struct {
 	ID, Service, Address, Zone string
 	Slots                      int
-	// Queue is the number of requests that may wait for a slot; zero lets any number run at once.
+	// Queue is the number of requests that may wait for a slot; zero lets any number run at once,
+	// except while the worker falls by what it turns away.
 	Queue int
 	// Models has the models that the worker can load, by name; nil for a service
 	// without models.
