--- a/fleet/shell/partition_test.go
+++ b/fleet/shell/partition_test.go
@@ -1,11 +1,15 @@
 package shell_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,3 +169,88 @@
 		}
 	}
 }
+
+// waitUntilServed waits until a node serves requests of all kinds through others.
+func (d *partitionedDeployment) waitUntilServed(node int) {
+	d.t.Helper()
+	d.eventually("the node serves", func() bool { return d.servesAllKinds(node, callsBeforeCut) })
+}
+
+// hangPlainWorkers makes the workers of the plain service run requests without an answer, and returns a
+// function that counts what they ran since.
+func (d *partitionedDeployment) hangPlainWorkers() (runs func() int) {
+	var count atomic.Int64
+	for i := 0; i < len(d.workers); i += 2 {
+		d.workers[i].Behave = func(*http.Request) worker.Behaviour {
+			count.Add(1)
+			return worker.Hang
+		}
+	}
+	return func() int { return int(count.Load()) }
+}
+
+// abandoned returns how many requests without an answer the workers were asked to give up.
+func (d *partitionedDeployment) abandoned() int {
+	count := 0
+	for _, w := range d.workers {
+		count += w.Abandoned()
+	}
+	return count
+}
+
+// TestCallerWhoLeavesEndsRequestThroughPeer guards against workers that go on for callers who have left,
+// because the node between does not pass the end on.
+func TestCallerWhoLeavesEndsRequestThroughPeer(t *testing.T) {
+	d := newPartitionedDeployment(t, 2)
+	d.cutOff(proxy.PartitionReset, 1)
+	d.waitUntilServed(1)
+	runs := d.hangPlainWorkers()
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.nodes[1].Address()+"/write/", strings.NewReader("/write/"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = testHost
+	go func() { replyOf(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, request) }()
+	d.eventually("a worker runs the request", func() bool { return runs() == 1 })
+	leave()
+	d.eventually("the worker is asked to give the request up", func() bool { return d.abandoned() == 1 })
+}
+
+// TestRequestIsNotRepeatedAfterPeerEnds guards against a second run of a request that must not be repeated,
+// after the node that sent it to its worker has ended.
+func TestRequestIsNotRepeatedAfterPeerEnds(t *testing.T) {
+	d := newPartitionedDeployment(t, 2)
+	d.cutOff(proxy.PartitionReset, 1)
+	d.waitUntilServed(1)
+	runs := d.hangPlainWorkers()
+	replies := make(chan reply, 1)
+	go func() { replies <- d.call(d.nodes[1], http.MethodPost, "/write/", "/write/", nil) }()
+	d.eventually("a worker runs the request", func() bool { return runs() == 1 })
+	d.nodes[0].Kill()
+	if got := <-replies; got.status != http.StatusBadGateway && got.status != http.StatusGatewayTimeout {
+		t.Errorf("answer %+v, which must not say that the request has not run", got)
+	}
+	if runs() != 1 {
+		t.Errorf("the request ran %d times", runs())
+	}
+}
+
+// TestHolderWithoutPathGivesOrderLeaseUp guards against a system in which no model is loaded for as long as
+// the node that gives the orders is cut off from all workers.
+func TestHolderWithoutPathGivesOrderLeaseUp(t *testing.T) {
+	d := newPartitionedDeployment(t, 3)
+	holder := -1
+	d.eventually("a node holds the order lease", func() bool {
+		holder = slices.IndexFunc(d.nodes, (*shell.Node).HoldsOrderLease)
+		return holder >= 0
+	})
+	d.waitUntilServed(holder)
+	d.cutOff(proxy.PartitionReset, holder)
+	d.waitUntilServed(holder)
+	d.eventually("another node holds it", func() bool {
+		next := slices.IndexFunc(d.nodes, (*shell.Node).HoldsOrderLease)
+		return next >= 0 && next != holder
+	})
+}
