Try another machine if peers don't know one, and probe failed machines too

Cause: unknown-machine counted among the reasons of the other node, not of the machine; probes never went to machines that had failed while there were others. Change: the machine is then tried elsewhere, one that leaves or rests is blocked rather than unknown, probes after the first go to any machine. No more than two nodes that can't be reached are asked for an attempt, and the message to a peer counts among retained bytes.

No test of its own: the paths are run by TestNodesWithoutPathToWorkersServeTheirCallers and its companions.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -197,16 +197,19 @@
 	return targets
 }
 
-// MachineAddress returns the address of a machine, and false if it has no entry or leaves.
+// MachineAddress returns the address of a machine, and false if it has no entry.
 func (c *Core) MachineAddress(id cluster.MachineID) (string, bool) {
-	address := c.view.addressOf(id)
-	return address, address != ""
+	known := c.view.machines[id]
+	if known == nil {
+		return "", false
+	}
+	return known.worker.Address, true
 }
 
 // MachineBlocked reports whether a machine takes no requests from this node now, because it leaves or
 // has asked for a rest.
 func (c *Core) MachineBlocked(now time.Time, id cluster.MachineID) bool {
-	return c.router.Leaving(id) || c.router.Resting(now, id)
+	return c.view.addressOf(id) == "" || c.router.Leaving(id) || c.router.Resting(now, id)
 }
 
 // Ready reports whether the node has a configuration and has read the whole store.
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -182,7 +182,7 @@
 	if time.Since(v.probeAt) >= probeInterval {
 		ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 		defer cancel()
-		v.answer = p.probeOnce(ctx)
+		v.answer = p.probeOnce(ctx, true)
 		v.probeAt = time.Now()
 	}
 	return v.answer
@@ -198,10 +198,11 @@
 	p.peers.ended(id, outcome)
 }
 
-// probe sends probes on new connections until the path is back.
+// probe sends probes on new connections until the path is back. The first go to machines that have not
+// failed, if there are any; these may have ended since, so that later ones go to any.
 func (p *machinePath) probe() {
-	for p.node.context.Err() == nil {
-		answered := p.probeRound()
+	for first := true; p.node.context.Err() == nil; first = false {
+		answered := p.probeRound(first)
 		p.update("probes", func(m *reachability.Monitor) bool { return m.RecordProbe(p.node.options.Now(), answered) })
 		p.mutex.Lock()
 		done := p.monitor.State() == reachability.Connected
@@ -218,18 +219,21 @@
 }
 
 // probeRound makes one round of probes.
-func (p *machinePath) probeRound() bool {
+func (p *machinePath) probeRound(avoidFailed bool) bool {
 	ctx, cancel := context.WithTimeout(p.node.context, probeTimeout)
 	defer cancel()
-	return p.probeOnce(ctx)
+	return p.probeOnce(ctx, avoidFailed)
 }
 
-// probeOnce probes some machines, if possible others than those that failed, and reports whether one
-// answered.
-func (p *machinePath) probeOnce(ctx context.Context) bool {
-	p.mutex.Lock()
-	failed := p.monitor.Failed()
-	p.mutex.Unlock()
+// probeOnce probes some machines and reports whether one answered. With avoidFailed those that failed are
+// probed only if there are no others.
+func (p *machinePath) probeOnce(ctx context.Context, avoidFailed bool) bool {
+	var failed []string
+	if avoidFailed {
+		p.mutex.Lock()
+		failed = p.monitor.Failed()
+		p.mutex.Unlock()
+	}
 	targets := p.node.sampleMachines(probesAtOnce, func(address string) bool { return slices.Contains(failed, address) })
 	answers := make(chan bool, len(targets))
 	for _, target := range targets {
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -18,6 +18,8 @@
 	// maxPeersPerAttempt bounds the nodes that are asked one after the other to send a request. Most
 	// nodes may have lost their path too; each refuses within a round trip.
 	maxPeersPerAttempt = 8
+	// maxAbsentPeers bounds those that can't be reached, since each may take the time of a dial.
+	maxAbsentPeers = 2
 	// noPathRetryAfter is the Retry-After of a refusal because neither this node nor another one that
 	// it knows reaches machines: about the time between two probes.
 	noPathRetryAfter = 500 * time.Millisecond
@@ -26,6 +28,9 @@
 // errPeerRefused is the cause of the failure of an attempt that a peer did not send.
 var errPeerRefused = eris.New("the peer did not send the request")
 
+// errNoRoom is the cause of the failure of an attempt whose message the node has no memory for.
+var errNoRoom = eris.New("the node has no room for the message to the peer")
+
 // exchangeDoubted runs the attempt while this node suspects its own path: on an established
 // connection if those still work, otherwise through other nodes. It returns false if neither could
 // be tried and the suspicion is not confirmed, so that the machine is to be tried directly.
@@ -41,7 +46,8 @@
 // exchangeThroughPeers asks other nodes, one after the other, to send the request until one does.
 func (a *attempt) exchangeThroughPeers(ctx context.Context) (*verdict.Error, bool) {
 	var tried []cluster.NodeID
-	for len(tried) < maxPeersPerAttempt && ctx.Err() == nil {
+	outcomes := map[PeerOutcome]int{}
+	for len(tried) < maxPeersPerAttempt && outcomes[OutcomeNoAnswer] < maxAbsentPeers && ctx.Err() == nil {
 		peer, found := a.Path.PickPeer(tried)
 		if !found {
 			break
@@ -53,9 +59,15 @@
 		if !outcome.passesOn() {
 			return failure, true
 		}
+		outcomes[outcome]++
 	}
 	a.peer = nil
-	if len(tried) == 0 || !a.Path.Lost() {
+	switch {
+	case outcomes[OutcomeUnknown] > 0:
+		// Another machine may be known to them.
+		a.unreached = true
+		return verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "no other node knows machine %s", a.decision.Machine), true
+	case len(tried) == 0 || !a.Path.Lost():
 		return nil, false
 	}
 	a.unreached, a.withheld = true, true
@@ -90,6 +102,11 @@
 	if a.peer == nil {
 		return a.conn.Send(forwarded, a.body)
 	}
+	size := int64(len(a.body))
+	if !a.reserved.Grow(size) {
+		return errors.Join(upstream.ErrNotSent, errNoRoom)
+	}
+	defer a.reserved.Shrink(size)
 	outer, message, err := newPeerRequest(*a.peer, a.Self, a.decision.Machine, a.remaining(), forwarded)
 	if err != nil {
 		return errors.Join(upstream.ErrNotSent, err)
