Send requests of other nodes while the own path is merely suspected

Cause: the other node took its own suspicion for a loss. Class: acting on a suspicion that costs nothing where it is acted on by the one who has it, and much where others depend on it. Change: it refuses if its path is lost, or if it is suspected and no connection can be opened; a dial that fails meanwhile says nothing about the machine.

No test of its own; run by TestNodesWithoutPathToWorkersServeTheirCallers and its companions.

--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -83,7 +83,7 @@
 	if outcome := p.Refuses(active); outcome != "" {
 		return outcome
 	}
-	if p.Path.Suspected() || !p.Path.Vouch(ctx) {
+	if p.Path.Lost() || !p.Path.Vouch(ctx) {
 		return OutcomeNoPath
 	}
 	return ""
@@ -128,10 +128,7 @@
 	e.conn, err = e.Pool.Get(ctx, e.address)
 	if err != nil {
 		e.Path.Failed(e.address, reachability.NoConnection, err.Error())
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return OutcomeRefused
-		}
-		return OutcomeUnreachable
+		return e.outcomeOfDial(err)
 	}
 	stop := context.AfterFunc(ctx, e.conn.Interrupt)
 	outcome = e.exchange(machineRequest(e.task.inner, e.task.inner.Header, body), body)
@@ -146,6 +143,18 @@
 	return outcome
 }
 
+// outcomeOfDial returns the outcome for a connection that could not be opened. While this node suspects its
+// own path, that says nothing about the machine.
+func (e *peerExchange) outcomeOfDial(err error) PeerOutcome {
+	switch {
+	case e.Path.Suspected():
+		return OutcomeNoPath
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return OutcomeRefused
+	}
+	return OutcomeUnreachable
+}
+
 // exchange sends the request on the connection and passes the answer on.
 func (e *peerExchange) exchange(request *http.Request, body []byte) PeerOutcome {
 	if err := e.conn.Send(request, body); err != nil {
