--- a/soak/proxy/partition.go
+++ b/soak/proxy/partition.go
@@ -73,6 +73,7 @@
 	}
 	err := p.filterListener()
 	p.mu.Unlock()
+	p.abortSilent(func(client netip.Addr) bool { return slices.Contains(clients, client) })
 	for _, open := range p.openLinks() {
 		if slices.Contains(clients, open.clientAddress()) {
 			err = errors.Join(err, acceptPackets(open.client))
@@ -101,12 +102,36 @@
 	return p.partitioned[addressOf(client.RemoteAddr())]
 }
 
-// silence makes a connection silent for good that came up during a partition: data that arrived
-// before its filter is not forwarded either.
-func (l *link) silence() {
-	l.silent.Store(true)
-	if err := dropPackets(l.client, dropAll); err != nil {
-		l.proxy.options.OnError(err)
+// keepSilent drops all packets of a connection that came up during a partition, until it is healed. The
+// target is not dialed: the proxy does not learn that the client has closed such a connection, and would keep
+// three file descriptors for each.
+func (p *Proxy) keepSilent(client *net.TCPConn) {
+	if err := dropPackets(client, dropAll); err != nil {
+		p.options.OnError(err)
+	}
+	p.mu.Lock()
+	p.silent = append(p.silent, client)
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		abort(client)
+	}
+}
+
+// abortSilent resets the silent connections of the clients that concerned reports.
+func (p *Proxy) abortSilent(concerned func(client netip.Addr) bool) {
+	p.mu.Lock()
+	var ended []*net.TCPConn
+	p.silent = slices.DeleteFunc(p.silent, func(client *net.TCPConn) bool {
+		if !concerned(addressOf(client.RemoteAddr())) {
+			return false
+		}
+		ended = append(ended, client)
+		return true
+	})
+	p.mu.Unlock()
+	for _, client := range ended {
+		abort(client)
 	}
 }
 
--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
@@ -42,7 +43,9 @@
 	mode     Mode
 	// partitioned are the clients that are cut off from the target.
 	partitioned partitioned
-	closed      bool
+	// silent are the connections that came up while their clients were cut off.
+	silent []*net.TCPConn
+	closed bool
 }
 
 // Listen starts a proxy.
@@ -127,6 +130,7 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
+	p.abortSilent(func(netip.Addr) bool { return true })
 	p.Refuse()
 }
 
@@ -163,9 +167,13 @@
 	target := p.target
 	p.mu.Unlock()
 	partition := p.partitionOf(client)
-	if partition == PartitionReset || partition == PartitionRefuse {
+	switch partition {
+	case PartitionReset, PartitionRefuse:
 		abort(client)
 		return
+	case PartitionHang, PartitionSilence:
+		p.keepSilent(client)
+		return
 	}
 	server, err := net.Dial("tcp", target)
 	if err != nil {
@@ -183,9 +191,6 @@
 	if closed {
 		joined.reset()
 	}
-	if partition != 0 {
-		joined.silence()
-	}
 	joined.run()
 	p.mu.Lock()
 	delete(p.links, joined)
