Suspect no path without other nodes, and count an end of the only machine that failed

Cause: with one known machine a single failure made the path suspected; the probe failed too, since the machine had ended, and the evidence was withdrawn. Class: a verdict that needs others was passed without them. Change: a node that knows no other node suspects nothing, since it has no other way; evidence is withdrawn only if several machines failed.

The stand-in worker ran probes as requests, which five tests counted (TestRequestOnClosedConnectionIsNotResent and others); it answers its health path now without running anything. TestBrittleWorkersDoNotFallInTurn failed in the same run with 6 to 8 falls: its probes took slots and were turned away. After: go test ./fleet/shell whole.

--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -68,8 +68,12 @@
 	p.update("data on a connection", func(m *reachability.Monitor) bool { return m.RecordData(p.node.options.Now(), opened) })
 }
 
-// Failed implements passthrough.Path.
+// Failed implements passthrough.Path. Without other nodes there is no other way to machines, so that a
+// failure is then the machine's.
 func (p *machinePath) Failed(address string, kind reachability.Kind, cause string) {
+	if p.peers.empty() {
+		return
+	}
 	known := p.node.knownMachines()
 	p.update(cause, func(m *reachability.Monitor) bool {
 		return m.RecordFailure(p.node.options.Now(), address, kind, cause, known)
@@ -141,7 +145,7 @@
 func (p *machinePath) AwaitVerdict(ctx context.Context) bool {
 	p.mutex.Lock()
 	settled := p.settled
-	inDoubt := p.monitor.State() != reachability.Connected && p.monitor.NothingHeard()
+	inDoubt := p.monitor.State() != reachability.Connected && p.monitor.NothingHeard() && len(p.monitor.Failed()) > 1
 	p.mutex.Unlock()
 	if !inDoubt {
 		return false
--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -57,6 +57,13 @@
 	s.pausedUntil = pausedUntil
 }
 
+// empty reports whether no other node is known.
+func (s *peerSet) empty() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.list) == 0
+}
+
 // pick returns the one of two random nodes that has fewer open requests of this one, without the
 // excluded and the paused ones. It returns false if there is none.
 func (s *peerSet) pick(excluded []cluster.NodeID) (passthrough.Peer, bool) {
--- a/passthrough/path.go
+++ b/passthrough/path.go
@@ -23,7 +23,7 @@
 	AllowsEstablished() bool
 	// AwaitVerdict waits until probes have confirmed or refuted a suspicion, and returns whether
 	// failures of connections are still attributed to the path. It returns at once unless the path
-	// is suspected and nothing was heard from any machine since the first failure.
+	// is suspected, several machines failed and nothing was heard from any since the first failure.
 	AwaitVerdict(ctx context.Context) bool
 	// Vouch reports whether this node's path works at present: data arrived from a machine a moment
 	// ago, or a probe is answered.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -72,6 +72,9 @@
 	CutBody
 )
 
+// HealthPath is where a worker tells whether it is well. Nothing runs and no slot is taken.
+const HealthPath = "/healthz"
+
 // misroutedAnswerID is the request ID in the answers of AnswerForOtherRequest.
 const misroutedAnswerID = "another-request"
 
@@ -231,6 +234,8 @@
 		w.acceptOrder(out, r)
 	case platform.PathReport:
 		w.serveReport(out)
+	case HealthPath:
+		out.Header().Set(platform.HeaderInstance, w.config.ID)
 	default:
 		w.serveRequest(out, r)
 	}
