--- a/fleet/pacing/slots.go
+++ b/fleet/pacing/slots.go
@@ -16,7 +16,8 @@
 	// slotTurnWait is how long a request for a turn is kept until one is returned. It is shorter than
 	// answerTimeout, after which the other pacer is asked.
 	slotTurnWait = 15 * time.Millisecond
-	// slotRetryDelay is the retry delay of a request that was kept in vain.
+	// slotRetryDelay is the retry delay of a request that was kept in vain. It is short because a turn
+	// may come back at any moment.
 	slotRetryDelay = 5 * time.Millisecond
 	// firstTurnsTime is the time over which a pacer that begins gives out the first turns: requests
 	// that a predecessor granted, or that nobody paced, are still running.
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -21,8 +21,9 @@
 	maxLoggedMachines = 8
 	// probesAtOnce is the number of machines that are probed at a time.
 	probesAtOnce = 3
-	// probeTimeout bounds one probe, probeInterval is the time between two rounds of probes. A node
-	// uses its own path again within both after it is back.
+	// probeTimeout bounds one probe: engines answer between two steps of a batch. probeInterval is the
+	// time between two rounds of probes. It is short because a node uses its own path again only after
+	// an answered probe, and long enough that probes cost little while a path is lost.
 	probeTimeout  = 600 * time.Millisecond
 	probeInterval = 500 * time.Millisecond
 )
@@ -161,7 +162,8 @@
 
 // The times for vouching.
 const (
-	// freshData is the age up to which the last data from a machine shows that the path works.
+	// freshData is the age up to which the last data from a machine shows that the path works. It is
+	// longer than the time between two requests of a node that is in use, so that no probe is needed.
 	freshData = time.Second
 	// vouchTimeout bounds the probes made for another node: a round trip takes 100 ms between distant
 	// regions.
--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -15,7 +15,7 @@
 const (
 	// noPathPause: it probes its path twice meanwhile.
 	noPathPause = time.Second
-	// overloadPause lets what it runs end.
+	// overloadPause lets what it runs end. It is short because others may have to be asked meanwhile.
 	overloadPause = 250 * time.Millisecond
 	// absentPause: it is stopping, does not answer or does not know PeerPath.
 	absentPause = 2 * time.Second
--- a/routing/brittle.go
+++ b/routing/brittle.go
@@ -15,11 +15,13 @@
 	// same overload.
 	brittleDecrease  = 0.6
 	decreaseInterval = int64(200 * time.Millisecond)
-	// increaseInterval is the time without a change after which the number rises by one eighth.
+	// increaseInterval is the time without a change after which the number rises. It is the time over
+	// which machines count rejections, so that an increase too far shows before the next one.
 	increaseInterval = int64(time.Second)
-	increaseDivisor  = 8
-	// slotTurnValidity is how long a turn may wait for its request. An unused one keeps others from
-	// the slot.
+	// increaseDivisor is the part of the number, one eighth, by which it rises.
+	increaseDivisor = 8
+	// slotTurnValidity is how long a turn may wait for its request. It is short because an unused turn
+	// keeps others from the slot.
 	slotTurnValidity = int64(50 * time.Millisecond)
 )
 
