Vouch for no path by data from before a pause

What callers saw: nothing yet; found by reading the times in the shells. A node that was suspended sends requests of other nodes for up to a second on the strength of data from before, since Go's monotonic clock stands meanwhile.

Cause: the age of the last data was taken on that clock. Change: a pause that the node notices makes it forget when data came and what probes said.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -358,6 +358,7 @@
 	}
 	n.timerDue = time.Time{}
 	n.options.Log.Write(eventlog.PauseNoticed{Pause: delay})
+	n.path.paused()
 	n.stepCore(now, fleet.Paused{For: delay})
 	if f := n.follower.Load(); f != nil {
 		f.requestResync()
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -44,6 +44,8 @@
 	// monotonic clock.
 	began  time.Time
 	dataAt atomic.Int64
+	// pauses counts the pauses of the process: what was seen before one proves nothing after it.
+	pauses atomic.Uint64
 	vouch  voucher
 
 	mutex   sync.Mutex
@@ -175,6 +177,15 @@
 	mutex   sync.Mutex
 	probeAt time.Time
 	answer  bool
+	// pauses is machinePath.pauses at the probes.
+	pauses uint64
+}
+
+// paused forgets what was heard before a pause of the process or its machine. The monotonic clock stands
+// while a machine is suspended, so that old data would count as fresh.
+func (p *machinePath) paused() {
+	p.pauses.Add(1)
+	p.dataAt.Store(0)
 }
 
 // Vouch implements passthrough.Path. Concurrent calls share one round of probes.
@@ -185,7 +196,8 @@
 	v := &p.vouch
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	if time.Since(v.probeAt) >= probeInterval {
+	if pauses := p.pauses.Load(); pauses != v.pauses || time.Since(v.probeAt) >= probeInterval {
+		v.pauses = pauses
 		ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 		defer cancel()
 		v.answer = p.probeOnce(ctx, true)
