Ask a second node for turns at a brittle worker only when the first is gone

Cause: a node that had no answer within 60 ms asked the second pacer, and skipped the first for a second. For a limit by rate both together stay in bounds, since each grants three quarters; for slots both grant all. Evidence: the nodes' logs beside the loops, up to 7 requests at a worker of 4 slots, 4 granted by n1 and 3 by n3, and turn_decided with two names for each worker. Class: a fallback that was safe for one kind of bound was taken over for another.

Change: a late answer is waited for by asking the same pacer again after 50 ms; the next is asked once the first has been silent for a second, and begins to give out turns anew if nobody asked it for a second.

TestBusyPacerIsNotJoinedByAnother fails without it.

--- a/fleet/pacing/core.go
+++ b/fleet/pacing/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	pacersByMachine map[cluster.MachineID][]Peer
 	// unresponsiveUntil is the time until which nodes that missed a timeout are skipped.
 	unresponsiveUntil map[cluster.NodeID]time.Time
+	// silentSince is the time of the first request to each node that was not answered in time, with no
+	// answer since.
+	silentSince map[cluster.NodeID]time.Time
 	// pending holds the unanswered turn requests by number.
 	pending    map[int64]*pendingRequest
 	lastNumber int64
@@ -51,7 +55,8 @@
 func New(self Peer) *Core {
 	return &Core{
 		self: self, pacersByMachine: map[cluster.MachineID][]Peer{}, unresponsiveUntil: map[cluster.NodeID]time.Time{},
-		pending: map[int64]*pendingRequest{}, schedules: map[cluster.MachineID]*turnSchedule{}, evenShares: map[cluster.MachineID]*turnSchedule{},
+		silentSince: map[cluster.NodeID]time.Time{},
+		pending:     map[int64]*pendingRequest{}, schedules: map[cluster.MachineID]*turnSchedule{}, evenShares: map[cluster.MachineID]*turnSchedule{},
 		slotSchedules: map[cluster.MachineID]*slotSchedule{}, expiredSlots: map[int64]cluster.MachineID{},
 	}
 }
@@ -105,6 +110,9 @@
 			delete(c.unresponsiveUntil, id)
 		}
 	}
+	maps.DeleteFunc(c.silentSince, func(id cluster.NodeID, _ time.Time) bool {
+		return !slices.ContainsFunc(c.peers, func(p Peer) bool { return p.ID == id })
+	})
 }
 
 // rankedPeer is a node with its rendezvous hash for one machine.
@@ -141,12 +149,11 @@
 		c.emit(TurnDecided{Machine: request.Machine, Wait: noPeersRetryDelay, By: c.self.ID})
 		return
 	}
+	if request.Slots > 0 && c.requestSlotTurn(request) {
+		return
+	}
 	interval := turnInterval(request.PerSecond)
 	for _, p := range c.pacers(request.Machine) {
-		if p.ID == c.self.ID && request.Slots > 0 {
-			c.requestSlot(request.Machine, request.Slots, slotKey{c.self.ID, c.nextNumber()}, "")
-			return
-		}
 		if p.ID == c.self.ID {
 			c.decideLocally(request, c.scheduleFor(request.Machine, interval), interval)
 			return
@@ -227,7 +234,8 @@
 		request := c.pending[number]
 		delete(c.pending, number)
 		if request.request.Slots > 0 {
-			c.expiredSlots[number] = request.request.Machine
+			c.slotRequestExpired(number, request)
+			continue
 		}
 		c.unresponsiveUntil[request.to] = c.now.Add(unresponsiveBackoff)
 		c.requestTurn(request.request)
@@ -250,6 +258,7 @@
 	case wire.TurnAnswer:
 		// A late answer grants no turn, but shows that its sender is reachable.
 		c.lastAnswerAt = c.now
+		delete(c.silentSince, m.From)
 		request := c.pending[m.Number]
 		if request == nil || request.to != m.From {
 			c.returnLate(&m)
--- a/fleet/pacing/slots.go
+++ b/fleet/pacing/slots.go
@@ -22,6 +22,13 @@
 	// firstTurnsTime is the time over which a pacer that begins gives out the first turns: requests
 	// that a predecessor granted, or that nobody paced, are still running.
 	firstTurnsTime = time.Second
+	// slotPacerLoss is how long a pacer must be silent until the next one is asked for turns at brittle
+	// machines. Both would grant all turns otherwise whenever an answer is late, so that it is longer than
+	// a busy node stalls and than most requests run.
+	slotPacerLoss = time.Second
+	// lateRetryDelay is the retry delay of a request to a pacer that did not answer in time. It is long
+	// enough that a busy pacer is not asked more often for it.
+	lateRetryDelay = 50 * time.Millisecond
 )
 
 // slotKey identifies a turn by the node that asked for it and its number.
@@ -70,10 +77,49 @@
 		schedule = &slotSchedule{expiries: map[slotKey]time.Time{}, beganAt: c.now}
 		c.slotSchedules[machine] = schedule
 	}
+	first := c.pacers(machine)[0].ID == c.self.ID
+	if !first && c.now.Sub(schedule.lastRequestAt) >= firstTurnsTime {
+		// The pacer in whose place this node was asked has granted turns meanwhile.
+		schedule.beganAt = c.now
+	}
 	schedule.slots, schedule.lastRequestAt = slots, c.now
 	return schedule
 }
 
+// requestSlotTurn requests a turn at a brittle machine from the first pacer that has not been silent for
+// slotPacerLoss. It returns false if there is none.
+func (c *Core) requestSlotTurn(request TurnRequested) bool {
+	for _, p := range c.pacers(request.Machine) {
+		since, silent := c.silentSince[p.ID]
+		switch {
+		case p.ID == c.self.ID:
+			c.requestSlot(request.Machine, request.Slots, slotKey{c.self.ID, c.nextNumber()}, "")
+			return true
+		case !silent || c.now.Sub(since) < slotPacerLoss || !c.now.Before(c.unresponsiveUntil[p.ID]):
+			c.sendRequest(p, request)
+			return true
+		}
+	}
+	return false
+}
+
+// slotRequestExpired handles a request for a turn at a brittle machine that was not answered in time. While
+// its pacer may only be late, the request is denied.
+func (c *Core) slotRequestExpired(number int64, request *pendingRequest) {
+	c.expiredSlots[number] = request.request.Machine
+	since, silent := c.silentSince[request.to]
+	if !silent {
+		since = c.now
+		c.silentSince[request.to] = since
+	}
+	if c.now.Sub(since) < slotPacerLoss {
+		c.emit(TurnDecided{Machine: request.request.Machine, Wait: lateRetryDelay, By: request.to})
+		return
+	}
+	c.unresponsiveUntil[request.to] = c.now.Add(unresponsiveBackoff)
+	c.requestTurn(request.request)
+}
+
 // requestSlot grants a turn at a brittle machine, or keeps the request until one is returned.
 func (c *Core) requestSlot(machine cluster.MachineID, slots int, key slotKey, address string) {
 	schedule := c.slotScheduleFor(machine, slots)
--- a/fleet/pacing/slots_test.go
+++ b/fleet/pacing/slots_test.go
@@ -1,6 +1,8 @@
 package pacing
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -123,3 +125,41 @@
 	}
 	return numbers
 }
+
+// TestBusyPacerIsNotJoinedByAnother guards against two nodes that each grant all turns at a brittle machine
+// because one of them answers late: the machine gets twice as many requests as it has slots.
+func TestBusyPacerIsNotJoinedByAnother(t *testing.T) {
+	core := New(Peer{ID: "asker", Address: "asker:1", Machine: "host"})
+	now := time.Unix(1000, 0)
+	core.Step(now, PeersChanged{Peers: []Peer{{ID: "a", Address: "a:1", Machine: "ha"}, {ID: "b", Address: "b:1", Machine: "hb"}, {ID: "c", Address: "c:1", Machine: "hc"}}})
+	machine := machinePacedByOthers(t, core)
+	pacers := core.pacers(machine)
+	asked := map[string]time.Time{}
+	began := now
+	for ; now.Sub(began) < 3*slotPacerLoss; now = now.Add(lateRetryDelay + answerTimeout) {
+		for _, effect := range append(append([]Effect{}, core.Step(now, Tick{})...), core.Step(now, TurnRequested{Machine: machine, Slots: 2, PerSecond: 10})...) {
+			if send, ok := effect.(Send); ok && asked[send.Address].IsZero() {
+				asked[send.Address] = now
+			}
+		}
+	}
+	if at := asked[pacers[0].Address]; !at.Equal(began) {
+		t.Errorf("the first pacer was asked %s after the first request", at.Sub(began))
+	}
+	if at := asked[pacers[1].Address]; at.IsZero() || at.Sub(began) < slotPacerLoss {
+		t.Errorf("the second pacer was asked %s after the first request to the silent one", at.Sub(began))
+	}
+}
+
+// machinePacedByOthers returns a machine for which the node of the core is no pacer.
+func machinePacedByOthers(t *testing.T, core *Core) cluster.MachineID {
+	t.Helper()
+	for n := range 100 {
+		machine := cluster.MachineID("m" + strconv.Itoa(n))
+		if !slices.ContainsFunc(core.pacers(machine), func(p Peer) bool { return p.ID == core.self.ID }) {
+			return machine
+		}
+	}
+	t.Fatal("the node is a pacer of all machines")
+	return ""
+}
