Spread the requests of a node without a path over eight others

What callers saw: nothing yet. A node without a path picked two of all others for each attempt, so that it would hold connections to each of hundreds, a few descriptors and a handshake each.

Change: each node prefers eight others by a hash of both and passes over those that refuse. TestPeersInUseAreFew: 340 nodes, at most 8 in use by each, none in use by more than 32; TestNodesWithoutPathAreReplaced: the one node of 40 with a path is found within ten requests.

--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -1,11 +1,14 @@
 package shell
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/passthrough"
@@ -21,13 +24,18 @@
 	absentPause = 2 * time.Second
 )
 
+// maxPeersInUse bounds the nodes among which requests are spread, so that connections to them are reused and
+// a node doesn't hold one to each of hundreds. Each node has others, so that their load is spread.
+const maxPeersInUse = 8
+
 // peerSet chooses the nodes through which requests are sent to machines. Requests are spread by the
 // number that is open at each, so that no node gets all of them.
 type peerSet struct {
 	now func() time.Time
 
 	mutex sync.Mutex
-	list  []passthrough.Peer
+	// list holds the nodes in the order in which this one prefers them.
+	list []passthrough.Peer
 	// open counts the requests at each node that have not ended.
 	open map[cluster.NodeID]int
 	// pausedUntil is the time until which a node is not asked.
@@ -55,6 +63,14 @@
 		}
 	}
 	s.pausedUntil = pausedUntil
+	slices.SortFunc(s.list, func(a, b passthrough.Peer) int {
+		return cmp.Or(cmp.Compare(peerWeight(self.ID, a.ID), peerWeight(self.ID, b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// peerWeight orders the nodes for one node, differently for each.
+func peerWeight(self, peer cluster.NodeID) uint64 {
+	return xxhash.Sum64String(string(self) + "/" + string(peer))
 }
 
 // empty reports whether no other node is known.
@@ -64,14 +80,17 @@
 	return len(s.list) == 0
 }
 
-// pick returns the one of two random nodes that has fewer open requests of this one, without the
-// excluded and the paused ones. It returns false if there is none.
+// pick returns the one of two random nodes that has fewer open requests of this one. They are among the first
+// maxPeersInUse that are neither excluded nor paused. It returns false if there is none.
 func (s *peerSet) pick(excluded []cluster.NodeID) (passthrough.Peer, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
-	var eligible []passthrough.Peer
+	eligible := make([]passthrough.Peer, 0, maxPeersInUse)
 	for _, peer := range s.list {
+		if len(eligible) == maxPeersInUse {
+			break
+		}
 		if !slices.Contains(excluded, peer.ID) && !now.Before(s.pausedUntil[peer.ID]) {
 			eligible = append(eligible, peer)
 		}
--- /dev/null
+++ b/fleet/shell/peers_test.go
@@ -0,0 +1,79 @@
+package shell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/passthrough"
+)
+
+// testNodes returns entries of count nodes.
+func testNodes(count int) []fleet.NodeEntry {
+	nodes := make([]fleet.NodeEntry, count)
+	for i := range nodes {
+		name := fmt.Sprintf("n%03d", i)
+		nodes[i] = fleet.NodeEntry{ID: cluster.NodeID(name), Machine: "host-" + name, Address: name + ":1"}
+	}
+	return nodes
+}
+
+// TestPeersInUseAreFew guards against a node that holds connections to hundreds of others while it has no path,
+// and against all such nodes sending their requests to the same few.
+func TestPeersInUseAreFew(t *testing.T) {
+	nodes := testNodes(340)
+	now := time.Unix(1000, 0)
+	usedBy := map[cluster.NodeID]int{}
+	for i := range nodes {
+		set := newPeerSet(func() time.Time { return now })
+		set.set(nodes, &nodes[i])
+		used := map[cluster.NodeID]bool{}
+		for range 300 {
+			peer, found := set.pick(nil)
+			if !found || peer.ID == nodes[i].ID {
+				t.Fatalf("picked %q, found %t", peer.ID, found)
+			}
+			used[peer.ID] = true
+			set.ended(peer.ID, passthrough.OutcomeComplete)
+		}
+		if len(used) > maxPeersInUse {
+			t.Fatalf("%d nodes in use", len(used))
+		}
+		for id := range used {
+			usedBy[id]++
+		}
+	}
+	for id, count := range usedBy {
+		if count > 4*maxPeersInUse {
+			t.Errorf("%s is in use by %d nodes", id, count)
+		}
+	}
+}
+
+// TestNodesWithoutPathAreReplaced guards against a node that finds none of the few others that have a path.
+func TestNodesWithoutPathAreReplaced(t *testing.T) {
+	nodes := testNodes(40)
+	now := time.Unix(1000, 0)
+	set := newPeerSet(func() time.Time { return now })
+	set.set(nodes, &nodes[0])
+	const sound = cluster.NodeID("n025")
+	for request := 1; ; request++ {
+		if request > 2*len(nodes)/maxPeersInUse {
+			t.Fatal("the only node with a path was not found")
+		}
+		var tried []cluster.NodeID
+		for range maxPeersInUse {
+			peer, found := set.pick(tried)
+			if !found {
+				break
+			}
+			if peer.ID == sound {
+				return
+			}
+			tried = append(tried, peer.ID)
+			set.ended(peer.ID, passthrough.OutcomeNoPath)
+		}
+	}
+}
