Use turns at brittle machines that come late

Cause: an answer that came after 60 ms was given back to its pacer, even if requests waited for it, and the next request for a turn was as late.

Change: a late turn is handed on to the router, which uses it if requests wait and the machine has none, and returns it otherwise. TestLateTurnIsUsedOrReturned fails without it (nothing is dispatched). TestLateSlotTurnIsReturned becomes TestLateSlotTurnIsHandedOn: the core of turns must tell of the turn once, with the number by which it is returned, and the test of the router holds the return itself.

--- a/fleet/pacing/core.go
+++ b/fleet/pacing/core.go
@@ -256,12 +256,13 @@
 	case wire.TurnReturned:
 		c.slotReturned(m.Machine, slotKey{m.From, m.Number})
 	case wire.TurnAnswer:
-		// A late answer grants no turn, but shows that its sender is reachable.
+		// A late answer grants no turn at a machine that is limited by rate, but shows that its sender is
+		// reachable.
 		c.lastAnswerAt = c.now
 		delete(c.silentSince, m.From)
 		request := c.pending[m.Number]
 		if request == nil || request.to != m.From {
-			c.returnLate(&m)
+			c.grantedLate(&m)
 			return
 		}
 		delete(c.pending, m.Number)
--- a/fleet/pacing/slots.go
+++ b/fleet/pacing/slots.go
@@ -156,14 +156,15 @@
 	c.emit(Send{Address: waiting.address, Message: wire.TurnAnswer{From: c.self.ID, Number: waiting.key.number, Granted: granted, Wait: wait}})
 }
 
-// returnLate returns a turn that was granted after its request had timed out.
-func (c *Core) returnLate(m *wire.TurnAnswer) {
-	late := c.expiredSlots[m.Number]
-	if !m.Granted || late == "" {
+// grantedLate hands on a turn that was granted after its request had timed out. Whoever asked for it uses it
+// or returns it.
+func (c *Core) grantedLate(m *wire.TurnAnswer) {
+	machine := c.expiredSlots[m.Number]
+	if !m.Granted || machine == "" {
 		return
 	}
 	delete(c.expiredSlots, m.Number)
-	c.returnTurn(&TurnReturned{Machine: late, Number: m.Number, By: m.From})
+	c.emit(TurnDecided{Machine: machine, Granted: true, By: m.From, Number: m.Number})
 }
 
 // returnTurn returns a turn to the node that granted it.
--- a/fleet/pacing/slots_test.go
+++ b/fleet/pacing/slots_test.go
@@ -81,36 +81,35 @@
 	}
 }
 
-// TestLateSlotTurnIsReturned guards against a slot that stays empty for seconds because its turn was granted
-// to a request that had timed out.
-func TestLateSlotTurnIsReturned(t *testing.T) {
+// TestLateSlotTurnIsHandedOn guards against a slot that stays empty for seconds because its turn was granted
+// to a request that had timed out: whoever asked must hear of the turn, once, to use or return it.
+func TestLateSlotTurnIsHandedOn(t *testing.T) {
 	core := New(Peer{ID: "asker", Address: "asker:1", Machine: "host"})
 	now := time.Unix(1000, 0)
 	core.Step(now, PeersChanged{Peers: []Peer{{ID: "a", Address: "a:1", Machine: "ha"}, {ID: "b", Address: "b:1", Machine: "hb"}, {ID: "c", Address: "c:1", Machine: "hc"}}})
-	var machine cluster.MachineID
-	var first wire.TurnRequest
-	var asked Send
-	for _, machine = range []cluster.MachineID{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"} {
-		for _, effect := range core.Step(now, TurnRequested{Machine: machine, Slots: 2, PerSecond: 10}) {
-			if send, ok := effect.(Send); ok && first.Number == 0 {
-				first, asked = send.Message.(wire.TurnRequest), send
-			}
-		}
-	}
-	if first.Number == 0 {
-		t.Fatal("no other node was asked")
+	machine := machinePacedByOthers(t, core)
+	pacer := core.pacers(machine)[0]
+	var asked wire.TurnRequest
+	for _, effect := range core.Step(now, TurnRequested{Machine: machine, Slots: 2, PerSecond: 10}) {
+		asked = effect.(Send).Message.(wire.TurnRequest)
 	}
 	now = now.Add(answerTimeout)
-	core.Step(now, Tick{})
-	from := cluster.NodeID(asked.Address[:1])
-	for _, effect := range core.Step(now, MessageReceived{Message: wire.TurnAnswer{From: from, Number: first.Number, Granted: true}}) {
-		if send, ok := effect.(Send); ok {
-			if back, ok := send.Message.(wire.TurnReturned); ok && back.Number == first.Number && back.Machine == first.Machine {
-				return
-			}
-		}
+	if got := core.Step(now, Tick{}); len(got) != 1 || got[0].(TurnDecided).Granted {
+		t.Fatalf("effects %v of a request that was not answered in time, want a denial", got)
+	}
+	late := MessageReceived{Message: wire.TurnAnswer{From: pacer.ID, Number: asked.Number, Granted: true}}
+	want := TurnDecided{Machine: machine, Granted: true, By: pacer.ID, Number: asked.Number}
+	if got := core.Step(now, late); len(got) != 1 || got[0] != want {
+		t.Fatalf("effects %v of the late turn, want %v", got, want)
+	}
+	if got := core.Step(now, late); len(got) != 0 {
+		t.Fatalf("effects %v of the same answer once more, want none", got)
+	}
+	returned := wire.TurnReturned{From: core.self.ID, Number: asked.Number, Machine: machine}
+	got := core.Step(now, TurnReturned{Machine: machine, Number: asked.Number, By: pacer.ID})
+	if len(got) != 1 || got[0] != (Send{Address: pacer.Address, Message: returned}) {
+		t.Fatalf("effects %v of the return, want %v sent to %s", got, returned, pacer.Address)
 	}
-	t.Fatal("the turn was not returned")
 }
 
 // granted returns the numbers of the requests that got a turn.
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -139,10 +139,16 @@
 	r.emit(TurnWanted{Machine: m.id, PerSecond: t.perSecond, Concurrency: t.concurrency})
 }
 
-// turnDecided applies the answer to a TurnWanted.
+// needsTurn reports whether a turn at a brittle machine that comes late would be used: requests wait for it
+// and the machine has none.
+func (r *Router) needsTurn(m *machine) bool {
+	return m.turns.concurrency > 0 && m.turns.slotTurn.Number == 0 && m.nextModel(nil) != nil
+}
+
+// turnDecided applies the answer to a TurnWanted, which may come after a denial for want of an answer.
 func (r *Router) turnDecided(event *TurnDecided) {
 	m := r.machines[event.Machine]
-	if m == nil || !m.turns.requested {
+	if m == nil || !m.turns.requested && !(event.Granted && r.needsTurn(m)) {
 		if event.Turn.Number != 0 && event.Granted {
 			r.emit(TurnReleased{Machine: event.Machine, Turn: event.Turn})
 		}
--- a/routing/turns_test.go
+++ b/routing/turns_test.go
@@ -216,3 +216,36 @@
 	f.step(MachineLeaving{Machine: cluster.MachineID("m2")})
 	f.expect(f.arrive("b", repeatable), "dispatch b/1 to m1; ")
 }
+
+// releasedTurns lists the turns that are returned among the effects.
+func releasedTurns(effects []Effect) []int64 {
+	var released []int64
+	for _, effect := range effects {
+		if release, ok := effect.(TurnReleased); ok {
+			released = append(released, release.Turn.Number)
+		}
+	}
+	return released
+}
+
+// TestLateTurnIsUsedOrReturned guards against a slot of a brittle machine that stays empty because the turn
+// came after its request had been given up: requests that wait use it, and nobody keeps it otherwise.
+func TestLateTurnIsUsedOrReturned(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.status(true, loaded("m1", 4))
+	f.step(MachineNoticeReceived{Machine: "m1", Notice: Notice{Brittle: 3}})
+	if countTurnRequests(f.arrive("a")) != 1 {
+		t.Fatal("no turn is requested for the first request")
+	}
+	f.expect(f.decideTurn(false, 100*time.Millisecond), "")
+	late := func(number int64) []Effect {
+		return f.step(TurnDecided{Machine: "m1", Granted: true, Turn: SlotTurn{Number: number, By: "pacer"}})
+	}
+	f.expect(late(1), "dispatch a/1 to m1; ")
+	if released := releasedTurns(late(2)); len(released) != 1 || released[0] != 2 {
+		t.Errorf("turns %v are returned though no request waits, want 2", released)
+	}
+	if released := releasedTurns(f.step(AttemptEnded{Request: "a", Attempt: 1})); len(released) != 1 || released[0] != 1 {
+		t.Errorf("turns %v are returned when their request has ended, want 1", released)
+	}
+}
