Compare nodes without a path with others by route and time in the soak

Change: both groups count over the same time, by when requests were sent; served is what ended before the period does; routes are compared each with itself. Bounds are as before.

--- a/soak/check/partitions.go
+++ b/soak/check/partitions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,8 +10,8 @@
 )
 
 // Tolerances for nodes that are cut off from all workers. From partitionGrace after the cut on, they must
-// serve at least partitionServedShare of the share that the other nodes serve, unless no more requests fail
-// there than partitionExtra and partitionFailedShare of all.
+// serve at least partitionServedShare of the share that the other nodes serve then, unless no more requests
+// fail there than partitionExtra and partitionFailedShare of all.
 const (
 	partitionGrace       = 3 * time.Second
 	partitionServedShare = 2.0 / 3
@@ -25,58 +26,95 @@
 	since map[int]time.Duration
 }
 
+// judgedFrom returns when requests at a node begin to count: those at nodes that are not cut off are compared
+// over the same time.
+func (p *partitionPeriod) judgedFrom(node int) time.Duration {
+	if since, isCut := p.since[node]; isCut {
+		return since + partitionGrace
+	}
+	return slices.Min(slices.Collect(maps.Values(p.since))) + partitionGrace
+}
+
 // tally counts the first tries at a group of nodes.
 type tally struct{ served, sent int }
 
 func (t tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
 
+// partitionTally counts the first tries by route: workers of one service may be at fault for all nodes, and the
+// routes that callers of a few nodes ask for differ by chance.
+type partitionTally struct{ cut, others map[Route]tally }
+
+// count counts a first try.
+func (p *partitionTally) count(request *Request, isCut, served bool) {
+	group := p.others
+	if isCut {
+		group = p.cut
+	}
+	t := group[request.Route]
+	t.sent++
+	if served {
+		t.served++
+	}
+	group[request.Route] = t
+}
+
+// totals returns the first tries at nodes that are cut off on routes that were asked for at others too, and how
+// many would be served if they were served as often as there.
+func (p *partitionTally) totals() (cut tally, expected float64) {
+	for _, route := range slices.Sorted(maps.Keys(p.others)) {
+		atCut := p.cut[route]
+		cut.sent += atCut.sent
+		cut.served += atCut.served
+		expected += float64(atCut.sent) * p.others[route].share()
+	}
+	return cut, expected
+}
+
+// describe describes how much worse the nodes that are cut off were served; empty if the promise holds.
+func (p *partitionTally) describe() string {
+	cut, expected := p.totals()
+	sent := cut.sent
+	for _, others := range p.others {
+		sent += others.sent
+	}
+	failed := float64(cut.sent - cut.served)
+	if float64(cut.served) >= partitionServedShare*expected || failed <= partitionExtra+partitionFailedShare*float64(sent) {
+		return ""
+	}
+	return fmt.Sprintf("served %d of %d requests, %.1f by what the other nodes served", cut.served, cut.sent, expected)
+}
+
 // checkPartitions checks that nodes which are cut off from all workers serve their callers through the
-// others. Only requests at nodes whose process, links and store are undisturbed are counted, if other nodes
-// that are not cut off are too at the same time. Every such request at a node that is cut off is one observation.
+// others, before the period ends. Only requests at nodes whose process, links and store are undisturbed are
+// counted, if other nodes that are not cut off are too at the same time. Every such request at a node that is
+// cut off is one observation.
 func checkPartitions(h *History, f *Finding) {
 	for _, period := range h.partitionPeriods() {
-		var cut, others tally
+		counts := partitionTally{cut: map[Route]tally{}, others: map[Route]tally{}}
 		for i := range h.Requests {
 			request := &h.Requests[i]
-			since, isCut := period.since[request.Node]
-			if !h.countsInPartition(request, &period) || isCut && request.Sent < since+partitionGrace {
+			_, isCut := period.since[request.Node]
+			if !h.countsInPartition(request, &period) || request.Sent < period.judgedFrom(request.Node) {
 				continue
 			}
 			if isCut && !h.othersWork(request, &period) {
 				continue
 			}
-			group := &others
-			if isCut {
-				group = &cut
-			}
-			group.sent++
-			if request.Status == http.StatusOK && request.Failure == "" {
-				group.served++
-			}
+			counts.count(request, isCut, request.Status == http.StatusOK && request.Failure == "" && request.Ended <= period.to)
 		}
-		if cut.sent == 0 || others.sent == 0 {
-			continue
+		if cut, _ := counts.totals(); cut.sent > 0 {
+			f.Judged += cut.sent - 1
+			f.record("nodes without a path to workers", period.from, counts.describe())
 		}
-		f.Judged += cut.sent - 1
-		f.record("nodes without a path to workers", period.from, describePartition(cut, others))
-	}
-}
-
-// describePartition describes how much worse the nodes that are cut off were served; empty if the promise
-// holds.
-func describePartition(cut, others tally) string {
-	failed := float64(cut.sent - cut.served)
-	if cut.share() >= partitionServedShare*others.share() || failed <= partitionExtra+partitionFailedShare*float64(cut.sent+others.sent) {
-		return ""
 	}
-	return fmt.Sprintf("served %d of %d requests, the other nodes %d of %d", cut.served, cut.sent, others.served, others.sent)
 }
 
-// countsInPartition reports whether a request is a first try of the usual load, open only during the
-// period, at a node whose other links work.
+// countsInPartition reports whether a request is a first try of the usual load, sent in the period, at a node
+// whose other links work. When it ended does not matter: of two nodes that serve nobody, the one that refuses at
+// once would otherwise count as worse than the one that lets callers wait beyond the period.
 func (h *History) countsInPartition(request *Request, period *partitionPeriod) bool {
 	usual := strings.HasPrefix(request.ID, "n") && !strings.HasSuffix(request.ID, "+")
-	within := request.Sent >= period.from && request.Ended <= period.to
+	within := request.Sent >= period.from && request.Sent <= period.to
 	return usual && within && !h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePeer)
 }
 
