Leave nodes that have ended alone when sending through others

Cause: a node that ends stays listed until its record lapses, up to 30 s. The cut off nodes went on sending requests through nodes 3, 6 and 9, which had stopped up to 4.5 s before; the connection ended before an answer, the request counted as possibly sent, and that peer was asked again at once: only a peer that could not be dialled was left alone, for 2 s each time.

Change: an ended connection is an outcome of its own, disconnected, after which the peer is left alone; a peer that is absent time after time is asked after 2, 4, 8 and 16 s. A request that may have been sent still counts so. Failures that come of the request's own time are no evidence against the peer.

--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -20,8 +20,11 @@
 	noPathPause = time.Second
 	// overloadPause lets what it runs end. It is short because others may have to be asked meanwhile.
 	overloadPause = 250 * time.Millisecond
-	// absentPause: it is stopping, does not answer or does not know PeerPath.
-	absentPause = 2 * time.Second
+	// absentPause: it is stopping, does not answer or does not know PeerPath. It doubles with each time in a
+	// row up to maxAbsentPause, since the record of a node that ended lasts for half a minute and each try may
+	// cost a request that can't be repeated.
+	absentPause    = 2 * time.Second
+	maxAbsentPause = 16 * time.Second
 )
 
 // maxPeersInUse bounds the nodes among which requests are spread, so that connections to them are reused and
@@ -40,10 +43,12 @@
 	open map[cluster.NodeID]int
 	// pausedUntil is the time until which a node is not asked.
 	pausedUntil map[cluster.NodeID]time.Time
+	// absences is the last pause of each node that was absent and has not answered since.
+	absences map[cluster.NodeID]time.Duration
 }
 
 func newPeerSet(now func() time.Time) *peerSet {
-	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}}
+	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absences: map[cluster.NodeID]time.Duration{}}
 }
 
 // set replaces the nodes.
@@ -51,7 +56,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.list = s.list[:0]
-	pausedUntil := make(map[cluster.NodeID]time.Time)
+	pausedUntil, absences := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]time.Duration)
 	for i := range nodes {
 		entry := &nodes[i]
 		if entry.ID == self.ID || entry.Machine == self.Machine && self.Machine != "" || entry.Address == "" {
@@ -61,8 +66,11 @@
 		if until, paused := s.pausedUntil[entry.ID]; paused {
 			pausedUntil[entry.ID] = until
 		}
+		if last, absent := s.absences[entry.ID]; absent {
+			absences[entry.ID] = last
+		}
 	}
-	s.pausedUntil = pausedUntil
+	s.pausedUntil, s.absences = pausedUntil, absences
 	slices.SortFunc(s.list, func(a, b passthrough.Peer) int {
 		return cmp.Or(cmp.Compare(peerWeight(self.ID, a.ID), peerWeight(self.ID, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -113,16 +121,27 @@
 	if s.open[id]--; s.open[id] <= 0 {
 		delete(s.open, id)
 	}
-	pause := time.Duration(0)
+	pause, absent := pauseAfter(outcome)
+	if absent {
+		pause = min(max(pause, 2*s.absences[id]), maxAbsentPause)
+		s.absences[id] = pause
+	} else {
+		delete(s.absences, id)
+	}
+	if pause > 0 {
+		s.pausedUntil[id] = s.now().Add(pause)
+	}
+}
+
+// pauseAfter returns for how long a node is not asked after an outcome, and whether it may be gone.
+func pauseAfter(outcome passthrough.PeerOutcome) (pause time.Duration, absent bool) {
 	switch outcome {
 	case passthrough.OutcomeNoPath:
-		pause = noPathPause
+		return noPathPause, false
 	case passthrough.OutcomeOverloaded:
-		pause = overloadPause
-	case passthrough.OutcomeDraining, passthrough.OutcomeNoAnswer, passthrough.OutcomeUnsupported:
-		pause = absentPause
-	default:
-		return
+		return overloadPause, false
+	case passthrough.OutcomeDraining, passthrough.OutcomeNoAnswer, passthrough.OutcomeUnsupported, passthrough.OutcomeDisconnected:
+		return absentPause, true
 	}
-	s.pausedUntil[id] = s.now().Add(pause)
+	return 0, false
 }
--- a/fleet/shell/peers_test.go
+++ b/fleet/shell/peers_test.go
@@ -77,3 +77,35 @@
 		}
 	}
 }
+
+// TestAbsentPeerIsAskedLessOften guards against requests that fail one after the other at a node that has ended
+// and is still listed.
+func TestAbsentPeerIsAskedLessOften(t *testing.T) {
+	for _, outcome := range []passthrough.PeerOutcome{passthrough.OutcomeDisconnected, passthrough.OutcomeNoAnswer, passthrough.OutcomeDraining} {
+		now := time.Unix(1000, 0)
+		nodes := testNodes(2)
+		set := newPeerSet(func() time.Time { return now })
+		set.set(nodes, &nodes[0])
+		asked := 0
+		for range 300 {
+			if peer, found := set.pick(nil); found {
+				asked++
+				set.ended(peer.ID, outcome)
+			}
+			now = now.Add(100 * time.Millisecond)
+			set.set(nodes, &nodes[0])
+		}
+		if asked > 5 {
+			t.Errorf("asked %d times within 30 s after outcome %s, want 5 at most", asked, outcome)
+		}
+		now = now.Add(maxAbsentPause)
+		peer, found := set.pick(nil)
+		if !found {
+			t.Fatalf("not asked again after outcome %s", outcome)
+		}
+		set.ended(peer.ID, passthrough.OutcomeComplete)
+		if _, found := set.pick(nil); !found {
+			t.Errorf("not asked although it has answered since outcome %s", outcome)
+		}
+	}
+}
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -123,6 +124,9 @@
 	outer, err := a.conn.Head(a.peerRequest)
 	if err != nil {
 		a.peerOutcome = OutcomeFailed
+		if endedByPeer(err) {
+			a.peerOutcome = OutcomeDisconnected
+		}
 		return nil, err
 	}
 	if outer.StatusCode == http.StatusOK && outer.Header.Get("Content-Type") == messageMediaType {
@@ -136,6 +140,10 @@
 	return nil, eris.Wrapf(errPeerRefused, "outcome %s at peer %s", a.peerOutcome, a.peer.ID)
 }
 
+// endedByPeer reports whether an error shows that the peer's side has ended the connection or is gone, and not
+// that the time of the request is over.
+func endedByPeer(err error) bool { return endedByMachine(err) || errors.Is(err, syscall.ETIMEDOUT) }
+
 // peerFailure returns the failure of an attempt that the peer ended with an outcome of its own.
 func (a *attempt) peerFailure(err error) *verdict.Error {
 	a.connectionBroken = a.peerOutcome == OutcomeBroken || a.peerOutcome == OutcomeEnded
--- /dev/null
+++ b/passthrough/peer_attempt_test.go
@@ -0,0 +1,67 @@
+package passthrough
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/upstream"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// TestPeerThatEndsConnectionIsToldFromOneThatIsSlow guards against requests that are sent, one after the other,
+// through a node that has ended: only one that ended the connection may be gone.
+func TestPeerThatEndsConnectionIsToldFromOneThatIsSlow(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		serve func(*net.TCPConn)
+		want  PeerOutcome
+	}{
+		{"reset", func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() }, OutcomeDisconnected},
+		{"closed", func(conn *net.TCPConn) { _ = conn.CloseWrite(); _, _ = io.Copy(io.Discard, conn) }, OutcomeDisconnected},
+		{"no answer in time", func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) }, OutcomeFailed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				if conn, err := listener.Accept(); err == nil {
+					_, _ = conn.Read(make([]byte, 1))
+					c.serve(conn.(*net.TCPConn))
+				}
+			}()
+			peer := Peer{ID: "n2", Address: listener.Addr().String()}
+			conn, err := upstream.NewPool(upstream.Options{}).Get(t.Context(), peer.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(conn.Close)
+			inner, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://machine/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			outer, message, err := newPeerRequest(peer, "n1", "m", time.Second, inner)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := conn.Send(outer, message); err != nil {
+				t.Fatal(err)
+			}
+			if c.want == OutcomeFailed {
+				conn.Interrupt()
+			}
+			a := &attempt{conn: conn, peer: &peer, peerRequest: outer, peerOutcome: OutcomeComplete}
+			if _, err := a.nextHead(inner); err == nil || a.peerOutcome != c.want {
+				t.Errorf("outcome %s with error %v, want %s", a.peerOutcome, err, c.want)
+			}
+			if failure := a.peerFailure(io.ErrUnexpectedEOF); failure.Verdict != verdict.MayHaveRun {
+				t.Error("the request counts as not run although the peer may have sent it")
+			}
+		})
+	}
+}
--- a/passthrough/peer_message.go
+++ b/passthrough/peer_message.go
@@ -47,6 +47,9 @@
 	OutcomeEnded  PeerOutcome = "ended"
 	// OutcomeFailed: no complete answer for another reason.
 	OutcomeFailed PeerOutcome = "failed"
+	// OutcomeDisconnected: the connection to that node ended before an answer came. The request may have
+	// been sent.
+	OutcomeDisconnected PeerOutcome = "disconnected"
 
 	// The request was not sent with the outcomes below.
 
