Don't suspect the path again by machines that a probe has shown at fault

What callers saw: nothing by itself.

Cause: an answered probe cleared the failures and held suspicions off for 250 ms; then the same two workers were enough again. Class: evidence that a measurement had explained was counted as new.

Change: for a second after an answered probe the machines that had failed are no evidence by themselves. Together with one more machine they count at once, so that a path lost meanwhile is found as soon as before (TestPathIsSuspectedBesideMachinesFoundAtFault).

--- a/reachability/monitor.go
+++ b/reachability/monitor.go
@@ -47,6 +47,9 @@
 	// refutationHold is how long after an answered probe no suspicion arises: the machines that fail
 	// are then at fault, and more of them may fail in a row.
 	refutationHold = 250 * time.Millisecond
+	// blameTime is how long after an answered probe further failures of the machines that had failed then say
+	// nothing of the path. It is shorter than a node may take to find a lost path.
+	blameTime = time.Second
 )
 
 // Failure is the latest failure at one machine.
@@ -65,12 +68,13 @@
 	// machine since, the last at heardAt.
 	firstAt, heardAt time.Time
 	heard            bool
-	// refutedAt is when a probe last refuted a suspicion.
+	// refutedAt is when a probe last refuted a suspicion, blamed the machines that had failed then.
 	refutedAt time.Time
+	blamed    map[string]bool
 }
 
 // New returns a Monitor in the state Connected.
-func New() *Monitor { return &Monitor{failures: map[string]Failure{}} }
+func New() *Monitor { return &Monitor{failures: map[string]Failure{}, blamed: map[string]bool{}} }
 
 // State returns the current state.
 func (m *Monitor) State() State { return m.state }
@@ -104,13 +108,30 @@
 		kind = NoConnection
 	}
 	m.failures[machine] = Failure{Kind: kind, At: now, Cause: cause}
-	if m.state != Connected || len(m.failures) < min(suspicionThreshold, max(known, 1)) || now.Sub(m.refutedAt) < refutationHold {
+	if m.state != Connected || !m.enoughFailures(now, known) || now.Sub(m.refutedAt) < refutationHold {
 		return false
 	}
 	m.state = Suspected
 	return true
 }
 
+// enoughFailures reports whether as many of the known machines failed as a suspicion takes, and not only those
+// that are blamed.
+func (m *Monitor) enoughFailures(now time.Time, known int) bool {
+	if now.Sub(m.refutedAt) >= blameTime {
+		clear(m.blamed)
+	}
+	if len(m.failures) < min(suspicionThreshold, max(known, 1)) {
+		return false
+	}
+	for machine := range m.failures {
+		if !m.blamed[machine] {
+			return true
+		}
+	}
+	return false
+}
+
 // expire drops old failures unless the path is suspected: then only data disproves them.
 func (m *Monitor) expire(now time.Time) {
 	if m.state != Connected {
@@ -144,6 +165,7 @@
 		return false
 	case answered:
 		m.state, m.refutedAt = Connected, now
+		m.blameFailed()
 		clear(m.failures)
 		return true
 	case m.state == Suspected:
@@ -152,3 +174,11 @@
 	}
 	return false
 }
+
+// blameFailed makes the machines that failed the blamed ones.
+func (m *Monitor) blameFailed() {
+	clear(m.blamed)
+	for machine := range m.failures {
+		m.blamed[machine] = true
+	}
+}
--- a/reachability/monitor_test.go
+++ b/reachability/monitor_test.go
@@ -122,3 +122,49 @@
 		}
 	})
 }
+
+// TestMachinesFoundAtFaultAreNotSuspectedAgain guards against probes and detours four times a second for as long
+// as two machines are down: a probe that others answered has shown whose fault it is.
+func TestMachinesFoundAtFaultAreNotSuspectedAgain(t *testing.T) {
+	m := New()
+	suspicions := 0
+	for millis := 0; millis < 3000; millis += 10 {
+		for _, machine := range []string{"a", "b"} {
+			if m.RecordFailure(at(millis), machine, NoConnection, "refused", 6) {
+				suspicions++
+				m.RecordProbe(at(millis), true)
+			}
+		}
+	}
+	if suspicions > 3 {
+		t.Errorf("suspected %d times within 3 s, want 3 at most", suspicions)
+	}
+}
+
+// TestPathIsSuspectedBesideMachinesFoundAtFault guards against a lost path that is found late because some
+// machines had failed before: together with another one they count at once.
+func TestPathIsSuspectedBesideMachinesFoundAtFault(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known int
+		other []string
+	}{
+		{"two of many others fail", 6, []string{"c", "d"}},
+		{"one of many others fails", 6, []string{"c"}},
+		{"the only other one fails", 3, []string{"c"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := New()
+			for _, machine := range []string{"a", "b"} {
+				m.RecordFailure(at(0), machine, NoConnection, "refused", c.known)
+			}
+			m.RecordProbe(at(1), true)
+			for _, machine := range append([]string{"a", "b"}, c.other...) {
+				m.RecordFailure(at(300), machine, NoConnection, "reset", c.known)
+			}
+			if m.State() != Suspected {
+				t.Errorf("state %s", m.State())
+			}
+		})
+	}
+}
