Keep a brittle worker's own rate limit

What callers saw: nothing at once; the worker got far more than it said it takes.

Cause: a brittle worker gets turns by slots, and those took the place of the turns by rate: the limit that it named was only used to lower the rate that older builds are told.

Change: the rate that a brittle worker names itself goes with each request for a turn, and its pacer grants a turn only if both bounds allow it; the rate is kept by the same schedule as that of other limited workers.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -173,6 +173,7 @@
 	Machine cluster.MachineID `log:"machine" doc:"worker"`
 	Limited bool              `log:"limited" doc:"whether it names a limit"`
 	Limit   float64           `log:"limit" doc:"requests a second"`
+	Stated  float64           `log:"stated,omitempty" doc:"requests a second that a brittle worker names itself"`
 	Brittle int               `log:"brittle,omitempty" doc:"requests that it can turn away in a second before it ends"`
 	Turns   int               `log:"turns,omitempty" doc:"requests that a brittle worker gets at a time from all nodes together; the limit follows from it"`
 	By      cluster.NodeID    `log:"by" doc:"node to which the worker said so"`
--- a/fleet/brittle_machines_test.go
+++ b/fleet/brittle_machines_test.go
@@ -41,11 +41,22 @@
 type brittleService struct {
 	*simulation
 	bearable int
+	// limit is the rate that the machines state besides, in requests per second, zero for none. arrivals are
+	// the times of the requests that reached each machine.
+	limit    float64
+	arrivals map[cluster.MachineID][]time.Time
 	began    time.Time
 	machines map[cluster.MachineID]*brittleMachine
 	falls    int
 }
 
+// newBrittleService makes all engines of a simulation brittle.
+func newBrittleService(s *simulation, bearable int) *brittleService {
+	b := &brittleService{simulation: s, bearable: bearable, machines: map[cluster.MachineID]*brittleMachine{}, arrivals: map[cluster.MachineID][]time.Time{}}
+	s.handleEffect = b.answer
+	return b
+}
+
 // answer implements simulation.handleEffect.
 func (b *brittleService) answer(n *simulatedNode, effect routing.Effect) bool {
 	d, dispatched := effect.(routing.Dispatch)
@@ -57,6 +68,7 @@
 
 // arrive handles a request that reaches a machine.
 func (b *brittleService) arrive(n *simulatedNode, d *routing.Dispatch) {
+	b.arrivals[d.Machine] = append(b.arrivals[d.Machine], b.now)
 	m := b.machines[d.Machine]
 	if m == nil {
 		m = &brittleMachine{}
@@ -93,7 +105,7 @@
 			m.waiting = m.waiting[1:]
 			next()
 		}
-		b.end(n, d, routing.AttemptEnded{}, &routing.Notice{Brittle: b.bearable})
+		b.end(n, d, routing.AttemptEnded{}, b.notice(false))
 	})
 }
 
@@ -102,7 +114,7 @@
 	m.rejections = slices.DeleteFunc(m.rejections, func(at time.Time) bool { return b.now.Sub(at) >= time.Second })
 	m.rejections = append(m.rejections, b.now)
 	rejected := routing.AttemptEnded{Answered: true, EngineFull: true, Failure: verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "full")}
-	b.end(n, d, rejected, &routing.Notice{Brittle: b.bearable, Rejected: true})
+	b.end(n, d, rejected, b.notice(true))
 	if b.now.Sub(b.began) < brittleAfter || len(m.rejections) <= b.bearable {
 		return
 	}
@@ -111,6 +123,11 @@
 	b.after(fallenTime, func() { m.down = false })
 }
 
+// notice returns what a machine says of itself in an answer.
+func (b *brittleService) notice(rejected bool) *routing.Notice {
+	return &routing.Notice{Brittle: b.bearable, Rejected: rejected, Limited: b.limit > 0, PerSecond: b.limit}
+}
+
 // end tells the node how its attempt ended and what the machine said of itself, nil for nothing.
 func (b *brittleService) end(n *simulatedNode, d *routing.Dispatch, ended routing.AttemptEnded, said *routing.Notice) {
 	ended.Request, ended.Attempt = d.Request, d.Attempt
@@ -152,8 +169,7 @@
 			t.Run(fmt.Sprintf("%d nodes, demand %g, messages take %v, seed %d", c.nodes, c.demand, c.messageDelay, seed), func(t *testing.T) {
 				t.Parallel()
 				s := newSimulation(seed, c.nodes, machines)
-				b := &brittleService{simulation: s, bearable: c.bearable, machines: map[cluster.MachineID]*brittleMachine{}}
-				s.handleEffect = b.answer
+				b := newBrittleService(s, c.bearable)
 				s.maxMessageDelay = c.messageDelay
 				served := 0
 				s.onFinish = func(e routing.Finish) {
@@ -181,3 +197,42 @@
 		}
 	}
 }
+
+// TestBrittleMachinesKeepTheirLimit guards against machines that get more than the rate they state because they
+// say that they are brittle too: a turn must keep both bounds.
+func TestBrittleMachinesKeepTheirLimit(t *testing.T) {
+	const (
+		limit, window = 3, 4 * time.Second
+		// overrun and extra are what a machine may get within window beyond limit, from grace on.
+		overrun, extra = 1.5, 5
+		grace          = 3 * time.Second
+		span           = 20 * time.Second
+	)
+	for _, nodes := range []int{1, 6} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(7, nodes, 2)
+			b := newBrittleService(s, 4)
+			b.limit = limit
+			served := 0
+			s.onFinish = func(e routing.Finish) {
+				if e.Failure == nil {
+					served++
+				}
+			}
+			s.runFor(5 * time.Second)
+			b.began = s.now
+			b.ask(400, span/400)
+			s.runFor(span)
+			for id, times := range b.arrivals {
+				times = slices.DeleteFunc(times, func(at time.Time) bool { return at.Sub(b.began) < grace })
+				if busiest := busiestWindow(times, window); float64(busiest) > limit*window.Seconds()*overrun+extra {
+					t.Errorf("%d requests in %v at %s, which takes %d a second", busiest, window, id, limit)
+				}
+			}
+			if least := int(limit * span.Seconds() / 2); served < least {
+				t.Errorf("%d requests were served, at least %d must be", served, least)
+			}
+		})
+	}
+}
--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -54,11 +54,12 @@
 // broadcastLimit announces a limit, which a machine reported to this node, to all other nodes.
 func (p *pacer) broadcastLimit(e *routing.MachineLimitChanged) {
 	self := p.core.config.Self.ID
-	p.core.log(eventlog.WorkerLimited{Machine: e.Machine, Limited: e.Notice.Limited, Limit: e.Notice.PerSecond, Brittle: e.Notice.Brittle, Turns: e.Notice.Concurrency, By: self, Request: e.Request})
+	p.core.log(eventlog.WorkerLimited{Machine: e.Machine, Limited: e.Notice.Limited, Limit: e.Notice.PerSecond, Stated: e.Notice.StatedPerSecond, Brittle: e.Notice.Brittle, Turns: e.Notice.Concurrency, By: self, Request: e.Request})
 	for _, id := range slices.Sorted(maps.Keys(p.core.nodes.live)) {
 		if id != self {
 			p.core.send(p.core.nodes.live[id].Address, wire.MachineLimit{
 				From: self, Machine: e.Machine, Limited: e.Notice.Limited, PerSecond: e.Notice.PerSecond, Brittle: e.Notice.Brittle, Concurrency: e.Notice.Concurrency,
+				StatedPerSecond: e.Notice.StatedPerSecond,
 			})
 		}
 	}
@@ -66,9 +67,9 @@
 
 // limitReceived handles a machine's limit announced by another node.
 func (p *pacer) limitReceived(m *wire.MachineLimit) {
-	p.core.log(eventlog.WorkerLimited{Machine: m.Machine, Limited: m.Limited, Limit: m.PerSecond, Brittle: m.Brittle, Turns: m.Concurrency, By: m.From})
+	p.core.log(eventlog.WorkerLimited{Machine: m.Machine, Limited: m.Limited, Limit: m.PerSecond, Stated: m.StatedPerSecond, Brittle: m.Brittle, Turns: m.Concurrency, By: m.From})
 	p.core.feedRouter(routing.MachineLimitReceived{
-		Machine: m.Machine, Notice: routing.Notice{Limited: m.Limited, PerSecond: m.PerSecond, Brittle: m.Brittle, Concurrency: m.Concurrency},
+		Machine: m.Machine, Notice: routing.Notice{Limited: m.Limited, PerSecond: m.PerSecond, Brittle: m.Brittle, Concurrency: m.Concurrency, StatedPerSecond: m.StatedPerSecond},
 	})
 }
 
--- a/fleet/pacer_test.go
+++ b/fleet/pacer_test.go
@@ -47,9 +47,14 @@
 func (m *limitedMachine) maxRequestsInWindow(from, to time.Time) int {
 	const window = 4 * time.Second
 	times := slices.DeleteFunc(slices.Clone(m.arrivals), func(at time.Time) bool { return at.Before(from) || at.After(to) })
+	return busiestWindow(times, window)
+}
+
+// busiestWindow returns the largest number of times, which are in order, within any window of the given length.
+func busiestWindow(times []time.Time, length time.Duration) int {
 	busiest, first := 0, 0
 	for last := range times {
-		for times[last].Sub(times[first]) >= window {
+		for times[last].Sub(times[first]) >= length {
 			first++
 		}
 		busiest = max(busiest, last-first+1)
--- a/fleet/pacing/core.go
+++ b/fleet/pacing/core.go
@@ -203,8 +203,12 @@
 func (c *Core) sendRequest(to Peer, request TurnRequested) {
 	number := c.nextNumber()
 	c.pending[number] = &pendingRequest{request: request, to: to.ID, deadline: c.now.Add(answerTimeout)}
+	perSecond := request.PerSecond
+	if request.Slots > 0 {
+		perSecond = request.StatedPerSecond
+	}
 	c.emit(Send{Address: to.Address, Message: wire.TurnRequest{
-		From: c.self.ID, FromAddress: c.self.Address, Number: number, Machine: request.Machine, PerSecond: request.PerSecond,
+		From: c.self.ID, FromAddress: c.self.Address, Number: number, Machine: request.Machine, PerSecond: perSecond,
 		Slots: request.Slots,
 	}})
 }
@@ -247,7 +251,7 @@
 	switch m := message.(type) {
 	case wire.TurnRequest:
 		if m.Slots > 0 {
-			c.requestSlot(m.Machine, m.Slots, slotKey{m.From, m.Number}, m.FromAddress)
+			c.requestSlot(m.Machine, m.Slots, m.PerSecond, slotKey{m.From, m.Number}, m.FromAddress)
 			return
 		}
 		interval := turnInterval(m.PerSecond)
--- a/fleet/pacing/events.go
+++ b/fleet/pacing/events.go
@@ -20,8 +20,11 @@
 type TurnRequested struct {
 	Machine   cluster.MachineID
 	PerSecond float64
-	// Slots is the number of turns that may be in use at a time; zero for a limit by rate alone.
-	Slots int
+	// Slots is the number of turns that may be in use at a time; zero for a limit by rate alone. Of a
+	// machine with Slots, PerSecond may be derived; StatedPerSecond is the limit that it states besides,
+	// zero for none.
+	Slots           int
+	StatedPerSecond float64
 }
 
 // TurnReturned returns a turn that was in use.
--- a/fleet/pacing/slots.go
+++ b/fleet/pacing/slots.go
@@ -48,6 +48,8 @@
 // slotSchedule grants turns at one brittle machine, at most slots at a time.
 type slotSchedule struct {
 	slots int
+	// perSecond is the rate limit that the machine states besides, zero for none.
+	perSecond float64
 	// expiries holds when each granted turn ceases to count.
 	expiries map[slotKey]time.Time
 	waiting  []waitingSlot
@@ -71,7 +73,7 @@
 }
 
 // slotScheduleFor returns the schedule of a brittle machine.
-func (c *Core) slotScheduleFor(machine cluster.MachineID, slots int) *slotSchedule {
+func (c *Core) slotScheduleFor(machine cluster.MachineID, slots int, perSecond float64) *slotSchedule {
 	schedule := c.slotSchedules[machine]
 	if schedule == nil {
 		schedule = &slotSchedule{expiries: map[slotKey]time.Time{}, beganAt: c.now}
@@ -82,7 +84,7 @@
 		// The pacer in whose place this node was asked has granted turns meanwhile.
 		schedule.beganAt = c.now
 	}
-	schedule.slots, schedule.lastRequestAt = slots, c.now
+	schedule.slots, schedule.perSecond, schedule.lastRequestAt = slots, perSecond, c.now
 	return schedule
 }
 
@@ -93,7 +95,7 @@
 		since, silent := c.silentSince[p.ID]
 		switch {
 		case p.ID == c.self.ID:
-			c.requestSlot(request.Machine, request.Slots, slotKey{c.self.ID, c.nextNumber()}, "")
+			c.requestSlot(request.Machine, request.Slots, request.StatedPerSecond, slotKey{c.self.ID, c.nextNumber()}, "")
 			return true
 		case !silent || c.now.Sub(since) < slotPacerLoss || !c.now.Before(c.unresponsiveUntil[p.ID]):
 			c.sendRequest(p, request)
@@ -121,8 +123,8 @@
 }
 
 // requestSlot grants a turn at a brittle machine, or keeps the request until one is returned.
-func (c *Core) requestSlot(machine cluster.MachineID, slots int, key slotKey, address string) {
-	schedule := c.slotScheduleFor(machine, slots)
+func (c *Core) requestSlot(machine cluster.MachineID, slots int, perSecond float64, key slotKey, address string) {
+	schedule := c.slotScheduleFor(machine, slots, perSecond)
 	schedule.waiting = append(schedule.waiting, waitingSlot{key: key, address: address, until: c.now.Add(slotTurnWait)})
 	c.serveWaiting(machine, schedule)
 }
@@ -137,9 +139,12 @@
 		case !c.now.Before(waiting.until):
 			c.answerSlot(machine, &waiting, false, slotRetryDelay)
 		case free > 0:
-			free--
-			schedule.expiries[waiting.key] = c.now.Add(slotTurnLife)
-			c.answerSlot(machine, &waiting, true, 0)
+			wait, granted := c.rateWait(machine, schedule)
+			if granted {
+				free--
+				schedule.expiries[waiting.key] = c.now.Add(wait + slotTurnLife)
+			}
+			c.answerSlot(machine, &waiting, granted, wait)
 		default:
 			kept = append(kept, waiting)
 		}
@@ -147,6 +152,16 @@
 	schedule.waiting = kept
 }
 
+// rateWait takes a turn of the rate that a brittle machine states, if it states one. It returns after which
+// time the turn may be used, or when to ask again.
+func (c *Core) rateWait(machine cluster.MachineID, schedule *slotSchedule) (wait time.Duration, granted bool) {
+	if schedule.perSecond == 0 {
+		return 0, true
+	}
+	interval := turnInterval(schedule.perSecond)
+	return c.scheduleFor(machine, interval).grantNext(c.now, interval)
+}
+
 // answerSlot answers a request for a turn.
 func (c *Core) answerSlot(machine cluster.MachineID, waiting *waitingSlot, granted bool, wait time.Duration) {
 	if waiting.address == "" {
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -53,7 +53,7 @@
 		case routing.PoisonFound:
 			c.poison.recordsFound(e.Records)
 		case routing.TurnWanted:
-			c.pacer.step(pacing.TurnRequested{Machine: e.Machine, PerSecond: e.PerSecond, Slots: e.Concurrency})
+			c.pacer.step(pacing.TurnRequested{Machine: e.Machine, PerSecond: e.PerSecond, Slots: e.Concurrency, StatedPerSecond: e.StatedPerSecond})
 		case routing.TurnReleased:
 			c.pacer.step(pacing.TurnReturned{Machine: e.Machine, Number: e.Turn.Number, By: e.Turn.By})
 		case routing.MachineLeavingFound:
--- a/routing/brittle.go
+++ b/routing/brittle.go
@@ -20,6 +20,9 @@
 	increaseInterval = int64(time.Second)
 	// increaseDivisor is the part of the number, one eighth, by which it rises.
 	increaseDivisor = 8
+	// minStatedPerSecond is the lowest limit that a brittle machine is taken to state, since zero stands
+	// for none.
+	minStatedPerSecond = 0.001
 	// slotTurnValidity is how long a turn may wait for its request. It is short because an unused turn
 	// keeps others from the slot.
 	slotTurnValidity = int64(50 * time.Millisecond)
@@ -44,6 +47,9 @@
 // time and, for nodes that know only rates, with the rate that follows from it.
 func (r *Router) limitBrittle(m *machine, notice Notice) Notice {
 	notice.Concurrency = r.brittleConcurrency(m, notice.Rejected)
+	if notice.Limited {
+		notice.StatedPerSecond = max(notice.PerSecond, minStatedPerSecond)
+	}
 	rate := float64(notice.Concurrency) / r.longestService(m).Seconds()
 	if !notice.Limited || rate < notice.PerSecond {
 		notice.Limited, notice.PerSecond = true, rate
--- a/routing/notices.go
+++ b/routing/notices.go
@@ -27,6 +27,9 @@
 	// Concurrency is the number of requests that a brittle machine gets at a time. Machines don't
 	// state it; routers derive it.
 	Concurrency int
+	// StatedPerSecond is the rate limit that a brittle machine states itself, zero for none. PerSecond
+	// is then the lower one of it and the rate that follows from Concurrency.
+	StatedPerSecond float64
 	// Rest is the time for which a machine that refused a request wants no more requests from this
 	// router; zero when not stated.
 	Rest time.Duration
@@ -105,7 +108,8 @@
 		return
 	}
 	t := &m.turns
-	changed := t.limited != notice.Limited || t.concurrency != notice.Concurrency || notice.Brittle == 0 && math.Abs(notice.PerSecond-t.publishedPerSecond) > limitChange*t.publishedPerSecond
+	changed := t.limited != notice.Limited || t.concurrency != notice.Concurrency || notice.Brittle == 0 && math.Abs(notice.PerSecond-t.publishedPerSecond) > limitChange*t.publishedPerSecond ||
+		math.Abs(notice.StatedPerSecond-t.statedPerSecond) > limitChange*t.statedPerSecond
 	r.setLimit(m, notice)
 	if changed {
 		t.publishedPerSecond = notice.PerSecond
@@ -155,7 +159,7 @@
 		t.limitChangedAt = r.nanos
 	}
 	t.limited, t.perSecond, t.limitHeardAt = notice.Limited, notice.PerSecond, r.nanos
-	t.brittle, t.concurrency = notice.Brittle, notice.Concurrency
+	t.brittle, t.concurrency, t.statedPerSecond = notice.Brittle, notice.Concurrency, notice.StatedPerSecond
 }
 
 // startRest sends no requests to a machine that refused one, until the latest time that it asked
--- a/routing/restarts.go
+++ b/routing/restarts.go
@@ -37,6 +37,7 @@
 		later.turns.limited, later.turns.perSecond = true, before.turns.perSecond
 		later.turns.publishedPerSecond, later.turns.limitHeardAt = before.turns.publishedPerSecond, before.turns.limitHeardAt
 		later.turns.brittle, later.turns.concurrency, later.turns.limitChangedAt = before.turns.brittle, before.turns.concurrency, before.turns.limitChangedAt
+		later.turns.statedPerSecond = before.turns.statedPerSecond
 	}
 }
 
--- a/routing/turns.go
+++ b/routing/turns.go
@@ -31,7 +31,9 @@
 	Machine   cluster.MachineID
 	PerSecond float64
 	// Concurrency is the number of requests that a brittle machine gets at a time; zero for others.
-	Concurrency int
+	// StatedPerSecond is the rate limit that it states besides, zero for none.
+	Concurrency     int
+	StatedPerSecond float64
 }
 
 func (TurnDecided) routingEvent() {}
@@ -47,9 +49,10 @@
 	// limitHeardAt is when any router last learned of the limit, limitChangedAt when perSecond last
 	// changed.
 	limitHeardAt, limitChangedAt int64
-	// brittle and concurrency are those of the notice of a brittle machine, zero for others. slotTurn
-	// is the turn that is valid and not used.
+	// brittle, concurrency and statedPerSecond are those of the notice of a brittle machine, zero for
+	// others. slotTurn is the turn that is valid and not used.
 	brittle, concurrency int
+	statedPerSecond      float64
 	slotTurn             SlotTurn
 	// requested is set while the answer to a TurnWanted is pending. A granted turn that is not used
 	// is valid from validFrom until validUntil.
@@ -136,7 +139,7 @@
 		return
 	}
 	t.requested = true
-	r.emit(TurnWanted{Machine: m.id, PerSecond: t.perSecond, Concurrency: t.concurrency})
+	r.emit(TurnWanted{Machine: m.id, PerSecond: t.perSecond, Concurrency: t.concurrency, StatedPerSecond: t.statedPerSecond})
 }
 
 // needsTurn reports whether a turn at a brittle machine that comes late would be used: requests wait for it
--- a/wire/pacing.go
+++ b/wire/pacing.go
@@ -19,6 +19,8 @@
 	Brittle int
 	// Concurrency is the number of requests that a brittle machine gets at a time, zero for others.
 	Concurrency int
+	// StatedPerSecond is the rate limit that a brittle machine has stated itself, zero for none.
+	StatedPerSecond float64
 }
 
 // TurnRequest asks the node that paces the requests to a machine whether a request may be sent.
@@ -28,7 +30,8 @@
 	// Number identifies the request in the answer.
 	Number  int64
 	Machine cluster.MachineID
-	// PerSecond is the machine's limit as the sender knows it, in requests per second.
+	// PerSecond is the machine's limit as the sender knows it, in requests per second. With Slots it is only
+	// what the machine has stated itself, zero for none.
 	PerSecond float64
 	// Slots is the number of turns that may be in use at a time; zero for a limit by rate alone. Such
 	// a turn must be returned.
