--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -138,7 +138,7 @@
 			From: "node-a", FromAddress: "10.0.0.1:7000",
 			Records: []poison.Record{{Content: poison.Fingerprint{1, 2}, Ends: []cluster.MachineID{"machine-a"}, Cleared: []cluster.MachineID{"machine-b"}}},
 		},
-		KindMachineLimit: MachineLimit{From: "node-a", Machine: "machine-a", Limited: true, PerSecond: 1.5, Brittle: 3, Concurrency: 4},
+		KindMachineLimit: MachineLimit{From: "node-a", Machine: "machine-a", Limited: true, PerSecond: 1.5, Brittle: 3, Concurrency: 4, StatedPerSecond: 0.5},
 		KindTurnRequest:  TurnRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Machine: "machine-a", PerSecond: 1.5, Slots: 5},
 		KindTurnAnswer:   TurnAnswer{From: "node-a", Number: 7, Granted: true, Wait: time.Second},
 		KindTurnReturned: TurnReturned{From: "node-a", Number: 7, Machine: "machine-a"},
@@ -188,7 +188,7 @@
 func asWrittenBefore10(message Message) Message {
 	switch m := message.(type) {
 	case MachineLimit:
-		m.Brittle, m.Concurrency = 0, 0
+		m.Brittle, m.Concurrency, m.StatedPerSecond = 0, 0, 0
 		return m
 	case TurnRequest:
 		m.Slots = 0
