Count requests that were open together as one absence of a node

Cause: six requests were open through that node when the links between nodes broke for a moment. Each counted as another absence, so that the pause doubled from 2 to 16 s within 22 ms. Evidence: six outcomes no-answer from 32:40.591 to 40.613, then only the nodes that are cut off too are asked until the cut ends.

Change: outcomes during a pause don't lengthen it, and the longest is 4 s, since the node may be the only one with a path. TestRequestsOpenTogetherTellOfOneAbsence fails without it.

--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -20,11 +20,11 @@
 	noPathPause = time.Second
 	// overloadPause lets what it runs end. It is short because others may have to be asked meanwhile.
 	overloadPause = 250 * time.Millisecond
-	// absentPause: it is stopping, does not answer or does not know PeerPath. It doubles with each time in a
-	// row up to maxAbsentPause, since the record of a node that ended lasts for half a minute and each try may
-	// cost a request that can't be repeated.
+	// absentPause: it is stopping, does not answer or does not know PeerPath. If it is absent again after
+	// the pause, the next one is maxAbsentPause: the record of a node that ended lasts for half a minute, and
+	// each try may cost a request that can't be repeated. It may also be the only node with a path.
 	absentPause    = 2 * time.Second
-	maxAbsentPause = 16 * time.Second
+	maxAbsentPause = 4 * time.Second
 )
 
 // maxPeersInUse bounds the nodes among which requests are spread, so that connections to them are reused and
@@ -43,12 +43,12 @@
 	open map[cluster.NodeID]int
 	// pausedUntil is the time until which a node is not asked.
 	pausedUntil map[cluster.NodeID]time.Time
-	// absences is the last pause of each node that was absent and has not answered since.
-	absences map[cluster.NodeID]time.Duration
+	// absent are the nodes that were absent and have not answered since.
+	absent map[cluster.NodeID]bool
 }
 
 func newPeerSet(now func() time.Time) *peerSet {
-	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absences: map[cluster.NodeID]time.Duration{}}
+	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absent: map[cluster.NodeID]bool{}}
 }
 
 // set replaces the nodes.
@@ -56,7 +56,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.list = s.list[:0]
-	pausedUntil, absences := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]time.Duration)
+	pausedUntil, absent := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]bool)
 	for i := range nodes {
 		entry := &nodes[i]
 		if entry.ID == self.ID || entry.Machine == self.Machine && self.Machine != "" || entry.Address == "" {
@@ -66,11 +66,11 @@
 		if until, paused := s.pausedUntil[entry.ID]; paused {
 			pausedUntil[entry.ID] = until
 		}
-		if last, absent := s.absences[entry.ID]; absent {
-			absences[entry.ID] = last
+		if s.absent[entry.ID] {
+			absent[entry.ID] = true
 		}
 	}
-	s.pausedUntil, s.absences = pausedUntil, absences
+	s.pausedUntil, s.absent = pausedUntil, absent
 	slices.SortFunc(s.list, func(a, b passthrough.Peer) int {
 		return cmp.Or(cmp.Compare(peerWeight(self.ID, a.ID), peerWeight(self.ID, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -121,15 +121,21 @@
 	if s.open[id]--; s.open[id] <= 0 {
 		delete(s.open, id)
 	}
+	now := s.now()
 	pause, absent := pauseAfter(outcome)
-	if absent {
-		pause = min(max(pause, 2*s.absences[id]), maxAbsentPause)
-		s.absences[id] = pause
-	} else {
-		delete(s.absences, id)
+	switch {
+	case !absent:
+		delete(s.absent, id)
+	case now.Before(s.pausedUntil[id]):
+		// Requests that were open together tell of the same absence.
+		return
+	case s.absent[id]:
+		pause = maxAbsentPause
+	default:
+		s.absent[id] = true
 	}
 	if pause > 0 {
-		s.pausedUntil[id] = s.now().Add(pause)
+		s.pausedUntil[id] = now.Add(pause)
 	}
 }
 
