Hold failures on a doubted path against no machine

Cause: while a node has lost its path and all other nodes are paused, it dials the worker itself. That fails, of course, and the router backed off from that worker, longer each time, so that its requests went on waiting when another node could send them again. Back-offs were cleared once, when the suspicion arose; those that came after it stayed. The same holds for an attempt that failed because the connection to the other node ended.

TestFailureOfDoubtedPathIsNotHeldAgainstMachine fails without it, TestFailureOnTheWayIsNotTheMachines tells which failures are meant: what another node reports of the machine still counts.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -67,7 +67,7 @@
 	a.withdrawEvidence(ctx)
 	ended := routing.AttemptEnded{
 		Request: a.id, Attempt: a.decision.Attempt, Failure: failure,
-		Unreached: a.unreached, Withheld: a.withheld, Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
+		Unreached: a.unreached, PathDoubted: failure != nil && a.pathDoubted(), Withheld: a.withheld, Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
 		Broken: a.connectionBroken, MachineEnded: a.processEnded,
 	}
 	if a.connectionBroken {
--- a/passthrough/path.go
+++ b/passthrough/path.go
@@ -69,6 +69,18 @@
 // pathSuspected reports whether this node has probably lost its path to all machines.
 func (a *attempt) pathSuspected() bool { return a.Path != nil && a.Path.Suspected() }
 
+// pathDoubted reports whether a failure of this attempt may be one of the way to the machine: of this node's path,
+// or of the connection to the peer. What a peer reports of the machine counts.
+func (a *attempt) pathDoubted() bool {
+	switch {
+	case a.answered || a.engineFull || a.modelMissing:
+		return false
+	case a.peer != nil:
+		return a.peerOutcome == OutcomeDisconnected
+	}
+	return a.pathSuspected()
+}
+
 // withdrawEvidence discards evidence that the machine has ended if this node's path to all machines
 // is at fault.
 func (a *attempt) withdrawEvidence(ctx context.Context) {
--- a/passthrough/path_test.go
+++ b/passthrough/path_test.go
@@ -44,3 +44,28 @@
 		})
 	}
 }
+
+// TestFailureOnTheWayIsNotTheMachines guards against back-offs from machines because the node has lost its own
+// path, or a node through which it sends.
+func TestFailureOnTheWayIsNotTheMachines(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		atFault bool
+		attempt attempt
+		doubted bool
+	}{
+		{"the machine failed", false, attempt{unreached: true}, false},
+		{"the path is suspected", true, attempt{unreached: true}, true},
+		{"the machine answered", true, attempt{answered: true}, false},
+		{"the machine is full", true, attempt{engineFull: true}, false},
+		{"the peer is gone", true, attempt{peer: &Peer{ID: "n2"}, peerOutcome: OutcomeDisconnected}, true},
+		{"the machine failed, as another node saw", true, attempt{peer: &Peer{ID: "n2"}, peerOutcome: OutcomeBroken}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.attempt.exchange = &exchange{Handler: &Handler{Config: Config{Path: fixedPath{c.atFault}}}}
+			if got := c.attempt.pathDoubted(); got != c.doubted {
+				t.Errorf("doubted %t, want %t", got, c.doubted)
+			}
+		})
+	}
+}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -307,6 +307,8 @@
 // backOffAfter keeps requests away from a machine that refused or failed one.
 func (r *Router) backOffAfter(failed *request, m *machine, event *AttemptEnded) {
 	switch {
+	case event.PathDoubted:
+		r.pauseMachine(m)
 	case event.ModelMissing:
 		for _, replica := range m.replicas {
 			if replica.model == failed.model {
@@ -326,6 +328,15 @@
 	}
 }
 
+// pauseMachine keeps requests away from a machine for FailureBackOff, so that a request which can't be sent to
+// it is not tried without end. Nothing is held against the machine.
+func (r *Router) pauseMachine(m *machine) {
+	if until := r.nanos + int64(r.config.FailureBackOff); m.maxInFlightUntil < until {
+		m.maxInFlight, m.maxInFlightUntil = 0, until
+		r.wakeAt(m, until)
+	}
+}
+
 // engineFault reports whether a failure is attributed to the machine.
 func engineFault(code verdict.Code) bool { return !isPermanent(code) }
 
--- a/routing/events.go
+++ b/routing/events.go
@@ -92,6 +92,9 @@
 	Failure *verdict.Error
 	// Unreached is true when no byte of the request was sent because no connection could be made.
 	Unreached bool
+	// PathDoubted is true when the node suspected its own path to all machines, or had lost the node through
+	// which it sent, when the attempt failed. The failure then says nothing of the machine.
+	PathDoubted bool
 	// Withheld is true when the request must not be sent to any machine any more; it ends with the
 	// failure.
 	Withheld bool
--- a/routing/retries.go
+++ b/routing/retries.go
@@ -110,12 +110,12 @@
 // three count for half.
 const outcomeWeight = 0.2
 
-// observeOutcome updates the machine's failure rate. Refusals before the request ran say nothing
-// about the machine's health.
+// observeOutcome updates the machine's failure rate. Refusals before the request ran and failures of the own
+// path say nothing about the machine's health.
 func (m *machine) observeOutcome(event *AttemptEnded) {
 	failed := 0.0
 	switch {
-	case event.EngineFull || event.ModelMissing:
+	case event.EngineFull || event.ModelMissing || event.PathDoubted:
 		return
 	case event.Failure != nil && isPermanent(event.Failure.Code):
 		return
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -237,3 +237,22 @@
 		t.Errorf("effects of the end of the first copy: %q, want the dispatch of the second", got)
 	}
 }
+
+// TestFailureOfDoubtedPathIsNotHeldAgainstMachine guards against requests that wait ever longer for a machine
+// because a node which is cut off from all machines, and has no other way to them for a moment, takes each failure
+// for the machine's.
+func TestFailureOfDoubtedPathIsNotHeldAgainstMachine(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.status(true, loaded("m1", 4))
+	f.expect(f.arrive("a", repeatable, withDeadline(time.Minute)), "dispatch a/1 to m1; ")
+	for attempt := cluster.Attempt(1); attempt <= 8; attempt++ {
+		f.expect(f.step(AttemptEnded{
+			Request: "a", Attempt: attempt, Unreached: true, PathDoubted: true,
+			Failure: verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "unreachable"),
+		}), "")
+		f.expect(f.advance(f.router.config.FailureBackOff), fmt.Sprintf("dispatch a/%d to m1; ", attempt+1))
+	}
+	if rate := f.router.machines["m1"].failureRate; rate != 0 {
+		t.Errorf("the machine's failure rate is %g, want 0", rate)
+	}
+}
