--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -73,6 +73,7 @@
 	Took    time.Duration     `log:"took_ms" doc:"time since the dispatch"`
 	Content string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, where the machine broke the connection"`
 	Rest    time.Duration     `log:"rest_ms,omitempty" doc:"for how long the machine said that it wants nothing more from this node"`
+	Doubted bool              `log:"path_doubted,omitempty" doc:"whether this node doubts its own path, so that nothing is held against the machine"`
 	Cause   string            `log:"cause,omitempty" doc:"the error"`
 }
 
