Give the slow link of a test a buffer that a segment fits into

Cause: the link that the test plays has a receive buffer of 32 KiB, less than one segment of the loopback interface (64 KiB). Its window closes, and the kernel of the sender waits for its persist timer, 0.2 s and twice as long each time, though the link is free. A stall above the limit of 1 s cuts the transfer off. No link between machines has such segments.

Change: the buffer holds four pieces, an eighth of a second at that rate. The check and its limits are as they were; a failure now prints the log and the longest forward.

--- a/internal/blackhole/blackhole.go
+++ b/internal/blackhole/blackhole.go
@@ -150,7 +150,7 @@
 func (p *Proxy) forward(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
 	if p.ForwardDelay > 0 {
-		_ = connection.(*net.TCPConn).SetReadBuffer(chunkBytes)
+		_ = connection.(*net.TCPConn).SetReadBuffer(4 * chunkBytes)
 	}
 	targetConnection, err := net.Dial("tcp", p.targetAddress)
 	if err != nil {
--- a/wire/stall_timeout_test.go
+++ b/wire/stall_timeout_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"reflect"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,16 +138,18 @@
 		stallLimit = time.Second
 	)
 	received := make(chan Message, 1)
-	to := openTransport(t, func(message Message) { received <- message }, WithSendTimeout(stallLimit))
+	var log lockedBuffer
+	logger := slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	to := openLoggingTransport(t, logger.With("side", "to"), func(message Message) { received <- message }, WithSendTimeout(stallLimit))
 	proxy := openProxy(t, to, pause)
-	from := openTransport(t, func(Message) {}, WithSendTimeout(stallLimit))
+	from := openLoggingTransport(t, logger.With("side", "from"), func(Message) {}, WithSendTimeout(stallLimit))
 	from.Send(proxy.Address(), ConfigurationSnapshot{From: "a", Stamp: settings.Stamp{}, Data: make([]byte, size)})
 	eventually(t, "the transfer ended", func() bool { s := from.Statistics(); return s.Sent+s.Failed == 1 })
 	if statistics := from.Statistics(); statistics.Sent != 1 {
 		if stalled := proxy.LongestForward(); stalled >= stallLimit/2 {
 			return stalled
 		}
-		t.Fatalf("the transfer was cut off: %+v", statistics)
+		t.Fatalf("the transfer was cut off: %+v, the longest forward took %s, log:\n%s", statistics, proxy.LongestForward(), log.String())
 	}
 	if got := len(receiveMessage[ConfigurationSnapshot](t, received).Data); got != size {
 		t.Fatalf("got %d bytes, want %d", got, size)
@@ -153,6 +157,26 @@
 	return 0
 }
 
+// lockedBuffer is a buffer that several goroutines may write to.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
 // TestUnansweredRequestFailsAtSendTimeout guards against a peer that accepts a request, does not
 // answer it and blocks the messages to it for longer than the send timeout.
 func TestUnansweredRequestFailsAtSendTimeout(t *testing.T) {
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -10,7 +10,13 @@
 
 func openTransport(t *testing.T, handle func(Message), settings ...Option) *Transport {
 	t.Helper()
-	transport, err := NewTransport("127.0.0.1:0", slog.New(slog.DiscardHandler), handle, settings...)
+	return openLoggingTransport(t, slog.New(slog.DiscardHandler), handle, settings...)
+}
+
+// openLoggingTransport opens a transport that writes to a log and is closed at the end of the test.
+func openLoggingTransport(t *testing.T, logger *slog.Logger, handle func(Message), settings ...Option) *Transport {
+	t.Helper()
+	transport, err := NewTransport("127.0.0.1:0", logger, handle, settings...)
 	if err != nil {
 		t.Fatal(err)
 	}
