--- a/internal/blackhole/blackhole.go
+++ b/internal/blackhole/blackhole.go
@@ -110,6 +110,10 @@
 // chunkBytes is the maximum number of bytes that a Proxy reads and forwards at once.
 const chunkBytes = 32 << 10
 
+// linkBufferBytes is the receive buffer of a slow link. It holds more than a segment of the loopback interface,
+// 64 KiB: the sender's kernel would otherwise wait on its persist timer while the link is free.
+const linkBufferBytes = 4 * chunkBytes
+
 // NewProxy starts a Proxy to the target address, which runs until its Listener is closed.
 func NewProxy(targetAddress string, pause time.Duration) (*Proxy, error) {
 	listener, err := Listen()
@@ -150,7 +154,7 @@
 func (p *Proxy) forward(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
 	if p.ForwardDelay > 0 {
-		_ = connection.(*net.TCPConn).SetReadBuffer(4 * chunkBytes)
+		_ = connection.(*net.TCPConn).SetReadBuffer(linkBufferBytes)
 	}
 	targetConnection, err := net.Dial("tcp", p.targetAddress)
 	if err != nil {
