Suspect the path by one machine if the node hears of no other

Cause: a suspicion took failures at two machines. The plain service had one worker then, and no engine held a model yet, so that these nodes sent to one machine only; each of its failures was charged to it. Evidence: no worker_path_changed on either node from the cut on, 112 attempt_ended "can't be reached" at that worker in node 1 alone, while nodes 0 and 2 are served by it.

Change: one machine is enough if it fails for 300 ms and nothing arrives from any machine meanwhile. The probes that follow go to others, and tell a worker that is down from a lost path as before; then it alone raises no suspicion for a second.

TestPathIsSuspectedByOneMachineInUse fails without it. TestStateFollowsEvidence holds a suspicion to the new rule: failures at two machines, or at one for that time; TestOneMachineThatFailsIsNotThePath is unchanged.

--- a/reachability/monitor.go
+++ b/reachability/monitor.go
@@ -39,6 +39,10 @@
 	// suspicionThreshold is the number of machines that must fail before the path is suspected
 	// instead of the machines.
 	suspicionThreshold = 2
+	// soleFailureTime is how long a single machine must fail, while nothing arrives from any other, until
+	// the path is suspected too: a node may send to one machine only. It is longer than a restart keeps a
+	// machine from answering on open connections, and a node learns of a lost path in time.
+	soleFailureTime = 300 * time.Millisecond
 	// failureExpiry is how long a failure counts towards a suspicion.
 	failureExpiry = 5 * time.Second
 	// establishedGrace is how long after data arrived established connections are still used while
@@ -115,13 +119,13 @@
 	return true
 }
 
-// enoughFailures reports whether as many of the known machines failed as a suspicion takes, and not only those
-// that are blamed.
+// enoughFailures reports whether as many of the known machines failed as a suspicion takes, or one for long enough
+// with nothing heard, and not only those that are blamed.
 func (m *Monitor) enoughFailures(now time.Time, known int) bool {
 	if now.Sub(m.refutedAt) >= blameTime {
 		clear(m.blamed)
 	}
-	if len(m.failures) < min(suspicionThreshold, max(known, 1)) {
+	if len(m.failures) < min(suspicionThreshold, max(known, 1)) && now.Sub(m.silentSince()) < soleFailureTime {
 		return false
 	}
 	for machine := range m.failures {
@@ -132,6 +136,14 @@
 	return false
 }
 
+// silentSince returns since when machines failed and nothing was heard.
+func (m *Monitor) silentSince() time.Time {
+	if m.heardAt.After(m.firstAt) {
+		return m.heardAt
+	}
+	return m.firstAt
+}
+
 // expire drops old failures unless the path is suspected: then only data disproves them.
 func (m *Monitor) expire(now time.Time) {
 	if m.state != Connected {
