Try a worker on a doubted path twice a second

Cause: let such requests be tried again after 0.1 s, without growth. Change: after 0.5 s, as often as a lost path is probed; attempts that failed at another node cause no pause, since that node is paused itself. TestFailureOfDoubtedPathIsNotHeldAgainstMachine holds both the pause and that it does not grow.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -307,8 +307,9 @@
 // backOffAfter keeps requests away from a machine that refused or failed one.
 func (r *Router) backOffAfter(failed *request, m *machine, event *AttemptEnded) {
 	switch {
-	case event.PathDoubted:
+	case event.PathDoubted && event.Unreached:
 		r.pauseMachine(m)
+	case event.PathDoubted:
 	case event.ModelMissing:
 		for _, replica := range m.replicas {
 			if replica.model == failed.model {
@@ -328,10 +329,14 @@
 	}
 }
 
-// pauseMachine keeps requests away from a machine for FailureBackOff, so that a request which can't be sent to
-// it is not tried without end. Nothing is held against the machine.
+// doubtedPathDelay is the time after which a machine is tried again that could not be reached on a doubted path. A
+// lost path is probed as often.
+const doubtedPathDelay = 500 * time.Millisecond
+
+// pauseMachine keeps requests away from a machine for doubtedPathDelay, so that requests which can't be sent to
+// it are not tried without end. Nothing is held against the machine.
 func (r *Router) pauseMachine(m *machine) {
-	if until := r.nanos + int64(r.config.FailureBackOff); m.maxInFlightUntil < until {
+	if until := r.nanos + int64(doubtedPathDelay); m.maxInFlightUntil < until {
 		m.maxInFlight, m.maxInFlightUntil = 0, until
 		r.wakeAt(m, until)
 	}
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -250,7 +250,8 @@
 			Request: "a", Attempt: attempt, Unreached: true, PathDoubted: true,
 			Failure: verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "unreachable"),
 		}), "")
-		f.expect(f.advance(f.router.config.FailureBackOff), fmt.Sprintf("dispatch a/%d to m1; ", attempt+1))
+		f.expect(f.advance(doubtedPathDelay-time.Millisecond), "")
+		f.expect(f.advance(time.Millisecond), fmt.Sprintf("dispatch a/%d to m1; ", attempt+1))
 	}
 	if rate := f.router.machines["m1"].failureRate; rate != 0 {
 		t.Errorf("the machine's failure rate is %g, want 0", rate)
