--- a/routing/choice.go
+++ b/routing/choice.go
@@ -329,8 +329,8 @@
 	}
 }
 
-// doubtedPathDelay is the time after which a machine is tried again that could not be reached on a doubted path. A
-// lost path is probed as often.
+// doubtedPathDelay is the time after which a machine is tried again that could not be reached on a doubted path. It is
+// as long as the time between two probes of a lost path, because it is not known to be back sooner.
 const doubtedPathDelay = 500 * time.Millisecond
 
 // pauseMachine keeps requests away from a machine for doubtedPathDelay, so that requests which can't be sent to
