--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -129,6 +129,7 @@
 	Service  string            `log:"service" doc:"its service"`
 	Address  string            `log:"address" doc:"its address"`
 	Draining bool              `log:"draining" doc:"whether it takes no new requests"`
+	Release  string            `log:"release,omitempty" doc:"version of its software"`
 	Held     int               `log:"models" doc:"models it holds"`
 	Revision int64             `log:"revision" doc:"revision of the store"`
 }
--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -31,6 +31,7 @@
 	Tokens   int               `log:"tokens,omitempty" doc:"tokens that it states, of its prompt and at most generated"`
 	Prompt   int               `log:"prompt_tokens,omitempty" doc:"tokens that it states of its prompt"`
 	Longest  time.Duration     `log:"longest_pause_ms,omitempty" doc:"longest time between two events of the stream that is in time"`
+	Resumes  cluster.RequestID `log:"resumes,omitempty" doc:"request that brought the first event of the stream that it continues"`
 }
 
 // RequestHeld is written when a request first waits because a similar one runs and requests under
@@ -46,6 +47,7 @@
 	Request    cluster.RequestID `log:"request" doc:"request id"`
 	Attempt    cluster.Attempt   `log:"attempt" doc:"number of the dispatch, from 1"`
 	Machine    cluster.MachineID `log:"machine" doc:"machine it is sent to"`
+	Release    string            `log:"release,omitempty" doc:"version of the machine's software"`
 	Waited     time.Duration     `log:"waited_ms" doc:"time in the queue so far"`
 	Expected   time.Duration     `log:"expected_ms" doc:"expected wait at the machine"`
 	InFlight   int               `log:"in_flight" doc:"requests of this node at the machine"`
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -60,6 +60,7 @@
 	core.peerNotifier = &peerNotifier{core: core}
 	core.view = newMachineView(core)
 	config.Routing.MinLoadTime = core.view.minLoadTime
+	config.Routing.ReleaseOf = core.view.releaseOf
 	if config.Dispatching {
 		core.dispatchClient = newDispatchClient(core)
 		config.Routing.ListAlternatives = core.dispatchClient.targetsEngines
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -78,7 +78,7 @@
 		return false
 	}
 	v.core.log(eventlog.WorkerChanged{
-		Machine: worker.ID, Service: worker.Service, Address: worker.Address, Draining: worker.Draining,
+		Machine: worker.ID, Service: worker.Service, Address: worker.Address, Draining: worker.Draining, Release: worker.Release,
 		Held: len(worker.LoadedModels), Revision: revision,
 	})
 	v.dropConfirmed(&before, worker)
@@ -145,6 +145,14 @@
 	return ""
 }
 
+// releaseOf returns the release of a machine's software, empty if it is unknown or not stated.
+func (v *machineView) releaseOf(id cluster.MachineID) string {
+	if known := v.machines[id]; known != nil {
+		return known.worker.Release
+	}
+	return ""
+}
+
 // remove takes a machine out whose entry is gone.
 func (v *machineView) remove(id cluster.MachineID) {
 	known := v.machines[id]
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -161,7 +161,7 @@
 		Left: current.deadline.Sub(arrived), Attempts: route.Attempts, Unread: strings.Join(attributes.InvalidFields, ","),
 		Content: current.content.String(), Tenant: current.tenantName(),
 		Tokens: attributes.PromptTokens + attributes.MaxTokens,
-		Prompt: attributes.PromptTokens, Longest: route.LongestPause,
+		Prompt: attributes.PromptTokens, Longest: route.LongestPause, Resumes: attributes.Resumes,
 	})
 	if h.Admits != nil && !h.Admits(current.deadline) {
 		failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining, "this node is stopping; another one takes the request")
--- a/passthrough/types.go
+++ b/passthrough/types.go
@@ -30,6 +30,8 @@
 	Parts []PromptPart
 	// LastEventID is the event after which a stream is to be resumed.
 	LastEventID string
+	// Resumes is the caller's request that brought the first event of that stream.
+	Resumes cluster.RequestID
 	// InvalidFields names the invalid fields.
 	InvalidFields []string
 }
--- a/routing/events.go
+++ b/routing/events.go
@@ -248,8 +248,8 @@
 	Machine cluster.MachineID
 	Address string
 	Model   cluster.ModelID
-	// Version is that of the replica.
-	Version string
+	// Version is that of the replica, Release that of the machine's software.
+	Version, Release string
 	// Deadline is the time at which the attempt must be given up.
 	Deadline time.Time
 	// Final is true when no retry is allowed after a failure that may have run, so that giving this
