--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -53,6 +53,18 @@
 		}
 		return float64(n.core.StoreCapacity())
 	})
+	coreGauge := func(of func(core *fleet.Core) int) func() float64 {
+		return func() float64 {
+			n.mutex.Lock()
+			defer n.mutex.Unlock()
+			if n.core == nil {
+				return 0
+			}
+			return float64(of(n.core))
+		}
+	}
+	gauge("valveslip_nodes", "Nodes with a live record, this one included.", coreGauge(func(core *fleet.Core) int { return len(core.Nodes()) }))
+	gauge("valveslip_workers", "Workers with an entry.", coreGauge((*fleet.Core).Machines))
 	poisonGauge := func(of func(suspected, blocked int) int) func() float64 {
 		return func() float64 {
 			n.mutex.Lock()
