--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,8 @@
 // Config describes a worker.
 type Config struct {
 	ID, Service, Address, Zone string
+	// Release is the software version in the worker's entry; "v1" if empty.
+	Release string
 	Slots                      int
 	// Queue is the number of requests that may wait for a slot; zero lets any number run at once,
 	// except while the worker falls by what it turns away.
@@ -160,7 +163,7 @@
 		state = "draining"
 	}
 	return platform.WorkerDocument{
-		Service: w.config.Service, Address: w.config.Address, Zone: w.config.Zone, Version: "v1",
+		Service: w.config.Service, Address: w.config.Address, Zone: w.config.Zone, Version: cmp.Or(w.config.Release, "v1"),
 		Slots: w.config.Slots, State: state, Models: slices.Clone(w.loadedModels), Born: w.startTimeMillis(),
 	}
 }
