Run workers of two software versions in the soak, and resume streams elsewhere

Callers of such runs leave some streams after four events, and resume those and cut ones mostly at another node, naming the request that began the stream. Two promises judge it: no stream holds events of two versions, and resumed streams go on at least half as often as new ones begin. Each has planted defects that its check finds.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -121,6 +120,7 @@
 	if request.Route.Streams() {
 		request.Model = c.drawModel()
 	}
+	c.decideLeaving(&request)
 	return request
 }
 
@@ -139,16 +139,13 @@
 // send sends a request and records it. If a resumable stream was cut, it resumes the stream
 // with another request. Requests interrupted by the end of the run are not recorded.
 func (c *callGenerator) send(ctx context.Context, request check.Request) {
-	c.exchange(ctx, c.client, &request)
+	at := c.nodes[request.Node]
+	at.exchange(ctx, at.client, &request)
 	if ctx.Err() != nil {
 		return
 	}
 	c.recorder.record(func(h *check.History) { h.Requests = append(h.Requests, request) })
-	got := request.After + strings.Count(request.Body, "\n\n")
-	if request.Route == check.RouteStream && request.Failure != "" && got > request.After {
-		next := check.Request{
-			ID: request.ID + "+", Node: request.Node, Route: request.Route, Model: request.Model, Deadline: request.Deadline, After: got,
-		}
+	if next, resumes := c.resumption(&request); resumes {
 		c.send(ctx, next)
 	}
 }
@@ -161,7 +158,7 @@
 	response, err := client.Do(p.newRouteRequest(withIdleTracking(ctx), request))
 	if err == nil {
 		var body []byte
-		body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+		body, err = readAnswer(response.Body, request.LeavesAfter)
 		_ = response.Body.Close()
 		request.Status, request.Body, request.ClosesConnection = response.StatusCode, string(body), response.Close
 		request.EchoedID, request.Stamp = response.Header.Get(platform.HeaderRequestID), response.Header.Get(platform.HeaderStamp)
@@ -198,6 +195,7 @@
 	}
 	if request.After > 0 {
 		built.Header.Set(platform.HeaderLastEvent, strconv.Itoa(request.After))
+		built.Header.Set(platform.HeaderResumes, request.Resumes)
 	}
 	return built
 }
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -17,8 +17,13 @@
 	Model string
 	// Key is the caller's API key; empty for none.
 	Key string
-	// After is the number of the event after which the stream was to begin.
-	After int
+	// After is the number of the event after which the stream was to begin, Resumes the request that
+	// brought its first event, empty for this one.
+	After   int
+	Resumes string
+	// LeavesAfter is the number of events after which the caller leaves, to continue the stream with
+	// another request; zero for none.
+	LeavesAfter int
 	// Deadline is the time limit that the caller stated.
 	Deadline    time.Duration
 	Sent, Ended time.Duration
@@ -38,6 +43,16 @@
 type Run struct {
 	Request, Worker, Body string
 	At                    time.Duration
+	// Release is the software version of the worker. After is the event after which a stream was to
+	// begin, Events the number of events that the worker wrote.
+	Release       string
+	After, Events int
+}
+
+// Life is the time in which a worker served, and its software version.
+type Life struct {
+	Worker, Service, Release string
+	From, To                 time.Duration
 }
 
 // Rejection is a request that a worker rejected, asking the node for a back-off.
@@ -182,8 +197,12 @@
 	Exits          []Exit
 	Recoveries     []Recovery
 	Disturbances   []Disturbance
+	// Lives are the lives of the workers.
+	Lives []Life
 	// Engines is the number of workers that accept orders.
 	Engines int
+	// StreamService is the service whose workers answer with streams.
+	StreamService string
 	// Services maps each worker to its service.
 	Services map[string]string
 }
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -51,6 +51,8 @@
 	PromiseLimit         Promise = "a tenant that floods gets no more than its limit over all nodes"
 	PromiseWorkerLimit   Promise = "a worker that names a limit gets no more of all nodes"
 	PromiseBrittle       Promise = "brittle workers do not fall one after the other"
+	PromiseRelease       Promise = "streams hold events of one software version"
+	PromiseResumed       Promise = "resumed streams go on as new ones begin"
 	PromisePath          Promise = "nodes without a path to workers serve their callers"
 )
 
@@ -138,6 +140,8 @@
 	{PromiseLimit, checkTenantLimit, minJudgedSome, (*History).hasKeys},
 	{PromiseWorkerLimit, checkWorkerLimits, minJudgedFew, (*History).hasWorkerLimit},
 	{PromiseBrittle, checkFalls, minJudgedFew, (*History).hasBrittleTime},
+	{PromiseRelease, checkStreamReleases, 0, nil},
+	{PromiseResumed, checkResumedStreams, 0, nil},
 	{PromisePath, checkPartitions, minJudgedFew, (*History).hasJudgeablePartition},
 }
 
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -128,6 +128,7 @@
 			h.Runs = append(h.Runs, runOf(request.ID, "w1", request.Sent))
 		}
 	}
+	addResumedStreams(h)
 	leaving := completedRequest("leaving", RouteRead, 24200*time.Millisecond)
 	leaving.ClosesConnection = true
 	h.Requests = append(h.Requests, leaving)
@@ -151,6 +152,29 @@
 	return h
 }
 
+// addResumedStreams adds streams that are cut after two events and resumed at another node, while two workers
+// of each of two software versions serve.
+func addResumedStreams(h *History) {
+	h.StreamService = "engine"
+	for n, release := range []string{"v1", "v1", "v2", "v2"} {
+		h.Lives = append(h.Lives, Life{Worker: fmt.Sprintf("engine-%d", n), Service: "engine", Release: release, To: time.Minute})
+	}
+	for n := range minResumed {
+		first := completedRequest(fmt.Sprintf("resumable-%d", n), RouteStream, 14*time.Second)
+		first.Node, first.LeavesAfter, first.Failure, first.Body = 1, 2, "left", worker.StreamText(first.ID, 0, 2)
+		next := completedRequest(first.ID+"+", RouteStream, 15*time.Second)
+		next.Node, next.After, next.Resumes, next.Body = 1, 2, first.ID, worker.StreamText(next.ID, 2, testEvents)
+		began, resumed := runOf(first.ID, "engine-0", first.Sent), runOf(next.ID, "engine-1", next.Sent)
+		began.Release, began.Events = "v1", 4
+		resumed.Release, resumed.After, resumed.Events = "v1", 2, testEvents-2
+		// The caller got no event of this run.
+		lost := runOf(next.ID, "engine-2", next.Sent-time.Millisecond)
+		lost.Release, lost.After, lost.Events = "v2", 2, 1
+		h.Requests = append(h.Requests, first, next)
+		h.Runs = append(h.Runs, began, resumed, lost)
+	}
+}
+
 // findingFor returns the finding for a promise.
 func findingFor(findings []Finding, promise Promise) Finding {
 	at := slices.IndexFunc(findings, func(f Finding) bool { return f.Promise == promise })
@@ -300,6 +324,25 @@
 	{PromiseBrittle, "a worker that falls once more", func(h *History) {
 		h.Falls = append(h.Falls, Fall{Worker: "w1", Service: "plain", At: 14 * time.Second})
 	}},
+	{PromiseRelease, "a stream that its caller resumes at another software version", func(h *History) {
+		at := slices.IndexFunc(h.Runs, func(r Run) bool { return r.Request == "resumable-0+" && r.Release == "v1" })
+		h.Runs[at].Release = "v2"
+	}},
+	{PromiseRelease, "a stream that a node continues at another software version", func(h *History) {
+		at := slices.IndexFunc(h.Requests, func(r Request) bool { return r.Node == 1 && r.Route == RouteStream && r.Failure == "" })
+		for n, release := range []string{"v1", "v2"} {
+			run := runOf(h.Requests[at].ID, fmt.Sprintf("engine-%d", 2*n), h.Requests[at].Sent+time.Duration(n))
+			run.Release, run.After, run.Events = release, 2*n, testEvents-2*n
+			h.Runs = append(h.Runs, run)
+		}
+	}},
+	{PromiseResumed, "nodes that refuse resumed streams", func(h *History) {
+		for i := range h.Requests {
+			if h.Requests[i].Resumes != "" && i%3 != 0 {
+				h.Requests[i].Status, h.Requests[i].Body = http.StatusServiceUnavailable, ""
+			}
+		}
+	}},
 	{PromisePath, "a node that fails its callers while it is cut off from workers", func(h *History) {
 		for i := range h.Requests {
 			if strings.HasPrefix(h.Requests[i].ID, "n1-cut-") {
--- /dev/null
+++ b/soak/check/releases.go
@@ -0,0 +1,151 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minResumed is the number of resumed streams from which the share of them that went on is judged.
+	minResumed = 12
+	// resumedShare is the least share of resumed streams that go on, in proportion to new ones that begin.
+	resumedShare = 0.5
+	// releaseWorkers is the number of workers of a release that must serve for its streams to count.
+	releaseWorkers = 2
+)
+
+// streamChain is a stream with all requests of its caller, in the order in which they were sent.
+type streamChain struct{ requests []*Request }
+
+// streamChains returns the resumable streams by the request that brought their first event.
+func (h *History) streamChains() map[string]*streamChain {
+	chains := map[string]*streamChain{}
+	for i := range h.Requests {
+		request := &h.Requests[i]
+		if request.Route != RouteStream {
+			continue
+		}
+		first := cmp.Or(request.Resumes, request.ID)
+		if chains[first] == nil {
+			chains[first] = &streamChain{}
+		}
+		chains[first].requests = append(chains[first].requests, request)
+	}
+	for _, chain := range chains {
+		slices.SortFunc(chain.requests, func(a, b *Request) int { return cmp.Compare(a.Sent, b.Sent) })
+	}
+	return chains
+}
+
+// received returns the number of the last event that the caller has.
+func (c *streamChain) received() int {
+	last := 0
+	for _, request := range c.requests {
+		last = max(last, request.After+strings.Count(request.Body, "\n\n"))
+	}
+	return last
+}
+
+// contributions returns the runs of which the caller has events, oldest first. Events of a run after which a
+// later one began were lost on the way.
+func (c *streamChain) contributions(runs map[string][]*Run) []*Run {
+	var wrote []*Run
+	for _, request := range c.requests {
+		for _, run := range runs[request.ID] {
+			if run.Events > 0 {
+				wrote = append(wrote, run)
+			}
+		}
+	}
+	slices.SortFunc(wrote, func(a, b *Run) int { return cmp.Compare(a.At, b.At) })
+	end := c.received()
+	var kept []*Run
+	for i := len(wrote) - 1; i >= 0; i-- {
+		if wrote[i].After < end {
+			kept = append(kept, wrote[i])
+			end = min(end, wrote[i].After)
+		}
+	}
+	slices.Reverse(kept)
+	return kept
+}
+
+// checkStreamReleases checks that no stream holds events of workers of two software versions, in one answer or
+// over several requests of its caller.
+func checkStreamReleases(h *History, f *Finding) {
+	runs := h.runsByRequest()
+	for first, chain := range h.streamChains() {
+		wrote := chain.contributions(runs)
+		if len(wrote) < 2 {
+			continue
+		}
+		detail := ""
+		for _, run := range wrote[1:] {
+			if run.Release != wrote[0].Release {
+				detail = fmt.Sprintf("began at %s (%s), went on at %s (%s) after event %d", wrote[0].Worker, wrote[0].Release, run.Worker, run.Release, run.After)
+			}
+		}
+		f.record(first, wrote[0].At, detail)
+	}
+}
+
+// checkResumedStreams checks that streams which their callers resume go on at least half as often as new ones
+// begin, at undisturbed nodes and while workers of their software version serve.
+func checkResumedStreams(h *History, f *Finding) {
+	runs := h.runsByRequest()
+	var resumed, began tally
+	for _, chain := range h.streamChains() {
+		wrote := chain.contributions(runs)
+		for _, request := range chain.requests {
+			if h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePath) || h.peersDisturbed(request.Sent, request.Ended) {
+				continue
+			}
+			served := request.Status == http.StatusOK && strings.Contains(request.Body, "\n\n")
+			switch {
+			case request.Resumes == "":
+				began.add(served)
+			case len(wrote) > 0 && h.servingAt(wrote[0].Release, request.Sent, request.Ended) >= releaseWorkers:
+				resumed.add(served)
+			}
+		}
+	}
+	if resumed.sent < minResumed {
+		return
+	}
+	detail := ""
+	if resumed.share() < resumedShare*began.share() {
+		detail = fmt.Sprintf("%d of %d resumed streams went on, %d of %d new ones began", resumed.served, resumed.sent, began.served, began.sent)
+	}
+	f.Judged += resumed.sent - 1
+	f.record("resumed streams", 0, detail)
+}
+
+// add counts a request.
+func (t *tally) add(served bool) {
+	t.sent++
+	if served {
+		t.served++
+	}
+}
+
+// servingAt returns the number of engines of a software version that served, undisturbed, from one time to
+// another.
+func (h *History) servingAt(release string, from, to time.Duration) int {
+	count := 0
+	for i := range h.Lives {
+		life := &h.Lives[i]
+		if life.Release == release && life.Service == h.StreamService && life.From+recoveryGrace <= from && life.To >= to && !h.workerDisturbed(life.Worker, from, to) {
+			count++
+		}
+	}
+	return count
+}
+
+// hasResumption reports whether a caller resumed a stream that has events of several runs.
+func (h *History) hasResumption() bool {
+	return slices.ContainsFunc(h.Requests, func(r Request) bool { return r.Resumes != "" })
+}
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"time"
 
 	"github.com/valveslip/valveslip/soak/check"
 	"github.com/valveslip/valveslip/standin"
@@ -14,13 +16,26 @@
 	service string
 	worker  *worker.Worker
 	server  *standin.Server
+	// from and to are when the worker started and ended; to is openEnd while it lives.
+	from, to time.Duration
 }
 
 // recordLife records a run of a worker.
 func (r *run) recordLife(id, service string, started *worker.Worker, server *standin.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.workerLives = append(r.workerLives, workerLife{id: id, service: service, worker: started, server: server})
+	r.workerLives = append(r.workerLives, workerLife{id: id, service: service, worker: started, server: server, from: r.recorder.elapsed(), to: openEnd})
+}
+
+// recordLifeEnd records that a worker takes no more requests.
+func (r *run) recordLifeEnd(ended *worker.Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.workerLives {
+		if life := &r.workerLives[i]; life.worker == ended && life.to == openEnd {
+			life.to = r.recorder.elapsed()
+		}
+	}
 }
 
 // gather adds the workers' records to the history and returns a copy of it. Nodes and callers'
@@ -28,7 +43,7 @@
 func (r *run) gather() *check.History {
 	var seen check.History
 	r.mu.Lock()
-	lives := r.workerLives
+	lives := slices.Clone(r.workerLives)
 	r.mu.Unlock()
 	r.recorder.record(func(h *check.History) {
 		h.Bounds = check.Bounds{
@@ -36,7 +51,7 @@
 			LoadsPerWindow: int(loadsPerSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: streamEvents,
 			Keys: keyBound, Limit: floodLimit,
 		}
-		h.Engines, h.Services = r.engineCount(), map[string]string{}
+		h.Engines, h.StreamService, h.Services = r.engineCount(), serviceEngine, map[string]string{}
 		for _, life := range lives {
 			r.gatherLife(h, &life)
 		}
@@ -61,8 +76,13 @@
 // gatherLife adds the requests and orders recorded by one worker.
 func (r *run) gatherLife(h *check.History, life *workerLife) {
 	h.Services[life.id] = life.service
+	h.Lives = append(h.Lives, check.Life{Worker: life.id, Service: life.service, Release: life.worker.Release(), From: life.from, To: life.to})
 	for _, ran := range life.worker.Runs() {
-		h.Runs = append(h.Runs, check.Run{Request: ran.RequestID, Worker: life.id, Body: ran.Body, At: r.recorder.sinceStart(ran.At)})
+		after, _ := strconv.Atoi(ran.LastEvent)
+		h.Runs = append(h.Runs, check.Run{
+			Request: ran.RequestID, Worker: life.id, Body: ran.Body, At: r.recorder.sinceStart(ran.At),
+			Release: life.worker.Release(), After: after, Events: ran.Events,
+		})
 	}
 	for _, rejection := range life.worker.ShedRequests() {
 		h.Rejections = append(h.Rejections, check.Rejection{Request: rejection.RequestID, Worker: life.id, Backoff: rejection.RetryAfter, At: r.recorder.sinceStart(rejection.At)})
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -33,6 +33,8 @@
 	severalTargetsShare = 0.25
 	// unfencedShare is the share of seeds whose workers don't check fencing tokens.
 	unfencedShare = 0.25
+	// Of seedsPerReleases seeds in a row, one has workers of a single release.
+	seedsPerReleases = 2
 )
 
 // Size describes the run that a schedule is drawn for.
@@ -77,6 +79,9 @@
 	}
 	if size.Upgrades {
 		drawUpgrades(&schedule)
+	} else if seed%seedsPerReleases != 0 {
+		// Earlier builds don't know that streams may not go on at another release.
+		schedule.Releases = 2
 	}
 	schedule.Faults = slices.DeleteFunc(schedule.Faults, func(f Fault) bool { return f.At >= size.Span })
 	slices.SortStableFunc(schedule.Faults, func(a, b Fault) int { return int(a.At - b.At) })
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -31,6 +31,9 @@
 // maxRatePerSecond bounds the rate of a burst. The soak process itself can't send more.
 const maxRatePerSecond = 5000
 
+// maxReleases bounds the software versions of the workers.
+const maxReleases = 4
+
 // flowFault is a Fault without its MarshalYAML method, which would call itself.
 type flowFault Fault
 
@@ -57,6 +60,9 @@
 	Workers int `yaml:"workers" json:"workers"`
 	// Fencing is set when workers refuse orders with an outdated fencing token.
 	Fencing bool `yaml:"fencing" json:"fencing"`
+	// Releases is the number of software versions of the workers that serve side by side; zero
+	// means one.
+	Releases int `yaml:"releases,omitempty" json:"releases,omitempty"`
 	// Keyless deployments have no tenants: no caller needs a key, and no node asks the
 	// store to prove which configuration is the newest.
 	Keyless bool `yaml:"keyless,omitempty" json:"keyless,omitempty"`
@@ -109,6 +115,9 @@
 	if s.Nodes < 1 || s.Workers < 1 || s.Span <= 0 {
 		return eris.New("nodes, workers and span must be positive")
 	}
+	if s.Releases < 0 || s.Releases > maxReleases {
+		return eris.Errorf("releases must be from 0 to %d", maxReleases)
+	}
 	if s.CoreShare < 0 || s.MemoryMB < 0 || s.LinkMbps < 0 || s.ExtraRoutes < 0 || s.ExtraModels < 0 || s.ExtraWorkers < 0 {
 		return eris.New("core_share, memory_mb, link_mbps, extra_routes, extra_models and extra_workers must not be negative")
 	}
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -77,6 +77,7 @@
 	restored := s.recordDisturbance()
 	at.Refuse()
 	server.Kill()
+	s.recordLifeEnd(self)
 	s.restarts.Go(func() {
 		defer restored()
 		s.sleepUntil(time.Now().Add(poisonRestartDelay))
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -37,6 +37,12 @@
 	loadsPerSecond   = 2
 )
 
+// startsPerRelease is how often a slot's worker starts with the same software version in a row.
+const startsPerRelease = 2
+
+// workersPerService is the distance between two slots with the same service.
+const workersPerService = 2
+
 func modelName(index int) string { return fmt.Sprintf("model-%d", index+1) }
 
 // faultBehaviour is how a worker deviates from normal service while a fault lasts.
@@ -87,6 +93,7 @@
 
 	mu            sync.Mutex
 	lifeNumber    int
+	startCount    int
 	id            string
 	startedMillis int64
 	// name identifies the current worker in the history. It includes the start time, since
@@ -141,8 +148,8 @@
 func (s *workerSlot) startCurrent(at *proxy.Proxy) error {
 	s.startedMillis = max(time.Now().UnixMilli(), s.startedMillis+1)
 	config := worker.Config{
-		StartMillis: s.startedMillis,
-		ID:          s.id, Service: s.service(), Zone: zoneName(s.index % zoneCount(len(s.nodes))), Slots: plainSlots, RunTime: plainTime,
+		StartMillis: s.startedMillis, Release: s.drawRelease(),
+		ID: s.id, Service: s.service(), Zone: zoneName(s.index % zoneCount(len(s.nodes))), Slots: plainSlots, RunTime: plainTime,
 		Unfenced: !s.options.Schedule.Fencing,
 	}
 	if s.service() == serviceEngine {
@@ -180,6 +187,14 @@
 	return s.metadata.Put(started.Key(), started.Entry())
 }
 
+// drawRelease returns the software version of the slot's next worker. Versions have no order; a worker that
+// starts again, also with its id, may have another one than before.
+func (s *workerSlot) drawRelease() string {
+	s.startCount++
+	releases := max(s.options.Schedule.Releases, 1)
+	return fmt.Sprintf("v1.%d", (s.index/workersPerService+s.startCount/startsPerRelease)%releases)
+}
+
 // publish writes a worker's store entry unless another worker has taken its place.
 func (s *workerSlot) publish(by *worker.Worker, key string, entry platform.WorkerDocument) {
 	s.mu.Lock()
@@ -236,6 +251,7 @@
 	s.mu.Unlock()
 	at.Refuse()
 	server.Kill()
+	s.recordLifeEnd(ended)
 	s.undoAfter(length, func() {
 		defer restored()
 		s.replace(ended, at)
@@ -258,6 +274,7 @@
 	restored := s.recordDisturbance()
 	at.Refuse()
 	server.Kill()
+	s.recordLifeEnd(ended)
 	s.undoAfter(length, func() {
 		defer restored()
 		s.restartIfCurrent(ended, at)
@@ -322,6 +339,7 @@
 func (s *workerSlot) announceLeave(length time.Duration) {
 	name, leaving, _, _ := s.current()
 	leaving.Leave()
+	s.recordLifeEnd(leaving)
 	at := s.recorder.elapsed()
 	s.recorder.record(func(h *check.History) {
 		h.LeavingAnswers = append(h.LeavingAnswers, check.Leaving{Worker: name, At: at})
@@ -338,6 +356,7 @@
 func (s *workerSlot) drain(length time.Duration) {
 	id, leaving, _, _ := s.current()
 	leaving.Drain()
+	s.recordLifeEnd(leaving)
 	at := s.recorder.elapsed()
 	s.recorder.record(func(h *check.History) {
 		h.Leavings = append(h.Leavings, check.Leaving{Worker: id, At: at})
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -21,7 +21,7 @@
 	ID, Service, Address, Zone string
 	// Release is the software version in the worker's entry; "v1" if empty.
 	Release string
-	Slots                      int
+	Slots   int
 	// Queue is the number of requests that may wait for a slot; zero lets any number run at once,
 	// except while the worker falls by what it turns away.
 	Queue int
@@ -85,6 +85,8 @@
 type Run struct {
 	RequestID, Model, LastEvent, Body string
 	At                                time.Time
+	// Events is the number of events of a stream that were written.
+	Events int
 }
 
 // StreamText returns the stream that answers a request, from the event after
@@ -163,7 +165,7 @@
 		state = "draining"
 	}
 	return platform.WorkerDocument{
-		Service: w.config.Service, Address: w.config.Address, Zone: w.config.Zone, Version: cmp.Or(w.config.Release, "v1"),
+		Service: w.config.Service, Address: w.config.Address, Zone: w.config.Zone, Version: w.Release(),
 		Slots: w.config.Slots, State: state, Models: slices.Clone(w.loadedModels), Born: w.startTimeMillis(),
 	}
 }
@@ -224,6 +226,9 @@
 	return w.abandonedRequests
 }
 
+// Release returns the software version in the worker's entry.
+func (w *Worker) Release() string { return cmp.Or(w.config.Release, "v1") }
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	w.setStatusHeaders(out.Header())
@@ -273,11 +278,9 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	w.mutex.Lock()
-	w.runs = append(w.runs, Run{
+	run := w.addRun(Run{
 		RequestID: id, Model: model, LastEvent: r.Header.Get(platform.HeaderLastEvent), Body: string(body), At: time.Now(),
 	})
-	w.mutex.Unlock()
 	switch behaviour {
 	case CutAfterRun:
 		panic(http.ErrAbortHandler)
@@ -294,7 +297,7 @@
 		out.Header().Set(platform.HeaderRequestID, id)
 	}
 	if w.config.Events > 0 {
-		w.serveStream(out, r, id, behaviour)
+		w.serveStream(out, r, id, behaviour, run)
 		return
 	}
 	if behaviour == FailWith500 {
@@ -311,8 +314,23 @@
 	_, _ = io.WriteString(out, text)
 }
 
+// addRun records a run and returns its index.
+func (w *Worker) addRun(run Run) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.runs = append(w.runs, run)
+	return len(w.runs) - 1
+}
+
+// countEvent counts an event that a run has written.
+func (w *Worker) countEvent(run int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.runs[run].Events++
+}
+
 // serveStream sends the events after the last one that the caller received.
-func (w *Worker) serveStream(out http.ResponseWriter, r *http.Request, id string, behaviour Behaviour) {
+func (w *Worker) serveStream(out http.ResponseWriter, r *http.Request, id string, behaviour Behaviour, run int) {
 	out.Header().Set("Content-Type", "text/event-stream")
 	lastReceived, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
 	flusher := http.NewResponseController(out)
@@ -326,6 +344,7 @@
 		if flusher.Flush() != nil {
 			return
 		}
+		w.countEvent(run)
 		select {
 		case <-time.After(w.config.Pause):
 		case <-r.Context().Done():
