Continue a stream only at the release that began it

What callers saw: a stream that its worker cut went on, in the same answer, at a worker of another software version; what two versions write does not fit together.

Cause: the choice of a replica did not know releases.

A stream is now pinned to the release of the machine that wrote its first event. The one filter that choice, alternatives of the dispatcher, moves from silent machines and held attempts all pass leaves machines of other releases out. A retry before the first event may go anywhere. While machines of other releases serve the model, a pinned stream waits out of the queue's order, so that those behind it are not kept waiting; it is first when a machine of its release has room, and ends at once when none has the model or loads it. With one release nothing is held and the filter compares one string.

Streams that callers take up elsewhere are not mended yet.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -166,7 +166,10 @@
 	if ahead == 0 && !r.mustWait(admitted) && r.tryDispatch(admitted) {
 		return
 	}
-	failure, reason := r.queueRefusal(admitted)
+	failure, reason := r.releaseRefusal(admitted)
+	if failure == nil {
+		failure, reason = r.queueRefusal(admitted)
+	}
 	if failure == nil {
 		failure, reason = r.startRefusal(admitted, model.queue.EstimateAhead(&admitted.item))
 	}
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -48,6 +48,10 @@
 // dispatchToFreed dispatches to the machines that gained room in this step. It runs after all
 // timers, so that a request whose own timer is also due is not dispatched.
 func (r *Router) dispatchToFreed() {
+	if len(r.freedMachines) > 0 {
+		r.recheckHeldBack = true
+		r.releaseHeldBack()
+	}
 	for _, machine := range r.freedMachines {
 		r.dispatchToMachine(machine)
 	}
@@ -97,7 +101,7 @@
 	ready.running, ready.silent = true, false
 	ready.attempt++
 	ready.countedAttempts++
-	ready.machine = machine
+	ready.machine, ready.attemptRelease = machine, r.releaseOf(machine)
 	ready.dispatched = r.nanos
 	machine.addDispatch(r.nanos)
 	r.useTurn(machine, ready)
@@ -112,7 +116,7 @@
 	decided := Dispatch{
 		Request: ready.ID, Attempt: ready.attempt,
 		Machine: machine.id, Address: machine.address,
-		Model: ready.Model, Version: chosen.version, Release: r.releaseOf(machine),
+		Model: ready.Model, Version: chosen.version, Release: ready.attemptRelease,
 		Deadline: time.Unix(0, ready.deadline), Final: !ready.retryAllowed(), Reason: reason,
 		Limited: machine.turns.limited, Probe: ready.probe,
 	}
@@ -301,6 +305,10 @@
 		r.failQueueTimeout(failed)
 		return
 	}
+	if failure, why := r.releaseRefusal(failed); failure != nil {
+		r.finish(failed, failure, why)
+		return
+	}
 	if failure, why := r.startRefusal(failed, 0); failure != nil {
 		r.finish(failed, failure, why)
 		return
--- a/routing/cells.go
+++ b/routing/cells.go
@@ -220,6 +220,7 @@
 func (r *Router) updateChangedModels() {
 	changed := r.changedModels
 	r.changedModels = nil
+	r.recheckHeldBack = true
 	slices.SortFunc(changed, func(a, b *model) int { return strings.Compare(string(a.id), string(b.id)) })
 	for _, model := range slices.Compact(changed) {
 		r.recountReplicas(model)
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -130,6 +130,9 @@
 	if candidate.missingUntil > r.nanos {
 		return FilterRecent
 	}
+	if !r.fitsRelease(ready, machine) {
+		return FilterRelease
+	}
 	if ready.model.matchingVersion > 0 && !ready.model.hasVersion(candidate) {
 		return FilterVersion
 	}
--- a/routing/events.go
+++ b/routing/events.go
@@ -56,6 +56,10 @@
 	Public             bool
 	// Rank is the request's urgency among its tenant's requests, 0 being the most urgent.
 	Rank int
+	// Pinned is set if the request continues a stream that began at machines of Release, so that no
+	// others may run it.
+	Pinned  bool
+	Release string
 	// Caller identifies the caller. All callers that can't be identified share zero.
 	Caller uint64
 	// probe is set while a blocked request is sent once more as a probe, probeWanted while it
@@ -353,6 +357,7 @@
 	FilterRecent   FilterCause = "refused recently"
 	FilterTried    FilterCause = "already tried for this request"
 	FilterVersion  FilterCause = "other version"
+	FilterRelease  FilterCause = "other software release"
 	FilterUnlisted FilterCause = "not in the cell's status"
 	FilterLimited  FilterCause = "no turn at a machine with a limit"
 	FilterResting  FilterCause = "machine wants rest"
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -14,6 +14,7 @@
 	if sent == nil {
 		return
 	}
+	r.pinRelease(sent)
 	sent.firstByteSent = true
 	if sent.running {
 		sent.machine.consecutiveBackOffs = 0
@@ -99,6 +100,8 @@
 	switch {
 	case waiting.retryUnpaid:
 		return "the retry budget allowed no other attempt within the queue time"
+	case waiting.Pinned:
+		return "no machine of the release at which the stream began was free within the queue time"
 	case waiting.item.Held():
 		return "machines ended under such requests, and another one ran during the queue time"
 	}
--- a/routing/holdback.go
+++ b/routing/holdback.go
@@ -12,8 +12,9 @@
 // can be attributed and costs few others: those with the same suspected content, those of a
 // throttled caller, and probes. The others wait, held in their queues. Only a request that runs
 // keeps others waiting: one that waits for a machine itself could do so for seconds. Held are also a
-// blocked request that asked for the permission for a probe, until the answer, and a started stream
-// whose continuation the retry budget does not allow yet.
+// blocked request that asked for the permission for a probe, until the answer, a started stream whose
+// continuation the retry budget does not allow yet, and a stream for which no machine of its release
+// is free.
 
 // RequestHeldBack reports that a waiting request is held in its queue while another one runs.
 type RequestHeldBack struct {
@@ -37,7 +38,7 @@
 
 // mustWait reports whether a request can't be dispatched now, although a machine may have room for it.
 func (r *Router) mustWait(ready *request) bool {
-	return ready.retryUnpaid || r.awaitsProbe(ready) || r.heldBackBy(ready) != nil
+	return ready.retryUnpaid || r.awaitsProbe(ready) || r.heldBackBy(ready) != nil || r.awaitsRelease(ready)
 }
 
 // heldBackBy returns the running request that keeps a request from being dispatched, or nil. A
@@ -103,8 +104,12 @@
 			r.finish(held, failure, reason)
 			continue
 		}
+		if failure, reason := r.releaseRefusal(held); failure != nil {
+			r.finish(held, failure, reason)
+			continue
+		}
 		r.payRetry(held)
-		if held.retryUnpaid || r.awaitsProbe(held) {
+		if held.retryUnpaid || r.awaitsProbe(held) || r.awaitsRelease(held) {
 			continue
 		}
 		checked = held
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -80,7 +80,7 @@
 	placed.dispatched = r.nanos
 	r.emit(Dispatch{
 		Request: placed.ID, Attempt: placed.attempt,
-		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version, Release: r.releaseOf(placed.machine),
+		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version, Release: placed.attemptRelease,
 		Deadline: time.Unix(0, placed.deadline), Final: !placed.retryAllowed(),
 		Limited: placed.machine.turns.limited, Probe: placed.probe,
 		Reason: Choice{
@@ -125,7 +125,7 @@
 	from.forgetDispatch(placed.dispatched)
 	r.freedMachines = append(r.freedMachines, from)
 	r.restoreTurn(from, placed)
-	placed.machine = to.machine
+	placed.machine, placed.attemptRelease = to.machine, r.releaseOf(to.machine)
 	to.machine.addDispatch(r.nanos)
 	r.useTurn(to.machine, placed)
 	if len(placed.Prefixes) > 0 {
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -78,6 +78,10 @@
 	if left, blocked := r.poison.Blocked(r.now, refused.Content); blocked {
 		return r.poisonFailure(refused.Content, left)
 	}
+	if r.awaitsRelease(refused) {
+		failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no machine of release %q is free and the model's requests may not wait", refused.Release)
+		return failure.After(r.retryAfter(refused.model)), refused.model.explain(settingQueueTime, 0, 0)
+	}
 	record, _ := r.poison.Record(refused.Content)
 	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest,
 		"requests under which machines ended run one at a time, and this one may not wait")
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -1,5 +1,29 @@
 package routing
 
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// What machines of two software releases write does not fit together. A stream that has begun is
+// therefore pinned to the release of the machine that wrote its first event: only machines of that
+// release may continue it. It waits, held in its queue, while none of them takes it.
+
+// settingRelease names the release of machines in explanations.
+const settingRelease = "release of machines"
+
+// StreamBegan reports the release at which a stream that may be continued began.
+type StreamBegan struct {
+	Request cluster.RequestID
+	Release string
+	// Deadline is the time by which the request must have ended.
+	Deadline time.Time
+}
+
+func (StreamBegan) routingEffect() {}
+
 // releaseOf returns the release of a machine's software.
 func (r *Router) releaseOf(m *machine) string {
 	if r.config.ReleaseOf == nil {
@@ -7,3 +31,58 @@
 	}
 	return r.config.ReleaseOf(m.id)
 }
+
+// pinRelease pins a stream to the release of the machine that began it.
+func (r *Router) pinRelease(began *request) {
+	if !began.Resumable || began.firstByteSent || !began.running {
+		return
+	}
+	if !began.Pinned {
+		began.Pinned, began.Release = true, began.attemptRelease
+	}
+	r.emit(StreamBegan{Request: began.ID, Release: began.Release, Deadline: time.Unix(0, began.deadline)})
+}
+
+// fitsRelease reports whether the request may run on a machine of this release.
+func (r *Router) fitsRelease(ready *request, m *machine) bool {
+	return !ready.Pinned || r.releaseOf(m) == ready.Release
+}
+
+// awaitsRelease reports whether a pinned request waits for a machine of its release, while those behind
+// it may go to machines of other releases.
+func (r *Router) awaitsRelease(ready *request) bool {
+	if !ready.Pinned {
+		return false
+	}
+	others := false
+	for _, tier := range ready.model.tiers {
+		for _, candidate := range tier {
+			if r.unusableCause(ready, candidate, true) == "" {
+				return false
+			}
+			others = others || !r.fitsRelease(ready, candidate.machine)
+		}
+	}
+	return others
+}
+
+// releaseRefusal returns why a pinned request can't be sent, because no machine of its release has the
+// model or loads it, or nil.
+func (r *Router) releaseRefusal(pinned *request) (*verdict.Error, Explanation) {
+	if !pinned.Pinned {
+		return nil, Explanation{}
+	}
+	model := pinned.model
+	for _, tier := range append(model.tiers[:], model.loading) {
+		for _, candidate := range tier {
+			if !candidate.machine.leaving() && r.fitsRelease(pinned, candidate.machine) {
+				return nil, Explanation{}
+			}
+		}
+	}
+	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the stream began at release %q, which no machine with the model has", pinned.Release)
+	if pinned.firstByteSent {
+		failure = verdict.New(verdict.Ran, verdict.CodeStreamCut, "%s", failure.Message)
+	}
+	return failure.After(r.retryAfter(model)), Explanation{Setting: settingRelease}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -144,6 +144,7 @@
 		r.applyMachineLimit(&event)
 	case TurnDecided:
 		r.turnDecided(&event)
+		r.recheckHeldBack = true
 	case RequestWithdrawn:
 		r.withdraw(event.Request, event.Failure)
 	case AttemptPlaced:
--- a/routing/state.go
+++ b/routing/state.go
@@ -30,6 +30,8 @@
 	attempt    cluster.Attempt
 	machine    *machine
 	dispatched int64
+	// attemptRelease is the release of the machine's software.
+	attemptRelease string
 	// countedAttempts is the number of attempts that RetryAttempts bounds: all except those that an
 	// engine refused without running them.
 	countedAttempts int
