Find the release of a stream that its caller resumes at another node

What callers saw: a stream that they took up at another node went on at a worker of another software version.

Cause: only the node that relays a stream knows at which release it began, and it may be dead when the caller comes back. Resumes was not read.

The class: what a request was promised is known only at the node that promised it. Each node keeps the origin of the streams that it relays. While a service has machines of several releases, it replicates them to three owners that follow from the request's ID by rendezvous hashing (acknowledged, resent, replaced if silent; sent again when owners change, by owners too). A node that a caller resumes a stream at asks five nodes, then up to sixteen, within 180 ms, and pins the request to the answer. If nobody knows, the request goes on if the service has a single release, and is refused as not run otherwise. With one release nothing is sent. Releases whose machines are gone count for as long as their streams may be resumed; a record in the store, which exists only while there are several, tells nodes that start.

Messages are of wire version 11; earlier builds don't get them, and another owner takes the place of one that does not acknowledge.

The test of a stream whose release is gone waited for one known worker, which it had before the new one was known; it waits for both first.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
-		PoisonJudged{}, PoisonProbe{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -42,6 +42,26 @@
 	Number  int    `log:"number" doc:"number of the probe among those of all nodes, from 1"`
 }
 
+// ReleasesChanged is written when the software releases change at which streams of a service may
+// have begun that can still be resumed.
+type ReleasesChanged struct {
+	Service  string `log:"service" doc:"the service"`
+	Releases string `log:"releases" doc:"releases of its workers, those included that went a short time ago"`
+	Mixed    bool   `log:"mixed" doc:"whether there are several, so that streams are kept apart"`
+}
+
+// StreamResumed is written when a caller resumes a stream: at which release it goes on, and how this
+// node knows.
+type StreamResumed struct {
+	Request  cluster.RequestID `log:"request" doc:"request id"`
+	Resumes  cluster.RequestID `log:"resumes,omitempty" doc:"request that brought the first event of the stream"`
+	Release  string            `log:"release,omitempty" doc:"release at which the stream began"`
+	Outcome  string            `log:"outcome" doc:"why it goes on there, or why it is refused"`
+	Asked    int               `log:"asked,omitempty" doc:"nodes that were asked"`
+	Answered int               `log:"answered,omitempty" doc:"nodes that answered"`
+	Took     time.Duration     `log:"took_ms,omitempty" doc:"time until the release was known or given up"`
+}
+
 // KeysJudged is written when this node's knowledge of the tenants' API keys becomes too
 // old, or recent enough again, to serve requests that need a key.
 type KeysJudged struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -42,6 +42,22 @@
 	return "Written when this node asks the store whether it may send a request that all nodes refuse once more, and when it may."
 }
 
+// Kind implements Event.
+func (ReleasesChanged) Kind() string { return "releases_changed" }
+
+// Meaning implements Documented.
+func (ReleasesChanged) Meaning() string {
+	return "Written when the software releases change at which streams of a service may have begun that can still be resumed."
+}
+
+// Kind implements Event.
+func (StreamResumed) Kind() string { return "stream_resumed" }
+
+// Meaning implements Documented.
+func (StreamResumed) Meaning() string {
+	return "Written when a caller resumes a stream: the release at which it goes on and how this node knows, or that it is refused."
+}
+
 // Kind implements Event.
 func (NodeStopping) Kind() string { return "node_stopping" }
 
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -12,6 +12,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet/dispatch"
 	"github.com/valveslip/valveslip/fleet/lending"
+	"github.com/valveslip/valveslip/fleet/origins"
 	"github.com/valveslip/valveslip/fleet/pacing"
 	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
@@ -38,6 +39,8 @@
 	// dispatchClient is nil if each node places its attempts itself.
 	dispatchClient *dispatchClient
 	pacer          *pacer
+	releases       *releaseTracker
+	resumptions    *resumptions
 	reporter       demandReporter
 	synced         bool
 	// restarted is set once the store has shown a record of an earlier process of this machine.
@@ -72,6 +75,8 @@
 	core.gate = newGate(core)
 	core.lending = lending.New(config.Lending)
 	core.pacer = newPacer(core)
+	core.releases = newReleaseTracker(core)
+	core.resumptions = newResumptions(core)
 	return core
 }
 
@@ -97,8 +102,11 @@
 		c.controller.holderRead(e)
 	case LastHolderRead:
 		c.controller.lastHolderRead(e)
+	case ReleasesRead:
+		c.releases.storeRead(e)
 	case StoreSynced:
 		c.synced = true
+		c.releases.synced()
 		c.releaseDispatches()
 	case Paused:
 		c.feedRouter(routing.DispatchesPaused{Until: now.Add(c.config.PauseHold)})
@@ -141,12 +149,14 @@
 		c.feedLending(lending.Tick{})
 	}
 	c.pacer.tick()
+	c.releases.tick()
+	c.resumptions.tick()
 	return c.effects
 }
 
 // NextDue returns the time of the next required Tick.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due()}
+	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due()}
 	if c.dispatchClient != nil {
 		due = append(due, c.dispatchClient.due())
 	}
@@ -258,8 +268,13 @@
 	return counts
 }
 
+// StreamOrigins returns the number of streams of which this node knows the release at which they began.
+func (c *Core) StreamOrigins() int { return c.resumptions.origins.Known() }
+
 // InFlight returns the number of requests that have not ended.
-func (c *Core) InFlight() int { return c.router.InFlight() + c.gate.heldArrivals() }
+func (c *Core) InFlight() int {
+	return c.router.InFlight() + c.gate.heldArrivals() + c.resumptions.heldCount()
+}
 
 // StoreCapacity returns the estimated number of concurrent loads that the weight store sustains,
 // learned by this node as the lease holder or read from the last holder's record.
@@ -306,6 +321,8 @@
 		c.poison.reportReceived(&m)
 	case wire.LenderClaim, wire.LenderVote, wire.TokensRequest, wire.TokensAnswer:
 		c.feedLending(lending.MessageReceived{Message: message})
+	case wire.StreamOrigins, wire.StreamOriginsReceived, wire.StreamOriginRequest, wire.StreamOriginAnswer:
+		c.resumptions.step(origins.MessageReceived{Message: message})
 	case wire.MachineLimit:
 		c.pacer.limitReceived(&m)
 	case wire.TurnRequest, wire.TurnAnswer, wire.TurnReturned:
--- a/fleet/peer_notifier.go
+++ b/fleet/peer_notifier.go
@@ -67,6 +67,7 @@
 	}
 	c.feedLending(lending.PeersChanged{Peers: peers, HasPredecessor: c.restarted})
 	c.pacer.peersChanged()
+	c.resumptions.peersChanged()
 	if c.dispatchClient == nil {
 		return
 	}
--- /dev/null
+++ b/fleet/releases.go
@@ -0,0 +1,261 @@
+package fleet
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/eventlog"
+)
+
+// KeyReleases is the key of the record of the services whose machines have several software releases.
+// A node that starts learns from it of releases whose machines are gone, but whose streams may still be
+// resumed. It is absent while each service has a single release.
+const KeyReleases = KeyRoot + "releases"
+
+const (
+	// releaseMargin is added to the longest time for which a stream may be resumed: a release counts
+	// for that long after its last machine is gone.
+	releaseMargin = 5 * time.Second
+	// defaultStreamTime is that time if a route does not bound it.
+	defaultStreamTime = time.Minute
+	// releasesWriteRetry is the time between two attempts to write the record.
+	releasesWriteRetry = 2 * time.Second
+)
+
+// releaseTracker tracks the software releases of the machines of each service.
+type releaseTracker struct {
+	core     *Core
+	services map[string]*serviceReleases
+	// stored is the record in the store, sorted, and storedRevision its revision, zero without one.
+	stored         map[string][]string
+	storedRevision int64
+	// observedSince is when this node first knew all machines.
+	observedSince time.Time
+	nextWriteAt   time.Time
+	// expiresAt is when the next release ceases to count, zero if none is going to.
+	expiresAt time.Time
+}
+
+// serviceReleases are the releases of one service.
+type serviceReleases struct {
+	// machines counts the machines of each release, goneAt is when the last one went.
+	machines map[string]int
+	goneAt   map[string]time.Time
+	// reported are the releases that were last reported, sorted.
+	reported []string
+}
+
+func newReleaseTracker(core *Core) *releaseTracker {
+	return &releaseTracker{core: core, services: map[string]*serviceReleases{}}
+}
+
+func (t *releaseTracker) service(name string) *serviceReleases {
+	known := t.services[name]
+	if known == nil {
+		known = &serviceReleases{machines: map[string]int{}, goneAt: map[string]time.Time{}}
+		t.services[name] = known
+	}
+	return known
+}
+
+// changed handles a change of a machine's entry; an entry with an empty ID stands for none.
+func (t *releaseTracker) changed(before, now *catalog.Worker) {
+	if before.ID == now.ID && before.Release == now.Release && before.Service == now.Service {
+		return
+	}
+	if now.ID != "" {
+		t.service(now.Service).machines[now.Release]++
+		t.report(now.Service)
+	}
+	if before.ID == "" {
+		return
+	}
+	known := t.service(before.Service)
+	if known.machines[before.Release]--; known.machines[before.Release] <= 0 {
+		delete(known.machines, before.Release)
+		known.goneAt[before.Release] = t.core.now
+		t.expiresAt = earliest(t.expiresAt, t.core.now.Add(t.retention()))
+	}
+	t.report(before.Service)
+}
+
+// retention returns how long a release counts after its last machine is gone.
+func (t *releaseTracker) retention() time.Duration {
+	longest := time.Duration(0)
+	if t.core.compiled != nil {
+		for i := range t.core.compiled.Routes {
+			if route := &t.core.compiled.Routes[i]; route.Resumable {
+				longest = max(longest, route.Timeout)
+			}
+		}
+	}
+	if longest == 0 {
+		longest = defaultStreamTime
+	}
+	return longest + releaseMargin
+}
+
+// observed returns the releases of a service that this node knows by its own observation: those of present
+// machines, and of machines that went a short time ago.
+func (t *releaseTracker) observed(name string) map[string]bool {
+	releases := map[string]bool{}
+	known := t.services[name]
+	if known == nil {
+		return releases
+	}
+	for release := range known.machines {
+		releases[release] = true
+	}
+	for release, at := range known.goneAt {
+		if t.core.now.Sub(at) < t.retention() {
+			releases[release] = true
+		}
+	}
+	return releases
+}
+
+// releases returns the releases at which streams of a service may have begun that can still be resumed, sorted.
+func (t *releaseTracker) releases(name string) []string {
+	releases := t.observed(name)
+	for _, release := range t.stored[name] {
+		releases[release] = true
+	}
+	return slices.Sorted(maps.Keys(releases))
+}
+
+// mixed reports whether streams of a service may have begun at several releases.
+func (t *releaseTracker) mixed(name string) bool {
+	known := t.services[name]
+	return known != nil && len(known.reported) > 1
+}
+
+// report tells the other parts of the core if the releases of a service have changed.
+func (t *releaseTracker) report(name string) {
+	known := t.service(name)
+	releases := t.releases(name)
+	if slices.Equal(releases, known.reported) {
+		return
+	}
+	known.reported = releases
+	t.core.log(eventlog.ReleasesChanged{Service: name, Releases: strings.Join(releases, ","), Mixed: len(releases) > 1})
+	t.core.resumptions.releasesChanged(name, len(releases) > 1)
+}
+
+// storeRead handles the record in the store; nil if there is none.
+func (t *releaseTracker) storeRead(read ReleasesRead) {
+	before := t.stored
+	t.stored, t.storedRevision = read.Services, read.Revision
+	names := slices.Collect(maps.Keys(before))
+	names = slices.AppendSeq(names, maps.Keys(read.Services))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		t.report(name)
+	}
+}
+
+// synced records that all machines are known.
+func (t *releaseTracker) synced() {
+	if t.observedSince.IsZero() {
+		t.observedSince = t.core.now
+	}
+}
+
+// tick drops releases that no longer count, and writes the record if this node holds the order lease.
+func (t *releaseTracker) tick() {
+	if !t.expiresAt.IsZero() && !t.core.now.Before(t.expiresAt) {
+		t.expire()
+	}
+	if t.observedSince.IsZero() || t.core.now.Before(t.nextWriteAt) || !t.core.controller.ledger.Holding() {
+		return
+	}
+	if wanted := t.wanted(); !maps.EqualFunc(wanted, t.stored, slices.Equal) {
+		t.nextWriteAt = t.core.now.Add(releasesWriteRetry)
+		t.core.emit(StoreWrite{Key: KeyReleases, Value: encodeReleases(wanted), Delete: len(wanted) == 0, Revision: t.storedRevision})
+	}
+}
+
+// due returns the time of the next required tick, zero for none.
+func (t *releaseTracker) due() time.Time { return t.expiresAt }
+
+// expire drops the releases whose last machine went too long ago.
+func (t *releaseTracker) expire() {
+	t.expiresAt = time.Time{}
+	for _, name := range slices.Sorted(maps.Keys(t.services)) {
+		known := t.services[name]
+		for release, at := range known.goneAt {
+			if end := at.Add(t.retention()); t.core.now.Before(end) {
+				t.expiresAt = earliest(t.expiresAt, end)
+			} else {
+				delete(known.goneAt, release)
+			}
+		}
+		t.report(name)
+	}
+}
+
+// wanted returns the record as it should be. A release that the record has stays until this node would have
+// seen streams of it end.
+func (t *releaseTracker) wanted() map[string][]string {
+	young := t.core.now.Sub(t.observedSince) < t.retention()
+	wanted := map[string][]string{}
+	for name := range t.services {
+		releases := t.observed(name)
+		for _, release := range t.stored[name] {
+			if young {
+				releases[release] = true
+			}
+		}
+		if len(releases) > 1 {
+			wanted[name] = slices.Sorted(maps.Keys(releases))
+		}
+	}
+	return wanted
+}
+
+// only returns the release of a service if there is exactly one.
+func (t *releaseTracker) only(name string) (string, bool) {
+	known := t.services[name]
+	if known == nil || len(known.reported) != 1 {
+		return "", false
+	}
+	return known.reported[0], true
+}
+
+// unstatedRelease is the release of a machine whose entry states none, beside others that do: it may be any.
+func unstatedRelease(id cluster.MachineID) string { return "unstated by " + string(id) }
+
+// ReleasesRead delivers the record of the services whose machines have several releases, nil without one.
+type ReleasesRead struct {
+	Services map[string][]string
+	// Revision is the store revision of the record, zero without one.
+	Revision int64
+}
+
+func (ReleasesRead) fleetEvent() {}
+
+func encodeReleases(services map[string][]string) []byte {
+	data, err := json.Marshal(services)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// DecodeReleases decodes the value of KeyReleases.
+func DecodeReleases(value []byte) (map[string][]string, error) {
+	var services map[string][]string
+	if err := json.Unmarshal(value, &services); err != nil {
+		return nil, eris.Wrap(err, "decode record of releases")
+	}
+	for name := range services {
+		slices.Sort(services[name])
+	}
+	return services, nil
+}
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -10,10 +10,10 @@
 func (c *Core) handleRoutingInput(event routing.Event) {
 	switch e := event.(type) {
 	case routing.RequestArrived:
-		c.gate.admit(e.Request)
+		c.resumptions.admit(e.Request)
 		return
 	case routing.CallerGone:
-		if c.gate.callerGone(e.Request) {
+		if c.resumptions.callerGone(e.Request) || c.gate.callerGone(e.Request) {
 			return
 		}
 	case routing.AttemptEnded:
@@ -50,6 +50,8 @@
 	for _, effect := range c.router.Step(c.now, event) {
 		switch e := effect.(type) {
 		case routing.StatusNeeded:
+		case routing.StreamBegan:
+			c.resumptions.began(e)
 		case routing.PoisonFound:
 			c.poison.recordsFound(e.Records)
 		case routing.TurnWanted:
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -29,6 +29,7 @@
 	removedNodes       []cluster.NodeID
 	holder             *fleet.HolderRead
 	lastHolder         *fleet.LastHolderRead
+	releases           *fleet.ReleasesRead
 	poison             orderedMap[poison.Fingerprint, fleet.StoredPoisonRecord]
 	undecodablePoison  orderedMap[poison.Fingerprint, fleet.StoredPoisonRecord]
 	removedPoison      []poison.Fingerprint
@@ -75,6 +76,16 @@
 			entry, _ := f.nodeEntry(pair)
 			b.lastHolder = &fleet.LastHolderRead{Node: entry, Revision: pair.Revision}
 		}
+	case pair.Key == fleet.KeyReleases:
+		b.releases = &fleet.ReleasesRead{}
+		if !deleted {
+			services, err := fleet.DecodeReleases(pair.Value)
+			if err != nil {
+				f.reportUnreadable(unreadableReleases, pair, err)
+			}
+			// The lease holder needs the revision of a record that can't be decoded to replace it.
+			*b.releases = fleet.ReleasesRead{Services: services, Revision: pair.Revision}
+		}
 	case strings.HasPrefix(pair.Key, fleet.KeyPoison):
 		f.addPoisonChange(b, pair)
 	case strings.HasPrefix(pair.Key, fleet.KeyNodes):
@@ -138,6 +149,7 @@
 	unreadableWorker        = "worker"
 	unreadableNode          = "node"
 	unreadablePoison        = "poison"
+	unreadableReleases      = "releases"
 	unreadableConfiguration = "configuration"
 )
 
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -264,6 +264,11 @@
 	poisoned.Full, nodes.Full, workers.Full = true, true, true
 	f.step(poisoned)
 	f.step(nodes)
+	releases := fleet.ReleasesRead{}
+	if batch.releases != nil {
+		releases = *batch.releases
+	}
+	f.step(releases)
 	f.step(workers)
 	if batch.lastHolder != nil {
 		f.step(*batch.lastHolder)
@@ -282,6 +287,9 @@
 	if read := batch.poisonRead(); len(read.Records)+len(read.Undecodable)+len(read.Gone) > 0 {
 		f.step(read)
 	}
+	if batch.releases != nil {
+		f.step(*batch.releases)
+	}
 	if read := batch.workersRead(); len(read.Workers)+len(read.Undecodable)+len(read.Gone) > 0 {
 		f.step(read)
 	}
--- a/fleet/shell/metrics.go
+++ b/fleet/shell/metrics.go
@@ -63,6 +63,7 @@
 			return float64(of(n.core))
 		}
 	}
+	gauge("valveslip_stream_origins", "Streams of which this node knows the release at which they began.", coreGauge((*fleet.Core).StreamOrigins))
 	gauge("valveslip_nodes", "Nodes with a live record, this one included.", coreGauge(func(core *fleet.Core) int { return len(core.Nodes()) }))
 	gauge("valveslip_workers", "Workers with an entry.", coreGauge((*fleet.Core).Machines))
 	poisonGauge := func(of func(suspected, blocked int) int) func() float64 {
--- a/fleet/shell/releases_test.go
+++ b/fleet/shell/releases_test.go
@@ -194,10 +194,14 @@
 	})
 	f.readSomeEvents(first, "began", 3)
 	f.add("new", "v1.2", nil)
+	bothKnow := func(workers float64) func() bool {
+		return func() bool {
+			return metric(first, "valveslip_workers") == workers && metric(second, "valveslip_workers") == workers
+		}
+	}
+	f.eventually("both nodes know both workers", bothKnow(2))
 	f.store.Remove(old.Key())
-	f.eventually("both nodes know the new worker alone", func() bool {
-		return metric(first, "valveslip_workers") == 1 && metric(second, "valveslip_workers") == 1
-	})
+	f.eventually("both nodes know the new worker alone", bothKnow(1))
 	for _, node := range []*shell.Node{first, second} {
 		got, attempts := f.resume(node, "began", "again", 3)
 		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -72,6 +72,11 @@
 	}
 	before := known.worker
 	known.worker = *worker
+	if known.worker.Release == "" && before.ID == worker.ID {
+		// The software does not change within one start of a machine.
+		known.worker.Release = before.Release
+	}
+	v.core.releases.changed(&before, &known.worker)
 	same := before.ID == worker.ID && before.Draining == worker.Draining && before.Address == worker.Address &&
 		slices.EqualFunc(before.LoadedModels, worker.LoadedModels, catalog.LoadedModel.Equal)
 	if same {
@@ -147,10 +152,14 @@
 
 // releaseOf returns the release of a machine's software, empty if it is unknown or not stated.
 func (v *machineView) releaseOf(id cluster.MachineID) string {
-	if known := v.machines[id]; known != nil {
-		return known.worker.Release
+	known := v.machines[id]
+	switch {
+	case known == nil:
+		return ""
+	case known.worker.Release == "" && v.core.releases.mixed(known.worker.Service):
+		return unstatedRelease(id)
 	}
-	return ""
+	return known.worker.Release
 }
 
 // remove takes a machine out whose entry is gone.
@@ -160,6 +169,7 @@
 		return
 	}
 	delete(v.machines, id)
+	v.core.releases.changed(&known.worker, &catalog.Worker{})
 	for key := range v.overrides {
 		if key.machine == id {
 			delete(v.overrides, key)
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -308,6 +308,7 @@
 		LengthHint: e.attributes.LengthHint, LongestPause: e.route.LongestPause,
 		Attempts: max(e.route.Attempts, 1), Resumable: e.route.Resumable, Content: e.content, Caller: e.callerHash(),
 	}
+	request.Continues, request.Resumes = e.attributes.LastEventID != "", e.attributes.Resumes
 	request.Credential, request.Public = e.credential.hash, e.route.Public
 	if tenant := e.credential.tenant; tenant != nil {
 		request.Tenant, request.Rank = tenant.Name, e.route.Priority
--- a/routing/events.go
+++ b/routing/events.go
@@ -56,6 +56,10 @@
 	Public             bool
 	// Rank is the request's urgency among its tenant's requests, 0 being the most urgent.
 	Rank int
+	// Continues is set if the caller has events of the stream already, and Resumes is the request that
+	// brought the first one, if the caller names it.
+	Continues bool
+	Resumes   cluster.RequestID
 	// Pinned is set if the request continues a stream that began at machines of Release, so that no
 	// others may run it.
 	Pinned  bool
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -17,6 +17,7 @@
 // StreamBegan reports the release at which a stream that may be continued began.
 type StreamBegan struct {
 	Request cluster.RequestID
+	Model   cluster.ModelID
 	Release string
 	// Deadline is the time by which the request must have ended.
 	Deadline time.Time
@@ -40,7 +41,7 @@
 	if !began.Pinned {
 		began.Pinned, began.Release = true, began.attemptRelease
 	}
-	r.emit(StreamBegan{Request: began.ID, Release: began.Release, Deadline: time.Unix(0, began.deadline)})
+	r.emit(StreamBegan{Request: began.ID, Model: began.Model, Release: began.Release, Deadline: time.Unix(0, began.deadline)})
 }
 
 // fitsRelease reports whether the request may run on a machine of this release.
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -17,7 +17,7 @@
 // To change a message, copy schemas/vN.avsc to the next number, increment VersionCurrent, give
 // every new field a default, and commit the golden messages of the previous version.
 const (
-	VersionCurrent  = 10
+	VersionCurrent  = 11
 	VersionPrevious = VersionCurrent - 1
 	VersionOldest   = 4
 )
@@ -86,6 +86,10 @@
 	KindTurnRequest
 	KindTurnAnswer
 	KindTurnReturned
+	KindStreamOrigins
+	KindStreamOriginsReceived
+	KindStreamOriginRequest
+	KindStreamOriginAnswer
 )
 
 // kindLayout holds the schema name of a kind and the constructor of its record.
@@ -134,6 +138,10 @@
 	KindTurnRequest:           {"TurnRequest", func() record { return new(turnRequestRecord) }},
 	KindTurnAnswer:            {"TurnAnswer", func() record { return new(turnAnswerRecord) }},
 	KindTurnReturned:          {"TurnReturned", func() record { return new(turnReturnedRecord) }},
+	KindStreamOrigins:         {"StreamOrigins", func() record { return new(streamOriginsRecord) }},
+	KindStreamOriginsReceived: {"StreamOriginsReceived", func() record { return new(streamOriginsReceivedRecord) }},
+	KindStreamOriginRequest:   {"StreamOriginRequest", func() record { return new(streamOriginRequestRecord) }},
+	KindStreamOriginAnswer:    {"StreamOriginAnswer", func() record { return new(streamOriginAnswerRecord) }},
 }
 
 // toRecord returns the kind of a message and its record for the codec.
@@ -234,6 +242,17 @@
 	case TurnReturned:
 		rec := turnReturnedRecord(m)
 		return KindTurnReturned, &rec, nil
+	case StreamOrigins:
+		return KindStreamOrigins, streamOriginsToRecord(m), nil
+	case StreamOriginsReceived:
+		rec := streamOriginsReceivedRecord(m)
+		return KindStreamOriginsReceived, &rec, nil
+	case StreamOriginRequest:
+		rec := streamOriginRequestRecord(m)
+		return KindStreamOriginRequest, &rec, nil
+	case StreamOriginAnswer:
+		rec := streamOriginAnswerRecord(m)
+		return KindStreamOriginAnswer, &rec, nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/samples_test.go
+++ b/wire/samples_test.go
@@ -131,8 +131,14 @@
 		KindMachineLimit: MachineLimit{From: "node-a", Machine: "machine-a", Limited: true, PerSecond: 1.5, Brittle: 3, Concurrency: 4, StatedPerSecond: 0.5},
 		KindTurnRequest:  TurnRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Machine: "machine-a", PerSecond: 1.5, Slots: 5},
 		KindTurnAnswer:   TurnAnswer{From: "node-a", Number: 7, Granted: true, Wait: time.Second},
-		KindTurnReturned: TurnReturned{From: "node-a", Number: 7, Machine: "machine-a"},
-		KindKeptAnswer:   KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
+		KindStreamOrigins: StreamOrigins{
+			From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Streams: []StreamOrigin{{Request: "r-1", Release: "v1.2", Left: time.Second}},
+		},
+		KindStreamOriginsReceived: StreamOriginsReceived{From: "node-a", Number: 7},
+		KindStreamOriginRequest:   StreamOriginRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Request: "r-1"},
+		KindStreamOriginAnswer:    StreamOriginAnswer{From: "node-a", Number: 7, Found: true, Release: "v1.2"},
+		KindTurnReturned:          TurnReturned{From: "node-a", Number: 7, Machine: "machine-a"},
+		KindKeptAnswer:            KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
 }
 
@@ -151,7 +157,8 @@
 	KindEngineRequest: 7, KindEngineAnswer: 7, KindEngineNews: 7,
 	KindStoreSnapshotRequest: 8, KindStoreSnapshot: 8,
 	KindMachineLimit: 9, KindTurnRequest: 9, KindTurnAnswer: 9,
-	KindTurnReturned: 10,
+	KindTurnReturned:  10,
+	KindStreamOrigins: 11, KindStreamOriginsReceived: 11, KindStreamOriginRequest: 11, KindStreamOriginAnswer: 11,
 }
 
 // asWrittenIn returns a message without the fields that a version lacks.
