--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -23,9 +23,11 @@
 	// releaseMargin is added to the longest time for which a stream may be resumed: a release counts
 	// for that long after its last machine is gone.
 	releaseMargin = 5 * time.Second
-	// defaultStreamTime is that time if a route does not bound it.
+	// defaultStreamTime is that time if a route does not bound it: as long as a request may take if
+	// neither its caller nor its route states a bound.
 	defaultStreamTime = time.Minute
-	// releasesWriteRetry is the time between two attempts to write the record.
+	// releasesWriteRetry is the time between two attempts to write the record: longer than a change takes to
+	// come back from the store.
 	releasesWriteRetry = 2 * time.Second
 )
 
--- a/soak/check/releases.go
+++ b/soak/check/releases.go
@@ -144,8 +144,3 @@
 	}
 	return count
 }
-
-// hasResumption reports whether a caller resumed a stream that has events of several runs.
-func (h *History) hasResumption() bool {
-	return slices.ContainsFunc(h.Requests, func(r Request) bool { return r.Resumes != "" })
-}
