--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -31,6 +31,7 @@
 	Tokens   int               `log:"tokens,omitempty" doc:"tokens that it states, of its prompt and at most generated"`
 	Prompt   int               `log:"prompt_tokens,omitempty" doc:"tokens that it states of its prompt"`
 	Longest  time.Duration     `log:"longest_pause_ms,omitempty" doc:"longest time between two events of the stream that is in time"`
+	Parts    string            `log:"parts,omitempty" doc:"parts of its prompt that other requests may share, in order"`
 	Resumes  cluster.RequestID `log:"resumes,omitempty" doc:"request that brought the first event of the stream that it continues"`
 }
 
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -162,6 +162,7 @@
 		Content: current.content.String(), Tenant: current.tenantName(),
 		Tokens: attributes.PromptTokens + attributes.MaxTokens,
 		Prompt: attributes.PromptTokens, Longest: route.LongestPause, Resumes: attributes.Resumes,
+		Parts: joinParts(attributes.sharedParts()),
 	})
 	if h.Admits != nil && !h.Admits(current.deadline) {
 		failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining, "this node is stopping; another one takes the request")
@@ -313,8 +314,7 @@
 	if tenant := e.credential.tenant; tenant != nil {
 		request.Tenant, request.Rank = tenant.Name, e.route.Priority
 	}
-	if len(e.attributes.Parts) > 1 {
-		shared := e.attributes.Parts[:len(e.attributes.Parts)-1]
+	if shared := e.attributes.sharedParts(); len(shared) > 0 {
 		request.Prefixes, request.PrefixTokens = prefixHashes(shared), prefixTokens(shared)
 	}
 	return request
--- a/passthrough/types.go
+++ b/passthrough/types.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -36,6 +37,24 @@
 	InvalidFields []string
 }
 
+// sharedParts returns the parts of the prompt that other requests may share: all but the last, which belongs
+// to the request or its session.
+func (a *Attributes) sharedParts() []PromptPart {
+	return a.Parts[:max(len(a.Parts)-1, 0)]
+}
+
+// joinParts lists the IDs of parts in the form in which callers state them.
+func joinParts(parts []PromptPart) string {
+	var text []byte
+	for i := range parts {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, parts[i].ID, 16)
+	}
+	return string(text)
+}
+
 // Forward is what a machine is told in addition to the caller's own fields.
 type Forward struct {
 	// Machine is the machine that the request is meant for.
