Show a part of prompts that crashes one worker after the other

In the soak one of three seeds has a part that crashes engines, and sound callers that share the caller and the first part. Two promises judge it, by the users' bounds: three sends from 3 s after the fifth crash, and sound ones begin half as often as other streams from 6 s after it. Planted defects hold both checks to their promises.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -190,6 +190,7 @@
 	if strings.HasPrefix(request.ID, check.PoisonPrefix) {
 		built.Header.Set("Authorization", poisonCredential)
 	}
+	setPrompt(built.Header, request)
 	if request.Model != "" {
 		built.Header.Set(platform.HeaderModel, request.Model)
 	}
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -51,6 +51,8 @@
 	PromiseLimit         Promise = "a tenant that floods gets no more than its limit over all nodes"
 	PromiseWorkerLimit   Promise = "a worker that names a limit gets no more of all nodes"
 	PromiseBrittle       Promise = "brittle workers do not fall one after the other"
+	PromisePart          Promise = "a part of prompts that ends workers is held back by all nodes"
+	PromiseBesidePart    Promise = "requests beside a part that ends workers are served"
 	PromiseRelease       Promise = "streams hold events of one software version"
 	PromiseResumed       Promise = "resumed streams go on as new ones begin"
 	PromisePath          Promise = "nodes without a path to workers serve their callers"
@@ -140,6 +142,8 @@
 	{PromiseLimit, checkTenantLimit, minJudgedSome, (*History).hasKeys},
 	{PromiseWorkerLimit, checkWorkerLimits, minJudgedFew, (*History).hasWorkerLimit},
 	{PromiseBrittle, checkFalls, minJudgedFew, (*History).hasBrittleTime},
+	{PromisePart, checkHarmfulPart, 0, nil},
+	{PromiseBesidePart, checkBesidePart, 0, nil},
 	{PromiseRelease, checkStreamReleases, 0, nil},
 	{PromiseResumed, checkResumedStreams, 0, nil},
 	{PromisePath, checkPartitions, minJudgedFew, (*History).hasJudgeablePartition},
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -129,6 +129,7 @@
 		}
 	}
 	addResumedStreams(h)
+	addHarmfulPart(h)
 	leaving := completedRequest("leaving", RouteRead, 24200*time.Millisecond)
 	leaving.ClosesConnection = true
 	h.Requests = append(h.Requests, leaving)
@@ -175,6 +176,29 @@
 	}
 }
 
+// addHarmfulPart adds requests with a part that crashes five engines, and sound ones beside them. Both are
+// sent until long after all nodes must know the part.
+func addHarmfulPart(h *History) {
+	for n := range 10 {
+		try := Request{ID: fmt.Sprintf("%s%d", HarmfulPartPrefix, n), Node: 1, Route: RouteStream, Status: http.StatusBadGateway, Sent: time.Second + time.Duration(n)*time.Second/2}
+		if n < partThreshold {
+			h.Runs = append(h.Runs, runOf(try.ID, fmt.Sprintf("crashed-%d", n), try.Sent))
+		} else {
+			try.Status, try.Sent = http.StatusServiceUnavailable, 10*time.Second
+		}
+		try.Ended = try.Sent
+		h.Requests = append(h.Requests, try)
+	}
+	for n := range minBeside {
+		for _, id := range []string{BesidePartPrefix, "n1-other-"} {
+			request := completedRequest(fmt.Sprintf("%s%d", id, n), RouteStream, 12*time.Second)
+			request.Node = 1
+			h.Requests = append(h.Requests, request)
+			h.Runs = append(h.Runs, runOf(request.ID, "w1", request.Sent))
+		}
+	}
+}
+
 // findingFor returns the finding for a promise.
 func findingFor(findings []Finding, promise Promise) Finding {
 	at := slices.IndexFunc(findings, func(f Finding) bool { return f.Promise == promise })
@@ -324,6 +348,20 @@
 	{PromiseBrittle, "a worker that falls once more", func(h *History) {
 		h.Falls = append(h.Falls, Fall{Worker: "w1", Service: "plain", At: 14 * time.Second})
 	}},
+	{PromisePart, "nodes that go by the content of whole requests", func(h *History) {
+		for n := range maxPartRunsAfterBound + 1 {
+			try := Request{ID: fmt.Sprintf("%sagain-%d", HarmfulPartPrefix, n), Node: 1, Route: RouteStream, Status: http.StatusBadGateway, Sent: 8 * time.Second, Ended: 8 * time.Second}
+			h.Requests = append(h.Requests, try)
+			h.Runs = append(h.Runs, runOf(try.ID, fmt.Sprintf("late-part-%d", n), try.Sent))
+		}
+	}},
+	{PromiseBesidePart, "nodes that refuse the caller of harmful requests", func(h *History) {
+		for i := range h.Requests {
+			if strings.HasPrefix(h.Requests[i].ID, BesidePartPrefix) && i%4 != 0 {
+				h.Requests[i].Status, h.Requests[i].Body = http.StatusServiceUnavailable, ""
+			}
+		}
+	}},
 	{PromiseRelease, "a stream that its caller resumes at another software version", func(h *History) {
 		at := slices.IndexFunc(h.Runs, func(r Run) bool { return r.Request == "resumable-0+" && r.Release == "v1" })
 		h.Runs[at].Release = "v2"
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -35,6 +35,8 @@
 	unfencedShare = 0.25
 	// Of seedsPerReleases seeds in a row, one has workers of a single release.
 	seedsPerReleases = 2
+	// Of seedsPerHarmfulPart seeds in a row, one has requests with a part that crashes engines.
+	seedsPerHarmfulPart = 3
 )
 
 // Size describes the run that a schedule is drawn for.
@@ -77,6 +79,7 @@
 		schedule.Faults = append(schedule.Faults, drawBrittle(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawSilences(seed, size)...)
 	}
+	schedule.HarmfulPart = !size.Upgrades && seed%seedsPerHarmfulPart == 1
 	if size.Upgrades {
 		drawUpgrades(&schedule)
 	} else if seed%seedsPerReleases != 0 {
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -63,6 +63,9 @@
 	// Releases is the number of software versions of the workers that serve side by side; zero
 	// means one.
 	Releases int `yaml:"releases,omitempty" json:"releases,omitempty"`
+	// HarmfulPart is set if some callers send requests with a part of their prompts that crashes
+	// engines.
+	HarmfulPart bool `yaml:"harmful_part,omitempty" json:"harmful_part,omitempty"`
 	// Keyless deployments have no tenants: no caller needs a key, and no node asks the
 	// store to prove which configuration is the newest.
 	Keyless bool `yaml:"keyless,omitempty" json:"keyless,omitempty"`
--- a/soak/play.go
+++ b/soak/play.go
@@ -42,6 +42,10 @@
 	active.Go(func() { r.tick(calling) })
 	active.Go(func() { r.sendRepeatedly(calling, check.PoisonPrefix, poisonInterval) })
 	active.Go(func() { r.sendRepeatedly(calling, check.PopularPrefix, popularInterval) })
+	if r.options.Schedule.HarmfulPart {
+		active.Go(func() { r.sendWithParts(calling, check.HarmfulPartPrefix, harmfulPartInterval) })
+		active.Go(func() { r.sendWithParts(calling, check.BesidePartPrefix, besidePartInterval) })
+	}
 	active.Go(func() { r.rotateKeys(calling) })
 	if !r.options.Schedule.Keyless {
 		active.Go(func() { r.sendKeyed(calling, "keyed-", keyedInterval, r.configuration.key) })
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -61,18 +61,25 @@
 }
 
 // crashIfPoisoned reports whether a request is the harmful one. If it is, crashIfPoisoned
-// kills the worker, as if its process had crashed, and starts a replacement later.
+// kills the worker and starts a replacement later.
 func (s *workerSlot) crashIfPoisoned(r *http.Request, self *worker.Worker) bool {
 	body, err := io.ReadAll(r.Body)
 	r.Body = io.NopCloser(strings.NewReader(string(body)))
 	if err != nil || string(body) != check.PoisonBody || s.poisonOver.Load() {
 		return false
 	}
+	s.crashNow(self)
+	return true
+}
+
+// crashNow kills a worker that still fills the slot, as if its process had crashed, and starts a
+// replacement later.
+func (s *workerSlot) crashNow(self *worker.Worker) {
 	s.mu.Lock()
 	present, server, at := s.worker == self, s.server, s.proxy
 	s.mu.Unlock()
 	if !present {
-		return true
+		return
 	}
 	restored := s.recordDisturbance()
 	at.Refuse()
@@ -86,5 +93,4 @@
 			s.fail(err)
 		}
 	})
-	return true
 }
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -162,7 +162,7 @@
 	conduct := &faultBehaviour{}
 	started := worker.New(config)
 	started.Behave = func(r *http.Request) worker.Behaviour {
-		if s.crashIfPoisoned(r, started) {
+		if s.crashIfPoisoned(r, started) || s.crashIfPartHarmful(r, started) {
 			return worker.CutAfterRun
 		}
 		return conduct.choose(r)
