Refuse a part of prompts that ends one machine after the other

What callers saw: requests with one part of their prompts crashed workers for as long as they came, and sound requests of the same caller were refused as harmful.

Cause: ends of machines were held against the content of whole requests and against the caller. No two of these requests are alike, so that each content gathered one or two ends, and what they have in common was no object of evidence.

The class: harm is counted by the wrong unit. The shared parts of a prompt are suspects now like whole requests, in the same table, with the same reports, stored records, probes and pardons. What tells the one part from those that stand in every request: a part with which any request was answered, whole or for half a second, within the last minute is blamed for nothing, and a node that knows of such an answer clears the record of others. A part is blocked after three ends under at least two different requests, so that one harmful request does not take its parts along. What waits at a machine with a blocked part is cancelled; what has begun goes on. Callers blamed for ends under a part that is blocked now are free again, and the request is judged by its parts before its caller.

Records of parts travel in a message of their own (wire version 11); earlier builds don't get it.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -28,7 +28,8 @@
 // terminated while they ran it. The change comes from the node's own attempts or from the
 // sum of the reports of all nodes.
 type PoisonJudged struct {
-	Content  string `log:"content" doc:"fingerprint of what the request asks for"`
+	Content  string `log:"content" doc:"fingerprint of what the request asks for, or of a part of its prompt"`
+	Part     string `log:"part,omitempty" doc:"ID of that part"`
 	Outcome  string `log:"outcome" doc:"suspected, convicted (it is refused from now on), or cleared"`
 	Ends     int    `log:"ends" doc:"machines for whose end it is to blame"`
 	Machines string `log:"machines" doc:"machines that ended while they had it"`
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -318,7 +318,9 @@
 	case wire.CellStatus:
 		c.view.statusReceived(&m)
 	case wire.PoisonReport:
-		c.poison.reportReceived(&m)
+		c.poison.reportReceived(m.FromAddress, recordsOf(&m))
+	case wire.PartReport:
+		c.poison.reportReceived(m.FromAddress, m.Records)
 	case wire.LenderClaim, wire.LenderVote, wire.TokensRequest, wire.TokensAnswer:
 		c.feedLending(lending.MessageReceived{Message: message})
 	case wire.StreamOrigins, wire.StreamOriginsReceived, wire.StreamOriginRequest, wire.StreamOriginAnswer:
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -11,7 +12,6 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
-	"github.com/valveslip/valveslip/wire"
 )
 
 // KeyPoison is the prefix of the records of poison requests. A poison request ends the process of
@@ -180,6 +180,9 @@
 // logVerdict logs whether a request is suspected, blocked or cleared by a record.
 func (s *poisonSync) logVerdict(record *poison.Record, blocks bool) {
 	line := eventlog.PoisonJudged{Content: record.Content.String(), Machines: joinMachines(record.Ends), Ends: record.AttributedEndCount(), Outcome: "suspected"}
+	if record.Content.IsPart() {
+		line.Part = strconv.FormatUint(record.Content.PartID(), 16)
+	}
 	switch {
 	case blocks:
 		line.Outcome = "convicted"
@@ -213,21 +216,21 @@
 // reportReceived handles a report of another node. A query, which has no records, is answered
 // with the blocks that the store may lack. A sender that lacks a block known here gets
 // a report in return.
-func (s *poisonSync) reportReceived(message *wire.PoisonReport) {
-	if unstored := s.unstored(); len(message.Records) == 0 && len(unstored) > 0 {
-		s.send(message.FromAddress, unstored)
+func (s *poisonSync) reportReceived(from string, records []poison.Record) {
+	if unstored := s.unstored(); len(records) == 0 && len(unstored) > 0 {
+		s.send(from, unstored)
 	}
-	s.learn(message.Records)
+	s.learn(records)
 	var unknown []poison.Record
-	for i := range message.Records {
-		sent := &message.Records[i]
+	for i := range records {
+		sent := &records[i]
 		known, found := s.core.router.PoisonRecord(sent.Content)
 		if found && s.blocks(&known) && !s.blocks(sent) {
 			unknown = append(unknown, known)
 		}
 	}
 	if len(unknown) > 0 {
-		s.send(message.FromAddress, unknown)
+		s.send(from, unknown)
 	}
 }
 
--- a/fleet/poison_reports.go
+++ b/fleet/poison_reports.go
@@ -43,7 +43,31 @@
 
 func (s *poisonSync) send(address string, records []poison.Record) {
 	self := &s.core.config.Self
-	s.core.send(address, wire.PoisonReport{From: self.ID, FromAddress: self.Address, Records: records})
+	var requests []wire.RequestEnds
+	var parts []poison.Record
+	for i := range records {
+		if record := &records[i]; record.Content.IsPart() {
+			parts = append(parts, *record)
+		} else {
+			requests = append(requests, wire.RequestEnds{Content: record.Content, Ends: record.Ends, Cleared: record.Cleared})
+		}
+	}
+	if len(requests) > 0 || len(records) == 0 {
+		s.core.send(address, wire.PoisonReport{From: self.ID, FromAddress: self.Address, Records: requests})
+	}
+	if len(parts) > 0 {
+		s.core.send(address, wire.PartReport{From: self.ID, FromAddress: self.Address, Records: parts})
+	}
+}
+
+// recordsOf returns the records of a report on requests.
+func recordsOf(report *wire.PoisonReport) []poison.Record {
+	records := make([]poison.Record, len(report.Records))
+	for i := range report.Records {
+		record := &report.Records[i]
+		records[i] = poison.Record{Content: record.Content, Ends: record.Ends, Cleared: record.Cleared}
+	}
+	return records
 }
 
 // recipients returns the nodes to which a record is reported: all nodes for blocks,
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -161,11 +161,13 @@
 	Probes  int                 `json:"tests,omitempty"`
 	Prober  cluster.NodeID      `json:"tester,omitempty"`
 	Before  int                 `json:"ends_before,omitempty"`
+	// Requests are the digests of the different requests with a part of prompts.
+	Requests []uint64 `json:"requests,omitempty"`
 }
 
 func encodePoison(stored *StoredPoisonRecord) []byte {
 	record := &stored.Record
-	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Probes: stored.Probes, Prober: stored.Prober, Before: stored.EndsBefore})
+	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Probes: stored.Probes, Prober: stored.Prober, Before: stored.EndsBefore, Requests: record.Requests})
 	if err != nil {
 		return nil
 	}
@@ -183,7 +185,7 @@
 	if err := json.Unmarshal(value, &document); err != nil {
 		return stored, eris.Wrap(err, "decode poison record")
 	}
-	record := poison.Record{Content: content, Ends: document.Ends, Cleared: document.Cleared}
+	record := poison.Record{Content: content, Ends: document.Ends, Cleared: document.Cleared, Requests: document.Requests}
 	stored.Record, stored.Probes, stored.Prober, stored.EndsBefore = record.Valid(), document.Probes, document.Prober, document.Before
 	return stored, nil
 }
--- a/fleet/shell/harmful_part_test.go
+++ b/fleet/shell/harmful_part_test.go
@@ -60,7 +60,8 @@
 
 // ask sends a request with the given shared parts and a last part of its own.
 func (c *crashingWorkers) ask(node *shell.Node, shared ...string) reply {
-	return c.call(node, http.MethodPost, "/stream/x", "", c.prompt(shared...))
+	body := fmt.Sprintf("body %d", c.lastRequestNumber.Load())
+	return c.call(node, http.MethodPost, "/stream/x", body, c.prompt(shared...))
 }
 
 // prompt sets the fields of a request with the given shared parts, a last part of its own and a caller
--- a/passthrough/content.go
+++ b/passthrough/content.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// partFingerprints returns the fingerprints of the first poison.MaxParts parts of a prompt.
+func partFingerprints(parts []PromptPart) []poison.Fingerprint {
+	parts = parts[:min(len(parts), poison.MaxParts)]
+	fingerprints := make([]poison.Fingerprint, len(parts))
+	for i := range parts {
+		fingerprints[i] = poison.PartFingerprint(parts[i].ID)
+	}
+	return fingerprints
+}
+
 // fingerprint returns the fingerprint of the request content and computes it on the first call.
 func (e *exchange) fingerprint() poison.Fingerprint {
 	if e.content.IsZero() {
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -316,6 +316,7 @@
 	}
 	if shared := e.attributes.sharedParts(); len(shared) > 0 {
 		request.Prefixes, request.PrefixTokens = prefixHashes(shared), prefixTokens(shared)
+		request.Parts = partFingerprints(shared)
 	}
 	return request
 }
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -217,7 +217,7 @@
 		return false, Explanation{}
 	case failed.model.configured == nil:
 		return false, Explanation{}
-	case r.blocked(failed.Content) && !(failed.probe && notRun):
+	case r.requestBlocked(failed) && !(failed.probe && notRun):
 		return false, Explanation{Setting: settingPoisonEnds}
 	case notRun && event.Unreached:
 		failed.countedAttempts--
--- a/routing/events.go
+++ b/routing/events.go
@@ -48,8 +48,10 @@
 	Attempts int
 	// Resumable answers may be continued by another attempt after their first byte.
 	Resumable bool
-	// Content is the fingerprint of the request's content, zero when it was not computed.
+	// Content is the fingerprint of the request's content, zero when it was not computed. Parts are
+	// those of the parts of its prompt that other requests may share.
 	Content poison.Fingerprint
+	Parts   []poison.Fingerprint
 	// Credential is the hash of the caller's API key, empty without one, and Tenant the name of its
 	// holder. Public requests need no key.
 	Credential, Tenant string
@@ -67,8 +69,10 @@
 	// Caller identifies the caller. All callers that can't be identified share zero.
 	Caller uint64
 	// probe is set while a blocked request is sent once more as a probe, probeWanted while it
-	// waits for the permission. throttled is set if it arrived while its caller was throttled.
+	// waits for the permission; probed is the content or part that is blocked. throttled is set if it
+	// arrived while its caller was throttled.
 	probe, probeWanted, throttled bool
+	probed                        poison.Fingerprint
 }
 
 // Event is an input of the routing core.
--- a/routing/finish.go
+++ b/routing/finish.go
@@ -15,6 +15,9 @@
 		return
 	}
 	r.pinRelease(sent)
+	if !sent.firstByteSent {
+		sent.firstByteAt, sent.firstByteAttempt = r.nanos, sent.attempt
+	}
 	sent.firstByteSent = true
 	if sent.running {
 		sent.machine.consecutiveBackOffs = 0
@@ -49,7 +52,7 @@
 	machine := abandoned.machine
 	if machine != nil && !abandoned.unsent {
 		abandoned.mayHaveRun = true
-		r.poison.AttemptCancelled(r.now, abandoned.Content, machine.id)
+		r.poison.AttemptCancelled(r.now, abandoned.Content, abandoned.unstartedParts(), machine.id)
 		reason.Machine = machine.id
 		r.emit(CancelAttempt{
 			Request: abandoned.ID, Attempt: abandoned.attempt,
--- a/routing/poison/callers.go
+++ b/routing/poison/callers.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// throttleAfterEnds is the number of consecutive machine ends after which a caller is
@@ -28,6 +32,9 @@
 	lastEnd         time.Time
 	// heldUntil is the time until which no request of the caller is sent.
 	heldUntil time.Time
+	// parts are those of the prompts of the requests under which the machines ended, at most
+	// MaxParts.
+	parts []Fingerprint
 }
 
 // Callers throttles callers whose consecutive requests end machines, until one of their requests
@@ -38,8 +45,8 @@
 func NewCallers() *Callers { return &Callers{states: map[uint64]*callerState{}} }
 
 // Ended records that a machine ended while it ran a request of the caller that was sent at the
-// given time.
-func (c *Callers) Ended(now time.Time, caller uint64, sent time.Time) {
+// given time. The parts are those of its prompt that other requests may share.
+func (c *Callers) Ended(now time.Time, caller uint64, sent time.Time, parts []Fingerprint) {
 	state := c.states[caller]
 	if state == nil {
 		c.evict()
@@ -52,6 +59,11 @@
 	if now.Sub(state.heldUntil) >= callerStateTTL && now.Sub(state.lastEnd) >= callerStateTTL {
 		state.consecutiveEnds = 0
 	}
+	for _, part := range parts {
+		if len(state.parts) < MaxParts && !slices.Contains(state.parts, part) {
+			state.parts = append(state.parts, part)
+		}
+	}
 	state.consecutiveEnds++
 	state.lastEnd = now
 	if doublings := state.consecutiveEnds - throttleAfterEnds; doublings >= 0 {
@@ -62,6 +74,12 @@
 // Answered records that a request of the caller was answered completely.
 func (c *Callers) Answered(caller uint64) { delete(c.states, caller) }
 
+// PartBlocked forgets the callers whose requests had a part that is blocked now: the part ended the
+// machines, and refusing it is enough.
+func (c *Callers) PartBlocked(part Fingerprint) {
+	maps.DeleteFunc(c.states, func(_ uint64, state *callerState) bool { return slices.Contains(state.parts, part) })
+}
+
 // Throttled reports whether the caller is throttled, which limits it to one request at a time, and
 // how long the next one must wait.
 func (c *Callers) Throttled(now time.Time, caller uint64) (wait time.Duration, doubtful bool) {
--- a/routing/poison/callers_test.go
+++ b/routing/poison/callers_test.go
@@ -14,7 +14,7 @@
 	c := NewCallers()
 	for end := 1; end <= throttleAfterEnds+2; end++ {
 		now = now.Add(time.Second)
-		c.Ended(now.Add(10*time.Millisecond), suspectCaller, now)
+		c.Ended(now.Add(10*time.Millisecond), suspectCaller, now, nil)
 		wait, doubtful := c.Throttled(now.Add(10*time.Millisecond), suspectCaller)
 		want := time.Duration(0)
 		if end >= throttleAfterEnds {
@@ -42,8 +42,8 @@
 	together, apart := NewCallers(), NewCallers()
 	for range 5 * throttleAfterEnds {
 		now = now.Add(callerStateTTL)
-		together.Ended(now, suspectCaller, time.Unix(999, 0))
-		apart.Ended(now, suspectCaller, now.Add(-time.Millisecond))
+		together.Ended(now, suspectCaller, time.Unix(999, 0), nil)
+		apart.Ended(now, suspectCaller, now.Add(-time.Millisecond), nil)
 	}
 	for name, c := range map[string]*Callers{"together": together, "apart": apart} {
 		if _, doubtful := c.Throttled(now, suspectCaller); doubtful {
@@ -59,10 +59,10 @@
 	c := NewCallers()
 	for end := range throttleAfterEnds {
 		at := now.Add(time.Duration(end) * time.Second)
-		c.Ended(at.Add(time.Millisecond), suspectCaller, at)
+		c.Ended(at.Add(time.Millisecond), suspectCaller, at, nil)
 	}
 	for other := range uint64(2 * maxCallers) {
-		c.Ended(now.Add(throttleAfterEnds*time.Second), suspectCaller+1+other, now)
+		c.Ended(now.Add(throttleAfterEnds*time.Second), suspectCaller+1+other, now, nil)
 	}
 	if _, doubtful := c.Throttled(now.Add(throttleAfterEnds*time.Second), suspectCaller); !doubtful || len(c.states) > maxCallers {
 		t.Errorf("doubtful %v, %d callers are remembered", doubtful, len(c.states))
--- a/routing/poison/record.go
+++ b/routing/poison/record.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -20,6 +21,9 @@
 	// Cleared are the machines whose end is not attributed to the request: the request was
 	// answered completely later, the machine answered later, or an operator cleared the request.
 	Cleared []cluster.MachineID
+	// Requests are digests of the different requests that ran, for a part of prompts; empty for a
+	// whole request.
+	Requests []uint64
 }
 
 // AttributedEnds lists the machines whose end is attributed to the request.
@@ -38,14 +42,16 @@
 
 // Merged returns the union of two records of one request, and whether it differs from r.
 func (r *Record) Merged(other *Record) (Record, bool) {
-	joined := Record{Content: r.Content, Ends: union(r.Ends, other.Ends), Cleared: union(r.Cleared, other.Cleared)}
+	joined := Record{Content: r.Content, Ends: union(r.Ends, other.Ends), Cleared: union(r.Cleared, other.Cleared), Requests: union(r.Requests, other.Requests)}
 	joined.trim()
-	return joined, !slices.Equal(joined.Ends, r.Ends) || !slices.Equal(joined.Cleared, r.Cleared)
+	same := slices.Equal(joined.Ends, r.Ends) && slices.Equal(joined.Cleared, r.Cleared) && slices.Equal(joined.Requests, r.Requests)
+	return joined, !same
 }
 
 // trim bounds the lists. It drops cleared ends first, in the order of their IDs, so that all nodes
 // keep the same ones.
 func (r *Record) trim() {
+	r.Requests = r.Requests[:min(len(r.Requests), maxEnds)]
 	if len(r.Ends) <= maxEnds && len(r.Cleared) <= maxEnds {
 		return
 	}
@@ -63,43 +69,45 @@
 	r.Cleared = r.Cleared[:min(len(r.Cleared), maxEnds)]
 }
 
-// contains reports whether a sorted list contains a machine.
-func contains(sorted []cluster.MachineID, machine cluster.MachineID) bool {
-	_, found := slices.BinarySearch(sorted, machine)
+// contains reports whether a sorted list contains a value.
+func contains[T cmp.Ordered](sorted []T, value T) bool {
+	_, found := slices.BinarySearch(sorted, value)
 	return found
 }
 
 // union returns the union of two sorted lists. It returns a itself if a contains b.
-func union(a, b []cluster.MachineID) []cluster.MachineID {
+func union[T cmp.Ordered](a, b []T) []T {
 	missing := 0
-	for _, machine := range b {
-		if !contains(a, machine) {
+	for _, value := range b {
+		if !contains(a, value) {
 			missing++
 		}
 	}
 	if missing == 0 {
 		return a
 	}
-	joined := make([]cluster.MachineID, 0, len(a)+missing)
+	joined := make([]T, 0, len(a)+missing)
 	joined = append(joined, a...)
-	for _, machine := range b {
-		if !contains(a, machine) {
-			joined = append(joined, machine)
+	for _, value := range b {
+		if !contains(a, value) {
+			joined = append(joined, value)
 		}
 	}
 	slices.Sort(joined)
 	return joined
 }
 
+// sorted returns a sorted copy of a list without duplicates.
+func sorted[T cmp.Ordered](list []T) []T {
+	list = slices.Clone(list)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // Valid returns the record in the form that can be merged. A record received from another node may
 // be unsorted, too long or contain duplicates.
 func (r *Record) Valid() Record {
-	sorted := func(list []cluster.MachineID) []cluster.MachineID {
-		list = slices.Clone(list)
-		slices.Sort(list)
-		return slices.Compact(list)
-	}
-	valid := Record{Content: r.Content, Ends: sorted(r.Ends), Cleared: sorted(r.Cleared)}
+	valid := Record{Content: r.Content, Ends: sorted(r.Ends), Cleared: sorted(r.Cleared), Requests: sorted(r.Requests)}
 	valid.trim()
 	return valid
 }
--- a/routing/poison/table.go
+++ b/routing/poison/table.go
@@ -70,9 +70,16 @@
 // Off reports whether blocking is disabled.
 func (c Config) Off() bool { return c.Ends < 0 }
 
-// Blocks reports whether the record blocks its request.
+// minPartRequests is the number of different requests that must have run when machines ended until their
+// common part is blocked: one request that ends machines is blocked itself, not what it shares with others.
+const minPartRequests = 2
+
+// Blocks reports whether the record blocks its request, or the requests with its part.
 func (c Config) Blocks(record *Record) bool {
-	return !c.Off() && record.AttributedEndCount() >= c.withDefaults().Ends
+	if c.Off() || record.AttributedEndCount() < c.withDefaults().Ends {
+		return false
+	}
+	return !record.Content.IsPart() || len(record.Requests) >= minPartRequests
 }
 
 // entry is a record with the local state of this node.
@@ -90,6 +97,8 @@
 type pendingAttempt struct {
 	content Fingerprint
 	machine cluster.MachineID
+	// request is the request that ran, if content is a part of its prompt.
+	request uint64
 	expires time.Time
 }
 
@@ -110,6 +119,8 @@
 	// full, completedNext is the index of the oldest.
 	completedOrder []Fingerprint
 	completedNext  int
+	// soundParts are the parts of prompts with which requests were answered lately.
+	soundParts soundGenerations
 	// updated lists the requests whose records changed since the last call of TakeUpdated, and
 	// newlyBlocked those that were blocked since the last call of TakeNewlyBlocked.
 	updated, newlyBlocked []Fingerprint
@@ -153,30 +164,43 @@
 	return left, left > 0
 }
 
-// AttemptFailed records that an attempt at the request on a machine failed without an answer.
-func (t *Table) AttemptFailed(now time.Time, content Fingerprint, machine cluster.MachineID) {
-	t.awaitEnd(now, content, machine, failedAttemptWindow)
+// AttemptFailed records that an attempt at the request on a machine failed without an answer. The parts are
+// the fingerprints of those of its prompt that other requests may share.
+func (t *Table) AttemptFailed(now time.Time, content Fingerprint, parts []Fingerprint, machine cluster.MachineID) {
+	t.awaitEnds(now, content, parts, machine, failedAttemptWindow)
 }
 
 // AttemptCancelled records that this node cancelled an attempt at the request on a machine.
-func (t *Table) AttemptCancelled(now time.Time, content Fingerprint, machine cluster.MachineID) {
-	t.awaitEnd(now, content, machine, abandonedAttemptWindow)
+func (t *Table) AttemptCancelled(now time.Time, content Fingerprint, parts []Fingerprint, machine cluster.MachineID) {
+	t.awaitEnds(now, content, parts, machine, abandonedAttemptWindow)
 }
 
-// awaitEnd attributes the machine's end to the request if the machine is known to have ended, or if
-// that becomes known within the window.
-func (t *Table) awaitEnd(now time.Time, content Fingerprint, machine cluster.MachineID, window time.Duration) {
+// awaitEnds attributes the machine's end to the request and to its parts.
+func (t *Table) awaitEnds(now time.Time, content Fingerprint, parts []Fingerprint, machine cluster.MachineID, window time.Duration) {
+	t.awaitEnd(now, pendingAttempt{content: content, machine: machine}, window)
 	if content.IsZero() {
 		return
 	}
-	if _, known := t.ended[machine]; known {
-		t.attribute(now, content, machine)
+	for _, part := range parts {
+		t.awaitEnd(now, pendingAttempt{content: part, machine: machine, request: content.short()}, window)
+	}
+}
+
+// awaitEnd attributes the machine's end if the machine is known to have ended, or if that becomes known
+// within the window.
+func (t *Table) awaitEnd(now time.Time, run pendingAttempt, window time.Duration) {
+	if run.content.IsZero() || run.content.IsPart() && t.recentlyCompleted(now, run.content) {
+		return
+	}
+	if _, known := t.ended[run.machine]; known {
+		t.attribute(now, &run)
 		return
 	}
 	if len(t.pending) == maxPendingAttempts {
 		t.pending = slices.Delete(t.pending, 0, 1)
 	}
-	t.pending = append(t.pending, pendingAttempt{content: content, machine: machine, expires: now.Add(window)})
+	run.expires = now.Add(window)
+	t.pending = append(t.pending, run)
 }
 
 // MachineEnded records that a machine's process has ended.
@@ -186,7 +210,7 @@
 	}
 	t.pending = slices.DeleteFunc(t.pending, func(run pendingAttempt) bool {
 		if run.machine == machine && !now.After(run.expires) {
-			t.attribute(now, run.content, machine)
+			t.attribute(now, &run)
 		}
 		return run.machine == machine || now.After(run.expires)
 	})
@@ -222,6 +246,10 @@
 
 // noteCompleted remembers the request and evicts the oldest one beyond maxCompleted.
 func (t *Table) noteCompleted(now time.Time, content Fingerprint) {
+	if content.IsPart() {
+		t.soundParts.note(now, content)
+		return
+	}
 	if _, known := t.completed[content]; !known {
 		if len(t.completedOrder) < maxCompleted {
 			t.completedOrder = append(t.completedOrder, content)
@@ -236,6 +264,9 @@
 
 // recentlyCompleted reports whether the request was answered completely within completedTTL.
 func (t *Table) recentlyCompleted(now time.Time, content Fingerprint) bool {
+	if content.IsPart() {
+		return t.soundParts.seen(now, content)
+	}
 	at, known := t.completed[content]
 	return known && now.Sub(at) < completedTTL
 }
@@ -277,11 +308,15 @@
 }
 
 // attribute counts a machine's end against a request, unless the request is known to be harmless.
-func (t *Table) attribute(now time.Time, content Fingerprint, machine cluster.MachineID) {
-	if t.recentlyCompleted(now, content) {
+func (t *Table) attribute(now time.Time, run *pendingAttempt) {
+	if t.recentlyCompleted(now, run.content) {
 		return
 	}
-	t.merge(now, &Record{Content: content, Ends: []cluster.MachineID{machine}})
+	record := Record{Content: run.content, Ends: []cluster.MachineID{run.machine}}
+	if run.content.IsPart() {
+		record.Requests = []uint64{run.request}
+	}
+	t.merge(now, &record)
 }
 
 // Learn merges records of other nodes or of the store.
@@ -313,7 +348,7 @@
 		t.heads[update.Content.Head()]++
 	}
 	if t.recentlyCompleted(now, update.Content) {
-		update = &Record{Content: update.Content, Ends: update.Ends, Cleared: union(update.Cleared, update.Ends)}
+		update = &Record{Content: update.Content, Ends: update.Ends, Cleared: union(update.Cleared, update.Ends), Requests: update.Requests}
 	}
 	joined, more := known.Merged(update)
 	if !more {
--- a/routing/poison/table_test.go
+++ b/routing/poison/table_test.go
@@ -18,7 +18,7 @@
 func recordEnds(t *Table, now time.Time, content Fingerprint, machines ...cluster.MachineID) time.Time {
 	for _, machine := range machines {
 		now = now.Add(time.Second)
-		t.AttemptFailed(now, content, machine)
+		t.AttemptFailed(now, content, nil, machine)
 		t.MachineEnded(now, machine)
 	}
 	return now
@@ -56,8 +56,8 @@
 func TestFailedAttemptsCountOnlyIfMachineEnds(t *testing.T) {
 	table := NewTable(Config{})
 	for _, machine := range []cluster.MachineID{"a", "b", "c"} {
-		table.AttemptFailed(testStart, innocent, machine)
-		table.AttemptCancelled(testStart, harmful, machine)
+		table.AttemptFailed(testStart, innocent, nil, machine)
+		table.AttemptCancelled(testStart, harmful, nil, machine)
 	}
 	if table.Suspected(innocent) {
 		t.Error("failed attempts without an ended machine make the request a suspect")
@@ -70,7 +70,7 @@
 	if table.Suspected(harmful) {
 		t.Error("a cancelled attempt counts for a machine that ended after the window")
 	}
-	table.AttemptCancelled(testStart, harmful, "c")
+	table.AttemptCancelled(testStart, harmful, nil, "c")
 	table.MachineEnded(testStart.Add(abandonedAttemptWindow), "c")
 	if !table.Suspected(harmful) {
 		t.Error("a cancelled attempt does not count for a machine that ended within the window")
@@ -146,7 +146,7 @@
 	now := recordEnds(table, testStart, harmful, "a", "b", "c")
 	for i := range 20 * maxRecords {
 		now = now.Add(time.Millisecond)
-		table.AttemptFailed(now, Fingerprint{9, byte(i), byte(i >> 8)}, "d")
+		table.AttemptFailed(now, Fingerprint{9, byte(i), byte(i >> 8)}, nil, "d")
 		table.MachineEnded(now, "d")
 	}
 	if suspected, found := table.Counts(); !isBlocked(table, now, harmful) || suspected+found > maxRecords {
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -24,6 +25,13 @@
 		r.poison.Completed(r.now, ended.Content)
 		r.suspectCallers.Answered(ended.Caller)
 	}
+	parts := ended.Parts
+	if event.Failure == nil || r.wroteAnswer(ended) {
+		for _, part := range parts {
+			r.poison.Completed(r.now, part)
+		}
+		parts = nil
+	}
 	if m.leaving() {
 		return
 	}
@@ -31,11 +39,56 @@
 		r.poison.MachineEnded(r.now, m.id)
 	}
 	if event.Broken {
-		r.poison.AttemptFailed(r.now, ended.Content, m.id)
+		r.poison.AttemptFailed(r.now, ended.Content, parts, m.id)
+	}
+	if event.Broken && event.MachineEnded && !r.partBlocked(ended.Parts) {
+		r.suspectCallers.Ended(r.now, ended.Caller, time.Unix(0, ended.dispatched), parts)
+	}
+}
+
+// soundAnswerTime is how long a machine must have written an answer until the parts of its prompt count as
+// sound: a harmful one ends the machine as soon as that begins to write.
+const soundAnswerTime = 500 * time.Millisecond
+
+// wroteAnswer reports whether the current attempt's machine has written its answer for long enough.
+func (r *Router) wroteAnswer(ended *request) bool {
+	return ended.firstByteSent && ended.firstByteAttempt == ended.attempt && r.nanos-ended.firstByteAt >= int64(soundAnswerTime)
+}
+
+// unstartedParts returns the parts of the request's prompt, none once its answer has begun.
+func (running *request) unstartedParts() []poison.Fingerprint {
+	if running.firstByteSent {
+		return nil
+	}
+	return running.Parts
+}
+
+// partBlocked reports whether one of the parts is blocked.
+func (r *Router) partBlocked(parts []poison.Fingerprint) bool {
+	return slices.ContainsFunc(parts, r.blocked)
+}
+
+// blockedBy returns the content or the part by which the request is blocked, and for how much longer; false
+// if none is.
+func (r *Router) blockedBy(checked *Request) (poison.Fingerprint, time.Duration, bool) {
+	if left, blocked := r.poison.Blocked(r.now, checked.Content); blocked {
+		return checked.Content, left, true
+	}
+	for _, part := range checked.Parts {
+		if left, blocked := r.poison.Blocked(r.now, part); blocked {
+			return part, left, true
+		}
 	}
-	if event.Broken && event.MachineEnded {
-		r.suspectCallers.Ended(r.now, ended.Caller, time.Unix(0, ended.dispatched))
+	return poison.Fingerprint{}, 0, false
+}
+
+// requestBlocked reports whether the request must not be sent.
+func (r *Router) requestBlocked(checked *request) bool {
+	if r.poison.Empty() {
+		return false
 	}
+	_, _, blocked := r.blockedBy(&checked.Request)
+	return blocked
 }
 
 // machineEnded records the end of a machine, unless the machine was leaving.
@@ -57,26 +110,23 @@
 	if r.poison.Empty() || r.config.Poison.Off() {
 		return nil, Explanation{}
 	}
+	if key, left, blocked := r.blockedBy(arrived); blocked {
+		if r.takeProbe(arrived, key) {
+			return nil, Explanation{}
+		}
+		return r.poisonFailure(key, left)
+	}
 	if failure, reason := r.callerRefusal(m, arrived.Caller); failure != nil {
 		return failure, reason
 	}
 	_, arrived.throttled = r.suspectCallers.Throttled(r.now, arrived.Caller)
-	if arrived.Content.IsZero() {
-		return nil, Explanation{}
-	}
-	if left, blocked := r.poison.Blocked(r.now, arrived.Content); blocked {
-		if r.takeProbe(arrived) {
-			return nil, Explanation{}
-		}
-		return r.poisonFailure(arrived.Content, left)
-	}
 	return nil, Explanation{}
 }
 
 // heldBackFailure returns the refusal of a request that may not wait until another one has ended.
 func (r *Router) heldBackFailure(refused *request) (*verdict.Error, Explanation) {
-	if left, blocked := r.poison.Blocked(r.now, refused.Content); blocked {
-		return r.poisonFailure(refused.Content, left)
+	if key, left, blocked := r.blockedBy(&refused.Request); blocked {
+		return r.poisonFailure(key, left)
 	}
 	if r.awaitsRelease(refused) {
 		failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no machine of release %q is free and the model's requests may not wait", refused.Release)
@@ -109,27 +159,38 @@
 	for i, machine := range ends {
 		names[i] = string(machine)
 	}
-	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest, "machines ended while they ran this request: %s", strings.Join(names, ", "))
+	what := "this request"
+	if content.IsPart() {
+		what = fmt.Sprintf("requests with part %x of their prompts", content.PartID())
+	}
+	failure := verdict.New(verdict.NotRun, verdict.CodePoisonRequest, "machines ended while they ran %s: %s", what, strings.Join(names, ", "))
 	return failure.After(left), Explanation{Setting: settingPoisonEnds, Value: float64(len(ends))}
 }
 
-// enforceBlocks ends the requests with newly blocked contents, since a request that waits at
-// a machine would end it when it runs.
+// enforceBlocks ends the requests with newly blocked contents or parts, since a request that waits at
+// a machine would end it when it runs. An answer that has begun shows that a part is sound.
 func (r *Router) enforceBlocks() {
 	for _, content := range r.poison.TakeNewlyBlocked() {
+		if content.IsPart() {
+			r.suspectCallers.PartBlocked(content)
+			r.recheckHeldBack = true
+		}
 		left, _ := r.poison.Blocked(r.now, content)
 		for _, blocked := range r.requestsOf(content) {
+			if content.IsPart() && blocked.firstByteSent {
+				continue
+			}
 			failure, reason := r.poisonFailure(content, left)
 			r.abandon(blocked, failure, reason)
 		}
 	}
 }
 
-// requestsOf lists the unfinished requests with the content, by ID.
+// requestsOf lists the unfinished requests with the content or part, by ID.
 func (r *Router) requestsOf(content poison.Fingerprint) []*request {
 	var same []*request
 	for _, other := range r.requests {
-		if other.Content == content {
+		if other.Content == content || content.IsPart() && slices.Contains(other.Parts, content) {
 			same = append(same, other)
 		}
 	}
--- a/routing/probes.go
+++ b/routing/probes.go
@@ -13,23 +13,39 @@
 // takeProbe makes the request a probe of its content if this node has permission for one. If a probe
 // is due, the request asks for the permission and waits for it, so that the probe need not wait for
 // the next such request, which may come to this node much later. Probes run one at a time on this
-// node, since the end of a machine would count against all contents probed there.
-func (r *Router) takeProbe(arrived *Request) bool {
-	if r.probeRuns() {
+// node, since the end of a machine would count against all contents probed there. A request that is blocked
+// for two reasons is no probe of either.
+func (r *Router) takeProbe(arrived *Request, blocked poison.Fingerprint) bool {
+	if r.probeRuns() || r.blockCount(arrived) > 1 {
 		return false
 	}
-	if r.poison.TakeProbe(arrived.Content) {
+	arrived.probed = blocked
+	if r.poison.TakeProbe(blocked) {
 		arrived.Attempts, arrived.probe = 1, true
 		return true
 	}
-	if !r.poison.ProbeDue(r.now, arrived.Content) || r.waitingForProbe(arrived.Content) != nil {
+	if !r.poison.ProbeDue(r.now, blocked) || r.waitingForProbe(blocked) != nil {
 		return false
 	}
 	arrived.probeWanted = true
-	r.emit(PoisonProbeWanted{Content: arrived.Content})
+	r.emit(PoisonProbeWanted{Content: blocked})
 	return true
 }
 
+// blockCount returns how many of the request's content and parts are blocked.
+func (r *Router) blockCount(arrived *Request) int {
+	count := 0
+	if r.blocked(arrived.Content) {
+		count++
+	}
+	for _, part := range arrived.Parts {
+		if r.blocked(part) {
+			count++
+		}
+	}
+	return count
+}
+
 // probeRuns reports whether a probe runs at a machine. One that waits for a machine does not count.
 func (r *Router) probeRuns() bool {
 	for _, other := range r.requests {
@@ -43,7 +59,7 @@
 // waitingForProbe returns the request that waits for the permission to probe a content, or nil.
 func (r *Router) waitingForProbe(content poison.Fingerprint) *request {
 	for _, waiting := range r.requests {
-		if waiting.probeWanted && waiting.item.Held() && waiting.Content == content {
+		if waiting.probeWanted && waiting.item.Held() && waiting.probed == content {
 			return waiting
 		}
 	}
@@ -53,7 +69,7 @@
 // awaitsProbe reports whether a request waits for the permission to run as a probe. It no longer
 // does once its content is not blocked any more.
 func (r *Router) awaitsProbe(waiting *request) bool {
-	return waiting.probeWanted && r.blocked(waiting.Content)
+	return waiting.probeWanted && r.blocked(waiting.probed)
 }
 
 // grantProbe makes the request that waits for the permission a probe. Without one, the next that
@@ -78,14 +94,14 @@
 
 // refuseBlocked ends a waiting request whose content is blocked.
 func (r *Router) refuseBlocked(waiting *request) {
-	left, _ := r.poison.Blocked(r.now, waiting.Content)
-	failure, reason := r.poisonFailure(waiting.Content, left)
+	left, _ := r.poison.Blocked(r.now, waiting.probed)
+	failure, reason := r.poisonFailure(waiting.probed, left)
 	r.finish(waiting, failure, reason)
 }
 
 // returnUnusedProbe returns the permission for a probe that did not run.
 func (r *Router) returnUnusedProbe(ended *request) {
 	if ended.probe && !ended.mayHaveRun {
-		r.poison.GrantProbe(ended.Content)
+		r.poison.GrantProbe(ended.probed)
 	}
 }
--- a/routing/silent_attempts.go
+++ b/routing/silent_attempts.go
@@ -24,7 +24,7 @@
 	}
 	silent.moveTarget = successor
 	successor.machine.reserved++
-	r.poison.AttemptCancelled(r.now, silent.Content, silent.machine.id)
+	r.poison.AttemptCancelled(r.now, silent.Content, silent.unstartedParts(), silent.machine.id)
 	r.emit(CancelAttempt{
 		Request: silent.ID, Attempt: silent.attempt, Machine: silent.machine.id, Address: silent.machine.address,
 	})
@@ -81,7 +81,7 @@
 		return false
 	}
 	successor := r.releaseReservation(failed)
-	possible := !r.draining && !isPermanent(event.Failure.Code) && failed.canStillAnswer() && !r.blocked(failed.Content)
+	possible := !r.draining && !isPermanent(event.Failure.Code) && failed.canStillAnswer() && !r.requestBlocked(failed)
 	if !possible || !successor.isPresent() || r.unusableCause(failed, successor, false) != "" {
 		r.refundRetry(failed.model)
 		return false
--- a/routing/state.go
+++ b/routing/state.go
@@ -44,6 +44,9 @@
 	// firstByteSent is set once the first byte of the answer went to the caller, mayHaveRun once an
 	// attempt ended with a verdict other than NotRun.
 	firstByteSent, mayHaveRun bool
+	// firstByteAt is when that was, firstByteAttempt the attempt that brought the byte.
+	firstByteAt      int64
+	firstByteAttempt cluster.Attempt
 	// unsent is set until AttemptPlaced arrives for the current attempt: nothing of it has reached
 	// its machine.
 	unsent bool
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -90,6 +90,7 @@
 	KindStreamOriginsReceived
 	KindStreamOriginRequest
 	KindStreamOriginAnswer
+	KindPartReport
 )
 
 // kindLayout holds the schema name of a kind and the constructor of its record.
@@ -141,6 +142,7 @@
 	KindStreamOrigins:         {"StreamOrigins", func() record { return new(streamOriginsRecord) }},
 	KindStreamOriginsReceived: {"StreamOriginsReceived", func() record { return new(streamOriginsReceivedRecord) }},
 	KindStreamOriginRequest:   {"StreamOriginRequest", func() record { return new(streamOriginRequestRecord) }},
+	KindPartReport:            {"PartReport", func() record { return new(partReportRecord) }},
 	KindStreamOriginAnswer:    {"StreamOriginAnswer", func() record { return new(streamOriginAnswerRecord) }},
 }
 
@@ -202,6 +204,8 @@
 		return KindStoreChangesRequest, &rec, nil
 	case PoisonReport:
 		return KindPoisonReport, poisonReportToRecord(m), nil
+	case PartReport:
+		return KindPartReport, partReportToRecord(m), nil
 	case ClockTold:
 		rec := clockToldRecord(m)
 		return KindClockTold, &rec, nil
--- a/wire/samples_test.go
+++ b/wire/samples_test.go
@@ -126,7 +126,13 @@
 		},
 		KindPoisonReport: PoisonReport{
 			From: "node-a", FromAddress: "10.0.0.1:7000",
-			Records: []poison.Record{{Content: poison.Fingerprint{1, 2}, Ends: []cluster.MachineID{"machine-a"}, Cleared: []cluster.MachineID{"machine-b"}}},
+			Records: []RequestEnds{{Content: poison.Fingerprint{1, 2}, Ends: []cluster.MachineID{"machine-a"}, Cleared: []cluster.MachineID{"machine-b"}}},
+		},
+		KindPartReport: PartReport{
+			From: "node-a", FromAddress: "10.0.0.1:7000",
+			Records: []poison.Record{{
+				Content: poison.PartFingerprint(7), Ends: []cluster.MachineID{"machine-a"}, Cleared: []cluster.MachineID{"machine-b"}, Requests: []uint64{1<<63 + 5},
+			}},
 		},
 		KindMachineLimit: MachineLimit{From: "node-a", Machine: "machine-a", Limited: true, PerSecond: 1.5, Brittle: 3, Concurrency: 4, StatedPerSecond: 0.5},
 		KindTurnRequest:  TurnRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Machine: "machine-a", PerSecond: 1.5, Slots: 5},
@@ -159,6 +165,7 @@
 	KindMachineLimit: 9, KindTurnRequest: 9, KindTurnAnswer: 9,
 	KindTurnReturned:  10,
 	KindStreamOrigins: 11, KindStreamOriginsReceived: 11, KindStreamOriginRequest: 11, KindStreamOriginAnswer: 11,
+	KindPartReport: 11,
 }
 
 // asWrittenIn returns a message without the fields that a version lacks.
