Judge streams with neither length nor chunks

The new test fails in 3 of 3 such streams if the end of the connection counts as that of the stream.

--- a/fleet/shell/workerconn_test.go
+++ b/fleet/shell/workerconn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -287,3 +288,28 @@
 	close(release)
 	<-stopped
 }
+
+// TestUnframedStreamIsWholeOrContinued guards against a stream with neither length nor chunks that is taken for cut
+// at its end, or for whole although its connection ended in order inside an event.
+func TestUnframedStreamIsWholeOrContinued(t *testing.T) {
+	d := newDeployment(t, withoutLatencyObjective)
+	for i := range 3 {
+		w := d.addWorker(fmt.Sprintf("unframed-%d", i), engineService, func(config *worker.Config) { config.Unframed = true })
+		w.Behave = func(r *http.Request) worker.Behaviour {
+			if r.Header.Get(platform.HeaderLastEvent) == "" && strings.HasSuffix(r.Header.Get(platform.HeaderRequestID), "0") {
+				return worker.EndInsideEvent
+			}
+			return worker.Serve
+		}
+	}
+	node := d.startNode("n1")
+	for i := range 30 {
+		got := d.call(node, http.MethodPost, "/stream/x", "", withModel("big"))
+		if got.err != nil || got.status != http.StatusOK || !slices.Equal(eventNumbers(t, got.body), oneTo(6)) {
+			t.Errorf("stream %d is answered %+v", i, got)
+		}
+	}
+	if answer := d.call(node, http.MethodPost, "/once/x", "", withModel("big")); answer.status != http.StatusOK {
+		t.Errorf("answer %+v", answer)
+	}
+}
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -37,6 +37,10 @@
 	loadsPerSecond   = 2
 )
 
+// unframedShare is the share of engines, one in so many, whose answers end with their connection, where workers
+// of several software versions serve.
+const unframedShare = 2
+
 // startsPerRelease is how often a slot's worker starts with the same software version in a row.
 const startsPerRelease = 2
 
@@ -154,6 +158,7 @@
 	}
 	if s.service() == serviceEngine {
 		config.Slots, config.Events, config.Pause, config.LoadTime = engineSlots, streamEvents, streamPause, loadTime
+		config.Unframed = s.options.Schedule.Releases > 1 && s.startCount%unframedShare == 0
 		config.MemoryBytes, config.Models = engineMB*megabyte, map[string]catalog.ModelSpec{}
 		for index := range modelCount {
 			config.Models[modelName(index)] = catalog.ModelSpec{Bytes: modelMB * megabyte}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -25,6 +25,8 @@
 	// Queue is the number of requests that may wait for a slot; zero lets any number run at once,
 	// except while the worker falls by what it turns away.
 	Queue int
+	// Unframed workers answer with neither a length nor chunks: the answer ends with its connection.
+	Unframed bool
 	// Models has the models that the worker can load, by name; nil for a service
 	// without models.
 	Models map[string]catalog.ModelSpec
@@ -71,6 +73,8 @@
 	AnswerForOtherRequest
 	// Shed does as Reject and asks the node for a pause in addition.
 	Shed
+	// EndInsideEvent ends the connection in order, in the middle of an event after half of them.
+	EndInsideEvent
 	// CutBody runs the request and closes the connection after half of the body.
 	CutBody
 )
@@ -292,6 +296,10 @@
 		return
 	}
 	out.Header().Set(platform.HeaderStamp, Stamp(w.config.ID))
+	if w.config.Unframed {
+		// The server then closes the connection after the answer.
+		out.Header().Set("Transfer-Encoding", "identity")
+	}
 	if behaviour == AnswerForOtherRequest {
 		id = misroutedAnswerID
 		out.Header().Set(platform.HeaderRequestID, id)
@@ -340,6 +348,10 @@
 			_ = flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if behaviour == EndInsideEvent && number > w.config.Events/2 {
+			_, _ = fmt.Fprintf(out, "id: %d\nda", number)
+			return
+		}
 		_, _ = io.WriteString(out, eventText(id, number))
 		if flusher.Flush() != nil {
 			return
