Send most callers of the soak to one node for a while

In soak seeds with two releases four of five calls go, each on a connection of its own, to one node for 6 to 9 s; a promise judges what that node serves from 3 s on against what all nodes served in the 6 s before, and the others at the same time. A planted defect is found.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -69,6 +69,9 @@
 	case plan.PathHang, plan.PathSilence, plan.PathReset, plan.PathRefuse:
 		r.cutOff(target, partitionKinds[f.Kind], f.For)
 		return true
+	case plan.CallerSkew:
+		r.skewCallers(r.nodes[target], f.For)
+		return true
 	case plan.CallerBurst:
 		r.nodes[target].burst(f.Rate, f.For)
 		return true
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -139,8 +139,12 @@
 // send sends a request and records it. If a resumable stream was cut, it resumes the stream
 // with another request. Requests interrupted by the end of the run are not recorded.
 func (c *callGenerator) send(ctx context.Context, request check.Request) {
-	at := c.nodes[request.Node]
-	at.exchange(ctx, at.client, &request)
+	if c.skew(&request) {
+		c.nodes[request.Node].exchangeOnNewConnection(ctx, &request)
+	} else {
+		at := c.nodes[request.Node]
+		at.exchange(ctx, at.client, &request)
+	}
 	if ctx.Err() != nil {
 		return
 	}
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -49,6 +49,12 @@
 	After, Events int
 }
 
+// Skew is a time in which most callers came to one node, on new connections.
+type Skew struct {
+	Node     int
+	From, To time.Duration
+}
+
 // Life is the time in which a worker served, and its software version.
 type Life struct {
 	Worker, Service, Release string
@@ -197,6 +203,8 @@
 	Exits          []Exit
 	Recoveries     []Recovery
 	Disturbances   []Disturbance
+	// Skews are the times in which most callers came to one node.
+	Skews []Skew
 	// Lives are the lives of the workers.
 	Lives []Life
 	// Engines is the number of workers that accept orders.
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -53,6 +53,7 @@
 	PromiseBrittle       Promise = "brittle workers do not fall one after the other"
 	PromisePart          Promise = "a part of prompts that ends workers is held back by all nodes"
 	PromiseBesidePart    Promise = "requests beside a part that ends workers are served"
+	PromiseSkew          Promise = "a node that most callers come to serves them"
 	PromiseRelease       Promise = "streams hold events of one software version"
 	PromiseResumed       Promise = "resumed streams go on as new ones begin"
 	PromisePath          Promise = "nodes without a path to workers serve their callers"
@@ -144,6 +145,7 @@
 	{PromiseBrittle, checkFalls, minJudgedFew, (*History).hasBrittleTime},
 	{PromisePart, checkHarmfulPart, 0, nil},
 	{PromiseBesidePart, checkBesidePart, 0, nil},
+	{PromiseSkew, checkSkews, 0, nil},
 	{PromiseRelease, checkStreamReleases, 0, nil},
 	{PromiseResumed, checkResumedStreams, 0, nil},
 	{PromisePath, checkPartitions, minJudgedFew, (*History).hasJudgeablePartition},
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -130,6 +130,7 @@
 	}
 	addResumedStreams(h)
 	addHarmfulPart(h)
+	addSkew(h)
 	leaving := completedRequest("leaving", RouteRead, 24200*time.Millisecond)
 	leaving.ClosesConnection = true
 	h.Requests = append(h.Requests, leaving)
@@ -176,6 +177,19 @@
 	}
 }
 
+// addSkew adds a time in which most callers come to node 1.
+func addSkew(h *History) {
+	h.Skews = append(h.Skews, Skew{Node: 1, From: 50 * time.Second, To: 60 * time.Second})
+	for n := range 2 * minSkewed {
+		for node := range 2 {
+			request := completedRequest(fmt.Sprintf("n%d-skewed-%d", node, n), RouteRead, 54*time.Second)
+			request.Node = node
+			h.Requests = append(h.Requests, request)
+			h.Runs = append(h.Runs, runOf(request.ID, "w1", request.Sent))
+		}
+	}
+}
+
 // addHarmfulPart adds requests with a part that crashes five engines, and sound ones beside them. Both are
 // sent until long after all nodes must know the part.
 func addHarmfulPart(h *History) {
@@ -348,6 +362,13 @@
 	{PromiseBrittle, "a worker that falls once more", func(h *History) {
 		h.Falls = append(h.Falls, Fall{Worker: "w1", Service: "plain", At: 14 * time.Second})
 	}},
+	{PromiseSkew, "a node that refuses what comes beyond the usual", func(h *History) {
+		for i := range h.Requests {
+			if strings.HasPrefix(h.Requests[i].ID, "n1-skewed-") && i%3 == 0 {
+				h.Requests[i].Status = http.StatusServiceUnavailable
+			}
+		}
+	}},
 	{PromisePart, "nodes that go by the content of whole requests", func(h *History) {
 		for n := range maxPartRunsAfterBound + 1 {
 			try := Request{ID: fmt.Sprintf("%sagain-%d", HarmfulPartPrefix, n), Node: 1, Route: RouteStream, Status: http.StatusBadGateway, Sent: 8 * time.Second, Ended: 8 * time.Second}
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -85,6 +85,7 @@
 	} else if seed%seedsPerReleases != 0 {
 		// Earlier builds don't know that streams may not go on at another release.
 		schedule.Releases = 2
+		schedule.Faults = append(schedule.Faults, drawSkews(seed, size)...)
 	}
 	schedule.Faults = slices.DeleteFunc(schedule.Faults, func(f Fault) bool { return f.At >= size.Span })
 	slices.SortStableFunc(schedule.Faults, func(a, b Fault) int { return int(a.At - b.At) })
@@ -253,6 +254,22 @@
 	})
 }
 
+// Parameters of the times in which most callers come to one node: meanSkewGap is the mean time between two,
+// minSkewLength and maxSkewLength bound how long one lasts, longer than the node has to get used to it.
+const (
+	meanSkewGap   = 14 * time.Second
+	minSkewLength = 6 * time.Second
+	maxSkewLength = 9 * time.Second
+)
+
+// drawSkews draws times in which most callers come to one node.
+func drawSkews(seed uint64, size Size) []Fault {
+	return drawIndependent(rand.NewPCG(seed, 6), size, CallerSkew, meanSkewGap, func(d *generator, f *Fault) {
+		f.For = d.uniformDuration(minSkewLength, maxSkewLength)
+		f.Targets = f.Targets[:1]
+	})
+}
+
 // Parameters of the short silences of sound workers: meanSilenceGap is the mean time between two,
 // minSilenceLength and maxSilenceLength bound how long one lasts.
 const (
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -58,6 +58,10 @@
 // promises must hold during the burst.
 const CallerBurst Kind = "caller-burst"
 
+// CallerSkew sends most calls of all callers, each on a new connection, to one node for a while, as an entry does
+// that hands all new connections of a zone to it. It breaks nothing.
+const CallerSkew Kind = "caller-skew"
+
 // The kinds of faults of the store.
 const (
 	StoreSlow    Kind = "store-slow"
@@ -177,6 +181,7 @@
 	kindProperties
 }{
 	{CallerBurst, kindProperties{onNodes, 1, true}},
+	{CallerSkew, kindProperties{onNodes, 0, true}},
 	{ProcessUpgrade, kindProperties{onNodes, 0, true}},
 	{ProcessRollBack, kindProperties{onNodes, 0, true}},
 	{WorkerRestart, kindProperties{onWorkers, 0, true}},
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,6 +44,8 @@
 	// crashes workers.
 	restarts   sync.WaitGroup
 	poisonOver atomic.Bool
+	// skewedTo is the node that most callers come to, nil while each comes to its own.
+	skewedTo atomic.Pointer[process]
 	// bursts is the number of caller bursts so far.
 	bursts atomic.Int64
 
