--- a/soak/check/skews.go
+++ b/soak/check/skews.go
@@ -28,7 +28,7 @@
 			usual := strings.HasPrefix(request.ID, "n") && request.Resumes == "" && request.LeavesAfter == 0
 			during := request.Sent >= skew.From+skewGrace && request.Sent <= skew.To
 			before := request.Sent >= skew.From-skewBefore && request.Sent < skew.From
-			if !usual || !during && !before || request.Status == 0 || h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePeer, ScopePath) {
+			if !usual || !during && !before || request.Status == 0 || h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopePath) {
 				continue
 			}
 			served := request.Status == http.StatusOK && request.Failure == ""
