Blame only the blocked part for ends under it

A blocked part explains the end of a machine: the other parts of such a request are not blamed. The new test failed before (three ends held against the other part).

--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -38,10 +38,15 @@
 	if event.MachineEnded {
 		r.poison.MachineEnded(r.now, m.id)
 	}
-	if event.Broken {
+	harmful := r.blockedParts(ended.Parts)
+	switch {
+	case event.Broken && len(harmful) > 0:
+		// A blocked part explains the end, also that under its probe.
+		r.poison.AttemptFailed(r.now, ended.Content, harmful, m.id)
+	case event.Broken:
 		r.poison.AttemptFailed(r.now, ended.Content, parts, m.id)
 	}
-	if event.Broken && event.MachineEnded && !r.partBlocked(ended.Parts) {
+	if event.Broken && event.MachineEnded && len(harmful) == 0 {
 		r.suspectCallers.Ended(r.now, ended.Caller, time.Unix(0, ended.dispatched), parts)
 	}
 }
@@ -63,9 +68,15 @@
 	return running.Parts
 }
 
-// partBlocked reports whether one of the parts is blocked.
-func (r *Router) partBlocked(parts []poison.Fingerprint) bool {
-	return slices.ContainsFunc(parts, r.blocked)
+// blockedParts returns the parts that are blocked.
+func (r *Router) blockedParts(parts []poison.Fingerprint) []poison.Fingerprint {
+	var blocked []poison.Fingerprint
+	for _, part := range parts {
+		if r.blocked(part) {
+			blocked = append(blocked, part)
+		}
+	}
+	return blocked
 }
 
 // blockedBy returns the content or the part by which the request is blocked, and for how much longer; false
--- a/routing/poisoned_parts_test.go
+++ b/routing/poisoned_parts_test.go
@@ -98,3 +98,17 @@
 	f.expect(f.step(AttemptEnded{Request: "probe", Attempt: 1}), "finish probe; ")
 	f.expect(f.arrive("after", withParts(harmfulPart)), "dispatch after/1 to m1; ")
 }
+
+// TestProbeOfBlockedPartBlamesNoOtherPart guards against parts beside a blocked one that are blocked in turn by the
+// ends of its probes, while sound requests with them are rare.
+func TestProbeOfBlockedPartBlamesNoOtherPart(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.step(PoisonLearned{Records: []poison.Record{{Content: harmfulPart, Ends: []cluster.MachineID{"a", "b", "c"}, Requests: []uint64{1, 2}}}})
+	for n := 1; n <= poison.DefaultEnds; n++ {
+		f.step(PoisonProbeGranted{Content: harmfulPart})
+		f.crash(n, commonPart, harmfulPart)
+	}
+	if record, _ := f.router.PoisonRecord(commonPart); record.AttributedEndCount() > 0 {
+		t.Errorf("the part beside it is blamed for %v", record.Ends)
+	}
+}
