Repeat the probe of a blocked request while its machine is silent

Cause: the probe of a blocked request went to a machine that hung. It lasted to its deadline, and the next node waited out the rest of the ten seconds between two probes. Nothing watched the silence of a probe, since no other attempt may follow it.

The watchdog watches probes too; the first silence beyond the usual is entered in the stored record, and the next such request, at any node, is the next probe, within the three that are allowed. A silent probe does not keep others waiting on its node.

The new tests of router and fleet failed before (no effect; still blocked after 1 and 2 probes).

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -39,7 +39,7 @@
 // request once more as a probe, and when it gets it.
 type PoisonProbe struct {
 	Content string `log:"content" doc:"fingerprint of what the request asks for"`
-	Outcome string `log:"outcome" doc:"claimed, or granted: the next such request here is sent"`
+	Outcome string `log:"outcome" doc:"claimed, granted (the next such request here is sent), or silent (its machine does not answer)"`
 	Number  int    `log:"number" doc:"number of the probe among those of all nodes, from 1"`
 }
 
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -39,7 +39,7 @@
 
 // Meaning implements Documented.
 func (PoisonProbe) Meaning() string {
-	return "Written when this node asks the store whether it may send a request that all nodes refuse once more, and when it may."
+	return "Written when this node asks the store whether it may send a request that all nodes refuse once more, when it may, and when the machine of that try is silent."
 }
 
 // Kind implements Event.
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -75,7 +75,10 @@
 	Probes     int
 	Prober     cluster.NodeID
 	EndsBefore int
-	Revision   int64
+	// Silent is set once the machine of that probe was silent for longer than is usual, so that another
+	// probe need not wait.
+	Silent   bool
+	Revision int64
 }
 
 // PoisonRead delivers stored records of poison requests. With Full, requests that are not listed
--- a/fleet/poison_record_test.go
+++ b/fleet/poison_record_test.go
@@ -163,6 +163,41 @@
 	}
 }
 
+// Guards against a request that many ask for and that stays blocked while the machine of its probe hangs:
+// once that is silent the next request is a probe, at whatever node, but never beyond the allowed number.
+func TestSilentPoisonProbeIsRepeatedAtOnce(t *testing.T) {
+	for probes, want := range map[int]bool{1: true, maxPoisonProbes: true, maxPoisonProbes + 1: false} {
+		s := newPoisonSimulation(7, 4, 3)
+		s.runFor(2 * time.Second)
+		prober := s.nodes[1]
+		stored := StoredPoisonRecord{
+			Record: poison.Record{Content: popularContent, Ends: []cluster.MachineID{"x", "y", "z"}}, Probes: probes, Prober: prober.id, EndsBefore: 3,
+		}
+		s.writeStore(keyvalue.Operation{Key: KeyPoison + popularContent.String(), Value: encodePoison(&stored)})
+		s.runFor(2 * time.Second)
+		prober.core.effects = nil
+		prober.core.poison.returnProbe(popularContent)
+		for _, effect := range prober.core.effects {
+			if write, ok := effect.(StoreWrite); ok {
+				s.writeStore(keyvalue.Operation{Key: write.Key, Value: write.Value})
+			}
+		}
+		s.runFor(500 * time.Millisecond)
+		for n := range 3 {
+			id := cluster.RequestID(fmt.Sprintf("r%d", n))
+			s.popular[id] = true
+			s.step(s.nodes[0], RoutingInput{Event: routing.RequestArrived{Request: routing.Request{
+				ID: id, Model: catalog.ModelID("s", "a"), TokenPath: "/", Deadline: s.now.Add(2 * time.Second), Content: popularContent,
+			}}})
+			s.runFor(700 * time.Millisecond)
+		}
+		record, _ := s.nodes[0].core.router.PoisonRecord(popularContent)
+		if unblocked := !s.nodes[0].core.poison.blocks(&record); unblocked != want {
+			t.Errorf("after %d probes, the last one silent: acquitted %v, want %v", probes, unblocked, want)
+		}
+	}
+}
+
 // Guards against a request that many ask for and that stays blocked until the one node with the
 // permission for its probe gets it again, which takes the longer the more nodes there are: the
 // request that asks for the probe is sent as the probe.
--- a/fleet/poison_store.go
+++ b/fleet/poison_store.go
@@ -60,6 +60,8 @@
 	switch {
 	case s.proberEnded(stored):
 		allowed, spacing = maxPoisonProbes+1, 0
+	case stored.Silent && s.lastProbeInconclusive(stored):
+		allowed, spacing = maxPoisonProbes+1, 0
 	case s.lastProbeInconclusive(stored):
 		allowed = maxPoisonProbes + 1
 	}
@@ -75,6 +77,18 @@
 	return true
 }
 
+// returnProbe tells all nodes, by the stored record, that the machine of this node's probe is silent.
+func (s *poisonSync) returnProbe(content poison.Fingerprint) {
+	stored := s.stored[content]
+	if stored == nil || stored.Prober != s.core.config.Self.ID || stored.Silent {
+		return
+	}
+	s.core.log(eventlog.PoisonProbe{Content: content.String(), Outcome: "silent", Number: stored.Probes})
+	silent := stored.StoredPoisonRecord
+	silent.Silent = true
+	s.core.emit(StoreWrite{Key: KeyPoison + content.String(), Value: encodePoison(&silent), Revision: stored.Revision})
+}
+
 // proberEnded reports whether the node of the last probe is known to have ended: its record is
 // gone or was replaced by that of another process of its machine.
 func (s *poisonSync) proberEnded(stored *storedPoison) bool {
@@ -161,13 +175,14 @@
 	Probes  int                 `json:"tests,omitempty"`
 	Prober  cluster.NodeID      `json:"tester,omitempty"`
 	Before  int                 `json:"ends_before,omitempty"`
+	Silent  bool                `json:"silent,omitempty"`
 	// Requests are the digests of the different requests with a part of prompts.
 	Requests []uint64 `json:"requests,omitempty"`
 }
 
 func encodePoison(stored *StoredPoisonRecord) []byte {
 	record := &stored.Record
-	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Probes: stored.Probes, Prober: stored.Prober, Before: stored.EndsBefore, Requests: record.Requests})
+	data, err := json.Marshal(poisonDocument{Ends: record.Ends, Cleared: record.Cleared, Probes: stored.Probes, Prober: stored.Prober, Before: stored.EndsBefore, Silent: stored.Silent, Requests: record.Requests})
 	if err != nil {
 		return nil
 	}
@@ -187,5 +202,6 @@
 	}
 	record := poison.Record{Content: content, Ends: document.Ends, Cleared: document.Cleared, Requests: document.Requests}
 	stored.Record, stored.Probes, stored.Prober, stored.EndsBefore = record.Valid(), document.Probes, document.Prober, document.Before
+	stored.Silent = document.Silent
 	return stored, nil
 }
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -70,6 +70,8 @@
 			if !c.poison.claimProbe(e.Content) {
 				c.feedRouter(routing.PoisonProbeDenied(e))
 			}
+		case routing.PoisonProbeSilent:
+			c.poison.returnProbe(e.Content)
 		case routing.Dispatch:
 			if c.dispatchClient == nil || !c.dispatchClient.dispatch(&e) {
 				c.gate.dispatch(e)
--- a/passthrough/watchdog.go
+++ b/passthrough/watchdog.go
@@ -71,9 +71,10 @@
 }
 
 // startWatchdog starts the watchdog of the attempt. It is inactive if no other attempt may follow
-// or the route has no objective.
+// or the route has no objective. The silence of a probe allows another probe.
 func (a *attempt) startWatchdog() {
-	a.watchdog = &watchdog{attempt: a, stopped: a.decision.Final || a.route.Objective <= 0}
+	needless := a.decision.Final && !a.decision.Probe
+	a.watchdog = &watchdog{attempt: a, stopped: needless || a.route.Objective <= 0}
 	a.watchdog.restart(a.firstByteTimeout())
 }
 
--- a/routing/events.go
+++ b/routing/events.go
@@ -304,6 +304,10 @@
 // PoisonProbeGranted or PoisonProbeDenied.
 type PoisonProbeWanted struct{ Content poison.Fingerprint }
 
+// PoisonProbeSilent reports that the machine of a probe does not answer: the probe shows nothing, and another
+// one need not wait for its end.
+type PoisonProbeSilent struct{ Content poison.Fingerprint }
+
 // CancelAttempt cancels an attempt at the engine: its request has ended, or another machine takes
 // it once AttemptEnded reports the end of this attempt.
 type CancelAttempt struct {
@@ -319,6 +323,7 @@
 func (StatusNeeded) routingEffect()      {}
 func (PoisonFound) routingEffect()       {}
 func (PoisonProbeWanted) routingEffect() {}
+func (PoisonProbeSilent) routingEffect() {}
 
 // Choice explains why a replica was chosen.
 type Choice struct {
--- a/routing/probes.go
+++ b/routing/probes.go
@@ -46,10 +46,10 @@
 	return count
 }
 
-// probeRuns reports whether a probe runs at a machine. One that waits for a machine does not count.
+// probeRuns reports whether a probe runs at a machine that answers. One that waits for a machine does not count.
 func (r *Router) probeRuns() bool {
 	for _, other := range r.requests {
-		if other.probe && other.running {
+		if other.probe && other.running && !other.silent {
 			return true
 		}
 	}
--- a/routing/probes_test.go
+++ b/routing/probes_test.go
@@ -73,3 +73,21 @@
 	f.expect(f.arrive("c", withContent(popular)), "")
 	f.expect(f.step(PoisonProbeDenied{Content: popular}), "finish c poison_request not-run; ")
 }
+
+// TestSilentProbeIsReportedOnce guards against a content that stays blocked while the machine of its probe hangs,
+// and against a silent probe that keeps others waiting.
+func TestSilentProbeIsReportedOnce(t *testing.T) {
+	f, popular := newBlockedFixture(t)
+	f.arrive("a", withContent(popular))
+	f.expect(f.step(PoisonProbeGranted{Content: popular}), "dispatch a/1 to m1; ")
+	silent := f.step(AttemptSilent{Request: "a", Attempt: 1})
+	if len(silent) != 1 || silent[0] != (PoisonProbeSilent{Content: popular}) {
+		t.Fatalf("effects %v", silent)
+	}
+	if again := f.step(AttemptSilent{Request: "a", Attempt: 1}); len(again) != 0 {
+		t.Errorf("effects of the second report: %v", again)
+	}
+	if asked := f.arrive("b", withContent(popular)); len(asked) != 1 || asked[0] != (PoisonProbeWanted{Content: popular}) {
+		t.Errorf("effects %v, want that another probe is wanted", asked)
+	}
+}
--- a/routing/silent_attempts.go
+++ b/routing/silent_attempts.go
@@ -11,6 +11,9 @@
 	if silent == nil || !silent.running || silent.attempt != event.Attempt {
 		return
 	}
+	if silent.probe && !silent.silent {
+		r.emit(PoisonProbeSilent{Content: silent.probed})
+	}
 	silent.silent, r.recheckHeldBack = true, true
 	if !r.mayMove(silent) {
 		return
