Count a caller that left a stream as no cut by a stop

Only a caller that really left is excused now, in this check and in that of answers in time, where up to now every request of a caller that meant to leave was. Both sides are tested.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -169,7 +170,7 @@
 	}
 	request.Ended = p.recorder.elapsed()
 	if err != nil {
-		request.Failure = err.Error()
+		request.Failure, request.Left = err.Error(), errors.Is(err, errLeft)
 	}
 }
 
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -24,6 +24,8 @@
 	// LeavesAfter is the number of events after which the caller leaves, to continue the stream with
 	// another request; zero for none.
 	LeavesAfter int
+	// Left is set if the caller left by itself, having got those events.
+	Left bool
 	// Deadline is the time limit that the caller stated.
 	Deadline    time.Duration
 	Sent, Ended time.Duration
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -163,7 +163,7 @@
 	}
 	for n := range minResumed {
 		first := completedRequest(fmt.Sprintf("resumable-%d", n), RouteStream, 14*time.Second)
-		first.Node, first.LeavesAfter, first.Failure, first.Body = 1, 2, "left", worker.StreamText(first.ID, 0, 2)
+		first.Node, first.LeavesAfter, first.Left, first.Failure, first.Body = 1, 2, true, "left", worker.StreamText(first.ID, 0, 2)
 		next := completedRequest(first.ID+"+", RouteStream, 15*time.Second)
 		next.Node, next.After, next.Resumes, next.Body = 1, 2, first.ID, worker.StreamText(next.ID, 2, testEvents)
 		began, resumed := runOf(first.ID, "engine-0", first.Sent), runOf(next.ID, "engine-1", next.Sent)
@@ -342,6 +342,10 @@
 		h.Requests[len(h.Requests)-2].Failure = "reset"
 		h.Runs = h.Runs[:len(h.Runs)-1]
 	}},
+	{PromiseStop, "a stream that a stop cut before its caller would have left", func(h *History) {
+		cut := &h.Requests[len(h.Requests)-2]
+		cut.LeavesAfter, cut.Failure = 4, "reset"
+	}},
 	{PromiseLeave, "an answer in a stop that lets its caller keep the connection", func(h *History) {
 		at := slices.IndexFunc(h.Requests, func(r Request) bool { return r.ID == "leaving" })
 		h.Requests[at].ClosesConnection = false
@@ -538,3 +542,13 @@
 		t.Errorf("after the node's own failure: %d broken, want 0", broken)
 	}
 }
+
+// TestCallerThatLeftIsNoCut guards against a stop that is blamed for a stream whose caller left by itself.
+func TestCallerThatLeftIsNoCut(t *testing.T) {
+	h := validHistory()
+	left := &h.Requests[len(h.Requests)-2]
+	left.LeavesAfter, left.Left, left.Failure = 4, true, "the caller left"
+	if finding := findingFor(Judge(h), PromiseStop); len(finding.Breaches) > 0 {
+		t.Errorf("%v", finding.Breaches)
+	}
+}
--- a/soak/check/requests.go
+++ b/soak/check/requests.go
@@ -134,7 +134,7 @@
 		switch {
 		case took > request.Deadline+answerSlack:
 			detail = fmt.Sprintf("took %s of %s", took, request.Deadline)
-		case request.Failure == "" || request.LeavesAfter > 0 || request.cutAtDeadline():
+		case request.Failure == "" || request.Left || request.cutAtDeadline():
 		case !begun || !h.workerDisturbedDuring(request, runs[request.ID]):
 			detail = fmt.Sprintf("no whole answer after %s: %s", took, request.Failure)
 		}
