--- a/soak/parts.go
+++ b/soak/parts.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -22,24 +20,10 @@
 	partCredential = "Bearer shares a part"
 )
 
-// sendWithParts sends requests with a prefix to randomly drawn nodes until the context ends.
-func (r *run) sendWithParts(ctx context.Context, prefix string, every time.Duration) {
-	random := rand.New(rand.NewPCG(r.options.Schedule.Seed, uint64(every)))
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	if !r.sleepUntil(time.Now().Add(poisonDelay)) {
-		return
-	}
-	for number := 0; ctx.Err() == nil; number++ {
-		node := r.nodes[random.IntN(len(r.nodes))]
-		request := check.Request{
-			ID: fmt.Sprintf("%s%d", prefix, number), Node: node.index, Route: check.RouteStream, Model: modelName(0), Deadline: maxDeadline,
-		}
-		r.restarts.Go(func() { node.sendOnce(ctx, request) })
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
+// streamsWith returns streams whose identifiers begin with a prefix, which determines the parts of their prompts.
+func streamsWith(prefix string) func(number int) check.Request {
+	return func(number int) check.Request {
+		return check.Request{ID: fmt.Sprintf("%s%d", prefix, number), Route: check.RouteStream, Model: modelName(0), Deadline: maxDeadline}
 	}
 }
 
--- a/soak/play.go
+++ b/soak/play.go
@@ -40,11 +40,11 @@
 		active.Go(func() { node.probe(calling) })
 	}
 	active.Go(func() { r.tick(calling) })
-	active.Go(func() { r.sendRepeatedly(calling, check.PoisonPrefix, poisonInterval) })
-	active.Go(func() { r.sendRepeatedly(calling, check.PopularPrefix, popularInterval) })
+	active.Go(func() { r.sendRepeatedly(calling, poisonInterval, readsWith(check.PoisonPrefix)) })
+	active.Go(func() { r.sendRepeatedly(calling, popularInterval, readsWith(check.PopularPrefix)) })
 	if r.options.Schedule.HarmfulPart {
-		active.Go(func() { r.sendWithParts(calling, check.HarmfulPartPrefix, harmfulPartInterval) })
-		active.Go(func() { r.sendWithParts(calling, check.BesidePartPrefix, besidePartInterval) })
+		active.Go(func() { r.sendRepeatedly(calling, harmfulPartInterval, streamsWith(check.HarmfulPartPrefix)) })
+		active.Go(func() { r.sendRepeatedly(calling, besidePartInterval, streamsWith(check.BesidePartPrefix)) })
 	}
 	active.Go(func() { r.rotateKeys(calling) })
 	if !r.options.Schedule.Keyless {
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -30,9 +30,9 @@
 	poisonCredential = "Bearer harmful"
 )
 
-// sendRepeatedly sends requests with the same body to randomly drawn nodes until the context
-// ends.
-func (r *run) sendRepeatedly(ctx context.Context, prefix string, every time.Duration) {
+// sendRepeatedly sends requests to randomly drawn nodes until the context ends. next returns the request of a
+// number, to which the node is added.
+func (r *run) sendRepeatedly(ctx context.Context, every time.Duration, next func(number int) check.Request) {
 	random := rand.New(rand.NewPCG(r.options.Schedule.Seed, uint64(every)))
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
@@ -41,9 +41,8 @@
 	}
 	for number := 0; ctx.Err() == nil; number++ {
 		node := r.nodes[random.IntN(len(r.nodes))]
-		request := check.Request{
-			ID: fmt.Sprintf("%s%d", prefix, number), Node: node.index, Route: check.RouteRead, Deadline: maxDeadline,
-		}
+		request := next(number)
+		request.Node = node.index
 		r.restarts.Go(func() { node.sendOnce(ctx, request) })
 		select {
 		case <-ticker.C:
@@ -52,6 +51,13 @@
 	}
 }
 
+// readsWith returns reads whose identifiers begin with a prefix, which determines their body.
+func readsWith(prefix string) func(number int) check.Request {
+	return func(number int) check.Request {
+		return check.Request{ID: fmt.Sprintf("%s%d", prefix, number), Route: check.RouteRead, Deadline: maxDeadline}
+	}
+}
+
 // sendOnce sends a request and records it, unless the end of the run interrupts it.
 func (p *process) sendOnce(ctx context.Context, request check.Request) {
 	p.exchange(ctx, p.client, &request)
