--- a/routing/poison/table.go
+++ b/routing/poison/table.go
@@ -1,29 +1,12 @@
 package poison
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
 )
 
-// Defaults of Config.
-const (
-	// DefaultEnds is the number of machine ends that blocks a request. One or two machines may have
-	// failed for other reasons or by another request that they ran; each further end costs a
-	// machine with all its running requests.
-	DefaultEnds = 3
-	// DefaultSuspicion is how long ends are remembered that don't block a request: longer than
-	// callers keep retrying one request.
-	DefaultSuspicion = 10 * time.Minute
-	// DefaultBlockDuration is how long a request stays blocked: about the time until somebody has
-	// fixed the machines' software or the request.
-	DefaultBlockDuration = time.Hour
-	// DefaultMaxRecords bounds the table: at about 300 bytes a record, it takes 1.2 MB.
-	DefaultMaxRecords = 4096
-)
-
 // Bounds of the state kept of machines and attempts.
 const (
 	// failedAttemptWindow is how long after a failed attempt the end of its machine is attributed
@@ -48,40 +31,6 @@
 	maxPendingAttempts = 1024
 )
 
-// Config configures a Table. A zero field takes the default above.
-type Config struct {
-	// Ends is the number of machine ends that blocks a request. A negative value disables
-	// blocking.
-	Ends int
-	// Suspicion is how long a record is kept whose request is not blocked, and BlockDuration how
-	// long a request is blocked.
-	Suspicion, BlockDuration time.Duration
-	MaxRecords               int
-}
-
-func (c Config) withDefaults() Config {
-	c.Ends = cmp.Or(c.Ends, DefaultEnds)
-	c.Suspicion = cmp.Or(c.Suspicion, DefaultSuspicion)
-	c.BlockDuration = cmp.Or(c.BlockDuration, DefaultBlockDuration)
-	c.MaxRecords = cmp.Or(c.MaxRecords, DefaultMaxRecords)
-	return c
-}
-
-// Off reports whether blocking is disabled.
-func (c Config) Off() bool { return c.Ends < 0 }
-
-// minPartRequests is the number of different requests that must have run when machines ended until their
-// common part is blocked: one request that ends machines is blocked itself, not what it shares with others.
-const minPartRequests = 2
-
-// Blocks reports whether the record blocks its request, or the requests with its part.
-func (c Config) Blocks(record *Record) bool {
-	if c.Off() || record.AttributedEndCount() < c.withDefaults().Ends {
-		return false
-	}
-	return !record.Content.IsPart() || len(record.Requests) >= minPartRequests
-}
-
 // entry is a record with the local state of this node.
 type entry struct {
 	Record
@@ -281,32 +230,6 @@
 	return true
 }
 
-// ProbeDue reports whether a blocked request should be sent once more as a probe. A harmless but
-// frequent request may be running on several machines that end, and only an answer can show that it
-// is harmless.
-func (t *Table) ProbeDue(now time.Time, content Fingerprint) bool {
-	known := t.entries[content]
-	return known != nil && !known.blockedSince.IsZero() && !known.probeGranted && now.Sub(known.blockedSince) >= probeDelay
-}
-
-// GrantProbe permits this node to send a blocked request once as a probe. The caller must bound the
-// number of probes over all nodes.
-func (t *Table) GrantProbe(content Fingerprint) {
-	if known := t.entries[content]; known != nil && !known.blockedSince.IsZero() {
-		known.probeGranted = true
-	}
-}
-
-// TakeProbe uses the permission for a probe and reports whether there was one.
-func (t *Table) TakeProbe(content Fingerprint) bool {
-	known := t.entries[content]
-	if known == nil || !known.probeGranted {
-		return false
-	}
-	known.probeGranted = false
-	return true
-}
-
 // attribute counts a machine's end against a request, unless the request is known to be harmless.
 func (t *Table) attribute(now time.Time, run *pendingAttempt) {
 	if t.recentlyCompleted(now, run.content) {
