Log full reads that are dropped and the era of the store

The log could not tell why changes were unknown: it said neither that a full read was dropped as older than what is known, nor whether the store had come back from a copy. No decision uses either yet.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -19,7 +19,7 @@
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
-		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, LeaseChanged{},
+		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, StoreReadDropped{}, StoreEraChanged{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
@@ -322,6 +322,18 @@
 	After time.Duration `log:"after_ms" doc:"how long it was lost"`
 }
 
+// StoreReadDropped is written when a full read of the store is older than what is known and is dropped.
+type StoreReadDropped struct {
+	Revision int64 `log:"revision" doc:"revision at which the store was read"`
+	Known    int64 `log:"known" doc:"revision up to which changes are known"`
+}
+
+// StoreEraChanged is written when an answer of the store states another era than the answers before.
+type StoreEraChanged struct {
+	Era    int64 `log:"era" doc:"era that the store states, 0 if it states none"`
+	Before int64 `log:"before" doc:"era that it stated before"`
+}
+
 // LeaseChanged is written when, as far as this node knows, the lease of its zone has
 // another holder.
 type LeaseChanged struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -354,6 +354,22 @@
 	return "Written when it can be reached again."
 }
 
+// Kind implements Event.
+func (StoreReadDropped) Kind() string { return "store_read_dropped" }
+
+// Meaning implements Documented.
+func (StoreReadDropped) Meaning() string {
+	return "Written when a full read of the store is dropped because it is older than what this node knows."
+}
+
+// Kind implements Event.
+func (StoreEraChanged) Kind() string { return "store_era_changed" }
+
+// Meaning implements Documented.
+func (StoreEraChanged) Meaning() string {
+	return "Written when the store states another era than before: it came back from a copy, and what was written since that copy is gone."
+}
+
 // Kind implements Event.
 func (LeaseChanged) Kind() string { return "lease_changed" }
 
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -40,6 +40,8 @@
 	storeLostAt           time.Time
 	// storeLostCause is the cause of the last store failure that was logged.
 	storeLostCause string
+	// storeEra is the era of the store that was last logged.
+	storeEra int64
 	// provenKey is the key that the feed keeps verifying; empty for none.
 	provenKey string
 	// source is the name of the current feed.Source, for the log and the metrics.
@@ -113,12 +115,23 @@
 // take takes one event; the content of the store counts unless it came too late.
 func (f *follower) take(event feed.Event) {
 	effects := slices.Clone(f.feed.Step(f.Now(), event))
-	if read, isRead := event.(feed.ReadDone); isRead && read.Err == nil && f.feed.Revision() == read.Revision {
-		f.replace(read.Revision, read.Pairs)
+	if read, isRead := event.(feed.ReadDone); isRead && read.Err == nil {
+		f.takeRead(&read)
 	}
 	f.carryOut(effects)
 }
 
+// takeRead takes a full read unless the feed knows more.
+func (f *follower) takeRead(read *feed.ReadDone) {
+	known := f.feed.Revision()
+	switch {
+	case known == read.Revision:
+		f.replace(read.Revision, read.Pairs)
+	case !read.MorePages && known > read.Revision:
+		f.options.Log.Write(eventlog.StoreReadDropped{Revision: read.Revision, Known: known})
+	}
+}
+
 // stepFeed feeds one event to the feed.Core and starts the effects.
 func (f *follower) stepFeed(event feed.Event) {
 	f.carryOut(slices.Clone(f.feed.Step(f.Now(), event)))
@@ -167,6 +180,10 @@
 // with each new cause, and its return.
 func (f *follower) noteStoreCall(o storeOperation, known int64, began time.Time, err error) {
 	f.countStoreCall(o, err)
+	if era := f.options.Store.Era(); era != f.storeEra {
+		f.options.Log.Write(eventlog.StoreEraChanged{Era: era, Before: f.storeEra})
+		f.storeEra = era
+	}
 	if took := f.Now().Sub(began); took >= slowStoreCall {
 		f.options.Log.Write(eventlog.StoreCallSlow{Call: string(o), Took: took, Known: known, Failed: err != nil})
 	}
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -42,6 +42,8 @@
 	// there is a change. If the changes exceed maxBytes the batch says that they are too long
 	// instead; zero means no limit.
 	Changes(ctx context.Context, prefix string, after, maxBytes int64) (keyvalue.WatchBatch, error)
+	// Era returns the era that the last answer stated; zero if it stated none.
+	Era() int64
 }
 
 // Codec decodes the records that other programs keep in the store.
