--- a/soak/actions.go
+++ b/soak/actions.go
@@ -25,6 +25,9 @@
 	case plan.StoreSlow, plan.StoreDown, plan.StoreRefuse, plan.StoreLose, plan.StoreSilence, plan.StoreForget:
 		r.injectStore(f)
 		affected = 1
+	case plan.StoreRestore:
+		r.restoreStore(f)
+		affected = 1
 	case plan.RouteAdd:
 		r.configuration.add()
 		affected = 1
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -61,6 +61,15 @@
 	c.recorder.record(func(h *check.History) { h.Versions = append(h.Versions, written) })
 }
 
+// rewrite writes the current version again, which the store may have lost.
+func (c *configuration) rewrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.metadata.Put(platform.KeyConfiguration, c.document()); err != nil {
+		c.fail(err)
+	}
+}
+
 func (c *configuration) add()    { c.change(func() { c.extra = min(c.extra+1, maxExtraRoutes) }) }
 func (c *configuration) remove() { c.change(func() { c.extra = max(c.extra-1, 0) }) }
 func (c *configuration) move()   { c.change(func() { c.moved = !c.moved }) }
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -45,6 +45,8 @@
 	Span           time.Duration
 	// Upgrades is set for a run whose nodes start with an earlier build.
 	Upgrades bool
+	// Restores is set for a run whose store comes back from copies.
+	Restores bool
 }
 
 // generator draws the faults of one schedule.
@@ -79,6 +81,9 @@
 		schedule.Faults = append(schedule.Faults, drawBrittle(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawSilences(seed, size)...)
 	}
+	if size.Restores {
+		schedule.Faults = append(schedule.Faults, drawRestores(seed, size)...)
+	}
 	schedule.HarmfulPart = !size.Upgrades && seed%seedsPerHarmfulPart == 1
 	if size.Upgrades {
 		drawUpgrades(&schedule)
@@ -286,6 +291,24 @@
 	})
 }
 
+// Parameters of the returns of the store from a copy: meanRestoreGap is the mean time between two,
+// minCopyAge and maxCopyAge bound the age of the copy, minRestoreAbsence and maxRestoreAbsence how long
+// the store is away. A copy may be older than the last return.
+const (
+	meanRestoreGap    = 7 * time.Second
+	minCopyAge        = 300 * time.Millisecond
+	maxCopyAge        = 5 * time.Second
+	minRestoreAbsence = 20 * time.Millisecond
+	maxRestoreAbsence = 2500 * time.Millisecond
+)
+
+// drawRestores draws returns of the store from a copy.
+func drawRestores(seed uint64, size Size) []Fault {
+	return drawIndependent(rand.NewPCG(seed, 7), size, StoreRestore, meanRestoreGap, func(d *generator, f *Fault) {
+		f.Delay, f.For = d.uniformDuration(minCopyAge, maxCopyAge), d.uniformDuration(minRestoreAbsence, maxRestoreAbsence)
+	})
+}
+
 // maxStopDuration is the longest that a planned stop may take: its grace period and the allowed
 // overrun.
 const maxStopDuration = 11 * time.Second
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -70,6 +70,9 @@
 	StoreLose    Kind = "store-lose-answers"
 	StoreSilence Kind = "store-silence"
 	StoreForget  Kind = "store-forget"
+	// StoreRestore copies the store. After Fault.Delay the store goes away, and after Fault.For it comes
+	// back from the copy. What the operator and the workers wrote is then written again.
+	StoreRestore Kind = "store-restore"
 )
 
 // The kinds of changes of the configuration.
@@ -190,6 +193,7 @@
 	{WorkerShed, kindProperties{onWorkers, 0, true}},
 	{WorkerBrittle, kindProperties{onWorkers, 0, true}},
 	{WorkerSilence, kindProperties{onWorkers, 0, true}},
+	{StoreRestore, kindProperties{onStore, 0, true}},
 	{PathHang, kindProperties{onNodes, 0, true}},
 	{PathSilence, kindProperties{onNodes, 0, true}},
 	{PathReset, kindProperties{onNodes, 0, true}},
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -24,7 +24,7 @@
 	// number of rejections per second that a worker bears for WorkerBrittle.
 	Rate int `yaml:"rate,omitempty" json:"rate,omitempty"`
 	// Delay is what LinkDelay, StoreSlow and WorkerLateOrders add, and the back-off that
-	// WorkerShed asks for.
+	// WorkerShed asks for. For StoreRestore it is the age of the copy when the store goes away.
 	Delay time.Duration `yaml:"delay,omitempty" json:"delay,omitempty"`
 }
 
@@ -48,7 +48,12 @@
 }
 
 // End returns when the fault ends. Recovery from it may take longer.
-func (f *Fault) End() time.Duration { return f.At + f.For }
+func (f *Fault) End() time.Duration {
+	if f.Kind == StoreRestore {
+		return f.At + f.Delay + f.For
+	}
+	return f.At + f.For
+}
 
 // Schedule describes the deployment of a run and the faults injected into it.
 type Schedule struct {
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -115,13 +115,16 @@
 	endLimit func()
 }
 
+// extraWorkerPrefix begins the ids of the extra workers.
+const extraWorkerPrefix = "extra-"
+
 // enterExtraWorkers writes store entries of workers that never get requests.
 func (r *run) enterExtraWorkers() error {
 	for index := range r.options.Schedule.ExtraWorkers {
 		entry := platform.WorkerDocument{
 			Service: "extra", Address: fmt.Sprintf("127.0.0.1:%d", 1+index%1000), Zone: zoneName(0), Version: "v1", Slots: plainSlots, State: "ready",
 		}
-		if err := r.metadata.Put(fmt.Sprintf("%sextra-%05d", platform.PrefixWorkers, index), entry); err != nil {
+		if err := r.metadata.Put(fmt.Sprintf("%s%s%05d", platform.PrefixWorkers, extraWorkerPrefix, index), entry); err != nil {
 			return err
 		}
 	}
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -33,6 +33,8 @@
 	// eventsSuppressed makes watch responses carry the revision but no events.
 	eventsSuppressed atomic.Bool
 	calls            atomic.Int64
+	// era counts how often the store came back from a copy.
+	era atomic.Int64
 	// Rewrite replaces the value of an item in range and watch responses; nil
 	// leaves all values unchanged. It must be set before the first request.
 	Rewrite func(key string, value []byte) []byte
@@ -56,6 +58,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
+	w.Header().Set(platform.HeaderEra, strconv.FormatInt(s.era.Load(), 10))
 	if s.unresponsive.Load() {
 		<-r.Context().Done()
 		return
@@ -97,6 +100,29 @@
 	})
 }
 
+// access calls function with the state and states the state's era in the response.
+func (s *Server) access(w http.ResponseWriter, function func(now time.Time, state *standin.State)) {
+	s.Do(func(now time.Time, state *standin.State) {
+		function(now, state)
+		w.Header().Set(platform.HeaderEra, strconv.FormatInt(s.era.Load(), 10))
+	})
+}
+
+// Copy returns a copy of the store's contents.
+func (s *Server) Copy() (taken standin.Copy) {
+	s.Do(func(now time.Time, state *standin.State) { taken = state.Copy(now) })
+	return taken
+}
+
+// Restore replaces the store's contents with a copy and begins a new era. What was written since the
+// copy was taken is gone.
+func (s *Server) Restore(from standin.Copy) {
+	s.Do(func(now time.Time, state *standin.State) {
+		state.Restore(now, from)
+		s.era.Add(1)
+	})
+}
+
 // Compact compacts the history up to the current revision.
 func (s *Server) Compact() {
 	s.Do(func(_ time.Time, state *standin.State) { state.Compact(state.Revision()) })
@@ -137,7 +163,7 @@
 func (s *Server) serveRange(w http.ResponseWriter, r *http.Request) {
 	var page platform.RangeAnswer
 	after := r.URL.Query().Get("after")
-	s.Do(func(now time.Time, state *standin.State) {
+	s.access(w, func(now time.Time, state *standin.State) {
 		pairs, revision := state.Range(now, r.URL.Query().Get("path_prefix"))
 		page.At = revision
 		page.Items = []platform.Item{}
@@ -168,11 +194,11 @@
 	defer deadline.Stop()
 	for {
 		changed := s.Changed()
-		batch := s.eventsAfter(r.URL.Query().Get("path_prefix"), after)
+		batch := s.eventsAfter(w, r.URL.Query().Get("path_prefix"), after)
 		if s.eventsSuppressed.Load() {
 			batch.Compacted, batch.Events, changed = false, nil, nil
 		}
-		if batch.Compacted {
+		if batch.Compacted || after > batch.Revision {
 			writeJSON(w, http.StatusGone, struct{}{})
 			return
 		}
@@ -191,8 +217,8 @@
 	}
 }
 
-func (s *Server) eventsAfter(prefix string, after int64) (batch keyvalue.WatchBatch) {
-	s.Do(func(now time.Time, state *standin.State) { batch = state.EventsSince(now, prefix, after+1) })
+func (s *Server) eventsAfter(w http.ResponseWriter, prefix string, after int64) (batch keyvalue.WatchBatch) {
+	s.access(w, func(now time.Time, state *standin.State) { batch = state.EventsSince(now, prefix, after+1) })
 	return batch
 }
 
@@ -231,7 +257,7 @@
 	}
 	var result keyvalue.TransactionResult
 	var err error
-	s.Do(func(now time.Time, state *standin.State) { result, err = state.Txn(now, transaction) })
+	s.access(w, func(now time.Time, state *standin.State) { result, err = state.Txn(now, transaction) })
 	switch {
 	case errors.Is(err, keyvalue.ErrLeaseNotFound):
 		writeJSON(w, http.StatusNotFound, struct{}{})
@@ -262,7 +288,7 @@
 	}
 	var id int64
 	ttl := time.Duration(request.TTLMillis) * time.Millisecond
-	s.Do(func(now time.Time, state *standin.State) { id = state.Grant(now, ttl) })
+	s.access(w, func(now time.Time, state *standin.State) { id = state.Grant(now, ttl) })
 	writeJSON(w, http.StatusOK, platform.LeaseBody{Lease: id, TTLMillis: request.TTLMillis})
 }
 
@@ -270,7 +296,7 @@
 	id, err := strconv.ParseInt(chi.URLParam(r, "id"), 10, 64)
 	var ttl time.Duration
 	if err == nil {
-		s.Do(func(now time.Time, state *standin.State) { ttl, err = state.KeepAlive(now, id) })
+		s.access(w, func(now time.Time, state *standin.State) { ttl, err = state.KeepAlive(now, id) })
 	}
 	if err != nil {
 		writeJSON(w, http.StatusNotFound, struct{}{})
@@ -282,7 +308,7 @@
 func (s *Server) revokeLease(w http.ResponseWriter, r *http.Request) {
 	id, err := strconv.ParseInt(chi.URLParam(r, "id"), 10, 64)
 	if err == nil {
-		s.Do(func(now time.Time, state *standin.State) { err = state.Revoke(now, id) })
+		s.access(w, func(now time.Time, state *standin.State) { err = state.Revoke(now, id) })
 	}
 	if err != nil {
 		writeJSON(w, http.StatusNotFound, struct{}{})
