--- a/api/admin/harness_test.go
+++ b/api/admin/harness_test.go
@@ -85,7 +85,7 @@
 	return result, err
 }
 
-func (l *unreliableStore) Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
+func (l *unreliableStore) Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, keyvalue.Revision, error) {
 	if l.unavailable {
 		return nil, 0, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the key-value service is away")
 	}
--- a/authority/apportion.go
+++ b/authority/apportion.go
@@ -125,11 +125,11 @@
 // Transaction returns the transaction that applies the plan. It fails if any allotment was
 // written since the state was read.
 func (p *ApportionPlan) Transaction() keyvalue.Transaction {
-	transaction := keyvalue.Transaction{Compares: []keyvalue.Compare{{Key: AllotmentGuardKey, ModRevision: p.GuardRevision}}}
+	transaction := keyvalue.Transaction{Compares: []keyvalue.Compare{{Key: AllotmentGuardKey, ModRevision: keyvalue.Revision(p.GuardRevision)}}}
 	for i := range p.Writes {
 		write := &p.Writes[i]
 		key := AllotmentKey(write.Allotment.Zone)
-		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: key, ModRevision: write.ExpectRevision})
+		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: key, ModRevision: keyvalue.Revision(write.ExpectRevision)})
 		transaction.Operations = append(transaction.Operations,
 			keyvalue.Operation{Key: key, Value: EncodeAllotment(write.Allotment)})
 	}
--- a/authority/record.go
+++ b/authority/record.go
@@ -136,7 +136,7 @@
 		return cluster.Allotment{}, false, eris.Wrapf(err, "read allotment of zone %s", zone)
 	}
 	allotment.Zone = cluster.ZoneID(zone)
-	allotment.Revision = pair.ModRevision
+	allotment.Revision = int64(pair.ModRevision)
 	return allotment, true, nil
 }
 
@@ -145,7 +145,7 @@
 func AllotmentsFromPairs(pairs []keyvalue.KeyValue) (records []cluster.Allotment, guard int64, err error) {
 	for _, pair := range pairs {
 		if pair.Key == AllotmentGuardKey {
-			guard = pair.ModRevision
+			guard = int64(pair.ModRevision)
 			continue
 		}
 		record, ok, err := AllotmentFromPair(pair)
--- a/cmd/valveslip/poison.go
+++ b/cmd/valveslip/poison.go
@@ -62,7 +62,7 @@
 	Content  string              `json:"content"`
 	Machines []cluster.MachineID `json:"machines"`
 	Tests    int                 `json:"tests"`
-	Revision int64               `json:"revision"`
+	Revision keyvalue.Revision   `json:"revision"`
 	// Error is the reason why the record can't be decoded, empty if it can.
 	Error string `json:"error,omitempty"`
 }
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // Documented is an event with a description for operators.
@@ -140,8 +141,8 @@
 // ConfigurationRejected is written when a configuration is invalid; the one before it
 // stays in force.
 type ConfigurationRejected struct {
-	Revision int64  `log:"revision" doc:"revision of the store"`
-	Cause    string `log:"cause" doc:"key and reason"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of the store"`
+	Cause    string            `log:"cause" doc:"key and reason"`
 }
 
 // WorkerChanged is written when a worker's registry entry is new or has changed.
@@ -152,13 +153,13 @@
 	Draining bool              `log:"draining" doc:"whether it takes no new requests"`
 	Release  string            `log:"release,omitempty" doc:"version of its software"`
 	Held     int               `log:"models" doc:"models it holds"`
-	Revision int64             `log:"revision" doc:"revision of the store"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of the store"`
 }
 
 // WorkerUnreadable is written when a worker's registry entry can't be parsed.
 type WorkerUnreadable struct {
 	Machine  cluster.MachineID `log:"machine" doc:"worker"`
-	Revision int64             `log:"revision" doc:"revision of the store"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of the store"`
 	Outcome  string            `log:"outcome" doc:"not known (it is not used), what was known holds, takes no new requests, or passed over (it is of an earlier start of the machine)"`
 	Cause    string            `log:"cause" doc:"why it can't be read"`
 }
@@ -168,7 +169,7 @@
 type WorkerRestarted struct {
 	Machine  cluster.MachineID `log:"machine" doc:"the later start"`
 	Before   cluster.MachineID `log:"before" doc:"the start that has ended, of which nothing known counts for the later one"`
-	Revision int64             `log:"revision" doc:"revision of the store"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of the store"`
 }
 
 // WorkerGone is written when a worker's registry entry was deleted, or when another worker
@@ -239,35 +240,35 @@
 // StarterChosen is written when a starting node claims the role of reading the whole store
 // for its zone.
 type StarterChosen struct {
-	Starter  cluster.NodeID `log:"starter" doc:"node that reads everything for those that start after it"`
-	Own      bool           `log:"own" doc:"whether it is this node"`
-	Revision int64          `log:"revision" doc:"revision of the record that says so"`
+	Starter  cluster.NodeID    `log:"starter" doc:"node that reads everything for those that start after it"`
+	Own      bool              `log:"own" doc:"whether it is this node"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of the record that says so"`
 }
 
 // SnapshotTaken is written when a starting node has received a snapshot of the store from
 // another node.
 type SnapshotTaken struct {
-	From     cluster.NodeID `log:"from" doc:"node that sent it"`
-	Revision int64          `log:"revision" doc:"revision of the store up to which the node knows everything"`
-	Pairs    int            `log:"pairs" doc:"how many pairs the store holds"`
-	Took     time.Duration  `log:"took_ms" doc:"how long ago the node began to look for it"`
+	From     cluster.NodeID    `log:"from" doc:"node that sent it"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of the store up to which the node knows everything"`
+	Pairs    int               `log:"pairs" doc:"how many pairs the store holds"`
+	Took     time.Duration     `log:"took_ms" doc:"how long ago the node began to look for it"`
 }
 
 // KnowledgeOld is written when this node's copy of the store (configuration, workers and
 // nodes) becomes out of date.
 type KnowledgeOld struct {
-	Age      time.Duration `log:"age_ms" doc:"how long ago the store was read by whoever told of it"`
-	Source   string        `log:"source" doc:"from where changes are learned"`
-	Revision int64         `log:"revision" doc:"the store's revision up to which the node knows everything, 0 while it has everything read"`
-	Late     time.Duration `log:"late_ms" doc:"how late the node carries out what is ready to run"`
-	Lost     string        `log:"lost,omitempty" doc:"why the node's own calls to the store fail"`
+	Age      time.Duration     `log:"age_ms" doc:"how long ago the store was read by whoever told of it"`
+	Source   string            `log:"source" doc:"from where changes are learned"`
+	Revision keyvalue.Revision `log:"revision" doc:"the store's revision up to which the node knows everything, 0 while it has everything read"`
+	Late     time.Duration     `log:"late_ms" doc:"how late the node carries out what is ready to run"`
+	Lost     string            `log:"lost,omitempty" doc:"why the node's own calls to the store fail"`
 }
 
 // KnowledgeNew is written when this node's copy of the store is up to date again.
 type KnowledgeNew struct {
-	After    time.Duration `log:"after_ms" doc:"since when no reading of the store was known"`
-	Source   string        `log:"source" doc:"from where it was learned"`
-	Revision int64         `log:"revision" doc:"the store's revision up to which the node knows everything"`
+	After    time.Duration     `log:"after_ms" doc:"since when no reading of the store was known"`
+	Source   string            `log:"source" doc:"from where it was learned"`
+	Revision keyvalue.Revision `log:"revision" doc:"the store's revision up to which the node knows everything"`
 }
 
 // StoreCalls is written for each period in which this node called the store.
@@ -287,10 +288,10 @@
 // StoreCallSlow is written when a call by which this node follows the store's changes took
 // long.
 type StoreCallSlow struct {
-	Call   string        `log:"call" doc:"the kind of call"`
-	Took   time.Duration `log:"took_ms" doc:"from its beginning to the end of its answer"`
-	Known  int64         `log:"known" doc:"the store's revision up to which the node knew everything"`
-	Failed bool          `log:"failed" doc:"whether it brought nothing"`
+	Call   string            `log:"call" doc:"the kind of call"`
+	Took   time.Duration     `log:"took_ms" doc:"from its beginning to the end of its answer"`
+	Known  keyvalue.Revision `log:"known" doc:"the store's revision up to which the node knew everything"`
+	Failed bool              `log:"failed" doc:"whether it brought nothing"`
 }
 
 // CallFailed is written when a call for one of this node's records in the store, or for a
@@ -304,9 +305,9 @@
 // RecordUnreadable is written when a record of the nodes in the store can't be parsed and
 // is ignored.
 type RecordUnreadable struct {
-	Key      string `log:"key" doc:"key in the store"`
-	Revision int64  `log:"revision" doc:"revision of its last change"`
-	Cause    string `log:"cause" doc:"the error"`
+	Key      string            `log:"key" doc:"key in the store"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision of its last change"`
+	Cause    string            `log:"cause" doc:"the error"`
 }
 
 // DependencyLost is written when the store or the controller becomes unreachable, and when
@@ -324,14 +325,14 @@
 
 // StoreReadDropped is written when a full read of the store is older than what is known and is dropped.
 type StoreReadDropped struct {
-	Revision int64 `log:"revision" doc:"revision at which the store was read"`
-	Known    int64 `log:"known" doc:"revision up to which changes are known"`
+	Revision keyvalue.Revision `log:"revision" doc:"revision at which the store was read"`
+	Known    keyvalue.Revision `log:"known" doc:"revision up to which changes are known"`
 }
 
 // StoreEraChanged is written when an answer of the store states another era than the answers before.
 type StoreEraChanged struct {
-	Era    int64 `log:"era" doc:"era that the store states, 0 if it states none"`
-	Before int64 `log:"before" doc:"era that it stated before"`
+	Era    keyvalue.Era `log:"era" doc:"era that the store states, 0 if it states none"`
+	Before keyvalue.Era `log:"before" doc:"era that it stated before"`
 }
 
 // LeaseChanged is written when, as far as this node knows, the lease of its zone has
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -9,6 +9,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/demand"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/placement"
 	"github.com/valveslip/valveslip/wire"
@@ -64,7 +65,7 @@
 	// lastHolder is the machine that last gave orders, and lastHolderRevision the store revision
 	// of its record.
 	lastHolder         NodeEntry
-	lastHolderRevision int64
+	lastHolderRevision keyvalue.Revision
 	// cachedRank is the number of nodes that precede this one as candidates; valid while
 	// rankCached is set.
 	cachedRank int
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -7,6 +7,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
@@ -34,7 +35,7 @@
 	// of the same machine in Workers.
 	Undecodable []UndecodableWorker
 	// Revision is the store revision at which the entries were read.
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // UndecodableWorker is a machine whose entry can't be decoded.
@@ -63,7 +64,7 @@
 type LastHolderRead struct {
 	Node NodeEntry
 	// Revision is the store revision of the record.
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // StoredPoisonRecord is a stored record of a poison request.
@@ -78,7 +79,7 @@
 	// Silent is set once the machine of that probe was silent for longer than is usual, so that another
 	// probe need not wait.
 	Silent   bool
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // PoisonRead delivers stored records of poison requests. With Full, requests that are not listed
@@ -202,7 +203,7 @@
 	Key      string
 	Value    []byte
 	Delete   bool
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // WriteTicket writes a key that must be absent and that expires after Lasts. TicketWritten follows
--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -132,6 +133,10 @@
 		c.firstPageIncomplete()
 		return
 	}
+	if e.Revision.Era() < c.revision.Era() {
+		// The read began before the store came back from a copy.
+		return
+	}
 	c.gapTooLong, c.rereadNeeded = false, false
 	if e.Revision < c.revision {
 		// Updates have brought the node further than the read.
@@ -143,10 +148,11 @@
 }
 
 // replace takes the complete contents of the store at the revision, read at the given time.
-func (c *Core) replace(revision int64, read time.Time, pairs []wire.StoreChange) {
+func (c *Core) replace(revision keyvalue.Revision, read time.Time, pairs []wire.StoreChange) {
 	after := c.contents.revision
 	first := c.contents.isEmpty()
 	news := c.selectNews(c.contents.replace(pairs, revision))
+	c.noteEra(c.revision, revision)
 	c.revision, c.missesChanges = revision, false
 	c.sourceReadAt, c.knownAt = later(c.sourceReadAt, read), later(c.knownAt, read)
 	if first {
--- a/fleet/feed/calls_test.go
+++ b/fleet/feed/calls_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // totalCalls counts the reads and polls of all nodes so far.
@@ -66,7 +68,7 @@
 		t.Errorf("%d calls during an outage of 4 s and the 3 s after it", calls)
 	}
 	for _, p := range s.peers {
-		if behind := int64(len(s.store.changes)) - p.core.Revision(); behind > 100 {
+		if behind := keyvalue.Revision(len(s.store.changes)) - p.core.Revision(); behind > 100 {
 			t.Errorf("%s is %d changes behind 3 s after the outage", p.ID, behind)
 		}
 	}
@@ -79,7 +81,7 @@
 	s.smallValuesOnly = true
 	s.runFor(5 * time.Second)
 	before := s.totalCalls()
-	s.store.compactedRevision = int64(len(s.store.changes)) + 5
+	s.store.compactedRevision = keyvalue.Revision(len(s.store.changes)) + 5
 	s.runFor(3 * time.Second)
 	if calls := s.totalCalls() - before; calls > 40 {
 		t.Errorf("%d calls after the compaction", calls)
--- a/fleet/feed/contents.go
+++ b/fleet/feed/contents.go
@@ -1,16 +1,18 @@
 package feed
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
 // contents holds the keys and values of the store as far as the node knows them. They show what
 // changed between two full reads, and make up the snapshot for a node that starts.
 type contents struct {
-	revision int64
+	revision keyvalue.Revision
 	keys     map[string]storedValue
 	// bytes is the size of all keys and values.
 	bytes int64
@@ -18,7 +20,7 @@
 
 // storedValue is the newest known value of a key.
 type storedValue struct {
-	revision int64
+	revision keyvalue.Revision
 	value    []byte
 }
 
@@ -58,7 +60,7 @@
 func (c *contents) isEmpty() bool { return c.revision == 0 }
 
 // applyChanges applies changes that bring the contents up to the revision.
-func (c *contents) applyChanges(changes []wire.StoreChange, revision int64) {
+func (c *contents) applyChanges(changes []wire.StoreChange, revision keyvalue.Revision) {
 	c.revision = revision
 	for i := range changes {
 		if changes[i].Deleted {
@@ -69,18 +71,29 @@
 	}
 }
 
+// isSame reports whether a pair is the stored value. The store counts on from a copy in another era, so
+// that there a pair with the same count may be another one.
+func (s storedValue) isSame(pair *wire.StoreChange) bool {
+	if s.revision.Era() == pair.Revision.Era() {
+		return s.revision == pair.Revision
+	}
+	return s.revision.Counter() == pair.Revision.Counter() && bytes.Equal(s.value, pair.Value)
+}
+
 // replace takes a full read of the store at the revision and returns what changed since the
-// previous contents, ordered by revision. It also returns values with a revision above the previous
-// one, which were applied ahead of the other changes: the receivers of the next update may not have
-// them.
-func (c *contents) replace(pairs []wire.StoreChange, revision int64) []wire.StoreChange {
+// previous contents, ordered by revision. Within an era it also returns values with a revision above
+// the previous one, which were applied ahead of the other changes: the receivers of the next update may
+// not have them.
+func (c *contents) replace(pairs []wire.StoreChange, revision keyvalue.Revision) []wire.StoreChange {
 	previous, previousRevision := c.keys, c.revision
+	sameEra := previousRevision.Era() == revision.Era()
 	c.keys, c.bytes = make(map[string]storedValue, len(pairs)), 0
 	c.revision = revision
 	var changes []wire.StoreChange
 	for i := range pairs {
 		c.put(&pairs[i])
-		if pairs[i].Revision != previous[pairs[i].Key].revision || pairs[i].Revision > previousRevision {
+		known, isKnown := previous[pairs[i].Key]
+		if !isKnown || !known.isSame(&pairs[i]) || sameEra && pairs[i].Revision > previousRevision {
 			changes = append(changes, pairs[i])
 		}
 	}
--- a/fleet/feed/contents_test.go
+++ b/fleet/feed/contents_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -92,12 +93,12 @@
 		c.replace(nil, 1)
 		for revision := int64(2); revision < 20; revision++ {
 			change := wire.StoreChange{
-				Key: rapid.SampledFrom([]string{"a", "bb", "ccc"}).Draw(t, "key"), Revision: revision,
+				Key: rapid.SampledFrom([]string{"a", "bb", "ccc"}).Draw(t, "key"), Revision: keyvalue.Revision(revision),
 				Value: make([]byte, rapid.IntRange(0, 9).Draw(t, "size")), Deleted: rapid.Bool().Draw(t, "deleted"),
 			}
-			c.applyChanges([]wire.StoreChange{change}, revision)
+			c.applyChanges([]wire.StoreChange{change}, keyvalue.Revision(revision))
 			if rapid.IntRange(0, 5).Draw(t, "read") == 0 {
-				c.replace([]wire.StoreChange{change}, revision)
+				c.replace([]wire.StoreChange{change}, keyvalue.Revision(revision))
 			}
 			want := int64(0)
 			for key, entry := range c.keys {
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -17,7 +18,7 @@
 	now    time.Time
 	tree   tree
 	// revision is the one up to which all changes are known; zero before the first read.
-	revision int64
+	revision keyvalue.Revision
 	// sourceReadAt is when the newest data that came from the node's source was read from the
 	// store, knownAt when the newest data from anywhere was.
 	sourceReadAt, knownAt time.Time
@@ -39,7 +40,7 @@
 	// missesChanges is set when a relay announced changes that it did not send; announcedRevision
 	// is the newest of them.
 	missesChanges     bool
-	announcedRevision int64
+	announcedRevision keyvalue.Revision
 	failures          int
 	// failedAt is when the last call failed.
 	failedAt   time.Time
@@ -129,7 +130,7 @@
 }
 
 // Revision returns the revision up to which all changes are known.
-func (c *Core) Revision() int64 { return c.revision }
+func (c *Core) Revision() keyvalue.Revision { return c.revision }
 
 // KnownAt returns the time at which what the node knows was read from the store, by itself or by a
 // peer: all of the store's changes up to then are known. Zero before the first read.
@@ -174,7 +175,7 @@
 func (c *Core) isUpToDate() bool { return c.isFedByPeer() && !c.gapTooLong && !c.rereadNeeded }
 
 // advance applies changes up to the revision and returns those that were unknown and carry news.
-func (c *Core) advance(changes []wire.StoreChange, revision int64) []wire.StoreChange {
+func (c *Core) advance(changes []wire.StoreChange, revision keyvalue.Revision) []wire.StoreChange {
 	unknown := slices.DeleteFunc(slices.Clone(changes), func(s wire.StoreChange) bool { return s.Revision <= c.revision })
 	c.revision = max(c.revision, revision)
 	c.contents.applyChanges(unknown, c.revision)
--- a/fleet/feed/cutoff_test.go
+++ b/fleet/feed/cutoff_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -137,7 +138,7 @@
 func TestBackoffEndsWhenStoreAnswersRelay(t *testing.T) {
 	now := time.Unix(1000, 0)
 	leaf := newCoreInZone(now, Peer{ID: "leaf"})
-	receiveGap := func(revision int64) []Effect {
+	receiveGap := func(revision keyvalue.Revision) []Effect {
 		return leaf.Step(now, UpdateReceived{Update: wire.StoreChanges{From: "relay-0", After: revision - 1, Revision: revision}})
 	}
 	receiveGap(40)
--- a/fleet/feed/events.go
+++ b/fleet/feed/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -19,7 +20,7 @@
 // ReadDone is the outcome of a Read: the contents of the store at Revision.
 type ReadDone struct {
 	Began    time.Time
-	Revision int64
+	Revision keyvalue.Revision
 	Pairs    []wire.StoreChange
 	// MorePages is set if the first page did not hold everything and OnePage was set. Pairs are
 	// left out then.
@@ -32,7 +33,7 @@
 type StarterRead struct {
 	// Starter is empty and Revision zero if there is no record.
 	Starter  Starter
-	Revision int64
+	Revision keyvalue.Revision
 	Err      error
 }
 
@@ -41,14 +42,14 @@
 type StarterClaimed struct {
 	Won      bool
 	Starter  Starter
-	Revision int64
+	Revision keyvalue.Revision
 	Err      error
 }
 
 // PollDone is the outcome of a Poll.
 type PollDone struct {
 	Began    time.Time
-	Revision int64
+	Revision keyvalue.Revision
 	Changes  []wire.StoreChange
 	// Compacted is set if the store has dropped the history that was asked for, TooLong if the
 	// changes have more bytes than the poll allows.
@@ -89,7 +90,7 @@
 // Read asks for the contents of the store. Known is the revision up to which changes are known,
 // zero for none. With OnePage no further page is asked for if the first does not hold everything.
 type Read struct {
-	Known   int64
+	Known   keyvalue.Revision
 	OnePage bool
 }
 
@@ -98,12 +99,12 @@
 
 // ClaimStarter writes this node into the starter's record if the record still has Revision, zero
 // for no record.
-type ClaimStarter struct{ Revision int64 }
+type ClaimStarter struct{ Revision keyvalue.Revision }
 
 // ReplaceContents delivers the contents of the store at Revision, as another node's snapshot held
 // them.
 type ReplaceContents struct {
-	Revision int64
+	Revision keyvalue.Revision
 	Pairs    []wire.StoreChange
 	// From is the node that sent the snapshot. Took is the time since this node began to start up;
 	// zero for a snapshot that closes a gap.
@@ -124,11 +125,14 @@
 }
 
 // Poll asks the store for the changes after a revision, unless they have more than MaxBytes bytes.
-type Poll struct{ After, MaxBytes int64 }
+type Poll struct {
+	After    keyvalue.Revision
+	MaxBytes int64
+}
 
 // Apply delivers changes, in order, that bring what is known up to Revision.
 type Apply struct {
-	Revision int64
+	Revision keyvalue.Revision
 	Changes  []wire.StoreChange
 	// Relay is the node that forwarded them, empty for the store itself.
 	Relay string
--- a/fleet/feed/faults_test.go
+++ b/fleet/feed/faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // markFault records that the peers can't reach the store for a while.
@@ -49,8 +51,8 @@
 		if s.store.stuckAt != 0 {
 			break
 		}
-		s.store.stuckAt = int64(len(s.store.changes))
-		s.after(time.Second, func() { s.store.stuckAt, s.store.compactedRevision = 0, int64(len(s.store.changes)) })
+		s.store.stuckAt = keyvalue.Revision(len(s.store.changes))
+		s.after(time.Second, func() { s.store.stuckAt, s.store.compactedRevision = 0, keyvalue.Revision(len(s.store.changes)) })
 	case 5:
 		s.step(p, Invalidated{})
 	}
--- a/fleet/feed/history.go
+++ b/fleet/feed/history.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -20,13 +21,20 @@
 // history holds the newest changes that carry news.
 type history struct {
 	// completeAfter is the revision after which no change is missing.
-	completeAfter int64
-	changes       []wire.StoreChange
-	bytes         int64
+	completeAfter keyvalue.Revision
+	// era is the present era of the store, lastOfEra the last revision that this node knew of the one
+	// before, zero for none. The changes after lastOfEra lead from there to the present era; from a later
+	// revision of an earlier era they don't.
+	era       keyvalue.Era
+	lastOfEra keyvalue.Revision
+	changes   []wire.StoreChange
+	bytes     int64
 }
 
 // restart drops all changes; the history is complete after the revision.
-func (h *history) restart(completeAfter int64) { *h = history{completeAfter: completeAfter} }
+func (h *history) restart(completeAfter keyvalue.Revision) {
+	*h = history{completeAfter: completeAfter}
+}
 
 // add appends changes and drops the oldest ones beyond the limits.
 func (h *history) add(changes []wire.StoreChange, known *contents) {
@@ -45,11 +53,25 @@
 	h.changes = slices.Delete(h.changes, 0, drop)
 }
 
+// beginEra records that an era follows the last known revision of an earlier one.
+func (h *history) beginEra(era keyvalue.Era, last keyvalue.Revision) {
+	if h.lastOfEra != 0 && h.lastOfEra.Era() != last.Era() {
+		// Nothing leads from the era before the last one to the present one.
+		h.completeAfter = max(h.completeAfter, last)
+	}
+	h.era, h.lastOfEra = era, last
+}
+
 // covers reports whether the history holds all changes after the revision.
-func (h *history) covers(after int64) bool { return after >= h.completeAfter }
+func (h *history) covers(after keyvalue.Revision) bool {
+	if h.lastOfEra != 0 && after > h.lastOfEra && after.Era() < h.era {
+		return false
+	}
+	return after >= h.completeAfter
+}
 
 // since returns the changes after a revision, and false if some of them were dropped.
-func (h *history) since(after int64) ([]wire.StoreChange, bool) {
+func (h *history) since(after keyvalue.Revision) ([]wire.StoreChange, bool) {
 	if !h.covers(after) {
 		return nil, false
 	}
--- a/fleet/feed/history_test.go
+++ b/fleet/feed/history_test.go
@@ -7,14 +7,15 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
 // workerEntries returns the entries of that many workers, one per revision.
-func workerEntries(workers, size int, after int64) []wire.StoreChange {
+func workerEntries(workers, size int, after keyvalue.Revision) []wire.StoreChange {
 	var changes []wire.StoreChange
 	for i := range workers {
-		changes = append(changes, wire.StoreChange{Key: fmt.Sprintf("worker-%05d", i), Value: make([]byte, size), Revision: after + int64(i) + 1})
+		changes = append(changes, wire.StoreChange{Key: fmt.Sprintf("worker-%05d", i), Value: make([]byte, size), Revision: after + keyvalue.Revision(i) + 1})
 	}
 	return changes
 }
@@ -210,7 +211,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			relay, leaf := newCoreInZone(now, Peer{ID: "relay", Capacity: 2}), newCoreInZone(now, Peer{ID: "leaf"})
-			for after := int64(30); after < revision; after += minKeptChanges {
+			for after := keyvalue.Revision(30); after < revision; after += minKeptChanges {
 				relay.Step(now, PollDone{Began: now, Revision: after + minKeptChanges, Changes: workerEntries(minKeptChanges, 1, after)})
 			}
 			if deliverSnapshot(now, leaf, relay.Step(now, request)); leaf.Revision() != 30 {
--- a/fleet/feed/proof.go
+++ b/fleet/feed/proof.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -42,10 +43,10 @@
 	// provenAt is the time of the proof by this node's clock, revision that of the value that was
 	// the newest then.
 	provenAt time.Time
-	revision int64
+	revision keyvalue.Revision
 	// foundRevision is the newest revision of the value that was applied ahead of the other
 	// changes.
-	foundRevision int64
+	foundRevision keyvalue.Revision
 
 	verifying bool
 	verifyAt  time.Time
@@ -68,7 +69,7 @@
 // VerifyDone is the outcome of a Verify.
 type VerifyDone struct {
 	Began    time.Time
-	Revision int64
+	Revision keyvalue.Revision
 	// Found is the newest value in the store if its revision differs from the one that was asked
 	// about.
 	Found *wire.StoreChange
@@ -85,14 +86,14 @@
 // Verify asks the store whether the newest value of a key still has the given revision.
 type Verify struct {
 	Key      string
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // Proven reports that the value of Revision was the newest of the proven key at At. The values
 // applied so far include it or a newer one.
 type Proven struct {
 	At       time.Time
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // SendClock sends this node's clock to another node.
@@ -120,7 +121,7 @@
 }
 
 // knownKeyRevision returns the newest known revision of the proven key.
-func (c *Core) knownKeyRevision() int64 {
+func (c *Core) knownKeyRevision() keyvalue.Revision {
 	return max(c.contents.keys[c.proof.key].revision, c.proof.foundRevision)
 }
 
@@ -184,10 +185,14 @@
 
 // recordProof records that a revision of the key was the newest at the given time, if the node
 // knows that revision and the proof is newer than the present one.
-func (c *Core) recordProof(at time.Time, revision int64) {
+func (c *Core) recordProof(at time.Time, revision keyvalue.Revision) {
 	if c.proof.key == "" || revision == 0 || c.knownKeyRevision() < revision || !at.After(c.proof.provenAt) {
 		return
 	}
+	if revision.Era() != c.knownKeyRevision().Era() {
+		// A value of a later era may be older than the one that was proven.
+		return
+	}
 	c.proof.provenAt, c.proof.revision = at, revision
 	c.emit(Proven{At: at, Revision: revision})
 }
--- a/fleet/feed/propagation_test.go
+++ b/fleet/feed/propagation_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // TestChangesAreKnownInTime guards against lost and late changes: in zones of several sizes, under
@@ -58,7 +60,7 @@
 	gapRevision := node.core.Revision()
 	node.isolated = false
 	s.runFor(3 * time.Second)
-	if behind := int64(len(s.store.changes)) - node.core.Revision(); gapRevision == node.core.Revision() || behind > 100 {
+	if behind := keyvalue.Revision(len(s.store.changes)) - node.core.Revision(); gapRevision == node.core.Revision() || behind > 100 {
 		t.Errorf("the node is at revision %d, the store at %d, the gap began at %d", node.core.Revision(), len(s.store.changes), gapRevision)
 	}
 }
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -65,12 +66,14 @@
 }
 
 // buildUpdates returns the updates that bring a peer from a revision to all that is known.
-func (c *Core) buildUpdates(after int64, changes []wire.StoreChange) []wire.StoreChanges {
+func (c *Core) buildUpdates(after keyvalue.Revision, changes []wire.StoreChange) []wire.StoreChanges {
 	// Sort by revision, as a change that was applied ahead of others precedes those of lower
 	// revisions.
 	changes = slices.SortedStableFunc(slices.Values(changes), func(a, b wire.StoreChange) int { return cmp.Compare(a.Revision, b.Revision) })
 	var updates []wire.StoreChanges
-	for end := nextUpdateLength(changes); end < len(changes); end = nextUpdateLength(changes) {
+	// What leads to another era stays together: no part of it leads to a state of the store.
+	whole := after.Era() != c.revision.Era()
+	for end := nextUpdateLength(changes); end < len(changes) && !whole; end = nextUpdateLength(changes) {
 		next := changes[end-1].Revision
 		updates = append(updates, wire.StoreChanges{
 			From: c.cfg.Self.ID, After: after, Revision: next, Age: incompleteUpdateAge, Changes: changes[:end:end],
@@ -96,7 +99,7 @@
 }
 
 // forward sends the outcome of a read or poll to the nodes below, also if it brought nothing new.
-func (c *Core) forward(after int64, news []wire.StoreChange, sourceTimedOut bool) {
+func (c *Core) forward(after keyvalue.Revision, news []wire.StoreChange, sourceTimedOut bool) {
 	peers := c.addSnapshotReceivers(c.tree.receivers(sourceTimedOut))
 	if len(peers) == 0 {
 		return
@@ -143,7 +146,7 @@
 	if c.tree.isSource(u.From) {
 		c.sourceReadAt = later(c.sourceReadAt, read)
 	}
-	if u.After > c.revision || u.Partial && u.Revision > c.revision {
+	if u.After > c.revision || u.Partial && u.Revision > c.revision || c.leadsElsewhere(u) {
 		c.announcedRevision = max(c.announcedRevision, u.Revision)
 		c.changesMissing(u.Partial, read)
 		return
@@ -152,6 +155,7 @@
 	c.backupRelay.answered = c.backupRelay.answered || u.From == c.backupRelay.id
 	after := c.revision
 	c.knownAt = later(c.knownAt, read)
+	c.noteEra(after, u.Revision)
 	news := c.advance(u.Changes, u.Revision)
 	if c.missesChanges = c.missesChanges && c.revision < c.announcedRevision; c.missesChanges && c.revision > after {
 		// Leave time for the remaining updates of the answer.
@@ -167,6 +171,20 @@
 	}
 }
 
+// leadsElsewhere reports whether an update leads from an earlier era of the store to a later one, and
+// not from the revision that this node knows. Such an update states what differs between the two
+// states; it holds for no other state.
+func (c *Core) leadsElsewhere(u *wire.StoreChanges) bool {
+	return u.Revision.Era() != c.revision.Era() && u.After != c.revision
+}
+
+// noteEra begins an era in the history if the next revision is of another one than the last.
+func (c *Core) noteEra(last, next keyvalue.Revision) {
+	if last != 0 && last.Era() != next.Era() {
+		c.history.beginEra(next.Era(), last)
+	}
+}
+
 // changesMissing fetches changes that an update announced without holding them: from the relay, or,
 // if the update was partial or the relay does not answer, from the store. It also ends the back-off
 // after a failed call if the store has answered others since that failure.
--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/internal/agenda"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -32,12 +33,12 @@
 	changes   []wire.StoreChange
 	writtenAt []time.Time
 	// compactedRevision is the revision up to which the history is gone.
-	compactedRevision int64
+	compactedRevision keyvalue.Revision
 	// outageEndedAt is when the last outage ended.
 	outageEndedAt time.Time
 	// stuckAt is the revision after which polls return no changes; zero for a store that returns
 	// all.
-	stuckAt int64
+	stuckAt keyvalue.Revision
 }
 
 // simulatedPeer is one node and what it knows.
@@ -45,7 +46,7 @@
 	Peer
 	core *Core
 	// knownRevisions holds the revision of the newest known value of each key.
-	knownRevisions map[string]int64
+	knownRevisions map[string]keyvalue.Revision
 	dead           bool
 	// storeCuts counts the faults under way that cut the node off from the store.
 	storeCuts int
@@ -60,7 +61,7 @@
 	verifies int
 	// learnsKeyFromRead is set for a node that is told after its first read which key to prove.
 	learnsKeyFromRead bool
-	checkedRevision   int64
+	checkedRevision   keyvalue.Revision
 	// storeFaults counts the faults under way that keep the node from the store; faultsEndedAt is
 	// when the last of them ended.
 	storeFaults   int
@@ -152,7 +153,7 @@
 }
 
 func (s *simulation) write(key string) {
-	s.store.changes = append(s.store.changes, wire.StoreChange{Key: key, Revision: int64(len(s.store.changes) + 1)})
+	s.store.changes = append(s.store.changes, wire.StoreChange{Key: key, Revision: keyvalue.Revision(len(s.store.changes) + 1)})
 	s.store.writtenAt = append(s.store.writtenAt, s.now)
 }
 
@@ -170,7 +171,7 @@
 
 func (s *simulation) startNode(i int) {
 	id := cluster.NodeID(fmt.Sprintf("node-%d-%d", i, len(s.peers)))
-	p := &simulatedPeer{Peer: Peer{ID: id, Address: string(id), Zone: cluster.ZoneID(fmt.Sprint(i % s.zones)), Capacity: float64(i % 3)}, knownRevisions: map[string]int64{}, faultsEndedAt: s.now}
+	p := &simulatedPeer{Peer: Peer{ID: id, Address: string(id), Zone: cluster.ZoneID(fmt.Sprint(i % s.zones)), Capacity: float64(i % 3)}, knownRevisions: map[string]keyvalue.Revision{}, faultsEndedAt: s.now}
 	cfg := s.config
 	cfg.Self = p.Peer
 	p.core = New(cfg, p, uint64(len(s.peers)))
@@ -283,7 +284,7 @@
 	for _, c := range s.store.changes {
 		newest[c.Key] = c
 	}
-	return ReadDone{Began: s.clock(p), Revision: int64(len(s.store.changes)), Pairs: slices.Collect(maps.Values(newest))}
+	return ReadDone{Began: s.clock(p), Revision: keyvalue.Revision(len(s.store.changes)), Pairs: slices.Collect(maps.Values(newest))}
 }
 
 func (s *simulation) poll(e Poll, began time.Time) Event {
@@ -291,7 +292,7 @@
 	if after < s.store.compactedRevision {
 		return PollDone{Began: began, Compacted: true}
 	}
-	end := int64(len(s.store.changes))
+	end := keyvalue.Revision(len(s.store.changes))
 	if s.store.stuckAt > 0 {
 		end = s.store.stuckAt
 	}
@@ -358,7 +359,7 @@
 
 // checkChanges compares what each node without a fault knows with the store.
 func (s *simulation) checkChanges() {
-	newest := map[string]int64{}
+	newest := map[string]keyvalue.Revision{}
 	for i := range s.store.changes {
 		if c := &s.store.changes[i]; c.Key[:4] != "beat" && s.now.Sub(s.store.writtenAt[i]) > s.changeBound {
 			newest[c.Key] = c.Revision
--- a/fleet/feed/snapshots.go
+++ b/fleet/feed/snapshots.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -44,7 +45,7 @@
 	// packed are the parts of the snapshot of a revision that was read at knownAt and packed at
 	// packedAt.
 	packed            [][]byte
-	revision          int64
+	revision          keyvalue.Revision
 	knownAt, packedAt time.Time
 	// sentAt are the times of the snapshots sent within the last second, oldest first.
 	sentAt []time.Time
--- a/fleet/feed/snapshots_test.go
+++ b/fleet/feed/snapshots_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -16,10 +17,10 @@
 func newLoadedCore(now time.Time, pairs, size int, cfg Config) (*Core, []wire.StoreChange) {
 	var content []wire.StoreChange
 	for i := range pairs {
-		content = append(content, wire.StoreChange{Key: fmt.Sprintf("key-%05d", i), Value: make([]byte, size), Revision: int64(i + 1)})
+		content = append(content, wire.StoreChange{Key: fmt.Sprintf("key-%05d", i), Value: make([]byte, size), Revision: keyvalue.Revision(i + 1)})
 	}
 	core := New(cfg, acceptAll{}, 1)
-	core.Step(now, ReadDone{Began: now, Revision: int64(pairs), Pairs: content})
+	core.Step(now, ReadDone{Began: now, Revision: keyvalue.Revision(pairs), Pairs: content})
 	return core, content
 }
 
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -62,7 +63,7 @@
 	phase startupPhase
 	// starter and revision are the record as last read.
 	starter  Starter
-	revision int64
+	revision keyvalue.Revision
 	// askedAddress is the node that was last asked for a snapshot; referred is set if another node
 	// named it.
 	askedAddress string
@@ -76,7 +77,7 @@
 
 // partialSnapshot is a snapshot of which some parts have arrived.
 type partialSnapshot struct {
-	revision int64
+	revision keyvalue.Revision
 	parts    map[int][]wire.StoreChange
 }
 
--- a/fleet/feed/start_test.go
+++ b/fleet/feed/start_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/internal/agenda"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -70,7 +71,7 @@
 	now    time.Time
 	agenda agenda.EventQueue
 	// revision is that of the last record written.
-	revision  int64
+	revision  keyvalue.Revision
 	nodes     []*startingNode
 	byAddress map[string]*startingNode
 	store     link
@@ -90,7 +91,7 @@
 	}
 	for i := range simulatedPairs {
 		f.pairs = append(f.pairs, wire.StoreChange{
-			Key: fmt.Sprintf("servers/i-%08x", uint32(i)*2654435761), Revision: int64(i + 1),
+			Key: fmt.Sprintf("servers/i-%08x", uint32(i)*2654435761), Revision: keyvalue.Revision(i + 1),
 			Value: fmt.Appendf(nil, `{"service":"s","address":"10.%d.%d.%d:8%03d","zone":"z%d","version":"v%x","slots":12,"state":"ready","models":[{"name":"m%x","version":1,"adapters":[]}],"sequence":%d}`,
 				i%7, i%131, i%251, i%997, i%startingZones, uint32(i)*40503, uint32(i)*2246822519, uint32(i)*3266489917),
 		})
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -199,7 +199,7 @@
 // lease.
 func (c *controller) writeLastHolder() {
 	c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
-		Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: int64(c.lease.Token())}},
+		Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: keyvalue.Revision(c.lease.Token())}},
 		Operations: []keyvalue.Operation{{Key: KeyLastHolder, Value: c.lastHolderEntry(true)}},
 	}}})
 }
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -10,6 +10,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 )
@@ -73,7 +74,7 @@
 	// leftToOthers is set if other nodes are to write the record.
 	leftToOthers bool
 	// revision is the revision of the stored record to be replaced, zero for none.
-	revision   int64
+	revision   keyvalue.Revision
 	dueAt      time.Time
 	retryDelay time.Duration
 	inFlight   bool
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -8,6 +8,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet/lending"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // Keys in the store.
@@ -43,7 +44,7 @@
 	Zone     cluster.ZoneID `json:"zone,omitempty"`
 	Capacity float64        `json:"capacity,omitempty"`
 	// Revision is the store revision of the record.
-	Revision int64 `json:"-"`
+	Revision keyvalue.Revision `json:"-"`
 }
 
 // lendingPeer returns the node as a peer of package lending.
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -12,6 +12,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // KeyReleases is the key of the record of the services whose machines have several software releases.
@@ -37,7 +38,7 @@
 	services map[string]*serviceReleases
 	// stored is the record in the store, sorted, and storedRevision its revision, zero without one.
 	stored         map[string][]string
-	storedRevision int64
+	storedRevision keyvalue.Revision
 	// observedSince is when this node first knew all machines.
 	observedSince time.Time
 	nextWriteAt   time.Time
@@ -237,7 +238,7 @@
 type ReleasesRead struct {
 	Services map[string][]string
 	// Revision is the store revision of the record, zero without one.
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 func (ReleasesRead) fleetEvent() {}
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -11,6 +11,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/wire"
@@ -19,7 +20,7 @@
 // batch holds a set of store changes, grouped by kind. Of several changes to one record the last
 // one counts.
 type batch struct {
-	revision           int64
+	revision           keyvalue.Revision
 	configuration      *wire.StoreChange
 	workers            orderedMap[cluster.MachineID, catalog.Worker]
 	undecodableWorkers orderedMap[cluster.MachineID, fleet.UndecodableWorker]
--- a/fleet/shell/batch_test.go
+++ b/fleet/shell/batch_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -38,7 +39,7 @@
 		f := &follower{Node: n, starts: machineStarts{}, filter: newChangeFilter(platform.Codec{})}
 		var b batch
 		for i, value := range test.values {
-			f.addChange(&b, &wire.StoreChange{Key: platform.PrefixWorkers + "w", Value: []byte(value), Revision: int64(i + 1), Deleted: value == gone})
+			f.addChange(&b, &wire.StoreChange{Key: platform.PrefixWorkers + "w", Value: []byte(value), Revision: keyvalue.Revision(i + 1), Deleted: value == gone})
 		}
 		read := b.workersRead()
 		if len(read.Workers) != test.workers || len(read.Undecodable) != test.unread || len(read.Gone) != test.ended {
--- a/fleet/shell/changefilter.go
+++ b/fleet/shell/changefilter.go
@@ -7,6 +7,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -24,7 +25,7 @@
 // decodedWorker is the last entry of a machine that could be decoded, with its revision.
 type decodedWorker struct {
 	catalog.Worker
-	revision int64
+	revision keyvalue.Revision
 }
 
 // unreadableEntry describes an entry that can't be decoded.
--- a/fleet/shell/feed_test.go
+++ b/fleet/shell/feed_test.go
@@ -21,14 +21,14 @@
 	refuses atomic.Bool
 }
 
-func (s *refusingStore) Changes(ctx context.Context, prefix string, after, maxBytes int64) (keyvalue.WatchBatch, error) {
+func (s *refusingStore) Changes(ctx context.Context, prefix string, after keyvalue.Revision, maxBytes int64) (keyvalue.WatchBatch, error) {
 	if s.refuses.Load() {
 		return keyvalue.WatchBatch{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "rejected by the test")
 	}
 	return s.Store.Changes(ctx, prefix, after, maxBytes)
 }
 
-func (s *refusingStore) Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
+func (s *refusingStore) Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, keyvalue.Revision, error) {
 	if s.refuses.Load() {
 		return nil, 0, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "rejected by the test")
 	}
@@ -94,7 +94,7 @@
 // slowStore delays the answer to a watch beyond the duration from which a call is logged as slow.
 type slowStore struct{ shell.Store }
 
-func (s *slowStore) Changes(ctx context.Context, prefix string, after, most int64) (keyvalue.WatchBatch, error) {
+func (s *slowStore) Changes(ctx context.Context, prefix string, after keyvalue.Revision, most int64) (keyvalue.WatchBatch, error) {
 	time.Sleep(400 * time.Millisecond)
 	return s.Store.Changes(ctx, prefix, after, most)
 }
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -36,12 +36,12 @@
 	starts machineStarts
 	// configurationRevision is the revision of the last configuration that was decoded and
 	// compiled.
-	configurationRevision int64
+	configurationRevision keyvalue.Revision
 	storeLostAt           time.Time
 	// storeLostCause is the cause of the last store failure that was logged.
 	storeLostCause string
 	// storeEra is the era of the store that was last logged.
-	storeEra int64
+	storeEra keyvalue.Era
 	// provenKey is the key that the feed keeps verifying; empty for none.
 	provenKey string
 	// source is the name of the current feed.Source, for the log and the metrics.
@@ -178,7 +178,7 @@
 
 // noteStoreCall counts the outcome of a store call and logs slow calls, the loss of the store
 // with each new cause, and its return.
-func (f *follower) noteStoreCall(o storeOperation, known int64, began time.Time, err error) {
+func (f *follower) noteStoreCall(o storeOperation, known keyvalue.Revision, began time.Time, err error) {
 	f.countStoreCall(o, err)
 	if era := f.options.Store.Era(); era != f.storeEra {
 		f.options.Log.Write(eventlog.StoreEraChanged{Era: era, Before: f.storeEra})
@@ -260,7 +260,7 @@
 }
 
 // replace replaces the node's view of the store by the store's full content.
-func (f *follower) replace(revision int64, pairs []wire.StoreChange) {
+func (f *follower) replace(revision keyvalue.Revision, pairs []wire.StoreChange) {
 	batch := batch{revision: revision}
 	listed := map[cluster.MachineID]bool{}
 	for i := range pairs {
--- a/fleet/shell/machinestarts_test.go
+++ b/fleet/shell/machinestarts_test.go
@@ -14,6 +14,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/upstream"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -54,7 +55,7 @@
 }
 
 // entryOfStart returns a machine's entry with a start time; zero for none.
-func entryOfStart(born int64, revision int64) wire.StoreChange {
+func entryOfStart(born int64, revision keyvalue.Revision) wire.StoreChange {
 	return wire.StoreChange{Key: startTimePrefix + "w", Value: strconv.AppendInt(nil, born, 10), Revision: revision}
 }
 
@@ -87,7 +88,7 @@
 						gone = append(gone, b.removedWorkers...)
 						b = batch{}
 					}
-					change := entryOfStart(born, int64(i+1))
+					change := entryOfStart(born, keyvalue.Revision(i+1))
 					f.addChange(&b, &change)
 				}
 				read := b.workersRead()
@@ -133,7 +134,7 @@
 		born int64
 		news bool
 	}{{5, true}, {5, false}, {7, true}, {5, false}, {7, false}, {0, true}, {0, false}, {7, true}, {7, false}} {
-		change := entryOfStart(step.born, int64(i+1))
+		change := entryOfStart(step.born, keyvalue.Revision(i+1))
 		if got := filter.IsNews(&change); got != step.news {
 			t.Errorf("step %d, born at %d: news %t", i, step.born, got)
 		}
--- a/fleet/shell/options.go
+++ b/fleet/shell/options.go
@@ -34,16 +34,16 @@
 type Store interface {
 	lease.Store
 	// Range returns all pairs under prefix and the revision at which they were read.
-	Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, int64, error)
+	Range(ctx context.Context, prefix string) ([]keyvalue.KeyValue, keyvalue.Revision, error)
 	// FirstPage returns the first pairs under prefix, whether there are more, and the revision at
 	// which they were read.
-	FirstPage(ctx context.Context, prefix string) (pairs []keyvalue.KeyValue, more bool, revision int64, err error)
+	FirstPage(ctx context.Context, prefix string) (pairs []keyvalue.KeyValue, more bool, revision keyvalue.Revision, err error)
 	// Changes returns the changes under prefix after a revision. It may wait for a while until
 	// there is a change. If the changes exceed maxBytes the batch says that they are too long
 	// instead; zero means no limit.
-	Changes(ctx context.Context, prefix string, after, maxBytes int64) (keyvalue.WatchBatch, error)
-	// Era returns the era that the last answer stated; zero if it stated none.
-	Era() int64
+	Changes(ctx context.Context, prefix string, after keyvalue.Revision, maxBytes int64) (keyvalue.WatchBatch, error)
+	// Era returns the newest era that an answer stated; zero if none stated one.
+	Era() keyvalue.Era
 }
 
 // Codec decodes the records that other programs keep in the store.
--- a/fleet/shell/size_bench_test.go
+++ b/fleet/shell/size_bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/fleet/feed"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -79,7 +80,7 @@
 }
 
 // nodeChange returns the change that adds a node's record.
-func nodeChange(number int, revision int64) wire.StoreChange {
+func nodeChange(number int, revision keyvalue.Revision) wire.StoreChange {
 	entry := fleet.NodeEntry{
 		ID: cluster.NodeID(fmt.Sprintf("node-%04d", number)), Machine: fmt.Sprintf("machine-%04d", number),
 		Zone: cluster.ZoneID(fmt.Sprintf("zone-%d", number%fleetZones)), Capacity: 0.2,
@@ -91,7 +92,7 @@
 }
 
 // workerChange returns the entry of an engine that holds one of the models.
-func workerChange(t testing.TB, number, models int, revision int64) wire.StoreChange {
+func workerChange(t testing.TB, number, models int, revision keyvalue.Revision) wire.StoreChange {
 	t.Helper()
 	document := platform.WorkerDocument{
 		Service: "engine", Address: fmt.Sprintf("10.%d.%d.1:80", number/250, number%250), Zone: fmt.Sprintf("zone-%d", number%fleetZones),
@@ -108,10 +109,10 @@
 func fleetContent(t testing.TB, nodes, workers, models int) []wire.StoreChange {
 	var pairs []wire.StoreChange
 	for i := range nodes {
-		pairs = append(pairs, nodeChange(i, int64(2+i)))
+		pairs = append(pairs, nodeChange(i, keyvalue.Revision(2+i)))
 	}
 	for i := range workers {
-		pairs = append(pairs, workerChange(t, i, models, int64(2+nodes+i)))
+		pairs = append(pairs, workerChange(t, i, models, keyvalue.Revision(2+nodes+i)))
 	}
 	return pairs
 }
@@ -129,7 +130,7 @@
 				for i := range pairs {
 					f.filter.IsNews(&pairs[i])
 				}
-				f.replace(int64(11*size+2), pairs)
+				f.replace(keyvalue.Revision(11*size+2), pairs)
 			}
 		})
 	}
@@ -141,11 +142,11 @@
 		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
 			const models = 574
 			f := newSizedFollower(b, models)
-			f.replace(int64(11*size+2), fleetContent(b, size, 10*size, models))
+			f.replace(keyvalue.Revision(11*size+2), fleetContent(b, size, 10*size, models))
 			number, revision := size, int64(11*size+3)
 			for b.Loop() {
-				change := nodeChange(number, revision)
-				f.applyChanges(&feed.Apply{Revision: revision, Changes: []wire.StoreChange{change}})
+				change := nodeChange(number, keyvalue.Revision(revision))
+				f.applyChanges(&feed.Apply{Revision: keyvalue.Revision(revision), Changes: []wire.StoreChange{change}})
 				number, revision = number+1, revision+1
 			}
 		})
--- a/fleet/simulated_feed_test.go
+++ b/fleet/simulated_feed_test.go
@@ -143,7 +143,7 @@
 	return read
 }
 
-func (s *simulation) changesSince(after int64, began time.Time) feed.Event {
+func (s *simulation) changesSince(after keyvalue.Revision, began time.Time) feed.Event {
 	batch := s.store.EventsSince(s.now, "", after+1)
 	done := feed.PollDone{Began: began, Revision: batch.Revision, Compacted: batch.Compacted}
 	for i := range batch.Events {
@@ -159,7 +159,7 @@
 }
 
 // applyChanges hands changes of the store to a node's core.
-func (s *simulation) applyChanges(n *simulatedNode, changes []wire.StoreChange, revision int64) {
+func (s *simulation) applyChanges(n *simulatedNode, changes []wire.StoreChange, revision keyvalue.Revision) {
 	for i := range changes {
 		s.applyChange(n, &changes[i], revision)
 	}
@@ -184,7 +184,7 @@
 	}
 }
 
-func (s *simulation) applyChange(n *simulatedNode, change *wire.StoreChange, revision int64) {
+func (s *simulation) applyChange(n *simulatedNode, change *wire.StoreChange, revision keyvalue.Revision) {
 	entry, _ := DecodeNodeEntry(change.Value)
 	switch {
 	case strings.HasPrefix(change.Key, keyEngineEntries):
--- a/fleet/unreadable_entries.go
+++ b/fleet/unreadable_entries.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // The outcomes logged for a machine whose entry can't be decoded.
@@ -23,7 +24,7 @@
 // machine that has ended fails without loss. A machine that leaves must be noticed, however. If
 // the entry can be decoded far enough to show that, the machine takes no new requests. A machine
 // that was known to be leaving remains so, since only a complete entry can revoke it.
-func (v *machineView) markUndecodable(entry *UndecodableWorker, revision int64) *catalog.Worker {
+func (v *machineView) markUndecodable(entry *UndecodableWorker, revision keyvalue.Revision) *catalog.Worker {
 	line := eventlog.WorkerUnreadable{Machine: entry.ID, Revision: revision, Outcome: outcomeUnknown, Cause: entry.Cause}
 	defer func() { v.core.log(line) }()
 	known := v.machines[entry.ID]
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -9,6 +9,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -64,7 +65,7 @@
 }
 
 // put stores a machine's entry and reports whether it differs from the previous one.
-func (v *machineView) put(worker *catalog.Worker, revision int64) bool {
+func (v *machineView) put(worker *catalog.Worker, revision keyvalue.Revision) bool {
 	known := v.machines[worker.ID]
 	if known == nil {
 		known = &viewedMachine{}
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -62,13 +62,13 @@
 func (c *Client) Close() { c.httpClient.CloseIdleConnections() }
 
 // Range implements Store.
-func (c *Client) Range(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+func (c *Client) Range(ctx context.Context, prefix string) ([]KeyValue, Revision, error) {
 	var response gateway.RangeResponse
 	err := c.call(ctx, gateway.PathRange, rangePrefix(prefix), &response)
 	if err != nil {
 		return nil, 0, err
 	}
-	return fromPairs(response.KVs), int64(response.Header.Revision), nil
+	return fromPairs(response.KVs), Revision(response.Header.Revision), nil
 }
 
 // rangePrefix returns the request for all keys that begin with prefix; the empty prefix
@@ -87,7 +87,7 @@
 	if err := c.call(ctx, gateway.PathTxn, toTxn(transaction), &response); err != nil {
 		return TransactionResult{}, err
 	}
-	result := TransactionResult{Succeeded: response.Succeeded, Revision: int64(response.Header.Revision)}
+	result := TransactionResult{Succeeded: response.Succeeded, Revision: Revision(response.Header.Revision)}
 	if response.Succeeded {
 		return result, nil
 	}
--- a/keyvalue/convert.go
+++ b/keyvalue/convert.go
@@ -45,7 +45,7 @@
 func fromPair(pair gateway.KeyValue) KeyValue {
 	return KeyValue{
 		Key: string(pair.Key), Value: pair.Value,
-		CreateRevision: int64(pair.CreateRevision), ModRevision: int64(pair.ModRevision),
+		CreateRevision: Revision(pair.CreateRevision), ModRevision: Revision(pair.ModRevision),
 		Version: int64(pair.Version), Lease: int64(pair.Lease),
 	}
 }
--- a/keyvalue/kv.go
+++ b/keyvalue/kv.go
@@ -11,7 +11,7 @@
 	Value []byte
 	// CreateRevision and ModRevision are the global revisions of the service at which
 	// the key was created and last modified.
-	CreateRevision, ModRevision int64
+	CreateRevision, ModRevision Revision
 	// Version is the number of changes of the key since it was created, including that one.
 	Version int64
 	// Lease is the lease that the key is attached to, zero for none.
@@ -22,7 +22,7 @@
 // where zero means that the key must be absent.
 type Compare struct {
 	Key         string
-	ModRevision int64
+	ModRevision Revision
 }
 
 // Operation is a write of a transaction: it puts the pair, or with Delete deletes the key.
@@ -44,7 +44,7 @@
 type TransactionResult struct {
 	Succeeded bool
 	// Revision is the global revision after the transaction.
-	Revision int64
+	Revision Revision
 	// Found holds the existing pairs of Reads if the transaction did not succeed.
 	Found []KeyValue
 }
@@ -58,7 +58,7 @@
 // WatchBatch holds the changes of one or more revisions, in order of revision.
 type WatchBatch struct {
 	// Revision is the revision up to which the watch has reported all changes.
-	Revision int64
+	Revision Revision
 	Events   []Event
 	// Compacted is true when the requested start revision has been compacted. The watch
 	// has ended, and the reader must read the whole range again.
@@ -73,7 +73,7 @@
 type Store interface {
 	// Range returns the pairs whose keys begin with prefix, sorted by key, and the global
 	// revision at which they were read.
-	Range(ctx context.Context, prefix string) ([]KeyValue, int64, error)
+	Range(ctx context.Context, prefix string) ([]KeyValue, Revision, error)
 	// Txn carries out a transaction.
 	Txn(ctx context.Context, transaction Transaction) (TransactionResult, error)
 	// Grant creates a lease.
@@ -85,5 +85,5 @@
 	Revoke(ctx context.Context, lease int64) error
 	// Watch calls handle with each batch of changes of keys that begin with prefix, from
 	// startRevision on, until ctx ends or the stream breaks.
-	Watch(ctx context.Context, prefix string, startRevision int64, handle func(WatchBatch)) error
+	Watch(ctx context.Context, prefix string, startRevision Revision, handle func(WatchBatch)) error
 }
--- a/keyvalue/lease/lease.go
+++ b/keyvalue/lease/lease.go
@@ -134,7 +134,7 @@
 	Key   string
 	Value []byte
 	// Revision is the pair's ModRevision when it was read, zero if it was absent.
-	Revision int64
+	Revision keyvalue.Revision
 }
 
 // SetExtraPair makes each later write of the record write a pair as well.
@@ -184,7 +184,7 @@
 func (c *Client) writeRecord() {
 	c.state = Writing
 	transaction := keyvalue.Transaction{
-		Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: int64(c.replacedToken)}},
+		Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: keyvalue.Revision(c.replacedToken)}},
 		Operations: []keyvalue.Operation{{Key: c.key, Value: c.value, Lease: c.lease}},
 		Reads:      []string{c.key},
 	}
@@ -209,7 +209,7 @@
 func (c *Client) Release() {
 	if c.lease != 0 && c.token != 0 {
 		c.caller.CallWithoutAnswer(Call{Operation: Txn, Txn: keyvalue.Transaction{
-			Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: int64(c.token)}},
+			Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: keyvalue.Revision(c.token)}},
 			Operations: []keyvalue.Operation{{Key: c.key, Delete: true}},
 		}})
 		c.caller.CallWithoutAnswer(Call{Operation: Revoke, Lease: c.lease})
--- a/keyvalue/watch.go
+++ b/keyvalue/watch.go
@@ -14,7 +14,7 @@
 // Watch implements Store. It returns nil after a batch with Compacted set, the error of ctx
 // when ctx ends, and a NotRun error when the stream breaks: a watch changes nothing, so it can
 // always be resumed after the last batch.
-func (c *Client) Watch(ctx context.Context, prefix string, startRevision int64, handle func(WatchBatch)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, startRevision Revision, handle func(WatchBatch)) error {
 	keyRange := rangePrefix(prefix)
 	request := gateway.WatchRequest{CreateRequest: &gateway.WatchCreateRequest{
 		Key: keyRange.Key, RangeEnd: keyRange.RangeEnd,
@@ -43,7 +43,7 @@
 		}
 		result := response.Result
 		if result.Canceled {
-			handle(WatchBatch{Revision: int64(result.CompactRevision), Compacted: true})
+			handle(WatchBatch{Revision: Revision(result.CompactRevision), Compacted: true})
 			return nil
 		}
 		if !result.Created {
@@ -58,7 +58,7 @@
 func toWatchBatch(result gateway.WatchResult) WatchBatch {
 	events := fromEvents(result.Events)
 	if len(events) == 0 {
-		return WatchBatch{Revision: int64(result.Header.Revision)}
+		return WatchBatch{Revision: Revision(result.Header.Revision)}
 	}
 	return WatchBatch{Revision: events[len(events)-1].KeyValue.ModRevision, Events: events}
 }
--- a/node/apportioner.go
+++ b/node/apportioner.go
@@ -193,7 +193,7 @@
 		return
 	}
 	txn := plan.Transaction()
-	txn.Compares = append(txn.Compares, keyvalue.Compare{Key: keyApportioner, ModRevision: int64(r.lease.Token())})
+	txn.Compares = append(txn.Compares, keyvalue.Compare{Key: keyApportioner, ModRevision: keyvalue.Revision(r.lease.Token())})
 	r.transactionPending = true
 	r.core.keyValueCall(KeyValueCall{Operation: KeyValueTxn, Txn: txn}, callPurpose{division: true})
 }
--- a/node/events.go
+++ b/node/events.go
@@ -30,7 +30,7 @@
 type KeyValueAnswered struct {
 	ID       uint64
 	Pairs    []keyvalue.KeyValue
-	Revision int64
+	Revision keyvalue.Revision
 	Txn      keyvalue.TransactionResult
 	Lease    int64
 	TTL      time.Duration
@@ -125,7 +125,7 @@
 	// Prefix is used by KeyValueRange and KeyValueWatch.
 	Prefix string
 	// StartRevision is used by KeyValueWatch.
-	StartRevision int64
+	StartRevision keyvalue.Revision
 	Txn           keyvalue.Transaction
 	Lease         int64
 	TTL           time.Duration
--- a/node/keyvalue.go
+++ b/node/keyvalue.go
@@ -88,7 +88,7 @@
 
 func (c *Core) watch() {
 	c.keyValue.watchCallID = c.keyValueCall(KeyValueCall{
-		Operation: KeyValueWatch, Prefix: keyRoot, StartRevision: c.keyValue.revision + 1,
+		Operation: KeyValueWatch, Prefix: keyRoot, StartRevision: keyvalue.Revision(c.keyValue.revision + 1),
 	}, callPurpose{watch: true})
 }
 
@@ -123,14 +123,14 @@
 		}
 		return
 	}
-	s.revision = answer.Revision
+	s.revision = int64(answer.Revision)
 	var tree []keyvalue.KeyValue
 	for _, pair := range answer.Pairs {
 		if strings.HasPrefix(pair.Key, settings.KeyPrefix) {
 			tree = append(tree, pair)
 			continue
 		}
-		c.pairReceived(pair, answer.Revision)
+		c.pairReceived(pair, int64(answer.Revision))
 	}
 	loaded, stamp, err := settings.DecodeTreePairs(tree)
 	switch {
@@ -152,7 +152,7 @@
 		s.watchCallID, s.revision = 0, 0
 		return
 	}
-	s.revision = max(s.revision, delivered.Batch.Revision)
+	s.revision = max(s.revision, int64(delivered.Batch.Revision))
 	var tree []keyvalue.Event
 	for _, event := range delivered.Batch.Events {
 		if strings.HasPrefix(event.KeyValue.Key, settings.KeyPrefix) {
@@ -160,7 +160,7 @@
 			continue
 		}
 		if !event.Deleted {
-			c.pairReceived(event.KeyValue, event.KeyValue.ModRevision)
+			c.pairReceived(event.KeyValue, int64(event.KeyValue.ModRevision))
 		}
 	}
 	c.treeChanged(tree)
@@ -221,7 +221,7 @@
 			Zone: ApportionerZone, Node: cluster.NodeID(pair.Value), Token: cluster.FencingToken(pair.CreateRevision),
 		})
 	case pair.Key == authority.AllotmentGuardKey:
-		c.keyValue.guardRevision = max(c.keyValue.guardRevision, pair.ModRevision)
+		c.keyValue.guardRevision = max(c.keyValue.guardRevision, int64(pair.ModRevision))
 	default:
 		allotment, ok, err := authority.AllotmentFromPair(pair)
 		switch {
--- a/settings/commit.go
+++ b/settings/commit.go
@@ -38,7 +38,7 @@
 		return Entry{}, notCommitted, err
 	}
 	result, err := s.kv.Txn(ctx, keyvalue.Transaction{
-		Compares:   []keyvalue.Compare{{Key: headKey, ModRevision: current.modRevision}},
+		Compares:   []keyvalue.Compare{{Key: headKey, ModRevision: keyvalue.Revision(current.modRevision)}},
 		Operations: operations,
 	})
 	switch {
@@ -49,7 +49,7 @@
 	case !result.Succeeded:
 		return Entry{}, headChanged, nil
 	}
-	next.modRevision = result.Revision
+	next.modRevision = int64(result.Revision)
 	s.cacheState(next)
 	return next.entries[len(next.entries)-1], committed, nil
 }
--- a/settings/kv_test.go
+++ b/settings/kv_test.go
@@ -38,7 +38,7 @@
 
 func newMemoryKV() *memoryKV { return &memoryKV{pairs: map[string]keyvalue.KeyValue{}} }
 
-func (m *memoryKV) Range(_ context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
+func (m *memoryKV) Range(_ context.Context, prefix string) ([]keyvalue.KeyValue, keyvalue.Revision, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	var found []keyvalue.KeyValue
@@ -48,7 +48,7 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b keyvalue.KeyValue) int { return strings.Compare(a.Key, b.Key) })
-	return found, m.revision, nil
+	return found, keyvalue.Revision(m.revision), nil
 }
 
 func (m *memoryKV) Txn(_ context.Context, transaction keyvalue.Transaction) (keyvalue.TransactionResult, error) {
@@ -67,14 +67,14 @@
 	}
 	for _, compare := range transaction.Compares {
 		if m.pairs[compare.Key].ModRevision != compare.ModRevision {
-			return keyvalue.TransactionResult{Revision: m.revision}, nil
+			return keyvalue.TransactionResult{Revision: keyvalue.Revision(m.revision)}, nil
 		}
 	}
 	m.write(transaction.Operations)
 	if fault == faultLostAfterApply {
 		return keyvalue.TransactionResult{}, lostResponse
 	}
-	return keyvalue.TransactionResult{Succeeded: true, Revision: m.revision}, nil
+	return keyvalue.TransactionResult{Succeeded: true, Revision: keyvalue.Revision(m.revision)}, nil
 }
 
 func (m *memoryKV) write(operations []keyvalue.Operation) {
@@ -84,7 +84,7 @@
 	for _, operation := range operations {
 		m.writtenBytes += len(operation.Value)
 		m.largestValue = max(m.largestValue, len(operation.Value))
-		pair := keyvalue.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: m.revision}
+		pair := keyvalue.KeyValue{Key: operation.Key, Value: operation.Value, ModRevision: keyvalue.Revision(m.revision)}
 		batch = append(batch, keyvalue.Event{KeyValue: pair, Deleted: operation.Delete})
 		if operation.Delete {
 			delete(m.pairs, operation.Key)
@@ -102,6 +102,6 @@
 	return 0, errUnused
 }
 func (m *memoryKV) Revoke(context.Context, int64) error { return errUnused }
-func (m *memoryKV) Watch(context.Context, string, int64, func(keyvalue.WatchBatch)) error {
+func (m *memoryKV) Watch(context.Context, string, keyvalue.Revision, func(keyvalue.WatchBatch)) error {
 	return errUnused
 }
--- a/settings/refresh.go
+++ b/settings/refresh.go
@@ -48,7 +48,7 @@
 	for _, pair := range pairs {
 		if pair.Key == headKey {
 			record, err := decodeHead(pair.Value)
-			return record, pair.ModRevision, err
+			return record, int64(pair.ModRevision), err
 		}
 	}
 	return headRecord{}, 0, nil
--- a/settings/restore.go
+++ b/settings/restore.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	result, err := s.kv.Txn(ctx, keyvalue.Transaction{
-		Compares:   []keyvalue.Compare{{Key: headKey, ModRevision: current.modRevision}},
+		Compares:   []keyvalue.Compare{{Key: headKey, ModRevision: keyvalue.Revision(current.modRevision)}},
 		Operations: operations,
 	})
 	switch {
@@ -49,7 +49,7 @@
 		// was done yet, and a second call either finds the tree restored or restores it again.
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "the settings in force could not be restored to the key-value service")
 	case result.Succeeded:
-		next.modRevision = result.Revision
+		next.modRevision = int64(result.Revision)
 		s.cacheState(next)
 	}
 	return nil
--- a/simulation/keyvalue.go
+++ b/simulation/keyvalue.go
@@ -51,7 +51,7 @@
 	id          uint64
 	prefix      string
 	// nextRevision is the first revision that was not sent.
-	nextRevision int64
+	nextRevision keyvalue.Revision
 	// lastArrival is when the last batch arrives. Later batches arrive no earlier, so
 	// that jitter does not reorder them.
 	lastArrival time.Time
--- a/simulation/operators.go
+++ b/simulation/operators.go
@@ -15,7 +15,7 @@
 type directStore struct{ service *KeyValue }
 
 // Range implements keyvalue.Store.
-func (d directStore) Range(_ context.Context, prefix string) ([]keyvalue.KeyValue, int64, error) {
+func (d directStore) Range(_ context.Context, prefix string) ([]keyvalue.KeyValue, keyvalue.Revision, error) {
 	pairs, revision := d.service.state.Range(d.service.kernel.Now(), prefix)
 	return pairs, revision, nil
 }
@@ -41,7 +41,7 @@
 }
 
 // Watch implements keyvalue.Store. It always fails because operators don't watch.
-func (d directStore) Watch(context.Context, string, int64, func(keyvalue.WatchBatch)) error {
+func (d directStore) Watch(context.Context, string, keyvalue.Revision, func(keyvalue.WatchBatch)) error {
 	return errWatchBroken
 }
 
--- a/standin/keyvalue/apply.go
+++ b/standin/keyvalue/apply.go
@@ -52,9 +52,9 @@
 	var order int
 	switch compare.Target {
 	case gateway.TargetMod:
-		order = cmp.Compare(pair.ModRevision, int64(compare.ModRevision))
+		order = cmp.Compare(pair.ModRevision, keyvalue.Revision(compare.ModRevision))
 	case gateway.TargetCreate:
-		order = cmp.Compare(pair.CreateRevision, int64(compare.CreateRevision))
+		order = cmp.Compare(pair.CreateRevision, keyvalue.Revision(compare.CreateRevision))
 	case gateway.TargetVersion, "":
 		order = cmp.Compare(pair.Version, int64(compare.Version))
 	default:
--- a/standin/keyvalue/server.go
+++ b/standin/keyvalue/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/gateway"
 	"github.com/valveslip/valveslip/standin/fault"
 )
@@ -74,7 +75,7 @@
 }
 
 // notifyWatches wakes the watches if the revision is no longer previousRevision.
-func (s *Server) notifyWatches(previousRevision int64) {
+func (s *Server) notifyWatches(previousRevision keyvalue.Revision) {
 	if s.state.Revision() != previousRevision {
 		close(s.revisionChanged)
 		s.revisionChanged = make(chan struct{})
@@ -178,10 +179,10 @@
 }
 
 func (s *Server) compact(_ time.Time, request gateway.CompactionRequest) (gateway.CompactionResponse, error) {
-	if int64(request.Revision) > s.state.Revision() {
+	if keyvalue.Revision(request.Revision) > s.state.Revision() {
 		return gateway.CompactionResponse{}, ErrFuture
 	}
-	s.state.Compact(int64(request.Revision))
+	s.state.Compact(keyvalue.Revision(request.Revision))
 	return gateway.CompactionResponse{Header: s.state.responseHeader()}, nil
 }
 
--- a/standin/keyvalue/server_test.go
+++ b/standin/keyvalue/server_test.go
@@ -30,7 +30,7 @@
 }
 
 // compareAndPut writes a key if its mod revision is expect, and reads it if not.
-func compareAndPut(t *testing.T, client *keyvalue.Client, key, value string, expect int64) keyvalue.TransactionResult {
+func compareAndPut(t *testing.T, client *keyvalue.Client, key, value string, expect keyvalue.Revision) keyvalue.TransactionResult {
 	t.Helper()
 	result, err := client.Txn(context.Background(), keyvalue.Transaction{
 		Compares:   []keyvalue.Compare{{Key: key, ModRevision: expect}},
@@ -107,7 +107,7 @@
 	first := compareAndPut(t, client, "/a", "1", 0)
 	seen := make(chan keyvalue.WatchBatch, 16)
 	ended := make(chan error, 1)
-	watch := func(ctx context.Context, from int64) {
+	watch := func(ctx context.Context, from keyvalue.Revision) {
 		ended <- client.Watch(ctx, "/", from, func(batch keyvalue.WatchBatch) {
 			if len(batch.Events) > 0 {
 				seen <- batch
--- a/standin/keyvalue/state.go
+++ b/standin/keyvalue/state.go
@@ -47,9 +47,9 @@
 // a pair refers to a lease if and only if that lease lists the pair's key.
 type State struct {
 	config   Config
-	revision int64
+	revision keyvalue.Revision
 	// compactedRevision is the oldest revision whose events are kept.
-	compactedRevision int64
+	compactedRevision keyvalue.Revision
 	pairs             map[string]keyvalue.KeyValue
 	history           []keyvalue.Event
 	leases            map[int64]*lease
@@ -74,11 +74,11 @@
 }
 
 // Revision returns the global revision.
-func (s *State) Revision() int64 { return s.revision }
+func (s *State) Revision() keyvalue.Revision { return s.revision }
 
 // CompactedRevision returns the oldest revision whose events are kept, or zero
 // if the history was never compacted.
-func (s *State) CompactedRevision() int64 { return s.compactedRevision }
+func (s *State) CompactedRevision() keyvalue.Revision { return s.compactedRevision }
 
 // Allow takes a token from the rate limiter's bucket and reports whether there
 // was one.
@@ -100,7 +100,7 @@
 
 // Range returns the pairs whose keys have the prefix, sorted by key, and the
 // global revision.
-func (s *State) Range(now time.Time, prefix string) ([]keyvalue.KeyValue, int64) {
+func (s *State) Range(now time.Time, prefix string) ([]keyvalue.KeyValue, keyvalue.Revision) {
 	s.Expire(now)
 	first, end := prefixBounds(prefix)
 	return s.pairsInRange(first, end), s.revision
--- a/standin/keyvalue/state_test.go
+++ b/standin/keyvalue/state_test.go
@@ -20,7 +20,7 @@
 // referenceModel is a simple implementation of the store without leases, which
 // the property test compares with State.
 type referenceModel struct {
-	revision int64
+	revision keyvalue.Revision
 	pairs    map[string]keyvalue.KeyValue
 }
 
@@ -64,7 +64,7 @@
 	for _, key := range rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 0, 2, rapid.ID).Draw(t, "compared") {
 		expected := m.pairs[key].ModRevision
 		if rapid.IntRange(0, 3).Draw(t, "stale") == 0 {
-			expected = rapid.Int64Range(0, m.revision+1).Draw(t, "expected")
+			expected = keyvalue.Revision(rapid.Int64Range(0, int64(m.revision)+1).Draw(t, "expected"))
 		}
 		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: key, ModRevision: expected})
 	}
@@ -118,7 +118,7 @@
 
 // mustWrite writes a key under a lease, or none if it is zero, and returns the
 // revision.
-func mustWrite(t *testing.T, state *standin.State, now time.Time, key string, lease int64) int64 {
+func mustWrite(t *testing.T, state *standin.State, now time.Time, key string, lease int64) keyvalue.Revision {
 	t.Helper()
 	result, err := state.Txn(now, keyvalue.Transaction{Operations: []keyvalue.Operation{{Key: key, Value: []byte("v"), Lease: lease}}})
 	if err != nil {
@@ -176,7 +176,7 @@
 	}
 	from := state.CompactedRevision()
 	batch := state.EventsSince(epoch, "/", from)
-	if batch.Compacted || int64(len(batch.Events)) != state.Revision()-from+1 {
+	if batch.Compacted || keyvalue.Revision(len(batch.Events)) != state.Revision()-from+1 {
 		t.Fatalf("watch from %d at %d: %+v", from, state.Revision(), batch)
 	}
 }
--- a/standin/keyvalue/transaction.go
+++ b/standin/keyvalue/transaction.go
@@ -119,7 +119,7 @@
 
 // Compact drops the events before revision. It does nothing if revision is
 // already compacted or in the future.
-func (s *State) Compact(revision int64) {
+func (s *State) Compact(revision keyvalue.Revision) {
 	if revision <= s.compactedRevision || revision > s.revision {
 		return
 	}
@@ -134,13 +134,13 @@
 // EventsSince returns the events on keys with the prefix from startRevision on.
 // If startRevision is compacted, the batch is marked Compacted and its Revision
 // is the compacted revision; otherwise its Revision is the global one.
-func (s *State) EventsSince(now time.Time, prefix string, startRevision int64) keyvalue.WatchBatch {
+func (s *State) EventsSince(now time.Time, prefix string, startRevision keyvalue.Revision) keyvalue.WatchBatch {
 	s.Expire(now)
 	first, end := prefixBounds(prefix)
 	return s.eventsBetween(first, end, startRevision)
 }
 
-func (s *State) eventsBetween(first, end string, startRevision int64) keyvalue.WatchBatch {
+func (s *State) eventsBetween(first, end string, startRevision keyvalue.Revision) keyvalue.WatchBatch {
 	if startRevision < s.compactedRevision {
 		return keyvalue.WatchBatch{Revision: s.compactedRevision, Compacted: true}
 	}
@@ -155,7 +155,7 @@
 
 // historyIndex returns the index of the first event at or after revision. It
 // searches from the end, because most watches ask for the newest events.
-func (s *State) historyIndex(revision int64) int {
+func (s *State) historyIndex(revision keyvalue.Revision) int {
 	i := len(s.history)
 	for i > 0 && s.history[i-1].KeyValue.ModRevision >= revision {
 		i--
--- a/standin/keyvalue/watch.go
+++ b/standin/keyvalue/watch.go
@@ -33,11 +33,11 @@
 	request      gateway.WatchCreateRequest
 	encoder      *json.Encoder
 	flush        func() error
-	nextRevision int64
+	nextRevision keyvalue.Revision
 }
 
 func (w *watchStream) run(incoming *http.Request) {
-	w.nextRevision = int64(w.request.StartRevision)
+	w.nextRevision = keyvalue.Revision(w.request.StartRevision)
 	created := gateway.WatchResult{Created: true}
 	w.server.Do(func(_ time.Time, state *State) {
 		created.Header = state.responseHeader()
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -150,7 +150,7 @@
 }
 
 func toItem(pair keyvalue.KeyValue) platform.Item {
-	return platform.Item{Key: pair.Key, Value: pair.Value, ModRevision: pair.ModRevision, CreateRevision: pair.CreateRevision, Lease: pair.Lease}
+	return platform.Item{Key: pair.Key, Value: pair.Value, ModRevision: pair.ModRevision.Counter(), CreateRevision: pair.CreateRevision.Counter(), Lease: pair.Lease}
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
@@ -165,7 +165,7 @@
 	after := r.URL.Query().Get("after")
 	s.access(w, func(now time.Time, state *standin.State) {
 		pairs, revision := state.Range(now, r.URL.Query().Get("path_prefix"))
-		page.At = revision
+		page.At = revision.Counter()
 		page.Items = []platform.Item{}
 		for _, pair := range pairs {
 			if pair.Key <= after && after != "" {
@@ -198,7 +198,7 @@
 		if s.eventsSuppressed.Load() {
 			batch.Compacted, batch.Events, changed = false, nil, nil
 		}
-		if batch.Compacted || after > batch.Revision {
+		if batch.Compacted || after > batch.Revision.Counter() {
 			writeJSON(w, http.StatusGone, struct{}{})
 			return
 		}
@@ -218,12 +218,14 @@
 }
 
 func (s *Server) eventsAfter(w http.ResponseWriter, prefix string, after int64) (batch keyvalue.WatchBatch) {
-	s.access(w, func(now time.Time, state *standin.State) { batch = state.EventsSince(now, prefix, after+1) })
+	s.access(w, func(now time.Time, state *standin.State) {
+		batch = state.EventsSince(now, prefix, keyvalue.Revision(after+1))
+	})
 	return batch
 }
 
 func (s *Server) toWatchAnswer(batch *keyvalue.WatchBatch) platform.WatchAnswer {
-	changes := platform.WatchAnswer{At: batch.Revision, Events: []platform.Item{}}
+	changes := platform.WatchAnswer{At: batch.Revision.Counter(), Events: []platform.Item{}}
 	for _, event := range batch.Events {
 		changed := s.visibleItem(event.KeyValue)
 		changed.Deleted = event.Deleted
@@ -242,7 +244,7 @@
 	}
 	transaction := keyvalue.Transaction{}
 	for _, expected := range request.Expected {
-		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: expected.Key, ModRevision: expected.Changed})
+		transaction.Compares = append(transaction.Compares, keyvalue.Compare{Key: expected.Key, ModRevision: keyvalue.Revision(expected.Changed)})
 		transaction.Reads = append(transaction.Reads, expected.Key)
 	}
 	for _, put := range request.Put {
@@ -270,7 +272,7 @@
 		}
 		writeJSON(w, http.StatusPreconditionFailed, failure)
 	default:
-		writeJSON(w, http.StatusOK, platform.TxnAnswer{Revision: result.Revision})
+		writeJSON(w, http.StatusOK, platform.TxnAnswer{Revision: result.Revision.Counter()})
 	}
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/settings"
 )
 
@@ -256,7 +257,7 @@
 	Key   string
 	Value []byte
 	// Revision is the revision of the change.
-	Revision int64
+	Revision keyvalue.Revision
 	Deleted  bool
 }
 
@@ -264,7 +265,7 @@
 // them. It also shows how recently the sender, directly or through others, read the store.
 type StoreChanges struct {
 	From            cluster.NodeID
-	After, Revision int64
+	After, Revision keyvalue.Revision
 	// Age is the time between the reading of the store and the sending.
 	Age time.Duration
 	// Partial is true if changes are left out, which the receiver must read from the store.
@@ -277,7 +278,7 @@
 	// reading that the sender got from the receiver, zero for none. Lead is the time from the
 	// query of the store to the arrival of that reading, negative if the store was queried
 	// later. When the store was queried, the receiver's clock showed at least Echo - Lead.
-	Proven int64
+	Proven keyvalue.Revision
 	Echo   int64
 	Lead   time.Duration
 }
@@ -309,7 +310,7 @@
 	From cluster.NodeID
 	// Refer is the address of the node to ask instead, empty for none.
 	Refer    string
-	Revision int64
+	Revision keyvalue.Revision
 	// Age is the time between the reading of the store and the sending.
 	Age time.Duration
 	// Part is the index of this part, from zero; Parts is the number of parts.
@@ -323,7 +324,7 @@
 	// From and FromAddress identify the node to answer.
 	From        cluster.NodeID
 	FromAddress string
-	After       int64
+	After       keyvalue.Revision
 	// Always asks for an answer even if there are no changes. Such an answer shows that the
 	// node is alive and how old its copy is.
 	Always bool
--- a/wire/snapshot_test.go
+++ b/wire/snapshot_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"reflect"
 	"testing"
+
+	"github.com/valveslip/valveslip/keyvalue"
 )
 
 // TestPackedChangesRoundTrip guards against packed changes that are read differently from what was
@@ -15,7 +17,7 @@
 	size := 0
 	for i := range 2000 {
 		value := fmt.Appendf(nil, `{"service":"engine","address":"10.1.%d.%d:80","zone":"z","slots":12,"state":"ready","sequence":%d}`, i/250, i%250, i)
-		changes = append(changes, StoreChange{Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Value: value, Revision: int64(i)})
+		changes = append(changes, StoreChange{Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Value: value, Revision: keyvalue.Revision(i)})
 		size += len(value)
 	}
 	packed, err := PackChanges(changes)
