Play returns of the store from a copy in the feed's simulation; read it in turn

The simulation lets the store come back from copies, alone and in series, beside cuts, deaths, outages, lost and late messages and nodes of an earlier build, in fleets of 1 to 30 nodes: each node that reaches the store knows its present contents within the bound, counted from the return, and no key that the store has lost.

- What leads from one era to the next was also taken by nodes that had crossed already.
It is now taken only by nodes that know just the state that it leads from, and the history leads from no state between the two.

--- a/fleet/feed/calls.go
+++ b/fleet/feed/calls.go
@@ -23,6 +23,13 @@
 	// callTimeout is after how long a call without an answer counts as failed; a relay whose calls
 	// fail sends keep-alives no more than this time and its back-off apart.
 	callTimeout = 700 * time.Millisecond
+	// relayRereadDelay and leafRereadDelay give the root, or the relays, the time to read the store and
+	// to tell; rereadSpacing is the time between two nodes with the same source.
+	relayRereadDelay = 60 * time.Millisecond
+	leafRereadDelay  = 150 * time.Millisecond
+	rereadSpacing    = 10 * time.Millisecond
+	// eraCheckInterval is how often a node whose source does not notice a new era asks the store itself.
+	eraCheckInterval = 1200 * time.Millisecond
 )
 
 // nextCallDue returns when the next call may be due, zero while one is under way.
@@ -31,7 +38,11 @@
 		return time.Time{}
 	}
 	if c.isUpToDate() {
-		return later(c.nextCallAt, c.sourceReadAt.Add(c.sourceTimeout()))
+		due := c.sourceReadAt.Add(c.sourceTimeout())
+		if check := c.eraCheckDue(); check.Before(due) {
+			due = check
+		}
+		return later(c.nextCallAt, due)
 	}
 	return later(c.nextCallAt, c.now)
 }
@@ -119,6 +130,23 @@
 	return c.cfg.PollInterval
 }
 
+// rereadTurn returns how long the node waits before it reads a store that has come back from a copy. The
+// root reads first, then the relays, then the leaves, so that most nodes learn from another one first.
+func (c *Core) rereadTurn() time.Duration {
+	if c.now.Sub(c.lastMessageAt) > c.sourceTimeout()+callTimeout {
+		// Nobody reaches this node.
+		return 0
+	}
+	turn := time.Duration(c.tree.position) * rereadSpacing
+	switch {
+	case c.tree.role == leaf:
+		return leafRereadDelay + turn
+	case c.tree.role == relay && c.tree.hasRoot:
+		return relayRereadDelay + turn
+	}
+	return 0
+}
+
 func (c *Core) readDone(e ReadDone) {
 	c.callEnded(e.Err)
 	if c.discardRead {
@@ -138,6 +166,7 @@
 		return
 	}
 	c.gapTooLong, c.rereadNeeded = false, false
+	c.eraConfirmedAt = later(c.eraConfirmedAt, e.Began)
 	if e.Revision < c.revision {
 		// Updates have brought the node further than the read.
 		return
@@ -153,6 +182,7 @@
 	first := c.contents.isEmpty()
 	news := c.selectNews(c.contents.replace(pairs, revision))
 	c.noteEra(c.revision, revision)
+	c.mayMixEras = false
 	c.revision, c.missesChanges = revision, false
 	c.sourceReadAt, c.knownAt = later(c.sourceReadAt, read), later(c.knownAt, read)
 	if first {
@@ -176,6 +206,8 @@
 	case e.Err != nil:
 		c.requestMissing()
 		c.sendKeepAlive()
+	case e.EraEnded:
+		c.rereadNeeded, c.nextCallAt = true, c.now.Add(c.rereadTurn())
 	case e.Compacted:
 		// Watches of the store, also those of other nodes, may miss changes around a compaction.
 		c.rereadNeeded, c.nextCallAt = true, c.now
@@ -187,6 +219,7 @@
 		}
 	default:
 		c.missesChanges = false
+		c.eraConfirmedAt = later(c.eraConfirmedAt, e.Began)
 		c.knownAt = later(c.knownAt, e.Began)
 		after := c.revision
 		news := c.advance(e.Changes, e.Revision)
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -50,6 +50,13 @@
 	lastRelayID cluster.NodeID
 	// fallbackPeer answers for the store where the node has no source.
 	fallbackPeer fallbackPeer
+	// eraConfirmedAt is when this node's last read or poll that was answered began. sourceKnowsEras is set
+	// if the node that keeps this one up to date tells the eras of the store apart.
+	eraConfirmedAt  time.Time
+	sourceKnowsEras bool
+	// mayMixEras is set while what this node knows came in part from a node that does not notice a new
+	// era. It may then be a state that the store never had.
+	mayMixEras bool
 	// startup is how the node learns the contents of the store at first, snapshots what it sends to
 	// other nodes that start.
 	startup   startup
@@ -105,6 +112,8 @@
 		c.snapshotReceived(&e.Part)
 	case Invalidated:
 		c.invalidate()
+	case EraSeen:
+		c.eraSeen(e.Era)
 	case KeyProven:
 		c.keyProven(e.Key)
 	case VerifyDone:
@@ -172,7 +181,26 @@
 func (c *Core) hasSnapshotSource() bool { return c.now.Before(c.forwardedUntil) }
 
 // isUpToDate reports whether no call to the store is needed.
-func (c *Core) isUpToDate() bool { return c.isFedByPeer() && !c.gapTooLong && !c.rereadNeeded }
+func (c *Core) isUpToDate() bool {
+	return c.isFedByPeer() && !c.gapTooLong && !c.rereadNeeded && c.now.Before(c.eraCheckDue())
+}
+
+// eraCheckDue returns when the node must ask the store itself whether it is still in the known era:
+// never, unless its source is of a build that does not notice a new era.
+func (c *Core) eraCheckDue() time.Time {
+	if c.sourceKnowsEras {
+		return c.now.Add(eraCheckInterval)
+	}
+	return c.eraConfirmedAt.Add(eraCheckInterval)
+}
+
+// eraSeen handles an era that another call to the store has shown.
+func (c *Core) eraSeen(era keyvalue.Era) {
+	if c.revision == 0 || era <= c.revision.Era() || c.rereadNeeded || c.callInFlight {
+		return
+	}
+	c.rereadNeeded, c.nextCallAt = true, c.now.Add(c.rereadTurn())
+}
 
 // advance applies changes up to the revision and returns those that were unknown and carry news.
 func (c *Core) advance(changes []wire.StoreChange, revision keyvalue.Revision) []wire.StoreChange {
--- a/fleet/feed/events.go
+++ b/fleet/feed/events.go
@@ -54,7 +54,9 @@
 	// Compacted is set if the store has dropped the history that was asked for, TooLong if the
 	// changes have more bytes than the poll allows.
 	Compacted, TooLong bool
-	Err                error
+	// EraEnded is set with Compacted if the store has come back from a copy since that revision.
+	EraEnded bool
+	Err      error
 }
 
 // UpdateReceived is an update from a relay.
@@ -72,6 +74,10 @@
 // Invalidated reports that what is known may be out of date in a way that later changes don't show.
 type Invalidated struct{}
 
+// EraSeen reports the newest era that an answer of the store to any call of this node stated.
+type EraSeen struct{ Era keyvalue.Era }
+
+func (EraSeen) feedEvent()           {}
 func (Tick) feedEvent()              {}
 func (PeersChanged) feedEvent()      {}
 func (ReadDone) feedEvent()          {}
--- a/fleet/feed/proof_test.go
+++ b/fleet/feed/proof_test.go
@@ -37,6 +37,10 @@
 // applyDefect changes a message by the defect that the simulation is to contain, if any.
 func (s *simulation) applyDefect(to *simulatedPeer, event Event) Event {
 	received, isUpdate := event.(UpdateReceived)
+	if u := &received.Update; s.takesAnyEra && isUpdate && u.After.Era() == to.core.Revision().Era() && u.Revision.Era() != u.After.Era() {
+		u.After = to.core.Revision()
+		return received
+	}
 	if !s.trustStatedAges || !isUpdate || received.Update.Proven == 0 {
 		return event
 	}
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -76,12 +76,12 @@
 	for end := nextUpdateLength(changes); end < len(changes) && !whole; end = nextUpdateLength(changes) {
 		next := changes[end-1].Revision
 		updates = append(updates, wire.StoreChanges{
-			From: c.cfg.Self.ID, After: after, Revision: next, Age: incompleteUpdateAge, Changes: changes[:end:end],
+			From: c.cfg.Self.ID, KnowsEras: !c.mayMixEras, After: after, Revision: next, Age: incompleteUpdateAge, Changes: changes[:end:end],
 		})
 		after, changes = next, changes[end:]
 	}
 	return append(updates, wire.StoreChanges{
-		From: c.cfg.Self.ID, After: after, Revision: c.revision, Age: c.now.Sub(c.knownAt), Changes: changes,
+		From: c.cfg.Self.ID, KnowsEras: !c.mayMixEras, After: after, Revision: c.revision, Age: c.now.Sub(c.knownAt), Changes: changes,
 	})
 }
 
@@ -139,12 +139,13 @@
 		c.storeAnswered(read)
 		return
 	}
-	if u.Revision < c.revision {
+	if u.Revision < c.revision || !u.KnowsEras && u.Revision.Era() > 0 {
 		return
 	}
 	c.lastRelayID = u.From
 	if c.tree.isSource(u.From) {
 		c.sourceReadAt = later(c.sourceReadAt, read)
+		c.sourceKnowsEras = u.KnowsEras
 	}
 	if u.After > c.revision || u.Partial && u.Revision > c.revision || c.leadsElsewhere(u) {
 		c.announcedRevision = max(c.announcedRevision, u.Revision)
@@ -156,6 +157,7 @@
 	after := c.revision
 	c.knownAt = later(c.knownAt, read)
 	c.noteEra(after, u.Revision)
+	c.mayMixEras = c.mayMixEras || !u.KnowsEras && u.Revision > after
 	news := c.advance(u.Changes, u.Revision)
 	if c.missesChanges = c.missesChanges && c.revision < c.announcedRevision; c.missesChanges && c.revision > after {
 		// Leave time for the remaining updates of the answer.
@@ -175,13 +177,15 @@
 // not from the revision that this node knows. Such an update states what differs between the two
 // states; it holds for no other state.
 func (c *Core) leadsElsewhere(u *wire.StoreChanges) bool {
-	return u.Revision.Era() != c.revision.Era() && u.After != c.revision
+	return u.Revision.Era() != u.After.Era() && (u.After != c.revision || c.mayMixEras)
 }
 
 // noteEra begins an era in the history if the next revision is of another one than the last.
 func (c *Core) noteEra(last, next keyvalue.Revision) {
 	if last != 0 && last.Era() != next.Era() {
-		c.history.beginEra(next.Era(), last)
+		// Whoever told read the whole store in the new era.
+		c.gapTooLong, c.rereadNeeded = false, false
+		c.history.beginEra(last, next)
 	}
 }
 
--- a/fleet/feed/snapshots.go
+++ b/fleet/feed/snapshots.go
@@ -194,7 +194,7 @@
 	s := &c.snapshots
 	for i, content := range s.packed {
 		c.emit(SendSnapshot{Address: address, Part: wire.StoreSnapshot{
-			From: c.cfg.Self.ID, Revision: s.revision, Age: c.now.Sub(s.knownAt), Part: i, Parts: len(s.packed), Content: content,
+			From: c.cfg.Self.ID, KnowsEras: !c.mayMixEras, Revision: s.revision, Age: c.now.Sub(s.knownAt), Part: i, Parts: len(s.packed), Content: content,
 		}})
 	}
 	if changes, whole := c.history.since(s.revision); whole && c.revision > s.revision {
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -207,7 +207,7 @@
 
 // snapshotPartReceived adds a part, and takes the snapshot once it is complete.
 func (c *Core) snapshotPartReceived(part *wire.StoreSnapshot) {
-	if part.Age > c.cfg.maxSnapshotAge()+packedLifetime {
+	if part.Age > c.cfg.maxSnapshotAge()+packedLifetime || !part.KnowsEras && part.Revision.Era() > 0 {
 		c.startup.phase, c.startup.awaitsAnswer, c.nextCallAt = phaseClaimStarter, false, c.now
 		return
 	}
@@ -225,13 +225,14 @@
 		c.nextCallAt = c.now.Add(c.pollInterval())
 	}
 	c.replace(part.Revision, c.now.Add(-part.Age), pairs)
+	c.sourceKnowsEras, c.mayMixEras = part.KnowsEras, !part.KnowsEras
 	c.emit(ReplaceContents{Revision: part.Revision, Pairs: pairs, From: part.From, Took: took})
 }
 
 // gapSnapshotPartReceived adds a part of a snapshot that replaces the changes that this node
 // misses.
 func (c *Core) gapSnapshotPartReceived(part *wire.StoreSnapshot) {
-	if c.isUpToDate() || part.Revision <= c.revision || part.Age > c.cfg.maxSnapshotAge()+packedLifetime {
+	if !part.KnowsEras && part.Revision.Era() > 0 || c.isUpToDate() || part.Revision <= c.revision || part.Age > c.cfg.maxSnapshotAge()+packedLifetime {
 		return
 	}
 	pairs, whole := c.startup.addPart(part)
@@ -242,6 +243,7 @@
 	c.startup = startup{}
 	c.gapTooLong = false
 	c.replace(part.Revision, c.now.Add(-part.Age), pairs)
+	c.mayMixEras = !part.KnowsEras
 	c.missesChanges = c.revision < c.announcedRevision
 	c.emit(ReplaceContents{Revision: part.Revision, Pairs: pairs, From: part.From})
 }
--- a/keyvalue/kv.go
+++ b/keyvalue/kv.go
@@ -63,6 +63,8 @@
 	// Compacted is true when the requested start revision has been compacted. The watch
 	// has ended, and the reader must read the whole range again.
 	Compacted bool
+	// EraEnded is true with Compacted if the store is in a later era than the requested revision.
+	EraEnded bool
 	// TooLong is true when the changes had more bytes than were asked for.
 	TooLong bool
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -17,7 +17,7 @@
 // To change a message, copy schemas/vN.avsc to the next number, increment VersionCurrent, give
 // every new field a default, and commit the golden messages of the previous version.
 const (
-	VersionCurrent  = 11
+	VersionCurrent  = 12
 	VersionPrevious = VersionCurrent - 1
 	VersionOldest   = 4
 )
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -281,6 +281,9 @@
 	Proven keyvalue.Revision
 	Echo   int64
 	Lead   time.Duration
+	// KnowsEras is set by senders that notice when the store comes back from a copy. Others may go on
+	// from a state that the store has lost.
+	KnowsEras bool
 }
 
 // ClockTold sends a reading of the sender's clock to a node that forwards changes of the store.
@@ -317,6 +320,8 @@
 	Part, Parts int
 	// Content holds the changes of the part, encoded by PackChanges.
 	Content []byte
+	// KnowsEras is as in StoreChanges.
+	KnowsEras bool
 }
 
 // StoreChangesRequest asks a node for the store's changes after a revision, as far as it keeps them.
