Keep what a store that came back from a copy has lost, until it is written again

Cause: after a return of the store, its records of holders, nodes and workers may be missing or older than what is known. They were taken as changes: a worker whose registration was lost got no requests, one that had left was used again, a node whose record was lost noticed at its next renewal, 10 s later. A holder believed in a lease that the store no longer had, while another node could win it, and nothing kept the two apart where engines don't check tokens.

Change: what is read after a return is marked as restored. - Order lease: a renewal that is answered in another era than the record's extends nothing. The last holder's record names its era. A winner in whose era nobody held the lease before waits for half of a lease more: the holder before may have renewed it just before the store went. A holder that lost the record, and wins it again within the lease that it had, goes on. Tokens hold the era, so that they never fall. - Workers: one whose entry is lost is used for 4 s more, one that leaves stays so until its entry changes, one whose entry was gone is used again from the next change of its entry on. - Nodes: one whose record is lost counts for 5 s more, and writes it again in turn with others, 10 ms apart. - Tenants' tickets: none is taken while one of the era before may still hold. - Configuration: another content of the version in force replaces it, unless it was in force before; older versions never. - What other calls of a node show of the era makes it read the store.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -20,7 +20,7 @@
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
 		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
-		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, StoreReadDropped{}, StoreEraChanged{}, LeaseChanged{},
+		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, StoreReadDropped{}, StoreEraChanged{}, StoreRestored{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
@@ -329,6 +329,11 @@
 	Known    keyvalue.Revision `log:"known" doc:"revision up to which changes are known"`
 }
 
+// StoreRestored is written when this node has taken the content of a store that came back from a copy.
+type StoreRestored struct {
+	Revision keyvalue.Revision `log:"revision" doc:"era and revision of the content"`
+}
+
 // StoreEraChanged is written when an answer of the store states another era than the answers before.
 type StoreEraChanged struct {
 	Era    keyvalue.Era `log:"era" doc:"era that the store states, 0 if it states none"`
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -362,6 +362,14 @@
 	return "Written when a full read of the store is dropped because it is older than what this node knows."
 }
 
+// Kind implements Event.
+func (StoreRestored) Kind() string { return "store_restored" }
+
+// Meaning implements Documented.
+func (StoreRestored) Meaning() string {
+	return "Written when this node goes on from the content of a store that came back from a copy, read by itself or by another node."
+}
+
 // Kind implements Event.
 func (StoreEraChanged) Kind() string { return "store_era_changed" }
 
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -66,6 +66,10 @@
 	// of its record.
 	lastHolder         NodeEntry
 	lastHolderRevision keyvalue.Revision
+	// lostToken is the token of the lease that this node lost last, and lostUntil until when that lease
+	// would have lasted.
+	lostToken cluster.FencingToken
+	lostUntil time.Time
 	// cachedRank is the number of nodes that precede this one as candidates; valid while
 	// rankCached is set.
 	cachedRank int
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -14,6 +14,7 @@
 	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/fleet/origins"
 	"github.com/valveslip/valveslip/fleet/pacing"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/reachability"
 	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/routing/poison"
@@ -43,6 +44,11 @@
 	resumptions    *resumptions
 	reporter       demandReporter
 	synced         bool
+	// era is the era of the store that this node has known since eraSince. eraChanged is set once it has
+	// known another one.
+	era        keyvalue.Era
+	eraSince   time.Time
+	eraChanged bool
 	// restarted is set once the store has shown a record of an earlier process of this machine.
 	restarted bool
 	// reportedRouters is the last node count that was sent to the router.
@@ -104,6 +110,8 @@
 		c.controller.lastHolderRead(e)
 	case ReleasesRead:
 		c.releases.storeRead(e)
+	case EraBegan:
+		c.eraBegan(e.Era)
 	case StoreSynced:
 		c.synced = true
 		c.releases.synced()
@@ -137,6 +145,7 @@
 	}
 	c.peerNotifier.tick()
 	c.view.tick()
+	c.dropUnconfirmedNodes()
 	c.nodeLease.tick()
 	c.controller.tick()
 	c.reporter.tick(c)
@@ -302,6 +311,9 @@
 		case lending.TokensDecided:
 			c.gate.handleTokensAnswer(e)
 		case lending.TicketRequested:
+			if c.ticketsLost(e.Lasts) {
+				continue
+			}
 			c.emit(WriteTicket{Key: KeyTickets + strconv.Itoa(e.Shard), Lasts: e.Lasts, Shard: e.Shard, Number: e.Number})
 		case lending.LeaseChanged:
 			c.log(eventlog.LendingChanged{Shard: e.Shard, Held: e.Held, Settled: e.Settled})
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -24,11 +24,16 @@
 // ConfigurationRead delivers a configuration that was read from the store.
 type ConfigurationRead struct{ Compiled *catalog.Compiled }
 
+// Events that deliver records of the store have a field Restored. It is set if the store came back from
+// a copy since the last ones: what the copy lacks may have been lost, and what it has may be outdated.
+// EraBegan follows them.
+
 // WorkersRead delivers machines' entries. With Full, machines that are not listed are gone.
 type WorkersRead struct {
-	Workers []catalog.Worker
-	Gone    []cluster.MachineID
-	Full    bool
+	Workers  []catalog.Worker
+	Gone     []cluster.MachineID
+	Full     bool
+	Restored bool
 	// Restarted are machines of Gone that have started again.
 	Restarted []routing.MachineRestarted
 	// Undecodable are machines whose entries can't be decoded. Such an entry is newer than an entry
@@ -49,15 +54,17 @@
 
 // NodesRead delivers the entries of nodes. With Full, nodes that are not listed are gone.
 type NodesRead struct {
-	Nodes []NodeEntry
-	Gone  []cluster.NodeID
-	Full  bool
+	Nodes    []NodeEntry
+	Gone     []cluster.NodeID
+	Full     bool
+	Restored bool
 }
 
 // HolderRead delivers the record of the order lease. An empty node means that there is no record.
 type HolderRead struct {
-	Node  NodeEntry
-	Token cluster.FencingToken
+	Node     NodeEntry
+	Token    cluster.FencingToken
+	Restored bool
 }
 
 // LastHolderRead delivers the record of the machine that last gave orders.
@@ -91,8 +98,14 @@
 	Undecodable []StoredPoisonRecord
 	Gone        []poison.Fingerprint
 	Full        bool
+	Restored    bool
 }
 
+// EraBegan reports that the store has come back from a copy and that its records were delivered. The
+// records that are known and were not delivered are the same as before, with revisions of the era. At the
+// first read of the store, it reports the era alone.
+type EraBegan struct{ Era keyvalue.Era }
+
 // StoreSynced reports that the whole content of the store has been read.
 type StoreSynced struct{}
 
@@ -155,6 +168,7 @@
 func (PoisonRead) fleetEvent()         {}
 func (StoreWritten) fleetEvent()       {}
 func (TicketWritten) fleetEvent()      {}
+func (EraBegan) fleetEvent()           {}
 func (StoreSynced) fleetEvent()        {}
 func (Paused) fleetEvent()             {}
 func (KeysProven) fleetEvent()         {}
--- a/fleet/fleet_simulation_test.go
+++ b/fleet/fleet_simulation_test.go
@@ -41,6 +41,10 @@
 
 	store     *standin.State
 	storeDown bool
+	// forgetsEras adds a defect: nodes take the last holder for one of the present era.
+	forgetsEras bool
+	// era counts how often the store came back from a copy.
+	era keyvalue.Era
 	// storeRecoveredAt is when the store last came back from an outage.
 	storeRecoveredAt time.Time
 	compiled         *catalog.Compiled
@@ -88,6 +92,9 @@
 	// reachableSince is when the node was started, resumed or last reconnected to the store.
 	reachableSince time.Time
 	tickAt         time.Time
+	// seenEra is the newest era that the store stated to the node, appliedEra that of the content that was
+	// last handed to its core, negative for none.
+	seenEra, appliedEra keyvalue.Era
 	// storeFeed is nil if the node polls the store.
 	storeFeed *nodeFeed
 }
@@ -144,7 +151,7 @@
 // startNode starts a node on a machine. first is true for the first start of the system.
 func (s *simulation) startNode(machine string, first bool) {
 	s.startCount++
-	n := &simulatedNode{machine: machine, id: cluster.NodeID(fmt.Sprintf("%s-%d", machine, s.startCount)), reachableSince: s.now}
+	n := &simulatedNode{machine: machine, id: cluster.NodeID(fmt.Sprintf("%s-%d", machine, s.startCount)), reachableSince: s.now, appliedEra: -1}
 	n.core = New(Config{
 		Self: NodeEntry{ID: n.id, Machine: machine, Address: string(n.id)}, Zone: "z",
 		Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"}, FirstStart: first, FencingEnforced: s.fenced, OrderPause: simulatedOrderPause, Dispatching: s.dispatching,
@@ -178,17 +185,19 @@
 // readStore hands the whole content of the store to a node.
 func (s *simulation) readStore(n *simulatedNode) {
 	s.store.Expire(s.now)
-	workers, nodes, holder := WorkersRead{Full: true}, NodesRead{Full: true}, HolderRead{}
+	restored := n.appliedEra >= 0 && n.appliedEra != s.era
+	workers, nodes, holder := WorkersRead{Full: true, Restored: restored}, NodesRead{Full: true, Restored: restored}, HolderRead{Restored: restored}
 	pairs, revision := s.store.Range(s.now, "")
-	workers.Revision = revision
+	workers.Revision = inEra(revision, s.era)
+	lastHolder := LastHolderRead{}
 	for _, pair := range pairs {
 		switch {
 		case pair.Key == KeyHolder:
 			holder.Node, _ = DecodeNodeEntry(pair.Value)
-			holder.Token = cluster.FencingToken(pair.ModRevision)
+			holder.Token = cluster.FencingToken(inEra(pair.ModRevision, s.era))
 		case pair.Key == KeyLastHolder:
-			last, _ := DecodeNodeEntry(pair.Value)
-			s.step(n, LastHolderRead{Node: last, Revision: pair.ModRevision})
+			lastHolder.Node, _ = DecodeNodeEntry(pair.Value)
+			lastHolder.Revision = inEra(pair.ModRevision, s.era)
 		case len(pair.Key) > len(KeyNodes) && pair.Key[:len(KeyNodes)] == KeyNodes:
 			entry, _ := DecodeNodeEntry(pair.Value)
 			nodes.Nodes = append(nodes.Nodes, entry)
@@ -201,7 +210,15 @@
 	}
 	s.step(n, workers)
 	s.step(n, nodes)
+	if s.forgetsEras {
+		lastHolder.Node.Era = s.era
+	}
+	s.step(n, lastHolder)
 	s.step(n, holder)
+	if first := n.appliedEra < 0; first || restored {
+		n.appliedEra = s.era
+		s.step(n, EraBegan{Era: s.era})
+	}
 	s.step(n, StoreSynced{})
 }
 
@@ -312,7 +329,7 @@
 		return
 	}
 	s.after(3*time.Millisecond, func() {
-		_, err := s.store.Txn(s.now, keyvalue.Transaction{
+		_, err := s.storeTxn(n, keyvalue.Transaction{
 			Compares:   []keyvalue.Compare{{Key: e.Key, ModRevision: e.Revision}},
 			Operations: []keyvalue.Operation{{Key: e.Key, Value: e.Value, Delete: e.Delete}},
 		})
@@ -338,15 +355,16 @@
 	case lease.Grant:
 		answer.Lease, answer.TTL = s.store.Grant(s.now, call.Call.TTL), call.Call.TTL
 	case lease.Txn:
-		answer.Txn, answer.Err = s.store.Txn(s.now, call.Call.Txn)
+		answer.Txn, answer.Err = s.storeTxn(n, call.Call.Txn)
 	case lease.KeepAlive:
 		answer.TTL, answer.Err = s.store.KeepAlive(s.now, call.Call.Lease)
 	case lease.Revoke:
 		answer.Err = s.store.Revoke(s.now, call.Call.Lease)
 	}
-	if answer.Err != nil {
+	if answer.Err != nil && verdict.Of(answer.Err) != verdict.MayHaveRun {
 		answer.Err = verdict.Wrap(answer.Err, verdict.NotRun, verdict.CodeConflict, "refused")
 	}
+	n.seenEra = max(n.seenEra, s.era)
 	if s.random.IntN(20) == 0 {
 		answer = lease.Answer{Err: verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "answer lost")}
 	}
@@ -355,6 +373,7 @@
 
 func (s *simulation) answerLease(n *simulatedNode, call LeaseCall, answer lease.Answer) {
 	if call.Awaited {
+		answer.Era = n.seenEra
 		s.step(n, LeaseAnswered{Record: call.Record, Answer: answer})
 	}
 }
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -36,7 +36,7 @@
 func (c *controller) holderRead(read HolderRead) {
 	c.holderKnown = true
 	if read.Node.ID == c.core.config.Self.ID {
-		c.holder, c.vacantSince = read.Node, time.Time{}
+		c.ownRecordRead(read)
 		return
 	}
 	if c.holder.ID != read.Node.ID {
@@ -54,6 +54,9 @@
 	c.lease.ReplaceRecord(0)
 	switch {
 	case read.Node.ID == "":
+		if read.Restored && c.lease.IsHolder() {
+			c.leaseLost("the store came back without the record")
+		}
 		if c.vacantSince.IsZero() {
 			c.vacantSince = c.core.now
 		}
@@ -66,6 +69,32 @@
 	}
 }
 
+// ownRecordRead handles a record of the order lease that names this node. If the store came back to a
+// time at which this node held the lease, which it no longer does, it replaces the record.
+func (c *controller) ownRecordRead(read HolderRead) {
+	c.holder, c.vacantSince = read.Node, time.Time{}
+	if read.Restored && c.lease.State() == lease.Idle {
+		c.lease.ReplaceRecord(read.Token)
+		c.vacantSince = c.core.now
+	}
+}
+
+// leaseLost ends the term because the lease is gone. It remembers until when nobody else could have had
+// it.
+func (c *controller) leaseLost(cause string) {
+	if c.lease.IsHolder() {
+		c.lostToken, c.lostUntil = c.lease.Token(), c.lease.LeaseStart().Add(c.lease.GrantedTTL())
+	}
+	c.stepDown(cause)
+	c.vacantSince = c.core.now
+}
+
+// eraBegan takes the era that the records were last read in.
+func (c *controller) eraBegan(era keyvalue.Era) {
+	c.lastHolderRevision = inEra(c.lastHolderRevision, era)
+	c.lease.EraBegan(inEra(c.lease.Record(), era))
+}
+
 // lastHolderRead handles the last holder's record and takes over the store capacity that it
 // learned.
 func (c *controller) lastHolderRead(read LastHolderRead) {
@@ -94,16 +123,21 @@
 	if c.lease.Lease() == 0 {
 		// A write whose answer was lost may already have stored this machine as the last holder,
 		// so only the record read before the first attempt counts.
-		c.skipOrderPause = c.sameMachine(c.lastHolder) && c.lastHolder.Acting || c.core.config.FirstStart && c.lastHolderRevision == 0
+		c.skipOrderPause = c.sameMachine(c.lastHolder) && c.lastHolder.Acting && c.lastHolder.Era >= c.core.era || c.isFirstStart()
 	}
 	c.lease.SetExtraPair(lease.ExtraPair{Key: KeyLastHolder, Value: c.lastHolderEntry(c.skipOrderPause), Revision: c.lastHolderRevision})
 	c.lease.Acquire()
 }
 
+// isFirstStart reports whether no node has held the lease before.
+func (c *controller) isFirstStart() bool {
+	return c.core.config.FirstStart && c.lastHolderRevision == 0 && !c.core.eraChanged
+}
+
 // lastHolderEntry returns the record of this machine as the last holder.
 func (c *controller) lastHolderEntry(acting bool) []byte {
 	entry := c.core.config.Self
-	entry.Acting, entry.StoreLoads = acting, c.learnedStoreLoads
+	entry.Acting, entry.StoreLoads, entry.Era = acting, c.learnedStoreLoads, c.core.era
 	return entry.Encode()
 }
 
@@ -111,7 +145,7 @@
 // machine that last gave orders tries at once, since it need not wait out its own orders. All
 // others try by rank. Planning takes processor time, so machines of greater capacity come first.
 func (c *controller) candidacyTime() time.Time {
-	if c.sameMachine(c.lastHolder) {
+	if c.sameMachine(c.lastHolder) || c.core.now.Before(c.lostUntil) {
 		return c.vacantSince
 	}
 	return c.vacantSince.Add(time.Duration(candidacyTurn(c.rank())) * candidacyStep)
@@ -155,29 +189,47 @@
 			c.holderRead(HolderRead{Node: entry, Token: token})
 		}
 	case lease.Expired:
-		c.stepDown("the lease ran out")
-		c.vacantSince = c.core.now
+		c.leaseLost("the lease ran out")
 	case lease.NoAnswer:
 		c.renewAt = c.core.now.Add(c.core.config.HolderTTL / renewalsPerHolderTTL / 2)
 	}
 }
 
-// leaseWon starts the pause before this node's orders. The previous holder gave its last order at
-// most orderShare of the TTL after its last renewal.
+// leaseWon starts the pause before this node's orders.
 func (c *controller) leaseWon() {
 	config := &c.core.config
 	now := c.core.now
 	c.holder, c.vacantSince = config.Self, time.Time{}
 	c.renewAt = now.Add(config.HolderTTL / renewalsPerHolderTTL)
 	c.termBegan = false
-	c.ordersFrom = now
-	if !c.skipOrderPause {
-		sinceLastOrder := time.Duration((1 - orderShare) * float64(config.HolderTTL))
-		c.ordersFrom = now.Add(max(config.OrderPause-sinceLastOrder, 0) + orderPauseMargin)
-	}
+	c.ordersFrom = now.Add(c.orderPause())
 	c.core.log(eventlog.LeaseChanged{Holder: config.Self.ID, Token: c.lease.Token(), Own: true, Cause: "won"})
 }
 
+// orderPause returns the pause between the winning of the lease and the first order. Usually the
+// holder before gave its last order at most orderShare of the TTL after its last renewal. If the store
+// came back from a copy since, the lease of that holder ended early: it may have renewed it just before.
+func (c *controller) orderPause() time.Duration {
+	config := &c.core.config
+	ordering := time.Duration(orderShare * float64(config.HolderTTL))
+	won := keyvalue.Revision(c.lease.Token()).Era()
+	if c.lastHolder.Era < won && !c.isFirstStart() {
+		// Nothing is known of who held the lease in the end of the era before.
+		c.skipOrderPause = false
+	}
+	lostBefore := keyvalue.Revision(c.lostToken).Era() < won && c.core.now.Before(c.lostUntil)
+	switch {
+	case c.skipOrderPause:
+		return 0
+	case c.lastHolder.Era < won && lostBefore:
+		// The pause of the lost term still counts.
+		return max(c.ordersFrom.Sub(c.core.now), 0)
+	case c.lastHolder.Era < won:
+		return ordering + config.OrderPause + orderPauseMargin
+	}
+	return max(config.OrderPause-(config.HolderTTL-ordering), 0) + orderPauseMargin
+}
+
 // orderPauseMargin is added to the pause between the orders of two holders: the pause must not be
 // shorter than Config.OrderPause.
 const orderPauseMargin = 150 * time.Millisecond
@@ -189,7 +241,7 @@
 		c.writeLastHolder()
 	}
 	config := c.plannerConfig()
-	config.EmptyStartBucket = !c.core.config.FirstStart || c.lastHolderRevision != 0
+	config.EmptyStartBucket = !c.core.config.FirstStart || c.lastHolderRevision != 0 || c.core.eraChanged
 	c.planner = placement.NewPlanner(config)
 	c.feedLedger(sequence.TermBegan{Holder: c.core.config.Self.ID, Token: c.lease.Token()})
 	c.planStale = true
@@ -199,7 +251,7 @@
 // lease.
 func (c *controller) writeLastHolder() {
 	c.core.emit(LeaseCall{Record: RecordHolder, Call: lease.Call{Operation: lease.Txn, Txn: keyvalue.Transaction{
-		Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: keyvalue.Revision(c.lease.Token())}},
+		Compares:   []keyvalue.Compare{{Key: KeyHolder, ModRevision: c.lease.Record()}},
 		Operations: []keyvalue.Operation{{Key: KeyLastHolder, Value: c.lastHolderEntry(true)}},
 	}}})
 }
--- a/fleet/node_lease.go
+++ b/fleet/node_lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
 )
 
@@ -89,4 +90,26 @@
 	}
 }
 
+// eraBegan checks whether a restored store has this node's record. A lost record is written again in turn
+// with those of other nodes.
+func (r *nodeLease) eraBegan(era keyvalue.Era) {
+	if !r.lease.IsHolder() {
+		return
+	}
+	nodes, self := &r.core.nodes, r.core.config.Self.ID
+	_, lost := nodes.unconfirmed[self]
+	if _, known := nodes.live[self]; known && !lost {
+		r.lease.EraBegan(inEra(r.lease.Record(), era))
+		return
+	}
+	r.lease.Reset()
+	turn := 0
+	for id := range nodes.unconfirmed {
+		if id < self {
+			turn++
+		}
+	}
+	r.nextCallAt = r.core.now.Add(time.Duration(turn) * nodeRewriteSpacing)
+}
+
 func (r *nodeLease) due() time.Time { return r.nextCallAt }
--- a/fleet/nodeset.go
+++ b/fleet/nodeset.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "github.com/valveslip/valveslip/cluster"
+import (
+	"time"
+
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/keyvalue"
+)
 
 // nodeSet holds the newest record of each machine. The record of a restarted process replaces
 // that of its predecessor, whose lease may not have expired yet.
@@ -8,10 +13,20 @@
 	live map[cluster.NodeID]NodeEntry
 	// machines maps each named machine to its node.
 	machines map[string]cluster.NodeID
+	// unconfirmed are the live nodes whose records the store lost, and until when they count as live.
+	unconfirmed map[cluster.NodeID]time.Time
 }
 
 func newNodeSet() nodeSet {
-	return nodeSet{live: map[cluster.NodeID]NodeEntry{}, machines: map[string]cluster.NodeID{}}
+	return nodeSet{live: map[cluster.NodeID]NodeEntry{}, machines: map[string]cluster.NodeID{}, unconfirmed: map[cluster.NodeID]time.Time{}}
+}
+
+// eraBegan gives the records their revisions in a later era of the store.
+func (s nodeSet) eraBegan(era keyvalue.Era) {
+	for id, entry := range s.live {
+		entry.Revision = inEra(entry.Revision, era)
+		s.live[id] = entry
+	}
 }
 
 // put adds a record unless its machine has a newer one.
@@ -22,10 +37,12 @@
 				return
 			}
 			delete(s.live, id)
+			delete(s.unconfirmed, id)
 		}
 		s.machines[entry.Machine] = entry.ID
 	}
 	s.live[entry.ID] = entry
+	delete(s.unconfirmed, entry.ID)
 }
 
 // remove removes the record of a node.
@@ -34,10 +51,14 @@
 		delete(s.machines, machine)
 	}
 	delete(s.live, id)
+	delete(s.unconfirmed, id)
 }
 
-// clear removes all records.
+// clear removes all records except unconfirmed ones.
 func (s nodeSet) clear() {
-	clear(s.live)
-	clear(s.machines)
+	for id := range s.live {
+		if _, unconfirmed := s.unconfirmed[id]; !unconfirmed {
+			s.remove(id)
+		}
+	}
 }
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -38,6 +38,8 @@
 	// StoreLoads, in the last holder's record, is the learned number of concurrent loads that the
 	// weight store sustains; zero if unknown.
 	StoreLoads int `json:"bears,omitempty"`
+	// Era, in the last holder's record, is the store's era in which it acquired the lease.
+	Era keyvalue.Era `json:"era,omitempty"`
 	// Address is the host:port that accepts messages of other nodes.
 	Address string `json:"address"`
 	// Zone is the zone of the machine, Capacity its processor cores.
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -20,7 +21,11 @@
 // batch holds a set of store changes, grouped by kind. Of several changes to one record the last
 // one counts.
 type batch struct {
-	revision           keyvalue.Revision
+	revision keyvalue.Revision
+	// at is when the changes were applied.
+	at time.Time
+	// restored is set if the store came back from a copy since the content before.
+	restored           bool
 	configuration      *wire.StoreChange
 	workers            orderedMap[cluster.MachineID, catalog.Worker]
 	undecodableWorkers orderedMap[cluster.MachineID, fleet.UndecodableWorker]
@@ -40,19 +45,19 @@
 func (b *batch) workersRead() fleet.WorkersRead {
 	return fleet.WorkersRead{
 		Workers: b.workers.values(), Undecodable: b.undecodableWorkers.values(), Gone: b.removedWorkers,
-		Restarted: b.restarted, Revision: b.revision,
+		Restarted: b.restarted, Revision: b.revision, Restored: b.restored,
 	}
 }
 
 // nodesRead returns the changes to nodes as an event of the core.
 func (b *batch) nodesRead() fleet.NodesRead {
-	return fleet.NodesRead{Nodes: b.nodes.values(), Gone: b.removedNodes}
+	return fleet.NodesRead{Nodes: b.nodes.values(), Gone: b.removedNodes, Restored: b.restored}
 }
 
 // poisonRead returns the changes to poison records, the records of requests that crash machines,
 // as an event of the core.
 func (b *batch) poisonRead() fleet.PoisonRead {
-	return fleet.PoisonRead{Records: b.poison.values(), Undecodable: b.undecodablePoison.values(), Gone: b.removedPoison}
+	return fleet.PoisonRead{Records: b.poison.values(), Undecodable: b.undecodablePoison.values(), Gone: b.removedPoison, Restored: b.restored}
 }
 
 // addChange adds one store change to the batch.
@@ -66,7 +71,7 @@
 	case strings.HasPrefix(pair.Key, codec.WorkersPrefix()):
 		f.addWorkerChange(b, pair)
 	case pair.Key == fleet.KeyHolder:
-		b.holder = &fleet.HolderRead{}
+		b.holder = &fleet.HolderRead{Restored: b.restored}
 		if entry, read := f.nodeEntry(pair); read {
 			b.holder.Node, b.holder.Token = entry, cluster.FencingToken(pair.Revision)
 		}
@@ -170,6 +175,13 @@
 		currentID := f.starts.currentID(name)
 		b.removeWorker(currentID)
 		f.starts.forget(name)
+		if !b.restored {
+			f.gone.add(name, b.at)
+		}
+		return
+	}
+	if f.isGoneBefore(b, name) {
+		f.options.Log.Write(eventlog.WorkerUnreadable{Machine: name, Revision: pair.Revision, Outcome: outcomeIgnored, Cause: errGoneBefore.Error()})
 		return
 	}
 	worker, err := f.filter.decode(name, pair)
@@ -200,6 +212,18 @@
 	b.workers.put(worker.ID, worker)
 }
 
+// isGoneBefore reports whether the entry of a machine, which a restored store has, was gone before. The
+// machine is used again from the next change of its entry on, which then counts even if it repeats this
+// one.
+func (f *follower) isGoneBefore(b *batch, name cluster.MachineID) bool {
+	if !b.restored || !f.gone.includes(name, b.at) {
+		delete(f.gone, name)
+		return false
+	}
+	f.filter.forget(name)
+	return true
+}
+
 // removeWorker adds the removal of a machine to the batch.
 func (b *batch) removeWorker(id cluster.MachineID) {
 	b.undecodableWorkers.remove(id)
--- a/fleet/shell/batch_test.go
+++ b/fleet/shell/batch_test.go
@@ -36,7 +36,7 @@
 		n := &Node{}
 		n.options.Codec = platform.Codec{}
 		n.metrics = newMetrics(prometheus.NewRegistry(), n)
-		f := &follower{Node: n, starts: machineStarts{}, filter: newChangeFilter(platform.Codec{})}
+		f := &follower{Node: n, starts: machineStarts{}, gone: goneWorkers{}, filter: newChangeFilter(platform.Codec{})}
 		var b batch
 		for i, value := range test.values {
 			f.addChange(&b, &wire.StoreChange{Key: platform.PrefixWorkers + "w", Value: []byte(value), Revision: keyvalue.Revision(i + 1), Deleted: value == gone})
--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -64,6 +64,7 @@
 	case lease.Revoke:
 		answer.Err = n.options.Store.Revoke(ctx, call.Lease)
 	}
+	answer.Era = n.options.Store.Era()
 	if answer.Err != nil && ctx.Err() != nil && verdict.Of(answer.Err) == verdict.NotRun && call.Operation == lease.Txn {
 		answer.Err = verdict.Wrap(answer.Err, verdict.NotRun, verdict.CodeUnavailable, "the store can't be reached")
 	}
--- a/fleet/shell/changefilter.go
+++ b/fleet/shell/changefilter.go
@@ -67,6 +67,9 @@
 	return !known || !before.Equal(&w)
 }
 
+// forget makes the next entry of a machine pass the filter.
+func (f *changeFilter) forget(id cluster.MachineID) { delete(f.workers, id) }
+
 // decode decodes a machine's entry. It reuses the result of IsNews if that saw the same revision
 // last.
 func (f *changeFilter) decode(name cluster.MachineID, c *wire.StoreChange) (catalog.Worker, error) {
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"crypto/sha256"
 	"slices"
 	"strings"
 	"sync"
@@ -34,10 +35,16 @@
 	filter *changeFilter
 	// starts are the machine starts that were reported to the fleet.Core.
 	starts machineStarts
+	// gone are the machines whose entries are gone.
+	gone goneWorkers
+	// applied is the revision of the store's content that was last applied.
+	applied keyvalue.Revision
 	// configurationRevision is the revision of the last configuration that was decoded and
 	// compiled.
 	configurationRevision keyvalue.Revision
-	storeLostAt           time.Time
+	// versionContents are the digests of the contents that the version in force has had.
+	versionContents [][sha256.Size]byte
+	storeLostAt     time.Time
 	// storeLostCause is the cause of the last store failure that was logged.
 	storeLostCause string
 	// storeEra is the era of the store that was last logged.
@@ -64,7 +71,7 @@
 
 func newFollower(n *Node) *follower {
 	f := &follower{
-		Node: n, filter: newChangeFilter(n.options.Codec), starts: machineStarts{},
+		Node: n, filter: newChangeFilter(n.options.Codec), starts: machineStarts{}, gone: goneWorkers{},
 		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), resync: make(chan struct{}, 1), peersChanged: make(chan struct{}, 1),
 	}
 	self := &n.options.Core.Self
@@ -105,6 +112,9 @@
 		case <-timer.C:
 		}
 		f.take(event)
+		if era := f.options.Store.Era(); era > f.feed.Revision().Era() {
+			f.stepFeed(feed.EraSeen{Era: era})
+		}
 		f.updateStaleness()
 		if due := f.feed.NextDue(); !due.IsZero() {
 			timer.Reset(max(due.Sub(f.Now()), 0))
@@ -221,7 +231,7 @@
 		f.options.Log.Write(eventlog.DependencyLost{Name: "store history", Cause: "there are more changes than are worth reading"})
 	}
 	done := feed.PollDone{
-		Began: began, Revision: changes.Revision, Compacted: changes.Compacted, TooLong: changes.TooLong, Err: err,
+		Began: began, Revision: changes.Revision, Compacted: changes.Compacted, EraEnded: changes.EraEnded, TooLong: changes.TooLong, Err: err,
 	}
 	for i := range changes.Events {
 		pair := &changes.Events[i].KeyValue
@@ -261,7 +271,7 @@
 
 // replace replaces the node's view of the store by the store's full content.
 func (f *follower) replace(revision keyvalue.Revision, pairs []wire.StoreChange) {
-	batch := batch{revision: revision}
+	batch := batch{revision: revision, at: f.Now(), restored: f.isRestored(revision)}
 	listed := map[cluster.MachineID]bool{}
 	for i := range pairs {
 		f.addChange(&batch, &pairs[i])
@@ -269,11 +279,19 @@
 			listed[f.options.Codec.WorkerID(pairs[i].Key)] = true
 		}
 	}
-	f.starts.retainOnly(listed)
-	holder := fleet.HolderRead{}
+	for _, name := range f.starts.retainOnly(listed) {
+		if !batch.restored {
+			f.gone.add(name, batch.at)
+		}
+	}
+	holder := fleet.HolderRead{Restored: batch.restored}
 	if batch.holder != nil {
 		holder = *batch.holder
 	}
+	lastHolder := fleet.LastHolderRead{}
+	if batch.lastHolder != nil {
+		lastHolder = *batch.lastHolder
+	}
 	f.applyConfiguration(batch.configuration)
 	// Poison records come before the machines: requests may be waiting, and would be sent as soon
 	// as there is a machine.
@@ -287,16 +305,34 @@
 	}
 	f.step(releases)
 	f.step(workers)
-	if batch.lastHolder != nil {
-		f.step(*batch.lastHolder)
-	}
+	f.step(lastHolder)
 	f.step(holder)
+	f.endBatch(&batch)
 	f.step(fleet.StoreSynced{})
 }
 
+// isRestored reports whether the store came back from a copy between the content that was last applied
+// and a revision.
+func (f *follower) isRestored(revision keyvalue.Revision) bool {
+	return f.applied != 0 && f.applied.Era() != revision.Era()
+}
+
+// endBatch tells the core the era of what was applied, if it is another one than before.
+func (f *follower) endBatch(b *batch) {
+	first := f.applied == 0
+	f.applied = b.revision
+	if !first && !b.restored {
+		return
+	}
+	f.step(fleet.EraBegan{Era: b.revision.Era()})
+	if b.restored {
+		f.options.Log.Write(eventlog.StoreRestored{Revision: b.revision})
+	}
+}
+
 // applyChanges applies a list of changes to the node's view of the store.
 func (f *follower) applyChanges(e *feed.Apply) {
-	batch := batch{revision: e.Revision}
+	batch := batch{revision: e.Revision, at: f.Now(), restored: f.isRestored(e.Revision)}
 	for i := range e.Changes {
 		f.addChange(&batch, &e.Changes[i])
 	}
@@ -319,6 +355,7 @@
 	if batch.holder != nil {
 		f.step(*batch.holder)
 	}
+	f.endBatch(&batch)
 }
 
 // notifyPeersChanged requests that the feed is told the live nodes.
@@ -341,6 +378,24 @@
 	return peers
 }
 
+// supersedes reports whether a configuration that was read later than the one in force replaces it. An
+// older version, which a store that came back from a copy may have, never does. Another content of the
+// same version does, unless it was in force before: the store lost the first content, which its author
+// never knew to be taken.
+func (f *follower) supersedes(compiled *catalog.Compiled, value []byte) bool {
+	known := f.compiled.Load()
+	digest := sha256.Sum256(value)
+	switch {
+	case known == nil || compiled.Version > known.Version:
+		f.versionContents = [][sha256.Size]byte{digest}
+		return true
+	case compiled.Version < known.Version || slices.Contains(f.versionContents, digest):
+		return false
+	}
+	f.versionContents = append(f.versionContents, digest)
+	return true
+}
+
 // applyConfiguration puts a configuration in force. If it can't be decoded or compiled, the
 // previous one stays in force.
 func (f *follower) applyConfiguration(pair *wire.StoreChange) {
@@ -359,7 +414,7 @@
 		return
 	}
 	f.configurationRevision = pair.Revision
-	if known := f.compiled.Load(); known != nil && known.Version >= compiled.Version {
+	if !f.supersedes(compiled, pair.Value) {
 		return
 	}
 	// The core must know a service before a request for it can arrive.
--- a/fleet/shell/machinestarts.go
+++ b/fleet/shell/machinestarts.go
@@ -67,11 +67,14 @@
 // one.
 func (s machineStarts) forget(name cluster.MachineID) { delete(s, name) }
 
-// retainOnly removes the machines that a full read of the store did not list.
-func (s machineStarts) retainOnly(listed map[cluster.MachineID]bool) {
+// retainOnly removes the machines that a full read of the store did not list, and returns them.
+func (s machineStarts) retainOnly(listed map[cluster.MachineID]bool) []cluster.MachineID {
+	var removed []cluster.MachineID
 	for name := range s {
 		if !listed[name] {
+			removed = append(removed, name)
 			delete(s, name)
 		}
 	}
+	return removed
 }
--- a/fleet/shell/machinestarts_test.go
+++ b/fleet/shell/machinestarts_test.go
@@ -25,7 +25,7 @@
 	n.options.Codec, n.options.Log = startTimeCodec{}, eventlog.New(io.Discard, eventlog.Options{})
 	n.metrics = newMetrics(prometheus.NewRegistry(), n)
 	n.pool = upstream.NewPool(upstream.Options{Now: time.Now})
-	return &follower{Node: n, starts: machineStarts{}, filter: newChangeFilter(startTimeCodec{})}
+	return &follower{Node: n, starts: machineStarts{}, gone: goneWorkers{}, filter: newChangeFilter(startTimeCodec{})}
 }
 
 // startTimeCodec decodes entries that hold only a machine's start time; zero for none.
--- a/fleet/shell/store_copy_test.go
+++ b/fleet/shell/store_copy_test.go
@@ -144,3 +144,34 @@
 		t.Errorf("the worker that left got %d requests", runs-used)
 	}
 }
+
+// TestSameVersionWithOtherContentReplacesLostOne guards against a change that is not in force because its
+// version was: the store lost a content that its author never knew to be taken, and the next change has
+// the same version. The content before must not come back with another copy.
+func TestSameVersionWithOtherContentReplacesLostOne(t *testing.T) {
+	d := newDeployment(t, withoutLatencyObjective)
+	worker := d.addWorker("p1", plainService, nil)
+	node := d.startNode("n1")
+	served := func(path string) func() bool {
+		return func() bool { return d.serves(node, http.MethodGet, path) }
+	}
+	before := d.store.Copy()
+	d.configure(2, route("lost", "idempotent", plainService, 1, false))
+	d.eventually("the lost content is in force", served("/lost/"))
+	withLost := d.store.Copy()
+	d.loseRevisions(before, func() {
+		d.configure(2, route("kept", "idempotent", plainService, 1, false))
+		d.register(worker)
+	})
+	d.eventually("the other content is in force", served("/kept/"))
+	d.loseRevisions(withLost, func() { d.register(worker) })
+	d.eventually("the worker is used", served("/read/"))
+	for range 20 {
+		if !d.serves(node, http.MethodGet, "/kept/") {
+			t.Fatal("the lost content is in force again")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	d.configure(3)
+	d.eventually("the next version is in force", func() bool { return !d.serves(node, http.MethodGet, "/kept/") })
+}
--- a/fleet/simulated_feed_test.go
+++ b/fleet/simulated_feed_test.go
@@ -79,7 +79,11 @@
 		s.feedEffect(n, effect)
 	}
 	if read, isRead := event.(feed.ReadDone); isRead && read.Err == nil && n.storeFeed.Revision() == read.Revision {
-		s.applyChanges(n, read.Pairs, read.Revision)
+		if s.isRestored(n, read.Revision) {
+			s.replaceContents(n, read.Pairs, read.Revision)
+		} else {
+			s.applyChanges(n, read.Pairs, read.Revision)
+		}
 		s.step(n, StoreSynced{})
 	}
 	due := n.storeFeed.NextDue()
@@ -136,32 +140,40 @@
 
 func (s *simulation) readAll() feed.Event {
 	pairs, revision := s.store.Range(s.now, "")
-	read := feed.ReadDone{Began: s.now, Revision: revision}
+	read := feed.ReadDone{Began: s.now, Revision: inEra(revision, s.era)}
 	for i := range pairs {
-		read.Pairs = append(read.Pairs, changeOf(&pairs[i]))
+		read.Pairs = append(read.Pairs, s.changeOf(&pairs[i]))
 	}
 	return read
 }
 
 func (s *simulation) changesSince(after keyvalue.Revision, began time.Time) feed.Event {
-	batch := s.store.EventsSince(s.now, "", after+1)
-	done := feed.PollDone{Began: began, Revision: batch.Revision, Compacted: batch.Compacted}
+	if after.Era() != s.era {
+		return feed.PollDone{Began: began, Compacted: true, EraEnded: true}
+	}
+	batch := s.store.EventsSince(s.now, "", keyvalue.Revision(after.Counter()+1))
+	done := feed.PollDone{Began: began, Revision: inEra(batch.Revision, s.era), Compacted: batch.Compacted}
 	for i := range batch.Events {
-		change := changeOf(&batch.Events[i].KeyValue)
+		change := s.changeOf(&batch.Events[i].KeyValue)
 		change.Deleted = batch.Events[i].Deleted
 		done.Changes = append(done.Changes, change)
 	}
 	return done
 }
 
-func changeOf(pair *keyvalue.KeyValue) wire.StoreChange {
-	return wire.StoreChange{Key: pair.Key, Value: pair.Value, Revision: pair.ModRevision}
+func (s *simulation) changeOf(pair *keyvalue.KeyValue) wire.StoreChange {
+	return wire.StoreChange{Key: pair.Key, Value: pair.Value, Revision: inEra(pair.ModRevision, s.era)}
 }
 
 // applyChanges hands changes of the store to a node's core.
 func (s *simulation) applyChanges(n *simulatedNode, changes []wire.StoreChange, revision keyvalue.Revision) {
+	restored := s.isRestored(n, revision)
 	for i := range changes {
-		s.applyChange(n, &changes[i], revision)
+		s.applyChange(n, &changes[i], revision, restored)
+	}
+	if n.appliedEra < 0 || restored {
+		n.appliedEra = revision.Era()
+		s.step(n, EraBegan{Era: revision.Era()})
 	}
 	var peers []feed.Peer
 	for _, entry := range n.core.Nodes() {
@@ -171,24 +183,24 @@
 }
 
 // applyPoisonChange hands the record of a poison request to a node's core.
-func (s *simulation) applyPoisonChange(n *simulatedNode, change *wire.StoreChange) {
+func (s *simulation) applyPoisonChange(n *simulatedNode, change *wire.StoreChange, restored bool) {
 	stored, err := DecodePoison(change.Key, change.Value)
 	stored.Revision = change.Revision
 	switch {
 	case change.Deleted:
-		s.step(n, PoisonRead{Gone: []poison.Fingerprint{stored.Record.Content}})
+		s.step(n, PoisonRead{Restored: restored, Gone: []poison.Fingerprint{stored.Record.Content}})
 	case err != nil:
-		s.step(n, PoisonRead{Undecodable: []StoredPoisonRecord{stored}})
+		s.step(n, PoisonRead{Restored: restored, Undecodable: []StoredPoisonRecord{stored}})
 	default:
-		s.step(n, PoisonRead{Records: []StoredPoisonRecord{stored}})
+		s.step(n, PoisonRead{Restored: restored, Records: []StoredPoisonRecord{stored}})
 	}
 }
 
-func (s *simulation) applyChange(n *simulatedNode, change *wire.StoreChange, revision keyvalue.Revision) {
+func (s *simulation) applyChange(n *simulatedNode, change *wire.StoreChange, revision keyvalue.Revision, restored bool) {
 	entry, _ := DecodeNodeEntry(change.Value)
 	switch {
 	case strings.HasPrefix(change.Key, keyEngineEntries):
-		read := WorkersRead{Revision: revision}
+		read := WorkersRead{Revision: revision, Restored: restored}
 		var worker catalog.Worker
 		if change.Deleted {
 			read.Gone = []cluster.MachineID{cluster.MachineID(strings.TrimPrefix(change.Key, keyEngineEntries))}
@@ -197,17 +209,17 @@
 		}
 		s.step(n, read)
 	case strings.HasPrefix(change.Key, KeyPoison):
-		s.applyPoisonChange(n, change)
+		s.applyPoisonChange(n, change, restored)
 	case change.Key == KeyHolder && change.Deleted:
-		s.step(n, HolderRead{})
+		s.step(n, HolderRead{Restored: restored})
 	case change.Key == KeyHolder:
-		s.step(n, HolderRead{Node: entry, Token: cluster.FencingToken(change.Revision)})
+		s.step(n, HolderRead{Node: entry, Token: cluster.FencingToken(change.Revision), Restored: restored})
 	case change.Key == KeyLastHolder:
 		s.step(n, LastHolderRead{Node: entry, Revision: change.Revision})
 	case change.Deleted:
-		s.step(n, NodesRead{Gone: []cluster.NodeID{cluster.NodeID(strings.TrimPrefix(change.Key, KeyNodes))}})
+		s.step(n, NodesRead{Gone: []cluster.NodeID{cluster.NodeID(strings.TrimPrefix(change.Key, KeyNodes))}, Restored: restored})
 	default:
 		entry.Revision = change.Revision
-		s.step(n, NodesRead{Nodes: []NodeEntry{entry}})
+		s.step(n, NodesRead{Nodes: []NodeEntry{entry}, Restored: restored})
 	}
 }
--- a/fleet/store_events.go
+++ b/fleet/store_events.go
@@ -1,16 +1,19 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/valveslip/valveslip/authority/sequence"
 	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet/dispatch"
 	"github.com/valveslip/valveslip/fleet/lending"
 	"github.com/valveslip/valveslip/routing"
 )
 
-// applyConfiguration puts a configuration in force unless the current one is at least as new.
+// applyConfiguration puts a configuration in force unless the current one is newer.
 func (c *Core) applyConfiguration(compiled *catalog.Compiled) {
-	if c.compiled != nil && compiled.Version <= c.compiled.Version {
+	if c.compiled != nil && compiled.Version < c.compiled.Version {
 		return
 	}
 	c.compiled = compiled
@@ -38,21 +41,21 @@
 	if read.Full {
 		gone = c.view.machinesWithoutEntry(&read)
 	}
+	switch {
+	case read.Restored:
+		c.view.unconfirm(gone)
+		gone = nil
+	case read.Full:
+		gone = slices.DeleteFunc(gone, c.view.isUnconfirmed)
+	}
 	for _, restarted := range read.Restarted {
 		c.feedRouter(restarted)
 	}
 	for _, id := range gone {
-		if c.view.endedUnannounced(id) {
-			c.feedRouter(routing.MachineEnded{Machine: id})
-		}
-		c.view.remove(id)
-		c.controller.feedLedger(sequence.MachineGone{Machine: id})
-		if c.dispatchClient != nil {
-			c.dispatchClient.step(dispatch.EngineRemoved{Machine: id})
-			c.dispatchClient.releaseHeldFor(id)
-		}
+		c.removeMachine(id)
 	}
 	for i := range read.Workers {
+		c.view.keepLeaving(&read.Workers[i], &read)
 		if c.view.put(&read.Workers[i], read.Revision) {
 			c.controller.registerMachine(&read.Workers[i])
 		}
@@ -67,9 +70,26 @@
 	}
 }
 
+// removeMachine removes a machine whose entry is gone.
+func (c *Core) removeMachine(id cluster.MachineID) {
+	if c.view.endedUnannounced(id) {
+		c.feedRouter(routing.MachineEnded{Machine: id})
+	}
+	c.view.remove(id)
+	c.controller.feedLedger(sequence.MachineGone{Machine: id})
+	if c.dispatchClient != nil {
+		c.dispatchClient.step(dispatch.EngineRemoved{Machine: id})
+		c.dispatchClient.releaseHeldFor(id)
+	}
+}
+
 // applyNodes applies the entries of nodes.
 func (c *Core) applyNodes(read NodesRead) {
-	if read.Full {
+	switch {
+	case read.Restored:
+		c.unconfirmNodes(&read)
+		read.Gone = nil
+	case read.Full:
 		c.nodes.clear()
 	}
 	for _, id := range read.Gone {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -32,6 +32,8 @@
 	// overrides are replica states reported by the lease holder that an entry may not show yet.
 	overrides    map[replicaKey]replicaOverride
 	nextExpiryAt time.Time
+	// unconfirmed are the machines whose entries the store lost, and until when they are used.
+	unconfirmed map[cluster.MachineID]time.Time
 }
 
 // viewedMachine is a machine's entry together with the replicas that the router knows of it.
@@ -40,6 +42,9 @@
 	// reported are the replicas last passed to the router, sorted by model. A map for each of
 	// 10,000 machines would take 12 MB.
 	reported []wire.ReplicaRecord
+	// leavesUnlisted is set if the machine leaves and a copy that the store came back from shows it as
+	// ready. Until its entry changes, full reads show it so too.
+	leavesUnlisted bool
 }
 
 // replicaKey identifies a replica of a model or adapter on a machine.
@@ -61,6 +66,7 @@
 	return &machineView{
 		core: core, machines: map[cluster.MachineID]*viewedMachine{},
 		sequences: map[cluster.ZoneID]uint64{}, overrides: map[replicaKey]replicaOverride{},
+		unconfirmed: map[cluster.MachineID]time.Time{},
 	}
 }
 
@@ -71,6 +77,7 @@
 		known = &viewedMachine{}
 		v.machines[worker.ID] = known
 	}
+	delete(v.unconfirmed, worker.ID)
 	before := known.worker
 	known.worker = *worker
 	if known.worker.Release == "" && before.ID == worker.ID {
@@ -170,6 +177,7 @@
 		return
 	}
 	delete(v.machines, id)
+	delete(v.unconfirmed, id)
 	v.core.releases.changed(&known.worker, &catalog.Worker{})
 	for key := range v.overrides {
 		if key.machine == id {
@@ -232,6 +240,7 @@
 // tick updates the overrides that are due. A loading adapter counts as loaded from its expected
 // time. An override expires when the entry must have caught up.
 func (v *machineView) tick() {
+	v.dropUnconfirmed()
 	if v.nextExpiryAt.IsZero() || v.core.now.Before(v.nextExpiryAt) {
 		return
 	}
--- a/keyvalue/lease/lease.go
+++ b/keyvalue/lease/lease.go
@@ -36,6 +36,8 @@
 	Lease int64
 	TTL   time.Duration
 	Err   error
+	// Era is the newest era that the store has stated.
+	Era keyvalue.Era
 }
 
 // Store is the part of the key-value service that the calls need.
@@ -111,6 +113,9 @@
 	state State
 	lease int64
 	token cluster.FencingToken
+	// record is the revision of the client's own record in the store's present era. The token is that
+	// of the era in which the record was written.
+	record keyvalue.Revision
 	// leaseStart is the time at which the grant or the last answered renewal was sent. The
 	// lease counts from then, even if its record is written later. renewalSentAt is the
 	// time at which the renewal in progress was sent.
@@ -153,6 +158,17 @@
 // Token returns the fencing token of the client's own record, zero if it holds none.
 func (c *Client) Token() cluster.FencingToken { return c.token }
 
+// Record returns the revision of the client's own record.
+func (c *Client) Record() keyvalue.Revision { return c.record }
+
+// EraBegan tells that the client's own record, unchanged, has the given revision in an era of the store
+// that has begun. A renewal that is answered in an era without the record says nothing of it.
+func (c *Client) EraBegan(record keyvalue.Revision) {
+	if c.IsHolder() {
+		c.record = record
+	}
+}
+
 // Lease returns the identifier of the client's lease, zero if it has none.
 func (c *Client) Lease() int64 { return c.lease }
 
@@ -209,7 +225,7 @@
 func (c *Client) Release() {
 	if c.lease != 0 && c.token != 0 {
 		c.caller.CallWithoutAnswer(Call{Operation: Txn, Txn: keyvalue.Transaction{
-			Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: keyvalue.Revision(c.token)}},
+			Compares:   []keyvalue.Compare{{Key: c.key, ModRevision: c.record}},
 			Operations: []keyvalue.Operation{{Key: c.key, Delete: true}},
 		}})
 		c.caller.CallWithoutAnswer(Call{Operation: Revoke, Lease: c.lease})
@@ -218,7 +234,7 @@
 }
 
 // Reset makes the client Idle without a lease. Answers to calls in progress are ignored.
-func (c *Client) Reset() { c.state, c.lease, c.token = Idle, 0, 0 }
+func (c *Client) Reset() { c.state, c.lease, c.token, c.record = Idle, 0, 0, 0 }
 
 // Answered processes the answer to the call in progress.
 func (c *Client) Answered(answer Answer) Outcome {
@@ -264,8 +280,8 @@
 		if found.Key != c.key {
 			continue
 		}
-		if string(found.Value) == string(c.value) && found.Lease == c.lease {
-			return c.becomeHolder(cluster.FencingToken(found.ModRevision))
+		if string(found.Value) == string(c.value) {
+			return c.ownRecordFound(&found)
 		}
 		c.holder, c.holderToken = found.Value, cluster.FencingToken(found.ModRevision)
 	}
@@ -275,10 +291,27 @@
 }
 
 func (c *Client) becomeHolder(token cluster.FencingToken) Outcome {
-	c.state, c.token, c.replacedToken = Held, token, 0
+	c.state, c.token, c.record, c.replacedToken = Held, token, keyvalue.Revision(token), 0
 	return Acquired
 }
 
+// ownRecordFound handles a record of this client that the store has already. One under another lease is
+// of an earlier time that the store came back to, and is replaced.
+func (c *Client) ownRecordFound(found *keyvalue.KeyValue) Outcome {
+	if found.Lease == c.lease {
+		return c.becomeHolder(cluster.FencingToken(found.ModRevision))
+	}
+	if c.replacedToken == cluster.FencingToken(found.ModRevision) {
+		// The other keys of the transaction kept it from being written.
+		c.replacedToken = 0
+		c.Reset()
+		return HeldByOther
+	}
+	c.replacedToken = cluster.FencingToken(found.ModRevision)
+	c.writeRecord()
+	return NoChange
+}
+
 func (c *Client) handleRenewal(answer Answer) Outcome {
 	if answer.Err == nil && answer.TTL <= 0 || errors.Is(answer.Err, keyvalue.ErrLeaseNotFound) {
 		c.Reset()
@@ -288,6 +321,11 @@
 		c.state = Held
 		return NoAnswer
 	}
-	c.state, c.grantedTTL, c.leaseStart = Held, answer.TTL, c.renewalSentAt
+	c.state = Held
+	if answer.Era > c.record.Era() {
+		// The store came back from a copy, which may lack the record.
+		return NoAnswer
+	}
+	c.grantedTTL, c.leaseStart = answer.TTL, c.renewalSentAt
 	return Renewed
 }
