Keep blocks and pardons of harmful requests that the store has lost

Cause: a stored record that a restored store lacks counted as deleted, which pardons its request, and a record that it has again counted as new, which refuses a request that was pardoned since the copy. Evidence: TestBlocksAndPardonsOutliveLostRecords; without this change the harmful request is accepted after the return.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -27,6 +27,7 @@
 	c.nodes.eraBegan(era)
 	c.nodeLease.eraBegan(era)
 	c.controller.eraBegan(era)
+	c.poison.eraBegan(era)
 }
 
 // inEra returns the revision of an unchanged record in a later era; zero stays zero.
--- a/fleet/poison.go
+++ b/fleet/poison.go
@@ -111,12 +111,16 @@
 	// Their answers are awaited until holdUntil.
 	peersQueried bool
 	holdUntil    time.Time
+	// pardoned are requests whose stored records were deleted, and when. A restored store may have the
+	// records again.
+	pardoned map[poison.Fingerprint]time.Time
 }
 
 func newPoisonSync(core *Core) *poisonSync {
 	return &poisonSync{
 		core: core, reports: map[poison.Fingerprint]*pendingReport{}, writes: map[poison.Fingerprint]*pendingWrite{}, removals: map[poison.Fingerprint]*pendingWrite{},
 		stored: map[poison.Fingerprint]*storedPoison{}, receivedBlocks: map[poison.Fingerprint]bool{}, liftedBlocks: map[poison.Fingerprint]bool{},
+		pardoned: map[poison.Fingerprint]time.Time{},
 	}
 }
 
@@ -280,6 +284,9 @@
 			}
 		}
 	}
+	if read.Restored {
+		s.restored(&read)
+	}
 	var granted, denied []poison.Fingerprint
 	records := make([]poison.Record, 0, len(read.Records))
 	for i := range read.Records {
@@ -296,6 +303,7 @@
 			}
 		}
 		delete(s.writes, content)
+		delete(s.pardoned, content)
 		records = append(records, record.Record)
 	}
 	for i := range read.Undecodable {
@@ -317,6 +325,7 @@
 	for _, content := range read.Gone {
 		if s.stored[content] != nil {
 			delete(s.stored, content)
+			s.notePardon(content)
 			s.core.feedRouter(routing.PoisonPardoned{Content: content})
 		}
 	}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -11,6 +11,8 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/routing/poison"
 	"github.com/valveslip/valveslip/verdict"
 	"github.com/valveslip/valveslip/wire"
 )
@@ -205,3 +207,33 @@
 		t.Error("the machine is used for good")
 	}
 }
+
+// TestBlocksAndPardonsOutliveLostRecords guards against a harmful request that is pardoned because the
+// store lost its record, and against one that is refused again because the store has its record again.
+func TestBlocksAndPardonsOutliveLostRecords(t *testing.T) {
+	s := newPoisonSimulation(3, 4, 3)
+	node := s.nodes[0]
+	ends := []cluster.MachineID{"x", "y", "z"}
+	s.step(node, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: popularContent, Ends: ends}}}})
+	s.runFor(5 * time.Second)
+	withPardoned := s.store.Copy(s.now)
+	s.writeStore(keyvalue.Operation{Key: KeyPoison + popularContent.String(), Delete: true})
+	s.runFor(time.Second)
+	s.step(node, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: harmfulContent, Ends: ends}}}})
+	s.runFor(5 * time.Second)
+	s.store.Restore(s.now, withPardoned)
+	s.era++
+	s.runFor(10 * time.Second)
+	pairs, _ := s.store.Range(s.now, KeyPoison)
+	if len(pairs) != 1 || pairs[0].Key != KeyPoison+harmfulContent.String() {
+		t.Errorf("%d records are in the store: %v", len(pairs), pairs)
+	}
+	for _, n := range s.nodes {
+		if record, _ := n.core.router.PoisonRecord(harmfulContent); !n.core.poison.blocks(&record) {
+			t.Errorf("%s accepts the harmful request", n.id)
+		}
+		if record, _ := n.core.router.PoisonRecord(popularContent); n.core.poison.blocks(&record) {
+			t.Errorf("%s refuses the pardoned request", n.id)
+		}
+	}
+}
