Keep releases that the store has lost while their streams may be resumed

Cause: a restored store may lack the record of a release whose machines are gone. Its streams were then continued at another release by all nodes that had learned of it from the record alone. Change: what the record lacks after a return counts as gone at that moment; the lease holder writes it again. Evidence: TestReleaseThatStoreLostStillCounts, which needs the field of this commit.

--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -154,6 +154,9 @@
 // storeRead handles the record in the store; nil if there is none.
 func (t *releaseTracker) storeRead(read ReleasesRead) {
 	before := t.stored
+	if read.Restored {
+		t.keepLost(before, read.Services)
+	}
 	t.stored, t.storedRevision = read.Services, read.Revision
 	names := slices.Collect(maps.Keys(before))
 	names = slices.AppendSeq(names, maps.Keys(read.Services))
@@ -163,6 +166,19 @@
 	}
 }
 
+// keepLost keeps releases that the record of a restored store lacks, as if their last machine had just
+// gone. The lease holder writes them again.
+func (t *releaseTracker) keepLost(before, restored map[string][]string) {
+	for name, releases := range before {
+		for _, release := range releases {
+			if !slices.Contains(restored[name], release) && t.service(name).machines[release] == 0 {
+				t.service(name).goneAt[release] = t.core.now
+				t.expiresAt = earliest(t.expiresAt, t.core.now.Add(t.retention()))
+			}
+		}
+	}
+}
+
 // synced records that all machines are known.
 func (t *releaseTracker) synced() {
 	if t.observedSince.IsZero() {
@@ -239,6 +255,7 @@
 	Services map[string][]string
 	// Revision is the store revision of the record, zero without one.
 	Revision keyvalue.Revision
+	Restored bool
 }
 
 func (ReleasesRead) fleetEvent() {}
--- a/fleet/releases_test.go
+++ b/fleet/releases_test.go
@@ -99,3 +99,20 @@
 		t.Error("a damaged record is decoded")
 	}
 }
+
+// TestReleaseThatStoreLostStillCounts guards against streams that go on at another release because the store came
+// back without the record that names theirs, whose machines are gone.
+func TestReleaseThatStoreLostStillCounts(t *testing.T) {
+	core, start := newReleaseCore(t), time.Unix(1000, 0)
+	core.Step(start, ReleasesRead{Services: map[string][]string{"s": {"v1", "v2"}}, Revision: 4})
+	core.Step(start, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}, Full: true})
+	core.Step(start, ReleasesRead{Restored: true})
+	core.Step(start.Add(10*time.Second), EraBegan{Era: 1})
+	if !core.releases.mixed("s") {
+		t.Errorf("releases %v after the return", core.releases.releases("s"))
+	}
+	core.Step(start.Add(10*time.Second+releaseMargin), Tick{})
+	if core.releases.mixed("s") {
+		t.Errorf("releases %v after its streams have ended", core.releases.releases("s"))
+	}
+}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -299,7 +299,7 @@
 	poisoned.Full, nodes.Full, workers.Full = true, true, true
 	f.step(poisoned)
 	f.step(nodes)
-	releases := fleet.ReleasesRead{}
+	releases := fleet.ReleasesRead{Restored: batch.restored}
 	if batch.releases != nil {
 		releases = *batch.releases
 	}
