Write blocks again that the store acknowledged and lost before anyone had read them

Cause: after a return only blocks that were known to be stored were written again. This one was acknowledged within the 0.6 s between two returns, and no node had read it. Node 1 alone knew it, so nobody could claim a probe. Change: after a return, a node writes each block that it knows, that the store lacks and that it does not write already. Evidence: TestBlockThatNobodyReadIsWrittenAgain, 0 records in the store before, 1 now. Class: an acknowledgement that is taken for good; the other records are compared with what is known at each read. The comment of unconfirmedMachineTime gives its reason again, which internal/constants asks for.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// unconfirmedMachineTime is how long a machine is used whose entry a restored store lacks. Machines
-	// write their entries again within a heartbeat of about a second, and an entry ends after three.
+	// unconfirmedMachineTime is how long a machine is used whose entry a restored store lacks: machines
+	// write their entries with each heartbeat, about one a second, and an entry ends after three.
 	unconfirmedMachineTime = 4 * time.Second
 	// unconfirmedNodeTime is how long a node counts as live whose record a restored store lacks: 340
 	// nodes write theirs again within 3.4 s.
--- a/fleet/poison_restored.go
+++ b/fleet/poison_restored.go
@@ -36,15 +36,18 @@
 }
 
 // restored prepares the records of a store that came back from a copy. Blocks that it lost are written
-// again, and records of requests that were pardoned since the copy are deleted again.
+// again, also those whose write it had acknowledged and nobody had read yet. Records of requests that were
+// pardoned since the copy are deleted again.
 func (s *poisonSync) restored(read *PoisonRead) {
 	for _, content := range read.Gone {
-		if s.stored[content] != nil {
-			delete(s.stored, content)
+		delete(s.stored, content)
+	}
+	read.Gone = nil
+	for _, content := range s.core.router.BlockedContents() {
+		if s.stored[content] == nil && s.writes[content] == nil && !read.includes(content) {
 			s.writeAgain(content)
 		}
 	}
-	read.Gone = nil
 	read.Records = slices.DeleteFunc(read.Records, func(stored StoredPoisonRecord) bool {
 		content := stored.Record.Content
 		at, pardoned := s.pardoned[content]
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -237,3 +237,22 @@
 		}
 	}
 }
+
+// TestBlockThatNobodyReadIsWrittenAgain guards against a block that only its node knows: the store
+// acknowledged its record, and came back from a copy before any node had read it.
+func TestBlockThatNobodyReadIsWrittenAgain(t *testing.T) {
+	s := newPoisonSimulation(3, 1, 3)
+	node := s.nodes[0]
+	before := s.store.Copy(s.now)
+	s.step(node, RoutingInput{Event: routing.PoisonLearned{Records: []poison.Record{{Content: harmfulContent, Ends: []cluster.MachineID{"x", "y", "z"}}}}})
+	s.runFor(10 * time.Millisecond)
+	if pairs, _ := s.store.Range(s.now, KeyPoison); len(pairs) != 1 || node.core.poison.stored[harmfulContent] != nil || node.core.poison.writes[harmfulContent] != nil {
+		t.Fatalf("%d records are in the store, or the node has read them or still writes", len(pairs))
+	}
+	s.store.Restore(s.now, before)
+	s.era++
+	s.runFor(10 * time.Second)
+	if pairs, _ := s.store.Range(s.now, KeyPoison); len(pairs) != 1 {
+		t.Errorf("%d records are in the store", len(pairs))
+	}
+}
--- a/routing/poison/table.go
+++ b/routing/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
@@ -383,6 +384,18 @@
 	return known.Record, true
 }
 
+// BlockedContents returns the contents that are blocked, in ascending order.
+func (t *Table) BlockedContents() []Fingerprint {
+	var blocked []Fingerprint
+	for content, known := range t.entries {
+		if !known.blockedSince.IsZero() {
+			blocked = append(blocked, content)
+		}
+	}
+	slices.SortFunc(blocked, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return blocked
+}
+
 // Counts returns the number of suspected requests that are not blocked, and of blocked ones.
 func (t *Table) Counts() (suspected, blocked int) {
 	for _, known := range t.entries {
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -218,5 +218,8 @@
 	return r.poison.Record(content)
 }
 
+// BlockedContents returns the contents that are blocked, in ascending order.
+func (r *Router) BlockedContents() []poison.Fingerprint { return r.poison.BlockedContents() }
+
 // NeedsFingerprint reports whether the fingerprint of a request with this head is needed now.
 func (r *Router) NeedsFingerprint(head poison.Head) bool { return r.poison.KnowsHead(head) }
