Let a holder whose lease had run out win it anew after the store came back to its record

Cause: a node that was cut off for longer than its lease, while another one won it, found its own record in the copy and went on at once, under its old token. Change: such a node replaces its record under a new token, and waits as a winner does whose predecessor is of the era before.

--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/keyvalue/lease"
@@ -92,7 +93,14 @@
 // eraBegan takes the era that the records were last read in.
 func (c *controller) eraBegan(era keyvalue.Era) {
 	c.lastHolderRevision = inEra(c.lastHolderRevision, era)
-	c.lease.EraBegan(inEra(c.lease.Record(), era))
+	record := inEra(c.lease.Record(), era)
+	if c.lease.IsHolder() && !c.core.now.Before(c.lease.LeaseStart().Add(c.lease.GrantedTTL())) {
+		// Another node may have held the lease before the store went back to this node's record.
+		c.leaseLost("the lease had run out when the store came back")
+		c.lease.ReplaceRecord(cluster.FencingToken(record))
+		return
+	}
+	c.lease.EraBegan(record)
 }
 
 // lastHolderRead handles the last holder's record and takes over the store capacity that it
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -256,3 +256,39 @@
 		t.Errorf("%d records are in the store", len(pairs))
 	}
 }
+
+// TestHolderOfTheCopyWaitsForTheHolderAfterIt guards against orders of two machines in turn: a node that was
+// cut off lost the lease to another one, and finds its own record in the copy that the store came back from.
+func TestHolderOfTheCopyWaitsForTheHolderAfterIt(t *testing.T) {
+	ordered := 0
+	for seed := range uint64(20) {
+		s := newSimulation(seed, 2, 3)
+		s.fenced = false
+		for _, n := range s.nodes {
+			n.core.config.FencingEnforced = false
+		}
+		s.after(time.Second, func() { s.askPeriodically(120 * time.Millisecond) })
+		s.runFor(6 * time.Second)
+		index := slices.IndexFunc(s.nodes, func(n *simulatedNode) bool { return n.core.HoldsOrderLease() })
+		if index < 0 {
+			t.Fatalf("seed %d: nobody holds the lease", seed)
+		}
+		first, second := s.nodes[index], s.nodes[1-index]
+		taken := s.store.Copy(s.now)
+		first.cutOff = true
+		s.runFor(8 * time.Second)
+		if second.core.HoldsOrderLease() {
+			ordered++
+		}
+		s.store.Restore(s.now, taken)
+		s.era++
+		first.cutOff, first.reachableSince = false, s.now
+		s.runFor(10 * time.Second)
+		for _, violation := range s.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+	if ordered == 0 {
+		t.Error("the second node never held the lease")
+	}
+}
