--- a/fleet/feed/doc.go
+++ b/fleet/feed/doc.go
@@ -18,6 +18,10 @@
 // complete. A receiver takes it only if it knows everything up to the first of these revisions, and
 // requests the missing changes otherwise.
 //
+// The store may come back from a copy that lacks its last changes, in a new era. The first node that
+// notices reads it, and forwards what differs from the last known state of the era before, which only
+// nodes in that state take. The others request a snapshot or read the store when their turn comes.
+//
 // A node that starts reads the store if one page holds everything. Otherwise one node of its zone,
 // the starter, reads the store, and the others take a snapshot from it.
 package feed
