Prove callers' keys by the same configuration after a return of the store

Cause: a pair that is the same in the new era has another revision there. Nodes that learn from others knew it under the old one, so that neither the proofs of others nor a call of their own proved anything. Change: what leads to a new era gives all known values their revisions there, and the configuration that was last decoded the revision that the store's has.

--- a/fleet/feed/contents.go
+++ b/fleet/feed/contents.go
@@ -59,8 +59,22 @@
 
 func (c *contents) isEmpty() bool { return c.revision == 0 }
 
+// moveTo gives the values their revisions in a later era of the store. Those that are not the same there
+// are replaced by the changes that lead to the era.
+func (c *contents) moveTo(era keyvalue.Era) {
+	for key, known := range c.keys {
+		if moved, err := keyvalue.NewRevision(era, known.revision.Counter()); err == nil {
+			known.revision = moved
+			c.keys[key] = known
+		}
+	}
+}
+
 // applyChanges applies changes that bring the contents up to the revision.
 func (c *contents) applyChanges(changes []wire.StoreChange, revision keyvalue.Revision) {
+	if c.revision != 0 && c.revision.Era() != revision.Era() {
+		c.moveTo(revision.Era())
+	}
 	c.revision = revision
 	for i := range changes {
 		if changes[i].Deleted {
--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -141,6 +141,9 @@
 // Revision returns the revision up to which all changes are known.
 func (c *Core) Revision() keyvalue.Revision { return c.revision }
 
+// RevisionOf returns the revision of the newest known value of a key, zero for none.
+func (c *Core) RevisionOf(key string) keyvalue.Revision { return c.contents.keys[key].revision }
+
 // KnownAt returns the time at which what the node knows was read from the store, by itself or by a
 // peer: all of the store's changes up to then are known. Zero before the first read.
 func (c *Core) KnownAt() time.Time { return c.knownAt }
--- a/fleet/feed/proof_test.go
+++ b/fleet/feed/proof_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"testing"
@@ -20,13 +21,18 @@
 )
 
 // verify returns the store's answer to a Verify.
-func (s *simulation) verify(e Verify, began time.Time) Event {
+func (s *simulation) verify(p *simulatedPeer, e Verify, began time.Time) Event {
+	era := s.eraFor(p)
+	if e.Revision.Era() != era {
+		return VerifyDone{Began: began, Err: errors.New("another era")}
+	}
 	newest := wire.StoreChange{}
 	for _, c := range s.store.changes {
 		if c.Key == e.Key {
 			newest = c
 		}
 	}
+	newest.Revision = inEra(era, newest.Revision)
 	done := VerifyDone{Began: began, Revision: e.Revision}
 	if newest.Revision != e.Revision {
 		done.Found = &newest
--- a/fleet/feed/restore_test.go
+++ b/fleet/feed/restore_test.go
@@ -164,3 +164,25 @@
 		t.Error(violation)
 	}
 }
+
+// TestProofsGoOnAfterReturn guards against callers with keys who are refused after a return of the store:
+// the value that proves their keys is the same in the new era, and nobody writes it again.
+func TestProofsGoOnAfterReturn(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newSimulationInZones(seed, 0, 1)
+		s.keyToProve = "proven"
+		s.write(s.keyToProve)
+		for i := range 2 + int(seed) {
+			s.startNode(i)
+		}
+		s.announcePeers()
+		s.runFor(8 * time.Second)
+		s.restoreStore(100*time.Millisecond, 50*time.Millisecond)
+		s.runFor(6 * time.Second)
+		for _, p := range s.peers {
+			if age := s.clock(p).Sub(p.core.proof.provenAt); age > maxFedProofAge+time.Second {
+				t.Errorf("seed %d: the proof of %s is %s old", seed, p.ID, age)
+			}
+		}
+	}
+}
--- a/fleet/feed/simulation_test.go
+++ b/fleet/feed/simulation_test.go
@@ -270,7 +270,7 @@
 	case Verify:
 		p.verifies++
 		began := s.clock(p)
-		s.callStore(p, func() Event { return s.verify(e, began) }, func(err error) Event { return VerifyDone{Began: began, Err: err} })
+		s.callStore(p, func() Event { return s.verify(p, e, began) }, func(err error) Event { return VerifyDone{Began: began, Err: err} })
 	case SendClock:
 		s.deliver(p, e.Address, ClockReceived{Told: e.Told})
 	}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -329,6 +329,7 @@
 	}
 	f.step(fleet.EraBegan{Era: b.revision.Era()})
 	if b.restored {
+		f.configurationRevision = f.feed.RevisionOf(f.options.Codec.ConfigurationKey())
 		f.options.Log.Write(eventlog.StoreRestored{Revision: b.revision})
 	}
 }
--- a/fleet/shell/store_copy_test.go
+++ b/fleet/shell/store_copy_test.go
@@ -175,3 +175,31 @@
 	d.configure(3)
 	d.eventually("the next version is in force", func() bool { return !d.serves(node, http.MethodGet, "/kept/") })
 }
+
+// TestCallersWithKeysAreServedAfterReturn guards against callers with keys who are refused after the store
+// came back with the configuration in force: its revision is another one in the new era, which nodes that
+// learn from others did not know.
+func TestCallersWithKeysAreServedAfterReturn(t *testing.T) {
+	d := newKeyedDeployment(t)
+	d.addWorker("p1", plainService, nil)
+	var nodes []*shell.Node
+	for _, id := range []string{"n1", "n2", "n3", "n4", "n5"} {
+		nodes = append(nodes, d.startNode(id, withKeyProof))
+	}
+	served := func(node *shell.Node) bool {
+		return d.call(node, http.MethodGet, "/read/", "b", withKey("clinic-1")).status == http.StatusOK
+	}
+	for _, node := range nodes {
+		d.eventually("the caller is served", func() bool { return served(node) })
+	}
+	d.loseRevisions(d.store.Copy(), func() {})
+	time.Sleep(2 * maxKeyProofAge)
+	for i, node := range nodes {
+		d.eventually("a caller is served after the return", func() bool { return served(node) })
+		for range 10 {
+			if !served(node) {
+				t.Errorf("node %d refuses the caller", i+1)
+			}
+		}
+	}
+}
