Count full reads after a return in fleets of all sizes; suspend machines beside returns

Change: twelve plays each with 99, 295 and 340 nodes, against three reads for each relay, and 80 plays with suspended machines beside returns. With suspended machines no order is unsafe, fenced or not; clocks that stop in suspension are found.

--- a/fleet/feed/restore_test.go
+++ b/fleet/feed/restore_test.go
@@ -186,3 +186,24 @@
 		}
 	}
 }
+
+// TestFullReadsAfterReturnAreFewAtEachSize guards against the same in fleets of other sizes and in other
+// plays: nodes that know another state than the one that first reads can't take what differs.
+func TestFullReadsAfterReturnAreFewAtEachSize(t *testing.T) {
+	for _, size := range []struct{ nodes, zones int }{{99, 3}, {295, 5}, {295, 18}, {340, 18}} {
+		t.Run(fmt.Sprintf("%d nodes in %d zones", size.nodes, size.zones), func(t *testing.T) {
+			for seed := range uint64(12) {
+				s := newSimulationInZones(seed, size.nodes, size.zones)
+				s.runFor(10 * time.Second)
+				s.restoreStore(2*time.Second, time.Second)
+				s.runFor(3 * time.Second)
+				before, calls := s.fullReads, s.totalCalls()
+				s.runFor(5 * time.Second)
+				relays := size.zones * s.peers[0].core.cfg.relayCount(size.nodes/size.zones)
+				if reads := s.fullReads - before; reads > 3*relays {
+					t.Errorf("seed %d: %d full reads and %d calls with %d relays", seed, reads, s.totalCalls()-calls, relays)
+				}
+			}
+		})
+	}
+}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -292,3 +292,32 @@
 		t.Error("the second node never held the lease")
 	}
 }
+
+// TestOrdersAreSafeWithSuspensionsAfterStoreLosesRecords guards against two machines that order in turn
+// where machines are suspended, most often the holder's, while the store comes back from copies. Clocks that
+// stop in suspension show that the check fails.
+func TestOrdersAreSafeWithSuspensionsAfterStoreLosesRecords(t *testing.T) {
+	play := func(seed uint64, fenced, clocksStop bool) []string {
+		s := newRestoringSimulation(seed, fenced)
+		s.clocksStopInSuspension = clocksStop
+		if seed%2 == 1 {
+			s.followStoreByFeeds(3)
+		}
+		s.after(time.Second, func() { s.askPeriodically(120 * time.Millisecond) })
+		s.after(3*time.Second, s.suspendMachines)
+		s.runFor(60 * time.Second)
+		return s.violations
+	}
+	found := false
+	for seed := range uint64(40) {
+		for _, fenced := range []bool{true, false} {
+			for _, violation := range play(seed, fenced, false) {
+				t.Errorf("fenced=%t, seed %d: %s", fenced, seed, violation)
+			}
+		}
+		found = found || len(play(seed, false, true)) > 0
+	}
+	if !found {
+		t.Error("clocks that stop in suspension break nothing")
+	}
+}
