--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -136,7 +136,7 @@
 	n.command = exec.Command("target/valveslip", "node", "--platform")
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + path}
 	n.command.Stdout, n.command.Stderr = output, output
-	n.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	n.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
 		return nil, err
 	}
@@ -178,7 +178,6 @@
 func (d *deployment) close() {
 	close(d.done)
 	for _, n := range d.nodes {
-		_ = n.command.Process.Signal(syscall.SIGCONT)
 		_ = n.command.Process.Kill()
 		_ = n.command.Wait()
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -4,9 +4,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"time"
 )
 
+// init keeps main on the thread that starts the nodes: the kernel ends them when that thread ends.
+func init() { runtime.LockOSThread() }
+
 // The exit codes of a script.
 const (
 	exitBroken = 1
