Log whether a send continues a stream at the release where it began

Hypotheses: (1) the entry of the machine is older than the process that listens at its address; (2) the pin is lost between the cut and the continuation; (3) the entry has been read, but the router compares an older release.

--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -49,6 +49,7 @@
 	Attempt    cluster.Attempt   `log:"attempt" doc:"number of the dispatch, from 1"`
 	Machine    cluster.MachineID `log:"machine" doc:"machine it is sent to"`
 	Release    string            `log:"release,omitempty" doc:"version of the machine's software"`
+	Pinned     bool              `log:"pinned,omitempty" doc:"whether its stream began at that version, so that no other may run it"`
 	Waited     time.Duration     `log:"waited_ms" doc:"time in the queue so far"`
 	Expected   time.Duration     `log:"expected_ms" doc:"expected wait at the machine"`
 	InFlight   int               `log:"in_flight" doc:"requests of this node at the machine"`
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -154,7 +154,7 @@
 
 func (e *exchange) logSent(decision *routing.Dispatch) {
 	sent := eventlog.RequestSent{
-		Request: e.id, Attempt: decision.Attempt, Machine: decision.Machine, Release: decision.Release, Waited: decision.Reason.Waited,
+		Request: e.id, Attempt: decision.Attempt, Machine: decision.Machine, Release: decision.Release, Pinned: decision.Pinned, Waited: decision.Reason.Waited,
 		Compared: len(decision.Reason.Candidates), After: e.lastEventID, Held: decision.Reason.Held,
 		By: decision.Reason.Forecast.Dispatcher, Read: decision.Reason.Forecast.Read, Kept: decision.Reason.Forecast.Kept,
 		Speed: decision.Reason.Forecast.Speed, Foreseen: decision.Reason.Forecast.Expected, Background: decision.Reason.Forecast.Background,
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -116,7 +116,7 @@
 	decided := Dispatch{
 		Request: ready.ID, Attempt: ready.attempt,
 		Machine: machine.id, Address: machine.address,
-		Model: ready.Model, Version: chosen.version, Release: ready.attemptRelease,
+		Model: ready.Model, Version: chosen.version, Release: ready.attemptRelease, Pinned: ready.Pinned,
 		Deadline: time.Unix(0, ready.deadline), Final: !ready.retryAllowed(), Reason: reason,
 		Limited: machine.turns.limited, Probe: ready.probe,
 	}
--- a/routing/events.go
+++ b/routing/events.go
@@ -262,6 +262,8 @@
 	Model   cluster.ModelID
 	// Version is that of the replica, Release that of the machine's software.
 	Version, Release string
+	// Pinned is set if only machines of Release may run the request, because its stream began there.
+	Pinned bool
 	// Deadline is the time at which the attempt must be given up.
 	Deadline time.Time
 	// Final is true when no retry is allowed after a failure that may have run, so that giving this
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -80,7 +80,7 @@
 	placed.dispatched = r.nanos
 	r.emit(Dispatch{
 		Request: placed.ID, Attempt: placed.attempt,
-		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version, Release: placed.attemptRelease,
+		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version, Release: placed.attemptRelease, Pinned: placed.Pinned,
 		Deadline: time.Unix(0, placed.deadline), Final: !placed.retryAllowed(),
 		Limited: placed.machine.turns.limited, Probe: placed.probe,
 		Reason: Choice{
