Keep streams of a worker that starts again with the same software version

What callers saw: a stream whose worker crashed and started again with the same version was cut although the worker served on, if the node still waited out its back-off when it read the new entry.

Cause: applyWorkers removed the machine of the earlier start first and added the later one afterwards. A pinned stream that waited in between had no machine of its release left and was ended at once (releaseRefusal).

Change: the end of the earlier start is still reported first, since it may be evidence against requests that wait, but the earlier start is removed only once the later one is known.

--- a/fleet/store_events.go
+++ b/fleet/store_events.go
@@ -51,8 +51,14 @@
 	for _, restarted := range read.Restarted {
 		c.feedRouter(restarted)
 	}
+	for _, restarted := range read.Restarted {
+		c.reportEnd(restarted.Before)
+	}
 	for _, id := range gone {
-		c.removeMachine(id)
+		if !isRestarted(read.Restarted, id) {
+			c.reportEnd(id)
+			c.removeMachine(id)
+		}
 	}
 	for i := range read.Workers {
 		c.view.keepLeaving(&read.Workers[i], &read)
@@ -63,6 +69,10 @@
 			c.dispatchClient.releaseHeldFor(read.Workers[i].ID)
 		}
 	}
+	for _, restarted := range read.Restarted {
+		// A stream that waits for a machine of its release must not miss one in between.
+		c.removeMachine(restarted.Before)
+	}
 	for i := range read.Undecodable {
 		if changed := c.view.markUndecodable(&read.Undecodable[i], read.Revision); changed != nil {
 			c.controller.registerMachine(changed)
@@ -70,11 +80,20 @@
 	}
 }
 
-// removeMachine removes a machine whose entry is gone.
-func (c *Core) removeMachine(id cluster.MachineID) {
+// isRestarted reports whether a machine has started again.
+func isRestarted(restarted []routing.MachineRestarted, id cluster.MachineID) bool {
+	return slices.ContainsFunc(restarted, func(r routing.MachineRestarted) bool { return r.Before == id })
+}
+
+// reportEnd reports to the router that a machine whose entry is gone has ended, unless it had announced that.
+func (c *Core) reportEnd(id cluster.MachineID) {
 	if c.view.endedUnannounced(id) {
 		c.feedRouter(routing.MachineEnded{Machine: id})
 	}
+}
+
+// removeMachine removes a machine whose entry is gone.
+func (c *Core) removeMachine(id cluster.MachineID) {
 	c.view.remove(id)
 	c.controller.feedLedger(sequence.MachineGone{Machine: id})
 	if c.dispatchClient != nil {
--- a/fleet/view_restored.go
+++ b/fleet/view_restored.go
@@ -30,6 +30,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.unconfirmed)) {
 		if !v.core.now.Before(v.unconfirmed[id]) {
+			v.core.reportEnd(id)
 			v.core.removeMachine(id)
 		}
 	}
