Send streams that may be continued only to the start of a machine that is meant

A worker crashes and listens again at its address, under its ID, with the next version; the streams that wait for a worker of the earlier version are sent to it.

Cause: a stream is pinned to the release of the machine's entry as last read. That entry is of the earlier start for up to 400 ms, and for as long as the store is away or refuses the node; the later start shares the ID, so that it can't reject the request. The same belief notes the release of a stream that begins at the later start as that of the earlier one, so that it goes on elsewhere at another release.

Change: a connection belongs to one process. Where the release matters (the stream is pinned, the service has several releases, the machine may have ended since its entry was read, or the view of the store is stale), the Dispatch names the start that must answer, and the connection is asked for its start (the report's born) before the stream is sent on it; the answer is kept with the connection. If another start answers, nothing is sent, and its release counts as one of its own until its entry is read: pinned streams wait for that, new ones may begin there. Peers that send for a node without a path check too, at a path of their own that earlier builds don't know. Machines that close the connection after the answer are asked on one connection beside another; machines that state no start take pinned streams on connections that are older than what was read of the store since. Streams that were sent unchecked to a machine whose entry then turns out to be replaced by one of another release go on nowhere.

Why this works: the answer and the stream take the same connection, so that no crash, freeze or slow answer fits between the proof and the send.

One release: no question (TestNoQuestionWhileServiceHasOneRelease).

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -18,8 +18,8 @@
 func All() []Documented {
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
-		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
-		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
+		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, MachineStartChecked{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
+		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, MachineStartUnlisted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, StoreReadDropped{}, StoreEraChanged{}, StoreRestored{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
@@ -172,6 +172,14 @@
 	Revision keyvalue.Revision `log:"revision" doc:"revision of the store"`
 }
 
+// MachineStartUnlisted is written when a start of a worker answers for the first time whose entry is not read yet.
+type MachineStartUnlisted struct {
+	Machine cluster.MachineID `log:"machine" doc:"start that the entry is of"`
+	Found   cluster.MachineID `log:"found" doc:"start that answers"`
+	Service string            `log:"service" doc:"service"`
+	Release string            `log:"release" doc:"version of the software in the entry"`
+}
+
 // WorkerGone is written when a worker's registry entry was deleted, or when another worker
 // answers at its address.
 type WorkerGone struct {
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -122,6 +122,14 @@
 	return "Written when a worker's entry is that of a later start under the same id."
 }
 
+// Kind implements Event.
+func (MachineStartUnlisted) Kind() string { return "machine_start_unlisted" }
+
+// Meaning implements Documented.
+func (MachineStartUnlisted) Meaning() string {
+	return "Written when a start of a worker answers for the first time whose entry is not read yet. Until then its version counts as one of its own, and worker_restarted follows."
+}
+
 // Kind implements Event.
 func (WorkerLeaving) Kind() string { return "worker_leaving" }
 
--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -66,6 +66,20 @@
 	Probe      bool              `log:"probe,omitempty" doc:"whether it is a blocked request that is sent once more as a probe"`
 }
 
+// MachineStartChecked is written when a machine was asked which of its starts answers on a connection, before a
+// stream is sent on it, or when the start known of the connection is not the one that was meant.
+type MachineStartChecked struct {
+	Request   cluster.RequestID `log:"request" doc:"request id"`
+	Attempt   cluster.Attempt   `log:"attempt" doc:"number of the dispatch"`
+	Machine   cluster.MachineID `log:"machine" doc:"start of the machine that is meant"`
+	Found     cluster.MachineID `log:"found,omitempty" doc:"start that answers"`
+	Outcome   string            `log:"outcome" doc:"confirmed: the start that is meant answers; other: another one; unstated: the machine answered without saying; unanswered: no answer, nothing was sent"`
+	Questions int               `log:"questions" doc:"connections on which the machine was asked, 0 where it was known"`
+	Fresh     bool              `log:"fresh" doc:"whether the last of them was opened for this attempt"`
+	Took      time.Duration     `log:"took_ms" doc:"how long that was"`
+	Cause     string            `log:"cause,omitempty" doc:"why there was no answer"`
+}
+
 // AttemptEnded is written when an attempt has ended without a complete answer.
 type AttemptEnded struct {
 	Request cluster.RequestID `log:"request" doc:"request id"`
@@ -98,7 +112,7 @@
 	Attempt cluster.Attempt   `log:"attempt" doc:"number of the dispatch"`
 	Machine cluster.MachineID `log:"machine" doc:"worker that it is for"`
 	Peer    cluster.NodeID    `log:"peer" doc:"node that was asked to send it"`
-	Outcome string            `log:"outcome" doc:"complete: the worker's answer was read (attempt_ended tells more if it was no success); broken, ended, failed: sent, without a complete answer; disconnected: the connection to the peer ended before an answer, so that the request may have been sent; unreachable, refused, blocked: not sent, because of the worker; no-path, overloaded, draining, unknown-machine, no-answer, unsupported: not sent, and the next node is asked. After disconnected, no-answer, draining and unsupported the peer is not asked for 2 s, if it is absent again for 4 s; after no-path for 1 s, after overloaded for 0.25 s"`
+	Outcome string            `log:"outcome" doc:"complete: the worker's answer was read (attempt_ended tells more if it was no success); broken, ended, failed: sent, without a complete answer; disconnected: the connection to the peer ended before an answer, so that the request may have been sent; unreachable, refused, blocked, other-start: not sent, because of the worker; no-path, overloaded, draining, unknown-machine, no-answer, unsupported: not sent, and the next node is asked. After disconnected, no-answer, draining and unsupported the peer is not asked for 2 s, if it is absent again for 4 s; after no-path for 1 s, after overloaded for 0.25 s"`
 }
 
 // PeerRequestEnded is written when this node has handled a request that another node sends to a worker
--- a/eventlog/request_kinds.go
+++ b/eventlog/request_kinds.go
@@ -64,6 +64,14 @@
 	return "Written when a caller's connection is ended because nothing more of an answer could be written to it. The request_ended line of a stream has the same code."
 }
 
+// Kind implements Event.
+func (MachineStartChecked) Kind() string { return "machine_start_checked" }
+
+// Meaning implements Documented.
+func (MachineStartChecked) Meaning() string {
+	return "Written when a worker was asked which of its starts answers on a connection, before a stream that may be continued is sent on it, or when the start known of the connection is not the one that was meant."
+}
+
 // Kind implements Event.
 func (AttemptThroughPeer) Kind() string { return "attempt_through_peer" }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -20,6 +20,9 @@
 	// Regions maps each zone to its region.
 	Regions map[cluster.ZoneID]cluster.RegionID
 	Routing routing.Config
+	// ViewIsStale reports whether the view of the machines' entries is older than usual, so that entries may have
+	// changed. If nil, it never is.
+	ViewIsStale func() bool
 	// Placement tunes the placement planner.
 	Placement placement.Config
 	// FirstStart is true if no node ran before this start of the system. No earlier lease holder
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -70,6 +70,7 @@
 	core.view = newMachineView(core)
 	config.Routing.MinLoadTime = core.view.minLoadTime
 	config.Routing.ReleaseOf = core.view.releaseOf
+	config.Routing.MixedReleases = func(model cluster.ModelID) bool { return core.releases.mayBeMixed(serviceOf(model)) }
 	if config.Dispatching {
 		core.dispatchClient = newDispatchClient(core)
 		config.Routing.ListAlternatives = core.dispatchClient.targetsEngines
--- a/fleet/origins/core.go
+++ b/fleet/origins/core.go
@@ -108,6 +108,10 @@
 
 // began keeps the origin of a stream that this node relays.
 func (c *Core) began(e *Began) {
+	if before := c.origins[e.Request]; before != nil && before.release != e.Release {
+		// The owners hold the earlier release.
+		before.holders = nil
+	}
 	known := c.put(e.Request, e.Release, e.Deadline.Add(resumeSlack))
 	known.service, known.relayed = e.Service, true
 	if c.mixed[e.Service] {
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -13,6 +13,7 @@
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/keyvalue"
+	"github.com/valveslip/valveslip/routing"
 )
 
 // KeyReleases is the key of the record of the services whose machines have several software releases.
@@ -44,6 +45,17 @@
 	nextWriteAt   time.Time
 	// expiresAt is when the next release ceases to count, zero if none is going to.
 	expiresAt time.Time
+	// unlisted are the starts of machines that answered before their entries were read.
+	unlisted map[cluster.MachineID]*unlistedStart
+}
+
+// unlistedStart is a start of a machine that answered before its entry was read.
+type unlistedStart struct {
+	service string
+	// release is that of the entry once it is read, empty before.
+	release string
+	// expires is when no stream that began there can be resumed any more.
+	expires time.Time
 }
 
 // serviceReleases are the releases of one service.
@@ -56,7 +68,7 @@
 }
 
 func newReleaseTracker(core *Core) *releaseTracker {
-	return &releaseTracker{core: core, services: map[string]*serviceReleases{}}
+	return &releaseTracker{core: core, services: map[string]*serviceReleases{}, unlisted: map[cluster.MachineID]*unlistedStart{}}
 }
 
 func (t *releaseTracker) service(name string) *serviceReleases {
@@ -74,6 +86,7 @@
 		return
 	}
 	if now.ID != "" {
+		t.startListed(now)
 		t.service(now.Service).machines[now.Release]++
 		t.report(now.Service)
 	}
@@ -89,6 +102,45 @@
 	t.report(before.Service)
 }
 
+// maxUnlistedStarts bounds the remembered starts; of more, streams that began there can't be continued.
+const maxUnlistedStarts = 4096
+
+// startFound handles the start that answered at a machine's address. Until its entry is read, its release counts
+// as one of its own.
+func (t *releaseTracker) startFound(machine, start cluster.MachineID) {
+	known := t.core.view.machines[machine]
+	if start == "" || known == nil || t.core.view.machines[start] != nil || t.unlisted[start] != nil || len(t.unlisted) == maxUnlistedStarts {
+		return
+	}
+	service := known.worker.Service
+	t.unlisted[start] = &unlistedStart{service: service, expires: t.core.now.Add(t.retention())}
+	t.core.log(eventlog.MachineStartUnlisted{Machine: machine, Found: start, Service: service, Release: known.worker.Release})
+	t.service(service).goneAt[routing.UnlistedRelease(start)] = t.core.now
+	t.expiresAt = earliest(t.expiresAt, t.core.now.Add(t.retention()))
+	t.report(service)
+}
+
+// startListed handles the entry of a start: streams that began there count as of its release from now on.
+func (t *releaseTracker) startListed(worker *catalog.Worker) {
+	if found := t.unlisted[worker.ID]; found != nil {
+		found.release = worker.Release
+		delete(t.service(found.service).goneAt, routing.UnlistedRelease(worker.ID))
+	}
+}
+
+// releaseOfGone returns the release of a start that has no entry now.
+func (t *releaseTracker) releaseOfGone(start cluster.MachineID) string {
+	if found := t.unlisted[start]; found != nil && found.release != "" {
+		return found.release
+	}
+	return routing.UnlistedRelease(start)
+}
+
+// mayBeMixed reports whether machines of a service may have several releases, as far as this node can know.
+func (t *releaseTracker) mayBeMixed(name string) bool {
+	return t.mixed(name) || t.core.config.ViewIsStale != nil && t.core.config.ViewIsStale()
+}
+
 // retention returns how long a release counts after its last machine is gone.
 func (t *releaseTracker) retention() time.Duration {
 	longest := time.Duration(0)
@@ -217,6 +269,10 @@
 		}
 		t.report(name)
 	}
+	maps.DeleteFunc(t.unlisted, func(_ cluster.MachineID, found *unlistedStart) bool { return !t.core.now.Before(found.expires) })
+	for _, found := range t.unlisted {
+		t.expiresAt = earliest(t.expiresAt, found.expires)
+	}
 }
 
 // wanted returns the record as it should be. A release that the record has stays until this node would have
@@ -226,6 +282,7 @@
 	wanted := map[string][]string{}
 	for name := range t.services {
 		releases := t.observed(name)
+		maps.DeleteFunc(releases, func(release string, _ bool) bool { return routing.IsUnlistedRelease(release) })
 		for _, release := range t.stored[name] {
 			if young {
 				releases[release] = true
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -16,6 +16,8 @@
 		if c.resumptions.callerGone(e.Request) || c.gate.callerGone(e.Request) {
 			return
 		}
+	case routing.MachineStartFound:
+		c.releases.startFound(e.Machine, e.Start)
 	case routing.AttemptEnded:
 		c.gate.attemptEnded(&e)
 	case routing.FirstByteSent:
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -136,6 +136,7 @@
 		Zone: options.Core.Zone, Callers: options.CallersAddress, Peer: n.options.Core.Self.Address, Version: options.Version,
 	})
 	n.mutex.Lock()
+	n.options.Core.ViewIsStale = n.viewIsStale
 	n.core = fleet.New(n.options.Core, options.Seed)
 	n.timer = time.AfterFunc(time.Hour, n.tick)
 	n.stepLocked(fleet.Tick{})
@@ -151,11 +152,11 @@
 // openListeners opens the transport to other nodes and the HTTP listeners.
 func (n *Node) openListeners() error {
 	n.peerProxy = passthrough.NewPeerProxy(passthrough.PeerProxyConfig{
-		Dialect: n.options.Dialect, Pool: n.pool, Path: n.path, Log: n.options.Log, FindMachine: n.findMachine, Refuses: n.refusesPeers,
+		Dialect: n.options.Dialect, Pool: n.pool, Path: n.path, Log: n.options.Log, FindMachine: n.findMachine, EntriesInclude: n.entriesInclude, Refuses: n.refusesPeers,
 		Report: n.Report, Retained: n.retained, MaxBodyBytes: n.maxBodyBytes,
 	})
 	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive, wire.WithCompression(compressionThresholdBytes),
-		wire.WithHandler(passthrough.PeerPath, maxHeaderBytes, n.peerProxy))
+		wire.WithHandler(passthrough.PeerPath, maxHeaderBytes, n.peerProxy), wire.WithHandler(passthrough.PeerStartPath, maxHeaderBytes, n.peerProxy))
 	if err != nil {
 		return eris.Wrap(err, "open the listener for other nodes")
 	}
@@ -164,7 +165,7 @@
 	handler := passthrough.NewHandler(passthrough.Config{
 		Catalog: n.servingCatalog, CatalogReady: n.becameReady, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Self: n.options.Core.Self.ID, Peers: n.peerPool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newRequestID, Closing: n.closesConnections.Load, Admits: n.admits,
-		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Path: n.path, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
+		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Path: n.path, EntriesInclude: n.entriesInclude, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
 	})
 	if n.callerServer, err = n.startServer(&n.options.CallersAddress, handler, n.limitCallers); err != nil {
 		return errors.Join(eris.Wrap(err, "open the listener for callers"), transport.Close(n.context))
--- a/fleet/shell/staleness.go
+++ b/fleet/shell/staleness.go
@@ -77,6 +77,19 @@
 	return n.Now().Sub(time.Unix(0, knownAt))
 }
 
+// viewIsStale reports whether the node's view of the store is older than usual.
+func (n *Node) viewIsStale() bool { return n.storeViewAge() >= n.staleAfter() }
+
+// entryDelay is the longest time until a machine that has started writes its entry while the store takes it: the
+// time between two heartbeats, with one that is lost.
+const entryDelay = 2500 * time.Millisecond
+
+// entriesInclude implements passthrough.Config.EntriesInclude.
+func (n *Node) entriesInclude(listened time.Duration) bool {
+	age := n.storeViewAge()
+	return age >= 0 && listened-age >= entryDelay
+}
+
 // The names of the metrics on the node's view of the store, and their label.
 const (
 	MetricKnownAge    = "valveslip_store_known_age_seconds"
--- a/fleet/store_events.go
+++ b/fleet/store_events.go
@@ -48,6 +48,7 @@
 	case read.Full:
 		gone = slices.DeleteFunc(gone, c.view.isUnconfirmed)
 	}
+	before := c.releasesBefore(read.Restarted)
 	for _, restarted := range read.Restarted {
 		c.feedRouter(restarted)
 	}
@@ -69,9 +70,12 @@
 			c.dispatchClient.releaseHeldFor(read.Workers[i].ID)
 		}
 	}
-	for _, restarted := range read.Restarted {
+	for i, restarted := range read.Restarted {
 		// A stream that waits for a machine of its release must not miss one in between.
 		c.removeMachine(restarted.Before)
+		if !routing.IsUnlistedRelease(before[i]) && c.view.releaseOf(restarted.Machine) != before[i] {
+			c.feedRouter(routing.AttemptsDoubted{Machine: restarted.Before})
+		}
 	}
 	for i := range read.Undecodable {
 		if changed := c.view.markUndecodable(&read.Undecodable[i], read.Revision); changed != nil {
@@ -80,6 +84,15 @@
 	}
 }
 
+// releasesBefore returns the releases of machines before they started again.
+func (c *Core) releasesBefore(restarted []routing.MachineRestarted) []string {
+	releases := make([]string, len(restarted))
+	for i := range restarted {
+		releases[i] = c.view.releaseOf(restarted[i].Before)
+	}
+	return releases
+}
+
 // isRestarted reports whether a machine has started again.
 func isRestarted(restarted []routing.MachineRestarted, id cluster.MachineID) bool {
 	return slices.ContainsFunc(restarted, func(r routing.MachineRestarted) bool { return r.Before == id })
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -158,12 +158,12 @@
 	return ""
 }
 
-// releaseOf returns the release of a machine's software, empty if it is unknown or not stated.
+// releaseOf returns the release of the software of a start of a machine, empty if it is not stated.
 func (v *machineView) releaseOf(id cluster.MachineID) string {
 	known := v.machines[id]
 	switch {
 	case known == nil:
-		return ""
+		return v.core.releases.releaseOfGone(id)
 	case known.worker.Release == "" && v.core.releases.mixed(known.worker.Service):
 		return unstatedRelease(id)
 	}
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -49,6 +49,9 @@
 	successor cluster.MachineID
 
 	unreached, answered, engineFull, modelMissing bool
+	// otherStart is true if the request was not sent because the machine that answers may be another start
+	// than the one that was meant.
+	otherStart bool
 	// withheld is true if the request must no longer be sent.
 	withheld bool
 	// connectionBroken is true if the machine's side ended the connection before the answer was
@@ -67,7 +70,7 @@
 	a.withdrawEvidence(ctx)
 	ended := routing.AttemptEnded{
 		Request: a.id, Attempt: a.decision.Attempt, Failure: failure,
-		Unreached: a.unreached, PathDoubted: failure != nil && a.pathDoubted(), Withheld: a.withheld, Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
+		Unreached: a.unreached, OtherStart: a.otherStart, PathDoubted: failure != nil && a.pathDoubted(), Withheld: a.withheld, Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
 		Broken: a.connectionBroken, MachineEnded: a.processEnded,
 	}
 	if a.connectionBroken {
@@ -104,9 +107,13 @@
 
 // exchangeOn sends the request on a connection, to the machine or to a peer, and reads the answer.
 func (a *attempt) exchangeOn(ctx context.Context, connection *upstream.Conn) *verdict.Error {
+	connection, failure := a.confirmStart(ctx, connection)
+	if failure != nil {
+		return failure
+	}
 	a.conn = connection
 	stop := context.AfterFunc(ctx, connection.Interrupt)
-	failure := a.sendAndReceive()
+	failure = a.sendAndReceive()
 	a.watchdog.stop()
 	if stop() && (failure == nil || a.answerComplete) {
 		connection.Release()
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -80,6 +80,9 @@
 	MaySend func(id cluster.RequestID) *verdict.Error
 	// Path observes the connections to machines. If nil, requests are only sent directly.
 	Path Path
+	// EntriesInclude reports whether a process that listened the given time ago has written its entry by now, and
+	// this node has read it. It serves for machines that don't state their start. If nil, that is never known.
+	EntriesInclude func(listened time.Duration) bool
 	// NewID returns an ID for a request without one.
 	NewID func() cluster.RequestID
 	// MayAccept reports whether another request may be accepted and, if not, how late the process
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
+	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/upstream"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -108,7 +109,7 @@
 		return errors.Join(upstream.ErrNotSent, errNoRoom)
 	}
 	defer a.reserved.Shrink(size)
-	outer, message, err := newPeerRequest(*a.peer, a.Self, a.decision.Machine, a.remaining(), forwarded)
+	outer, message, err := newPeerRequest(*a.peer, a.Self, a.decision.Machine, a.startForPeers(), a.remaining(), forwarded)
 	if err != nil {
 		return errors.Join(upstream.ErrNotSent, err)
 	}
@@ -116,6 +117,14 @@
 	return a.conn.Send(outer, message)
 }
 
+// startForPeers returns the start of the machine that a peer must find, empty for any.
+func (a *attempt) startForPeers() cluster.MachineID {
+	if a.decision.Start == "" || a.Dialect.StartRequest(a.decision.Start) == nil {
+		return ""
+	}
+	return a.decision.Start
+}
+
 // nextHead reads the head of the next answer of the machine.
 func (a *attempt) nextHead(forwarded *http.Request) (*http.Response, error) {
 	if a.peer == nil {
@@ -137,6 +146,10 @@
 	if text := outer.Header.Get(headerPeerOutcome); isPeerOutcome(text) {
 		a.peerOutcome = PeerOutcome(text)
 	}
+	if a.peerOutcome == OutcomeOtherStart {
+		a.otherStart = true
+		a.Decider.Report(routing.MachineStartFound{Machine: a.decision.Machine, Start: cluster.MachineID(outer.Header.Get(headerPeerStart))})
+	}
 	return nil, eris.Wrapf(errPeerRefused, "outcome %s at peer %s", a.peerOutcome, a.peer.ID)
 }
 
--- a/passthrough/peer_attempt_test.go
+++ b/passthrough/peer_attempt_test.go
@@ -45,7 +45,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			outer, message, err := newPeerRequest(peer, "n1", "m", time.Second, inner)
+			outer, message, err := newPeerRequest(peer, "n1", "m", "", time.Second, inner)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/passthrough/peer_message.go
+++ b/passthrough/peer_message.go
@@ -22,10 +22,16 @@
 // and so is the machine's answer.
 const PeerPath = "/machine-requests"
 
+// PeerStartPath takes the place of PeerPath for requests that only one start of a machine may run, which
+// headerPeerStart names. Nodes of a build that does not check the start don't know the path.
+const PeerStartPath = "/machine-requests/start"
+
 // The header fields of requests and answers at PeerPath.
 const (
 	headerPeerMachine = "Valveslip-Machine"
 	headerPeerNode    = "Valveslip-Node"
+	// headerPeerStart is the start of the machine that must answer and, with OutcomeOtherStart, the one that does.
+	headerPeerStart = "Valveslip-Start"
 	// headerPeerTimeout is the time in milliseconds until the deadline of the request.
 	headerPeerTimeout = "Valveslip-Timeout-Ms"
 	// headerPeerOutcome is a field of the header if there is no answer of the machine, and otherwise
@@ -58,6 +64,8 @@
 	OutcomeUnreachable PeerOutcome = "unreachable"
 	OutcomeRefused     PeerOutcome = "refused"
 	OutcomeBlocked     PeerOutcome = "blocked"
+	// OutcomeOtherStart: another start of the machine answers than the one that must, or it does not say which.
+	OutcomeOtherStart PeerOutcome = "other-start"
 	// OutcomeNoPath: that node has lost its own path to machines; OutcomeOverloaded: it carries no
 	// more; OutcomeDraining: it is stopping; OutcomeUnknown: it does not know the machine.
 	OutcomeNoPath     PeerOutcome = "no-path"
@@ -80,7 +88,7 @@
 
 // notSent reports whether the request was certainly not sent to the machine.
 func (o PeerOutcome) notSent() bool {
-	return o.passesOn() || o == OutcomeUnreachable || o == OutcomeRefused || o == OutcomeBlocked
+	return o.passesOn() || o == OutcomeUnreachable || o == OutcomeRefused || o == OutcomeBlocked || o == OutcomeOtherStart
 }
 
 // machineRequest returns a request for a machine with the given head and body. The target stays as
@@ -101,8 +109,9 @@
 	return request
 }
 
-// newPeerRequest returns the request to a peer that carries a request for a machine, and its body.
-func newPeerRequest(peer Peer, self cluster.NodeID, machine cluster.MachineID, remaining time.Duration, inner *http.Request) (*http.Request, []byte, error) {
+// newPeerRequest returns the request to a peer that carries a request for a machine, and its body. An empty start
+// allows any start of the machine.
+func newPeerRequest(peer Peer, self cluster.NodeID, machine, start cluster.MachineID, remaining time.Duration, inner *http.Request) (*http.Request, []byte, error) {
 	var message bytes.Buffer
 	if err := inner.Write(&message); err != nil {
 		return nil, nil, eris.Wrapf(err, "encode the request to machine %s", machine)
@@ -115,6 +124,10 @@
 			headerPeerTimeout: {strconv.FormatInt(max(remaining, time.Millisecond).Milliseconds(), 10)},
 		},
 	}
+	if start != "" {
+		request.URL.Path = PeerStartPath
+		request.Header.Set(headerPeerStart, string(start))
+	}
 	return request, message.Bytes(), nil
 }
 
@@ -122,6 +135,8 @@
 type peerTask struct {
 	from    cluster.NodeID
 	machine cluster.MachineID
+	// start is the start of the machine that must answer, empty for any.
+	start   cluster.MachineID
 	timeout time.Duration
 	// inner is the head of the request for the machine.
 	inner *http.Request
@@ -140,7 +155,7 @@
 	}
 	task := &peerTask{
 		from: cluster.NodeID(r.Header.Get(headerPeerNode)), machine: cluster.MachineID(r.Header.Get(headerPeerMachine)),
-		timeout: time.Duration(millis) * time.Millisecond, inner: inner,
+		start: cluster.MachineID(r.Header.Get(headerPeerStart)), timeout: time.Duration(millis) * time.Millisecond, inner: inner,
 	}
 	return task, nil
 }
@@ -242,7 +257,7 @@
 func isPeerOutcome(text string) bool {
 	known := []PeerOutcome{
 		OutcomeBroken, OutcomeEnded, OutcomeFailed, OutcomeUnreachable, OutcomeRefused, OutcomeBlocked, OutcomeNoPath,
-		OutcomeOverloaded, OutcomeDraining, OutcomeUnknown,
+		OutcomeOverloaded, OutcomeDraining, OutcomeUnknown, OutcomeOtherStart,
 	}
 	return slices.Contains(known, PeerOutcome(text))
 }
--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -27,6 +27,8 @@
 	// FindMachine returns the address of a machine. The outcome is OutcomeUnknown for an unknown
 	// machine, OutcomeBlocked for one that takes no requests from this node now, else empty.
 	FindMachine func(id cluster.MachineID) (address string, outcome PeerOutcome)
+	// EntriesInclude is as in Config.
+	EntriesInclude func(listened time.Duration) bool
 	// Refuses returns why this node sends no requests of other nodes now, else an empty outcome.
 	Refuses func(active int64) PeerOutcome
 	// Report hands what a machine states about itself to the router.
@@ -125,10 +127,8 @@
 	if !complete || int64(len(body)) > e.MaxBodyBytes() {
 		return OutcomeOverloaded
 	}
-	e.conn, err = e.Pool.Get(ctx, e.address)
-	if err != nil {
-		e.Path.Failed(e.address, reachability.NoConnection, err.Error())
-		return e.outcomeOfDial(err)
+	if outcome := e.connect(ctx); outcome != "" {
+		return outcome
 	}
 	stop := context.AfterFunc(ctx, e.conn.Interrupt)
 	outcome = e.exchange(machineRequest(e.task.inner, e.task.inner.Header, body), body)
@@ -143,6 +143,32 @@
 	return outcome
 }
 
+// connect opens a connection to the machine, to the start that must answer if the task names one. It returns an
+// empty outcome if it did.
+func (e *peerExchange) connect(ctx context.Context) PeerOutcome {
+	conn, err := e.Pool.Get(ctx, e.address)
+	if err != nil {
+		e.Path.Failed(e.address, reachability.NoConnection, err.Error())
+		return e.outcomeOfDial(err)
+	}
+	if e.task.start == "" || e.Dialect.StartRequest(e.task.start) == nil {
+		e.conn = conn
+		return ""
+	}
+	query := &startQuery{dialect: e.Dialect, pool: e.Pool, machine: e.task.start, address: e.address}
+	if conn, err = query.run(ctx, conn); err != nil {
+		return e.outcomeOfDial(err)
+	}
+	unstated := query.outcome(nil) == startUnstated && e.EntriesInclude != nil && e.EntriesInclude(conn.Age())
+	if query.found == e.task.start || query.misdirected || unstated {
+		e.conn = conn
+		return ""
+	}
+	conn.PutBack()
+	e.writer.Header().Set(headerPeerStart, string(query.found))
+	return OutcomeOtherStart
+}
+
 // outcomeOfDial returns the outcome for a connection that could not be opened. While this node suspects its
 // own path, that says nothing about the machine.
 func (e *peerExchange) outcomeOfDial(err error) PeerOutcome {
--- a/passthrough/types.go
+++ b/passthrough/types.go
@@ -100,6 +100,11 @@
 	PrepareForward(header http.Header, forward Forward)
 	// ReadAnswer reads the fields of the answer of the machine that was asked.
 	ReadAnswer(asked cluster.MachineID, status int, header http.Header) AnswerAttributes
+	// StartRequest returns the request that asks a machine at which time its process started. It is nil if
+	// each start of the machine has a name that requests state, so that a later one rejects them.
+	StartRequest(machine cluster.MachineID) *http.Request
+	// ReadStart returns the start of the machine that answered a StartRequest, empty if the answer names none.
+	ReadStart(asked cluster.MachineID, status int, body []byte) cluster.MachineID
 }
 
 // connectionFields concern one connection only and are not forwarded.
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -102,6 +102,7 @@
 	ready.attempt++
 	ready.countedAttempts++
 	ready.machine, ready.attemptRelease = machine, r.releaseOf(machine)
+	ready.attemptStart = r.requiredStart(ready, machine)
 	ready.dispatched = r.nanos
 	machine.addDispatch(r.nanos)
 	r.useTurn(machine, ready)
@@ -116,7 +117,7 @@
 	decided := Dispatch{
 		Request: ready.ID, Attempt: ready.attempt,
 		Machine: machine.id, Address: machine.address,
-		Model: ready.Model, Version: chosen.version, Release: ready.attemptRelease, Pinned: ready.Pinned,
+		Model: ready.Model, Version: chosen.version, Release: ready.attemptRelease, Pinned: ready.Pinned, Start: ready.attemptStart,
 		Deadline: time.Unix(0, ready.deadline), Final: !ready.retryAllowed(), Reason: reason,
 		Limited: machine.turns.limited, Probe: ready.probe,
 	}
@@ -156,6 +157,7 @@
 		r.freedMachines = append(r.freedMachines, machine)
 		return
 	}
+	machine.noteEnd(event)
 	machine.observeOutcome(event)
 	r.recordEvidence(ended, machine, event)
 	if event.Failure == nil {
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -130,7 +130,7 @@
 	if candidate.missingUntil > r.nanos {
 		return FilterRecent
 	}
-	if !r.fitsRelease(ready, machine) {
+	if !r.fitsRelease(ready, machine) || r.startUnknown(ready, machine) {
 		return FilterRelease
 	}
 	if ready.model.matchingVersion > 0 && !ready.model.hasVersion(candidate) {
@@ -307,9 +307,16 @@
 	m.reportedAt = measured
 }
 
+// maxOtherStarts is the number of times that a request may meet another start than the one that was meant before
+// its machine gets a back-off: answers that change at each connection come from no machine that serves.
+const maxOtherStarts = 3
+
 // backOffAfter keeps requests away from a machine that refused or failed one.
 func (r *Router) backOffAfter(failed *request, m *machine, event *AttemptEnded) {
 	switch {
+	case event.OtherStart && r.nanos < m.startUnknownUntil:
+	case event.OtherStart && failed.otherStarts < maxOtherStarts:
+		failed.otherStarts++
 	case event.PathDoubted && event.Unreached:
 		r.pauseMachine(m)
 	case event.PathDoubted:
@@ -399,7 +406,7 @@
 func (r *Router) machineTimerDue(m *machine) {
 	r.releaseUnusedTurn(m)
 	next := int64(0)
-	for _, at := range [...]int64{m.maxInFlightUntil, m.turns.validFrom, m.turns.validUntil, m.turns.deniedUntil, m.turns.restUntil} {
+	for _, at := range [...]int64{m.maxInFlightUntil, m.turns.validFrom, m.turns.validUntil, m.turns.deniedUntil, m.turns.restUntil, m.startUnknownUntil} {
 		if at > r.nanos && (next == 0 || at < next) {
 			next = at
 		}
--- a/routing/config.go
+++ b/routing/config.go
@@ -81,8 +81,12 @@
 	// ListAlternatives reports whether a Dispatch of the model lists the machines that may take the
 	// attempt and then waits for AttemptPlaced. A nil function lists none.
 	ListAlternatives func(model cluster.ModelID) bool
-	// ReleaseOf returns the software release of a machine. A nil function returns the same for all.
-	ReleaseOf func(machine cluster.MachineID) string
+	// ReleaseOf returns the software release of a start of a machine, UnlistedRelease if its entry is not known. A
+	// nil function returns the same for all.
+	ReleaseOf func(start cluster.MachineID) string
+	// MixedReleases reports whether the machines that serve a model may have several releases. A nil function
+	// returns false.
+	MixedReleases func(model cluster.ModelID) bool
 	// Affinity configures the estimate of the engines' prefix caches.
 	Affinity affinity.Config
 	// Poison configures when a request whose attempts end machines is refused.
--- a/routing/events.go
+++ b/routing/events.go
@@ -104,6 +104,9 @@
 	Failure *verdict.Error
 	// Unreached is true when no byte of the request was sent because no connection could be made.
 	Unreached bool
+	// OtherStart is true when nothing was sent because the machine that answers may be another start than the
+	// one that the Dispatch names.
+	OtherStart bool
 	// PathDoubted is true when the node suspected its own path to all machines, or had lost the node through
 	// which it sent, when the attempt failed. The failure then says nothing of the machine.
 	PathDoubted bool
@@ -264,6 +267,8 @@
 	Version, Release string
 	// Pinned is set if only machines of Release may run the request, because its stream began there.
 	Pinned bool
+	// Start is the start of the machine that must answer, empty for any.
+	Start cluster.MachineID
 	// Deadline is the time at which the attempt must be given up.
 	Deadline time.Time
 	// Final is true when no retry is allowed after a failure that may have run, so that giving this
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -59,7 +59,7 @@
 			target = other
 		}
 	}
-	if target == nil || !target.isPresent() || placed.machine.leaving() || !r.maySend(placed) {
+	if target == nil || !target.isPresent() || placed.machine.leaving() || !r.maySend(placed) || !r.fitsRelease(placed, placed.machine) {
 		r.takeBackUnsent(placed)
 		return
 	}
@@ -78,9 +78,10 @@
 func (r *Router) sendPlaced(placed *request, target *replica, event *AttemptPlaced) {
 	placed.unsent = false
 	placed.dispatched = r.nanos
+	placed.attemptRelease, placed.attemptStart = r.releaseOf(placed.machine), r.requiredStart(placed, placed.machine)
 	r.emit(Dispatch{
 		Request: placed.ID, Attempt: placed.attempt,
-		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version, Release: placed.attemptRelease, Pinned: placed.Pinned,
+		Machine: placed.machine.id, Address: placed.machine.address, Model: placed.Model, Version: target.version, Release: placed.attemptRelease, Pinned: placed.Pinned, Start: placed.attemptStart,
 		Deadline: time.Unix(0, placed.deadline), Final: !placed.retryAllowed(),
 		Limited: placed.machine.turns.limited, Probe: placed.probe,
 		Reason: Choice{
@@ -125,7 +126,7 @@
 	from.forgetDispatch(placed.dispatched)
 	r.freedMachines = append(r.freedMachines, from)
 	r.restoreTurn(from, placed)
-	placed.machine, placed.attemptRelease = to.machine, r.releaseOf(to.machine)
+	placed.machine = to.machine
 	to.machine.addDispatch(r.nanos)
 	r.useTurn(to.machine, placed)
 	if len(placed.Prefixes) > 0 {
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"strings"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -30,7 +31,16 @@
 	if r.config.ReleaseOf == nil {
 		return ""
 	}
-	return r.config.ReleaseOf(m.id)
+	return r.config.ReleaseOf(m.answeringStart())
+}
+
+// resolveRelease returns the release of a start that was not listed, if it is by now.
+func (r *Router) resolveRelease(release string) string {
+	start, unlisted := strings.CutPrefix(release, unlistedPrefix)
+	if !unlisted || r.config.ReleaseOf == nil {
+		return release
+	}
+	return r.config.ReleaseOf(cluster.MachineID(start))
 }
 
 // pinRelease pins a stream to the release of the machine that began it.
@@ -41,12 +51,23 @@
 	if !began.Pinned {
 		began.Pinned, began.Release = true, began.attemptRelease
 	}
+	r.emitBegan(began)
+}
+
+// emitBegan reports the release at which a stream began.
+func (r *Router) emitBegan(began *request) {
 	r.emit(StreamBegan{Request: began.ID, Model: began.Model, Release: began.Release, Deadline: time.Unix(0, began.deadline)})
 }
 
 // fitsRelease reports whether the request may run on a machine of this release.
 func (r *Router) fitsRelease(ready *request, m *machine) bool {
-	return !ready.Pinned || r.releaseOf(m) == ready.Release
+	return !ready.Pinned || r.releaseOf(m) == r.resolveRelease(ready.Release)
+}
+
+// mayFitRelease reports whether the request may run on the machine, or may turn out to once the entry of the start
+// that answers there, or of the one that began the stream, is read.
+func (r *Router) mayFitRelease(pinned *request, m *machine) bool {
+	return r.fitsRelease(pinned, m) || IsUnlistedRelease(r.releaseOf(m))
 }
 
 // awaitsRelease reports whether a pinned request waits for a machine of its release, while those behind
@@ -61,7 +82,7 @@
 			if r.unusableCause(ready, candidate, true) == "" {
 				return false
 			}
-			others = others || !r.fitsRelease(ready, candidate.machine)
+			others = others || !r.fitsRelease(ready, candidate.machine) || r.startUnknown(ready, candidate.machine)
 		}
 	}
 	return others
@@ -76,7 +97,7 @@
 	model := pinned.model
 	for _, tier := range append(model.tiers[:], model.loading) {
 		for _, candidate := range tier {
-			if !candidate.machine.leaving() && r.fitsRelease(pinned, candidate.machine) {
+			if !candidate.machine.leaving() && r.mayFitRelease(pinned, candidate.machine) {
 				return nil, Explanation{}
 			}
 		}
--- a/routing/retries.go
+++ b/routing/retries.go
@@ -115,7 +115,7 @@
 func (m *machine) observeOutcome(event *AttemptEnded) {
 	failed := 0.0
 	switch {
-	case event.EngineFull || event.ModelMissing || event.PathDoubted:
+	case event.EngineFull || event.ModelMissing || event.PathDoubted || event.OtherStart:
 		return
 	case event.Failure != nil && isPermanent(event.Failure.Code):
 		return
--- a/routing/router.go
+++ b/routing/router.go
@@ -138,6 +138,10 @@
 		r.attemptEnded(&event)
 	case MachineNoticeReceived:
 		r.applyMachineNotice(&event)
+	case MachineStartFound:
+		r.machineStartFound(&event)
+	case AttemptsDoubted:
+		r.attemptsDoubted(&event)
 	case MachineRestarted:
 		r.machineRestarted(&event)
 	case MachineLimitReceived:
--- a/routing/state.go
+++ b/routing/state.go
@@ -32,6 +32,10 @@
 	dispatched int64
 	// attemptRelease is the release of the machine's software.
 	attemptRelease string
+	// attemptStart is the start of the machine that must answer the current attempt, empty for any.
+	attemptStart cluster.MachineID
+	// otherStarts counts the attempts that met another start than the one that was meant.
+	otherStarts int
 	// countedAttempts is the number of attempts that RetryAttempts bounds: all except those that an
 	// engine refused without running them.
 	countedAttempts int
@@ -152,6 +156,11 @@
 	// restartedAs is the ID under which the machine started again, known since restartedAt.
 	restartedAs cluster.MachineID
 	restartedAt int64
+	// startFound is the start that answered last when it was asked, empty if none was; endSeen is set if the
+	// process may have ended since. Until startUnknownUntil the machine counts as one that does not say.
+	startFound        cluster.MachineID
+	endSeen           bool
+	startUnknownUntil int64
 	// reserved counts the slots kept for requests that are being moved from another machine.
 	reserved int
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -40,6 +40,8 @@
 	// kernelTimedOut is true if the kernel closed the connection because the machine did not
 	// respond.
 	kernelTimedOut atomic.Bool
+	// process names the process at the other end, empty until it is known.
+	process string
 }
 
 // maxInlineBodyBytes is the size up to which a body is written before the answer is read. A longer
@@ -58,6 +60,25 @@
 // Reused reports whether the connection has carried an exchange before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Age returns the time since the connection was opened.
+func (c *Conn) Age() time.Duration { return c.pool.options.Now().Sub(c.opened) }
+
+// Process returns the name of the process at the other end, empty if SetProcess was not called.
+func (c *Conn) Process() string { return c.process }
+
+// SetProcess records the process at the other end. A connection belongs to one process, so that the name
+// holds for all later exchanges.
+func (c *Conn) SetProcess(name string) { c.process = name }
+
+// Reusable reports whether the connection can carry another exchange after the answer that was read.
+func (c *Conn) Reusable() bool { return c.reusable() && c.connection.SetDeadline(time.Time{}) == nil }
+
+// PutBack returns the connection to the pool. It must be open and no exchange under way on it.
+func (c *Conn) PutBack() {
+	c.answer = nil
+	c.pool.put(c)
+}
+
 // reusableIdle reports whether an idle connection can carry another request: it has not expired,
 // and neither data nor the end of the stream has arrived on it.
 func (c *Conn) reusableIdle() bool {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -139,7 +139,7 @@
 	if idle := p.GetIdle(address); idle != nil {
 		return idle, nil
 	}
-	return p.dial(ctx, address)
+	return p.Dial(ctx, address)
 }
 
 // GetIdle returns an open idle connection, nil without one.
@@ -153,8 +153,8 @@
 	}
 }
 
-// dial opens a connection.
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+// Dial opens a connection. An error means that nothing was sent.
+func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	connection, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect")
@@ -175,7 +175,7 @@
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalCheckTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, address)
+	c, err := p.Dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
