Count connections that are reset before the first byte as failures of the path

What callers saw: a node that had lost its path to all workers refused or failed all requests, as long as the cut lasted, although the other nodes reached the workers.

Cause: a connection that comes up and is reset before a byte of the request goes out ends with ErrNotSent. That attempt counted as unreached, but the failure was not recorded with the path, which needs failures at several workers to be suspected. Whether the reset arrives before the write or after it is a race of microseconds: a node whose resets all came first never suspected its path.

Evidence: the log of a failing run has 60 attempts with "nothing was sent ... connection reset by peer" at all four workers and no machine_path_changed in 12 s.

Change: the failure is recorded as that of a connection which never came up, also where a node sends for another one.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -137,6 +137,8 @@
 	forwarded := a.forwardRequest()
 	if err := a.send(forwarded); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
+			// A connection that came up and was reset before the first byte went out.
+			a.recordUnanswered(err)
 			a.unreached = true
 			return verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the request could not be sent")
 		}
--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -185,6 +185,7 @@
 func (e *peerExchange) exchange(request *http.Request, body []byte) PeerOutcome {
 	if err := e.conn.Send(request, body); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
+			e.Path.Failed(e.address, reachability.NoConnection, err.Error())
 			return OutcomeUnreachable
 		}
 		e.conn.MarkUnusable()
