Let workers of the soak start again with another version before their entries say so

It holds the models of the earlier start: without them an engine would reject each stream, as a worker of a service without models does not. The judge takes the version from the process that ran a request.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -95,6 +95,8 @@
 		slot.crash(f.For)
 	case plan.WorkerRestart:
 		slot.restart(f.For)
+	case plan.WorkerLateEntry:
+		slot.restartUnlisted(f.For, f.Delay)
 	case plan.WorkerDrain:
 		slot.drain(f.For)
 	case plan.WorkerLeave:
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -81,7 +81,7 @@
 		after, _ := strconv.Atoi(ran.LastEvent)
 		h.Runs = append(h.Runs, check.Run{
 			Request: ran.RequestID, Worker: life.id, Body: ran.Body, At: r.recorder.sinceStart(ran.At),
-			Release: life.worker.Release(), After: after, Events: ran.Events,
+			Release: ran.Release, After: after, Events: ran.Events,
 		})
 	}
 	for _, rejection := range life.worker.ShedRequests() {
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -47,6 +47,8 @@
 	Upgrades bool
 	// Restores is set for a run whose store comes back from copies.
 	Restores bool
+	// LateEntries is set for a run whose workers start again before their entries say so.
+	LateEntries bool
 }
 
 // generator draws the faults of one schedule.
@@ -81,6 +83,9 @@
 		schedule.Faults = append(schedule.Faults, drawBrittle(seed, size)...)
 		schedule.Faults = append(schedule.Faults, drawSilences(seed, size)...)
 	}
+	if size.LateEntries && !size.Upgrades {
+		schedule.Faults = append(schedule.Faults, drawLateEntries(seed, size)...)
+	}
 	if size.Restores {
 		schedule.Faults = append(schedule.Faults, drawRestores(seed, size)...)
 	}
@@ -291,6 +296,33 @@
 	})
 }
 
+// Parameters of the starts of workers that are not in their entries yet: meanLateEntryGap is the mean time between
+// two series, minLateDowntime and maxLateDowntime bound the downtime, maxEntryDelay the time until the entry is
+// written.
+const (
+	meanLateEntryGap = 4 * time.Second
+	minLateDowntime  = 100 * time.Millisecond
+	maxLateDowntime  = 1500 * time.Millisecond
+	maxEntryDelay    = 3 * time.Second
+)
+
+// drawLateEntries draws series of starts of engines that are not in their entries yet. Engines have the even numbers.
+func drawLateEntries(seed uint64, size Size) []Fault {
+	var faults []Fault
+	for _, first := range drawIndependent(rand.NewPCG(seed, 8), size, WorkerLateEntry, meanLateEntryGap, func(*generator, *Fault) {}) {
+		d := &generator{random: rand.New(rand.NewPCG(seed, uint64(first.At))), size: size}
+		at := first.At
+		for range 1 + d.random.IntN(maxSeriesLength) {
+			fault := first
+			fault.At, fault.For, fault.Delay = at, d.uniformDuration(minLateDowntime, maxLateDowntime), d.uniformDuration(0, maxEntryDelay)
+			fault.Targets = []int{2 * d.random.IntN((size.Workers+1)/2)}
+			faults = append(faults, fault)
+			at += d.uniformDuration(0, 2*maxSeriesGap)
+		}
+	}
+	return faults
+}
+
 // Parameters of the returns of the store from a copy: meanRestoreGap is the mean time between two,
 // minCopyAge and maxCopyAge bound the age of the copy, minRestoreAbsence and maxRestoreAbsence how long
 // the store is away. A copy may be older than the last return.
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -94,6 +94,9 @@
 	WorkerLateOrders Kind = "worker-late-orders"
 	// WorkerRestart ends a worker, which starts again under the same id without its state.
 	WorkerRestart Kind = "worker-restart"
+	// WorkerLateEntry ends a worker, which starts again under the same id with another software version, if
+	// there are several, and with the models that it held. It writes its entry only Fault.Delay later.
+	WorkerLateEntry Kind = "worker-late-entry"
 	// WorkerLeave makes a worker announce in its answers that it leaves, and only later in its
 	// store entry.
 	WorkerLeave Kind = "worker-leave"
@@ -188,6 +191,7 @@
 	{ProcessUpgrade, kindProperties{onNodes, 0, true}},
 	{ProcessRollBack, kindProperties{onNodes, 0, true}},
 	{WorkerRestart, kindProperties{onWorkers, 0, true}},
+	{WorkerLateEntry, kindProperties{onWorkers, 0, true}},
 	{WorkerLimit, kindProperties{onWorkers, 0, true}},
 	{WorkerLeave, kindProperties{onWorkers, 0, true}},
 	{WorkerShed, kindProperties{onWorkers, 0, true}},
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -24,7 +24,7 @@
 	// number of rejections per second that a worker bears for WorkerBrittle.
 	Rate int `yaml:"rate,omitempty" json:"rate,omitempty"`
 	// Delay is what LinkDelay, StoreSlow and WorkerLateOrders add, and the back-off that
-	// WorkerShed asks for. For StoreRestore it is the age of the copy when the store goes away.
+	// WorkerShed asks for. For WorkerLateEntry it is the time from the start until the entry is written. For StoreRestore it is the age of the copy when the store goes away.
 	Delay time.Duration `yaml:"delay,omitempty" json:"delay,omitempty"`
 }
 
--- a/soak/planted/run.sh
+++ b/soak/planted/run.sh
@@ -7,7 +7,9 @@
   [takes-no-news]="a configuration is in force in time"
   [sends-to-leaving]="leaving workers get no work after the bound"
   [knows-only-its-own-path]="nodes without a path to workers serve their callers"
+  [trusts-entries]="streams hold events of one software version"
 )
+declare -A schedules=([trusts-entries]=soak/schedules/entries-late.yaml)
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 go build -o "$folder/soak" ./cmd/valveslip
@@ -16,7 +18,7 @@
   mkdir "$folder/$defect"
   git archive HEAD | tar -x -C "$folder/$defect"
   (cd "$folder/$defect" && git apply "$OLDPWD/soak/planted/$defect.patch" && go build -o "$folder/$defect.bin" ./cmd/valveslip)
-  "$folder/soak" soak --binary "$folder/$defect.bin" --schedule soak/planted/calm.yaml --logs "$folder/$defect.logs" >"$folder/$defect.out" 2>&1 || true
+  "$folder/soak" soak --binary "$folder/$defect.bin" --schedule "${schedules[$defect]:-soak/planted/calm.yaml}" --logs "$folder/$defect.logs" >"$folder/$defect.out" 2>&1 || true
   if grep -E "^${promises[$defect]} +[0-9]+ +[1-9]" "$folder/$defect.out"; then
     echo "planted: $defect was found"
   else
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -153,11 +153,19 @@
 // startCurrent starts a worker with the current id. Its start time is later than that of the
 // worker before it, even within the same millisecond.
 func (s *workerSlot) startCurrent(at *proxy.Proxy) error {
+	if err := s.startUnlisted(at, nil); err != nil {
+		return err
+	}
+	return s.metadata.Put(s.worker.Key(), s.worker.Entry())
+}
+
+// startUnlisted starts a worker with the current id, which holds the given models, without writing its entry.
+func (s *workerSlot) startUnlisted(at *proxy.Proxy, held []string) error {
 	s.startedMillis = max(time.Now().UnixMilli(), s.startedMillis+1)
 	config := worker.Config{
 		StartMillis: s.startedMillis, Release: s.drawRelease(),
 		ID: s.id, Service: s.service(), Zone: zoneName(s.index % zoneCount(len(s.nodes))), Slots: plainSlots, RunTime: plainTime,
-		Unfenced: !s.options.Schedule.Fencing,
+		Unfenced: !s.options.Schedule.Fencing, Held: held,
 	}
 	if s.service() == serviceEngine {
 		config.Slots, config.Events, config.Pause, config.LoadTime = engineSlots, streamEvents, streamPause, loadTime
@@ -192,7 +200,7 @@
 	s.name = fmt.Sprintf("%s@%d", s.id, s.startedMillis)
 	s.announceBrittle()
 	s.recordLife(s.name, s.service(), started, server)
-	return s.metadata.Put(started.Key(), started.Entry())
+	return nil
 }
 
 // drawRelease returns the software version of the slot's next worker. Versions have no order; a worker that
@@ -292,6 +300,53 @@
 	})
 }
 
+// restartUnlisted kills the worker without notice. After the given time it starts again at its address with the
+// same id, with the models that it held and, if there are several, with another software version. Its entry
+// says so only after entryDelay more.
+func (s *workerSlot) restartUnlisted(length, entryDelay time.Duration) {
+	s.mu.Lock()
+	ended, server, at := s.worker, s.server, s.proxy
+	s.mu.Unlock()
+	if ended.Draining() {
+		s.crash(length)
+		return
+	}
+	restored := s.recordDisturbance()
+	at.Refuse()
+	server.Kill()
+	s.recordLifeEnd(ended)
+	s.undoAfter(length, func() {
+		started := s.startUnlistedIfCurrent(ended, at)
+		if err := at.Open(); err != nil {
+			s.fail(err)
+		}
+		s.undoAfter(entryDelay, func() {
+			defer restored()
+			if started != nil {
+				s.publish(started, started.Key(), started.Entry())
+			}
+		})
+	})
+}
+
+// startUnlistedIfCurrent starts a worker again with its id but no new entry, unless another one has taken its place.
+func (s *workerSlot) startUnlistedIfCurrent(ended *worker.Worker, at *proxy.Proxy) *worker.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.worker != ended {
+		return nil
+	}
+	var held []string
+	for _, model := range ended.Entry().Models {
+		held = append(held, model.Name)
+	}
+	s.startCount += startsPerRelease - 1
+	if err := s.startUnlisted(at, held); err != nil {
+		s.fail(err)
+	}
+	return s.worker
+}
+
 // restartIfCurrent starts a worker again with its id, unless another one has taken its place.
 func (s *workerSlot) restartIfCurrent(ended *worker.Worker, at *proxy.Proxy) {
 	s.mu.Lock()
