Let nodes follow the store to another era though a large value differs

What was seen: go test ./... failed for anyone: TestFullReadsAfterReturnAreFewAtEachSize, 222 of 295 nodes read the whole store within 5 s of its return from a copy, 30 may.

(1) An update with a large value, such as the configuration, only announces it, and each node polls the store; a poll ends with the era, and a full read follows. (2) A node that misses changes asks the node that it heard last, which may be a sibling that misses them too; it did not ask its relay when that announced them.

Change: the announcement of a step to another era is answered by a request to its sender; a node that waits for changes asks its source once that announces them.

--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -48,6 +48,8 @@
 	source     Source
 	// lastRelayID is the node whose update or first snapshot was last taken or announced changes.
 	lastRelayID cluster.NodeID
+	// askedRelayID is the node that was last asked for missing changes.
+	askedRelayID cluster.NodeID
 	// fallbackPeer answers for the store where the node has no source.
 	fallbackPeer fallbackPeer
 	// eraConfirmedAt is when this node's last read or poll that was answered began. sourceKnowsEras is set
--- a/fleet/feed/relaying.go
+++ b/fleet/feed/relaying.go
@@ -35,6 +35,7 @@
 	if !known {
 		return false
 	}
+	c.askedRelayID = c.lastRelayID
 	c.emit(RequestChanges{Address: peer.Address, Request: wire.StoreChangesRequest{
 		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, After: c.revision,
 	}})
@@ -149,7 +150,9 @@
 	}
 	if u.After > c.revision || u.Partial && u.Revision > c.revision || c.leadsElsewhere(u) {
 		c.announcedRevision = max(c.announcedRevision, u.Revision)
-		c.changesMissing(u.Partial, read)
+		// A poll can't lead to a later era, so that each node would read the whole store for one large value.
+		newEra := u.Revision.Era() != c.revision.Era()
+		c.changesMissing(u.Partial && !newEra, read)
 		return
 	}
 	c.fallbackPeer.answered = c.fallbackPeer.answered || u.From == c.fallbackPeer.id
@@ -193,7 +196,9 @@
 // if the update was partial or the relay does not answer, from the store. It also ends the back-off
 // after a failed call if the store has answered others since that failure.
 func (c *Core) changesMissing(partial bool, read time.Time) {
-	if c.missesChanges && (c.callInFlight || c.failures == 0 || !read.After(c.failedAt)) {
+	// A sibling that was asked may not know the changes either; the source that announces them does.
+	asked := partial || c.lastRelayID == c.askedRelayID || !c.tree.isSource(c.lastRelayID)
+	if c.missesChanges && asked && (c.callInFlight || c.failures == 0 || !read.After(c.failedAt)) {
 		return
 	}
 	c.missesChanges = true
