--- a/soak/workers.go
+++ b/soak/workers.go
@@ -280,30 +280,31 @@
 // restart kills the worker without notice. After the given time it starts again at its address
 // with the same id. A worker that is draining is crashed instead and gets a replacement.
 func (s *workerSlot) restart(length time.Duration) {
-	s.mu.Lock()
-	ended, server, at := s.worker, s.server, s.proxy
-	s.mu.Unlock()
-	if ended.Draining() {
-		s.crash(length)
-		return
-	}
-	restored := s.recordDisturbance()
-	at.Refuse()
-	server.Kill()
-	s.recordLifeEnd(ended)
-	s.undoAfter(length, func() {
+	s.endAndStart(length, func(ended *worker.Worker, at *proxy.Proxy, restored func()) {
 		defer restored()
 		s.restartIfCurrent(ended, at)
-		if err := at.Open(); err != nil {
-			s.fail(err)
-		}
+		s.open(at)
 	})
 }
 
-// restartUnlisted kills the worker without notice. After the given time it starts again at its address with the
-// same id, with the models that it held and, if there are several, with another software version. Its entry
-// says so only after entryDelay more.
+// restartUnlisted does as restart, with the models that the worker held and, if there are several, with another
+// software version. The worker's entry says so only after entryDelay more.
 func (s *workerSlot) restartUnlisted(length, entryDelay time.Duration) {
+	s.endAndStart(length, func(ended *worker.Worker, at *proxy.Proxy, restored func()) {
+		started := s.startUnlistedIfCurrent(ended, at)
+		s.open(at)
+		s.undoAfter(entryDelay, func() {
+			defer restored()
+			if started != nil {
+				s.publish(started, started.Key(), started.Entry())
+			}
+		})
+	})
+}
+
+// endAndStart kills the worker without notice and calls start after the given time, with what ends the
+// disturbance. A worker that is draining is crashed instead.
+func (s *workerSlot) endAndStart(length time.Duration, start func(ended *worker.Worker, at *proxy.Proxy, restored func())) {
 	s.mu.Lock()
 	ended, server, at := s.worker, s.server, s.proxy
 	s.mu.Unlock()
@@ -315,18 +316,14 @@
 	at.Refuse()
 	server.Kill()
 	s.recordLifeEnd(ended)
-	s.undoAfter(length, func() {
-		started := s.startUnlistedIfCurrent(ended, at)
-		if err := at.Open(); err != nil {
-			s.fail(err)
-		}
-		s.undoAfter(entryDelay, func() {
-			defer restored()
-			if started != nil {
-				s.publish(started, started.Key(), started.Entry())
-			}
-		})
-	})
+	s.undoAfter(length, func() { start(ended, at, restored) })
+}
+
+// open lets connections to the worker's address through again.
+func (s *workerSlot) open(at *proxy.Proxy) {
+	if err := at.Open(); err != nil {
+		s.fail(err)
+	}
 }
 
 // startUnlistedIfCurrent starts a worker again with its id but no new entry, unless another one has taken its place.
