--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -18,7 +18,7 @@
 func All() []Documented {
 	return []Documented{
 		NodeStarted{}, StartStage{}, NodeStopping{}, NodeStopped{}, SettingsRead{}, PauseNoticed{},
-		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, MachineStartChecked{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
+		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, MachineStartChecked{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AnswerDiscarded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, MachineStartUnlisted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, StoreReadDropped{}, StoreEraChanged{}, StoreRestored{}, LeaseChanged{},
 		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -92,6 +92,9 @@
 	Content string            `log:"content,omitempty" doc:"fingerprint of what the request asks for, where the machine broke the connection"`
 	Rest    time.Duration     `log:"rest_ms,omitempty" doc:"for how long the machine said that it wants nothing more from this node"`
 	Doubted bool              `log:"path_doubted,omitempty" doc:"whether this node doubts its own path, so that nothing is held against the machine"`
+	Named   string            `log:"named,omitempty" doc:"which request the last answer names: own, other, none"`
+	Carried int               `log:"carried,omitempty" doc:"exchanges that the connection had carried before"`
+	Resent  bool              `log:"resent,omitempty" doc:"whether the connection had carried this request before"`
 	Cause   string            `log:"cause,omitempty" doc:"the error"`
 }
 
@@ -122,7 +125,23 @@
 	From    cluster.NodeID    `log:"from" doc:"node that took the request from its caller"`
 	Machine cluster.MachineID `log:"machine" doc:"worker that it is for"`
 	Outcome string            `log:"outcome" doc:"as in attempt_through_peer"`
+	Status  int               `log:"status,omitempty" doc:"status that the machine answered"`
 	Took    time.Duration     `log:"took_ms" doc:"time since it arrived here"`
+	Named   string            `log:"named,omitempty" doc:"which request the last answer names: own, other, none"`
+	Carried int               `log:"carried,omitempty" doc:"exchanges that the connection to the worker had carried before"`
+	Resent  bool              `log:"resent,omitempty" doc:"whether that connection had carried this request before"`
+}
+
+// AnswerDiscarded is written when an answer of a machine arrived that does not belong to the request under way on
+// its connection.
+type AnswerDiscarded struct {
+	Request cluster.RequestID `log:"request" doc:"request under way on the connection"`
+	Machine cluster.MachineID `log:"machine" doc:"machine that answered"`
+	Status  int               `log:"status" doc:"status of the answer"`
+	Named   string            `log:"named" doc:"which request the answer names: own, other, none"`
+	NotRun  bool              `log:"not_run,omitempty" doc:"whether the answer states that a request was not run"`
+	Carried int               `log:"carried,omitempty" doc:"exchanges that the connection had carried before"`
+	Resent  bool              `log:"resent,omitempty" doc:"whether the connection had carried this request before"`
 }
 
 // RequestEnded is written exactly once for each accepted request, when it ends.
--- a/eventlog/request_kinds.go
+++ b/eventlog/request_kinds.go
@@ -48,6 +48,14 @@
 	return "Written when a dispatch has ended otherwise than by a whole answer."
 }
 
+// Kind implements Event.
+func (AnswerDiscarded) Kind() string { return "answer_discarded" }
+
+// Meaning implements Documented.
+func (AnswerDiscarded) Meaning() string {
+	return "Written when an answer of a machine is discarded because it does not belong to the request under way on its connection. The connection is not used again."
+}
+
 // Kind implements Event.
 func (RequestEnded) Kind() string { return "request_ended" }
 
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -45,6 +45,8 @@
 	// countedEventBytes is how many bytes of an incomplete long event are reserved.
 	countedEventBytes int64
 	status            int
+	// origin tells which answers belong to the last send.
+	origin answerOrigin
 	// successor is another worker that answers at the address of the machine.
 	successor cluster.MachineID
 
@@ -135,6 +137,7 @@
 		}
 	}
 	forwarded := a.forwardRequest()
+	a.origin = newAnswerOrigin(a.conn, a.id, a.remaining())
 	if err := a.send(forwarded); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			// A connection that came up and was reset before the first byte went out.
@@ -187,7 +190,10 @@
 	next := func() (*http.Response, error) { return a.nextHead(forwarded) }
 	return readOwnHead(next, a.conn, func(response *http.Response) (AnswerAttributes, bool) {
 		marks := a.Dialect.ReadAnswer(a.decision.Machine, response.StatusCode, response.Header)
-		own := marks.RequestID == a.id || marks.RequestID == "" && marks.NotRun
+		own := a.origin.owns(&marks)
+		if !own {
+			a.Log.Write(a.origin.discarded(a.decision.Machine, response.StatusCode, &marks))
+		}
 		a.reportNotice(&marks, own)
 		return marks, own
 	})
--- a/passthrough/exchange.go
+++ b/passthrough/exchange.go
@@ -170,7 +170,7 @@
 	record := eventlog.AttemptEnded{
 		Request: e.id, Attempt: ended.Attempt, Machine: e.machine, Code: string(ended.Failure.Code),
 		Verdict: ended.Failure.Verdict.String(), Status: a.status, Took: took, Cause: ended.Failure.Reason(),
-		Rest: e.notice.Rest, Doubted: ended.PathDoubted,
+		Rest: e.notice.Rest, Doubted: ended.PathDoubted, Named: a.origin.named, Carried: a.origin.carried, Resent: a.origin.resent,
 	}
 	if a.connectionBroken {
 		record.Content = e.fingerprint().String()
--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -71,7 +71,10 @@
 	defer cancel()
 	e := &peerExchange{PeerProxy: p, task: task, writer: w, id: p.Dialect.ReadCaller(task.inner.Header).RequestID}
 	outcome := e.run(ctx)
-	p.Log.Write(eventlog.PeerRequestEnded{Request: e.id, From: task.from, Machine: task.machine, Outcome: string(outcome), Took: time.Since(began)})
+	p.Log.Write(eventlog.PeerRequestEnded{
+		Request: e.id, From: task.from, Machine: task.machine, Outcome: string(outcome), Status: e.status, Took: time.Since(began),
+		Named: e.origin.named, Carried: e.origin.carried, Resent: e.origin.resent,
+	})
 	switch {
 	case !e.headSent:
 		refusePeer(w, outcome)
@@ -110,6 +113,9 @@
 	address  string
 	conn     *upstream.Conn
 	headSent bool
+	// origin tells which answers of the machine belong to the request, status is that of its answer.
+	origin answerOrigin
+	status int
 }
 
 // run sends the request and passes the answer on.
@@ -183,6 +189,7 @@
 
 // exchange sends the request on the connection and passes the answer on.
 func (e *peerExchange) exchange(request *http.Request, body []byte) PeerOutcome {
+	e.origin = newAnswerOrigin(e.conn, e.id, e.task.timeout)
 	if err := e.conn.Send(request, body); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			e.Path.Failed(e.address, reachability.NoConnection, err.Error())
@@ -196,6 +203,7 @@
 		e.recordUnanswered(err, time.Since(began))
 		return outcomeOfBreak(err)
 	}
+	e.status = answer.StatusCode
 	return e.relay(answer)
 }
 
@@ -223,7 +231,11 @@
 	if (marks.Machine == "" || marks.Machine == e.task.machine) && marks.Notice != (routing.Notice{}) {
 		e.Report(routing.MachineNoticeReceived{Machine: e.task.machine, Request: e.id, Notice: marks.Notice})
 	}
-	return marks, marks.RequestID == e.id || marks.RequestID == "" && marks.NotRun
+	own = e.origin.owns(&marks)
+	if !own {
+		e.Log.Write(e.origin.discarded(e.task.machine, answer.StatusCode, &marks))
+	}
+	return marks, own
 }
 
 // relay writes the answer to the other node as it arrives.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -42,6 +42,9 @@
 	kernelTimedOut atomic.Bool
 	// process names the process at the other end, empty until it is known.
 	process string
+	// exchanges counts the exchanges. carried are the requests among them that may be sent again.
+	exchanges int
+	carried   []carriedRequest
 }
 
 // maxInlineBodyBytes is the size up to which a body is written before the answer is read. A longer
@@ -112,6 +115,7 @@
 // Send writes the request with its body. A long body is written while the answer is read. An error
 // with the cause ErrNotSent means that no byte was sent.
 func (c *Conn) Send(request *http.Request, body []byte) error {
+	c.exchanges++
 	c.bytesSent.Store(false)
 	c.requestStart = c.pool.options.Now()
 	c.writeDone = make(chan struct{})
