--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -92,7 +92,7 @@
 			return failure
 		}
 	}
-	connection, err := a.Pool.Get(ctx, a.decision.Address)
+	connection, err := a.Pool.GetFor(ctx, a.decision.Address, string(a.id))
 	if err == nil {
 		return a.exchangeOn(ctx, connection)
 	}
@@ -137,7 +137,7 @@
 		}
 	}
 	forwarded := a.forwardRequest()
-	a.origin = newAnswerOrigin(a.conn, a.id, a.remaining())
+	a.origin = a.newOrigin()
 	if err := a.send(forwarded); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			// A connection that came up and was reset before the first byte went out.
@@ -185,6 +185,14 @@
 	return a.rank()
 }
 
+// newOrigin returns the origin of the answers to the send that begins.
+func (a *attempt) newOrigin() answerOrigin {
+	if a.peer != nil {
+		return answerOriginThroughPeer(a.conn, a.id, a.decision.Machine)
+	}
+	return newAnswerOrigin(a.conn, a.id, a.decision.Machine, a.remaining())
+}
+
 // readHead reads the head of the answer to this request.
 func (a *attempt) readHead(forwarded *http.Request) (*http.Response, AnswerAttributes, error) {
 	next := func() (*http.Response, error) { return a.nextHead(forwarded) }
@@ -192,7 +200,7 @@
 		marks := a.Dialect.ReadAnswer(a.decision.Machine, response.StatusCode, response.Header)
 		own := a.origin.owns(&marks)
 		if !own {
-			a.Log.Write(a.origin.discarded(a.decision.Machine, response.StatusCode, &marks))
+			a.Log.Write(a.origin.discarded(response.StatusCode, &marks))
 		}
 		a.reportNotice(&marks, own)
 		return marks, own
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -38,7 +38,7 @@
 // be tried and the suspicion is not confirmed, so that the machine is to be tried directly.
 func (a *attempt) exchangeDoubted(ctx context.Context) (*verdict.Error, bool) {
 	if a.Path.AllowsEstablished() {
-		if established := a.Pool.GetIdle(a.decision.Address); established != nil {
+		if established := a.Pool.GetIdleFor(a.decision.Address, string(a.id)); established != nil {
 			return a.exchangeOn(ctx, established), true
 		}
 	}
--- a/upstream/carried.go
+++ b/upstream/carried.go
@@ -22,7 +22,7 @@
 // must be called before Send.
 func (c *Conn) RecordCarried(id string, within time.Duration) {
 	age := c.Age()
-	if len(c.carried) == cap(c.carried) {
+	if len(c.carried) == cap(c.carried) || len(c.carried) >= maxCarried {
 		c.carried = slices.DeleteFunc(c.carried, func(r carriedRequest) bool { return r.until < age })
 	}
 	if len(c.carried) >= maxCarried {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -136,16 +136,35 @@
 
 // Get returns an open idle connection or a new one. An error means that nothing was sent.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	if idle := p.GetIdle(address); idle != nil {
+	return p.get(ctx, address, func(*Conn) bool { return true })
+}
+
+// GetFor does as Get with a connection that has not carried the request. Answers to an earlier send of a request have
+// its ID too, so that they can't be told from the answer to a later send on the same connection.
+func (p *Pool) GetFor(ctx context.Context, address, request string) (*Conn, error) {
+	return p.get(ctx, address, notCarried(request))
+}
+
+// GetIdleFor returns an open idle connection that has not carried the request, nil without one.
+func (p *Pool) GetIdleFor(address, request string) *Conn {
+	return p.getIdle(address, notCarried(request))
+}
+
+func notCarried(request string) func(*Conn) bool {
+	return func(c *Conn) bool { return !c.HasCarried(request) }
+}
+
+func (p *Pool) get(ctx context.Context, address string, usable func(*Conn) bool) (*Conn, error) {
+	if idle := p.getIdle(address, usable); idle != nil {
 		return idle, nil
 	}
 	return p.Dial(ctx, address)
 }
 
-// GetIdle returns an open idle connection, nil without one.
-func (p *Pool) GetIdle(address string) *Conn {
+// getIdle returns an open idle connection that is usable, nil without one.
+func (p *Pool) getIdle(address string, usable func(*Conn) bool) *Conn {
 	for {
-		idle := p.take(address)
+		idle := p.take(address, usable)
 		if idle == nil || idle.reusableIdle() {
 			return idle
 		}
@@ -183,17 +202,18 @@
 	return false
 }
 
-// take removes and returns the most recently used idle connection, nil without one.
-func (p *Pool) take(address string) *Conn {
+// take removes and returns the most recently used idle connection that is usable, nil without one.
+func (p *Pool) take(address string, usable func(*Conn) bool) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if taken := list[i]; usable(taken) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return taken
+		}
 	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // put keeps a connection for another request.
