--- a/passthrough/answer_origin.go
+++ b/passthrough/answer_origin.go
@@ -26,8 +26,12 @@
 	// request was one of them.
 	carried int
 	resent  bool
-	// named is which request the last answer names, empty before the first one.
-	named string
+	// throughPeer is set if another node reads the answers of the machine and passes on the one that it takes for
+	// the request's.
+	throughPeer bool
+	// named is which request the last answer names, empty before the first one. answers counts the answers.
+	named   string
+	answers int
 }
 
 // newAnswerOrigin returns the origin for a request that is about to be sent to a machine on the connection, and that
@@ -41,23 +45,34 @@
 // answerOriginThroughPeer returns the origin for a request that is about to be sent on a connection to another node,
 // which sends it to the machine.
 func answerOriginThroughPeer(conn *upstream.Conn, request cluster.RequestID, machine cluster.MachineID) answerOrigin {
-	return answerOrigin{request: request, machine: machine, carried: conn.Exchanges()}
+	return answerOrigin{request: request, machine: machine, carried: conn.Exchanges(), throughPeer: true}
 }
 
 // owns reports whether an answer belongs to the send.
 func (o *answerOrigin) owns(answer *AnswerAttributes) bool {
+	o.answers++
 	switch answer.RequestID {
 	case o.request:
 		o.named = namesOwn
 		return !o.resent
 	case "":
 		o.named = namesNone
-		return answer.NotRun
+		return answer.NotRun && (o.rejectedByOther(answer) || o.isFirst())
 	}
 	o.named = namesOther
 	return false
 }
 
+// rejectedByOther reports whether the answer comes from another machine than the one that was asked. A connection
+// belongs to one process, which rejects all requests for other machines, so that it does not matter to which of them
+// the answer belongs.
+func (o *answerOrigin) rejectedByOther(answer *AnswerAttributes) bool {
+	return answer.Misdirected && answer.Machine != "" && answer.Machine != o.machine
+}
+
+// isFirst reports whether the last answer is the first one on a connection that has carried nothing but this send.
+func (o *answerOrigin) isFirst() bool { return o.carried == 0 && o.answers == 1 && !o.throughPeer }
+
 // discarded returns the log record for an answer that does not belong to the send.
 func (o *answerOrigin) discarded(status int, answer *AnswerAttributes) eventlog.AnswerDiscarded {
 	return eventlog.AnswerDiscarded{
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -208,7 +208,7 @@
 }
 
 // readOwnHead reads the heads of answers until one belongs to the request. It discards late answers
-// to earlier requests; the connection is not reused after one.
+// to earlier requests, among them rejections that name no request; the connection is not reused after one.
 func readOwnHead(next func() (*http.Response, error), conn *upstream.Conn, judge func(*http.Response) (AnswerAttributes, bool)) (*http.Response, AnswerAttributes, error) {
 	for range maxStaleAnswers {
 		response, err := next()
@@ -220,7 +220,7 @@
 			return response, marks, nil
 		}
 		conn.MarkUnusable()
-		if marks.RequestID == "" || !upstream.Drained(response, maxStaleAnswerBytes) {
+		if marks.RequestID == "" && !marks.NotRun || !upstream.Drained(response, maxStaleAnswerBytes) {
 			break
 		}
 	}
