--- a/engine/client.go
+++ b/engine/client.go
@@ -95,14 +95,15 @@
 	default:
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeEngineFailed, "the engine cannot be reached")
 	}
-	if refused := refusalError(answer); refused != nil {
-		discard(answer.Body)
-		return nil, refused
-	}
+	// Checked first: a surplus refusal of another attempt says nothing about this one.
 	if err := checkRequestID(call, answer.Header); err != nil {
 		_ = answer.Body.Close()
 		return nil, err
 	}
+	if refused := refusalError(answer); refused != nil {
+		discard(answer.Body)
+		return nil, refused
+	}
 	return &Answer{Status: answer.StatusCode, Header: answer.Header, Body: answer.Body}, nil
 }
 
--- a/standin/engine/inference.go
+++ b/standin/engine/inference.go
@@ -117,6 +117,9 @@
 
 // serveInference runs one request and writes its answer.
 func (s *Server) serveInference(writer http.ResponseWriter, request *http.Request, chat bool) {
+	key := s.attemptKey(request)
+	writer.Header()[engine.HeaderRequestID] = []string{string(key.Request)}
+	writer.Header()[engine.HeaderAttempt] = []string{strconv.FormatUint(uint64(key.Attempt), 10)}
 	var body inferenceRequest
 	if err := decodeInferenceBody(writer, request, &body); err != nil {
 		writeNotRunError(writer, http.StatusBadRequest, "invalid_request_error", err.Error())
@@ -127,9 +130,6 @@
 		writeNotRunError(writer, http.StatusBadRequest, "invalid_request_error", "model, prompt or max_tokens is missing or invalid")
 		return
 	}
-	key := s.attemptKey(request)
-	writer.Header()[engine.HeaderRequestID] = []string{string(key.Request)}
-	writer.Header()[engine.HeaderAttempt] = []string{strconv.FormatUint(uint64(key.Attempt), 10)}
 	answer := &answerWriter{server: s, key: key, wake: make(chan struct{}, 1), format: newAnswerFormat(key, &body, prompt, chat)}
 	if refusal := s.submitAttempt(request, answer, prompt); refusal != "" {
 		writeRefusal(writer, refusal)
--- a/standin/fault/injector.go
+++ b/standin/fault/injector.go
@@ -127,6 +127,9 @@
 	if _, refuse := i.Trigger(KindRefuse); refuse {
 		writer.Header().Set("Retry-After", "1")
 		writer.Header().Set(engine.HeaderVerdict, verdict.NotRun.String())
+		for _, name := range []string{engine.HeaderRequestID, engine.HeaderAttempt} {
+			writer.Header().Set(name, request.Header.Get(name))
+		}
 		http.Error(writer, `{"error":"refused","code":8,"message":"refused"}`, http.StatusTooManyRequests)
 		return
 	}
