--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -142,10 +142,7 @@
 		return readPeerAnswer(outer, forwarded)
 	}
 	a.answerComplete = upstream.Drained(outer, maxStaleAnswerBytes)
-	a.peerOutcome = OutcomeUnsupported
-	if text := outer.Header.Get(headerPeerOutcome); isPeerOutcome(text) {
-		a.peerOutcome = PeerOutcome(text)
-	}
+	a.peerOutcome = refusedPeerOutcome(outer)
 	if a.peerOutcome == OutcomeOtherStart {
 		a.otherStart = true
 		a.Decider.Report(routing.MachineStartFound{Machine: a.decision.Machine, Start: cluster.MachineID(outer.Header.Get(headerPeerStart))})
@@ -153,6 +150,19 @@
 	return nil, eris.Wrapf(errPeerRefused, "outcome %s at peer %s", a.peerOutcome, a.peer.ID)
 }
 
+// refusedPeerOutcome returns the outcome for an answer of a peer that holds no answer of the machine. Without a stated
+// outcome, only the statuses for an unknown path or an unreadable request show that nothing was sent.
+func refusedPeerOutcome(outer *http.Response) PeerOutcome {
+	if text := outer.Header.Get(headerPeerOutcome); isPeerOutcome(text) {
+		return PeerOutcome(text)
+	}
+	switch outer.StatusCode {
+	case http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusBadRequest:
+		return OutcomeUnsupported
+	}
+	return OutcomeFailed
+}
+
 // endedByPeer reports whether an error shows that the peer's side has ended the connection or is gone, and not
 // that the time of the request is over.
 func endedByPeer(err error) bool { return endedByMachine(err) || errors.Is(err, syscall.ETIMEDOUT) }
--- a/passthrough/peer_attempt_test.go
+++ b/passthrough/peer_attempt_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -65,3 +66,39 @@
 		})
 	}
 }
+
+// TestPeerAnswerWithoutOutcomeIsNoProof guards against promising that a request did not run because something at the
+// address of a peer gave an answer that no node gives before it sends: only the answers of a server that does not know
+// the path, or does not understand the request, show that.
+func TestPeerAnswerWithoutOutcomeIsNoProof(t *testing.T) {
+	for status, want := range map[int]verdict.Verdict{
+		http.StatusNotFound: verdict.NotRun, http.StatusMethodNotAllowed: verdict.NotRun, http.StatusBadRequest: verdict.NotRun,
+		http.StatusOK: verdict.MayHaveRun, http.StatusInternalServerError: verdict.MayHaveRun,
+		http.StatusBadGateway: verdict.MayHaveRun, http.StatusServiceUnavailable: verdict.MayHaveRun,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		t.Cleanup(server.Close)
+		peer := Peer{ID: "n2", Address: server.Listener.Addr().String()}
+		conn, err := upstream.NewPool(upstream.Options{}).Get(t.Context(), peer.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(conn.Close)
+		inner, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://machine/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		outer, message, err := newPeerRequest(peer, "n1", "m", "", time.Second, inner)
+		if err == nil {
+			err = conn.Send(outer, message)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &attempt{conn: conn, peer: &peer, peerRequest: outer, peerOutcome: OutcomeComplete}
+		_, err = a.nextHead(inner)
+		if failure := a.peerFailure(err); failure.Verdict != want || a.peerOutcome.passesOn() != (want == verdict.NotRun) {
+			t.Errorf("status %d: outcome %s, verdict %s, want %s", status, a.peerOutcome, failure.Verdict, want)
+		}
+	}
+}
