--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -25,8 +26,15 @@
 	// maxStaleAnswers bounds their number.
 	maxStaleAnswerBytes = 256 << 10
 	maxStaleAnswers     = 3
+	// staleAnswerTimeout bounds the wait for the end of such an answer, after which the own one is read, and
+	// refusalTimeout that for the end of a refusal, for which the caller waits only to keep the connection.
+	staleAnswerTimeout = 200 * time.Millisecond
+	refusalTimeout     = 20 * time.Millisecond
 )
 
+// errForeignAnswer is the error of an attempt whose connection brought only answers to other requests.
+var errForeignAnswer = eris.New("the answer belongs to another request")
+
 // errCallerSide marks an error on the connection to the caller.
 var errCallerSide = errors.New("the caller's side failed")
 
@@ -160,6 +168,7 @@
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeEngineFailed, "the machine did not answer")
 	}
 	a.status = response.StatusCode
+	boundAnswer(response)
 	if marks.NotRun {
 		return a.handleRefusal(response, &marks)
 	}
@@ -220,11 +229,11 @@
 			return response, marks, nil
 		}
 		conn.MarkUnusable()
-		if marks.RequestID == "" && !marks.NotRun || !upstream.Drained(response, maxStaleAnswerBytes) {
+		if marks.RequestID == "" && !marks.NotRun || !conn.Drain(response, maxStaleAnswerBytes, staleAnswerTimeout) {
 			break
 		}
 	}
-	return nil, AnswerAttributes{}, eris.New("the answer belongs to another request")
+	return nil, AnswerAttributes{}, errForeignAnswer
 }
 
 // reportNotice reports to the router what the machine states about itself in an answer. An answer
@@ -252,7 +261,7 @@
 	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		a.engineFull = true
 	}
-	a.answerComplete = upstream.Drained(response, maxStaleAnswerBytes)
+	a.answerComplete = a.conn.Drain(response, maxStaleAnswerBytes, refusalTimeout)
 	return verdict.New(verdict.NotRun, verdict.CodeEngineRefused, "the machine answered %d without running the request", response.StatusCode)
 }
 
--- a/passthrough/path.go
+++ b/passthrough/path.go
@@ -7,6 +7,7 @@
 
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/reachability"
+	"github.com/valveslip/valveslip/upstream"
 )
 
 // Path observes this node's own connections to machines and knows the other nodes, through which
@@ -56,6 +57,9 @@
 
 // recordUnanswered reports that the connection failed before the head of the answer arrived.
 func (a *attempt) recordUnanswered(err error) {
+	if invalidAnswer(err) {
+		return
+	}
 	kind := reachability.Silence
 	if !a.conn.Reused() {
 		kind = reachability.NoConnection
@@ -63,6 +67,11 @@
 	a.recordPathFailure(kind, err)
 }
 
+// invalidAnswer reports whether an error comes from what the machine answered: the path to it works.
+func invalidAnswer(err error) bool {
+	return errors.Is(err, upstream.ErrHeadTooLong) || errors.Is(err, errForeignAnswer)
+}
+
 // errSilent is the failure of a machine whose answer is overdue.
 var errSilent = errors.New("the machine is silent")
 
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -141,7 +141,7 @@
 	if outer.StatusCode == http.StatusOK && outer.Header.Get("Content-Type") == messageMediaType {
 		return readPeerAnswer(outer, forwarded)
 	}
-	a.answerComplete = upstream.Drained(outer, maxStaleAnswerBytes)
+	a.answerComplete = a.conn.Drain(outer, maxStaleAnswerBytes, refusalTimeout)
 	a.peerOutcome = refusedPeerOutcome(outer)
 	if a.peerOutcome == OutcomeOtherStart {
 		a.otherStart = true
--- a/passthrough/peer_message.go
+++ b/passthrough/peer_message.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/upstream"
 )
 
 // PeerPath is the path at which a node sends the requests of other nodes to machines. The request
@@ -201,22 +202,35 @@
 // readPeerAnswer reads the head of the machine's answer from the answer of a peer. The body of the
 // result is complete only if the peer says so.
 func readPeerAnswer(outer *http.Response, inner *http.Request) (*http.Response, error) {
-	message := &peerMessage{outer: outer}
+	message := &peerMessage{outer: outer, inHead: true, headLeft: upstream.MaxHeadBytes}
 	answer, err := http.ReadResponse(bufio.NewReader(message), inner)
 	if err != nil {
 		return nil, err
 	}
+	message.inHead = false
 	answer.Body = &peerBody{ReadCloser: answer.Body, message: message}
 	return answer, nil
 }
 
 // peerMessage reads the body of a peer's answer.
-type peerMessage struct{ outer *http.Response }
+type peerMessage struct {
+	outer *http.Response
+	// inHead is set while the head of the machine's answer is read, of which headLeft bytes are allowed.
+	inHead   bool
+	headLeft int
+}
 
 // Read implements io.Reader. The end of the message is io.EOF only if the machine's answer is
 // complete.
 func (m *peerMessage) Read(buffer []byte) (int, error) {
+	if m.inHead {
+		if m.headLeft <= 0 {
+			return 0, upstream.ErrHeadTooLong
+		}
+		buffer = buffer[:min(len(buffer), m.headLeft)]
+	}
 	n, err := m.outer.Body.Read(buffer)
+	m.headLeft -= n
 	if err == io.EOF {
 		if outcome := PeerOutcome(m.outer.Trailer.Get(headerPeerOutcome)); outcome != OutcomeComplete {
 			err = &peerOutcomeError{outcome: outcome}
--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -204,6 +204,7 @@
 		return outcomeOfBreak(err)
 	}
 	e.status = answer.StatusCode
+	boundAnswer(answer)
 	return e.relay(answer)
 }
 
@@ -216,7 +217,7 @@
 func (e *peerExchange) recordUnanswered(err error, waited time.Duration) {
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
-	case timedOut && waited < minSilence:
+	case timedOut && waited < minSilence, invalidAnswer(err):
 	case timedOut || e.conn.Reused():
 		e.Path.Failed(e.address, reachability.Silence, err.Error())
 	default:
--- a/passthrough/stream.go
+++ b/passthrough/stream.go
@@ -37,17 +37,22 @@
 	buffer := readBuffers.Get().(*[]byte)
 	defer readBuffers.Put(buffer)
 	var pending []byte
+	// searched is the length of the part of pending that holds no end of an event.
+	searched := 0
 	resumed := a.headSent
 	for {
 		a.watchdog.restart(a.nextByteTimeout())
 		n, err := response.Body.Read(*buffer)
 		a.watchdog.pause()
 		pending = append(pending, (*buffer)[:n]...)
-		rest, failure := a.relayEvents(response, pending, resumed)
-		if failure != nil {
-			return failure
+		if eventLength(pending[searched:]) > 0 {
+			rest, failure := a.relayEvents(response, pending, resumed)
+			if failure != nil {
+				return failure
+			}
+			pending = append(pending[:0], rest...)
 		}
-		pending = append(pending[:0], rest...)
+		searched = max(len(pending)-len(eventEndCRLF)+1, 0)
 		if !a.reserveEvent(len(pending)) {
 			return verdict.New(verdict.Ran, verdict.CodeUnavailable, "the node keeps too many bytes to wait for the end of an event")
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -45,6 +44,11 @@
 	// exchanges counts the exchanges. carried are the requests among them that may be sent again.
 	exchanges int
 	carried   []carriedRequest
+	// head bounds the head that is being read.
+	head headBudget
+
+	interruptMutex sync.Mutex
+	interrupted    bool
 }
 
 // maxInlineBodyBytes is the size up to which a body is written before the answer is read. A longer
@@ -178,7 +182,12 @@
 
 // Read implements io.Reader.
 func (r *errorRecorder) Read(data []byte) (int, error) {
+	data, err := r.conn.head.limit(data)
+	if err != nil {
+		return 0, err
+	}
 	n, err := r.conn.connection.Read(data)
+	r.conn.head.spend(n)
 	if onData := r.conn.pool.options.OnData; n > 0 && onData != nil {
 		onData(r.conn.opened)
 	}
@@ -194,16 +203,32 @@
 	}
 }
 
-// Head reads the head of the next answer and skips interim answers.
+// errUnexpectedUpgrade is the error for an answer that changes the protocol, which no request asks for.
+var errUnexpectedUpgrade = eris.New("the machine switched to another protocol")
+
+// Head reads the head of the next answer and skips interim answers. It fails with ErrHeadTooLong if they are longer
+// than MaxHeadBytes together.
 func (c *Conn) Head(request *http.Request) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
+	answer, err := c.finalHead(request)
+	if err != nil {
+		c.unusable = true
+		return nil, err
+	}
+	c.answer = answer
+	return answer, nil
+}
+
+func (c *Conn) finalHead(request *http.Request) (*http.Response, error) {
 	for {
 		answer, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			c.unusable = true
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if answer.StatusCode >= http.StatusOK || answer.StatusCode == http.StatusSwitchingProtocols {
-			c.answer = answer
+		case answer.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errUnexpectedUpgrade
+		case answer.StatusCode >= http.StatusOK:
 			return answer, nil
 		}
 	}
@@ -212,9 +237,6 @@
 // MarkUnusable marks the connection as unusable for another exchange.
 func (c *Conn) MarkUnusable() { c.unusable = true }
 
-// Interrupt ends all current reads and writes. It may be called from any goroutine.
-func (c *Conn) Interrupt() { _ = c.connection.SetDeadline(time.Unix(1, 0)) }
-
 // Release returns the connection to the pool after a complete answer. It closes a connection that
 // can't carry another request: the request was not completely written, the machine asked to close,
 // the answer had no length, or more bytes follow the answer.
@@ -287,10 +309,3 @@
 	})
 	return count
 }
-
-// Drained reads the rest of an unwanted answer, up to bound bytes, and reports whether it was read
-// completely.
-func Drained(answer *http.Response, bound int64) bool {
-	n, err := io.CopyN(io.Discard, answer.Body, bound)
-	return errors.Is(err, io.EOF) && n < bound
-}
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	Drained(answer, 1<<10)
+	c.Drain(answer, 1<<10, testTimeout)
 	return nil
 }
 
