--- a/engine/client.go
+++ b/engine/client.go
@@ -33,6 +33,8 @@
 	idleTimeout     = 60 * time.Second
 	bufferBytes     = 16 << 10
 	maxDiscardBytes = 64 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 	// maxControlBytes bounds an answer of the control API.
 	maxControlBytes = 16 << 20
 )
@@ -67,6 +69,8 @@
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{transport: transport, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
 }
--- a/keyvalue/client.go
+++ b/keyvalue/client.go
@@ -28,6 +28,8 @@
 	maxIdleConnectionsPerHost = 16
 	idleConnectionTimeout     = 60 * time.Second
 	maxErrorBytes             = 64 << 10
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 64 << 20
 )
 
 // keepAliveConfig makes the kernel detect within 11 s that the peer has vanished without
@@ -140,7 +142,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return answerError(answer)
 	}
-	if err := json.NewDecoder(answer.Body).Decode(response); err != nil {
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswerBytes)).Decode(response); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "the key-value service's answer was cut")
 	}
 	return nil
