--- a/fleet/shell/endless_answers_test.go
+++ b/fleet/shell/endless_answers_test.go
@@ -130,3 +130,27 @@
 		})
 	}
 }
+
+// TestEndlessEventIsCut guards against a stream whose event has no end, which must be kept until it is complete.
+func TestEndlessEventIsCut(t *testing.T) {
+	d := newDeployment(t, withoutLatencyObjective)
+	var longest atomic.Int64
+	head := "HTTP/1.1 200 OK\r\n%s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: "
+	address := startEndlessWorker(t, head, strings.Repeat("x", 4096), &longest, &runCounter{})
+	entry := platform.WorkerDocument{
+		Service: engineService, Address: address, Zone: "z", Version: "v1", Slots: 8, State: "ready",
+		Models: []platform.HeldModelDocument{{Name: "big", Version: 1, Adapters: []string{}}},
+	}
+	if err := d.store.Put(platform.PrefixWorkers+"e1", entry); err != nil {
+		t.Fatal(err)
+	}
+	node := d.startNode("n1")
+	if got := d.call(node, http.MethodPost, "/once/", "b", withModel("big")); got.status != http.StatusBadGateway {
+		t.Errorf("caller got %d %q, %v, want 502", got.status, got.body, got.err)
+	}
+	// An event may have 1 MiB; the rest is in the buffers of both kernels.
+	const most = 16 << 20
+	if longest.Load() == 0 || longest.Load() > most {
+		t.Errorf("the worker could write %d bytes, want %d at most", longest.Load(), most)
+	}
+}
--- a/passthrough/peer_attempt_test.go
+++ b/passthrough/peer_attempt_test.go
@@ -1,10 +1,12 @@
 package passthrough
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,3 +104,16 @@
 		}
 	}
 }
+
+// TestEndlessHeadThroughPeerIsCut guards against an answer through a peer whose head, which the machine wrote, has no
+// end.
+func TestEndlessHeadThroughPeerIsCut(t *testing.T) {
+	head := strings.NewReader("HTTP/1.1 200 OK\r\n" + strings.Repeat("Field: value\r\n", upstream.MaxHeadBytes))
+	outer := &http.Response{Body: io.NopCloser(head)}
+	if _, err := readPeerAnswer(outer, httptest.NewRequest(http.MethodGet, "/", nil)); !errors.Is(err, upstream.ErrHeadTooLong) {
+		t.Errorf("error %v, want %v", err, upstream.ErrHeadTooLong)
+	}
+	if read := head.Size() - int64(head.Len()); read > 2*upstream.MaxHeadBytes {
+		t.Errorf("%d bytes were read", read)
+	}
+}
--- a/passthrough/peer_message.go
+++ b/passthrough/peer_message.go
@@ -204,7 +204,11 @@
 func readPeerAnswer(outer *http.Response, inner *http.Request) (*http.Response, error) {
 	message := &peerMessage{outer: outer, inHead: true, headLeft: upstream.MaxHeadBytes}
 	answer, err := http.ReadResponse(bufio.NewReader(message), inner)
-	if err != nil {
+	switch {
+	case err != nil && message.headLeft <= 0:
+		// The head was cut at its bound and may look malformed.
+		return nil, upstream.ErrHeadTooLong
+	case err != nil:
 		return nil, err
 	}
 	message.inHead = false
--- a/upstream/bounds.go
+++ b/upstream/bounds.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// cause returns ErrHeadTooLong for an error about a head that was cut at the bound, which may look malformed.
+func (b *headBudget) cause(err error) error {
+	if b.left <= 0 {
+		return ErrHeadTooLong
+	}
+	return err
+}
+
 // Drain reads the rest of an unwanted answer, up to bound bytes and until the timeout, and reports whether it was read
 // completely. Otherwise the connection can't be used again.
 func (c *Conn) Drain(answer *http.Response, bound int64, timeout time.Duration) bool {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -214,7 +214,7 @@
 	answer, err := c.finalHead(request)
 	if err != nil {
 		c.unusable = true
-		return nil, err
+		return nil, c.head.cause(err)
 	}
 	c.answer = answer
 	return answer, nil
