--- a/fleet/shell/surplus_answers_test.go
+++ b/fleet/shell/surplus_answers_test.go
@@ -120,16 +120,14 @@
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
 			d, counter := newDeployment(t, withoutLatencyObjective), &runCounter{}
 			address := startScriptedWorker(t, func(_ int, connection net.Conn, reader *bufio.Reader) {
-				for number := 1; ; number++ {
+				for {
 					request, err := readHead(reader)
 					if err != nil {
 						return
 					}
 					id := request.Header.Get(platform.HeaderRequestID)
 					counter.add(id)
-					if number > 1 {
-						reject(connection, status, "")
-					}
+					reject(connection, status, "")
 					answerTo(connection, id, "answer to "+id)
 				}
 			})
--- a/passthrough/answer_origin.go
+++ b/passthrough/answer_origin.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"context"
 	"time"
 
 	"github.com/valveslip/valveslip/cluster"
@@ -20,6 +21,8 @@
 // so that it identifies a send only on a connection that has not carried the request before.
 type answerOrigin struct {
 	request cluster.RequestID
+	// anonymous is set if the request was sent without its ID, so that no answer can name it.
+	anonymous bool
 	// machine is the machine that was asked.
 	machine cluster.MachineID
 	// carried is the number of exchanges that the connection had carried before the send, and resent whether the
@@ -35,13 +38,24 @@
 }
 
 // newAnswerOrigin returns the origin for a request that is about to be sent to a machine on the connection, and that
-// may be sent again within the given time.
-func newAnswerOrigin(conn *upstream.Conn, request cluster.RequestID, machine cluster.MachineID, within time.Duration) answerOrigin {
-	origin := answerOrigin{request: request, machine: machine, carried: conn.Exchanges(), resent: conn.HasCarried(string(request))}
+// may be sent again within the given time. stated is the ID that the request states, empty for none.
+func newAnswerOrigin(conn *upstream.Conn, request, stated cluster.RequestID, machine cluster.MachineID, within time.Duration) answerOrigin {
+	origin := answerOrigin{
+		request: request, anonymous: stated == "", machine: machine, carried: conn.Exchanges(), resent: conn.HasCarried(string(request)),
+	}
 	conn.RecordCarried(string(request), within)
 	return origin
 }
 
+// connFor returns a connection on which the answers to a request can be told from others: one that has not carried the
+// request, and a new one for a request that states no ID.
+func connFor(ctx context.Context, pool *upstream.Pool, address string, stated cluster.RequestID) (*upstream.Conn, error) {
+	if stated == "" {
+		return pool.Dial(ctx, address)
+	}
+	return pool.GetFor(ctx, address, string(stated))
+}
+
 // answerOriginThroughPeer returns the origin for a request that is about to be sent on a connection to another node,
 // which sends it to the machine.
 func answerOriginThroughPeer(conn *upstream.Conn, request cluster.RequestID, machine cluster.MachineID) answerOrigin {
@@ -52,12 +66,12 @@
 func (o *answerOrigin) owns(answer *AnswerAttributes) bool {
 	o.answers++
 	switch answer.RequestID {
+	case "":
+		o.named = namesNone
+		return answer.NotRun && (o.rejectedByOther(answer) || o.anonymous && o.isFirst())
 	case o.request:
 		o.named = namesOwn
 		return !o.resent
-	case "":
-		o.named = namesNone
-		return answer.NotRun && (o.rejectedByOther(answer) || o.isFirst())
 	}
 	o.named = namesOther
 	return false
--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -100,7 +100,7 @@
 			return failure
 		}
 	}
-	connection, err := a.Pool.GetFor(ctx, a.decision.Address, string(a.id))
+	connection, err := connFor(ctx, a.Pool, a.decision.Address, a.attributes.RequestID)
 	if err == nil {
 		return a.exchangeOn(ctx, connection)
 	}
@@ -199,7 +199,7 @@
 	if a.peer != nil {
 		return answerOriginThroughPeer(a.conn, a.id, a.decision.Machine)
 	}
-	return newAnswerOrigin(a.conn, a.id, a.decision.Machine, a.remaining())
+	return newAnswerOrigin(a.conn, a.id, a.attributes.RequestID, a.decision.Machine, a.remaining())
 }
 
 // readHead reads the head of the answer to this request.
--- a/passthrough/machine_start.go
+++ b/passthrough/machine_start.go
@@ -54,7 +54,7 @@
 	// machine names the start that is meant, address where it listens.
 	machine cluster.MachineID
 	address string
-	// request is what the connection is for.
+	// request is the ID of the request that the connection is for, as it states it.
 	request cluster.RequestID
 	// found is the start that the connection leads to, empty if the machine states none.
 	found cluster.MachineID
@@ -89,7 +89,7 @@
 		if !reused || q.questions == maxStartQueries {
 			return nil, err
 		}
-		if conn, err = q.pool.GetFor(ctx, q.address, string(q.request)); err != nil {
+		if conn, err = connFor(ctx, q.pool, q.address, q.request); err != nil {
 			return nil, err
 		}
 	}
@@ -188,7 +188,7 @@
 	if meant == "" || a.peer != nil || a.Dialect.StartRequest(meant) == nil {
 		return conn, nil
 	}
-	query := &startQuery{dialect: a.Dialect, pool: a.Pool, machine: meant, address: a.decision.Address, request: a.id}
+	query := &startQuery{dialect: a.Dialect, pool: a.Pool, machine: meant, address: a.decision.Address, request: a.attributes.RequestID}
 	began := a.now()
 	conn, err := query.run(ctx, conn)
 	outcome := query.outcome(err)
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -37,7 +37,7 @@
 // connection if those still work, otherwise through other nodes. It returns false if neither could
 // be tried and the suspicion is not confirmed, so that the machine is to be tried directly.
 func (a *attempt) exchangeDoubted(ctx context.Context) (*verdict.Error, bool) {
-	if a.Path.AllowsEstablished() {
+	if a.Path.AllowsEstablished() && a.attributes.RequestID != "" {
 		if established := a.Pool.GetIdleFor(a.decision.Address, string(a.id)); established != nil {
 			return a.exchangeOn(ctx, established), true
 		}
--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -152,7 +152,7 @@
 // connect opens a connection to the machine, to the start that must answer if the task names one. It returns an
 // empty outcome if it did.
 func (e *peerExchange) connect(ctx context.Context) PeerOutcome {
-	conn, err := e.Pool.GetFor(ctx, e.address, string(e.id))
+	conn, err := connFor(ctx, e.Pool, e.address, e.id)
 	if err != nil {
 		e.Path.Failed(e.address, reachability.NoConnection, err.Error())
 		return e.outcomeOfDial(err)
@@ -189,7 +189,7 @@
 
 // exchange sends the request on the connection and passes the answer on.
 func (e *peerExchange) exchange(request *http.Request, body []byte) PeerOutcome {
-	e.origin = newAnswerOrigin(e.conn, e.id, e.task.machine, e.task.timeout)
+	e.origin = newAnswerOrigin(e.conn, e.id, e.id, e.task.machine, e.task.timeout)
 	if err := e.conn.Send(request, body); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			e.Path.Failed(e.address, reachability.NoConnection, err.Error())
