--- a/cmd/valveslip/soak.go
+++ b/cmd/valveslip/soak.go
@@ -43,7 +43,7 @@
 	schedule, report, logs               string
 	binary, previousBinary               string
 	printOnly, shrinkFaults, regressions bool
-	restores, lateEntries                bool
+	restores, lateEntries, surplus       bool
 }
 
 // soakCommand returns the command that runs nodes as processes under faults and checks the
@@ -57,6 +57,7 @@
 	flags.StringVar(&f.schedule, "schedule", "", "schedule file to play instead of a seed's")
 	flags.DurationVar(&f.until, "until", 0, "leave out the faults from this time on, 0 for none")
 	flags.BoolVar(&f.restores, "restores", false, "also draw returns of the store from copies that are some seconds old")
+	flags.BoolVar(&f.surplus, "surplus", false, "also draw workers that send answers which nobody expects, or answers without end")
 	flags.BoolVar(&f.lateEntries, "late-entries", false, "also draw workers that start again with another software version before their entries say so")
 	flags.BoolVar(&f.printOnly, "print", false, "print the schedule and run nothing")
 	flags.BoolVar(&f.shrinkFaults, "shrink", false, "drop faults while the run still fails and print what is left")
@@ -103,7 +104,7 @@
 	} else {
 		var size plan.Size
 		size, err = soak.Size(f.nodes, f.duration)
-		size.Upgrades, size.Restores, size.LateEntries = f.previousBinary != "", f.restores, f.lateEntries
+		size.Upgrades, size.Restores, size.LateEntries, size.Surplus = f.previousBinary != "", f.restores, f.lateEntries, f.surplus
 		schedule = plan.Draw(f.seed, size)
 	}
 	if f.until > 0 {
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -87,6 +87,8 @@
 var workerBehaviours = map[plan.Kind]worker.Behaviour{
 	plan.WorkerHang: worker.Hang, plan.WorkerCut: worker.CutBody, plan.WorkerCross: worker.AnswerForOtherRequest,
 	plan.WorkerReject: worker.Reject, plan.WorkerFail: worker.FailWith500,
+	plan.WorkerRejectTwice: worker.RejectTwice, plan.WorkerAnswerTwice: worker.AnswerTwice,
+	plan.WorkerRejectNobody: worker.RejectNobody, plan.WorkerEndless: worker.AnswerWithoutEnd,
 }
 
 func (r *run) injectWorker(f *plan.Fault, slot *workerSlot) {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -170,7 +170,7 @@
 	}
 	request.Ended = p.recorder.elapsed()
 	if err != nil {
-		request.Failure, request.Left = err.Error(), errors.Is(err, errLeft)
+		request.Failure, request.Left, request.TooLong = err.Error(), errors.Is(err, errLeft), errors.Is(err, errAnswerTooLong)
 	}
 }
 
--- a/soak/check/defects_test.go
+++ b/soak/check/defects_test.go
@@ -136,6 +136,14 @@
 	}},
 	{PromiseStopEnds, "a stop that ends with an error", func(h *History) { h.Stops[0].Status = 1 }},
 	{PromiseAnswer, "an answer that comes too late", func(h *History) { h.Requests[1].Ended += time.Minute }},
+	{PromiseAnswer, "an answer without end of a sound worker", func(h *History) {
+		h.Requests[1].Failure, h.Requests[1].TooLong = "too long", true
+	}},
+	{PromiseOnce, "a second run of a stream that may not be resumed", func(h *History) {
+		stream := completedRequest("once-again", RouteOnce, 13*time.Second)
+		h.Requests = append(h.Requests, stream)
+		h.Runs = append(h.Runs, runOf(stream.ID, "w1", stream.Sent), runOf(stream.ID, "w2", stream.Sent))
+	}},
 	{PromiseAnswer, "a connection that breaks", func(h *History) { h.Requests[1].Status, h.Requests[1].Failure = 0, "reset" }},
 	{PromiseAnswer, "a stream that breaks", func(h *History) {
 		at := slices.IndexFunc(h.Requests, func(r Request) bool { return r.Node == 1 && r.Route == RouteStream })
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -34,6 +34,8 @@
 	EchoedID, Stamp, Body string
 	// Failure is why the answer is incomplete; empty for a complete one.
 	Failure string
+	// TooLong is set if the answer is longer than any that a worker has, and the caller stopped reading it.
+	TooLong bool
 	// ClosesConnection is set if the answer told the caller to close the connection.
 	ClosesConnection bool
 }
--- a/soak/check/requests.go
+++ b/soak/check/requests.go
@@ -13,12 +13,12 @@
 // refusalStatuses are the HTTP statuses which state that the request has not run and never will.
 var refusalStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
-// checkRunsOnce checks that each request of RouteWrite runs at most once.
+// checkRunsOnce checks that each request of RouteWrite and RouteOnce runs at most once.
 func checkRunsOnce(h *History, f *Finding) {
 	runs := h.runsByRequest()
 	for i := range h.Requests {
 		request := &h.Requests[i]
-		if request.Route != RouteWrite {
+		if request.Route != RouteWrite && request.Route != RouteOnce {
 			continue
 		}
 		detail := ""
@@ -120,7 +120,7 @@
 
 // checkAnswerDeadlines checks that at undisturbed nodes every request gets a complete answer
 // within its deadline plus answerSlack. A stream that has begun may be cut at its deadline,
-// or if a worker that ran it was disturbed.
+// or if a worker that ran it was disturbed. An answer may be too long if such a worker wrote it.
 func checkAnswerDeadlines(h *History, f *Finding) {
 	runs := h.runsByRequest()
 	for i := range h.Requests {
@@ -128,7 +128,7 @@
 		if h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller) {
 			continue
 		}
-		begun := request.Route.Streams() && request.Status == http.StatusOK
+		begun := request.Route.Streams() && request.Status == http.StatusOK || request.TooLong
 		took := request.Ended - request.Sent
 		detail := ""
 		switch {
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -49,6 +49,8 @@
 	Restores bool
 	// LateEntries is set for a run whose workers start again before their entries say so.
 	LateEntries bool
+	// Surplus is set for a run whose workers send answers that nobody expects, or answers without end.
+	Surplus bool
 }
 
 // generator draws the faults of one schedule.
@@ -86,6 +88,9 @@
 	if size.LateEntries && !size.Upgrades {
 		schedule.Faults = append(schedule.Faults, drawLateEntries(seed, size)...)
 	}
+	if size.Surplus {
+		schedule.Faults = append(schedule.Faults, drawSurplus(seed, size)...)
+	}
 	if size.Restores {
 		schedule.Faults = append(schedule.Faults, drawRestores(seed, size)...)
 	}
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -111,6 +111,13 @@
 	// WorkerSilence makes a worker deliver and take nothing for about a second, and then go on. It is
 	// sound, so nothing that happens meanwhile is excused.
 	WorkerSilence Kind = "worker-silence"
+	// WorkerRejectTwice makes a worker reject requests and send each rejection a second time, WorkerAnswerTwice do so
+	// with answers, and WorkerRejectNobody send rejections that name no request besides its answers.
+	WorkerRejectTwice  Kind = "worker-reject-twice"
+	WorkerAnswerTwice  Kind = "worker-answer-twice"
+	WorkerRejectNobody Kind = "worker-reject-nobody"
+	// WorkerEndless makes a worker write without end until the caller closes.
+	WorkerEndless Kind = "worker-endless"
 )
 
 // Link names the group of connections that a fault affects.
@@ -197,6 +204,10 @@
 	{WorkerShed, kindProperties{onWorkers, 0, true}},
 	{WorkerBrittle, kindProperties{onWorkers, 0, true}},
 	{WorkerSilence, kindProperties{onWorkers, 0, true}},
+	{WorkerRejectTwice, kindProperties{onWorkers, 0, true}},
+	{WorkerAnswerTwice, kindProperties{onWorkers, 0, true}},
+	{WorkerRejectNobody, kindProperties{onWorkers, 0, true}},
+	{WorkerEndless, kindProperties{onWorkers, 0, true}},
 	{StoreRestore, kindProperties{onStore, 0, true}},
 	{PathHang, kindProperties{onNodes, 0, true}},
 	{PathSilence, kindProperties{onNodes, 0, true}},
--- a/soak/planted/run.sh
+++ b/soak/planted/run.sh
@@ -7,9 +7,10 @@
   [takes-no-news]="a configuration is in force in time"
   [sends-to-leaving]="leaving workers get no work after the bound"
   [knows-only-its-own-path]="nodes without a path to workers serve their callers"
+  [trusts-rejections]="requests that may not be repeated run at most once"
   [trusts-entries]="streams hold events of one software version"
 )
-declare -A schedules=([trusts-entries]=soak/schedules/entries-late.yaml)
+declare -A schedules=([trusts-entries]=soak/schedules/entries-late.yaml [trusts-rejections]=soak/schedules/surplus-answers.yaml)
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 go build -o "$folder/soak" ./cmd/valveslip
--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/valveslip/valveslip/soak/check"
 )
@@ -51,11 +52,18 @@
 // eventEnd ends each event of a stream.
 var eventEnd = []byte("\n\n")
 
+// errAnswerTooLong is the error of an answer of which the caller reads no more.
+var errAnswerTooLong = eris.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+
 // readAnswer reads a body to its end or, if leavesAfter is not zero, up to that many events.
 func readAnswer(body io.Reader, leavesAfter int) ([]byte, error) {
-	limited := io.LimitReader(body, maxAnswerBytes)
+	limited := io.LimitReader(body, maxAnswerBytes+1)
 	if leavesAfter == 0 {
-		return io.ReadAll(limited)
+		read, err := io.ReadAll(limited)
+		if err == nil && len(read) > maxAnswerBytes {
+			err = errAnswerTooLong
+		}
+		return read, err
 	}
 	var read []byte
 	chunk := make([]byte, 4096)
--- a/standin/server.go
+++ b/standin/server.go
@@ -55,9 +55,11 @@
 		return eris.Wrapf(err, "listen on %s", s.address)
 	}
 	s.address = listener.Addr().String()
-	server := &http.Server{Handler: s.handler, IdleTimeout: idleTimeout, ReadHeaderTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: markAnswers(s.handler), IdleTimeout: idleTimeout, ReadHeaderTimeout: idleTimeout, ConnContext: withConn, ConnState: trackAnswers,
+	}
 	s.server = server
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(answerListener{listener}) }()
 	return nil
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -78,6 +78,14 @@
 	EndInsideEvent
 	// CutBody runs the request and closes the connection after half of the body.
 	CutBody
+	// RejectTwice does as Reject and sends the rejection a second time a moment later on the same connection.
+	RejectTwice
+	// AnswerTwice does as Serve and sends an answer a second time in the same way; RejectNobody does as Serve and
+	// then sends a rejection that names no request.
+	AnswerTwice
+	RejectNobody
+	// AnswerWithoutEnd runs the request and writes without end, in a head or a body, until the caller closes.
+	AnswerWithoutEnd
 )
 
 // HealthPath is where a worker tells whether it is well. Nothing runs and no slot is taken.
@@ -274,7 +282,10 @@
 	out.Header().Set(platform.HeaderRequestID, id)
 	model := r.Header.Get(platform.HeaderModel)
 	switch {
-	case behaviour == Reject:
+	case behaviour == Reject, behaviour == RejectTwice:
+		if behaviour == RejectTwice {
+			sendSurplus(r, surplusRejection(id))
+		}
 		out.Header().Set(platform.HeaderNotExecuted, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -299,6 +310,13 @@
 	switch behaviour {
 	case CutAfterRun:
 		panic(http.ErrAbortHandler)
+	case AnswerWithoutEnd:
+		writeWithoutEnd(out, id, run)
+		return
+	case AnswerTwice:
+		sendSurplus(r, surplusAnswer(id, w.config.ID))
+	case RejectNobody:
+		sendSurplus(r, surplusRejection(""))
 	case Hang:
 		<-r.Context().Done()
 		w.mutex.Lock()
