--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -158,7 +158,7 @@
 		return
 	}
 	machine.noteEnd(event)
-	machine.observeOutcome(event)
+	machine.observeOutcome(r.nanos, event)
 	r.recordEvidence(ended, machine, event)
 	if event.Failure == nil {
 		machine.consecutiveBackOffs = 0
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -229,7 +229,7 @@
 	}
 	blocks := r.cachedBlocks(machine)
 	cost := wait + r.distancePenalty(candidate) - blocks*float64(r.config.PrefixBlockTime)
-	cost += machine.failureRate * float64(r.config.FailurePenalty)
+	cost += r.failurePenalty(machine)
 	return scoredReplica{replica: candidate, wait: wait, cost: cost, blocks: blocks}
 }
 
@@ -385,10 +385,10 @@
 func (r *Router) clearBackOffs() {
 	for _, id := range slices.Sorted(maps.Keys(r.machines)) {
 		m := r.machines[id]
-		if m.engineFull || m.consecutiveBackOffs == 0 && m.failureRate == 0 {
+		if m.engineFull || m.consecutiveBackOffs == 0 && m.failures.rate == 0 {
 			continue
 		}
-		m.maxInFlightUntil, m.consecutiveBackOffs, m.failureRate = 0, 0, 0
+		m.maxInFlightUntil, m.consecutiveBackOffs, m.failures = 0, 0, failureRate{}
 		r.arm(&m.timer, r.nanos)
 	}
 }
--- a/routing/placed.go
+++ b/routing/placed.go
@@ -36,7 +36,7 @@
 
 // alternative returns a replica's machine with its penalty for distance and failures.
 func (r *Router) alternative(c *replica) Alternative {
-	penalty := r.distancePenalty(c) + c.machine.failureRate*float64(r.config.FailurePenalty)
+	penalty := r.distancePenalty(c) + r.failurePenalty(c.machine)
 	return Alternative{Machine: c.machine.id, Penalty: time.Duration(penalty)}
 }
 
--- a/routing/placed_test.go
+++ b/routing/placed_test.go
@@ -84,8 +84,8 @@
 	f.status(false, given, loaded("m2", 4))
 	f.expect(f.place("m1", 1, 0), "dispatch a/2 to m2; ")
 	m1 := f.router.machines["m1"]
-	if m1.failureRate > 0 || m1.maxInFlightUntil > 0 || m1.inFlight != 0 {
-		t.Errorf("failure rate %.2f, backed off until %d, %d in flight", m1.failureRate, m1.maxInFlightUntil, m1.inFlight)
+	if m1.failures.rate > 0 || m1.maxInFlightUntil > 0 || m1.inFlight != 0 {
+		t.Errorf("failure rate %.2f, backed off until %d, %d in flight", m1.failures.rate, m1.maxInFlightUntil, m1.inFlight)
 	}
 	if tries := f.router.requests["a"].countedAttempts; tries != 1 {
 		t.Errorf("%d attempts counted, want 1", tries)
--- a/routing/retries.go
+++ b/routing/retries.go
@@ -106,25 +106,6 @@
 	}
 }
 
-// outcomeWeight is the weight of one outcome in a machine's failure rate: 0.2, so that the last
-// three count for half.
-const outcomeWeight = 0.2
-
-// observeOutcome updates the machine's failure rate. Refusals before the request ran and failures of the own
-// path say nothing about the machine's health.
-func (m *machine) observeOutcome(event *AttemptEnded) {
-	failed := 0.0
-	switch {
-	case event.EngineFull || event.ModelMissing || event.PathDoubted || event.OtherStart:
-		return
-	case event.Failure != nil && isPermanent(event.Failure.Code):
-		return
-	case event.Failure != nil:
-		failed = 1
-	}
-	m.failureRate += outcomeWeight * (failed - m.failureRate)
-}
-
 // creditRetries credits one admitted request to the budget in force.
 func (r *Router) creditRetries(m *model) {
 	if r.config.RetryWindow > 0 {
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -253,7 +253,7 @@
 		f.expect(f.advance(doubtedPathDelay-time.Millisecond), "")
 		f.expect(f.advance(time.Millisecond), fmt.Sprintf("dispatch a/%d to m1; ", attempt+1))
 	}
-	if rate := f.router.machines["m1"].failureRate; rate != 0 {
+	if rate := f.router.machines["m1"].failures.rate; rate != 0 {
 		t.Errorf("the machine's failure rate is %g, want 0", rate)
 	}
 }
--- a/routing/state.go
+++ b/routing/state.go
@@ -178,8 +178,7 @@
 	// consecutiveBackOffs counts back-offs without a success between them; each doubles the next
 	// one.
 	consecutiveBackOffs int
-	// failureRate is the moving average of the share of attempts that failed.
-	failureRate float64
+	failures            failureRate
 	// turns is the state of the machine's rate limit and rest period.
 	turns turns
 	// preference orders the machines of a distance, lowest first; zero for all machines unless
