--- a/fleet/feed/core.go
+++ b/fleet/feed/core.go
@@ -41,7 +41,9 @@
 	// is the newest of them.
 	missesChanges     bool
 	announcedRevision keyvalue.Revision
-	failures          int
+	// eraUnapplied is set while the last step to a new era has not been applied.
+	eraUnapplied bool
+	failures     int
 	// failedAt is when the last call failed.
 	failedAt   time.Time
 	nextCallAt time.Time
@@ -210,6 +212,7 @@
 // advance applies changes up to the revision and returns those that were unknown and carry news.
 func (c *Core) advance(changes []wire.StoreChange, revision keyvalue.Revision) []wire.StoreChange {
 	unknown := slices.DeleteFunc(slices.Clone(changes), func(s wire.StoreChange) bool { return s.Revision <= c.revision })
+	c.eraUnapplied = c.eraUnapplied || revision.Era() > c.revision.Era()
 	c.revision = max(c.revision, revision)
 	c.contents.applyChanges(unknown, c.revision)
 	return c.selectNews(unknown)
@@ -226,9 +229,13 @@
 	return news
 }
 
+// apply applies news. A new era is applied also without news, since it gives new revisions to what has been applied.
 func (c *Core) apply(news []wire.StoreChange, relay string) {
 	if len(news) > 0 {
 		c.history.add(news, &c.contents)
+	}
+	if len(news) > 0 || c.eraUnapplied {
+		c.eraUnapplied = false
 		c.emit(Apply{Revision: c.revision, Changes: news, Relay: relay})
 	}
 }
--- a/fleet/feed/restore_test.go
+++ b/fleet/feed/restore_test.go
@@ -207,3 +207,27 @@
 		})
 	}
 }
+
+// TestNewEraIsAppliedWithoutChanges guards against a node that refuses callers with keys until something changes in the
+// store: an update that leads to a new era holds nothing that differs, and what has been applied is not told that its
+// revisions are those of the new era, which the proofs name from then on.
+func TestNewEraIsAppliedWithoutChanges(t *testing.T) {
+	at := func(d time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(d) }
+	c := New(Config{Self: Peer{ID: "a", Address: "a"}}, allNews{}, 1)
+	c.Step(at(0), Tick{})
+	c.Step(at(0), ReadDone{Began: at(0), Revision: 10, Pairs: []wire.StoreChange{{Key: "k", Revision: 7}}})
+	c.Step(at(0), KeyProven{Key: "k"})
+	update := UpdateReceived{Update: wire.StoreChanges{From: "b", After: 10, Revision: inEra(1, 12), KnowsEras: true}}
+	if applied := onlyEffect[Apply](t, c.Step(at(time.Second), update)); applied.Revision != inEra(1, 12) || len(applied.Changes) > 0 {
+		t.Errorf("applied %+v, want the new era without changes", applied)
+	}
+	if got := c.RevisionOf("k"); got != inEra(1, 7) {
+		t.Errorf("the proven key has revision %s in the new era, want %s", got, inEra(1, 7))
+	}
+	again := UpdateReceived{Update: wire.StoreChanges{From: "b", After: inEra(1, 12), Revision: inEra(1, 13), KnowsEras: true}}
+	for _, effect := range c.Step(at(2*time.Second), again) {
+		if applied, found := effect.(Apply); found {
+			t.Errorf("applied %+v without a change in the same era", applied)
+		}
+	}
+}
