--- a/routing/poisoned_parts_test.go
+++ b/routing/poisoned_parts_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("the part beside it is blamed for %v", record.Ends)
 	}
 }
+
+// TestBlockedPartIsNotProbedBesideSuspectedOne guards against sound requests that are refused for as long as a block lasts: the
+// part that they share is blocked before the harmful one, since an end of another cause counts against it, and harmful
+// requests use up its probes.
+func TestBlockedPartIsNotProbedBesideSuspectedOne(t *testing.T) {
+	f := newFixture(t, testPolicy())
+	f.crash(1, commonPart)
+	f.crash(2, commonPart, harmfulPart)
+	f.crash(3, commonPart, harmfulPart)
+	f.status(true, loaded("m9", 4))
+	f.advance(10 * time.Second)
+	f.expect(f.arrive("harmful", withParts(commonPart, harmfulPart)), "finish harmful poison_request not-run; ")
+	if wanted := f.arrive("sound", withParts(commonPart)); len(wanted) != 1 || wanted[0] != (PoisonProbeWanted{Content: commonPart}) {
+		t.Fatalf("a sound request wants %s, want a probe", describe(wanted))
+	}
+	f.expect(f.step(PoisonProbeGranted{Content: commonPart}), "dispatch sound/1 to m9; ")
+	f.step(AttemptEnded{Request: "sound", Attempt: 1})
+	f.expect(f.arrive("another", withParts(commonPart)), "dispatch another/1 to m9; ")
+	f.expect(f.step(AttemptEnded{Request: "another", Attempt: 1}), "finish another; ")
+	f.crash(10, commonPart, harmfulPart)
+	f.status(true, loaded("m9", 4))
+	f.expect(f.arrive("harmful again", withParts(commonPart, harmfulPart)), "finish harmful again poison_request not-run; ")
+	f.expect(f.arrive("last", withParts(commonPart)), "dispatch last/1 to m9; ")
+}
--- a/routing/probes.go
+++ b/routing/probes.go
@@ -13,10 +13,9 @@
 // takeProbe makes the request a probe of its content if this node has permission for one. If a probe
 // is due, the request asks for the permission and waits for it, so that the probe need not wait for
 // the next such request, which may come to this node much later. Probes run one at a time on this
-// node, since the end of a machine would count against all contents probed there. A request that is blocked
-// for two reasons is no probe of either.
+// node, since the end of a machine would count against all contents probed there.
 func (r *Router) takeProbe(arrived *Request, blocked poison.Fingerprint) bool {
-	if r.probeRuns() || r.blockCount(arrived) > 1 {
+	if r.probeRuns() || !r.probesOnly(arrived, blocked) {
 		return false
 	}
 	arrived.probed = blocked
@@ -32,18 +31,22 @@
 	return true
 }
 
-// blockCount returns how many of the request's content and parts are blocked.
-func (r *Router) blockCount(arrived *Request) int {
-	count := 0
-	if r.blocked(arrived.Content) {
-		count++
+// probesOnly reports whether the outcome of a request would tell of the blocked content or part alone. A request that is
+// blocked for another reason too is no probe of either. Nor is one that has another suspected part or content beside a
+// blocked part: that is probably the harmful one, beside which the blocked part was seen.
+func (r *Router) probesOnly(arrived *Request, blocked poison.Fingerprint) bool {
+	tells := func(other poison.Fingerprint) bool {
+		return other == blocked || !r.blocked(other) && (!blocked.IsPart() || !r.poison.Suspected(other))
+	}
+	if !tells(arrived.Content) {
+		return false
 	}
 	for _, part := range arrived.Parts {
-		if r.blocked(part) {
-			count++
+		if !tells(part) {
+			return false
 		}
 	}
-	return count
+	return true
 }
 
 // probeRuns reports whether a probe runs at a machine that answers. One that waits for a machine does not count.
