--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -133,6 +133,24 @@
 	return faults
 }
 
+// drawIndependentSeries draws series of faults of workers as drawIndependent draws single ones, with a mean time of gap
+// between two series. stream tells its random source from those of other series of the seed.
+func drawIndependentSeries(seed, stream uint64, size Size, gap time.Duration, change func(d *generator, f *Fault)) []Fault {
+	var faults []Fault
+	for _, first := range drawIndependent(rand.NewPCG(seed, stream), size, WorkerRestart, gap, func(*generator, *Fault) {}) {
+		d := &generator{random: rand.New(rand.NewPCG(seed, uint64(first.At))), size: size}
+		at := first.At
+		for range 1 + d.random.IntN(maxSeriesLength) {
+			fault := first
+			fault.At = at
+			change(d, &fault)
+			faults = append(faults, fault)
+			at += d.uniformDuration(0, 2*maxSeriesGap)
+		}
+	}
+	return faults
+}
+
 // drawBursts draws caller bursts.
 func drawBursts(seed uint64, size Size) []Fault {
 	return drawIndependent(rand.NewPCG(seed, ^seed), size, CallerBurst, meanBurstGap, func(d *generator, f *Fault) {
--- a/soak/plan/surplus.go
+++ b/soak/plan/surplus.go
@@ -1,9 +1,6 @@
 package plan
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // Parameters of the answers that nobody expects: meanSurplusGap is the mean time between two series, minSurplusTime and
 // maxSurplusTime bound how long a worker sends them.
@@ -18,17 +15,8 @@
 
 // drawSurplus draws series of workers that send answers which nobody expects, or answers without end.
 func drawSurplus(seed uint64, size Size) []Fault {
-	var faults []Fault
-	for _, first := range drawIndependent(rand.NewPCG(seed, 9), size, WorkerRejectTwice, meanSurplusGap, func(*generator, *Fault) {}) {
-		d := &generator{random: rand.New(rand.NewPCG(seed, uint64(first.At))), size: size}
-		at := first.At
-		for range 1 + d.random.IntN(maxSeriesLength) {
-			fault := first
-			fault.Kind, fault.At, fault.For = surplusKinds[d.random.IntN(len(surplusKinds))], at, d.uniformDuration(minSurplusTime, maxSurplusTime)
-			fault.Targets = []int{d.random.IntN(size.Workers)}
-			faults = append(faults, fault)
-			at += d.uniformDuration(0, 2*maxSeriesGap)
-		}
-	}
-	return faults
+	return drawIndependentSeries(seed, 9, size, meanSurplusGap, func(d *generator, f *Fault) {
+		f.Kind, f.For = surplusKinds[d.random.IntN(len(surplusKinds))], d.uniformDuration(minSurplusTime, maxSurplusTime)
+		f.Targets = []int{d.random.IntN(size.Workers)}
+	})
 }
