--- a/fleet/shell/surplus_answers_test.go
+++ b/fleet/shell/surplus_answers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -52,14 +53,15 @@
 }
 
 // repeatsRejections returns the script of a worker that rejects each request once and writes that rejection a
-// second time when the request comes again on the same connection, before the answer to the run.
-func repeatsRejections(counter *runCounter) func(int, net.Conn, *bufio.Reader) {
+// second time when the request comes again on the same connection, before the answer to the run. An early worker rejects
+// before it has read the body.
+func repeatsRejections(counter *runCounter, early bool) func(int, net.Conn, *bufio.Reader) {
 	var mutex sync.Mutex
 	rejected := map[string]bool{}
 	return func(_ int, connection net.Conn, reader *bufio.Reader) {
 		rejectedHere := map[string]bool{}
 		for {
-			request, err := readHead(reader)
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
@@ -68,9 +70,17 @@
 			first := !rejected[id]
 			rejected[id] = true
 			mutex.Unlock()
+			if first && early {
+				reject(connection, http.StatusServiceUnavailable, id)
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
 			if first {
 				rejectedHere[id] = true
-				reject(connection, http.StatusServiceUnavailable, id)
+				if !early {
+					reject(connection, http.StatusServiceUnavailable, id)
+				}
 				continue
 			}
 			counter.add(id)
@@ -95,17 +105,27 @@
 // was told that it did not: a worker rejects it, it is sent there again, and the rejection arrives a second time
 // on that connection.
 func TestSurplusRejectionOfEarlierSendIsNoProof(t *testing.T) {
-	for _, workers := range []int{1, 2} {
-		t.Run(fmt.Sprintf("%d workers", workers), func(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		workers int
+		body    string
+		early   bool
+	}{
+		{"one worker", 1, "b", false},
+		{"two workers", 2, "b", false},
+		{"one worker, long body", 1, strings.Repeat("b", 100<<10), false},
+		{"one worker, long body, rejected before it is read", 1, strings.Repeat("b", 100<<10), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
 			d, counter := newDeployment(t, withoutLatencyObjective), &runCounter{}
-			for i := range workers {
-				d.registerAddress(fmt.Sprintf("p%d", i), plainService, startScriptedWorker(t, repeatsRejections(counter)))
+			for i := range test.workers {
+				d.registerAddress(fmt.Sprintf("p%d", i), plainService, startScriptedWorker(t, repeatsRejections(counter, test.early)))
 			}
 			node := d.startNode("n1")
 			for n := 1; n <= 20; n++ {
-				got := d.call(node, http.MethodPost, "/write/", "b", nil)
+				got := d.call(node, http.MethodPost, "/write/", test.body, nil)
 				checkOnce(t, counter, fmt.Sprintf("request-%d", n), got)
-				if workers == 1 && got.status != http.StatusOK {
+				if test.workers == 1 && got.status != http.StatusOK {
 					t.Errorf("request-%d got %d %q, want an answer of the run", n, got.status, got.body)
 				}
 			}
@@ -148,7 +168,7 @@
 	var proxies []*proxy.Proxy
 	for i := range 2 {
 		p, err := proxy.Listen(proxy.Options{
-			Address: "127.0.0.1:0", Target: startScriptedWorker(t, repeatsRejections(counter)), OnError: func(err error) { t.Error(err) },
+			Address: "127.0.0.1:0", Target: startScriptedWorker(t, repeatsRejections(counter, false)), OnError: func(err error) { t.Error(err) },
 		})
 		if err != nil {
 			t.Fatal(err)
