--- a/routing/health.go
+++ b/routing/health.go
@@ -9,10 +9,11 @@
 	// outcomeWeight is the weight of one outcome in a machine's failure rate: 0.2, so that the last
 	// three count for half.
 	outcomeWeight = 0.2
-	// failureRateHalfLife is the time in which a failure rate halves without an outcome. Otherwise a machine that is
-	// avoided gets no attempt that could show that it works again.
+	// failureRateHalfLife is the time in which a failure rate halves without an outcome, 3 s, so that a machine which is
+	// avoided gets an attempt that can show that it works again: 13 s after one failure, 20 s after many.
 	failureRateHalfLife = 3 * time.Second
-	// minFailureRate is the rate below which a machine is as good as one that never failed.
+	// minFailureRate is the rate below which a machine is as good as one that never failed: 1%, because any
+	// penalty keeps requests away for as long as a machine without one is free.
 	minFailureRate = 0.01
 )
 
