--- a/soak/check/defects_test.go
+++ b/soak/check/defects_test.go
@@ -116,6 +116,10 @@
 		cut := &h.Requests[len(h.Requests)-2]
 		cut.Sent, cut.Ended, cut.Failure = 24500*time.Millisecond, 25*time.Second, "reset"
 	}},
+	{PromiseStop, "an answer without end of a sound worker in a stop", func(h *History) {
+		cut := &h.Requests[len(h.Requests)-2]
+		cut.Sent, cut.Ended, cut.Failure, cut.TooLong = 24500*time.Millisecond, 25*time.Second, "too long", true
+	}},
 	{PromiseStop, "a request that no worker saw and that was cut by a stop", func(h *History) {
 		h.Requests[len(h.Requests)-2].Failure = "reset"
 		h.Runs = h.Runs[:len(h.Runs)-1]
--- a/standin/worker/surplus.go
+++ b/standin/worker/surplus.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,36 +25,48 @@
 }
 
 // surplusRejection returns a rejection of a request, of none if the ID is empty.
-func surplusRejection(id string) string {
-	named := ""
-	if id != "" {
-		named = platform.HeaderRequestID + ": " + id + "\r\n"
-	}
-	return "HTTP/1.1 503 Service Unavailable\r\n" + named + platform.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n"
+func (w *Worker) surplusRejection(id string) string {
+	header := http.Header{platform.HeaderNotExecuted: {"1"}}
+	return w.rawAnswer(http.StatusServiceUnavailable, id, header, "")
+}
+
+// surplusAnswer returns the answer of the worker to a request that isn't streamed.
+func (w *Worker) surplusAnswer(id string) string {
+	return w.rawAnswer(http.StatusOK, id, http.Header{platform.HeaderStamp: {Stamp(w.config.ID)}}, AnswerText(id, w.config.ID))
 }
 
-// surplusAnswer returns the answer of a worker to a request that isn't streamed.
-func surplusAnswer(id, worker string) string {
-	text := AnswerText(id, worker)
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		platform.HeaderRequestID, id, platform.HeaderStamp, Stamp(worker), len(text), text)
+// rawAnswer returns the bytes of an answer, with the headers that every response of the worker has.
+func (w *Worker) rawAnswer(status int, id string, header http.Header, body string) string {
+	w.setStatusHeaders(header)
+	if id != "" {
+		header.Set(platform.HeaderRequestID, id)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	var text strings.Builder
+	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&text)
+	return text.String() + "\r\n" + body
 }
 
 // writeWithoutEnd takes the connection over and writes without end: a field, fields, interim answers, answers of others, a
 // body in chunks or one without length, by the number of the run.
-func writeWithoutEnd(out http.ResponseWriter, id string, run int) {
+func (w *Worker) writeWithoutEnd(out http.ResponseWriter, id string, run int) {
 	conn, _, err := http.NewResponseController(out).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = conn.Close() }()
-	own := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n", platform.HeaderRequestID, id, platform.HeaderStamp)
+	header := http.Header{platform.HeaderRequestID: {id}, platform.HeaderStamp: {"s"}}
+	w.setStatusHeaders(header)
+	var fields strings.Builder
+	_ = header.Write(&fields)
+	own := "HTTP/1.1 200 OK\r\n" + fields.String()
 	filler := strings.Repeat("x", 4096)
 	parts := [][2]string{
 		{own + "Long: ", filler},
 		{own, strings.Repeat("Field: value\r\n", 256)},
 		{"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 128)},
-		{"", surplusAnswer(misroutedAnswerID, "other")},
+		{"", w.surplusAnswer(misroutedAnswerID)},
 		{own + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + filler + "\r\n"},
 		{own + "\r\n", filler},
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -284,7 +284,7 @@
 	switch {
 	case behaviour == Reject, behaviour == RejectTwice:
 		if behaviour == RejectTwice {
-			sendSurplus(r, surplusRejection(id))
+			sendSurplus(r, w.surplusRejection(id))
 		}
 		out.Header().Set(platform.HeaderNotExecuted, "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
@@ -311,12 +311,12 @@
 	case CutAfterRun:
 		panic(http.ErrAbortHandler)
 	case AnswerWithoutEnd:
-		writeWithoutEnd(out, id, run)
+		w.writeWithoutEnd(out, id, run)
 		return
 	case AnswerTwice:
-		sendSurplus(r, surplusAnswer(id, w.config.ID))
+		sendSurplus(r, w.surplusAnswer(id))
 	case RejectNobody:
-		sendSurplus(r, surplusRejection(""))
+		sendSurplus(r, w.surplusRejection(""))
 	case Hang:
 		<-r.Context().Done()
 		w.mutex.Lock()
