--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -62,6 +62,7 @@
 	Asked    int               `log:"asked,omitempty" doc:"nodes that were asked"`
 	Answered int               `log:"answered,omitempty" doc:"nodes that answered"`
 	Took     time.Duration     `log:"took_ms,omitempty" doc:"time until the release was known or given up"`
+	Observed time.Duration     `log:"observed_ms" doc:"for how long this node has known all workers"`
 }
 
 // KeysJudged is written when this node's knowledge of the tenants' API keys becomes too
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -238,6 +238,14 @@
 	}
 }
 
+// observedFor returns for how long this node has known all machines.
+func (t *releaseTracker) observedFor() time.Duration {
+	if t.observedSince.IsZero() {
+		return 0
+	}
+	return t.core.now.Sub(t.observedSince)
+}
+
 // tick drops releases that no longer count, and writes the record if this node holds the order lease.
 func (t *releaseTracker) tick() {
 	if !t.expiresAt.IsZero() && !t.core.now.Before(t.expiresAt) {
--- a/fleet/resumptions.go
+++ b/fleet/resumptions.go
@@ -79,7 +79,7 @@
 	}
 	s.core.log(eventlog.StreamResumed{
 		Request: request.ID, Resumes: request.Resumes, Release: request.Release, Outcome: outcome,
-		Asked: found.Asked, Answered: found.Answered, Took: found.Took,
+		Asked: found.Asked, Answered: found.Answered, Took: found.Took, Observed: s.core.releases.observedFor(),
 	})
 	if request.Pinned {
 		s.core.gate.admit(request)
