Record each release before resumable streams begin at it, so that nodes that start know what they don't see

Callers whose streams were broken off by a kill of all nodes got 200 and text of two versions. Cause: the record of releases existed only while a service had several, so that a node that started without one took the releases that it saw for all that there had been. Evidence: stream_resumed outcome="single release" with observed_ms of a moment.

The record now lists the releases of each service at which streams may have begun, a resumable stream begins only at a release that it lists, and it says in which era of the store it is complete. A node knows all releases once it has read such a record, has known the machines for as long as a stream may be resumed, or is of the first start of the system. The holder of the order lease writes the record; others do if it does not. With a stale view, a single release counts only if all nodes that were asked have answered.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -21,7 +21,7 @@
 		RequestRefused{}, RequestAccepted{}, RequestHeld{}, RequestSent{}, MachineStartChecked{}, AttemptSilent{}, AttemptThroughPeer{}, PeerRequestEnded{}, AnswerDiscarded{}, AttemptEnded{}, RequestEnded{}, CallerStalled{},
 		ConfigurationInForce{}, ConfigurationRejected{}, WorkerChanged{}, WorkerUnreadable{}, WorkerRestarted{}, MachineStartUnlisted{}, WorkerGone{}, WorkerLeaving{}, WorkerRests{}, WorkerLimited{}, MachinePathChanged{}, TurnDecided{}, NodesChanged{},
 		FeedChanged{}, StarterChosen{}, SnapshotTaken{}, KnowledgeOld{}, KnowledgeNew{}, StoreCalls{}, StoreCallSlow{}, CallFailed{}, RecordUnreadable{}, DependencyLost{}, DependencyBack{}, StoreReadDropped{}, StoreEraChanged{}, StoreRestored{}, LeaseChanged{},
-		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
+		PoisonJudged{}, PoisonProbe{}, ReleasesChanged{}, ReleasesRecorded{}, StreamResumed{}, KeysJudged{}, KeyUndecided{}, LendingChanged{}, DispatcherChanged{}, OrderPlanned{}, LoadDelayed{}, StoreCapacityLearned{}, OrderAnswered{}, ReplicaChanged{}, LinesDropped{},
 	}
 }
 
@@ -49,7 +49,14 @@
 type ReleasesChanged struct {
 	Service  string `log:"service" doc:"the service"`
 	Releases string `log:"releases" doc:"releases of its workers, those included that went a short time ago"`
-	Mixed    bool   `log:"mixed" doc:"whether there are several, so that streams are kept apart"`
+	Mixed    bool   `log:"mixed" doc:"whether there may be several, so that streams are kept apart"`
+	Complete bool   `log:"complete" doc:"whether this node knows of all; before, streams may have begun at others"`
+}
+
+// ReleasesRecorded is written when this node writes the record of the releases at which streams may have begun.
+type ReleasesRecorded struct {
+	Complete bool         `log:"complete" doc:"whether the record lists all of them"`
+	Era      keyvalue.Era `log:"era" doc:"era of the store in which it does"`
 }
 
 // StreamResumed is written when a caller resumes a stream: at which release it goes on, and how this
--- a/eventlog/kinds.go
+++ b/eventlog/kinds.go
@@ -42,6 +42,14 @@
 	return "Written when the software releases change at which streams of a service may have begun that can still be resumed."
 }
 
+// Kind implements Event.
+func (ReleasesRecorded) Kind() string { return "releases_recorded" }
+
+// Meaning implements Documented.
+func (ReleasesRecorded) Meaning() string {
+	return "Written when this node writes the record of the releases at which streams may have begun: resumable streams begin only at those that it lists."
+}
+
 // Kind implements Event.
 func (StreamResumed) Kind() string { return "stream_resumed" }
 
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -70,6 +70,7 @@
 	core.view = newMachineView(core)
 	config.Routing.MinLoadTime = core.view.minLoadTime
 	config.Routing.ReleaseOf = core.view.releaseOf
+	config.Routing.MayBegin = func(machine cluster.MachineID) bool { return core.releases.mayBegin(machine) }
 	config.Routing.MixedReleases = func(model cluster.ModelID) bool { return core.releases.mayBeMixed(serviceOf(model)) }
 	if config.Dispatching {
 		core.dispatchClient = newDispatchClient(core)
@@ -110,7 +111,7 @@
 	case LastHolderRead:
 		c.controller.lastHolderRead(e)
 	case ReleasesRead:
-		c.releases.storeRead(e)
+		c.releases.recordRead(e)
 	case EraBegan:
 		c.eraBegan(e.Era)
 	case StoreSynced:
@@ -118,6 +119,7 @@
 		c.releases.synced()
 		c.releaseDispatches()
 	case Paused:
+		c.releases.suspended = true
 		c.feedRouter(routing.DispatchesPaused{Until: now.Add(c.config.PauseHold)})
 		c.poison.peersQueried = false
 		c.poison.queryPeers()
--- a/fleet/dispatch_fixture_test.go
+++ b/fleet/dispatch_fixture_test.go
@@ -63,6 +63,8 @@
 	}, 1)
 	n.configure(1, "m", keys...)
 	n.step(NodesRead{Full: true})
+	// The engines state no release.
+	n.step(ReleasesRead{Record: ReleaseRecord{Services: map[string][]string{"p": {""}}, Complete: true}, Revision: 1})
 	n.putEngines(false, engines...)
 	n.step(StoreSynced{})
 	return n
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -28,7 +28,7 @@
 	c.nodes.eraBegan(era)
 	c.nodeLease.eraBegan(era)
 	c.controller.eraBegan(era)
-	c.releases.storedRevision = inEra(c.releases.storedRevision, era)
+	c.releases.eraBegan(era)
 	c.poison.eraBegan(era)
 }
 
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -251,6 +251,7 @@
 	config := c.plannerConfig()
 	config.EmptyStartBucket = !c.core.config.FirstStart || c.lastHolderRevision != 0 || c.core.eraChanged
 	c.planner = placement.NewPlanner(config)
+	c.core.releases.recorder.markStale()
 	c.feedLedger(sequence.TermBegan{Holder: c.core.config.Self.ID, Token: c.lease.Token()})
 	c.planStale = true
 }
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -1,14 +1,11 @@
 package fleet
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
@@ -16,11 +13,6 @@
 	"github.com/valveslip/valveslip/routing"
 )
 
-// KeyReleases is the key of the record of the services whose machines have several software releases.
-// A node that starts learns from it of releases whose machines are gone, but whose streams may still be
-// resumed. It is absent while each service has a single release.
-const KeyReleases = KeyRoot + "releases"
-
 const (
 	// releaseMargin is added to the longest time for which a stream may be resumed: a release counts
 	// for that long after its last machine is gone.
@@ -28,21 +20,20 @@
 	// defaultStreamTime is that time if a route does not bound it: as long as a request may take if
 	// neither its caller nor its route states a bound.
 	defaultStreamTime = time.Minute
-	// releasesWriteRetry is the time between two attempts to write the record: longer than a change takes to
-	// come back from the store.
-	releasesWriteRetry = 2 * time.Second
 )
 
 // releaseTracker tracks the software releases of the machines of each service.
 type releaseTracker struct {
 	core     *Core
 	services map[string]*serviceReleases
-	// stored is the record in the store, sorted, and storedRevision its revision, zero without one.
-	stored         map[string][]string
-	storedRevision keyvalue.Revision
+	recorder releaseRecorder
 	// observedSince is when this node first knew all machines.
 	observedSince time.Time
-	nextWriteAt   time.Time
+	// complete is set once this node knows all releases at which streams may have begun that can still be
+	// resumed. Before, what it does not see may have been there.
+	complete bool
+	// suspended is set while the process has stood still and the store has not been read since.
+	suspended bool
 	// expiresAt is when the next release ceases to count, zero if none is going to.
 	expiresAt time.Time
 	// unlisted are the starts of machines that answered before their entries were read.
@@ -63,12 +54,15 @@
 	// machines counts the machines of each release, goneAt is when the last one went.
 	machines map[string]int
 	goneAt   map[string]time.Time
-	// reported are the releases that were last reported, sorted.
+	// reported are the releases that were last reported, sorted, and mixed whether streams are kept apart.
 	reported []string
+	mixed    bool
 }
 
 func newReleaseTracker(core *Core) *releaseTracker {
-	return &releaseTracker{core: core, services: map[string]*serviceReleases{}, unlisted: map[cluster.MachineID]*unlistedStart{}}
+	tracker := &releaseTracker{core: core, services: map[string]*serviceReleases{}, unlisted: map[cluster.MachineID]*unlistedStart{}}
+	tracker.recorder.tracker = tracker
+	return tracker
 }
 
 func (t *releaseTracker) service(name string) *serviceReleases {
@@ -85,6 +79,7 @@
 	if before.ID == now.ID && before.Release == now.Release && before.Service == now.Service {
 		return
 	}
+	t.recorder.markStale()
 	if now.ID != "" {
 		t.startListed(now)
 		t.service(now.Service).machines[now.Release]++
@@ -138,7 +133,18 @@
 
 // mayBeMixed reports whether machines of a service may have several releases, as far as this node can know.
 func (t *releaseTracker) mayBeMixed(name string) bool {
-	return t.mixed(name) || t.core.config.ViewIsStale != nil && t.core.config.ViewIsStale()
+	return t.mixed(name) || t.viewIsStale()
+}
+
+// viewIsStale reports whether machines may have come of which this node has not read.
+func (t *releaseTracker) viewIsStale() bool {
+	return t.suspended || t.core.config.ViewIsStale != nil && t.core.config.ViewIsStale()
+}
+
+// mayBegin reports whether resumable streams may begin at a machine: the record lists its release.
+func (t *releaseTracker) mayBegin(id cluster.MachineID) bool {
+	known := t.core.view.machines[id]
+	return known != nil && t.recorder.stored.lists(known.worker.Service, known.worker.Release)
 }
 
 // retention returns how long a release counts after its last machine is gone.
@@ -179,7 +185,7 @@
 // releases returns the releases at which streams of a service may have begun that can still be resumed, sorted.
 func (t *releaseTracker) releases(name string) []string {
 	releases := t.observed(name)
-	for _, release := range t.stored[name] {
+	for _, release := range t.recorder.stored.Services[name] {
 		releases[release] = true
 	}
 	return slices.Sorted(maps.Keys(releases))
@@ -187,6 +193,12 @@
 
 // mixed reports whether streams of a service may have begun at several releases.
 func (t *releaseTracker) mixed(name string) bool {
+	known := t.services[name]
+	return !t.complete || known != nil && known.mixed
+}
+
+// several reports whether this node knows of several releases of a service.
+func (t *releaseTracker) several(name string) bool {
 	known := t.services[name]
 	return known != nil && len(known.reported) > 1
 }
@@ -195,27 +207,33 @@
 func (t *releaseTracker) report(name string) {
 	known := t.service(name)
 	releases := t.releases(name)
-	if slices.Equal(releases, known.reported) {
+	mixed := !t.complete || len(releases) > 1
+	if slices.Equal(releases, known.reported) && mixed == known.mixed {
 		return
 	}
-	known.reported = releases
-	t.core.log(eventlog.ReleasesChanged{Service: name, Releases: strings.Join(releases, ","), Mixed: len(releases) > 1})
-	t.core.resumptions.releasesChanged(name, len(releases) > 1)
+	known.reported, known.mixed = releases, mixed
+	t.core.log(eventlog.ReleasesChanged{Service: name, Releases: strings.Join(releases, ","), Mixed: mixed, Complete: t.complete})
+	t.core.resumptions.releasesChanged(name, mixed)
 }
 
-// storeRead handles the record in the store; nil if there is none.
-func (t *releaseTracker) storeRead(read ReleasesRead) {
-	before := t.stored
+// reportAll reports all services whose releases have changed.
+func (t *releaseTracker) reportAll() {
+	for _, name := range slices.Sorted(maps.Keys(t.services)) {
+		t.report(name)
+	}
+}
+
+// recordRead handles the record in the store.
+func (t *releaseTracker) recordRead(read ReleasesRead) {
+	before := t.recorder.stored.Services
 	if read.Restored {
-		t.keepLost(before, read.Services)
+		t.keepLost(before, read.Record.Services)
 	}
-	t.stored, t.storedRevision = read.Services, read.Revision
-	names := slices.Collect(maps.Keys(before))
-	names = slices.AppendSeq(names, maps.Keys(read.Services))
-	slices.Sort(names)
-	for _, name := range slices.Compact(names) {
-		t.report(name)
+	t.recorder.read(&read)
+	for name := range read.Record.Services {
+		t.service(name)
 	}
+	t.reportAll()
 }
 
 // keepLost keeps releases that the record of a restored store lacks, as if their last machine had just
@@ -233,9 +251,39 @@
 
 // synced records that all machines are known.
 func (t *releaseTracker) synced() {
-	if t.observedSince.IsZero() {
-		t.observedSince = t.core.now
+	t.suspended = false
+	if !t.observedSince.IsZero() {
+		return
+	}
+	t.observedSince = t.core.now
+	t.expiresAt = earliest(t.expiresAt, t.core.now.Add(t.retention()))
+	if t.recorder.revision == 0 && t.core.controller.isFirstStart() {
+		t.becomeComplete()
+	}
+}
+
+// becomeComplete records that this node knows all releases at which streams may have begun.
+func (t *releaseTracker) becomeComplete() {
+	t.complete = true
+	t.recorder.markStale()
+	t.reportAll()
+}
+
+// checkComplete finds out whether this node knows all releases by now: from the record, or since it has known the
+// machines for as long as a stream may be resumed.
+func (t *releaseTracker) checkComplete() {
+	if t.complete || t.observedSince.IsZero() {
+		return
 	}
+	if t.recorder.complete() || t.observedFor() >= t.retention() {
+		t.becomeComplete()
+	}
+}
+
+// eraBegan takes the era that the records were last read in.
+func (t *releaseTracker) eraBegan(era keyvalue.Era) {
+	t.recorder.revision = inEra(t.recorder.revision, era)
+	t.recorder.markStale()
 }
 
 // observedFor returns for how long this node has known all machines.
@@ -246,26 +294,30 @@
 	return t.core.now.Sub(t.observedSince)
 }
 
-// tick drops releases that no longer count, and writes the record if this node holds the order lease.
+// tick drops releases that no longer count, and writes the record if that is this node's turn.
 func (t *releaseTracker) tick() {
 	if !t.expiresAt.IsZero() && !t.core.now.Before(t.expiresAt) {
 		t.expire()
 	}
-	if t.observedSince.IsZero() || t.core.now.Before(t.nextWriteAt) || !t.core.controller.ledger.Holding() {
-		return
-	}
-	if wanted := t.wanted(); !maps.EqualFunc(wanted, t.stored, slices.Equal) {
-		t.nextWriteAt = t.core.now.Add(releasesWriteRetry)
-		t.core.emit(StoreWrite{Key: KeyReleases, Value: encodeReleases(wanted), Delete: len(wanted) == 0, Revision: t.storedRevision})
-	}
+	t.checkComplete()
+	t.recorder.tick()
 }
 
 // due returns the time of the next required tick, zero for none.
-func (t *releaseTracker) due() time.Time { return t.expiresAt }
+func (t *releaseTracker) due() time.Time {
+	if at := t.recorder.due(); !at.IsZero() {
+		return earliest(t.expiresAt, at)
+	}
+	return t.expiresAt
+}
 
 // expire drops the releases whose last machine went too long ago.
 func (t *releaseTracker) expire() {
 	t.expiresAt = time.Time{}
+	t.recorder.markStale()
+	if end := t.observedSince.Add(t.retention()); !t.observedSince.IsZero() && t.core.now.Before(end) {
+		t.expiresAt = end
+	}
 	for _, name := range slices.Sorted(maps.Keys(t.services)) {
 		known := t.services[name]
 		for release, at := range known.goneAt {
@@ -283,30 +335,10 @@
 	}
 }
 
-// wanted returns the record as it should be. A release that the record has stays until this node would have
-// seen streams of it end.
-func (t *releaseTracker) wanted() map[string][]string {
-	young := t.core.now.Sub(t.observedSince) < t.retention()
-	wanted := map[string][]string{}
-	for name := range t.services {
-		releases := t.observed(name)
-		maps.DeleteFunc(releases, func(release string, _ bool) bool { return routing.IsUnlistedRelease(release) })
-		for _, release := range t.stored[name] {
-			if young {
-				releases[release] = true
-			}
-		}
-		if len(releases) > 1 {
-			wanted[name] = slices.Sorted(maps.Keys(releases))
-		}
-	}
-	return wanted
-}
-
-// only returns the release of a service if there is exactly one.
+// only returns the release at which all streams of a service began that can still be resumed, if there is exactly one.
 func (t *releaseTracker) only(name string) (string, bool) {
 	known := t.services[name]
-	if known == nil || len(known.reported) != 1 {
+	if !t.complete || known == nil || len(known.reported) != 1 {
 		return "", false
 	}
 	return known.reported[0], true
@@ -314,33 +346,3 @@
 
 // unstatedRelease is the release of a machine whose entry states none, beside others that do: it may be any.
 func unstatedRelease(id cluster.MachineID) string { return "unstated by " + string(id) }
-
-// ReleasesRead delivers the record of the services whose machines have several releases, nil without one.
-type ReleasesRead struct {
-	Services map[string][]string
-	// Revision is the store revision of the record, zero without one.
-	Revision keyvalue.Revision
-	Restored bool
-}
-
-func (ReleasesRead) fleetEvent() {}
-
-func encodeReleases(services map[string][]string) []byte {
-	data, err := json.Marshal(services)
-	if err != nil {
-		return nil
-	}
-	return data
-}
-
-// DecodeReleases decodes the value of KeyReleases.
-func DecodeReleases(value []byte) (map[string][]string, error) {
-	var services map[string][]string
-	if err := json.Unmarshal(value, &services); err != nil {
-		return nil, eris.Wrap(err, "decode record of releases")
-	}
-	for name := range services {
-		slices.Sort(services[name])
-	}
-	return services, nil
-}
--- a/fleet/releases_test.go
+++ b/fleet/releases_test.go
@@ -28,6 +28,11 @@
 	return core
 }
 
+// recordOf returns a complete record of the releases of the service.
+func recordOf(releases ...string) ReleaseRecord {
+	return ReleaseRecord{Services: map[string][]string{"s": releases}, Complete: true}
+}
+
 func releaseWorker(id cluster.MachineID, release string) catalog.Worker {
 	return catalog.Worker{ID: id, Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 4, Release: release}
 }
@@ -37,6 +42,7 @@
 func TestReleaseCountsAsLongAsItsStreamsMayBeResumed(t *testing.T) {
 	core, start := newReleaseCore(t), time.Unix(1000, 0)
 	core.Step(start, WorkersRead{Workers: []catalog.Worker{releaseWorker("a", "v1"), releaseWorker("b", "v2")}})
+	core.Step(start, StoreSynced{})
 	core.Step(start, WorkersRead{Gone: []cluster.MachineID{"a"}})
 	core.Step(start.Add(10*time.Second), Tick{})
 	if !core.releases.mixed("s") {
@@ -52,22 +58,23 @@
 // went, and would continue its streams at another one.
 func TestStartedNodeLearnsReleasesFromTheStore(t *testing.T) {
 	core, start := newReleaseCore(t), time.Unix(1000, 0)
-	core.Step(start, ReleasesRead{Services: map[string][]string{"s": {"v1", "v2"}}, Revision: 4})
+	core.Step(start, ReleasesRead{Record: recordOf("v1", "v2"), Revision: 4})
 	core.Step(start, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}, Full: true})
 	core.Step(start, StoreSynced{})
 	if !core.releases.mixed("s") {
 		t.Errorf("releases %v", core.releases.releases("s"))
 	}
-	if wanted := core.releases.wanted(); !slices.Equal(wanted["s"], []string{"v1", "v2"}) {
+	recorder := &core.releases.recorder
+	if wanted := recorder.wanted(recorder.streamsEnded()); !slices.Equal(wanted.Services["s"], []string{"v1", "v2"}) {
 		t.Errorf("the record would be %v at once", wanted)
 	}
 	core.Step(start.Add(10*time.Second+releaseMargin), Tick{})
-	if wanted := core.releases.wanted(); len(wanted) != 0 {
+	if wanted := recorder.wanted(recorder.streamsEnded()); !slices.Equal(wanted.Services["s"], []string{"v2"}) {
 		t.Errorf("the record would still be %v", wanted)
 	}
-	core.Step(start.Add(20*time.Second), ReleasesRead{})
+	core.Step(start.Add(20*time.Second), ReleasesRead{Record: recordOf("v2"), Revision: 5})
 	if _, single := core.releases.only("s"); !single {
-		t.Errorf("releases %v without a record", core.releases.releases("s"))
+		t.Errorf("releases %v with a record of one", core.releases.releases("s"))
 	}
 }
 
@@ -91,8 +98,9 @@
 
 // TestReleasesRecordSurvivesEncoding guards against a record that other nodes can't read.
 func TestReleasesRecordSurvivesEncoding(t *testing.T) {
-	decoded, err := DecodeReleases(encodeReleases(map[string][]string{"s": {"v1", "v2"}}))
-	if err != nil || !slices.Equal(decoded["s"], []string{"v1", "v2"}) {
+	record := recordOf("v1", "v2")
+	decoded, err := DecodeReleases(encodeReleases(&record))
+	if err != nil || !decoded.equal(&record) {
 		t.Errorf("decoded %v, %v", decoded, err)
 	}
 	if _, err := DecodeReleases([]byte("damaged")); err == nil {
@@ -104,8 +112,9 @@
 // back without the record that names theirs, whose machines are gone.
 func TestReleaseThatStoreLostStillCounts(t *testing.T) {
 	core, start := newReleaseCore(t), time.Unix(1000, 0)
-	core.Step(start, ReleasesRead{Services: map[string][]string{"s": {"v1", "v2"}}, Revision: 4})
+	core.Step(start, ReleasesRead{Record: recordOf("v1", "v2"), Revision: 4})
 	core.Step(start, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}, Full: true})
+	core.Step(start, StoreSynced{})
 	core.Step(start, ReleasesRead{Restored: true})
 	core.Step(start.Add(10*time.Second), EraBegan{Era: 1})
 	if !core.releases.mixed("s") {
--- a/fleet/resumptions.go
+++ b/fleet/resumptions.go
@@ -55,7 +55,7 @@
 		return
 	}
 	s.held[request.Resumes] = append(s.held[request.Resumes], request)
-	s.step(origins.LookupRequested{Request: request.Resumes, Mixed: s.core.releases.mixed(serviceOf(request.Model))})
+	s.step(origins.LookupRequested{Request: request.Resumes, Mixed: s.core.releases.mayBeMixed(serviceOf(request.Model))})
 }
 
 func serviceOf(model cluster.ModelID) string {
@@ -66,6 +66,10 @@
 // decide pins a request to the release at which its stream began.
 func (s *resumptions) decide(request routing.Request, found origins.Found) {
 	only, single := s.core.releases.only(serviceOf(request.Model))
+	if s.core.releases.viewIsStale() {
+		// Another release may have come of which only other nodes have read: they answer for that.
+		single = single && found.Asked > 0 && found.Answered == found.Asked
+	}
 	outcome := resumedUnknown
 	switch {
 	case found.Known:
@@ -85,7 +89,7 @@
 		s.core.gate.admit(request)
 		return
 	}
-	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "workers of several releases serve, and it is not known at which of them the stream began")
+	failure := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "workers of several releases may serve, and it is not known at which of them the stream began")
 	s.core.emit(RoutingOutput{Effect: routing.Finish{
 		Request: request.ID, Failure: failure.After(unknownOriginRetryAfter), Reason: routing.Explanation{Code: failure.Code, Setting: settingOrigin},
 	}})
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -85,12 +85,12 @@
 	case pair.Key == fleet.KeyReleases:
 		b.releases = &fleet.ReleasesRead{Restored: b.restored}
 		if !deleted {
-			services, err := fleet.DecodeReleases(pair.Value)
+			record, err := fleet.DecodeReleases(pair.Value)
 			if err != nil {
 				f.reportUnreadable(unreadableReleases, pair, err)
 			}
-			// The lease holder needs the revision of a record that can't be decoded to replace it.
-			*b.releases = fleet.ReleasesRead{Services: services, Revision: pair.Revision, Restored: b.restored}
+			// A record that can't be decoded is replaced, which needs its revision.
+			*b.releases = fleet.ReleasesRead{Record: record, Revision: pair.Revision, Restored: b.restored}
 		}
 	case strings.HasPrefix(pair.Key, fleet.KeyPoison):
 		f.addPoisonChange(b, pair)
--- a/fleet/shell/killed_nodes_test.go
+++ b/fleet/shell/killed_nodes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -100,23 +101,28 @@
 	return ids
 }
 
-// takeUp resumes streams and returns how many went on. It fails the test if one went on at another release.
-func (f *killableFleet) takeUp(ids []string) (wentOn int) {
+// takeUp resumes streams, all at once since they end with their deadlines, and returns how many went on. It fails the
+// test if one went on at another release.
+func (f *killableFleet) takeUp(ids []string) int {
 	f.t.Helper()
-	joined := 0
+	var wentOn, joined atomic.Int64
+	var callers sync.WaitGroup
 	for i, id := range ids {
-		got, attempts := f.resume(f.nodes[(i+1)%len(f.nodes)], id, id+"-again", 3)
-		if got.err == nil && got.status == http.StatusOK {
-			wentOn++
-		}
-		if len(f.releasesOf(append(attempts, id)...)) != 1 {
-			joined++
-		}
+		callers.Go(func() {
+			got, attempts := f.resume(f.nodes[(i+1)%len(f.nodes)], id, id+"-again", 3)
+			if got.err == nil && got.status == http.StatusOK {
+				wentOn.Add(1)
+			}
+			if len(f.releasesOf(append(attempts, id)...)) != 1 {
+				joined.Add(1)
+			}
+		})
 	}
-	if joined > 0 {
-		f.t.Errorf("%d of %d streams that were taken up ran at two releases", joined, len(ids))
+	callers.Wait()
+	if joined.Load() > 0 {
+		f.t.Errorf("%d of %d streams that were taken up ran at two releases", joined.Load(), len(ids))
 	}
-	return wentOn
+	return int(wentOn.Load())
 }
 
 // knowWorkers waits until all nodes know a number of workers.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -164,7 +164,7 @@
 	switch {
 	case known == nil:
 		return v.core.releases.releaseOfGone(id)
-	case known.worker.Release == "" && v.core.releases.mixed(known.worker.Service):
+	case known.worker.Release == "" && v.core.releases.several(known.worker.Service):
 		return unstatedRelease(id)
 	}
 	return known.worker.Release
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -133,6 +133,9 @@
 	if !r.fitsRelease(ready, machine) || r.startUnknown(ready, machine) {
 		return FilterRelease
 	}
+	if !r.mayBegin(ready, machine) {
+		return FilterUnrecorded
+	}
 	if ready.model.matchingVersion > 0 && !ready.model.hasVersion(candidate) {
 		return FilterVersion
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -84,6 +84,9 @@
 	// ReleaseOf returns the software release of a start of a machine, UnlistedRelease if its entry is not known. A
 	// nil function returns the same for all.
 	ReleaseOf func(start cluster.MachineID) string
+	// MayBegin reports whether resumable streams may begin at a machine. ReleasesRecorded tells of machines for which
+	// that changes. A nil function returns true.
+	MayBegin func(machine cluster.MachineID) bool
 	// MixedReleases reports whether the machines that serve a model may have several releases. A nil function
 	// returns false.
 	MixedReleases func(model cluster.ModelID) bool
--- a/routing/events.go
+++ b/routing/events.go
@@ -371,17 +371,18 @@
 
 // The causes for which a replica is excluded from a choice.
 const (
-	FilterLeaving  FilterCause = "machine leaving"
-	FilterLoading  FilterCause = "still loading"
-	FilterFull     FilterCause = "no free slot"
-	FilterRecent   FilterCause = "refused recently"
-	FilterTried    FilterCause = "already tried for this request"
-	FilterVersion  FilterCause = "other version"
-	FilterRelease  FilterCause = "other software release"
-	FilterUnlisted FilterCause = "not in the cell's status"
-	FilterLimited  FilterCause = "no turn at a machine with a limit"
-	FilterResting  FilterCause = "machine wants rest"
-	FilterHeld     FilterCause = "this node stood still and reads the machine list first"
+	FilterLeaving    FilterCause = "machine leaving"
+	FilterLoading    FilterCause = "still loading"
+	FilterFull       FilterCause = "no free slot"
+	FilterRecent     FilterCause = "refused recently"
+	FilterTried      FilterCause = "already tried for this request"
+	FilterVersion    FilterCause = "other version"
+	FilterRelease    FilterCause = "other software release"
+	FilterUnrecorded FilterCause = "software release not recorded yet"
+	FilterUnlisted   FilterCause = "not in the cell's status"
+	FilterLimited    FilterCause = "no turn at a machine with a limit"
+	FilterResting    FilterCause = "machine wants rest"
+	FilterHeld       FilterCause = "this node stood still and reads the machine list first"
 )
 
 // Explanation is the recorded reason of a refusal or of the end of a request.
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -64,6 +64,26 @@
 	return !ready.Pinned || r.releaseOf(m) == r.resolveRelease(ready.Release)
 }
 
+// mayBegin reports whether a request may go to a machine as far as its stream would begin there. Who starts after
+// all routers have ended knows only of releases that were recorded before.
+func (r *Router) mayBegin(ready *request, m *machine) bool {
+	return !ready.Resumable || ready.Pinned || r.config.MayBegin == nil || r.config.MayBegin(m.id)
+}
+
+// ReleasesRecorded reports machines at which resumable streams may begin from now on.
+type ReleasesRecorded struct{ Machines []cluster.MachineID }
+
+func (ReleasesRecorded) routingEvent() {}
+
+// releasesRecorded dispatches waiting requests to the machines.
+func (r *Router) releasesRecorded(event *ReleasesRecorded) {
+	for _, id := range event.Machines {
+		if m := r.machines[id]; m != nil {
+			r.freedMachines = append(r.freedMachines, m)
+		}
+	}
+}
+
 // mayFitRelease reports whether the request may run on the machine, or may turn out to once the entry of the start
 // that answers there, or of the one that began the stream, is read.
 func (r *Router) mayFitRelease(pinned *request, m *machine) bool {
--- a/routing/router.go
+++ b/routing/router.go
@@ -140,6 +140,8 @@
 		r.applyMachineNotice(&event)
 	case MachineStartFound:
 		r.machineStartFound(&event)
+	case ReleasesRecorded:
+		r.releasesRecorded(&event)
 	case AttemptsDoubted:
 		r.attemptsDoubted(&event)
 	case MachineRestarted:
