Store the origins of streams of mixed services, so that they go on after all nodes were killed

The holder of the order lease now gets each origin besides its owners, and stores what is new twice a second in a ring of 64 records, of which all nodes learn with the other changes of the store. One writer, since a write of each node would cost as many calls as there are nodes. At most 128 origins a record, so that each node is told 5 KB/s at most. The records are deleted once no service has several releases.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -42,6 +42,7 @@
 	pacer          *pacer
 	releases       *releaseTracker
 	resumptions    *resumptions
+	archive        *originArchive
 	reporter       demandReporter
 	synced         bool
 	// era is the era of the store that this node has known since eraSince. eraChanged is set once it has
@@ -85,6 +86,7 @@
 	core.pacer = newPacer(core)
 	core.releases = newReleaseTracker(core)
 	core.resumptions = newResumptions(core)
+	core.archive = newOriginArchive(core)
 	return core
 }
 
@@ -112,6 +114,8 @@
 		c.controller.lastHolderRead(e)
 	case ReleasesRead:
 		c.releases.recordRead(e)
+	case OriginsRead:
+		c.archive.read(&e)
 	case EraBegan:
 		c.eraBegan(e.Era)
 	case StoreSynced:
@@ -163,12 +167,13 @@
 	c.pacer.tick()
 	c.releases.tick()
 	c.resumptions.tick()
+	c.archive.tick()
 	return c.effects
 }
 
 // NextDue returns the time of the next required Tick.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due()}
+	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due(), c.archive.due()}
 	if c.dispatchClient != nil {
 		due = append(due, c.dispatchClient.due())
 	}
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -29,6 +29,7 @@
 	c.nodeLease.eraBegan(era)
 	c.controller.eraBegan(era)
 	c.releases.eraBegan(era)
+	c.archive.eraBegan(era)
 	c.poison.eraBegan(era)
 }
 
--- a/fleet/origins/config.go
+++ b/fleet/origins/config.go
@@ -29,6 +29,11 @@
 	maxPending = 1 << 12
 	// maxStreams bounds the origins in one message.
 	maxStreams = 256
+	// maxUnarchived bounds the origins that wait to be stored.
+	maxUnarchived = 1 << 10
+	// storedLifetime is how long an origin that was read from the store is kept: longer than streams last, since
+	// how old it is is not known.
+	storedLifetime = time.Minute
 	// sweepInterval is the time between two scans for expired origins, so that not each step scans them.
 	sweepInterval = time.Second
 )
--- a/fleet/origins/core.go
+++ b/fleet/origins/core.go
@@ -30,6 +30,9 @@
 	asked      map[int64]cluster.RequestID
 	lastNumber int64
 	nextSweep  time.Time
+	// archivist is the node that stores origins, and unarchived those that it has not stored yet.
+	archivist  Peer
+	unarchived []cluster.RequestID
 	effects    []Effect
 }
 
@@ -42,6 +45,10 @@
 	// holders are the other nodes that the origin was sent to, or that must have it because they were
 	// its owners when this node received it.
 	holders []cluster.NodeID
+	// archivist is the node that stores origins which has it, empty for none. stored is set if it was read from
+	// the store, where all nodes find it.
+	archivist cluster.NodeID
+	stored    bool
 }
 
 // New returns a core that knows no other node.
@@ -63,6 +70,10 @@
 		c.setMixed(e)
 	case Began:
 		c.began(&e)
+	case ArchivistChanged:
+		c.setArchivist(e.Archivist)
+	case Learned:
+		c.learned(e.Origins)
 	case LookupRequested:
 		c.startLookup(e)
 	case MessageReceived:
@@ -110,10 +121,10 @@
 func (c *Core) began(e *Began) {
 	if before := c.origins[e.Request]; before != nil && before.release != e.Release {
 		// The owners hold the earlier release.
-		before.holders = nil
+		before.holders, before.archivist = nil, ""
 	}
 	known := c.put(e.Request, e.Release, e.Deadline.Add(resumeSlack))
-	known.service, known.relayed = e.Service, true
+	known.service, known.relayed, known.stored = e.Service, true, false
 	if c.mixed[e.Service] {
 		c.replicate([]cluster.RequestID{e.Request})
 	}
@@ -210,7 +221,7 @@
 	}
 	var moved []cluster.RequestID
 	for id, known := range c.origins {
-		if (!known.relayed || c.mixed[known.service]) && c.ownersMoved(id, known, joined) {
+		if !known.stored && (!known.relayed || c.mixed[known.service]) && c.ownersMoved(id, known, joined) {
 			moved = append(moved, id)
 		}
 	}
@@ -260,8 +271,13 @@
 		if known := c.origins[stream.Request]; known != nil && known.relayed {
 			continue
 		}
+		before := c.origins[stream.Request]
+		restated := before == nil || before.release != stream.Release || before.stored
 		known := c.put(stream.Request, stream.Release, c.now.Add(stream.Left))
-		known.holders = c.ownerIDs(stream.Request)
+		known.holders, known.stored = c.ownerIDs(stream.Request), false
+		if restated {
+			c.archive(stream.Request)
+		}
 	}
 	c.emit(Send{Address: m.FromAddress, Message: wire.StreamOriginsReceived{From: c.self.ID, Number: m.Number}})
 }
--- a/fleet/origins/replication.go
+++ b/fleet/origins/replication.go
@@ -28,21 +28,25 @@
 	return ids
 }
 
-// replicate sends origins to those of their owners that don't have them.
+// replicate sends origins to those of their owners, and to the archivist, that don't have them.
 func (c *Core) replicate(ids []cluster.RequestID) {
 	var order []cluster.NodeID
 	streams := map[cluster.NodeID][]cluster.RequestID{}
 	for _, id := range ids {
 		known := c.origins[id]
 		owners := c.ownerIDs(id)
-		for _, owner := range owners {
-			if slices.Contains(known.holders, owner) {
-				continue
+		receivers := slices.DeleteFunc(slices.Clone(owners), func(owner cluster.NodeID) bool { return slices.Contains(known.holders, owner) })
+		if known.relayed && known.archivist != c.archivist.ID {
+			known.archivist = c.archivist.ID
+			if !c.archive(id) && c.peers[c.archivist.ID].ID != "" && !slices.Contains(owners, c.archivist.ID) {
+				receivers = append(receivers, c.archivist.ID)
 			}
-			if len(streams[owner]) == 0 {
-				order = append(order, owner)
+		}
+		for _, receiver := range receivers {
+			if len(streams[receiver]) == 0 {
+				order = append(order, receiver)
 			}
-			streams[owner] = append(streams[owner], id)
+			streams[receiver] = append(streams[receiver], id)
 		}
 		known.holders = owners
 	}
--- a/fleet/release_record.go
+++ b/fleet/release_record.go
@@ -127,7 +127,9 @@
 
 // mayDrop reports whether this node may take releases out of the record: it holds the order lease and would have seen
 // their streams end.
-func (r *releaseRecorder) mayDrop() bool { return r.tracker.core.controller.ledger.Holding() && r.streamsEnded() }
+func (r *releaseRecorder) mayDrop() bool {
+	return r.tracker.core.controller.ledger.Holding() && r.streamsEnded()
+}
 
 // streamsEnded reports whether streams have ended that began before this node knew the machines.
 func (r *releaseRecorder) streamsEnded() bool {
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -203,6 +203,16 @@
 	return known != nil && len(known.reported) > 1
 }
 
+// anyMixed reports whether streams of any service may have begun at several releases.
+func (t *releaseTracker) anyMixed() bool {
+	for _, known := range t.services {
+		if known.mixed {
+			return true
+		}
+	}
+	return !t.complete
+}
+
 // report tells the other parts of the core if the releases of a service have changed.
 func (t *releaseTracker) report(name string) {
 	known := t.service(name)
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -36,6 +36,7 @@
 	holder             *fleet.HolderRead
 	lastHolder         *fleet.LastHolderRead
 	releases           *fleet.ReleasesRead
+	origins            fleet.OriginsRead
 	poison             orderedMap[poison.Fingerprint, fleet.StoredPoisonRecord]
 	undecodablePoison  orderedMap[poison.Fingerprint, fleet.StoredPoisonRecord]
 	removedPoison      []poison.Fingerprint
@@ -92,6 +93,8 @@
 			// A record that can't be decoded is replaced, which needs its revision.
 			*b.releases = fleet.ReleasesRead{Record: record, Revision: pair.Revision, Restored: b.restored}
 		}
+	case strings.HasPrefix(pair.Key, fleet.KeyOrigins):
+		f.addOriginsChange(b, pair)
 	case strings.HasPrefix(pair.Key, fleet.KeyPoison):
 		f.addPoisonChange(b, pair)
 	case strings.HasPrefix(pair.Key, fleet.KeyNodes):
@@ -106,6 +109,29 @@
 	}
 }
 
+// addOriginsChange adds the change of a record of the origins of streams.
+func (f *follower) addOriginsChange(b *batch, pair *wire.StoreChange) {
+	slot, known := fleet.OriginsSlot(pair.Key)
+	if !known {
+		return
+	}
+	if pair.Deleted {
+		delete(b.origins.Records, slot)
+		b.origins.Gone = append(b.origins.Gone, slot)
+		return
+	}
+	record, err := fleet.DecodeOrigins(pair.Value)
+	if err != nil {
+		f.reportUnreadable(unreadableOrigins, pair, err)
+	}
+	// A record that can't be decoded is replaced, which needs its revision.
+	record.Revision = pair.Revision
+	if b.origins.Records == nil {
+		b.origins.Records = map[int]fleet.OriginsRecord{}
+	}
+	b.origins.Records[slot] = record
+}
+
 // addPoisonChange adds the change of a poison record, the record of a request that crashes
 // machines.
 func (f *follower) addPoisonChange(b *batch, pair *wire.StoreChange) {
@@ -156,6 +182,7 @@
 	unreadableNode          = "node"
 	unreadablePoison        = "poison"
 	unreadableReleases      = "releases"
+	unreadableOrigins       = "origins"
 	unreadableConfiguration = "configuration"
 )
 
--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -85,6 +85,19 @@
 	n.step(fleet.StoreWritten{Key: effect.Key, Err: err})
 }
 
+// callDelete deletes keys.
+func (n *Node) callDelete(effect fleet.StoreDelete) {
+	ctx, cancel := context.WithTimeout(n.context, leaseTimeout)
+	defer cancel()
+	transaction := keyvalue.Transaction{}
+	for _, key := range effect.Keys {
+		transaction.Operations = append(transaction.Operations, keyvalue.Operation{Key: key, Delete: true})
+	}
+	_, err := n.options.Store.Txn(ctx, transaction)
+	n.countStoreCall(storeWrite, err)
+	n.logNewFailure(string(storeWrite), "", err)
+}
+
 // callTicket writes a key that must be absent, under a lease of its own that is never renewed. If
 // the answer is lost, no node can take the ticket until the lease expires.
 func (n *Node) callTicket(effect fleet.WriteTicket) {
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -297,7 +297,7 @@
 	// Poison records come before the machines: requests may be waiting, and would be sent as soon
 	// as there is a machine.
 	poisoned, nodes, workers := batch.poisonRead(), batch.nodesRead(), batch.workersRead()
-	poisoned.Full, nodes.Full, workers.Full = true, true, true
+	poisoned.Full, nodes.Full, workers.Full, batch.origins.Full = true, true, true, true
 	f.step(poisoned)
 	f.step(nodes)
 	releases := fleet.ReleasesRead{Restored: batch.restored}
@@ -305,6 +305,7 @@
 		releases = *batch.releases
 	}
 	f.step(releases)
+	f.step(batch.origins)
 	f.step(workers)
 	f.step(lastHolder)
 	f.step(holder)
@@ -346,6 +347,9 @@
 	if batch.releases != nil {
 		f.step(*batch.releases)
 	}
+	if len(batch.origins.Records)+len(batch.origins.Gone) > 0 {
+		f.step(batch.origins)
+	}
 	if read := batch.workersRead(); len(read.Workers)+len(read.Undecodable)+len(read.Gone) > 0 {
 		f.step(read)
 	}
--- a/fleet/shell/killed_nodes_test.go
+++ b/fleet/shell/killed_nodes_test.go
@@ -222,6 +222,47 @@
 	}
 }
 
+// storedOrigins returns the requests whose origins the store holds.
+func (f *killableFleet) storedOrigins() map[string]bool {
+	f.t.Helper()
+	pairs, _, err := f.stores[0].Range(context.Background(), fleet.KeyOrigins)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	stored := map[string]bool{}
+	for i := range pairs {
+		record, err := fleet.DecodeOrigins(pairs[i].Value)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, requests := range record.Streams {
+			for _, request := range requests {
+				stored[string(request)] = true
+			}
+		}
+	}
+	return stored
+}
+
+// TestStreamsOfSeveralReleasesGoOnAfterAllNodesWereKilled guards against the loss of all streams of a service of several
+// releases, because only the killed nodes knew where they had begun.
+func TestStreamsOfSeveralReleasesGoOnAfterAllNodesWereKilled(t *testing.T) {
+	f := newKillableFleet(t)
+	f.add("late-0", laterRelease, nil)
+	f.add("late-1", laterRelease, nil)
+	f.knowWorkers(4)
+	ids := f.begin("mixed", 24)
+	f.eventually("the origins are stored", func() bool {
+		stored := f.storedOrigins()
+		return !slices.ContainsFunc(ids, func(id string) bool { return !stored[id] })
+	})
+	f.killNodes()
+	f.startNodes("second", false)
+	if wentOn := f.takeUp(ids); wentOn != len(ids) {
+		t.Errorf("%d of %d streams went on", wentOn, len(ids))
+	}
+}
+
 // TestNewReleaseServesStreamsOnceItIsRecorded guards against workers of a new release that take no streams although
 // the record of releases names theirs.
 func TestNewReleaseServesStreamsOnceItIsRecorded(t *testing.T) {
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -385,6 +385,8 @@
 		go n.callLease(effect)
 	case fleet.StoreWrite:
 		go n.callWrite(effect)
+	case fleet.StoreDelete:
+		go n.callDelete(effect)
 	case fleet.WriteTicket:
 		go n.callTicket(effect)
 	case fleet.SendOrder:
