Keep nobody waiting behind a stream whose release is not recorded yet

A resumable stream at the head of a queue kept the requests behind it from machines of a release that the record does not list, although those may go there at once. Seen in TestStreamBeginsOnlyAtRecordedRelease: "any" was not dispatched behind "waits". Such streams are now held in the queue, as those are that wait for a machine of their release. Whether a machine's release is recorded is kept by machine, so that the choice among machines costs one lookup, none while all are recorded.

--- a/fleet/release_record.go
+++ b/fleet/release_record.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/keyvalue"
@@ -84,6 +85,8 @@
 	// stored is the record in the store and revision its revision, zero without one.
 	stored   ReleaseRecord
 	revision keyvalue.Revision
+	// unrecorded are the machines whose releases the record does not list.
+	unrecorded map[cluster.MachineID]bool
 	// stale is set if the record may have to be written, since staleFrom.
 	stale     bool
 	staleFrom time.Time
@@ -92,25 +95,32 @@
 
 // read handles the record in the store.
 func (r *releaseRecorder) read(read *ReleasesRead) {
-	before := r.stored
 	r.stored, r.revision = read.Record, read.Revision
 	r.markStale()
-	if usable := r.newlyListed(&before); len(usable) > 0 {
-		r.tracker.core.feedRouter(routing.ReleasesRecorded{Machines: usable})
+	var recorded []cluster.MachineID
+	for _, known := range r.tracker.core.view.sorted() {
+		before := r.unrecorded[known.worker.ID]
+		r.machineChanged(&catalog.Worker{}, &known.worker)
+		if before && !r.unrecorded[known.worker.ID] {
+			recorded = append(recorded, known.worker.ID)
+		}
+	}
+	if len(recorded) > 0 {
+		r.tracker.core.feedRouter(routing.ReleasesRecorded{Machines: recorded})
 	}
 }
 
-// newlyListed returns the machines at which streams may begin that could not before, sorted.
-func (r *releaseRecorder) newlyListed(before *ReleaseRecord) []cluster.MachineID {
-	var usable []cluster.MachineID
-	for id, known := range r.tracker.core.view.machines {
-		service, release := known.worker.Service, known.worker.Release
-		if r.stored.lists(service, release) && !before.lists(service, release) {
-			usable = append(usable, id)
-		}
+// machineChanged handles a change of a machine's entry; an entry with an empty ID stands for none.
+func (r *releaseRecorder) machineChanged(before, now *catalog.Worker) {
+	r.markStale()
+	delete(r.unrecorded, before.ID)
+	if now.ID == "" {
+		return
+	}
+	delete(r.unrecorded, now.ID)
+	if !r.stored.lists(now.Service, now.Release) {
+		r.unrecorded[now.ID] = true
 	}
-	slices.Sort(usable)
-	return usable
 }
 
 // complete reports whether the record lists all releases at which streams may have begun.
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -61,7 +61,7 @@
 
 func newReleaseTracker(core *Core) *releaseTracker {
 	tracker := &releaseTracker{core: core, services: map[string]*serviceReleases{}, unlisted: map[cluster.MachineID]*unlistedStart{}}
-	tracker.recorder.tracker = tracker
+	tracker.recorder = releaseRecorder{tracker: tracker, unrecorded: map[cluster.MachineID]bool{}}
 	return tracker
 }
 
@@ -79,7 +79,7 @@
 	if before.ID == now.ID && before.Release == now.Release && before.Service == now.Service {
 		return
 	}
-	t.recorder.markStale()
+	t.recorder.machineChanged(before, now)
 	if now.ID != "" {
 		t.startListed(now)
 		t.service(now.Service).machines[now.Release]++
@@ -143,8 +143,7 @@
 
 // mayBegin reports whether resumable streams may begin at a machine: the record lists its release.
 func (t *releaseTracker) mayBegin(id cluster.MachineID) bool {
-	known := t.core.view.machines[id]
-	return known != nil && t.recorder.stored.lists(known.worker.Service, known.worker.Release)
+	return len(t.recorder.unrecorded) == 0 || !t.recorder.unrecorded[id]
 }
 
 // retention returns how long a release counts after its last machine is gone.
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -70,6 +70,21 @@
 	return !ready.Resumable || ready.Pinned || r.config.MayBegin == nil || r.config.MayBegin(m.id)
 }
 
+// someUnrecorded reports whether resumable streams may not begin at some machine that has the model.
+func (r *Router) someUnrecorded(m *model) bool {
+	if r.config.MayBegin == nil {
+		return false
+	}
+	for _, tier := range m.tiers {
+		for _, candidate := range tier {
+			if !r.config.MayBegin(candidate.machine.id) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ReleasesRecorded reports machines at which resumable streams may begin from now on.
 type ReleasesRecorded struct{ Machines []cluster.MachineID }
 
@@ -90,10 +105,10 @@
 	return r.fitsRelease(pinned, m) || IsUnlistedRelease(r.releaseOf(m))
 }
 
-// awaitsRelease reports whether a pinned request waits for a machine of its release, while those behind
-// it may go to machines of other releases.
+// awaitsRelease reports whether a request waits for a machine of its release, or for one whose release is recorded,
+// while those behind it may go to other machines.
 func (r *Router) awaitsRelease(ready *request) bool {
-	if !ready.Pinned {
+	if !ready.Resumable || !ready.Pinned && !r.someUnrecorded(ready.model) {
 		return false
 	}
 	others := false
@@ -102,7 +117,7 @@
 			if r.unusableCause(ready, candidate, true) == "" {
 				return false
 			}
-			others = others || !r.fitsRelease(ready, candidate.machine) || r.startUnknown(ready, candidate.machine)
+			others = others || !r.fitsRelease(ready, candidate.machine) || r.startUnknown(ready, candidate.machine) || !r.mayBegin(ready, candidate.machine)
 		}
 	}
 	return others
--- a/routing/releases_test.go
+++ b/routing/releases_test.go
@@ -90,3 +90,24 @@
 	f.advance(time.Second)
 	f.expect(f.status(false, loaded("m1", 1)), "dispatch waits/1 to m1; ")
 }
+
+// TestStreamBeginsOnlyAtRecordedRelease guards against a resumable stream that begins at a release of which nobody would
+// know after all routers have ended, against one that keeps the requests behind it waiting meanwhile, and against
+// one that is forgotten once the release is recorded.
+func TestStreamBeginsOnlyAtRecordedRelease(t *testing.T) {
+	recorded := map[cluster.MachineID]bool{}
+	f := &fixture{t: t, now: start, router: New(Config{
+		Zone: "z1", Region: "r1", ExpectedRouters: 1, MayBegin: func(id cluster.MachineID) bool { return recorded[id] },
+	}, 1)}
+	f.step(SettingsChanged{Snapshot: testSnapshot(testPolicy())})
+	f.status(true, loaded("m1", 1))
+	f.expect(f.arrive("waits", resumable), "")
+	f.expect(f.arrive("any"), "dispatch any/1 to m1; ")
+	f.expect(f.step(AttemptEnded{Request: "any", Attempt: 1}), "finish any; ")
+	f.expect(f.arrive("continues", pinnedTo("")), "dispatch continues/1 to m1; ")
+	f.expect(f.step(AttemptEnded{Request: "continues", Attempt: 1}), "finish continues; ")
+	recorded["m1"] = true
+	f.expect(f.step(ReleasesRecorded{Machines: []cluster.MachineID{"m1", "unknown"}}), "dispatch waits/1 to m1; ")
+	f.expect(f.step(AttemptEnded{Request: "waits", Attempt: 1}), "finish waits; ")
+	f.expect(f.arrive("later", resumable), "dispatch later/1 to m1; ")
+}
