Store the origins that a node knew before it became the one that stores them

The next archivist stored 22 of 36 origins: those that it held as an owner counted as taken in already, and nodes did not send them to it a second time. TestArchivistGetsEachOriginOnce: 36 of 36 now, 40 of 40 at the first one, none twice.

--- a/fleet/origins/archive.go
+++ b/fleet/origins/archive.go
@@ -28,6 +28,9 @@
 func (c *Core) setArchivist(archivist Peer) {
 	c.archivist = archivist
 	c.unarchived = nil
+	for _, known := range c.origins {
+		known.queued = false
+	}
 	if archivist.ID == "" {
 		return
 	}
@@ -46,7 +49,8 @@
 	if c.archivist.ID != c.self.ID {
 		return false
 	}
-	if len(c.unarchived) < maxUnarchived && !slices.Contains(c.unarchived, id) {
+	if known := c.origins[id]; !known.queued && len(c.unarchived) < maxUnarchived {
+		known.queued = true
 		c.unarchived = append(c.unarchived, id)
 	}
 	return true
--- a/fleet/origins/core.go
+++ b/fleet/origins/core.go
@@ -49,6 +49,8 @@
 	// the store, where all nodes find it.
 	archivist cluster.NodeID
 	stored    bool
+	// queued is set once this node, as the archivist, has taken it in to be stored.
+	queued bool
 }
 
 // New returns a core that knows no other node.
@@ -138,6 +140,7 @@
 		c.origins[id] = known
 		c.order = append(c.order, id)
 	}
+	known.queued = known.queued && known.release == release
 	known.release, known.expires = release, expires
 	for len(c.origins) > maxOrigins {
 		delete(c.origins, c.order[0])
@@ -271,13 +274,9 @@
 		if known := c.origins[stream.Request]; known != nil && known.relayed {
 			continue
 		}
-		before := c.origins[stream.Request]
-		restated := before == nil || before.release != stream.Release || before.stored
 		known := c.put(stream.Request, stream.Release, c.now.Add(stream.Left))
 		known.holders, known.stored = c.ownerIDs(stream.Request), false
-		if restated {
-			c.archive(stream.Request)
-		}
+		c.archive(stream.Request)
 	}
 	c.emit(Send{Address: m.FromAddress, Message: wire.StreamOriginsReceived{From: c.self.ID, Number: m.Number}})
 }
--- a/fleet/origins/replication.go
+++ b/fleet/origins/replication.go
@@ -38,7 +38,7 @@
 		receivers := slices.DeleteFunc(slices.Clone(owners), func(owner cluster.NodeID) bool { return slices.Contains(known.holders, owner) })
 		if known.relayed && known.archivist != c.archivist.ID {
 			known.archivist = c.archivist.ID
-			if !c.archive(id) && c.peers[c.archivist.ID].ID != "" && !slices.Contains(owners, c.archivist.ID) {
+			if !c.archive(id) && c.peers[c.archivist.ID].ID != "" && !slices.Contains(receivers, c.archivist.ID) {
 				receivers = append(receivers, c.archivist.ID)
 			}
 		}
