Check again that a stream may begin at a machine when its held attempt is sent

An attempt that is held for its place was sent by what held when it was chosen: to a machine whose entry had got another release meanwhile, or whose release was no longer recorded. TestHeldAttemptIsNotSentToUnrecordedRelease: sent before, taken back now.

--- a/routing/placed.go
+++ b/routing/placed.go
@@ -59,7 +59,7 @@
 			target = other
 		}
 	}
-	if target == nil || !target.isPresent() || placed.machine.leaving() || !r.maySend(placed) || !r.fitsRelease(placed, placed.machine) {
+	if target == nil || !target.isPresent() || placed.machine.leaving() || !r.maySend(placed) || !r.fitsRelease(placed, placed.machine) || !r.mayBegin(placed, placed.machine) {
 		r.takeBackUnsent(placed)
 		return
 	}
--- a/routing/releases_test.go
+++ b/routing/releases_test.go
@@ -111,3 +111,20 @@
 	f.expect(f.step(AttemptEnded{Request: "waits", Attempt: 1}), "finish waits; ")
 	f.expect(f.arrive("later", resumable), "dispatch later/1 to m1; ")
 }
+
+// TestHeldAttemptIsNotSentToUnrecordedRelease guards against a stream that begins at a release which the machine got, or
+// which ceased to be recorded, while the attempt waited for its place.
+func TestHeldAttemptIsNotSentToUnrecordedRelease(t *testing.T) {
+	recorded := true
+	f := &fixture{t: t, now: start, router: New(Config{
+		Zone: "z1", Region: "r1", ExpectedRouters: 1, MayBegin: func(cluster.MachineID) bool { return recorded },
+		ListAlternatives: func(cluster.ModelID) bool { return true },
+	}, 1)}
+	f.step(SettingsChanged{Snapshot: testSnapshot(testPolicy())})
+	f.status(true, loaded("m1", 1))
+	f.expect(f.arrive("s", resumable), "dispatch s/1 to m1; ")
+	recorded = false
+	f.expect(f.step(AttemptPlaced{Request: "s", Attempt: 1, Machine: "m1"}), "")
+	recorded = true
+	f.expect(f.step(ReleasesRecorded{Machines: []cluster.MachineID{"m1"}}), "dispatch s/2 to m1; ")
+}
