Let requests pass resumable streams that wait for the record of their release

What callers saw: while the record of releases is refused or late, a resumable stream at the head of a model's queue kept all requests behind it waiting, also those that may begin anywhere, although machines of the new release were free. Cause: only pinned requests were held aside, and a stream that may begin nowhere yet is not pinned. It is held like those now, and returns to its place once a machine of a recorded release has room.

TestStreamOfUnrecordedReleaseKeepsNobodyWaiting failed before: no request was dispatched to two free machines.

--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -140,7 +140,11 @@
 		return r.poisonFailure(key, left)
 	}
 	if r.awaitsRelease(refused) {
-		failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no machine of release %q is free and the model's requests may not wait", refused.Release)
+		awaited := fmt.Sprintf("release %q", refused.Release)
+		if !refused.Pinned {
+			awaited = "a recorded release"
+		}
+		failure := verdict.New(verdict.NotRun, verdict.CodeQueueTimeout, "no machine of %s is free and the model's requests may not wait", awaited)
 		return failure.After(r.retryAfter(refused.model)), refused.model.explain(settingQueueTime, 0, 0)
 	}
 	record, _ := r.poison.Record(refused.Content)
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -90,10 +90,10 @@
 	return r.fitsRelease(pinned, m) || IsUnlistedRelease(r.releaseOf(m))
 }
 
-// awaitsRelease reports whether a pinned request waits for a machine of its release, while those behind
-// it may go to machines of other releases.
+// awaitsRelease reports whether a request waits for a machine of its release, or for one whose release is recorded,
+// while those behind it may go to machines of other releases.
 func (r *Router) awaitsRelease(ready *request) bool {
-	if !ready.Pinned {
+	if !ready.Pinned && (!ready.Resumable || r.config.MayBegin == nil) {
 		return false
 	}
 	others := false
@@ -102,7 +102,7 @@
 			if r.unusableCause(ready, candidate, true) == "" {
 				return false
 			}
-			others = others || !r.fitsRelease(ready, candidate.machine) || r.startUnknown(ready, candidate.machine)
+			others = others || !r.fitsRelease(ready, candidate.machine) || r.startUnknown(ready, candidate.machine) || !r.mayBegin(ready, candidate.machine)
 		}
 	}
 	return others
