Announce no time for origins that a node without a term may not store

What operators would see: a full core for up to a second, each time the holder of the order lease stops, or loses its path to the workers, or waits out the order pause of a later term, while a service has several releases. Cause: the archive was due at the time of its next write, which had passed, while its tick writes only within a term.

TestHolderThatGivesNoOrdersDoesNotSpin failed before: due 500 ms ago at each step.

--- a/fleet/origin_archive.go
+++ b/fleet/origin_archive.go
@@ -147,7 +147,7 @@
 
 // due returns the time of the next required tick, zero for none.
 func (a *originArchive) due() time.Time {
-	if a.core.resumptions.origins.Unarchived() == 0 {
+	if a.core.resumptions.origins.Unarchived() == 0 || !a.core.controller.ledger.Holding() {
 		return time.Time{}
 	}
 	return a.nextAt
--- /dev/null
+++ b/fleet/release_record_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/routing"
+)
+
+// newRecordingCore returns a core that holds the order lease of a system of one service, whose record it has read.
+func newRecordingCore(t *testing.T, start time.Time, releases ...string) *Core {
+	t.Helper()
+	core := newReleaseCore(t)
+	core.Step(start, ReleasesRead{Record: recordOf(releases...), Revision: 4})
+	var workers []catalog.Worker
+	for _, release := range releases {
+		workers = append(workers, releaseWorker(cluster.MachineID("of-"+release), release))
+	}
+	core.Step(start, WorkersRead{Workers: workers, Full: true})
+	core.Step(start, StoreSynced{})
+	core.controller.holder = core.config.Self
+	core.controller.feedLedger(sequence.TermBegan{Holder: core.config.Self.ID, Token: 1})
+	return core
+}
+
+// TestHolderThatGivesNoOrdersDoesNotSpin guards against a node that is due at once, again and again, since it has origins
+// to store that it may not store: it stops or has not begun its term.
+func TestHolderThatGivesNoOrdersDoesNotSpin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1", "v2")
+	began := func(id cluster.RequestID) {
+		core.resumptions.began(routing.StreamBegan{Request: id, Model: "s", Release: "v1", Deadline: now.Add(10 * time.Second)})
+		core.Step(now, Tick{})
+	}
+	began("first")
+	now = now.Add(time.Second)
+	core.Step(now, Tick{})
+	core.controller.feedLedger(sequence.TermEnded{})
+	began("second")
+	if core.resumptions.origins.Unarchived() == 0 {
+		t.Fatal("nothing waits to be stored")
+	}
+	if due := core.NextDue(); !due.After(now) {
+		t.Errorf("due %v ago", now.Sub(due))
+	}
+}
