Record a further release at once when the write before has been read back

What callers saw: resumable streams at a release that came within 2 s of another change of the record waited up to 2 s, or 0.9 s until another node wrote it. The same holds at the start, where the workers of several services register one after the other. Cause: the time that a write is given to come back from the store ran on after it had come back. It ends with that now.

TestSecondReleaseIsRecordedAtOnce failed before: the second release was due to be written after 380 ms to 2 s.

--- a/fleet/release_record.go
+++ b/fleet/release_record.go
@@ -84,6 +84,8 @@
 	// stored is the record in the store and revision its revision, zero without one.
 	stored   ReleaseRecord
 	revision keyvalue.Revision
+	// written is the record that this node last wrote, whether or not the store took it.
+	written ReleaseRecord
 	// stale is set if the record may have to be written, since staleFrom.
 	stale     bool
 	staleFrom time.Time
@@ -94,6 +96,9 @@
 func (r *releaseRecorder) read(read *ReleasesRead) {
 	before := r.stored
 	r.stored, r.revision = read.Record, read.Revision
+	if r.stored.equal(&r.written) {
+		r.nextWrite = time.Time{}
+	}
 	r.markStale()
 	if usable := r.newlyListed(&before); len(usable) > 0 {
 		r.tracker.core.feedRouter(routing.ReleasesRecorded{Machines: usable})
@@ -192,6 +197,7 @@
 		r.stale, r.nextWrite = false, time.Time{}
 		return
 	}
+	r.written = wanted
 	r.tracker.core.log(eventlog.ReleasesRecorded{Complete: wanted.Complete, Era: wanted.Era})
 	r.tracker.core.emit(StoreWrite{Key: KeyReleases, Value: encodeReleases(&wanted), Revision: r.revision})
 }
--- a/fleet/release_record_test.go
+++ b/fleet/release_record_test.go
@@ -26,6 +26,39 @@
 	return core
 }
 
+// recordWritten returns the record that is written among effects.
+func recordWritten(t *testing.T, effects []Effect) (ReleaseRecord, bool) {
+	t.Helper()
+	for _, effect := range effects {
+		if write, is := effect.(StoreWrite); is && write.Key == KeyReleases {
+			record, err := DecodeReleases(write.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return record, true
+		}
+	}
+	return ReleaseRecord{}, false
+}
+
+// TestSecondReleaseIsRecordedAtOnce guards against streams that wait for seconds at a release that came just after
+// another one was recorded.
+func TestSecondReleaseIsRecordedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1")
+	now = now.Add(time.Second)
+	record, written := recordWritten(t, core.Step(now, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}}))
+	if !written {
+		t.Fatal("the first release is not written")
+	}
+	now = now.Add(20 * time.Millisecond)
+	core.Step(now, ReleasesRead{Record: record, Revision: 5})
+	now = now.Add(100 * time.Millisecond)
+	if _, written := recordWritten(t, core.Step(now, WorkersRead{Workers: []catalog.Worker{releaseWorker("c", "v3")}})); !written {
+		t.Errorf("the second release is written in %v", core.NextDue().Sub(now))
+	}
+}
+
 // TestHolderThatGivesNoOrdersDoesNotSpin guards against a node that is due at once, again and again, since it has origins
 // to store that it may not store: it stops or has not begun its term.
 func TestHolderThatGivesNoOrdersDoesNotSpin(t *testing.T) {
