Keep releases that the record names although their machines came and went unseen

A holder of the order lease that could not read the store for some seconds, and kept its lease, took a release out of the record as soon as it read it: it had seen none of its machines, and had known the others for long. Nodes that start would take the rest for all there had been. A release that the record newly names counts now as if its last machine had just gone, as one that a copy lacks does.

TestHolderKeepsReleaseThatItDidNotSee failed before: the record became v1 alone at once. Package fleet passes.

--- a/fleet/release_record_test.go
+++ b/fleet/release_record_test.go
@@ -59,6 +59,26 @@
 	}
 }
 
+// TestHolderKeepsReleaseThatItDidNotSee guards against a holder that takes out a release, whose streams may be resumed,
+// since it was cut off from the store while the release came, was recorded by another node, and left.
+func TestHolderKeepsReleaseThatItDidNotSee(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1")
+	now = now.Add(time.Minute)
+	core.Step(now, Tick{})
+	core.Step(now, ReleasesRead{Record: recordOf("v1", "v2"), Revision: 5})
+	for range 3 {
+		now = now.Add(time.Second)
+		if record, written := recordWritten(t, core.Step(now, Tick{})); written && !record.lists("s", "v2") {
+			t.Fatalf("the record becomes %v", record.Services)
+		}
+	}
+	now = now.Add(core.releases.retention())
+	if record, written := recordWritten(t, core.Step(now, Tick{})); !written || record.lists("s", "v2") {
+		t.Errorf("the record becomes %v, written=%v", record.Services, written)
+	}
+}
+
 // TestHolderThatGivesNoOrdersDoesNotSpin guards against a node that is due at once, again and again, since it has origins
 // to store that it may not store: it stops or has not begun its term.
 func TestHolderThatGivesNoOrdersDoesNotSpin(t *testing.T) {
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -237,8 +237,11 @@
 func (t *releaseTracker) recordRead(read ReleasesRead) {
 	before := t.recorder.stored.Services
 	if read.Restored {
-		t.keepLost(before, read.Record.Services)
+		// The lease holder writes what the copy lacks again.
+		t.keep(before, read.Record.Services)
 	}
+	// The machines of a release that the record did not name may have come and gone while the store could not be read.
+	t.keep(read.Record.Services, before)
 	t.recorder.read(&read)
 	for name := range read.Record.Services {
 		t.service(name)
@@ -246,12 +249,11 @@
 	t.reportAll()
 }
 
-// keepLost keeps releases that the record of a restored store lacks, as if their last machine had just
-// gone. The lease holder writes them again.
-func (t *releaseTracker) keepLost(before, restored map[string][]string) {
-	for name, releases := range before {
-		for _, release := range releases {
-			if !slices.Contains(restored[name], release) && t.service(name).machines[release] == 0 {
+// keep counts releases that others lack as if their last machine had just gone.
+func (t *releaseTracker) keep(releases, others map[string][]string) {
+	for name := range releases {
+		for _, release := range releases[name] {
+			if !slices.Contains(others[name], release) && t.service(name).machines[release] == 0 {
 				t.service(name).goneAt[release] = t.core.now
 				t.expiresAt = earliest(t.expiresAt, t.core.now.Add(t.retention()))
 			}
