Count releases of a route's earlier service at the one that it moved to

What callers would see: a route is moved to another service while streams of it run; the node that relayed a stream ends, the caller takes it up elsewhere, and it goes on at the single release of the new service, another one than that which began it. No kill of all nodes is needed. Cause: what a node knows of releases is kept by the service that runs the resumption, which had only one; that streams began elsewhere is not seen there. The releases of the earlier service count at the new one now, for as long as its streams may be resumed, and are recorded with it, so that nodes that start know them too. Both may serve the same release, then nothing changes.

TestStreamOfMovedRouteIsNotJoined failed before: single release v2 for a stream that may have begun at v1. A node that starts between the move and the write of the record still takes the new service's release for the only one.

--- a/fleet/store_events.go
+++ b/fleet/store_events.go
@@ -16,7 +16,11 @@
 	if c.compiled != nil && compiled.Version < c.compiled.Version {
 		return
 	}
+	before := c.compiled
 	c.compiled = compiled
+	if before != nil {
+		c.releases.routesChanged(before.Routes, compiled.Routes)
+	}
 	c.feedRouter(routing.SettingsChanged{Snapshot: compiled.Snapshot})
 	c.view.configurationChanged()
 	c.controller.configurationChanged()
