Store origins again whose write the store refused

What callers would see: a stream of a service of several releases is refused after a kill of all nodes although it began long before: the store had refused the one write that named it, and origins of a write count as stored once it is sent. They are kept until the answer comes, and are written to the next slot if it is an error. One after a lost answer may be stored twice, which is harmless.

TestOriginsOfRefusedWriteAreStoredLater failed before: the origin was not written again.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -145,6 +145,7 @@
 		c.poison.recordsRead(e)
 	case StoreWritten:
 		c.poison.writeAnswered(e)
+		c.archive.writeAnswered(e)
 	case MachinePathChanged:
 		c.machinePathChanged(e.State)
 	case DrainStarted:
--- a/fleet/origin_archive.go
+++ b/fleet/origin_archive.go
@@ -90,12 +90,14 @@
 	// sequence is that of the newest record.
 	sequence int64
 	nextAt   time.Time
+	// writing are the origins of the writes that have no answer yet, by key.
+	writing map[string][]origins.Archived
 	// archivist is the node that was last named to the origins core.
 	archivist cluster.NodeID
 }
 
 func newOriginArchive(core *Core) *originArchive {
-	return &originArchive{core: core, revisions: map[int]keyvalue.Revision{}}
+	return &originArchive{core: core, revisions: map[int]keyvalue.Revision{}, writing: map[string][]origins.Archived{}}
 }
 
 // read handles stored origins.
@@ -166,7 +168,8 @@
 // write stores the oldest origins that are not stored yet in the next slot.
 func (a *originArchive) write() {
 	record := OriginsRecord{Sequence: a.sequence + 1, Streams: map[string][]cluster.RequestID{}}
-	for _, origin := range a.core.resumptions.origins.TakeUnarchived(maxArchived) {
+	taken := a.core.resumptions.origins.TakeUnarchived(maxArchived)
+	for _, origin := range taken {
 		record.Streams[origin.Release] = append(record.Streams[origin.Release], origin.Request)
 	}
 	if len(record.Streams) == 0 {
@@ -174,9 +177,19 @@
 	}
 	a.sequence = record.Sequence
 	slot := int(record.Sequence % archiveSlots)
+	a.writing[originsKey(slot)] = taken
 	a.core.emit(StoreWrite{Key: originsKey(slot), Value: record.Encode(), Revision: a.revisions[slot]})
 }
 
+// writeAnswered handles the answer to a write. Origins that may not be stored are written again in the next slot.
+func (a *originArchive) writeAnswered(answered StoreWritten) {
+	taken := a.writing[answered.Key]
+	delete(a.writing, answered.Key)
+	if answered.Err != nil {
+		a.core.resumptions.origins.Return(taken)
+	}
+}
+
 // clear deletes the stored origins once no service has several releases.
 func (a *originArchive) clear() {
 	slots := slices.Sorted(maps.Keys(a.revisions))
--- a/fleet/origins/archive.go
+++ b/fleet/origins/archive.go
@@ -64,6 +64,15 @@
 	return taken
 }
 
+// Return has origins stored that TakeUnarchived returned, since the store did not take them.
+func (c *Core) Return(taken []Archived) {
+	for _, origin := range taken {
+		if c.origins[origin.Request] != nil {
+			c.archive(origin.Request)
+		}
+	}
+}
+
 // Unarchived returns the number of origins that are to be stored.
 func (c *Core) Unarchived() int { return len(c.unarchived) }
 
--- a/fleet/release_record_test.go
+++ b/fleet/release_record_test.go
@@ -7,7 +7,9 @@
 	"github.com/valveslip/valveslip/authority/sequence"
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/fleet/origins"
 	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/verdict"
 )
 
 // newRecordingCore returns a core that holds the order lease of a system of one service, whose record it has read.
@@ -100,3 +102,28 @@
 		t.Errorf("due %v ago", now.Sub(due))
 	}
 }
+
+// TestOriginsOfRefusedWriteAreStoredLater guards against origins that are never stored since the store refused one write.
+func TestOriginsOfRefusedWriteAreStoredLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1", "v2")
+	core.Step(now, Tick{})
+	core.resumptions.step(origins.Began{Request: "first", Service: "s", Release: "v1", Deadline: now.Add(10 * time.Second)})
+	var key string
+	for _, effect := range core.Step(now, Tick{}) {
+		if write, is := effect.(StoreWrite); is && write.Key != KeyReleases {
+			key = write.Key
+		}
+	}
+	if key == "" {
+		t.Fatal("the origin is not written")
+	}
+	core.Step(now, StoreWritten{Key: key, Err: verdict.New(verdict.NotRun, verdict.CodeUnavailable, "refused")})
+	now = now.Add(2 * archiveInterval)
+	for _, effect := range core.Step(now, Tick{}) {
+		if write, is := effect.(StoreWrite); is && write.Key != KeyReleases {
+			return
+		}
+	}
+	t.Error("the origin is not written again")
+}
