--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -257,3 +257,28 @@
 		t.Errorf("the machine's failure rate is %g, want 0", rate)
 	}
 }
+
+// TestRetryBudgetHoldsOverRestartOfAllRouters guards against routers that, after all of them were killed, spend the common
+// retry budget of a window a second time, since their counts start empty.
+func TestRetryBudgetHoldsOverRestartOfAllRouters(t *testing.T) {
+	const routers, share = 4, 0.75
+	const ratio, extra = 0.2, 52.0
+	config := Config{RetryWindow: 10 * time.Second, RetryRatio: ratio * share, RetryExtra: extra * share}
+	requests, retries := 0, 0
+	for _, startedAt := range []time.Duration{100 * time.Second, 104 * time.Second} {
+		for range routers {
+			budget := &windowBudget{}
+			for i := range 40 {
+				now := int64(startedAt) + int64(i)*int64(50*time.Millisecond)
+				budget.credit(now, &config)
+				requests++
+				if budget.spend(now, &config, routers) {
+					retries++
+				}
+			}
+		}
+	}
+	if allowed := ratio*float64(requests) + extra; float64(retries) > allowed {
+		t.Errorf("%d retries of %d requests within 6 s, %.0f are allowed in 10 s", retries, requests, allowed)
+	}
+}
