Check the recorded releases only for machines with room, and look for unrecorded ones once a change

A queued resumable stream had each full machine checked against the record, and again to find out whether it waits for the record. The check comes last now, and whether any release is unrecorded is found when machines or the record change.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -72,6 +72,7 @@
 	config.Routing.MinLoadTime = core.view.minLoadTime
 	config.Routing.ReleaseOf = core.view.releaseOf
 	config.Routing.MayBegin = func(machine cluster.MachineID) bool { return core.releases.mayBegin(machine) }
+	config.Routing.Unrecorded = func() bool { return core.releases.recorder.unrecorded }
 	config.Routing.MixedReleases = func(model cluster.ModelID) bool { return core.releases.mayBeMixed(serviceOf(model)) }
 	if config.Dispatching {
 		core.dispatchClient = newDispatchClient(core)
--- a/fleet/release_record.go
+++ b/fleet/release_record.go
@@ -86,6 +86,10 @@
 	revision keyvalue.Revision
 	// written is the record that this node last wrote, whether or not the store took it.
 	written ReleaseRecord
+	// unrecorded is set if a machine has a release that the record does not list, as of the last tick.
+	unrecorded bool
+	// recheck is set if that may have changed.
+	recheck bool
 	// stale is set if the record may have to be written, since staleFrom.
 	stale     bool
 	staleFrom time.Time
@@ -125,6 +129,7 @@
 
 // markStale has the next tick compare the record with what it should be.
 func (r *releaseRecorder) markStale() {
+	r.recheck = true
 	if !r.stale {
 		r.stale, r.staleFrom = true, r.tracker.core.now
 	}
@@ -185,8 +190,23 @@
 	return maxTime(at, r.nextWrite)
 }
 
+// findUnrecorded finds out whether a machine has a release that the record does not list.
+func (r *releaseRecorder) findUnrecorded() {
+	if !r.recheck {
+		return
+	}
+	r.recheck, r.unrecorded = false, false
+	for id := range r.tracker.core.view.machines {
+		if !r.tracker.mayBegin(id) {
+			r.unrecorded = true
+			return
+		}
+	}
+}
+
 // tick writes the record if it is due.
 func (r *releaseRecorder) tick() {
+	r.findUnrecorded()
 	due := r.due()
 	if due.IsZero() || r.tracker.core.now.Before(due) {
 		return
--- a/fleet/release_record_test.go
+++ b/fleet/release_record_test.go
@@ -127,3 +127,22 @@
 	}
 	t.Error("the origin is not written again")
 }
+
+// TestUnrecordedReleaseIsKnownUntilItIsRecorded guards against a router that is not told that streams may not begin at
+// some machines, and keeps other requests waiting behind them.
+func TestUnrecordedReleaseIsKnownUntilItIsRecorded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1")
+	core.Step(now, Tick{})
+	if core.releases.recorder.unrecorded {
+		t.Error("a recorded release counts as unrecorded")
+	}
+	core.Step(now, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}})
+	if !core.releases.recorder.unrecorded {
+		t.Error("an unrecorded release counts as recorded")
+	}
+	core.Step(now, ReleasesRead{Record: recordOf("v1", "v2"), Revision: 5})
+	if core.releases.recorder.unrecorded {
+		t.Error("a release that was recorded meanwhile counts as unrecorded")
+	}
+}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -133,9 +133,6 @@
 	if !r.fitsRelease(ready, machine) || r.startUnknown(ready, machine) {
 		return FilterRelease
 	}
-	if !r.mayBegin(ready, machine) {
-		return FilterUnrecorded
-	}
 	if ready.model.matchingVersion > 0 && !ready.model.hasVersion(candidate) {
 		return FilterVersion
 	}
@@ -148,6 +145,9 @@
 	if !allowFailed && ready.hasFailedOn(machine) {
 		return FilterTried
 	}
+	if !r.mayBegin(ready, machine) {
+		return FilterUnrecorded
+	}
 	return ""
 }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -87,6 +87,9 @@
 	// MayBegin reports whether resumable streams may begin at a machine. ReleasesRecorded tells of machines for which
 	// that changes. A nil function returns true.
 	MayBegin func(machine cluster.MachineID) bool
+	// Unrecorded reports whether there may be machines at which resumable streams may not begin. A nil function
+	// returns true.
+	Unrecorded func() bool
 	// MixedReleases reports whether the machines that serve a model may have several releases. A nil function
 	// returns false.
 	MixedReleases func(model cluster.ModelID) bool
--- a/routing/releases.go
+++ b/routing/releases.go
@@ -93,7 +93,7 @@
 // awaitsRelease reports whether a request waits for a machine of its release, or for one whose release is recorded,
 // while those behind it may go to machines of other releases.
 func (r *Router) awaitsRelease(ready *request) bool {
-	if !ready.Pinned && (!ready.Resumable || r.config.MayBegin == nil) {
+	if !ready.Pinned && (!ready.Resumable || r.config.MayBegin == nil || r.config.Unrecorded != nil && !r.config.Unrecorded()) {
 		return false
 	}
 	others := false
