--- a/fleet/release_record.go
+++ b/fleet/release_record.go
@@ -85,6 +85,8 @@
 	// stored is the record in the store and revision its revision, zero without one.
 	stored   ReleaseRecord
 	revision keyvalue.Revision
+	// written is the record that this node last wrote, whether or not the store took it.
+	written ReleaseRecord
 	// unrecorded are the machines whose releases the record does not list.
 	unrecorded map[cluster.MachineID]bool
 	// stale is set if the record may have to be written, since staleFrom.
@@ -96,6 +98,9 @@
 // read handles the record in the store.
 func (r *releaseRecorder) read(read *ReleasesRead) {
 	r.stored, r.revision = read.Record, read.Revision
+	if r.stored.equal(&r.written) {
+		r.nextWrite = time.Time{}
+	}
 	r.markStale()
 	var recorded []cluster.MachineID
 	for _, known := range r.tracker.core.view.sorted() {
@@ -202,6 +207,7 @@
 		r.stale, r.nextWrite = false, time.Time{}
 		return
 	}
+	r.written = wanted
 	r.tracker.core.log(eventlog.ReleasesRecorded{Complete: wanted.Complete, Era: wanted.Era})
 	r.tracker.core.emit(StoreWrite{Key: KeyReleases, Value: encodeReleases(&wanted), Revision: r.revision})
 }
--- /dev/null
+++ b/fleet/release_recorder_test.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/fleet/origins"
+	"github.com/valveslip/valveslip/routing"
+	"github.com/valveslip/valveslip/verdict"
+)
+
+// newRecordingCore returns a core that holds the order lease of a system of one service, whose record it has read.
+func newRecordingCore(t *testing.T, start time.Time, releases ...string) *Core {
+	t.Helper()
+	core := newReleaseCore(t)
+	core.Step(start, ReleasesRead{Record: recordOf(releases...), Revision: 4})
+	var workers []catalog.Worker
+	for _, release := range releases {
+		workers = append(workers, releaseWorker(cluster.MachineID("of-"+release), release))
+	}
+	core.Step(start, WorkersRead{Workers: workers, Full: true})
+	core.Step(start, StoreSynced{})
+	core.controller.holder = core.config.Self
+	core.controller.feedLedger(sequence.TermBegan{Holder: core.config.Self.ID, Token: 1})
+	return core
+}
+
+// recordAmong returns the record that is written among effects.
+func recordAmong(t *testing.T, effects []Effect) (ReleaseRecord, bool) {
+	t.Helper()
+	for _, effect := range effects {
+		if write, is := effect.(StoreWrite); is && write.Key == KeyReleases {
+			record, err := DecodeReleases(write.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return record, true
+		}
+	}
+	return ReleaseRecord{}, false
+}
+
+// TestSecondReleaseIsRecordedAtOnce guards against streams that wait for seconds at a release that came just after
+// another one was recorded.
+func TestSecondReleaseIsRecordedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1")
+	now = now.Add(time.Second)
+	record, written := recordAmong(t, core.Step(now, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}}))
+	if !written {
+		t.Fatal("the first release is not written")
+	}
+	now = now.Add(20 * time.Millisecond)
+	core.Step(now, ReleasesRead{Record: record, Revision: 5})
+	now = now.Add(100 * time.Millisecond)
+	if _, written := recordAmong(t, core.Step(now, WorkersRead{Workers: []catalog.Worker{releaseWorker("c", "v3")}})); !written {
+		t.Errorf("the second release is written in %v", core.NextDue().Sub(now))
+	}
+}
+
+// TestHolderKeepsReleaseThatItDidNotSee guards against a holder that takes out a release, whose streams may be resumed,
+// since it was cut off from the store while the release came, was recorded by another node, and left.
+func TestHolderKeepsReleaseThatItDidNotSee(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1")
+	now = now.Add(time.Minute)
+	core.Step(now, Tick{})
+	core.Step(now, ReleasesRead{Record: recordOf("v1", "v2"), Revision: 5})
+	for range 3 {
+		now = now.Add(time.Second)
+		if record, written := recordAmong(t, core.Step(now, Tick{})); written && !record.lists("s", "v2") {
+			t.Fatalf("the record becomes %v", record.Services)
+		}
+	}
+	now = now.Add(core.releases.retention())
+	if record, written := recordAmong(t, core.Step(now, Tick{})); !written || record.lists("s", "v2") {
+		t.Errorf("the record becomes %v, written=%v", record.Services, written)
+	}
+}
+
+// TestHolderThatGivesNoOrdersDoesNotSpin guards against a node that is due at once, again and again, since it has origins
+// to store that it may not store: it stops or has not begun its term.
+func TestHolderThatGivesNoOrdersDoesNotSpin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1", "v2")
+	began := func(id cluster.RequestID) {
+		core.resumptions.began(routing.StreamBegan{Request: id, Model: "s", Release: "v1", Deadline: now.Add(10 * time.Second)})
+		core.Step(now, Tick{})
+	}
+	began("first")
+	now = now.Add(time.Second)
+	core.Step(now, Tick{})
+	core.controller.feedLedger(sequence.TermEnded{})
+	began("second")
+	if core.resumptions.origins.Unarchived() == 0 {
+		t.Fatal("nothing waits to be stored")
+	}
+	if due := core.NextDue(); !due.After(now) {
+		t.Errorf("due %v ago", now.Sub(due))
+	}
+}
+
+// TestOriginsOfRefusedWriteAreStoredLater guards against origins that are never stored since the store refused one write.
+func TestOriginsOfRefusedWriteAreStoredLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1", "v2")
+	core.Step(now, Tick{})
+	core.resumptions.step(origins.Began{Request: "first", Service: "s", Release: "v1", Deadline: now.Add(10 * time.Second)})
+	var key string
+	for _, effect := range core.Step(now, Tick{}) {
+		if write, is := effect.(StoreWrite); is && write.Key != KeyReleases {
+			key = write.Key
+		}
+	}
+	if key == "" {
+		t.Fatal("the origin is not written")
+	}
+	core.Step(now, StoreWritten{Key: key, Err: verdict.New(verdict.NotRun, verdict.CodeUnavailable, "refused")})
+	now = now.Add(2 * archiveInterval)
+	for _, effect := range core.Step(now, Tick{}) {
+		if write, is := effect.(StoreWrite); is && write.Key != KeyReleases {
+			return
+		}
+	}
+	t.Error("the origin is not written again")
+}
+
+// TestUnrecordedReleaseIsKnownUntilItIsRecorded guards against a router that is not told that streams may not begin at
+// some machines, and keeps other requests waiting behind them.
+func TestUnrecordedReleaseIsKnownUntilItIsRecorded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1")
+	core.Step(now, Tick{})
+	if len(core.releases.recorder.unrecorded) > 0 {
+		t.Error("a recorded release counts as unrecorded")
+	}
+	core.Step(now, WorkersRead{Workers: []catalog.Worker{releaseWorker("b", "v2")}})
+	if len(core.releases.recorder.unrecorded) == 0 {
+		t.Error("an unrecorded release counts as recorded")
+	}
+	core.Step(now, ReleasesRead{Record: recordOf("v1", "v2"), Revision: 5})
+	if len(core.releases.recorder.unrecorded) > 0 {
+		t.Error("a release that was recorded meanwhile counts as unrecorded")
+	}
+}
