Wait in a planned stop until callers have read their answers

Callers who read slowly got a part of an answer and a broken connection, also for requests that may run once: a planned stop ended 1.5 s after the last request in flight, at 6.0 s where the grace time lasted to 15.65 s. Cause: a stop counted the requests that the router had not ended, and a buffered answer is written after that; Shutdown then waited 1 s. The stop now waits for all requests that were read and whose handler runs. A request whose body has not come whole is not among them: nothing of it ran, and its caller may try again. The other tests of planned stops hold.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -82,6 +82,7 @@
 	failures eventlog.Failures
 
 	transport       *wire.Transport
+	callerHandler   *passthrough.Handler
 	callerServer    *http.Server
 	callerListener  *drainlistener.Listener
 	readinessServer *http.Server
@@ -162,12 +163,12 @@
 	}
 	n.transport = transport
 	n.options.Core.Self.Address = transport.Address()
-	handler := passthrough.NewHandler(passthrough.Config{
+	n.callerHandler = passthrough.NewHandler(passthrough.Config{
 		Catalog: n.servingCatalog, CatalogReady: n.becameReady, Decider: n, Dialect: n.options.Dialect, Pool: n.pool, Self: n.options.Core.Self.ID, Peers: n.peerPool, Log: n.options.Log,
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newRequestID, Closing: n.closesConnections.Load, Admits: n.admits,
 		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Path: n.path, EntriesInclude: n.entriesInclude, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
 	})
-	if n.callerServer, err = n.startServer(&n.options.CallersAddress, handler, n.limitCallers); err != nil {
+	if n.callerServer, err = n.startServer(&n.options.CallersAddress, n.callerHandler, n.limitCallers); err != nil {
 		return errors.Join(eris.Wrap(err, "open the listener for callers"), transport.Close(n.context))
 	}
 	readinessRouter := chi.NewRouter()
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -41,7 +41,7 @@
 
 // Stop stops the node as planned. The node reports that it is not ready and serves until callers
 // have noticed, then asks callers to close their connections, then rejects new requests that may
-// outlast the grace time as not run. It ends once no request is in flight or the grace time is
+// outlast the grace time as not run. It ends once all requests are answered or the grace time is
 // nearly over.
 func (n *Node) Stop() {
 	n.stopOnce.Do(n.stop)
@@ -60,12 +60,12 @@
 	n.admissionDeadline.Store(int64(drainEnd.Sub(n.epoch)))
 	rejectedQueued := false
 	for n.Now().Before(drainEnd) {
-		idle := n.inFlight() == 0 && n.Now().Sub(began) >= listenerOpenTime
+		idle := n.unanswered() == 0 && n.Now().Sub(began) >= listenerOpenTime
 		if !rejectedQueued && (idle || drainEnd.Sub(n.Now()) < queueRejectLead) {
 			rejectedQueued = true
 			n.step(fleet.DrainStarted{})
 		}
-		if rejectedQueued && n.inFlight() == 0 {
+		if rejectedQueued && n.unanswered() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -135,3 +135,9 @@
 	defer n.mutex.Unlock()
 	return len(n.tickets) + n.peerProxy.Active()
 }
+
+// unanswered returns the number of requests for which a stop waits: those in flight, and those whose answers are still
+// being written because their callers read slowly.
+func (n *Node) unanswered() int {
+	return max(n.inFlight(), n.callerHandler.Unanswered()+n.peerProxy.Active())
+}
--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -102,6 +102,8 @@
 	startWaiters atomic.Int64
 	// activeRequests counts the requests whose handlers run.
 	activeRequests atomic.Int64
+	// unanswered counts the requests that were read and whose handlers run.
+	unanswered atomic.Int64
 	// now returns the time on the router's clock, which all deadlines of requests use. Timeouts of
 	// the kernel and of timers are set from the time that is left.
 	now func() time.Time
@@ -118,6 +120,10 @@
 	return h
 }
 
+// Unanswered returns the number of requests that were read and whose answers have not been written. The router may have
+// ended them: a buffered answer is written after that.
+func (h *Handler) Unanswered() int { return int(h.unanswered.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := h.now()
@@ -155,6 +161,8 @@
 		h.rejectRequest(w, r, failure)
 		return
 	}
+	defer h.unanswered.Add(-1)
+	h.unanswered.Add(1)
 	current := h.newExchange(w, r, compiled, route, body, &attributes)
 	current.arrived, current.deadline = arrived, deadline
 	current.credential, current.keyed, current.reserved = caller, compiled.RequiresKeys(), reserved
