Let repeatable requests leave workers whose bodies trickle

Callers got 504 at their deadlines though another worker had room. Cause: the watchdog ended with the head of an answer that is buffered, so that only the deadline bounded its body. It now goes on until the body is whole, and starts again with each 4 KiB. Only the router may move the request, as before a head: one that may run once waits on, and silence in a body says nothing about the path to the worker.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -283,9 +283,10 @@
 // bufferAnswer reads an answer until it is complete. An answer that is too long to be buffered, or
 // for which the node has no memory left, is relayed as it arrives.
 func (a *attempt) bufferAnswer(response *http.Response, marks *AnswerAttributes) *verdict.Error {
-	a.watchdog.stop()
+	watched := a.watchdog.watchBody(response.Body)
 	reservedBefore := a.reserved.Bytes()
-	body, complete, err := a.reserved.ReadAll(io.LimitReader(response.Body, maxBufferedAnswerBytes+1), response.ContentLength)
+	body, complete, err := a.reserved.ReadAll(io.LimitReader(watched, maxBufferedAnswerBytes+1), response.ContentLength)
+	a.watchdog.stop()
 	if err != nil {
 		a.reserved.Shrink(a.reserved.Bytes() - reservedBefore)
 		a.recordConnectionBreak(err)
--- a/passthrough/watchdog.go
+++ b/passthrough/watchdog.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"io"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// capacity by then, and the retry budget refills. It equals minSilenceTimeout because
 	// objectives of 0.1 to 0.15 s are common.
 	reportInterval = 150 * time.Millisecond
+	// minBodyProgress is how many bytes of a buffered answer must come within a timeout for the first byte, so that
+	// the machine does not count as silent: 27 KB/s at the shortest timeout.
+	minBodyProgress = 4 << 10
 	// maxTimerDelay is the largest delay of the timer in a process that runs normally. A larger
 	// delay means that this process was stopped, and that input which arrived in the meantime is
 	// still unread.
@@ -66,6 +70,8 @@
 	// armedAt is when the current silence began or was last reported, on the monotonic clock:
 	// while this machine is suspended, the silence of other machines must not count.
 	armedAt time.Time
+	// inBody is true once the head of an answer has come that is buffered: a slow body says nothing about the path.
+	inBody bool
 	// paused is true while received data is relayed, stopped once the watchdog has ended.
 	paused, stopped bool
 }
@@ -100,6 +106,34 @@
 	}
 }
 
+// watchBody starts a new silence, and returns a body whose reads start another one with each minBodyProgress bytes. A
+// machine that writes a byte at a time counts as silent.
+func (w *watchdog) watchBody(body io.Reader) io.Reader {
+	w.mu.Lock()
+	w.inBody = true
+	w.mu.Unlock()
+	w.restart(w.attempt.firstByteTimeout())
+	return &watchedBody{Reader: body, watchdog: w}
+}
+
+// watchedBody is the body of an answer that is buffered.
+type watchedBody struct {
+	io.Reader
+	watchdog *watchdog
+	// read counts the bytes since the last restart of the watchdog.
+	read int
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(buffer []byte) (int, error) {
+	n, err := b.Reader.Read(buffer)
+	if b.read += n; b.read >= minBodyProgress {
+		b.read = 0
+		b.watchdog.restart(b.watchdog.attempt.firstByteTimeout())
+	}
+	return n, err
+}
+
 // arm sets the timer. The caller must hold the mutex.
 func (w *watchdog) arm(after time.Duration) {
 	w.armedAt = time.Now()
@@ -146,7 +180,9 @@
 		w.attempt.Log.Write(eventlog.AttemptSilent{
 			Request: decision.Request, Attempt: decision.Attempt, Machine: decision.Machine, Silent: silence,
 		})
-		w.attempt.recordPathFailure(reachability.Silence, errSilent)
+		if !w.inBody {
+			w.attempt.recordPathFailure(reachability.Silence, errSilent)
+		}
 	}
 	w.attempt.Decider.Report(routing.AttemptSilent{Request: decision.Request, Attempt: decision.Attempt})
 	w.arm(reportInterval)
