Show that resumable streams wait to their deadlines for events that trickle

The same as for bodies: a worker that writes an event a byte every 50 ms holds streams that may go on at another worker. 3 of 20 get 504 at their deadlines (first event), 3 of 20 are cut there (third event).

--- a/fleet/shell/trickle_test.go
+++ b/fleet/shell/trickle_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -67,3 +68,35 @@
 		})
 	}
 }
+
+// TestTricklingStreamGoesOnElsewhere guards against a stream that could go on at another worker and waits to its deadline
+// for one that writes an event a byte at a time.
+func TestTricklingStreamGoesOnElsewhere(t *testing.T) {
+	for name, begin := range map[string]string{
+		"first event": "HTTP/1.1 200 OK\r\n%s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+		"third event": "HTTP/1.1 200 OK\r\n%s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			counter := &runCounter{}
+			d.registerEngine("e1", startTrickling(t, begin, "x", counter))
+			d.addWorker("e2", engineService, nil)
+			node := d.startNode("n1")
+			var calls sync.WaitGroup
+			for range 20 {
+				calls.Go(func() {
+					got := d.call(node, http.MethodPost, "/stream/", "b", withModel("big"))
+					if got.status != http.StatusOK || got.err != nil || !slices.Equal(eventNumbers(t, got.body), oneTo(6)) {
+						t.Errorf("caller got %d %q, %v", got.status, got.body, got.err)
+					}
+				})
+				time.Sleep(20 * time.Millisecond)
+			}
+			calls.Wait()
+			if len(counter.runs) == 0 {
+				t.Error("no stream began at the worker that trickles")
+			}
+		})
+	}
+}
