Let resumable streams leave workers whose events trickle

Streams that could go on at another worker waited to their deadlines: 504 before the first event, a cut after it. Cause: the watchdog started again with each read, whether it completed an event or not. It now starts again with a complete event, or with 4 KiB of one. The same cause as with bodies; no other wait for a worker's bytes starts again with each byte. The test names the version of its worker now, without which a stream may not go on elsewhere.

--- a/fleet/shell/trickle_test.go
+++ b/fleet/shell/trickle_test.go
@@ -80,7 +80,13 @@
 			t.Parallel()
 			d := newDeployment(t)
 			counter := &runCounter{}
-			d.registerEngine("e1", startTrickling(t, begin, "x", counter))
+			entry := platform.WorkerDocument{
+				Service: engineService, Address: startTrickling(t, begin, "x", counter), Zone: "z", Version: "v1", Slots: 8, State: "ready",
+				Models: []platform.HeldModelDocument{{Name: "big", Version: 1, Adapters: []string{}}},
+			}
+			if err := d.store.Put(platform.PrefixWorkers+"e1", entry); err != nil {
+				t.Fatal(err)
+			}
 			d.addWorker("e2", engineService, nil)
 			node := d.startNode("n1")
 			var calls sync.WaitGroup
--- a/passthrough/stream.go
+++ b/passthrough/stream.go
@@ -30,7 +30,8 @@
 	idField      = []byte("id:")
 )
 
-// relayStream relays the events of a stream, each as soon as it is complete. An incomplete event
+// relayStream relays the events of a stream, each as soon as it is complete. A machine that completes no event
+// and writes less than minBodyProgress bytes within the timeout counts as silent. An incomplete event
 // at the end of a broken stream is dropped; a resumable stream continues after the last complete
 // event.
 func (a *attempt) relayStream(response *http.Response) *verdict.Error {
@@ -40,17 +41,25 @@
 	// searched is the length of the part of pending that holds no end of an event.
 	searched := 0
 	resumed := a.headSent
+	a.watchdog.restart(a.nextByteTimeout())
+	// unfinished counts the bytes of the incomplete event since the watchdog was restarted.
+	unfinished := 0
 	for {
-		a.watchdog.restart(a.nextByteTimeout())
 		n, err := response.Body.Read(*buffer)
-		a.watchdog.pause()
 		pending = append(pending, (*buffer)[:n]...)
+		unfinished += n
 		if eventLength(pending[searched:]) > 0 {
+			a.watchdog.pause()
 			rest, failure := a.relayEvents(response, pending, resumed)
 			if failure != nil {
 				return failure
 			}
 			pending = append(pending[:0], rest...)
+			unfinished = minBodyProgress
+		}
+		if unfinished >= minBodyProgress {
+			a.watchdog.restart(a.nextByteTimeout())
+			unfinished = 0
 		}
 		searched = max(len(pending)-len(eventEndCRLF)+1, 0)
 		if !a.reserveEvent(len(pending)) {
--- a/passthrough/watchdog.go
+++ b/passthrough/watchdog.go
@@ -31,8 +31,8 @@
 	// capacity by then, and the retry budget refills. It equals minSilenceTimeout because
 	// objectives of 0.1 to 0.15 s are common.
 	reportInterval = 150 * time.Millisecond
-	// minBodyProgress is how many bytes of a buffered answer must come within a timeout for the first byte, so that
-	// the machine does not count as silent: 27 KB/s at the shortest timeout.
+	// minBodyProgress is how many bytes of a buffered answer, or of an incomplete event, must come within a timeout
+	// so that the machine does not count as silent: 27 KB/s at the shortest timeout.
 	minBodyProgress = 4 << 10
 	// maxTimerDelay is the largest delay of the timer in a process that runs normally. A larger
 	// delay means that this process was stopped, and that input which arrived in the meantime is
