--- a/fleet/moved_routes.go
+++ b/fleet/moved_routes.go
@@ -11,10 +11,14 @@
 // routesChanged handles a change of the routes. Streams that began at the service that a route had before are resumed
 // at its new one: the releases of the earlier service count there, as if their last machine had just gone.
 func (t *releaseTracker) routesChanged(before, now []catalog.Route) {
+	byHost := map[string][]*catalog.Route{}
+	for i := range before {
+		byHost[before[i].Host] = append(byHost[before[i].Host], &before[i])
+	}
 	for i := range now {
-		for j := range before {
-			if sameStreams(&before[j], &now[i]) {
-				t.routeMoved(&before[j], &now[i])
+		for _, earlier := range byHost[now[i].Host] {
+			if sameStreams(earlier, &now[i]) {
+				t.routeMoved(earlier, &now[i])
 			}
 		}
 	}
@@ -22,9 +26,10 @@
 	t.reportAll()
 }
 
-// sameStreams reports whether streams of a route may be resumed on a later one: one prefix contains the other.
+// sameStreams reports whether streams of a route may be resumed on a later one of its host: one prefix contains the
+// other.
 func sameStreams(before, now *catalog.Route) bool {
-	return before.Resumable && now.Resumable && before.Host == now.Host &&
+	return before.Resumable && now.Resumable &&
 		(strings.HasPrefix(before.PathPrefix, now.PathPrefix) || strings.HasPrefix(now.PathPrefix, before.PathPrefix))
 }
 
