Store origins again whose place in the store had been taken

A write that found another revision was answered as if it had been carried out, so that up to 128 origins were lost: a slot is written by another holder of the order lease, or its revision was not read since the store came back. The answer says now that there was a conflict. TestOriginsOfRefusedWriteAreStoredLater/conflict failed before.

--- a/fleet/events.go
+++ b/fleet/events.go
@@ -127,11 +127,12 @@
 	Answer lease.Answer
 }
 
-// StoreWritten delivers the answer to a StoreWrite. Err is nil if the key was written or already
-// had a value.
+// StoreWritten delivers the answer to a StoreWrite. Err is nil if the key was written or had another revision, in
+// which case Conflict is set.
 type StoreWritten struct {
-	Key string
-	Err error
+	Key      string
+	Err      error
+	Conflict bool
 }
 
 // TicketWritten reports that the key of a WriteTicket was written.
--- a/fleet/origin_archive.go
+++ b/fleet/origin_archive.go
@@ -185,7 +185,7 @@
 func (a *originArchive) writeAnswered(answered StoreWritten) {
 	taken := a.writing[answered.Key]
 	delete(a.writing, answered.Key)
-	if answered.Err != nil {
+	if answered.Err != nil || answered.Conflict {
 		a.core.resumptions.origins.Return(taken)
 	}
 }
--- a/fleet/shell/calls.go
+++ b/fleet/shell/calls.go
@@ -76,13 +76,13 @@
 func (n *Node) callWrite(effect fleet.StoreWrite) {
 	ctx, cancel := context.WithTimeout(n.context, leaseTimeout)
 	defer cancel()
-	_, err := n.options.Store.Txn(ctx, keyvalue.Transaction{
+	result, err := n.options.Store.Txn(ctx, keyvalue.Transaction{
 		Compares:   []keyvalue.Compare{{Key: effect.Key, ModRevision: effect.Revision}},
 		Operations: []keyvalue.Operation{{Key: effect.Key, Value: effect.Value, Delete: effect.Delete}},
 	})
 	n.countStoreCall(storeWrite, err)
 	n.logNewFailure(string(storeWrite), "", err)
-	n.step(fleet.StoreWritten{Key: effect.Key, Err: err})
+	n.step(fleet.StoreWritten{Key: effect.Key, Err: err, Conflict: err == nil && !result.Succeeded})
 }
 
 // callDelete deletes keys.
