Keep releases for as long as streams may be resumed that began under longer timeouts

A change of the routes to shorter timeouts made earlier releases cease to count at once, while streams that had begun before could still be resumed: 9 s after the change of a route from 10 s to 1 s the service counted as one of a single release. TestReleaseOutlivesShorterTimeout failed before.

--- a/fleet/moved_routes.go
+++ b/fleet/moved_routes.go
@@ -11,6 +11,9 @@
 // routesChanged handles a change of the routes. Streams that began at the service that a route had before are resumed
 // at its new one: the releases of the earlier service count there, as if their last machine had just gone.
 func (t *releaseTracker) routesChanged(before, now []catalog.Route) {
+	if longest := longestStream(before); longest > longestStream(now) {
+		t.earlierLongest, t.earlierUntil = max(longest, t.retention()-releaseMargin), t.core.now.Add(longest+releaseMargin)
+	}
 	byHost := map[string][]*catalog.Route{}
 	for i := range before {
 		byHost[before[i].Host] = append(byHost[before[i].Host], &before[i])
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -29,6 +30,10 @@
 	recorder releaseRecorder
 	// observedSince is when this node first knew all machines.
 	observedSince time.Time
+	// earlierLongest is the longest time for which a stream that began before the routes changed may be resumed,
+	// and counts until earlierUntil.
+	earlierLongest time.Duration
+	earlierUntil   time.Time
 	// complete is set once this node knows all releases at which streams may have begun that can still be
 	// resumed. Before, what it does not see may have been there.
 	complete bool
@@ -148,20 +153,27 @@
 
 // retention returns how long a release counts after its last machine is gone.
 func (t *releaseTracker) retention() time.Duration {
-	longest := time.Duration(0)
+	longest := defaultStreamTime
 	if t.core.compiled != nil {
-		for i := range t.core.compiled.Routes {
-			if route := &t.core.compiled.Routes[i]; route.Resumable {
-				longest = max(longest, route.Timeout)
-			}
-		}
+		longest = longestStream(t.core.compiled.Routes)
 	}
-	if longest == 0 {
-		longest = defaultStreamTime
+	if t.core.now.Before(t.earlierUntil) {
+		longest = max(longest, t.earlierLongest)
 	}
 	return longest + releaseMargin
 }
 
+// longestStream returns the longest time for which a stream may be resumed on one of the routes.
+func longestStream(routes []catalog.Route) time.Duration {
+	longest := time.Duration(0)
+	for i := range routes {
+		if routes[i].Resumable {
+			longest = max(longest, routes[i].Timeout)
+		}
+	}
+	return cmp.Or(longest, defaultStreamTime)
+}
+
 // observed returns the releases of a service that this node knows by its own observation: those of present
 // machines, and of machines that went a short time ago.
 func (t *releaseTracker) observed(name string) map[string]bool {
