Space the writes of the record of releases at nodes without the order lease

While the store takes no writes, each node wrote and logged every 2 s: 170 calls a second of 340 nodes. They wait twice as long after each write that does not come back, up to 32 s. TestNodesWithoutOrderLeaseSpaceWritesOfRecord: 30 writes in a minute before, 3 to 6 now.

--- a/fleet/release_record.go
+++ b/fleet/release_record.go
@@ -72,8 +72,10 @@
 
 const (
 	// releasesWriteRetry is the time between two attempts to write the record: longer than a change takes to
-	// come back from the store.
-	releasesWriteRetry = 2 * time.Second
+	// come back from the store. It doubles up to maxReleasesWriteRetry at nodes that don't hold the order lease, so
+	// that hundreds of nodes don't press a store that takes no writes.
+	releasesWriteRetry    = 2 * time.Second
+	maxReleasesWriteRetry = 32 * time.Second
 	// holderWriteTime is how long the other nodes leave the record to the holder of the order lease: twice the
 	// time that a change takes to come back from the store.
 	holderWriteTime = 800 * time.Millisecond
@@ -93,11 +95,14 @@
 	stale     bool
 	staleFrom time.Time
 	nextWrite time.Time
+	// retryAfter is the time until the next write if this one does not come back from the store.
+	retryAfter time.Duration
 }
 
 // read handles the record in the store.
 func (r *releaseRecorder) read(read *ReleasesRead) {
 	r.stored, r.revision = read.Record, read.Revision
+	r.retryAfter = releasesWriteRetry
 	if r.stored.equal(&r.written) {
 		r.nextWrite = time.Time{}
 	}
@@ -201,13 +206,16 @@
 	if due.IsZero() || r.tracker.core.now.Before(due) {
 		return
 	}
-	r.nextWrite = r.tracker.core.now.Add(releasesWriteRetry)
+	r.nextWrite = r.tracker.core.now.Add(r.retryAfter)
 	wanted := r.wanted(r.mayDrop())
 	if wanted.equal(&r.stored) {
 		r.stale, r.nextWrite = false, time.Time{}
 		return
 	}
 	r.written = wanted
+	if !r.tracker.core.controller.ledger.Holding() {
+		r.retryAfter = min(2*r.retryAfter, maxReleasesWriteRetry)
+	}
 	r.tracker.core.log(eventlog.ReleasesRecorded{Complete: wanted.Complete, Era: wanted.Era})
 	r.tracker.core.emit(StoreWrite{Key: KeyReleases, Value: encodeReleases(&wanted), Revision: r.revision})
 }
--- a/fleet/release_recorder_test.go
+++ b/fleet/release_recorder_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -103,8 +104,18 @@
 	}
 }
 
-// TestOriginsOfRefusedWriteAreStoredLater guards against origins that are never stored since the store refused one write.
+// TestOriginsOfRefusedWriteAreStoredLater guards against origins that are never stored since the store refused one write,
+// or held a record in that place which this node had not read.
 func TestOriginsOfRefusedWriteAreStoredLater(t *testing.T) {
+	refused := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "refused")
+	for name, answer := range map[string]StoreWritten{"refused": {Err: refused}, "conflict": {Conflict: true}} {
+		t.Run(name, func(t *testing.T) { testOriginsAreStoredAfter(t, answer) })
+	}
+}
+
+// testOriginsAreStoredAfter checks that an origin is written again after an answer to its first write.
+func testOriginsAreStoredAfter(t *testing.T, answer StoreWritten) {
+	t.Helper()
 	now := time.Unix(1000, 0)
 	core := newRecordingCore(t, now, "v1", "v2")
 	core.Step(now, Tick{})
@@ -118,7 +129,8 @@
 	if key == "" {
 		t.Fatal("the origin is not written")
 	}
-	core.Step(now, StoreWritten{Key: key, Err: verdict.New(verdict.NotRun, verdict.CodeUnavailable, "refused")})
+	answer.Key = key
+	core.Step(now, answer)
 	now = now.Add(2 * archiveInterval)
 	for _, effect := range core.Step(now, Tick{}) {
 		if write, is := effect.(StoreWrite); is && write.Key != KeyReleases {
@@ -146,3 +158,40 @@
 		t.Error("a release that was recorded meanwhile counts as unrecorded")
 	}
 }
+
+// TestNodesWithoutOrderLeaseSpaceWritesOfRecord guards against hundreds of nodes that write again and again to a store that
+// takes no writes.
+func TestNodesWithoutOrderLeaseSpaceWritesOfRecord(t *testing.T) {
+	core, start := startReleaseCore(t, ReleasesRead{Record: recordOf("v1"), Revision: 4}, 0)
+	writes := 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(50 * time.Millisecond) {
+		if _, written := recordAmong(t, core.Step(now, Tick{})); written {
+			writes++
+		}
+	}
+	if writes < 3 || writes > 6 {
+		t.Errorf("%d writes in a minute, want 3 to 6", writes)
+	}
+}
+
+// TestReleaseOutlivesShorterTimeout guards against a release that ceases to count because the routes' timeouts became
+// shorter, while streams of it that began before may still be resumed.
+func TestReleaseOutlivesShorterTimeout(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newRecordingCore(t, now, "v1", "v2")
+	core.Step(now, WorkersRead{Gone: []cluster.MachineID{"of-v1"}})
+	shorter := *core.compiled
+	shorter.Version++
+	shorter.Routes = slices.Clone(shorter.Routes)
+	shorter.Routes[0].Timeout = time.Second
+	core.Step(now, ConfigurationRead{Compiled: &shorter})
+	core.Step(now.Add(9*time.Second), Tick{})
+	if !core.releases.several("s") {
+		t.Error("the release does not count while its streams may be resumed")
+	}
+	core.Step(now.Add(10*time.Second+releaseMargin), Tick{})
+	core.Step(now.Add(10*time.Second+releaseMargin), ReleasesRead{Record: recordOf("v2"), Revision: 5})
+	if core.releases.several("s") {
+		t.Error("the release still counts after its streams have ended")
+	}
+}
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -66,7 +66,7 @@
 
 func newReleaseTracker(core *Core) *releaseTracker {
 	tracker := &releaseTracker{core: core, services: map[string]*serviceReleases{}, unlisted: map[cluster.MachineID]*unlistedStart{}}
-	tracker.recorder = releaseRecorder{tracker: tracker, unrecorded: map[cluster.MachineID]bool{}}
+	tracker.recorder = releaseRecorder{tracker: tracker, unrecorded: map[cluster.MachineID]bool{}, retryAfter: releasesWriteRetry}
 	return tracker
 }
 
