Play streams whose rejection comes twice when no third send is allowed

Cause: the play of streams that are rejected twice gave nodes any number of further sends, so that the fault of the earlier landings showed as runs that came twice and never as a run of a refused stream.

Change: the same with a small retry budget, and with deadlines of 150 ms.

--- a/fleet/shell/once_streams_test.go
+++ b/fleet/shell/once_streams_test.go
@@ -350,6 +350,35 @@
 	}
 }
 
+// TestRefusedStreamRejectedTwiceDoesNotRun guards against a stream that runs although it was refused: its second send runs, the
+// copy of the first rejection is taken for its answer, and the retry budget or the time left allows no third one.
+func TestRefusedStreamRejectedTwiceDoesNotRun(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		budget   float64
+		deadline time.Duration
+		refuses  bool
+	}{
+		{"small retry budget", 60, 3 * time.Second, true},
+		{"deadline soon", 3000, 150 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, counter := newDeployment(t, withoutLatencyObjective), &runCounter{}
+			for i := range 2 {
+				d.addRejectingEngine(fmt.Sprintf("e%d", i), &rejectingEngine{
+					counter: counter, inPlace: true, how: func(string) *rejection { return &rejections[0] },
+				})
+			}
+			play := &oncePlay{d: d, callers: 6, count: 240, body: "b"}
+			play.deadline = func() time.Duration { return test.deadline }
+			play.nodes = d.startDispatchingNodes(3, func(o *shell.Options) { o.Core.Routing.RetryExtra = test.budget })
+			if served, refused := play.check(counter, play.run()); served == 0 || refused == 0 && test.refuses {
+				t.Errorf("%d streams were served and %d refused: the play lacks what it is about", served, refused)
+			}
+		})
+	}
+}
+
 // freezeSteps keeps one node after the other from taking steps for 10 to 260 ms, the next one after every, until the returned
 // function is called.
 func freezeSteps(nodes []*shell.Node, every time.Duration) (stop func()) {
