Pass on no status of a worker that promises without proof that nothing ran

Callers saw 408, 429 or 503 for a request that its worker had run. They take these statuses for the promise that it did not run and never will, and send requests that may run once again.

Cause: a promise passed on without its proof.

Change: such an answer is a failure that may have run. The caller gets 502, or the request is sent again if it may be repeated.

An unsigned 503 was 502 before, too.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -281,7 +281,7 @@
 }
 
 // bufferAnswer reads an answer until it is complete. An answer that is too long to be buffered, or
-// for which the node has no memory left, is relayed as it arrives.
+// for which the node has no memory left, is relayed as it arrives, unless its status is not passed on.
 func (a *attempt) bufferAnswer(response *http.Response, marks *AnswerAttributes) *verdict.Error {
 	a.watchdog.stop()
 	reservedBefore := a.reserved.Bytes()
@@ -291,7 +291,12 @@
 		a.recordConnectionBreak(err)
 		return verdict.Wrap(err, verdict.Ran, verdict.CodeEngineFailed, "the answer was cut")
 	}
-	if !complete || len(body) > maxBufferedAnswerBytes {
+	whole := complete && len(body) <= maxBufferedAnswerBytes
+	switch {
+	case promisesNoRun(response.StatusCode):
+		a.answered, a.answerComplete = true, whole
+		return verdict.New(verdict.MayHaveRun, verdict.CodeEngineFailed, "the machine answered %d and did not say that nothing ran", response.StatusCode)
+	case !whole:
 		return a.relayUnbuffered(response, body)
 	}
 	if marks.Signed || response.StatusCode < http.StatusInternalServerError {
@@ -304,6 +309,16 @@
 	return nil
 }
 
+// promisesNoRun reports whether callers take a status for the promise that the request did not run and never will. A
+// machine may answer so to a request that it ran; only its explicit statement is proof.
+func promisesNoRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // relayUnbuffered relays an answer as it arrives, after the part of it that was already read.
 func (a *attempt) relayUnbuffered(response *http.Response, begin []byte) *verdict.Error {
 	a.Decider.Report(routing.FirstByteSent{Request: a.id})
