--- a/fleet/shell/once_streams_test.go
+++ b/fleet/shell/once_streams_test.go
@@ -322,6 +322,7 @@
 	for _, how := range rejections {
 		for _, inPlace := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, copy in place of next answer=%t", how.name, inPlace), func(t *testing.T) {
+				t.Parallel()
 				d, counter := newDeployment(t, withoutLatencyObjective), &runCounter{}
 				play := &oncePlay{d: d, callers: 6, count: 60, body: "b"}
 				if how.early {
@@ -363,6 +364,7 @@
 		{"deadline soon", 3000, 150 * time.Millisecond, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			d, counter := newDeployment(t, withoutLatencyObjective), &runCounter{}
 			for i := range 2 {
 				d.addRejectingEngine(fmt.Sprintf("e%d", i), &rejectingEngine{
@@ -429,6 +431,7 @@
 		{name: "dispatcher stops", ends: (*shell.Node).Stop, firstEvent: 200 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			d, counter := newDeployment(t, withoutLatencyObjective), &runCounter{}
 			for i := range 2 {
 				d.addRejectingEngine(fmt.Sprintf("e%d", i), &rejectingEngine{
