Let the soak kill all nodes at once beside changes of the workers' releases; judge what callers take up

A new check holds nodes to continue streams whose origins had to be stored, while two workers of their release serve; the check of resumed streams leaves what a kill of all nodes broke off to it. The report counts the streams that were cut, taken up, went on, and were refused.

--- a/cmd/valveslip/soak.go
+++ b/cmd/valveslip/soak.go
@@ -44,6 +44,7 @@
 	binary, previousBinary               string
 	printOnly, shrinkFaults, regressions bool
 	restores, lateEntries, surplus       bool
+	allKilled                            bool
 }
 
 // soakCommand returns the command that runs nodes as processes under faults and checks the
@@ -59,6 +60,7 @@
 	flags.BoolVar(&f.restores, "restores", false, "also draw returns of the store from copies that are some seconds old")
 	flags.BoolVar(&f.surplus, "surplus", false, "also draw workers that send answers which nobody expects, or answers without end")
 	flags.BoolVar(&f.lateEntries, "late-entries", false, "also draw workers that start again with another software version before their entries say so")
+	flags.BoolVar(&f.allKilled, "all-killed", false, "also draw kills of all nodes at once, beside changes of the workers' software version")
 	flags.BoolVar(&f.printOnly, "print", false, "print the schedule and run nothing")
 	flags.BoolVar(&f.shrinkFaults, "shrink", false, "drop faults while the run still fails and print what is left")
 	flags.BoolVar(&f.regressions, "regressions", false, "run every schedule that once failed")
@@ -105,6 +107,9 @@
 		var size plan.Size
 		size, err = soak.Size(f.nodes, f.duration)
 		size.Upgrades, size.Restores, size.LateEntries, size.Surplus = f.previousBinary != "", f.restores, f.lateEntries, f.surplus
+		if size.AllKilled = f.allKilled; f.allKilled {
+			size.Workers = soak.AllKilledWorkers
+		}
 		schedule = plan.Draw(f.seed, size)
 	}
 	if f.until > 0 {
@@ -232,6 +237,10 @@
 	if err := writeSection(out, "faults", []string{"KIND", "STRUCK"}, countRows(report.Faults)); err != nil {
 		return err
 	}
+	if after := &report.AfterKills; after.Kills > 0 {
+		fmt.Fprintf(out, "all nodes killed %d times: %d streams cut, %d taken up, %d went on, %d of them to the end, %d refused, %d joined from two software versions; %d of %d went on that had to\n\n",
+			after.Kills, after.Cut, after.TakenUp, after.WentOn, after.Whole, after.Refused, after.Joined, after.PromisedWentOn, after.Promised)
+	}
 	var rows [][]string
 	for _, finding := range report.Findings {
 		note := ""
--- a/soak/actions.go
+++ b/soak/actions.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"github.com/valveslip/valveslip/fleet"
 	"github.com/valveslip/valveslip/soak/check"
 	"github.com/valveslip/valveslip/soak/plan"
 	"github.com/valveslip/valveslip/soak/proxy"
@@ -22,7 +23,8 @@
 func (r *run) inject(f *plan.Fault) {
 	affected := 0
 	switch f.Kind {
-	case plan.StoreSlow, plan.StoreDown, plan.StoreRefuse, plan.StoreLose, plan.StoreSilence, plan.StoreForget:
+	case plan.StoreSlow, plan.StoreDown, plan.StoreRefuse, plan.StoreLose, plan.StoreSilence, plan.StoreForget,
+		plan.StoreRefuseReleases, plan.StoreLoseReleases:
 		r.injectStore(f)
 		affected = 1
 	case plan.StoreRestore:
@@ -37,6 +39,8 @@
 	case plan.RouteMove:
 		r.configuration.move()
 		affected = 1
+	case plan.ProcessKillAll:
+		affected = r.killAll(f)
 	default:
 		for _, target := range f.Targets {
 			if r.injectInto(f, target) {
@@ -92,6 +96,9 @@
 }
 
 func (r *run) injectWorker(f *plan.Fault, slot *workerSlot) {
+	if f.Release != "" {
+		slot.withCurrent(func() { slot.nextRelease = f.Release })
+	}
 	switch f.Kind {
 	case plan.WorkerCrash:
 		slot.crash(f.For)
@@ -135,6 +142,10 @@
 		return
 	case plan.StoreSilence:
 		r.metadata.SetUnresponsive(true)
+	case plan.StoreRefuseReleases:
+		r.metadata.RefuseWrites(fleet.KeyReleases)
+	case plan.StoreLoseReleases:
+		r.metadata.LoseWriteAnswers(fleet.KeyReleases)
 	default:
 		order := storeFaults[f.Kind]
 		order.For, order.Delay = fault.Duration(f.For), fault.Duration(f.Delay)
@@ -144,6 +155,9 @@
 		if f.Kind == plan.StoreSilence {
 			r.metadata.SetUnresponsive(false)
 		}
+		if f.Kind == plan.StoreRefuseReleases || f.Kind == plan.StoreLoseReleases {
+			r.metadata.ClearKeyFault()
+		}
 		restored()
 	})
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -119,7 +119,7 @@
 		Deadline: minDeadline + time.Duration(c.random.Int64N(int64(maxDeadline-minDeadline))).Truncate(time.Millisecond),
 	}
 	if request.Route.Streams() {
-		request.Model = c.drawModel()
+		request.Model, request.Deadline = c.drawModel(), c.streamDeadline(request.Deadline)
 	}
 	c.decideLeaving(&request)
 	return request
@@ -150,7 +150,14 @@
 		return
 	}
 	c.recorder.record(func(h *check.History) { h.Requests = append(h.Requests, request) })
-	if next, resumes := c.resumption(&request); resumes {
+	next, resumes := c.resumption(&request)
+	if !resumes {
+		return
+	}
+	if next.FailedTries > 0 {
+		c.sleepUntil(time.Now().Add(takeUpPause))
+	}
+	if ctx.Err() == nil {
 		c.send(ctx, next)
 	}
 }
--- a/soak/check/connections.go
+++ b/soak/check/connections.go
@@ -33,7 +33,7 @@
 // stopping process.
 func (h *History) mustCloseConnection(request *Request, stop *Stop) bool {
 	late := request.Sent > stop.At+h.Bounds.Drain+connectionCloseSlack && request.Ended < stop.Ended
-	return request.Node == stop.Node && late && request.answered()
+	return request.Node == stop.Node && late && request.Answered()
 }
 
 // describeKeptConnection describes an answer that let its caller keep the connection; empty
--- a/soak/check/defects_test.go
+++ b/soak/check/defects_test.go
@@ -196,6 +196,18 @@
 			}
 		}
 	}},
+	{PromiseRelease, "a stream that goes on at another software version after all nodes were killed", func(h *History) {
+		at := slices.IndexFunc(h.Runs, func(r Run) bool { return r.Request == "killed-0++" })
+		h.Runs[at].Release = "v2"
+	}},
+	{PromiseAfterKill, "nodes that start and refuse streams whose origins are stored", func(h *History) {
+		for i := range h.Requests {
+			request := &h.Requests[i]
+			if strings.HasPrefix(request.ID, "killed-") && strings.HasSuffix(request.ID, "++") && request.ID != "killed-0++" {
+				request.Status, request.Body = http.StatusServiceUnavailable, ""
+			}
+		}
+	}},
 	{PromisePath, "a node that fails its callers while it is cut off from workers", func(h *History) {
 		for i := range h.Requests {
 			if strings.HasPrefix(h.Requests[i].ID, "n1-cut-") {
--- a/soak/check/fixtures_test.go
+++ b/soak/check/fixtures_test.go
@@ -66,3 +66,29 @@
 		}
 	}
 }
+
+// addStreamsAfterKill adds streams that a kill of all nodes breaks off after two events. One try to take them up
+// reaches no node, the next one brings the rest.
+func addStreamsAfterKill(h *History) {
+	at := 150 * time.Second
+	for n, release := range []string{"v1", "v1", "v2", "v2"} {
+		h.Lives = append(h.Lives, Life{Worker: fmt.Sprintf("late-engine-%d", n), Service: "engine", Release: release, From: at - 10*time.Second, To: at + time.Minute})
+	}
+	h.KillsOfAll = append(h.KillsOfAll, KillOfAll{From: at, To: at + 20*time.Millisecond})
+	for node := range 2 {
+		h.Disturbances = append(h.Disturbances, Disturbance{Node: node, Scope: ScopeProcess, From: at, To: at + time.Second})
+	}
+	for n := range minResumed {
+		first := completedRequest(fmt.Sprintf("killed-%d", n), RouteStream, at-2*time.Second)
+		first.Node, first.Deadline, first.Ended = 1, 5*time.Second, at+10*time.Millisecond
+		first.Failure, first.Body = "reset", worker.StreamText(first.ID, 0, 2)
+		refused := Request{ID: first.ID + "+", Route: RouteStream, After: 2, Resumes: first.ID, Deadline: first.Deadline, Failure: "refused", Sent: at + 100*time.Millisecond, Ended: at + 101*time.Millisecond}
+		next := completedRequest(first.ID+"++", RouteStream, at+1800*time.Millisecond)
+		next.Deadline, next.After, next.Resumes, next.Body = first.Deadline, 2, first.ID, worker.StreamText(next.ID, 2, testEvents)
+		began, resumed := runOf(first.ID, "late-engine-0", first.Sent), runOf(next.ID, "late-engine-1", next.Sent)
+		began.Release, began.Events = "v1", 4
+		resumed.Release, resumed.After, resumed.Events = "v1", 2, testEvents-2
+		h.Requests = append(h.Requests, first, refused, next)
+		h.Runs = append(h.Runs, began, resumed)
+	}
+}
--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -21,6 +21,8 @@
 	// brought its first event, empty for this one.
 	After   int
 	Resumes string
+	// FailedTries is the number of requests in a row before this one that resumed the stream and brought no event.
+	FailedTries int
 	// LeavesAfter is the number of events after which the caller leaves, to continue the stream with
 	// another request; zero for none.
 	LeavesAfter int
@@ -40,8 +42,8 @@
 	ClosesConnection bool
 }
 
-// answered reports whether a complete answer arrived.
-func (r *Request) answered() bool { return r.Status != 0 && r.Failure == "" }
+// Answered reports whether a complete answer arrived.
+func (r *Request) Answered() bool { return r.Status != 0 && r.Failure == "" }
 
 // Run is one request that a worker began to run.
 type Run struct {
@@ -158,6 +160,11 @@
 // AllNodes is the Node of a disturbance that affects every node.
 const AllNodes = -1
 
+// KillOfAll is a kill of all nodes, from the first signal to the last.
+type KillOfAll struct {
+	From, To time.Duration
+}
+
 // Disturbance is a period in which a part of the system was not working normally.
 type Disturbance struct {
 	Node  int
@@ -205,6 +212,7 @@
 	Stops          []Stop
 	Closings       []IdleClosing
 	Exits          []Exit
+	KillsOfAll     []KillOfAll
 	Recoveries     []Recovery
 	Disturbances   []Disturbance
 	// Skews are the times in which most callers came to one node.
--- a/soak/check/judge.go
+++ b/soak/check/judge.go
@@ -56,6 +56,7 @@
 	PromiseSkew          Promise = "a node that most callers come to serves them"
 	PromiseRelease       Promise = "streams hold events of one software version"
 	PromiseResumed       Promise = "resumed streams go on as new ones begin"
+	PromiseAfterKill     Promise = "streams go on after all nodes were killed"
 	PromisePath          Promise = "nodes without a path to workers serve their callers"
 )
 
@@ -148,6 +149,7 @@
 	{PromiseSkew, checkSkews, 0, nil},
 	{PromiseRelease, checkStreamReleases, 0, nil},
 	{PromiseResumed, checkResumedStreams, 0, nil},
+	{PromiseAfterKill, checkStreamsAfterKill, 0, nil},
 	{PromisePath, checkPartitions, minJudgedFew, (*History).hasJudgeablePartition},
 }
 
--- a/soak/check/judge_test.go
+++ b/soak/check/judge_test.go
@@ -128,6 +128,7 @@
 		}
 	}
 	addResumedStreams(h)
+	addStreamsAfterKill(h)
 	addHarmfulPart(h)
 	addSkew(h)
 	leaving := completedRequest("leaving", RouteRead, 24200*time.Millisecond)
--- a/soak/check/leaving_answers.go
+++ b/soak/check/leaving_answers.go
@@ -45,7 +45,7 @@
 // ID in its stamp, followed by the time of its start.
 func (r *Request) answeredBy(name string) bool {
 	id, _, _ := strings.Cut(name, "@")
-	return r.answered() && r.Stamp == worker.Stamp(id)
+	return r.Answered() && r.Stamp == worker.Stamp(id)
 }
 
 // checkLeavingAnswers checks that a node which forwarded a worker's announcement that it leaves
--- a/soak/check/nodes.go
+++ b/soak/check/nodes.go
@@ -30,7 +30,7 @@
 // describeCut describes how a stop cut a request; empty if it did not.
 func (r *Request) describeCut(stop *Stop, ran bool) string {
 	read := ran || r.Sent < stop.Ended-maxReadTime
-	if !read || r.answered() || r.Left || r.cutAtDeadline() {
+	if !read || r.Answered() || r.Left || r.cutAtDeadline() {
 		return ""
 	}
 	return fmt.Sprintf("sent %s after the stop's begin, ran %t: %s", r.Sent-stop.At, ran, r.Failure)
--- a/soak/check/releases.go
+++ b/soak/check/releases.go
@@ -84,15 +84,23 @@
 			continue
 		}
 		detail := ""
-		for _, run := range wrote[1:] {
-			if run.Release != wrote[0].Release {
-				detail = fmt.Sprintf("began at %s (%s), went on at %s (%s) after event %d", wrote[0].Worker, wrote[0].Release, run.Worker, run.Release, run.After)
-			}
+		if run := joinedAt(wrote); run != nil {
+			detail = fmt.Sprintf("began at %s (%s), went on at %s (%s) after event %d", wrote[0].Worker, wrote[0].Release, run.Worker, run.Release, run.After)
 		}
 		f.record(first, wrote[0].At, detail)
 	}
 }
 
+// joinedAt returns the last run of a stream at another software version than its first, or nil.
+func joinedAt(wrote []*Run) *Run {
+	for _, run := range slices.Backward(wrote) {
+		if run.Release != wrote[0].Release {
+			return run
+		}
+	}
+	return nil
+}
+
 // checkResumedStreams checks that streams which their callers resume go on at least half as often as new ones
 // begin, at undisturbed nodes and while workers of their software version serve.
 func checkResumedStreams(h *History, f *Finding) {
@@ -101,6 +109,10 @@
 	for _, chain := range h.streamChains() {
 		wrote := chain.contributions(runs)
 		for _, request := range chain.requests {
+			if request.Resumes != "" && h.killedSince(chain.requests[0].Sent, request.Sent) {
+				// checkStreamsAfterKill judges these.
+				continue
+			}
 			if h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePath) || h.peersDisturbed(request.Sent, request.Ended) {
 				continue
 			}
--- a/soak/configuration.go
+++ b/soak/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/soak/check"
@@ -101,6 +102,11 @@
 	for i := range routes {
 		routes[i].Public = true
 	}
+	for i := range routes {
+		if routes[i].Kind == kindStreaming {
+			routes[i].TimeoutMS = float64(c.streamDeadline(routeTimeoutMS * time.Millisecond).Milliseconds())
+		}
+	}
 	if !c.options.Schedule.Keyless {
 		routes = append(routes, route(string(check.RouteKeyed), kindIdempotent, plain, false))
 	}
--- a/soak/gather.go
+++ b/soak/gather.go
@@ -48,7 +48,7 @@
 	r.recorder.record(func(h *check.History) {
 		h.Bounds = check.Bounds{
 			Drain: drainBound, Configuration: configurationBound, Grace: gracePeriod, Recovery: recoveryBound,
-			LoadsPerWindow: int(loadsPerSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: streamEvents,
+			LoadsPerWindow: int(loadsPerSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: r.streamEventCount(),
 			Keys: keyBound, Limit: floodLimit,
 		}
 		h.Engines, h.StreamService, h.Services = r.engineCount(), serviceEngine, map[string]string{}
--- a/soak/options.go
+++ b/soak/options.go
@@ -39,6 +39,9 @@
 	MinDuration = 30 * time.Second
 	// defaultWorkers is the number of simulated workers in a drawn schedule.
 	defaultWorkers = 6
+	// AllKilledWorkers is that number where all nodes are killed at once, so that several workers of each software
+	// version serve.
+	AllKilledWorkers = 12
 )
 
 // Options configure a run.
--- a/soak/plan/draw.go
+++ b/soak/plan/draw.go
@@ -51,6 +51,8 @@
 	LateEntries bool
 	// Surplus is set for a run whose workers send answers that nobody expects, or answers without end.
 	Surplus bool
+	// AllKilled is set for a run whose nodes are all killed at once, beside changes of the workers' software version.
+	AllKilled bool
 }
 
 // generator draws the faults of one schedule.
@@ -94,6 +96,10 @@
 	if size.Restores {
 		schedule.Faults = append(schedule.Faults, drawRestores(seed, size)...)
 	}
+	if size.AllKilled && !size.Upgrades {
+		schedule.Faults = append(schedule.Faults, drawAllKilled(seed, size)...)
+		schedule.StreamEvents, schedule.TakeUps = killedStreamEvents, killedTakeUps
+	}
 	schedule.HarmfulPart = !size.Upgrades && seed%seedsPerHarmfulPart == 1
 	if size.Upgrades {
 		drawUpgrades(&schedule)
--- a/soak/plan/kind.go
+++ b/soak/plan/kind.go
@@ -29,6 +29,9 @@
 	ProcessKill   Kind = "process-kill"
 	ProcessPause  Kind = "process-pause"
 	ProcessHangUp Kind = "process-hang-up"
+	// ProcessKillAll kills all nodes, whose kills are spread evenly over Fault.Delay. All start again Fault.For
+	// later.
+	ProcessKillAll Kind = "process-kill-all"
 )
 
 // The kinds that cut nodes off from all workers, while callers, the store and other nodes reach them.
@@ -73,6 +76,10 @@
 	// StoreRestore copies the store. After Fault.Delay the store goes away, and after Fault.For it comes
 	// back from the copy. What the operator and the workers wrote is then written again.
 	StoreRestore Kind = "store-restore"
+	// StoreRefuseReleases refuses the writes of the record of the workers' releases, StoreLoseReleases executes them
+	// without an answer.
+	StoreRefuseReleases Kind = "store-refuse-releases"
+	StoreLoseReleases   Kind = "store-lose-releases"
 )
 
 // The kinds of changes of the configuration.
@@ -195,6 +202,7 @@
 }{
 	{CallerBurst, kindProperties{onNodes, 1, true}},
 	{CallerSkew, kindProperties{onNodes, 0, true}},
+	{ProcessKillAll, kindProperties{onNodes, 0, true}},
 	{ProcessUpgrade, kindProperties{onNodes, 0, true}},
 	{ProcessRollBack, kindProperties{onNodes, 0, true}},
 	{WorkerRestart, kindProperties{onWorkers, 0, true}},
@@ -209,6 +217,8 @@
 	{WorkerRejectNobody, kindProperties{onWorkers, 0, true}},
 	{WorkerEndless, kindProperties{onWorkers, 0, true}},
 	{StoreRestore, kindProperties{onStore, 0, true}},
+	{StoreRefuseReleases, kindProperties{onStore, 0, true}},
+	{StoreLoseReleases, kindProperties{onStore, 0, true}},
 	{PathHang, kindProperties{onNodes, 0, true}},
 	{PathSilence, kindProperties{onNodes, 0, true}},
 	{PathReset, kindProperties{onNodes, 0, true}},
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -43,6 +43,7 @@
 	for seed := range uint64(200) {
 		size := testSize
 		size.Upgrades, size.Restores, size.LateEntries, size.Surplus = seed%2 == 0, seed%3 == 0, seed%5 == 0, seed%7 == 0
+		size.AllKilled = seed%11 == 0
 		for _, fault := range Draw(seed, size).Faults {
 			drawn[fault.Kind] = true
 			if len(fault.Targets) >= testSize.Nodes {
--- a/soak/plan/schedule.go
+++ b/soak/plan/schedule.go
@@ -26,14 +26,20 @@
 	// Delay is what LinkDelay, StoreSlow and WorkerLateOrders add, and the back-off that
 	// WorkerShed asks for. For WorkerLateEntry it is the time from the start until the entry is written. For StoreRestore it is the age of the copy when the store goes away.
 	Delay time.Duration `yaml:"delay,omitempty" json:"delay,omitempty"`
+	// Release is the software version with which workers start after WorkerCrash, WorkerRestart and WorkerDrain, with
+	// the models that they held, until another fault changes it. Empty leaves it as it is.
+	Release string `yaml:"release,omitempty" json:"release,omitempty"`
 }
 
 // maxRatePerSecond bounds the rate of a burst. The soak process itself can't send more.
 const maxRatePerSecond = 5000
 
-// maxReleases bounds the software versions of the workers.
+// maxReleases bounds the software versions of the workers that serve side by side from the start.
 const maxReleases = 4
 
+// maxStreamEvents bounds the events of a stream, which must end within the time limit of its route.
+const maxStreamEvents = 100
+
 // flowFault is a Fault without its MarshalYAML method, which would call itself.
 type flowFault Fault
 
@@ -68,6 +74,11 @@
 	// Releases is the number of software versions of the workers that serve side by side; zero
 	// means one.
 	Releases int `yaml:"releases,omitempty" json:"releases,omitempty"`
+	// StreamEvents is the number of events of a stream; zero selects the soak's default.
+	StreamEvents int `yaml:"stream_events,omitempty" json:"stream_events,omitempty"`
+	// TakeUps is how often in a row callers try to take up a stream that has broken off until one of the tries brings
+	// an event; zero means once, unless it is refused.
+	TakeUps int `yaml:"take_ups,omitempty" json:"take_ups,omitempty"`
 	// HarmfulPart is set if some callers send requests with a part of their prompts that crashes
 	// engines.
 	HarmfulPart bool `yaml:"harmful_part,omitempty" json:"harmful_part,omitempty"`
@@ -126,6 +137,9 @@
 	if s.Releases < 0 || s.Releases > maxReleases {
 		return eris.Errorf("releases must be from 0 to %d", maxReleases)
 	}
+	if s.StreamEvents < 0 || s.StreamEvents > maxStreamEvents || s.TakeUps < 0 {
+		return eris.Errorf("stream_events must be from 0 to %d, and take_ups not negative", maxStreamEvents)
+	}
 	if s.CoreShare < 0 || s.MemoryMB < 0 || s.LinkMbps < 0 || s.ExtraRoutes < 0 || s.ExtraModels < 0 || s.ExtraWorkers < 0 {
 		return eris.New("core_share, memory_mb, link_mbps, extra_routes, extra_models and extra_workers must not be negative")
 	}
@@ -141,6 +155,9 @@
 		if fault.Kind == CallerBurst && (fault.Rate < 1 || fault.Rate > maxRatePerSecond) {
 			return eris.Errorf("fault %d: rate must be from 1 to %d per second", i+1, maxRatePerSecond)
 		}
+		if fault.Release != "" && !slices.Contains(releaseChangeKinds, fault.Kind) {
+			return eris.Errorf("fault %d: %s starts no worker with a release", i+1, fault.Kind)
+		}
 		if known.class == onLink && !slices.Contains(links, fault.Link) {
 			return eris.Errorf("fault %d: unknown link %q", i+1, fault.Link)
 		}
--- a/soak/report.go
+++ b/soak/report.go
@@ -36,7 +36,9 @@
 	// leaves they sent it their last request.
 	ConfigurationTook check.Distributions `json:"configuration_took"`
 	LeavingTook       check.Distributions `json:"leaving_took"`
-	LogDir            string              `json:"log_dir"`
+	// AfterKills counts the streams that kills of all nodes broke off.
+	AfterKills check.StreamsAfterKills `json:"after_kills"`
+	LogDir     string                  `json:"log_dir"`
 }
 
 // Breaches returns the breaches of all promises.
@@ -62,6 +64,7 @@
 		Requests: map[string]int{}, Runs: len(history.Runs), Orders: len(history.Orders),
 		Usage: r.usage.peak(), Findings: check.Judge(history), LogDir: r.options.LogDir,
 		ConfigurationTook: check.ConfigurationTook(history), LeavingTook: check.LeavingTook(history),
+		AfterKills: check.CountStreamsAfterKills(history),
 	}
 	for i := range history.Requests {
 		report.Requests[outcome(&history.Requests[i])]++
--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"io"
+	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -36,14 +37,21 @@
 // Where workers of several software versions serve, most callers resume a stream at another node.
 func (c *callGenerator) resumption(cut *check.Request) (check.Request, bool) {
 	got := cut.After + bytes.Count([]byte(cut.Body), eventEnd)
-	if cut.Route != check.RouteStream || cut.Failure == "" || got == cut.After {
+	if cut.Route != check.RouteStream || cut.Answered() && cut.Status == http.StatusOK || got == 0 {
+		return check.Request{}, false
+	}
+	failedTries := 0
+	if got == cut.After {
+		failedTries = cut.FailedTries + 1
+	}
+	if failedTries > 0 && failedTries >= c.options.Schedule.TakeUps {
 		return check.Request{}, false
 	}
 	next := check.Request{
 		ID: cut.ID + "+", Node: cut.Node, Route: cut.Route, Model: cut.Model, Deadline: cut.Deadline, After: got,
-		Resumes: cmp.Or(cut.Resumes, cut.ID),
+		Resumes: cmp.Or(cut.Resumes, cut.ID), FailedTries: failedTries,
 	}
-	if draw := xxhash.Sum64String(next.ID); c.options.Schedule.Releases > 1 && draw%sameNodeShare != 0 {
+	if draw := xxhash.Sum64String(next.ID); (c.options.Schedule.Releases > 1 || c.options.Schedule.TakeUps > 0) && draw%sameNodeShare != 0 {
 		next.Node = int(draw/sameNodeShare) % len(c.nodes)
 	}
 	return next, true
--- a/soak/settings_test.go
+++ b/soak/settings_test.go
@@ -51,7 +51,7 @@
 	known := map[plan.Kind]bool{
 		plan.LinkDelay: true, plan.LinkReset: true, plan.LinkCutRequests: true, plan.LinkCutAnswers: true, plan.LinkSilence: true,
 		plan.LinkThrottle: true, plan.LinkRefuse: true, plan.ProcessStop: true, plan.ProcessKill: true, plan.ProcessPause: true,
-		plan.ProcessHangUp: true, plan.StoreForget: true, plan.StoreSilence: true, plan.StoreRestore: true, plan.RouteAdd: true, plan.RouteRemove: true,
+		plan.ProcessHangUp: true, plan.StoreForget: true, plan.StoreSilence: true, plan.StoreRestore: true, plan.ProcessKillAll: true, plan.StoreRefuseReleases: true, plan.StoreLoseReleases: true, plan.RouteAdd: true, plan.RouteRemove: true,
 		plan.RouteMove: true, plan.WorkerCrash: true, plan.WorkerDrain: true, plan.WorkerLateOrders: true, plan.CallerBurst: true, plan.CallerSkew: true, plan.ProcessUpgrade: true, plan.ProcessRollBack: true,
 		plan.WorkerRestart: true, plan.WorkerLateEntry: true, plan.WorkerLimit: true, plan.WorkerLeave: true, plan.WorkerShed: true, plan.WorkerBrittle: true, plan.WorkerSilence: true,
 	}
--- a/soak/workers.go
+++ b/soak/workers.go
@@ -95,9 +95,11 @@
 	*run
 	index int
 
-	mu            sync.Mutex
-	lifeNumber    int
-	startCount    int
+	mu         sync.Mutex
+	lifeNumber int
+	startCount int
+	// nextRelease is the software version of later starts that a fault has named, empty for none.
+	nextRelease   string
 	id            string
 	startedMillis int64
 	// name identifies the current worker in the history. It includes the start time, since
@@ -153,7 +155,11 @@
 // startCurrent starts a worker with the current id. Its start time is later than that of the
 // worker before it, even within the same millisecond.
 func (s *workerSlot) startCurrent(at *proxy.Proxy) error {
-	if err := s.startUnlisted(at, nil); err != nil {
+	var held []string
+	if s.nextRelease != "" && s.worker != nil {
+		held = heldModels(s.worker)
+	}
+	if err := s.startUnlisted(at, held); err != nil {
 		return err
 	}
 	return s.metadata.Put(s.worker.Key(), s.worker.Entry())
@@ -168,7 +174,7 @@
 		Unfenced: !s.options.Schedule.Fencing, Held: held,
 	}
 	if s.service() == serviceEngine {
-		config.Slots, config.Events, config.Pause, config.LoadTime = engineSlots, streamEvents, streamPause, loadTime
+		config.Slots, config.Events, config.Pause, config.LoadTime = engineSlots, s.streamEventCount(), streamPause, loadTime
 		config.Unframed = s.options.Schedule.Releases > 1 && s.startCount%unframedShare == 0
 		config.MemoryBytes, config.Models = engineMB*megabyte, map[string]catalog.ModelSpec{}
 		for index := range modelCount {
@@ -207,6 +213,9 @@
 // starts again, also with its id, may have another one than before.
 func (s *workerSlot) drawRelease() string {
 	s.startCount++
+	if s.nextRelease != "" {
+		return s.nextRelease
+	}
 	releases := max(s.options.Schedule.Releases, 1)
 	return fmt.Sprintf("v1.%d", (s.index/workersPerService+s.startCount/startsPerRelease)%releases)
 }
@@ -333,17 +342,22 @@
 	if s.worker != ended {
 		return nil
 	}
-	var held []string
-	for _, model := range ended.Entry().Models {
-		held = append(held, model.Name)
-	}
 	s.startCount += startsPerRelease - 1
-	if err := s.startUnlisted(at, held); err != nil {
+	if err := s.startUnlisted(at, heldModels(ended)); err != nil {
 		s.fail(err)
 	}
 	return s.worker
 }
 
+// heldModels returns the names of the models that a worker holds.
+func heldModels(by *worker.Worker) []string {
+	var names []string
+	for _, model := range by.Entry().Models {
+		names = append(names, model.Name)
+	}
+	return names
+}
+
 // restartIfCurrent starts a worker again with its id, unless another one has taken its place.
 func (s *workerSlot) restartIfCurrent(ended *worker.Worker, at *proxy.Proxy) {
 	s.mu.Lock()
--- a/standin/metadata/server.go
+++ b/standin/metadata/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	calls            atomic.Int64
 	// era counts how often the store came back from a copy.
 	era atomic.Int64
+	// keyFault is the fault of transactions that write a key, nil for none.
+	keyFault atomic.Pointer[keyFault]
 	// Rewrite replaces the value of an item in range and watch responses; nil
 	// leaves all values unchanged. It must be set before the first request.
 	Rewrite func(key string, value []byte) []byte
@@ -69,6 +72,33 @@
 // SetUnresponsive sets whether the store accepts requests without ever answering them.
 func (s *Server) SetUnresponsive(silent bool) { s.unresponsive.Store(silent) }
 
+// keyFault is what happens to transactions that write a key.
+type keyFault struct {
+	key string
+	// losesAnswer is set if they are executed and not answered; otherwise they are refused.
+	losesAnswer bool
+}
+
+// RefuseWrites refuses transactions that write a key, until ClearKeyFault.
+func (s *Server) RefuseWrites(key string) { s.keyFault.Store(&keyFault{key: key}) }
+
+// LoseWriteAnswers executes transactions that write a key without answering them, until ClearKeyFault.
+func (s *Server) LoseWriteAnswers(key string) {
+	s.keyFault.Store(&keyFault{key: key, losesAnswer: true})
+}
+
+// ClearKeyFault ends the fault of transactions that write a key.
+func (s *Server) ClearKeyFault() { s.keyFault.Store(nil) }
+
+// keyFaultOf returns the fault of a transaction, nil for none.
+func (s *Server) keyFaultOf(transaction *keyvalue.Transaction) *keyFault {
+	fault := s.keyFault.Load()
+	if fault == nil || !slices.ContainsFunc(transaction.Operations, func(o keyvalue.Operation) bool { return o.Key == fault.key }) {
+		return nil
+	}
+	return fault
+}
+
 // SuppressEvents sets whether watches receive no events while the store changes.
 func (s *Server) SuppressEvents(muted bool) { s.eventsSuppressed.Store(muted) }
 
@@ -257,9 +287,17 @@
 	for _, key := range request.Remove {
 		transaction.Operations = append(transaction.Operations, keyvalue.Operation{Key: key, Delete: true})
 	}
+	fault := s.keyFaultOf(&transaction)
+	if fault != nil && !fault.losesAnswer {
+		writeJSON(w, http.StatusTooManyRequests, struct{}{})
+		return
+	}
 	var result keyvalue.TransactionResult
 	var err error
 	s.access(w, func(now time.Time, state *standin.State) { result, err = state.Txn(now, transaction) })
+	if fault != nil {
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case errors.Is(err, keyvalue.ErrLeaseNotFound):
 		writeJSON(w, http.StatusNotFound, struct{}{})
