--- a/soak/planted/run.sh
+++ b/soak/planted/run.sh
@@ -8,9 +8,12 @@
   [sends-to-leaving]="leaving workers get no work after the bound"
   [knows-only-its-own-path]="nodes without a path to workers serve their callers"
   [trusts-rejections]="requests that may not be repeated run at most once"
+  [believes-what-it-sees]="streams hold events of one software version"
+  [begins-unrecorded]="streams hold events of one software version"
   [trusts-entries]="streams hold events of one software version"
 )
-declare -A schedules=([trusts-entries]=soak/schedules/entries-late.yaml [trusts-rejections]=soak/schedules/surplus-answers.yaml)
+declare -A schedules=([trusts-entries]=soak/schedules/entries-late.yaml [trusts-rejections]=soak/schedules/surplus-answers.yaml
+  [believes-what-it-sees]=soak/schedules/all-killed.yaml [begins-unrecorded]=soak/schedules/all-killed.yaml)
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 go build -o "$folder/soak" ./cmd/valveslip
