Leave only streams that a kill of all nodes broke off to the check of such kills

The check of resumed streams passed over every try of a stream that began before a kill of all nodes, also one that had broken off for another reason, which nobody judged then.

--- a/soak/check/kills_of_all.go
+++ b/soak/check/kills_of_all.go
@@ -143,8 +143,3 @@
 	f.Judged += counts.Promised - 1
 	f.record("streams after kills", 0, detail)
 }
-
-// killedSince reports whether all nodes were killed between two times.
-func (h *History) killedSince(from, to time.Duration) bool {
-	return slices.ContainsFunc(h.KillsOfAll, func(k KillOfAll) bool { return from <= k.To && k.From <= to })
-}
--- a/soak/check/releases.go
+++ b/soak/check/releases.go
@@ -108,11 +108,14 @@
 	var resumed, began tally
 	for _, chain := range h.streamChains() {
 		wrote := chain.contributions(runs)
+		cutByKill := false
 		for _, request := range chain.requests {
-			if request.Resumes != "" && h.killedSince(chain.requests[0].Sent, request.Sent) {
+			if cutByKill {
 				// checkStreamsAfterKill judges these.
 				continue
 			}
+			_, killed := h.killDuring(request)
+			cutByKill = killed && !request.Answered()
 			if h.disturbed(request.Node, request.Sent, request.Ended, ScopeProcess, ScopeCaller, ScopeStore, ScopePath) || h.peersDisturbed(request.Sent, request.Ended) {
 				continue
 			}
