Guard what is logged of store calls by a mutex

A node's log line on a stale view names why the store does not answer. The goroutine of a store call writes this cause, and the follower read it without synchronization while a call was under way: a data race that the race detector found once in TestBrittleWorkersDoNotFallInTurn beside three busy loops and builds (load average 39).

The cause, the time of the loss and the logged era are guarded by one mutex now.

TestStaleViewDuringStoreFailuresHasNoRace, with a log that is slow to write to, reports the race in 5 of 5 plays without the change and in 0 of 10 with it.

--- a/fleet/shell/feed_test.go
+++ b/fleet/shell/feed_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet/shell"
 	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/platform"
@@ -120,3 +121,44 @@
 		})
 	}
 }
+
+// failingStore fails every second call for changes, each time with another cause.
+type failingStore struct {
+	shell.Store
+	calls atomic.Int64
+}
+
+func (s *failingStore) Changes(ctx context.Context, prefix string, after keyvalue.Revision, most int64) (keyvalue.WatchBatch, error) {
+	if call := s.calls.Add(1); call%2 == 0 {
+		return keyvalue.WatchBatch{}, fmt.Errorf("failure %d", call)
+	}
+	return s.Store.Changes(ctx, prefix, after, most)
+}
+
+// slowLog delays what is written to it.
+type slowLog struct{}
+
+func (slowLog) Write(line []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return len(line), nil
+}
+
+// TestStaleViewDuringStoreFailuresHasNoRace guards against a data race between a store call that fails and
+// the log line on a stale view that names the cause; run it with the race detector.
+func TestStaleViewDuringStoreFailuresHasNoRace(t *testing.T) {
+	d := newDeployment(t)
+	nodes := d.startZone(5, func(n int, options *shell.Options) {
+		options.Feed.SourceTimeout, options.Feed.MaxChangeDelay = 50*time.Millisecond, 20*time.Millisecond
+		options.Store, options.Log = &failingStore{Store: options.Store}, eventlog.New(slowLog{}, eventlog.Options{})
+	})
+	d.addWorker("p1", plainService, nil)
+	for version := int64(2); version < 12; version++ {
+		d.configure(version, route(fmt.Sprintf("added-%d", version), "idempotent", plainService, 2, false))
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, node := range nodes {
+		d.eventually("the newest route is served", func() bool {
+			return d.call(node, http.MethodGet, "/added-11/", "", nil).status == http.StatusOK
+		})
+	}
+}
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -43,11 +43,8 @@
 	configurationRevision keyvalue.Revision
 	// versionContents are the digests of the contents that the version in force has had.
 	versionContents [][sha256.Size]byte
-	storeLostAt     time.Time
-	// storeLostCause is the cause of the last store failure that was logged.
-	storeLostCause string
-	// storeEra is the era of the store that was last logged.
-	storeEra keyvalue.Era
+	// storeCalls is what was logged of the calls to the store, by the goroutines that make them.
+	storeCalls storeCallLog
 	// provenKey is the key that the feed keeps verifying; empty for none.
 	provenKey string
 	// source is the name of the current feed.Source, for the log and the metrics.
@@ -187,27 +184,47 @@
 	}
 }
 
+// storeCallLog is what was last logged of the calls to the store.
+type storeCallLog struct {
+	mutex sync.Mutex
+	// lostAt is when the store was lost; zero while it answers.
+	lostAt time.Time
+	// lostCause is the cause of the last failure that was logged; empty while the store answers.
+	lostCause string
+	era       keyvalue.Era
+}
+
+// cause returns why the store does not answer; empty while it does.
+func (l *storeCallLog) cause() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.lostCause
+}
+
 // noteStoreCall counts the outcome of a store call and logs slow calls, the loss of the store
 // with each new cause, and its return.
 func (f *follower) noteStoreCall(o storeOperation, known keyvalue.Revision, began time.Time, err error) {
 	f.countStoreCall(o, err)
-	if era := f.options.Store.Era(); era != f.storeEra {
-		f.options.Log.Write(eventlog.StoreEraChanged{Era: era, Before: f.storeEra})
-		f.storeEra = era
+	logged := &f.storeCalls
+	logged.mutex.Lock()
+	defer logged.mutex.Unlock()
+	if era := f.options.Store.Era(); era != logged.era {
+		f.options.Log.Write(eventlog.StoreEraChanged{Era: era, Before: logged.era})
+		logged.era = era
 	}
 	if took := f.Now().Sub(began); took >= slowStoreCall {
 		f.options.Log.Write(eventlog.StoreCallSlow{Call: string(o), Took: took, Known: known, Failed: err != nil})
 	}
 	switch cause := eventlog.CauseOf(err); {
-	case err != nil && cause != f.storeLostCause && f.context.Err() == nil:
-		if f.storeLostAt.IsZero() {
-			f.storeLostAt = f.Now()
+	case err != nil && cause != logged.lostCause && f.context.Err() == nil:
+		if logged.lostAt.IsZero() {
+			logged.lostAt = f.Now()
 		}
-		f.storeLostCause = cause
+		logged.lostCause = cause
 		f.options.Log.Write(eventlog.DependencyLost{Name: storeName, Cause: err.Error()})
-	case err == nil && !f.storeLostAt.IsZero():
-		f.options.Log.Write(eventlog.DependencyBack{Name: storeName, After: f.Now().Sub(f.storeLostAt)})
-		f.storeLostAt, f.storeLostCause = time.Time{}, ""
+	case err == nil && !logged.lostAt.IsZero():
+		f.options.Log.Write(eventlog.DependencyBack{Name: storeName, After: f.Now().Sub(logged.lostAt)})
+		logged.lostAt, logged.lostCause = time.Time{}, ""
 	}
 }
 
--- a/fleet/shell/staleness.go
+++ b/fleet/shell/staleness.go
@@ -39,7 +39,7 @@
 	case stale && f.staleSince.IsZero():
 		f.staleSince = knownAt
 		f.options.Log.Write(eventlog.KnowledgeOld{
-			Age: age, Source: f.source.Load().(string), Revision: f.feed.Revision(), Late: f.schedulingDelay.Lateness(), Lost: f.storeLostCause,
+			Age: age, Source: f.source.Load().(string), Revision: f.feed.Revision(), Late: f.schedulingDelay.Lateness(), Lost: f.storeCalls.cause(),
 		})
 	case !stale && !f.staleSince.IsZero():
 		f.options.Log.Write(eventlog.KnowledgeNew{After: f.Now().Sub(f.staleSince), Source: f.source.Load().(string), Revision: f.feed.Revision()})
