Leave time for the limits that workers announce at the end of a soak

The plain workers announce a limit for 5 s at the end so that it is always judged, from 3 s after the announcement on.

The duration bounds the faults and the recovery, as before; the last limits follow and have their 5 s. What is drawn, and every check, stays as it is.

--- a/soak/options.go
+++ b/soak/options.go
@@ -44,7 +44,8 @@
 // Options configure a run.
 type Options struct {
 	Schedule plan.Schedule
-	// Duration is the time limit of the whole run.
+	// Duration is the time limit of the faults and of the recovery from them. The limits that
+	// workers announce last follow; they take finalLimitTime.
 	Duration time.Duration
 	// Binary is the program that the nodes run. From is an earlier build that they start with;
 	// empty for none.
--- a/soak/play.go
+++ b/soak/play.go
@@ -57,7 +57,7 @@
 	r.pendingUndos.Wait()
 	undisturbedUntil := time.Now().Add(undisturbedTime)
 	r.exerciseUndisturbed()
-	r.recover(r.ctx)
+	r.recoverInTime()
 	r.sleepUntil(undisturbedUntil)
 	r.announceFinalLimits()
 	stop()
@@ -66,6 +66,14 @@
 	r.restarts.Wait()
 }
 
+// recoverInTime waits for the recovery until Options.Duration has passed, so that the limits announced
+// after it last long enough to be judged.
+func (r *run) recoverInTime() {
+	ctx, cancel := context.WithDeadline(r.ctx, r.recorder.began.Add(r.options.Duration))
+	defer cancel()
+	r.recover(ctx)
+}
+
 // exerciseUndisturbed changes the configuration while nothing is disturbed, makes one worker
 // leave and another announce a limit, and lets plain workers shed load. This way the checks
 // have observations that no fault excuses.
