Send no more calls of bursts than the limit of open files has room for

Each burst was bounded at 800 open calls, all together were not.

All bursts share a limit of open calls now, by the files that the process has left beside everything else, and send none while six tenths of the files are open, looked at every 50 ms. A call without room is not sent, as with the bound of one burst. The rates, the schedules and the usual callers stay as they are.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -66,6 +66,8 @@
 	number       int
 	pending      sync.WaitGroup
 	openCalls    chan struct{}
+	// shared limits the open calls of all bursts together; nil for no limit.
+	shared chan struct{}
 }
 
 func newCallers(p *process) *callGenerator {
@@ -94,13 +96,11 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		request := c.drawRequest()
-		select {
-		case c.openCalls <- struct{}{}:
+		if c.reserve() {
 			c.pending.Go(func() {
-				defer func() { <-c.openCalls }()
+				defer c.release()
 				c.send(ctx, request)
 			})
-		default:
 		}
 		select {
 		case <-ticker.C:
@@ -110,6 +110,35 @@
 	c.pending.Wait()
 }
 
+// reserve reserves one open call and reports whether there is room for it. A call without room is not sent.
+func (c *callGenerator) reserve() bool {
+	select {
+	case c.openCalls <- struct{}{}:
+	default:
+		return false
+	}
+	if c.shared == nil {
+		return true
+	}
+	if !c.filesScarce.Load() {
+		select {
+		case c.shared <- struct{}{}:
+			return true
+		default:
+		}
+	}
+	<-c.openCalls
+	return false
+}
+
+// release ends the reservation of an open call.
+func (c *callGenerator) release() {
+	<-c.openCalls
+	if c.shared != nil {
+		<-c.shared
+	}
+}
+
 // drawRequest draws the next request.
 func (c *callGenerator) drawRequest() check.Request {
 	c.number++
--- a/soak/options.go
+++ b/soak/options.go
@@ -79,11 +79,20 @@
 	if err := unix.Sysinfo(&info); err != nil {
 		return eris.Wrap(err, "read the machine's memory size")
 	}
+	files, err := fileLimit()
+	if err != nil {
+		return err
+	}
+	return checkNodeCount(nodes, uint64(info.Totalram)*uint64(info.Unit), files)
+}
+
+// fileLimit returns the limit of open files of this process.
+func fileLimit() (uint64, error) {
 	var files unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err != nil {
-		return eris.Wrap(err, "read the limit of open files")
+		return 0, eris.Wrap(err, "read the limit of open files")
 	}
-	return checkNodeCount(nodes, uint64(info.Totalram)*uint64(info.Unit), files.Cur)
+	return files.Cur, nil
 }
 
 // checkNodeCount returns an error if a machine with the given memory in bytes and limit of
--- a/soak/run.go
+++ b/soak/run.go
@@ -59,6 +59,10 @@
 	// workerProxies are the proxies of all workers so far, partitions the present cuts of nodes.
 	workerProxies []*proxy.Proxy
 	partitions    map[int]*partition
+	// burstCalls limits the open calls of all bursts together.
+	burstCalls chan struct{}
+	// filesScarce is set while bursts send no more calls for lack of files.
+	filesScarce atomic.Bool
 	// peerProxies maps the peer address of each node to the address of its proxy.
 	peerProxies map[string]string
 }
@@ -69,8 +73,13 @@
 	if err := checkNodeLimits(options.Schedule.Nodes); err != nil {
 		return nil, err
 	}
+	files, err := fileLimit()
+	if err != nil {
+		return nil, err
+	}
 	r := &run{
-		options: options, recorder: &recorder{began: time.Now()}, usage: &usageMeter{}, spawner: newSpawner(),
+		burstCalls: make(chan struct{}, maxOpenBurstCalls(options.Schedule.Nodes, files)),
+		options:    options, recorder: &recorder{began: time.Now()}, usage: &usageMeter{}, spawner: newSpawner(),
 		faults: map[plan.Kind]int{}, partitions: map[int]*partition{}, peerProxies: map[string]string{},
 	}
 	r.ctx, r.cancel = context.WithTimeout(ctx, options.Duration+finalLimitTime)
@@ -79,6 +88,7 @@
 		return nil, err
 	}
 	go r.usage.watch(r.ctx, r.pids)
+	go r.watchFiles(r.ctx, files)
 	go r.enforceCoreShare(r.ctx)
 	r.play()
 	if err := r.failure(); err != nil {
--- a/soak/settings_test.go
+++ b/soak/settings_test.go
@@ -153,3 +153,40 @@
 		}
 	}
 }
+
+// TestBurstCallsFitIntoLimitOfOpenFiles guards against bursts at paused nodes that end the run for lack of
+// files, and against a limit that lets no burst build up.
+func TestBurstCallsFitIntoLimitOfOpenFiles(t *testing.T) {
+	for _, run := range []struct {
+		nodes int
+		files uint64
+	}{{4, 20_000}, {12, 20_000}, {40, 20_000}, {40, 1 << 40}} {
+		calls := maxOpenBurstCalls(run.nodes, run.files)
+		if filesNeeded(run.nodes)+uint64(filesPerCall*calls) > run.files || calls < maxBurstCalls {
+			t.Errorf("%d nodes, %d files: %d calls", run.nodes, run.files, calls)
+		}
+	}
+	if calls := maxOpenBurstCalls(maxNodesForFiles(20_000), 20_000); calls < maxBurstCalls {
+		t.Errorf("as many nodes as the files allow: %d calls, fewer than one burst has", calls)
+	}
+}
+
+// TestBurstCallsOfAllNodesShareLimit guards against calls that are sent beyond the common limit, and against
+// places that are not given back.
+func TestBurstCallsOfAllNodesShareLimit(t *testing.T) {
+	shared, at := make(chan struct{}, 1), &process{run: &run{}}
+	first := &callGenerator{process: at, openCalls: make(chan struct{}, 2), shared: shared}
+	second := &callGenerator{process: at, openCalls: make(chan struct{}, 2), shared: shared}
+	if !first.reserve() || second.reserve() || len(second.openCalls) != 0 {
+		t.Fatal("a call beyond the common limit has a place")
+	}
+	first.release()
+	if !second.reserve() {
+		t.Error("a place that was given back is not used again")
+	}
+	second.release()
+	at.filesScarce.Store(true)
+	if first.reserve() || len(first.openCalls) != 0 {
+		t.Error("a burst sends calls though files are scarce")
+	}
+}
--- a/soak/usage.go
+++ b/soak/usage.go
@@ -15,6 +15,10 @@
 	usageInterval = time.Second
 	// stallCheckInterval is the length of the sleeps whose delay is measured to detect stalls.
 	stallCheckInterval = 50 * time.Millisecond
+	// scarceFilesShare is the share of the limit of open files from which on bursts send no more calls, and
+	// filesCheckInterval the time between two looks at it.
+	scarceFilesShare   = 0.6
+	filesCheckInterval = 50 * time.Millisecond
 )
 
 // Usage holds the maximum of each resource that a run used at any time.
@@ -61,6 +65,16 @@
 	}
 }
 
+// watchFiles keeps track of whether the open files of the soak's own process come close to their limit, until
+// the context ends. The connections of calls that have ended stay open at the proxies for as long as their node
+// is paused, so that a limit of open calls alone does not bound them.
+func (r *run) watchFiles(ctx context.Context, limit uint64) {
+	for ctx.Err() == nil {
+		r.filesScarce.Store(float64(openFiles(os.Getpid())) > scarceFilesShare*float64(limit))
+		sleepContext(ctx, filesCheckInterval)
+	}
+}
+
 // add merges one measurement into the maximum.
 func (m *usageMeter) add(now Usage) {
 	m.mu.Lock()
