--- a/fleet/fleet_simulation_test.go
+++ b/fleet/fleet_simulation_test.go
@@ -37,9 +37,9 @@
 type simulation struct {
 	// answersKept is set if no answer of the store to a write is lost.
 	answersKept bool
-	random    *rand.Rand
-	now       time.Time
-	scheduled agenda.EventQueue
+	random      *rand.Rand
+	now         time.Time
+	scheduled   agenda.EventQueue
 
 	store     *standin.State
 	storeDown bool
