Take a start for the first one only in the store's first era, also for orders and loads

A node whose settings say that no node ran before, and that reads a store which came back from a copy without the record of a holder, skipped the pause after that holder's orders and began with a full allowance of loads. What is not seen was taken for what was not there. TestFirstStartInLaterEraWaitsOutEarlierOrders failed before.

--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -137,9 +137,10 @@
 	c.lease.Acquire()
 }
 
-// isFirstStart reports whether no node has held the lease before.
+// isFirstStart reports whether no node has held the lease before. In a later era the store may have lost the record of
+// one that has.
 func (c *controller) isFirstStart() bool {
-	return c.core.config.FirstStart && c.lastHolderRevision == 0 && !c.core.eraChanged
+	return c.core.config.FirstStart && c.lastHolderRevision == 0 && !c.core.eraChanged && c.core.era == 0
 }
 
 // lastHolderEntry returns the record of this machine as the last holder.
@@ -249,7 +250,7 @@
 		c.writeLastHolder()
 	}
 	config := c.plannerConfig()
-	config.EmptyStartBucket = !c.core.config.FirstStart || c.lastHolderRevision != 0 || c.core.eraChanged
+	config.EmptyStartBucket = !c.isFirstStart()
 	c.planner = placement.NewPlanner(config)
 	c.core.releases.recorder.markStale()
 	c.feedLedger(sequence.TermBegan{Holder: c.core.config.Self.ID, Token: c.lease.Token()})
--- a/fleet/releases.go
+++ b/fleet/releases.go
@@ -280,7 +280,7 @@
 	}
 	t.observedSince = t.core.now
 	t.expiresAt = earliest(t.expiresAt, t.core.now.Add(t.retention()))
-	if t.recorder.revision == 0 && t.core.era == 0 && t.core.controller.isFirstStart() {
+	if t.recorder.revision == 0 && t.core.controller.isFirstStart() {
 		t.becomeComplete()
 	}
 }
