--- a/fleet/origin_archive.go
+++ b/fleet/origin_archive.go
@@ -22,7 +22,8 @@
 
 const (
 	// archiveInterval is the time between two writes of origins, and so the age up to which a stream can't be
-	// resumed after all nodes have ended.
+	// resumed after all nodes have ended: shorter than most streams last, because each write is a change that all
+	// nodes are told of.
 	archiveInterval = 500 * time.Millisecond
 	// archiveSlots is the number of records. At the interval they cover 32 s, longer than most streams may last.
 	archiveSlots = 64
