--- a/fleet/shell/unproven_status_test.go
+++ b/fleet/shell/unproven_status_test.go
@@ -15,7 +15,7 @@
 )
 
 // TestFailureWithoutProofIsNoPromise guards against passing on a status that promises that a stream did not run although its
-// engine ran it: an engine's own failure states no such thing without X-Not-Executed.
+// engine ran it: an engine that fails by itself says nothing of the kind.
 func TestFailureWithoutProofIsNoPromise(t *testing.T) {
 	for _, path := range []string{"/once/x", "/write/"} {
 		for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
