--- a/cmd/valveslip/days_test.go
+++ b/cmd/valveslip/days_test.go
@@ -8,10 +8,10 @@
 	"testing"
 )
 
-// allowedDayKeys are the fields that a day file of this repository may have: its plan and
-// its faults, but nothing that identifies a deployment.
+// allowedDayKeys are the fields that a day file of this repository may have: its length, its
+// plan, its faults and how callers of a class retry, but nothing that identifies a deployment.
 var allowedDayKeys = map[string]bool{
-	"name": true, "plan": true, "faults": true, "closing": true, "at": true, "kind": true, "for_s": true, "share": true, "count": true,
+	"name": true, "length_s": true, "classes": true, "retries": true, "plan": true, "faults": true, "closing": true, "at": true, "kind": true, "for_s": true, "share": true, "count": true,
 	"x": true, "gap_s": true, "how": true, "on": true, "class": true, "service": true, "zone": true, "down_s": true,
 }
 
@@ -48,7 +48,8 @@
 			}
 			for _, field := range dayField.FindAllStringSubmatch(line, -1) {
 				key, value := field[1], strings.Trim(field[2], `"`)
-				mustBeIndex := key == "class" || key == "service" || key == "zone"
+				namesClass := key == "name" && strings.HasPrefix(line, "classes = ")
+				mustBeIndex := namesClass || key == "class" || key == "service" || key == "zone"
 				if !allowedDayKeys[key] || mustBeIndex && !strings.HasPrefix(value, "@") {
 					t.Errorf("%s: field is not allowed or names an object of a deployment: %s", file, field[0])
 				}
