Spend no extra retries in the first window after a restart

A router that starts counts from nothing: after a kill of all nodes the common retry budget of a window was spent a second time (120 retries of 320 requests within 6 s, 116 allowed in 10 s; 300 of 800 with four restarts, 212 allowed).

What earlier starts spent is unknown to a router, so one that is not of the first start spends nothing beyond its share of its own requests until a window has passed. The sum then holds for any number of restarts. Ruled out: a part of the reserve for each start, which several restarts exceed.

TestRetryBudgetHoldsOverRestartOfAllRouters failed before; it now plays five starts too, and the routers are real ones. Fixtures that never restart are of the first start.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -77,6 +77,7 @@
 		core.dispatchClient = newDispatchClient(core)
 		config.Routing.ListAlternatives = core.dispatchClient.targetsEngines
 	}
+	config.Routing.FirstStart = config.FirstStart
 	core.router = routing.New(config.Routing, seed)
 	core.nodeLease = newNodeLease(core)
 	core.controller = newController(core)
--- a/fleet/dispatch_fixture_test.go
+++ b/fleet/dispatch_fixture_test.go
@@ -57,7 +57,7 @@
 	}
 	n.core = New(Config{
 		Self: NodeEntry{ID: "n1", Machine: "m1", Address: "a1", Capacity: 1}, Zone: "z",
-		Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"}, Dispatching: true,
+		Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"}, FirstStart: true, Dispatching: true,
 		KeyProof: testKeyProof, Lending: lending.Config{Window: 8 * time.Second, Overrun: 0.1, Slack: 1000},
 		Routing: routing.Config{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000},
 	}, 1)
--- a/fleet/placed_once_test.go
+++ b/fleet/placed_once_test.go
@@ -56,7 +56,7 @@
 		name := fmt.Sprint("n", i)
 		entry := NodeEntry{ID: cluster.NodeID(name), Machine: "machine-" + name, Address: name, Zone: "z", Capacity: float64(1 + i)}
 		p.nodes = append(p.nodes, &onceNode{entry: entry, core: New(Config{
-			Self: entry, Zone: "z", Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"}, Dispatching: true,
+			Self: entry, Zone: "z", Regions: map[cluster.ZoneID]cluster.RegionID{"z": "r"}, FirstStart: true, Dispatching: true,
 			Routing: routing.Config{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 3000},
 		}, seed)})
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -39,6 +39,9 @@
 	// RetryExtra is the number of attempts per window that all routers together may send beyond
 	// RetryRatio.
 	RetryExtra float64
+	// FirstStart is true if no router ran before this start of the system. Any other router spends
+	// nothing of RetryExtra until a RetryWindow has passed since its start.
+	FirstStart bool
 	// FailurePenalty is multiplied by a machine's recent failure rate and added to its expected
 	// wait. Zero ignores failures in the choice.
 	FailurePenalty time.Duration
--- a/routing/retries.go
+++ b/routing/retries.go
@@ -42,6 +42,8 @@
 type windowBudget struct {
 	requests, retries [windowSlices]float64
 	currentSlice      int64
+	// extraFrom is the time from which the router's part of RetryExtra may be spent.
+	extraFrom int64
 }
 
 // windowBudgetOf returns the budget of the model's engine pool.
@@ -52,12 +54,21 @@
 	}
 	budget := r.windowBudgets[name]
 	if budget == nil {
-		budget = &windowBudget{}
+		budget = &windowBudget{extraFrom: r.retryExtraFrom()}
 		r.windowBudgets[name] = budget
 	}
 	return budget
 }
 
+// retryExtraFrom returns the time from which this router may spend its part of RetryExtra. What earlier
+// starts of the routers spent is unknown to it: it may have been all of it, just before this start.
+func (r *Router) retryExtraFrom() int64 {
+	if r.config.FirstStart {
+		return 0
+	}
+	return r.startedAt + int64(r.config.RetryWindow)
+}
+
 // advance clears the slices that have expired.
 func (b *windowBudget) advance(nanos int64, window time.Duration) {
 	now := nanos / max(int64(window)/windowSlices, 1)
@@ -87,7 +98,10 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	allowed := config.RetryRatio*requests + config.RetryExtra/float64(max(routers, 1))
+	allowed := config.RetryRatio * requests
+	if nanos >= b.extraFrom {
+		allowed += config.RetryExtra / float64(max(routers, 1))
+	}
 	if retries+1 > allowed {
 		return false
 	}
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -17,7 +17,7 @@
 func newWindowFixture(t *testing.T, extra float64) *fixture {
 	f := &fixture{t: t, now: start, router: New(Config{
 		Zone: "z1", Region: "r1", ExpectedRouters: 1, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: extra,
-		FailurePenalty: time.Second,
+		FirstStart: true, FailurePenalty: time.Second,
 	}, 1)}
 	f.step(SettingsChanged{Snapshot: testSnapshot(testPolicy())})
 	return f
@@ -264,21 +264,50 @@
 	const routers, share = 4, 0.75
 	const ratio, extra = 0.2, 52.0
 	config := Config{RetryWindow: 10 * time.Second, RetryRatio: ratio * share, RetryExtra: extra * share}
-	requests, retries := 0, 0
-	for _, startedAt := range []time.Duration{100 * time.Second, 104 * time.Second} {
-		for range routers {
-			budget := &windowBudget{}
-			for i := range 40 {
-				now := int64(startedAt) + int64(i)*int64(50*time.Millisecond)
-				budget.credit(now, &config)
-				requests++
-				if budget.spend(now, &config, routers) {
-					retries++
+	for _, starts := range [][]time.Duration{{0, 4 * time.Second}, {0, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second}} {
+		requests, retries := 0, 0
+		for i, after := range starts {
+			config.FirstStart = i == 0
+			for range routers {
+				f := newRestartFixture(t, config, start.Add(after))
+				budget := f.router.windowBudgetOf(&model{})
+				for range 40 {
+					f.advance(50 * time.Millisecond)
+					budget.credit(f.router.nanos, &f.router.config)
+					requests++
+					if budget.spend(f.router.nanos, &f.router.config, routers) {
+						retries++
+					}
 				}
 			}
 		}
+		if allowed := ratio*float64(requests) + extra; float64(retries) > allowed {
+			t.Errorf("%d starts: %d retries of %d requests within 6 s, %.0f are allowed in 10 s", len(starts), retries, requests, allowed)
+		}
+	}
+}
+
+// TestRestartedRouterSpendsExtraRetriesAfterOneWindow guards against a router that never gets its part of the retries beyond
+// the ratio back after a restart, or one that has them while an earlier start's may still count.
+func TestRestartedRouterSpendsExtraRetriesAfterOneWindow(t *testing.T) {
+	const extra = 3
+	f := newRestartFixture(t, Config{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: extra}, start)
+	budget := f.router.windowBudgetOf(&model{})
+	f.advance(9900 * time.Millisecond)
+	if budget.spend(f.router.nanos, &f.router.config, 1) {
+		t.Error("a retry without requests 9.9 s after the start")
 	}
-	if allowed := ratio*float64(requests) + extra; float64(retries) > allowed {
-		t.Errorf("%d retries of %d requests within 6 s, %.0f are allowed in 10 s", retries, requests, allowed)
+	f.advance(100 * time.Millisecond)
+	for i := range extra + 1 {
+		if got := budget.spend(f.router.nanos, &f.router.config, 1); got != (i < extra) {
+			t.Errorf("retry %d, 10 s after the start: %t", i, got)
+		}
 	}
 }
+
+// newRestartFixture returns a router that starts at the given time.
+func newRestartFixture(t *testing.T, config Config, at time.Time) *fixture {
+	f := &fixture{t: t, now: at, router: New(config, 1)}
+	f.step(SettingsChanged{Snapshot: testSnapshot(testPolicy())})
+	return f
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -35,6 +35,8 @@
 	// now and nanos are the virtual time of the current step, which never goes back.
 	now   time.Time
 	nanos int64
+	// startedAt is the time of the first step.
+	startedAt int64
 
 	snapshot      *settings.Snapshot
 	models        map[cluster.ModelID]*model
@@ -117,6 +119,9 @@
 	if nanos := now.UnixNano(); nanos >= r.nanos {
 		r.now, r.nanos = now, nanos
 	}
+	if r.startedAt == 0 {
+		r.startedAt = r.nanos
+	}
 	r.effects = nil
 	r.runDueTimers()
 	r.dispatchToFreed()
