Read the rest of a refused body, so that its connection is not reset

A request that is refused before its body is read (overload, no configuration yet, no route, no key, body too large) and that asks for its connection to be closed was answered and closed at once. Closing a socket with unread bytes resets the connection; a caller who was still sending then got a write error in place of the refusal, and with it no promise that nothing ran. net/http reads the rest of a body only where the connection is to be kept.

The request no longer counts as active meanwhile.

--- a/passthrough/handler.go
+++ b/passthrough/handler.go
@@ -126,6 +126,13 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if bodyRead := h.serve(w, r); !bodyRead {
+		discardBody(w, r)
+	}
+}
+
+// serve serves a request. It returns false if it refused the request before the whole body was read.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) (bodyRead bool) {
 	arrived := h.now()
 	if h.Closing != nil && h.Closing() {
 		w.Header().Set("Connection", "close")
@@ -135,22 +142,22 @@
 		// The caller's next try needs another connection, and closing this one frees its memory.
 		w.Header().Set("Connection", "close")
 		h.rejectRequest(w, r, failure)
-		return
+		return false
 	}
 	compiled := h.awaitCatalog(r)
 	if compiled == nil {
 		h.rejectRequest(w, r, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no configuration is known yet").After(h.startRetryAfter()))
-		return
+		return false
 	}
 	route := compiled.Table.Find(r.Host, r.URL.EscapedPath())
 	if route == nil {
 		h.rejectRequest(w, r, verdict.New(verdict.NotRun, verdict.CodeModelNotFound, "there is no such route"))
-		return
+		return false
 	}
 	caller, failure := h.authenticate(compiled, route, r)
 	if failure != nil {
 		h.rejectRequest(w, r, failure)
-		return
+		return false
 	}
 	attributes := h.Dialect.ReadCaller(r.Header)
 	deadline := arrived.Add(requestTimeout(route, &attributes))
@@ -159,7 +166,7 @@
 	body, failure := readBody(w, r, reserved, compiled.Limits.MaxBodyBytes, deadline.Sub(arrived))
 	if failure != nil {
 		h.rejectRequest(w, r, failure)
-		return
+		return false
 	}
 	defer h.unanswered.Add(-1)
 	h.unanswered.Add(1)
@@ -178,9 +185,10 @@
 	if h.Admits != nil && !h.Admits(current.deadline) {
 		failure := verdict.New(verdict.NotRun, verdict.CodeNodeDraining, "this node is stopping; another one takes the request")
 		current.end(failure.After(minRetryAfter), routing.Explanation{})
-		return
+		return true
 	}
 	current.run()
+	return true
 }
 
 // readBody reads the whole body within the size bound and until the deadline of the request.
--- a/passthrough/refusal.go
+++ b/passthrough/refusal.go
@@ -29,6 +29,7 @@
 		body = nil
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || isCapacityFailure(failure.Code) {
 		wait := max(failure.RetryAfter, minRetryAfter)
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
