Bound each gap of a stream by its caller's patience, not their sum

A caller's patience is how long it bears a gap; it begins anew with each event. The router took the wait before the first event off it, so that a stream which had begun late was cut in its first short wait for another machine, whatever the load. The attempt now says whether it relayed anything, and the patience begins anew then. The policy's queue time stays a bound on the sum.

TestCutStreamWaitsAsLongAsItsCaller, in virtual time: before, a stream that had waited 1.5 s of 2.4 s for its first event and could go on 2 s after the cut ended as deadline_unmeetable; now it goes on, still ends where the machine comes after the caller's patience, and where nothing was relayed.

--- a/passthrough/attempt.go
+++ b/passthrough/attempt.go
@@ -76,11 +76,12 @@
 
 // execute runs the attempt to its end and returns the outcome for the router.
 func (a *attempt) execute(ctx context.Context) routing.AttemptEnded {
+	relayedBefore := a.eventsSentAt
 	failure := a.connectAndExchange(ctx)
 	a.withdrawEvidence(ctx)
 	ended := routing.AttemptEnded{
 		Request: a.id, Attempt: a.decision.Attempt, Failure: failure,
-		Unreached: a.unreached, OtherStart: a.otherStart, PathDoubted: failure != nil && a.pathDoubted(), Withheld: a.withheld, Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
+		Unreached: a.unreached, OtherStart: a.otherStart, PathDoubted: failure != nil && a.pathDoubted(), Withheld: a.withheld, Relayed: !a.eventsSentAt.Equal(relayedBefore), Answered: a.answered, EngineFull: a.engineFull, ModelMissing: a.modelMissing,
 		Broken: a.connectionBroken, MachineEnded: a.processEnded,
 	}
 	if a.connectionBroken {
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -137,7 +137,7 @@
 	admitted.arrived = r.nanos
 	admitted.claim = claim
 	admitted.deadline = deadline
-	admitted.queueBudget = m.queueTimeLimit(arrived)
+	admitted.queueBudget = m.queueTimeLimit(admitted)
 	admitted.timer.request = admitted
 	admitted.item = queue.Item[*request]{
 		Value:    admitted,
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -160,6 +160,9 @@
 	machine.noteEnd(event)
 	machine.observeOutcome(r.nanos, event)
 	r.recordEvidence(ended, machine, event)
+	if event.Relayed {
+		r.renewPatience(ended)
+	}
 	if event.Failure == nil {
 		machine.consecutiveBackOffs = 0
 		model.observeService(float64(r.nanos - dispatched))
--- a/routing/events.go
+++ b/routing/events.go
@@ -113,6 +113,8 @@
 	// Withheld is true when the request must not be sent to any machine any more; it ends with the
 	// failure.
 	Withheld bool
+	// Relayed is true when the attempt sent a part of the answer to the caller, whose patience begins anew with it.
+	Relayed bool
 	// Answered is true when the engine itself answered with a failure.
 	Answered bool
 	// EngineFull is true when the engine refused for lack of a slot, ModelMissing when it does not
--- a/routing/releases_test.go
+++ b/routing/releases_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,6 +46,36 @@
 	f.expect(f.step(AttemptEnded{Request: "other", Attempt: 1}), "finish other; dispatch s/2 to m2; ")
 }
 
+// TestCutStreamWaitsAsLongAsItsCaller guards against a stream that is cut although its caller still waits: the
+// patience of the caller bounds each gap of the stream, and the wait before the first event was taken off it.
+func TestCutStreamWaitsAsLongAsItsCaller(t *testing.T) {
+	for _, test := range []struct {
+		relayed bool
+		ready   time.Duration
+		want    string
+	}{
+		{true, 2 * time.Second, ""},
+		{true, 2400 * time.Millisecond, "finish s deadline_unmeetable ran; "},
+		{false, 2 * time.Second, "finish s deadline_unmeetable ran; "},
+	} {
+		t.Run(fmt.Sprintf("relayed=%t, %s", test.relayed, test.ready), func(t *testing.T) {
+			f := newFixture(t, testPolicy())
+			f.status(true, loading("m1", 1500*time.Millisecond))
+			f.expect(f.arrive("s", resumable, withPatience(2400*time.Millisecond)), "")
+			f.advance(1500 * time.Millisecond)
+			f.expect(f.status(true, loaded("m1", 1)), "dispatch s/1 to m1; ")
+			f.step(FirstByteSent{Request: "s"})
+			f.expect(f.status(true, loading("m2", test.ready)), "")
+			cut := verdict.New(verdict.Ran, verdict.CodeStreamCut, "cut")
+			f.expect(f.step(AttemptEnded{Request: "s", Attempt: 1, Failure: cut, Relayed: test.relayed}), test.want)
+			if test.want == "" {
+				f.expect(f.advance(test.ready), "")
+				f.expect(f.status(true, loaded("m2", 1)), "dispatch s/2 to m2; ")
+			}
+		})
+	}
+}
+
 // TestRetryBeforeFirstEventGoesToAnyRelease guards against a retry that is bound although its caller has
 // no event yet.
 func TestRetryBeforeFirstEventGoesToAnyRelease(t *testing.T) {
--- a/routing/start_estimate.go
+++ b/routing/start_estimate.go
@@ -14,16 +14,24 @@
 // up: the answer must reach the caller before it leaves.
 const patienceShare = 0.95
 
-// queueTimeLimit returns how long a request of the model may wait in total: the queue time of the
-// policy, bounded by the caller's patience.
-func (m *model) queueTimeLimit(arrived *Request) int64 {
-	allowed := int64(m.configured.Policy.QueueTime)
-	if arrived.Patience > 0 {
-		allowed = min(allowed, int64(patienceShare*float64(arrived.Patience)))
+// queueTimeLimit returns how long a request of the model may wait until a part of its answer is sent: the rest
+// of the policy's queue time, bounded by the caller's patience.
+func (m *model) queueTimeLimit(waiting *request) int64 {
+	allowed := int64(m.configured.Policy.QueueTime - waiting.waited)
+	if waiting.Patience > 0 {
+		allowed = min(allowed, int64(patienceShare*float64(waiting.Patience)))
 	}
 	return allowed
 }
 
+// renewPatience lets the rest of an answer wait as long as its beginning could: the caller's patience bounds each
+// gap in the answer, not their sum.
+func (r *Router) renewPatience(cut *request) {
+	if cut.model.configured != nil {
+		cut.queueBudget = cut.model.queueTimeLimit(cut)
+	}
+}
+
 // refuseUnmeetable refuses the waiting requests of a loading model that can't start in time. It
 // goes through them in start order and counts only the requests it keeps as ahead of the next.
 func (r *Router) refuseUnmeetable(m *model) {
