Keep the port of a proxy while it refuses connections

A proxy that refused connections had closed its listener, and so given its port back: the kernel could give it to the next listener of the machine, such as the proxy of a worker that started meanwhile.

A proxy now holds a bound socket that never listens for as long as it lives. The kernel passes over its port, while the listener on the same address comes and goes.

--- a/soak/network.go
+++ b/soak/network.go
@@ -54,8 +54,7 @@
 }
 
 // proxyHostNumber is the last number of the IP address of all proxies. No connection
-// originates from this address, so a port that a proxy closed can't be taken before it is
-// opened again.
+// originates from this address, so none takes a port there.
 const proxyHostNumber = "254"
 
 // newProxy opens a proxy that is closed at the end of the run. The rate limit link may be
--- a/soak/proxy/proxy.go
+++ b/soak/proxy/proxy.go
@@ -14,7 +14,7 @@
 
 // Options configure a proxy.
 type Options struct {
-	// Address is the host:port to listen on; port 0 lets the kernel choose a port.
+	// Address is the IPv4 host:port to listen on; port 0 lets the kernel choose a port.
 	Address string
 	// Target is the host:port that connections are forwarded to.
 	Target string
@@ -34,9 +34,10 @@
 // concurrent use.
 type Proxy struct {
 	options Options
+	// port keeps the address for the proxy while it refuses connections.
+	port *reservation
 
 	mu       sync.Mutex
-	address  string
 	target   string
 	listener net.Listener
 	links    map[*link]struct{}
@@ -50,16 +51,20 @@
 
 // Listen starts a proxy.
 func Listen(options Options) (*Proxy, error) {
-	p := &Proxy{options: options, address: options.Address, target: options.Target, links: map[*link]struct{}{}, partitioned: partitioned{}}
-	return p, p.Open()
+	port, err := reserve(options.Address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{options: options, port: port, target: options.Target, links: map[*link]struct{}{}, partitioned: partitioned{}}
+	if err := p.Open(); err != nil {
+		port.release()
+		return nil, err
+	}
+	return p, nil
 }
 
 // Address returns the host:port that the proxy listens on.
-func (p *Proxy) Address() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.address
-}
+func (p *Proxy) Address() string { return p.port.address.String() }
 
 // Retarget makes new connections go to another target.
 func (p *Proxy) Retarget(target string) {
@@ -75,11 +80,11 @@
 	if p.listener != nil || p.closed {
 		return nil
 	}
-	listener, err := listen(p.address)
+	listener, err := listen(p.Address())
 	if err != nil {
-		return eris.Wrapf(err, "proxy: listen on %s", p.address)
+		return eris.Wrapf(err, "proxy: listen on %s", p.Address())
 	}
-	p.address, p.listener = listener.Addr().String(), listener
+	p.listener = listener
 	go p.accept(listener)
 	return p.filterListener()
 }
@@ -128,10 +133,15 @@
 // Close stops the proxy and resets its connections. It can't be opened again.
 func (p *Proxy) Close() {
 	p.mu.Lock()
+	closed := p.closed
 	p.closed = true
 	p.mu.Unlock()
+	if closed {
+		return
+	}
 	p.abortSilent(func(netip.Addr) bool { return true })
 	p.Refuse()
+	p.port.release()
 }
 
 // openLinks returns the open links.
