Let callers leave and resume streams in all runs with kills of all nodes

Callers of these runs now leave as they do beside two versions.

TestCallersLeaveWhereReleasesChangeBesideKills: 0 of 600 callers left with the callers as they were.

--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -13,7 +13,7 @@
 	"github.com/valveslip/valveslip/soak/check"
 )
 
-// Shares of callers, one in so many, where workers of several software versions serve: those that leave in
+// Shares of callers, one in so many, where workers of several software versions serve or come: those that leave in
 // the middle of a stream, and those that resume it at the node that they had.
 const (
 	leavingShare  = 6
@@ -25,16 +25,21 @@
 // errLeft is why a caller that left has no whole answer.
 var errLeft = errors.New("the caller left")
 
+// severalReleases reports whether workers of several software versions serve, or come beside kills of all nodes.
+func (c *callGenerator) severalReleases() bool {
+	return c.options.Schedule.Releases > 1 || c.options.Schedule.TakeUps > 0
+}
+
 // decideLeaving makes some callers of resumable streams leave in the middle, to resume the stream at another
 // node. It depends on the request's identifier alone.
 func (c *callGenerator) decideLeaving(request *check.Request) {
-	if c.options.Schedule.Releases > 1 && request.Route == check.RouteStream && xxhash.Sum64String(request.ID)%leavingShare == 0 {
+	if c.severalReleases() && request.Route == check.RouteStream && xxhash.Sum64String(request.ID)%leavingShare == 0 {
 		request.LeavesAfter = eventsBeforeLeaving
 	}
 }
 
 // resumption returns the request that resumes a stream which was cut or left, and false if nothing resumes it.
-// Where workers of several software versions serve, most callers resume a stream at another node.
+// Where workers of several software versions serve or come, most callers resume a stream at another node.
 func (c *callGenerator) resumption(cut *check.Request) (check.Request, bool) {
 	got := cut.After + bytes.Count([]byte(cut.Body), eventEnd)
 	if cut.Route != check.RouteStream || cut.Answered() && cut.Status == http.StatusOK || got == 0 {
@@ -51,7 +56,7 @@
 		ID: cut.ID + "+", Node: cut.Node, Route: cut.Route, Model: cut.Model, Deadline: cut.Deadline, After: got,
 		Resumes: cmp.Or(cut.Resumes, cut.ID), FailedTries: failedTries,
 	}
-	if draw := xxhash.Sum64String(next.ID); (c.options.Schedule.Releases > 1 || c.options.Schedule.TakeUps > 0) && draw%sameNodeShare != 0 {
+	if draw := xxhash.Sum64String(next.ID); c.severalReleases() && draw%sameNodeShare != 0 {
 		next.Node = int(draw/sameNodeShare) % len(c.nodes)
 	}
 	return next, true
