Excuse streams that a peer relayed which was killed first

A kill of all nodes sends its signals one after the other, up to 30 ms apart. A node that reaches no workers has another node relay its streams; if that one is killed some milliseconds earlier, the stream breaks off at a node that is not disturbed yet, and one that has begun and may not be resumed has nothing to go on with.

The silence of the worker is no part of it.

Only a stream that had begun is excused, and only if it broke off between the first and the last signal.

--- a/soak/check/kills_of_all.go
+++ b/soak/check/kills_of_all.go
@@ -65,6 +65,14 @@
 	return h.KillsOfAll[at], true
 }
 
+// cutBesideKill reports whether a stream that had begun broke off between the first and the last signal of a kill of
+// all nodes: a node that reaches no workers itself has another one relay its streams, which may be killed first.
+func (h *History) cutBesideKill(request *Request) bool {
+	return request.Route.Streams() && request.Status == http.StatusOK && slices.ContainsFunc(h.KillsOfAll, func(k KillOfAll) bool {
+		return request.Sent < k.From && request.Ended >= k.From && request.Ended <= k.To
+	})
+}
+
 // wentOn reports whether a later request brought an event.
 func (c *cutStream) wentOn() bool { return slices.ContainsFunc(c.after, (*Request).broughtEvents) }
 
