Hold the loopback network of a run until the run ends

A run tried whether a network is free by listening at its first node's address, and stopped listening at once. Until that node itself listened, and whenever it was down, another run could take the same network, and both then met "address already in use". It now listens at an address of its own in the network for as long as it lasts.

By reading: two runs begin at the same candidate if their process IDs differ by a multiple of 16,384; none was seen to.

--- a/soak/network.go
+++ b/soak/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -39,18 +40,35 @@
 	return nil
 }
 
-// findFreeNetwork returns the prefix of a /24 network in the loopback range that no other run
-// uses.
-func findFreeNetwork() (string, error) {
+// reservedHostNumber is the last number of the IP address at which a run listens for as long as it uses its network.
+// It is above those of all nodes.
+const reservedHostNumber = "253"
+
+// reserveNetwork returns the prefix of a /24 network in the loopback range that no other run uses, and what keeps
+// other runs from it until it is closed.
+func reserveNetwork() (string, io.Closer, error) {
 	const first, last = 64, 127
 	for try := range 64 {
 		network := fmt.Sprintf("127.%d.%d.", first+(os.Getpid()>>8+try)%(last-first+1), os.Getpid()&0xff)
-		listener, err := net.Listen("tcp", network+"1:"+strconv.Itoa(callersPort))
+		held, err := listenAt(network + reservedHostNumber)
+		if err != nil {
+			continue
+		}
+		// Another program may listen at the address of a node.
+		node, err := listenAt(network + "1")
 		if err == nil {
-			return network, listener.Close()
+			return network, held, node.Close()
+		}
+		if err := held.Close(); err != nil {
+			return "", nil, eris.Wrap(err, "release a loopback network")
 		}
 	}
-	return "", eris.New("find a free loopback network: all candidates are in use")
+	return "", nil, eris.New("find a free loopback network: all candidates are in use")
+}
+
+// listenAt listens at an IP address, on the port at which nodes take callers.
+func listenAt(ip string) (net.Listener, error) {
+	return net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(callersPort)))
 }
 
 // proxyHostNumber is the last number of the IP address of all proxies. No connection
--- a/soak/run.go
+++ b/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,8 +55,9 @@
 	faults      map[plan.Kind]int
 	proxies     []*proxy.Proxy
 	workerLives []workerLife
-	// network is the prefix of the run's /24 network in the loopback range.
-	network string
+	// network is the prefix of the run's /24 network in the loopback range, which networkHeld keeps other runs from.
+	network     string
+	networkHeld io.Closer
 	// workerProxies are the proxies of all workers so far, partitions the present cuts of nodes.
 	workerProxies []*proxy.Proxy
 	partitions    map[int]*partition
@@ -105,7 +107,7 @@
 	r.metadata = metadata.New(r.options.Schedule.Seed)
 	r.metadata.Rewrite = r.rewriteNodeEntry
 	var err error
-	if r.network, err = findFreeNetwork(); err != nil {
+	if r.network, r.networkHeld, err = reserveNetwork(); err != nil {
 		return err
 	}
 	if r.server, err = standin.Listen(loopback, r.metadata); err != nil {
@@ -194,4 +196,7 @@
 		r.server.Kill()
 		r.metadata.Close()
 	}
+	if r.networkHeld != nil {
+		_ = r.networkHeld.Close()
+	}
 }
