Gather the history of a run without changing what is recorded

Gathering added the workers' records to the recorded history itself, so that a history gathered a second time held each run, life and order twice, and each request seemed to have run twice. They are added to the copy now, which lets a run judge itself before its end.

--- a/soak/gather.go
+++ b/soak/gather.go
@@ -38,27 +38,27 @@
 	}
 }
 
-// gather adds the workers' records to the history and returns a copy of it. Nodes and callers'
-// connections are still active, and what they do after the copy is not checked.
+// gather returns a copy of the history, with the workers' records. Nodes and callers' connections may still be
+// active, and what they do after the copy is not checked.
 func (r *run) gather() *check.History {
 	var seen check.History
 	r.mu.Lock()
 	lives := slices.Clone(r.workerLives)
 	r.mu.Unlock()
 	r.recorder.record(func(h *check.History) {
-		h.Bounds = check.Bounds{
-			Drain: drainBound, Configuration: configurationBound, Grace: gracePeriod, Recovery: recoveryBound,
-			LoadsPerWindow: int(loadsPerSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: r.streamEventCount(),
-			Keys: keyBound, Limit: floodLimit,
-		}
-		h.Engines, h.StreamService, h.Services = r.engineCount(), serviceEngine, map[string]string{}
-		for _, life := range lives {
-			r.gatherLife(h, &life)
-		}
 		seen = *h
 		// All other slices are only appended to, but entries of these two are also changed.
 		seen.Disturbances, seen.WorkerLimits = slices.Clone(h.Disturbances), slices.Clone(h.WorkerLimits)
 	})
+	seen.Bounds = check.Bounds{
+		Drain: drainBound, Configuration: configurationBound, Grace: gracePeriod, Recovery: recoveryBound,
+		LoadsPerWindow: int(loadsPerSecond * loadOverrun * loadWindow.Seconds()), LoadWindow: loadWindow, StreamEvents: r.streamEventCount(),
+		Keys: keyBound, Limit: floodLimit,
+	}
+	seen.Engines, seen.StreamService, seen.Services = r.engineCount(), serviceEngine, map[string]string{}
+	for i := range lives {
+		r.gatherLife(&seen, &lives[i])
+	}
 	return &seen
 }
 
--- a/soak/gather_test.go
+++ b/soak/gather_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// TestHistoryIsGatheredAgain guards against worker records that are counted once for each time that the history is
+// checked, so that a request that ran once seems to have run twice.
+func TestHistoryIsGatheredAgain(t *testing.T) {
+	r := &run{recorder: &recorder{began: time.Now()}}
+	w := worker.New(worker.Config{ID: "w"})
+	postToWorker(t, w, "/", "once", "", check.Body("once"))
+	r.recordLife("w", serviceFirst, w, nil)
+	for range 2 {
+		if history := r.gather(); len(history.Runs) != 1 || len(history.Lives) != 1 {
+			t.Errorf("%d runs in %d lives, want 1 in 1", len(history.Runs), len(history.Lives))
+		}
+	}
+}
+
 // TestGatheredHistoryIsASnapshot guards against events that are recorded while a history is
 // checked and change the result.
 func TestGatheredHistoryIsASnapshot(t *testing.T) {
