Let a drawn run go on until each promise that it tested can be judged

A drawn run ended at its time, whatever the nodes had served by then. A promise that a run can't judge is one that nobody keeps.

Such a run now goes on with its callers, with nothing disturbed, until each tested promise has its observations, for at most 20 s. The least numbers stay as they are, and a run that still lacks some fails as before. Runs of schedule files, which are not failed for this, end at their time.

--- a/cmd/valveslip/soak.go
+++ b/cmd/valveslip/soak.go
@@ -30,6 +30,8 @@
 	defaultSoakNodes    = 4
 	// maxShrinkRuns is the maximum number of runs to shrink a schedule.
 	maxShrinkRuns = 40
+	// soakJudgementTime is how long a run goes on at most until each promise can be judged.
+	soakJudgementTime = 20 * time.Second
 	// maxShownBreaches is the maximum number of breaches of each promise that are printed.
 	// The report file contains all of them.
 	maxShownBreaches = 5
@@ -133,8 +135,7 @@
 	if err := printSoak(out, report); err != nil {
 		return err
 	}
-	isDrawn := f.schedule == "" && !f.regressions
-	if missing := report.NotJudged(); isDrawn && len(missing) > 0 && len(report.Breaches()) == 0 {
+	if missing := report.NotJudged(); f.mustJudge() && len(missing) > 0 && len(report.Breaches()) == 0 {
 		return &exitError{code: exitFailure, err: eris.Errorf("seed %d: %d promises were tested and not judged", schedule.Seed, len(missing))}
 	}
 	if breaches := report.Breaches(); len(breaches) > 0 {
@@ -143,6 +144,10 @@
 	return nil
 }
 
+// mustJudge reports whether the run fails if it tested a promise too rarely to judge it: schedules from files are about
+// one fault each.
+func (f *soakFlags) mustJudge() bool { return f.schedule == "" && !f.regressions && !f.shrinkFaults }
+
 // runSchedule runs a schedule and returns its report. The logs of a run without breaches
 // are removed, unless their folder was given by a flag.
 func (f *soakFlags) runSchedule(ctx context.Context, schedule plan.Schedule) (*soak.Report, error) {
@@ -162,8 +167,12 @@
 		return nil, eris.Wrap(err, "folder for logs")
 	}
 	duration := soak.DurationOf(&schedule)
+	var await time.Duration
+	if f.mustJudge() {
+		await = soakJudgementTime
+	}
 	report, err := soak.Run(ctx, soak.Options{
-		Schedule: schedule, Duration: duration, Binary: binary, From: f.previousBinary, LogDir: logs,
+		Schedule: schedule, Duration: duration, AwaitJudgement: await, Binary: binary, From: f.previousBinary, LogDir: logs,
 		Tick: newProgress(int(duration.Seconds()), fmt.Sprintf("seed %d, seconds", schedule.Seed)),
 	})
 	if f.logs == "" && err == nil && len(report.Breaches()) == 0 {
--- a/soak/options.go
+++ b/soak/options.go
@@ -50,6 +50,9 @@
 	// Duration is the time limit of the faults and of the recovery from them. The limits that
 	// workers announce last follow; they take finalLimitTime.
 	Duration time.Duration
+	// AwaitJudgement is how long the run goes on at most until each promise that it tested can be judged. On a busy
+	// machine nodes serve less, and the checks have fewer observations.
+	AwaitJudgement time.Duration
 	// Binary is the program that the nodes run. From is an earlier build that they start with;
 	// empty for none.
 	Binary, From string
--- a/soak/play.go
+++ b/soak/play.go
@@ -25,6 +25,8 @@
 	finalLimitTime = 5 * time.Second
 	// finalCutTime is how long every second node is cut off from all workers at the end.
 	finalCutTime = 8 * time.Second
+	// judgementInterval is the time between two checks whether all promises can be judged.
+	judgementInterval = 2 * time.Second
 	// shedDelay is when, after the faults, plain workers reject all requests. They do so for
 	// shedTime and ask for a back-off of the same length.
 	shedDelay = 5 * time.Second
@@ -60,6 +62,7 @@
 	r.recoverInTime()
 	r.sleepUntil(undisturbedUntil)
 	r.announceFinalLimits()
+	r.goOnUntil(r.judged)
 	stop()
 	active.Wait()
 	r.poisonOver.Store(true)
@@ -74,6 +77,19 @@
 	r.recover(ctx)
 }
 
+// judged reports whether each promise that the run tested can be judged.
+func (r *run) judged() bool { return len(check.NotJudged(check.Judge(r.gather()))) == 0 }
+
+// goOnUntil goes on calling, with nothing disturbed, until enough is reported, for Options.AwaitJudgement at most.
+func (r *run) goOnUntil(enough func() bool) {
+	end := time.Now().Add(r.options.AwaitJudgement)
+	for time.Now().Before(end) && !enough() {
+		if !r.sleepUntil(time.Now().Add(judgementInterval)) {
+			return
+		}
+	}
+}
+
 // exerciseUndisturbed changes the configuration while nothing is disturbed, makes one worker
 // leave and another announce a limit, and lets plain workers shed load. This way the checks
 // have observations that no fault excuses.
--- a/soak/run.go
+++ b/soak/run.go
@@ -84,7 +84,7 @@
 		options:    options, recorder: &recorder{began: time.Now()}, usage: &usageMeter{}, spawner: newSpawner(),
 		faults: map[plan.Kind]int{}, partitions: map[int]*partition{}, peerProxies: map[string]string{},
 	}
-	r.ctx, r.cancel = context.WithTimeout(ctx, options.Duration+finalLimitTime)
+	r.ctx, r.cancel = context.WithTimeout(ctx, options.Duration+finalLimitTime+options.AwaitJudgement)
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
