Store origins of streams while nobody gives orders

Only the holder of the order lease stored origins, and only within its term. A holder that stops, or has lost its path to workers, ends its term at once and keeps the lease for another second; the next one has to be elected. In that time nobody stored origins, so that streams that began then were lost if all nodes were killed.

The archivist is now the holder whether or not it gives orders, and while nobody holds the lease the live node with the first ID.

TestHolderThatGivesNoOrdersDoesNotSpin took for its condition that such a holder never stores what waits; it now has an origin wait for the interval between two writes, and wants the same: no due time that has passed.

--- a/fleet/origin_archive.go
+++ b/fleet/origin_archive.go
@@ -83,7 +83,7 @@
 	return slot, found && err == nil && slot >= 0 && slot < archiveSlots
 }
 
-// originArchive stores the origins of streams if this node holds the order lease.
+// originArchive stores the origins of streams if this node is the archivist.
 type originArchive struct {
 	core *Core
 	// revisions are those of the records in the store, by slot.
@@ -135,14 +135,14 @@
 // tick names the archivist, and stores origins if that is this node.
 func (a *originArchive) tick() {
 	a.nameArchivist()
-	if !a.core.controller.ledger.Holding() || a.core.now.Before(a.nextAt) {
+	if a.core.releases.observedSince.IsZero() || a.core.now.Before(a.nextAt) {
 		return
 	}
 	switch {
 	case a.core.resumptions.origins.Unarchived() > 0:
 		a.nextAt = a.core.now.Add(archiveInterval)
 		a.write()
-	case len(a.revisions) > 0 && !a.core.releases.anyMixed():
+	case a.core.controller.ledger.Holding() && len(a.revisions) > 0 && !a.core.releases.anyMixed():
 		a.nextAt = a.core.now.Add(releasesWriteRetry)
 		a.clear()
 	}
@@ -150,20 +150,38 @@
 
 // due returns the time of the next required tick, zero for none.
 func (a *originArchive) due() time.Time {
-	if a.core.resumptions.origins.Unarchived() == 0 || !a.core.controller.ledger.Holding() {
+	if a.core.resumptions.origins.Unarchived() == 0 || a.core.releases.observedSince.IsZero() {
 		return time.Time{}
 	}
 	return a.nextAt
 }
 
-// nameArchivist tells the origins core which node stores origins: the holder of the order lease.
+// nameArchivist tells the origins core which node stores origins.
 func (a *originArchive) nameArchivist() {
-	holder := a.core.controller.holder
-	if holder.ID == a.archivist {
+	archivist := a.chooseArchivist()
+	if archivist.ID == a.archivist {
 		return
 	}
-	a.archivist = holder.ID
-	a.core.resumptions.step(origins.ArchivistChanged{Archivist: origins.Peer{ID: holder.ID, Address: holder.Address}})
+	a.archivist = archivist.ID
+	a.core.resumptions.step(origins.ArchivistChanged{Archivist: origins.Peer{ID: archivist.ID, Address: archivist.Address}})
+}
+
+// chooseArchivist returns the node that stores origins: the holder of the order lease, also while it gives no orders,
+// since it stops or its term has not begun. While nobody holds the lease, it is the live node with the first ID. Nodes
+// that differ about that may write at the same time: the store takes one record for each place in the ring.
+func (a *originArchive) chooseArchivist() NodeEntry {
+	self, live := a.core.config.Self, a.core.nodes.live
+	holder := a.core.controller.holder
+	if _, lives := live[holder.ID]; lives || holder.ID == self.ID {
+		return holder
+	}
+	first := self
+	for id, entry := range live {
+		if id < first.ID {
+			first = entry
+		}
+	}
+	return first
 }
 
 // write stores the oldest origins that are not stored yet in the next slot.
--- a/fleet/release_recorder_test.go
+++ b/fleet/release_recorder_test.go
@@ -9,7 +9,6 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet/origins"
-	"github.com/valveslip/valveslip/routing"
 	"github.com/valveslip/valveslip/verdict"
 )
 
@@ -83,19 +82,13 @@
 }
 
 // TestHolderThatGivesNoOrdersDoesNotSpin guards against a node that is due at once, again and again, since it has origins
-// to store that it may not store: it stops or has not begun its term.
+// to store whose time has not come: it stops or has not begun its term.
 func TestHolderThatGivesNoOrdersDoesNotSpin(t *testing.T) {
 	now := time.Unix(1000, 0)
 	core := newRecordingCore(t, now, "v1", "v2")
-	began := func(id cluster.RequestID) {
-		core.resumptions.began(routing.StreamBegan{Request: id, Model: "s", Release: "v1", Deadline: now.Add(10 * time.Second)})
-		core.Step(now, Tick{})
-	}
-	began("first")
-	now = now.Add(time.Second)
-	core.Step(now, Tick{})
+	beginStream(core, now, "first")
 	core.controller.feedLedger(sequence.TermEnded{})
-	began("second")
+	beginStream(core, now, "second")
 	if core.resumptions.origins.Unarchived() == 0 {
 		t.Fatal("nothing waits to be stored")
 	}
