Record the limits of machines in the store for nodes that start

Nodes told each other when a machine stated, changed or ended a limit, and nobody told a node that started. It sent as many requests as the machine had slots until its first answer stated the limit. After a kill of all nodes nobody knew.

The holder of the order lease keeps a record of the limits, which nodes read before the machines, so that the first request at a machine needs a turn. What a node has heard itself goes before the record.

Limits stated within 0.1 s before a kill of all nodes, or while nobody holds the order lease, are not in the record.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -43,6 +43,7 @@
 	releases       *releaseTracker
 	resumptions    *resumptions
 	archive        *originArchive
+	limits         *limitRecorder
 	reporter       demandReporter
 	synced         bool
 	// era is the era of the store that this node has known since eraSince. eraChanged is set once it has
@@ -87,6 +88,7 @@
 	core.releases = newReleaseTracker(core)
 	core.resumptions = newResumptions(core)
 	core.archive = newOriginArchive(core)
+	core.limits = newLimitRecorder(core)
 	return core
 }
 
@@ -116,6 +118,8 @@
 		c.releases.recordRead(e)
 	case OriginsRead:
 		c.archive.read(&e)
+	case LimitsRead:
+		c.limits.read(&e)
 	case EraBegan:
 		c.eraBegan(e.Era)
 	case StoreSynced:
@@ -169,12 +173,13 @@
 	c.releases.tick()
 	c.resumptions.tick()
 	c.archive.tick()
+	c.limits.tick()
 	return c.effects
 }
 
 // NextDue returns the time of the next required Tick.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due(), c.archive.due()}
+	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due(), c.archive.due(), c.limits.due()}
 	if c.dispatchClient != nil {
 		due = append(due, c.dispatchClient.due())
 	}
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -30,6 +30,7 @@
 	c.controller.eraBegan(era)
 	c.releases.eraBegan(era)
 	c.archive.eraBegan(era)
+	c.limits.eraBegan(era)
 	c.poison.eraBegan(era)
 }
 
--- a/fleet/fleet_simulation_test.go
+++ b/fleet/fleet_simulation_test.go
@@ -191,7 +191,7 @@
 	workers, nodes, holder := WorkersRead{Full: true, Restored: restored}, NodesRead{Full: true, Restored: restored}, HolderRead{Restored: restored}
 	pairs, revision := s.store.Range(s.now, "")
 	workers.Revision = inEra(revision, s.era)
-	lastHolder := LastHolderRead{}
+	lastHolder, limits := LastHolderRead{}, LimitsRead{}
 	for _, pair := range pairs {
 		switch {
 		case pair.Key == KeyHolder:
@@ -200,6 +200,9 @@
 		case pair.Key == KeyLastHolder:
 			lastHolder.Node, _ = DecodeNodeEntry(pair.Value)
 			lastHolder.Revision = inEra(pair.ModRevision, s.era)
+		case pair.Key == KeyLimits:
+			limits.Record, _ = DecodeLimits(pair.Value)
+			limits.Revision = inEra(pair.ModRevision, s.era)
 		case len(pair.Key) > len(KeyNodes) && pair.Key[:len(KeyNodes)] == KeyNodes:
 			entry, _ := DecodeNodeEntry(pair.Value)
 			nodes.Nodes = append(nodes.Nodes, entry)
@@ -210,6 +213,7 @@
 			workers.Workers = append(workers.Workers, e.worker())
 		}
 	}
+	s.step(n, limits)
 	s.step(n, workers)
 	s.step(n, nodes)
 	if s.forgetsEras {
--- a/fleet/pacer.go
+++ b/fleet/pacer.go
@@ -54,6 +54,7 @@
 // broadcastLimit announces a limit, which a machine reported to this node, to all other nodes.
 func (p *pacer) broadcastLimit(e *routing.MachineLimitChanged) {
 	self := p.core.config.Self.ID
+	p.core.limits.limitHeard(e.Machine)
 	p.core.log(eventlog.WorkerLimited{Machine: e.Machine, Limited: e.Notice.Limited, Limit: e.Notice.PerSecond, Stated: e.Notice.StatedPerSecond, Brittle: e.Notice.Brittle, Turns: e.Notice.Concurrency, By: self, Request: e.Request})
 	for _, id := range slices.Sorted(maps.Keys(p.core.nodes.live)) {
 		if id != self {
@@ -71,6 +72,7 @@
 	p.core.feedRouter(routing.MachineLimitReceived{
 		Machine: m.Machine, Notice: routing.Notice{Limited: m.Limited, PerSecond: m.PerSecond, Brittle: m.Brittle, Concurrency: m.Concurrency, StatedPerSecond: m.StatedPerSecond},
 	})
+	p.core.limits.limitHeard(m.Machine)
 }
 
 // due returns the time of the next required tick.
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -51,7 +51,7 @@
 // replaceContents hands the whole content of a store that came back from a copy to a node's core.
 func (s *simulation) replaceContents(n *simulatedNode, pairs []wire.StoreChange, revision keyvalue.Revision) {
 	workers, nodes, poisoned := WorkersRead{Full: true, Restored: true, Revision: revision}, NodesRead{Full: true, Restored: true}, PoisonRead{Full: true, Restored: true}
-	holder, lastHolder := HolderRead{Restored: true}, LastHolderRead{}
+	holder, lastHolder, limits := HolderRead{Restored: true}, LastHolderRead{}, LimitsRead{}
 	for i := range pairs {
 		pair := &pairs[i]
 		entry, _ := DecodeNodeEntry(pair.Value)
@@ -68,6 +68,9 @@
 			}
 		case pair.Key == KeyHolder:
 			holder.Node, holder.Token = entry, cluster.FencingToken(pair.Revision)
+		case pair.Key == KeyLimits:
+			limits.Record, _ = DecodeLimits(pair.Value)
+			limits.Revision = pair.Revision
 		case pair.Key == KeyLastHolder:
 			lastHolder = LastHolderRead{Node: entry, Revision: pair.Revision}
 		case strings.HasPrefix(pair.Key, KeyNodes):
@@ -75,7 +78,7 @@
 			nodes.Nodes = append(nodes.Nodes, entry)
 		}
 	}
-	for _, read := range []Event{poisoned, nodes, workers, lastHolder, holder, EraBegan{Era: revision.Era()}} {
+	for _, read := range []Event{poisoned, nodes, limits, workers, lastHolder, holder, EraBegan{Era: revision.Era()}} {
 		s.step(n, read)
 	}
 	n.appliedEra = revision.Era()
--- a/fleet/shell/batch.go
+++ b/fleet/shell/batch.go
@@ -37,6 +37,7 @@
 	lastHolder         *fleet.LastHolderRead
 	releases           *fleet.ReleasesRead
 	origins            fleet.OriginsRead
+	limits             *fleet.LimitsRead
 	poison             orderedMap[poison.Fingerprint, fleet.StoredPoisonRecord]
 	undecodablePoison  orderedMap[poison.Fingerprint, fleet.StoredPoisonRecord]
 	removedPoison      []poison.Fingerprint
@@ -93,6 +94,15 @@
 			// A record that can't be decoded is replaced, which needs its revision.
 			*b.releases = fleet.ReleasesRead{Record: record, Revision: pair.Revision, Restored: b.restored}
 		}
+	case pair.Key == fleet.KeyLimits:
+		b.limits = &fleet.LimitsRead{}
+		if !deleted {
+			record, err := fleet.DecodeLimits(pair.Value)
+			if err != nil {
+				f.reportUnreadable(unreadableLimits, pair, err)
+			}
+			*b.limits = fleet.LimitsRead{Record: record, Revision: pair.Revision}
+		}
 	case strings.HasPrefix(pair.Key, fleet.KeyOrigins):
 		f.addOriginsChange(b, pair)
 	case strings.HasPrefix(pair.Key, fleet.KeyPoison):
@@ -183,6 +193,7 @@
 	unreadablePoison        = "poison"
 	unreadableReleases      = "releases"
 	unreadableOrigins       = "origins"
+	unreadableLimits        = "limits"
 	unreadableConfiguration = "configuration"
 )
 
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -323,6 +323,11 @@
 	}
 	f.step(releases)
 	f.step(batch.origins)
+	limits := fleet.LimitsRead{}
+	if batch.limits != nil {
+		limits = *batch.limits
+	}
+	f.step(limits)
 	f.step(workers)
 	f.step(lastHolder)
 	f.step(holder)
@@ -367,6 +372,9 @@
 	if len(batch.origins.Records)+len(batch.origins.Gone) > 0 {
 		f.step(batch.origins)
 	}
+	if batch.limits != nil {
+		f.step(*batch.limits)
+	}
 	if read := batch.workersRead(); len(read.Workers)+len(read.Undecodable)+len(read.Gone) > 0 {
 		f.step(read)
 	}
--- a/fleet/simulated_feed_test.go
+++ b/fleet/simulated_feed_test.go
@@ -214,6 +214,9 @@
 		s.step(n, HolderRead{Restored: restored})
 	case change.Key == KeyHolder:
 		s.step(n, HolderRead{Node: entry, Token: cluster.FencingToken(change.Revision), Restored: restored})
+	case change.Key == KeyLimits:
+		record, _ := DecodeLimits(change.Value)
+		s.step(n, LimitsRead{Record: record, Revision: change.Revision})
 	case change.Key == KeyLastHolder:
 		s.step(n, LastHolderRead{Node: entry, Revision: change.Revision})
 	case change.Deleted:
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -186,6 +186,7 @@
 	}
 	v.core.log(eventlog.WorkerGone{Machine: id, Cause: "its entry is gone"})
 	v.reportChanges(known, nil, true)
+	v.core.limits.machineRemoved(id)
 }
 
 // configurationChanged passes all machines to the router again, since a service may have gained
@@ -345,6 +346,9 @@
 	}
 	slices.SortFunc(changes, compareModels)
 	known.reported = slices.SortedFunc(maps.Values(records), compareModels)
+	if !gone {
+		v.core.limits.adopt(known.worker.ID)
+	}
 	zone := known.worker.Zone
 	v.sequences[zone]++
 	v.core.feedRouter(routing.CellStatusChanged{Status: wire.CellStatus{
--- a/routing/notices.go
+++ b/routing/notices.go
@@ -51,6 +51,13 @@
 	Notice  Notice
 }
 
+// MachineLimitRestored carries the stored rate limit of a machine, of which this router may have no status yet. It
+// counts until a limit is heard of.
+type MachineLimitRestored struct {
+	Machine cluster.MachineID
+	Notice  Notice
+}
+
 // MachineLimitChanged reports a new or changed rate limit of a machine, to be sent to all routers.
 type MachineLimitChanged struct {
 	Machine cluster.MachineID
@@ -73,6 +80,7 @@
 
 func (MachineNoticeReceived) routingEvent() {}
 func (MachineLimitReceived) routingEvent()  {}
+func (MachineLimitRestored) routingEvent()  {}
 func (MachineLimitChanged) routingEffect()  {}
 func (MachineLeavingFound) routingEffect()  {}
 func (MachineRestFound) routingEffect()     {}
@@ -146,6 +154,27 @@
 	}
 }
 
+// restoreMachineLimit applies a stored limit to a machine that has none.
+func (r *Router) restoreMachineLimit(event *MachineLimitRestored) {
+	m := r.machineState(event.Machine)
+	if m.turns.limited {
+		return
+	}
+	m.turns.publishedPerSecond = event.Notice.PerSecond
+	r.setLimit(m, event.Notice)
+}
+
+// MachineLimits returns the limits of all machines that have one.
+func (r *Router) MachineLimits() map[cluster.MachineID]Notice {
+	limits := map[cluster.MachineID]Notice{}
+	for id, m := range r.machines {
+		if t := &m.turns; t.limited {
+			limits[id] = Notice{Limited: true, PerSecond: t.perSecond, Brittle: t.brittle, Concurrency: t.concurrency, StatedPerSecond: t.statedPerSecond}
+		}
+	}
+	return limits
+}
+
 // setLimit puts a limit in force or ends it.
 func (r *Router) setLimit(m *machine, notice Notice) {
 	if m.turns.limited && !notice.Limited {
--- a/routing/router.go
+++ b/routing/router.go
@@ -148,6 +148,8 @@
 		r.machineRestarted(&event)
 	case MachineLimitReceived:
 		r.applyMachineLimit(&event)
+	case MachineLimitRestored:
+		r.restoreMachineLimit(&event)
 	case TurnDecided:
 		r.turnDecided(&event)
 		r.recheckHeldBack = true
