--- a/fleet/feed/config.go
+++ b/fleet/feed/config.go
@@ -67,6 +67,13 @@
 	// MaxChangeDelay is the time in which a change of the store must be known. Zero means too short
 	// a time for a root.
 	MaxChangeDelay time.Duration
+	// SnapshotTimeout is how long a node that starts waits for the first answer of a node that it asked
+	// for a snapshot, and for each further part. A starter that is silent for longer is replaced.
+	// Default 1.2 s.
+	SnapshotTimeout time.Duration
+	// StartupTimeout is the time without a whole snapshot after which a node that starts reads the
+	// store. Default 9 s.
+	StartupTimeout time.Duration
 	// MaxValueBytes is the size above which values are not forwarded but read from the store by
 	// each node. Default 1 MiB, enough for the configuration of some thousand models.
 	MaxValueBytes int
@@ -86,6 +93,8 @@
 	c.MinZoneNodes = cmp.Or(c.MinZoneNodes, defaultMinZoneNodes)
 	c.MaxGroupNodes = cmp.Or(c.MaxGroupNodes, defaultMaxGroupNodes)
 	c.MinRelaysForRoot = cmp.Or(c.MinRelaysForRoot, defaultMinRelaysForRoot)
+	c.SnapshotTimeout = cmp.Or(c.SnapshotTimeout, defaultSnapshotTimeout)
+	c.StartupTimeout = cmp.Or(c.StartupTimeout, defaultStartupTimeout)
 	c.MaxValueBytes = cmp.Or(c.MaxValueBytes, defaultMaxValueBytes)
 	return c
 }
--- a/fleet/feed/start.go
+++ b/fleet/feed/start.go
@@ -10,15 +10,15 @@
 
 // Timeouts and limits of a node that starts up.
 const (
-	// snapshotTimeout is for the first answer of a node that was asked, and for each further part:
-	// two messages, and the time of a part on a link of 20 Mbit/s that serves a few other nodes.
-	snapshotTimeout = 1200 * time.Millisecond
+	// defaultSnapshotTimeout is for two messages, and the time of a part on a link of 20 Mbit/s that
+	// serves a few other nodes.
+	defaultSnapshotTimeout = 1200 * time.Millisecond
 	// queuedSnapshotTimeout is for a node that answered that it will send the snapshot later: it is
 	// still reading the store or waiting for another node's snapshot.
 	queuedSnapshotTimeout = 4 * time.Second
-	// startupTimeout is for all of these together: half of the 18 s within which a fleet must serve
-	// again. A node without a snapshot by then reads the store, which takes a few seconds.
-	startupTimeout = 9 * time.Second
+	// defaultStartupTimeout is half of the 18 s within which a fleet must serve again, since reading
+	// the store takes a few seconds.
+	defaultStartupTimeout = 9 * time.Second
 	// maxSnapshotParts limits the number of parts that a snapshot may state: 1,000 parts hold a
 	// million pairs.
 	maxSnapshotParts = 1000
@@ -91,7 +91,7 @@
 	if s.began.IsZero() {
 		s.began = c.now
 	}
-	if s.phase != phaseReadFirstPage && c.now.Sub(s.began) >= startupTimeout {
+	if s.phase != phaseReadFirstPage && c.now.Sub(s.began) >= c.cfg.StartupTimeout {
 		s.phase = phaseReadStore
 	}
 	if s.phase == phaseAskStarter && s.awaitsAnswer {
@@ -176,7 +176,7 @@
 func (c *Core) requestSnapshot() {
 	s := &c.startup
 	s.awaitsAnswer = true
-	c.nextCallAt = c.now.Add(snapshotTimeout)
+	c.nextCallAt = c.now.Add(c.cfg.SnapshotTimeout)
 	c.emit(RequestSnapshot{Address: s.askedAddress, Request: wire.StoreSnapshotRequest{
 		From: c.cfg.Self.ID, FromAddress: c.cfg.Self.Address, Capacity: c.cfg.Self.Capacity, Referred: s.referred,
 	}})
@@ -213,7 +213,7 @@
 	}
 	pairs, whole := c.startup.addPart(part)
 	if !whole {
-		c.nextCallAt = later(c.nextCallAt, c.now.Add(snapshotTimeout))
+		c.nextCallAt = later(c.nextCallAt, c.now.Add(c.cfg.SnapshotTimeout))
 		return
 	}
 	took := c.now.Sub(c.startup.began)
@@ -237,7 +237,7 @@
 	}
 	pairs, whole := c.startup.addPart(part)
 	if !whole {
-		c.nextCallAt = later(c.nextCallAt, c.now.Add(snapshotTimeout))
+		c.nextCallAt = later(c.nextCallAt, c.now.Add(c.cfg.SnapshotTimeout))
 		return
 	}
 	c.startup = startup{}
