Ask other nodes for the configuration in force after a return of the store

A node that started between a return of the store from a copy and the operator's next write took the copy's configuration for the one in force: what is not in the store was taken for what was never acknowledged. The other nodes kept the newer version and did not say so.

In an era in which the store came back, a node that starts asks five nodes, with the version that it has; one that has a later version sends the stored form. Until all have answered, 250 ms at most, the node is not ready and sends nothing. Nodes that run ask too when an era begins, as the store may have lost a version that only others had read. In the first era nobody asks. Messages of version 13; an earlier build doesn't answer, and costs the 250 ms.

It is missed if all five started as late, or all nodes were killed.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -44,6 +44,7 @@
 	resumptions    *resumptions
 	archive        *originArchive
 	limits         *limitRecorder
+	unstored       *unstoredState
 	reporter       demandReporter
 	synced         bool
 	// era is the era of the store that this node has known since eraSince. eraChanged is set once it has
@@ -89,6 +90,7 @@
 	core.resumptions = newResumptions(core)
 	core.archive = newOriginArchive(core)
 	core.limits = newLimitRecorder(core)
+	core.unstored = &unstoredState{core: core}
 	return core
 }
 
@@ -105,7 +107,7 @@
 	case KeysProven:
 		c.gate.recordProof(e.At)
 	case ConfigurationRead:
-		c.applyConfiguration(e.Compiled)
+		c.applyConfiguration(e)
 	case WorkersRead:
 		c.applyWorkers(e)
 	case NodesRead:
@@ -174,12 +176,13 @@
 	c.resumptions.tick()
 	c.archive.tick()
 	c.limits.tick()
+	c.unstored.tick()
 	return c.effects
 }
 
 // NextDue returns the time of the next required Tick.
 func (c *Core) NextDue() time.Time {
-	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due(), c.archive.due(), c.limits.due()}
+	due := []time.Time{c.peerNotifier.due(), c.nodeLease.due(), c.controller.due(), c.reporter.due(c), c.view.due(), c.poison.due(), c.lending.NextDue(), c.pacer.due(), c.releases.due(), c.resumptions.due(), c.archive.due(), c.limits.due(), c.unstored.due()}
 	if c.dispatchClient != nil {
 		due = append(due, c.dispatchClient.due())
 	}
@@ -246,8 +249,9 @@
 	return c.view.addressOf(id) == "" || c.router.Leaving(id) || c.router.Resting(now, id)
 }
 
-// Ready reports whether the node has a configuration and has read the whole store.
-func (c *Core) Ready() bool { return c.compiled != nil && c.synced }
+// Ready reports whether the node has a configuration, has read the whole store and has been told what the store may
+// lack.
+func (c *Core) Ready() bool { return c.compiled != nil && c.synced && !c.unstored.waiting() }
 
 // NeedsFingerprint reports whether a request with this head may match a known poison request, so
 // that its fingerprint must be computed.
@@ -351,6 +355,10 @@
 		c.feedLending(lending.MessageReceived{Message: message})
 	case wire.StreamOrigins, wire.StreamOriginsReceived, wire.StreamOriginRequest, wire.StreamOriginAnswer:
 		c.resumptions.step(origins.MessageReceived{Message: message})
+	case wire.UnstoredStateRequest:
+		c.unstored.requested(&m)
+	case wire.UnstoredState:
+		c.unstored.answered(&m)
 	case wire.MachineLimit:
 		c.pacer.limitReceived(&m)
 	case wire.TurnRequest, wire.TurnAnswer, wire.TurnReturned:
@@ -365,7 +373,11 @@
 // releaseDispatches lets requests be dispatched once the store has been read and other nodes have
 // had time to answer the query for poison requests.
 func (c *Core) releaseDispatches() {
-	if until := c.poison.holdUntil; c.now.Before(until) {
+	until := c.poison.holdUntil
+	if c.unstored.waiting() {
+		until = maxTime(until, c.unstored.waitUntil)
+	}
+	if c.now.Before(until) {
 		c.feedRouter(routing.DispatchesPaused{Until: until})
 		return
 	}
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -31,6 +31,7 @@
 	c.releases.eraBegan(era)
 	c.archive.eraBegan(era)
 	c.limits.eraBegan(era)
+	c.unstored.eraBegan()
 	c.poison.eraBegan(era)
 }
 
--- a/fleet/events.go
+++ b/fleet/events.go
@@ -21,8 +21,12 @@
 // Tick advances the core's time. The shell sends one at Core.NextDue at the latest.
 type Tick struct{}
 
-// ConfigurationRead delivers a configuration that was read from the store.
-type ConfigurationRead struct{ Compiled *catalog.Compiled }
+// ConfigurationRead delivers a configuration that was read from the store or by another node.
+type ConfigurationRead struct {
+	Compiled *catalog.Compiled
+	// Value is the stored form.
+	Value []byte
+}
 
 // Events that deliver records of the store have a field Restored. It is set if the store came back from
 // a copy since the last ones: what the copy lacks may have been lost, and what it has may be outdated.
--- a/fleet/shell/configuration.go
+++ b/fleet/shell/configuration.go
@@ -7,6 +7,7 @@
 	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/wire"
 )
 
@@ -28,32 +29,47 @@
 	return true
 }
 
-// applyConfiguration puts a configuration in force. If it can't be decoded or compiled, the
-// previous one stays in force.
+// applyConfiguration puts a configuration of the store in force.
 func (f *follower) applyConfiguration(pair *wire.StoreChange) {
 	if pair == nil || pair.Revision <= f.configurationRevision {
 		return
 	}
+	if f.putInForce(pair.Value, pair.Revision) {
+		f.configurationRevision = pair.Revision
+	}
+}
+
+// putInForce puts a configuration in force unless that is newer, and reports whether it is a configuration. If
+// it can't be decoded or compiled, the previous one stays in force.
+func (f *follower) putInForce(value []byte, revision keyvalue.Revision) bool {
 	began := f.Now()
-	configuration, err := f.options.Codec.DecodeConfiguration(pair.Value)
+	configuration, err := f.options.Codec.DecodeConfiguration(value)
 	var compiled *catalog.Compiled
 	if err == nil {
 		compiled, err = configuration.Compile()
 	}
 	if err != nil {
 		f.metrics.unreadableRecords.WithLabelValues(unreadableConfiguration).Inc()
-		f.options.Log.Write(eventlog.ConfigurationRejected{Revision: pair.Revision, Cause: err.Error()})
-		return
+		f.options.Log.Write(eventlog.ConfigurationRejected{Revision: revision, Cause: err.Error()})
+		return false
 	}
-	f.configurationRevision = pair.Revision
-	if !f.supersedes(compiled, pair.Value) {
-		return
+	if !f.supersedes(compiled, value) {
+		return true
 	}
 	// The core must know a service before a request for it can arrive.
-	f.step(fleet.ConfigurationRead{Compiled: compiled})
+	f.step(fleet.ConfigurationRead{Compiled: compiled, Value: value})
 	f.compiled.Store(compiled)
 	f.requestKeyProof(compiled)
 	f.options.Log.Write(eventlog.ConfigurationInForce{
 		Version: compiled.Version, Routes: len(compiled.Routes), Services: len(compiled.Services), Took: f.Now().Sub(began),
 	})
+	return true
+}
+
+// configurationReceived queues a configuration of another node and drops it if the queue is full.
+func (f *follower) configurationReceived(value []byte) {
+	select {
+	case f.configurations <- value:
+	default:
+	}
 }
--- a/fleet/shell/follow.go
+++ b/fleet/shell/follow.go
@@ -60,6 +60,8 @@
 	// inbox holds messages of peers.
 	inbox   chan feed.Event
 	results chan feed.Event
+	// configurations holds configurations that other nodes have in force.
+	configurations chan []byte
 	// firstReadLogged makes sure that the first full read of the store is logged once.
 	firstReadLogged sync.Once
 	// resync requests a full read of the store; peersChanged requests that the feed is told the
@@ -70,7 +72,7 @@
 func newFollower(n *Node) *follower {
 	f := &follower{
 		Node: n, filter: newChangeFilter(n.options.Codec), starts: machineStarts{}, gone: goneWorkers{},
-		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), resync: make(chan struct{}, 1), peersChanged: make(chan struct{}, 1),
+		inbox: make(chan feed.Event, inboxLength), results: make(chan feed.Event, 1), configurations: make(chan []byte, inboxLength), resync: make(chan struct{}, 1), peersChanged: make(chan struct{}, 1),
 	}
 	self := &n.options.Core.Self
 	cfg := n.options.Feed
@@ -105,6 +107,8 @@
 			event = feed.Invalidated{}
 		case event = <-f.inbox:
 		case event = <-f.results:
+		case value := <-f.configurations:
+			f.putInForce(value, 0)
 		case <-f.peersChanged:
 			event = feed.PeersChanged{Peers: f.livePeers()}
 		case <-timer.C:
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -394,6 +394,10 @@
 		go n.callOrder(effect, n.Now())
 	case fleet.ReadReport:
 		go n.callReport(effect)
+	case fleet.ConfigurationReceived:
+		if f := n.follower.Load(); f != nil {
+			f.configurationReceived(effect.Value)
+		}
 	case fleet.PeersChanged:
 		n.path.peers.set(n.core.Nodes(), &n.options.Core.Self)
 		if f := n.follower.Load(); f != nil {
--- a/fleet/store_events.go
+++ b/fleet/store_events.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/valveslip/valveslip/authority/sequence"
-	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet/dispatch"
 	"github.com/valveslip/valveslip/fleet/lending"
@@ -12,12 +11,13 @@
 )
 
 // applyConfiguration puts a configuration in force unless the current one is newer.
-func (c *Core) applyConfiguration(compiled *catalog.Compiled) {
+func (c *Core) applyConfiguration(read ConfigurationRead) {
+	compiled := read.Compiled
 	if c.compiled != nil && compiled.Version < c.compiled.Version {
 		return
 	}
 	before := c.compiled
-	c.compiled = compiled
+	c.compiled, c.unstored.configuration = compiled, read.Value
 	if before != nil {
 		c.releases.routesChanged(before.Routes, compiled.Routes)
 	}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -17,7 +17,7 @@
 // To change a message, copy schemas/vN.avsc to the next number, increment VersionCurrent, give
 // every new field a default, and commit the golden messages of the previous version.
 const (
-	VersionCurrent  = 12
+	VersionCurrent  = 13
 	VersionPrevious = VersionCurrent - 1
 	VersionOldest   = 4
 )
@@ -91,6 +91,8 @@
 	KindStreamOriginRequest
 	KindStreamOriginAnswer
 	KindPartReport
+	KindUnstoredStateRequest
+	KindUnstoredState
 )
 
 // kindLayout holds the schema name of a kind and the constructor of its record.
@@ -144,6 +146,8 @@
 	KindStreamOriginRequest:   {"StreamOriginRequest", func() record { return new(streamOriginRequestRecord) }},
 	KindPartReport:            {"PartReport", func() record { return new(partReportRecord) }},
 	KindStreamOriginAnswer:    {"StreamOriginAnswer", func() record { return new(streamOriginAnswerRecord) }},
+	KindUnstoredStateRequest:  {"UnstoredStateRequest", func() record { return new(unstoredStateRequestRecord) }},
+	KindUnstoredState:         {"UnstoredState", func() record { return new(unstoredStateRecord) }},
 }
 
 // toRecord returns the kind of a message and its record for the codec.
@@ -257,6 +261,12 @@
 	case StreamOriginAnswer:
 		rec := streamOriginAnswerRecord(m)
 		return KindStreamOriginAnswer, &rec, nil
+	case UnstoredStateRequest:
+		rec := unstoredStateRequestRecord(m)
+		return KindUnstoredStateRequest, &rec, nil
+	case UnstoredState:
+		rec := unstoredStateRecord(m)
+		return KindUnstoredState, &rec, nil
 	default:
 		return 0, nil, eris.Wrapf(ErrUnknownKind, "cannot encode %T", message)
 	}
--- a/wire/samples_test.go
+++ b/wire/samples_test.go
@@ -143,6 +143,8 @@
 		KindStreamOriginsReceived: StreamOriginsReceived{From: "node-a", Number: 7},
 		KindStreamOriginRequest:   StreamOriginRequest{From: "node-a", FromAddress: "10.0.0.1:7000", Number: 7, Request: "r-1"},
 		KindStreamOriginAnswer:    StreamOriginAnswer{From: "node-a", Number: 7, Found: true, Release: "v1.2"},
+		KindUnstoredStateRequest:  UnstoredStateRequest{From: "node-a", FromAddress: "10.0.0.1:7000", ConfigurationVersion: 7},
+		KindUnstoredState:         UnstoredState{From: "node-a", ConfigurationVersion: 7, Configuration: []byte("{}"), Leaving: []cluster.MachineID{"machine-a"}},
 		KindTurnReturned:          TurnReturned{From: "node-a", Number: 7, Machine: "machine-a"},
 		KindKeptAnswer:            KeptAnswer{From: "node-a", Number: 7, Found: true, Status: 200, ContentType: "application/json", Body: []byte("{}")},
 	}
@@ -165,7 +167,8 @@
 	KindMachineLimit: 9, KindTurnRequest: 9, KindTurnAnswer: 9,
 	KindTurnReturned:  10,
 	KindStreamOrigins: 11, KindStreamOriginsReceived: 11, KindStreamOriginRequest: 11, KindStreamOriginAnswer: 11,
-	KindPartReport: 11,
+	KindPartReport:           11,
+	KindUnstoredStateRequest: 13, KindUnstoredState: 13,
 }
 
 // asWrittenIn returns a message without the fields that a version lacks.
