Tell nodes that start which workers leave after a return of the store

After a return of the store from a copy, the copy's entry of a worker may say that it is ready although it has said since that it leaves. Nodes that knew keep to that; one that started before the worker's next write believed the entry and sent it requests.

The answer to a node that starts now names the machines that leave. They count as leaving at that node too until their entries change, as at the others.

--- a/fleet/store_events.go
+++ b/fleet/store_events.go
@@ -4,9 +4,11 @@
 	"slices"
 
 	"github.com/valveslip/valveslip/authority/sequence"
+	"github.com/valveslip/valveslip/catalog"
 	"github.com/valveslip/valveslip/cluster"
 	"github.com/valveslip/valveslip/fleet/dispatch"
 	"github.com/valveslip/valveslip/fleet/lending"
+	"github.com/valveslip/valveslip/keyvalue"
 	"github.com/valveslip/valveslip/routing"
 )
 
@@ -67,12 +69,7 @@
 	}
 	for i := range read.Workers {
 		c.view.keepLeaving(&read.Workers[i], &read)
-		if c.view.put(&read.Workers[i], read.Revision) {
-			c.controller.registerMachine(&read.Workers[i])
-		}
-		if c.dispatchClient != nil && read.Workers[i].Draining {
-			c.dispatchClient.releaseHeldFor(read.Workers[i].ID)
-		}
+		c.putMachine(&read.Workers[i], read.Revision)
 	}
 	for i, restarted := range read.Restarted {
 		// A stream that waits for a machine of its release must not miss one in between.
@@ -88,6 +85,16 @@
 	}
 }
 
+// putMachine applies the entry of a machine that was read at a revision of the store.
+func (c *Core) putMachine(worker *catalog.Worker, revision keyvalue.Revision) {
+	if c.view.put(worker, revision) {
+		c.controller.registerMachine(worker)
+	}
+	if c.dispatchClient != nil && worker.Draining {
+		c.dispatchClient.releaseHeldFor(worker.ID)
+	}
+}
+
 // releasesBefore returns the releases of machines before they started again.
 func (c *Core) releasesBefore(restarted []routing.MachineRestarted) []string {
 	releases := make([]string, len(restarted))
--- a/fleet/unstored.go
+++ b/fleet/unstored.go
@@ -80,7 +80,7 @@
 
 // requested answers another node.
 func (u *unstoredState) requested(m *wire.UnstoredStateRequest) {
-	answer := wire.UnstoredState{From: u.core.config.Self.ID, ConfigurationVersion: u.version()}
+	answer := wire.UnstoredState{From: u.core.config.Self.ID, ConfigurationVersion: u.version(), Leaving: u.core.view.leaving()}
 	if answer.ConfigurationVersion > m.ConfigurationVersion {
 		answer.Configuration = u.configuration
 	}
@@ -97,6 +97,7 @@
 		u.received = m.ConfigurationVersion
 		u.core.emit(ConfigurationReceived{Value: m.Configuration, From: m.From})
 	}
+	u.core.view.markLeaving(m.Leaving)
 }
 
 // waiting reports whether a node that starts still has to wait before it serves.
--- a/fleet/unstored_test.go
+++ b/fleet/unstored_test.go
@@ -147,3 +147,24 @@
 		}
 	}
 }
+
+// Guards against requests to a machine that has said that it leaves, whose entry in the copy says that it is ready; and
+// against a machine that is never used again although its entry has changed since.
+func TestNodeThatStartsIsToldOfLeavingMachines(t *testing.T) {
+	s := startBeside(t, 1, EraBegan{Era: 1})
+	s.answer("stranger", wire.UnstoredState{ConfigurationVersion: 1, Leaving: []cluster.MachineID{"b"}})
+	s.answer("other-0", wire.UnstoredState{ConfigurationVersion: 1, Leaving: []cluster.MachineID{"a", "unknown"}})
+	usable := func(id cluster.MachineID) bool { return s.core.view.addressOf(id) != "" }
+	if usable("a") || !usable("b") {
+		t.Errorf("a is used: %v, b is used: %v", usable("a"), usable("b"))
+	}
+	entry := catalog.Worker{ID: "a", Service: "s", Address: "a", Zone: "z", Slots: 1}
+	s.step(WorkersRead{Workers: []catalog.Worker{entry, {ID: "b", Service: "s", Address: "b", Zone: "z", Slots: 1}}, Full: true})
+	if usable("a") {
+		t.Error("the machine is used after another read of the whole store")
+	}
+	s.step(WorkersRead{Workers: []catalog.Worker{entry}})
+	if !usable("a") {
+		t.Error("the machine is not used although its entry has changed")
+	}
+}
--- a/fleet/view_restored.go
+++ b/fleet/view_restored.go
@@ -51,3 +51,29 @@
 	}
 	worker.Draining = worker.Draining || known.leavesUnlisted
 }
+
+// leaving returns the machines that have said that they leave.
+func (v *machineView) leaving() []cluster.MachineID {
+	var leaving []cluster.MachineID
+	for id, known := range v.machines {
+		if known.worker.Draining {
+			leaving = append(leaving, id)
+		}
+	}
+	slices.Sort(leaving)
+	return leaving
+}
+
+// markLeaving marks machines as leaving that have said so to other nodes, although the store shows them as
+// ready. A change of the entry since revokes that.
+func (v *machineView) markLeaving(ids []cluster.MachineID) {
+	for _, id := range ids {
+		known := v.machines[id]
+		if known == nil || known.worker.Draining {
+			continue
+		}
+		worker := known.worker
+		worker.Draining, known.leavesUnlisted = true, true
+		v.core.putMachine(&worker, 0)
+	}
+}
