Count the ends of two starts of one machine as two

A machine that starts again answers at its address before its entry says so, under the ID of the earlier start. Ends are evidence against a request by that ID, so that a request which ended two starts before the entry was read had one end against it, and was sent on to one machine more.

Where a stream is sent, the connection has named the start that answers; its end, and its answer, now count for that start. A start whose entry was never read counts as ended with the next entry, since an attempt may wait for that.

TestEndsOfTwoStartsOfOneMachineCountAsTwo: one end counted after two, now two.

--- a/routing/finish.go
+++ b/routing/finish.go
@@ -52,7 +52,7 @@
 	machine := abandoned.machine
 	if machine != nil && !abandoned.unsent {
 		abandoned.mayHaveRun = true
-		r.poison.AttemptCancelled(r.now, abandoned.Content, abandoned.unstartedParts(), machine.id)
+		r.poison.AttemptCancelled(r.now, abandoned.Content, abandoned.unstartedParts(), abandoned.startReached(machine))
 		reason.Machine = machine.id
 		r.emit(CancelAttempt{
 			Request: abandoned.ID, Attempt: abandoned.attempt,
--- a/routing/poisoned.go
+++ b/routing/poisoned.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -19,7 +20,7 @@
 	}
 	answered := event.Failure == nil || event.Answered || event.EngineFull
 	if answered {
-		r.poison.Answered(r.now, m.id, time.Unix(0, ended.dispatched))
+		r.poison.Answered(r.now, ended.startReached(m), time.Unix(0, ended.dispatched))
 	}
 	if event.Failure == nil {
 		r.poison.Completed(r.now, ended.Content)
@@ -36,21 +37,27 @@
 		return
 	}
 	if event.MachineEnded {
-		r.poison.MachineEnded(r.now, m.id)
+		r.poison.MachineEnded(r.now, ended.startReached(m))
 	}
 	harmful := r.blockedParts(ended.Parts)
 	switch {
 	case event.Broken && len(harmful) > 0:
 		// A blocked part explains the end, also that under its probe.
-		r.poison.AttemptFailed(r.now, ended.Content, harmful, m.id)
+		r.poison.AttemptFailed(r.now, ended.Content, harmful, ended.startReached(m))
 	case event.Broken:
-		r.poison.AttemptFailed(r.now, ended.Content, parts, m.id)
+		r.poison.AttemptFailed(r.now, ended.Content, parts, ended.startReached(m))
 	}
 	if event.Broken && event.MachineEnded && len(harmful) == 0 {
 		r.suspectCallers.Ended(r.now, ended.Caller, time.Unix(0, ended.dispatched), parts)
 	}
 }
 
+// startReached returns the start of the machine that the request's attempt reached, as far as known: evidence against
+// a request counts by starts, and several may have answered at the address since the entry was read.
+func (r *request) startReached(m *machine) cluster.MachineID {
+	return cmp.Or(r.attemptStart, m.answeringStart())
+}
+
 // soundAnswerTime is how long a machine must have written an answer until the parts of its prompt count as
 // sound: a harmful one ends the machine as soon as that begins to write.
 const soundAnswerTime = 500 * time.Millisecond
--- a/routing/restarts.go
+++ b/routing/restarts.go
@@ -20,12 +20,15 @@
 
 // machineRestarted copies the rest period and rate limit of a machine to its restart, since answers
 // don't state which start gave them. The leaving state is not copied: neither time nor an answer
-// would end it.
+// would end it. A start between the two, whose entry was never read, has ended too.
 func (r *Router) machineRestarted(event *MachineRestarted) {
 	before := r.machines[event.Before]
 	if before == nil {
 		return
 	}
+	if unlisted := before.answeringStart(); unlisted != event.Machine && unlisted != event.Before {
+		r.machineEnded(unlisted)
+	}
 	later := r.machineState(event.Machine)
 	later.zone, later.restartedAs = before.zone, ""
 	before.restartedAs, before.restartedAt = event.Machine, r.nanos
--- a/routing/silent_attempts.go
+++ b/routing/silent_attempts.go
@@ -27,7 +27,7 @@
 	}
 	silent.moveTarget = successor
 	successor.machine.reserved++
-	r.poison.AttemptCancelled(r.now, silent.Content, silent.unstartedParts(), silent.machine.id)
+	r.poison.AttemptCancelled(r.now, silent.Content, silent.unstartedParts(), silent.startReached(silent.machine))
 	r.emit(CancelAttempt{
 		Request: silent.ID, Attempt: silent.attempt, Machine: silent.machine.id, Address: silent.machine.address,
 	})
