Keep the end of a machine whose later start has answered

A machine that answers a request which was sent after its end was learned shows that only a connection was lost, and its end is cleared in all records, for good. If it had ended and its later start answered at the same address before the entry of that was read, the true end was cleared too, and the entry did not bring it back: a request that ends machines had one end less against it with each machine that starts again at once.

Once the entry shows that the machine has started again, ends that an answer cleared within the last 2 s count again, under a name of their own, as clearances are final. Requests that were served or pardoned since stay cleared.

TestAnswerOfLaterStartDoesNotClearEnd: 0 of 1 ends counted, now 1. While the store is away for longer than 2 s the end stays lost.

--- a/routing/poison/table.go
+++ b/routing/poison/table.go
@@ -63,6 +63,8 @@
 	// ended holds the machines that are known to have ended, with the time at which this node
 	// learned it.
 	ended map[cluster.MachineID]time.Time
+	// clearances are the ends that were cleared within the last restartDelay because the machine answered.
+	clearances []clearance
 	// completed holds the requests that were answered completely, with the time of the last answer.
 	completed map[Fingerprint]time.Time
 	// completedOrder is a ring of these requests in the order of their first answer. Once it is
@@ -176,6 +178,9 @@
 	}
 	delete(t.ended, machine)
 	for content, known := range t.entries {
+		if contains(known.AttributedEnds(), machine) {
+			t.noteClearance(now, clearance{machine: machine, content: content, at: now})
+		}
 		if contains(known.Ends, machine) {
 			t.merge(now, &Record{Content: content, Cleared: []cluster.MachineID{machine}})
 		}
@@ -227,6 +232,7 @@
 	if known == nil {
 		return false
 	}
+	t.clearances = slices.DeleteFunc(t.clearances, func(c clearance) bool { return c.content == content })
 	t.merge(now, &Record{Content: content, Cleared: known.Ends})
 	return true
 }
--- a/routing/restarted_ends_test.go
+++ b/routing/restarted_ends_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+// Guards against an end that is never counted, since the later start of the machine answered another request before
+// its entry was read and so seemed to show that the machine had not ended.
+func TestAnswerOfLaterStartDoesNotClearEnd(t *testing.T) {
+	for name, known := range map[string]bool{"later start known": true, "later start unknown": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, testPolicy())
+			f.status(true, loaded("m1", 4))
+			harmful := poison.Fingerprint{1}
+			f.endUnder("a", harmful, "m1", "m1")
+			if known {
+				f.step(MachineStartFound{Machine: "m1", Start: "m1-later"})
+			}
+			f.advance(time.Second)
+			f.expect(f.arrive("b", func(r *Request) { r.Content = poison.Fingerprint{2} }), "dispatch b/1 to m1; ")
+			f.step(AttemptEnded{Request: "b", Attempt: 1})
+			f.step(MachineRestarted{Machine: "m1-later", Before: "m1"})
+			f.step(MachineEnded{Machine: "m1"})
+			if got := f.attributedEnds(harmful); got != 1 {
+				t.Errorf("%d ends count, want 1", got)
+			}
+		})
+	}
+}
+
 // Guards against an end that is never counted, since the start that ended wrote no entry: the next entry is of the start
 // after it.
 func TestEndOfStartWithoutEntryCounts(t *testing.T) {
--- a/routing/restarts.go
+++ b/routing/restarts.go
@@ -26,6 +26,9 @@
 	if before == nil {
 		return
 	}
+	if !before.leaving() {
+		r.poison.MachineRestarted(r.now, event.Before)
+	}
 	if unlisted := before.answeringStart(); unlisted != event.Machine && unlisted != event.Before {
 		r.machineEnded(unlisted)
 	}
