Wait for messages that still arrive before the transport is closed

The race detector saw watermill-http's Subscriber.Close beside a request that sends on its channel, as a node was killed. Transport.Close waits for the requests in progress until its context ends, 20 ms at a kill; then it closes the server, which closes the connections and does not wait for the handlers. A request whose body had been read went on and sent its message while receiver.close closed the channel: a panic, which net/http recovers, and a data race.

Requests for messages now pass a gate. After the server was closed, the gate refuses those that still come and waits for those in progress, and only then is the subscriber closed. A closed connection ends the reading of a body at once, so that the wait lasts as long as a handler, without a timer.

--- a/wire/transport.go
+++ b/wire/transport.go
@@ -70,15 +70,18 @@
 
 // receiver holds the watermill components that receive messages.
 type receiver struct {
+	gate       requestGate
 	subscriber *watermillhttp.Subscriber
 	router     *message.Router
 	stop       context.CancelFunc
 }
 
-// close ends the subscription. No request may be in progress. The router does not always close its
+// close ends the subscription after the requests in progress, which the subscriber would otherwise pass to a
+// closed channel: a server that is closed does not wait for its handlers. The router does not always close its
 // subscriber when its context ends, so close does that, after it has cancelled the context and before
 // it closes the router.
 func (r *receiver) close() error {
+	r.gate.close()
 	r.stop()
 	if err := r.subscriber.Close(); err != nil {
 		return err
@@ -173,14 +176,14 @@
 	}
 	router.AddConsumerHandler("peers", messagesPath, subscriber, t.receive)
 	routing, stop := context.WithCancel(context.Background())
-	t.receiver = receiver{subscriber: subscriber, router: router, stop: stop}
+	t.receiver.subscriber, t.receiver.router, t.receiver.stop = subscriber, router, stop
 	t.running.Go(func() {
 		if err := router.Run(routing); err != nil {
 			t.logger.Error("peer message router stopped", "error", err)
 		}
 	})
 	<-router.Running()
-	return announceVersion(mux, t.options.announcedVersion), nil
+	return t.receiver.gate.wrap(announceVersion(mux, t.options.announcedVersion)), nil
 }
 
 // unmarshalRequest reads a request body of at most maxBodyBytes.
