--- a/passthrough/peer_attempt_test.go
+++ b/passthrough/peer_attempt_test.go
@@ -117,3 +117,14 @@
 		t.Errorf("%d bytes were read", read)
 	}
 }
+
+// TestRequestIsNotSentOverLostPathWhenNoPeerMayBeAsked guards against a request that is sent to a machine over a path that
+// probes have found to be lost, because all other nodes were absent a moment ago: its caller would get 502, which
+// promises nothing, and may not repeat it.
+func TestRequestIsNotSentOverLostPathWhenNoPeerMayBeAsked(t *testing.T) {
+	a := &attempt{exchange: &exchange{Handler: &Handler{Config: Config{Path: fixedPath{atFault: true}}}}}
+	failure, tried := a.exchangeThroughPeers(t.Context())
+	if !tried || failure == nil || failure.Verdict != verdict.NotRun || !a.withheld {
+		t.Errorf("tried %t, failure %v, withheld %t; want a refusal as not run", tried, failure, a.withheld)
+	}
+}
