Send requests of nodes without a path while a node stops

A node that stops refused what other nodes want to send through it from the first moment of its stop. A node that is cut off from all workers, whose requests go through others, could serve nobody while all others stopped, 4.5 to 7.65 s long.

A stopping node now sends for others under the rule for its own callers: after 2.85 s only requests whose deadline lies before the end of its drain; it stops to do so once its callers are answered, and then waits for what it sent. Each of its answers tells the other node that it stops and closes the connection, so that nothing is sent on one that ends. The other node then asks it only where no other is left, and does not leave it alone for refusing one long request. Nodes of earlier builds ignore the field.

--- a/eventlog/request_events.go
+++ b/eventlog/request_events.go
@@ -115,7 +115,7 @@
 	Attempt cluster.Attempt   `log:"attempt" doc:"number of the dispatch"`
 	Machine cluster.MachineID `log:"machine" doc:"worker that it is for"`
 	Peer    cluster.NodeID    `log:"peer" doc:"node that was asked to send it"`
-	Outcome string            `log:"outcome" doc:"complete: the worker's answer was read (attempt_ended tells more if it was no success); broken, ended, failed: sent, without a complete answer; disconnected: the connection to the peer ended before an answer, so that the request may have been sent; unreachable, refused, blocked, other-start: not sent, because of the worker; no-path, overloaded, draining, unknown-machine, no-answer, unsupported: not sent, and the next node is asked. After disconnected, no-answer, draining and unsupported the peer is not asked for 2 s, if it is absent again for 4 s; after no-path for 1 s, after overloaded for 0.25 s"`
+	Outcome string            `log:"outcome" doc:"complete: the worker's answer was read (attempt_ended tells more if it was no success); broken, ended, failed: sent, without a complete answer; disconnected: the connection to the peer ended before an answer, so that the request may have been sent; unreachable, refused, blocked, other-start: not sent, because of the worker; no-path, overloaded, draining, ends-earlier (the peer is stopping and may end before the request), unknown-machine, no-answer, unsupported: not sent, and the next node is asked. After disconnected, no-answer, draining and unsupported the peer is not asked for 2 s, if it is absent again for 4 s; after no-path for 1 s, after overloaded for 0.25 s"`
 }
 
 // PeerRequestEnded is written when this node has handled a request that another node sends to a worker
--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -92,6 +92,8 @@
 	becameReady       chan struct{}
 	stopping          atomic.Bool
 	closesConnections atomic.Bool
+	// refusesPeerRequests is set once a stopping node sends no more requests of other nodes.
+	refusesPeerRequests atomic.Bool
 	// admissionDeadline limits the deadlines of the requests that are admitted during a planned
 	// stop, in nanoseconds since epoch; zero means no limit.
 	admissionDeadline atomic.Int64
@@ -154,7 +156,7 @@
 func (n *Node) openListeners() error {
 	n.peerProxy = passthrough.NewPeerProxy(passthrough.PeerProxyConfig{
 		Dialect: n.options.Dialect, Pool: n.pool, Path: n.path, Log: n.options.Log, FindMachine: n.findMachine, EntriesInclude: n.entriesInclude, Refuses: n.refusesPeers,
-		Report: n.Report, Retained: n.retained, MaxBodyBytes: n.maxBodyBytes,
+		Admits: n.admitsPeerRequest, Draining: n.stopping.Load, Report: n.Report, Retained: n.retained, MaxBodyBytes: n.maxBodyBytes,
 	})
 	transport, err := wire.NewTransport(n.options.PeerAddress, n.options.Logger, n.receive, wire.WithCompression(compressionThresholdBytes),
 		wire.WithHandler(passthrough.PeerPath, maxHeaderBytes, n.peerProxy), wire.WithHandler(passthrough.PeerStartPath, maxHeaderBytes, n.peerProxy))
--- a/fleet/shell/partition_test.go
+++ b/fleet/shell/partition_test.go
@@ -32,8 +32,8 @@
 func sourceOf(node int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(31 + node)}) }
 
 // newPartitionedDeployment starts nodes and two workers of each service.
-func newPartitionedDeployment(t *testing.T, nodes int) *partitionedDeployment {
-	d := &partitionedDeployment{deployment: newDeployment(t)}
+func newPartitionedDeployment(t *testing.T, nodes int, routeChanges ...func(*platform.RouteDocument)) *partitionedDeployment {
+	d := &partitionedDeployment{deployment: newDeployment(t, routeChanges...)}
 	for i := range 4 {
 		service := plainService
 		if i%2 == 1 {
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -211,6 +211,9 @@
 	return p.peers.pick(excluded)
 }
 
+// PeerDrains implements passthrough.Path.
+func (p *machinePath) PeerDrains(id cluster.NodeID) { p.peers.drains(id) }
+
 // PeerEnded implements passthrough.Path.
 func (p *machinePath) PeerEnded(id cluster.NodeID, outcome passthrough.PeerOutcome) {
 	p.peers.ended(id, outcome)
@@ -324,7 +327,7 @@
 func (n *Node) refusesPeers(active int64) passthrough.PeerOutcome {
 	most := n.options.CallerLimits.MaxRequestsInFlight
 	switch {
-	case n.stopping.Load():
+	case n.refusesPeerRequests.Load():
 		return passthrough.OutcomeDraining
 	case !n.isReady.Load():
 		return passthrough.OutcomeUnknown
@@ -337,6 +340,10 @@
 	return ""
 }
 
+// admitsPeerRequest reports whether a request of another node that ends within a time is sent: the rule of a planned
+// stop for callers holds for other nodes too.
+func (n *Node) admitsPeerRequest(within time.Duration) bool { return n.admits(n.Now().Add(within)) }
+
 // maxBodyBytes returns the bound on the body of a request.
 func (n *Node) maxBodyBytes() int64 {
 	if compiled := n.compiled.Load(); compiled != nil && compiled.Limits.MaxBodyBytes > 0 {
--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -45,10 +45,12 @@
 	pausedUntil map[cluster.NodeID]time.Time
 	// absent are the nodes that were absent and have not answered since.
 	absent map[cluster.NodeID]bool
+	// draining are the nodes that said that they are stopping. They are asked only if there are no others.
+	draining map[cluster.NodeID]bool
 }
 
 func newPeerSet(now func() time.Time) *peerSet {
-	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absent: map[cluster.NodeID]bool{}}
+	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absent: map[cluster.NodeID]bool{}, draining: map[cluster.NodeID]bool{}}
 }
 
 // set replaces the nodes.
@@ -56,7 +58,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.list = s.list[:0]
-	pausedUntil, absent := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]bool)
+	pausedUntil, absent, draining := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]bool), make(map[cluster.NodeID]bool)
 	for i := range nodes {
 		entry := &nodes[i]
 		if entry.ID == self.ID || entry.Machine == self.Machine && self.Machine != "" || entry.Address == "" {
@@ -69,8 +71,11 @@
 		if s.absent[entry.ID] {
 			absent[entry.ID] = true
 		}
+		if s.draining[entry.ID] {
+			draining[entry.ID] = true
+		}
 	}
-	s.pausedUntil, s.absent = pausedUntil, absent
+	s.pausedUntil, s.absent, s.draining = pausedUntil, absent, draining
 	slices.SortFunc(s.list, func(a, b passthrough.Peer) int {
 		return cmp.Or(cmp.Compare(peerWeight(self.ID, a.ID), peerWeight(self.ID, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -89,19 +94,14 @@
 }
 
 // pick returns the one of two random nodes that has fewer open requests of this one. They are among the first
-// maxPeersInUse that are neither excluded nor paused. It returns false if there is none.
+// maxPeersInUse that are neither excluded nor paused, and among those that are stopping only if there are no others. It
+// returns false if there is none.
 func (s *peerSet) pick(excluded []cluster.NodeID) (passthrough.Peer, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	now := s.now()
-	eligible := make([]passthrough.Peer, 0, maxPeersInUse)
-	for _, peer := range s.list {
-		if len(eligible) == maxPeersInUse {
-			break
-		}
-		if !slices.Contains(excluded, peer.ID) && !now.Before(s.pausedUntil[peer.ID]) {
-			eligible = append(eligible, peer)
-		}
+	eligible := s.eligible(excluded, false)
+	if len(eligible) == 0 {
+		eligible = s.eligible(excluded, true)
 	}
 	if len(eligible) == 0 {
 		return passthrough.Peer{}, false
@@ -114,6 +114,29 @@
 	return chosen, true
 }
 
+// eligible returns the first nodes that may be asked, either of those that are stopping or of the others. The caller
+// holds the mutex.
+func (s *peerSet) eligible(excluded []cluster.NodeID, draining bool) []passthrough.Peer {
+	now := s.now()
+	eligible := make([]passthrough.Peer, 0, maxPeersInUse)
+	for _, peer := range s.list {
+		if len(eligible) == maxPeersInUse {
+			break
+		}
+		if s.draining[peer.ID] == draining && !slices.Contains(excluded, peer.ID) && !now.Before(s.pausedUntil[peer.ID]) {
+			eligible = append(eligible, peer)
+		}
+	}
+	return eligible
+}
+
+// drains records that a node is stopping. It does so until it ends.
+func (s *peerSet) drains(id cluster.NodeID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining[id] = true
+}
+
 // ended records the outcome of a request to a node.
 func (s *peerSet) ended(id cluster.NodeID, outcome passthrough.PeerOutcome) {
 	s.mutex.Lock()
--- a/fleet/shell/peers_test.go
+++ b/fleet/shell/peers_test.go
@@ -131,3 +131,27 @@
 		t.Error("not asked again after the first pause")
 	}
 }
+
+// TestStoppingPeerIsAskedLast guards against requests that are sent through a node that is stopping although another one
+// would send them, and against ones that are refused although only such nodes are left.
+func TestStoppingPeerIsAskedLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nodes := testNodes(3)
+	set := newPeerSet(func() time.Time { return now })
+	set.set(nodes, &nodes[0])
+	stopping, other := nodes[1].ID, nodes[2].ID
+	set.drains(stopping)
+	set.set(nodes, &nodes[0])
+	for range 20 {
+		if peer, _ := set.pick(nil); peer.ID != other {
+			t.Fatalf("%s was asked before %s", peer.ID, other)
+		}
+	}
+	for range 2 {
+		peer, found := set.pick([]cluster.NodeID{other})
+		if !found || peer.ID != stopping {
+			t.Fatalf("asked %q, found %t, want %s", peer.ID, found, stopping)
+		}
+		set.ended(peer.ID, passthrough.OutcomeEndsEarlier)
+	}
+}
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -41,8 +41,8 @@
 
 // Stop stops the node as planned. The node reports that it is not ready and serves until callers
 // have noticed, then asks callers to close their connections, then rejects new requests that may
-// outlast the grace time as not run. It ends once all requests are answered or the grace time is
-// nearly over.
+// outlast the grace time as not run. Under the same rule it sends the requests of other nodes until its
+// callers are answered. It ends once all requests are answered or the grace time is nearly over.
 func (n *Node) Stop() {
 	n.stopOnce.Do(n.stop)
 	<-n.stopped
@@ -60,10 +60,12 @@
 	n.admissionDeadline.Store(int64(drainEnd.Sub(n.epoch)))
 	rejectedQueued := false
 	for n.Now().Before(drainEnd) {
-		idle := n.unanswered() == 0 && n.Now().Sub(began) >= listenerOpenTime
+		idle := n.unansweredCallers() == 0 && n.Now().Sub(began) >= listenerOpenTime
 		if !rejectedQueued && (idle || drainEnd.Sub(n.Now()) < queueRejectLead) {
 			rejectedQueued = true
 			n.step(fleet.DrainStarted{})
+			// The requests of other nodes that came before are waited for.
+			n.refusesPeerRequests.Store(true)
 		}
 		if rejectedQueued && n.unanswered() == 0 {
 			break
@@ -136,8 +138,13 @@
 	return len(n.tickets) + n.peerProxy.Active()
 }
 
-// unanswered returns the number of requests for which a stop waits: those in flight, and those whose answers are still
-// being written because their callers read slowly.
-func (n *Node) unanswered() int {
-	return max(n.inFlight(), n.callerHandler.Unanswered()+n.peerProxy.Active())
+// unanswered returns the number of requests for which a stop waits, those of other nodes included.
+func (n *Node) unanswered() int { return n.unansweredCallers() + n.peerProxy.Active() }
+
+// unansweredCallers returns the number of the callers' requests in flight, and of those whose answers are still being
+// written because their callers read slowly.
+func (n *Node) unansweredCallers() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return max(len(n.tickets), n.callerHandler.Unanswered())
 }
--- a/passthrough/path.go
+++ b/passthrough/path.go
@@ -32,6 +32,8 @@
 	// PickPeer returns a node that may reach machines, except the excluded ones, and false if there
 	// is none.
 	PickPeer(excluded []cluster.NodeID) (Peer, bool)
+	// PeerDrains records that a peer is stopping, so that others are asked before it.
+	PeerDrains(id cluster.NodeID)
 	// PeerEnded records the outcome of a request to a peer.
 	PeerEnded(id cluster.NodeID, outcome PeerOutcome)
 }
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -138,6 +138,9 @@
 		}
 		return nil, err
 	}
+	if outer.Header.Get(headerPeerDraining) != "" {
+		a.Path.PeerDrains(a.peer.ID)
+	}
 	if outer.StatusCode == http.StatusOK && outer.Header.Get("Content-Type") == messageMediaType {
 		return readPeerAnswer(outer, forwarded)
 	}
@@ -154,6 +157,9 @@
 // outcome, only the statuses for an unknown path or an unreadable request show that nothing was sent.
 func refusedPeerOutcome(outer *http.Response) PeerOutcome {
 	if text := outer.Header.Get(headerPeerOutcome); isPeerOutcome(text) {
+		if PeerOutcome(text) == OutcomeDraining && outer.Header.Get(headerPeerDraining) != "" {
+			return OutcomeEndsEarlier
+		}
 		return PeerOutcome(text)
 	}
 	switch outer.StatusCode {
--- a/passthrough/peer_message.go
+++ b/passthrough/peer_message.go
@@ -38,7 +38,9 @@
 	// headerPeerOutcome is a field of the header if there is no answer of the machine, and otherwise
 	// of the trailer.
 	headerPeerOutcome = "Valveslip-Outcome"
-	messageMediaType  = "message/http"
+	// headerPeerDraining is set by a node that is stopping and still sends the requests that end before it does.
+	headerPeerDraining = "Valveslip-Draining"
+	messageMediaType   = "message/http"
 )
 
 // PeerOutcome is the result of a request that another node sent to a machine.
@@ -76,12 +78,14 @@
 	// OutcomeNoAnswer: that node can't be reached; OutcomeUnsupported: its build has no PeerPath.
 	OutcomeNoAnswer    PeerOutcome = "no-answer"
 	OutcomeUnsupported PeerOutcome = "unsupported"
+	// OutcomeEndsEarlier: that node is stopping and may end before this request. It sends shorter ones.
+	OutcomeEndsEarlier PeerOutcome = "ends-earlier"
 )
 
 // passesOn reports whether another node may be asked in place of the one with this outcome.
 func (o PeerOutcome) passesOn() bool {
 	switch o {
-	case OutcomeNoPath, OutcomeOverloaded, OutcomeDraining, OutcomeUnknown, OutcomeNoAnswer, OutcomeUnsupported:
+	case OutcomeNoPath, OutcomeOverloaded, OutcomeDraining, OutcomeUnknown, OutcomeNoAnswer, OutcomeUnsupported, OutcomeEndsEarlier:
 		return true
 	}
 	return false
--- a/passthrough/peer_proxy.go
+++ b/passthrough/peer_proxy.go
@@ -31,6 +31,10 @@
 	EntriesInclude func(listened time.Duration) bool
 	// Refuses returns why this node sends no requests of other nodes now, else an empty outcome.
 	Refuses func(active int64) PeerOutcome
+	// Admits reports whether a request that ends within a time is sent. If nil, all are.
+	Admits func(within time.Duration) bool
+	// Draining reports whether this node is stopping. If nil, it never is.
+	Draining func() bool
 	// Report hands what a machine states about itself to the router.
 	Report func(event routing.Event)
 	// Retained bounds the bytes that are held for requests.
@@ -58,15 +62,27 @@
 	w.Header()["Date"] = nil
 	defer p.active.Add(-1)
 	began := time.Now()
+	draining := p.Draining != nil && p.Draining()
+	if draining {
+		// The other node must not send on a connection that this one is about to close.
+		w.Header().Set("Connection", "close")
+	}
 	if outcome := p.refusal(r.Context(), p.active.Add(1)); outcome != "" {
 		refusePeer(w, outcome)
 		return
 	}
+	if draining {
+		w.Header().Set(headerPeerDraining, "1")
+	}
 	task, err := readPeerTask(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if p.Admits != nil && !p.Admits(task.timeout) {
+		refusePeer(w, OutcomeDraining)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), task.timeout)
 	defer cancel()
 	e := &peerExchange{PeerProxy: p, task: task, writer: w, id: p.Dialect.ReadCaller(task.inner.Header).RequestID}
--- a/passthrough/peer_start_test.go
+++ b/passthrough/peer_start_test.go
@@ -29,6 +29,7 @@
 func (workingPath) PickPeer([]cluster.NodeID) (passthrough.Peer, bool) {
 	return passthrough.Peer{}, false
 }
+func (workingPath) PeerDrains(cluster.NodeID)                                    {}
 func (workingPath) PeerEnded(id cluster.NodeID, outcome passthrough.PeerOutcome) {}
 
 // TestPeerSendsOnlyToStartThatIsMeant guards against a stream that a node without a path continues through another
