Read the requests on accepted connections before a stopping node shuts its server down

A server of net/http that is shut down drops what it reads after that: it closes the connection without an answer, also if the request was sent long before. A planned stop shut the callers' server down as soon as its listener was empty, so that a request whose connection was accepted, and whose goroutine had not run yet, was lost. Beside load, where goroutines run tens of ms late, that meets callers who came in time.

The test for connections that were not accepted now runs beside others.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -81,13 +81,15 @@
 	// failures remembers the causes of failed calls that were logged.
 	failures eventlog.Failures
 
-	transport       *wire.Transport
-	callerHandler   *passthrough.Handler
-	callerServer    *http.Server
-	callerListener  *drainlistener.Listener
-	readinessServer *http.Server
-	metricsServer   *http.Server
-	isReady         atomic.Bool
+	transport      *wire.Transport
+	callerHandler  *passthrough.Handler
+	callerServer   *http.Server
+	callerListener *drainlistener.Listener
+	// callerConnections are those of callerServer.
+	callerConnections drainlistener.Connections
+	readinessServer   *http.Server
+	metricsServer     *http.Server
+	isReady           atomic.Bool
 	// becameReady is closed once the node is ready for the first time.
 	becameReady       chan struct{}
 	stopping          atomic.Bool
@@ -170,12 +172,12 @@
 		Metrics: passthrough.NewMetrics(n.registry), NewID: n.newRequestID, Closing: n.closesConnections.Load, Admits: n.admits,
 		NeedsFingerprint: n.needsFingerprint, FindKey: n.findKey, MaySend: n.checkSend, Path: n.path, EntriesInclude: n.entriesInclude, Retained: n.retained, MayAccept: n.admitRequest, MaxActiveRequests: n.options.CallerLimits.MaxRequestsInFlight,
 	})
-	if n.callerServer, err = n.startServer(&n.options.CallersAddress, n.callerHandler, n.limitCallers); err != nil {
+	if n.callerServer, err = n.startServer(&n.options.CallersAddress, n.callerHandler, n.limitCallers, n.callerConnections.Track); err != nil {
 		return errors.Join(eris.Wrap(err, "open the listener for callers"), transport.Close(n.context))
 	}
 	readinessRouter := chi.NewRouter()
 	readinessRouter.Get(n.options.ReadyPath, n.serveReadiness)
-	if n.readinessServer, err = n.startServer(&n.options.ReadyAddress, readinessRouter, withSilenceLimit); err != nil {
+	if n.readinessServer, err = n.startServer(&n.options.ReadyAddress, readinessRouter, withSilenceLimit, nil); err != nil {
 		return errors.Join(eris.Wrap(err, "open the listener for readiness probes"), transport.Close(n.context), n.callerServer.Close())
 	}
 	if n.options.MetricsAddress == "" {
@@ -183,15 +185,15 @@
 	}
 	metricsRouter := chi.NewRouter()
 	metricsRouter.Handle(MetricsPath, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{DisableCompression: true}))
-	if n.metricsServer, err = n.startServer(&n.options.MetricsAddress, metricsRouter, withSilenceLimit); err != nil {
+	if n.metricsServer, err = n.startServer(&n.options.MetricsAddress, metricsRouter, withSilenceLimit, nil); err != nil {
 		n.options.Log.Write(eventlog.DependencyLost{Name: "metrics listener", Cause: err.Error()})
 	}
 	return nil
 }
 
 // startServer starts an HTTP server on a listener that it passes through wrap, and stores the
-// listener's actual address in address.
-func (n *Node) startServer(address *string, handler http.Handler, wrap func(net.Listener) net.Listener) (*http.Server, error) {
+// listener's actual address in address. The server calls track as its ConnState.
+func (n *Node) startServer(address *string, handler http.Handler, wrap func(net.Listener) net.Listener, track func(net.Conn, http.ConnState)) (*http.Server, error) {
 	listener, err := n.options.Listen("tcp", *address)
 	if err != nil {
 		return nil, err
@@ -199,6 +201,7 @@
 	*address = listener.Addr().String()
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: track,
 	}
 	wrapped := wrap(listener)
 	go func() {
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -87,6 +87,7 @@
 	defer cancel()
 	select {
 	case <-n.callerListener.Drained():
+		n.callerConnections.AwaitIdle(ctx)
 		_ = n.callerServer.Shutdown(ctx)
 	case <-ctx.Done():
 	}
--- a/fleet/shell/stop_test.go
+++ b/fleet/shell/stop_test.go
@@ -16,12 +16,31 @@
 	*net.TCPListener
 	release  chan struct{}
 	released sync.Once
+	// readsAfter delays the first read of each connection.
+	readsAfter time.Duration
 }
 
 // Accept implements net.Listener.
 func (l *heldListener) Accept() (net.Conn, error) {
 	<-l.release
-	return l.TCPListener.Accept()
+	connection, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConnection{TCPConn: connection, readsAfter: l.readsAfter}, nil
+}
+
+// lateConnection delays its first read.
+type lateConnection struct {
+	*net.TCPConn
+	readsAfter time.Duration
+	first      sync.Once
+}
+
+// Read implements net.Conn.
+func (c *lateConnection) Read(data []byte) (int, error) {
+	c.first.Do(func() { time.Sleep(c.readsAfter) })
+	return c.TCPConn.Read(data)
 }
 
 // SetDeadline is called when the listener is drained.
@@ -40,20 +59,32 @@
 // without an answer: its connection waited to be accepted, since the node was late, and was reset
 // when the node closed its listener.
 func TestStopAnswersRequestsOfQueuedConnections(t *testing.T) {
+	testQueuedConnection(t, 0)
+}
+
+// TestStopAnswersRequestsThatAreReadLate guards against a planned stop that drops a request, since its server was shut
+// down after it had accepted the connection and before it read the request.
+func TestStopAnswersRequestsThatAreReadLate(t *testing.T) {
+	testQueuedConnection(t, 200*time.Millisecond)
+}
+
+func testQueuedConnection(t *testing.T, readsAfter time.Duration) {
+	t.Parallel()
 	d := newDeployment(t)
 	node := d.startNode("n", func(o *shell.Options) {
-		o.Listen = holdFirst()
+		o.Listen = holdFirst(readsAfter)
 	})
 	answered := make(chan reply, 1)
 	go func() { answered <- d.call(node, http.MethodGet, "/write/x", "", nil) }()
 	node.Stop()
 	if got := <-answered; got.status != http.StatusServiceUnavailable {
-		t.Errorf("the request was answered with %d: %s", got.status, got.body)
+		t.Errorf("the request was answered with %d: %s, %v", got.status, got.body, got.err)
 	}
 }
 
-// holdFirst returns a function that opens listeners, of which the first, the callers', is held.
-func holdFirst() func(network, address string) (net.Listener, error) {
+// holdFirst returns a function that opens listeners, of which the first, the callers', is held and delays the first read of
+// each connection.
+func holdFirst(readsAfter time.Duration) func(network, address string) (net.Listener, error) {
 	first := true
 	return func(network, address string) (net.Listener, error) {
 		listener, err := net.Listen(network, address)
@@ -61,6 +92,6 @@
 			return listener, err
 		}
 		first = false
-		return &heldListener{TCPListener: listener.(*net.TCPListener), release: make(chan struct{})}, nil
+		return &heldListener{TCPListener: listener.(*net.TCPListener), release: make(chan struct{}), readsAfter: readsAfter}, nil
 	}
 }
