Split the probes of a node's path from its state

Cause: path.go holds the state, the peers and the probes of a path, and the probes read machines through the node alone, so that no test can play them on a virtual clock.

Change: the probes stand in path_probes.go and read machines through an interface that the node implements. Nothing else changes.

--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,25 +14,25 @@
 	"github.com/valveslip/valveslip/reachability"
 )
 
-const (
-	// maxLoggedMachines bounds the machines that a line on the path names.
-	maxLoggedMachines = 8
-	// probesAtOnce is the number of machines that are probed at a time.
-	probesAtOnce = 3
-	// probeTimeout bounds one probe: engines answer between two steps of a batch. probeInterval is the
-	// time between two rounds of probes. It is short because a node uses its own path again only after
-	// an answered probe, and long enough that probes cost little while a path is lost.
-	probeTimeout  = 600 * time.Millisecond
-	probeInterval = 500 * time.Millisecond
-)
+// maxLoggedMachines bounds the machines that a line on the path names.
+const maxLoggedMachines = 8
+
+// machineSource knows the machines of a deployment.
+type machineSource interface {
+	// knownMachines returns the number of machines.
+	knownMachines() int
+	// probeTargets returns the machines that can be probed, in no particular order.
+	probeTargets() []fleet.ProbeTarget
+}
 
 // machinePath observes this node's connections to machines, probes machines while the node suspects
 // that it has lost its path to them, and chooses the nodes through which requests are sent meanwhile.
 // It implements passthrough.Path and is safe for concurrent use. Its mutex may be taken while that
 // of the Node is held, not the other way round.
 type machinePath struct {
-	node  *Node
-	peers *peerSet
+	node     *Node
+	machines machineSource
+	peers    *peerSet
 	// doubtful is set while the monitor holds failures. Data that arrives while it is not set
 	// changes nothing, so that the request path pays no lock for it.
 	doubtful atomic.Bool
@@ -59,7 +57,7 @@
 }
 
 func newMachinePath(n *Node) *machinePath {
-	return &machinePath{node: n, peers: newPeerSet(n.options.Now), began: time.Now(), monitor: reachability.New(), changedAt: n.options.Now()}
+	return &machinePath{node: n, machines: n, peers: newPeerSet(n.options.Now), began: time.Now(), monitor: reachability.New(), changedAt: n.options.Now()}
 }
 
 // dataArrived implements upstream.Options.OnData.
@@ -77,7 +75,7 @@
 	if p.peers.empty() {
 		return
 	}
-	known := p.node.knownMachines()
+	known := p.machines.knownMachines()
 	p.update(cause, func(m *reachability.Monitor) bool {
 		return m.RecordFailure(p.node.options.Now(), address, kind, cause, known)
 	})
@@ -216,89 +214,6 @@
 	p.peers.ended(id, outcome)
 }
 
-// probe sends probes on new connections until the path is back. The first go to machines that have not
-// failed, if there are any; these may have ended since, so that later ones go to any.
-func (p *machinePath) probe() {
-	for first := true; p.node.context.Err() == nil; first = false {
-		answered := p.probeRound(first)
-		p.update("probes", func(m *reachability.Monitor) bool { return m.RecordProbe(p.node.options.Now(), answered) })
-		p.mutex.Lock()
-		done := p.monitor.State() == reachability.Connected
-		p.probing = !done
-		p.mutex.Unlock()
-		if done {
-			return
-		}
-		select {
-		case <-time.After(probeInterval):
-		case <-p.node.context.Done():
-		}
-	}
-}
-
-// probeRound makes one round of probes.
-func (p *machinePath) probeRound(avoidFailed bool) bool {
-	ctx, cancel := context.WithTimeout(p.node.context, probeTimeout)
-	defer cancel()
-	return p.probeOnce(ctx, avoidFailed)
-}
-
-// probeOnce probes some machines and reports whether one answered. With avoidFailed those that failed are
-// probed only if there are no others.
-func (p *machinePath) probeOnce(ctx context.Context, avoidFailed bool) bool {
-	var failed []string
-	if avoidFailed {
-		p.mutex.Lock()
-		failed = p.monitor.Failed()
-		p.mutex.Unlock()
-	}
-	targets := p.node.sampleMachines(probesAtOnce, func(address string) bool { return slices.Contains(failed, address) })
-	answers := make(chan bool, len(targets))
-	for _, target := range targets {
-		go func() {
-			err := p.node.options.Engines.Probe(ctx, target.Address, target.HealthPath)
-			p.node.metrics.countCall("probe", err)
-			answers <- err == nil
-		}()
-	}
-	for range targets {
-		if <-answers {
-			return true
-		}
-	}
-	return false
-}
-
-// knownMachines returns the number of machines that this node knows.
-func (n *Node) knownMachines() int {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if n.core == nil {
-		return 0
-	}
-	return n.core.Machines()
-}
-
-// sampleMachines returns random machines, and avoided ones only if there are no others.
-func (n *Node) sampleMachines(count int, avoid func(address string) bool) []fleet.ProbeTarget {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if n.core == nil {
-		return nil
-	}
-	targets := n.core.ProbeTargets()
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	slices.SortStableFunc(targets, func(a, b fleet.ProbeTarget) int { return boolToInt(avoid(a.Address)) - boolToInt(avoid(b.Address)) })
-	return targets[:min(count, len(targets))]
-}
-
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // findMachine returns the address of a machine for the request of another node.
 func (n *Node) findMachine(id cluster.MachineID) (string, passthrough.PeerOutcome) {
 	n.mutex.Lock()
--- /dev/null
+++ b/fleet/shell/path_probes.go
@@ -0,0 +1,110 @@
+package shell
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/valveslip/valveslip/fleet"
+	"github.com/valveslip/valveslip/reachability"
+)
+
+const (
+	// probesAtOnce is the number of machines that are probed at a time.
+	probesAtOnce = 3
+	// probeTimeout bounds one probe: engines answer between two steps of a batch. probeInterval is the
+	// time between two rounds of probes. It is short because a node uses its own path again only after
+	// an answered probe, and long enough that probes cost little while a path is lost.
+	probeTimeout  = 600 * time.Millisecond
+	probeInterval = 500 * time.Millisecond
+)
+
+// probe sends probes on new connections until the path is back. The first go to machines that have not
+// failed, if there are any; these may have ended since, so that later ones go to any.
+func (p *machinePath) probe() {
+	for first := true; p.node.context.Err() == nil; first = false {
+		answered := p.probeRound(first)
+		p.update("probes", func(m *reachability.Monitor) bool { return m.RecordProbe(p.node.options.Now(), answered) })
+		p.mutex.Lock()
+		done := p.monitor.State() == reachability.Connected
+		p.probing = !done
+		p.mutex.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-time.After(probeInterval):
+		case <-p.node.context.Done():
+		}
+	}
+}
+
+// probeRound makes one round of probes.
+func (p *machinePath) probeRound(avoidFailed bool) bool {
+	ctx, cancel := context.WithTimeout(p.node.context, probeTimeout)
+	defer cancel()
+	return p.probeOnce(ctx, avoidFailed)
+}
+
+// probeOnce probes some machines and reports whether one answered. With avoidFailed those that failed are
+// probed only if there are no others.
+func (p *machinePath) probeOnce(ctx context.Context, avoidFailed bool) bool {
+	var failed []string
+	if avoidFailed {
+		p.mutex.Lock()
+		failed = p.monitor.Failed()
+		p.mutex.Unlock()
+	}
+	targets := p.sampleMachines(probesAtOnce, failed)
+	answers := make(chan bool, len(targets))
+	for _, target := range targets {
+		go func() {
+			err := p.node.options.Engines.Probe(ctx, target.Address, target.HealthPath)
+			p.node.metrics.countCall("probe", err)
+			answers <- err == nil
+		}()
+	}
+	for range targets {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// sampleMachines returns random machines, and avoided ones only if there are no others.
+func (p *machinePath) sampleMachines(count int, avoided []string) []fleet.ProbeTarget {
+	targets := p.machines.probeTargets()
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	avoid := func(target fleet.ProbeTarget) int { return boolToInt(slices.Contains(avoided, target.Address)) }
+	slices.SortStableFunc(targets, func(a, b fleet.ProbeTarget) int { return avoid(a) - avoid(b) })
+	return targets[:min(count, len(targets))]
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// knownMachines implements machineSource.
+func (n *Node) knownMachines() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.core == nil {
+		return 0
+	}
+	return n.core.Machines()
+}
+
+// probeTargets implements machineSource.
+func (n *Node) probeTargets() []fleet.ProbeTarget {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.core == nil {
+		return nil
+	}
+	return n.core.ProbeTargets()
+}
