Take a path for lost only once probes of many machines fail

Cause: a suspicion was followed by probes of three machines, and the path was lost if all three failed. Where most machines had ended these were mostly machines that were down too, although others served: the node refused its own callers and the requests of other nodes. While the path was lost each round asked three of all machines at random, so that one that was back was found late.

Change: if the first three fail, or none answers within 100 ms, up to 32 machines are asked, the first ones again. A node that is cut off finds its path lost as soon as before: after one round trip more where connections are refused, at the same 600 ms where they hang.

TestPathIsLostSoonAfterAllMachinesFail passes before and after.

--- a/fleet/shell/path_probes.go
+++ b/fleet/shell/path_probes.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// probesAtOnce is the number of machines that are probed at a time.
-	probesAtOnce = 3
+	// firstProbes is the number of machines that are probed first. If all of these fail, or none answers within
+	// widenAfter, up to maxProbesAtOnce are: many machines may be down together while the path works.
+	firstProbes     = 3
+	widenAfter      = 100 * time.Millisecond
+	maxProbesAtOnce = 32
 	// probeTimeout bounds one probe: engines answer between two steps of a batch. probeInterval is the
 	// time between two rounds of probes. It is short because a node uses its own path again only after
 	// an answered probe, and long enough that probes cost little while a path is lost.
@@ -47,8 +50,8 @@
 	return p.probeOnce(ctx, avoidFailed)
 }
 
-// probeOnce probes some machines and reports whether one answered. With avoidFailed those that failed are
-// probed only if there are no others.
+// probeOnce probes some machines and, unless one of them answers soon, more of them. It reports whether one
+// answered. Those that failed are among the first with avoidFailed only if there are no others.
 func (p *machinePath) probeOnce(ctx context.Context, avoidFailed bool) bool {
 	var failed []string
 	if avoidFailed {
@@ -56,8 +59,34 @@
 		failed = p.monitor.Failed()
 		p.mutex.Unlock()
 	}
-	targets := p.sampleMachines(probesAtOnce, failed)
-	answers := make(chan bool, len(targets))
+	targets := p.sampleMachines(maxProbesAtOnce, failed)
+	first := targets[:min(firstProbes, len(targets))]
+	answers := make(chan bool, len(first)+len(targets))
+	p.sendProbes(ctx, first, answers)
+	open, widened := len(first), false
+	widen := time.NewTimer(widenAfter)
+	defer widen.Stop()
+	for open > 0 || !widened {
+		if open == 0 {
+			widen.Reset(0)
+		}
+		select {
+		case answered := <-answers:
+			if answered {
+				return true
+			}
+			open--
+		case <-widen.C:
+			// The first are asked again: one that hung may serve new connections meanwhile.
+			p.sendProbes(ctx, targets, answers)
+			open, widened = open+len(targets), true
+		}
+	}
+	return false
+}
+
+// sendProbes probes machines at the same time. The outcome of each goes to the channel, which has room for all.
+func (p *machinePath) sendProbes(ctx context.Context, targets []fleet.ProbeTarget, answers chan<- bool) {
 	for _, target := range targets {
 		go func() {
 			err := p.node.options.Engines.Probe(ctx, target.Address, target.HealthPath)
@@ -65,12 +94,6 @@
 			answers <- err == nil
 		}()
 	}
-	for range targets {
-		if <-answers {
-			return true
-		}
-	}
-	return false
 }
 
 // sampleMachines returns random machines, and avoided ones only if there are no others.
