Send nothing on a path that is known to be lost

Cause: a node whose path is lost asks other nodes, and leaves those alone for up to 4 s that did not send. While all were left alone it sent requests to the workers itself.

Change: with a lost path nothing is sent directly. If all other nodes are left alone, those that refused (no path, overloaded) are asked again 100 ms after their refusal; if none sends the request it is refused as not run. Absent nodes are left alone as before, also if they end within such a pause. A node that knows no other one tries the workers directly as before.

TestRequestsAreNotSentOnLostPath: before 39 and 25 of 50 requests ended with 502; now none. TestOnlyNodeThatRefusedIsAskedAgainSoon: asked once within a second before, now ten times.

--- a/fleet/shell/partition_test.go
+++ b/fleet/shell/partition_test.go
@@ -163,6 +163,39 @@
 	d.checkRunsOnce()
 }
 
+// TestRequestsAreNotSentOnLostPath guards against requests that a node sends to workers although it knows that its
+// path to them is lost, since all other nodes have refused it a moment ago: those that can't be repeated are lost.
+func TestRequestsAreNotSentOnLostPath(t *testing.T) {
+	for name, kind := range map[string]proxy.Partition{
+		"silent": proxy.PartitionSilence, "reset": proxy.PartitionReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newPartitionedDeployment(t, 2)
+			for node := range d.nodes {
+				d.waitUntilServed(node)
+			}
+			d.cutOff(kind, 0, 1)
+			for node := range d.nodes {
+				d.eventually("the node refuses requests for want of a path", func() bool {
+					return d.call(d.nodes[node], http.MethodPost, "/write/", "/write/", nil).status == http.StatusServiceUnavailable
+				})
+			}
+			statuses := map[int]int{}
+			for range 50 {
+				statuses[d.call(d.nodes[0], http.MethodPost, "/write/", "/write/", nil).status]++
+				time.Sleep(20 * time.Millisecond)
+			}
+			if statuses[http.StatusServiceUnavailable] != 50 {
+				t.Errorf("statuses %v, want 50 of %d", statuses, http.StatusServiceUnavailable)
+			}
+			d.heal(1)
+			d.waitUntilServed(0)
+			d.checkRunsOnce()
+		})
+	}
+}
+
 // checkRunsOnce checks that no request that must not be repeated ran twice. The body of a request is
 // the path of its route.
 func (d *partitionedDeployment) checkRunsOnce() {
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -132,8 +132,8 @@
 // Suspected implements passthrough.Path.
 func (p *machinePath) Suspected() bool { return p.state() != reachability.Connected }
 
-// Lost implements passthrough.Path.
-func (p *machinePath) Lost() bool { return p.state() == reachability.Lost }
+// Lost implements passthrough.Path. While no other node is known, machines can only be tried directly.
+func (p *machinePath) Lost() bool { return p.state() == reachability.Lost && !p.peers.empty() }
 
 // AllowsEstablished implements passthrough.Path.
 func (p *machinePath) AllowsEstablished() bool {
--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -25,6 +25,9 @@
 	// each try may cost a request that can't be repeated. It may also be the only node with a path.
 	absentPause    = 2 * time.Second
 	maxAbsentPause = 4 * time.Second
+	// spareInterval is the time after which a node that has refused is asked again if there is no other one: its
+	// refusal takes a round trip, and it may be the first with a path.
+	spareInterval = 100 * time.Millisecond
 )
 
 // maxPeersInUse bounds the nodes among which requests are spread, so that connections to them are reused and
@@ -41,14 +44,21 @@
 	list []passthrough.Peer
 	// open counts the requests at each node that have not ended.
 	open map[cluster.NodeID]int
-	// pausedUntil is the time until which a node is not asked.
-	pausedUntil map[cluster.NodeID]time.Time
+	// pauses are the times for which nodes are not asked.
+	pauses map[cluster.NodeID]peerPause
 	// absent are the nodes that were absent and have not answered since.
 	absent map[cluster.NodeID]bool
 }
 
+// peerPause is a time for which a node is not asked.
+type peerPause struct {
+	until time.Time
+	// spareFrom is when it is asked nevertheless if all others are paused too.
+	spareFrom time.Time
+}
+
 func newPeerSet(now func() time.Time) *peerSet {
-	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absent: map[cluster.NodeID]bool{}}
+	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pauses: map[cluster.NodeID]peerPause{}, absent: map[cluster.NodeID]bool{}}
 }
 
 // set replaces the nodes.
@@ -56,21 +66,21 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.list = s.list[:0]
-	pausedUntil, absent := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]bool)
+	pauses, absent := make(map[cluster.NodeID]peerPause), make(map[cluster.NodeID]bool)
 	for i := range nodes {
 		entry := &nodes[i]
 		if entry.ID == self.ID || entry.Machine == self.Machine && self.Machine != "" || entry.Address == "" {
 			continue
 		}
 		s.list = append(s.list, passthrough.Peer{ID: entry.ID, Address: entry.Address})
-		if until, paused := s.pausedUntil[entry.ID]; paused {
-			pausedUntil[entry.ID] = until
+		if pause, paused := s.pauses[entry.ID]; paused {
+			pauses[entry.ID] = pause
 		}
 		if s.absent[entry.ID] {
 			absent[entry.ID] = true
 		}
 	}
-	s.pausedUntil, s.absent = pausedUntil, absent
+	s.pauses, s.absent = pauses, absent
 	slices.SortFunc(s.list, func(a, b passthrough.Peer) int {
 		return cmp.Or(cmp.Compare(peerWeight(self.ID, a.ID), peerWeight(self.ID, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -89,19 +99,14 @@
 }
 
 // pick returns the one of two random nodes that has fewer open requests of this one. They are among the first
-// maxPeersInUse that are neither excluded nor paused. It returns false if there is none.
+// maxPeersInUse that are neither excluded nor paused, or spare if all are paused. It returns false if there is none.
 func (s *peerSet) pick(excluded []cluster.NodeID) (passthrough.Peer, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
-	eligible := make([]passthrough.Peer, 0, maxPeersInUse)
-	for _, peer := range s.list {
-		if len(eligible) == maxPeersInUse {
-			break
-		}
-		if !slices.Contains(excluded, peer.ID) && !now.Before(s.pausedUntil[peer.ID]) {
-			eligible = append(eligible, peer)
-		}
+	eligible := s.eligible(excluded, func(pause peerPause) bool { return !now.Before(pause.until) })
+	if len(eligible) == 0 {
+		eligible = s.eligible(excluded, func(pause peerPause) bool { return !now.Before(pause.spareFrom) })
 	}
 	if len(eligible) == 0 {
 		return passthrough.Peer{}, false
@@ -114,6 +119,21 @@
 	return chosen, true
 }
 
+// eligible returns the first maxPeersInUse nodes that are not excluded and whose pauses allow it. The caller holds
+// the mutex.
+func (s *peerSet) eligible(excluded []cluster.NodeID, allows func(peerPause) bool) []passthrough.Peer {
+	eligible := make([]passthrough.Peer, 0, maxPeersInUse)
+	for _, peer := range s.list {
+		if len(eligible) == maxPeersInUse {
+			break
+		}
+		if !slices.Contains(excluded, peer.ID) && allows(s.pauses[peer.ID]) {
+			eligible = append(eligible, peer)
+		}
+	}
+	return eligible
+}
+
 // ended records the outcome of a request to a node.
 func (s *peerSet) ended(id cluster.NodeID, outcome passthrough.PeerOutcome) {
 	s.mutex.Lock()
@@ -126,7 +146,7 @@
 	switch {
 	case !absent:
 		delete(s.absent, id)
-	case now.Before(s.pausedUntil[id]):
+	case s.absent[id] && now.Before(s.pauses[id].until):
 		// Requests that were open together tell of the same absence.
 		return
 	case s.absent[id]:
@@ -134,8 +154,11 @@
 	default:
 		s.absent[id] = true
 	}
-	if pause > 0 {
-		s.pausedUntil[id] = now.Add(pause)
+	switch {
+	case absent:
+		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(pause)}
+	case pause > 0:
+		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(spareInterval)}
 	}
 }
 
--- a/fleet/shell/peers_test.go
+++ b/fleet/shell/peers_test.go
@@ -131,3 +131,51 @@
 		t.Error("not asked again after the first pause")
 	}
 }
+
+// TestOnlyNodeThatRefusedIsAskedAgainSoon guards against requests that are refused for a second although the only
+// other node with a path has got it back, and against one question more for each request meanwhile.
+func TestOnlyNodeThatRefusedIsAskedAgainSoon(t *testing.T) {
+	for _, outcome := range []passthrough.PeerOutcome{passthrough.OutcomeNoPath, passthrough.OutcomeOverloaded} {
+		now := time.Unix(1000, 0)
+		nodes := testNodes(3)
+		set := newPeerSet(func() time.Time { return now })
+		set.set(nodes, &nodes[0])
+		asked := 0
+		for range 100 {
+			if peer, found := set.pick([]cluster.NodeID{nodes[2].ID}); found {
+				asked++
+				set.ended(peer.ID, outcome)
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		if asked != 10 {
+			t.Errorf("asked %d times within a second after outcome %s, want 10", asked, outcome)
+		}
+		now = now.Add(spareInterval)
+		for range 20 {
+			peer, _ := set.pick(nil)
+			if peer.ID != nodes[2].ID {
+				t.Fatalf("picked %q after outcome %s while another node has not refused", peer.ID, outcome)
+			}
+			set.ended(peer.ID, passthrough.OutcomeComplete)
+		}
+	}
+}
+
+// TestAbsenceIsNoticedDuringRefusal guards against a node that has ended right after it refused, and is asked again
+// and again.
+func TestAbsenceIsNoticedDuringRefusal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nodes := testNodes(2)
+	set := newPeerSet(func() time.Time { return now })
+	set.set(nodes, &nodes[0])
+	peer, _ := set.pick(nil)
+	set.ended(peer.ID, passthrough.OutcomeNoPath)
+	now = now.Add(spareInterval)
+	peer, _ = set.pick(nil)
+	set.ended(peer.ID, passthrough.OutcomeNoAnswer)
+	now = now.Add(absentPause - time.Millisecond)
+	if _, found := set.pick(nil); found {
+		t.Error("asked again before the pause of an absent node is over")
+	}
+}
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -69,7 +69,7 @@
 		// Another machine may be known to them.
 		a.unreached = true
 		return verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "no other node knows machine %s", a.decision.Machine), true
-	case len(tried) == 0 || !a.Path.Lost():
+	case !a.Path.Lost():
 		return nil, false
 	}
 	a.unreached, a.withheld = true, true
