Begin rounds of probes each half second also where probes hang

Cause: the half second between two rounds of probes ran from the end of a round. Where connections hang a round lasts 600 ms, so that a node asked machines each 1.1 s and found late that its path was back; until then it and the nodes that depend on it refused requests.

Change: the half second runs from the begin of a round.

--- a/fleet/shell/path_probes.go
+++ b/fleet/shell/path_probes.go
@@ -27,6 +27,8 @@
 // failed, if there are any; these may have ended since, so that later ones go to any.
 func (p *machinePath) probe() {
 	for first := true; p.node.context.Err() == nil; first = false {
+		// The interval runs from the begin of a round: probes that hang would add their time to it.
+		next := time.After(probeInterval)
 		answered := p.probeRound(first)
 		p.update("probes", func(m *reachability.Monitor) bool { return m.RecordProbe(p.node.options.Now(), answered) })
 		p.mutex.Lock()
@@ -37,7 +39,7 @@
 			return
 		}
 		select {
-		case <-time.After(probeInterval):
+		case <-next:
 		case <-p.node.context.Done():
 		}
 	}
