Probe a path at once when a new suspicion arises between two rounds

Cause: data on a connection ends a doubt while its probes wait for their next round. If failures raised a new one meanwhile nothing probed it until that round: for up to half a second the node sent its requests through others.

Change: a new suspicion begins the next round at once, and that round asks machines first that have not failed.

--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -52,12 +52,13 @@
 	changedAt time.Time
 	// settled is closed when the current suspicion has been confirmed or refuted; nil without one.
 	settled chan struct{}
-	// probing is set while probes are made.
-	probing bool
+	// probing is set while probes are made. suspicion tells them of a suspicion that has arisen since.
+	probing   bool
+	suspicion chan struct{}
 }
 
 func newMachinePath(n *Node) *machinePath {
-	return &machinePath{node: n, machines: n, peers: newPeerSet(n.options.Now), began: time.Now(), monitor: reachability.New(), changedAt: n.options.Now()}
+	return &machinePath{node: n, machines: n, peers: newPeerSet(n.options.Now), began: time.Now(), monitor: reachability.New(), changedAt: n.options.Now(), suspicion: make(chan struct{}, 1)}
 }
 
 // dataArrived implements upstream.Options.OnData.
@@ -118,6 +119,10 @@
 func (p *machinePath) settle(state reachability.State) {
 	if state == reachability.Suspected {
 		p.settled = make(chan struct{})
+		select {
+		case p.suspicion <- struct{}{}:
+		default:
+		}
 		return
 	}
 	if p.settled != nil {
--- a/fleet/shell/path_probes.go
+++ b/fleet/shell/path_probes.go
@@ -23,13 +23,13 @@
 	probeInterval = 500 * time.Millisecond
 )
 
-// probe sends probes on new connections until the path is back. The first go to machines that have not
-// failed, if there are any; these may have ended since, so that later ones go to any.
+// probe sends probes on new connections until the path is back. The first after a suspicion go to machines that have
+// not failed, if there are any; these may have ended since, so that later ones go to any.
 func (p *machinePath) probe() {
-	for first := true; p.node.context.Err() == nil; first = false {
+	for suspected := p.takeSuspicion(); p.node.context.Err() == nil; {
 		// The interval runs from the begin of a round: probes that hang would add their time to it.
 		next := time.After(probeInterval)
-		answered := p.probeRound(first)
+		answered := p.probeRound(suspected)
 		p.update("probes", func(m *reachability.Monitor) bool { return m.RecordProbe(p.node.options.Now(), answered) })
 		p.mutex.Lock()
 		done := p.monitor.State() == reachability.Connected
@@ -38,13 +38,31 @@
 		if done {
 			return
 		}
-		select {
-		case <-next:
-		case <-p.node.context.Done():
-		}
+		suspected = p.awaitRound(next)
+	}
+}
+
+// takeSuspicion reports whether a suspicion has arisen since the last call.
+func (p *machinePath) takeSuspicion() bool {
+	select {
+	case <-p.suspicion:
+		return true
+	default:
+		return false
 	}
 }
 
+// awaitRound waits for the next round of probes. A new suspicion begins it at once; it reports whether one did.
+func (p *machinePath) awaitRound(next <-chan time.Time) bool {
+	select {
+	case <-p.suspicion:
+		return true
+	case <-next:
+	case <-p.node.context.Done():
+	}
+	return false
+}
+
 // probeRound makes one round of probes.
 func (p *machinePath) probeRound(avoidFailed bool) bool {
 	ctx, cancel := context.WithTimeout(p.node.context, probeTimeout)
--- a/fleet/shell/path_probes_test.go
+++ b/fleet/shell/path_probes_test.go
@@ -224,3 +224,30 @@
 		})
 	}
 }
+
+// TestSuspicionBetweenProbesIsProbedAtOnce guards against a node that doubts its path for half a second because data
+// ended the doubt before while its probes were waiting for their next round.
+func TestSuspicionBetweenProbesIsProbedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := newSimulatedPath(t, 12)
+		for range 20 {
+			for i := range 12 {
+				path.machines.set(machineRefuses, i)
+			}
+			path.awaitState(t, reachability.Lost, 2*time.Second)
+			time.Sleep(probeInterval / 10)
+			for i := range 10 {
+				path.machines.set(machineServes, i)
+			}
+			path.dataArrived(time.Now())
+			path.awaitState(t, reachability.Connected, 0)
+			for _, address := range []string{"10", "11"} {
+				path.Failed(address, reachability.NoConnection, errSimulatedDial.Error())
+			}
+			path.awaitState(t, reachability.Suspected, 0)
+			path.awaitState(t, reachability.Connected, 20*time.Millisecond)
+			path.machines.set(machineServes, 10, 11)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
