--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -25,6 +25,11 @@
 	// each try may cost a request that can't be repeated. It may also be the only node with a path.
 	absentPause    = 2 * time.Second
 	maxAbsentPause = 4 * time.Second
+	// spareInterval is the time after which a node without a path is asked again if there is no other one: its
+	// refusal takes a round trip, and it may be the first with a path. overloadSpareInterval is that for one which
+	// has a path and is late for a moment.
+	spareInterval         = 100 * time.Millisecond
+	overloadSpareInterval = 25 * time.Millisecond
 )
 
 // maxPeersInUse bounds the nodes among which requests are spread, so that connections to them are reused and
@@ -41,16 +46,28 @@
 	list []passthrough.Peer
 	// open counts the requests at each node that have not ended.
 	open map[cluster.NodeID]int
-	// pausedUntil is the time until which a node is not asked.
-	pausedUntil map[cluster.NodeID]time.Time
+	// pauses are the times for which nodes are not asked.
+	pauses map[cluster.NodeID]peerPause
 	// absent are the nodes that were absent and have not answered since.
 	absent map[cluster.NodeID]bool
 	// draining are the nodes that said that they are stopping. They are asked only if there are no others.
 	draining map[cluster.NodeID]bool
 }
 
+// peerPause is a time for which a node is not asked.
+type peerPause struct {
+	until time.Time
+	// spareFrom is when it is asked nevertheless if all others are paused too.
+	spareFrom time.Time
+	// hasPath is true if it refused although it has a path.
+	hasPath bool
+}
+
 func newPeerSet(now func() time.Time) *peerSet {
-	return &peerSet{now: now, open: map[cluster.NodeID]int{}, pausedUntil: map[cluster.NodeID]time.Time{}, absent: map[cluster.NodeID]bool{}, draining: map[cluster.NodeID]bool{}}
+	return &peerSet{
+		now: now, open: map[cluster.NodeID]int{}, pauses: map[cluster.NodeID]peerPause{}, absent: map[cluster.NodeID]bool{},
+		draining: map[cluster.NodeID]bool{},
+	}
 }
 
 // set replaces the nodes.
@@ -58,15 +75,15 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.list = s.list[:0]
-	pausedUntil, absent, draining := make(map[cluster.NodeID]time.Time), make(map[cluster.NodeID]bool), make(map[cluster.NodeID]bool)
+	pauses, absent, draining := make(map[cluster.NodeID]peerPause), make(map[cluster.NodeID]bool), make(map[cluster.NodeID]bool)
 	for i := range nodes {
 		entry := &nodes[i]
 		if entry.ID == self.ID || entry.Machine == self.Machine && self.Machine != "" || entry.Address == "" {
 			continue
 		}
 		s.list = append(s.list, passthrough.Peer{ID: entry.ID, Address: entry.Address})
-		if until, paused := s.pausedUntil[entry.ID]; paused {
-			pausedUntil[entry.ID] = until
+		if pause, paused := s.pauses[entry.ID]; paused {
+			pauses[entry.ID] = pause
 		}
 		if s.absent[entry.ID] {
 			absent[entry.ID] = true
@@ -75,7 +92,7 @@
 			draining[entry.ID] = true
 		}
 	}
-	s.pausedUntil, s.absent, s.draining = pausedUntil, absent, draining
+	s.pauses, s.absent, s.draining = pauses, absent, draining
 	slices.SortFunc(s.list, func(a, b passthrough.Peer) int {
 		return cmp.Or(cmp.Compare(peerWeight(self.ID, a.ID), peerWeight(self.ID, b.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -94,14 +111,18 @@
 }
 
 // pick returns the one of two random nodes that has fewer open requests of this one. They are among the first
-// maxPeersInUse that are neither excluded nor paused, and among those that are stopping only if there are no others. It
-// returns false if there is none.
+// maxPeersInUse that are neither excluded nor paused, and among those that are stopping only if there are no others; if
+// all are paused, among those that are spare. It returns false if there is none.
 func (s *peerSet) pick(excluded []cluster.NodeID) (passthrough.Peer, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	eligible := s.eligible(excluded, false)
+	now := s.now()
+	eligible := s.eligible(excluded, func(id cluster.NodeID) bool { return !s.draining[id] && !now.Before(s.pauses[id].until) })
 	if len(eligible) == 0 {
-		eligible = s.eligible(excluded, true)
+		eligible = s.eligible(excluded, func(id cluster.NodeID) bool { return !now.Before(s.pauses[id].until) })
+	}
+	if len(eligible) == 0 {
+		eligible = s.eligible(excluded, func(id cluster.NodeID) bool { return !now.Before(s.pauses[id].spareFrom) })
 	}
 	if len(eligible) == 0 {
 		return passthrough.Peer{}, false
@@ -114,16 +135,33 @@
 	return chosen, true
 }
 
-// eligible returns the first nodes that may be asked, either of those that are stopping or of the others. The caller
-// holds the mutex.
-func (s *peerSet) eligible(excluded []cluster.NodeID, draining bool) []passthrough.Peer {
+// nextWithPath returns how long it takes until a node that has a path is asked again. It returns false if no pause
+// is that of such a node.
+func (s *peerSet) nextWithPath() (wait time.Duration, found bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	now := s.now()
+	for _, peer := range s.list {
+		pause := s.pauses[peer.ID]
+		if !pause.hasPath || !now.Before(pause.until) {
+			continue
+		}
+		if left := max(pause.spareFrom.Sub(now), 0); !found || left < wait {
+			wait, found = left, true
+		}
+	}
+	return wait, found
+}
+
+// eligible returns the first maxPeersInUse nodes that are not excluded and that may be asked now. The caller holds
+// the mutex.
+func (s *peerSet) eligible(excluded []cluster.NodeID, mayAsk func(cluster.NodeID) bool) []passthrough.Peer {
 	eligible := make([]passthrough.Peer, 0, maxPeersInUse)
 	for _, peer := range s.list {
 		if len(eligible) == maxPeersInUse {
 			break
 		}
-		if s.draining[peer.ID] == draining && !slices.Contains(excluded, peer.ID) && !now.Before(s.pausedUntil[peer.ID]) {
+		if !slices.Contains(excluded, peer.ID) && mayAsk(peer.ID) {
 			eligible = append(eligible, peer)
 		}
 	}
@@ -149,7 +187,7 @@
 	switch {
 	case !absent:
 		delete(s.absent, id)
-	case now.Before(s.pausedUntil[id]):
+	case s.absent[id] && now.Before(s.pauses[id].until):
 		// Requests that were open together tell of the same absence.
 		return
 	case s.absent[id]:
@@ -157,8 +195,13 @@
 	default:
 		s.absent[id] = true
 	}
-	if pause > 0 {
-		s.pausedUntil[id] = now.Add(pause)
+	switch {
+	case absent:
+		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(pause)}
+	case outcome == passthrough.OutcomeOverloaded:
+		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(overloadSpareInterval), hasPath: true}
+	case pause > 0:
+		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(spareInterval)}
 	}
 }
 
--- a/fleet/shell/peers_test.go
+++ b/fleet/shell/peers_test.go
@@ -155,3 +155,59 @@
 		set.ended(peer.ID, passthrough.OutcomeEndsEarlier)
 	}
 }
+
+// TestOnlyNodeThatRefusedIsAskedAgainSoon guards against requests that are refused for a second although the only
+// other node with a path has got it back, or was late for a moment, and against one question more for each request
+// meanwhile.
+func TestOnlyNodeThatRefusedIsAskedAgainSoon(t *testing.T) {
+	for outcome, want := range map[passthrough.PeerOutcome]struct {
+		asked int
+		wait  time.Duration
+	}{
+		passthrough.OutcomeNoPath: {asked: 10}, passthrough.OutcomeOverloaded: {asked: 34, wait: overloadSpareInterval},
+	} {
+		now := time.Unix(1000, 0)
+		nodes := testNodes(3)
+		set := newPeerSet(func() time.Time { return now })
+		set.set(nodes, &nodes[0])
+		asked := 0
+		for range 100 {
+			if peer, found := set.pick([]cluster.NodeID{nodes[2].ID}); found {
+				asked++
+				set.ended(peer.ID, outcome)
+				if wait, found := set.nextWithPath(); wait != want.wait || found != (want.wait > 0) {
+					t.Fatalf("waits %s for a node with a path after outcome %s, found %t, want %s", wait, outcome, found, want.wait)
+				}
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		if asked != want.asked {
+			t.Errorf("asked %d times within a second after outcome %s, want %d", asked, outcome, want.asked)
+		}
+		for range 20 {
+			peer, _ := set.pick(nil)
+			if peer.ID != nodes[2].ID {
+				t.Fatalf("picked %q after outcome %s while another node has not refused", peer.ID, outcome)
+			}
+			set.ended(peer.ID, passthrough.OutcomeComplete)
+		}
+	}
+}
+
+// TestAbsenceIsNoticedDuringRefusal guards against a node that has ended right after it refused, and is asked again
+// and again.
+func TestAbsenceIsNoticedDuringRefusal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nodes := testNodes(2)
+	set := newPeerSet(func() time.Time { return now })
+	set.set(nodes, &nodes[0])
+	peer, _ := set.pick(nil)
+	set.ended(peer.ID, passthrough.OutcomeNoPath)
+	now = now.Add(spareInterval)
+	peer, _ = set.pick(nil)
+	set.ended(peer.ID, passthrough.OutcomeNoAnswer)
+	now = now.Add(absentPause - time.Millisecond)
+	if _, found := set.pick(nil); found {
+		t.Error("asked again before the pause of an absent node is over")
+	}
+}
--- a/passthrough/path.go
+++ b/passthrough/path.go
@@ -34,6 +34,9 @@
 	PickPeer(excluded []cluster.NodeID) (Peer, bool)
 	// PeerDrains records that a peer is stopping, so that others are asked before it.
 	PeerDrains(id cluster.NodeID)
+	// AwaitPeer waits until a node that has a path and was overloaded a moment ago may be picked again, and
+	// returns false without a wait if there is none.
+	AwaitPeer(ctx context.Context) bool
 	// PeerEnded records the outcome of a request to a peer.
 	PeerEnded(id cluster.NodeID, outcome PeerOutcome)
 }
