Look at the queue of a drained listener before it is closed

A drain took the queue for empty when Accept had reached its deadline within 40 ms. Beside much load the goroutine runs 15 to 30 ms late, and Accept then returns that the deadline has passed without looking: connections that had waited since the drain began were reset, with the requests on them.

The drain now asks the kernel whether a connection waits before it closes the listener, in place of the bound on the time of Accept. It lasts 500 ms at most, as before.

TestDrainLooksAtQueueAfterDeadline failed before.

--- a/internal/drainlistener/listener.go
+++ b/internal/drainlistener/listener.go
@@ -3,15 +3,15 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// emptyWait is how long the queue of connections must stay empty until the listener is closed.
 	emptyWait = 20 * time.Millisecond
-	// maxStepTime is the longest time of one call of Accept that shows that the queue is empty. A
-	// goroutine that ran later may have reached its deadline without looking at the queue.
-	maxStepTime = 2 * emptyWait
 	// maxDrainTime limits the drain while callers keep connecting.
 	maxDrainTime = 500 * time.Millisecond
 )
@@ -65,12 +65,11 @@
 		if draining && l.drainOver() {
 			return l.endDrain()
 		}
-		began := time.Now()
 		accepted, err := l.Listener.Accept()
 		switch {
 		case err == nil:
 			return accepted, nil
-		case draining && time.Since(began) < maxStepTime:
+		case draining && !l.hasQueued():
 			return l.endDrain()
 		case !l.draining():
 			return nil, err
@@ -78,6 +77,25 @@
 	}
 }
 
+// hasQueued reports whether a connection waits to be accepted. Accept may reach its deadline without looking, since its
+// goroutine ran late.
+func (l *Listener) hasQueued() bool {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	queued := false
+	_ = raw.Control(func(descriptor uintptr) {
+		ready, err := unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+		queued = err == nil && ready > 0
+	})
+	return queued
+}
+
 // endDrain closes the listener and returns what Accept returns then.
 func (l *Listener) endDrain() (net.Conn, error) {
 	_ = l.Listener.Close()
--- a/internal/drainlistener/listener_test.go
+++ b/internal/drainlistener/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 // listenTCP returns a listener on a free port of the loopback interface.
@@ -59,6 +60,43 @@
 	}
 }
 
+// lateListener reaches the deadline of its first Accept in a drain without looking at the queue, as a goroutine that
+// runs late.
+type lateListener struct {
+	*net.TCPListener
+	drained bool
+}
+
+// SetDeadline is called as the drain begins and before each Accept after that.
+func (l *lateListener) SetDeadline(at time.Time) error {
+	if !l.drained {
+		l.drained = true
+		at = time.Now().Add(-time.Second)
+	}
+	return l.TCPListener.SetDeadline(at)
+}
+
+// TestDrainLooksAtQueueAfterDeadline guards against resetting connections that came before the drain, because the
+// goroutine that accepts them ran only after its deadline.
+func TestDrainLooksAtQueueAfterDeadline(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := New(&lateListener{TCPListener: inner.(*net.TCPListener)})
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	listener.drainEnd = time.Now().Add(maxDrainTime)
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.Close()
+}
+
 // TestDrainEndsWaitingAccept guards against an Accept that waits forever for a connection although
 // the listener is drained.
 func TestDrainEndsWaitingAccept(t *testing.T) {
