Answer the requests of other nodes that are on the way as a stop ends

In 2 of 8 plays of TestStoppingNodesSendForNodeWithoutPath, beside a load of 67 to 81, a request through a node got 502, "may have run", at the moment at which that node ended its stop: the transport closed its listener and, 20 ms later, its server. A connection that was not accepted, or accepted and not read, was reset, and the other node can't know that nothing was read.

At the end of a planned stop the transport is drained now: it accepts the connections that came, closes the listener, refuses the requests on them as not sent, and is closed then.

--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -73,6 +73,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	n.answerLastCallers(drainEnd)
+	n.answerLastPeers(drainEnd)
 	n.options.Log.Write(eventlog.NodeStopped{InFlight: n.inFlight(), Took: n.Now().Sub(began)})
 	n.close()
 }
@@ -93,6 +94,14 @@
 	}
 }
 
+// answerLastPeers does for other nodes what answerLastCallers does for callers: they would take a request on a connection
+// that is reset for one that may have run.
+func (n *Node) answerLastPeers(until time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(until.Sub(n.Now()), lastAnswersTimeout))
+	defer cancel()
+	n.transport.Drain(ctx)
+}
+
 // sleepUntil sleeps until a time of the node's clock. It sleeps in short steps because that clock
 // counts suspensions and a timer doesn't.
 func (n *Node) sleepUntil(at time.Time) {
--- a/wire/close_test.go
+++ b/wire/close_test.go
@@ -1,12 +1,16 @@
 package wire
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -92,3 +96,50 @@
 	close(release)
 	<-closed
 }
+
+// callAfter sends a request on a new connection after a time and reports whether it has an answer or was not sent.
+func callAfter(pause time.Duration, address string) bool {
+	time.Sleep(pause)
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return true
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = io.WriteString(connection, "GET /held HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n")
+	_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = http.ReadResponse(bufio.NewReader(connection), nil)
+	return err == nil
+}
+
+// TestDrainAnswersRequestsThatAreOnTheWay guards against requests of peers that a node reads never or answers never because
+// it closes its listener as a planned stop ends: the peer must take each for one that may have run.
+func TestDrainAnswersRequestsThatAreOnTheWay(t *testing.T) {
+	const rounds, callers, spread = 10, 100, 40 * time.Millisecond
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	for range rounds {
+		to := openTransport(t, func(Message) {}, WithHandler("/held", 0, slow))
+		var unanswered atomic.Int64
+		var calling sync.WaitGroup
+		for n := range callers {
+			calling.Go(func() {
+				if !callAfter(spread*time.Duration(n)/callers, to.Address()) {
+					unanswered.Add(1)
+				}
+			})
+		}
+		time.Sleep(spread / 2)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		to.Drain(ctx)
+		cancel()
+		over, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = to.Close(over)
+		calling.Wait()
+		if count := unanswered.Load(); count > 0 {
+			t.Fatalf("%d requests had no answer", count)
+		}
+	}
+}
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -17,6 +18,8 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/go-chi/chi"
 	"github.com/rotisserie/eris"
+
+	"github.com/valveslip/valveslip/internal/drainlistener"
 )
 
 const (
@@ -49,15 +52,17 @@
 // Transport carries messages between nodes over HTTP. Messages to a peer arrive in the order of
 // sending and at most once. Any message may be lost.
 type Transport struct {
-	options   options
-	logger    *slog.Logger
-	handle    func(Message)
-	listener  net.Listener
-	server    *http.Server
-	client    *http.Client
-	publisher *watermillhttp.Publisher
-	receiver  receiver
-	counters  counters
+	options  options
+	logger   *slog.Logger
+	handle   func(Message)
+	listener *drainlistener.Listener
+	server   *http.Server
+	// connections are those of server.
+	connections drainlistener.Connections
+	client      *http.Client
+	publisher   *watermillhttp.Publisher
+	receiver    receiver
+	counters    counters
 
 	lifetime context.Context
 	stop     context.CancelFunc
@@ -227,24 +232,25 @@
 // listen starts to serve handler on address.
 func (t *Transport) listen(address string, handler http.Handler) error {
 	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig}
-	listener, err := config.Listen(t.lifetime, "tcp", address)
+	opened, err := config.Listen(t.lifetime, "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen for peers on %s", address)
 	}
-	listener = userTimeoutListener{listener}
-	t.listener = listener
+	t.listener = drainlistener.New(opened)
+	var listener net.Listener = userTimeoutListener{t.listener}
 	t.server = &http.Server{
 		Handler:           t.route(withStallTimeout(handler, t.options.sendTimeout)),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnectionTimeout,
 		MaxHeaderBytes:    t.options.maxHeaderBytes,
+		ConnState:         t.connections.Track,
 		ErrorLog:          slog.NewLogLogger(t.logger.Handler(), slog.LevelDebug),
 	}
 	if t.options.serverTLS != nil {
 		listener = tls.NewListener(listener, t.options.serverTLS)
 	}
 	t.running.Go(func() {
-		if err := t.server.Serve(listener); err != http.ErrServerClosed {
+		if err := t.server.Serve(listener); err != http.ErrServerClosed && !errors.Is(err, net.ErrClosed) {
 			t.logger.Error("peer listener stopped", "error", err)
 		}
 	})
@@ -275,6 +281,19 @@
 	}
 }
 
+// Drain accepts the connections that peers have opened, closes the listener and answers the requests on them, until ctx
+// ends. Without it a peer whose request is on the way when the transport is closed can't know whether it was read.
+// Messages can still be sent.
+func (t *Transport) Drain(ctx context.Context) {
+	t.listener.Drain()
+	select {
+	case <-t.listener.Drained():
+		t.connections.AwaitIdle(ctx)
+		_ = t.server.Shutdown(ctx)
+	case <-ctx.Done():
+	}
+}
+
 // Close sends the queued messages until ctx ends, then stops the transport. Messages sent later are
 // dropped.
 func (t *Transport) Close(ctx context.Context) error {
