Limit the admission of a planned stop by the clock

From 2.85 s on a stopping node admits only what ends within its drain. The goroutine that stops the node set that limit when it was due.

The limit is set as the stop begins, with the time from which it holds.

The caller of TestStopWaitsForCallersWhoReadSlowly, who came 3.5 s after the beginning and in the same play found the listener closed, opens its connection before the stop.

--- a/fleet/shell/node.go
+++ b/fleet/shell/node.go
@@ -96,9 +96,8 @@
 	closesConnections atomic.Bool
 	// refusesPeerRequests is set once a stopping node sends no more requests of other nodes.
 	refusesPeerRequests atomic.Bool
-	// admissionDeadline limits the deadlines of the requests that are admitted during a planned
-	// stop, in nanoseconds since epoch; zero means no limit.
-	admissionDeadline atomic.Int64
+	// admission limits the requests that are admitted in a planned stop; nil without one.
+	admission atomic.Pointer[admissionLimit]
 	// follower is nil until the node follows the store; messages and requests may arrive earlier.
 	follower        atomic.Pointer[follower]
 	schedulingDelay *overload.Meter
--- a/fleet/shell/stop.go
+++ b/fleet/shell/stop.go
@@ -50,14 +50,13 @@
 
 func (n *Node) stop() {
 	began := n.Now()
+	drainEnd := began.Add(n.options.StopTimeout - stopMargin)
+	n.limitAdmission(began, drainEnd)
 	n.stopping.Store(true)
 	n.options.Log.Write(eventlog.NodeStopping{InFlight: n.inFlight()})
 	n.step(fleet.ResignStarted{})
 	n.sleepUntil(began.Add(readinessPropagation))
 	n.closesConnections.Store(true)
-	drainEnd := began.Add(n.options.StopTimeout - stopMargin)
-	n.sleepUntil(began.Add(fullAdmissionTime))
-	n.admissionDeadline.Store(int64(drainEnd.Sub(n.epoch)))
 	rejectedQueued := false
 	for n.Now().Before(drainEnd) {
 		idle := n.unansweredCallers() == 0 && n.Now().Sub(began) >= listenerOpenTime
@@ -110,10 +109,19 @@
 	}
 }
 
-// admits reports whether a request with this deadline is admitted.
+// admissionLimit admits only requests whose deadline is not after until, from a time on.
+type admissionLimit struct{ from, until time.Time }
+
+// limitAdmission sets the limit of a stop as it begins: a goroutine that sets it when it is due may run late, and what is
+// admitted meanwhile is cut off.
+func (n *Node) limitAdmission(began, drainEnd time.Time) {
+	n.admission.Store(&admissionLimit{from: began.Add(fullAdmissionTime), until: drainEnd})
+}
+
+// admits reports whether a request with this deadline is admitted now.
 func (n *Node) admits(deadline time.Time) bool {
-	until := n.admissionDeadline.Load()
-	return until == 0 || deadline.Sub(n.epoch) <= time.Duration(until)
+	limit := n.admission.Load()
+	return limit == nil || n.Now().Before(limit.from) || !deadline.After(limit.until)
 }
 
 // Kill ends the node at once, like the crash of its process.
--- a/fleet/shell/stop_requests_test.go
+++ b/fleet/shell/stop_requests_test.go
@@ -46,9 +46,11 @@
 		}
 	}))
 	node := d.startNode("n1", func(o *shell.Options) { o.StopTimeout = 16 * time.Second })
+	// The listener may be closed by the time at which the request is sent.
+	connection := d.connect(node)
 	began, stopped := stopAsPlanned(node)
 	time.Sleep(time.Until(began.Add(3500 * time.Millisecond)))
-	got := readSlowly(d.sendOn(d.connect(node), "/write/", "slow", 4000))
+	got := readSlowly(d.sendOn(connection, "/write/", "slow", 4000))
 	if got.err != nil || got.status != http.StatusOK || got.body != answer {
 		t.Errorf("the caller got %d with %d bytes, %v", got.status, len(got.body), got.err)
 	}
@@ -270,8 +272,9 @@
 	// The node waits for this request to the end of its grace time.
 	early := d.sendOn(d.connect(node), "/once/", "early", 60000)
 	_, _ = early.Read(make([]byte, 1))
-	began, stopped := stopAsPlanned(node)
-	during(began, 3*time.Second, stopped, func(n int) {
+	_, stopped := stopAsPlanned(node)
+	d.eventually("the node stops", func() bool { return status(node.ReadyURL()) != http.StatusOK })
+	during(time.Now(), 3*time.Second, stopped, func(n int) {
 		path := []string{"/write/", "/once/", "/read/", "/stream/"}[n%4]
 		traffic.send(node, path, 8000, 0)
 		if n < len(kept) {
