Count a machine whose bytes are unread as heard

TestSlowCallerDoesNotCauseFailover: two engines ran a stream whose caller read late. Reproduced beside 12 busy loops at a load average of 73, once of 16 plays: the log has attempt_silent after 640 ms, the limit being 600 ms, although the engine writes without a pause. With a trace at that place, one of 24 plays at a load average of 96 reached it 601 ms after the last event, on time to a millisecond, with bytes of the engine unread: the goroutine that reads them had not run. A late timer, which the watchdog knew, was not the sign.

The kernel's receive queue is now asked before a silence is reported; bytes there end the silence. One call, only when a silence would be reported. The function that asked for the send queue stood twice; both are in sockopt now.

The test itself reads the head of the answer before it pauses, so that a refusal of a node that runs late is told from a request that hangs: that was the failure in one of 8 plays ("timed out waiting until an engine runs").

--- a/fleet/shell/silence_test.go
+++ b/fleet/shell/silence_test.go
@@ -122,31 +122,48 @@
 		d.registerFloodingEngine(id, &runs)
 	}
 	node := d.startNode("n1")
+	var response *http.Response
+	d.eventually("the node takes the request", func() bool {
+		response = d.beginSlowCall(node)
+		if response.StatusCode == http.StatusOK {
+			return true
+		}
+		body, _ := io.ReadAll(response.Body)
+		if refused := (reply{status: response.StatusCode, body: string(body)}); !refused.isLate() {
+			t.Fatalf("answer %+v, want a stream", refused)
+		}
+		return false
+	})
+	time.Sleep(2 * longPause)
+	if runs.Load() != 1 {
+		t.Fatalf("%d engines ran the request while its caller read nothing, want 1", runs.Load())
+	}
+	// If the engine was abandoned, that shows once the buffered bytes are read.
+	_, _ = io.Copy(io.Discard, response.Body)
+	if runs.Load() != 1 {
+		t.Fatalf("%d engines ran the request of a caller who read late, want 1", runs.Load())
+	}
+}
+
+// beginSlowCall sends a request for a stream and reads no more than the head of the answer.
+func (d *deployment) beginSlowCall(node *shell.Node) *http.Response {
+	d.t.Helper()
 	connection, err := net.Dial("tcp", node.Address())
 	if err != nil {
-		t.Fatal(err)
+		d.t.Fatal(err)
 	}
-	defer func() { _ = connection.Close() }()
+	d.t.Cleanup(func() { _ = connection.Close() })
+	_ = connection.SetReadDeadline(time.Now().Add(waitLimit))
 	_, err = fmt.Fprintf(connection, "POST /stream/ HTTP/1.1\r\nHost: %s\r\n%s: big\r\n%s: slow\r\n%s: 7000\r\nContent-Length: 1\r\n\r\nb",
 		testHost, platform.HeaderModel, platform.HeaderRequestID, platform.HeaderDeadline)
 	if err != nil {
-		t.Fatal(err)
-	}
-	d.eventually("an engine runs the request", func() bool { return runs.Load() > 0 })
-	time.Sleep(2 * longPause)
-	if runs.Load() != 1 {
-		t.Fatalf("%d engines ran the request while its caller read nothing, want 1", runs.Load())
+		d.t.Fatal(err)
 	}
-	// If the engine was abandoned, that shows once the buffered bytes are read.
-	_ = connection.SetReadDeadline(time.Now().Add(waitLimit))
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
-		t.Fatal(err)
-	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	if runs.Load() != 1 {
-		t.Fatalf("%d engines ran the request of a caller who read late, want 1", runs.Load())
+		d.t.Fatal(err)
 	}
+	return response
 }
 
 // registerFloodingEngine registers an engine that sends large events without a pause.
--- a/fleet/shell/slowcallers.go
+++ b/fleet/shell/slowcallers.go
@@ -12,6 +12,7 @@
 
 	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/internal/drainlistener"
+	"github.com/valveslip/valveslip/internal/sockopt"
 	"github.com/valveslip/valveslip/passthrough"
 )
 
@@ -175,7 +176,7 @@
 // abortStalled counts and logs a stalled caller and has the connection reset when it is closed,
 // which drops the unread bytes.
 func (c *callerConn) abortStalled(unwritten int, lasted time.Duration, full bool) error {
-	failure := &passthrough.StalledError{Waiting: int64(unwritten) + c.unacknowledgedBytes(), For: lasted, Full: full}
+	failure := &passthrough.StalledError{Waiting: int64(unwritten) + int64(sockopt.Unacknowledged(c.Conn)), For: lasted, Full: full}
 	cause := "stalled"
 	if full {
 		cause = "full"
@@ -189,22 +190,3 @@
 	}
 	return failure
 }
-
-// unacknowledgedBytes returns the number of bytes in the kernel's send buffer for the caller;
-// zero if the kernel doesn't tell.
-func (c *callerConn) unacknowledgedBytes() (count int64) {
-	system, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		if n, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); err == nil {
-			count = int64(n)
-		}
-	})
-	return count
-}
--- a/passthrough/watchdog.go
+++ b/passthrough/watchdog.go
@@ -168,9 +168,9 @@
 	switch {
 	case w.paused, w.stopped:
 		return
-	case silence < required, silence > required+maxTimerDelay, w.attempt.conn.Sending():
-		// The silence has ended, or it was caused by this process or by the upload of the request
-		// body: the timeout starts again.
+	case silence < required, silence > required+maxTimerDelay, w.attempt.conn.Sending(), w.attempt.conn.HasUnread():
+		// The silence has ended, or it was caused by this process, which has not read what arrived, or by
+		// the upload of the request body: the timeout starts again.
 		w.arm(w.timeout)
 		return
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,11 +11,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
+
+	"github.com/valveslip/valveslip/internal/sockopt"
 )
 
 // Conn is one connection to a machine. It carries one exchange at a time. All methods except
-// Interrupt must be called from one goroutine.
+// Interrupt, Sending and HasUnread must be called from one goroutine.
 type Conn struct {
 	pool       *Pool
 	address    string
@@ -266,7 +267,7 @@
 // that the machine has not acknowledged are discarded, so that a request that was abandoned or
 // runs elsewhere doesn't reach the machine later.
 func (c *Conn) Close() {
-	unacknowledged := c.unacknowledged()
+	unacknowledged := sockopt.Unacknowledged(c.connection)
 	if c.unresponsive(unacknowledged) {
 		heardAt := c.idleSince
 		if c.requestStart.After(heardAt) {
@@ -295,17 +296,5 @@
 	}
 }
 
-// unacknowledged returns the number of bytes that were sent but not acknowledged, zero if the
-// system doesn't tell.
-func (c *Conn) unacknowledged() (count int) {
-	raw, err := c.connection.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0
-	}
-	_ = raw.Control(func(descriptor uintptr) {
-		if n, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); err == nil {
-			count = n
-		}
-	})
-	return count
-}
+// HasUnread reports whether bytes have arrived that were not read; false if the system doesn't tell.
+func (c *Conn) HasUnread() bool { return sockopt.Unread(c.connection) > 0 }
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/valveslip/valveslip/internal/blackhole"
+	"github.com/valveslip/valveslip/internal/sockopt"
 )
 
 // testTimeout ends a wait that would otherwise never end. It measures nothing.
@@ -309,7 +310,7 @@
 		t.Fatal(err)
 	}
 	<-c.writeDone
-	if c.writeError != nil || c.unacknowledged() == 0 {
+	if c.writeError != nil || sockopt.Unacknowledged(c.connection) == 0 {
 		t.Fatalf("request is not buffered in the kernel: write error %v", c.writeError)
 	}
 	c.Close()
