Tell a refusal for running late from a lost content and from a missing answer

Both tests took a node's refusal as overloaded for the fault they guard against, so that they judged the machine.

TestSameVersionWithOtherContentReplacesLostOne: beside 12 busy loops, load average 81, two of 14 plays and one of six before failed with "the lost content is in force again". In both that print the answer it is 503 overloaded, "408 ms late" and "1.186 s late", and /lost/ is 404 or 503: the lost content is not in force. By reading, it can't come back by a late read either: a revision below the one applied is ignored, and a content of the version in force that was in force before never supersedes. The test now wants 200 for the content in force and 404 for the lost one, asks only once the second copy was read (it might have asked before), and asks again after a suspension, which reads everything anew.

TestSurplusRejectionOfEarlierSendIsNoProof: one of six plays failed with "overloaded, 253 ms late". Such a call is repeated; each refused ID is checked not to have run.

--- a/fleet/shell/store_copy_test.go
+++ b/fleet/shell/store_copy_test.go
@@ -32,9 +32,10 @@
 	rewrite()
 }
 
-// serves reports whether the node serves a route by the given method.
+// serves reports whether the node serves a route by the given method. A call that the node refuses for running late
+// is repeated: it says nothing about the route.
 func (d *deployment) serves(node *shell.Node, method, path string) bool {
-	return d.call(node, method, path, "b", nil).status == http.StatusOK
+	return d.callUnlessLate(node, method, path, "b", nil).status == http.StatusOK
 }
 
 // TestChangesAreLearnedAfterStoreLosesRevisions guards against nodes that compare the revisions of
@@ -151,10 +152,9 @@
 func TestSameVersionWithOtherContentReplacesLostOne(t *testing.T) {
 	d := newDeployment(t, withoutLatencyObjective)
 	worker := d.addWorker("p1", plainService, nil)
-	node := d.startNode("n1")
-	served := func(path string) func() bool {
-		return func() bool { return d.serves(node, http.MethodGet, path) }
-	}
+	node, clock, _ := d.startSuspendableNode("n1")
+	statusOf := func(path string) int { return d.callUnlessLate(node, http.MethodGet, path, "b", nil).status }
+	served := func(path string) func() bool { return func() bool { return statusOf(path) == http.StatusOK } }
 	before := d.store.Copy()
 	d.configure(2, route("lost", "idempotent", plainService, 1, false))
 	d.eventually("the lost content is in force", served("/lost/"))
@@ -165,15 +165,22 @@
 	})
 	d.eventually("the other content is in force", served("/kept/"))
 	d.loseRevisions(withLost, func() { d.register(worker) })
-	d.eventually("the worker is used", served("/read/"))
-	for range 20 {
-		if !d.serves(node, http.MethodGet, "/kept/") {
-			t.Fatal("the lost content is in force again")
+	d.eventually("the second copy was read", func() bool { return metric(node, shell.MetricStoreEra) == 2 })
+	checkContent := func(when string) {
+		t.Helper()
+		for range 20 {
+			if kept, lost := statusOf("/kept/"), statusOf("/lost/"); kept != http.StatusOK || lost != http.StatusNotFound {
+				t.Fatalf("%s: status %d for the content in force, want 200, and %d for the lost one, want 404", when, kept, lost)
+			}
+			time.Sleep(5 * time.Millisecond)
 		}
-		time.Sleep(5 * time.Millisecond)
 	}
+	checkContent("after the second copy was read")
+	// A node that detects a pause reads everything again.
+	clock.suspend(5 * time.Second)
+	checkContent("after a suspension")
 	d.configure(3)
-	d.eventually("the next version is in force", func() bool { return !d.serves(node, http.MethodGet, "/kept/") })
+	d.eventually("the next version is in force", func() bool { return statusOf("/kept/") == http.StatusNotFound })
 }
 
 // TestCallersWithKeysAreServedAfterReturn guards against callers with keys who are refused after the store
--- a/fleet/shell/surplus_answers_test.go
+++ b/fleet/shell/surplus_answers_test.go
@@ -122,11 +122,21 @@
 				d.registerAddress(fmt.Sprintf("p%d", i), plainService, startScriptedWorker(t, repeatsRejections(counter, test.early)))
 			}
 			node := d.startNode("n1")
-			for n := 1; n <= 20; n++ {
-				got := d.call(node, http.MethodPost, "/write/", test.body, nil)
-				checkOnce(t, counter, fmt.Sprintf("request-%d", n), got)
+			for range 20 {
+				// Each call that is repeated because the node refused it has an ID of its own.
+				var ids []string
+				got := d.callUnlessLate(node, http.MethodPost, "/write/", test.body, func(header http.Header) {
+					ids = append(ids, header.Get(platform.HeaderRequestID))
+				})
+				last := len(ids) - 1
+				for _, refused := range ids[:last] {
+					if runs := counter.of(refused); runs > 0 {
+						t.Errorf("%s was refused and ran %d times", refused, runs)
+					}
+				}
+				checkOnce(t, counter, ids[last], got)
 				if test.workers == 1 && got.status != http.StatusOK {
-					t.Errorf("request-%d got %d %q, want an answer of the run", n, got.status, got.body)
+					t.Errorf("%s got %d %q %v, want an answer of the run", ids[last], got.status, got.body, got.err)
 				}
 			}
 		})
