Count streams that their callers left as served where nodes are cut off

The check of nodes without a path to workers took a stream whose caller left by itself, having got the events that it wanted, for a failed request, at nodes that are cut off and at the others. Where few requests are compared, that alone can cross the bound of failed ones. Such streams now count as served at both.

--- a/soak/check/partitions.go
+++ b/soak/check/partitions.go
@@ -100,7 +100,8 @@
 			if isCut && !h.othersWork(request, &period) {
 				continue
 			}
-			counts.count(request, isCut, request.Status == http.StatusOK && request.Failure == "" && request.Ended <= period.to)
+			whole := request.Failure == "" || request.Left
+			counts.count(request, isCut, request.Status == http.StatusOK && whole && request.Ended <= period.to)
 		}
 		if cut, _ := counts.totals(); cut.sent > 0 {
 			f.Judged += cut.sent - 1
--- a/soak/check/partitions_test.go
+++ b/soak/check/partitions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -116,3 +117,19 @@
 		t.Errorf("breaches %v, want some: %v", f.Breaches, broken)
 	}
 }
+
+// TestStreamThatItsCallerLeftCountsAsServed guards against nodes without a path to workers that are blamed for streams
+// whose callers left by themselves, having got what they wanted.
+func TestStreamThatItsCallerLeftCountsAsServed(t *testing.T) {
+	for left, breaches := range map[bool]int{true: 0, false: 1} {
+		h := validHistory()
+		for i := range h.Requests {
+			if request := &h.Requests[i]; strings.HasPrefix(request.ID, "n1-cut-") {
+				request.Left, request.Failure = left, "the answer ended early"
+			}
+		}
+		if finding := findingFor(Judge(h), PromisePath); len(finding.Breaches) != breaches {
+			t.Errorf("left %t: %v, want %d breaches", left, finding.Breaches, breaches)
+		}
+	}
+}
