Ask a node that was overloaded for a moment once more before refusing

Cause: a node without a path left another one alone for 100 ms at least after it refused as overloaded, which it does whenever one admission finds it late. If that was the only one with a path all requests that fell due meanwhile were refused at once.

Change: a node that has a path and was overloaded is asked again after 25 ms if no other one is left, and a request waits for that once. One that has no path is not waited for: the request is refused at once, as before.

TestPeerOverloadedForMomentIsAskedAgain: refused after one question before, sent after two now.

--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -214,6 +214,20 @@
 	return p.peers.pick(excluded)
 }
 
+// AwaitPeer implements passthrough.Path.
+func (p *machinePath) AwaitPeer(ctx context.Context) bool {
+	wait, found := p.peers.nextWithPath()
+	if !found {
+		return false
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // PeerEnded implements passthrough.Path.
 func (p *machinePath) PeerEnded(id cluster.NodeID, outcome passthrough.PeerOutcome) {
 	p.peers.ended(id, outcome)
--- a/fleet/shell/peers.go
+++ b/fleet/shell/peers.go
@@ -25,9 +25,11 @@
 	// each try may cost a request that can't be repeated. It may also be the only node with a path.
 	absentPause    = 2 * time.Second
 	maxAbsentPause = 4 * time.Second
-	// spareInterval is the time after which a node that has refused is asked again if there is no other one: its
-	// refusal takes a round trip, and it may be the first with a path.
-	spareInterval = 100 * time.Millisecond
+	// spareInterval is the time after which a node without a path is asked again if there is no other one: its
+	// refusal takes a round trip, and it may be the first with a path. overloadSpareInterval is that for one which
+	// has a path and is late for a moment.
+	spareInterval         = 100 * time.Millisecond
+	overloadSpareInterval = 25 * time.Millisecond
 )
 
 // maxPeersInUse bounds the nodes among which requests are spread, so that connections to them are reused and
@@ -55,6 +57,8 @@
 	until time.Time
 	// spareFrom is when it is asked nevertheless if all others are paused too.
 	spareFrom time.Time
+	// hasPath is true if it refused although it has a path.
+	hasPath bool
 }
 
 func newPeerSet(now func() time.Time) *peerSet {
@@ -119,6 +123,24 @@
 	return chosen, true
 }
 
+// nextWithPath returns how long it takes until a node that has a path is asked again. It returns false if no pause
+// is that of such a node.
+func (s *peerSet) nextWithPath() (wait time.Duration, found bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.now()
+	for _, peer := range s.list {
+		pause := s.pauses[peer.ID]
+		if !pause.hasPath || !now.Before(pause.until) {
+			continue
+		}
+		if left := max(pause.spareFrom.Sub(now), 0); !found || left < wait {
+			wait, found = left, true
+		}
+	}
+	return wait, found
+}
+
 // eligible returns the first maxPeersInUse nodes that are not excluded and whose pauses allow it. The caller holds
 // the mutex.
 func (s *peerSet) eligible(excluded []cluster.NodeID, allows func(peerPause) bool) []passthrough.Peer {
@@ -157,6 +179,8 @@
 	switch {
 	case absent:
 		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(pause)}
+	case outcome == passthrough.OutcomeOverloaded:
+		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(overloadSpareInterval), hasPath: true}
 	case pause > 0:
 		s.pauses[id] = peerPause{until: now.Add(pause), spareFrom: now.Add(spareInterval)}
 	}
--- a/fleet/shell/peers_test.go
+++ b/fleet/shell/peers_test.go
@@ -133,9 +133,15 @@
 }
 
 // TestOnlyNodeThatRefusedIsAskedAgainSoon guards against requests that are refused for a second although the only
-// other node with a path has got it back, and against one question more for each request meanwhile.
+// other node with a path has got it back, or was late for a moment, and against one question more for each request
+// meanwhile.
 func TestOnlyNodeThatRefusedIsAskedAgainSoon(t *testing.T) {
-	for _, outcome := range []passthrough.PeerOutcome{passthrough.OutcomeNoPath, passthrough.OutcomeOverloaded} {
+	for outcome, want := range map[passthrough.PeerOutcome]struct {
+		asked int
+		wait  time.Duration
+	}{
+		passthrough.OutcomeNoPath: {asked: 10}, passthrough.OutcomeOverloaded: {asked: 34, wait: overloadSpareInterval},
+	} {
 		now := time.Unix(1000, 0)
 		nodes := testNodes(3)
 		set := newPeerSet(func() time.Time { return now })
@@ -145,13 +151,15 @@
 			if peer, found := set.pick([]cluster.NodeID{nodes[2].ID}); found {
 				asked++
 				set.ended(peer.ID, outcome)
+				if wait, found := set.nextWithPath(); wait != want.wait || found != (want.wait > 0) {
+					t.Fatalf("waits %s for a node with a path after outcome %s, found %t, want %s", wait, outcome, found, want.wait)
+				}
 			}
 			now = now.Add(10 * time.Millisecond)
 		}
-		if asked != 10 {
-			t.Errorf("asked %d times within a second after outcome %s, want 10", asked, outcome)
+		if asked != want.asked {
+			t.Errorf("asked %d times within a second after outcome %s, want %d", asked, outcome, want.asked)
 		}
-		now = now.Add(spareInterval)
 		for range 20 {
 			peer, _ := set.pick(nil)
 			if peer.ID != nodes[2].ID {
--- a/passthrough/path.go
+++ b/passthrough/path.go
@@ -32,6 +32,9 @@
 	// PickPeer returns a node that may reach machines, except the excluded ones, and false if there
 	// is none.
 	PickPeer(excluded []cluster.NodeID) (Peer, bool)
+	// AwaitPeer waits until a node that has a path and was overloaded a moment ago may be picked again, and
+	// returns false without a wait if there is none.
+	AwaitPeer(ctx context.Context) bool
 	// PeerEnded records the outcome of a request to a peer.
 	PeerEnded(id cluster.NodeID, outcome PeerOutcome)
 }
--- a/passthrough/path_test.go
+++ b/passthrough/path_test.go
@@ -19,6 +19,7 @@
 func (p fixedPath) AwaitVerdict(context.Context) bool            { return p.atFault }
 func (p fixedPath) Vouch(context.Context) bool                   { return !p.atFault }
 func (p fixedPath) PickPeer([]cluster.NodeID) (Peer, bool)       { return Peer{}, false }
+func (p fixedPath) AwaitPeer(context.Context) bool               { return false }
 func (p fixedPath) PeerEnded(id cluster.NodeID, out PeerOutcome) {}
 
 // TestLostPathIsNoEvidenceAgainstRequests guards against requests that are refused as harmful on all nodes
--- a/passthrough/peer_attempt.go
+++ b/passthrough/peer_attempt.go
@@ -45,10 +45,34 @@
 	return a.exchangeThroughPeers(ctx)
 }
 
-// exchangeThroughPeers asks other nodes, one after the other, to send the request until one does.
+// exchangeThroughPeers asks other nodes, one after the other, to send the request until one does. Those that are
+// overloaded for a moment are asked once more before the request is refused.
 func (a *attempt) exchangeThroughPeers(ctx context.Context) (*verdict.Error, bool) {
-	var tried []cluster.NodeID
 	outcomes := map[PeerOutcome]int{}
+	failure, sent := a.askPeers(ctx, outcomes)
+	if !sent && a.Path.Lost() && outcomes[OutcomeUnknown] == 0 && a.Path.AwaitPeer(ctx) {
+		failure, sent = a.askPeers(ctx, outcomes)
+	}
+	if sent {
+		return failure, true
+	}
+	a.peer = nil
+	switch {
+	case outcomes[OutcomeUnknown] > 0:
+		// Another machine may be known to them.
+		a.unreached = true
+		return verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "no other node knows machine %s", a.decision.Machine), true
+	case !a.Path.Lost():
+		return nil, false
+	}
+	a.unreached, a.withheld = true, true
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this node has no path to machines, and no other node sent the request").After(noPathRetryAfter), true
+}
+
+// askPeers asks each of several nodes until one sends the request. It returns false if none does, and counts the
+// outcomes of those.
+func (a *attempt) askPeers(ctx context.Context, outcomes map[PeerOutcome]int) (*verdict.Error, bool) {
+	var tried []cluster.NodeID
 	for len(tried) < maxPeersPerAttempt && outcomes[OutcomeNoAnswer] < maxAbsentPeers && ctx.Err() == nil {
 		peer, found := a.Path.PickPeer(tried)
 		if !found {
@@ -63,17 +87,7 @@
 		}
 		outcomes[outcome]++
 	}
-	a.peer = nil
-	switch {
-	case outcomes[OutcomeUnknown] > 0:
-		// Another machine may be known to them.
-		a.unreached = true
-		return verdict.New(verdict.NotRun, verdict.CodeEngineFailed, "no other node knows machine %s", a.decision.Machine), true
-	case !a.Path.Lost():
-		return nil, false
-	}
-	a.unreached, a.withheld = true, true
-	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this node has no path to machines, and no other node sent the request").After(noPathRetryAfter), true
+	return nil, false
 }
 
 func (a *attempt) logThroughPeer(peer cluster.NodeID, outcome PeerOutcome) {
--- a/passthrough/peer_attempt_test.go
+++ b/passthrough/peer_attempt_test.go
@@ -1,15 +1,20 @@
 package passthrough
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valveslip/valveslip/catalog"
+	"github.com/valveslip/valveslip/cluster"
+	"github.com/valveslip/valveslip/passthrough/retained"
 	"github.com/valveslip/valveslip/upstream"
 	"github.com/valveslip/valveslip/verdict"
 )
@@ -117,3 +122,68 @@
 		t.Errorf("%d bytes were read", read)
 	}
 }
+
+// onePeerPath is a lost Path with one other node, which may be picked again after a wait if it was overloaded.
+type onePeerPath struct {
+	fixedPath
+	peer     Peer
+	refused  PeerOutcome
+	awaiting int
+}
+
+func (p *onePeerPath) PickPeer(excluded []cluster.NodeID) (Peer, bool) {
+	return p.peer, p.refused == "" && len(excluded) == 0
+}
+
+func (p *onePeerPath) PeerEnded(_ cluster.NodeID, outcome PeerOutcome) {
+	if outcome.passesOn() {
+		p.refused = outcome
+	}
+}
+
+func (p *onePeerPath) AwaitPeer(context.Context) bool {
+	p.awaiting++
+	overloaded := p.refused == OutcomeOverloaded
+	p.refused = ""
+	return overloaded
+}
+
+// TestPeerOverloadedForMomentIsAskedAgain guards against requests that a node without a path refuses since the only
+// other node was late for a moment. One that has no path either is not waited for.
+func TestPeerOverloadedForMomentIsAskedAgain(t *testing.T) {
+	for _, c := range []struct {
+		first PeerOutcome
+		asked int64
+		code  verdict.Code
+	}{
+		{OutcomeOverloaded, 2, verdict.CodeEngineFailed}, {OutcomeNoPath, 1, verdict.CodeUnavailable}, {OutcomeDraining, 1, verdict.CodeUnavailable},
+	} {
+		var asked atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			outcome := OutcomeBlocked
+			if asked.Add(1) == 1 {
+				outcome = c.first
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			refusePeer(w, outcome)
+		}))
+		t.Cleanup(server.Close)
+		path := &onePeerPath{fixedPath: fixedPath{true}, peer: Peer{ID: "n2", Address: server.Listener.Addr().String()}}
+		a := newPeerAttempt(t, path)
+		failure, sent := a.exchangeThroughPeers(t.Context())
+		if !sent || failure == nil || failure.Code != c.code || asked.Load() != c.asked {
+			t.Errorf("first %s: failure %v, tried %t after %d questions, want %s after %d", c.first, failure, sent, asked.Load(), c.code, c.asked)
+		}
+	}
+}
+
+// newPeerAttempt returns an attempt whose node has the path.
+func newPeerAttempt(t *testing.T, path Path) *attempt {
+	t.Helper()
+	e := &exchange{
+		Handler: &Handler{Config: Config{Path: path, Dialect: plainDialect{}, Peers: upstream.NewPool(upstream.Options{})}, now: time.Now},
+		request: httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil), header: http.Header{}, route: &catalog.Route{},
+		deadline: time.Now().Add(time.Minute), reserved: retained.NewHold(nil),
+	}
+	return &attempt{exchange: e}
+}
--- a/passthrough/peer_start_test.go
+++ b/passthrough/peer_start_test.go
@@ -26,6 +26,7 @@
 func (workingPath) AllowsEstablished() bool                  { return true }
 func (workingPath) AwaitVerdict(context.Context) bool        { return false }
 func (workingPath) Vouch(context.Context) bool               { return true }
+func (workingPath) AwaitPeer(context.Context) bool           { return false }
 func (workingPath) PickPeer([]cluster.NodeID) (passthrough.Peer, bool) {
 	return passthrough.Peer{}, false
 }
