Count what a cut off node serves until its own cut ends

Cause: the check compares nodes over periods that begin and end whenever any node is cut off or whole again, and an answer counted as served only if it ended within its period. What a node served through others while it was cut off all the time counted as failed because another node's cut began meanwhile, and what the others served so did not count either.

Change: at a cut off node an answer counts until that node's own cut ends, at the others until the last of these ends.

TestPartitionCountsAnswersUntilNodeIsWhole fails before in both directions.

--- a/soak/check/partitions.go
+++ b/soak/check/partitions.go
@@ -22,8 +22,17 @@
 // partitionPeriod is a time in which the same nodes are cut off from all workers.
 type partitionPeriod struct {
 	from, to time.Duration
-	// since is when each of these nodes was cut off.
-	since map[int]time.Duration
+	// since is when each of these nodes was cut off, until when its own cut ends.
+	since, until map[int]time.Duration
+}
+
+// countsUntil returns when an answer must have ended to count as served through other nodes: at a node that is cut
+// off before that ends, whatever happens to other nodes meanwhile, and at the others before the last such end.
+func (p *partitionPeriod) countsUntil(node int) time.Duration {
+	if until, isCut := p.until[node]; isCut {
+		return until
+	}
+	return slices.Max(slices.Collect(maps.Values(p.until)))
 }
 
 // judgedFrom returns when requests at a node begin to count: those at nodes that are not cut off are compared
@@ -85,7 +94,7 @@
 }
 
 // checkPartitions checks that nodes which are cut off from all workers serve their callers through the
-// others, before the period ends. Only requests at nodes whose process, links and store are undisturbed are
+// others, before their own cut ends. Only requests at nodes whose process, links and store are undisturbed are
 // counted, if other nodes that are not cut off are too at the same time. Every such request at a node that is
 // cut off is one observation.
 func checkPartitions(h *History, f *Finding) {
@@ -100,7 +109,7 @@
 			if isCut && !h.othersWork(request, &period) {
 				continue
 			}
-			counts.count(request, isCut, request.Status == http.StatusOK && request.Failure == "" && request.Ended <= period.to)
+			counts.count(request, isCut, request.Status == http.StatusOK && request.Failure == "" && request.Ended <= period.countsUntil(request.Node))
 		}
 		if cut, _ := counts.totals(); cut.sent > 0 {
 			f.Judged += cut.sent - 1
@@ -149,7 +158,7 @@
 	}
 	var periods []partitionPeriod
 	for _, from := range changes {
-		period := partitionPeriod{from: from, to: slices.Max(changes), since: map[int]time.Duration{}}
+		period := partitionPeriod{from: from, to: slices.Max(changes), since: map[int]time.Duration{}, until: map[int]time.Duration{}}
 		for _, at := range changes {
 			if at > from {
 				period.to = min(period.to, at)
@@ -161,6 +170,9 @@
 				period.since[d.Node] = d.From
 			}
 		}
+		for node := range period.since {
+			period.until[node] = h.cutUntil(node, from)
+		}
 		if len(period.since) > 0 && period.to > period.from {
 			periods = append(periods, period)
 		}
@@ -168,6 +180,20 @@
 	return uniquePeriods(periods)
 }
 
+// cutUntil returns when a node that is cut off at the given time no longer is, by overlapping cuts.
+func (h *History) cutUntil(node int, at time.Duration) time.Duration {
+	for extended := true; extended; {
+		extended = false
+		for i := range h.Disturbances {
+			d := &h.Disturbances[i]
+			if d.Scope == ScopePath && d.Node == node && d.From <= at && d.To > at {
+				at, extended = d.To, true
+			}
+		}
+	}
+	return at
+}
+
 // uniquePeriods removes periods that begin at the same time as an earlier one.
 func uniquePeriods(periods []partitionPeriod) []partitionPeriod {
 	begun := map[time.Duration]bool{}
--- a/soak/check/partitions_test.go
+++ b/soak/check/partitions_test.go
@@ -73,6 +73,49 @@
 	}
 }
 
+// TestPartitionCountsAnswersUntilNodeIsWhole guards against counting what was served through other nodes as failed
+// because another node was cut off before the answer ended, at the node that is cut off or at those it is compared with.
+func TestPartitionCountsAnswersUntilNodeIsWhole(t *testing.T) {
+	const (
+		atOnce = iota
+		late
+		refuses
+	)
+	for _, c := range []struct {
+		name string
+		// conduct is what each node does with four of five requests: it answers at once, or late, after the cut of
+		// node 2 has begun, or it refuses.
+		conduct [2]int
+		broken  bool
+	}{
+		{"both answer late", [2]int{late, late}, false},
+		{"only the cut node answers late", [2]int{atOnce, late}, false},
+		{"the cut node refuses, the other one answers late", [2]int{late, refuses}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := &History{Disturbances: []Disturbance{
+				{Node: 1, Scope: ScopePath, From: time.Second, To: 9 * time.Second},
+				{Node: 2, Scope: ScopePath, From: 7 * time.Second, To: 8 * time.Second},
+			}}
+			for node, conduct := range c.conduct {
+				for n := range 40 {
+					request := completedRequest(fmt.Sprintf("n%d-%d", node, n), RouteRead, 5*time.Second+time.Duration(n)*40*time.Millisecond)
+					request.Node = node
+					switch {
+					case n%5 == 0:
+					case conduct == refuses:
+						request.Status = http.StatusServiceUnavailable
+					case conduct == late:
+						request.Ended = 7500 * time.Millisecond
+					}
+					h.Requests = append(h.Requests, request)
+				}
+			}
+			expectPartitionBreach(t, h, c.broken)
+		})
+	}
+}
+
 // TestPartitionComparesRoutesWithEachOther guards against blaming nodes that are cut off for a service that
 // nobody is served by, and against hiding what they fail behind the routes that their callers happen to ask for.
 func TestPartitionComparesRoutesWithEachOther(t *testing.T) {
