Let probes for other nodes outlast the request that they are made for

Cause: a node that heard nothing for a second probes its path before it sends the request of another node. The probes ended with that request's wait of 250 ms, or with its caller, and their failure stood for half a second. Where answers take longer, as on a busy machine, a node that sends nothing itself refused all requests of others as without a path, and so heard nothing on.

TestNodeVouchesForItsPathAfterSlowProbe fails before where a probe takes 300 ms and where its caller leaves after 1 ms. TestNodeWithoutPathDoesNotVouch holds before and after.

--- a/fleet/shell/machine_path_test.go
+++ b/fleet/shell/machine_path_test.go
@@ -9,7 +9,7 @@
 // TestDataBeforePauseVouchesForNothing guards against requests of other nodes that are lost at a node which
 // was suspended and has lost its path meanwhile.
 func TestDataBeforePauseVouchesForNothing(t *testing.T) {
-	node := &Node{options: Options{Now: time.Now}}
+	node := &Node{options: Options{Now: time.Now}, context: t.Context()}
 	path := newMachinePath(node)
 	path.dataArrived(time.Now())
 	if !path.Vouch(context.Background()) {
--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -170,20 +170,26 @@
 	// freshData is the age up to which the last data from a machine shows that the path works. It is
 	// longer than the time between two requests of a node that is in use, so that no probe is needed.
 	freshData = time.Second
-	// vouchTimeout bounds the probes made for another node: a round trip takes 100 ms between distant
-	// regions.
+	// vouchTimeout bounds how long a request of another node waits for probes: a round trip takes 100 ms between
+	// distant regions. An answer that comes later vouches for the next requests.
 	vouchTimeout = 250 * time.Millisecond
 )
 
-// voucher remembers the last probes that were made to vouch for the path.
+// voucher remembers the last round of probes that was made to vouch for the path.
 type voucher struct {
 	mutex   sync.Mutex
 	probeAt time.Time
-	answer  bool
+	round   *vouchRound
 	// pauses is machinePath.pauses at the probes.
 	pauses uint64
 }
 
+// vouchRound is one round of probes for other nodes. It outlasts the wait of each of them.
+type vouchRound struct {
+	done   chan struct{}
+	answer atomic.Bool
+}
+
 // paused forgets what was heard before a pause of the process or its machine. The monotonic clock stands
 // while a machine is suspended, so that old data would count as fresh.
 func (p *machinePath) paused() {
@@ -196,17 +202,43 @@
 	if at := p.dataAt.Load(); at > 0 && time.Since(p.began)-time.Duration(at) < freshData {
 		return true
 	}
+	round := p.vouchRound()
+	select {
+	case <-round.done:
+	case <-time.After(vouchTimeout):
+	case <-ctx.Done():
+	}
+	return round.answer.Load()
+}
+
+// vouchRound returns the present round of probes, and begins one if the last is too old. A round does not end with
+// the request that it was begun for, since others wait for it too.
+func (p *machinePath) vouchRound() *vouchRound {
 	v := &p.vouch
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	if pauses := p.pauses.Load(); pauses != v.pauses || time.Since(v.probeAt) >= probeInterval {
-		v.pauses = pauses
-		ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
-		defer cancel()
-		v.answer = p.probeOnce(ctx, true)
-		v.probeAt = time.Now()
+	if pauses := p.pauses.Load(); v.round == nil || pauses != v.pauses || time.Since(v.probeAt) >= probeInterval && v.round.ended() {
+		round := &vouchRound{done: make(chan struct{})}
+		v.round, v.pauses, v.probeAt = round, pauses, time.Now()
+		go func() {
+			defer close(round.done)
+			if p.probeRound(true) {
+				round.answer.Store(true)
+				p.dataAt.Store(int64(time.Since(p.began)))
+			}
+		}()
+	}
+	return v.round
+}
+
+// ended reports whether all probes of the round have ended, or one was answered.
+func (r *vouchRound) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
 	}
-	return v.answer
 }
 
 // PickPeer implements passthrough.Path.
--- a/fleet/shell/path_probes_test.go
+++ b/fleet/shell/path_probes_test.go
@@ -41,6 +41,8 @@
 	Engines
 	mutex  sync.Mutex
 	states []machineState
+	// probeTime is the time of a probe's answer beyond the round trip.
+	probeTime time.Duration
 }
 
 func (m *simulatedMachines) knownMachines() int { return len(m.states) }
@@ -67,8 +69,15 @@
 	m.mutex.Lock()
 	var i int
 	_, _ = fmt.Sscan(address, &i)
-	state := m.states[i]
+	state, slow := m.states[i], m.probeTime
 	m.mutex.Unlock()
+	if state == machineServes {
+		select {
+		case <-time.After(slow):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	if state == machineHangs {
 		<-ctx.Done()
 		return ctx.Err()
@@ -87,8 +96,8 @@
 	machines *simulatedMachines
 }
 
-// newSimulatedPath returns the path to as many machines, which serve.
-func newSimulatedPath(t *testing.T, machines int) *simulatedPath {
+// newIdlePath returns the path to as many machines, which serve, of a node that sends no requests.
+func newIdlePath(t *testing.T, machines int) *simulatedPath {
 	ctx := t.Context()
 	simulated := &simulatedMachines{states: make([]machineState, machines)}
 	node := &Node{options: Options{Now: time.Now, Engines: simulated}, context: ctx}
@@ -96,17 +105,23 @@
 	path := newMachinePath(node)
 	path.machines = simulated
 	path.peers.list = []passthrough.Peer{{ID: "other", Address: "127.0.0.1:1"}}
+	// Goroutines that sleep end before the bubble does.
+	t.Cleanup(func() { time.Sleep(time.Second) })
+	return &simulatedPath{machinePath: path, machines: simulated}
+}
+
+// newSimulatedPath returns the path to as many machines, which serve.
+func newSimulatedPath(t *testing.T, machines int) *simulatedPath {
+	path := newIdlePath(t, machines)
 	go func() {
-		for ctx.Err() == nil {
+		for t.Context().Err() == nil {
 			if !path.Suspected() {
-				go sendRequest(ctx, path, simulated)
+				go sendRequest(t.Context(), path.machinePath, path.machines)
 			}
 			time.Sleep(simulatedInterval)
 		}
 	}()
-	// Goroutines that sleep end before the bubble does.
-	t.Cleanup(func() { time.Sleep(time.Second) })
-	return &simulatedPath{machinePath: path, machines: simulated}
+	return path
 }
 
 // sendRequest opens a connection to a random machine and reads an answer.
@@ -251,3 +266,60 @@
 		}
 	})
 }
+
+// TestNodeVouchesForItsPathAfterSlowProbe guards against a node that refuses the requests of others as without a path
+// for as long as it sends none itself, because each probe is answered a little later than a request waits for it, or
+// because the request that a probe was made for has ended.
+func TestNodeVouchesForItsPathAfterSlowProbe(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		probeTime time.Duration
+		leaves    time.Duration
+		first     bool
+	}{
+		{"answered at once", 0, time.Minute, true},
+		{"answered after the request's wait", vouchTimeout + 50*time.Millisecond, time.Minute, false},
+		{"the caller leaves before", 50 * time.Millisecond, time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				path := newIdlePath(t, 12)
+				path.machines.probeTime = c.probeTime
+				for range 5 {
+					time.Sleep(time.Minute)
+					ctx, leave := context.WithTimeout(t.Context(), c.leaves)
+					if vouched := path.Vouch(ctx); vouched != c.first {
+						t.Fatalf("vouches for the first request: %t, want %t", vouched, c.first)
+					}
+					leave()
+					if !path.Vouch(t.Context()) {
+						t.Fatal("vouches for no other request")
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestNodeWithoutPathDoesNotVouch guards against requests that a node spends on finding out that its path is lost,
+// and against others that wait long for its word.
+func TestNodeWithoutPathDoesNotVouch(t *testing.T) {
+	for _, state := range []machineState{machineRefuses, machineHangs} {
+		synctest.Test(t, func(t *testing.T) {
+			path := newIdlePath(t, 12)
+			for i := range 12 {
+				path.machines.set(state, i)
+			}
+			for range 50 {
+				began := time.Now()
+				if path.Vouch(t.Context()) {
+					t.Fatalf("vouches although no machine answers, state %d", state)
+				}
+				if waited := time.Since(began); waited > vouchTimeout {
+					t.Fatalf("waits %s, want %s at most", waited, vouchTimeout)
+				}
+				time.Sleep(70 * time.Millisecond)
+			}
+		})
+	}
+}
