Wait for the requests of a transport that is closed at once

Close of a transport whose context has ended, as that of a killed node, closed its server, which doesn't wait for requests, and then the subscriber, which closes the channel to which a request still sends: a data race, and a panic in the handler. Requests are counted now; none begins once the transport closes, and the subscriber ends after the last.

--- a/wire/transport.go
+++ b/wire/transport.go
@@ -57,6 +57,7 @@
 	client    *http.Client
 	publisher *watermillhttp.Publisher
 	receiver  receiver
+	arriving  arrivingRequests
 	counters  counters
 
 	lifetime context.Context
@@ -180,7 +181,7 @@
 		}
 	})
 	<-router.Running()
-	return announceVersion(mux, t.options.announcedVersion), nil
+	return announceVersion(t.arriving.handler(mux), t.options.announcedVersion), nil
 }
 
 // unmarshalRequest reads a request body of at most maxBodyBytes.
@@ -292,6 +293,7 @@
 	if err != nil {
 		_ = t.server.Close()
 	}
+	t.arriving.close()
 	if closing := t.receiver.close(); err == nil {
 		err = closing
 	}
