Measure the progress of a request to a peer by what its kernel acknowledged

The sender counted a piece as progress when the kernel took it, and then gave the answer one timeout, while the link still carried what the kernel held. Now the length of the connection's send queue is looked at four times in a timeout; a shorter one is progress. Looks are counted, not time, so that a process that stood still counts one. A request without progress ends after 1 to 1.25 timeouts instead of one.

The link delayed each piece by the same time, however short, so that it was slower than meant where pieces are short: it has a rate now.

--- a/internal/blackhole/blackhole.go
+++ b/internal/blackhole/blackhole.go
@@ -97,14 +97,11 @@
 type Proxy struct {
 	*Listener
 	targetAddress string
-	// ForwardDelay is the delay before each chunk of at most chunkBytes is forwarded to the
-	// target, which simulates a slow link. It must be set before the first connection.
+	// ForwardDelay is the delay before a chunk of chunkBytes is forwarded to the target, in proportion less before a
+	// shorter one, which simulates a slow link. It must be set before the first connection.
 	ForwardDelay time.Duration
-	// longestForward is the longest time that forwarding one chunk took. forwardStarts
-	// holds, for each connection with a chunk in progress, when forwarding it started.
-	// The mutex guards both.
-	longestForward time.Duration
-	forwardStarts  map[net.Conn]time.Time
+	// lastForward is when a chunk was forwarded last, or when the proxy was created. The mutex guards it.
+	lastForward time.Time
 }
 
 // chunkBytes is the maximum number of bytes that a Proxy reads and forwards at once.
@@ -120,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	proxy := &Proxy{Listener: listener, targetAddress: targetAddress, ForwardDelay: pause, forwardStarts: map[net.Conn]time.Time{}}
+	proxy := &Proxy{Listener: listener, targetAddress: targetAddress, ForwardDelay: pause, lastForward: time.Now()}
 	go proxy.serve()
 	return proxy, nil
 }
@@ -128,16 +125,11 @@
 // Address returns the address on which the proxy listens, as host:port.
 func (p *Proxy) Address() string { return p.Addr().String() }
 
-// LongestForward returns the longest time that forwarding one chunk has taken so far, chunks in
-// progress included. It exceeds ForwardDelay by much only if this process was stalled.
-func (p *Proxy) LongestForward() time.Duration {
+// IdleFor returns the time since the proxy last forwarded a chunk.
+func (p *Proxy) IdleFor() time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	longest := p.longestForward
-	for _, started := range p.forwardStarts {
-		longest = max(longest, time.Since(started))
-	}
-	return longest
+	return time.Since(p.lastForward)
 }
 
 func (p *Proxy) serve() {
@@ -173,11 +165,10 @@
 		n, err := connection.Read(chunk)
 		due = due.Add(time.Since(readStart))
 		if n > 0 {
-			p.recordForwardStart(connection)
-			due = due.Add(p.ForwardDelay)
+			due = due.Add(p.ForwardDelay * time.Duration(n) / chunkBytes)
 			time.Sleep(time.Until(due))
 			_, writeErr := targetConnection.Write(chunk[:n])
-			p.recordForwardEnd(connection)
+			p.recordForward()
 			if writeErr != nil {
 				return
 			}
@@ -188,19 +179,11 @@
 	}
 }
 
-// recordForwardStart records that forwarding a chunk of the connection starts now.
-func (p *Proxy) recordForwardStart(connection net.Conn) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.forwardStarts[connection] = time.Now()
-}
-
-// recordForwardEnd records that the connection's chunk in progress has been forwarded.
-func (p *Proxy) recordForwardEnd(connection net.Conn) {
+// recordForward records that a chunk has been forwarded.
+func (p *Proxy) recordForward() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.longestForward = max(p.longestForward, time.Since(p.forwardStarts[connection]))
-	delete(p.forwardStarts, connection)
+	p.lastForward = time.Now()
 }
 
 // dialFunc opens a network connection, like net.Dialer.DialContext.
--- a/wire/stall_timeout.go
+++ b/wire/stall_timeout.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/valveslip/valveslip/internal/sockopt"
 )
 
 const (
@@ -66,6 +70,10 @@
 	return connection, nil
 }
 
+// stallChecks is the number of checks for progress within a timeout. Checks without progress are counted, not their
+// time: a process that stood still counts one.
+const stallChecks = 4
+
 // stallTimeout cancels requests that have a connection and make no progress for timeout.
 type stallTimeout struct {
 	next    http.RoundTripper
@@ -77,22 +85,85 @@
 func (b stallTimeout) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
-	timer := time.AfterFunc(b.timeout, func() { cancel(errStalled) })
-	timer.Stop()
-	defer timer.Stop()
-	onProgress := func() { timer.Reset(b.timeout) }
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { onProgress() }})
+	guard := &stallGuard{interval: b.timeout / stallChecks, onStall: func() { cancel(errStalled) }}
+	defer guard.stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { guard.watch(info.Conn) }})
 	bounded := request.WithContext(ctx)
-	bounded.Body = &progressBody{ReadCloser: request.Body, onProgress: onProgress}
+	bounded.Body = &progressBody{ReadCloser: request.Body, onProgress: guard.progressed}
 	if rewind := request.GetBody; rewind != nil {
 		bounded.GetBody = func() (io.ReadCloser, error) {
 			body, err := rewind()
-			return &progressBody{ReadCloser: body, onProgress: onProgress}, err
+			return &progressBody{ReadCloser: body, onProgress: guard.progressed}, err
 		}
 	}
 	return b.next.RoundTrip(bounded)
 }
 
+// stallGuard detects that a request makes no progress: no piece of its body is written, and the peer's kernel
+// acknowledges nothing of what was written. What was written last may be under way on a slow link for long.
+type stallGuard struct {
+	interval time.Duration
+	onStall  func()
+
+	mu         sync.Mutex
+	timer      *time.Timer
+	connection net.Conn
+	stopped    bool
+	// unacknowledged is the length of the connection's send queue at the last check, failedChecks the number of checks
+	// since the last progress.
+	unacknowledged, failedChecks int
+}
+
+// watch begins to check the request on a connection that it got.
+func (g *stallGuard) watch(connection net.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if encrypted, ok := connection.(*tls.Conn); ok {
+		connection = encrypted.NetConn()
+	}
+	g.connection, g.failedChecks = connection, 0
+	if g.timer == nil {
+		g.timer = time.AfterFunc(g.interval, g.check)
+	}
+}
+
+// progressed notes that a piece of the body was written.
+func (g *stallGuard) progressed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failedChecks = 0
+}
+
+// check cancels the request if it made no progress for more than stallChecks intervals.
+func (g *stallGuard) check() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
+	unacknowledged := sockopt.Unacknowledged(g.connection)
+	g.failedChecks++
+	if unacknowledged < g.unacknowledged {
+		g.failedChecks = 0
+	}
+	g.unacknowledged = unacknowledged
+	if g.failedChecks > stallChecks {
+		g.onStall()
+		return
+	}
+	g.timer.Reset(g.interval)
+}
+
+// stop ends the checks.
+func (g *stallGuard) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+}
+
 // progressBody calls onProgress whenever the next piece of a body is read, since the previous piece
 // has been written by then.
 type progressBody struct {
