Read a request's body again after a deadline that passed unused

In what was left of TestSlowTransferWithProgressSucceeds (3 of 48 plays) the receiver answered with an error or closed the connection, 4 to 15 ms after the link had forwarded a piece: its read deadline of 1 s had passed. A deadline passes on a process that stood still although bytes are there, and package net then reports it without a look at them.

The timeout is now made of shorter deadlines. One that passes without a byte is tried again, four times, so that a process that stood still uses up one. A sender that went silent is left after 1.25 timeouts.

TestReadIsTriedAgainAfterPassedDeadline fails without the change: the first deadline ended the body.

--- a/wire/stall_guard_test.go
+++ b/wire/stall_guard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -90,3 +91,40 @@
 
 // Close implements io.Closer.
 func (b *endNotifyingBody) Close() error { return nil }
+
+// TestReadIsTriedAgainAfterPassedDeadline guards against a request that its receiver cuts off because its own process
+// stood still, and against one that never ends because its sender has gone silent.
+func TestReadIsTriedAgainAfterPassedDeadline(t *testing.T) {
+	for _, test := range []struct {
+		passed int
+		want   error
+	}{{1, nil}, {stallChecks, nil}, {stallChecks + 1, os.ErrDeadlineExceeded}} {
+		body := &deadlineBody{
+			ReadCloser: &lateBody{passed: test.passed}, controller: http.NewResponseController(deadlineWriter{}), timeout: time.Second,
+		}
+		if n, err := body.Read(make([]byte, 1)); !errors.Is(err, test.want) || err == nil && n != 1 {
+			t.Errorf("%d deadlines passed: read %d bytes, %v, want %v", test.passed, n, err, test.want)
+		}
+	}
+}
+
+// lateBody is a body of which a byte is read after a number of passed deadlines.
+type lateBody struct{ passed int }
+
+// Read implements io.Reader.
+func (b *lateBody) Read([]byte) (int, error) {
+	if b.passed > 0 {
+		b.passed--
+		return 0, os.ErrDeadlineExceeded
+	}
+	return 1, nil
+}
+
+// Close implements io.Closer.
+func (b *lateBody) Close() error { return nil }
+
+// deadlineWriter is a response whose connection takes any deadline.
+type deadlineWriter struct{ http.ResponseWriter }
+
+// SetReadDeadline implements what http.ResponseController needs.
+func (deadlineWriter) SetReadDeadline(time.Time) error { return nil }
--- a/wire/stall_timeout.go
+++ b/wire/stall_timeout.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -197,16 +198,24 @@
 	timeout    time.Duration
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It tries again after a deadline that passed: on a process that stood still it passes
+// although bytes are there.
 func (b *deadlineBody) Read(buffer []byte) (int, error) {
-	if err := b.controller.SetReadDeadline(time.Now().Add(b.timeout)); err != nil {
-		return 0, err
-	}
-	n, err := b.ReadCloser.Read(buffer)
-	if err != nil {
-		b.clearDeadline()
+	for failedChecks := 0; ; {
+		if err := b.controller.SetReadDeadline(time.Now().Add(b.timeout / stallChecks)); err != nil {
+			return 0, err
+		}
+		n, err := b.ReadCloser.Read(buffer)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if failedChecks++; failedChecks <= stallChecks {
+				continue
+			}
+		}
+		if err != nil {
+			b.clearDeadline()
+		}
+		return n, err
 	}
-	return n, err
 }
 
 // clearDeadline removes the read deadline, because the server detects a disconnected sender by
