Divide extra retries by the routers of the last window

Limits keep the earlier number for long; retries now keep it for their window.

TestRetryBudgetHoldsWhenRoutersGo: 40 more retries 7 s after the others went before, none now, and all again once a window has passed.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -241,7 +241,7 @@
 func (r *Router) spendRetry(failed *request) (bool, Explanation) {
 	paid := false
 	if r.config.RetryWindow > 0 {
-		paid = r.windowBudgetOf(failed.model).spend(r.nanos, &r.config, r.routers)
+		paid = r.windowBudgetOf(failed.model).spend(r.nanos, &r.config, r.retryDivisor())
 	} else {
 		paid = failed.model.retries.spend(r.nanos, &r.config)
 	}
--- a/routing/retries.go
+++ b/routing/retries.go
@@ -90,6 +90,20 @@
 	b.requests[b.currentSlice%windowSlices]++
 }
 
+// retryDivisor returns the number of routers among which RetryExtra is divided: the largest of the last RetryWindow, as
+// routers that are gone may have spent their parts in it.
+func (r *Router) retryDivisor() int {
+	if r.nanos < r.moreRoutersUntil {
+		return max(r.routers, r.moreRouters)
+	}
+	return r.routers
+}
+
+// rememberRouters keeps the number of routers for a RetryWindow, before a lower one is applied.
+func (r *Router) rememberRouters() {
+	r.moreRouters, r.moreRoutersUntil = r.retryDivisor(), r.nanos+int64(r.config.RetryWindow)
+}
+
 // spend counts one retry if the window allows it, and reports whether it did.
 func (b *windowBudget) spend(nanos int64, config *Config, routers int) bool {
 	b.advance(nanos, config.RetryWindow)
--- a/routing/retries_test.go
+++ b/routing/retries_test.go
@@ -311,3 +311,34 @@
 	f.step(SettingsChanged{Snapshot: testSnapshot(testPolicy())})
 	return f
 }
+
+// TestRetryBudgetHoldsWhenRoutersGo guards against a router that takes the parts of routers which are gone, or cut off from
+// it, although they have spent them in the same window.
+func TestRetryBudgetHoldsWhenRoutersGo(t *testing.T) {
+	const extra = 45.0
+	f := newRestartFixture(t, Config{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryExtra: extra, FirstStart: true, ExpectedRouters: 9}, start)
+	spendAll := func() (spent int) {
+		for paid := true; paid; {
+			if paid, _ = f.router.spendRetry(&request{model: &model{}}); paid {
+				spent++
+			}
+		}
+		return spent
+	}
+	f.step(RoutersChanged{Routers: 9})
+	f.advance(time.Second)
+	if got := spendAll(); got != extra/9 {
+		t.Fatalf("%d retries of nine routers' %g", got, extra)
+	}
+	f.advance(time.Second)
+	f.step(RoutersChanged{Routers: 5})
+	f.step(RoutersChanged{Routers: 1})
+	f.advance(7 * time.Second)
+	if got := spendAll(); got != 0 {
+		t.Errorf("%d more retries 7 s after eight of nine routers went", got)
+	}
+	f.advance(3 * time.Second)
+	if got := spendAll(); got != extra {
+		t.Errorf("%d retries a window after the others went, want %g", got, extra)
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -37,6 +37,9 @@
 	nanos int64
 	// startedAt is the time of the first step.
 	startedAt int64
+	// moreRouters is an earlier, larger number of routers, which counts for retries until moreRoutersUntil.
+	moreRouters      int
+	moreRoutersUntil int64
 
 	snapshot      *settings.Snapshot
 	models        map[cluster.ModelID]*model
@@ -318,6 +321,9 @@
 // routersChanged applies a new number of routers and the regions of zones.
 func (r *Router) routersChanged(event RoutersChanged) {
 	if event.Routers > 0 {
+		if event.Routers < r.routers {
+			r.rememberRouters()
+		}
 		r.routers, r.rank = event.Routers, event.Rank
 		r.divideLimits()
 	}
