Send for other nodes during a stop only what ends with it

Callers don't know that a node stops; other nodes hear it in the refusal, which says that nothing ran, and ask the next one.

TestStoppingNodeSendsForOthersWhatEndsInTime failed before.

--- a/fleet/shell/path.go
+++ b/fleet/shell/path.go
@@ -306,9 +306,12 @@
 	return ""
 }
 
-// admitsPeerRequest reports whether a request of another node that ends within a time is sent: the rule of a planned
-// stop for callers holds for other nodes too.
-func (n *Node) admitsPeerRequest(within time.Duration) bool { return n.admits(n.Now().Add(within)) }
+// admitsPeerRequest reports whether a request of another node that ends within a time is sent. A node that stops sends
+// only what ends within its drain, from the beginning of the stop: the other node may have one left that does not stop.
+func (n *Node) admitsPeerRequest(within time.Duration) bool {
+	limit := n.admission.Load()
+	return limit == nil || !n.Now().Add(within).After(limit.until)
+}
 
 // maxBodyBytes returns the bound on the body of a request.
 func (n *Node) maxBodyBytes() int64 {
