Try the configuration of each node that sends one after a return of the store

The first answer that stated a high version hid all others, for good: with content that can't be used a node went on with the copy's configuration, in later eras too (a review's trial). Each different content is handed on now, and what was received counts in its era alone.

TestUnusableConfigurationDoesNotHideThatOfOtherNodes failed before.

--- a/fleet/unstored.go
+++ b/fleet/unstored.go
@@ -37,8 +37,9 @@
 	core *Core
 	// configuration is the stored form of the configuration in force.
 	configuration []byte
-	// received is the latest version that was received from other nodes.
+	// received is the latest version that other nodes sent in this era, and tried has the hashes of their contents.
 	received int64
+	tried    map[uint64]bool
 	// awaited are the nodes whose answers a node that starts waits for until waitUntil.
 	awaited   map[cluster.NodeID]bool
 	waitUntil time.Time
@@ -58,7 +59,7 @@
 		return
 	}
 	self := &u.core.config.Self
-	u.awaited = map[cluster.NodeID]bool{}
+	u.awaited, u.received, u.tried = map[cluster.NodeID]bool{}, 0, map[uint64]bool{}
 	for _, peer := range u.peers() {
 		u.awaited[peer.ID] = true
 		u.core.send(peer.Address, wire.UnstoredStateRequest{From: self.ID, FromAddress: self.Address, ConfigurationVersion: u.version()})
@@ -93,8 +94,11 @@
 		return
 	}
 	delete(u.awaited, m.From)
-	if len(m.Configuration) > 0 && m.ConfigurationVersion > max(u.version(), u.received) {
-		u.received = m.ConfigurationVersion
+	// Each different one is tried: one that can't be used must not hide that of another node.
+	content := xxhash.Sum64(m.Configuration)
+	if len(m.Configuration) > 0 && m.ConfigurationVersion > u.version() && !u.tried[content] {
+		u.received = max(u.received, m.ConfigurationVersion)
+		u.tried[content] = true
 		u.core.emit(ConfigurationReceived{Value: m.Configuration, From: m.From})
 	}
 	u.core.view.markLeaving(m.Leaving)
--- a/fleet/unstored_test.go
+++ b/fleet/unstored_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// Guards against a configuration that can't be used and, by the version that its node states, hides the one in force that
+// others send, in this era and in later ones.
+func TestUnusableConfigurationDoesNotHideThatOfOtherNodes(t *testing.T) {
+	s := startBeside(t, 3, EraBegan{Era: 1})
+	newer := wire.UnstoredState{ConfigurationVersion: 2, Configuration: []byte("version 2")}
+	s.answer("other-0", wire.UnstoredState{ConfigurationVersion: 9, Configuration: []byte("damaged")})
+	s.answer("other-1", newer)
+	if len(s.received) != 2 || string(s.received[1].Value) != "version 2" {
+		t.Errorf("received %v in the first era", s.received)
+	}
+	s.step(EraBegan{Era: 2})
+	s.answer("other-2", newer)
+	if len(s.received) != 3 {
+		t.Errorf("received %v in the next era", s.received)
+	}
+}
+
 // Guards against messages and a wait at each start although the store never came back from a copy, and against
 // hundreds of whole configurations for one node.
 func TestFewNodesAreAskedForUnstoredState(t *testing.T) {
