End a drawn run at a breach in place of going on

A run goes on until each tested promise can be judged. What callers got meanwhile could lift a share over its bound again and hide a breach (by reading).

--- a/soak/play.go
+++ b/soak/play.go
@@ -77,8 +77,12 @@
 	r.recover(ctx)
 }
 
-// judged reports whether each promise that the run tested can be judged.
-func (r *run) judged() bool { return len(check.NotJudged(check.Judge(r.gather()))) == 0 }
+// judged reports whether each promise that the run tested can be judged, or one is broken: what follows must not make
+// up for it.
+func (r *run) judged() bool {
+	findings := check.Judge(r.gather())
+	return len(check.NotJudged(findings)) == 0 || len(check.Breaches(findings)) > 0
+}
 
 // goOnUntil goes on calling, with nothing disturbed, until enough is reported, for Options.AwaitJudgement at most.
 func (r *run) goOnUntil(enough func() bool) {
