Tie the accepted probe of a harmful part to its permission

The test of parts that crash workers accepted any answer 502 for which one worker crashed: a review's mutant, in which each node sends its first request with a blocked part unasked, passed. Such an answer now needs a permission for it in the log of the very node.

--- a/fleet/shell/harmful_part_test.go
+++ b/fleet/shell/harmful_part_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/valveslip/valveslip/eventlog"
 	"github.com/valveslip/valveslip/fleet/shell"
 	"github.com/valveslip/valveslip/platform"
 	"github.com/valveslip/valveslip/standin/worker"
@@ -90,7 +91,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCrashingWorkers(t, 16)
-			nodes := []*shell.Node{c.startNode("n1"), c.startNode("n2"), c.startNode("n3")}
+			nodes, logs := make([]*shell.Node, 3), make([]*logText, 3)
+			for i := range nodes {
+				logs[i] = &logText{}
+				nodes[i] = c.startNode(fmt.Sprintf("n%d", i+1), func(o *shell.Options) { o.Log = eventlog.New(logs[i], eventlog.Options{}) })
+			}
 			for i := range 12 {
 				if got := c.ask(nodes[i%3], soundPart, "50000002"); got.status != http.StatusOK {
 					t.Fatalf("a sound request is answered %+v", got)
@@ -108,13 +113,19 @@
 			if known > 8 {
 				t.Errorf("%d workers crashed until all nodes knew the part", known)
 			}
+			probes := make([]int, len(nodes))
 			for i := range 12 {
 				before := c.crashes.Load()
 				got := c.ask(nodes[i%3], shared...)
 				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-				// Some time after the part is known a request with it is sent to one worker, to see whether the part still
-				// ends workers.
 				isProbe := got.status == http.StatusBadGateway && c.crashes.Load() == before+1
+				if isProbe {
+					// A node whose probe the store granted sends one such request, to see whether the part still ends workers.
+					probes[i%3]++
+					c.eventually("the probe is logged", func() bool {
+						return strings.Count(logs[i%3].String(), deadPart+" outcome=granted") >= probes[i%3]
+					})
+				}
 				if !isProbe && (got.status != http.StatusServiceUnavailable || err != nil || after < 60) {
 					t.Errorf("answer %+v", got)
 				}
