--- a/fleet/limit_record.go
+++ b/fleet/limit_record.go
@@ -19,8 +19,8 @@
 const KeyLimits = KeyRoot + "machine-limits"
 
 const (
-	// limitsWriteDelay is the time from a change to the write of the record. Machines of one service often state
-	// their limits together.
+	// limitsWriteDelay is the time from a change to the write of the record, because machines of one service often
+	// state their limits together.
 	limitsWriteDelay = 100 * time.Millisecond
 	// limitsWriteSpacing is the least time between two writes, longer than a write takes to come back from the
 	// store.
--- a/fleet/unstored.go
+++ b/fleet/unstored.go
@@ -16,8 +16,8 @@
 	// unstoredPeers is how many nodes are asked for what the store does not show: several, as some may have started
 	// as late, and few, as each may answer with a whole configuration.
 	unstoredPeers = 5
-	// unstoredWait is how long a node that starts waits for their answers before it serves. An asked node may have
-	// ended.
+	// unstoredWait is how long a node that starts waits for their answers before it serves. It is bounded because an
+	// asked node may have ended.
 	unstoredWait = 250 * time.Millisecond
 )
 
