review: a caller that closes its half of the connection is told of a success

Cause: for a caller that has left, the exchange writes no answer and its handler returns, upon which net/http answers 200 with an empty body.

--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -7,7 +7,7 @@
 
 // cases are the cases by name. Each returns an error if it could not run.
 var cases = map[string]func(w *world, trouble bool) error{
-	"adapters": adaptersInUse,
+	"closed": closedByCallers,
 }
 
 // unfenced are the cases whose workers don't check fencing tokens.
--- a/review/drive/world.go
+++ b/review/drive/world.go
@@ -269,6 +269,24 @@
 	return nil
 }
 
+// startNodes starts a number of nodes, waits until they are ready, and returns the one that holds the lease for orders.
+func (w *world) startNodes(count int) (*node, error) {
+	for range count {
+		if _, err := w.addNode(); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range w.nodes {
+		if err := n.start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.awaitReady(15 * time.Second); err != nil {
+		return nil, err
+	}
+	return w.awaitHolder(15 * time.Second)
+}
+
 // close ends all that the run started and returns the exit status.
 func (w *world) close(failure error) int {
 	close(w.stop)
